--- /dev/null
+++ b/src/core/rt.h
@@ -0,0 +1,86 @@
+#ifndef CORE_RT_H
+#define CORE_RT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/view.h"
+
+/*
+ * Routing and admission of one entry. No I/O; the caller serialises calls with
+ * its own lock. Times in microseconds of one monotonic clock.
+ */
+struct rt;
+
+struct rt_request {
+	const char *team;
+	const char *service;
+	const char *model;   /* NULL for plain services */
+	const char *adapter; /* NULL or empty: none */
+	const char *class_name;
+	const struct doc_class *class_limits;
+	int64_t arrival_us;
+	int64_t deadline_us;	/* absolute, first token or whole answer */
+	uint32_t prompt_tokens; /* estimate */
+	uint32_t max_tokens;
+	uint64_t prefix_hashes[8]; /* of growing prompt prefixes; 0 ends */
+	const char *exclude;	   /* endpoint not to use (retry), or NULL */
+	bool suspect;		   /* runs alone among suspects */
+};
+
+enum rt_outcome {
+	RT_DISPATCH, /* send to endpoint now; call rt_done() afterwards */
+	RT_WAIT,     /* queued; ask again after rt_next_us() or a completion */
+	RT_REFUSE,   /* no byte was sent; reason says why */
+};
+
+enum rt_reason {
+	RT_REASON_NONE,
+	RT_REASON_NO_ENDPOINT, /* no ready copy anywhere */
+	RT_REASON_DEADLINE_UNREACHABLE,
+	RT_REASON_QUEUE_FULL,
+	RT_REASON_MODEL_SHARE, /* one model's burst exceeds its share */
+	RT_REASON_RETRY_BUDGET,
+};
+
+struct rt_ticket; /* one queued or dispatched request, owned by rt */
+
+struct rt_decision {
+	enum rt_outcome outcome;
+	enum rt_reason reason;
+	const Dsp__Endpoint *endpoint; /* RT_DISPATCH; lives as the view */
+	int64_t predicted_us;	       /* time to first token */
+	int64_t retry_after_us;	       /* RT_REFUSE */
+	struct rt_ticket *ticket;      /* RT_DISPATCH and RT_WAIT */
+};
+
+struct rt *rt_new(uint64_t seed);
+void rt_free(struct rt *ctx);
+
+/* Commands. */
+void rt_set_view(struct rt *ctx, struct view *view, int64_t now_us);
+void rt_report(struct rt *ctx, const Dsp__LoadReport *report, int64_t now_us);
+/* Number of entries that share the endpoints; scales the own share. */
+void rt_set_entries(struct rt *ctx, uint32_t entries);
+void rt_submit(struct rt *ctx, const struct rt_request *request, int64_t now_us,
+	       struct rt_decision *out);
+/* Asks again for a ticket that got RT_WAIT. */
+void rt_poll(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us,
+	     struct rt_decision *out);
+/* A retry on another endpoint; takes from the retry budget. */
+void rt_retry(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us,
+	      struct rt_decision *out);
+void rt_first_token(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us);
+/* Ends a ticket in any state and frees it. tokens: generated. */
+void rt_done(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us,
+	     uint32_t tokens, bool success);
+/* A connection to the endpoint was refused or broke: avoid it for a while. */
+void rt_endpoint_failed(struct rt *ctx, const char *endpoint,
+			uint64_t incarnation, int64_t now_us);
+
+/* Queries. */
+uint32_t rt_in_flight(const struct rt *ctx, const char *endpoint);
+uint32_t rt_waiting(const struct rt *ctx);
+const char *rt_reason_code(enum rt_reason reason);
+
+#endif
--- /dev/null
+++ b/src/core/view.h
@@ -0,0 +1,47 @@
+#ifndef CORE_VIEW_H
+#define CORE_VIEW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "conf/doc.h"
+#include "proto/messages.pb-c.h"
+
+/*
+ * Immutable, reference-counted copy of the state that entries need. The control
+ * thread builds a new view from the old one and an update; traffic threads hold
+ * a reference while they use it.
+ */
+struct view;
+
+struct view_document {
+	const Dsp__Document *document;
+	const struct doc *parsed;
+};
+
+struct view *view_new_empty(void);
+struct view *view_ref(struct view *ctx);
+void view_unref(struct view *ctx);
+
+/* Returns a new view with the update applied, or NULL when the update does not
+ * follow this view (gap, or an index below the installed one). */
+struct view *view_apply(const struct view *ctx, const Dsp__ViewUpdate *update);
+
+/* Queries; any thread that holds a reference. */
+uint64_t view_index(const struct view *ctx);
+const struct view_document *view_document(const struct view *ctx,
+					  const char *team);
+size_t view_n_documents(const struct view *ctx);
+const struct view_document *view_document_at(const struct view *ctx, size_t i);
+size_t view_n_endpoints(const struct view *ctx);
+const Dsp__Endpoint *view_endpoint_at(const struct view *ctx, size_t i);
+const Dsp__Endpoint *view_endpoint(const struct view *ctx, const char *id);
+size_t view_n_nodes(const struct view *ctx);
+const Dsp__Node *view_node_at(const struct view *ctx, size_t i);
+const Dsp__Node *view_node(const struct view *ctx, const char *id);
+const Dsp__Suspect *view_suspect(const struct view *ctx,
+				 const uint8_t digest[16]);
+/* Serves st_view_since() from a relay: all records changed after from_index. */
+Dsp__ViewUpdate *view_since(const struct view *ctx, uint64_t from_index);
+
+#endif
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,12 @@
+#ifndef NODE_NODE_H
+#define NODE_NODE_H
+
+#include <glib.h>
+
+#include "conf/set.h"
+
+/* Runs one instance until SIGTERM or SIGINT, then drains and stops it. Returns
+ * 0, or 1 with err set when it could not start. */
+int node_run(const struct set *settings, GError **err);
+
+#endif
