conf: settings and documents from TOML, with every fault reported

Option tables drive the reading, so that type, range, default and the message of each key stand in one place.

--- /dev/null
+++ b/src/conf/set.c
@@ -0,0 +1,234 @@
+#include "conf/set.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf/opt.h"
+
+#define VOTERS_MAX 7
+
+static const char *const log_levels[] = { "err",  "warning", "notice",
+					  "info", "debug",   NULL };
+
+#define AT(field) offsetof(struct set, field)
+
+static const struct opt root_options[] = {
+	{ "id", OPT_NAME, AT(id), .required = true },
+	{ "site", OPT_NAME, AT(site), .required = true },
+	{ "region", OPT_NAME, AT(region), .required = true },
+	{ "control", OPT_BOOL, AT(control) },
+	{ "data_folder", OPT_STRING, AT(data_folder) },
+	{ "internal_listen", OPT_TCP, AT(internal_listen), .required = true },
+	{ "internal_advertise", OPT_TCP, AT(internal_advertise) },
+	{ "http_listen", OPT_IP_PORT, AT(http_listen), .required = true },
+	{ "http_advertise", OPT_IP_PORT, AT(http_advertise) },
+	{ "log_level", OPT_STRING, AT(log_level), .fallback_text = "info" },
+	{ "weight", OPT_U32, AT(weight), .min = 1, .max = 100000,
+	  .fallback = 100 },
+	{ "limits", OPT_TABLE },
+	{ "timing", OPT_TABLE },
+	{ "peer", OPT_TABLES, .required = true },
+};
+
+static const struct opt limit_options[] = {
+	{ "body_bytes_max", OPT_U32, AT(body_bytes_max), .min = 1024,
+	  .max = 1 << 30, .fallback = 4 << 20 },
+	{ "header_bytes_max", OPT_U32, AT(header_bytes_max), .min = 1024,
+	  .max = 1 << 20, .fallback = 16 << 10 },
+	{ "requests_max", OPT_U32, AT(requests_max), .min = 1, .max = 20000,
+	  .fallback = 1000 },
+	{ "queue_max", OPT_U32, AT(queue_max), .min = 1, .max = 100000,
+	  .fallback = 500 },
+	{ "memory_mb_max", OPT_U32, AT(memory_mb_max), .min = 1, .max = 1 << 20,
+	  .fallback = 128 },
+	{ "claims_max", OPT_U32, AT(claims_max), .min = 1, .max = 10000000,
+	  .fallback = 1000000 },
+	{ "claim_bodies_mb", OPT_U32, AT(claim_bodies_mb), .min = 1,
+	  .max = 1 << 16, .fallback = 64 },
+	{ "stale_limit_s", OPT_U32, AT(stale_limit_s), .min = 1, .max = 86400,
+	  .fallback = 3600 },
+};
+
+static const struct opt timing_options[] = {
+	{ "election_timeout_ms", OPT_U32, AT(election_timeout_ms), .min = 50,
+	  .max = 60000, .fallback = 500 },
+	{ "heartbeat_ms", OPT_U32, AT(heartbeat_ms), .min = 10, .max = 10000,
+	  .fallback = 100 },
+	{ "report_interval_ms", OPT_U32, AT(report_interval_ms), .min = 10,
+	  .max = 60000, .fallback = 1000 },
+	{ "endpoint_lease_ms", OPT_U32, AT(endpoint_lease_ms), .min = 100,
+	  .max = 600000, .fallback = 3000 },
+	{ "node_lease_ms", OPT_U32, AT(node_lease_ms), .min = 100,
+	  .max = 600000, .fallback = 5000 },
+	{ "isolated_after_ms", OPT_U32, AT(isolated_after_ms), .min = 100,
+	  .max = 600000, .fallback = 5000 },
+	{ "entry_validity_s", OPT_U32, AT(entry_validity_s), .min = 1,
+	  .max = 3600, .fallback = 30 },
+	{ "answer_retention_s", OPT_U32, AT(answer_retention_s), .min = 1,
+	  .max = 86400, .fallback = 60 },
+	{ "silence_limit_ms", OPT_U32, AT(silence_limit_ms), .min = 100,
+	  .max = 600000, .fallback = 2000 },
+	{ "drain_limit_s", OPT_U32, AT(drain_limit_s), .min = 0, .max = 86400,
+	  .fallback = 600 },
+};
+
+#undef AT
+#define AT(field) offsetof(struct set_peer, field)
+
+static const struct opt peer_options[] = {
+	{ "id", OPT_NAME, AT(id), .required = true },
+	{ "address", OPT_TCP, AT(address), .required = true },
+	{ "site", OPT_NAME, AT(site), .required = true },
+	{ "control", OPT_BOOL, AT(control), .fallback = 1 },
+};
+
+static void read_peers(struct set *ctx, const struct opt_source *source,
+		       const struct tb_value *array)
+{
+	if (!array || array->type != TB_ARRAY)
+		return;
+	ctx->peers = g_new0(struct set_peer, array->n_children);
+	ctx->n_peers = array->n_children;
+	for (size_t i = 0; i < array->n_children; i++)
+		opt_read(source, &array->children[i], "peer", peer_options,
+			 G_N_ELEMENTS(peer_options), &ctx->peers[i]);
+}
+
+static void check_peers(const struct set *ctx, const struct opt_source *source,
+			const struct tb_value *array)
+{
+	size_t voters = 0;
+	bool self = false;
+
+	for (size_t i = 0; i < ctx->n_peers; i++) {
+		const struct set_peer *peer = &ctx->peers[i];
+		int line = array->children[i].line;
+
+		voters += peer->control;
+		for (size_t k = 0; peer->id && k < i; k++)
+			if (ctx->peers[k].id &&
+			    !strcmp(ctx->peers[k].id, peer->id))
+				opt_fault(
+					source, line, "peer.id",
+					"given \"%s\"; allowed: an id that no "
+					"other peer has",
+					peer->id);
+		if (!peer->id || !ctx->id || strcmp(peer->id, ctx->id) != 0)
+			continue;
+		self = true;
+		if (peer->control != ctx->control)
+			opt_fault(
+				source, line, "peer.control",
+				"given %s; allowed: the same value as control "
+				"of this instance",
+				peer->control ? "true" : "false");
+	}
+	if (voters != 1 && voters != 3 && voters != 5 && voters != VOTERS_MAX)
+		opt_fault(
+			source, array->line, "peer",
+			"given %zu peers with control = true; allowed: 1, 3, 5 "
+			"or 7",
+			voters);
+	if (ctx->control && !self)
+		opt_fault(
+			source, array->line, "peer",
+			"given no peer with the id of this instance; allowed: "
+			"every voter, this instance included");
+}
+
+static void check_whole(const struct set *ctx, const struct opt_source *source,
+			const struct tb_value *root)
+{
+	const struct tb_value *peers = opt_child(root, "peer");
+	const struct tb_value *level = opt_child(root, "log_level");
+	const struct tb_value *timing = opt_child(root, "timing");
+	int line = timing ? timing->line : 0;
+
+	if (ctx->control && !ctx->data_folder)
+		opt_fault(source, opt_child(root, "control")->line,
+			  "data_folder",
+			  "missing; control = true needs a data folder");
+	if (level && !g_strv_contains(log_levels, ctx->log_level))
+		opt_fault(source, level->line, "log_level",
+			  "given \"%s\"; allowed: err, warning, notice, info, "
+			  "debug",
+			  level->text);
+	if (ctx->heartbeat_ms * 2 > ctx->election_timeout_ms)
+		opt_fault(source, line, "timing.heartbeat_ms",
+			  "given %u; allowed: at most half of "
+			  "election_timeout_ms (%u)",
+			  ctx->heartbeat_ms, ctx->election_timeout_ms);
+	if (ctx->report_interval_ms * 2 > ctx->node_lease_ms)
+		opt_fault(source, line, "timing.report_interval_ms",
+			  "given %u; allowed: at most half of node_lease_ms "
+			  "(%u)",
+			  ctx->report_interval_ms, ctx->node_lease_ms);
+	if (peers && peers->type == TB_ARRAY)
+		check_peers(ctx, source, peers);
+}
+
+/*
+ * Parses and validates the settings of one instance. Returns NULL and adds
+ * every fault to faults ("name:line: key: given VALUE; allowed: ...") when the
+ * text is not valid. name is the file's name for the messages.
+ */
+struct set *set_parse(const char *name, const char *text, size_t len,
+		      GPtrArray *faults)
+{
+	struct opt_source source = { .file = name, .faults = faults };
+	guint before = faults->len;
+	struct tb_value *root;
+	char *error = NULL;
+	struct set *ctx;
+	int line = 0;
+
+	root = tb_parse(text, len, &error, &line);
+	if (!root) {
+		opt_fault(&source, line, "toml", "%s", error);
+		free(error);
+		return NULL;
+	}
+	ctx = g_new0(struct set, 1);
+	opt_read(&source, root, "", root_options, G_N_ELEMENTS(root_options),
+		 ctx);
+	opt_read(&source, opt_child(root, "limits"), "limits", limit_options,
+		 G_N_ELEMENTS(limit_options), ctx);
+	opt_read(&source, opt_child(root, "timing"), "timing", timing_options,
+		 G_N_ELEMENTS(timing_options), ctx);
+	read_peers(ctx, &source, opt_child(root, "peer"));
+	if (faults->len == before)
+		check_whole(ctx, &source, root);
+	if (!ctx->internal_advertise)
+		ctx->internal_advertise = g_strdup(ctx->internal_listen);
+	if (!ctx->http_advertise)
+		ctx->http_advertise = g_strdup(ctx->http_listen);
+	tb_free(root);
+	if (faults->len != before) {
+		set_free(ctx);
+		return NULL;
+	}
+	return ctx;
+}
+
+/* Frees the settings; NULL is allowed. */
+void set_free(struct set *ctx)
+{
+	if (!ctx)
+		return;
+	for (size_t i = 0; i < ctx->n_peers; i++) {
+		g_free(ctx->peers[i].id);
+		g_free(ctx->peers[i].address);
+		g_free(ctx->peers[i].site);
+	}
+	g_free(ctx->peers);
+	g_free(ctx->id);
+	g_free(ctx->site);
+	g_free(ctx->region);
+	g_free(ctx->data_folder);
+	g_free(ctx->internal_listen);
+	g_free(ctx->internal_advertise);
+	g_free(ctx->http_listen);
+	g_free(ctx->http_advertise);
+	g_free(ctx->log_level);
+	g_free(ctx);
+}
--- /dev/null
+++ b/src/conf/tb.h
@@ -0,0 +1,48 @@
+#ifndef CONF_TB_H
+#define CONF_TB_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* A parsed TOML file as a tree of tagged values, each with its line. */
+
+enum tb_type {
+	TB_TABLE,
+	TB_ARRAY,
+	TB_STRING,
+	TB_INTEGER,
+	TB_FLOAT,
+	TB_BOOLEAN,
+	TB_OTHER, /* date or time; text holds its TOML form */
+};
+
+struct tb_value {
+	enum tb_type type;
+	int line;
+	char *key;  /* owned; NULL for array items and the root */
+	char *text; /* owned; string value, or the value as written */
+	int64_t integer;
+	double number; /* TB_FLOAT, and TB_INTEGER as a double */
+	bool boolean;
+	struct tb_value *children; /* owned; TB_TABLE and TB_ARRAY */
+	size_t n_children;
+};
+
+/*
+ * Parses TOML text. Returns NULL and sets error (freed with free()) and line
+ * when the text is not TOML.
+ */
+struct tb_value *tb_parse(const char *text, size_t len, char **error,
+			  int *line);
+void tb_free(struct tb_value *root);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
