--- a/src/conf/doc.c
+++ b/src/conf/doc.c
@@ -406,7 +406,7 @@
 	if (!name || !name[0])
 		name = ctx->default_class;
 	for (size_t i = 0; i < ctx->n_classes; i++)
-		if (!strcmp(ctx->classes[i].name, name))
+		if (!g_strcmp0(ctx->classes[i].name, name))
 			return &ctx->classes[i];
 	return NULL;
 }
