--- /dev/null
+++ b/src/traffic/api_http.c
@@ -0,0 +1,356 @@
+#include "traffic/trf_int.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* After a refusal at most this much of an unread body is read, so that the
+ * caller receives the reply before the connection is closed. */
+#define DISCARD_MAX (4u << 20)
+
+static const char *const ran_names[] = {
+	[TRF_NOT_RUN] = "not_run",
+	[TRF_RAN] = "ran",
+	[TRF_RAN_UNKNOWN] = "unknown",
+};
+
+/* Returns a request header, or NULL; an empty one counts as absent. */
+const char *api_header(const struct api *api, const char *name)
+{
+	const char *value = mg_get_header(api->conn, name);
+
+	return value && value[0] ? value : NULL;
+}
+
+static void write_all(struct api *api, const char *bytes, size_t len)
+{
+	if (api->gone)
+		return;
+	if (mg_write(api->conn, bytes, len) != (int)len) {
+		api->gone = true;
+		met_count(api->ctx->metrics, "dsp_caller_gone_total", "", 1);
+	}
+}
+
+static void common_headers(struct api *api, GString *out, int status,
+			   const char *content_type)
+{
+	struct ctl_state state = api->ctx->ops->state(api->ctx->ctl);
+
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			       mg_get_response_code_text(api->conn, status));
+	if (content_type && content_type[0])
+		g_string_append_printf(out, "Content-Type: %s\r\n",
+				       content_type);
+	g_string_append_printf(out,
+			       "X-Request-Id: %s\r\n"
+			       "X-Dandelionspar-Entry: %s\r\n",
+			       api->id, api->ctx->settings->id);
+	if (state.readiness == CTL_ISOLATED || state.readiness == CTL_STALE)
+		g_string_append_printf(out,
+				       "X-Dandelionspar-Stale: %" PRId64 "\r\n",
+				       state.stale_us / 1000000);
+	g_string_append_printf(out, "Connection: %s\r\n",
+			       api->close ? "close" : "keep-alive");
+}
+
+static void discard_body(struct api *api)
+{
+	char buffer[16384];
+	size_t left = DISCARD_MAX;
+	int n;
+
+	if (api->body_done)
+		return;
+	api->body_done = true;
+	while (left && (n = mg_read(api->conn, buffer, sizeof(buffer))) > 0)
+		left -= MIN((size_t)n, left);
+	if (!left)
+		api->close = true;
+}
+
+static bool old_protocol(const struct api *api)
+{
+	return api->info->http_version &&
+	       !strcmp(api->info->http_version, "1.0");
+}
+
+static void decide_close(struct api *api)
+{
+	if (old_protocol(api) ||
+	    api->ctx->connections * 4 > api->ctx->threads * 3)
+		api->close = true;
+	if (api->close)
+		mg_disable_connection_keep_alive(api->conn);
+}
+
+/* Sends a part of a streamed reply at once, with one write. */
+void api_stream_write(struct api *api, const char *bytes, size_t len)
+{
+	char fixed[4096];
+	char *buffer = fixed;
+	size_t used;
+
+	if (!len || api->gone)
+		return;
+	if (old_protocol(api)) {
+		write_all(api, bytes, len);
+		return;
+	}
+	if (len + 32 > sizeof(fixed))
+		buffer = g_malloc(len + 32);
+	used = (size_t)g_snprintf(buffer, 24, "%zx\r\n", len);
+	memcpy(buffer + used, bytes, len);
+	used += len;
+	memcpy(buffer + used, "\r\n", 2);
+	write_all(api, buffer, used + 2);
+	if (buffer != fixed)
+		g_free(buffer);
+}
+
+/* Ends a streamed reply. */
+void api_stream_end(struct api *api)
+{
+	if (!old_protocol(api))
+		write_all(api, "0\r\n\r\n", 5);
+}
+
+/* The stream has begun, so that the status can no longer be sent: the reply
+ * becomes its last event. */
+static void reply_in_stream(struct api *api, const char *body, size_t len)
+{
+	GString *event = g_string_new("data: ");
+
+	g_string_append_len(event, body, (gssize)len);
+	g_string_append(event, "\n\n");
+	if (api->answer) {
+		trf_answer_append(api->ctx, api->answer, event->str,
+				  event->len);
+		trf_answer_finish(api->ctx, api->answer, 200,
+				  "text/event-stream");
+	}
+	api_stream_write(api, event->str, event->len);
+	api_stream_end(api);
+	g_string_free(event, TRUE);
+}
+
+/*
+ * Sends a whole reply, and stores it as the answer of the request if there is
+ * one. extra_headers are whole lines with CRLF, or NULL.
+ */
+void api_reply(struct api *api, int status, const char *content_type,
+	       const char *extra_headers, const char *body, size_t len)
+{
+	bool head = !strcmp(api->info->request_method, "HEAD");
+	GString *out;
+
+	if (api->chunked) {
+		reply_in_stream(api, body, len);
+		return;
+	}
+	out = g_string_sized_new(len + 512);
+	if (api->answer) {
+		trf_answer_append(api->ctx, api->answer, body, len);
+		trf_answer_finish(api->ctx, api->answer, (uint32_t)status,
+				  content_type);
+	}
+	discard_body(api);
+	decide_close(api);
+	common_headers(api, out, status, content_type);
+	g_string_append_printf(out, "Content-Length: %zu\r\n%s\r\n", len,
+			       extra_headers ? extra_headers : "");
+	if (!head)
+		g_string_append_len(out, body, (gssize)len);
+	api->replied = true;
+	write_all(api, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+/* Sends a JSON object as api_reply() and takes the reference. */
+void api_json(struct api *api, int status, const char *extra_headers,
+	      json_t *object)
+{
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	json_decref(object);
+	api_reply(api, status, "application/json", extra_headers, text,
+		  strlen(text));
+	free(text);
+}
+
+/* Returns the JSON form of an error: section 16 of docs/design.md. */
+json_t *api_error_json(const char *code, const char *message, enum trf_ran ran)
+{
+	json_t *object = json_object();
+	json_t *error = json_object();
+	json_t *text = json_string(message);
+
+	/* Values of callers may be no valid UTF-8. */
+	json_object_set_new(error, "code", json_string(code));
+	json_object_set_new(error, "message",
+			    text ? text : json_string("malformed value"));
+	json_object_set_new(error, "ran", json_string(ran_names[ran]));
+	json_object_set_new(object, "error", error);
+	return object;
+}
+
+/* Sends an error; within a started stream as its last event. retry_after_s 0:
+ * no such header. */
+void api_error(struct api *api, int status, const char *code, enum trf_ran ran,
+	       uint32_t retry_after_s, const char *format, ...)
+{
+	char extra[64] = "";
+	char labels[96];
+	json_t *object;
+	char *message;
+	va_list args;
+
+	va_start(args, format);
+	message = g_strdup_vprintf(format, args);
+	va_end(args);
+	g_snprintf(labels, sizeof(labels), "code=\"%s\",ran=\"%s\"", code,
+		   ran_names[ran]);
+	met_count(api->ctx->metrics, "dsp_errors_total", labels, 1);
+	object = api_error_json(code, message, ran);
+	g_free(message);
+	if (retry_after_s)
+		g_snprintf(extra, sizeof(extra), "Retry-After: %u\r\n",
+			   retry_after_s);
+	api_json(api, status, extra, object);
+}
+
+static bool body_too_large(struct api *api)
+{
+	uint32_t limit = api->ctx->settings->body_bytes_max;
+
+	met_count(api->ctx->metrics, "dsp_limit_rejections_total",
+		  "limit=\"body_bytes_max\"", 1);
+	api->close = true;
+	api_error(api, 413, "body_too_large", TRF_NOT_RUN, 0,
+		  "the body exceeds %u bytes (limits.body_bytes_max)", limit);
+	return false;
+}
+
+static bool grow_body(struct api *api, size_t capacity)
+{
+	size_t more = capacity - api->memory;
+
+	if (capacity <= api->memory)
+		return true;
+	if (trf_memory_take(api->ctx, more)) {
+		api->memory += more;
+		return true;
+	}
+	met_count(api->ctx->metrics, "dsp_limit_rejections_total",
+		  "limit=\"memory_mb_max\"", 1);
+	api_error(api, 503, "memory_limit", TRF_NOT_RUN, 1,
+		  "bodies and answers held exceed %u MB "
+		  "(limits.memory_mb_max)",
+		  api->ctx->settings->memory_mb_max);
+	return false;
+}
+
+/*
+ * Reads the whole request body. Replies with an error and returns false when it
+ * is too large, incomplete, or does not fit into the memory limit.
+ */
+bool api_read_body(struct api *api)
+{
+	long long announced = api->info->content_length;
+	size_t limit = api->ctx->settings->body_bytes_max;
+	const char *expect = api_header(api, "Expect");
+	GString *body = g_string_new(NULL);
+	char buffer[16384];
+	bool ok = false;
+	int n = 0;
+
+	if (announced > (long long)limit) {
+		ok = body_too_large(api);
+		goto out;
+	}
+	if (announced > 0 && !grow_body(api, (size_t)announced))
+		goto out;
+	if (expect && !g_ascii_strcasecmp(expect, "100-continue"))
+		mg_printf(api->conn, "HTTP/1.1 100 Continue\r\n\r\n");
+	while (announced != 0 &&
+	       (n = mg_read(api->conn, buffer, sizeof(buffer))) > 0) {
+		if (body->len + (size_t)n > limit) {
+			ok = body_too_large(api);
+			goto out;
+		}
+		if (!grow_body(api, body->len + (size_t)n))
+			goto out;
+		g_string_append_len(body, buffer, n);
+	}
+	api->body_done = true;
+	if (n < 0 || (announced > 0 && (long long)body->len < announced)) {
+		api->close = true;
+		api_error(api, 400, "body_incomplete", TRF_NOT_RUN, 0,
+			  "%zu bytes of the body arrived", body->len);
+		goto out;
+	}
+	api->body_len = body->len;
+	api->body = g_string_free(body, FALSE);
+	return true;
+out:
+	g_string_free(body, TRUE);
+	return ok;
+}
+
+/* Starts a reply whose length is not known yet. */
+void api_stream_head(struct api *api, const char *content_type)
+{
+	GString *out;
+
+	if (api->replied)
+		return;
+	out = g_string_sized_new(512);
+	discard_body(api);
+	decide_close(api);
+	common_headers(api, out, 200, content_type);
+	g_string_append(out, "Cache-Control: no-cache\r\n");
+	if (!old_protocol(api))
+		g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	g_string_append(out, "\r\n");
+	api->replied = true;
+	api->chunked = true;
+	write_all(api, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+/* Decodes %XX in one path segment; NULL when it is malformed or has a NUL. The
+ * caller frees it with g_free(). */
+char *api_decode(const char *segment, size_t len)
+{
+	GString *out = g_string_sized_new(len);
+
+	for (size_t i = 0; i < len; i++) {
+		int high;
+		int low;
+
+		if (segment[i] != '%') {
+			g_string_append_c(out, segment[i]);
+			continue;
+		}
+		high = i + 2 < len ? g_ascii_xdigit_value(segment[i + 1]) : -1;
+		low = i + 2 < len ? g_ascii_xdigit_value(segment[i + 2]) : -1;
+		if (high < 0 || low < 0 || high + low == 0) {
+			g_string_free(out, TRUE);
+			return NULL;
+		}
+		g_string_append_c(out, (char)(high << 4 | low));
+		i += 2;
+	}
+	return g_string_free(out, FALSE);
+}
+
+/* Returns whether a name has the form [a-z0-9][a-z0-9._-]{0,62}. */
+bool api_name_ok(const char *name)
+{
+	size_t len = strlen(name);
+
+	if (!len || len > 63 ||
+	    !(g_ascii_isdigit(name[0]) || g_ascii_islower(name[0])))
+		return false;
+	return strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789._-") == len;
+}
--- /dev/null
+++ b/src/traffic/trf.c
@@ -0,0 +1,463 @@
+#include "traffic/trf_int.h"
+
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Worker threads beyond requests_max: for operators, endpoints, and for the
+ * rejections themselves. */
+#define SPARE_THREADS 48
+/* A write to a caller that makes no progress for this long, or a read of a
+ * request, ends the connection (section 11 of docs/design.md). */
+#define CALLER_TIMEOUT_MS "10000"
+/* An idle connection of a caller occupies a worker thread. */
+#define KEEP_ALIVE_MS "3000"
+
+/* Returns the GError domain of this module. */
+GQuark trf_error_quark(void)
+{
+	return g_quark_from_static_string("trf-error-quark");
+}
+
+/* Returns the monotonic time in microseconds. */
+int64_t trf_now(const struct trf *ctx)
+{
+	return clk_now_us(ctx->clock);
+}
+
+/* Creates the traffic side; nothing is opened before trf_start(). settings,
+ * clock and metrics outlive it. */
+struct trf *trf_new(const struct set *settings, struct clk *clock,
+		    struct met *metrics)
+{
+	struct trf *ctx = g_new0(struct trf, 1);
+
+	ctx->settings = settings;
+	ctx->clock = clock;
+	ctx->metrics = metrics;
+	ctx->up = up_new();
+	ctx->view = view_new_empty();
+	ctx->boot = ((uint64_t)g_random_int() << 32) | g_random_int();
+	ctx->rt = rt_new(ctx->boot);
+	ctx->waiting =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	TAILQ_INIT(&ctx->waiters);
+	pthread_mutex_init(&ctx->view_lock, NULL);
+	pthread_mutex_init(&ctx->rt_lock, NULL);
+	pthread_cond_init(&ctx->rt_wake, NULL);
+	trf_answers_init(ctx);
+	return ctx;
+}
+
+/* Frees a stopped or never started traffic side; NULL is allowed. */
+void trf_free(struct trf *ctx)
+{
+	if (!ctx)
+		return;
+	trf_answers_clear(ctx);
+	rt_free(ctx->rt);
+	view_unref(ctx->view);
+	up_free(ctx->up);
+	g_hash_table_destroy(ctx->waiting);
+	pthread_cond_destroy(&ctx->rt_wake);
+	pthread_mutex_destroy(&ctx->rt_lock);
+	pthread_mutex_destroy(&ctx->view_lock);
+	g_free(ctx);
+}
+
+/* ---- Callbacks on the control thread ---- */
+
+static uint32_t live_nodes(const struct view *view)
+{
+	uint32_t live = 0;
+
+	for (size_t i = 0; i < view_n_nodes(view); i++)
+		live += !view_node_at(view, i)->down;
+	return live ? live : 1;
+}
+
+static void set_view(struct trf *ctx, struct view *view)
+{
+	struct view *old;
+
+	pthread_mutex_lock(&ctx->view_lock);
+	old = ctx->view;
+	ctx->view = view_ref(view);
+	pthread_mutex_unlock(&ctx->view_lock);
+	view_unref(old);
+	pthread_mutex_lock(&ctx->rt_lock);
+	rt_set_view(ctx->rt, view, trf_now(ctx));
+	rt_set_entries(ctx->rt, live_nodes(view));
+	trf_route_wake(ctx);
+	pthread_mutex_unlock(&ctx->rt_lock);
+}
+
+static void on_view(void *data, struct view *view)
+{
+	set_view(data, view);
+}
+
+static void on_load(void *data, const Dsp__LoadReport *report)
+{
+	struct trf *ctx = data;
+
+	pthread_mutex_lock(&ctx->rt_lock);
+	rt_report(ctx->rt, report, trf_now(ctx));
+	trf_route_wake(ctx);
+	pthread_mutex_unlock(&ctx->rt_lock);
+}
+
+static Dsp__AnswerReply *on_answer_query(void *data,
+					 const Dsp__AnswerQuery *query)
+{
+	Dsp__AnswerReply *reply =
+		trf_answer_reply(data, query->team, query->request_id);
+
+	reply->id = query->id;
+	return reply;
+}
+
+static uint32_t on_streams(void *data)
+{
+	return trf_in_flight(data);
+}
+
+/* Returns the callbacks to pass to ctl_start(). */
+struct ctl_callbacks trf_ctl_callbacks(struct trf *ctx)
+{
+	return (struct ctl_callbacks){
+		.data = ctx,
+		.view_changed = on_view,
+		.load = on_load,
+		.answer_query = on_answer_query,
+		.streams = on_streams,
+	};
+}
+
+/* Returns the view in force, with a reference of the caller's own. */
+struct view *trf_view(struct trf *ctx)
+{
+	struct view *view;
+
+	pthread_mutex_lock(&ctx->view_lock);
+	view = view_ref(ctx->view);
+	pthread_mutex_unlock(&ctx->view_lock);
+	return view;
+}
+
+/* ---- HTTP ---- */
+
+enum match {
+	MATCH_EXACT,
+	MATCH_NAME,   /* one more path segment */
+	MATCH_PREFIX, /* any rest */
+};
+
+struct route {
+	const char *method; /* NULL: any */
+	const char *path;
+	enum match match;
+	void (*plain)(struct api *api);
+	void (*named)(struct api *api, const char *rest);
+};
+
+static void chat(struct api *api)
+{
+	api_completion(api, true);
+}
+
+static void completion(struct api *api)
+{
+	api_completion(api, false);
+}
+
+static const struct route routes[] = {
+	{ "POST", "/v1/chat/completions", MATCH_EXACT, .plain = chat },
+	{ "POST", "/v1/completions", MATCH_EXACT, .plain = completion },
+	{ NULL, "/v1/services/", MATCH_PREFIX, .named = api_service },
+	{ "GET", "/v1/models", MATCH_EXACT, .plain = api_models },
+	{ "GET", "/v1/requests/", MATCH_NAME, .named = api_request_get },
+	{ "GET", "/v1/entries", MATCH_EXACT, .plain = api_entries },
+	{ "PUT", "/v1/documents/", MATCH_NAME, .named = api_document_put },
+	{ "GET", "/v1/documents/", MATCH_NAME, .named = api_document_get },
+	{ "GET", "/v1/status", MATCH_EXACT, .plain = api_status },
+	{ "POST", "/v1/drain", MATCH_EXACT, .plain = api_drain },
+	{ "POST", "/v1/replicas/replace", MATCH_EXACT, .plain = api_replace },
+	{ "POST", "/v1/endpoints/announce", MATCH_EXACT,
+	  .plain = api_announce },
+	{ "GET", "/metrics", MATCH_EXACT, .plain = api_metrics },
+	{ "GET", "/healthz", MATCH_EXACT, .plain = api_healthz },
+};
+
+static bool path_matches(const struct route *route, const char *path)
+{
+	size_t len = strlen(route->path);
+
+	if (route->match == MATCH_EXACT)
+		return !strcmp(path, route->path);
+	if (strncmp(path, route->path, len) || !path[len])
+		return false;
+	return route->match == MATCH_PREFIX || !strchr(path + len, '/');
+}
+
+static void call_named(struct api *api, const struct route *route)
+{
+	const char *rest = api->path + strlen(route->path);
+	char *name;
+
+	if (route->match == MATCH_PREFIX) {
+		route->named(api, rest);
+		return;
+	}
+	name = api_decode(rest, strlen(rest));
+	if (!name || strlen(name) > TRF_KEY_MAX)
+		api_error(api, 400, "invalid_path", TRF_NOT_RUN, 0,
+			  "malformed path segment");
+	else
+		route->named(api, name);
+	g_free(name);
+}
+
+static void handle(struct api *api)
+{
+	bool known = false;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		const struct route *route = &routes[i];
+
+		if (!path_matches(route, api->path))
+			continue;
+		known = true;
+		if (route->method &&
+		    strcmp(route->method, api->info->request_method))
+			continue;
+		if (route->plain)
+			route->plain(api);
+		else
+			call_named(api, route);
+		return;
+	}
+	if (known)
+		api_error(api, 405, "method_not_allowed", TRF_NOT_RUN, 0,
+			  "%s is not allowed here", api->info->request_method);
+	else
+		api_error(api, 404, "unknown_path", TRF_NOT_RUN, 0,
+			  "no such path");
+}
+
+static void new_id(struct trf *ctx, char out[TRF_ID_MAX])
+{
+	g_snprintf(out, TRF_ID_MAX, "%s~%" PRIx64 "~%" PRIu64,
+		   ctx->settings->id, ctx->boot, ++ctx->counter);
+}
+
+static int on_request(struct mg_connection *conn)
+{
+	struct trf *ctx = mg_get_user_data(mg_get_context(conn));
+	struct api api = {
+		.ctx = ctx,
+		.conn = conn,
+		.info = mg_get_request_info(conn),
+		.arrival_us = trf_now(ctx),
+	};
+
+	api.path = api.info->local_uri_raw ? api.info->local_uri_raw : "/";
+	new_id(ctx, api.id);
+	handle(&api);
+	if (api.answer) {
+		trf_answer_unref(api.answer);
+		api.answer = NULL;
+	}
+	trf_memory_give(ctx, api.memory);
+	g_free(api.body);
+	return 200;
+}
+
+/* Errors that CivetWeb finds itself: malformed requests and headers. */
+static int on_http_error(struct mg_connection *conn, int status,
+			 const char *message)
+{
+	struct trf *ctx = mg_get_user_data(mg_get_context(conn));
+	const char *code = "malformed_request";
+	json_t *object;
+	char *text;
+
+	if (status == 413 || status == 414 || status == 431) {
+		code = "headers_too_large";
+		met_count(ctx->metrics, "dsp_limit_rejections_total",
+			  "limit=\"header_bytes_max\"", 1);
+	}
+	if (status == 408)
+		code = "request_timeout";
+	met_count(ctx->metrics, "dsp_malformed_requests_total", "", 1);
+	object = api_error_json(code, message && message[0] ? message : code,
+				TRF_NOT_RUN);
+	text = json_dumps(object, JSON_COMPACT);
+	json_decref(object);
+	mg_disable_connection_keep_alive(conn);
+	mg_printf(conn,
+		  "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+		  "X-Dandelionspar-Entry: %s\r\n"
+		  "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+		  status, mg_get_response_code_text(conn, status),
+		  ctx->settings->id, strlen(text), text);
+	free(text);
+	return 0;
+}
+
+static int on_connection(const struct mg_connection *conn, void **data)
+{
+	struct trf *ctx = mg_get_user_data(mg_get_context(conn));
+
+	(void)data;
+	ctx->connections++;
+	return 0;
+}
+
+static void on_connection_closed(const struct mg_connection *conn)
+{
+	struct trf *ctx = mg_get_user_data(mg_get_context(conn));
+
+	ctx->connections--;
+}
+
+static int on_log(const struct mg_connection *conn, const char *message)
+{
+	(void)conn;
+	LOG_EVENT_DEBUG("trf", "http", "message=\"%s\"", message);
+	return 1;
+}
+
+/* Each stream needs two descriptors for its connections and two of curl. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) < 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+static bool listen_http(struct trf *ctx, GError **err)
+{
+	static const struct mg_callbacks callbacks = {
+		.begin_request = on_request,
+		.http_error = on_http_error,
+		.log_message = on_log,
+		.init_connection = on_connection,
+		.connection_closed = on_connection_closed,
+	};
+	char threads[16];
+	char header_max[16];
+	const char *options[] = {
+		"listening_ports",
+		ctx->settings->http_listen,
+		"num_threads",
+		threads,
+		"max_request_size",
+		header_max,
+		"request_timeout_ms",
+		CALLER_TIMEOUT_MS,
+		"keep_alive_timeout_ms",
+		KEEP_ALIVE_MS,
+		"enable_keep_alive",
+		"yes",
+		"tcp_nodelay",
+		"1",
+		"listen_backlog",
+		"1024",
+		"connection_queue",
+		"256",
+		"decode_url",
+		"no",
+		NULL,
+	};
+
+	ctx->threads = ctx->settings->requests_max + SPARE_THREADS;
+	g_snprintf(threads, sizeof(threads), "%u", ctx->threads);
+	g_snprintf(header_max, sizeof(header_max), "%u",
+		   ctx->settings->header_bytes_max);
+	ctx->http = mg_start(&callbacks, ctx, options);
+	if (ctx->http)
+		return true;
+	g_set_error(err, TRF_ERROR, TRF_ERROR_LISTEN,
+		    "http_listen: cannot listen on %s",
+		    ctx->settings->http_listen);
+	return false;
+}
+
+/*
+ * Opens the HTTP port. ops and ctl outlive trf_stop(). Returns false with err
+ * set when the port cannot be opened.
+ */
+bool trf_start_with(struct trf *ctx, const struct trf_ctl_ops *ops,
+		    struct ctl *ctl, GError **err)
+{
+	struct view *view;
+
+	ctx->ops = ops;
+	ctx->ctl = ctl;
+	ctx->boot = ops->state(ctl).boot;
+	view = ops->view(ctl);
+	if (view) {
+		set_view(ctx, view);
+		view_unref(view);
+	}
+	raise_descriptor_limit();
+	pthread_create(&ctx->rt_thread, NULL, trf_route_thread, ctx);
+	trf_bg_start(ctx, &ctx->claims_bg, trf_bg_claims_thread);
+	trf_bg_start(ctx, &ctx->cancels_bg, trf_bg_cancels_thread);
+	return listen_http(ctx, err);
+}
+
+static void stop_threads(struct trf *ctx)
+{
+	if (!ctx->ops)
+		return;
+	trf_bg_stop(&ctx->claims_bg);
+	trf_bg_stop(&ctx->cancels_bg);
+	pthread_mutex_lock(&ctx->rt_lock);
+	ctx->rt_stop = true;
+	pthread_cond_signal(&ctx->rt_wake);
+	pthread_mutex_unlock(&ctx->rt_lock);
+	pthread_join(ctx->rt_thread, NULL);
+}
+
+/*
+ * Refuses new requests, waits until none is in flight (at most limit_s seconds;
+ * 0: no limit), then closes the HTTP port and ends all threads.
+ */
+void trf_stop(struct trf *ctx, uint32_t limit_s)
+{
+	int64_t until = trf_now(ctx) + limit_s * 1000000LL;
+
+	ctx->stopping = true;
+	while (ctx->in_flight && (!limit_s || trf_now(ctx) < until))
+		usleep(20000);
+	if (ctx->http)
+		mg_stop(ctx->http);
+	ctx->http = NULL;
+	stop_threads(ctx);
+	ctx->ops = NULL;
+}
+
+/* ---- Queries ---- */
+
+/* Returns how many requests of callers are in flight. */
+uint32_t trf_in_flight(const struct trf *ctx)
+{
+	return ctx->in_flight;
+}
+
+/* Returns true once after an operator asked for a drain over HTTP. */
+bool trf_drain_requested(struct trf *ctx)
+{
+	return atomic_exchange(&ctx->drain_requested, false);
+}
--- /dev/null
+++ b/src/traffic/trf_answer.c
@@ -0,0 +1,203 @@
+#include "traffic/trf_int.h"
+
+#include <string.h>
+
+static char *key_of(const char *team, const char *id)
+{
+	return g_strdup_printf("%s\n%s", team, id);
+}
+
+/* Reserves memory for bodies and answers; false over the limit. */
+bool trf_memory_take(struct trf *ctx, size_t bytes)
+{
+	uint64_t limit = (uint64_t)ctx->settings->memory_mb_max << 20;
+
+	if ((ctx->memory_used += bytes) <= limit)
+		return true;
+	ctx->memory_used -= bytes;
+	return false;
+}
+
+/* Returns memory that trf_memory_take() reserved. */
+void trf_memory_give(struct trf *ctx, size_t bytes)
+{
+	ctx->memory_used -= bytes;
+}
+
+static void answer_ref(struct trf_answer *answer)
+{
+	answer->refs++;
+}
+
+/* Drops a reference. The memory of the body was given back before. */
+void trf_answer_unref(struct trf_answer *answer)
+{
+	if (!answer || --answer->refs)
+		return;
+	g_free(answer->team);
+	g_free(answer->id);
+	g_free(answer->key);
+	g_free(answer->content_type);
+	g_string_free(answer->body, TRUE);
+	g_free(answer);
+}
+
+/* Creates the table of answers. */
+void trf_answers_init(struct trf *ctx)
+{
+	struct trf_answers *table = &ctx->answers;
+
+	pthread_mutex_init(&table->lock, NULL);
+	pthread_cond_init(&table->changed, NULL);
+	TAILQ_INIT(&table->finished);
+	table->index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     (GDestroyNotify)trf_answer_unref);
+}
+
+/* Takes an answer out of the index; the lock is held. */
+static void forget(struct trf *ctx, struct trf_answer *answer)
+{
+	char *by_id = key_of(answer->team, answer->id);
+	char *by_key = answer->key ? key_of(answer->team, answer->key) : NULL;
+
+	trf_memory_give(ctx, answer->body->len);
+	g_string_truncate(answer->body, 0);
+	answer->dropped = true;
+	/* A later request with the same key may have replaced the entry. */
+	if (by_key && g_hash_table_lookup(ctx->answers.index, by_key) == answer)
+		g_hash_table_remove(ctx->answers.index, by_key);
+	g_hash_table_remove(ctx->answers.index, by_id);
+	g_free(by_id);
+	g_free(by_key);
+}
+
+static void evict_oldest(struct trf *ctx)
+{
+	struct trf_answer *oldest = TAILQ_FIRST(&ctx->answers.finished);
+
+	TAILQ_REMOVE(&ctx->answers.finished, oldest, link);
+	forget(ctx, oldest);
+}
+
+static void evict_expired(struct trf *ctx)
+{
+	int64_t retention = ctx->settings->answer_retention_s * 1000000LL;
+	int64_t now = trf_now(ctx);
+	struct trf_answer *oldest;
+
+	while ((oldest = TAILQ_FIRST(&ctx->answers.finished)) &&
+	       now - oldest->finished_us > retention)
+		evict_oldest(ctx);
+}
+
+/* Frees the table; no request is in flight. */
+void trf_answers_clear(struct trf *ctx)
+{
+	while (TAILQ_FIRST(&ctx->answers.finished))
+		evict_oldest(ctx);
+	g_hash_table_destroy(ctx->answers.index);
+	pthread_mutex_destroy(&ctx->answers.lock);
+	pthread_cond_destroy(&ctx->answers.changed);
+}
+
+/*
+ * Registers a running request under its id, and under its key if it has one.
+ * The caller holds a reference until trf_answer_unref().
+ */
+struct trf_answer *trf_answer_begin(struct trf *ctx, const char *team,
+				    const char *id, const char *key)
+{
+	struct trf_answer *answer = g_new0(struct trf_answer, 1);
+
+	answer->team = g_strdup(team);
+	answer->id = g_strdup(id);
+	answer->key = g_strdup(key);
+	answer->body = g_string_new(NULL);
+	answer->refs = key ? 3 : 2;
+	pthread_mutex_lock(&ctx->answers.lock);
+	evict_expired(ctx);
+	g_hash_table_insert(ctx->answers.index, key_of(team, id), answer);
+	if (key)
+		g_hash_table_replace(ctx->answers.index, key_of(team, key),
+				     answer);
+	pthread_mutex_unlock(&ctx->answers.lock);
+	return answer;
+}
+
+/*
+ * Appends bytes of a running answer. When memory is short, the oldest finished
+ * answers are evicted; if that is not enough, the body of this one is dropped,
+ * and only its outcome is retained.
+ */
+void trf_answer_append(struct trf *ctx, struct trf_answer *answer,
+		       const char *bytes, size_t len)
+{
+	bool fits;
+
+	pthread_mutex_lock(&ctx->answers.lock);
+	if (answer->dropped)
+		goto out;
+	while (!(fits = trf_memory_take(ctx, len)) &&
+	       TAILQ_FIRST(&ctx->answers.finished))
+		evict_oldest(ctx);
+	if (fits) {
+		g_string_append_len(answer->body, bytes, (gssize)len);
+		goto out;
+	}
+	met_count(ctx->metrics, "dsp_answers_dropped_total", "", 1);
+	trf_memory_give(ctx, answer->body->len);
+	g_string_truncate(answer->body, 0);
+	answer->dropped = true;
+out:
+	pthread_mutex_unlock(&ctx->answers.lock);
+}
+
+/* Marks an answer as complete; it stays for the retention period. */
+void trf_answer_finish(struct trf *ctx, struct trf_answer *answer,
+		       uint32_t status, const char *content_type)
+{
+	pthread_mutex_lock(&ctx->answers.lock);
+	answer->finished = true;
+	answer->status = status;
+	answer->content_type = g_strdup(content_type);
+	answer->finished_us = trf_now(ctx);
+	TAILQ_INSERT_TAIL(&ctx->answers.finished, answer, link);
+	pthread_cond_broadcast(&ctx->answers.changed);
+	pthread_mutex_unlock(&ctx->answers.lock);
+}
+
+/*
+ * Returns what this entry holds for a request, found or not. The caller frees
+ * it with dsp__answer_reply__free_unpacked(). A dropped body is reported with
+ * the status and an empty content type.
+ */
+Dsp__AnswerReply *trf_answer_reply(struct trf *ctx, const char *team,
+				   const char *id)
+{
+	Dsp__AnswerReply *reply = g_new0(Dsp__AnswerReply, 1);
+	char *key = key_of(team, id);
+	struct trf_answer *answer;
+
+	dsp__answer_reply__init(reply);
+	pthread_mutex_lock(&ctx->answers.lock);
+	evict_expired(ctx);
+	answer = g_hash_table_lookup(ctx->answers.index, key);
+	if (!answer)
+		goto out;
+	answer_ref(answer);
+	reply->found = true;
+	reply->running = !answer->finished;
+	reply->status = answer->status;
+	if (answer->finished && !answer->dropped) {
+		reply->content_type = g_strdup(
+			answer->content_type ? answer->content_type : "-");
+		reply->body.len = answer->body->len;
+		reply->body.data =
+			g_memdup2(answer->body->str, answer->body->len);
+	}
+	trf_answer_unref(answer);
+out:
+	pthread_mutex_unlock(&ctx->answers.lock);
+	g_free(key);
+	return reply;
+}
--- /dev/null
+++ b/src/traffic/trf_ctl.c
@@ -0,0 +1,22 @@
+#include "traffic/trf_int.h"
+
+/*
+ * Opens the HTTP port with the real control thread. In a file of its own, so
+ * that tests with their own functions need no control thread.
+ */
+bool trf_start(struct trf *ctx, struct ctl *ctl, GError **err)
+{
+	static const struct trf_ctl_ops ops = {
+		.submit = ctl_submit,
+		.announce = ctl_announce,
+		.demand = ctl_demand,
+		.drain = ctl_drain,
+		.replace = ctl_replace,
+		.ask_answer = ctl_ask_answer,
+		.view = ctl_view,
+		.state = ctl_state,
+		.status_json = ctl_status_json,
+	};
+
+	return trf_start_with(ctx, &ops, ctl, err);
+}
--- /dev/null
+++ b/src/traffic/trf_int.h
@@ -0,0 +1,349 @@
+#ifndef TRAFFIC_TRF_INT_H
+#define TRAFFIC_TRF_INT_H
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <sys/queue.h>
+
+#include "core/rt.h"
+#include "traffic/trf.h"
+#include "traffic/up.h"
+
+/* Shared by the files of src/traffic and their tests only. */
+
+#define TRF_ID_MAX 256
+#define TRF_KEY_MAX 200
+
+/* What the traffic threads need of the control thread; see node/ctl.h. Tests
+ * put their own functions here. */
+struct trf_ctl_ops {
+	Dsp__CommandResult *(*submit)(struct ctl *ctx,
+				      const Dsp__Command *command,
+				      int64_t timeout_us, GError **err);
+	void (*announce)(struct ctl *ctx, const Dsp__Announcement *announced);
+	void (*demand)(struct ctl *ctx, const Dsp__Demand *demand);
+	void (*drain)(struct ctl *ctx);
+	bool (*replace)(struct ctl *ctx, uint64_t old_replica, GError **err);
+	Dsp__AnswerReply *(*ask_answer)(struct ctl *ctx, const char *node,
+					const Dsp__AnswerQuery *query,
+					int64_t timeout_us);
+	struct view *(*view)(struct ctl *ctx);
+	struct ctl_state (*state)(struct ctl *ctx);
+	char *(*status_json)(struct ctl *ctx);
+};
+
+bool trf_start_with(struct trf *ctx, const struct trf_ctl_ops *ops,
+		    struct ctl *ctl, GError **err);
+
+/* What is known about the run of a request when it is refused or fails. */
+enum trf_ran {
+	TRF_NOT_RUN, /* no endpoint ran it, and none will by this attempt */
+	TRF_RAN,
+	TRF_RAN_UNKNOWN,
+};
+
+/* ---- Answers: running, and finished ones for a while (trf_answer.c) ---- */
+
+struct trf_answer {
+	TAILQ_ENTRY(trf_answer) link; /* of finished; guarded by the table */
+	char *team;
+	char *id;
+	char *key; /* Idempotency-Key, or NULL */
+	_Atomic int refs;
+	/* The rest is guarded by the lock of the table. */
+	bool finished;
+	bool dropped; /* the body did not fit into the memory limit */
+	uint32_t status;
+	char *content_type;
+	GString *body;
+	int64_t finished_us;
+};
+
+struct trf_answers {
+	pthread_mutex_t lock;
+	pthread_cond_t changed; /* an answer finished */
+	GHashTable *index;	/* team \n id -> answer (one reference) */
+	TAILQ_HEAD(, trf_answer) finished; /* oldest first */
+};
+
+struct trf_answer *trf_answer_begin(struct trf *ctx, const char *team,
+				    const char *id, const char *key);
+void trf_answer_append(struct trf *ctx, struct trf_answer *answer,
+		       const char *bytes, size_t len);
+void trf_answer_finish(struct trf *ctx, struct trf_answer *answer,
+		       uint32_t status, const char *content_type);
+void trf_answer_unref(struct trf_answer *answer);
+Dsp__AnswerReply *trf_answer_reply(struct trf *ctx, const char *team,
+				   const char *id);
+void trf_answers_init(struct trf *ctx);
+void trf_answers_clear(struct trf *ctx);
+
+/* Memory for bodies and answers; false when the limit would be exceeded. */
+bool trf_memory_take(struct trf *ctx, size_t bytes);
+void trf_memory_give(struct trf *ctx, size_t bytes);
+
+/* ---- Routing (trf_route.c) ---- */
+
+/* Copy of what a dispatch needs, valid after the view has changed. */
+struct trf_target {
+	char id[64];
+	char address[128];
+	uint64_t incarnation;
+	bool cancel;
+	bool resume;
+	bool priorities;
+};
+
+struct trf_waiter {
+	TAILQ_ENTRY(trf_waiter) link;
+	pthread_cond_t wake;
+	struct rt_ticket *ticket;
+	struct rt_decision decision;
+	struct trf_target target;
+	const char *class_key;
+	bool resolved;
+};
+
+/* Called about once a second of waiting; false ends the wait. */
+typedef bool (*trf_wait_tick)(void *data);
+
+void trf_route_submit(struct trf *ctx, struct trf_waiter *w,
+		      const struct rt_request *request);
+void trf_route_retry(struct trf *ctx, struct trf_waiter *w);
+/* Waits until the decision is no longer RT_WAIT; false at the deadline. */
+bool trf_route_wait(struct trf *ctx, struct trf_waiter *w, int64_t deadline_us,
+		    trf_wait_tick tick, void *data);
+void trf_route_done(struct trf *ctx, struct trf_waiter *w, uint32_t tokens,
+		    bool success);
+void trf_route_failed(struct trf *ctx, const struct trf_target *target);
+void trf_route_first_token(struct trf *ctx, struct trf_waiter *w);
+void trf_route_wake(struct trf *ctx);
+void *trf_route_thread(void *data);
+
+/* ---- Background work (trf_bg.c) ---- */
+
+enum trf_job_kind {
+	TRF_JOB_CANCEL,	      /* DELETE an attempt at its endpoint */
+	TRF_JOB_FINISH_CLAIM, /* commit an outcome */
+	TRF_JOB_RELEASE,      /* of an abandoned attempt */
+	TRF_JOB_SUSPECT_DONE,
+	TRF_JOB_CRASH, /* report if the endpoint turns out to have crashed */
+};
+
+struct trf_job {
+	TAILQ_ENTRY(trf_job) link;
+	enum trf_job_kind kind;
+	char *team;
+	char *key;
+	char *attempt;
+	char *address;
+	char *endpoint;
+	uint64_t incarnation;
+	uint8_t digest[16];
+	Dsp__ClaimState state;
+	uint32_t status;
+	char *content_type;
+	uint8_t *body;
+	size_t body_len;
+	int64_t next_us;  /* not before */
+	int64_t until_us; /* give up */
+};
+
+struct trf_bg {
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	TAILQ_HEAD(, trf_job) jobs;
+	pthread_t thread;
+	uint32_t n;
+	bool stop;
+	bool running;
+};
+
+void trf_bg_start(struct trf *ctx, struct trf_bg *bg, void *(*run)(void *));
+void trf_bg_stop(struct trf_bg *bg);
+/* Takes the job; it is freed when it is done. */
+void trf_bg_add(struct trf *ctx, struct trf_job *job);
+void trf_job_free(struct trf_job *job);
+void *trf_bg_claims_thread(void *data);
+void *trf_bg_cancels_thread(void *data);
+bool trf_claim_finish(struct trf *ctx, const struct trf_job *job,
+		      int64_t timeout_us);
+
+/* ---- The instance ---- */
+
+struct trf {
+	const struct set *settings;
+	struct clk *clock;
+	struct met *metrics;
+	struct up *up;
+	const struct trf_ctl_ops *ops; /* set by trf_start_with() */
+	struct ctl *ctl;
+	struct mg_context *http;
+
+	pthread_mutex_t view_lock;
+	struct view *view; /* guarded by view_lock */
+
+	pthread_mutex_t rt_lock; /* guards rt and waiters */
+	struct rt *rt;
+	TAILQ_HEAD(, trf_waiter) waiters;
+	GHashTable *waiting; /* class key -> number */
+	pthread_cond_t rt_wake;
+	pthread_t rt_thread;
+	bool rt_changed;
+	bool rt_stop;
+
+	struct trf_answers answers;
+	struct trf_bg claims_bg;
+	struct trf_bg cancels_bg;
+
+	uint64_t boot;
+	_Atomic uint64_t counter; /* of request ids */
+	_Atomic uint64_t memory_used;
+	_Atomic uint32_t in_flight;
+	_Atomic uint32_t connections;
+	_Atomic bool stopping;
+	_Atomic bool drain_requested;
+	uint32_t threads;
+};
+
+struct view *trf_view(struct trf *ctx); /* a new reference */
+int64_t trf_now(const struct trf *ctx);
+
+/* ---- HTTP (api_http.c) ---- */
+
+/* One HTTP request; lives on the stack of its worker thread. */
+struct api {
+	struct trf *ctx;
+	struct mg_connection *conn;
+	const struct mg_request_info *info;
+	const char *path;
+	char id[TRF_ID_MAX];
+	int64_t arrival_us;
+	char *body;
+	size_t body_len;
+	size_t memory; /* taken for this request */
+	bool body_done;
+	bool close;
+	bool chunked;
+	bool replied;
+	bool gone;		   /* the caller's connection broke */
+	struct trf_answer *answer; /* also receives the reply; or NULL */
+};
+
+const char *api_header(const struct api *api, const char *name);
+void api_reply(struct api *api, int status, const char *content_type,
+	       const char *extra_headers, const char *body, size_t len);
+void api_json(struct api *api, int status, const char *extra_headers,
+	      json_t *object);
+void api_error(struct api *api, int status, const char *code, enum trf_ran ran,
+	       uint32_t retry_after_s, const char *format, ...)
+	__attribute__((format(printf, 6, 7)));
+json_t *api_error_json(const char *code, const char *message, enum trf_ran ran);
+/* Reads the whole body; false after an error reply. */
+bool api_read_body(struct api *api);
+void api_stream_head(struct api *api, const char *content_type);
+void api_stream_write(struct api *api, const char *bytes, size_t len);
+void api_stream_end(struct api *api);
+/* Decodes one percent-encoded path segment; NULL when it is malformed. */
+char *api_decode(const char *segment, size_t len);
+bool api_name_ok(const char *name);
+
+/* ---- Handlers ---- */
+
+void api_completion(struct api *api, bool chat);
+void api_service(struct api *api, const char *rest);
+void api_models(struct api *api);
+void api_request_get(struct api *api, const char *id);
+void api_entries(struct api *api);
+void api_document_put(struct api *api, const char *team);
+void api_document_get(struct api *api, const char *team);
+void api_status(struct api *api);
+void api_drain(struct api *api);
+void api_replace(struct api *api);
+void api_metrics(struct api *api);
+void api_healthz(struct api *api);
+void api_announce(struct api *api);
+
+/* ---- Requests of callers ---- */
+
+/* One caller's request after its checks. */
+struct trf_request {
+	struct api *api;
+	struct trf *ctx;
+	struct view *view;
+	const struct view_document *document;
+	const struct doc_class *class_limits;
+	const char *team;
+	const char *service;
+	char *model;	 /* NULL: plain service */
+	char *adapter;	 /* NULL: none */
+	char *class_key; /* team \n class */
+	char *labels;	 /* of metrics */
+	const char *method;
+	const char *path; /* below the endpoint's address, with the query */
+	char *body;	  /* to the endpoint; owned by the caller */
+	size_t body_len;
+	const char *content_type;
+	uint8_t digest[16];
+	bool suspect;
+	bool chat;
+	bool stream;	     /* the caller asked for a stream */
+	int64_t deadline_us; /* whole answer */
+	struct rt_request route;
+	uint32_t attempts;
+	bool any_sent; /* an attempt may have run */
+	bool any_token;
+};
+
+/* Idempotent requests (trf_run.c): answers the caller. */
+void trf_run_model(struct trf_request *r);
+void trf_run_plain(struct trf_request *r);
+/* Non-idempotent requests (trf_claim.c): answers the caller. */
+void trf_reply_outcome(struct api *api, const Dsp__Claim *claim);
+void trf_run_claimed(struct trf_request *r, const char *key);
+
+void trf_refuse(struct trf_request *r, const struct rt_decision *decision,
+		bool timed_out);
+void trf_attempt_id(struct trf_request *r, char out[TRF_ID_MAX]);
+void trf_observe_end(struct trf_request *r, const char *outcome,
+		     int64_t service_us, bool refused, bool late);
+
+/* Suspects (trf_suspect.c). */
+enum trf_grant {
+	TRF_GRANT_YES,
+	TRF_GRANT_QUARANTINED,
+	TRF_GRANT_NO,
+};
+
+enum trf_grant trf_wait_for_grant(struct trf_request *r,
+				  const struct trf_target *target,
+				  const char *attempt, trf_wait_tick tick,
+				  void *data);
+void trf_suspect_done(struct trf_request *r, const char *attempt);
+bool trf_crashed(struct trf *ctx, const struct trf_target *target);
+bool trf_report_crash(struct trf *ctx, const char *endpoint,
+		      uint64_t incarnation, const uint8_t digest[16]);
+void trf_watch_for_crash(struct trf_request *r,
+			 const struct trf_target *target);
+enum trf_ran trf_ran_of(const struct trf_request *r);
+
+/* A whole answer of a plain service, kept until it is complete. */
+struct trf_buffered {
+	struct trf *ctx;
+	const char *attempt;
+	int status;
+	char *content_type;
+	GString *body;
+	size_t memory;
+	bool crossed; /* the answer names another attempt */
+	bool too_large;
+};
+
+bool trf_call_plain(struct trf_request *r, const struct trf_target *target,
+		    const char *attempt, bool fresh,
+		    struct trf_buffered *answer, GError **err);
+void trf_buffered_clear(struct trf_buffered *answer);
+
+#endif
--- /dev/null
+++ b/src/traffic/trf_route.c
@@ -0,0 +1,231 @@
+#include "traffic/trf_int.h"
+
+#include <string.h>
+#include <time.h>
+
+/* How often waiting requests are asked again when nothing has happened: their
+ * deadlines pass with time alone. */
+#define SWEEP_US 20000
+#define TICK_US 1000000
+
+static void copy_target(struct trf_waiter *w)
+{
+	const Dsp__Endpoint *e = w->decision.endpoint;
+	struct trf_target *t = &w->target;
+
+	g_strlcpy(t->id, e->id, sizeof(t->id));
+	g_strlcpy(t->address, e->address, sizeof(t->address));
+	t->incarnation = e->incarnation;
+	t->cancel = e->features && e->features->cancel;
+	t->resume = e->features && e->features->resume;
+	t->priorities = e->features && e->features->priorities;
+}
+
+static uint32_t waiting_in_class(struct trf *ctx, const char *key)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(ctx->waiting, key));
+}
+
+static void count_waiting(struct trf *ctx, const char *key, int change)
+{
+	uint32_t n = waiting_in_class(ctx, key) + (uint32_t)change;
+
+	if (n)
+		g_hash_table_replace(ctx->waiting, g_strdup(key),
+				     GUINT_TO_POINTER(n));
+	else
+		g_hash_table_remove(ctx->waiting, key);
+	met_gauge(ctx->metrics, "dsp_requests_waiting", "",
+		  (int64_t)rt_waiting(ctx->rt));
+}
+
+/* Takes a decision into the waiter; the lock is held. */
+static void decided(struct trf *ctx, struct trf_waiter *w)
+{
+	if (w->decision.ticket)
+		w->ticket = w->decision.ticket;
+	switch (w->decision.outcome) {
+	case RT_DISPATCH:
+		copy_target(w);
+		w->resolved = true;
+		return;
+	case RT_REFUSE:
+		w->resolved = true;
+		return;
+	case RT_WAIT:
+		break;
+	}
+	w->resolved = false;
+	if (waiting_in_class(ctx, w->class_key) >= ctx->settings->queue_max) {
+		rt_done(ctx->rt, w->ticket, trf_now(ctx), 0, false);
+		w->ticket = NULL;
+		w->decision.outcome = RT_REFUSE;
+		w->decision.reason = RT_REASON_QUEUE_FULL;
+		w->decision.retry_after_us = 1000000;
+		w->resolved = true;
+		return;
+	}
+	count_waiting(ctx, w->class_key, 1);
+	TAILQ_INSERT_TAIL(&ctx->waiters, w, link);
+	pthread_cond_signal(&ctx->rt_wake);
+}
+
+/* Asks the router for a first endpoint. class_key is set by the caller. */
+void trf_route_submit(struct trf *ctx, struct trf_waiter *w,
+		      const struct rt_request *request)
+{
+	pthread_cond_init(&w->wake, NULL);
+	pthread_mutex_lock(&ctx->rt_lock);
+	memset(&w->decision, 0, sizeof(w->decision));
+	rt_submit(ctx->rt, request, trf_now(ctx), &w->decision);
+	decided(ctx, w);
+	pthread_mutex_unlock(&ctx->rt_lock);
+}
+
+/* Asks the router for another endpoint after a failure. */
+void trf_route_retry(struct trf *ctx, struct trf_waiter *w)
+{
+	pthread_mutex_lock(&ctx->rt_lock);
+	memset(&w->decision, 0, sizeof(w->decision));
+	rt_retry(ctx->rt, w->ticket, trf_now(ctx), &w->decision);
+	decided(ctx, w);
+	pthread_mutex_unlock(&ctx->rt_lock);
+}
+
+static void unqueue(struct trf *ctx, struct trf_waiter *w)
+{
+	TAILQ_REMOVE(&ctx->waiters, w, link);
+	count_waiting(ctx, w->class_key, -1);
+}
+
+static struct timespec wall_after(int64_t us)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	ts.tv_sec += us / 1000000;
+	ts.tv_nsec += us % 1000000 * 1000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	return ts;
+}
+
+/*
+ * Waits until the decision is no longer RT_WAIT. tick is called about once a
+ * second without a lock held. Returns false when the deadline passed or tick
+ * ended the wait; the ticket is still to be ended with trf_route_done().
+ */
+bool trf_route_wait(struct trf *ctx, struct trf_waiter *w, int64_t deadline_us,
+		    trf_wait_tick tick, void *data)
+{
+	bool go_on = true;
+	bool resolved;
+
+	pthread_mutex_lock(&ctx->rt_lock);
+	while (!w->resolved && go_on) {
+		int64_t left = deadline_us - trf_now(ctx);
+		struct timespec until;
+
+		if (left <= 0)
+			break;
+		until = wall_after(MIN(left, TICK_US));
+		pthread_cond_timedwait(&w->wake, &ctx->rt_lock, &until);
+		if (w->resolved || !tick)
+			continue;
+		pthread_mutex_unlock(&ctx->rt_lock);
+		go_on = tick(data);
+		pthread_mutex_lock(&ctx->rt_lock);
+	}
+	resolved = w->resolved;
+	if (!resolved) {
+		unqueue(ctx, w);
+		w->resolved = true;
+	}
+	pthread_mutex_unlock(&ctx->rt_lock);
+	return resolved;
+}
+
+/* Ends the ticket, if there is one, and wakes waiting requests. */
+void trf_route_done(struct trf *ctx, struct trf_waiter *w, uint32_t tokens,
+		    bool success)
+{
+	pthread_mutex_lock(&ctx->rt_lock);
+	if (w->ticket)
+		rt_done(ctx->rt, w->ticket, trf_now(ctx), tokens, success);
+	w->ticket = NULL;
+	ctx->rt_changed = true;
+	if (!TAILQ_EMPTY(&ctx->waiters))
+		pthread_cond_signal(&ctx->rt_wake);
+	pthread_mutex_unlock(&ctx->rt_lock);
+	pthread_cond_destroy(&w->wake);
+}
+
+/* Tells the router that the first token of a request has arrived. */
+void trf_route_first_token(struct trf *ctx, struct trf_waiter *w)
+{
+	pthread_mutex_lock(&ctx->rt_lock);
+	if (w->ticket)
+		rt_first_token(ctx->rt, w->ticket, trf_now(ctx));
+	pthread_mutex_unlock(&ctx->rt_lock);
+}
+
+/* Tells the router to avoid an endpoint for a while. */
+void trf_route_failed(struct trf *ctx, const struct trf_target *target)
+{
+	pthread_mutex_lock(&ctx->rt_lock);
+	rt_endpoint_failed(ctx->rt, target->id, target->incarnation,
+			   trf_now(ctx));
+	pthread_mutex_unlock(&ctx->rt_lock);
+}
+
+/* Has all waiting requests asked again; the lock is held by the caller. */
+void trf_route_wake(struct trf *ctx)
+{
+	ctx->rt_changed = true;
+	pthread_cond_signal(&ctx->rt_wake);
+}
+
+static void sweep(struct trf *ctx)
+{
+	struct trf_waiter *w = TAILQ_FIRST(&ctx->waiters);
+	struct trf_waiter *next;
+
+	for (; w; w = next) {
+		next = TAILQ_NEXT(w, link);
+		rt_poll(ctx->rt, w->ticket, trf_now(ctx), &w->decision);
+		if (w->decision.outcome == RT_WAIT)
+			continue;
+		unqueue(ctx, w);
+		if (w->decision.outcome == RT_DISPATCH)
+			copy_target(w);
+		w->resolved = true;
+		pthread_cond_signal(&w->wake);
+	}
+}
+
+/*
+ * Asks again for all waiting requests after each completion, and hands each
+ * decision to its thread. One thread does this, so that completions that come
+ * close together share one pass and a completing request does not pay for it.
+ */
+void *trf_route_thread(void *data)
+{
+	struct trf *ctx = data;
+
+	pthread_mutex_lock(&ctx->rt_lock);
+	while (!ctx->rt_stop) {
+		struct timespec until = wall_after(SWEEP_US);
+
+		if (TAILQ_EMPTY(&ctx->waiters))
+			pthread_cond_wait(&ctx->rt_wake, &ctx->rt_lock);
+		else if (!ctx->rt_changed)
+			pthread_cond_timedwait(&ctx->rt_wake, &ctx->rt_lock,
+					       &until);
+		ctx->rt_changed = false;
+		sweep(ctx);
+	}
+	pthread_mutex_unlock(&ctx->rt_lock);
+	return NULL;
+}
--- /dev/null
+++ b/src/traffic/trf_run.c
@@ -0,0 +1,683 @@
+#include "traffic/trf_int.h"
+
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <strings.h>
+
+/* Endpoints are about 1 ms away; a connection that needs longer is lost. */
+#define CONNECT_TIMEOUT_US 1000000
+#define HEARTBEAT_US 1000000
+#define ERROR_BODY_MAX 65536
+/* An SSE event is one token; a longer one is a fault of the endpoint. */
+#define EVENT_MAX (1u << 20)
+
+enum try_end {
+	TRY_COMPLETE,
+	TRY_PASSED_ON, /* the endpoint's refusal goes to the caller */
+	TRY_NOT_RUN,   /* no byte left, or the endpoint says it did not run */
+	TRY_OVERLOADED,
+	TRY_BROKEN,
+	TRY_TIMEOUT,
+};
+
+/* A model request over all its attempts. */
+struct run {
+	struct trf_request *r;
+	struct trf_waiter waiter;
+	uint32_t delivered; /* tokens that the caller or the text has */
+	GString *text;	    /* of a single answer */
+	char *finish_reason;
+	json_t *usage;
+	int64_t first_token_us; /* absolute; 0: none yet */
+	int64_t last_token_us;
+	int64_t last_write_us; /* to the caller */
+
+	/* The current attempt. */
+	struct trf_target target;
+	char attempt[TRF_ID_MAX];
+	int status;
+	bool sse;
+	bool crossed;
+	bool done;	/* the final event has arrived */
+	bool restarted; /* the endpoint has a new incarnation */
+	uint32_t skip;	/* tokens still to be skipped */
+	bool fresh_token;
+	GString *input;	 /* bytes of an incomplete event, or of an error */
+	GString *output; /* events to forward */
+};
+
+/* Fills the id of the next attempt. */
+void trf_attempt_id(struct trf_request *r, char out[TRF_ID_MAX])
+{
+	g_snprintf(out, TRF_ID_MAX, "%s.%u", r->api->id, ++r->attempts);
+}
+
+/* Counts a finished or refused request and reports it as demand. */
+void trf_observe_end(struct trf_request *r, const char *outcome,
+		     int64_t service_us, bool refused, bool late)
+{
+	char *labels = g_strdup_printf("%s,outcome=\"%s\"", r->labels, outcome);
+	Dsp__Demand demand = DSP__DEMAND__INIT;
+
+	met_count(r->ctx->metrics, "dsp_requests_total", labels, 1);
+	g_free(labels);
+	if (!refused)
+		met_observe_us(r->ctx->metrics, "dsp_request_seconds",
+			       r->labels, trf_now(r->ctx) - r->api->arrival_us);
+	if (late)
+		met_count(r->ctx->metrics, "dsp_requests_late_total", r->labels,
+			  1);
+	demand.team = (char *)r->team;
+	demand.model = r->model ? r->model : (char *)"";
+	demand.adapter = r->adapter ? r->adapter : (char *)"";
+	demand.requests = 1;
+	demand.refused = refused;
+	demand.late = late;
+	demand.service_ms = (uint64_t)(service_us / 1000);
+	r->ctx->ops->demand(r->ctx->ctl, &demand);
+}
+
+/* Returns what is known about the run of a request that fails now. */
+enum trf_ran trf_ran_of(const struct trf_request *r)
+{
+	if (r->any_token)
+		return TRF_RAN;
+	return r->any_sent ? TRF_RAN_UNKNOWN : TRF_NOT_RUN;
+}
+
+/* Answers a request that got no endpoint. */
+void trf_refuse(struct trf_request *r, const struct rt_decision *decision,
+		bool timed_out)
+{
+	const char *code = timed_out ? "deadline_unreachable"
+				     : rt_reason_code(decision->reason);
+	uint32_t retry_s =
+		(uint32_t)((decision->retry_after_us + 999999) / 1000000);
+	int status = 503;
+
+	if (!timed_out && (decision->reason == RT_REASON_QUEUE_FULL ||
+			   decision->reason == RT_REASON_MODEL_SHARE)) {
+		status = 429;
+		met_count(r->ctx->metrics, "dsp_limit_rejections_total",
+			  "limit=\"queue_max\"", 1);
+	}
+	api_error(r->api, status, code, trf_ran_of(r), retry_s ? retry_s : 1,
+		  "no endpoint can serve the request in time: %s", code);
+	trf_observe_end(r, code, 0, true, false);
+}
+
+/* ---- Events of the endpoint's stream ---- */
+
+/* Finds "key": in an event. A quote within a JSON string is escaped, so that
+ * the pattern matches keys only. */
+static const char *value_of(const char *event, const char *key)
+{
+	const char *at = strstr(event, key);
+
+	if (!at)
+		return NULL;
+	at += strlen(key);
+	while (*at == ' ')
+		at++;
+	if (*at++ != ':')
+		return NULL;
+	while (*at == ' ')
+		at++;
+	return at;
+}
+
+static bool is_token(const struct trf_request *r, const char *event)
+{
+	const char *value =
+		value_of(event, r->chat ? "\"content\"" : "\"text\"");
+
+	return value && value[0] == '"' && value[1] != '"';
+}
+
+static void set_string(char **to, const json_t *value)
+{
+	if (!json_is_string(value))
+		return;
+	g_free(*to);
+	*to = g_strdup(json_string_value(value));
+}
+
+/* Takes one event into the single answer. */
+static void assemble(struct run *run, const char *data)
+{
+	json_t *event = json_loads(data, 0, NULL);
+	json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
+	json_t *text =
+		run->r->chat ? json_object_get(json_object_get(choice, "delta"),
+					       "content")
+			     : json_object_get(choice, "text");
+	json_t *usage = json_object_get(event, "usage");
+
+	if (json_is_string(text))
+		g_string_append(run->text, json_string_value(text));
+	set_string(&run->finish_reason,
+		   json_object_get(choice, "finish_reason"));
+	if (json_is_object(usage)) {
+		json_decref(run->usage);
+		run->usage = json_incref(usage);
+	}
+	json_decref(event);
+}
+
+static void count_token(struct run *run)
+{
+	struct trf_request *r = run->r;
+	int64_t now = trf_now(r->ctx);
+
+	if (!run->first_token_us) {
+		run->first_token_us = now;
+		met_observe_us(r->ctx->metrics, "dsp_first_token_seconds",
+			       r->labels, now - r->api->arrival_us);
+		trf_route_first_token(r->ctx, &run->waiter);
+	} else {
+		met_observe_us(r->ctx->metrics, "dsp_token_gap_seconds",
+			       r->labels, now - run->last_token_us);
+	}
+	run->last_token_us = now;
+	run->delivered++;
+	r->any_token = true;
+}
+
+static void forward(struct run *run, const char *event, size_t len)
+{
+	if (run->r->stream) {
+		g_string_append_len(run->output, event, (gssize)len);
+		g_string_append_len(run->output, "\n\n", 2);
+	} else if (!run->done) {
+		assemble(run, event + strlen("data:"));
+	}
+}
+
+/* Handles one whole event without its blank line. */
+static void on_event(struct run *run, const char *event, size_t len)
+{
+	const char *data = event + strlen("data:");
+
+	if (strncmp(event, "data:", 5))
+		return; /* comments and other fields */
+	run->r->any_token = true;
+	while (*data == ' ')
+		data++;
+	if (!strncmp(data, "[DONE]", 6)) {
+		run->done = true;
+		forward(run, event, len);
+		return;
+	}
+	if (!is_token(run->r, data)) {
+		/* Opening events are repeated by a later attempt. */
+		if (run->r->attempts == 1 || run->fresh_token ||
+		    (!run->skip && strstr(data, "\"finish_reason\"")))
+			forward(run, event, len);
+		return;
+	}
+	if (run->skip) {
+		run->skip--;
+		return;
+	}
+	run->fresh_token = true;
+	count_token(run);
+	forward(run, event, len);
+}
+
+/* Returns the end of the first event in the input, and where the next starts;
+ * NULL while it is incomplete. */
+static char *event_end(GString *input, size_t from, size_t *next)
+{
+	char *start = input->str + from;
+	char *lf = strstr(start, "\n\n");
+	char *crlf = strstr(start, "\r\n\r\n");
+
+	if (crlf && (!lf || crlf < lf)) {
+		*next = (size_t)(crlf - input->str) + 4;
+		return crlf;
+	}
+	if (lf)
+		*next = (size_t)(lf - input->str) + 2;
+	return lf;
+}
+
+static void flush_output(struct run *run)
+{
+	struct api *api = run->r->api;
+
+	if (!run->output->len)
+		return;
+	trf_answer_append(run->r->ctx, api->answer, run->output->str,
+			  run->output->len);
+	api_stream_head(api, "text/event-stream");
+	api_stream_write(api, run->output->str, run->output->len);
+	run->last_write_us = trf_now(run->r->ctx);
+	g_string_truncate(run->output, 0);
+}
+
+static void on_head(void *data, int status, const char *content_type)
+{
+	struct run *run = data;
+
+	run->status = status;
+	run->sse = status == 200 && content_type &&
+		   !strncasecmp(content_type, "text/event-stream", 17);
+}
+
+static void on_header(void *data, const char *name, const char *value)
+{
+	struct run *run = data;
+
+	if (!strcasecmp(name, "X-Request-Id") && strcmp(value, run->attempt))
+		run->crossed = true;
+}
+
+static bool on_data(void *data, const char *bytes, size_t len)
+{
+	struct run *run = data;
+	size_t from = 0;
+	size_t next = 0;
+	char *end;
+
+	if (run->crossed)
+		return false;
+	g_string_append_len(run->input, bytes, (gssize)len);
+	if (!run->sse)
+		return run->input->len <= ERROR_BODY_MAX;
+	while (!run->done && (end = event_end(run->input, from, &next))) {
+		*end = '\0';
+		on_event(run, run->input->str + from,
+			 (size_t)(end - run->input->str) - from);
+		from = next;
+	}
+	g_string_erase(run->input, 0, (gssize)from);
+	flush_output(run);
+	return run->input->len <= EVENT_MAX;
+}
+
+static void heartbeat(struct run *run)
+{
+	static const char comment[] = ": heartbeat\n\n";
+	struct api *api = run->r->api;
+	int64_t now = trf_now(run->r->ctx);
+
+	if (!run->r->stream || now - run->last_write_us < HEARTBEAT_US)
+		return;
+	api_stream_head(api, "text/event-stream");
+	api_stream_write(api, comment, sizeof(comment) - 1);
+	run->last_write_us = now;
+}
+
+static bool on_idle(void *data)
+{
+	struct run *run = data;
+	struct view *view = trf_view(run->r->ctx);
+	const Dsp__Endpoint *e = view_endpoint(view, run->target.id);
+
+	/* A new incarnation cannot answer the old one's requests. */
+	run->restarted = e && e->incarnation != run->target.incarnation;
+	view_unref(view);
+	heartbeat(run);
+	return !run->restarted;
+}
+
+static bool wait_tick(void *data)
+{
+	heartbeat(data);
+	return true;
+}
+
+/* ---- Attempts ---- */
+
+static bool says_overloaded(const struct run *run)
+{
+	json_t *body;
+	const char *code;
+	bool overloaded;
+
+	if (run->status != 503)
+		return false;
+	body = json_loads(run->input->str, 0, NULL);
+	code = json_string_value(
+		json_object_get(json_object_get(body, "error"), "code"));
+	overloaded = code && !strcmp(code, "overloaded");
+	json_decref(body);
+	return overloaded;
+}
+
+static int64_t first_byte_limit(const struct run *run, int64_t left)
+{
+	const struct trf_request *r = run->r;
+	int64_t silence = r->ctx->settings->silence_limit_ms * 1000LL;
+	int64_t limit = MAX(silence, 4 * r->class_limits->first_token_us);
+
+	limit = MAX(limit, 2 * run->waiter.decision.predicted_us + silence);
+	/* The first attempt leaves time for another. */
+	if (r->attempts == 1)
+		limit = MIN(limit, MAX(left / 2, 1));
+	return limit;
+}
+
+static void reset_attempt(struct run *run)
+{
+	bool resume = run->target.resume;
+
+	trf_attempt_id(run->r, run->attempt);
+	run->status = 0;
+	run->sse = false;
+	run->crossed = false;
+	run->done = false;
+	run->restarted = false;
+	run->fresh_token = false;
+	run->skip = resume ? 0 : run->delivered;
+	g_string_truncate(run->input, 0);
+}
+
+static enum try_end end_of(struct run *run, bool complete, GError *err)
+{
+	struct trf_request *r = run->r;
+
+	if (run->done && !run->crossed)
+		return TRY_COMPLETE;
+	if (!complete && g_error_matches(err, UP_ERROR, UP_ERROR_NOT_SENT))
+		return TRY_NOT_RUN;
+	if (complete && !run->crossed && says_overloaded(run))
+		return TRY_OVERLOADED;
+	r->any_sent = true;
+	if (complete && !run->crossed && run->status >= 400 &&
+	    run->status < 500)
+		return TRY_PASSED_ON;
+	if (!complete && g_error_matches(err, UP_ERROR, UP_ERROR_TIMEOUT))
+		return TRY_TIMEOUT;
+	return TRY_BROKEN;
+}
+
+static enum try_end try_once(struct run *run, bool fresh)
+{
+	struct trf_request *r = run->r;
+	int64_t left = r->deadline_us - trf_now(r->ctx);
+	char *url = g_strdup_printf("%s%s", run->target.address, r->path);
+	char id[TRF_ID_MAX + 32];
+	char priority[64];
+	char offset[64];
+	const char *headers[6] = { "Content-Type: application/json", id };
+	size_t n = 2;
+	GError *err = NULL;
+	bool complete;
+	enum try_end end;
+	struct up_request request = {
+		.method = "POST",
+		.url = url,
+		.headers = headers,
+		.body = r->body,
+		.body_len = r->body_len,
+		.fresh = fresh,
+		.connect_timeout_us = MIN(CONNECT_TIMEOUT_US, MAX(left, 1000)),
+		.silence_timeout_us =
+			r->ctx->settings->silence_limit_ms * 1000LL,
+		.total_timeout_us = MAX(left, 1),
+		.data = run,
+		.on_head = on_head,
+		.on_header = on_header,
+		.on_data = on_data,
+		.on_idle = on_idle,
+	};
+
+	reset_attempt(run);
+	request.first_byte_timeout_us = first_byte_limit(run, left);
+	g_snprintf(id, sizeof(id), "X-Request-Id: %s", run->attempt);
+	if (run->target.priorities) {
+		g_snprintf(priority, sizeof(priority), "X-Priority: %u",
+			   r->class_limits->priority);
+		headers[n++] = priority;
+	}
+	if (run->delivered && run->target.resume) {
+		g_snprintf(offset, sizeof(offset), "X-Resume-Offset: %u",
+			   run->delivered);
+		headers[n++] = offset;
+	}
+	headers[n] = NULL;
+	complete = up_perform(r->ctx->up, &request, &err);
+	end = end_of(run, complete, err);
+	if (end != TRY_COMPLETE && end != TRY_PASSED_ON)
+		LOG_EVENT_WARN("trf", "attempt_failed",
+			       "attempt=%s endpoint=%s status=%d tokens=%u "
+			       "error=\"%s\"",
+			       run->attempt, run->target.id, run->status,
+			       run->delivered, err ? err->message : "");
+	g_clear_error(&err);
+	g_free(url);
+	return end;
+}
+
+/* Has an attempt that was given up cancelled at its endpoint. */
+static void cancel_attempt(struct run *run)
+{
+	struct trf_job *job;
+
+	if (!run->target.cancel)
+		return;
+	job = g_new0(struct trf_job, 1);
+	job->kind = TRF_JOB_CANCEL;
+	job->address = g_strdup(run->target.address);
+	job->attempt = g_strdup(run->attempt);
+	trf_bg_add(run->r->ctx, job);
+}
+
+/* ---- The request ---- */
+
+static void reply_single(struct run *run)
+{
+	struct trf_request *r = run->r;
+	const char *reason = run->finish_reason ? run->finish_reason : "stop";
+	char *model = r->adapter
+			      ? g_strdup_printf("%s:%s", r->model, r->adapter)
+			      : g_strdup(r->model);
+	json_t *choice;
+	json_t *answer;
+
+	if (r->chat)
+		choice = json_pack("{s:i,s:{s:s,s:s%},s:s}", "index", 0,
+				   "message", "role", "assistant", "content",
+				   run->text->str, run->text->len,
+				   "finish_reason", reason);
+	else
+		choice = json_pack("{s:i,s:s%,s:s}", "index", 0, "text",
+				   run->text->str, run->text->len,
+				   "finish_reason", reason);
+	answer = json_pack(
+		"{s:s,s:s,s:I,s:s,s:[o]}", "id", r->api->id, "object",
+		r->chat ? "chat.completion" : "text_completion", "created",
+		(json_int_t)(clk_wall_ms(r->ctx->clock) / 1000), "model", model,
+		"choices", choice);
+	if (run->usage)
+		json_object_set(answer, "usage", run->usage);
+	api_json(r->api, 200, NULL, answer);
+	g_free(model);
+}
+
+static bool is_late(const struct run *run)
+{
+	const struct trf_request *r = run->r;
+	const struct doc_class *c = r->class_limits;
+	int64_t now = trf_now(r->ctx);
+
+	if (c->first_token_us && run->first_token_us &&
+	    run->first_token_us - r->api->arrival_us > c->first_token_us)
+		return true;
+	return c->deadline_us && now - r->api->arrival_us > c->deadline_us;
+}
+
+static void finish(struct run *run)
+{
+	struct trf_request *r = run->r;
+
+	if (r->stream) {
+		flush_output(run);
+		trf_answer_finish(r->ctx, r->api->answer, 200,
+				  "text/event-stream");
+		api_stream_end(r->api);
+	} else {
+		reply_single(run);
+	}
+}
+
+static void fail(struct run *run, enum try_end end)
+{
+	struct trf_request *r = run->r;
+	const char *code = "endpoint_failed";
+	int status = 502;
+
+	if (end == TRY_OVERLOADED) {
+		code = "overloaded";
+		status = 503;
+	} else if (end == TRY_TIMEOUT) {
+		code = "deadline_passed";
+		status = 504;
+	}
+	api_error(r->api, status, code, trf_ran_of(r), 1,
+		  "the request failed after %u attempts", r->attempts);
+}
+
+/* Handles a failed attempt whose bytes may have reached the endpoint. Returns
+ * false when the request must not run again. */
+static bool after_break(struct run *run)
+{
+	struct trf_request *r = run->r;
+
+	if (run->restarted || trf_crashed(r->ctx, &run->target)) {
+		/* A retry before the commit could end a second endpoint. */
+		if (!trf_report_crash(r->ctx, run->target.id,
+				      run->target.incarnation, r->digest))
+			return false;
+		r->suspect = true;
+		return true;
+	}
+	cancel_attempt(run);
+	trf_watch_for_crash(r, &run->target);
+	return true;
+}
+
+/* Chooses the endpoint of the only retry; false when there is none. */
+static bool choose_retry(struct run *run, enum try_end end)
+{
+	struct trf_request *r = run->r;
+
+	if (r->attempts > 1 || end == TRY_TIMEOUT ||
+	    trf_now(r->ctx) >= r->deadline_us)
+		return false;
+	if (end == TRY_BROKEN && !after_break(run))
+		return false;
+	if (end != TRY_OVERLOADED)
+		trf_route_failed(r->ctx, &run->target);
+	met_count(r->ctx->metrics, "dsp_retries_total", r->labels, 1);
+	trf_route_retry(r->ctx, &run->waiter);
+	if (!trf_route_wait(r->ctx, &run->waiter, r->deadline_us, wait_tick,
+			    run))
+		return false;
+	if (run->waiter.decision.outcome == RT_DISPATCH) {
+		run->target = run->waiter.target;
+		return true;
+	}
+	/* The connection was at fault, and no other endpoint has the copy. */
+	return end == TRY_BROKEN && !r->suspect &&
+	       run->waiter.decision.reason == RT_REASON_NO_ENDPOINT;
+}
+
+static bool may_run(struct run *run)
+{
+	struct trf_request *r = run->r;
+
+	char attempt[TRF_ID_MAX];
+
+	if (!r->suspect)
+		return true;
+	g_snprintf(attempt, sizeof(attempt), "%s.%u", r->api->id,
+		   r->attempts + 1);
+	switch (trf_wait_for_grant(r, &run->target, attempt, wait_tick, run)) {
+	case TRF_GRANT_YES:
+		return true;
+	case TRF_GRANT_QUARANTINED:
+		api_error(r->api, 422, "request_quarantined", trf_ran_of(r), 0,
+			  "endpoints crashed while they ran this request");
+		return false;
+	case TRF_GRANT_NO:
+		break;
+	}
+	api_error(r->api, 503, "suspect_not_granted", trf_ran_of(r), 1,
+		  "an endpoint crashed while it ran this request; the grant "
+		  "to run it alone did not arrive in time");
+	return false;
+}
+
+static const char *run_attempts(struct run *run)
+{
+	struct trf_request *r = run->r;
+	enum try_end end;
+	bool fresh = false;
+
+	do {
+		if (!may_run(run))
+			return "suspect";
+		end = try_once(run, fresh);
+		fresh = true;
+		if (end == TRY_COMPLETE && r->suspect)
+			trf_suspect_done(r, run->attempt);
+		if (end == TRY_COMPLETE) {
+			finish(run);
+			return "ok";
+		}
+		if (end == TRY_PASSED_ON) {
+			api_reply(r->api, run->status, "application/json", NULL,
+				  run->input->str, run->input->len);
+			return "refused_by_endpoint";
+		}
+	} while (choose_retry(run, end));
+	if (end == TRY_TIMEOUT)
+		cancel_attempt(run);
+	fail(run, end);
+	return "failed";
+}
+
+/*
+ * Runs an idempotent request of a model and answers the caller: section 10 of
+ * docs/design.md.
+ */
+void trf_run_model(struct trf_request *r)
+{
+	struct run run = {
+		.r = r,
+		.text = g_string_new(NULL),
+		.input = g_string_new(NULL),
+		.output = g_string_new(NULL),
+		.last_write_us = r->api->arrival_us,
+		.waiter = { .class_key = r->class_key },
+	};
+	const char *outcome;
+	int64_t start;
+	bool resolved;
+
+	trf_route_submit(r->ctx, &run.waiter, &r->route);
+	resolved = trf_route_wait(r->ctx, &run.waiter, r->deadline_us,
+				  wait_tick, &run);
+	if (!resolved || run.waiter.decision.outcome != RT_DISPATCH) {
+		trf_route_done(r->ctx, &run.waiter, 0, false);
+		trf_refuse(r, &run.waiter.decision, !resolved);
+		goto out;
+	}
+	run.target = run.waiter.target;
+	start = trf_now(r->ctx);
+	outcome = run_attempts(&run);
+	trf_route_done(r->ctx, &run.waiter, run.delivered,
+		       !strcmp(outcome, "ok"));
+	trf_observe_end(r, outcome, trf_now(r->ctx) - start, false,
+			is_late(&run) || strcmp(outcome, "ok") != 0);
+out:
+	g_string_free(run.text, TRUE);
+	g_string_free(run.input, TRUE);
+	g_string_free(run.output, TRUE);
+	g_free(run.finish_reason);
+	json_decref(run.usage);
+}
--- a/src/traffic/up.h
+++ b/src/traffic/up.h
@@ -35,6 +35,8 @@
 	void *data;
 	/* Status and headers are known. */
 	void (*on_head)(void *data, int status, const char *content_type);
+	/* One header of the final answer; before on_head. NULL: none. */
+	void (*on_header)(void *data, const char *name, const char *value);
 	/* Some body bytes; false stops the transfer. */
 	bool (*on_data)(void *data, const char *bytes, size_t len);
 	/* Called at least each 100 ms; false stops the transfer. NULL: none. */
@@ -47,4 +49,9 @@
  * complete answer was received. */
 bool up_perform(struct up *ctx, const struct up_request *request, GError **err);
 
+/* Queries. */
+/* True when a connection to http://IP:PORT is refused at once: the process
+ * there has ended. A silent host is not a refusal. */
+bool up_refuses(const char *address, int64_t timeout_us);
+
 #endif
