net: ZeroMQ transport between instances

Connections are probed with empty messages that the receiver returns on the same connection: a message from the peer arrives on the peer's own connection and proves nothing about this one.

The envelope carries the sender's address, so that replies need no lookup of the sender in the view.

--- a/src/net/net.h
+++ b/src/net/net.h
@@ -21,16 +21,20 @@
 };
 GQuark net_error_quark(void);
 
-struct net *net_new(const char *listen, const char *node, uint64_t boot,
-		    GError **err);
+/* advertise is the address that peers reply to. */
+struct net *net_new(const char *listen, const char *advertise, const char *node,
+		    uint64_t boot, GError **err);
 void net_free(struct net *ctx);
 
 /* Commands. */
-/* Sends to a peer; drops the message when its queue is full. from and boot of
- * the envelope are set here. */
+/* Sends to a peer; drops the message when its queue is full. from, boot and
+ * address of the envelope are set here. */
 void net_send(struct net *ctx, const char *address, Dsp__Envelope *envelope);
 /* Waits up to timeout_us for messages or for wake_fd to become readable. */
 void net_wait(struct net *ctx, int wake_fd, int64_t timeout_us);
+/* Sets the time, probes connections, replaces silent ones and closes unused
+ * ones. Called at least once a second. */
+void net_tick(struct net *ctx, int64_t now_us);
 /* The next received message, or NULL; freed with
  * dsp__envelope__free_unpacked(). Malformed ones are counted and dropped. */
 Dsp__Envelope *net_receive(struct net *ctx);
@@ -42,5 +46,7 @@
 uint64_t net_bytes_sent(const struct net *ctx);
 uint64_t net_bytes_received(const struct net *ctx);
 uint64_t net_malformed(const struct net *ctx);
+uint64_t net_dropped(const struct net *ctx);
+uint64_t net_resets(const struct net *ctx);
 
 #endif
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -6976,7 +6976,7 @@
   (ProtobufCMessageInit) dsp__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__report__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__report__field_descriptors[4] =
 {
   {
     "nodes",
@@ -7014,16 +7014,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hops",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Report, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__report__field_indices_by_name[] = {
   1,   /* field[1] = announcements */
   2,   /* field[2] = demands */
+  3,   /* field[3] = hops */
   0,   /* field[0] = nodes */
 };
 static const ProtobufCIntRange dsp__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dsp__report__descriptor =
 {
@@ -7033,14 +7046,14 @@
   "Dsp__Report",
   "dsp",
   sizeof(Dsp__Report),
-  3,
+  4,
   dsp__report__field_descriptors,
   dsp__report__field_indices_by_name,
   1,  dsp__report__number_ranges,
   (ProtobufCMessageInit) dsp__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__forward__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__forward__field_descriptors[5] =
 {
   {
     "id",
@@ -7090,17 +7103,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replace_replica",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Forward, replace_replica),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__forward__field_indices_by_name[] = {
   2,   /* field[2] = boot */
   3,   /* field[3] = command */
   0,   /* field[0] = id */
   1,   /* field[1] = node */
+  4,   /* field[4] = replace_replica */
 };
 static const ProtobufCIntRange dsp__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dsp__forward__descriptor =
 {
@@ -7110,7 +7136,7 @@
   "Dsp__Forward",
   "dsp",
   sizeof(Dsp__Forward),
-  4,
+  5,
   dsp__forward__field_descriptors,
   dsp__forward__field_indices_by_name,
   1,  dsp__forward__number_ranges,
@@ -7604,7 +7630,7 @@
   (ProtobufCMessageInit) dsp__answer_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__envelope__field_descriptors[13] =
+static const ProtobufCFieldDescriptor dsp__envelope__field_descriptors[14] =
 {
   {
     "from",
@@ -7630,6 +7656,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Envelope, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "raft",
     10,
@@ -7764,25 +7802,26 @@
   },
 };
 static const unsigned dsp__envelope__field_indices_by_name[] = {
-  11,   /* field[11] = answer_query */
-  12,   /* field[12] = answer_reply */
+  2,   /* field[2] = address */
+  12,   /* field[12] = answer_query */
+  13,   /* field[13] = answer_reply */
   1,   /* field[1] = boot */
-  9,   /* field[9] = form_group */
-  7,   /* field[7] = form_query */
-  8,   /* field[8] = form_reply */
-  5,   /* field[5] = forward */
-  6,   /* field[6] = forward_reply */
+  10,   /* field[10] = form_group */
+  8,   /* field[8] = form_query */
+  9,   /* field[9] = form_reply */
+  6,   /* field[6] = forward */
+  7,   /* field[7] = forward_reply */
   0,   /* field[0] = from */
-  10,   /* field[10] = join_request */
-  2,   /* field[2] = raft */
-  3,   /* field[3] = report */
-  4,   /* field[4] = view_update */
+  11,   /* field[11] = join_request */
+  3,   /* field[3] = raft */
+  4,   /* field[4] = report */
+  5,   /* field[5] = view_update */
 };
 static const ProtobufCIntRange dsp__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 2 },
-  { 0, 13 }
+  { 10, 3 },
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor dsp__envelope__descriptor =
 {
@@ -7792,7 +7831,7 @@
   "Dsp__Envelope",
   "dsp",
   sizeof(Dsp__Envelope),
-  13,
+  14,
   dsp__envelope__field_descriptors,
   dsp__envelope__field_indices_by_name,
   2,  dsp__envelope__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1082,10 +1082,14 @@
   Dsp__Announcement **announcements;
   size_t n_demands;
   Dsp__Demand **demands;
+  /*
+   * relays passed; stops reports that circulate
+   */
+  uint32_t hops;
 };
 #define DSP__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Dsp__Forward
@@ -1095,10 +1099,14 @@
   char *node;
   uint64_t boot;
   ProtobufCBinaryData command;
+  /*
+   * instead of command: remove this replica
+   */
+  uint64_t replace_replica;
 };
 #define DSP__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__forward__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
 
 
 struct  Dsp__ForwardReply
@@ -1218,6 +1226,10 @@
    */
   char *from;
   uint64_t boot;
+  /*
+   * tcp://IP:PORT that replies go to
+   */
+  char *address;
   Dsp__Envelope__BodyCase body_case;
   union {
     Dsp__RaftMessage *raft;
@@ -1235,7 +1247,7 @@
 };
 #define DSP__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, DSP__ENVELOPE__BODY__NOT_SET, {0} }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, DSP__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /* Dsp__Member methods */
