--- a/src/traffic/api_http.c
+++ b/src/traffic/api_http.c
@@ -102,8 +102,9 @@
 	used = (size_t)g_snprintf(buffer, 24, "%zx\r\n", len);
 	memcpy(buffer + used, bytes, len);
 	used += len;
-	memcpy(buffer + used, "\r\n", 2);
-	write_all(api, buffer, used + 2);
+	buffer[used++] = '\r';
+	buffer[used++] = '\n';
+	write_all(api, buffer, used);
 	if (buffer != fixed)
 		g_free(buffer);
 }
--- a/src/traffic/trf_answer.c
+++ b/src/traffic/trf_answer.c
@@ -1,5 +1,6 @@
 #include "traffic/trf_int.h"
 
+#include <stdatomic.h>
 #include <string.h>
 
 static char *key_of(const char *team, const char *id)
@@ -12,7 +13,7 @@
 {
 	uint64_t limit = (uint64_t)ctx->settings->memory_mb_max << 20;
 
-	if ((ctx->memory_used += bytes) <= limit)
+	if (atomic_fetch_add(&ctx->memory_used, bytes) + bytes <= limit)
 		return true;
 	ctx->memory_used -= bytes;
 	return false;
--- a/src/traffic/trf_claim.c
+++ b/src/traffic/trf_claim.c
@@ -353,6 +353,12 @@
 			  "endpoints crashed while they ran this request");
 		return true;
 	}
+	if (result->code == DSP__RESULT_CODE__RESULT_STALE ||
+	    result->code == DSP__RESULT_CODE__RESULT_INVALID) {
+		api_error(r->api, 503, "claim_rejected", TRF_NOT_RUN, 1, "%s",
+			  result->message ? result->message : "");
+		return true;
+	}
 	/* Not known whether the claim is in force. */
 	abandon(c);
 	return true;
--- a/src/traffic/trf_plain.c
+++ b/src/traffic/trf_plain.c
@@ -137,11 +137,13 @@
 			 struct trf_target *target, const GError *err)
 {
 	bool unsent = g_error_matches(err, UP_ERROR, UP_ERROR_NOT_SENT);
+	bool granted = r->suspect;
 
 	if (r->attempts > 1 || trf_now(r->ctx) >= r->deadline_us ||
 	    g_error_matches(err, UP_ERROR, UP_ERROR_STOPPED))
 		return false;
-	if (!unsent && !crash_allows_retry(r, target))
+	/* A granted suspect has had its run. */
+	if (!unsent && (!crash_allows_retry(r, target) || granted))
 		return false;
 	trf_route_failed(r->ctx, target);
 	met_count(r->ctx->metrics, "dsp_retries_total", r->labels, 1);
@@ -194,6 +196,8 @@
 			break;
 		if (!g_error_matches(err, UP_ERROR, UP_ERROR_NOT_SENT))
 			r->any_sent = true;
+		else if (r->suspect)
+			trf_suspect_done(r, attempt);
 		LOG_EVENT_WARN("trf", "attempt_failed",
 			       "attempt=%s endpoint=%s error=\"%s\"", attempt,
 			       target.id, err->message);
--- a/src/traffic/trf_run.c
+++ b/src/traffic/trf_run.c
@@ -561,14 +561,15 @@
 }
 
 /* Chooses the endpoint of the only retry; false when there is none. */
-static bool choose_retry(struct run *run, enum try_end end)
+static bool choose_retry(struct run *run, enum try_end end, bool granted)
 {
 	struct trf_request *r = run->r;
 
 	if (r->attempts > 1 || end == TRY_TIMEOUT ||
 	    trf_now(r->ctx) >= r->deadline_us)
 		return false;
-	if (end == TRY_BROKEN && !after_break(run))
+	/* A granted suspect has had its run. */
+	if (end == TRY_BROKEN && (!after_break(run) || granted))
 		return false;
 	if (end != TRY_OVERLOADED)
 		trf_route_failed(r->ctx, &run->target);
@@ -617,13 +618,16 @@
 	struct trf_request *r = run->r;
 	enum try_end end;
 	bool fresh = false;
+	bool granted;
 
 	do {
 		if (!may_run(run))
 			return "suspect";
+		granted = r->suspect;
 		end = try_once(run, fresh);
 		fresh = true;
-		if (end == TRY_COMPLETE && r->suspect)
+		/* The endpoint survived the suspect, or never saw it. */
+		if (granted && end != TRY_BROKEN && end != TRY_TIMEOUT)
 			trf_suspect_done(r, run->attempt);
 		if (end == TRY_COMPLETE) {
 			finish(run);
@@ -634,7 +638,7 @@
 				  run->input->str, run->input->len);
 			return "refused_by_endpoint";
 		}
-	} while (choose_retry(run, end));
+	} while (choose_retry(run, end, granted));
 	if (end == TRY_TIMEOUT)
 		cancel_attempt(run);
 	fail(run, end);
--- a/src/traffic/up.c
+++ b/src/traffic/up.c
@@ -91,14 +91,19 @@
 	return handle;
 }
 
-static void drop_idle(struct pool *pool)
+static void drop_list(struct handle_list *list)
 {
 	struct handle *handle;
 
-	while ((handle = TAILQ_FIRST(&pool->idle))) {
-		TAILQ_REMOVE(&pool->idle, handle, link);
+	while ((handle = TAILQ_FIRST(list))) {
+		TAILQ_REMOVE(list, handle, link);
 		handle_free(handle);
 	}
+}
+
+static void drop_idle(struct pool *pool)
+{
+	drop_list(&pool->idle);
 	pool->n = 0;
 }
 
@@ -154,14 +159,20 @@
 /* Closes the pooled connections of one origin that were idle for too long. */
 static void drop_expired(struct pool *pool, int64_t now)
 {
-	struct handle *last;
+	struct handle_list expired = TAILQ_HEAD_INITIALIZER(expired);
+	struct handle *handle = TAILQ_FIRST(&pool->idle);
 
-	while ((last = TAILQ_LAST(&pool->idle, handle_list)) &&
-	       now - last->idle_since_us > IDLE_MAX_US) {
-		TAILQ_REMOVE(&pool->idle, last, link);
+	while (handle && now - handle->idle_since_us <= IDLE_MAX_US)
+		handle = TAILQ_NEXT(handle, link);
+	while (handle) { /* sorted: all that follow are older */
+		struct handle *next = TAILQ_NEXT(handle, link);
+
+		TAILQ_REMOVE(&pool->idle, handle, link);
+		TAILQ_INSERT_TAIL(&expired, handle, link);
 		pool->n--;
-		handle_free(last);
+		handle = next;
 	}
+	drop_list(&expired);
 }
 
 static struct handle *take_handle(struct up *ctx, const char *origin)
