--- /dev/null
+++ b/src/core/raft.c
@@ -0,0 +1,623 @@
+#include "core/raft.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/raft_priv.h"
+
+/* Committed entries handed out by one ready batch. */
+#define MAX_COMMITTED 4096
+
+/* Entries kept in memory behind a snapshot for followers that are a little
+ * late; they get by without a snapshot. */
+#define TRAILING_ENTRIES 1024
+#define TRAILING_BYTES (4 << 20)
+
+#define MAX_MEMBERS 64
+
+/* Adds a reference; NULL is allowed. */
+struct raft_snapshot *raft_snapshot_ref(struct raft_snapshot *snapshot)
+{
+	if (snapshot)
+		snapshot->refs++;
+	return snapshot;
+}
+
+/* Drops a reference; NULL is allowed. */
+void raft_snapshot_unref(struct raft_snapshot *snapshot)
+{
+	if (!snapshot || --snapshot->refs)
+		return;
+	dsp__raft_config__free_unpacked(snapshot->config, NULL);
+	g_free(snapshot->data);
+	g_free(snapshot);
+}
+
+/* Queues an empty message of the current term; the caller adds the body. */
+Dsp__RaftMessage *raft_message(struct raft *ctx, uint64_t to)
+{
+	Dsp__RaftMessage *msg = malloc(sizeof(*msg));
+
+	if (!msg)
+		abort();
+	dsp__raft_message__init(msg);
+	msg->from = ctx->options.replica;
+	msg->to = to;
+	msg->term = ctx->term;
+	msg->group = ctx->options.group;
+	if (ctx->out.n == ctx->out.capacity) {
+		ctx->out.capacity = ctx->out.capacity * 2 + 16;
+		ctx->out.items = g_renew(Dsp__RaftMessage *, ctx->out.items,
+					 ctx->out.capacity);
+	}
+	ctx->out.items[ctx->out.n++] = msg;
+	return msg;
+}
+
+static void free_messages(struct raft_messages *messages)
+{
+	for (size_t i = 0; i < messages->n; i++) {
+		Dsp__RaftMessage *msg = messages->items[i];
+
+		/* The entries belong to the log. */
+		if (msg->body_case == DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST)
+			msg->append_request->n_entries = 0;
+		dsp__raft_message__free_unpacked(msg, NULL);
+	}
+	messages->n = 0;
+}
+
+/* Appends an entry of the own term to the log of a leader. */
+void raft_append_own(struct raft *ctx, Dsp__EntryKind kind, const uint8_t *data,
+		     size_t len)
+{
+	uint64_t index = raft_log_last(&ctx->log) + 1;
+
+	if (raft_log_append(&ctx->log,
+			    raft_entry_new(index, ctx->term, kind, data, len)))
+		raft_apply_config(ctx);
+}
+
+/*
+ * Creates a replica from what the store read back; durable is copied. A group
+ * of one voter elects itself on the first tick.
+ */
+struct raft *raft_new(const struct raft_options *options,
+		      const struct raft_durable *durable, int64_t now_us)
+{
+	struct raft *ctx = g_new0(struct raft, 1);
+
+	ctx->options = *options;
+	ctx->now = now_us;
+	ctx->random = options->seed;
+	ctx->term = durable->term;
+	ctx->voted_for = durable->voted_for;
+	ctx->role = RAFT_FOLLOWER;
+	ctx->commit = durable->snapshot_index;
+	ctx->applied = durable->snapshot_index;
+	raft_log_init(&ctx->log, durable->snapshot_index,
+		      durable->snapshot_term, durable->config);
+	for (size_t i = 0; i < durable->n_entries; i++) {
+		const Dsp__LogEntry *entry = durable->entries[i];
+
+		raft_log_append(&ctx->log,
+				raft_entry_new(entry->index, entry->term,
+					       entry->kind, entry->data.data,
+					       entry->data.len));
+	}
+	ctx->log.written = raft_log_last(&ctx->log);
+	ctx->log.synced = ctx->log.written;
+	raft_apply_config(ctx);
+	ctx->leader_contact = now_us;
+	raft_reset_election_deadline(ctx);
+	if (ctx->self_voter && ctx->n_voters == 1)
+		ctx->election_deadline = now_us;
+	return ctx;
+}
+
+/* Frees the replica; NULL is allowed. */
+void raft_free(struct raft *ctx)
+{
+	if (!ctx)
+		return;
+	free_messages(&ctx->out);
+	free_messages(&ctx->flight);
+	g_free(ctx->out.items);
+	g_free(ctx->flight.items);
+	g_free(ctx->flight_entries);
+	for (size_t i = 0; i < ctx->n_peers; i++)
+		raft_snapshot_unref(ctx->peers[i].snapshot);
+	g_free(ctx->peers);
+	g_free(ctx->scratch);
+	raft_snapshot_unref(ctx->snapshot);
+	raft_snapshot_unref(ctx->install);
+	raft_snapshot_unref(ctx->flight_install);
+	g_free(ctx->incoming.data);
+	raft_log_clear(&ctx->log);
+	g_free(ctx);
+}
+
+/*
+ * A leader that no quorum answered for one election timeout steps down. It is
+ * checked before each message too, so that a leader that was frozen does not
+ * act on what it finds in its queues.
+ */
+static void check_quorum(struct raft *ctx)
+{
+	int64_t contact;
+
+	if (ctx->role != RAFT_LEADER)
+		return;
+	contact = MAX(raft_quorum_contact(ctx), ctx->leader_since);
+	if (ctx->now - contact >= ctx->options.election_timeout_us)
+		raft_become_follower(ctx, ctx->term, 0);
+}
+
+/* Hands over to the voter with the longest log once the own removal or
+ * demotion is committed. */
+static void leave_when_removed(struct raft *ctx)
+{
+	struct raft_peer *best = NULL;
+
+	if (ctx->role != RAFT_LEADER || ctx->self_voter ||
+	    raft_config_pending(ctx))
+		return;
+	for (size_t i = 0; i < ctx->n_peers; i++) {
+		struct raft_peer *peer = &ctx->peers[i];
+
+		if (peer->voter && (!best || peer->match > best->match))
+			best = peer;
+	}
+	if (best)
+		raft_send_transfer(ctx, best);
+	raft_become_follower(ctx, ctx->term, 0);
+}
+
+static void set_now(struct raft *ctx, int64_t now_us)
+{
+	if (now_us > ctx->now)
+		ctx->now = now_us;
+}
+
+/* Lets time pass; call at least twice in each heartbeat interval. */
+void raft_tick(struct raft *ctx, int64_t now_us)
+{
+	set_now(ctx, now_us);
+	if (ctx->disabled)
+		return;
+	check_quorum(ctx);
+	if (ctx->role == RAFT_LEADER) {
+		if (ctx->transfer_to && ctx->now >= ctx->transfer_deadline) {
+			ctx->transfer_to = 0;
+			ctx->transfer_sent = 0;
+		}
+		return;
+	}
+	if (ctx->now < ctx->election_deadline)
+		return;
+	if (!ctx->self_voter) {
+		ctx->leader = 0;
+		raft_reset_election_deadline(ctx);
+		return;
+	}
+	raft_campaign(ctx, true, false);
+}
+
+static void refuse_old_term(struct raft *ctx, const Dsp__RaftMessage *msg)
+{
+	Dsp__RaftMessage *out = raft_message(ctx, msg->from);
+	Dsp__AppendReply *reply = malloc(sizeof(*reply));
+
+	if (!reply)
+		abort();
+	dsp__append_reply__init(reply);
+	out->body_case = DSP__RAFT_MESSAGE__BODY_APPEND_REPLY;
+	out->append_reply = reply;
+}
+
+/* Handles a received message; messages for another group or identity are
+ * dropped. */
+void raft_step(struct raft *ctx, const Dsp__RaftMessage *msg, int64_t now_us)
+{
+	bool from_leader;
+
+	set_now(ctx, now_us);
+	if (ctx->disabled || msg->group != ctx->options.group ||
+	    msg->to != ctx->options.replica ||
+	    msg->from == ctx->options.replica || !msg->from)
+		return;
+	check_quorum(ctx);
+	if (msg->body_case == DSP__RAFT_MESSAGE__BODY_VOTE_REQUEST) {
+		raft_handle_vote_request(ctx, msg);
+		return;
+	}
+	from_leader =
+		msg->body_case == DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST ||
+		msg->body_case == DSP__RAFT_MESSAGE__BODY_SNAPSHOT_CHUNK;
+	if (msg->term > ctx->term) {
+		bool pre_grant =
+			msg->body_case == DSP__RAFT_MESSAGE__BODY_VOTE_REPLY &&
+			msg->vote_reply->pre && msg->vote_reply->granted;
+
+		if (from_leader)
+			raft_become_follower(ctx, msg->term, msg->from);
+		else if (!pre_grant && raft_find_peer(ctx, msg->from))
+			raft_become_follower(ctx, msg->term, 0);
+		else if (!pre_grant)
+			return; /* a replica that is no member */
+	} else if (msg->term < ctx->term) {
+		/* Tells an old leader of the term that ended its own. */
+		if (from_leader)
+			refuse_old_term(ctx, msg);
+		return;
+	}
+	switch (msg->body_case) {
+	case DSP__RAFT_MESSAGE__BODY_VOTE_REPLY:
+		raft_handle_vote_reply(ctx, msg);
+		break;
+	case DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST:
+		raft_handle_append(ctx, msg);
+		break;
+	case DSP__RAFT_MESSAGE__BODY_APPEND_REPLY:
+		raft_handle_append_reply(ctx, msg);
+		break;
+	case DSP__RAFT_MESSAGE__BODY_SNAPSHOT_CHUNK:
+		raft_handle_snapshot_chunk(ctx, msg);
+		break;
+	case DSP__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY:
+		raft_handle_snapshot_reply(ctx, msg);
+		break;
+	case DSP__RAFT_MESSAGE__BODY_TRANSFER_REQUEST:
+		raft_handle_transfer_request(ctx, msg);
+		break;
+	default:
+		break;
+	}
+	leave_when_removed(ctx);
+}
+
+/*
+ * Appends a command. Returns its index, or 0 when this replica does not lead
+ * or is handing over its leadership. The command takes effect when it appears
+ * among the committed entries with the term of this call.
+ */
+uint64_t raft_propose(struct raft *ctx, const uint8_t *data, size_t len)
+{
+	if (ctx->role != RAFT_LEADER || ctx->transfer_to)
+		return 0;
+	raft_append_own(ctx, DSP__ENTRY_KIND__ENTRY_COMMAND, data, len);
+	return raft_log_last(&ctx->log);
+}
+
+static const Dsp__Member *find_member(const Dsp__RaftConfig *config,
+				      uint64_t replica)
+{
+	for (size_t i = 0; i < config->n_members; i++)
+		if (config->members[i]->replica == replica)
+			return config->members[i];
+	return NULL;
+}
+
+static size_t voters_only_in(const Dsp__RaftConfig *config,
+			     const Dsp__RaftConfig *other)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < config->n_members; i++) {
+		const Dsp__Member *member = config->members[i];
+		const Dsp__Member *found = find_member(other, member->replica);
+
+		n += member->voter && (!found || !found->voter);
+	}
+	return n;
+}
+
+/* At least one voter, no identity twice, and at most one voter different, so
+ * that majorities before and after the change have a member in common. */
+static bool config_allowed(const Dsp__RaftConfig *old,
+			   const Dsp__RaftConfig *config)
+{
+	size_t n_voters = 0;
+
+	if (config->n_members > MAX_MEMBERS)
+		return false;
+	for (size_t i = 0; i < config->n_members; i++) {
+		const Dsp__Member *member = config->members[i];
+
+		if (!member->replica ||
+		    find_member(config, member->replica) != member)
+			return false;
+		n_voters += member->voter;
+	}
+	return n_voters &&
+	       voters_only_in(old, config) + voters_only_in(config, old) <= 1;
+}
+
+/*
+ * Appends a configuration, which is in force at once. Returns its index, or 0
+ * when this replica does not lead, has not yet committed an entry of its term,
+ * when an earlier change is not committed, or when more than one voter would
+ * change.
+ */
+uint64_t raft_propose_config(struct raft *ctx, const Dsp__RaftConfig *config)
+{
+	uint8_t *data;
+	size_t len;
+
+	if (ctx->role != RAFT_LEADER || ctx->transfer_to ||
+	    !raft_is_ready_leader(ctx) || raft_config_pending(ctx) ||
+	    !config_allowed(raft_config(ctx), config))
+		return 0;
+	data = g_malloc(dsp__raft_config__get_packed_size(config) + 1);
+	len = dsp__raft_config__pack(config, data);
+	raft_append_own(ctx, DSP__ENTRY_KIND__ENTRY_CONFIG, data, len);
+	g_free(data);
+	return raft_log_last(&ctx->log);
+}
+
+/* Copies the pointers: commands between raft_take_ready() and raft_advance()
+ * may move the log. */
+static void fill_entries(struct raft *ctx, struct raft_ready *ready,
+			 uint64_t last)
+{
+	struct raft_log *log = &ctx->log;
+	size_t n_append = last - log->written;
+	size_t n_committed = MIN(ctx->commit - ctx->applied, MAX_COMMITTED);
+
+	ctx->flight_entries = g_renew(Dsp__LogEntry *, ctx->flight_entries,
+				      n_append + n_committed + 1);
+	for (size_t i = 0; i < n_append; i++)
+		ctx->flight_entries[i] =
+			raft_log_entry(log, log->written + 1 + i);
+	for (size_t i = 0; i < n_committed; i++)
+		ctx->flight_entries[n_append + i] =
+			raft_log_entry(log, ctx->applied + 1 + i);
+	ready->append = ctx->flight_entries;
+	ready->n_append = n_append;
+	ready->committed = ctx->flight_entries + n_append;
+	ready->n_committed = n_committed;
+	log->written = last;
+	ctx->flight_last = last;
+	ctx->applied += n_committed;
+}
+
+/*
+ * Fills ready with what is to be done now. Returns false when there is
+ * nothing, or when the last batch was not yet given to raft_advance().
+ */
+bool raft_take_ready(struct raft *ctx, struct raft_ready *ready)
+{
+	struct raft_log *log = &ctx->log;
+	struct raft_messages out;
+	uint64_t last;
+
+	*ready = (struct raft_ready){ 0 };
+	if (ctx->disabled || ctx->in_flight)
+		return false;
+	if (ctx->role == RAFT_LEADER)
+		raft_send_appends(ctx);
+
+	last = raft_log_last(log);
+	if (!ctx->hard_state_dirty && !log->truncate_from &&
+	    last == log->written && !ctx->out.n &&
+	    ctx->applied == ctx->commit && !ctx->install &&
+	    !ctx->snapshot_wanted)
+		return false;
+
+	ready->hard_state_changed = ctx->hard_state_dirty;
+	ready->term = ctx->term;
+	ready->voted_for = ctx->voted_for;
+	ctx->hard_state_dirty = false;
+
+	if (ctx->install) {
+		ready->install_snapshot = true;
+		ready->snapshot_index = ctx->install->index;
+		ready->snapshot_term = ctx->install->term;
+		ready->snapshot_data = ctx->install->data;
+		ready->snapshot_len = ctx->install->len;
+		ready->snapshot_config = ctx->install->config;
+		ctx->flight_install = ctx->install;
+		ctx->install = NULL;
+	}
+	ready->truncate_from = log->truncate_from;
+	log->truncate_from = 0;
+	fill_entries(ctx, ready, last);
+
+	out = ctx->flight;
+	ctx->flight = ctx->out;
+	ctx->out = out;
+	ready->messages = ctx->flight.items;
+	ready->n_messages = ctx->flight.n;
+
+	ready->want_snapshot = ctx->snapshot_wanted;
+	ctx->snapshot_wanted = false;
+	ctx->in_flight = true;
+	return true;
+}
+
+/* Ends the batch; the memory that ready refers to is released. */
+void raft_advance(struct raft *ctx, const struct raft_ready *ready,
+		  int64_t now_us)
+{
+	(void)ready;
+	set_now(ctx, now_us);
+	if (!ctx->in_flight)
+		return;
+	ctx->in_flight = false;
+	ctx->log.synced =
+		MAX(ctx->log.synced, MIN(ctx->flight_last, ctx->log.written));
+	free_messages(&ctx->flight);
+	raft_snapshot_unref(ctx->flight_install);
+	ctx->flight_install = NULL;
+	raft_log_free_removed(&ctx->log);
+	if (ctx->role == RAFT_LEADER) {
+		raft_update_commit(ctx);
+		leave_when_removed(ctx);
+	}
+}
+
+static uint64_t compaction_limit(const struct raft *ctx, uint64_t index)
+{
+	size_t bytes = 0;
+	size_t n = 0;
+
+	for (size_t i = 0; i < ctx->n_peers; i++)
+		if (ctx->peers[i].snapshot)
+			index = MIN(index, ctx->peers[i].snapshot->index);
+	while (index > ctx->log.base_index && n < TRAILING_ENTRIES &&
+	       bytes < TRAILING_BYTES) {
+		bytes += raft_log_entry(&ctx->log, index)->data.len;
+		index--;
+		n++;
+	}
+	return index;
+}
+
+/*
+ * Takes a snapshot of the applied state at index (data is copied) and drops
+ * the log up to shortly before it. The data is kept only while a follower
+ * needs it; later ones are asked for with want_snapshot.
+ */
+void raft_provide_snapshot(struct raft *ctx, uint64_t index,
+			   const uint8_t *data, size_t len)
+{
+	if (index > ctx->applied || index < ctx->log.base_index)
+		return;
+	if (ctx->role == RAFT_LEADER && ctx->snapshot_wanted_us) {
+		struct raft_snapshot *snapshot =
+			g_new0(struct raft_snapshot, 1);
+
+		snapshot->refs = 1;
+		snapshot->index = index;
+		snapshot->term = raft_log_term(&ctx->log, index);
+		snapshot->config = raft_config_copy(
+			raft_log_config_at(&ctx->log, index)->config);
+		snapshot->data = g_memdup2(data, len);
+		snapshot->len = len;
+		raft_snapshot_unref(ctx->snapshot);
+		ctx->snapshot = snapshot;
+		ctx->snapshot_wanted_us = 0;
+	}
+	raft_log_compact(&ctx->log, compaction_limit(ctx, index));
+	if (!ctx->in_flight)
+		raft_log_free_removed(&ctx->log);
+}
+
+/* The disk failed: from now on the replica does nothing. */
+void raft_disable(struct raft *ctx)
+{
+	raft_become_follower(ctx, ctx->term, 0);
+	ctx->disabled = true;
+	free_messages(&ctx->out);
+}
+
+/*
+ * Hands leadership to another voter as soon as it has all entries; proposals
+ * are refused until then. Given up after one election timeout.
+ */
+void raft_transfer_leadership(struct raft *ctx, uint64_t to, int64_t now_us)
+{
+	struct raft_peer *peer = raft_find_peer(ctx, to);
+
+	set_now(ctx, now_us);
+	if (ctx->role != RAFT_LEADER || !peer || !peer->voter)
+		return;
+	ctx->transfer_to = to;
+	ctx->transfer_sent = 0;
+	ctx->transfer_deadline = ctx->now + ctx->options.election_timeout_us;
+	if (peer->match == raft_log_last(&ctx->log))
+		raft_send_transfer(ctx, peer);
+}
+
+/* Returns the role; RAFT_LEARNER for any replica that is not a voter. */
+enum raft_role raft_role(const struct raft *ctx)
+{
+	if (ctx->role == RAFT_FOLLOWER && !ctx->self_voter)
+		return RAFT_LEARNER;
+	return ctx->role;
+}
+
+/* Returns the current term. */
+uint64_t raft_term(const struct raft *ctx)
+{
+	return ctx->term;
+}
+
+/* Returns the identity of the leader of the current term, or 0. */
+uint64_t raft_leader(const struct raft *ctx)
+{
+	return ctx->leader;
+}
+
+/* Returns the highest index that is known to be committed. */
+uint64_t raft_commit_index(const struct raft *ctx)
+{
+	return ctx->commit;
+}
+
+/* Returns the index of the last entry of the log, synced or not. */
+uint64_t raft_last_index(const struct raft *ctx)
+{
+	return raft_log_last(&ctx->log);
+}
+
+/* Returns the configuration in force: the last one in the log, committed or
+ * not. Valid until the next command. */
+const Dsp__RaftConfig *raft_config(const struct raft *ctx)
+{
+	return raft_log_config(&ctx->log)->config;
+}
+
+/* Returns the configuration at a log index that is not dropped yet. */
+const Dsp__RaftConfig *raft_config_at(const struct raft *ctx, uint64_t index)
+{
+	return raft_log_config_at(&ctx->log, index)->config;
+}
+
+/* Returns the term at a log index, or 0 when it is not known. */
+uint64_t raft_term_at(const struct raft *ctx, uint64_t index)
+{
+	return raft_log_term(&ctx->log, index);
+}
+
+/* Returns whether the configuration in force is not committed yet. */
+bool raft_config_pending(const struct raft *ctx)
+{
+	return raft_log_config(&ctx->log)->index > ctx->commit;
+}
+
+/* Returns the highest index known to be synced by a member. */
+uint64_t raft_match_index(const struct raft *ctx, uint64_t replica)
+{
+	if (ctx->role != RAFT_LEADER)
+		return 0;
+	if (replica == ctx->options.replica)
+		return ctx->log.synced;
+	for (size_t i = 0; i < ctx->n_peers; i++)
+		if (ctx->peers[i].replica == replica)
+			return ctx->peers[i].match;
+	return 0;
+}
+
+/* Returns whether this replica leads and has committed an entry of its term. */
+bool raft_is_ready_leader(const struct raft *ctx)
+{
+	return ctx->role == RAFT_LEADER && ctx->commit >= ctx->term_start;
+}
+
+/*
+ * Returns when a quorum last answered this leader: the sending time of the
+ * message that was answered, in microseconds; 0 when it does not lead or no
+ * quorum answered yet. While less than one election timeout has passed since,
+ * no other leader can have been elected.
+ */
+int64_t raft_quorum_contact_us(const struct raft *ctx)
+{
+	int64_t contact;
+
+	if (ctx->role != RAFT_LEADER)
+		return 0;
+	contact = raft_quorum_contact(ctx);
+	return ctx->transfer_sent ? MIN(contact, ctx->transfer_sent) : contact;
+}
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -54,7 +54,8 @@
 	size_t n_messages;
 	Dsp__LogEntry **committed; /* owned by raft; apply in order */
 	size_t n_committed;
-	/* A received snapshot replaces state and log before committed. */
+	/* A received snapshot replaces state and log before append and
+	 * committed. */
 	bool install_snapshot;
 	uint64_t snapshot_index;
 	uint64_t snapshot_term;
@@ -96,6 +97,9 @@
 uint64_t raft_commit_index(const struct raft *ctx);
 uint64_t raft_last_index(const struct raft *ctx);
 const Dsp__RaftConfig *raft_config(const struct raft *ctx);
+/* Configuration and term to store with a snapshot at index. */
+const Dsp__RaftConfig *raft_config_at(const struct raft *ctx, uint64_t index);
+uint64_t raft_term_at(const struct raft *ctx, uint64_t index);
 bool raft_config_pending(const struct raft *ctx);
 /* Leader: match index of a member; 0 when unknown. */
 uint64_t raft_match_index(const struct raft *ctx, uint64_t replica);
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &dsp__snapshot_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__transfer_request__init
+                     (Dsp__TransferRequest         *message)
+{
+  static const Dsp__TransferRequest init_value = DSP__TRANSFER_REQUEST__INIT;
+  *message = init_value;
+}
+size_t dsp__transfer_request__get_packed_size
+                     (const Dsp__TransferRequest *message)
+{
+  assert(message->base.descriptor == &dsp__transfer_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__transfer_request__pack
+                     (const Dsp__TransferRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__transfer_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__transfer_request__pack_to_buffer
+                     (const Dsp__TransferRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__transfer_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__TransferRequest *
+       dsp__transfer_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__TransferRequest *)
+     protobuf_c_message_unpack (&dsp__transfer_request__descriptor,
+                                allocator, len, data);
+}
+void   dsp__transfer_request__free_unpacked
+                     (Dsp__TransferRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__transfer_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__raft_message__init
                      (Dsp__RaftMessage         *message)
 {
@@ -2732,7 +2777,7 @@
   (ProtobufCMessageInit) dsp__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__vote_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__vote_request__field_descriptors[4] =
 {
   {
     "pre",
@@ -2770,16 +2815,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "transfer",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__VoteRequest, transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__vote_request__field_indices_by_name[] = {
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
   0,   /* field[0] = pre */
+  3,   /* field[3] = transfer */
 };
 static const ProtobufCIntRange dsp__vote_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dsp__vote_request__descriptor =
 {
@@ -2789,7 +2847,7 @@
   "Dsp__VoteRequest",
   "dsp",
   sizeof(Dsp__VoteRequest),
-  3,
+  4,
   dsp__vote_request__field_descriptors,
   dsp__vote_request__field_indices_by_name,
   1,  dsp__vote_request__number_ranges,
@@ -3181,7 +3239,45 @@
   (ProtobufCMessageInit) dsp__snapshot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__raft_message__field_descriptors[10] =
+static const ProtobufCFieldDescriptor dsp__transfer_request__field_descriptors[1] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__TransferRequest, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__transfer_request__field_indices_by_name[] = {
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange dsp__transfer_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dsp__transfer_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.TransferRequest",
+  "TransferRequest",
+  "Dsp__TransferRequest",
+  "dsp",
+  sizeof(Dsp__TransferRequest),
+  1,
+  dsp__transfer_request__field_descriptors,
+  dsp__transfer_request__field_indices_by_name,
+  1,  dsp__transfer_request__number_ranges,
+  (ProtobufCMessageInit) dsp__transfer_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__raft_message__field_descriptors[11] =
 {
   {
     "from",
@@ -3303,6 +3399,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "transfer_request",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftMessage, body_case),
+    offsetof(Dsp__RaftMessage, transfer_request),
+    &dsp__transfer_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__raft_message__field_indices_by_name[] = {
   7,   /* field[7] = append_reply */
@@ -3313,6 +3421,7 @@
   9,   /* field[9] = snapshot_reply */
   2,   /* field[2] = term */
   1,   /* field[1] = to */
+  10,   /* field[10] = transfer_request */
   5,   /* field[5] = vote_reply */
   4,   /* field[4] = vote_request */
 };
@@ -3320,7 +3429,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor dsp__raft_message__descriptor =
 {
@@ -3330,7 +3439,7 @@
   "Dsp__RaftMessage",
   "dsp",
   sizeof(Dsp__RaftMessage),
-  10,
+  11,
   dsp__raft_message__field_descriptors,
   dsp__raft_message__field_indices_by_name,
   2,  dsp__raft_message__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Dsp__AppendReply Dsp__AppendReply;
 typedef struct Dsp__SnapshotChunk Dsp__SnapshotChunk;
 typedef struct Dsp__SnapshotReply Dsp__SnapshotReply;
+typedef struct Dsp__TransferRequest Dsp__TransferRequest;
 typedef struct Dsp__RaftMessage Dsp__RaftMessage;
 typedef struct Dsp__Document Dsp__Document;
 typedef struct Dsp__Features Dsp__Features;
@@ -235,10 +236,14 @@
   protobuf_c_boolean pre;
   uint64_t last_index;
   uint64_t last_term;
+  /*
+   * asked for by the leader: voters skip the leader check
+   */
+  protobuf_c_boolean transfer;
 };
 #define DSP__VOTE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__vote_request__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Dsp__VoteReply
@@ -319,6 +324,19 @@
     , 0, 0, 0 }
 
 
+struct  Dsp__TransferRequest
+{
+  ProtobufCMessage base;
+  /*
+   * older than the last append seen: out of date
+   */
+  uint64_t sequence;
+};
+#define DSP__TRANSFER_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__transfer_request__descriptor) \
+    , 0 }
+
+
 typedef enum {
   DSP__RAFT_MESSAGE__BODY__NOT_SET = 0,
   DSP__RAFT_MESSAGE__BODY_VOTE_REQUEST = 10,
@@ -326,7 +344,8 @@
   DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST = 12,
   DSP__RAFT_MESSAGE__BODY_APPEND_REPLY = 13,
   DSP__RAFT_MESSAGE__BODY_SNAPSHOT_CHUNK = 14,
-  DSP__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY = 15
+  DSP__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY = 15,
+  DSP__RAFT_MESSAGE__BODY_TRANSFER_REQUEST = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__RAFT_MESSAGE__BODY__CASE)
 } Dsp__RaftMessage__BodyCase;
 
@@ -345,6 +364,7 @@
     Dsp__AppendReply *append_reply;
     Dsp__SnapshotChunk *snapshot_chunk;
     Dsp__SnapshotReply *snapshot_reply;
+    Dsp__TransferRequest *transfer_request;
   };
 };
 #define DSP__RAFT_MESSAGE__INIT \
@@ -1409,6 +1429,25 @@
 void   dsp__snapshot_reply__free_unpacked
                      (Dsp__SnapshotReply *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__TransferRequest methods */
+void   dsp__transfer_request__init
+                     (Dsp__TransferRequest         *message);
+size_t dsp__transfer_request__get_packed_size
+                     (const Dsp__TransferRequest   *message);
+size_t dsp__transfer_request__pack
+                     (const Dsp__TransferRequest   *message,
+                      uint8_t             *out);
+size_t dsp__transfer_request__pack_to_buffer
+                     (const Dsp__TransferRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__TransferRequest *
+       dsp__transfer_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__transfer_request__free_unpacked
+                     (Dsp__TransferRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__RaftMessage methods */
 void   dsp__raft_message__init
                      (Dsp__RaftMessage         *message);
@@ -2331,6 +2370,9 @@
 typedef void (*Dsp__SnapshotReply_Closure)
                  (const Dsp__SnapshotReply *message,
                   void *closure_data);
+typedef void (*Dsp__TransferRequest_Closure)
+                 (const Dsp__TransferRequest *message,
+                  void *closure_data);
 typedef void (*Dsp__RaftMessage_Closure)
                  (const Dsp__RaftMessage *message,
                   void *closure_data);
@@ -2495,6 +2537,7 @@
 extern const ProtobufCMessageDescriptor dsp__append_reply__descriptor;
 extern const ProtobufCMessageDescriptor dsp__snapshot_chunk__descriptor;
 extern const ProtobufCMessageDescriptor dsp__snapshot_reply__descriptor;
+extern const ProtobufCMessageDescriptor dsp__transfer_request__descriptor;
 extern const ProtobufCMessageDescriptor dsp__raft_message__descriptor;
 extern const ProtobufCMessageDescriptor dsp__document__descriptor;
 extern const ProtobufCMessageDescriptor dsp__features__descriptor;
