--- a/src/core/raft_log.c
+++ b/src/core/raft_log.c
@@ -218,7 +218,8 @@
 	for (size_t i = 0; i < n; i++)
 		remove_entry(log, log->entries[i]);
 	log->n -= n;
-	memmove(log->entries, log->entries + n, log->n * sizeof(*log->entries));
+	for (size_t i = 0; i < log->n; i++)
+		log->entries[i] = log->entries[i + n];
 	log->base_index = index;
 }
 
--- a/src/core/raft_replicate.c
+++ b/src/core/raft_replicate.c
@@ -172,11 +172,9 @@
 	}
 	if (n) {
 		request->n_entries = n;
-		request->entries = malloc(n * sizeof(*request->entries));
-		if (!request->entries)
-			abort();
-		memcpy(request->entries, ctx->log.entries + i,
-		       n * sizeof(*request->entries));
+		request->entries = g_new(Dsp__LogEntry *, n);
+		for (size_t j = 0; j < n; j++)
+			request->entries[j] = ctx->log.entries[i + j];
 	}
 	msg->body_case = DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST;
 	msg->append_request = request;
