--- /dev/null
+++ b/src/core/qua.c
@@ -0,0 +1,249 @@
+#include <string.h>
+
+#include "core/st_private.h"
+
+/*
+ * Suspects and quarantine (section 10 of docs/design.md): a request in flight
+ * when its endpoint crashed is a suspect, runs only with a grant and alone
+ * among suspects, and is quarantined when the endpoint crashes again.
+ */
+
+/* Bounds the view; later suspects beyond it are not recorded. */
+#define SUSPECTS_MAX 65536
+
+static void key_of(const ProtobufCBinaryData *digest,
+		   char key[2 * ST_DIGEST_LEN + 1])
+{
+	static const char digits[] = "0123456789abcdef";
+
+	for (size_t i = 0; i < ST_DIGEST_LEN; i++) {
+		key[2 * i] = digits[digest->data[i] >> 4];
+		key[2 * i + 1] = digits[digest->data[i] & 15];
+	}
+	key[2 * ST_DIGEST_LEN] = '\0';
+}
+
+static struct suspect *suspect_find(const struct st *ctx,
+				    const ProtobufCBinaryData *digest)
+{
+	char key[2 * ST_DIGEST_LEN + 1];
+
+	if (digest->len != ST_DIGEST_LEN)
+		return NULL;
+	key_of(digest, key);
+	return g_hash_table_lookup(ctx->suspect_by_key, key);
+}
+
+static struct suspect *suspect_add(struct st *ctx, Dsp__Suspect *msg,
+				   uint64_t index)
+{
+	struct suspect *s = g_new0(struct suspect, 1);
+
+	s->msg = msg;
+	key_of(&msg->digest, s->key);
+	TAILQ_INSERT_TAIL(&ctx->suspects, s, link);
+	ctx->n_suspects++;
+	g_hash_table_insert(ctx->suspect_by_key, s->key, s);
+	item_insert(ctx, &s->item, DSP__VIEW_RECORD__BODY_SUSPECT, s->key, msg,
+		    index);
+	return s;
+}
+
+static struct endpoint *grant_endpoint(const struct st *ctx,
+				       const struct suspect *s)
+{
+	struct endpoint *ep;
+
+	if (!*s->msg->running_endpoint)
+		return NULL;
+	ep = endpoint_find(ctx, s->msg->running_endpoint);
+	return ep && ep->running == s ? ep : NULL;
+}
+
+static void end_grant(struct st *ctx, struct suspect *s)
+{
+	struct endpoint *ep = grant_endpoint(ctx, s);
+
+	if (ep)
+		ep->running = NULL;
+	st_replace_string(&s->msg->running_endpoint, "");
+	st_replace_string(&s->msg->running_attempt, "");
+	s->msg->running_incarnation = 0;
+}
+
+static void suspect_remove(struct st *ctx, struct suspect *s,
+			   bool leave_tombstone)
+{
+	end_grant(ctx, s);
+	item_remove(ctx, &s->item, leave_tombstone);
+	g_hash_table_remove(ctx->suspect_by_key, s->key);
+	TAILQ_REMOVE(&ctx->suspects, s, link);
+	ctx->n_suspects--;
+	dsp__suspect__free_unpacked(s->msg, NULL);
+	g_free(s);
+}
+
+static void quarantine(struct st *ctx, struct suspect *s)
+{
+	end_grant(ctx, s);
+	s->msg->crashes++;
+	s->msg->quarantined = true;
+	s->msg->since_ms = ctx->wall_ms;
+	TAILQ_REMOVE(&ctx->suspects, s, link);
+	TAILQ_INSERT_TAIL(&ctx->suspects, s, link);
+	item_touch(ctx, &s->item);
+}
+
+static bool was_granted(const struct suspect *s, const Dsp__CrashReport *cmd)
+{
+	return !strcmp(s->msg->running_endpoint, cmd->endpoint) &&
+	       s->msg->running_incarnation == cmd->incarnation;
+}
+
+/*
+ * Records the requests that were in flight when an endpoint crashed. Only a
+ * suspect with a grant for this endpoint and incarnation is quarantined, so
+ * that a repeated report or innocent requests beside it change nothing.
+ */
+Dsp__CommandResult *qua_crash(struct st *ctx, const Dsp__CrashReport *cmd)
+{
+	bool full = false;
+
+	for (size_t i = 0; i < cmd->n_digests; i++) {
+		const ProtobufCBinaryData *digest = &cmd->digests[i];
+		struct suspect *s = suspect_find(ctx, digest);
+		Dsp__Suspect *msg;
+
+		if (digest->len != ST_DIGEST_LEN)
+			return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+					 "digest is not 16 bytes");
+		if (s && was_granted(s, cmd))
+			quarantine(ctx, s);
+		if (s)
+			continue;
+		if (ctx->n_suspects >= SUSPECTS_MAX) {
+			full = true;
+			continue;
+		}
+		msg = g_new(Dsp__Suspect, 1);
+		dsp__suspect__init(msg);
+		msg->digest.data = g_memdup2(digest->data, digest->len);
+		msg->digest.len = digest->len;
+		msg->crashes = 1;
+		msg->since_ms = ctx->wall_ms;
+		suspect_add(ctx, msg, ctx->index);
+	}
+	return st_result(ctx,
+			 full ? DSP__RESULT_CODE__RESULT_LIMIT
+			      : DSP__RESULT_CODE__RESULT_OK,
+			 NULL);
+}
+
+/*
+ * Grants a suspect one run on one endpoint. RESULT_NOT_FOUND: it is no suspect
+ * any more and needs no grant.
+ */
+Dsp__CommandResult *qua_run(struct st *ctx, const Dsp__SuspectRun *cmd)
+{
+	struct suspect *s = suspect_find(ctx, &cmd->digest);
+	struct endpoint *ep = endpoint_find(ctx, cmd->endpoint);
+
+	if (!s)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_NOT_FOUND, NULL);
+	if (s->msg->quarantined)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_QUARANTINED,
+				 NULL);
+	if (!ep || ep->msg->incarnation != cmd->incarnation ||
+	    ep->msg->state != DSP__ENDPOINT_STATE__ENDPOINT_UP)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE,
+				 "endpoint is leaving, down or restarted");
+	if (!*cmd->attempt)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+				 "no attempt");
+	if (*s->msg->running_endpoint) {
+		if (grant_endpoint(ctx, s) == ep &&
+		    !strcmp(s->msg->running_attempt, cmd->attempt))
+			return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME,
+					 NULL);
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_BUSY,
+				 "the suspect runs elsewhere");
+	}
+	if (ep->running)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_BUSY,
+				 "another suspect runs on this endpoint");
+	ep->running = s;
+	st_replace_string(&s->msg->running_endpoint, cmd->endpoint);
+	st_replace_string(&s->msg->running_attempt, cmd->attempt);
+	s->msg->running_incarnation = cmd->incarnation;
+	item_touch(ctx, &s->item);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
+/* Clears a suspect whose granted run completed. */
+Dsp__CommandResult *qua_done(struct st *ctx, const Dsp__SuspectDone *cmd)
+{
+	struct suspect *s = suspect_find(ctx, &cmd->digest);
+
+	if (!s)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_NOT_FOUND, NULL);
+	if (s->msg->quarantined || !*cmd->attempt ||
+	    strcmp(s->msg->running_attempt, cmd->attempt) != 0)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE,
+				 "no grant for this attempt");
+	suspect_remove(ctx, s, true);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
+/*
+ * A new incarnation while a granted suspect had not completed is a crash, even
+ * when the entry that ran the suspect failed too and cannot report it.
+ */
+void qua_endpoint_restarted(struct st *ctx, struct endpoint *ep)
+{
+	if (ep->running)
+		quarantine(ctx, ep->running);
+}
+
+/* Ends quarantines and suspicions after the quarantine time. */
+void qua_expire(struct st *ctx)
+{
+	uint64_t keep = (uint64_t)ctx->limits.quarantine_ms;
+	struct suspect *s;
+
+	while ((s = TAILQ_FIRST(&ctx->suspects)) &&
+	       s->msg->since_ms + keep <= ctx->wall_ms)
+		suspect_remove(ctx, s, true);
+}
+
+/* Restores a suspect; its endpoint comes first. */
+bool qua_restore(struct st *ctx, const Dsp__Suspect *msg, uint64_t index)
+{
+	struct endpoint *ep = endpoint_find(ctx, msg->running_endpoint);
+	struct suspect *s;
+
+	if (msg->digest.len != ST_DIGEST_LEN || suspect_find(ctx, &msg->digest))
+		return false;
+	s = suspect_add(ctx, st_message_dup(msg), index);
+	if (ep && ep->msg->incarnation == msg->running_incarnation)
+		ep->running = s;
+	return true;
+}
+
+/* Frees all suspects. */
+void qua_clear(struct st *ctx)
+{
+	while (!TAILQ_EMPTY(&ctx->suspects))
+		suspect_remove(ctx, TAILQ_FIRST(&ctx->suspects), false);
+}
+
+/* Lists suspects and quarantined requests, oldest first. */
+size_t st_suspects(const struct st *ctx, const Dsp__Suspect ***out)
+{
+	size_t i = 0;
+	const struct suspect *s;
+
+	*out = g_new(const Dsp__Suspect *, ctx->n_suspects + 1);
+	TAILQ_FOREACH (s, &ctx->suspects, link)
+		(*out)[i++] = s->msg;
+	return i;
+}
--- /dev/null
+++ b/src/core/st.c
@@ -0,0 +1,226 @@
+#include "core/st.h"
+
+#include <string.h>
+
+#include "core/st_private.h"
+
+const struct st_limits st_default_limits = {
+	.claims_max = 1000000,
+	.claim_bodies_bytes = 64ull << 20,
+	.claim_body_bytes = 64u << 10,
+	.claim_retention_ms = 24ll * 3600 * 1000,
+	.quarantine_ms = 3600ll * 1000,
+};
+
+/* Sets up an empty state in ctx; the limits are set already. */
+void st_init(struct st *ctx)
+{
+	struct st_limits limits = ctx->limits;
+
+	memset(ctx, 0, sizeof(*ctx));
+	ctx->limits = limits;
+	TAILQ_INIT(&ctx->items);
+	TAILQ_INIT(&ctx->tombstones);
+	TAILQ_INIT(&ctx->documents);
+	TAILQ_INIT(&ctx->endpoints);
+	TAILQ_INIT(&ctx->nodes);
+	TAILQ_INIT(&ctx->pending);
+	TAILQ_INIT(&ctx->finished);
+	TAILQ_INIT(&ctx->suspects);
+	ctx->tombstone_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	ctx->document_by_team = g_hash_table_new(g_str_hash, g_str_equal);
+	ctx->endpoint_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	ctx->node_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	ctx->order_by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	ctx->slot_by_key = g_hash_table_new(slot_key_hash, slot_key_equal);
+	ctx->model_by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  model_slots_free);
+	ctx->suspect_by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	ctx->claims = clm_new(&ctx->limits);
+}
+
+/* Frees all records; ctx can only be freed or set up again afterwards. */
+void st_clear(struct st *ctx)
+{
+	ord_clear(ctx);
+	qua_clear(ctx);
+	endpoints_clear(ctx);
+	nodes_clear(ctx);
+	documents_clear(ctx);
+	tombstones_clear(ctx);
+	clm_free(ctx->claims);
+	g_hash_table_destroy(ctx->tombstone_by_id);
+	g_hash_table_destroy(ctx->document_by_team);
+	g_hash_table_destroy(ctx->endpoint_by_id);
+	g_hash_table_destroy(ctx->node_by_id);
+	g_hash_table_destroy(ctx->order_by_id);
+	g_hash_table_destroy(ctx->slot_by_key);
+	g_hash_table_destroy(ctx->model_by_key);
+	g_hash_table_destroy(ctx->suspect_by_key);
+}
+
+/* Creates an empty state. limits NULL: st_default_limits. */
+struct st *st_new(const struct st_limits *limits)
+{
+	struct st *ctx = g_new0(struct st, 1);
+
+	ctx->limits = limits ? *limits : st_default_limits;
+	st_init(ctx);
+	return ctx;
+}
+
+/* Frees the state; NULL is allowed. */
+void st_free(struct st *ctx)
+{
+	if (!ctx)
+		return;
+	st_clear(ctx);
+	g_free(ctx);
+}
+
+/* Returns a new result with the current index; message may be NULL. */
+Dsp__CommandResult *st_result(const struct st *ctx, Dsp__ResultCode code,
+			      const char *message)
+{
+	Dsp__CommandResult *result = g_new(Dsp__CommandResult, 1);
+
+	dsp__command_result__init(result);
+	result->code = code;
+	result->index = ctx->index;
+	if (message)
+		result->message = g_strdup(message);
+	return result;
+}
+
+/* Returns a deep copy of a protobuf message. */
+void *st_message_dup(const void *message)
+{
+	const ProtobufCMessage *msg = message;
+	size_t len = protobuf_c_message_get_packed_size(msg);
+	uint8_t *data = g_malloc(len + 1);
+	void *copy;
+
+	protobuf_c_message_pack(msg, data);
+	copy = protobuf_c_message_unpack(msg->descriptor, NULL, len, data);
+	g_free(data);
+	g_assert(copy);
+	return copy;
+}
+
+/* Replaces a string field of a message that owns its strings. */
+void st_replace_string(char **field, const char *value)
+{
+	if (!strcmp(*field, value))
+		return;
+	if (*field != (char *)protobuf_c_empty_string)
+		g_free(*field);
+	*field = g_strdup(value);
+}
+
+/* Whether text is an identifier: [a-z0-9][a-z0-9._-]{0,62}. */
+bool st_is_name(const char *text)
+{
+	size_t len = strlen(text);
+
+	if (len < 1 || len > 63 || strchr("._-", text[0]))
+		return false;
+	return strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789._-") == len;
+}
+
+/*
+ * Whether the time of the state passed a multiple of interval_ms with the
+ * current command. Unlike a stored time of the last check this needs no place
+ * in the snapshot.
+ */
+bool st_passed_multiple(const struct st *ctx, uint64_t interval_ms)
+{
+	return ctx->previous_wall_ms / interval_ms !=
+	       ctx->wall_ms / interval_ms;
+}
+
+static Dsp__CommandResult *dispatch(struct st *ctx, const Dsp__Command *command)
+{
+	switch (command->body_case) {
+	case DSP__COMMAND__BODY_DOCUMENT_PUT:
+		return document_put(ctx, command->document_put);
+	case DSP__COMMAND__BODY_ENDPOINT_PUT:
+		return endpoint_put(ctx, command->endpoint_put);
+	case DSP__COMMAND__BODY_ENDPOINT_DOWN:
+		return endpoint_down(ctx, command->endpoint_down);
+	case DSP__COMMAND__BODY_ORDER_CREATE:
+		return ord_create(ctx, command->order_create);
+	case DSP__COMMAND__BODY_ORDER_FINISH:
+		return ord_finish(ctx, command->order_finish);
+	case DSP__COMMAND__BODY_RESIDENCY_REPORT:
+		return ord_report(ctx, command->residency_report);
+	case DSP__COMMAND__BODY_CLAIM_CREATE:
+		return clm_create(ctx, command->claim_create);
+	case DSP__COMMAND__BODY_CLAIM_FINISH:
+		return clm_finish(ctx, command->claim_finish);
+	case DSP__COMMAND__BODY_CLAIM_GET:
+		return clm_get(ctx, command->claim_get);
+	case DSP__COMMAND__BODY_CRASH_REPORT:
+		return qua_crash(ctx, command->crash_report);
+	case DSP__COMMAND__BODY_SUSPECT_RUN:
+		return qua_run(ctx, command->suspect_run);
+	case DSP__COMMAND__BODY_SUSPECT_DONE:
+		return qua_done(ctx, command->suspect_done);
+	case DSP__COMMAND__BODY_NODE_PUT:
+		return node_put(ctx, command->node_put);
+	case DSP__COMMAND__BODY_NODE_DOWN:
+		return node_down(ctx, command->node_down);
+	case DSP__COMMAND__BODY_EXPIRE:
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+	default:
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+				 "command of unknown kind");
+	}
+}
+
+/*
+ * Applies one committed command at its log index, which must be above that of
+ * the command before. Time limits are applied first, so that every command is
+ * judged at the same time on all replicas. Returns a new result.
+ */
+Dsp__CommandResult *st_apply(struct st *ctx, uint64_t index,
+			     const Dsp__Command *command)
+{
+	if (index <= ctx->index)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+				 "log index was applied before");
+	clm_release_queries(ctx->claims);
+	ctx->index = index;
+	ctx->previous_wall_ms = ctx->wall_ms;
+	if (command->wall_ms > ctx->wall_ms)
+		ctx->wall_ms = command->wall_ms;
+	clm_expire(ctx->claims, ctx->wall_ms);
+	qua_expire(ctx);
+	endpoints_expire(ctx);
+	nodes_expire(ctx);
+	return dispatch(ctx, command);
+}
+
+/* Returns the log index of the last applied command; 0: none. */
+uint64_t st_index(const struct st *ctx)
+{
+	return ctx->index;
+}
+
+/* Returns the highest wall-clock time of all applied commands. */
+int64_t st_wall_ms(const struct st *ctx)
+{
+	return (int64_t)ctx->wall_ms;
+}
+
+/* Returns the open or remembered claim of a request, or NULL. */
+const Dsp__Claim *st_claim(const struct st *ctx, const char *team,
+			   const char *request_id)
+{
+	return clm_query(ctx->claims, team, request_id);
+}
+
+/* Lists the claims that have no outcome yet, oldest first. */
+size_t st_claims_open(const struct st *ctx, const Dsp__Claim ***out)
+{
+	return clm_query_open(ctx->claims, out);
+}
--- /dev/null
+++ b/src/core/st_endpoint.c
@@ -0,0 +1,423 @@
+#include <string.h>
+
+#include "core/st_private.h"
+
+/*
+ * Process lives of an endpoint or instance that are remembered, so that a late
+ * announcement of an earlier one is recognised.
+ */
+#define OLD_LIVES_MAX 64
+/* A down endpoint without reservations is forgotten after this time. */
+#define ENDPOINT_KEEP_MS (24ull * 3600 * 1000)
+/* A down instance is forgotten after this time. */
+#define NODE_KEEP_MS (3600ull * 1000)
+#define ACCELERATORS_MAX 1024
+
+static bool lived_before(const GArray *lives, uint64_t life)
+{
+	for (guint i = 0; i < lives->len; i++)
+		if (g_array_index(lives, uint64_t, i) == life)
+			return true;
+	return false;
+}
+
+static void remember_life(GArray *lives, uint64_t life)
+{
+	if (lives->len >= OLD_LIVES_MAX)
+		g_array_remove_index(lives, 0);
+	g_array_append_val(lives, life);
+}
+
+/* Returns the endpoint record or NULL. */
+struct endpoint *endpoint_find(const struct st *ctx, const char *id)
+{
+	return g_hash_table_lookup(ctx->endpoint_by_id, id);
+}
+
+/* Adds an endpoint record with a copy of msg and no reservations. */
+struct endpoint *endpoint_new(struct st *ctx, const Dsp__Endpoint *msg,
+			      uint64_t index)
+{
+	struct endpoint *ep = g_new0(struct endpoint, 1);
+
+	ep->msg = st_message_dup(msg);
+	ep->old_incarnations = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	ep->n_used = msg->accelerators;
+	ep->used_mb = g_new0(uint64_t, msg->accelerators + 1);
+	TAILQ_INIT(&ep->slots);
+	TAILQ_INIT(&ep->pending);
+	TAILQ_INSERT_TAIL(&ctx->endpoints, ep, link);
+	g_hash_table_insert(ctx->endpoint_by_id, ep->msg->id, ep);
+	item_insert(ctx, &ep->item, DSP__VIEW_RECORD__BODY_ENDPOINT,
+		    ep->msg->id, ep->msg, index);
+	return ep;
+}
+
+static void endpoint_free(struct st *ctx, struct endpoint *ep,
+			  bool leave_tombstone)
+{
+	item_remove(ctx, &ep->item, leave_tombstone);
+	g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
+	TAILQ_REMOVE(&ctx->endpoints, ep, link);
+	dsp__endpoint__free_unpacked(ep->msg, NULL);
+	g_array_free(ep->old_incarnations, TRUE);
+	g_free(ep->used_mb);
+	g_free(ep);
+}
+
+/* Frees all endpoints; their orders and reservations are freed before. */
+void endpoints_clear(struct st *ctx)
+{
+	while (!TAILQ_EMPTY(&ctx->endpoints)) {
+		struct endpoint *ep = TAILQ_FIRST(&ctx->endpoints);
+
+		ord_free_slots(ctx, ep);
+		endpoint_free(ctx, ep, false);
+	}
+}
+
+static Dsp__Features features_of(const Dsp__Endpoint *msg)
+{
+	Dsp__Features none = DSP__FEATURES__INIT;
+
+	return msg->features ? *msg->features : none;
+}
+
+static bool same_features(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
+{
+	Dsp__Features x = features_of(a), y = features_of(b);
+
+	return x.fencing == y.fencing &&
+	       x.checks_incarnation == y.checks_incarnation &&
+	       x.cancel == y.cancel && x.resume == y.resume &&
+	       x.priorities == y.priorities && x.kv_transfer == y.kv_transfer &&
+	       x.roles == y.roles;
+}
+
+static const char *endpoint_fault(const Dsp__Endpoint *msg)
+{
+	if (!msg)
+		return "no endpoint";
+	if (!st_is_name(msg->id))
+		return "endpoint id is not an identifier";
+	if (!st_is_name(msg->team) || !st_is_name(msg->service))
+		return "team or service is not an identifier";
+	if (msg->accelerators > ACCELERATORS_MAX)
+		return "too many accelerators";
+	if (msg->state != DSP__ENDPOINT_STATE__ENDPOINT_UP &&
+	    msg->state != DSP__ENDPOINT_STATE__ENDPOINT_LEAVING)
+		return "an announced endpoint is up or leaving";
+	return NULL;
+}
+
+static void set_state(struct st *ctx, struct endpoint *ep,
+		      Dsp__EndpointState state)
+{
+	const Dsp__EndpointState down = DSP__ENDPOINT_STATE__ENDPOINT_DOWN;
+
+	if ((ep->msg->state == down) != (state == down))
+		ord_count_transit(ctx, ep, state != down);
+	ep->msg->state = state;
+	ep->down_ms = state == down ? MAX(ctx->wall_ms, 1) : 0;
+}
+
+static Dsp__CommandResult *same_incarnation(struct st *ctx, struct endpoint *ep,
+					    const Dsp__Endpoint *msg)
+{
+	Dsp__EndpointState state = msg->state;
+
+	if (!same_features(msg, ep->msg) ||
+	    msg->accelerators != ep->msg->accelerators ||
+	    msg->accelerator_memory_mb != ep->msg->accelerator_memory_mb)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+				 "features and accelerators are fixed for an "
+				 "incarnation");
+	if (state == DSP__ENDPOINT_STATE__ENDPOINT_LEAVING)
+		ep->leaving = true;
+	/* A late announcement must not end the leaving of an endpoint. */
+	if (ep->leaving)
+		state = DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
+	if (ep->msg->state == state &&
+	    !strcmp(ep->msg->address, msg->address) &&
+	    !strcmp(ep->msg->site, msg->site) &&
+	    ep->msg->max_batch == msg->max_batch && ep->msg->role == msg->role)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME, NULL);
+	set_state(ctx, ep, state);
+	st_replace_string(&ep->msg->address, msg->address);
+	st_replace_string(&ep->msg->site, msg->site);
+	ep->msg->max_batch = msg->max_batch;
+	ep->msg->role = msg->role;
+	item_touch(ctx, &ep->item);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
+static void replace_message(struct st *ctx, struct endpoint *ep,
+			    const Dsp__Endpoint *msg)
+{
+	Dsp__Endpoint *copy = st_message_dup(msg);
+
+	if (copy->accelerators > ep->n_used) {
+		ep->used_mb =
+			g_renew(uint64_t, ep->used_mb, copy->accelerators + 1);
+		memset(ep->used_mb + ep->n_used, 0,
+		       (copy->accelerators + 1 - ep->n_used) *
+			       sizeof(*ep->used_mb));
+		ep->n_used = copy->accelerators;
+	}
+	g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
+	/* The copies follow from the ledger. */
+	for (size_t i = 0; i < copy->n_copies; i++)
+		dsp__copy__free_unpacked(copy->copies[i], NULL);
+	g_free(copy->copies);
+	copy->copies = NULL;
+	copy->n_copies = 0;
+	dsp__endpoint__free_unpacked(ep->msg, NULL);
+	ep->msg = copy;
+	ep->item.msg = &copy->base;
+	ep->item.key = copy->id;
+	g_hash_table_insert(ctx->endpoint_by_id, copy->id, ep);
+}
+
+static Dsp__CommandResult *new_incarnation(struct st *ctx, struct endpoint *ep,
+					   const Dsp__Endpoint *msg)
+{
+	bool checked = features_of(ep->msg).checks_incarnation;
+
+	if (lived_before(ep->old_incarnations, msg->incarnation))
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE,
+				 "earlier incarnation");
+	if (strcmp(ep->msg->team, msg->team) ||
+	    strcmp(ep->msg->service, msg->service) ||
+	    ep->msg->kind != msg->kind)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+				 "team, service and kind of an endpoint id "
+				 "are fixed");
+	/*
+	 * Loads of earlier incarnations were released because the engine
+	 * rejects them. An engine that no longer does could execute them.
+	 */
+	if (checked && ep->ever_loaded && !features_of(msg).checks_incarnation)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+				 "an endpoint id cannot stop checking the "
+				 "incarnation of orders; use another id");
+	remember_life(ep->old_incarnations, ep->msg->incarnation);
+	qua_endpoint_restarted(ctx, ep);
+	ord_restart(ctx, ep, features_of(msg).checks_incarnation);
+	ep->leaving = msg->state == DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
+	ep->down_ms = 0;
+	replace_message(ctx, ep, msg);
+	ord_adopt(ctx, ep, msg->copies, msg->n_copies);
+	item_touch(ctx, &ep->item);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
+/*
+ * Adds an endpoint, a new incarnation of it, or changes of its address, role
+ * or state. A residency list counts only with a new incarnation.
+ */
+Dsp__CommandResult *endpoint_put(struct st *ctx, const Dsp__EndpointPut *cmd)
+{
+	const Dsp__Endpoint *msg = cmd->endpoint;
+	const char *fault = endpoint_fault(msg);
+	struct endpoint *ep;
+
+	if (fault)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID, fault);
+	ep = endpoint_find(ctx, msg->id);
+	if (ep && ep->msg->incarnation == msg->incarnation)
+		return same_incarnation(ctx, ep, msg);
+	if (ep)
+		return new_incarnation(ctx, ep, msg);
+	ep = endpoint_new(ctx, msg, ctx->index);
+	ep->leaving = msg->state == DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
+	replace_message(ctx, ep, msg);
+	ord_adopt(ctx, ep, msg->copies, msg->n_copies);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
+/* Marks an endpoint down; its reservations stay, since it may still live. */
+Dsp__CommandResult *endpoint_down(struct st *ctx, const Dsp__EndpointDown *cmd)
+{
+	struct endpoint *ep = endpoint_find(ctx, cmd->id);
+
+	if (!ep)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_NOT_FOUND, NULL);
+	if (ep->msg->incarnation != cmd->incarnation)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE, NULL);
+	if (ep->msg->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME, NULL);
+	set_state(ctx, ep, DSP__ENDPOINT_STATE__ENDPOINT_DOWN);
+	item_touch(ctx, &ep->item);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
+/*
+ * Forgets endpoints that have been down for ENDPOINT_KEEP_MS. One that has
+ * reservations or pending orders is kept: orders may still reach it.
+ */
+void endpoints_expire(struct st *ctx)
+{
+	struct endpoint *ep, *next;
+
+	if (!st_passed_multiple(ctx, ENDPOINT_KEEP_MS / 24))
+		return;
+	for (ep = TAILQ_FIRST(&ctx->endpoints); ep; ep = next) {
+		next = TAILQ_NEXT(ep, link);
+		if (ep->down_ms &&
+		    ctx->wall_ms >= ep->down_ms + ENDPOINT_KEEP_MS &&
+		    !ord_has_reservations(ep) && !ep->running)
+			endpoint_free(ctx, ep, true);
+	}
+}
+
+/* Returns one endpoint or NULL. */
+const Dsp__Endpoint *st_endpoint(const struct st *ctx, const char *id)
+{
+	const struct endpoint *ep = endpoint_find(ctx, id);
+
+	return ep ? ep->msg : NULL;
+}
+
+/* Lists all endpoints, down ones included. */
+size_t st_endpoints(const struct st *ctx, const Dsp__Endpoint ***out)
+{
+	size_t n = g_hash_table_size(ctx->endpoint_by_id), i = 0;
+	const struct endpoint *ep;
+
+	*out = g_new(const Dsp__Endpoint *, n + 1);
+	TAILQ_FOREACH (ep, &ctx->endpoints, link)
+		(*out)[i++] = ep->msg;
+	return i;
+}
+
+/* Returns the node record or NULL. */
+struct node *node_find(const struct st *ctx, const char *id)
+{
+	return g_hash_table_lookup(ctx->node_by_id, id);
+}
+
+/* Adds a node record with a copy of msg. */
+struct node *node_new(struct st *ctx, const Dsp__Node *msg, uint64_t index)
+{
+	struct node *node = g_new0(struct node, 1);
+
+	node->msg = st_message_dup(msg);
+	node->old_boots = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	TAILQ_INSERT_TAIL(&ctx->nodes, node, link);
+	g_hash_table_insert(ctx->node_by_id, node->msg->id, node);
+	item_insert(ctx, &node->item, DSP__VIEW_RECORD__BODY_NODE,
+		    node->msg->id, node->msg, index);
+	return node;
+}
+
+static void node_free(struct st *ctx, struct node *node, bool leave_tombstone)
+{
+	item_remove(ctx, &node->item, leave_tombstone);
+	g_hash_table_remove(ctx->node_by_id, node->msg->id);
+	TAILQ_REMOVE(&ctx->nodes, node, link);
+	dsp__node__free_unpacked(node->msg, NULL);
+	g_array_free(node->old_boots, TRUE);
+	g_free(node);
+}
+
+/* Frees all nodes. */
+void nodes_clear(struct st *ctx)
+{
+	while (!TAILQ_EMPTY(&ctx->nodes))
+		node_free(ctx, TAILQ_FIRST(&ctx->nodes), false);
+}
+
+static bool same_node(const Dsp__Node *a, const Dsp__Node *b)
+{
+	return !strcmp(a->site, b->site) && !strcmp(a->region, b->region) &&
+	       !strcmp(a->internal_address, b->internal_address) &&
+	       !strcmp(a->http_address, b->http_address) &&
+	       a->boot == b->boot && a->weight == b->weight &&
+	       a->control == b->control && a->draining == b->draining &&
+	       a->down == b->down;
+}
+
+/*
+ * Adds or changes an instance. With a new boot the claims of the process before
+ * become unknown, since that process has ended.
+ */
+Dsp__CommandResult *node_put(struct st *ctx, const Dsp__NodePut *cmd)
+{
+	const Dsp__Node *msg = cmd->node;
+	struct node *node;
+
+	if (!msg || !st_is_name(msg->id))
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+				 "node id is not an identifier");
+	node = node_find(ctx, msg->id);
+	if (!node) {
+		node = node_new(ctx, msg, ctx->index);
+		node->msg->down = false;
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+	}
+	if (lived_before(node->old_boots, msg->boot))
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE,
+				 "earlier boot");
+	if (node->msg->boot != msg->boot) {
+		remember_life(node->old_boots, node->msg->boot);
+		clm_owner_failed(ctx->claims, msg->id, node->msg->boot,
+				 ctx->wall_ms);
+	} else if (!node->down_ms && same_node(node->msg, msg)) {
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME, NULL);
+	}
+	g_hash_table_remove(ctx->node_by_id, msg->id);
+	dsp__node__free_unpacked(node->msg, NULL);
+	node->msg = st_message_dup(msg);
+	node->msg->down = false;
+	node->down_ms = 0;
+	node->item.msg = &node->msg->base;
+	node->item.key = node->msg->id;
+	g_hash_table_insert(ctx->node_by_id, node->msg->id, node);
+	item_touch(ctx, &node->item);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
+/* Marks one process life of an instance as failed; its claims are unknown. */
+Dsp__CommandResult *node_down(struct st *ctx, const Dsp__NodeDown *cmd)
+{
+	struct node *node = node_find(ctx, cmd->id);
+
+	clm_owner_failed(ctx->claims, cmd->id, cmd->boot, ctx->wall_ms);
+	if (!node)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_NOT_FOUND, NULL);
+	if (node->msg->boot != cmd->boot)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE, NULL);
+	if (node->down_ms)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME, NULL);
+	node->down_ms = MAX(ctx->wall_ms, 1);
+	node->msg->down = true;
+	item_touch(ctx, &node->item);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
+/* Forgets instances that have been down for NODE_KEEP_MS. */
+void nodes_expire(struct st *ctx)
+{
+	struct node *node, *next;
+
+	if (!st_passed_multiple(ctx, NODE_KEEP_MS / 60))
+		return;
+	for (node = TAILQ_FIRST(&ctx->nodes); node; node = next) {
+		next = TAILQ_NEXT(node, link);
+		if (node->down_ms &&
+		    ctx->wall_ms >= node->down_ms + NODE_KEEP_MS)
+			node_free(ctx, node, true);
+	}
+}
+
+/* Lists all nodes, down ones included. */
+size_t st_nodes(const struct st *ctx, const Dsp__Node ***out)
+{
+	size_t n = g_hash_table_size(ctx->node_by_id), i = 0;
+	const struct node *node;
+
+	*out = g_new(const Dsp__Node *, n + 1);
+	TAILQ_FOREACH (node, &ctx->nodes, link)
+		(*out)[i++] = node->msg;
+	return i;
+}
--- /dev/null
+++ b/src/core/st_private.h
@@ -0,0 +1,252 @@
+#ifndef CORE_ST_PRIVATE_H
+#define CORE_ST_PRIVATE_H
+
+#include <glib.h>
+#include <sys/queue.h>
+
+#include "conf/doc.h"
+#include "core/st.h"
+
+/* Internal to the state machine: st*.c, ord.c, clm.c, qua.c. */
+
+#define ST_DIGEST_LEN 16
+
+/*
+ * Tombstones that are kept for view deltas. A reader that is further behind
+ * receives the whole view.
+ */
+#define ST_TOMBSTONES_MAX 4096
+
+/* One record of the view, or a tombstone (msg NULL). */
+struct item {
+	TAILQ_ENTRY(item) link; /* st.items, ordered by index */
+	uint64_t index;		/* last change */
+	uint32_t kind;		/* Dsp__ViewRecord__BodyCase */
+	const char *key;	/* owned by the record */
+	const ProtobufCMessage *msg;
+};
+
+struct tombstone {
+	struct item item; /* first */
+	TAILQ_ENTRY(tombstone) link;
+	char *id; /* kind and key */
+	char *key;
+};
+
+struct history_entry {
+	uint64_t number;
+	uint64_t index;
+	uint8_t digest[ST_DIGEST_LEN];
+};
+
+struct document {
+	struct item item;
+	TAILQ_ENTRY(document) link;
+	Dsp__Document *msg;
+	struct doc *parsed;
+	GArray *history; /* struct history_entry, oldest first */
+};
+
+struct order {
+	TAILQ_ENTRY(order) link;	  /* st.pending or st.finished */
+	TAILQ_ENTRY(order) endpoint_link; /* endpoint.pending */
+	Dsp__Order *msg;
+	struct endpoint *endpoint; /* NULL once finished */
+	struct slot *slot;	   /* loads and unloads; NULL once finished */
+};
+TAILQ_HEAD(order_list, order);
+
+/*
+ * One copy, present or possible, on one span of accelerators. Its memory is
+ * counted while the copy is resident or a load of it may still be executed.
+ */
+struct slot {
+	TAILQ_ENTRY(slot) link;	      /* endpoint.slots */
+	TAILQ_ENTRY(slot) model_link; /* model_slots.slots, no adapters */
+	struct slot *next_span;	      /* same key, other accelerators */
+	struct endpoint *endpoint;
+	struct model_slots *published; /* NULL for adapters */
+	char *model;
+	char *version;
+	char *adapter;
+	uint32_t first;
+	uint32_t accelerators;
+	uint32_t memory_mb; /* largest of its loads and reports */
+	uint32_t pending_loads;
+	uint32_t pending_unloads;
+	uint64_t order;
+	uint64_t repeatable; /* see message Reservation */
+	uint64_t last_load;
+	uint64_t last_finish;
+	bool resident;
+	bool listed;
+	bool ready;
+	bool unloading;
+	bool counted;
+};
+TAILQ_HEAD(slot_list, slot);
+
+/* Slots of one model of one team on all endpoints. */
+struct model_slots {
+	char *key;
+	struct slot_list slots;
+};
+
+struct endpoint {
+	struct item item;
+	TAILQ_ENTRY(endpoint) link;
+	Dsp__Endpoint *msg;
+	GArray *old_incarnations; /* uint64_t, oldest first */
+	uint64_t fence;
+	uint64_t down_ms; /* when it went down; 0: not down */
+	bool leaving;	  /* stays set within an incarnation */
+	bool ever_loaded;
+	uint64_t *used_mb; /* per accelerator */
+	uint32_t n_used;   /* largest accelerator count of all incarnations */
+	struct slot_list slots;
+	struct order_list pending;
+	struct suspect *running;
+};
+
+struct node {
+	struct item item;
+	TAILQ_ENTRY(node) link;
+	Dsp__Node *msg;
+	GArray *old_boots; /* uint64_t, oldest first */
+	uint64_t down_ms;
+};
+
+struct suspect {
+	struct item item;
+	TAILQ_ENTRY(suspect) link; /* ordered by since_ms */
+	Dsp__Suspect *msg;
+	char key[2 * ST_DIGEST_LEN + 1];
+};
+
+struct st {
+	struct st_limits limits;
+	uint64_t index;
+	uint64_t wall_ms;
+	uint64_t previous_wall_ms; /* before the current command */
+
+	TAILQ_HEAD(item_list, item) items;
+	TAILQ_HEAD(, tombstone) tombstones; /* oldest first */
+	GHashTable *tombstone_by_id;
+	size_t n_tombstones;
+	uint64_t tombstone_floor;
+
+	TAILQ_HEAD(, document) documents;
+	GHashTable *document_by_team;
+	uint32_t parallel_loads_max; /* of the documents; 0: no document */
+	uint32_t adapters_max;
+
+	TAILQ_HEAD(, endpoint) endpoints;
+	GHashTable *endpoint_by_id;
+	TAILQ_HEAD(, node) nodes;
+	GHashTable *node_by_id;
+
+	struct order_list pending;  /* by id */
+	struct order_list finished; /* in the order of finishing */
+	size_t n_finished;
+	GHashTable *order_by_id;
+	GHashTable *slot_by_key;   /* set of the first slot of each key */
+	GHashTable *model_by_key;  /* struct model_slots */
+	uint32_t loads_in_transit; /* pending, endpoint not down */
+	uint32_t adapters_in_transit;
+
+	TAILQ_HEAD(, suspect) suspects;
+	GHashTable *suspect_by_key;
+	size_t n_suspects;
+
+	struct clm *claims;
+};
+
+/* st.c */
+Dsp__CommandResult *st_result(const struct st *ctx, Dsp__ResultCode code,
+			      const char *message);
+void *st_message_dup(const void *message);
+void st_replace_string(char **field, const char *value);
+bool st_passed_multiple(const struct st *ctx, uint64_t interval_ms);
+bool st_is_name(const char *text);
+void st_clear(struct st *ctx);
+void st_init(struct st *ctx);
+
+/* st_view.c */
+void item_touch(struct st *ctx, struct item *item);
+void item_insert(struct st *ctx, struct item *item, uint32_t kind,
+		 const char *key, const void *msg, uint64_t index);
+void item_remove(struct st *ctx, struct item *item, bool leave_tombstone);
+void tombstone_add(struct st *ctx, uint32_t kind, const char *key,
+		   uint64_t index);
+void tombstones_clear(struct st *ctx);
+void items_sort(struct st *ctx);
+
+/* st_doc.c */
+Dsp__CommandResult *document_put(struct st *ctx, const Dsp__DocumentPut *cmd);
+bool document_restore(struct st *ctx, const Dsp__Document *msg);
+bool document_history_restore(struct st *ctx, const Dsp__DocumentHistory *msg);
+void documents_clear(struct st *ctx);
+const struct doc *document_parsed(const struct st *ctx, const char *team);
+
+/* st_endpoint.c */
+Dsp__CommandResult *endpoint_put(struct st *ctx, const Dsp__EndpointPut *cmd);
+Dsp__CommandResult *endpoint_down(struct st *ctx, const Dsp__EndpointDown *cmd);
+void endpoints_expire(struct st *ctx);
+struct endpoint *endpoint_find(const struct st *ctx, const char *id);
+struct endpoint *endpoint_new(struct st *ctx, const Dsp__Endpoint *msg,
+			      uint64_t index);
+void endpoints_clear(struct st *ctx);
+Dsp__CommandResult *node_put(struct st *ctx, const Dsp__NodePut *cmd);
+Dsp__CommandResult *node_down(struct st *ctx, const Dsp__NodeDown *cmd);
+struct node *node_find(const struct st *ctx, const char *id);
+struct node *node_new(struct st *ctx, const Dsp__Node *msg, uint64_t index);
+void nodes_expire(struct st *ctx);
+void nodes_clear(struct st *ctx);
+
+/* ord.c */
+Dsp__CommandResult *ord_create(struct st *ctx, const Dsp__OrderCreate *cmd);
+Dsp__CommandResult *ord_finish(struct st *ctx, const Dsp__OrderFinish *cmd);
+Dsp__CommandResult *ord_report(struct st *ctx, const Dsp__ResidencyReport *cmd);
+void ord_restart(struct st *ctx, struct endpoint *ep, bool checks_incarnation);
+void ord_adopt(struct st *ctx, struct endpoint *ep, Dsp__Copy **copies,
+	       size_t n_copies);
+void ord_count_transit(struct st *ctx, const struct endpoint *ep, bool add);
+bool ord_refresh_copies(struct st *ctx, struct endpoint *ep);
+bool ord_has_reservations(const struct endpoint *ep);
+bool ord_restore_slot(struct st *ctx, const Dsp__Reservation *msg);
+bool ord_restore_order(struct st *ctx, const Dsp__Order *msg);
+void ord_free_slots(struct st *ctx, struct endpoint *ep);
+void ord_clear(struct st *ctx);
+guint slot_key_hash(gconstpointer p);
+gboolean slot_key_equal(gconstpointer a, gconstpointer b);
+void model_slots_free(gpointer p);
+
+/* qua.c */
+Dsp__CommandResult *qua_crash(struct st *ctx, const Dsp__CrashReport *cmd);
+Dsp__CommandResult *qua_run(struct st *ctx, const Dsp__SuspectRun *cmd);
+Dsp__CommandResult *qua_done(struct st *ctx, const Dsp__SuspectDone *cmd);
+void qua_endpoint_restarted(struct st *ctx, struct endpoint *ep);
+void qua_expire(struct st *ctx);
+bool qua_restore(struct st *ctx, const Dsp__Suspect *msg, uint64_t index);
+void qua_clear(struct st *ctx);
+
+/* clm.c */
+struct clm *clm_new(const struct st_limits *limits);
+void clm_free(struct clm *ctx);
+void clm_expire(struct clm *ctx, uint64_t wall_ms);
+void clm_owner_failed(struct clm *ctx, const char *node, uint64_t boot,
+		      uint64_t wall_ms);
+Dsp__CommandResult *clm_create(struct st *ctx, const Dsp__ClaimCreate *cmd);
+Dsp__CommandResult *clm_finish(struct st *ctx, const Dsp__ClaimFinish *cmd);
+Dsp__CommandResult *clm_get(struct st *ctx, const Dsp__ClaimGet *cmd);
+void clm_release_queries(struct clm *ctx);
+/* Calls visit for all claims; restoring them in this order gives an equal
+ * table. The message is valid during the call. */
+void clm_visit(const struct clm *ctx,
+	       void (*visit)(void *data, const Dsp__Claim *claim), void *data);
+bool clm_restore(struct clm *ctx, const Dsp__Claim *claim);
+const Dsp__Claim *clm_query(const struct clm *ctx, const char *team,
+			    const char *request_id);
+size_t clm_query_open(const struct clm *ctx, const Dsp__Claim ***out);
+
+#endif
--- /dev/null
+++ b/src/core/st_snapshot.c
@@ -0,0 +1,397 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/st_private.h"
+
+/*
+ * A snapshot is a sequence of frames, each a length and a StateSnapshot with a
+ * part of the records, so that neither writing nor reading needs all records
+ * as messages at once. The order of the records is that of the state's lists;
+ * equal states give equal bytes.
+ */
+
+/* Records per frame. */
+#define FRAME_RECORDS 256
+
+struct writer {
+	void (*sink)(void *data, const uint8_t *bytes, size_t len);
+	void *data;
+	Dsp__StateSnapshot frame;
+	GPtrArray *records; /* of the repeated field that is being written */
+	void (*attach)(Dsp__StateSnapshot *frame, GPtrArray *records);
+};
+
+static void write_frame(struct writer *w)
+{
+	size_t len = dsp__state_snapshot__get_packed_size(&w->frame);
+	uint8_t *bytes = g_malloc(len + 4);
+	uint32_t le = GUINT32_TO_LE((uint32_t)len);
+
+	memcpy(bytes, &le, 4);
+	dsp__state_snapshot__pack(&w->frame, bytes + 4);
+	w->sink(w->data, bytes, len + 4);
+	g_free(bytes);
+}
+
+static void flush(struct writer *w)
+{
+	if (w->records->len) {
+		w->attach(&w->frame, w->records);
+		write_frame(w);
+	}
+	g_ptr_array_set_size(w->records, 0);
+	dsp__state_snapshot__init(&w->frame);
+}
+
+static void begin(struct writer *w,
+		  void (*attach)(Dsp__StateSnapshot *, GPtrArray *))
+{
+	flush(w);
+	w->attach = attach;
+}
+
+/* Adds a record that lives until end of the writing. */
+static void add(struct writer *w, const void *record)
+{
+	g_ptr_array_add(w->records, (gpointer)record);
+	if (w->records->len >= FRAME_RECORDS)
+		flush(w);
+}
+
+/* Writes a record that lives only during the call, in a frame of its own. */
+static void add_now(struct writer *w, const void *record)
+{
+	g_ptr_array_add(w->records, (gpointer)record);
+	flush(w);
+}
+
+#define ATTACH(field, type)                                   \
+	static void attach_##field(Dsp__StateSnapshot *frame, \
+				   GPtrArray *records)        \
+	{                                                     \
+		frame->n_##field = records->len;              \
+		frame->field = (type **)records->pdata;       \
+	}
+
+ATTACH(documents, Dsp__Document)
+ATTACH(history, Dsp__DocumentHistory)
+ATTACH(endpoints, Dsp__Endpoint)
+ATTACH(endpoint_metas, Dsp__EndpointMeta)
+ATTACH(reservations, Dsp__Reservation)
+ATTACH(orders, Dsp__Order)
+ATTACH(claims, Dsp__Claim)
+ATTACH(nodes, Dsp__Node)
+ATTACH(node_metas, Dsp__NodeMeta)
+ATTACH(tombstones, Dsp__Tombstone)
+
+static void write_documents(struct writer *w, const struct st *ctx)
+{
+	Dsp__DocumentHistory msg = DSP__DOCUMENT_HISTORY__INIT;
+	const struct document *d;
+
+	begin(w, attach_documents);
+	TAILQ_FOREACH (d, &ctx->documents, link)
+		add(w, d->msg);
+	begin(w, attach_history);
+	TAILQ_FOREACH (d, &ctx->documents, link) {
+		for (guint i = 0; i < d->history->len; i++) {
+			struct history_entry *h = &g_array_index(
+				d->history, struct history_entry, i);
+
+			msg.team = d->msg->team;
+			msg.number = h->number;
+			msg.index = h->index;
+			msg.digest.data = h->digest;
+			msg.digest.len = ST_DIGEST_LEN;
+			add_now(w, &msg);
+		}
+	}
+}
+
+static void write_reservations(struct writer *w, const struct endpoint *ep)
+{
+	Dsp__Reservation msg = DSP__RESERVATION__INIT;
+	const struct slot *s;
+
+	TAILQ_FOREACH (s, &ep->slots, link) {
+		msg.endpoint = ep->msg->id;
+		msg.model = s->model;
+		msg.version = s->version;
+		msg.adapter = s->adapter;
+		msg.first_accelerator = s->first;
+		msg.accelerators = s->accelerators;
+		msg.memory_mb = s->memory_mb;
+		msg.order = s->order;
+		msg.resident = s->resident;
+		msg.listed = s->listed;
+		msg.ready = s->ready;
+		msg.unloading = s->unloading;
+		msg.repeatable = s->repeatable;
+		msg.last_load = s->last_load;
+		msg.last_finish = s->last_finish;
+		add_now(w, &msg);
+	}
+}
+
+static void write_endpoints(struct writer *w, const struct st *ctx)
+{
+	Dsp__EndpointMeta meta = DSP__ENDPOINT_META__INIT;
+	const struct endpoint *ep;
+	const struct order *o;
+
+	begin(w, attach_endpoints);
+	TAILQ_FOREACH (ep, &ctx->endpoints, link)
+		add(w, ep->msg);
+	begin(w, attach_endpoint_metas);
+	TAILQ_FOREACH (ep, &ctx->endpoints, link) {
+		meta.id = ep->msg->id;
+		meta.index = ep->item.index;
+		meta.n_old_incarnations = ep->old_incarnations->len;
+		meta.old_incarnations = (uint64_t *)ep->old_incarnations->data;
+		meta.fence = ep->fence;
+		meta.down_ms = ep->down_ms;
+		meta.leaving = ep->leaving;
+		meta.ever_loaded = ep->ever_loaded;
+		add_now(w, &meta);
+	}
+	begin(w, attach_reservations);
+	TAILQ_FOREACH (ep, &ctx->endpoints, link)
+		write_reservations(w, ep);
+	begin(w, attach_orders);
+	TAILQ_FOREACH (o, &ctx->pending, link)
+		add(w, o->msg);
+	TAILQ_FOREACH (o, &ctx->finished, link)
+		add(w, o->msg);
+}
+
+static void write_claim(void *data, const Dsp__Claim *claim)
+{
+	add_now(data, claim);
+}
+
+static void write_suspects(struct writer *w, const struct st *ctx)
+{
+	const struct suspect *s;
+
+	flush(w);
+	TAILQ_FOREACH (s, &ctx->suspects, link) {
+		uint64_t index = s->item.index;
+		Dsp__Suspect *msg = s->msg;
+
+		w->frame.suspects = &msg;
+		w->frame.n_suspects = 1;
+		w->frame.suspect_indexes = &index;
+		w->frame.n_suspect_indexes = 1;
+		write_frame(w);
+		dsp__state_snapshot__init(&w->frame);
+	}
+}
+
+static void write_nodes(struct writer *w, const struct st *ctx)
+{
+	Dsp__NodeMeta meta = DSP__NODE_META__INIT;
+	const struct node *node;
+
+	begin(w, attach_nodes);
+	TAILQ_FOREACH (node, &ctx->nodes, link)
+		add(w, node->msg);
+	begin(w, attach_node_metas);
+	TAILQ_FOREACH (node, &ctx->nodes, link) {
+		meta.id = node->msg->id;
+		meta.index = node->item.index;
+		meta.n_old_boots = node->old_boots->len;
+		meta.old_boots = (uint64_t *)node->old_boots->data;
+		meta.down_ms = node->down_ms;
+		add_now(w, &meta);
+	}
+}
+
+static void write_tombstones(struct writer *w, const struct st *ctx)
+{
+	Dsp__Tombstone msg = DSP__TOMBSTONE__INIT;
+	const struct tombstone *t;
+
+	begin(w, attach_tombstones);
+	TAILQ_FOREACH (t, &ctx->tombstones, link) {
+		msg.kind = t->item.kind;
+		msg.key = t->key;
+		msg.index = t->item.index;
+		add_now(w, &msg);
+	}
+}
+
+static void write_state(const struct st *ctx,
+			void (*sink)(void *, const uint8_t *, size_t),
+			void *data)
+{
+	struct writer w = { .sink = sink, .data = data };
+
+	w.records = g_ptr_array_new();
+	dsp__state_snapshot__init(&w.frame);
+	w.frame.index = ctx->index;
+	w.frame.wall_ms = ctx->wall_ms;
+	w.frame.tombstone_floor = ctx->tombstone_floor;
+	write_frame(&w);
+	write_documents(&w, ctx);
+	write_endpoints(&w, ctx);
+	begin(&w, attach_claims);
+	clm_visit(ctx->claims, write_claim, &w);
+	write_suspects(&w, ctx);
+	write_nodes(&w, ctx);
+	write_tombstones(&w, ctx);
+	flush(&w);
+	g_ptr_array_free(w.records, TRUE);
+}
+
+static void append_bytes(void *data, const uint8_t *bytes, size_t len)
+{
+	g_byte_array_append(data, bytes, (guint)len);
+}
+
+/* Returns the whole state as bytes; free them with g_free(). */
+uint8_t *st_snapshot(const struct st *ctx, size_t *len)
+{
+	GByteArray *bytes = g_byte_array_new();
+
+	write_state(ctx, append_bytes, bytes);
+	*len = bytes->len;
+	return g_byte_array_free(bytes, FALSE);
+}
+
+static void hash_bytes(void *data, const uint8_t *bytes, size_t len)
+{
+	XXH3_64bits_update(data, bytes, len);
+}
+
+/* Returns XXH3-64 of the snapshot; equal states have equal digests. */
+uint64_t st_digest(const struct st *ctx)
+{
+	XXH3_state_t *hash = XXH3_createState();
+	uint64_t digest;
+
+	XXH3_64bits_reset(hash);
+	write_state(ctx, hash_bytes, hash);
+	digest = XXH3_64bits_digest(hash);
+	XXH3_freeState(hash);
+	return digest;
+}
+
+static bool restore_endpoint_meta(struct st *ctx, const Dsp__EndpointMeta *m)
+{
+	struct endpoint *ep = endpoint_find(ctx, m->id);
+
+	if (!ep)
+		return false;
+	g_array_append_vals(ep->old_incarnations, m->old_incarnations,
+			    (guint)m->n_old_incarnations);
+	ep->item.index = m->index;
+	ep->fence = m->fence;
+	ep->down_ms = m->down_ms;
+	ep->leaving = m->leaving;
+	ep->ever_loaded = m->ever_loaded;
+	return true;
+}
+
+static bool restore_node_meta(struct st *ctx, const Dsp__NodeMeta *m)
+{
+	struct node *node = node_find(ctx, m->id);
+
+	if (!node)
+		return false;
+	g_array_append_vals(node->old_boots, m->old_boots,
+			    (guint)m->n_old_boots);
+	node->item.index = m->index;
+	node->down_ms = m->down_ms;
+	return true;
+}
+
+static bool restore_ledger(struct st *ctx, const Dsp__StateSnapshot *frame)
+{
+	bool ok = true;
+
+	for (size_t i = 0; i < frame->n_endpoints; i++)
+		endpoint_new(ctx, frame->endpoints[i], 0);
+	for (size_t i = 0; ok && i < frame->n_endpoint_metas; i++)
+		ok = restore_endpoint_meta(ctx, frame->endpoint_metas[i]);
+	for (size_t i = 0; ok && i < frame->n_reservations; i++)
+		ok = ord_restore_slot(ctx, frame->reservations[i]);
+	for (size_t i = 0; ok && i < frame->n_orders; i++)
+		ok = ord_restore_order(ctx, frame->orders[i]);
+	return ok;
+}
+
+static bool restore_frame(struct st *ctx, const Dsp__StateSnapshot *frame)
+{
+	bool ok = frame->n_suspects == frame->n_suspect_indexes;
+
+	for (size_t i = 0; ok && i < frame->n_documents; i++)
+		ok = document_restore(ctx, frame->documents[i]);
+	for (size_t i = 0; ok && i < frame->n_history; i++)
+		ok = document_history_restore(ctx, frame->history[i]);
+	ok = ok && restore_ledger(ctx, frame);
+	for (size_t i = 0; ok && i < frame->n_claims; i++)
+		ok = clm_restore(ctx->claims, frame->claims[i]);
+	for (size_t i = 0; ok && i < frame->n_suspects; i++)
+		ok = qua_restore(ctx, frame->suspects[i],
+				 frame->suspect_indexes[i]);
+	for (size_t i = 0; i < frame->n_nodes; i++)
+		node_new(ctx, frame->nodes[i], 0);
+	for (size_t i = 0; ok && i < frame->n_node_metas; i++)
+		ok = restore_node_meta(ctx, frame->node_metas[i]);
+	for (size_t i = 0; i < frame->n_tombstones; i++)
+		tombstone_add(ctx, frame->tombstones[i]->kind,
+			      frame->tombstones[i]->key,
+			      frame->tombstones[i]->index);
+	return ok;
+}
+
+static bool restore_frames(struct st *ctx, const uint8_t *data, size_t len)
+{
+	bool first = true;
+
+	while (len) {
+		Dsp__StateSnapshot *frame;
+		uint32_t le;
+		bool ok;
+
+		if (len < 4)
+			return false;
+		memcpy(&le, data, 4);
+		le = GUINT32_FROM_LE(le);
+		if (le > len - 4)
+			return false;
+		frame = dsp__state_snapshot__unpack(NULL, le, data + 4);
+		if (!frame)
+			return false;
+		if (first) {
+			ctx->index = frame->index;
+			ctx->wall_ms = frame->wall_ms;
+			ctx->tombstone_floor = frame->tombstone_floor;
+			first = false;
+		}
+		ok = restore_frame(ctx, frame);
+		dsp__state_snapshot__free_unpacked(frame, NULL);
+		if (!ok)
+			return false;
+		data += 4 + le;
+		len -= 4 + le;
+	}
+	return !first;
+}
+
+/*
+ * Replaces the state by that of a snapshot. Returns false and leaves an empty
+ * state when the snapshot is damaged.
+ */
+bool st_restore(struct st *ctx, const uint8_t *data, size_t len)
+{
+	st_clear(ctx);
+	st_init(ctx);
+	if (restore_frames(ctx, data, len)) {
+		items_sort(ctx);
+		return true;
+	}
+	st_clear(ctx);
+	st_init(ctx);
+	return false;
+}
--- /dev/null
+++ b/src/core/view.c
@@ -0,0 +1,449 @@
+#include "core/view.h"
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <string.h>
+
+/*
+ * Tombstones kept for readers behind a relay; those that are further behind
+ * receive the whole view.
+ */
+#define TOMBSTONES_MAX 4096
+
+enum {
+	DOCUMENTS,
+	ENDPOINTS,
+	NODES,
+	SUSPECTS,
+	N_KINDS,
+};
+
+/* One record or tombstone, shared by all views that contain it. */
+struct rec {
+	_Atomic uint32_t refs; /* any thread; the rest never changes */
+	Dsp__ViewRecord *msg;
+	struct doc *parsed;
+	struct view_document document;
+};
+
+struct recs {
+	struct rec **all;
+	size_t n;
+};
+
+struct view {
+	_Atomic uint32_t refs; /* any thread; the rest never changes */
+	uint64_t index;
+	uint64_t tombstone_floor;
+	struct recs kinds[N_KINDS]; /* sorted by key */
+	struct recs tombstones;	    /* sorted by index */
+};
+
+static struct rec *rec_ref(struct rec *rec)
+{
+	atomic_fetch_add(&rec->refs, 1);
+	return rec;
+}
+
+static void rec_unref(struct rec *rec)
+{
+	if (atomic_fetch_sub(&rec->refs, 1) != 1)
+		return;
+	doc_free(rec->parsed);
+	dsp__view_record__free_unpacked(rec->msg, NULL);
+	g_free(rec);
+}
+
+static void recs_free(struct recs *recs)
+{
+	for (size_t i = 0; i < recs->n; i++)
+		rec_unref(recs->all[i]);
+	g_free(recs->all);
+}
+
+/* Creates a view without records at index 0. */
+struct view *view_new_empty(void)
+{
+	struct view *ctx = g_new0(struct view, 1);
+
+	atomic_init(&ctx->refs, 1);
+	return ctx;
+}
+
+/* Adds a reference; any thread. */
+struct view *view_ref(struct view *ctx)
+{
+	atomic_fetch_add(&ctx->refs, 1);
+	return ctx;
+}
+
+/* Drops a reference; the last one frees the view. NULL is allowed. */
+void view_unref(struct view *ctx)
+{
+	if (!ctx || atomic_fetch_sub(&ctx->refs, 1) != 1)
+		return;
+	for (int kind = 0; kind < N_KINDS; kind++)
+		recs_free(&ctx->kinds[kind]);
+	recs_free(&ctx->tombstones);
+	g_free(ctx);
+}
+
+static int kind_of(const Dsp__ViewRecord *msg)
+{
+	switch ((Dsp__ViewRecord__BodyCase)msg->kind) {
+	case DSP__VIEW_RECORD__BODY_DOCUMENT:
+		return DOCUMENTS;
+	case DSP__VIEW_RECORD__BODY_ENDPOINT:
+		return ENDPOINTS;
+	case DSP__VIEW_RECORD__BODY_NODE:
+		return NODES;
+	case DSP__VIEW_RECORD__BODY_SUSPECT:
+		return SUSPECTS;
+	default:
+		return -1;
+	}
+}
+
+static struct rec *find(const struct recs *recs, const char *key)
+{
+	size_t low = 0, high = recs->n;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+		int order = strcmp(recs->all[middle]->msg->key, key);
+
+		if (!order)
+			return recs->all[middle];
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return NULL;
+}
+
+static Dsp__ViewRecord *record_dup(const Dsp__ViewRecord *msg)
+{
+	size_t len = dsp__view_record__get_packed_size(msg);
+	uint8_t *data = g_malloc(len + 1);
+	Dsp__ViewRecord *copy;
+
+	dsp__view_record__pack(msg, data);
+	copy = dsp__view_record__unpack(NULL, len, data);
+	g_free(data);
+	g_assert(copy);
+	return copy;
+}
+
+/* Returns a new record, or NULL when its document is not valid. */
+static struct rec *rec_new(const Dsp__ViewRecord *msg)
+{
+	const Dsp__Document *document = NULL;
+	struct rec *rec = g_new0(struct rec, 1);
+
+	atomic_init(&rec->refs, 1);
+	rec->msg = record_dup(msg);
+	if (!msg->removed && kind_of(msg) == DOCUMENTS)
+		document = rec->msg->document;
+	if (document) {
+		GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+
+		rec->parsed = doc_parse(document->team, document->text,
+					strlen(document->text), faults);
+		g_ptr_array_free(faults, TRUE);
+		rec->document.document = document;
+		rec->document.parsed = rec->parsed;
+		if (!rec->parsed) {
+			rec_unref(rec);
+			return NULL;
+		}
+	}
+	return rec;
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	const struct rec *x = *(struct rec *const *)a;
+	const struct rec *y = *(struct rec *const *)b;
+
+	return strcmp(x->msg->key, y->msg->key);
+}
+
+static int compare_indexes(const void *a, const void *b)
+{
+	const struct rec *x = *(struct rec *const *)a;
+	const struct rec *y = *(struct rec *const *)b;
+
+	if (x->msg->index != y->msg->index)
+		return x->msg->index < y->msg->index ? -1 : 1;
+	if (x->msg->kind != y->msg->kind)
+		return x->msg->kind < y->msg->kind ? -1 : 1;
+	return strcmp(x->msg->key, y->msg->key);
+}
+
+/*
+ * Builds the records of one kind: those of old, replaced or removed by the
+ * changes, which are sorted by key and hold removals too.
+ */
+static void merge(struct recs *out, const struct recs *old,
+		  struct rec *const *changes, size_t n_changes)
+{
+	size_t i = 0, j = 0;
+
+	out->all = g_new(struct rec *, old->n + n_changes + 1);
+	while (i < old->n || j < n_changes) {
+		int order;
+
+		if (i >= old->n)
+			order = 1;
+		else if (j >= n_changes)
+			order = -1;
+		else
+			order = strcmp(old->all[i]->msg->key,
+				       changes[j]->msg->key);
+		if (order < 0) {
+			out->all[out->n++] = rec_ref(old->all[i++]);
+			continue;
+		}
+		if (order == 0)
+			i++;
+		if (!changes[j]->msg->removed)
+			out->all[out->n++] = rec_ref(changes[j]);
+		j++;
+	}
+}
+
+/* Tombstones of old and the changes that no later record has replaced. */
+static void merge_tombstones(struct view *out, const struct recs *old,
+			     GPtrArray *const changes[N_KINDS])
+{
+	GPtrArray *all = g_ptr_array_new();
+	guint drop;
+
+	for (int kind = 0; kind < N_KINDS; kind++) {
+		for (guint i = 0; i < changes[kind]->len; i++) {
+			struct rec *rec = changes[kind]->pdata[i];
+
+			if (rec->msg->removed)
+				g_ptr_array_add(all, rec_ref(rec));
+		}
+	}
+	for (size_t i = 0; i < old->n; i++) {
+		struct rec *rec = old->all[i];
+		int kind = kind_of(rec->msg);
+		struct recs changed = {
+			.all = (struct rec **)changes[kind]->pdata,
+			.n = changes[kind]->len,
+		};
+
+		if (!find(&changed, rec->msg->key))
+			g_ptr_array_add(all, rec_ref(rec));
+	}
+	if (all->len)
+		qsort(all->pdata, all->len, sizeof(void *), compare_indexes);
+	drop = all->len > TOMBSTONES_MAX ? all->len - TOMBSTONES_MAX : 0;
+	for (guint i = 0; i < drop; i++) {
+		struct rec *rec = all->pdata[i];
+
+		out->tombstone_floor =
+			MAX(out->tombstone_floor, rec->msg->index);
+		rec_unref(rec);
+	}
+	out->tombstones.n = all->len - drop;
+	out->tombstones.all =
+		g_memdup2(all->pdata + drop,
+			  (out->tombstones.n + 1) * sizeof(struct rec *));
+	g_ptr_array_free(all, TRUE);
+}
+
+/*
+ * Sorts the records of an update into changes. A record that the view holds
+ * already is shared. Returns false when a record is not valid.
+ */
+static bool collect(const struct view *ctx, const Dsp__ViewUpdate *update,
+		    GPtrArray *changes[N_KINDS])
+{
+	for (size_t i = 0; i < update->n_records; i++) {
+		const Dsp__ViewRecord *msg = update->records[i];
+		int kind = kind_of(msg);
+		struct rec *rec;
+
+		if (kind < 0 || (msg->removed && update->reset) ||
+		    (!msg->removed && (uint32_t)msg->body_case != msg->kind))
+			return false;
+		rec = msg->removed ? NULL : find(&ctx->kinds[kind], msg->key);
+		if (rec && rec->msg->index == msg->index)
+			rec_ref(rec);
+		else
+			rec = rec_new(msg);
+		if (!rec)
+			return false;
+		g_ptr_array_add(changes[kind], rec);
+	}
+	for (int kind = 0; kind < N_KINDS; kind++)
+		if (changes[kind]->len)
+			qsort(changes[kind]->pdata, changes[kind]->len,
+			      sizeof(void *), compare_keys);
+	return true;
+}
+
+static bool follows(const struct view *ctx, const Dsp__ViewUpdate *update)
+{
+	if (update->to_index < ctx->index)
+		return false;
+	return update->reset || update->from_index <= ctx->index;
+}
+
+/*
+ * Returns a new view with the update applied, or NULL when the update does not
+ * follow this view (gap, or an index below the installed one) or holds an
+ * invalid record. Unchanged records are shared.
+ */
+struct view *view_apply(const struct view *ctx, const Dsp__ViewUpdate *update)
+{
+	static const struct recs none = { .n = 0 };
+	GPtrArray *changes[N_KINDS];
+	struct view *out = NULL;
+
+	if (!follows(ctx, update))
+		return NULL;
+	for (int kind = 0; kind < N_KINDS; kind++)
+		changes[kind] = g_ptr_array_new_with_free_func(
+			(GDestroyNotify)rec_unref);
+	if (!collect(ctx, update, changes))
+		goto out;
+	out = view_new_empty();
+	out->index = update->to_index;
+	out->tombstone_floor =
+		update->reset ? update->to_index : ctx->tombstone_floor;
+	for (int kind = 0; kind < N_KINDS; kind++)
+		merge(&out->kinds[kind],
+		      update->reset ? &none : &ctx->kinds[kind],
+		      (struct rec *const *)changes[kind]->pdata,
+		      changes[kind]->len);
+	merge_tombstones(out, update->reset ? &none : &ctx->tombstones,
+			 changes);
+out:
+	for (int kind = 0; kind < N_KINDS; kind++)
+		g_ptr_array_free(changes[kind], TRUE);
+	return out;
+}
+
+/* Returns the log index of the last change that the view contains. */
+uint64_t view_index(const struct view *ctx)
+{
+	return ctx->index;
+}
+
+/* Returns the document in force of a team, or NULL. */
+const struct view_document *view_document(const struct view *ctx,
+					  const char *team)
+{
+	const struct rec *rec = find(&ctx->kinds[DOCUMENTS], team);
+
+	return rec ? &rec->document : NULL;
+}
+
+/* Returns the number of documents. */
+size_t view_n_documents(const struct view *ctx)
+{
+	return ctx->kinds[DOCUMENTS].n;
+}
+
+/* Returns the document at position i in the order of the teams' names. */
+const struct view_document *view_document_at(const struct view *ctx, size_t i)
+{
+	return &ctx->kinds[DOCUMENTS].all[i]->document;
+}
+
+/* Returns the number of endpoints, down ones included. */
+size_t view_n_endpoints(const struct view *ctx)
+{
+	return ctx->kinds[ENDPOINTS].n;
+}
+
+/* Returns the endpoint at position i in the order of the ids. */
+const Dsp__Endpoint *view_endpoint_at(const struct view *ctx, size_t i)
+{
+	return ctx->kinds[ENDPOINTS].all[i]->msg->endpoint;
+}
+
+/* Returns one endpoint or NULL. */
+const Dsp__Endpoint *view_endpoint(const struct view *ctx, const char *id)
+{
+	const struct rec *rec = find(&ctx->kinds[ENDPOINTS], id);
+
+	return rec ? rec->msg->endpoint : NULL;
+}
+
+/* Returns the number of instances, down ones included. */
+size_t view_n_nodes(const struct view *ctx)
+{
+	return ctx->kinds[NODES].n;
+}
+
+/* Returns the instance at position i in the order of the ids. */
+const Dsp__Node *view_node_at(const struct view *ctx, size_t i)
+{
+	return ctx->kinds[NODES].all[i]->msg->node;
+}
+
+/* Returns one instance or NULL. */
+const Dsp__Node *view_node(const struct view *ctx, const char *id)
+{
+	const struct rec *rec = find(&ctx->kinds[NODES], id);
+
+	return rec ? rec->msg->node : NULL;
+}
+
+/* Returns the suspect with this request digest, or NULL. */
+const Dsp__Suspect *view_suspect(const struct view *ctx,
+				 const uint8_t digest[16])
+{
+	static const char digits[] = "0123456789abcdef";
+	const struct rec *rec;
+	char key[33];
+
+	if (!ctx->kinds[SUSPECTS].n)
+		return NULL;
+	for (size_t i = 0; i < 16; i++) {
+		key[2 * i] = digits[digest[i] >> 4];
+		key[2 * i + 1] = digits[digest[i] & 15];
+	}
+	key[32] = '\0';
+	rec = find(&ctx->kinds[SUSPECTS], key);
+	return rec ? rec->msg->suspect : NULL;
+}
+
+static void add_since(GPtrArray *out, const struct recs *recs,
+		      uint64_t from_index)
+{
+	for (size_t i = 0; i < recs->n; i++)
+		if (recs->all[i]->msg->index > from_index)
+			g_ptr_array_add(out, record_dup(recs->all[i]->msg));
+}
+
+/*
+ * Returns a new update with all records changed after from_index, or the whole
+ * view (reset) when from_index is 0, before the tombstone floor or above the
+ * view's index.
+ */
+Dsp__ViewUpdate *view_since(const struct view *ctx, uint64_t from_index)
+{
+	bool reset = !from_index || from_index < ctx->tombstone_floor ||
+		     from_index > ctx->index;
+	Dsp__ViewUpdate *update = g_new(Dsp__ViewUpdate, 1);
+	GPtrArray *records = g_ptr_array_new();
+
+	dsp__view_update__init(update);
+	update->from_index = reset ? 0 : from_index;
+	update->to_index = ctx->index;
+	update->reset = reset;
+	for (int kind = 0; kind < N_KINDS; kind++)
+		add_since(records, &ctx->kinds[kind], reset ? 0 : from_index);
+	if (!reset)
+		add_since(records, &ctx->tombstones, from_index);
+	update->n_records = records->len;
+	update->records = (Dsp__ViewRecord **)g_ptr_array_free(records, FALSE);
+	return update;
+}
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -1672,6 +1672,96 @@
   assert(message->base.descriptor == &dsp__reservation__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__endpoint_meta__init
+                     (Dsp__EndpointMeta         *message)
+{
+  static const Dsp__EndpointMeta init_value = DSP__ENDPOINT_META__INIT;
+  *message = init_value;
+}
+size_t dsp__endpoint_meta__get_packed_size
+                     (const Dsp__EndpointMeta *message)
+{
+  assert(message->base.descriptor == &dsp__endpoint_meta__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__endpoint_meta__pack
+                     (const Dsp__EndpointMeta *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__endpoint_meta__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__endpoint_meta__pack_to_buffer
+                     (const Dsp__EndpointMeta *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__endpoint_meta__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__EndpointMeta *
+       dsp__endpoint_meta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__EndpointMeta *)
+     protobuf_c_message_unpack (&dsp__endpoint_meta__descriptor,
+                                allocator, len, data);
+}
+void   dsp__endpoint_meta__free_unpacked
+                     (Dsp__EndpointMeta *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__endpoint_meta__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__node_meta__init
+                     (Dsp__NodeMeta         *message)
+{
+  static const Dsp__NodeMeta init_value = DSP__NODE_META__INIT;
+  *message = init_value;
+}
+size_t dsp__node_meta__get_packed_size
+                     (const Dsp__NodeMeta *message)
+{
+  assert(message->base.descriptor == &dsp__node_meta__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__node_meta__pack
+                     (const Dsp__NodeMeta *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__node_meta__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__node_meta__pack_to_buffer
+                     (const Dsp__NodeMeta *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__node_meta__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__NodeMeta *
+       dsp__node_meta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__NodeMeta *)
+     protobuf_c_message_unpack (&dsp__node_meta__descriptor,
+                                allocator, len, data);
+}
+void   dsp__node_meta__free_unpacked
+                     (Dsp__NodeMeta *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__node_meta__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__tombstone__init
                      (Dsp__Tombstone         *message)
 {
@@ -4781,7 +4871,7 @@
   (ProtobufCMessageInit) dsp__order_create__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__order_finish__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dsp__order_finish__field_descriptors[3] =
 {
   {
     "order",
@@ -4807,15 +4897,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_once",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__OrderFinish, sent_once),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__order_finish__field_indices_by_name[] = {
   0,   /* field[0] = order */
+  2,   /* field[2] = sent_once */
   1,   /* field[1] = state */
 };
 static const ProtobufCIntRange dsp__order_finish__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor dsp__order_finish__descriptor =
 {
@@ -4825,7 +4928,7 @@
   "Dsp__OrderFinish",
   "dsp",
   sizeof(Dsp__OrderFinish),
-  2,
+  3,
   dsp__order_finish__field_descriptors,
   dsp__order_finish__field_indices_by_name,
   1,  dsp__order_finish__number_ranges,
@@ -5827,7 +5930,7 @@
   (ProtobufCMessageInit) dsp__document_history__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__reservation__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dsp__reservation__field_descriptors[15] =
 {
   {
     "endpoint",
@@ -5842,62 +5945,62 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerator",
+    "model",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, accelerator),
-    NULL,
+    offsetof(Dsp__Reservation, model),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "version",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, team),
+    offsetof(Dsp__Reservation, version),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "model",
+    "adapter",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, model),
+    offsetof(Dsp__Reservation, adapter),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "first_accelerator",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, version),
+    offsetof(Dsp__Reservation, first_accelerator),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
+    "accelerators",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, adapter),
+    offsetof(Dsp__Reservation, accelerators),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -5925,21 +6028,112 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resident",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, resident),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listed",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, listed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unloading",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, unloading),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeatable",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_load",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, last_load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_finish",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, last_finish),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__reservation__field_indices_by_name[] = {
-  1,   /* field[1] = accelerator */
-  5,   /* field[5] = adapter */
+  5,   /* field[5] = accelerators */
+  3,   /* field[3] = adapter */
   0,   /* field[0] = endpoint */
+  4,   /* field[4] = first_accelerator */
+  14,   /* field[14] = last_finish */
+  13,   /* field[13] = last_load */
+  9,   /* field[9] = listed */
   6,   /* field[6] = memory_mb */
-  3,   /* field[3] = model */
+  1,   /* field[1] = model */
   7,   /* field[7] = order */
-  2,   /* field[2] = team */
-  4,   /* field[4] = version */
+  10,   /* field[10] = ready */
+  12,   /* field[12] = repeatable */
+  8,   /* field[8] = resident */
+  11,   /* field[11] = unloading */
+  2,   /* field[2] = version */
 };
 static const ProtobufCIntRange dsp__reservation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor dsp__reservation__descriptor =
 {
@@ -5949,13 +6143,206 @@
   "Dsp__Reservation",
   "dsp",
   sizeof(Dsp__Reservation),
-  8,
+  15,
   dsp__reservation__field_descriptors,
   dsp__reservation__field_indices_by_name,
   1,  dsp__reservation__number_ranges,
   (ProtobufCMessageInit) dsp__reservation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dsp__endpoint_meta__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old_incarnations",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__EndpointMeta, n_old_incarnations),
+    offsetof(Dsp__EndpointMeta, old_incarnations),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "down_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, down_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ever_loaded",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, ever_loaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__endpoint_meta__field_indices_by_name[] = {
+  4,   /* field[4] = down_ms */
+  6,   /* field[6] = ever_loaded */
+  3,   /* field[3] = fence */
+  0,   /* field[0] = id */
+  1,   /* field[1] = index */
+  5,   /* field[5] = leaving */
+  2,   /* field[2] = old_incarnations */
+};
+static const ProtobufCIntRange dsp__endpoint_meta__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor dsp__endpoint_meta__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.EndpointMeta",
+  "EndpointMeta",
+  "Dsp__EndpointMeta",
+  "dsp",
+  sizeof(Dsp__EndpointMeta),
+  7,
+  dsp__endpoint_meta__field_descriptors,
+  dsp__endpoint_meta__field_indices_by_name,
+  1,  dsp__endpoint_meta__number_ranges,
+  (ProtobufCMessageInit) dsp__endpoint_meta__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__node_meta__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeMeta, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeMeta, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old_boots",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__NodeMeta, n_old_boots),
+    offsetof(Dsp__NodeMeta, old_boots),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "down_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeMeta, down_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__node_meta__field_indices_by_name[] = {
+  3,   /* field[3] = down_ms */
+  0,   /* field[0] = id */
+  1,   /* field[1] = index */
+  2,   /* field[2] = old_boots */
+};
+static const ProtobufCIntRange dsp__node_meta__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__node_meta__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.NodeMeta",
+  "NodeMeta",
+  "Dsp__NodeMeta",
+  "dsp",
+  sizeof(Dsp__NodeMeta),
+  4,
+  dsp__node_meta__field_descriptors,
+  dsp__node_meta__field_indices_by_name,
+  1,  dsp__node_meta__number_ranges,
+  (ProtobufCMessageInit) dsp__node_meta__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dsp__tombstone__field_descriptors[3] =
 {
   {
@@ -6083,15 +6470,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint_indexes",
+    "endpoint_metas",
     6,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Dsp__StateSnapshot, n_endpoint_indexes),
-    offsetof(Dsp__StateSnapshot, endpoint_indexes),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_endpoint_metas),
+    offsetof(Dsp__StateSnapshot, endpoint_metas),
+    &dsp__endpoint_meta__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -6167,15 +6554,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node_indexes",
+    "node_metas",
     13,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Dsp__StateSnapshot, n_node_indexes),
-    offsetof(Dsp__StateSnapshot, node_indexes),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_node_metas),
+    offsetof(Dsp__StateSnapshot, node_metas),
+    &dsp__node_meta__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -6206,11 +6593,11 @@
 static const unsigned dsp__state_snapshot__field_indices_by_name[] = {
   8,   /* field[8] = claims */
   2,   /* field[2] = documents */
-  5,   /* field[5] = endpoint_indexes */
+  5,   /* field[5] = endpoint_metas */
   4,   /* field[4] = endpoints */
   3,   /* field[3] = history */
   0,   /* field[0] = index */
-  12,   /* field[12] = node_indexes */
+  12,   /* field[12] = node_metas */
   11,   /* field[11] = nodes */
   6,   /* field[6] = orders */
   7,   /* field[7] = reservations */
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -52,6 +52,8 @@
 typedef struct Dsp__CommandResult Dsp__CommandResult;
 typedef struct Dsp__DocumentHistory Dsp__DocumentHistory;
 typedef struct Dsp__Reservation Dsp__Reservation;
+typedef struct Dsp__EndpointMeta Dsp__EndpointMeta;
+typedef struct Dsp__NodeMeta Dsp__NodeMeta;
 typedef struct Dsp__Tombstone Dsp__Tombstone;
 typedef struct Dsp__StateSnapshot Dsp__StateSnapshot;
 typedef struct Dsp__ViewRecord Dsp__ViewRecord;
@@ -619,11 +621,19 @@
 {
   ProtobufCMessage base;
   uint64_t order;
+  /*
+   * done or refused; only the state machine voids
+   */
   Dsp__OrderState state;
+  /*
+   * The leader that proposes this created the order in its current term and
+   * sent it exactly once. Set only on a proposal that is not forwarded.
+   */
+  protobuf_c_boolean sent_once;
 };
 #define DSP__ORDER_FINISH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__order_finish__descriptor) \
-    , 0, DSP__ORDER_STATE__ORDER_PENDING }
+    , 0, DSP__ORDER_STATE__ORDER_PENDING, 0 }
 
 
 /*
@@ -844,21 +854,86 @@
     , (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
 
 
+/*
+ * Memory held for one copy on one span of accelerators of an endpoint.
+ */
 struct  Dsp__Reservation
 {
   ProtobufCMessage base;
   char *endpoint;
-  uint32_t accelerator;
-  char *team;
   char *model;
   char *version;
   char *adapter;
+  uint32_t first_accelerator;
+  uint32_t accelerators;
+  /*
+   * on each accelerator
+   */
   uint32_t memory_mb;
+  /*
+   * load order of the listed copy
+   */
   uint64_t order;
+  /*
+   * the memory is in use, as far as is known
+   */
+  protobuf_c_boolean resident;
+  /*
+   * in the last residency report
+   */
+  protobuf_c_boolean listed;
+  protobuf_c_boolean ready;
+  protobuf_c_boolean unloading;
+  /*
+   * last answered load that may be delivered again
+   */
+  uint64_t repeatable;
+  uint64_t last_load;
+  /*
+   * log index of the last answer to a load
+   */
+  uint64_t last_finish;
 };
 #define DSP__RESERVATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__reservation__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Dsp__EndpointMeta
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * of the last change in the view
+   */
+  uint64_t index;
+  size_t n_old_incarnations;
+  uint64_t *old_incarnations;
+  /*
+   * highest fence known to be seen by the engine
+   */
+  uint64_t fence;
+  uint64_t down_ms;
+  protobuf_c_boolean leaving;
+  protobuf_c_boolean ever_loaded;
+};
+#define DSP__ENDPOINT_META__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__endpoint_meta__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0 }
+
+
+struct  Dsp__NodeMeta
+{
+  ProtobufCMessage base;
+  char *id;
+  uint64_t index;
+  size_t n_old_boots;
+  uint64_t *old_boots;
+  uint64_t down_ms;
+};
+#define DSP__NODE_META__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__node_meta__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
 struct  Dsp__Tombstone
@@ -876,6 +951,10 @@
     , 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A snapshot is a sequence of frames: length (4 bytes, little endian) and one
+ * StateSnapshot with a part of the records.
+ */
 struct  Dsp__StateSnapshot
 {
   ProtobufCMessage base;
@@ -887,8 +966,8 @@
   Dsp__DocumentHistory **history;
   size_t n_endpoints;
   Dsp__Endpoint **endpoints;
-  size_t n_endpoint_indexes;
-  uint64_t *endpoint_indexes;
+  size_t n_endpoint_metas;
+  Dsp__EndpointMeta **endpoint_metas;
   size_t n_orders;
   Dsp__Order **orders;
   size_t n_reservations;
@@ -901,8 +980,8 @@
   uint64_t *suspect_indexes;
   size_t n_nodes;
   Dsp__Node **nodes;
-  size_t n_node_indexes;
-  uint64_t *node_indexes;
+  size_t n_node_metas;
+  Dsp__NodeMeta **node_metas;
   size_t n_tombstones;
   Dsp__Tombstone **tombstones;
   uint64_t tombstone_floor;
@@ -1941,6 +2020,44 @@
 void   dsp__reservation__free_unpacked
                      (Dsp__Reservation *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__EndpointMeta methods */
+void   dsp__endpoint_meta__init
+                     (Dsp__EndpointMeta         *message);
+size_t dsp__endpoint_meta__get_packed_size
+                     (const Dsp__EndpointMeta   *message);
+size_t dsp__endpoint_meta__pack
+                     (const Dsp__EndpointMeta   *message,
+                      uint8_t             *out);
+size_t dsp__endpoint_meta__pack_to_buffer
+                     (const Dsp__EndpointMeta   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__EndpointMeta *
+       dsp__endpoint_meta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__endpoint_meta__free_unpacked
+                     (Dsp__EndpointMeta *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__NodeMeta methods */
+void   dsp__node_meta__init
+                     (Dsp__NodeMeta         *message);
+size_t dsp__node_meta__get_packed_size
+                     (const Dsp__NodeMeta   *message);
+size_t dsp__node_meta__pack
+                     (const Dsp__NodeMeta   *message,
+                      uint8_t             *out);
+size_t dsp__node_meta__pack_to_buffer
+                     (const Dsp__NodeMeta   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__NodeMeta *
+       dsp__node_meta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__node_meta__free_unpacked
+                     (Dsp__NodeMeta *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__Tombstone methods */
 void   dsp__tombstone__init
                      (Dsp__Tombstone         *message);
@@ -2415,6 +2532,12 @@
 typedef void (*Dsp__Reservation_Closure)
                  (const Dsp__Reservation *message,
                   void *closure_data);
+typedef void (*Dsp__EndpointMeta_Closure)
+                 (const Dsp__EndpointMeta *message,
+                  void *closure_data);
+typedef void (*Dsp__NodeMeta_Closure)
+                 (const Dsp__NodeMeta *message,
+                  void *closure_data);
 typedef void (*Dsp__Tombstone_Closure)
                  (const Dsp__Tombstone *message,
                   void *closure_data);
@@ -2523,6 +2646,8 @@
 extern const ProtobufCMessageDescriptor dsp__command_result__descriptor;
 extern const ProtobufCMessageDescriptor dsp__document_history__descriptor;
 extern const ProtobufCMessageDescriptor dsp__reservation__descriptor;
+extern const ProtobufCMessageDescriptor dsp__endpoint_meta__descriptor;
+extern const ProtobufCMessageDescriptor dsp__node_meta__descriptor;
 extern const ProtobufCMessageDescriptor dsp__tombstone__descriptor;
 extern const ProtobufCMessageDescriptor dsp__state_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor dsp__view_record__descriptor;
