core: keep copies of engines that check no incarnation over a restart

A process that does not check incarnations may execute a load of the one before after it wrote its first announcement; that announcement then must not release the load.

--- a/src/core/clm.c
+++ b/src/core/clm.c
@@ -343,6 +343,19 @@
 	}
 }
 
+static void remove_older(struct clm *ctx, struct claim_list *list,
+			 uint64_t keep_ms, uint64_t wall_ms)
+{
+	struct claim *c, *next;
+
+	for (c = TAILQ_FIRST(list); c; c = next) {
+		if (finished_ms(c) + keep_ms > wall_ms)
+			return;
+		next = TAILQ_NEXT(c, link);
+		claim_remove(ctx, c);
+	}
+}
+
 /*
  * Applies the time limits: open claims past their deadline become unknown,
  * outcomes and releases past their retention are forgotten. Looks only at what
@@ -351,7 +364,6 @@
 void clm_expire(struct clm *ctx, uint64_t wall_ms)
 {
 	uint64_t keep = (uint64_t)ctx->limits->claim_retention_ms;
-	struct claim *c;
 
 	while (!g_sequence_is_empty(ctx->expiry)) {
 		struct open *o =
@@ -362,12 +374,8 @@
 		claim_end(ctx, o->claim, DSP__CLAIM_STATE__CLAIM_UNKNOWN,
 			  wall_ms);
 	}
-	while ((c = TAILQ_FIRST(&ctx->finished)) &&
-	       finished_ms(c) + keep <= wall_ms)
-		claim_remove(ctx, c);
-	while ((c = TAILQ_FIRST(&ctx->released)) &&
-	       finished_ms(c) + RELEASED_KEEP_MS <= wall_ms)
-		claim_remove(ctx, c);
+	remove_older(ctx, &ctx->finished, keep, wall_ms);
+	remove_older(ctx, &ctx->released, RELEASED_KEEP_MS, wall_ms);
 }
 
 /* Moves the open claims of a process that has ended to unknown. */
@@ -662,8 +670,12 @@
 
 static void list_clear(struct clm *ctx, struct claim_list *list)
 {
-	while (!TAILQ_EMPTY(list))
-		claim_remove(ctx, TAILQ_FIRST(list));
+	struct claim *c, *next;
+
+	for (c = TAILQ_FIRST(list); c; c = next) {
+		next = TAILQ_NEXT(c, link);
+		claim_remove(ctx, c);
+	}
 }
 
 /* Frees the table. */
--- a/src/core/ord.c
+++ b/src/core/ord.c
@@ -445,10 +445,15 @@
 			order_end(ctx, o, DSP__ORDER_STATE__ORDER_VOID);
 	}
 	TAILQ_FOREACH (s, &ep->slots, link) {
-		s->resident = s->listed = s->ready = s->unloading = false;
-		s->last_load = s->last_finish = s->order = 0;
-		if (checks_incarnation)
-			s->repeatable = 0;
+		s->listed = s->ready = s->unloading = false;
+		/*
+		 * Without the check, the new process may have executed a load
+		 * after its first announcement was written.
+		 */
+		if (!checks_incarnation && s->last_load)
+			continue;
+		s->resident = false;
+		s->last_load = s->last_finish = s->order = s->repeatable = 0;
 	}
 	ep->fence = 0;
 }
@@ -829,7 +834,8 @@
 			resolve_by_report(ctx, o, fence);
 	}
 	TAILQ_FOREACH (s, &ep->slots, link) {
-		s->resident = s->listed;
+		s->resident =
+			s->listed || (s->resident && s->last_load > fence);
 		if (s->repeatable < fence && trusts_fence(ep))
 			s->repeatable = 0;
 	}
@@ -958,8 +964,12 @@
 /* Frees the slots of an endpoint without touching the ledger. */
 void ord_free_slots(struct st *ctx, struct endpoint *ep)
 {
-	while (!TAILQ_EMPTY(&ep->slots))
-		slot_free(ctx, TAILQ_FIRST(&ep->slots));
+	struct slot *s, *next;
+
+	for (s = TAILQ_FIRST(&ep->slots); s; s = next) {
+		next = TAILQ_NEXT(s, link);
+		slot_free(ctx, s);
+	}
 }
 
 /* Frees all orders. */
--- a/src/core/st_snapshot.c
+++ b/src/core/st_snapshot.c
@@ -65,24 +65,24 @@
 	flush(w);
 }
 
-#define ATTACH(field, type)                                   \
+#define ATTACH(field)                                         \
 	static void attach_##field(Dsp__StateSnapshot *frame, \
 				   GPtrArray *records)        \
 	{                                                     \
 		frame->n_##field = records->len;              \
-		frame->field = (type **)records->pdata;       \
+		frame->field = (void *)records->pdata;        \
 	}
 
-ATTACH(documents, Dsp__Document)
-ATTACH(history, Dsp__DocumentHistory)
-ATTACH(endpoints, Dsp__Endpoint)
-ATTACH(endpoint_metas, Dsp__EndpointMeta)
-ATTACH(reservations, Dsp__Reservation)
-ATTACH(orders, Dsp__Order)
-ATTACH(claims, Dsp__Claim)
-ATTACH(nodes, Dsp__Node)
-ATTACH(node_metas, Dsp__NodeMeta)
-ATTACH(tombstones, Dsp__Tombstone)
+ATTACH(documents)
+ATTACH(history)
+ATTACH(endpoints)
+ATTACH(endpoint_metas)
+ATTACH(reservations)
+ATTACH(orders)
+ATTACH(claims)
+ATTACH(nodes)
+ATTACH(node_metas)
+ATTACH(tombstones)
 
 static void write_documents(struct writer *w, const struct st *ctx)
 {
--- a/src/core/st_view.c
+++ b/src/core/st_view.c
@@ -78,8 +78,12 @@
 /* Frees all tombstones. */
 void tombstones_clear(struct st *ctx)
 {
-	while (!TAILQ_EMPTY(&ctx->tombstones))
-		tombstone_free(ctx, TAILQ_FIRST(&ctx->tombstones));
+	struct tombstone *t, *next;
+
+	for (t = TAILQ_FIRST(&ctx->tombstones); t; t = next) {
+		next = TAILQ_NEXT(t, link);
+		tombstone_free(ctx, t);
+	}
 }
 
 static int compare_items(const void *a, const void *b)
