--- /dev/null
+++ b/src/core/plc_role.c
@@ -0,0 +1,152 @@
+#include <string.h>
+
+#include "core/plc_int.h"
+
+/* A role is short of endpoints above the first and can give one away below the
+ * second share of its slots; the gap avoids changes back and forth. */
+#define ROLE_FULL 0.9
+#define ROLE_IDLE 0.5
+/* The imbalance must last: a role change empties the endpoint. */
+#define ROLE_PATIENCE_US (INT64_C(30) * 1000000)
+
+struct side {
+	double used;
+	double slots;
+	uint32_t endpoints;
+};
+
+static bool has_role(const struct plc_ep *ep, const char *service,
+		     Dsp__EndpointRole role)
+{
+	return ep->usable && ep->rec->features && ep->rec->features->roles &&
+	       ep->rec->role == role && !strcmp(ep->rec->service, service);
+}
+
+static struct side side_of(const struct plc_round *round, const char *service,
+			   Dsp__EndpointRole role)
+{
+	struct side side = { 0 };
+
+	for (guint i = 0; i < round->eps->len; i++) {
+		const struct plc_ep *ep = g_ptr_array_index(round->eps, i);
+
+		if (!has_role(ep, service, role))
+			continue;
+		side.endpoints++;
+		side.slots += ep->slots;
+		if (ep->seen)
+			side.used += ep->seen->running + ep->seen->waiting;
+	}
+	return side;
+}
+
+/* Every model of the endpoint keeps a copy in the role that it leaves. */
+static bool may_leave_role(const struct plc_ep *ep)
+{
+	for (guint i = 0; i < ep->copies->len; i++) {
+		const struct plc_copy *copy = g_ptr_array_index(ep->copies, i);
+		bool other = false;
+
+		if (!copy->item || copy->old)
+			continue;
+		for (guint j = 0; j < copy->item->copies->len; j++) {
+			const struct plc_copy *twin;
+
+			twin = g_ptr_array_index(copy->item->copies, j);
+			other |= twin->ep != ep && twin->ep->usable &&
+				 twin->ready &&
+				 twin->ep->rec->role == ep->rec->role;
+		}
+		if (!other)
+			return false;
+	}
+	return true;
+}
+
+static bool role_pending(const struct plc_round *round, const char *service)
+{
+	for (size_t i = 0; i < round->n_pending; i++) {
+		const Dsp__Order *order = round->pending[i];
+		const struct plc_ep *ep;
+
+		if (order->kind != DSP__ORDER_KIND__ORDER_ROLE)
+			continue;
+		ep = g_hash_table_lookup(round->ep_by_id, order->endpoint);
+		if (ep && !strcmp(ep->rec->service, service))
+			return true;
+	}
+	return false;
+}
+
+static bool change_one(struct plc_round *round, const char *service,
+		       Dsp__EndpointRole from, Dsp__EndpointRole to)
+{
+	struct plc_ep *best = NULL;
+
+	for (guint i = 0; i < round->eps->len; i++) {
+		struct plc_ep *ep = g_ptr_array_index(round->eps, i);
+
+		if (!has_role(ep, service, from) || !may_leave_role(ep))
+			continue;
+		if (!best || ep->load < best->load)
+			best = ep;
+	}
+	if (!best)
+		return false;
+	plc_emit(round, best, DSP__ORDER_KIND__ORDER_ROLE, best->rec->team,
+		 NULL, to);
+	return true;
+}
+
+static void balance(struct plc_round *round, struct plc_item *item)
+{
+	struct side prefill, decode;
+	struct plc_kept *kept = plc_kept_named(round->plc, item->service);
+	double p, d, ratio;
+	Dsp__EndpointRole from, to;
+
+	prefill =
+		side_of(round, item->service, DSP__ENDPOINT_ROLE__ROLE_PREFILL);
+	decode = side_of(round, item->service, DSP__ENDPOINT_ROLE__ROLE_DECODE);
+	if (!prefill.endpoints || !decode.endpoints ||
+	    role_pending(round, item->service))
+		return;
+	p = prefill.used / prefill.slots;
+	d = decode.used / decode.slots;
+	if (!(p > ROLE_FULL && d < ROLE_IDLE && decode.endpoints > 1) &&
+	    !(d > ROLE_FULL && p < ROLE_IDLE && prefill.endpoints > 1)) {
+		kept->role_since_us = 0;
+		return;
+	}
+	if (!kept->role_since_us)
+		kept->role_since_us = round->now_us;
+	ratio = item->weight_moves / MAX(item->weight_attainment, 0.01);
+	if ((double)(round->now_us - kept->role_since_us) <
+	    ROLE_PATIENCE_US * CLAMP(ratio, 0.3, 3.0))
+		return;
+	from = p > d ? DSP__ENDPOINT_ROLE__ROLE_DECODE
+		     : DSP__ENDPOINT_ROLE__ROLE_PREFILL;
+	to = p > d ? DSP__ENDPOINT_ROLE__ROLE_PREFILL
+		   : DSP__ENDPOINT_ROLE__ROLE_DECODE;
+	if (change_one(round, item->service, from, to))
+		kept->role_since_us = 0;
+}
+
+/*
+ * Changes the role of one endpoint of a service from prefill to decode or back
+ * after a lasting imbalance. Endpoints that do both are left alone.
+ */
+void plc_roles(struct plc_round *round)
+{
+	g_autoptr(GHashTable) done = NULL;
+
+	done = g_hash_table_new(g_str_hash, g_str_equal);
+	for (guint i = 0; i < round->items->len; i++) {
+		struct plc_item *item = g_ptr_array_index(round->items, i);
+
+		if (plc_is_adapter(item) ||
+		    !g_hash_table_add(done, (gpointer)item->service))
+			continue;
+		balance(round, item);
+	}
+}
--- /dev/null
+++ b/src/core/plc_space.c
@@ -0,0 +1,570 @@
+#include <string.h>
+
+#include "core/plc_int.h"
+
+/* Copies that are moved at most to make room for one that is missing. */
+#define MOVES_MAX 4
+
+/* Tells whether an item is an adapter. */
+bool plc_is_adapter(const struct plc_item *item)
+{
+	return *item->adapter;
+}
+
+/* Counts the copies of an item that serve now and stay. */
+uint32_t plc_ready(const struct plc_item *item)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < item->copies->len; i++) {
+		const struct plc_copy *copy;
+
+		copy = g_ptr_array_index(item->copies, i);
+		n += copy->ready && copy->ep->usable;
+	}
+	return n;
+}
+
+static bool coming(const struct plc_copy *copy)
+{
+	return copy->ep->usable &&
+	       (copy->ready || (copy->loading && !copy->stalled));
+}
+
+static const struct plc_copy *base_on(const struct plc_item *adapter,
+				      const struct plc_ep *ep)
+{
+	for (guint i = 0; i < adapter->base->copies->len; i++) {
+		const struct plc_copy *copy;
+
+		copy = g_ptr_array_index(adapter->base->copies, i);
+		if (copy->ep == ep && copy->ready)
+			return copy;
+	}
+	return NULL;
+}
+
+/* Counts the copies of an item that serve or are being loaded. A copy of an
+ * adapter counts only beside a copy of its model in the current version. */
+uint32_t plc_future(const struct plc_item *item)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < item->copies->len; i++) {
+		const struct plc_copy *copy;
+
+		copy = g_ptr_array_index(item->copies, i);
+		if (!coming(copy))
+			continue;
+		if (!plc_is_adapter(item) || base_on(item, copy->ep))
+			n++;
+	}
+	return n;
+}
+
+/* Copies of an item that could serve its requests, this one left out. */
+static uint32_t ready_beside(const struct plc_item *item,
+			     const struct plc_copy *except)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < item->copies->len; i++) {
+		const struct plc_copy *copy;
+
+		copy = g_ptr_array_index(item->copies, i);
+		if (copy == except || !copy->ready || !copy->ep->usable)
+			continue;
+		if (!plc_is_adapter(item) || base_on(item, copy->ep))
+			n++;
+	}
+	return n;
+}
+
+static bool overlap(const struct plc_copy *a, const struct plc_copy *b)
+{
+	return a->first < b->first + b->accelerators &&
+	       b->first < a->first + a->accelerators;
+}
+
+static bool depends(const struct plc_copy *adapter, const struct plc_copy *base)
+{
+	return *adapter->adapter && !*base->adapter &&
+	       !strcmp(adapter->model, base->model) && overlap(adapter, base);
+}
+
+/* Another copy of the same model on the endpoint that keeps the adapters. */
+static bool base_twin(const struct plc_copy *base)
+{
+	for (guint i = 0; i < base->ep->copies->len; i++) {
+		const struct plc_copy *copy;
+
+		copy = g_ptr_array_index(base->ep->copies, i);
+		if (copy != base && !*copy->adapter && copy->ready &&
+		    copy->item == base->item && !copy->old &&
+		    overlap(copy, base))
+			return true;
+	}
+	return false;
+}
+
+static bool wanted_elsewhere(const struct plc_round *round,
+			     const struct plc_copy *copy)
+{
+	g_autofree char *name = NULL;
+	const struct plc_item *item;
+
+	/* The model moved to another service: it stays until it serves there.
+	 */
+	name = g_strjoin("\x1f", copy->model, copy->adapter, NULL);
+	item = g_hash_table_lookup(round->by_name, name);
+	return item && !plc_ready(item);
+}
+
+/*
+ * Tells whether a copy may be unloaded so that at least keep copies of its item
+ * stay ready. Adapters on a model go first, so a model is not unloaded while
+ * one is resident there.
+ */
+bool plc_may_unload(const struct plc_round *round, const struct plc_copy *copy,
+		    uint32_t keep)
+{
+	if (copy->unloading || !copy->ready || !copy->ep->usable)
+		return false;
+	if (!copy->item)
+		return !wanted_elsewhere(round, copy);
+	return ready_beside(copy->item, copy) >= MAX(keep, 1);
+}
+
+/* Adapters that must leave before a model; false when one has no other copy. */
+static bool dependants(const struct plc_round *round,
+		       const struct plc_copy *base, GPtrArray *out)
+{
+	if (*base->adapter || base_twin(base))
+		return true;
+	for (guint i = 0; i < base->ep->copies->len; i++) {
+		struct plc_copy *copy = g_ptr_array_index(base->ep->copies, i);
+
+		if (!depends(copy, base) || copy->unloading)
+			continue;
+		if (!plc_may_unload(round, copy, 1))
+			return false;
+		if (out)
+			g_ptr_array_add(out, copy);
+	}
+	return true;
+}
+
+static bool unload_frees(const struct plc_round *round, const struct plc_ep *ep)
+{
+	if (ep->rec->features && ep->rec->features->fencing)
+		return true;
+	/* An engine that ignores fences may run a duplicate of an old load at
+	 * any time, so its memory stays reserved for the same model. */
+	return g_hash_table_contains(round->single_orders, ep->rec->service);
+}
+
+static uint32_t site_copies(const struct plc_item *item, const char *site)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < item->copies->len; i++) {
+		const struct plc_copy *copy;
+
+		copy = g_ptr_array_index(item->copies, i);
+		if (coming(copy) && !strcmp(copy->ep->rec->site, site))
+			n++;
+	}
+	return n;
+}
+
+static bool holds(const struct plc_item *item, const struct plc_ep *ep)
+{
+	for (guint i = 0; i < item->copies->len; i++) {
+		const struct plc_copy *copy;
+
+		copy = g_ptr_array_index(item->copies, i);
+		if (copy->ep == ep)
+			return true;
+	}
+	return false;
+}
+
+static bool eligible(const struct plc_item *item, const struct plc_ep *ep,
+		     uint32_t *from, uint32_t *to)
+{
+	const struct plc_copy *base;
+
+	if (!ep->usable || strcmp(ep->rec->service, item->service) ||
+	    item->accelerators > ep->rec->accelerators || holds(item, ep))
+		return false;
+	*from = 0;
+	*to = ep->rec->accelerators - item->accelerators;
+	if (!plc_is_adapter(item))
+		return true;
+	base = base_on(item, ep);
+	if (!base)
+		return false;
+	*from = base->first;
+	*to = base->first;
+	return true;
+}
+
+/* Returns the memory that a load takes from what is free on an accelerator:
+ * less where memory is already reserved for the same model. */
+uint32_t plc_needed(const struct plc_round *round, const struct plc_item *item,
+		    const struct plc_ep *ep, uint32_t accelerator)
+{
+	uint32_t reserved;
+
+	/* The query is only worth its time where it can matter. */
+	if (unload_frees(round, ep) &&
+	    ep->free_mb[accelerator] >= item->memory_mb)
+		return item->memory_mb;
+	reserved = st_reserved_mb(round->state, ep->rec->id, accelerator,
+				  item->model, item->version, item->adapter);
+	return item->memory_mb > reserved ? item->memory_mb - reserved : 0;
+}
+
+/* Places with less of these are better. */
+static double place_score(const struct plc_round *round,
+			  const struct plc_item *item, const struct plc_ep *ep,
+			  uint32_t left_mb)
+{
+	double score, sites = site_copies(item, ep->rec->site);
+
+	(void)round;
+	/* The second copy goes to another site; from the third on, load counts
+	 * more. */
+	score = item->copies->len < 2 ? 4.0 * sites : 0.25 * sites;
+	score += ep->load / ep->slots;
+	score += 0.3 * ep->planned;
+	score += 0.2 * left_mb / MAX(ep->rec->accelerator_memory_mb, 1);
+	return score;
+}
+
+/*
+ * Finds free memory for one more copy, leaving spare_mb free on each of its
+ * accelerators: another site first, then little load, then the tightest fit,
+ * so that large gaps stay for large models.
+ */
+bool plc_find(const struct plc_round *round, const struct plc_item *item,
+	      uint32_t spare_mb, struct plc_space *out)
+{
+	double best = 0;
+	bool found = false;
+
+	for (guint i = 0; i < round->eps->len; i++) {
+		struct plc_ep *ep = g_ptr_array_index(round->eps, i);
+		uint32_t from, to;
+
+		if (!eligible(item, ep, &from, &to))
+			continue;
+		for (uint32_t first = from; first <= to; first++) {
+			uint32_t left = G_MAXUINT32, k;
+			double score;
+
+			for (k = first; k < first + item->accelerators; k++) {
+				uint32_t need = plc_needed(round, item, ep, k);
+
+				if (ep->free_mb[k] < need + spare_mb)
+					break;
+				left = MIN(left, ep->free_mb[k] - need);
+			}
+			if (k < first + item->accelerators)
+				continue;
+			score = place_score(round, item, ep, left);
+			if (found && score >= best)
+				continue;
+			found = true;
+			best = score;
+			out->ep = ep;
+			out->first = first;
+		}
+	}
+	return found;
+}
+
+struct victim {
+	struct plc_copy *copy;
+	double loss;
+	bool movable; /* its only copy: it must be moved, not only unloaded */
+};
+
+static int compare_victims(gconstpointer a, gconstpointer b)
+{
+	const struct victim *x = a, *y = b;
+
+	if (x->movable != y->movable)
+		return x->movable ? 1 : -1;
+	if (x->loss != y->loss)
+		return x->loss < y->loss ? -1 : 1;
+	if (x->copy->memory_mb != y->copy->memory_mb)
+		return x->copy->memory_mb > y->copy->memory_mb ? -1 : 1;
+	return x->copy->order < y->copy->order ? -1 : 1;
+}
+
+static GArray *victims_of(const struct plc_round *round,
+			  const struct plc_item *item, struct plc_ep *ep,
+			  uint32_t keep, bool moving)
+{
+	GArray *victims = g_array_new(FALSE, FALSE, sizeof(struct victim));
+
+	for (guint i = 0; i < ep->copies->len; i++) {
+		struct plc_copy *copy = g_ptr_array_index(ep->copies, i);
+		struct victim victim = { .copy = copy };
+		uint32_t min = keep;
+
+		if (copy->unloading || copy->item == item)
+			continue;
+		/* The model below an adapter stays. */
+		if (item->base && copy->item == item->base)
+			continue;
+		if (copy->item && !copy->old)
+			min = keep ? MAX(keep, copy->item->min_copies) : 1;
+		if (plc_may_unload(round, copy, min) &&
+		    dependants(round, copy, NULL)) {
+			victim.loss = plc_loss(round, copy);
+			g_array_append_val(victims, victim);
+		} else if (moving && copy->ready && copy->item && !copy->old) {
+			victim.movable = true;
+			g_array_append_val(victims, victim);
+		}
+	}
+	g_array_sort(victims, compare_victims);
+	return victims;
+}
+
+static bool covers(const struct plc_copy *copy, uint32_t accelerator)
+{
+	return accelerator >= copy->first &&
+	       accelerator < copy->first + copy->accelerators;
+}
+
+/* Memory that becomes free on one accelerator by unloads in transit. */
+static uint32_t leaving_mb(const struct plc_ep *ep, uint32_t accelerator)
+{
+	uint32_t sum = 0;
+
+	for (guint i = 0; i < ep->copies->len; i++) {
+		const struct plc_copy *copy = g_ptr_array_index(ep->copies, i);
+
+		if (copy->unloading && covers(copy, accelerator))
+			sum += copy->memory_mb;
+	}
+	return sum;
+}
+
+struct choice {
+	GPtrArray *copies; /* struct plc_copy, not owned */
+	double loss;
+	uint32_t moves;
+};
+
+/* Chooses victims until the item fits at first; false when it cannot. */
+static bool choose_victims(const struct plc_round *round,
+			   const struct plc_item *item, struct plc_ep *ep,
+			   uint32_t first, const GArray *victims,
+			   struct choice *out)
+{
+	uint32_t n = item->accelerators;
+	int64_t *lack = g_new0(int64_t, n);
+	bool open = false;
+
+	g_ptr_array_set_size(out->copies, 0);
+	out->loss = 0;
+	out->moves = 0;
+	for (uint32_t k = 0; k < n; k++) {
+		lack[k] = (int64_t)plc_needed(round, item, ep, first + k) -
+			  ep->free_mb[first + k] - leaving_mb(ep, first + k);
+		open |= lack[k] > 0;
+	}
+	for (guint i = 0; open && i < victims->len; i++) {
+		const struct victim *victim;
+		bool helps = false, twice = false;
+
+		victim = &g_array_index(victims, struct victim, i);
+		for (uint32_t k = 0; k < n; k++)
+			helps |= lack[k] > 0 && covers(victim->copy, first + k);
+		/* Two copies of one item must not both go. */
+		for (guint j = 0; j < out->copies->len; j++) {
+			const struct plc_copy *other;
+
+			other = g_ptr_array_index(out->copies, j);
+			twice |= victim->copy->item &&
+				 other->item == victim->copy->item;
+		}
+		if (!helps || twice)
+			continue;
+		if (victim->movable && ++out->moves > MOVES_MAX)
+			break;
+		g_ptr_array_add(out->copies, victim->copy);
+		out->loss += victim->loss;
+		open = false;
+		for (uint32_t k = 0; k < n; k++) {
+			if (covers(victim->copy, first + k))
+				lack[k] -= victim->copy->memory_mb;
+			open |= lack[k] > 0;
+		}
+	}
+	g_free(lack);
+	return !open;
+}
+
+/*
+ * Finds a place where one more copy fits after copies are unloaded that other
+ * copies replace. keep is the number of copies that each model retains (0:
+ * one, below its min_copies too); loss_max bounds the requests lost. The
+ * caller frees out->evict.
+ */
+bool plc_find_evicting(const struct plc_round *round,
+		       const struct plc_item *item, uint32_t keep,
+		       double loss_max, struct plc_space *out)
+{
+	struct choice choice = { .copies = g_ptr_array_new() };
+	double best = 0;
+	bool found = false;
+
+	out->evict = NULL;
+	for (guint i = 0; i < round->eps->len; i++) {
+		struct plc_ep *ep = g_ptr_array_index(round->eps, i);
+		uint32_t from, to;
+		GArray *victims;
+
+		if (!eligible(item, ep, &from, &to) || !unload_frees(round, ep))
+			continue;
+		victims = victims_of(round, item, ep, keep, false);
+		for (uint32_t first = from; first <= to; first++) {
+			double score;
+
+			if (!choose_victims(round, item, ep, first, victims,
+					    &choice) ||
+			    choice.loss > loss_max)
+				continue;
+			score = place_score(round, item, ep, 0) +
+				choice.copies->len + choice.loss;
+			if (found && score >= best)
+				continue;
+			found = true;
+			best = score;
+			out->ep = ep;
+			out->first = first;
+			out->loss = choice.loss;
+			if (out->evict)
+				g_ptr_array_free(out->evict, TRUE);
+			out->evict =
+				g_ptr_array_copy(choice.copies, NULL, NULL);
+		}
+		g_array_free(victims, TRUE);
+	}
+	g_ptr_array_free(choice.copies, TRUE);
+	return found;
+}
+
+/* Next load that moves a copy away: the copy itself, or an adapter on it. */
+static bool move_step(const struct plc_round *round, struct plc_copy *copy,
+		      struct plc_copy **step, struct plc_space *space)
+{
+	*step = NULL;
+	if (ready_beside(copy->item, copy) == 0) {
+		if (plc_future(copy->item) > 1)
+			return true; /* its other copy is being loaded */
+		*step = copy;
+		return plc_find(round, copy->item, copy->item->adapters_mb,
+				space) ||
+		       plc_find(round, copy->item, 0, space);
+	}
+	for (guint i = 0; i < copy->ep->copies->len; i++) {
+		struct plc_copy *adapter;
+
+		adapter = g_ptr_array_index(copy->ep->copies, i);
+		if (!depends(adapter, copy) || !adapter->item || adapter->old ||
+		    !adapter->ready || ready_beside(adapter->item, adapter))
+			continue;
+		if (plc_future(adapter->item) > 1)
+			continue;
+		*step = adapter;
+		return plc_find(round, adapter->item, 0, space);
+	}
+	return true;
+}
+
+/*
+ * Finds a place for an item that fits only after other copies have moved, and
+ * the next load for that. *copy is NULL when such a load is in transit. The
+ * moved copies become surplus, so that a later round unloads them.
+ */
+bool plc_find_moving(const struct plc_round *round, const struct plc_item *item,
+		     struct plc_copy **copy, struct plc_space *out)
+{
+	struct choice choice = { .copies = g_ptr_array_new() };
+	uint32_t best = G_MAXUINT32;
+
+	for (guint i = 0; i < round->eps->len; i++) {
+		struct plc_ep *ep = g_ptr_array_index(round->eps, i);
+		uint32_t from, to;
+		GArray *victims;
+
+		if (!eligible(item, ep, &from, &to) || !unload_frees(round, ep))
+			continue;
+		victims = victims_of(round, item, ep, 0, true);
+		for (uint32_t first = from; first <= to; first++) {
+			struct plc_space space = { 0 };
+			struct plc_copy *step = NULL, *next = NULL;
+			struct plc_space next_space = { 0 };
+			bool possible = true;
+
+			if (!choose_victims(round, item, ep, first, victims,
+					    &choice) ||
+			    choice.moves >= best)
+				continue;
+			for (guint j = 0; possible && j < choice.copies->len;
+			     j++) {
+				struct plc_copy *victim;
+
+				victim = g_ptr_array_index(choice.copies, j);
+				if (!victim->item || victim->old)
+					continue;
+				if (ready_beside(victim->item, victim) &&
+				    dependants(round, victim, NULL))
+					continue;
+				possible =
+					move_step(round, victim, &step, &space);
+				if (possible && step && !next) {
+					next = step;
+					next_space = space;
+				}
+			}
+			if (!possible)
+				continue;
+			best = choice.moves;
+			*copy = next;
+			*out = next_space;
+		}
+		g_array_free(victims, TRUE);
+	}
+	g_ptr_array_free(choice.copies, TRUE);
+	return best != G_MAXUINT32;
+}
+
+/* Unloads a copy, adapters on it first. Returns true when the copy itself was
+ * ordered to unload. */
+bool plc_evict(struct plc_round *round, struct plc_copy *copy)
+{
+	g_autoptr(GPtrArray) adapters = g_ptr_array_new();
+
+	if (!dependants(round, copy, adapters))
+		return false;
+	for (guint i = 0; i < adapters->len; i++)
+		plc_unload_copy(round, g_ptr_array_index(adapters, i));
+	if (adapters->len)
+		return false;
+	/* An adapter that is being unloaded still needs its model. */
+	for (guint i = 0; i < copy->ep->copies->len; i++) {
+		const struct plc_copy *other;
+
+		other = g_ptr_array_index(copy->ep->copies, i);
+		if (depends(other, copy) && !base_twin(copy))
+			return false;
+	}
+	return plc_unload_copy(round, copy);
+}
--- /dev/null
+++ b/src/core/rt.c
@@ -0,0 +1,1034 @@
+#include <string.h>
+
+#include "core/rt_int.h"
+
+/* Backoff after a failed connection: half a heartbeat at first. */
+#define AVOID_MIN_US 250000
+#define AVOID_MAX_US 8000000
+/* How long a request waits for a first copy that is not even loading: the
+ * lease of an endpoint (3 s) and one placement round with a load. */
+#define ABSENT_WAIT_US 5000000
+#define DEADLINE_DEFAULT_US 60000000
+#define SLOTS_DEFAULT 16
+#define POLL_US 20000
+#define SCHEDULE_SPACING_US 5000
+#define RETRY_AFTER_MIN_US 100000
+#define RETRY_AFTER_MAX_US 10000000
+/* Candidates within this factor of the best count as equally good. */
+#define GOOD_FACTOR 1.3
+#define GOOD_SLACK_US 1000.0
+/* A queue head that no endpoint can take (retry, suspect) must not block the
+ * requests behind it. */
+#define HEADS_TRIED 4
+#define SEP "\x1f"
+
+static uint64_t next_random(struct rt *ctx)
+{
+	ctx->random ^= ctx->random >> 12;
+	ctx->random ^= ctx->random << 25;
+	ctx->random ^= ctx->random >> 27;
+	return ctx->random * UINT64_C(2685821657736338717);
+}
+
+static double next_unit(struct rt *ctx)
+{
+	return (double)(next_random(ctx) >> 11) * 0x1.0p-53;
+}
+
+static void ep_free(gpointer data)
+{
+	struct rt_ep *ep = data;
+
+	g_ptr_array_free(ep->links, TRUE);
+	g_ptr_array_free(ep->speeds, TRUE);
+	g_free(ep->id);
+	g_free(ep);
+}
+
+static void queue_free(gpointer data)
+{
+	struct rt_queue *queue = data;
+
+	g_free(queue);
+}
+
+static void pool_free(gpointer data)
+{
+	struct rt_pool *pool = data;
+
+	g_ptr_array_free(pool->links, TRUE);
+	g_ptr_array_free(pool->queues, TRUE);
+	g_free(pool->key);
+	g_free(pool);
+}
+
+static void class_free(gpointer data)
+{
+	struct rt_class *class = data;
+
+	g_ptr_array_free(class->queues, TRUE);
+	g_free(class->key);
+	g_free(class);
+}
+
+static void service_free(gpointer data)
+{
+	struct rt_service *service = data;
+
+	g_ptr_array_free(service->classes, TRUE);
+	g_free(service->name);
+	g_free(service);
+}
+
+static void budget_free(gpointer data)
+{
+	struct rt_budget *budget = data;
+
+	g_free(budget->team);
+	g_free(budget);
+}
+
+/* Creates a router without endpoints; seed varies the choice among entries. */
+struct rt *rt_new(uint64_t seed)
+{
+	struct rt *ctx = g_new0(struct rt, 1);
+
+	ctx->random = seed * UINT64_C(0x9e3779b97f4a7c15) + 1;
+	ctx->entries = 1;
+	ctx->view = view_new_empty();
+	ctx->eps =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ep_free);
+	ctx->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+	ctx->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      service_free);
+	ctx->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     budget_free);
+	ctx->prefixes = g_new0(struct rt_prefix, RT_PREFIX_SLOTS);
+	return ctx;
+}
+
+/* Frees a router; every ticket must have been ended. NULL is allowed. */
+void rt_free(struct rt *ctx)
+{
+	if (!ctx)
+		return;
+	g_hash_table_destroy(ctx->eps);
+	g_hash_table_destroy(ctx->pools);
+	g_hash_table_destroy(ctx->services);
+	g_hash_table_destroy(ctx->budgets);
+	g_free(ctx->prefixes);
+	g_free(ctx->picks);
+	view_unref(ctx->view);
+	g_free(ctx);
+}
+
+static struct rt_service *service_of(struct rt *ctx, const char *name)
+{
+	struct rt_service *service = g_hash_table_lookup(ctx->services, name);
+
+	if (service)
+		return service;
+	service = g_new0(struct rt_service, 1);
+	service->name = g_strdup(name);
+	service->classes = g_ptr_array_new_with_free_func(class_free);
+	g_hash_table_insert(ctx->services, service->name, service);
+	return service;
+}
+
+static struct rt_pool *pool_find(struct rt *ctx, const char *service,
+				 const char *model, const char *adapter)
+{
+	char key[256];
+
+	g_snprintf(key, sizeof(key), "%s" SEP "%s" SEP "%s", service,
+		   model ? model : "", adapter ? adapter : "");
+	return g_hash_table_lookup(ctx->pools, key);
+}
+
+static struct rt_pool *pool_of(struct rt *ctx, const char *service,
+			       const char *model, const char *adapter)
+{
+	struct rt_pool *pool = pool_find(ctx, service, model, adapter);
+
+	if (pool)
+		return pool;
+	pool = g_new0(struct rt_pool, 1);
+	pool->key = g_strdup_printf("%s" SEP "%s" SEP "%s", service,
+				    model ? model : "", adapter ? adapter : "");
+	pool->service = service_of(ctx, service);
+	pool->plain = !model || !*model;
+	pool->links = g_ptr_array_new();
+	pool->queues = g_ptr_array_new_with_free_func(queue_free);
+	g_hash_table_insert(ctx->pools, pool->key, pool);
+	pool->base = pool;
+	if (adapter && *adapter)
+		pool->base = pool_of(ctx, service, model, NULL);
+	return pool;
+}
+
+static void links_drop(struct rt_ep *ep)
+{
+	for (guint i = 0; i < ep->links->len; i++) {
+		struct rt_link *link = g_ptr_array_index(ep->links, i);
+		GPtrArray *links = link->pool->links;
+		struct rt_link *last;
+
+		last = g_ptr_array_index(links, links->len - 1);
+		last->pos = link->pos;
+		links->pdata[link->pos] = last;
+		g_ptr_array_set_size(links, (gint)links->len - 1);
+	}
+	g_ptr_array_set_size(ep->links, 0);
+}
+
+static void link_add(struct rt *ctx, struct rt_ep *ep, struct rt_pool *pool,
+		     const char *version, bool ready)
+{
+	struct rt_link *link;
+
+	(void)ctx;
+	for (guint i = 0; i < ep->links->len; i++) {
+		link = g_ptr_array_index(ep->links, i);
+		if (link->pool != pool || strcmp(link->version, version))
+			continue;
+		link->ready |= ready;
+		return;
+	}
+	link = g_new0(struct rt_link, 1);
+	link->ep = ep;
+	link->pool = pool;
+	link->speed = rt_speed_of(ep, pool->base);
+	link->version = version;
+	link->ready = ready;
+	link->pos = pool->links->len;
+	g_ptr_array_add(pool->links, link);
+	g_ptr_array_add(ep->links, link);
+}
+
+static bool base_ready(const Dsp__Endpoint *rec, const Dsp__Copy *adapter)
+{
+	for (size_t i = 0; i < rec->n_copies; i++) {
+		const Dsp__Copy *copy = rec->copies[i];
+
+		if (!*copy->adapter && copy->ready && !copy->unloading &&
+		    !strcmp(copy->model, adapter->model))
+			return true;
+	}
+	return false;
+}
+
+static void links_build(struct rt *ctx, struct rt_ep *ep)
+{
+	const Dsp__Endpoint *rec = ep->rec;
+
+	if (rec->state != DSP__ENDPOINT_STATE__ENDPOINT_UP)
+		return;
+	if (rec->kind == DSP__ENDPOINT_KIND__ENDPOINT_SERVICE) {
+		link_add(ctx, ep, pool_of(ctx, rec->service, NULL, NULL), "",
+			 true);
+		return;
+	}
+	for (size_t i = 0; i < rec->n_copies; i++) {
+		const Dsp__Copy *copy = rec->copies[i];
+		bool ready = copy->ready;
+
+		if (copy->unloading)
+			continue;
+		if (*copy->adapter)
+			ready = ready && base_ready(rec, copy);
+		link_add(ctx, ep,
+			 pool_of(ctx, rec->service, copy->model, copy->adapter),
+			 copy->version, ready);
+	}
+}
+
+static void ep_restarted(struct rt *ctx, struct rt_ep *ep)
+{
+	if (ep->incarnation)
+		rt_prefix_forget(ctx, ep);
+	ep->incarnation = ep->rec->incarnation;
+	ep->reported = false;
+	ep->report_seq = 0;
+	ep->avoid_until_us = 0;
+	ep->backoff_us = 0;
+	ep->probing = false;
+	ep->bias = 1.0;
+}
+
+static void ep_update(struct rt *ctx, const Dsp__Endpoint *rec)
+{
+	struct rt_ep *ep = g_hash_table_lookup(ctx->eps, rec->id);
+
+	if (!ep) {
+		ep = g_new0(struct rt_ep, 1);
+		ep->id = g_strdup(rec->id);
+		ep->factor = 1.0;
+		ep->bias = 1.0;
+		ep->links = g_ptr_array_new_with_free_func(g_free);
+		ep->speeds = g_ptr_array_new_with_free_func(g_free);
+		TAILQ_INIT(&ep->tickets);
+		g_hash_table_insert(ctx->eps, ep->id, ep);
+	}
+	ep->seen = ctx->view_pass;
+	if (ep->rec == rec)
+		return;
+	links_drop(ep);
+	ep->rec = rec;
+	ep->slots = rec->max_batch ? rec->max_batch : SLOTS_DEFAULT;
+	if (ep->incarnation != rec->incarnation)
+		ep_restarted(ctx, ep);
+	links_build(ctx, ep);
+}
+
+static gboolean ep_gone(gpointer key, gpointer value, gpointer data)
+{
+	struct rt_ep *ep = value;
+	struct rt *ctx = data;
+
+	(void)key;
+	if (ep->seen == ctx->view_pass)
+		return FALSE;
+	links_drop(ep);
+	ep->rec = NULL;
+	if (!TAILQ_EMPTY(&ep->tickets))
+		return FALSE;
+	rt_prefix_forget(ctx, ep);
+	return TRUE;
+}
+
+static bool ep_usable(const struct rt_ep *ep, const struct rt_ticket *ticket,
+		      int64_t now_us)
+{
+	if (now_us < ep->avoid_until_us || (ep->probing && ep->in_flight))
+		return false;
+	if (ticket->exclude && !strcmp(ticket->exclude, ep->id))
+		return false;
+	return !ticket->suspect || !ep->suspects;
+}
+
+/*
+ * Requests that an entry sends to an endpoint at the same time. More than the
+ * batch keeps the endpoint busy between a completion and the next report; the
+ * excess is for the first class only, so that others wait here, where they can
+ * be overtaken.
+ */
+static double ep_limit(const struct rt_ep *ep, const struct rt_ticket *ticket)
+{
+	const struct rt_class *class = ticket->queue->class;
+	uint32_t excess = 1;
+
+	if (class->priority == class->service->top_priority) {
+		excess = MAX(ep->slots / 4, 1);
+		if (ep->rec->features && ep->rec->features->priorities)
+			excess = MAX(ep->slots / 2, 1);
+	}
+	return ep->slots + excess;
+}
+
+static size_t collect(struct rt *ctx, const struct rt_ticket *ticket,
+		      bool in_force, int64_t now_us)
+{
+	GPtrArray *links = ticket->pool->links;
+	size_t n = 0;
+
+	if (ctx->picks_max < links->len) {
+		ctx->picks_max = links->len + 16;
+		ctx->picks =
+			g_renew(struct rt_pick, ctx->picks, ctx->picks_max);
+	}
+	for (guint i = 0; i < links->len; i++) {
+		struct rt_link *link = g_ptr_array_index(links, i);
+		struct rt_pick *pick = &ctx->picks[n];
+		bool current;
+
+		if (!link->ready || !ep_usable(link->ep, ticket, now_us))
+			continue;
+		current = !ticket->version ||
+			  !strcmp(ticket->version, link->version);
+		if (current != in_force)
+			continue;
+		rt_predict(ctx, link, ticket, now_us, pick);
+		if (pick->load + 1.0 > ep_limit(link->ep, ticket))
+			continue;
+		pick->link = link;
+		n++;
+	}
+	return n;
+}
+
+static struct rt_pick *draw(struct rt *ctx, size_t n, double sum)
+{
+	double at = next_unit(ctx) * sum;
+
+	for (size_t i = 0; i + 1 < n; i++) {
+		at -= ctx->picks[i].weight;
+		if (at < 0)
+			return &ctx->picks[i];
+	}
+	return &ctx->picks[n - 1];
+}
+
+/*
+ * Chooses an endpoint with room: two draws, weighted by capacity, from those
+ * that are about as good as the best; the better one is taken. Entries that
+ * see the same report thus choose differently.
+ */
+static struct rt_pick *choose(struct rt *ctx, const struct rt_ticket *ticket,
+			      int64_t now_us)
+{
+	size_t n = collect(ctx, ticket, true, now_us), good = 0;
+	struct rt_pick *a, *b;
+	double best, sum = 0;
+
+	/* Copies of another version serve while the one in force has no room
+	 * or is not loaded. */
+	if (!n)
+		n = collect(ctx, ticket, false, now_us);
+	if (!n)
+		return NULL;
+	best = ctx->picks[0].total_us;
+	for (size_t i = 1; i < n; i++)
+		best = MIN(best, ctx->picks[i].total_us);
+	best = best * GOOD_FACTOR + GOOD_SLACK_US;
+	for (size_t i = 0; i < n; i++) {
+		if (ctx->picks[i].total_us > best)
+			continue;
+		sum += ctx->picks[i].weight;
+		ctx->picks[good++] = ctx->picks[i];
+	}
+	a = draw(ctx, good, sum);
+	b = draw(ctx, good, sum);
+	return b->total_us < a->total_us ? b : a;
+}
+
+static void detach(struct rt_ticket *ticket, int64_t now_us)
+{
+	struct rt_ep *ep = ticket->ep;
+
+	if (!ep)
+		return;
+	TAILQ_REMOVE(&ep->tickets, ticket, ep_entry);
+	ep->in_flight--;
+	if (ticket->suspect)
+		ep->suspects--;
+	rt_sample_in_flight(ep, now_us);
+	ticket->ep = NULL;
+}
+
+static bool grant(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us)
+{
+	struct rt_pick *pick = choose(ctx, ticket, now_us);
+	struct rt_pool *pool = ticket->pool;
+	struct rt_ep *ep;
+
+	if (!pick)
+		return false;
+	ep = pick->link->ep;
+	if (ticket->queued) {
+		if (pool->granted_us) {
+			double gap = (double)(now_us - pool->granted_us);
+
+			pool->grant_gap_us += (gap - pool->grant_gap_us) /
+					      MIN(pool->n_gap + 1.0, 16.0);
+			pool->n_gap += 1.0;
+		}
+		rt_queue_remove(ctx, ticket);
+	}
+	pool->granted_us = pool->waiting ? now_us : 0;
+	ticket->state = RT_STATE_GRANTED;
+	ticket->ep = ep;
+	ticket->speed = pick->link->speed;
+	ticket->dispatch_us = now_us;
+	ticket->first_us = 0;
+	ticket->load = pick->load + 1.0;
+	ticket->cost = pick->cost;
+	ticket->first_pred_us = pick->base_us;
+	ticket->predicted_us = (int64_t)pick->first_us;
+	TAILQ_INSERT_TAIL(&ep->tickets, ticket, ep_entry);
+	ep->in_flight++;
+	if (ticket->suspect)
+		ep->suspects++;
+	rt_sample_in_flight(ep, now_us);
+	rt_queue_charge(ticket->queue, rt_service_us(pool, ep), now_us);
+	return true;
+}
+
+static bool grant_from(struct rt *ctx, struct rt_queue *queue, int64_t now_us)
+{
+	struct rt_ticket *ticket = TAILQ_FIRST(&queue->tickets);
+
+	for (int i = 0; ticket && i < HEADS_TRIED; i++) {
+		struct rt_ticket *next = TAILQ_NEXT(ticket, entry);
+
+		if (grant(ctx, ticket, now_us))
+			return true;
+		ticket = next;
+	}
+	return false;
+}
+
+static void schedule(struct rt *ctx, GPtrArray *links, struct rt_pool *only,
+		     int64_t now_us)
+{
+	struct rt_queue *queue;
+
+	if (!ctx->waiting)
+		return;
+	ctx->pass++;
+	while ((queue = rt_queue_next(ctx, links, only, now_us))) {
+		if (!grant_from(ctx, queue, now_us))
+			queue->blocked = ctx->pass;
+	}
+	if (only)
+		only->scheduled_us = now_us;
+}
+
+static void refuse(struct rt *ctx, struct rt_ticket *ticket,
+		   enum rt_reason reason)
+{
+	rt_queue_remove(ctx, ticket);
+	ticket->state = RT_STATE_REFUSED;
+	ticket->reason = reason;
+}
+
+static void ticket_free(struct rt_ticket *ticket)
+{
+	view_unref(ticket->view);
+	g_free(ticket->version);
+	g_free(ticket->exclude);
+	g_free(ticket);
+}
+
+/* Expected time until the pool has granted all tickets ahead of a new one. */
+static double queue_wait_us(const struct rt *ctx,
+			    const struct rt_ticket *ticket)
+{
+	const struct rt_pool *pool = ticket->pool;
+	double rate = 0, gap;
+	uint32_t ahead =
+		rt_queue_ahead(pool, ticket->queue->class, ticket->deadline_us);
+
+	for (guint i = 0; i < pool->links->len; i++) {
+		const struct rt_link *link = g_ptr_array_index(pool->links, i);
+
+		if (link->ready)
+			rate += link->ep->slots /
+				MAX(rt_service_us(pool, link->ep), 1.0);
+	}
+	if (rate <= 0)
+		return 0;
+	gap = ctx->entries / rate;
+	if (pool->n_gap > 0) {
+		double known = MIN(pool->n_gap, 16.0) / 16.0;
+
+		gap += known * (pool->grant_gap_us - gap);
+	}
+	return (ahead + 1.0) * gap;
+}
+
+struct outlook {
+	bool ready;	 /* a ready copy that the ticket may use */
+	bool loading;	 /* a copy that is not ready yet */
+	double floor_us; /* best case: idle endpoint */
+	double wait_us;	 /* expected before the floor */
+};
+
+static struct outlook look(const struct rt *ctx, const struct rt_ticket *ticket,
+			   int64_t now_us)
+{
+	struct outlook out = { .floor_us = -1 };
+	int64_t avoid_us = INT64_MAX;
+	GPtrArray *links = ticket->pool->links;
+
+	for (guint i = 0; i < links->len; i++) {
+		struct rt_link *link = g_ptr_array_index(links, i);
+		struct rt_pick pick = { 0 };
+		double floor;
+
+		if (ticket->exclude && !strcmp(ticket->exclude, link->ep->id))
+			continue;
+		if (!link->ready) {
+			out.loading = true;
+			continue;
+		}
+		out.ready = true;
+		avoid_us = MIN(avoid_us,
+			       MAX(link->ep->avoid_until_us - now_us, 0));
+		rt_predict(ctx, link, ticket, now_us, &pick);
+		floor = pick.base_us;
+		if (ticket->whole)
+			floor += pick.total_us - pick.first_us;
+		if (out.floor_us < 0 || floor < out.floor_us)
+			out.floor_us = floor;
+	}
+	out.floor_us = MAX(out.floor_us, 0);
+	if (out.ready)
+		out.wait_us = MAX(queue_wait_us(ctx, ticket), (double)avoid_us);
+	return out;
+}
+
+static bool published(const struct rt *ctx, const struct rt_request *request)
+{
+	const struct view_document *document;
+
+	document = view_document(ctx->view, request->team);
+	if (!document || !document->parsed)
+		return false;
+	if (request->adapter && *request->adapter)
+		return doc_adapter(document->parsed, request->model,
+				   request->adapter);
+	return doc_model(document->parsed, request->model);
+}
+
+static const char *version_in_force(const struct rt *ctx,
+				    const struct rt_request *request)
+{
+	const struct view_document *document;
+	const struct doc_adapter *adapter;
+	const struct doc_model *model;
+
+	if (!request->model || !request->team)
+		return NULL;
+	document = view_document(ctx->view, request->team);
+	if (!document || !document->parsed)
+		return NULL;
+	if (request->adapter && *request->adapter) {
+		adapter = doc_adapter(document->parsed, request->model,
+				      request->adapter);
+		return adapter ? adapter->version : NULL;
+	}
+	model = doc_model(document->parsed, request->model);
+	return model ? model->version : NULL;
+}
+
+static struct rt_ticket *ticket_new(struct rt *ctx, struct rt_pool *pool,
+				    const struct rt_request *request,
+				    int64_t now_us)
+{
+	struct rt_ticket *ticket = g_new0(struct rt_ticket, 1);
+	const struct doc_class *limits = request->class_limits;
+
+	ticket->pool = pool;
+	ticket->queue = rt_queue_of(ctx, pool, request);
+	ticket->budget = rt_budget_of(ctx, request->team ? request->team : "");
+	ticket->version = g_strdup(version_in_force(ctx, request));
+	ticket->exclude = g_strdup(request->exclude);
+	ticket->arrival_us = request->arrival_us;
+	ticket->deadline_us = request->deadline_us
+				      ? request->deadline_us
+				      : now_us + DEADLINE_DEFAULT_US;
+	ticket->whole = pool->plain || (limits && limits->deadline_us > 0);
+	ticket->suspect = request->suspect;
+	ticket->queue_max = limits ? limits->queue_max : 0;
+	ticket->prompt_tokens = request->prompt_tokens;
+	memcpy(ticket->prefix_hashes, request->prefix_hashes,
+	       sizeof(ticket->prefix_hashes));
+	ticket->absent_until_us = now_us + ABSENT_WAIT_US;
+	return ticket;
+}
+
+static void answer(struct rt *ctx, struct rt_ticket *ticket,
+		   struct rt_decision *out)
+{
+	*out = (struct rt_decision){
+		.outcome = RT_WAIT,
+		.ticket = ticket,
+		.predicted_us = ticket->predicted_us,
+	};
+	switch (ticket->state) {
+	case RT_STATE_WAITING:
+		return;
+	case RT_STATE_REFUSED:
+		out->outcome = RT_REFUSE;
+		out->reason = ticket->reason;
+		out->retry_after_us = RETRY_AFTER_MIN_US;
+		return;
+	case RT_STATE_GRANTED:
+		ticket->state = RT_STATE_DISPATCHED;
+		view_unref(ticket->view);
+		ticket->view = view_ref(ctx->view);
+		ticket->endpoint = ticket->ep->rec;
+		break;
+	case RT_STATE_DISPATCHED:
+		break;
+	}
+	out->outcome = RT_DISPATCH;
+	out->endpoint = ticket->endpoint;
+}
+
+/*
+ * Decides whether a new ticket may wait. Returns the reason to refuse it, or
+ * RT_REASON_NONE.
+ */
+static enum rt_reason admit(struct rt *ctx, struct rt_ticket *ticket,
+			    int64_t now_us, int64_t *retry_after_us)
+{
+	struct outlook outlook = look(ctx, ticket, now_us);
+	struct rt_ticket *other;
+	double needed = outlook.wait_us + outlook.floor_us;
+	double remaining = (double)(ticket->deadline_us - now_us);
+	uint32_t limit = ticket->queue_max ? ticket->queue_max : 256;
+
+	ticket->floor_us = outlook.floor_us;
+	*retry_after_us =
+		(int64_t)CLAMP(needed - remaining, (double)RETRY_AFTER_MIN_US,
+			       (double)RETRY_AFTER_MAX_US);
+	if (!outlook.ready && !outlook.loading && !ticket->pool->service->up)
+		return RT_REASON_NO_ENDPOINT;
+	if (outlook.loading)
+		ticket->absent_until_us = ticket->deadline_us;
+	if (remaining <= 0 || (outlook.ready && needed > remaining))
+		return RT_REASON_DEADLINE_UNREACHABLE;
+	if (ticket->retried)
+		return RT_REASON_NONE;
+	if (rt_queue_over_share(ticket->queue, ticket->queue_max))
+		return RT_REASON_MODEL_SHARE;
+	if (ticket->queue->class->waiting < limit)
+		return RT_REASON_NONE;
+	other = rt_queue_push_out(ticket->queue);
+	if (!other || other->retried)
+		return RT_REASON_QUEUE_FULL;
+	refuse(ctx, other, RT_REASON_MODEL_SHARE);
+	return RT_REASON_NONE;
+}
+
+/* Grants a new ticket at once when no other waits for the same endpoints, or
+ * else puts it into its queue. */
+static enum rt_reason place(struct rt *ctx, struct rt_ticket *ticket,
+			    int64_t now_us, int64_t *retry_after_us)
+{
+	enum rt_reason reason;
+
+	ticket->state = RT_STATE_WAITING;
+	if (!ticket->pool->waiting && grant(ctx, ticket, now_us))
+		return RT_REASON_NONE;
+	reason = admit(ctx, ticket, now_us, retry_after_us);
+	if (reason != RT_REASON_NONE)
+		return reason;
+	rt_queue_insert(ctx, ticket);
+	if (!ticket->pool->granted_us)
+		ticket->pool->granted_us = now_us;
+	schedule(ctx, NULL, ticket->pool, now_us);
+	return RT_REASON_NONE;
+}
+
+static void each_count_up(gpointer key, gpointer value, gpointer data)
+{
+	struct rt_ep *ep = value;
+	struct rt *ctx = data;
+
+	(void)key;
+	if (ep->rec && ep->rec->state == DSP__ENDPOINT_STATE__ENDPOINT_UP)
+		service_of(ctx, ep->rec->service)->up++;
+}
+
+static void each_schedule(gpointer key, gpointer value, gpointer data)
+{
+	struct rt_pool *pool = value;
+	struct {
+		struct rt *ctx;
+		int64_t now_us;
+	} *args = data;
+
+	(void)key;
+	if (pool->waiting)
+		schedule(args->ctx, NULL, pool, args->now_us);
+}
+
+static void each_reset_up(gpointer key, gpointer value, gpointer data)
+{
+	struct rt_service *service = value;
+
+	(void)key;
+	(void)data;
+	service->up = 0;
+}
+
+/* Installs a view; takes its own reference. Waiting requests are scheduled on
+ * what the view adds; leaving endpoints and unloading copies get no more. */
+void rt_set_view(struct rt *ctx, struct view *view, int64_t now_us)
+{
+	struct view *old = ctx->view;
+	struct {
+		struct rt *ctx;
+		int64_t now_us;
+	} args = { ctx, now_us };
+
+	ctx->view = view_ref(view);
+	ctx->view_pass++;
+	for (size_t i = 0; i < view_n_endpoints(view); i++)
+		ep_update(ctx, view_endpoint_at(view, i));
+	g_hash_table_foreach_remove(ctx->eps, ep_gone, ctx);
+	g_hash_table_foreach(ctx->services, each_reset_up, NULL);
+	g_hash_table_foreach(ctx->eps, each_count_up, ctx);
+	view_unref(old);
+	if (ctx->waiting)
+		g_hash_table_foreach(ctx->pools, each_schedule, &args);
+}
+
+/* Takes a load report; reports of another incarnation and those that are older
+ * than the last one are ignored. */
+void rt_report(struct rt *ctx, const Dsp__LoadReport *report, int64_t now_us)
+{
+	struct rt_ep *ep = g_hash_table_lookup(ctx->eps, report->endpoint);
+	double total;
+
+	if (!ep || report->incarnation != ep->incarnation)
+		return;
+	if (ep->reported && report->sequence <= ep->report_seq)
+		return;
+	ep->reported = true;
+	ep->report_seq = report->sequence;
+	ep->report_us = now_us - (int64_t)report->age_ms * 1000;
+	/* A wrong report must not make an endpoint unreachable for ever: no
+	 * more than one batch is believed to wait. */
+	total = MIN(report->running, ep->slots);
+	total += MIN(report->waiting, ep->slots);
+	ep->others = MAX(total - rt_in_flight_at(ep, ep->report_us), 0.0);
+	schedule(ctx, ep->links, NULL, now_us);
+}
+
+/* Sets the number of entries that share the endpoints, this one included. */
+void rt_set_entries(struct rt *ctx, uint32_t entries)
+{
+	ctx->entries = MAX(entries, 1);
+}
+
+/*
+ * Decides on a new request. With RT_DISPATCH and RT_WAIT the ticket must be
+ * ended by rt_done(); with RT_REFUSE there is none and no endpoint has seen the
+ * request.
+ */
+void rt_submit(struct rt *ctx, const struct rt_request *request, int64_t now_us,
+	       struct rt_decision *out)
+{
+	struct rt_pool *pool;
+	struct rt_ticket *ticket;
+	enum rt_reason reason;
+	int64_t retry_after_us = RETRY_AFTER_MIN_US;
+
+	pool = pool_find(ctx, request->service, request->model,
+			 request->adapter);
+	if (!pool && request->model && request->team && published(ctx, request))
+		pool = pool_of(ctx, request->service, request->model,
+			       request->adapter);
+	if (!pool) {
+		*out = (struct rt_decision){
+			.outcome = RT_REFUSE,
+			.reason = RT_REASON_NO_ENDPOINT,
+			.retry_after_us = RETRY_AFTER_MAX_US,
+		};
+		return;
+	}
+	ticket = ticket_new(ctx, pool, request, now_us);
+	rt_budget_earn(ticket->budget);
+	reason = place(ctx, ticket, now_us, &retry_after_us);
+	if (reason == RT_REASON_NONE) {
+		answer(ctx, ticket, out);
+		return;
+	}
+	ticket_free(ticket);
+	*out = (struct rt_decision){
+		.outcome = RT_REFUSE,
+		.reason = reason,
+		.retry_after_us = retry_after_us,
+	};
+}
+
+static bool grant_valid(const struct rt_ticket *ticket)
+{
+	const struct rt_ep *ep = ticket->ep;
+
+	for (guint i = 0; ep->rec && i < ep->links->len; i++) {
+		const struct rt_link *link = g_ptr_array_index(ep->links, i);
+
+		if (link->pool == ticket->pool && link->ready)
+			return !ep->probing || ep->in_flight == 1;
+	}
+	return false;
+}
+
+static bool hopeless(struct rt_ticket *ticket, int64_t now_us)
+{
+	if ((double)now_us + ticket->floor_us > (double)ticket->deadline_us) {
+		ticket->reason = RT_REASON_DEADLINE_UNREACHABLE;
+		return true;
+	}
+	if (now_us < ticket->absent_until_us)
+		return false;
+	for (guint i = 0; i < ticket->pool->links->len; i++) {
+		const struct rt_link *link;
+
+		link = g_ptr_array_index(ticket->pool->links, i);
+		if (!ticket->exclude || strcmp(ticket->exclude, link->ep->id))
+			return false;
+	}
+	ticket->reason = RT_REASON_NO_ENDPOINT;
+	return true;
+}
+
+/*
+ * Asks again for a ticket that got RT_WAIT. A ticket that is refused now must
+ * still be ended by rt_done(); no endpoint has seen its request.
+ */
+void rt_poll(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us,
+	     struct rt_decision *out)
+{
+	if (ticket->state == RT_STATE_GRANTED && !grant_valid(ticket)) {
+		detach(ticket, now_us);
+		ticket->state = RT_STATE_WAITING;
+		rt_queue_insert(ctx, ticket);
+	}
+	if (ticket->state == RT_STATE_WAITING) {
+		int64_t since = now_us - ticket->pool->scheduled_us;
+
+		if (since >= SCHEDULE_SPACING_US)
+			schedule(ctx, NULL, ticket->pool, now_us);
+	}
+	if (ticket->state == RT_STATE_WAITING && hopeless(ticket, now_us))
+		refuse(ctx, ticket, ticket->reason);
+	answer(ctx, ticket, out);
+}
+
+/*
+ * Asks for another endpoint after a dispatched attempt failed. One retry is
+ * allowed within the deadline and the retry budget of the team; RT_REFUSE here
+ * says only that there is no further attempt. The ticket must still be ended.
+ */
+void rt_retry(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us,
+	      struct rt_decision *out)
+{
+	int64_t retry_after_us = RETRY_AFTER_MIN_US;
+	enum rt_reason reason;
+	struct rt_ep *ep = ticket->ep;
+
+	if (ep) {
+		g_free(ticket->exclude);
+		ticket->exclude = g_strdup(ep->id);
+	}
+	detach(ticket, now_us);
+	if (ep)
+		schedule(ctx, ep->links, NULL, now_us);
+	if (ticket->retried || !rt_budget_take(ticket->budget)) {
+		refuse(ctx, ticket, RT_REASON_RETRY_BUDGET);
+		answer(ctx, ticket, out);
+		return;
+	}
+	ticket->retried = true;
+	ticket->absent_until_us = now_us + ABSENT_WAIT_US;
+	reason = place(ctx, ticket, now_us, &retry_after_us);
+	if (reason != RT_REASON_NONE)
+		refuse(ctx, ticket, reason);
+	answer(ctx, ticket, out);
+	if (out->outcome == RT_REFUSE)
+		out->retry_after_us = retry_after_us;
+}
+
+static void succeeded(struct rt_ep *ep)
+{
+	ep->probing = false;
+	ep->backoff_us = 0;
+	ep->avoid_until_us = 0;
+}
+
+/* Tells that the first token (or the answer of a plain service) arrived. */
+void rt_first_token(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us)
+{
+	if (ticket->state != RT_STATE_DISPATCHED || !ticket->ep ||
+	    ticket->first_us)
+		return;
+	rt_learn_first(ticket, now_us);
+	rt_prefix_note(ctx, ticket, now_us);
+	succeeded(ticket->ep);
+}
+
+/* Ends a ticket in any state and frees it. */
+void rt_done(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us,
+	     uint32_t tokens, bool success)
+{
+	struct rt_ep *ep = ticket->ep;
+
+	(void)tokens;
+	rt_queue_remove(ctx, ticket);
+	if (ep && success && ticket->state == RT_STATE_DISPATCHED) {
+		rt_first_token(ctx, ticket, now_us);
+		rt_learn_done(ticket, now_us);
+	}
+	detach(ticket, now_us);
+	ticket_free(ticket);
+	if (ep)
+		schedule(ctx, ep->links, NULL, now_us);
+}
+
+/*
+ * Tells that a connection to the endpoint was refused or broke. It gets no new
+ * request until a backoff has passed, then one at a time until one succeeds.
+ * Failures of an earlier incarnation are ignored.
+ */
+void rt_endpoint_failed(struct rt *ctx, const char *endpoint,
+			uint64_t incarnation, int64_t now_us)
+{
+	struct rt_ep *ep = g_hash_table_lookup(ctx->eps, endpoint);
+
+	if (!ep || ep->incarnation != incarnation)
+		return;
+	ep->probing = true;
+	/* Requests that break together count as one failure. */
+	if (now_us < ep->avoid_until_us)
+		return;
+	ep->backoff_us = CLAMP(ep->backoff_us * 2, AVOID_MIN_US, AVOID_MAX_US);
+	ep->avoid_until_us = now_us + ep->backoff_us;
+}
+
+/* Returns the latest time at which to ask again for a waiting ticket. */
+int64_t rt_next_us(const struct rt *ctx, const struct rt_ticket *ticket,
+		   int64_t now_us)
+{
+	int64_t hopeless_us = ticket->deadline_us - (int64_t)ticket->floor_us;
+
+	(void)ctx;
+	if (ticket->state != RT_STATE_WAITING)
+		return now_us;
+	return MAX(now_us, MIN(now_us + POLL_US, hopeless_us + 1));
+}
+
+/* Tells whether rt_poll() would now give another outcome than RT_WAIT. */
+bool rt_decided(const struct rt_ticket *ticket)
+{
+	return ticket->state != RT_STATE_WAITING;
+}
+
+/* Returns the own requests in flight on an endpoint. */
+uint32_t rt_in_flight(const struct rt *ctx, const char *endpoint)
+{
+	const struct rt_ep *ep = g_hash_table_lookup(ctx->eps, endpoint);
+
+	return ep ? ep->in_flight : 0;
+}
+
+/* Returns the number of requests that wait in queues. */
+uint32_t rt_waiting(const struct rt *ctx)
+{
+	return ctx->waiting;
+}
+
+/* Returns the code of a reason for error responses. */
+const char *rt_reason_code(enum rt_reason reason)
+{
+	switch (reason) {
+	case RT_REASON_NONE:
+		return "none";
+	case RT_REASON_NO_ENDPOINT:
+		return "no_endpoint";
+	case RT_REASON_DEADLINE_UNREACHABLE:
+		return "deadline_unreachable";
+	case RT_REASON_QUEUE_FULL:
+		return "queue_full";
+	case RT_REASON_MODEL_SHARE:
+		return "model_share";
+	case RT_REASON_RETRY_BUDGET:
+		return "retry_budget";
+	}
+	return "none";
+}
--- a/src/core/rt.h
+++ b/src/core/rt.h
@@ -30,8 +30,11 @@
 
 enum rt_outcome {
 	RT_DISPATCH, /* send to endpoint now; call rt_done() afterwards */
-	RT_WAIT,     /* queued; ask again after rt_next_us() or a completion */
-	RT_REFUSE,   /* no byte was sent; reason says why */
+	RT_WAIT,     /* queued; ask again at rt_next_us() or a completion */
+	/* No byte was sent (by this attempt, after rt_retry()). Only
+	 * rt_submit() leaves no ticket; others must still be ended by
+	 * rt_done(). */
+	RT_REFUSE,
 };
 
 enum rt_reason {
@@ -48,10 +51,11 @@
 struct rt_decision {
 	enum rt_outcome outcome;
 	enum rt_reason reason;
-	const Dsp__Endpoint *endpoint; /* RT_DISPATCH; lives as the view */
-	int64_t predicted_us;	       /* time to first token */
-	int64_t retry_after_us;	       /* RT_REFUSE */
-	struct rt_ticket *ticket;      /* RT_DISPATCH and RT_WAIT */
+	/* RT_DISPATCH; lives until rt_done() or the next rt_retry() */
+	const Dsp__Endpoint *endpoint;
+	int64_t predicted_us;	  /* time to first token */
+	int64_t retry_after_us;	  /* RT_REFUSE */
+	struct rt_ticket *ticket; /* NULL when rt_submit() refuses */
 };
 
 struct rt *rt_new(uint64_t seed);
@@ -81,6 +85,11 @@
 /* Queries. */
 uint32_t rt_in_flight(const struct rt *ctx, const char *endpoint);
 uint32_t rt_waiting(const struct rt *ctx);
+/* Latest time at which to ask again for a ticket that got RT_WAIT. */
+int64_t rt_next_us(const struct rt *ctx, const struct rt_ticket *ticket,
+		   int64_t now_us);
+/* True when rt_poll() would now dispatch or refuse. */
+bool rt_decided(const struct rt_ticket *ticket);
 const char *rt_reason_code(enum rt_reason reason);
 
 #endif
--- /dev/null
+++ b/src/core/rt_queue.c
@@ -0,0 +1,286 @@
+#include <math.h>
+#include <string.h>
+
+#include "core/rt_int.h"
+
+/* Shares are enforced over about this time: a burst shorter than it may use
+ * more than its share. */
+#define USAGE_HALF_US 2000000.0
+/* A model may use this multiple of an equal share before others go first. */
+#define OVER_SHARE 1.5
+#define QUEUE_MAX_DEFAULT 256
+
+static void decay(double *usage, int64_t *at_us, int64_t now_us)
+{
+	if (now_us <= *at_us)
+		return;
+	if (*usage > 0)
+		*usage *= exp2(-(double)(now_us - *at_us) / USAGE_HALF_US);
+	*at_us = now_us;
+}
+
+static struct rt_class *class_of(struct rt_service *service,
+				 const struct rt_request *request)
+{
+	const struct doc_class *limits = request->class_limits;
+	const char *name = request->class_name ? request->class_name : "";
+	g_autofree char *key = NULL;
+	struct rt_class *class = NULL;
+
+	key = g_strjoin("\x1f", request->team ? request->team : "", name, NULL);
+	for (guint i = 0; i < service->classes->len && !class; i++) {
+		class = g_ptr_array_index(service->classes, i);
+		if (strcmp(class->key, key))
+			class = NULL;
+	}
+	if (!class) {
+		class = g_new0(struct rt_class, 1);
+		class->key = g_steal_pointer(&key);
+		class->service = service;
+		class->queues = g_ptr_array_new();
+		g_ptr_array_add(service->classes, class);
+	}
+	class->priority = limits ? limits->priority : 1;
+	class->share = limits ? limits->share : 0;
+	service->top_priority = G_MAXUINT32;
+	for (guint i = 0; i < service->classes->len; i++) {
+		struct rt_class *other;
+
+		other = g_ptr_array_index(service->classes, i);
+		service->top_priority =
+			MIN(service->top_priority, other->priority);
+	}
+	return class;
+}
+
+/* Returns the queue of the request's class for a pool. */
+struct rt_queue *rt_queue_of(struct rt *ctx, struct rt_pool *pool,
+			     const struct rt_request *request)
+{
+	struct rt_class *class = class_of(pool->service, request);
+	struct rt_queue *queue;
+
+	(void)ctx;
+	for (guint i = 0; i < pool->queues->len; i++) {
+		queue = g_ptr_array_index(pool->queues, i);
+		if (queue->class == class)
+			return queue;
+	}
+	queue = g_new0(struct rt_queue, 1);
+	queue->class = class;
+	queue->pool = pool;
+	TAILQ_INIT(&queue->tickets);
+	g_ptr_array_add(pool->queues, queue);
+	g_ptr_array_add(class->queues, queue);
+	return queue;
+}
+
+/* Adds a ticket to its queue, in the order of deadlines. */
+void rt_queue_insert(struct rt *ctx, struct rt_ticket *ticket)
+{
+	struct rt_queue *queue = ticket->queue;
+	struct rt_ticket *before;
+
+	TAILQ_FOREACH_REVERSE(before, &queue->tickets, rt_tickets, entry)
+	{
+		if (before->deadline_us <= ticket->deadline_us)
+			break;
+	}
+	if (before)
+		TAILQ_INSERT_AFTER(&queue->tickets, before, ticket, entry);
+	else
+		TAILQ_INSERT_HEAD(&queue->tickets, ticket, entry);
+	ticket->queued = true;
+	if (queue->len++ == 0)
+		queue->class->active++;
+	queue->class->waiting++;
+	queue->pool->waiting++;
+	ctx->waiting++;
+}
+
+/* Takes a ticket out of its queue; no effect when it is not in it. */
+void rt_queue_remove(struct rt *ctx, struct rt_ticket *ticket)
+{
+	struct rt_queue *queue = ticket->queue;
+
+	if (!ticket->queued)
+		return;
+	TAILQ_REMOVE(&queue->tickets, ticket, entry);
+	ticket->queued = false;
+	if (--queue->len == 0)
+		queue->class->active--;
+	queue->class->waiting--;
+	queue->pool->waiting--;
+	ctx->waiting--;
+}
+
+/*
+ * Returns the ticket that gives way when the class of queue is full and the
+ * queue is below its share: the latest deadline of the longest queue of the
+ * class; NULL when no other queue is longer.
+ */
+struct rt_ticket *rt_queue_push_out(struct rt_queue *queue)
+{
+	struct rt_queue *longest = queue;
+
+	for (guint i = 0; i < queue->class->queues->len; i++) {
+		struct rt_queue *other;
+
+		other = g_ptr_array_index(queue->class->queues, i);
+		if (other->len > longest->len + 1)
+			longest = other;
+	}
+	if (longest == queue)
+		return NULL;
+	return TAILQ_LAST(&longest->tickets, rt_tickets);
+}
+
+/*
+ * Tells whether a queue may not grow: the class is at least half full and the
+ * queue holds an equal share of the limit or more.
+ */
+bool rt_queue_over_share(const struct rt_queue *queue, uint32_t queue_max)
+{
+	uint32_t limit = queue_max ? queue_max : QUEUE_MAX_DEFAULT;
+	uint32_t active = queue->class->active + (queue->len == 0);
+
+	if (queue->class->waiting < limit / 2)
+		return false;
+	return queue->len >= MAX(limit / MAX(active, 2), 1);
+}
+
+/* Accounts the slot time of a granted ticket. */
+void rt_queue_charge(struct rt_queue *queue, double slot_us, int64_t now_us)
+{
+	struct rt_class *class = queue->class;
+	struct rt_service *service = class->service;
+
+	decay(&queue->usage, &queue->usage_us, now_us);
+	decay(&class->usage, &class->usage_us, now_us);
+	decay(&service->usage, &service->usage_us, now_us);
+	queue->usage += slot_us;
+	class->usage += slot_us;
+	service->usage += slot_us;
+}
+
+static bool under_guarantee(struct rt_class *class, int64_t now_us)
+{
+	struct rt_service *service = class->service;
+	double sum = 0;
+
+	for (guint i = 0; i < service->classes->len; i++) {
+		struct rt_class *other;
+
+		other = g_ptr_array_index(service->classes, i);
+		sum += other->share;
+	}
+	if (class->share <= 0)
+		return false;
+	decay(&class->usage, &class->usage_us, now_us);
+	decay(&service->usage, &service->usage_us, now_us);
+	return class->usage * MAX(sum, 1.0) < class->share * service->usage;
+}
+
+static bool over_fair(struct rt_queue *queue, int64_t now_us)
+{
+	struct rt_class *class = queue->class;
+
+	if (class->active < 2)
+		return false;
+	decay(&queue->usage, &queue->usage_us, now_us);
+	decay(&class->usage, &class->usage_us, now_us);
+	return queue->usage * class->active > OVER_SHARE * class->usage;
+}
+
+struct order {
+	bool guaranteed;
+	uint32_t priority;
+	bool over_fair;
+	int64_t deadline_us;
+};
+
+static struct order order_of(struct rt_queue *queue, int64_t now_us)
+{
+	return (struct order){
+		.guaranteed = under_guarantee(queue->class, now_us),
+		.priority = queue->class->priority,
+		.over_fair = over_fair(queue, now_us),
+		.deadline_us = TAILQ_FIRST(&queue->tickets)->deadline_us,
+	};
+}
+
+static bool goes_before(const struct order *a, const struct order *b)
+{
+	if (a->guaranteed != b->guaranteed)
+		return a->guaranteed;
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	if (a->over_fair != b->over_fair)
+		return b->over_fair;
+	return a->deadline_us < b->deadline_us;
+}
+
+static void consider(struct rt *ctx, struct rt_pool *pool, int64_t now_us,
+		     struct rt_queue **best, struct order *best_order)
+{
+	for (guint i = 0; pool->waiting && i < pool->queues->len; i++) {
+		struct rt_queue *queue = g_ptr_array_index(pool->queues, i);
+		struct order order;
+
+		if (!queue->len || queue->blocked == ctx->pass)
+			continue;
+		order = order_of(queue, now_us);
+		if (*best && !goes_before(&order, best_order))
+			continue;
+		*best = queue;
+		*best_order = order;
+	}
+}
+
+/*
+ * Returns the queue whose head goes next, of the pools in links or of one pool
+ * only, or NULL. The order: classes below their guaranteed share, priority,
+ * models that have not used more than their share, earliest deadline.
+ */
+struct rt_queue *rt_queue_next(struct rt *ctx, GPtrArray *links,
+			       struct rt_pool *only, int64_t now_us)
+{
+	struct rt_queue *best = NULL;
+	struct order best_order = { 0 };
+
+	if (only)
+		consider(ctx, only, now_us, &best, &best_order);
+	for (guint i = 0; links && i < links->len; i++) {
+		struct rt_link *link = g_ptr_array_index(links, i);
+
+		if (link->ready)
+			consider(ctx, link->pool, now_us, &best, &best_order);
+	}
+	return best;
+}
+
+/* Counts the waiting tickets of a pool that go before a new one. */
+uint32_t rt_queue_ahead(const struct rt_pool *pool, const struct rt_class *own,
+			int64_t deadline_us)
+{
+	uint32_t ahead = 0;
+
+	for (guint i = 0; i < pool->queues->len; i++) {
+		struct rt_queue *queue = g_ptr_array_index(pool->queues, i);
+		struct rt_ticket *last;
+
+		if (!queue->len || queue->class->priority > own->priority)
+			continue;
+		last = TAILQ_LAST(&queue->tickets, rt_tickets);
+		if (queue->class != own || last->deadline_us <= deadline_us) {
+			ahead += queue->len;
+			continue;
+		}
+		TAILQ_FOREACH (last, &queue->tickets, entry) {
+			if (last->deadline_us > deadline_us)
+				break;
+			ahead++;
+		}
+	}
+	return ahead;
+}
