--- /dev/null
+++ b/src/cli/cli_file.h
@@ -0,0 +1,16 @@
+#ifndef CLI_CLI_FILE_H
+#define CLI_CLI_FILE_H
+
+#include <glib.h>
+#include <stddef.h>
+
+#include "conf/doc.h"
+#include "conf/set.h"
+
+/* Reads a file; NULL after a message on standard error. g_free() */
+char *cli_read_file(const char *path, size_t *len);
+/* As above, parsed; every fault is printed on standard error. */
+struct set *cli_read_settings(const char *path);
+struct doc *cli_read_document(const char *path, char **text, size_t *len);
+
+#endif
