--- a/tests/tools/demo.c
+++ b/tests/tools/demo.c
@@ -18,8 +18,9 @@
 #define TIMEOUT_MS 60000
 #define TOKENS 12
 
-static const char document_1[] =
-	"team = \"demo\"\nnumber = 1\ndefault_class = \"standard\"\n"
+/* The part of the document after its number. */
+static const char document_rest[] =
+	"default_class = \"standard\"\n"
 	"[store]\nloads_per_s = 50\nparallel_loads = 4\n"
 	"adapters_in_transit = 8\n"
 	"[[service]]\nname = \"engine\"\nkind = \"engine\"\n"
@@ -75,16 +76,10 @@
 {
 	char *path = g_strdup_printf("%s/document%d.toml",
 				     cluster_folder(cluster), number);
-	char *text = g_strdup(document_1);
+	char *text =
+		g_strdup_printf("team = \"demo\"\nnumber = %d\n%s%s", number,
+				document_rest, number > 1 ? added_model : "");
 
-	if (number > 1) {
-		char *next = g_strconcat(text, added_model, NULL);
-
-		*strstr(next, "number = 1") = 'n';
-		strstr(next, "number = ")[9] = (char)('0' + number);
-		g_free(text);
-		text = next;
-	}
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(text);
 	return path;
