--- a/src/net/net.c
+++ b/src/net/net.c
@@ -22,16 +22,16 @@
 
 /* A message that waits for its connection to open. */
 struct waiting {
-	TAILQ_ENTRY(waiting) link;
+	STAILQ_ENTRY(waiting) link;
 	uint8_t *data; /* owned */
 	size_t len;
 	int64_t since_us;
 };
 
 struct peer {
-	char *address;			    /* owned */
-	void *socket;			    /* owned DEALER */
-	TAILQ_HEAD(waitings, waiting) wait; /* in order of sending */
+	char *address;			     /* owned */
+	void *socket;			     /* owned DEALER */
+	STAILQ_HEAD(waitings, waiting) wait; /* in order of sending */
 	size_t n_wait;
 	int64_t used_us;      /* last send */
 	int64_t pinged_us;    /* last ping */
@@ -73,9 +73,11 @@
 	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 }
 
-static void waiting_drop(struct peer *p, struct waiting *w)
+static void waiting_drop_first(struct peer *p)
 {
-	TAILQ_REMOVE(&p->wait, w, link);
+	struct waiting *w = STAILQ_FIRST(&p->wait);
+
+	STAILQ_REMOVE_HEAD(&p->wait, link);
 	p->n_wait--;
 	g_free(w->data);
 	g_free(w);
@@ -84,10 +86,9 @@
 static void peer_free(void *data)
 {
 	struct peer *p = data;
-	struct waiting *w;
 
-	while ((w = TAILQ_FIRST(&p->wait)))
-		waiting_drop(p, w);
+	while (!STAILQ_EMPTY(&p->wait))
+		waiting_drop_first(p);
 	if (p->socket)
 		zmq_close(p->socket);
 	g_free(p->address);
@@ -145,7 +146,7 @@
 		return p;
 	p = g_new0(struct peer, 1);
 	p->address = g_strdup(address);
-	TAILQ_INIT(&p->wait);
+	STAILQ_INIT(&p->wait);
 	p->socket = zmq_socket(ctx->zmq, ZMQ_DEALER);
 	if (!p->socket) {
 		peer_free(p);
@@ -173,7 +174,7 @@
 {
 	struct waiting *w;
 
-	while ((w = TAILQ_FIRST(&p->wait))) {
+	while ((w = STAILQ_FIRST(&p->wait))) {
 		if (ctx->now_us - w->since_us > UNCONNECTED_LIMIT_US) {
 			ctx->dropped++;
 		} else if (zmq_send(p->socket, w->data, w->len, ZMQ_DONTWAIT) <
@@ -185,7 +186,7 @@
 			ctx->bytes_sent += w->len;
 			p->sent_since_ping = true;
 		}
-		waiting_drop(p, w);
+		waiting_drop_first(p);
 	}
 }
 
@@ -197,10 +198,10 @@
 	w->data = data;
 	w->len = len;
 	w->since_us = ctx->now_us;
-	TAILQ_INSERT_TAIL(&p->wait, w, link);
+	STAILQ_INSERT_TAIL(&p->wait, w, link);
 	p->n_wait++;
 	if (p->n_wait > UNCONNECTED_MAX) {
-		waiting_drop(p, TAILQ_FIRST(&p->wait));
+		waiting_drop_first(p);
 		ctx->dropped++;
 	}
 }
--- /dev/null
+++ b/src/node/ctl.c
@@ -0,0 +1,546 @@
+#include "node/ctl.h"
+
+#include "base/log.h"
+#include "node/ctl_int.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/random.h>
+#include <unistd.h>
+
+/* Longest sleep of the loop. A replica must notice election timeouts of some
+ * hundred milliseconds; without one, only reports are due. */
+#define REPLICA_SLEEP_US 20000
+#define ENTRY_SLEEP_US 50000
+/* Messages handled before the log is synced once for all of them. */
+#define BATCH_MAX 4096
+/* Limit for handing the leadership over before the thread ends. */
+#define TRANSFER_LIMIT_US CTL_S_US
+
+G_DEFINE_QUARK(ctl - error - quark, ctl_error)
+
+/* Returns a deep copy of a message, freed with its free_unpacked function. */
+void *ctl_copy(const ProtobufCMessageDescriptor *descriptor,
+	       const ProtobufCMessage *message)
+{
+	size_t len = protobuf_c_message_get_packed_size(message);
+	uint8_t *data = g_malloc(len + 1);
+	void *copy;
+
+	protobuf_c_message_pack(message, data);
+	copy = protobuf_c_message_unpack(descriptor, NULL, len, data);
+	g_free(data);
+	return copy;
+}
+
+static void job_free(struct ctl *ctx, struct ctl_job *job)
+{
+	switch (job->kind) {
+	case CTL_JOB_CALL:
+		ctl_call_unref(ctx, job->call);
+		break;
+	case CTL_JOB_ANNOUNCEMENT:
+		dsp__announcement__free_unpacked(job->announcement, NULL);
+		break;
+	case CTL_JOB_DEMAND:
+		dsp__demand__free_unpacked(job->demand, NULL);
+		break;
+	case CTL_JOB_ORDER:
+	case CTL_JOB_DRAIN:
+	case CTL_JOB_STOP:
+		break;
+	}
+	g_free(job);
+}
+
+/* Queues a job for the control thread; any thread. Takes the job. */
+void ctl_post(struct ctl *ctx, struct ctl_job *job)
+{
+	uint64_t one = 1;
+	bool first;
+
+	pthread_mutex_lock(&ctx->lock);
+	first = STAILQ_EMPTY(&ctx->jobs);
+	STAILQ_INSERT_TAIL(&ctx->jobs, job, link);
+	pthread_mutex_unlock(&ctx->lock);
+	if (first && write(ctx->wake_fd, &one, sizeof(one)) < 0)
+		LOG_EVENT_WARN("ctl", "wake_failed", "fd=%d", ctx->wake_fd);
+}
+
+/* Sends a message unless the address is unknown. */
+void ctl_send(struct ctl *ctx, const char *address, Dsp__Envelope *envelope)
+{
+	if (address && address[0])
+		net_send(ctx->net, address, envelope);
+}
+
+/* Publishes a view to the traffic threads; takes the reference. */
+void ctl_set_view(struct ctl *ctx, struct view *view)
+{
+	struct view *old;
+
+	pthread_mutex_lock(&ctx->lock);
+	old = ctx->view;
+	ctx->view = view;
+	pthread_mutex_unlock(&ctx->lock);
+	view_unref(old);
+	if (ctx->cb.view_changed)
+		ctx->cb.view_changed(ctx->cb.data, view);
+}
+
+/* Returns true once the instance was asked to leave the entry list. */
+bool ctl_is_draining(struct ctl *ctx)
+{
+	bool draining;
+
+	pthread_mutex_lock(&ctx->lock);
+	draining = ctx->draining;
+	pthread_mutex_unlock(&ctx->lock);
+	return draining;
+}
+
+/* Returns milliseconds since the view was last confirmed; UINT32_MAX: never. */
+uint32_t ctl_confirmed_age_ms(const struct ctl *ctx)
+{
+	int64_t age_ms;
+
+	if (!ctx->confirmed_us)
+		return UINT32_MAX;
+	age_ms = (ctx->now_us - ctx->confirmed_us) / 1000;
+	if (age_ms < 0)
+		return 0;
+	return age_ms > UINT32_MAX ? UINT32_MAX : (uint32_t)age_ms;
+}
+
+static void answer_query(struct ctl *ctx, const Dsp__Envelope *from,
+			 const Dsp__AnswerQuery *query)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__AnswerReply *reply;
+
+	if (!ctx->cb.answer_query)
+		return;
+	reply = ctx->cb.answer_query(ctx->cb.data, query);
+	if (!reply)
+		return;
+	reply->id = query->id;
+	out.body_case = DSP__ENVELOPE__BODY_ANSWER_REPLY;
+	out.answer_reply = reply;
+	ctl_send(ctx, from->address, &out);
+	dsp__answer_reply__free_unpacked(reply, NULL);
+}
+
+static void handle_message(struct ctl *ctx, const Dsp__Envelope *e)
+{
+	g_hash_table_replace(ctx->addresses, g_strdup(e->from),
+			     g_strdup(e->address));
+	switch (e->body_case) {
+	case DSP__ENVELOPE__BODY_RAFT:
+		ctl_raft_step(ctx, e->raft);
+		break;
+	case DSP__ENVELOPE__BODY_REPORT:
+		ctl_report_receive(ctx, e, e->report);
+		break;
+	case DSP__ENVELOPE__BODY_VIEW_UPDATE:
+		ctl_report_view(ctx, e->view_update);
+		break;
+	case DSP__ENVELOPE__BODY_FORWARD:
+		ctl_raft_forward(ctx, e, e->forward);
+		break;
+	case DSP__ENVELOPE__BODY_FORWARD_REPLY:
+		ctl_call_reply(ctx, e, e->forward_reply);
+		break;
+	case DSP__ENVELOPE__BODY_FORM_QUERY:
+		ctl_form_query(ctx, e, e->form_query);
+		break;
+	case DSP__ENVELOPE__BODY_FORM_REPLY:
+		ctl_form_reply(ctx, e->form_reply);
+		break;
+	case DSP__ENVELOPE__BODY_FORM_GROUP:
+		ctl_form_group(ctx, e->form_group);
+		break;
+	case DSP__ENVELOPE__BODY_JOIN_REQUEST:
+		ctl_form_join(ctx, e, e->join_request);
+		break;
+	case DSP__ENVELOPE__BODY_ANSWER_QUERY:
+		answer_query(ctx, e, e->answer_query);
+		break;
+	case DSP__ENVELOPE__BODY_ANSWER_REPLY:
+		ctl_call_answer(ctx, e->answer_reply);
+		break;
+	case DSP__ENVELOPE__BODY__NOT_SET:
+	case _DSP__ENVELOPE__BODY__CASE_IS_INT_SIZE:
+		break;
+	}
+}
+
+static void receive_messages(struct ctl *ctx)
+{
+	Dsp__Envelope *e;
+
+	for (int i = 0; i < BATCH_MAX; i++) {
+		e = net_receive(ctx->net);
+		if (!e)
+			return;
+		handle_message(ctx, e);
+		dsp__envelope__free_unpacked(e, NULL);
+	}
+}
+
+static void begin_stop(struct ctl *ctx)
+{
+	const Dsp__RaftConfig *config;
+	uint64_t best = 0;
+
+	ctx->stopping = true;
+	ctx->stop_by_us = ctx->now_us;
+	if (!ctl_raft_is_leader(ctx))
+		return;
+	config = raft_config(ctx->raft);
+	for (size_t i = 0; i < config->n_members; i++) {
+		const Dsp__Member *m = config->members[i];
+
+		if (m->voter && m->replica != ctx->replica &&
+		    (!best || raft_match_index(ctx->raft, m->replica) >
+				      raft_match_index(ctx->raft, best)))
+			best = m->replica;
+	}
+	if (!best)
+		return;
+	ctx->stop_by_us = ctx->now_us + TRANSFER_LIMIT_US;
+	raft_transfer_leadership(ctx->raft, best, ctx->now_us);
+}
+
+static void run_job(struct ctl *ctx, struct ctl_job *job)
+{
+	switch (job->kind) {
+	case CTL_JOB_CALL:
+		ctl_call_start(ctx, job->call);
+		break;
+	case CTL_JOB_ANNOUNCEMENT:
+		ctl_report_announcement(ctx, job->announcement);
+		break;
+	case CTL_JOB_DEMAND:
+		ctl_report_demand(ctx, job->demand);
+		break;
+	case CTL_JOB_ORDER:
+		ctl_order_sent(ctx, job->order.id, job->order.term,
+			       job->order.outcome);
+		break;
+	case CTL_JOB_DRAIN:
+		ctl_report_soon(ctx, 0);
+		break;
+	case CTL_JOB_STOP:
+		begin_stop(ctx);
+		break;
+	}
+}
+
+static void run_jobs(struct ctl *ctx)
+{
+	struct ctl_jobs jobs = STAILQ_HEAD_INITIALIZER(jobs);
+	struct ctl_job *job;
+	uint64_t count;
+
+	if (read(ctx->wake_fd, &count, sizeof(count)) < 0)
+		count = 0; /* not woken by a job */
+	pthread_mutex_lock(&ctx->lock);
+	STAILQ_CONCAT(&jobs, &ctx->jobs);
+	pthread_mutex_unlock(&ctx->lock);
+	while (!STAILQ_EMPTY(&jobs)) {
+		job = STAILQ_FIRST(&jobs);
+		STAILQ_REMOVE_HEAD(&jobs, link);
+		run_job(ctx, job);
+		job_free(ctx, job);
+	}
+}
+
+/*
+ * One iteration handles everything that arrived, then syncs the log once for
+ * all proposals of the iteration, then sends what follows from the commits.
+ */
+static void iterate(struct ctl *ctx)
+{
+	net_wait(ctx->net, ctx->wake_fd,
+		 ctx->raft ? REPLICA_SLEEP_US : ENTRY_SLEEP_US);
+	ctx->now_us = clk_now_us(ctx->clock);
+	net_tick(ctx->net, ctx->now_us);
+	receive_messages(ctx);
+	run_jobs(ctx);
+	ctl_form_run(ctx);
+	ctl_member_run(ctx);
+	ctl_report_run(ctx);
+	ctl_call_run(ctx);
+	ctl_raft_run(ctx);
+	ctl_order_run(ctx);
+	ctl_report_publish(ctx);
+	ctl_report_push(ctx);
+	ctl_raft_expire_forwards(ctx);
+	ctl_status_metrics(ctx);
+}
+
+static void *run(void *data)
+{
+	struct ctl *ctx = data;
+
+	ctl_form_start(ctx);
+	while (!ctx->stopping ||
+	       (ctl_raft_is_leader(ctx) && ctx->now_us < ctx->stop_by_us))
+		iterate(ctx);
+	ctl_call_finish_all(ctx);
+	return NULL;
+}
+
+static void free_child(void *data)
+{
+	struct ctl_child *child = data;
+
+	g_free(child->node);
+	g_free(child->address);
+	g_free(child);
+}
+
+static void free_load(void *data)
+{
+	struct ctl_load *load = data;
+
+	dsp__load_report__free_unpacked(load->report, NULL);
+	g_free(load);
+}
+
+static void free_join(void *data)
+{
+	struct ctl_join *join = data;
+
+	dsp__member__free_unpacked(join->member, NULL);
+	g_free(join);
+}
+
+static void free_forward(void *data)
+{
+	struct ctl_forward *forward = data;
+
+	if (forward->result)
+		dsp__command_result__free_unpacked(forward->result, NULL);
+	g_free(forward->key);
+	g_free(forward->address);
+	g_free(forward);
+}
+
+static void free_status(void *data)
+{
+	dsp__node_status__free_unpacked(data, NULL);
+}
+
+static void free_announcement(void *data)
+{
+	dsp__announcement__free_unpacked(data, NULL);
+}
+
+static void free_demand(void *data)
+{
+	dsp__demand__free_unpacked(data, NULL);
+}
+
+static GHashTable *table_of(GDestroyNotify free_value)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     free_value);
+}
+
+static GHashTable *table_of_ids(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				     g_free);
+}
+
+static struct ctl *ctl_new(const struct set *settings, struct clk *clock,
+			   struct met *metrics,
+			   const struct ctl_callbacks *callbacks)
+{
+	struct ctl *ctx = g_new0(struct ctl, 1);
+
+	ctx->set = settings;
+	ctx->clock = clock;
+	ctx->met = metrics;
+	ctx->cb = *callbacks;
+	while (!ctx->boot)
+		if (getrandom(&ctx->boot, sizeof(ctx->boot), 0) < 0)
+			ctx->boot = 0;
+	pthread_mutex_init(&ctx->lock, NULL);
+	STAILQ_INIT(&ctx->jobs);
+	STAILQ_INIT(&ctx->forwards_done);
+	TAILQ_INIT(&ctx->waiters);
+	TAILQ_INIT(&ctx->orphans);
+	TAILQ_INIT(&ctx->calls);
+	TAILQ_INIT(&ctx->changed_loads);
+	ctx->now_us = clk_now_us(clock);
+	ctx->view = view_new_empty();
+	ctx->wake_fd = -1;
+	ctx->addresses = table_of(g_free);
+	ctx->replica_heard = table_of_ids();
+	ctx->forwards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      free_forward);
+	ctx->joins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   free_join);
+	ctx->calls_by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	ctx->relays = g_ptr_array_new_with_free_func(g_free);
+	ctx->children = table_of(free_child);
+	ctx->statuses = table_of(free_status);
+	ctx->announcements = table_of(free_announcement);
+	ctx->announced = table_of(g_free);
+	ctx->demands = table_of(free_demand);
+	ctx->loads = table_of(free_load);
+	ctx->members = table_of(g_free);
+	ctx->endpoints = table_of(g_free);
+	ctx->orders = table_of_ids();
+	return ctx;
+}
+
+static void ctl_free(struct ctl *ctx)
+{
+	struct ctl_job *job;
+
+	ctl_order_close(ctx->sender);
+	while (!STAILQ_EMPTY(&ctx->jobs)) {
+		job = STAILQ_FIRST(&ctx->jobs);
+		STAILQ_REMOVE_HEAD(&ctx->jobs, link);
+		job_free(ctx, job);
+	}
+	ctl_member_stop(ctx);
+	ctl_raft_close(ctx);
+	net_free(ctx->net);
+	if (ctx->wake_fd >= 0)
+		close(ctx->wake_fd);
+	view_unref(ctx->view);
+	g_hash_table_destroy(ctx->addresses);
+	g_hash_table_destroy(ctx->replica_heard);
+	g_hash_table_destroy(ctx->forwards);
+	g_hash_table_destroy(ctx->joins);
+	g_hash_table_destroy(ctx->calls_by_id);
+	g_hash_table_destroy(ctx->children);
+	g_hash_table_destroy(ctx->statuses);
+	g_hash_table_destroy(ctx->announcements);
+	g_hash_table_destroy(ctx->announced);
+	g_hash_table_destroy(ctx->demands);
+	g_hash_table_destroy(ctx->loads);
+	g_hash_table_destroy(ctx->members);
+	g_hash_table_destroy(ctx->endpoints);
+	g_hash_table_destroy(ctx->orders);
+	g_ptr_array_free(ctx->relays, TRUE);
+	if (ctx->config)
+		dsp__raft_config__free_unpacked(ctx->config, NULL);
+	g_free(ctx->form_answers);
+	g_free(ctx->leader_node);
+	g_free(ctx->leader_address);
+	g_free(ctx->upstream);
+	pthread_mutex_destroy(&ctx->lock);
+	g_free(ctx);
+}
+
+/*
+ * Opens the data folder and the internal socket and starts the thread. The
+ * settings, clock and metrics must outlive ctl_stop(). Returns NULL with
+ * CTL_ERROR_START when the socket cannot be bound or the folder is in use; a
+ * damaged or full folder is logged, and the instance runs without a replica.
+ */
+struct ctl *ctl_start(const struct set *settings, struct clk *clock,
+		      struct met *metrics,
+		      const struct ctl_callbacks *callbacks, GError **err)
+{
+	struct ctl *ctx = ctl_new(settings, clock, metrics, callbacks);
+	GError *error = NULL;
+
+	ctx->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	ctx->net =
+		net_new(settings->internal_listen, settings->internal_advertise,
+			settings->id, ctx->boot, &error);
+	if (!ctx->net || !ctl_raft_open(ctx, &error))
+		goto fail;
+	ctx->sender = ctl_order_open(ctx);
+	if (pthread_create(&ctx->thread, NULL, run, ctx)) {
+		g_set_error(&error, CTL_ERROR, CTL_ERROR_START,
+			    "cannot create the control thread");
+		goto fail;
+	}
+	return ctx;
+fail:
+	g_set_error(err, CTL_ERROR, CTL_ERROR_START, "%s",
+		    error ? error->message : "unknown");
+	g_clear_error(&error);
+	ctl_free(ctx);
+	return NULL;
+}
+
+/* Ends the thread and frees ctx. No other call may be in progress. */
+void ctl_stop(struct ctl *ctx)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_STOP;
+	ctl_post(ctx, job);
+	pthread_join(ctx->thread, NULL);
+	ctl_free(ctx);
+}
+
+/* Passes an endpoint's announcement on; any thread. */
+void ctl_announce(struct ctl *ctx, const Dsp__Announcement *announcement)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_ANNOUNCEMENT;
+	job->announcement = CTL_COPY(announcement, announcement);
+	ctl_post(ctx, job);
+}
+
+/* Adds to the demand that the next report carries; any thread. */
+void ctl_demand(struct ctl *ctx, const Dsp__Demand *demand)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_DEMAND;
+	job->demand = CTL_COPY(demand, demand);
+	ctl_post(ctx, job);
+}
+
+/* Makes the instance leave the entry list; any thread. */
+void ctl_drain(struct ctl *ctx)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_DRAIN;
+	pthread_mutex_lock(&ctx->lock);
+	ctx->draining = true;
+	pthread_mutex_unlock(&ctx->lock);
+	ctl_post(ctx, job);
+}
+
+/* Returns a new reference to the installed view; any thread. */
+struct view *ctl_view(struct ctl *ctx)
+{
+	struct view *view;
+
+	pthread_mutex_lock(&ctx->lock);
+	view = view_ref(ctx->view);
+	pthread_mutex_unlock(&ctx->lock);
+	return view;
+}
+
+/* Returns what the instance may serve now; any thread. */
+struct ctl_state ctl_state(struct ctl *ctx)
+{
+	int64_t confirmed_us = ctx->confirmed_us;
+	int64_t now_us = clk_now_us(ctx->clock);
+	struct ctl_state state = {
+		.draining = ctl_is_draining(ctx),
+		.stale_us = confirmed_us ? MAX(now_us - confirmed_us, 0) : 0,
+		.boot = ctx->boot,
+	};
+
+	state.readiness = ctl_rule_readiness(
+		confirmed_us, now_us,
+		(int64_t)ctx->set->isolated_after_ms * 1000,
+		(int64_t)ctx->set->stale_limit_s * CTL_S_US, state.draining);
+	return state;
+}
--- /dev/null
+++ b/src/node/ctl_call.c
@@ -0,0 +1,529 @@
+#include "node/ctl_int.h"
+
+#include "base/log.h"
+
+#include <string.h>
+#include <time.h>
+
+/* How often calls that wait are looked at. */
+#define RUN_INTERVAL_US 20000
+/* A forwarded command without a reply is sent again. Several times a round
+ * trip with a sync on a busy disk. */
+#define RESEND_US 400000
+/* Sends to the known leader before other voters are asked for the leader. */
+#define TRIES_AT_LEADER 2
+/* Immediate sends to an address from a reply; two instances that each believe
+ * the other to lead must not pass a command back and forth at full speed. */
+#define REDIRECTS_MAX 2
+/* The leader remembers results for longer than this. */
+#define RESEND_FOR_US (8LL * CTL_S_US)
+
+/*
+ * True when applying the command twice has the same effect as once. These may
+ * be sent to a new leader while the old one may have committed them.
+ */
+static bool is_repeatable(const Dsp__Command *command)
+{
+	switch (command->body_case) {
+	case DSP__COMMAND__BODY_CRASH_REPORT:
+	case DSP__COMMAND__BODY_ORDER_CREATE:
+		return false;
+	default:
+		return true;
+	}
+}
+
+static struct ctl_call *call_new(enum ctl_call_kind kind)
+{
+	struct ctl_call *call = g_new0(struct ctl_call, 1);
+	pthread_condattr_t attributes;
+
+	call->kind = kind;
+	call->refs = 2; /* the caller and the job */
+	pthread_condattr_init(&attributes);
+	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	pthread_cond_init(&call->done, &attributes);
+	pthread_condattr_destroy(&attributes);
+	return call;
+}
+
+/* Drops one reference. */
+void ctl_call_unref(struct ctl *ctx, struct ctl_call *call)
+{
+	bool last;
+
+	pthread_mutex_lock(&ctx->lock);
+	last = !--call->refs;
+	pthread_mutex_unlock(&ctx->lock);
+	if (!last)
+		return;
+	if (call->query)
+		dsp__answer_query__free_unpacked(call->query, NULL);
+	if (call->result)
+		dsp__command_result__free_unpacked(call->result, NULL);
+	if (call->answer)
+		dsp__answer_reply__free_unpacked(call->answer, NULL);
+	pthread_cond_destroy(&call->done);
+	g_free(call->text);
+	g_free(call->command);
+	g_free(call->node);
+	g_free(call);
+}
+
+static void call_ref(struct ctl *ctx, struct ctl_call *call)
+{
+	pthread_mutex_lock(&ctx->lock);
+	call->refs++;
+	pthread_mutex_unlock(&ctx->lock);
+}
+
+/* ---- Any thread ---- */
+
+/*
+ * Queues the call and waits for its end, at most timeout_us microseconds.
+ * Returns the state it was in when the caller stopped waiting.
+ */
+static enum ctl_call_state wait_for(struct ctl *ctx, struct ctl_call *call,
+				    int64_t timeout_us)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+	enum ctl_call_state state;
+	struct timespec until;
+
+	job->kind = CTL_JOB_CALL;
+	job->call = call;
+	ctl_post(ctx, job);
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += timeout_us / CTL_S_US;
+	until.tv_nsec += timeout_us % CTL_S_US * 1000;
+	if (until.tv_nsec >= 1000000000) {
+		until.tv_sec++;
+		until.tv_nsec -= 1000000000;
+	}
+	pthread_mutex_lock(&ctx->lock);
+	while (call->state != CTL_CALL_DONE)
+		if (pthread_cond_timedwait(&call->done, &ctx->lock, &until))
+			break;
+	state = call->state;
+	call->abandoned = true;
+	pthread_mutex_unlock(&ctx->lock);
+	return state;
+}
+
+static Dsp__CommandResult *wait_for_result(struct ctl *ctx,
+					   struct ctl_call *call,
+					   int64_t timeout_us, GError **err)
+{
+	enum ctl_call_state state = wait_for(ctx, call, timeout_us);
+	Dsp__CommandResult *result = NULL;
+
+	if (state == CTL_CALL_DONE)
+		result = g_steal_pointer(&call->result);
+	if (state == CTL_CALL_QUEUED)
+		g_set_error(
+			err, CTL_ERROR, CTL_ERROR_NOT_SENT,
+			"no leader took the command within %" G_GINT64_FORMAT
+			" ms",
+			timeout_us / 1000);
+	else if (!result)
+		g_set_error(err, CTL_ERROR, CTL_ERROR_UNAVAILABLE,
+			    "the outcome of the command is not known");
+	ctl_call_unref(ctx, call);
+	return result;
+}
+
+/*
+ * Commits a command and waits for its result, at most timeout_us microseconds.
+ * Returns NULL with CTL_ERROR_NOT_SENT when the command can never take effect
+ * and with CTL_ERROR_UNAVAILABLE when it may still do so.
+ */
+Dsp__CommandResult *ctl_submit(struct ctl *ctx, const Dsp__Command *command,
+			       int64_t timeout_us, GError **err)
+{
+	struct ctl_call *call = call_new(CTL_CALL_COMMAND);
+
+	call->command_len = dsp__command__get_packed_size(command);
+	call->command = g_malloc(call->command_len + 1);
+	dsp__command__pack(command, call->command);
+	call->repeatable = is_repeatable(command);
+	return wait_for_result(ctx, call, timeout_us, err);
+}
+
+/* Limit for an operator's change of the group. */
+#define REPLACE_TIMEOUT_US (10LL * CTL_S_US)
+
+/*
+ * Removes a replica that is lost for good from the group, so that another may
+ * take its place. Returns false with err set when this was refused or its
+ * outcome is not known.
+ */
+bool ctl_replace(struct ctl *ctx, uint64_t old_replica, GError **err)
+{
+	struct ctl_call *call = call_new(CTL_CALL_REPLACE);
+	Dsp__CommandResult *result;
+	bool ok;
+
+	call->replica = old_replica;
+	call->repeatable = true;
+	result = wait_for_result(ctx, call, REPLACE_TIMEOUT_US, err);
+	if (!result)
+		return false;
+	ok = result->code == DSP__RESULT_CODE__RESULT_OK;
+	if (!ok)
+		g_set_error(err, CTL_ERROR, CTL_ERROR_NOT_SENT, "%s",
+			    result->message);
+	dsp__command_result__free_unpacked(result, NULL);
+	return ok;
+}
+
+/* Asks another entry for an answer that it holds; NULL after timeout_us. */
+Dsp__AnswerReply *ctl_ask_answer(struct ctl *ctx, const char *node,
+				 const Dsp__AnswerQuery *query,
+				 int64_t timeout_us)
+{
+	struct ctl_call *call = call_new(CTL_CALL_ASK);
+	Dsp__AnswerReply *answer = NULL;
+
+	call->node = g_strdup(node);
+	call->query = CTL_COPY(answer_query, query);
+	if (wait_for(ctx, call, timeout_us) == CTL_CALL_DONE)
+		answer = g_steal_pointer(&call->answer);
+	ctl_call_unref(ctx, call);
+	return answer;
+}
+
+/* Limit for the control thread to describe itself. */
+#define STATUS_TIMEOUT_US (3LL * CTL_S_US)
+
+/* Returns the status as JSON; g_free(). */
+char *ctl_status_json(struct ctl *ctx)
+{
+	struct ctl_call *call = call_new(CTL_CALL_STATUS);
+	char *text = NULL;
+
+	if (wait_for(ctx, call, STATUS_TIMEOUT_US) == CTL_CALL_DONE)
+		text = g_steal_pointer(&call->text);
+	ctl_call_unref(ctx, call);
+	return text ? text : g_strdup("{\"error\":\"control thread busy\"}");
+}
+
+/* ---- Control thread ---- */
+
+/* Notes that the call may take effect; false when the caller gave up. */
+static bool hand_out(struct ctl *ctx, struct ctl_call *call)
+{
+	bool go;
+
+	pthread_mutex_lock(&ctx->lock);
+	go = !call->abandoned;
+	if (go)
+		call->state = CTL_CALL_HANDED_OUT;
+	pthread_mutex_unlock(&ctx->lock);
+	return go;
+}
+
+static bool is_abandoned(struct ctl *ctx, struct ctl_call *call)
+{
+	bool abandoned;
+
+	pthread_mutex_lock(&ctx->lock);
+	abandoned = call->abandoned;
+	pthread_mutex_unlock(&ctx->lock);
+	return abandoned;
+}
+
+/* One copy of the command provably had no effect. */
+static void copy_refused(struct ctl *ctx, struct ctl_call *call)
+{
+	if (call->copies)
+		call->copies--;
+	if (call->copies)
+		return;
+	pthread_mutex_lock(&ctx->lock);
+	if (call->state == CTL_CALL_HANDED_OUT)
+		call->state = CTL_CALL_QUEUED;
+	pthread_mutex_unlock(&ctx->lock);
+}
+
+static void unlist(struct ctl *ctx, struct ctl_call *call)
+{
+	if (!call->listed)
+		return;
+	call->listed = false;
+	TAILQ_REMOVE(&ctx->calls, call, link);
+	g_hash_table_remove(ctx->calls_by_id, &call->id);
+	ctl_call_unref(ctx, call);
+}
+
+/* The outcome fields are set; wakes the caller. */
+static void finish(struct ctl *ctx, struct ctl_call *call)
+{
+	pthread_mutex_lock(&ctx->lock);
+	call->state = CTL_CALL_DONE;
+	pthread_cond_signal(&call->done);
+	pthread_mutex_unlock(&ctx->lock);
+	unlist(ctx, call);
+}
+
+/* Takes the result. */
+static void finish_with_result(struct ctl *ctx, struct ctl_call *call,
+			       Dsp__CommandResult *result)
+{
+	pthread_mutex_lock(&ctx->lock);
+	if (call->state == CTL_CALL_DONE || call->result) {
+		pthread_mutex_unlock(&ctx->lock);
+		dsp__command_result__free_unpacked(result, NULL);
+		return;
+	}
+	call->result = result;
+	pthread_mutex_unlock(&ctx->lock);
+	finish(ctx, call);
+}
+
+static bool propose_removal(struct ctl *ctx, struct ctl_call *call,
+			    struct ctl_waiter *waiter)
+{
+	Dsp__RaftConfig *config =
+		ctl_rule_without(raft_config(ctx->raft), call->replica);
+	bool ok = ctl_raft_propose_config(ctx, config, waiter);
+
+	dsp__raft_config__free_unpacked(config, NULL);
+	return ok;
+}
+
+static bool propose(struct ctl *ctx, struct ctl_call *call)
+{
+	struct ctl_waiter *waiter = ctl_waiter_new(CTL_WAIT_CALL);
+	Dsp__Command *command;
+	bool ok;
+
+	waiter->call = call;
+	if (call->kind == CTL_CALL_REPLACE) {
+		ok = propose_removal(ctx, call, waiter);
+	} else {
+		command = dsp__command__unpack(NULL, call->command_len,
+					       call->command);
+		ok = command && ctl_raft_propose(ctx, command, waiter);
+		if (command)
+			dsp__command__free_unpacked(command, NULL);
+	}
+	if (!ok) {
+		g_free(waiter);
+		return false;
+	}
+	call_ref(ctx, call);
+	return true;
+}
+
+static const char *forward_target(struct ctl *ctx, struct ctl_call *call)
+{
+	const char *address = NULL;
+	const char **voters;
+	size_t n;
+
+	if (ctx->leader_address &&
+	    call->tries % (TRIES_AT_LEADER + 2) < TRIES_AT_LEADER)
+		return ctx->leader_address;
+	n = ctl_report_voters(ctx, &voters);
+	if (n)
+		address = voters[(call->tries + call->id) % n];
+	g_free(voters);
+	return address;
+}
+
+static void send_forward(struct ctl *ctx, struct ctl_call *call)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__Forward forward = DSP__FORWARD__INIT;
+	const char *address = forward_target(ctx, call);
+
+	if (!address || !hand_out(ctx, call))
+		return;
+	forward.id = call->id;
+	forward.node = ctx->set->id;
+	forward.boot = ctx->boot;
+	forward.command.data = call->command;
+	forward.command.len = call->command_len;
+	forward.replace_replica = call->replica;
+	out.body_case = DSP__ENVELOPE__BODY_FORWARD;
+	out.forward = &forward;
+	ctl_send(ctx, address, &out);
+	call->copies++;
+	call->tries++;
+	call->sent_us = ctx->now_us;
+}
+
+/* Gives a command to the leader; it stays queued when none is known. */
+static void try_command(struct ctl *ctx, struct ctl_call *call)
+{
+	if (ctl_raft_is_leader(ctx)) {
+		if (!hand_out(ctx, call))
+			return;
+		if (propose(ctx, call))
+			call->copies++;
+		else
+			copy_refused(ctx, call);
+		call->sent_us = ctx->now_us;
+		return;
+	}
+	send_forward(ctx, call);
+}
+
+static void ask_answer(struct ctl *ctx, struct ctl_call *call)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	const Dsp__Node *node = view_node(ctx->view, call->node);
+
+	if (!strcmp(call->node, ctx->set->id)) {
+		call->answer = ctx->cb.answer_query
+				       ? ctx->cb.answer_query(ctx->cb.data,
+							      call->query)
+				       : NULL;
+		finish(ctx, call);
+		return;
+	}
+	call->query->id = call->id;
+	out.body_case = DSP__ENVELOPE__BODY_ANSWER_QUERY;
+	out.answer_query = call->query;
+	ctl_send(ctx,
+		 node ? node->internal_address
+		      : g_hash_table_lookup(ctx->addresses, call->node),
+		 &out);
+	call->sent_us = ctx->now_us;
+}
+
+/* Starts a call that a traffic thread queued. */
+void ctl_call_start(struct ctl *ctx, struct ctl_call *call)
+{
+	if (is_abandoned(ctx, call))
+		return;
+	if (call->kind == CTL_CALL_STATUS) {
+		call->text = ctl_status_build(ctx);
+		finish(ctx, call);
+		return;
+	}
+	call->id = ++ctx->next_call;
+	call->start_us = ctx->now_us;
+	call->listed = true;
+	call_ref(ctx, call);
+	TAILQ_INSERT_TAIL(&ctx->calls, call, link);
+	g_hash_table_insert(ctx->calls_by_id, &call->id, call);
+	if (call->kind == CTL_CALL_ASK)
+		ask_answer(ctx, call);
+	else
+		try_command(ctx, call);
+}
+
+static void run_call(struct ctl *ctx, struct ctl_call *call)
+{
+	if (is_abandoned(ctx, call)) {
+		unlist(ctx, call);
+		return;
+	}
+	if (call->copies &&
+	    (!call->repeatable || ctx->now_us - call->start_us > RESEND_FOR_US))
+		return;
+	if (ctx->now_us - call->sent_us < RESEND_US && call->tries)
+		return;
+	if (call->kind == CTL_CALL_ASK) {
+		if (ctx->now_us - call->sent_us >= RESEND_US)
+			ask_answer(ctx, call);
+		return;
+	}
+	/* A proposal of this replica needs no second copy: the log decides. */
+	if (call->copies && ctl_raft_is_leader(ctx))
+		return;
+	call->redirects = 0;
+	try_command(ctx, call);
+}
+
+/* Sends calls again that got no reply and drops those that were given up. */
+void ctl_call_run(struct ctl *ctx)
+{
+	struct ctl_call *call;
+	struct ctl_call *next;
+
+	if (ctx->now_us < ctx->calls_due_us)
+		return;
+	ctx->calls_due_us = ctx->now_us + RUN_INTERVAL_US;
+	for (call = TAILQ_FIRST(&ctx->calls); call; call = next) {
+		next = TAILQ_NEXT(call, link);
+		run_call(ctx, call);
+	}
+}
+
+/* Handles the leader's reply to a forwarded command. */
+void ctl_call_reply(struct ctl *ctx, const Dsp__Envelope *from,
+		    const Dsp__ForwardReply *reply)
+{
+	struct ctl_call *call;
+
+	if (reply->boot != ctx->boot || !reply->result)
+		return;
+	call = g_hash_table_lookup(ctx->calls_by_id, &reply->id);
+	if (!call)
+		return;
+	switch (reply->result->code) {
+	case DSP__RESULT_CODE__RESULT_NOT_LEADER:
+		if (ctx->leader_address &&
+		    !strcmp(ctx->leader_address, from->address))
+			g_clear_pointer(&ctx->leader_address, g_free);
+		if (reply->leader[0]) {
+			g_free(ctx->leader_address);
+			ctx->leader_address = g_strdup(reply->leader);
+			call->tries = 0;
+		}
+		copy_refused(ctx, call);
+		if (!call->copies && reply->leader[0] &&
+		    call->redirects++ < REDIRECTS_MAX)
+			try_command(ctx, call);
+		break;
+	case DSP__RESULT_CODE__RESULT_UNAVAILABLE:
+		break;
+	default:
+		finish_with_result(ctx, call,
+				   CTL_COPY(command_result, reply->result));
+		break;
+	}
+}
+
+/* Handles another entry's reply to an answer query. */
+void ctl_call_answer(struct ctl *ctx, const Dsp__AnswerReply *reply)
+{
+	struct ctl_call *call =
+		g_hash_table_lookup(ctx->calls_by_id, &reply->id);
+
+	if (!call || call->kind != CTL_CALL_ASK || call->answer)
+		return;
+	call->answer = CTL_COPY(answer_reply, reply);
+	finish(ctx, call);
+}
+
+/*
+ * The proposal of a call ended. Without a result it was overwritten by another
+ * leader and never takes effect, so it is tried again. Takes the result and
+ * the waiter's reference.
+ */
+void ctl_call_committed(struct ctl *ctx, struct ctl_call *call,
+			Dsp__CommandResult *result)
+{
+	if (result) {
+		finish_with_result(ctx, call, result);
+	} else {
+		copy_refused(ctx, call);
+		call->sent_us = 0;
+	}
+	ctl_call_unref(ctx, call);
+}
+
+/* Ends all calls when the thread stops; their callers see no result. */
+void ctl_call_finish_all(struct ctl *ctx)
+{
+	struct ctl_call *call;
+	struct ctl_call *next;
+
+	for (call = TAILQ_FIRST(&ctx->calls); call; call = next) {
+		next = TAILQ_NEXT(call, link);
+		unlist(ctx, call);
+	}
+}
--- /dev/null
+++ b/src/node/ctl_int.h
@@ -0,0 +1,397 @@
+#ifndef NODE_CTL_INT_H
+#define NODE_CTL_INT_H
+
+#include <pthread.h>
+#include <sys/queue.h>
+
+#include "core/plc.h"
+#include "core/raft.h"
+#include "core/st.h"
+#include "net/net.h"
+#include "node/ctl.h"
+#include "node/ctl_rules.h"
+#include "store/sto.h"
+
+/* Shared by the files of the control thread only. */
+
+#define CTL_S_US 1000000
+
+/* ---- Calls from traffic threads (ctl_call.c) ---- */
+
+enum ctl_call_kind {
+	CTL_CALL_COMMAND,
+	CTL_CALL_REPLACE,
+	CTL_CALL_ASK,
+	CTL_CALL_STATUS,
+};
+
+enum ctl_call_state {
+	CTL_CALL_QUEUED,     /* has no effect if the caller gives up now */
+	CTL_CALL_HANDED_OUT, /* may take effect */
+	CTL_CALL_DONE,
+};
+
+struct ctl_call {
+	TAILQ_ENTRY(ctl_call) link; /* control thread: ctl.calls */
+	enum ctl_call_kind kind;
+	unsigned refs;		   /* ctl.lock */
+	enum ctl_call_state state; /* ctl.lock */
+	bool abandoned;		   /* ctl.lock; the caller gave up */
+	pthread_cond_t done;	   /* with ctl.lock */
+	/* Request; fixed once queued. */
+	uint8_t *command; /* owned */
+	size_t command_len;
+	bool repeatable; /* may be applied twice without harm */
+	uint64_t replica;
+	char *node;		 /* owned */
+	Dsp__AnswerQuery *query; /* owned */
+	/* Control thread. */
+	bool listed; /* in ctl.calls */
+	uint64_t id;
+	unsigned copies;    /* sent or proposed, not known to be refused */
+	unsigned tries;	    /* sends to any instance */
+	unsigned redirects; /* immediate sends after a reply */
+	int64_t sent_us;    /* last send */
+	int64_t start_us;   /* first time it was handled */
+	/* Outcome; written before CTL_CALL_DONE. */
+	Dsp__CommandResult *result; /* owned until taken */
+	Dsp__AnswerReply *answer;   /* owned until taken */
+	char *text;		    /* owned until taken */
+};
+TAILQ_HEAD(ctl_calls, ctl_call);
+
+/* ---- Jobs for the control thread ---- */
+
+enum ctl_order_outcome {
+	CTL_ORDER_NOT_SENT,
+	CTL_ORDER_IN_DOUBT,
+	CTL_ORDER_ACCEPTED,
+	CTL_ORDER_DONE,
+	CTL_ORDER_REFUSED,
+	CTL_ORDER_STALE_FENCE,
+};
+
+enum ctl_job_kind {
+	CTL_JOB_CALL,
+	CTL_JOB_ANNOUNCEMENT,
+	CTL_JOB_DEMAND,
+	CTL_JOB_ORDER,
+	CTL_JOB_DRAIN,
+	CTL_JOB_STOP,
+};
+
+struct ctl_job {
+	STAILQ_ENTRY(ctl_job) link;
+	enum ctl_job_kind kind;
+	union {
+		struct ctl_call *call; /* one reference */
+		Dsp__Announcement *announcement;
+		Dsp__Demand *demand;
+		struct {
+			uint64_t id;
+			uint64_t term;
+			enum ctl_order_outcome outcome;
+		} order;
+	};
+};
+STAILQ_HEAD(ctl_jobs, ctl_job);
+
+/* ---- Proposals that wait for their commit (ctl_raft.c) ---- */
+
+enum ctl_waiter_kind {
+	CTL_WAIT_NONE,
+	CTL_WAIT_CALL,
+	CTL_WAIT_FORWARD,
+	CTL_WAIT_PLACEMENT,
+};
+
+struct ctl_forward;
+
+struct ctl_waiter {
+	TAILQ_ENTRY(ctl_waiter) link;
+	uint64_t index;
+	uint64_t term;
+	enum ctl_waiter_kind kind;
+	union {
+		struct ctl_call *call; /* one reference */
+		struct ctl_forward *forward;
+	};
+};
+TAILQ_HEAD(ctl_waiters, ctl_waiter);
+
+/* A command of another instance; kept for a while after its commit, so that a
+ * resend gets the same result. */
+struct ctl_forward {
+	STAILQ_ENTRY(ctl_forward) link; /* finished ones, oldest first */
+	char *key;			/* owned; node, boot and id */
+	char *address;			/* owned; where the reply goes */
+	uint64_t id;
+	uint64_t boot;
+	Dsp__CommandResult *result; /* owned; NULL: not committed yet */
+	int64_t finished_us;
+};
+STAILQ_HEAD(ctl_forwards, ctl_forward);
+
+/* ---- Instances below this one (ctl_report.c) ---- */
+
+struct ctl_child {
+	char *node;    /* owned */
+	char *address; /* owned */
+	uint64_t boot;
+	uint64_t sent_index; /* view index that it should have soon */
+	int64_t sent_us;
+	int64_t heard_us;
+	bool due; /* answer its report in this iteration */
+};
+
+struct ctl_load {
+	TAILQ_ENTRY(ctl_load) link; /* changed ones */
+	Dsp__LoadReport *report;    /* owned */
+	int64_t received_us;
+	bool changed;
+};
+TAILQ_HEAD(ctl_loads, ctl_load);
+
+/* ---- Leader's tables (ctl_member.c, ctl_order.c) ---- */
+
+#define CTL_PAST_LIVES 8
+
+/* Process lives (boot or incarnation) that were replaced by a newer one; a
+ * late message of one of them is ignored. */
+struct ctl_lives {
+	uint64_t current;
+	uint64_t past[CTL_PAST_LIVES];
+	unsigned n_past;
+};
+
+struct ctl_member {
+	struct ctl_lives lives;
+	int64_t heard_us;
+	int64_t proposed_us;
+	uint64_t view_index;
+	uint32_t streams;
+	uint32_t confirmed_age_ms;
+};
+
+struct ctl_endpoint {
+	struct ctl_lives lives;
+	int64_t heard_us;
+	int64_t put_us;	      /* last EndpointPut proposed */
+	uint64_t sequence;    /* highest of this incarnation */
+	uint64_t residency;   /* hash of the last residency proposed */
+	int64_t residency_us; /* when */
+};
+
+struct ctl_order {
+	uint64_t id;
+	bool own; /* committed by this leader in this term */
+	bool queued;
+	bool accepted;
+	unsigned sends; /* that may have arrived */
+	unsigned failures;
+	int64_t next_us;
+	bool seen; /* in the current pass */
+};
+
+struct ctl_join {
+	Dsp__Member *member; /* owned */
+	int64_t heard_us;
+};
+
+struct ctl_sender;
+
+struct ctl {
+	/* Fixed after the start. */
+	const struct set *set;
+	struct clk *clock;
+	struct met *met;
+	struct ctl_callbacks cb;
+	uint64_t boot;
+	int wake_fd;
+	pthread_t thread;
+
+	pthread_mutex_t lock;
+	struct ctl_jobs jobs;	      /* lock */
+	struct view *view;	      /* lock; written by the control thread */
+	bool draining;		      /* lock */
+	_Atomic int64_t confirmed_us; /* written by the control thread */
+
+	/* The rest belongs to the control thread. */
+	int64_t now_us;
+	bool stopping;
+	int64_t stop_by_us;
+	struct net *net;
+	GHashTable *addresses; /* node id -> last address seen */
+
+	/* Replica; NULL without a data folder or after a disk failure. */
+	struct sto *sto;
+	struct raft *raft;
+	struct st *st;
+	uint64_t replica;
+	uint64_t group;
+	uint64_t applied_index;
+	uint64_t applied_term;
+	Dsp__RaftConfig *applied_config;
+	bool disk_failed;
+	bool view_dirty;   /* st has changes that the view lacks */
+	bool orders_dirty; /* a pending order may be sendable */
+	bool was_leader;
+	bool ready_leader;
+	uint64_t leader_term_started;
+	int64_t leader_since_us;
+	GHashTable *replica_heard; /* replica -> time of its last message */
+	struct ctl_waiters waiters;
+	struct ctl_waiters orphans; /* of an earlier leadership */
+	GHashTable *forwards;	    /* key -> struct ctl_forward */
+	struct ctl_forwards forwards_done;
+
+	/* Formation. */
+	bool forming;
+	bool joining;
+	int64_t form_due_us;
+	struct ctl_form_answer *form_answers; /* other initial voters */
+	size_t n_form_answers;
+	GHashTable *joins; /* replica -> struct ctl_join; on the leader */
+
+	/* Calls. */
+	struct ctl_calls calls;
+	GHashTable *calls_by_id;
+	uint64_t next_call;
+	int64_t calls_due_us;
+
+	/* Leader, relays and views. */
+	uint64_t term; /* of the leader below */
+	char *leader_node;
+	char *leader_address;
+	Dsp__RaftConfig *config; /* as last announced */
+	GPtrArray *relays;	 /* node ids */
+	char *upstream;		 /* address */
+	size_t upstream_attempt;
+	int64_t upstream_chosen_us;
+	int64_t report_due_us;
+	uint32_t report_hops;
+	GHashTable *children;	   /* node id -> struct ctl_child */
+	GHashTable *statuses;	   /* node id -> Dsp__NodeStatus */
+	GHashTable *announcements; /* endpoint -> Dsp__Announcement */
+	GHashTable *announced;	   /* endpoint -> hash of the last one */
+	GHashTable *demands;	   /* key -> Dsp__Demand */
+	GHashTable *loads;	   /* endpoint -> struct ctl_load */
+	struct ctl_loads changed_loads;
+	int64_t push_due_us;	  /* next round with loads */
+	int64_t push_earliest_us; /* limits the rate of other rounds */
+	int64_t publish_due_us;
+
+	/* Leader. */
+	struct plc *plc;
+	unsigned placements; /* order commands not applied yet */
+	int64_t round_due_us;
+	int64_t member_due_us;
+	int64_t expire_us;
+	GHashTable *members;   /* node id -> struct ctl_member */
+	GHashTable *endpoints; /* endpoint id -> struct ctl_endpoint */
+	GHashTable *orders;    /* id -> struct ctl_order */
+	enum ctl_repair_step repair;
+	struct ctl_sender *sender;
+
+	int64_t metrics_due_us;
+};
+
+/* ctl.c */
+void ctl_post(struct ctl *ctx, struct ctl_job *job);
+void ctl_send(struct ctl *ctx, const char *address, Dsp__Envelope *envelope);
+void ctl_set_view(struct ctl *ctx, struct view *view);
+bool ctl_is_draining(struct ctl *ctx);
+uint32_t ctl_confirmed_age_ms(const struct ctl *ctx);
+
+/* ctl_call.c */
+void ctl_call_start(struct ctl *ctx, struct ctl_call *call);
+void ctl_call_run(struct ctl *ctx);
+void ctl_call_reply(struct ctl *ctx, const Dsp__Envelope *from,
+		    const Dsp__ForwardReply *reply);
+void ctl_call_answer(struct ctl *ctx, const Dsp__AnswerReply *reply);
+/* The proposal of a call ended. result NULL: it was not committed and never
+ * will be; the call is tried again. Takes the result and the reference. */
+void ctl_call_committed(struct ctl *ctx, struct ctl_call *call,
+			Dsp__CommandResult *result);
+void ctl_call_finish_all(struct ctl *ctx);
+void ctl_call_unref(struct ctl *ctx, struct ctl_call *call);
+
+/* ctl_raft.c */
+bool ctl_raft_open(struct ctl *ctx, GError **err);
+bool ctl_raft_begin(struct ctl *ctx, uint64_t group,
+		    const Dsp__RaftConfig *config);
+void ctl_raft_close(struct ctl *ctx);
+void ctl_raft_step(struct ctl *ctx, const Dsp__RaftMessage *msg);
+void ctl_raft_run(struct ctl *ctx);
+bool ctl_raft_is_leader(const struct ctl *ctx);
+/* Proposes a command; wall_ms is set here. Returns false when this replica is
+ * not the leader; the waiter is then the caller's. */
+bool ctl_raft_propose(struct ctl *ctx, Dsp__Command *command,
+		      struct ctl_waiter *waiter);
+bool ctl_raft_propose_config(struct ctl *ctx, const Dsp__RaftConfig *config,
+			     struct ctl_waiter *waiter);
+struct ctl_waiter *ctl_waiter_new(enum ctl_waiter_kind kind);
+void ctl_raft_forward(struct ctl *ctx, const Dsp__Envelope *from,
+		      const Dsp__Forward *forward);
+void ctl_raft_expire_forwards(struct ctl *ctx);
+
+/* ctl_form.c */
+void ctl_form_start(struct ctl *ctx);
+void ctl_form_run(struct ctl *ctx);
+void ctl_form_query(struct ctl *ctx, const Dsp__Envelope *from,
+		    const Dsp__FormQuery *query);
+void ctl_form_reply(struct ctl *ctx, const Dsp__FormReply *reply);
+void ctl_form_group(struct ctl *ctx, const Dsp__FormGroup *group);
+void ctl_form_join(struct ctl *ctx, const Dsp__Envelope *from,
+		   const Dsp__JoinRequest *request);
+
+/* ctl_report.c */
+void ctl_report_run(struct ctl *ctx);
+void ctl_report_push(struct ctl *ctx);
+void ctl_report_publish(struct ctl *ctx);
+void ctl_report_soon(struct ctl *ctx, int64_t delay_us);
+void ctl_report_receive(struct ctl *ctx, const Dsp__Envelope *from,
+			const Dsp__Report *report);
+void ctl_report_view(struct ctl *ctx, const Dsp__ViewUpdate *update);
+void ctl_report_announcement(struct ctl *ctx,
+			     const Dsp__Announcement *announcement);
+void ctl_report_demand(struct ctl *ctx, const Dsp__Demand *demand);
+void ctl_report_load(struct ctl *ctx, const Dsp__LoadReport *report);
+void ctl_report_greet(struct ctl *ctx);
+void ctl_report_set_leader(struct ctl *ctx, uint64_t term, const char *node,
+			   const char *address);
+/* Nodes of the installed view; g_free() the array. */
+size_t ctl_report_nodes(struct ctl *ctx, const Dsp__Node ***out);
+/* Addresses of voters but the own one; they live as ctx->config. */
+size_t ctl_report_voters(struct ctl *ctx, const char ***out);
+
+/* ctl_member.c */
+void ctl_member_start(struct ctl *ctx);
+void ctl_member_stop(struct ctl *ctx);
+void ctl_member_run(struct ctl *ctx);
+void ctl_member_report(struct ctl *ctx, const Dsp__Report *report);
+/* True for a new or the current life; notes it. */
+bool ctl_lives_accept(struct ctl_lives *lives, uint64_t life);
+
+/* ctl_order.c */
+struct ctl_sender *ctl_order_open(struct ctl *ctx);
+void ctl_order_close(struct ctl_sender *sender);
+void ctl_order_run(struct ctl *ctx);
+void ctl_order_committed(struct ctl *ctx, const Dsp__CommandResult *result);
+void ctl_order_sent(struct ctl *ctx, uint64_t id, uint64_t term,
+		    enum ctl_order_outcome outcome);
+void ctl_order_result(struct ctl *ctx, const char *endpoint,
+		      const Dsp__OrderResult *result);
+void ctl_order_stop_sending(struct ctl *ctx);
+
+/* ctl_status.c */
+char *ctl_status_build(struct ctl *ctx);
+void ctl_status_metrics(struct ctl *ctx);
+
+/* Deep copies of messages. */
+#define CTL_COPY(type, message) \
+	((void *)ctl_copy(&dsp__##type##__descriptor, &(message)->base))
+void *ctl_copy(const ProtobufCMessageDescriptor *descriptor,
+	       const ProtobufCMessage *message);
+
+#endif
--- /dev/null
+++ b/src/node/ctl_raft.c
@@ -0,0 +1,725 @@
+#include "node/ctl_int.h"
+
+#include "base/log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Log bytes after which the state is written as a snapshot. Replaying this
+ * much at start takes well under a second. */
+#define SNAPSHOT_LOG_BYTES (16 << 20)
+/* Bytes of entries in one message to a follower. */
+#define BATCH_BYTES (256 << 10)
+/* A forwarded command's result is kept for resends; longer than
+ * RESEND_FOR_US of ctl_call.c. */
+#define FORWARD_RESULT_US (10LL * CTL_S_US)
+
+static Dsp__CommandResult *result_new(Dsp__ResultCode code, const char *message)
+{
+	Dsp__CommandResult *result = g_new(Dsp__CommandResult, 1);
+
+	dsp__command_result__init(result);
+	result->code = code;
+	result->message = g_strdup(message);
+	return result;
+}
+
+/* Creates a waiter without index; ctl_raft_propose() takes it. */
+struct ctl_waiter *ctl_waiter_new(enum ctl_waiter_kind kind)
+{
+	struct ctl_waiter *waiter = g_new0(struct ctl_waiter, 1);
+
+	waiter->kind = kind;
+	return waiter;
+}
+
+/* ---- Forwarded commands ---- */
+
+static void send_reply(struct ctl *ctx, const char *address, uint64_t id,
+		       uint64_t boot, Dsp__CommandResult *result,
+		       const char *leader)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__ForwardReply reply = DSP__FORWARD_REPLY__INIT;
+
+	reply.id = id;
+	reply.boot = boot;
+	reply.result = result;
+	reply.leader = (char *)(leader ? leader : "");
+	out.body_case = DSP__ENVELOPE__BODY_FORWARD_REPLY;
+	out.forward_reply = &reply;
+	ctl_send(ctx, address, &out);
+}
+
+static void reply_not_leader(struct ctl *ctx, const char *address, uint64_t id,
+			     uint64_t boot)
+{
+	Dsp__CommandResult result = DSP__COMMAND_RESULT__INIT;
+
+	result.code = DSP__RESULT_CODE__RESULT_NOT_LEADER;
+	send_reply(ctx, address, id, boot, &result, ctx->leader_address);
+}
+
+static void reply_invalid(struct ctl *ctx, const char *address, uint64_t id,
+			  uint64_t boot)
+{
+	Dsp__CommandResult result = DSP__COMMAND_RESULT__INIT;
+
+	result.code = DSP__RESULT_CODE__RESULT_INVALID;
+	result.message = "the command cannot be parsed";
+	send_reply(ctx, address, id, boot, &result, NULL);
+}
+
+/* Takes the result; NULL: the command never takes effect. */
+static void forward_committed(struct ctl *ctx, struct ctl_forward *forward,
+			      Dsp__CommandResult *result)
+{
+	if (!result) {
+		reply_not_leader(ctx, forward->address, forward->id,
+				 forward->boot);
+		g_hash_table_remove(ctx->forwards, forward->key);
+		return;
+	}
+	forward->result = result;
+	forward->finished_us = ctx->now_us;
+	STAILQ_INSERT_TAIL(&ctx->forwards_done, forward, link);
+	send_reply(ctx, forward->address, forward->id, forward->boot, result,
+		   NULL);
+}
+
+static bool propose_forward(struct ctl *ctx, const Dsp__Forward *in,
+			    Dsp__Command *command, struct ctl_forward *forward)
+{
+	struct ctl_waiter *waiter = ctl_waiter_new(CTL_WAIT_FORWARD);
+	Dsp__RaftConfig *config;
+	bool ok;
+
+	waiter->forward = forward;
+	if (command) {
+		ok = ctl_raft_propose(ctx, command, waiter);
+	} else {
+		config = ctl_rule_without(raft_config(ctx->raft),
+					  in->replace_replica);
+		ok = ctl_raft_propose_config(ctx, config, waiter);
+		dsp__raft_config__free_unpacked(config, NULL);
+	}
+	if (!ok)
+		g_free(waiter);
+	return ok;
+}
+
+static void start_forward(struct ctl *ctx, const Dsp__Envelope *from,
+			  const Dsp__Forward *in, char *key)
+{
+	struct ctl_forward *forward;
+	Dsp__Command *command = NULL;
+
+	if (!in->replace_replica) {
+		command = dsp__command__unpack(NULL, in->command.len,
+					       in->command.data);
+		if (!command) {
+			reply_invalid(ctx, from->address, in->id, in->boot);
+			g_free(key);
+			return;
+		}
+	}
+	forward = g_new0(struct ctl_forward, 1);
+	forward->key = key;
+	forward->address = g_strdup(from->address);
+	forward->id = in->id;
+	forward->boot = in->boot;
+	g_hash_table_insert(ctx->forwards, forward->key, forward);
+	if (!propose_forward(ctx, in, command, forward)) {
+		reply_not_leader(ctx, from->address, in->id, in->boot);
+		g_hash_table_remove(ctx->forwards, forward->key);
+	}
+	if (command)
+		dsp__command__free_unpacked(command, NULL);
+}
+
+/*
+ * Handles a command from another instance. The same forward id is proposed at
+ * most once by this replica: a resend waits for the first one or gets its
+ * result. A replica that has proposed it and lost the leadership does not
+ * answer before the log decides, since the sender would take "not leader" as
+ * proof that the command had no effect.
+ */
+void ctl_raft_forward(struct ctl *ctx, const Dsp__Envelope *from,
+		      const Dsp__Forward *in)
+{
+	char *key =
+		g_strdup_printf("%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+				in->node, in->boot, in->id);
+	struct ctl_forward *known = g_hash_table_lookup(ctx->forwards, key);
+
+	if (known) {
+		g_free(key);
+		if (known->result)
+			send_reply(ctx, from->address, in->id, in->boot,
+				   known->result, NULL);
+	} else if (!ctl_raft_is_leader(ctx)) {
+		g_free(key);
+		reply_not_leader(ctx, from->address, in->id, in->boot);
+	} else {
+		start_forward(ctx, from, in, key);
+	}
+}
+
+/* Forgets results that no resend can ask for any more. */
+void ctl_raft_expire_forwards(struct ctl *ctx)
+{
+	struct ctl_forward *forward;
+
+	while (!STAILQ_EMPTY(&ctx->forwards_done)) {
+		forward = STAILQ_FIRST(&ctx->forwards_done);
+		if (ctx->now_us - forward->finished_us < FORWARD_RESULT_US)
+			return;
+		STAILQ_REMOVE_HEAD(&ctx->forwards_done, link);
+		g_hash_table_remove(ctx->forwards, forward->key);
+	}
+}
+
+/* ---- Waiters ---- */
+
+/* Takes the result and frees the waiter. */
+static void resolve(struct ctl *ctx, struct ctl_waiter *waiter,
+		    Dsp__CommandResult *result)
+{
+	switch (waiter->kind) {
+	case CTL_WAIT_CALL:
+		ctl_call_committed(ctx, waiter->call, result);
+		result = NULL;
+		break;
+	case CTL_WAIT_FORWARD:
+		forward_committed(ctx, waiter->forward, result);
+		result = NULL;
+		break;
+	case CTL_WAIT_PLACEMENT:
+		if (ctx->placements)
+			ctx->placements--;
+		if (result)
+			ctl_order_committed(ctx, result);
+		break;
+	case CTL_WAIT_NONE:
+		break;
+	}
+	if (result)
+		dsp__command_result__free_unpacked(result, NULL);
+	g_free(waiter);
+}
+
+static void resolve_list(struct ctl *ctx, struct ctl_waiters *list,
+			 const Dsp__LogEntry *e, Dsp__CommandResult *result)
+{
+	struct ctl_waiter *w;
+	struct ctl_waiter *next;
+
+	for (w = TAILQ_FIRST(list); w && w->index <= e->index; w = next) {
+		next = TAILQ_NEXT(w, link);
+		TAILQ_REMOVE(list, w, link);
+		resolve(ctx, w,
+			w->index == e->index && w->term == e->term && result
+				? CTL_COPY(command_result, result)
+				: NULL);
+	}
+}
+
+/* The list of an earlier leadership is not sorted any more. */
+static void resolve_orphans(struct ctl *ctx, const Dsp__LogEntry *e,
+			    Dsp__CommandResult *result)
+{
+	struct ctl_waiter *w;
+	struct ctl_waiter *next;
+
+	for (w = TAILQ_FIRST(&ctx->orphans); w; w = next) {
+		next = TAILQ_NEXT(w, link);
+		if (w->index != e->index)
+			continue;
+		TAILQ_REMOVE(&ctx->orphans, w, link);
+		resolve(ctx, w,
+			w->term == e->term && result
+				? CTL_COPY(command_result, result)
+				: NULL);
+	}
+}
+
+/* The outcome of these is not known and will not be: a snapshot replaced the
+ * part of the log that held them, or the disk failed. */
+static void give_up_waiters(struct ctl *ctx, struct ctl_waiters *list,
+			    uint64_t up_to)
+{
+	struct ctl_waiter *w;
+	struct ctl_waiter *next;
+
+	for (w = TAILQ_FIRST(list); w; w = next) {
+		next = TAILQ_NEXT(w, link);
+		if (w->index > up_to)
+			continue;
+		TAILQ_REMOVE(list, w, link);
+		if (w->kind == CTL_WAIT_CALL)
+			ctl_call_unref(ctx, w->call);
+		if (w->kind == CTL_WAIT_PLACEMENT && ctx->placements)
+			ctx->placements--;
+		/* The record of a forward stays, so that no resend of it is
+		 * proposed again. */
+		g_free(w);
+	}
+}
+
+/* ---- Replica ---- */
+
+static bool group_is_known(const struct sto_content *content)
+{
+	return content->group && content->config;
+}
+
+static void start_raft(struct ctl *ctx, uint64_t group,
+		       const Dsp__RaftConfig *config)
+{
+	const struct sto_content *content = sto_content(ctx->sto);
+	struct raft_options options = {
+		.replica = ctx->replica,
+		.group = group,
+		.seed = ctx->boot,
+		.election_timeout_us =
+			(int64_t)ctx->set->election_timeout_ms * 1000,
+		.heartbeat_us = (int64_t)ctx->set->heartbeat_ms * 1000,
+		.max_batch_bytes = BATCH_BYTES,
+	};
+	struct raft_durable durable = {
+		.term = content->term,
+		.voted_for = content->voted_for,
+		.snapshot_index = content->snapshot_index,
+		.snapshot_term = content->snapshot_term,
+		.config = config,
+		.entries = content->entries,
+		.n_entries = content->n_entries,
+	};
+
+	ctx->group = group;
+	ctx->applied_config = CTL_COPY(raft_config, config);
+	ctx->applied_index = content->snapshot_index;
+	ctx->applied_term = content->snapshot_term;
+	if (content->snapshot &&
+	    !st_restore(ctx->st, content->snapshot, content->snapshot_len))
+		LOG_EVENT_ERROR("ctl", "snapshot_invalid",
+				"index=%" G_GUINT64_FORMAT,
+				content->snapshot_index);
+	ctx->raft = raft_new(&options, &durable, ctx->now_us);
+	ctx->view_dirty = true;
+	LOG_EVENT_NOTICE("ctl", "replica_started",
+			 "group=%016" G_GINT64_MODIFIER
+			 "x replica=%016" G_GINT64_MODIFIER "x",
+			 group, ctx->replica);
+}
+
+static void set_limits(const struct ctl *ctx, struct st_limits *limits)
+{
+	*limits = st_default_limits;
+	if (ctx->set->claims_max)
+		limits->claims_max = ctx->set->claims_max;
+	if (ctx->set->claim_bodies_mb)
+		limits->claim_bodies_bytes = (uint64_t)ctx->set->claim_bodies_mb
+					     << 20;
+}
+
+/*
+ * Opens the data folder of a control instance and starts the replica when it
+ * belongs to a group. A damaged, full or failing folder is logged and leaves
+ * the instance without a replica, so that it serves traffic; false only when
+ * another process uses the folder.
+ */
+bool ctl_raft_open(struct ctl *ctx, GError **err)
+{
+	const struct sto_content *content;
+	struct st_limits limits;
+	GError *error = NULL;
+
+	if (!ctx->set->control || !ctx->set->data_folder)
+		return true;
+	ctx->sto = sto_open(ctx->set->data_folder, &error);
+	if (!ctx->sto) {
+		if (g_error_matches(error, STO_ERROR, STO_ERROR_LOCKED)) {
+			g_propagate_error(err, error);
+			return false;
+		}
+		LOG_EVENT_ERROR("ctl", "replica_refused", "reason=\"%s\"",
+				error->message);
+		g_clear_error(&error);
+		ctx->disk_failed = true;
+		return true;
+	}
+	content = sto_content(ctx->sto);
+	ctx->replica = content->replica;
+	set_limits(ctx, &limits);
+	ctx->st = st_new(&limits);
+	if (group_is_known(content))
+		start_raft(ctx, content->group, content->config);
+	return true;
+}
+
+static void disk_failed(struct ctl *ctx, GError *error)
+{
+	LOG_EVENT_ERROR("ctl", "disk_failed", "reason=\"%s\"", error->message);
+	met_count(ctx->met, "dandelionspar_disk_failures", "", 1);
+	g_clear_error(&error);
+	ctx->disk_failed = true;
+	if (ctx->raft)
+		raft_disable(ctx->raft);
+	give_up_waiters(ctx, &ctx->waiters, UINT64_MAX);
+	give_up_waiters(ctx, &ctx->orphans, UINT64_MAX);
+	if (ctx->was_leader)
+		ctl_member_stop(ctx);
+	ctx->was_leader = false;
+	ctx->ready_leader = false;
+	ctx->upstream_chosen_us = 0;
+	g_clear_pointer(&ctx->raft, raft_free);
+}
+
+/* Joins a group with an empty folder and starts the replica. */
+bool ctl_raft_begin(struct ctl *ctx, uint64_t group,
+		    const Dsp__RaftConfig *config)
+{
+	GError *error = NULL;
+
+	if (!sto_set_group(ctx->sto, group, config, &error) ||
+	    !sto_sync(ctx->sto, &error)) {
+		disk_failed(ctx, error);
+		return false;
+	}
+	start_raft(ctx, group, config);
+	return true;
+}
+
+/* Frees the replica and closes the folder. */
+void ctl_raft_close(struct ctl *ctx)
+{
+	give_up_waiters(ctx, &ctx->waiters, UINT64_MAX);
+	give_up_waiters(ctx, &ctx->orphans, UINT64_MAX);
+	if (ctx->raft)
+		raft_free(ctx->raft);
+	if (ctx->sto)
+		sto_close(ctx->sto);
+	if (ctx->st)
+		st_free(ctx->st);
+	if (ctx->applied_config)
+		dsp__raft_config__free_unpacked(ctx->applied_config, NULL);
+}
+
+/* Returns true when this replica believes to lead the group. */
+bool ctl_raft_is_leader(const struct ctl *ctx)
+{
+	return ctx->raft && raft_role(ctx->raft) == RAFT_LEADER;
+}
+
+static const Dsp__Member *find_member(const Dsp__RaftConfig *config,
+				      uint64_t replica)
+{
+	for (size_t i = 0; config && i < config->n_members; i++)
+		if (config->members[i]->replica == replica)
+			return config->members[i];
+	return NULL;
+}
+
+static const char *replica_address(struct ctl *ctx, uint64_t replica)
+{
+	const Dsp__Member *m = find_member(raft_config(ctx->raft), replica);
+	struct ctl_join *join;
+
+	if (!m)
+		m = find_member(ctx->applied_config, replica);
+	if (m)
+		return m->address;
+	join = g_hash_table_lookup(ctx->joins, &replica);
+	return join ? join->member->address : NULL;
+}
+
+/* Handles a message of another replica. */
+void ctl_raft_step(struct ctl *ctx, const Dsp__RaftMessage *msg)
+{
+	if (!ctx->raft || msg->to != ctx->replica || msg->group != ctx->group)
+		return;
+	g_hash_table_replace(ctx->replica_heard,
+			     g_memdup2(&msg->from, sizeof(msg->from)),
+			     g_memdup2(&ctx->now_us, sizeof(ctx->now_us)));
+	raft_step(ctx->raft, msg, ctx->now_us);
+}
+
+/*
+ * Appends a command to the log. On success the waiter is resolved when the
+ * outcome is known; otherwise it stays the caller's.
+ */
+bool ctl_raft_propose(struct ctl *ctx, Dsp__Command *command,
+		      struct ctl_waiter *waiter)
+{
+	uint8_t *data;
+	size_t len;
+	uint64_t index;
+
+	if (!ctl_raft_is_leader(ctx))
+		return false;
+	command->wall_ms =
+		(uint64_t)MAX(clk_wall_ms(ctx->clock), st_wall_ms(ctx->st));
+	len = dsp__command__get_packed_size(command);
+	data = g_malloc(len + 1);
+	dsp__command__pack(command, data);
+	index = raft_propose(ctx->raft, data, len);
+	g_free(data);
+	if (!index)
+		return false;
+	waiter->index = index;
+	waiter->term = raft_term(ctx->raft);
+	TAILQ_INSERT_TAIL(&ctx->waiters, waiter, link);
+	return true;
+}
+
+/* As ctl_raft_propose(), for a change of one member. */
+bool ctl_raft_propose_config(struct ctl *ctx, const Dsp__RaftConfig *config,
+			     struct ctl_waiter *waiter)
+{
+	uint64_t index;
+
+	if (!ctl_raft_is_leader(ctx) || raft_config_pending(ctx->raft))
+		return false;
+	index = raft_propose_config(ctx->raft, config);
+	if (!index)
+		return false;
+	waiter->index = index;
+	waiter->term = raft_term(ctx->raft);
+	TAILQ_INSERT_TAIL(&ctx->waiters, waiter, link);
+	return true;
+}
+
+/* True when entries may see the effect of the command in their view. */
+static bool changes_view(const Dsp__Command *command)
+{
+	switch (command->body_case) {
+	case DSP__COMMAND__BODY_CLAIM_CREATE:
+	case DSP__COMMAND__BODY_CLAIM_FINISH:
+	case DSP__COMMAND__BODY_CLAIM_GET:
+		return false;
+	default:
+		return true;
+	}
+}
+
+static Dsp__CommandResult *apply_command(struct ctl *ctx,
+					 const Dsp__LogEntry *e)
+{
+	Dsp__Command *command =
+		dsp__command__unpack(NULL, e->data.len, e->data.data);
+	Dsp__CommandResult *result;
+
+	if (!command)
+		return result_new(DSP__RESULT_CODE__RESULT_INVALID,
+				  "the command cannot be parsed");
+	result = st_apply(ctx->st, e->index, command);
+	if (changes_view(command)) {
+		ctx->view_dirty = true;
+		ctx->orders_dirty = true;
+	}
+	dsp__command__free_unpacked(command, NULL);
+	return result;
+}
+
+static Dsp__CommandResult *apply_config(struct ctl *ctx, const Dsp__LogEntry *e)
+{
+	Dsp__RaftConfig *config =
+		dsp__raft_config__unpack(NULL, e->data.len, e->data.data);
+
+	if (config) {
+		dsp__raft_config__free_unpacked(ctx->applied_config, NULL);
+		ctx->applied_config = config;
+		ctx->push_due_us = 0;
+	}
+	return result_new(DSP__RESULT_CODE__RESULT_OK, "");
+}
+
+static void apply_entry(struct ctl *ctx, const Dsp__LogEntry *e)
+{
+	Dsp__CommandResult *result = NULL;
+
+	switch (e->kind) {
+	case DSP__ENTRY_KIND__ENTRY_COMMAND:
+		result = apply_command(ctx, e);
+		break;
+	case DSP__ENTRY_KIND__ENTRY_CONFIG:
+		result = apply_config(ctx, e);
+		break;
+	default:
+		break;
+	}
+	ctx->applied_index = e->index;
+	ctx->applied_term = e->term;
+	resolve_list(ctx, &ctx->waiters, e, result);
+	if (!TAILQ_EMPTY(&ctx->orphans))
+		resolve_orphans(ctx, e, result);
+	if (result)
+		dsp__command_result__free_unpacked(result, NULL);
+}
+
+static bool install_snapshot(struct ctl *ctx, const struct raft_ready *ready,
+			     GError **error)
+{
+	if (!sto_write_snapshot(ctx->sto, ready->snapshot_index,
+				ready->snapshot_term, ready->snapshot_config,
+				ready->snapshot_data, ready->snapshot_len,
+				error))
+		return false;
+	if (!st_restore(ctx->st, ready->snapshot_data, ready->snapshot_len))
+		LOG_EVENT_ERROR("ctl", "snapshot_invalid",
+				"index=%" G_GUINT64_FORMAT,
+				ready->snapshot_index);
+	dsp__raft_config__free_unpacked(ctx->applied_config, NULL);
+	ctx->applied_config = CTL_COPY(raft_config, ready->snapshot_config);
+	ctx->applied_index = ready->snapshot_index;
+	ctx->applied_term = ready->snapshot_term;
+	ctx->view_dirty = true;
+	give_up_waiters(ctx, &ctx->waiters, ready->snapshot_index);
+	give_up_waiters(ctx, &ctx->orphans, ready->snapshot_index);
+	return true;
+}
+
+static bool write_ready(struct ctl *ctx, const struct raft_ready *ready,
+			GError **error)
+{
+	bool any = false;
+
+	if (ready->hard_state_changed) {
+		any = true;
+		if (!sto_write_hard_state(ctx->sto, ready->term,
+					  ready->voted_for, error))
+			return false;
+	}
+	if (ready->install_snapshot && !install_snapshot(ctx, ready, error))
+		return false;
+	if (ready->truncate_from) {
+		any = true;
+		if (!sto_truncate_from(ctx->sto, ready->truncate_from, error))
+			return false;
+	}
+	if (ready->n_append) {
+		any = true;
+		if (!sto_append(ctx->sto, ready->append, ready->n_append,
+				error))
+			return false;
+	}
+	return !any || sto_sync(ctx->sto, error);
+}
+
+static void send_raft(struct ctl *ctx, Dsp__RaftMessage *msg)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+
+	out.body_case = DSP__ENVELOPE__BODY_RAFT;
+	out.raft = msg;
+	ctl_send(ctx, replica_address(ctx, msg->to), &out);
+}
+
+static bool take_snapshot(struct ctl *ctx, GError **error)
+{
+	size_t len;
+	uint8_t *data;
+	bool ok = true;
+
+	if (!ctx->applied_index)
+		return true;
+	data = st_snapshot(ctx->st, &len);
+	if (ctx->applied_index > sto_content(ctx->sto)->snapshot_index)
+		ok = sto_write_snapshot(ctx->sto, ctx->applied_index,
+					ctx->applied_term, ctx->applied_config,
+					data, len, error);
+	if (ok)
+		raft_provide_snapshot(ctx->raft, ctx->applied_index, data, len);
+	g_free(data);
+	return ok;
+}
+
+/* Learns the leader from the replica, which knows it before the relay does. */
+static void follow_leader(struct ctl *ctx)
+{
+	uint64_t leader = raft_leader(ctx->raft);
+	const Dsp__Member *m =
+		leader ? find_member(raft_config(ctx->raft), leader) : NULL;
+
+	if (m)
+		ctl_report_set_leader(ctx, raft_term(ctx->raft), m->node,
+				      m->address);
+}
+
+static void follow_role(struct ctl *ctx)
+{
+	bool leader = ctl_raft_is_leader(ctx);
+	bool ready = leader && raft_is_ready_leader(ctx->raft);
+	struct ctl_waiter *w;
+
+	follow_leader(ctx);
+	if (ctx->was_leader &&
+	    (!leader || raft_term(ctx->raft) != ctx->leader_term_started)) {
+		while ((w = TAILQ_FIRST(&ctx->waiters))) {
+			TAILQ_REMOVE(&ctx->waiters, w, link);
+			TAILQ_INSERT_TAIL(&ctx->orphans, w, link);
+		}
+		if (ctx->ready_leader)
+			ctl_member_stop(ctx);
+		ctx->ready_leader = false;
+		LOG_EVENT_NOTICE("ctl", "leader_lost",
+				 "term=%" G_GUINT64_FORMAT,
+				 ctx->leader_term_started);
+	}
+	if (leader)
+		ctx->leader_term_started = raft_term(ctx->raft);
+	ctx->was_leader = leader;
+	if (!ready || ctx->ready_leader)
+		return;
+	ctx->ready_leader = true;
+	ctx->leader_since_us = ctx->now_us;
+	LOG_EVENT_NOTICE("ctl", "leader", "term=%" G_GUINT64_FORMAT,
+			 raft_term(ctx->raft));
+	ctl_member_start(ctx);
+}
+
+static void confirm_view(struct ctl *ctx)
+{
+	int64_t contact_us;
+
+	if (!ctx->ready_leader || view_index(ctx->view) < st_index(ctx->st))
+		return;
+	contact_us = raft_quorum_contact_us(ctx->raft);
+	if (contact_us > ctx->confirmed_us)
+		ctx->confirmed_us = contact_us;
+}
+
+/*
+ * Advances the replica: log writes with one sync, then messages, then committed
+ * entries. A failed write ends the replica's part in the group; the entry role
+ * continues.
+ */
+void ctl_raft_run(struct ctl *ctx)
+{
+	struct raft_ready ready;
+	GError *error = NULL;
+
+	if (!ctx->raft)
+		return;
+	raft_tick(ctx->raft, ctx->now_us);
+	while (raft_take_ready(ctx->raft, &ready)) {
+		if (!write_ready(ctx, &ready, &error))
+			goto fail;
+		for (size_t i = 0; i < ready.n_messages; i++)
+			send_raft(ctx, ready.messages[i]);
+		for (size_t i = 0; i < ready.n_committed; i++)
+			apply_entry(ctx, ready.committed[i]);
+		raft_advance(ctx->raft, &ready, ctx->now_us);
+		if (ready.want_snapshot && !take_snapshot(ctx, &error))
+			goto fail;
+	}
+	if (sto_bytes(ctx->sto) > SNAPSHOT_LOG_BYTES &&
+	    !take_snapshot(ctx, &error))
+		goto fail;
+	follow_role(ctx);
+	confirm_view(ctx);
+	return;
+fail:
+	disk_failed(ctx, error);
+}
--- /dev/null
+++ b/src/node/ctl_rules.c
@@ -0,0 +1,289 @@
+#include "node/ctl_rules.h"
+
+#include <string.h>
+
+/* A learner this close to the commit index is caught up: the rest takes one
+ * append message. */
+#define CAUGHT_UP_ENTRIES 64
+
+/*
+ * Returns what an instance may serve. An instance that never saw a confirmed
+ * view serves nothing, since it may hold an outdated document after a restart.
+ */
+enum ctl_readiness ctl_rule_readiness(int64_t confirmed_us, int64_t now_us,
+				      int64_t isolated_after_us,
+				      int64_t stale_limit_us, bool draining)
+{
+	int64_t age_us = now_us - confirmed_us;
+
+	if (!confirmed_us)
+		return CTL_STARTING;
+	if (age_us > stale_limit_us && age_us > isolated_after_us)
+		return CTL_STALE;
+	if (age_us > isolated_after_us)
+		return CTL_ISOLATED;
+	return draining ? CTL_DRAINING : CTL_SERVING;
+}
+
+/*
+ * Decides for an empty instance from the answers of all other initial voters.
+ * A missing answer may come from a member of a group, so no group is created
+ * without it.
+ */
+enum ctl_form_action
+ctl_rule_form(const char *self, const struct ctl_form_answer *answers, size_t n)
+{
+	enum ctl_form_action action = CTL_FORM_CREATE;
+
+	for (size_t i = 0; i < n; i++) {
+		if (answers[i].answered && answers[i].group)
+			return CTL_FORM_JOIN;
+		if (!answers[i].answered || strcmp(answers[i].node, self) < 0)
+			action = CTL_FORM_WAIT;
+	}
+	return action;
+}
+
+static Dsp__Member *member_copy(const Dsp__Member *member, bool voter)
+{
+	Dsp__Member *copy = g_new(Dsp__Member, 1);
+
+	dsp__member__init(copy);
+	copy->replica = member->replica;
+	copy->node = g_strdup(member->node);
+	copy->address = g_strdup(member->address);
+	copy->site = g_strdup(member->site);
+	copy->voter = voter;
+	return copy;
+}
+
+/* A copy without the replica drop (0: none) and with add as a member (NULL:
+ * none). */
+static Dsp__RaftConfig *config_copy(const Dsp__RaftConfig *config,
+				    uint64_t drop, const Dsp__Member *add,
+				    bool voter)
+{
+	Dsp__RaftConfig *copy = g_new(Dsp__RaftConfig, 1);
+
+	dsp__raft_config__init(copy);
+	copy->members = g_new0(Dsp__Member *, config->n_members + 1);
+	for (size_t i = 0; i < config->n_members; i++) {
+		const Dsp__Member *m = config->members[i];
+
+		if (m->replica == drop || (add && m->replica == add->replica))
+			continue;
+		copy->members[copy->n_members++] = member_copy(m, m->voter);
+	}
+	if (add)
+		copy->members[copy->n_members++] = member_copy(add, voter);
+	return copy;
+}
+
+/* Returns a copy of the configuration without the replica. */
+Dsp__RaftConfig *ctl_rule_without(const Dsp__RaftConfig *config,
+				  uint64_t replica)
+{
+	return config_copy(config, replica, NULL, false);
+}
+
+static const Dsp__Member *find_replica(const Dsp__RaftConfig *config,
+				       uint64_t replica)
+{
+	for (size_t i = 0; i < config->n_members; i++)
+		if (config->members[i]->replica == replica)
+			return config->members[i];
+	return NULL;
+}
+
+/* Another identity of the same instance. */
+static const Dsp__Member *find_other(const Dsp__RaftConfig *config,
+				     const Dsp__Member *member, bool voter)
+{
+	for (size_t i = 0; i < config->n_members; i++) {
+		const Dsp__Member *m = config->members[i];
+
+		if (m->voter == voter && m->replica != member->replica &&
+		    !strcmp(m->node, member->node))
+			return m;
+	}
+	return NULL;
+}
+
+static size_t count_voters(const Dsp__RaftConfig *config)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < config->n_members; i++)
+		n += config->members[i]->voter;
+	return n;
+}
+
+static enum ctl_repair_step repair_joining(const struct ctl_repair_input *in,
+					   Dsp__RaftConfig **out)
+{
+	for (size_t i = 0; i < in->n_joining; i++) {
+		const Dsp__Member *m = in->joining[i];
+		const Dsp__Member *stale;
+
+		if (find_replica(in->config, m->replica))
+			continue;
+		stale = find_other(in->config, m, false);
+		if (stale) {
+			*out = ctl_rule_without(in->config, stale->replica);
+			return CTL_REPAIR_DROP_LEARNER;
+		}
+		if (!find_other(in->config, m, true) &&
+		    count_voters(in->config) >= CTL_VOTERS_MAX)
+			continue;
+		*out = config_copy(in->config, 0, m, false);
+		return CTL_REPAIR_ADD_LEARNER;
+	}
+	return CTL_REPAIR_NONE;
+}
+
+/*
+ * Returns the next single-server change. The old identity is removed before
+ * the new one is promoted, and only after the new one has caught up, so that
+ * the number of voters that hold the log never falls below what it was with
+ * the disk lost. An old identity that still sends messages is not removed: two
+ * processes then use the same instance id, which an operator must resolve.
+ */
+enum ctl_repair_step ctl_rule_repair(const struct ctl_repair_input *in,
+				     Dsp__RaftConfig **out)
+{
+	enum ctl_repair_step step;
+
+	*out = NULL;
+	step = repair_joining(in, out);
+	if (step != CTL_REPAIR_NONE)
+		return step;
+	for (size_t i = 0; i < in->config->n_members; i++) {
+		const Dsp__Member *m = in->config->members[i];
+		const Dsp__Member *old;
+
+		if (m->voter)
+			continue;
+		if (in->match(in->data, m->replica) + CAUGHT_UP_ENTRIES <
+			    in->commit_index ||
+		    !in->alive(in->data, m->replica)) {
+			step = CTL_REPAIR_CATCH_UP;
+			continue;
+		}
+		old = find_other(in->config, m, true);
+		if (old && in->alive(in->data, old->replica))
+			continue;
+		if (old) {
+			*out = ctl_rule_without(in->config, old->replica);
+			return CTL_REPAIR_REMOVE_OLD;
+		}
+		if (count_voters(in->config) >= CTL_VOTERS_MAX)
+			continue;
+		*out = config_copy(in->config, 0, m, true);
+		return CTL_REPAIR_PROMOTE;
+	}
+	return step;
+}
+
+/* Returns the name of a step for logs and the status. */
+const char *ctl_rule_repair_name(enum ctl_repair_step step)
+{
+	static const char *const names[] = {
+		[CTL_REPAIR_NONE] = "none",
+		[CTL_REPAIR_DROP_LEARNER] = "drop_learner",
+		[CTL_REPAIR_ADD_LEARNER] = "add_learner",
+		[CTL_REPAIR_CATCH_UP] = "catch_up",
+		[CTL_REPAIR_REMOVE_OLD] = "remove_old",
+		[CTL_REPAIR_PROMOTE] = "promote",
+	};
+
+	return names[step];
+}
+
+/* Order of candidates: not draining, then voters, then the lowest id. */
+static bool better_relay(const Dsp__Node *a, const Dsp__Node *b)
+{
+	if (!b)
+		return true;
+	if (a->draining != b->draining)
+		return !a->draining;
+	if (a->control != b->control)
+		return a->control;
+	return strcmp(a->id, b->id) < 0;
+}
+
+static const Dsp__Node *best_of_site(const Dsp__Node *const *nodes, size_t n,
+				     const char *site, const char *without,
+				     const char *also_without)
+{
+	const Dsp__Node *best = NULL;
+
+	for (size_t i = 0; i < n; i++) {
+		const Dsp__Node *node = nodes[i];
+
+		if (node->down || strcmp(node->site, site) != 0 ||
+		    (without && !strcmp(node->id, without)) ||
+		    (also_without && !strcmp(node->id, also_without)))
+			continue;
+		if (better_relay(node, best))
+			best = node;
+	}
+	return best;
+}
+
+/* Returns the instance that relays for a site; NULL when none is live. */
+const Dsp__Node *ctl_rule_relay(const Dsp__Node *const *nodes, size_t n,
+				const char *site)
+{
+	return best_of_site(nodes, n, site, NULL, NULL);
+}
+
+static const char *address_of(const struct ctl_upstream_input *in,
+			      const char *id)
+{
+	for (size_t i = 0; i < in->n_nodes; i++)
+		if (!strcmp(in->nodes[i]->id, id) &&
+		    in->nodes[i]->internal_address[0])
+			return in->nodes[i]->internal_address;
+	return NULL;
+}
+
+/*
+ * Returns the address that an instance reports to: the relay of its site, then
+ * the next candidate of the site, then one voter after the other. The relay
+ * itself reports to the leader.
+ */
+const char *ctl_rule_upstream(const struct ctl_upstream_input *in,
+			      size_t attempt)
+{
+	const char *address = NULL;
+
+	if (in->relay && strcmp(in->relay, in->self) != 0) {
+		if (attempt == 0) {
+			address = address_of(in, in->relay);
+		} else if (attempt == 1) {
+			const Dsp__Node *next =
+				best_of_site(in->nodes, in->n_nodes, in->site,
+					     in->relay, in->self);
+
+			address = next ? next->internal_address : NULL;
+		}
+	} else if (attempt == 0) {
+		address = in->leader;
+	}
+	if (address && address[0])
+		return address;
+	return in->n_voters ? in->voters[attempt % in->n_voters] : NULL;
+}
+
+/*
+ * Returns true when the upstream chosen at chosen_us brought no confirmed view
+ * for limit_us. Messages alone do not count: two instances without contact to
+ * the leader could keep each other as upstream.
+ */
+bool ctl_rule_upstream_failed(int64_t chosen_us, int64_t confirmed_us,
+			      int64_t now_us, int64_t limit_us)
+{
+	int64_t since_us = MAX(chosen_us, confirmed_us);
+
+	return now_us - since_us > limit_us;
+}
