--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -275,6 +275,7 @@
 	ctl_raft_run(ctx);
 	ctl_order_run(ctx);
 	ctl_report_publish(ctx);
+	ctl_raft_confirm(ctx);
 	ctl_report_push(ctx);
 	ctl_raft_expire_forwards(ctx);
 	ctl_status_metrics(ctx);
--- /dev/null
+++ b/src/node/ctl_form.c
@@ -0,0 +1,275 @@
+#include "node/ctl_int.h"
+
+#include "base/log.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+#define QUERY_INTERVAL_US 300000
+/* A learner that is being added asks again until it has the group. */
+#define JOIN_INTERVAL_US 500000
+
+static struct ctl_form_answer *answer_of(struct ctl *ctx, const char *node)
+{
+	for (size_t i = 0; i < ctx->n_form_answers; i++)
+		if (!strcmp(ctx->form_answers[i].node, node))
+			return &ctx->form_answers[i];
+	return NULL;
+}
+
+/* Prepares the formation of a replica without a group. */
+void ctl_form_start(struct ctl *ctx)
+{
+	const struct set *set = ctx->set;
+
+	if (!ctx->sto || ctx->raft || ctx->disk_failed)
+		return;
+	ctx->forming = true;
+	ctx->form_answers = g_new0(struct ctl_form_answer, set->n_peers + 1);
+	for (size_t i = 0; i < set->n_peers; i++)
+		if (set->peers[i].control &&
+		    strcmp(set->peers[i].id, set->id) != 0)
+			ctx->form_answers[ctx->n_form_answers++].node =
+				set->peers[i].id;
+	LOG_EVENT_NOTICE("ctl", "forming",
+			 "replica=%016" G_GINT64_MODIFIER "x peers=%zu",
+			 ctx->replica, ctx->n_form_answers);
+}
+
+static void send_to_peers(struct ctl *ctx, Dsp__Envelope *out)
+{
+	for (size_t i = 0; i < ctx->set->n_peers; i++)
+		if (ctx->set->peers[i].control &&
+		    strcmp(ctx->set->peers[i].id, ctx->set->id) != 0)
+			ctl_send(ctx, ctx->set->peers[i].address, out);
+}
+
+static void send_queries(struct ctl *ctx)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__FormQuery query = DSP__FORM_QUERY__INIT;
+
+	query.node = ctx->set->id;
+	query.replica = ctx->replica;
+	out.body_case = DSP__ENVELOPE__BODY_FORM_QUERY;
+	out.form_query = &query;
+	send_to_peers(ctx, &out);
+}
+
+static void fill_self(struct ctl *ctx, Dsp__Member *member)
+{
+	dsp__member__init(member);
+	member->replica = ctx->replica;
+	member->node = ctx->set->id;
+	member->address = ctx->set->internal_advertise;
+	member->site = ctx->set->site;
+}
+
+static void send_join(struct ctl *ctx)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__JoinRequest request = DSP__JOIN_REQUEST__INIT;
+	Dsp__Member member;
+
+	fill_self(ctx, &member);
+	request.member = &member;
+	out.body_case = DSP__ENVELOPE__BODY_JOIN_REQUEST;
+	out.join_request = &request;
+	send_to_peers(ctx, &out);
+	if (ctx->leader_address)
+		ctl_send(ctx, ctx->leader_address, &out);
+}
+
+static void send_group(struct ctl *ctx, const char *address, uint64_t group,
+		       const Dsp__RaftConfig *config)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__FormGroup message = DSP__FORM_GROUP__INIT;
+
+	message.group = group;
+	message.config = (Dsp__RaftConfig *)config;
+	out.body_case = DSP__ENVELOPE__BODY_FORM_GROUP;
+	out.form_group = &message;
+	ctl_send(ctx, address, &out);
+}
+
+static uint64_t random_group(void)
+{
+	uint64_t group = 0;
+
+	while (!group)
+		if (getrandom(&group, sizeof(group), 0) < 0)
+			group = 0;
+	return group;
+}
+
+/* All initial voters are empty and this one has the lowest id. */
+static void create_group(struct ctl *ctx)
+{
+	const struct set *set = ctx->set;
+	size_t max = set->n_peers + 1;
+	g_autofree Dsp__Member *members = g_new0(Dsp__Member, max);
+	g_autofree Dsp__Member **list = g_new0(Dsp__Member *, max);
+	Dsp__RaftConfig config = DSP__RAFT_CONFIG__INIT;
+	uint64_t group = random_group();
+
+	config.members = list;
+	list[config.n_members++] = &members[0];
+	fill_self(ctx, &members[0]);
+	members[0].voter = true;
+	for (size_t i = 0; i < set->n_peers; i++) {
+		const struct ctl_form_answer *answer =
+			answer_of(ctx, set->peers[i].id);
+		Dsp__Member *m = &members[config.n_members];
+
+		if (!answer)
+			continue;
+		dsp__member__init(m);
+		m->replica = answer->replica;
+		m->node = set->peers[i].id;
+		m->address = set->peers[i].address;
+		m->site = set->peers[i].site;
+		m->voter = true;
+		list[config.n_members++] = m;
+	}
+	LOG_EVENT_NOTICE("ctl", "group_created",
+			 "group=%016" G_GINT64_MODIFIER "x voters=%zu", group,
+			 config.n_members);
+	if (!ctl_raft_begin(ctx, group, &config))
+		return;
+	ctx->forming = false;
+	for (size_t i = 1; i < config.n_members; i++)
+		send_group(ctx, list[i]->address, group, &config);
+}
+
+/* Advances formation or joining. */
+void ctl_form_run(struct ctl *ctx)
+{
+	enum ctl_form_action action;
+
+	if (!ctx->forming || ctx->now_us < ctx->form_due_us)
+		return;
+	if (!ctx->joining) {
+		action = ctl_rule_form(ctx->set->id, ctx->form_answers,
+				       ctx->n_form_answers);
+		if (action == CTL_FORM_JOIN) {
+			ctx->joining = true;
+			LOG_EVENT_NOTICE("ctl", "joining",
+					 "replica=%016" G_GINT64_MODIFIER "x",
+					 ctx->replica);
+		} else if (action == CTL_FORM_CREATE) {
+			create_group(ctx);
+			return;
+		}
+	}
+	if (ctx->joining) {
+		send_join(ctx);
+		ctx->form_due_us = ctx->now_us + JOIN_INTERVAL_US;
+		return;
+	}
+	/* Each round counts only its own answers: an instance that answered
+	 * earlier may have joined a group since. */
+	for (size_t i = 0; i < ctx->n_form_answers; i++)
+		ctx->form_answers[i].answered = false;
+	send_queries(ctx);
+	ctx->form_due_us = ctx->now_us + QUERY_INTERVAL_US;
+}
+
+static bool is_member(const Dsp__RaftConfig *config, uint64_t replica)
+{
+	for (size_t i = 0; config && i < config->n_members; i++)
+		if (config->members[i]->replica == replica)
+			return true;
+	return false;
+}
+
+/*
+ * Answers an empty instance. One whose identity is a member already lost the
+ * message that told it the group; it is told again. It never voted, since a
+ * replica starts only after it has stored its group.
+ */
+void ctl_form_query(struct ctl *ctx, const Dsp__Envelope *from,
+		    const Dsp__FormQuery *query)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__FormReply reply = DSP__FORM_REPLY__INIT;
+
+	if (!ctx->sto || ctx->disk_failed)
+		return; /* it may have been a member: no answer is true */
+	if (ctx->raft && is_member(ctx->applied_config, query->replica))
+		send_group(ctx, from->address, ctx->group, ctx->applied_config);
+	reply.node = ctx->set->id;
+	reply.replica = ctx->replica;
+	reply.group = ctx->raft ? ctx->group : 0;
+	reply.address = ctx->set->internal_advertise;
+	reply.site = ctx->set->site;
+	out.body_case = DSP__ENVELOPE__BODY_FORM_REPLY;
+	out.form_reply = &reply;
+	ctl_send(ctx, from->address, &out);
+}
+
+/* Notes the answer of another initial voter. */
+void ctl_form_reply(struct ctl *ctx, const Dsp__FormReply *reply)
+{
+	struct ctl_form_answer *answer;
+	bool all = true;
+
+	if (!ctx->forming)
+		return;
+	answer = answer_of(ctx, reply->node);
+	if (!answer)
+		return;
+	answer->answered = true;
+	answer->replica = reply->replica;
+	answer->group = reply->group;
+	for (size_t i = 0; i < ctx->n_form_answers; i++)
+		all = all && ctx->form_answers[i].answered;
+	if (!ctx->joining && (all || reply->group))
+		ctx->form_due_us = 0;
+}
+
+/* Takes the group that this identity was made a member of. */
+void ctl_form_group(struct ctl *ctx, const Dsp__FormGroup *message)
+{
+	if (!ctx->forming || !message->group ||
+	    !is_member(message->config, ctx->replica))
+		return;
+	if (ctl_raft_begin(ctx, message->group, message->config))
+		LOG_EVENT_NOTICE("ctl", "group_joined",
+				 "group=%016" G_GINT64_MODIFIER "x",
+				 message->group);
+	ctx->forming = false;
+	ctx->joining = false;
+}
+
+/*
+ * Notes on the leader that a new identity wants to join; another member passes
+ * the request to the leader, since the sender may not know the leader.
+ */
+void ctl_form_join(struct ctl *ctx, const Dsp__Envelope *from,
+		   const Dsp__JoinRequest *request)
+{
+	const Dsp__Member *m = request->member;
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	struct ctl_join *join;
+
+	if (!m || !m->replica || !m->node[0] || !ctx->raft)
+		return;
+	if (!ctl_raft_is_leader(ctx)) {
+		out.body_case = DSP__ENVELOPE__BODY_JOIN_REQUEST;
+		out.join_request = (Dsp__JoinRequest *)request;
+		if (!strcmp(from->from, m->node))
+			ctl_send(ctx, ctx->leader_address, &out);
+		return;
+	}
+	if (is_member(ctx->applied_config, m->replica)) {
+		send_group(ctx, m->address, ctx->group, ctx->applied_config);
+		g_hash_table_remove(ctx->joins, &m->replica);
+		return;
+	}
+	join = g_new0(struct ctl_join, 1);
+	join->member = CTL_COPY(member, m);
+	join->heard_us = ctx->now_us;
+	g_hash_table_replace(ctx->joins,
+			     g_memdup2(&m->replica, sizeof(m->replica)), join);
+}
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -148,6 +148,7 @@
 	TAILQ_ENTRY(ctl_load) link; /* changed ones */
 	Dsp__LoadReport *report;    /* owned */
 	int64_t received_us;
+	int64_t pushed_us; /* last sent to the instances below */
 	bool changed;
 };
 TAILQ_HEAD(ctl_loads, ctl_load);
@@ -279,6 +280,7 @@
 	struct ctl_loads changed_loads;
 	int64_t push_due_us;	  /* next round with loads */
 	int64_t push_earliest_us; /* limits the rate of other rounds */
+	uint64_t pushed_index;	  /* of the last round */
 	int64_t publish_due_us;
 
 	/* Leader. */
@@ -323,6 +325,7 @@
 void ctl_raft_close(struct ctl *ctx);
 void ctl_raft_step(struct ctl *ctx, const Dsp__RaftMessage *msg);
 void ctl_raft_run(struct ctl *ctx);
+void ctl_raft_confirm(struct ctl *ctx);
 bool ctl_raft_is_leader(const struct ctl *ctx);
 /* Proposes a command; wall_ms is set here. Returns false when this replica is
  * not the leader; the waiter is then the caller's. */
--- /dev/null
+++ b/src/node/ctl_member.c
@@ -0,0 +1,502 @@
+#include "node/ctl_int.h"
+
+#include "base/log.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* How often the leader looks for expired leases and repairs. */
+#define RUN_INTERVAL_US 100000
+/* A proposal whose effect is not visible by then is made again. */
+#define REPEAT_US CTL_S_US
+/* Residency is proposed again while orders wait for it. */
+#define RESIDENCY_REPEAT_US (5LL * CTL_S_US)
+#define ROUND_INTERVAL_US CTL_S_US
+/* Grace after the deadline of a claim; section 9 of docs/design.md. */
+#define CLAIM_GRACE_MS 10000
+/* Time limits other than claims' are hours long. */
+#define EXPIRE_INTERVAL_US (60LL * CTL_S_US)
+/* A request to join that is not repeated is dropped. */
+#define JOIN_LIMIT_US (5LL * CTL_S_US)
+/* A replica heard within this time is alive; several heartbeats. */
+#define REPLICA_ALIVE_US (3LL * CTL_S_US)
+
+/*
+ * Returns true for the current or a new process life, which then becomes the
+ * current one. Lives are random numbers, so a late message is recognised only
+ * by remembering the lives that were replaced.
+ */
+bool ctl_lives_accept(struct ctl_lives *lives, uint64_t life)
+{
+	if (lives->current == life)
+		return true;
+	for (unsigned i = 0; i < MIN(lives->n_past, CTL_PAST_LIVES); i++)
+		if (lives->past[i] == life)
+			return false;
+	if (lives->current)
+		lives->past[lives->n_past++ % CTL_PAST_LIVES] = lives->current;
+	lives->current = life;
+	return true;
+}
+
+static bool propose(struct ctl *ctx, Dsp__Command *command)
+{
+	struct ctl_waiter *waiter = ctl_waiter_new(CTL_WAIT_NONE);
+
+	if (ctl_raft_propose(ctx, command, waiter))
+		return true;
+	g_free(waiter);
+	return false;
+}
+
+/* Begins the leader's duties: leases count from now, since the reports that
+ * would renew them went to the old leader. */
+void ctl_member_start(struct ctl *ctx)
+{
+	uint64_t seed = ctx->boot ^ raft_term(ctx->raft);
+
+	g_hash_table_remove_all(ctx->members);
+	g_hash_table_remove_all(ctx->endpoints);
+	g_hash_table_remove_all(ctx->orders);
+	ctx->placements = 0;
+	ctx->plc = plc_new(seed);
+	ctx->round_due_us = ctx->now_us + ROUND_INTERVAL_US;
+	ctx->member_due_us = 0;
+	ctx->expire_us = ctx->now_us;
+	ctx->push_due_us = 0;
+	ctx->orders_dirty = true;
+	ctl_report_greet(ctx);
+	ctl_report_soon(ctx, 0);
+}
+
+/* Ends the leader's duties. */
+void ctl_member_stop(struct ctl *ctx)
+{
+	if (ctx->plc)
+		plc_free(ctx->plc);
+	ctx->plc = NULL;
+	ctx->repair = CTL_REPAIR_NONE;
+	g_hash_table_remove_all(ctx->joins);
+	if (ctx->sender)
+		ctl_order_stop_sending(ctx);
+}
+
+/* ---- Instances ---- */
+
+static const Dsp__Node *find_node(const Dsp__Node *const *nodes, size_t n,
+				  const char *id)
+{
+	for (size_t i = 0; i < n; i++)
+		if (!strcmp(nodes[i]->id, id))
+			return nodes[i];
+	return NULL;
+}
+
+static bool same_node(const Dsp__Node *a, const Dsp__Node *b)
+{
+	return a->boot == b->boot && a->weight == b->weight &&
+	       a->control == b->control && a->draining == b->draining &&
+	       a->down == b->down && !strcmp(a->site, b->site) &&
+	       !strcmp(a->region, b->region) &&
+	       !strcmp(a->internal_address, b->internal_address) &&
+	       !strcmp(a->http_address, b->http_address);
+}
+
+static void member_status(struct ctl *ctx, const Dsp__Node *const *nodes,
+			  size_t n, const Dsp__NodeStatus *status)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__NodePut put = DSP__NODE_PUT__INIT;
+	const Dsp__Node *known = find_node(nodes, n, status->node->id);
+	struct ctl_member *m =
+		g_hash_table_lookup(ctx->members, status->node->id);
+
+	if (!m) {
+		m = g_new0(struct ctl_member, 1);
+		g_hash_table_insert(ctx->members, g_strdup(status->node->id),
+				    m);
+	}
+	if (!ctl_lives_accept(&m->lives, status->node->boot))
+		return;
+	m->heard_us = ctx->now_us;
+	m->view_index = status->view_index;
+	m->streams = status->streams;
+	m->confirmed_age_ms = status->confirmed_age_ms;
+	if (known && same_node(known, status->node))
+		return;
+	if (m->proposed_us && ctx->now_us - m->proposed_us < REPEAT_US &&
+	    !status->node->draining)
+		return;
+	m->proposed_us = ctx->now_us;
+	put.node = status->node;
+	command.body_case = DSP__COMMAND__BODY_NODE_PUT;
+	command.node_put = &put;
+	propose(ctx, &command);
+}
+
+static void expire_nodes(struct ctl *ctx)
+{
+	int64_t lease_us = (int64_t)ctx->set->node_lease_ms * 1000;
+	const Dsp__Node **nodes;
+	size_t n = st_nodes(ctx->st, &nodes);
+
+	for (size_t i = 0; i < n; i++) {
+		Dsp__Command command = DSP__COMMAND__INIT;
+		Dsp__NodeDown down = DSP__NODE_DOWN__INIT;
+		struct ctl_member *m =
+			g_hash_table_lookup(ctx->members, nodes[i]->id);
+		int64_t heard_us = ctx->leader_since_us;
+
+		if (nodes[i]->down)
+			continue;
+		if (m)
+			heard_us = MAX(heard_us, m->heard_us);
+		if (ctx->now_us - heard_us <= lease_us ||
+		    (m && ctx->now_us - m->proposed_us < REPEAT_US))
+			continue;
+		if (!m) {
+			m = g_new0(struct ctl_member, 1);
+			m->lives.current = nodes[i]->boot;
+			g_hash_table_insert(ctx->members,
+					    g_strdup(nodes[i]->id), m);
+		}
+		m->proposed_us = ctx->now_us;
+		LOG_EVENT_NOTICE("ctl", "node_down", "node=%s", nodes[i]->id);
+		down.id = nodes[i]->id;
+		down.boot = nodes[i]->boot;
+		command.body_case = DSP__COMMAND__BODY_NODE_DOWN;
+		command.node_down = &down;
+		propose(ctx, &command);
+	}
+	g_free(nodes);
+}
+
+/* ---- Endpoints ---- */
+
+static bool same_features(const Dsp__Features *a, const Dsp__Features *b)
+{
+	Dsp__Features none = DSP__FEATURES__INIT;
+
+	a = a ? a : &none;
+	b = b ? b : &none;
+	return a->fencing == b->fencing &&
+	       a->checks_incarnation == b->checks_incarnation &&
+	       a->cancel == b->cancel && a->resume == b->resume &&
+	       a->priorities == b->priorities &&
+	       a->kv_transfer == b->kv_transfer && a->roles == b->roles;
+}
+
+/* Compares what an endpoint says of itself; copies are reported apart. */
+static bool same_endpoint(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
+{
+	return a->incarnation == b->incarnation && a->state == b->state &&
+	       a->kind == b->kind && a->accelerators == b->accelerators &&
+	       a->accelerator_memory_mb == b->accelerator_memory_mb &&
+	       a->max_batch == b->max_batch &&
+	       !strcmp(a->address, b->address) && !strcmp(a->site, b->site) &&
+	       !strcmp(a->team, b->team) && !strcmp(a->service, b->service) &&
+	       same_features(a->features, b->features);
+}
+
+static void put_endpoint(struct ctl *ctx, struct ctl_endpoint *e,
+			 const Dsp__Announcement *a)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__EndpointPut put = DSP__ENDPOINT_PUT__INIT;
+	Dsp__Endpoint endpoint = *a->endpoint;
+	const Dsp__Endpoint *known = st_endpoint(ctx->st, endpoint.id);
+
+	endpoint.state = a->leaving ? DSP__ENDPOINT_STATE__ENDPOINT_LEAVING
+				    : DSP__ENDPOINT_STATE__ENDPOINT_UP;
+	if (known && same_endpoint(known, &endpoint))
+		return;
+	if (e->put_us && ctx->now_us - e->put_us < REPEAT_US &&
+	    (!a->leaving || (known && known->state == endpoint.state)))
+		return;
+	e->put_us = ctx->now_us;
+	put.endpoint = &endpoint;
+	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
+	command.endpoint_put = &put;
+	propose(ctx, &command);
+}
+
+static uint64_t residency_hash(const Dsp__ResidencyReport *report)
+{
+	size_t len = dsp__residency_report__get_packed_size(report);
+	g_autofree uint8_t *data = g_malloc(len + 1);
+
+	dsp__residency_report__pack(report, data);
+	return XXH3_64bits(data, len);
+}
+
+static bool has_pending_order(struct ctl *ctx, const char *endpoint)
+{
+	const Dsp__Order **orders;
+	size_t n = st_orders_pending(ctx->st, &orders);
+	bool found = false;
+
+	for (size_t i = 0; i < n && !found; i++)
+		found = !strcmp(orders[i]->endpoint, endpoint);
+	g_free(orders);
+	return found;
+}
+
+static void report_residency(struct ctl *ctx, struct ctl_endpoint *e,
+			     const Dsp__Announcement *a)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__ResidencyReport report = DSP__RESIDENCY_REPORT__INIT;
+	uint64_t hash;
+
+	report.endpoint = a->endpoint->id;
+	report.incarnation = a->endpoint->incarnation;
+	report.highest_fence = a->highest_fence;
+	report.copies = a->endpoint->copies;
+	report.n_copies = a->endpoint->n_copies;
+	hash = residency_hash(&report);
+	if (hash == e->residency &&
+	    (ctx->now_us - e->residency_us < RESIDENCY_REPEAT_US ||
+	     !has_pending_order(ctx, a->endpoint->id)))
+		return;
+	e->residency = hash;
+	e->residency_us = ctx->now_us;
+	command.body_case = DSP__COMMAND__BODY_RESIDENCY_REPORT;
+	command.residency_report = &report;
+	propose(ctx, &command);
+}
+
+/*
+ * Handles one announcement. Two entries pass on the same announcements over
+ * paths of different length; an older one is ignored, since an outdated
+ * residency would make the ledger wrong.
+ */
+static void member_announcement(struct ctl *ctx, const Dsp__Announcement *a)
+{
+	struct ctl_endpoint *e;
+	uint64_t before;
+
+	if (!a->endpoint || !a->endpoint->id[0] || !a->endpoint->incarnation)
+		return;
+	e = g_hash_table_lookup(ctx->endpoints, a->endpoint->id);
+	if (!e) {
+		e = g_new0(struct ctl_endpoint, 1);
+		g_hash_table_insert(ctx->endpoints, g_strdup(a->endpoint->id),
+				    e);
+	}
+	before = e->lives.current;
+	if (!ctl_lives_accept(&e->lives, a->endpoint->incarnation))
+		return;
+	if (before != e->lives.current) {
+		e->sequence = 0;
+		e->put_us = 0;
+		e->residency_us = 0;
+		e->residency = 0;
+	}
+	if (a->load && a->load->sequence < e->sequence)
+		return;
+	if (a->load) {
+		e->sequence = a->load->sequence;
+		ctl_report_load(ctx, a->load);
+		plc_load(ctx->plc, a->load, ctx->now_us);
+	}
+	e->heard_us = ctx->now_us;
+	put_endpoint(ctx, e, a);
+	report_residency(ctx, e, a);
+	for (size_t i = 0; i < a->n_results; i++)
+		ctl_order_result(ctx, a->endpoint->id, a->results[i]);
+}
+
+static void expire_endpoints(struct ctl *ctx)
+{
+	int64_t lease_us = (int64_t)ctx->set->endpoint_lease_ms * 1000;
+	const Dsp__Endpoint **endpoints;
+	size_t n = st_endpoints(ctx->st, &endpoints);
+
+	for (size_t i = 0; i < n; i++) {
+		Dsp__Command command = DSP__COMMAND__INIT;
+		Dsp__EndpointDown down = DSP__ENDPOINT_DOWN__INIT;
+		struct ctl_endpoint *e =
+			g_hash_table_lookup(ctx->endpoints, endpoints[i]->id);
+		int64_t heard_us = ctx->leader_since_us;
+
+		if (endpoints[i]->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN)
+			continue;
+		if (e)
+			heard_us = MAX(heard_us, e->heard_us);
+		if (ctx->now_us - heard_us <= lease_us ||
+		    (e && e->put_us && ctx->now_us - e->put_us < REPEAT_US))
+			continue;
+		if (!e) {
+			e = g_new0(struct ctl_endpoint, 1);
+			e->lives.current = endpoints[i]->incarnation;
+			g_hash_table_insert(ctx->endpoints,
+					    g_strdup(endpoints[i]->id), e);
+		}
+		e->put_us = ctx->now_us;
+		LOG_EVENT_NOTICE("ctl", "endpoint_down", "endpoint=%s",
+				 endpoints[i]->id);
+		down.id = endpoints[i]->id;
+		down.incarnation = endpoints[i]->incarnation;
+		command.body_case = DSP__COMMAND__BODY_ENDPOINT_DOWN;
+		command.endpoint_down = &down;
+		propose(ctx, &command);
+	}
+	g_free(endpoints);
+}
+
+/* Handles a report on the leader. */
+void ctl_member_report(struct ctl *ctx, const Dsp__Report *report)
+{
+	const Dsp__Node **nodes;
+	size_t n = st_nodes(ctx->st, &nodes);
+
+	for (size_t i = 0; i < report->n_nodes; i++)
+		if (report->nodes[i]->node && report->nodes[i]->node->id[0])
+			member_status(ctx, nodes, n, report->nodes[i]);
+	g_free(nodes);
+	for (size_t i = 0; i < report->n_announcements; i++)
+		member_announcement(ctx, report->announcements[i]);
+	for (size_t i = 0; i < report->n_demands; i++)
+		plc_demand(ctx->plc, report->demands[i], ctx->now_us);
+}
+
+/* ---- Time limits ---- */
+
+static bool claim_expired(struct ctl *ctx, uint64_t wall_ms)
+{
+	const Dsp__Claim **claims;
+	size_t n = st_claims_open(ctx->st, &claims);
+	bool expired = false;
+
+	for (size_t i = 0; i < n && !expired; i++)
+		expired = claims[i]->deadline_ms + CLAIM_GRACE_MS < wall_ms;
+	g_free(claims);
+	return expired;
+}
+
+/* Applies time limits when a claim needs it, else rarely, so that an idle
+ * group writes nothing. */
+static void propose_expire(struct ctl *ctx)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__Expire expire = DSP__EXPIRE__INIT;
+	uint64_t wall_ms =
+		(uint64_t)MAX(clk_wall_ms(ctx->clock), st_wall_ms(ctx->st));
+
+	if (ctx->now_us - ctx->expire_us < CTL_S_US)
+		return;
+	if (ctx->now_us - ctx->expire_us < EXPIRE_INTERVAL_US &&
+	    !claim_expired(ctx, wall_ms))
+		return;
+	ctx->expire_us = ctx->now_us;
+	command.body_case = DSP__COMMAND__BODY_EXPIRE;
+	command.expire = &expire;
+	propose(ctx, &command);
+}
+
+/* ---- Replicas ---- */
+
+static uint64_t match_of(void *data, uint64_t replica)
+{
+	const struct ctl *ctx = data;
+
+	return raft_match_index(ctx->raft, replica);
+}
+
+static bool replica_alive(void *data, uint64_t replica)
+{
+	const struct ctl *ctx = data;
+	const int64_t *heard_us =
+		g_hash_table_lookup(ctx->replica_heard, &replica);
+
+	return replica == ctx->replica ||
+	       (heard_us && ctx->now_us - *heard_us < REPLICA_ALIVE_US);
+}
+
+static size_t list_joins(struct ctl *ctx, Dsp__Member ***out)
+{
+	GHashTableIter iter;
+	struct ctl_join *join;
+	size_t n = 0;
+
+	*out = g_new0(Dsp__Member *, g_hash_table_size(ctx->joins) + 1);
+	g_hash_table_iter_init(&iter, ctx->joins);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&join)) {
+		if (ctx->now_us - join->heard_us > JOIN_LIMIT_US)
+			g_hash_table_iter_remove(&iter);
+		else
+			(*out)[n++] = join->member;
+	}
+	return n;
+}
+
+static void repair_replicas(struct ctl *ctx)
+{
+	struct ctl_repair_input in = {
+		.config = raft_config(ctx->raft),
+		.commit_index = raft_commit_index(ctx->raft),
+		.data = ctx,
+		.match = match_of,
+		.alive = replica_alive,
+	};
+	enum ctl_repair_step step;
+	Dsp__RaftConfig *config;
+	struct ctl_waiter *waiter;
+	Dsp__Member **joining;
+
+	if (raft_config_pending(ctx->raft))
+		return;
+	in.n_joining = list_joins(ctx, &joining);
+	in.joining = joining;
+	step = ctl_rule_repair(&in, &config);
+	if (step != ctx->repair)
+		LOG_EVENT_NOTICE("ctl", "repair", "step=%s",
+				 ctl_rule_repair_name(step));
+	ctx->repair = step;
+	if (config) {
+		waiter = ctl_waiter_new(CTL_WAIT_NONE);
+		if (!ctl_raft_propose_config(ctx, config, waiter))
+			g_free(waiter);
+		dsp__raft_config__free_unpacked(config, NULL);
+	}
+	g_free(joining);
+}
+
+/* ---- Placement ---- */
+
+static void run_placement(struct ctl *ctx)
+{
+	Dsp__Command **commands;
+	struct ctl_waiter *waiter;
+	size_t n;
+
+	/* The planner reads the state, which lacks orders that are not applied
+	 * yet; another round now would plan them twice. */
+	if (ctx->now_us < ctx->round_due_us || ctx->placements)
+		return;
+	ctx->round_due_us = ctx->now_us + ROUND_INTERVAL_US;
+	n = plc_round(ctx->plc, ctx->st, ctx->now_us, &commands);
+	for (size_t i = 0; i < n; i++) {
+		waiter = ctl_waiter_new(CTL_WAIT_PLACEMENT);
+		if (ctl_raft_propose(ctx, commands[i], waiter))
+			ctx->placements++;
+		else
+			g_free(waiter);
+		dsp__command__free_unpacked(commands[i], NULL);
+	}
+	g_free(commands);
+}
+
+/* Runs the leader's periodic duties. */
+void ctl_member_run(struct ctl *ctx)
+{
+	if (!ctx->ready_leader || !ctl_raft_is_leader(ctx) ||
+	    ctx->now_us < ctx->member_due_us)
+		return;
+	ctx->member_due_us = ctx->now_us + RUN_INTERVAL_US;
+	expire_nodes(ctx);
+	expire_endpoints(ctx);
+	propose_expire(ctx);
+	repair_replicas(ctx);
+	run_placement(ctx);
+}
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -651,15 +651,11 @@
 {
 	bool leader = ctl_raft_is_leader(ctx);
 	bool ready = leader && raft_is_ready_leader(ctx->raft);
-	struct ctl_waiter *w;
 
 	follow_leader(ctx);
 	if (ctx->was_leader &&
 	    (!leader || raft_term(ctx->raft) != ctx->leader_term_started)) {
-		while ((w = TAILQ_FIRST(&ctx->waiters))) {
-			TAILQ_REMOVE(&ctx->waiters, w, link);
-			TAILQ_INSERT_TAIL(&ctx->orphans, w, link);
-		}
+		TAILQ_CONCAT(&ctx->orphans, &ctx->waiters, link);
 		if (ctx->ready_leader)
 			ctl_member_stop(ctx);
 		ctx->ready_leader = false;
@@ -679,17 +675,6 @@
 	ctl_member_start(ctx);
 }
 
-static void confirm_view(struct ctl *ctx)
-{
-	int64_t contact_us;
-
-	if (!ctx->ready_leader || view_index(ctx->view) < st_index(ctx->st))
-		return;
-	contact_us = raft_quorum_contact_us(ctx->raft);
-	if (contact_us > ctx->confirmed_us)
-		ctx->confirmed_us = contact_us;
-}
-
 /*
  * Advances the replica: log writes with one sync, then messages, then committed
  * entries. A failed write ends the replica's part in the group; the entry role
@@ -718,8 +703,19 @@
 	    !take_snapshot(ctx, &error))
 		goto fail;
 	follow_role(ctx);
-	confirm_view(ctx);
 	return;
 fail:
 	disk_failed(ctx, error);
 }
+
+/* Confirms the published view of a leader by its last contact with a quorum. */
+void ctl_raft_confirm(struct ctl *ctx)
+{
+	int64_t contact_us;
+
+	if (!ctx->ready_leader || ctx->view_dirty)
+		return;
+	contact_us = raft_quorum_contact_us(ctx->raft);
+	if (contact_us > ctx->confirmed_us)
+		ctx->confirmed_us = contact_us;
+}
--- /dev/null
+++ b/src/node/ctl_report.c
@@ -0,0 +1,757 @@
+#include "node/ctl_int.h"
+
+#include "base/log.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* A relay collects the reports of its site for this long. */
+#define RELAY_DELAY_US 100000
+/* Lets a few changes of announcements share one report. */
+#define CHANGE_DELAY_US 20000
+/* Reports pass the instance, a relay and a voter that passes them on. */
+#define HOPS_MAX 3
+#define UPSTREAM_LIMIT_US (3LL * CTL_S_US)
+/* Before the first view there is nothing to lose by asking the next. */
+#define FIRST_UPSTREAM_LIMIT_US CTL_S_US
+/* The designated relay is tried again after this time on another upstream. */
+#define UPSTREAM_RETURN_US (30LL * CTL_S_US)
+#define CHILD_LIMIT_US (10LL * CTL_S_US)
+/* A child that reports a lower index than it was sent lost the update. */
+#define LOST_AFTER_US 500000
+#define PUSH_INTERVAL_US 20000
+/* Loads in one update, about 14 KB; section 1 of docs/design.md allows 25 KB/s
+ * for the control traffic of an instance. */
+#define LOADS_MAX 300
+/* An unchanged load is repeated, since receivers discount old ones. */
+#define LOAD_REPEAT_US (2LL * CTL_S_US)
+/* Results in one announcement; endpoints repeat them until acknowledged. */
+#define RESULTS_MAX 64
+/* Index changes without new records, for example after claims. */
+#define PUBLISH_INTERVAL_US 500000
+
+static const Dsp__RaftConfig *current_config(const struct ctl *ctx)
+{
+	return ctx->raft ? ctx->applied_config : ctx->config;
+}
+
+/* Returns the addresses of the other voters, as far as known; g_free(). */
+size_t ctl_report_voters(struct ctl *ctx, const char ***out)
+{
+	const Dsp__RaftConfig *config = current_config(ctx);
+	size_t n = 0;
+
+	*out = g_new0(const char *,
+		      (config ? config->n_members : 0) + ctx->set->n_peers + 1);
+	for (size_t i = 0; config && i < config->n_members; i++)
+		if (config->members[i]->voter &&
+		    strcmp(config->members[i]->node, ctx->set->id) != 0)
+			(*out)[n++] = config->members[i]->address;
+	if (n)
+		return n;
+	for (size_t i = 0; i < ctx->set->n_peers; i++)
+		if (ctx->set->peers[i].control &&
+		    strcmp(ctx->set->peers[i].id, ctx->set->id) != 0)
+			(*out)[n++] = ctx->set->peers[i].address;
+	return n;
+}
+
+/* Returns the nodes of the installed view; g_free() the array. */
+size_t ctl_report_nodes(struct ctl *ctx, const Dsp__Node ***out)
+{
+	size_t n = view_n_nodes(ctx->view);
+
+	*out = g_new0(const Dsp__Node *, n + 1);
+	for (size_t i = 0; i < n; i++)
+		(*out)[i] = view_node_at(ctx->view, i);
+	return n;
+}
+
+/* Makes the next report due in delay_us at the latest. */
+void ctl_report_soon(struct ctl *ctx, int64_t delay_us)
+{
+	ctx->report_due_us = MIN(ctx->report_due_us, ctx->now_us + delay_us);
+}
+
+/*
+ * Notes the leader of a term; address NULL or empty when only the id is known.
+ * A new leader is told the own view index at once, so that it sends updates.
+ */
+void ctl_report_set_leader(struct ctl *ctx, uint64_t term, const char *node,
+			   const char *address)
+{
+	if (term < ctx->term || !node[0])
+		return;
+	if (term > ctx->term || !ctx->leader_node ||
+	    strcmp(ctx->leader_node, node) != 0) {
+		g_free(ctx->leader_node);
+		ctx->leader_node = g_strdup(node);
+		g_clear_pointer(&ctx->leader_address, g_free);
+		ctx->term = term;
+		ctx->upstream_attempt = 0;
+		ctx->upstream_chosen_us = ctx->now_us;
+		ctl_report_soon(ctx, 0);
+	}
+	if (!ctx->leader_address && address && address[0])
+		ctx->leader_address = g_strdup(address);
+}
+
+/* ---- Upstream ---- */
+
+static const char *own_relay(struct ctl *ctx)
+{
+	for (guint i = 0; i < ctx->relays->len; i++) {
+		const char *id = g_ptr_array_index(ctx->relays, i);
+		const Dsp__Node *node = view_node(ctx->view, id);
+
+		if (node && !strcmp(node->site, ctx->set->site))
+			return id;
+	}
+	return NULL;
+}
+
+static void advance_upstream(struct ctl *ctx)
+{
+	int64_t limit_us =
+		ctx->confirmed_us ? UPSTREAM_LIMIT_US : FIRST_UPSTREAM_LIMIT_US;
+
+	if (!ctl_rule_upstream_failed(ctx->upstream_chosen_us,
+				      ctx->confirmed_us, ctx->now_us,
+				      limit_us)) {
+		if (ctx->upstream_attempt &&
+		    ctx->now_us - ctx->upstream_chosen_us >
+			    UPSTREAM_RETURN_US) {
+			ctx->upstream_attempt = 0;
+			ctx->upstream_chosen_us = ctx->now_us;
+		}
+		return;
+	}
+	ctx->upstream_attempt++;
+	ctx->upstream_chosen_us = ctx->now_us;
+}
+
+static void choose_upstream(struct ctl *ctx)
+{
+	struct ctl_upstream_input in = {
+		.self = ctx->set->id,
+		.site = ctx->set->site,
+		.relay = own_relay(ctx),
+		.leader = ctx->leader_address,
+	};
+	const Dsp__Node **nodes;
+	const char **voters;
+	const char *address;
+
+	/* Replicas are few and hear from the leader anyway. */
+	if (ctx->raft && raft_leader(ctx->raft) && ctx->leader_address) {
+		g_free(ctx->upstream);
+		ctx->upstream = g_strdup(ctx->leader_address);
+		return;
+	}
+	advance_upstream(ctx);
+	in.n_nodes = ctl_report_nodes(ctx, &nodes);
+	in.nodes = nodes;
+	in.n_voters = ctl_report_voters(ctx, &voters);
+	in.voters = voters;
+	address = ctl_rule_upstream(&in, ctx->upstream_attempt);
+	if (g_strcmp0(address, ctx->upstream) != 0) {
+		LOG_EVENT_INFO("ctl", "upstream", "address=%s attempt=%zu",
+			       address ? address : "none",
+			       ctx->upstream_attempt);
+		g_free(ctx->upstream);
+		ctx->upstream = g_strdup(address);
+	}
+	g_free(nodes);
+	g_free(voters);
+}
+
+/* ---- Contents of the next report ---- */
+
+static uint64_t sequence_of(const Dsp__Announcement *a)
+{
+	return a->load ? a->load->sequence : 0;
+}
+
+/* Appends results to an announcement; later ones are repeated anyway. */
+static void append_results(Dsp__Announcement *to, const Dsp__Announcement *from)
+{
+	if (!from->n_results || to->n_results >= RESULTS_MAX)
+		return;
+	to->results = g_realloc_n(to->results, to->n_results + from->n_results,
+				  sizeof(to->results[0]));
+	for (size_t i = 0; i < from->n_results; i++)
+		to->results[to->n_results++] =
+			CTL_COPY(order_result, from->results[i]);
+}
+
+/* Keeps the newest announcement of each endpoint until the next report. */
+static void merge_announcement(struct ctl *ctx, const Dsp__Announcement *a)
+{
+	Dsp__Announcement *known;
+	Dsp__Announcement *copy;
+
+	if (!a->endpoint || !a->endpoint->id[0])
+		return;
+	known = g_hash_table_lookup(ctx->announcements, a->endpoint->id);
+	if (known && known->endpoint->incarnation == a->endpoint->incarnation &&
+	    sequence_of(known) > sequence_of(a)) {
+		append_results(known, a);
+		return;
+	}
+	copy = CTL_COPY(announcement, a);
+	if (known)
+		append_results(copy, known);
+	g_hash_table_replace(ctx->announcements, g_strdup(a->endpoint->id),
+			     copy);
+}
+
+static uint64_t announcement_hash(const Dsp__Announcement *a)
+{
+	size_t len = dsp__endpoint__get_packed_size(a->endpoint);
+	g_autofree uint8_t *data = g_malloc(len + 1);
+
+	dsp__endpoint__pack(a->endpoint, data);
+	data[len] = a->leaving;
+	return XXH3_64bits_withSeed(data, len + 1, a->highest_fence);
+}
+
+/*
+ * Takes an announcement that this instance received. A change is reported at
+ * once, since orders wait for it and a leaving endpoint must get no more work.
+ */
+void ctl_report_announcement(struct ctl *ctx, const Dsp__Announcement *a)
+{
+	uint64_t *known;
+	uint64_t hash;
+
+	if (!a->endpoint || !a->endpoint->id[0])
+		return;
+	merge_announcement(ctx, a);
+	if (a->load && ctx->cb.load)
+		ctx->cb.load(ctx->cb.data, a->load);
+	hash = announcement_hash(a);
+	known = g_hash_table_lookup(ctx->announced, a->endpoint->id);
+	if (known && *known == hash && !a->n_results)
+		return;
+	g_hash_table_replace(ctx->announced, g_strdup(a->endpoint->id),
+			     g_memdup2(&hash, sizeof(hash)));
+	ctl_report_soon(ctx, CHANGE_DELAY_US);
+}
+
+/* Adds demand to the next report. */
+void ctl_report_demand(struct ctl *ctx, const Dsp__Demand *demand)
+{
+	char *key = g_strdup_printf("%s\n%s\n%s", demand->team, demand->model,
+				    demand->adapter);
+	Dsp__Demand *sum = g_hash_table_lookup(ctx->demands, key);
+
+	if (!sum) {
+		g_hash_table_insert(ctx->demands, key,
+				    CTL_COPY(demand, demand));
+		return;
+	}
+	sum->requests += demand->requests;
+	sum->refused += demand->refused;
+	sum->late += demand->late;
+	sum->service_ms += demand->service_ms;
+	g_free(key);
+}
+
+/* Notes an endpoint's load and marks it for the instances below. */
+void ctl_report_load(struct ctl *ctx, const Dsp__LoadReport *report)
+{
+	struct ctl_load *load;
+	Dsp__LoadReport *old;
+
+	if (!report->endpoint[0])
+		return;
+	load = g_hash_table_lookup(ctx->loads, report->endpoint);
+	if (!load) {
+		load = g_new0(struct ctl_load, 1);
+		g_hash_table_insert(ctx->loads, g_strdup(report->endpoint),
+				    load);
+	}
+	old = load->report;
+	if (old && old->incarnation == report->incarnation &&
+	    old->sequence >= report->sequence)
+		return;
+	load->report = CTL_COPY(load_report, report);
+	load->received_us = ctx->now_us;
+	if (ctx->cb.load)
+		ctx->cb.load(ctx->cb.data, report);
+	if (!load->changed &&
+	    (!old || old->running != report->running ||
+	     old->waiting != report->waiting ||
+	     old->kv_used_permille != report->kv_used_permille ||
+	     ctx->now_us - load->pushed_us > LOAD_REPEAT_US)) {
+		load->changed = true;
+		TAILQ_INSERT_TAIL(&ctx->changed_loads, load, link);
+	}
+	if (old)
+		dsp__load_report__free_unpacked(old, NULL);
+}
+
+/* ---- Sending reports ---- */
+
+static void fill_status(struct ctl *ctx, Dsp__NodeStatus *status,
+			Dsp__Node *node)
+{
+	const struct set *set = ctx->set;
+
+	dsp__node_status__init(status);
+	dsp__node__init(node);
+	node->id = set->id;
+	node->boot = ctx->boot;
+	node->site = set->site;
+	node->region = set->region ? set->region : "";
+	node->internal_address = set->internal_advertise;
+	node->http_address = set->http_advertise ? set->http_advertise : "";
+	node->weight = set->weight;
+	node->control = set->control;
+	node->draining = ctl_is_draining(ctx);
+	status->node = node;
+	status->view_index = view_index(ctx->view);
+	status->streams = ctx->cb.streams ? ctx->cb.streams(ctx->cb.data) : 0;
+	status->confirmed_age_ms = ctl_confirmed_age_ms(ctx);
+}
+
+static void *const *values_of(GHashTable *table, size_t *n)
+{
+	GHashTableIter iter;
+	void **values = g_new0(void *, g_hash_table_size(table) + 1);
+	void *value;
+
+	*n = 0;
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		values[(*n)++] = value;
+	return values;
+}
+
+static void send_report(struct ctl *ctx)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__Report report = DSP__REPORT__INIT;
+	Dsp__NodeStatus own;
+	Dsp__Node node;
+	Dsp__NodeStatus **statuses;
+	void *const *children;
+	size_t n;
+
+	fill_status(ctx, &own, &node);
+	children = values_of(ctx->statuses, &n);
+	statuses = g_new0(Dsp__NodeStatus *, n + 1);
+	statuses[0] = &own;
+	memcpy(&statuses[1], children, n * sizeof(statuses[0]));
+	report.nodes = statuses;
+	report.n_nodes = n + 1;
+	report.announcements = (Dsp__Announcement **)values_of(
+		ctx->announcements, &report.n_announcements);
+	report.demands =
+		(Dsp__Demand **)values_of(ctx->demands, &report.n_demands);
+	report.hops = ctx->report_hops;
+	out.body_case = DSP__ENVELOPE__BODY_REPORT;
+	out.report = &report;
+	if (ctx->ready_leader)
+		ctl_member_report(ctx, &report);
+	else
+		ctl_send(ctx, ctx->upstream, &out);
+	g_free((void *)children);
+	g_free(statuses);
+	g_free(report.announcements);
+	g_free(report.demands);
+	g_hash_table_remove_all(ctx->statuses);
+	g_hash_table_remove_all(ctx->announcements);
+	g_hash_table_remove_all(ctx->demands);
+	ctx->report_hops = 0;
+}
+
+/* Sends the report when it is due. */
+void ctl_report_run(struct ctl *ctx)
+{
+	if (ctx->now_us < ctx->report_due_us)
+		return;
+	/* A leader whose first entry is not committed yet keeps the contents
+	 * for itself. */
+	if (ctl_raft_is_leader(ctx) && !ctx->ready_leader)
+		return;
+	if (!ctx->ready_leader)
+		choose_upstream(ctx);
+	ctx->report_due_us =
+		ctx->now_us + (int64_t)ctx->set->report_interval_ms * 1000;
+	if (ctx->ready_leader || ctx->upstream)
+		send_report(ctx);
+}
+
+/* ---- Receiving reports ---- */
+
+static const Dsp__NodeStatus *status_of(const Dsp__Report *report,
+					const char *node)
+{
+	for (size_t i = 0; i < report->n_nodes; i++)
+		if (report->nodes[i]->node &&
+		    !strcmp(report->nodes[i]->node->id, node))
+			return report->nodes[i];
+	return NULL;
+}
+
+static void note_child(struct ctl *ctx, const Dsp__Envelope *from,
+		       uint64_t index)
+{
+	struct ctl_child *child =
+		g_hash_table_lookup(ctx->children, from->from);
+
+	if (!child) {
+		child = g_new0(struct ctl_child, 1);
+		child->node = g_strdup(from->from);
+		g_hash_table_insert(ctx->children, g_strdup(from->from), child);
+	}
+	if (g_strcmp0(child->address, from->address) != 0) {
+		g_free(child->address);
+		child->address = g_strdup(from->address);
+	}
+	if (child->boot != from->boot) {
+		child->boot = from->boot;
+		child->sent_index = index;
+		child->due = true;
+	} else if (index > child->sent_index) {
+		child->sent_index = index;
+	} else if (index < child->sent_index &&
+		   ctx->now_us - child->sent_us > LOST_AFTER_US) {
+		child->sent_index = index;
+		child->due = true;
+	}
+	if (ctx->now_us - child->heard_us > CHILD_LIMIT_US)
+		child->due = true;
+	child->heard_us = ctx->now_us;
+}
+
+static void merge_report(struct ctl *ctx, const Dsp__Report *report)
+{
+	for (size_t i = 0; i < report->n_nodes; i++) {
+		const Dsp__NodeStatus *status = report->nodes[i];
+
+		if (status->node && strcmp(status->node->id, ctx->set->id) != 0)
+			g_hash_table_replace(ctx->statuses,
+					     g_strdup(status->node->id),
+					     CTL_COPY(node_status, status));
+	}
+	for (size_t i = 0; i < report->n_announcements; i++)
+		merge_announcement(ctx, report->announcements[i]);
+	for (size_t i = 0; i < report->n_demands; i++)
+		ctl_report_demand(ctx, report->demands[i]);
+	ctx->report_hops = MAX(ctx->report_hops, report->hops + 1);
+	ctl_report_soon(ctx, RELAY_DELAY_US);
+}
+
+/* Handles the report of an instance that chose this one as upstream. */
+void ctl_report_receive(struct ctl *ctx, const Dsp__Envelope *from,
+			const Dsp__Report *report)
+{
+	const Dsp__NodeStatus *status = status_of(report, from->from);
+
+	if (status)
+		note_child(ctx, from, status->view_index);
+	if (ctx->ready_leader)
+		ctl_member_report(ctx, report);
+	else if (report->hops < HOPS_MAX)
+		merge_report(ctx, report);
+}
+
+/* ---- Views ---- */
+
+static void install_update(struct ctl *ctx, const Dsp__ViewUpdate *update)
+{
+	struct view *view;
+
+	if (update->to_index < view_index(ctx->view) ||
+	    (update->to_index == view_index(ctx->view) && !update->reset &&
+	     !update->n_records))
+		return;
+	view = view_apply(ctx->view, update);
+	if (view)
+		ctl_set_view(ctx, view);
+	else
+		ctl_report_soon(ctx, 0); /* a gap: ask from the own index */
+}
+
+static void set_relays(struct ctl *ctx, char *const *relays, size_t n)
+{
+	g_autofree char *before = g_strdup(own_relay(ctx));
+
+	g_ptr_array_set_size(ctx->relays, 0);
+	for (size_t i = 0; i < n; i++)
+		g_ptr_array_add(ctx->relays, g_strdup(relays[i]));
+	if (g_strcmp0(before, own_relay(ctx)) != 0) {
+		ctx->upstream_attempt = 0;
+		ctx->upstream_chosen_us = ctx->now_us;
+	}
+}
+
+static void confirm(struct ctl *ctx, const Dsp__ViewUpdate *update)
+{
+	int64_t confirmed_us;
+
+	if (update->confirmed_age_ms == UINT32_MAX ||
+	    view_index(ctx->view) < update->to_index)
+		return;
+	confirmed_us = ctx->now_us - (int64_t)update->confirmed_age_ms * 1000;
+	/* An outdated confirmation must not make a restarted instance serve a
+	 * view that may be outdated, too. */
+	if (!ctx->confirmed_us &&
+	    update->confirmed_age_ms > ctx->set->isolated_after_ms)
+		return;
+	if (confirmed_us <= ctx->confirmed_us)
+		return;
+	if (!ctx->confirmed_us)
+		LOG_EVENT_NOTICE("ctl", "view_confirmed",
+				 "index=%" G_GUINT64_FORMAT,
+				 view_index(ctx->view));
+	/* Passes a newer confirmation on at once; the limit keeps rounding of
+	 * the age from starting a round. */
+	if (confirmed_us - ctx->confirmed_us >
+	    (int64_t)ctx->set->report_interval_ms * 500)
+		ctx->push_due_us = 0;
+	ctx->confirmed_us = MAX(confirmed_us, 1);
+}
+
+static const char *member_address(const Dsp__RaftConfig *config,
+				  const char *node)
+{
+	for (size_t i = 0; config && i < config->n_members; i++)
+		if (!strcmp(config->members[i]->node, node))
+			return config->members[i]->address;
+	return NULL;
+}
+
+/* Handles a view update from upstream. */
+void ctl_report_view(struct ctl *ctx, const Dsp__ViewUpdate *update)
+{
+	if (update->term < ctx->term || ctl_raft_is_leader(ctx))
+		return;
+	if (update->config) {
+		if (ctx->config)
+			dsp__raft_config__free_unpacked(ctx->config, NULL);
+		ctx->config = CTL_COPY(raft_config, update->config);
+	}
+	ctl_report_set_leader(ctx, update->term, update->leader,
+			      member_address(update->config, update->leader));
+	install_update(ctx, update);
+	confirm(ctx, update);
+	set_relays(ctx, update->relays, update->n_relays);
+	for (size_t i = 0; i < update->n_loads; i++)
+		ctl_report_load(ctx, update->loads[i]);
+}
+
+/* Publishes the changes of the own replica's state as a new view. */
+void ctl_report_publish(struct ctl *ctx)
+{
+	Dsp__ViewUpdate *update;
+	struct view *view;
+
+	if (!ctx->raft)
+		return;
+	if (!ctx->view_dirty && (ctx->now_us < ctx->publish_due_us ||
+				 st_index(ctx->st) == view_index(ctx->view)))
+		return;
+	ctx->publish_due_us = ctx->now_us + PUBLISH_INTERVAL_US;
+	ctx->view_dirty = false;
+	if (st_index(ctx->st) <= view_index(ctx->view))
+		return; /* upstream was faster, or a restart replays the log */
+	update = st_view_since(ctx->st, view_index(ctx->view));
+	view = view_apply(ctx->view, update);
+	if (view)
+		ctl_set_view(ctx, view);
+	else
+		LOG_EVENT_ERROR("ctl", "view_refused",
+				"from=%" G_GUINT64_FORMAT
+				" to=%" G_GUINT64_FORMAT,
+				update->from_index, update->to_index);
+	dsp__view_update__free_unpacked(update, NULL);
+}
+
+/* ---- Updates for the instances below ---- */
+
+static void choose_relays(struct ctl *ctx)
+{
+	GHashTable *sites = g_hash_table_new(g_str_hash, g_str_equal);
+	const Dsp__Node **nodes;
+	size_t n = ctl_report_nodes(ctx, &nodes);
+
+	g_ptr_array_set_size(ctx->relays, 0);
+	for (size_t i = 0; i < n; i++) {
+		const Dsp__Node *relay;
+
+		if (!g_hash_table_add(sites, nodes[i]->site))
+			continue;
+		relay = ctl_rule_relay(nodes, n, nodes[i]->site);
+		if (relay)
+			g_ptr_array_add(ctx->relays, g_strdup(relay->id));
+	}
+	g_hash_table_destroy(sites);
+	g_free(nodes);
+}
+
+/* Puts the fields that do not depend on the receiver into an update, which
+ * does not own them. */
+static void fill_update(struct ctl *ctx, Dsp__ViewUpdate *update)
+{
+	update->term = ctx->term;
+	update->leader = ctx->leader_node ? ctx->leader_node : "";
+	update->confirmed_age_ms = ctl_confirmed_age_ms(ctx);
+	update->relays = (char **)ctx->relays->pdata;
+	update->n_relays = ctx->relays->len;
+	update->config = (Dsp__RaftConfig *)current_config(ctx);
+}
+
+static void unfill_update(Dsp__ViewUpdate *update)
+{
+	update->leader = (char *)protobuf_c_empty_string;
+	update->relays = NULL;
+	update->n_relays = 0;
+	update->config = NULL;
+	update->loads = NULL;
+	update->n_loads = 0;
+}
+
+struct round {
+	GHashTable *updates; /* from index -> Dsp__ViewUpdate */
+	Dsp__LoadReport *loads[LOADS_MAX];
+	size_t n_loads;
+};
+
+static Dsp__ViewUpdate *update_since(struct ctl *ctx, struct round *round,
+				     uint64_t from)
+{
+	Dsp__ViewUpdate *update = g_hash_table_lookup(round->updates, &from);
+
+	if (update)
+		return update;
+	update = view_since(ctx->view, from);
+	fill_update(ctx, update);
+	update->loads = round->loads;
+	update->n_loads = round->n_loads;
+	g_hash_table_insert(round->updates, g_memdup2(&from, sizeof(from)),
+			    update);
+	return update;
+}
+
+static void send_update(struct ctl *ctx, const char *address,
+			Dsp__ViewUpdate *update)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+
+	out.body_case = DSP__ENVELOPE__BODY_VIEW_UPDATE;
+	out.view_update = update;
+	ctl_send(ctx, address, &out);
+}
+
+static void collect_loads(struct ctl *ctx, struct round *round)
+{
+	struct ctl_load *load;
+
+	while ((load = TAILQ_FIRST(&ctx->changed_loads)) &&
+	       round->n_loads < LOADS_MAX) {
+		TAILQ_REMOVE(&ctx->changed_loads, load, link);
+		load->changed = false;
+		load->pushed_us = ctx->now_us;
+		round->loads[round->n_loads++] = load->report;
+	}
+}
+
+static void free_update(void *data)
+{
+	Dsp__ViewUpdate *update = data;
+
+	unfill_update(update);
+	dsp__view_update__free_unpacked(update, NULL);
+}
+
+static void push_round(struct ctl *ctx, bool all)
+{
+	struct round round = {
+		.updates = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 g_free, free_update),
+	};
+	GHashTableIter iter;
+	struct ctl_child *child;
+
+	if (all)
+		collect_loads(ctx, &round);
+	g_hash_table_iter_init(&iter, ctx->children);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&child)) {
+		if (ctx->now_us - child->heard_us > CHILD_LIMIT_US) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		if (!all && !child->due &&
+		    child->sent_index >= view_index(ctx->view))
+			continue;
+		child->due = false;
+		send_update(ctx, child->address,
+			    update_since(ctx, &round, child->sent_index));
+		if (child->sent_index < view_index(ctx->view))
+			child->sent_us = ctx->now_us;
+		child->sent_index =
+			MAX(child->sent_index, view_index(ctx->view));
+	}
+	g_hash_table_destroy(round.updates);
+}
+
+static bool any_child_due(struct ctl *ctx)
+{
+	GHashTableIter iter;
+	struct ctl_child *child;
+
+	if (view_index(ctx->view) > ctx->pushed_index)
+		return true;
+	g_hash_table_iter_init(&iter, ctx->children);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&child))
+		if (child->due)
+			return true;
+	return false;
+}
+
+/* Sends updates: a round to all once per report interval, and changes to those
+ * that lack them without waiting for the round. */
+void ctl_report_push(struct ctl *ctx)
+{
+	bool all = ctx->now_us >= ctx->push_due_us;
+
+	if (!all &&
+	    (ctx->now_us < ctx->push_earliest_us || !any_child_due(ctx)))
+		return;
+	if (ctx->ready_leader && all)
+		choose_relays(ctx);
+	push_round(ctx, all);
+	ctx->pushed_index = view_index(ctx->view);
+	ctx->push_earliest_us = ctx->now_us + PUSH_INTERVAL_US;
+	if (all)
+		ctx->push_due_us = ctx->now_us +
+				   (int64_t)ctx->set->report_interval_ms * 1000;
+}
+
+/*
+ * Tells voters and relays that this replica leads, so that they report to it
+ * at once instead of after the silence limit of the old leader.
+ */
+void ctl_report_greet(struct ctl *ctx)
+{
+	Dsp__ViewUpdate *update = view_since(ctx->view, view_index(ctx->view));
+	const char **voters;
+	size_t n = ctl_report_voters(ctx, &voters);
+
+	choose_relays(ctx);
+	fill_update(ctx, update);
+	for (size_t i = 0; i < n; i++)
+		send_update(ctx, voters[i], update);
+	for (guint i = 0; i < ctx->relays->len; i++) {
+		const Dsp__Node *node =
+			view_node(ctx->view, g_ptr_array_index(ctx->relays, i));
+
+		if (node && strcmp(node->id, ctx->set->id) != 0)
+			send_update(ctx, node->internal_address, update);
+	}
+	free_update(update);
+	g_free(voters);
+}
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -212,8 +212,7 @@
 }
 
 static const Dsp__Node *best_of_site(const Dsp__Node *const *nodes, size_t n,
-				     const char *site, const char *without,
-				     const char *also_without)
+				     const char *site, const char *without)
 {
 	const Dsp__Node *best = NULL;
 
@@ -221,8 +220,7 @@
 		const Dsp__Node *node = nodes[i];
 
 		if (node->down || strcmp(node->site, site) != 0 ||
-		    (without && !strcmp(node->id, without)) ||
-		    (also_without && !strcmp(node->id, also_without)))
+		    (without && !strcmp(node->id, without)))
 			continue;
 		if (better_relay(node, best))
 			best = node;
@@ -234,7 +232,7 @@
 const Dsp__Node *ctl_rule_relay(const Dsp__Node *const *nodes, size_t n,
 				const char *site)
 {
-	return best_of_site(nodes, n, site, NULL, NULL);
+	return best_of_site(nodes, n, site, NULL);
 }
 
 static const char *address_of(const struct ctl_upstream_input *in,
@@ -247,28 +245,35 @@
 	return NULL;
 }
 
+/* The relay's successor while the leader has not named a new relay. */
+static const char *successor(const struct ctl_upstream_input *in)
+{
+	const Dsp__Node *next =
+		best_of_site(in->nodes, in->n_nodes, in->site, in->relay);
+
+	if (!next)
+		return NULL;
+	return strcmp(next->id, in->self) != 0 ? next->internal_address
+					       : in->leader;
+}
+
 /*
  * Returns the address that an instance reports to: the relay of its site, then
  * the next candidate of the site, then one voter after the other. The relay
- * itself reports to the leader.
+ * and, in its place, the next candidate report to the leader.
  */
 const char *ctl_rule_upstream(const struct ctl_upstream_input *in,
 			      size_t attempt)
 {
 	const char *address = NULL;
 
-	if (in->relay && strcmp(in->relay, in->self) != 0) {
-		if (attempt == 0) {
-			address = address_of(in, in->relay);
-		} else if (attempt == 1) {
-			const Dsp__Node *next =
-				best_of_site(in->nodes, in->n_nodes, in->site,
-					     in->relay, in->self);
-
-			address = next ? next->internal_address : NULL;
-		}
+	if (!in->relay || !strcmp(in->relay, in->self)) {
+		if (attempt == 0)
+			address = in->leader;
 	} else if (attempt == 0) {
-		address = in->leader;
+		address = address_of(in, in->relay);
+	} else if (attempt == 1) {
+		address = successor(in);
 	}
 	if (address && address[0])
 		return address;
