--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -289,6 +289,7 @@
 	int64_t round_due_us;
 	int64_t member_due_us;
 	int64_t expire_us;
+	int64_t orders_due_us;
 	GHashTable *members;   /* node id -> struct ctl_member */
 	GHashTable *endpoints; /* endpoint id -> struct ctl_endpoint */
 	GHashTable *orders;    /* id -> struct ctl_order */
@@ -385,6 +386,7 @@
 		    enum ctl_order_outcome outcome);
 void ctl_order_result(struct ctl *ctx, const char *endpoint,
 		      const Dsp__OrderResult *result);
+void ctl_order_copies(struct ctl *ctx, const Dsp__Endpoint *endpoint);
 void ctl_order_stop_sending(struct ctl *ctx);
 
 /* ctl_status.c */
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -301,9 +301,10 @@
 	}
 	e->heard_us = ctx->now_us;
 	put_endpoint(ctx, e, a);
-	report_residency(ctx, e, a);
 	for (size_t i = 0; i < a->n_results; i++)
 		ctl_order_result(ctx, a->endpoint->id, a->results[i]);
+	ctl_order_copies(ctx, a->endpoint);
+	report_residency(ctx, e, a);
 }
 
 static void expire_endpoints(struct ctl *ctx)
