traffic: tests against in-process stand-ins, and faults they found

Stand-ins: a control thread with a local state machine and chosen fates of commands, and an endpoint on CivetWeb that records what it ran.

Found and corrected: JSON nested 1000 levels deep overflowed the 100 KB stack of a CivetWeb worker and ended the process (now at most 128 levels; documents are parsed on a thread with the usual stack); CivetWeb reports oversized headers as malformed (now measured here, with a larger buffer below); the reply to an announcement named objects where endpoints expect addresses.

--- a/src/traffic/api_caller.c
+++ b/src/traffic/api_caller.c
@@ -290,7 +290,7 @@
 static bool parse_model_request(struct trf_request *r)
 {
 	json_error_t where;
-	json_t *body = json_loadb(r->api->body, r->api->body_len, 0, &where);
+	json_t *body = trf_json(r->api->body, r->api->body_len, &where);
 	bool ok = false;
 
 	if (!json_is_object(body)) {
@@ -509,23 +509,29 @@
 
 /* ---- Queries ---- */
 
+static bool has_ready_copy(const Dsp__Endpoint *e, const char *model,
+			   const char *adapter)
+{
+	for (size_t i = 0; i < e->n_copies; i++) {
+		const Dsp__Copy *copy = e->copies[i];
+
+		if (copy->ready && !copy->unloading &&
+		    !strcmp(copy->model, model) &&
+		    !strcmp(copy->adapter, adapter ? adapter : ""))
+			return true;
+	}
+	return false;
+}
+
 static bool is_ready(const struct view *view, const char *team,
 		     const char *model, const char *adapter)
 {
 	for (size_t i = 0; i < view_n_endpoints(view); i++) {
-		const Dsp__Endpoint *endpoint = view_endpoint_at(view, i);
-
-		if (endpoint->state != DSP__ENDPOINT_STATE__ENDPOINT_UP ||
-		    strcmp(endpoint->team, team))
-			continue;
-		for (size_t k = 0; k < endpoint->n_copies; k++) {
-			const Dsp__Copy *copy = endpoint->copies[k];
-
-			if (copy->ready && !copy->unloading &&
-			    !strcmp(copy->model, model) &&
-			    !strcmp(copy->adapter, adapter ? adapter : ""))
-				return true;
-		}
+		const Dsp__Endpoint *e = view_endpoint_at(view, i);
+
+		if (e->state == DSP__ENDPOINT_STATE__ENDPOINT_UP &&
+		    !strcmp(e->team, team) && has_ready_copy(e, model, adapter))
+			return true;
 	}
 	return false;
 }
--- a/src/traffic/api_endpoint.c
+++ b/src/traffic/api_endpoint.c
@@ -252,9 +252,7 @@
 	json_t *results = json_array();
 
 	for (size_t i = 0; i < n; i++)
-		json_array_append_new(to, json_pack("{s:s,s:s}", "id",
-						    nodes[i]->id, "address",
-						    nodes[i]->http_address));
+		json_array_append_new(to, json_string(nodes[i]->http_address));
 	for (size_t i = 0; i < a->n_results; i++)
 		json_array_append_new(
 			results,
@@ -275,7 +273,7 @@
 
 	if (!api_read_body(api))
 		return;
-	body = json_loadb(api->body, api->body_len, 0, &where);
+	body = trf_json(api->body, api->body_len, &where);
 	if (!json_is_object(body)) {
 		api_error(api, 400, "invalid_json", TRF_NOT_RUN, 0,
 			  "the body must be a JSON object: line %d: %s",
--- a/src/traffic/api_http.c
+++ b/src/traffic/api_http.c
@@ -8,6 +8,10 @@
  * caller receives the reply before the connection is closed. */
 #define DISCARD_MAX (4u << 20)
 
+/* CivetWeb's worker threads have stacks of 100 KB, and Jansson recurses for
+ * each level: 1000 levels overflowed the stack. */
+#define JSON_DEPTH_MAX 128
+
 static const char *const ran_names[] = {
 	[TRF_NOT_RUN] = "not_run",
 	[TRF_RAN] = "ran",
@@ -56,7 +60,7 @@
 
 static void discard_body(struct api *api)
 {
-	char buffer[16384];
+	char buffer[8192];
 	size_t left = DISCARD_MAX;
 	int n;
 
@@ -261,7 +265,7 @@
 	size_t limit = api->ctx->settings->body_bytes_max;
 	const char *expect = api_header(api, "Expect");
 	GString *body = g_string_new(NULL);
-	char buffer[16384];
+	char buffer[8192];
 	bool ok = false;
 	int n = 0;
 
@@ -319,6 +323,41 @@
 	g_string_free(out, TRUE);
 }
 
+static bool too_deep(const char *text, size_t len)
+{
+	int depth = 0;
+	bool in_string = false;
+
+	for (size_t i = 0; i < len; i++) {
+		if (in_string && text[i] == '\\')
+			i++;
+		else if (text[i] == '"')
+			in_string = !in_string;
+		else if (in_string)
+			continue;
+		else if (text[i] == '[' || text[i] == '{')
+			depth++;
+		else if (text[i] == ']' || text[i] == '}')
+			depth--;
+		if (depth > JSON_DEPTH_MAX)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Parses JSON text of callers and endpoints; NULL with where filled when it is
+ * malformed or nested too deeply.
+ */
+json_t *trf_json(const char *text, size_t len, json_error_t *where)
+{
+	where->line = 1;
+	g_strlcpy(where->text, "nested too deeply", sizeof(where->text));
+	if (too_deep(text, len))
+		return NULL;
+	return json_loadb(text, len, 0, where);
+}
+
 /* Decodes %XX in one path segment; NULL when it is malformed or has a NUL. The
  * caller frees it with g_free(). */
 char *api_decode(const char *segment, size_t len)
--- a/src/traffic/api_operator.c
+++ b/src/traffic/api_operator.c
@@ -141,6 +141,37 @@
 	g_clear_error(&err);
 }
 
+struct parse {
+	const char *team;
+	const struct api *api;
+	GPtrArray *faults;
+	struct doc *doc;
+};
+
+static void *parse_thread(void *data)
+{
+	struct parse *p = data;
+
+	p->doc = doc_parse(p->team, p->api->body, p->api->body_len, p->faults);
+	return NULL;
+}
+
+/* Parses in a thread with a stack of the usual size: the TOML parser recurses
+ * for nested values, and CivetWeb's threads have 100 KB. */
+static struct doc *parse_document(const struct api *api, const char *team,
+				  GPtrArray *faults)
+{
+	struct parse p = { .team = team, .api = api, .faults = faults };
+	pthread_t thread;
+
+	if (pthread_create(&thread, NULL, parse_thread, &p)) {
+		g_ptr_array_add(faults, g_strdup("no thread to parse it"));
+		return NULL;
+	}
+	pthread_join(thread, NULL);
+	return p.doc;
+}
+
 /* PUT /v1/documents/{team}: validates the whole document and commits it. */
 void api_document_put(struct api *api, const char *team)
 {
@@ -149,7 +180,7 @@
 
 	if (!api_read_body(api))
 		goto out;
-	doc = doc_parse(team, api->body, api->body_len, faults);
+	doc = parse_document(api, team, faults);
 	if (doc && strcmp(doc->team, team))
 		g_ptr_array_add(faults,
 				g_strdup_printf("%s: team: \"%s\" given; must "
@@ -170,7 +201,8 @@
 	g_ptr_array_unref(faults);
 }
 
-/* GET /v1/documents/{team}: the text in force at this entry. */
+/* GET /v1/documents/{team}: the text in force at this entry; number and log
+ * index are in the headers. */
 void api_document_get(struct api *api, const char *team)
 {
 	struct view *view = trf_view(api->ctx);
@@ -235,7 +267,8 @@
 	}
 	if (!text || !g_ascii_isdigit(text[0]))
 		return false;
-	*out = g_ascii_strtoull(text, &end, 10);
+	*out = g_ascii_strtoull(text, &end,
+				g_str_has_prefix(text, "0x") ? 16 : 10);
 	return !*end && *out;
 }
 
@@ -245,12 +278,13 @@
 {
 	GError *err = NULL;
 	uint64_t replica;
+	json_error_t where;
 	json_t *body;
 	bool ok;
 
 	if (!api_read_body(api))
 		return;
-	body = json_loadb(api->body, api->body_len, 0, NULL);
+	body = trf_json(api->body, api->body_len, &where);
 	ok = read_u64(json_object_get(body, "replica"), &replica);
 	json_decref(body);
 	if (!ok) {
--- a/src/traffic/trf.c
+++ b/src/traffic/trf.c
@@ -13,6 +13,8 @@
 /* Worker threads beyond requests_max: for operators, endpoints, and for the
  * rejections themselves. */
 #define SPARE_THREADS 48
+/* Size of CivetWeb's buffer in units of header_bytes_max. */
+#define HEADER_BUFFER_FACTOR 4
 /* A write to a caller that makes no progress for this long, or a read of a
  * request, ends the connection (section 11 of docs/design.md). */
 #define CALLER_TIMEOUT_MS "10000"
@@ -257,6 +259,30 @@
 		   ctx->settings->id, ctx->boot, ++ctx->counter);
 }
 
+/* CivetWeb reports headers that do not fit its buffer as malformed. Its buffer
+ * is larger than the limit, so that most are recognised here. */
+static bool headers_fit(struct api *api)
+{
+	const struct mg_request_info *info = api->info;
+	uint32_t limit = api->ctx->settings->header_bytes_max;
+	size_t size = strlen(api->path);
+
+	size += info->query_string ? strlen(info->query_string) : 0;
+	for (int i = 0; i < info->num_headers; i++)
+		size += strlen(info->http_headers[i].name) +
+			strlen(info->http_headers[i].value) + 4;
+	if (size <= limit)
+		return true;
+	met_count(api->ctx->metrics, "dsp_limit_rejections_total",
+		  "limit=\"header_bytes_max\"", 1);
+	api->close = true;
+	api_error(api, 431, "headers_too_large", TRF_NOT_RUN, 0,
+		  "path and headers exceed %u bytes "
+		  "(limits.header_bytes_max)",
+		  limit);
+	return false;
+}
+
 static int on_request(struct mg_connection *conn)
 {
 	struct trf *ctx = mg_get_user_data(mg_get_context(conn));
@@ -269,7 +295,8 @@
 
 	api.path = api.info->local_uri_raw ? api.info->local_uri_raw : "/";
 	new_id(ctx, api.id);
-	handle(&api);
+	if (headers_fit(&api))
+		handle(&api);
 	if (api.answer) {
 		trf_answer_unref(api.answer);
 		api.answer = NULL;
@@ -288,15 +315,13 @@
 	json_t *object;
 	char *text;
 
-	if (status == 413 || status == 414 || status == 431) {
-		code = "headers_too_large";
-		met_count(ctx->metrics, "dsp_limit_rejections_total",
-			  "limit=\"header_bytes_max\"", 1);
-	}
 	if (status == 408)
 		code = "request_timeout";
 	met_count(ctx->metrics, "dsp_malformed_requests_total", "", 1);
-	object = api_error_json(code, message && message[0] ? message : code,
+	(void)message;
+	object = api_error_json(code,
+				"malformed, incomplete, or with headers far "
+				"larger than limits.header_bytes_max",
 				TRF_NOT_RUN);
 	text = json_dumps(object, JSON_COMPACT);
 	json_decref(object);
@@ -382,8 +407,9 @@
 
 	ctx->threads = ctx->settings->requests_max + SPARE_THREADS;
 	g_snprintf(threads, sizeof(threads), "%u", ctx->threads);
-	g_snprintf(header_max, sizeof(header_max), "%u",
-		   ctx->settings->header_bytes_max);
+	g_snprintf(header_max, sizeof(header_max), "%" PRIu64,
+		   (uint64_t)ctx->settings->header_bytes_max *
+			   HEADER_BUFFER_FACTOR);
 	ctx->http = mg_start(&callbacks, ctx, options);
 	if (ctx->http)
 		return true;
--- a/src/traffic/trf_int.h
+++ b/src/traffic/trf_int.h
@@ -246,6 +246,7 @@
 void api_stream_head(struct api *api, const char *content_type);
 void api_stream_write(struct api *api, const char *bytes, size_t len);
 void api_stream_end(struct api *api);
+json_t *trf_json(const char *text, size_t len, json_error_t *where);
 /* Decodes one percent-encoded path segment; NULL when it is malformed. */
 char *api_decode(const char *segment, size_t len);
 bool api_name_ok(const char *name);
--- a/src/traffic/trf_run.c
+++ b/src/traffic/trf_run.c
@@ -147,7 +147,8 @@
 /* Takes one event into the single answer. */
 static void assemble(struct run *run, const char *data)
 {
-	json_t *event = json_loads(data, 0, NULL);
+	json_error_t where;
+	json_t *event = trf_json(data, strlen(data), &where);
 	json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
 	json_t *text =
 		run->r->chat ? json_object_get(json_object_get(choice, "delta"),
@@ -333,13 +334,14 @@
 
 static bool says_overloaded(const struct run *run)
 {
+	json_error_t where;
 	json_t *body;
 	const char *code;
 	bool overloaded;
 
 	if (run->status != 503)
 		return false;
-	body = json_loads(run->input->str, 0, NULL);
+	body = trf_json(run->input->str, run->input->len, &where);
 	code = json_string_value(
 		json_object_get(json_object_get(body, "error"), "code"));
 	overloaded = code && !strcmp(code, "overloaded");
--- /dev/null
+++ b/tests/integration/traffic_stream_test.cc
@@ -0,0 +1,311 @@
+#include "test_http.h"
+
+/*
+ * Idempotent requests through one or two entries, against endpoints that fail
+ * in every way that section 10 of docs/design.md lists.
+ */
+
+namespace
+{
+
+/* Guards the whole path of a stream: every event in order, the final [DONE],
+ * and the headers that name the request and the entry. */
+TEST_F(TrafficTest, StreamArrivesWholeWithItsNames)
+{
+	Entry &entry = start();
+
+	add_endpoints(true);
+	Reply reply = entry.chat(true);
+
+	EXPECT_EQ(reply.status, 200);
+	EXPECT_EQ(stream_text(reply.body), words(kTokens));
+	EXPECT_EQ(reply.headers["content-type"], "text/event-stream");
+	EXPECT_EQ(reply.headers["x-dandelionspar-entry"], "muc1");
+	EXPECT_EQ(request(model, 0).attempt,
+		  reply.headers["x-request-id"] + ".1");
+	EXPECT_EQ(request(model, 0).priority, 3);
+	EXPECT_EQ(entry.metric("dsp_first_token_seconds",
+			       "team=\"verband\",class=\"staff\""),
+		  1u);
+	EXPECT_EQ(entry.metric("dsp_token_gap_seconds",
+			       "team=\"verband\",class=\"staff\""),
+		  kTokens - 1);
+	EXPECT_TRUE(eventually(
+		[&] { return fake_group_demand(group).requests == 1; }));
+}
+
+/* Guards that a caller who asked for no stream gets one JSON answer, for both
+ * kinds of completions and for adapters. */
+TEST_F(TrafficTest, SingleAnswerIsAssembledFromTheStream)
+{
+	Entry &entry = start();
+
+	add_endpoints(true);
+	Reply chat = entry.chat(false);
+	EXPECT_EQ(chat.at({ "choices", "0", "message", "content" }),
+		  words(kTokens));
+	EXPECT_EQ(chat.at({ "choices", "0", "finish_reason" }), "stop");
+	Reply text =
+		entry.call("POST", "/v1/completions", { "X-Team: verband" },
+			   "{\"model\":\"brine-7b:picual\",\"prompt\":\"a\"}");
+	EXPECT_EQ(text.at({ "choices", "0", "text" }), words(kTokens));
+	EXPECT_EQ(text.at({ "model" }), "brine-7b:picual");
+	EXPECT_STREQ(request(model, 1).model, "brine-7b:picual");
+}
+
+/* Guards section 10: a stream broken at any token continues without a repeated
+ * or missing token, by resume at the token's offset. */
+TEST_F(TrafficTest, StreamBrokenAtEveryTokenResumes)
+{
+	Entry &entry = start();
+
+	add_endpoints(true);
+	for (uint32_t k = 0; k <= kTokens; k++) {
+		size_t before = stub_n_requests(model);
+
+		/* Earns the retry budget (10% of requests). */
+		for (int i = 0; i < 10; i++)
+			ASSERT_EQ(entry.chat(true).status, 200);
+		before = stub_n_requests(model);
+		stub_fault(model, STUB_BREAK, k, 1);
+		Reply reply = entry.chat(k % 2 == 0);
+		EXPECT_EQ(reply.status, 200) << k;
+		EXPECT_EQ(k % 2 == 0 ? stream_text(reply.body)
+				     : reply.at({ "choices", "0", "message",
+						  "content" }),
+			  words(kTokens))
+			<< k;
+		EXPECT_EQ(stub_n_requests(model), before + 2) << k;
+		EXPECT_EQ(request(model, before + 1).offset, k) << k;
+	}
+}
+
+/* As above for engines without resume: the stream restarts, and the tokens
+ * already delivered are skipped. */
+TEST_F(TrafficTest, StreamBrokenAtEveryTokenRestarts)
+{
+	Entry &entry = start();
+
+	add_endpoints(false);
+	for (uint32_t k = 0; k <= kTokens; k++) {
+		size_t before;
+
+		for (int i = 0; i < 10; i++)
+			ASSERT_EQ(entry.chat(true).status, 200);
+		before = stub_n_requests(model);
+		stub_fault(model, STUB_BREAK, k, 1);
+		Reply reply = entry.chat(k % 2 == 0);
+		EXPECT_EQ(k % 2 == 0 ? stream_text(reply.body)
+				     : reply.at({ "choices", "0", "message",
+						  "content" }),
+			  words(kTokens))
+			<< k;
+		EXPECT_EQ(request(model, before + 1).offset, 0u) << k;
+	}
+}
+
+/* Guards section 11: a connection that goes silent is given up after the
+ * silence limit, its attempt is cancelled, and the stream goes on. */
+TEST_F(TrafficTest, SilentConnectionIsReplaced)
+{
+	Entry &entry = start();
+
+	add_endpoints(true);
+	for (int i = 0; i < 10; i++)
+		ASSERT_EQ(entry.chat(true).status, 200);
+	stub_fault(model, STUB_SILENT, 3, 1);
+	Reply reply = entry.chat(true);
+	EXPECT_EQ(stream_text(reply.body), words(kTokens));
+	std::string first = request(model, 10).attempt;
+	EXPECT_TRUE(eventually(
+		[&] { return stub_cancelled(model, first.c_str()); }));
+}
+
+/* Guards invariant 3: an answer that names another attempt is dropped. */
+TEST_F(TrafficTest, CrossedAnswerIsNotDelivered)
+{
+	Entry &entry = start();
+
+	add_endpoints(true);
+	for (int i = 0; i < 10; i++)
+		ASSERT_EQ(entry.chat(true).status, 200);
+	stub_fault(model, STUB_CROSSED, 0, 1);
+	EXPECT_EQ(stream_text(entry.chat(true).body), words(kTokens));
+	EXPECT_EQ(stub_n_requests(model), 12u);
+	stub_fault(model, STUB_CROSSED, 0, -1);
+	Reply reply = entry.chat(true);
+	EXPECT_EQ(reply.status, 502);
+	EXPECT_EQ(reply.ran(), "unknown");
+}
+
+/* Guards the difference between an overloaded endpoint (not run), a failed one
+ * (not known) and an endpoint's own refusal (passed on). */
+TEST_F(TrafficTest, EndpointErrorsAreToldApart)
+{
+	Entry &entry = start();
+
+	add_endpoints(true);
+	stub_fault(model, STUB_OVERLOADED, 0, -1);
+	Reply overloaded = entry.chat(true);
+	EXPECT_EQ(overloaded.status, 503);
+	EXPECT_EQ(overloaded.code(), "overloaded");
+	EXPECT_EQ(overloaded.ran(), "not_run");
+	EXPECT_EQ(stub_n_ran(model), 0u);
+	stub_fault(model, STUB_ERROR, 0, -1);
+	Reply failed = entry.chat(false);
+	EXPECT_EQ(failed.status, 502);
+	EXPECT_EQ(failed.ran(), "unknown");
+	stub_fault(model, STUB_REFUSE, 0, -1);
+	for (int i = 0; i < 50 && entry.chat(false).status != 400; i++)
+		std::this_thread::sleep_for(std::chrono::milliseconds(200));
+	EXPECT_EQ(entry.chat(false).code(), "bad_prompt");
+}
+
+/* Guards section 11: an answer stays available by its id through any entry
+ * after the caller's connection broke. */
+TEST_F(TrafficTest, AnswerSurvivesTheCallersConnection)
+{
+	Entry &entry = start();
+	Entry &other = start();
+	std::string id;
+	Call call;
+
+	add_endpoints(true);
+	stub_pace(model, 50000);
+	call.method = "POST";
+	call.url = entry.url("/v1/chat/completions");
+	call.headers = { "X-Team: verband" };
+	call.body = Entry::chat_body(true);
+	call.data = [&](const Reply &reply) {
+		id = reply.headers.at("x-request-id");
+		return false;
+	};
+	EXPECT_EQ(call.run().result, CURLE_WRITE_ERROR);
+	EXPECT_EQ(entry.call("GET", "/v1/requests/" + id, { "X-Team: verband" })
+			  .status,
+		  202);
+	for (Entry *e : { &entry, &other }) {
+		Reply reply;
+
+		EXPECT_TRUE(eventually([&] {
+			reply = e->call("GET", "/v1/requests/" + id,
+					{ "X-Team: verband" });
+			return reply.status != 202;
+		}));
+		EXPECT_EQ(reply.status, 200);
+		EXPECT_EQ(stream_text(reply.body), words(kTokens));
+	}
+	EXPECT_EQ(entry.call("GET", "/v1/requests/muc1~0~1",
+			     { "X-Team: verband" })
+			  .code(),
+		  "unknown_request");
+}
+
+/* Guards section 11: a caller that waits gets a comment every second. */
+TEST_F(TrafficTest, WaitingStreamGetsHeartbeats)
+{
+	Entry &entry = start();
+	bool heartbeat = false;
+	Call call;
+
+	add_endpoints(true);
+	stub_fault(model, STUB_HOLD, 0, 1);
+	call.method = "POST";
+	call.url = entry.url("/v1/chat/completions");
+	call.headers = { "X-Team: verband" };
+	call.body = Entry::chat_body(true);
+	call.data = [&](const Reply &reply) {
+		if (!heartbeat && reply.body.rfind(": heartbeat\n\n", 0) == 0) {
+			heartbeat = true;
+			stub_release(model);
+		}
+		return true;
+	};
+	EXPECT_EQ(stream_text(call.run().body), words(kTokens));
+	EXPECT_TRUE(heartbeat);
+}
+
+/* Guards section 10: a request in flight at two crashes is quarantined, runs
+ * between them only with a grant, and is then rejected without being sent. */
+TEST_F(TrafficTest, RequestThatCrashesTwoEndpointsIsQuarantined)
+{
+	Entry &entry = start();
+	Reply reply;
+
+	add_endpoints(true);
+	for (int i = 0; i < 10; i++)
+		ASSERT_EQ(entry.chat(false).status, 200);
+	stub_fault(model, STUB_HOLD, 0, -1);
+	std::thread caller([&] {
+		reply = entry.call("POST", "/v1/chat/completions",
+				   { "X-Team: verband" },
+				   Entry::chat_body(false, "poison"));
+	});
+	for (uint64_t incarnation = 2; incarnation <= 3; incarnation++) {
+		ASSERT_TRUE(eventually([&] {
+			return stub_n_requests(model) == 8 + incarnation + 1;
+		}));
+		for (const char *id : { "r1", "r2" })
+			fake_group_put_endpoint(group, id, incarnation,
+						stub_address(model), "verband",
+						"kellerrat", "brine-7b",
+						"picual", true);
+	}
+	caller.join();
+	EXPECT_EQ(reply.status, 502);
+	EXPECT_GE(fake_group_n_commands(group, DSP__COMMAND__BODY_SUSPECT_RUN),
+		  1u);
+	size_t before = stub_n_requests(model);
+	reply = entry.call("POST", "/v1/chat/completions",
+			   { "X-Team: verband" },
+			   Entry::chat_body(false, "poison"));
+	EXPECT_EQ(reply.status, 422);
+	EXPECT_EQ(reply.code(), "request_quarantined");
+	EXPECT_EQ(stub_n_requests(model), before);
+}
+
+/* Guards that a refused connection counts as not run, and that the retry goes
+ * to another endpoint. */
+TEST_F(TrafficTest, RefusedConnectionIsNotRun)
+{
+	Entry &entry = start();
+	std::string dead = "http://127.0.0.1:" + std::to_string(free_port());
+
+	fake_group_put_endpoint(group, "r1", 1, dead.c_str(), "verband",
+				"kellerrat", "brine-7b", nullptr, true);
+	Reply reply = entry.chat(false);
+	EXPECT_GE(reply.status, 500);
+	EXPECT_EQ(reply.ran(), "not_run");
+}
+
+/* Guards that a plain call passes method, path, query, body and status on, and
+ * that an idempotent one is retried. */
+TEST_F(TrafficTest, PlainCallsPassThrough)
+{
+	Entry &entry = start();
+
+	add_endpoints(true);
+	Reply reply = entry.call(
+		"PATCH", "/v1/services/pressplan/a%20b/c?x=1&y=2",
+		{ "X-Team: verband", "Content-Type: text/csv" }, "1;2;3");
+	EXPECT_EQ(reply.status, 201);
+	EXPECT_EQ(reply.body, "1;2;3");
+	EXPECT_STREQ(request(plain, 0).method, "PATCH");
+	EXPECT_STREQ(request(plain, 0).path, "/a%20b/c?x=1&y=2");
+	EXPECT_STREQ(request(plain, 0).content_type, "text/csv");
+	EXPECT_EQ(entry.call("DELETE", "/v1/services/pressplan/a",
+			     { "X-Team: verband" })
+			  .status,
+		  410);
+	for (int i = 0; i < 10; i++)
+		entry.call("GET", "/v1/services/pressplan/a",
+			   { "X-Team: verband" });
+	stub_fault(plain, STUB_LOST, 0, 1);
+	EXPECT_EQ(entry.call("GET", "/v1/services/pressplan/a",
+			     { "X-Team: verband" })
+			  .status,
+		  201);
+	EXPECT_EQ(stub_n_requests(plain), 14u);
+}
+
+} // namespace
