--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -140,8 +140,8 @@
 
 /*
  * A leader that no quorum answered for one election timeout steps down. It is
- * checked before each message too, so that a leader that was frozen does not
- * act on what it finds in its queues.
+ * checked before each message and after each sync too, so that a leader that
+ * was frozen does not act on what it finds in its queues.
  */
 static void check_quorum(struct raft *ctx)
 {
@@ -451,6 +451,7 @@
 	raft_snapshot_unref(ctx->flight_install);
 	ctx->flight_install = NULL;
 	raft_log_free_removed(&ctx->log);
+	check_quorum(ctx);
 	if (ctx->role == RAFT_LEADER) {
 		raft_update_commit(ctx);
 		leave_when_removed(ctx);
@@ -610,7 +611,7 @@
  * Returns when a quorum last answered this leader: the sending time of the
  * message that was answered, in microseconds; 0 when it does not lead or no
  * quorum answered yet. While less than one election timeout has passed since,
- * no other leader can have been elected.
+ * no other leader can have been elected, unless this one is handing over.
  */
 int64_t raft_quorum_contact_us(const struct raft *ctx)
 {
--- a/src/core/raft_elect.c
+++ b/src/core/raft_elect.c
@@ -186,14 +186,16 @@
 	send_vote_reply(ctx, msg->from, ctx->term, false, true);
 }
 
-/* Counts a vote of the election that is under way. */
+/* Counts a vote of the election that is under way. Votes that arrive after its
+ * end, for example in the queues of a replica that was frozen, do not count.
+ */
 void raft_handle_vote_reply(struct raft *ctx, const Dsp__RaftMessage *msg)
 {
 	const Dsp__VoteReply *reply = msg->vote_reply;
 	struct raft_peer *peer = raft_find_peer(ctx, msg->from);
 	uint64_t asked = ctx->term;
 
-	if (!peer || !peer->voter)
+	if (!peer || !peer->voter || ctx->now >= ctx->election_deadline)
 		return;
 	if (ctx->role == RAFT_PRE_CANDIDATE && reply->pre) {
 		/* A grant names the term asked for, a refusal the voter's. */
--- a/src/core/raft_follow.c
+++ b/src/core/raft_follow.c
@@ -16,6 +16,7 @@
 	reply->success = success;
 	reply->match = match;
 	reply->hint = hint;
+	reply->hint_term = raft_log_term(&ctx->log, hint);
 	if (msg->body_case == DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST)
 		reply->sequence = msg->append_request->sequence;
 	out->body_case = DSP__RAFT_MESSAGE__BODY_APPEND_REPLY;
@@ -67,7 +68,7 @@
 	    (prev > raft_log_last(&ctx->log) ||
 	     raft_log_term(&ctx->log, prev) != request->prev_term)) {
 		uint64_t hint =
-			raft_log_hint(&ctx->log, prev, request->prev_term);
+			raft_log_skip(&ctx->log, prev - 1, request->prev_term);
 
 		send_append_reply(ctx, msg, false, 0, MAX(hint, ctx->commit));
 		return;
--- a/src/core/raft_log.c
+++ b/src/core/raft_log.c
@@ -88,20 +88,18 @@
 }
 
 /*
- * Returns where the leader should try next after a mismatch at (index, term):
- * the highest index below it whose term is not above term. No entry between
- * the two can match the leader's log, so one message skips a whole term.
+ * Returns the highest index up to index whose term is not above term. After a
+ * mismatch no entry beyond it can match the other log, in which terms never
+ * fall either; one message skips a whole term.
  */
-uint64_t raft_log_hint(const struct raft_log *log, uint64_t index,
+uint64_t raft_log_skip(const struct raft_log *log, uint64_t index,
 		       uint64_t term)
 {
-	uint64_t i = index - 1;
-
-	if (i > raft_log_last(log))
-		return raft_log_last(log);
-	while (i > log->base_index && raft_log_term(log, i) > term)
-		i--;
-	return i;
+	if (index > raft_log_last(log))
+		index = raft_log_last(log);
+	while (index > log->base_index && raft_log_term(log, index) > term)
+		index--;
+	return index;
 }
 
 /* Prepares an empty log after base; config may be NULL. */
--- a/src/core/raft_priv.h
+++ b/src/core/raft_priv.h
@@ -155,7 +155,7 @@
 const struct raft_config_version *raft_log_config(const struct raft_log *log);
 const struct raft_config_version *raft_log_config_at(const struct raft_log *log,
 						     uint64_t index);
-uint64_t raft_log_hint(const struct raft_log *log, uint64_t index,
+uint64_t raft_log_skip(const struct raft_log *log, uint64_t index,
 		       uint64_t term);
 void raft_log_init(struct raft_log *log, uint64_t base_index,
 		   uint64_t base_term, const Dsp__RaftConfig *config);
--- a/src/core/raft_replicate.c
+++ b/src/core/raft_replicate.c
@@ -336,6 +336,7 @@
 {
 	const Dsp__AppendReply *reply = msg->append_reply;
 	struct raft_peer *peer = raft_find_peer(ctx, msg->from);
+	uint64_t hint;
 	int64_t sent = (int64_t)(reply->sequence >> RAFT_SEQUENCE_BITS);
 
 	if (ctx->role != RAFT_LEADER || !peer)
@@ -361,8 +362,9 @@
 	if (peer->state == RAFT_PEER_SNAPSHOT ||
 	    reply->sequence < peer->reset_sequence)
 		return;
+	hint = raft_log_skip(&ctx->log, reply->hint, reply->hint_term);
 	reset_position(ctx, peer,
-		       MAX(peer->match + 1, MIN(reply->hint + 1, peer->next)));
+		       MAX(peer->match + 1, MIN(hint + 1, peer->next)));
 }
 
 /*
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -2995,7 +2995,7 @@
   (ProtobufCMessageInit) dsp__append_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__append_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__append_reply__field_descriptors[5] =
 {
   {
     "success",
@@ -3045,9 +3045,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hint_term",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendReply, hint_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__append_reply__field_indices_by_name[] = {
   2,   /* field[2] = hint */
+  4,   /* field[4] = hint_term */
   1,   /* field[1] = match */
   3,   /* field[3] = sequence */
   0,   /* field[0] = success */
@@ -3055,7 +3068,7 @@
 static const ProtobufCIntRange dsp__append_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dsp__append_reply__descriptor =
 {
@@ -3065,7 +3078,7 @@
   "Dsp__AppendReply",
   "dsp",
   sizeof(Dsp__AppendReply),
-  4,
+  5,
   dsp__append_reply__field_descriptors,
   dsp__append_reply__field_indices_by_name,
   1,  dsp__append_reply__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -288,10 +288,14 @@
    */
   uint64_t hint;
   uint64_t sequence;
+  /*
+   * on failure: the follower's term at hint
+   */
+  uint64_t hint_term;
 };
 #define DSP__APPEND_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__append_reply__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Dsp__SnapshotChunk
--- /dev/null
+++ b/tests/unit/raft_test.cc
@@ -0,0 +1,888 @@
+#include <gtest/gtest.h>
+
+#include "raft_sim.h"
+
+using namespace sim;
+
+namespace
+{
+
+constexpr int64_t timeout = 200 * ms;
+
+/* One replica (identity 1) that is fed with hand-made messages. */
+class Replica
+{
+      public:
+	explicit Replica(const Members &members, uint64_t term = 0,
+			 uint64_t voted_for = 0,
+			 const std::vector<uint64_t> &entry_terms = {})
+	{
+		struct raft_options options = {};
+		struct raft_durable durable = {};
+		Config config = unpack_config(pack_config(members));
+		std::vector<Dsp__LogEntry> entries(entry_terms.size());
+		std::vector<Dsp__LogEntry *> pointers;
+
+		for (size_t i = 0; i < entries.size(); i++) {
+			dsp__log_entry__init(&entries[i]);
+			entries[i].index = i + 1;
+			entries[i].term = entry_terms[i];
+			pointers.push_back(&entries[i]);
+		}
+		options.replica = 1;
+		options.group = 99;
+		options.seed = 5;
+		options.election_timeout_us = timeout;
+		options.heartbeat_us = 40 * ms;
+		options.max_batch_bytes = 100000;
+		durable.term = term;
+		durable.voted_for = voted_for;
+		durable.config = config.get();
+		durable.entries = pointers.data();
+		durable.n_entries = pointers.size();
+		raft = raft_new(&options, &durable, now);
+	}
+
+	~Replica()
+	{
+		raft_free(raft);
+	}
+
+	Replica(const Replica &) = delete;
+	Replica &operator=(const Replica &) = delete;
+
+	/* Carries out everything that is ready; returns the messages. */
+	std::vector<std::string> flush()
+	{
+		std::vector<std::string> messages;
+		struct raft_ready ready;
+
+		while (raft_take_ready(raft, &ready)) {
+			batches++;
+			appended += ready.n_append;
+			if (ready.hard_state_changed)
+				durable_vote = ready.voted_for;
+			for (size_t i = 0; i < ready.n_messages; i++)
+				messages.push_back(pack(ready.messages[i]));
+			raft_advance(raft, &ready, now);
+		}
+		return messages;
+	}
+
+	static std::string pack(const Dsp__RaftMessage *msg)
+	{
+		std::string packed(dsp__raft_message__get_packed_size(msg), 0);
+
+		dsp__raft_message__pack(msg, (uint8_t *)packed.data());
+		return packed;
+	}
+
+	Dsp__RaftMessage message(uint64_t from, uint64_t term) const
+	{
+		Dsp__RaftMessage msg = DSP__RAFT_MESSAGE__INIT;
+
+		msg.from = from;
+		msg.to = 1;
+		msg.group = 99;
+		msg.term = term;
+		return msg;
+	}
+
+	void ask_vote(uint64_t from, uint64_t term, uint64_t last_index,
+		      uint64_t last_term, bool pre = false,
+		      bool transfer = false)
+	{
+		Dsp__RaftMessage msg = message(from, term);
+		Dsp__VoteRequest body = DSP__VOTE_REQUEST__INIT;
+
+		body.pre = pre;
+		body.transfer = transfer;
+		body.last_index = last_index;
+		body.last_term = last_term;
+		msg.body_case = DSP__RAFT_MESSAGE__BODY_VOTE_REQUEST;
+		msg.vote_request = &body;
+		raft_step(raft, &msg, now);
+	}
+
+	void vote(uint64_t from, uint64_t term, bool pre)
+	{
+		Dsp__RaftMessage msg = message(from, term);
+		Dsp__VoteReply body = DSP__VOTE_REPLY__INIT;
+
+		body.pre = pre;
+		body.granted = true;
+		msg.body_case = DSP__RAFT_MESSAGE__BODY_VOTE_REPLY;
+		msg.vote_reply = &body;
+		raft_step(raft, &msg, now);
+	}
+
+	void acknowledge(uint64_t from, uint64_t term, uint64_t match,
+			 int64_t sent)
+	{
+		Dsp__RaftMessage msg = message(from, term);
+		Dsp__AppendReply body = DSP__APPEND_REPLY__INIT;
+
+		body.success = true;
+		body.match = match;
+		body.sequence = (uint64_t)sent << 12;
+		msg.body_case = DSP__RAFT_MESSAGE__BODY_APPEND_REPLY;
+		msg.append_reply = &body;
+		raft_step(raft, &msg, now);
+	}
+
+	void append(uint64_t from, uint64_t term, uint64_t sequence,
+		    uint64_t prev_index = 0, uint64_t prev_term = 0,
+		    const std::vector<uint64_t> &entry_terms = {})
+	{
+		Dsp__RaftMessage msg = message(from, term);
+		Dsp__AppendRequest body = DSP__APPEND_REQUEST__INIT;
+		std::vector<Dsp__LogEntry> entries(entry_terms.size());
+		std::vector<Dsp__LogEntry *> pointers;
+
+		for (size_t i = 0; i < entries.size(); i++) {
+			dsp__log_entry__init(&entries[i]);
+			entries[i].index = prev_index + 1 + i;
+			entries[i].term = entry_terms[i];
+			pointers.push_back(&entries[i]);
+		}
+		body.prev_index = prev_index;
+		body.prev_term = prev_term;
+		body.sequence = sequence;
+		body.entries = pointers.data();
+		body.n_entries = pointers.size();
+		msg.body_case = DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST;
+		msg.append_request = &body;
+		raft_step(raft, &msg, now);
+	}
+
+	void transfer_request(uint64_t from, uint64_t term, uint64_t sequence)
+	{
+		Dsp__RaftMessage msg = message(from, term);
+		Dsp__TransferRequest body = DSP__TRANSFER_REQUEST__INIT;
+
+		body.sequence = sequence;
+		msg.body_case = DSP__RAFT_MESSAGE__BODY_TRANSFER_REQUEST;
+		msg.transfer_request = &body;
+		raft_step(raft, &msg, now);
+	}
+
+	/* Waits out the election timeout and wins with the given voters. */
+	void win(const std::vector<uint64_t> &voters)
+	{
+		uint64_t term = raft_term(raft) + 1;
+
+		now += 2 * timeout;
+		raft_tick(raft, now);
+		for (uint64_t voter : voters)
+			vote(voter, term, true);
+		for (uint64_t voter : voters)
+			vote(voter, term, false);
+	}
+
+	enum raft_role role() const
+	{
+		return raft_role(raft);
+	}
+
+	struct raft *raft;
+	int64_t now = 1000 * ms;
+	int batches = 0;
+	size_t appended = 0;
+	uint64_t durable_vote = 0;
+};
+
+using Message = std::unique_ptr<Dsp__RaftMessage, void (*)(Dsp__RaftMessage *)>;
+
+Message unpack(const std::string &packed)
+{
+	return Message(
+		dsp__raft_message__unpack(NULL, packed.size(),
+					  (const uint8_t *)packed.data()),
+		[](Dsp__RaftMessage *m) {
+			dsp__raft_message__free_unpacked(m, NULL);
+		});
+}
+
+/* Returns the last vote reply among the messages: 1 granted, 0 refused, -1
+ * none. */
+int vote_reply(const std::vector<std::string> &messages)
+{
+	int result = -1;
+
+	for (auto &packed : messages) {
+		Message msg = unpack(packed);
+
+		if (msg->body_case == DSP__RAFT_MESSAGE__BODY_VOTE_REPLY)
+			result = msg->vote_reply->granted;
+	}
+	return result;
+}
+
+const Members three = { { 1, true }, { 2, true }, { 3, true } };
+const Members five = {
+	{ 1, true }, { 2, true }, { 3, true }, { 4, true }, { 5, true }
+};
+
+Node *elect(Sim &s)
+{
+	EXPECT_TRUE(s.run_until(3000 * ms, [&] { return s.ready_leader(); }))
+		<< s.report();
+	return s.ready_leader();
+}
+
+Node &other(Sim &s, const Node &node, int step = 1)
+{
+	return s.node((node.slot + step) % s.o.n);
+}
+
+void propose_some(Sim &s, Node &leader, int n)
+{
+	static int counter;
+
+	for (int i = 0; i < n; i++)
+		s.propose(leader, "command " + std::to_string(counter++));
+}
+
+bool settle(Sim &s)
+{
+	return s.run_until(5000 * ms, [&] {
+		Node *leader = s.ready_leader();
+
+		return leader &&
+		       raft_last_index(leader->raft) == s.reference.size() &&
+		       s.all_applied();
+	});
+}
+
+} // namespace
+
+/* Guards the pre-vote: a follower that was cut off for long does not raise the
+ * term, so its return deposes nobody. */
+TEST(Raft, ReturningReplicaDoesNotDeposeTheLeader)
+{
+	Sim s({});
+	Node *leader = elect(s);
+	uint64_t term = raft_term(leader->raft);
+
+	s.isolate(other(s, *leader).slot, true, true);
+	s.run(10000 * ms);
+	s.heal();
+	s.run(2000 * ms);
+	EXPECT_EQ(s.leader(), leader) << s.report();
+	EXPECT_EQ(raft_term(leader->raft), term);
+}
+
+/* Guards the vote refusal while a leader is heard: a follower that only the
+ * leader cannot reach would win a pre-vote with the third replica. */
+TEST(Raft, ReplicaThatMissesTheLeaderOnlyDoesNotDisturb)
+{
+	Sim s({});
+	Node *leader = elect(s);
+	uint64_t term = raft_term(leader->raft);
+
+	s.set_cut(leader->slot, other(s, *leader).slot, true);
+	s.run(5000 * ms);
+	EXPECT_EQ(s.leader(), leader) << s.report();
+	EXPECT_EQ(raft_term(leader->raft), term);
+	propose_some(s, *leader, 3);
+	s.heal();
+	EXPECT_TRUE(settle(s)) << s.report();
+	EXPECT_EQ(raft_term(leader->raft), term);
+}
+
+/* Guards the check-quorum rule: a leader cut off in one or both directions
+ * steps down, commits nothing, and does not keep the others from electing. */
+TEST(Raft, CutOffLeaderStepsDownAndCommitsNothing)
+{
+	for (int direction = 1; direction <= 3; direction++) {
+		Options o;
+
+		o.seed = (uint64_t)direction;
+		Sim s(o);
+		Node *old = elect(s);
+
+		propose_some(s, *old, 5);
+		s.run(100 * ms);
+		uint64_t commit = raft_commit_index(old->raft);
+		s.isolate(old->slot, direction & 1, direction & 2);
+		s.run(1 * ms);
+		propose_some(s, *old, 5);
+		s.run(3 * timeout + 100 * ms);
+		EXPECT_NE(raft_role(old->raft), RAFT_LEADER) << direction;
+		Node *leader = s.leader();
+		ASSERT_NE(leader, nullptr) << s.report();
+		EXPECT_NE(leader, old);
+		propose_some(s, *leader, 5);
+		s.run(100 * ms);
+		EXPECT_GT(raft_commit_index(leader->raft), commit);
+		if (direction & 1) {
+			EXPECT_EQ(raft_commit_index(old->raft), commit);
+		}
+		s.heal();
+		EXPECT_TRUE(settle(s)) << s.report();
+	}
+}
+
+/* Guards against a resumed leader that acts on messages in its queues before
+ * its first tick. */
+TEST(Raft, FrozenLeaderStepsDownBeforeItHandlesMessages)
+{
+	Replica r(three);
+
+	r.win({ 2 });
+	ASSERT_EQ(r.role(), RAFT_LEADER);
+	r.flush();
+	int64_t sent = r.now;
+	r.now += 2 * timeout;
+	r.acknowledge(2, 1, 1, sent);
+	EXPECT_NE(r.role(), RAFT_LEADER);
+	EXPECT_EQ(raft_commit_index(r.raft), 0u);
+}
+
+/* Guards against an election that is won by votes which waited in the queues
+ * of a frozen candidate. */
+TEST(Raft, VotesAfterTheEndOfAnElectionDoNotCount)
+{
+	Replica r(three);
+
+	r.now += 2 * timeout;
+	raft_tick(r.raft, r.now);
+	r.now += 3 * timeout;
+	r.vote(2, 1, true);
+	EXPECT_EQ(r.role(), RAFT_PRE_CANDIDATE);
+	EXPECT_EQ(raft_term(r.raft), 0u);
+}
+
+/* Guards the rule that an entry of an earlier term commits only together with
+ * one of the leader's own term; a majority may hold it and still lose it. */
+TEST(Raft, EntryOfEarlierTermNeedsOneOfTheOwnTerm)
+{
+	Replica r(five, 3, 0, { 1, 2 });
+
+	r.win({ 2, 3 });
+	ASSERT_EQ(r.role(), RAFT_LEADER);
+	r.flush();
+	r.acknowledge(2, 4, 2, r.now);
+	r.acknowledge(3, 4, 2, r.now);
+	r.acknowledge(4, 4, 2, r.now);
+	EXPECT_EQ(raft_commit_index(r.raft), 0u);
+	EXPECT_FALSE(raft_is_ready_leader(r.raft));
+	r.acknowledge(2, 4, 3, r.now);
+	r.acknowledge(3, 4, 3, r.now);
+	EXPECT_EQ(raft_commit_index(r.raft), 3u);
+	EXPECT_TRUE(raft_is_ready_leader(r.raft));
+}
+
+/* Guards against a second vote in a term, before and after a restart. */
+TEST(Raft, VoteIsDurableAndGivenOnce)
+{
+	Replica r(three);
+
+	r.now += timeout;
+	r.ask_vote(2, 5, 0, 0);
+	EXPECT_EQ(vote_reply(r.flush()), 1);
+	EXPECT_EQ(r.durable_vote, 2u);
+	r.ask_vote(3, 5, 7, 4);
+	EXPECT_EQ(vote_reply(r.flush()), 0);
+
+	Replica again(three, 5, 2);
+	again.now += timeout;
+	again.ask_vote(3, 5, 7, 4);
+	EXPECT_EQ(vote_reply(again.flush()), 0);
+	again.ask_vote(2, 5, 0, 0);
+	EXPECT_EQ(vote_reply(again.flush()), 1);
+}
+
+/* Guards against a leader that lacks committed entries. */
+TEST(Raft, OlderLogGetsNoVote)
+{
+	for (bool pre : { true, false }) {
+		Replica r(three, 3, 0, { 1, 3, 3 });
+
+		r.now += timeout;
+		r.ask_vote(2, 4, 9, 2, pre); /* longer, older term */
+		EXPECT_EQ(vote_reply(r.flush()), 0);
+		r.ask_vote(2, 5, 2, 3, pre); /* same term, shorter */
+		EXPECT_EQ(vote_reply(r.flush()), 0);
+		r.ask_vote(2, 6, 3, 3, pre);
+		EXPECT_EQ(vote_reply(r.flush()), 1);
+	}
+}
+
+/* Guards the promise that lies in a voter's answers to heartbeats: it gives no
+ * vote for one election timeout, also when it was restarted in between. */
+TEST(Raft, RestartedVoterWaitsOneElectionTimeout)
+{
+	Replica r(three, 3);
+
+	r.now += timeout - 1;
+	r.ask_vote(2, 4, 0, 0);
+	EXPECT_EQ(vote_reply(r.flush()), -1);
+	EXPECT_EQ(raft_term(r.raft), 3u);
+	r.now += 1;
+	r.ask_vote(2, 4, 0, 0);
+	EXPECT_EQ(vote_reply(r.flush()), 1);
+}
+
+/* Guards against a group that is stuck because a promoted replica does not yet
+ * know that it may vote, and against learners that campaign. */
+TEST(Raft, LearnerVotesButNeverCampaigns)
+{
+	Replica r({ { 1, false }, { 2, true }, { 3, true } });
+
+	EXPECT_EQ(r.role(), RAFT_LEARNER);
+	r.now += 10 * timeout;
+	raft_tick(r.raft, r.now);
+	EXPECT_EQ(r.role(), RAFT_LEARNER);
+	EXPECT_TRUE(r.flush().empty());
+	r.ask_vote(2, 1, 0, 0);
+	EXPECT_EQ(vote_reply(r.flush()), 1);
+}
+
+/* Guards against a commit that a learner's acknowledgement makes up for. */
+TEST(Raft, LearnerDoesNotCountForTheQuorum)
+{
+	Replica r({ { 1, true },
+		    { 2, true },
+		    { 3, true },
+		    { 4, false },
+		    { 5, false } });
+
+	r.win({ 2 });
+	r.flush();
+	r.acknowledge(4, 1, 1, r.now);
+	r.acknowledge(5, 1, 1, r.now);
+	EXPECT_EQ(raft_commit_index(r.raft), 0u);
+	EXPECT_EQ(raft_quorum_contact_us(r.raft), 0);
+	r.acknowledge(3, 1, 1, r.now);
+	EXPECT_EQ(raft_commit_index(r.raft), 1u);
+}
+
+/* Guards against two majorities without a common member: one voter at a time,
+ * only after an entry of the own term and the last change are committed. */
+TEST(Raft, ConfigurationChangesOneVoterAtATime)
+{
+	Replica r(three);
+	auto propose = [&](const Members &members) {
+		Config config = unpack_config(pack_config(members));
+
+		return raft_propose_config(r.raft, config.get());
+	};
+	const Members four = {
+		{ 1, true }, { 2, true }, { 3, true }, { 4, true }
+	};
+
+	EXPECT_EQ(propose(four), 0u); /* not the leader */
+	r.win({ 2 });
+	r.flush();
+	EXPECT_EQ(propose(four), 0u); /* no entry of its term committed */
+	r.acknowledge(2, 1, 1, r.now);
+	r.flush();
+	EXPECT_EQ(propose(five), 0u);
+	EXPECT_EQ(propose({ { 1, true }, { 2, true }, { 4, true } }), 0u);
+	EXPECT_EQ(propose({}), 0u);
+	EXPECT_EQ(propose(four), 2u);
+	EXPECT_TRUE(raft_config_pending(r.raft));
+	EXPECT_EQ(propose(five), 0u); /* the last one is pending */
+	r.flush();
+	r.acknowledge(2, 1, 2, r.now);
+	EXPECT_TRUE(raft_config_pending(r.raft)); /* needs 3 of 4 */
+	r.acknowledge(3, 1, 2, r.now);
+	EXPECT_FALSE(raft_config_pending(r.raft));
+}
+
+/* Guards against messages of replicas outside of the group, such as a lost
+ * identity or another group. */
+TEST(Raft, StrangersDoNotChangeTheTerm)
+{
+	Replica r(three);
+
+	r.win({ 2 });
+	r.flush();
+	r.acknowledge(9, 50, 1, r.now); /* no member */
+	EXPECT_EQ(r.role(), RAFT_LEADER);
+	EXPECT_EQ(raft_term(r.raft), 1u);
+
+	Dsp__RaftMessage msg = r.message(2, 50);
+	Dsp__AppendReply body = DSP__APPEND_REPLY__INIT;
+	msg.body_case = DSP__RAFT_MESSAGE__BODY_APPEND_REPLY;
+	msg.append_reply = &body;
+	msg.group = 98; /* another group */
+	raft_step(r.raft, &msg, r.now);
+	msg.group = 99;
+	msg.to = 7; /* the identity before the disk was lost */
+	raft_step(r.raft, &msg, r.now);
+	EXPECT_EQ(raft_term(r.raft), 1u);
+	msg.to = 1;
+	raft_step(r.raft, &msg, r.now);
+	EXPECT_EQ(raft_term(r.raft), 50u);
+}
+
+/* Guards group commit: proposals of one loop iteration share one batch, one
+ * sync and one message for each peer. */
+TEST(Raft, ProposalsOfOneIterationShareOneBatch)
+{
+	Replica r(three);
+
+	r.win({ 2 });
+	r.flush();
+	r.acknowledge(2, 1, 1, r.now);
+	r.acknowledge(3, 1, 1, r.now);
+	r.flush();
+	r.batches = 0;
+	r.appended = 0;
+	for (int i = 0; i < 100; i++)
+		EXPECT_EQ(raft_propose(r.raft, (const uint8_t *)"x", 1),
+			  2u + (uint64_t)i);
+	EXPECT_EQ(r.flush().size(), 2u);
+	EXPECT_EQ(r.batches, 1);
+	EXPECT_EQ(r.appended, 100u);
+}
+
+/* Guards against an acknowledgement before the sync: the leader does not count
+ * its own unsynced entry, a follower's reply leaves with the batch that writes
+ * the entry. */
+TEST(Raft, NothingIsAcknowledgedBeforeTheSync)
+{
+	Replica leader(three);
+	struct raft_ready ready;
+
+	leader.win({ 2 });
+	ASSERT_TRUE(raft_take_ready(leader.raft, &ready));
+	leader.acknowledge(2, 1, 1, leader.now);
+	EXPECT_EQ(raft_commit_index(leader.raft), 0u);
+	raft_advance(leader.raft, &ready, leader.now);
+	EXPECT_EQ(raft_commit_index(leader.raft), 1u);
+
+	Replica follower(three);
+	follower.append(2, 1, 1, 0, 0, { 1 });
+	ASSERT_TRUE(raft_take_ready(follower.raft, &ready));
+	EXPECT_EQ(ready.n_append, 1u);
+	EXPECT_EQ(ready.n_messages, 1u);
+	/* The reply to the next entry waits for the next batch. */
+	follower.append(2, 1, 2, 1, 1, { 1 });
+	EXPECT_EQ(ready.n_messages, 1u);
+	struct raft_ready second;
+	EXPECT_FALSE(raft_take_ready(follower.raft, &second));
+	raft_advance(follower.raft, &ready, follower.now);
+	ASSERT_TRUE(raft_take_ready(follower.raft, &second));
+	EXPECT_EQ(second.n_append, 1u);
+	EXPECT_EQ(second.append[0]->index, 2u);
+	EXPECT_EQ(second.n_messages, 1u);
+	raft_advance(follower.raft, &second, follower.now);
+}
+
+/* Guards against malformed messages: entries with a gap or falling terms are
+ * dropped as a whole. */
+TEST(Raft, MalformedEntriesAreDropped)
+{
+	Replica r(three);
+
+	r.append(2, 3, 1, 0, 0, { 2, 1 });
+	EXPECT_EQ(raft_last_index(r.raft), 0u);
+	r.append(2, 3, 1, 0, 0, { 4 });
+	EXPECT_EQ(raft_last_index(r.raft), 0u);
+	r.append(2, 3, 1, 0, 0, { 1, 3 });
+	EXPECT_EQ(raft_last_index(r.raft), 2u);
+}
+
+/* Guards the hint: a follower with many entries that conflict is brought in
+ * line in a few round trips, not one for each entry. */
+TEST(Raft, ConflictingTermIsSkippedAtOnce)
+{
+	Options o;
+
+	o.max_batch_bytes = 1 << 20;
+	Sim s(o);
+	Node *old = elect(s);
+	int refusals = 0;
+
+	propose_some(s, *old, 3);
+	s.run(100 * ms);
+	/* The old leader's entries reach nobody. */
+	s.isolate(old->slot, true, true);
+	propose_some(s, *old, 1000);
+	ASSERT_TRUE(s.run_until(3000 * ms, [&] {
+		return s.ready_leader() && s.ready_leader() != old;
+	}));
+	/* The third replica leads with other entries at the same indexes. */
+	Node *between = s.ready_leader();
+	propose_some(s, *between, 1000);
+	s.run(100 * ms);
+	s.transfer(*between,
+		   s.node(3 - old->slot - between->slot).disk->replica);
+	s.run(100 * ms);
+	s.drop = [&](Node &, const Dsp__RaftMessage *msg) {
+		refusals += msg->body_case ==
+				    DSP__RAFT_MESSAGE__BODY_APPEND_REPLY &&
+			    !msg->append_reply->success;
+		return false;
+	};
+	s.heal();
+	EXPECT_TRUE(settle(s)) << s.report();
+	EXPECT_GE(refusals, 1);
+	EXPECT_LE(refusals, 4);
+}
+
+/* Guards against a group that ignores a replica with a higher term for good:
+ * the leader learns the term and the replica takes part again. */
+TEST(Raft, ReplicaWithHigherTermIsTakenBack)
+{
+	Sim s({});
+	Node *leader = elect(s);
+	Node &ahead = other(s, *leader);
+
+	s.crash(ahead);
+	propose_some(s, *leader, 5);
+	s.run(100 * ms);
+	ahead.disk->term += 5;
+	s.start(ahead);
+	EXPECT_TRUE(settle(s)) << s.report();
+}
+
+/* Guards snapshot transfer in chunks over a lossy network, by a leader that
+ * was restarted and has to ask for the snapshot; and against duplicated
+ * replies that multiply the chunks in transit. */
+TEST(Raft, SnapshotReachesALateFollower)
+{
+	Options o;
+
+	o.seed = 4;
+	o.max_batch_bytes = 1000;
+	o.snapshot_bytes = 100000;
+	Sim s(o);
+	Node *leader = elect(s);
+	Node &late = other(s, *leader);
+	int chunks = 0;
+
+	s.crash(late);
+	for (int i = 0; i < 30; i++) {
+		propose_some(s, *leader, 100);
+		s.run(10 * ms);
+	}
+	for (int i = 0; i < 2; i++) {
+		Node &node = i ? other(s, late) : other(s, late, 2);
+
+		s.snapshot(node);
+		s.crash(node);
+		s.start(node);
+	}
+	leader = elect(s);
+	s.o.loss = 0.1;
+	s.o.duplicate = 0.3;
+	s.drop = [&](Node &, const Dsp__RaftMessage *msg) {
+		chunks += msg->body_case ==
+			  DSP__RAFT_MESSAGE__BODY_SNAPSHOT_CHUNK;
+		return false;
+	};
+	s.start(late);
+	EXPECT_TRUE(s.run_until(20000 * ms, [&] {
+		return s.snapshots_installed;
+	})) << s.report();
+	EXPECT_GE(chunks, 100);
+	EXPECT_LE(chunks, 300); /* 101 chunks, each way loses 10% */
+	s.o.loss = 0;
+	EXPECT_TRUE(settle(s)) << s.report();
+	EXPECT_EQ(s.snapshots_installed, 1u);
+}
+
+/* Guards against a snapshot transfer that starts over whenever the leader
+ * takes a new snapshot: under load it would never end. */
+TEST(Raft, NewSnapshotsDoNotRestartATransfer)
+{
+	Options o;
+
+	o.max_batch_bytes = 1000;
+	o.snapshot_bytes = 200000;
+	o.snapshot_every = 50;
+	Sim s(o);
+	Node *leader = elect(s);
+	Node &late = other(s, *leader);
+
+	s.crash(late);
+	for (int i = 0; i < 30; i++) {
+		propose_some(s, *leader, 100);
+		s.run(10 * ms);
+	}
+	s.start(late);
+	for (int i = 0; i < 60 && !s.snapshots_installed; i++) {
+		propose_some(s, *leader, 50);
+		s.run(10 * ms);
+	}
+	EXPECT_GE(s.snapshots_installed, 1u) << s.report();
+	EXPECT_TRUE(settle(s)) << s.report();
+}
+
+/* Guards against traffic to a dead peer: entries are not sent to it again and
+ * again, and no snapshot is made for it. */
+TEST(Raft, DeadPeerGetsHeartbeatsOnly)
+{
+	Sim s({});
+	Node *leader = elect(s);
+	Node &dead = other(s, *leader);
+	size_t entries = 0;
+	size_t heartbeats = 0;
+
+	s.crash(dead);
+	leader->disk->snapshot.data.size();
+	propose_some(s, *leader, 20);
+	s.run(1000 * ms);
+	/* A new leader that probes. */
+	s.crash(*leader);
+	s.start(*leader);
+	leader = elect(s);
+	s.drop = [&](Node &, const Dsp__RaftMessage *msg) {
+		if (msg->to != dead.disk->replica ||
+		    msg->body_case != DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST)
+			return false;
+		entries += msg->append_request->n_entries;
+		heartbeats++;
+		return false;
+	};
+	propose_some(s, *leader, 20);
+	s.run(4000 * ms);
+	EXPECT_LE(entries, 22u);
+	EXPECT_GE(heartbeats, 50u);
+	EXPECT_LE(heartbeats, 130u);
+}
+
+/* Guards leadership transfer: the target takes over without waiting for an
+ * election timeout although the others hear the leader, with all entries. */
+TEST(Raft, TransferMovesLeadershipAtOnce)
+{
+	Sim s({});
+	Node *old = elect(s);
+	Node &target = other(s, *old);
+
+	propose_some(s, *old, 10);
+	s.transfer(*old, target.disk->replica);
+	EXPECT_EQ(s.propose(*old, "refused"), 0u);
+	EXPECT_TRUE(s.run_until(20 * ms, [&] {
+		return s.ready_leader() == &target;
+	})) << s.report();
+	EXPECT_TRUE(settle(s));
+	EXPECT_EQ(s.commands.size(), 10u);
+
+	/* To a dead replica: given up after one election timeout. */
+	Node &dead = other(s, target);
+	s.crash(dead);
+	s.transfer(target, dead.disk->replica);
+	s.run(timeout + 50 * ms);
+	EXPECT_NE(s.propose(target, "accepted"), 0u);
+}
+
+/* Guards against a late hand-over request that the leader has given up: later
+ * heartbeats make it void. */
+TEST(Raft, OvertakenTransferRequestIsIgnored)
+{
+	Replica r(three);
+
+	r.append(2, 1, 100);
+	r.append(2, 1, 300);
+	r.transfer_request(2, 1, 200);
+	EXPECT_EQ(r.role(), RAFT_FOLLOWER);
+	r.transfer_request(3, 1, 400); /* not the leader */
+	EXPECT_EQ(r.role(), RAFT_FOLLOWER);
+	r.transfer_request(2, 1, 400);
+	EXPECT_EQ(r.role(), RAFT_CANDIDATE);
+	EXPECT_EQ(raft_term(r.raft), 2u);
+}
+
+/* Guards the removal of the leader itself: it hands over once the change is
+ * committed and does not disturb the group afterwards. */
+TEST(Raft, RemovedLeaderHandsOver)
+{
+	Sim s({});
+	Node *old = elect(s);
+	Members members = s.committed_config;
+	uint64_t term = raft_term(old->raft);
+
+	members.erase(old->disk->replica);
+	ASSERT_NE(s.propose_members(*old, members), 0u);
+	EXPECT_TRUE(s.run_until(30 * ms, [&] {
+		return s.ready_leader() && s.ready_leader() != old;
+	})) << s.report();
+	s.run(5000 * ms);
+	EXPECT_EQ(s.committed_config, members);
+	EXPECT_EQ(raft_role(old->raft), RAFT_LEARNER);
+	EXPECT_EQ(raft_term(s.leader()->raft), term + 1);
+}
+
+/* Guards the repair after a lost disk and a second loss right after it: the
+ * two replicas that are left hold every committed entry and go on. */
+TEST(Raft, SecondDiskLostRightAfterTheRepair)
+{
+	Options o;
+
+	o.snapshot_every = 30;
+	Sim s(o);
+	Node *leader = elect(s);
+	Node &first = other(s, *leader);
+	Node &second = other(s, *leader, 2);
+	uint64_t old = first.disk->replica;
+	Members members = s.committed_config;
+	auto change = [&] {
+		ASSERT_NE(s.propose_members(*leader, members), 0u);
+		ASSERT_TRUE(s.run_until(2000 * ms, [&] {
+			return s.committed_config == members;
+		})) << s.report();
+	};
+
+	propose_some(s, *leader, 500);
+	s.run(500 * ms);
+	s.lose_disk(first);
+	EXPECT_EQ(raft_role(first.raft), RAFT_LEARNER);
+	members[first.disk->replica] = false;
+	change();
+	ASSERT_TRUE(s.run_until(5000 * ms, [&] {
+		return raft_match_index(leader->raft, first.disk->replica) >=
+		       raft_commit_index(leader->raft);
+	})) << s.report();
+	members.erase(old);
+	change();
+	members[first.disk->replica] = true;
+	change();
+	propose_some(s, *leader, 50);
+	s.run(20 * ms);
+	s.lose_disk(second);
+	propose_some(s, *leader, 50);
+	s.run(500 * ms);
+	EXPECT_EQ(s.commands.size(), 600u) << s.report();
+	EXPECT_EQ(first.applied, s.reference.size());
+	EXPECT_FALSE(s.failed()) << s.report();
+}
+
+/* Guards against a replica with a failed disk that goes on to vote, lead or
+ * acknowledge. */
+TEST(Raft, DisabledReplicaDoesNothing)
+{
+	Replica r(three);
+	struct raft_ready ready;
+
+	r.win({ 2 });
+	raft_propose(r.raft, (const uint8_t *)"x", 1);
+	ASSERT_TRUE(raft_take_ready(r.raft, &ready));
+	raft_disable(r.raft); /* its write failed */
+	EXPECT_NE(r.role(), RAFT_LEADER);
+	EXPECT_EQ(raft_propose(r.raft, (const uint8_t *)"x", 1), 0u);
+	r.now += 10 * timeout;
+	raft_tick(r.raft, r.now);
+	r.append(2, 5, 1, 0, 0, { 1 });
+	r.ask_vote(3, 9, 100, 8);
+	EXPECT_FALSE(raft_take_ready(r.raft, &ready));
+	EXPECT_EQ(raft_commit_index(r.raft), 0u);
+}
+
+/* Guards a group of one, which needs no election timeout and no peer. */
+TEST(Raft, SingleVoterLeadsAtOnce)
+{
+	Replica r({ { 1, true } });
+
+	raft_tick(r.raft, r.now);
+	r.flush();
+	EXPECT_TRUE(raft_is_ready_leader(r.raft));
+	EXPECT_EQ(raft_propose(r.raft, (const uint8_t *)"x", 1), 2u);
+	r.flush();
+	EXPECT_EQ(raft_commit_index(r.raft), 2u);
+	EXPECT_EQ(raft_quorum_contact_us(r.raft), r.now);
+}
