core: keep the reservations of a replaced incarnation for its return

Incarnations are random, so a late announcement of a process that ended can replace the living one, which then announces itself again. Now each of the last four incarnations keeps its own reservations, and they hold again when it returns. Ruled out: accepting it as a new incarnation, since orders that were voided for it could still be executed.

--- a/src/core/ord.c
+++ b/src/core/ord.c
@@ -96,34 +96,19 @@
 	return s;
 }
 
-static struct slot *slot_get(struct st *ctx, struct endpoint *ep,
-			     const char *model, const char *version,
-			     const char *adapter, uint32_t first,
-			     uint32_t accelerators)
+/* Enters a slot into the lists and tables of the current incarnation. */
+static void slot_attach(struct st *ctx, struct slot *s)
 {
-	struct slot *s = slot_find(ctx, ep, model, version, adapter, first,
-				   accelerators);
-
-	if (s)
-		return s;
-	s = g_new0(struct slot, 1);
-	s->endpoint = ep;
-	s->model = g_strdup(model);
-	s->version = g_strdup(version);
-	s->adapter = g_strdup(adapter);
-	s->first = first;
-	s->accelerators = accelerators;
-	s->next_span = slots_of_key(ctx, ep, model, version, adapter);
+	s->next_span = g_hash_table_lookup(ctx->slot_by_key, s);
 	g_hash_table_replace(ctx->slot_by_key, s, s);
-	TAILQ_INSERT_TAIL(&ep->slots, s, link);
-	if (!*adapter) {
-		s->published = model_slots_get(ctx, ep->msg->team, model);
-		TAILQ_INSERT_TAIL(&s->published->slots, s, model_link);
-	}
-	return s;
+	TAILQ_INSERT_TAIL(&s->endpoint->slots, s, link);
+	if (*s->adapter)
+		return;
+	s->published = model_slots_get(ctx, s->endpoint->msg->team, s->model);
+	TAILQ_INSERT_TAIL(&s->published->slots, s, model_link);
 }
 
-static void slot_free(struct st *ctx, struct slot *s)
+static void slot_detach(struct st *ctx, struct slot *s)
 {
 	struct slot *head = g_hash_table_lookup(ctx->slot_by_key, s);
 
@@ -136,19 +121,54 @@
 			head = head->next_span;
 		head->next_span = s->next_span;
 	}
+	s->next_span = NULL;
 	TAILQ_REMOVE(&s->endpoint->slots, s, link);
-	if (s->published) {
-		TAILQ_REMOVE(&s->published->slots, s, model_link);
-		if (TAILQ_EMPTY(&s->published->slots))
-			g_hash_table_remove(ctx->model_by_key,
-					    s->published->key);
-	}
+	if (!s->published)
+		return;
+	TAILQ_REMOVE(&s->published->slots, s, model_link);
+	if (TAILQ_EMPTY(&s->published->slots))
+		g_hash_table_remove(ctx->model_by_key, s->published->key);
+	s->published = NULL;
+}
+
+static struct slot *slot_new(struct endpoint *ep, const char *model,
+			     const char *version, const char *adapter,
+			     uint32_t first, uint32_t accelerators)
+{
+	struct slot *s = g_new0(struct slot, 1);
+
+	s->endpoint = ep;
+	s->model = g_strdup(model);
+	s->version = g_strdup(version);
+	s->adapter = g_strdup(adapter);
+	s->first = first;
+	s->accelerators = accelerators;
+	return s;
+}
+
+static void slot_free(struct slot *s)
+{
 	g_free(s->model);
 	g_free(s->version);
 	g_free(s->adapter);
 	g_free(s);
 }
 
+static struct slot *slot_get(struct st *ctx, struct endpoint *ep,
+			     const char *model, const char *version,
+			     const char *adapter, uint32_t first,
+			     uint32_t accelerators)
+{
+	struct slot *s = slot_find(ctx, ep, model, version, adapter, first,
+				   accelerators);
+
+	if (s)
+		return s;
+	s = slot_new(ep, model, version, adapter, first, accelerators);
+	slot_attach(ctx, s);
+	return s;
+}
+
 static void use_memory(const struct slot *s, int64_t mb)
 {
 	for (uint32_t i = 0; i < s->accelerators; i++)
@@ -177,8 +197,10 @@
 	if (count)
 		return;
 	s->memory_mb = 0;
-	if (!s->pending_unloads)
-		slot_free(ctx, s);
+	if (s->pending_unloads)
+		return;
+	slot_detach(ctx, s);
+	slot_free(s);
 }
 
 static bool is_load(const struct order *o)
@@ -427,16 +449,35 @@
 	}
 }
 
-/*
- * Voids all orders of the incarnation that ended. If the new process checks
- * incarnations, nothing of the old one can arrive; otherwise all loads that
- * were not certainly delivered for the last time stay counted. Called before
- * the endpoint's record is replaced; ord_adopt() follows.
- */
-void ord_restart(struct st *ctx, struct endpoint *ep, bool checks_incarnation)
+/* Adds an empty set of reservations for an incarnation that was replaced. */
+struct life *life_new(struct endpoint *ep, uint64_t incarnation)
+{
+	struct life *life = g_new0(struct life, 1);
+
+	life->incarnation = incarnation;
+	TAILQ_INIT(&life->slots);
+	TAILQ_INSERT_TAIL(&ep->retired, life, link);
+	ep->n_retired++;
+	return life;
+}
+
+/* Frees the reservations of an incarnation that was replaced. */
+void life_free(struct endpoint *ep, struct life *life)
+{
+	struct slot *s, *next;
+
+	for (s = TAILQ_FIRST(&life->slots); s; s = next) {
+		next = TAILQ_NEXT(s, link);
+		slot_free(s);
+	}
+	TAILQ_REMOVE(&ep->retired, life, link);
+	ep->n_retired--;
+	g_free(life);
+}
+
+static void void_pending(struct st *ctx, struct endpoint *ep)
 {
 	struct order *o;
-	struct slot *s;
 
 	while ((o = TAILQ_FIRST(&ep->pending))) {
 		if (is_load(o))
@@ -444,16 +485,64 @@
 		else
 			order_end(ctx, o, DSP__ORDER_STATE__ORDER_VOID);
 	}
+}
+
+/*
+ * Voids all orders of the incarnation that ended and sets its reservations
+ * aside: the next process rejects what was ordered for this one.
+ */
+struct life *ord_retire(struct st *ctx, struct endpoint *ep)
+{
+	struct life *life = life_new(ep, ep->msg->incarnation);
+	struct slot *s, *next;
+
+	void_pending(ctx, ep);
+	settle_all(ctx, ep);
+	for (s = TAILQ_FIRST(&ep->slots); s; s = next) {
+		next = TAILQ_NEXT(s, link);
+		use_memory(s, -(int64_t)s->memory_mb);
+		s->counted = s->listed = s->ready = s->unloading = false;
+		slot_detach(ctx, s);
+		TAILQ_INSERT_TAIL(&life->slots, s, link);
+	}
+	life->fence = ep->fence;
+	ep->fence = 0;
+	return life;
+}
+
+/* Counts the reservations of an incarnation that announced itself again. */
+void ord_return(struct st *ctx, struct endpoint *ep, struct life *life)
+{
+	struct slot *s, *next;
+
+	for (s = TAILQ_FIRST(&life->slots); s; s = next) {
+		next = TAILQ_NEXT(s, link);
+		TAILQ_REMOVE(&life->slots, s, link);
+		slot_attach(ctx, s);
+		s->counted = true;
+		use_memory(s, s->memory_mb);
+	}
+	ep->fence = life->fence;
+	life_free(ep, life);
+}
+
+/*
+ * Voids all orders of the incarnation that ended. The next process does not
+ * check incarnations, so all loads that were not certainly delivered for the
+ * last time stay counted. ord_adopt() follows.
+ */
+void ord_restart(struct st *ctx, struct endpoint *ep)
+{
+	struct slot *s;
+
+	void_pending(ctx, ep);
 	TAILQ_FOREACH (s, &ep->slots, link) {
 		s->listed = s->ready = s->unloading = false;
 		/*
-		 * Without the check, the new process may have executed a load
-		 * after its first announcement was written.
+		 * The new process may have executed a load after its first
+		 * announcement was written.
 		 */
-		if (!checks_incarnation && s->last_load)
-			continue;
-		s->resident = false;
-		s->last_load = s->last_finish = s->order = s->repeatable = 0;
+		s->resident = s->resident && s->last_load;
 	}
 	ep->fence = 0;
 }
@@ -895,6 +984,21 @@
 		      NULL);
 }
 
+static bool restore_retired(struct endpoint *ep, struct slot *s,
+			    uint64_t incarnation)
+{
+	struct life *life;
+
+	TAILQ_FOREACH (life, &ep->retired, link) {
+		if (life->incarnation != incarnation)
+			continue;
+		TAILQ_INSERT_TAIL(&life->slots, s, link);
+		return true;
+	}
+	slot_free(s);
+	return false;
+}
+
 /* Restores a reservation; its endpoint comes first. */
 bool ord_restore_slot(struct st *ctx, const Dsp__Reservation *msg)
 {
@@ -910,7 +1014,7 @@
 		       (end + 1 - ep->n_used) * sizeof(*ep->used_mb));
 		ep->n_used = (uint32_t)end;
 	}
-	s = slot_get(ctx, ep, msg->model, msg->version, msg->adapter,
+	s = slot_new(ep, msg->model, msg->version, msg->adapter,
 		     msg->first_accelerator, msg->accelerators);
 	s->memory_mb = msg->memory_mb;
 	s->order = msg->order;
@@ -921,6 +1025,9 @@
 	s->repeatable = msg->repeatable;
 	s->last_load = msg->last_load;
 	s->last_finish = msg->last_finish;
+	if (msg->retired)
+		return restore_retired(ep, s, msg->incarnation);
+	slot_attach(ctx, s);
 	/* With unanswered loads only, ord_restore_order() counts the slot. */
 	if (s->resident || s->repeatable) {
 		s->counted = true;
@@ -965,10 +1072,16 @@
 void ord_free_slots(struct st *ctx, struct endpoint *ep)
 {
 	struct slot *s, *next;
+	struct life *life, *next_life;
 
 	for (s = TAILQ_FIRST(&ep->slots); s; s = next) {
 		next = TAILQ_NEXT(s, link);
-		slot_free(ctx, s);
+		slot_detach(ctx, s);
+		slot_free(s);
+	}
+	for (life = TAILQ_FIRST(&ep->retired); life; life = next_life) {
+		next_life = TAILQ_NEXT(life, link);
+		life_free(ep, life);
 	}
 }
 
--- a/src/core/st_endpoint.c
+++ b/src/core/st_endpoint.c
@@ -7,6 +7,11 @@
  * announcement of an earlier one is recognised.
  */
 #define OLD_LIVES_MAX 64
+/*
+ * Replaced incarnations whose reservations are kept in case they announce
+ * themselves again; late announcements come from the last few ones.
+ */
+#define RETIRED_MAX 4
 /* A down endpoint without reservations is forgotten after this time. */
 #define ENDPOINT_KEEP_MS (24ull * 3600 * 1000)
 /* A down instance is forgotten after this time. */
@@ -44,6 +49,7 @@
 	ep->old_incarnations = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	ep->n_used = msg->accelerators;
 	ep->used_mb = g_new0(uint64_t, msg->accelerators + 1);
+	TAILQ_INIT(&ep->retired);
 	TAILQ_INIT(&ep->slots);
 	TAILQ_INIT(&ep->pending);
 	TAILQ_INSERT_TAIL(&ctx->endpoints, ep, link);
@@ -56,6 +62,7 @@
 static void endpoint_free(struct st *ctx, struct endpoint *ep,
 			  bool leave_tombstone)
 {
+	ord_free_slots(ctx, ep);
 	item_remove(ctx, &ep->item, leave_tombstone);
 	g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
 	TAILQ_REMOVE(&ctx->endpoints, ep, link);
@@ -71,7 +78,6 @@
 	while (!TAILQ_EMPTY(&ctx->endpoints)) {
 		struct endpoint *ep = TAILQ_FIRST(&ctx->endpoints);
 
-		ord_free_slots(ctx, ep);
 		endpoint_free(ctx, ep, false);
 	}
 }
@@ -178,6 +184,37 @@
 	g_hash_table_insert(ctx->endpoint_by_id, copy->id, ep);
 }
 
+static struct life *retired_life(const struct endpoint *ep,
+				 uint64_t incarnation)
+{
+	struct life *life;
+
+	TAILQ_FOREACH (life, &ep->retired, link)
+		if (life->incarnation == incarnation)
+			return life;
+	return NULL;
+}
+
+/*
+ * Replaces the reservations of one incarnation by those of another one that
+ * rejects the orders of the first.
+ */
+static void change_life(struct st *ctx, struct endpoint *ep,
+			uint64_t incarnation)
+{
+	struct life *back = retired_life(ep, incarnation);
+	struct life *oldest;
+
+	ord_retire(ctx, ep);
+	if (back)
+		ord_return(ctx, ep, back);
+	if (ep->n_retired <= RETIRED_MAX)
+		return;
+	oldest = TAILQ_FIRST(&ep->retired);
+	remember_life(ep->old_incarnations, oldest->incarnation);
+	life_free(ep, oldest);
+}
+
 static Dsp__CommandResult *new_incarnation(struct st *ctx, struct endpoint *ep,
 					   const Dsp__Endpoint *msg)
 {
@@ -200,9 +237,11 @@
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
 				 "an endpoint id cannot stop checking the "
 				 "incarnation of orders; use another id");
-	remember_life(ep->old_incarnations, ep->msg->incarnation);
 	qua_endpoint_restarted(ctx, ep);
-	ord_restart(ctx, ep, features_of(msg).checks_incarnation);
+	if (features_of(msg).checks_incarnation)
+		change_life(ctx, ep, msg->incarnation);
+	else
+		ord_restart(ctx, ep);
 	ep->leaving = msg->state == DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
 	ep->down_ms = 0;
 	replace_message(ctx, ep, msg);
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -92,11 +92,25 @@
 	struct slot_list slots;
 };
 
+/*
+ * Reservations of an incarnation that was replaced. A late announcement can
+ * replace the living process by one that ended before; when the living one
+ * announces itself again, its reservations hold again.
+ */
+struct life {
+	TAILQ_ENTRY(life) link; /* endpoint.retired, oldest first */
+	uint64_t incarnation;
+	uint64_t fence;
+	struct slot_list slots;
+};
+
 struct endpoint {
 	struct item item;
 	TAILQ_ENTRY(endpoint) link;
 	Dsp__Endpoint *msg;
-	GArray *old_incarnations; /* uint64_t, oldest first */
+	GArray *old_incarnations; /* uint64_t, oldest first; not retired */
+	TAILQ_HEAD(, life) retired;
+	uint32_t n_retired;
 	uint64_t fence;
 	uint64_t down_ms; /* when it went down; 0: not down */
 	bool leaving;	  /* stays set within an incarnation */
@@ -207,7 +221,11 @@
 Dsp__CommandResult *ord_create(struct st *ctx, const Dsp__OrderCreate *cmd);
 Dsp__CommandResult *ord_finish(struct st *ctx, const Dsp__OrderFinish *cmd);
 Dsp__CommandResult *ord_report(struct st *ctx, const Dsp__ResidencyReport *cmd);
-void ord_restart(struct st *ctx, struct endpoint *ep, bool checks_incarnation);
+void ord_restart(struct st *ctx, struct endpoint *ep);
+struct life *ord_retire(struct st *ctx, struct endpoint *ep);
+void ord_return(struct st *ctx, struct endpoint *ep, struct life *life);
+struct life *life_new(struct endpoint *ep, uint64_t incarnation);
+void life_free(struct endpoint *ep, struct life *life);
 void ord_adopt(struct st *ctx, struct endpoint *ep, Dsp__Copy **copies,
 	       size_t n_copies);
 void ord_count_transit(struct st *ctx, const struct endpoint *ep, bool add);
--- a/src/core/st_snapshot.c
+++ b/src/core/st_snapshot.c
@@ -108,12 +108,15 @@
 	}
 }
 
-static void write_reservations(struct writer *w, const struct endpoint *ep)
+static void write_slots(struct writer *w, const struct endpoint *ep,
+			const struct slot_list *slots, const struct life *life)
 {
 	Dsp__Reservation msg = DSP__RESERVATION__INIT;
 	const struct slot *s;
 
-	TAILQ_FOREACH (s, &ep->slots, link) {
+	TAILQ_FOREACH (s, slots, link) {
+		msg.retired = life != NULL;
+		msg.incarnation = life ? life->incarnation : 0;
 		msg.endpoint = ep->msg->id;
 		msg.model = s->model;
 		msg.version = s->version;
@@ -133,9 +136,45 @@
 	}
 }
 
-static void write_endpoints(struct writer *w, const struct st *ctx)
+static void write_reservations(struct writer *w, const struct endpoint *ep)
+{
+	const struct life *life;
+
+	write_slots(w, ep, &ep->slots, NULL);
+	TAILQ_FOREACH (life, &ep->retired, link)
+		write_slots(w, ep, &life->slots, life);
+}
+
+static void write_endpoint_meta(struct writer *w, const struct endpoint *ep)
 {
 	Dsp__EndpointMeta meta = DSP__ENDPOINT_META__INIT;
+	GArray *retired = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GArray *fences = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	const struct life *life;
+
+	TAILQ_FOREACH (life, &ep->retired, link) {
+		g_array_append_val(retired, life->incarnation);
+		g_array_append_val(fences, life->fence);
+	}
+	meta.id = ep->msg->id;
+	meta.index = ep->item.index;
+	meta.n_old_incarnations = ep->old_incarnations->len;
+	meta.old_incarnations = (uint64_t *)ep->old_incarnations->data;
+	meta.fence = ep->fence;
+	meta.down_ms = ep->down_ms;
+	meta.leaving = ep->leaving;
+	meta.ever_loaded = ep->ever_loaded;
+	meta.n_retired = retired->len;
+	meta.retired = (uint64_t *)retired->data;
+	meta.n_retired_fences = fences->len;
+	meta.retired_fences = (uint64_t *)fences->data;
+	add_now(w, &meta);
+	g_array_free(retired, TRUE);
+	g_array_free(fences, TRUE);
+}
+
+static void write_endpoints(struct writer *w, const struct st *ctx)
+{
 	const struct endpoint *ep;
 	const struct order *o;
 
@@ -143,17 +182,8 @@
 	TAILQ_FOREACH (ep, &ctx->endpoints, link)
 		add(w, ep->msg);
 	begin(w, attach_endpoint_metas);
-	TAILQ_FOREACH (ep, &ctx->endpoints, link) {
-		meta.id = ep->msg->id;
-		meta.index = ep->item.index;
-		meta.n_old_incarnations = ep->old_incarnations->len;
-		meta.old_incarnations = (uint64_t *)ep->old_incarnations->data;
-		meta.fence = ep->fence;
-		meta.down_ms = ep->down_ms;
-		meta.leaving = ep->leaving;
-		meta.ever_loaded = ep->ever_loaded;
-		add_now(w, &meta);
-	}
+	TAILQ_FOREACH (ep, &ctx->endpoints, link)
+		write_endpoint_meta(w, ep);
 	begin(w, attach_reservations);
 	TAILQ_FOREACH (ep, &ctx->endpoints, link)
 		write_reservations(w, ep);
@@ -280,8 +310,10 @@
 {
 	struct endpoint *ep = endpoint_find(ctx, m->id);
 
-	if (!ep)
+	if (!ep || m->n_retired != m->n_retired_fences)
 		return false;
+	for (size_t i = 0; i < m->n_retired; i++)
+		life_new(ep, m->retired[i])->fence = m->retired_fences[i];
 	g_array_append_vals(ep->old_incarnations, m->old_incarnations,
 			    (guint)m->n_old_incarnations);
 	ep->item.index = m->index;
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -6039,7 +6039,7 @@
   (ProtobufCMessageInit) dsp__document_history__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__reservation__field_descriptors[15] =
+static const ProtobufCFieldDescriptor dsp__reservation__field_descriptors[17] =
 {
   {
     "endpoint",
@@ -6221,12 +6221,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retired",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, retired),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__reservation__field_indices_by_name[] = {
   5,   /* field[5] = accelerators */
   3,   /* field[3] = adapter */
   0,   /* field[0] = endpoint */
   4,   /* field[4] = first_accelerator */
+  16,   /* field[16] = incarnation */
   14,   /* field[14] = last_finish */
   13,   /* field[13] = last_load */
   9,   /* field[9] = listed */
@@ -6236,13 +6261,14 @@
   10,   /* field[10] = ready */
   12,   /* field[12] = repeatable */
   8,   /* field[8] = resident */
+  15,   /* field[15] = retired */
   11,   /* field[11] = unloading */
   2,   /* field[2] = version */
 };
 static const ProtobufCIntRange dsp__reservation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor dsp__reservation__descriptor =
 {
@@ -6252,14 +6278,14 @@
   "Dsp__Reservation",
   "dsp",
   sizeof(Dsp__Reservation),
-  15,
+  17,
   dsp__reservation__field_descriptors,
   dsp__reservation__field_indices_by_name,
   1,  dsp__reservation__number_ranges,
   (ProtobufCMessageInit) dsp__reservation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__endpoint_meta__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__endpoint_meta__field_descriptors[9] =
 {
   {
     "id",
@@ -6345,6 +6371,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retired",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__EndpointMeta, n_retired),
+    offsetof(Dsp__EndpointMeta, retired),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retired_fences",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__EndpointMeta, n_retired_fences),
+    offsetof(Dsp__EndpointMeta, retired_fences),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__endpoint_meta__field_indices_by_name[] = {
   4,   /* field[4] = down_ms */
@@ -6354,11 +6404,13 @@
   1,   /* field[1] = index */
   5,   /* field[5] = leaving */
   2,   /* field[2] = old_incarnations */
+  7,   /* field[7] = retired */
+  8,   /* field[8] = retired_fences */
 };
 static const ProtobufCIntRange dsp__endpoint_meta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor dsp__endpoint_meta__descriptor =
 {
@@ -6368,7 +6420,7 @@
   "Dsp__EndpointMeta",
   "dsp",
   sizeof(Dsp__EndpointMeta),
-  7,
+  9,
   dsp__endpoint_meta__field_descriptors,
   dsp__endpoint_meta__field_indices_by_name,
   1,  dsp__endpoint_meta__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -913,10 +913,18 @@
    * log index of the last answer to a load
    */
   uint64_t last_finish;
+  /*
+   * of an incarnation that was replaced
+   */
+  protobuf_c_boolean retired;
+  /*
+   * with retired
+   */
+  uint64_t incarnation;
 };
 #define DSP__RESERVATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__reservation__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dsp__EndpointMeta
@@ -936,10 +944,17 @@
   uint64_t down_ms;
   protobuf_c_boolean leaving;
   protobuf_c_boolean ever_loaded;
+  /*
+   * incarnations whose reservations are kept
+   */
+  size_t n_retired;
+  uint64_t *retired;
+  size_t n_retired_fences;
+  uint64_t *retired_fences;
 };
 #define DSP__ENDPOINT_META__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__endpoint_meta__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Dsp__NodeMeta
--- /dev/null
+++ b/tests/unit/state_orders_test.cc
@@ -0,0 +1,771 @@
+#include "state_util.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+
+/*
+ * Orders and the memory ledger against an adversarial endpoint: the network
+ * keeps every order that was sent and may deliver it late, repeatedly and
+ * after its own unload, also from a deposed leader. The reference is the plain
+ * list of all deliverable loads: together with the resident copies they must
+ * fit into each accelerator at every step.
+ *
+ * Alone: build/unit/state_orders_test [--gtest_filter=...]; one seed:
+ * STATE_SEED=n.
+ */
+namespace
+{
+
+constexpr uint32_t CAPACITY = 100;
+constexpr uint32_t ACCELERATORS = 2;
+
+using Key = std::tuple<std::string, std::string, std::string, uint32_t,
+		       uint32_t>; /* model, version, adapter, first, n */
+
+struct Order {
+	uint64_t id;
+	size_t endpoint;
+	uint64_t incarnation;
+	Dsp__OrderKind kind;
+	Key key;
+	uint32_t memory;
+	uint64_t term;	     /* of the leader that created it */
+	uint32_t sends = 0;  /* by its creator in that term */
+	bool others = false; /* sent by another leader or in another term */
+};
+
+struct Physical {
+	uint32_t memory;
+	uint64_t order;
+	bool ready;
+	bool unloading;
+	uint64_t unload;
+};
+
+struct Report {
+	uint64_t incarnation;
+	uint64_t fence;
+	std::map<Key, Physical> copies;
+	bool leaving;
+};
+
+struct Answer {
+	size_t order; /* position in the list of all orders */
+	Dsp__OrderState state;
+};
+
+struct Engine {
+	std::string id;
+	bool fencing, checks;
+	uint64_t incarnation = 0;
+	uint64_t fence = 0;
+	bool leaving = false;
+	std::map<Key, Physical> copies;
+	std::vector<Report> reports;   /* all that were ever written */
+	std::vector<Report> announced; /* likewise, first of each life */
+	std::vector<Answer> answers;
+	std::vector<size_t> network; /* sent copies not delivered, no dup */
+};
+
+class World
+{
+      public:
+	World(uint64_t seed, Trace *trace) : trace(trace)
+	{
+		std::mt19937_64 random(seed * 7919);
+
+		duplicates = random() % 3 != 0;
+		for (size_t i = 0; i < 2; i++) {
+			Engine e;
+
+			e.id = "runner" + std::to_string(i);
+			e.fencing = random() % 2;
+			e.checks = random() % 3 != 0;
+			engines.push_back(e);
+		}
+		note("duplicates " + std::to_string(duplicates) + ", fencing " +
+		     std::to_string(engines[0].fencing) +
+		     std::to_string(engines[1].fencing) +
+		     ", checks incarnation " +
+		     std::to_string(engines[0].checks) +
+		     std::to_string(engines[1].checks));
+		publish();
+		for (Engine &e : engines) {
+			start(e, {});
+			announce(e, e.announced.back());
+		}
+	}
+
+	void step(const Step &s)
+	{
+		Engine &e = engines[s.a % engines.size()];
+		uint32_t b = s.b, c = s.c;
+
+		r.wall_ms += s.a / 8 % 500;
+		switch (s.op % 22) {
+		case 0:
+		case 1:
+		case 2:
+			create(e, Dsp__OrderKind(DSP__ORDER_KIND__ORDER_LOAD),
+			       b, c);
+			break;
+		case 3:
+		case 4:
+			create(e, DSP__ORDER_KIND__ORDER_UNLOAD, b, c);
+			break;
+		case 5:
+			create(e, DSP__ORDER_KIND__ORDER_FENCE, b, c);
+			break;
+		case 6:
+		case 7:
+		case 8:
+		case 9:
+			send_or_deliver(e, b, c);
+			break;
+		case 10:
+		case 11:
+			progress(e, b, c);
+			break;
+		case 12:
+		case 13:
+			if (!e.answers.empty())
+				answer(e.answers[b % e.answers.size()]);
+			break;
+		case 14:
+			write_report(e);
+			break;
+		case 15:
+		case 16:
+			if (!e.reports.empty())
+				report(e, pick(e.reports, b));
+			break;
+		case 17:
+			if (b % 3 == 0)
+				restart(e, c);
+			break;
+		case 18:
+			announce(e, pick(e.announced, b));
+			break;
+		case 19:
+			if (b % 3 == 0)
+				down(e, c);
+			else
+				evict(e, c);
+			break;
+		case 20:
+			if (b % 4 == 0)
+				change_leader();
+			else if (b % 4 == 1)
+				publish();
+			break;
+		default:
+			if (b % 2)
+				r.restore();
+			else
+				r.follow();
+		}
+		check();
+	}
+
+	/*
+	 * Without fence or duplicates an engine's memory stays reserved, but
+	 * an engine that checks fences and incarnations must get back all
+	 * memory that it does not use.
+	 */
+	void settle()
+	{
+		for (Engine &e : engines) {
+			if (!e.fencing || !e.checks || !failure.empty())
+				continue;
+			announce(e, e.announced.back());
+			create(e, DSP__ORDER_KIND__ORDER_FENCE, 0, 0);
+			if (orders.back().endpoint != size_t(&e - &engines[0]))
+				continue;
+			deliver(e, orders.size() - 1);
+			write_report(e);
+			report(e, e.reports.back());
+			for (auto &c : e.copies) {
+				c.second.ready = true;
+				c.second.unloading = false;
+			}
+			write_report(e);
+			report(e, e.reports.back());
+			std::vector<uint64_t> least = used_mb(e.copies);
+			/* A slot holds the largest load of its copy. */
+			for (const Order &o : orders) {
+				auto at = e.copies.find(o.key);
+
+				if (at != e.copies.end())
+					at->second.memory = std::max(
+						at->second.memory, o.memory);
+			}
+			std::vector<uint64_t> most = used_mb(e.copies);
+			for (uint32_t i = 0; i < ACCELERATORS; i++)
+				if (free_mb(e, i) + least[i] > CAPACITY ||
+				    free_mb(e, i) + most[i] < CAPACITY)
+					fail("memory is not released on " +
+					     e.id);
+		}
+		if (failure.empty())
+			failure = r.check();
+	}
+
+	std::string failure;
+
+      private:
+	void note(const std::string &line)
+	{
+		if (trace)
+			trace->push_back(line);
+	}
+
+	void fail(const std::string &text)
+	{
+		if (failure.empty())
+			failure = text;
+	}
+
+	template <class T> T pick(const std::vector<T> &all, uint32_t n)
+	{
+		/* The latest is the most likely one, older ones are late. */
+		return n % 2 ? all.back() : all[n / 2 % all.size()];
+	}
+
+	uint32_t free_mb(const Engine &e, uint32_t accelerator)
+	{
+		return st_free_memory_mb(r.st.get(), e.id.c_str(), accelerator);
+	}
+
+	static std::string name(const Key &key)
+	{
+		return std::get<0>(key) + "@" + std::get<1>(key) + ":" +
+		       std::get<2>(key) + " on " +
+		       std::to_string(std::get<3>(key)) + "+" +
+		       std::to_string(std::get<4>(key));
+	}
+
+	static std::vector<uint64_t>
+	used_mb(const std::map<Key, Physical> &copies)
+	{
+		std::vector<uint64_t> used(ACCELERATORS);
+
+		for (const auto &c : copies)
+			for (uint32_t i = 0; i < std::get<4>(c.first); i++)
+				used[std::get<3>(c.first) + i] +=
+					c.second.memory;
+		return used;
+	}
+
+	void publish()
+	{
+		static const char *const versions[] = { "1", "2" };
+
+		number++;
+		models = { { "small", 30, 1, "1" },
+			   { "middle", 50, 1, versions[number / 2 % 2] },
+			   { "wide", 40, 2, "1" } };
+		if (number % 3)
+			models.push_back({ "large", 80, 1, "1" });
+		adapters = { { "bavarian", "small", 15 },
+			     { "legal", "small", 10 } };
+		Result res =
+			put_document(r, "verband", number,
+				     document_text(number, duplicates, models,
+						   adapters, 3, 2));
+		note("document " + std::to_string(number));
+		if (res->code != DSP__RESULT_CODE__RESULT_OK)
+			fail(std::string("document: ") + res->message);
+	}
+
+	void start(Engine &e, std::map<Key, Physical> copies)
+	{
+		e.incarnation = ++lives;
+		e.fence = 0;
+		e.leaving = false;
+		e.copies = std::move(copies);
+		note(e.id + " starts as " + std::to_string(e.incarnation) +
+		     " with " + std::to_string(e.copies.size()) + " copies");
+		e.announced.push_back(
+			{ e.incarnation, 0, e.copies, e.leaving });
+	}
+
+	void restart(Engine &e, uint32_t c)
+	{
+		std::map<Key, Physical> kept;
+
+		for (const auto &copy : e.copies) {
+			if (copy.second.ready && (c & 1))
+				kept.insert(copy);
+			c >>= 1;
+		}
+		start(e, kept);
+	}
+
+	static std::vector<Dsp__Copy>
+	copies_of(const std::map<Key, Physical> &in)
+	{
+		std::vector<Dsp__Copy> out;
+
+		for (const auto &c : in) {
+			Dsp__Copy copy = DSP__COPY__INIT;
+
+			copy.model = str(std::get<0>(c.first));
+			copy.version = str(std::get<1>(c.first));
+			copy.adapter = str(std::get<2>(c.first));
+			copy.first_accelerator = std::get<3>(c.first);
+			copy.accelerators = std::get<4>(c.first);
+			copy.memory_mb = c.second.memory;
+			copy.order = c.second.order;
+			copy.ready = c.second.ready;
+			copy.unloading = c.second.unloading;
+			out.push_back(copy);
+		}
+		return out;
+	}
+
+	void announce(Engine &e, const Report &report)
+	{
+		Dsp__Endpoint msg = DSP__ENDPOINT__INIT;
+		Dsp__Features features = DSP__FEATURES__INIT;
+		std::vector<Dsp__Copy> copies = copies_of(report.copies);
+		std::vector<Dsp__Copy *> pointers;
+
+		for (Dsp__Copy &c : copies)
+			pointers.push_back(&c);
+		features.fencing = e.fencing;
+		features.checks_incarnation = e.checks;
+		msg.id = str(e.id);
+		msg.incarnation = report.incarnation;
+		msg.team = str(team);
+		msg.service = str(service);
+		msg.state = report.leaving
+				    ? DSP__ENDPOINT_STATE__ENDPOINT_LEAVING
+				    : DSP__ENDPOINT_STATE__ENDPOINT_UP;
+		msg.features = &features;
+		msg.accelerators = ACCELERATORS;
+		msg.accelerator_memory_mb = CAPACITY;
+		msg.copies = pointers.data();
+		msg.n_copies = pointers.size();
+		Result res = put_endpoint(r, &msg);
+		note("announcement of " + e.id + " as " +
+		     std::to_string(report.incarnation) + ": code " +
+		     std::to_string(res->code));
+	}
+
+	void down(Engine &e, uint32_t c)
+	{
+		Report about = pick(e.announced, c);
+
+		endpoint_is_down(r, e.id, about.incarnation);
+		note(e.id + " declared down as " +
+		     std::to_string(about.incarnation));
+	}
+
+	Key make_key(uint32_t b, uint32_t c, uint32_t *memory)
+	{
+		const TestModel &m = models[b % models.size()];
+		uint32_t first = m.accelerators == 2 ? 0 : c % ACCELERATORS;
+
+		if (m.name == "small" && b / 16 % 2) {
+			const TestAdapter &a =
+				adapters[b / 32 % adapters.size()];
+
+			*memory = a.memory_mb;
+			return Key(m.name, "1", a.name, first, 1);
+		}
+		*memory = m.memory_mb + (c / 2 % 8 == 0 ? 5 : 0);
+		return Key(m.name, m.version, "", first, m.accelerators);
+	}
+
+	/* Ready copies that take requests, by the published records. */
+	size_t others_ready(const Engine &e, const Key &key, bool *ready)
+	{
+		const Dsp__Endpoint **all;
+		size_t n = st_endpoints(r.st.get(), &all), count = 0;
+		std::string version;
+
+		*ready = false;
+		for (const TestModel &m : models)
+			if (m.name == std::get<0>(key))
+				version = m.version;
+		for (size_t i = 0; i < n; i++) {
+			if (all[i]->state != DSP__ENDPOINT_STATE__ENDPOINT_UP)
+				continue;
+			for (size_t k = 0; k < all[i]->n_copies; k++) {
+				const Dsp__Copy *c = all[i]->copies[k];
+				bool same = all[i]->id == e.id &&
+					    key == Key(c->model, c->version,
+						       c->adapter,
+						       c->first_accelerator,
+						       c->accelerators);
+				bool usable = c->ready && !c->unloading &&
+					      !*c->adapter &&
+					      c->model == std::get<0>(key);
+
+				if (same)
+					*ready = usable && !version.empty();
+				else if (usable && c->version == version)
+					count++;
+			}
+		}
+		free(all);
+		return count;
+	}
+
+	void pending(uint32_t *loads, uint32_t *transit)
+	{
+		const Dsp__Order **all;
+		size_t n = st_orders_pending(r.st.get(), &all);
+
+		*loads = *transit = 0;
+		for (size_t i = 0; i < n; i++) {
+			const Dsp__Endpoint *ep =
+				st_endpoint(r.st.get(), all[i]->endpoint);
+
+			if (all[i]->kind != DSP__ORDER_KIND__ORDER_LOAD ||
+			    ep->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN)
+				continue;
+			(*all[i]->adapter ? *transit : *loads)++;
+		}
+		free(all);
+	}
+
+	void create(Engine &e, Dsp__OrderKind kind, uint32_t b, uint32_t c)
+	{
+		const Dsp__Endpoint *known =
+			st_endpoint(r.st.get(), e.id.c_str());
+		Dsp__Order msg = DSP__ORDER__INIT;
+		uint32_t memory = 0, loads, transit;
+		Key key("", "", "", 0, 0);
+		bool ready = false;
+		size_t others = 0;
+		Order o;
+
+		if (kind == DSP__ORDER_KIND__ORDER_UNLOAD && known->n_copies &&
+		    b % 4) {
+			const Dsp__Copy *copy =
+				known->copies[c % known->n_copies];
+
+			key = Key(copy->model, copy->version, copy->adapter,
+				  copy->first_accelerator, copy->accelerators);
+		} else if (kind != DSP__ORDER_KIND__ORDER_FENCE) {
+			key = make_key(b, c, &memory);
+		}
+		if (kind == DSP__ORDER_KIND__ORDER_UNLOAD)
+			others = others_ready(e, key, &ready);
+		msg.endpoint = str(e.id);
+		msg.incarnation = known->incarnation;
+		msg.kind = kind;
+		msg.model = str(std::get<0>(key));
+		msg.version = str(std::get<1>(key));
+		msg.adapter = str(std::get<2>(key));
+		msg.first_accelerator = std::get<3>(key);
+		msg.accelerators = std::get<4>(key);
+		msg.memory_mb = memory;
+		pending(&loads, &transit);
+		Result res = create_order(r, &msg);
+		note("order " + std::to_string(r.index) + " kind " +
+		     std::to_string(kind) + " " + name(key) + " to " + e.id +
+		     ": code " + std::to_string(res->code) + " " +
+		     res->message);
+		bool adapter = !std::get<2>(key).empty();
+		if (kind == DSP__ORDER_KIND__ORDER_LOAD &&
+		    (adapter ? transit >= 2 : loads >= 3) &&
+		    res->code == DSP__RESULT_CODE__RESULT_OK)
+			fail("transit limit is not kept");
+		if (res->code == DSP__RESULT_CODE__RESULT_LIMIT &&
+		    kind == DSP__ORDER_KIND__ORDER_LOAD &&
+		    (adapter ? transit < 2 : loads < 3))
+			fail("load rejected below the transit limit");
+		if (kind == DSP__ORDER_KIND__ORDER_UNLOAD && ready &&
+		    (res->code == DSP__RESULT_CODE__RESULT_OK) != (others > 0))
+			fail("unload of the last ready copy is not decided "
+			     "rightly");
+		if (kind == DSP__ORDER_KIND__ORDER_UNLOAD && !ready &&
+		    res->code == DSP__RESULT_CODE__RESULT_LIMIT)
+			fail("unload rejected though the copy is not ready");
+		if (res->code != DSP__RESULT_CODE__RESULT_OK)
+			return;
+		o.id = res->order->id;
+		if (o.id != r.index)
+			fail("order id is not the log index");
+		o.endpoint = size_t(&e - &engines[0]);
+		o.incarnation = known->incarnation;
+		o.kind = kind;
+		o.key = key;
+		o.memory = memory;
+		o.term = term;
+		orders.push_back(o);
+	}
+
+	bool is_pending(const Order &o)
+	{
+		const Dsp__Order *known = st_order(r.st.get(), o.id);
+
+		return known && known->state == DSP__ORDER_STATE__ORDER_PENDING;
+	}
+
+	/* With duplicates, any order that was ever committed may arrive. */
+	void send_or_deliver(Engine &e, uint32_t b, uint32_t c)
+	{
+		std::vector<size_t> mine;
+
+		for (size_t i = 0; i < orders.size(); i++)
+			if (orders[i].endpoint == size_t(&e - &engines[0]))
+				mine.push_back(i);
+		if (mine.empty())
+			return;
+		if (duplicates) {
+			deliver(e, b % 2 ? mine.back() : mine[c % mine.size()]);
+			return;
+		}
+		if (b % 2 && !e.network.empty()) {
+			size_t at = c % e.network.size();
+			size_t i = e.network[at];
+
+			e.network.erase(e.network.begin() + (long)at);
+			if (b % 16 != 1)
+				deliver(e, i);
+			else
+				note("order " + std::to_string(orders[i].id) +
+				     " is lost");
+			return;
+		}
+		size_t i = c % 2 ? mine.back() : mine[c / 2 % mine.size()];
+		send(e, i, b);
+	}
+
+	void send(Engine &e, size_t i, uint32_t b)
+	{
+		Order &o = orders[i];
+
+		if (b / 2 % 4 == 0 && deposed.count(i)) {
+			note("deposed leader sends " + std::to_string(o.id));
+			e.network.push_back(i);
+			return;
+		}
+		if (!is_pending(o))
+			return;
+		if (o.term == term)
+			o.sends++;
+		else
+			o.others = true;
+		note("leader sends " + std::to_string(o.id));
+		e.network.push_back(i);
+	}
+
+	/* Orders that were unanswered may still be sent by the old leader. */
+	void change_leader()
+	{
+		for (size_t i = 0; i < orders.size(); i++)
+			if (orders[i].term == term && is_pending(orders[i]))
+				deposed.insert(i);
+		term++;
+		note("leader of term " + std::to_string(term));
+	}
+
+	void answered(Engine &e, size_t i, Dsp__OrderState state)
+	{
+		e.answers.push_back({ i, state });
+	}
+
+	void deliver(Engine &e, size_t i)
+	{
+		const Order &o = orders[i];
+		auto at = e.copies.find(o.key);
+
+		note("order " + std::to_string(o.id) + " arrives at " + e.id);
+		if (e.checks && o.incarnation != e.incarnation)
+			return answered(e, i, DSP__ORDER_STATE__ORDER_REFUSED);
+		if (e.fencing && o.id < e.fence)
+			return answered(e, i, DSP__ORDER_STATE__ORDER_REFUSED);
+		e.fence = std::max(e.fence, o.id);
+		switch (o.kind) {
+		case DSP__ORDER_KIND__ORDER_LOAD:
+			if (at == e.copies.end())
+				e.copies[o.key] = { o.memory, o.id, false,
+						    false, 0 };
+			else if (at->second.unloading)
+				answered(e, i, DSP__ORDER_STATE__ORDER_REFUSED);
+			else if (at->second.ready)
+				answered(e, i, DSP__ORDER_STATE__ORDER_DONE);
+			break;
+		case DSP__ORDER_KIND__ORDER_UNLOAD:
+			if (at == e.copies.end())
+				return answered(e, i,
+						DSP__ORDER_STATE__ORDER_DONE);
+			at->second.unloading = true;
+			at->second.unload = i + 1;
+			break;
+		default:
+			answered(e, i, DSP__ORDER_STATE__ORDER_DONE);
+		}
+	}
+
+	/* A load or unload completes, or a load fails. */
+	void progress(Engine &e, uint32_t b, uint32_t c)
+	{
+		if (e.copies.empty())
+			return;
+		auto at = e.copies.begin();
+
+		std::advance(at, b % e.copies.size());
+		size_t load = SIZE_MAX;
+		for (size_t i = 0; i < orders.size(); i++)
+			if (orders[i].id == at->second.order)
+				load = i;
+		if (at->second.unloading) {
+			size_t unload = at->second.unload - 1;
+
+			note(e.id + " unloaded " + name(at->first));
+			answered(e, unload, DSP__ORDER_STATE__ORDER_DONE);
+			e.copies.erase(at);
+		} else if (!at->second.ready && c % 5 == 0) {
+			note(e.id + " failed to load " + name(at->first));
+			if (load != SIZE_MAX)
+				answered(e, load,
+					 DSP__ORDER_STATE__ORDER_REFUSED);
+			e.copies.erase(at);
+		} else if (!at->second.ready) {
+			note(e.id + " loaded " + name(at->first));
+			at->second.ready = true;
+			if (load != SIZE_MAX)
+				answered(e, load, DSP__ORDER_STATE__ORDER_DONE);
+		}
+	}
+
+	void evict(Engine &e, uint32_t c)
+	{
+		if (e.copies.empty() || c % 4)
+			return;
+		note(e.id + " drops " + name(e.copies.begin()->first));
+		e.copies.erase(e.copies.begin());
+	}
+
+	void write_report(Engine &e)
+	{
+		e.reports.push_back(
+			{ e.incarnation, e.fence, e.copies, e.leaving });
+	}
+
+	void answer(const Answer &a)
+	{
+		const Order &o = orders[a.order];
+		bool once = !duplicates && o.term == term && o.sends == 1 &&
+			    !o.others && !deposed.count(a.order);
+		Result res = finish_order(r, o.id, a.state, once);
+
+		note("answer to " + std::to_string(o.id) + ": state " +
+		     std::to_string(a.state) + (once ? " sent once" : "") +
+		     ", code " + std::to_string(res->code));
+	}
+
+	void report(Engine &e, const Report &report)
+	{
+		Dsp__Command cmd = DSP__COMMAND__INIT;
+		Dsp__ResidencyReport msg = DSP__RESIDENCY_REPORT__INIT;
+		std::vector<Dsp__Copy> copies = copies_of(report.copies);
+		std::vector<Dsp__Copy *> pointers;
+
+		for (Dsp__Copy &c : copies)
+			pointers.push_back(&c);
+		msg.endpoint = str(e.id);
+		msg.incarnation = report.incarnation;
+		msg.highest_fence = report.fence;
+		msg.copies = pointers.data();
+		msg.n_copies = pointers.size();
+		cmd.body_case = DSP__COMMAND__BODY_RESIDENCY_REPORT;
+		cmd.residency_report = &msg;
+		Result res = r.apply(&cmd);
+		note("report of " + e.id + " as " +
+		     std::to_string(report.incarnation) + " with fence " +
+		     std::to_string(report.fence) + " and " +
+		     std::to_string(report.copies.size()) + " copies: code " +
+		     std::to_string(res->code));
+	}
+
+	/* All loads that the network could still deliver, in one engine. */
+	std::map<Key, Physical> worst_case(const Engine &e, bool restarted)
+	{
+		std::map<Key, Physical> all = e.copies;
+		std::vector<size_t> sent;
+
+		if (duplicates)
+			for (size_t i = 0; i < orders.size(); i++)
+				sent.push_back(i);
+		else
+			sent = e.network;
+		for (size_t i : sent) {
+			const Order &o = orders[i];
+
+			if (o.endpoint != size_t(&e - &engines[0]) ||
+			    o.kind != DSP__ORDER_KIND__ORDER_LOAD)
+				continue;
+			if (e.checks &&
+			    (restarted || o.incarnation != e.incarnation))
+				continue;
+			if (e.fencing && !restarted && o.id < e.fence)
+				continue;
+			Physical &p = all[o.key];
+			p.memory = std::max(p.memory, o.memory);
+		}
+		return all;
+	}
+
+	void check()
+	{
+		for (const Engine &e : engines) {
+			for (bool restarted : { false, true }) {
+				auto used = used_mb(worst_case(e, restarted));
+
+				for (uint32_t i = 0; i < ACCELERATORS; i++)
+					if (used[i] > CAPACITY)
+						fail("accelerator " +
+						     std::to_string(i) +
+						     " of " + e.id +
+						     " can be overcommitted");
+			}
+		}
+		if (++steps % 16 == 0 && failure.empty())
+			failure = r.check();
+	}
+
+	Trace *trace;
+	Replicas r;
+	std::vector<Engine> engines;
+	std::vector<Order> orders;
+	std::set<size_t> deposed; /* may be sent by a deposed leader */
+	std::vector<TestModel> models;
+	std::vector<TestAdapter> adapters;
+	std::string team = "verband", service = "kellerrat";
+	bool duplicates;
+	uint64_t number = 0, lives = 100, term = 1, steps = 0;
+};
+
+std::string run_world(uint64_t seed, const Steps &steps, Trace *trace)
+{
+	World world(seed, trace);
+
+	for (const Step &s : steps) {
+		world.step(s);
+		if (!world.failure.empty())
+			return world.failure;
+	}
+	world.settle();
+	return world.failure;
+}
+
+} // namespace
+
+/*
+ * Guards section 8: no accelerator can be overcommitted by late, repeated or
+ * lost orders, restarts, leader changes or late reports; transit limits and
+ * the last ready copy hold; memory comes back where fences are checked; a
+ * restored replica and the view by deltas equal the state.
+ */
+TEST(StateOrders, HistoriesNeverOvercommit)
+{
+	run_histories(2000, 150, run_world);
+}
