--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -222,14 +222,15 @@
 	return go;
 }
 
-static bool is_abandoned(struct ctl *ctx, struct ctl_call *call)
+/* True when the call has an outcome or its caller gave up. */
+static bool is_over(struct ctl *ctx, struct ctl_call *call)
 {
-	bool abandoned;
+	bool over;
 
 	pthread_mutex_lock(&ctx->lock);
-	abandoned = call->abandoned;
+	over = call->abandoned || call->state == CTL_CALL_DONE;
 	pthread_mutex_unlock(&ctx->lock);
-	return abandoned;
+	return over;
 }
 
 /* One copy of the command provably had no effect. */
@@ -255,14 +256,14 @@
 	ctl_call_unref(ctx, call);
 }
 
-/* The outcome fields are set; wakes the caller. */
+/* The outcome fields are set; wakes the caller. ctl_call_run() drops the
+ * call from the list. */
 static void finish(struct ctl *ctx, struct ctl_call *call)
 {
 	pthread_mutex_lock(&ctx->lock);
 	call->state = CTL_CALL_DONE;
 	pthread_cond_signal(&call->done);
 	pthread_mutex_unlock(&ctx->lock);
-	unlist(ctx, call);
 }
 
 /* Takes the result. */
@@ -395,7 +396,7 @@
 /* Starts a call that a traffic thread queued. */
 void ctl_call_start(struct ctl *ctx, struct ctl_call *call)
 {
-	if (is_abandoned(ctx, call))
+	if (is_over(ctx, call))
 		return;
 	if (call->kind == CTL_CALL_STATUS) {
 		call->text = ctl_status_build(ctx);
@@ -416,7 +417,7 @@
 
 static void run_call(struct ctl *ctx, struct ctl_call *call)
 {
-	if (is_abandoned(ctx, call)) {
+	if (is_over(ctx, call)) {
 		unlist(ctx, call);
 		return;
 	}
@@ -461,7 +462,7 @@
 	if (reply->boot != ctx->boot || !reply->result)
 		return;
 	call = g_hash_table_lookup(ctx->calls_by_id, &reply->id);
-	if (!call)
+	if (!call || is_over(ctx, call))
 		return;
 	switch (reply->result->code) {
 	case DSP__RESULT_CODE__RESULT_NOT_LEADER:
@@ -493,7 +494,7 @@
 	struct ctl_call *call =
 		g_hash_table_lookup(ctx->calls_by_id, &reply->id);
 
-	if (!call || call->kind != CTL_CALL_ASK || call->answer)
+	if (!call || call->kind != CTL_CALL_ASK || is_over(ctx, call))
 		return;
 	call->answer = CTL_COPY(answer_reply, reply);
 	finish(ctx, call);
--- a/src/node/ctl_order.c
+++ b/src/node/ctl_order.c
@@ -152,7 +152,8 @@
 		LOG_EVENT_ERROR("ctl", "no_order_sender", "node=%s",
 				ctx->set->id);
 		up_free(sender->up);
-		g_clear_pointer(&sender, g_free);
+		g_free(sender);
+		return NULL;
 	}
 	return sender;
 }
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -364,8 +364,6 @@
 	met_count(ctx->met, "dandelionspar_disk_failures", "", 1);
 	g_clear_error(&error);
 	ctx->disk_failed = true;
-	if (ctx->raft)
-		raft_disable(ctx->raft);
 	give_up_waiters(ctx, &ctx->waiters, UINT64_MAX);
 	give_up_waiters(ctx, &ctx->orphans, UINT64_MAX);
 	if (ctx->was_leader)
@@ -373,7 +371,9 @@
 	ctx->was_leader = false;
 	ctx->ready_leader = false;
 	ctx->upstream_chosen_us = 0;
-	g_clear_pointer(&ctx->raft, raft_free);
+	if (ctx->raft)
+		raft_free(ctx->raft);
+	ctx->raft = NULL;
 }
 
 /* Joins a group with an empty folder and starts the replica. */
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -177,8 +177,8 @@
 {
 	if (!from->n_results || to->n_results >= RESULTS_MAX)
 		return;
-	to->results = g_realloc_n(to->results, to->n_results + from->n_results,
-				  sizeof(to->results[0]));
+	to->results = g_renew(Dsp__OrderResult *, to->results,
+			      to->n_results + from->n_results);
 	for (size_t i = 0; i < from->n_results; i++)
 		to->results[to->n_results++] =
 			CTL_COPY(order_result, from->results[i]);
@@ -342,7 +342,8 @@
 	children = values_of(ctx->statuses, &n);
 	statuses = g_new0(Dsp__NodeStatus *, n + 1);
 	statuses[0] = &own;
-	memcpy(&statuses[1], children, n * sizeof(statuses[0]));
+	for (size_t i = 0; i < n; i++)
+		statuses[i + 1] = children[i];
 	report.nodes = statuses;
 	report.n_nodes = n + 1;
 	report.announcements = (Dsp__Announcement **)values_of(
--- /dev/null
+++ b/tests/integration/ctl_test.cc
@@ -0,0 +1,251 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+extern "C" {
+#include "node/ctl.h"
+}
+
+/* Several control threads in this process, connected over loopback. */
+
+namespace
+{
+
+constexpr int64_t WAIT_US = 20000000;
+
+int free_port()
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in address = {};
+	socklen_t len = sizeof(address);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&address, sizeof(address));
+	getsockname(fd, (struct sockaddr *)&address, &len);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+struct Instance {
+	std::string id;
+	int port = 0;
+	std::string folder; /* empty: no control role */
+	struct set *settings = nullptr;
+	struct clk *clock = clk_new_real();
+	struct met *met = met_new();
+	struct ctl *ctl = nullptr;
+
+	~Instance()
+	{
+		stop();
+		set_free(settings);
+		met_free(met);
+		clk_free(clock);
+	}
+
+	void start()
+	{
+		struct ctl_callbacks callbacks = {};
+		GError *err = nullptr;
+
+		ctl = ctl_start(settings, clock, met, &callbacks, &err);
+		ASSERT_NE(ctl, nullptr) << (err ? err->message : "");
+	}
+
+	void stop()
+	{
+		if (ctl)
+			ctl_stop(ctl);
+		ctl = nullptr;
+	}
+
+	uint64_t number(const char *team)
+	{
+		struct view *view = ctl_view(ctl);
+		const struct view_document *d = view_document(view, team);
+		uint64_t number = d ? d->document->number : 0;
+
+		view_unref(view);
+		return number;
+	}
+
+	bool has_status(const std::string &text)
+	{
+		char *json = ctl_status_json(ctl);
+		bool found = std::string(json).find(text) != std::string::npos;
+
+		g_free(json);
+		return found;
+	}
+};
+
+bool wait_until(const std::function<bool()> &done)
+{
+	for (int64_t waited = 0; waited < WAIT_US; waited += 20000) {
+		if (done())
+			return true;
+		usleep(20000);
+	}
+	return done();
+}
+
+class Control : public ::testing::Test
+{
+      protected:
+	std::string root;
+	std::vector<std::unique_ptr<Instance>> all;
+
+	void SetUp() override
+	{
+		char name[] = "/tmp/ctl_test.XXXXXX";
+
+		root = mkdtemp(name);
+	}
+
+	void TearDown() override
+	{
+		std::string command = "rm -rf " + root;
+
+		all.clear();
+		EXPECT_EQ(system(command.c_str()), 0);
+	}
+
+	/* Instances n0.. of one site; the first `voters` have the control
+	 * role. */
+	void create(size_t voters, size_t entries)
+	{
+		for (size_t i = 0; i < voters + entries; i++) {
+			auto instance = std::make_unique<Instance>();
+
+			instance->id = "n" + std::to_string(i);
+			instance->port = free_port();
+			if (i < voters)
+				instance->folder = root + "/" + instance->id;
+			all.push_back(std::move(instance));
+		}
+		for (auto &instance : all)
+			configure(*instance);
+	}
+
+	void configure(Instance &instance)
+	{
+		GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+		std::string address =
+			"127.0.0.1:" + std::to_string(instance.port);
+		std::string text = "id = \"" + instance.id +
+				   "\"\nsite = \"north\"\nregion = \"r\"\n"
+				   "internal_listen = \"tcp://" +
+				   address +
+				   "\"\nhttp_listen = \"127.0.0.1:1\"\n";
+
+		if (!instance.folder.empty())
+			text += "control = true\ndata_folder = \"" +
+				instance.folder + "\"\n";
+		text += "[timing]\nelection_timeout_ms = 300\n"
+			"heartbeat_ms = 50\nreport_interval_ms = 200\n"
+			"node_lease_ms = 2000\nendpoint_lease_ms = 1500\n"
+			"isolated_after_ms = 2000\n";
+		for (auto &peer : all)
+			if (!peer->folder.empty())
+				text += "[[peer]]\nid = \"" + peer->id +
+					"\"\naddress = \"tcp://127.0.0.1:" +
+					std::to_string(peer->port) +
+					"\"\nsite = \"north\"\n";
+		instance.settings =
+			set_parse("test", text.c_str(), text.size(), faults);
+		for (guint i = 0; i < faults->len; i++)
+			ADD_FAILURE() << (char *)g_ptr_array_index(faults, i);
+		g_ptr_array_free(faults, TRUE);
+		ASSERT_NE(instance.settings, nullptr);
+	}
+
+	void start_all()
+	{
+		for (auto &instance : all)
+			instance->start();
+	}
+
+	bool all_serve()
+	{
+		for (auto &instance : all)
+			if (instance->ctl &&
+			    ctl_state(instance->ctl).readiness != CTL_SERVING)
+				return false;
+		return true;
+	}
+
+	Instance *leader()
+	{
+		for (auto &instance : all)
+			if (instance->ctl &&
+			    instance->has_status("\"role\":\"leader\""))
+				return instance.get();
+		return nullptr;
+	}
+};
+
+Dsp__CommandResult *put_document(Instance &instance, uint64_t number,
+				 GError **err)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__DocumentPut put = DSP__DOCUMENT_PUT__INIT;
+	std::string text =
+		"team = \"verband\"\nnumber = " + std::to_string(number) +
+		"\n[weights]\nattainment = 1.0\nmoves = 1.0\n";
+
+	put.team = (char *)"verband";
+	put.number = number;
+	put.text = (char *)text.c_str();
+	command.body_case = DSP__COMMAND__BODY_DOCUMENT_PUT;
+	command.document_put = &put;
+	return ctl_submit(instance.ctl, &command, WAIT_US, err);
+}
+
+Dsp__ResultCode put_code(Instance &instance, uint64_t number)
+{
+	GError *err = nullptr;
+	Dsp__CommandResult *result = put_document(instance, number, &err);
+	Dsp__ResultCode code;
+
+	EXPECT_NE(result, nullptr) << (err ? err->message : "");
+	g_clear_error(&err);
+	if (!result)
+		return DSP__RESULT_CODE__RESULT_UNAVAILABLE;
+	code = result->code;
+	EXPECT_EQ(code, DSP__RESULT_CODE__RESULT_OK) << result->message;
+	dsp__command_result__free_unpacked(result, NULL);
+	return code;
+}
+
+} // namespace
+
+/* Guards the whole path: three empty voters form one group, a command that any
+ * instance submits commits, and every instance installs the document. */
+TEST_F(Control, ThreeVotersFormAGroupAndDistributeDocuments)
+{
+	uint64_t number = 0;
+
+	create(3, 3);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	for (auto &submitter : all) {
+		ASSERT_EQ(put_code(*submitter, ++number),
+			  DSP__RESULT_CODE__RESULT_OK);
+		for (auto &instance : all)
+			EXPECT_TRUE(wait_until([&] {
+				return instance->number("verband") == number;
+			})) << instance->id;
+	}
+}
