--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -24,6 +24,36 @@
 
 constexpr int64_t WAIT_US = 20000000;
 
+constexpr const char *DOCUMENT_TAIL = R"(
+team = "verband"
+default_class = "shop"
+[weights]
+attainment = 0.2
+moves = 0.8
+[store]
+loads_per_s = 2.0
+parallel_loads = 2
+adapters_in_transit = 4
+[[service]]
+name = "kellerrat"
+kind = "engine"
+[[model]]
+name = "m1"
+service = "kellerrat"
+version = "1"
+memory_mb = 1000
+accelerators = 1
+[[class]]
+name = "shop"
+priority = 0
+first_token_ms = 510
+token_gap_ms = 55
+deadline_ms = 30000
+attainment = 0.95
+share = 0.5
+queue_max = 100
+)";
+
 int free_port()
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -202,8 +232,7 @@
 	Dsp__Command command = DSP__COMMAND__INIT;
 	Dsp__DocumentPut put = DSP__DOCUMENT_PUT__INIT;
 	std::string text =
-		"team = \"verband\"\nnumber = " + std::to_string(number) +
-		"\n[weights]\nattainment = 1.0\nmoves = 1.0\n";
+		"number = " + std::to_string(number) + "\n" + DOCUMENT_TAIL;
 
 	put.team = (char *)"verband";
 	put.number = number;
--- /dev/null
+++ b/tests/unit/ctl_rules_test.cc
@@ -0,0 +1,471 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/clk.h"
+#include "node/ctl_rules.h"
+}
+
+namespace
+{
+
+constexpr int64_t S = 1000000;
+constexpr int64_t ISOLATED_AFTER = 5 * S;
+constexpr int64_t STALE_LIMIT = 3600 * S;
+
+enum ctl_readiness readiness(int64_t confirmed, struct clk *clock,
+			     bool draining = false)
+{
+	return ctl_rule_readiness(confirmed, clk_now_us(clock), ISOLATED_AFTER,
+				  STALE_LIMIT, draining);
+}
+
+struct Node {
+	Dsp__Node message = DSP__NODE__INIT;
+	std::string id, site, address;
+
+	Node(const char *node_id, const char *node_site, bool control)
+	    : id(node_id), site(node_site), address("tcp://" + id)
+	{
+		message.control = control;
+		bind();
+	}
+	Node(const Node &other)
+	    : message(other.message), id(other.id), site(other.site),
+	      address(other.address)
+	{
+		bind();
+	}
+	void bind()
+	{
+		message.id = (char *)id.c_str();
+		message.site = (char *)site.c_str();
+		message.internal_address = (char *)address.c_str();
+	}
+};
+
+struct Nodes {
+	std::vector<Node> all;
+
+	std::vector<const Dsp__Node *> pointers() const
+	{
+		std::vector<const Dsp__Node *> list;
+
+		for (const Node &node : all)
+			list.push_back(&node.message);
+		return list;
+	}
+	std::string relay(const char *site) const
+	{
+		auto list = pointers();
+		const Dsp__Node *node =
+			ctl_rule_relay(list.data(), list.size(), site);
+
+		return node ? node->id : "";
+	}
+	Node &at(const char *id)
+	{
+		for (Node &node : all)
+			if (node.id == id)
+				return node;
+		abort();
+	}
+};
+
+Nodes two_sites()
+{
+	Nodes nodes;
+
+	nodes.all = { Node("b1", "b", false), Node("a3", "a", true),
+		      Node("a1", "a", false), Node("a2", "a", false),
+		      Node("b2", "b", false) };
+	return nodes;
+}
+
+} // namespace
+
+/* Guards against serving an unconfirmed view after a restart, and against
+ * serving without limit while the leader is out of reach. */
+TEST(CtlReadiness, FollowsTheAgeOfTheConfirmation)
+{
+	struct clk *clock = clk_new_manual(1000 * S, 0);
+	int64_t confirmed = clk_now_us(clock);
+
+	EXPECT_EQ(readiness(0, clock), CTL_STARTING);
+	EXPECT_EQ(readiness(confirmed, clock), CTL_SERVING);
+	clk_advance(clock, ISOLATED_AFTER);
+	EXPECT_EQ(readiness(confirmed, clock), CTL_SERVING);
+	clk_advance(clock, 1);
+	EXPECT_EQ(readiness(confirmed, clock), CTL_ISOLATED);
+	clk_advance(clock, STALE_LIMIT - ISOLATED_AFTER - 1);
+	EXPECT_EQ(readiness(confirmed, clock), CTL_ISOLATED);
+	clk_advance(clock, 1);
+	EXPECT_EQ(readiness(confirmed, clock), CTL_STALE);
+	EXPECT_EQ(readiness(0, clock), CTL_STARTING);
+	EXPECT_EQ(readiness(clk_now_us(clock), clock), CTL_SERVING);
+	clk_free(clock);
+}
+
+/* Guards against a draining instance that accepts bookings while isolated. */
+TEST(CtlReadiness, IsolationTakesPrecedenceOverDraining)
+{
+	struct clk *clock = clk_new_manual(1000 * S, 0);
+	int64_t confirmed = clk_now_us(clock);
+
+	EXPECT_EQ(readiness(confirmed, clock, true), CTL_DRAINING);
+	clk_advance(clock, ISOLATED_AFTER + 1);
+	EXPECT_EQ(readiness(confirmed, clock, true), CTL_ISOLATED);
+	EXPECT_EQ(readiness(0, clock, true), CTL_STARTING);
+	clk_free(clock);
+}
+
+/*
+ * Guards against two groups: over all combinations of missing, empty and
+ * member answers of four instances, at most the lowest id creates a group, and
+ * only when every other instance answered and is empty.
+ */
+TEST(CtlForm, OnlyTheLowestCreatesAndOnlyWhenAllAreEmpty)
+{
+	const char *ids[] = { "a", "b", "c", "d" };
+
+	for (int self = 0; self < 4; self++) {
+		for (int combination = 0; combination < 27; combination++) {
+			struct ctl_form_answer answers[3];
+			int rest = combination;
+			bool any_group = false;
+			bool all_empty = true;
+			enum ctl_form_action action;
+
+			for (int i = 0, k = 0; i < 4; i++) {
+				if (i == self)
+					continue;
+				answers[k] = { ids[i], rest % 3 != 0, 7,
+					       rest % 3 == 2 ? 9ull : 0ull };
+				any_group |= rest % 3 == 2;
+				all_empty &= rest % 3 == 1;
+				rest /= 3;
+				k++;
+			}
+			action = ctl_rule_form(ids[self], answers, 3);
+			if (any_group)
+				EXPECT_EQ(action, CTL_FORM_JOIN);
+			else if (all_empty && self == 0)
+				EXPECT_EQ(action, CTL_FORM_CREATE);
+			else
+				EXPECT_EQ(action, CTL_FORM_WAIT);
+		}
+	}
+}
+
+/* Guards against an outdated group of a message that arrives unanswered: the
+ * group of an answer that does not count is not used. */
+TEST(CtlForm, GroupOfAnOldRoundIsNotCounted)
+{
+	struct ctl_form_answer answers[] = { { "b", false, 7, 9 } };
+
+	EXPECT_EQ(ctl_rule_form("a", answers, 1), CTL_FORM_WAIT);
+}
+
+/* Guards the choice that all instances must agree on: voters first, then the
+ * lowest id; no down node, a draining one only without alternative. */
+TEST(CtlRelay, PrefersLiveVotersThenTheLowestId)
+{
+	Nodes nodes = two_sites();
+
+	EXPECT_EQ(nodes.relay("a"), "a3");
+	EXPECT_EQ(nodes.relay("b"), "b1");
+	EXPECT_EQ(nodes.relay("c"), "");
+	nodes.at("a3").message.draining = true;
+	EXPECT_EQ(nodes.relay("a"), "a1");
+	nodes.at("a1").message.down = true;
+	nodes.at("a2").message.down = true;
+	EXPECT_EQ(nodes.relay("a"), "a3");
+	nodes.at("a3").message.down = true;
+	EXPECT_EQ(nodes.relay("a"), "");
+}
+
+/* Guards against instances of a site that, without their relay, report to each
+ * other and reach no voter. */
+TEST(CtlUpstream, LeadsToTheLeaderAfterTheRelayIsLost)
+{
+	Nodes nodes = two_sites();
+	auto list = nodes.pointers();
+	const char *voters[] = { "tcp://a3", "tcp://v" };
+	struct ctl_upstream_input in = {};
+
+	in.site = "a";
+	in.relay = "a3";
+	in.leader = "tcp://leader";
+	in.nodes = list.data();
+	in.n_nodes = list.size();
+	in.voters = voters;
+	in.n_voters = 2;
+	in.self = "a2";
+	EXPECT_STREQ(ctl_rule_upstream(&in, 0), "tcp://a3");
+	EXPECT_STREQ(ctl_rule_upstream(&in, 1), "tcp://a1");
+	EXPECT_STREQ(ctl_rule_upstream(&in, 2), "tcp://a3");
+	EXPECT_STREQ(ctl_rule_upstream(&in, 3), "tcp://v");
+	in.self = "a1";
+	EXPECT_STREQ(ctl_rule_upstream(&in, 1), "tcp://leader");
+	in.self = "a3";
+	EXPECT_STREQ(ctl_rule_upstream(&in, 0), "tcp://leader");
+	EXPECT_STREQ(ctl_rule_upstream(&in, 1), "tcp://v");
+	in.relay = nullptr;
+	in.leader = nullptr;
+	EXPECT_STREQ(ctl_rule_upstream(&in, 0), "tcp://a3");
+	in.n_voters = 0;
+	EXPECT_EQ(ctl_rule_upstream(&in, 0), nullptr);
+}
+
+/* Guards the silence limit: it counts from the choice of the upstream or from
+ * the last confirmation, whichever is later. */
+TEST(CtlUpstream, FailsAfterTheSilenceLimit)
+{
+	struct clk *clock = clk_new_manual(1000 * S, 0);
+	int64_t chosen = clk_now_us(clock);
+	int64_t confirmed;
+	auto failed = [&](int64_t confirmed_us) {
+		return ctl_rule_upstream_failed(chosen, confirmed_us,
+						clk_now_us(clock), 3 * S);
+	};
+
+	EXPECT_FALSE(failed(0));
+	clk_advance(clock, 3 * S);
+	EXPECT_FALSE(failed(0));
+	clk_advance(clock, 1);
+	EXPECT_TRUE(failed(0));
+	confirmed = clk_now_us(clock);
+	EXPECT_FALSE(failed(confirmed));
+	clk_advance(clock, 3 * S + 1);
+	EXPECT_TRUE(failed(confirmed));
+	clk_free(clock);
+}
+
+namespace
+{
+
+/* A group whose changes commit at once; drives the repair rule as the leader
+ * does. */
+struct Group {
+	Dsp__RaftConfig *config = nullptr;
+	std::vector<Dsp__Member *> joining;
+	std::map<uint64_t, uint64_t> matches;
+	std::map<uint64_t, bool> live;
+	uint64_t commit = 1000;
+	std::vector<enum ctl_repair_step> steps;
+
+	Group()
+	{
+		config = g_new(Dsp__RaftConfig, 1);
+		dsp__raft_config__init(config);
+		config->members = g_new0(Dsp__Member *, 8);
+	}
+	~Group()
+	{
+		dsp__raft_config__free_unpacked(config, NULL);
+		for (Dsp__Member *m : joining)
+			dsp__member__free_unpacked(m, NULL);
+	}
+	static Dsp__Member *member(uint64_t replica, const char *node,
+				   bool voter)
+	{
+		Dsp__Member *m = g_new(Dsp__Member, 1);
+
+		dsp__member__init(m);
+		m->replica = replica;
+		m->node = g_strdup(node);
+		m->address = g_strdup("");
+		m->site = g_strdup("");
+		m->voter = voter;
+		return m;
+	}
+	void voter(uint64_t replica, const char *node)
+	{
+		config->members[config->n_members++] =
+			member(replica, node, true);
+		matches[replica] = commit;
+		live[replica] = true;
+	}
+	void join(uint64_t replica, const char *node)
+	{
+		joining.push_back(member(replica, node, false));
+		live[replica] = true;
+	}
+	static uint64_t match(void *data, uint64_t replica)
+	{
+		return ((Group *)data)->matches[replica];
+	}
+	static bool alive(void *data, uint64_t replica)
+	{
+		return ((Group *)data)->live[replica];
+	}
+	/* One round; returns the step and commits its change. */
+	enum ctl_repair_step run()
+	{
+		struct ctl_repair_input in = {};
+		Dsp__RaftConfig *next = nullptr;
+		enum ctl_repair_step step;
+
+		in.config = config;
+		in.joining = joining.data();
+		in.n_joining = joining.size();
+		in.commit_index = commit;
+		in.data = this;
+		in.match = match;
+		in.alive = alive;
+		step = ctl_rule_repair(&in, &next);
+		if (next) {
+			EXPECT_LE(difference(next), 1u);
+			dsp__raft_config__free_unpacked(config, NULL);
+			config = next;
+		}
+		return step;
+	}
+	/* Members added, removed or changed. */
+	size_t difference(const Dsp__RaftConfig *next) const
+	{
+		return count_missing(config, next) +
+		       count_missing(next, config) + count_changed(next);
+	}
+	static size_t count_missing(const Dsp__RaftConfig *from,
+				    const Dsp__RaftConfig *in)
+	{
+		size_t n = 0;
+
+		for (size_t i = 0; i < from->n_members; i++)
+			n += !find(in, from->members[i]->replica);
+		return n;
+	}
+	size_t count_changed(const Dsp__RaftConfig *next) const
+	{
+		size_t n = 0;
+
+		for (size_t i = 0; i < next->n_members; i++) {
+			const Dsp__Member *before =
+				find(config, next->members[i]->replica);
+
+			n += before && before->voter != next->members[i]->voter;
+		}
+		return n;
+	}
+	static const Dsp__Member *find(const Dsp__RaftConfig *config,
+				       uint64_t replica)
+	{
+		for (size_t i = 0; i < config->n_members; i++)
+			if (config->members[i]->replica == replica)
+				return config->members[i];
+		return nullptr;
+	}
+	bool is_voter(uint64_t replica) const
+	{
+		const Dsp__Member *m = find(config, replica);
+
+		return m && m->voter;
+	}
+};
+
+} // namespace
+
+/* Guards the order of a repair: the new identity is caught up before the old
+ * one is removed, each step changes one server, and the result is a group of
+ * the same size. */
+TEST(CtlRepair, ReplacesALostIdentityStepByStep)
+{
+	Group group;
+
+	group.voter(1, "a");
+	group.voter(2, "b");
+	group.voter(3, "c");
+	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
+	group.live[3] = false;
+	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
+	group.join(13, "c");
+	EXPECT_EQ(group.run(), CTL_REPAIR_ADD_LEARNER);
+	EXPECT_FALSE(group.is_voter(13));
+	EXPECT_EQ(group.run(), CTL_REPAIR_CATCH_UP);
+	EXPECT_TRUE(group.is_voter(3));
+	group.matches[13] = group.commit;
+	EXPECT_EQ(group.run(), CTL_REPAIR_REMOVE_OLD);
+	EXPECT_FALSE(group.is_voter(3));
+	EXPECT_EQ(group.run(), CTL_REPAIR_PROMOTE);
+	EXPECT_TRUE(group.is_voter(13));
+	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
+	EXPECT_EQ(group.config->n_members, 3u);
+}
+
+/* Guards a disk that is lost again during the repair: the learner that will
+ * never come back must not block the next identity. */
+TEST(CtlRepair, StartsAgainWhenTheLearnerIsLost)
+{
+	Group group;
+
+	group.voter(1, "a");
+	group.voter(2, "b");
+	group.voter(3, "c");
+	group.live[3] = false;
+	group.join(13, "c");
+	EXPECT_EQ(group.run(), CTL_REPAIR_ADD_LEARNER);
+	group.live[13] = false;
+	dsp__member__free_unpacked(group.joining[0], NULL);
+	group.joining.clear();
+	EXPECT_EQ(group.run(), CTL_REPAIR_CATCH_UP);
+	group.join(23, "c");
+	EXPECT_EQ(group.run(), CTL_REPAIR_DROP_LEARNER);
+	EXPECT_EQ(group.run(), CTL_REPAIR_ADD_LEARNER);
+	group.matches[23] = group.commit;
+	EXPECT_EQ(group.run(), CTL_REPAIR_REMOVE_OLD);
+	EXPECT_EQ(group.run(), CTL_REPAIR_PROMOTE);
+	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
+	EXPECT_TRUE(group.is_voter(23));
+	EXPECT_EQ(group.config->n_members, 3u);
+}
+
+/* Guards against removing a voter that is alive because a second process was
+ * started with its instance id. */
+TEST(CtlRepair, KeepsALiveIdentity)
+{
+	Group group;
+
+	group.voter(1, "a");
+	group.voter(2, "b");
+	group.voter(3, "c");
+	group.join(13, "c");
+	EXPECT_EQ(group.run(), CTL_REPAIR_ADD_LEARNER);
+	group.matches[13] = group.commit;
+	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
+	EXPECT_TRUE(group.is_voter(3));
+}
+
+/* Guards against a learner that was caught up once, then died: it must not
+ * take the place of a voter whose log is still there. */
+TEST(CtlRepair, DoesNotPromoteADeadLearner)
+{
+	Group group;
+
+	group.voter(1, "a");
+	group.voter(2, "b");
+	group.voter(3, "c");
+	group.live[3] = false;
+	group.join(13, "c");
+	EXPECT_EQ(group.run(), CTL_REPAIR_ADD_LEARNER);
+	group.matches[13] = group.commit;
+	group.live[13] = false;
+	EXPECT_EQ(group.run(), CTL_REPAIR_CATCH_UP);
+	EXPECT_TRUE(group.is_voter(3));
+}
+
+/* Guards the limit of seven voters. */
+TEST(CtlRepair, AddsNoEighthVoter)
+{
+	Group group;
+	const char *ids[] = { "a", "b", "c", "d", "e", "f", "g" };
+
+	for (uint64_t i = 0; i < 7; i++)
+		group.voter(i + 1, ids[i]);
+	group.join(20, "h");
+	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
+	EXPECT_EQ(group.config->n_members, 7u);
+}
--- /dev/null
+++ b/tests/unit/net_test.cc
@@ -0,0 +1,213 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include <string>
+
+extern "C" {
+#include "net/net.h"
+}
+
+namespace
+{
+
+/* Rounds of some milliseconds; far more than a connection needs. */
+constexpr int ROUNDS = 500;
+
+std::string free_address()
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in address = {};
+	socklen_t len = sizeof(address);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&address, sizeof(address));
+	getsockname(fd, (struct sockaddr *)&address, &len);
+	close(fd);
+	return "tcp://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+class Net : public ::testing::Test
+{
+      protected:
+	std::string address_a = free_address();
+	std::string address_b = free_address();
+	struct net *a = nullptr;
+	struct net *b = nullptr;
+	int wake = eventfd(0, EFD_NONBLOCK);
+	int64_t now = 1000000;
+
+	void SetUp() override
+	{
+		a = net_new(address_a.c_str(), address_a.c_str(), "a", 1, NULL);
+		b = net_new(address_b.c_str(), address_b.c_str(), "b", 2, NULL);
+		ASSERT_NE(a, nullptr);
+		ASSERT_NE(b, nullptr);
+	}
+	void TearDown() override
+	{
+		net_free(a);
+		net_free(b);
+		close(wake);
+	}
+
+	void send_id(uint64_t id)
+	{
+		Dsp__Envelope e = DSP__ENVELOPE__INIT;
+		Dsp__AnswerQuery query = DSP__ANSWER_QUERY__INIT;
+
+		query.id = id;
+		e.body_case = DSP__ENVELOPE__BODY_ANSWER_QUERY;
+		e.answer_query = &query;
+		net_send(a, address_b.c_str(), &e);
+	}
+
+	/* Waits without advancing the time. */
+	Dsp__Envelope *receive_at_b(int rounds = ROUNDS)
+	{
+		for (int i = 0; i < rounds; i++) {
+			Dsp__Envelope *e;
+
+			net_tick(a, now);
+			net_tick(b, now);
+			net_wait(a, wake, 5000);
+			net_wait(b, wake, 15000);
+			e = net_receive(b);
+			if (e)
+				return e;
+		}
+		return nullptr;
+	}
+};
+
+} // namespace
+
+/* Guards the first message to a new peer, which is sent before the connection
+ * is open, and the sender's address for replies. */
+TEST_F(Net, FirstMessageArrivesWithTheSendersAddress)
+{
+	Dsp__Envelope *e;
+
+	net_tick(a, now);
+	send_id(7);
+	e = receive_at_b();
+	ASSERT_NE(e, nullptr);
+	EXPECT_STREQ(e->from, "a");
+	EXPECT_EQ(e->boot, 1u);
+	EXPECT_STREQ(e->address, address_a.c_str());
+	EXPECT_EQ(e->answer_query->id, 7u);
+	dsp__envelope__free_unpacked(e, NULL);
+}
+
+/* Guards against outdated messages: what was sent while the peer was away is
+ * not delivered when it comes back. */
+TEST_F(Net, MessagesToAnAbsentPeerAreDropped)
+{
+	Dsp__Envelope *e;
+
+	net_free(b);
+	b = nullptr;
+	net_tick(a, now);
+	for (uint64_t i = 0; i < 1000; i++)
+		send_id(i);
+	now += 600000;
+	net_tick(a, now);
+	EXPECT_EQ(net_dropped(a), 1000u);
+	b = net_new(address_b.c_str(), address_b.c_str(), "b", 2, NULL);
+	ASSERT_NE(b, nullptr);
+	EXPECT_EQ(receive_at_b(10), nullptr);
+	for (int i = 0; i < 100; i++) {
+		send_id(5000);
+		e = receive_at_b(1);
+		if (e)
+			break;
+	}
+	ASSERT_NE(e, nullptr);
+	EXPECT_EQ(e->answer_query->id, 5000u);
+	dsp__envelope__free_unpacked(e, NULL);
+}
+
+/* Guards against a crash or a wrong message after bytes that are no envelope,
+ * an envelope without a body, or extra frames. */
+TEST_F(Net, MalformedMessagesAreCountedAndDropped)
+{
+	void *zmq = zmq_ctx_new();
+	void *socket = zmq_socket(zmq, ZMQ_DEALER);
+	const char *bad[] = { "\xff\xff\xff\xff", "x", "\x0a\x01" };
+	Dsp__Envelope *e;
+	int zero = 0;
+
+	zmq_setsockopt(socket, ZMQ_LINGER, &zero, sizeof(zero));
+	ASSERT_EQ(zmq_connect(socket, address_b.c_str()), 0);
+	for (const char *text : bad)
+		zmq_send(socket, text, strlen(text), 0);
+	zmq_send(socket, "\x0a\x01g", 3, 0); /* from only */
+	zmq_send(socket, "one", 3, ZMQ_SNDMORE);
+	zmq_send(socket, "two", 3, 0);
+	for (int i = 0; i < 200 && net_malformed(b) < 5; i++)
+		EXPECT_EQ(receive_at_b(1), nullptr);
+	EXPECT_EQ(net_malformed(b), 5u);
+	send_id(9);
+	e = receive_at_b();
+	ASSERT_NE(e, nullptr);
+	EXPECT_EQ(e->answer_query->id, 9u);
+	dsp__envelope__free_unpacked(e, NULL);
+	zmq_close(socket);
+	zmq_ctx_term(zmq);
+}
+
+/* Guards against a connection that stays open but carries nothing: a peer that
+ * does not return probes gets a new connection, one that does keeps it. */
+TEST_F(Net, SilentConnectionIsReplaced)
+{
+	Dsp__Envelope *e;
+
+	net_tick(a, now);
+	send_id(1);
+	e = receive_at_b();
+	ASSERT_NE(e, nullptr);
+	dsp__envelope__free_unpacked(e, NULL);
+	for (int i = 0; i < 20; i++) {
+		send_id(2);
+		now += 500000;
+		e = receive_at_b();
+		ASSERT_NE(e, nullptr);
+		dsp__envelope__free_unpacked(e, NULL);
+		EXPECT_EQ(receive_at_b(3), nullptr);
+	}
+	EXPECT_EQ(net_resets(a), 0u);
+	/* b no longer runs: its sockets accept but nothing is answered. */
+	for (int i = 0; i < 10; i++) {
+		send_id(3);
+		now += 500000;
+		net_tick(a, now);
+		usleep(5000);
+	}
+	EXPECT_GE(net_resets(a), 1u);
+}
+
+/* Guards the idle time of an event loop: a wake-up ends the wait. */
+TEST_F(Net, WakeEndsTheWait)
+{
+	uint64_t one = 1;
+
+	ASSERT_EQ(write(wake, &one, sizeof(one)), (ssize_t)sizeof(one));
+	net_wait(a, wake, 600000000);
+	EXPECT_EQ(net_receive(a), nullptr);
+}
+
+/* Guards the error of an address that cannot be bound. */
+TEST_F(Net, AddressInUseIsAnError)
+{
+	GError *err = nullptr;
+
+	EXPECT_EQ(net_new(address_a.c_str(), "", "c", 3, &err), nullptr);
+	EXPECT_TRUE(g_error_matches(err, NET_ERROR, NET_ERROR_BIND));
+	g_clear_error(&err);
+}
