--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -377,6 +377,7 @@
 	TAILQ_INIT(&ctx->calls);
 	TAILQ_INIT(&ctx->changed_loads);
 	ctx->now_us = clk_now_us(clock);
+	ctx->upstream_chosen_us = ctx->now_us;
 	ctx->view = view_new_empty();
 	ctx->wake_fd = -1;
 	ctx->addresses = table_of(g_free);
@@ -403,13 +404,13 @@
 {
 	struct ctl_job *job;
 
+	ctl_member_stop(ctx);
 	ctl_order_close(ctx->sender);
 	while (!STAILQ_EMPTY(&ctx->jobs)) {
 		job = STAILQ_FIRST(&ctx->jobs);
 		STAILQ_REMOVE_HEAD(&ctx->jobs, link);
 		job_free(ctx, job);
 	}
-	ctl_member_stop(ctx);
 	ctl_raft_close(ctx);
 	net_free(ctx->net);
 	if (ctx->wake_fd >= 0)
--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -316,15 +316,19 @@
 	return true;
 }
 
+/*
+ * The leader, or now and then another voter when the leader does not answer:
+ * its reply names the leader. Without a known leader the command stays here,
+ * so that its caller may learn that it was not sent.
+ */
 static const char *forward_target(struct ctl *ctx, struct ctl_call *call)
 {
-	const char *address = NULL;
+	const char *address = ctx->leader_address;
 	const char **voters;
 	size_t n;
 
-	if (ctx->leader_address &&
-	    call->tries % (TRIES_AT_LEADER + 2) < TRIES_AT_LEADER)
-		return ctx->leader_address;
+	if (!address || call->tries % (TRIES_AT_LEADER + 2) < TRIES_AT_LEADER)
+		return address;
 	n = ctl_report_voters(ctx, &voters);
 	if (n)
 		address = voters[(call->tries + call->id) % n];
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -278,3 +278,174 @@
 			})) << instance->id;
 	}
 }
+
+/* Guards a change of the leader: the others elect one, documents commit on,
+ * and the instance that stopped catches up after its restart. */
+TEST_F(Control, LeaderStopsAndReturns)
+{
+	Instance *old;
+
+	create(3, 2);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_EQ(put_code(*all[4], 1), DSP__RESULT_CODE__RESULT_OK);
+	old = leader();
+	ASSERT_NE(old, nullptr);
+	old->stop();
+	ASSERT_EQ(put_code(*all[4], 2), DSP__RESULT_CODE__RESULT_OK);
+	EXPECT_NE(leader(), nullptr);
+	old->start();
+	EXPECT_TRUE(wait_until([&] { return all_serve(); }));
+	for (auto &instance : all)
+		EXPECT_TRUE(wait_until([&] {
+			return instance->number("verband") == 2;
+		})) << instance->id;
+}
+
+/* Guards section 5 of the design page: an instance that was restarted alone
+ * serves nothing, since it may hold an outdated document; with a quorum it
+ * serves. A command that no leader takes is reported as not sent. */
+TEST_F(Control, RestartWithoutQuorumServesNothing)
+{
+	GError *err = nullptr;
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__Expire expire = DSP__EXPIRE__INIT;
+
+	create(3, 0);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_EQ(put_code(*all[0], 1), DSP__RESULT_CODE__RESULT_OK);
+	for (auto &instance : all)
+		instance->stop();
+	all[0]->start();
+	usleep(1500000);
+	EXPECT_EQ(ctl_state(all[0]->ctl).readiness, CTL_STARTING);
+	command.body_case = DSP__COMMAND__BODY_EXPIRE;
+	command.expire = &expire;
+	EXPECT_EQ(ctl_submit(all[0]->ctl, &command, 500000, &err), nullptr);
+	EXPECT_TRUE(g_error_matches(err, CTL_ERROR, CTL_ERROR_NOT_SENT));
+	g_clear_error(&err);
+	all[1]->start();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	EXPECT_EQ(all[0]->number("verband"), 1u);
+	EXPECT_EQ(all[1]->number("verband"), 1u);
+}
+
+/* Guards isolation: without a quorum an instance notices it by the age of the
+ * confirmation, and serves again once the quorum is back. */
+TEST_F(Control, LosesAndRegainsTheQuorum)
+{
+	create(3, 1);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	all[1]->stop();
+	all[2]->stop();
+	for (size_t i : { 0, 3 })
+		EXPECT_TRUE(wait_until([&] {
+			return ctl_state(all[i]->ctl).readiness == CTL_ISOLATED;
+		})) << all[i]->id;
+	all[1]->start();
+	EXPECT_TRUE(wait_until([&] { return all_serve(); }));
+}
+
+/*
+ * Guards the repair of a lost disk: the instance joins with a new identity,
+ * the group is whole only when no learner is left, and then it survives the
+ * loss of another instance.
+ */
+TEST_F(Control, LostDiskIsRepairedAndTheGroupSurvivesTheNextLoss)
+{
+	Instance *lost;
+	Instance *other;
+
+	create(3, 0);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_EQ(put_code(*all[0], 1), DSP__RESULT_CODE__RESULT_OK);
+	lost = leader() == all[2].get() ? all[1].get() : all[2].get();
+	lost->stop();
+	ASSERT_EQ(system(("rm -rf " + lost->folder).c_str()), 0);
+	lost->start();
+	ASSERT_TRUE(wait_until([&] {
+		return lost->has_status("\"state\":\"voter\"") &&
+		       (lost->has_status("\"role\":\"follower\"") ||
+			lost->has_status("\"role\":\"leader\"")) &&
+		       all[0]->has_status("\"repairs\":[]") &&
+		       lost->has_status("\"repairs\":[]");
+	}));
+	other = all[0].get();
+	other->stop();
+	ASSERT_EQ(put_code(*lost, 2), DSP__RESULT_CODE__RESULT_OK);
+	EXPECT_TRUE(wait_until([&] { return lost->number("verband") == 2; }));
+}
+
+/* Guards concurrent commands: each gets its own result, and no document number
+ * is accepted twice. */
+TEST_F(Control, RacingOperatorsGetOneWinner)
+{
+	std::vector<std::thread> threads;
+	std::atomic<int> accepted{ 0 };
+
+	create(3, 3);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	for (size_t i = 0; i < 6; i++)
+		threads.emplace_back([&, i] {
+			Dsp__Command command = DSP__COMMAND__INIT;
+			Dsp__DocumentPut put = DSP__DOCUMENT_PUT__INIT;
+			std::string text = "# " + std::to_string(i) +
+					   "\nnumber = 1\n" + DOCUMENT_TAIL;
+			Dsp__CommandResult *result;
+
+			put.team = (char *)"verband";
+			put.number = 1;
+			put.text = (char *)text.c_str();
+			command.body_case = DSP__COMMAND__BODY_DOCUMENT_PUT;
+			command.document_put = &put;
+			result = ctl_submit(all[i]->ctl, &command, WAIT_US,
+					    NULL);
+			ASSERT_NE(result, nullptr);
+			accepted += result->code == DSP__RESULT_CODE__RESULT_OK;
+			dsp__command_result__free_unpacked(result, NULL);
+		});
+	for (std::thread &thread : threads)
+		thread.join();
+	EXPECT_EQ(accepted, 1);
+}
+
+/* Guards leases: an instance that stops is marked down in every view, one that
+ * drains is marked as draining at once. */
+TEST_F(Control, ViewsShowDrainingAndLostInstances)
+{
+	auto node_is = [&](const char *id, auto what) {
+		struct view *view = ctl_view(all[0]->ctl);
+		const Dsp__Node *node = view_node(view, id);
+		bool is = node && what(node);
+
+		view_unref(view);
+		return is;
+	};
+
+	create(1, 2);
+	start_all();
+	ASSERT_TRUE(wait_until([&] {
+		return all_serve() && node_is("n1", [](const Dsp__Node *node) {
+			       return !node->down;
+		       });
+	}));
+	ctl_drain(all[1]->ctl);
+	EXPECT_TRUE(wait_until([&] {
+		return node_is("n1", [](const Dsp__Node *node) {
+			return (bool)node->draining;
+		});
+	}));
+	all[1]->stop();
+	EXPECT_TRUE(wait_until([&] {
+		return node_is("n1", [](const Dsp__Node *node) {
+			return (bool)node->down;
+		});
+	}));
+	EXPECT_TRUE(node_is("n2", [](const Dsp__Node *node) {
+		return !node->down && !node->draining;
+	}));
+}
