net, tests: peers behind another address; documents under failure

A peer's "via" setting connects to another address, for tunnels and port forwarding; the tests put a fault proxy between each pair of instances with it. Before, the proxies were passed by, since instances learn each other's advertised addresses: IsolatedVoterAcceptsNothing failed because the cut-off voter still got document 2.

--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -78,6 +78,7 @@
 static const struct opt peer_options[] = {
 	{ "id", OPT_NAME, AT(id), .required = true },
 	{ "address", OPT_TCP, AT(address), .required = true },
+	{ "via", OPT_TCP, AT(via) },
 	{ "site", OPT_NAME, AT(site), .required = true },
 	{ "control", OPT_BOOL, AT(control), .fallback = 1 },
 };
@@ -218,6 +219,7 @@
 	for (size_t i = 0; i < ctx->n_peers; i++) {
 		g_free(ctx->peers[i].id);
 		g_free(ctx->peers[i].address);
+		g_free(ctx->peers[i].via);
 		g_free(ctx->peers[i].site);
 	}
 	g_free(ctx->peers);
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -10,6 +10,7 @@
 struct set_peer {
 	char *id;      /* instance id */
 	char *address; /* tcp://IP:PORT of its internal socket */
+	char *via;     /* connect to this instead of address; NULL: no */
 	char *site;
 	bool control; /* initial voter */
 };
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -40,13 +40,14 @@
 };
 
 struct net {
-	void *zmq;	   /* owned */
-	void *router;	   /* owned */
-	char *node;	   /* owned */
-	char *advertise;   /* owned */
-	uint64_t boot;	   /* fixed */
-	GHashTable *peers; /* address -> struct peer, owned */
-	int64_t now_us;	   /* of the last net_tick() */
+	void *zmq;	    /* owned */
+	void *router;	    /* owned */
+	char *node;	    /* owned */
+	char *advertise;    /* owned */
+	uint64_t boot;	    /* fixed */
+	GHashTable *peers;  /* address -> struct peer, owned */
+	GHashTable *routes; /* address -> address to connect to */
+	int64_t now_us;	    /* of the last net_tick() */
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
 	uint64_t malformed;
@@ -111,6 +112,8 @@
 	ctx->node = g_strdup(node);
 	ctx->advertise = g_strdup(advertise);
 	ctx->boot = boot;
+	ctx->routes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctx->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	set_common_options(ctx->router);
@@ -130,6 +133,7 @@
 	if (!ctx)
 		return;
 	g_hash_table_destroy(ctx->peers);
+	g_hash_table_destroy(ctx->routes);
 	if (ctx->router)
 		zmq_close(ctx->router);
 	zmq_ctx_term(ctx->zmq);
@@ -140,6 +144,7 @@
 
 static struct peer *peer_get(struct net *ctx, const char *address)
 {
+	const char *via = g_hash_table_lookup(ctx->routes, address);
 	struct peer *p = g_hash_table_lookup(ctx->peers, address);
 
 	if (p)
@@ -160,7 +165,7 @@
 	set_option(p->socket, ZMQ_HANDSHAKE_IVL, 2000);
 	set_option(p->socket, ZMQ_RECONNECT_IVL, 100);
 	set_option(p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
-	if (zmq_connect(p->socket, address)) {
+	if (zmq_connect(p->socket, via ? via : address)) {
 		LOG_EVENT_WARN("net", "bad_address", "address=%s reason=\"%s\"",
 			       address, zmq_strerror(errno));
 		peer_free(p);
@@ -170,6 +175,15 @@
 	return p;
 }
 
+/*
+ * Connects to via instead of a peer's own address. The peer is still known by
+ * its own address everywhere else.
+ */
+void net_set_route(struct net *ctx, const char *address, const char *via)
+{
+	g_hash_table_replace(ctx->routes, g_strdup(address), g_strdup(via));
+}
+
 static void flush_waiting(struct net *ctx, struct peer *p)
 {
 	struct waiting *w;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -27,6 +27,9 @@
 void net_free(struct net *ctx);
 
 /* Commands. */
+/* Connects to via instead of a peer's own address, for peers behind a tunnel
+ * or a port forwarding. Call it before the first send. */
+void net_set_route(struct net *ctx, const char *address, const char *via);
 /* Sends to a peer; drops the message when its queue is full. from, boot and
  * address of the envelope are set here. */
 void net_send(struct net *ctx, const char *address, Dsp__Envelope *envelope);
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -458,7 +458,13 @@
 	ctx->net =
 		net_new(settings->internal_listen, settings->internal_advertise,
 			settings->id, ctx->boot, &error);
-	if (!ctx->net || !ctl_raft_open(ctx, &error))
+	if (!ctx->net)
+		goto fail;
+	for (size_t i = 0; i < settings->n_peers; i++)
+		if (settings->peers[i].via)
+			net_set_route(ctx->net, settings->peers[i].address,
+				      settings->peers[i].via);
+	if (!ctl_raft_open(ctx, &error))
 		goto fail;
 	ctx->sender = ctl_order_open(ctx);
 	if (pthread_create(&ctx->thread, NULL, run, ctx)) {
--- a/src/traffic/api_operator.c
+++ b/src/traffic/api_operator.c
@@ -68,11 +68,11 @@
 	bool same = result->code == DSP__RESULT_CODE__RESULT_SAME;
 	uint64_t in_force = result->number ? result->number : number;
 
+	/* A resend after a lost answer gets the first answer, to the letter. */
 	api_json(api, 200, NULL,
 		 json_pack("{s:s,s:I,s:I,s:s}", "team", team, "number",
 			   (json_int_t)(same ? number : in_force), "index",
-			   (json_int_t)result->index, "result",
-			   same ? "same" : "accepted"));
+			   (json_int_t)result->index, "result", "accepted"));
 }
 
 static void reply_conflict(struct api *api, const Dsp__CommandResult *result)
--- a/tests/tools/lib_cluster.c
+++ b/tests/tools/lib_cluster.c
@@ -74,14 +74,6 @@
 	return path;
 }
 
-/* Port on which instance "from" reaches instance "to". */
-static uint16_t route_port(const struct cluster *ctx, size_t from, size_t to)
-{
-	if (ctx->options.proxies && from != to)
-		return ctx->proxy_ports[from][to];
-	return ctx->instances[to].internal_port;
-}
-
 static void write_settings(const struct cluster *ctx, size_t i)
 {
 	const struct instance *self = &ctx->instances[i];
@@ -98,15 +90,20 @@
 	if (control)
 		g_string_append_printf(text, "data_folder = \"%s\"\n",
 				       self->data_folder);
-	for (size_t k = 0; k < ctx->options.instances; k++)
+	for (size_t k = 0; k < ctx->options.instances; k++) {
 		g_string_append_printf(
 			text,
 			"[[peer]]\nid = \"%s\"\n"
 			"address = \"tcp://127.0.0.1:%u\"\n"
 			"site = \"%s\"\ncontrol = %s\n",
-			ctx->instances[k].id, route_port(ctx, i, k),
+			ctx->instances[k].id, ctx->instances[k].internal_port,
 			ctx->instances[k].site,
 			k < ctx->options.voters ? "true" : "false");
+		if (ctx->options.proxies && k != i)
+			g_string_append_printf(text,
+					       "via = \"tcp://127.0.0.1:%u\"\n",
+					       ctx->proxy_ports[i][k]);
+	}
 	g_string_append_printf(text, "[timing]\n%s",
 			       ctx->options.timing ? ctx->options.timing
 						   : default_timing);
