core: rt: widen the choice by what other entries may send

The candidates that count as equally good grow until their free slots hold the requests that all entries may send before the next report, drawn by free capacity.

--- a/src/core/rt.c
+++ b/src/core/rt.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "core/rt_int.h"
@@ -14,9 +15,14 @@
 #define SCHEDULE_SPACING_US 5000
 #define RETRY_AFTER_MIN_US 100000
 #define RETRY_AFTER_MAX_US 10000000
-/* Candidates within this factor of the best count as equally good. */
+/* Candidates within this factor of the best count as equally good. The factor
+ * grows until their free slots hold what all entries may send before the next
+ * report: 40 entries that saw one idle endpoint all chose it otherwise. */
 #define GOOD_FACTOR 1.3
+#define GOOD_FACTOR_MAX 8.0
 #define GOOD_SLACK_US 1000.0
+#define REPORT_INTERVAL_S 1.0
+#define RATE_HALF_S 2.0
 /* A queue head that no endpoint can take (retry, suspect) must not block the
  * requests behind it. */
 #define HEADS_TRIED 4
@@ -339,6 +345,10 @@
 		      bool in_force, int64_t now_us)
 {
 	GPtrArray *links = ticket->pool->links;
+	/* An endpoint that always reports to be full must stay reachable: after
+	 * half of its time, a request goes there if no other own one is. */
+	bool half_spent = now_us - ticket->arrival_us >
+			  (ticket->deadline_us - ticket->arrival_us) / 2;
 	size_t n = 0;
 
 	if (ctx->picks_max < links->len) {
@@ -358,7 +368,8 @@
 		if (current != in_force)
 			continue;
 		rt_predict(ctx, link, ticket, now_us, pick);
-		if (pick->load + 1.0 > ep_limit(link->ep, ticket))
+		if (pick->load + 1.0 > ep_limit(link->ep, ticket) &&
+		    !(half_spent && !link->ep->in_flight))
 			continue;
 		pick->link = link;
 		n++;
@@ -378,17 +389,50 @@
 	return &ctx->picks[n - 1];
 }
 
+/* Moves the picks that are about as good as the best to the front. */
+static size_t keep_good(struct rt *ctx, const struct rt_pool *pool, size_t n,
+			double *sum)
+{
+	/* A pool without a known rate is assumed to get one request a second.
+	 */
+	double expected =
+		MAX(pool->rate, 1.0) * REPORT_INTERVAL_S * (ctx->entries - 1);
+	double best = ctx->picks[0].total_us, factor = GOOD_FACTOR, room;
+	size_t good = 0;
+
+	for (size_t i = 1; i < n; i++)
+		best = MIN(best, ctx->picks[i].total_us);
+	for (; factor < GOOD_FACTOR_MAX; factor *= 1.25) {
+		room = 0;
+		for (size_t i = 0; i < n; i++) {
+			if (ctx->picks[i].total_us <=
+			    best * factor + GOOD_SLACK_US)
+				room += ctx->picks[i].room;
+		}
+		if (room >= expected)
+			break;
+	}
+	*sum = 0;
+	for (size_t i = 0; i < n; i++) {
+		if (ctx->picks[i].total_us > best * factor + GOOD_SLACK_US)
+			continue;
+		*sum += ctx->picks[i].weight;
+		ctx->picks[good++] = ctx->picks[i];
+	}
+	return good;
+}
+
 /*
- * Chooses an endpoint with room: two draws, weighted by capacity, from those
- * that are about as good as the best; the better one is taken. Entries that
- * see the same report thus choose differently.
+ * Chooses an endpoint with room: two draws, weighted by free capacity, from
+ * those that are about as good as the best; the better one is taken. Entries
+ * that see the same report thus choose differently.
  */
 static struct rt_pick *choose(struct rt *ctx, const struct rt_ticket *ticket,
 			      int64_t now_us)
 {
-	size_t n = collect(ctx, ticket, true, now_us), good = 0;
+	size_t n = collect(ctx, ticket, true, now_us), good;
 	struct rt_pick *a, *b;
-	double best, sum = 0;
+	double sum;
 
 	/* Copies of another version serve while the one in force has no room
 	 * or is not loaded. */
@@ -396,16 +440,7 @@
 		n = collect(ctx, ticket, false, now_us);
 	if (!n)
 		return NULL;
-	best = ctx->picks[0].total_us;
-	for (size_t i = 1; i < n; i++)
-		best = MIN(best, ctx->picks[i].total_us);
-	best = best * GOOD_FACTOR + GOOD_SLACK_US;
-	for (size_t i = 0; i < n; i++) {
-		if (ctx->picks[i].total_us > best)
-			continue;
-		sum += ctx->picks[i].weight;
-		ctx->picks[good++] = ctx->picks[i];
-	}
+	good = keep_good(ctx, ticket->pool, n, &sum);
 	a = draw(ctx, good, sum);
 	b = draw(ctx, good, sum);
 	return b->total_us < a->total_us ? b : a;
@@ -804,6 +839,16 @@
 	ctx->entries = MAX(entries, 1);
 }
 
+static void arrived(struct rt_pool *pool, int64_t now_us)
+{
+	double gap_s = (double)(now_us - pool->arrived_us) / 1e6;
+
+	pool->rate *= exp2(-gap_s / RATE_HALF_S);
+	/* Each request adds so much that the sum settles at the rate. */
+	pool->rate += G_LN2 / RATE_HALF_S;
+	pool->arrived_us = now_us;
+}
+
 /*
  * Decides on a new request. With RT_DISPATCH and RT_WAIT the ticket must be
  * ended by rt_done(); with RT_REFUSE there is none and no endpoint has seen the
@@ -831,6 +876,7 @@
 		};
 		return;
 	}
+	arrived(pool, now_us);
 	ticket = ticket_new(ctx, pool, request, now_us);
 	rt_budget_earn(ticket->budget);
 	reason = place(ctx, ticket, now_us, &retry_after_us);
--- a/src/core/rt_int.h
+++ b/src/core/rt_int.h
@@ -94,6 +94,8 @@
 	double decode_us;
 	double n_first;
 	double n_decode;
+	double rate; /* own requests/s, smoothed */
+	int64_t arrived_us;
 	double grant_gap_us; /* between grants while requests wait */
 	double n_gap;
 	int64_t granted_us;
@@ -180,6 +182,7 @@
 	double first_us; /* to first token, waiting included */
 	double base_us;	 /* to first token, waiting and bias left out */
 	double total_us;
+	double room; /* slots that are free, at least a few */
 	double weight;
 };
 
--- a/src/core/rt_predict.c
+++ b/src/core/rt_predict.c
@@ -220,7 +220,8 @@
 	out->base_us = unit * out->cost * (1.0 + fill);
 	out->first_us = (out->base_us + wait) * ep->bias;
 	out->total_us = out->first_us + decode * (1.0 + fill) / 1.5;
-	out->weight = ep->slots / MAX(service, 1.0);
+	out->room = MAX(ep->slots - out->load, 0.05 * ep->slots);
+	out->weight = out->room / MAX(service, 1.0);
 }
 
 /* Learns from the first token of a dispatched ticket. */
