--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -425,11 +425,16 @@
 {
 	const Dsp__Member *m = find_member(raft_config(ctx->raft), replica);
 	struct ctl_join *join;
+	const char *seen;
 
 	if (!m)
 		m = find_member(ctx->applied_config, replica);
-	if (m)
-		return m->address;
+	if (m) {
+		/* An instance may have a new address since it became a
+		 * member; its messages carry it. */
+		seen = g_hash_table_lookup(ctx->addresses, m->node);
+		return seen ? seen : m->address;
+	}
 	join = g_hash_table_lookup(ctx->joins, &replica);
 	return join ? join->member->address : NULL;
 }
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -12,6 +12,9 @@
 /* Reports pass the instance, a relay and a voter that passes them on. */
 #define HOPS_MAX 3
 #define UPSTREAM_LIMIT_US (3LL * CTL_S_US)
+/* Share of isolated_after_ms, when that is short, so that another upstream can
+ * answer before the instance counts as isolated. */
+#define UPSTREAM_LIMIT_PERCENT 60
 /* Before the first view there is nothing to lose by asking the next. */
 #define FIRST_UPSTREAM_LIMIT_US CTL_S_US
 /* The designated relay is tried again after this time on another upstream. */
@@ -110,24 +113,34 @@
 	return NULL;
 }
 
+static bool upstream_failed(const struct ctl *ctx)
+{
+	int64_t limit_us = (int64_t)ctx->set->isolated_after_ms * 10 *
+			   UPSTREAM_LIMIT_PERCENT;
+
+	limit_us = MIN(limit_us, UPSTREAM_LIMIT_US);
+	if (!ctx->confirmed_us)
+		limit_us = MIN(limit_us, FIRST_UPSTREAM_LIMIT_US);
+	return ctl_rule_upstream_failed(ctx->upstream_chosen_us,
+					ctx->confirmed_us, ctx->now_us,
+					limit_us);
+}
+
+static bool follows_leader(const struct ctl *ctx)
+{
+	return ctx->raft && raft_leader(ctx->raft) && ctx->leader_address;
+}
+
 static void advance_upstream(struct ctl *ctx)
 {
-	int64_t limit_us =
-		ctx->confirmed_us ? UPSTREAM_LIMIT_US : FIRST_UPSTREAM_LIMIT_US;
-
-	if (!ctl_rule_upstream_failed(ctx->upstream_chosen_us,
-				      ctx->confirmed_us, ctx->now_us,
-				      limit_us)) {
-		if (ctx->upstream_attempt &&
-		    ctx->now_us - ctx->upstream_chosen_us >
-			    UPSTREAM_RETURN_US) {
-			ctx->upstream_attempt = 0;
-			ctx->upstream_chosen_us = ctx->now_us;
-		}
-		return;
+	if (upstream_failed(ctx)) {
+		ctx->upstream_attempt++;
+		ctx->upstream_chosen_us = ctx->now_us;
+	} else if (ctx->upstream_attempt &&
+		   ctx->now_us - ctx->upstream_chosen_us > UPSTREAM_RETURN_US) {
+		ctx->upstream_attempt = 0;
+		ctx->upstream_chosen_us = ctx->now_us;
 	}
-	ctx->upstream_attempt++;
-	ctx->upstream_chosen_us = ctx->now_us;
 }
 
 static void choose_upstream(struct ctl *ctx)
@@ -143,7 +156,7 @@
 	const char *address;
 
 	/* Replicas are few and hear from the leader anyway. */
-	if (ctx->raft && raft_leader(ctx->raft) && ctx->leader_address) {
+	if (follows_leader(ctx)) {
 		g_free(ctx->upstream);
 		ctx->upstream = g_strdup(ctx->leader_address);
 		return;
@@ -370,6 +383,8 @@
 /* Sends the report when it is due. */
 void ctl_report_run(struct ctl *ctx)
 {
+	if (!ctx->ready_leader && !follows_leader(ctx) && upstream_failed(ctx))
+		ctl_report_soon(ctx, 0);
 	if (ctx->now_us < ctx->report_due_us)
 		return;
 	/* A leader whose first entry is not committed yet keeps the contents
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -74,7 +74,9 @@
 	sigaddset(&ctx->signals, SIGTERM);
 	sigaddset(&ctx->signals, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &ctx->signals, NULL);
+	/* Both are handled as errors of the write. */
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGXFSZ, SIG_IGN);
 }
 
 /*
