store, core: store tests, entries may leave before the leader's sync

core: raft_ready.n_early tells how many messages promise nothing about the own disk, so that leader and followers sync at the same time; a caller that ignores it sends all after the sync, as before. Half of the seeded histories send early.

--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -382,6 +382,35 @@
 	ctx->applied += n_committed;
 }
 
+static bool is_early(const Dsp__RaftMessage *msg)
+{
+	return msg->body_case == DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST ||
+	       msg->body_case == DSP__RAFT_MESSAGE__BODY_SNAPSHOT_CHUNK;
+}
+
+/*
+ * Moves the messages that promise nothing about the own disk to the front and
+ * returns their number: those of a leader whose term is durable. The leader
+ * counts its own copy of an entry only after the sync.
+ */
+static size_t sort_early(struct raft_messages *messages)
+{
+	Dsp__RaftMessage **late = g_new(Dsp__RaftMessage *, messages->n + 1);
+	size_t n_late = 0;
+	size_t n = 0;
+
+	for (size_t i = 0; i < messages->n; i++) {
+		if (is_early(messages->items[i]))
+			messages->items[n++] = messages->items[i];
+		else
+			late[n_late++] = messages->items[i];
+	}
+	for (size_t i = 0; i < n_late; i++)
+		messages->items[n + i] = late[i];
+	g_free(late);
+	return n;
+}
+
 /*
  * Fills ready with what is to be done now. Returns false when there is
  * nothing, or when the last batch was not yet given to raft_advance().
@@ -427,6 +456,8 @@
 	out = ctx->flight;
 	ctx->flight = ctx->out;
 	ctx->out = out;
+	if (ctx->role == RAFT_LEADER && !ready->hard_state_changed)
+		ready->n_early = sort_early(&ctx->flight);
 	ready->messages = ctx->flight.items;
 	ready->n_messages = ctx->flight.n;
 
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -52,6 +52,9 @@
 	size_t n_append;
 	Dsp__RaftMessage **messages; /* owned by raft; send after the sync */
 	size_t n_messages;
+	/* The first n_early messages may be sent before the writes, so that
+	 * followers sync at the same time as the leader. */
+	size_t n_early;
 	Dsp__LogEntry **committed; /* owned by raft; apply in order */
 	size_t n_committed;
 	/* A received snapshot replaces state and log before append and
--- a/src/store/sto_priv.h
+++ b/src/store/sto_priv.h
@@ -23,8 +23,9 @@
  * (marker) vouches for the frame before it. Integers are little-endian; other
  * hosts are not supported.
  */
-_Static_assert(__BYTE_ORDER__ == __ORDER_LITTLE_ENDIAN__,
-	       "the files are little-endian");
+#if __BYTE_ORDER__ != __ORDER_LITTLE_ENDIAN__
+#error "the files are little-endian"
+#endif
 
 #define STO_SEGMENT_MAGIC 0x31474f4c50534444ULL
 #define STO_FRAME_MAGIC 0x4d415246U
--- a/src/store/sto_read.c
+++ b/src/store/sto_read.c
@@ -237,9 +237,8 @@
 	ctx->voted_for = header.voted_for;
 	if (header.discard_older)
 		drop_entries(replay, 0);
-	if (!header.discard_older &&
-	    (replay->n ? replay->first + replay->n - 1 != header.last_index
-		       : header.last_index > ctx->snapshot_index)) {
+	if (replay->n ? replay->first + replay->n - 1 != header.last_index
+		      : header.last_index > ctx->snapshot_index) {
 		sto_damaged(err, name, "entries before it are missing");
 		goto out;
 	}
--- a/tests/unit/raft_sim.h
+++ b/tests/unit/raft_sim.h
@@ -44,6 +44,8 @@
 	int64_t sync_max = 0;
 	/* Messages are handled while a sync is under way. */
 	bool step_during_sync = false;
+	/* Messages that need no sync are sent before it. */
+	bool send_early = false;
 	/* Applied entries between two snapshots; 0: none. */
 	uint64_t snapshot_every = 0;
 	size_t snapshot_bytes = 5000;
@@ -462,6 +464,9 @@
 		while (node.raft && node.life == life && !node.busy &&
 		       !failed() && raft_take_ready(node.raft, &node.ready)) {
 			collect_writes(node);
+			if (o.send_early)
+				for (size_t i = 0; i < node.ready.n_early; i++)
+					send(node, node.ready.messages[i]);
 			if (node.writes.empty() || !o.sync_max) {
 				complete(node);
 				continue;
@@ -738,7 +743,8 @@
 		for (auto &write : node.writes)
 			write(*node.disk);
 		node.writes.clear();
-		for (size_t i = 0; i < r.n_messages; i++)
+		for (size_t i = o.send_early ? r.n_early : 0; i < r.n_messages;
+		     i++)
 			send(node, r.messages[i]);
 		if (r.install_snapshot) {
 			snapshots_installed++;
--- a/tests/unit/raft_sim_test.cc
+++ b/tests/unit/raft_sim_test.cc
@@ -66,6 +66,7 @@
 		o.delay_max = (int64_t)(1 + random() % 30) * ms;
 		o.sync_max = (int64_t)(random() % 3) * 8 * ms;
 		o.step_during_sync = random() % 2;
+		o.send_early = random() % 2;
 		o.snapshot_every = random() % 3 * 40;
 		o.max_batch_bytes = 100 + (uint32_t)(random() % 3000);
 		o.snapshot_bytes = random() % 8000;
--- a/tests/unit/raft_test.cc
+++ b/tests/unit/raft_test.cc
@@ -391,6 +391,12 @@
 	EXPECT_EQ(vote_reply(again.flush()), 0);
 	again.ask_vote(2, 5, 0, 0);
 	EXPECT_EQ(vote_reply(again.flush()), 1);
+
+	Replica open(three, 5); /* knows the term, has not voted */
+	open.now += timeout;
+	open.ask_vote(3, 5, 7, 4);
+	EXPECT_EQ(vote_reply(open.flush()), 1);
+	EXPECT_EQ(open.durable_vote, 3u);
 }
 
 /* Guards against a leader that lacks committed entries. */
@@ -572,6 +578,41 @@
 	raft_advance(follower.raft, &second, follower.now);
 }
 
+/* Guards the split of the messages at the sync: entries may leave before it,
+ * votes, acknowledgements and all messages of a term that is not durable yet
+ * may not. */
+TEST(Raft, OnlyMessagesOfADurableTermLeaveEarly)
+{
+	Replica r(three);
+	struct raft_ready ready;
+
+	r.now += 2 * timeout;
+	raft_tick(r.raft, r.now);
+	r.vote(2, 1, true);
+	ASSERT_EQ(r.role(), RAFT_CANDIDATE);
+	ASSERT_TRUE(raft_take_ready(r.raft, &ready));
+	EXPECT_TRUE(ready.hard_state_changed);
+	EXPECT_EQ(ready.n_early, 0u);
+	raft_advance(r.raft, &ready, r.now);
+	r.vote(2, 1, false);
+	r.ask_vote(3, 1, 0, 0); /* refused, by a reply */
+	ASSERT_EQ(r.role(), RAFT_LEADER);
+	ASSERT_TRUE(raft_take_ready(r.raft, &ready));
+	EXPECT_EQ(ready.n_early, 2u);
+	EXPECT_EQ(ready.n_messages, 3u);
+	EXPECT_EQ(ready.messages[2]->body_case,
+		  DSP__RAFT_MESSAGE__BODY_VOTE_REPLY);
+	raft_advance(r.raft, &ready, r.now);
+
+	Replica one({ { 1, true }, { 4, false } });
+	raft_tick(one.raft, one.now);
+	ASSERT_TRUE(raft_take_ready(one.raft, &ready));
+	EXPECT_TRUE(ready.hard_state_changed);
+	EXPECT_GT(ready.n_messages, 0u);
+	EXPECT_EQ(ready.n_early, 0u);
+	raft_advance(one.raft, &ready, one.now);
+}
+
 /* Guards against malformed messages: entries with a gap or falling terms are
  * dropped as a whole. */
 TEST(Raft, MalformedEntriesAreDropped)
@@ -711,6 +752,8 @@
 	}
 	EXPECT_GE(s.snapshots_installed, 1u) << s.report();
 	EXPECT_TRUE(settle(s)) << s.report();
+	/* The leader kept the entries that follow the snapshot. */
+	EXPECT_EQ(s.snapshots_installed, 1u);
 }
 
 /* Guards against traffic to a dead peer: entries are not sent to it again and
@@ -871,6 +914,17 @@
 	r.ask_vote(3, 9, 100, 8);
 	EXPECT_FALSE(raft_take_ready(r.raft, &ready));
 	EXPECT_EQ(raft_commit_index(r.raft), 0u);
+	EXPECT_EQ(raft_term(r.raft), 1u);
+
+	/* A snapshot failed between two batches. */
+	Replica idle(three, 3);
+	raft_disable(idle.raft);
+	idle.now += 10 * timeout;
+	raft_tick(idle.raft, idle.now);
+	idle.append(2, 5, 1, 0, 0, { 1 });
+	idle.ask_vote(3, 9, 100, 8);
+	EXPECT_TRUE(idle.flush().empty());
+	EXPECT_EQ(raft_term(idle.raft), 3u);
 }
 
 /* Guards a group of one, which needs no election timeout and no peer. */
