--- a/src/store/sto.c
+++ b/src/store/sto.c
@@ -231,6 +231,20 @@
 	return NULL;
 }
 
+/* Frees the entries and the snapshot of the content, which then has none. */
+void sto_drop_content(struct sto *ctx)
+{
+	struct sto_content *content = &ctx->content;
+
+	for (size_t i = 0; i < content->n_entries; i++)
+		dsp__log_entry__free_unpacked(content->entries[i], NULL);
+	g_clear_pointer(&content->entries, g_free);
+	content->n_entries = 0;
+	g_clear_pointer(&ctx->snapshot_file, g_free);
+	content->snapshot = NULL;
+	content->snapshot_len = 0;
+}
+
 /* Closes the folder; records without sto_sync() are dropped. NULL is allowed.
  */
 void sto_close(struct sto *ctx)
@@ -243,11 +257,8 @@
 		TAILQ_REMOVE(&ctx->segments, segment, link);
 		g_free(segment);
 	}
-	for (size_t i = 0; i < ctx->content.n_entries; i++)
-		dsp__log_entry__free_unpacked(ctx->content.entries[i], NULL);
-	g_free(ctx->content.entries);
+	sto_drop_content(ctx);
 	dsp__raft_config__free_unpacked(ctx->content.config, NULL);
-	g_free(ctx->snapshot_file);
 	g_free(ctx->entries);
 	g_free(ctx->buffer.data);
 	g_clear_error(&ctx->failure);
--- a/src/store/sto.h
+++ b/src/store/sto.h
@@ -41,6 +41,8 @@
 struct sto *sto_open(const char *folder, GError **err);
 void sto_close(struct sto *ctx);
 const struct sto_content *sto_content(const struct sto *ctx);
+/* Optional, saves memory: the caller has copied entries and snapshot. */
+void sto_drop_content(struct sto *ctx);
 
 /* Commands; false with err set on failure, after which the store refuses all
  * further writes. */
--- a/src/store/sto_read.c
+++ b/src/store/sto_read.c
@@ -435,7 +435,6 @@
 bool sto_read(struct sto *ctx, bool *discard, GError **err)
 {
 	const char *snapshot = NULL;
-	const char *older = NULL;
 	bool identity = false;
 	bool ok = false;
 	size_t n;
@@ -456,7 +455,6 @@
 			segment->sequence = strtoull(names[i], NULL, 16);
 			TAILQ_INSERT_TAIL(&ctx->segments, segment, link);
 		} else if (g_str_has_suffix(names[i], ".snap")) {
-			older = snapshot;
 			snapshot = names[i];
 		}
 	}
@@ -472,8 +470,9 @@
 	if (snapshot && !read_snapshot(ctx, snapshot, err))
 		goto out;
 	ok = read_log(ctx, discard, err);
-	if (ok && older)
-		unlinkat(ctx->folder, older, 0);
+	for (size_t i = 0; ok && i < n; i++)
+		if (g_str_has_suffix(names[i], ".snap") && names[i] != snapshot)
+			unlinkat(ctx->folder, names[i], 0);
 out:
 	for (size_t i = 0; i < n; i++)
 		g_free(names[i]);
--- a/tests/unit/sto_test.cc
+++ b/tests/unit/sto_test.cc
@@ -890,6 +890,51 @@
 	sto_close(sto);
 }
 
+/* Guards against files that a crash brings back because their removal had not
+ * reached the disk: any of them may be there again. */
+TEST(Sto, RemovedFilesMayComeBack)
+{
+	for (uint64_t term : { 1, 5 }) { /* of the own state, the leader's */
+		Folder folder;
+		WithFaults with(folder.path);
+		struct sto *sto = must_open(folder.path);
+
+		for (uint64_t i = 0; i < 3; i++) {
+			EXPECT_TRUE(append(sto, items(i * 10 + 1, 10, 1, 20)));
+			EXPECT_TRUE(put_snapshot(sto, i * 10 + 2, 1, 6, "old"));
+		}
+		EXPECT_TRUE(append(sto, items(31, 2, 1, 20)));
+		EXPECT_TRUE(sto_sync(sto, nullptr));
+		auto before = folder.files();
+		EXPECT_TRUE(put_snapshot(sto, 30, term, 6, "new"));
+		EXPECT_TRUE(append(sto, items(term == 1 ? 33 : 31, 3, 9, 20)));
+		EXPECT_TRUE(sto_sync(sto, nullptr));
+		sto_close(sto);
+		sto = must_open(folder.path);
+		State expected = state_of(sto);
+		sto_close(sto);
+		auto after = folder.files();
+		std::vector<std::string> removed;
+		for (auto &[name, data] : before)
+			if (!after.count(name))
+				removed.push_back(name);
+		ASSERT_GE(removed.size(), 2u);
+		for (unsigned set = 0; set < 1u << removed.size(); set++) {
+			auto files = after;
+
+			for (size_t i = 0; i < removed.size(); i++)
+				if (set >> i & 1)
+					files[removed[i]] = before[removed[i]];
+			folder.put(files);
+			sto = must_open(folder.path);
+			ASSERT_NE(sto, nullptr) << term << " " << set;
+			EXPECT_EQ(state_of(sto).text(), expected.text());
+			sto_close(sto);
+			EXPECT_EQ(folder.count(".snap"), 1u);
+		}
+	}
+}
+
 /* Guards against a log with a gap or a truncated snapshot by a faulty caller.
  */
 TEST(Sto, GapsAreRefused)
@@ -940,6 +985,29 @@
 	EXPECT_LT(bytes, 30000u);
 }
 
+/* Guards against a log that depends on the content being kept in memory. */
+TEST(Sto, WorksWithoutItsContent)
+{
+	Folder folder;
+	struct sto *sto = must_open(folder.path);
+
+	EXPECT_TRUE(append(sto, items(1, 5, 1, 20)));
+	EXPECT_TRUE(put_snapshot(sto, 3, 1, 6, "x"));
+	sto_close(sto);
+	sto = must_open(folder.path);
+	sto_drop_content(sto);
+	EXPECT_EQ(sto_content(sto)->n_entries, 0u);
+	EXPECT_EQ(sto_content(sto)->snapshot, nullptr);
+	EXPECT_EQ(sto_content(sto)->snapshot_index, 3u);
+	EXPECT_TRUE(append(sto, items(6, 2, 1, 20)));
+	EXPECT_TRUE(put_snapshot(sto, 5, 1, 6, "y"));
+	sto_close(sto);
+	sto = must_open(folder.path);
+	EXPECT_EQ(state_of(sto).log, items(6, 2, 1, 20));
+	EXPECT_EQ(state_of(sto).snapshot, "y");
+	sto_close(sto);
+}
+
 /* Guards the change of segments when one has grown large, with later
  * truncation and removal across segments. */
 TEST(Sto, LargeLogSpansSegments)
