--- a/src/core/st_snapshot.c
+++ b/src/core/st_snapshot.c
@@ -270,6 +270,8 @@
 	write_nodes(&w, ctx);
 	write_tombstones(&w, ctx);
 	flush(&w);
+	w.frame.end = true;
+	write_frame(&w);
 	g_ptr_array_free(w.records, TRUE);
 }
 
@@ -379,9 +381,9 @@
 
 static bool restore_frames(struct st *ctx, const uint8_t *data, size_t len)
 {
-	bool first = true;
+	bool first = true, end = false;
 
-	while (len) {
+	while (len && !end) {
 		Dsp__StateSnapshot *frame;
 		uint32_t le;
 		bool ok;
@@ -401,6 +403,7 @@
 			ctx->tombstone_floor = frame->tombstone_floor;
 			first = false;
 		}
+		end = frame->end;
 		ok = restore_frame(ctx, frame);
 		dsp__state_snapshot__free_unpacked(frame, NULL);
 		if (!ok)
@@ -408,7 +411,7 @@
 		data += 4 + le;
 		len -= 4 + le;
 	}
-	return !first;
+	return end && !len;
 }
 
 /*
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -6568,7 +6568,7 @@
   (ProtobufCMessageInit) dsp__tombstone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__state_snapshot__field_descriptors[15] =
+static const ProtobufCFieldDescriptor dsp__state_snapshot__field_descriptors[16] =
 {
   {
     "index",
@@ -6750,10 +6750,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "end",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StateSnapshot, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__state_snapshot__field_indices_by_name[] = {
   8,   /* field[8] = claims */
   2,   /* field[2] = documents */
+  15,   /* field[15] = end */
   5,   /* field[5] = endpoint_metas */
   4,   /* field[4] = endpoints */
   3,   /* field[3] = history */
@@ -6771,7 +6784,7 @@
 static const ProtobufCIntRange dsp__state_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor dsp__state_snapshot__descriptor =
 {
@@ -6781,7 +6794,7 @@
   "Dsp__StateSnapshot",
   "dsp",
   sizeof(Dsp__StateSnapshot),
-  15,
+  16,
   dsp__state_snapshot__field_descriptors,
   dsp__state_snapshot__field_indices_by_name,
   1,  dsp__state_snapshot__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1020,10 +1020,14 @@
   size_t n_tombstones;
   Dsp__Tombstone **tombstones;
   uint64_t tombstone_floor;
+  /*
+   * last frame
+   */
+  protobuf_c_boolean end;
 };
 #define DSP__STATE_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__state_snapshot__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 typedef enum {
