--- a/src/core/raft_replicate.c
+++ b/src/core/raft_replicate.c
@@ -172,11 +172,9 @@
 	}
 	if (n) {
 		request->n_entries = n;
-		request->entries = malloc(n * sizeof(*request->entries));
-		if (!request->entries)
-			abort();
-		memcpy(request->entries, ctx->log.entries + i,
-		       n * sizeof(*request->entries));
+		request->entries = g_new(Dsp__LogEntry *, n);
+		for (size_t j = 0; j < n; j++)
+			request->entries[j] = ctx->log.entries[i + j];
 	}
 	msg->body_case = DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST;
 	msg->append_request = request;
@@ -338,6 +336,7 @@
 {
 	const Dsp__AppendReply *reply = msg->append_reply;
 	struct raft_peer *peer = raft_find_peer(ctx, msg->from);
+	uint64_t hint;
 	int64_t sent = (int64_t)(reply->sequence >> RAFT_SEQUENCE_BITS);
 
 	if (ctx->role != RAFT_LEADER || !peer)
@@ -363,8 +362,9 @@
 	if (peer->state == RAFT_PEER_SNAPSHOT ||
 	    reply->sequence < peer->reset_sequence)
 		return;
+	hint = raft_log_skip(&ctx->log, reply->hint, reply->hint_term);
 	reset_position(ctx, peer,
-		       MAX(peer->match + 1, MIN(reply->hint + 1, peer->next)));
+		       MAX(peer->match + 1, MIN(hint + 1, peer->next)));
 }
 
 /*
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -22,16 +22,16 @@
 
 /* A message that waits for its connection to open. */
 struct waiting {
-	TAILQ_ENTRY(waiting) link;
+	STAILQ_ENTRY(waiting) link;
 	uint8_t *data; /* owned */
 	size_t len;
 	int64_t since_us;
 };
 
 struct peer {
-	char *address;			    /* owned */
-	void *socket;			    /* owned DEALER */
-	TAILQ_HEAD(waitings, waiting) wait; /* in order of sending */
+	char *address;			     /* owned */
+	void *socket;			     /* owned DEALER */
+	STAILQ_HEAD(waitings, waiting) wait; /* in order of sending */
 	size_t n_wait;
 	int64_t used_us;      /* last send */
 	int64_t pinged_us;    /* last ping */
@@ -40,13 +40,14 @@
 };
 
 struct net {
-	void *zmq;	   /* owned */
-	void *router;	   /* owned */
-	char *node;	   /* owned */
-	char *advertise;   /* owned */
-	uint64_t boot;	   /* fixed */
-	GHashTable *peers; /* address -> struct peer, owned */
-	int64_t now_us;	   /* of the last net_tick() */
+	void *zmq;	    /* owned */
+	void *router;	    /* owned */
+	char *node;	    /* owned */
+	char *advertise;    /* owned */
+	uint64_t boot;	    /* fixed */
+	GHashTable *peers;  /* address -> struct peer, owned */
+	GHashTable *routes; /* address -> address to connect to */
+	int64_t now_us;	    /* of the last net_tick() */
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
 	uint64_t malformed;
@@ -73,9 +74,11 @@
 	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 }
 
-static void waiting_drop(struct peer *p, struct waiting *w)
+static void waiting_drop_first(struct peer *p)
 {
-	TAILQ_REMOVE(&p->wait, w, link);
+	struct waiting *w = STAILQ_FIRST(&p->wait);
+
+	STAILQ_REMOVE_HEAD(&p->wait, link);
 	p->n_wait--;
 	g_free(w->data);
 	g_free(w);
@@ -84,10 +87,9 @@
 static void peer_free(void *data)
 {
 	struct peer *p = data;
-	struct waiting *w;
 
-	while ((w = TAILQ_FIRST(&p->wait)))
-		waiting_drop(p, w);
+	while (!STAILQ_EMPTY(&p->wait))
+		waiting_drop_first(p);
 	if (p->socket)
 		zmq_close(p->socket);
 	g_free(p->address);
@@ -110,6 +112,8 @@
 	ctx->node = g_strdup(node);
 	ctx->advertise = g_strdup(advertise);
 	ctx->boot = boot;
+	ctx->routes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctx->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	set_common_options(ctx->router);
@@ -129,6 +133,7 @@
 	if (!ctx)
 		return;
 	g_hash_table_destroy(ctx->peers);
+	g_hash_table_destroy(ctx->routes);
 	if (ctx->router)
 		zmq_close(ctx->router);
 	zmq_ctx_term(ctx->zmq);
@@ -139,13 +144,14 @@
 
 static struct peer *peer_get(struct net *ctx, const char *address)
 {
+	const char *via = g_hash_table_lookup(ctx->routes, address);
 	struct peer *p = g_hash_table_lookup(ctx->peers, address);
 
 	if (p)
 		return p;
 	p = g_new0(struct peer, 1);
 	p->address = g_strdup(address);
-	TAILQ_INIT(&p->wait);
+	STAILQ_INIT(&p->wait);
 	p->socket = zmq_socket(ctx->zmq, ZMQ_DEALER);
 	if (!p->socket) {
 		peer_free(p);
@@ -159,7 +165,7 @@
 	set_option(p->socket, ZMQ_HANDSHAKE_IVL, 2000);
 	set_option(p->socket, ZMQ_RECONNECT_IVL, 100);
 	set_option(p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
-	if (zmq_connect(p->socket, address)) {
+	if (zmq_connect(p->socket, via ? via : address)) {
 		LOG_EVENT_WARN("net", "bad_address", "address=%s reason=\"%s\"",
 			       address, zmq_strerror(errno));
 		peer_free(p);
@@ -169,11 +175,20 @@
 	return p;
 }
 
+/*
+ * Connects to via instead of a peer's own address. The peer is still known by
+ * its own address everywhere else.
+ */
+void net_set_route(struct net *ctx, const char *address, const char *via)
+{
+	g_hash_table_replace(ctx->routes, g_strdup(address), g_strdup(via));
+}
+
 static void flush_waiting(struct net *ctx, struct peer *p)
 {
 	struct waiting *w;
 
-	while ((w = TAILQ_FIRST(&p->wait))) {
+	while ((w = STAILQ_FIRST(&p->wait))) {
 		if (ctx->now_us - w->since_us > UNCONNECTED_LIMIT_US) {
 			ctx->dropped++;
 		} else if (zmq_send(p->socket, w->data, w->len, ZMQ_DONTWAIT) <
@@ -185,7 +200,7 @@
 			ctx->bytes_sent += w->len;
 			p->sent_since_ping = true;
 		}
-		waiting_drop(p, w);
+		waiting_drop_first(p);
 	}
 }
 
@@ -197,10 +212,10 @@
 	w->data = data;
 	w->len = len;
 	w->since_us = ctx->now_us;
-	TAILQ_INSERT_TAIL(&p->wait, w, link);
+	STAILQ_INSERT_TAIL(&p->wait, w, link);
 	p->n_wait++;
 	if (p->n_wait > UNCONNECTED_MAX) {
-		waiting_drop(p, TAILQ_FIRST(&p->wait));
+		waiting_drop_first(p);
 		ctx->dropped++;
 	}
 }
--- /dev/null
+++ b/tests/integration/ctl_test.cc
@@ -0,0 +1,589 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+extern "C" {
+#include "node/ctl.h"
+}
+
+/* Several control threads in this process, connected over loopback. */
+
+namespace
+{
+
+constexpr int64_t WAIT_US = 20000000;
+
+constexpr const char *DOCUMENT_TAIL = R"(
+team = "verband"
+default_class = "shop"
+[weights]
+attainment = 0.2
+moves = 0.8
+[store]
+loads_per_s = 2.0
+parallel_loads = 2
+adapters_in_transit = 4
+[[service]]
+name = "kellerrat"
+kind = "engine"
+[[model]]
+name = "m1"
+service = "kellerrat"
+version = "1"
+memory_mb = 1000
+accelerators = 1
+[[class]]
+name = "shop"
+priority = 0
+first_token_ms = 510
+token_gap_ms = 55
+deadline_ms = 30000
+attainment = 0.95
+share = 0.5
+queue_max = 100
+)";
+
+int free_port()
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in address = {};
+	socklen_t len = sizeof(address);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&address, sizeof(address));
+	getsockname(fd, (struct sockaddr *)&address, &len);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+struct Instance {
+	std::string id;
+	std::string site = "north";
+	int port = 0;
+	std::string folder; /* empty: no control role */
+	struct set *settings = nullptr;
+	struct clk *clock = clk_new_real();
+	struct met *met = met_new();
+	struct ctl *ctl = nullptr;
+
+	~Instance()
+	{
+		stop();
+		set_free(settings);
+		met_free(met);
+		clk_free(clock);
+	}
+
+	void start()
+	{
+		struct ctl_callbacks callbacks = {};
+		GError *err = nullptr;
+
+		ctl = ctl_start(settings, clock, met, &callbacks, &err);
+		ASSERT_NE(ctl, nullptr) << (err ? err->message : "");
+	}
+
+	void stop()
+	{
+		if (ctl)
+			ctl_stop(ctl);
+		ctl = nullptr;
+	}
+
+	uint64_t number(const char *team)
+	{
+		struct view *view = ctl_view(ctl);
+		const struct view_document *d = view_document(view, team);
+		uint64_t number = d ? d->document->number : 0;
+
+		view_unref(view);
+		return number;
+	}
+
+	bool has_status(const std::string &text)
+	{
+		char *json = ctl_status_json(ctl);
+		bool found = std::string(json).find(text) != std::string::npos;
+
+		g_free(json);
+		return found;
+	}
+};
+
+bool wait_until(const std::function<bool()> &done)
+{
+	for (int64_t waited = 0; waited < WAIT_US; waited += 20000) {
+		if (done())
+			return true;
+		usleep(20000);
+	}
+	return done();
+}
+
+class Control : public ::testing::Test
+{
+      protected:
+	std::string root;
+	std::vector<std::unique_ptr<Instance>> all;
+	int isolated_after_ms = 2000;
+
+	void SetUp() override
+	{
+		char name[] = "/tmp/ctl_test.XXXXXX";
+
+		root = mkdtemp(name);
+	}
+
+	void TearDown() override
+	{
+		std::string command = "rm -rf " + root;
+
+		all.clear();
+		EXPECT_EQ(system(command.c_str()), 0);
+	}
+
+	/* Instances n0.. of one site; the first `voters` have the control
+	 * role. */
+	void create(size_t voters, size_t entries,
+		    const char *entry_site = "north")
+	{
+		for (size_t i = 0; i < voters + entries; i++) {
+			auto instance = std::make_unique<Instance>();
+
+			instance->id = "n" + std::to_string(i);
+			instance->port = free_port();
+			if (i < voters)
+				instance->folder = root + "/" + instance->id;
+			else
+				instance->site = entry_site;
+			all.push_back(std::move(instance));
+		}
+		for (auto &instance : all)
+			configure(*instance);
+	}
+
+	void configure(Instance &instance)
+	{
+		GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+		std::string address =
+			"127.0.0.1:" + std::to_string(instance.port);
+		std::string text = "id = \"" + instance.id + "\"\nsite = \"" +
+				   instance.site +
+				   "\"\nregion = \"r\"\n"
+				   "internal_listen = \"tcp://" +
+				   address +
+				   "\"\nhttp_listen = \"127.0.0.1:1\"\n";
+
+		if (!instance.folder.empty())
+			text += "control = true\ndata_folder = \"" +
+				instance.folder + "\"\n";
+		text += "[timing]\nelection_timeout_ms = 300\n"
+			"heartbeat_ms = 50\nreport_interval_ms = 200\n"
+			"node_lease_ms = 2000\nendpoint_lease_ms = 1500\n"
+			"isolated_after_ms = " +
+			std::to_string(isolated_after_ms) + "\n";
+		for (auto &peer : all)
+			if (!peer->folder.empty())
+				text += "[[peer]]\nid = \"" + peer->id +
+					"\"\naddress = \"tcp://127.0.0.1:" +
+					std::to_string(peer->port) +
+					"\"\nsite = \"north\"\n";
+		instance.settings =
+			set_parse("test", text.c_str(), text.size(), faults);
+		for (guint i = 0; i < faults->len; i++)
+			ADD_FAILURE() << (char *)g_ptr_array_index(faults, i);
+		g_ptr_array_free(faults, TRUE);
+		ASSERT_NE(instance.settings, nullptr);
+	}
+
+	void start_all()
+	{
+		for (auto &instance : all)
+			instance->start();
+	}
+
+	bool all_serve()
+	{
+		for (auto &instance : all)
+			if (instance->ctl &&
+			    ctl_state(instance->ctl).readiness != CTL_SERVING)
+				return false;
+		return true;
+	}
+
+	Instance *leader()
+	{
+		for (auto &instance : all)
+			if (instance->ctl &&
+			    instance->has_status("\"role\":\"leader\""))
+				return instance.get();
+		return nullptr;
+	}
+};
+
+Dsp__CommandResult *put_document(Instance &instance, uint64_t number,
+				 GError **err, size_t padding = 0)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__DocumentPut put = DSP__DOCUMENT_PUT__INIT;
+	std::string text = "number = " + std::to_string(number) + "\n" +
+			   DOCUMENT_TAIL + "#" + std::string(padding, 'x') +
+			   "\n";
+
+	put.team = (char *)"verband";
+	put.number = number;
+	put.text = (char *)text.c_str();
+	command.body_case = DSP__COMMAND__BODY_DOCUMENT_PUT;
+	command.document_put = &put;
+	return ctl_submit(instance.ctl, &command, WAIT_US, err);
+}
+
+/* A resend after a lost reply gets the first result with another code. */
+bool is_accepted(const Dsp__CommandResult *result)
+{
+	return result->code == DSP__RESULT_CODE__RESULT_OK ||
+	       result->code == DSP__RESULT_CODE__RESULT_SAME;
+}
+
+bool put(Instance &instance, uint64_t number, size_t padding = 0)
+{
+	GError *err = nullptr;
+	Dsp__CommandResult *result =
+		put_document(instance, number, &err, padding);
+	bool accepted;
+
+	EXPECT_NE(result, nullptr) << (err ? err->message : "");
+	g_clear_error(&err);
+	if (!result)
+		return false;
+	accepted = is_accepted(result);
+	EXPECT_TRUE(accepted) << result->message;
+	dsp__command_result__free_unpacked(result, NULL);
+	return accepted;
+}
+
+} // namespace
+
+/* Guards the whole path: three empty voters form one group, a command that any
+ * instance submits commits, and every instance installs the document. */
+TEST_F(Control, ThreeVotersFormAGroupAndDistributeDocuments)
+{
+	uint64_t number = 0;
+
+	create(3, 3);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	for (auto &submitter : all) {
+		ASSERT_TRUE(put(*submitter, ++number));
+		for (auto &instance : all)
+			EXPECT_TRUE(wait_until([&] {
+				return instance->number("verband") == number;
+			})) << instance->id;
+	}
+}
+
+/* Guards a change of the leader: the others elect one, documents commit on,
+ * and the instance that stopped catches up after its restart. */
+TEST_F(Control, LeaderStopsAndReturns)
+{
+	Instance *old;
+
+	create(3, 2);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[4], 1));
+	old = leader();
+	ASSERT_NE(old, nullptr);
+	old->stop();
+	ASSERT_TRUE(put(*all[4], 2));
+	EXPECT_NE(leader(), nullptr);
+	old->start();
+	EXPECT_TRUE(wait_until([&] { return all_serve(); }));
+	for (auto &instance : all)
+		EXPECT_TRUE(wait_until([&] {
+			return instance->number("verband") == 2;
+		})) << instance->id;
+}
+
+/* Guards section 5 of the design page: an instance that was restarted alone
+ * serves nothing, since it may hold an outdated document; with a quorum it
+ * serves. A command that no leader takes is reported as not sent. */
+TEST_F(Control, RestartWithoutQuorumServesNothing)
+{
+	GError *err = nullptr;
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__Expire expire = DSP__EXPIRE__INIT;
+
+	create(3, 0);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[0], 1));
+	for (auto &instance : all)
+		instance->stop();
+	all[0]->start();
+	usleep(1500000);
+	EXPECT_EQ(ctl_state(all[0]->ctl).readiness, CTL_STARTING);
+	command.body_case = DSP__COMMAND__BODY_EXPIRE;
+	command.expire = &expire;
+	EXPECT_EQ(ctl_submit(all[0]->ctl, &command, 500000, &err), nullptr);
+	EXPECT_TRUE(g_error_matches(err, CTL_ERROR, CTL_ERROR_NOT_SENT));
+	g_clear_error(&err);
+	all[1]->start();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	EXPECT_EQ(all[0]->number("verband"), 1u);
+	EXPECT_EQ(all[1]->number("verband"), 1u);
+}
+
+/* Guards isolation: without a quorum an instance notices it by the age of the
+ * confirmation, and serves again once the quorum is back. */
+TEST_F(Control, LosesAndRegainsTheQuorum)
+{
+	create(3, 1);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	all[1]->stop();
+	all[2]->stop();
+	for (size_t i : { 0, 3 })
+		EXPECT_TRUE(wait_until([&] {
+			return ctl_state(all[i]->ctl).readiness == CTL_ISOLATED;
+		})) << all[i]->id;
+	all[1]->start();
+	EXPECT_TRUE(wait_until([&] { return all_serve(); }));
+}
+
+/*
+ * Guards the repair of a lost disk: the instance joins with a new identity,
+ * the group is whole only when no learner is left, and then it survives the
+ * loss of another instance.
+ */
+TEST_F(Control, LostDiskIsRepairedAndTheGroupSurvivesTheNextLoss)
+{
+	Instance *lost;
+	Instance *other;
+
+	create(3, 0);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[0], 1));
+	lost = leader() == all[2].get() ? all[1].get() : all[2].get();
+	lost->stop();
+	ASSERT_EQ(system(("rm -rf " + lost->folder).c_str()), 0);
+	lost->start();
+	ASSERT_TRUE(wait_until([&] {
+		return lost->has_status("\"state\":\"voter\"") &&
+		       (lost->has_status("\"role\":\"follower\"") ||
+			lost->has_status("\"role\":\"leader\"")) &&
+		       all[0]->has_status("\"repairs\":[]") &&
+		       lost->has_status("\"repairs\":[]");
+	}));
+	other = all[0].get();
+	other->stop();
+	ASSERT_TRUE(put(*lost, 2));
+	EXPECT_TRUE(wait_until([&] { return lost->number("verband") == 2; }));
+}
+
+/* Guards concurrent commands: each gets its own result, and no document number
+ * is accepted twice. */
+TEST_F(Control, RacingOperatorsGetOneWinner)
+{
+	std::vector<std::thread> threads;
+	std::atomic<int> accepted{ 0 };
+
+	create(3, 3);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	for (size_t i = 0; i < 6; i++)
+		threads.emplace_back([&, i] {
+			Dsp__Command command = DSP__COMMAND__INIT;
+			Dsp__DocumentPut put = DSP__DOCUMENT_PUT__INIT;
+			std::string text = "# " + std::to_string(i) +
+					   "\nnumber = 1\n" + DOCUMENT_TAIL;
+			Dsp__CommandResult *result;
+
+			put.team = (char *)"verband";
+			put.number = 1;
+			put.text = (char *)text.c_str();
+			command.body_case = DSP__COMMAND__BODY_DOCUMENT_PUT;
+			command.document_put = &put;
+			result = ctl_submit(all[i]->ctl, &command, WAIT_US,
+					    NULL);
+			ASSERT_NE(result, nullptr);
+			accepted += result->code == DSP__RESULT_CODE__RESULT_OK;
+			dsp__command_result__free_unpacked(result, NULL);
+		});
+	for (std::thread &thread : threads)
+		thread.join();
+	EXPECT_EQ(accepted, 1);
+}
+
+/* Guards leases: an instance that stops is marked down in every view, one that
+ * drains is marked as draining at once. */
+TEST_F(Control, ViewsShowDrainingAndLostInstances)
+{
+	auto node_is = [&](const char *id, auto what) {
+		struct view *view = ctl_view(all[0]->ctl);
+		const Dsp__Node *node = view_node(view, id);
+		bool is = node && what(node);
+
+		view_unref(view);
+		return is;
+	};
+
+	create(1, 2);
+	start_all();
+	ASSERT_TRUE(wait_until([&] {
+		return all_serve() && node_is("n1", [](const Dsp__Node *node) {
+			       return !node->down;
+		       });
+	}));
+	ctl_drain(all[1]->ctl);
+	EXPECT_TRUE(wait_until([&] {
+		return node_is("n1", [](const Dsp__Node *node) {
+			return (bool)node->draining;
+		});
+	}));
+	all[1]->stop();
+	EXPECT_TRUE(wait_until([&] {
+		return node_is("n1", [](const Dsp__Node *node) {
+			return (bool)node->down;
+		});
+	}));
+	EXPECT_TRUE(node_is("n2", [](const Dsp__Node *node) {
+		return !node->down && !node->draining;
+	}));
+}
+
+/* Guards the failover of a site's relay: the other instances of the site find
+ * the leader before they count as isolated. */
+TEST_F(Control, SiteOutlivesItsRelay)
+{
+	/* The next upstream is chosen after 3 s. */
+	isolated_after_ms = 6000;
+	create(3, 3, "south");
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[4], 1));
+	all[3]->stop();
+	for (int i = 0; i < 350; i++) {
+		EXPECT_TRUE(all_serve());
+		usleep(20000);
+	}
+	ASSERT_TRUE(put(*all[5], 2));
+	for (size_t i : { 4, 5 })
+		EXPECT_TRUE(wait_until(
+			[&] { return all[i]->number("verband") == 2; }));
+}
+
+/*
+ * Guards the log's bound and the transfer of a snapshot: after more log than is
+ * kept, a replica without a disk joins from a snapshot, and restarted replicas
+ * read it back.
+ */
+TEST_F(Control, SnapshotReplacesALongLog)
+{
+	constexpr uint64_t DOCUMENTS = 100;
+
+	create(3, 0);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	for (uint64_t i = 1; i <= DOCUMENTS; i++)
+		ASSERT_TRUE(put(*all[0], i, 250000));
+	all[2]->stop();
+	ASSERT_EQ(system(("rm -rf " + all[2]->folder).c_str()), 0);
+	all[2]->start();
+	ASSERT_TRUE(wait_until([&] {
+		return all[2]->has_status("\"repairs\":[]") &&
+		       all[2]->has_status("\"role\":\"follower\"") &&
+		       all[2]->number("verband") == DOCUMENTS;
+	}));
+	for (auto &instance : all)
+		instance->stop();
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	for (auto &instance : all)
+		EXPECT_EQ(instance->number("verband"), DOCUMENTS);
+	EXPECT_TRUE(put(*all[2], DOCUMENTS + 1));
+}
+
+/*
+ * Guards a disk that fails: the replica acknowledges nothing more, the entry
+ * role continues as isolated, and after the repair of the disk a restart brings
+ * back every acknowledged document.
+ */
+TEST_F(Control, DiskFailureEndsTheReplicaOnly)
+{
+	struct rlimit before, none;
+	Dsp__CommandResult *result;
+
+	create(1, 1);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[1], 1));
+	/* Regular files can no longer grow: as with a full disk. */
+	signal(SIGXFSZ, SIG_IGN);
+	fflush(stdout);
+	ASSERT_EQ(getrlimit(RLIMIT_FSIZE, &before), 0);
+	none = before;
+	none.rlim_cur = 0;
+	ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &none), 0);
+	{
+		Dsp__Command command = DSP__COMMAND__INIT;
+		Dsp__Expire expire = DSP__EXPIRE__INIT;
+
+		command.body_case = DSP__COMMAND__BODY_EXPIRE;
+		command.expire = &expire;
+		result = ctl_submit(all[1]->ctl, &command, 1000000, NULL);
+	}
+	wait_until([&] {
+		return ctl_state(all[0]->ctl).readiness == CTL_ISOLATED;
+	});
+	ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &before), 0);
+	EXPECT_EQ(result, nullptr);
+	EXPECT_TRUE(all[0]->has_status("\"role\":\"disk_failed\""));
+	EXPECT_EQ(ctl_state(all[0]->ctl).readiness, CTL_ISOLATED);
+	EXPECT_EQ(all[0]->number("verband"), 1u);
+	all[0]->stop();
+	all[0]->start();
+	EXPECT_TRUE(wait_until([&] { return all_serve(); }));
+	EXPECT_EQ(all[0]->number("verband"), 1u);
+	EXPECT_TRUE(put(*all[1], 2));
+}
+
+/* Guards the operator's removal of a replica that will not return; any
+ * instance takes the request. */
+TEST_F(Control, LostReplicaIsRemovedOnRequest)
+{
+	const std::string key = "\"replica\":\"";
+	GError *err = nullptr;
+	uint64_t replica;
+	char *json;
+	size_t at;
+
+	create(3, 1);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	json = ctl_status_json(all[2]->ctl);
+	at = std::string(json).rfind(key);
+	ASSERT_NE(at, std::string::npos);
+	replica = strtoull(json + at + key.size(), NULL, 10);
+	g_free(json);
+	all[2]->stop();
+	ASSERT_TRUE(ctl_replace(all[3]->ctl, replica, &err))
+		<< (err ? err->message : "");
+	EXPECT_FALSE(all[0]->has_status(key + std::to_string(replica)));
+	EXPECT_TRUE(put(*all[3], 1));
+}
