--- a/tests/unit/state_orders_test.cc
+++ b/tests/unit/state_orders_test.cc
@@ -1128,3 +1128,105 @@
 	RecordProperty("histories", std::to_string(n));
 	printf("%zu histories\n", n);
 }
+
+namespace
+{
+
+/* A runner that checks fences and incarnations, driven step by step. */
+class Runner
+{
+      public:
+	Runner()
+	{
+		Dsp__Endpoint msg = DSP__ENDPOINT__INIT;
+
+		features.fencing = features.checks_incarnation = true;
+		put_document(r, team, 1,
+			     document_text(
+				     1, true,
+				     { { "small", 30, 1 }, { "large", 80, 1 } },
+				     { { "huge", "small", 50 } }));
+		msg.id = str(id);
+		msg.incarnation = 1;
+		msg.team = str(team);
+		msg.service = str(service);
+		msg.features = &features;
+		msg.accelerators = 1;
+		msg.accelerator_memory_mb = CAPACITY;
+		put_endpoint(r, &msg);
+	}
+
+	Dsp__ResultCode order(Dsp__OrderKind kind, std::string model,
+			      std::string adapter, uint32_t memory)
+	{
+		Dsp__Order msg = DSP__ORDER__INIT;
+
+		msg.endpoint = str(id);
+		msg.incarnation = 1;
+		msg.kind = kind;
+		msg.model = str(model);
+		msg.version = str(version);
+		msg.adapter = str(adapter);
+		msg.accelerators = 1;
+		msg.memory_mb = memory;
+		return create_order(r, &msg)->code;
+	}
+
+	void report(uint64_t fence, bool huge_is_listed)
+	{
+		Dsp__Command cmd = DSP__COMMAND__INIT;
+		Dsp__ResidencyReport msg = DSP__RESIDENCY_REPORT__INIT;
+		Dsp__Copy copy = DSP__COPY__INIT, *copies = &copy;
+		std::string model = "small", adapter = "huge";
+
+		copy.model = str(model);
+		copy.version = str(version);
+		copy.adapter = str(adapter);
+		copy.accelerators = 1;
+		copy.memory_mb = 50;
+		copy.unloading = true;
+		msg.endpoint = str(id);
+		msg.incarnation = 1;
+		msg.highest_fence = fence;
+		msg.copies = &copies;
+		msg.n_copies = huge_is_listed;
+		cmd.body_case = DSP__COMMAND__BODY_RESIDENCY_REPORT;
+		cmd.residency_report = &msg;
+		r.apply(&cmd);
+	}
+
+	Replicas r;
+
+      private:
+	Dsp__Features features = DSP__FEATURES__INIT;
+	std::string id = "runner0", team = "verband", service = "kellerrat",
+		    version = "1";
+};
+
+} // namespace
+
+/*
+ * Guards section 8: a late report that lists a copy again after its unload was
+ * answered must not make its memory usable for a second load.
+ */
+TEST(StateOrders, LateReportDoesNotReserveMemoryTwice)
+{
+	const Dsp__OrderKind load = DSP__ORDER_KIND__ORDER_LOAD;
+	const Dsp__OrderKind unload = DSP__ORDER_KIND__ORDER_UNLOAD;
+	const Dsp__OrderState done = DSP__ORDER_STATE__ORDER_DONE;
+	const Dsp__ResultCode ok = DSP__RESULT_CODE__RESULT_OK;
+	Runner runner;
+	uint64_t id;
+
+	EXPECT_EQ(runner.order(load, "small", "huge", 50), ok);
+	finish_order(runner.r, runner.r.index, done);
+	EXPECT_EQ(runner.order(unload, "small", "huge", 0), ok);
+	id = runner.r.index;
+	finish_order(runner.r, id, done);
+	EXPECT_EQ(runner.order(load, "large", "", 80), ok);
+	runner.report(id, true);
+	EXPECT_EQ(runner.order(load, "small", "huge", 50),
+		  DSP__RESULT_CODE__RESULT_OVERCOMMIT);
+	runner.report(id, false);
+	EXPECT_EQ(st_free_memory_mb(runner.r.st.get(), "runner0", 0), 20u);
+}
