--- a/src/core/st_snapshot.c
+++ b/src/core/st_snapshot.c
@@ -19,6 +19,7 @@
 	Dsp__StateSnapshot frame;
 	GPtrArray *records; /* of the repeated field that is being written */
 	void (*attach)(Dsp__StateSnapshot *frame, GPtrArray *records);
+	Dsp__Claim claims[FRAME_RECORDS];
 };
 
 static void write_frame(struct writer *w)
@@ -196,7 +197,12 @@
 
 static void write_claim(void *data, const Dsp__Claim *claim)
 {
-	add_now(data, claim);
+	struct writer *w = data;
+	Dsp__Claim *copy = &w->claims[w->records->len];
+
+	/* The strings live in the table. */
+	*copy = *claim;
+	add(w, copy);
 }
 
 static void write_suspects(struct writer *w, const struct st *ctx)
--- a/tests/unit/state_claims_test.cc
+++ b/tests/unit/state_claims_test.cc
@@ -22,12 +22,13 @@
 const Dsp__ClaimState RELEASED = DSP__CLAIM_STATE__CLAIM_RELEASED;
 
 const Dsp__ResultCode OK = DSP__RESULT_CODE__RESULT_OK;
+const Dsp__ResultCode INVALID = DSP__RESULT_CODE__RESULT_INVALID;
 const Dsp__ResultCode SAME = DSP__RESULT_CODE__RESULT_SAME;
 
 constexpr uint64_t GRACE = 10000;
 constexpr uint64_t RETENTION = 40000;
 constexpr uint64_t RELEASE_KEPT = 60000;
-constexpr size_t TABLE = 6;
+constexpr size_t TABLE = 4;
 constexpr size_t BODIES = 40;
 constexpr size_t BODY = 20;
 
@@ -142,6 +143,7 @@
 		Dsp__ClaimCreate body = DSP__CLAIM_CREATE__INIT;
 		Dsp__Claim claim = DSP__CLAIM__INIT;
 		std::string digest(16, a.digest);
+		bool other = is_other_request(a);
 		bool expected = expect_grant(a);
 
 		claim.team = str(team);
@@ -161,6 +163,8 @@
 			       res->claim->attempt == a.name;
 		note("claim " + a.request + " by " + a.name + ": code " +
 		     std::to_string(res->code));
+		if (other != (res->code == INVALID))
+			fail("digest of the request is not compared");
 		if (granted != expected)
 			fail(granted ? "claim granted against the rules"
 				     : "claim refused though it was free");
@@ -437,6 +441,16 @@
 		return false;
 	}
 
+	/* The request id stands for a request with another digest. */
+	bool is_other_request(const Attempt &a)
+	{
+		expire_table();
+		auto at = table.find(a.request);
+
+		return at != table.end() && at->second.state != RELEASED &&
+		       at->second.digest != a.digest;
+	}
+
 	/* Decides as the rules say and enters the claim into the table. */
 	bool expect_grant(const Attempt &a)
 	{
--- a/tests/unit/state_orders_test.cc
+++ b/tests/unit/state_orders_test.cc
@@ -815,6 +815,9 @@
 		all.push_back("report");
 		if (lives == 101 && position > 3)
 			all.push_back("restart");
+		if (st_endpoint(r.st.get(), e.id.c_str())->incarnation !=
+		    e.incarnation)
+			all.push_back("announce");
 		return all;
 	}
 
@@ -849,6 +852,7 @@
 			report(e, e.reports.front());
 		} else if (verb == "restart") {
 			restart(e, 0);
+		} else if (verb == "announce") {
 			announce(e, e.announced.back());
 		} else {
 			resends[i]++;
@@ -1112,6 +1116,9 @@
 		{},
 		{ "script", "arrive 0", "answer 0", "script" },
 		{ "script", "script", "script" },
+		{ "script", "script", "arrive 1", "arrive 0" },
+		{ "script", "restart", "arrive 0" },
+		{ "script", "restart", "keep report", "arrive 0", "answer 0" },
 		{ "script", "arrive 0", "answer 0", "script", "arrive 1",
 		  "script" },
 		{ "script", "arrive 0", "answer 0", "script", "arrive 1",
@@ -1205,6 +1212,28 @@
 
 } // namespace
 
+/*
+ * Guards section 8: a report that was written before a known fence must not
+ * revive a copy that was unloaded since.
+ */
+TEST(StateOrders, ReportBelowAKnownFenceIsStale)
+{
+	const Dsp__OrderKind load = DSP__ORDER_KIND__ORDER_LOAD;
+	const Dsp__OrderKind unload = DSP__ORDER_KIND__ORDER_UNLOAD;
+	const Dsp__OrderState done = DSP__ORDER_STATE__ORDER_DONE;
+	Runner runner;
+	uint64_t loaded;
+
+	runner.order(load, "small", "huge", 50);
+	loaded = runner.r.index;
+	finish_order(runner.r, loaded, done);
+	runner.order(unload, "small", "huge", 0);
+	finish_order(runner.r, runner.r.index, done);
+	runner.report(loaded, true);
+	EXPECT_EQ(st_free_memory_mb(runner.r.st.get(), "runner0", 0), CAPACITY);
+	EXPECT_EQ(st_endpoint(runner.r.st.get(), "runner0")->n_copies, 0u);
+}
+
 /*
  * Guards section 8: a late report that lists a copy again after its unload was
  * answered must not make its memory usable for a second load.
