--- a/src/traffic/api_caller.c
+++ b/src/traffic/api_caller.c
@@ -523,14 +523,17 @@
 	return false;
 }
 
-static bool is_ready(const struct view *view, const char *team,
-		     const char *model, const char *adapter)
+/* Returns whether an endpoint that is up, other than except (NULL: any), has a
+ * copy for new work. */
+bool trf_ready_copy(const struct view *view, const char *team,
+		    const char *model, const char *adapter, const char *except)
 {
 	for (size_t i = 0; i < view_n_endpoints(view); i++) {
 		const Dsp__Endpoint *e = view_endpoint_at(view, i);
 
 		if (e->state == DSP__ENDPOINT_STATE__ENDPOINT_UP &&
-		    !strcmp(e->team, team) && has_ready_copy(e, model, adapter))
+		    !strcmp(e->team, team) && g_strcmp0(e->id, except) &&
+		    has_ready_copy(e, model, adapter))
 			return true;
 	}
 	return false;
@@ -541,9 +544,10 @@
 {
 	char *id = adapter ? g_strdup_printf("%s:%s", model, adapter)
 			   : g_strdup(model);
-	json_t *item = json_pack("{s:s,s:s,s:s,s:b}", "id", id, "object",
-				 "model", "owned_by", team, "ready",
-				 is_ready(view, team, model, adapter));
+	json_t *item =
+		json_pack("{s:s,s:s,s:s,s:b}", "id", id, "object", "model",
+			  "owned_by", team, "ready",
+			  trf_ready_copy(view, team, model, adapter, NULL));
 
 	g_free(id);
 	return item;
--- a/src/traffic/api_http.c
+++ b/src/traffic/api_http.c
@@ -69,8 +69,6 @@
 	api->body_done = true;
 	while (left && (n = mg_read(api->conn, buffer, sizeof(buffer))) > 0)
 		left -= MIN((size_t)n, left);
-	if (!left)
-		api->close = true;
 }
 
 static bool old_protocol(const struct api *api)
@@ -81,6 +79,10 @@
 
 static void decide_close(struct api *api)
 {
+	long long length = api->info->content_length;
+
+	if (!api->body_done && (length < 0 || length > (long long)DISCARD_MAX))
+		api->close = true;
 	if (old_protocol(api) ||
 	    api->ctx->connections * 4 > api->ctx->threads * 3)
 		api->close = true;
@@ -159,7 +161,6 @@
 		trf_answer_finish(api->ctx, api->answer, (uint32_t)status,
 				  content_type);
 	}
-	discard_body(api);
 	decide_close(api);
 	common_headers(api, out, status, content_type);
 	g_string_append_printf(out, "Content-Length: %zu\r\n%s\r\n", len,
@@ -169,6 +170,7 @@
 	api->replied = true;
 	write_all(api, out->str, out->len);
 	g_string_free(out, TRUE);
+	discard_body(api);
 }
 
 /* Sends a JSON object as api_reply() and takes the reference. */
@@ -310,7 +312,6 @@
 	if (api->replied)
 		return;
 	out = g_string_sized_new(512);
-	discard_body(api);
 	decide_close(api);
 	common_headers(api, out, 200, content_type);
 	g_string_append(out, "Cache-Control: no-cache\r\n");
--- a/src/traffic/trf_int.h
+++ b/src/traffic/trf_int.h
@@ -305,6 +305,8 @@
 void trf_reply_outcome(struct api *api, const Dsp__Claim *claim);
 void trf_run_claimed(struct trf_request *r, const char *key);
 
+bool trf_ready_copy(const struct view *view, const char *team,
+		    const char *model, const char *adapter, const char *except);
 void trf_refuse(struct trf_request *r, const struct rt_decision *decision,
 		bool timed_out);
 void trf_attempt_id(struct trf_request *r, char out[TRF_ID_MAX]);
--- a/src/traffic/trf_run.c
+++ b/src/traffic/trf_run.c
@@ -562,6 +562,46 @@
 	return true;
 }
 
+/* Returns whether another endpoint has a copy for this request. */
+static bool other_copy(const struct run *run)
+{
+	const struct trf_request *r = run->r;
+	struct view *view = trf_view(r->ctx);
+	bool found = trf_ready_copy(view, r->team, r->model, r->adapter,
+				    run->target.id);
+
+	view_unref(view);
+	return found;
+}
+
+/*
+ * Asks the router for another endpoint. Its ticket ends with the time to the
+ * first token; a stream that broke later is submitted again with the time that
+ * is left for the whole answer.
+ */
+static bool route_again(struct run *run)
+{
+	struct trf_request *r = run->r;
+	struct trf_waiter *w = &run->waiter;
+
+	trf_route_retry(r->ctx, w);
+	if (!trf_route_wait(r->ctx, w, r->deadline_us, wait_tick, run))
+		return false;
+	if (w->decision.outcome == RT_REFUSE &&
+	    w->decision.reason == RT_REASON_DEADLINE_UNREACHABLE) {
+		r->route.deadline_us = r->deadline_us;
+		r->route.exclude = run->target.id;
+		trf_route_done(r->ctx, w, run->delivered, false);
+		trf_route_submit(r->ctx, w, &r->route);
+		if (!trf_route_wait(r->ctx, w, r->deadline_us, wait_tick, run))
+			return false;
+	}
+	if (w->decision.outcome != RT_DISPATCH)
+		return false;
+	run->target = w->target;
+	return true;
+}
+
 /* Chooses the endpoint of the only retry; false when there is none. */
 static bool choose_retry(struct run *run, enum try_end end, bool granted)
 {
@@ -573,20 +613,14 @@
 	/* A granted suspect has had its run. */
 	if (end == TRY_BROKEN && (!after_break(run) || granted))
 		return false;
-	if (end != TRY_OVERLOADED)
-		trf_route_failed(r->ctx, &run->target);
 	met_count(r->ctx->metrics, "dsp_retries_total", r->labels, 1);
-	trf_route_retry(r->ctx, &run->waiter);
-	if (!trf_route_wait(r->ctx, &run->waiter, r->deadline_us, wait_tick,
-			    run))
-		return false;
-	if (run->waiter.decision.outcome == RT_DISPATCH) {
-		run->target = run->waiter.target;
+	/* The connection was at fault, and no other endpoint has a copy: the
+	 * same endpoint is tried on a fresh connection. */
+	if (end == TRY_BROKEN && !r->suspect && !other_copy(run))
 		return true;
-	}
-	/* The connection was at fault, and no other endpoint has the copy. */
-	return end == TRY_BROKEN && !r->suspect &&
-	       run->waiter.decision.reason == RT_REASON_NO_ENDPOINT;
+	if (end != TRY_OVERLOADED)
+		trf_route_failed(r->ctx, &run->target);
+	return route_again(run);
 }
 
 static bool may_run(struct run *run)
--- a/tests/integration/traffic_input_test.cc
+++ b/tests/integration/traffic_input_test.cc
@@ -355,6 +355,45 @@
 		EXPECT_EQ(stream_text(r.body), words(kTokens));
 }
 
+/* Guards the limit on waiting requests of a class: those beyond it are rejected
+ * at once, and the others are served in the end. */
+TEST_F(TrafficTest, QueueLimitRejects)
+{
+	Entry &entry = start("[limits]\nqueue_max = 1\n");
+	std::vector<std::thread> callers;
+	std::vector<Reply> replies(24);
+	size_t rejected = 0;
+
+	add_endpoints(true);
+	fake_group_set_batch(group, 1);
+	stub_fault(model, STUB_HOLD, 0, -1);
+	for (auto &reply : replies)
+		callers.emplace_back([&] { reply = entry.chat(false); });
+	/* All are running, waiting or rejected. */
+	EXPECT_TRUE(eventually([&] {
+		return stub_n_held(model) +
+			       entry.metric("dsp_requests_waiting") +
+			       entry.metric("dsp_limit_rejections_total",
+					    "limit=\"queue_max\"") ==
+		       replies.size();
+	}));
+	EXPECT_EQ(entry.metric("dsp_requests_waiting"), 1u);
+	stub_fault(model, STUB_OK, 0, 0);
+	stub_release(model);
+	for (auto &caller : callers)
+		caller.join();
+	for (const auto &reply : replies) {
+		if (reply.status == 200)
+			continue;
+		rejected++;
+		EXPECT_EQ(reply.status, 429);
+		EXPECT_EQ(reply.code(), "queue_full");
+		EXPECT_EQ(reply.ran(), "not_run");
+	}
+	EXPECT_GT(rejected, 0u);
+	EXPECT_EQ(stub_n_requests(model), replies.size() - rejected);
+}
+
 /* Guards section 7: all faults of a document at once, acceptance, an equal
  * resend, and the number in force after a conflict. */
 TEST_F(TrafficTest, DocumentsAreValidatedWholeAndCompared)
--- a/tests/integration/traffic_stream_test.cc
+++ b/tests/integration/traffic_stream_test.cc
@@ -104,6 +104,21 @@
 	}
 }
 
+/* Guards that a model with one copy only survives a broken connection: the same
+ * endpoint is tried again, on a fresh connection. */
+TEST_F(TrafficTest, OnlyCopyIsTriedAgainOnAFreshConnection)
+{
+	Entry &entry = start();
+
+	fake_group_put_endpoint(group, "r1", 1, stub_address(model), "verband",
+				"kellerrat", "brine-7b", nullptr, true);
+	for (uint32_t k : { 0u, 3u }) {
+		stub_fault(model, STUB_BREAK, k, 1);
+		EXPECT_EQ(stream_text(entry.chat(true).body), words(kTokens));
+	}
+	EXPECT_EQ(stub_n_requests(model), 4u);
+}
+
 /* Guards section 11: a connection that goes silent is given up after the
  * silence limit, its attempt is cancelled, and the stream goes on. */
 TEST_F(TrafficTest, SilentConnectionIsReplaced)
@@ -278,6 +293,43 @@
 	EXPECT_EQ(reply.ran(), "not_run");
 }
 
+/* Guards that several requests on one connection of a caller are answered in
+ * order, also after a stream and after a rejection with an unread body. */
+TEST_F(TrafficTest, ConnectionServesSeveralRequests)
+{
+	Entry &entry = start();
+	std::string chat = Entry::chat_body(true);
+	std::string head = " HTTP/1.1\r\nHost: a\r\nX-Team: verband\r\n"
+			   "Content-Length: " +
+			   std::to_string(chat.size()) + "\r\n\r\n" + chat;
+	std::string request = "POST /v1/chat/completions" + head;
+	std::string bytes = request + "POST /v1/none" + head + request;
+	struct sockaddr_in address = {};
+	std::string out;
+	char buffer[4096];
+	ssize_t n;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	add_endpoints(true);
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)entry.port);
+	ASSERT_EQ(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ASSERT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+		  (ssize_t)bytes.size());
+	/* The idle connection is closed after the third answer. */
+	while ((n = read(fd, buffer, sizeof(buffer))) > 0)
+		out.append(buffer, (size_t)n);
+	close(fd);
+	size_t first = out.find("[DONE]");
+	size_t error = out.find("unknown_path");
+	size_t last = out.rfind("[DONE]");
+	ASSERT_NE(first, std::string::npos);
+	EXPECT_LT(first, error);
+	EXPECT_LT(error, last);
+	EXPECT_EQ(stub_n_requests(model), 2u);
+}
+
 /* Guards that a plain call passes method, path, query, body and status on, and
  * that an idempotent one is retried. */
 TEST_F(TrafficTest, PlainCallsPassThrough)
--- /dev/null
+++ b/tests/integration/up_test.cc
@@ -0,0 +1,263 @@
+#include "test_http.h"
+
+#include <atomic>
+
+extern "C" {
+#include "traffic/up.h"
+}
+
+/* The HTTP client to endpoints, against a server that this test scripts. */
+
+namespace
+{
+
+/* Accepts connections and hands each to a script, one after the other. */
+class Server
+{
+      public:
+	explicit Server(std::function<void(int)> handle)
+	    : script(std::move(handle))
+	{
+		struct sockaddr_in address = {};
+		socklen_t len = sizeof(address);
+
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(bind(listener, (struct sockaddr *)&address,
+			       sizeof(address)),
+			  0);
+		EXPECT_EQ(listen(listener, 16), 0);
+		getsockname(listener, (struct sockaddr *)&address, &len);
+		port = ntohs(address.sin_port);
+		thread = std::thread([this] {
+			int fd;
+
+			while ((fd = accept(listener, nullptr, nullptr)) >= 0) {
+				connections++;
+				script(fd);
+				close(fd);
+			}
+		});
+	}
+	~Server()
+	{
+		shutdown(listener, SHUT_RDWR);
+		close(listener);
+		thread.join();
+	}
+	std::string url() const
+	{
+		return "http://127.0.0.1:" + std::to_string(port) + "/a";
+	}
+	std::atomic<int> connections{ 0 };
+	int port;
+
+      private:
+	std::function<void(int)> script;
+	int listener;
+	std::thread thread;
+};
+
+/* Reads one request with its body of n bytes; "" at the end. */
+std::string read_request(int fd, size_t n)
+{
+	std::string out;
+	char c;
+
+	while (out.find("\r\n\r\n") == std::string::npos ||
+	       out.size() < out.find("\r\n\r\n") + 4 + n) {
+		if (read(fd, &c, 1) != 1)
+			return "";
+		out += c;
+	}
+	return out;
+}
+
+void send_text(int fd, const std::string &text)
+{
+	EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+		  (ssize_t)text.size());
+}
+
+const char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+struct UpRun {
+	bool complete;
+	int error = -1; /* enum up_error */
+	std::string body;
+	int stop_after = -1;
+};
+
+UpRun perform(struct up *up, const std::string &url, bool fresh,
+	      const std::function<void(struct up_request *)> &change = {})
+{
+	UpRun run = {};
+	GError *err = nullptr;
+	struct up_request request = {};
+
+	run.error = -1;
+	request.method = "POST";
+	request.url = url.c_str();
+	request.body = "abc";
+	request.body_len = 3;
+	request.fresh = fresh;
+	request.connect_timeout_us = 5000000;
+	request.total_timeout_us = 60000000;
+	request.data = &run;
+	request.on_data = [](void *data, const char *bytes, size_t len) {
+		((UpRun *)data)->body.append(bytes, len);
+		return true;
+	};
+	if (change)
+		change(&request);
+	run.complete = up_perform(up, &request, &err);
+	if (err)
+		run.error = err->code;
+	EXPECT_EQ(run.complete, err == nullptr);
+	g_clear_error(&err);
+	return run;
+}
+
+class UpTest : public testing::Test
+{
+      protected:
+	struct up *up = up_new();
+	void TearDown() override
+	{
+		up_free(up);
+	}
+};
+
+/* Guards the pool: idempotent calls share a connection, fresh ones never do. */
+TEST_F(UpTest, PooledCallsShareAConnectionFreshOnesDoNot)
+{
+	Server server([](int fd) {
+		while (!read_request(fd, 3).empty())
+			send_text(fd, kAnswer);
+	});
+
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ(perform(up, server.url(), false).body, "ok");
+	EXPECT_EQ(server.connections, 1);
+	up_free(up); /* the script serves one connection at a time */
+	up = up_new();
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ(perform(up, server.url(), true).body, "ok");
+	EXPECT_EQ(server.connections, 6);
+}
+
+/* Guards truthfulness: NOT_SENT for a refused connection, and BROKEN as soon as
+ * a byte has left, whatever the server did with it. */
+TEST_F(UpTest, NotSentMeansThatNoByteLeft)
+{
+	std::string dead = "http://127.0.0.1:" + std::to_string(free_port());
+	std::atomic<int> received{ 0 };
+	Server reads([&](int fd) {
+		if (!read_request(fd, 3).empty())
+			received++;
+	});
+	Server closes([](int) {});
+
+	for (bool fresh : { false, true }) {
+		EXPECT_EQ(perform(up, dead + "/a", fresh).error,
+			  (int)UP_ERROR_NOT_SENT);
+		EXPECT_EQ(perform(up, reads.url(), fresh).error,
+			  (int)UP_ERROR_BROKEN);
+		/* Closed at once: bytes may have left, and NOT_SENT would be a
+		 * guess. */
+		EXPECT_EQ(perform(up, closes.url(), fresh).error,
+			  (int)UP_ERROR_BROKEN);
+	}
+	EXPECT_EQ(received, 2);
+	EXPECT_TRUE(up_refuses(dead.c_str(), 1000000));
+	EXPECT_FALSE(up_refuses(reads.url().c_str(), 1000000));
+}
+
+/* Guards that a fresh request is never sent twice: not even when the server
+ * closes the connection without an answer, which makes libcurl resend on a
+ * reused connection. */
+TEST_F(UpTest, FreshRequestIsSentOnce)
+{
+	std::atomic<int> received{ 0 };
+	std::atomic<bool> answer{ true };
+	Server server([&](int fd) {
+		while (!read_request(fd, 3).empty()) {
+			received++;
+			if (!answer)
+				return;
+			send_text(fd, kAnswer);
+		}
+	});
+
+	EXPECT_TRUE(perform(up, server.url(), false).complete);
+	answer = false;
+	up_free(up);
+	up = up_new();
+	EXPECT_EQ(perform(up, server.url(), true).error, (int)UP_ERROR_BROKEN);
+	EXPECT_EQ(received, 2);
+}
+
+/* Guards the silence limits before the first byte and between bytes, and the
+ * total limit. The server stays silent until the client has given up. */
+TEST_F(UpTest, SilenceEndsTheCall)
+{
+	Server silent([](int fd) {
+		read_request(fd, 3);
+		read_request(fd, 1);
+	});
+	Server stalls([](int fd) {
+		read_request(fd, 3);
+		send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab");
+		read_request(fd, 1);
+	});
+
+	EXPECT_EQ(perform(up, silent.url(), true,
+			  [](struct up_request *r) {
+				  r->first_byte_timeout_us = 100000;
+			  })
+			  .error,
+		  (int)UP_ERROR_SILENT);
+	UpRun run = perform(up, stalls.url(), true, [](struct up_request *r) {
+		r->silence_timeout_us = 100000;
+	});
+	EXPECT_EQ(run.error, (int)UP_ERROR_SILENT);
+	EXPECT_EQ(run.body, "ab");
+	EXPECT_EQ(perform(up, stalls.url(), true,
+			  [](struct up_request *r) {
+				  r->total_timeout_us = 100000;
+			  })
+			  .error,
+		  (int)UP_ERROR_TIMEOUT);
+}
+
+/* Guards that a cut answer is not complete, and that both callbacks can stop a
+ * call. */
+TEST_F(UpTest, CutAndStoppedAnswersAreNotComplete)
+{
+	Server cut([](int fd) {
+		read_request(fd, 3);
+		send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab");
+	});
+	Server stalls([](int fd) {
+		read_request(fd, 3);
+		read_request(fd, 1);
+	});
+
+	EXPECT_EQ(perform(up, cut.url(), true).error, (int)UP_ERROR_BROKEN);
+	EXPECT_EQ(perform(up, cut.url(), true,
+			  [](struct up_request *r) {
+				  r->on_data = [](void *, const char *,
+						  size_t) { return false; };
+			  })
+			  .error,
+		  (int)UP_ERROR_STOPPED);
+	EXPECT_EQ(perform(up, stalls.url(), true,
+			  [](struct up_request *r) {
+				  r->on_idle = [](void *) { return false; };
+			  })
+			  .error,
+		  (int)UP_ERROR_STOPPED);
+}
+
+} // namespace
--- a/tests/tools/lib_fake_ctl.h
+++ b/tests/tools/lib_fake_ctl.h
@@ -46,6 +46,8 @@
 			     const char *team, const char *service,
 			     const char *model, const char *adapter,
 			     bool resume);
+/* Sets the batch size of all endpoints. */
+void fake_group_set_batch(struct fake_group *ctx, uint32_t max_batch);
 void fake_entry_set_readiness(struct fake_entry *entry,
 			      enum ctl_readiness readiness);
 
--- a/tests/tools/lib_stub_endpoint.h
+++ b/tests/tools/lib_stub_endpoint.h
@@ -38,6 +38,7 @@
 
 /* Tokens of the answer to every model request: "w0 ", "w1 ", ... */
 struct stub *stub_new(uint32_t tokens);
+struct stub *stub_new_sized(uint32_t tokens, uint32_t threads);
 /* Closes the port at once, as a crash does. */
 void stub_free(struct stub *ctx);
 
