--- a/tests/integration/system.h
+++ b/tests/integration/system.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 extern "C" {
+#include <signal.h>
 #include <unistd.h>
 
 #include "lib_cluster.h"
--- a/tests/tools/lib_cluster.c
+++ b/tests/tools/lib_cluster.c
@@ -350,6 +350,14 @@
 	kill(ctx->endpoints[endpoint].pid, signal);
 }
 
+/* Returns whether an endpoint's process has ended by itself. */
+bool cluster_endpoint_exited(struct cluster *ctx, size_t endpoint)
+{
+	pid_t pid = ctx->endpoints[endpoint].pid;
+
+	return pid > 0 && proc_wait(pid, 0) >= 0;
+}
+
 /* Starts an endpoint that was killed or has crashed, as a new incarnation. */
 void cluster_restart_endpoint(struct cluster *ctx, size_t endpoint)
 {
--- a/tests/tools/lib_cluster.h
+++ b/tests/tools/lib_cluster.h
@@ -52,6 +52,8 @@
 			      const char *const *args);
 void cluster_kill_endpoint(struct cluster *ctx, size_t endpoint);
 void cluster_signal_endpoint(struct cluster *ctx, size_t endpoint, int signal);
+/* Whether an endpoint's process has ended by itself. */
+bool cluster_endpoint_exited(struct cluster *ctx, size_t endpoint);
 /* Starts a killed endpoint again with the same address and options. */
 void cluster_restart_endpoint(struct cluster *ctx, size_t endpoint);
 
