node: tests of orders over leader changes; first resend after 2 s

The first resend came after 4 s because the delay was doubled before it. Ports of the tests come from below the ephemeral range: one run lost a port to an outgoing connection.

--- a/src/node/ctl_order.c
+++ b/src/node/ctl_order.c
@@ -373,7 +373,7 @@
 	const Dsp__Endpoint *endpoint = st_endpoint(ctx->st, o->endpoint);
 	bool fencing =
 		endpoint && endpoint->features && endpoint->features->fencing;
-	int64_t delay_us = RESEND_US << MIN(track->failures, 3);
+	int64_t delay_us = RESEND_US << MIN(MAX(track->failures, 1) - 1, 3);
 
 	if (track->accepted)
 		return ACCEPTED_RESEND_US;
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -11,11 +11,13 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 extern "C" {
+#include "lib_proc.h"
 #include "node/ctl.h"
 }
 
@@ -56,20 +58,6 @@
 queue_max = 100
 )";
 
-int free_port()
-{
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	struct sockaddr_in address = {};
-	socklen_t len = sizeof(address);
-
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&address, sizeof(address));
-	getsockname(fd, (struct sockaddr *)&address, &len);
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 struct Instance {
 	std::string id;
 	std::string site = "north";
@@ -165,7 +153,7 @@
 			auto instance = std::make_unique<Instance>();
 
 			instance->id = "n" + std::to_string(i);
-			instance->port = free_port();
+			instance->port = proc_free_port();
 			if (i < voters)
 				instance->folder = root + "/" + instance->id;
 			else
@@ -587,3 +575,223 @@
 	EXPECT_FALSE(all[0]->has_status(key + std::to_string(replica)));
 	EXPECT_TRUE(put(*all[3], 1));
 }
+
+namespace
+{
+
+/* A model engine that answers orders as the test says and records them. */
+class Engine
+{
+      public:
+	enum Mode { ACCEPT, CLOSE_WITHOUT_ANSWER };
+
+	Engine() : port_(proc_free_port())
+	{
+		struct sockaddr_in address = {};
+		int one = 1;
+
+		address.sin_family = AF_INET;
+		address.sin_port = htons((uint16_t)port_);
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		fd_ = socket(AF_INET, SOCK_STREAM, 0);
+		setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		EXPECT_EQ(
+			bind(fd_, (struct sockaddr *)&address, sizeof(address)),
+			0);
+		listen(fd_, 16);
+		thread_ = std::thread([this] { serve(); });
+	}
+	~Engine()
+	{
+		stop_ = true;
+		shutdown(fd_, SHUT_RDWR);
+		thread_.join();
+		close(fd_);
+	}
+
+	std::atomic<Mode> mode{ ACCEPT };
+
+	std::vector<std::string> bodies()
+	{
+		std::lock_guard<std::mutex> guard(lock_);
+
+		return bodies_;
+	}
+
+	/* Announces the engine through an instance, with the copies of the
+	 * orders that it accepted. */
+	void announce(struct ctl *ctl)
+	{
+		Dsp__Announcement a = DSP__ANNOUNCEMENT__INIT;
+		Dsp__Endpoint e = DSP__ENDPOINT__INIT;
+		Dsp__LoadReport load = DSP__LOAD_REPORT__INIT;
+		Dsp__Copy copy = DSP__COPY__INIT;
+		Dsp__Copy *copies[] = { &copy };
+		std::string address =
+			"http://127.0.0.1:" + std::to_string(port_);
+
+		e.id = (char *)"engine";
+		e.incarnation = 7;
+		e.address = (char *)address.c_str();
+		e.site = (char *)"north";
+		e.team = (char *)"verband";
+		e.service = (char *)"kellerrat";
+		e.accelerators = 1;
+		e.accelerator_memory_mb = 1500;
+		e.max_batch = 8;
+		load.endpoint = e.id;
+		load.incarnation = 7;
+		load.sequence = ++sequence_;
+		a.endpoint = &e;
+		a.load = &load;
+		if (loaded_) {
+			copy.model = (char *)"m1";
+			copy.version = (char *)"1";
+			copy.accelerators = 1;
+			copy.memory_mb = 1000;
+			copy.ready = true;
+			copy.order = loaded_;
+			e.copies = copies;
+			e.n_copies = 1;
+		}
+		ctl_announce(ctl, &a);
+	}
+
+      private:
+	static uint64_t number_of(const std::string &body, const char *key)
+	{
+		std::string pattern = "\"" + std::string(key) + "\":";
+		size_t at = body.find(pattern);
+
+		return at == std::string::npos
+			       ? 0
+			       : strtoull(body.c_str() + at + pattern.size(),
+					  NULL, 10);
+	}
+
+	static std::string read_request(int fd)
+	{
+		std::string text;
+		char buffer[4096];
+		size_t head, len = 0;
+
+		for (;;) {
+			ssize_t n = read(fd, buffer, sizeof(buffer));
+
+			if (n <= 0)
+				return "";
+			text.append(buffer, (size_t)n);
+			head = text.find("\r\n\r\n");
+			if (head == std::string::npos)
+				continue;
+			len = text.find("Content-Length: ");
+			len = strtoul(text.c_str() + len + 16, NULL, 10);
+			if (text.size() >= head + 4 + len)
+				return text.substr(head + 4);
+		}
+	}
+
+	void serve()
+	{
+		static const char answer[] =
+			"HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n"
+			"Connection: close\r\n\r\n{}";
+
+		while (!stop_) {
+			int fd = accept(fd_, NULL, NULL);
+			std::string body;
+
+			if (fd < 0)
+				return;
+			body = read_request(fd);
+			{
+				std::lock_guard<std::mutex> guard(lock_);
+
+				bodies_.push_back(body);
+			}
+			if (mode == ACCEPT) {
+				loaded_ = number_of(body, "order");
+				EXPECT_EQ(loaded_, number_of(body, "fence"));
+				EXPECT_EQ(number_of(body, "incarnation"), 7u);
+				EXPECT_EQ(write(fd, answer, sizeof(answer) - 1),
+					  (ssize_t)sizeof(answer) - 1);
+			}
+			close(fd);
+		}
+	}
+
+	int port_;
+	int fd_;
+	std::thread thread_;
+	std::mutex lock_;
+	std::vector<std::string> bodies_;
+	std::atomic<bool> stop_{ false };
+	std::atomic<uint64_t> loaded_{ 0 };
+	uint64_t sequence_ = 0;
+};
+
+} // namespace
+
+/*
+ * Guards the path of an order: the leader commits and sends it, an unanswered
+ * one is sent again unchanged, and the reported copy ends it. The engine has
+ * memory for one copy, so a second load would be an overcommitment.
+ */
+TEST_F(Control, OrderIsSentAgainUntilTheEngineReportsIt)
+{
+	Engine engine;
+	std::vector<std::string> bodies;
+	auto announced = [&](auto done) {
+		return wait_until([&] {
+			engine.announce(all[3]->ctl);
+			return done();
+		});
+	};
+
+	engine.mode = Engine::CLOSE_WITHOUT_ANSWER;
+	create(3, 1);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[0], 1));
+	ASSERT_TRUE(announced([&] { return engine.bodies().size() >= 2; }));
+	engine.mode = Engine::ACCEPT;
+	ASSERT_TRUE(announced([&] {
+		return all[3]->has_status("\"ready\":1") &&
+		       all[0]->has_status("\"orders\":[]");
+	}));
+	bodies = engine.bodies();
+	for (const std::string &body : bodies)
+		EXPECT_EQ(body, bodies[0]);
+}
+
+/* Guards a leader change between the commit of an order and its answer: the
+ * next leader sends the same order, not a second one. */
+TEST_F(Control, NextLeaderCompletesAnUnansweredOrder)
+{
+	Engine engine;
+	std::vector<std::string> bodies;
+	Instance *old;
+	auto announced = [&](auto done) {
+		return wait_until([&] {
+			engine.announce(all[3]->ctl);
+			return done();
+		});
+	};
+
+	engine.mode = Engine::CLOSE_WITHOUT_ANSWER;
+	create(3, 1);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[0], 1));
+	ASSERT_TRUE(announced([&] { return !engine.bodies().empty(); }));
+	old = leader();
+	ASSERT_NE(old, nullptr);
+	old->stop();
+	engine.mode = Engine::ACCEPT;
+	ASSERT_TRUE(
+		announced([&] { return all[3]->has_status("\"ready\":1"); }));
+	bodies = engine.bodies();
+	EXPECT_GE(bodies.size(), 2u);
+	for (const std::string &body : bodies)
+		EXPECT_EQ(body, bodies[0]);
+}
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -1,15 +1,13 @@
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/eventfd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <zmq.h>
 
 #include <string>
 
 extern "C" {
+#include "lib_proc.h"
 #include "net/net.h"
 }
 
@@ -21,16 +19,7 @@
 
 std::string free_address()
 {
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	struct sockaddr_in address = {};
-	socklen_t len = sizeof(address);
-
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&address, sizeof(address));
-	getsockname(fd, (struct sockaddr *)&address, &len);
-	close(fd);
-	return "tcp://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+	return "tcp://127.0.0.1:" + std::to_string(proc_free_port());
 }
 
 class Net : public ::testing::Test
