node: pause for silent endpoints, bounded repeats of rejected announcements

One silent endpoint held up the orders of all others for 1.5 s a try. An announcement that the state machine rejects for good was proposed every second; its repeats are now delayed up to 32 s.

--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -155,16 +155,6 @@
 
 /* ---- Leader's tables (ctl_member.c, ctl_order.c) ---- */
 
-#define CTL_PAST_LIVES 8
-
-/* Process lives (boot or incarnation) that were replaced by a newer one; a
- * late message of one of them is ignored. */
-struct ctl_lives {
-	uint64_t current;
-	uint64_t past[CTL_PAST_LIVES];
-	unsigned n_past;
-};
-
 struct ctl_member {
 	struct ctl_lives lives;
 	int64_t heard_us;
@@ -178,6 +168,7 @@
 	struct ctl_lives lives;
 	int64_t heard_us;
 	int64_t put_us;	      /* last EndpointPut proposed */
+	unsigned puts;	      /* since the state last matched */
 	uint64_t sequence;    /* highest of this incarnation */
 	uint64_t residency;   /* hash of the last residency proposed */
 	int64_t residency_us; /* when */
@@ -374,8 +365,6 @@
 void ctl_member_stop(struct ctl *ctx);
 void ctl_member_run(struct ctl *ctx);
 void ctl_member_report(struct ctl *ctx, const Dsp__Report *report);
-/* True for a new or the current life; notes it. */
-bool ctl_lives_accept(struct ctl_lives *lives, uint64_t life);
 
 /* ctl_order.c */
 struct ctl_sender *ctl_order_open(struct ctl *ctx);
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -9,6 +9,8 @@
 #define RUN_INTERVAL_US 100000
 /* A proposal whose effect is not visible by then is made again. */
 #define REPEAT_US CTL_S_US
+/* Repeats of the same EndpointPut are delayed up to 32 s. */
+#define PUT_REPEATS_MAX 5
 /* Residency is proposed again while orders wait for it. */
 #define RESIDENCY_REPEAT_US (5LL * CTL_S_US)
 #define ROUND_INTERVAL_US CTL_S_US
@@ -21,24 +23,6 @@
 /* A replica heard within this time is alive; several heartbeats. */
 #define REPLICA_ALIVE_US (3LL * CTL_S_US)
 
-/*
- * Returns true for the current or a new process life, which then becomes the
- * current one. Lives are random numbers, so a late message is recognised only
- * by remembering the lives that were replaced.
- */
-bool ctl_lives_accept(struct ctl_lives *lives, uint64_t life)
-{
-	if (lives->current == life)
-		return true;
-	for (unsigned i = 0; i < MIN(lives->n_past, CTL_PAST_LIVES); i++)
-		if (lives->past[i] == life)
-			return false;
-	if (lives->current)
-		lives->past[lives->n_past++ % CTL_PAST_LIVES] = lives->current;
-	lives->current = life;
-	return true;
-}
-
 static bool propose(struct ctl *ctx, Dsp__Command *command)
 {
 	struct ctl_waiter *waiter = ctl_waiter_new(CTL_WAIT_NONE);
@@ -208,12 +192,16 @@
 
 	endpoint.state = a->leaving ? DSP__ENDPOINT_STATE__ENDPOINT_LEAVING
 				    : DSP__ENDPOINT_STATE__ENDPOINT_UP;
-	if (known && same_endpoint(known, &endpoint))
+	if (known && same_endpoint(known, &endpoint)) {
+		e->puts = 0;
 		return;
-	if (e->put_us && ctx->now_us - e->put_us < REPEAT_US &&
-	    (!a->leaving || (known && known->state == endpoint.state)))
+	}
+	/* The state machine may reject the announcement for good. */
+	if (e->puts && ctx->now_us - e->put_us <
+			       REPEAT_US << MIN(e->puts - 1, PUT_REPEATS_MAX))
 		return;
 	e->put_us = ctx->now_us;
+	e->puts++;
 	put.endpoint = &endpoint;
 	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
 	command.endpoint_put = &put;
@@ -288,7 +276,7 @@
 		return;
 	if (before != e->lives.current) {
 		e->sequence = 0;
-		e->put_us = 0;
+		e->puts = 0;
 		e->residency_us = 0;
 		e->residency = 0;
 	}
--- a/src/node/ctl_order.c
+++ b/src/node/ctl_order.c
@@ -12,14 +12,11 @@
  * one sender thread must not wait long for a silent endpoint. */
 #define CONNECT_TIMEOUT_US 500000
 #define ANSWER_TIMEOUT_US CTL_S_US
-/* First and longest time between sends of the same order. */
-#define RESEND_US (2LL * CTL_S_US)
-#define RESEND_MAX_US (10LL * CTL_S_US)
-/* An accepted order is executed, unless the endpoint lost it. */
-#define ACCEPTED_RESEND_US (60LL * CTL_S_US)
-/* In a service whose orders must not be duplicated, a second send keeps the
- * memory reserved for good, so it is the last resort against a lost order. */
-#define LAST_RESORT_US (10LL * CTL_S_US)
+/* Orders of an earlier leader: the endpoint has this time to report them. */
+#define REPORT_TIME_US (2LL * CTL_S_US)
+/* An endpoint that did not answer is left alone for this long, so that one
+ * silent endpoint does not hold up the orders of the others. */
+#define PAUSE_US (2LL * CTL_S_US)
 
 struct send_job {
 	STAILQ_ENTRY(send_job) link;
@@ -31,7 +28,8 @@
 
 struct ctl_sender {
 	struct ctl *ctl;
-	struct up *up; /* sender thread */
+	struct up *up;	    /* sender thread */
+	GHashTable *silent; /* sender thread; url -> time of the failure */
 	pthread_t thread;
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
@@ -62,12 +60,27 @@
 	return CTL_ORDER_IN_DOUBT;
 }
 
+static bool is_paused(struct ctl_sender *sender, const struct send_job *job,
+		      int64_t now_us)
+{
+	const int64_t *failed_us =
+		g_hash_table_lookup(sender->silent, job->url);
+
+	if (!failed_us)
+		return false;
+	if (now_us - *failed_us < PAUSE_US)
+		return true;
+	g_hash_table_remove(sender->silent, job->url);
+	return false;
+}
+
 static enum ctl_order_outcome send_order(struct ctl_sender *sender,
 					 const struct send_job *job)
 {
 	static const char *const headers[] = { "Content-Type: application/json",
 					       NULL };
 	int status = 0;
+	int64_t now_us;
 	GError *error = NULL;
 	enum ctl_order_outcome outcome;
 	struct up_request request = {
@@ -84,10 +97,14 @@
 		.on_head = on_head,
 	};
 
-	if (clk_now_us(sender->ctl->clock) > sender->valid_until_us)
+	now_us = clk_now_us(sender->ctl->clock);
+	if (now_us > sender->valid_until_us || is_paused(sender, job, now_us))
 		return CTL_ORDER_NOT_SENT;
 	if (up_perform(sender->up, &request, &error))
 		return outcome_of(status);
+	now_us = clk_now_us(sender->ctl->clock);
+	g_hash_table_replace(sender->silent, g_strdup(job->url),
+			     g_memdup2(&now_us, sizeof(now_us)));
 	outcome = g_error_matches(error, UP_ERROR, UP_ERROR_NOT_SENT)
 			  ? CTL_ORDER_NOT_SENT
 			  : CTL_ORDER_IN_DOUBT;
@@ -145,6 +162,8 @@
 
 	sender->ctl = ctx;
 	sender->up = up_new();
+	sender->silent =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pthread_mutex_init(&sender->lock, NULL);
 	pthread_cond_init(&sender->wake, NULL);
 	STAILQ_INIT(&sender->jobs);
@@ -152,6 +171,7 @@
 		LOG_EVENT_ERROR("ctl", "no_order_sender", "node=%s",
 				ctx->set->id);
 		up_free(sender->up);
+		g_hash_table_destroy(sender->silent);
 		g_free(sender);
 		return NULL;
 	}
@@ -182,6 +202,7 @@
 	pthread_join(sender->thread, NULL);
 	drop_jobs(sender);
 	up_free(sender->up);
+	g_hash_table_destroy(sender->silent);
 	pthread_cond_destroy(&sender->wake);
 	pthread_mutex_destroy(&sender->lock);
 	g_free(sender);
@@ -304,7 +325,7 @@
 		/* Of an earlier leader, which may have sent it: the endpoint
 		 * has some time to report it. */
 		track = order_get(ctx, o->id);
-		track->next_us = ctx->now_us + RESEND_US;
+		track->next_us = ctx->now_us + REPORT_TIME_US;
 	}
 	track->seen = true;
 	if (track->queued || ctx->now_us < track->next_us)
@@ -373,14 +394,16 @@
 	const Dsp__Endpoint *endpoint = st_endpoint(ctx->st, o->endpoint);
 	bool fencing =
 		endpoint && endpoint->features && endpoint->features->fencing;
-	int64_t delay_us = RESEND_US << MIN(MAX(track->failures, 1) - 1, 3);
-
-	if (track->accepted)
-		return ACCEPTED_RESEND_US;
-	if (track->sends && o->kind == DSP__ORDER_KIND__ORDER_LOAD &&
-	    !fencing && endpoint && !may_duplicate(ctx, endpoint))
-		return LAST_RESORT_US;
-	return MIN(delay_us, RESEND_MAX_US);
+	struct ctl_order_sends sends = {
+		.sends = track->sends,
+		.failures = track->failures,
+		.accepted = track->accepted,
+		.no_duplicate = o->kind == DSP__ORDER_KIND__ORDER_LOAD &&
+				!fencing && endpoint &&
+				!may_duplicate(ctx, endpoint),
+	};
+
+	return ctl_rule_resend_us(&sends);
 }
 
 /* Takes the outcome of one send. */
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -5,6 +5,15 @@
 /* A learner this close to the commit index is caught up: the rest takes one
  * append message. */
 #define CAUGHT_UP_ENTRIES 64
+#define S_US 1000000
+/* First and longest time between sends of the same order. */
+#define RESEND_US (2LL * S_US)
+#define RESEND_MAX_US (10LL * S_US)
+/* An accepted order is executed, unless the endpoint lost it. */
+#define ACCEPTED_RESEND_US (60LL * S_US)
+/* In a service whose orders must not be duplicated, a second send keeps the
+ * memory reserved for good, so it is the last resort against a lost order. */
+#define LAST_RESORT_US (10LL * S_US)
 
 /*
  * Returns what an instance may serve. An instance that never saw a confirmed
@@ -292,3 +301,36 @@
 
 	return now_us - since_us > limit_us;
 }
+
+/*
+ * Returns true for the current or a new process life, which then becomes the
+ * current one. Lives are random numbers, so a late message is recognised only
+ * by remembering the lives that were replaced.
+ */
+bool ctl_lives_accept(struct ctl_lives *lives, uint64_t life)
+{
+	if (lives->current == life)
+		return true;
+	for (unsigned i = 0; i < MIN(lives->n_past, CTL_PAST_LIVES); i++)
+		if (lives->past[i] == life)
+			return false;
+	if (lives->current)
+		lives->past[lives->n_past++ % CTL_PAST_LIVES] = lives->current;
+	lives->current = life;
+	return true;
+}
+
+/*
+ * Returns microseconds until an unanswered order may be sent again; its memory
+ * is reserved, so a second arrival is safe. Failures double the time.
+ */
+int64_t ctl_rule_resend_us(const struct ctl_order_sends *sends)
+{
+	unsigned doublings = sends->failures ? sends->failures - 1 : 0;
+
+	if (sends->accepted)
+		return ACCEPTED_RESEND_US;
+	if (sends->sends && sends->no_duplicate)
+		return LAST_RESORT_US;
+	return MIN(RESEND_US << MIN(doublings, 3), RESEND_MAX_US);
+}
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -90,4 +90,28 @@
 bool ctl_rule_upstream_failed(int64_t chosen_us, int64_t confirmed_us,
 			      int64_t now_us, int64_t limit_us);
 
+/* Process lives (boot or incarnation); those that were replaced by a newer one
+ * are remembered. */
+#define CTL_PAST_LIVES 8
+
+struct ctl_lives {
+	uint64_t current;
+	uint64_t past[CTL_PAST_LIVES];
+	unsigned n_past;
+};
+
+/* True for the current or a new life, which becomes the current one. */
+bool ctl_lives_accept(struct ctl_lives *lives, uint64_t life);
+
+/* Unanswered order: how often it was sent and what came back. */
+struct ctl_order_sends {
+	unsigned sends;	   /* that may have arrived */
+	unsigned failures; /* without an answer */
+	bool accepted;
+	bool no_duplicate; /* a second arrival would have a lasting cost */
+};
+
+/* Time until the order may be sent again. */
+int64_t ctl_rule_resend_us(const struct ctl_order_sends *sends);
+
 #endif
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -469,3 +469,43 @@
 	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
 	EXPECT_EQ(group.config->n_members, 7u);
 }
+
+/* Guards against late messages of a process life that was replaced: they must
+ * not bring the old one back, in whatever order they arrive. */
+TEST(CtlLives, ReplacedLivesAreNotAcceptedAgain)
+{
+	struct ctl_lives lives = {};
+
+	for (uint64_t life = 1; life <= CTL_PAST_LIVES + 1; life++) {
+		EXPECT_TRUE(ctl_lives_accept(&lives, life));
+		EXPECT_TRUE(ctl_lives_accept(&lives, life));
+		for (uint64_t old = 1; old < life; old++)
+			EXPECT_FALSE(ctl_lives_accept(&lives, old));
+		EXPECT_EQ(lives.current, life);
+	}
+}
+
+/* Guards the times of section 8: an unanswered order is repeated with growing
+ * delays, an accepted one much later, and one whose second arrival would keep
+ * memory reserved only as the last resort. */
+TEST(CtlOrders, ResendDelaysFollowTheAnswers)
+{
+	struct ctl_order_sends sends = {};
+	int64_t last = 0;
+
+	EXPECT_EQ(ctl_rule_resend_us(&sends), 2 * S);
+	for (unsigned failures = 1; failures < 40; failures++) {
+		sends.failures = failures;
+		EXPECT_GE(ctl_rule_resend_us(&sends), last);
+		EXPECT_LE(ctl_rule_resend_us(&sends), 10 * S);
+		last = ctl_rule_resend_us(&sends);
+	}
+	EXPECT_EQ(last, 10 * S);
+	sends.failures = 1;
+	sends.no_duplicate = true;
+	EXPECT_EQ(ctl_rule_resend_us(&sends), 2 * S);
+	sends.sends = 1;
+	EXPECT_EQ(ctl_rule_resend_us(&sends), 10 * S);
+	sends.accepted = true;
+	EXPECT_EQ(ctl_rule_resend_us(&sends), 60 * S);
+}
