--- a/src/traffic/trf.c
+++ b/src/traffic/trf.c
@@ -57,22 +57,6 @@
 	return ctx;
 }
 
-/* Frees a stopped or never started traffic side; NULL is allowed. */
-void trf_free(struct trf *ctx)
-{
-	if (!ctx)
-		return;
-	trf_answers_clear(ctx);
-	rt_free(ctx->rt);
-	view_unref(ctx->view);
-	up_free(ctx->up);
-	g_hash_table_destroy(ctx->waiting);
-	pthread_cond_destroy(&ctx->rt_wake);
-	pthread_mutex_destroy(&ctx->rt_lock);
-	pthread_mutex_destroy(&ctx->view_lock);
-	g_free(ctx);
-}
-
 /* ---- Callbacks on the control thread ---- */
 
 static uint32_t live_nodes(const struct view *view)
@@ -454,6 +438,24 @@
 	pthread_cond_signal(&ctx->rt_wake);
 	pthread_mutex_unlock(&ctx->rt_lock);
 	pthread_join(ctx->rt_thread, NULL);
+	ctx->ops = NULL;
+}
+
+/* Frees a stopped or never started traffic side; NULL is allowed. */
+void trf_free(struct trf *ctx)
+{
+	if (!ctx)
+		return;
+	stop_threads(ctx); /* when trf_start() failed */
+	trf_answers_clear(ctx);
+	rt_free(ctx->rt);
+	view_unref(ctx->view);
+	up_free(ctx->up);
+	g_hash_table_destroy(ctx->waiting);
+	pthread_cond_destroy(&ctx->rt_wake);
+	pthread_mutex_destroy(&ctx->rt_lock);
+	pthread_mutex_destroy(&ctx->view_lock);
+	g_free(ctx);
 }
 
 /*
@@ -471,7 +473,6 @@
 		mg_stop(ctx->http);
 	ctx->http = NULL;
 	stop_threads(ctx);
-	ctx->ops = NULL;
 }
 
 /* ---- Queries ---- */
--- a/src/traffic/trf_claim.c
+++ b/src/traffic/trf_claim.c
@@ -212,19 +212,35 @@
 	return NULL; /* trf_refuse() counted it */
 }
 
-static const char *reply_not_run(struct claimed *c, const char *code,
-				 const char *message)
+static const char *reply_not_run(struct claimed *c, int status,
+				 const char *code, const char *message)
 {
 	finish_claim(c, DSP__CLAIM_STATE__CLAIM_RELEASED, NULL);
-	api_error(c->r->api, 503, code, TRF_NOT_RUN, 1, "%s", message);
+	api_error(c->r->api, status, code, TRF_NOT_RUN, 1, "%s", message);
 	return code;
 }
 
-static bool may_run(struct claimed *c, const struct trf_target *target)
+/* Whether this request may be sent to the endpoint; else its refusal. */
+static bool may_run(struct claimed *c, const struct trf_target *target,
+		    const char **outcome)
 {
-	return !c->r->suspect ||
-	       trf_wait_for_grant(c->r, target, c->attempt, NULL, NULL) ==
-		       TRF_GRANT_YES;
+	if (!c->r->suspect)
+		return true;
+	switch (trf_wait_for_grant(c->r, target, c->attempt, NULL, NULL)) {
+	case TRF_GRANT_YES:
+		return true;
+	case TRF_GRANT_QUARANTINED:
+		*outcome = reply_not_run(c, 422, "request_quarantined",
+					 "endpoints crashed while they ran "
+					 "this request");
+		return false;
+	case TRF_GRANT_NO:
+		break;
+	}
+	*outcome = reply_not_run(c, 503, "suspect_not_granted",
+				 "an endpoint crashed while it ran this "
+				 "request; no grant to run it alone arrived");
+	return false;
 }
 
 /* The endpoint has the request, or may have it: decides the outcome. */
@@ -269,11 +285,8 @@
 			trf_route_wait(r->ctx, w, r->deadline_us, NULL, NULL);
 		if (!resolved || w->decision.outcome != RT_DISPATCH)
 			return refuse_routing(c, w, !resolved);
-		if (!may_run(c, &w->target))
-			return reply_not_run(c, "suspect_not_granted",
-					     "an endpoint crashed while it ran "
-					     "this request; no grant to run it "
-					     "alone arrived");
+		if (!may_run(c, &w->target, &outcome))
+			return outcome;
 		/* After its deadline the claim may be moved to unknown and the
 		 * caller has given up: nothing is sent any more. */
 		if (trf_now(r->ctx) >= r->deadline_us)
@@ -287,7 +300,7 @@
 		trf_buffered_clear(&b);
 		trf_route_failed(r->ctx, &w->target);
 		if (tries++)
-			return reply_not_run(c, "endpoint_unreachable",
+			return reply_not_run(c, 503, "endpoint_unreachable",
 					     "no endpoint could be reached");
 		trf_route_retry(r->ctx, w);
 	}
--- a/tests/integration/traffic_stream_test.cc
+++ b/tests/integration/traffic_stream_test.cc
@@ -216,6 +216,54 @@
 		  "unknown_request");
 }
 
+/* Guards section 11: a caller that reads nothing loses its connection after a
+ * while, and the whole answer is kept; the endpoint, which is not read
+ * meanwhile, is not taken for silent. */
+TEST_F(TrafficTest, StalledReaderLosesItsConnectionNotItsAnswer)
+{
+	const uint32_t tokens = 150000; /* more than the sockets buffer */
+	Entry &entry = start();
+	struct stub *large = stub_new(tokens);
+	std::string body = Entry::chat_body(true);
+	std::string request = "POST /v1/chat/completions HTTP/1.1\r\n"
+			      "Host: a\r\nX-Team: verband\r\n"
+			      "Content-Length: " +
+			      std::to_string(body.size()) + "\r\n\r\n" + body;
+	struct sockaddr_in address = {};
+	std::string id;
+	char head[256];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	Reply reply;
+
+	fake_group_put_endpoint(group, "r1", 1, stub_address(large), "verband",
+				"kellerrat", "brine-7b", nullptr, true);
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)entry.port);
+	ASSERT_EQ(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ASSERT_EQ(send(fd, request.data(), request.size(), MSG_NOSIGNAL),
+		  (ssize_t)request.size());
+	ASSERT_EQ(recv(fd, head, sizeof(head) - 1, MSG_WAITALL),
+		  (ssize_t)sizeof(head) - 1);
+	head[sizeof(head) - 1] = '\0';
+	id = strstr(head, "X-Request-Id: ") + strlen("X-Request-Id: ");
+	id = id.substr(0, id.find('\r'));
+	EXPECT_TRUE(eventually(
+		[&] { return entry.metric("dsp_caller_gone_total") == 1; }));
+	EXPECT_TRUE(eventually([&] {
+		reply = entry.call("GET", "/v1/requests/" + id,
+				   { "X-Team: verband" });
+		return reply.status != 202;
+	}));
+	EXPECT_EQ(reply.status, 200);
+	EXPECT_TRUE(stream_text(reply.body) == words(tokens));
+	EXPECT_EQ(stub_n_requests(large), 1u);
+	close(fd);
+	fake_group_put_endpoint(group, "r1", 1, stub_address(model), "verband",
+				"kellerrat", "brine-7b", nullptr, true);
+	stub_free(large);
+}
+
 /* Guards section 11: a caller that waits gets a comment every second. */
 TEST_F(TrafficTest, WaitingStreamGetsHeartbeats)
 {
