--- a/src/core/plc.c
+++ b/src/core/plc.c
@@ -264,6 +264,41 @@
 	}
 }
 
+/* Tells whether a copy of an item that gains little may be loaded: not where
+ * memory was just freed for a model, and not soon after its item gave way. */
+static bool may_spread(struct plc_round *round, const struct plc_item *item,
+		       const struct plc_space *space)
+{
+	int64_t cleared_us = kept_of_ep(round, space->ep)->cleared_us;
+	int64_t removed_us = plc_kept_of(round->plc, item)->removed_us;
+
+	if (cleared_us && round->now_us - cleared_us < CLEARED_US)
+		return false;
+	return !removed_us || round->now_us - removed_us >= KEEP_US;
+}
+
+/* Loads a second copy of each model that has one only, at another site, where
+ * memory is free: without it, the loss of an endpoint made models unreachable
+ * for the 3 s of its lease and the load. The most used come first. */
+static void duplicate(struct plc_round *round)
+{
+	for (guint i = 0; i < round->items->len; i++) {
+		struct plc_item *item = g_ptr_array_index(round->items, i);
+		struct plc_space space = { 0 };
+
+		if (plc_future(item) != 1 || plc_ready(item) != 1)
+			continue;
+		if (plc_is_adapter(item) && plc_ready(item->base) < 2)
+			continue;
+		if (!plc_find(round, item, item->adapters_mb, &space) ||
+		    !may_spread(round, item, &space))
+			continue;
+		if (!plc_load_copy(round, item, &space) &&
+		    !round->adapters_left)
+			return;
+	}
+}
+
 static double patience_us(const struct plc_item *item)
 {
 	double ratio = item->weight_moves / MAX(item->weight_attainment, 0.01);
@@ -391,7 +426,6 @@
 	for (guint i = 0; i < round->items->len; i++) {
 		struct plc_item *item = g_ptr_array_index(round->items, i);
 		struct plc_space space = { 0 };
-		int64_t cleared_us;
 
 		if (!round->adapters_left)
 			return;
@@ -405,8 +439,7 @@
 			continue;
 		if (!plc_find(round, item, 0, &space))
 			continue;
-		cleared_us = kept_of_ep(round, space.ep)->cleared_us;
-		if (!cleared_us || round->now_us - cleared_us > CLEARED_US)
+		if (may_spread(round, item, &space))
 			plc_load_copy(round, item, &space);
 	}
 }
@@ -480,6 +513,7 @@
 	repair(&round);
 	if (!missing_any(&round)) {
 		follow_demand(&round);
+		duplicate(&round);
 		spread_adapters(&round);
 		plc_roles(&round);
 	}
--- a/src/core/plc_space.c
+++ b/src/core/plc_space.c
@@ -579,8 +579,14 @@
 
 	if (!dependants(round, copy, adapters))
 		return false;
-	for (guint i = 0; i < adapters->len; i++)
-		plc_unload_copy(round, g_ptr_array_index(adapters, i));
+	for (guint i = 0; i < adapters->len; i++) {
+		struct plc_copy *adapter = g_ptr_array_index(adapters, i);
+
+		if (adapter->item)
+			plc_kept_of(round->plc, adapter->item)->removed_us =
+				round->now_us;
+		plc_unload_copy(round, adapter);
+	}
 	if (adapters->len)
 		return false;
 	/* An adapter that is being unloaded still needs its model. */
@@ -591,5 +597,7 @@
 		if (depends(other, copy) && !base_twin(copy))
 			return false;
 	}
+	if (copy->item && plc_is_adapter(copy->item))
+		plc_kept_of(round->plc, copy->item)->removed_us = round->now_us;
 	return plc_unload_copy(round, copy);
 }
