--- a/src/core/st_snapshot.c
+++ b/src/core/st_snapshot.c
@@ -19,6 +19,7 @@
 	Dsp__StateSnapshot frame;
 	GPtrArray *records; /* of the repeated field that is being written */
 	void (*attach)(Dsp__StateSnapshot *frame, GPtrArray *records);
+	Dsp__Claim claims[FRAME_RECORDS];
 };
 
 static void write_frame(struct writer *w)
@@ -196,7 +197,12 @@
 
 static void write_claim(void *data, const Dsp__Claim *claim)
 {
-	add_now(data, claim);
+	struct writer *w = data;
+	Dsp__Claim *copy = &w->claims[w->records->len];
+
+	/* The strings live in the table. */
+	*copy = *claim;
+	add(w, copy);
 }
 
 static void write_suspects(struct writer *w, const struct st *ctx)
@@ -270,6 +276,8 @@
 	write_nodes(&w, ctx);
 	write_tombstones(&w, ctx);
 	flush(&w);
+	w.frame.end = true;
+	write_frame(&w);
 	g_ptr_array_free(w.records, TRUE);
 }
 
@@ -379,9 +387,9 @@
 
 static bool restore_frames(struct st *ctx, const uint8_t *data, size_t len)
 {
-	bool first = true;
+	bool first = true, end = false;
 
-	while (len) {
+	while (len && !end) {
 		Dsp__StateSnapshot *frame;
 		uint32_t le;
 		bool ok;
@@ -401,6 +409,7 @@
 			ctx->tombstone_floor = frame->tombstone_floor;
 			first = false;
 		}
+		end = frame->end;
 		ok = restore_frame(ctx, frame);
 		dsp__state_snapshot__free_unpacked(frame, NULL);
 		if (!ok)
@@ -408,7 +417,7 @@
 		data += 4 + le;
 		len -= 4 + le;
 	}
-	return !first;
+	return end && !len;
 }
 
 /*
