--- a/src/core/plc.c
+++ b/src/core/plc.c
@@ -1,10 +1,11 @@
+#include <math.h>
 #include <string.h>
 
 #include "core/plc_int.h"
 
 /* Requests that one move is worth at equal weights: a load keeps the store and
  * a part of an endpoint busy for seconds. */
-#define MOVE_COST 20.0
+#define MOVE_COST 36.0
 /* A copy that was added for demand stays at least this long, and a model whose
  * copy gave way gets no new one for as long. */
 #define KEEP_US (INT64_C(120) * 1000000)
@@ -264,6 +265,41 @@
 	}
 }
 
+/* Tells whether a copy of an item that gains little may be loaded: not where
+ * memory was just freed for a model, and not soon after its item gave way. */
+static bool may_spread(struct plc_round *round, const struct plc_item *item,
+		       const struct plc_space *space)
+{
+	int64_t cleared_us = kept_of_ep(round, space->ep)->cleared_us;
+	int64_t removed_us = plc_kept_of(round->plc, item)->removed_us;
+
+	if (cleared_us && round->now_us - cleared_us < CLEARED_US)
+		return false;
+	return !removed_us || round->now_us - removed_us >= KEEP_US;
+}
+
+/* Loads a second copy of each model that has one only, at another site, where
+ * memory is free: without it, the loss of an endpoint made models unreachable
+ * for the 3 s of its lease and the load. The most used come first. */
+static void duplicate(struct plc_round *round)
+{
+	for (guint i = 0; i < round->items->len; i++) {
+		struct plc_item *item = g_ptr_array_index(round->items, i);
+		struct plc_space space = { 0 };
+
+		if (plc_future(item) != 1 || plc_ready(item) != 1)
+			continue;
+		if (plc_is_adapter(item) && plc_ready(item->base) < 2)
+			continue;
+		if (!plc_find(round, item, item->adapters_mb, &space) ||
+		    !may_spread(round, item, &space))
+			continue;
+		if (!plc_load_copy(round, item, &space) &&
+		    !round->adapters_left)
+			return;
+	}
+}
+
 static double patience_us(const struct plc_item *item)
 {
 	double ratio = item->weight_moves / MAX(item->weight_attainment, 0.01);
@@ -271,10 +307,13 @@
 	return PATIENCE_US * CLAMP(ratio, 0.1, 10.0);
 }
 
+/* The square root of the ratio of the weights: with the ratio itself, the
+ * deployment that weighs attainment made half as many moves again without
+ * attaining more. */
 static double move_cost(const struct plc_item *item, uint32_t moves)
 {
-	return MOVE_COST * moves * item->weight_moves /
-	       MAX(item->weight_attainment, 0.01);
+	return MOVE_COST * moves *
+	       sqrt(item->weight_moves / MAX(item->weight_attainment, 0.01));
 }
 
 static bool missing_any(const struct plc_round *round)
@@ -391,7 +430,6 @@
 	for (guint i = 0; i < round->items->len; i++) {
 		struct plc_item *item = g_ptr_array_index(round->items, i);
 		struct plc_space space = { 0 };
-		int64_t cleared_us;
 
 		if (!round->adapters_left)
 			return;
@@ -405,8 +443,7 @@
 			continue;
 		if (!plc_find(round, item, 0, &space))
 			continue;
-		cleared_us = kept_of_ep(round, space.ep)->cleared_us;
-		if (!cleared_us || round->now_us - cleared_us > CLEARED_US)
+		if (may_spread(round, item, &space))
 			plc_load_copy(round, item, &space);
 	}
 }
@@ -480,6 +517,7 @@
 	repair(&round);
 	if (!missing_any(&round)) {
 		follow_demand(&round);
+		duplicate(&round);
 		spread_adapters(&round);
 		plc_roles(&round);
 	}
