--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -361,7 +361,15 @@
 /* Gives a command to the leader; it stays queued when none is known. */
 static void try_command(struct ctl *ctx, struct ctl_call *call)
 {
+	Dsp__CommandResult *rejection = NULL;
+
 	if (ctl_raft_is_leader(ctx)) {
+		if (call->kind == CTL_CALL_REPLACE)
+			rejection = ctl_raft_check_removal(ctx, call->replica);
+		if (rejection) {
+			finish_with_result(ctx, call, rejection);
+			return;
+		}
 		if (!hand_out(ctx, call))
 			return;
 		if (propose(ctx, call))
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -325,6 +325,8 @@
 		      struct ctl_waiter *waiter);
 bool ctl_raft_propose_config(struct ctl *ctx, const Dsp__RaftConfig *config,
 			     struct ctl_waiter *waiter);
+/* On the leader: why a replica cannot be removed, or NULL. */
+Dsp__CommandResult *ctl_raft_check_removal(struct ctl *ctx, uint64_t replica);
 struct ctl_waiter *ctl_waiter_new(enum ctl_waiter_kind kind);
 void ctl_raft_forward(struct ctl *ctx, const Dsp__Envelope *from,
 		      const Dsp__Forward *forward);
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -33,6 +33,32 @@
 	return waiter;
 }
 
+static const Dsp__Member *find_member(const Dsp__RaftConfig *config,
+				      uint64_t replica)
+{
+	for (size_t i = 0; config && i < config->n_members; i++)
+		if (config->members[i]->replica == replica)
+			return config->members[i];
+	return NULL;
+}
+
+/*
+ * Returns why an operator cannot remove a replica, or NULL when it can. The
+ * leader's own is kept: it is alive, and without it a single voter would leave
+ * a group that nobody can change.
+ */
+Dsp__CommandResult *ctl_raft_check_removal(struct ctl *ctx, uint64_t replica)
+{
+	if (!find_member(raft_config(ctx->raft), replica))
+		return result_new(DSP__RESULT_CODE__RESULT_NOT_FOUND,
+				  "no replica of the group has this identity");
+	if (replica == ctx->replica)
+		return result_new(DSP__RESULT_CODE__RESULT_INVALID,
+				  "the replica leads the group; stop its "
+				  "instance first");
+	return NULL;
+}
+
 /* ---- Forwarded commands ---- */
 
 static void send_reply(struct ctl *ctx, const char *address, uint64_t id,
@@ -60,14 +86,12 @@
 	send_reply(ctx, address, id, boot, &result, ctx->leader_address);
 }
 
-static void reply_invalid(struct ctl *ctx, const char *address, uint64_t id,
-			  uint64_t boot)
+/* Takes the result; the command was not proposed. */
+static void reply_rejected(struct ctl *ctx, const Dsp__Envelope *from,
+			   const Dsp__Forward *in, Dsp__CommandResult *result)
 {
-	Dsp__CommandResult result = DSP__COMMAND_RESULT__INIT;
-
-	result.code = DSP__RESULT_CODE__RESULT_INVALID;
-	result.message = "the command cannot be parsed";
-	send_reply(ctx, address, id, boot, &result, NULL);
+	send_reply(ctx, from->address, in->id, in->boot, result, NULL);
+	dsp__command_result__free_unpacked(result, NULL);
 }
 
 /* Takes the result; NULL: the command never takes effect. */
@@ -112,16 +136,21 @@
 			  const Dsp__Forward *in, char *key)
 {
 	struct ctl_forward *forward;
+	Dsp__CommandResult *rejection = NULL;
 	Dsp__Command *command = NULL;
 
-	if (!in->replace_replica) {
+	if (in->replace_replica)
+		rejection = ctl_raft_check_removal(ctx, in->replace_replica);
+	else
 		command = dsp__command__unpack(NULL, in->command.len,
 					       in->command.data);
-		if (!command) {
-			reply_invalid(ctx, from->address, in->id, in->boot);
-			g_free(key);
-			return;
-		}
+	if (!in->replace_replica && !command)
+		rejection = result_new(DSP__RESULT_CODE__RESULT_INVALID,
+				       "the command cannot be parsed");
+	if (rejection) {
+		reply_rejected(ctx, from, in, rejection);
+		g_free(key);
+		return;
 	}
 	forward = g_new0(struct ctl_forward, 1);
 	forward->key = key;
@@ -412,15 +441,6 @@
 	return ctx->raft && raft_role(ctx->raft) == RAFT_LEADER;
 }
 
-static const Dsp__Member *find_member(const Dsp__RaftConfig *config,
-				      uint64_t replica)
-{
-	for (size_t i = 0; config && i < config->n_members; i++)
-		if (config->members[i]->replica == replica)
-			return config->members[i];
-	return NULL;
-}
-
 static const char *replica_address(struct ctl *ctx, uint64_t replica)
 {
 	const Dsp__Member *m = find_member(raft_config(ctx->raft), replica);
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -570,6 +570,12 @@
 	replica = strtoull(json + at + key.size(), NULL, 10);
 	g_free(json);
 	all[2]->stop();
+	for (size_t i : { 0, 1, 3 }) {
+		EXPECT_FALSE(ctl_replace(all[i]->ctl, replica + 1, &err));
+		EXPECT_STREQ(err ? err->message : "",
+			     "no replica of the group has this identity");
+		g_clear_error(&err);
+	}
 	ASSERT_TRUE(ctl_replace(all[3]->ctl, replica, &err))
 		<< (err ? err->message : "");
 	EXPECT_FALSE(all[0]->has_status(key + std::to_string(replica)));
