core: do not read past the list of tombstones of a view

merge_tombstones() copied one pointer more than the list holds (found with AddressSanitizer in the view history test; the pointer was never used).

--- a/src/core/view.c
+++ b/src/core/view.c
@@ -250,9 +250,9 @@
 		rec_unref(rec);
 	}
 	out->tombstones.n = all->len - drop;
-	out->tombstones.all =
-		g_memdup2(all->pdata + drop,
-			  (out->tombstones.n + 1) * sizeof(struct rec *));
+	out->tombstones.all = g_new(struct rec *, out->tombstones.n + 1);
+	for (guint i = drop; i < all->len; i++)
+		out->tombstones.all[i - drop] = all->pdata[i];
 	g_ptr_array_free(all, TRUE);
 }
 
