--- a/src/core/plc.c
+++ b/src/core/plc.c
@@ -347,7 +347,9 @@
 	}
 	if (item->excess <= 0)
 		return false;
-	if (!plc_find_evicting(round, item, 1, G_MAXDOUBLE, &space))
+	/* Second copies stay: they keep models reachable when an endpoint or a
+	 * site is lost. */
+	if (!plc_find_evicting(round, item, 2, G_MAXDOUBLE, &space))
 		return false;
 	gain = plc_gain(round, item, space.ep) - space.loss;
 	done = gain > move_cost(item, 1 + space.evict->len);
