--- a/tests/tools/lib_cluster.c
+++ b/tests/tools/lib_cluster.c
@@ -11,7 +11,7 @@
 #include "lib_http.h"
 #include "lib_proc.h"
 
-#define ENDPOINTS_MAX 32
+#define ENDPOINTS_MAX 64
 #define LOG_TAIL_BYTES 4000
 #define CALL_TIMEOUT_MS 2000
 
--- a/tests/tools/lib_cluster.h
+++ b/tests/tools/lib_cluster.h
@@ -17,7 +17,7 @@
  */
 struct cluster;
 
-#define CLUSTER_INSTANCES_MAX 9
+#define CLUSTER_INSTANCES_MAX 40
 
 struct cluster_options {
 	size_t instances;
