--- a/tests/unit/raft_sim.h
+++ b/tests/unit/raft_sim.h
@@ -169,7 +169,8 @@
 	int slot = 0;
 	std::shared_ptr<Disk> disk;
 	struct raft *raft = nullptr;
-	uint64_t life = 0; /* counts restarts */
+	uint64_t life = 0;	    /* counts restarts */
+	uint64_t disabled_life = 0; /* its disk failed in this life */
 	bool frozen = false;
 	std::deque<std::string> inbox;
 
@@ -340,6 +341,27 @@
 		process(node);
 	}
 
+	/* A write fails: a part of the batch may be on disk, nothing of it is
+	 * sent or applied. */
+	void fail_disk(Node &node)
+	{
+		uint64_t life = node.life;
+
+		if (!node.raft)
+			return;
+		trace("disk of %d fails", node.slot);
+		if (node.busy) {
+			size_t survive = draw(node.writes.size() + 1);
+
+			for (size_t i = 0; i < survive; i++)
+				node.writes[i](*node.disk);
+		}
+		node.busy = false;
+		node.writes.clear();
+		node.disabled_life = life;
+		raft_disable(node.raft);
+	}
+
 	void freeze(Node &node)
 	{
 		trace("freeze %d", node.slot);
@@ -439,7 +461,7 @@
 		Snapshot s;
 		const Dsp__RaftConfig *config;
 
-		if (!node.applied)
+		if (!node.applied || node.disabled_life == node.life)
 			return;
 		config = raft_config_at(node.raft, node.applied);
 		s.index = node.applied;
@@ -844,6 +866,9 @@
 		uint64_t to = msg->to;
 		int copies = chance(o.duplicate) ? 2 : 1;
 
+		if (from.disabled_life == from.life)
+			fail("%d: sends although its disk failed", from.slot);
+
 		dsp__raft_message__pack(msg, (uint8_t *)packed.data());
 		messages_sent++;
 		if (drop && drop(from, msg))
--- a/tests/unit/raft_sim_test.cc
+++ b/tests/unit/raft_sim_test.cc
@@ -34,6 +34,8 @@
 		for (auto &node : s.nodes) {
 			if (node->frozen)
 				s.thaw(*node);
+			if (node->disabled_life == node->life)
+				s.crash(*node);
 			s.start(*node);
 		}
 		wanted.assign(wanted.size(), true);
@@ -231,7 +233,7 @@
 		if (calm)
 			return;
 		s.at((int64_t)s.draw(700 * ms), [this] { fault(); });
-		switch (s.draw(12)) {
+		switch (s.draw(13)) {
 		case 0:
 		case 1:
 			crash_for_a_while(node);
@@ -260,6 +262,14 @@
 			lose_twice(node);
 			break;
 		case 10:
+			s.fail_disk(node);
+			s.at((int64_t)s.draw(1500 * ms), [this, &node] {
+				if (node.disabled_life == node.life)
+					s.crash(node);
+				s.start(node);
+			});
+			break;
+		case 11:
 			if (leader)
 				s.transfer(
 					*leader,
--- a/tests/unit/sto_test.cc
+++ b/tests/unit/sto_test.cc
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -286,8 +287,12 @@
 	GError *err = nullptr;
 	struct sto *sto = sto_open(folder.c_str(), &err);
 
-	EXPECT_NE(sto, nullptr) << (err ? err->message : "");
-	g_clear_error(&err);
+	if (!sto) {
+		std::string message = err->message;
+
+		g_clear_error(&err);
+		throw std::runtime_error("cannot open: " + message);
+	}
 	return sto;
 }
 
@@ -807,12 +812,14 @@
 		faults.fail_after = 1; /* the write succeeds, the sync fails */
 		faults.error = error;
 		EXPECT_FALSE(sto_sync(sto, &err));
+		ASSERT_NE(err, nullptr);
 		EXPECT_EQ(err->code, code);
 		g_clear_error(&err);
 		faults.failed = false; /* the disk works again */
 		faults.fail_after = -1;
 		faults.calls = 0;
 		EXPECT_FALSE(sto_sync(sto, &err));
+		ASSERT_NE(err, nullptr);
 		EXPECT_EQ(err->code, code);
 		g_clear_error(&err);
 		EXPECT_FALSE(append(sto, items(6, 1, 1, 1)));
