node: drop the updates of instances that chose another upstream sooner

In a trial of 63 instances each of two voters still sent 10 KB/s to instances that had moved to their relay up to 10 s before.

--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -19,7 +19,10 @@
 #define FIRST_UPSTREAM_LIMIT_US CTL_S_US
 /* The designated relay is tried again after this time on another upstream. */
 #define UPSTREAM_RETURN_US (30LL * CTL_S_US)
-#define CHILD_LIMIT_US (10LL * CTL_S_US)
+/* A child that found another upstream gets no more updates after this time and
+ * some report intervals. */
+#define CHILD_LIMIT_US (2LL * CTL_S_US)
+#define CHILD_LIMIT_REPORTS 3
 /* A child that reports a lower index than it was sent lost the update. */
 #define LOST_AFTER_US 500000
 #define PUSH_INTERVAL_US 20000
@@ -411,6 +414,15 @@
 	return NULL;
 }
 
+static bool is_lost(const struct ctl *ctx, const struct ctl_child *child)
+{
+	int64_t limit_us =
+		CHILD_LIMIT_US +
+		CHILD_LIMIT_REPORTS * 1000LL * ctx->set->report_interval_ms;
+
+	return ctx->now_us - child->heard_us > limit_us;
+}
+
 static void note_child(struct ctl *ctx, const Dsp__Envelope *from,
 		       uint64_t index)
 {
@@ -437,7 +449,7 @@
 		child->sent_index = index;
 		child->due = true;
 	}
-	if (ctx->now_us - child->heard_us > CHILD_LIMIT_US)
+	if (is_lost(ctx, child))
 		child->due = true;
 	child->heard_us = ctx->now_us;
 }
@@ -696,7 +708,7 @@
 		collect_loads(ctx, &round);
 	g_hash_table_iter_init(&iter, ctx->children);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&child)) {
-		if (ctx->now_us - child->heard_us > CHILD_LIMIT_US) {
+		if (is_lost(ctx, child)) {
 			g_hash_table_iter_remove(&iter);
 			continue;
 		}
