tests: few threads for each instance

Cause: a run of several test programs aborted with "cannot create the control thread": each instance had 1000 worker threads, and the machine allows 32768. Ruled out: a fault of the programs themselves, each passes alone.

--- a/tests/tools/lib_cluster.c
+++ b/tests/tools/lib_cluster.c
@@ -26,6 +26,10 @@
 				     "entry_validity_s = 1\n"
 				     "drain_limit_s = 60\n";
 
+/* CivetWeb has a thread for each concurrent request; with the default of 1000
+ * the tests of several systems at once exceed the machine's 32768 threads. */
+static const char default_limits[] = "requests_max = 100\n";
+
 struct instance {
 	char id[16];
 	char *site;	     /* owned */
@@ -107,9 +111,9 @@
 	g_string_append_printf(text, "[timing]\n%s",
 			       ctx->options.timing ? ctx->options.timing
 						   : default_timing);
-	if (ctx->options.limits)
-		g_string_append_printf(text, "[limits]\n%s",
-				       ctx->options.limits);
+	g_string_append_printf(text, "[limits]\n%s",
+			       ctx->options.limits ? ctx->options.limits
+						   : default_limits);
 	g_file_set_contents(self->settings_path, text->str, (gssize)text->len,
 			    NULL);
 	g_string_free(text, TRUE);
--- a/tests/tools/lib_cluster.h
+++ b/tests/tools/lib_cluster.h
@@ -25,7 +25,7 @@
 	const char *sites[CLUSTER_INSTANCES_MAX]; /* NULL: site1, site2, ... */
 	bool proxies;
 	const char *timing; /* lines of [timing]; NULL: fast ones for tests */
-	const char *limits; /* lines of [limits]; NULL: none */
+	const char *limits; /* lines of [limits]; NULL: few requests */
 };
 
 struct cluster *cluster_new(const struct cluster_options *options);
