traffic: a resend that cannot read its claim is not told not_run

Cause: RefusedResendOfARunBookingDoesNotSayNotRun: a booking ran, the entry lost contact with the leader, and the resend was refused with not_run, which was true of the attempt but not of the request. A refusal before the claim is read now says unknown. Metric names share one prefix.

--- a/src/traffic/api_caller.c
+++ b/src/traffic/api_caller.c
@@ -49,7 +49,7 @@
 		return false;
 	}
 	if (ctx->in_flight > ctx->settings->requests_max) {
-		met_count(ctx->metrics, "dsp_limit_rejections_total",
+		met_count(ctx->metrics, "dandelionspar_limit_rejections_total",
 			  "limit=\"requests_max\"", 1);
 		api_error(api, 429, "too_many_requests", TRF_NOT_RUN, 1,
 			  "%u requests are in flight (limits.requests_max)",
@@ -142,7 +142,8 @@
 	const Dsp__Suspect *suspect = view_suspect(r->view, r->digest);
 
 	if (suspect && suspect->quarantined) {
-		met_count(r->ctx->metrics, "dsp_quarantine_rejections_total",
+		met_count(r->ctx->metrics,
+			  "dandelionspar_quarantine_rejections_total",
 			  r->labels, 1);
 		api_error(r->api, 422, "request_quarantined", TRF_NOT_RUN, 0,
 			  "endpoints crashed while they ran this request");
@@ -459,6 +460,8 @@
 	    !find_service(r, name))
 		return;
 	claimed = is_non_idempotent(r, path);
+	if (!claimed)
+		api->claim_unread = false;
 	if (!find_class(r) ||
 	    !find_deadline(r, claimed ? CLAIM_DEADLINE_DEFAULT_US
 				      : DEADLINE_DEFAULT_US) ||
--- a/src/traffic/api_endpoint.c
+++ b/src/traffic/api_endpoint.c
@@ -284,8 +284,8 @@
 	in.object = body;
 	announcement = read_announcement(&in);
 	if (in.fault) {
-		met_count(api->ctx->metrics, "dsp_announcements_invalid_total",
-			  "", 1);
+		met_count(api->ctx->metrics,
+			  "dandelionspar_announcements_invalid_total", "", 1);
 		api_error(api, 400, "invalid_announcement", TRF_NOT_RUN, 0,
 			  "the member \"%s\" is missing or not valid",
 			  in.fault);
--- a/src/traffic/api_http.c
+++ b/src/traffic/api_http.c
@@ -32,7 +32,8 @@
 		return;
 	if (mg_write(api->conn, bytes, len) != (int)len) {
 		api->gone = true;
-		met_count(api->ctx->metrics, "dsp_caller_gone_total", "", 1);
+		met_count(api->ctx->metrics, "dandelionspar_caller_gone_total",
+			  "", 1);
 	}
 }
 
@@ -212,12 +213,14 @@
 	char *message;
 	va_list args;
 
+	if (ran == TRF_NOT_RUN && api->claim_unread)
+		ran = TRF_RAN_UNKNOWN;
 	va_start(args, format);
 	message = g_strdup_vprintf(format, args);
 	va_end(args);
 	g_snprintf(labels, sizeof(labels), "code=\"%s\",ran=\"%s\"", code,
 		   ran_names[ran]);
-	met_count(api->ctx->metrics, "dsp_errors_total", labels, 1);
+	met_count(api->ctx->metrics, "dandelionspar_errors_total", labels, 1);
 	object = api_error_json(code, message, ran);
 	g_free(message);
 	if (retry_after_s)
@@ -230,7 +233,7 @@
 {
 	uint32_t limit = api->ctx->settings->body_bytes_max;
 
-	met_count(api->ctx->metrics, "dsp_limit_rejections_total",
+	met_count(api->ctx->metrics, "dandelionspar_limit_rejections_total",
 		  "limit=\"body_bytes_max\"", 1);
 	api->close = true;
 	api_error(api, 413, "body_too_large", TRF_NOT_RUN, 0,
@@ -248,7 +251,7 @@
 		api->memory += more;
 		return true;
 	}
-	met_count(api->ctx->metrics, "dsp_limit_rejections_total",
+	met_count(api->ctx->metrics, "dandelionspar_limit_rejections_total",
 		  "limit=\"memory_mb_max\"", 1);
 	api_error(api, 503, "memory_limit", TRF_NOT_RUN, 1,
 		  "bodies and answers held exceed %u MB "
--- a/src/traffic/api_operator.c
+++ b/src/traffic/api_operator.c
@@ -307,17 +307,17 @@
 	struct trf *ctx = api->ctx;
 	char *text;
 
-	met_gauge(ctx->metrics, "dsp_requests_in_flight", "",
+	met_gauge(ctx->metrics, "dandelionspar_requests_in_flight", "",
 		  (int64_t)ctx->in_flight);
-	met_gauge(ctx->metrics, "dsp_connections", "",
+	met_gauge(ctx->metrics, "dandelionspar_connections", "",
 		  (int64_t)ctx->connections);
-	met_gauge(ctx->metrics, "dsp_memory_held_bytes", "",
+	met_gauge(ctx->metrics, "dandelionspar_memory_held_bytes", "",
 		  (int64_t)ctx->memory_used);
-	met_gauge(ctx->metrics, "dsp_limit", "limit=\"requests_max\"",
+	met_gauge(ctx->metrics, "dandelionspar_limit", "limit=\"requests_max\"",
 		  ctx->settings->requests_max);
-	met_gauge(ctx->metrics, "dsp_limit", "limit=\"memory_mb_max\"",
-		  ctx->settings->memory_mb_max);
-	met_gauge(ctx->metrics, "dsp_limit", "limit=\"queue_max\"",
+	met_gauge(ctx->metrics, "dandelionspar_limit",
+		  "limit=\"memory_mb_max\"", ctx->settings->memory_mb_max);
+	met_gauge(ctx->metrics, "dandelionspar_limit", "limit=\"queue_max\"",
 		  ctx->settings->queue_max);
 	text = met_to_prometheus(ctx->metrics);
 	api_reply(api, 200, "text/plain; version=0.0.4", NULL, text,
--- a/src/traffic/trf.c
+++ b/src/traffic/trf.c
@@ -257,7 +257,7 @@
 			strlen(info->http_headers[i].value) + 4;
 	if (size <= limit)
 		return true;
-	met_count(api->ctx->metrics, "dsp_limit_rejections_total",
+	met_count(api->ctx->metrics, "dandelionspar_limit_rejections_total",
 		  "limit=\"header_bytes_max\"", 1);
 	api->close = true;
 	api_error(api, 431, "headers_too_large", TRF_NOT_RUN, 0,
@@ -278,6 +278,8 @@
 	};
 
 	api.path = api.info->local_uri_raw ? api.info->local_uri_raw : "/";
+	api.claim_unread = g_str_has_prefix(api.path, "/v1/services/") &&
+			   api_header(&api, "Idempotency-Key");
 	new_id(ctx, api.id);
 	if (headers_fit(&api))
 		handle(&api);
@@ -301,7 +303,8 @@
 
 	if (status == 408)
 		code = "request_timeout";
-	met_count(ctx->metrics, "dsp_malformed_requests_total", "", 1);
+	met_count(ctx->metrics, "dandelionspar_malformed_requests_total", "",
+		  1);
 	(void)message;
 	object = api_error_json(code,
 				"malformed, incomplete, or with headers far "
--- a/src/traffic/trf_answer.c
+++ b/src/traffic/trf_answer.c
@@ -145,7 +145,7 @@
 		g_string_append_len(answer->body, bytes, (gssize)len);
 		goto out;
 	}
-	met_count(ctx->metrics, "dsp_answers_dropped_total", "", 1);
+	met_count(ctx->metrics, "dandelionspar_answers_dropped_total", "", 1);
 	trf_memory_give(ctx, answer->body->len);
 	g_string_truncate(answer->body, 0);
 	answer->dropped = true;
--- a/src/traffic/trf_claim.c
+++ b/src/traffic/trf_claim.c
@@ -116,7 +116,8 @@
 {
 	trf_bg_add(c->r->ctx, new_job(c, TRF_JOB_RELEASE,
 				      DSP__CLAIM_STATE__CLAIM_RELEASED));
-	met_count(c->r->ctx->metrics, "dsp_claims_abandoned_total", "", 1);
+	met_count(c->r->ctx->metrics, "dandelionspar_claims_abandoned_total",
+		  "", 1);
 	api_error(c->r->api, 503, "claim_timeout", TRF_NOT_RUN, 1,
 		  "the claim was not committed in time; this attempt will "
 		  "not run");
@@ -341,6 +342,9 @@
 {
 	struct trf_request *r = c->r;
 
+	/* The claim is read: it is answered from, or there is none. */
+	if (result->claim || result->code == DSP__RESULT_CODE__RESULT_LIMIT)
+		r->api->claim_unread = false;
 	if (result->claim && !same_digest(r, result->claim)) {
 		api_error(r->api, 422, "idempotency_key_reused", TRF_NOT_RUN, 0,
 			  "the key was used for a different request");
@@ -355,7 +359,8 @@
 		return true;
 	}
 	if (result->code == DSP__RESULT_CODE__RESULT_LIMIT) {
-		met_count(r->ctx->metrics, "dsp_limit_rejections_total",
+		met_count(r->ctx->metrics,
+			  "dandelionspar_limit_rejections_total",
 			  "limit=\"claims_max\"", 1);
 		api_error(r->api, 503, "claims_full", TRF_NOT_RUN, 60,
 			  "the table of claims is full (limits.claims_max)");
@@ -391,9 +396,10 @@
 			  "no leader can be reached");
 	else if (!result)
 		abandon(c);
-	else if (owns(c, result))
+	else if (owns(c, result)) {
+		r->api->claim_unread = false;
 		run_owned(c);
-	else
+	} else
 		ended = not_granted(c, result);
 	g_clear_error(&err);
 	if (result)
--- a/src/traffic/trf_int.h
+++ b/src/traffic/trf_int.h
@@ -228,7 +228,10 @@
 	bool close;
 	bool chunked;
 	bool replied;
-	bool gone;		   /* the caller's connection broke */
+	bool gone; /* the caller's connection broke */
+	/* An earlier attempt under the same key may have run; its claim has
+	 * not been read yet, so that no refusal may say not_run. */
+	bool claim_unread;
 	struct trf_answer *answer; /* also receives the reply; or NULL */
 };
 
--- a/src/traffic/trf_plain.c
+++ b/src/traffic/trf_plain.c
@@ -31,7 +31,8 @@
 	if (b->crossed)
 		return false;
 	if (!trf_memory_take(b->ctx, len)) {
-		met_count(b->ctx->metrics, "dsp_limit_rejections_total",
+		met_count(b->ctx->metrics,
+			  "dandelionspar_limit_rejections_total",
 			  "limit=\"memory_mb_max\"", 1);
 		b->too_large = true;
 		return false;
@@ -146,7 +147,7 @@
 	if (!unsent && (!crash_allows_retry(r, target) || granted))
 		return false;
 	trf_route_failed(r->ctx, target);
-	met_count(r->ctx->metrics, "dsp_retries_total", r->labels, 1);
+	met_count(r->ctx->metrics, "dandelionspar_retries_total", r->labels, 1);
 	trf_route_retry(r->ctx, w);
 	if (!trf_route_wait(r->ctx, w, r->deadline_us, NULL, NULL))
 		return false;
--- a/src/traffic/trf_route.c
+++ b/src/traffic/trf_route.c
@@ -35,7 +35,7 @@
 				     GUINT_TO_POINTER(n));
 	else
 		g_hash_table_remove(ctx->waiting, key);
-	met_gauge(ctx->metrics, "dsp_requests_waiting", "",
+	met_gauge(ctx->metrics, "dandelionspar_requests_waiting", "",
 		  (int64_t)rt_waiting(ctx->rt));
 }
 
--- a/src/traffic/trf_run.c
+++ b/src/traffic/trf_run.c
@@ -61,14 +61,14 @@
 	char *labels = g_strdup_printf("%s,outcome=\"%s\"", r->labels, outcome);
 	Dsp__Demand demand = DSP__DEMAND__INIT;
 
-	met_count(r->ctx->metrics, "dsp_requests_total", labels, 1);
+	met_count(r->ctx->metrics, "dandelionspar_requests_total", labels, 1);
 	g_free(labels);
 	if (!refused)
-		met_observe_us(r->ctx->metrics, "dsp_request_seconds",
+		met_observe_us(r->ctx->metrics, "dandelionspar_request_seconds",
 			       r->labels, trf_now(r->ctx) - r->api->arrival_us);
 	if (late)
-		met_count(r->ctx->metrics, "dsp_requests_late_total", r->labels,
-			  1);
+		met_count(r->ctx->metrics, "dandelionspar_requests_late_total",
+			  r->labels, 1);
 	demand.team = (char *)r->team;
 	demand.model = r->model ? r->model : (char *)"";
 	demand.adapter = r->adapter ? r->adapter : (char *)"";
@@ -100,7 +100,8 @@
 	if (!timed_out && (decision->reason == RT_REASON_QUEUE_FULL ||
 			   decision->reason == RT_REASON_MODEL_SHARE)) {
 		status = 429;
-		met_count(r->ctx->metrics, "dsp_limit_rejections_total",
+		met_count(r->ctx->metrics,
+			  "dandelionspar_limit_rejections_total",
 			  "limit=\"queue_max\"", 1);
 	}
 	api_error(r->api, status, code, trf_ran_of(r), retry_s ? retry_s : 1,
@@ -174,12 +175,14 @@
 
 	if (!run->first_token_us) {
 		run->first_token_us = now;
-		met_observe_us(r->ctx->metrics, "dsp_first_token_seconds",
-			       r->labels, now - r->api->arrival_us);
+		met_observe_us(r->ctx->metrics,
+			       "dandelionspar_first_token_seconds", r->labels,
+			       now - r->api->arrival_us);
 		trf_route_first_token(r->ctx, &run->waiter);
 	} else {
-		met_observe_us(r->ctx->metrics, "dsp_token_gap_seconds",
-			       r->labels, now - run->last_token_us);
+		met_observe_us(r->ctx->metrics,
+			       "dandelionspar_token_gap_seconds", r->labels,
+			       now - run->last_token_us);
 	}
 	run->last_token_us = now;
 	run->delivered++;
@@ -614,7 +617,7 @@
 	/* A granted suspect has had its run. */
 	if (end == TRY_BROKEN && (!after_break(run) || granted))
 		return false;
-	met_count(r->ctx->metrics, "dsp_retries_total", r->labels, 1);
+	met_count(r->ctx->metrics, "dandelionspar_retries_total", r->labels, 1);
 	/* The connection was at fault, and no other endpoint has a copy: the
 	 * same endpoint is tried on a fresh connection. */
 	if (end == TRY_BROKEN && !r->suspect && !other_copy(run))
--- a/src/traffic/trf_suspect.c
+++ b/src/traffic/trf_suspect.c
@@ -120,7 +120,7 @@
 	report.digests = &digests;
 	command.body_case = DSP__COMMAND__BODY_CRASH_REPORT;
 	command.crash_report = &report;
-	met_count(ctx->metrics, "dsp_crash_reports_total", "", 1);
+	met_count(ctx->metrics, "dandelionspar_crash_reports_total", "", 1);
 	code = submit_code(ctx, &command);
 	LOG_EVENT_WARN("trf", "crash_reported",
 		       "endpoint=%s incarnation=%" PRIu64 " result=%d",
--- a/tests/integration/bookings_test.cc
+++ b/tests/integration/bookings_test.cc
@@ -233,3 +233,24 @@
 	}));
 	EXPECT_LE(system.runs(body_of("cut")), 1u);
 }
+
+/* Guards "not run" for a resend: the booking ran, its caller lost the answer
+ * and sends it again through an entry that cannot read the claim. Whatever the
+ * refusal says, it must not say "not_run". */
+TEST_F(Bookings, RefusedResendOfARunBookingDoesNotSayNotRun)
+{
+	size_t cut = ((size_t)system.wait_leader() + 1) % 3;
+
+	ASSERT_TRUE(is_run(system.book(cut, "again", body_of("again"))));
+	cluster_isolate(system.cluster, cut, true);
+	for (int i = 0; i < 10; i++) {
+		Reply refused = system.call(
+			cut, "POST", "/v1/services/bookings/slots",
+			body_of("again"),
+			{ "Idempotency-Key: again", "X-Deadline-Ms: 1000" });
+
+		EXPECT_NE(refused.error("ran"), "not_run") << refused.body;
+		usleep(200000);
+	}
+	EXPECT_EQ(system.runs(body_of("again")), 1u);
+}
