--- a/src/node/ctl_order.c
+++ b/src/node/ctl_order.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 /* How often unanswered orders are looked at without a change. */
+#define UNLOAD_HOLD_INTERVALS 2 /* of report_interval_ms */
 #define RUN_INTERVAL_US 200000
 /* An endpoint answers an order before it executes it, so these are short: the
  * one sender thread must not wait long for a silent endpoint. */
@@ -305,6 +306,8 @@
 /* An order of this leadership was committed. */
 void ctl_order_committed(struct ctl *ctx, const Dsp__CommandResult *result)
 {
+	struct ctl_order *track;
+
 	if (result->code != DSP__RESULT_CODE__RESULT_OK || !result->order) {
 		met_count(ctx->met, "dandelionspar_orders_rejected", "", 1);
 		LOG_EVENT_WARN("ctl", "order_rejected", "reason=\"%s\"",
@@ -312,8 +315,16 @@
 		return;
 	}
 	met_count(ctx->met, "dandelionspar_orders", "", 1);
-	if (ctx->ready_leader)
-		order_get(ctx, result->order->id)->own = true;
+	if (!ctx->ready_leader)
+		return;
+	track = order_get(ctx, result->order->id);
+	track->own = true;
+	/* Entries dispatch to the copy until the view that marks it as
+	 * unloading has reached them, over a relay at most. */
+	if (result->order->kind == DSP__ORDER_KIND__ORDER_UNLOAD)
+		track->next_us =
+			ctx->now_us + UNLOAD_HOLD_INTERVALS * 1000LL *
+					      ctx->set->report_interval_ms;
 }
 
 static void run_order(struct ctl *ctx, const Dsp__Order *o)
