--- a/src/cli/cli_document.c
+++ b/src/cli/cli_document.c
@@ -56,8 +56,7 @@
 	.parser = parse_option,
 	.args_doc = "TEAM",
 	.doc = "Prints the document in force for a team; with --json its "
-	       "number "
-	       "and log index as well.",
+	       "number as well.",
 	.children = children,
 };
 
--- a/tests/tools/bench_control.c
+++ b/tests/tools/bench_control.c
@@ -26,7 +26,7 @@
 #define SYNCS 500
 #define RECORD_BYTES 300
 #define DOCUMENTS 20
-#define WINDOW_MS 10000
+#define WINDOW_MS 20000
 
 /* The settings that the product uses by default, so that costs are real. */
 static const char default_timing[] = "entry_validity_s = 30\n";
@@ -264,25 +264,28 @@
 			size_t voters, size_t endpoints)
 {
 	struct cost before[CLUSTER_INSTANCES_MAX];
+	struct cost after[CLUSTER_INSTANCES_MAX];
+	const char *role[CLUSTER_INSTANCES_MAX];
 	static const char *const roles[] = { "leader", "voter", "entry" };
 	double seconds = WINDOW_MS / 1000.0;
 
+	for (size_t i = 0; i < instances; i++)
+		role[i] = role_of(cluster, i, voters);
 	for (size_t i = 0; i < instances; i++)
 		before[i] = cost_of(cluster, i);
 	usleep(WINDOW_MS * 1000);
+	for (size_t i = 0; i < instances; i++)
+		after[i] = cost_of(cluster, i);
 	for (size_t r = 0; r < G_N_ELEMENTS(roles); r++) {
 		struct cost sum = { 0 };
 		int64_t n = 0;
 
 		for (size_t i = 0; i < instances; i++) {
-			struct cost now;
-
-			if (strcmp(role_of(cluster, i, voters), roles[r]))
+			if (strcmp(role[i], roles[r]))
 				continue;
-			now = cost_of(cluster, i);
-			sum.cpu_us += now.cpu_us - before[i].cpu_us;
-			sum.bytes += now.bytes - before[i].bytes;
-			sum.rss_kb += now.rss_kb;
+			sum.cpu_us += after[i].cpu_us - before[i].cpu_us;
+			sum.bytes += after[i].bytes - before[i].bytes;
+			sum.rss_kb += after[i].rss_kb;
 			n++;
 		}
 		if (!n)
