--- a/src/conf/doc.c
+++ b/src/conf/doc.c
@@ -300,16 +300,11 @@
 	struct opt_source source = { .file = name, .faults = faults };
 	guint before = faults->len;
 	struct tb_value *root;
-	char *error = NULL;
 	struct doc *ctx;
-	int line = 0;
 
-	root = tb_parse(text, len, &error, &line);
-	if (!root) {
-		opt_fault(&source, line, "toml", "%s", error);
-		free(error);
+	root = opt_parse(&source, text, len);
+	if (!root)
 		return NULL;
-	}
 	ctx = g_new0(struct doc, 1);
 	read_document(ctx, &source, root);
 	if (faults->len == before) {
--- a/src/conf/opt.c
+++ b/src/conf/opt.c
@@ -31,6 +31,21 @@
 	g_free(text);
 }
 
+/* Parses TOML text. Returns NULL after a fault with the line was added. */
+struct tb_value *opt_parse(const struct opt_source *source, const char *text,
+			   size_t len)
+{
+	char *error = NULL;
+	int line = 0;
+	struct tb_value *root = tb_parse(text, len, &error, &line);
+
+	if (root)
+		return root;
+	opt_fault(source, line, "toml", "%s", error);
+	free(error);
+	return NULL;
+}
+
 /* Returns the child with the given key, or NULL. */
 const struct tb_value *opt_child(const struct tb_value *table, const char *key)
 {
--- a/src/conf/opt.h
+++ b/src/conf/opt.h
@@ -46,6 +46,9 @@
 /* Sets all defaults, then reads the table's keys. value may be NULL. */
 void opt_read(const struct opt_source *source, const struct tb_value *table,
 	      const char *path, const struct opt *options, size_t n, void *out);
+/* Parses TOML; NULL after a fault was added. tb_free() */
+struct tb_value *opt_parse(const struct opt_source *source, const char *text,
+			   size_t len);
 const struct tb_value *opt_child(const struct tb_value *table, const char *key);
 bool opt_is_name(const char *text);
 bool opt_is_ip_port(const char *text);
