--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -115,6 +115,37 @@
 	return list;
 }
 
+/* The view index that an instance is known to have installed; 0: unknown. */
+static uint64_t installed_index(struct ctl *ctx, const Dsp__Node *node)
+{
+	const struct ctl_member *m;
+
+	if (!strcmp(node->id, ctx->set->id))
+		return view_index(ctx->view);
+	if (!ctx->ready_leader)
+		return 0;
+	m = g_hash_table_lookup(ctx->members, node->id);
+	return m && m->heard_us ? m->view_index : 0;
+}
+
+/* Site -> whether all of its instances that are up hold the document. */
+static json_t *in_force_json(struct ctl *ctx, const Dsp__Document *document)
+{
+	json_t *sites = json_object();
+
+	for (size_t i = 0; i < view_n_nodes(ctx->view); i++) {
+		const Dsp__Node *node = view_node_at(ctx->view, i);
+		bool holds = installed_index(ctx, node) >= document->index;
+
+		if (node->down)
+			continue;
+		if (!holds || !json_object_get(sites, node->site))
+			json_object_set_new(sites, node->site,
+					    json_boolean(holds));
+	}
+	return sites;
+}
+
 static json_t *documents_json(struct ctl *ctx)
 {
 	json_t *list = json_array();
@@ -122,11 +153,61 @@
 	for (size_t i = 0; i < view_n_documents(ctx->view); i++) {
 		const Dsp__Document *d =
 			view_document_at(ctx->view, i)->document;
+		json_t *row = json_pack("{ss sI sI}", "team", d->team, "number",
+					(json_int_t)d->number, "index",
+					(json_int_t)d->index);
+
+		/* Only the leader hears from all instances. */
+		if (ctx->ready_leader)
+			json_object_set_new(row, "in_force",
+					    in_force_json(ctx, d));
+		json_array_append_new(list, row);
+	}
+	return list;
+}
 
-		json_array_append_new(list,
-				      json_pack("{ss sI sI}", "team", d->team,
-						"number", (json_int_t)d->number,
-						"index", (json_int_t)d->index));
+static json_t *model_json(struct ctl *ctx, const char *team, const char *model,
+			  const char *adapter)
+{
+	int copies = 0;
+	int ready = 0;
+
+	for (size_t i = 0; i < view_n_endpoints(ctx->view); i++) {
+		const Dsp__Endpoint *e = view_endpoint_at(ctx->view, i);
+
+		if (e->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN ||
+		    strcmp(e->team, team))
+			continue;
+		for (size_t k = 0; k < e->n_copies; k++) {
+			const Dsp__Copy *copy = e->copies[k];
+
+			if (strcmp(copy->model, model) ||
+			    strcmp(copy->adapter, adapter))
+				continue;
+			copies++;
+			ready += copy->ready && !copy->unloading;
+		}
+	}
+	return json_pack("{ss ss ss si si}", "team", team, "model", model,
+			 "adapter", adapter, "copies", copies, "ready", ready);
+}
+
+static json_t *models_json(struct ctl *ctx)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < view_n_documents(ctx->view); i++) {
+		const struct doc *doc = view_document_at(ctx->view, i)->parsed;
+
+		for (size_t k = 0; doc && k < doc->n_models; k++)
+			json_array_append_new(
+				list, model_json(ctx, doc->team,
+						 doc->models[k].name, ""));
+		for (size_t k = 0; doc && k < doc->n_adapters; k++)
+			json_array_append_new(
+				list, model_json(ctx, doc->team,
+						 doc->adapters[k].model,
+						 doc->adapters[k].name));
 	}
 	return list;
 }
@@ -150,14 +231,11 @@
 				  "address", node->http_address, "state",
 				  node->down ? "down" : state);
 
-		if (!strcmp(node->id, ctx->set->id))
-			json_object_set_new(row, "view_index",
-					    json_integer((json_int_t)view_index(
-						    ctx->view)));
-		else if (m && m->heard_us)
+		if (installed_index(ctx, node))
 			json_object_set_new(
 				row, "view_index",
-				json_integer((json_int_t)m->view_index));
+				json_integer((json_int_t)installed_index(
+					ctx, node)));
 		if (m && m->heard_us) {
 			json_object_set_new(row, "streams",
 					    json_integer(m->streams));
@@ -226,8 +304,8 @@
 {
 	struct ctl_state state = ctl_state(ctx);
 	json_t *root = json_pack(
-		"{ss ss ss ss sI ss sI ss ss sI so so so so so so}", "instance",
-		ctx->set->id, "site", ctx->set->site, "region",
+		"{ss ss ss ss sI ss sI ss ss sI so so so so so so so}",
+		"instance", ctx->set->id, "site", ctx->set->site, "region",
 		ctx->set->region ? ctx->set->region : "", "readiness",
 		readiness_names[state.readiness], "stale_ms",
 		(json_int_t)state.stale_us / 1000, "role", role_of(ctx), "term",
@@ -237,7 +315,8 @@
 		"view_index", (json_int_t)view_index(ctx->view), "documents",
 		documents_json(ctx), "replicas", replicas_json(ctx), "repairs",
 		repairs_json(ctx), "instances", instances_json(ctx),
-		"endpoints", endpoints_json(ctx), "orders", orders_json(ctx));
+		"endpoints", endpoints_json(ctx), "models", models_json(ctx),
+		"orders", orders_json(ctx));
 	char *dump;
 	char *text;
 
