--- a/tests/tools/lib_cluster.c
+++ b/tests/tools/lib_cluster.c
@@ -31,7 +31,7 @@
 static const char default_limits[] = "requests_max = 100\n";
 
 struct instance {
-	char id[16];
+	char id[32];
 	char *site;	     /* owned */
 	char *data_folder;   /* owned; NULL: none */
 	char *settings_path; /* owned */
