--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -225,17 +225,17 @@
 				? g_hash_table_lookup(ctx->members, node->id)
 				: NULL;
 		const char *state = node->draining ? "draining" : "up";
+		uint64_t installed = installed_index(ctx, node);
 		json_t *row =
 			json_pack("{ss ss ss ss ss}", "instance", node->id,
 				  "site", node->site, "region", node->region,
 				  "address", node->http_address, "state",
 				  node->down ? "down" : state);
 
-		if (installed_index(ctx, node))
+		if (installed)
 			json_object_set_new(
 				row, "view_index",
-				json_integer((json_int_t)installed_index(
-					ctx, node)));
+				json_integer((json_int_t)installed));
 		if (m && m->heard_us) {
 			json_object_set_new(row, "streams",
 					    json_integer(m->streams));
