--- a/Makefile
+++ b/Makefile
@@ -7,17 +7,18 @@
 BUILD ?= build
 CC ?= gcc
 CXX ?= g++
-PKGS = glib-2.0 jansson libprotobuf-c libzmq libcurl libxxhash
+PKGS = glib-2.0 jansson libprotobuf-c libzmq libcurl libxxhash libevent libevent_pthreads
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 WARN = -Wall -Wextra -Werror -Wno-missing-field-initializers
 OPT ?= -O2 -g
-COMMON = $(OPT) $(WARN) -D_GNU_SOURCE -Isrc -Itests/tools $(PKG_CFLAGS) -MMD -MP -pthread $(SAN)
+COMMON = $(OPT) $(WARN) -D_GNU_SOURCE -Isrc -I. -Itests/tools $(PKG_CFLAGS) -MMD -MP -pthread $(SAN)
 CFLAGS = -std=gnu11 $(COMMON) -Wmissing-prototypes -Wdeclaration-after-statement
 CXXFLAGS = -std=c++17 $(COMMON)
-LIBS = -lcivetweb $(PKG_LIBS) -lstdc++ -lm -ldl -pthread $(SAN)
+LIBS = -lcivetweb -lhttp_parser $(PKG_LIBS) -lstdc++ -lm -ldl -pthread $(SAN)
 
-LIB_SRC := $(filter-out src/cli/main.c,$(wildcard src/*/*.c))
+LIB_SRC := $(filter-out src/cli/main.c,$(wildcard src/*/*.c)) \
+	$(wildcard platform/*.c)
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o) $(patsubst %.cc,$(BUILD)/%.o,$(wildcard src/conf/*.cc))
 TOOL_LIB_SRC := $(wildcard tests/tools/lib_*.c)
 TOOL_LIB_OBJ := $(TOOL_LIB_SRC:%.c=$(BUILD)/%.o)
@@ -28,8 +29,9 @@
 INTEGRATION_SRC := $(wildcard tests/integration/*.cc)
 TESTS := $(UNIT_SRC:tests/unit/%.cc=$(BUILD)/unit/%) \
 	$(INTEGRATION_SRC:tests/integration/%.cc=$(BUILD)/integration/%)
-FORMAT_SRC := $(shell find src tests -name '*.[ch]' -o -name '*.cc' | grep -v pb-c)
-LINT_SRC := $(filter-out src/proto/%,$(wildcard src/*/*.c)) $(wildcard tests/tools/*.c)
+FORMAT_SRC := $(shell find src platform tests -name '*.[ch]' -o -name '*.cc' | grep -v pb-c)
+LINT_SRC := $(filter-out src/proto/%,$(wildcard src/*/*.c)) \
+	$(wildcard platform/*.c) $(wildcard tests/tools/*.c)
 
 .PHONY: all tests deps demo check bench proto format format-check lint test clean
 .SECONDARY:
@@ -86,7 +88,7 @@
 
 lint:
 	@printf '%s\n' $(LINT_SRC) | xargs -P $$(nproc) -I{} \
-		clang-tidy --quiet {} -- -std=gnu11 -D_GNU_SOURCE -Isrc -Itests/tools $(PKG_CFLAGS)
+		clang-tidy --quiet {} -- -std=gnu11 -D_GNU_SOURCE -Isrc -I. -Itests/tools $(PKG_CFLAGS)
 
 demo: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) all >/dev/null
--- a/src/conf/opt.c
+++ b/src/conf/opt.c
@@ -143,6 +143,7 @@
 		break;
 	case OPT_TABLE:
 	case OPT_TABLES:
+	case OPT_LIST:
 		break;
 	}
 }
@@ -270,6 +271,11 @@
 				  "given \"%s\"; allowed: a table [%s]",
 				  value->text, key);
 		break;
+	case OPT_LIST:
+		if (value->type != TB_ARRAY)
+			opt_fault(source, value->line, key,
+				  "given \"%s\"; allowed: a list", value->text);
+		break;
 	case OPT_TABLES:
 		if (value->type != TB_ARRAY)
 			opt_fault(source, value->line, key,
--- a/src/conf/opt.h
+++ b/src/conf/opt.h
@@ -22,6 +22,7 @@
 	OPT_TCP,      /* char *, tcp://IP:PORT */
 	OPT_TABLE,    /* read by its own table; offset is not used */
 	OPT_TABLES,   /* array of tables; offset is not used */
+	OPT_LIST,     /* array of values, read apart; offset is not used */
 };
 
 struct opt {
--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -27,7 +27,10 @@
 	  .fallback = 100 },
 	{ "limits", OPT_TABLE },
 	{ "timing", OPT_TABLE },
-	{ "peer", OPT_TABLES, .required = true },
+	{ "peer", OPT_TABLES },
+	{ "seeds", OPT_LIST },
+	{ "bootstrap", OPT_BOOL, AT(bootstrap) },
+	{ "edge", OPT_TABLE },
 };
 
 static const struct opt limit_options[] = {
@@ -72,6 +75,31 @@
 	  .fallback = 600 },
 };
 
+#undef AT
+#define AT(field) offsetof(struct set, edge.field)
+
+static const struct opt edge_options[] = {
+	{ "front", OPT_IP_PORT, AT(front) },
+	{ "ready", OPT_IP_PORT, AT(ready) },
+	{ "directory", OPT_IP_PORT, AT(directory) },
+	{ "control", OPT_IP_PORT, AT(control) },
+	{ "metrics", OPT_IP_PORT, AT(metrics) },
+	{ "entry_validity_s", OPT_U32, AT(entry_validity_s), .min = 1,
+	  .max = 3600, .fallback = 3 },
+	{ "drain_limit_ms", OPT_U32, AT(drain_limit_ms), .min = 100,
+	  .max = 600000, .fallback = 8000 },
+	{ "repeat_ratio", OPT_NUMBER, AT(repeat_ratio), .min = 0, .max = 10,
+	  .fallback = 0.1 },
+	{ "repeat_window_s", OPT_U32, AT(repeat_window_s), .min = 1,
+	  .max = 600, .fallback = 10 },
+	{ "repeat_extra", OPT_U32, AT(repeat_extra), .min = 0, .max = 100000,
+	  .fallback = 32 },
+	{ "order_lease_ms", OPT_U32, AT(order_lease_ms), .min = 0,
+	  .max = 600000, .fallback = 3000 },
+	{ "store_excess", OPT_NUMBER, AT(store_excess), .min = 0.1, .max = 10,
+	  .fallback = 1 },
+};
+
 #undef AT
 #define AT(field) offsetof(struct set_peer, field)
 
@@ -95,6 +123,45 @@
 			 G_N_ELEMENTS(peer_options), &ctx->peers[i]);
 }
 
+/* Reads the seeds as peers without an id: the host of each with the own
+ * internal port, which is the same on all instances. */
+static void read_seeds(struct set *ctx, const struct opt_source *source,
+		       const struct tb_value *array)
+{
+	const char *port;
+
+	if (!array || array->type != TB_ARRAY || !ctx->internal_listen)
+		return;
+	if (ctx->n_peers) {
+		opt_fault(source, array->line, "seeds",
+			  "given with peer; allowed: one of them");
+		return;
+	}
+	port = strrchr(ctx->internal_listen, ':');
+	ctx->seeded = true;
+	ctx->peers = g_new0(struct set_peer, array->n_children + 1);
+	for (size_t i = 0; i < array->n_children; i++) {
+		const struct tb_value *value = &array->children[i];
+		struct set_peer *peer = &ctx->peers[ctx->n_peers];
+		const char *colon;
+
+		if (value->type != TB_STRING || !opt_is_ip_port(value->text)) {
+			opt_fault(source, value->line, "seeds",
+				  "given \"%s\"; allowed: IP:PORT",
+				  value->text ? value->text : "");
+			continue;
+		}
+		colon = strrchr(value->text, ':');
+		peer->id = g_strdup("");
+		peer->site = g_strdup("");
+		peer->address = g_strdup_printf("tcp://%.*s%s",
+						(int)(colon - value->text),
+						value->text, port);
+		peer->control = true;
+		ctx->n_peers++;
+	}
+}
+
 static void check_peers(const struct set *ctx, const struct opt_source *source,
 			const struct tb_value *array)
 {
@@ -164,6 +231,8 @@
 			  "given %u; allowed: at most half of node_lease_ms "
 			  "(%u)",
 			  ctx->report_interval_ms, ctx->node_lease_ms);
+	if (!peers && !ctx->seeded)
+		opt_fault(source, 0, "peer", "missing; allowed: peer or seeds");
 	if (peers && peers->type == TB_ARRAY)
 		check_peers(ctx, source, peers);
 }
@@ -191,7 +260,11 @@
 		 G_N_ELEMENTS(limit_options), ctx);
 	opt_read(&source, opt_child(root, "timing"), "timing", timing_options,
 		 G_N_ELEMENTS(timing_options), ctx);
+	opt_read(&source, opt_child(root, "edge"), "edge", edge_options,
+		 G_N_ELEMENTS(edge_options), ctx);
+	ctx->has_edge = opt_child(root, "edge") != NULL;
 	read_peers(ctx, &source, opt_child(root, "peer"));
+	read_seeds(ctx, &source, opt_child(root, "seeds"));
 	if (faults->len == before)
 		check_whole(ctx, &source, root);
 	if (!ctx->internal_advertise)
@@ -227,5 +300,10 @@
 	g_free(ctx->http_listen);
 	g_free(ctx->http_advertise);
 	g_free(ctx->log_level);
+	g_free(ctx->edge.front);
+	g_free(ctx->edge.ready);
+	g_free(ctx->edge.directory);
+	g_free(ctx->edge.control);
+	g_free(ctx->edge.metrics);
 	g_free(ctx);
 }
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -15,6 +15,22 @@
 	bool control; /* initial voter */
 };
 
+/* Addresses and bounds of the event-driven traffic layer (src/edge). */
+struct set_edge {
+	char *front;	 /* IP:PORT for callers; NULL: none */
+	char *ready;	 /* IP:PORT for readiness checks; NULL: none */
+	char *directory; /* IP:PORT for entry lists; NULL: none */
+	char *control;	 /* IP:PORT for endpoints and operators; NULL: none */
+	char *metrics;	 /* IP:PORT; NULL: none */
+	uint32_t entry_validity_s;
+	uint32_t drain_limit_ms; /* from the signal to the end of the process */
+	double repeat_ratio; /* repeats for each request, over all instances */
+	uint32_t repeat_window_s;
+	uint32_t repeat_extra;	 /* repeats in a window without requests */
+	uint32_t order_lease_ms; /* between orders of two leaders */
+	double store_excess;	 /* loads over the store's rate, as a factor */
+};
+
 struct set {
 	char *id;
 	char *site;
@@ -29,6 +45,10 @@
 	uint32_t weight;	/* relative capacity, 100 is usual */
 	struct set_peer *peers; /* all initial voters, and self if control */
 	size_t n_peers;
+	bool seeded;	/* peers are seeds: addresses without ids */
+	bool bootstrap; /* the whole system starts for the first time */
+	bool has_edge;
+	struct set_edge edge;
 	/* [limits] */
 	uint32_t body_bytes_max;
 	uint32_t header_bytes_max;
--- /dev/null
+++ b/src/core/bal.h
@@ -0,0 +1,72 @@
+#ifndef CORE_BAL_H
+#define CORE_BAL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/view.h"
+
+/*
+ * Chooses the endpoint for each request of a routed service from what this
+ * instance knows: the view, its own requests in flight, the load that answers
+ * carry, and how endpoints answered. No I/O; one thread.
+ */
+struct bal;
+struct bal_endpoint; /* valid while listed or while it has requests */
+
+struct bal_query {
+	const char *service;
+	const char *model;   /* NULL: plain service */
+	const char *adapter; /* NULL: none */
+	uint64_t prefix;     /* hash of the shared prompt parts; 0: none */
+	const char *const *avoid; /* endpoint ids; NULL-terminated, or NULL */
+};
+
+enum bal_outcome {
+	BAL_CHOSEN,
+	BAL_NO_ENDPOINT, /* none of the service is usable */
+	BAL_NO_MODEL,	 /* no usable endpoint holds the model */
+	BAL_NO_ADAPTER,	 /* some hold the model, none the adapter */
+	BAL_FULL,	 /* all that hold it have no place */
+};
+
+struct bal_choice {
+	enum bal_outcome outcome;
+	struct bal_endpoint *endpoint; /* BAL_CHOSEN */
+	double load;	     /* of the endpoint, in requests */
+	double load_age_s;   /* age of the reported part; below 0: none */
+	int64_t retry_us;    /* else: when a place may be free */
+	unsigned candidates; /* usable endpoints with what is asked for */
+};
+
+enum bal_result {
+	BAL_ANSWERED,  /* any answer of the endpoint that ran the request */
+	BAL_REFUSED,   /* it did not run it */
+	BAL_FAILED,    /* broken or malformed answer, or none */
+	BAL_UNREACHED, /* no connection */
+	BAL_REPLACED,  /* another process uses its address */
+	BAL_CANCELLED, /* ended by the caller or this instance */
+};
+
+struct bal *bal_new(void);
+void bal_free(struct bal *ctx);
+
+/* Commands. */
+/* Takes a reference to the view. */
+void bal_set_view(struct bal *ctx, struct view *view);
+void bal_begin(struct bal *ctx, struct bal_endpoint *e);
+/* first_us: time to the first byte of the answer; below 0: none. */
+void bal_end(struct bal *ctx, struct bal_endpoint *e, enum bal_result result,
+	     int64_t first_us, int64_t now_us);
+/* Load that an answer carried. */
+void bal_report(struct bal *ctx, struct bal_endpoint *e, uint32_t running,
+		uint32_t waiting, int64_t now_us);
+
+/* Queries. */
+struct bal_choice bal_choose(struct bal *ctx, const struct bal_query *query,
+			     int64_t now_us);
+const char *bal_id(const struct bal_endpoint *e);
+const char *bal_address(const struct bal_endpoint *e);
+const char *bal_outcome_name(enum bal_outcome outcome);
+
+#endif
--- /dev/null
+++ b/src/core/res.c
@@ -0,0 +1,527 @@
+#include "core/res.h"
+
+#include <glib.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Time constant of the demand averages: demand moves within seconds, and a
+ * load takes that long, too. */
+#define DEMAND_TAU_S 4.0
+/* Part of all memory that copies are planned for. */
+#define MEMORY_SHARE 0.94
+/* A model gets a further copy only if its requests a second for each copy
+ * exceed this and this many times that of the copy which makes room. */
+#define COPY_RATE_MIN 0.6
+#define MOVE_GAIN 1.6
+/* Window of the store's rate, and the part of it that one leader uses, since
+ * the one before may have used some. */
+#define STORE_WINDOW_US 5000000
+#define STORE_SHARE 0.6
+#define LOADS_MAX 64
+/* An adapter without requests for this long makes room for one that is
+ * asked for. */
+#define ADAPTER_IDLE_RATE 0.02
+/* Requests a second for each copy of an adapter above which it gets another. */
+#define ADAPTER_COPY_RATE 3.0
+
+struct model {
+	char *name;
+	uint32_t memory_mb;
+	uint32_t load_ms;
+	uint32_t adapters;
+	uint32_t adapter_mb;
+	double rate;	       /* requests a second */
+	double *adapter_rates; /* by number; [0] is not used */
+	/* Of the current round. */
+	uint32_t copies;
+	uint32_t wanted;
+	uint32_t *adapter_copies;
+};
+
+struct res {
+	double store_excess;
+	uint32_t memory_mb;
+	uint32_t places;
+	double loads_per_s;
+	struct model *models;
+	size_t n_models;
+	GHashTable *by_name; /* name -> position + 1 */
+	int64_t decayed_us;
+	int64_t loads[LOADS_MAX]; /* times; ring */
+	size_t next_load;
+};
+
+/* Creates a planner without models; store_excess: factor on the store's
+ * rate that loads may reach. */
+struct res *res_new(double store_excess)
+{
+	struct res *ctx = g_new0(struct res, 1);
+
+	ctx->store_excess = store_excess;
+	ctx->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	for (size_t i = 0; i < LOADS_MAX; i++)
+		ctx->loads[i] = INT64_MIN / 2;
+	return ctx;
+}
+
+static void models_free(struct model *models, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		g_free(models[i].name);
+		g_free(models[i].adapter_rates);
+		g_free(models[i].adapter_copies);
+	}
+	g_free(models);
+}
+
+/* Frees the planner; NULL is allowed. */
+void res_free(struct res *ctx)
+{
+	if (!ctx)
+		return;
+	models_free(ctx->models, ctx->n_models);
+	g_hash_table_destroy(ctx->by_name);
+	g_free(ctx);
+}
+
+static struct model *find_model(const struct res *ctx, const char *name)
+{
+	size_t at = GPOINTER_TO_SIZE(g_hash_table_lookup(ctx->by_name, name));
+
+	return at ? &ctx->models[at - 1] : NULL;
+}
+
+/* Takes the models of a service. */
+void res_set_spec(struct res *ctx, const Dsp__EngineSpec *spec)
+{
+	struct model *models = g_new0(struct model, spec->n_models + 1);
+
+	for (size_t i = 0; i < spec->n_models; i++) {
+		const Dsp__EngineModel *from = spec->models[i];
+		const struct model *old = find_model(ctx, from->name);
+		struct model *m = &models[i];
+		size_t kept = old ? MIN(old->adapters, from->adapters) : 0;
+
+		m->name = g_strdup(from->name);
+		m->memory_mb = from->memory_mb;
+		m->load_ms = from->load_ms;
+		m->adapters = from->adapters;
+		m->adapter_mb = from->adapter_mb;
+		m->rate = old ? old->rate : 0;
+		m->adapter_rates = g_new0(double, from->adapters + 1);
+		m->adapter_copies = g_new0(uint32_t, from->adapters + 1);
+		for (size_t k = 1; k <= kept; k++)
+			m->adapter_rates[k] = old->adapter_rates[k];
+	}
+	g_hash_table_remove_all(ctx->by_name);
+	models_free(ctx->models, ctx->n_models);
+	ctx->models = models;
+	ctx->n_models = spec->n_models;
+	ctx->memory_mb = spec->memory_mb;
+	ctx->places = spec->adapter_places;
+	ctx->loads_per_s = spec->store_loads_per_s;
+	for (size_t i = 0; i < ctx->n_models; i++)
+		g_hash_table_insert(ctx->by_name, models[i].name,
+				    GSIZE_TO_POINTER(i + 1));
+}
+
+/* Finds a model, or an adapter by its name "a" and number. */
+bool res_find(const struct res *ctx, const char *model, const char *adapter,
+	      struct res_item *out)
+{
+	const struct model *m = find_model(ctx, model);
+	unsigned long number = 0;
+
+	if (!m)
+		return false;
+	if (adapter && adapter[0]) {
+		if (adapter[0] != 'a')
+			return false;
+		number = strtoul(adapter + 1, NULL, 10);
+		if (number < 1 || number > m->adapters)
+			return false;
+	}
+	out->model = (uint16_t)(m - ctx->models);
+	out->adapter = (uint16_t)number;
+	return true;
+}
+
+/* Returns the name of the item's model. */
+const char *res_model_name(const struct res *ctx, struct res_item item)
+{
+	return ctx->models[item.model].name;
+}
+
+/* Returns the time that a load of the model from the store takes. */
+uint32_t res_load_ms(const struct res *ctx, struct res_item item)
+{
+	return ctx->models[item.model].load_ms;
+}
+
+/* Returns the demand for a model or an adapter. */
+double res_rate(const struct res *ctx, struct res_item item)
+{
+	const struct model *m = &ctx->models[item.model];
+
+	return item.adapter ? m->adapter_rates[item.adapter] : m->rate;
+}
+
+static void decay(struct res *ctx, int64_t now_us)
+{
+	double keep =
+		exp(-(double)(now_us - ctx->decayed_us) / 1e6 / DEMAND_TAU_S);
+
+	if (now_us <= ctx->decayed_us)
+		return;
+	ctx->decayed_us = now_us;
+	for (size_t i = 0; i < ctx->n_models; i++) {
+		struct model *m = &ctx->models[i];
+
+		m->rate *= keep;
+		for (size_t k = 1; k <= m->adapters; k++)
+			m->adapter_rates[k] *= keep;
+	}
+}
+
+/* Adds requests that were counted since the last call. A missed request counts
+ * like one that was served. */
+void res_demand(struct res *ctx, const char *model, const char *adapter,
+		uint32_t requests, uint32_t missed, int64_t now_us)
+{
+	double add = (double)MAX(requests, missed) / DEMAND_TAU_S;
+	struct res_item item;
+
+	decay(ctx, now_us);
+	if (!res_find(ctx, model, adapter, &item))
+		return;
+	ctx->models[item.model].rate += add;
+	if (item.adapter)
+		ctx->models[item.model].adapter_rates[item.adapter] += add;
+}
+
+/* Notes a load for the rate of the store. */
+void res_load_sent(struct res *ctx, int64_t now_us)
+{
+	ctx->loads[ctx->next_load++ % LOADS_MAX] = now_us;
+}
+
+static bool store_has_room(const struct res *ctx, int64_t now_us)
+{
+	double most = STORE_SHARE * ctx->store_excess * ctx->loads_per_s *
+		      STORE_WINDOW_US / 1e6;
+	unsigned recent = 0;
+
+	for (size_t i = 0; i < LOADS_MAX; i++)
+		recent += now_us - ctx->loads[i] < STORE_WINDOW_US;
+	return recent + 1 <= MAX(most, 1) && recent + 1 < LOADS_MAX;
+}
+
+static bool has(const struct res_engine *e, struct res_item item)
+{
+	for (size_t i = 0; i < e->n_holds; i++)
+		if (e->holds[i].model == item.model &&
+		    e->holds[i].adapter == item.adapter)
+			return true;
+	return false;
+}
+
+static bool has_model(const struct res_engine *e, size_t model)
+{
+	return has(e, (struct res_item){ .model = (uint16_t)model });
+}
+
+static int64_t free_mb(const struct res *ctx, const struct res_engine *e)
+{
+	int64_t left = ctx->memory_mb;
+
+	for (size_t i = 0; i < e->n_holds; i++) {
+		const struct model *m = &ctx->models[e->holds[i].model];
+
+		left -= e->holds[i].adapter ? m->adapter_mb : m->memory_mb;
+	}
+	return left;
+}
+
+static size_t used_places(const struct res_engine *e)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < e->n_holds; i++)
+		n += e->holds[i].adapter != 0;
+	return n;
+}
+
+static void count_copies(struct res *ctx, const struct res_engine *engines,
+			 size_t n)
+{
+	for (size_t i = 0; i < ctx->n_models; i++) {
+		struct model *m = &ctx->models[i];
+
+		m->copies = 0;
+		memset(m->adapter_copies, 0,
+		       (m->adapters + 1) * sizeof(*m->adapter_copies));
+	}
+	for (size_t i = 0; i < n; i++) {
+		if (!engines[i].usable)
+			continue;
+		for (size_t k = 0; k < engines[i].n_holds; k++) {
+			struct res_item item = engines[i].holds[k];
+			struct model *m = &ctx->models[item.model];
+
+			if (item.adapter)
+				m->adapter_copies[item.adapter]++;
+			else
+				m->copies++;
+		}
+	}
+}
+
+/* Copies that the places of adapters need: each is to be held somewhere. */
+static uint32_t copies_for_adapters(const struct res *ctx,
+				    const struct model *m)
+{
+	uint32_t asked = 0;
+
+	for (size_t k = 1; k <= m->adapters; k++)
+		asked += m->adapter_rates[k] > ADAPTER_IDLE_RATE;
+	return ctx->places ? (asked + ctx->places - 1) / ctx->places : 0;
+}
+
+/* Shares the memory of the usable engines among the models by demand. */
+static void share_memory(struct res *ctx, size_t n_usable)
+{
+	double left = MEMORY_SHARE * (double)ctx->memory_mb * (double)n_usable;
+
+	for (size_t i = 0; i < ctx->n_models; i++) {
+		ctx->models[i].wanted = n_usable ? 1 : 0;
+		left -= ctx->models[i].memory_mb;
+	}
+	for (;;) {
+		struct model *best = NULL;
+		double best_rate = COPY_RATE_MIN;
+
+		for (size_t i = 0; i < ctx->n_models; i++) {
+			struct model *m = &ctx->models[i];
+			double rate = m->rate / MAX(m->wanted, 1);
+
+			if (m->wanted >= n_usable || m->memory_mb > left)
+				continue;
+			if (m->wanted < copies_for_adapters(ctx, m))
+				rate *= 2;
+			if (rate > best_rate) {
+				best = m;
+				best_rate = rate;
+			}
+		}
+		if (!best)
+			return;
+		best->wanted++;
+		left -= best->memory_mb;
+	}
+}
+
+/* Order in which models get copies: those without any first. */
+static double need_of(const struct model *m)
+{
+	if (!m->copies)
+		return 1e6 + m->rate;
+	if (m->copies >= m->wanted)
+		return 0;
+	return m->rate / m->copies;
+}
+
+/* The copy on the engine that is needed least and may go, or -1. */
+static int find_victim(const struct res *ctx, const struct res_engine *e,
+		       double need)
+{
+	double worst = need / MOVE_GAIN;
+	int victim = -1;
+
+	for (size_t i = 0; i < e->n_holds; i++) {
+		const struct model *m = &ctx->models[e->holds[i].model];
+		double rate = m->rate / MAX(m->copies, 1);
+
+		if (e->holds[i].adapter || m->copies <= 1 ||
+		    m->copies <= m->wanted)
+			continue;
+		if (rate < worst) {
+			worst = rate;
+			victim = (int)e->holds[i].model;
+		}
+	}
+	return victim;
+}
+
+static bool plan_model(struct res *ctx, const struct res_engine *engines,
+		       size_t n, const bool *taken, size_t model,
+		       struct res_order *out)
+{
+	const struct model *m = &ctx->models[model];
+	int best = -1;
+	int victim = -1;
+	double best_load = 0;
+
+	/* A place without a victim is better than one with. */
+	for (size_t i = 0; i < n; i++) {
+		const struct res_engine *e = &engines[i];
+		int other = -1;
+
+		if (!e->usable || e->busy || taken[i] || has_model(e, model))
+			continue;
+		if (free_mb(ctx, e) < m->memory_mb) {
+			other = find_victim(ctx, e, need_of(m));
+			if (other < 0 || (best >= 0 && victim < 0))
+				continue;
+		}
+		if (best < 0 || (victim >= 0 && other < 0) ||
+		    e->load < best_load) {
+			best = (int)i;
+			best_load = e->load;
+			victim = other;
+		}
+	}
+	if (best < 0)
+		return false;
+	*out = (struct res_order){
+		.engine = (size_t)best,
+		.kind = victim < 0 ? RES_LOAD : RES_UNLOAD,
+		.item.model = (uint16_t)(victim < 0 ? (int)model : victim),
+	};
+	return true;
+}
+
+static size_t plan_models(struct res *ctx, const struct res_engine *engines,
+			  size_t n, int64_t now_us, bool *taken,
+			  struct res_order *out, size_t max)
+{
+	bool *skip = g_new0(bool, ctx->n_models + 1);
+	size_t planned = 0;
+
+	while (planned < max && store_has_room(ctx, now_us)) {
+		int best = -1;
+
+		for (size_t i = 0; i < ctx->n_models; i++)
+			if (!skip[i] && need_of(&ctx->models[i]) > 0 &&
+			    (best < 0 || need_of(&ctx->models[i]) >
+						 need_of(&ctx->models[best])))
+				best = (int)i;
+		if (best < 0)
+			break;
+		skip[best] = true;
+		if (!plan_model(ctx, engines, n, taken, (size_t)best,
+				&out[planned]))
+			continue;
+		taken[out[planned].engine] = true;
+		if (out[planned].kind == RES_UNLOAD)
+			ctx->models[out[planned].item.model].copies--;
+		planned++;
+		/* One at a time, so that the rate counts each. */
+		break;
+	}
+	g_free(skip);
+	return planned;
+}
+
+static double adapter_need(const struct model *m, size_t k)
+{
+	uint32_t copies = m->adapter_copies[k];
+	double rate = m->adapter_rates[k];
+
+	if (!copies)
+		return 1 + rate;
+	if (copies >= m->copies)
+		return 0;
+	return rate / copies > ADAPTER_COPY_RATE ? rate / copies / 1e3 : 0;
+}
+
+/* The adapter on the engine that is asked for least, if it may go. */
+static bool adapter_victim(const struct res *ctx, const struct res_engine *e,
+			   double rate, struct res_item *out)
+{
+	double least = rate;
+	bool found = false;
+
+	for (size_t i = 0; i < e->n_holds; i++) {
+		struct res_item item = e->holds[i];
+		const struct model *m = &ctx->models[item.model];
+		double r;
+
+		if (!item.adapter)
+			continue;
+		r = m->adapter_rates[item.adapter] /
+		    MAX(m->adapter_copies[item.adapter], 1);
+		if (r < ADAPTER_IDLE_RATE && r < least) {
+			least = r;
+			*out = item;
+			found = true;
+		}
+	}
+	return found;
+}
+
+static bool plan_adapter(struct res *ctx, const struct res_engine *e,
+			 size_t engine, struct res_order *out)
+{
+	struct res_item best = { 0 };
+	double best_need = 0;
+
+	for (size_t i = 0; i < e->n_holds; i++) {
+		struct res_item item = e->holds[i];
+		struct model *m = &ctx->models[item.model];
+
+		if (item.adapter)
+			continue;
+		for (size_t k = 1; k <= m->adapters; k++) {
+			double need = adapter_need(m, k);
+
+			item.adapter = (uint16_t)k;
+			if (need > best_need && !has(e, item)) {
+				best = item;
+				best_need = need;
+			}
+		}
+	}
+	if (best_need <= 0)
+		return false;
+	*out = (struct res_order){ .engine = engine,
+				   .kind = RES_LOAD,
+				   .item = best };
+	if (used_places(e) < ctx->places &&
+	    free_mb(ctx, e) >= ctx->models[best.model].adapter_mb) {
+		ctx->models[best.model].adapter_copies[best.adapter]++;
+		return true;
+	}
+	if (res_rate(ctx, best) <= ADAPTER_IDLE_RATE ||
+	    !adapter_victim(ctx, e, res_rate(ctx, best), &out->item))
+		return false;
+	out->kind = RES_UNLOAD;
+	return true;
+}
+
+/*
+ * Plans the next orders: models that are missing or asked for most, then
+ * adapters. What is held and not needed stays until its place is needed.
+ */
+size_t res_plan(struct res *ctx, const struct res_engine *engines, size_t n,
+		int64_t now_us, struct res_order *out, size_t max)
+{
+	bool *taken = g_new0(bool, n + 1);
+	size_t usable = 0;
+	size_t planned;
+
+	decay(ctx, now_us);
+	count_copies(ctx, engines, n);
+	for (size_t i = 0; i < n; i++)
+		usable += engines[i].usable;
+	share_memory(ctx, usable);
+	planned = plan_models(ctx, engines, n, now_us, taken, out, max);
+	for (size_t i = 0; i < n && planned < max; i++) {
+		if (!engines[i].usable || engines[i].busy || taken[i])
+			continue;
+		if (plan_adapter(ctx, &engines[i], i, &out[planned]))
+			planned++;
+	}
+	g_free(taken);
+	return planned;
+}
--- /dev/null
+++ b/src/core/rtab.c
@@ -0,0 +1,104 @@
+#include "core/rtab.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct rtab {
+	GHashTable *routes; /* "host/prefix/" in lower-case host -> route */
+	GHashTable *services;
+};
+
+static char *key_of(const char *host, size_t host_len, const char *path,
+		    size_t path_len)
+{
+	char *key = g_malloc(host_len + path_len + 1);
+
+	for (size_t i = 0; i < host_len; i++)
+		key[i] = g_ascii_tolower(host[i]);
+	memcpy(key + host_len, path, path_len);
+	key[host_len + path_len] = '\0';
+	return key;
+}
+
+/* Builds the index of a valid table. */
+struct rtab *rtab_new(const Dsp__RouteTable *table)
+{
+	struct rtab *ctx = g_new0(struct rtab, 1);
+
+	ctx->routes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ctx->services = g_hash_table_new(g_str_hash, g_str_equal);
+	for (size_t i = 0; i < table->n_routes; i++) {
+		Dsp__Route *route = table->routes[i];
+
+		g_hash_table_insert(ctx->routes,
+				    key_of(route->host, strlen(route->host),
+					   route->path_prefix,
+					   strlen(route->path_prefix)),
+				    route);
+	}
+	for (size_t i = 0; i < table->n_services; i++)
+		g_hash_table_insert(ctx->services, table->services[i]->name,
+				    table->services[i]);
+	return ctx;
+}
+
+/* Frees the index; NULL is allowed. */
+void rtab_free(struct rtab *ctx)
+{
+	if (!ctx)
+		return;
+	g_hash_table_destroy(ctx->routes);
+	g_hash_table_destroy(ctx->services);
+	g_free(ctx);
+}
+
+/*
+ * Returns the route of the host with the longest prefix that begins the path,
+ * or NULL. Prefixes end with a slash, so one lookup for each slash of the path
+ * suffices.
+ */
+const Dsp__Route *rtab_match(const struct rtab *ctx, const char *host,
+			     const char *target)
+{
+	size_t host_len = strcspn(host, ":");
+	size_t len = strcspn(target, "?");
+	const Dsp__Route *route = NULL;
+
+	while (len && !route) {
+		if (target[len - 1] == '/') {
+			char *key = key_of(host, host_len, target, len);
+
+			route = g_hash_table_lookup(ctx->routes, key);
+			g_free(key);
+		}
+		len--;
+	}
+	return route;
+}
+
+/* Returns a service or NULL. */
+const Dsp__RoutedService *rtab_service(const struct rtab *ctx,
+				       const char *name)
+{
+	return g_hash_table_lookup(ctx->services, name);
+}
+
+/* Draws a service with probability proportional to its weight. */
+const char *rtab_draw(const Dsp__Route *route, uint64_t random)
+{
+	uint64_t sum = 0;
+	uint64_t at;
+
+	for (size_t i = 0; i < route->n_splits; i++)
+		sum += route->splits[i]->weight;
+	if (!sum)
+		return NULL;
+	at = random % sum;
+	for (size_t i = 0; i < route->n_splits; i++) {
+		if (at < route->splits[i]->weight)
+			return route->splits[i]->service;
+		at -= route->splits[i]->weight;
+	}
+	return NULL;
+}
--- a/src/core/st.c
+++ b/src/core/st.c
@@ -47,6 +47,7 @@
 	endpoints_clear(ctx);
 	nodes_clear(ctx);
 	documents_clear(ctx);
+	table_clear(ctx);
 	tombstones_clear(ctx);
 	clm_free(ctx->claims);
 	g_hash_table_destroy(ctx->tombstone_by_id);
@@ -169,6 +170,10 @@
 		return node_put(ctx, command->node_put);
 	case DSP__COMMAND__BODY_NODE_DOWN:
 		return node_down(ctx, command->node_down);
+	case DSP__COMMAND__BODY_ROUTE_TABLE_PUT:
+		return table_put(ctx, command->route_table_put);
+	case DSP__COMMAND__BODY_ROUTE_TABLE_GET:
+		return table_get(ctx);
 	case DSP__COMMAND__BODY_EXPIRE:
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 	default:
--- a/src/core/st_endpoint.c
+++ b/src/core/st_endpoint.c
@@ -97,7 +97,7 @@
 	       x.checks_incarnation == y.checks_incarnation &&
 	       x.cancel == y.cancel && x.resume == y.resume &&
 	       x.priorities == y.priorities && x.kv_transfer == y.kv_transfer &&
-	       x.roles == y.roles;
+	       x.roles == y.roles && x.sequenced == y.sequenced;
 }
 
 static const char *endpoint_fault(const Dsp__Endpoint *msg)
@@ -250,6 +250,99 @@
 	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 }
 
+static bool same_copies(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
+{
+	if (a->n_copies != b->n_copies)
+		return false;
+	for (size_t i = 0; i < a->n_copies; i++) {
+		const Dsp__Copy *x = a->copies[i], *y = b->copies[i];
+
+		if (x->ready != y->ready || strcmp(x->model, y->model) ||
+		    strcmp(x->adapter, y->adapter) ||
+		    strcmp(x->version, y->version))
+			return false;
+	}
+	return true;
+}
+
+static bool same_record(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
+{
+	return a->incarnation == b->incarnation && a->state == b->state &&
+	       a->kind == b->kind && a->max_batch == b->max_batch &&
+	       !strcmp(a->address, b->address) && !strcmp(a->site, b->site) &&
+	       !strcmp(a->team, b->team) && !strcmp(a->service, b->service) &&
+	       same_copies(a, b);
+}
+
+/* Another endpoint at the same address has ended: an address has one user. */
+static void end_previous_user(struct st *ctx, const struct endpoint *user)
+{
+	struct endpoint *ep;
+
+	TAILQ_FOREACH (ep, &ctx->endpoints, link) {
+		if (ep == user || strcmp(ep->msg->address, user->msg->address))
+			continue;
+		if (ep->msg->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN)
+			continue;
+		set_state(ctx, ep, DSP__ENDPOINT_STATE__ENDPOINT_DOWN);
+		item_touch(ctx, &ep->item);
+	}
+}
+
+/* True when a later process announced itself at the address of msg. */
+static bool address_has_later_user(const struct st *ctx,
+				   const Dsp__Endpoint *msg)
+{
+	const struct endpoint *ep;
+
+	TAILQ_FOREACH (ep, &ctx->endpoints, link)
+		if (strcmp(ep->msg->id, msg->id) &&
+		    !strcmp(ep->msg->address, msg->address) &&
+		    ep->msg->incarnation > msg->incarnation)
+			return true;
+	return false;
+}
+
+/*
+ * Adds or changes an endpoint whose orders are sequenced. Its incarnations grow
+ * with time, and it reports what it holds, since late orders have no effect.
+ */
+static Dsp__CommandResult *sequenced_put(struct st *ctx,
+					 const Dsp__Endpoint *msg)
+{
+	struct endpoint *ep = endpoint_find(ctx, msg->id);
+	Dsp__Endpoint next = *msg;
+	Dsp__Endpoint *copy;
+
+	if ((ep && msg->incarnation < ep->msg->incarnation) ||
+	    address_has_later_user(ctx, msg))
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE,
+				 "earlier incarnation");
+	if (!ep) {
+		ep = endpoint_new(ctx, msg, ctx->index);
+	} else {
+		if (ep->msg->incarnation != msg->incarnation)
+			ep->leaving = false;
+		else if (ep->leaving)
+			next.state = DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
+		if (same_record(ep->msg, &next))
+			return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME,
+					 NULL);
+		copy = st_message_dup(&next);
+		g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
+		dsp__endpoint__free_unpacked(ep->msg, NULL);
+		ep->msg = copy;
+		ep->item.msg = &copy->base;
+		ep->item.key = copy->id;
+		g_hash_table_insert(ctx->endpoint_by_id, copy->id, ep);
+		item_touch(ctx, &ep->item);
+	}
+	ep->down_ms = 0;
+	ep->leaving = next.state == DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
+	end_previous_user(ctx, ep);
+	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
+}
+
 /*
  * Adds an endpoint, a new incarnation of it, or changes of its address, role
  * or state. A residency list counts only with a new incarnation.
@@ -262,6 +355,8 @@
 
 	if (fault)
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID, fault);
+	if (features_of(msg).sequenced)
+		return sequenced_put(ctx, msg);
 	ep = endpoint_find(ctx, msg->id);
 	if (ep && ep->msg->incarnation == msg->incarnation)
 		return same_incarnation(ctx, ep, msg);
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -173,6 +173,10 @@
 	size_t n_suspects;
 
 	struct clm *claims;
+
+	struct item table_item;
+	Dsp__RouteTable *table; /* without its source; NULL: none yet */
+	ProtobufCBinaryData table_source;
 };
 
 /* st.c */
@@ -202,6 +206,12 @@
 void documents_clear(struct st *ctx);
 const struct doc *document_parsed(const struct st *ctx, const char *team);
 
+/* st_table.c */
+Dsp__CommandResult *table_put(struct st *ctx, const Dsp__RouteTablePut *cmd);
+Dsp__CommandResult *table_get(const struct st *ctx);
+void table_restore(struct st *ctx, const Dsp__RouteTable *table);
+void table_clear(struct st *ctx);
+
 /* st_endpoint.c */
 Dsp__CommandResult *endpoint_put(struct st *ctx, const Dsp__EndpointPut *cmd);
 Dsp__CommandResult *endpoint_down(struct st *ctx, const Dsp__EndpointDown *cmd);
--- a/src/core/st_snapshot.c
+++ b/src/core/st_snapshot.c
@@ -261,13 +261,20 @@
 			void *data)
 {
 	struct writer w = { .sink = sink, .data = data };
+	Dsp__RouteTable table;
 
 	w.records = g_ptr_array_new();
 	dsp__state_snapshot__init(&w.frame);
 	w.frame.index = ctx->index;
 	w.frame.wall_ms = ctx->wall_ms;
 	w.frame.tombstone_floor = ctx->tombstone_floor;
+	if (ctx->table) {
+		table = *ctx->table;
+		table.source = ctx->table_source;
+		w.frame.route_table = &table;
+	}
 	write_frame(&w);
+	w.frame.route_table = NULL;
 	write_documents(&w, ctx);
 	write_endpoints(&w, ctx);
 	begin(&w, attach_claims);
@@ -407,6 +414,8 @@
 			ctx->index = frame->index;
 			ctx->wall_ms = frame->wall_ms;
 			ctx->tombstone_floor = frame->tombstone_floor;
+			if (frame->route_table)
+				table_restore(ctx, frame->route_table);
 			first = false;
 		}
 		end = frame->end;
--- a/src/core/st_view.c
+++ b/src/core/st_view.c
@@ -143,6 +143,9 @@
 	case DSP__VIEW_RECORD__BODY_SUSPECT:
 		record->suspect = body;
 		break;
+	case DSP__VIEW_RECORD__BODY_ROUTE_TABLE:
+		record->route_table = body;
+		break;
 	default:
 		g_assert_not_reached();
 	}
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -15,6 +15,7 @@
 	ENDPOINTS,
 	NODES,
 	SUSPECTS,
+	ROUTE_TABLES,
 	N_KINDS,
 };
 
@@ -99,6 +100,8 @@
 		return NODES;
 	case DSP__VIEW_RECORD__BODY_SUSPECT:
 		return SUSPECTS;
+	case DSP__VIEW_RECORD__BODY_ROUTE_TABLE:
+		return ROUTE_TABLES;
 	default:
 		return -1;
 	}
@@ -356,6 +359,14 @@
 	return &ctx->kinds[DOCUMENTS].all[i]->document;
 }
 
+/* Returns the route table in force, or NULL. */
+const Dsp__RouteTable *view_route_table(const struct view *ctx)
+{
+	const struct recs *tables = &ctx->kinds[ROUTE_TABLES];
+
+	return tables->n ? tables->all[0]->msg->route_table : NULL;
+}
+
 /* Returns the number of endpoints, down ones included. */
 size_t view_n_endpoints(const struct view *ctx)
 {
--- /dev/null
+++ b/src/edge/agent.c
@@ -0,0 +1,705 @@
+#include "edge/edge_int.h"
+
+#include <string.h>
+
+#include "base/log.h"
+#include "core/res.h"
+
+/*
+ * Gives the orders of the leader to engines. Each order names the number of
+ * orders that the engine must have accepted before, so one that arrives late
+ * or twice has no effect, and the engine's own report is the state to plan
+ * from.
+ */
+
+/* Added to the lease after which another leader gives no more orders. */
+#define LEASE_MARGIN_US 300000
+#define ORDER_TIMEOUT_US 800000
+#define STATE_TIMEOUT_US 800000
+#define ORDER_CONNECT_US 400000
+#define ORDER_IDLE_US 600000
+/* An engine's report lags behind by some hundred milliseconds. */
+#define REPORT_LAG_US 450000
+/* A load from the host's memory takes about half a second; the first look. */
+#define FIRST_LOOK_US 750000
+#define LOOK_INTERVAL_US 1000000
+/* After an order without an answer: it may be carried out later. */
+#define DOUBT_US 1000000
+/* Copies that an engine announces are taken when no order was given since. */
+#define SETTLE_US 1500000
+
+enum engine_state {
+	UNKNOWN,  /* its order count is not known */
+	IDLE,	  /* takes orders */
+	ORDERED,  /* an order was sent and has no answer yet */
+	WORKING,  /* carries out a load or unload of a model */
+	DOUBTFUL, /* an order had no answer */
+};
+
+struct engine {
+	struct agent *agent;
+	char *id;
+	char *service;
+	char *address;
+	uint64_t incarnation;
+	bool usable;
+	bool listed; /* in the current view */
+	enum engine_state state;
+	uint64_t sequence;
+	int64_t look_us;   /* when to read its report; INT64_MAX: not */
+	int64_t changed_us; /* last order accepted */
+	int64_t expected_us; /* WORKING: when a load from the store ends */
+	uint32_t load;
+	struct res_engine plan; /* id, holds */
+	bool dirty;		/* holds differ from what was announced */
+	/* Outstanding call. */
+	struct hio_call *call;
+	struct event *timer;
+	int status;
+	GByteArray *body;
+	struct res_order order;
+};
+
+struct service {
+	char *name;
+	struct res *planner;
+};
+
+struct agent {
+	struct edge *edge;
+	GHashTable *engines;  /* id -> struct engine */
+	GHashTable *services; /* name -> struct service */
+	const Dsp__RouteTable *table;
+	bool acting;
+	uint64_t fenced_term; /* a higher fence than this term was seen */
+};
+
+static int64_t now_of(const struct agent *ctx)
+{
+	return clk_now_us(ctx->edge->clock);
+}
+
+static void drop_call(struct engine *e)
+{
+	if (e->call)
+		hio_call_cancel(e->call);
+	e->call = NULL;
+	event_del(e->timer);
+}
+
+static void engine_free(void *data)
+{
+	struct engine *e = data;
+
+	drop_call(e);
+	event_free(e->timer);
+	g_byte_array_free(e->body, TRUE);
+	g_free(e->id);
+	g_free(e->service);
+	g_free(e->address);
+	g_free(e);
+}
+
+static void service_free(void *data)
+{
+	struct service *s = data;
+
+	res_free(s->planner);
+	g_free(s->name);
+	g_free(s);
+}
+
+/* Creates the sender; it acts while this instance leads. */
+struct agent *agent_new(struct edge *ctx)
+{
+	struct agent *agent = g_new0(struct agent, 1);
+
+	agent->edge = ctx;
+	agent->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       engine_free);
+	agent->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						service_free);
+	return agent;
+}
+
+/* Frees the sender; NULL is allowed. */
+void agent_free(struct agent *ctx)
+{
+	if (!ctx)
+		return;
+	g_hash_table_destroy(ctx->engines);
+	g_hash_table_destroy(ctx->services);
+	g_free(ctx);
+}
+
+static struct res *planner_of(struct agent *ctx, const char *service)
+{
+	struct service *s = g_hash_table_lookup(ctx->services, service);
+
+	return s ? s->planner : NULL;
+}
+
+/* ---- What engines hold ---- */
+
+static void set_holds(struct engine *e, Dsp__Copy *const *copies, size_t n)
+{
+	struct res *planner = planner_of(e->agent, e->service);
+
+	e->plan.n_holds = 0;
+	for (size_t i = 0; planner && i < n; i++) {
+		struct res_item item;
+
+		if (e->plan.n_holds < RES_HOLDS_MAX &&
+		    res_find(planner, copies[i]->model, copies[i]->adapter,
+			     &item))
+			e->plan.holds[e->plan.n_holds++] = item;
+	}
+}
+
+static void add_hold(struct engine *e, struct res_item item)
+{
+	if (e->plan.n_holds < RES_HOLDS_MAX)
+		e->plan.holds[e->plan.n_holds++] = item;
+}
+
+/* Drops an item; with a model go its adapters. */
+static void drop_hold(struct engine *e, struct res_item item)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < e->plan.n_holds; i++) {
+		struct res_item held = e->plan.holds[i];
+
+		if (held.model == item.model &&
+		    (!item.adapter || held.adapter == item.adapter))
+			continue;
+		e->plan.holds[n++] = held;
+	}
+	e->plan.n_holds = n;
+}
+
+/* Tells all entries what the engine holds, ahead of its own announcement. */
+static void announce(struct engine *e)
+{
+	struct agent *ctx = e->agent;
+	struct res *planner = planner_of(ctx, e->service);
+	const Dsp__Endpoint *known = view_endpoint(ctx->edge->view, e->id);
+	Dsp__Announcement message = DSP__ANNOUNCEMENT__INIT;
+	Dsp__Copy copies[RES_HOLDS_MAX];
+	Dsp__Copy *list[RES_HOLDS_MAX];
+	char adapters[RES_HOLDS_MAX][16];
+	Dsp__Endpoint endpoint;
+
+	e->dirty = false;
+	if (!known || !planner || known->incarnation != e->incarnation ||
+	    known->state != DSP__ENDPOINT_STATE__ENDPOINT_UP)
+		return;
+	endpoint = *known;
+	for (size_t i = 0; i < e->plan.n_holds; i++) {
+		struct res_item item = e->plan.holds[i];
+		Dsp__Copy *copy = &copies[i];
+
+		dsp__copy__init(copy);
+		copy->model = (char *)res_model_name(planner, item);
+		if (item.adapter) {
+			g_snprintf(adapters[i], sizeof(adapters[i]), "a%u",
+				   item.adapter);
+			copy->adapter = adapters[i];
+		}
+		copy->version = "1";
+		copy->ready = true;
+		list[i] = copy;
+	}
+	endpoint.copies = list;
+	endpoint.n_copies = e->plan.n_holds;
+	message.endpoint = &endpoint;
+	ctl_announce(ctx->edge->ctl, &message);
+}
+
+/* ---- Calls to engines ---- */
+
+static void plan(struct agent *ctx);
+
+static void on_head(void *data, const struct hio_answer *answer)
+{
+	struct engine *e = data;
+
+	e->status = answer->status;
+	g_byte_array_set_size(e->body, 0);
+}
+
+static void on_body(void *data, const char *bytes, size_t len)
+{
+	struct engine *e = data;
+
+	g_byte_array_append(e->body, (const guint8 *)bytes, (guint)len);
+}
+
+static const char *kind_name(const struct res_order *order)
+{
+	return order->kind == RES_LOAD ? "load" : "unload";
+}
+
+static void log_order(const struct engine *e, const char *outcome)
+{
+	struct res *planner = planner_of(e->agent, e->service);
+
+	if (!planner)
+		return;
+	LOG_EVENT_INFO("agent", "order",
+		       "endpoint=%s kind=%s model=%s adapter=%u sequence=%"
+		       G_GUINT64_FORMAT " rate=%.2f outcome=%s",
+		       e->id, kind_name(&e->order),
+		       res_model_name(planner, e->order.item),
+		       e->order.item.adapter, e->sequence,
+		       res_rate(planner, e->order.item), outcome);
+}
+
+static void accepted(struct engine *e, bool at_once)
+{
+	struct agent *ctx = e->agent;
+	int64_t now_us = now_of(ctx);
+	struct res *planner = planner_of(ctx, e->service);
+	bool is_model = !e->order.item.adapter;
+
+	e->sequence++;
+	e->changed_us = now_us;
+	e->state = IDLE;
+	if (e->order.kind == RES_UNLOAD)
+		drop_hold(e, e->order.item);
+	else if (!is_model)
+		add_hold(e, e->order.item);
+	e->dirty = true;
+	if (!is_model || at_once)
+		return;
+	e->state = WORKING;
+	e->look_us = now_us + FIRST_LOOK_US;
+	e->expected_us =
+		now_us +
+		(planner ? res_load_ms(planner, e->order.item) * 1000LL : 0);
+}
+
+static void order_ended(struct engine *e, enum wire_order_outcome outcome)
+{
+	struct agent *ctx = e->agent;
+	int64_t now_us = now_of(ctx);
+	struct ctl_leadership lead = ctl_leadership(ctx->edge->ctl);
+
+	switch (outcome) {
+	case WIRE_ORDER_ACCEPTED:
+		log_order(e, "accepted");
+		accepted(e, false);
+		break;
+	case WIRE_ORDER_HOLDS:
+		log_order(e, "holds");
+		accepted(e, true);
+		/* Whether it counted as an order is not said. */
+		e->state = UNKNOWN;
+		e->look_us = now_us + REPORT_LAG_US;
+		break;
+	case WIRE_ORDER_CONFLICT:
+		log_order(e, "conflict");
+		e->state = UNKNOWN;
+		e->look_us = now_us + REPORT_LAG_US;
+		break;
+	case WIRE_ORDER_FENCED:
+		log_order(e, "fenced");
+		ctx->fenced_term = lead.term;
+		e->state = UNKNOWN;
+		e->look_us = now_us + DOUBT_US;
+		break;
+	case WIRE_ORDER_REFUSED:
+		log_order(e, "refused");
+		e->state = UNKNOWN;
+		e->look_us = now_us + DOUBT_US;
+		break;
+	case WIRE_ORDER_UNKNOWN:
+		log_order(e, "unanswered");
+		e->state = DOUBTFUL;
+		e->look_us = now_us + DOUBT_US;
+		break;
+	}
+}
+
+static void on_order_end(void *data)
+{
+	struct engine *e = data;
+
+	e->call = NULL;
+	event_del(e->timer);
+	order_ended(e, wire_order_outcome_of(e->status));
+	plan(e->agent);
+}
+
+static void on_order_failed(void *data, enum hio_failure failure)
+{
+	struct engine *e = data;
+
+	(void)failure;
+	e->call = NULL;
+	event_del(e->timer);
+	order_ended(e, WIRE_ORDER_UNKNOWN);
+}
+
+static bool holds_ordered(const struct engine *e)
+{
+	for (size_t i = 0; i < e->plan.n_holds; i++)
+		if (e->plan.holds[i].model == e->order.item.model &&
+		    e->plan.holds[i].adapter == e->order.item.adapter)
+			return true;
+	return false;
+}
+
+static void state_read(struct engine *e, const struct wire_engine_state *state)
+{
+	int64_t now_us = now_of(e->agent);
+	bool settled = now_us - e->changed_us >= REPORT_LAG_US;
+
+	e->load = state->running + state->waiting;
+	if (!settled) {
+		e->look_us = e->changed_us + REPORT_LAG_US;
+		return;
+	}
+	if (state->sequence < e->sequence && e->state != UNKNOWN) {
+		e->look_us = now_us + REPORT_LAG_US;
+		return;
+	}
+	e->sequence = state->sequence;
+	set_holds(e, state->copies, state->n_copies);
+	for (size_t i = 0; state->arriving[i]; i++) {
+		struct res *planner = planner_of(e->agent, e->service);
+		g_auto(GStrv) parts = g_strsplit(state->arriving[i], "/", 2);
+		struct res_item item;
+
+		if (planner && parts[0] && parts[1] &&
+		    res_find(planner, parts[0], parts[1], &item))
+			add_hold(e, item);
+	}
+	if (state->busy) {
+		e->state = WORKING;
+		e->look_us = now_us < e->expected_us - LOOK_INTERVAL_US
+				     ? e->expected_us
+				     : now_us + LOOK_INTERVAL_US;
+		return;
+	}
+	if (e->state == WORKING)
+		log_order(e, holds_ordered(e) == (e->order.kind == RES_LOAD)
+				     ? "done"
+				     : "not_done");
+	e->state = IDLE;
+	e->look_us = INT64_MAX;
+	e->dirty = true;
+}
+
+static void on_state_end(void *data)
+{
+	struct engine *e = data;
+	struct wire_engine_state state;
+	int64_t now_us = now_of(e->agent);
+
+	e->call = NULL;
+	event_del(e->timer);
+	e->look_us = now_us + DOUBT_US;
+	if (e->status != 200 ||
+	    !wire_read_state((const char *)e->body->data, e->body->len,
+			     &state)) {
+		LOG_EVENT_INFO("agent", "state_unreadable",
+			       "endpoint=%s status=%d", e->id, e->status);
+		return;
+	}
+	if (state.incarnation && state.incarnation != e->incarnation)
+		LOG_EVENT_INFO("agent", "other_process",
+			       "endpoint=%s incarnation=%" G_GUINT64_FORMAT,
+			       e->id, state.incarnation);
+	else
+		state_read(e, &state);
+	wire_engine_state_clear(&state);
+	plan(e->agent);
+}
+
+static void on_state_failed(void *data, enum hio_failure failure)
+{
+	struct engine *e = data;
+
+	LOG_EVENT_INFO("agent", "state_unread", "endpoint=%s failure=%d", e->id,
+		       (int)failure);
+	e->call = NULL;
+	event_del(e->timer);
+	e->look_us = now_of(e->agent) + DOUBT_US;
+}
+
+static void on_timeout(evutil_socket_t fd, short what, void *data)
+{
+	struct engine *e = data;
+
+	(void)fd;
+	(void)what;
+	if (!e->call)
+		return;
+	drop_call(e);
+	if (e->state == ORDERED)
+		order_ended(e, WIRE_ORDER_UNKNOWN);
+	else
+		e->look_us = now_of(e->agent) + DOUBT_US;
+}
+
+static void start_call(struct engine *e, GString *head, int64_t timeout_us,
+		       void (*end)(void *),
+		       void (*failed)(void *, enum hio_failure))
+{
+	struct timeval limit = { .tv_sec = timeout_us / EDGE_S_US,
+				 .tv_usec = timeout_us % EDGE_S_US };
+	struct hio_call_options options = {
+		.address = e->address,
+		.head = head,
+		.connect_timeout_us = ORDER_CONNECT_US,
+		.reuse_idle_us = ORDER_IDLE_US,
+		.data = e,
+		.head_read = on_head,
+		.body_read = on_body,
+		.end = end,
+		.failed = failed,
+	};
+
+	e->status = 0;
+	e->call = hio_call_start(e->agent->edge->client, &options);
+	event_add(e->timer, &limit);
+}
+
+static void send_order(struct engine *e, const struct res_order *order,
+		       uint64_t fence)
+{
+	struct agent *ctx = e->agent;
+	struct res *planner = planner_of(ctx, e->service);
+	char adapter[16];
+	struct wire_order what = {
+		.kind = order->kind == RES_LOAD ? WIRE_LOAD : WIRE_UNLOAD,
+		.endpoint_id = e->id,
+		.address = e->address,
+		.model = res_model_name(planner, order->item),
+		.sequence = e->sequence,
+		.holder = ctx->edge->set->id,
+		.fence = fence,
+	};
+
+	if (order->item.adapter) {
+		g_snprintf(adapter, sizeof(adapter), "a%u",
+			   order->item.adapter);
+		what.adapter = adapter;
+	} else if (order->kind == RES_LOAD) {
+		res_load_sent(planner, now_of(ctx));
+	}
+	e->order = *order;
+	e->state = ORDERED;
+	met_count(ctx->edge->met, "dandelionspar_agent_orders", "", 1);
+	start_call(e, wire_write_order(&what), ORDER_TIMEOUT_US, on_order_end,
+		   on_order_failed);
+}
+
+static void read_state(struct engine *e)
+{
+	start_call(e, wire_write_state_request(e->id, e->address),
+		   STATE_TIMEOUT_US, on_state_end, on_state_failed);
+}
+
+/* ---- Planning ---- */
+
+static bool may_order(struct agent *ctx, uint64_t *fence)
+{
+	struct ctl_leadership lead = ctl_leadership(ctx->edge->ctl);
+	int64_t now_us = now_of(ctx);
+	int64_t wait_us =
+		ctx->edge->set->edge.order_lease_ms * 1000LL + LEASE_MARGIN_US;
+
+	*fence = lead.term;
+	return lead.leads && now_us < lead.until_us &&
+	       lead.term > ctx->fenced_term && now_us - lead.since_us > wait_us;
+}
+
+static void plan_service(struct agent *ctx, struct service *s, uint64_t fence)
+{
+	size_t max = g_hash_table_size(ctx->engines);
+	struct res_engine *list = g_new(struct res_engine, max + 1);
+	struct engine **engines = g_new(struct engine *, max + 1);
+	struct res_order *orders = g_new(struct res_order, max + 1);
+	size_t n = 0;
+	size_t planned;
+	GHashTableIter iter;
+	struct engine *e;
+
+	g_hash_table_iter_init(&iter, ctx->engines);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
+		if (strcmp(e->service, s->name) != 0)
+			continue;
+		list[n] = e->plan;
+		list[n].id = e->id;
+		list[n].usable = e->usable;
+		list[n].busy = e->state != IDLE || e->call;
+		list[n].load = e->load;
+		/* A model that is being loaded takes its memory already. */
+		if ((e->state == WORKING || e->state == ORDERED ||
+		     e->state == DOUBTFUL) &&
+		    e->order.kind == RES_LOAD && !holds_ordered(e) &&
+		    list[n].n_holds < RES_HOLDS_MAX)
+			list[n].holds[list[n].n_holds++] = e->order.item;
+		engines[n++] = e;
+	}
+	planned = res_plan(s->planner, list, n, now_of(ctx), orders, n);
+	for (size_t i = 0; i < planned; i++)
+		send_order(engines[orders[i].engine], &orders[i], fence);
+	g_free(orders);
+	g_free(engines);
+	g_free(list);
+}
+
+static void plan(struct agent *ctx)
+{
+	GHashTableIter iter;
+	struct service *s;
+	uint64_t fence;
+
+	if (!may_order(ctx, &fence))
+		return;
+	g_hash_table_iter_init(&iter, ctx->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
+		plan_service(ctx, s, fence);
+}
+
+/* Begins and ends acting, reads reports that are due, plans and announces. */
+void agent_tick(struct agent *ctx, int64_t now_us)
+{
+	GHashTableIter iter;
+	struct engine *e;
+	uint64_t fence;
+	bool may = may_order(ctx, &fence);
+
+	if (may != ctx->acting) {
+		ctx->acting = may;
+		LOG_EVENT_NOTICE("agent", may ? "begins" : "ends",
+				 "fence=%" G_GUINT64_FORMAT, fence);
+		g_hash_table_iter_init(&iter, ctx->engines);
+		while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
+			e->state = UNKNOWN;
+			e->look_us = now_us;
+		}
+	}
+	if (!may)
+		return;
+	g_hash_table_iter_init(&iter, ctx->engines);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
+		if (e->usable && !e->call && now_us >= e->look_us)
+			read_state(e);
+		if (e->dirty && e->state != UNKNOWN)
+			announce(e);
+	}
+	plan(ctx);
+}
+
+/* ---- View and demand ---- */
+
+static void use_table(struct agent *ctx, const Dsp__RouteTable *table)
+{
+	for (size_t i = 0; i < table->n_services; i++) {
+		const Dsp__RoutedService *from = table->services[i];
+		struct service *s;
+
+		if (!from->engine)
+			continue;
+		s = g_hash_table_lookup(ctx->services, from->name);
+		if (!s) {
+			s = g_new0(struct service, 1);
+			s->name = g_strdup(from->name);
+			s->planner =
+				res_new(ctx->edge->set->edge.store_excess);
+			g_hash_table_insert(ctx->services, s->name, s);
+		}
+		res_set_spec(s->planner, from->engine);
+	}
+	ctx->table = table;
+}
+
+static struct engine *engine_new(struct agent *ctx, const Dsp__Endpoint *msg)
+{
+	struct engine *e = g_new0(struct engine, 1);
+
+	e->agent = ctx;
+	e->id = g_strdup(msg->id);
+	e->service = g_strdup(msg->service);
+	e->address = g_strdup(msg->address);
+	e->incarnation = msg->incarnation;
+	e->body = g_byte_array_new();
+	e->timer = event_new(ctx->edge->base, -1, 0, on_timeout, e);
+	e->state = UNKNOWN;
+	e->look_us = now_of(ctx);
+	e->changed_us = INT64_MIN / 2;
+	return e;
+}
+
+static void use_endpoint(struct agent *ctx, const Dsp__Endpoint *msg)
+{
+	struct engine *e = g_hash_table_lookup(ctx->engines, msg->id);
+	int64_t now_us = now_of(ctx);
+
+	if (e && (e->incarnation != msg->incarnation ||
+		  strcmp(e->address, msg->address) != 0)) {
+		g_hash_table_remove(ctx->engines, msg->id);
+		e = NULL;
+	}
+	if (msg->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN) {
+		if (e)
+			g_hash_table_remove(ctx->engines, msg->id);
+		return;
+	}
+	if (!e) {
+		e = engine_new(ctx, msg);
+		g_hash_table_insert(ctx->engines, e->id, e);
+		set_holds(e, msg->copies, msg->n_copies);
+	}
+	e->listed = true;
+	e->usable = msg->state == DSP__ENDPOINT_STATE__ENDPOINT_UP;
+	if (!ctx->acting || (e->state == IDLE && !e->call && !e->dirty &&
+			     now_us - e->changed_us > SETTLE_US))
+		set_holds(e, msg->copies, msg->n_copies);
+}
+
+static gboolean not_listed(gpointer key, gpointer value, gpointer data)
+{
+	struct engine *e = value;
+	bool listed = e->listed;
+
+	(void)key;
+	(void)data;
+	e->listed = false;
+	return !listed;
+}
+
+/* Takes over engines and models of the edge's new view. */
+void agent_view_changed(struct agent *ctx)
+{
+	const struct view *view = ctx->edge->view;
+	const Dsp__RouteTable *table = view_route_table(view);
+
+	if (table && table != ctx->table)
+		use_table(ctx, table);
+	for (size_t i = 0; i < view_n_endpoints(view); i++) {
+		const Dsp__Endpoint *msg = view_endpoint_at(view, i);
+
+		if (planner_of(ctx, msg->service))
+			use_endpoint(ctx, msg);
+	}
+	g_hash_table_foreach_remove(ctx->engines, not_listed, NULL);
+}
+
+/* Takes demand that an entry reported. */
+void agent_demand(struct agent *ctx, const Dsp__Demand *demand)
+{
+	GHashTableIter iter;
+	struct service *s;
+
+	g_hash_table_iter_init(&iter, ctx->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
+		res_demand(s->planner, demand->model, demand->adapter,
+			   demand->requests, demand->refused, now_of(ctx));
+	if (demand->refused)
+		plan(ctx);
+}
--- /dev/null
+++ b/src/edge/edge.c
@@ -0,0 +1,404 @@
+#include "edge/edge_int.h"
+
+#include <event2/thread.h>
+#include <string.h>
+
+#include "base/log.h"
+
+/* Timers of the edge: demand reports and the leader's orders. */
+#define TICK_US 100000
+#define DEMAND_INTERVAL_US 500000
+/* Callers may use a connection up to the announced idle time; the entry closes
+ * it somewhat later, so that no request crosses the close. */
+#define IDLE_MARGIN_US 1000000
+
+static void demand_free(void *data)
+{
+	struct edge_demand *demand = data;
+
+	g_free(demand->model);
+	g_free(demand->adapter);
+	g_free(demand);
+}
+
+static void budget_free(void *data)
+{
+	rep_free(data);
+}
+
+static void free_demand_message(void *data)
+{
+	dsp__demand__free_unpacked(data, NULL);
+}
+
+/* Creates the layer without any connection. */
+struct edge *edge_new(const struct set *settings, struct clk *clock,
+		      struct met *metrics)
+{
+	struct edge *ctx = g_new0(struct edge, 1);
+
+	ctx->set = settings;
+	ctx->clock = clock;
+	ctx->met = metrics;
+	pthread_mutex_init(&ctx->lock, NULL);
+	pthread_cond_init(&ctx->calls_ended, NULL);
+	STAILQ_INIT(&ctx->done);
+	LIST_INIT(&ctx->forwards);
+	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
+	ctx->view = view_new_empty();
+	ctx->bal = bal_new();
+	ctx->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     budget_free);
+	ctx->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     demand_free);
+	ctx->entries = 1;
+	evthread_use_pthreads();
+	ctx->base = event_base_new();
+	return ctx;
+}
+
+/* Frees the layer after edge_stop(), or when it was never started. */
+void edge_free(struct edge *ctx)
+{
+	if (!ctx)
+		return;
+	if (ctx->wake)
+		event_free(ctx->wake);
+	if (ctx->tick)
+		event_free(ctx->tick);
+	event_base_free(ctx->base);
+	g_ptr_array_free(ctx->demands_in, TRUE);
+	g_hash_table_destroy(ctx->budgets);
+	g_hash_table_destroy(ctx->demands);
+	bal_free(ctx->bal);
+	rtab_free(ctx->rtab);
+	view_unref(ctx->view);
+	view_unref(ctx->next_view);
+	pthread_cond_destroy(&ctx->calls_ended);
+	pthread_mutex_destroy(&ctx->lock);
+	g_free(ctx);
+}
+
+/* ---- Called by the control thread ---- */
+
+static void wake(struct edge *ctx)
+{
+	if (ctx->wake)
+		event_active(ctx->wake, EV_READ, 0);
+}
+
+static void view_changed(void *data, struct view *view)
+{
+	struct edge *ctx = data;
+
+	pthread_mutex_lock(&ctx->lock);
+	view_unref(ctx->next_view);
+	ctx->next_view = view_ref(view);
+	wake(ctx);
+	pthread_mutex_unlock(&ctx->lock);
+}
+
+static void demand_reported(void *data, const Dsp__Demand *demand)
+{
+	struct edge *ctx = data;
+	size_t len = dsp__demand__get_packed_size(demand);
+	g_autofree uint8_t *bytes = g_malloc(len + 1);
+
+	dsp__demand__pack(demand, bytes);
+	pthread_mutex_lock(&ctx->lock);
+	g_ptr_array_add(ctx->demands_in,
+			dsp__demand__unpack(NULL, len, bytes));
+	if (demand->refused)
+		wake(ctx);
+	pthread_mutex_unlock(&ctx->lock);
+}
+
+static uint32_t streams(void *data)
+{
+	return edge_in_flight(data);
+}
+
+/* Returns the callbacks for ctl_start(). */
+struct ctl_callbacks edge_ctl_callbacks(struct edge *ctx)
+{
+	return (struct ctl_callbacks){
+		.data = ctx,
+		.view_changed = view_changed,
+		.streams = streams,
+		.demand = demand_reported,
+	};
+}
+
+/* Returns the number of requests that are not answered yet; any thread. */
+unsigned edge_in_flight(const struct edge *ctx)
+{
+	return ctx->in_flight;
+}
+
+/* ---- Edge thread ---- */
+
+static unsigned count_entries(const struct view *view)
+{
+	unsigned n = 0;
+
+	for (size_t i = 0; i < view_n_nodes(view); i++) {
+		const Dsp__Node *node = view_node_at(view, i);
+
+		n += node->http_address[0] && !node->down;
+	}
+	return MAX(n, 1);
+}
+
+static void use_table(struct edge *ctx, const Dsp__RouteTable *table)
+{
+	const Dsp__CallerLimits *from = table->limits;
+
+	rtab_free(ctx->rtab);
+	ctx->rtab = rtab_new(table);
+	ctx->table = table;
+	if (ctx->front && from && from->header_bytes && from->body_bytes &&
+	    from->header_ms && from->idle_ms) {
+		struct hio_limits limits = {
+			.header_bytes = from->header_bytes,
+			.body_bytes = from->body_bytes,
+			.header_us = from->header_ms * 1000LL,
+			.idle_us = from->idle_ms * 1000LL + IDLE_MARGIN_US,
+		};
+
+		hio_server_set_limits(ctx->front, &limits);
+	}
+	LOG_EVENT_NOTICE("edge", "route_table",
+			 "number=%" G_GUINT64_FORMAT " index=%" G_GUINT64_FORMAT
+			 " routes=%zu services=%zu",
+			 table->number, table->index, table->n_routes,
+			 table->n_services);
+}
+
+static void use_view(struct edge *ctx, struct view *view)
+{
+	const Dsp__RouteTable *table = view_route_table(view);
+	struct view *old = ctx->view;
+
+	ctx->view = view;
+	ctx->entries = count_entries(view);
+	bal_set_view(ctx->bal, view);
+	/* The old view keeps the old table alive until here. */
+	if (table && table != ctx->table)
+		use_table(ctx, table);
+	if (ctx->agent)
+		agent_view_changed(ctx->agent);
+	fwd_view_changed(ctx);
+	view_unref(old);
+}
+
+static void take_demands(struct edge *ctx)
+{
+	GPtrArray *in;
+
+	pthread_mutex_lock(&ctx->lock);
+	in = ctx->demands_in;
+	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
+	pthread_mutex_unlock(&ctx->lock);
+	for (guint i = 0; ctx->agent && i < in->len; i++)
+		agent_demand(ctx->agent, in->pdata[i]);
+	g_ptr_array_free(in, TRUE);
+}
+
+static void begin_drain(struct edge *ctx)
+{
+	if (ctx->draining)
+		return;
+	ctx->draining = true;
+	if (ctx->front)
+		hio_server_drain(ctx->front);
+}
+
+static void on_wake(evutil_socket_t fd, short what, void *data)
+{
+	struct edge *ctx = data;
+	struct view *view;
+	bool stop;
+	bool drain;
+
+	(void)fd;
+	(void)what;
+	pthread_mutex_lock(&ctx->lock);
+	view = ctx->next_view;
+	ctx->next_view = NULL;
+	stop = ctx->stop;
+	drain = ctx->drain;
+	pthread_mutex_unlock(&ctx->lock);
+	if (drain)
+		begin_drain(ctx);
+	if (view)
+		use_view(ctx, view);
+	take_demands(ctx);
+	edge_calls_run(ctx);
+	if (stop)
+		event_base_loopbreak(ctx->base);
+}
+
+static void send_demand(struct edge *ctx)
+{
+	GHashTableIter iter;
+	struct edge_demand *demand;
+
+	g_hash_table_iter_init(&iter, ctx->demands);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&demand)) {
+		Dsp__Demand message = DSP__DEMAND__INIT;
+
+		message.model = demand->model;
+		message.adapter = demand->adapter;
+		message.requests = demand->requests;
+		message.refused = demand->refused;
+		ctl_demand(ctx->ctl, &message);
+	}
+	g_hash_table_remove_all(ctx->demands);
+	ctx->demand_due_us = clk_now_us(ctx->clock) + DEMAND_INTERVAL_US;
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *data)
+{
+	struct edge *ctx = data;
+	int64_t now_us = clk_now_us(ctx->clock);
+
+	(void)fd;
+	(void)what;
+	if (now_us >= ctx->demand_due_us)
+		send_demand(ctx);
+	if (ctx->agent)
+		agent_tick(ctx->agent, now_us);
+}
+
+/* Counts a request for a model; missed: it was not there, and its callers wait
+ * or were refused. */
+void edge_note_demand(struct edge *ctx, const char *model, const char *adapter,
+		      bool missed)
+{
+	char *key = g_strdup_printf("%s/%s", model, adapter ? adapter : "");
+	struct edge_demand *demand = g_hash_table_lookup(ctx->demands, key);
+
+	if (!demand) {
+		demand = g_new0(struct edge_demand, 1);
+		demand->model = g_strdup(model);
+		demand->adapter = g_strdup(adapter ? adapter : "");
+		g_hash_table_insert(ctx->demands, key, demand);
+	} else {
+		g_free(key);
+	}
+	if (!missed) {
+		demand->requests++;
+		return;
+	}
+	if (!demand->refused++)
+		send_demand(ctx);
+}
+
+/* Returns the budget for repeats of a service. */
+struct rep *edge_budget(struct edge *ctx, const char *service)
+{
+	struct rep *budget = g_hash_table_lookup(ctx->budgets, service);
+
+	if (budget)
+		return budget;
+	budget = rep_new();
+	g_hash_table_insert(ctx->budgets, g_strdup(service), budget);
+	return budget;
+}
+
+/* Returns this instance's part of the budgets. */
+struct rep_options edge_budget_options(const struct edge *ctx)
+{
+	const struct set_edge *set = &ctx->set->edge;
+
+	return (struct rep_options){
+		.ratio = set->repeat_ratio,
+		.window_s = set->repeat_window_s,
+		.extra_share = (double)set->repeat_extra / ctx->entries,
+	};
+}
+
+/* Returns whether callers may use this entry. */
+bool edge_is_ready(struct edge *ctx)
+{
+	struct ctl_state state = ctl_state(ctx->ctl);
+
+	if (ctx->draining || !ctx->rtab)
+		return false;
+	switch (state.readiness) {
+	case CTL_SERVING:
+	case CTL_ISOLATED:
+		return true;
+	case CTL_STARTING:
+	case CTL_STALE:
+	case CTL_DRAINING:
+		break;
+	}
+	return false;
+}
+
+static void *run(void *data)
+{
+	struct edge *ctx = data;
+
+	event_base_loop(ctx->base, EVLOOP_NO_EXIT_ON_EMPTY);
+	return NULL;
+}
+
+/* Opens the addresses of the settings and starts the thread. */
+bool edge_start(struct edge *ctx, struct ctl *ctl, GError **err)
+{
+	struct timeval tick = { .tv_usec = TICK_US };
+	int error;
+
+	ctx->ctl = ctl;
+	ctx->client = hio_client_new(ctx->base, ctx->clock);
+	if (!edge_api_open(ctx, err))
+		return false;
+	if (ctx->set->control)
+		ctx->agent = agent_new(ctx);
+	ctx->tick = event_new(ctx->base, -1, EV_PERSIST, on_tick, ctx);
+	event_add(ctx->tick, &tick);
+	pthread_mutex_lock(&ctx->lock);
+	ctx->wake = event_new(ctx->base, -1, EV_PERSIST, on_wake, ctx);
+	wake(ctx);
+	pthread_mutex_unlock(&ctx->lock);
+	error = pthread_create(&ctx->thread, NULL, run, ctx);
+	if (error) {
+		g_set_error(err, HIO_ERROR, HIO_ERROR_LISTEN,
+			    "cannot create the edge thread: %s",
+			    g_strerror(error));
+		return false;
+	}
+	ctx->running = true;
+	return true;
+}
+
+/* Begins a graceful stop; any thread. */
+void edge_drain(struct edge *ctx)
+{
+	pthread_mutex_lock(&ctx->lock);
+	ctx->drain = true;
+	wake(ctx);
+	pthread_mutex_unlock(&ctx->lock);
+}
+
+/* Ends the thread; requests in flight are broken off. */
+void edge_stop(struct edge *ctx)
+{
+	if (ctx->running) {
+		pthread_mutex_lock(&ctx->lock);
+		ctx->stop = true;
+		wake(ctx);
+		pthread_mutex_unlock(&ctx->lock);
+		pthread_join(ctx->thread, NULL);
+	}
+	ctx->running = false;
+	fwd_end_all(ctx);
+	edge_api_close(ctx);
+	edge_calls_wait(ctx);
+	agent_free(ctx->agent);
+	ctx->agent = NULL;
+	hio_client_free(ctx->client);
+	ctx->client = NULL;
+}
--- /dev/null
+++ b/src/edge/edge_api.c
@@ -0,0 +1,373 @@
+#include "edge/edge_int.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+/* Calls of endpoints, operators, callers that look for an entry, and checks. */
+
+/* Limits of these calls; a route table with hundreds of routes has some
+ * hundred kilobytes. */
+#define CALL_HEADER_BYTES (16 << 10)
+#define CALL_BODY_BYTES (8 << 20)
+#define CALL_HEADER_US (5 * EDGE_S_US)
+#define CALL_IDLE_US (30 * EDGE_S_US)
+/* Limits of callers before the first route table. */
+#define FRONT_HEADER_BYTES (16 << 10)
+#define FRONT_BODY_BYTES (4 << 20)
+/* Operators wait a second for an answer and longer for large bodies; then they
+ * ask another instance. */
+#define PUT_TIMEOUT_US 2500000
+#define GET_TIMEOUT_US 900000
+/* Endpoints wait one second. */
+#define LEAVE_TIMEOUT_US 900000
+#define ENTRIES_MAX 64
+
+static void reply_text(struct hio_exchange *exchange, int status,
+		       const char *type, const char *body)
+{
+	struct hio_field field = { .name = "Content-Type",
+				   .value = (char *)type };
+
+	hio_reply(exchange, status, &field, 1, body, strlen(body));
+}
+
+static void reply_error(struct hio_exchange *exchange, int status,
+			const char *message)
+{
+	char *body = wire_write_error(message);
+
+	reply_text(exchange, status, "application/json", body);
+	g_free(body);
+}
+
+/* ---- Entry lists ---- */
+
+static void reply_entries(struct edge *ctx, struct hio_exchange *exchange)
+{
+	const char *addresses[ENTRIES_MAX];
+	size_t total = view_n_nodes(ctx->view);
+	size_t n = 0;
+	char *body;
+
+	for (size_t i = 0; i < total && n < ENTRIES_MAX; i++) {
+		const Dsp__Node *node = view_node_at(ctx->view, i);
+
+		if (node->http_address[0] && !node->down && !node->draining)
+			addresses[n++] = node->http_address;
+	}
+	if (!n) {
+		reply_error(exchange, 503, "no entry is known");
+		return;
+	}
+	body = wire_write_entry_list(addresses, n,
+				     ctx->set->edge.entry_validity_s);
+	reply_text(exchange, 200, "application/json", body);
+	g_free(body);
+}
+
+/* ---- Endpoints ---- */
+
+static void leave_done(struct edge *ctx, struct edge_call *call)
+{
+	(void)ctx;
+	if (!call->exchange)
+		return;
+	if (call->result && (call->result->code == DSP__RESULT_CODE__RESULT_OK ||
+			     call->result->code ==
+				     DSP__RESULT_CODE__RESULT_SAME ||
+			     call->result->code ==
+				     DSP__RESULT_CODE__RESULT_STALE))
+		reply_text(call->exchange, 200, "application/json", "{}");
+	else
+		reply_error(call->exchange, 503, "not recorded");
+}
+
+/* An endpoint that leaves is acknowledged once every later leader knows it. */
+static void commit_leaving(struct edge *ctx, struct hio_exchange *exchange,
+			   const Dsp__Endpoint *endpoint)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__EndpointPut put = DSP__ENDPOINT_PUT__INIT;
+	Dsp__Endpoint leaving = *endpoint;
+	size_t len;
+	uint8_t *data;
+
+	leaving.state = DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
+	put.endpoint = &leaving;
+	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
+	command.endpoint_put = &put;
+	len = dsp__command__get_packed_size(&command);
+	data = g_malloc(len + 1);
+	dsp__command__pack(&command, data);
+	edge_call_start(ctx, exchange, dsp__command__unpack(NULL, len, data),
+			LEAVE_TIMEOUT_US, leave_done);
+	g_free(data);
+	LOG_EVENT_NOTICE("edge", "endpoint_leaves",
+			 "endpoint=%s incarnation=%" G_GUINT64_FORMAT,
+			 endpoint->id, endpoint->incarnation);
+}
+
+static void announce(struct edge *ctx, struct hio_exchange *exchange,
+		     const char *id)
+{
+	const struct hio_request *request = hio_exchange_request(exchange);
+	GError *error = NULL;
+	Dsp__Announcement *a =
+		wire_read_announcement(id, (const char *)request->body->data,
+				       request->body->len, &error);
+
+	if (!a) {
+		met_count(ctx->met, "dandelionspar_announcements_malformed", "",
+			  1);
+		LOG_EVENT_INFO("edge", "announcement_refused",
+			       "endpoint=%s reason=\"%s\"", id, error->message);
+		g_clear_error(&error);
+		reply_error(exchange, 400, "malformed announcement");
+		return;
+	}
+	if (ctl_state(ctx->ctl).readiness == CTL_STARTING)
+		reply_error(exchange, 503, "starting");
+	else if (a->leaving)
+		commit_leaving(ctx, exchange, a->endpoint);
+	else
+		reply_text(exchange, 200, "application/json", "{}");
+	ctl_announce(ctx->ctl, a);
+	dsp__announcement__free_unpacked(a, NULL);
+}
+
+static void withdraw(struct edge *ctx, struct hio_exchange *exchange,
+		     const char *id)
+{
+	const struct hio_request *request = hio_exchange_request(exchange);
+	const Dsp__Endpoint *known = view_endpoint(ctx->view, id);
+	uint64_t incarnation;
+
+	if (!wire_read_withdrawal((const char *)request->body->data,
+				  request->body->len, &incarnation)) {
+		reply_error(exchange, 400, "malformed withdrawal");
+		return;
+	}
+	if (ctl_state(ctx->ctl).readiness == CTL_STARTING)
+		reply_error(exchange, 503, "starting");
+	else if (!known || (incarnation && incarnation != known->incarnation))
+		reply_text(exchange, 200, "application/json", "{}");
+	else
+		commit_leaving(ctx, exchange, known);
+}
+
+/* ---- Operators ---- */
+
+static void put_done(struct edge *ctx, struct edge_call *call)
+{
+	const Dsp__CommandResult *result = call->result;
+
+	(void)ctx;
+	if (!call->exchange)
+		return;
+	if (!result) {
+		reply_error(call->exchange, 503,
+			    call->not_sent ? "not recorded"
+					   : "the outcome is not known");
+		return;
+	}
+	LOG_EVENT_NOTICE("edge", "route_table_put",
+			 "number=%" G_GUINT64_FORMAT
+			 " in_force=%" G_GUINT64_FORMAT " code=%d",
+			 call->command->route_table_put->table->number,
+			 result->number, (int)result->code);
+	switch (result->code) {
+	case DSP__RESULT_CODE__RESULT_OK:
+	case DSP__RESULT_CODE__RESULT_SAME:
+		reply_text(call->exchange, 200, "application/json", "{}");
+		break;
+	default:
+		reply_error(call->exchange, 503, result->message);
+		break;
+	}
+}
+
+static void put_route_table(struct edge *ctx, struct hio_exchange *exchange)
+{
+	const struct hio_request *request = hio_exchange_request(exchange);
+	GError *error = NULL;
+	Dsp__RouteTable *table =
+		wire_read_route_table((const char *)request->body->data,
+				      request->body->len, &error);
+	Dsp__Command *command;
+
+	if (!table) {
+		LOG_EVENT_NOTICE("edge", "route_table_refused", "reason=\"%s\"",
+				 error->message);
+		reply_error(exchange, 400, error->message);
+		g_clear_error(&error);
+		return;
+	}
+	command = g_new(Dsp__Command, 1);
+	dsp__command__init(command);
+	command->body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
+	command->route_table_put = g_new(Dsp__RouteTablePut, 1);
+	dsp__route_table_put__init(command->route_table_put);
+	command->route_table_put->table = table;
+	edge_call_start(ctx, exchange, command, PUT_TIMEOUT_US, put_done);
+}
+
+static void get_done(struct edge *ctx, struct edge_call *call)
+{
+	const Dsp__CommandResult *result = call->result;
+	struct hio_field field = { .name = "Content-Type",
+				   .value = "application/json" };
+
+	(void)ctx;
+	if (!call->exchange)
+		return;
+	if (result && result->code == DSP__RESULT_CODE__RESULT_OK &&
+	    result->route_table)
+		hio_reply(call->exchange, 200, &field, 1,
+			  result->route_table->source.data,
+			  result->route_table->source.len);
+	else
+		reply_error(call->exchange, 503,
+			    result ? "no route table yet"
+				   : "the route table in force is not known");
+}
+
+static void get_route_table(struct edge *ctx, struct hio_exchange *exchange)
+{
+	Dsp__Command *command = g_new(Dsp__Command, 1);
+
+	dsp__command__init(command);
+	command->body_case = DSP__COMMAND__BODY_ROUTE_TABLE_GET;
+	command->route_table_get = g_new(Dsp__RouteTableGet, 1);
+	dsp__route_table_get__init(command->route_table_get);
+	edge_call_start(ctx, exchange, command, GET_TIMEOUT_US, get_done);
+}
+
+/* ---- Dispatch ---- */
+
+static void on_call(void *data, struct hio_exchange *exchange)
+{
+	struct edge *ctx = data;
+	const struct hio_request *request = hio_exchange_request(exchange);
+	char *id;
+
+	switch (wire_call_of(request->method, request->target, &id)) {
+	case WIRE_READINESS:
+		if (edge_is_ready(ctx))
+			reply_text(exchange, 200, "text/plain", "ready\n");
+		else
+			reply_error(exchange, 503, "not ready");
+		break;
+	case WIRE_ENTRY_LIST:
+		reply_entries(ctx, exchange);
+		break;
+	case WIRE_ANNOUNCE:
+		announce(ctx, exchange, id);
+		break;
+	case WIRE_WITHDRAW:
+		withdraw(ctx, exchange, id);
+		break;
+	case WIRE_PUT_ROUTE_TABLE:
+		put_route_table(ctx, exchange);
+		break;
+	case WIRE_GET_ROUTE_TABLE:
+		get_route_table(ctx, exchange);
+		break;
+	case WIRE_UNKNOWN:
+		reply_error(exchange, 404, "no such call");
+		break;
+	}
+	g_free(id);
+}
+
+static void on_call_gone(void *data, struct hio_exchange *exchange)
+{
+	struct edge_call *call = hio_exchange_data(exchange);
+
+	(void)data;
+	if (call)
+		call->exchange = NULL;
+}
+
+static void on_metrics(void *data, struct hio_exchange *exchange)
+{
+	struct edge *ctx = data;
+	char *text = met_to_prometheus(ctx->met);
+
+	reply_text(exchange, 200, "text/plain; version=0.0.4", text);
+	g_free(text);
+}
+
+static void on_refused(void *data, int status)
+{
+	struct edge *ctx = data;
+	char label[32];
+
+	g_snprintf(label, sizeof(label), "status=\"%d\"", status);
+	met_count(ctx->met, "dandelionspar_unreadable_requests", label, 1);
+}
+
+static bool open_one(struct edge *ctx, const char *listen,
+		     const struct hio_server_options *like,
+		     struct hio_server **out, GError **err)
+{
+	struct hio_server_options options = *like;
+
+	if (!listen)
+		return true;
+	options.base = ctx->base;
+	options.listen = listen;
+	options.data = ctx;
+	options.refused = on_refused;
+	*out = hio_server_new(&options, err);
+	return *out != NULL;
+}
+
+/* Listens on all addresses of the settings. */
+bool edge_api_open(struct edge *ctx, GError **err)
+{
+	const struct set_edge *set = &ctx->set->edge;
+	const struct hio_limits limits = {
+		.header_bytes = CALL_HEADER_BYTES,
+		.body_bytes = CALL_BODY_BYTES,
+		.header_us = CALL_HEADER_US,
+		.idle_us = CALL_IDLE_US,
+	};
+	const struct hio_server_options calls = {
+		.limits = limits,
+		.request = on_call,
+		.gone = on_call_gone,
+	};
+	const struct hio_server_options front = {
+		.limits = { .header_bytes = FRONT_HEADER_BYTES,
+			    .body_bytes = FRONT_BODY_BYTES,
+			    .header_us = CALL_HEADER_US,
+			    .idle_us = CALL_IDLE_US },
+		.request = fwd_request,
+		.gone = fwd_gone,
+	};
+	const struct hio_server_options metrics = {
+		.limits = limits,
+		.request = on_metrics,
+		.gone = on_call_gone,
+	};
+
+	return open_one(ctx, set->ready, &calls, &ctx->ready, err) &&
+	       open_one(ctx, set->directory, &calls, &ctx->directory, err) &&
+	       open_one(ctx, set->control, &calls, &ctx->control, err) &&
+	       open_one(ctx, set->front, &front, &ctx->front, err) &&
+	       open_one(ctx, set->metrics, &metrics, &ctx->metrics, err);
+}
+
+/* Closes all addresses and connections. */
+void edge_api_close(struct edge *ctx)
+{
+	struct hio_server **servers[] = { &ctx->front, &ctx->ready,
+					  &ctx->directory, &ctx->control,
+					  &ctx->metrics };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+		hio_server_free(*servers[i]);
+		*servers[i] = NULL;
+	}
+}
--- /dev/null
+++ b/src/edge/edge_int.h
@@ -0,0 +1,121 @@
+#ifndef EDGE_EDGE_INT_H
+#define EDGE_EDGE_INT_H
+
+#include <event2/event.h>
+#include <pthread.h>
+#include <sys/queue.h>
+
+#include "core/bal.h"
+#include "core/rep.h"
+#include "core/rtab.h"
+#include "edge/edge.h"
+#include "http/hio.h"
+#include "platform/wire.h"
+
+/* Shared by the files of the edge thread only. */
+
+#define EDGE_S_US 1000000LL
+
+struct fwd;
+struct agent;
+LIST_HEAD(fwd_list, fwd);
+
+/* Demand that the next report carries, by "model/adapter". */
+struct edge_demand {
+	char *model;
+	char *adapter; /* "" for the model itself */
+	uint32_t requests;
+	uint32_t refused;
+};
+
+/* A command whose result the control thread gives later (edge_call.c). */
+struct edge_call;
+typedef void edge_done(struct edge *ctx, struct edge_call *call);
+
+struct edge_call {
+	STAILQ_ENTRY(edge_call) link;
+	struct edge *edge;
+	struct hio_exchange *exchange; /* NULL once the caller has left */
+	Dsp__Command *command;	       /* owned */
+	int64_t timeout_us;
+	edge_done *done;
+	Dsp__CommandResult *result; /* owned; NULL: the outcome is not known */
+	bool not_sent;		    /* it can never take effect */
+};
+
+struct edge {
+	/* Fixed after the start. */
+	const struct set *set;
+	struct clk *clock;
+	struct met *met;
+	struct ctl *ctl;
+	struct event_base *base;
+	struct event *wake; /* any thread */
+	pthread_t thread;
+	bool running;
+
+	pthread_mutex_t lock;
+	struct view *next_view;			/* lock; NULL: no change */
+	GPtrArray *demands_in;			/* lock; Dsp__Demand */
+	STAILQ_HEAD(edge_calls, edge_call) done; /* lock */
+	bool stop;				/* lock */
+	bool drain;				/* lock */
+	unsigned calls_running;			/* lock */
+	pthread_cond_t calls_ended;		/* with lock */
+	_Atomic unsigned in_flight;
+
+	/* The rest belongs to the edge thread. */
+	struct hio_server *front;
+	struct hio_server *ready;
+	struct hio_server *directory;
+	struct hio_server *control;
+	struct hio_server *metrics;
+	struct hio_client *client;
+	struct event *tick;
+	struct view *view;
+	const Dsp__RouteTable *table; /* of the view; NULL: none yet */
+	struct rtab *rtab;	      /* of the table */
+	struct bal *bal;
+	GHashTable *budgets; /* service -> struct rep */
+	unsigned entries;    /* instances that serve callers */
+	struct fwd_list forwards;
+	GHashTable *demands; /* "model/adapter" -> struct edge_demand */
+	int64_t demand_due_us;
+	bool draining;
+	struct agent *agent;
+};
+
+/* edge.c */
+void edge_note_demand(struct edge *ctx, const char *model, const char *adapter,
+		      bool missed);
+struct rep *edge_budget(struct edge *ctx, const char *service);
+struct rep_options edge_budget_options(const struct edge *ctx);
+bool edge_is_ready(struct edge *ctx);
+
+/* edge_call.c */
+/* Submits a command on a thread of its own; done runs on the edge thread.
+ * Takes the command. */
+void edge_call_start(struct edge *ctx, struct hio_exchange *exchange,
+		     Dsp__Command *command, int64_t timeout_us,
+		     edge_done *done);
+void edge_calls_run(struct edge *ctx);
+void edge_calls_wait(struct edge *ctx);
+
+/* edge_api.c */
+bool edge_api_open(struct edge *ctx, GError **err);
+void edge_api_close(struct edge *ctx);
+
+/* fwd.c */
+void fwd_request(void *data, struct hio_exchange *exchange);
+void fwd_gone(void *data, struct hio_exchange *exchange);
+void fwd_view_changed(struct edge *ctx);
+void fwd_end_all(struct edge *ctx);
+
+/* agent.c */
+struct agent *agent_new(struct edge *ctx);
+void agent_free(struct agent *ctx);
+void agent_tick(struct agent *ctx, int64_t now_us);
+void agent_view_changed(struct agent *ctx);
+void agent_demand(struct agent *ctx, const Dsp__Demand *demand);
+
+#endif
--- /dev/null
+++ b/src/edge/fwd.c
@@ -0,0 +1,726 @@
+#include "edge/edge_int.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "core/sse.h"
+
+/* Endpoints of one request that are remembered. */
+#define TRIED_MAX 8
+/* A request that the caller gave no deadline gets the route's limit only. */
+#define DEADLINE_MAX_US (3600 * EDGE_S_US)
+/* Below this time nothing can be served any more. */
+#define REMAINING_MIN_US 5000
+/* Time for a new connection; the longest round trip to an endpoint is a few
+ * milliseconds, and a full queue of new connections repeats after a second. */
+#define CONNECT_TIMEOUT_US 400000
+/* Idle connections to plain endpoints are reused up to this age. They close
+ * theirs after a second or more. */
+#define REUSE_IDLE_US 800000
+/* A request that must not run twice gets a connection that was used just now,
+ * so that a close of the endpoint does not leave its outcome unknown. */
+#define REUSE_ONCE_US 300000
+/* A request whose model, adapter or place is missing waits for this part of
+ * the objective, looking again at this interval. */
+#define WAIT_SHARE 8
+#define WAIT_MIN_US 60000
+#define WAIT_MAX_US 400000
+#define WAIT_STEP_US 20000
+/* A stream that may go on elsewhere is moved after this many times the allowed
+ * pause without an event, at least SILENCE_MIN_US. */
+#define SILENCE_GAPS 5
+#define SILENCE_MIN_US 1200000
+/* The first event may take longer: it waits for a place and for the prompt. */
+#define FIRST_OBJECTIVES 3
+#define FIRST_MIN_US 1500000
+/* Whole answers that are kept until their end. */
+#define ANSWER_MAX_BYTES (8 << 20)
+#define RETRY_AFTER_SPREAD 0.5
+
+struct fwd {
+	LIST_ENTRY(fwd) link; /* edge.forwards */
+	struct edge *edge;
+	struct hio_exchange *exchange;
+	struct event *timer;
+	struct wire_request said;
+	/* Copied from the route, since a later table may drop it. */
+	char *route;
+	char *service;
+	Dsp__RouteKind kind;
+	uint32_t rank;
+	uint32_t attempts_max;
+	bool resumable;
+	bool engine;
+	int64_t objective_us;
+	int64_t gap_us;
+	uint64_t table_number;
+
+	int64_t start_us;
+	int64_t end_us;	 /* the caller or the route waits no longer */
+	int64_t wait_us; /* until then it waits for a place; 0: not begun */
+	char *tried[TRIED_MAX + 1];
+	size_t n_tried;
+	unsigned runs; /* endpoints that may have run it */
+	bool sent;     /* counted as the first arrival at the service */
+
+	/* Current send. */
+	struct hio_call *call;
+	struct bal_endpoint *endpoint;
+	char *endpoint_id;
+	int64_t send_us;
+	int64_t first_us;  /* time to the first byte; -1: none yet */
+	int64_t heard_us;  /* last byte */
+	struct wire_answer answer;
+	int status;
+	struct hio_fields fields; /* of a whole answer; owned */
+	GByteArray *body;	  /* of a whole answer */
+	bool streaming;		  /* events of this send are passed on */
+
+	/* Answer to the caller. */
+	bool begun;
+	struct sse *events;
+	char *last_id; /* of the last event passed on */
+};
+
+static bool may_repeat(const struct fwd *f)
+{
+	switch (f->kind) {
+	case DSP__ROUTE_KIND__ROUTE_REPEATABLE:
+		return true;
+	case DSP__ROUTE_KIND__ROUTE_STREAM:
+		return f->resumable;
+	default:
+		return false;
+	}
+}
+
+static int64_t now_of(const struct fwd *f)
+{
+	return clk_now_us(f->edge->clock);
+}
+
+static void arm(struct fwd *f, int64_t at_us)
+{
+	int64_t delay_us = MAX(at_us - now_of(f), 1);
+	struct timeval delay = { .tv_sec = delay_us / EDGE_S_US,
+				 .tv_usec = delay_us % EDGE_S_US };
+
+	event_add(f->timer, &delay);
+}
+
+/* ---- End of a request ---- */
+
+static void fwd_free(struct fwd *f)
+{
+	LIST_REMOVE(f, link);
+	f->edge->in_flight--;
+	event_free(f->timer);
+	wire_request_clear(&f->said);
+	hio_fields_clear(&f->fields);
+	if (f->body)
+		g_byte_array_free(f->body, TRUE);
+	sse_free(f->events);
+	for (size_t i = 0; i < f->n_tried; i++)
+		g_free(f->tried[i]);
+	g_free(f->route);
+	g_free(f->service);
+	g_free(f->endpoint_id);
+	g_free(f->last_id);
+	g_free(f);
+}
+
+static void end_send(struct fwd *f, enum bal_result result)
+{
+	if (f->call)
+		hio_call_cancel(f->call);
+	f->call = NULL;
+	if (f->endpoint)
+		bal_end(f->edge->bal, f->endpoint, result, f->first_us,
+			now_of(f));
+	f->endpoint = NULL;
+}
+
+/* One line for each request: what decided it and how it ended. */
+static void log_end(const struct fwd *f, const char *outcome, int status,
+		    const char *reason)
+{
+	int64_t took_us = now_of(f) - f->start_us;
+	char labels[128];
+
+	g_snprintf(labels, sizeof(labels),
+		   "route=\"%s\",outcome=\"%s\",reason=\"%s\"", f->route,
+		   outcome, reason);
+	met_count(f->edge->met, "dandelionspar_edge_requests", labels, 1);
+	g_snprintf(labels, sizeof(labels), "route=\"%s\"", f->route);
+	met_observe_us(f->edge->met, "dandelionspar_edge_request_us", labels,
+		       took_us);
+	LOG_EVENT_INFO(
+		"fwd", "end",
+		"request=%s route=%s table=%" G_GUINT64_FORMAT
+		" service=%s model=%s adapter=%s outcome=%s status=%d "
+		"reason=%s endpoint=%s tried=%zu runs=%u took_us=%" PRId64
+		" first_us=%" PRId64,
+		f->said.request_id ? f->said.request_id : "-", f->route,
+		f->table_number, f->service,
+		f->said.model ? f->said.model : "-",
+		f->said.adapter ? f->said.adapter : "-", outcome, status,
+		reason, f->endpoint_id ? f->endpoint_id : "-", f->n_tried,
+		f->runs, took_us, f->first_us);
+}
+
+static void reply_plain(struct hio_exchange *exchange, int status,
+			const char *request_id, double retry_after_s,
+			const char *message)
+{
+	char *body = wire_write_error(message);
+	struct hio_field fields[3];
+	char retry[32];
+	size_t n = 0;
+
+	fields[n++] = (struct hio_field){ .name = "Content-Type",
+					  .value = "application/json" };
+	if (request_id)
+		fields[n++] = (struct hio_field){
+			.name = (char *)wire_echo_field,
+			.value = (char *)request_id,
+		};
+	if (retry_after_s >= 0) {
+		g_snprintf(retry, sizeof(retry), "%.2f", retry_after_s);
+		fields[n++] = (struct hio_field){
+			.name = (char *)wire_retry_after_field,
+			.value = retry,
+		};
+	}
+	hio_reply(exchange, status, fields, n, body, strlen(body));
+	g_free(body);
+}
+
+/* Answers without any endpoint's answer, or breaks off one that was begun. */
+static void finish_failed(struct fwd *f, int status, int64_t retry_us,
+			  const char *reason)
+{
+	double spread = 1 + RETRY_AFTER_SPREAD * g_random_double();
+	double retry_s = retry_us >= 0 ? (double)retry_us * spread / 1e6 : -1;
+
+	end_send(f, BAL_CANCELLED);
+	log_end(f, f->begun ? "broken" : status == 503 ? "refused" : "failed",
+		f->begun ? 0 : status, reason);
+	if (f->begun)
+		hio_reply_abort(f->exchange);
+	else
+		reply_plain(f->exchange, status, f->said.request_id, retry_s,
+			    reason);
+	fwd_free(f);
+}
+
+/* Ends a request that will not be sent again. */
+static void give_up(struct fwd *f, int64_t retry_us, const char *reason)
+{
+	bool late = now_of(f) + REMAINING_MIN_US >= f->end_us;
+
+	if (!f->runs)
+		finish_failed(f, 503, late ? -1 : retry_us, reason);
+	else
+		finish_failed(f, late ? 504 : 502, -1, reason);
+}
+
+/* ---- Sending ---- */
+
+static void dispatch(struct fwd *f);
+
+static void note_tried(struct fwd *f, const char *id)
+{
+	if (f->n_tried < TRIED_MAX)
+		f->tried[f->n_tried++] = g_strdup(id);
+}
+
+static bool take_repeat(struct fwd *f)
+{
+	struct rep_options options = edge_budget_options(f->edge);
+	struct rep *budget = edge_budget(f->edge, f->service);
+
+	if (rep_take(budget, &options, now_of(f))) {
+		met_count(f->edge->met, "dandelionspar_edge_repeats", "", 1);
+		return true;
+	}
+	met_count(f->edge->met, "dandelionspar_edge_repeats_denied", "", 1);
+	LOG_EVENT_INFO("fwd", "repeat_denied", "request=%s service=%s left=%.1f",
+		       f->said.request_id ? f->said.request_id : "-",
+		       f->service, rep_left(budget, &options, now_of(f)));
+	return false;
+}
+
+/*
+ * Tries another endpoint after a send ended without an answer for the caller.
+ * reached: the request arrived at the service, so another arrival is a repeat.
+ */
+static void try_again(struct fwd *f, bool reached, const char *reason)
+{
+	if (f->runs && (!may_repeat(f) || f->runs >= f->attempts_max)) {
+		give_up(f, -1, reason);
+		return;
+	}
+	if (f->n_tried >= TRIED_MAX ||
+	    now_of(f) + REMAINING_MIN_US >= f->end_us) {
+		give_up(f, CONNECT_TIMEOUT_US, reason);
+		return;
+	}
+	if (reached && !take_repeat(f)) {
+		give_up(f, CONNECT_TIMEOUT_US, "no_repeats_left");
+		return;
+	}
+	LOG_EVENT_INFO("fwd", "again",
+		       "request=%s endpoint=%s reason=%s runs=%u after_id=%s",
+		       f->said.request_id ? f->said.request_id : "-",
+		       f->endpoint_id ? f->endpoint_id : "-", reason, f->runs,
+		       f->last_id ? f->last_id : "-");
+	dispatch(f);
+}
+
+static void on_event(void *data, const char *event, size_t len, const char *id)
+{
+	struct fwd *f = data;
+
+	hio_reply_chunk(f->exchange, event, len);
+	if (!id)
+		return;
+	g_free(f->last_id);
+	f->last_id = g_strdup(id);
+}
+
+static void begin_stream(struct fwd *f, const struct hio_answer *answer)
+{
+	struct hio_field *fields = g_new(struct hio_field, answer->fields.n);
+	size_t n = 0;
+
+	f->streaming = true;
+	if (f->begun)
+		return; /* the first run's fields stay */
+	for (size_t i = 0; i < answer->fields.n; i++) {
+		const struct hio_field *field = &answer->fields.all[i];
+
+		if (!hio_is_hop_field(&answer->fields, field->name) &&
+		    !wire_is_internal_answer_field(field->name))
+			fields[n++] = *field;
+	}
+	hio_reply_begin(f->exchange, answer->status, fields, n);
+	f->begun = true;
+	f->events = sse_new();
+	g_free(fields);
+}
+
+static void copy_fields(struct hio_fields *to, const struct hio_fields *from)
+{
+	hio_fields_clear(to);
+	to->all = g_new0(struct hio_field, from->n + 1);
+	for (size_t i = 0; i < from->n; i++) {
+		const struct hio_field *field = &from->all[i];
+
+		if (hio_is_hop_field(from, field->name) ||
+		    wire_is_internal_answer_field(field->name))
+			continue;
+		to->all[to->n].name = g_strdup(field->name);
+		to->all[to->n++].value = g_strdup(field->value);
+	}
+}
+
+static void on_head(void *data, const struct hio_answer *answer)
+{
+	struct fwd *f = data;
+	int64_t now_us = now_of(f);
+
+	f->heard_us = now_us;
+	f->status = answer->status;
+	wire_read_answer(answer, &f->answer);
+	if (f->answer.has_load)
+		bal_report(f->edge->bal, f->endpoint, f->answer.running,
+			   f->answer.waiting, now_us);
+	g_byte_array_set_size(f->body, 0);
+	if (f->answer.not_run)
+		return;
+	if (f->kind == DSP__ROUTE_KIND__ROUTE_STREAM &&
+	    answer->status / 100 == 2 && f->answer.sealed)
+		begin_stream(f, answer);
+	else
+		copy_fields(&f->fields, &answer->fields);
+}
+
+static void on_body(void *data, const char *bytes, size_t len)
+{
+	struct fwd *f = data;
+
+	f->heard_us = now_of(f);
+	if (f->first_us < 0)
+		f->first_us = f->heard_us - f->send_us;
+	if (f->streaming)
+		sse_feed(f->events, bytes, len, on_event, f);
+	else if (f->body->len + len <= ANSWER_MAX_BYTES)
+		g_byte_array_append(f->body, (const guint8 *)bytes, (guint)len);
+}
+
+static void refused_by_endpoint(struct fwd *f)
+{
+	bool replaced = f->answer.other_process;
+	/* An engine answers the same for a model that it does not hold. */
+	bool wrong_process = replaced && !f->engine;
+
+	end_send(f, wrong_process ? BAL_REPLACED : BAL_REFUSED);
+	f->runs--;
+	if (f->engine && replaced)
+		edge_note_demand(f->edge, f->said.model, f->said.adapter, true);
+	try_again(f, true, replaced ? "not_there" : "endpoint_refused");
+}
+
+static void end_stream(struct fwd *f)
+{
+	if (sse_unfinished(f->events)) {
+		sse_reset(f->events);
+		end_send(f, BAL_FAILED);
+		try_again(f, true, "unfinished_event");
+		return;
+	}
+	end_send(f, BAL_ANSWERED);
+	log_end(f, "served", f->status, "-");
+	hio_reply_end(f->exchange);
+	fwd_free(f);
+}
+
+static void end_whole(struct fwd *f)
+{
+	bool success = f->status / 100 == 2;
+
+	if (success && !f->answer.sealed) {
+		end_send(f, BAL_FAILED);
+		try_again(f, true, "unsealed");
+		return;
+	}
+	end_send(f, BAL_ANSWERED);
+	/* The failure of one endpoint need not be that of the next. */
+	if (f->status >= 500 && may_repeat(f) && f->runs < f->attempts_max &&
+	    f->n_tried < TRIED_MAX &&
+	    now_of(f) + REMAINING_MIN_US < f->end_us && take_repeat(f)) {
+		dispatch(f);
+		return;
+	}
+	log_end(f, success ? "served" : "endpoint_failed", f->status, "-");
+	hio_reply(f->exchange, f->status, f->fields.all, f->fields.n,
+		  f->body->data, f->body->len);
+	fwd_free(f);
+}
+
+static void on_end(void *data)
+{
+	struct fwd *f = data;
+
+	f->call = NULL;
+	if (f->answer.not_run)
+		refused_by_endpoint(f);
+	else if (f->streaming)
+		end_stream(f);
+	else
+		end_whole(f);
+}
+
+static void on_failed(void *data, enum hio_failure failure)
+{
+	struct fwd *f = data;
+
+	f->call = NULL;
+	if (f->events)
+		sse_reset(f->events);
+	switch (failure) {
+	case HIO_NOT_CONNECTED:
+		f->runs--;
+		end_send(f, BAL_UNREACHED);
+		try_again(f, false, "not_connected");
+		break;
+	case HIO_BROKEN:
+		if (f->answer.not_run) {
+			refused_by_endpoint(f);
+			break;
+		}
+		end_send(f, BAL_FAILED);
+		try_again(f, true, "broken");
+		break;
+	case HIO_MALFORMED:
+		end_send(f, BAL_FAILED);
+		try_again(f, true, "malformed");
+		break;
+	}
+}
+
+static int64_t silence_limit(const struct fwd *f)
+{
+	if (f->streaming)
+		return MAX(SILENCE_GAPS * f->gap_us, SILENCE_MIN_US);
+	return MAX(FIRST_OBJECTIVES * f->objective_us, FIRST_MIN_US);
+}
+
+/* True when another endpoint could take over from a silent one. */
+static bool can_move(const struct fwd *f)
+{
+	return may_repeat(f) && f->runs < f->attempts_max;
+}
+
+static void arm_for_send(struct fwd *f)
+{
+	int64_t at_us = f->end_us;
+
+	if (can_move(f))
+		at_us = MIN(at_us, f->heard_us + silence_limit(f));
+	arm(f, at_us);
+}
+
+static void send_to(struct fwd *f, struct bal_endpoint *endpoint)
+{
+	const struct hio_request *request = hio_exchange_request(f->exchange);
+	int64_t now_us = now_of(f);
+	struct wire_dispatch what = {
+		.endpoint_id = bal_id(endpoint),
+		.deadline_us = f->end_us - now_us,
+		.rank = f->rank,
+		.last_event_id = f->last_id,
+	};
+	struct hio_call_options options = {
+		.address = bal_address(endpoint),
+		.head = wire_write_request(request, &what),
+		.body = request->body->data,
+		.body_len = request->body->len,
+		.no_answer_body = !strcmp(request->method, "HEAD"),
+		.echo_name = f->said.request_id ? wire_echo_field : NULL,
+		.echo_value = f->said.request_id,
+		.connect_timeout_us = CONNECT_TIMEOUT_US,
+		.reuse_idle_us = may_repeat(f) ? REUSE_IDLE_US : REUSE_ONCE_US,
+		.data = f,
+		.head_read = on_head,
+		.body_read = on_body,
+		.end = on_end,
+		.failed = on_failed,
+	};
+
+	if (!f->sent)
+		rep_request(edge_budget(f->edge, f->service), now_us);
+	f->sent = true;
+	f->endpoint = endpoint;
+	g_free(f->endpoint_id);
+	f->endpoint_id = g_strdup(bal_id(endpoint));
+	note_tried(f, f->endpoint_id);
+	f->answer = (struct wire_answer){ 0 };
+	f->streaming = false;
+	f->first_us = -1;
+	f->send_us = now_us;
+	f->heard_us = now_us;
+	f->runs++;
+	bal_begin(f->edge->bal, endpoint);
+	f->call = hio_call_start(f->edge->client, &options);
+	arm_for_send(f);
+}
+
+static int64_t wait_limit(const struct fwd *f)
+{
+	return CLAMP(f->objective_us / WAIT_SHARE, WAIT_MIN_US, WAIT_MAX_US);
+}
+
+static void wait_or_refuse(struct fwd *f, const struct bal_choice *choice)
+{
+	int64_t now_us = now_of(f);
+
+	if (f->engine && f->said.model && !f->wait_us &&
+	    (choice->outcome == BAL_NO_ADAPTER ||
+	     choice->outcome == BAL_NO_MODEL))
+		edge_note_demand(f->edge, f->said.model, f->said.adapter, true);
+	if (!f->wait_us)
+		f->wait_us = now_us + wait_limit(f);
+	if (now_us + WAIT_STEP_US <= f->wait_us &&
+	    now_us + WAIT_STEP_US < f->end_us) {
+		arm(f, now_us + WAIT_STEP_US);
+		return;
+	}
+	LOG_EVENT_INFO("fwd", "no_place",
+		       "request=%s service=%s outcome=%s candidates=%u "
+		       "view=%" G_GUINT64_FORMAT,
+		       f->said.request_id ? f->said.request_id : "-",
+		       f->service, bal_outcome_name(choice->outcome),
+		       choice->candidates, view_index(f->edge->view));
+	give_up(f, choice->retry_us, bal_outcome_name(choice->outcome));
+}
+
+static void dispatch(struct fwd *f)
+{
+	struct bal_query query = {
+		.service = f->service,
+		.model = f->engine ? f->said.model : NULL,
+		.adapter = f->engine ? f->said.adapter : NULL,
+		.prefix = f->said.prefix,
+		.avoid = (const char *const *)f->tried,
+	};
+	struct bal_choice choice;
+
+	if (now_of(f) + REMAINING_MIN_US >= f->end_us) {
+		give_up(f, -1, "deadline");
+		return;
+	}
+	choice = bal_choose(f->edge->bal, &query, now_of(f));
+	if (choice.outcome == BAL_CHOSEN)
+		send_to(f, choice.endpoint);
+	else
+		wait_or_refuse(f, &choice);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *data)
+{
+	struct fwd *f = data;
+	int64_t now_us = now_of(f);
+
+	(void)fd;
+	(void)what;
+	if (now_us + 1000 >= f->end_us) {
+		if (f->runs)
+			finish_failed(f, 504, -1, "deadline");
+		else
+			finish_failed(f, 503, -1, "deadline");
+		return;
+	}
+	if (!f->call) {
+		dispatch(f);
+		return;
+	}
+	if (can_move(f) && now_us - f->heard_us >= silence_limit(f) - 1000) {
+		if (f->events)
+			sse_reset(f->events);
+		end_send(f, BAL_FAILED);
+		try_again(f, true, "silent");
+		return;
+	}
+	arm_for_send(f);
+}
+
+/* ---- Start of a request ---- */
+
+static void refuse_early(struct edge *ctx, struct hio_exchange *exchange,
+			 const char *request_id, int status, const char *reason)
+{
+	char labels[96];
+
+	g_snprintf(labels, sizeof(labels), "outcome=\"refused\",reason=\"%s\"",
+		   reason);
+	met_count(ctx->met, "dandelionspar_edge_requests", labels, 1);
+	LOG_EVENT_INFO("fwd", "refused", "request=%s status=%d reason=%s",
+		       request_id ? request_id : "-", status, reason);
+	reply_plain(exchange, status, request_id, status == 503 ? 0.5 : -1,
+		    reason);
+}
+
+static struct fwd *fwd_new(struct edge *ctx, struct hio_exchange *exchange,
+			   const Dsp__Route *route, const char *service)
+{
+	const Dsp__RoutedService *target = rtab_service(ctx->rtab, service);
+	struct fwd *f = g_new0(struct fwd, 1);
+	int64_t limit_us = route->timeout_ms * 1000LL;
+
+	f->edge = ctx;
+	f->exchange = exchange;
+	f->timer = event_new(ctx->base, -1, 0, on_timer, f);
+	wire_read_request(&hio_exchange_request(exchange)->fields, &f->said);
+	f->route = g_strdup(route->name);
+	f->service = g_strdup(service);
+	f->kind = route->kind;
+	f->rank = route->rank;
+	f->attempts_max = route->attempts_max;
+	f->resumable = route->resumable;
+	f->engine = target && target->engine && f->said.model;
+	f->objective_us = route->objective_ms * 1000LL;
+	f->gap_us = route->gap_objective_ms * 1000LL;
+	f->table_number = ctx->table->number;
+	f->start_us = clk_now_us(ctx->clock);
+	if (f->said.deadline_us > 0)
+		limit_us = MIN(limit_us, f->said.deadline_us);
+	f->end_us = f->start_us + MIN(limit_us, DEADLINE_MAX_US);
+	f->first_us = -1;
+	f->body = g_byte_array_new();
+	LIST_INSERT_HEAD(&ctx->forwards, f, link);
+	ctx->in_flight++;
+	hio_exchange_set_data(exchange, f);
+	return f;
+}
+
+/* Handles a caller's request; the server's callback. */
+void fwd_request(void *data, struct hio_exchange *exchange)
+{
+	struct edge *ctx = data;
+	const struct hio_request *request = hio_exchange_request(exchange);
+	const char *id = hio_field(&request->fields, wire_echo_field);
+	const char *host = hio_field(&request->fields, "Host");
+	const Dsp__Route *route;
+	const char *service;
+	struct fwd *f;
+
+	switch (ctl_state(ctx->ctl).readiness) {
+	case CTL_STARTING:
+	case CTL_STALE:
+		refuse_early(ctx, exchange, id, 503, "no_confirmed_view");
+		return;
+	case CTL_SERVING:
+	case CTL_ISOLATED:
+	case CTL_DRAINING:
+		break;
+	}
+	if (!ctx->rtab) {
+		refuse_early(ctx, exchange, id, 503, "no_route_table");
+		return;
+	}
+	route = host ? rtab_match(ctx->rtab, host, request->target) : NULL;
+	if (!route) {
+		refuse_early(ctx, exchange, id, 404, "no_route");
+		return;
+	}
+	service = rtab_draw(route, g_random_int());
+	if (!service) {
+		refuse_early(ctx, exchange, id, 503, "no_service");
+		return;
+	}
+	f = fwd_new(ctx, exchange, route, service);
+	if (f->engine)
+		edge_note_demand(ctx, f->said.model, f->said.adapter, false);
+	dispatch(f);
+}
+
+/* The caller has left: ends the work at the endpoint, too. */
+void fwd_gone(void *data, struct hio_exchange *exchange)
+{
+	struct fwd *f = hio_exchange_data(exchange);
+
+	(void)data;
+	if (!f)
+		return;
+	end_send(f, BAL_CANCELLED);
+	log_end(f, "caller_left", 0, "-");
+	fwd_free(f);
+}
+
+/* Looks again for the requests that wait for a place. */
+void fwd_view_changed(struct edge *ctx)
+{
+	struct fwd *f;
+	struct fwd *next;
+
+	for (f = LIST_FIRST(&ctx->forwards); f; f = next) {
+		next = LIST_NEXT(f, link);
+		if (!f->call && f->wait_us)
+			dispatch(f);
+	}
+}
+
+/* Breaks off all requests; the process ends. */
+void fwd_end_all(struct edge *ctx)
+{
+	while (!LIST_EMPTY(&ctx->forwards)) {
+		struct fwd *f = LIST_FIRST(&ctx->forwards);
+
+		hio_exchange_set_data(f->exchange, NULL);
+		end_send(f, BAL_CANCELLED);
+		log_end(f, "stopped", 0, "-");
+		fwd_free(f);
+	}
+}
--- /dev/null
+++ b/src/http/hio.c
@@ -0,0 +1,153 @@
+#include "http/hio_int.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+G_DEFINE_QUARK(hio - error - quark, hio_error)
+
+/* Unacknowledged bytes end a connection after this time, so that a path which
+ * is cut shows before the usual deadlines of seconds. */
+#define USER_TIMEOUT_MS 3000
+
+/* Returns the value of the first field with this name, or NULL. */
+const char *hio_field(const struct hio_fields *fields, const char *name)
+{
+	for (size_t i = 0; i < fields->n; i++)
+		if (!g_ascii_strcasecmp(fields->all[i].name, name))
+			return fields->all[i].value;
+	return NULL;
+}
+
+static bool list_has(const char *list, const char *name)
+{
+	g_auto(GStrv) items = g_strsplit(list, ",", -1);
+
+	for (size_t i = 0; items[i]; i++)
+		if (!g_ascii_strcasecmp(g_strstrip(items[i]), name))
+			return true;
+	return false;
+}
+
+/* Returns whether a field must not be forwarded (RFC 9110, section 7.6.1). */
+bool hio_is_hop_field(const struct hio_fields *fields, const char *name)
+{
+	static const char *const hop[] = {
+		"connection", "keep-alive",	   "proxy-connection",
+		"te",	      "transfer-encoding", "trailer",
+		"upgrade",    "content-length",	   "proxy-authenticate",
+		"proxy-authorization",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hop); i++)
+		if (!g_ascii_strcasecmp(hop[i], name))
+			return true;
+	for (size_t i = 0; i < fields->n; i++)
+		if (!g_ascii_strcasecmp(fields->all[i].name, "connection") &&
+		    list_has(fields->all[i].value, name))
+			return true;
+	return false;
+}
+
+/* Frees all fields. */
+void hio_fields_clear(struct hio_fields *fields)
+{
+	for (size_t i = 0; i < fields->n; i++) {
+		g_free(fields->all[i].name);
+		g_free(fields->all[i].value);
+	}
+	g_free(fields->all);
+	*fields = (struct hio_fields){ 0 };
+}
+
+/* Begins an empty message. */
+void hio_builder_init(struct hio_builder *ctx)
+{
+	*ctx = (struct hio_builder){
+		.name = g_string_new(NULL),
+		.value = g_string_new(NULL),
+	};
+}
+
+/* Frees all parts. */
+void hio_builder_clear(struct hio_builder *ctx)
+{
+	hio_fields_clear(&ctx->fields);
+	if (ctx->name)
+		g_string_free(ctx->name, TRUE);
+	if (ctx->value)
+		g_string_free(ctx->value, TRUE);
+	ctx->name = NULL;
+	ctx->value = NULL;
+}
+
+static void end_field(struct hio_builder *ctx)
+{
+	struct hio_fields *fields = &ctx->fields;
+
+	if (!ctx->name->len)
+		return;
+	if (fields->n % 8 == 0)
+		fields->all =
+			g_renew(struct hio_field, fields->all, fields->n + 8);
+	fields->all[fields->n++] = (struct hio_field){
+		.name = g_strdup(ctx->name->str),
+		.value = g_strdup(ctx->value->str),
+	};
+	fields->bytes += ctx->name->len + ctx->value->len;
+	g_string_truncate(ctx->name, 0);
+	g_string_truncate(ctx->value, 0);
+	ctx->in_value = false;
+}
+
+/* Adds bytes of a field's name. */
+void hio_builder_name(struct hio_builder *ctx, const char *at, size_t len)
+{
+	if (ctx->in_value)
+		end_field(ctx);
+	g_string_append_len(ctx->name, at, (gssize)len);
+}
+
+/* Adds bytes of a field's value. */
+void hio_builder_value(struct hio_builder *ctx, const char *at, size_t len)
+{
+	ctx->in_value = true;
+	g_string_append_len(ctx->value, at, (gssize)len);
+}
+
+/* Ends the last field. */
+size_t hio_builder_finish(struct hio_builder *ctx)
+{
+	end_field(ctx);
+	return ctx->fields.bytes;
+}
+
+/* Parses IP:PORT with a numeric IPv4 address. */
+bool hio_parse_address(const char *text, struct sockaddr_in *out)
+{
+	const char *colon = strrchr(text, ':');
+	g_autofree char *host = NULL;
+	guint64 port;
+
+	if (!colon)
+		return false;
+	host = g_strndup(text, (gsize)(colon - text));
+	if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL))
+		return false;
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, host, &out->sin_addr) == 1;
+}
+
+/* Sends small writes at once and notices a path that is cut. */
+void hio_set_socket_options(evutil_socket_t fd)
+{
+	unsigned timeout_ms = USER_TIMEOUT_MS;
+	int on = 1;
+
+	/* Without either the connection works, with a later end. */
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+			 sizeof(timeout_ms));
+}
--- /dev/null
+++ b/src/http/hio_server.c
@@ -0,0 +1,627 @@
+#include "http/hio_int.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/log.h"
+
+/* Bytes of later requests that are read while one is answered. */
+#define READ_AHEAD_BYTES (64 << 10)
+/* A caller that reads nothing while this much waits has its answer ended. */
+#define OUTPUT_MAX_BYTES (8 << 20)
+/* After the last byte of an answer, time for the caller to close its side:
+ * closing with unread bytes would reset the connection and lose the answer. */
+#define LINGER_US 1000000
+#define BACKLOG 1024
+
+enum phase {
+	IDLE,	   /* between requests */
+	READING,   /* a request arrives */
+	ANSWERING, /* the exchange is with the user */
+	ENDING,	   /* the answer is written out, then the connection closes */
+	LINGERING, /* the own side is closed */
+};
+
+struct hio_exchange {
+	struct conn *conn;
+	struct hio_request request;
+	void *data;
+	bool begun;
+	bool no_body; /* answer to HEAD */
+};
+
+struct conn {
+	TAILQ_ENTRY(conn) link;
+	struct hio_server *server;
+	struct bufferevent *bev;
+	struct event *timer;
+	enum phase phase;
+	http_parser parser;
+	/* The request that arrives. */
+	struct hio_builder builder;
+	GString *target;
+	GByteArray *body;
+	int refusal; /* status; 0: none */
+	bool complete;
+	bool keep_alive;
+	struct hio_exchange *exchange; /* in ANSWERING */
+	bool processing;
+};
+
+struct hio_server {
+	struct hio_server_options options;
+	struct evconnlistener *listener;
+	TAILQ_HEAD(, conn) conns;
+	size_t n_conns;
+	size_t in_flight;
+	bool draining;
+};
+
+static const char *reason_of(int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 404:
+		return "Not Found";
+	case 408:
+		return "Request Timeout";
+	case 413:
+		return "Content Too Large";
+	case 421:
+		return "Misdirected Request";
+	case 429:
+		return "Too Many Requests";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Status";
+	}
+}
+
+static void arm(struct conn *conn, int64_t delay_us)
+{
+	struct timeval delay = { .tv_sec = delay_us / 1000000,
+				 .tv_usec = delay_us % 1000000 };
+
+	if (delay_us > 0)
+		event_add(conn->timer, &delay);
+	else
+		event_del(conn->timer);
+}
+
+static void exchange_free(struct hio_exchange *ex)
+{
+	struct conn *conn = ex->conn;
+
+	conn->server->in_flight--;
+	conn->exchange = NULL;
+	g_free(ex->request.method);
+	g_free(ex->request.target);
+	hio_fields_clear(&ex->request.fields);
+	g_byte_array_free(ex->request.body, TRUE);
+	g_free(ex);
+}
+
+static void conn_free(struct conn *conn)
+{
+	struct hio_server *ctx = conn->server;
+
+	if (conn->exchange) {
+		ctx->options.gone(ctx->options.data, conn->exchange);
+		exchange_free(conn->exchange);
+	}
+	TAILQ_REMOVE(&ctx->conns, conn, link);
+	ctx->n_conns--;
+	bufferevent_free(conn->bev);
+	event_free(conn->timer);
+	hio_builder_clear(&conn->builder);
+	g_string_free(conn->target, TRUE);
+	g_byte_array_free(conn->body, TRUE);
+	g_free(conn);
+}
+
+static void begin_idle(struct conn *conn)
+{
+	conn->phase = IDLE;
+	conn->complete = false;
+	arm(conn, conn->server->options.limits.idle_us);
+}
+
+/* Closes the own side once everything is written. */
+static void end_if_written(struct conn *conn)
+{
+	if (conn->phase != ENDING ||
+	    evbuffer_get_length(bufferevent_get_output(conn->bev)))
+		return;
+	conn->phase = LINGERING;
+	/* Fails when the caller has reset the connection, which the event
+	 * callback reports. */
+	(void)shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
+	arm(conn, LINGER_US);
+}
+
+static void begin_ending(struct conn *conn)
+{
+	conn->phase = ENDING;
+	arm(conn, 0);
+	if (!evbuffer_get_length(bufferevent_get_output(conn->bev)))
+		arm(conn, 1); /* not within a callback of the user */
+}
+
+static void refuse(struct conn *conn, int status)
+{
+	struct hio_server *ctx = conn->server;
+
+	if (ctx->options.refused)
+		ctx->options.refused(ctx->options.data, status);
+	evbuffer_add_printf(bufferevent_get_output(conn->bev),
+			    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+			    "Connection: close\r\n\r\n",
+			    status, reason_of(status));
+	begin_ending(conn);
+}
+
+/* ---- Parser callbacks ---- */
+
+static int on_begin(http_parser *parser)
+{
+	struct conn *conn = parser->data;
+
+	hio_builder_clear(&conn->builder);
+	hio_builder_init(&conn->builder);
+	g_string_truncate(conn->target, 0);
+	g_byte_array_set_size(conn->body, 0);
+	conn->refusal = 0;
+	return 0;
+}
+
+static int check_header_size(struct conn *conn)
+{
+	size_t bytes = conn->target->len + conn->builder.fields.bytes +
+		       conn->builder.name->len + conn->builder.value->len;
+
+	if (bytes <= conn->server->options.limits.header_bytes)
+		return 0;
+	conn->refusal = 431;
+	return -1;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	struct conn *conn = parser->data;
+
+	g_string_append_len(conn->target, at, (gssize)len);
+	return check_header_size(conn);
+}
+
+static int on_name(http_parser *parser, const char *at, size_t len)
+{
+	struct conn *conn = parser->data;
+
+	hio_builder_name(&conn->builder, at, len);
+	return check_header_size(conn);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct conn *conn = parser->data;
+
+	hio_builder_value(&conn->builder, at, len);
+	return check_header_size(conn);
+}
+
+static int on_headers(http_parser *parser)
+{
+	struct conn *conn = parser->data;
+	const struct hio_limits *limits = &conn->server->options.limits;
+
+	hio_builder_finish(&conn->builder);
+	if (parser->content_length != UINT64_MAX &&
+	    parser->content_length > limits->body_bytes) {
+		conn->refusal = 413;
+		return -1;
+	}
+	if (hio_field(&conn->builder.fields, "expect"))
+		evbuffer_add_printf(bufferevent_get_output(conn->bev),
+				    "HTTP/1.1 100 Continue\r\n\r\n");
+	/* The body may take as long as the caller keeps sending. */
+	arm(conn, limits->idle_us);
+	return 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct conn *conn = parser->data;
+
+	if (conn->body->len + len > conn->server->options.limits.body_bytes) {
+		conn->refusal = 413;
+		return -1;
+	}
+	g_byte_array_append(conn->body, (const guint8 *)at, (guint)len);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	struct conn *conn = parser->data;
+
+	conn->complete = true;
+	conn->keep_alive = http_should_keep_alive(parser);
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* ---- Connection ---- */
+
+static void hand_over(struct conn *conn)
+{
+	struct hio_server *ctx = conn->server;
+	struct hio_exchange *ex = g_new0(struct hio_exchange, 1);
+
+	ex->conn = conn;
+	ex->request.method = g_strdup(
+		http_method_str((enum http_method)conn->parser.method));
+	ex->request.target = g_strdup(conn->target->str);
+	ex->request.fields = conn->builder.fields;
+	conn->builder.fields = (struct hio_fields){ 0 };
+	ex->request.body = conn->body;
+	conn->body = g_byte_array_new();
+	ex->no_body = !strcmp(ex->request.method, "HEAD");
+	conn->exchange = ex;
+	conn->complete = false;
+	conn->phase = ANSWERING;
+	arm(conn, 0);
+	ctx->in_flight++;
+	ctx->options.request(ctx->options.data, ex);
+}
+
+static bool parse_some(struct conn *conn, struct evbuffer *input)
+{
+	size_t len = evbuffer_get_contiguous_space(input);
+	const char *data = (const char *)evbuffer_pullup(input, (ssize_t)len);
+	size_t used;
+	enum http_errno error;
+
+	if (conn->phase == IDLE) {
+		conn->phase = READING;
+		arm(conn, conn->server->options.limits.header_us);
+	}
+	used = http_parser_execute(&conn->parser, &parser_settings, data, len);
+	evbuffer_drain(input, used);
+	error = HTTP_PARSER_ERRNO(&conn->parser);
+	if (error == HPE_PAUSED)
+		http_parser_pause(&conn->parser, 0);
+	if (error != HPE_OK && error != HPE_PAUSED) {
+		refuse(conn, conn->refusal ? conn->refusal : 400);
+		return false;
+	}
+	if (!conn->complete)
+		return true;
+	if (conn->parser.upgrade) {
+		refuse(conn, 400);
+		return false;
+	}
+	hand_over(conn);
+	return true;
+}
+
+static void process(struct conn *conn)
+{
+	struct evbuffer *input = bufferevent_get_input(conn->bev);
+
+	if (conn->processing)
+		return;
+	conn->processing = true;
+	while ((conn->phase == IDLE || conn->phase == READING) &&
+	       evbuffer_get_length(input))
+		if (!parse_some(conn, input))
+			break;
+	conn->processing = false;
+	if (conn->phase == ENDING || conn->phase == LINGERING)
+		evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+static void on_readable(struct bufferevent *bev, void *data)
+{
+	(void)bev;
+	process(data);
+}
+
+static void on_written(struct bufferevent *bev, void *data)
+{
+	(void)bev;
+	end_if_written(data);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *data)
+{
+	(void)bev;
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		conn_free(data);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *data)
+{
+	struct conn *conn = data;
+
+	(void)fd;
+	(void)what;
+	switch (conn->phase) {
+	case READING:
+		refuse(conn, 408);
+		break;
+	case ENDING:
+		end_if_written(conn);
+		break;
+	case ANSWERING:
+		break;
+	case IDLE:
+	case LINGERING:
+		conn_free(conn);
+		break;
+	}
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int len, void *data)
+{
+	struct hio_server *ctx = data;
+	struct conn *conn = g_new0(struct conn, 1);
+
+	(void)listener;
+	(void)address;
+	(void)len;
+	hio_set_socket_options(fd);
+	conn->server = ctx;
+	conn->bev = bufferevent_socket_new(ctx->options.base, fd,
+					   BEV_OPT_CLOSE_ON_FREE);
+	conn->timer = event_new(ctx->options.base, -1, 0, on_timer, conn);
+	conn->target = g_string_new(NULL);
+	conn->body = g_byte_array_new();
+	hio_builder_init(&conn->builder);
+	http_parser_init(&conn->parser, HTTP_REQUEST);
+	conn->parser.data = conn;
+	TAILQ_INSERT_TAIL(&ctx->conns, conn, link);
+	ctx->n_conns++;
+	bufferevent_setcb(conn->bev, on_readable, on_written, on_event, conn);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_BYTES);
+	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+	begin_idle(conn);
+}
+
+static void on_accept_error(struct evconnlistener *listener, void *data)
+{
+	struct hio_server *ctx = data;
+
+	(void)listener;
+	LOG_EVENT_WARN("http", "accept_failed", "listen=%s reason=\"%s\"",
+		       ctx->options.listen, g_strerror(errno));
+}
+
+/* Starts to listen. Returns NULL with HIO_ERROR when the address is not valid
+ * or in use. */
+struct hio_server *hio_server_new(const struct hio_server_options *options,
+				  GError **err)
+{
+	struct hio_server *ctx;
+	struct sockaddr_in address;
+
+	if (!hio_parse_address(options->listen, &address)) {
+		g_set_error(err, HIO_ERROR, HIO_ERROR_ADDRESS,
+			    "%s is not IP:PORT", options->listen);
+		return NULL;
+	}
+	ctx = g_new0(struct hio_server, 1);
+	ctx->options = *options;
+	TAILQ_INIT(&ctx->conns);
+	ctx->listener = evconnlistener_new_bind(
+		options->base, on_accept, ctx,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		BACKLOG, (struct sockaddr *)&address, sizeof(address));
+	if (!ctx->listener) {
+		g_set_error(err, HIO_ERROR, HIO_ERROR_LISTEN,
+			    "cannot listen on %s: %s", options->listen,
+			    g_strerror(errno));
+		g_free(ctx);
+		return NULL;
+	}
+	evconnlistener_set_error_cb(ctx->listener, on_accept_error);
+	return ctx;
+}
+
+/* Closes all connections; NULL is allowed. */
+void hio_server_free(struct hio_server *ctx)
+{
+	if (!ctx)
+		return;
+	hio_server_stop_listening(ctx);
+	while (!TAILQ_EMPTY(&ctx->conns))
+		conn_free(TAILQ_FIRST(&ctx->conns));
+	g_free(ctx);
+}
+
+/* Sets the limits of requests that begin from now on. */
+void hio_server_set_limits(struct hio_server *ctx,
+			   const struct hio_limits *limits)
+{
+	ctx->options.limits = *limits;
+}
+
+/* Makes each answer the last one of its connection. */
+void hio_server_drain(struct hio_server *ctx)
+{
+	ctx->draining = true;
+}
+
+/* Accepts no new connection. */
+void hio_server_stop_listening(struct hio_server *ctx)
+{
+	if (ctx->listener)
+		evconnlistener_free(ctx->listener);
+	ctx->listener = NULL;
+}
+
+/* Closes connections on which no request was begun. */
+void hio_server_close_idle(struct hio_server *ctx)
+{
+	struct conn *conn;
+	struct conn *next;
+
+	for (conn = TAILQ_FIRST(&ctx->conns); conn; conn = next) {
+		next = TAILQ_NEXT(conn, link);
+		if (conn->phase == IDLE)
+			begin_ending(conn);
+	}
+}
+
+/* ---- Answers ---- */
+
+static void write_head(struct hio_exchange *ex, int status,
+		       const struct hio_field *fields, size_t n)
+{
+	struct conn *conn = ex->conn;
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+	if (conn->server->draining)
+		conn->keep_alive = false;
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			    reason_of(status));
+	for (size_t i = 0; i < n; i++)
+		evbuffer_add_printf(out, "%s: %s\r\n", fields[i].name,
+				    fields[i].value);
+	if (!conn->keep_alive)
+		evbuffer_add_printf(out, "Connection: close\r\n");
+}
+
+static void finish(struct hio_exchange *ex)
+{
+	struct conn *conn = ex->conn;
+
+	exchange_free(ex);
+	if (!conn->keep_alive) {
+		begin_ending(conn);
+		return;
+	}
+	begin_idle(conn);
+	if (!conn->processing &&
+	    evbuffer_get_length(bufferevent_get_input(conn->bev)))
+		bufferevent_trigger(conn->bev, EV_READ,
+				    BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* Answers with a whole body and ends the exchange. */
+void hio_reply(struct hio_exchange *ex, int status,
+	       const struct hio_field *fields, size_t n, const void *body,
+	       size_t len)
+{
+	struct evbuffer *out = bufferevent_get_output(ex->conn->bev);
+
+	write_head(ex, status, fields, n);
+	if (status != 204 && status != 304)
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", len);
+	evbuffer_add(out, "\r\n", 2);
+	if (len && !ex->no_body)
+		evbuffer_add(out, body, len);
+	finish(ex);
+}
+
+/* Begins an answer in chunks. */
+void hio_reply_begin(struct hio_exchange *ex, int status,
+		     const struct hio_field *fields, size_t n)
+{
+	struct evbuffer *out = bufferevent_get_output(ex->conn->bev);
+
+	write_head(ex, status, fields, n);
+	evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
+	ex->begun = true;
+}
+
+/* Writes one chunk. A caller that stopped reading loses its connection. */
+void hio_reply_chunk(struct hio_exchange *ex, const void *data, size_t len)
+{
+	struct evbuffer *out = bufferevent_get_output(ex->conn->bev);
+
+	if (!len || ex->no_body)
+		return;
+	if (evbuffer_get_length(out) > OUTPUT_MAX_BYTES) {
+		bufferevent_trigger_event(ex->conn->bev, BEV_EVENT_ERROR,
+					  BEV_TRIG_DEFER_CALLBACKS);
+		return;
+	}
+	evbuffer_add_printf(out, "%zx\r\n", len);
+	evbuffer_add(out, data, len);
+	evbuffer_add(out, "\r\n", 2);
+}
+
+/* Ends an answer in chunks and the exchange. */
+void hio_reply_end(struct hio_exchange *ex)
+{
+	if (!ex->no_body)
+		evbuffer_add(bufferevent_get_output(ex->conn->bev),
+			     "0\r\n\r\n", 5);
+	finish(ex);
+}
+
+/* Writes what is buffered and closes the connection without the end of the
+ * answer. */
+void hio_reply_abort(struct hio_exchange *ex)
+{
+	ex->conn->keep_alive = false;
+	finish(ex);
+}
+
+/* Keeps a pointer of the user with the exchange. */
+void hio_exchange_set_data(struct hio_exchange *ex, void *data)
+{
+	ex->data = data;
+}
+
+/* Returns the request; it lives as long as the exchange. */
+const struct hio_request *hio_exchange_request(const struct hio_exchange *ex)
+{
+	return &ex->request;
+}
+
+/* Returns the user's pointer. */
+void *hio_exchange_data(const struct hio_exchange *ex)
+{
+	return ex->data;
+}
+
+/* Returns the number of open connections. */
+size_t hio_server_connections(const struct hio_server *ctx)
+{
+	return ctx->n_conns;
+}
+
+/* Returns the number of requests that are not answered yet. */
+size_t hio_server_in_flight(const struct hio_server *ctx)
+{
+	return ctx->in_flight;
+}
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -256,6 +256,33 @@
 	}
 }
 
+static void publish_leadership(struct ctl *ctx)
+{
+	struct ctl_leadership next = { .leads = ctx->ready_leader };
+
+	if (next.leads) {
+		next.term = raft_term(ctx->raft);
+		next.since_us = ctx->leader_since_us;
+		next.until_us = raft_quorum_contact_us(ctx->raft) +
+				(int64_t)ctx->set->election_timeout_ms * 1000;
+	}
+	pthread_mutex_lock(&ctx->lock);
+	ctx->leadership = next;
+	pthread_mutex_unlock(&ctx->lock);
+}
+
+/* Returns the leadership as of the control thread's last iteration; any
+ * thread. */
+struct ctl_leadership ctl_leadership(struct ctl *ctx)
+{
+	struct ctl_leadership leadership;
+
+	pthread_mutex_lock(&ctx->lock);
+	leadership = ctx->leadership;
+	pthread_mutex_unlock(&ctx->lock);
+	return leadership;
+}
+
 /*
  * One iteration handles everything that arrived, then syncs the log once for
  * all proposals of the iteration, then sends what follows from the commits.
@@ -273,6 +300,7 @@
 	ctl_report_run(ctx);
 	ctl_call_run(ctx);
 	ctl_raft_run(ctx);
+	publish_leadership(ctx);
 	ctl_order_run(ctx);
 	ctl_report_publish(ctx);
 	ctl_raft_confirm(ctx);
@@ -433,6 +461,10 @@
 	g_ptr_array_free(ctx->relays, TRUE);
 	if (ctx->config)
 		dsp__raft_config__free_unpacked(ctx->config, NULL);
+	for (size_t i = 0; i < ctx->n_form_answers; i++) {
+		g_free(ctx->form_answers[i].reported_node);
+		g_free(ctx->form_answers[i].site);
+	}
 	g_free(ctx->form_answers);
 	g_free(ctx->leader_node);
 	g_free(ctx->leader_address);
@@ -466,7 +498,9 @@
 				      settings->peers[i].via);
 	if (!ctl_raft_open(ctx, &error))
 		goto fail;
-	ctx->sender = ctl_order_open(ctx);
+	/* The edge sends the orders of the engines it serves itself. */
+	if (!settings->has_edge)
+		ctx->sender = ctl_order_open(ctx);
 	if (pthread_create(&ctx->thread, NULL, run, ctx)) {
 		g_set_error(&error, CTL_ERROR, CTL_ERROR_START,
 			    "cannot create the control thread");
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -34,6 +34,16 @@
 	Dsp__AnswerReply *(*answer_query)(void *data,
 					  const Dsp__AnswerQuery *query);
 	uint32_t (*streams)(void *data); /* requests in flight */
+	/* Only on the leader; may be NULL. */
+	void (*demand)(void *data, const Dsp__Demand *demand);
+};
+
+/* What the control thread knows of its own leadership. */
+struct ctl_leadership {
+	bool leads;
+	uint64_t term;	  /* no other instance leads in it */
+	int64_t since_us; /* steady clock */
+	int64_t until_us; /* no other instance leads before */
 };
 
 enum ctl_readiness {
@@ -78,6 +88,7 @@
 /* Queries. */
 struct view *ctl_view(struct ctl *ctx); /* a new reference */
 struct ctl_state ctl_state(struct ctl *ctx);
+struct ctl_leadership ctl_leadership(struct ctl *ctx);
 char *ctl_status_json(struct ctl *ctx); /* whole status; g_free() */
 
 #endif
--- a/src/node/ctl_form.c
+++ b/src/node/ctl_form.c
@@ -9,11 +9,39 @@
 /* A learner that is being added asks again until it has the group. */
 #define JOIN_INTERVAL_US 500000
 
-static struct ctl_form_answer *answer_of(struct ctl *ctx, const char *node)
+/* True for the entry of this instance in the list of peers or seeds. */
+bool ctl_form_is_self(const struct ctl *ctx, const struct set_peer *peer)
 {
-	for (size_t i = 0; i < ctx->n_form_answers; i++)
-		if (!strcmp(ctx->form_answers[i].node, node))
-			return &ctx->form_answers[i];
+	return !strcmp(peer->id, ctx->set->id) ||
+	       !strcmp(peer->address, ctx->set->internal_advertise);
+}
+
+/* An instance founds a group only if it is one of the initial voters, and with
+ * seeds only when the whole system starts for the first time. */
+static bool may_found(const struct ctl *ctx)
+{
+	const struct set *set = ctx->set;
+
+	if (!set->seeded)
+		return true;
+	if (!set->bootstrap)
+		return false;
+	for (size_t i = 0; i < set->n_peers; i++)
+		if (ctl_form_is_self(ctx, &set->peers[i]))
+			return true;
+	return false;
+}
+
+static struct ctl_form_answer *answer_of(struct ctl *ctx, const char *node,
+					 const char *address)
+{
+	for (size_t i = 0; i < ctx->n_form_answers; i++) {
+		struct ctl_form_answer *answer = &ctx->form_answers[i];
+
+		if (!strcmp(answer->address, address) ||
+		    !g_strcmp0(answer->node, node))
+			return answer;
+	}
 	return NULL;
 }
 
@@ -28,9 +56,15 @@
 	ctx->form_answers = g_new0(struct ctl_form_answer, set->n_peers + 1);
 	for (size_t i = 0; i < set->n_peers; i++)
 		if (set->peers[i].control &&
-		    strcmp(set->peers[i].id, set->id) != 0)
-			ctx->form_answers[ctx->n_form_answers++].node =
-				set->peers[i].id;
+		    !ctl_form_is_self(ctx, &set->peers[i])) {
+			struct ctl_form_answer *answer =
+				&ctx->form_answers[ctx->n_form_answers++];
+
+			answer->address = set->peers[i].address;
+			if (set->peers[i].id[0])
+				answer->node = set->peers[i].id;
+			answer->site = g_strdup(set->peers[i].site);
+		}
 	LOG_EVENT_NOTICE("ctl", "forming",
 			 "replica=%016" G_GINT64_MODIFIER "x peers=%zu",
 			 ctx->replica, ctx->n_form_answers);
@@ -40,7 +74,7 @@
 {
 	for (size_t i = 0; i < ctx->set->n_peers; i++)
 		if (ctx->set->peers[i].control &&
-		    strcmp(ctx->set->peers[i].id, ctx->set->id) != 0)
+		    !ctl_form_is_self(ctx, &ctx->set->peers[i]))
 			ctl_send(ctx, ctx->set->peers[i].address, out);
 }
 
@@ -117,18 +151,15 @@
 	list[config.n_members++] = &members[0];
 	fill_self(ctx, &members[0]);
 	members[0].voter = true;
-	for (size_t i = 0; i < set->n_peers; i++) {
-		const struct ctl_form_answer *answer =
-			answer_of(ctx, set->peers[i].id);
+	for (size_t i = 0; i < ctx->n_form_answers; i++) {
+		const struct ctl_form_answer *answer = &ctx->form_answers[i];
 		Dsp__Member *m = &members[config.n_members];
 
-		if (!answer)
-			continue;
 		dsp__member__init(m);
 		m->replica = answer->replica;
-		m->node = set->peers[i].id;
-		m->address = set->peers[i].address;
-		m->site = set->peers[i].site;
+		m->node = (char *)answer->node;
+		m->address = (char *)answer->address;
+		m->site = answer->site;
 		m->voter = true;
 		list[config.n_members++] = m;
 	}
@@ -157,7 +188,7 @@
 			LOG_EVENT_NOTICE("ctl", "joining",
 					 "replica=%016" G_GINT64_MODIFIER "x",
 					 ctx->replica);
-		} else if (action == CTL_FORM_CREATE) {
+		} else if (action == CTL_FORM_CREATE && may_found(ctx)) {
 			create_group(ctx);
 			return;
 		}
@@ -212,19 +243,27 @@
 void ctl_form_reply(struct ctl *ctx, const Dsp__FormReply *reply)
 {
 	struct ctl_form_answer *answer;
-	bool all = true;
+	enum ctl_form_action action;
 
 	if (!ctx->forming)
 		return;
-	answer = answer_of(ctx, reply->node);
+	answer = answer_of(ctx, reply->node, reply->address);
 	if (!answer)
 		return;
+	if (!answer->node) {
+		answer->reported_node = g_strdup(reply->node);
+		answer->node = answer->reported_node;
+		g_free(answer->site);
+		answer->site = g_strdup(reply->site);
+	}
 	answer->answered = true;
 	answer->replica = reply->replica;
 	answer->group = reply->group;
-	for (size_t i = 0; i < ctx->n_form_answers; i++)
-		all = all && ctx->form_answers[i].answered;
-	if (!ctx->joining && (all || reply->group))
+	action = ctl_rule_form(ctx->set->id, ctx->form_answers,
+			       ctx->n_form_answers);
+	if (!ctx->joining &&
+	    (action == CTL_FORM_JOIN ||
+	     (action == CTL_FORM_CREATE && may_found(ctx))))
 		ctx->form_due_us = 0;
 }
 
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -206,6 +206,7 @@
 	struct ctl_jobs jobs;	      /* lock */
 	struct view *view;	      /* lock; written by the control thread */
 	bool draining;		      /* lock */
+	struct ctl_leadership leadership; /* lock; written as above */
 	_Atomic int64_t confirmed_us; /* written by the control thread */
 
 	/* The rest belongs to the control thread. */
@@ -334,6 +335,7 @@
 
 /* ctl_form.c */
 void ctl_form_start(struct ctl *ctx);
+bool ctl_form_is_self(const struct ctl *ctx, const struct set_peer *peer);
 void ctl_form_run(struct ctl *ctx);
 void ctl_form_query(struct ctl *ctx, const Dsp__Envelope *from,
 		    const Dsp__FormQuery *query);
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -22,6 +22,8 @@
 #define JOIN_LIMIT_US (5LL * CTL_S_US)
 /* A replica heard within this time is alive; several heartbeats. */
 #define REPLICA_ALIVE_US (3LL * CTL_S_US)
+/* Longer than a restart, so that a voter which restarts keeps its place. */
+#define REPLICA_GONE_US (6LL * CTL_S_US)
 
 static bool propose(struct ctl *ctx, Dsp__Command *command)
 {
@@ -170,7 +172,26 @@
 	       a->kv_transfer == b->kv_transfer && a->roles == b->roles;
 }
 
-/* Compares what an endpoint says of itself; copies are reported apart. */
+static bool is_sequenced(const Dsp__Endpoint *endpoint)
+{
+	return endpoint->features && endpoint->features->sequenced;
+}
+
+static bool same_copies(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
+{
+	if (a->n_copies != b->n_copies)
+		return false;
+	for (size_t i = 0; i < a->n_copies; i++)
+		if (a->copies[i]->ready != b->copies[i]->ready ||
+		    strcmp(a->copies[i]->model, b->copies[i]->model) != 0 ||
+		    strcmp(a->copies[i]->adapter, b->copies[i]->adapter) != 0 ||
+		    strcmp(a->copies[i]->version, b->copies[i]->version) != 0)
+			return false;
+	return true;
+}
+
+/* Compares what an endpoint says of itself; copies are reported apart, unless
+ * its orders are sequenced. */
 static bool same_endpoint(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
 {
 	return a->incarnation == b->incarnation && a->state == b->state &&
@@ -179,7 +200,8 @@
 	       a->max_batch == b->max_batch &&
 	       !strcmp(a->address, b->address) && !strcmp(a->site, b->site) &&
 	       !strcmp(a->team, b->team) && !strcmp(a->service, b->service) &&
-	       same_features(a->features, b->features);
+	       same_features(a->features, b->features) &&
+	       (!is_sequenced(b) || same_copies(a, b));
 }
 
 static void put_endpoint(struct ctl *ctx, struct ctl_endpoint *e,
@@ -197,8 +219,9 @@
 		return;
 	}
 	/* The state machine may reject the announcement for good. */
-	if (e->puts && ctx->now_us - e->put_us <
-			       REPEAT_US << MIN(e->puts - 1, PUT_REPEATS_MAX))
+	if (!is_sequenced(&endpoint) && e->puts &&
+	    ctx->now_us - e->put_us <
+		    REPEAT_US << MIN(e->puts - 1, PUT_REPEATS_MAX))
 		return;
 	e->put_us = ctx->now_us;
 	e->puts++;
@@ -291,6 +314,8 @@
 	put_endpoint(ctx, e, a);
 	for (size_t i = 0; i < a->n_results; i++)
 		ctl_order_result(ctx, a->endpoint->id, a->results[i]);
+	if (is_sequenced(a->endpoint))
+		return;
 	ctl_order_copies(ctx, a->endpoint);
 	report_residency(ctx, e, a);
 }
@@ -345,8 +370,11 @@
 	g_free(nodes);
 	for (size_t i = 0; i < report->n_announcements; i++)
 		member_announcement(ctx, report->announcements[i]);
-	for (size_t i = 0; i < report->n_demands; i++)
+	for (size_t i = 0; i < report->n_demands; i++) {
 		plc_demand(ctx->plc, report->demands[i], ctx->now_us);
+		if (ctx->cb.demand)
+			ctx->cb.demand(ctx->cb.data, report->demands[i]);
+	}
 }
 
 /* ---- Time limits ---- */
@@ -402,6 +430,17 @@
 	       (heard_us && ctx->now_us - *heard_us < REPLICA_ALIVE_US);
 }
 
+static bool replica_gone(void *data, uint64_t replica)
+{
+	const struct ctl *ctx = data;
+	const int64_t *heard_us =
+		g_hash_table_lookup(ctx->replica_heard, &replica);
+	int64_t since_us = MAX(heard_us ? *heard_us : 0, ctx->leader_since_us);
+
+	return replica != ctx->replica &&
+	       ctx->now_us - since_us > REPLICA_GONE_US;
+}
+
 static size_t list_joins(struct ctl *ctx, Dsp__Member ***out)
 {
 	GHashTableIter iter;
@@ -427,6 +466,7 @@
 		.data = ctx,
 		.match = match_of,
 		.alive = replica_alive,
+		.gone = replica_gone,
 	};
 	enum ctl_repair_step step;
 	Dsp__RaftConfig *config;
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -522,6 +522,7 @@
 	case DSP__COMMAND__BODY_CLAIM_CREATE:
 	case DSP__COMMAND__BODY_CLAIM_FINISH:
 	case DSP__COMMAND__BODY_CLAIM_GET:
+	case DSP__COMMAND__BODY_ROUTE_TABLE_GET:
 		return false;
 	default:
 		return true;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -57,7 +57,7 @@
 		return n;
 	for (size_t i = 0; i < ctx->set->n_peers; i++)
 		if (ctx->set->peers[i].control &&
-		    strcmp(ctx->set->peers[i].id, ctx->set->id) != 0)
+		    !ctl_form_is_self(ctx, &ctx->set->peers[i]))
 			(*out)[n++] = ctx->set->peers[i].address;
 	return n;
 }
@@ -261,6 +261,9 @@
 				    demand->adapter);
 	Dsp__Demand *sum = g_hash_table_lookup(ctx->demands, key);
 
+	/* Callers wait for what was missing. */
+	if (demand->refused)
+		ctl_report_soon(ctx, CHANGE_DELAY_US);
 	if (!sum) {
 		g_hash_table_insert(ctx->demands, key,
 				    CTL_COPY(demand, demand));
@@ -322,6 +325,8 @@
 	node->region = set->region ? set->region : "";
 	node->internal_address = set->internal_advertise;
 	node->http_address = set->http_advertise ? set->http_advertise : "";
+	if (set->has_edge)
+		node->http_address = set->edge.front ? set->edge.front : "";
 	node->weight = set->weight;
 	node->control = set->control;
 	node->draining = ctl_is_draining(ctx);
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -6,6 +6,8 @@
  * append message. */
 #define CAUGHT_UP_ENTRIES 64
 #define S_US 1000000
+/* From this size on a newcomer replaces a voter that is gone. */
+#define REPLACE_VOTERS_MIN 3
 /* First and longest time between sends of the same order. */
 #define RESEND_US (2LL * S_US)
 #define RESEND_MAX_US (10LL * S_US)
@@ -47,7 +49,8 @@
 	for (size_t i = 0; i < n; i++) {
 		if (answers[i].answered && answers[i].group)
 			return CTL_FORM_JOIN;
-		if (!answers[i].answered || strcmp(answers[i].node, self) < 0)
+		if (!answers[i].answered || !answers[i].node ||
+		    strcmp(answers[i].node, self) < 0)
 			action = CTL_FORM_WAIT;
 	}
 	return action;
@@ -127,6 +130,19 @@
 	return n;
 }
 
+/* A voter that a caught-up newcomer replaces; none in groups so small that the
+ * newcomer is an addition. */
+static const Dsp__Member *find_gone(const struct ctl_repair_input *in)
+{
+	if (!in->gone || count_voters(in->config) < REPLACE_VOTERS_MIN)
+		return NULL;
+	for (size_t i = 0; i < in->config->n_members; i++)
+		if (in->config->members[i]->voter &&
+		    in->gone(in->data, in->config->members[i]->replica))
+			return in->config->members[i];
+	return NULL;
+}
+
 static enum ctl_repair_step repair_joining(const struct ctl_repair_input *in,
 					   Dsp__RaftConfig **out)
 {
@@ -181,6 +197,8 @@
 		old = find_other(in->config, m, true);
 		if (old && in->alive(in->data, old->replica))
 			continue;
+		if (!old)
+			old = find_gone(in);
 		if (old) {
 			*out = ctl_rule_without(in->config, old->replica);
 			return CTL_REPAIR_REMOVE_OLD;
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -27,10 +27,13 @@
 };
 
 struct ctl_form_answer {
-	const char *node; /* another initial voter */
+	const char *node; /* another initial voter; NULL: not known yet */
 	bool answered;
 	uint64_t replica;
 	uint64_t group; /* 0: empty */
+	const char *address;
+	char *reported_node; /* owned; node points to it when it was unknown */
+	char *site;	     /* owned */
 };
 
 enum ctl_form_action ctl_rule_form(const char *self,
@@ -57,6 +60,9 @@
 	uint64_t (*match)(void *data, uint64_t replica);
 	/* True when the replica sent a message recently. */
 	bool (*alive)(void *data, uint64_t replica);
+	/* True when it sent none for so long that a waiting newcomer takes its
+	 * place; NULL: never. */
+	bool (*gone)(void *data, uint64_t replica);
 };
 
 /* Returns the next step; for one that changes the configuration, *out is the
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "base/log.h"
+#include "edge/edge.h"
 #include "node/ctl.h"
 #include "traffic/trf.h"
 
@@ -20,6 +21,7 @@
 	struct met *met;   /* owned */
 	struct trf *trf;   /* owned */
 	struct ctl *ctl;   /* owned */
+	struct edge *edge; /* owned; instead of trf */
 	sigset_t signals;  /* blocked in all threads */
 };
 
@@ -68,6 +70,57 @@
 		       trf_in_flight(ctx->trf));
 }
 
+/*
+ * Leaves the entry lists, serves until no request is in flight and callers have
+ * had time to learn of it, all within the drain limit.
+ */
+static void drain_edge(const struct node *ctx)
+{
+	const struct set_edge *set = &ctx->set->edge;
+	int64_t start_us = clk_now_us(ctx->clock);
+	int64_t listed_us = (int64_t)set->entry_validity_s * 1000000;
+	int64_t waited_us = 0;
+
+	ctl_drain(ctx->ctl);
+	edge_drain(ctx->edge);
+	while (waited_us < set->drain_limit_ms * 1000LL) {
+		poll_signal(ctx);
+		waited_us = clk_now_us(ctx->clock) - start_us;
+		if (waited_us >= listed_us && !edge_in_flight(ctx->edge))
+			return;
+	}
+	LOG_EVENT_WARN("node", "drain_limit", "in_flight=%u",
+		       edge_in_flight(ctx->edge));
+}
+
+/* Runs an instance whose traffic is served by the edge. */
+static int run_edge(struct node *ctx, GError **err)
+{
+	struct ctl_callbacks callbacks;
+	int number = 0;
+	int result = 1;
+
+	ctx->edge = edge_new(ctx->set, ctx->clock, ctx->met);
+	callbacks = edge_ctl_callbacks(ctx->edge);
+	ctx->ctl = ctl_start(ctx->set, ctx->clock, ctx->met, &callbacks, err);
+	if (!ctx->ctl || !edge_start(ctx->edge, ctx->ctl, err))
+		goto out;
+	LOG_EVENT_NOTICE("node", "started", "instance=%s site=%s",
+			 ctx->set->id, ctx->set->site);
+	while (!number)
+		number = poll_signal(ctx);
+	LOG_EVENT_NOTICE("node", "drain", "signal=%d", number);
+	drain_edge(ctx);
+	result = 0;
+out:
+	edge_stop(ctx->edge);
+	if (ctx->ctl)
+		ctl_stop(ctx->ctl);
+	edge_free(ctx->edge);
+	LOG_EVENT_NOTICE("node", "stopped", "instance=%s", ctx->set->id);
+	return result;
+}
+
 static void block_signals(struct node *ctx)
 {
 	sigemptyset(&ctx->signals);
@@ -93,6 +146,12 @@
 	block_signals(&ctx);
 	ctx.clock = clk_new_real();
 	ctx.met = met_new();
+	if (settings->has_edge) {
+		result = run_edge(&ctx, err);
+		met_free(ctx.met);
+		clk_free(ctx.clock);
+		return result;
+	}
 	ctx.trf = trf_new(settings, ctx.clock, ctx.met);
 	callbacks = trf_ctl_callbacks(ctx.trf);
 	ctx.ctl = ctl_start(settings, ctx.clock, ctx.met, &callbacks, err);
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -862,6 +862,411 @@
   assert(message->base.descriptor == &dsp__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__split__init
+                     (Dsp__Split         *message)
+{
+  static const Dsp__Split init_value = DSP__SPLIT__INIT;
+  *message = init_value;
+}
+size_t dsp__split__get_packed_size
+                     (const Dsp__Split *message)
+{
+  assert(message->base.descriptor == &dsp__split__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__split__pack
+                     (const Dsp__Split *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__split__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__split__pack_to_buffer
+                     (const Dsp__Split *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__split__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__Split *
+       dsp__split__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__Split *)
+     protobuf_c_message_unpack (&dsp__split__descriptor,
+                                allocator, len, data);
+}
+void   dsp__split__free_unpacked
+                     (Dsp__Split *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__split__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__route__init
+                     (Dsp__Route         *message)
+{
+  static const Dsp__Route init_value = DSP__ROUTE__INIT;
+  *message = init_value;
+}
+size_t dsp__route__get_packed_size
+                     (const Dsp__Route *message)
+{
+  assert(message->base.descriptor == &dsp__route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__route__pack
+                     (const Dsp__Route *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__route__pack_to_buffer
+                     (const Dsp__Route *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__Route *
+       dsp__route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__Route *)
+     protobuf_c_message_unpack (&dsp__route__descriptor,
+                                allocator, len, data);
+}
+void   dsp__route__free_unpacked
+                     (Dsp__Route *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__engine_model__init
+                     (Dsp__EngineModel         *message)
+{
+  static const Dsp__EngineModel init_value = DSP__ENGINE_MODEL__INIT;
+  *message = init_value;
+}
+size_t dsp__engine_model__get_packed_size
+                     (const Dsp__EngineModel *message)
+{
+  assert(message->base.descriptor == &dsp__engine_model__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__engine_model__pack
+                     (const Dsp__EngineModel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__engine_model__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__engine_model__pack_to_buffer
+                     (const Dsp__EngineModel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__engine_model__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__EngineModel *
+       dsp__engine_model__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__EngineModel *)
+     protobuf_c_message_unpack (&dsp__engine_model__descriptor,
+                                allocator, len, data);
+}
+void   dsp__engine_model__free_unpacked
+                     (Dsp__EngineModel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__engine_model__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__engine_spec__init
+                     (Dsp__EngineSpec         *message)
+{
+  static const Dsp__EngineSpec init_value = DSP__ENGINE_SPEC__INIT;
+  *message = init_value;
+}
+size_t dsp__engine_spec__get_packed_size
+                     (const Dsp__EngineSpec *message)
+{
+  assert(message->base.descriptor == &dsp__engine_spec__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__engine_spec__pack
+                     (const Dsp__EngineSpec *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__engine_spec__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__engine_spec__pack_to_buffer
+                     (const Dsp__EngineSpec *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__engine_spec__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__EngineSpec *
+       dsp__engine_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__EngineSpec *)
+     protobuf_c_message_unpack (&dsp__engine_spec__descriptor,
+                                allocator, len, data);
+}
+void   dsp__engine_spec__free_unpacked
+                     (Dsp__EngineSpec *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__engine_spec__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__routed_service__init
+                     (Dsp__RoutedService         *message)
+{
+  static const Dsp__RoutedService init_value = DSP__ROUTED_SERVICE__INIT;
+  *message = init_value;
+}
+size_t dsp__routed_service__get_packed_size
+                     (const Dsp__RoutedService *message)
+{
+  assert(message->base.descriptor == &dsp__routed_service__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__routed_service__pack
+                     (const Dsp__RoutedService *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__routed_service__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__routed_service__pack_to_buffer
+                     (const Dsp__RoutedService *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__routed_service__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__RoutedService *
+       dsp__routed_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__RoutedService *)
+     protobuf_c_message_unpack (&dsp__routed_service__descriptor,
+                                allocator, len, data);
+}
+void   dsp__routed_service__free_unpacked
+                     (Dsp__RoutedService *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__routed_service__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__caller_limits__init
+                     (Dsp__CallerLimits         *message)
+{
+  static const Dsp__CallerLimits init_value = DSP__CALLER_LIMITS__INIT;
+  *message = init_value;
+}
+size_t dsp__caller_limits__get_packed_size
+                     (const Dsp__CallerLimits *message)
+{
+  assert(message->base.descriptor == &dsp__caller_limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__caller_limits__pack
+                     (const Dsp__CallerLimits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__caller_limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__caller_limits__pack_to_buffer
+                     (const Dsp__CallerLimits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__caller_limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__CallerLimits *
+       dsp__caller_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__CallerLimits *)
+     protobuf_c_message_unpack (&dsp__caller_limits__descriptor,
+                                allocator, len, data);
+}
+void   dsp__caller_limits__free_unpacked
+                     (Dsp__CallerLimits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__caller_limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__route_table__init
+                     (Dsp__RouteTable         *message)
+{
+  static const Dsp__RouteTable init_value = DSP__ROUTE_TABLE__INIT;
+  *message = init_value;
+}
+size_t dsp__route_table__get_packed_size
+                     (const Dsp__RouteTable *message)
+{
+  assert(message->base.descriptor == &dsp__route_table__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__route_table__pack
+                     (const Dsp__RouteTable *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__route_table__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__route_table__pack_to_buffer
+                     (const Dsp__RouteTable *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__route_table__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__RouteTable *
+       dsp__route_table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__RouteTable *)
+     protobuf_c_message_unpack (&dsp__route_table__descriptor,
+                                allocator, len, data);
+}
+void   dsp__route_table__free_unpacked
+                     (Dsp__RouteTable *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__route_table__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__route_table_put__init
+                     (Dsp__RouteTablePut         *message)
+{
+  static const Dsp__RouteTablePut init_value = DSP__ROUTE_TABLE_PUT__INIT;
+  *message = init_value;
+}
+size_t dsp__route_table_put__get_packed_size
+                     (const Dsp__RouteTablePut *message)
+{
+  assert(message->base.descriptor == &dsp__route_table_put__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__route_table_put__pack
+                     (const Dsp__RouteTablePut *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__route_table_put__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__route_table_put__pack_to_buffer
+                     (const Dsp__RouteTablePut *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__route_table_put__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__RouteTablePut *
+       dsp__route_table_put__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__RouteTablePut *)
+     protobuf_c_message_unpack (&dsp__route_table_put__descriptor,
+                                allocator, len, data);
+}
+void   dsp__route_table_put__free_unpacked
+                     (Dsp__RouteTablePut *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__route_table_put__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__route_table_get__init
+                     (Dsp__RouteTableGet         *message)
+{
+  static const Dsp__RouteTableGet init_value = DSP__ROUTE_TABLE_GET__INIT;
+  *message = init_value;
+}
+size_t dsp__route_table_get__get_packed_size
+                     (const Dsp__RouteTableGet *message)
+{
+  assert(message->base.descriptor == &dsp__route_table_get__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__route_table_get__pack
+                     (const Dsp__RouteTableGet *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__route_table_get__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__route_table_get__pack_to_buffer
+                     (const Dsp__RouteTableGet *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__route_table_get__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__RouteTableGet *
+       dsp__route_table_get__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__RouteTableGet *)
+     protobuf_c_message_unpack (&dsp__route_table_get__descriptor,
+                                allocator, len, data);
+}
+void   dsp__route_table_get__free_unpacked
+                     (Dsp__RouteTableGet *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__route_table_get__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__document_put__init
                      (Dsp__DocumentPut         *message)
 {
@@ -3652,7 +4057,7 @@
   (ProtobufCMessageInit) dsp__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__features__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__features__field_descriptors[8] =
 {
   {
     "fencing",
@@ -3738,6 +4143,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequenced",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Features, sequenced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__features__field_indices_by_name[] = {
   2,   /* field[2] = cancel */
@@ -3747,11 +4164,12 @@
   4,   /* field[4] = priorities */
   3,   /* field[3] = resume */
   6,   /* field[6] = roles */
+  7,   /* field[7] = sequenced */
 };
 static const ProtobufCIntRange dsp__features__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dsp__features__descriptor =
 {
@@ -3761,7 +4179,7 @@
   "Dsp__Features",
   "dsp",
   sizeof(Dsp__Features),
-  7,
+  8,
   dsp__features__field_descriptors,
   dsp__features__field_indices_by_name,
   1,  dsp__features__number_ranges,
@@ -4802,25 +5220,789 @@
   (ProtobufCMessageInit) dsp__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__document_put__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__split__field_descriptors[2] =
 {
   {
-    "team",
+    "service",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__DocumentPut, team),
+    offsetof(Dsp__Split, service),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "number",
+    "weight",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Split, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__split__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = weight */
+};
+static const ProtobufCIntRange dsp__split__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__split__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Split",
+  "Split",
+  "Dsp__Split",
+  "dsp",
+  sizeof(Dsp__Split),
+  2,
+  dsp__split__field_descriptors,
+  dsp__split__field_indices_by_name,
+  1,  dsp__split__number_ranges,
+  (ProtobufCMessageInit) dsp__split__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route__field_descriptors[12] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path_prefix",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, path_prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, kind),
+    &dsp__route_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, objective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gap_objective_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, gap_objective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts_max",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, attempts_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "resumable",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, resumable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares_prefix",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Route, shares_prefix),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "splits",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Route, n_splits),
+    offsetof(Dsp__Route, splits),
+    &dsp__split__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__route__field_indices_by_name[] = {
+  8,   /* field[8] = attempts_max */
+  6,   /* field[6] = gap_objective_ms */
+  1,   /* field[1] = host */
+  3,   /* field[3] = kind */
+  0,   /* field[0] = name */
+  5,   /* field[5] = objective_ms */
+  2,   /* field[2] = path_prefix */
+  7,   /* field[7] = rank */
+  9,   /* field[9] = resumable */
+  10,   /* field[10] = shares_prefix */
+  11,   /* field[11] = splits */
+  4,   /* field[4] = timeout_ms */
+};
+static const ProtobufCIntRange dsp__route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor dsp__route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Route",
+  "Route",
+  "Dsp__Route",
+  "dsp",
+  sizeof(Dsp__Route),
+  12,
+  dsp__route__field_descriptors,
+  dsp__route__field_indices_by_name,
+  1,  dsp__route__number_ranges,
+  (ProtobufCMessageInit) dsp__route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__engine_model__field_descriptors[7] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineModel, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineModel, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineModel, load_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "warm_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineModel, warm_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "disk_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineModel, disk_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapters",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineModel, adapters),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter_mb",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineModel, adapter_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__engine_model__field_indices_by_name[] = {
+  6,   /* field[6] = adapter_mb */
+  5,   /* field[5] = adapters */
+  4,   /* field[4] = disk_ms */
+  2,   /* field[2] = load_ms */
+  1,   /* field[1] = memory_mb */
+  0,   /* field[0] = name */
+  3,   /* field[3] = warm_ms */
+};
+static const ProtobufCIntRange dsp__engine_model__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor dsp__engine_model__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.EngineModel",
+  "EngineModel",
+  "Dsp__EngineModel",
+  "dsp",
+  sizeof(Dsp__EngineModel),
+  7,
+  dsp__engine_model__field_descriptors,
+  dsp__engine_model__field_indices_by_name,
+  1,  dsp__engine_model__number_ranges,
+  (ProtobufCMessageInit) dsp__engine_model__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__engine_spec__field_descriptors[6] =
+{
+  {
+    "memory_mb",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineSpec, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter_places",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineSpec, adapter_places),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_loads_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineSpec, store_loads_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineSpec, batch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cache_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineSpec, cache_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "models",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__EngineSpec, n_models),
+    offsetof(Dsp__EngineSpec, models),
+    &dsp__engine_model__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__engine_spec__field_indices_by_name[] = {
+  1,   /* field[1] = adapter_places */
+  3,   /* field[3] = batch */
+  4,   /* field[4] = cache_tokens */
+  0,   /* field[0] = memory_mb */
+  5,   /* field[5] = models */
+  2,   /* field[2] = store_loads_per_s */
+};
+static const ProtobufCIntRange dsp__engine_spec__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor dsp__engine_spec__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.EngineSpec",
+  "EngineSpec",
+  "Dsp__EngineSpec",
+  "dsp",
+  sizeof(Dsp__EngineSpec),
+  6,
+  dsp__engine_spec__field_descriptors,
+  dsp__engine_spec__field_indices_by_name,
+  1,  dsp__engine_spec__number_ranges,
+  (ProtobufCMessageInit) dsp__engine_spec__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__routed_service__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RoutedService, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "health_path",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RoutedService, health_path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connections_max",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RoutedService, connections_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engine",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RoutedService, engine),
+    &dsp__engine_spec__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__routed_service__field_indices_by_name[] = {
+  2,   /* field[2] = connections_max */
+  3,   /* field[3] = engine */
+  1,   /* field[1] = health_path */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange dsp__routed_service__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__routed_service__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RoutedService",
+  "RoutedService",
+  "Dsp__RoutedService",
+  "dsp",
+  sizeof(Dsp__RoutedService),
+  4,
+  dsp__routed_service__field_descriptors,
+  dsp__routed_service__field_indices_by_name,
+  1,  dsp__routed_service__number_ranges,
+  (ProtobufCMessageInit) dsp__routed_service__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__caller_limits__field_descriptors[4] =
+{
+  {
+    "header_bytes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__CallerLimits, header_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__CallerLimits, body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "header_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__CallerLimits, header_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__CallerLimits, idle_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__caller_limits__field_indices_by_name[] = {
+  1,   /* field[1] = body_bytes */
+  0,   /* field[0] = header_bytes */
+  2,   /* field[2] = header_ms */
+  3,   /* field[3] = idle_ms */
+};
+static const ProtobufCIntRange dsp__caller_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__caller_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.CallerLimits",
+  "CallerLimits",
+  "Dsp__CallerLimits",
+  "dsp",
+  sizeof(Dsp__CallerLimits),
+  4,
+  dsp__caller_limits__field_descriptors,
+  dsp__caller_limits__field_indices_by_name,
+  1,  dsp__caller_limits__number_ranges,
+  (ProtobufCMessageInit) dsp__caller_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route_table__field_descriptors[6] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTable, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTable, n_routes),
+    offsetof(Dsp__RouteTable, routes),
+    &dsp__route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTable, n_services),
+    offsetof(Dsp__RouteTable, services),
+    &dsp__routed_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTable, limits),
+    &dsp__caller_limits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "source",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTable, source),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTable, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__route_table__field_indices_by_name[] = {
+  5,   /* field[5] = index */
+  3,   /* field[3] = limits */
+  0,   /* field[0] = number */
+  1,   /* field[1] = routes */
+  2,   /* field[2] = services */
+  4,   /* field[4] = source */
+};
+static const ProtobufCIntRange dsp__route_table__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor dsp__route_table__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTable",
+  "RouteTable",
+  "Dsp__RouteTable",
+  "dsp",
+  sizeof(Dsp__RouteTable),
+  6,
+  dsp__route_table__field_descriptors,
+  dsp__route_table__field_indices_by_name,
+  1,  dsp__route_table__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route_table_put__field_descriptors[1] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTablePut, table),
+    &dsp__route_table__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__route_table_put__field_indices_by_name[] = {
+  0,   /* field[0] = table */
+};
+static const ProtobufCIntRange dsp__route_table_put__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dsp__route_table_put__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTablePut",
+  "RouteTablePut",
+  "Dsp__RouteTablePut",
+  "dsp",
+  sizeof(Dsp__RouteTablePut),
+  1,
+  dsp__route_table_put__field_descriptors,
+  dsp__route_table_put__field_indices_by_name,
+  1,  dsp__route_table_put__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_put__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define dsp__route_table_get__field_descriptors NULL
+#define dsp__route_table_get__field_indices_by_name NULL
+#define dsp__route_table_get__number_ranges NULL
+const ProtobufCMessageDescriptor dsp__route_table_get__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTableGet",
+  "RouteTableGet",
+  "Dsp__RouteTableGet",
+  "dsp",
+  sizeof(Dsp__RouteTableGet),
+  0,
+  dsp__route_table_get__field_descriptors,
+  dsp__route_table_get__field_indices_by_name,
+  0,  dsp__route_table_get__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_get__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__document_put__field_descriptors[3] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__DocumentPut, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
     offsetof(Dsp__DocumentPut, number),
     NULL,
@@ -5638,7 +6820,7 @@
   (ProtobufCMessageInit) dsp__expire__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__command__field_descriptors[16] =
+static const ProtobufCFieldDescriptor dsp__command__field_descriptors[18] =
 {
   {
     "wall_ms",
@@ -5832,6 +7014,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route_table_put",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, route_table_put),
+    &dsp__route_table_put__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route_table_get",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, route_table_get),
+    &dsp__route_table_get__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__command__field_indices_by_name[] = {
   7,   /* field[7] = claim_create */
@@ -5847,6 +7053,8 @@
   4,   /* field[4] = order_create */
   5,   /* field[5] = order_finish */
   6,   /* field[6] = residency_report */
+  17,   /* field[17] = route_table_get */
+  16,   /* field[16] = route_table_put */
   12,   /* field[12] = suspect_done */
   11,   /* field[11] = suspect_run */
   0,   /* field[0] = wall_ms */
@@ -5855,7 +7063,7 @@
 {
   { 1, 0 },
   { 10, 1 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor dsp__command__descriptor =
 {
@@ -5865,14 +7073,14 @@
   "Dsp__Command",
   "dsp",
   sizeof(Dsp__Command),
-  16,
+  18,
   dsp__command__field_descriptors,
   dsp__command__field_indices_by_name,
   2,  dsp__command__number_ranges,
   (ProtobufCMessageInit) dsp__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__command_result__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dsp__command_result__field_descriptors[7] =
 {
   {
     "code",
@@ -5946,6 +7154,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route_table",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__CommandResult, route_table),
+    &dsp__route_table__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__command_result__field_indices_by_name[] = {
   4,   /* field[4] = claim */
@@ -5954,11 +7174,12 @@
   1,   /* field[1] = message */
   3,   /* field[3] = number */
   5,   /* field[5] = order */
+  6,   /* field[6] = route_table */
 };
 static const ProtobufCIntRange dsp__command_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dsp__command_result__descriptor =
 {
@@ -5968,7 +7189,7 @@
   "Dsp__CommandResult",
   "dsp",
   sizeof(Dsp__CommandResult),
-  6,
+  7,
   dsp__command_result__field_descriptors,
   dsp__command_result__field_indices_by_name,
   1,  dsp__command_result__number_ranges,
@@ -6581,7 +7802,7 @@
   (ProtobufCMessageInit) dsp__tombstone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__state_snapshot__field_descriptors[16] =
+static const ProtobufCFieldDescriptor dsp__state_snapshot__field_descriptors[17] =
 {
   {
     "index",
@@ -6775,6 +7996,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route_table",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StateSnapshot, route_table),
+    &dsp__route_table__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__state_snapshot__field_indices_by_name[] = {
   8,   /* field[8] = claims */
@@ -6788,6 +8021,7 @@
   11,   /* field[11] = nodes */
   6,   /* field[6] = orders */
   7,   /* field[7] = reservations */
+  16,   /* field[16] = route_table */
   10,   /* field[10] = suspect_indexes */
   9,   /* field[9] = suspects */
   14,   /* field[14] = tombstone_floor */
@@ -6797,7 +8031,7 @@
 static const ProtobufCIntRange dsp__state_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor dsp__state_snapshot__descriptor =
 {
@@ -6807,14 +8041,14 @@
   "Dsp__StateSnapshot",
   "dsp",
   sizeof(Dsp__StateSnapshot),
-  16,
+  17,
   dsp__state_snapshot__field_descriptors,
   dsp__state_snapshot__field_indices_by_name,
   1,  dsp__state_snapshot__number_ranges,
   (ProtobufCMessageInit) dsp__state_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__view_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dsp__view_record__field_descriptors[9] =
 {
   {
     "index",
@@ -6900,6 +8134,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route_table",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewRecord, body_case),
+    offsetof(Dsp__ViewRecord, route_table),
+    &dsp__route_table__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "kind",
     20,
@@ -6918,17 +8164,18 @@
   4,   /* field[4] = endpoint */
   0,   /* field[0] = index */
   1,   /* field[1] = key */
-  7,   /* field[7] = kind */
+  8,   /* field[8] = kind */
   5,   /* field[5] = node */
   2,   /* field[2] = removed */
+  7,   /* field[7] = route_table */
   6,   /* field[6] = suspect */
 };
 static const ProtobufCIntRange dsp__view_record__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 10, 3 },
-  { 20, 7 },
-  { 0, 8 }
+  { 20, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor dsp__view_record__descriptor =
 {
@@ -6938,7 +8185,7 @@
   "Dsp__ViewRecord",
   "dsp",
   sizeof(Dsp__ViewRecord),
-  8,
+  9,
   dsp__view_record__field_descriptors,
   dsp__view_record__field_indices_by_name,
   3,  dsp__view_record__number_ranges,
@@ -8626,6 +9873,36 @@
   dsp__claim_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue dsp__route_kind__enum_values_by_number[3] =
+{
+  { "ROUTE_REPEATABLE", "DSP__ROUTE_KIND__ROUTE_REPEATABLE", 0 },
+  { "ROUTE_NON_IDEMPOTENT", "DSP__ROUTE_KIND__ROUTE_NON_IDEMPOTENT", 1 },
+  { "ROUTE_STREAM", "DSP__ROUTE_KIND__ROUTE_STREAM", 2 },
+};
+static const ProtobufCIntRange dsp__route_kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex dsp__route_kind__enum_values_by_name[3] =
+{
+  { "ROUTE_NON_IDEMPOTENT", 1 },
+  { "ROUTE_REPEATABLE", 0 },
+  { "ROUTE_STREAM", 2 },
+};
+const ProtobufCEnumDescriptor dsp__route_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "dsp.RouteKind",
+  "RouteKind",
+  "Dsp__RouteKind",
+  "dsp",
+  3,
+  dsp__route_kind__enum_values_by_number,
+  3,
+  dsp__route_kind__enum_values_by_name,
+  1,
+  dsp__route_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue dsp__result_code__enum_values_by_number[12] =
 {
   { "RESULT_OK", "DSP__RESULT_CODE__RESULT_OK", 0 },
