--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -34,6 +34,15 @@
 typedef struct Dsp__Order Dsp__Order;
 typedef struct Dsp__Claim Dsp__Claim;
 typedef struct Dsp__Suspect Dsp__Suspect;
+typedef struct Dsp__Split Dsp__Split;
+typedef struct Dsp__Route Dsp__Route;
+typedef struct Dsp__EngineModel Dsp__EngineModel;
+typedef struct Dsp__EngineSpec Dsp__EngineSpec;
+typedef struct Dsp__RoutedService Dsp__RoutedService;
+typedef struct Dsp__CallerLimits Dsp__CallerLimits;
+typedef struct Dsp__RouteTable Dsp__RouteTable;
+typedef struct Dsp__RouteTablePut Dsp__RouteTablePut;
+typedef struct Dsp__RouteTableGet Dsp__RouteTableGet;
 typedef struct Dsp__DocumentPut Dsp__DocumentPut;
 typedef struct Dsp__EndpointPut Dsp__EndpointPut;
 typedef struct Dsp__EndpointDown Dsp__EndpointDown;
@@ -140,6 +149,21 @@
   DSP__CLAIM_STATE__CLAIM_RELEASED = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__CLAIM_STATE)
 } Dsp__ClaimState;
+typedef enum _Dsp__RouteKind {
+  /*
+   * may run more than once
+   */
+  DSP__ROUTE_KIND__ROUTE_REPEATABLE = 0,
+  /*
+   * runs at most once
+   */
+  DSP__ROUTE_KIND__ROUTE_NON_IDEMPOTENT = 1,
+  /*
+   * events; runs at most once unless resumable
+   */
+  DSP__ROUTE_KIND__ROUTE_STREAM = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__ROUTE_KIND)
+} Dsp__RouteKind;
 typedef enum _Dsp__ResultCode {
   DSP__RESULT_CODE__RESULT_OK = 0,
   /*
@@ -418,10 +442,15 @@
   protobuf_c_boolean priorities;
   protobuf_c_boolean kv_transfer;
   protobuf_c_boolean roles;
+  /*
+   * An order names the number of orders that the engine must have accepted
+   * before, so a late order has no effect and needs no ledger.
+   */
+  protobuf_c_boolean sequenced;
 };
 #define DSP__FEATURES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__features__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -589,6 +618,190 @@
     , {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
+struct  Dsp__Split
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t weight;
+};
+#define DSP__SPLIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__split__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Dsp__Route
+{
+  ProtobufCMessage base;
+  char *name;
+  char *host;
+  /*
+   * begins and ends with a slash
+   */
+  char *path_prefix;
+  Dsp__RouteKind kind;
+  uint32_t timeout_ms;
+  /*
+   * response, or first event of a stream
+   */
+  uint32_t objective_ms;
+  /*
+   * longest pause between events
+   */
+  uint32_t gap_objective_ms;
+  /*
+   * 0 is served first
+   */
+  uint32_t rank;
+  /*
+   * endpoints that one request may be sent to
+   */
+  uint32_t attempts_max;
+  /*
+   * a stream goes on elsewhere at an event id
+   */
+  protobuf_c_boolean resumable;
+  /*
+   * prompts share cached parts
+   */
+  protobuf_c_boolean shares_prefix;
+  size_t n_splits;
+  Dsp__Split **splits;
+};
+#define DSP__ROUTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__route__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, DSP__ROUTE_KIND__ROUTE_REPEATABLE, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Dsp__EngineModel
+{
+  ProtobufCMessage base;
+  char *name;
+  uint32_t memory_mb;
+  /*
+   * from the weight store
+   */
+  uint32_t load_ms;
+  /*
+   * from the host's memory
+   */
+  uint32_t warm_ms;
+  /*
+   * from the host's disk
+   */
+  uint32_t disk_ms;
+  /*
+   * named a1, a2, ...
+   */
+  uint32_t adapters;
+  uint32_t adapter_mb;
+};
+#define DSP__ENGINE_MODEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__engine_model__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Dsp__EngineSpec
+{
+  ProtobufCMessage base;
+  /*
+   * for weights and adapters
+   */
+  uint32_t memory_mb;
+  uint32_t adapter_places;
+  /*
+   * over all endpoints
+   */
+  double store_loads_per_s;
+  /*
+   * requests at once
+   */
+  uint32_t batch;
+  uint64_t cache_tokens;
+  size_t n_models;
+  Dsp__EngineModel **models;
+};
+#define DSP__ENGINE_SPEC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__engine_spec__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Dsp__RoutedService
+{
+  ProtobufCMessage base;
+  char *name;
+  char *health_path;
+  /*
+   * to one endpoint, from all instances
+   */
+  uint32_t connections_max;
+  /*
+   * absent: plain service
+   */
+  Dsp__EngineSpec *engine;
+};
+#define DSP__ROUTED_SERVICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__routed_service__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL }
+
+
+struct  Dsp__CallerLimits
+{
+  ProtobufCMessage base;
+  uint32_t header_bytes;
+  uint32_t body_bytes;
+  uint32_t header_ms;
+  uint32_t idle_ms;
+};
+#define DSP__CALLER_LIMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__caller_limits__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Dsp__RouteTable
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  size_t n_routes;
+  Dsp__Route **routes;
+  size_t n_services;
+  Dsp__RoutedService **services;
+  Dsp__CallerLimits *limits;
+  /*
+   * as the operator sent it; not part of views
+   */
+  ProtobufCBinaryData source;
+  /*
+   * log index of its acceptance
+   */
+  uint64_t index;
+};
+#define DSP__ROUTE_TABLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table__descriptor) \
+    , 0, 0,NULL, 0,NULL, NULL, {0,NULL}, 0 }
+
+
+/*
+ * The highest number is in force; a lower or equal one changes nothing.
+ */
+struct  Dsp__RouteTablePut
+{
+  ProtobufCMessage base;
+  Dsp__RouteTable *table;
+};
+#define DSP__ROUTE_TABLE_PUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table_put__descriptor) \
+    , NULL }
+
+
+struct  Dsp__RouteTableGet
+{
+  ProtobufCMessage base;
+};
+#define DSP__ROUTE_TABLE_GET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table_get__descriptor) \
+     }
+
+
 struct  Dsp__DocumentPut
 {
   ProtobufCMessage base;
@@ -803,7 +1016,9 @@
   DSP__COMMAND__BODY_SUSPECT_DONE = 21,
   DSP__COMMAND__BODY_NODE_PUT = 22,
   DSP__COMMAND__BODY_NODE_DOWN = 23,
-  DSP__COMMAND__BODY_EXPIRE = 24
+  DSP__COMMAND__BODY_EXPIRE = 24,
+  DSP__COMMAND__BODY_ROUTE_TABLE_PUT = 25,
+  DSP__COMMAND__BODY_ROUTE_TABLE_GET = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__COMMAND__BODY__CASE)
 } Dsp__Command__BodyCase;
 
@@ -831,6 +1046,8 @@
     Dsp__NodePut *node_put;
     Dsp__NodeDown *node_down;
     Dsp__Expire *expire;
+    Dsp__RouteTablePut *route_table_put;
+    Dsp__RouteTableGet *route_table_get;
   };
 };
 #define DSP__COMMAND__INIT \
@@ -859,10 +1076,14 @@
    * orders: order with its id
    */
   Dsp__Order *order;
+  /*
+   * reads of the table, with its source
+   */
+  Dsp__RouteTable *route_table;
 };
 #define DSP__COMMAND_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__command_result__descriptor) \
-    , DSP__RESULT_CODE__RESULT_OK, (char *)protobuf_c_empty_string, 0, 0, NULL, NULL }
+    , DSP__RESULT_CODE__RESULT_OK, (char *)protobuf_c_empty_string, 0, 0, NULL, NULL, NULL }
 
 
 struct  Dsp__DocumentHistory
@@ -1028,10 +1249,11 @@
    * last frame
    */
   protobuf_c_boolean end;
+  Dsp__RouteTable *route_table;
 };
 #define DSP__STATE_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__state_snapshot__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, NULL }
 
 
 typedef enum {
@@ -1039,7 +1261,8 @@
   DSP__VIEW_RECORD__BODY_DOCUMENT = 10,
   DSP__VIEW_RECORD__BODY_ENDPOINT = 11,
   DSP__VIEW_RECORD__BODY_NODE = 12,
-  DSP__VIEW_RECORD__BODY_SUSPECT = 13
+  DSP__VIEW_RECORD__BODY_SUSPECT = 13,
+  DSP__VIEW_RECORD__BODY_ROUTE_TABLE = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__VIEW_RECORD__BODY__CASE)
 } Dsp__ViewRecord__BodyCase;
 
@@ -1065,6 +1288,10 @@
     Dsp__Endpoint *endpoint;
     Dsp__Node *node;
     Dsp__Suspect *suspect;
+    /*
+     * without its source
+     */
+    Dsp__RouteTable *route_table;
   };
 };
 #define DSP__VIEW_RECORD__INIT \
@@ -1733,6 +1960,177 @@
 void   dsp__suspect__free_unpacked
                      (Dsp__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__Split methods */
+void   dsp__split__init
+                     (Dsp__Split         *message);
+size_t dsp__split__get_packed_size
+                     (const Dsp__Split   *message);
+size_t dsp__split__pack
+                     (const Dsp__Split   *message,
+                      uint8_t             *out);
+size_t dsp__split__pack_to_buffer
+                     (const Dsp__Split   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__Split *
+       dsp__split__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__split__free_unpacked
+                     (Dsp__Split *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__Route methods */
+void   dsp__route__init
+                     (Dsp__Route         *message);
+size_t dsp__route__get_packed_size
+                     (const Dsp__Route   *message);
+size_t dsp__route__pack
+                     (const Dsp__Route   *message,
+                      uint8_t             *out);
+size_t dsp__route__pack_to_buffer
+                     (const Dsp__Route   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__Route *
+       dsp__route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__route__free_unpacked
+                     (Dsp__Route *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__EngineModel methods */
+void   dsp__engine_model__init
+                     (Dsp__EngineModel         *message);
+size_t dsp__engine_model__get_packed_size
+                     (const Dsp__EngineModel   *message);
+size_t dsp__engine_model__pack
+                     (const Dsp__EngineModel   *message,
+                      uint8_t             *out);
+size_t dsp__engine_model__pack_to_buffer
+                     (const Dsp__EngineModel   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__EngineModel *
+       dsp__engine_model__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__engine_model__free_unpacked
+                     (Dsp__EngineModel *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__EngineSpec methods */
+void   dsp__engine_spec__init
+                     (Dsp__EngineSpec         *message);
+size_t dsp__engine_spec__get_packed_size
+                     (const Dsp__EngineSpec   *message);
+size_t dsp__engine_spec__pack
+                     (const Dsp__EngineSpec   *message,
+                      uint8_t             *out);
+size_t dsp__engine_spec__pack_to_buffer
+                     (const Dsp__EngineSpec   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__EngineSpec *
+       dsp__engine_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__engine_spec__free_unpacked
+                     (Dsp__EngineSpec *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__RoutedService methods */
+void   dsp__routed_service__init
+                     (Dsp__RoutedService         *message);
+size_t dsp__routed_service__get_packed_size
+                     (const Dsp__RoutedService   *message);
+size_t dsp__routed_service__pack
+                     (const Dsp__RoutedService   *message,
+                      uint8_t             *out);
+size_t dsp__routed_service__pack_to_buffer
+                     (const Dsp__RoutedService   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__RoutedService *
+       dsp__routed_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__routed_service__free_unpacked
+                     (Dsp__RoutedService *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__CallerLimits methods */
+void   dsp__caller_limits__init
+                     (Dsp__CallerLimits         *message);
+size_t dsp__caller_limits__get_packed_size
+                     (const Dsp__CallerLimits   *message);
+size_t dsp__caller_limits__pack
+                     (const Dsp__CallerLimits   *message,
+                      uint8_t             *out);
+size_t dsp__caller_limits__pack_to_buffer
+                     (const Dsp__CallerLimits   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__CallerLimits *
+       dsp__caller_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__caller_limits__free_unpacked
+                     (Dsp__CallerLimits *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__RouteTable methods */
+void   dsp__route_table__init
+                     (Dsp__RouteTable         *message);
+size_t dsp__route_table__get_packed_size
+                     (const Dsp__RouteTable   *message);
+size_t dsp__route_table__pack
+                     (const Dsp__RouteTable   *message,
+                      uint8_t             *out);
+size_t dsp__route_table__pack_to_buffer
+                     (const Dsp__RouteTable   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__RouteTable *
+       dsp__route_table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__route_table__free_unpacked
+                     (Dsp__RouteTable *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__RouteTablePut methods */
+void   dsp__route_table_put__init
+                     (Dsp__RouteTablePut         *message);
+size_t dsp__route_table_put__get_packed_size
+                     (const Dsp__RouteTablePut   *message);
+size_t dsp__route_table_put__pack
+                     (const Dsp__RouteTablePut   *message,
+                      uint8_t             *out);
+size_t dsp__route_table_put__pack_to_buffer
+                     (const Dsp__RouteTablePut   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__RouteTablePut *
+       dsp__route_table_put__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__route_table_put__free_unpacked
+                     (Dsp__RouteTablePut *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__RouteTableGet methods */
+void   dsp__route_table_get__init
+                     (Dsp__RouteTableGet         *message);
+size_t dsp__route_table_get__get_packed_size
+                     (const Dsp__RouteTableGet   *message);
+size_t dsp__route_table_get__pack
+                     (const Dsp__RouteTableGet   *message,
+                      uint8_t             *out);
+size_t dsp__route_table_get__pack_to_buffer
+                     (const Dsp__RouteTableGet   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__RouteTableGet *
+       dsp__route_table_get__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__route_table_get__free_unpacked
+                     (Dsp__RouteTableGet *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__DocumentPut methods */
 void   dsp__document_put__init
                      (Dsp__DocumentPut         *message);
@@ -2552,6 +2950,33 @@
 typedef void (*Dsp__Suspect_Closure)
                  (const Dsp__Suspect *message,
                   void *closure_data);
+typedef void (*Dsp__Split_Closure)
+                 (const Dsp__Split *message,
+                  void *closure_data);
+typedef void (*Dsp__Route_Closure)
+                 (const Dsp__Route *message,
+                  void *closure_data);
+typedef void (*Dsp__EngineModel_Closure)
+                 (const Dsp__EngineModel *message,
+                  void *closure_data);
+typedef void (*Dsp__EngineSpec_Closure)
+                 (const Dsp__EngineSpec *message,
+                  void *closure_data);
+typedef void (*Dsp__RoutedService_Closure)
+                 (const Dsp__RoutedService *message,
+                  void *closure_data);
+typedef void (*Dsp__CallerLimits_Closure)
+                 (const Dsp__CallerLimits *message,
+                  void *closure_data);
+typedef void (*Dsp__RouteTable_Closure)
+                 (const Dsp__RouteTable *message,
+                  void *closure_data);
+typedef void (*Dsp__RouteTablePut_Closure)
+                 (const Dsp__RouteTablePut *message,
+                  void *closure_data);
+typedef void (*Dsp__RouteTableGet_Closure)
+                 (const Dsp__RouteTableGet *message,
+                  void *closure_data);
 typedef void (*Dsp__DocumentPut_Closure)
                  (const Dsp__DocumentPut *message,
                   void *closure_data);
@@ -2685,6 +3110,7 @@
 extern const ProtobufCEnumDescriptor    dsp__order_kind__descriptor;
 extern const ProtobufCEnumDescriptor    dsp__order_state__descriptor;
 extern const ProtobufCEnumDescriptor    dsp__claim_state__descriptor;
+extern const ProtobufCEnumDescriptor    dsp__route_kind__descriptor;
 extern const ProtobufCEnumDescriptor    dsp__result_code__descriptor;
 extern const ProtobufCMessageDescriptor dsp__member__descriptor;
 extern const ProtobufCMessageDescriptor dsp__raft_config__descriptor;
@@ -2705,6 +3131,15 @@
 extern const ProtobufCMessageDescriptor dsp__order__descriptor;
 extern const ProtobufCMessageDescriptor dsp__claim__descriptor;
 extern const ProtobufCMessageDescriptor dsp__suspect__descriptor;
+extern const ProtobufCMessageDescriptor dsp__split__descriptor;
+extern const ProtobufCMessageDescriptor dsp__route__descriptor;
+extern const ProtobufCMessageDescriptor dsp__engine_model__descriptor;
+extern const ProtobufCMessageDescriptor dsp__engine_spec__descriptor;
+extern const ProtobufCMessageDescriptor dsp__routed_service__descriptor;
+extern const ProtobufCMessageDescriptor dsp__caller_limits__descriptor;
+extern const ProtobufCMessageDescriptor dsp__route_table__descriptor;
+extern const ProtobufCMessageDescriptor dsp__route_table_put__descriptor;
+extern const ProtobufCMessageDescriptor dsp__route_table_get__descriptor;
 extern const ProtobufCMessageDescriptor dsp__document_put__descriptor;
 extern const ProtobufCMessageDescriptor dsp__endpoint_put__descriptor;
 extern const ProtobufCMessageDescriptor dsp__endpoint_down__descriptor;
