edge, node: reload on SIGHUP or a changed file, refusals while stopping, placement prior

Cause: SIGHUP ended the process (exit 129); requests that arrived 3 s after SIGTERM were begun and cut; the planner unloaded the busiest model for each missing one, since demand was unknown at the start and several engines made room for the same model; plc planned orders for sequenced engines.

--- a/src/cli/cli_run.c
+++ b/src/cli/cli_run.c
@@ -53,7 +53,7 @@
 	if (!settings)
 		return CLI_INVALID;
 	log_set_level(log_level_from_name(settings->log_level));
-	status = node_run(settings, &err);
+	status = node_run(settings, path, &err);
 	if (err) {
 		LOG_EVENT_ERROR("node", "start_failed", "reason=\"%s\"",
 				err->message);
--- a/src/core/plc_collect.c
+++ b/src/core/plc_collect.c
@@ -418,7 +418,9 @@
 	collect_documents(round);
 	n = st_endpoints(round->state, &endpoints);
 	for (size_t i = 0; i < n; i++)
-		collect_endpoint(round, endpoints[i]);
+		if (!endpoints[i]->features ||
+		    !endpoints[i]->features->sequenced)
+			collect_endpoint(round, endpoints[i]);
 	g_free(endpoints);
 	round->n_pending = st_orders_pending(round->state, &round->pending);
 	round->plc->order_seen = order_times(round);
--- a/src/core/res.c
+++ b/src/core/res.c
@@ -24,6 +24,9 @@
 #define ADAPTER_IDLE_RATE 0.02
 /* Requests a second for each copy of an adapter above which it gets another. */
 #define ADAPTER_COPY_RATE 3.0
+/* Before any demand was seen, each copy that engines started with stands for
+ * this many requests a second. */
+#define PRIOR_RATE 1.0
 
 struct model {
 	char *name;
@@ -47,6 +50,7 @@
 	struct model *models;
 	size_t n_models;
 	GHashTable *by_name; /* name -> position + 1 */
+	bool primed;	     /* demand or the prior is known */
 	int64_t decayed_us;
 	int64_t loads[LOADS_MAX]; /* times; ring */
 	size_t next_load;
@@ -195,6 +199,7 @@
 	decay(ctx, now_us);
 	if (!res_find(ctx, model, adapter, &item))
 		return;
+	ctx->primed = true;
 	ctx->models[item.model].rate += add;
 	if (item.adapter)
 		ctx->models[item.model].adapter_rates[item.adapter] += add;
@@ -277,6 +282,19 @@
 	}
 }
 
+/* The platform starts engines with the models that it expects to be busy. */
+static void use_prior(struct res *ctx)
+{
+	if (ctx->primed)
+		return;
+	for (size_t i = 0; i < ctx->n_models; i++) {
+		struct model *m = &ctx->models[i];
+
+		if (m->copies > 1)
+			m->rate += PRIOR_RATE * m->copies;
+	}
+}
+
 /* Copies that the places of adapters need: each is to be held somewhere. */
 static uint32_t copies_for_adapters(const struct res *ctx,
 				    const struct model *m)
@@ -387,6 +405,7 @@
 		.engine = (size_t)best,
 		.kind = victim < 0 ? RES_LOAD : RES_UNLOAD,
 		.item.model = (uint16_t)(victim < 0 ? (int)model : victim),
+		.purpose.model = (uint16_t)model,
 	};
 	return true;
 }
@@ -514,7 +533,12 @@
 	count_copies(ctx, engines, n);
 	for (size_t i = 0; i < n; i++)
 		usable += engines[i].usable;
+	use_prior(ctx);
 	share_memory(ctx, usable);
+	for (size_t i = 0; !ctx->primed && i < ctx->n_models; i++)
+		if (ctx->models[i].copies > 1)
+			ctx->models[i].rate -=
+				PRIOR_RATE * ctx->models[i].copies;
 	planned = plan_models(ctx, engines, n, now_us, taken, out, max);
 	for (size_t i = 0; i < n && planned < max; i++) {
 		if (!engines[i].usable || engines[i].busy || taken[i])
--- a/src/core/res.h
+++ b/src/core/res.h
@@ -26,6 +26,7 @@
 	const char *id;
 	bool usable; /* up and takes orders */
 	bool busy;   /* an order is under way or its outcome is not known */
+	/* With busy, holds lists what is to be held after that order. */
 	double load; /* requests in flight; orders prefer low ones */
 	struct res_item holds[RES_HOLDS_MAX];
 	size_t n_holds;
@@ -40,6 +41,7 @@
 	size_t engine; /* position in the array */
 	enum res_order_kind kind;
 	struct res_item item;
+	struct res_item purpose; /* RES_UNLOAD: what is loaded instead */
 };
 
 struct res *res_new(double store_excess);
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -23,6 +23,8 @@
 /* A load from the host's memory takes about half a second; the first look. */
 #define FIRST_LOOK_US 750000
 #define LOOK_INTERVAL_US 1000000
+/* An engine takes a few adapters at a time, each within some milliseconds. */
+#define ADAPTER_PAUSE_US 20000
 /* After an order without an answer: it may be carried out later. */
 #define DOUBT_US 1000000
 /* Copies that an engine announces are taken when no order was given since. */
@@ -48,6 +50,8 @@
 	uint64_t sequence;
 	int64_t look_us;   /* when to read its report; INT64_MAX: not */
 	int64_t changed_us; /* last order accepted */
+	int64_t pause_us;   /* no order before */
+	unsigned conflicts; /* in a row */
 	int64_t expected_us; /* WORKING: when a load from the store ends */
 	uint32_t load;
 	struct res_engine plan; /* id, holds */
@@ -263,6 +267,7 @@
 	bool is_model = !e->order.item.adapter;
 
 	e->sequence++;
+	e->conflicts = 0;
 	e->changed_us = now_us;
 	e->state = IDLE;
 	if (e->order.kind == RES_UNLOAD)
@@ -293,12 +298,20 @@
 	case WIRE_ORDER_HOLDS:
 		log_order(e, "holds");
 		accepted(e, true);
-		/* Whether it counted as an order is not said. */
+		/* An adapter is unloaded at once; else whether the answer
+		 * counted as an order is not said. */
+		if (e->order.kind == RES_UNLOAD && e->order.item.adapter)
+			break;
 		e->state = UNKNOWN;
 		e->look_us = now_us + REPORT_LAG_US;
 		break;
 	case WIRE_ORDER_CONFLICT:
 		log_order(e, "conflict");
+		if (e->order.item.adapter && !e->conflicts++) {
+			e->state = IDLE;
+			e->pause_us = now_us + ADAPTER_PAUSE_US;
+			break;
+		}
 		e->state = UNKNOWN;
 		e->look_us = now_us + REPORT_LAG_US;
 		break;
@@ -516,6 +529,23 @@
 	       lead.term > ctx->fenced_term && now_us - lead.since_us > wait_us;
 }
 
+/* Counts what the current order brings, so that it is not planned again on
+ * another engine. */
+static void add_coming(struct res_engine *e, const struct res_order *order)
+{
+	struct res_item coming =
+		order->kind == RES_LOAD ? order->item : order->purpose;
+
+	if (order->kind == RES_UNLOAD && order->item.adapter)
+		return;
+	for (size_t i = 0; i < e->n_holds; i++)
+		if (e->holds[i].model == coming.model &&
+		    e->holds[i].adapter == coming.adapter)
+			return;
+	if (e->n_holds < RES_HOLDS_MAX)
+		e->holds[e->n_holds++] = coming;
+}
+
 static void plan_service(struct agent *ctx, struct service *s, uint64_t fence)
 {
 	size_t max = g_hash_table_size(ctx->engines);
@@ -534,14 +564,12 @@
 		list[n] = e->plan;
 		list[n].id = e->id;
 		list[n].usable = e->usable;
-		list[n].busy = e->state != IDLE || e->call;
+		list[n].busy = e->state != IDLE || e->call ||
+			       now_of(ctx) < e->pause_us;
 		list[n].load = e->load;
-		/* A model that is being loaded takes its memory already. */
-		if ((e->state == WORKING || e->state == ORDERED ||
-		     e->state == DOUBTFUL) &&
-		    e->order.kind == RES_LOAD && !holds_ordered(e) &&
-		    list[n].n_holds < RES_HOLDS_MAX)
-			list[n].holds[list[n].n_holds++] = e->order.item;
+		if (e->state == WORKING || e->state == ORDERED ||
+		    e->state == DOUBTFUL)
+			add_coming(&list[n], &e->order);
 		engines[n++] = e;
 	}
 	planned = res_plan(s->planner, list, n, now_of(ctx), orders, n);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -209,6 +209,7 @@
 	if (ctx->draining)
 		return;
 	ctx->draining = true;
+	ctx->drain_us = clk_now_us(ctx->clock);
 	if (ctx->front)
 		hio_server_drain(ctx->front);
 }
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -82,6 +82,7 @@
 	GHashTable *demands; /* "model/adapter" -> struct edge_demand */
 	int64_t demand_due_us;
 	bool draining;
+	int64_t drain_us; /* when it began */
 	struct agent *agent;
 };
 
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -37,6 +37,10 @@
 /* Whole answers that are kept until their end. */
 #define ANSWER_MAX_BYTES (8 << 20)
 #define RETRY_AFTER_SPREAD 0.5
+/* An instance that stops takes a stream only if this much time is left; most
+ * end within that time. Other requests take a fraction of a second. */
+#define STREAM_LEFT_MIN_US (5 * EDGE_S_US)
+#define PLAIN_LEFT_MIN_US (1500000LL)
 
 struct fwd {
 	LIST_ENTRY(fwd) link; /* edge.forwards */
@@ -612,6 +616,23 @@
 		    reason);
 }
 
+/*
+ * True when this instance stops too soon for a new request: callers that still
+ * have an old list of entries are sent elsewhere before their work is begun.
+ */
+static bool stops_too_soon(const struct edge *ctx, const Dsp__Route *route)
+{
+	int64_t left_us;
+
+	if (!ctx->draining)
+		return false;
+	left_us = ctx->drain_us + ctx->set->edge.drain_limit_ms * 1000LL -
+		  clk_now_us(ctx->clock);
+	if (route->kind == DSP__ROUTE_KIND__ROUTE_STREAM)
+		return left_us < STREAM_LEFT_MIN_US;
+	return left_us < MIN(route->timeout_ms * 1000LL, PLAIN_LEFT_MIN_US);
+}
+
 static struct fwd *fwd_new(struct edge *ctx, struct hio_exchange *exchange,
 			   const Dsp__Route *route, const char *service)
 {
@@ -680,6 +701,10 @@
 		refuse_early(ctx, exchange, id, 503, "no_service");
 		return;
 	}
+	if (stops_too_soon(ctx, route)) {
+		refuse_early(ctx, exchange, id, 503, "stopping");
+		return;
+	}
 	f = fwd_new(ctx, exchange, route, service);
 	if (f->engine)
 		edge_note_demand(ctx, f->said.model, f->said.adapter, false);
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -46,6 +46,9 @@
 	case CTL_JOB_DEMAND:
 		dsp__demand__free_unpacked(job->demand, NULL);
 		break;
+	case CTL_JOB_SEEDS:
+		g_strfreev(job->seeds);
+		break;
 	case CTL_JOB_ORDER:
 	case CTL_JOB_DRAIN:
 	case CTL_JOB_STOP:
@@ -231,6 +234,10 @@
 	case CTL_JOB_DRAIN:
 		ctl_report_soon(ctx, 0);
 		break;
+	case CTL_JOB_SEEDS:
+		g_strfreev(ctx->seeds);
+		ctx->seeds = g_steal_pointer(&job->seeds);
+		break;
 	case CTL_JOB_STOP:
 		begin_stop(ctx);
 		break;
@@ -384,6 +391,20 @@
 				     g_free);
 }
 
+/* Addresses of the control instances that the settings name, but the own. */
+static char **seeds_of(const struct ctl *ctx, const struct set *settings)
+{
+	GPtrArray *seeds = g_ptr_array_new();
+
+	for (size_t i = 0; i < settings->n_peers; i++)
+		if (settings->peers[i].control &&
+		    !ctl_form_is_self(ctx, &settings->peers[i]))
+			g_ptr_array_add(seeds,
+					g_strdup(settings->peers[i].address));
+	g_ptr_array_add(seeds, NULL);
+	return (char **)g_ptr_array_free(seeds, FALSE);
+}
+
 static struct ctl *ctl_new(const struct set *settings, struct clk *clock,
 			   struct met *metrics,
 			   const struct ctl_callbacks *callbacks)
@@ -404,6 +425,7 @@
 	TAILQ_INIT(&ctx->orphans);
 	TAILQ_INIT(&ctx->calls);
 	TAILQ_INIT(&ctx->changed_loads);
+	ctx->seeds = seeds_of(ctx, settings);
 	ctx->now_us = clk_now_us(clock);
 	ctx->upstream_chosen_us = ctx->now_us;
 	ctx->view = view_new_empty();
@@ -466,6 +488,7 @@
 		g_free(ctx->form_answers[i].site);
 	}
 	g_free(ctx->form_answers);
+	g_strfreev(ctx->seeds);
 	g_free(ctx->leader_node);
 	g_free(ctx->leader_address);
 	g_free(ctx->upstream);
@@ -558,6 +581,16 @@
 	ctl_post(ctx, job);
 }
 
+/* Uses the seeds of changed settings from now on; any thread. */
+void ctl_reload(struct ctl *ctx, const struct set *settings)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_SEEDS;
+	job->seeds = seeds_of(ctx, settings);
+	ctl_post(ctx, job);
+}
+
 /* Returns a new reference to the installed view; any thread. */
 struct view *ctl_view(struct ctl *ctx)
 {
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -79,6 +79,8 @@
 void ctl_announce(struct ctl *ctx, const Dsp__Announcement *announcement);
 void ctl_demand(struct ctl *ctx, const Dsp__Demand *demand);
 void ctl_drain(struct ctl *ctx); /* leave the entry list */
+/* Takes the seeds of changed settings. */
+void ctl_reload(struct ctl *ctx, const struct set *settings);
 bool ctl_replace(struct ctl *ctx, uint64_t old_replica, GError **err);
 /* Asks another entry for an answer; NULL when it did not reply in time. */
 Dsp__AnswerReply *ctl_ask_answer(struct ctl *ctx, const char *node,
--- a/src/node/ctl_form.c
+++ b/src/node/ctl_form.c
@@ -72,10 +72,8 @@
 
 static void send_to_peers(struct ctl *ctx, Dsp__Envelope *out)
 {
-	for (size_t i = 0; i < ctx->set->n_peers; i++)
-		if (ctx->set->peers[i].control &&
-		    !ctl_form_is_self(ctx, &ctx->set->peers[i]))
-			ctl_send(ctx, ctx->set->peers[i].address, out);
+	for (size_t i = 0; ctx->seeds[i]; i++)
+		ctl_send(ctx, ctx->seeds[i], out);
 }
 
 static void send_queries(struct ctl *ctx)
@@ -247,6 +245,14 @@
 
 	if (!ctx->forming)
 		return;
+	if (reply->group && !ctx->joining) {
+		/* Seeds that were exchanged are not among the answers. */
+		ctx->joining = true;
+		ctx->form_due_us = 0;
+		LOG_EVENT_NOTICE("ctl", "joining",
+				 "replica=%016" G_GINT64_MODIFIER "x node=%s",
+				 ctx->replica, reply->node);
+	}
 	answer = answer_of(ctx, reply->node, reply->address);
 	if (!answer)
 		return;
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -77,6 +77,7 @@
 	CTL_JOB_DEMAND,
 	CTL_JOB_ORDER,
 	CTL_JOB_DRAIN,
+	CTL_JOB_SEEDS,
 	CTL_JOB_STOP,
 };
 
@@ -87,6 +88,7 @@
 		struct ctl_call *call; /* one reference */
 		Dsp__Announcement *announcement;
 		Dsp__Demand *demand;
+		char **seeds; /* owned */
 		struct {
 			uint64_t id;
 			uint64_t term;
@@ -239,6 +241,7 @@
 	struct ctl_forwards forwards_done;
 
 	/* Formation. */
+	char **seeds; /* addresses of control instances to ask; owned */
 	bool forming;
 	bool joining;
 	int64_t form_due_us;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -41,24 +41,29 @@
 	return ctx->raft ? ctx->applied_config : ctx->config;
 }
 
-/* Returns the addresses of the other voters, as far as known; g_free(). */
+/* Returns the addresses of the other voters, as far as known, then those of
+ * seeds; g_free(). */
 size_t ctl_report_voters(struct ctl *ctx, const char ***out)
 {
 	const Dsp__RaftConfig *config = current_config(ctx);
 	size_t n = 0;
 
 	*out = g_new0(const char *,
-		      (config ? config->n_members : 0) + ctx->set->n_peers + 1);
+		      (config ? config->n_members : 0) +
+			      g_strv_length(ctx->seeds) + 1);
 	for (size_t i = 0; config && i < config->n_members; i++)
 		if (config->members[i]->voter &&
 		    strcmp(config->members[i]->node, ctx->set->id) != 0)
 			(*out)[n++] = config->members[i]->address;
-	if (n)
-		return n;
-	for (size_t i = 0; i < ctx->set->n_peers; i++)
-		if (ctx->set->peers[i].control &&
-		    !ctl_form_is_self(ctx, &ctx->set->peers[i]))
-			(*out)[n++] = ctx->set->peers[i].address;
+	/* All voters that were known may have been replaced since. */
+	for (size_t i = 0; ctx->seeds[i]; i++) {
+		bool known = false;
+
+		for (size_t k = 0; k < n && !known; k++)
+			known = !strcmp((*out)[k], ctx->seeds[i]);
+		if (!known)
+			(*out)[n++] = ctx->seeds[i];
+	}
 	return n;
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,16 +7,22 @@
 
 #include <pthread.h>
 #include <signal.h>
+#include <sys/stat.h>
 #include <time.h>
 
 /* How often the main thread looks for a drain request and for the end of the
  * requests in flight. */
 #define POLL_NS 100000000
+/* How often the settings file is looked at without a signal. */
+#define RELOAD_LOOKS 10
 /* Limit for closing the HTTP port once no request is in flight. */
 #define CLOSE_LIMIT_S 1
 
 struct node {
 	const struct set *set;
+	const char *path;     /* of the settings */
+	struct stat file;     /* as last read */
+	unsigned looks;	      /* since the file was looked at */
 	struct clk *clock; /* owned */
 	struct met *met;   /* owned */
 	struct trf *trf;   /* owned */
@@ -34,12 +40,64 @@
 	return number > 0 ? number : 0;
 }
 
-static void wait_for_stop(const struct node *ctx)
+static bool file_changed(struct node *ctx)
+{
+	struct stat now;
+
+	if (stat(ctx->path, &now) < 0)
+		return false; /* being replaced; the next look finds it */
+	if (now.st_mtim.tv_sec == ctx->file.st_mtim.tv_sec &&
+	    now.st_mtim.tv_nsec == ctx->file.st_mtim.tv_nsec &&
+	    now.st_size == ctx->file.st_size && now.st_ino == ctx->file.st_ino)
+		return false;
+	ctx->file = now;
+	return true;
+}
+
+/* Reads the settings file again; of its changes the seeds are used. */
+static void reload(struct node *ctx)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	struct set *next = NULL;
+	GError *error = NULL;
+	char *text;
+	gsize len;
+
+	if (g_file_get_contents(ctx->path, &text, &len, &error)) {
+		next = set_parse(ctx->path, text, len, faults);
+		g_free(text);
+	}
+	if (next)
+		ctl_reload(ctx->ctl, next);
+	LOG_EVENT_NOTICE("node", "reload", "path=%s outcome=%s reason=\"%s\"",
+			 ctx->path, next ? "done" : "refused",
+			 error	       ? error->message
+			 : faults->len ? (char *)faults->pdata[0]
+				       : "");
+	g_clear_error(&error);
+	set_free(next);
+	g_ptr_array_free(faults, TRUE);
+}
+
+/* As poll_signal(), but handles a request to reload and a changed file. */
+static int poll_stop(struct node *ctx)
+{
+	int number = poll_signal(ctx);
+	bool due = ++ctx->looks >= RELOAD_LOOKS;
+
+	if (due)
+		ctx->looks = 0;
+	if (number == SIGHUP || (due && file_changed(ctx)))
+		reload(ctx);
+	return number == SIGHUP ? 0 : number;
+}
+
+static void wait_for_stop(struct node *ctx)
 {
 	int number = 0;
 
 	while (!number && !trf_drain_requested(ctx->trf))
-		number = poll_signal(ctx);
+		number = poll_stop(ctx);
 	LOG_EVENT_NOTICE("node", "drain", "signal=%d", number);
 }
 
@@ -108,7 +166,7 @@
 	LOG_EVENT_NOTICE("node", "started", "instance=%s site=%s",
 			 ctx->set->id, ctx->set->site);
 	while (!number)
-		number = poll_signal(ctx);
+		number = poll_stop(ctx);
 	LOG_EVENT_NOTICE("node", "drain", "signal=%d", number);
 	drain_edge(ctx);
 	result = 0;
@@ -126,6 +184,7 @@
 	sigemptyset(&ctx->signals);
 	sigaddset(&ctx->signals, SIGTERM);
 	sigaddset(&ctx->signals, SIGINT);
+	sigaddset(&ctx->signals, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &ctx->signals, NULL);
 	/* Both are handled as errors of the write. */
 	signal(SIGPIPE, SIG_IGN);
@@ -137,13 +196,14 @@
  * SIGTERM, SIGINT or an operator's drain request it drains and stops. Returns
  * 0, or 1 with err set when it could not start.
  */
-int node_run(const struct set *settings, GError **err)
+int node_run(const struct set *settings, const char *path, GError **err)
 {
-	struct node ctx = { .set = settings };
+	struct node ctx = { .set = settings, .path = path };
 	struct ctl_callbacks callbacks;
 	int result = 1;
 
 	block_signals(&ctx);
+	file_changed(&ctx);
 	ctx.clock = clk_new_real();
 	ctx.met = met_new();
 	if (settings->has_edge) {
