--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -1,7 +1,7 @@
 #include "core/bal.h"
 
 #include <glib.h>
-#include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Weight of a new value in the averages of times and failures. */
@@ -19,11 +19,21 @@
 #define PLAIN_QUEUE_SHARE 3.0
 /* Engines slow down for all when their batch is full; few wait. */
 #define ENGINE_QUEUE_SHARE 0.125
-/* Cost in units of a full endpoint. */
-#define FAILURE_COST 3.0
-#define AFFINITY_GAIN 0.35
-#define SLOW_MIN 0.5
-#define SLOW_MAX 4.0
+/* Until it is measured: time to read a token of a prompt. */
+#define TOKEN_MS 0.06
+/* A plain request, until it is measured. */
+#define PLAIN_MS 60.0
+/* Costs in milliseconds: of an endpoint that fails each request; of a full
+ * batch; and of the endpoint that is farthest from the one this instance
+ * prefers. */
+#define FAILURE_COST_MS 3000.0
+#define BATCH_COST_MS 120.0
+#define DISTANCE_COST_MS 60.0
+/* Part of a stream's expected duration that counts, so that long ones prefer
+ * fast engines. */
+#define DURATION_WEIGHT 0.05
+/* Gain of the endpoint that all instances prefer for a prompt's prefix. */
+#define AFFINITY_GAIN_MS 12.0
 /* Time after which a caller of a full service should come back. */
 #define RETRY_FULL_US 400000
 #define RETRY_NONE_US 700000
@@ -38,7 +48,11 @@
 	uint32_t reported;	  /* running and waiting, as of reported_us */
 	uint32_t own_at_report;
 	int64_t reported_us; /* 0: never */
+	uint32_t unread;     /* prompt tokens of requests without a first byte */
+	uint32_t reading;    /* requests without a first byte */
 	double first_ms;     /* average time to the first byte; 0: unknown */
+	double token_ms;     /* of it for each token of the prompt */
+	double gap_ms;	     /* between events of a stream; 0: unknown */
 	double failures;     /* average share */
 	unsigned failed_in_row;
 	unsigned avoided; /* times in a row */
@@ -49,6 +63,10 @@
 struct bal {
 	struct view *view;
 	GHashTable *endpoints; /* id -> struct bal_endpoint */
+	double token_ms;       /* average of all engines; 0: unknown */
+	double gap_ms;	       /* likewise */
+	unsigned position;     /* of this instance among the entries */
+	unsigned entries;
 };
 
 static void endpoint_free(void *data)
@@ -103,8 +121,25 @@
 		endpoint_free(e);
 }
 
+static void find_position(struct bal *ctx, const struct view *view,
+			  const char *self)
+{
+	ctx->entries = 0;
+	ctx->position = 0;
+	for (size_t i = 0; i < view_n_nodes(view); i++) {
+		const Dsp__Node *node = view_node_at(view, i);
+
+		if (!node->http_address[0] || node->down)
+			continue;
+		if (!strcmp(node->id, self))
+			ctx->position = ctx->entries;
+		ctx->entries++;
+	}
+	ctx->entries = MAX(ctx->entries, 1);
+}
+
 /* Takes a new view; endpoints keep what was learned of their process. */
-void bal_set_view(struct bal *ctx, struct view *view)
+void bal_set_view(struct bal *ctx, struct view *view, const char *self)
 {
 	GHashTable *next = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter iter;
@@ -132,18 +167,50 @@
 	ctx->endpoints = next;
 	view_unref(ctx->view);
 	ctx->view = view_ref(view);
+	find_position(ctx, view, self);
 }
 
 /* Counts a request that is sent to the endpoint. */
-void bal_begin(struct bal *ctx, struct bal_endpoint *e)
+void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens)
 {
 	(void)ctx;
 	e->own++;
+	e->reading++;
+	e->unread += tokens;
+}
+
+/* Returns whether the endpoint reads prompts of this instance. */
+bool bal_is_reading(const struct bal_endpoint *e)
+{
+	return e->reading > 0;
 }
 
 static void average(double *value, double sample)
 {
-	*value += AVERAGE_SHARE * (sample - *value);
+	if (*value > 0)
+		*value += AVERAGE_SHARE * (sample - *value);
+	else
+		*value = sample;
+}
+
+static void end_reading(struct bal_endpoint *e, uint32_t tokens)
+{
+	e->reading -= MIN(e->reading, 1);
+	e->unread -= MIN(e->unread, tokens);
+}
+
+/* Learns from the time to the first byte. */
+void bal_first(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
+	       int64_t first_us, bool alone)
+{
+	double first_ms = (double)first_us / 1000;
+
+	end_reading(e, tokens);
+	average(&e->first_ms, first_ms);
+	if (!tokens || !alone)
+		return;
+	average(&e->token_ms, first_ms / tokens);
+	average(&ctx->token_ms, first_ms / tokens);
 }
 
 static void avoid(struct bal_endpoint *e, int64_t now_us)
@@ -153,30 +220,35 @@
 	e->avoided++;
 }
 
+/* Learns the pace of an engine's streams. */
+void bal_pace(struct bal *ctx, struct bal_endpoint *e, int64_t gap_us)
+{
+	average(&e->gap_ms, (double)gap_us / 1000);
+	average(&ctx->gap_ms, (double)gap_us / 1000);
+}
+
 /* Ends a request; the endpoint may be freed if it is no longer listed. */
 void bal_end(struct bal *ctx, struct bal_endpoint *e, enum bal_result result,
-	     int64_t first_us, int64_t now_us)
+	     uint32_t unread_tokens, int64_t now_us)
 {
 	(void)ctx;
 	if (e->own)
 		e->own--;
+	if (unread_tokens)
+		end_reading(e, unread_tokens);
 	switch (result) {
 	case BAL_ANSWERED:
-		average(&e->failures, 0);
+		e->failures *= 1 - AVERAGE_SHARE;
 		e->failed_in_row = 0;
 		e->avoided = 0;
-		if (first_us >= 0 && e->first_ms > 0)
-			average(&e->first_ms, (double)first_us / 1000);
-		else if (first_us >= 0)
-			e->first_ms = (double)first_us / 1000;
 		break;
 	case BAL_FAILED:
-		average(&e->failures, 1);
+		e->failures += AVERAGE_SHARE * (1 - e->failures);
 		if (++e->failed_in_row >= FAILURES_MAX)
 			avoid(e, now_us);
 		break;
 	case BAL_UNREACHED:
-		average(&e->failures, 1);
+		e->failures += AVERAGE_SHARE * (1 - e->failures);
 		avoid(e, now_us);
 		break;
 	case BAL_REPLACED:
@@ -266,53 +338,86 @@
 struct candidates {
 	struct bal_endpoint **all;
 	size_t n;
-	double mean_ms; /* average of the known times to the first byte */
-	const struct bal_endpoint *preferred;
+	const struct bal_endpoint *preferred; /* for the prefix */
 };
 
-static double cost_of(const struct candidates *list,
-		      const struct bal_endpoint *e,
-		      const struct bal_query *query, int64_t now_us)
+/* Time until the endpoint has read the prompts that this instance sent and the
+ * new one. */
+static double reading_ms(const struct bal *ctx, const struct bal_endpoint *e,
+			 const struct bal_query *query)
+{
+	double token_ms = e->token_ms > 0	? e->token_ms
+			  : ctx->token_ms > 0 ? ctx->token_ms
+						: TOKEN_MS;
+
+	return token_ms * (e->unread + query->tokens);
+}
+
+/* Time until a place of a plain endpoint is free and the request is served. */
+static double serving_ms(const struct bal_endpoint *e, int64_t now_us)
 {
-	double slow = 1;
-	double cost;
+	double once_ms = e->first_ms > 0 ? e->first_ms : PLAIN_MS;
+	double ahead = load_of(e, now_us) + 1;
 
-	if (e->first_ms > 0 && list->mean_ms > 0)
-		slow = CLAMP(e->first_ms / list->mean_ms, SLOW_MIN, SLOW_MAX);
-	cost = (load_of(e, now_us) + 1) / MAX(e->msg->max_batch, 1) * slow;
-	cost += FAILURE_COST * e->failures;
+	return once_ms * MAX(ahead / MAX(e->msg->max_batch, 1), 0.25);
+}
+
+/* Part of the way around all candidates from the one that this instance
+ * prefers; candidates are in the order of their ids. */
+static double distance(const struct bal *ctx, size_t i, size_t n)
+{
+	size_t first = n * ctx->position / ctx->entries;
+
+	return (double)((i + n - first) % n) / (double)n;
+}
+
+static double cost_of(const struct bal *ctx, const struct candidates *list,
+		      size_t i, const struct bal_query *query, int64_t now_us)
+{
+	const struct bal_endpoint *e = list->all[i];
+	double cost = FAILURE_COST_MS * e->failures;
+
+	if (!query->model)
+		return cost + serving_ms(e, now_us);
+	cost += reading_ms(ctx, e, query);
+	cost += DURATION_WEIGHT * query->events *
+		(e->gap_ms > 0 ? e->gap_ms : ctx->gap_ms);
+	cost += BATCH_COST_MS * load_of(e, now_us) / MAX(e->msg->max_batch, 1);
+	cost += DISTANCE_COST_MS * distance(ctx, i, list->n);
 	if (query->prefix && e == list->preferred)
-		cost -= AFFINITY_GAIN;
+		cost -= AFFINITY_GAIN_MS;
 	return cost;
 }
 
+static int compare_ids(const void *a, const void *b)
+{
+	const struct bal_endpoint *x = *(struct bal_endpoint *const *)a;
+	const struct bal_endpoint *y = *(struct bal_endpoint *const *)b;
+
+	return strcmp(x->id, y->id);
+}
+
 static void find_preferred(struct candidates *list, uint64_t prefix)
 {
 	uint64_t best = 0;
-	double sum = 0;
-	unsigned known = 0;
 
+	qsort(list->all, list->n, sizeof(*list->all), compare_ids);
 	for (size_t i = 0; i < list->n; i++) {
 		uint64_t rank = rank_of(prefix, list->all[i]);
 
-		if (!list->preferred || rank > best) {
-			list->preferred = list->all[i];
-			best = rank;
-		}
-		if (list->all[i]->first_ms > 0) {
-			sum += list->all[i]->first_ms;
-			known++;
-		}
+		if (list->preferred && rank <= best)
+			continue;
+		list->preferred = list->all[i];
+		best = rank;
 	}
-	list->mean_ms = known ? sum / known : 0;
 }
 
-static struct bal_endpoint *cheapest(const struct candidates *list,
+static struct bal_endpoint *cheapest(const struct bal *ctx,
+				     const struct candidates *list,
 				     const struct bal_query *query,
-				     int64_t now_us)
+				     int64_t now_us, double *best_cost)
 {
 	struct bal_endpoint *best = NULL;
-	double best_cost = 0;
 
 	for (size_t i = 0; i < list->n; i++) {
 		struct bal_endpoint *e = list->all[i];
@@ -320,10 +425,10 @@
 
 		if (load_of(e, now_us) >= places_of(e, query->model))
 			continue;
-		cost = cost_of(list, e, query, now_us);
-		if (!best || cost < best_cost) {
+		cost = cost_of(ctx, list, i, query, now_us);
+		if (!best || cost < *best_cost) {
 			best = e;
-			best_cost = cost;
+			*best_cost = cost;
 		}
 	}
 	return best;
@@ -386,7 +491,7 @@
 	if (!list.n)
 		list = avoided;
 	find_preferred(&list, query->prefix);
-	choice.endpoint = cheapest(&list, query, now_us);
+	choice.endpoint = cheapest(ctx, &list, query, now_us, &choice.cost_ms);
 	if (!choice.endpoint) {
 		choice.outcome = BAL_FULL;
 		choice.retry_us = RETRY_FULL_US;
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -18,6 +18,8 @@
 	const char *service;
 	const char *model;   /* NULL: plain service */
 	const char *adapter; /* NULL: none */
+	uint32_t tokens;     /* of the prompt; 0: plain service */
+	uint32_t events;     /* expected in the answer; 0: no stream */
 	uint64_t prefix;     /* hash of the shared prompt parts; 0: none */
 	const char *const *avoid; /* endpoint ids; NULL-terminated, or NULL */
 };
@@ -34,6 +36,7 @@
 	enum bal_outcome outcome;
 	struct bal_endpoint *endpoint; /* BAL_CHOSEN */
 	double load;	     /* of the endpoint, in requests */
+	double cost_ms;	     /* expected time to the first byte, and more */
 	double load_age_s;   /* age of the reported part; below 0: none */
 	int64_t retry_us;    /* else: when a place may be free */
 	unsigned candidates; /* usable endpoints with what is asked for */
@@ -52,12 +55,19 @@
 void bal_free(struct bal *ctx);
 
 /* Commands. */
-/* Takes a reference to the view. */
-void bal_set_view(struct bal *ctx, struct view *view);
-void bal_begin(struct bal *ctx, struct bal_endpoint *e);
-/* first_us: time to the first byte of the answer; below 0: none. */
+/* Takes a reference to the view. self: node id of this instance; each instance
+ * prefers other endpoints, so that it knows most of their load. */
+void bal_set_view(struct bal *ctx, struct view *view, const char *self);
+void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens);
+/* The first byte of an answer came; first_us after the request was sent.
+ * alone: no other request of this instance was being read at that endpoint. */
+void bal_first(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
+	       int64_t first_us, bool alone);
+/* A stream's average time between events, of a whole stream. */
+void bal_pace(struct bal *ctx, struct bal_endpoint *e, int64_t gap_us);
+/* unread_tokens: prompt that the endpoint had not read when it ended. */
 void bal_end(struct bal *ctx, struct bal_endpoint *e, enum bal_result result,
-	     int64_t first_us, int64_t now_us);
+	     uint32_t unread_tokens, int64_t now_us);
 /* Load that an answer carried. */
 void bal_report(struct bal *ctx, struct bal_endpoint *e, uint32_t running,
 		uint32_t waiting, int64_t now_us);
@@ -65,6 +75,7 @@
 /* Queries. */
 struct bal_choice bal_choose(struct bal *ctx, const struct bal_query *query,
 			     int64_t now_us);
+bool bal_is_reading(const struct bal_endpoint *e); /* prompts of this instance */
 const char *bal_id(const struct bal_endpoint *e);
 const char *bal_address(const struct bal_endpoint *e);
 const char *bal_outcome_name(enum bal_outcome outcome);
--- a/src/core/res.c
+++ b/src/core/res.c
@@ -7,26 +7,27 @@
 
 /* Time constant of the demand averages: demand moves within seconds, and a
  * load takes that long, too. */
-#define DEMAND_TAU_S 4.0
+#define DEMAND_TAU_S 2.5
 /* Part of all memory that copies are planned for. */
 #define MEMORY_SHARE 0.94
 /* A model gets a further copy only if its requests a second for each copy
  * exceed this and this many times that of the copy which makes room. */
 #define COPY_RATE_MIN 0.6
 #define MOVE_GAIN 1.6
-/* Window of the store's rate, and the part of it that one leader uses, since
- * the one before may have used some. */
+/* Need of a model that no engine holds, above that of all others. */
+#define MISSING_NEED 1e6
+/* Window of the store's rate. */
 #define STORE_WINDOW_US 5000000
-#define STORE_SHARE 0.6
 #define LOADS_MAX 64
 /* An adapter without requests for this long makes room for one that is
  * asked for. */
 #define ADAPTER_IDLE_RATE 0.02
 /* Requests a second for each copy of an adapter above which it gets another. */
 #define ADAPTER_COPY_RATE 3.0
-/* Before any demand was seen, each copy that engines started with stands for
- * this many requests a second. */
+/* Until demand was seen for some time, each copy that engines started with
+ * stands for this many requests a second. */
 #define PRIOR_RATE 1.0
+#define PRIOR_US 1500000
 
 struct model {
 	char *name;
@@ -50,7 +51,8 @@
 	struct model *models;
 	size_t n_models;
 	GHashTable *by_name; /* name -> position + 1 */
-	bool primed;	     /* demand or the prior is known */
+	int64_t first_us;    /* first demand; INT64_MAX: none yet */
+	bool primed;	     /* demand was seen for long enough */
 	int64_t decayed_us;
 	int64_t loads[LOADS_MAX]; /* times; ring */
 	size_t next_load;
@@ -63,6 +65,7 @@
 	struct res *ctx = g_new0(struct res, 1);
 
 	ctx->store_excess = store_excess;
+	ctx->first_us = INT64_MAX;
 	ctx->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	for (size_t i = 0; i < LOADS_MAX; i++)
 		ctx->loads[i] = INT64_MIN / 2;
@@ -199,7 +202,8 @@
 	decay(ctx, now_us);
 	if (!res_find(ctx, model, adapter, &item))
 		return;
-	ctx->primed = true;
+	if (ctx->first_us == INT64_MAX)
+		ctx->first_us = now_us;
 	ctx->models[item.model].rate += add;
 	if (item.adapter)
 		ctx->models[item.model].adapter_rates[item.adapter] += add;
@@ -213,8 +217,8 @@
 
 static bool store_has_room(const struct res *ctx, int64_t now_us)
 {
-	double most = STORE_SHARE * ctx->store_excess * ctx->loads_per_s *
-		      STORE_WINDOW_US / 1e6;
+	double most =
+		ctx->store_excess * ctx->loads_per_s * STORE_WINDOW_US / 1e6;
 	unsigned recent = 0;
 
 	for (size_t i = 0; i < LOADS_MAX; i++)
@@ -343,7 +347,7 @@
 static double need_of(const struct model *m)
 {
 	if (!m->copies)
-		return 1e6 + m->rate;
+		return MISSING_NEED + m->rate;
 	if (m->copies >= m->wanted)
 		return 0;
 	return m->rate / m->copies;
@@ -361,7 +365,7 @@
 		double rate = m->rate / MAX(m->copies, 1);
 
 		if (e->holds[i].adapter || m->copies <= 1 ||
-		    m->copies <= m->wanted)
+		    (m->copies <= m->wanted && need < MISSING_NEED))
 			continue;
 		if (rate < worst) {
 			worst = rate;
@@ -530,6 +534,8 @@
 	size_t planned;
 
 	decay(ctx, now_us);
+	ctx->primed = ctx->first_us != INT64_MAX &&
+		      now_us - ctx->first_us > PRIOR_US;
 	count_copies(ctx, engines, n);
 	for (size_t i = 0; i < n; i++)
 		usable += engines[i].usable;
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -23,6 +23,8 @@
 /* A load from the host's memory takes about half a second; the first look. */
 #define FIRST_LOOK_US 750000
 #define LOOK_INTERVAL_US 1000000
+/* How often the load of engines is read that are given no orders. */
+#define IDLE_LOOK_US 1500000
 /* An engine takes a few adapters at a time, each within some milliseconds. */
 #define ADAPTER_PAUSE_US 20000
 /* After an order without an answer: it may be carried out later. */
@@ -145,9 +147,11 @@
 
 /* ---- What engines hold ---- */
 
-static void set_holds(struct engine *e, Dsp__Copy *const *copies, size_t n)
+/* Returns whether this changed what the engine is known to hold. */
+static bool set_holds(struct engine *e, Dsp__Copy *const *copies, size_t n)
 {
 	struct res *planner = planner_of(e->agent, e->service);
+	struct res_engine before = e->plan;
 
 	e->plan.n_holds = 0;
 	for (size_t i = 0; planner && i < n; i++) {
@@ -158,6 +162,9 @@
 			     &item))
 			e->plan.holds[e->plan.n_holds++] = item;
 	}
+	return before.n_holds != e->plan.n_holds ||
+	       memcmp(before.holds, e->plan.holds,
+		      before.n_holds * sizeof(before.holds[0])) != 0;
 }
 
 static void add_hold(struct engine *e, struct res_item item)
@@ -378,7 +385,10 @@
 		return;
 	}
 	e->sequence = state->sequence;
-	set_holds(e, state->copies, state->n_copies);
+	if (set_holds(e, state->copies, state->n_copies))
+		e->dirty = true;
+	if (state->busy && e->state == WORKING && e->order.kind == RES_UNLOAD)
+		drop_hold(e, e->order.item);
 	for (size_t i = 0; state->arriving[i]; i++) {
 		struct res *planner = planner_of(e->agent, e->service);
 		g_auto(GStrv) parts = g_strsplit(state->arriving[i], "/", 2);
@@ -400,8 +410,7 @@
 				     ? "done"
 				     : "not_done");
 	e->state = IDLE;
-	e->look_us = INT64_MAX;
-	e->dirty = true;
+	e->look_us = now_us + IDLE_LOOK_US;
 }
 
 static void on_state_end(void *data)
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -181,7 +181,7 @@
 
 	ctx->view = view;
 	ctx->entries = count_entries(view);
-	bal_set_view(ctx->bal, view);
+	bal_set_view(ctx->bal, view, ctx->set->id);
 	/* The old view keeps the old table alive until here. */
 	if (table && table != ctx->table)
 		use_table(ctx, table);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -25,7 +25,9 @@
  * the objective, looking again at this interval. */
 #define WAIT_SHARE 8
 #define WAIT_MIN_US 60000
-#define WAIT_MAX_US 400000
+#define WAIT_MAX_US 700000
+/* An adapter that was asked for comes within some ten milliseconds. */
+#define ADAPTER_WAIT_SHARE 3
 #define WAIT_STEP_US 20000
 /* A stream that may go on elsewhere is moved after this many times the allowed
  * pause without an event, at least SILENCE_MIN_US. */
@@ -34,6 +36,8 @@
 /* The first event may take longer: it waits for a place and for the prompt. */
 #define FIRST_OBJECTIVES 3
 #define FIRST_MIN_US 1500000
+/* Streams with fewer events say little of their engine's pace. */
+#define PACE_EVENTS_MIN 8
 /* Whole answers that are kept until their end. */
 #define ANSWER_MAX_BYTES (8 << 20)
 #define RETRY_AFTER_SPREAD 0.5
@@ -56,6 +60,7 @@
 	uint32_t attempts_max;
 	bool resumable;
 	bool engine;
+	uint32_t events_expected;
 	int64_t objective_us;
 	int64_t gap_us;
 	uint64_t table_number;
@@ -65,6 +70,8 @@
 	int64_t wait_us; /* until then it waits for a place; 0: not begun */
 	char *tried[TRIED_MAX + 1];
 	size_t n_tried;
+	uint32_t events_read; /* of the current send */
+	int64_t first_at_us;  /* their first */
 	unsigned runs; /* endpoints that may have run it */
 	bool sent;     /* counted as the first arrival at the service */
 
@@ -74,6 +81,7 @@
 	char *endpoint_id;
 	int64_t send_us;
 	int64_t first_us;  /* time to the first byte; -1: none yet */
+	bool alone;	   /* the endpoint read nothing else from here */
 	int64_t heard_us;  /* last byte */
 	struct wire_answer answer;
 	int status;
@@ -134,14 +142,20 @@
 	g_free(f);
 }
 
+/* What the balancer counts as read with the first byte of the answer. */
+static uint32_t unread_tokens(const struct fwd *f)
+{
+	return f->engine ? MAX(f->said.tokens_in, 1) : 1;
+}
+
 static void end_send(struct fwd *f, enum bal_result result)
 {
 	if (f->call)
 		hio_call_cancel(f->call);
 	f->call = NULL;
 	if (f->endpoint)
-		bal_end(f->edge->bal, f->endpoint, result, f->first_us,
-			now_of(f));
+		bal_end(f->edge->bal, f->endpoint, result,
+			f->first_us < 0 ? unread_tokens(f) : 0, now_of(f));
 	f->endpoint = NULL;
 }
 
@@ -286,6 +300,8 @@
 {
 	struct fwd *f = data;
 
+	if (!f->events_read++)
+		f->first_at_us = f->heard_us;
 	hio_reply_chunk(f->exchange, event, len);
 	if (!id)
 		return;
@@ -355,8 +371,11 @@
 	struct fwd *f = data;
 
 	f->heard_us = now_of(f);
-	if (f->first_us < 0)
+	if (f->first_us < 0) {
 		f->first_us = f->heard_us - f->send_us;
+		bal_first(f->edge->bal, f->endpoint, unread_tokens(f),
+			  f->first_us, f->alone);
+	}
 	if (f->streaming)
 		sse_feed(f->events, bytes, len, on_event, f);
 	else if (f->body->len + len <= ANSWER_MAX_BYTES)
@@ -384,6 +403,9 @@
 		try_again(f, true, "unfinished_event");
 		return;
 	}
+	if (f->events_read >= PACE_EVENTS_MIN)
+		bal_pace(f->edge->bal, f->endpoint,
+			 (f->heard_us - f->first_at_us) / (f->events_read - 1));
 	end_send(f, BAL_ANSWERED);
 	log_end(f, "served", f->status, "-");
 	hio_reply_end(f->exchange);
@@ -512,18 +534,23 @@
 	note_tried(f, f->endpoint_id);
 	f->answer = (struct wire_answer){ 0 };
 	f->streaming = false;
+	f->events_read = 0;
 	f->first_us = -1;
 	f->send_us = now_us;
 	f->heard_us = now_us;
 	f->runs++;
-	bal_begin(f->edge->bal, endpoint);
+	f->alone = !bal_is_reading(endpoint);
+	bal_begin(f->edge->bal, endpoint, unread_tokens(f));
 	f->call = hio_call_start(f->edge->client, &options);
 	arm_for_send(f);
 }
 
-static int64_t wait_limit(const struct fwd *f)
+static int64_t wait_limit(const struct fwd *f, enum bal_outcome outcome)
 {
-	return CLAMP(f->objective_us / WAIT_SHARE, WAIT_MIN_US, WAIT_MAX_US);
+	int64_t share =
+		outcome == BAL_NO_ADAPTER ? ADAPTER_WAIT_SHARE : WAIT_SHARE;
+
+	return CLAMP(f->objective_us / share, WAIT_MIN_US, WAIT_MAX_US);
 }
 
 static void wait_or_refuse(struct fwd *f, const struct bal_choice *choice)
@@ -535,7 +562,7 @@
 	     choice->outcome == BAL_NO_MODEL))
 		edge_note_demand(f->edge, f->said.model, f->said.adapter, true);
 	if (!f->wait_us)
-		f->wait_us = now_us + wait_limit(f);
+		f->wait_us = now_us + wait_limit(f, choice->outcome);
 	if (now_us + WAIT_STEP_US <= f->wait_us &&
 	    now_us + WAIT_STEP_US < f->end_us) {
 		arm(f, now_us + WAIT_STEP_US);
@@ -556,6 +583,8 @@
 		.service = f->service,
 		.model = f->engine ? f->said.model : NULL,
 		.adapter = f->engine ? f->said.adapter : NULL,
+		.tokens = f->said.tokens_in,
+		.events = f->events_expected,
 		.prefix = f->said.prefix,
 		.avoid = (const char *const *)f->tried,
 	};
@@ -651,6 +680,9 @@
 	f->attempts_max = route->attempts_max;
 	f->resumable = route->resumable;
 	f->engine = target && target->engine && f->said.model;
+	if (f->engine && f->kind == DSP__ROUTE_KIND__ROUTE_STREAM)
+		f->events_expected = f->said.tokens_out /
+			    MAX(target->engine->tokens_per_event, 1);
 	f->objective_us = route->objective_ms * 1000LL;
 	f->gap_us = route->gap_objective_ms * 1000LL;
 	f->table_number = ctx->table->number;
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -13,6 +13,7 @@
  * hundred milliseconds; without one, only reports are due. */
 #define REPLICA_SLEEP_US 20000
 #define ENTRY_SLEEP_US 50000
+#define SLEEP_MIN_US 1000
 /* Messages handled before the log is synced once for all of them. */
 #define BATCH_MAX 4096
 /* Limit for handing the leadership over before the thread ends. */
@@ -263,6 +264,17 @@
 	}
 }
 
+/* Time to sleep when no message comes. */
+static int64_t sleep_us(const struct ctl *ctx)
+{
+	int64_t most_us = ctx->raft ? REPLICA_SLEEP_US : ENTRY_SLEEP_US;
+	int64_t due_us = ctx->report_due_us - clk_now_us(ctx->clock);
+
+	if (!ctx->upstream && !ctx->ready_leader)
+		return most_us;
+	return CLAMP(due_us, SLEEP_MIN_US, most_us);
+}
+
 static void publish_leadership(struct ctl *ctx)
 {
 	struct ctl_leadership next = { .leads = ctx->ready_leader };
@@ -296,8 +308,7 @@
  */
 static void iterate(struct ctl *ctx)
 {
-	net_wait(ctx->net, ctx->wake_fd,
-		 ctx->raft ? REPLICA_SLEEP_US : ENTRY_SLEEP_US);
+	net_wait(ctx->net, ctx->wake_fd, sleep_us(ctx));
 	ctx->now_us = clk_now_us(ctx->clock);
 	net_tick(ctx->net, ctx->now_us);
 	receive_messages(ctx);
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -11,6 +11,8 @@
 #define CHANGE_DELAY_US 20000
 /* Reports pass the instance, a relay and a voter that passes them on. */
 #define HOPS_MAX 3
+/* Callers wait for a model or adapter that was missed. */
+#define MISSED_DELAY_US 3000
 #define UPSTREAM_LIMIT_US (3LL * CTL_S_US)
 /* Share of isolated_after_ms, when that is short, so that another upstream can
  * answer before the instance counts as isolated. */
@@ -268,7 +270,7 @@
 
 	/* Callers wait for what was missing. */
 	if (demand->refused)
-		ctl_report_soon(ctx, CHANGE_DELAY_US);
+		ctl_report_soon(ctx, MISSED_DELAY_US);
 	if (!sum) {
 		g_hash_table_insert(ctx->demands, key,
 				    CTL_COPY(demand, demand));
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -5568,7 +5568,7 @@
   (ProtobufCMessageInit) dsp__engine_model__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__engine_spec__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dsp__engine_spec__field_descriptors[7] =
 {
   {
     "memory_mb",
@@ -5642,6 +5642,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tokens_per_event",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EngineSpec, tokens_per_event),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__engine_spec__field_indices_by_name[] = {
   1,   /* field[1] = adapter_places */
@@ -5650,11 +5662,12 @@
   0,   /* field[0] = memory_mb */
   5,   /* field[5] = models */
   2,   /* field[2] = store_loads_per_s */
+  6,   /* field[6] = tokens_per_event */
 };
 static const ProtobufCIntRange dsp__engine_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dsp__engine_spec__descriptor =
 {
@@ -5664,7 +5677,7 @@
   "Dsp__EngineSpec",
   "dsp",
   sizeof(Dsp__EngineSpec),
-  6,
+  7,
   dsp__engine_spec__field_descriptors,
   dsp__engine_spec__field_indices_by_name,
   1,  dsp__engine_spec__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -719,10 +719,14 @@
   uint64_t cache_tokens;
   size_t n_models;
   Dsp__EngineModel **models;
+  /*
+   * in streams
+   */
+  uint32_t tokens_per_event;
 };
 #define DSP__ENGINE_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__engine_spec__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Dsp__RoutedService
