--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -19,6 +19,13 @@
 #define PLAIN_QUEUE_SHARE 3.0
 /* Engines slow down for all when their batch is full; few wait. */
 #define ENGINE_QUEUE_SHARE 0.125
+/* An endpoint that refused a request is full for about this long. */
+#define FULL_US 250000
+/* Prompts that all instances together send to an engine before it has read
+ * them: more would only wait there, where they can't be put in order or sent
+ * elsewhere. Short prompts are read together. */
+#define READING_TOTAL 8
+#define READING_TOKENS 700
 /* Until it is measured: time to read a token of a prompt. */
 #define TOKEN_MS 0.06
 /* A plain request, until it is measured. */
@@ -57,6 +64,7 @@
 	unsigned failed_in_row;
 	unsigned avoided; /* times in a row */
 	int64_t avoid_until_us;
+	int64_t full_until_us; /* it refused a request for lack of places */
 	bool replaced;
 };
 
@@ -255,6 +263,8 @@
 		e->replaced = true;
 		break;
 	case BAL_REFUSED:
+		e->full_until_us = now_us + FULL_US;
+		break;
 	case BAL_CANCELLED:
 		break;
 	}
@@ -412,23 +422,41 @@
 	}
 }
 
+/* Whether the engine has read most of what this instance sent to it. */
+static bool may_read(const struct bal *ctx, const struct bal_endpoint *e,
+		     const struct bal_query *query)
+{
+	if (!query->model || e->reading < MAX(READING_TOTAL / ctx->entries, 1))
+		return true;
+	return e->unread + query->tokens <= READING_TOKENS;
+}
+
 static struct bal_endpoint *cheapest(const struct bal *ctx,
 				     const struct candidates *list,
 				     const struct bal_query *query,
-				     int64_t now_us, double *best_cost)
+				     int64_t now_us,
+				     struct bal_choice *choice)
 {
 	struct bal_endpoint *best = NULL;
 
+	choice->outcome = BAL_FULL;
 	for (size_t i = 0; i < list->n; i++) {
 		struct bal_endpoint *e = list->all[i];
 		double cost;
 
-		if (load_of(e, now_us) >= places_of(e, query->model))
+		if (now_us < e->full_until_us ||
+		    load_of(e, now_us) >= places_of(e, query->model))
+			continue;
+		if (!may_read(ctx, e, query)) {
+			if (!best)
+				choice->outcome = BAL_READING;
 			continue;
+		}
 		cost = cost_of(ctx, list, i, query, now_us);
-		if (!best || cost < *best_cost) {
+		if (!best || cost < choice->cost_ms) {
 			best = e;
-			*best_cost = cost;
+			choice->cost_ms = cost;
+			choice->outcome = BAL_CHOSEN;
 		}
 	}
 	return best;
@@ -491,13 +519,11 @@
 	if (!list.n)
 		list = avoided;
 	find_preferred(&list, query->prefix);
-	choice.endpoint = cheapest(ctx, &list, query, now_us, &choice.cost_ms);
+	choice.endpoint = cheapest(ctx, &list, query, now_us, &choice);
 	if (!choice.endpoint) {
-		choice.outcome = BAL_FULL;
 		choice.retry_us = RETRY_FULL_US;
 		return choice;
 	}
-	choice.outcome = BAL_CHOSEN;
 	choice.load = load_of(choice.endpoint, now_us);
 	if (choice.endpoint->reported_us)
 		choice.load_age_s =
@@ -529,6 +555,8 @@
 		return "no_model";
 	case BAL_NO_ADAPTER:
 		return "no_adapter";
+	case BAL_READING:
+		return "reading";
 	case BAL_FULL:
 		return "full";
 	}
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -29,6 +29,7 @@
 	BAL_NO_ENDPOINT, /* none of the service is usable */
 	BAL_NO_MODEL,	 /* no usable endpoint holds the model */
 	BAL_NO_ADAPTER,	 /* some hold the model, none the adapter */
+	BAL_READING,	 /* all that hold it read prompts of this instance */
 	BAL_FULL,	 /* all that hold it have no place */
 };
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -47,6 +47,7 @@
 	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
 	ctx->view = view_new_empty();
 	ctx->bal = bal_new();
+	ctx->queue = adm_new();
 	ctx->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     budget_free);
 	ctx->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -71,6 +72,9 @@
 	g_hash_table_destroy(ctx->budgets);
 	g_hash_table_destroy(ctx->demands);
 	bal_free(ctx->bal);
+	adm_free(ctx->queue);
+	if (ctx->places)
+		event_free(ctx->places);
 	rtab_free(ctx->rtab);
 	view_unref(ctx->view);
 	view_unref(ctx->next_view);
@@ -187,7 +191,7 @@
 		use_table(ctx, table);
 	if (ctx->agent)
 		agent_view_changed(ctx->agent);
-	fwd_view_changed(ctx);
+	fwd_run_queue(ctx);
 	view_unref(old);
 }
 
@@ -338,6 +342,13 @@
 	return false;
 }
 
+static void on_places(evutil_socket_t fd, short what, void *data)
+{
+	(void)fd;
+	(void)what;
+	fwd_run_queue(data);
+}
+
 static void *run(void *data)
 {
 	struct edge *ctx = data;
@@ -358,6 +369,7 @@
 		return false;
 	if (ctx->set->control)
 		ctx->agent = agent_new(ctx);
+	ctx->places = event_new(ctx->base, -1, 0, on_places, ctx);
 	ctx->tick = event_new(ctx->base, -1, EV_PERSIST, on_tick, ctx);
 	event_add(ctx->tick, &tick);
 	pthread_mutex_lock(&ctx->lock);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 #include <sys/queue.h>
 
+#include "core/adm.h"
 #include "core/bal.h"
 #include "core/rep.h"
 #include "core/rtab.h"
@@ -76,6 +77,8 @@
 	const Dsp__RouteTable *table; /* of the view; NULL: none yet */
 	struct rtab *rtab;	      /* of the table */
 	struct bal *bal;
+	struct adm *queue;    /* requests that wait for a place */
+	struct event *places; /* a place may be free */
 	GHashTable *budgets; /* service -> struct rep */
 	unsigned entries;    /* instances that serve callers */
 	struct fwd_list forwards;
@@ -109,7 +112,8 @@
 /* fwd.c */
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_gone(void *data, struct hio_exchange *exchange);
-void fwd_view_changed(struct edge *ctx);
+/* Tries the requests that wait for a place. */
+void fwd_run_queue(struct edge *ctx);
 void fwd_end_all(struct edge *ctx);
 
 /* agent.c */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -22,13 +22,21 @@
  * so that a close of the endpoint does not leave its outcome unknown. */
 #define REUSE_ONCE_US 300000
 /* A request whose model, adapter or place is missing waits for this part of
- * the objective, looking again at this interval. */
-#define WAIT_SHARE 8
-#define WAIT_MIN_US 60000
-#define WAIT_MAX_US 700000
+ * the objective. */
+#define MODEL_WAIT_SHARE 0.125
 /* An adapter that was asked for comes within some ten milliseconds. */
-#define ADAPTER_WAIT_SHARE 3
-#define WAIT_STEP_US 20000
+#define ADAPTER_WAIT_SHARE 0.34
+/* Where all engines are busy, a late answer is still worth something. */
+#define PLACE_WAIT_SHARE 2.0
+#define PLAIN_WAIT_SHARE 1.0
+#define WAIT_MIN_US 60000
+/* Callers of streams leave after two seconds or four objectives without an
+ * event; the rest of that time is for reading the prompt. */
+#define WAIT_MAX_US 4000000
+/* The queue is looked at this often without an event that frees a place. */
+#define WAIT_STEP_US 25000
+/* Requests that one look at the queue tries. */
+#define TRIES_MAX 64
 /* A stream that may go on elsewhere is moved after this many times the allowed
  * pause without an event, at least SILENCE_MIN_US. */
 #define SILENCE_GAPS 5
@@ -67,7 +75,9 @@
 
 	int64_t start_us;
 	int64_t end_us;	 /* the caller or the route waits no longer */
-	int64_t wait_us; /* until then it waits for a place; 0: not begun */
+	struct adm_item item; /* while it waits for a place */
+	const char *group;    /* what it waits for; of the queue */
+	bool missed;	      /* its model or adapter was asked for */
 	char *tried[TRIED_MAX + 1];
 	size_t n_tried;
 	uint32_t events_read; /* of the current send */
@@ -126,6 +136,7 @@
 static void fwd_free(struct fwd *f)
 {
 	LIST_REMOVE(f, link);
+	adm_remove(f->edge->queue, &f->item);
 	f->edge->in_flight--;
 	event_free(f->timer);
 	wire_request_clear(&f->said);
@@ -148,6 +159,12 @@
 	return f->engine ? MAX(f->said.tokens_in, 1) : 1;
 }
 
+/* Looks at the queue once the current callback has ended. */
+static void places_may_be_free(struct edge *ctx)
+{
+	event_active(ctx->places, EV_TIMEOUT, 0);
+}
+
 static void end_send(struct fwd *f, enum bal_result result)
 {
 	if (f->call)
@@ -157,6 +174,7 @@
 		bal_end(f->edge->bal, f->endpoint, result,
 			f->first_us < 0 ? unread_tokens(f) : 0, now_of(f));
 	f->endpoint = NULL;
+	places_may_be_free(f->edge);
 }
 
 /* One line for each request: what decided it and how it ended. */
@@ -245,7 +263,7 @@
 
 /* ---- Sending ---- */
 
-static void dispatch(struct fwd *f);
+static bool dispatch(struct fwd *f);
 
 static void note_tried(struct fwd *f, const char *id)
 {
@@ -375,6 +393,7 @@
 		f->first_us = f->heard_us - f->send_us;
 		bal_first(f->edge->bal, f->endpoint, unread_tokens(f),
 			  f->first_us, f->alone);
+		places_may_be_free(f->edge);
 	}
 	if (f->streaming)
 		sse_feed(f->events, bytes, len, on_event, f);
@@ -541,43 +560,93 @@
 	f->runs++;
 	f->alone = !bal_is_reading(endpoint);
 	bal_begin(f->edge->bal, endpoint, unread_tokens(f));
+	adm_sent(f->edge->queue, f->group, now_us);
 	f->call = hio_call_start(f->edge->client, &options);
 	arm_for_send(f);
 }
 
 static int64_t wait_limit(const struct fwd *f, enum bal_outcome outcome)
 {
-	int64_t share =
-		outcome == BAL_NO_ADAPTER ? ADAPTER_WAIT_SHARE : WAIT_SHARE;
+	double share = PLACE_WAIT_SHARE;
 
-	return CLAMP(f->objective_us / share, WAIT_MIN_US, WAIT_MAX_US);
+	switch (outcome) {
+	case BAL_NO_ADAPTER:
+		share = ADAPTER_WAIT_SHARE;
+		break;
+	case BAL_NO_MODEL:
+	case BAL_NO_ENDPOINT:
+		share = MODEL_WAIT_SHARE;
+		break;
+	case BAL_FULL:
+	case BAL_READING:
+	case BAL_CHOSEN:
+		if (!f->engine)
+			share = PLAIN_WAIT_SHARE;
+		break;
+	}
+	return CLAMP((int64_t)(share * (double)f->objective_us), WAIT_MIN_US,
+		     WAIT_MAX_US);
 }
 
-static void wait_or_refuse(struct fwd *f, const struct bal_choice *choice)
+static void refuse(struct fwd *f, const struct bal_choice *choice,
+		   int64_t expected_us)
+{
+	LOG_EVENT_INFO("fwd", "no_place",
+		       "request=%s service=%s outcome=%s candidates=%u "
+		       "view=%" G_GUINT64_FORMAT
+		       " waiting=%u expected_us=%" PRId64,
+		       f->said.request_id ? f->said.request_id : "-",
+		       f->service, bal_outcome_name(choice->outcome),
+		       choice->candidates, view_index(f->edge->view),
+		       adm_length(f->edge->queue, f->group), expected_us);
+	give_up(f, MAX(choice->retry_us, expected_us / 2),
+		bal_outcome_name(choice->outcome));
+}
+
+/* Queues a request without a place, or refuses it at once when others that
+ * wait make its turn come too late. Returns true when it waits. */
+static bool wait_or_refuse(struct fwd *f, const struct bal_choice *choice)
 {
 	int64_t now_us = now_of(f);
+	int64_t limit_us = wait_limit(f, choice->outcome);
+	int64_t expected_us =
+		adm_expected_wait_us(f->edge->queue, f->group, now_us);
 
-	if (f->engine && f->said.model && !f->wait_us &&
+	if (f->engine && !f->missed &&
 	    (choice->outcome == BAL_NO_ADAPTER ||
-	     choice->outcome == BAL_NO_MODEL))
+	     choice->outcome == BAL_NO_MODEL)) {
+		f->missed = true;
 		edge_note_demand(f->edge, f->said.model, f->said.adapter, true);
-	if (!f->wait_us)
-		f->wait_us = now_us + wait_limit(f, choice->outcome);
-	if (now_us + WAIT_STEP_US <= f->wait_us &&
-	    now_us + WAIT_STEP_US < f->end_us) {
-		arm(f, now_us + WAIT_STEP_US);
-		return;
 	}
-	LOG_EVENT_INFO("fwd", "no_place",
-		       "request=%s service=%s outcome=%s candidates=%u "
-		       "view=%" G_GUINT64_FORMAT,
-		       f->said.request_id ? f->said.request_id : "-",
-		       f->service, bal_outcome_name(choice->outcome),
-		       choice->candidates, view_index(f->edge->view));
-	give_up(f, choice->retry_us, bal_outcome_name(choice->outcome));
+	if (f->item.queued) {
+		/* What it waits for may have changed. */
+		f->item.give_up_us = MIN(f->item.arrived_us + limit_us,
+					 f->end_us - REMAINING_MIN_US);
+		if (now_us < f->item.give_up_us)
+			return true;
+		refuse(f, choice, expected_us);
+		return false;
+	}
+	if (expected_us > limit_us) {
+		refuse(f, choice, expected_us);
+		return false;
+	}
+	f->item.group = f->group;
+	f->item.rank = f->rank;
+	f->item.arrived_us = now_us;
+	f->item.objective_us = f->start_us + f->objective_us;
+	f->item.give_up_us =
+		MIN(now_us + limit_us, f->end_us - REMAINING_MIN_US);
+	adm_add(f->edge->queue, &f->item);
+	arm(f, now_us + WAIT_STEP_US);
+	return true;
 }
 
-static void dispatch(struct fwd *f)
+/*
+ * Sends the request to the best endpoint, queues it, or ends it. Returns true
+ * when it waits; otherwise it may be gone.
+ */
+static bool dispatch(struct fwd *f)
 {
 	struct bal_query query = {
 		.service = f->service,
@@ -588,17 +657,20 @@
 		.prefix = f->said.prefix,
 		.avoid = (const char *const *)f->tried,
 	};
-	struct bal_choice choice;
+	struct bal_choice choice = { .outcome = BAL_READING };
 
 	if (now_of(f) + REMAINING_MIN_US >= f->end_us) {
 		give_up(f, -1, "deadline");
-		return;
+		return false;
 	}
-	choice = bal_choose(f->edge->bal, &query, now_of(f));
-	if (choice.outcome == BAL_CHOSEN)
-		send_to(f, choice.endpoint);
-	else
-		wait_or_refuse(f, &choice);
+	/* Those that wait for the same come first. */
+	if (f->item.queued || !adm_length(f->edge->queue, f->group))
+		choice = bal_choose(f->edge->bal, &query, now_of(f));
+	if (choice.outcome != BAL_CHOSEN)
+		return wait_or_refuse(f, &choice);
+	adm_remove(f->edge->queue, &f->item);
+	send_to(f, choice.endpoint);
+	return false;
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *data)
@@ -615,6 +687,10 @@
 			finish_failed(f, 503, -1, "deadline");
 		return;
 	}
+	if (f->item.queued) {
+		fwd_run_queue(f->edge);
+		return;
+	}
 	if (!f->call) {
 		dispatch(f);
 		return;
@@ -662,6 +738,20 @@
 	return left_us < MIN(route->timeout_ms * 1000LL, PLAIN_LEFT_MIN_US);
 }
 
+/* Requests of one group wait for the same endpoints. */
+static const char *group_of(const struct fwd *f)
+{
+	char *name = g_strdup_printf("%s/%s/%s", f->service,
+				     f->engine ? f->said.model : "",
+				     f->engine && f->said.adapter
+					     ? f->said.adapter
+					     : "");
+	const char *group = adm_group(f->edge->queue, name);
+
+	g_free(name);
+	return group;
+}
+
 static struct fwd *fwd_new(struct edge *ctx, struct hio_exchange *exchange,
 			   const Dsp__Route *route, const char *service)
 {
@@ -691,6 +781,7 @@
 		limit_us = MIN(limit_us, f->said.deadline_us);
 	f->end_us = f->start_us + MIN(limit_us, DEADLINE_MAX_US);
 	f->first_us = -1;
+	f->group = group_of(f);
 	f->body = g_byte_array_new();
 	LIST_INSERT_HEAD(&ctx->forwards, f, link);
 	ctx->in_flight++;
@@ -756,17 +847,36 @@
 	fwd_free(f);
 }
 
-/* Looks again for the requests that wait for a place. */
-void fwd_view_changed(struct edge *ctx)
+static struct fwd *fwd_of(struct adm_item *item)
 {
-	struct fwd *f;
-	struct fwd *next;
+	return (struct fwd *)((char *)item - offsetof(struct fwd, item));
+}
+
+/* Tries those that wait, in their order; of each group until one finds no
+ * place. */
+void fwd_run_queue(struct edge *ctx)
+{
+	const char *failed[TRIES_MAX];
+	size_t n_failed = 0;
+	int64_t now_us = clk_now_us(ctx->clock);
+	struct adm_item *item = adm_next(ctx->queue, NULL, now_us);
+
+	while (item && n_failed < TRIES_MAX) {
+		struct adm_item *next = adm_next(ctx->queue, item, now_us);
+		const char *group = item->group;
+		bool skip = now_us < item->give_up_us;
 
-	for (f = LIST_FIRST(&ctx->forwards); f; f = next) {
-		next = LIST_NEXT(f, link);
-		if (!f->call && f->wait_us)
-			dispatch(f);
+		for (size_t i = 0; skip && i <= n_failed; i++)
+			if (i == n_failed)
+				skip = false;
+			else if (failed[i] == group)
+				break;
+		if (!skip && dispatch(fwd_of(item)))
+			failed[n_failed++] = group;
+		item = next;
 	}
+	if ((item = adm_next(ctx->queue, NULL, now_us)))
+		arm(fwd_of(item), now_us + WAIT_STEP_US);
 }
 
 /* Breaks off all requests; the process ends. */
