--- a/src/core/res.c
+++ b/src/core/res.c
@@ -14,8 +14,15 @@
  * exceed this and this many times that of the copy which makes room. */
 #define COPY_RATE_MIN 0.6
 #define MOVE_GAIN 1.6
-/* Need of a model that no engine holds, above that of all others. */
+/* Need of a model that no engine holds: above that of all others once it is
+ * asked for, else like that of a copy with few requests. */
 #define MISSING_NEED 1e6
+#define ASKED_RATE 0.05
+#define UNASKED_NEED 0.8
+/* Cost of making room, and of each request in flight on an engine, in the
+ * requests a second of a victim's copy. */
+#define VICTIM_COST 1000.0
+#define LOAD_COST 0.05
 /* Window of the store's rate. */
 #define STORE_WINDOW_US 5000000
 #define LOADS_MAX 64
@@ -343,22 +350,28 @@
 	}
 }
 
-/* Order in which models get copies: those without any first. */
+/* Order in which models get copies: first those that are asked for and that no
+ * engine holds. One that nobody asks for takes only a place that is idle. */
 static double need_of(const struct model *m)
 {
 	if (!m->copies)
-		return MISSING_NEED + m->rate;
+		return m->rate > ASKED_RATE ? MISSING_NEED + m->rate
+					    : UNASKED_NEED;
 	if (m->copies >= m->wanted)
 		return 0;
 	return m->rate / m->copies;
 }
 
-/* The copy on the engine that is needed least and may go, or -1. */
-static int find_victim(const struct res *ctx, const struct res_engine *e,
-		       double need)
+struct victim {
+	int model;   /* -1: none */
+	double cost; /* requests a second for each of its copies */
+};
+
+/* The copy on the engine that is needed least and may go. */
+static struct victim find_victim(const struct res *ctx,
+				 const struct res_engine *e, double need)
 {
-	double worst = need / MOVE_GAIN;
-	int victim = -1;
+	struct victim victim = { .model = -1, .cost = need / MOVE_GAIN };
 
 	for (size_t i = 0; i < e->n_holds; i++) {
 		const struct model *m = &ctx->models[e->holds[i].model];
@@ -367,48 +380,53 @@
 		if (e->holds[i].adapter || m->copies <= 1 ||
 		    (m->copies <= m->wanted && need < MISSING_NEED))
 			continue;
-		if (rate < worst) {
-			worst = rate;
-			victim = (int)e->holds[i].model;
+		if (rate < victim.cost) {
+			victim.cost = rate;
+			victim.model = (int)e->holds[i].model;
 		}
 	}
 	return victim;
 }
 
+/* Plans the load of a model, or the unload that makes room for it. An engine
+ * with room is better than one without; then the least needed victim, since
+ * an unload waits for the requests of its model; then the lowest load. */
 static bool plan_model(struct res *ctx, const struct res_engine *engines,
 		       size_t n, const bool *taken, size_t model,
 		       struct res_order *out)
 {
 	const struct model *m = &ctx->models[model];
+	struct victim best_victim = { .model = -1 };
+	double best_cost = 0;
 	int best = -1;
-	int victim = -1;
-	double best_load = 0;
 
-	/* A place without a victim is better than one with. */
 	for (size_t i = 0; i < n; i++) {
 		const struct res_engine *e = &engines[i];
-		int other = -1;
+		struct victim victim = { .model = -1 };
+		double cost = e->load * LOAD_COST;
 
 		if (!e->usable || e->busy || taken[i] || has_model(e, model))
 			continue;
 		if (free_mb(ctx, e) < m->memory_mb) {
-			other = find_victim(ctx, e, need_of(m));
-			if (other < 0 || (best >= 0 && victim < 0))
+			victim = find_victim(ctx, e, need_of(m));
+			if (victim.model < 0)
 				continue;
+			cost += VICTIM_COST + victim.cost;
 		}
-		if (best < 0 || (victim >= 0 && other < 0) ||
-		    e->load < best_load) {
-			best = (int)i;
-			best_load = e->load;
-			victim = other;
-		}
+		if (best >= 0 && cost >= best_cost)
+			continue;
+		best = (int)i;
+		best_cost = cost;
+		best_victim = victim;
 	}
 	if (best < 0)
 		return false;
 	*out = (struct res_order){
 		.engine = (size_t)best,
-		.kind = victim < 0 ? RES_LOAD : RES_UNLOAD,
-		.item.model = (uint16_t)(victim < 0 ? (int)model : victim),
+		.kind = best_victim.model < 0 ? RES_LOAD : RES_UNLOAD,
+		.item.model = (uint16_t)(best_victim.model < 0
+						 ? (int)model
+						 : best_victim.model),
 		.purpose.model = (uint16_t)model,
 	};
 	return true;
