--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -29,6 +29,8 @@
 	{ "timing", OPT_TABLE },
 	{ "peer", OPT_TABLES },
 	{ "seeds", OPT_LIST },
+	{ "voters", OPT_U32, AT(voters), .min = 1, .max = VOTERS_MAX,
+	  .fallback = VOTERS_MAX },
 	{ "bootstrap", OPT_BOOL, AT(bootstrap) },
 	{ "edge", OPT_TABLE },
 };
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -46,6 +46,7 @@
 	struct set_peer *peers; /* all initial voters, and self if control */
 	size_t n_peers;
 	bool seeded;	/* peers are seeds: addresses without ids */
+	uint32_t voters; /* of the group, as far as there are replicas */
 	bool bootstrap; /* the whole system starts for the first time */
 	bool has_edge;
 	struct set_edge edge;
--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -42,9 +42,13 @@
 /* Gain of the endpoint that all instances prefer for a prompt's prefix. */
 #define AFFINITY_GAIN_MS 12.0
 /* Time after which a caller of a full service should come back. */
-#define RETRY_FULL_US 400000
+#define RETRY_PLAIN_US 400000
+#define RETRY_ENGINE_US 1200000
+/* A model is loaded within some seconds, an adapter within some milliseconds
+ * once another one has made room. */
 #define RETRY_NONE_US 700000
-#define RETRY_ADAPTER_US 300000
+#define RETRY_MODEL_US 3000000
+#define RETRY_ADAPTER_US 500000
 
 struct bal_endpoint {
 	char *id;
@@ -426,7 +430,7 @@
 static bool may_read(const struct bal *ctx, const struct bal_endpoint *e,
 		     const struct bal_query *query)
 {
-	if (!query->model || e->reading < MAX(READING_TOTAL / ctx->entries, 1))
+	if (!query->model || query->resumed || e->reading < MAX(READING_TOTAL / ctx->entries, 1))
 		return true;
 	return e->unread + query->tokens <= READING_TOKENS;
 }
@@ -493,8 +497,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
 		if (!usable(e, query))
 			continue;
-		if (choice.outcome == BAL_NO_ENDPOINT)
+		if (choice.outcome == BAL_NO_ENDPOINT) {
 			choice.outcome = BAL_NO_MODEL;
+			choice.retry_us = RETRY_MODEL_US;
+		}
 		if (query->model && !holds(e->msg, query->model, NULL))
 			continue;
 		has_model = true;
@@ -521,7 +527,8 @@
 	find_preferred(&list, query->prefix);
 	choice.endpoint = cheapest(ctx, &list, query, now_us, &choice);
 	if (!choice.endpoint) {
-		choice.retry_us = RETRY_FULL_US;
+		choice.retry_us =
+			query->model ? RETRY_ENGINE_US : RETRY_PLAIN_US;
 		return choice;
 	}
 	choice.load = load_of(choice.endpoint, now_us);
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -21,6 +21,7 @@
 	uint32_t tokens;     /* of the prompt; 0: plain service */
 	uint32_t events;     /* expected in the answer; 0: no stream */
 	uint64_t prefix;     /* hash of the shared prompt parts; 0: none */
+	bool resumed;	     /* a stream whose caller has read a part of it */
 	const char *const *avoid; /* endpoint ids; NULL-terminated, or NULL */
 };
 
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -12,7 +12,8 @@
  * from.
  */
 
-/* Added to the lease after which another leader gives no more orders. */
+/* A new leader waits this long, and for the lease as well when the one before
+ * may still give orders. Fences keep their orders apart in any case. */
 #define LEASE_MARGIN_US 300000
 #define ORDER_TIMEOUT_US 800000
 #define STATE_TIMEOUT_US 800000
@@ -530,11 +531,12 @@
 {
 	struct ctl_leadership lead = ctl_leadership(ctx->edge->ctl);
 	int64_t now_us = now_of(ctx);
-	int64_t wait_us =
-		ctx->edge->set->edge.order_lease_ms * 1000LL + LEASE_MARGIN_US;
+	int64_t wait_us = LEASE_MARGIN_US;
 
+	if (lead.predecessor_lives)
+		wait_us += ctx->edge->set->edge.order_lease_ms * 1000LL;
 	*fence = lead.term;
-	return lead.leads && now_us < lead.until_us &&
+	return lead.leads && !ctx->edge->draining && now_us < lead.until_us &&
 	       lead.term > ctx->fenced_term && now_us - lead.since_us > wait_us;
 }
 
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -33,6 +33,9 @@
 /* Callers of streams leave after two seconds or four objectives without an
  * event; the rest of that time is for reading the prompt. */
 #define WAIT_MAX_US 4000000
+/* A broken stream waits so long for another engine: its caller leaves after a
+ * pause of two seconds. */
+#define RESUME_WAIT_US 1500000
 /* The queue is looked at this often without an event that frees a place. */
 #define WAIT_STEP_US 25000
 /* Requests that one look at the queue tries. */
@@ -569,6 +572,9 @@
 {
 	double share = PLACE_WAIT_SHARE;
 
+	if (f->begun)
+		return RESUME_WAIT_US;
+
 	switch (outcome) {
 	case BAL_NO_ADAPTER:
 		share = ADAPTER_WAIT_SHARE;
@@ -599,7 +605,7 @@
 		       f->service, bal_outcome_name(choice->outcome),
 		       choice->candidates, view_index(f->edge->view),
 		       adm_length(f->edge->queue, f->group), expected_us);
-	give_up(f, MAX(choice->retry_us, expected_us / 2),
+	give_up(f, MAX(choice->retry_us, expected_us),
 		bal_outcome_name(choice->outcome));
 }
 
@@ -627,14 +633,16 @@
 		refuse(f, choice, expected_us);
 		return false;
 	}
-	if (expected_us > limit_us) {
+	if (!f->begun && expected_us > limit_us) {
 		refuse(f, choice, expected_us);
 		return false;
 	}
 	f->item.group = f->group;
 	f->item.rank = f->rank;
 	f->item.arrived_us = now_us;
-	f->item.objective_us = f->start_us + f->objective_us;
+	f->item.objective_us =
+		f->begun ? now_us + RESUME_WAIT_US
+			 : f->start_us + f->objective_us;
 	f->item.give_up_us =
 		MIN(now_us + limit_us, f->end_us - REMAINING_MIN_US);
 	adm_add(f->edge->queue, &f->item);
@@ -655,6 +663,7 @@
 		.tokens = f->said.tokens_in,
 		.events = f->events_expected,
 		.prefix = f->said.prefix,
+		.resumed = f->begun,
 		.avoid = (const char *const *)f->tried,
 	};
 	struct bal_choice choice = { .outcome = BAL_READING };
@@ -664,7 +673,8 @@
 		return false;
 	}
 	/* Those that wait for the same come first. */
-	if (f->item.queued || !adm_length(f->edge->queue, f->group))
+	if (f->item.queued || f->begun ||
+	    !adm_length(f->edge->queue, f->group))
 		choice = bal_choose(f->edge->bal, &query, now_of(f));
 	if (choice.outcome != BAL_CHOSEN)
 		return wait_or_refuse(f, &choice);
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -192,15 +192,15 @@
 	}
 }
 
-static void begin_stop(struct ctl *ctx)
+/* Asks the replica with the longest log to lead. Returns false when there is
+ * none or this one does not lead. */
+static bool transfer(struct ctl *ctx)
 {
 	const Dsp__RaftConfig *config;
 	uint64_t best = 0;
 
-	ctx->stopping = true;
-	ctx->stop_by_us = ctx->now_us;
 	if (!ctl_raft_is_leader(ctx))
-		return;
+		return false;
 	config = raft_config(ctx->raft);
 	for (size_t i = 0; i < config->n_members; i++) {
 		const Dsp__Member *m = config->members[i];
@@ -210,10 +210,17 @@
 				      raft_match_index(ctx->raft, best)))
 			best = m->replica;
 	}
-	if (!best)
-		return;
-	ctx->stop_by_us = ctx->now_us + TRANSFER_LIMIT_US;
-	raft_transfer_leadership(ctx->raft, best, ctx->now_us);
+	if (best)
+		raft_transfer_leadership(ctx->raft, best, ctx->now_us);
+	return best != 0;
+}
+
+static void begin_stop(struct ctl *ctx)
+{
+	ctx->stopping = true;
+	ctx->stop_by_us = ctx->now_us;
+	if (transfer(ctx))
+		ctx->stop_by_us = ctx->now_us + TRANSFER_LIMIT_US;
 }
 
 static void run_job(struct ctl *ctx, struct ctl_job *job)
@@ -234,6 +241,7 @@
 		break;
 	case CTL_JOB_DRAIN:
 		ctl_report_soon(ctx, 0);
+		transfer(ctx);
 		break;
 	case CTL_JOB_SEEDS:
 		g_strfreev(ctx->seeds);
@@ -275,11 +283,25 @@
 	return CLAMP(due_us, SLEEP_MIN_US, most_us);
 }
 
+/* Whether another leader could still act; orders of both must not mix. */
+static bool predecessor_lives(const struct ctl *ctx)
+{
+	const int64_t *heard_us;
+
+	if (!ctx->last_leader)
+		return !ctx->knows_group_start;
+	if (ctx->last_leader == ctx->replica)
+		return false;
+	heard_us = g_hash_table_lookup(ctx->replica_heard, &ctx->last_leader);
+	return heard_us && *heard_us >= ctx->leader_since_us;
+}
+
 static void publish_leadership(struct ctl *ctx)
 {
 	struct ctl_leadership next = { .leads = ctx->ready_leader };
 
 	if (next.leads) {
+		next.predecessor_lives = predecessor_lives(ctx);
 		next.term = raft_term(ctx->raft);
 		next.since_us = ctx->leader_since_us;
 		next.until_us = raft_quorum_contact_us(ctx->raft) +
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -43,6 +43,9 @@
 	bool leads;
 	uint64_t term;	  /* no other instance leads in it */
 	int64_t since_us; /* steady clock */
+	/* Another instance that led before may still be at work: it was heard
+	 * since, or it is not known which one led. */
+	bool predecessor_lives;
 	int64_t until_us; /* no other instance leads before */
 };
 
--- a/src/node/ctl_form.c
+++ b/src/node/ctl_form.c
@@ -166,6 +166,7 @@
 			 config.n_members);
 	if (!ctl_raft_begin(ctx, group, &config))
 		return;
+	ctx->knows_group_start = true;
 	ctx->forming = false;
 	for (size_t i = 1; i < config.n_members; i++)
 		send_group(ctx, list[i]->address, group, &config);
@@ -279,6 +280,8 @@
 	if (!ctx->forming || !message->group ||
 	    !is_member(message->config, ctx->replica))
 		return;
+	/* A member of the first configuration was there from the start. */
+	ctx->knows_group_start = !ctx->joining;
 	if (ctl_raft_begin(ctx, message->group, message->config))
 		LOG_EVENT_NOTICE("ctl", "group_joined",
 				 "group=%016" G_GINT64_MODIFIER "x",
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -233,6 +233,9 @@
 	bool was_leader;
 	bool ready_leader;
 	uint64_t leader_term_started;
+	uint64_t last_leader;	 /* replica that led last; 0: not known */
+	bool knows_group_start;	 /* founded the group in this process */
+	bool transferred;	 /* asked another to lead, since it stops */
 	int64_t leader_since_us;
 	GHashTable *replica_heard; /* replica -> time of its last message */
 	struct ctl_waiters waiters;
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -463,6 +463,7 @@
 	struct ctl_repair_input in = {
 		.config = raft_config(ctx->raft),
 		.commit_index = raft_commit_index(ctx->raft),
+		.voters_wanted = ctx->set->voters,
 		.data = ctx,
 		.match = match_of,
 		.alive = replica_alive,
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -668,6 +668,8 @@
 	const Dsp__Member *m =
 		leader ? find_member(raft_config(ctx->raft), leader) : NULL;
 
+	if (leader && leader != ctx->replica)
+		ctx->last_leader = leader;
 	if (m)
 		ctl_report_set_leader(ctx, raft_term(ctx->raft), m->node,
 				      m->address);
@@ -685,6 +687,7 @@
 		if (ctx->ready_leader)
 			ctl_member_stop(ctx);
 		ctx->ready_leader = false;
+		ctx->last_leader = ctx->replica;
 		LOG_EVENT_NOTICE("ctl", "leader_lost",
 				 "term=%" G_GUINT64_FORMAT,
 				 ctx->leader_term_started);
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -130,6 +130,12 @@
 	return n;
 }
 
+static size_t voters_wanted(const struct ctl_repair_input *in)
+{
+	return in->voters_wanted ? MIN(in->voters_wanted, CTL_VOTERS_MAX)
+				 : CTL_VOTERS_MAX;
+}
+
 /* A voter that a caught-up newcomer replaces; none in groups so small that the
  * newcomer is an addition. */
 static const Dsp__Member *find_gone(const struct ctl_repair_input *in)
@@ -203,7 +209,7 @@
 			*out = ctl_rule_without(in->config, old->replica);
 			return CTL_REPAIR_REMOVE_OLD;
 		}
-		if (count_voters(in->config) >= CTL_VOTERS_MAX)
+		if (count_voters(in->config) >= voters_wanted(in))
 			continue;
 		*out = config_copy(in->config, 0, m, true);
 		return CTL_REPAIR_PROMOTE;
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -55,6 +55,7 @@
 	Dsp__Member *const *joining; /* identities that asked to join */
 	size_t n_joining;
 	uint64_t commit_index;
+	size_t voters_wanted; /* further replicas stay learners; 0: the most */
 	void *data;
 	/* Match index of a member. */
 	uint64_t (*match)(void *data, uint64_t replica);
