net, agent: stuck connections are replaced; only an engine's own report counts while orders are given

Now the report alone counts. Ruled out: the relay loop (front and core of laredo named each other for 2 s; reports went around it), and raft (append reached the instance).

--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -26,6 +26,12 @@
  * elsewhere. Short prompts are read together. */
 #define READING_TOTAL 8
 #define READING_TOKENS 700
+/* An engine gets no prompt while the time between events of its streams is
+ * above this part of the longest good pause. Events younger than RECENT_US
+ * count, the last ones with this weight. */
+#define GAP_SHARE_MAX 0.35
+#define RECENT_US 400000
+#define RECENT_SHARE 0.15
 /* Until it is measured: time to read a token of a prompt. */
 #define TOKEN_MS 0.06
 /* A plain request, until it is measured. */
@@ -64,6 +70,8 @@
 	double first_ms;     /* average time to the first byte; 0: unknown */
 	double token_ms;     /* of it for each token of the prompt */
 	double gap_ms;	     /* between events of a stream; 0: unknown */
+	double recent_ms;    /* between the latest events; 0: unknown */
+	int64_t event_us;    /* the last event */
 	double failures;     /* average share */
 	unsigned failed_in_row;
 	unsigned avoided; /* times in a row */
@@ -232,6 +240,22 @@
 	e->avoided++;
 }
 
+/* Learns how busy an engine is: it reads prompts between the tokens of all its
+ * streams, so their events slow down. */
+void bal_event(struct bal *ctx, struct bal_endpoint *e, int64_t gap_us,
+	       int64_t now_us)
+{
+	(void)ctx;
+	if (now_us - e->event_us > RECENT_US)
+		e->recent_ms = 0;
+	e->event_us = now_us;
+	if (e->recent_ms > 0)
+		e->recent_ms += RECENT_SHARE *
+				((double)gap_us / 1000 - e->recent_ms);
+	else
+		e->recent_ms = (double)gap_us / 1000;
+}
+
 /* Learns the pace of an engine's streams. */
 void bal_pace(struct bal *ctx, struct bal_endpoint *e, int64_t gap_us)
 {
@@ -426,10 +450,17 @@
 	}
 }
 
-/* Whether the engine has read most of what this instance sent to it. */
+/* Whether the engine has read most of what this instance sent to it, and its
+ * streams flow: an engine that reads prompts all the time ends no stream. */
 static bool may_read(const struct bal *ctx, const struct bal_endpoint *e,
-		     const struct bal_query *query)
+		     const struct bal_query *query, int64_t now_us)
 {
+	bool slow = query->gap_us && now_us - e->event_us < RECENT_US &&
+		    e->recent_ms * 1000 >
+			    GAP_SHARE_MAX * (double)query->gap_us;
+
+	if (query->model && !query->resumed && slow)
+		return false;
 	if (!query->model || query->resumed || e->reading < MAX(READING_TOTAL / ctx->entries, 1))
 		return true;
 	return e->unread + query->tokens <= READING_TOKENS;
@@ -451,7 +482,7 @@
 		if (now_us < e->full_until_us ||
 		    load_of(e, now_us) >= places_of(e, query->model))
 			continue;
-		if (!may_read(ctx, e, query)) {
+		if (!may_read(ctx, e, query, now_us)) {
 			if (!best)
 				choice->outcome = BAL_READING;
 			continue;
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -21,6 +21,7 @@
 	uint32_t tokens;     /* of the prompt; 0: plain service */
 	uint32_t events;     /* expected in the answer; 0: no stream */
 	uint64_t prefix;     /* hash of the shared prompt parts; 0: none */
+	int64_t gap_us;	     /* longest good pause between events; 0: any */
 	bool resumed;	     /* a stream whose caller has read a part of it */
 	const char *const *avoid; /* endpoint ids; NULL-terminated, or NULL */
 };
@@ -30,7 +31,7 @@
 	BAL_NO_ENDPOINT, /* none of the service is usable */
 	BAL_NO_MODEL,	 /* no usable endpoint holds the model */
 	BAL_NO_ADAPTER,	 /* some hold the model, none the adapter */
-	BAL_READING,	 /* all that hold it read prompts of this instance */
+	BAL_READING,	 /* all that hold it are busy reading prompts */
 	BAL_FULL,	 /* all that hold it have no place */
 };
 
@@ -65,6 +66,9 @@
  * alone: no other request of this instance was being read at that endpoint. */
 void bal_first(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
 	       int64_t first_us, bool alone);
+/* An event of a stream came, gap_us after the one before. */
+void bal_event(struct bal *ctx, struct bal_endpoint *e, int64_t gap_us,
+	       int64_t now_us);
 /* A stream's average time between events, of a whole stream. */
 void bal_pace(struct bal *ctx, struct bal_endpoint *e, int64_t gap_us);
 /* unread_tokens: prompt that the endpoint had not read when it ended. */
--- a/src/core/res.c
+++ b/src/core/res.c
@@ -5,14 +5,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Time constant of the demand averages: demand moves within seconds, and a
- * load takes that long, too. */
-#define DEMAND_TAU_S 2.5
+/* Time constants of the demand averages. Demand moves to other models within
+ * seconds and a load takes that long, too, so the difference of the two is
+ * taken as the trend. */
+#define FAST_TAU_S 1.0
+#define SLOW_TAU_S 2.5
 /* Part of all memory that copies are planned for. */
 #define MEMORY_SHARE 0.94
-/* A model gets a further copy only if its requests a second for each copy
- * exceed this and this many times that of the copy which makes room. */
-#define COPY_RATE_MIN 0.6
+/* Requests a second that one copy answers well: reading a prompt takes some 60
+ * ms of its engine, and half of its time is for events and other models. */
+#define COPY_RATE 7.0
+/* A copy makes room only for one with this many times its requests. */
 #define MOVE_GAIN 1.6
 /* Need of a model that no engine holds: above that of all others once it is
  * asked for, else like that of a copy with few requests. */
@@ -34,7 +37,7 @@
 #define ADAPTER_COPY_RATE 3.0
 /* Until demand was seen for some time, each copy that engines started with
  * stands for this many requests a second. */
-#define PRIOR_RATE 1.0
+#define PRIOR_RATE 8.0
 #define PRIOR_US 1500000
 
 struct model {
@@ -43,7 +46,8 @@
 	uint32_t load_ms;
 	uint32_t adapters;
 	uint32_t adapter_mb;
-	double rate;	       /* requests a second */
+	double fast, slow;     /* requests a second, averages */
+	double rate;	       /* expected in some seconds */
 	double *adapter_rates; /* by number; [0] is not used */
 	/* Of the current round. */
 	uint32_t copies;
@@ -123,6 +127,8 @@
 		m->load_ms = from->load_ms;
 		m->adapters = from->adapters;
 		m->adapter_mb = from->adapter_mb;
+		m->fast = old ? old->fast : 0;
+		m->slow = old ? old->slow : 0;
 		m->rate = old ? old->rate : 0;
 		m->adapter_rates = g_new0(double, from->adapters + 1);
 		m->adapter_copies = g_new0(uint32_t, from->adapters + 1);
@@ -184,8 +190,9 @@
 
 static void decay(struct res *ctx, int64_t now_us)
 {
-	double keep =
-		exp(-(double)(now_us - ctx->decayed_us) / 1e6 / DEMAND_TAU_S);
+	double passed_s = (double)(now_us - ctx->decayed_us) / 1e6;
+	double fast = exp(-passed_s / FAST_TAU_S);
+	double slow = exp(-passed_s / SLOW_TAU_S);
 
 	if (now_us <= ctx->decayed_us)
 		return;
@@ -193,9 +200,11 @@
 	for (size_t i = 0; i < ctx->n_models; i++) {
 		struct model *m = &ctx->models[i];
 
-		m->rate *= keep;
+		m->fast *= fast;
+		m->slow *= slow;
+		m->rate = MAX(2 * m->fast - m->slow, 0);
 		for (size_t k = 1; k <= m->adapters; k++)
-			m->adapter_rates[k] *= keep;
+			m->adapter_rates[k] *= slow;
 	}
 }
 
@@ -204,17 +213,21 @@
 void res_demand(struct res *ctx, const char *model, const char *adapter,
 		uint32_t requests, uint32_t missed, int64_t now_us)
 {
-	double add = (double)MAX(requests, missed) / DEMAND_TAU_S;
+	uint32_t all = MAX(requests, missed);
 	struct res_item item;
+	struct model *m;
 
 	decay(ctx, now_us);
 	if (!res_find(ctx, model, adapter, &item))
 		return;
 	if (ctx->first_us == INT64_MAX)
 		ctx->first_us = now_us;
-	ctx->models[item.model].rate += add;
+	m = &ctx->models[item.model];
+	m->fast += all / FAST_TAU_S;
+	m->slow += all / SLOW_TAU_S;
+	m->rate = MAX(2 * m->fast - m->slow, 0);
 	if (item.adapter)
-		ctx->models[item.model].adapter_rates[item.adapter] += add;
+		m->adapter_rates[item.adapter] += all / SLOW_TAU_S;
 }
 
 /* Notes a load for the rate of the store. */
@@ -312,15 +325,18 @@
 	}
 }
 
-/* Copies that the places of adapters need: each is to be held somewhere. */
-static uint32_t copies_for_adapters(const struct res *ctx,
-				    const struct model *m)
+/* Copies that demand needs: by requests, and by the places of the adapters that
+ * are asked for. */
+static uint32_t copies_needed(const struct res *ctx, const struct model *m)
 {
+	uint32_t for_rate = 1 + (uint32_t)(m->rate / COPY_RATE);
 	uint32_t asked = 0;
 
 	for (size_t k = 1; k <= m->adapters; k++)
 		asked += m->adapter_rates[k] > ADAPTER_IDLE_RATE;
-	return ctx->places ? (asked + ctx->places - 1) / ctx->places : 0;
+	if (!ctx->places)
+		return for_rate;
+	return MAX(for_rate, (asked + ctx->places - 1) / ctx->places);
 }
 
 /* Shares the memory of the usable engines among the models by demand. */
@@ -334,16 +350,15 @@
 	}
 	for (;;) {
 		struct model *best = NULL;
-		double best_rate = COPY_RATE_MIN;
+		double best_rate = 0;
 
 		for (size_t i = 0; i < ctx->n_models; i++) {
 			struct model *m = &ctx->models[i];
 			double rate = m->rate / MAX(m->wanted, 1);
 
-			if (m->wanted >= n_usable || m->memory_mb > left)
+			if (m->wanted >= n_usable || m->memory_mb > left ||
+			    m->wanted >= copies_needed(ctx, m))
 				continue;
-			if (m->wanted < copies_for_adapters(ctx, m))
-				rate *= 2;
 			if (rate > best_rate) {
 				best = m;
 				best_rate = rate;
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -30,8 +30,6 @@
 #define ADAPTER_PAUSE_US 20000
 /* After an order without an answer: it may be carried out later. */
 #define DOUBT_US 1000000
-/* Copies that an engine announces are taken when no order was given since. */
-#define SETTLE_US 1500000
 
 enum engine_state {
 	UNKNOWN,  /* its order count is not known */
@@ -65,6 +63,7 @@
 	int status;
 	GByteArray *body;
 	struct res_order order;
+	bool ordered; /* the order above was given in this term */
 };
 
 struct service {
@@ -278,15 +277,17 @@
 	e->conflicts = 0;
 	e->changed_us = now_us;
 	e->state = IDLE;
-	if (e->order.kind == RES_UNLOAD)
+	/* The unload of an adapter that is in use ends with its requests; until
+	 * then it keeps its place. */
+	if (e->order.kind == RES_UNLOAD && (is_model || at_once))
 		drop_hold(e, e->order.item);
-	else if (!is_model)
+	else if (e->order.kind == RES_LOAD && !is_model)
 		add_hold(e, e->order.item);
 	e->dirty = true;
-	if (!is_model || at_once)
+	if (at_once || (!is_model && e->order.kind == RES_LOAD))
 		return;
 	e->state = WORKING;
-	e->look_us = now_us + FIRST_LOOK_US;
+	e->look_us = now_us + (is_model ? FIRST_LOOK_US : REPORT_LAG_US);
 	e->expected_us =
 		now_us +
 		(planner ? res_load_ms(planner, e->order.item) * 1000LL : 0);
@@ -388,7 +389,8 @@
 	e->sequence = state->sequence;
 	if (set_holds(e, state->copies, state->n_copies))
 		e->dirty = true;
-	if (state->busy && e->state == WORKING && e->order.kind == RES_UNLOAD)
+	if (state->busy && e->ordered && e->order.kind == RES_UNLOAD &&
+	    !e->order.item.adapter)
 		drop_hold(e, e->order.item);
 	for (size_t i = 0; state->arriving[i]; i++) {
 		struct res *planner = planner_of(e->agent, e->service);
@@ -406,7 +408,7 @@
 				     : now_us + LOOK_INTERVAL_US;
 		return;
 	}
-	if (e->state == WORKING)
+	if (e->state == WORKING && e->ordered)
 		log_order(e, holds_ordered(e) == (e->order.kind == RES_LOAD)
 				     ? "done"
 				     : "not_done");
@@ -513,6 +515,7 @@
 		res_load_sent(planner, now_of(ctx));
 	}
 	e->order = *order;
+	e->ordered = true;
 	e->state = ORDERED;
 	met_count(ctx->edge->met, "dandelionspar_agent_orders", "", 1);
 	start_call(e, wire_write_order(&what), ORDER_TIMEOUT_US, on_order_end,
@@ -578,8 +581,8 @@
 		list[n].busy = e->state != IDLE || e->call ||
 			       now_of(ctx) < e->pause_us;
 		list[n].load = e->load;
-		if (e->state == WORKING || e->state == ORDERED ||
-		    e->state == DOUBTFUL)
+		if (e->ordered && (e->state == WORKING || e->state == ORDERED ||
+				   e->state == DOUBTFUL))
 			add_coming(&list[n], &e->order);
 		list[n].makes_room = list[n].busy &&
 				     e->order.kind == RES_UNLOAD &&
@@ -622,6 +625,7 @@
 		g_hash_table_iter_init(&iter, ctx->engines);
 		while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
 			e->state = UNKNOWN;
+			e->ordered = false;
 			e->look_us = now_us;
 		}
 	}
@@ -680,7 +684,6 @@
 static void use_endpoint(struct agent *ctx, const Dsp__Endpoint *msg)
 {
 	struct engine *e = g_hash_table_lookup(ctx->engines, msg->id);
-	int64_t now_us = now_of(ctx);
 
 	if (e && (e->incarnation != msg->incarnation ||
 		  strcmp(e->address, msg->address) != 0)) {
@@ -699,8 +702,9 @@
 	}
 	e->listed = true;
 	e->usable = msg->state == DSP__ENDPOINT_STATE__ENDPOINT_UP;
-	if (!ctx->acting || (e->state == IDLE && !e->call && !e->dirty &&
-			     now_us - e->changed_us > SETTLE_US))
+	/* While orders are given, only the engine's own report counts: what it
+	 * announced may be older than its last order. */
+	if (!ctx->acting)
 		set_holds(e, msg->copies, msg->n_copies);
 }
 
--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -108,6 +108,22 @@
 			 endpoint->id, endpoint->incarnation);
 }
 
+/* An endpoint that announces itself where the leader does not hear of it would
+ * lose its lease; it is sent to another instance instead. */
+static bool hears_leader(struct edge *ctx)
+{
+	switch (ctl_state(ctx->ctl).readiness) {
+	case CTL_SERVING:
+	case CTL_DRAINING:
+		return true;
+	case CTL_STARTING:
+	case CTL_ISOLATED:
+	case CTL_STALE:
+		break;
+	}
+	return false;
+}
+
 static void announce(struct edge *ctx, struct hio_exchange *exchange,
 		     const char *id)
 {
@@ -126,8 +142,8 @@
 		reply_error(exchange, 400, "malformed announcement");
 		return;
 	}
-	if (ctl_state(ctx->ctl).readiness == CTL_STARTING)
-		reply_error(exchange, 503, "starting");
+	if (!hears_leader(ctx))
+		reply_error(exchange, 503, "no contact with the leader");
 	else if (a->leaving)
 		commit_leaving(ctx, exchange, a->endpoint);
 	else
@@ -148,8 +164,8 @@
 		reply_error(exchange, 400, "malformed withdrawal");
 		return;
 	}
-	if (ctl_state(ctx->ctl).readiness == CTL_STARTING)
-		reply_error(exchange, 503, "starting");
+	if (!hears_leader(ctx))
+		reply_error(exchange, 503, "no contact with the leader");
 	else if (!known || (incarnation && incarnation != known->incarnation))
 		reply_text(exchange, 200, "application/json", "{}");
 	else
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -85,6 +85,7 @@
 	size_t n_tried;
 	uint32_t events_read; /* of the current send */
 	int64_t first_at_us;  /* their first */
+	int64_t event_us;     /* their last */
 	unsigned runs; /* endpoints that may have run it */
 	bool sent;     /* counted as the first arrival at the service */
 
@@ -323,6 +324,10 @@
 
 	if (!f->events_read++)
 		f->first_at_us = f->heard_us;
+	else
+		bal_event(f->edge->bal, f->endpoint,
+			  f->heard_us - f->event_us, f->heard_us);
+	f->event_us = f->heard_us;
 	hio_reply_chunk(f->exchange, event, len);
 	if (!id)
 		return;
@@ -663,6 +668,7 @@
 		.tokens = f->said.tokens_in,
 		.events = f->events_expected,
 		.prefix = f->said.prefix,
+		.gap_us = f->gap_us,
 		.resumed = f->begun,
 		.avoid = (const char *const *)f->tried,
 	};
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -16,8 +16,13 @@
  * waited longer are out of date. */
 #define UNCONNECTED_LIMIT_US 500000
 #define UNCONNECTED_MAX 256
-#define PING_INTERVAL_US 1000000
-#define SILENCE_LIMIT_US 3000000
+/* A connection that carries nothing shows within this time, well before nodes
+ * and endpoints lose their leases of some seconds. */
+#define PING_INTERVAL_US 500000
+#define SILENCE_LIMIT_US 1500000
+/* Opening a connection takes a few round trips. One that was begun while the
+ * path was cut may hang after the cut, too. */
+#define CONNECT_TIMEOUT_MS 1000
 #define UNUSED_LIMIT_US 60000000
 
 /* A message that waits for its connection to open. */
@@ -36,6 +41,7 @@
 	int64_t used_us;      /* last send */
 	int64_t pinged_us;    /* last ping */
 	int64_t unheard_us;   /* first ping without a reply since; 0: none */
+	int64_t stuck_us;     /* first message not taken since; 0: none */
 	bool sent_since_ping; /* an idle connection is not probed */
 };
 
@@ -161,7 +167,7 @@
 	/* Without this, ZeroMQ would queue for peers that do not answer and
 	 * deliver outdated messages once they do. */
 	set_option(p->socket, ZMQ_IMMEDIATE, 1);
-	set_option(p->socket, ZMQ_CONNECT_TIMEOUT, 1000);
+	set_option(p->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
 	set_option(p->socket, ZMQ_HANDSHAKE_IVL, 2000);
 	set_option(p->socket, ZMQ_RECONNECT_IVL, 100);
 	set_option(p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
@@ -199,6 +205,7 @@
 		} else {
 			ctx->bytes_sent += w->len;
 			p->sent_since_ping = true;
+			p->stuck_us = 0;
 		}
 		waiting_drop_first(p);
 	}
@@ -212,6 +219,8 @@
 	w->data = data;
 	w->len = len;
 	w->since_us = ctx->now_us;
+	if (!p->stuck_us)
+		p->stuck_us = MAX(ctx->now_us, 1);
 	STAILQ_INSERT_TAIL(&p->wait, w, link);
 	p->n_wait++;
 	if (p->n_wait > UNCONNECTED_MAX) {
@@ -249,6 +258,7 @@
 	}
 	if (zmq_send(p->socket, data, len, ZMQ_DONTWAIT) >= 0) {
 		ctx->bytes_sent += len;
+		p->stuck_us = 0;
 		p->sent_since_ping = true;
 	} else if (errno == EAGAIN) {
 		wait_for_connection(ctx, p, data, len);
@@ -300,6 +310,10 @@
 		p->unheard_us = 0;
 	if (p->unheard_us && ctx->now_us - p->unheard_us > SILENCE_LIMIT_US)
 		return true;
+	/* ZeroMQ keeps opening a connection, but one that was begun while the
+	 * path was cut was seen to stay closed long after. */
+	if (p->stuck_us && ctx->now_us - p->stuck_us > SILENCE_LIMIT_US)
+		return true;
 	if (!p->sent_since_ping && !p->unheard_us)
 		return false;
 	if (ctx->now_us - p->pinged_us < PING_INTERVAL_US)
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -23,7 +23,7 @@
 #define UPSTREAM_RETURN_US (30LL * CTL_S_US)
 /* A child that found another upstream gets no more updates after this time and
  * some report intervals. */
-#define CHILD_LIMIT_US (2LL * CTL_S_US)
+#define CHILD_LIMIT_US CTL_S_US
 #define CHILD_LIMIT_REPORTS 3
 /* A child that reports a lower index than it was sent lost the update. */
 #define LOST_AFTER_US 500000
