--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -616,6 +616,12 @@
 	return e->id;
 }
 
+/* Returns the process life of the endpoint. */
+uint64_t bal_incarnation(const struct bal_endpoint *e)
+{
+	return e->incarnation;
+}
+
 /* Returns IP:PORT. */
 const char *bal_address(const struct bal_endpoint *e)
 {
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -88,6 +88,7 @@
 bool bal_is_reading(
 	const struct bal_endpoint *e); /* prompts of this instance */
 const char *bal_id(const struct bal_endpoint *e);
+uint64_t bal_incarnation(const struct bal_endpoint *e);
 const char *bal_address(const struct bal_endpoint *e);
 const char *bal_outcome_name(enum bal_outcome outcome);
 
--- a/src/core/res.c
+++ b/src/core/res.c
@@ -26,6 +26,10 @@
  * requests a second of a victim's copy. */
 #define VICTIM_COST 1000.0
 #define LOAD_COST 0.05
+/* Cost of an engine that is slower than the others by all their pause, for a
+ * model with more requests a second than this. */
+#define SLOW_COST 20.0
+#define BUSY_RATE 3.0
 /* Window of the store's rate. */
 #define STORE_WINDOW_US 5000000
 #define LOADS_MAX 64
@@ -51,7 +55,8 @@
 	double rate;	       /* expected in some seconds */
 	double *adapter_rates; /* by number; [0] is not used */
 	/* Of the current round. */
-	uint32_t copies;
+	uint32_t copies;  /* coming ones included */
+	uint32_t present; /* copies that can serve now */
 	uint32_t wanted;
 	uint32_t *adapter_copies;
 };
@@ -295,6 +300,7 @@
 		struct model *m = &ctx->models[i];
 
 		m->copies = 0;
+		m->present = 0;
 		memset(m->adapter_copies, 0,
 		       (m->adapters + 1) * sizeof(*m->adapter_copies));
 	}
@@ -309,6 +315,8 @@
 				m->adapter_copies[item.adapter]++;
 			else
 				m->copies++;
+			if (!item.adapter && k < engines[i].n_present)
+				m->present++;
 		}
 	}
 }
@@ -385,6 +393,14 @@
 	return m->rate / m->copies;
 }
 
+/* Models that are asked for much go to fast engines, the others to slow ones. */
+static double slow_cost(const struct model *m, const struct res_engine *e)
+{
+	double more = e->slow > 0 ? CLAMP(e->slow - 1, -1, 2) : 0;
+
+	return m->rate > BUSY_RATE ? SLOW_COST * more : -SLOW_COST * more;
+}
+
 struct victim {
 	int model;   /* -1: none */
 	double cost; /* requests a second for each of its copies */
@@ -398,10 +414,11 @@
 
 	for (size_t i = 0; i < e->n_holds; i++) {
 		const struct model *m = &ctx->models[e->holds[i].model];
-		double rate = m->rate / MAX(m->copies, 1);
+		double rate = m->rate / MAX(m->present, 1);
 
-		if (e->holds[i].adapter || m->copies <= 1 ||
-		    (m->copies <= m->wanted && need < MISSING_NEED))
+		/* Copies that are still coming do not serve in its place. */
+		if (e->holds[i].adapter || m->present <= 1 ||
+		    (m->present <= m->wanted && need < MISSING_NEED))
 			continue;
 		if (rate < victim.cost) {
 			victim.cost = rate;
@@ -426,7 +443,7 @@
 	for (size_t i = 0; i < n; i++) {
 		const struct res_engine *e = &engines[i];
 		struct victim victim = { .model = -1 };
-		double cost = e->load * LOAD_COST;
+		double cost = e->load * LOAD_COST + slow_cost(m, e);
 
 		if (!e->usable || e->busy || taken[i] || has_model(e, model))
 			continue;
@@ -479,7 +496,7 @@
 			continue;
 		taken[out[planned].engine] = true;
 		if (out[planned].kind == RES_UNLOAD)
-			ctx->models[out[planned].item.model].copies--;
+			ctx->models[out[planned].item.model].present--;
 		planned++;
 		/* One at a time, so that the rate counts each. */
 		break;
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -24,6 +24,8 @@
 /* A load from the host's memory takes about half a second; the first look. */
 #define FIRST_LOOK_US 750000
 #define LOOK_INTERVAL_US 1000000
+/* Weight of one stream in the average pause of an engine. */
+#define PACE_SHARE 0.05
 /* How often the load of engines is read that are given no orders. */
 #define IDLE_LOOK_US 1500000
 /* An engine takes a few adapters at a time, each within some milliseconds. */
@@ -55,6 +57,7 @@
 	unsigned conflicts;  /* in a row */
 	int64_t expected_us; /* WORKING: when a load from the store ends */
 	uint32_t load;
+	double gap_us; /* average pause between events; 0: not known */
 	struct res_engine plan; /* id, holds */
 	bool dirty;		/* holds differ from what was announced */
 	/* Outstanding call. */
@@ -559,6 +562,23 @@
 		e->holds[e->n_holds++] = coming;
 }
 
+/* Compares the pauses of engines with their average. */
+static void set_slowness(struct res_engine *list, struct engine *const *engines,
+			 size_t n)
+{
+	double sum = 0;
+	size_t known = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		sum += engines[i]->gap_us;
+		known += engines[i]->gap_us > 0;
+	}
+	for (size_t i = 0; i < n; i++)
+		list[i].slow = known && engines[i]->gap_us > 0
+				       ? engines[i]->gap_us / (sum / known)
+				       : 1;
+}
+
 static void plan_service(struct agent *ctx, struct service *s, uint64_t fence)
 {
 	size_t max = g_hash_table_size(ctx->engines);
@@ -576,6 +596,7 @@
 			continue;
 		list[n] = e->plan;
 		list[n].id = e->id;
+		list[n].n_present = e->plan.n_holds;
 		list[n].usable = e->usable;
 		list[n].busy = e->state != IDLE || e->call ||
 			       now_of(ctx) < e->pause_us;
@@ -588,6 +609,7 @@
 				     !e->order.item.adapter;
 		engines[n++] = e;
 	}
+	set_slowness(list, engines, n);
 	planned = res_plan(s->planner, list, n, now_of(ctx), orders, n);
 	for (size_t i = 0; i < planned; i++)
 		send_order(engines[orders[i].engine], &orders[i], fence);
@@ -734,6 +756,22 @@
 	g_hash_table_foreach_remove(ctx->engines, not_listed, NULL);
 }
 
+/* Takes the pace of an engine's streams at the entries. */
+void agent_pace(struct agent *ctx, const Dsp__Pace *pace)
+{
+	struct engine *e = g_hash_table_lookup(ctx->engines, pace->endpoint);
+	double gap_us;
+
+	if (!e || e->incarnation != pace->incarnation || !pace->streams)
+		return;
+	gap_us = (double)pace->gap_us / pace->streams;
+	if (e->gap_us > 0)
+		e->gap_us += MIN(PACE_SHARE * pace->streams, 1) *
+			     (gap_us - e->gap_us);
+	else
+		e->gap_us = gap_us;
+}
+
 /* Takes demand that an entry reported. */
 void agent_demand(struct agent *ctx, const Dsp__Demand *demand)
 {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -31,6 +31,11 @@
 	dsp__demand__free_unpacked(data, NULL);
 }
 
+static void free_pace_message(void *data)
+{
+	dsp__pace__free_unpacked(data, NULL);
+}
+
 /* Creates the layer without any connection. */
 struct edge *edge_new(const struct set *settings, struct clk *clock,
 		      struct met *metrics)
@@ -45,6 +50,9 @@
 	STAILQ_INIT(&ctx->done);
 	LIST_INIT(&ctx->forwards);
 	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
+	ctx->paces_in = g_ptr_array_new_with_free_func(free_pace_message);
+	ctx->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
 	ctx->view = view_new_empty();
 	ctx->bal = bal_new();
 	ctx->queue = adm_new();
@@ -71,6 +79,8 @@
 		event_free(ctx->places);
 	event_base_free(ctx->base);
 	g_ptr_array_free(ctx->demands_in, TRUE);
+	g_ptr_array_free(ctx->paces_in, TRUE);
+	g_hash_table_destroy(ctx->paces);
 	g_hash_table_destroy(ctx->budgets);
 	g_hash_table_destroy(ctx->demands);
 	bal_free(ctx->bal);
@@ -116,6 +126,18 @@
 	pthread_mutex_unlock(&ctx->lock);
 }
 
+static void pace_reported(void *data, const Dsp__Pace *pace)
+{
+	struct edge *ctx = data;
+	size_t len = dsp__pace__get_packed_size(pace);
+	g_autofree uint8_t *bytes = g_malloc(len + 1);
+
+	dsp__pace__pack(pace, bytes);
+	pthread_mutex_lock(&ctx->lock);
+	g_ptr_array_add(ctx->paces_in, dsp__pace__unpack(NULL, len, bytes));
+	pthread_mutex_unlock(&ctx->lock);
+}
+
 static uint32_t streams(void *data)
 {
 	return edge_in_flight(data);
@@ -129,6 +151,7 @@
 		.view_changed = view_changed,
 		.streams = streams,
 		.demand = demand_reported,
+		.pace = pace_reported,
 	};
 }
 
@@ -197,11 +220,17 @@
 static void take_demands(struct edge *ctx)
 {
 	GPtrArray *in;
+	GPtrArray *paces;
 
 	pthread_mutex_lock(&ctx->lock);
 	in = ctx->demands_in;
+	paces = ctx->paces_in;
 	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
+	ctx->paces_in = g_ptr_array_new_with_free_func(free_pace_message);
 	pthread_mutex_unlock(&ctx->lock);
+	for (guint i = 0; ctx->agent && i < paces->len; i++)
+		agent_pace(ctx->agent, paces->pdata[i]);
+	g_ptr_array_free(paces, TRUE);
 	for (guint i = 0; ctx->agent && i < in->len; i++)
 		agent_demand(ctx->agent, in->pdata[i]);
 	g_ptr_array_free(in, TRUE);
@@ -242,6 +271,26 @@
 		event_base_loopbreak(ctx->base);
 }
 
+static void send_paces(struct edge *ctx)
+{
+	GHashTableIter iter;
+	struct edge_pace *pace;
+	char *id;
+
+	g_hash_table_iter_init(&iter, ctx->paces);
+	while (g_hash_table_iter_next(&iter, (void **)&id, (void **)&pace)) {
+		Dsp__Pace message = DSP__PACE__INIT;
+
+		message.endpoint = id;
+		message.incarnation = pace->incarnation;
+		message.streams = pace->streams;
+		message.late = pace->late;
+		message.gap_us = (uint64_t)pace->gap_us;
+		ctl_pace(ctx->ctl, &message);
+	}
+	g_hash_table_remove_all(ctx->paces);
+}
+
 static void send_demand(struct edge *ctx)
 {
 	GHashTableIter iter;
@@ -258,6 +307,7 @@
 		ctl_demand(ctx->ctl, &message);
 	}
 	g_hash_table_remove_all(ctx->demands);
+	send_paces(ctx);
 	ctx->demand_due_us = clk_now_us(ctx->clock) + DEMAND_INTERVAL_US;
 }
 
@@ -298,6 +348,22 @@
 		send_demand(ctx);
 }
 
+/* Counts a stream that has ended, for the leader's placement. */
+void edge_note_pace(struct edge *ctx, const struct bal_endpoint *e, bool late,
+		    int64_t gap_us)
+{
+	struct edge_pace *pace = g_hash_table_lookup(ctx->paces, bal_id(e));
+
+	if (!pace) {
+		pace = g_new0(struct edge_pace, 1);
+		g_hash_table_insert(ctx->paces, g_strdup(bal_id(e)), pace);
+	}
+	pace->incarnation = bal_incarnation(e);
+	pace->streams++;
+	pace->late += late;
+	pace->gap_us += gap_us;
+}
+
 /* Returns the budget for repeats of a service. */
 struct rep *edge_budget(struct edge *ctx, const char *service)
 {
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -29,6 +29,14 @@
 	uint32_t refused;
 };
 
+/* Pace of an engine's streams that the next report carries. */
+struct edge_pace {
+	uint64_t incarnation;
+	uint32_t streams;
+	uint32_t late;
+	int64_t gap_us;
+};
+
 /* A command whose result the control thread gives later (edge_call.c). */
 struct edge_call;
 typedef void edge_done(struct edge *ctx, struct edge_call *call);
@@ -57,6 +65,7 @@
 
 	pthread_mutex_t lock;
 	struct view *next_view;			 /* lock; NULL: no change */
+	GPtrArray *paces_in;			/* lock; Dsp__Pace */
 	GPtrArray *demands_in;			 /* lock; Dsp__Demand */
 	STAILQ_HEAD(edge_calls, edge_call) done; /* lock */
 	bool stop;				 /* lock */
@@ -83,6 +92,7 @@
 	unsigned entries;     /* instances that serve callers */
 	struct fwd_list forwards;
 	GHashTable *demands; /* "model/adapter" -> struct edge_demand */
+	GHashTable *paces;   /* endpoint -> struct edge_pace */
 	int64_t demand_due_us;
 	bool draining;
 	int64_t drain_us; /* when it began */
@@ -92,6 +102,8 @@
 /* edge.c */
 void edge_note_demand(struct edge *ctx, const char *model, const char *adapter,
 		      bool missed);
+void edge_note_pace(struct edge *ctx, const struct bal_endpoint *e, bool late,
+		    int64_t gap_us);
 struct rep *edge_budget(struct edge *ctx, const char *service);
 struct rep_options edge_budget_options(const struct edge *ctx);
 bool edge_is_ready(struct edge *ctx);
@@ -121,6 +133,7 @@
 void agent_free(struct agent *ctx);
 void agent_tick(struct agent *ctx, int64_t now_us);
 void agent_view_changed(struct agent *ctx);
+void agent_pace(struct agent *ctx, const Dsp__Pace *pace);
 void agent_demand(struct agent *ctx, const Dsp__Demand *demand);
 
 #endif
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -444,9 +444,14 @@
 	if (f->gap_us && f->events_read >= 2)
 		bal_flow(f->edge->bal, f->endpoint, f->gap_most_us > f->gap_us,
 			 now_of(f));
-	if (f->events_read >= PACE_EVENTS_MIN)
-		bal_pace(f->edge->bal, f->endpoint,
-			 (f->heard_us - f->first_at_us) / (f->events_read - 1));
+	if (f->events_read >= PACE_EVENTS_MIN) {
+		int64_t gap_us = (f->heard_us - f->first_at_us) /
+				 (f->events_read - 1);
+
+		bal_pace(f->edge->bal, f->endpoint, gap_us);
+		edge_note_pace(f->edge, f->endpoint,
+			       f->gap_us && f->gap_most_us > f->gap_us, gap_us);
+	}
 	end_send(f, BAL_ANSWERED);
 	log_end(f, "served", f->status, "-");
 	hio_reply_end(f->exchange);
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -47,6 +47,9 @@
 	case CTL_JOB_DEMAND:
 		dsp__demand__free_unpacked(job->demand, NULL);
 		break;
+	case CTL_JOB_PACE:
+		dsp__pace__free_unpacked(job->pace, NULL);
+		break;
 	case CTL_JOB_SEEDS:
 		g_strfreev(job->seeds);
 		break;
@@ -239,6 +242,9 @@
 		ctl_order_sent(ctx, job->order.id, job->order.term,
 			       job->order.outcome);
 		break;
+	case CTL_JOB_PACE:
+		ctl_report_pace(ctx, job->pace);
+		break;
 	case CTL_JOB_DRAIN:
 		ctl_report_soon(ctx, 0);
 		transfer(ctx);
@@ -412,6 +418,11 @@
 	dsp__demand__free_unpacked(data, NULL);
 }
 
+static void free_pace(void *data)
+{
+	dsp__pace__free_unpacked(data, NULL);
+}
+
 static GHashTable *table_of(GDestroyNotify free_value)
 {
 	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -476,6 +487,7 @@
 	ctx->announcements = table_of(free_announcement);
 	ctx->announced = table_of(g_free);
 	ctx->demands = table_of(free_demand);
+	ctx->paces = table_of(free_pace);
 	ctx->loads = table_of(free_load);
 	ctx->members = table_of(g_free);
 	ctx->endpoints = table_of(g_free);
@@ -509,6 +521,7 @@
 	g_hash_table_destroy(ctx->announcements);
 	g_hash_table_destroy(ctx->announced);
 	g_hash_table_destroy(ctx->demands);
+	g_hash_table_destroy(ctx->paces);
 	g_hash_table_destroy(ctx->loads);
 	g_hash_table_destroy(ctx->members);
 	g_hash_table_destroy(ctx->endpoints);
@@ -602,6 +615,16 @@
 	ctl_post(ctx, job);
 }
 
+/* Adds to the paces that the next report carries; any thread. */
+void ctl_pace(struct ctl *ctx, const Dsp__Pace *pace)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_PACE;
+	job->pace = CTL_COPY(pace, pace);
+	ctl_post(ctx, job);
+}
+
 /* Makes the instance leave the entry list; any thread. */
 void ctl_drain(struct ctl *ctx)
 {
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -36,6 +36,7 @@
 	uint32_t (*streams)(void *data); /* requests in flight */
 	/* Only on the leader; may be NULL. */
 	void (*demand)(void *data, const Dsp__Demand *demand);
+	void (*pace)(void *data, const Dsp__Pace *pace);
 };
 
 /* What the control thread knows of its own leadership. */
@@ -81,6 +82,7 @@
 			       int64_t timeout_us, GError **err);
 void ctl_announce(struct ctl *ctx, const Dsp__Announcement *announcement);
 void ctl_demand(struct ctl *ctx, const Dsp__Demand *demand);
+void ctl_pace(struct ctl *ctx, const Dsp__Pace *pace);
 void ctl_drain(struct ctl *ctx); /* leave the entry list */
 /* Takes the seeds of changed settings. */
 void ctl_reload(struct ctl *ctx, const struct set *settings);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -75,6 +75,7 @@
 	CTL_JOB_CALL,
 	CTL_JOB_ANNOUNCEMENT,
 	CTL_JOB_DEMAND,
+	CTL_JOB_PACE,
 	CTL_JOB_ORDER,
 	CTL_JOB_DRAIN,
 	CTL_JOB_SEEDS,
@@ -88,6 +89,7 @@
 		struct ctl_call *call; /* one reference */
 		Dsp__Announcement *announcement;
 		Dsp__Demand *demand;
+		Dsp__Pace *pace;
 		char **seeds; /* owned */
 		struct {
 			uint64_t id;
@@ -274,6 +276,7 @@
 	GHashTable *announcements; /* endpoint -> Dsp__Announcement */
 	GHashTable *announced;	   /* endpoint -> hash of the last one */
 	GHashTable *demands;	   /* key -> Dsp__Demand */
+	GHashTable *paces;	   /* endpoint -> Dsp__Pace */
 	GHashTable *loads;	   /* endpoint -> struct ctl_load */
 	struct ctl_loads changed_loads;
 	int64_t push_due_us;	  /* next round with loads */
@@ -361,6 +364,7 @@
 void ctl_report_announcement(struct ctl *ctx,
 			     const Dsp__Announcement *announcement);
 void ctl_report_demand(struct ctl *ctx, const Dsp__Demand *demand);
+void ctl_report_pace(struct ctl *ctx, const Dsp__Pace *pace);
 void ctl_report_load(struct ctl *ctx, const Dsp__LoadReport *report);
 void ctl_report_greet(struct ctl *ctx);
 void ctl_report_set_leader(struct ctl *ctx, uint64_t term, const char *node,
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -375,6 +375,8 @@
 		if (ctx->cb.demand)
 			ctx->cb.demand(ctx->cb.data, report->demands[i]);
 	}
+	for (size_t i = 0; ctx->cb.pace && i < report->n_paces; i++)
+		ctx->cb.pace(ctx->cb.data, report->paces[i]);
 }
 
 /* ---- Time limits ---- */
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -282,6 +282,21 @@
 	g_free(key);
 }
 
+/* Adds the pace of an engine to the next report. */
+void ctl_report_pace(struct ctl *ctx, const Dsp__Pace *pace)
+{
+	Dsp__Pace *sum = g_hash_table_lookup(ctx->paces, pace->endpoint);
+
+	if (!sum || sum->incarnation != pace->incarnation) {
+		g_hash_table_replace(ctx->paces, g_strdup(pace->endpoint),
+				     CTL_COPY(pace, pace));
+		return;
+	}
+	sum->streams += pace->streams;
+	sum->late += pace->late;
+	sum->gap_us += pace->gap_us;
+}
+
 /* Notes an endpoint's load and marks it for the instances below. */
 void ctl_report_load(struct ctl *ctx, const Dsp__LoadReport *report)
 {
@@ -377,6 +392,7 @@
 		ctx->announcements, &report.n_announcements);
 	report.demands =
 		(Dsp__Demand **)values_of(ctx->demands, &report.n_demands);
+	report.paces = (Dsp__Pace **)values_of(ctx->paces, &report.n_paces);
 	report.hops = ctx->report_hops;
 	out.body_case = DSP__ENVELOPE__BODY_REPORT;
 	out.report = &report;
@@ -388,9 +404,11 @@
 	g_free(statuses);
 	g_free(report.announcements);
 	g_free(report.demands);
+	g_free(report.paces);
 	g_hash_table_remove_all(ctx->statuses);
 	g_hash_table_remove_all(ctx->announcements);
 	g_hash_table_remove_all(ctx->demands);
+	g_hash_table_remove_all(ctx->paces);
 	ctx->report_hops = 0;
 }
 
@@ -479,6 +497,8 @@
 		merge_announcement(ctx, report->announcements[i]);
 	for (size_t i = 0; i < report->n_demands; i++)
 		ctl_report_demand(ctx, report->demands[i]);
+	for (size_t i = 0; i < report->n_paces; i++)
+		ctl_report_pace(ctx, report->paces[i]);
 	ctx->report_hops = MAX(ctx->report_hops, report->hops + 1);
 	ctl_report_soon(ctx, RELAY_DELAY_US);
 }
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -2572,6 +2572,51 @@
   assert(message->base.descriptor == &dsp__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__pace__init
+                     (Dsp__Pace         *message)
+{
+  static const Dsp__Pace init_value = DSP__PACE__INIT;
+  *message = init_value;
+}
+size_t dsp__pace__get_packed_size
+                     (const Dsp__Pace *message)
+{
+  assert(message->base.descriptor == &dsp__pace__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__pace__pack
+                     (const Dsp__Pace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__pace__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__pace__pack_to_buffer
+                     (const Dsp__Pace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__pace__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__Pace *
+       dsp__pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__Pace *)
+     protobuf_c_message_unpack (&dsp__pace__descriptor,
+                                allocator, len, data);
+}
+void   dsp__pace__free_unpacked
+                     (Dsp__Pace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__pace__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__node_status__init
                      (Dsp__NodeStatus         *message)
 {
@@ -8733,6 +8778,96 @@
   (ProtobufCMessageInit) dsp__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dsp__pace__field_descriptors[5] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Pace, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Pace, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Pace, streams),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Pace, late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gap_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Pace, gap_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__pace__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  4,   /* field[4] = gap_us */
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = late */
+  2,   /* field[2] = streams */
+};
+static const ProtobufCIntRange dsp__pace__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor dsp__pace__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Pace",
+  "Pace",
+  "Dsp__Pace",
+  "dsp",
+  sizeof(Dsp__Pace),
+  5,
+  dsp__pace__field_descriptors,
+  dsp__pace__field_indices_by_name,
+  1,  dsp__pace__number_ranges,
+  (ProtobufCMessageInit) dsp__pace__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dsp__node_status__field_descriptors[4] =
 {
   {
@@ -8810,7 +8945,7 @@
   (ProtobufCMessageInit) dsp__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__report__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__report__field_descriptors[5] =
 {
   {
     "nodes",
@@ -8860,17 +8995,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "paces",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Report, n_paces),
+    offsetof(Dsp__Report, paces),
+    &dsp__pace__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__report__field_indices_by_name[] = {
   1,   /* field[1] = announcements */
   2,   /* field[2] = demands */
   3,   /* field[3] = hops */
   0,   /* field[0] = nodes */
+  4,   /* field[4] = paces */
 };
 static const ProtobufCIntRange dsp__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dsp__report__descriptor =
 {
@@ -8880,7 +9028,7 @@
   "Dsp__Report",
   "dsp",
   sizeof(Dsp__Report),
-  4,
+  5,
   dsp__report__field_descriptors,
   dsp__report__field_indices_by_name,
   1,  dsp__report__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -72,6 +72,7 @@
 typedef struct Dsp__OrderResult Dsp__OrderResult;
 typedef struct Dsp__Announcement Dsp__Announcement;
 typedef struct Dsp__Demand Dsp__Demand;
+typedef struct Dsp__Pace Dsp__Pace;
 typedef struct Dsp__NodeStatus Dsp__NodeStatus;
 typedef struct Dsp__Report Dsp__Report;
 typedef struct Dsp__Forward Dsp__Forward;
@@ -1407,6 +1408,29 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * How the streams of an engine flowed at one entry since its last report.
+ */
+struct  Dsp__Pace
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  uint64_t incarnation;
+  uint32_t streams;
+  /*
+   * paused longer than is good
+   */
+  uint32_t late;
+  /*
+   * sum of the streams' average pauses
+   */
+  uint64_t gap_us;
+};
+#define DSP__PACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__pace__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 struct  Dsp__NodeStatus
 {
   ProtobufCMessage base;
@@ -1435,6 +1459,8 @@
   Dsp__Announcement **announcements;
   size_t n_demands;
   Dsp__Demand **demands;
+  size_t n_paces;
+  Dsp__Pace **paces;
   /*
    * relays passed; stops reports that circulate
    */
@@ -1442,7 +1468,7 @@
 };
 #define DSP__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Dsp__Forward
@@ -2686,6 +2712,25 @@
 void   dsp__demand__free_unpacked
                      (Dsp__Demand *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__Pace methods */
+void   dsp__pace__init
+                     (Dsp__Pace         *message);
+size_t dsp__pace__get_packed_size
+                     (const Dsp__Pace   *message);
+size_t dsp__pace__pack
+                     (const Dsp__Pace   *message,
+                      uint8_t             *out);
+size_t dsp__pace__pack_to_buffer
+                     (const Dsp__Pace   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__Pace *
+       dsp__pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__pace__free_unpacked
+                     (Dsp__Pace *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__NodeStatus methods */
 void   dsp__node_status__init
                      (Dsp__NodeStatus         *message);
@@ -3068,6 +3113,9 @@
 typedef void (*Dsp__Demand_Closure)
                  (const Dsp__Demand *message,
                   void *closure_data);
+typedef void (*Dsp__Pace_Closure)
+                 (const Dsp__Pace *message,
+                  void *closure_data);
 typedef void (*Dsp__NodeStatus_Closure)
                  (const Dsp__NodeStatus *message,
                   void *closure_data);
@@ -3173,6 +3221,7 @@
 extern const ProtobufCMessageDescriptor dsp__order_result__descriptor;
 extern const ProtobufCMessageDescriptor dsp__announcement__descriptor;
 extern const ProtobufCMessageDescriptor dsp__demand__descriptor;
+extern const ProtobufCMessageDescriptor dsp__pace__descriptor;
 extern const ProtobufCMessageDescriptor dsp__node_status__descriptor;
 extern const ProtobufCMessageDescriptor dsp__report__descriptor;
 extern const ProtobufCMessageDescriptor dsp__forward__descriptor;
--- a/tests/unit/res_test.cc
+++ b/tests/unit/res_test.cc
@@ -177,6 +177,7 @@
 			res_engine e = engine.e;
 
 			e.id = engine.id.c_str();
+			e.n_present = e.n_holds;
 			e.makes_room =
 				e.busy && engine.order.kind == RES_UNLOAD;
 			if (e.busy)
