--- a/src/core/res.c
+++ b/src/core/res.c
@@ -30,9 +30,6 @@
  * model with more requests a second than this. */
 #define SLOW_COST 20.0
 #define BUSY_RATE 3.0
-/* An engine with this many times the usual pause counts as a part of one. */
-#define SLOW_MIN 1.3
-#define SLOW_CAPACITY 0.4
 /* Window of the store's rate. */
 #define STORE_WINDOW_US 5000000
 #define LOADS_MAX 64
@@ -60,7 +57,6 @@
 	/* Of the current round. */
 	uint32_t copies;  /* coming ones included */
 	uint32_t present; /* copies that can serve now */
-	double capacity;  /* of all copies, in those of usual engines */
 	uint32_t wanted;
 	uint32_t *adapter_copies;
 };
@@ -297,12 +293,6 @@
 	return n;
 }
 
-/* A slow engine reads fewer prompts within the allowed pauses. */
-static double capacity_of(const struct res_engine *e)
-{
-	return e->slow > SLOW_MIN ? SLOW_CAPACITY : 1;
-}
-
 static void count_copies(struct res *ctx, const struct res_engine *engines,
 			 size_t n)
 {
@@ -311,7 +301,6 @@
 
 		m->copies = 0;
 		m->present = 0;
-		m->capacity = 0;
 		memset(m->adapter_copies, 0,
 		       (m->adapters + 1) * sizeof(*m->adapter_copies));
 	}
@@ -326,8 +315,6 @@
 				m->adapter_copies[item.adapter]++;
 			else
 				m->copies++;
-			if (!item.adapter)
-				m->capacity += capacity_of(&engines[i]);
 			if (!item.adapter && k < engines[i].n_present)
 				m->present++;
 		}
@@ -401,8 +388,6 @@
 		return m->rate > ASKED_RATE || !ctx->primed
 			       ? MISSING_NEED + m->rate
 			       : UNASKED_NEED;
-	if (m->rate > BUSY_RATE && m->capacity < m->wanted)
-		return m->rate / m->capacity;
 	if (m->copies >= m->wanted)
 		return 0;
 	return m->rate / m->copies;
