--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -30,9 +30,9 @@
 /* An engine gets no prompt while the time between events of its streams is
  * above this part of the longest good pause. Events younger than RECENT_US
  * count, the last ones with this weight. */
-#define GAP_SHARE_MAX 0.35
+#define GAP_SHARE_MAX 0.25
 #define RECENT_US 400000
-#define RECENT_SHARE 0.15
+#define RECENT_SHARE 0.3
 /* Until it is measured: time to read a token of a prompt. */
 #define TOKEN_MS 0.06
 /* A plain request, until it is measured. */
