--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -54,6 +54,9 @@
 /* Whole answers that are kept until their end. */
 #define ANSWER_MAX_BYTES (8 << 20)
 #define RETRY_AFTER_SPREAD 0.5
+/* An instance that starts has a confirmed view after an election and a report,
+ * about this long. */
+#define RETRY_START_US 1500000
 /* An instance that stops takes a stream only if this much time is left; most
  * end within that time. Other requests take a fraction of a second. */
 #define STREAM_LEFT_MIN_US (5 * EDGE_S_US)
@@ -240,12 +243,18 @@
 	g_free(body);
 }
 
+/* Seconds after which a caller comes back; not all at the same moment. */
+static double spread_s(int64_t retry_us)
+{
+	return (double)retry_us *
+	       (1 + RETRY_AFTER_SPREAD * g_random_double()) / 1e6;
+}
+
 /* Answers without any endpoint's answer, or breaks off one that was begun. */
 static void finish_failed(struct fwd *f, int status, int64_t retry_us,
 			  const char *reason)
 {
-	double spread = 1 + RETRY_AFTER_SPREAD * g_random_double();
-	double retry_s = retry_us >= 0 ? (double)retry_us * spread / 1e6 : -1;
+	double retry_s = retry_us >= 0 ? spread_s(retry_us) : -1;
 
 	end_send(f, BAL_CANCELLED);
 	log_end(f,
@@ -754,8 +763,8 @@
 	met_count(ctx->met, "dandelionspar_edge_requests", labels, 1);
 	LOG_EVENT_INFO("fwd", "refused", "request=%s status=%d reason=%s",
 		       request_id ? request_id : "-", status, reason);
-	reply_plain(exchange, status, request_id, status == 503 ? 0.5 : -1,
-		    reason);
+	reply_plain(exchange, status, request_id,
+		    status == 503 ? spread_s(RETRY_START_US) : -1, reason);
 }
 
 /*
