--- a/src/base/log.c
+++ b/src/base/log.c
@@ -84,18 +84,17 @@
 	gmtime_r(&ts.tv_sec, &tm);
 	len = (size_t)snprintf(line, size, "<%d>", severity);
 	len += strftime(line + len, size - len, "%Y-%m-%dT%H:%M:%S", &tm);
-	len += (size_t)snprintf(line + len, size - len,
-				".%03ldZ %s %s: event=%s ",
-				ts.tv_nsec / 1000000, severity_names[severity],
-				module, event);
+	len += (size_t)snprintf(
+		line + len, size - len, ".%03ldZ %s %s: event=%s ",
+		ts.tv_nsec / 1000000, severity_names[severity], module, event);
 	return len;
 }
 
 static void tell_dropped(const struct kind *kind, unsigned dropped)
 {
 	char line[LINE_MAX_BYTES];
-	size_t len = begin_line(line, sizeof(line), LOG_WARNING, "log",
-				"dropped");
+	size_t len =
+		begin_line(line, sizeof(line), LOG_WARNING, "log", "dropped");
 
 	len += (size_t)snprintf(line + len, sizeof(line) - len,
 				"of=%s/%s lines=%u unwritten=%u\n",
--- a/src/core/adm.c
+++ b/src/core/adm.c
@@ -22,6 +22,7 @@
 	TAILQ_HEAD(adm_items, adm_item) items; /* by due time */
 	GHashTable *groups;		       /* name -> struct group */
 	uint64_t next_order;
+	unsigned total;
 };
 
 /* Creates an empty queue. */
@@ -83,6 +84,7 @@
 	item->queued = true;
 	item->order = ctx->next_order++;
 	group_get(ctx, item->group)->waiting++;
+	ctx->total++;
 	TAILQ_FOREACH_REVERSE(before, &ctx->items, adm_items, link)
 	{
 		if (due_us(before) <= due_us(item)) {
@@ -101,6 +103,7 @@
 	item->queued = false;
 	TAILQ_REMOVE(&ctx->items, item, link);
 	group_get(ctx, item->group)->waiting--;
+	ctx->total--;
 }
 
 static double decayed(const struct group *group, int64_t now_us)
@@ -146,6 +149,12 @@
 	return NULL;
 }
 
+/* Returns how many requests wait. */
+unsigned adm_total(const struct adm *ctx)
+{
+	return ctx->total;
+}
+
 /* Returns how many requests of the group wait. */
 unsigned adm_length(const struct adm *ctx, const char *name)
 {
--- a/src/core/adm.h
+++ b/src/core/adm.h
@@ -41,6 +41,7 @@
  * meet their objective come first. */
 struct adm_item *adm_next(const struct adm *ctx, const struct adm_item *after,
 			  int64_t now_us);
+unsigned adm_total(const struct adm *ctx);
 unsigned adm_length(const struct adm *ctx, const char *group);
 /* Time until a new request of the group would be sent; 0: not known to wait. */
 int64_t adm_expected_wait_us(const struct adm *ctx, const char *group,
--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -78,8 +78,8 @@
 	double first_ms;  /* average time to the first byte; 0: unknown */
 	double token_ms;  /* of it for each token of the prompt */
 	double gap_ms;	  /* between events of a stream; 0: unknown */
-	double late; /* share of streams that paused too long */
-	int64_t late_us; /* when it was learned */
+	double late;	  /* share of streams that paused too long */
+	int64_t late_us;  /* when it was learned */
 	double recent_ms; /* between the latest events; 0: unknown */
 	int64_t event_us; /* the last event */
 	double failures;  /* average share */
@@ -530,8 +530,7 @@
 			choice->outcome = BAL_CHOSEN;
 		}
 	}
-	if (best && query->may_wait &&
-	    choice->cost_ms > least + WAIT_GAIN_MS) {
+	if (best && query->may_wait && choice->cost_ms > least + WAIT_GAIN_MS) {
 		choice->outcome = BAL_READING;
 		return NULL;
 	}
@@ -596,6 +595,12 @@
 	}
 	if (!list.n)
 		list = avoided;
+	if (!list.n) {
+		choice.outcome = BAL_NO_OTHER;
+		choice.retry_us =
+			query->model ? RETRY_ENGINE_US : RETRY_PLAIN_US;
+		return choice;
+	}
 	find_preferred(&list, query->prefix);
 	choice.endpoint = cheapest(ctx, &list, query, now_us, &choice);
 	if (!choice.endpoint) {
@@ -640,6 +645,8 @@
 		return "no_model";
 	case BAL_NO_ADAPTER:
 		return "no_adapter";
+	case BAL_NO_OTHER:
+		return "no_other";
 	case BAL_READING:
 		return "reading";
 	case BAL_FULL:
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -32,6 +32,7 @@
 	BAL_NO_ENDPOINT, /* none of the service is usable */
 	BAL_NO_MODEL,	 /* no usable endpoint holds the model */
 	BAL_NO_ADAPTER,	 /* some hold the model, none the adapter */
+	BAL_NO_OTHER,	 /* all that hold it are to be avoided */
 	BAL_READING,	 /* all that hold it are busy reading prompts */
 	BAL_FULL,	 /* all that hold it have no place */
 };
--- a/src/core/res.c
+++ b/src/core/res.c
@@ -393,7 +393,8 @@
 	return m->rate / m->copies;
 }
 
-/* Models that are asked for much go to fast engines, the others to slow ones. */
+/* Models that are asked for much go to fast engines, the others to slow ones.
+ */
 static double slow_cost(const struct model *m, const struct res_engine *e)
 {
 	double more = e->slow > 0 ? CLAMP(e->slow - 1, -1, 2) : 0;
--- a/src/core/res.h
+++ b/src/core/res.h
@@ -29,7 +29,7 @@
 	/* With busy, holds lists what is to be held after that order. */
 	bool makes_room; /* busy with an unload that a load will follow */
 	double load;	 /* requests in flight; orders prefer low ones */
-	double slow;	 /* pauses of its streams, 1: as the others; 0: unknown */
+	double slow; /* pauses of its streams, 1: as the others; 0: unknown */
 	struct res_item holds[RES_HOLDS_MAX];
 	size_t n_holds;
 	size_t n_present; /* the first ones; the others are coming */
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -57,7 +57,7 @@
 	unsigned conflicts;  /* in a row */
 	int64_t expected_us; /* WORKING: when a load from the store ends */
 	uint32_t load;
-	double gap_us; /* average pause between events; 0: not known */
+	double gap_us;		/* average pause between events; 0: not known */
 	struct res_engine plan; /* id, holds */
 	bool dirty;		/* holds differ from what was announced */
 	/* Outstanding call. */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -51,8 +51,8 @@
 	LIST_INIT(&ctx->forwards);
 	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
 	ctx->paces_in = g_ptr_array_new_with_free_func(free_pace_message);
-	ctx->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   g_free);
+	ctx->paces =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctx->view = view_new_empty();
 	ctx->bal = bal_new();
 	ctx->queue = adm_new();
@@ -311,6 +311,41 @@
 	ctx->demand_due_us = clk_now_us(ctx->clock) + DEMAND_INTERVAL_US;
 }
 
+static void set_gauges(struct edge *ctx)
+{
+	struct hio_client_counts counts = hio_client_counts(ctx->client);
+	size_t by_state[3] = { 0 };
+	static const char *const labels[] = { "state=\"up\"",
+					      "state=\"leaving\"",
+					      "state=\"down\"" };
+
+	for (size_t i = 0; i < view_n_endpoints(ctx->view); i++) {
+		const Dsp__Endpoint *e = view_endpoint_at(ctx->view, i);
+
+		if ((size_t)e->state < G_N_ELEMENTS(by_state))
+			by_state[e->state]++;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(by_state); i++)
+		met_gauge(ctx->met, "dandelionspar_edge_endpoints", labels[i],
+			  (int64_t)by_state[i]);
+	met_gauge(ctx->met, "dandelionspar_edge_in_flight", "", ctx->in_flight);
+	met_gauge(ctx->met, "dandelionspar_edge_waiting", "",
+		  adm_total(ctx->queue));
+	met_gauge(ctx->met, "dandelionspar_edge_route_table", "",
+		  ctx->table ? (int64_t)ctx->table->number : 0);
+	met_gauge(ctx->met, "dandelionspar_edge_view_index", "",
+		  (int64_t)view_index(ctx->view));
+	met_gauge(ctx->met, "dandelionspar_edge_view_age_ms", "",
+		  ctl_state(ctx->ctl).stale_us / 1000);
+	met_gauge(ctx->met, "dandelionspar_edge_connections_opened", "",
+		  (int64_t)counts.opened);
+	met_gauge(ctx->met, "dandelionspar_edge_connections_reused", "",
+		  (int64_t)counts.reused);
+	if (ctx->front)
+		met_gauge(ctx->met, "dandelionspar_edge_callers_connected", "",
+			  (int64_t)hio_server_connections(ctx->front));
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *data)
 {
 	struct edge *ctx = data;
@@ -318,8 +353,10 @@
 
 	(void)fd;
 	(void)what;
-	if (now_us >= ctx->demand_due_us)
+	if (now_us >= ctx->demand_due_us) {
 		send_demand(ctx);
+		set_gauges(ctx);
+	}
 	if (ctx->agent)
 		agent_tick(ctx->agent, now_us);
 }
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -65,7 +65,7 @@
 
 	pthread_mutex_t lock;
 	struct view *next_view;			 /* lock; NULL: no change */
-	GPtrArray *paces_in;			/* lock; Dsp__Pace */
+	GPtrArray *paces_in;			 /* lock; Dsp__Pace */
 	GPtrArray *demands_in;			 /* lock; Dsp__Demand */
 	STAILQ_HEAD(edge_calls, edge_call) done; /* lock */
 	bool stop;				 /* lock */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -101,9 +101,9 @@
 	char *endpoint_id;
 	int64_t send_us;
 	int64_t waited_us; /* from the request's arrival to its first send */
-	int64_t first_us; /* time to the first byte; -1: none yet */
-	bool alone;	  /* the endpoint read nothing else from here */
-	int64_t heard_us; /* last byte */
+	int64_t first_us;  /* time to the first byte; -1: none yet */
+	bool alone;	   /* the endpoint read nothing else from here */
+	int64_t heard_us;  /* last byte */
 	struct wire_answer answer;
 	int status;
 	struct hio_fields fields; /* of a whole answer; owned */
@@ -246,8 +246,8 @@
 /* Seconds after which a caller comes back; not all at the same moment. */
 static double spread_s(int64_t retry_us)
 {
-	return (double)retry_us *
-	       (1 + RETRY_AFTER_SPREAD * g_random_double()) / 1e6;
+	return (double)retry_us * (1 + RETRY_AFTER_SPREAD * g_random_double()) /
+	       1e6;
 }
 
 /* Answers without any endpoint's answer, or breaks off one that was begun. */
@@ -345,8 +345,7 @@
 		bal_event(f->edge->bal, f->endpoint, f->heard_us - f->event_us,
 			  f->heard_us);
 	if (f->event_us)
-		f->gap_most_us =
-			MAX(f->gap_most_us, f->heard_us - f->event_us);
+		f->gap_most_us = MAX(f->gap_most_us, f->heard_us - f->event_us);
 	f->event_us = f->heard_us;
 	hio_reply_chunk(f->exchange, event, len);
 	if (!id)
@@ -454,8 +453,8 @@
 		bal_flow(f->edge->bal, f->endpoint, f->gap_most_us > f->gap_us,
 			 now_of(f));
 	if (f->events_read >= PACE_EVENTS_MIN) {
-		int64_t gap_us = (f->heard_us - f->first_at_us) /
-				 (f->events_read - 1);
+		int64_t gap_us =
+			(f->heard_us - f->first_at_us) / (f->events_read - 1);
 
 		bal_pace(f->edge->bal, f->endpoint, gap_us);
 		edge_note_pace(f->edge, f->endpoint,
@@ -580,10 +579,12 @@
 		.failed = on_failed,
 	};
 
-	if (!f->sent)
+	if (!f->sent) {
 		f->waited_us = now_us - f->start_us;
-	if (!f->sent)
+		met_observe_us(f->edge->met, "dandelionspar_edge_wait_us", "",
+			       f->waited_us);
 		rep_request(edge_budget(f->edge, f->service), now_us);
+	}
 	f->sent = true;
 	f->endpoint = endpoint;
 	g_free(f->endpoint_id);
@@ -620,6 +621,7 @@
 		break;
 	case BAL_FULL:
 	case BAL_READING:
+	case BAL_NO_OTHER:
 	case BAL_CHOSEN:
 		if (!f->engine)
 			share = PLAIN_WAIT_SHARE;
@@ -668,7 +670,8 @@
 		refuse(f, choice, expected_us);
 		return false;
 	}
-	if (!f->begun && expected_us > limit_us) {
+	if (!f->begun &&
+	    (expected_us > limit_us || choice->outcome == BAL_NO_OTHER)) {
 		refuse(f, choice, expected_us);
 		return false;
 	}
@@ -699,7 +702,7 @@
 		.prefix = f->said.prefix,
 		.gap_us = f->gap_us,
 		.may_wait = f->engine && now_of(f) - f->start_us <
-						f->objective_us / BETTER_SHARE,
+						 f->objective_us / BETTER_SHARE,
 		.resumed = f->begun,
 		.avoid = (const char *const *)f->tried,
 	};
@@ -716,6 +719,14 @@
 		return wait_or_refuse(f, &choice);
 	adm_remove(f->edge->queue, &f->item);
 	send_to(f, choice.endpoint);
+	LOG_EVENT_INFO("fwd", "send",
+		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
+		       "load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
+		       " left_us=%" PRId64,
+		       f->said.request_id ? f->said.request_id : "-",
+		       f->endpoint_id, choice.candidates, choice.cost_ms,
+		       choice.load, choice.load_age_s,
+		       view_index(f->edge->view), f->end_us - f->send_us);
 	return false;
 }
 
--- a/tests/tools/lib_proc.c
+++ b/tests/tools/lib_proc.c
@@ -17,7 +17,8 @@
 #define POLL_INTERVAL_US 10000
 #define OPEN_FOLDERS_MAX 16
 
-/* Starts a program whose output goes to a file, if one is given; argv is NULL-terminated. Aborts when fork fails. */
+/* Starts a program whose output goes to a file, if one is given; argv is
+ * NULL-terminated. Aborts when fork fails. */
 pid_t proc_start(const char *const *argv, const char *stderr_path)
 {
 	sigset_t none;
--- a/tests/tools/lib_proc.h
+++ b/tests/tools/lib_proc.h
@@ -7,8 +7,8 @@
 
 /* Child processes, free ports and waiting for tests and tools. */
 
-/* Starts a program with its output and standard error appended to a file. The child is
- * killed when its parent dies. */
+/* Starts a program with its output and standard error appended to a file. The
+ * child is killed when its parent dies. */
 pid_t proc_start(const char *const *argv, const char *stderr_path);
 /* Waits for the exit; returns the exit code, 128 + signal, or -1 when the
  * process still runs after timeout_ms. */
--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -338,6 +338,18 @@
 	EXPECT_STREQ(bal_id(choose().endpoint), "b");
 }
 
+/* Found with the trace of a failed request: it waited four seconds for the only
+ * engine, which it had been sent to in vain. */
+TEST_F(Balance, TellsWhenThereIsNoOtherEndpoint)
+{
+	const char *avoid[] = { "a", nullptr };
+
+	put("a", { "m" });
+	EXPECT_EQ(choose("m", nullptr, avoid).outcome, BAL_NO_OTHER);
+	put("b", { "m" });
+	EXPECT_EQ(choose("m", nullptr, avoid).outcome, BAL_CHOSEN);
+}
+
 TEST_F(Balance, FewPromptsWaitAtAnEngine)
 {
 	int sent = 0;
