--- a/src/core/st.h
+++ b/src/core/st.h
@@ -43,6 +43,7 @@
 const Dsp__Document *st_document(const struct st *ctx, const char *team);
 size_t st_documents(const struct st *ctx, const Dsp__Document ***out);
 const Dsp__RouteTable *st_route_table(const struct st *ctx);
+bool st_same_copies(const Dsp__Endpoint *a, const Dsp__Endpoint *b);
 const Dsp__Endpoint *st_endpoint(const struct st *ctx, const char *id);
 size_t st_endpoints(const struct st *ctx, const Dsp__Endpoint ***out);
 size_t st_nodes(const struct st *ctx, const Dsp__Node ***out);
--- a/src/core/st_endpoint.c
+++ b/src/core/st_endpoint.c
@@ -250,7 +250,8 @@
 	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 }
 
-static bool same_copies(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
+/* Returns whether two endpoints list the same copies in the same order. */
+bool st_same_copies(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
 {
 	if (a->n_copies != b->n_copies)
 		return false;
@@ -271,7 +272,7 @@
 	       a->kind == b->kind && a->max_batch == b->max_batch &&
 	       !strcmp(a->address, b->address) && !strcmp(a->site, b->site) &&
 	       !strcmp(a->team, b->team) && !strcmp(a->service, b->service) &&
-	       same_copies(a, b);
+	       st_same_copies(a, b);
 }
 
 /* Another endpoint at the same address has ended: an address has one user. */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -907,8 +907,16 @@
 	return (struct fwd *)((char *)item - offsetof(struct fwd, item));
 }
 
+static bool is_listed(const char *const *groups, size_t n, const char *group)
+{
+	for (size_t i = 0; i < n; i++)
+		if (groups[i] == group)
+			return true;
+	return false;
+}
+
 /* Tries those that wait, in their order; of each group until one finds no
- * place. */
+ * place. Those whose time is over are tried once more and refused. */
 void fwd_run_queue(struct edge *ctx)
 {
 	const char *failed[TRIES_MAX];
@@ -919,18 +927,15 @@
 	while (item && n_failed < TRIES_MAX) {
 		struct adm_item *next = adm_next(ctx->queue, item, now_us);
 		const char *group = item->group;
-		bool skip = now_us < item->give_up_us;
-
-		for (size_t i = 0; skip && i <= n_failed; i++)
-			if (i == n_failed)
-				skip = false;
-			else if (failed[i] == group)
-				break;
-		if (!skip && dispatch(fwd_of(item)))
+		bool hopeless = is_listed(failed, n_failed, group);
+
+		if ((!hopeless || now_us >= item->give_up_us) &&
+		    dispatch(fwd_of(item)))
 			failed[n_failed++] = group;
 		item = next;
 	}
-	if ((item = adm_next(ctx->queue, NULL, now_us)))
+	item = adm_next(ctx->queue, NULL, now_us);
+	if (item)
 		arm(fwd_of(item), now_us + WAIT_STEP_US);
 }
 
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -177,19 +177,6 @@
 	return endpoint->features && endpoint->features->sequenced;
 }
 
-static bool same_copies(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
-{
-	if (a->n_copies != b->n_copies)
-		return false;
-	for (size_t i = 0; i < a->n_copies; i++)
-		if (a->copies[i]->ready != b->copies[i]->ready ||
-		    strcmp(a->copies[i]->model, b->copies[i]->model) != 0 ||
-		    strcmp(a->copies[i]->adapter, b->copies[i]->adapter) != 0 ||
-		    strcmp(a->copies[i]->version, b->copies[i]->version) != 0)
-			return false;
-	return true;
-}
-
 /* Compares what an endpoint says of itself; copies are reported apart, unless
  * its orders are sequenced. */
 static bool same_endpoint(const Dsp__Endpoint *a, const Dsp__Endpoint *b)
@@ -201,7 +188,7 @@
 	       !strcmp(a->address, b->address) && !strcmp(a->site, b->site) &&
 	       !strcmp(a->team, b->team) && !strcmp(a->service, b->service) &&
 	       same_features(a->features, b->features) &&
-	       (!is_sequenced(b) || same_copies(a, b));
+	       (!is_sequenced(b) || st_same_copies(a, b));
 }
 
 static void put_endpoint(struct ctl *ctx, struct ctl_endpoint *e,
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -325,19 +325,8 @@
 	std::string announcement()
 	{
 		std::lock_guard<std::mutex> guard(lock);
-		std::string models;
-
-		for (const auto &copy : announced_stale ? stale : holds) {
-			std::string adapters;
+		std::string models = list_of(announced_stale ? stale : holds);
 
-			for (const auto &a : copy.second)
-				adapters += (adapters.empty() ? "\"" : ",\"") +
-					    a + "\"";
-			models += std::string(models.empty() ? "" : ",") +
-				  "{\"name\":\"" + copy.first +
-				  "\",\"version\":1,\"adapters\":[" + adapters +
-				  "]}";
-		}
 		return "{\"service\":\"" + service + "\",\"address\":\"" +
 		       address + "\",\"zone\":\"here\",\"version\":\"v1\"," +
 		       "\"slots\":" + std::to_string(slots) + ",\"state\":\"" +
@@ -399,6 +388,25 @@
 	uint64_t highest_fence = 0;
 
       private:
+	using Holds = std::map<std::string, std::vector<std::string>>;
+
+	static std::string list_of(const Holds &holds)
+	{
+		std::string models;
+
+		for (const auto &copy : holds) {
+			std::string adapters;
+
+			for (const auto &a : copy.second)
+				adapters += (adapters.empty() ? "\"" : ",\"") +
+					    a + "\"";
+			models += std::string(models.empty() ? "" : ",") +
+				  "{\"name\":\"" + copy.first +
+				  "\",\"version\":1,\"adapters\":[" + adapters +
+				  "]}";
+		}
+		return models;
+	}
 	void accept_all()
 	{
 		while (!stopping) {
@@ -451,17 +459,7 @@
 		std::string models;
 
 		finish();
-		for (const auto &copy : holds) {
-			std::string adapters;
-
-			for (const auto &a : copy.second)
-				adapters += (adapters.empty() ? "\"" : ",\"") +
-					    a + "\"";
-			models += std::string(models.empty() ? "" : ",") +
-				  "{\"name\":\"" + copy.first +
-				  "\",\"version\":1,\"adapters\":[" + adapters +
-				  "]}";
-		}
+		models = list_of(holds);
 		return "{\"stage\":\"unified\",\"models\":[" + models +
 		       "],\"busy\":" + (loading.empty() ? "false" : "true") +
 		       ",\"seq\":" + std::to_string(sequence) +
