--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -57,7 +57,7 @@
 #define AFFINITY_GAIN_MS 12.0
 /* Time after which a caller of a full service should come back. */
 #define RETRY_PLAIN_US 400000
-#define RETRY_ENGINE_US 1200000
+#define RETRY_ENGINE_US 2500000
 /* A model is loaded within some seconds, an adapter within some milliseconds
  * once another one has made room. */
 #define RETRY_NONE_US 700000
