--- a/tests/unit/res_test.cc
+++ b/tests/unit/res_test.cc
@@ -387,6 +387,106 @@
 	EXPECT_EQ(std::count(seen.begin() + 1, seen.end(), true), 42);
 }
 
+namespace
+{
+
+/* Three engines for direct questions to the planner. */
+struct Direct {
+	struct res *plan = res_new(1.1);
+	std::vector<res_engine> engines = std::vector<res_engine>(3);
+
+	Direct()
+	{
+		Dsp__EngineSpec spec = DSP__ENGINE_SPEC__INIT;
+		Dsp__EngineModel models[3];
+		Dsp__EngineModel *list[3];
+		static char names[3][3] = { "m0", "m1", "m2" };
+
+		for (int i = 0; i < 3; i++) {
+			dsp__engine_model__init(&models[i]);
+			models[i].name = names[i];
+			models[i].memory_mb = 45000;
+			models[i].load_ms = 5000;
+			list[i] = &models[i];
+			engines[i] = {};
+			engines[i].id = names[i];
+			engines[i].usable = true;
+		}
+		spec.memory_mb = 100000;
+		spec.store_loads_per_s = 2;
+		spec.models = list;
+		spec.n_models = 3;
+		res_set_spec(plan, &spec);
+	}
+	~Direct()
+	{
+		res_free(plan);
+	}
+	void hold(size_t engine, size_t model, bool present = true)
+	{
+		res_engine &e = engines[engine];
+
+		e.holds[e.n_holds++] = { (uint16_t)model, 0 };
+		e.n_present += present;
+	}
+	/* Demand for model m0 or m1 during five seconds. */
+	void ask(const char *model, unsigned per_s)
+	{
+		for (int i = 0; i < 50; i++)
+			res_demand(plan, model, "", per_s / 10, 0,
+				   100 * S + i * 100 * MS);
+	}
+	std::vector<res_order> orders()
+	{
+		std::vector<res_order> out(3);
+
+		out.resize(res_plan(plan, engines.data(), 3, 105 * S,
+				    out.data(), 3));
+		return out;
+	}
+};
+
+} // namespace
+
+/* Found on the users' bench: two slow engines held the busiest model, and most
+ * of their streams paused too long. */
+TEST(Res, BusyModelsGoToFastEngines)
+{
+	Direct d;
+
+	d.hold(0, 0);
+	d.hold(1, 1);
+	d.hold(2, 2);
+	d.engines[1].slow = 1.8;
+	d.engines[2].slow = 0.7;
+	d.engines[2].load = 5;
+	d.ask("m0", 30);
+	auto orders = d.orders();
+	ASSERT_EQ(orders.size(), 1u);
+	EXPECT_EQ(orders[0].kind, RES_LOAD);
+	EXPECT_EQ(orders[0].item.model, 0);
+	EXPECT_EQ(orders[0].engine, 2u);
+}
+
+/* Found there, too: a copy that served was unloaded since others were coming,
+ * long before they could serve. */
+TEST(Res, CopiesThatAreComingMakeNoRoom)
+{
+	Direct d;
+
+	d.hold(0, 0);
+	d.hold(0, 2);
+	d.hold(1, 2);
+	d.hold(2, 2);
+	d.hold(1, 0, false);
+	d.hold(2, 0, false);
+	d.engines[1].busy = d.engines[2].busy = true;
+	d.ask("m0", 10);
+	d.ask("m1", 50);
+	for (const auto &order : d.orders())
+		EXPECT_FALSE(order.kind == RES_UNLOAD && order.item.model == 0);
+}
+
 TEST(Res, EngineThatLeavesIsReplaced)
 {
 	Verband world;
