ctl: the leader's own address replaces that of a redirect

Trace: after a cut node3 sent reports and commands to node1 for good, though it knew node2 as the leader: a late reply of node1 to a forwarded command had set the leader's address, which was kept as long as the leader stayed the same. Ruled out: silent and stuck connections (pings were answered, nothing waited).

--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -672,7 +672,7 @@
 		ctx->last_leader = leader;
 	if (m)
 		ctl_report_set_leader(ctx, raft_term(ctx->raft), m->node,
-				      m->address);
+				      replica_address(ctx, leader));
 }
 
 static void follow_role(struct ctl *ctx)
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -104,8 +104,12 @@
 		ctx->upstream_chosen_us = ctx->now_us;
 		ctl_report_soon(ctx, 0);
 	}
-	if (!ctx->leader_address && address && address[0])
+	/* A redirect from an instance that was behind may have set another. */
+	if (address && address[0] &&
+	    g_strcmp0(ctx->leader_address, address) != 0) {
+		g_free(ctx->leader_address);
 		ctx->leader_address = g_strdup(address);
+	}
 }
 
 /* ---- Upstream ---- */
