base: one function copies a message

Also the second count of entries in edge.c, which the balancer has, and ctl.transferred, which nothing used.

Behaviour is meant to stay; nothing in the tests was changed.

--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -116,6 +116,7 @@
 
 	ctx->view = view_new_empty();
 	ctx->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
+	ctx->entries = 1;
 	return ctx;
 }
 
@@ -201,6 +202,12 @@
 	find_position(ctx, view, self);
 }
 
+/* Returns the number of instances that serve callers, at least 1. */
+unsigned bal_entries(const struct bal *ctx)
+{
+	return ctx->entries;
+}
+
 /* Counts a request that is sent to the endpoint. */
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens)
 {
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -63,6 +63,8 @@
 /* Takes a reference to the view. self: node id of this instance; each instance
  * prefers other endpoints, so that it knows most of their load. */
 void bal_set_view(struct bal *ctx, struct view *view, const char *self);
+/* Instances that serve callers; at least 1. */
+unsigned bal_entries(const struct bal *ctx);
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens);
 /* The first byte of an answer came; first_us after the request was sent.
  * alone: no other request of this instance was being read at that endpoint. */
--- a/src/core/clm.c
+++ b/src/core/clm.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/msg.h"
 #include "core/st_private.h"
 
 /*
@@ -427,7 +428,7 @@
 
 	if (c) {
 		fill(c, &msg);
-		result->claim = st_message_dup(&msg);
+		result->claim = msg_dup(&msg);
 	}
 	return result;
 }
--- a/src/core/ord.c
+++ b/src/core/ord.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/msg.h"
 #include "core/st_private.h"
 
 /*
@@ -570,7 +571,7 @@
 	Dsp__CommandResult *result = st_result(ctx, code, message);
 
 	if (o)
-		result->order = st_message_dup(o->msg);
+		result->order = msg_dup(o->msg);
 	return result;
 }
 
@@ -753,7 +754,7 @@
 		return rejection;
 	o = g_new0(struct order, 1);
 	o->endpoint = ep;
-	o->msg = st_message_dup(msg);
+	o->msg = msg_dup(msg);
 	o->msg->id = ctx->index;
 	o->msg->state = pending_state;
 	o->msg->created_ms = ctx->wall_ms;
@@ -1044,7 +1045,7 @@
 {
 	struct order *o = g_new0(struct order, 1);
 
-	o->msg = st_message_dup(msg);
+	o->msg = msg_dup(msg);
 	g_hash_table_insert(ctx->order_by_id, &o->msg->id, o);
 	if (msg->state != pending_state) {
 		add_finished(ctx, o);
--- a/src/core/qua.c
+++ b/src/core/qua.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/msg.h"
 #include "core/st_private.h"
 
 /*
@@ -223,7 +224,7 @@
 
 	if (msg->digest.len != ST_DIGEST_LEN || suspect_find(ctx, &msg->digest))
 		return false;
-	s = suspect_add(ctx, st_message_dup(msg), index);
+	s = suspect_add(ctx, msg_dup(msg), index);
 	if (ep && ep->msg->incarnation == msg->running_incarnation)
 		ep->running = s;
 	return true;
--- a/src/core/st.c
+++ b/src/core/st.c
@@ -93,21 +93,6 @@
 	return result;
 }
 
-/* Returns a deep copy of a protobuf message. */
-void *st_message_dup(const void *message)
-{
-	const ProtobufCMessage *msg = message;
-	size_t len = protobuf_c_message_get_packed_size(msg);
-	uint8_t *data = g_malloc(len + 1);
-	void *copy;
-
-	protobuf_c_message_pack(msg, data);
-	copy = protobuf_c_message_unpack(msg->descriptor, NULL, len, data);
-	g_free(data);
-	g_assert(copy);
-	return copy;
-}
-
 /* Replaces a string field of a message that owns its strings. */
 void st_replace_string(char **field, const char *value)
 {
--- a/src/core/st_doc.c
+++ b/src/core/st_doc.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/msg.h"
 #include "core/st_private.h"
 
 /* Accepted documents per team whose resend is recognised (section 4). */
@@ -184,7 +185,7 @@
 	g_free(message);
 	if (!parsed)
 		return false;
-	document_set(ctx, st_message_dup(msg), parsed);
+	document_set(ctx, msg_dup(msg), parsed);
 	return true;
 }
 
--- a/src/core/st_endpoint.c
+++ b/src/core/st_endpoint.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/msg.h"
 #include "core/st_private.h"
 
 /*
@@ -45,7 +46,7 @@
 {
 	struct endpoint *ep = g_new0(struct endpoint, 1);
 
-	ep->msg = st_message_dup(msg);
+	ep->msg = msg_dup(msg);
 	ep->old_incarnations = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	ep->n_used = msg->accelerators;
 	ep->used_mb = g_new0(uint64_t, msg->accelerators + 1);
@@ -160,7 +161,7 @@
 static void replace_message(struct st *ctx, struct endpoint *ep,
 			    const Dsp__Endpoint *msg)
 {
-	Dsp__Endpoint *copy = st_message_dup(msg);
+	Dsp__Endpoint *copy = msg_dup(msg);
 
 	if (copy->accelerators > ep->n_used) {
 		ep->used_mb =
@@ -329,7 +330,7 @@
 		if (same_record(ep->msg, &next))
 			return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME,
 					 NULL);
-		copy = st_message_dup(&next);
+		copy = msg_dup(&next);
 		g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
 		dsp__endpoint__free_unpacked(ep->msg, NULL);
 		ep->msg = copy;
@@ -436,7 +437,7 @@
 {
 	struct node *node = g_new0(struct node, 1);
 
-	node->msg = st_message_dup(msg);
+	node->msg = msg_dup(msg);
 	node->old_boots = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	TAILQ_INSERT_TAIL(&ctx->nodes, node, link);
 	g_hash_table_insert(ctx->node_by_id, node->msg->id, node);
@@ -502,7 +503,7 @@
 	}
 	g_hash_table_remove(ctx->node_by_id, msg->id);
 	dsp__node__free_unpacked(node->msg, NULL);
-	node->msg = st_message_dup(msg);
+	node->msg = msg_dup(msg);
 	node->msg->down = false;
 	node->down_ms = 0;
 	node->item.msg = &node->msg->base;
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -182,7 +182,6 @@
 /* st.c */
 Dsp__CommandResult *st_result(const struct st *ctx, Dsp__ResultCode code,
 			      const char *message);
-void *st_message_dup(const void *message);
 void st_replace_string(char **field, const char *value);
 bool st_passed_multiple(const struct st *ctx, uint64_t interval_ms);
 bool st_is_name(const char *text);
--- a/src/core/st_table.c
+++ b/src/core/st_table.c
@@ -1,3 +1,4 @@
+#include "base/msg.h"
 #include "core/st_private.h"
 
 /* There is one table, so its view record has a fixed key. */
@@ -9,7 +10,7 @@
 
 	copy.source.data = NULL;
 	copy.source.len = 0;
-	return st_message_dup(&copy);
+	return msg_dup(&copy);
 }
 
 static void table_set(struct st *ctx, const Dsp__RouteTable *table)
--- a/src/core/st_view.c
+++ b/src/core/st_view.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/msg.h"
 #include "core/st_private.h"
 
 /* Moves a record to the end of the change list at the current index. */
@@ -128,7 +129,7 @@
 	record->removed = !item->msg;
 	if (!item->msg)
 		return record;
-	body = st_message_dup(item->msg);
+	body = msg_dup(item->msg);
 	record->body_case = (Dsp__ViewRecord__BodyCase)item->kind;
 	switch (record->body_case) {
 	case DSP__VIEW_RECORD__BODY_DOCUMENT:
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/msg.h"
 
 /* Timers of the edge: demand reports and the leader's orders. */
 #define TICK_US 100000
@@ -60,7 +61,6 @@
 					     budget_free);
 	ctx->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     demand_free);
-	ctx->entries = 1;
 	evthread_use_pthreads();
 	ctx->base = event_base_new();
 	return ctx;
@@ -115,12 +115,9 @@
 static void demand_reported(void *data, const Dsp__Demand *demand)
 {
 	struct edge *ctx = data;
-	size_t len = dsp__demand__get_packed_size(demand);
-	g_autofree uint8_t *bytes = g_malloc(len + 1);
 
-	dsp__demand__pack(demand, bytes);
 	pthread_mutex_lock(&ctx->lock);
-	g_ptr_array_add(ctx->demands_in, dsp__demand__unpack(NULL, len, bytes));
+	g_ptr_array_add(ctx->demands_in, msg_dup(demand));
 	if (demand->refused)
 		wake(ctx);
 	pthread_mutex_unlock(&ctx->lock);
@@ -129,12 +126,9 @@
 static void pace_reported(void *data, const Dsp__Pace *pace)
 {
 	struct edge *ctx = data;
-	size_t len = dsp__pace__get_packed_size(pace);
-	g_autofree uint8_t *bytes = g_malloc(len + 1);
 
-	dsp__pace__pack(pace, bytes);
 	pthread_mutex_lock(&ctx->lock);
-	g_ptr_array_add(ctx->paces_in, dsp__pace__unpack(NULL, len, bytes));
+	g_ptr_array_add(ctx->paces_in, msg_dup(pace));
 	pthread_mutex_unlock(&ctx->lock);
 }
 
@@ -163,18 +157,6 @@
 
 /* ---- Edge thread ---- */
 
-static unsigned count_entries(const struct view *view)
-{
-	unsigned n = 0;
-
-	for (size_t i = 0; i < view_n_nodes(view); i++) {
-		const Dsp__Node *node = view_node_at(view, i);
-
-		n += node->http_address[0] && !node->down;
-	}
-	return MAX(n, 1);
-}
-
 static void use_table(struct edge *ctx, const Dsp__RouteTable *table)
 {
 	const Dsp__CallerLimits *from = table->limits;
@@ -206,7 +188,6 @@
 	struct view *old = ctx->view;
 
 	ctx->view = view;
-	ctx->entries = count_entries(view);
 	bal_set_view(ctx->bal, view, ctx->set->id);
 	/* The old view keeps the old table alive until here. */
 	if (table && table != ctx->table)
@@ -421,7 +402,8 @@
 	return (struct rep_options){
 		.ratio = set->repeat_ratio,
 		.window_s = set->repeat_window_s,
-		.extra_share = (double)set->repeat_extra / ctx->entries,
+		.extra_share =
+			(double)set->repeat_extra / bal_entries(ctx->bal),
 	};
 }
 
--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/msg.h"
 
 /* Calls of endpoints, operators, callers that look for an entry, and checks. */
 
@@ -89,19 +90,13 @@
 	Dsp__Command command = DSP__COMMAND__INIT;
 	Dsp__EndpointPut put = DSP__ENDPOINT_PUT__INIT;
 	Dsp__Endpoint leaving = *endpoint;
-	size_t len;
-	uint8_t *data;
 
 	leaving.state = DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
 	put.endpoint = &leaving;
 	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
 	command.endpoint_put = &put;
-	len = dsp__command__get_packed_size(&command);
-	data = g_malloc(len + 1);
-	dsp__command__pack(&command, data);
-	edge_call_start(ctx, exchange, dsp__command__unpack(NULL, len, data),
-			LEAVE_TIMEOUT_US, leave_done);
-	g_free(data);
+	edge_call_start(ctx, exchange, msg_dup(&command), LEAVE_TIMEOUT_US,
+			leave_done);
 	LOG_EVENT_NOTICE("edge", "endpoint_leaves",
 			 "endpoint=%s incarnation=%" G_GUINT64_FORMAT,
 			 endpoint->id, endpoint->incarnation);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -89,7 +89,6 @@
 	struct adm *queue;    /* requests that wait for a place */
 	struct event *places; /* a place may be free */
 	GHashTable *budgets;  /* service -> struct rep */
-	unsigned entries;     /* instances that serve callers */
 	struct fwd_list forwards;
 	GHashTable *demands; /* "model/adapter" -> struct edge_demand */
 	GHashTable *paces;   /* endpoint -> struct edge_pace */
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -1,6 +1,7 @@
 #include "node/ctl.h"
 
 #include "base/log.h"
+#include "base/msg.h"
 #include "node/ctl_int.h"
 
 #include <stdio.h>
@@ -21,20 +22,6 @@
 
 G_DEFINE_QUARK(ctl - error - quark, ctl_error)
 
-/* Returns a deep copy of a message, freed with its free_unpacked function. */
-void *ctl_copy(const ProtobufCMessageDescriptor *descriptor,
-	       const ProtobufCMessage *message)
-{
-	size_t len = protobuf_c_message_get_packed_size(message);
-	uint8_t *data = g_malloc(len + 1);
-	void *copy;
-
-	protobuf_c_message_pack(message, data);
-	copy = protobuf_c_message_unpack(descriptor, NULL, len, data);
-	g_free(data);
-	return copy;
-}
-
 static void job_free(struct ctl *ctx, struct ctl_job *job)
 {
 	switch (job->kind) {
@@ -601,7 +588,7 @@
 	struct ctl_job *job = g_new0(struct ctl_job, 1);
 
 	job->kind = CTL_JOB_ANNOUNCEMENT;
-	job->announcement = CTL_COPY(announcement, announcement);
+	job->announcement = msg_dup(announcement);
 	ctl_post(ctx, job);
 }
 
@@ -611,7 +598,7 @@
 	struct ctl_job *job = g_new0(struct ctl_job, 1);
 
 	job->kind = CTL_JOB_DEMAND;
-	job->demand = CTL_COPY(demand, demand);
+	job->demand = msg_dup(demand);
 	ctl_post(ctx, job);
 }
 
@@ -621,7 +608,7 @@
 	struct ctl_job *job = g_new0(struct ctl_job, 1);
 
 	job->kind = CTL_JOB_PACE;
-	job->pace = CTL_COPY(pace, pace);
+	job->pace = msg_dup(pace);
 	ctl_post(ctx, job);
 }
 
--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -1,6 +1,7 @@
 #include "node/ctl_int.h"
 
 #include "base/log.h"
+#include "base/msg.h"
 
 #include <string.h>
 #include <time.h>
@@ -185,7 +186,7 @@
 	Dsp__AnswerReply *answer = NULL;
 
 	call->node = g_strdup(node);
-	call->query = CTL_COPY(answer_query, query);
+	call->query = msg_dup(query);
 	if (wait_for(ctx, call, timeout_us) == CTL_CALL_DONE)
 		answer = g_steal_pointer(&call->answer);
 	ctl_call_unref(ctx, call);
@@ -494,8 +495,7 @@
 	case DSP__RESULT_CODE__RESULT_UNAVAILABLE:
 		break;
 	default:
-		finish_with_result(ctx, call,
-				   CTL_COPY(command_result, reply->result));
+		finish_with_result(ctx, call, msg_dup(reply->result));
 		break;
 	}
 }
@@ -508,7 +508,7 @@
 
 	if (!call || call->kind != CTL_CALL_ASK || is_over(ctx, call))
 		return;
-	call->answer = CTL_COPY(answer_reply, reply);
+	call->answer = msg_dup(reply);
 	finish(ctx, call);
 }
 
--- a/src/node/ctl_form.c
+++ b/src/node/ctl_form.c
@@ -1,6 +1,7 @@
 #include "node/ctl_int.h"
 
 #include "base/log.h"
+#include "base/msg.h"
 
 #include <string.h>
 #include <sys/random.h>
@@ -315,7 +316,7 @@
 		return;
 	}
 	join = g_new0(struct ctl_join, 1);
-	join->member = CTL_COPY(member, m);
+	join->member = msg_dup(m);
 	join->heard_us = ctx->now_us;
 	g_hash_table_replace(ctx->joins,
 			     g_memdup2(&m->replica, sizeof(m->replica)), join);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -237,7 +237,6 @@
 	uint64_t leader_term_started;
 	uint64_t last_leader;	/* replica that led last; 0: not known */
 	bool knows_group_start; /* founded the group in this process */
-	bool transferred;	/* asked another to lead, since it stops */
 	int64_t leader_since_us;
 	GHashTable *replica_heard; /* replica -> time of its last message */
 	struct ctl_waiters waiters;
@@ -396,10 +395,4 @@
 char *ctl_status_build(struct ctl *ctx);
 void ctl_status_metrics(struct ctl *ctx);
 
-/* Deep copies of messages. */
-#define CTL_COPY(type, message) \
-	((void *)ctl_copy(&dsp__##type##__descriptor, &(message)->base))
-void *ctl_copy(const ProtobufCMessageDescriptor *descriptor,
-	       const ProtobufCMessage *message);
-
 #endif
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -1,6 +1,7 @@
 #include "node/ctl_int.h"
 
 #include "base/log.h"
+#include "base/msg.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -248,7 +249,7 @@
 		TAILQ_REMOVE(list, w, link);
 		resolve(ctx, w,
 			w->index == e->index && w->term == e->term && result
-				? CTL_COPY(command_result, result)
+				? msg_dup(result)
 				: NULL);
 	}
 }
@@ -266,9 +267,7 @@
 			continue;
 		TAILQ_REMOVE(&ctx->orphans, w, link);
 		resolve(ctx, w,
-			w->term == e->term && result
-				? CTL_COPY(command_result, result)
-				: NULL);
+			w->term == e->term && result ? msg_dup(result) : NULL);
 	}
 }
 
@@ -326,7 +325,7 @@
 	};
 
 	ctx->group = group;
-	ctx->applied_config = CTL_COPY(raft_config, config);
+	ctx->applied_config = msg_dup(config);
 	ctx->applied_index = content->snapshot_index;
 	ctx->applied_term = content->snapshot_term;
 	if (content->snapshot &&
@@ -597,7 +596,7 @@
 				"index=%" G_GUINT64_FORMAT,
 				ready->snapshot_index);
 	dsp__raft_config__free_unpacked(ctx->applied_config, NULL);
-	ctx->applied_config = CTL_COPY(raft_config, ready->snapshot_config);
+	ctx->applied_config = msg_dup(ready->snapshot_config);
 	ctx->applied_index = ready->snapshot_index;
 	ctx->applied_term = ready->snapshot_term;
 	ctx->view_dirty = true;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -1,6 +1,7 @@
 #include "node/ctl_int.h"
 
 #include "base/log.h"
+#include "base/msg.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -206,8 +207,7 @@
 	to->results = g_renew(Dsp__OrderResult *, to->results,
 			      to->n_results + from->n_results);
 	for (size_t i = 0; i < from->n_results; i++)
-		to->results[to->n_results++] =
-			CTL_COPY(order_result, from->results[i]);
+		to->results[to->n_results++] = msg_dup(from->results[i]);
 }
 
 /* Keeps the newest announcement of each endpoint until the next report. */
@@ -224,7 +224,7 @@
 		append_results(known, a);
 		return;
 	}
-	copy = CTL_COPY(announcement, a);
+	copy = msg_dup(a);
 	if (known)
 		append_results(copy, known);
 	g_hash_table_replace(ctx->announcements, g_strdup(a->endpoint->id),
@@ -275,8 +275,7 @@
 	if (demand->refused)
 		ctl_report_soon(ctx, MISSED_DELAY_US);
 	if (!sum) {
-		g_hash_table_insert(ctx->demands, key,
-				    CTL_COPY(demand, demand));
+		g_hash_table_insert(ctx->demands, key, msg_dup(demand));
 		return;
 	}
 	sum->requests += demand->requests;
@@ -293,7 +292,7 @@
 
 	if (!sum || sum->incarnation != pace->incarnation) {
 		g_hash_table_replace(ctx->paces, g_strdup(pace->endpoint),
-				     CTL_COPY(pace, pace));
+				     msg_dup(pace));
 		return;
 	}
 	sum->streams += pace->streams;
@@ -319,7 +318,7 @@
 	if (old && old->incarnation == report->incarnation &&
 	    old->sequence >= report->sequence)
 		return;
-	load->report = CTL_COPY(load_report, report);
+	load->report = msg_dup(report);
 	load->received_us = ctx->now_us;
 	if (ctx->cb.load)
 		ctx->cb.load(ctx->cb.data, report);
@@ -495,7 +494,7 @@
 		if (status->node && strcmp(status->node->id, ctx->set->id) != 0)
 			g_hash_table_replace(ctx->statuses,
 					     g_strdup(status->node->id),
-					     CTL_COPY(node_status, status));
+					     msg_dup(status));
 	}
 	for (size_t i = 0; i < report->n_announcements; i++)
 		merge_announcement(ctx, report->announcements[i]);
@@ -595,7 +594,7 @@
 	if (update->config) {
 		if (ctx->config)
 			dsp__raft_config__free_unpacked(ctx->config, NULL);
-		ctx->config = CTL_COPY(raft_config, update->config);
+		ctx->config = msg_dup(update->config);
 	}
 	ctl_report_set_leader(ctx, update->term, update->leader,
 			      member_address(update->config, update->leader));
