http: one function sets a timer; unused functions go

hio_server.c and hio_client.c converted delays for a timer each on their own; hio_set_timer() replaces both, and will serve fwd.c and agent.c. hio_client_forget(), hio_client_open(), hio_server_close_idle(), hio_server_in_flight() and the counts behind them had no user in the product or the tests; hio_server_stop_listening() was used by hio_server_free() only.

--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -10,6 +10,18 @@
  * is cut shows before the usual deadlines of seconds. */
 #define USER_TIMEOUT_MS 3000
 
+/* Sets a timer to a delay in microseconds; 0 or less stops it. */
+void hio_set_timer(struct event *timer, int64_t delay_us)
+{
+	struct timeval delay = { .tv_sec = delay_us / 1000000,
+				 .tv_usec = delay_us % 1000000 };
+
+	if (delay_us > 0)
+		event_add(timer, &delay);
+	else
+		event_del(timer);
+}
+
 /* Returns the value of the first field with this name, or NULL. */
 const char *hio_field(const struct hio_fields *fields, const char *name)
 {
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -34,6 +34,8 @@
 
 void hio_fields_clear(struct hio_fields *fields);
 /* The first field of this name (any case), or NULL. */
+/* Sets a timer to a delay in microseconds; 0 or less stops it. */
+void hio_set_timer(struct event *timer, int64_t delay_us);
 const char *hio_field(const struct hio_fields *fields, const char *name);
 /* True for fields that concern one connection only, those that the field
  * "Connection" names included. */
@@ -81,8 +83,6 @@
 			   const struct hio_limits *limits);
 /* From now on each answer ends its connection. */
 void hio_server_drain(struct hio_server *ctx);
-void hio_server_stop_listening(struct hio_server *ctx);
-void hio_server_close_idle(struct hio_server *ctx);
 /* Answers with a whole body; ends the exchange. Content-Length and Connection
  * are set here. */
 void hio_reply(struct hio_exchange *ex, int status,
@@ -101,7 +101,6 @@
 const struct hio_request *hio_exchange_request(const struct hio_exchange *ex);
 void *hio_exchange_data(const struct hio_exchange *ex);
 size_t hio_server_connections(const struct hio_server *ctx);
-size_t hio_server_in_flight(const struct hio_server *ctx);
 
 /* ---- Client (hio_client.c) ---- */
 
@@ -153,11 +152,8 @@
 				const struct hio_call_options *options);
 /* Ends the call without a callback and closes its connection. */
 void hio_call_cancel(struct hio_call *call);
-/* Closes idle connections to an address. */
-void hio_client_forget(struct hio_client *ctx, const char *address);
 
 /* Queries. */
-size_t hio_client_open(const struct hio_client *ctx, const char *address);
 struct hio_client_counts hio_client_counts(const struct hio_client *ctx);
 
 #endif
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -42,7 +42,6 @@
 	char *address;
 	struct sockaddr_in socket_address;
 	TAILQ_HEAD(, link) parked;
-	size_t n_open;
 };
 
 struct hio_call {
@@ -58,17 +57,6 @@
 	struct hio_client_counts counts;
 };
 
-static void arm(struct link *link, int64_t delay_us)
-{
-	struct timeval delay = { .tv_sec = delay_us / 1000000,
-				 .tv_usec = delay_us % 1000000 };
-
-	if (delay_us > 0)
-		event_add(link->timer, &delay);
-	else
-		event_del(link->timer);
-}
-
 static void answer_clear(struct link *link)
 {
 	hio_fields_clear(&link->answer.fields);
@@ -83,7 +71,6 @@
 	}
 	if (link->phase == PARKED)
 		TAILQ_REMOVE(&link->peer->parked, link, entry);
-	link->peer->n_open--;
 	bufferevent_free(link->bev);
 	event_free(link->timer);
 	hio_builder_clear(&link->builder);
@@ -246,7 +233,7 @@
 		link->phase = PARKED;
 		link->parked_us = clk_now_us(link->peer->client->clock);
 		TAILQ_INSERT_HEAD(&link->peer->parked, link, entry);
-		arm(link, link->idle_limit_us);
+		hio_set_timer(link->timer, link->idle_limit_us);
 	} else {
 		link_free(link);
 	}
@@ -321,7 +308,7 @@
 	if (what & BEV_EVENT_CONNECTED) {
 		hio_set_socket_options(bufferevent_getfd(link->bev));
 		link->phase = BUSY;
-		arm(link, 0);
+		hio_set_timer(link->timer, 0);
 		return;
 	}
 	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
@@ -371,15 +358,14 @@
 		bufferevent_socket_new(ctx->base, -1, BEV_OPT_CLOSE_ON_FREE);
 	link->timer = event_new(ctx->base, -1, 0, on_timer, link);
 	link->phase = CONNECTING;
-	peer->n_open++;
 	bufferevent_setcb(link->bev, on_readable, NULL, on_event, link);
 	bufferevent_enable(link->bev, EV_READ | EV_WRITE);
-	arm(link, options->connect_timeout_us);
+	hio_set_timer(link->timer, options->connect_timeout_us);
 	if (bufferevent_socket_connect(link->bev,
 				       (struct sockaddr *)&peer->socket_address,
 				       sizeof(peer->socket_address)) < 0) {
 		link->phase = FAILED;
-		arm(link, 1);
+		hio_set_timer(link->timer, 1);
 	}
 	ctx->counts.opened++;
 	return link;
@@ -452,7 +438,7 @@
 	    clk_now_us(ctx->clock) - link->parked_us < options->reuse_idle_us) {
 		TAILQ_REMOVE(&peer->parked, link, entry);
 		link->phase = BUSY;
-		arm(link, 0);
+		hio_set_timer(link->timer, 0);
 		ctx->counts.reused++;
 	} else {
 		link = link_open(ctx, peer, options);
@@ -480,23 +466,6 @@
 		link_free(link);
 }
 
-/* Closes idle connections to an address. */
-void hio_client_forget(struct hio_client *ctx, const char *address)
-{
-	struct peer *peer = g_hash_table_lookup(ctx->peers, address);
-
-	while (peer && !TAILQ_EMPTY(&peer->parked))
-		link_free(TAILQ_FIRST(&peer->parked));
-}
-
-/* Returns the number of connections to an address, idle ones included. */
-size_t hio_client_open(const struct hio_client *ctx, const char *address)
-{
-	const struct peer *peer = g_hash_table_lookup(ctx->peers, address);
-
-	return peer ? peer->n_open : 0;
-}
-
 /* Returns what was done since the start. */
 struct hio_client_counts hio_client_counts(const struct hio_client *ctx)
 {
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -59,7 +59,6 @@
 	struct evconnlistener *listener;
 	TAILQ_HEAD(, conn) conns;
 	size_t n_conns;
-	size_t in_flight;
 	bool draining;
 };
 
@@ -93,22 +92,10 @@
 	}
 }
 
-static void arm(struct conn *conn, int64_t delay_us)
-{
-	struct timeval delay = { .tv_sec = delay_us / 1000000,
-				 .tv_usec = delay_us % 1000000 };
-
-	if (delay_us > 0)
-		event_add(conn->timer, &delay);
-	else
-		event_del(conn->timer);
-}
-
 static void exchange_free(struct hio_exchange *ex)
 {
 	struct conn *conn = ex->conn;
 
-	conn->server->in_flight--;
 	conn->exchange = NULL;
 	g_free(ex->request.method);
 	g_free(ex->request.target);
@@ -139,7 +126,7 @@
 {
 	conn->phase = IDLE;
 	conn->complete = false;
-	arm(conn, conn->server->options.limits.idle_us);
+	hio_set_timer(conn->timer, conn->server->options.limits.idle_us);
 }
 
 /* Closes the own side once everything is written. */
@@ -152,15 +139,16 @@
 	/* Fails when the caller has reset the connection, which the event
 	 * callback reports. */
 	(void)shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
-	arm(conn, LINGER_US);
+	hio_set_timer(conn->timer, LINGER_US);
 }
 
 static void begin_ending(struct conn *conn)
 {
 	conn->phase = ENDING;
-	arm(conn, 0);
+	hio_set_timer(conn->timer, 0);
 	if (!evbuffer_get_length(bufferevent_get_output(conn->bev)))
-		arm(conn, 1); /* not within a callback of the user */
+		hio_set_timer(conn->timer,
+			      1); /* not within a callback of the user */
 }
 
 static void refuse(struct conn *conn, int status)
@@ -240,7 +228,7 @@
 		evbuffer_add_printf(bufferevent_get_output(conn->bev),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
 	/* The body may take as long as the caller keeps sending. */
-	arm(conn, limits->idle_us);
+	hio_set_timer(conn->timer, limits->idle_us);
 	return 0;
 }
 
@@ -295,8 +283,7 @@
 	conn->exchange = ex;
 	conn->complete = false;
 	conn->phase = ANSWERING;
-	arm(conn, 0);
-	ctx->in_flight++;
+	hio_set_timer(conn->timer, 0);
 	ctx->options.request(ctx->options.data, ex);
 }
 
@@ -309,7 +296,8 @@
 
 	if (conn->phase == IDLE) {
 		conn->phase = READING;
-		arm(conn, conn->server->options.limits.header_us);
+		hio_set_timer(conn->timer,
+			      conn->server->options.limits.header_us);
 	}
 	used = http_parser_execute(&conn->parser, &parser_settings, data, len);
 	evbuffer_drain(input, used);
@@ -460,7 +448,8 @@
 {
 	if (!ctx)
 		return;
-	hio_server_stop_listening(ctx);
+	if (ctx->listener)
+		evconnlistener_free(ctx->listener);
 	while (!TAILQ_EMPTY(&ctx->conns))
 		conn_free(TAILQ_FIRST(&ctx->conns));
 	g_free(ctx);
@@ -479,27 +468,6 @@
 	ctx->draining = true;
 }
 
-/* Accepts no new connection. */
-void hio_server_stop_listening(struct hio_server *ctx)
-{
-	if (ctx->listener)
-		evconnlistener_free(ctx->listener);
-	ctx->listener = NULL;
-}
-
-/* Closes connections on which no request was begun. */
-void hio_server_close_idle(struct hio_server *ctx)
-{
-	struct conn *conn;
-	struct conn *next;
-
-	for (conn = TAILQ_FIRST(&ctx->conns); conn; conn = next) {
-		next = TAILQ_NEXT(conn, link);
-		if (conn->phase == IDLE)
-			begin_ending(conn);
-	}
-}
-
 /* ---- Answers ---- */
 
 static void write_head(struct hio_exchange *ex, int status,
@@ -619,9 +587,3 @@
 {
 	return ctx->n_conns;
 }
-
-/* Returns the number of requests that are not answered yet. */
-size_t hio_server_in_flight(const struct hio_server *ctx)
-{
-	return ctx->in_flight;
-}
