fwd: conditions stand once; frees the fields of a resumed stream

begin_stream() allocated the list of fields before it returned early for a stream that goes on at another endpoint, so each move of a stream leaked it. Found by reading.

The conditions for a repeat, for too little time and for fields that are passed on, and the id in log lines, were written several times; each is a function now. The end of the deadline in on_timer() is what give_up() does: there is always too little time left then, so the answers stay 503 without Retry-After and 504.

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -133,13 +133,27 @@
 	return clk_now_us(f->edge->clock);
 }
 
-static void arm(struct fwd *f, int64_t at_us)
+/* True when too little time is left for any endpoint to serve it. */
+static bool is_too_late(const struct fwd *f)
+{
+	return now_of(f) + REMAINING_MIN_US >= f->end_us;
+}
+
+/* True when another endpoint may run it, too. */
+static bool can_move(const struct fwd *f)
+{
+	return may_repeat(f) && f->runs < f->attempts_max;
+}
+
+/* The request's id as log lines show it. */
+static const char *log_id(const struct fwd *f)
 {
-	int64_t delay_us = MAX(at_us - now_of(f), 1);
-	struct timeval delay = { .tv_sec = delay_us / EDGE_S_US,
-				 .tv_usec = delay_us % EDGE_S_US };
+	return f->said.request_id ? f->said.request_id : "-";
+}
 
-	event_add(f->timer, &delay);
+static void arm(struct fwd *f, int64_t at_us)
+{
+	hio_set_timer(f->timer, MAX(at_us - now_of(f), 1));
 }
 
 /* ---- End of a request ---- */
@@ -208,8 +222,7 @@
 		" service=%s model=%s adapter=%s outcome=%s status=%d "
 		"reason=%s endpoint=%s tried=%zu runs=%u took_us=%" PRId64
 		" waited_us=%" PRId64 " first_us=%" PRId64 " gap_us=%" PRId64,
-		f->said.request_id ? f->said.request_id : "-", f->route,
-		f->table_number, f->service,
+		log_id(f), f->route, f->table_number, f->service,
 		f->said.model ? f->said.model : "-",
 		f->said.adapter ? f->said.adapter : "-", outcome, status,
 		reason, f->endpoint_id ? f->endpoint_id : "-", f->n_tried,
@@ -273,7 +286,7 @@
 /* Ends a request that will not be sent again. */
 static void give_up(struct fwd *f, int64_t retry_us, const char *reason)
 {
-	bool late = now_of(f) + REMAINING_MIN_US >= f->end_us;
+	bool late = is_too_late(f);
 
 	if (!f->runs)
 		finish_failed(f, 503, late ? -1 : retry_us, reason);
@@ -302,9 +315,8 @@
 	}
 	met_count(f->edge->met, "dandelionspar_edge_repeats_denied", "", 1);
 	LOG_EVENT_INFO("fwd", "repeat_denied",
-		       "request=%s service=%s left=%.1f",
-		       f->said.request_id ? f->said.request_id : "-",
-		       f->service, rep_left(budget, &options, now_of(f)));
+		       "request=%s service=%s left=%.1f", log_id(f), f->service,
+		       rep_left(budget, &options, now_of(f)));
 	return false;
 }
 
@@ -314,12 +326,11 @@
  */
 static void try_again(struct fwd *f, bool reached, const char *reason)
 {
-	if (f->runs && (!may_repeat(f) || f->runs >= f->attempts_max)) {
+	if (f->runs && !can_move(f)) {
 		give_up(f, -1, reason);
 		return;
 	}
-	if (f->n_tried >= TRIED_MAX ||
-	    now_of(f) + REMAINING_MIN_US >= f->end_us) {
+	if (f->n_tried >= TRIED_MAX || is_too_late(f)) {
 		give_up(f, CONNECT_TIMEOUT_US, reason);
 		return;
 	}
@@ -329,9 +340,8 @@
 	}
 	LOG_EVENT_INFO("fwd", "again",
 		       "request=%s endpoint=%s reason=%s runs=%u after_id=%s",
-		       f->said.request_id ? f->said.request_id : "-",
-		       f->endpoint_id ? f->endpoint_id : "-", reason, f->runs,
-		       f->last_id ? f->last_id : "-");
+		       log_id(f), f->endpoint_id ? f->endpoint_id : "-", reason,
+		       f->runs, f->last_id ? f->last_id : "-");
 	dispatch(f);
 }
 
@@ -354,21 +364,25 @@
 	f->last_id = g_strdup(id);
 }
 
+static bool is_passed_on(const struct hio_fields *fields,
+			 const struct hio_field *field)
+{
+	return !hio_is_hop_field(fields, field->name) &&
+	       !wire_is_internal_answer_field(field->name);
+}
+
 static void begin_stream(struct fwd *f, const struct hio_answer *answer)
 {
-	struct hio_field *fields = g_new(struct hio_field, answer->fields.n);
+	struct hio_field *fields;
 	size_t n = 0;
 
 	f->streaming = true;
 	if (f->begun)
 		return; /* the first run's fields stay */
-	for (size_t i = 0; i < answer->fields.n; i++) {
-		const struct hio_field *field = &answer->fields.all[i];
-
-		if (!hio_is_hop_field(&answer->fields, field->name) &&
-		    !wire_is_internal_answer_field(field->name))
-			fields[n++] = *field;
-	}
+	fields = g_new(struct hio_field, answer->fields.n);
+	for (size_t i = 0; i < answer->fields.n; i++)
+		if (is_passed_on(&answer->fields, &answer->fields.all[i]))
+			fields[n++] = answer->fields.all[i];
 	hio_reply_begin(f->exchange, answer->status, fields, n);
 	f->begun = true;
 	f->events = sse_new();
@@ -382,8 +396,7 @@
 	for (size_t i = 0; i < from->n; i++) {
 		const struct hio_field *field = &from->all[i];
 
-		if (hio_is_hop_field(from, field->name) ||
-		    wire_is_internal_answer_field(field->name))
+		if (!is_passed_on(from, field))
 			continue;
 		to->all[to->n].name = g_strdup(field->name);
 		to->all[to->n++].value = g_strdup(field->value);
@@ -477,9 +490,8 @@
 	}
 	end_send(f, BAL_ANSWERED);
 	/* The failure of one endpoint need not be that of the next. */
-	if (f->status >= 500 && may_repeat(f) && f->runs < f->attempts_max &&
-	    f->n_tried < TRIED_MAX &&
-	    now_of(f) + REMAINING_MIN_US < f->end_us && take_repeat(f)) {
+	if (f->status >= 500 && can_move(f) && f->n_tried < TRIED_MAX &&
+	    !is_too_late(f) && take_repeat(f)) {
 		dispatch(f);
 		return;
 	}
@@ -537,12 +549,6 @@
 	return MAX(FIRST_OBJECTIVES * f->objective_us, FIRST_MIN_US);
 }
 
-/* True when another endpoint could take over from a silent one. */
-static bool can_move(const struct fwd *f)
-{
-	return may_repeat(f) && f->runs < f->attempts_max;
-}
-
 static void arm_for_send(struct fwd *f)
 {
 	int64_t at_us = f->end_us;
@@ -638,8 +644,7 @@
 		       "request=%s service=%s outcome=%s candidates=%u "
 		       "view=%" G_GUINT64_FORMAT
 		       " waiting=%u expected_us=%" PRId64,
-		       f->said.request_id ? f->said.request_id : "-",
-		       f->service, bal_outcome_name(choice->outcome),
+		       log_id(f), f->service, bal_outcome_name(choice->outcome),
 		       choice->candidates, view_index(f->edge->view),
 		       adm_length(f->edge->queue, f->group), expected_us);
 	give_up(f, MAX(choice->retry_us, expected_us),
@@ -708,7 +713,7 @@
 	};
 	struct bal_choice choice = { .outcome = BAL_READING };
 
-	if (now_of(f) + REMAINING_MIN_US >= f->end_us) {
+	if (is_too_late(f)) {
 		give_up(f, -1, "deadline");
 		return false;
 	}
@@ -723,9 +728,8 @@
 		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
 		       "load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
 		       " left_us=%" PRId64,
-		       f->said.request_id ? f->said.request_id : "-",
-		       f->endpoint_id, choice.candidates, choice.cost_ms,
-		       choice.load, choice.load_age_s,
+		       log_id(f), f->endpoint_id, choice.candidates,
+		       choice.cost_ms, choice.load, choice.load_age_s,
 		       view_index(f->edge->view), f->end_us - f->send_us);
 	return false;
 }
@@ -738,10 +742,7 @@
 	(void)fd;
 	(void)what;
 	if (now_us + 1000 >= f->end_us) {
-		if (f->runs)
-			finish_failed(f, 504, -1, "deadline");
-		else
-			finish_failed(f, 503, -1, "deadline");
+		give_up(f, -1, "deadline");
 		return;
 	}
 	if (f->item.queued) {
