res: what an engine holds is looked up in one place

agent.c searched the list of held items twice and wrote the names of adapters twice, beside res.c, which reads them; res_holds() and res_adapter_name() serve both now.

plan_models() was a loop that ended after one order; its bookkeeping for further orders did nothing. The expectation from the copies at the start was added to the rates and subtracted again; expected_rate() derives it, so the rates no longer collect rounding errors.

--- a/src/core/res.c
+++ b/src/core/res.c
@@ -180,6 +180,23 @@
 	return ctx->models[item.model].name;
 }
 
+/* Writes the name of the item's adapter and returns it. */
+char *res_adapter_name(struct res_item item, char name[RES_ADAPTER_NAME_MAX])
+{
+	g_snprintf(name, RES_ADAPTER_NAME_MAX, "a%u", item.adapter);
+	return name;
+}
+
+/* Returns whether the engine holds the item or will after its order. */
+bool res_holds(const struct res_engine *e, struct res_item item)
+{
+	for (size_t i = 0; i < e->n_holds; i++)
+		if (e->holds[i].model == item.model &&
+		    e->holds[i].adapter == item.adapter)
+			return true;
+	return false;
+}
+
 /* Returns the time that a load of the model from the store takes. */
 uint32_t res_load_ms(const struct res *ctx, struct res_item item)
 {
@@ -194,6 +211,11 @@
 	return item.adapter ? m->adapter_rates[item.adapter] : m->rate;
 }
 
+static void set_rate(struct model *m)
+{
+	m->rate = MAX(2 * m->fast - m->slow, 0);
+}
+
 static void decay(struct res *ctx, int64_t now_us)
 {
 	double passed_s = (double)(now_us - ctx->decayed_us) / 1e6;
@@ -208,7 +230,7 @@
 
 		m->fast *= fast;
 		m->slow *= slow;
-		m->rate = MAX(2 * m->fast - m->slow, 0);
+		set_rate(m);
 		for (size_t k = 1; k <= m->adapters; k++)
 			m->adapter_rates[k] *= slow;
 	}
@@ -231,7 +253,7 @@
 	m = &ctx->models[item.model];
 	m->fast += all / FAST_TAU_S;
 	m->slow += all / SLOW_TAU_S;
-	m->rate = MAX(2 * m->fast - m->slow, 0);
+	set_rate(m);
 	if (item.adapter)
 		m->adapter_rates[item.adapter] += all / SLOW_TAU_S;
 }
@@ -258,18 +280,9 @@
 	return recent + 1 <= MAX(most, 1) && recent + 1 < LOADS_MAX;
 }
 
-static bool has(const struct res_engine *e, struct res_item item)
-{
-	for (size_t i = 0; i < e->n_holds; i++)
-		if (e->holds[i].model == item.model &&
-		    e->holds[i].adapter == item.adapter)
-			return true;
-	return false;
-}
-
 static bool has_model(const struct res_engine *e, size_t model)
 {
-	return has(e, (struct res_item){ .model = (uint16_t)model });
+	return res_holds(e, (struct res_item){ .model = (uint16_t)model });
 }
 
 static int64_t free_mb(const struct res *ctx, const struct res_engine *e)
@@ -321,24 +334,20 @@
 	}
 }
 
-/* The platform starts engines with the models that it expects to be busy. */
-static void use_prior(struct res *ctx)
+/* The rate that a model's share of the memory is for. The platform starts
+ * engines with the models that it expects to be busy. */
+static double expected_rate(const struct res *ctx, const struct model *m)
 {
-	if (ctx->primed)
-		return;
-	for (size_t i = 0; i < ctx->n_models; i++) {
-		struct model *m = &ctx->models[i];
-
-		if (m->copies > 1)
-			m->rate += PRIOR_RATE * m->copies;
-	}
+	if (ctx->primed || m->copies <= 1)
+		return m->rate;
+	return m->rate + PRIOR_RATE * m->copies;
 }
 
 /* Copies that demand needs: by requests, and by the places of the adapters that
  * are asked for. */
 static uint32_t copies_needed(const struct res *ctx, const struct model *m)
 {
-	uint32_t for_rate = 1 + (uint32_t)(m->rate / COPY_RATE);
+	uint32_t for_rate = 1 + (uint32_t)(expected_rate(ctx, m) / COPY_RATE);
 	uint32_t asked = 0;
 
 	for (size_t k = 1; k <= m->adapters; k++)
@@ -363,7 +372,7 @@
 
 		for (size_t i = 0; i < ctx->n_models; i++) {
 			struct model *m = &ctx->models[i];
-			double rate = m->rate / MAX(m->wanted, 1);
+			double rate = expected_rate(ctx, m) / MAX(m->wanted, 1);
 
 			if (m->wanted >= n_usable || m->memory_mb > left ||
 			    m->wanted >= copies_needed(ctx, m))
@@ -433,8 +442,7 @@
  * with room is better than one without; then the least needed victim, since
  * an unload waits for the requests of its model; then the lowest load. */
 static bool plan_model(struct res *ctx, const struct res_engine *engines,
-		       size_t n, const bool *taken, size_t model,
-		       struct res_order *out)
+		       size_t n, size_t model, struct res_order *out)
 {
 	const struct model *m = &ctx->models[model];
 	struct victim best_victim = { .model = -1 };
@@ -446,7 +454,7 @@
 		struct victim victim = { .model = -1 };
 		double cost = e->load * LOAD_COST + slow_cost(m, e);
 
-		if (!e->usable || e->busy || taken[i] || has_model(e, model))
+		if (!e->usable || e->busy || has_model(e, model))
 			continue;
 		if (free_mb(ctx, e) < m->memory_mb) {
 			victim = find_victim(ctx, e, need_of(ctx, m));
@@ -473,34 +481,39 @@
 	return true;
 }
 
+/* The model that needs a copy most, or -1. */
+static int neediest(const struct res *ctx, const bool *skip)
+{
+	double best_need = 0;
+	int best = -1;
+
+	for (size_t i = 0; i < ctx->n_models; i++) {
+		double need = skip[i] ? 0 : need_of(ctx, &ctx->models[i]);
+
+		if (need > best_need) {
+			best_need = need;
+			best = (int)i;
+		}
+	}
+	return best;
+}
+
+/* Plans an order for the neediest model that an engine can take. One at a time,
+ * so that the rate of the store counts each. */
 static size_t plan_models(struct res *ctx, const struct res_engine *engines,
-			  size_t n, int64_t now_us, bool *taken,
-			  struct res_order *out, size_t max)
-{
-	bool *skip = g_new0(bool, ctx->n_models + 1);
-	size_t planned = 0;
-
-	while (planned < max && store_has_room(ctx, engines, n, now_us)) {
-		int best = -1;
-
-		for (size_t i = 0; i < ctx->n_models; i++)
-			if (!skip[i] && need_of(ctx, &ctx->models[i]) > 0 &&
-			    (best < 0 ||
-			     need_of(ctx, &ctx->models[i]) >
-				     need_of(ctx, &ctx->models[best])))
-				best = (int)i;
-		if (best < 0)
-			break;
+			  size_t n, int64_t now_us, struct res_order *out,
+			  size_t max)
+{
+	bool *skip;
+	bool planned = false;
+	int best;
+
+	if (!max || !store_has_room(ctx, engines, n, now_us))
+		return 0;
+	skip = g_new0(bool, ctx->n_models + 1);
+	while (!planned && (best = neediest(ctx, skip)) >= 0) {
 		skip[best] = true;
-		if (!plan_model(ctx, engines, n, taken, (size_t)best,
-				&out[planned]))
-			continue;
-		taken[out[planned].engine] = true;
-		if (out[planned].kind == RES_UNLOAD)
-			ctx->models[out[planned].item.model].present--;
-		planned++;
-		/* One at a time, so that the rate counts each. */
-		break;
+		planned = plan_model(ctx, engines, n, (size_t)best, out);
 	}
 	g_free(skip);
 	return planned;
@@ -560,7 +573,7 @@
 			double need = adapter_need(m, k);
 
 			item.adapter = (uint16_t)k;
-			if (need > best_need && !has(e, item)) {
+			if (need > best_need && !res_holds(e, item)) {
 				best = item;
 				best_need = need;
 			}
@@ -590,8 +603,8 @@
 size_t res_plan(struct res *ctx, const struct res_engine *engines, size_t n,
 		int64_t now_us, struct res_order *out, size_t max)
 {
-	bool *taken = g_new0(bool, n + 1);
 	size_t usable = 0;
+	size_t models;
 	size_t planned;
 
 	decay(ctx, now_us);
@@ -600,19 +613,15 @@
 	count_copies(ctx, engines, n);
 	for (size_t i = 0; i < n; i++)
 		usable += engines[i].usable;
-	use_prior(ctx);
 	share_memory(ctx, usable);
-	for (size_t i = 0; !ctx->primed && i < ctx->n_models; i++)
-		if (ctx->models[i].copies > 1)
-			ctx->models[i].rate -=
-				PRIOR_RATE * ctx->models[i].copies;
-	planned = plan_models(ctx, engines, n, now_us, taken, out, max);
+	models = plan_models(ctx, engines, n, now_us, out, max);
+	planned = models;
 	for (size_t i = 0; i < n && planned < max; i++) {
-		if (!engines[i].usable || engines[i].busy || taken[i])
+		if (!engines[i].usable || engines[i].busy ||
+		    (models && i == out[0].engine))
 			continue;
 		if (plan_adapter(ctx, &engines[i], i, &out[planned]))
 			planned++;
 	}
-	g_free(taken);
 	return planned;
 }
--- a/src/core/res.h
+++ b/src/core/res.h
@@ -15,6 +15,8 @@
 struct res;
 
 #define RES_HOLDS_MAX 64
+/* Size of a buffer for an adapter's name. */
+#define RES_ADAPTER_NAME_MAX 8
 
 /* A model, or an adapter of it, by number: adapter 0 is the model itself. */
 struct res_item {
@@ -65,6 +67,8 @@
 bool res_find(const struct res *ctx, const char *model, const char *adapter,
 	      struct res_item *out);
 const char *res_model_name(const struct res *ctx, struct res_item item);
+char *res_adapter_name(struct res_item item, char name[RES_ADAPTER_NAME_MAX]);
+bool res_holds(const struct res_engine *e, struct res_item item);
 uint32_t res_load_ms(const struct res *ctx, struct res_item item);
 double res_rate(const struct res *ctx, struct res_item item); /* per second */
 
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -201,7 +201,7 @@
 	Dsp__Announcement message = DSP__ANNOUNCEMENT__INIT;
 	Dsp__Copy copies[RES_HOLDS_MAX];
 	Dsp__Copy *list[RES_HOLDS_MAX];
-	char adapters[RES_HOLDS_MAX][16];
+	char adapters[RES_HOLDS_MAX][RES_ADAPTER_NAME_MAX];
 	Dsp__Endpoint endpoint;
 
 	e->dirty = false;
@@ -215,11 +215,8 @@
 
 		dsp__copy__init(copy);
 		copy->model = (char *)res_model_name(planner, item);
-		if (item.adapter) {
-			g_snprintf(adapters[i], sizeof(adapters[i]), "a%u",
-				   item.adapter);
-			copy->adapter = adapters[i];
-		}
+		if (item.adapter)
+			copy->adapter = res_adapter_name(item, adapters[i]);
 		copy->version = "1";
 		copy->ready = true;
 		list[i] = copy;
@@ -366,15 +363,6 @@
 	order_ended(e, WIRE_ORDER_UNKNOWN);
 }
 
-static bool holds_ordered(const struct engine *e)
-{
-	for (size_t i = 0; i < e->plan.n_holds; i++)
-		if (e->plan.holds[i].model == e->order.item.model &&
-		    e->plan.holds[i].adapter == e->order.item.adapter)
-			return true;
-	return false;
-}
-
 static void state_read(struct engine *e, const struct wire_engine_state *state)
 {
 	int64_t now_us = now_of(e->agent);
@@ -412,7 +400,8 @@
 		return;
 	}
 	if (e->state == WORKING && e->ordered)
-		log_order(e, holds_ordered(e) == (e->order.kind == RES_LOAD)
+		log_order(e, res_holds(&e->plan, e->order.item) ==
+					     (e->order.kind == RES_LOAD)
 				     ? "done"
 				     : "not_done");
 	e->state = IDLE;
@@ -474,8 +463,6 @@
 		       void (*end)(void *),
 		       void (*failed)(void *, enum hio_failure))
 {
-	struct timeval limit = { .tv_sec = timeout_us / EDGE_S_US,
-				 .tv_usec = timeout_us % EDGE_S_US };
 	struct hio_call_options options = {
 		.address = e->address,
 		.head = head,
@@ -490,7 +477,7 @@
 
 	e->status = 0;
 	e->call = hio_call_start(e->agent->edge->client, &options);
-	event_add(e->timer, &limit);
+	hio_set_timer(e->timer, timeout_us);
 }
 
 static void send_order(struct engine *e, const struct res_order *order,
@@ -498,7 +485,7 @@
 {
 	struct agent *ctx = e->agent;
 	struct res *planner = planner_of(ctx, e->service);
-	char adapter[16];
+	char adapter[RES_ADAPTER_NAME_MAX];
 	struct wire_order what = {
 		.kind = order->kind == RES_LOAD ? WIRE_LOAD : WIRE_UNLOAD,
 		.endpoint_id = e->id,
@@ -510,9 +497,7 @@
 	};
 
 	if (order->item.adapter) {
-		g_snprintf(adapter, sizeof(adapter), "a%u",
-			   order->item.adapter);
-		what.adapter = adapter;
+		what.adapter = res_adapter_name(order->item, adapter);
 	} else if (order->kind == RES_LOAD) {
 		res_load_sent(planner, now_of(ctx));
 	}
@@ -554,11 +539,7 @@
 
 	if (order->kind == RES_UNLOAD && order->item.adapter)
 		return;
-	for (size_t i = 0; i < e->n_holds; i++)
-		if (e->holds[i].model == coming.model &&
-		    e->holds[i].adapter == coming.adapter)
-			return;
-	if (e->n_holds < RES_HOLDS_MAX)
+	if (!res_holds(e, coming) && e->n_holds < RES_HOLDS_MAX)
 		e->holds[e->n_holds++] = coming;
 }
 
