--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -328,6 +328,7 @@
 	net_tick(ctx->net, ctx->now_us);
 	receive_messages(ctx);
 	run_jobs(ctx);
+	ctl_raft_reopen(ctx);
 	ctl_form_run(ctx);
 	ctl_member_run(ctx);
 	ctl_report_run(ctx);
@@ -516,11 +517,7 @@
 	g_ptr_array_free(ctx->relays, TRUE);
 	if (ctx->config)
 		dsp__raft_config__free_unpacked(ctx->config, NULL);
-	for (size_t i = 0; i < ctx->n_form_answers; i++) {
-		g_free(ctx->form_answers[i].reported_node);
-		g_free(ctx->form_answers[i].site);
-	}
-	g_free(ctx->form_answers);
+	ctl_form_clear(ctx);
 	g_strfreev(ctx->seeds);
 	g_free(ctx->leader_node);
 	g_free(ctx->leader_address);
--- a/src/node/ctl_form.c
+++ b/src/node/ctl_form.c
@@ -46,6 +46,17 @@
 	return NULL;
 }
 
+/* Forgets what other instances answered. */
+void ctl_form_clear(struct ctl *ctx)
+{
+	for (size_t i = 0; i < ctx->n_form_answers; i++) {
+		g_free(ctx->form_answers[i].reported_node);
+		g_free(ctx->form_answers[i].site);
+	}
+	g_clear_pointer(&ctx->form_answers, g_free);
+	ctx->n_form_answers = 0;
+}
+
 /* Prepares the formation of a replica without a group. */
 void ctl_form_start(struct ctl *ctx)
 {
@@ -53,7 +64,9 @@
 
 	if (!ctx->sto || ctx->raft || ctx->disk_failed)
 		return;
+	ctl_form_clear(ctx);
 	ctx->forming = true;
+	ctx->joining = false;
 	ctx->form_answers = g_new0(struct ctl_form_answer, set->n_peers + 1);
 	for (size_t i = 0; i < set->n_peers; i++)
 		if (set->peers[i].control &&
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -230,8 +230,10 @@
 	uint64_t applied_term;
 	Dsp__RaftConfig *applied_config;
 	bool disk_failed;
-	bool view_dirty;   /* st has changes that the view lacks */
-	bool orders_dirty; /* a pending order may be sendable */
+	bool disk_full;	       /* disk_failed for lack of room only */
+	int64_t reopen_due_us; /* disk_full: when to try again */
+	bool view_dirty;       /* st has changes that the view lacks */
+	bool orders_dirty;     /* a pending order may be sendable */
 	bool was_leader;
 	bool ready_leader;
 	uint64_t leader_term_started;
@@ -321,6 +323,7 @@
 
 /* ctl_raft.c */
 bool ctl_raft_open(struct ctl *ctx, GError **err);
+void ctl_raft_reopen(struct ctl *ctx);
 bool ctl_raft_begin(struct ctl *ctx, uint64_t group,
 		    const Dsp__RaftConfig *config);
 void ctl_raft_close(struct ctl *ctx);
@@ -343,6 +346,7 @@
 
 /* ctl_form.c */
 void ctl_form_start(struct ctl *ctx);
+void ctl_form_clear(struct ctl *ctx);
 bool ctl_form_is_self(const struct ctl *ctx, const struct set_peer *peer);
 void ctl_form_run(struct ctl *ctx);
 void ctl_form_query(struct ctl *ctx, const Dsp__Envelope *from,
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -14,6 +14,9 @@
 /* A forwarded command's result is kept for resends; longer than
  * RESEND_FOR_US of ctl_call.c. */
 #define FORWARD_RESULT_US (10LL * CTL_S_US)
+/* How often a full disk is tried again: below the time in which the group
+ * counts a silent replica as gone, and one line of the log a try. */
+#define REOPEN_INTERVAL_US 500000
 
 static Dsp__CommandResult *result_new(Dsp__ResultCode code, const char *message)
 {
@@ -325,6 +328,8 @@
 	};
 
 	ctx->group = group;
+	if (ctx->applied_config)
+		dsp__raft_config__free_unpacked(ctx->applied_config, NULL);
 	ctx->applied_config = msg_dup(config);
 	ctx->applied_index = content->snapshot_index;
 	ctx->applied_term = content->snapshot_term;
@@ -351,6 +356,32 @@
 					     << 20;
 }
 
+/* Notes that the replica cannot use its disk. One without room is tried again;
+ * after any other failure it is not known what reached the disk. */
+static void note_disk_failure(struct ctl *ctx, const GError *error)
+{
+	ctx->disk_failed = true;
+	ctx->disk_full = g_error_matches(error, STO_ERROR, STO_ERROR_FULL);
+	ctx->reopen_due_us = ctx->now_us + REOPEN_INTERVAL_US;
+}
+
+/* Starts the replica of an opened folder when it belongs to a group. */
+static void use_folder(struct ctl *ctx)
+{
+	const struct sto_content *content = sto_content(ctx->sto);
+	struct st_limits limits;
+
+	ctx->disk_failed = false;
+	ctx->disk_full = false;
+	ctx->replica = content->replica;
+	set_limits(ctx, &limits);
+	if (ctx->st)
+		st_free(ctx->st);
+	ctx->st = st_new(&limits);
+	if (group_is_known(content))
+		start_raft(ctx, content->group, content->config);
+}
+
 /*
  * Opens the data folder of a control instance and starts the replica when it
  * belongs to a group. A damaged, full or failing folder is logged and leaves
@@ -359,8 +390,6 @@
  */
 bool ctl_raft_open(struct ctl *ctx, GError **err)
 {
-	const struct sto_content *content;
-	struct st_limits limits;
 	GError *error = NULL;
 
 	if (!ctx->set->control || !ctx->set->data_folder)
@@ -373,16 +402,11 @@
 		}
 		LOG_EVENT_ERROR("ctl", "replica_refused", "reason=\"%s\"",
 				error->message);
+		note_disk_failure(ctx, error);
 		g_clear_error(&error);
-		ctx->disk_failed = true;
 		return true;
 	}
-	content = sto_content(ctx->sto);
-	ctx->replica = content->replica;
-	set_limits(ctx, &limits);
-	ctx->st = st_new(&limits);
-	if (group_is_known(content))
-		start_raft(ctx, content->group, content->config);
+	use_folder(ctx);
 	return true;
 }
 
@@ -390,8 +414,8 @@
 {
 	LOG_EVENT_ERROR("ctl", "disk_failed", "reason=\"%s\"", error->message);
 	met_count(ctx->met, "dandelionspar_disk_failures", "", 1);
+	note_disk_failure(ctx, error);
 	g_clear_error(&error);
-	ctx->disk_failed = true;
 	give_up_waiters(ctx, &ctx->waiters, UINT64_MAX);
 	give_up_waiters(ctx, &ctx->orphans, UINT64_MAX);
 	if (ctx->was_leader)
@@ -404,6 +428,34 @@
 	ctx->raft = NULL;
 }
 
+/*
+ * Tries to use a disk again that was full. The folder is read anew, as after a
+ * restart: what the failed write left is cut off, and what the replica had not
+ * synced it has not acknowledged either.
+ */
+void ctl_raft_reopen(struct ctl *ctx)
+{
+	GError *error = NULL;
+
+	if (!ctx->disk_full || ctx->now_us < ctx->reopen_due_us)
+		return;
+	if (ctx->sto)
+		sto_close(ctx->sto);
+	ctx->sto = sto_open(ctx->set->data_folder, &error);
+	if (!ctx->sto) {
+		note_disk_failure(ctx, error);
+		if (!ctx->disk_full)
+			LOG_EVENT_ERROR("ctl", "replica_refused",
+					"reason=\"%s\"", error->message);
+		g_clear_error(&error);
+		return;
+	}
+	LOG_EVENT_NOTICE("ctl", "disk_usable", "folder=%s",
+			 ctx->set->data_folder);
+	use_folder(ctx);
+	ctl_form_start(ctx);
+}
+
 /* Joins a group with an empty folder and starts the replica. */
 bool ctl_raft_begin(struct ctl *ctx, uint64_t group,
 		    const Dsp__RaftConfig *config)
--- a/src/store/sto.c
+++ b/src/store/sto.c
@@ -437,7 +437,11 @@
 	if (!write_frame(ctx, &cause))
 		return fail(ctx, cause, err);
 	if (sto_io.fdatasync(ctx->fd)) {
-		sto_set_error(&cause, "cannot sync", "the log", errno);
+		/* Not STO_ERROR_FULL, whatever the cause: unlike after a write
+		 * without room, what was written may be lost and look intact.
+		 */
+		g_set_error(&cause, STO_ERROR, STO_ERROR_IO,
+			    "cannot sync the log: %s", g_strerror(errno));
 		return fail(ctx, cause, err);
 	}
 	ctx->syncs++;
