--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -361,7 +361,8 @@
 static void note_disk_failure(struct ctl *ctx, const GError *error)
 {
 	ctx->disk_failed = true;
-	ctx->disk_full = g_error_matches(error, STO_ERROR, STO_ERROR_FULL);
+	ctx->disk_full = g_error_matches(error, STO_ERROR, STO_ERROR_FULL) &&
+			 !(ctx->sto && sto_sync_failed(ctx->sto));
 	ctx->reopen_due_us = ctx->now_us + REOPEN_INTERVAL_US;
 }
 
--- a/src/store/sto.c
+++ b/src/store/sto.c
@@ -437,11 +437,8 @@
 	if (!write_frame(ctx, &cause))
 		return fail(ctx, cause, err);
 	if (sto_io.fdatasync(ctx->fd)) {
-		/* Not STO_ERROR_FULL, whatever the cause: unlike after a write
-		 * without room, what was written may be lost and look intact.
-		 */
-		g_set_error(&cause, STO_ERROR, STO_ERROR_IO,
-			    "cannot sync the log: %s", g_strerror(errno));
+		ctx->sync_failed = true;
+		sto_set_error(&cause, "cannot sync", "the log", errno);
 		return fail(ctx, cause, err);
 	}
 	ctx->syncs++;
@@ -523,6 +520,13 @@
 	return ctx->bytes;
 }
 
+/* Returns whether a sync failed: unlike after a write without room, what was
+ * written before may be lost and look intact. */
+bool sto_sync_failed(const struct sto *ctx)
+{
+	return ctx->sync_failed;
+}
+
 /* Returns how many times the log was synced since open. */
 uint64_t sto_syncs(const struct sto *ctx)
 {
--- a/src/store/sto.h
+++ b/src/store/sto.h
@@ -61,5 +61,6 @@
 /* Queries. */
 uint64_t sto_bytes(const struct sto *ctx); /* log bytes since the snapshot */
 uint64_t sto_syncs(const struct sto *ctx);
+bool sto_sync_failed(const struct sto *ctx);
 
 #endif
--- a/src/store/sto_priv.h
+++ b/src/store/sto_priv.h
@@ -115,6 +115,7 @@
 	uint64_t bytes;
 	uint64_t syncs;
 	GError *failure; /* the first failure; final */
+	bool sync_failed;
 };
 
 /* System calls, replaced by tests that inject failures. */
