--- a/src/core/res.c
+++ b/src/core/res.c
@@ -1,6 +1,5 @@
-#include "core/res.h"
+#include "core/res_int.h"
 
-#include <glib.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,29 +9,13 @@
  * taken as the trend. */
 #define FAST_TAU_S 1.0
 #define SLOW_TAU_S 2.5
-/* Part of all memory that copies are planned for. */
-#define MEMORY_SHARE 0.94
-/* Requests a second that one copy answers well: reading a prompt takes some 60
- * ms of its engine, and half of its time is for events and other models. */
-#define COPY_RATE 7.0
-/* A copy makes room only for one with this many times its requests. */
-#define MOVE_GAIN 1.6
-/* Need of a model that no engine holds: above that of all others once it is
- * asked for, else like that of a copy with few requests. */
-#define MISSING_NEED 1e6
-#define ASKED_RATE 0.05
-#define UNASKED_NEED 0.8
-/* Cost of making room, and of each request in flight on an engine, in the
- * requests a second of a victim's copy. */
-#define VICTIM_COST 1000.0
-#define LOAD_COST 0.05
-/* Cost of an engine that is slower than the others by all their pause, for a
- * model with more requests a second than this. */
-#define SLOW_COST 20.0
-#define BUSY_RATE 3.0
-/* Window of the store's rate. */
-#define STORE_WINDOW_US 5000000
-#define LOADS_MAX 64
+/* The two averages lag behind a steady change by their time constants, so this
+ * many times their difference leads to the demand in 2.5 s: reports take half a
+ * second, an order and what it waits for some more. */
+#define TREND_WEIGHT 2.3
+/* A refused request comes back in about this many cases and is counted again.
+ */
+#define RETURN_SHARE 0.5
 /* An adapter with fewer requests a second counts as not asked for. */
 #define ADAPTER_IDLE_RATE 0.02
 /* An adapter that was asked for within the last seconds is likely in use. Its
@@ -40,41 +23,10 @@
 #define ADAPTER_BUSY_RATE 0.15
 /* Requests a second for each copy of an adapter above which it gets another. */
 #define ADAPTER_COPY_RATE 3.0
-/* Until demand was seen for some time, each copy that engines started with
- * stands for this many requests a second. */
-#define PRIOR_RATE 8.0
-#define PRIOR_US 1500000
-
-struct model {
-	char *name;
-	uint32_t memory_mb;
-	uint32_t load_ms;
-	uint32_t adapters;
-	uint32_t adapter_mb;
-	double fast, slow;     /* requests a second, averages */
-	double rate;	       /* expected in some seconds */
-	double *adapter_rates; /* by number; [0] is not used */
-	/* Of the current round. */
-	uint32_t copies;  /* coming ones included */
-	uint32_t present; /* copies that can serve now */
-	uint32_t wanted;
-	uint32_t *adapter_copies;
-};
-
-struct res {
-	double store_excess;
-	uint32_t memory_mb;
-	uint32_t places;
-	double loads_per_s;
-	struct model *models;
-	size_t n_models;
-	GHashTable *by_name; /* name -> position + 1 */
-	int64_t first_us;    /* first demand; INT64_MAX: none yet */
-	bool primed;	     /* demand was seen for long enough */
-	int64_t decayed_us;
-	int64_t loads[LOADS_MAX]; /* times; ring */
-	size_t next_load;
-};
+/* A model with fewer requests a second counts as not asked for. */
+#define ASKED_RATE 0.05
+/* Demand says little before it was seen for this long. */
+#define PRIOR_US 800000
 
 /* Creates a planner without models; store_excess: factor on the store's
  * rate that loads may reach. */
@@ -85,12 +37,12 @@
 	ctx->store_excess = store_excess;
 	ctx->first_us = INT64_MAX;
 	ctx->by_name = g_hash_table_new(g_str_hash, g_str_equal);
-	for (size_t i = 0; i < LOADS_MAX; i++)
+	for (size_t i = 0; i < RES_LOADS_MAX; i++)
 		ctx->loads[i] = INT64_MIN / 2;
 	return ctx;
 }
 
-static void models_free(struct model *models, size_t n)
+static void models_free(struct res_model *models, size_t n)
 {
 	for (size_t i = 0; i < n; i++) {
 		g_free(models[i].name);
@@ -110,7 +62,7 @@
 	g_free(ctx);
 }
 
-static struct model *find_model(const struct res *ctx, const char *name)
+static struct res_model *find_model(const struct res *ctx, const char *name)
 {
 	size_t at = GPOINTER_TO_SIZE(g_hash_table_lookup(ctx->by_name, name));
 
@@ -120,22 +72,25 @@
 /* Takes the models of a service. */
 void res_set_spec(struct res *ctx, const Dsp__EngineSpec *spec)
 {
-	struct model *models = g_new0(struct model, spec->n_models + 1);
+	struct res_model *models = g_new0(struct res_model, spec->n_models + 1);
 
 	for (size_t i = 0; i < spec->n_models; i++) {
 		const Dsp__EngineModel *from = spec->models[i];
-		const struct model *old = find_model(ctx, from->name);
-		struct model *m = &models[i];
+		const struct res_model *old = find_model(ctx, from->name);
+		struct res_model *m = &models[i];
 		size_t kept = old ? MIN(old->adapters, from->adapters) : 0;
 
 		m->name = g_strdup(from->name);
 		m->memory_mb = from->memory_mb;
 		m->load_ms = from->load_ms;
+		m->disk_ms = from->disk_ms;
+		m->warm_ms = from->warm_ms;
 		m->adapters = from->adapters;
 		m->adapter_mb = from->adapter_mb;
 		m->fast = old ? old->fast : 0;
 		m->slow = old ? old->slow : 0;
 		m->rate = old ? old->rate : 0;
+		m->missed_us = old ? old->missed_us : 0;
 		m->adapter_rates = g_new0(double, from->adapters + 1);
 		m->adapter_copies = g_new0(uint32_t, from->adapters + 1);
 		for (size_t k = 1; k <= kept; k++)
@@ -157,7 +112,7 @@
 bool res_find(const struct res *ctx, const char *model, const char *adapter,
 	      struct res_item *out)
 {
-	const struct model *m = find_model(ctx, model);
+	const struct res_model *m = find_model(ctx, model);
 	unsigned long number = 0;
 
 	if (!m)
@@ -197,23 +152,17 @@
 	return false;
 }
 
-/* Returns the time that a load of the model from the store takes. */
-uint32_t res_load_ms(const struct res *ctx, struct res_item item)
-{
-	return ctx->models[item.model].load_ms;
-}
-
 /* Returns the demand for a model or an adapter. */
 double res_rate(const struct res *ctx, struct res_item item)
 {
-	const struct model *m = &ctx->models[item.model];
+	const struct res_model *m = &ctx->models[item.model];
 
 	return item.adapter ? m->adapter_rates[item.adapter] : m->rate;
 }
 
-static void set_rate(struct model *m)
+static void set_rate(struct res_model *m)
 {
-	m->rate = MAX(2 * m->fast - m->slow, 0);
+	m->rate = MAX(m->fast + TREND_WEIGHT * (m->fast - m->slow), 0);
 }
 
 static void decay(struct res *ctx, int64_t now_us)
@@ -226,7 +175,7 @@
 		return;
 	ctx->decayed_us = now_us;
 	for (size_t i = 0; i < ctx->n_models; i++) {
-		struct model *m = &ctx->models[i];
+		struct res_model *m = &ctx->models[i];
 
 		m->fast *= fast;
 		m->slow *= slow;
@@ -236,14 +185,14 @@
 	}
 }
 
-/* Adds requests that were counted since the last call. A missed request counts
- * like one that was served. */
+/* Adds requests that were counted since the last call. Those that were missed
+ * are among them. */
 void res_demand(struct res *ctx, const char *model, const char *adapter,
 		uint32_t requests, uint32_t missed, int64_t now_us)
 {
-	uint32_t all = MAX(requests, missed);
+	double all = MAX(requests, missed) - RETURN_SHARE * missed;
 	struct res_item item;
-	struct model *m;
+	struct res_model *m;
 
 	decay(ctx, now_us);
 	if (!res_find(ctx, model, adapter, &item))
@@ -261,36 +210,16 @@
 /* Notes a load for the rate of the store. */
 void res_load_sent(struct res *ctx, int64_t now_us)
 {
-	ctx->loads[ctx->next_load++ % LOADS_MAX] = now_us;
-}
-
-/* Whether another load may begin. Those that will follow an unload count. */
-static bool store_has_room(const struct res *ctx,
-			   const struct res_engine *engines, size_t n,
-			   int64_t now_us)
-{
-	double most =
-		ctx->store_excess * ctx->loads_per_s * STORE_WINDOW_US / 1e6;
-	unsigned recent = 0;
-
-	for (size_t i = 0; i < LOADS_MAX; i++)
-		recent += now_us - ctx->loads[i] < STORE_WINDOW_US;
-	for (size_t i = 0; i < n; i++)
-		recent += engines[i].makes_room;
-	return recent + 1 <= MAX(most, 1) && recent + 1 < LOADS_MAX;
-}
-
-static bool has_model(const struct res_engine *e, size_t model)
-{
-	return res_holds(e, (struct res_item){ .model = (uint16_t)model });
+	ctx->loads[ctx->next_load++ % RES_LOADS_MAX] = now_us;
 }
 
-static int64_t free_mb(const struct res *ctx, const struct res_engine *e)
+/* Memory that the engine's models and adapters leave free. */
+int64_t res_free_mb(const struct res *ctx, const struct res_engine *e)
 {
 	int64_t left = ctx->memory_mb;
 
 	for (size_t i = 0; i < e->n_holds; i++) {
-		const struct model *m = &ctx->models[e->holds[i].model];
+		const struct res_model *m = &ctx->models[e->holds[i].model];
 
 		left -= e->holds[i].adapter ? m->adapter_mb : m->memory_mb;
 	}
@@ -310,7 +239,7 @@
 			 size_t n)
 {
 	for (size_t i = 0; i < ctx->n_models; i++) {
-		struct model *m = &ctx->models[i];
+		struct res_model *m = &ctx->models[i];
 
 		m->copies = 0;
 		m->present = 0;
@@ -322,7 +251,7 @@
 			continue;
 		for (size_t k = 0; k < engines[i].n_holds; k++) {
 			struct res_item item = engines[i].holds[k];
-			struct model *m = &ctx->models[item.model];
+			struct res_model *m = &ctx->models[item.model];
 
 			if (item.adapter)
 				m->adapter_copies[item.adapter]++;
@@ -334,192 +263,20 @@
 	}
 }
 
-/* The rate that a model's share of the memory is for. The platform starts
- * engines with the models that it expects to be busy. */
-static double expected_rate(const struct res *ctx, const struct model *m)
-{
-	if (ctx->primed || m->copies <= 1)
-		return m->rate;
-	return m->rate + PRIOR_RATE * m->copies;
-}
-
-/* Copies that demand needs: by requests, and by the places of the adapters that
- * are asked for. */
-static uint32_t copies_needed(const struct res *ctx, const struct model *m)
-{
-	uint32_t for_rate = 1 + (uint32_t)(expected_rate(ctx, m) / COPY_RATE);
-	uint32_t asked = 0;
-
-	for (size_t k = 1; k <= m->adapters; k++)
-		asked += m->adapter_rates[k] > ADAPTER_IDLE_RATE;
-	if (!ctx->places)
-		return for_rate;
-	return MAX(for_rate, (asked + ctx->places - 1) / ctx->places);
-}
-
-/* Shares the memory of the usable engines among the models by demand. */
-static void share_memory(struct res *ctx, size_t n_usable)
-{
-	double left = MEMORY_SHARE * (double)ctx->memory_mb * (double)n_usable;
-
-	for (size_t i = 0; i < ctx->n_models; i++) {
-		ctx->models[i].wanted = n_usable ? 1 : 0;
-		left -= ctx->models[i].memory_mb;
-	}
-	for (;;) {
-		struct model *best = NULL;
-		double best_rate = 0;
-
-		for (size_t i = 0; i < ctx->n_models; i++) {
-			struct model *m = &ctx->models[i];
-			double rate = expected_rate(ctx, m) / MAX(m->wanted, 1);
-
-			if (m->wanted >= n_usable || m->memory_mb > left ||
-			    m->wanted >= copies_needed(ctx, m))
-				continue;
-			if (rate > best_rate) {
-				best = m;
-				best_rate = rate;
-			}
-		}
-		if (!best)
-			return;
-		best->wanted++;
-		left -= best->memory_mb;
-	}
-}
-
-/* Order in which models get copies: first those that no engine holds. While
- * there is demand, one that nobody asks for takes only a place that is idle. */
-static double need_of(const struct res *ctx, const struct model *m)
-{
-	if (!m->copies)
-		return m->rate > ASKED_RATE || !ctx->primed
-			       ? MISSING_NEED + m->rate
-			       : UNASKED_NEED;
-	if (m->copies >= m->wanted)
-		return 0;
-	return m->rate / m->copies;
-}
-
-/* Models that are asked for much go to fast engines, the others to slow ones.
- */
-static double slow_cost(const struct model *m, const struct res_engine *e)
-{
-	double more = e->slow > 0 ? CLAMP(e->slow - 1, -1, 2) : 0;
-
-	return m->rate > BUSY_RATE ? SLOW_COST * more : -SLOW_COST * more;
-}
-
-struct victim {
-	int model;   /* -1: none */
-	double cost; /* requests a second for each of its copies */
-};
-
-/* The copy on the engine that is needed least and may go. */
-static struct victim find_victim(const struct res *ctx,
-				 const struct res_engine *e, double need)
-{
-	struct victim victim = { .model = -1, .cost = need / MOVE_GAIN };
-
-	for (size_t i = 0; i < e->n_holds; i++) {
-		const struct model *m = &ctx->models[e->holds[i].model];
-		double rate = m->rate / MAX(m->present, 1);
-
-		/* Copies that are still coming do not serve in its place. */
-		if (e->holds[i].adapter || m->present <= 1 ||
-		    (m->present <= m->wanted && need < MISSING_NEED))
-			continue;
-		if (rate < victim.cost) {
-			victim.cost = rate;
-			victim.model = (int)e->holds[i].model;
-		}
-	}
-	return victim;
-}
-
-/* Plans the load of a model, or the unload that makes room for it. An engine
- * with room is better than one without; then the least needed victim, since
- * an unload waits for the requests of its model; then the lowest load. */
-static bool plan_model(struct res *ctx, const struct res_engine *engines,
-		       size_t n, size_t model, struct res_order *out)
-{
-	const struct model *m = &ctx->models[model];
-	struct victim best_victim = { .model = -1 };
-	double best_cost = 0;
-	int best = -1;
-
-	for (size_t i = 0; i < n; i++) {
-		const struct res_engine *e = &engines[i];
-		struct victim victim = { .model = -1 };
-		double cost = e->load * LOAD_COST + slow_cost(m, e);
-
-		if (!e->usable || e->busy || has_model(e, model))
-			continue;
-		if (free_mb(ctx, e) < m->memory_mb) {
-			victim = find_victim(ctx, e, need_of(ctx, m));
-			if (victim.model < 0)
-				continue;
-			cost += VICTIM_COST + victim.cost;
-		}
-		if (best >= 0 && cost >= best_cost)
-			continue;
-		best = (int)i;
-		best_cost = cost;
-		best_victim = victim;
-	}
-	if (best < 0)
-		return false;
-	*out = (struct res_order){
-		.engine = (size_t)best,
-		.kind = best_victim.model < 0 ? RES_LOAD : RES_UNLOAD,
-		.item.model =
-			(uint16_t)(best_victim.model < 0 ? (int)model
-							 : best_victim.model),
-		.purpose.model = (uint16_t)model,
-	};
-	return true;
-}
-
-/* The model that needs a copy most, or -1. */
-static int neediest(const struct res *ctx, const bool *skip)
+/* Notes since when models are asked for that no engine holds. */
+static void note_missing(struct res *ctx, int64_t now_us)
 {
-	double best_need = 0;
-	int best = -1;
-
 	for (size_t i = 0; i < ctx->n_models; i++) {
-		double need = skip[i] ? 0 : need_of(ctx, &ctx->models[i]);
-
-		if (need > best_need) {
-			best_need = need;
-			best = (int)i;
-		}
-	}
-	return best;
-}
-
-/* Plans an order for the neediest model that an engine can take. One at a time,
- * so that the rate of the store counts each. */
-static size_t plan_models(struct res *ctx, const struct res_engine *engines,
-			  size_t n, int64_t now_us, struct res_order *out,
-			  size_t max)
-{
-	bool *skip;
-	bool planned = false;
-	int best;
+		struct res_model *m = &ctx->models[i];
 
-	if (!max || !store_has_room(ctx, engines, n, now_us))
-		return 0;
-	skip = g_new0(bool, ctx->n_models + 1);
-	while (!planned && (best = neediest(ctx, skip)) >= 0) {
-		skip[best] = true;
-		planned = plan_model(ctx, engines, n, (size_t)best, out);
+		if (m->copies || m->rate < ASKED_RATE)
+			m->missed_us = 0;
+		else if (!m->missed_us)
+			m->missed_us = now_us;
 	}
-	g_free(skip);
-	return planned;
 }
 
-static double adapter_need(const struct model *m, size_t k)
+static double adapter_need(const struct res_model *m, size_t k)
 {
 	uint32_t copies = m->adapter_copies[k];
 	double rate = m->adapter_rates[k];
@@ -541,7 +298,7 @@
 
 	for (size_t i = 0; i < e->n_holds; i++) {
 		struct res_item item = e->holds[i];
-		const struct model *m = &ctx->models[item.model];
+		const struct res_model *m = &ctx->models[item.model];
 		double r;
 
 		if (!item.adapter)
@@ -565,7 +322,7 @@
 
 	for (size_t i = 0; i < e->n_holds; i++) {
 		struct res_item item = e->holds[i];
-		struct model *m = &ctx->models[item.model];
+		struct res_model *m = &ctx->models[item.model];
 
 		if (item.adapter)
 			continue;
@@ -585,7 +342,7 @@
 				   .kind = RES_LOAD,
 				   .item = best };
 	if (used_places(e) < ctx->places &&
-	    free_mb(ctx, e) >= ctx->models[best.model].adapter_mb) {
+	    res_free_mb(ctx, e) >= ctx->models[best.model].adapter_mb) {
 		ctx->models[best.model].adapter_copies[best.adapter]++;
 		return true;
 	}
@@ -597,8 +354,8 @@
 }
 
 /*
- * Plans the next orders: models that are missing or asked for most, then
- * adapters. What is held and not needed stays until its place is needed.
+ * Plans the next orders: the move of a model that gains most, then adapters.
+ * What is held and not needed stays until its place is needed.
  */
 size_t res_plan(struct res *ctx, const struct res_engine *engines, size_t n,
 		int64_t now_us, struct res_order *out, size_t max)
@@ -610,11 +367,15 @@
 	decay(ctx, now_us);
 	ctx->primed =
 		ctx->first_us != INT64_MAX && now_us - ctx->first_us > PRIOR_US;
-	count_copies(ctx, engines, n);
 	for (size_t i = 0; i < n; i++)
 		usable += engines[i].usable;
-	share_memory(ctx, usable);
-	models = plan_models(ctx, engines, n, now_us, out, max);
+	if (usable != ctx->n_usable)
+		ctx->usable_us = now_us;
+	ctx->n_usable = usable;
+	count_copies(ctx, engines, n);
+	note_missing(ctx, now_us);
+	/* One at a time, so that the next round counts it. */
+	models = max ? res_plan_model(ctx, engines, n, now_us, out) : 0;
 	planned = models;
 	for (size_t i = 0; i < n && planned < max; i++) {
 		if (!engines[i].usable || engines[i].busy ||
--- a/src/core/res.h
+++ b/src/core/res.h
@@ -15,6 +15,8 @@
 struct res;
 
 #define RES_HOLDS_MAX 64
+/* Models in the memory or on the disk of an engine's host that count. */
+#define RES_NEAR_MAX 32
 /* Size of a buffer for an adapter's name. */
 #define RES_ADAPTER_NAME_MAX 8
 
@@ -30,11 +32,19 @@
 	bool busy;   /* an order is under way or its outcome is not known */
 	/* With busy, holds lists what is to be held after that order. */
 	bool makes_room; /* busy with an unload that a load will follow */
-	double load;	 /* requests in flight; orders prefer low ones */
+	/* An unload made room for reserved_for, which is not loaded yet. */
+	bool reserved;
+	struct res_item reserved_for;
+	double load; /* requests in flight; orders prefer low ones */
 	double slow; /* pauses of its streams, 1: as the others; 0: unknown */
 	struct res_item holds[RES_HOLDS_MAX];
 	size_t n_holds;
 	size_t n_present; /* the first ones; the others are coming */
+	/* Weights that it need not read from the store. */
+	uint16_t in_memory[RES_NEAR_MAX];
+	size_t n_in_memory;
+	uint16_t on_disk[RES_NEAR_MAX];
+	size_t n_on_disk;
 };
 
 enum res_order_kind {
@@ -46,7 +56,8 @@
 	size_t engine; /* position in the array */
 	enum res_order_kind kind;
 	struct res_item item;
-	struct res_item purpose; /* RES_UNLOAD: what is loaded instead */
+	struct res_item purpose; /* what is loaded, in the end */
+	double gain;		 /* of a model: requests; above 0 */
 };
 
 struct res *res_new(double store_excess);
@@ -60,7 +71,7 @@
 /* Plans at most one order for each engine. */
 size_t res_plan(struct res *ctx, const struct res_engine *engines, size_t n,
 		int64_t now_us, struct res_order *out, size_t max);
-/* A load of a model that may read the weight store was sent. */
+/* A load of a model that reads the weight store was sent. */
 void res_load_sent(struct res *ctx, int64_t now_us);
 
 /* Queries. */
@@ -69,7 +80,10 @@
 const char *res_model_name(const struct res *ctx, struct res_item item);
 char *res_adapter_name(struct res_item item, char name[RES_ADAPTER_NAME_MAX]);
 bool res_holds(const struct res_engine *e, struct res_item item);
-uint32_t res_load_ms(const struct res *ctx, struct res_item item);
+uint32_t res_load_ms(const struct res *ctx, const struct res_engine *e,
+		     struct res_item item);
+bool res_is_far(const struct res *ctx, const struct res_engine *e,
+		struct res_item item);
 double res_rate(const struct res *ctx, struct res_item item); /* per second */
 
 #endif
--- /dev/null
+++ b/src/core/res_int.h
@@ -0,0 +1,53 @@
+#ifndef CORE_RES_INT_H
+#define CORE_RES_INT_H
+
+#include <glib.h>
+
+#include "core/res.h"
+
+/* Shared by the files of the planner only. */
+
+#define RES_LOADS_MAX 64
+
+struct res_model {
+	char *name;
+	uint32_t memory_mb;
+	uint32_t load_ms; /* from the store */
+	uint32_t disk_ms; /* from the engine's disk; 0: not known */
+	uint32_t warm_ms; /* from the memory of its host; 0: not known */
+	uint32_t adapters;
+	uint32_t adapter_mb;
+	double fast, slow;     /* requests a second, averages */
+	double rate;	       /* expected in some seconds */
+	double *adapter_rates; /* by number; [0] is not used */
+	int64_t missed_us;     /* asked for since, with no copy; 0: not so */
+	/* Of the current round. */
+	uint32_t copies;  /* coming ones included */
+	uint32_t present; /* copies that can serve now */
+	uint32_t *adapter_copies;
+};
+
+struct res {
+	double store_excess;
+	uint32_t memory_mb;
+	uint32_t places;
+	double loads_per_s;
+	struct res_model *models;
+	size_t n_models;
+	GHashTable *by_name; /* name -> position + 1 */
+	int64_t first_us;    /* first demand; INT64_MAX: none yet */
+	bool primed;	     /* demand was seen for long enough */
+	int64_t decayed_us;
+	size_t n_usable;
+	int64_t usable_us;	      /* when n_usable changed last */
+	int64_t loads[RES_LOADS_MAX]; /* from the store: times; ring */
+	size_t next_load;
+};
+
+/* Memory that the engine's models and adapters leave free. */
+int64_t res_free_mb(const struct res *ctx, const struct res_engine *e);
+/* Plans the order that gains most; returns whether there is one. */
+bool res_plan_model(struct res *ctx, const struct res_engine *engines, size_t n,
+		    int64_t now_us, struct res_order *out);
+
+#endif
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -21,9 +21,9 @@
 #define ORDER_IDLE_US 600000
 /* An engine's report lags behind by some hundred milliseconds. */
 #define REPORT_LAG_US 450000
-/* A load from the host's memory takes about half a second; the first look. */
-#define FIRST_LOOK_US 750000
-#define LOOK_INTERVAL_US 1000000
+/* How often the report of an engine is read that works on an order: the next
+ * order waits for it, and entries for what it loaded. */
+#define LOOK_INTERVAL_US 300000
 /* Weight of one stream in the average pause of an engine. */
 #define PACE_SHARE 0.05
 /* How often the load of engines is read that are given no orders. */
@@ -170,6 +170,20 @@
 		      before.n_holds * sizeof(before.holds[0])) != 0;
 }
 
+/* Numbers of the models that the planner knows. */
+static size_t set_near(struct engine *e, char *const *names, uint16_t *list)
+{
+	struct res *planner = planner_of(e->agent, e->service);
+	struct res_item item;
+	size_t n = 0;
+
+	for (size_t i = 0; planner && names[i]; i++)
+		if (n < RES_NEAR_MAX &&
+		    res_find(planner, names[i], NULL, &item))
+			list[n++] = item.model;
+	return n;
+}
+
 static void add_hold(struct engine *e, struct res_item item)
 {
 	if (e->plan.n_holds < RES_HOLDS_MAX)
@@ -259,11 +273,14 @@
 		return;
 	LOG_EVENT_INFO("agent", "order",
 		       "endpoint=%s kind=%s model=%s adapter=%u "
-		       "sequence=%" G_GUINT64_FORMAT " rate=%.2f outcome=%s",
+		       "sequence=%" G_GUINT64_FORMAT
+		       " rate=%.2f for=%s gain=%.1f far=%d outcome=%s",
 		       e->id, kind_name(&e->order),
 		       res_model_name(planner, e->order.item),
 		       e->order.item.adapter, e->sequence,
-		       res_rate(planner, e->order.item), outcome);
+		       res_rate(planner, e->order.item),
+		       res_model_name(planner, e->order.purpose), e->order.gain,
+		       res_is_far(planner, &e->plan, e->order.item), outcome);
 }
 
 static void accepted(struct engine *e, bool at_once)
@@ -287,10 +304,11 @@
 	if (at_once || (!is_model && e->order.kind == RES_LOAD))
 		return;
 	e->state = WORKING;
-	e->look_us = now_us + (is_model ? FIRST_LOOK_US : REPORT_LAG_US);
-	e->expected_us =
-		now_us +
-		(planner ? res_load_ms(planner, e->order.item) * 1000LL : 0);
+	e->expected_us = now_us;
+	if (planner && is_model && e->order.kind == RES_LOAD)
+		e->expected_us +=
+			res_load_ms(planner, &e->plan, e->order.item) * 1000LL;
+	e->look_us = MAX(now_us + REPORT_LAG_US, e->expected_us);
 }
 
 static void order_ended(struct engine *e, enum wire_order_outcome outcome)
@@ -378,6 +396,8 @@
 		return;
 	}
 	e->sequence = state->sequence;
+	e->plan.n_in_memory = set_near(e, state->in_memory, e->plan.in_memory);
+	e->plan.n_on_disk = set_near(e, state->on_disk, e->plan.on_disk);
 	if (set_holds(e, state->copies, state->n_copies))
 		e->dirty = true;
 	if (state->busy && e->ordered && e->order.kind == RES_UNLOAD &&
@@ -394,9 +414,7 @@
 	}
 	if (state->busy) {
 		e->state = WORKING;
-		e->look_us = now_us < e->expected_us - LOOK_INTERVAL_US
-				     ? e->expected_us
-				     : now_us + LOOK_INTERVAL_US;
+		e->look_us = MAX(now_us + LOOK_INTERVAL_US, e->expected_us);
 		return;
 	}
 	if (e->state == WORKING && e->ordered)
@@ -498,7 +516,8 @@
 
 	if (order->item.adapter) {
 		what.adapter = res_adapter_name(order->item, adapter);
-	} else if (order->kind == RES_LOAD) {
+	} else if (order->kind == RES_LOAD &&
+		   res_is_far(planner, &e->plan, order->item)) {
 		res_load_sent(planner, now_of(ctx));
 	}
 	e->order = *order;
@@ -588,6 +607,10 @@
 		list[n].makes_room = list[n].busy &&
 				     e->order.kind == RES_UNLOAD &&
 				     !e->order.item.adapter;
+		list[n].reserved = e->state == IDLE && e->ordered &&
+				   e->order.kind == RES_UNLOAD &&
+				   !e->order.item.adapter;
+		list[n].reserved_for = e->order.purpose;
 		engines[n++] = e;
 	}
 	set_slowness(list, engines, n);
