--- a/src/core/res.c
+++ b/src/core/res.c
@@ -243,22 +243,30 @@
 
 		m->copies = 0;
 		m->present = 0;
+		m->copies_speed = 0;
+		m->present_speed = 0;
 		memset(m->adapter_copies, 0,
 		       (m->adapters + 1) * sizeof(*m->adapter_copies));
 	}
 	for (size_t i = 0; i < n; i++) {
+		double speed = res_speed(&engines[i]);
+
 		if (!engines[i].usable)
 			continue;
 		for (size_t k = 0; k < engines[i].n_holds; k++) {
 			struct res_item item = engines[i].holds[k];
 			struct res_model *m = &ctx->models[item.model];
 
-			if (item.adapter)
+			if (item.adapter) {
 				m->adapter_copies[item.adapter]++;
-			else
-				m->copies++;
-			if (!item.adapter && k < engines[i].n_present)
-				m->present++;
+				continue;
+			}
+			m->copies++;
+			m->copies_speed += speed;
+			if (k >= engines[i].n_present)
+				continue;
+			m->present++;
+			m->present_speed += speed;
 		}
 	}
 }
--- a/src/core/res.h
+++ b/src/core/res.h
@@ -35,8 +35,8 @@
 	/* An unload made room for reserved_for, which is not loaded yet. */
 	bool reserved;
 	struct res_item reserved_for;
-	double load; /* requests in flight; orders prefer low ones */
-	double slow; /* pauses of its streams, 1: as the others; 0: unknown */
+	double load;  /* requests in flight; orders prefer low ones */
+	double speed; /* of reading prompts; 1: as the others; 0: unknown */
 	struct res_item holds[RES_HOLDS_MAX];
 	size_t n_holds;
 	size_t n_present; /* the first ones; the others are coming */
--- a/src/core/res_int.h
+++ b/src/core/res_int.h
@@ -24,6 +24,9 @@
 	/* Of the current round. */
 	uint32_t copies;  /* coming ones included */
 	uint32_t present; /* copies that can serve now */
+	/* Sums of the speeds of their engines. */
+	double copies_speed;
+	double present_speed;
 	uint32_t *adapter_copies;
 };
 
@@ -44,6 +47,8 @@
 	size_t next_load;
 };
 
+/* Part of a usual engine's speed. */
+double res_speed(const struct res_engine *e);
 /* Memory that the engine's models and adapters leave free. */
 int64_t res_free_mb(const struct res *ctx, const struct res_engine *e);
 /* Plans the order that gains most; returns whether there is one. */
--- a/src/core/res_models.c
+++ b/src/core/res_models.c
@@ -22,6 +22,9 @@
  * need, and one from a copy on the engine's own disk. */
 #define STORE_COST 4.0
 #define NEAR_COST 1.5
+/* What an unload costs besides: the rates are known by some requests only, and
+ * a move that is taken back costs both models some seconds. */
+#define UNLOAD_COST 8.0
 /* An unload waits for the requests of its model, which take this long on a
  * usual engine, when it has this many a second. */
 #define DRAIN_S 3.5
@@ -37,9 +40,9 @@
 /* Engines announce themselves within about this time; until then a model that
  * seems to be missing may be on one that is not known yet. */
 #define SETTLE_US 1500000
-/* Pauses of an engine's streams, against those of the others, that count. */
-#define SLOW_MIN 0.6
-#define SLOW_MAX 2.5
+/* Speeds of engines, against those of the others, that count. */
+#define SPEED_MIN 0.4
+#define SPEED_MAX 2.0
 /* Requests a second of its other models that take all of an engine's time. */
 #define ENGINE_RATE 15.0
 #define ENGINE_SHARE_MIN 0.2
@@ -61,22 +64,28 @@
 	return m->rate + PRIOR_RATE * m->copies;
 }
 
-/* Requests a second that so many copies serve: each takes what it can of what
- * the others leave. */
-static double served_by(double rate, uint32_t copies)
+/* Returns the engine's speed as far as it counts; 1: a usual one. */
+double res_speed(const struct res_engine *e)
 {
-	if (rate <= 0 || !copies)
+	return e->speed > 0 ? CLAMP(e->speed, SPEED_MIN, SPEED_MAX) : 1;
+}
+
+/* Requests a second that copies serve on engines with this sum of speeds: each
+ * takes what it can of what the others leave. */
+static double served_by(double rate, double speed)
+{
+	if (rate <= 0 || speed <= 0)
 		return 0;
-	return rate * (1 - exp(-COPY_RATE * copies / rate));
+	return rate * (1 - exp(-COPY_RATE * speed / rate));
 }
 
-/* Requests a second that one more copy serves. */
+/* Requests a second that one more copy serves on an engine of this speed. */
 static double value_of_next(const struct res *ctx, const struct res_model *m,
-			    int64_t now_us)
+			    double speed, int64_t now_us)
 {
 	double rate = expected_rate(ctx, m);
-	double more =
-		served_by(rate, m->copies + 1) - served_by(rate, m->copies);
+	double more = served_by(rate, m->copies_speed + speed) -
+		      served_by(rate, m->copies_speed);
 	bool settled = now_us - ctx->usable_us >= SETTLE_US;
 
 	if (m->copies)
@@ -87,18 +96,14 @@
 	       WAITING_VALUE * (double)(now_us - m->missed_us) / 1e6;
 }
 
-/* Requests a second that are lost with one of the present copies. */
-static double value_of_last(const struct res *ctx, const struct res_model *m)
+/* Requests a second that are lost with the present copy on the engine. */
+static double value_of_last(const struct res *ctx, const struct res_model *m,
+			    const struct res_engine *e)
 {
 	double rate = expected_rate(ctx, m);
 
-	return served_by(rate, m->present) - served_by(rate, m->present - 1);
-}
-
-/* Part of a usual engine's speed. */
-static double speed_of(const struct res_engine *e)
-{
-	return e->slow > 0 ? 1 / CLAMP(e->slow, SLOW_MIN, SLOW_MAX) : 1;
+	return served_by(rate, m->present_speed) -
+	       served_by(rate, m->present_speed - res_speed(e));
 }
 
 /* Part of the engine's time that its other models leave. */
@@ -164,11 +169,14 @@
 }
 
 /* Gain of a load, in requests: from when it is done to the horizon, less what
- * the victim would have served. Busy models prefer fast engines. */
+ * the victim would have served. */
 static double gain_of(const struct res *ctx, const struct res_engine *e,
-		      size_t model, double value, int victim)
+		      size_t model, int victim, int64_t now_us)
 {
 	struct res_item item = { .model = (uint16_t)model };
+	double value =
+		value_of_next(ctx, &ctx->models[model],
+			      res_speed(e) * time_left(ctx, e, victim), now_us);
 	double wait_s = res_load_ms(ctx, e, item) / 1e3;
 	double cost = res_is_far(ctx, e, item) ? STORE_COST : NEAR_COST;
 
@@ -176,24 +184,22 @@
 		const struct res_model *v = &ctx->models[victim];
 		double rate = v->rate / MAX(v->present, 1);
 
-		wait_s += DRAIN_S / speed_of(e) * MIN(rate / DRAIN_RATE, 1);
-		cost += value_of_last(ctx, v) * HORIZON_S * speed_of(e);
+		wait_s += DRAIN_S / res_speed(e) * MIN(rate / DRAIN_RATE, 1);
+		cost += UNLOAD_COST + value_of_last(ctx, v, e) * HORIZON_S;
 	}
-	return value * MAX(HORIZON_S - wait_s, 0) * speed_of(e) *
-		       time_left(ctx, e, victim) -
-	       cost;
+	return value * MAX(HORIZON_S - wait_s, 0) - cost;
 }
 
 /* Considers the model on one engine, with each victim that makes room. */
 static void consider(const struct res *ctx, const struct res_engine *engines,
-		     size_t engine, size_t model, double value,
+		     size_t engine, size_t model, int64_t now_us,
 		     struct move *best)
 {
 	const struct res_engine *e = &engines[engine];
 	int64_t lacking_mb = ctx->models[model].memory_mb - res_free_mb(ctx, e);
 
 	if (lacking_mb <= 0) {
-		double gain = gain_of(ctx, e, model, value, -1);
+		double gain = gain_of(ctx, e, model, -1, now_us);
 
 		if (gain > best->gain)
 			*best = (struct move){ gain, engine, -1 };
@@ -208,7 +214,7 @@
 		if (e->holds[i].adapter || v->present <= 1 ||
 		    v->memory_mb < lacking_mb)
 			continue;
-		gain = gain_of(ctx, e, model, value, victim);
+		gain = gain_of(ctx, e, model, victim, now_us);
 		if (gain > best->gain)
 			*best = (struct move){ gain, engine, victim };
 	}
@@ -235,17 +241,23 @@
 	struct move best = { .gain = 0 };
 	size_t best_model = 0;
 
+	/* Demand that began just now says nothing yet; a new leader has seen
+	 * none. */
+	if (!ctx->primed &&
+	    (ctx->first_us != INT64_MAX || now_us - ctx->usable_us < SETTLE_US))
+		return false;
 	for (size_t k = 0; k < ctx->n_models; k++) {
-		double value = value_of_next(ctx, &ctx->models[k], now_us);
+		double value =
+			value_of_next(ctx, &ctx->models[k], SPEED_MAX, now_us);
 		struct res_item item = { .model = (uint16_t)k };
 		double gain = best.gain;
 
-		if (value * HORIZON_S / SLOW_MIN <= NEAR_COST)
+		if (value * HORIZON_S <= NEAR_COST)
 			continue;
 		for (size_t i = 0; i < n; i++)
 			if (may_take(ctx, &engines[i], k) &&
 			    (room || !res_is_far(ctx, &engines[i], item)))
-				consider(ctx, engines, i, k, value, &best);
+				consider(ctx, engines, i, k, now_us, &best);
 		if (best.gain > gain)
 			best_model = k;
 	}
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -24,8 +24,10 @@
 /* How often the report of an engine is read that works on an order: the next
  * order waits for it, and entries for what it loaded. */
 #define LOOK_INTERVAL_US 300000
-/* Weight of one stream in the average pause of an engine. */
-#define PACE_SHARE 0.05
+/* Weight of a report in the time that an engine takes to read a token. Other
+ * work makes it longer, so shorter times count more. */
+#define FASTER_SHARE 0.3
+#define SLOWER_SHARE 0.03
 /* How often the load of engines is read that are given no orders. */
 #define IDLE_LOOK_US 1500000
 /* An engine takes a few adapters at a time, each within some milliseconds. */
@@ -57,7 +59,7 @@
 	unsigned conflicts;  /* in a row */
 	int64_t expected_us; /* WORKING: when a load from the store ends */
 	uint32_t load;
-	double gap_us;		/* average pause between events; 0: not known */
+	double token_us;	/* to read a token, alone; 0: not known */
 	struct res_engine plan; /* id, holds */
 	bool dirty;		/* holds differ from what was announced */
 	/* Outstanding call. */
@@ -274,13 +276,15 @@
 	LOG_EVENT_INFO("agent", "order",
 		       "endpoint=%s kind=%s model=%s adapter=%u "
 		       "sequence=%" G_GUINT64_FORMAT
-		       " rate=%.2f for=%s gain=%.1f far=%d outcome=%s",
+		       " rate=%.2f for=%s gain=%.1f far=%d token_us=%.0f "
+		       "outcome=%s",
 		       e->id, kind_name(&e->order),
 		       res_model_name(planner, e->order.item),
 		       e->order.item.adapter, e->sequence,
 		       res_rate(planner, e->order.item),
 		       res_model_name(planner, e->order.purpose), e->order.gain,
-		       res_is_far(planner, &e->plan, e->order.item), outcome);
+		       res_is_far(planner, &e->plan, e->order.item),
+		       e->token_us, outcome);
 }
 
 static void accepted(struct engine *e, bool at_once)
@@ -562,21 +566,23 @@
 		e->holds[e->n_holds++] = coming;
 }
 
-/* Compares the pauses of engines with their average. */
-static void set_slowness(struct res_engine *list, struct engine *const *engines,
-			 size_t n)
+/* Compares the speeds of engines with their average. */
+static void set_speeds(struct res_engine *list, struct engine *const *engines,
+		       size_t n)
 {
 	double sum = 0;
 	size_t known = 0;
 
 	for (size_t i = 0; i < n; i++) {
-		sum += engines[i]->gap_us;
-		known += engines[i]->gap_us > 0;
+		if (engines[i]->token_us <= 0)
+			continue;
+		sum += 1 / engines[i]->token_us;
+		known++;
 	}
 	for (size_t i = 0; i < n; i++)
-		list[i].slow = known && engines[i]->gap_us > 0
-				       ? engines[i]->gap_us / (sum / known)
-				       : 1;
+		list[i].speed = engines[i]->token_us > 0
+					? known / (sum * engines[i]->token_us)
+					: 1;
 }
 
 static void plan_service(struct agent *ctx, struct service *s, uint64_t fence)
@@ -613,7 +619,7 @@
 		list[n].reserved_for = e->order.purpose;
 		engines[n++] = e;
 	}
-	set_slowness(list, engines, n);
+	set_speeds(list, engines, n);
 	planned = res_plan(s->planner, list, n, now_of(ctx), orders, n);
 	for (size_t i = 0; i < planned; i++)
 		send_order(engines[orders[i].engine], &orders[i], fence);
@@ -760,20 +766,21 @@
 	g_hash_table_foreach_remove(ctx->engines, not_listed, NULL);
 }
 
-/* Takes the pace of an engine's streams at the entries. */
+/* Takes how fast an engine reads prompts, as an entry saw it. */
 void agent_pace(struct agent *ctx, const Dsp__Pace *pace)
 {
 	struct engine *e = g_hash_table_lookup(ctx->engines, pace->endpoint);
-	double gap_us;
+	double token_us;
 
-	if (!e || e->incarnation != pace->incarnation || !pace->streams)
+	if (!e || e->incarnation != pace->incarnation || !pace->read_tokens)
 		return;
-	gap_us = (double)pace->gap_us / pace->streams;
-	if (e->gap_us > 0)
-		e->gap_us += MIN(PACE_SHARE * pace->streams, 1) *
-			     (gap_us - e->gap_us);
+	token_us = (double)pace->read_us / (double)pace->read_tokens;
+	if (e->token_us <= 0)
+		e->token_us = token_us;
 	else
-		e->gap_us = gap_us;
+		e->token_us +=
+			(token_us < e->token_us ? FASTER_SHARE : SLOWER_SHARE) *
+			(token_us - e->token_us);
 }
 
 /* Takes demand that an entry reported. */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -267,6 +267,8 @@
 		message.streams = pace->streams;
 		message.late = pace->late;
 		message.gap_us = (uint64_t)pace->gap_us;
+		message.read_tokens = pace->read_tokens;
+		message.read_us = (uint64_t)pace->read_us;
 		ctl_pace(ctx->ctl, &message);
 	}
 	g_hash_table_remove_all(ctx->paces);
@@ -366,9 +368,7 @@
 		send_demand(ctx);
 }
 
-/* Counts a stream that has ended, for the leader's placement. */
-void edge_note_pace(struct edge *ctx, const struct bal_endpoint *e, bool late,
-		    int64_t gap_us)
+static struct edge_pace *pace_of(struct edge *ctx, const struct bal_endpoint *e)
 {
 	struct edge_pace *pace = g_hash_table_lookup(ctx->paces, bal_id(e));
 
@@ -376,12 +376,32 @@
 		pace = g_new0(struct edge_pace, 1);
 		g_hash_table_insert(ctx->paces, g_strdup(bal_id(e)), pace);
 	}
-	pace->incarnation = bal_incarnation(e);
+	if (pace->incarnation != bal_incarnation(e))
+		*pace = (struct edge_pace){ .incarnation = bal_incarnation(e) };
+	return pace;
+}
+
+/* Counts a stream for the next report; gap_us: its average pause. */
+void edge_note_pace(struct edge *ctx, const struct bal_endpoint *e, bool late,
+		    int64_t gap_us)
+{
+	struct edge_pace *pace = pace_of(ctx, e);
+
 	pace->streams++;
 	pace->late += late;
 	pace->gap_us += gap_us;
 }
 
+/* Counts a prompt for the next report that was read alone. */
+void edge_note_read(struct edge *ctx, const struct bal_endpoint *e,
+		    uint32_t tokens, int64_t first_us)
+{
+	struct edge_pace *pace = pace_of(ctx, e);
+
+	pace->read_tokens += tokens;
+	pace->read_us += first_us;
+}
+
 /* Returns the budget for repeats of a service. */
 struct rep *edge_budget(struct edge *ctx, const char *service)
 {
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -35,6 +35,8 @@
 	uint32_t streams;
 	uint32_t late;
 	int64_t gap_us;
+	uint64_t read_tokens;
+	int64_t read_us;
 };
 
 /* A command whose result the control thread gives later (edge_call.c). */
@@ -103,6 +105,8 @@
 		      bool missed);
 void edge_note_pace(struct edge *ctx, const struct bal_endpoint *e, bool late,
 		    int64_t gap_us);
+void edge_note_read(struct edge *ctx, const struct bal_endpoint *e,
+		    uint32_t tokens, int64_t first_us);
 struct rep *edge_budget(struct edge *ctx, const char *service);
 struct rep_options edge_budget_options(const struct edge *ctx);
 bool edge_is_ready(struct edge *ctx);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -51,6 +51,9 @@
 #define FIRST_MIN_US 1500000
 /* Streams with fewer events say little of their engine's pace. */
 #define PACE_EVENTS_MIN 8
+/* The time to the first byte of shorter prompts says little of the speed at
+ * which an engine reads. */
+#define READ_TOKENS_MIN 400
 /* Whole answers that are kept until their end. */
 #define ANSWER_MAX_BYTES (8 << 20)
 #define RETRY_AFTER_SPREAD 0.5
@@ -433,6 +436,10 @@
 		f->first_us = f->heard_us - f->send_us;
 		bal_first(f->edge->bal, f->endpoint, unread_tokens(f),
 			  f->first_us, f->alone);
+		if (f->engine && f->alone &&
+		    f->said.tokens_in >= READ_TOKENS_MIN)
+			edge_note_read(f->edge, f->endpoint, f->said.tokens_in,
+				       f->first_us);
 		places_may_be_free(f->edge);
 	}
 	if (f->streaming)
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -298,6 +298,8 @@
 	sum->streams += pace->streams;
 	sum->late += pace->late;
 	sum->gap_us += pace->gap_us;
+	sum->read_tokens += pace->read_tokens;
+	sum->read_us += pace->read_us;
 }
 
 /* Notes an endpoint's load and marks it for the instances below. */
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -8778,7 +8778,7 @@
   (ProtobufCMessageInit) dsp__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__pace__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dsp__pace__field_descriptors[7] =
 {
   {
     "endpoint",
@@ -8840,18 +8840,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read_tokens",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Pace, read_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Pace, read_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__pace__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
   4,   /* field[4] = gap_us */
   1,   /* field[1] = incarnation */
   3,   /* field[3] = late */
+  5,   /* field[5] = read_tokens */
+  6,   /* field[6] = read_us */
   2,   /* field[2] = streams */
 };
 static const ProtobufCIntRange dsp__pace__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dsp__pace__descriptor =
 {
@@ -8861,7 +8887,7 @@
   "Dsp__Pace",
   "dsp",
   sizeof(Dsp__Pace),
-  5,
+  7,
   dsp__pace__field_descriptors,
   dsp__pace__field_indices_by_name,
   1,  dsp__pace__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1425,10 +1425,16 @@
    * sum of the streams' average pauses
    */
   uint64_t gap_us;
+  /*
+   * Prompts that were the only ones which the sender had at the endpoint, and
+   * the times until their first bytes.
+   */
+  uint64_t read_tokens;
+  uint64_t read_us;
 };
 #define DSP__PACE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__pace__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dsp__NodeStatus
