--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -90,6 +90,10 @@
 	  .max = 3600, .fallback = 3 },
 	{ "drain_limit_ms", OPT_U32, AT(drain_limit_ms), .min = 100,
 	  .max = 600000, .fallback = 8000 },
+	/* An election and a report take about a second; the shortest time limit
+	 * of the routes in use is 1.5 s. */
+	{ "start_wait_ms", OPT_U32, AT(start_wait_ms), .max = 60000,
+	  .fallback = 1200 },
 	{ "repeat_ratio", OPT_NUMBER, AT(repeat_ratio), .min = 0, .max = 10,
 	  .fallback = 0.1 },
 	{ "repeat_window_s", OPT_U32, AT(repeat_window_s), .min = 1, .max = 600,
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -24,6 +24,7 @@
 	char *metrics;	 /* IP:PORT; NULL: none */
 	uint32_t entry_validity_s;
 	uint32_t drain_limit_ms; /* from the signal to the end of the process */
+	uint32_t start_wait_ms;	 /* requests wait so long for the first view */
 	double repeat_ratio; /* repeats for each request, over all instances */
 	uint32_t repeat_window_s;
 	uint32_t repeat_extra;	 /* repeats in a window without requests */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -49,6 +49,7 @@
 	pthread_mutex_init(&ctx->lock, NULL);
 	pthread_cond_init(&ctx->calls_ended, NULL);
 	STAILQ_INIT(&ctx->done);
+	STAILQ_INIT(&ctx->held);
 	LIST_INIT(&ctx->forwards);
 	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
 	ctx->paces_in = g_ptr_array_new_with_free_func(free_pace_message);
@@ -246,6 +247,7 @@
 		begin_drain(ctx);
 	if (view)
 		use_view(ctx, view);
+	fwd_run_held(ctx);
 	take_demands(ctx);
 	edge_calls_run(ctx);
 	if (stop)
@@ -340,6 +342,7 @@
 		send_demand(ctx);
 		set_gauges(ctx);
 	}
+	fwd_run_held(ctx);
 	if (ctx->agent)
 		agent_tick(ctx->agent, now_us);
 }
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -19,6 +19,13 @@
 
 struct fwd;
 struct agent;
+
+/* A request that waits for the first confirmed view. */
+struct fwd_held {
+	STAILQ_ENTRY(fwd_held) link;
+	struct hio_exchange *exchange;
+	int64_t arrived_us;
+};
 LIST_HEAD(fwd_list, fwd);
 
 /* Demand that the next report carries, by "model/adapter". */
@@ -92,6 +99,8 @@
 	struct event *places; /* a place may be free */
 	GHashTable *budgets;  /* service -> struct rep */
 	struct fwd_list forwards;
+	STAILQ_HEAD(fwd_helds, fwd_held) held;
+	unsigned n_held;
 	GHashTable *demands; /* "model/adapter" -> struct edge_demand */
 	GHashTable *paces;   /* endpoint -> struct edge_pace */
 	int64_t demand_due_us;
@@ -127,6 +136,8 @@
 /* fwd.c */
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_gone(void *data, struct hio_exchange *exchange);
+/* Goes on with requests that waited for the first view. */
+void fwd_run_held(struct edge *ctx);
 /* Tries the requests that wait for a place. */
 void fwd_run_queue(struct edge *ctx);
 void fwd_end_all(struct edge *ctx);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -60,6 +60,9 @@
 /* An instance that starts has a confirmed view after an election and a report,
  * about this long. */
 #define RETRY_START_US 1500000
+/* Requests that one instance holds back at its start; more are refused, so that
+ * their bodies take little memory. */
+#define HELD_MAX 256
 /* An instance that stops takes a stream only if this much time is left; most
  * end within that time. Other requests take a fraction of a second. */
 #define STREAM_LEFT_MIN_US (5 * EDGE_S_US)
@@ -816,7 +819,8 @@
 }
 
 static struct fwd *fwd_new(struct edge *ctx, struct hio_exchange *exchange,
-			   const Dsp__Route *route, const char *service)
+			   const Dsp__Route *route, const char *service,
+			   int64_t arrived_us)
 {
 	const Dsp__RoutedService *target = rtab_service(ctx->rtab, service);
 	struct fwd *f = g_new0(struct fwd, 1);
@@ -839,7 +843,7 @@
 	f->objective_us = route->objective_ms * 1000LL;
 	f->gap_us = route->gap_objective_ms * 1000LL;
 	f->table_number = ctx->table->number;
-	f->start_us = clk_now_us(ctx->clock);
+	f->start_us = arrived_us;
 	if (f->said.deadline_us > 0)
 		limit_us = MIN(limit_us, f->said.deadline_us);
 	f->end_us = f->start_us + MIN(limit_us, DEADLINE_MAX_US);
@@ -852,10 +856,10 @@
 	return f;
 }
 
-/* Handles a caller's request; the server's callback. */
-void fwd_request(void *data, struct hio_exchange *exchange)
+/* Routes a caller's request and sends it. */
+static void begin_request(struct edge *ctx, struct hio_exchange *exchange,
+			  int64_t arrived_us)
 {
-	struct edge *ctx = data;
 	const struct hio_request *request = hio_exchange_request(exchange);
 	const char *id = hio_field(&request->fields, wire_echo_field);
 	const char *host = hio_field(&request->fields, "Host");
@@ -863,16 +867,6 @@
 	const char *service;
 	struct fwd *f;
 
-	switch (ctl_state(ctx->ctl).readiness) {
-	case CTL_STARTING:
-	case CTL_STALE:
-		refuse_early(ctx, exchange, id, 503, "no_confirmed_view");
-		return;
-	case CTL_SERVING:
-	case CTL_ISOLATED:
-	case CTL_DRAINING:
-		break;
-	}
 	if (!ctx->rtab) {
 		refuse_early(ctx, exchange, id, 503, "no_route_table");
 		return;
@@ -891,20 +885,108 @@
 		refuse_early(ctx, exchange, id, 503, "stopping");
 		return;
 	}
-	f = fwd_new(ctx, exchange, route, service);
+	f = fwd_new(ctx, exchange, route, service, arrived_us);
 	if (f->engine)
 		edge_note_demand(ctx, f->said.model, f->said.adapter, false);
 	dispatch(f);
 }
 
+/* Holds a request back until this instance has a confirmed view. */
+static void hold(struct edge *ctx, struct hio_exchange *exchange)
+{
+	struct fwd_held *held = g_new0(struct fwd_held, 1);
+
+	held->exchange = exchange;
+	held->arrived_us = clk_now_us(ctx->clock);
+	STAILQ_INSERT_TAIL(&ctx->held, held, link);
+	ctx->n_held++;
+}
+
+/* Handles a caller's request; the server's callback. */
+void fwd_request(void *data, struct hio_exchange *exchange)
+{
+	struct edge *ctx = data;
+	const struct hio_request *request = hio_exchange_request(exchange);
+	const char *id = hio_field(&request->fields, wire_echo_field);
+
+	switch (ctl_state(ctx->ctl).readiness) {
+	case CTL_STARTING:
+		if (ctx->n_held < HELD_MAX && !ctx->draining)
+			hold(ctx, exchange);
+		else
+			refuse_early(ctx, exchange, id, 503,
+				     "no_confirmed_view");
+		return;
+	case CTL_STALE:
+		refuse_early(ctx, exchange, id, 503, "no_confirmed_view");
+		return;
+	case CTL_SERVING:
+	case CTL_ISOLATED:
+	case CTL_DRAINING:
+		break;
+	}
+	begin_request(ctx, exchange, clk_now_us(ctx->clock));
+}
+
+/*
+ * Goes on with the requests that were held back: begins them all once the view
+ * is confirmed, and refuses those that have waited too long. Load: all callers
+ * come back at once after all machines lost power, and most may come back once
+ * only, while the first view is there within a second.
+ */
+void fwd_run_held(struct edge *ctx)
+{
+	bool starting = ctl_state(ctx->ctl).readiness == CTL_STARTING;
+	int64_t now_us = clk_now_us(ctx->clock);
+	struct fwd_held *held;
+
+	while ((held = STAILQ_FIRST(&ctx->held))) {
+		struct hio_exchange *exchange = held->exchange;
+		const struct hio_request *request =
+			hio_exchange_request(exchange);
+		int64_t arrived_us = held->arrived_us;
+		bool late = now_us - arrived_us >=
+			    ctx->set->edge.start_wait_ms * 1000LL;
+
+		if (starting && !late && !ctx->draining)
+			return;
+		STAILQ_REMOVE_HEAD(&ctx->held, link);
+		ctx->n_held--;
+		g_free(held);
+		if (starting)
+			refuse_early(
+				ctx, exchange,
+				hio_field(&request->fields, wire_echo_field),
+				503, "no_confirmed_view");
+		else
+			begin_request(ctx, exchange, arrived_us);
+	}
+}
+
+/* Forgets a request that was held back; its caller has left. */
+static void drop_held(struct edge *ctx, const struct hio_exchange *exchange)
+{
+	struct fwd_held *held;
+
+	STAILQ_FOREACH (held, &ctx->held, link) {
+		if (held->exchange != exchange)
+			continue;
+		STAILQ_REMOVE(&ctx->held, held, fwd_held, link);
+		ctx->n_held--;
+		g_free(held);
+		return;
+	}
+}
+
 /* The caller has left: ends the work at the endpoint, too. */
 void fwd_gone(void *data, struct hio_exchange *exchange)
 {
 	struct fwd *f = hio_exchange_data(exchange);
 
-	(void)data;
-	if (!f)
+	if (!f) {
+		drop_held(data, exchange);
 		return;
+	}
 	end_send(f, BAL_CANCELLED);
 	log_end(f, "caller_left", 0, "-");
 	fwd_free(f);
@@ -950,6 +1032,8 @@
 /* Breaks off all requests; the process ends. */
 void fwd_end_all(struct edge *ctx)
 {
+	while (!STAILQ_EMPTY(&ctx->held))
+		drop_held(ctx, STAILQ_FIRST(&ctx->held)->exchange);
 	while (!LIST_EMPTY(&ctx->forwards)) {
 		struct fwd *f = LIST_FIRST(&ctx->forwards);
 
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -20,6 +20,9 @@
  * and endpoints lose their leases of some seconds. */
 #define PING_INTERVAL_US 500000
 #define SILENCE_LIMIT_US 1500000
+/* Longest pause between two tries to connect: callers of an instance that has
+ * restarted wait for its first view. */
+#define RECONNECT_MAX_MS 300
 /* Opening a connection takes a few round trips. One that was begun while the
  * path was cut may hang after the cut, too. */
 #define CONNECT_TIMEOUT_MS 1000
@@ -170,7 +173,7 @@
 	set_option(p->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
 	set_option(p->socket, ZMQ_HANDSHAKE_IVL, 2000);
 	set_option(p->socket, ZMQ_RECONNECT_IVL, 100);
-	set_option(p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
+	set_option(p->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	if (zmq_connect(p->socket, via ? via : address)) {
 		LOG_EVENT_WARN("net", "bad_address", "address=%s reason=\"%s\"",
 			       address, zmq_strerror(errno));
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -18,8 +18,11 @@
 /* Share of isolated_after_ms, when that is short, so that another upstream can
  * answer before the instance counts as isolated. */
 #define UPSTREAM_LIMIT_PERCENT 60
-/* Before the first view there is nothing to lose by asking the next. */
-#define FIRST_UPSTREAM_LIMIT_US CTL_S_US
+/* Before the first view there is nothing to lose by asking the next; callers
+ * wait. A few round trips, and the sync of a slow disk. */
+#define FIRST_UPSTREAM_LIMIT_US 300000
+/* Reports of an instance without a confirmed view, which ask for one. */
+#define FIRST_REPORT_US 150000
 /* The designated relay is tried again after this time on another upstream. */
 #define UPSTREAM_RETURN_US (30LL * CTL_S_US)
 /* A child that found another upstream gets no more updates after this time and
@@ -417,6 +420,14 @@
 	ctx->report_hops = 0;
 }
 
+static int64_t report_interval_us(const struct ctl *ctx)
+{
+	int64_t interval_us = (int64_t)ctx->set->report_interval_ms * 1000;
+
+	return ctx->confirmed_us ? interval_us
+				 : MIN(interval_us, FIRST_REPORT_US);
+}
+
 /* Sends the report when it is due. */
 void ctl_report_run(struct ctl *ctx)
 {
@@ -430,8 +441,7 @@
 		return;
 	if (!ctx->ready_leader)
 		choose_upstream(ctx);
-	ctx->report_due_us =
-		ctx->now_us + (int64_t)ctx->set->report_interval_ms * 1000;
+	ctx->report_due_us = ctx->now_us + report_interval_us(ctx);
 	if (ctx->ready_leader || ctx->upstream)
 		send_report(ctx);
 }
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include "tests/platform/system.h"
 
 /*
@@ -561,6 +563,62 @@
 	EXPECT_FALSE(engine.overloaded) << system.logs();
 }
 
+/* Guards requests that come while an entry starts: all callers come back at
+ * once after a loss of power, and most may come back once only. */
+TEST(PlatformStart, RequestsWaitForTheFirstView)
+{
+	System system{ 1, 1 };
+	Runner a("plain", "i-a");
+
+	system.start_wait_ms = 60000;
+	for (auto &x : system.instances)
+		system.write_settings(x, true);
+	system.serve(table(
+		1,
+		",{\"name\":\"long\",\"host\":\"host.example\",\"pathPrefix\":"
+		"\"/long/\",\"kind\":\"unsafe\",\"timeoutMs\":60000,"
+		"\"goalMs\":300,\"service\":\"plain\"}"));
+	system.add(a, "/safe/probe");
+	for (auto &x : system.instances)
+		proc_kill(x.pid);
+	system.start(system.entry());
+	ASSERT_TRUE(System::eventually([&] {
+		return call(system.entry().ready,
+			    request("GET", "/dandelionspar/ready", "x"), 1000)
+			       .status() == 503;
+	})) << system.logs();
+	std::thread later([&] {
+		usleep(300000);
+		system.start(system.instances[0]);
+	});
+	Message m = system.send("POST", "/long/x",
+				"X-Attempt-Id: a1\r\nX-Deadline-Ms: 50000\r\n",
+				"book", 60000);
+	later.join();
+	EXPECT_EQ(m.status(), 200) << system.logs();
+	for (const auto &ran : a.ran_requests()) {
+		if (ran.field("X-Attempt-Id") != "a1")
+			continue;
+		EXPECT_LE(atoi(ran.field("X-Deadline-Ms").c_str()),
+			  50000 - 300);
+	}
+}
+
+TEST(PlatformStart, WithoutAViewRequestsAreRefused)
+{
+	System system{ 1, 1 };
+
+	system.start(system.entry());
+	ASSERT_TRUE(System::eventually([&] {
+		return call(system.entry().ready,
+			    request("GET", "/dandelionspar/ready", "x"), 1000)
+			       .status() == 503;
+	})) << system.logs();
+	Message m = system.send("POST", "/once/x", ID, "book");
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_GT(atof(m.field("Retry-After").c_str()), 0);
+}
+
 /* Three control instances that find each other by their seeds. */
 class PlatformControl : public ::testing::Test
 {
--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -79,7 +79,8 @@
 		       "node_lease_ms = 2000\nisolated_after_ms = 1500\n"
 		       "endpoint_lease_ms = 3000\n[edge]\n"
 		       "repeat_extra = 50\norder_lease_ms = 300\n"
-		       "drain_limit_ms = 4000\nentry_validity_s = 1\n";
+		       "drain_limit_ms = 4000\nentry_validity_s = 1\n"
+		    << "start_wait_ms = " << start_wait_ms << "\n";
 		if (x.control)
 			out << "control = \"" << x.api << "\"\n";
 		if (!x.control)
@@ -194,6 +195,8 @@
 
 	std::vector<Instance> instances;
 	std::string folder;
+	/* Short, so that tests see refusals of an instance without a view. */
+	int start_wait_ms = 100;
 	uint16_t internal_port;
 };
 
