--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -32,6 +32,10 @@
  * count, the last ones with this weight. */
 #define GAP_SHARE_MAX 0.25
 #define RECENT_US 400000
+/* Part of that limit by which instances differ, and the time after which the
+ * next one has the highest. */
+#define TURN_SHARE 0.5
+#define TURN_US 200000
 #define RECENT_SHARE 0.3
 /* Until it is measured: time to read a token of a prompt. */
 #define TOKEN_MS 0.06
@@ -492,15 +496,38 @@
 	}
 }
 
+/* How long the engine's streams pause now: while it reads prompts they stand
+ * still, which the next event will tell only when it has read them. */
+static double pause_us(const struct bal_endpoint *e, int64_t now_us)
+{
+	int64_t silent_us = now_us - e->event_us;
+	bool flowing = e->own > e->reading;
+
+	if (flowing)
+		return MAX(e->recent_ms * 1000, (double)silent_us);
+	return silent_us < RECENT_US ? e->recent_ms * 1000 : 0;
+}
+
+/* Instances take turns, so that they do not all send to an engine at the moment
+ * at which it has read what they sent before. */
+static double pause_limit_us(const struct bal *ctx,
+			     const struct bal_endpoint *e,
+			     const struct bal_query *query, int64_t now_us)
+{
+	uint64_t turn = (uint64_t)(now_us / TURN_US) + ctx->position +
+			g_str_hash(e->id);
+	double late = (double)(turn % ctx->entries) / ctx->entries;
+
+	return GAP_SHARE_MAX * (1 - TURN_SHARE * late) * (double)query->gap_us;
+}
+
 /* Whether the engine has read most of what this instance sent to it, and its
  * streams flow: an engine that reads prompts all the time ends no stream. */
 static bool may_read(const struct bal *ctx, const struct bal_endpoint *e,
 		     const struct bal_query *query, int64_t now_us)
 {
-	bool slow = query->gap_us && now_us - e->event_us < RECENT_US &&
-		    e->recent_ms * 1000 > GAP_SHARE_MAX * (double)query->gap_us;
-
-	if (query->model && !query->resumed && slow)
+	if (query->model && !query->resumed && query->gap_us &&
+	    pause_us(e, now_us) > pause_limit_us(ctx, e, query, now_us))
 		return false;
 	if (!query->model || query->resumed ||
 	    e->reading < MAX(READING_TOTAL / ctx->entries, 1))
--- a/src/core/res.c
+++ b/src/core/res.c
@@ -90,6 +90,7 @@
 		m->fast = old ? old->fast : 0;
 		m->slow = old ? old->slow : 0;
 		m->rate = old ? old->rate : 0;
+		m->lost_us = old ? old->lost_us : 0;
 		m->missed_us = old ? old->missed_us : 0;
 		m->adapter_rates = g_new0(double, from->adapters + 1);
 		m->adapter_copies = g_new0(uint32_t, from->adapters + 1);
@@ -271,12 +272,17 @@
 	}
 }
 
-/* Notes since when models are asked for that no engine holds. */
+/* Notes since when no engine holds a model, and since when it is asked for
+ * meanwhile. */
 static void note_missing(struct res *ctx, int64_t now_us)
 {
 	for (size_t i = 0; i < ctx->n_models; i++) {
 		struct res_model *m = &ctx->models[i];
 
+		if (m->copies)
+			m->lost_us = 0;
+		else if (!m->lost_us)
+			m->lost_us = now_us;
 		if (m->copies || m->rate < ASKED_RATE)
 			m->missed_us = 0;
 		else if (!m->missed_us)
--- a/src/core/res_int.h
+++ b/src/core/res_int.h
@@ -20,6 +20,7 @@
 	double fast, slow;     /* requests a second, averages */
 	double rate;	       /* expected in some seconds */
 	double *adapter_rates; /* by number; [0] is not used */
+	int64_t lost_us;       /* without a copy since; 0: it has one */
 	int64_t missed_us;     /* asked for since, with no copy; 0: not so */
 	/* Of the current round. */
 	uint32_t copies;  /* coming ones included */
--- a/src/core/res_models.c
+++ b/src/core/res_models.c
@@ -25,13 +25,22 @@
 /* What an unload costs besides: the rates are known by some requests only, and
  * a move that is taken back costs both models some seconds. */
 #define UNLOAD_COST 8.0
+/* Part of a model's recent demand that counts for its copies however fast it
+ * falls: the trend of few requests is not certain. */
+#define FALL_SHARE 0.5
+/* Value of a place on a usual engine, in requests, so that rare models take
+ * those on slow ones. */
+#define PLACE_COST 4.0
 /* An unload waits for the requests of its model, which take this long on a
  * usual engine, when it has this many a second. */
 #define DRAIN_S 3.5
 #define DRAIN_RATE 1.0
-/* Value of the only copy of a model, in requests a second: when nobody asks for
- * it, when it is asked for, and for each second of waiting. */
+/* Value of the only copy of a model, in requests a second: before traffic; when
+ * nobody asks for it, and for each second without it; when it is asked for, and
+ * for each second of waiting. */
+#define UNUSED_VALUE 50.0
 #define UNASKED_VALUE 0.8
+#define LOST_VALUE 0.2
 #define MISSING_VALUE 2.0
 #define WAITING_VALUE 1.5
 /* Until demand was seen for some time, each copy that engines started with
@@ -79,6 +88,27 @@
 	return rate * (1 - exp(-COPY_RATE * speed / rate));
 }
 
+static double seconds_since(int64_t from_us, int64_t now_us)
+{
+	return (double)(now_us - from_us) / 1e6;
+}
+
+/* Value of the only copy of a model, besides what it serves, in requests a
+ * second. Every published model stays reachable: the longer it is not, the more
+ * may give way for it. Before traffic, an unload costs nothing. */
+static double value_of_only(const struct res *ctx, const struct res_model *m,
+			    int64_t now_us)
+{
+	if (now_us - ctx->usable_us < SETTLE_US)
+		return 0;
+	if (ctx->first_us == INT64_MAX)
+		return UNUSED_VALUE;
+	if (m->missed_us)
+		return MISSING_VALUE +
+		       WAITING_VALUE * seconds_since(m->missed_us, now_us);
+	return UNASKED_VALUE + LOST_VALUE * seconds_since(m->lost_us, now_us);
+}
+
 /* Requests a second that one more copy serves on an engine of this speed. */
 static double value_of_next(const struct res *ctx, const struct res_model *m,
 			    double speed, int64_t now_us)
@@ -86,21 +116,15 @@
 	double rate = expected_rate(ctx, m);
 	double more = served_by(rate, m->copies_speed + speed) -
 		      served_by(rate, m->copies_speed);
-	bool settled = now_us - ctx->usable_us >= SETTLE_US;
-
-	if (m->copies)
-		return more;
-	if (!m->missed_us)
-		return more + (settled ? UNASKED_VALUE : 0);
-	return more + MISSING_VALUE +
-	       WAITING_VALUE * (double)(now_us - m->missed_us) / 1e6;
+
+	return m->copies ? more : more + value_of_only(ctx, m, now_us);
 }
 
 /* Requests a second that are lost with the present copy on the engine. */
 static double value_of_last(const struct res *ctx, const struct res_model *m,
 			    const struct res_engine *e)
 {
-	double rate = expected_rate(ctx, m);
+	double rate = MAX(expected_rate(ctx, m), FALL_SHARE * m->fast);
 
 	return served_by(rate, m->present_speed) -
 	       served_by(rate, m->present_speed - res_speed(e));
@@ -178,7 +202,8 @@
 		value_of_next(ctx, &ctx->models[model],
 			      res_speed(e) * time_left(ctx, e, victim), now_us);
 	double wait_s = res_load_ms(ctx, e, item) / 1e3;
-	double cost = res_is_far(ctx, e, item) ? STORE_COST : NEAR_COST;
+	double cost = (res_is_far(ctx, e, item) ? STORE_COST : NEAR_COST) +
+		      PLACE_COST * res_speed(e);
 
 	if (victim >= 0) {
 		const struct res_model *v = &ctx->models[victim];
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -32,6 +32,9 @@
 #define IDLE_LOOK_US 1500000
 /* An engine takes a few adapters at a time, each within some milliseconds. */
 #define ADAPTER_PAUSE_US 20000
+/* How often the leader tells entries what an engine holds, ahead of the
+ * engine's own announcements, each 1.2 s. */
+#define ANNOUNCE_US 1000000
 /* After an order without an answer: it may be carried out later. */
 #define DOUBT_US 1000000
 
@@ -61,7 +64,7 @@
 	uint32_t load;
 	double token_us;	/* to read a token, alone; 0: not known */
 	struct res_engine plan; /* id, holds */
-	bool dirty;		/* holds differ from what was announced */
+	int64_t announce_us;	/* when to tell the holds again; 0: now */
 	/* Outstanding call. */
 	struct hio_call *call;
 	struct event *timer;
@@ -152,11 +155,9 @@
 
 /* ---- What engines hold ---- */
 
-/* Returns whether this changed what the engine is known to hold. */
-static bool set_holds(struct engine *e, Dsp__Copy *const *copies, size_t n)
+static void set_holds(struct engine *e, Dsp__Copy *const *copies, size_t n)
 {
 	struct res *planner = planner_of(e->agent, e->service);
-	struct res_engine before = e->plan;
 
 	e->plan.n_holds = 0;
 	for (size_t i = 0; planner && i < n; i++) {
@@ -167,9 +168,6 @@
 			     &item))
 			e->plan.holds[e->plan.n_holds++] = item;
 	}
-	return before.n_holds != e->plan.n_holds ||
-	       memcmp(before.holds, e->plan.holds,
-		      before.n_holds * sizeof(before.holds[0])) != 0;
 }
 
 /* Numbers of the models that the planner knows. */
@@ -220,7 +218,7 @@
 	char adapters[RES_HOLDS_MAX][RES_ADAPTER_NAME_MAX];
 	Dsp__Endpoint endpoint;
 
-	e->dirty = false;
+	e->announce_us = now_of(ctx) + ANNOUNCE_US;
 	if (!known || !planner || known->incarnation != e->incarnation ||
 	    known->state != DSP__ENDPOINT_STATE__ENDPOINT_UP)
 		return;
@@ -240,6 +238,7 @@
 	endpoint.copies = list;
 	endpoint.n_copies = e->plan.n_holds;
 	message.endpoint = &endpoint;
+	message.from_orders = true;
 	ctl_announce(ctx->edge->ctl, &message);
 }
 
@@ -304,7 +303,7 @@
 		drop_hold(e, e->order.item);
 	else if (e->order.kind == RES_LOAD && !is_model)
 		add_hold(e, e->order.item);
-	e->dirty = true;
+	announce(e);
 	if (at_once || (!is_model && e->order.kind == RES_LOAD))
 		return;
 	e->state = WORKING;
@@ -402,8 +401,7 @@
 	e->sequence = state->sequence;
 	e->plan.n_in_memory = set_near(e, state->in_memory, e->plan.in_memory);
 	e->plan.n_on_disk = set_near(e, state->on_disk, e->plan.on_disk);
-	if (set_holds(e, state->copies, state->n_copies))
-		e->dirty = true;
+	set_holds(e, state->copies, state->n_copies);
 	if (state->busy && e->ordered && e->order.kind == RES_UNLOAD &&
 	    !e->order.item.adapter)
 		drop_hold(e, e->order.item);
@@ -451,6 +449,8 @@
 			       e->id, state.incarnation);
 	else
 		state_read(e, &state);
+	if (e->state != UNKNOWN)
+		announce(e);
 	wire_engine_state_clear(&state);
 	plan(e->agent);
 }
@@ -666,7 +666,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
 		if (e->usable && !e->call && now_us >= e->look_us)
 			read_state(e);
-		if (e->dirty && e->state != UNKNOWN)
+		if (now_us >= e->announce_us && e->state != UNKNOWN)
 			announce(e);
 	}
 	plan(ctx);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -35,9 +35,13 @@
 #define WAIT_MAX_US 4000000
 /* Part of the objective in which a request waits for a better engine. */
 #define BETTER_SHARE 3
-/* A broken stream waits so long for another engine: its caller leaves after a
- * pause of two seconds. */
-#define RESUME_WAIT_US 1500000
+/* Callers of streams leave after a pause of two seconds, four objectives or
+ * eight good pauses, whichever is longest. A broken stream waits that long for
+ * another engine, less the time to read its prompt there. */
+#define LEAVE_MIN_US (2 * EDGE_S_US)
+#define LEAVE_OBJECTIVES 4
+#define LEAVE_GAPS 8
+#define RESUME_READ_US 500000
 /* The queue is looked at this often without an event that frees a place. */
 #define WAIT_STEP_US 25000
 /* Requests that one look at the queue tries. */
@@ -499,6 +503,11 @@
 		return;
 	}
 	end_send(f, BAL_ANSWERED);
+	if (f->begun) {
+		/* The caller reads a stream already. */
+		try_again(f, true, "endpoint_failed");
+		return;
+	}
 	/* The failure of one endpoint need not be that of the next. */
 	if (f->status >= 500 && can_move(f) && f->n_tried < TRIED_MAX &&
 	    !is_too_late(f) && take_repeat(f)) {
@@ -620,12 +629,21 @@
 	arm_for_send(f);
 }
 
+/* Time for which a broken stream may wait for another endpoint. */
+static int64_t resume_wait(const struct fwd *f)
+{
+	int64_t leave_us =
+		MAX(LEAVE_OBJECTIVES * f->objective_us, LEAVE_GAPS * f->gap_us);
+
+	return MAX(leave_us, LEAVE_MIN_US) - RESUME_READ_US;
+}
+
 static int64_t wait_limit(const struct fwd *f, enum bal_outcome outcome)
 {
 	double share = PLACE_WAIT_SHARE;
 
 	if (f->begun)
-		return RESUME_WAIT_US;
+		return resume_wait(f);
 
 	switch (outcome) {
 	case BAL_NO_ADAPTER:
@@ -693,7 +711,7 @@
 	f->item.group = f->group;
 	f->item.rank = f->rank;
 	f->item.arrived_us = now_us;
-	f->item.objective_us = f->begun ? now_us + RESUME_WAIT_US
+	f->item.objective_us = f->begun ? now_us + resume_wait(f)
 					: f->start_us + f->objective_us;
 	f->item.give_up_us =
 		MIN(now_us + limit_us, f->end_us - REMAINING_MIN_US);
@@ -702,11 +720,7 @@
 	return true;
 }
 
-/*
- * Sends the request to the best endpoint, queues it, or ends it. Returns true
- * when it waits; otherwise it may be gone.
- */
-static bool dispatch(struct fwd *f)
+static struct bal_choice choose(const struct fwd *f)
 {
 	struct bal_query query = {
 		.service = f->service,
@@ -721,6 +735,29 @@
 		.resumed = f->begun,
 		.avoid = (const char *const *)f->tried,
 	};
+
+	return bal_choose(f->edge->bal, &query, now_of(f));
+}
+
+/* Sends the request to the endpoint that was chosen. */
+static void send_chosen(struct fwd *f, const struct bal_choice *choice)
+{
+	send_to(f, choice->endpoint);
+	LOG_EVENT_INFO("fwd", "send",
+		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
+		       "load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
+		       " left_us=%" PRId64,
+		       log_id(f), f->endpoint_id, choice->candidates,
+		       choice->cost_ms, choice->load, choice->load_age_s,
+		       view_index(f->edge->view), f->end_us - f->send_us);
+}
+
+/*
+ * Sends the request to the best endpoint, queues it, or ends it. Returns true
+ * when it waits; otherwise it may be gone.
+ */
+static bool dispatch(struct fwd *f)
+{
 	struct bal_choice choice = { .outcome = BAL_READING };
 
 	if (is_too_late(f)) {
@@ -729,18 +766,11 @@
 	}
 	/* Those that wait for the same come first. */
 	if (f->item.queued || f->begun || !adm_length(f->edge->queue, f->group))
-		choice = bal_choose(f->edge->bal, &query, now_of(f));
+		choice = choose(f);
 	if (choice.outcome != BAL_CHOSEN)
 		return wait_or_refuse(f, &choice);
 	adm_remove(f->edge->queue, &f->item);
-	send_to(f, choice.endpoint);
-	LOG_EVENT_INFO("fwd", "send",
-		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
-		       "load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
-		       " left_us=%" PRId64,
-		       log_id(f), f->endpoint_id, choice.candidates,
-		       choice.cost_ms, choice.load, choice.load_age_s,
-		       view_index(f->edge->view), f->end_us - f->send_us);
+	send_chosen(f, &choice);
 	return false;
 }
 
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -176,6 +176,7 @@
 	uint64_t sequence;    /* highest of this incarnation */
 	uint64_t residency;   /* hash of the last residency proposed */
 	int64_t residency_us; /* when */
+	int64_t copies_us; /* its copies were known from its orders; 0: not */
 };
 
 struct ctl_order {
@@ -381,6 +382,7 @@
 void ctl_member_start(struct ctl *ctx);
 void ctl_member_stop(struct ctl *ctx);
 void ctl_member_run(struct ctl *ctx);
+void ctl_member_copies(struct ctl *ctx, const Dsp__Announcement *a);
 void ctl_member_report(struct ctl *ctx, const Dsp__Report *report);
 
 /* ctl_order.c */
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -22,6 +22,8 @@
 #define JOIN_LIMIT_US (5LL * CTL_S_US)
 /* A replica heard within this time is alive; several heartbeats. */
 #define REPLICA_ALIVE_US (3LL * CTL_S_US)
+/* The giver of orders tells what engines hold at least every 1.5 s. */
+#define COPIES_KNOWN_US (4LL * CTL_S_US)
 /* Longer than a restart, so that a voter which restarts keeps its place. */
 #define REPLICA_GONE_US (6LL * CTL_S_US)
 
@@ -191,6 +193,15 @@
 	       (!is_sequenced(b) || st_same_copies(a, b));
 }
 
+/* Whether the giver of orders has told lately what the endpoint holds: its own
+ * announcement may be older than its last order, and lists a model for as long
+ * as an unload waits for its requests. */
+static bool copies_are_known(const struct ctl *ctx,
+			     const struct ctl_endpoint *e)
+{
+	return e->copies_us && ctx->now_us - e->copies_us < COPIES_KNOWN_US;
+}
+
 static void put_endpoint(struct ctl *ctx, struct ctl_endpoint *e,
 			 const Dsp__Announcement *a)
 {
@@ -201,6 +212,11 @@
 
 	endpoint.state = a->leaving ? DSP__ENDPOINT_STATE__ENDPOINT_LEAVING
 				    : DSP__ENDPOINT_STATE__ENDPOINT_UP;
+	if (known && known->incarnation == endpoint.incarnation &&
+	    copies_are_known(ctx, e)) {
+		endpoint.copies = known->copies;
+		endpoint.n_copies = known->n_copies;
+	}
 	if (known && same_endpoint(known, &endpoint)) {
 		e->puts = 0;
 		return;
@@ -289,6 +305,7 @@
 		e->puts = 0;
 		e->residency_us = 0;
 		e->residency = 0;
+		e->copies_us = 0;
 	}
 	if (a->load && a->load->sequence < e->sequence)
 		return;
@@ -307,6 +324,30 @@
 	report_residency(ctx, e, a);
 }
 
+/* Takes the copies of an endpoint from the giver of orders. */
+void ctl_member_copies(struct ctl *ctx, const Dsp__Announcement *a)
+{
+	struct ctl_endpoint *e =
+		g_hash_table_lookup(ctx->endpoints, a->endpoint->id);
+	const Dsp__Endpoint *known = st_endpoint(ctx->st, a->endpoint->id);
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__EndpointPut put = DSP__ENDPOINT_PUT__INIT;
+	Dsp__Endpoint endpoint;
+
+	if (!e || !known || known->incarnation != a->endpoint->incarnation)
+		return;
+	e->copies_us = ctx->now_us;
+	endpoint = *known;
+	endpoint.copies = a->endpoint->copies;
+	endpoint.n_copies = a->endpoint->n_copies;
+	if (st_same_copies(known, &endpoint))
+		return;
+	put.endpoint = &endpoint;
+	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
+	command.endpoint_put = &put;
+	propose(ctx, &command);
+}
+
 static void expire_endpoints(struct ctl *ctx)
 {
 	int64_t lease_us = (int64_t)ctx->set->endpoint_lease_ms * 1000;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -255,6 +255,11 @@
 
 	if (!a->endpoint || !a->endpoint->id[0])
 		return;
+	if (a->from_orders) {
+		if (ctx->ready_leader)
+			ctl_member_copies(ctx, a);
+		return;
+	}
 	merge_announcement(ctx, a);
 	if (a->load && ctx->cb.load)
 		ctx->cb.load(ctx->cb.data, a->load);
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -8572,7 +8572,7 @@
   (ProtobufCMessageInit) dsp__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__announcement__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dsp__announcement__field_descriptors[6] =
 {
   {
     "endpoint",
@@ -8634,9 +8634,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "from_orders",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Announcement, from_orders),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__announcement__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
+  5,   /* field[5] = from_orders */
   2,   /* field[2] = highest_fence */
   3,   /* field[3] = leaving */
   1,   /* field[1] = load */
@@ -8645,7 +8658,7 @@
 static const ProtobufCIntRange dsp__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dsp__announcement__descriptor =
 {
@@ -8655,7 +8668,7 @@
   "Dsp__Announcement",
   "dsp",
   sizeof(Dsp__Announcement),
-  5,
+  6,
   dsp__announcement__field_descriptors,
   dsp__announcement__field_indices_by_name,
   1,  dsp__announcement__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1377,10 +1377,15 @@
   protobuf_c_boolean leaving;
   size_t n_results;
   Dsp__OrderResult **results;
+  /*
+   * Only the copies, as the leader knows them that gives the orders; never sent
+   * to another instance.
+   */
+  protobuf_c_boolean from_orders;
 };
 #define DSP__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__announcement__descriptor) \
-    , NULL, NULL, 0, 0, 0,NULL }
+    , NULL, NULL, 0, 0, 0,NULL, 0 }
 
 
 struct  Dsp__Demand
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -606,6 +606,81 @@
 		wait_until([&] { return all[0]->number("verband") == 2u; }));
 }
 
+/* An announcement of an engine whose orders are sequenced. */
+void announce_engine(struct ctl *ctl, uint64_t sequence, uint32_t max_batch,
+		     std::vector<std::string> models, bool from_orders)
+{
+	Dsp__Announcement a = DSP__ANNOUNCEMENT__INIT;
+	Dsp__Endpoint e = DSP__ENDPOINT__INIT;
+	Dsp__Features features = DSP__FEATURES__INIT;
+	Dsp__LoadReport load = DSP__LOAD_REPORT__INIT;
+	std::vector<Dsp__Copy> copies(models.size());
+	std::vector<Dsp__Copy *> list;
+
+	e.id = (char *)"engine";
+	e.incarnation = 7;
+	e.address = (char *)"127.0.0.1:1";
+	e.site = (char *)"north";
+	e.team = (char *)"verband";
+	e.service = (char *)"kellerrat";
+	e.max_batch = max_batch;
+	features.sequenced = true;
+	e.features = &features;
+	for (size_t i = 0; i < models.size(); i++) {
+		dsp__copy__init(&copies[i]);
+		copies[i].model = models[i].data();
+		copies[i].version = (char *)"1";
+		copies[i].ready = true;
+		list.push_back(&copies[i]);
+	}
+	e.copies = list.data();
+	e.n_copies = list.size();
+	load.endpoint = e.id;
+	load.incarnation = 7;
+	load.sequence = sequence;
+	a.endpoint = &e;
+	a.from_orders = from_orders;
+	if (!from_orders)
+		a.load = &load;
+	ctl_announce(ctl, &a);
+}
+
+/* "MAX_BATCH MODEL..." of the engine as the instance's view has it. */
+std::string engine_in_view(struct ctl *ctl)
+{
+	struct view *view = ctl_view(ctl);
+	const Dsp__Endpoint *e = view_endpoint(view, "engine");
+	std::string out = e ? std::to_string(e->max_batch) : "none";
+
+	for (size_t i = 0; e && i < e->n_copies; i++)
+		out += std::string(" ") + e->copies[i]->model;
+	view_unref(view);
+	return out;
+}
+
+/*
+ * Guards what entries send to an engine while a model is unloaded there: its
+ * own announcements list the model until the last request has ended, and each
+ * request that was sent to it then was refused.
+ */
+TEST_F(Control, OrdersTellWhatAnEngineHolds)
+{
+	create(1, 1);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	announce_engine(all[0]->ctl, 1, 8, { "m1", "m2" }, false);
+	ASSERT_TRUE(wait_until(
+		[&] { return engine_in_view(all[1]->ctl) == "8 m1 m2"; }));
+	announce_engine(all[0]->ctl, 0, 8, { "m1" }, true);
+	EXPECT_TRUE(wait_until(
+		[&] { return engine_in_view(all[1]->ctl) == "8 m1"; }));
+	announce_engine(all[0]->ctl, 2, 9, { "m1", "m2" }, false);
+	EXPECT_TRUE(wait_until([&] {
+		return engine_in_view(all[1]->ctl).substr(0, 1) == "9";
+	}));
+	EXPECT_EQ(engine_in_view(all[1]->ctl), "9 m1");
+}
+
 /* Guards the operator's removal of a replica that will not return; any
  * instance takes the request. */
 TEST_F(Control, LostReplicaIsRemovedOnRequest)
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -297,6 +297,32 @@
 	EXPECT_EQ(m.body, event(1));
 }
 
+/* Found on the users' bench (olivenverband-by trouble-1 --seed 11): the failure
+ * of the endpoint at which a stream went on was appended to the stream. */
+TEST_F(Platform, FailureOfTheNextRunnerIsNotAppendedToAStream)
+{
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [r](Socket &s, const Message &m) {
+			if (!m.field("Last-Event-Id").empty())
+				return s.send(
+					answer(500, r->seal() + Runner::echo(m),
+					       "failure"));
+			s.send(stream_head(*r, m) + chunk(event(1)));
+			usleep(50000);
+			s.reset();
+			return false;
+		};
+	Socket s;
+	ASSERT_TRUE(s.connect_to(system.entry().front));
+	s.send(request("POST", "/flow/x", "host.example", ID));
+	std::string all = s.read_all(5000);
+	EXPECT_EQ(requests(a).size() + requests(b).size(), 2u);
+	EXPECT_EQ(all.find("500"), std::string::npos) << all;
+	EXPECT_EQ(all.find("failure"), std::string::npos) << all;
+	EXPECT_NE(all.find(event(1)), std::string::npos) << all;
+}
+
 TEST_F(Platform, WorkEndsSoonAfterTheCallerHasLeft)
 {
 	add_a();
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -129,6 +129,13 @@
 		buffer.append(bytes, (size_t)n);
 		return true;
 	}
+	/* Reads all bytes until the other side closes or the time is over. */
+	std::string read_all(int timeout_ms)
+	{
+		while (fill(timeout_ms))
+			;
+		return buffer;
+	}
 	/* Reads one message. */
 	bool read(Message *m, int timeout_ms = 5000, bool answer = false)
 	{
--- a/tests/unit/res_test.cc
+++ b/tests/unit/res_test.cc
@@ -112,6 +112,7 @@
 		std::string id;
 		struct res_engine e;
 		int64_t until = 0;
+		bool ordered = false;
 		struct res_order order;
 	};
 	std::vector<Engine> engines;
@@ -180,6 +181,10 @@
 			e.n_present = e.n_holds;
 			e.makes_room =
 				e.busy && engine.order.kind == RES_UNLOAD;
+			e.reserved = !e.busy && engine.ordered &&
+				     engine.order.kind == RES_UNLOAD &&
+				     !engine.order.item.adapter;
+			e.reserved_for = engine.order.purpose;
 			if (e.busy)
 				add(e, engine.order.kind == RES_LOAD
 					       ? engine.order.item
@@ -213,6 +218,7 @@
 		ASSERT_FALSE(engine.e.busy);
 		ASSERT_TRUE(engine.e.usable);
 		engine.order = order;
+		engine.ordered = true;
 		if (order.kind == RES_UNLOAD) {
 			ASSERT_TRUE(has(engine.e, order.item));
 			drop(engine.e, order.item);
@@ -407,6 +413,8 @@
 			models[i].name = names[i];
 			models[i].memory_mb = 45000;
 			models[i].load_ms = 5000;
+			models[i].disk_ms = 1000;
+			models[i].warm_ms = 500;
 			list[i] = &models[i];
 			engines[i] = {};
 			engines[i].id = names[i];
@@ -436,12 +444,17 @@
 			res_demand(plan, model, "", per_s / 10, 0,
 				   100 * S + i * 100 * MS);
 	}
-	std::vector<res_order> orders()
+	/* A request that was refused, with a few seconds before the plan. */
+	void ask_once(const char *model)
+	{
+		res_demand(plan, model, "", 1, 1, 104 * S + 900 * MS);
+	}
+	std::vector<res_order> orders(int64_t now = 105 * S)
 	{
 		std::vector<res_order> out(3);
 
-		out.resize(res_plan(plan, engines.data(), 3, 105 * S,
-				    out.data(), 3));
+		out.resize(
+			res_plan(plan, engines.data(), 3, now, out.data(), 3));
 		return out;
 	}
 };
@@ -457,8 +470,8 @@
 	d.hold(0, 0);
 	d.hold(1, 1);
 	d.hold(2, 2);
-	d.engines[1].slow = 1.8;
-	d.engines[2].slow = 0.7;
+	d.engines[1].speed = 0.55;
+	d.engines[2].speed = 1.43;
 	d.engines[2].load = 5;
 	d.ask("m0", 30);
 	auto orders = d.orders();
@@ -487,6 +500,124 @@
 		EXPECT_FALSE(order.kind == RES_UNLOAD && order.item.model == 0);
 }
 
+/* Found there (scale-1): a model with half a request a second took one of the
+ * two copies of a model with 98 requests a second. */
+TEST(Res, RareModelsTakeNoCopyOfABusyOne)
+{
+	Direct d;
+
+	d.hold(0, 0);
+	d.hold(0, 1);
+	d.hold(1, 0);
+	d.hold(1, 1);
+	d.ask("m0", 90);
+	d.ask("m1", 10);
+	d.ask_once("m2");
+	d.engines[2].usable = false;
+	for (const auto &order : d.orders())
+		EXPECT_FALSE(order.kind == RES_UNLOAD && order.item.model == 0);
+}
+
+/* But it does not wait for good: every published model stays reachable. */
+TEST(Res, ModelThatWaitsLongTakesACopy)
+{
+	Direct d;
+	bool unloaded = false;
+
+	d.hold(0, 0);
+	d.hold(0, 1);
+	d.hold(1, 0);
+	d.hold(1, 1);
+	d.engines[2].usable = false;
+	for (int t = 0; t < 30 && !unloaded; t++) {
+		for (int i = 0; i < 50; i++)
+			res_demand(d.plan, "m0", "", 1, 0,
+				   (100 + t) * S + i * 20 * MS);
+		res_demand(d.plan, "m2", "", 1, 1, (101 + t) * S);
+		for (const auto &order : d.orders((101 + t) * S))
+			unloaded = unloaded || order.kind == RES_UNLOAD;
+	}
+	EXPECT_TRUE(unloaded);
+}
+
+/* Found there: loads read the store for 5.4 s beside an engine that had the
+ * weights on its disk. */
+TEST(Res, EnginesWithTheWeightsOnTheirDiskComeFirst)
+{
+	Direct d;
+
+	d.hold(0, 0);
+	d.engines[2].on_disk[d.engines[2].n_on_disk++] = 0;
+	d.ask("m0", 30);
+	d.hold(1, 1);
+	d.hold(2, 2);
+	auto orders = d.orders();
+	ASSERT_EQ(orders.size(), 1u);
+	EXPECT_EQ(orders[0].engine, 2u);
+	EXPECT_EQ(orders[0].item.model, 0);
+	EXPECT_FALSE(res_is_far(d.plan, &d.engines[2], orders[0].item));
+	EXPECT_TRUE(res_is_far(d.plan, &d.engines[1], orders[0].item));
+	EXPECT_EQ(res_load_ms(d.plan, &d.engines[2], orders[0].item), 1000u);
+}
+
+/* The store's rate does not bind loads that do not read it. */
+TEST(Res, LoadsFromDiskDoNotWaitForTheStore)
+{
+	Direct d;
+
+	d.hold(0, 0);
+	d.hold(1, 1);
+	d.hold(2, 2);
+	d.ask("m0", 30);
+	for (int i = 0; i < 20; i++)
+		res_load_sent(d.plan, 105 * S);
+	EXPECT_TRUE(d.orders().empty());
+	d.engines[1].on_disk[d.engines[1].n_on_disk++] = 0;
+	auto orders = d.orders();
+	ASSERT_EQ(orders.size(), 1u);
+	EXPECT_EQ(orders[0].engine, 1u);
+}
+
+/* Found there: an unload made room for a model without a copy, and a busier one
+ * took it, three times in a row. */
+TEST(Res, RoomIsKeptForTheModelThatItWasMadeFor)
+{
+	Direct d;
+
+	d.hold(0, 0);
+	d.hold(0, 1);
+	d.hold(1, 1);
+	d.engines[1].reserved = true;
+	d.engines[1].reserved_for.model = 2;
+	d.engines[2].usable = false;
+	d.ask("m0", 60);
+	d.ask_once("m2");
+	auto orders = d.orders();
+	ASSERT_EQ(orders.size(), 1u);
+	EXPECT_EQ(orders[0].kind, RES_LOAD);
+	EXPECT_EQ(orders[0].item.model, 2);
+}
+
+/* Found there: before all engines had announced themselves, five copies of the
+ * busiest model were unloaded for models that other engines held. */
+TEST(Res, NothingMovesBeforeEnginesAreKnown)
+{
+	Direct d;
+
+	d.hold(0, 0);
+	d.hold(0, 1);
+	d.hold(1, 0);
+	d.hold(1, 1);
+	d.engines[2].usable = false;
+	EXPECT_TRUE(d.orders(100 * S).empty());
+	EXPECT_TRUE(d.orders(101 * S).empty());
+	d.engines[2].usable = true;
+	d.hold(2, 2);
+	EXPECT_TRUE(d.orders(101 * S + 200 * MS).empty());
+	for (const auto &order : d.orders(110 * S))
+		EXPECT_EQ(order.kind, RES_LOAD);
+}
+
 TEST(Res, EngineThatLeavesIsReplaced)
 {
 	Verband world;
