--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -50,6 +50,10 @@
 /* Part of a stream's expected duration that counts, so that long ones prefer
  * fast engines. */
 #define DURATION_WEIGHT 0.05
+/* Cost of an engine at which the stream would take more than this part of the
+ * time that is left: it would be cut before its end. */
+#define DEADLINE_SHARE 0.7
+#define DEADLINE_COST_MS 2000.0
 /* Cost of an engine all of whose streams pause too long; weight of one stream
  * in that share, and the time after which an engine is tried again. */
 #define LATE_COST_MS 2500.0
@@ -454,6 +458,13 @@
 	return (double)((i + n - first) % n) / (double)n;
 }
 
+/* Expected duration of the stream at the pace of the engine's streams. */
+static double lasts_ms(const struct bal *ctx, const struct bal_endpoint *e,
+		       const struct bal_query *query)
+{
+	return query->events * (e->gap_ms > 0 ? e->gap_ms : ctx->gap_ms);
+}
+
 static double cost_of(const struct bal *ctx, const struct candidates *list,
 		      size_t i, const struct bal_query *query, int64_t now_us)
 {
@@ -464,8 +475,10 @@
 		return cost + serving_ms(ctx, e, now_us);
 	cost += reading_ms(ctx, e, query);
 	cost += LATE_COST_MS * late_share(e, now_us);
-	cost += DURATION_WEIGHT * query->events *
-		(e->gap_ms > 0 ? e->gap_ms : ctx->gap_ms);
+	cost += DURATION_WEIGHT * lasts_ms(ctx, e, query);
+	if (query->left_us && lasts_ms(ctx, e, query) * 1000 >
+				      DEADLINE_SHARE * (double)query->left_us)
+		cost += DEADLINE_COST_MS;
 	cost += BATCH_COST_MS * load_of(e, now_us) / MAX(e->msg->max_batch, 1);
 	cost += DISTANCE_COST_MS * distance(ctx, i, list->n);
 	if (query->prefix && e == list->preferred)
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -22,6 +22,7 @@
 	uint32_t events;     /* expected in the answer; 0: no stream */
 	uint64_t prefix;     /* hash of the shared prompt parts; 0: none */
 	int64_t gap_us;	     /* longest good pause between events; 0: any */
+	int64_t left_us;     /* until its caller waits no longer; 0: any */
 	bool may_wait;	     /* a better endpoint is worth waiting for */
 	bool resumed;	     /* a stream whose caller has read a part of it */
 	const char *const *avoid; /* endpoint ids; NULL-terminated, or NULL */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -730,6 +730,7 @@
 		.events = f->events_expected,
 		.prefix = f->said.prefix,
 		.gap_us = f->gap_us,
+		.left_us = f->end_us - now_of(f),
 		.may_wait = f->engine && now_of(f) - f->start_us <
 						 f->objective_us / BETTER_SHARE,
 		.resumed = f->begun,
--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -398,6 +398,57 @@
 	EXPECT_EQ(bal_choose(bal, &query, now).outcome, BAL_CHOSEN);
 }
 
+/* Found on the users' bench (trouble-1 of olivenverband-by): streams of 240
+ * events on slow engines were cut at their deadline. */
+TEST_F(Balance, LongStreamsAvoidEnginesThatWouldOutlastTheDeadline)
+{
+	struct bal_query query = {};
+
+	put("fast", { "m" });
+	put("slow", { "m" });
+	query.service = "service";
+	query.model = "m";
+	query.tokens = 1000;
+	const char *not_slow[] = { "slow", nullptr };
+	const char *not_fast[] = { "fast", nullptr };
+	struct bal_endpoint *slow = choose("m", nullptr, not_fast).endpoint;
+	struct bal_endpoint *fast = choose("m", nullptr, not_slow).endpoint;
+	bal_pace(bal, slow, 70 * 1000);
+	bal_pace(bal, fast, 30 * 1000);
+	/* The fast one is busier by far. */
+	for (int i = 0; i < 6; i++)
+		bal_begin(bal, fast, 300);
+	query.events = 40;
+	query.left_us = 15 * 1000 * 1000;
+	EXPECT_STREQ(bal_id(bal_choose(bal, &query, now).endpoint), "slow");
+	query.events = 200;
+	EXPECT_STREQ(bal_id(bal_choose(bal, &query, now).endpoint), "fast");
+}
+
+/* While an engine reads prompts its streams stand still; their next events tell
+ * so only when it has read them. */
+TEST_F(Balance, EngineThatStandsStillGetsNoPrompt)
+{
+	struct bal_query query = {};
+
+	put("a", { "m" });
+	query.service = "service";
+	query.model = "m";
+	query.tokens = 1000;
+	query.gap_us = 300 * 1000;
+	struct bal_choice choice = bal_choose(bal, &query, now);
+	ASSERT_EQ(choice.outcome, BAL_CHOSEN);
+	bal_begin(bal, choice.endpoint, 1000);
+	bal_first(bal, choice.endpoint, 1000, 60 * 1000, true);
+	bal_event(bal, choice.endpoint, 20 * 1000, now);
+	EXPECT_EQ(bal_choose(bal, &query, now + 20 * 1000).outcome, BAL_CHOSEN);
+	EXPECT_EQ(bal_choose(bal, &query, now + 120 * 1000).outcome,
+		  BAL_READING);
+	bal_event(bal, choice.endpoint, 25 * 1000, now + 121 * 1000);
+	EXPECT_EQ(bal_choose(bal, &query, now + 125 * 1000).outcome,
+		  BAL_CHOSEN);
+}
+
 TEST(Adm, TriesThoseThatCanStillBeInTimeFirst)
 {
 	struct adm *queue = adm_new();
