--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -417,7 +417,7 @@
 	bal_pace(bal, fast, 30 * 1000);
 	/* The fast one is busier by far. */
 	for (int i = 0; i < 6; i++)
-		bal_begin(bal, fast, 300);
+		bal_begin(bal, fast, 1500);
 	query.events = 40;
 	query.left_us = 15 * 1000 * 1000;
 	EXPECT_STREQ(bal_id(bal_choose(bal, &query, now).endpoint), "slow");
