--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # make            build/dandelionspar and the test tools
 # make demo       whole path on loopback with real processes
 # make check      formatter, linter, unit, differential and integration tests
+# make sanitize   all tests with AddressSanitizer and UBSan
 # make bench      measurements with a baseline beside each figure
 # make proto      regenerate src/proto (the generated code is committed)
 
@@ -33,7 +34,7 @@
 LINT_SRC := $(filter-out src/proto/%,$(wildcard src/*/*.c)) \
 	$(wildcard platform/*.c) $(wildcard tests/tools/*.c)
 
-.PHONY: all tests deps demo check bench proto format format-check lint test clean
+.PHONY: all tests deps demo check sanitize bench proto format format-check lint test clean
 .SECONDARY:
 
 all: $(BUILD)/dandelionspar $(TOOLS)
@@ -97,6 +98,11 @@
 check: deps
 	@bash .ci/check
 
+sanitize: deps
+	@$(MAKE) --no-print-directory -j$$(nproc) all tests BUILD=build-sanitize \
+		OPT="-O1 -g" SAN="-fsanitize=address,undefined -fno-omit-frame-pointer" >/dev/null
+	@BUILD=build-sanitize bash .ci/run-tests
+
 bench: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) all >/dev/null
 	@bash tests/bench.sh
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -33,9 +33,9 @@
 };
 
 void hio_fields_clear(struct hio_fields *fields);
-/* The first field of this name (any case), or NULL. */
 /* Sets a timer to a delay in microseconds; 0 or less stops it. */
 void hio_set_timer(struct event *timer, int64_t delay_us);
+/* The first field of this name (any case), or NULL. */
 const char *hio_field(const struct hio_fields *fields, const char *name);
 /* True for fields that concern one connection only, those that the field
  * "Connection" names included. */
