--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -50,6 +50,8 @@
  * pause without an event, at least SILENCE_MIN_US. */
 #define SILENCE_GAPS 5
 #define SILENCE_MIN_US 1200000
+/* Where no other endpoint can take it, that is looked at again. */
+#define SILENCE_RETRY_US 300000
 /* The first event may take longer: it waits for a place and for the prompt. */
 #define FIRST_OBJECTIVES 3
 #define FIRST_MIN_US 1500000
@@ -330,6 +332,14 @@
 	return false;
 }
 
+static void log_again(const struct fwd *f, const char *reason)
+{
+	LOG_EVENT_INFO("fwd", "again",
+		       "request=%s endpoint=%s reason=%s runs=%u after_id=%s",
+		       log_id(f), f->endpoint_id ? f->endpoint_id : "-", reason,
+		       f->runs, f->last_id ? f->last_id : "-");
+}
+
 /*
  * Tries another endpoint after a send ended without an answer for the caller.
  * reached: the request arrived at the service, so another arrival is a repeat.
@@ -348,10 +358,7 @@
 		give_up(f, CONNECT_TIMEOUT_US, "no_repeats_left");
 		return;
 	}
-	LOG_EVENT_INFO("fwd", "again",
-		       "request=%s endpoint=%s reason=%s runs=%u after_id=%s",
-		       log_id(f), f->endpoint_id ? f->endpoint_id : "-", reason,
-		       f->runs, f->last_id ? f->last_id : "-");
+	log_again(f, reason);
 	dispatch(f);
 }
 
@@ -775,6 +782,25 @@
 	return false;
 }
 
+/* Leaves a silent endpoint for another one. Without one, or without a repeat in
+ * the budget, it goes on waiting: its endpoint may still answer. */
+static void leave_silent(struct fwd *f)
+{
+	struct bal_choice choice = { .outcome = BAL_NO_OTHER };
+
+	if (f->n_tried < TRIED_MAX && !is_too_late(f))
+		choice = choose(f);
+	if (choice.outcome != BAL_CHOSEN || !take_repeat(f)) {
+		arm(f, MIN(now_of(f) + SILENCE_RETRY_US, f->end_us));
+		return;
+	}
+	log_again(f, "silent");
+	if (f->events)
+		sse_reset(f->events);
+	end_send(f, BAL_FAILED);
+	send_chosen(f, &choice);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct fwd *f = data;
@@ -795,10 +821,7 @@
 		return;
 	}
 	if (can_move(f) && now_us - f->heard_us >= silence_limit(f) - 1000) {
-		if (f->events)
-			sse_reset(f->events);
-		end_send(f, BAL_FAILED);
-		try_again(f, true, "silent");
+		leave_silent(f);
 		return;
 	}
 	arm_for_send(f);
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -282,6 +282,22 @@
 	EXPECT_EQ(requests(b).size(), 1u);
 }
 
+/* Found on the users' bench (LOST, grown olivenverband-by scale-2): a stream
+ * whose runner was silent was cut although no repeat was left. */
+TEST_F(Platform, SilentStreamGoesOnWhereNoOtherRunnerCanTakeIt)
+{
+	add_a();
+	a.handler = [this](Socket &s, const Message &m) {
+		s.send(stream_head(a, m) + chunk(event(1)));
+		usleep(2500000);
+		return s.send(chunk(event(2)) + "0\r\n\r\n");
+	};
+	Message m = system.send("POST", "/flow/x", ID);
+	EXPECT_TRUE(m.complete) << system.logs();
+	EXPECT_EQ(m.body, event(1) + event(2));
+	EXPECT_EQ(requests(a).size(), 1u);
+}
+
 TEST_F(Platform, StreamThatCannotGoOnDoesNotLookComplete)
 {
 	add_a();
