--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -266,9 +266,6 @@
 
 		message.endpoint = id;
 		message.incarnation = pace->incarnation;
-		message.streams = pace->streams;
-		message.late = pace->late;
-		message.gap_us = (uint64_t)pace->gap_us;
 		message.read_tokens = pace->read_tokens;
 		message.read_us = (uint64_t)pace->read_us;
 		ctl_pace(ctx->ctl, &message);
@@ -384,17 +381,6 @@
 	return pace;
 }
 
-/* Counts a stream for the next report; gap_us: its average pause. */
-void edge_note_pace(struct edge *ctx, const struct bal_endpoint *e, bool late,
-		    int64_t gap_us)
-{
-	struct edge_pace *pace = pace_of(ctx, e);
-
-	pace->streams++;
-	pace->late += late;
-	pace->gap_us += gap_us;
-}
-
 /* Counts a prompt for the next report that was read alone. */
 void edge_note_read(struct edge *ctx, const struct bal_endpoint *e,
 		    uint32_t tokens, int64_t first_us)
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -36,12 +36,9 @@
 	uint32_t refused;
 };
 
-/* Pace of an engine's streams that the next report carries. */
+/* How fast an engine reads prompts, for the next report. */
 struct edge_pace {
 	uint64_t incarnation;
-	uint32_t streams;
-	uint32_t late;
-	int64_t gap_us;
 	uint64_t read_tokens;
 	int64_t read_us;
 };
@@ -112,8 +109,6 @@
 /* edge.c */
 void edge_note_demand(struct edge *ctx, const char *model, const char *adapter,
 		      bool missed);
-void edge_note_pace(struct edge *ctx, const struct bal_endpoint *e, bool late,
-		    int64_t gap_us);
 void edge_note_read(struct edge *ctx, const struct bal_endpoint *e,
 		    uint32_t tokens, int64_t first_us);
 struct rep *edge_budget(struct edge *ctx, const char *service);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -491,8 +491,6 @@
 			(f->heard_us - f->first_at_us) / (f->events_read - 1);
 
 		bal_pace(f->edge->bal, f->endpoint, gap_us);
-		edge_note_pace(f->edge, f->endpoint,
-			       f->gap_us && f->gap_most_us > f->gap_us, gap_us);
 	}
 	end_send(f, BAL_ANSWERED);
 	log_end(f, "served", f->status, "-");
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -303,9 +303,6 @@
 				     msg_dup(pace));
 		return;
 	}
-	sum->streams += pace->streams;
-	sum->late += pace->late;
-	sum->gap_us += pace->gap_us;
 	sum->read_tokens += pace->read_tokens;
 	sum->read_us += pace->read_us;
 }
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -8791,7 +8791,7 @@
   (ProtobufCMessageInit) dsp__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__pace__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__pace__field_descriptors[4] =
 {
   {
     "endpoint",
@@ -8817,45 +8817,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "streams",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Pace, streams),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "late",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Pace, late),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gap_us",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Pace, gap_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "read_tokens",
-    6,
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -8867,7 +8831,7 @@
   },
   {
     "read_us",
-    7,
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -8880,17 +8844,14 @@
 };
 static const unsigned dsp__pace__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
-  4,   /* field[4] = gap_us */
   1,   /* field[1] = incarnation */
-  3,   /* field[3] = late */
-  5,   /* field[5] = read_tokens */
-  6,   /* field[6] = read_us */
-  2,   /* field[2] = streams */
+  2,   /* field[2] = read_tokens */
+  3,   /* field[3] = read_us */
 };
 static const ProtobufCIntRange dsp__pace__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dsp__pace__descriptor =
 {
@@ -8900,7 +8861,7 @@
   "Dsp__Pace",
   "dsp",
   sizeof(Dsp__Pace),
-  7,
+  4,
   dsp__pace__field_descriptors,
   dsp__pace__field_indices_by_name,
   1,  dsp__pace__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1414,22 +1414,13 @@
 
 
 /*
- * How the streams of an engine flowed at one entry since its last report.
+ * How fast an engine read the prompts of one entry since its last report.
  */
 struct  Dsp__Pace
 {
   ProtobufCMessage base;
   char *endpoint;
   uint64_t incarnation;
-  uint32_t streams;
-  /*
-   * paused longer than is good
-   */
-  uint32_t late;
-  /*
-   * sum of the streams' average pauses
-   */
-  uint64_t gap_us;
   /*
    * Prompts that were the only ones which the sender had at the endpoint, and
    * the times until their first bytes.
@@ -1439,7 +1430,7 @@
 };
 #define DSP__PACE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__pace__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Dsp__NodeStatus
