--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -378,20 +378,6 @@
 	return e->own + others(e, now_us);
 }
 
-static bool holds(const Dsp__Endpoint *msg, const char *model,
-		  const char *adapter)
-{
-	for (size_t i = 0; i < msg->n_copies; i++) {
-		const Dsp__Copy *copy = msg->copies[i];
-
-		if (copy->ready && !copy->unloading &&
-		    !strcmp(copy->model, model) &&
-		    !strcmp(copy->adapter, adapter ? adapter : ""))
-			return true;
-	}
-	return false;
-}
-
 static bool is_in(const char *const *list, const char *id)
 {
 	for (size_t i = 0; list && list[i]; i++)
@@ -619,11 +605,12 @@
 			choice.outcome = BAL_NO_MODEL;
 			choice.retry_us = RETRY_MODEL_US;
 		}
-		if (query->model && !holds(e->msg, query->model, NULL))
+		if (query->model &&
+		    !view_ready_copy(e->msg, query->model, NULL))
 			continue;
 		has_model = true;
 		if (query->model && query->adapter &&
-		    !holds(e->msg, query->model, query->adapter))
+		    !view_ready_copy(e->msg, query->model, query->adapter))
 			continue;
 		choice.candidates++;
 		if (is_in(query->avoid, e->id))
--- a/src/core/res.c
+++ b/src/core/res.c
@@ -78,7 +78,6 @@
 		const Dsp__EngineModel *from = spec->models[i];
 		const struct res_model *old = find_model(ctx, from->name);
 		struct res_model *m = &models[i];
-		size_t kept = old ? MIN(old->adapters, from->adapters) : 0;
 
 		m->name = g_strdup(from->name);
 		m->memory_mb = from->memory_mb;
@@ -87,14 +86,16 @@
 		m->warm_ms = from->warm_ms;
 		m->adapters = from->adapters;
 		m->adapter_mb = from->adapter_mb;
-		m->fast = old ? old->fast : 0;
-		m->slow = old ? old->slow : 0;
-		m->rate = old ? old->rate : 0;
-		m->lost_us = old ? old->lost_us : 0;
-		m->missed_us = old ? old->missed_us : 0;
 		m->adapter_rates = g_new0(double, from->adapters + 1);
 		m->adapter_copies = g_new0(uint32_t, from->adapters + 1);
-		for (size_t k = 1; k <= kept; k++)
+		if (!old)
+			continue;
+		m->fast = old->fast;
+		m->slow = old->slow;
+		m->rate = old->rate;
+		m->lost_us = old->lost_us;
+		m->missed_us = old->missed_us;
+		for (size_t k = 1; k <= MIN(old->adapters, m->adapters); k++)
 			m->adapter_rates[k] = old->adapter_rates[k];
 	}
 	g_hash_table_remove_all(ctx->by_name);
--- a/src/core/res_models.c
+++ b/src/core/res_models.c
@@ -153,26 +153,31 @@
 	return false;
 }
 
+/* Time of a load from the engine's host; 0: it has to read the store. */
+static uint32_t near_ms(const struct res *ctx, const struct res_engine *e,
+			struct res_item item)
+{
+	const struct res_model *m = &ctx->models[item.model];
+
+	if (m->warm_ms && is_listed(e->in_memory, e->n_in_memory, item.model))
+		return m->warm_ms;
+	return is_listed(e->on_disk, e->n_on_disk, item.model) ? m->disk_ms : 0;
+}
+
 /* Returns whether the engine would read the model from the weight store. */
 bool res_is_far(const struct res *ctx, const struct res_engine *e,
 		struct res_item item)
 {
-	const struct res_model *m = &ctx->models[item.model];
-
-	return !(m->warm_ms &&
-		 is_listed(e->in_memory, e->n_in_memory, item.model)) &&
-	       !(m->disk_ms && is_listed(e->on_disk, e->n_on_disk, item.model));
+	return !near_ms(ctx, e, item);
 }
 
 /* Returns the time that a load of the model takes on this engine. */
 uint32_t res_load_ms(const struct res *ctx, const struct res_engine *e,
 		     struct res_item item)
 {
-	const struct res_model *m = &ctx->models[item.model];
+	uint32_t ms = near_ms(ctx, e, item);
 
-	if (m->warm_ms && is_listed(e->in_memory, e->n_in_memory, item.model))
-		return m->warm_ms;
-	return res_is_far(ctx, e, item) ? m->load_ms : m->disk_ms;
+	return ms ? ms : ctx->models[item.model].load_ms;
 }
 
 /* Whether another load from the store may begin. Those that will follow an
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -359,6 +359,22 @@
 	return &ctx->kinds[DOCUMENTS].all[i]->document;
 }
 
+/* Returns whether the endpoint holds a copy for new work; adapter NULL: the
+ * model itself. */
+bool view_ready_copy(const Dsp__Endpoint *e, const char *model,
+		     const char *adapter)
+{
+	for (size_t i = 0; i < e->n_copies; i++) {
+		const Dsp__Copy *copy = e->copies[i];
+
+		if (copy->ready && !copy->unloading &&
+		    !strcmp(copy->model, model) &&
+		    !strcmp(copy->adapter, adapter ? adapter : ""))
+			return true;
+	}
+	return false;
+}
+
 /* Returns the route table in force, or NULL. */
 const Dsp__RouteTable *view_route_table(const struct view *ctx)
 {
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -33,6 +33,8 @@
 					  const char *team);
 size_t view_n_documents(const struct view *ctx);
 const struct view_document *view_document_at(const struct view *ctx, size_t i);
+bool view_ready_copy(const Dsp__Endpoint *e, const char *model,
+		     const char *adapter);
 const Dsp__RouteTable *view_route_table(const struct view *ctx);
 size_t view_n_endpoints(const struct view *ctx);
 const Dsp__Endpoint *view_endpoint_at(const struct view *ctx, size_t i);
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -155,6 +155,12 @@
 
 /* ---- What engines hold ---- */
 
+static void add_hold(struct engine *e, struct res_item item)
+{
+	if (e->plan.n_holds < RES_HOLDS_MAX)
+		e->plan.holds[e->plan.n_holds++] = item;
+}
+
 static void set_holds(struct engine *e, Dsp__Copy *const *copies, size_t n)
 {
 	struct res *planner = planner_of(e->agent, e->service);
@@ -163,10 +169,9 @@
 	for (size_t i = 0; planner && i < n; i++) {
 		struct res_item item;
 
-		if (e->plan.n_holds < RES_HOLDS_MAX &&
-		    res_find(planner, copies[i]->model, copies[i]->adapter,
+		if (res_find(planner, copies[i]->model, copies[i]->adapter,
 			     &item))
-			e->plan.holds[e->plan.n_holds++] = item;
+			add_hold(e, item);
 	}
 }
 
@@ -184,12 +189,6 @@
 	return n;
 }
 
-static void add_hold(struct engine *e, struct res_item item)
-{
-	if (e->plan.n_holds < RES_HOLDS_MAX)
-		e->plan.holds[e->plan.n_holds++] = item;
-}
-
 /* Drops an item; with a model go its adapters. */
 static void drop_hold(struct engine *e, struct res_item item)
 {
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -381,31 +381,7 @@
 	f->last_id = g_strdup(id);
 }
 
-static bool is_passed_on(const struct hio_fields *fields,
-			 const struct hio_field *field)
-{
-	return !hio_is_hop_field(fields, field->name) &&
-	       !wire_is_internal_answer_field(field->name);
-}
-
-static void begin_stream(struct fwd *f, const struct hio_answer *answer)
-{
-	struct hio_field *fields;
-	size_t n = 0;
-
-	f->streaming = true;
-	if (f->begun)
-		return; /* the first run's fields stay */
-	fields = g_new(struct hio_field, answer->fields.n);
-	for (size_t i = 0; i < answer->fields.n; i++)
-		if (is_passed_on(&answer->fields, &answer->fields.all[i]))
-			fields[n++] = answer->fields.all[i];
-	hio_reply_begin(f->exchange, answer->status, fields, n);
-	f->begun = true;
-	f->events = sse_new();
-	g_free(fields);
-}
-
+/* Keeps the fields of an answer that callers get. */
 static void copy_fields(struct hio_fields *to, const struct hio_fields *from)
 {
 	hio_fields_clear(to);
@@ -413,13 +389,26 @@
 	for (size_t i = 0; i < from->n; i++) {
 		const struct hio_field *field = &from->all[i];
 
-		if (!is_passed_on(from, field))
+		if (hio_is_hop_field(from, field->name) ||
+		    wire_is_internal_answer_field(field->name))
 			continue;
 		to->all[to->n].name = g_strdup(field->name);
 		to->all[to->n++].value = g_strdup(field->value);
 	}
 }
 
+static void begin_stream(struct fwd *f, const struct hio_answer *answer)
+{
+	f->streaming = true;
+	if (f->begun)
+		return; /* the first run's fields stay */
+	copy_fields(&f->fields, &answer->fields);
+	hio_reply_begin(f->exchange, answer->status, f->fields.all,
+			f->fields.n);
+	f->begun = true;
+	f->events = sse_new();
+}
+
 static void on_head(void *data, const struct hio_answer *answer)
 {
 	struct fwd *f = data;
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -22,7 +22,7 @@
 #define JOIN_LIMIT_US (5LL * CTL_S_US)
 /* A replica heard within this time is alive; several heartbeats. */
 #define REPLICA_ALIVE_US (3LL * CTL_S_US)
-/* The giver of orders tells what engines hold at least every 1.5 s. */
+/* The giver of orders tells what engines hold every second. */
 #define COPIES_KNOWN_US (4LL * CTL_S_US)
 /* Longer than a restart, so that a voter which restarts keeps its place. */
 #define REPLICA_GONE_US (6LL * CTL_S_US)
@@ -202,11 +202,20 @@
 	return e->copies_us && ctx->now_us - e->copies_us < COPIES_KNOWN_US;
 }
 
-static void put_endpoint(struct ctl *ctx, struct ctl_endpoint *e,
-			 const Dsp__Announcement *a)
+static void propose_endpoint(struct ctl *ctx, Dsp__Endpoint *endpoint)
 {
 	Dsp__Command command = DSP__COMMAND__INIT;
 	Dsp__EndpointPut put = DSP__ENDPOINT_PUT__INIT;
+
+	put.endpoint = endpoint;
+	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
+	command.endpoint_put = &put;
+	propose(ctx, &command);
+}
+
+static void put_endpoint(struct ctl *ctx, struct ctl_endpoint *e,
+			 const Dsp__Announcement *a)
+{
 	Dsp__Endpoint endpoint = *a->endpoint;
 	const Dsp__Endpoint *known = st_endpoint(ctx->st, endpoint.id);
 
@@ -228,10 +237,7 @@
 		return;
 	e->put_us = ctx->now_us;
 	e->puts++;
-	put.endpoint = &endpoint;
-	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
-	command.endpoint_put = &put;
-	propose(ctx, &command);
+	propose_endpoint(ctx, &endpoint);
 }
 
 static uint64_t residency_hash(const Dsp__ResidencyReport *report)
@@ -330,8 +336,6 @@
 	struct ctl_endpoint *e =
 		g_hash_table_lookup(ctx->endpoints, a->endpoint->id);
 	const Dsp__Endpoint *known = st_endpoint(ctx->st, a->endpoint->id);
-	Dsp__Command command = DSP__COMMAND__INIT;
-	Dsp__EndpointPut put = DSP__ENDPOINT_PUT__INIT;
 	Dsp__Endpoint endpoint;
 
 	if (!e || !known || known->incarnation != a->endpoint->incarnation)
@@ -342,10 +346,7 @@
 	endpoint.n_copies = a->endpoint->n_copies;
 	if (st_same_copies(known, &endpoint))
 		return;
-	put.endpoint = &endpoint;
-	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
-	command.endpoint_put = &put;
-	propose(ctx, &command);
+	propose_endpoint(ctx, &endpoint);
 }
 
 static void expire_endpoints(struct ctl *ctx)
--- a/src/traffic/api_caller.c
+++ b/src/traffic/api_caller.c
@@ -512,20 +512,6 @@
 
 /* ---- Queries ---- */
 
-static bool has_ready_copy(const Dsp__Endpoint *e, const char *model,
-			   const char *adapter)
-{
-	for (size_t i = 0; i < e->n_copies; i++) {
-		const Dsp__Copy *copy = e->copies[i];
-
-		if (copy->ready && !copy->unloading &&
-		    !strcmp(copy->model, model) &&
-		    !strcmp(copy->adapter, adapter ? adapter : ""))
-			return true;
-	}
-	return false;
-}
-
 /* Returns whether an endpoint that is up, other than except (NULL: any), has a
  * copy for new work. */
 bool trf_ready_copy(const struct view *view, const char *team,
@@ -536,7 +522,7 @@
 
 		if (e->state == DSP__ENDPOINT_STATE__ENDPOINT_UP &&
 		    !strcmp(e->team, team) && g_strcmp0(e->id, except) &&
-		    has_ready_copy(e, model, adapter))
+		    view_ready_copy(e, model, adapter))
 			return true;
 	}
 	return false;
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -625,9 +625,7 @@
 		proc_kill(x.pid);
 	system.start(system.entry());
 	ASSERT_TRUE(System::eventually([&] {
-		return call(system.entry().ready,
-			    request("GET", "/dandelionspar/ready", "x"), 1000)
-			       .status() == 503;
+		return system.readiness(system.entry()) == 503;
 	})) << system.logs();
 	Message m;
 	std::thread caller([&] {
@@ -655,9 +653,7 @@
 
 	system.start(system.entry());
 	ASSERT_TRUE(System::eventually([&] {
-		return call(system.entry().ready,
-			    request("GET", "/dandelionspar/ready", "x"), 1000)
-			       .status() == 503;
+		return system.readiness(system.entry()) == 503;
 	})) << system.logs();
 	Message m = system.send("POST", "/once/x", ID, "book");
 	EXPECT_EQ(m.status(), 503);
--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -138,11 +138,16 @@
 				return x;
 		return instances[0];
 	}
-	bool is_ready(const Instance &x)
+	/* Status of the readiness check; 0: no answer. */
+	int readiness(const Instance &x)
 	{
 		return call(x.ready,
 			    request("GET", "/dandelionspar/ready", "x"), 1000)
-			       .status() == 200;
+			.status();
+	}
+	bool is_ready(const Instance &x)
+	{
+		return readiness(x) == 200;
 	}
 	/* Starts all, puts the table and waits until the entry has it. */
 	void serve(const std::string &table)
