--- a/src/core/res.h
+++ b/src/core/res.h
@@ -35,7 +35,6 @@
 	/* An unload made room for reserved_for, which is not loaded yet. */
 	bool reserved;
 	struct res_item reserved_for;
-	double load;  /* requests in flight; orders prefer low ones */
 	double speed; /* of reading prompts; 1: as the others; 0: unknown */
 	struct res_item holds[RES_HOLDS_MAX];
 	size_t n_holds;
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -28,7 +28,8 @@
  * work makes it longer, so shorter times count more. */
 #define FASTER_SHARE 0.3
 #define SLOWER_SHARE 0.03
-/* How often the load of engines is read that are given no orders. */
+/* How often the report of engines is read that are given no orders: they may
+ * have restarted, or an order without an answer be carried out late. */
 #define IDLE_LOOK_US 1500000
 /* An engine takes a few adapters at a time, each within some milliseconds. */
 #define ADAPTER_PAUSE_US 20000
@@ -56,12 +57,11 @@
 	bool listed; /* in the current view */
 	enum engine_state state;
 	uint64_t sequence;
-	int64_t look_us;     /* when to read its report; INT64_MAX: not */
-	int64_t changed_us;  /* last order accepted */
-	int64_t pause_us;    /* no order before */
-	unsigned conflicts;  /* in a row */
-	int64_t expected_us; /* WORKING: when a load from the store ends */
-	uint32_t load;
+	int64_t look_us;	/* when to read its report; INT64_MAX: not */
+	int64_t changed_us;	/* last order accepted */
+	int64_t pause_us;	/* no order before */
+	unsigned conflicts;	/* in a row */
+	int64_t expected_us;	/* WORKING: when a load from the store ends */
 	double token_us;	/* to read a token, alone; 0: not known */
 	struct res_engine plan; /* id, holds */
 	int64_t announce_us;	/* when to tell the holds again; 0: now */
@@ -397,7 +397,6 @@
 	int64_t now_us = now_of(e->agent);
 	bool settled = now_us - e->changed_us >= REPORT_LAG_US;
 
-	e->load = state->running + state->waiting;
 	if (!settled) {
 		e->look_us = e->changed_us + REPORT_LAG_US;
 		return;
@@ -614,7 +613,6 @@
 		list[n].usable = e->usable;
 		list[n].busy = e->state != IDLE || e->call ||
 			       now_of(ctx) < e->pause_us;
-		list[n].load = e->load;
 		if (e->ordered && (e->state == WORKING || e->state == ORDERED ||
 				   e->state == DOUBTFUL))
 			add_coming(&list[n], &e->order);
--- a/tests/unit/res_test.cc
+++ b/tests/unit/res_test.cc
@@ -472,7 +472,6 @@
 	d.hold(2, 2);
 	d.engines[1].speed = 0.55;
 	d.engines[2].speed = 1.43;
-	d.engines[2].load = 5;
 	d.ask("m0", 30);
 	auto orders = d.orders();
 	ASSERT_EQ(orders.size(), 1u);
