--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -738,13 +738,14 @@
 static void send_chosen(struct fwd *f, const struct bal_choice *choice)
 {
 	send_to(f, choice->endpoint);
-	LOG_EVENT_INFO("fwd", "send",
-		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
-		       "load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
-		       " left_us=%" PRId64,
-		       log_id(f), f->endpoint_id, choice->candidates,
-		       choice->cost_ms, choice->load, choice->load_age_s,
-		       view_index(f->edge->view), f->end_us - f->send_us);
+	LOG_EVENT_INFO(
+		"fwd", "send",
+		"request=%s endpoint=%s candidates=%u cost_ms=%.0f "
+		"load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
+		" view_age_us=%" PRId64 " left_us=%" PRId64,
+		log_id(f), f->endpoint_id, choice->candidates, choice->cost_ms,
+		choice->load, choice->load_age_s, view_index(f->edge->view),
+		ctl_state(f->edge->ctl).stale_us, f->end_us - f->send_us);
 }
 
 /*
@@ -819,13 +820,21 @@
 static void refuse_early(struct edge *ctx, struct hio_exchange *exchange,
 			 const char *request_id, int status, const char *reason)
 {
+	int64_t view_age_us = ctl_state(ctx->ctl).stale_us;
 	char labels[96];
 
 	g_snprintf(labels, sizeof(labels), "outcome=\"refused\",reason=\"%s\"",
 		   reason);
 	met_count(ctx->met, "dandelionspar_edge_requests", labels, 1);
-	LOG_EVENT_INFO("fwd", "refused", "request=%s status=%d reason=%s",
-		       request_id ? request_id : "-", status, reason);
+	g_snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+	met_observe_us(ctx->met, "dandelionspar_edge_refusal_view_age_us",
+		       labels, view_age_us);
+	LOG_EVENT_INFO("fwd", "refused",
+		       "request=%s status=%d reason=%s table=%" G_GUINT64_FORMAT
+		       " view=%" G_GUINT64_FORMAT " view_age_us=%" PRId64,
+		       request_id ? request_id : "-", status, reason,
+		       ctx->table ? ctx->table->number : 0,
+		       view_index(ctx->view), view_age_us);
 	reply_plain(exchange, status, request_id,
 		    status == 503 ? spread_s(RETRY_START_US) : -1, reason);
 }
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -197,6 +197,13 @@
 
 struct ctl_sender;
 
+/* How far the newest route table has come. */
+enum ctl_spread {
+	CTL_SPREAD_RUNNING,
+	CTL_SPREAD_LATE, /* an entry lacks it after the limit */
+	CTL_SPREAD_DONE,
+};
+
 struct ctl {
 	/* Fixed after the start. */
 	const struct set *set;
@@ -298,6 +305,10 @@
 	GHashTable *orders;    /* id -> struct ctl_order */
 	enum ctl_repair_step repair;
 	struct ctl_sender *sender;
+	/* Newest route table since this instance leads. */
+	uint64_t spread_index;	 /* 0: none */
+	int64_t spread_since_us; /* when it was seen first */
+	enum ctl_spread spread;
 
 	int64_t metrics_due_us;
 };
@@ -385,6 +396,10 @@
 void ctl_member_copies(struct ctl *ctx, const Dsp__Announcement *a);
 void ctl_member_report(struct ctl *ctx, const Dsp__Report *report);
 
+/* ctl_spread.c */
+void ctl_spread_start(struct ctl *ctx);
+void ctl_spread_run(struct ctl *ctx);
+
 /* ctl_order.c */
 struct ctl_sender *ctl_order_open(struct ctl *ctx);
 void ctl_order_close(struct ctl_sender *sender);
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -53,6 +53,7 @@
 	ctx->expire_us = ctx->now_us;
 	ctx->push_due_us = 0;
 	ctx->orders_dirty = true;
+	ctl_spread_start(ctx);
 	ctl_report_greet(ctx);
 	ctl_report_soon(ctx, 0);
 }
@@ -406,6 +407,7 @@
 	}
 	for (size_t i = 0; ctx->cb.pace && i < report->n_paces; i++)
 		ctx->cb.pace(ctx->cb.data, report->paces[i]);
+	ctl_spread_run(ctx);
 }
 
 /* ---- Time limits ---- */
@@ -560,4 +562,5 @@
 	propose_expire(ctx);
 	repair_replicas(ctx);
 	run_placement(ctx);
+	ctl_spread_run(ctx);
 }
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -185,9 +185,14 @@
 	in.voters = voters;
 	address = ctl_rule_upstream(&in, ctx->upstream_attempt);
 	if (g_strcmp0(address, ctx->upstream) != 0) {
-		LOG_EVENT_INFO("ctl", "upstream", "address=%s attempt=%zu",
-			       address ? address : "none",
-			       ctx->upstream_attempt);
+		LOG_EVENT_INFO(
+			"ctl", "upstream",
+			"address=%s attempt=%zu leader=%s "
+			"term=%" G_GUINT64_FORMAT " view=%" G_GUINT64_FORMAT
+			" view_age_ms=%u",
+			address ? address : "none", ctx->upstream_attempt,
+			ctx->leader_node ? ctx->leader_node : "-", ctx->term,
+			view_index(ctx->view), ctl_confirmed_age_ms(ctx));
 		g_free(ctx->upstream);
 		ctx->upstream = g_strdup(address);
 	}
@@ -536,8 +541,16 @@
 
 /* ---- Views ---- */
 
+static uint64_t table_index(const struct view *view)
+{
+	const Dsp__RouteTable *table = view_route_table(view);
+
+	return table ? table->index : 0;
+}
+
 static void install_update(struct ctl *ctx, const Dsp__ViewUpdate *update)
 {
+	uint64_t before = table_index(ctx->view);
 	struct view *view;
 
 	if (update->to_index < view_index(ctx->view) ||
@@ -545,10 +558,14 @@
 	     !update->n_records))
 		return;
 	view = view_apply(ctx->view, update);
-	if (view)
-		ctl_set_view(ctx, view);
-	else
+	if (!view) {
 		ctl_report_soon(ctx, 0); /* a gap: ask from the own index */
+		return;
+	}
+	ctl_set_view(ctx, view);
+	/* The leader waits to hear that entries have a new table. */
+	if (table_index(view) != before)
+		ctl_report_soon(ctx, CHANGE_DELAY_US);
 }
 
 static void set_relays(struct ctl *ctx, char *const *relays, size_t n)
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -284,6 +285,36 @@
 	}
 }
 
+/* Guards the metric that tells a slow distribution from lost contact. */
+TEST_F(Control, LeaderMeasuresWhenTheLastEntryHasATable)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__RouteTablePut put_table = DSP__ROUTE_TABLE_PUT__INIT;
+	Dsp__RouteTable table = DSP__ROUTE_TABLE__INIT;
+	Dsp__CommandResult *result;
+
+	create(3, 2);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	table.number = 7;
+	put_table.table = &table;
+	command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
+	command.route_table_put = &put_table;
+	result = ctl_submit(all[4]->ctl, &command, WAIT_US, NULL);
+	ASSERT_NE(result, nullptr);
+	dsp__command_result__free_unpacked(result, NULL);
+	EXPECT_TRUE(wait_until([&] {
+		char *text = met_to_prometheus(leader()->met);
+		bool found =
+			strstr(text,
+			       "dandelionspar_table_spread_us_count{} 1\n") !=
+			nullptr;
+
+		g_free(text);
+		return found;
+	}));
+}
+
 /* Guards a change of the leader: the others elect one, documents commit on,
  * and the instance that stopped catches up after its restart. */
 TEST_F(Control, LeaderStopsAndReturns)
