--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -19,6 +19,7 @@
 
 extern "C" {
 #include "lib_proc.h"
+#include "lib_proxy.h"
 #include "node/ctl.h"
 }
 
@@ -165,6 +166,12 @@
 			configure(*instance);
 	}
 
+	/* Settings that lead from one instance to another over a proxy. */
+	virtual std::string via(const Instance &, const Instance &)
+	{
+		return "";
+	}
+
 	void configure(Instance &instance)
 	{
 		GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
@@ -190,7 +197,8 @@
 				text += "[[peer]]\nid = \"" + peer->id +
 					"\"\naddress = \"tcp://127.0.0.1:" +
 					std::to_string(peer->port) +
-					"\"\nsite = \"north\"\n";
+					"\"\nsite = \"" + peer->site + "\"\n" +
+					via(instance, *peer);
 		instance.settings =
 			set_parse("test", text.c_str(), text.size(), faults);
 		for (guint i = 0; i < faults->len; i++)
@@ -507,6 +515,122 @@
 			[&] { return all[i]->number("verband") == 2; }));
 }
 
+/* Sites with a voter and two entries each; the voters reach each other through
+ * proxies. */
+class ControlSites : public Control
+{
+      protected:
+	static constexpr size_t SITES = 3;
+	struct Link {
+		std::string from;
+		std::string to;
+		struct proxy *proxy;
+	};
+	std::vector<Link> links;
+
+	void TearDown() override
+	{
+		all.clear();
+		for (Link &link : links)
+			proxy_stop(link.proxy);
+		Control::TearDown();
+	}
+
+	std::string via(const Instance &from, const Instance &to) override
+	{
+		int port;
+
+		if (from.folder.empty() || to.folder.empty() || &from == &to)
+			return "";
+		port = proc_free_port();
+		links.push_back({ from.id, to.id, proxy_start(port, to.port) });
+		return "via = \"tcp://127.0.0.1:" + std::to_string(port) +
+		       "\"\n";
+	}
+
+	void start_sites()
+	{
+		for (size_t i = 0; i < 3 * SITES; i++) {
+			auto instance = std::make_unique<Instance>();
+
+			instance->id = "n" + std::to_string(i);
+			instance->port = proc_free_port();
+			instance->site = "site" + std::to_string(i % SITES);
+			if (i < SITES)
+				instance->folder = root + "/" + instance->id;
+			all.push_back(std::move(instance));
+		}
+		for (auto &instance : all)
+			configure(*instance);
+		start_all();
+		ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+		ASSERT_TRUE(put(*all[SITES], 1));
+		ASSERT_TRUE(wait_until([&] { return all_have(1); }));
+		ASSERT_TRUE(wait_until([&] { return leader_knows_all(); }));
+		/* Until then the first upstreams send updates, too. */
+		usleep(3000000);
+		ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	}
+
+	bool all_have(uint64_t number)
+	{
+		for (auto &instance : all)
+			if (instance->number("verband") != number)
+				return false;
+		return true;
+	}
+
+	bool leader_knows_all()
+	{
+		Instance *instance = leader();
+
+		for (auto &other : all)
+			if (!instance ||
+			    !instance->has_status("\"instance\":\"" +
+						  other->id + "\",\"site\""))
+				return false;
+		return true;
+	}
+
+	/* Cuts a voter off from the other voters, in both directions. */
+	void cut_off(const Instance &voter)
+	{
+		for (Link &link : links)
+			if (link.from == voter.id || link.to == voter.id) {
+				proxy_drop(link.proxy, PROXY_TO_TARGET, true);
+				proxy_drop(link.proxy, PROXY_TO_CLIENT, true);
+			}
+	}
+};
+
+/* Guards against entries that stay behind, when the relay of their site led and
+ * is cut off from the other voters, until they count as isolated. */
+TEST_F(ControlSites, EntriesFindTheNextLeaderWhenTheirRelayLedAndIsCutOff)
+{
+	Instance *old;
+	Instance *other;
+
+	/* Upstreams fail after 3 s. */
+	isolated_after_ms = 5000;
+	start_sites();
+	old = leader();
+	ASSERT_NE(old, nullptr);
+	other = all[old == all[0].get() ? 1 : 0].get();
+	cut_off(*old);
+	for (int i = 0; i < 400; i++) {
+		for (size_t k = SITES; k < all.size(); k++)
+			ASSERT_EQ(ctl_state(all[k]->ctl).readiness, CTL_SERVING)
+				<< all[k]->id << " of " << all[k]->site
+				<< ", cut off: " << old->site << ", after "
+				<< i * 20 << " ms";
+		usleep(20000);
+	}
+	ASSERT_TRUE(put(*other, 2));
+	for (size_t k = SITES; k < all.size(); k++)
+		EXPECT_TRUE(wait_until(
+			[&] { return all[k]->number("verband") == 2; }));
+}
+
 /*
  * Guards the log's bound and the transfer of a snapshot: after more log than is
  * kept, a replica without a disk joins from a snapshot, and restarted replicas
