ctl: an instance without a confirmed view asks all candidates at once

What callers saw: 404 for routes that had been acknowledged more than two seconds before (CONFIG), at entries of one site.

Cause: when the view was not confirmed for 1.2 s, an instance tried one upstream after the other, 1.2 s each: the relay, the leader that it remembered, a voter. Where the relay of the site led and was cut off from the other voters, the first two and, by the order of the list, the third in one of three cases were that same instance; the new leader was reached 2.4 to 3.6 s after the cut. After that the next report went back to the lost relay.

Change: an upstream is proved by confirmations. One that fails is kept, but all candidates are asked with each report, and the first that confirms the view takes its place; so does the designated one, which is asked until it confirms.

Ruled out: slow distribution (other sites had the tables within 50 ms) and confirmations that look fresher than they are (the 404 was said at an age of 3.39 s).

--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -137,7 +137,7 @@
 		ctl_report_receive(ctx, e, e->report);
 		break;
 	case DSP__ENVELOPE__BODY_VIEW_UPDATE:
-		ctl_report_view(ctx, e->view_update);
+		ctl_report_view(ctx, e, e->view_update);
 		break;
 	case DSP__ENVELOPE__BODY_FORWARD:
 		ctl_raft_forward(ctx, e, e->forward);
@@ -271,7 +271,7 @@
 	int64_t most_us = ctx->raft ? REPLICA_SLEEP_US : ENTRY_SLEEP_US;
 	int64_t due_us = ctx->report_due_us - clk_now_us(ctx->clock);
 
-	if (!ctx->upstream && !ctx->ready_leader)
+	if (!ctx->up.address && !ctx->ready_leader)
 		return most_us;
 	return CLAMP(due_us, SLEEP_MIN_US, most_us);
 }
@@ -459,7 +459,7 @@
 	TAILQ_INIT(&ctx->changed_loads);
 	ctx->seeds = seeds_of(ctx, settings);
 	ctx->now_us = clk_now_us(clock);
-	ctx->upstream_chosen_us = ctx->now_us;
+	ctx->up.since_us = ctx->now_us;
 	ctx->view = view_new_empty();
 	ctx->wake_fd = -1;
 	ctx->addresses = table_of(g_free);
@@ -521,7 +521,7 @@
 	g_strfreev(ctx->seeds);
 	g_free(ctx->leader_node);
 	g_free(ctx->leader_address);
-	g_free(ctx->upstream);
+	ctl_up_clear(&ctx->up);
 	pthread_mutex_destroy(&ctx->lock);
 	g_free(ctx);
 }
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -10,6 +10,7 @@
 #include "net/net.h"
 #include "node/ctl.h"
 #include "node/ctl_rules.h"
+#include "node/ctl_up.h"
 #include "store/sto.h"
 
 /* Shared by the files of the control thread only. */
@@ -275,9 +276,7 @@
 	char *leader_address;
 	Dsp__RaftConfig *config; /* as last announced */
 	GPtrArray *relays;	 /* node ids */
-	char *upstream;		 /* address */
-	size_t upstream_attempt;
-	int64_t upstream_chosen_us;
+	struct ctl_up up;
 	int64_t report_due_us;
 	uint32_t report_hops;
 	GHashTable *children;	   /* node id -> struct ctl_child */
@@ -375,7 +374,8 @@
 void ctl_report_soon(struct ctl *ctx, int64_t delay_us);
 void ctl_report_receive(struct ctl *ctx, const Dsp__Envelope *from,
 			const Dsp__Report *report);
-void ctl_report_view(struct ctl *ctx, const Dsp__ViewUpdate *update);
+void ctl_report_view(struct ctl *ctx, const Dsp__Envelope *from,
+		     const Dsp__ViewUpdate *update);
 void ctl_report_announcement(struct ctl *ctx,
 			     const Dsp__Announcement *announcement);
 void ctl_report_demand(struct ctl *ctx, const Dsp__Demand *demand);
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -423,7 +423,7 @@
 		ctl_member_stop(ctx);
 	ctx->was_leader = false;
 	ctx->ready_leader = false;
-	ctx->upstream_chosen_us = 0;
+	ctx->up.since_us = 0;
 	if (ctx->raft)
 		raft_free(ctx->raft);
 	ctx->raft = NULL;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -23,8 +23,6 @@
 #define FIRST_UPSTREAM_LIMIT_US 300000
 /* Reports of an instance without a confirmed view, which ask for one. */
 #define FIRST_REPORT_US 150000
-/* The designated relay is tried again after this time on another upstream. */
-#define UPSTREAM_RETURN_US (30LL * CTL_S_US)
 /* A child that found another upstream gets no more updates after this time and
  * some report intervals. */
 #define CHILD_LIMIT_US CTL_S_US
@@ -104,8 +102,6 @@
 		ctx->leader_node = g_strdup(node);
 		g_clear_pointer(&ctx->leader_address, g_free);
 		ctx->term = term;
-		ctx->upstream_attempt = 0;
-		ctx->upstream_chosen_us = ctx->now_us;
 		ctl_report_soon(ctx, 0);
 	}
 	/* A redirect from an instance that was behind may have set another. */
@@ -130,7 +126,8 @@
 	return NULL;
 }
 
-static bool upstream_failed(const struct ctl *ctx)
+/* Time without a confirmation after which other upstreams are asked. */
+static int64_t upstream_limit_us(const struct ctl *ctx)
 {
 	int64_t limit_us = (int64_t)ctx->set->isolated_after_ms * 10 *
 			   UPSTREAM_LIMIT_PERCENT;
@@ -138,9 +135,7 @@
 	limit_us = MIN(limit_us, UPSTREAM_LIMIT_US);
 	if (!ctx->confirmed_us)
 		limit_us = MIN(limit_us, FIRST_UPSTREAM_LIMIT_US);
-	return ctl_rule_upstream_failed(ctx->upstream_chosen_us,
-					ctx->confirmed_us, ctx->now_us,
-					limit_us);
+	return limit_us;
 }
 
 static bool follows_leader(const struct ctl *ctx)
@@ -148,56 +143,16 @@
 	return ctx->raft && raft_leader(ctx->raft) && ctx->leader_address;
 }
 
-static void advance_upstream(struct ctl *ctx)
+static void log_upstream(const struct ctl *ctx, const char *event)
 {
-	if (upstream_failed(ctx)) {
-		ctx->upstream_attempt++;
-		ctx->upstream_chosen_us = ctx->now_us;
-	} else if (ctx->upstream_attempt &&
-		   ctx->now_us - ctx->upstream_chosen_us > UPSTREAM_RETURN_US) {
-		ctx->upstream_attempt = 0;
-		ctx->upstream_chosen_us = ctx->now_us;
-	}
-}
-
-static void choose_upstream(struct ctl *ctx)
-{
-	struct ctl_upstream_input in = {
-		.self = ctx->set->id,
-		.site = ctx->set->site,
-		.relay = own_relay(ctx),
-		.leader = ctx->leader_address,
-	};
-	const Dsp__Node **nodes;
-	const char **voters;
-	const char *address;
-
-	/* Replicas are few and hear from the leader anyway. */
-	if (follows_leader(ctx)) {
-		g_free(ctx->upstream);
-		ctx->upstream = g_strdup(ctx->leader_address);
-		return;
-	}
-	advance_upstream(ctx);
-	in.n_nodes = ctl_report_nodes(ctx, &nodes);
-	in.nodes = nodes;
-	in.n_voters = ctl_report_voters(ctx, &voters);
-	in.voters = voters;
-	address = ctl_rule_upstream(&in, ctx->upstream_attempt);
-	if (g_strcmp0(address, ctx->upstream) != 0) {
-		LOG_EVENT_INFO(
-			"ctl", "upstream",
-			"address=%s attempt=%zu leader=%s "
-			"term=%" G_GUINT64_FORMAT " view=%" G_GUINT64_FORMAT
-			" view_age_ms=%u",
-			address ? address : "none", ctx->upstream_attempt,
-			ctx->leader_node ? ctx->leader_node : "-", ctx->term,
-			view_index(ctx->view), ctl_confirmed_age_ms(ctx));
-		g_free(ctx->upstream);
-		ctx->upstream = g_strdup(address);
-	}
-	g_free(nodes);
-	g_free(voters);
+	LOG_EVENT_INFO("ctl", event,
+		       "address=%s designated=%s leader=%s "
+		       "term=%" G_GUINT64_FORMAT " view=%" G_GUINT64_FORMAT
+		       " view_age_ms=%u",
+		       ctx->up.address ? ctx->up.address : "none",
+		       ctx->up.designated ? ctx->up.designated : "none",
+		       ctx->leader_node ? ctx->leader_node : "-", ctx->term,
+		       view_index(ctx->view), ctl_confirmed_age_ms(ctx));
 }
 
 /* ---- Contents of the next report ---- */
@@ -414,7 +369,7 @@
 	if (ctx->ready_leader)
 		ctl_member_report(ctx, &report);
 	else
-		ctl_send(ctx, ctx->upstream, &out);
+		ctl_send(ctx, ctx->up.address, &out);
 	g_free((void *)children);
 	g_free(statuses);
 	g_free(report.announcements);
@@ -427,6 +382,57 @@
 	ctx->report_hops = 0;
 }
 
+/* Asks an instance for its view; it does not pass the report on. */
+static void send_question(struct ctl *ctx, const char *address)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__Report report = DSP__REPORT__INIT;
+	Dsp__NodeStatus own;
+	Dsp__NodeStatus *statuses[] = { &own };
+	Dsp__Node node;
+
+	fill_status(ctx, &own, &node);
+	report.nodes = statuses;
+	report.n_nodes = G_N_ELEMENTS(statuses);
+	report.hops = HOPS_MAX;
+	out.body_case = DSP__ENVELOPE__BODY_REPORT;
+	out.report = &report;
+	ctl_send(ctx, address, &out);
+}
+
+static void choose_upstream(struct ctl *ctx)
+{
+	struct ctl_upstream_input in = {
+		.self = ctx->set->id,
+		.site = ctx->set->site,
+		.relay = own_relay(ctx),
+		.leader = ctx->leader_address,
+	};
+	const Dsp__Node **nodes;
+	const char **voters;
+	const char **asked;
+	size_t n_asked;
+
+	/* Replicas are few and hear from the leader anyway. */
+	if (follows_leader(ctx)) {
+		if (ctl_up_set(&ctx->up, ctx->leader_address))
+			log_upstream(ctx, "upstream");
+		return;
+	}
+	in.n_nodes = ctl_report_nodes(ctx, &nodes);
+	in.nodes = nodes;
+	in.n_voters = ctl_report_voters(ctx, &voters);
+	in.voters = voters;
+	if (ctl_up_designate(&ctx->up, ctl_rule_upstream(&in, 0)))
+		log_upstream(ctx, "upstream");
+	n_asked = ctl_up_asked(&ctx->up, &in, &asked);
+	for (size_t i = 0; i < n_asked; i++)
+		send_question(ctx, asked[i]);
+	g_free(asked);
+	g_free(nodes);
+	g_free(voters);
+}
+
 static int64_t report_interval_us(const struct ctl *ctx)
 {
 	int64_t interval_us = (int64_t)ctx->set->report_interval_ms * 1000;
@@ -438,8 +444,12 @@
 /* Sends the report when it is due. */
 void ctl_report_run(struct ctl *ctx)
 {
-	if (!ctx->ready_leader && !follows_leader(ctx) && upstream_failed(ctx))
+	if (!ctx->ready_leader && !follows_leader(ctx) &&
+	    ctl_up_check(&ctx->up, ctx->confirmed_us, ctx->now_us,
+			 upstream_limit_us(ctx))) {
+		log_upstream(ctx, "upstream_silent");
 		ctl_report_soon(ctx, 0);
+	}
 	if (ctx->now_us < ctx->report_due_us)
 		return;
 	/* A leader whose first entry is not committed yet keeps the contents
@@ -449,7 +459,7 @@
 	if (!ctx->ready_leader)
 		choose_upstream(ctx);
 	ctx->report_due_us = ctx->now_us + report_interval_us(ctx);
-	if (ctx->ready_leader || ctx->upstream)
+	if (ctx->ready_leader || ctx->up.address)
 		send_report(ctx);
 }
 
@@ -575,27 +585,26 @@
 	g_ptr_array_set_size(ctx->relays, 0);
 	for (size_t i = 0; i < n; i++)
 		g_ptr_array_add(ctx->relays, g_strdup(relays[i]));
-	if (g_strcmp0(before, own_relay(ctx)) != 0) {
-		ctx->upstream_attempt = 0;
-		ctx->upstream_chosen_us = ctx->now_us;
-	}
+	if (g_strcmp0(before, own_relay(ctx)) != 0)
+		ctl_report_soon(ctx, 0);
 }
 
-static void confirm(struct ctl *ctx, const Dsp__ViewUpdate *update)
+/* Returns true when the update confirms the view anew. */
+static bool confirm(struct ctl *ctx, const Dsp__ViewUpdate *update)
 {
 	int64_t confirmed_us;
 
 	if (update->confirmed_age_ms == UINT32_MAX ||
 	    view_index(ctx->view) < update->to_index)
-		return;
+		return false;
 	confirmed_us = ctx->now_us - (int64_t)update->confirmed_age_ms * 1000;
 	/* An outdated confirmation must not make a restarted instance serve a
 	 * view that may be outdated, too. */
 	if (!ctx->confirmed_us &&
 	    update->confirmed_age_ms > ctx->set->isolated_after_ms)
-		return;
+		return false;
 	if (confirmed_us <= ctx->confirmed_us)
-		return;
+		return false;
 	if (!ctx->confirmed_us)
 		LOG_EVENT_NOTICE("ctl", "view_confirmed",
 				 "index=%" G_GUINT64_FORMAT,
@@ -606,6 +615,7 @@
 	    (int64_t)ctx->set->report_interval_ms * 500)
 		ctx->push_due_us = 0;
 	ctx->confirmed_us = MAX(confirmed_us, 1);
+	return true;
 }
 
 static const char *member_address(const Dsp__RaftConfig *config,
@@ -617,8 +627,9 @@
 	return NULL;
 }
 
-/* Handles a view update from upstream. */
-void ctl_report_view(struct ctl *ctx, const Dsp__ViewUpdate *update)
+/* Handles a view update of an instance that this one reports to or asked. */
+void ctl_report_view(struct ctl *ctx, const Dsp__Envelope *from,
+		     const Dsp__ViewUpdate *update)
 {
 	if (update->term < ctx->term || ctl_raft_is_leader(ctx))
 		return;
@@ -630,7 +641,11 @@
 	ctl_report_set_leader(ctx, update->term, update->leader,
 			      member_address(update->config, update->leader));
 	install_update(ctx, update);
-	confirm(ctx, update);
+	if (confirm(ctx, update) && !follows_leader(ctx) &&
+	    ctl_up_confirmed(&ctx->up, from->address)) {
+		log_upstream(ctx, "upstream");
+		ctl_report_soon(ctx, 0);
+	}
 	set_relays(ctx, update->relays, update->n_relays);
 	for (size_t i = 0; i < update->n_loads; i++)
 		ctl_report_load(ctx, update->loads[i]);
