ctl: only an instance with contact to the leader becomes the upstream

Change: an upstream is taken only when its confirmation is younger than the limit after which one fails, and no instance sends its upstream's confirmation back to it.

--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -642,7 +642,9 @@
 			      member_address(update->config, update->leader));
 	install_update(ctx, update);
 	if (confirm(ctx, update) && !follows_leader(ctx) &&
-	    ctl_up_confirmed(&ctx->up, from->address)) {
+	    ctl_up_confirmed(&ctx->up, from->address,
+			     ctx->now_us - ctx->confirmed_us,
+			     upstream_limit_us(ctx))) {
 		log_upstream(ctx, "upstream");
 		ctl_report_soon(ctx, 0);
 	}
@@ -748,10 +750,14 @@
 			Dsp__ViewUpdate *update)
 {
 	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	uint32_t age_ms = update->confirmed_age_ms;
 
+	if (!ctx->ready_leader && ctl_up_is(&ctx->up, address))
+		update->confirmed_age_ms = UINT32_MAX;
 	out.body_case = DSP__ENVELOPE__BODY_VIEW_UPDATE;
 	out.view_update = update;
 	ctl_send(ctx, address, &out);
+	update->confirmed_age_ms = age_ms;
 }
 
 static void collect_loads(struct ctl *ctx, struct round *round)
--- a/src/node/ctl_up.c
+++ b/src/node/ctl_up.c
@@ -29,10 +29,16 @@
 	return !up->address && replace(&up->address, address);
 }
 
-/* Notes that an instance sent a newer confirmation of the view. */
-bool ctl_up_confirmed(struct ctl_up *up, const char *from)
+/*
+ * Notes that an instance sent a newer confirmation of the view. One that is
+ * older than the limit comes from an instance without contact, too: while there
+ * is no leader, all would take each other for upstreams.
+ */
+bool ctl_up_confirmed(struct ctl_up *up, const char *from, int64_t age_us,
+		      int64_t limit_us)
 {
-	if (!up->failing && g_strcmp0(from, up->designated) != 0)
+	if (age_us > limit_us ||
+	    (!up->failing && g_strcmp0(from, up->designated) != 0))
 		return false;
 	up->failing = false;
 	return replace(&up->address, from);
@@ -57,6 +63,13 @@
 	return up->failing && !before;
 }
 
+/* Returns true for the upstream. It must not get its own confirmation back as
+ * news: two instances would keep each other. */
+bool ctl_up_is(const struct ctl_up *up, const char *address)
+{
+	return !g_strcmp0(up->address, address);
+}
+
 static bool is_listed(const char *const *list, size_t n, const char *address)
 {
 	for (size_t i = 0; i < n; i++)
--- a/tests/unit/ctl_up_test.cc
+++ b/tests/unit/ctl_up_test.cc
@@ -65,7 +65,9 @@
 	Inst *leader = nullptr;
 	int64_t majority_at = 0; /* the leader had one */
 	int64_t elect_at = 0;
+	bool may_elect = true;
 	unsigned changes = 0; /* of upstreams */
+	unsigned questions = 0;
 
 	World()
 	{
@@ -140,7 +142,7 @@
 			leader = nullptr;
 			elect_at = majority_at + ELECTION;
 		}
-		if (leader || now() < elect_at)
+		if (leader || now() < elect_at || !may_elect)
 			return;
 		for (auto &x : all)
 			if (x->control() && has_majority(x.get()))
@@ -198,6 +200,7 @@
 		in.n_voters = voters.size();
 		ctl_up_designate(&x->up, ctl_rule_upstream(&in, 0));
 		n = ctl_up_asked(&x->up, &in, &asked);
+		questions += n;
 		for (size_t i = 0; i < n; i++)
 			deliver(x, of(asked[i]));
 		g_free(asked);
@@ -214,8 +217,11 @@
 			Inst *to = child.first;
 
 			if (now() - child.second > CHILD_LIMIT ||
-			    !reaches(x, to) || x->confirmed <= to->confirmed ||
-			    follows(to))
+			    !reaches(x, to) ||
+			    x->confirmed + HOP <= to->confirmed ||
+			    follows(to) ||
+			    (x != leader &&
+			     ctl_up_is(&x->up, to->address.c_str())))
 				continue;
 			if (x->confirmed - to->confirmed > REPORT / 2)
 				to->push_due = 0;
@@ -224,7 +230,9 @@
 			to->relay = x == leader		  ? relay_of(to->site)
 				    : to->site == x->site ? x->relay
 							  : to->relay;
-			if (ctl_up_confirmed(&to->up, x->address.c_str())) {
+			if (ctl_up_confirmed(&to->up, x->address.c_str(),
+					     now() - to->confirmed,
+					     FAILS_AFTER)) {
 				to->report_due = 0;
 				changes++;
 			}
@@ -318,7 +326,7 @@
 	in.voters = voters;
 	in.n_voters = 2;
 	EXPECT_TRUE(ctl_up_designate(&up, "tcp://v"));
-	EXPECT_FALSE(ctl_up_confirmed(&up, "tcp://w"));
+	EXPECT_FALSE(ctl_up_confirmed(&up, "tcp://w", 0, FAILS_AFTER));
 	EXPECT_EQ(ctl_up_asked(&up, &in, &asked), 0u);
 	g_free(asked);
 	EXPECT_TRUE(ctl_up_check(&up, 0, FAILS_AFTER + 1, FAILS_AFTER));
@@ -326,14 +334,14 @@
 	ASSERT_EQ(ctl_up_asked(&up, &in, &asked), 1u);
 	EXPECT_STREQ(asked[0], "tcp://w");
 	g_free(asked);
-	EXPECT_TRUE(ctl_up_confirmed(&up, "tcp://w"));
+	EXPECT_TRUE(ctl_up_confirmed(&up, "tcp://w", 0, FAILS_AFTER));
 	EXPECT_FALSE(ctl_up_designate(&up, "tcp://v"));
-	EXPECT_STREQ(up.address, "tcp://w");
+	EXPECT_TRUE(ctl_up_is(&up, "tcp://w"));
 	ASSERT_EQ(ctl_up_asked(&up, &in, &asked), 1u);
 	EXPECT_STREQ(asked[0], "tcp://v");
 	g_free(asked);
-	EXPECT_TRUE(ctl_up_confirmed(&up, "tcp://v"));
-	EXPECT_STREQ(up.address, "tcp://v");
+	EXPECT_TRUE(ctl_up_confirmed(&up, "tcp://v", 0, FAILS_AFTER));
+	EXPECT_TRUE(ctl_up_is(&up, "tcp://v"));
 	ctl_up_clear(&up);
 }
 
@@ -355,6 +363,28 @@
 	EXPECT_LE(world.changes, 4u);
 }
 
+/* Guards against instances without a leader that take each other's old
+ * confirmations for contact and ask again at each of them. */
+TEST(CtlUp, WithoutALeaderUpstreamsStayAndQuestionsAreFew)
+{
+	World world;
+	unsigned changes;
+	unsigned questions;
+
+	world.run(5000 * MS);
+	world.cut(world.at("c0"), world.at("a0"));
+	world.cut(world.at("c0"), world.at("b0"));
+	world.may_elect = false;
+	world.run(2000 * MS);
+	changes = world.changes;
+	questions = world.questions;
+	world.run(4000 * MS);
+	EXPECT_EQ(world.leader, nullptr);
+	EXPECT_EQ(world.changes, changes);
+	/* Nine instances, ten reports each, four candidates at most. */
+	EXPECT_LE(world.questions - questions, 9 * 10 * 4u);
+}
+
 /* Guards the bound over sequences of cuts between voters, after each of which
  * a leader is elected: an entry that reaches all voters is never isolated. */
 TEST(CtlUp, EntriesThatReachTheVotersAreNeverIsolated)
