fwd: no final answer for an unknown route while the view is not confirmed

What callers saw: 404 for a route that exists, from an entry that had lost the leader. Callers do not come back after a 404, so it must be certain. Change: while isolated (no confirmation for isolated_after_ms) such a request is refused with 503 and Retry-After, reason no_route_in_old_view. A view that is younger holds every table that was acknowledged longer ago than its age. Weighed: requests that the old table allows are served as before. Refusing them, too, would stop all service whenever the control instances are away; a table that moved a route meanwhile is the smaller loss.

Platform.WithoutContactUnknownRoutesAreRefusedForNow failed before: 404 for 20 s after the only control instance was killed.

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -63,9 +63,9 @@
 /* Whole answers that are kept until their end. */
 #define ANSWER_MAX_BYTES (8 << 20)
 #define RETRY_AFTER_SPREAD 0.5
-/* An instance that starts has a confirmed view after an election and a report,
- * about this long. */
-#define RETRY_START_US 1500000
+/* An instance that starts, or has lost the leader, has a confirmed view after an
+ * election and a report, about this long. */
+#define RETRY_VIEW_US 1500000
 /* Requests that one instance holds back at its start; more are refused, so that
  * their bodies take little memory. */
 #define HELD_MAX 256
@@ -836,7 +836,7 @@
 		       ctx->table ? ctx->table->number : 0,
 		       view_index(ctx->view), view_age_us);
 	reply_plain(exchange, status, request_id,
-		    status == 503 ? spread_s(RETRY_START_US) : -1, reason);
+		    status == 503 ? spread_s(RETRY_VIEW_US) : -1, reason);
 }
 
 /*
@@ -922,6 +922,11 @@
 		return;
 	}
 	route = host ? rtab_match(ctx->rtab, host, request->target) : NULL;
+	if (!route && ctl_state(ctx->ctl).readiness == CTL_ISOLATED) {
+		/* It may have been added since. */
+		refuse_early(ctx, exchange, id, 503, "no_route_in_old_view");
+		return;
+	}
 	if (!route) {
 		refuse_early(ctx, exchange, id, 404, "no_route");
 		return;
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -110,6 +110,28 @@
 	EXPECT_TRUE(requests(a).empty());
 }
 
+/* Guards against a final answer for a route that was added meanwhile. */
+TEST_F(Platform, WithoutContactUnknownRoutesAreRefusedForNow)
+{
+	Message m;
+
+	add_a();
+	proc_kill(system.instances[0].pid);
+	system.instances[0].pid = 0;
+	ASSERT_TRUE(System::eventually([&] {
+		m = system.send("GET", "/none/x", ID);
+		return m.status() != 404;
+	})) << system.logs();
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_GT(atof(m.field("Retry-After").c_str()), 0);
+	EXPECT_EQ(m.field("X-Attempt-Id"), "a1");
+	EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 200);
+	system.start(system.instances[0]);
+	EXPECT_TRUE(System::eventually([&] {
+		return system.send("GET", "/none/x", ID).status() == 404;
+	})) << system.logs();
+}
+
 TEST_F(Platform, NonIdempotentRequestIsSentOnce)
 {
 	add_both();
