api: an isolated entry does not say that a name is unknown

The same fault as in the route layer: unknown_team, unknown_class, unknown_model, unknown_adapter and unknown_service were final answers from a document that might be an hour old. While isolated they are now 503 "isolated", not_run, with Retry-After. TrafficTest.IsolatedEntryDoesNotSayThatANameIsUnknown failed before (404 and 400 in each case).

--- a/src/traffic/api_caller.c
+++ b/src/traffic/api_caller.c
@@ -15,6 +15,9 @@
 #define PREFIX_BYTES_MIN 256
 #define BYTES_PER_TOKEN 4
 
+/* Seconds in which an entry that lost the leader finds it again, as a rule. */
+#define RETRY_ISOLATED_S 5
+
 /* ---- Admission ---- */
 
 static bool check_readiness(struct api *api)
@@ -66,6 +69,27 @@
 
 /* ---- Checks that all requests share ---- */
 
+/* Refuses a name that the document in force here lacks. Without contact to the
+ * leader a later document may have it, so the refusal is not final. */
+static void __attribute__((format(printf, 4, 5)))
+error_unknown(struct api *api, int status, const char *code, const char *format,
+	      ...)
+{
+	va_list args;
+	char *message;
+
+	va_start(args, format);
+	message = g_strdup_vprintf(format, args);
+	va_end(args);
+	if (api->ctx->ops->state(api->ctx->ctl).readiness == CTL_ISOLATED)
+		api_error(api, 503, "isolated", TRF_NOT_RUN, RETRY_ISOLATED_S,
+			  "%s; this entry has no contact with the leader",
+			  message);
+	else
+		api_error(api, status, code, TRF_NOT_RUN, 0, "%s", message);
+	g_free(message);
+}
+
 static bool find_team(struct api *api, struct view *view, const char **team,
 		      const struct view_document **document)
 {
@@ -80,8 +104,8 @@
 		*document = view_document(view, *team);
 	if (*document)
 		return true;
-	api_error(api, 404, "unknown_team", TRF_NOT_RUN, 0,
-		  "no document of this team is in force");
+	error_unknown(api, 404, "unknown_team",
+		      "no document of this team is in force");
 	return false;
 }
 
@@ -92,9 +116,9 @@
 	r->class_limits = doc_class(r->document->parsed, name);
 	if (r->class_limits)
 		return true;
-	api_error(r->api, 400, "unknown_class", TRF_NOT_RUN, 0,
-		  "the document of team %s has no class \"%s\"", r->team,
-		  name ? name : "");
+	error_unknown(r->api, 400, "unknown_class",
+		      "the document of team %s has no class \"%s\"", r->team,
+		      name ? name : "");
 	return false;
 }
 
@@ -252,8 +276,8 @@
 		colon ? g_strndup(name, (gsize)(colon - name)) : g_strdup(name);
 	model = doc_model(doc, r->model);
 	if (!model) {
-		api_error(r->api, 404, "unknown_model", TRF_NOT_RUN, 0,
-			  "team %s has no model \"%s\"", r->team, r->model);
+		error_unknown(r->api, 404, "unknown_model",
+			      "team %s has no model \"%s\"", r->team, r->model);
 		return false;
 	}
 	r->service = model->service;
@@ -262,8 +286,9 @@
 	r->adapter = g_strdup(colon + 1);
 	if (doc_adapter(doc, r->model, r->adapter))
 		return true;
-	api_error(r->api, 404, "unknown_adapter", TRF_NOT_RUN, 0,
-		  "model \"%s\" has no adapter \"%s\"", r->model, r->adapter);
+	error_unknown(r->api, 404, "unknown_adapter",
+		      "model \"%s\" has no adapter \"%s\"", r->model,
+		      r->adapter);
 	return false;
 }
 
@@ -403,8 +428,8 @@
 		r->service = service->name;
 		return true;
 	}
-	api_error(r->api, 404, "unknown_service", TRF_NOT_RUN, 0,
-		  "team %s has no plain service \"%s\"", r->team, name);
+	error_unknown(r->api, 404, "unknown_service",
+		      "team %s has no plain service \"%s\"", r->team, name);
 	return false;
 }
 
@@ -426,7 +451,8 @@
 		return;
 	}
 	if (r->ctx->ops->state(r->ctx->ctl).readiness == CTL_ISOLATED) {
-		api_error(r->api, 503, "isolated", TRF_NOT_RUN, 5,
+		api_error(r->api, 503, "isolated", TRF_NOT_RUN,
+			  RETRY_ISOLATED_S,
 			  "this entry has no contact with the leader");
 		return;
 	}
--- a/tests/integration/traffic_input_test.cc
+++ b/tests/integration/traffic_input_test.cc
@@ -499,6 +499,53 @@
 	EXPECT_EQ(stub_n_requests(model), 1u);
 }
 
+/* Guards against a final answer for a name that a later document has. */
+TEST_F(TrafficTest, IsolatedEntryDoesNotSayThatANameIsUnknown)
+{
+	Entry &entry = start();
+	const std::string team = "X-Team: verband";
+	const struct {
+		std::vector<std::string> headers;
+		const char *path, *body, *code;
+		int status;
+	} cases[] = {
+		{ { "X-Team: nobody" },
+		  "/v1/completions",
+		  "{}",
+		  "unknown_team",
+		  404 },
+		{ { team, "X-Class: gold" },
+		  "/v1/completions",
+		  "{}",
+		  "unknown_class",
+		  400 },
+		{ { team },
+		  "/v1/completions",
+		  "{\"model\":\"other\",\"prompt\":\"a\"}",
+		  "unknown_model",
+		  404 },
+		{ { team },
+		  "/v1/completions",
+		  "{\"model\":\"brine-7b:no\",\"prompt\":\"a\"}",
+		  "unknown_adapter",
+		  404 },
+		{ { team }, "/v1/services/none/a", "", "unknown_service", 404 },
+	};
+
+	for (const auto &c : cases) {
+		fake_entry_set_readiness(entry.ctl, CTL_SERVING);
+		Reply reply = entry.call("POST", c.path, c.headers, c.body);
+		EXPECT_EQ(reply.status, c.status) << c.code;
+		EXPECT_EQ(reply.code(), c.code);
+		fake_entry_set_readiness(entry.ctl, CTL_ISOLATED);
+		reply = entry.call("POST", c.path, c.headers, c.body);
+		EXPECT_EQ(reply.status, 503) << c.code;
+		EXPECT_EQ(reply.code(), "isolated") << c.code;
+		EXPECT_EQ(reply.ran(), "not_run") << c.code;
+		EXPECT_EQ(reply.headers["retry-after"], "5") << c.code;
+	}
+}
+
 /* Guards the interface of operators: entries, models, status, drain, replace,
  * metrics. */
 TEST_F(TrafficTest, OperatorsSeeAndSteerTheEntry)
