ctl: a table is acknowledged once the entries in contact have it

What callers saw: nothing yet from this cause alone; it widened the window of the incident. An acknowledgement followed the commit at once, so there was always a moment at which a table was acknowledged and known to no entry.

Change: the leader holds the result of a route table or document until all entries that it has heard within three report intervals report its index, at most 500 ms after the commit (operators give a call a second). Instances report a new table at once. An entry that is cut off is not waited for; it may not answer "no route" once its view is 2 s old. Results are released when the leadership or the disk is lost: they are committed.

Control.AcknowledgedDocumentsAreAtEveryInstance failed before (195 of 273 checks, 39 documents at 7 instances), passes now.

--- a/src/core/st_table.c
+++ b/src/core/st_table.c
@@ -40,6 +40,7 @@
 	if (ctx->table && cmd->table->number <= in_force) {
 		result = st_result(ctx, DSP__RESULT_CODE__RESULT_SAME, NULL);
 		result->number = in_force;
+		result->index = ctx->table->index;
 		return result;
 	}
 	table = *cmd->table;
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -455,6 +455,7 @@
 	STAILQ_INIT(&ctx->forwards_done);
 	TAILQ_INIT(&ctx->waiters);
 	TAILQ_INIT(&ctx->orphans);
+	TAILQ_INIT(&ctx->held);
 	TAILQ_INIT(&ctx->calls);
 	TAILQ_INIT(&ctx->changed_loads);
 	ctx->seeds = seeds_of(ctx, settings);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -117,6 +117,7 @@
 	uint64_t index;
 	uint64_t term;
 	enum ctl_waiter_kind kind;
+	bool for_entries; /* the command changes what entries serve */
 	union {
 		struct ctl_call *call; /* one reference */
 		struct ctl_forward *forward;
@@ -124,6 +125,9 @@
 };
 TAILQ_HEAD(ctl_waiters, ctl_waiter);
 
+struct ctl_held;
+TAILQ_HEAD(ctl_helds, ctl_held);
+
 /* A command of another instance; kept for a while after its commit, so that a
  * resend gets the same result. */
 struct ctl_forward {
@@ -308,6 +312,7 @@
 	uint64_t spread_index;	 /* 0: none */
 	int64_t spread_since_us; /* when it was seen first */
 	enum ctl_spread spread;
+	struct ctl_helds held; /* results that wait for entries */
 
 	int64_t metrics_due_us;
 };
@@ -351,6 +356,9 @@
 /* On the leader: why a replica cannot be removed, or NULL. */
 Dsp__CommandResult *ctl_raft_check_removal(struct ctl *ctx, uint64_t replica);
 struct ctl_waiter *ctl_waiter_new(enum ctl_waiter_kind kind);
+/* Tells whoever waits; takes both. */
+void ctl_raft_answer(struct ctl *ctx, struct ctl_waiter *waiter,
+		     Dsp__CommandResult *result);
 void ctl_raft_forward(struct ctl *ctx, const Dsp__Envelope *from,
 		      const Dsp__Forward *forward);
 void ctl_raft_expire_forwards(struct ctl *ctx);
@@ -398,6 +406,10 @@
 
 /* ctl_spread.c */
 void ctl_spread_start(struct ctl *ctx);
+void ctl_spread_stop(struct ctl *ctx);
+/* Keeps a result until the entries have its effect; takes both. */
+void ctl_spread_hold(struct ctl *ctx, struct ctl_waiter *waiter,
+		     Dsp__CommandResult *result);
 void ctl_spread_run(struct ctl *ctx);
 
 /* ctl_order.c */
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -214,9 +214,10 @@
 
 /* ---- Waiters ---- */
 
-/* Takes the result and frees the waiter. */
-static void resolve(struct ctl *ctx, struct ctl_waiter *waiter,
-		    Dsp__CommandResult *result)
+/* Gives the outcome to whoever waits for it, NULL: the command never takes
+ * effect. Takes the result and frees the waiter. */
+void ctl_raft_answer(struct ctl *ctx, struct ctl_waiter *waiter,
+		     Dsp__CommandResult *result)
 {
 	switch (waiter->kind) {
 	case CTL_WAIT_CALL:
@@ -241,6 +242,23 @@
 	g_free(waiter);
 }
 
+static bool is_accepted(const Dsp__CommandResult *result)
+{
+	return result->code == DSP__RESULT_CODE__RESULT_OK ||
+	       result->code == DSP__RESULT_CODE__RESULT_SAME;
+}
+
+/* Takes the result and the waiter. */
+static void resolve(struct ctl *ctx, struct ctl_waiter *waiter,
+		    Dsp__CommandResult *result)
+{
+	if (result && waiter->for_entries && is_accepted(result) &&
+	    ctl_raft_is_leader(ctx))
+		ctl_spread_hold(ctx, waiter, result);
+	else
+		ctl_raft_answer(ctx, waiter, result);
+}
+
 static void resolve_list(struct ctl *ctx, struct ctl_waiters *list,
 			 const Dsp__LogEntry *e, Dsp__CommandResult *result)
 {
@@ -419,6 +437,7 @@
 	g_clear_error(&error);
 	give_up_waiters(ctx, &ctx->waiters, UINT64_MAX);
 	give_up_waiters(ctx, &ctx->orphans, UINT64_MAX);
+	ctl_spread_stop(ctx);
 	if (ctx->was_leader)
 		ctl_member_stop(ctx);
 	ctx->was_leader = false;
@@ -475,6 +494,7 @@
 /* Frees the replica and closes the folder. */
 void ctl_raft_close(struct ctl *ctx)
 {
+	ctl_spread_stop(ctx);
 	give_up_waiters(ctx, &ctx->waiters, UINT64_MAX);
 	give_up_waiters(ctx, &ctx->orphans, UINT64_MAX);
 	if (ctx->raft)
@@ -522,6 +542,13 @@
 	raft_step(ctx->raft, msg, ctx->now_us);
 }
 
+/* True when its acknowledgement says that entries serve accordingly. */
+static bool changes_service(const Dsp__Command *command)
+{
+	return command->body_case == DSP__COMMAND__BODY_ROUTE_TABLE_PUT ||
+	       command->body_case == DSP__COMMAND__BODY_DOCUMENT_PUT;
+}
+
 /*
  * Appends a command to the log. On success the waiter is resolved when the
  * outcome is known; otherwise it stays the caller's.
@@ -546,6 +573,7 @@
 		return false;
 	waiter->index = index;
 	waiter->term = raft_term(ctx->raft);
+	waiter->for_entries = changes_service(command);
 	TAILQ_INSERT_TAIL(&ctx->waiters, waiter, link);
 	return true;
 }
@@ -736,6 +764,7 @@
 	if (ctx->was_leader &&
 	    (!leader || raft_term(ctx->raft) != ctx->leader_term_started)) {
 		TAILQ_CONCAT(&ctx->orphans, &ctx->waiters, link);
+		ctl_spread_stop(ctx);
 		if (ctx->ready_leader)
 			ctl_member_stop(ctx);
 		ctx->ready_leader = false;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -551,16 +551,20 @@
 
 /* ---- Views ---- */
 
-static uint64_t table_index(const struct view *view)
+/* Log index of the newest route table or document. */
+static uint64_t service_index(const struct view *view)
 {
 	const Dsp__RouteTable *table = view_route_table(view);
+	uint64_t index = table ? table->index : 0;
 
-	return table ? table->index : 0;
+	for (size_t i = 0; i < view_n_documents(view); i++)
+		index = MAX(index, view_document_at(view, i)->document->index);
+	return index;
 }
 
 static void install_update(struct ctl *ctx, const Dsp__ViewUpdate *update)
 {
-	uint64_t before = table_index(ctx->view);
+	uint64_t before = service_index(ctx->view);
 	struct view *view;
 
 	if (update->to_index < view_index(ctx->view) ||
@@ -573,8 +577,8 @@
 		return;
 	}
 	ctl_set_view(ctx, view);
-	/* The leader waits to hear that entries have a new table. */
-	if (table_index(view) != before)
+	/* The leader waits to hear of it before it acknowledges. */
+	if (service_index(view) != before)
 		ctl_report_soon(ctx, CHANGE_DELAY_US);
 }
 
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -293,6 +293,44 @@
 	}
 }
 
+/* Guards against an acknowledgement that no entry follows yet: if the leader
+ * failed now, an election would stand between it and the entries. */
+TEST_F(Control, AcknowledgedDocumentsAreAtEveryInstance)
+{
+	create(3, 4, "south");
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[0], 1));
+	ASSERT_TRUE(wait_until([&] {
+		return leader()->has_status("\"instance\":\"n6\",\"site\"");
+	}));
+	for (uint64_t number = 2; number <= 40; number++) {
+		ASSERT_TRUE(put(*all[number % all.size()], number));
+		for (auto &instance : all)
+			EXPECT_EQ(instance->number("verband"), number)
+				<< instance->id;
+	}
+}
+
+/* Guards against acknowledgements that wait for an instance that is gone. */
+TEST_F(Control, LostEntryDoesNotHoldAcknowledgements)
+{
+	char *text;
+
+	create(3, 2);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(put(*all[3], 1));
+	all[4]->stop();
+	/* Longer than three reports, shorter than the lease. */
+	usleep(800000);
+	ASSERT_TRUE(put(*all[3], 2));
+	text = met_to_prometheus(leader()->met);
+	EXPECT_EQ(strstr(text, "dandelionspar_results_not_held"), nullptr)
+		<< text;
+	g_free(text);
+}
+
 /* Guards the metric that tells a slow distribution from lost contact. */
 TEST_F(Control, LeaderMeasuresWhenTheLastEntryHasATable)
 {
