fwd, http, agent: bytes without end are left soon and take little memory

Change: at most 1 MB before the answer begins; 8 MB for one whole answer and 64 MB for all that are being read; 256 KB for an unfinished event; 1 MB for an engine's state. Beyond these the endpoint is left and the request goes on elsewhere, or fails at once with 502 if it may have run. Bytes of an answer that does not say where it ends, or of an unfinished event, no longer count as a sign of life.

--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -18,6 +18,8 @@
 #define ORDER_TIMEOUT_US 800000
 #define STATE_TIMEOUT_US 800000
 #define ORDER_CONNECT_US 400000
+/* What an engine says of itself, with hundreds of copies. */
+#define CALL_BODY_MAX_BYTES (1 << 20)
 #define ORDER_IDLE_US 600000
 /* An engine's report lags behind by some hundred milliseconds. */
 #define REPORT_LAG_US 450000
@@ -245,6 +247,18 @@
 
 static void plan(struct agent *ctx);
 
+static void order_ended(struct engine *e, enum wire_order_outcome outcome);
+
+/* Ends a call whose answer does not come. */
+static void give_up_call(struct engine *e)
+{
+	drop_call(e);
+	if (e->state == ORDERED)
+		order_ended(e, WIRE_ORDER_UNKNOWN);
+	else
+		e->look_us = now_of(e->agent) + DOUBT_US;
+}
+
 static void on_head(void *data, const struct hio_answer *answer)
 {
 	struct engine *e = data;
@@ -257,6 +271,12 @@
 {
 	struct engine *e = data;
 
+	if (e->body->len + len > CALL_BODY_MAX_BYTES) {
+		LOG_EVENT_INFO("agent", "answer_too_long", "endpoint=%s",
+			       e->id);
+		give_up_call(e);
+		return;
+	}
 	g_byte_array_append(e->body, (const guint8 *)bytes, (guint)len);
 }
 
@@ -479,13 +499,8 @@
 
 	(void)fd;
 	(void)what;
-	if (!e->call)
-		return;
-	drop_call(e);
-	if (e->state == ORDERED)
-		order_ended(e, WIRE_ORDER_UNKNOWN);
-	else
-		e->look_us = now_of(e->agent) + DOUBT_US;
+	if (e->call)
+		give_up_call(e);
 }
 
 static void start_call(struct engine *e, GString *head, int64_t timeout_us,
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -96,6 +96,7 @@
 	struct event *places; /* a place may be free */
 	GHashTable *budgets;  /* service -> struct rep */
 	struct fwd_list forwards;
+	size_t answer_bytes; /* of whole answers that are being read */
 	STAILQ_HEAD(fwd_helds, fwd_held) held;
 	unsigned n_held;
 	GHashTable *demands; /* "model/adapter" -> struct edge_demand */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -60,11 +60,15 @@
 /* The time to the first byte of shorter prompts says little of the speed at
  * which an engine reads. */
 #define READ_TOKENS_MIN 400
-/* Whole answers that are kept until their end. */
+/* Whole answers that are kept until their end: one, and all of an instance,
+ * which may have some 200 MB. */
 #define ANSWER_MAX_BYTES (8 << 20)
+#define ANSWERS_MAX_BYTES (64 << 20)
+/* Unfinished event of a stream; events hold a few tokens. */
+#define EVENT_MAX_BYTES (256 << 10)
 #define RETRY_AFTER_SPREAD 0.5
-/* An instance that starts, or has lost the leader, has a confirmed view after an
- * election and a report, about this long. */
+/* An instance that starts, or has lost the leader, has a confirmed view after
+ * an election and a report, about this long. */
 #define RETRY_VIEW_US 1500000
 /* Requests that one instance holds back at its start; more are refused, so that
  * their bodies take little memory. */
@@ -115,7 +119,8 @@
 	int64_t waited_us; /* from the request's arrival to its first send */
 	int64_t first_us;  /* time to the first byte; -1: none yet */
 	bool alone;	   /* the endpoint read nothing else from here */
-	int64_t heard_us;  /* last byte */
+	int64_t heard_us;  /* last sign that the answer goes on */
+	bool sized;	   /* the answer says where it ends */
 	struct wire_answer answer;
 	int status;
 	struct hio_fields fields; /* of a whole answer; owned */
@@ -170,6 +175,13 @@
 
 /* ---- End of a request ---- */
 
+/* Forgets the bytes of an answer that was being read. */
+static void drop_body(struct fwd *f)
+{
+	f->edge->answer_bytes -= f->body->len;
+	g_byte_array_set_size(f->body, 0);
+}
+
 static void fwd_free(struct fwd *f)
 {
 	LIST_REMOVE(f, link);
@@ -178,8 +190,8 @@
 	event_free(f->timer);
 	wire_request_clear(&f->said);
 	hio_fields_clear(&f->fields);
-	if (f->body)
-		g_byte_array_free(f->body, TRUE);
+	drop_body(f);
+	g_byte_array_free(f->body, TRUE);
 	sse_free(f->events);
 	for (size_t i = 0; i < f->n_tried; i++)
 		g_free(f->tried[i]);
@@ -346,6 +358,7 @@
  */
 static void try_again(struct fwd *f, bool reached, const char *reason)
 {
+	drop_body(f);
 	if (f->runs && !can_move(f)) {
 		give_up(f, -1, reason);
 		return;
@@ -366,6 +379,7 @@
 {
 	struct fwd *f = data;
 
+	f->heard_us = now_of(f);
 	if (!f->events_read++)
 		f->first_at_us = f->heard_us;
 	else
@@ -420,7 +434,8 @@
 	if (f->answer.has_load)
 		bal_report(f->edge->bal, f->endpoint, f->answer.running,
 			   f->answer.waiting, now_us);
-	g_byte_array_set_size(f->body, 0);
+	drop_body(f);
+	f->sized = hio_field(&answer->fields, "Content-Length") != NULL;
 	if (f->answer.not_run)
 		return;
 	if (f->kind == DSP__ROUTE_KIND__ROUTE_STREAM &&
@@ -430,25 +445,52 @@
 		copy_fields(&f->fields, &answer->fields);
 }
 
+/* Leaves an endpoint whose bytes lead to no answer. */
+static void leave_endless(struct fwd *f, const char *reason)
+{
+	if (f->events)
+		sse_reset(f->events);
+	end_send(f, BAL_FAILED);
+	try_again(f, true, reason);
+}
+
+static void note_first_byte(struct fwd *f, int64_t now_us)
+{
+	f->first_us = now_us - f->send_us;
+	bal_first(f->edge->bal, f->endpoint, unread_tokens(f), f->first_us,
+		  f->alone);
+	if (f->engine && f->alone && f->said.tokens_in >= READ_TOKENS_MIN)
+		edge_note_read(f->edge, f->endpoint, f->said.tokens_in,
+			       f->first_us);
+	places_may_be_free(f->edge);
+}
+
+/* The request may be gone after this. */
 static void on_body(void *data, const char *bytes, size_t len)
 {
 	struct fwd *f = data;
+	int64_t now_us = now_of(f);
 
-	f->heard_us = now_of(f);
-	if (f->first_us < 0) {
-		f->first_us = f->heard_us - f->send_us;
-		bal_first(f->edge->bal, f->endpoint, unread_tokens(f),
-			  f->first_us, f->alone);
-		if (f->engine && f->alone &&
-		    f->said.tokens_in >= READ_TOKENS_MIN)
-			edge_note_read(f->edge, f->endpoint, f->said.tokens_in,
-				       f->first_us);
-		places_may_be_free(f->edge);
-	}
-	if (f->streaming)
+	if (f->first_us < 0)
+		note_first_byte(f, now_us);
+	if (f->streaming) {
 		sse_feed(f->events, bytes, len, on_event, f);
-	else if (f->body->len + len <= ANSWER_MAX_BYTES)
-		g_byte_array_append(f->body, (const guint8 *)bytes, (guint)len);
+		if (sse_unfinished(f->events) > EVENT_MAX_BYTES)
+			leave_endless(f, "event_too_long");
+		return;
+	}
+	if (f->sized)
+		f->heard_us = now_us;
+	if (f->body->len + len > ANSWER_MAX_BYTES) {
+		leave_endless(f, "answer_too_long");
+		return;
+	}
+	if (f->edge->answer_bytes + len > ANSWERS_MAX_BYTES) {
+		leave_endless(f, "answers_too_long");
+		return;
+	}
+	g_byte_array_append(f->body, (const guint8 *)bytes, (guint)len);
+	f->edge->answer_bytes += len;
 }
 
 static void refused_by_endpoint(struct fwd *f)
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -8,6 +8,9 @@
 
 /* Idle connections older than this are closed. */
 #define IDLE_MAX_US 10000000
+/* Bytes before the answer to a request begins: interim answers, late ones of
+ * other requests, and its own fields. */
+#define BEFORE_ANSWER_MAX_BYTES (1 << 20)
 /* An endpoint closes idle connections at the time that it announced; the
  * request must reach it before. */
 #define ANNOUNCED_MARGIN_US 500000
@@ -30,6 +33,8 @@
 	struct hio_builder builder;
 	struct hio_answer answer;
 	bool skipped; /* the answer belongs to another request */
+	bool begun;   /* the answer to the call */
+	size_t before_bytes;
 	bool complete;
 	bool parsing;
 	bool dead; /* freed once the parser returns */
@@ -156,6 +161,7 @@
 		return 0;
 	}
 	answer_clear(link);
+	link->begun = true;
 	link->answer.status = (int)parser->status_code;
 	link->answer.fields = link->builder.fields;
 	link->builder.fields = (struct hio_fields){ 0 };
@@ -264,6 +270,13 @@
 			break;
 		if (link->parser.upgrade)
 			break;
+		if (link->begun)
+			continue;
+		link->before_bytes += used;
+		if (link->before_bytes > BEFORE_ANSWER_MAX_BYTES) {
+			error = HPE_HEADER_OVERFLOW;
+			break;
+		}
 	}
 	if (eof && link->call && !link->dead && !link->complete &&
 	    (error == HPE_OK || error == HPE_PAUSED)) {
@@ -446,6 +459,8 @@
 	hio_builder_init(&link->builder);
 	http_parser_init(&link->parser, HTTP_RESPONSE);
 	link->parser.data = link;
+	link->begun = false;
+	link->before_bytes = 0;
 	link->call = call;
 	call->link = link;
 	out = bufferevent_get_output(link->bev);
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -390,6 +390,8 @@
 	size_t places = 8; /* adapters */
 	int load_ms = 100;
 	std::atomic<int> order_delay_ms{ 0 }; /* before the answer */
+	std::atomic<bool> endless_reports{ false };
+	std::atomic<size_t> endless_bytes{ 0 };
 	uint64_t sequence = 0;
 	bool overloaded = false; /* ordered to hold more than it can */
 	size_t orders = 0;
@@ -443,6 +445,8 @@
 	}
 	bool answer_one(Socket &socket, const Message &m)
 	{
+		if (m.target() == "/dandelionspar/report" && endless_reports)
+			return send_endless(socket);
 		if (m.target() == "/dandelionspar/report")
 			return socket.send(answer(200, "", report()));
 		if (m.target() == "/dandelionspar/order") {
@@ -465,6 +469,16 @@
 		return socket.send(answer(200, seal() + echo(m),
 					  "from " + id + ": " + m.body));
 	}
+	bool send_endless(Socket &socket)
+	{
+		std::string bytes(65536, ' ');
+
+		if (!socket.send("HTTP/1.1 200 OK\r\n\r\n"))
+			return false;
+		while (!stopping && socket.send(bytes))
+			endless_bytes += bytes.size();
+		return false;
+	}
 	std::string report()
 	{
 		std::lock_guard<std::mutex> guard(lock);
