--- a/tests/integration/up_test.cc
+++ b/tests/integration/up_test.cc
@@ -280,3 +280,46 @@
 }
 
 } // namespace
+
+/* Guards against a head without end that is kept in memory. */
+TEST_F(UpTest, HeadWithoutEndEndsTheCall)
+{
+	std::atomic<size_t> sent{ 0 };
+	Server server([&sent](int fd) {
+		std::string fields;
+
+		read_request(fd, 3);
+		for (int i = 0; i < 4096; i++)
+			fields += "X-A: 0123456789\r\n";
+		send_text(fd, "HTTP/1.1 200 OK\r\n");
+		while (sent < (256 << 20) &&
+		       send(fd, fields.data(), fields.size(), MSG_NOSIGNAL) ==
+			       (ssize_t)fields.size())
+			sent += fields.size();
+	});
+	UpRun run = perform(up, server.url(), true);
+
+	EXPECT_FALSE(run.complete);
+	EXPECT_LT(sent, 16u << 20);
+}
+
+/* The same for answers that only announce another one. */
+TEST_F(UpTest, InterimAnswersWithoutEndEndTheCall)
+{
+	std::atomic<size_t> sent{ 0 };
+	Server server([&sent](int fd) {
+		std::string heads;
+
+		read_request(fd, 3);
+		for (int i = 0; i < 4096; i++)
+			heads += "HTTP/1.1 102 Wait\r\n\r\n";
+		while (sent < (256 << 20) &&
+		       send(fd, heads.data(), heads.size(), MSG_NOSIGNAL) ==
+			       (ssize_t)heads.size())
+			sent += heads.size();
+	});
+	UpRun run = perform(up, server.url(), true);
+
+	EXPECT_FALSE(run.complete);
+	EXPECT_LT(sent, 16u << 20);
+}
