ctl: a command sent to a lost leader is proposed when this instance leads next

What callers saw: an operator's change or a leaving endpoint at an instance that had passed it on to the leader, when that leader was lost and the instance was elected itself, got no answer until the call's limit (2.5 s, 503). Cause: a call with a copy under way is not proposed again by a leader, since the log decides. The copy may also be one that was sent to the leader before. Change: the call remembers whether this replica proposed it.

--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -373,7 +373,8 @@
 		}
 		if (!hand_out(ctx, call))
 			return;
-		if (propose(ctx, call))
+		call->proposed = propose(ctx, call);
+		if (call->proposed)
 			call->copies++;
 		else
 			copy_refused(ctx, call);
@@ -445,7 +446,7 @@
 		return;
 	}
 	/* A proposal of this replica needs no second copy: the log decides. */
-	if (call->copies && ctl_raft_is_leader(ctx))
+	if (call->proposed && ctl_raft_is_leader(ctx))
 		return;
 	call->redirects = 0;
 	try_command(ctx, call);
@@ -523,6 +524,7 @@
 	if (result) {
 		finish_with_result(ctx, call, result);
 	} else {
+		call->proposed = false;
 		copy_refused(ctx, call);
 		call->sent_us = 0;
 	}
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -50,6 +50,7 @@
 	bool listed; /* in ctl.calls */
 	uint64_t id;
 	unsigned copies;    /* sent or proposed, not known to be refused */
+	bool proposed;	    /* by this replica; its log decides */
 	unsigned tries;	    /* sends to any instance */
 	unsigned redirects; /* immediate sends after a reply */
 	int64_t sent_us;    /* last send */
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -273,6 +273,45 @@
 	return accepted;
 }
 
+bool put_table(Instance &instance, uint64_t number)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__RouteTablePut change = DSP__ROUTE_TABLE_PUT__INIT;
+	Dsp__RouteTable table = DSP__ROUTE_TABLE__INIT;
+	Dsp__CommandResult *result;
+	bool accepted;
+
+	table.number = number;
+	change.table = &table;
+	command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
+	command.route_table_put = &change;
+	result = ctl_submit(instance.ctl, &command, WAIT_US, NULL);
+	if (!result)
+		return false;
+	accepted = is_accepted(result);
+	dsp__command_result__free_unpacked(result, NULL);
+	return accepted;
+}
+
+/* Reads the number of the table; 0: the instance does not know it for sure. */
+uint64_t get_table(Instance &instance, int64_t timeout_us)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__RouteTableGet query = DSP__ROUTE_TABLE_GET__INIT;
+	Dsp__CommandResult *result;
+	uint64_t number = 0;
+
+	command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_GET;
+	command.route_table_get = &query;
+	result = ctl_submit(instance.ctl, &command, timeout_us, NULL);
+	if (!result)
+		return 0;
+	if (result->route_table)
+		number = result->route_table->number;
+	dsp__command_result__free_unpacked(result, NULL);
+	return number;
+}
+
 } // namespace
 
 /* Guards the whole path: three empty voters form one group, a command that any
@@ -334,21 +373,10 @@
 /* Guards the metric that tells a slow distribution from lost contact. */
 TEST_F(Control, LeaderMeasuresWhenTheLastEntryHasATable)
 {
-	Dsp__Command command = DSP__COMMAND__INIT;
-	Dsp__RouteTablePut put_table = DSP__ROUTE_TABLE_PUT__INIT;
-	Dsp__RouteTable table = DSP__ROUTE_TABLE__INIT;
-	Dsp__CommandResult *result;
-
 	create(3, 2);
 	start_all();
 	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
-	table.number = 7;
-	put_table.table = &table;
-	command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
-	command.route_table_put = &put_table;
-	result = ctl_submit(all[4]->ctl, &command, WAIT_US, NULL);
-	ASSERT_NE(result, nullptr);
-	dsp__command_result__free_unpacked(result, NULL);
+	ASSERT_TRUE(put_table(*all[4], 7));
 	EXPECT_TRUE(wait_until([&] {
 		char *text = met_to_prometheus(leader()->met);
 		bool found =
@@ -631,12 +659,12 @@
 	}
 
 	/* Cuts a voter off from the other voters, in both directions. */
-	void cut_off(const Instance &voter)
+	void cut_off(const Instance &voter, bool on)
 	{
 		for (Link &link : links)
 			if (link.from == voter.id || link.to == voter.id) {
-				proxy_drop(link.proxy, PROXY_TO_TARGET, true);
-				proxy_drop(link.proxy, PROXY_TO_CLIENT, true);
+				proxy_drop(link.proxy, PROXY_TO_TARGET, on);
+				proxy_drop(link.proxy, PROXY_TO_CLIENT, on);
 			}
 	}
 };
@@ -654,7 +682,7 @@
 	old = leader();
 	ASSERT_NE(old, nullptr);
 	other = all[old == all[0].get() ? 1 : 0].get();
-	cut_off(*old);
+	cut_off(*old, true);
 	for (int i = 0; i < 400; i++) {
 		for (size_t k = SITES; k < all.size(); k++)
 			ASSERT_EQ(ctl_state(all[k]->ctl).readiness, CTL_SERVING)
@@ -669,6 +697,52 @@
 			[&] { return all[k]->number("verband") == 2; }));
 }
 
+/* Guards against a command without an outcome: an instance that has sent it to
+ * a lost leader and then leads itself must propose it. */
+TEST_F(ControlSites, CommandSentToALostLeaderIsCommittedByTheNext)
+{
+	std::vector<std::thread> operators;
+	std::atomic<int> accepted{ 0 };
+	Instance *old;
+
+	start_sites();
+	old = leader();
+	ASSERT_NE(old, nullptr);
+	cut_off(*old, true);
+	for (size_t i = 0; i < SITES; i++)
+		if (all[i].get() != old)
+			operators.emplace_back(
+				[&, i] { accepted += put_table(*all[i], 9); });
+	for (auto &thread : operators)
+		thread.join();
+	EXPECT_EQ(accepted, 2);
+}
+
+/* Guards against a table that comes back older: a leader that is cut off, also
+ * after its restart, answers a read with the newest table or not at all. */
+TEST_F(ControlSites, ReadAtADeposedLeaderIsNotOlder)
+{
+	Instance *old;
+	Instance *other;
+
+	start_sites();
+	ASSERT_TRUE(put_table(*all[SITES], 7));
+	old = leader();
+	ASSERT_NE(old, nullptr);
+	other = all[old == all[0].get() ? 1 : 0].get();
+	EXPECT_EQ(get_table(*old, WAIT_US), 7u);
+	cut_off(*old, true);
+	ASSERT_TRUE(put_table(*other, 9));
+	for (int i = 0; i < 10; i++)
+		EXPECT_NE(get_table(*old, 100000), 7u);
+	old->stop();
+	old->start();
+	for (int i = 0; i < 10; i++)
+		EXPECT_NE(get_table(*old, 100000), 7u);
+	cut_off(*old, false);
+	EXPECT_TRUE(wait_until([&] { return get_table(*old, 500000) == 9; }));
+}
+
 /*
  * Guards the log's bound and the transfer of a snapshot: after more log than is
  * kept, a replica without a disk joins from a snapshot, and restarted replicas
