--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -478,6 +478,31 @@
 	EXPECT_EQ(system.get().body, table(7));
 }
 
+/* Guards against routes that are acknowledged and not served. */
+TEST_F(Platform, AddedRoutesAreServedOnceAcknowledged)
+{
+	std::string added;
+
+	add_a();
+	for (int i = 0; i < 350; i++)
+		added += ",{\"name\":\"added-" + std::to_string(i) +
+			 "\",\"host\":\"host.example\",\"pathPrefix\":"
+			 "\"/added-" +
+			 std::to_string(i) +
+			 "/\",\"kind\":\"safe\",\"timeoutMs\":3000,"
+			 "\"goalMs\":300,\"priority\":1,\"service\":"
+			 "\"plain\",\"maxAttempts\":2}";
+	ASSERT_EQ(system.put(table(7, added)), 200);
+	for (int i = 0; i < 350; i += 7)
+		EXPECT_EQ(system.send("GET",
+				      "/added-" + std::to_string(i) + "/x", ID)
+				  .status(),
+			  200)
+			<< i;
+	ASSERT_EQ(system.put(table(8)), 200);
+	EXPECT_EQ(system.send("GET", "/added-0/x", ID).status(), 404);
+}
+
 TEST_F(Platform, InvalidTablesAreRefused)
 {
 	const std::string route =
