ctl: a leaving endpoint is acknowledged once the entries in contact know it

The same cause as for tables: the acknowledgement followed the commit, and if the leader failed at that moment, entries would have sent the endpoint new work for a failover, 1.2 to 1.8 s, of the 2 s after which it may be gone. Change: the leader holds this result, too. Instances report any update at once that has a table, a document or a leaving endpoint. An endpoint that says again that it leaves is answered by the index of its last change, without waiting.

--- a/src/core/st_endpoint.c
+++ b/src/core/st_endpoint.c
@@ -128,6 +128,17 @@
 	ep->down_ms = state == down ? MAX(ctx->wall_ms, 1) : 0;
 }
 
+/* The endpoint is as the command wants it, since its last change. */
+static Dsp__CommandResult *unchanged(const struct st *ctx,
+				     const struct endpoint *ep)
+{
+	Dsp__CommandResult *result =
+		st_result(ctx, DSP__RESULT_CODE__RESULT_SAME, NULL);
+
+	result->index = ep->item.index;
+	return result;
+}
+
 static Dsp__CommandResult *same_incarnation(struct st *ctx, struct endpoint *ep,
 					    const Dsp__Endpoint *msg)
 {
@@ -148,7 +159,7 @@
 	    !strcmp(ep->msg->address, msg->address) &&
 	    !strcmp(ep->msg->site, msg->site) &&
 	    ep->msg->max_batch == msg->max_batch && ep->msg->role == msg->role)
-		return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME, NULL);
+		return unchanged(ctx, ep);
 	set_state(ctx, ep, state);
 	st_replace_string(&ep->msg->address, msg->address);
 	st_replace_string(&ep->msg->site, msg->site);
@@ -328,8 +339,7 @@
 		else if (ep->leaving)
 			next.state = DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
 		if (same_record(ep->msg, &next))
-			return st_result(ctx, DSP__RESULT_CODE__RESULT_SAME,
-					 NULL);
+			return unchanged(ctx, ep);
 		copy = msg_dup(&next);
 		g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
 		dsp__endpoint__free_unpacked(ep->msg, NULL);
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -252,7 +252,10 @@
 static void resolve(struct ctl *ctx, struct ctl_waiter *waiter,
 		    Dsp__CommandResult *result)
 {
-	if (result && waiter->for_entries && is_accepted(result) &&
+	bool answers = waiter->kind == CTL_WAIT_CALL ||
+		       waiter->kind == CTL_WAIT_FORWARD;
+
+	if (answers && waiter->for_entries && result && is_accepted(result) &&
 	    ctl_raft_is_leader(ctx))
 		ctl_spread_hold(ctx, waiter, result);
 	else
@@ -545,8 +548,17 @@
 /* True when its acknowledgement says that entries serve accordingly. */
 static bool changes_service(const Dsp__Command *command)
 {
-	return command->body_case == DSP__COMMAND__BODY_ROUTE_TABLE_PUT ||
-	       command->body_case == DSP__COMMAND__BODY_DOCUMENT_PUT;
+	switch (command->body_case) {
+	case DSP__COMMAND__BODY_ROUTE_TABLE_PUT:
+	case DSP__COMMAND__BODY_DOCUMENT_PUT:
+		return true;
+	case DSP__COMMAND__BODY_ENDPOINT_PUT:
+		return command->endpoint_put->endpoint &&
+		       command->endpoint_put->endpoint->state ==
+			       DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
+	default:
+		return false;
+	}
 }
 
 /*
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -551,20 +551,30 @@
 
 /* ---- Views ---- */
 
-/* Log index of the newest route table or document. */
-static uint64_t service_index(const struct view *view)
+/* True for changes that the leader acknowledges once the entries have them. */
+static bool is_waited_for(const Dsp__ViewUpdate *update)
 {
-	const Dsp__RouteTable *table = view_route_table(view);
-	uint64_t index = table ? table->index : 0;
+	for (size_t i = 0; i < update->n_records; i++) {
+		const Dsp__ViewRecord *record = update->records[i];
 
-	for (size_t i = 0; i < view_n_documents(view); i++)
-		index = MAX(index, view_document_at(view, i)->document->index);
-	return index;
+		switch (record->body_case) {
+		case DSP__VIEW_RECORD__BODY_ROUTE_TABLE:
+		case DSP__VIEW_RECORD__BODY_DOCUMENT:
+			return true;
+		case DSP__VIEW_RECORD__BODY_ENDPOINT:
+			if (record->endpoint->state ==
+			    DSP__ENDPOINT_STATE__ENDPOINT_LEAVING)
+				return true;
+			break;
+		default:
+			break;
+		}
+	}
+	return false;
 }
 
 static void install_update(struct ctl *ctx, const Dsp__ViewUpdate *update)
 {
-	uint64_t before = service_index(ctx->view);
 	struct view *view;
 
 	if (update->to_index < view_index(ctx->view) ||
@@ -577,8 +587,7 @@
 		return;
 	}
 	ctl_set_view(ctx, view);
-	/* The leader waits to hear of it before it acknowledges. */
-	if (service_index(view) != before)
+	if (is_waited_for(update))
 		ctl_report_soon(ctx, CHANGE_DELAY_US);
 }
 
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -351,6 +351,66 @@
 	}
 }
 
+/* The same for an endpoint that leaves: entries must send it no more work soon
+ * after its acknowledgement. */
+TEST_F(Control, AcknowledgedLeavingIsKnownAtEveryInstance)
+{
+	auto put_endpoint = [](Instance &instance, const std::string &id,
+			       Dsp__EndpointState state) {
+		Dsp__Command command = DSP__COMMAND__INIT;
+		Dsp__EndpointPut change = DSP__ENDPOINT_PUT__INIT;
+		Dsp__Endpoint endpoint = DSP__ENDPOINT__INIT;
+		Dsp__CommandResult *result;
+		bool accepted;
+
+		endpoint.id = (char *)id.c_str();
+		endpoint.incarnation = 5;
+		endpoint.address = (char *)"127.0.0.1:1";
+		endpoint.site = (char *)"north";
+		endpoint.team = (char *)"verband";
+		endpoint.service = (char *)"pressplan";
+		endpoint.kind = DSP__ENDPOINT_KIND__ENDPOINT_SERVICE;
+		endpoint.state = state;
+		change.endpoint = &endpoint;
+		command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
+		command.endpoint_put = &change;
+		result = ctl_submit(instance.ctl, &command, WAIT_US, NULL);
+		accepted = result && is_accepted(result);
+		if (result)
+			dsp__command_result__free_unpacked(result, NULL);
+		return accepted;
+	};
+	/* Without announcements the leader also declares it down. */
+	auto state = [](Instance &instance, const std::string &id) {
+		struct view *view = ctl_view(instance.ctl);
+		const Dsp__Endpoint *e = view_endpoint(view, id.c_str());
+		int state = e ? (int)e->state : -1;
+
+		view_unref(view);
+		return state;
+	};
+
+	create(3, 4, "south");
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_TRUE(wait_until([&] {
+		return leader()->has_status("\"instance\":\"n6\",\"site\"");
+	}));
+	for (int i = 0; i < 20; i++) {
+		std::string id = "r" + std::to_string(i);
+
+		ASSERT_TRUE(put_endpoint(*all[i % all.size()], id,
+					 DSP__ENDPOINT_STATE__ENDPOINT_UP));
+		ASSERT_TRUE(
+			put_endpoint(*all[i % all.size()], id,
+				     DSP__ENDPOINT_STATE__ENDPOINT_LEAVING));
+		for (auto &instance : all)
+			EXPECT_GE(state(*instance, id),
+				  DSP__ENDPOINT_STATE__ENDPOINT_LEAVING)
+				<< instance->id << " " << id;
+	}
+}
+
 /* Guards against acknowledgements that wait for an instance that is gone. */
 TEST_F(Control, LostEntryDoesNotHoldAcknowledgements)
 {
