--- a/tests/tools/lib_proc.c
+++ b/tests/tools/lib_proc.c
@@ -4,6 +4,8 @@
 #include <fcntl.h>
 #include <ftw.h>
 #include <glib.h>
+#include <netinet/in.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -84,33 +86,66 @@
 	waitpid(pid, NULL, 0);
 }
 
-/*
- * Returns a TCP port of 127.0.0.1 that is free now. Ports are chosen below the
- * range of ephemeral ports, so that no outgoing connection takes one before it
- * is listened on; each process starts at its own place.
- */
-uint16_t proc_free_port(void)
+/* Ports of tests, in blocks of one process each. They lie below the range of
+ * ephemeral ports, so that no outgoing connection takes one before it is
+ * listened on. */
+#define PORT_FIRST 10000u
+#define PORT_BLOCKS 20u
+#define PORTS_PER_BLOCK 1000u
+
+static int bind_port(uint16_t port)
 {
-	static _Atomic uint32_t next;
 	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(port);
+	if (!bind(fd, (struct sockaddr *)&address, sizeof(address)))
+		return fd;
+	close(fd);
+	return -1;
+}
 
-	if (!next)
-		next = (uint32_t)getpid() * 61u;
-	for (int i = 0; i < 20000; i++) {
-		uint16_t port = (uint16_t)(10000 + next++ % 20000);
-		int fd = socket(AF_INET, SOCK_STREAM, 0);
-		int rc;
+/* Claims a block for the life of this process by its first port: a port that a
+ * stopped instance will listen on again must not go to another test. */
+static uint32_t claim_block(void)
+{
+	for (uint32_t i = 0; i < PORT_BLOCKS; i++) {
+		uint32_t block = ((uint32_t)getpid() + i) % PORT_BLOCKS;
+		uint32_t first = PORT_FIRST + block * PORTS_PER_BLOCK;
 
-		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		address.sin_port = htons(port);
-		rc = bind(fd, (struct sockaddr *)&address, sizeof(address));
-		close(fd);
-		if (!rc)
-			return port;
+		if (bind_port((uint16_t)first) >= 0)
+			return first;
 	}
 	abort();
 }
 
+/* Returns a TCP port of 127.0.0.1 that is free now. */
+uint16_t proc_free_port(void)
+{
+	static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+	static uint32_t first;
+	static uint32_t next;
+	uint16_t port = 0;
+
+	pthread_mutex_lock(&lock);
+	if (!first)
+		first = claim_block();
+	for (uint32_t i = 1; !port && i < PORTS_PER_BLOCK; i++) {
+		uint32_t at = 1 + next++ % (PORTS_PER_BLOCK - 1);
+		int fd = bind_port((uint16_t)(first + at));
+
+		if (fd < 0)
+			continue;
+		close(fd);
+		port = (uint16_t)(first + at);
+	}
+	pthread_mutex_unlock(&lock);
+	if (!port)
+		abort();
+	return port;
+}
+
 /* Polls a condition; true as soon as it holds. */
 bool proc_wait_for(bool (*condition)(void *data), void *data, int timeout_ms)
 {
