--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -647,6 +647,13 @@
 	return ctx->role == RAFT_LEADER && ctx->commit >= ctx->term_start_index;
 }
 
+/* Returns when the last message of another replica that leads came, in
+ * microseconds; before the first one, when the replica started. */
+int64_t raft_leader_contact_us(const struct raft *ctx)
+{
+	return ctx->leader_contact;
+}
+
 /*
  * Returns when a quorum last answered this leader: the sending time of the
  * message that was answered, in microseconds; 0 when it does not lead or no
--- a/src/node/ctl_form.c
+++ b/src/node/ctl_form.c
@@ -10,6 +10,9 @@
 #define QUERY_INTERVAL_US 300000
 /* Interval at which a new learner repeats its request to join. */
 #define JOIN_INTERVAL_US 500000
+/* A replica without a leader for this time, which is longer than an election,
+ * asks to be taken back: the group may have replaced it. */
+#define REJOIN_AFTER_US (2LL * CTL_S_US)
 
 /* Returns true if a peer or seed of the settings is this instance. */
 bool ctl_form_is_self(const struct ctl *ctx, const struct set_peer *peer)
@@ -121,6 +124,7 @@
 
 	fill_own_member(ctx, &member);
 	request.member = &member;
+	request.group = ctx->raft ? ctx->group : 0;
 	out.body_case = DSP__ENVELOPE__BODY_JOIN_REQUEST;
 	out.join_request = &request;
 	send_to_peers(ctx, &out);
@@ -189,11 +193,44 @@
 		send_group(ctx, list[i]->address, group, &config);
 }
 
-/* Advances group formation or joining, if due. */
+/*
+ * Asks for the replica's return to its group while it hears no leader. The
+ * leader sends nothing to a replica that was replaced while it was away, and
+ * ignores the request of one that is still a member.
+ */
+static void run_rejoin(struct ctl *ctx)
+{
+	int64_t silent_us;
+
+	if (ctl_raft_is_leader(ctx))
+		ctx->led_us = ctx->now_us;
+	silent_us = ctx->now_us -
+		    MAX(ctx->led_us, raft_leader_contact_us(ctx->raft));
+	if (silent_us <= REJOIN_AFTER_US) {
+		ctx->rejoining = false;
+		return;
+	}
+	if (ctx->now_us < ctx->form_due_us)
+		return;
+	if (!ctx->rejoining)
+		LOG_EVENT_NOTICE("ctl", "rejoining",
+				 "replica=%016" G_GINT64_MODIFIER
+				 "x silent_ms=%" G_GINT64_FORMAT,
+				 ctx->replica, silent_us / 1000);
+	ctx->rejoining = true;
+	send_join(ctx);
+	ctx->form_due_us = ctx->now_us + JOIN_INTERVAL_US;
+}
+
+/* Advances group formation, joining or the return to the group, if due. */
 void ctl_form_run(struct ctl *ctx)
 {
 	enum ctl_form_action action;
 
+	if (ctx->raft) {
+		run_rejoin(ctx);
+		return;
+	}
 	if (!ctx->forming || ctx->now_us < ctx->form_due_us)
 		return;
 	if (!ctx->joining) {
@@ -308,8 +345,10 @@
 }
 
 /*
- * Handles the request of a new replica to join the group. The leader stores it;
- * any other replica forwards it to the leader, which the sender may not know.
+ * Handles the request of a replica to join the group. The leader stores it; any
+ * other replica forwards it to the leader, which the sender may not know. A
+ * replica that returns with its old log must hold a log of this group, since
+ * entries of equal index and term are taken to be equal.
  */
 void ctl_form_join(struct ctl *ctx, const Dsp__Envelope *from,
 		   const Dsp__JoinRequest *request)
@@ -332,6 +371,18 @@
 		g_hash_table_remove(ctx->joins, &m->replica);
 		return;
 	}
+	if (request->group && request->group != ctx->group) {
+		LOG_EVENT_WARN("ctl", "join_refused",
+			       "node=%s replica=%016" G_GINT64_MODIFIER
+			       "x group=%016" G_GINT64_MODIFIER "x",
+			       m->node, m->replica, request->group);
+		return;
+	}
+	if (!g_hash_table_contains(ctx->joins, &m->replica))
+		LOG_EVENT_NOTICE("ctl", "join_requested",
+				 "node=%s replica=%016" G_GINT64_MODIFIER
+				 "x returns=%d",
+				 m->node, m->replica, request->group != 0);
 	join = g_new0(struct ctl_join, 1);
 	join->member = msg_dup(m);
 	join->heard_us = ctx->now_us;
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -276,9 +276,11 @@
 	struct ctl_forwards forwards_done; /* committed, oldest first */
 
 	/* Formation of the group, and joining it. */
-	char **seeds; /* addresses of control instances to query; owned */
-	bool forming; /* the replica has no group yet */
-	bool joining; /* forming, and another instance has a group */
+	char **seeds;	/* addresses of control instances to query; owned */
+	bool forming;	/* the replica has no group yet */
+	bool joining;	/* forming, and another instance has a group */
+	bool rejoining; /* hears no leader and asks to be taken back */
+	int64_t led_us; /* last time that this replica led; 0: never */
 	int64_t form_due_us;
 	struct ctl_form_answer *form_answers; /* other initial voters */
 	size_t n_form_answers;
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -29,9 +29,11 @@
 /* How long copies derived from orders override an endpoint's own announcement.
  * The edge's order agent announces them every second. */
 #define ORDER_COPIES_VALID_US (4LL * CTL_S_US)
-/* A replica silent for longer may be replaced. Restarts are shorter, so a
- * restarting voter stays a member. */
-#define REPLACEABLE_AFTER_US (6LL * CTL_S_US)
+/* A voter silent for longer is replaced by a learner. This is longer than a
+ * lost connection takes to be replaced, and shorter than the time between
+ * faults that the group must bear one after the other. A voter that returns is
+ * taken back as a learner, so that a replacement without need does no harm. */
+#define REPLACEABLE_AFTER_US (2LL * CTL_S_US)
 
 static bool propose(struct ctl *ctx, Dsp__Command *command)
 {
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -9407,7 +9407,7 @@
   (ProtobufCMessageInit) dsp__form_group__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__join_request__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dsp__join_request__field_descriptors[2] =
 {
   {
     "member",
@@ -9421,14 +9421,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "group",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__JoinRequest, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__join_request__field_indices_by_name[] = {
+  1,   /* field[1] = group */
   0,   /* field[0] = member */
 };
 static const ProtobufCIntRange dsp__join_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor dsp__join_request__descriptor =
 {
@@ -9438,7 +9451,7 @@
   "Dsp__JoinRequest",
   "dsp",
   sizeof(Dsp__JoinRequest),
-  1,
+  2,
   dsp__join_request__field_descriptors,
   dsp__join_request__field_indices_by_name,
   1,  dsp__join_request__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -122,14 +122,14 @@
   DSP__ORDER_KIND__ORDER_UNLOAD = 1,
   DSP__ORDER_KIND__ORDER_ROLE = 2,
   /*
-   * no effect but the fence itself
+   * only raises the fence
    */
   DSP__ORDER_KIND__ORDER_FENCE = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__ORDER_KIND)
 } Dsp__OrderKind;
 typedef enum _Dsp__OrderState {
   /*
-   * committed; may be sent, may arrive
+   * committed; may be on its way to the endpoint
    */
   DSP__ORDER_STATE__ORDER_PENDING = 0,
   DSP__ORDER_STATE__ORDER_DONE = 1,
@@ -138,7 +138,7 @@
    */
   DSP__ORDER_STATE__ORDER_REFUSED = 2,
   /*
-   * it provably can no longer have an effect
+   * can no longer have an effect
    */
   DSP__ORDER_STATE__ORDER_VOID = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__ORDER_STATE)
@@ -172,7 +172,7 @@
    */
   DSP__RESULT_CODE__RESULT_SAME = 1,
   /*
-   * document number or claim taken
+   * document number or claim is taken
    */
   DSP__RESULT_CODE__RESULT_CONFLICT = 2,
   DSP__RESULT_CODE__RESULT_INVALID = 3,
@@ -191,15 +191,15 @@
   DSP__RESULT_CODE__RESULT_STALE = 7,
   DSP__RESULT_CODE__RESULT_QUARANTINED = 8,
   /*
-   * another suspect runs on this endpoint
+   * the suspect runs elsewhere, or another one on this endpoint
    */
   DSP__RESULT_CODE__RESULT_BUSY = 9,
   /*
-   * not applied by this reply's sender
+   * the sender of this reply did not apply the command
    */
   DSP__RESULT_CODE__RESULT_NOT_LEADER = 10,
   /*
-   * outcome not known
+   * it is unknown whether the command was applied
    */
   DSP__RESULT_CODE__RESULT_UNAVAILABLE = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__RESULT_CODE)
@@ -258,13 +258,13 @@
 {
   ProtobufCMessage base;
   /*
-   * pre-vote: asks only, changes no term
+   * pre-vote: does not change the term of the receiver
    */
   protobuf_c_boolean pre;
   uint64_t last_index;
   uint64_t last_term;
   /*
-   * asked for by the leader: voters skip the leader check
+   * leadership transfer: voters skip the check for a live leader
    */
   protobuf_c_boolean transfer;
 };
@@ -291,7 +291,7 @@
   uint64_t prev_term;
   uint64_t commit;
   /*
-   * echoed, so that the leader can time its contact
+   * echoed; tells the leader the time of its last contact
    */
   uint64_t sequence;
   size_t n_entries;
@@ -307,16 +307,16 @@
   ProtobufCMessage base;
   protobuf_c_boolean success;
   /*
-   * highest index known to match and synced
+   * highest index that matches the leader's log and is synced
    */
   uint64_t match;
   /*
-   * on failure: where the leader should try next
+   * on failure: index that the leader should try next
    */
   uint64_t hint;
   uint64_t sequence;
   /*
-   * on failure: the follower's term at hint
+   * on failure: term of the follower's entry at hint
    */
   uint64_t hint_term;
 };
@@ -359,7 +359,7 @@
 {
   ProtobufCMessage base;
   /*
-   * older than the last append seen: out of date
+   * stale if below that of the last AppendRequest seen
    */
   uint64_t sequence;
 };
@@ -409,7 +409,7 @@
   char *team;
   uint64_t number;
   /*
-   * log index of its acceptance
+   * log index at which it was accepted
    */
   uint64_t index;
   /*
@@ -444,8 +444,8 @@
   protobuf_c_boolean kv_transfer;
   protobuf_c_boolean roles;
   /*
-   * An order names the number of orders that the engine must have accepted
-   * before, so a late order has no effect and needs no ledger.
+   * An order carries the number of orders that the engine must have accepted
+   * before it, so a delayed order has no effect and no memory is reserved.
    */
   protobuf_c_boolean sequenced;
 };
@@ -466,7 +466,7 @@
   uint32_t first_accelerator;
   uint32_t accelerators;
   /*
-   * load order that made it
+   * id of the load order that created it
    */
   uint64_t order;
   /*
@@ -478,7 +478,7 @@
    */
   protobuf_c_boolean ready;
   /*
-   * no new work
+   * takes no new requests
    */
   protobuf_c_boolean unloading;
 };
@@ -582,7 +582,7 @@
   ProtobufCBinaryData digest;
   char *attempt;
   /*
-   * instance that owns the attempt
+   * instance that runs the attempt
    */
   char *node;
   uint64_t boot;
@@ -593,6 +593,9 @@
   uint32_t status;
   char *content_type;
   ProtobufCBinaryData body;
+  /*
+   * too large, or evicted
+   */
   protobuf_c_boolean body_dropped;
 };
 #define DSP__CLAIM__INIT \
@@ -642,11 +645,11 @@
   Dsp__RouteKind kind;
   uint32_t timeout_ms;
   /*
-   * response, or first event of a stream
+   * target time to the response, or first event of a stream
    */
   uint32_t objective_ms;
   /*
-   * longest pause between events
+   * target time between events of a stream
    */
   uint32_t gap_objective_ms;
   /*
@@ -654,15 +657,15 @@
    */
   uint32_t rank;
   /*
-   * endpoints that one request may be sent to
+   * number of endpoints that a request may be sent to
    */
   uint32_t attempts_max;
   /*
-   * a stream goes on elsewhere at an event id
+   * streams can continue elsewhere at an event id
    */
   protobuf_c_boolean resumable;
   /*
-   * prompts share cached parts
+   * prompts share prefixes that engines can cache
    */
   protobuf_c_boolean shares_prefix;
   size_t n_splits;
@@ -710,11 +713,11 @@
   uint32_t memory_mb;
   uint32_t adapter_places;
   /*
-   * over all endpoints
+   * sum over all endpoints
    */
   double store_loads_per_s;
   /*
-   * requests at once
+   * concurrent requests
    */
   uint32_t batch;
   uint64_t cache_tokens;
@@ -740,7 +743,7 @@
    */
   uint32_t connections_max;
   /*
-   * absent: plain service
+   * absent: not an inference engine
    */
   Dsp__EngineSpec *engine;
 };
@@ -776,7 +779,7 @@
    */
   ProtobufCBinaryData source;
   /*
-   * log index of its acceptance
+   * log index at which it was accepted
    */
   uint64_t index;
 };
@@ -864,12 +867,12 @@
   ProtobufCMessage base;
   uint64_t order;
   /*
-   * done or refused; only the state machine voids
+   * done or refused; only the state machine sets void
    */
   Dsp__OrderState state;
   /*
-   * The leader that proposes this created the order in its current term and
-   * sent it exactly once. Set only on a proposal that is not forwarded.
+   * The leader that proposes this command created the order in its current
+   * term and sent it exactly once. Never set on a forwarded proposal.
    */
   protobuf_c_boolean sent_once;
 };
@@ -1066,7 +1069,7 @@
   Dsp__ResultCode code;
   char *message;
   /*
-   * log index of the effect
+   * log index at which the command took effect
    */
   uint64_t index;
   /*
@@ -1105,7 +1108,8 @@
 
 
 /*
- * Memory held for one copy on one span of accelerators of an endpoint.
+ * Memory reserved for one copy on a range of consecutive accelerators of an
+ * endpoint.
  */
 struct  Dsp__Reservation
 {
@@ -1121,7 +1125,7 @@
    */
   uint32_t memory_mb;
   /*
-   * load order of the listed copy
+   * id of the load order of the listed copy
    */
   uint64_t order;
   /*
@@ -1129,26 +1133,29 @@
    */
   protobuf_c_boolean resident;
   /*
-   * in the last residency report
+   * contained in the last residency report
    */
   protobuf_c_boolean listed;
   protobuf_c_boolean ready;
   protobuf_c_boolean unloading;
   /*
-   * last answered load that may be delivered again
+   * id of the last answered load that may be delivered again
    */
   uint64_t repeatable;
+  /*
+   * id of the last load order; 0: none
+   */
   uint64_t last_load;
   /*
    * log index of the last answer to a load
    */
   uint64_t last_finish;
   /*
-   * of an incarnation that was replaced
+   * belongs to an incarnation that was replaced
    */
   protobuf_c_boolean retired;
   /*
-   * with retired
+   * set if retired
    */
   uint64_t incarnation;
 };
@@ -1168,7 +1175,7 @@
   size_t n_old_incarnations;
   uint64_t *old_incarnations;
   /*
-   * highest fence known to be seen by the engine
+   * highest fence that the engine is known to have seen
    */
   uint64_t fence;
   uint64_t down_ms;
@@ -1218,7 +1225,7 @@
 
 /*
  * A snapshot is a sequence of frames: length (4 bytes, little endian) and one
- * StateSnapshot with a part of the records.
+ * StateSnapshot with some of the records.
  */
 struct  Dsp__StateSnapshot
 {
@@ -1335,7 +1342,7 @@
    */
   char *leader;
   /*
-   * since the leader last had a quorum
+   * time since a quorum last confirmed the leader
    */
   uint32_t confirmed_age_ms;
   size_t n_records;
@@ -1343,7 +1350,7 @@
   size_t n_loads;
   Dsp__LoadReport **loads;
   /*
-   * node ids, one a site
+   * node ids, one for each site
    */
   size_t n_relays;
   char **relays;
@@ -1378,8 +1385,8 @@
   size_t n_results;
   Dsp__OrderResult **results;
   /*
-   * Only the copies, as the leader knows them that gives the orders; never sent
-   * to another instance.
+   * Made by the leader that sends the orders, and carries only the copies that
+   * it knows of; never sent to another instance.
    */
   protobuf_c_boolean from_orders;
 };
@@ -1414,7 +1421,8 @@
 
 
 /*
- * How fast an engine read the prompts of one entry since its last report.
+ * Prompt processing (prefill) speed of an engine, as measured by one entry since
+ * its last report.
  */
 struct  Dsp__Pace
 {
@@ -1422,8 +1430,8 @@
   char *endpoint;
   uint64_t incarnation;
   /*
-   * Prompts that were the only ones which the sender had at the endpoint, and
-   * the times until their first bytes.
+   * Tokens of prompts sent while the sender had no other request at the
+   * endpoint, and sum of the times until the first byte of their responses.
    */
   uint64_t read_tokens;
   uint64_t read_us;
@@ -1453,7 +1461,7 @@
 {
   ProtobufCMessage base;
   /*
-   * the sender and those it relays for
+   * the sender and the instances that it relays for
    */
   size_t n_nodes;
   Dsp__NodeStatus **nodes;
@@ -1464,7 +1472,7 @@
   size_t n_paces;
   Dsp__Pace **paces;
   /*
-   * relays passed; stops reports that circulate
+   * number of relays passed; stops reports that circulate
    */
   uint32_t hops;
 };
@@ -1481,7 +1489,7 @@
   uint64_t boot;
   ProtobufCBinaryData command;
   /*
-   * instead of command: remove this replica
+   * if set, there is no command: remove this replica
    */
   uint64_t replace_replica;
 };
@@ -1550,10 +1558,14 @@
 {
   ProtobufCMessage base;
   Dsp__Member *member;
+  /*
+   * whose log the replica holds; 0: its log is empty
+   */
+  uint64_t group;
 };
 #define DSP__JOIN_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__join_request__descriptor) \
-    , NULL }
+    , NULL, 0 }
 
 
 struct  Dsp__AnswerQuery
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -178,7 +178,6 @@
 
 	void configure(Instance &instance)
 	{
-		GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
 		std::string address =
 			"127.0.0.1:" + std::to_string(instance.port);
 		std::string text = "id = \"" + instance.id + "\"\nsite = \"" +
@@ -203,6 +202,13 @@
 					std::to_string(peer->port) +
 					"\"\nsite = \"" + peer->site + "\"\n" +
 					via(instance, *peer);
+		parse(instance, text);
+	}
+
+	void parse(Instance &instance, const std::string &text)
+	{
+		GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+
 		instance.settings =
 			set_parse("test", text.c_str(), text.size(), faults);
 		for (guint i = 0; i < faults->len; i++)
@@ -814,6 +820,203 @@
 	EXPECT_TRUE(wait_until([&] { return get_table(*old, 500000) == 9; }));
 }
 
+/* Control instances that find each other through three seeds. One more than the
+ * group wants voters is a learner. */
+class ControlSeeds : public Control
+{
+      protected:
+	static constexpr size_t SEEDS = 3;
+	size_t voters = 0;
+
+	/* Starts the control instances of a group that bears the loss of this
+	 * many disks at once, each on an address of its own. */
+	void start_seeded(size_t losses)
+	{
+		size_t n = 2 * losses + 2;
+		int port = proc_free_port();
+		std::string seeds;
+
+		voters = 2 * losses + 1;
+		for (size_t i = 0; i < SEEDS; i++)
+			seeds += (i ? ", \"" : "\"") + ip(i) + ":1\"";
+		for (size_t i = 0; i < n; i++) {
+			auto instance = std::make_unique<Instance>();
+
+			instance->id = "n" + std::to_string(i);
+			instance->port = port;
+			instance->folder = root + "/" + instance->id;
+			all.push_back(std::move(instance));
+			parse(*all[i],
+			      "id = \"" + all[i]->id +
+				      "\"\nsite = \"north\"\nregion = \"r\"\n"
+				      "control = true\nbootstrap = true\n"
+				      "losses = " +
+				      std::to_string(losses) +
+				      "\ndata_folder = \"" + all[i]->folder +
+				      "\"\ninternal_listen = \"tcp://" + ip(i) +
+				      ":" + std::to_string(port) +
+				      "\"\nhttp_listen = \"" + ip(i) +
+				      ":1\"\nseeds = [" + seeds +
+				      "]\n[timing]\nelection_timeout_ms = 300\n"
+				      "heartbeat_ms = 50\n"
+				      "report_interval_ms = 200\n"
+				      "node_lease_ms = 2000\n"
+				      "isolated_after_ms = 2000\n");
+		}
+		start_all();
+		ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+		ASSERT_TRUE(wait_until([&] { return is_complete(); }));
+	}
+
+	static std::string ip(size_t i)
+	{
+		return "127.0.0." + std::to_string(i + 1);
+	}
+
+	bool is_in_state(const Instance &instance, const char *state)
+	{
+		Instance *at = leader();
+
+		return at &&
+		       at->has_status("\"instance\":\"" + instance.id +
+				      "\",\"site\":\"north\",\"state\":\"" +
+				      state + "\"");
+	}
+
+	size_t count_members(const char *state)
+	{
+		size_t n = 0;
+
+		for (auto &instance : all)
+			n += is_in_state(*instance, state);
+		return n;
+	}
+
+	/* True when every instance is a member of the group with the disk that
+	 * it has now, all but one as voters. */
+	bool is_complete()
+	{
+		Instance *at = leader();
+
+		for (auto &instance : all)
+			if (!at ||
+			    !at->has_status("{\"replica\":\"" +
+					    replica_of(*instance) + "\""))
+				return false;
+		return count_members("voter") == voters &&
+		       count_members("learner") == 1;
+	}
+
+	/* Returns the identity of the instance's replica, or "none". */
+	static std::string replica_of(Instance &instance)
+	{
+		const std::string key = ",\"replica\":\"";
+		char *json = ctl_status_json(instance.ctl);
+		std::string text = json;
+		size_t at = text.rfind(key);
+
+		g_free(json);
+		if (at == std::string::npos)
+			return "none";
+		at += key.size();
+		return text.substr(at, text.find('"', at) - at);
+	}
+
+	void lose_disk(const Instance &instance)
+	{
+		std::string command = "rm -rf " + instance.folder;
+
+		ASSERT_EQ(system(command.c_str()), 0);
+	}
+
+	/* Stops a voter until the learner has taken its place, and starts it
+	 * again with the disk that it had. */
+	void replace_and_return(Instance &voter)
+	{
+		voter.stop();
+		ASSERT_TRUE(wait_until([&] {
+			return !is_in_state(voter, "voter") &&
+			       count_members("voter") == voters;
+		})) << voter.id
+		    << " was not replaced";
+		voter.start();
+	}
+};
+
+/*
+ * Guards against a group that replacements use up: a voter that was replaced
+ * while it was away returns with its old disk and is taken back without an
+ * operator, so that it can take the place of the next voter that is lost.
+ */
+TEST_F(ControlSeeds, ReplacedVoterThatReturnsIsTakenBack)
+{
+	start_seeded(1);
+	for (size_t i = 0; i < voters; i++) {
+		ASSERT_TRUE(put_table(*all[i], i + 1));
+		replace_and_return(*all[i]);
+		ASSERT_TRUE(wait_until([&] { return is_complete(); }))
+			<< all[i]->id << " was not taken back";
+	}
+	EXPECT_TRUE(put_table(*all[0], 9));
+	for (auto &instance : all)
+		EXPECT_EQ(get_table(*instance, WAIT_US), 9u);
+}
+
+/*
+ * Guards against faults that come one after the other while two voters of five
+ * are away: CONTACT_US later a third voter loses its disk and the rest lose
+ * power. The learner must have taken a voter's place by then, or there is no
+ * majority until the two return. After two such rounds, all lose power and as
+ * many disks are lost as the group bears.
+ */
+TEST_F(ControlSeeds, OutlastsALostDiskWhileTwoVotersAreAway)
+{
+	/* The shortest time that the platform leaves between two faults. */
+	const useconds_t CONTACT_US = 3000000;
+	uint64_t table = 0;
+
+	start_seeded(2);
+	for (int round = 0; round < 2; round++) {
+		std::vector<Instance *> away;
+		std::vector<Instance *> others;
+
+		for (auto &instance : all)
+			if (away.size() < 2 && leader() != instance.get() &&
+			    is_in_state(*instance, "voter"))
+				away.push_back(instance.get());
+			else
+				others.push_back(instance.get());
+		/* The learner is among the others; the last voter of them loses
+		 * its disk. */
+		if (is_in_state(*others.back(), "learner"))
+			std::swap(others[0], others.back());
+		for (Instance *instance : away)
+			instance->stop();
+		usleep(CONTACT_US);
+		ASSERT_TRUE(put_table(*others[0], ++table));
+		for (Instance *instance : others)
+			instance->stop();
+		lose_disk(*others.back());
+		for (Instance *instance : others)
+			instance->start();
+		EXPECT_TRUE(wait_until([&] { return leader() != nullptr; }))
+			<< "no leader in round " << round;
+		EXPECT_TRUE(put_table(*others[0], ++table));
+		for (Instance *instance : away)
+			instance->start();
+		ASSERT_TRUE(wait_until([&] { return is_complete(); }));
+	}
+	for (auto &instance : all)
+		instance->stop();
+	lose_disk(*all[0]);
+	lose_disk(*all[1]);
+	start_all();
+	for (auto &instance : all)
+		EXPECT_TRUE(wait_until([&] {
+			return get_table(*instance, 500000) == table;
+		})) << instance->id;
+}
+
 /*
  * Bounded log and snapshot transfer: when more has been logged than is kept, a
  * replica that lost its disk joins from a snapshot, and restarted replicas load
