--- a/src/net/net.c
+++ b/src/net/net.c
@@ -19,6 +19,9 @@
 /* A dead connection is detected within the silence limit, well before nodes
  * and endpoints lose their leases of a few seconds. */
 #define PING_INTERVAL_US 500000
+/* Interval of the checks of all connections. A check may cost a system call for
+ * each of some hundred connections. */
+#define PROBE_INTERVAL_US 100000
 #define SILENCE_LIMIT_US 1500000
 /* Longest delay between connection attempts. Kept short because callers of a
  * restarted instance wait for its first view. */
@@ -49,19 +52,21 @@
 };
 
 struct net {
-	void *zmq;	    /* owned */
-	void *router;	    /* owned */
-	char *node;	    /* owned */
-	char *advertise;    /* owned */
-	uint64_t boot;	    /* fixed */
-	GHashTable *peers;  /* address -> struct peer, owned */
-	GHashTable *routes; /* address -> address to connect to */
-	int64_t now_us;	    /* time of the last net_tick() */
+	void *zmq;	      /* owned */
+	void *router;	      /* owned */
+	char *node;	      /* owned */
+	char *advertise;      /* owned */
+	uint64_t boot;	      /* fixed */
+	GHashTable *peers;    /* address -> struct peer, owned */
+	GHashTable *routes;   /* address -> address to connect to */
+	int64_t now_us;	      /* time of the last net_tick() */
+	int64_t probe_due_us; /* next check of all connections */
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
 	uint64_t malformed;
 	uint64_t dropped;
 	uint64_t resets;
+	uint64_t probes;
 };
 
 G_DEFINE_QUARK(net - error - quark, net_error)
@@ -314,8 +319,12 @@
 {
 	char pong[1];
 
-	while (zmq_recv(p->socket, pong, sizeof(pong), ZMQ_DONTWAIT) >= 0)
-		p->unanswered_ping_us = 0;
+	if (p->unanswered_ping_us) {
+		ctx->probes++;
+		while (zmq_recv(p->socket, pong, sizeof(pong), ZMQ_DONTWAIT) >=
+		       0)
+			p->unanswered_ping_us = 0;
+	}
 	if (p->unanswered_ping_us &&
 	    ctx->now_us - p->unanswered_ping_us > SILENCE_LIMIT_US)
 		return true;
@@ -344,6 +353,9 @@
 	struct peer *p;
 
 	ctx->now_us = now_us;
+	if (now_us < ctx->probe_due_us)
+		return;
+	ctx->probe_due_us = now_us + PROBE_INTERVAL_US;
 	g_hash_table_iter_init(&iter, ctx->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&p)) {
 		if (p->n_queued)
@@ -462,6 +474,12 @@
 	return ctx->dropped;
 }
 
+/* Returns how often a connection was checked for the answer to a ping. */
+uint64_t net_probes(const struct net *ctx)
+{
+	return ctx->probes;
+}
+
 /* Returns how many connections were closed by net_reset() or as dead. */
 uint64_t net_resets(const struct net *ctx)
 {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -39,5 +39,6 @@
 uint64_t net_malformed(const struct net *ctx);
 uint64_t net_dropped(const struct net *ctx);
 uint64_t net_resets(const struct net *ctx);
+uint64_t net_probes(const struct net *ctx);
 
 #endif
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -194,6 +194,28 @@
 	EXPECT_GE(net_resets(a), 1u);
 }
 
+/* Guards against a system call for each connection whenever the thread wakes
+ * up: their number grows with that of the instances that report here. */
+TEST_F(Net, ConnectionsAreNotCheckedAtEachWakeUp)
+{
+	Dsp__Envelope *e;
+	uint64_t before;
+
+	net_tick(a, now);
+	send_id(1);
+	e = receive_at_b();
+	ASSERT_NE(e, nullptr);
+	dsp__envelope__free_unpacked(e, NULL);
+	before = net_probes(a);
+	/* A second, with a wake-up each millisecond and a ping each half. */
+	for (int i = 0; i < 1000; i++) {
+		now += 1000;
+		net_tick(a, now);
+	}
+	EXPECT_LE(net_probes(a) - before, 10u);
+	EXPECT_GE(net_probes(a) - before, 1u);
+}
+
 /* Guards against a wait that does not end when wake is readable. */
 TEST_F(Net, WakeEndsTheWait)
 {
