--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -15,8 +15,11 @@
 #define REPLICA_SLEEP_US 20000
 #define ENTRY_SLEEP_US 50000
 #define SLEEP_MIN_US 1000
-/* Messages handled in one iteration, which syncs the log once for all. */
+/* Messages handled in one iteration, which syncs the log once for all: at most
+ * this many, and no further one after this time. Votes and heartbeats must not
+ * wait for an election timeout behind the reports of all instances. */
 #define BATCH_MAX 4096
+#define BATCH_US 30000
 /* Time limit of the leadership transfer before the thread ends. */
 #define TRANSFER_LIMIT_US CTL_S_US
 
@@ -181,6 +184,8 @@
 			return;
 		handle_message(ctx, e);
 		dsp__envelope__free_unpacked(e, NULL);
+		if (clk_now_us(ctx->clock) - ctx->now_us > BATCH_US)
+			return;
 	}
 }
 
@@ -465,6 +470,7 @@
 	ctx->seeds = list_seeds(ctx, settings);
 	ctx->now_us = clk_now_us(clock);
 	ctx->up.since_us = ctx->now_us;
+	ctx->up.spread = (uint8_t)ctx->boot;
 	ctx->view = view_new_empty();
 	ctx->wake_fd = -1;
 	ctx->addresses = table_by_string(g_free);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -156,8 +156,9 @@
 	char *node;    /* owned */
 	char *address; /* owned */
 	uint64_t boot;
-	uint64_t sent_index; /* view index after the updates sent to it */
-	int64_t sent_us;     /* last update with changes */
+	uint64_t sent_index;	   /* view index after the updates sent to it */
+	int64_t sent_us;	   /* last update with changes */
+	int64_t sent_confirmed_us; /* confirmation in the last update */
 	int64_t heard_us;
 	bool due; /* needs an update without waiting for the next round */
 };
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -409,6 +409,26 @@
 	ctl_send(ctx, address, &out);
 }
 
+static void query_candidates(struct ctl *ctx,
+			     const struct ctl_upstream_input *in)
+{
+	const char **candidates;
+	size_t n = ctl_up_candidates(&ctx->up, in, &candidates);
+
+	for (size_t i = 0; i < n; i++)
+		send_view_query(ctx, candidates[i]);
+	g_free(candidates);
+}
+
+/* Returns the microseconds between two reports while the upstream works. */
+static int64_t report_interval_us(const struct ctl *ctx)
+{
+	int64_t interval_us = (int64_t)ctx->set->report_interval_ms * 1000;
+
+	return ctx->confirmed_us ? interval_us
+				 : MIN(interval_us, FIRST_REPORT_US);
+}
+
 static void choose_upstream(struct ctl *ctx)
 {
 	struct ctl_upstream_input in = {
@@ -419,8 +439,6 @@
 	};
 	const Dsp__Node **nodes;
 	const char **voters;
-	const char **candidates;
-	size_t n_candidates;
 
 	/* A replica reports to the leader directly: there are few, and the
 	 * leader sends them messages anyway. */
@@ -435,22 +453,12 @@
 	in.voters = voters;
 	if (ctl_up_designate(&ctx->up, ctl_rule_upstream(&in, 0)))
 		log_upstream(ctx, "upstream");
-	n_candidates = ctl_up_candidates(&ctx->up, &in, &candidates);
-	for (size_t i = 0; i < n_candidates; i++)
-		send_view_query(ctx, candidates[i]);
-	g_free(candidates);
+	if (ctl_up_begin_round(&ctx->up, ctx->now_us, report_interval_us(ctx)))
+		query_candidates(ctx, &in);
 	g_free(nodes);
 	g_free(voters);
 }
 
-static int64_t report_interval_us(const struct ctl *ctx)
-{
-	int64_t interval_us = (int64_t)ctx->set->report_interval_ms * 1000;
-
-	return ctx->confirmed_us ? interval_us
-				 : MIN(interval_us, FIRST_REPORT_US);
-}
-
 /* Sends the report when it is due. */
 void ctl_report_run(struct ctl *ctx)
 {
@@ -468,7 +476,9 @@
 		return;
 	if (!ctx->ready_leader)
 		choose_upstream(ctx);
-	ctx->report_due_us = ctx->now_us + report_interval_us(ctx);
+	ctx->report_due_us =
+		ctx->now_us +
+		ctl_up_interval_us(&ctx->up, report_interval_us(ctx));
 	if (ctx->ready_leader || ctx->up.address)
 		send_report(ctx);
 }
@@ -808,6 +818,14 @@
 	dsp__view_update__free_unpacked(update, NULL);
 }
 
+/* Returns true if this instance has a confirmation or loads that the child has
+ * not got. Without contact to the leader it has none. */
+static bool is_newer(const struct ctl *ctx, const struct ctl_child *child,
+		     const struct round *round)
+{
+	return round->n_loads || ctx->confirmed_us != child->sent_confirmed_us;
+}
+
 static void push_round(struct ctl *ctx, bool all)
 {
 	struct round round = {
@@ -825,10 +843,11 @@
 			g_hash_table_iter_remove(&iter);
 			continue;
 		}
-		if (!all && !child->due &&
-		    child->sent_index >= view_index(ctx->view))
+		if (!child->due && child->sent_index >= view_index(ctx->view) &&
+		    (!all || !is_newer(ctx, child, &round)))
 			continue;
 		child->due = false;
+		child->sent_confirmed_us = ctx->confirmed_us;
 		send_update(ctx, child->address,
 			    update_since(ctx, &round, child->sent_index));
 		if (child->sent_index < view_index(ctx->view))
--- a/src/node/ctl_up.c
+++ b/src/node/ctl_up.c
@@ -4,6 +4,12 @@
 
 /* Attempts of ctl_rule_upstream() that come before the voters. */
 #define NAMED_UPSTREAMS 2
+/* Longest interval of queries. An instance sends updates to those that asked in
+ * the last two seconds, so that one that has found the leader passes the view
+ * on without being asked again. */
+#define INTERVAL_MAX_US 1000000
+/* The interval is stretched by up to this share of itself. */
+#define SPREAD_SHARE 4
 
 static bool replace(char **to, const char *address)
 {
@@ -60,7 +66,41 @@
 
 	up->failing = ctl_rule_upstream_failed(up->since_us, confirmed_us,
 					       now_us, limit_us);
-	return up->failing && !before;
+	if (up->failing && before)
+		return false;
+	up->rounds = 0;
+	if (up->failing)
+		up->round_due_us = now_us;
+	return up->failing;
+}
+
+/*
+ * The interval doubles with each round without a confirmation. Without a
+ * leader, all instances of the system query the same few control instances,
+ * which need their processor time to elect one.
+ */
+int64_t ctl_up_interval_us(const struct ctl_up *up, int64_t interval_us)
+{
+	int64_t longest_us = MAX(interval_us, INTERVAL_MAX_US);
+
+	if (!up->failing || !up->rounds)
+		return interval_us;
+	for (unsigned i = 1; i < up->rounds && interval_us < longest_us; i++)
+		interval_us *= 2;
+	interval_us = MIN(interval_us, longest_us);
+	return interval_us +
+	       interval_us * up->spread / (SPREAD_SHARE * (UINT8_MAX + 1));
+}
+
+/* Returns true if a round of queries is due at now_us, and plans the next
+ * one. */
+bool ctl_up_begin_round(struct ctl_up *up, int64_t now_us, int64_t interval_us)
+{
+	if (now_us < up->round_due_us)
+		return false;
+	up->rounds++;
+	up->round_due_us = now_us + ctl_up_interval_us(up, interval_us);
+	return true;
 }
 
 /* Returns true for the upstream's address. Its own confirmation must not be
--- a/src/node/ctl_up.h
+++ b/src/node/ctl_up.h
@@ -16,10 +16,13 @@
  * returns to use in the same way. The caller passes the time.
  */
 struct ctl_up {
-	char *address;	  /* NULL: none yet; owned */
-	char *designated; /* by the leader's choice of relays; owned */
-	int64_t since_us; /* start of the search for the first upstream */
-	bool failing;	  /* has not confirmed the view in time */
+	char *address;	      /* NULL: none yet; owned */
+	char *designated;     /* by the leader's choice of relays; owned */
+	int64_t since_us;     /* start of the search for the first upstream */
+	bool failing;	      /* has not confirmed the view in time */
+	unsigned rounds;      /* rounds of queries since it fails */
+	int64_t round_due_us; /* next round */
+	uint8_t spread; /* differs between instances, so that their rounds do */
 };
 
 /* Commands. */
@@ -34,7 +37,13 @@
 bool ctl_up_check(struct ctl_up *up, int64_t confirmed_us, int64_t now_us,
 		  int64_t limit_us);
 
+/* Returns true if a round of queries is due, and plans the next one. */
+bool ctl_up_begin_round(struct ctl_up *up, int64_t now_us, int64_t interval_us);
+
 /* Queries. */
+/* Microseconds between two rounds of queries, and between two reports while the
+ * upstream fails; interval_us: the same while it works. */
+int64_t ctl_up_interval_us(const struct ctl_up *up, int64_t interval_us);
 /* Whether the instance at this address is the upstream. */
 bool ctl_up_is(const struct ctl_up *up, const char *address);
 /* Addresses of other instances to query for a confirmed view; valid as long as
--- a/tests/unit/ctl_up_test.cc
+++ b/tests/unit/ctl_up_test.cc
@@ -204,11 +204,13 @@
 		in.voters = voters.data();
 		in.n_voters = voters.size();
 		ctl_up_designate(&x->up, ctl_rule_upstream(&in, 0));
-		n = ctl_up_candidates(&x->up, &in, &candidates);
-		queries += n;
-		for (size_t i = 0; i < n; i++)
-			deliver(x, by_address(candidates[i]));
-		g_free(candidates);
+		if (ctl_up_begin_round(&x->up, now(), REPORT)) {
+			n = ctl_up_candidates(&x->up, &in, &candidates);
+			queries += n;
+			for (size_t i = 0; i < n; i++)
+				deliver(x, by_address(candidates[i]));
+			g_free(candidates);
+		}
 		deliver(x, by_address(x->up.address));
 		/* A relay tells the leader which instances it has heard. */
 		if (leader && by_address(x->up.address) == leader &&
@@ -260,8 +262,9 @@
 				x->report_due = 0;
 			}
 			if (now() >= x->report_due && x.get() != leader) {
-				x->report_due = now() + REPORT;
 				report(x.get());
+				x->report_due = now() + ctl_up_interval_us(
+								&x->up, REPORT);
 			}
 		}
 		for (auto &x : all)
@@ -393,6 +396,40 @@
 	EXPECT_LE(world.queries - queries, 9 * 10 * 4u);
 }
 
+/*
+ * Guards against control instances that cannot elect a leader for the queries
+ * of all others. Each of 402 entries that start at once, the size to design
+ * for, may query each control instance so often that half of its share of a
+ * processor, 0.075, carries them at 0.1 ms each: 1.8 times a second.
+ */
+TEST(CtlUp, QueriesBecomeFewWhileThereIsNoLeader)
+{
+	const int64_t FIRST = 150 * MS;
+	const int64_t SECOND = 1000 * MS;
+	const double PER_SECOND = 0.075 / 0.0001 / 402;
+
+	for (int spread : { 0, 127, 255 }) {
+		struct ctl_up up = {};
+		unsigned rounds = 0;
+		int64_t now;
+
+		up.since_us = 1;
+		up.spread = (uint8_t)spread;
+		for (now = 1; now < 12 * SECOND; now += MS) {
+			ctl_up_check(&up, 0, now, 2 * FIRST);
+			rounds += ctl_up_begin_round(&up, now, FIRST) &&
+				  now > 2 * SECOND;
+		}
+		EXPECT_LE(rounds, 10 * PER_SECOND) << spread;
+		/* An instance sends updates to those that asked it within the
+		 * last CHILD_LIMIT. */
+		EXPECT_GE(rounds, 10 * SECOND / CHILD_LIMIT) << spread;
+		ctl_up_check(&up, now, now, 2 * FIRST);
+		EXPECT_EQ(ctl_up_interval_us(&up, REPORT), REPORT);
+		ctl_up_clear(&up);
+	}
+}
+
 /* Guards the bound on the age of views over random cuts between voters, after
  * each of which a leader is elected: an entry that reaches all voters is never
  * isolated. */
