--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -476,15 +476,27 @@
 	       (heard_us && ctx->now_us - *heard_us < REPLICA_ALIVE_US);
 }
 
-static bool replica_replaceable(void *data, uint64_t replica)
+/* Returns since when a replica has been silent. Only the leader before this one
+ * had to send messages before this one led. */
+static int64_t silent_since_us(const struct ctl *ctx, uint64_t replica)
 {
-	const struct ctl *ctx = data;
 	const int64_t *heard_us =
 		g_hash_table_lookup(ctx->replica_heard, &replica);
-	int64_t since_us = MAX(heard_us ? *heard_us : 0, ctx->leader_since_us);
+
+	if (!heard_us)
+		return ctx->leader_since_us;
+	if (replica == ctx->last_leader)
+		return *heard_us;
+	return MAX(*heard_us, ctx->leader_since_us);
+}
+
+static bool replica_replaceable(void *data, uint64_t replica)
+{
+	const struct ctl *ctx = data;
 
 	return replica != ctx->replica &&
-	       ctx->now_us - since_us > REPLACEABLE_AFTER_US;
+	       ctx->now_us - silent_since_us(ctx, replica) >
+		       REPLACEABLE_AFTER_US;
 }
 
 static size_t list_joins(struct ctl *ctx, Dsp__Member ***out)
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -656,6 +656,8 @@
 		dsp__raft_config__free_unpacked(ctx->applied_config, NULL);
 		ctx->applied_config = config;
 		ctx->push_due_us = 0;
+		/* The next step of a repair must not wait. */
+		ctx->member_due_us = 0;
 	}
 	return result_new(DSP__RESULT_CODE__RESULT_OK, "");
 }
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -179,22 +179,34 @@
 /*
  * Returns the next step of a repair. If it changes the configuration, *out is
  * the new one, which differs in one member, to be freed with
- * dsp__raft_config__free_unpacked(); else NULL. An instance that lost its disk
- * comes back as a new replica. Its old replica is removed before the new one is
- * promoted, but only after the new one has caught up, so that the number of
- * voters that hold the log never falls below what it was with the disk lost. An
- * old replica that still sends messages is not removed: two processes then use
- * the same instance id, which an operator must resolve.
+ * dsp__raft_config__free_unpacked(); else NULL.
+ *
+ * An instance that lost its disk comes back as a new replica. Its old replica
+ * is removed before the new one is promoted, but only after the new one has
+ * caught up, so that the number of voters that hold the log never falls below
+ * what it was with the disk lost. An old replica that still sends messages is
+ * not removed: two processes then use the same instance id, which an operator
+ * must resolve.
+ *
+ * A voter that is silent may still have its disk. The learner is promoted
+ * before the silent one is removed, so that the group needs no disk of the
+ * others between the two steps that it did not need before.
  */
 enum ctl_repair_step ctl_rule_repair(const struct ctl_repair_input *in,
 				     Dsp__RaftConfig **out)
 {
+	const Dsp__Member *silent;
 	enum ctl_repair_step step;
 
 	*out = NULL;
 	step = add_joining(in, out);
 	if (step != CTL_REPAIR_NONE)
 		return step;
+	silent = find_replaceable(in);
+	if (silent && count_voters(in->config) > voters_wanted(in)) {
+		*out = ctl_rule_config_without(in->config, silent->replica);
+		return CTL_REPAIR_REMOVE_OLD;
+	}
 	for (size_t i = 0; i < in->config->n_members; i++) {
 		const Dsp__Member *m = in->config->members[i];
 		const Dsp__Member *old;
@@ -210,14 +222,15 @@
 		old = find_other(in->config, m, true);
 		if (old && in->alive(in->data, old->replica))
 			continue;
-		if (!old)
-			old = find_replaceable(in);
+		/* A group of the largest size has no room for one more. */
+		if (!old && count_voters(in->config) >= CTL_VOTERS_MAX)
+			old = silent;
 		if (old) {
 			*out = ctl_rule_config_without(in->config,
 						       old->replica);
 			return CTL_REPAIR_REMOVE_OLD;
 		}
-		if (count_voters(in->config) >= voters_wanted(in))
+		if (count_voters(in->config) >= voters_wanted(in) + !!silent)
 			continue;
 		*out = config_copy(in->config, 0, m, true);
 		return CTL_REPAIR_PROMOTE;
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -425,10 +425,41 @@
 	group.run();
 	EXPECT_TRUE(group.is_voter(3));
 	group.silent[3] = true;
-	EXPECT_EQ(group.run(), CTL_REPAIR_REMOVE_OLD);
 	EXPECT_EQ(group.run(), CTL_REPAIR_PROMOTE);
 	EXPECT_TRUE(group.is_voter(4));
+	EXPECT_TRUE(group.is_voter(3));
+	EXPECT_EQ(group.run(), CTL_REPAIR_REMOVE_OLD);
+	EXPECT_TRUE(group.is_voter(4));
 	EXPECT_FALSE(group.is_voter(3));
+	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
+}
+
+/* Guards against a group with less than the wanted voters between two steps: the
+ * loss of another disk would leave it without a majority for good. A silent
+ * voter that returns between them stays. */
+TEST(CtlRepair, ReplacementNeverHasFewerVotersThanWanted)
+{
+	Group group;
+
+	group.voters_wanted = 3;
+	group.voter(1, "a");
+	group.voter(2, "b");
+	group.voter(3, "c");
+	group.join(4, "d");
+	group.run();
+	group.matches[4] = group.commit;
+	group.live[3] = false;
+	group.silent[3] = true;
+	EXPECT_EQ(group.run(), CTL_REPAIR_PROMOTE);
+	group.live[3] = true;
+	group.silent[3] = false;
+	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
+	group.live[1] = false;
+	group.silent[1] = true;
+	EXPECT_EQ(group.run(), CTL_REPAIR_REMOVE_OLD);
+	EXPECT_FALSE(group.is_voter(1));
+	for (uint64_t r = 2; r <= 4; r++)
+		EXPECT_TRUE(group.is_voter(r));
 }
 
 /* Guards against an even number of voters, where neither of two halves has a
--- a/tests/unit/raft_sim.h
+++ b/tests/unit/raft_sim.h
@@ -33,6 +33,7 @@
 struct Options {
 	uint64_t seed = 1;
 	int n = 3;
+	int initial = 0; /* replicas that are voters at the start; 0: all */
 	int64_t election_timeout = 200 * ms;
 	int64_t heartbeat = 40 * ms;
 	int64_t tick = 10 * ms;
@@ -206,7 +207,8 @@
 			nodes.emplace_back(std::make_unique<Node>());
 			nodes[(size_t)i]->slot = i;
 			nodes[(size_t)i]->disk = new_disk();
-			members[nodes[(size_t)i]->disk->replica] = true;
+			if (!o.initial || i < o.initial)
+				members[nodes[(size_t)i]->disk->replica] = true;
 		}
 		for (auto &node : nodes) {
 			node->disk->snapshot.config = pack_config(members);
@@ -418,6 +420,11 @@
 		update_cuts();
 	}
 
+	bool is_cut(int from, int to) const
+	{
+		return cut[(size_t)from][(size_t)to];
+	}
+
 	void heal()
 	{
 		trace("heal");
@@ -624,6 +631,8 @@
 	uint64_t messages_sent = 0;
 	uint64_t snapshots_installed = 0;
 	std::function<bool(Node &, const Dsp__RaftMessage *)> drop;
+	/* Called before a replica handles a message. */
+	std::function<void(Node &, const Dsp__RaftMessage *)> received;
 
       private:
 	struct Event {
@@ -918,6 +927,8 @@
 		Dsp__RaftMessage *msg = dsp__raft_message__unpack(
 			NULL, packed.size(), (const uint8_t *)packed.data());
 
+		if (received)
+			received(node, msg);
 		raft_step(node.raft, msg, now);
 		dsp__raft_message__free_unpacked(msg, NULL);
 		process(node);
