--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -77,6 +77,9 @@
 #define RETRY_MODEL_US 3000000
 #define RETRY_ADAPTER_US 500000
 
+/* Sends of this instance whose times are remembered for each endpoint. */
+#define RECENT_SENDS 8
+
 struct bal_endpoint {
 	char *id;
 	uint64_t incarnation;
@@ -85,7 +88,9 @@
 	uint32_t in_flight;	  /* this instance's own requests */
 	uint32_t reported_load;	  /* running and waiting at reported_us */
 	uint32_t in_flight_at_report;
-	int64_t reported_us;	 /* 0: never */
+	int64_t reported_us;		/* 0: never */
+	int64_t sends_us[RECENT_SENDS]; /* last sends of this instance, ring */
+	unsigned n_sends;
 	uint32_t prefill_tokens; /* of requests without a first byte */
 	uint32_t prefilling;	 /* requests without a first byte */
 	double first_ms; /* average time to the first byte; 0: unknown */
@@ -226,9 +231,11 @@
 
 /* Counts a request that is sent to the endpoint; tokens is its prompt's length.
  */
-void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens)
+void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
+	       int64_t now_us)
 {
 	(void)ctx;
+	e->sends_us[e->n_sends++ % RECENT_SENDS] = now_us;
 	e->in_flight++;
 	e->prefilling++;
 	e->prefill_tokens += tokens;
@@ -372,6 +379,34 @@
 	e->reported_us = now_us;
 }
 
+static uint32_t count_sends_since(const struct bal_endpoint *e,
+				  int64_t since_us)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < RECENT_SENDS; i++)
+		n += e->sends_us[i] >= since_us;
+	return n;
+}
+
+/* Records a load that another instance has seen, if it is newer than the known
+ * one. This instance's own requests since then are not part of it. */
+void bal_observe(struct bal *ctx, const Dsp__LoadReport *report, int64_t now_us)
+{
+	struct bal_endpoint *e =
+		g_hash_table_lookup(ctx->endpoints, report->endpoint);
+	int64_t observed_us = now_us - (int64_t)report->age_ms * 1000;
+	uint32_t since;
+
+	if (!e || e->incarnation != report->incarnation ||
+	    observed_us <= e->reported_us)
+		return;
+	since = count_sends_since(e, observed_us);
+	e->reported_load = report->running + report->waiting;
+	e->in_flight_at_report = e->in_flight - MIN(since, e->in_flight);
+	e->reported_us = observed_us;
+}
+
 /* Estimates the requests of other instances at the endpoint from the last
  * report, weighted by its age. */
 static double other_entries_load(const struct bal_endpoint *e, int64_t now_us)
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -65,7 +65,8 @@
 /* Commands. */
 void bal_set_view(struct bal *ctx, struct view *view, const char *self);
 unsigned bal_entries(const struct bal *ctx);
-void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens);
+void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
+	       int64_t now_us);
 void bal_first_byte(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
 		    int64_t first_us, bool alone);
 void bal_stream_event(struct bal *ctx, struct bal_endpoint *e, int64_t gap_us,
@@ -78,6 +79,8 @@
 	     uint32_t unread_tokens, int64_t now_us);
 void bal_report(struct bal *ctx, struct bal_endpoint *e, uint32_t running,
 		uint32_t waiting, int64_t now_us);
+void bal_observe(struct bal *ctx, const Dsp__LoadReport *report,
+		 int64_t now_us);
 
 /* Queries. */
 struct bal_choice bal_choose(struct bal *ctx, const struct bal_query *query,
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -37,6 +37,11 @@
 	dsp__pace__free_unpacked(data, NULL);
 }
 
+static void free_load_message(void *data)
+{
+	dsp__load_report__free_unpacked(data, NULL);
+}
+
 /* Creates the edge without any connections. */
 struct edge *edge_new(const struct set *settings, struct clk *clock,
 		      struct met *metrics)
@@ -53,6 +58,7 @@
 	LIST_INIT(&ctx->forwards);
 	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
 	ctx->paces_in = g_ptr_array_new_with_free_func(free_pace_message);
+	ctx->loads_in = g_ptr_array_new_with_free_func(free_load_message);
 	ctx->paces =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctx->view = view_new_empty();
@@ -81,6 +87,7 @@
 	event_base_free(ctx->base);
 	g_ptr_array_free(ctx->demands_in, TRUE);
 	g_ptr_array_free(ctx->paces_in, TRUE);
+	g_ptr_array_free(ctx->loads_in, TRUE);
 	g_hash_table_destroy(ctx->paces);
 	g_hash_table_destroy(ctx->budgets);
 	g_hash_table_destroy(ctx->demands);
@@ -133,6 +140,16 @@
 	pthread_mutex_unlock(&ctx->lock);
 }
 
+static void load_observed(void *data, const Dsp__LoadReport *load)
+{
+	struct edge *ctx = data;
+
+	pthread_mutex_lock(&ctx->lock);
+	g_ptr_array_add(ctx->loads_in, msg_dup(load));
+	wake(ctx);
+	pthread_mutex_unlock(&ctx->lock);
+}
+
 static uint32_t streams(void *data)
 {
 	return edge_in_flight(data);
@@ -147,6 +164,7 @@
 		.streams = streams,
 		.demand = demand_reported,
 		.pace = pace_reported,
+		.observed_load = load_observed,
 	};
 }
 
@@ -199,6 +217,20 @@
 	view_unref(old);
 }
 
+static void process_loads(struct edge *ctx)
+{
+	int64_t now_us = clk_now_us(ctx->clock);
+	GPtrArray *loads;
+
+	pthread_mutex_lock(&ctx->lock);
+	loads = ctx->loads_in;
+	ctx->loads_in = g_ptr_array_new_with_free_func(free_load_message);
+	pthread_mutex_unlock(&ctx->lock);
+	for (guint i = 0; i < loads->len; i++)
+		bal_observe(ctx->bal, loads->pdata[i], now_us);
+	g_ptr_array_free(loads, TRUE);
+}
+
 static void process_reports(struct edge *ctx)
 {
 	GPtrArray *in;
@@ -247,6 +279,7 @@
 		begin_drain(ctx);
 	if (view)
 		apply_view(ctx, view);
+	process_loads(ctx);
 	fwd_run_held(ctx);
 	process_reports(ctx);
 	edge_calls_run(ctx);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -78,6 +78,7 @@
 	struct view *next_view;			 /* lock; NULL: no change */
 	GPtrArray *paces_in;			 /* lock; Dsp__Pace */
 	GPtrArray *demands_in;			 /* lock; Dsp__Demand */
+	GPtrArray *loads_in;			 /* lock; Dsp__LoadReport */
 	STAILQ_HEAD(edge_calls, edge_call) done; /* lock */
 	bool stop;				 /* lock */
 	bool drain;				 /* lock */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -434,6 +434,20 @@
 	f->sse = sse_new();
 }
 
+/* Uses the load that the answer carries, and reports it to the others. */
+static void take_load(struct fwd *f, int64_t now_us)
+{
+	Dsp__LoadReport report = DSP__LOAD_REPORT__INIT;
+
+	bal_report(f->edge->bal, f->endpoint, f->answer.running,
+		   f->answer.waiting, now_us);
+	report.endpoint = (char *)bal_id(f->endpoint);
+	report.incarnation = bal_incarnation(f->endpoint);
+	report.running = f->answer.running;
+	report.waiting = f->answer.waiting;
+	ctl_observed_load(f->edge->ctl, &report);
+}
+
 static void on_headers(void *data, const struct hio_answer *answer)
 {
 	struct fwd *f = data;
@@ -443,8 +457,7 @@
 	f->status = answer->status;
 	wire_read_answer(answer, &f->answer);
 	if (f->answer.has_load)
-		bal_report(f->edge->bal, f->endpoint, f->answer.running,
-			   f->answer.waiting, now_us);
+		take_load(f, now_us);
 	discard_body(f);
 	f->has_length = hio_field(&answer->fields, "Content-Length") != NULL;
 	if (f->answer.not_run)
@@ -675,7 +688,7 @@
 	f->progress_us = now_us;
 	f->runs++;
 	f->sole_prefill = !bal_is_prefilling(endpoint);
-	bal_begin(f->edge->bal, endpoint, unread_tokens(f));
+	bal_begin(f->edge->bal, endpoint, unread_tokens(f), now_of(f));
 	adm_sent(f->edge->queue, f->group, now_us);
 	f->call = hio_call_start(f->edge->client, &options);
 	set_attempt_timer(f);
@@ -794,9 +807,21 @@
 	return bal_choose(f->edge->bal, &query, now_of(f));
 }
 
+/* Counts the age of the load that a choice was made by. */
+static void count_load_age(const struct fwd *f, const struct bal_choice *choice)
+{
+	if (choice->load_age_s < 0)
+		met_count(f->edge->met, "dandelionspar_edge_sends_without_load",
+			  "", 1);
+	else
+		met_observe_us(f->edge->met, "dandelionspar_edge_load_age_us",
+			       "", (int64_t)(choice->load_age_s * 1e6));
+}
+
 static void send_to_choice(struct fwd *f, const struct bal_choice *choice)
 {
 	send_to(f, choice->endpoint);
+	count_load_age(f, choice);
 	LOG_EVENT_INFO(
 		"fwd", "send",
 		"request=%s endpoint=%s candidates=%u cost_ms=%.0f "
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -40,6 +40,9 @@
 	case CTL_JOB_PACE:
 		dsp__pace__free_unpacked(job->pace, NULL);
 		break;
+	case CTL_JOB_OBSERVED_LOAD:
+		dsp__load_report__free_unpacked(job->load, NULL);
+		break;
 	case CTL_JOB_SEEDS:
 		g_strfreev(job->seeds);
 		break;
@@ -239,6 +242,9 @@
 	case CTL_JOB_PACE:
 		ctl_report_pace(ctx, job->pace);
 		break;
+	case CTL_JOB_OBSERVED_LOAD:
+		ctl_report_observed_load(ctx, job->load);
+		break;
 	case CTL_JOB_DRAIN:
 		ctl_report_schedule(ctx, 0);
 		transfer_leadership(ctx);
@@ -491,6 +497,8 @@
 	ctx->members = table_by_string(g_free);
 	ctx->endpoints = table_by_string(g_free);
 	ctx->orders = table_by_id();
+	ctx->observed_up = occ_new();
+	ctx->observed_down = occ_new();
 	return ctx;
 }
 
@@ -525,6 +533,8 @@
 	g_hash_table_destroy(ctx->members);
 	g_hash_table_destroy(ctx->endpoints);
 	g_hash_table_destroy(ctx->orders);
+	occ_free(ctx->observed_up);
+	occ_free(ctx->observed_down);
 	g_ptr_array_free(ctx->relays, TRUE);
 	if (ctx->config)
 		dsp__raft_config__free_unpacked(ctx->config, NULL);
@@ -623,6 +633,17 @@
 	ctl_post(ctx, job);
 }
 
+/* Reports the load that an answer carried, to the other instances; callable
+ * from any thread. */
+void ctl_observed_load(struct ctl *ctx, const Dsp__LoadReport *report)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_OBSERVED_LOAD;
+	job->load = msg_dup(report);
+	ctl_post(ctx, job);
+}
+
 /* Takes the instance off the entry list and transfers leadership; callable from
  * any thread. */
 void ctl_drain(struct ctl *ctx)
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -31,6 +31,8 @@
 	void *data;
 	void (*view_changed)(void *data, struct view *view);
 	void (*load)(void *data, const Dsp__LoadReport *report);
+	/* A load that an answer to any instance carried; age_ms says when. */
+	void (*observed_load)(void *data, const Dsp__LoadReport *report);
 	/* Another entry queries a stored answer. Returns a new message. */
 	Dsp__AnswerReply *(*answer_query)(void *data,
 					  const Dsp__AnswerQuery *query);
@@ -83,6 +85,7 @@
 void ctl_announce(struct ctl *ctx, const Dsp__Announcement *announcement);
 void ctl_demand(struct ctl *ctx, const Dsp__Demand *demand);
 void ctl_pace(struct ctl *ctx, const Dsp__Pace *pace);
+void ctl_observed_load(struct ctl *ctx, const Dsp__LoadReport *report);
 void ctl_drain(struct ctl *ctx); /* takes the instance off the entry list */
 /* Uses the seeds of changed settings from now on. */
 void ctl_reload(struct ctl *ctx, const struct set *settings);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -4,6 +4,7 @@
 #include <pthread.h>
 #include <sys/queue.h>
 
+#include "core/occ.h"
 #include "core/plc.h"
 #include "core/raft.h"
 #include "core/st.h"
@@ -83,6 +84,7 @@
 	CTL_JOB_ANNOUNCEMENT,
 	CTL_JOB_DEMAND,
 	CTL_JOB_PACE,
+	CTL_JOB_OBSERVED_LOAD,
 	CTL_JOB_ORDER,
 	CTL_JOB_DRAIN,
 	CTL_JOB_SEEDS,
@@ -97,6 +99,7 @@
 		Dsp__Announcement *announcement;
 		Dsp__Demand *demand;
 		Dsp__Pace *pace;
+		Dsp__LoadReport *load;
 		char **seeds; /* owned */
 		struct {
 			uint64_t id;
@@ -312,10 +315,12 @@
 	/* Latest loads. */
 	GHashTable *loads; /* endpoint -> struct ctl_load */
 	struct ctl_loads changed_loads;
-	int64_t push_due_us;	  /* next update round to all, with loads */
-	int64_t push_earliest_us; /* rate limit of rounds in between */
-	uint64_t pushed_index;	  /* view index of the last round */
-	int64_t publish_due_us;	  /* next view with a new index only */
+	struct occ *observed_up;   /* for the next report */
+	struct occ *observed_down; /* for the next update */
+	int64_t push_due_us;	   /* next update round to all, with loads */
+	int64_t push_earliest_us;  /* rate limit of rounds in between */
+	uint64_t pushed_index;	   /* view index of the last round */
+	int64_t publish_due_us;	   /* next view with a new index only */
 
 	/* Leader. */
 	struct plc *plc;
@@ -411,6 +416,7 @@
 void ctl_report_demand(struct ctl *ctx, const Dsp__Demand *demand);
 void ctl_report_pace(struct ctl *ctx, const Dsp__Pace *pace);
 void ctl_report_load(struct ctl *ctx, const Dsp__LoadReport *report);
+void ctl_report_observed_load(struct ctl *ctx, const Dsp__LoadReport *report);
 void ctl_report_announce_leadership(struct ctl *ctx);
 void ctl_report_set_leader(struct ctl *ctx, uint64_t term, const char *node,
 			   const char *address);
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -310,6 +310,29 @@
 		dsp__load_report__free_unpacked(old, NULL);
 }
 
+/* Keeps a newer load for the instances that report here and for this one. */
+static void keep_observed_load(struct ctl *ctx, const Dsp__LoadReport *report)
+{
+	if (occ_put(ctx->observed_down, report, ctx->now_us) &&
+	    ctx->cb.observed_load)
+		ctx->cb.observed_load(ctx->cb.data, report);
+}
+
+/* Adds a load to the next report; the leader has nobody to report to. */
+static void forward_observed_load(struct ctl *ctx,
+				  const Dsp__LoadReport *report)
+{
+	if (!ctx->ready_leader)
+		occ_put(ctx->observed_up, report, ctx->now_us);
+}
+
+/* Handles a load that an answer to this instance carried. */
+void ctl_report_observed_load(struct ctl *ctx, const Dsp__LoadReport *report)
+{
+	occ_put(ctx->observed_down, report, ctx->now_us);
+	forward_observed_load(ctx, report);
+}
+
 /* ---- Sending reports ---- */
 
 static void fill_status(struct ctl *ctx, Dsp__NodeStatus *status,
@@ -356,6 +379,7 @@
 	Dsp__NodeStatus own;
 	Dsp__Node node;
 	Dsp__NodeStatus **statuses;
+	Dsp__LoadReport *loads[LOADS_MAX];
 	void *const *children;
 	size_t n;
 
@@ -373,6 +397,9 @@
 		(Dsp__Demand **)table_values(ctx->demands, &report.n_demands);
 	report.paces = (Dsp__Pace **)table_values(ctx->paces, &report.n_paces);
 	report.hops = ctx->report_hops;
+	report.observed_loads = loads;
+	report.n_observed_loads =
+		occ_take(ctx->observed_up, loads, LOADS_MAX, ctx->now_us);
 	out.body_case = DSP__ENVELOPE__BODY_REPORT;
 	out.report = &report;
 	if (ctx->ready_leader)
@@ -564,6 +591,10 @@
 
 	if (status)
 		update_child(ctx, from, status->view_index);
+	for (size_t i = 0; i < report->n_observed_loads; i++) {
+		keep_observed_load(ctx, report->observed_loads[i]);
+		forward_observed_load(ctx, report->observed_loads[i]);
+	}
 	if (ctx->ready_leader)
 		ctl_member_report(ctx, report);
 	else if (report->hops < HOPS_MAX)
@@ -687,6 +718,8 @@
 	set_relays(ctx, update->relays, update->n_relays);
 	for (size_t i = 0; i < update->n_loads; i++)
 		ctl_report_load(ctx, update->loads[i]);
+	for (size_t i = 0; i < update->n_observed_loads; i++)
+		keep_observed_load(ctx, update->observed_loads[i]);
 }
 
 /* Installs changes of the own replica's state as a new view. */
@@ -758,6 +791,8 @@
 	update->config = NULL;
 	update->loads = NULL;
 	update->n_loads = 0;
+	update->observed_loads = NULL;
+	update->n_observed_loads = 0;
 }
 
 /* One round of updates. */
@@ -765,6 +800,8 @@
 	GHashTable *updates; /* from_index -> Dsp__ViewUpdate */
 	Dsp__LoadReport *loads[LOADS_MAX];
 	size_t n_loads;
+	Dsp__LoadReport *observed[LOADS_MAX];
+	size_t n_observed;
 };
 
 static Dsp__ViewUpdate *update_since(struct ctl *ctx, struct round *round,
@@ -778,6 +815,8 @@
 	fill_update(ctx, update);
 	update->loads = round->loads;
 	update->n_loads = round->n_loads;
+	update->observed_loads = round->observed;
+	update->n_observed_loads = round->n_observed;
 	g_hash_table_insert(round->updates, g_memdup2(&from, sizeof(from)),
 			    update);
 	return update;
@@ -808,6 +847,8 @@
 		load->pushed_us = ctx->now_us;
 		round->loads[round->n_loads++] = load->report;
 	}
+	round->n_observed = occ_take(ctx->observed_down, round->observed,
+				     LOADS_MAX, ctx->now_us);
 }
 
 static void free_update(void *data)
@@ -823,7 +864,8 @@
 static bool is_newer(const struct ctl *ctx, const struct ctl_child *child,
 		     const struct round *round)
 {
-	return round->n_loads || ctx->confirmed_us != child->sent_confirmed_us;
+	return round->n_loads || round->n_observed ||
+	       ctx->confirmed_us != child->sent_confirmed_us;
 }
 
 static void push_round(struct ctl *ctx, bool all)
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -8366,7 +8366,7 @@
   (ProtobufCMessageInit) dsp__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__view_update__field_descriptors[10] =
+static const ProtobufCFieldDescriptor dsp__view_update__field_descriptors[11] =
 {
   {
     "from_index",
@@ -8488,6 +8488,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "observed_loads",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewUpdate, n_observed_loads),
+    offsetof(Dsp__ViewUpdate, observed_loads),
+    &dsp__load_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__view_update__field_indices_by_name[] = {
   9,   /* field[9] = config */
@@ -8495,6 +8507,7 @@
   0,   /* field[0] = from_index */
   4,   /* field[4] = leader */
   7,   /* field[7] = loads */
+  10,   /* field[10] = observed_loads */
   6,   /* field[6] = records */
   8,   /* field[8] = relays */
   2,   /* field[2] = reset */
@@ -8504,7 +8517,7 @@
 static const ProtobufCIntRange dsp__view_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor dsp__view_update__descriptor =
 {
@@ -8514,7 +8527,7 @@
   "Dsp__ViewUpdate",
   "dsp",
   sizeof(Dsp__ViewUpdate),
-  10,
+  11,
   dsp__view_update__field_descriptors,
   dsp__view_update__field_indices_by_name,
   1,  dsp__view_update__number_ranges,
@@ -8945,7 +8958,7 @@
   (ProtobufCMessageInit) dsp__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dsp__report__field_descriptors[6] =
 {
   {
     "nodes",
@@ -9007,18 +9020,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "observed_loads",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Report, n_observed_loads),
+    offsetof(Dsp__Report, observed_loads),
+    &dsp__load_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__report__field_indices_by_name[] = {
   1,   /* field[1] = announcements */
   2,   /* field[2] = demands */
   3,   /* field[3] = hops */
   0,   /* field[0] = nodes */
+  5,   /* field[5] = observed_loads */
   4,   /* field[4] = paces */
 };
 static const ProtobufCIntRange dsp__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dsp__report__descriptor =
 {
@@ -9028,7 +9054,7 @@
   "Dsp__Report",
   "dsp",
   sizeof(Dsp__Report),
-  5,
+  6,
   dsp__report__field_descriptors,
   dsp__report__field_indices_by_name,
   1,  dsp__report__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1355,10 +1355,15 @@
   size_t n_relays;
   char **relays;
   Dsp__RaftConfig *config;
+  /*
+   * seen in answers by any instance
+   */
+  size_t n_observed_loads;
+  Dsp__LoadReport **observed_loads;
 };
 #define DSP__VIEW_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__view_update__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL }
 
 
 struct  Dsp__OrderResult
@@ -1475,10 +1480,15 @@
    * number of relays passed; stops reports that circulate
    */
   uint32_t hops;
+  /*
+   * seen in answers
+   */
+  size_t n_observed_loads;
+  Dsp__LoadReport **observed_loads;
 };
 #define DSP__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Dsp__Forward
--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -295,7 +295,7 @@
 			EXPECT_GT(choice.retry_us, 0);
 			break;
 		}
-		bal_begin(bal, choice.endpoint, 1);
+		bal_begin(bal, choice.endpoint, 1, now);
 		sent[bal_id(choice.endpoint)]++;
 	}
 	/* Each runs a batch of 8 and may queue a few more requests. */
@@ -313,7 +313,7 @@
 		struct bal_choice choice = choose(nullptr, nullptr, avoid);
 
 		ASSERT_STREQ(bal_id(choice.endpoint), "a");
-		bal_begin(bal, choice.endpoint, 1);
+		bal_begin(bal, choice.endpoint, 1, now);
 		bal_end(bal, choice.endpoint, BAL_FAILED, 1, now);
 	}
 	for (int i = 0; i < 10; i++)
@@ -331,7 +331,7 @@
 	for (int i = 0; i < 20; i++) {
 		struct bal_choice choice = choose();
 
-		bal_begin(bal, choice.endpoint, 1);
+		bal_begin(bal, choice.endpoint, 1, now);
 		bal_first_byte(bal, choice.endpoint, 1, 200, true);
 		bal_end(bal, choice.endpoint, BAL_ANSWERED, 0, now);
 	}
@@ -363,7 +363,7 @@
 			EXPECT_EQ(choice.outcome, BAL_PREFILL_BUSY);
 			break;
 		}
-		bal_begin(bal, choice.endpoint, 1000);
+		bal_begin(bal, choice.endpoint, 1000, now);
 	}
 	EXPECT_LE(sent, 8);
 }
@@ -382,7 +382,7 @@
 	query.gap_objective_us = 250 * MS;
 	choice = bal_choose(bal, &query, now);
 	ASSERT_EQ(choice.outcome, BAL_CHOSEN);
-	bal_begin(bal, choice.endpoint, 1000);
+	bal_begin(bal, choice.endpoint, 1000, now);
 	bal_first_byte(bal, choice.endpoint, 1000, 60 * MS, true);
 	for (int i = 0; i < 10; i++) {
 		now += 200 * MS;
@@ -419,7 +419,7 @@
 	bal_stream_interval(bal, fast, 30 * 1000);
 	/* The fast one has far more requests. */
 	for (int i = 0; i < 6; i++)
-		bal_begin(bal, fast, 1500);
+		bal_begin(bal, fast, 1500, now);
 	query.events = 40;
 	query.remaining_us = 15 * 1000 * 1000;
 	EXPECT_STREQ(bal_id(bal_choose(bal, &query, now).endpoint), "slow");
@@ -441,7 +441,7 @@
 	query.gap_objective_us = 300 * 1000;
 	struct bal_choice choice = bal_choose(bal, &query, now);
 	ASSERT_EQ(choice.outcome, BAL_CHOSEN);
-	bal_begin(bal, choice.endpoint, 1000);
+	bal_begin(bal, choice.endpoint, 1000, now);
 	bal_first_byte(bal, choice.endpoint, 1000, 60 * 1000, true);
 	bal_stream_event(bal, choice.endpoint, 20 * 1000, now);
 	EXPECT_EQ(bal_choose(bal, &query, now + 20 * 1000).outcome, BAL_CHOSEN);
