--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -48,6 +48,10 @@
  * endpoint that is farthest on the ring from this instance's own start. */
 #define FAILURE_COST_MS 3000.0
 #define BATCH_COST_MS 120.0
+/* Cost of a wait for a place in a full batch. That there is none when the
+ * request arrives is the more likely the fuller the batch is: the cost grows
+ * with the cube of the occupied share. */
+#define WAIT_COST_MS 600.0
 #define DISTANCE_COST_MS 60.0
 /* Share of a stream's expected duration that is added to the cost, so that long
  * streams prefer fast engines. */
@@ -510,6 +514,7 @@
 {
 	const struct bal_endpoint *e = list->all[i];
 	double cost = FAILURE_COST_MS * e->failure_share;
+	double occupied;
 
 	if (!query->model)
 		return cost + plain_service_ms(ctx, e, now_us);
@@ -520,7 +525,9 @@
 	    stream_duration_ms(ctx, e, query) * 1000 >
 		    DEADLINE_SHARE * (double)query->remaining_us)
 		cost += DEADLINE_COST_MS;
-	cost += BATCH_COST_MS * load_of(e, now_us) / MAX(e->msg->max_batch, 1);
+	occupied = load_of(e, now_us) / MAX(e->msg->max_batch, 1);
+	cost += BATCH_COST_MS * occupied;
+	cost += WAIT_COST_MS * occupied * occupied * occupied;
 	cost += DISTANCE_COST_MS * ring_distance(ctx, i, list->n);
 	if (query->prefix && e == list->preferred)
 		cost -= AFFINITY_GAIN_MS;
