--- a/src/core/rep.c
+++ b/src/core/rep.c
@@ -11,6 +11,11 @@
  * one that has just left while its repeats still count. */
 #define SAFETY_SHARE 0.75
 
+/* Share of the budget that is kept for requests that an endpoint may have run.
+ * Their callers cannot repeat them, or have a part of the answer; the others
+ * can be told to come back, as requests of their own. */
+#define BEGUN_SHARE 0.5
+
 struct second {
 	int64_t at; /* clock time in seconds */
 	uint32_t requests;
@@ -49,15 +54,20 @@
 	second_of(ctx, now_us)->requests++;
 }
 
-/* Returns how many repeats may be sent now; negative if more were sent than a
- * budget that has since shrunk allows. */
-double rep_left(struct rep *ctx, const struct rep_options *options,
-		int64_t now_us)
+/* Repeats allowed and sent in the window that ends now. */
+struct balance {
+	double allowed;
+	double sent;
+};
+
+static struct balance balance_of(const struct rep *ctx,
+				 const struct rep_options *options,
+				 int64_t now_us)
 {
 	int64_t now_s = now_us / 1000000;
 	int64_t window = MIN(options->window_s, SECONDS_MAX - 2);
+	struct balance b = { 0 };
 	uint64_t requests = 0;
-	uint64_t repeats = 0;
 
 	for (size_t i = 0; i < SECONDS_MAX; i++) {
 		const struct second *second = &ctx->seconds[i];
@@ -65,19 +75,50 @@
 		if (second->at > now_s - window && second->at <= now_s)
 			requests += second->requests;
 		if (second->at >= now_s - window && second->at <= now_s)
-			repeats += second->repeats;
+			b.sent += second->repeats;
 	}
-	return SAFETY_SHARE * (options->ratio * (double)requests +
-			       options->extra_share) -
-	       (double)repeats;
+	b.allowed = SAFETY_SHARE *
+		    (options->ratio * (double)requests + options->extra_share);
+	return b;
 }
 
-/* Takes one repeat from the budget; false if the budget is exhausted. */
+/* Returns how many repeats may be sent now; negative if more were sent than a
+ * budget that has since shrunk allows. */
+double rep_left(struct rep *ctx, const struct rep_options *options,
+		int64_t now_us)
+{
+	struct balance b = balance_of(ctx, options, now_us);
+
+	return b.allowed - b.sent;
+}
+
+/* Takes one repeat from the budget; false if the budget is exhausted, or if the
+ * rest is kept for requests that may have run. */
 bool rep_take(struct rep *ctx, const struct rep_options *options,
-	      int64_t now_us)
+	      enum rep_use use, int64_t now_us)
 {
-	if (rep_left(ctx, options, now_us) < 1)
+	struct balance b = balance_of(ctx, options, now_us);
+	double kept = use == REP_NOT_RUN ? BEGUN_SHARE * b.allowed : 0;
+
+	if (b.allowed - b.sent - kept < 1)
 		return false;
 	second_of(ctx, now_us)->repeats++;
 	return true;
 }
+
+/* Gives back a repeat that no endpoint has seen. */
+void rep_return(struct rep *ctx, int64_t taken_us)
+{
+	int64_t at = taken_us / 1000000;
+	struct second *second = &ctx->seconds[at % SECONDS_MAX];
+
+	if (second->at == at && second->repeats)
+		second->repeats--;
+}
+
+/* Counts a repeat at the time at which it is sent. */
+void rep_move(struct rep *ctx, int64_t taken_us, int64_t now_us)
+{
+	rep_return(ctx, taken_us);
+	second_of(ctx, now_us)->repeats++;
+}
--- a/src/core/rep.h
+++ b/src/core/rep.h
@@ -18,13 +18,23 @@
 	double extra_share; /* this instance's part of the fixed number */
 };
 
+/* What a repeat is for. */
+enum rep_use {
+	REP_BEGUN,   /* an endpoint may have run the request */
+	REP_NOT_RUN, /* no endpoint has; the caller can be told to come back */
+};
+
 struct rep *rep_new(void);
 void rep_free(struct rep *ctx);
 
 /* Commands. */
 void rep_count_request(struct rep *ctx, int64_t now_us);
 bool rep_take(struct rep *ctx, const struct rep_options *options,
-	      int64_t now_us);
+	      enum rep_use use, int64_t now_us);
+/* The repeat that was taken at taken_us is sent at now_us. */
+void rep_move(struct rep *ctx, int64_t taken_us, int64_t now_us);
+/* The repeat that was taken at taken_us did not reach an endpoint. */
+void rep_return(struct rep *ctx, int64_t taken_us);
 
 /* Queries. */
 double rep_left(struct rep *ctx, const struct rep_options *options,
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -113,12 +113,15 @@
 	int64_t gap_max_us; /* longest gap between events, over all attempts */
 	unsigned runs;	    /* endpoints that may have executed it */
 	bool counted;	    /* as a request of the retry budget */
+	int64_t repeat_us;  /* when a repeat was taken for the next attempt; 0:
+			       none */
 
 	/* Current attempt. */
 	struct hio_call *call;
 	struct bal_endpoint *endpoint;
 	char *endpoint_id;
 	int64_t sent_us;
+	bool is_repeat;	   /* counted in the retry budget at sent_us */
 	int64_t waited_us; /* from the request's arrival to the first attempt */
 	int64_t ttfb_us;   /* time to the first byte; -1: none yet */
 	bool sole_prefill; /* no other request of this instance was in prefill
@@ -190,6 +193,8 @@
 {
 	LIST_REMOVE(f, link);
 	adm_remove(f->edge->queue, &f->item);
+	if (f->repeat_us)
+		rep_return(edge_budget(f->edge, f->service), f->repeat_us);
 	f->edge->in_flight--;
 	event_free(f->timer);
 	wire_request_clear(&f->request);
@@ -224,9 +229,15 @@
 	if (f->call)
 		hio_call_cancel(f->call);
 	f->call = NULL;
-	if (f->endpoint)
+	if (f->endpoint) {
 		bal_end(f->edge->bal, f->endpoint, result,
 			f->ttfb_us < 0 ? unread_tokens(f) : 0, now_of(f));
+		/* Without a connection, the next attempt may use its repeat.
+		 */
+		if (result == BAL_UNREACHED && f->is_repeat)
+			f->repeat_us = f->sent_us;
+		f->is_repeat = false;
+	}
 	f->endpoint = NULL;
 	schedule_queue_run(f->edge);
 }
@@ -341,13 +352,18 @@
 	struct rep_options options = edge_budget_options(f->edge);
 	struct rep *budget = edge_budget(f->edge, f->service);
 
-	if (rep_take(budget, &options, now_of(f))) {
+	if (f->repeat_us)
+		return true;
+	if (rep_take(budget, &options, f->runs ? REP_BEGUN : REP_NOT_RUN,
+		     now_of(f))) {
 		met_count(f->edge->met, "dandelionspar_edge_repeats", "", 1);
+		f->repeat_us = now_of(f);
 		return true;
 	}
 	met_count(f->edge->met, "dandelionspar_edge_repeats_denied", "", 1);
 	LOG_EVENT_INFO("fwd", "repeat_denied",
-		       "request=%s service=%s left=%.1f", log_id(f), f->service,
+		       "request=%s service=%s runs=%u left=%.1f", log_id(f),
+		       f->service, f->runs,
 		       rep_left(budget, &options, now_of(f)));
 	return false;
 }
@@ -676,6 +692,11 @@
 		rep_count_request(edge_budget(f->edge, f->service), now_us);
 	}
 	f->counted = true;
+	f->is_repeat = f->repeat_us != 0;
+	if (f->is_repeat)
+		rep_move(edge_budget(f->edge, f->service), f->repeat_us,
+			 now_us);
+	f->repeat_us = 0;
 	f->endpoint = endpoint;
 	g_free(f->endpoint_id);
 	f->endpoint_id = g_strdup(bal_id(endpoint));
--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -131,8 +131,21 @@
 				rep_count_request(entries[i], now);
 				sent.emplace_back(now, false);
 			}
-			if (rep_take(entries[i], &options, now))
+			if (!rep_take(entries[i], &options, REP_BEGUN, now))
+				continue;
+			/* One in four never reaches an endpoint, another one
+			 * is sent later. */
+			if (random() % 4 == 0) {
+				rep_return(entries[i], now);
+			} else if (random() % 4 == 0) {
+				int64_t later =
+					now + (int64_t)(random() % 800) * MS;
+
+				rep_move(entries[i], now, later);
+				sent.emplace_back(later, true);
+			} else {
 				sent.emplace_back(now, true);
+			}
 		}
 	}
 	size_t most = 0;
@@ -151,6 +164,31 @@
 		rep_free(entry);
 }
 
+/* Requests that no endpoint has run leave half of the budget to those that may
+ * have run, whose callers cannot come back for a complete answer. */
+TEST(Rep, RequestsThatHaveBegunHaveARestOfTheirOwn)
+{
+	struct rep *rep = rep_new();
+	struct rep_options options = { 0.2, 10, 40 };
+	int64_t now = 100 * S;
+	int not_run = 0;
+	int begun = 0;
+
+	while (rep_take(rep, &options, REP_NOT_RUN, now))
+		not_run++;
+	EXPECT_GE(rep_left(rep, &options, now), not_run);
+	while (rep_take(rep, &options, REP_BEGUN, now))
+		begun++;
+	EXPECT_GE(begun, not_run);
+	EXPECT_GE(not_run, 10);
+	EXPECT_LE(begun + not_run, 40);
+	/* One that found no connection can be used again. */
+	rep_return(rep, now);
+	EXPECT_TRUE(rep_take(rep, &options, REP_BEGUN, now));
+	EXPECT_FALSE(rep_take(rep, &options, REP_BEGUN, now));
+	rep_free(rep);
+}
+
 namespace
 {
 
