--- a/tests/unit/examples_test.cc
+++ b/tests/unit/examples_test.cc
@@ -97,3 +97,13 @@
 	EXPECT_EQ(example.instances, 6u);
 	check_document("examples/marea-alta", 15, 75);
 }
+
+/* The shipped example is valid and has the documented size. */
+TEST(Examples, TasmexIsValid)
+{
+	Example example = check_settings("examples/tasmex");
+
+	EXPECT_EQ(example.sites.size(), 4u);
+	EXPECT_EQ(example.instances, 7u);
+	check_document("examples/tasmex", 26, 94);
+}
