--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -22,6 +22,9 @@
  * lose the answer. */
 #define LINGER_US 1000000
 #define BACKLOG 1024
+/* A body has the idle limit for each so many bytes: one that comes slowly goes
+ * on, and one of which a byte comes now and then is refused. */
+#define BODY_PROGRESS_BYTES 512
 
 enum phase {
 	IDLE,	   /* between requests */
@@ -35,7 +38,6 @@
 	struct conn *conn;
 	struct hio_request request;
 	void *data;
-	bool begun;
 	bool no_body; /* the request is a HEAD */
 };
 
@@ -50,6 +52,7 @@
 	struct hio_builder builder;
 	GString *target;
 	GByteArray *body;
+	size_t body_progress; /* bytes of it since the timer was set */
 	int error_status; /* set by the callback that stops the parser; or 0 */
 	bool complete;
 	bool keep_alive;
@@ -232,6 +235,7 @@
 		evbuffer_add_printf(bufferevent_get_output(conn->bev),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
 	/* The body gets the idle limit: it may take longer than a header. */
+	conn->body_progress = 0;
 	hio_set_timer(conn->timer, limits->idle_us);
 	return 0;
 }
@@ -245,6 +249,12 @@
 		return -1;
 	}
 	g_byte_array_append(conn->body, (const guint8 *)at, (guint)len);
+	conn->body_progress += len;
+	if (conn->body_progress >= BODY_PROGRESS_BYTES) {
+		conn->body_progress = 0;
+		hio_set_timer(conn->timer,
+			      conn->server->options.limits.idle_us);
+	}
 	return 0;
 }
 
@@ -534,7 +544,6 @@
 
 	write_head(ex, status, fields, n);
 	evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
-	ex->begun = true;
 }
 
 /* Writes one chunk. A client that has stopped reading is disconnected. */
