--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -434,8 +434,8 @@
 	EXPECT_EQ(group.run(), CTL_REPAIR_NONE);
 }
 
-/* Guards against a group with less than the wanted voters between two steps: the
- * loss of another disk would leave it without a majority for good. A silent
+/* Guards against a group with less than the wanted voters between two steps:
+ * the loss of another disk would leave it without a majority for good. A silent
  * voter that returns between them stays. */
 TEST(CtlRepair, ReplacementNeverHasFewerVotersThanWanted)
 {
