--- a/tests/integration/documents_test.cc
+++ b/tests/integration/documents_test.cc
@@ -25,13 +25,36 @@
 		for (std::thread &thread : operators)
 			thread.join();
 		int accepted = 0;
-		for (const Reply &reply : replies) {
-			accepted += reply.status == 200;
-			if (reply.status != 200) {
-				EXPECT_EQ(reply.status, 409) << reply.body;
+		size_t winner = 0;
+		for (size_t i = 0; i < 3; i++) {
+			accepted += replies[i].status == 200;
+			if (replies[i].status == 200)
+				winner = i;
+			if (replies[i].status != 200) {
+				EXPECT_EQ(replies[i].status, 409)
+					<< replies[i].body;
 			}
 		}
 		EXPECT_EQ(accepted, 1) << "number " << number;
+		/* The winner's document is in force everywhere, no other. */
+		for (size_t i = 0; i < 3; i++)
+			EXPECT_TRUE(System::wait_for([&] {
+				std::string text =
+					system.call(i, "GET",
+						    "/v1/documents/demo")
+						.body;
+				std::string name =
+					"m" + std::to_string(number) + "-";
+
+				return text.find(name +
+						 std::to_string(winner)) !=
+					       std::string::npos &&
+				       text.find(name +
+						 std::to_string((winner + 1) %
+								3)) ==
+					       std::string::npos;
+			})) << "number "
+			    << number << " at " << i;
 	}
 }
 
--- a/tests/integration/replicas_test.cc
+++ b/tests/integration/replicas_test.cc
@@ -43,6 +43,16 @@
 	return term;
 }
 
+/* Returns the role of the instance's replica. */
+std::string role(const System &system, size_t instance)
+{
+	json_t *status = cluster_status(system.cluster, instance);
+	std::string role = System::string(status, "role");
+
+	json_decref(status);
+	return role;
+}
+
 /* Kills an instance, wipes its disk, restarts it, and waits until the repair is
  * finished: its new replica is a voter and has replaced the old one. */
 void lose_disk_and_repair(System &system, size_t lost)
@@ -212,6 +222,10 @@
 	EXPECT_TRUE(System::wait_for([&] {
 		return system.put_document(other, 2, "", 5000).status == 200;
 	}));
+	EXPECT_TRUE(System::wait_for([&] {
+		return role(system, full) == "disk_failed";
+	})) << role(system, full);
+	EXPECT_NE(system.wait_leader(), (int)full);
 	EXPECT_TRUE(cluster_wait_document(system.cluster, full, "demo", 2,
 					  kTimeoutMs))
 		<< "the entry of the full instance does not follow";
