--- a/tests/integration/field_reports_test.cc
+++ b/tests/integration/field_reports_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <random>
 #include <thread>
 
 #include "tests/platform/system.h"
@@ -117,3 +118,135 @@
 		}
 	}
 }
+
+namespace
+{
+
+/* How a runner answers a request of the seeded history. */
+enum Manner {
+	WHOLE,
+	TWICE,	    /* a second copy right after the answer */
+	TWICE_LATE, /* a second copy while the next request may be under way */
+	EARLIER,    /* the answer of another request comes first */
+	TOO_SHORT,  /* fewer bytes than announced, then the end */
+	NO_LAST_CHUNK,
+	RESET,	  /* a body without a length, cut by a reset */
+	TOO_LONG, /* more bytes than announced */
+	MANNERS,
+};
+
+bool answer_in(Manner manner, const Runner &runner, Socket &s, const Message &m)
+{
+	std::string fields = runner.seal() + Runner::echo(m);
+	std::string body = "whole answer for " + m.field("X-Attempt-Id");
+	std::string whole = answer(200, fields, body);
+	std::string length = std::to_string(body.size());
+
+	switch (manner) {
+	case TWICE:
+		return s.send(whole + whole);
+	case TWICE_LATE:
+		s.send(whole);
+		usleep(15000);
+		return s.send(whole);
+	case EARLIER:
+		return s.send(
+			answer(200, runner.seal() + "X-Attempt-Id: another\r\n",
+			       "another answer") +
+			whole);
+	case TOO_SHORT:
+		s.send("HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " +
+		       length + "\r\n\r\n" + body.substr(0, 9));
+		return false;
+	case NO_LAST_CHUNK:
+		s.send("HTTP/1.1 200 OK\r\n" + fields +
+		       "Transfer-Encoding: chunked\r\n\r\n9\r\n" +
+		       body.substr(0, 9) + "\r\n");
+		return false;
+	case RESET:
+		s.send("HTTP/1.1 200 OK\r\n" + fields + "\r\n" +
+		       body.substr(0, 9));
+		usleep(20000);
+		s.reset();
+		return false;
+	case TOO_LONG:
+		return s.send(whole + "more bytes");
+	case WHOLE:
+	case MANNERS:
+		break;
+	}
+	return s.send(whole);
+}
+
+} // namespace
+
+/*
+ * A second copy of an answer came late on a connection that was in use again,
+ * and an answer that broke off looked complete. Callers on kept connections
+ * each get the whole answer to their own request, or no success; the manner of
+ * each answer follows from the seed.
+ */
+TEST_F(FieldReports, CallersGetTheirOwnWholeAnswerOrNoSuccess)
+{
+	constexpr int CALLERS = 4, REQUESTS = 40;
+	Runner other("plain", "i-b");
+	std::vector<std::thread> callers;
+	std::atomic<int> served{ 0 };
+	std::atomic<uint64_t> arrivals{ 0 };
+
+	system.add(other, "/safe/probe");
+	for (Runner *r : { &runner, &other })
+		r->handler = [&, r](Socket &s, const Message &m) {
+			std::mt19937_64 random(20261204 + arrivals++);
+			/* Half of the answers are whole. */
+			Manner manner = random() % 2
+						? WHOLE
+						: (Manner)(random() % MANNERS);
+
+			return answer_in(manner, *r, s, m);
+		};
+	for (int c = 0; c < CALLERS; c++)
+		callers.emplace_back([&, c] {
+			auto socket = std::make_unique<Socket>();
+
+			for (int i = 0; i < REQUESTS; i++) {
+				std::string id = "c" + std::to_string(c) + "-" +
+						 std::to_string(i);
+				const char *path =
+					i % 2 ? "/safe/x" : "/once/x";
+				Message m;
+
+				if (!i || socket->ended || m.closed) {
+					socket = std::make_unique<Socket>();
+					ASSERT_TRUE(socket->connect_to(
+						system.entry().front));
+				}
+				socket->send(request(
+					"GET", path, "host.example",
+					"X-Attempt-Id: " + id + "\r\n"));
+				if (!socket->read(&m)) {
+					socket = std::make_unique<Socket>();
+					ASSERT_TRUE(socket->connect_to(
+						system.entry().front));
+					continue;
+				}
+				if (m.status() / 100 == 2) {
+					EXPECT_TRUE(m.complete) << id;
+					EXPECT_EQ(m.body,
+						  "whole answer for " + id);
+					served += m.complete;
+				}
+			}
+		});
+	for (auto &caller : callers)
+		caller.join();
+	EXPECT_GE(served, CALLERS * REQUESTS / 4);
+	/* A non-idempotent request ran once, whatever became of its answer. */
+	std::map<std::string, int> runs;
+	for (Runner *r : { &runner, &other })
+		for (const Message &m : r->ran_requests())
+			if (m.target() == "/once/x") {
+				EXPECT_EQ(++runs[m.field("X-Attempt-Id")], 1)
+					<< m.field("X-Attempt-Id");
+			}
+}
