--- a/tests/integration/field_reports_test.cc
+++ b/tests/integration/field_reports_test.cc
@@ -250,3 +250,51 @@
 					<< m.field("X-Attempt-Id");
 			}
 }
+
+/*
+ * A machine that was only silent for a while had its running work started again
+ * elsewhere, or given up. A runner stops its announcements for longer than the
+ * lease of 3 s while it runs a stream; another one is ready to take it.
+ */
+TEST_F(FieldReports, WorkOfASilentMachineGoesOn)
+{
+	constexpr int EVENTS = 15;
+	Runner other("plain", "i-b");
+	std::atomic<bool> moved{ false };
+
+	other.handler = [&](Socket &s, const Message &m) {
+		moved = moved || m.target() == "/flow/x";
+		return s.send(answer(200, other.seal() + Runner::echo(m), "x"));
+	};
+	runner.handler = [&](Socket &s, const Message &m) {
+		s.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+		       "\r\n" +
+		       runner.seal() + Runner::echo(m) +
+		       "Transfer-Encoding: chunked\r\n\r\n");
+		for (int i = 1; i <= EVENTS; i++) {
+			std::string event =
+				"id: " + std::to_string(i) + "\ndata: x\n\n";
+			char size[32];
+
+			snprintf(size, sizeof(size), "%zx\r\n", event.size());
+			if (!s.send(size + event + "\r\n"))
+				return false;
+			usleep(300000);
+		}
+		return s.send("0\r\n\r\n");
+	};
+	std::thread silence([&] {
+		usleep(300000);
+		runner.fall_silent();
+		other.beat(system.instances[0].api);
+	});
+	Message m = system.send("GET", "/flow/x", "X-Attempt-Id: a1\r\n");
+
+	silence.join();
+	EXPECT_EQ(m.status(), 200);
+	EXPECT_TRUE(m.complete);
+	EXPECT_NE(m.body.find("id: " + std::to_string(EVENTS)),
+		  std::string::npos)
+		<< m.body;
+	EXPECT_FALSE(moved) << "started again elsewhere";
+}
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -377,6 +377,11 @@
 			}
 		});
 	}
+	/* Ends the announcements; the runner goes on with its requests. */
+	void fall_silent()
+	{
+		announcing = false;
+	}
 	size_t n_ran()
 	{
 		std::lock_guard<std::mutex> guard(lock);
