--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -103,6 +103,8 @@
 	  .default_value = 0.1 },
 	{ "repeat_window_s", OPT_U32, AT(repeat_window_s), .min = 1, .max = 600,
 	  .default_value = 10 },
+	{ "repeat_settle_ms", OPT_U32, AT(repeat_settle_ms), .min = 0,
+	  .max = 700000, .default_value = 14000 },
 	{ "repeat_extra", OPT_U32, AT(repeat_extra), .min = 0, .max = 100000,
 	  .default_value = 32 },
 	{ "order_lease_ms", OPT_U32, AT(order_lease_ms), .min = 0,
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -32,6 +32,10 @@
 	 * in a sliding window, plus repeat_extra in each window. */
 	double repeat_ratio;
 	uint32_t repeat_window_s;
+	/* Time in which an instance that has started uses none of
+	 * repeat_extra, and after which the others divide the part of one that
+	 * has left: the window, the lease of a node and a second. */
+	uint32_t repeat_settle_ms;
 	uint32_t repeat_extra;
 	/* Wait of a new leader before its first order while its predecessor may
 	 * still send orders. */
--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -120,6 +120,7 @@
 	double plain_ms; /* average time to the first byte, plain endpoints */
 	unsigned entry_index; /* of this instance, by view order */
 	unsigned entries;
+	bool listed; /* this instance is one of them */
 };
 
 static void endpoint_free(void *data)
@@ -180,13 +181,16 @@
 {
 	ctx->entries = 0;
 	ctx->entry_index = 0;
+	ctx->listed = false;
 	for (size_t i = 0; i < view_n_nodes(view); i++) {
 		const Dsp__Node *node = view_node_at(view, i);
 
 		if (!node->http_address[0] || node->down)
 			continue;
-		if (!strcmp(node->id, self))
+		if (!strcmp(node->id, self)) {
 			ctx->entry_index = ctx->entries;
+			ctx->listed = true;
+		}
 		ctx->entries++;
 	}
 	ctx->entries = MAX(ctx->entries, 1);
@@ -233,6 +237,12 @@
 	return ctx->entries;
 }
 
+/* Returns whether the view lists this instance as one that serves callers. */
+bool bal_is_entry(const struct bal *ctx)
+{
+	return ctx->listed;
+}
+
 /* Counts a request that is sent to the endpoint; tokens is its prompt's length.
  */
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -65,6 +65,7 @@
 /* Commands. */
 void bal_set_view(struct bal *ctx, struct view *view, const char *self);
 unsigned bal_entries(const struct bal *ctx);
+bool bal_is_entry(const struct bal *ctx); /* the view lists this instance */
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
 	       int64_t now_us);
 void bal_first_byte(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
--- a/src/core/rep.c
+++ b/src/core/rep.c
@@ -122,3 +122,65 @@
 	rep_return(ctx, taken_us);
 	second_of(ctx, now_us)->repeats++;
 }
+
+/*
+ * Prepares the share of an instance that has just started. lease_us is the time
+ * after which the leader takes a silent instance off the view. An instance that
+ * leaves or is started again may have sent repeats, which count for a window,
+ * and the others notice it up to a lease later: settle_us is the longest window
+ * of a budget, the lease and the time for which views may differ.
+ */
+void rep_share_init(struct rep_share *share, int64_t settle_us,
+		    int64_t lease_us, int64_t now_us)
+{
+	*share = (struct rep_share){
+		.settle_us = settle_us,
+		.lease_us = lease_us,
+		.away_us = now_us,
+		.updated_us = now_us,
+		.parts = 1,
+	};
+}
+
+/*
+ * Takes the number of instances of the view, whether they include this one, and
+ * the age of the view's confirmation. Call it several times a lease. More
+ * instances divide the number at once, fewer only after the settling time.
+ */
+void rep_share_update(struct rep_share *share, unsigned instances, bool listed,
+		      int64_t view_age_us, int64_t now_us)
+{
+	if (!listed || view_age_us > share->lease_us ||
+	    now_us - share->updated_us > share->lease_us)
+		share->away_us = now_us;
+	share->updated_us = now_us;
+	if (instances >= share->parts) {
+		share->parts = instances;
+		share->fewer_since_us = 0;
+		return;
+	}
+	if (!share->fewer_since_us) {
+		share->fewer_since_us = now_us;
+		share->fewer = instances;
+	}
+	share->fewer = MAX(share->fewer, instances);
+	if (now_us - share->fewer_since_us < share->settle_us)
+		return;
+	share->parts = MAX(share->fewer, 1);
+	share->fewer_since_us = 0;
+}
+
+/*
+ * Returns this instance's part of a fixed number: none without contact, since
+ * the others may have divided its part among themselves, and none until the
+ * repeats that they sent for it no longer count.
+ */
+double rep_share_of(const struct rep_share *share, double number,
+		    int64_t view_age_us, int64_t now_us)
+{
+	if (view_age_us > share->lease_us ||
+	    now_us - share->updated_us > share->lease_us ||
+	    now_us - share->away_us < share->settle_us)
+		return 0;
+	return number / share->parts;
+}
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -64,6 +64,9 @@
 	ctx->view = view_new_empty();
 	ctx->bal = bal_new();
 	ctx->queue = adm_new();
+	rep_share_init(&ctx->repeat_share,
+		       settings->edge.repeat_settle_ms * 1000LL,
+		       settings->node_lease_ms * 1000LL, clk_now_us(clock));
 	ctx->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     budget_free);
 	ctx->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -201,6 +204,13 @@
 			 table->n_services);
 }
 
+static void update_repeat_share(struct edge *ctx)
+{
+	rep_share_update(&ctx->repeat_share, bal_entries(ctx->bal),
+			 bal_is_entry(ctx->bal), ctl_state(ctx->ctl).stale_us,
+			 clk_now_us(ctx->clock));
+}
+
 static void apply_view(struct edge *ctx, struct view *view)
 {
 	const Dsp__RouteTable *table = view_route_table(view);
@@ -208,6 +218,7 @@
 
 	ctx->view = view;
 	bal_set_view(ctx->bal, view, ctx->set->id);
+	update_repeat_share(ctx);
 	/* The old table belongs to the old view, which is released below. */
 	if (table && table != ctx->table)
 		apply_table(ctx, table);
@@ -372,6 +383,7 @@
 		send_reports(ctx);
 		set_gauges(ctx);
 	}
+	update_repeat_share(ctx);
 	fwd_run_held(ctx);
 	if (ctx->agent)
 		agent_tick(ctx->agent, now_us);
@@ -445,8 +457,9 @@
 	return (struct rep_options){
 		.ratio = set->repeat_ratio,
 		.window_s = set->repeat_window_s,
-		.extra_share =
-			(double)set->repeat_extra / bal_entries(ctx->bal),
+		.extra_share = rep_share_of(
+			&ctx->repeat_share, set->repeat_extra,
+			ctl_state(ctx->ctl).stale_us, clk_now_us(ctx->clock)),
 	};
 }
 
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -101,6 +101,7 @@
 	struct adm *queue;	   /* requests that wait for an endpoint */
 	struct event *queue_event; /* an endpoint may have capacity */
 	GHashTable *budgets;	   /* service -> struct rep */
+	struct rep_share repeat_share;
 	struct fwd_list forwards;
 	size_t answer_bytes; /* held in buffered responses */
 	STAILQ_HEAD(fwd_helds, fwd_held) held;
--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -82,7 +82,8 @@
 		       "heartbeat_ms = 100\nreport_interval_ms = 200\n"
 		       "node_lease_ms = 2000\nisolated_after_ms = 1500\n"
 		       "endpoint_lease_ms = 3000\n[edge]\n"
-		       "repeat_extra = 50\norder_lease_ms = 300\n"
+		       "repeat_extra = 50\nrepeat_settle_ms = 0\n"
+		       "order_lease_ms = 300\n"
 		       "drain_limit_ms = 4000\nentry_validity_s = 1\n"
 		    << "start_wait_ms = " << start_wait_ms << "\n";
 		if (x.control)
--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -164,6 +164,192 @@
 		rep_free(entry);
 }
 
+namespace
+{
+
+/* Entries that take all repeats they may, and the leader that lists them. */
+class Entries
+{
+      public:
+	static constexpr double RATIO = 0.2, EXTRA = 54;
+	static constexpr int64_t LEASE = 3 * S, WINDOW = 10 * S;
+
+	struct Entry {
+		struct rep *rep = nullptr;
+		struct rep_share share = {};
+		std::vector<bool> view; /* by entry: listed as up */
+		int64_t confirmed = 0;
+		int64_t heard = 0; /* by the leader */
+		int64_t back = 0;  /* when it is started or thaws */
+		int64_t cut_until = 0;
+		bool frozen = false;
+		bool deaf = false; /* the cut is one-way: it gets no views */
+	};
+
+	Entries(uint64_t seed, size_t n) : random(seed), all(n)
+	{
+		for (auto &e : all)
+			start(e);
+	}
+	~Entries()
+	{
+		for (auto &e : all)
+			rep_free(e.rep);
+	}
+
+	void run(int64_t duration)
+	{
+		for (int64_t end = now + duration; now < end; now += 100 * MS) {
+			if (random() % 12 == 0)
+				disturb();
+			listed.resize(all.size());
+			for (size_t i = 0; i < all.size(); i++)
+				listed[i] = now - all[i].heard <= LEASE;
+			for (size_t i = 0; i < all.size(); i++)
+				step(i);
+		}
+	}
+
+	/* Most repeats of a window over what the rule allows there. */
+	double worst()
+	{
+		double most = -1e9;
+
+		for (int64_t from = 0; from < now; from += 200 * MS) {
+			double allowed = 0;
+
+			/* Requests of the window, or of one before it. */
+			for (int64_t back : { (int64_t)0, WINDOW / 2, WINDOW })
+				allowed = std::max(
+					allowed, count(requests, from - back));
+			most = std::max(most, count(repeats, from) -
+						      RATIO * allowed - EXTRA);
+		}
+		return most;
+	}
+
+	size_t n_repeats() const
+	{
+		return repeats.size();
+	}
+
+      private:
+	void start(Entry &e)
+	{
+		rep_free(e.rep);
+		e.rep = rep_new();
+		e.view.clear();
+		e.confirmed = now - 10 * LEASE;
+		e.frozen = false;
+		rep_share_init(&e.share, WINDOW + LEASE + S, LEASE, now);
+	}
+
+	void disturb()
+	{
+		size_t share = 1 + random() % all.size();
+		int64_t until = now + (int64_t)(random() % 20) * S;
+		uint64_t kind = random() % 3;
+		bool one_way = random() % 2;
+
+		for (size_t i = 0; i < share; i++) {
+			Entry &e = all[random() % all.size()];
+
+			if (kind == 0) { /* killed, started again */
+				start(e);
+				e.back = until;
+			} else if (kind == 1) {
+				e.frozen = true;
+				e.back = until;
+			} else {
+				e.cut_until = until;
+				e.deaf = one_way;
+			}
+		}
+		if (random() % 8 == 0 && all.size() < 40) { /* added */
+			all.emplace_back();
+			start(all.back());
+		}
+	}
+
+	void step(size_t i)
+	{
+		Entry &e = all[i];
+		bool cut = now < e.cut_until;
+		unsigned n = 0;
+
+		if (now < e.back)
+			return;
+		if (!cut || e.deaf)
+			e.heard = now;
+		if (!cut || !e.deaf) {
+			/* Views arrive some hundred milliseconds late. */
+			if (random() % 4 == 0) {
+				e.view = listed;
+				e.confirmed = now;
+			}
+		}
+		for (bool up : e.view)
+			n += up;
+		rep_share_update(&e.share, std::max(n, 1u),
+				 i < e.view.size() && e.view[i],
+				 now - e.confirmed, now);
+		if (random() % 5 == 0) {
+			rep_count_request(e.rep, now);
+			requests.push_back(now);
+		}
+		struct rep_options options = {
+			RATIO, 10,
+			rep_share_of(&e.share, EXTRA, now - e.confirmed, now)
+		};
+		while (rep_take(e.rep, &options, REP_BEGUN, now)) {
+			int64_t later = now + (int64_t)(random() % 2000) * MS;
+
+			if (random() % 4 == 0) {
+				rep_return(e.rep, now);
+				break;
+			}
+			if (random() % 4 == 0)
+				rep_move(e.rep, now, later);
+			else
+				later = now;
+			repeats.push_back(later);
+		}
+	}
+
+	static double count(const std::vector<int64_t> &times, int64_t from)
+	{
+		return (double)std::count_if(
+			times.begin(), times.end(), [&](int64_t at) {
+				return at >= from && at < from + WINDOW;
+			});
+	}
+
+	std::mt19937_64 random;
+	std::vector<Entry> all;
+	std::vector<bool> listed;
+	std::vector<int64_t> requests, repeats;
+	int64_t now = 100 * S;
+};
+
+} // namespace
+
+/* The parts of the fixed number never add up to more than it, whatever entries
+ * are killed, frozen, cut off, started again and added. */
+TEST(Rep, PartsAddUpToTheNumberWhileEntriesComeAndGo)
+{
+	size_t used = 0;
+
+	for (uint64_t seed = 1; seed <= 60; seed++) {
+		Entries entries(seed, 3 + seed % 20);
+
+		entries.run(90 * S);
+		EXPECT_LE(entries.worst(), 0) << "seed " << seed;
+		used += entries.n_repeats();
+	}
+	/* In 60 histories of 90 s, the entries do use the budget. */
+	EXPECT_GT(used, 60 * 90 / 10 * 10);
+}
+
 /* Requests that no endpoint has run leave half of the budget to those that may
  * have run, whose callers cannot come back for a complete answer. */
 TEST(Rep, RequestsThatHaveBegunHaveARestOfTheirOwn)
