--- a/src/node/ctl_form.c
+++ b/src/node/ctl_form.c
@@ -195,8 +195,8 @@
 
 /*
  * Asks for the replica's return to its group while it hears no leader. The
- * leader sends nothing to a replica that was replaced while it was away, and
- * ignores the request of one that is still a member.
+ * leader sends nothing to a replica that was replaced while it was away. One
+ * that is still a member gets the group that it has, and ignores it.
  */
 static void run_rejoin(struct ctl *ctx)
 {
@@ -212,11 +212,13 @@
 	}
 	if (ctx->now_us < ctx->form_due_us)
 		return;
-	if (!ctx->rejoining)
+	if (!ctx->rejoining) {
+		met_count(ctx->met, "dandelionspar_rejoins", "", 1);
 		LOG_EVENT_NOTICE("ctl", "rejoining",
 				 "replica=%016" G_GINT64_MODIFIER
 				 "x silent_ms=%" G_GINT64_FORMAT,
 				 ctx->replica, silent_us / 1000);
+	}
 	ctx->rejoining = true;
 	send_join(ctx);
 	ctx->form_due_us = ctx->now_us + JOIN_INTERVAL_US;
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -476,18 +476,14 @@
 	       (heard_us && ctx->now_us - *heard_us < REPLICA_ALIVE_US);
 }
 
-/* Returns since when a replica has been silent. Only the leader before this one
- * had to send messages before this one led. */
 static int64_t silent_since_us(const struct ctl *ctx, uint64_t replica)
 {
 	const int64_t *heard_us =
 		g_hash_table_lookup(ctx->replica_heard, &replica);
 
-	if (!heard_us)
-		return ctx->leader_since_us;
-	if (replica == ctx->last_leader)
-		return *heard_us;
-	return MAX(*heard_us, ctx->leader_since_us);
+	return ctl_rule_silent_since_us(heard_us ? *heard_us : 0,
+					ctx->leader_since_us,
+					replica == ctx->last_leader);
 }
 
 static bool replica_replaceable(void *data, uint64_t replica)
@@ -516,6 +512,59 @@
 	return n;
 }
 
+static const Dsp__Member *find_member(const Dsp__RaftConfig *config,
+				      uint64_t replica)
+{
+	for (size_t i = 0; i < config->n_members; i++)
+		if (config->members[i]->replica == replica)
+			return config->members[i];
+	return NULL;
+}
+
+/* Returns the member that one of the configurations lacks, or that is a voter
+ * in one of them only. */
+static const Dsp__Member *changed_member(const Dsp__RaftConfig *from,
+					 const Dsp__RaftConfig *to)
+{
+	for (size_t i = 0; i < from->n_members; i++)
+		if (!find_member(to, from->members[i]->replica))
+			return from->members[i];
+	for (size_t i = 0; i < to->n_members; i++) {
+		const Dsp__Member *m = to->members[i];
+		const Dsp__Member *before = find_member(from, m->replica);
+
+		if (!before || before->voter != m->voter)
+			return m;
+	}
+	return NULL;
+}
+
+/* Logs a step of a repair with the member that it changes; config NULL: it
+ * changes none. */
+static void log_repair(const struct ctl *ctx, enum ctl_repair_step step,
+		       const Dsp__RaftConfig *config)
+{
+	const Dsp__RaftConfig *now = raft_config(ctx->raft);
+	const Dsp__Member *m = config ? changed_member(now, config) : NULL;
+	int64_t silent_us =
+		m && m->replica != ctx->replica
+			? ctx->now_us - silent_since_us(ctx, m->replica)
+			: 0;
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "step=\"%s\"",
+		   ctl_rule_repair_name(step));
+	if (m)
+		met_count(ctx->met, "dandelionspar_repairs", labels, 1);
+	LOG_EVENT_NOTICE("ctl", "repair",
+			 "step=%s node=%s replica=%016" G_GINT64_MODIFIER
+			 "x silent_ms=%" G_GINT64_FORMAT
+			 " members=%zu commit=%" G_GUINT64_FORMAT,
+			 ctl_rule_repair_name(step), m ? m->node : "-",
+			 m ? m->replica : 0, silent_us / 1000, now->n_members,
+			 raft_commit_index(ctx->raft));
+}
+
 static void repair_replicas(struct ctl *ctx)
 {
 	struct ctl_repair_input in = {
@@ -537,9 +586,8 @@
 	in.n_joining = list_joins(ctx, &joining);
 	in.joining = joining;
 	step = ctl_rule_repair(&in, &config);
-	if (step != ctx->repair)
-		LOG_EVENT_NOTICE("ctl", "repair", "step=%s",
-				 ctl_rule_repair_name(step));
+	if (step != ctx->repair || config)
+		log_repair(ctx, step, config);
 	ctx->repair = step;
 	if (config) {
 		waiter = ctl_waiter_new(CTL_WAIT_NONE);
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -238,6 +238,19 @@
 	return step;
 }
 
+/*
+ * Returns since when a replica has been silent to the leader, by the time of
+ * its last message (0: none). led_before: it led until this one did. Only such
+ * a replica had to send messages to this one before.
+ */
+int64_t ctl_rule_silent_since_us(int64_t heard_us, int64_t leader_since_us,
+				 bool led_before)
+{
+	if (!heard_us)
+		return leader_since_us;
+	return led_before ? heard_us : MAX(heard_us, leader_since_us);
+}
+
 /* Returns the name of a step for the log and the status. */
 const char *ctl_rule_repair_name(enum ctl_repair_step step)
 {
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -67,6 +67,10 @@
 	bool (*replaceable)(void *data, uint64_t replica);
 };
 
+/* Since when a replica has been silent to the leader. */
+int64_t ctl_rule_silent_since_us(int64_t heard_us, int64_t leader_since_us,
+				 bool led_before);
+
 enum ctl_repair_step ctl_rule_repair(const struct ctl_repair_input *in,
 				     Dsp__RaftConfig **out);
 const char *ctl_rule_repair_name(enum ctl_repair_step step);
--- a/tests/unit/repair_sim_test.cc
+++ b/tests/unit/repair_sim_test.cc
@@ -188,18 +188,16 @@
 		return !s.is_cut(a.slot, b.slot) && !s.is_cut(b.slot, a.slot);
 	}
 
-	/* Time that the leader has not heard a replica. Before it led, only the
-	 * leader before it had to send messages. */
+	/* Time that the leader has not heard a replica. */
 	int64_t silent_us(uint64_t replica)
 	{
-		auto at = heard.find({ current->disk->replica, replica });
-		int64_t since = current->leader_since;
-
-		if (at == heard.end())
-			return s.now - since;
-		if (replica == last_leader[current->disk->replica])
-			return s.now - at->second;
-		return s.now - std::max(since, at->second);
+		uint64_t own = current->disk->replica;
+		auto at = heard.find({ own, replica });
+
+		return s.now - ctl_rule_silent_since_us(
+				       at == heard.end() ? 0 : at->second,
+				       current->leader_since,
+				       replica == last_leader[own]);
 	}
 
 	void note_leaders()
