--- a/src/net/net.c
+++ b/src/net/net.c
@@ -238,45 +238,58 @@
 	}
 }
 
-/* Sends one message, or queues it while the connection opens. A queued message
- * is dropped when it gets too old or newer ones overflow the queue. from, boot
- * and address of the envelope are filled in here. */
-void net_send(struct net *ctx, const char *address, Dsp__Envelope *envelope)
+/* Returns the encoded message, to be freed with g_free(), and its length. from,
+ * boot and address of the envelope are filled in here. */
+uint8_t *net_pack(struct net *ctx, Dsp__Envelope *envelope, size_t *len)
 {
-	struct peer *p = peer_get(ctx, address);
 	char *from = envelope->from;
 	char *reply_to = envelope->address;
 	uint8_t *data;
-	size_t len;
 
-	if (!p) {
-		ctx->dropped++;
-		return;
-	}
 	envelope->from = ctx->node;
 	envelope->boot = ctx->boot;
 	envelope->address = ctx->advertise;
-	len = dsp__envelope__get_packed_size(envelope);
-	data = g_malloc(len);
+	*len = dsp__envelope__get_packed_size(envelope);
+	data = g_malloc(*len);
 	dsp__envelope__pack(envelope, data);
 	envelope->from = from;
 	envelope->address = reply_to;
+	return data;
+}
+
+/* Sends an encoded message, or queues it while the connection opens. A queued
+ * message is dropped when it gets too old or newer ones overflow the queue. */
+void net_send_packed(struct net *ctx, const char *address, const uint8_t *data,
+		     size_t len)
+{
+	struct peer *p = peer_get(ctx, address);
+
+	if (!p) {
+		ctx->dropped++;
+		return;
+	}
 	p->used_us = ctx->now_us;
 	send_queued(ctx, p);
 	if (p->n_queued) {
-		queue_message(ctx, p, data, len);
-		return;
-	}
-	if (zmq_send(p->socket, data, len, ZMQ_DONTWAIT) >= 0) {
+		queue_message(ctx, p, g_memdup2(data, len), len);
+	} else if (zmq_send(p->socket, data, len, ZMQ_DONTWAIT) >= 0) {
 		ctx->bytes_sent += len;
 		p->blocked_since_us = 0;
 		p->sent_since_ping = true;
 	} else if (errno == EAGAIN) {
-		queue_message(ctx, p, data, len);
-		return;
+		queue_message(ctx, p, g_memdup2(data, len), len);
 	} else {
 		ctx->dropped++;
 	}
+}
+
+/* Encodes and sends one message, as net_send_packed(). */
+void net_send(struct net *ctx, const char *address, Dsp__Envelope *envelope)
+{
+	size_t len;
+	uint8_t *data = net_pack(ctx, envelope, &len);
+
+	net_send_packed(ctx, address, data, len);
 	g_free(data);
 }
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -28,6 +28,10 @@
 /* Commands. */
 void net_set_route(struct net *ctx, const char *address, const char *via);
 void net_send(struct net *ctx, const char *address, Dsp__Envelope *envelope);
+/* The same in two steps, for a message that goes to several addresses. */
+uint8_t *net_pack(struct net *ctx, Dsp__Envelope *envelope, size_t *len);
+void net_send_packed(struct net *ctx, const char *address, const uint8_t *data,
+		     size_t len);
 void net_wait(struct net *ctx, int wake_fd, int64_t timeout_us);
 void net_tick(struct net *ctx, int64_t now_us);
 Dsp__Envelope *net_receive(struct net *ctx);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -320,6 +320,7 @@
 	int64_t push_due_us;	   /* next update round to all, with loads */
 	int64_t push_earliest_us;  /* rate limit of rounds in between */
 	uint64_t pushed_index;	   /* view index of the last round */
+	uint64_t updates_packed;   /* encoded for children */
 	int64_t publish_due_us;	   /* next view with a new index only */
 
 	/* Leader. */
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -37,7 +37,8 @@
  * control traffic of an instance to 25 KB/s. */
 #define LOADS_MAX 300
 /* Interval at which an unchanged load is repeated, since receivers give less
- * weight to old ones. */
+ * weight to old ones. That of an idle endpoint is not: none counts as little as
+ * an old one. */
 #define LOAD_REPEAT_US (2LL * CTL_S_US)
 /* Results in one announcement. Endpoints repeat the others until they are
  * acknowledged. */
@@ -275,6 +276,12 @@
 	sum->read_us += pace->read_us;
 }
 
+static bool is_idle(const Dsp__LoadReport *report)
+{
+	return !report->running && !report->waiting &&
+	       !report->kv_used_permille;
+}
+
 /* Stores an endpoint's load and marks it for the next update to downstream
  * instances. */
 void ctl_report_load(struct ctl *ctx, const Dsp__LoadReport *report)
@@ -302,7 +309,8 @@
 	    (!old || old->running != report->running ||
 	     old->waiting != report->waiting ||
 	     old->kv_used_permille != report->kv_used_permille ||
-	     ctx->now_us - load->pushed_us > LOAD_REPEAT_US)) {
+	     (!is_idle(report) &&
+	      ctx->now_us - load->pushed_us > LOAD_REPEAT_US))) {
 		load->changed = true;
 		TAILQ_INSERT_TAIL(&ctx->changed_loads, load, link);
 	}
@@ -795,45 +803,86 @@
 	update->n_observed_loads = 0;
 }
 
+/* An update of one round, which is encoded once for all that get it. */
+struct round_update {
+	Dsp__ViewUpdate *update;
+	uint8_t *packed; /* owned; NULL: not yet */
+	size_t len;
+};
+
 /* One round of updates. */
 struct round {
-	GHashTable *updates; /* from_index -> Dsp__ViewUpdate */
+	GHashTable *updates; /* from_index -> struct round_update */
 	Dsp__LoadReport *loads[LOADS_MAX];
 	size_t n_loads;
 	Dsp__LoadReport *observed[LOADS_MAX];
 	size_t n_observed;
 };
 
-static Dsp__ViewUpdate *update_since(struct ctl *ctx, struct round *round,
-				     uint64_t from)
+static void free_update(Dsp__ViewUpdate *update)
 {
-	Dsp__ViewUpdate *update = g_hash_table_lookup(round->updates, &from);
+	clear_borrowed_fields(update);
+	dsp__view_update__free_unpacked(update, NULL);
+}
 
-	if (update)
-		return update;
-	update = view_since(ctx->view, from);
-	fill_update(ctx, update);
-	update->loads = round->loads;
-	update->n_loads = round->n_loads;
-	update->observed_loads = round->observed;
-	update->n_observed_loads = round->n_observed;
-	g_hash_table_insert(round->updates, g_memdup2(&from, sizeof(from)),
-			    update);
-	return update;
+static void free_round_update(void *data)
+{
+	struct round_update *u = data;
+
+	free_update(u->update);
+	g_free(u->packed);
+	g_free(u);
+}
+
+static struct round_update *update_since(struct ctl *ctx, struct round *round,
+					 uint64_t from)
+{
+	struct round_update *u = g_hash_table_lookup(round->updates, &from);
+
+	if (u)
+		return u;
+	u = g_new0(struct round_update, 1);
+	u->update = view_since(ctx->view, from);
+	fill_update(ctx, u->update);
+	u->update->loads = round->loads;
+	u->update->n_loads = round->n_loads;
+	u->update->observed_loads = round->observed;
+	u->update->n_observed_loads = round->n_observed;
+	g_hash_table_insert(round->updates, g_memdup2(&from, sizeof(from)), u);
+	return u;
 }
 
 static void send_update(struct ctl *ctx, const char *address,
 			Dsp__ViewUpdate *update)
 {
 	Dsp__Envelope out = DSP__ENVELOPE__INIT;
-	uint32_t age_ms = update->confirmed_age_ms;
 
-	if (!ctx->ready_leader && ctl_up_is(&ctx->up, address))
-		update->confirmed_age_ms = UINT32_MAX;
 	out.body_case = DSP__ENVELOPE__BODY_VIEW_UPDATE;
 	out.view_update = update;
 	ctl_send(ctx, address, &out);
-	update->confirmed_age_ms = age_ms;
+}
+
+/* Sends an update that others may get, too. The upstream gets it without the
+ * confirmation that came from there. */
+static void send_round_update(struct ctl *ctx, const char *address,
+			      struct round_update *u)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	uint32_t age_ms = u->update->confirmed_age_ms;
+
+	if (!ctx->ready_leader && ctl_up_is(&ctx->up, address)) {
+		u->update->confirmed_age_ms = UINT32_MAX;
+		send_update(ctx, address, u->update);
+		u->update->confirmed_age_ms = age_ms;
+		return;
+	}
+	if (!u->packed) {
+		out.body_case = DSP__ENVELOPE__BODY_VIEW_UPDATE;
+		out.view_update = u->update;
+		u->packed = net_pack(ctx->net, &out, &u->len);
+		ctx->updates_packed++;
+	}
+	net_send_packed(ctx->net, address, u->packed, u->len);
 }
 
 static void collect_loads(struct ctl *ctx, struct round *round)
@@ -851,14 +900,6 @@
 				     LOADS_MAX, ctx->now_us);
 }
 
-static void free_update(void *data)
-{
-	Dsp__ViewUpdate *update = data;
-
-	clear_borrowed_fields(update);
-	dsp__view_update__free_unpacked(update, NULL);
-}
-
 /* Returns true if this instance has a confirmation or loads that the child has
  * not got. Without contact to the leader it has none. */
 static bool is_newer(const struct ctl *ctx, const struct ctl_child *child,
@@ -872,7 +913,7 @@
 {
 	struct round round = {
 		.updates = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						 g_free, free_update),
+						 g_free, free_round_update),
 	};
 	GHashTableIter iter;
 	struct ctl_child *child;
@@ -890,8 +931,8 @@
 			continue;
 		child->due = false;
 		child->sent_confirmed_us = ctx->confirmed_us;
-		send_update(ctx, child->address,
-			    update_since(ctx, &round, child->sent_index));
+		send_round_update(ctx, child->address,
+				  update_since(ctx, &round, child->sent_index));
 		if (child->sent_index < view_index(ctx->view))
 			child->sent_us = ctx->now_us;
 		child->sent_index =
--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -355,6 +355,10 @@
 	gauge(ctx, "dandelionspar_net_malformed", net_malformed(ctx->net));
 	gauge(ctx, "dandelionspar_net_dropped", net_dropped(ctx->net));
 	gauge(ctx, "dandelionspar_net_resets", net_resets(ctx->net));
+	gauge(ctx, "dandelionspar_net_probes", net_probes(ctx->net));
+	gauge(ctx, "dandelionspar_updates_packed", ctx->updates_packed);
+	gauge(ctx, "dandelionspar_observed_loads",
+	      occ_size(ctx->observed_down));
 	gauge(ctx, "dandelionspar_view_index", view_index(ctx->view));
 	gauge(ctx, "dandelionspar_view_age_ms", ctl_confirmed_age_ms(ctx));
 	gauge(ctx, "dandelionspar_leader", ctx->ready_leader);
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -656,6 +656,28 @@
 			[&] { return all[i]->number("verband") == 2; }));
 }
 
+/* Guards against an encoding of the same update for each instance that gets it:
+ * the leader's work grew with instances times endpoints. */
+TEST_F(Control, UpdatesAreEncodedOnceForAll)
+{
+	const char *packed = "dandelionspar_updates_packed";
+	const uint64_t seconds = 4;
+	Instance *at;
+	uint64_t before;
+
+	create(3, 12);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve() && leader(); }));
+	usleep(2000000);
+	at = leader();
+	ASSERT_NE(at, nullptr);
+	before = met_value(at->met, packed, "");
+	usleep(seconds * 1000000);
+	/* A round each 200 ms; twelve instances report here. */
+	EXPECT_GE(met_value(at->met, packed, "") - before, seconds * 4);
+	EXPECT_LE(met_value(at->met, packed, "") - before, seconds * 5 * 2);
+}
+
 /* Sites with one voter and two entries each; the voters are connected through
  * proxies. */
 class ControlSites : public Control
