--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -9,6 +9,9 @@
 /* Interval of the timer for demand reports and the order sender. */
 #define TICK_US 100000
 #define REPORT_INTERVAL_US 500000
+/* Observed loads that wait for the edge thread: several updates of all
+ * endpoints at the scale to design for. */
+#define LOADS_IN_MAX 4096
 /* The entry closes an idle connection later than the announced idle time, so
  * that no request crosses the close. */
 #define IDLE_MARGIN_US 1000000
@@ -148,7 +151,10 @@
 	struct edge *ctx = data;
 
 	pthread_mutex_lock(&ctx->lock);
-	g_ptr_array_add(ctx->loads_in, msg_dup(load));
+	if (ctx->loads_in->len < LOADS_IN_MAX)
+		g_ptr_array_add(ctx->loads_in, msg_dup(load));
+	else
+		met_count(ctx->met, "dandelionspar_edge_loads_dropped", "", 1);
 	wake(ctx);
 	pthread_mutex_unlock(&ctx->lock);
 }
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -193,8 +193,11 @@
 {
 	LIST_REMOVE(f, link);
 	adm_remove(f->edge->queue, &f->item);
-	if (f->repeat_us)
+	if (f->repeat_us) {
+		met_count(f->edge->met, "dandelionspar_edge_repeats_returned",
+			  "", 1);
 		rep_return(edge_budget(f->edge, f->service), f->repeat_us);
+	}
 	f->edge->in_flight--;
 	event_free(f->timer);
 	wire_request_clear(&f->request);
@@ -709,7 +712,7 @@
 	f->progress_us = now_us;
 	f->runs++;
 	f->sole_prefill = !bal_is_prefilling(endpoint);
-	bal_begin(f->edge->bal, endpoint, unread_tokens(f), now_of(f));
+	bal_begin(f->edge->bal, endpoint, unread_tokens(f), now_us);
 	adm_sent(f->edge->queue, f->group, now_us);
 	f->call = hio_call_start(f->edge->client, &options);
 	set_attempt_timer(f);
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -1,3 +1,4 @@
+#include <set>
 #include <thread>
 
 #include "tests/platform/system.h"
@@ -166,6 +167,41 @@
 	EXPECT_EQ(requests(b).size(), 1u);
 }
 
+/* Repeats that find no other runner are not sent, so they do not use up the
+ * retry budget: 50 and a tenth of the requests in 10 s. */
+TEST_F(Platform, RepeatsThatAreNotSentAreReturned)
+{
+	std::set<std::string> broken;
+	std::mutex lock;
+	auto break_once = [&](Runner &r) {
+		return [&, &r = r](Socket &s, const Message &m) {
+			std::lock_guard<std::mutex> guard(lock);
+
+			if (broken.insert(m.field("X-Attempt-Id")).second)
+				return false;
+			return s.send(answer(200, r.seal() + Runner::echo(m),
+					     "second"));
+		};
+	};
+
+	a.handler = b.handler = [this](Socket &s, const Message &m) {
+		return s.send(answer(200, a.seal() + Runner::echo(m), "x"));
+	};
+	add_a();
+	a.handler = break_once(a);
+	for (int i = 0; i < 100; i++)
+		EXPECT_GE(system.send("GET", "/safe/x",
+				      "X-Attempt-Id: n" + std::to_string(i) +
+					      "\r\n")
+				  .status(),
+			  500);
+	system.add(b, "/safe/probe");
+	b.handler = break_once(b);
+	EXPECT_EQ(system.send("GET", "/safe/x", "X-Attempt-Id: last\r\n").body,
+		  "second")
+		<< system.logs();
+}
+
 TEST_F(Platform, RefusalByAllRunnersSaysWhenToComeBack)
 {
 	add_both();
--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -555,6 +555,39 @@
 	EXPECT_STREQ(bal_id(choose().endpoint), "a");
 }
 
+/* An engine whose batch is nearly full is left for a slower one that has
+ * places, also by an instance that knows its load from others only. */
+TEST_F(Balance, NearlyFullEngineIsLeftForASlowerOne)
+{
+	Dsp__LoadReport load = DSP__LOAD_REPORT__INIT;
+	struct bal_query query = {};
+	const char *avoid_a[] = { "a", nullptr };
+
+	put("a", { "m" });
+	put("b", { "m" });
+	query.service = "service";
+	query.model = "m";
+	query.tokens = 1000;
+	query.events = 57;
+	struct bal_endpoint *a = bal_choose(bal, &query, now).endpoint;
+	ASSERT_STREQ(bal_id(a), "a");
+	query.avoid = avoid_a;
+	struct bal_endpoint *b = bal_choose(bal, &query, now).endpoint;
+	ASSERT_STREQ(bal_id(b), "b");
+	query.avoid = nullptr;
+	bal_stream_interval(bal, a, 10 * MS);
+	bal_stream_interval(bal, b, 60 * MS);
+	load.incarnation = bal_incarnation(a);
+	load.endpoint = (char *)"a";
+	load.running = 2;
+	bal_observe(bal, &load, now);
+	EXPECT_STREQ(bal_id(bal_choose(bal, &query, now).endpoint), "a");
+	load.running = 7; /* of 8 */
+	now += 100 * MS;
+	bal_observe(bal, &load, now);
+	EXPECT_STREQ(bal_id(bal_choose(bal, &query, now).endpoint), "b");
+}
+
 /* Guards against never choosing an endpoint that has not been used yet; the
  * fault showed in tests/integration/platform_test.cc. */
 TEST_F(Balance, UnusedEndpointIsTried)
