--- a/tests/unit/occ_test.cc
+++ b/tests/unit/occ_test.cc
@@ -188,7 +188,6 @@
 	};
 	struct Engine {
 		std::string id;
-		double slowness = 1;
 		uint32_t running = 0;
 		uint64_t served = 0;
 		int64_t prefill_free = 0;
@@ -343,8 +342,7 @@
 			engine.queue.pop_front();
 			engine.running++;
 			engine.served++;
-			first = std::max(now, engine.prefill_free) +
-				(int64_t)((double)PREFILL * engine.slowness);
+			first = std::max(now, engine.prefill_free) + PREFILL;
 			engine.prefill_free = first;
 			at(first, [this, r] { first_byte(r); });
 		}
@@ -360,8 +358,7 @@
 		bal_first_byte(bal, r->endpoint, TOKENS, now - r->arrived,
 			       r->alone);
 		bal_report(bal, r->endpoint, engine.running, waiting, now);
-		at(now + (int64_t)((double)DECODE * engine.slowness),
-		   [this, r] { end(r); });
+		at(now + DECODE, [this, r] { end(r); });
 		if (!shape.shared)
 			return;
 		/* The next report of the entry, and that of its relay. */
@@ -382,9 +379,7 @@
 		Engine &engine = engines[(size_t)r->engine];
 		struct bal *bal = entries[(size_t)r->entry];
 
-		bal_stream_interval(
-			bal, r->endpoint,
-			(int64_t)((double)DECODE * engine.slowness / EVENTS));
+		bal_stream_interval(bal, r->endpoint, DECODE / EVENTS);
 		bal_end(bal, r->endpoint, BAL_ANSWERED, 0, now);
 		engine.running--;
 		start(engine);
