hio: an endpoint's head with a byte that is not allowed is malformed

Callers got an endpoint's header fields as they came: control bytes as the first byte of a value, spaces in names, and folded values joined without their line ends. Endpoints, interim answers included, are now held to the same rule as callers: such an answer ends the call as HIO_MALFORMED before its head is passed on.

Before: the four HttpClient tests of hio_test fail. After: 12 of 12 in hio_test, 3 of 3 in http_fuzz_test.

--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -132,8 +132,7 @@
 {
 	struct conn *conn = parser->data;
 
-	(void)hio_builder_name(&conn->builder, at, len);
-	return 0;
+	return hio_builder_name(&conn->builder, at, len) ? 0 : -1;
 }
 
 static int on_value(http_parser *parser, const char *at, size_t len)
@@ -141,8 +140,7 @@
 	struct conn *conn = parser->data;
 	uint64_t offset = conn->n_consumed + (uint64_t)(at - conn->input);
 
-	(void)hio_builder_value(&conn->builder, offset, at, len);
-	return 0;
+	return hio_builder_value(&conn->builder, offset, at, len) ? 0 : -1;
 }
 
 static bool answers_other_request(const struct conn *conn)
--- a/tests/unit/hio_test.cc
+++ b/tests/unit/hio_test.cc
@@ -348,3 +348,188 @@
 				       "byte " + std::to_string(c), "");
 	}
 }
+
+namespace
+{
+
+/* A client, and the socket of an endpoint that sends it bytes. */
+class Client : public ::testing::Test
+{
+      protected:
+	struct Result {
+		bool head = false;
+		bool ended = false;
+		bool failed = false;
+		hio_failure failure = HIO_NOT_CONNECTED;
+		Fields fields;
+	};
+
+	void SetUp() override
+	{
+		sockaddr_in in;
+		int on = 1;
+
+		log_set_level(LOG_WARNING);
+		port = proc_free_port();
+		in = loopback(port);
+		address = "127.0.0.1:" + std::to_string(port);
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		ASSERT_EQ(bind(listener, (sockaddr *)&in, sizeof(in)), 0);
+		ASSERT_EQ(::listen(listener, 16), 0);
+		clock = clk_new_real();
+		base = event_base_new();
+		client = hio_client_new(base, clock);
+	}
+	void TearDown() override
+	{
+		hio_client_free(client);
+		event_base_free(base);
+		clk_free(clock);
+		close(listener);
+	}
+	/* Calls the endpoint, which answers with these bytes and closes. */
+	Result answer_with(const std::string &bytes, bool in_pieces)
+	{
+		hio_call_options options = {};
+		Result result;
+		hio_call *call;
+		int on = 1;
+		int fd;
+
+		options.address = address.c_str();
+		options.head =
+			g_string_new("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+		options.data = &result;
+		options.head_read = on_head;
+		options.body_read = [](void *, const char *, size_t) {};
+		options.end = [](void *data) {
+			((Result *)data)->ended = true;
+		};
+		options.failed = [](void *data, hio_failure failure) {
+			((Result *)data)->failed = true;
+			((Result *)data)->failure = failure;
+		};
+		call = hio_call_start(client, &options);
+		fd = accept(listener, nullptr, nullptr);
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		event_base_loop(base, EVLOOP_NONBLOCK);
+		if (in_pieces)
+			send_byte_by_byte(fd, bytes, base);
+		else
+			EXPECT_EQ(send(fd, bytes.data(), bytes.size(),
+				       MSG_NOSIGNAL),
+				  (ssize_t)bytes.size());
+		shutdown(fd, SHUT_WR);
+		for (int i = 0; i < TURNS_MAX; i++) {
+			event_base_loop(base, EVLOOP_NONBLOCK);
+			if (result.ended || result.failed)
+				break;
+			usleep(TURN_US);
+		}
+		close(fd);
+		if (!result.ended && !result.failed)
+			hio_call_cancel(call);
+		return result;
+	}
+	void expect_malformed(const std::string &bytes, const std::string &what)
+	{
+		for (bool in_pieces : { false, true }) {
+			Result got = answer_with(bytes, in_pieces);
+
+			SCOPED_TRACE(what + (in_pieces ? " in pieces" : ""));
+			EXPECT_FALSE(got.head);
+			EXPECT_FALSE(got.ended);
+			EXPECT_TRUE(got.failed);
+			EXPECT_EQ(got.failure, HIO_MALFORMED);
+		}
+	}
+
+      private:
+	static void on_head(void *data, const hio_answer *answer)
+	{
+		Result *result = (Result *)data;
+
+		result->head = true;
+		result->fields = fields_of(answer->fields);
+	}
+
+	uint16_t port;
+	std::string address;
+	int listener;
+	clk *clock;
+	event_base *base;
+	hio_client *client;
+};
+
+using HttpClient = Client;
+
+} // namespace
+
+TEST_F(HttpClient, FieldNamesOfAnswersAreTokens)
+{
+	for (int c = 0; c < 256; c++) {
+		std::string name = std::string("X-A") + (char)c + "b";
+		std::string bytes = "HTTP/1.1 200 OK\r\n" + name +
+				    ": v\r\nContent-Length: 0\r\n\r\n";
+		std::string what = "byte " + std::to_string(c);
+
+		if (c == ':')
+			continue; /* ends the name */
+		if (!is_token_byte(c)) {
+			expect_malformed(bytes, what);
+			continue;
+		}
+		for (bool in_pieces : { false, true }) {
+			Result got = answer_with(bytes, in_pieces);
+
+			ASSERT_TRUE(got.ended) << what;
+			EXPECT_EQ(got.fields[0].first, name);
+		}
+	}
+}
+
+TEST_F(HttpClient, FieldValuesOfAnswersHaveNoControlBytes)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+
+	for (int c = 0; c < 256; c++) {
+		std::string byte(1, (char)c);
+		std::string what = "byte " + std::to_string(c);
+
+		if (c == '\r' || c == '\n')
+			continue;
+		for (const std::string &value :
+		     { byte + "a", "a" + byte + "b", "a" + byte })
+			if (!is_value_byte(c))
+				expect_malformed(head + "X-A: " + value +
+							 "\r\n\r\n",
+						 what);
+		if (!is_value_byte(c))
+			continue;
+		for (bool in_pieces : { false, true }) {
+			Result got = answer_with(head + "X-A: a" + byte +
+							 "b\r\n\r\n",
+						 in_pieces);
+
+			ASSERT_TRUE(got.ended) << what;
+			EXPECT_EQ(got.fields[1].second, "a" + byte + "b");
+		}
+	}
+}
+
+TEST_F(HttpClient, FoldedFieldsOfAnswersAreMalformed)
+{
+	for (const char *fold : { "\r\n ", "\r\n\t", "\n ", "\r\n  \r\n " })
+		expect_malformed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+				 "X-Server-Seal: a" +
+					 std::string(fold) + "b\r\n\r\n",
+				 "fold");
+}
+
+TEST_F(HttpClient, InterimAnswersHaveTheSameBytes)
+{
+	expect_malformed("HTTP/1.1 103 Early Hints\r\nLink: \001\r\n\r\n"
+			 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+			 "interim");
+}
