hio: refuses a line end that is not one

http-parser in its lenient mode takes any byte after a CR for the LF and drops it, and any two bytes after the data of a chunk for CRLF. So "X-A:\rXX-B: c" was two fields, and "\r" with any byte ended the head: a message that the next hop reads in another way.

The bytes outside of bodies are checked as the parser reads them: the server answers 400 (reason line_end), the client ends the call as HIO_MALFORMED. In an endpoint's head such a line end behind the last field is noticed only after head_read, and the answer does not end as whole then.

--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -81,6 +81,57 @@
 	*fields = (struct hio_fields){ 0 };
 }
 
+/* Begins with the bytes that the parser reads next. */
+void hio_input_begin(struct hio_input *ctx, const char *bytes)
+{
+	ctx->bytes = bytes;
+	ctx->unchecked = bytes;
+}
+
+/* Returns the place of a byte in the connection's input. */
+uint64_t hio_input_offset(const struct hio_input *ctx, const char *at)
+{
+	return ctx->offset + (uint64_t)(at - ctx->bytes);
+}
+
+/* Returns false for a CR without its LF, and for chunk data without CRLF behind
+ * it: the parser takes any two bytes there, and any byte after a CR. */
+static bool check_line_ends(struct hio_input *ctx, const char *end)
+{
+	for (const char *c = ctx->unchecked; c < end; c++) {
+		if (ctx->expect == HIO_CR && *c != '\r')
+			return false;
+		if (ctx->expect == HIO_LF && *c != '\n')
+			return false;
+		ctx->expect = *c == '\r' ? HIO_LF : HIO_ANY;
+	}
+	return true;
+}
+
+/* Takes note of a piece of a body. Returns false if a line end before it is
+ * malformed. */
+bool hio_input_body(struct hio_input *ctx, const http_parser *parser,
+		    const char *at, size_t len)
+{
+	/* Further data of the same chunk has no line end before it. */
+	if (at > ctx->unchecked &&
+	    (!check_line_ends(ctx, at) || ctx->expect != HIO_ANY))
+		return false;
+	ctx->unchecked = at + len;
+	ctx->expect = parser->flags & F_CHUNKED ? HIO_CR : HIO_ANY;
+	return true;
+}
+
+/* Ends with len bytes that the parser has read. Returns false if a line end in
+ * them is malformed. */
+bool hio_input_end(struct hio_input *ctx, size_t len)
+{
+	bool valid = check_line_ends(ctx, ctx->bytes + len);
+
+	ctx->offset += len;
+	return valid;
+}
+
 /* Initializes a builder without fields. */
 void hio_builder_init(struct hio_builder *ctx)
 {
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -32,8 +32,7 @@
 	struct hio_call *call; /* CONNECTING, BUSY and FAILED */
 	http_parser parser;
 	struct hio_builder builder;
-	const char *input;   /* the bytes that the parser reads */
-	uint64_t n_consumed; /* bytes received before them */
+	struct hio_input input;
 	struct hio_answer answer;
 	bool skipped;	   /* this answer is interim or to another request */
 	bool answer_begun; /* the header of the call's answer was read */
@@ -138,7 +137,7 @@
 static int on_value(http_parser *parser, const char *at, size_t len)
 {
 	struct conn *conn = parser->data;
-	uint64_t offset = conn->n_consumed + (uint64_t)(at - conn->input);
+	uint64_t offset = hio_input_offset(&conn->input, at);
 
 	return hio_builder_value(&conn->builder, offset, at, len) ? 0 : -1;
 }
@@ -180,6 +179,8 @@
 {
 	struct conn *conn = parser->data;
 
+	if (!hio_input_body(&conn->input, parser, at, len))
+		return -1;
 	if (conn->skipped)
 		return 0;
 	if (!conn->call)
@@ -268,17 +269,23 @@
 		const char *data =
 			(const char *)evbuffer_pullup(input, (ssize_t)len);
 		size_t used;
+		bool valid;
 
-		conn->input = data;
+		hio_input_begin(&conn->input, data);
 		used = http_parser_execute(&conn->parser, &parser_settings,
 					   data, len);
-		conn->n_consumed += used;
+		valid = hio_input_end(&conn->input, used);
 		evbuffer_drain(input, used);
 		error = HTTP_PARSER_ERRNO(&conn->parser);
 		if (error == HPE_PAUSED)
 			http_parser_pause(&conn->parser, 0);
 		else if (error != HPE_OK)
 			break;
+		if (!valid) {
+			conn->complete = false;
+			error = HPE_STRICT;
+			break;
+		}
 		if (conn->parser.upgrade)
 			break;
 		if (conn->answer_begun)
--- a/src/http/hio_int.h
+++ b/src/http/hio_int.h
@@ -17,6 +17,23 @@
 	uint64_t value_end; /* offset in the input behind the last piece */
 };
 
+enum hio_expect { HIO_ANY, HIO_CR, HIO_LF };
+
+/* The input of a connection, as the parser reads it: its bytes outside of
+ * bodies. */
+struct hio_input {
+	const char *bytes;     /* that the parser reads now */
+	uint64_t offset;       /* of them in the connection's input */
+	const char *unchecked; /* the first that hio_input_check() has not seen
+				*/
+	enum hio_expect expect;
+};
+
+void hio_input_begin(struct hio_input *ctx, const char *bytes);
+uint64_t hio_input_offset(const struct hio_input *ctx, const char *at);
+bool hio_input_body(struct hio_input *ctx, const http_parser *parser,
+		    const char *at, size_t len);
+bool hio_input_end(struct hio_input *ctx, size_t len);
 void hio_builder_init(struct hio_builder *ctx);
 void hio_builder_clear(struct hio_builder *ctx);
 bool hio_builder_name(struct hio_builder *ctx, const char *at, size_t len);
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -50,8 +50,7 @@
 	http_parser parser;
 	/* The request that is arriving. */
 	struct hio_builder builder;
-	const char *input;   /* the bytes that the parser reads */
-	uint64_t n_consumed; /* bytes received before them */
+	struct hio_input input;
 	GString *target;
 	GByteArray *body;
 	size_t body_progress; /* bytes of it since the timer was set */
@@ -244,8 +243,7 @@
 	struct conn *conn = parser->data;
 
 	if (!hio_builder_value(&conn->builder,
-			       conn->n_consumed + (uint64_t)(at - conn->input),
-			       at, len))
+			       hio_input_offset(&conn->input, at), at, len))
 		return stop_parser(conn, 400, "field_value");
 	return check_header_size(conn);
 }
@@ -272,6 +270,8 @@
 {
 	struct conn *conn = parser->data;
 
+	if (!hio_input_body(&conn->input, parser, at, len))
+		return stop_parser(conn, 400, "line_end");
 	if (conn->body->len + len > conn->server->options.limits.body_bytes)
 		return stop_parser(conn, 413, "body_size");
 	g_byte_array_append(conn->body, (const guint8 *)at, (guint)len);
@@ -332,6 +332,7 @@
 	size_t len = evbuffer_get_contiguous_space(input);
 	const char *data = (const char *)evbuffer_pullup(input, (ssize_t)len);
 	size_t used;
+	bool valid;
 	enum http_errno error;
 
 	if (conn->phase == IDLE) {
@@ -339,9 +340,9 @@
 		hio_set_timer(conn->timer,
 			      conn->server->options.limits.header_us);
 	}
-	conn->input = data;
+	hio_input_begin(&conn->input, data);
 	used = http_parser_execute(&conn->parser, &parser_settings, data, len);
-	conn->n_consumed += used;
+	valid = hio_input_end(&conn->input, used);
 	evbuffer_drain(input, used);
 	error = HTTP_PARSER_ERRNO(&conn->parser);
 	if (error == HPE_PAUSED)
@@ -353,6 +354,10 @@
 			refuse(conn, 400, "syntax");
 		return false;
 	}
+	if (!valid) {
+		refuse(conn, 400, "line_end");
+		return false;
+	}
 	if (!conn->complete)
 		return true;
 	if (conn->parser.upgrade) {
--- a/tests/unit/hio_test.cc
+++ b/tests/unit/hio_test.cc
@@ -337,6 +337,31 @@
 		expect_refused(head + trailer + "\r\n", trailer, "");
 }
 
+/* A parser that takes a bare CR for a line end and drops the byte after it
+ * reads another message than the next hop. */
+TEST_F(HttpServer, LineEndsHaveNoBareCarriageReturns)
+{
+	const std::string host = "Host: h\r\n";
+	const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\n"
+				    "Transfer-Encoding: chunked\r\n\r\n";
+
+	for (const std::string &bytes : {
+		     "GET / HTTP/1.1\r" + host + "\r\n",
+		     "GET / HTTP/1.1\rX" + host + "\r\n",
+		     "GET / HTTP/1.1\r\n" + host + "X-A:\rXX-B: c\r\n\r\n",
+		     "GET / HTTP/1.1\r\n" + host + "X-A: \r\r\n\r\n",
+		     "GET / HTTP/1.1\r\n" + host + "X-A: b\rX\r\n\r\n",
+		     "GET / HTTP/1.1\r\n" + host + "\rX",
+		     "GET / HTTP/1.1\r\n" + host + "\r\r\n",
+		     chunked + "2\rXab\r\n0\r\n\r\n",
+		     chunked + "2\r\nab\rX0\r\n\r\n",
+		     chunked + "2\r\nabXX0\r\n\r\n",
+		     chunked + "2\r\nab\r\n0\rX\r\n",
+		     chunked + "2\r\nab\r\n0\r\n\rX",
+	     })
+		expect_refused(bytes, bytes, "");
+}
+
 TEST_F(HttpServer, MethodsHaveNoOtherBytes)
 {
 	for (int c = 0; c < 256; c++) {
@@ -362,6 +387,7 @@
 		bool failed = false;
 		hio_failure failure = HIO_NOT_CONNECTED;
 		Fields fields;
+		std::string body;
 	};
 
 	void SetUp() override
@@ -402,7 +428,9 @@
 			g_string_new("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
 		options.data = &result;
 		options.head_read = on_head;
-		options.body_read = [](void *, const char *, size_t) {};
+		options.body_read = [](void *data, const char *b, size_t n) {
+			((Result *)data)->body.append(b, n);
+		};
 		options.end = [](void *data) {
 			((Result *)data)->ended = true;
 		};
@@ -533,3 +561,39 @@
 			 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 			 "interim");
 }
+
+TEST_F(HttpClient, LineEndsOfAnswersHaveNoBareCarriageReturns)
+{
+	const std::string status = "HTTP/1.1 200 OK\r\n";
+	const std::string length = "Content-Length: 0\r\n";
+
+	for (const std::string &bytes : {
+		     "HTTP/1.1 200 OK\rX" + length + "\r\n",
+		     status + length + "X-A:\rXX-B: c\r\n\r\n",
+		     status + length + "\rX",
+		     status + "Transfer-Encoding: chunked\r\n\r\n"
+			      "2\r\nabXX0\r\n\r\n",
+	     }) {
+		for (bool in_pieces : { false, true }) {
+			Result got = answer_with(bytes, in_pieces);
+
+			EXPECT_FALSE(got.ended) << bytes;
+			ASSERT_TRUE(got.failed) << bytes;
+			EXPECT_EQ(got.failure, HIO_MALFORMED) << bytes;
+		}
+	}
+}
+
+TEST_F(HttpClient, ChunksInPiecesAreWhole)
+{
+	for (bool in_pieces : { false, true }) {
+		Result got = answer_with(
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			"\r\n4;x=y\r\n\r\n\r\n\r\n1\r\n\n\r\n0\r\nX: y\r\n"
+			"\r\n",
+			in_pieces);
+
+		EXPECT_TRUE(got.ended);
+		EXPECT_EQ(got.body, "\r\n\r\n\n");
+	}
+}
