edge: keep a silent endpoint's attempt until another one answers

Callers saw resumable streams end in the middle (LOST): the connection was closed although the engine was sound and only silent for a second or two. The same for streams whose first event was late and for plain requests that may be repeated.

Cause: after 1.2 s or more without an event, retry_silent() closed the connection to the endpoint first and then sent the request to another one. If that one reset the connection, refused, had no listener, broke off, answered an error or was silent as well, the attempts of the route were used up and nothing was left to go on with.

Change: each sending of a request is a struct attempt, and a request has a list of them. A silent request is sent to another endpoint beside the first; the first to deliver a whole event, or a whole answer, is used, and the others are cancelled at once. An attempt that has begun to answer is used after 250 ms at the latest, so that two endpoints do not go on with one request. An attempt that fails leaves the others as they are. When to add an attempt and which one is used is decided in core/hdg.c, without I/O. The head of an answer goes to the caller when its attempt is used or is the only one. Each second attempt, its failure and each change-over is logged (fwd: hedge) and counted (dandelionspar_edge_hedges).

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "core/hdg.h"
 #include "core/sse.h"
 
 /* Endpoints that a request may be sent to; each is tried once. */
@@ -49,13 +50,10 @@
 #define QUEUE_POLL_US 25000
 /* Requests tried in one run of the queue. */
 #define QUEUE_TRIES_MAX 64
-/* A resumable stream is moved to another endpoint after this many gap
+/* A resumable stream is also sent to another endpoint after this many gap
  * objectives without an event, but not before SILENCE_MIN_US. */
 #define SILENCE_GAPS 5
 #define SILENCE_MIN_US 1200000
-/* Interval of further attempts to move it when no other endpoint can take it.
- */
-#define SILENCE_RETRY_US 300000
 /* The first event may take longer, since it includes queueing and prefill. */
 #define FIRST_EVENT_OBJECTIVES 3
 #define FIRST_EVENT_MIN_US 1500000
@@ -81,6 +79,28 @@
 #define DRAIN_STREAM_MIN_US (5 * EDGE_S_US)
 #define DRAIN_PLAIN_MIN_US (1500000LL)
 
+/* One sending of a request to an endpoint. */
+struct attempt {
+	LIST_ENTRY(attempt) link; /* fwd.attempts, newest first */
+	struct fwd *fwd;
+	unsigned id;		       /* in fwd.hedge */
+	struct hio_call *call;	       /* NULL: it has ended */
+	struct bal_endpoint *endpoint; /* NULL: released */
+	int64_t sent_us;
+	bool is_repeat;	   /* counted in the retry budget at sent_us */
+	int64_t ttfb_us;   /* time to the first byte; -1: none yet */
+	bool sole_prefill; /* no other request of this instance was in prefill
+			      there */
+	bool has_length;   /* the response has a Content-Length */
+	struct wire_answer answer;
+	int status;
+	struct hio_fields fields; /* for the caller; owned */
+	GByteArray *body;	  /* of a buffered response */
+	struct sse *sse;	  /* of a stream that has begun; or NULL */
+	uint32_t events_received;
+	int64_t first_event_us; /* when the first of them arrived */
+};
+
 struct fwd {
 	LIST_ENTRY(fwd) link; /* edge.forwards */
 	struct edge *edge;
@@ -107,36 +127,20 @@
 	bool miss_reported;   /* a demand report was sent for its model */
 	char *tried[TRIED_MAX + 1];
 	size_t n_tried;
-	uint32_t events_received; /* in the current attempt */
-	int64_t first_event_us;	  /* when the first of them arrived */
-	int64_t last_event_us;	  /* when the last event arrived */
+	int64_t last_event_us; /* when the last event arrived */
 	int64_t gap_max_us; /* longest gap between events, over all attempts */
 	unsigned runs;	    /* endpoints that may have executed it */
 	bool counted;	    /* as a request of the retry budget */
 	int64_t repeat_us;  /* when a repeat was taken for the next attempt; 0:
 			       none */
-
-	/* Current attempt. */
-	struct hio_call *call;
-	struct bal_endpoint *endpoint;
-	char *endpoint_id;
-	int64_t sent_us;
-	bool is_repeat;	   /* counted in the retry budget at sent_us */
 	int64_t waited_us; /* from the request's arrival to the first attempt */
-	int64_t ttfb_us;   /* time to the first byte; -1: none yet */
-	bool sole_prefill; /* no other request of this instance was in prefill
-			      there */
-	int64_t progress_us; /* last sign of progress */
-	bool has_length;     /* the response has a Content-Length */
-	struct wire_answer answer;
-	int status;
-	struct hio_fields fields; /* of a buffered response; owned */
-	GByteArray *body;	  /* of a buffered response */
-	bool streaming;		  /* events of this attempt are forwarded */
 
-	/* Response to the caller. */
-	bool headers_sent;
-	struct sse *sse;
+	LIST_HEAD(, attempt) attempts;
+	struct hdg hedge;    /* of the attempts that are under way */
+	unsigned n_attempts; /* ids given */
+	char *endpoint_id;   /* of the last attempt that ended */
+	int64_t ttfb_us;     /* of that attempt */
+	bool headers_sent;   /* to the caller */
 	char *last_event_id; /* of the last event forwarded */
 };
 
@@ -183,28 +187,43 @@
 /* ---- End of a request ---- */
 
 /* Discards the part of a response that was buffered. */
-static void discard_body(struct fwd *f)
+static void discard_body(struct attempt *at)
+{
+	at->fwd->edge->answer_bytes -= at->body->len;
+	g_byte_array_set_size(at->body, 0);
+}
+
+/* Frees an attempt that was released. */
+static void attempt_free(struct attempt *at)
+{
+	LIST_REMOVE(at, link);
+	hio_fields_clear(&at->fields);
+	discard_body(at);
+	g_byte_array_free(at->body, TRUE);
+	sse_free(at->sse);
+	g_free(at);
+}
+
+/* Gives back a repeat that was taken and not used. */
+static void return_repeat(struct fwd *f)
 {
-	f->edge->answer_bytes -= f->body->len;
-	g_byte_array_set_size(f->body, 0);
+	if (!f->repeat_us)
+		return;
+	met_count(f->edge->met, "dandelionspar_edge_repeats_returned", "", 1);
+	rep_return(edge_budget(f->edge, f->service), f->repeat_us);
+	f->repeat_us = 0;
 }
 
 static void fwd_free(struct fwd *f)
 {
 	LIST_REMOVE(f, link);
 	adm_remove(f->edge->queue, &f->item);
-	if (f->repeat_us) {
-		met_count(f->edge->met, "dandelionspar_edge_repeats_returned",
-			  "", 1);
-		rep_return(edge_budget(f->edge, f->service), f->repeat_us);
-	}
+	return_repeat(f);
 	f->edge->in_flight--;
 	event_free(f->timer);
 	wire_request_clear(&f->request);
-	hio_fields_clear(&f->fields);
-	discard_body(f);
-	g_byte_array_free(f->body, TRUE);
-	sse_free(f->sse);
+	while (!LIST_EMPTY(&f->attempts))
+		attempt_free(LIST_FIRST(&f->attempts));
 	for (size_t i = 0; i < f->n_tried; i++)
 		g_free(f->tried[i]);
 	g_free(f->route);
@@ -227,24 +246,43 @@
 	event_active(ctx->queue_event, EV_TIMEOUT, 0);
 }
 
-static void end_attempt(struct fwd *f, enum bal_result result)
+/* Ends an attempt, whose call is cancelled if it has not ended. What it has
+ * received stays until attempt_free(). */
+static void release_attempt(struct attempt *at, enum bal_result result)
 {
-	if (f->call)
-		hio_call_cancel(f->call);
-	f->call = NULL;
-	if (f->endpoint) {
-		bal_end(f->edge->bal, f->endpoint, result,
-			f->ttfb_us < 0 ? unread_tokens(f) : 0, now_of(f));
-		/* Without a connection, the next attempt may use its repeat.
-		 */
-		if (result == BAL_UNREACHED && f->is_repeat)
-			f->repeat_us = f->sent_us;
-		f->is_repeat = false;
+	struct fwd *f = at->fwd;
+
+	if (at->call)
+		hio_call_cancel(at->call);
+	at->call = NULL;
+	g_free(f->endpoint_id);
+	f->endpoint_id = g_strdup(bal_id(at->endpoint));
+	f->ttfb_us = at->ttfb_us;
+	hdg_remove(&f->hedge, at->id, now_of(f));
+	bal_end(f->edge->bal, at->endpoint, result,
+		at->ttfb_us < 0 ? unread_tokens(f) : 0, now_of(f));
+	at->endpoint = NULL;
+	/* Without a connection, the next attempt may use its repeat. */
+	if (result == BAL_UNREACHED && at->is_repeat) {
+		return_repeat(f);
+		f->repeat_us = at->sent_us;
 	}
-	f->endpoint = NULL;
 	schedule_queue_run(f->edge);
 }
 
+static void end_attempt(struct attempt *at, enum bal_result result)
+{
+	release_attempt(at, result);
+	attempt_free(at);
+}
+
+/* Ends all attempts of a request that ends without an answer. */
+static void cancel_attempts(struct fwd *f)
+{
+	while (!LIST_EMPTY(&f->attempts))
+		end_attempt(LIST_FIRST(&f->attempts), BAL_CANCELLED);
+}
+
 /* Logs one line for each request: the decisions and the outcome. */
 static void log_end(const struct fwd *f, const char *outcome, int status,
 		    const char *reason)
@@ -315,7 +353,7 @@
 	double retry_s =
 		retry_us >= 0 ? retry_after_s_with_jitter(retry_us) : -1;
 
-	end_attempt(f, BAL_CANCELLED);
+	cancel_attempts(f);
 	log_end(f,
 		f->headers_sent ? "broken"
 		: status == 503 ? "refused"
@@ -386,7 +424,6 @@
  */
 static void retry(struct fwd *f, bool reached, const char *reason)
 {
-	discard_body(f);
 	if (f->runs && !can_retry(f)) {
 		give_up(f, -1, reason);
 		return;
@@ -403,21 +440,99 @@
 	dispatch(f);
 }
 
+/* Logs and counts the result of an attempt that had others beside it. */
+static void log_hedge(const struct attempt *at, const char *outcome,
+		      const char *reason)
+{
+	const struct fwd *f = at->fwd;
+	const struct attempt *other;
+	char label[64];
+
+	LIST_FOREACH (other, &f->attempts, link)
+		if (other != at)
+			break;
+	g_snprintf(label, sizeof(label), "outcome=\"%s\"", outcome);
+	met_count(f->edge->met, "dandelionspar_edge_hedges", label, 1);
+	LOG_EVENT_INFO(
+		"fwd", "hedge",
+		"request=%s outcome=%s reason=%s endpoint=%s other=%s runs=%u "
+		"age_us=%" PRId64 " silent_us=%" PRId64 " after_id=%s",
+		log_id(f), outcome, reason, bal_id(at->endpoint),
+		other ? bal_id(other->endpoint) : "-", f->runs,
+		now_of(f) - at->sent_us,
+		now_of(f) - MAX(f->last_event_us, f->start_us),
+		f->last_event_id ? f->last_event_id : "-");
+}
+
+static void set_request_timer(struct fwd *f);
+
+/* Ends the other attempts, since the answer of this one is used. */
+static void use_attempt(struct attempt *at)
+{
+	struct fwd *f = at->fwd;
+	struct attempt *other = LIST_FIRST(&f->attempts);
+
+	if (!hdg_is_hedged(&f->hedge))
+		return;
+	log_hedge(at, LIST_NEXT(at, link) ? "moved" : "went_on", "answers");
+	for (struct attempt *next; other; other = next) {
+		next = LIST_NEXT(other, link);
+		/* An older one was silent. */
+		if (other != at)
+			end_attempt(other, other->id < at->id ? BAL_FAILED
+							      : BAL_CANCELLED);
+	}
+	set_request_timer(f);
+}
+
+/*
+ * Ends an attempt without a response for the caller. The request goes on with
+ * the attempts that remain, or is tried elsewhere; see retry(). May free the
+ * request.
+ */
+static void fail_attempt(struct attempt *at, enum bal_result result,
+			 bool reached, const char *reason)
+{
+	struct fwd *f = at->fwd;
+
+	if (hdg_is_hedged(&f->hedge)) {
+		log_hedge(at, "failed", reason);
+		end_attempt(at, result);
+		set_request_timer(f);
+		return;
+	}
+	end_attempt(at, result);
+	retry(f, reached, reason);
+}
+
+/* Starts the answer to the caller, who gets the fields of the first attempt. */
+static void begin_reply(struct attempt *at)
+{
+	struct fwd *f = at->fwd;
+
+	if (f->headers_sent)
+		return;
+	hio_reply_begin(f->exchange, at->status, at->fields.all, at->fields.n);
+	f->headers_sent = true;
+}
+
 static void on_event(void *data, const char *event, size_t len, const char *id)
 {
-	struct fwd *f = data;
+	struct attempt *at = data;
+	struct fwd *f = at->fwd;
+	int64_t now_us = now_of(f);
 
-	f->progress_us = now_of(f);
-	if (!f->events_received++)
-		f->first_event_us = f->progress_us;
+	use_attempt(at);
+	begin_reply(at);
+	hdg_progress(&f->hedge, at->id, now_us);
+	if (!at->events_received++)
+		at->first_event_us = now_us;
 	else
-		bal_stream_event(f->edge->bal, f->endpoint,
-				 f->progress_us - f->last_event_us,
-				 f->progress_us);
+		bal_stream_event(f->edge->bal, at->endpoint,
+				 now_us - f->last_event_us, now_us);
 	if (f->last_event_us)
-		f->gap_max_us =
-			MAX(f->gap_max_us, f->progress_us - f->last_event_us);
-	f->last_event_us = f->progress_us;
+		f->gap_max_us = MAX(f->gap_max_us, now_us - f->last_event_us);
+	f->last_event_us = now_us;
 	hio_reply_chunk(f->exchange, event, len);
 	if (!id)
 		return;
@@ -441,227 +556,234 @@
 	}
 }
 
-static void begin_stream(struct fwd *f, const struct hio_answer *answer)
+/* The head waits for the first event while another attempt may be used. */
+static void begin_stream(struct attempt *at)
 {
-	f->streaming = true;
-	if (f->headers_sent)
-		return; /* the caller has the first attempt's fields */
-	copy_fields(&f->fields, &answer->fields);
-	hio_reply_begin(f->exchange, answer->status, f->fields.all,
-			f->fields.n);
-	f->headers_sent = true;
-	f->sse = sse_new();
+	at->sse = sse_new();
+	if (!hdg_is_hedged(&at->fwd->hedge))
+		begin_reply(at);
 }
 
 /* Uses the load that the answer carries, and reports it to the others. */
-static void take_load(struct fwd *f, int64_t now_us)
+static void take_load(struct attempt *at, int64_t now_us)
 {
+	struct edge *ctx = at->fwd->edge;
 	Dsp__LoadReport report = DSP__LOAD_REPORT__INIT;
 
-	bal_report(f->edge->bal, f->endpoint, f->answer.running,
-		   f->answer.waiting, now_us);
-	report.endpoint = (char *)bal_id(f->endpoint);
-	report.incarnation = bal_incarnation(f->endpoint);
-	report.running = f->answer.running;
-	report.waiting = f->answer.waiting;
-	ctl_observed_load(f->edge->ctl, &report);
+	bal_report(ctx->bal, at->endpoint, at->answer.running,
+		   at->answer.waiting, now_us);
+	report.endpoint = (char *)bal_id(at->endpoint);
+	report.incarnation = bal_incarnation(at->endpoint);
+	report.running = at->answer.running;
+	report.waiting = at->answer.waiting;
+	ctl_observed_load(ctx->ctl, &report);
+}
+
+/* Whether the head is that of an answer which the caller may get. */
+static bool has_good_head(const struct attempt *at)
+{
+	return !at->answer.not_run && at->status / 100 == 2 &&
+	       at->answer.sealed;
 }
 
 static void on_headers(void *data, const struct hio_answer *answer)
 {
-	struct fwd *f = data;
+	struct attempt *at = data;
+	struct fwd *f = at->fwd;
 	int64_t now_us = now_of(f);
 
-	f->progress_us = now_us;
-	f->status = answer->status;
-	wire_read_answer(answer, &f->answer);
-	if (f->answer.has_load)
-		take_load(f, now_us);
-	discard_body(f);
-	f->has_length = hio_field(&answer->fields, "Content-Length") != NULL;
-	if (f->answer.not_run)
-		return;
-	if (f->kind == DSP__ROUTE_KIND__ROUTE_STREAM &&
-	    answer->status / 100 == 2 && f->answer.sealed)
-		begin_stream(f, answer);
+	at->status = answer->status;
+	wire_read_answer(answer, &at->answer);
+	if (at->answer.has_load)
+		take_load(at, now_us);
+	at->has_length = hio_field(&answer->fields, "Content-Length") != NULL;
+	if (has_good_head(at))
+		hdg_begun(&f->hedge, at->id, now_us);
 	else
-		copy_fields(&f->fields, &answer->fields);
+		hdg_progress(&f->hedge, at->id, now_us);
+	if (!at->answer.not_run)
+		copy_fields(&at->fields, &answer->fields);
+	if (f->kind == DSP__ROUTE_KIND__ROUTE_STREAM && has_good_head(at))
+		begin_stream(at);
+	set_request_timer(f);
 }
 
-/* Ends an attempt whose response exceeds a limit, and retries elsewhere. */
-static void abandon_oversized(struct fwd *f, const char *reason)
+static void record_first_byte(struct attempt *at, int64_t now_us)
 {
-	if (f->sse)
-		sse_reset(f->sse);
-	end_attempt(f, BAL_FAILED);
-	retry(f, true, reason);
-}
+	struct fwd *f = at->fwd;
 
-static void record_first_byte(struct fwd *f, int64_t now_us)
-{
-	f->ttfb_us = now_us - f->sent_us;
-	bal_first_byte(f->edge->bal, f->endpoint, unread_tokens(f), f->ttfb_us,
-		       f->sole_prefill);
-	if (f->engine && f->sole_prefill &&
+	at->ttfb_us = now_us - at->sent_us;
+	bal_first_byte(f->edge->bal, at->endpoint, unread_tokens(f),
+		       at->ttfb_us, at->sole_prefill);
+	if (f->engine && at->sole_prefill &&
 	    f->request.tokens_in >= PREFILL_TOKENS_MIN)
-		edge_add_prefill_sample(f->edge, f->endpoint,
-					f->request.tokens_in, f->ttfb_us);
+		edge_add_prefill_sample(f->edge, at->endpoint,
+					f->request.tokens_in, at->ttfb_us);
 	schedule_queue_run(f->edge);
 }
 
 /* May free the request. */
 static void on_body(void *data, const char *bytes, size_t len)
 {
-	struct fwd *f = data;
+	struct attempt *at = data;
+	struct fwd *f = at->fwd;
 	int64_t now_us = now_of(f);
 
-	if (f->ttfb_us < 0)
-		record_first_byte(f, now_us);
-	if (f->streaming) {
-		sse_feed(f->sse, bytes, len, on_event, f);
-		if (sse_unfinished(f->sse) > EVENT_MAX_BYTES)
-			abandon_oversized(f, "event_too_long");
+	if (at->ttfb_us < 0)
+		record_first_byte(at, now_us);
+	if (at->sse) {
+		sse_feed(at->sse, bytes, len, on_event, at);
+		if (sse_unfinished(at->sse) > EVENT_MAX_BYTES)
+			fail_attempt(at, BAL_FAILED, true, "event_too_long");
 		return;
 	}
-	if (f->has_length)
-		f->progress_us = now_us;
-	if (f->body->len + len > ANSWER_MAX_BYTES) {
-		abandon_oversized(f, "answer_too_long");
+	if (at->has_length && has_good_head(at))
+		hdg_begun(&f->hedge, at->id, now_us);
+	else if (at->has_length)
+		hdg_progress(&f->hedge, at->id, now_us);
+	if (at->body->len + len > ANSWER_MAX_BYTES) {
+		fail_attempt(at, BAL_FAILED, true, "answer_too_long");
 		return;
 	}
 	if (f->edge->answer_bytes + len > ANSWERS_MAX_BYTES) {
-		abandon_oversized(f, "answers_too_long");
+		fail_attempt(at, BAL_FAILED, true, "answers_too_long");
 		return;
 	}
-	g_byte_array_append(f->body, (const guint8 *)bytes, (guint)len);
+	g_byte_array_append(at->body, (const guint8 *)bytes, (guint)len);
 	f->edge->answer_bytes += len;
 }
 
-static void handle_refusal(struct fwd *f)
+static void handle_refusal(struct attempt *at)
 {
-	bool replaced = f->answer.other_process;
+	struct fwd *f = at->fwd;
+	bool replaced = at->answer.other_process;
 	/* An engine gives the same status when it does not hold the model. */
 	bool wrong_process = replaced && !f->engine;
 
-	end_attempt(f, wrong_process ? BAL_REPLACED : BAL_REFUSED);
 	f->runs--;
 	if (f->engine && replaced)
 		edge_count_demand(f->edge, f->request.model, f->request.adapter,
 				  true);
-	retry(f, true, replaced ? "not_there" : "endpoint_refused");
+	fail_attempt(at, wrong_process ? BAL_REPLACED : BAL_REFUSED, true,
+		     replaced ? "not_there" : "endpoint_refused");
 }
 
-static void finish_stream(struct fwd *f)
+static void finish_stream(struct attempt *at)
 {
-	if (sse_unfinished(f->sse)) {
-		sse_reset(f->sse);
-		end_attempt(f, BAL_FAILED);
-		retry(f, true, "unfinished_event");
+	struct fwd *f = at->fwd;
+
+	if (sse_unfinished(at->sse)) {
+		fail_attempt(at, BAL_FAILED, true, "unfinished_event");
 		return;
 	}
-	if (f->gap_us && f->events_received >= 2)
-		bal_stream_end(f->edge->bal, f->endpoint,
+	use_attempt(at);
+	begin_reply(at);
+	if (f->gap_us && at->events_received >= 2)
+		bal_stream_end(f->edge->bal, at->endpoint,
 			       f->gap_max_us > f->gap_us, now_of(f));
-	if (f->events_received >= PACE_EVENTS_MIN) {
-		int64_t gap_us = (f->progress_us - f->first_event_us) /
-				 (f->events_received - 1);
+	if (at->events_received >= PACE_EVENTS_MIN) {
+		int64_t gap_us = (f->last_event_us - at->first_event_us) /
+				 (at->events_received - 1);
 
-		bal_stream_interval(f->edge->bal, f->endpoint, gap_us);
+		bal_stream_interval(f->edge->bal, at->endpoint, gap_us);
 	}
-	end_attempt(f, BAL_ANSWERED);
-	log_end(f, "served", f->status, "-");
+	release_attempt(at, BAL_ANSWERED);
+	log_end(f, "served", at->status, "-");
 	hio_reply_end(f->exchange);
 	fwd_free(f);
 }
 
-static void finish_buffered(struct fwd *f)
+static void finish_buffered(struct attempt *at)
 {
-	bool success = f->status / 100 == 2;
+	struct fwd *f = at->fwd;
+	bool success = at->status / 100 == 2;
 
-	if (success && !f->answer.sealed) {
-		end_attempt(f, BAL_FAILED);
-		retry(f, true, "unsealed");
+	if (success && !at->answer.sealed) {
+		fail_attempt(at, BAL_FAILED, true, "unsealed");
 		return;
 	}
-	end_attempt(f, BAL_ANSWERED);
-	if (f->headers_sent) {
-		/* The caller has received a part of a stream. */
-		retry(f, true, "endpoint_failed");
+	/* The caller has received a part of a stream, or another endpoint may
+	 * go on without this failure. */
+	if (f->headers_sent || (!success && hdg_is_hedged(&f->hedge))) {
+		fail_attempt(at, BAL_ANSWERED, true, "endpoint_failed");
 		return;
 	}
+	use_attempt(at);
+	release_attempt(at, BAL_ANSWERED);
 	/* Another endpoint may not have this failure. */
-	if (f->status >= 500 && can_retry(f) && f->n_tried < TRIED_MAX &&
+	if (at->status >= 500 && can_retry(f) && f->n_tried < TRIED_MAX &&
 	    !is_too_late(f) && take_repeat(f)) {
+		attempt_free(at);
 		dispatch(f);
 		return;
 	}
-	log_end(f, success ? "served" : "endpoint_failed", f->status, "-");
-	hio_reply(f->exchange, f->status, f->fields.all, f->fields.n,
-		  f->body->data, f->body->len);
+	log_end(f, success ? "served" : "endpoint_failed", at->status, "-");
+	hio_reply(f->exchange, at->status, at->fields.all, at->fields.n,
+		  at->body->data, at->body->len);
 	fwd_free(f);
 }
 
 static void on_end(void *data)
 {
-	struct fwd *f = data;
+	struct attempt *at = data;
 
-	f->call = NULL;
-	if (f->answer.not_run)
-		handle_refusal(f);
-	else if (f->streaming)
-		finish_stream(f);
+	at->call = NULL;
+	if (at->answer.not_run)
+		handle_refusal(at);
+	else if (at->sse)
+		finish_stream(at);
 	else
-		finish_buffered(f);
+		finish_buffered(at);
 }
 
 static void on_failed(void *data, enum hio_failure failure)
 {
-	struct fwd *f = data;
+	struct attempt *at = data;
 
-	f->call = NULL;
-	if (f->sse)
-		sse_reset(f->sse);
+	at->call = NULL;
 	switch (failure) {
 	case HIO_NOT_CONNECTED:
-		f->runs--;
-		end_attempt(f, BAL_UNREACHED);
-		retry(f, false, "not_connected");
+		at->fwd->runs--;
+		fail_attempt(at, BAL_UNREACHED, false, "not_connected");
 		break;
 	case HIO_BROKEN:
-		if (f->answer.not_run) {
-			handle_refusal(f);
-			break;
-		}
-		end_attempt(f, BAL_FAILED);
-		retry(f, true, "broken");
+		if (at->answer.not_run)
+			handle_refusal(at);
+		else
+			fail_attempt(at, BAL_FAILED, true, "broken");
 		break;
 	case HIO_MALFORMED:
-		end_attempt(f, BAL_FAILED);
-		retry(f, true, "malformed");
+		fail_attempt(at, BAL_FAILED, true, "malformed");
 		break;
 	}
 }
 
+/* Limit of the silence of the newest attempt. */
 static int64_t silence_limit_us(const struct fwd *f)
 {
-	if (f->streaming)
+	const struct attempt *at = LIST_FIRST(&f->attempts);
+
+	if (at && at->sse)
 		return MAX(SILENCE_GAPS * f->gap_us, SILENCE_MIN_US);
 	return MAX(FIRST_EVENT_OBJECTIVES * f->objective_us,
 		   FIRST_EVENT_MIN_US);
 }
 
-static void set_attempt_timer(struct fwd *f)
+/* Sets the timer of a request with attempts under way. */
+static void set_request_timer(struct fwd *f)
 {
-	int64_t at_us = f->deadline_us;
+	int64_t at_us = MIN(f->deadline_us, hdg_grace_end_us(&f->hedge));
 
 	if (can_retry(f))
-		at_us = MIN(at_us, f->progress_us + silence_limit_us(f));
+		at_us = MIN(at_us,
+			    hdg_silence_end_us(&f->hedge, silence_limit_us(f)));
 	set_timer_at(f, at_us);
 }
 
 static void send_to(struct fwd *f, struct bal_endpoint *endpoint)
 {
 	const struct hio_request *request = hio_exchange_request(f->exchange);
+	struct attempt *at = g_new0(struct attempt, 1);
 	int64_t now_us = now_of(f);
 	struct wire_dispatch what = {
 		.endpoint_id = bal_id(endpoint),
@@ -681,7 +803,7 @@
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
 		.reuse_idle_us =
 			may_repeat(f) ? REUSE_IDLE_US : REUSE_NON_IDEMPOTENT_US,
-		.data = f,
+		.data = at,
 		.head_read = on_headers,
 		.body_read = on_body,
 		.end = on_end,
@@ -695,27 +817,26 @@
 		rep_count_request(edge_budget(f->edge, f->service), now_us);
 	}
 	f->counted = true;
-	f->is_repeat = f->repeat_us != 0;
-	if (f->is_repeat)
+	at->fwd = f;
+	at->id = ++f->n_attempts;
+	at->endpoint = endpoint;
+	at->sent_us = now_us;
+	at->is_repeat = f->repeat_us != 0;
+	at->ttfb_us = -1;
+	at->sole_prefill = !bal_is_prefilling(endpoint);
+	at->body = g_byte_array_new();
+	if (at->is_repeat)
 		rep_move(edge_budget(f->edge, f->service), f->repeat_us,
 			 now_us);
 	f->repeat_us = 0;
-	f->endpoint = endpoint;
-	g_free(f->endpoint_id);
-	f->endpoint_id = g_strdup(bal_id(endpoint));
-	add_tried(f, f->endpoint_id);
-	f->answer = (struct wire_answer){ 0 };
-	f->streaming = false;
-	f->events_received = 0;
-	f->ttfb_us = -1;
-	f->sent_us = now_us;
-	f->progress_us = now_us;
+	add_tried(f, bal_id(endpoint));
 	f->runs++;
-	f->sole_prefill = !bal_is_prefilling(endpoint);
+	LIST_INSERT_HEAD(&f->attempts, at, link);
+	hdg_add(&f->hedge, at->id, now_us);
 	bal_begin(f->edge->bal, endpoint, unread_tokens(f), now_us);
 	adm_sent(f->edge->queue, f->group, now_us);
-	f->call = hio_call_start(f->edge->client, &options);
-	set_attempt_timer(f);
+	at->call = hio_call_start(f->edge->client, &options);
+	set_request_timer(f);
 }
 
 /* Time that an interrupted stream may wait for another endpoint. */
@@ -844,16 +965,18 @@
 
 static void send_to_choice(struct fwd *f, const struct bal_choice *choice)
 {
+	int64_t left_us = f->deadline_us - now_of(f);
+
 	send_to(f, choice->endpoint);
 	count_load_age(f, choice);
-	LOG_EVENT_INFO(
-		"fwd", "send",
-		"request=%s endpoint=%s candidates=%u cost_ms=%.0f "
-		"load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
-		" view_age_us=%" PRId64 " left_us=%" PRId64,
-		log_id(f), f->endpoint_id, choice->candidates, choice->cost_ms,
-		choice->load, choice->load_age_s, view_index(f->edge->view),
-		ctl_state(f->edge->ctl).stale_us, f->deadline_us - f->sent_us);
+	LOG_EVENT_INFO("fwd", "send",
+		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
+		       "load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
+		       " view_age_us=%" PRId64 " left_us=%" PRId64,
+		       log_id(f), bal_id(choice->endpoint), choice->candidates,
+		       choice->cost_ms, choice->load, choice->load_age_s,
+		       view_index(f->edge->view),
+		       ctl_state(f->edge->ctl).stale_us, left_us);
 }
 
 /*
@@ -879,27 +1002,41 @@
 	return false;
 }
 
-/* Moves the request from a silent endpoint to another one. If there is none, or
- * the retry budget is used up, the attempt goes on: the endpoint may still
- * respond. */
-static void retry_silent(struct fwd *f)
+/*
+ * Sends the request of a silent endpoint to another one as well. If there is
+ * none, or the retry budget is used up, it is tried again later. The attempts
+ * under way go on: their endpoints may still respond.
+ */
+static void hedge(struct fwd *f)
 {
 	struct bal_choice choice = { .outcome = BAL_NO_OTHER };
 
 	if (f->n_tried < TRIED_MAX && !is_too_late(f))
 		choice = choose_endpoint(f);
 	if (choice.outcome != BAL_CHOSEN || !take_repeat(f)) {
-		set_timer_at(f,
-			     MIN(now_of(f) + SILENCE_RETRY_US, f->deadline_us));
+		hdg_put_off(&f->hedge, now_of(f));
 		return;
 	}
-	log_retry(f, "silent");
-	if (f->sse)
-		sse_reset(f->sse);
-	end_attempt(f, BAL_FAILED);
+	log_hedge(LIST_FIRST(&f->attempts), "sent", "silent");
 	send_to_choice(f, &choice);
 }
 
+/* Uses the attempt that has begun to answer, after its grace. */
+static void use_winner(struct fwd *f, int64_t now_us)
+{
+	unsigned id = hdg_winner(&f->hedge, now_us);
+	struct attempt *at;
+
+	if (!id)
+		return;
+	LIST_FOREACH (at, &f->attempts, link)
+		if (at->id == id)
+			break;
+	use_attempt(at);
+	if (at->sse)
+		begin_reply(at);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct fwd *f = data;
@@ -915,16 +1052,15 @@
 		fwd_run_queue(f->edge);
 		return;
 	}
-	if (!f->call) {
+	if (LIST_EMPTY(&f->attempts)) {
 		dispatch(f);
 		return;
 	}
+	use_winner(f, now_us);
 	if (can_retry(f) &&
-	    now_us - f->progress_us >= silence_limit_us(f) - 1000) {
-		retry_silent(f);
-		return;
-	}
-	set_attempt_timer(f);
+	    hdg_take_silence(&f->hedge, silence_limit_us(f), now_us))
+		hedge(f);
+	set_request_timer(f);
 }
 
 /* ---- Start of a request ---- */
@@ -1015,7 +1151,7 @@
 	f->deadline_us = f->start_us + MIN(limit_us, DEADLINE_MAX_US);
 	f->ttfb_us = -1;
 	f->group = queue_group(f);
-	f->body = g_byte_array_new();
+	LIST_INIT(&f->attempts);
 	LIST_INSERT_HEAD(&ctx->forwards, f, link);
 	ctx->in_flight++;
 	hio_exchange_set_data(exchange, f);
@@ -1160,7 +1296,7 @@
 		remove_held(data, exchange);
 		return;
 	}
-	end_attempt(f, BAL_CANCELLED);
+	cancel_attempts(f);
 	log_end(f, "caller_left", 0, "-");
 	fwd_free(f);
 }
@@ -1212,7 +1348,7 @@
 		struct fwd *f = LIST_FIRST(&ctx->forwards);
 
 		hio_exchange_set_data(f->exchange, NULL);
-		end_attempt(f, BAL_CANCELLED);
+		cancel_attempts(f);
 		log_end(f, "stopped", 0, "-");
 		fwd_free(f);
 	}
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -359,6 +359,386 @@
 	EXPECT_EQ(requests(a).size(), 1u);
 }
 
+/* How a runner receives a request that another runner already has. */
+enum class Second {
+	Resets,
+	Refuses,
+	IsAnother,
+	BreaksAfterHead,
+	BreaksInEvent,
+	Fails,
+	FailsUnsealed,
+	StaysSilent,
+};
+
+/* A request whose first runner is silent for a time. */
+class PlatformSilent : public Platform
+{
+      protected:
+	static constexpr int EVENTS = 5;
+	static constexpr useconds_t SILENT_US = 2300000;
+
+	std::atomic<int> runs{ 0 };
+	std::atomic<int64_t> second_at{ 0 }, second_closed{ 0 };
+
+	static std::string events(int first, int last)
+	{
+		std::string all;
+
+		for (int i = first; i <= last; i++)
+			all += event(i);
+		return all;
+	}
+	static std::string rest(int first)
+	{
+		std::string all;
+
+		for (int i = first; i <= EVENTS; i++)
+			all += chunk(event(i));
+		return all + "0\r\n\r\n";
+	}
+	/* The first run: `before` events, silence, and the rest. */
+	static bool run_first(Socket &s, const Runner &r, const Message &m,
+			      int before, useconds_t silent_us = SILENT_US)
+	{
+		std::string head = stream_head(r, m);
+
+		if (before)
+			s.send(head + chunk(events(1, before)));
+		usleep(silent_us);
+		return s.send((before ? "" : head) + rest(before + 1));
+	}
+	bool run_second(Socket &s, const Runner &r, const Message &m,
+			Second how)
+	{
+		second_at = proc_now_ms();
+		switch (how) {
+		case Second::Resets:
+			break;
+		case Second::Refuses:
+			return s.send(answer(503,
+					     "X-Not-Executed: full\r\n" +
+						     Runner::echo(m),
+					     ""));
+		case Second::IsAnother:
+			return s.send(
+				answer(421, "X-Instance-Id: other\r\n", ""));
+		case Second::BreaksAfterHead:
+			s.send(stream_head(r, m));
+			usleep(50000);
+			break;
+		case Second::BreaksInEvent:
+			s.send(stream_head(r, m) + chunk("id: 3\nda"));
+			usleep(50000);
+			break;
+		case Second::Fails:
+			return s.send(answer(500, r.seal() + Runner::echo(m),
+					     "failure"));
+		case Second::FailsUnsealed:
+			return s.send(answer(502, Runner::echo(m), "failure"));
+		case Second::StaysSilent:
+			s.wait_closed(6000);
+			second_closed = proc_now_ms();
+			return false;
+		}
+		s.reset();
+		return false;
+	}
+	/* The caller must get the whole stream of the first runner. */
+	void stream_goes_on(Second how, int before)
+	{
+		add_both();
+		for (Runner *r : { &a, &b })
+			r->handler = [this, r, how, before](Socket &s,
+							    const Message &m) {
+				return runs++ ? run_second(s, *r, m, how)
+					      : run_first(s, *r, m, before);
+			};
+		Message m = system.send("POST", "/flow/x", ID);
+		EXPECT_TRUE(m.complete) << system.logs();
+		EXPECT_EQ(m.body, events(1, EVENTS)) << system.logs();
+		EXPECT_EQ(runs, 2) << system.logs();
+	}
+	void request_goes_on(Second how)
+	{
+		add_both();
+		for (Runner *r : { &a, &b })
+			r->handler = [this, r, how](Socket &s,
+						    const Message &m) {
+				if (runs++)
+					return run_second(s, *r, m, how);
+				usleep(SILENT_US);
+				return s.send(
+					answer(200, r->seal() + Runner::echo(m),
+					       "whole"));
+			};
+		Message m = system.send("GET", "/safe/x", ID);
+		EXPECT_EQ(m.status(), 200) << system.logs();
+		EXPECT_EQ(m.body, "whole");
+		EXPECT_EQ(runs, 2) << system.logs();
+	}
+};
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerResets)
+{
+	stream_goes_on(Second::Resets, 2);
+}
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerRefuses)
+{
+	stream_goes_on(Second::Refuses, 2);
+}
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerIsAnother)
+{
+	stream_goes_on(Second::IsAnother, 2);
+}
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerBreaksAfterItsHead)
+{
+	stream_goes_on(Second::BreaksAfterHead, 2);
+}
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerBreaksInAnEvent)
+{
+	stream_goes_on(Second::BreaksInEvent, 2);
+}
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerFails)
+{
+	stream_goes_on(Second::Fails, 2);
+}
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerFailsUnsealed)
+{
+	stream_goes_on(Second::FailsUnsealed, 2);
+}
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerIsSilentAsWell)
+{
+	stream_goes_on(Second::StaysSilent, 2);
+	ASSERT_TRUE(System::eventually([&] { return second_closed != 0; }));
+	EXPECT_LT(second_closed - second_at, 2000);
+}
+
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerHasNoListener)
+{
+	std::string nowhere = "127.0.0.1:" + std::to_string(proc_free_port());
+
+	add_a();
+	a.handler = [this](Socket &s, const Message &m) {
+		runs++;
+		return run_first(s, a, m, 2);
+	};
+	std::string address = b.address;
+	std::thread announce([&] {
+		System::eventually([&] { return runs != 0; });
+		b.address = nowhere;
+		b.beat(system.instances[0].api);
+	});
+	Message m = system.send("POST", "/flow/x", ID);
+	announce.join();
+	EXPECT_TRUE(m.complete) << system.logs();
+	EXPECT_EQ(m.body, events(1, EVENTS));
+}
+
+TEST_F(PlatformSilent, LateFirstEventIsNotCutWhereTheNextRunnerResets)
+{
+	stream_goes_on(Second::Resets, 0);
+}
+
+TEST_F(PlatformSilent, LateFirstEventIsNotCutWhereTheNextRunnerFails)
+{
+	stream_goes_on(Second::Fails, 0);
+}
+
+TEST_F(PlatformSilent, LateFirstEventIsNotCutWhereTheNextRunnerIsSilentAsWell)
+{
+	stream_goes_on(Second::StaysSilent, 0);
+}
+
+TEST_F(PlatformSilent, PlainAnswerIsNotLostWhereTheNextRunnerResets)
+{
+	request_goes_on(Second::Resets);
+}
+
+TEST_F(PlatformSilent, PlainAnswerIsNotLostWhereTheNextRunnerRefuses)
+{
+	request_goes_on(Second::Refuses);
+}
+
+TEST_F(PlatformSilent, PlainAnswerIsNotLostWhereTheNextRunnerFails)
+{
+	request_goes_on(Second::Fails);
+}
+
+TEST_F(PlatformSilent, PlainAnswerIsNotLostWhereTheNextRunnerIsSilentAsWell)
+{
+	request_goes_on(Second::StaysSilent);
+}
+
+/* Guards against two runners that work on one stream. */
+TEST_F(PlatformSilent, RunnerThatLostIsCancelledWhenAnotherGoesOn)
+{
+	std::atomic<int64_t> went_on{ 0 }, closed{ 0 };
+
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [&, r](Socket &s, const Message &m) {
+			if (!runs++) {
+				s.send(stream_head(*r, m) +
+				       chunk(events(1, 2)));
+				s.wait_closed(6000);
+				closed = proc_now_ms();
+				return false;
+			}
+			EXPECT_EQ(m.field("Last-Event-Id"), "2");
+			usleep(300000);
+			went_on = proc_now_ms();
+			s.send(stream_head(*r, m) + chunk(event(3)));
+			usleep(500000);
+			return s.send(rest(4));
+		};
+	Message m = system.send("POST", "/flow/x", ID);
+	EXPECT_TRUE(m.complete) << system.logs();
+	EXPECT_EQ(m.body, events(1, EVENTS));
+	EXPECT_GE(closed, went_on);
+	EXPECT_LT(closed - went_on, 400);
+}
+
+TEST_F(PlatformSilent, BothRunnersStopWhenTheCallerLeaves)
+{
+	std::atomic<int> closed{ 0 };
+
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [&](Socket &s, const Message &) {
+			runs++;
+			s.wait_closed(6000);
+			closed++;
+			return false;
+		};
+	Socket s;
+	ASSERT_TRUE(s.connect_to(system.entry().front));
+	s.send(request("POST", "/flow/x", "host.example", ID));
+	ASSERT_TRUE(System::eventually([&] { return runs == 2; }));
+	EXPECT_EQ(closed, 0);
+	s.shut();
+	EXPECT_TRUE(System::eventually([&] { return closed == 2; }, 500));
+}
+
+/* Guards against ending a request by a table that no longer has its route. */
+TEST_F(PlatformSilent, NewTableDoesNotEndARequestUnderWay)
+{
+	std::string next = table(2);
+	size_t at;
+
+	add_a();
+	a.handler = [this](Socket &s, const Message &m) {
+		runs++;
+		return run_first(s, a, m, 2);
+	};
+	/* One route is renamed and gets a shorter timeout, another is gone. */
+	while ((at = next.find("\"flow\"")) != std::string::npos)
+		next.replace(at, 6, "\"other\"");
+	while ((at = next.find("\"timeoutMs\":8000")) != std::string::npos)
+		next.replace(at, 16, "\"timeoutMs\":1000");
+	at = next.find("\"/flow/\"");
+	std::thread change([&] {
+		System::eventually([&] { return runs != 0; });
+		EXPECT_EQ(system.put(next), 200);
+		next.replace(next.find("\"version\":2"), 11, "\"version\":3");
+		next.replace(at, 8, "\"/gone/\"");
+		EXPECT_EQ(system.put(next), 200);
+	});
+	Message m = system.send("POST", "/flow/x", ID);
+	change.join();
+	EXPECT_EQ(system.send("POST", "/flow/x", ID).status(), 404);
+	EXPECT_TRUE(m.complete) << system.logs();
+	EXPECT_EQ(m.body, events(1, EVENTS));
+}
+
+/* Seeded histories of silences, failures and resumptions. A stream is whole if
+ * its first runner goes on; otherwise it may be cut, but holds no event twice
+ * and none out of order. */
+TEST_F(PlatformSilent, StreamsAreWholeInRandomHistories)
+{
+	constexpr unsigned HISTORIES = 48;
+	const std::vector<Second> FAILURES = {
+		Second::Resets,	       Second::Refuses, Second::BreaksAfterHead,
+		Second::BreaksInEvent, Second::Fails,	Second::FailsUnsealed,
+		Second::StaysSilent,
+	};
+	std::mutex guard;
+	std::map<std::string, int> runs_of;
+	Runner c{ "plain", "i-c" };
+
+	ASSERT_EQ(system.put(table(
+			  2, ",{\"name\":\"flow3\",\"host\":\"host.example\","
+			     "\"pathPrefix\":\"/flow3/\",\"kind\":"
+			     "\"streaming\",\"timeoutMs\":8000,\"goalMs\":500,"
+			     "\"priority\":0,\"service\":\"plain\","
+			     "\"maxAttempts\":3,\"resumable\":true,"
+			     "\"gapTargetMs\":250}")),
+		  200);
+	for (Runner *r : { &a, &b, &c })
+		r->slots = 64;
+	add_both();
+	system.add(c, "/safe/probe");
+	for (Runner *r : { &a, &b, &c })
+		r->handler = [&, r](Socket &s, const Message &m) {
+			std::string id = m.field("X-Attempt-Id");
+			int after = atoi(m.field("Last-Event-Id").c_str());
+			unsigned seed = (unsigned)atoi(id.c_str() + 1);
+			int n;
+
+			{
+				std::lock_guard<std::mutex> hold(guard);
+				n = runs_of[id]++;
+			}
+			seed = seed * 1000 + (unsigned)n;
+			unsigned how = (unsigned)rand_r(&seed) % 12;
+			useconds_t silent_us =
+				(useconds_t)rand_r(&seed) % 2500 * 1000;
+
+			if (n && how < FAILURES.size())
+				return run_second(s, *r, m, FAILURES[how]);
+			int next = after + rand_r(&seed) % (EVENTS - after + 1);
+			if (next > after)
+				s.send(stream_head(*r, m) +
+				       chunk(events(after + 1, next)));
+			usleep(silent_us);
+			if (!n && how == 11) {
+				s.reset();
+				return false;
+			}
+			return s.send((next > after ? "" : stream_head(*r, m)) +
+				      rest(next + 1));
+		};
+	std::vector<std::thread> callers;
+	for (unsigned i = 0; i < HISTORIES; i++)
+		callers.emplace_back([&, i] {
+			std::string id = "h" + std::to_string(i);
+			unsigned seed = i * 1000;
+			bool goes_on = rand_r(&seed) % 12 != 11;
+			Message m = system.send("POST",
+						i % 2 ? "/flow/x" : "/flow3/x",
+						"X-Attempt-Id: " + id + "\r\n");
+
+			if (goes_on || (m.complete && m.status() == 200)) {
+				EXPECT_TRUE(m.complete) << "seed " << i;
+				EXPECT_EQ(m.status(), 200) << "seed " << i;
+				EXPECT_EQ(m.body, events(1, EVENTS))
+					<< "seed " << i;
+			} else if (m.status() == 200) {
+				EXPECT_EQ(events(1, EVENTS).find(m.body), 0u)
+					<< "seed " << i << ": " << m.body;
+			}
+		});
+	for (auto &t : callers)
+		t.join();
+}
+
 TEST_F(Platform, StreamThatCannotGoOnDoesNotLookComplete)
 {
 	add_a();
