edge: read pending input before an endpoint counts as silent

Callers of a resumable stream could lose it, or have it run at a second endpoint for nothing, when the entry itself was held up: after SIGSTOP and SIGCONT epoll_wait() returns EINTR, and libevent runs the expired timers before it reads what has arrived. The entry took its own stall of 1.8 s for silence of the endpoint, which had sent an event each 600 ms.

Change: a check of the silence that is over 50 ms late is put off once by 50 ms; in that time the input is read.

Evidence: StallOfTheEntryIsNotTakenForSilence with the program of: "event=again reason=silent" 2.12 s after the request was sent, a second run, and a stream that is cut after its first event. It passes now; so does Hdg.LateCheckIsPutOffOnce.

--- a/src/core/hdg.c
+++ b/src/core/hdg.c
@@ -25,6 +25,7 @@
 		.id = id,
 		.progress_us = now_us,
 	};
+	h->stalled = false;
 }
 
 /* Removes an attempt that has failed or is cancelled. The others remain; the
@@ -47,6 +48,7 @@
 	if (!at)
 		return;
 	at->progress_us = now_us;
+	h->stalled = false;
 }
 
 /* The attempt has begun to answer, or goes on with an answer, that the caller
@@ -60,11 +62,23 @@
 		at->begun_us = now_us;
 }
 
-/* Returns true if no attempt has made progress for silence_us and another one
- * may be added. */
+/*
+ * Returns true if no attempt has made progress for silence_us and another one
+ * may be added. A check that comes late is put off once, since the silence may
+ * be this process's own.
+ */
 bool hdg_take_silence(struct hdg *h, int64_t silence_us, int64_t now_us)
 {
-	return now_us + TIMER_SLACK_US >= hdg_silence_end_us(h, silence_us);
+	int64_t due_us = hdg_silence_end_us(h, silence_us);
+
+	if (now_us + TIMER_SLACK_US < due_us)
+		return false;
+	if (now_us - due_us > HDG_STALL_US && !h->stalled) {
+		h->stalled = true;
+		h->not_before_us = now_us + HDG_STALL_US;
+		return false;
+	}
+	return true;
 }
 
 /* No other endpoint can take the request now. */
--- a/src/core/hdg.h
+++ b/src/core/hdg.h
@@ -19,6 +19,10 @@
 #define HDG_GRACE_US 250000
 /* Interval of further tries while no other endpoint can take the request. */
 #define HDG_RETRY_US 300000
+/* A check that is later than this shows that this process was held up: input
+ * that has arrived is read first. */
+#define HDG_STALL_US 50000
+
 struct hdg_attempt {
 	unsigned id;
 	int64_t progress_us; /* last sign of progress, or its start */
@@ -31,6 +35,7 @@
 	struct hdg_attempt attempts[HDG_ATTEMPTS_MAX];
 	size_t n;
 	int64_t not_before_us; /* of the next attempt */
+	bool stalled;	       /* a check was put off since the last progress */
 };
 
 /* Commands. */
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -627,6 +627,35 @@
 	EXPECT_TRUE(System::eventually([&] { return closed == 2; }, 500));
 }
 
+/* Guards against taking a stall of the entry for silence of the runner. */
+TEST_F(PlatformSilent, StallOfTheEntryIsNotTakenForSilence)
+{
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [this, r](Socket &s, const Message &m) {
+			if (runs++)
+				return run_second(s, *r, m, Second::Resets);
+			s.send(stream_head(*r, m));
+			for (int i = 1; i < EVENTS; i++) {
+				s.send(chunk(event(i)));
+				usleep(600000);
+			}
+			return s.send(rest(EVENTS));
+		};
+	std::thread stall([&] {
+		System::eventually([&] { return runs != 0; });
+		usleep(300000);
+		kill(system.entry().pid, SIGSTOP);
+		usleep(1800000);
+		kill(system.entry().pid, SIGCONT);
+	});
+	Message m = system.send("POST", "/flow/x", ID);
+	stall.join();
+	EXPECT_TRUE(m.complete) << system.logs();
+	EXPECT_EQ(m.body, events(1, EVENTS));
+	EXPECT_EQ(runs, 1) << system.logs();
+}
+
 /* Guards against ending a request by a table that no longer has its route. */
 TEST_F(PlatformSilent, NewTableDoesNotEndARequestUnderWay)
 {
--- a/tests/unit/hdg_test.cc
+++ b/tests/unit/hdg_test.cc
@@ -105,6 +105,20 @@
 	EXPECT_EQ(hdg_winner(&h, 9000 * MS), 0u);
 }
 
+/* Guards against taking a stall of this process for silence. */
+TEST(Hdg, LateCheckIsPutOffOnce)
+{
+	struct hdg h = {};
+
+	hdg_add(&h, 1, 1000 * MS);
+	EXPECT_FALSE(hdg_take_silence(&h, SILENCE, 4000 * MS));
+	EXPECT_EQ(hdg_silence_end_us(&h, SILENCE), 4000 * MS + HDG_STALL_US);
+	EXPECT_TRUE(
+		hdg_take_silence(&h, SILENCE, 4000 * MS + 3 * HDG_STALL_US));
+	hdg_progress(&h, 1, 4200 * MS);
+	EXPECT_FALSE(hdg_take_silence(&h, SILENCE, 9000 * MS));
+}
+
 TEST(Hdg, NumberOfAttemptsIsBounded)
 {
 	struct hdg h = {};
