build: no fused multiply-add

GCC fuses a multiplication and an addition by default where the processor can, so on arm64 and not on the x86-64 baseline.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,9 @@
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 WARN = -Wall -Wextra -Werror -Wno-missing-field-initializers
 OPT ?= -O2 -g
-COMMON = $(OPT) $(WARN) -D_GNU_SOURCE -Isrc -I. -Itests/tools $(PKG_CFLAGS) -MMD -MP -pthread $(SAN)
+# The same results of floating-point code on all processors.
+FP = -ffp-contract=off
+COMMON = $(OPT) $(WARN) $(FP) -D_GNU_SOURCE -Isrc -I. -Itests/tools $(PKG_CFLAGS) -MMD -MP -pthread $(SAN)
 CFLAGS = -std=gnu11 $(COMMON) -Wmissing-prototypes -Wdeclaration-after-statement
 CXXFLAGS = -std=c++17 $(COMMON)
 LIBS = -lcivetweb -lhttp_parser $(PKG_LIBS) -lstdc++ -lm -ldl -pthread $(SAN)
