tests: seeded histories do not depend on the machine

- rt_test drew twice in one argument list, and took the "first" waiting ticket in the order of addresses: the draws are statements of their own, tickets are ordered by their submission.
- sto_test and traffic_claim_test: draws in one argument list.
- plc_test, occ_test and lib_sim.c say what depends on the library (shuffle, distributions) and on libm (log).
- field_reports_test says that its history follows the order of arrival.

Looked at without a finding: raft_sim.h, repair_sim_test, policy_world.h, state_util.h (braces are evaluated in order), state_orders_test, state_claims_test, state_view_test, edge_core_test, ctl_up_test, platform_wire_test; no hash of a pointer or a long in src/core, node or edge; g_str_hash() is signed on both.

--- a/tests/integration/field_reports_test.cc
+++ b/tests/integration/field_reports_test.cc
@@ -183,8 +183,9 @@
 /*
  * A second copy of an answer came late on a connection that was in use again,
  * and an answer that broke off looked complete. Callers on kept connections
- * each get the whole answer to their own request, or no success; the manner of
- * each answer follows from the seed.
+ * each get the whole answer to their own request, or no success. The seed gives
+ * the manners of the answers in the order of the requests' arrival, which the
+ * processes' timing decides.
  */
 TEST_F(FieldReports, CallersGetTheirOwnWholeAnswerOrNoSuccess)
 {
--- a/tests/integration/traffic_claim_test.cc
+++ b/tests/integration/traffic_claim_test.cc
@@ -259,7 +259,11 @@
 		std::string body = "{\"key\":\"" + key + "\"}";
 		size_t before = booking ? 0 : stub_n_requests(stub);
 
-		stub_fault(stub, faults[random(6)], random(4), (int)random(3));
+		enum stub_fault fault = faults[random(6)];
+		uint32_t tokens = random(4);
+		int n = (int)random(3);
+
+		stub_fault(stub, fault, tokens, n);
 		fake_group_set_outcome(group, kCreate, outcomes[random(6)], 1);
 		Reply reply = booking ? entry.book(key, body.c_str())
 				      : entry.chat(false);
--- a/tests/tools/lib_sim.c
+++ b/tests/tools/lib_sim.c
@@ -233,6 +233,8 @@
 	return ((double)(random_next(state) >> 11) + 0.5) * 0x1.0p-53;
 }
 
+/* The last bit of log() may differ between processors, and with it a time by a
+ * microsecond. */
 static double random_exponential(uint64_t *state, double mean)
 {
 	return -mean * log(random_unit(state));
--- a/tests/unit/occ_test.cc
+++ b/tests/unit/occ_test.cc
@@ -150,6 +150,9 @@
 	{
 		double per_s = shape.utilisation * shape.engines * BATCH /
 			       ((double)(PREFILL + DECODE) / SECOND);
+		/* Its draws, and those of discrete_distribution, depend on the
+		 * library (libstdc++) and on libm's log(), whose last bit may
+		 * differ between processors. */
 		std::exponential_distribution<double> gap(per_s / SECOND);
 
 		for (int64_t t = 0; t < duration; t += (int64_t)gap(random))
--- a/tests/unit/plc_test.cc
+++ b/tests/unit/plc_test.cc
@@ -189,6 +189,7 @@
 				if (random() % 3 == 0)
 					ids.push_back(all[i]->id);
 			g_free(all);
+			/* Its draws depend on the library: libstdc++. */
 			std::shuffle(ids.begin(), ids.end(), random);
 			for (uint64_t id : ids)
 				w.finish(id, random() % 10 != 0);
--- a/tests/unit/rt_test.cc
+++ b/tests/unit/rt_test.cc
@@ -797,8 +797,14 @@
 TEST_F(Router, CountsStayConsistentUnderRandomCalls)
 {
 	std::mt19937 random(3);
-	std::map<struct rt_ticket *, std::string> in_flight;
-	std::set<struct rt_ticket *> waiting;
+	/* Tickets in the order of their submission, not of their addresses. */
+	std::map<struct rt_ticket *, int> numbers;
+	auto earlier = [&](struct rt_ticket *a, struct rt_ticket *b) {
+		return numbers.at(a) < numbers.at(b);
+	};
+	std::map<struct rt_ticket *, std::string, decltype(earlier)> in_flight(
+		earlier);
+	std::set<struct rt_ticket *, decltype(earlier)> waiting(earlier);
 	uint64_t incarnation[5] = { 1, 1, 1, 1, 1 };
 
 	model("m0");
@@ -817,11 +823,13 @@
 
 		world.now_us += (int64_t)(random() % 20) * kMs;
 		if (action < 40) {
-			struct rt_request r = request(
-				random() % 2 ? "m0" : "m1", (int)(random() % 2),
-				(int64_t)(random() % 4000) * kMs);
-			d = submit(r);
+			const char *name = random() % 2 ? "m0" : "m1";
+			int rank = (int)(random() % 2);
+			int64_t deadline = (int64_t)(random() % 4000) * kMs;
+
+			d = submit(request(name, rank, deadline));
 			ticket = d.ticket;
+			numbers[ticket] = step;
 		} else if (action < 60 && !open.empty()) {
 			ticket = open[random() % open.size()];
 			in_flight.erase(ticket);
@@ -839,8 +847,11 @@
 			in_flight.erase(ticket);
 			rt_retry(rt, ticket, world.now_us, &d);
 		} else if (action < 95) {
-			report(id, (uint64_t)step + 1, random() % 5,
-			       random() % 3, incarnation[e]);
+			unsigned running = random() % 5;
+			unsigned queued = random() % 3;
+
+			report(id, (uint64_t)step + 1, running, queued,
+			       incarnation[e]);
 		} else {
 			World::Endpoint next = endpoint(id, { "m0", "m1" }, 3);
 
--- a/tests/unit/sto_test.cc
+++ b/tests/unit/sto_test.cc
@@ -1188,8 +1188,10 @@
 		}
 		case 2:
 		case 3: {
-			auto list = items(current.last() + 1, random() % 5,
-					  1 + current.term, random() % 100);
+			size_t n = random() % 5;
+			size_t bytes = random() % 100;
+			auto list = items(current.last() + 1, n,
+					  1 + current.term, bytes);
 
 			note("append " + std::to_string(list.size()));
 			current.log.insert(current.log.end(), list.begin(),
