trf: refuses bytes that the standard does not allow in a request's head

The product's interface uses another server, CivetWeb. It refuses control bytes, NUL and bytes above 127 in targets, names and values itself, but took quotes, '#', '<', '>', '\', '^', '`' and braces in a target, which then went to endpoints, and separators in a field's name. Such a request is answered 400 malformed_request now, counted, logged, and its connection closed.

--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -32,6 +32,29 @@
 	return NULL;
 }
 
+static bool has_only(const char *text, size_t len, const char *marks)
+{
+	for (size_t i = 0; i < len; i++)
+		if (!g_ascii_isalnum(text[i]) &&
+		    (!text[i] || !strchr(marks, text[i])))
+			return false;
+	return true;
+}
+
+/* Returns whether all bytes may stand in a request's target: RFC 9112, section
+ * 3.2. */
+bool hio_is_target(const char *text, size_t len)
+{
+	return has_only(text, len, "-._~:/?[]@!$&'()*+,;=%");
+}
+
+/* Returns whether all bytes may stand in a token, such as a field's name: RFC
+ * 9110, section 5.6.2. */
+bool hio_is_token(const char *text, size_t len)
+{
+	return has_only(text, len, "!#$%&'*+-.^_`|~");
+}
+
 static bool list_has(const char *list, const char *name)
 {
 	g_auto(GStrv) items = g_strsplit(list, ",", -1);
@@ -172,21 +195,14 @@
 	ctx->in_value = false;
 }
 
-static bool is_token_byte(char c)
-{
-	return g_ascii_isalnum(c) ||
-	       (c && strchr("!#$%&'*+-.^_`|~", c) != NULL);
-}
-
 /* Appends bytes to a field's name. Returns false if one is not allowed there:
  * the parser accepts spaces in names. */
 bool hio_builder_name(struct hio_builder *ctx, const char *at, size_t len)
 {
 	if (ctx->in_value)
 		end_field(ctx);
-	for (size_t i = 0; i < len; i++)
-		if (!is_token_byte(at[i]))
-			return false;
+	if (!hio_is_token(at, len))
+		return false;
 	g_string_append_len(ctx->name, at, (gssize)len);
 	return true;
 }
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -210,21 +210,13 @@
 	return stop_parser(conn, 431, "header_size");
 }
 
-/* Returns whether a byte may stand in a request's target (RFC 9112, section
- * 3.2). The parser accepts others, including control bytes. */
-static bool is_target_byte(char c)
-{
-	return g_ascii_isalnum(c) ||
-	       (c && strchr("-._~:/?[]@!$&'()*+,;=%", c) != NULL);
-}
-
 static int on_url(http_parser *parser, const char *at, size_t len)
 {
 	struct conn *conn = parser->data;
 
-	for (size_t i = 0; i < len; i++)
-		if (!is_target_byte(at[i]))
-			return stop_parser(conn, 400, "target_byte");
+	/* The parser accepts other bytes, including control bytes. */
+	if (!hio_is_target(at, len))
+		return stop_parser(conn, 400, "target_byte");
 	g_string_append_len(conn->target, at, (gssize)len);
 	return check_header_size(conn);
 }
--- a/src/traffic/trf.c
+++ b/src/traffic/trf.c
@@ -1,6 +1,7 @@
 #include "traffic/trf_int.h"
 
 #include "base/log.h"
+#include "http/hio.h"
 
 #include <inttypes.h>
 #include <stdatomic.h>
@@ -269,6 +270,41 @@
 	return false;
 }
 
+static bool has_valid_head(const struct mg_request_info *info)
+{
+	const char *target = info->request_uri ? info->request_uri : "";
+	const char *query = info->query_string ? info->query_string : "";
+
+	if (!hio_is_target(target, strlen(target)) ||
+	    !hio_is_target(query, strlen(query)))
+		return false;
+	for (int i = 0; i < info->num_headers; i++) {
+		const char *name = info->http_headers[i].name;
+
+		if (!hio_is_token(name, strlen(name)))
+			return false;
+	}
+	return true;
+}
+
+/* Answers 400 to a target or a field's name with bytes that the standard does
+ * not allow. CivetWeb refuses control bytes, but not all others. */
+static bool head_is_valid(struct api *api)
+{
+	if (has_valid_head(api->info))
+		return true;
+	LOG_EVENT_INFO("trf", "request_refused",
+		       "request=%s listen=%s status=400 reason=head_byte",
+		       api->id, api->ctx->settings->http_listen);
+	met_count(api->ctx->metrics, "dandelionspar_malformed_requests_total",
+		  "", 1);
+	api->close = true;
+	api_error(api, 400, "malformed_request", TRF_NOT_RUN, 0,
+		  "the target or a header's name has a byte that is not "
+		  "allowed there");
+	return false;
+}
+
 static int on_request(struct mg_connection *conn)
 {
 	struct trf *ctx = mg_get_user_data(mg_get_context(conn));
@@ -283,7 +319,7 @@
 	api.claim_unread = g_str_has_prefix(api.path, "/v1/services/") &&
 			   api_header(&api, "Idempotency-Key");
 	new_id(ctx, api.id);
-	if (headers_fit(&api))
+	if (headers_fit(&api) && head_is_valid(&api))
 		handle(&api);
 	if (api.answer) {
 		trf_answer_unref(api.answer);
--- a/tests/integration/traffic_input_test.cc
+++ b/tests/integration/traffic_input_test.cc
@@ -261,6 +261,43 @@
 	EXPECT_TRUE(eventually([&] { return trf_in_flight(entry.trf) == 0; }));
 }
 
+/* Bytes that the standard does not allow in a request's head are refused before
+ * the request is looked at. */
+TEST_F(TrafficTest, HeadHasOnlyTheBytesOfTheStandard)
+{
+	const std::string end = " HTTP/1.1\r\nHost: h\r\n";
+	const std::string path = "GET /healthz";
+	Entry &entry = start();
+
+	ASSERT_EQ(send_raw(entry.port, path + end + "X-A: b\r\n\r\n")
+			  .rfind("HTTP/1.1 200", 0),
+		  0u);
+	for (int c = 0; c < 256; c++) {
+		std::string byte(1, (char)c);
+		bool alnum = c < 128 && isalnum(c);
+		std::vector<std::string> heads;
+
+		if (c == '\r' || c == '\n')
+			continue;
+		if (!alnum && (!c || !strchr("-._~:/?[]@!$&'()*+,;=% ", c))) {
+			heads.push_back(path + byte + "y" + end);
+			heads.push_back(path + "?y" + byte + "z" + end);
+		}
+		if (!alnum && (!c || !strchr("!#$%&'*+-.^_`|~:", c)))
+			heads.push_back(path + end + "X-A" + byte + "b: c\r\n");
+		if ((c < ' ' && c != '\t') || c == 127)
+			for (const std::string &value :
+			     { byte + "a", "a" + byte + "b", "a" + byte })
+				heads.push_back(path + end + "X-A: " + value +
+						"\r\n");
+		for (const std::string &head : heads)
+			EXPECT_EQ(send_raw(entry.port, head + "\r\n")
+					  .rfind("HTTP/1.1 400", 0),
+				  0u)
+				<< "byte " << c << " in " << head;
+	}
+}
+
 /* Guards the size limits: the setting, the metric and the rejection of each. */
 TEST_F(TrafficTest, SizeLimitsReject)
 {
