up: an answer whose head breaks off is not an answer

It is complete only if the blank line after the head was read; a closed connection before that is UP_ERROR_BROKEN, as in the body.

Before: UpTest.HeadThatBreaksOffIsNoAnswer fails at each place behind the status line where the connection was closed; resets were noticed. After: it passes at each byte of three heads, closed and reset.

--- a/src/traffic/up.c
+++ b/src/traffic/up.c
@@ -445,7 +445,9 @@
 	bool unsent;
 
 	curl_multi_add_handle(handle->multi, handle->easy);
-	complete = run_transfer(handle, &t, &error, &result);
+	/* libcurl reports a connection that was closed in the middle of the
+	 * head as an answer with an empty body. */
+	complete = run_transfer(handle, &t, &error, &result) && t.head_done;
 	unsent = is_unsent(handle->easy, &t);
 	curl_multi_remove_handle(handle->multi, handle->easy);
 	if (complete) {
@@ -459,8 +461,9 @@
 		close_idle_connections(ctx, origin);
 	g_set_error(err, UP_ERROR, error, "%s %s: %s", request->method,
 		    request->url,
-		    result != CURLE_OK ? curl_easy_strerror(result)
-				       : "limit passed or stopped");
+		    result != CURLE_OK
+			    ? curl_easy_strerror(result)
+			    : "limit passed, stopped or closed early");
 out:
 	curl_slist_free_all(headers);
 	g_free(t.content_type);
--- a/tests/integration/up_test.cc
+++ b/tests/integration/up_test.cc
@@ -285,6 +285,38 @@
 
 } // namespace
 
+/* Guards against a 200 with an empty body for an endpoint that stopped in the
+ * middle of its answer's head. */
+TEST_F(UpTest, HeadThatBreaksOffIsNoAnswer)
+{
+	for (const std::string &whole :
+	     { std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+			   "Content-Length: 2\r\n\r\nok"),
+	       std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+			   "Content-Type: text/plain\r\n\r\n"),
+	       std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+			   "Content-Type: text/plain\r\n\r\n") })
+		for (size_t len = 0; len < whole.size(); len++)
+			for (bool reset : { false, true }) {
+				Server server([&](int fd) {
+					struct linger now = { 1, 0 };
+
+					read_request(fd, 3);
+					send_text(fd, whole.substr(0, len));
+					if (!reset)
+						return;
+					usleep(2000);
+					setsockopt(fd, SOL_SOCKET, SO_LINGER,
+						   &now, sizeof(now));
+				});
+				UpRun run = perform(up, server.url(), true);
+
+				EXPECT_FALSE(run.complete)
+					<< whole.substr(0, len)
+					<< (reset ? " reset" : " closed");
+			}
+}
+
 /* Guards against buffering an endless header section. */
 TEST_F(UpTest, EndlessHeaderSectionEndsTheCall)
 {
