proto: a route table as changes of an earlier one

A record of a view can carry the changes since the table that its reader has (ViewRecord 40), and an instance reports that table (NodeStatus 40). Instances without these fields get and send whole tables as before.

--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -1177,6 +1177,141 @@
   assert(message->base.descriptor == &dsp__route_table__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__route_table_piece__init
+                     (Dsp__RouteTablePiece         *message)
+{
+  static const Dsp__RouteTablePiece init_value = DSP__ROUTE_TABLE_PIECE__INIT;
+  *message = init_value;
+}
+size_t dsp__route_table_piece__get_packed_size
+                     (const Dsp__RouteTablePiece *message)
+{
+  assert(message->base.descriptor == &dsp__route_table_piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__route_table_piece__pack
+                     (const Dsp__RouteTablePiece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__route_table_piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__route_table_piece__pack_to_buffer
+                     (const Dsp__RouteTablePiece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__route_table_piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__RouteTablePiece *
+       dsp__route_table_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__RouteTablePiece *)
+     protobuf_c_message_unpack (&dsp__route_table_piece__descriptor,
+                                allocator, len, data);
+}
+void   dsp__route_table_piece__free_unpacked
+                     (Dsp__RouteTablePiece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__route_table_piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__route_table_change__init
+                     (Dsp__RouteTableChange         *message)
+{
+  static const Dsp__RouteTableChange init_value = DSP__ROUTE_TABLE_CHANGE__INIT;
+  *message = init_value;
+}
+size_t dsp__route_table_change__get_packed_size
+                     (const Dsp__RouteTableChange *message)
+{
+  assert(message->base.descriptor == &dsp__route_table_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__route_table_change__pack
+                     (const Dsp__RouteTableChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__route_table_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__route_table_change__pack_to_buffer
+                     (const Dsp__RouteTableChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__route_table_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__RouteTableChange *
+       dsp__route_table_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__RouteTableChange *)
+     protobuf_c_message_unpack (&dsp__route_table_change__descriptor,
+                                allocator, len, data);
+}
+void   dsp__route_table_change__free_unpacked
+                     (Dsp__RouteTableChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__route_table_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__route_table_steps__init
+                     (Dsp__RouteTableSteps         *message)
+{
+  static const Dsp__RouteTableSteps init_value = DSP__ROUTE_TABLE_STEPS__INIT;
+  *message = init_value;
+}
+size_t dsp__route_table_steps__get_packed_size
+                     (const Dsp__RouteTableSteps *message)
+{
+  assert(message->base.descriptor == &dsp__route_table_steps__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__route_table_steps__pack
+                     (const Dsp__RouteTableSteps *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__route_table_steps__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__route_table_steps__pack_to_buffer
+                     (const Dsp__RouteTableSteps *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__route_table_steps__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__RouteTableSteps *
+       dsp__route_table_steps__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__RouteTableSteps *)
+     protobuf_c_message_unpack (&dsp__route_table_steps__descriptor,
+                                allocator, len, data);
+}
+void   dsp__route_table_steps__free_unpacked
+                     (Dsp__RouteTableSteps *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__route_table_steps__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__route_table_put__init
                      (Dsp__RouteTablePut         *message)
 {
@@ -5986,6 +6121,224 @@
   (ProtobufCMessageInit) dsp__route_table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dsp__route_table_piece__field_descriptors[3] =
+{
+  {
+    "first",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTablePiece, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTablePiece, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTablePiece, n_routes),
+    offsetof(Dsp__RouteTablePiece, routes),
+    &dsp__route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__route_table_piece__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = first */
+  2,   /* field[2] = routes */
+};
+static const ProtobufCIntRange dsp__route_table_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__route_table_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTablePiece",
+  "RouteTablePiece",
+  "Dsp__RouteTablePiece",
+  "dsp",
+  sizeof(Dsp__RouteTablePiece),
+  3,
+  dsp__route_table_piece__field_descriptors,
+  dsp__route_table_piece__field_indices_by_name,
+  1,  dsp__route_table_piece__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route_table_change__field_descriptors[7] =
+{
+  {
+    "base_index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTableChange, base_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTableChange, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTableChange, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTableChange, n_pieces),
+    offsetof(Dsp__RouteTableChange, pieces),
+    &dsp__route_table_piece__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTableChange, n_services),
+    offsetof(Dsp__RouteTableChange, services),
+    &dsp__routed_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTableChange, limits),
+    &dsp__caller_limits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTableChange, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__route_table_change__field_indices_by_name[] = {
+  0,   /* field[0] = base_index */
+  6,   /* field[6] = digest */
+  2,   /* field[2] = index */
+  5,   /* field[5] = limits */
+  1,   /* field[1] = number */
+  3,   /* field[3] = pieces */
+  4,   /* field[4] = services */
+};
+static const ProtobufCIntRange dsp__route_table_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor dsp__route_table_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTableChange",
+  "RouteTableChange",
+  "Dsp__RouteTableChange",
+  "dsp",
+  sizeof(Dsp__RouteTableChange),
+  7,
+  dsp__route_table_change__field_descriptors,
+  dsp__route_table_change__field_indices_by_name,
+  1,  dsp__route_table_change__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route_table_steps__field_descriptors[1] =
+{
+  {
+    "steps",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTableSteps, n_steps),
+    offsetof(Dsp__RouteTableSteps, steps),
+    &dsp__route_table_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__route_table_steps__field_indices_by_name[] = {
+  0,   /* field[0] = steps */
+};
+static const ProtobufCIntRange dsp__route_table_steps__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dsp__route_table_steps__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTableSteps",
+  "RouteTableSteps",
+  "Dsp__RouteTableSteps",
+  "dsp",
+  sizeof(Dsp__RouteTableSteps),
+  1,
+  dsp__route_table_steps__field_descriptors,
+  dsp__route_table_steps__field_indices_by_name,
+  1,  dsp__route_table_steps__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_steps__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dsp__route_table_put__field_descriptors[1] =
 {
   {
@@ -8106,7 +8459,7 @@
   (ProtobufCMessageInit) dsp__state_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__view_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor dsp__view_record__field_descriptors[10] =
 {
   {
     "index",
@@ -8216,6 +8569,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route_table_steps",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewRecord, body_case),
+    offsetof(Dsp__ViewRecord, route_table_steps),
+    &dsp__route_table_steps__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__view_record__field_indices_by_name[] = {
   3,   /* field[3] = document */
@@ -8226,14 +8591,16 @@
   5,   /* field[5] = node */
   2,   /* field[2] = removed */
   7,   /* field[7] = route_table */
+  9,   /* field[9] = route_table_steps */
   6,   /* field[6] = suspect */
 };
-static const ProtobufCIntRange dsp__view_record__number_ranges[3 + 1] =
+static const ProtobufCIntRange dsp__view_record__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 10, 3 },
   { 20, 8 },
-  { 0, 9 }
+  { 40, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor dsp__view_record__descriptor =
 {
@@ -8243,10 +8610,10 @@
   "Dsp__ViewRecord",
   "dsp",
   sizeof(Dsp__ViewRecord),
-  9,
+  10,
   dsp__view_record__field_descriptors,
   dsp__view_record__field_indices_by_name,
-  3,  dsp__view_record__number_ranges,
+  4,  dsp__view_record__number_ranges,
   (ProtobufCMessageInit) dsp__view_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -8881,7 +9248,7 @@
   (ProtobufCMessageInit) dsp__pace__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__node_status__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__node_status__field_descriptors[5] =
 {
   {
     "node",
@@ -8931,17 +9298,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "table_index",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeStatus, table_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__node_status__field_indices_by_name[] = {
   3,   /* field[3] = confirmed_age_ms */
   0,   /* field[0] = node */
   2,   /* field[2] = streams */
+  4,   /* field[4] = table_index */
   1,   /* field[1] = view_index */
 };
-static const ProtobufCIntRange dsp__node_status__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__node_status__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 40, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dsp__node_status__descriptor =
 {
@@ -8951,10 +9332,10 @@
   "Dsp__NodeStatus",
   "dsp",
   sizeof(Dsp__NodeStatus),
-  4,
+  5,
   dsp__node_status__field_descriptors,
   dsp__node_status__field_indices_by_name,
-  1,  dsp__node_status__number_ranges,
+  2,  dsp__node_status__number_ranges,
   (ProtobufCMessageInit) dsp__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -41,6 +41,9 @@
 typedef struct Dsp__RoutedService Dsp__RoutedService;
 typedef struct Dsp__CallerLimits Dsp__CallerLimits;
 typedef struct Dsp__RouteTable Dsp__RouteTable;
+typedef struct Dsp__RouteTablePiece Dsp__RouteTablePiece;
+typedef struct Dsp__RouteTableChange Dsp__RouteTableChange;
+typedef struct Dsp__RouteTableSteps Dsp__RouteTableSteps;
 typedef struct Dsp__RouteTablePut Dsp__RouteTablePut;
 typedef struct Dsp__RouteTableGet Dsp__RouteTableGet;
 typedef struct Dsp__DocumentPut Dsp__DocumentPut;
@@ -788,6 +791,72 @@
     , 0, 0,NULL, 0,NULL, NULL, {0,NULL}, 0 }
 
 
+/*
+ * A run of the routes of the base, followed by routes that the base lacks.
+ */
+struct  Dsp__RouteTablePiece
+{
+  ProtobufCMessage base;
+  /*
+   * position in the base
+   */
+  uint32_t first;
+  uint32_t count;
+  size_t n_routes;
+  Dsp__Route **routes;
+};
+#define DSP__ROUTE_TABLE_PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table_piece__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * A table as a change of an earlier one, without their sources.
+ */
+struct  Dsp__RouteTableChange
+{
+  ProtobufCMessage base;
+  /*
+   * index of the table that it applies to
+   */
+  uint64_t base_index;
+  uint64_t number;
+  uint64_t index;
+  /*
+   * all routes of the result, in order
+   */
+  size_t n_pieces;
+  Dsp__RouteTablePiece **pieces;
+  /*
+   * all
+   */
+  size_t n_services;
+  Dsp__RoutedService **services;
+  Dsp__CallerLimits *limits;
+  /*
+   * of the whole result; see core/tbl.c
+   */
+  ProtobufCBinaryData digest;
+};
+#define DSP__ROUTE_TABLE_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table_change__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, NULL, {0,NULL} }
+
+
+/*
+ * Changes that follow each other, oldest first.
+ */
+struct  Dsp__RouteTableSteps
+{
+  ProtobufCMessage base;
+  size_t n_steps;
+  Dsp__RouteTableChange **steps;
+};
+#define DSP__ROUTE_TABLE_STEPS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table_steps__descriptor) \
+    , 0,NULL }
+
+
 /*
  * The highest number is in force; a lower or equal one changes nothing.
  */
@@ -1274,7 +1343,8 @@
   DSP__VIEW_RECORD__BODY_ENDPOINT = 11,
   DSP__VIEW_RECORD__BODY_NODE = 12,
   DSP__VIEW_RECORD__BODY_SUSPECT = 13,
-  DSP__VIEW_RECORD__BODY_ROUTE_TABLE = 14
+  DSP__VIEW_RECORD__BODY_ROUTE_TABLE = 14,
+  DSP__VIEW_RECORD__BODY_ROUTE_TABLE_STEPS = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__VIEW_RECORD__BODY__CASE)
 } Dsp__ViewRecord__BodyCase;
 
@@ -1304,6 +1374,11 @@
      * without its source
      */
     Dsp__RouteTable *route_table;
+    /*
+     * In place of the table, for readers that have an earlier one. The kind is
+     * that of route_table.
+     */
+    Dsp__RouteTableSteps *route_table_steps;
   };
 };
 #define DSP__VIEW_RECORD__INIT \
@@ -1456,10 +1531,15 @@
    */
   uint32_t streams;
   uint32_t confirmed_age_ms;
+  /*
+   * Index of the route table in the view, if the sender can apply changes to
+   * it. 0: it needs the whole table.
+   */
+  uint64_t table_index;
 };
 #define DSP__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__node_status__descriptor) \
-    , NULL, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0 }
 
 
 struct  Dsp__Report
@@ -2147,6 +2227,63 @@
 void   dsp__route_table__free_unpacked
                      (Dsp__RouteTable *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__RouteTablePiece methods */
+void   dsp__route_table_piece__init
+                     (Dsp__RouteTablePiece         *message);
+size_t dsp__route_table_piece__get_packed_size
+                     (const Dsp__RouteTablePiece   *message);
+size_t dsp__route_table_piece__pack
+                     (const Dsp__RouteTablePiece   *message,
+                      uint8_t             *out);
+size_t dsp__route_table_piece__pack_to_buffer
+                     (const Dsp__RouteTablePiece   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__RouteTablePiece *
+       dsp__route_table_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__route_table_piece__free_unpacked
+                     (Dsp__RouteTablePiece *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__RouteTableChange methods */
+void   dsp__route_table_change__init
+                     (Dsp__RouteTableChange         *message);
+size_t dsp__route_table_change__get_packed_size
+                     (const Dsp__RouteTableChange   *message);
+size_t dsp__route_table_change__pack
+                     (const Dsp__RouteTableChange   *message,
+                      uint8_t             *out);
+size_t dsp__route_table_change__pack_to_buffer
+                     (const Dsp__RouteTableChange   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__RouteTableChange *
+       dsp__route_table_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__route_table_change__free_unpacked
+                     (Dsp__RouteTableChange *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__RouteTableSteps methods */
+void   dsp__route_table_steps__init
+                     (Dsp__RouteTableSteps         *message);
+size_t dsp__route_table_steps__get_packed_size
+                     (const Dsp__RouteTableSteps   *message);
+size_t dsp__route_table_steps__pack
+                     (const Dsp__RouteTableSteps   *message,
+                      uint8_t             *out);
+size_t dsp__route_table_steps__pack_to_buffer
+                     (const Dsp__RouteTableSteps   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__RouteTableSteps *
+       dsp__route_table_steps__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__route_table_steps__free_unpacked
+                     (Dsp__RouteTableSteps *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__RouteTablePut methods */
 void   dsp__route_table_put__init
                      (Dsp__RouteTablePut         *message);
@@ -3044,6 +3181,15 @@
 typedef void (*Dsp__RouteTable_Closure)
                  (const Dsp__RouteTable *message,
                   void *closure_data);
+typedef void (*Dsp__RouteTablePiece_Closure)
+                 (const Dsp__RouteTablePiece *message,
+                  void *closure_data);
+typedef void (*Dsp__RouteTableChange_Closure)
+                 (const Dsp__RouteTableChange *message,
+                  void *closure_data);
+typedef void (*Dsp__RouteTableSteps_Closure)
+                 (const Dsp__RouteTableSteps *message,
+                  void *closure_data);
 typedef void (*Dsp__RouteTablePut_Closure)
                  (const Dsp__RouteTablePut *message,
                   void *closure_data);
@@ -3214,6 +3360,9 @@
 extern const ProtobufCMessageDescriptor dsp__routed_service__descriptor;
 extern const ProtobufCMessageDescriptor dsp__caller_limits__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table__descriptor;
+extern const ProtobufCMessageDescriptor dsp__route_table_piece__descriptor;
+extern const ProtobufCMessageDescriptor dsp__route_table_change__descriptor;
+extern const ProtobufCMessageDescriptor dsp__route_table_steps__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table_put__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table_get__descriptor;
 extern const ProtobufCMessageDescriptor dsp__document_put__descriptor;
