--- a/tests/bench.sh
+++ b/tests/bench.sh
@@ -13,6 +13,8 @@
 "$build"/bench_store
 section "state machine"
 "$build"/bench_state
+section "a change of one route, by the number of routes"
+"$build"/bench_change
 section "routing decision and placement round"
 "$build"/bench_core
 section "policy against the naive baselines, 5 seeds"
