net: a large message on its way is no silence

A ping waits behind what was sent before it on the connection.

The limit now begins when a link of 4 Mbit/s would have delivered the ping, at most 5 s after it was sent. A dead connection with little traffic is found as fast as before.

LargeMessageOnItsWayIsNoSilence failed before (1 reset, not 0).

--- a/src/net/net.c
+++ b/src/net/net.c
@@ -23,6 +23,9 @@
  * each of some hundred connections. */
 #define PROBE_INTERVAL_US 100000
 #define SILENCE_LIMIT_US 1500000
+/* Longest time that bytes on their way prolong the silence limit: a connection
+ * that is dead must not seem busy. */
+#define DRAIN_MAX_US 5000000
 /* Longest delay between connection attempts. Kept short because callers of a
  * restarted instance wait for its first view. */
 #define RECONNECT_MAX_MS 300
@@ -47,8 +50,10 @@
 	int64_t used_us;	    /* last send */
 	int64_t pinged_us;	    /* last ping */
 	int64_t unanswered_ping_us; /* first since last reply; 0: none */
+	int64_t ping_due_us;	    /* when a slow link has delivered it */
 	int64_t blocked_since_us;   /* first rejected message since; 0: none */
-	bool sent_since_ping;	    /* idle connections are not pinged */
+	int64_t drained_us;   /* a slow link has delivered all sent by then */
+	bool sent_since_ping; /* idle connections are not pinged */
 };
 
 struct net {
@@ -199,6 +204,19 @@
 	g_hash_table_replace(ctx->routes, g_strdup(address), g_strdup(via));
 }
 
+/* Accounts for a message that was handed to the connection. */
+static void note_sent(struct net *ctx, struct peer *p, size_t len)
+{
+	int64_t from_us = MAX(p->drained_us, ctx->now_us);
+
+	p->drained_us = MIN(from_us + (int64_t)len * 8 * G_USEC_PER_SEC /
+					      NET_SLOW_BITS_PER_S,
+			    ctx->now_us + DRAIN_MAX_US);
+	ctx->bytes_sent += len;
+	p->sent_since_ping = true;
+	p->blocked_since_us = 0;
+}
+
 static void send_queued(struct net *ctx, struct peer *p)
 {
 	struct queued_message *w;
@@ -212,9 +230,7 @@
 				return;
 			ctx->dropped++;
 		} else {
-			ctx->bytes_sent += w->len;
-			p->sent_since_ping = true;
-			p->blocked_since_us = 0;
+			note_sent(ctx, p, w->len);
 		}
 		drop_first_queued(p);
 	}
@@ -273,9 +289,7 @@
 	if (p->n_queued) {
 		queue_message(ctx, p, g_memdup2(data, len), len);
 	} else if (zmq_send(p->socket, data, len, ZMQ_DONTWAIT) >= 0) {
-		ctx->bytes_sent += len;
-		p->blocked_since_us = 0;
-		p->sent_since_ping = true;
+		note_sent(ctx, p, len);
 	} else if (errno == EAGAIN) {
 		queue_message(ctx, p, g_memdup2(data, len), len);
 	} else {
@@ -338,8 +352,10 @@
 		       0)
 			p->unanswered_ping_us = 0;
 	}
+	/* A ping waits behind the messages that were sent before it. */
 	if (p->unanswered_ping_us &&
-	    ctx->now_us - p->unanswered_ping_us > SILENCE_LIMIT_US)
+	    ctx->now_us - MAX(p->unanswered_ping_us, p->ping_due_us) >
+		    SILENCE_LIMIT_US)
 		return true;
 	/* ZeroMQ retries by itself, but a connection attempt that started
 	 * during a network outage can stay closed long after the outage. */
@@ -353,8 +369,10 @@
 	p->pinged_us = ctx->now_us;
 	p->sent_since_ping = false;
 	zmq_send(p->socket, "", 0, ZMQ_DONTWAIT);
-	if (!p->unanswered_ping_us)
+	if (!p->unanswered_ping_us) {
 		p->unanswered_ping_us = ctx->now_us;
+		p->ping_due_us = p->drained_us;
+	}
 	return false;
 }
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -14,6 +14,10 @@
  */
 struct net;
 
+/* Bits per second of a slow link between instances. A message is given the time
+ * that such a link needs for it, and for what was sent before, to arrive. */
+#define NET_SLOW_BITS_PER_S 4000000
+
 #define NET_ERROR net_error_quark()
 enum net_error {
 	NET_ERROR_BIND,
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -194,6 +194,34 @@
 	EXPECT_GE(net_resets(a), 1u);
 }
 
+/* Guards against a connection that is replaced, with all that is on its way,
+ * because the answer to a ping waits behind a large message. */
+TEST_F(Net, LargeMessageOnItsWayIsNoSilence)
+{
+	Dsp__Envelope *e;
+	std::vector<uint8_t> bulk(2 * NET_SLOW_BITS_PER_S / 8);
+
+	net_tick(a, now);
+	send_id(1);
+	e = receive_at_b();
+	ASSERT_NE(e, nullptr);
+	dsp__envelope__free_unpacked(e, NULL);
+	/* The message takes two seconds on a slow link; b does not answer. */
+	net_send_packed(a, address_b.c_str(), bulk.data(), bulk.size());
+	for (int i = 0; i < 6; i++) {
+		now += 500000;
+		net_tick(a, now);
+		usleep(5000);
+	}
+	EXPECT_EQ(net_resets(a), 0u);
+	for (int i = 0; i < 4; i++) {
+		now += 500000;
+		net_tick(a, now);
+		usleep(5000);
+	}
+	EXPECT_EQ(net_resets(a), 1u);
+}
+
 /* Guards against a system call for each connection whenever the thread wakes
  * up: their number grows with that of the instances that report here. */
 TEST_F(Net, ConnectionsAreNotCheckedAtEachWakeUp)
