core: versions of the route table share their routes

A view copied all routes of a new table, whatever had changed, and knew the table only as a whole. tbl keeps versions whose common routes are shared, and the changes between the last 16 (at most half the size of the table). view_since_table() returns changes in place of the table for a reader that has one of these versions; view_try_apply() applies them and checks a digest of the result, so that a reader never has half a table. The digest is a sum over the routes: it costs what the change costs. rtab_update() touches only routes that the tables do not share. Not used by the instances yet.

--- a/src/core/rtab.c
+++ b/src/core/rtab.c
@@ -20,6 +20,20 @@
 	return key;
 }
 
+static char *key_of(const Dsp__Route *route)
+{
+	return route_key(route->host, strlen(route->host), route->path_prefix,
+			 strlen(route->path_prefix));
+}
+
+static void index_services(struct rtab *ctx, const Dsp__RouteTable *table)
+{
+	g_hash_table_remove_all(ctx->services);
+	for (size_t i = 0; i < table->n_services; i++)
+		g_hash_table_insert(ctx->services, table->services[i]->name,
+				    table->services[i]);
+}
+
 /* Builds the index of a valid table, which must outlive it. */
 struct rtab *rtab_new(const Dsp__RouteTable *table)
 {
@@ -28,21 +42,64 @@
 	ctx->routes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ctx->services = g_hash_table_new(g_str_hash, g_str_equal);
-	for (size_t i = 0; i < table->n_routes; i++) {
-		Dsp__Route *route = table->routes[i];
-
-		g_hash_table_insert(ctx->routes,
-				    route_key(route->host, strlen(route->host),
-					      route->path_prefix,
-					      strlen(route->path_prefix)),
-				    route);
-	}
-	for (size_t i = 0; i < table->n_services; i++)
-		g_hash_table_insert(ctx->services, table->services[i]->name,
-				    table->services[i]);
+	for (size_t i = 0; i < table->n_routes; i++)
+		g_hash_table_insert(ctx->routes, key_of(table->routes[i]),
+				    table->routes[i]);
+	index_services(ctx, table);
 	return ctx;
 }
 
+static void forget_route(struct rtab *ctx, const Dsp__Route *route)
+{
+	char *key = key_of(route);
+
+	if (g_hash_table_lookup(ctx->routes, key) == route)
+		g_hash_table_remove(ctx->routes, key);
+	g_free(key);
+}
+
+/*
+ * Makes the index of old that of a valid table, which must outlive it, and
+ * returns the number of routes removed and added. Routes that both tables share
+ * and have in the same order, as versions of a tbl do, are not touched; old may
+ * be freed afterwards.
+ */
+size_t rtab_update(struct rtab *ctx, const Dsp__RouteTable *old,
+		   const Dsp__RouteTable *table)
+{
+	GPtrArray *added = g_ptr_array_new();
+	GHashTable *left = g_hash_table_new(NULL, NULL);
+	size_t n_old = old->n_routes;
+	size_t n = table->n_routes;
+	size_t first = 0;
+	size_t cost;
+
+	while (first < MIN(n_old, n) &&
+	       old->routes[first] == table->routes[first])
+		first++;
+	while (MIN(n_old, n) > first &&
+	       old->routes[n_old - 1] == table->routes[n - 1]) {
+		n_old--;
+		n--;
+	}
+	for (size_t i = first; i < n_old; i++)
+		g_hash_table_add(left, old->routes[i]);
+	for (size_t i = first; i < n; i++)
+		if (!g_hash_table_remove(left, table->routes[i]))
+			g_ptr_array_add(added, table->routes[i]);
+	cost = g_hash_table_size(left) + added->len;
+	for (size_t i = first; i < n_old; i++)
+		if (g_hash_table_contains(left, old->routes[i]))
+			forget_route(ctx, old->routes[i]);
+	for (guint i = 0; i < added->len; i++)
+		g_hash_table_replace(ctx->routes, key_of(added->pdata[i]),
+				     added->pdata[i]);
+	index_services(ctx, table);
+	g_hash_table_destroy(left);
+	g_ptr_array_free(added, TRUE);
+	return cost;
+}
+
 /* Frees the index; NULL is allowed. */
 void rtab_free(struct rtab *ctx)
 {
--- a/src/core/rtab.h
+++ b/src/core/rtab.h
@@ -1,6 +1,7 @@
 #ifndef CORE_RTAB_H
 #define CORE_RTAB_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 #include "proto/messages.pb-c.h"
@@ -10,6 +11,8 @@
 struct rtab;
 
 struct rtab *rtab_new(const Dsp__RouteTable *table);
+size_t rtab_update(struct rtab *ctx, const Dsp__RouteTable *old,
+		   const Dsp__RouteTable *table);
 void rtab_free(struct rtab *ctx);
 
 /* Queries. */
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -4,6 +4,8 @@
 #include <stdatomic.h>
 #include <string.h>
 
+#include "core/tbl.h"
+
 /*
  * Tombstones kept for readers that a relay serves. Those that are further
  * behind receive the whole view.
@@ -25,6 +27,7 @@
 	Dsp__ViewRecord *msg;
 	struct doc *parsed;
 	struct view_document document;
+	struct tbl *table; /* route table, whose message msg borrows */
 };
 
 struct record_list {
@@ -51,6 +54,9 @@
 	if (atomic_fetch_sub(&record->refs, 1) != 1)
 		return;
 	doc_free(record->parsed);
+	if (record->table)
+		record->msg->route_table = NULL;
+	tbl_unref(record->table);
 	dsp__view_record__free_unpacked(record->msg, NULL);
 	g_free(record);
 }
@@ -165,6 +171,42 @@
 	return record;
 }
 
+/*
+ * Returns a new record of a route table, which shares routes with the one of
+ * old, if that is not NULL. NULL with TBL_ERROR if the table cannot be derived
+ * from the old one.
+ */
+static struct record *table_record_new(const struct record *old,
+				       const Dsp__ViewRecord *msg, GError **err)
+{
+	struct tbl *base = old ? old->table : NULL;
+	struct record *record;
+	struct tbl *table;
+
+	if (msg->body_case == DSP__VIEW_RECORD__BODY_ROUTE_TABLE) {
+		table = tbl_new(base, msg->route_table);
+	} else if (base) {
+		table = tbl_apply(base, msg->route_table_steps, err);
+	} else {
+		g_set_error(err, TBL_ERROR, TBL_ERROR_BASE,
+			    "there is no table to change");
+		return NULL;
+	}
+	if (!table)
+		return NULL;
+	record = g_new0(struct record, 1);
+	atomic_init(&record->refs, 1);
+	record->table = table;
+	record->msg = g_new(Dsp__ViewRecord, 1);
+	dsp__view_record__init(record->msg);
+	record->msg->index = msg->index;
+	record->msg->key = g_strdup(msg->key);
+	record->msg->kind = msg->kind;
+	record->msg->body_case = DSP__VIEW_RECORD__BODY_ROUTE_TABLE;
+	record->msg->route_table = tbl_table(table);
+	return record;
+}
+
 static int compare_keys(const void *a, const void *b)
 {
 	const struct record *x = *(struct record *const *)a;
@@ -265,13 +307,23 @@
 	g_ptr_array_free(all, TRUE);
 }
 
+/* Returns true if the body of a record is of its kind. */
+static bool body_fits(const Dsp__ViewRecord *msg)
+{
+	if (msg->removed)
+		return true;
+	return (uint32_t)msg->body_case == msg->kind ||
+	       (msg->kind == DSP__VIEW_RECORD__BODY_ROUTE_TABLE &&
+		msg->body_case == DSP__VIEW_RECORD__BODY_ROUTE_TABLE_STEPS);
+}
+
 /*
  * Groups the records of an update by kind, sorted by key. A record that the
  * view has already is shared. Returns false if a record is not valid.
  */
 static bool collect_changes(const struct view *ctx,
 			    const Dsp__ViewUpdate *update,
-			    GPtrArray *changes[N_KINDS])
+			    GPtrArray *changes[N_KINDS], GError **err)
 {
 	for (size_t i = 0; i < update->n_records; i++) {
 		const Dsp__ViewRecord *msg = update->records[i];
@@ -279,13 +331,15 @@
 		struct record *record;
 
 		if (kind < 0 || (msg->removed && update->reset) ||
-		    (!msg->removed && (uint32_t)msg->body_case != msg->kind))
+		    !body_fits(msg))
 			return false;
 		record = msg->removed
 				 ? NULL
 				 : record_find(&ctx->kinds[kind], msg->key);
 		if (record && record->msg->index == msg->index)
 			record_ref(record);
+		else if (kind == ROUTE_TABLES && !msg->removed)
+			record = table_record_new(record, msg, err);
 		else
 			record = record_new(msg);
 		if (!record)
@@ -310,9 +364,12 @@
 /*
  * Returns a new view with the update applied. Returns NULL if changes between
  * the view and the update are missing, the update is older than the view, or it
- * holds an invalid record. Unchanged records are shared.
+ * holds an invalid record. Unchanged records are shared. With TBL_ERROR, the
+ * update does not fit the view's route table, and the reader needs the whole
+ * table; it is not set in the other cases.
  */
-struct view *view_apply(const struct view *ctx, const Dsp__ViewUpdate *update)
+struct view *view_try_apply(const struct view *ctx,
+			    const Dsp__ViewUpdate *update, GError **err)
 {
 	static const struct record_list empty = { .n = 0 };
 	GPtrArray *changes[N_KINDS];
@@ -323,7 +380,7 @@
 	for (int kind = 0; kind < N_KINDS; kind++)
 		changes[kind] = g_ptr_array_new_with_free_func(
 			(GDestroyNotify)record_unref);
-	if (!collect_changes(ctx, update, changes))
+	if (!collect_changes(ctx, update, changes, err))
 		goto out;
 	out = view_new_empty();
 	out->index = update->to_index;
@@ -342,6 +399,12 @@
 	return out;
 }
 
+/* As view_try_apply(), for a caller that handles all failures alike. */
+struct view *view_apply(const struct view *ctx, const Dsp__ViewUpdate *update)
+{
+	return view_try_apply(ctx, update, NULL);
+}
+
 /* Returns the log index of the last change that the view contains. */
 uint64_t view_index(const struct view *ctx)
 {
@@ -395,6 +458,15 @@
 	return tables->n ? tables->all[0]->msg->route_table : NULL;
 }
 
+/* Returns how many routes were copied for the table in force. The others are
+ * shared with the version before. */
+size_t view_routes_copied(const struct view *ctx)
+{
+	const struct record_list *tables = &ctx->kinds[ROUTE_TABLES];
+
+	return tables->n ? tbl_n_copied(tables->all[0]->table) : 0;
+}
+
 /* Returns the number of endpoints, including those that are down. */
 size_t view_n_endpoints(const struct view *ctx)
 {
@@ -454,20 +526,50 @@
 	return record ? record->msg->suspect : NULL;
 }
 
+/* Returns a copy of the record of a route table for a reader that has the table
+ * of an index: the changes since, or the whole table. */
+static Dsp__ViewRecord *table_record_since(const struct record *record,
+					   uint64_t table_index)
+{
+	Dsp__RouteTableSteps *steps = tbl_since(record->table, table_index);
+	Dsp__ViewRecord *copy;
+
+	if (!steps)
+		return record_dup(record->msg);
+	copy = g_new(Dsp__ViewRecord, 1);
+	dsp__view_record__init(copy);
+	copy->index = record->msg->index;
+	copy->key = g_strdup(record->msg->key);
+	copy->kind = record->msg->kind;
+	copy->body_case = DSP__VIEW_RECORD__BODY_ROUTE_TABLE_STEPS;
+	copy->route_table_steps = steps;
+	return copy;
+}
+
 static void add_since(GPtrArray *out, const struct record_list *list,
-		      uint64_t from_index)
+		      uint64_t from_index, uint64_t table_index)
 {
-	for (size_t i = 0; i < list->n; i++)
-		if (list->all[i]->msg->index > from_index)
-			g_ptr_array_add(out, record_dup(list->all[i]->msg));
+	for (size_t i = 0; i < list->n; i++) {
+		const struct record *record = list->all[i];
+
+		if (record->msg->index <= from_index)
+			continue;
+		g_ptr_array_add(
+			out, record->table && table_index
+				     ? table_record_since(record, table_index)
+				     : record_dup(record->msg));
+	}
 }
 
 /*
  * Returns a new update with all records changed after from_index, or the whole
  * view (reset) if from_index is 0, below the tombstone floor or above the
- * view's index. A relay serves it in place of st_view_since().
+ * view's index. A relay serves it in place of st_view_since(). table_index is
+ * the log index of the route table that the reader has; if the changes since
+ * are known, the update has them in place of the table. 0: it needs the table.
  */
-Dsp__ViewUpdate *view_since(const struct view *ctx, uint64_t from_index)
+Dsp__ViewUpdate *view_since_table(const struct view *ctx, uint64_t from_index,
+				  uint64_t table_index)
 {
 	bool reset = !from_index || from_index < ctx->tombstone_floor ||
 		     from_index > ctx->index;
@@ -479,10 +581,17 @@
 	update->to_index = ctx->index;
 	update->reset = reset;
 	for (int kind = 0; kind < N_KINDS; kind++)
-		add_since(records, &ctx->kinds[kind], reset ? 0 : from_index);
+		add_since(records, &ctx->kinds[kind], reset ? 0 : from_index,
+			  table_index);
 	if (!reset)
-		add_since(records, &ctx->tombstones, from_index);
+		add_since(records, &ctx->tombstones, from_index, 0);
 	update->n_records = records->len;
 	update->records = (Dsp__ViewRecord **)g_ptr_array_free(records, FALSE);
 	return update;
 }
+
+/* As view_since_table(), with the whole route table. */
+Dsp__ViewUpdate *view_since(const struct view *ctx, uint64_t from_index)
+{
+	return view_since_table(ctx, from_index, 0);
+}
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -1,6 +1,7 @@
 #ifndef CORE_VIEW_H
 #define CORE_VIEW_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -23,6 +24,8 @@
 struct view *view_ref(struct view *ctx);
 void view_unref(struct view *ctx);
 
+struct view *view_try_apply(const struct view *ctx,
+			    const Dsp__ViewUpdate *update, GError **err);
 struct view *view_apply(const struct view *ctx, const Dsp__ViewUpdate *update);
 
 /* Queries, for any thread that holds a reference; results are valid as long as
@@ -35,6 +38,7 @@
 bool view_ready_copy(const Dsp__Endpoint *e, const char *model,
 		     const char *adapter);
 const Dsp__RouteTable *view_route_table(const struct view *ctx);
+size_t view_routes_copied(const struct view *ctx);
 size_t view_n_endpoints(const struct view *ctx);
 const Dsp__Endpoint *view_endpoint_at(const struct view *ctx, size_t i);
 const Dsp__Endpoint *view_endpoint(const struct view *ctx, const char *id);
@@ -43,6 +47,8 @@
 const Dsp__Node *view_node(const struct view *ctx, const char *id);
 const Dsp__Suspect *view_suspect(const struct view *ctx,
 				 const uint8_t digest[16]);
+Dsp__ViewUpdate *view_since_table(const struct view *ctx, uint64_t from_index,
+				  uint64_t table_index);
 Dsp__ViewUpdate *view_since(const struct view *ctx, uint64_t from_index);
 
 #endif
