edge: the index of routes is updated, not built anew

Now it changes what differs. The log line route_table says how many routes were touched and how long it took; dandelionspar_edge_routes_indexed and dandelionspar_edge_table_apply_us sum it up.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -188,10 +188,19 @@
 static void apply_table(struct edge *ctx, const Dsp__RouteTable *table)
 {
 	const Dsp__CallerLimits *from = table->limits;
+	int64_t start_us = clk_now_us(ctx->clock);
+	size_t indexed = table->n_routes;
+	int64_t took_us;
 
-	rtab_free(ctx->routes);
-	ctx->routes = rtab_new(table);
+	if (ctx->routes)
+		indexed = rtab_update(ctx->routes, ctx->table, table);
+	else
+		ctx->routes = rtab_new(table);
 	ctx->table = table;
+	took_us = clk_now_us(ctx->clock) - start_us;
+	met_count(ctx->met, "dandelionspar_edge_routes_indexed", "", indexed);
+	met_observe_us(ctx->met, "dandelionspar_edge_table_apply_us", "",
+		       took_us);
 	if (ctx->front && from && from->header_bytes && from->body_bytes &&
 	    from->header_ms && from->idle_ms) {
 		struct hio_limits limits = {
@@ -205,9 +214,10 @@
 	}
 	LOG_EVENT_NOTICE("edge", "route_table",
 			 "number=%" G_GUINT64_FORMAT " index=%" G_GUINT64_FORMAT
-			 " routes=%zu services=%zu",
+			 " routes=%zu services=%zu indexed=%zu"
+			 " took_us=%" G_GINT64_FORMAT,
 			 table->number, table->index, table->n_routes,
-			 table->n_services);
+			 table->n_services, indexed, took_us);
 }
 
 static void update_repeat_share(struct edge *ctx)
