ctl: instances get the changes of the route table

Callers saw a change of one timeout reach the entries seconds after the others knew it: each update carried the whole table (513 KB at 6,000 routes), to some twenty instances over one link of 7.5 Mbit/s, and an update that took longer than 0.5 s was sent again behind itself.

An instance reports the index of its table, and gets the changes since, if they are known. Whole tables go to new readers, to those further behind, and to those whose table a change does not fit: they report no table, and say so (table_change_refused). An update counts as lost only after the time that a link of 4 Mbit/s needs for the round. Instances of before report no index, and send none: either side can be upgraded first.

whole_table and dandelionspar_tables_whole say why a whole table was sent; table_received has form, bytes, routes and routes copied.

--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -159,8 +159,11 @@
 	char *node;    /* owned */
 	char *address; /* owned */
 	uint64_t boot;
-	uint64_t sent_index;	   /* view index after the updates sent to it */
-	int64_t sent_us;	   /* last update with changes */
+	uint64_t sent_index; /* view index after the updates sent to it */
+	/* Index of the route table that it has after these, if it can apply
+	 * changes to it; 0: it needs the whole table. */
+	uint64_t table_index;
+	int64_t lost_us; /* without a report until then, changes were lost */
 	int64_t sent_confirmed_us; /* confirmation in the last update */
 	int64_t heard_us;
 	bool due; /* needs an update without waiting for the next round */
@@ -321,6 +324,7 @@
 	int64_t push_earliest_us;  /* rate limit of rounds in between */
 	uint64_t pushed_index;	   /* view index of the last round */
 	uint64_t updates_packed;   /* encoded for children */
+	bool needs_whole_table;	   /* a change did not fit the own table */
 	int64_t publish_due_us;	   /* next view with a new index only */
 
 	/* Leader. */
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -29,7 +29,8 @@
  * another upstream and gets no more updates. */
 #define CHILD_LIMIT_US CTL_S_US
 #define CHILD_LIMIT_REPORTS 3
-/* A child that still reports a lower index than sent lost the update. */
+/* A child that still reports a lower index than sent lost the update. The time
+ * that a slow link needs for the bytes of the round is added. */
 #define UPDATE_LOST_AFTER_US 500000
 /* Shortest interval of updates between the rounds to all children. */
 #define PUSH_INTERVAL_US 20000
@@ -343,6 +344,14 @@
 
 /* ---- Sending reports ---- */
 
+/* Returns the log index of the route table in the view; 0: none. */
+static uint64_t table_index(const struct ctl *ctx)
+{
+	const Dsp__RouteTable *table = view_route_table(ctx->view);
+
+	return table ? table->index : 0;
+}
+
 static void fill_status(struct ctl *ctx, Dsp__NodeStatus *status,
 			Dsp__Node *node)
 {
@@ -365,6 +374,8 @@
 	status->view_index = view_index(ctx->view);
 	status->streams = ctx->cb.streams ? ctx->cb.streams(ctx->cb.data) : 0;
 	status->confirmed_age_ms = ctl_confirmed_age_ms(ctx);
+	if (!ctx->needs_whole_table)
+		status->table_index = table_index(ctx);
 }
 
 static void *const *table_values(GHashTable *table, size_t *n)
@@ -540,9 +551,18 @@
 	return ctx->now_us - child->heard_us > limit_us;
 }
 
+/* Sets what the child is known to have. */
+static void set_child_position(struct ctl_child *child,
+			       const Dsp__NodeStatus *status)
+{
+	child->sent_index = status->view_index;
+	child->table_index = status->table_index;
+}
+
 static void update_child(struct ctl *ctx, const Dsp__Envelope *from,
-			 uint64_t index)
+			 const Dsp__NodeStatus *status)
 {
+	uint64_t index = status->view_index;
 	struct ctl_child *child =
 		g_hash_table_lookup(ctx->children, from->from);
 
@@ -557,13 +577,16 @@
 	}
 	if (child->boot != from->boot) {
 		child->boot = from->boot;
-		child->sent_index = index;
+		set_child_position(child, status);
+		child->due = true;
+	} else if (index >= child->sent_index) {
+		set_child_position(child, status);
+	} else if (child->table_index && !status->table_index) {
+		/* The changes of the table did not fit. */
+		set_child_position(child, status);
 		child->due = true;
-	} else if (index > child->sent_index) {
-		child->sent_index = index;
-	} else if (index < child->sent_index &&
-		   ctx->now_us - child->sent_us > UPDATE_LOST_AFTER_US) {
-		child->sent_index = index;
+	} else if (index < child->sent_index && ctx->now_us > child->lost_us) {
+		set_child_position(child, status);
 		child->due = true;
 	}
 	if (is_child_expired(ctx, child))
@@ -598,7 +621,7 @@
 	const Dsp__NodeStatus *status = find_status(report, from->from);
 
 	if (status)
-		update_child(ctx, from, status->view_index);
+		update_child(ctx, from, status);
 	for (size_t i = 0; i < report->n_observed_loads; i++) {
 		keep_observed_load(ctx, report->observed_loads[i]);
 		forward_observed_load(ctx, report->observed_loads[i]);
@@ -620,6 +643,7 @@
 
 		switch (record->body_case) {
 		case DSP__VIEW_RECORD__BODY_ROUTE_TABLE:
+		case DSP__VIEW_RECORD__BODY_ROUTE_TABLE_STEPS:
 		case DSP__VIEW_RECORD__BODY_DOCUMENT:
 			return true;
 		case DSP__VIEW_RECORD__BODY_ENDPOINT:
@@ -634,20 +658,61 @@
 	return false;
 }
 
+/* Reports the table of an update before its view is installed. */
+static void note_table(struct ctl *ctx, const struct view *view,
+		       const Dsp__ViewUpdate *update)
+{
+	const Dsp__RouteTable *table = view_route_table(view);
+
+	for (size_t i = 0; i < update->n_records; i++) {
+		const Dsp__ViewRecord *record = update->records[i];
+		bool whole =
+			record->body_case == DSP__VIEW_RECORD__BODY_ROUTE_TABLE;
+
+		if (record->kind != DSP__VIEW_RECORD__BODY_ROUTE_TABLE ||
+		    record->removed || !table)
+			continue;
+		ctx->needs_whole_table = false;
+		LOG_EVENT_INFO("ctl", "table_received",
+			       "number=%" G_GUINT64_FORMAT
+			       " index=%" G_GUINT64_FORMAT
+			       " had=%" G_GUINT64_FORMAT
+			       " form=%s bytes=%zu routes=%zu copied=%zu",
+			       table->number, table->index, table_index(ctx),
+			       whole ? "whole" : "changes",
+			       dsp__view_record__get_packed_size(record),
+			       table->n_routes, view_routes_copied(view));
+	}
+}
+
 static void install_update(struct ctl *ctx, const Dsp__ViewUpdate *update)
 {
+	g_autoptr(GError) error = NULL;
 	struct view *view;
 
 	if (update->to_index < view_index(ctx->view) ||
 	    (update->to_index == view_index(ctx->view) && !update->reset &&
 	     !update->n_records))
 		return;
-	view = view_apply(ctx->view, update);
+	view = view_try_apply(ctx->view, update, &error);
+	if (error) {
+		/* The report requests the whole table. */
+		ctx->needs_whole_table = true;
+		met_count(ctx->met, "dandelionspar_table_changes_refused", "",
+			  1);
+		LOG_EVENT_WARN("ctl", "table_change_refused",
+			       "view=%" G_GUINT64_FORMAT
+			       " from=%" G_GUINT64_FORMAT
+			       " to=%" G_GUINT64_FORMAT " reason=\"%s\"",
+			       view_index(ctx->view), update->from_index,
+			       update->to_index, error->message);
+	}
 	if (!view) {
 		/* A gap: the report requests updates since the own index. */
 		ctl_report_schedule(ctx, 0);
 		return;
 	}
+	note_table(ctx, view, update);
 	ctl_set_view(ctx, view);
 	if (changes_service(update))
 		ctl_report_schedule(ctx, CHANGE_DELAY_US);
@@ -812,11 +877,12 @@
 
 /* One round of updates. */
 struct round {
-	GHashTable *updates; /* from_index -> struct round_update */
+	GHashTable *updates; /* "from_index/table_index" -> round_update */
 	Dsp__LoadReport *loads[LOADS_MAX];
 	size_t n_loads;
 	Dsp__LoadReport *observed[LOADS_MAX];
 	size_t n_observed;
+	size_t bytes; /* sent so far */
 };
 
 static void free_update(Dsp__ViewUpdate *update)
@@ -834,21 +900,49 @@
 	g_free(u);
 }
 
-static struct round_update *update_since(struct ctl *ctx, struct round *round,
-					 uint64_t from)
+/* Reports an update that has the whole route table, and why. */
+static void note_whole_table(struct ctl *ctx, const char *child,
+			     const Dsp__ViewUpdate *update, uint64_t has)
+{
+	const char *reason = has ? "changes_not_kept" : "not_had";
+	g_autofree char *label = g_strdup_printf("reason=\"%s\"", reason);
+
+	for (size_t i = 0; i < update->n_records; i++) {
+		const Dsp__ViewRecord *record = update->records[i];
+
+		if (record->body_case != DSP__VIEW_RECORD__BODY_ROUTE_TABLE)
+			continue;
+		met_count(ctx->met, "dandelionspar_tables_whole", label, 1);
+		LOG_EVENT_INFO("ctl", "whole_table",
+			       "index=%" G_GUINT64_FORMAT
+			       " first_to=%s has=%" G_GUINT64_FORMAT
+			       " reason=%s bytes=%zu",
+			       record->index, child, has, reason,
+			       dsp__view_record__get_packed_size(record));
+	}
+}
+
+/* Returns the update for a child. Children that have the same get the same. */
+static struct round_update *update_for(struct ctl *ctx, struct round *round,
+				       const struct ctl_child *child)
 {
-	struct round_update *u = g_hash_table_lookup(round->updates, &from);
+	uint64_t from = child->sent_index;
+	g_autofree char *key = g_strdup_printf(
+		"%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, from,
+		from < table_index(ctx) ? child->table_index : 0);
+	struct round_update *u = g_hash_table_lookup(round->updates, key);
 
 	if (u)
 		return u;
 	u = g_new0(struct round_update, 1);
-	u->update = view_since(ctx->view, from);
+	u->update = view_since_table(ctx->view, from, child->table_index);
+	note_whole_table(ctx, child->node, u->update, child->table_index);
 	fill_update(ctx, u->update);
 	u->update->loads = round->loads;
 	u->update->n_loads = round->n_loads;
 	u->update->observed_loads = round->observed;
 	u->update->n_observed_loads = round->n_observed;
-	g_hash_table_insert(round->updates, g_memdup2(&from, sizeof(from)), u);
+	g_hash_table_insert(round->updates, g_steal_pointer(&key), u);
 	return u;
 }
 
@@ -909,12 +1003,28 @@
 	       ctx->confirmed_us != child->sent_confirmed_us;
 }
 
+/* Notes that a child has changes on their way, behind the others of a round. */
+static void note_changes_sent(struct ctl *ctx, const struct round *round,
+			      struct ctl_child *child)
+{
+	if (child->sent_index >= view_index(ctx->view))
+		return;
+	child->lost_us =
+		ctx->now_us + UPDATE_LOST_AFTER_US +
+		(int64_t)round->bytes * 8 * CTL_S_US / NET_SLOW_BITS_PER_S;
+	/* A child that cannot apply changes stays at 0. */
+	if (child->table_index && child->sent_index < table_index(ctx))
+		child->table_index = table_index(ctx);
+	child->sent_index = view_index(ctx->view);
+}
+
 static void push_round(struct ctl *ctx, bool all)
 {
 	struct round round = {
-		.updates = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+		.updates = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, free_round_update),
 	};
+	struct round_update *u;
 	GHashTableIter iter;
 	struct ctl_child *child;
 
@@ -931,12 +1041,10 @@
 			continue;
 		child->due = false;
 		child->sent_confirmed_us = ctx->confirmed_us;
-		send_round_update(ctx, child->address,
-				  update_since(ctx, &round, child->sent_index));
-		if (child->sent_index < view_index(ctx->view))
-			child->sent_us = ctx->now_us;
-		child->sent_index =
-			MAX(child->sent_index, view_index(ctx->view));
+		u = update_for(ctx, &round, child);
+		send_round_update(ctx, child->address, u);
+		round.bytes += u->len;
+		note_changes_sent(ctx, &round, child);
 	}
 	g_hash_table_destroy(round.updates);
 }
