net: urgent messages have a connection of their own

Messages to one instance share a connection, and wait for those sent before. net_send_ahead() sends on a second one.

UrgentMessageHasAConnectionOfItsOwn fails if both use the same connection.

--- a/src/net/net.c
+++ b/src/net/net.c
@@ -43,8 +43,9 @@
 };
 
 struct peer {
-	char *address;					  /* owned */
-	void *socket;					  /* owned DEALER */
+	char *key;     /* owned; in net.peers */
+	char *address; /* owned */
+	void *socket;  /* owned DEALER */
 	STAILQ_HEAD(message_queue, queued_message) queue; /* oldest first */
 	size_t n_queued;
 	int64_t used_us;	    /* last send */
@@ -62,7 +63,7 @@
 	char *node;	      /* owned */
 	char *advertise;      /* owned */
 	uint64_t boot;	      /* fixed */
-	GHashTable *peers;    /* address -> struct peer, owned */
+	GHashTable *peers;    /* address and lane -> struct peer, owned */
 	GHashTable *routes;   /* address -> address to connect to */
 	int64_t now_us;	      /* time of the last net_tick() */
 	int64_t probe_due_us; /* next check of all connections */
@@ -112,6 +113,7 @@
 	if (p->socket)
 		zmq_close(p->socket);
 	g_free(p->address);
+	g_free(p->key);
 	g_free(p);
 }
 
@@ -161,14 +163,23 @@
 	g_free(ctx);
 }
 
-static struct peer *peer_get(struct net *ctx, const char *address)
+/* Returns the key of the connection for messages that go ahead of others;
+ * g_free(). */
+static char *key_ahead(const char *address)
+{
+	return g_strdup_printf("%s ahead", address);
+}
+
+static struct peer *peer_get(struct net *ctx, const char *address, bool ahead)
 {
 	const char *via = g_hash_table_lookup(ctx->routes, address);
-	struct peer *p = g_hash_table_lookup(ctx->peers, address);
+	g_autofree char *key = ahead ? key_ahead(address) : g_strdup(address);
+	struct peer *p = g_hash_table_lookup(ctx->peers, key);
 
 	if (p)
 		return p;
 	p = g_new0(struct peer, 1);
+	p->key = g_steal_pointer(&key);
 	p->address = g_strdup(address);
 	STAILQ_INIT(&p->queue);
 	p->socket = zmq_socket(ctx->zmq, ZMQ_DEALER);
@@ -190,7 +201,7 @@
 		peer_free(p);
 		return NULL;
 	}
-	g_hash_table_insert(ctx->peers, p->address, p);
+	g_hash_table_insert(ctx->peers, p->key, p);
 	return p;
 }
 
@@ -273,13 +284,9 @@
 	return data;
 }
 
-/* Sends an encoded message, or queues it while the connection opens. A queued
- * message is dropped when it gets too old or newer ones overflow the queue. */
-void net_send_packed(struct net *ctx, const char *address, const uint8_t *data,
-		     size_t len)
+static void send_to(struct net *ctx, struct peer *p, const uint8_t *data,
+		    size_t len)
 {
-	struct peer *p = peer_get(ctx, address);
-
 	if (!p) {
 		ctx->dropped++;
 		return;
@@ -297,6 +304,25 @@
 	}
 }
 
+/* Sends an encoded message, or queues it while the connection opens. A queued
+ * message is dropped when it gets too old or newer ones overflow the queue. */
+void net_send_packed(struct net *ctx, const char *address, const uint8_t *data,
+		     size_t len)
+{
+	send_to(ctx, peer_get(ctx, address, false), data, len);
+}
+
+/* As net_send(), ahead of the messages that were sent before and wait. */
+void net_send_ahead(struct net *ctx, const char *address,
+		    Dsp__Envelope *envelope)
+{
+	size_t len;
+	uint8_t *data = net_pack(ctx, envelope, &len);
+
+	send_to(ctx, peer_get(ctx, address, true), data, len);
+	g_free(data);
+}
+
 /* Encodes and sends one message, as net_send_packed(). */
 void net_send(struct net *ctx, const char *address, Dsp__Envelope *envelope)
 {
@@ -473,10 +499,13 @@
 	return NULL;
 }
 
-/* Closes the connection to a peer and drops its queued messages; the next send
+/* Closes the connections to a peer and drops its queued messages; the next send
  * opens a new connection. */
 void net_reset(struct net *ctx, const char *address)
 {
+	g_autofree char *ahead = key_ahead(address);
+
+	g_hash_table_remove(ctx->peers, ahead);
 	if (g_hash_table_remove(ctx->peers, address))
 		ctx->resets++;
 }
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -9,8 +9,9 @@
 
 /*
  * Messages between instances over ZeroMQ: one ROUTER socket receives, one
- * DEALER socket per peer address sends. Messages may be lost, but are never
- * duplicated or corrupted. Used by one thread (the control thread).
+ * DEALER socket per peer address sends, and another one what must not wait.
+ * Messages may be lost, but are never duplicated or corrupted. Used by one
+ * thread (the control thread).
  */
 struct net;
 
@@ -32,6 +33,10 @@
 /* Commands. */
 void net_set_route(struct net *ctx, const char *address, const char *via);
 void net_send(struct net *ctx, const char *address, Dsp__Envelope *envelope);
+/* The same, ahead of the messages that wait on the connection: on one of its
+ * own. */
+void net_send_ahead(struct net *ctx, const char *address,
+		    Dsp__Envelope *envelope);
 /* The same in two steps, for a message that goes to several addresses. */
 uint8_t *net_pack(struct net *ctx, Dsp__Envelope *envelope, size_t *len);
 void net_send_packed(struct net *ctx, const char *address, const uint8_t *data,
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -222,6 +222,40 @@
 	EXPECT_EQ(net_resets(a), 1u);
 }
 
+/* Guards against an urgent message that waits behind others: b reads nothing
+ * from the connection that a has filled. */
+TEST_F(Net, UrgentMessageHasAConnectionOfItsOwn)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__AnswerQuery query = DSP__ANSWER_QUERY__INIT;
+	std::vector<uint8_t> bulk(32 << 20);
+	Dsp__Envelope *e;
+
+	query.id = 77;
+	out.body_case = DSP__ENVELOPE__BODY_ANSWER_QUERY;
+	out.answer_query = &query;
+	net_tick(a, now);
+	send_id(1);
+	net_send_ahead(a, address_b.c_str(), &out);
+	for (int i = 0; i < 2; i++) {
+		e = receive_at_b();
+		ASSERT_NE(e, nullptr);
+		dsp__envelope__free_unpacked(e, NULL);
+	}
+	for (int i = 0; i < 4; i++)
+		net_send_packed(a, address_b.c_str(), bulk.data(), bulk.size());
+	send_id(2);
+	net_send_ahead(a, address_b.c_str(), &out);
+	e = receive_at_b();
+	ASSERT_NE(e, nullptr);
+	EXPECT_EQ(e->answer_query->id, 77u);
+	dsp__envelope__free_unpacked(e, NULL);
+	e = receive_at_b();
+	ASSERT_NE(e, nullptr);
+	EXPECT_EQ(e->answer_query->id, 2u);
+	dsp__envelope__free_unpacked(e, NULL);
+}
+
 /* Guards against a system call for each connection whenever the thread wakes
  * up: their number grows with that of the instances that report here. */
 TEST_F(Net, ConnectionsAreNotCheckedAtEachWakeUp)
