raft: a large entry does not cost the leader

While entries are unanswered, every other heartbeat is now a sign of life that matches any log and goes ahead of the entries, as do votes, replies and requests for a transfer. The others keep their order behind the entries, since their refusal says that entries were lost. The number of heartbeats stays.

Ruled out: all heartbeats ahead (a lost entry would not be noticed); an entry in pieces on the same connection (votes and commits of other instances' logs would still wait for the whole).

--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -82,6 +82,8 @@
 /* Changes one voter at most; returns 0 when not leader or another change is
  * pending. */
 uint64_t raft_propose_config(struct raft *ctx, const Dsp__RaftConfig *config);
+/* True if a message may be sent ahead of those that wait to be sent. */
+bool raft_overtakes(const Dsp__RaftMessage *msg);
 bool raft_take_ready(struct raft *ctx, struct raft_ready *ready);
 /* Reports that the batch was carried out and its log writes are synced. */
 void raft_advance(struct raft *ctx, const struct raft_ready *ready,
--- a/src/core/raft_priv.h
+++ b/src/core/raft_priv.h
@@ -53,6 +53,7 @@
 	uint64_t sent_commit;
 	uint64_t reset_sequence; /* ignore rejections of earlier messages */
 	bool probe_sent;
+	bool sign_sent;	    /* the last heartbeat was a sign of life only */
 	int64_t sent_us;    /* when the last append was sent */
 	int64_t contact_us; /* sending time of the last answered message */
 	uint64_t inflight[RAFT_INFLIGHT_MAX]; /* last index of each message */
--- a/src/core/raft_replicate.c
+++ b/src/core/raft_replicate.c
@@ -233,6 +233,36 @@
 	peer->chunk_sent = false;
 }
 
+/*
+ * True if a message may be sent ahead of those that wait to be sent. Entries,
+ * parts of snapshots and the heartbeats that check whether the peer has got
+ * them keep their order.
+ */
+bool raft_overtakes(const Dsp__RaftMessage *msg)
+{
+	switch (msg->body_case) {
+	case DSP__RAFT_MESSAGE__BODY_APPEND_REQUEST:
+		return !msg->append_request->n_entries &&
+		       !msg->append_request->prev_index;
+	case DSP__RAFT_MESSAGE__BODY_SNAPSHOT_CHUNK:
+		return false;
+	default:
+		return true;
+	}
+}
+
+/*
+ * Sends a heartbeat. While entries are unanswered, every other one is only a
+ * sign of life, which matches any log: the others wait behind the entries, for
+ * longer than an election timeout if these are large.
+ */
+static void send_heartbeat(struct raft *ctx, struct raft_peer *peer,
+			   bool unanswered)
+{
+	peer->sign_sent = unanswered && !peer->sign_sent;
+	send_append(ctx, peer, peer->sign_sent ? 0 : peer->next - 1, false);
+}
+
 static void send_to_peer(struct raft *ctx, struct raft_peer *peer)
 {
 	int64_t heartbeat = ctx->options.heartbeat_us;
@@ -261,9 +291,10 @@
 	}
 	if (peer->state == RAFT_PEER_PROBE) {
 		/* Repeated without entries, as the peer may be down. */
-		if (!peer->probe_sent || due)
-			send_append(ctx, peer, peer->next - 1,
-				    !peer->probe_sent);
+		if (!peer->probe_sent)
+			send_append(ctx, peer, peer->next - 1, true);
+		else if (due)
+			send_heartbeat(ctx, peer, true);
 		peer->probe_sent = true;
 		return;
 	}
@@ -276,8 +307,10 @@
 		peer->inflight[peer->n_inflight++] = peer->next - 1;
 		due = false;
 	}
-	if (due || peer->sent_commit < ctx->commit)
+	if (peer->sent_commit < ctx->commit)
 		send_append(ctx, peer, peer->next - 1, false);
+	else if (due)
+		send_heartbeat(ctx, peer, peer->n_inflight);
 }
 
 /* Queues the next messages for each peer: the proposals since the last call
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -737,10 +737,14 @@
 static void send_raft_message(struct ctl *ctx, Dsp__RaftMessage *msg)
 {
 	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	const char *address = replica_address(ctx, msg->to);
 
 	out.body_case = DSP__ENVELOPE__BODY_RAFT;
 	out.raft = msg;
-	ctl_send(ctx, replica_address(ctx, msg->to), &out);
+	if (address && address[0] && raft_overtakes(msg))
+		net_send_ahead(ctx->net, address, &out);
+	else
+		ctl_send(ctx, address, &out);
 }
 
 static bool take_snapshot(struct ctl *ctx, GError **error)
--- a/tests/unit/raft_sim.h
+++ b/tests/unit/raft_sim.h
@@ -40,6 +40,9 @@
 	uint32_t max_batch_bytes = 2000;
 	int64_t delay_min = 1 * ms;
 	int64_t delay_max = 1 * ms;
+	/* Of a connection; messages that keep their order wait for those before
+	 * them. 0: no limit. */
+	int64_t link_bytes_per_ms = 0;
 	double loss = 0;
 	double duplicate = 0;
 	int64_t sync_max = 0;
@@ -901,12 +904,26 @@
 
 			if (chance(o.loss))
 				continue;
+			if (o.link_bytes_per_ms && !raft_overtakes(msg))
+				delay += queue(from.slot, to, packed.size());
 			at(delay, [this, slot = from.slot, to, packed] {
 				deliver(slot, to, packed);
 			});
 		}
 	}
 
+	/* Returns the time until the link has sent the bytes, too. */
+	int64_t queue(int from, uint64_t to, size_t bytes)
+	{
+		int64_t &free = link_free[{ from, to }];
+
+		free = std::max(free, now) +
+		       (int64_t)bytes * ms / o.link_bytes_per_ms;
+		return free - now;
+	}
+
+	std::map<std::pair<int, uint64_t>, int64_t> link_free;
+
 	void deliver(int from, uint64_t to, const std::string &packed)
 	{
 		Node *node = find(to);
--- a/tests/unit/raft_test.cc
+++ b/tests/unit/raft_test.cc
@@ -803,6 +803,32 @@
 	EXPECT_LE(heartbeats, 130u);
 }
 
+/* Guards against a large entry that makes the leader look silent: it takes
+ * longer than an election timeout on each link. */
+TEST(Raft, LargeEntryDoesNotCostTheLeader)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		Options o;
+
+		o.seed = seed;
+		o.n = 5;
+		o.link_bytes_per_ms = 1000;
+		Sim s(o);
+		Node *leader = elect(s);
+		uint64_t term = raft_term(leader->raft);
+
+		for (int i = 0; i < 3; i++) {
+			s.propose(*leader,
+				  std::string(1500000, (char)('a' + i)));
+			propose_some(s, *leader, 3);
+			s.run(2000 * ms);
+			EXPECT_EQ(s.ready_leader(), leader);
+			EXPECT_EQ(raft_term(leader->raft), term);
+		}
+		EXPECT_TRUE(settle(s)) << s.report();
+	}
+}
+
 /* Guards leadership transfer: the target takes over with all entries, and does
  * so without an election timeout, although the others still hear the leader. */
 TEST(Raft, TransferMovesLeadershipAtOnce)
