proto: a command that changes the route table in force

Command 40 has a table as a change of the one before, with its source as pieces of the source before; Node 40 says which formats of log entries an instance reads.

--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -1357,6 +1357,96 @@
   assert(message->base.descriptor == &dsp__route_table_put__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__text_piece__init
+                     (Dsp__TextPiece         *message)
+{
+  static const Dsp__TextPiece init_value = DSP__TEXT_PIECE__INIT;
+  *message = init_value;
+}
+size_t dsp__text_piece__get_packed_size
+                     (const Dsp__TextPiece *message)
+{
+  assert(message->base.descriptor == &dsp__text_piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__text_piece__pack
+                     (const Dsp__TextPiece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__text_piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__text_piece__pack_to_buffer
+                     (const Dsp__TextPiece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__text_piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__TextPiece *
+       dsp__text_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__TextPiece *)
+     protobuf_c_message_unpack (&dsp__text_piece__descriptor,
+                                allocator, len, data);
+}
+void   dsp__text_piece__free_unpacked
+                     (Dsp__TextPiece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__text_piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__route_table_change_put__init
+                     (Dsp__RouteTableChangePut         *message)
+{
+  static const Dsp__RouteTableChangePut init_value = DSP__ROUTE_TABLE_CHANGE_PUT__INIT;
+  *message = init_value;
+}
+size_t dsp__route_table_change_put__get_packed_size
+                     (const Dsp__RouteTableChangePut *message)
+{
+  assert(message->base.descriptor == &dsp__route_table_change_put__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__route_table_change_put__pack
+                     (const Dsp__RouteTableChangePut *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__route_table_change_put__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__route_table_change_put__pack_to_buffer
+                     (const Dsp__RouteTableChangePut *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__route_table_change_put__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__RouteTableChangePut *
+       dsp__route_table_change_put__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__RouteTableChangePut *)
+     protobuf_c_message_unpack (&dsp__route_table_change_put__descriptor,
+                                allocator, len, data);
+}
+void   dsp__route_table_change_put__free_unpacked
+                     (Dsp__RouteTableChangePut *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__route_table_change_put__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__route_table_get__init
                      (Dsp__RouteTableGet         *message)
 {
@@ -4715,7 +4805,7 @@
   (ProtobufCMessageInit) dsp__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__node__field_descriptors[10] =
+static const ProtobufCFieldDescriptor dsp__node__field_descriptors[11] =
 {
   {
     "id",
@@ -4837,6 +4927,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log_format",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, log_format),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__node__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -4846,14 +4948,16 @@
   5,   /* field[5] = http_address */
   0,   /* field[0] = id */
   4,   /* field[4] = internal_address */
+  10,   /* field[10] = log_format */
   3,   /* field[3] = region */
   2,   /* field[2] = site */
   6,   /* field[6] = weight */
 };
-static const ProtobufCIntRange dsp__node__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__node__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 40, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor dsp__node__descriptor =
 {
@@ -4863,10 +4967,10 @@
   "Dsp__Node",
   "dsp",
   sizeof(Dsp__Node),
-  10,
+  11,
   dsp__node__field_descriptors,
   dsp__node__field_indices_by_name,
-  1,  dsp__node__number_ranges,
+  2,  dsp__node__number_ranges,
   (ProtobufCMessageInit) dsp__node__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -6377,6 +6481,134 @@
   (ProtobufCMessageInit) dsp__route_table_put__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dsp__text_piece__field_descriptors[3] =
+{
+  {
+    "first",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__TextPiece, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__TextPiece, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__TextPiece, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__text_piece__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = first */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange dsp__text_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__text_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.TextPiece",
+  "TextPiece",
+  "Dsp__TextPiece",
+  "dsp",
+  sizeof(Dsp__TextPiece),
+  3,
+  dsp__text_piece__field_descriptors,
+  dsp__text_piece__field_indices_by_name,
+  1,  dsp__text_piece__number_ranges,
+  (ProtobufCMessageInit) dsp__text_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route_table_change_put__field_descriptors[3] =
+{
+  {
+    "change",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTableChangePut, change),
+    &dsp__route_table_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "source",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTableChangePut, n_source),
+    offsetof(Dsp__RouteTableChangePut, source),
+    &dsp__text_piece__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "source_digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__RouteTableChangePut, source_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__route_table_change_put__field_indices_by_name[] = {
+  0,   /* field[0] = change */
+  1,   /* field[1] = source */
+  2,   /* field[2] = source_digest */
+};
+static const ProtobufCIntRange dsp__route_table_change_put__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__route_table_change_put__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTableChangePut",
+  "RouteTableChangePut",
+  "Dsp__RouteTableChangePut",
+  "dsp",
+  sizeof(Dsp__RouteTableChangePut),
+  3,
+  dsp__route_table_change_put__field_descriptors,
+  dsp__route_table_change_put__field_indices_by_name,
+  1,  dsp__route_table_change_put__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_change_put__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 #define dsp__route_table_get__field_descriptors NULL
 #define dsp__route_table_get__field_indices_by_name NULL
 #define dsp__route_table_get__number_ranges NULL
@@ -7231,7 +7463,7 @@
   (ProtobufCMessageInit) dsp__expire__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__command__field_descriptors[18] =
+static const ProtobufCFieldDescriptor dsp__command__field_descriptors[19] =
 {
   {
     "wall_ms",
@@ -7449,6 +7681,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route_table_change_put",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, route_table_change_put),
+    &dsp__route_table_change_put__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__command__field_indices_by_name[] = {
   7,   /* field[7] = claim_create */
@@ -7464,17 +7708,19 @@
   4,   /* field[4] = order_create */
   5,   /* field[5] = order_finish */
   6,   /* field[6] = residency_report */
+  18,   /* field[18] = route_table_change_put */
   17,   /* field[17] = route_table_get */
   16,   /* field[16] = route_table_put */
   12,   /* field[12] = suspect_done */
   11,   /* field[11] = suspect_run */
   0,   /* field[0] = wall_ms */
 };
-static const ProtobufCIntRange dsp__command__number_ranges[2 + 1] =
+static const ProtobufCIntRange dsp__command__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 10, 1 },
-  { 0, 18 }
+  { 40, 18 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor dsp__command__descriptor =
 {
@@ -7484,10 +7730,10 @@
   "Dsp__Command",
   "dsp",
   sizeof(Dsp__Command),
-  18,
+  19,
   dsp__command__field_descriptors,
   dsp__command__field_indices_by_name,
-  2,  dsp__command__number_ranges,
+  3,  dsp__command__number_ranges,
   (ProtobufCMessageInit) dsp__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -45,6 +45,8 @@
 typedef struct Dsp__RouteTableChange Dsp__RouteTableChange;
 typedef struct Dsp__RouteTableSteps Dsp__RouteTableSteps;
 typedef struct Dsp__RouteTablePut Dsp__RouteTablePut;
+typedef struct Dsp__TextPiece Dsp__TextPiece;
+typedef struct Dsp__RouteTableChangePut Dsp__RouteTableChangePut;
 typedef struct Dsp__RouteTableGet Dsp__RouteTableGet;
 typedef struct Dsp__DocumentPut Dsp__DocumentPut;
 typedef struct Dsp__EndpointPut Dsp__EndpointPut;
@@ -542,10 +544,14 @@
   protobuf_c_boolean control;
   protobuf_c_boolean draining;
   protobuf_c_boolean down;
+  /*
+   * Newest format of log entries that it reads. 1: RouteTableChangePut.
+   */
+  uint32_t log_format;
 };
 #define DSP__NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__node__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Dsp__Order
@@ -870,6 +876,41 @@
     , NULL }
 
 
+/*
+ * Bytes of an earlier text, followed by given ones.
+ */
+struct  Dsp__TextPiece
+{
+  ProtobufCMessage base;
+  uint64_t first;
+  uint64_t count;
+  ProtobufCBinaryData text;
+};
+#define DSP__TEXT_PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__text_piece__descriptor) \
+    , 0, 0, {0,NULL} }
+
+
+/*
+ * As RouteTablePut, as a change of the table in force. Proposed only if that
+ * will be its base, and if all members read it.
+ */
+struct  Dsp__RouteTableChangePut
+{
+  ProtobufCMessage base;
+  Dsp__RouteTableChange *change;
+  size_t n_source;
+  Dsp__TextPiece **source;
+  /*
+   * XXH3-128 of the result
+   */
+  ProtobufCBinaryData source_digest;
+};
+#define DSP__ROUTE_TABLE_CHANGE_PUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table_change_put__descriptor) \
+    , NULL, 0,NULL, {0,NULL} }
+
+
 struct  Dsp__RouteTableGet
 {
   ProtobufCMessage base;
@@ -1095,7 +1136,8 @@
   DSP__COMMAND__BODY_NODE_DOWN = 23,
   DSP__COMMAND__BODY_EXPIRE = 24,
   DSP__COMMAND__BODY_ROUTE_TABLE_PUT = 25,
-  DSP__COMMAND__BODY_ROUTE_TABLE_GET = 26
+  DSP__COMMAND__BODY_ROUTE_TABLE_GET = 26,
+  DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__COMMAND__BODY__CASE)
 } Dsp__Command__BodyCase;
 
@@ -1125,6 +1167,7 @@
     Dsp__Expire *expire;
     Dsp__RouteTablePut *route_table_put;
     Dsp__RouteTableGet *route_table_get;
+    Dsp__RouteTableChangePut *route_table_change_put;
   };
 };
 #define DSP__COMMAND__INIT \
@@ -2303,6 +2346,44 @@
 void   dsp__route_table_put__free_unpacked
                      (Dsp__RouteTablePut *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__TextPiece methods */
+void   dsp__text_piece__init
+                     (Dsp__TextPiece         *message);
+size_t dsp__text_piece__get_packed_size
+                     (const Dsp__TextPiece   *message);
+size_t dsp__text_piece__pack
+                     (const Dsp__TextPiece   *message,
+                      uint8_t             *out);
+size_t dsp__text_piece__pack_to_buffer
+                     (const Dsp__TextPiece   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__TextPiece *
+       dsp__text_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__text_piece__free_unpacked
+                     (Dsp__TextPiece *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__RouteTableChangePut methods */
+void   dsp__route_table_change_put__init
+                     (Dsp__RouteTableChangePut         *message);
+size_t dsp__route_table_change_put__get_packed_size
+                     (const Dsp__RouteTableChangePut   *message);
+size_t dsp__route_table_change_put__pack
+                     (const Dsp__RouteTableChangePut   *message,
+                      uint8_t             *out);
+size_t dsp__route_table_change_put__pack_to_buffer
+                     (const Dsp__RouteTableChangePut   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__RouteTableChangePut *
+       dsp__route_table_change_put__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__route_table_change_put__free_unpacked
+                     (Dsp__RouteTableChangePut *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__RouteTableGet methods */
 void   dsp__route_table_get__init
                      (Dsp__RouteTableGet         *message);
@@ -3193,6 +3274,12 @@
 typedef void (*Dsp__RouteTablePut_Closure)
                  (const Dsp__RouteTablePut *message,
                   void *closure_data);
+typedef void (*Dsp__TextPiece_Closure)
+                 (const Dsp__TextPiece *message,
+                  void *closure_data);
+typedef void (*Dsp__RouteTableChangePut_Closure)
+                 (const Dsp__RouteTableChangePut *message,
+                  void *closure_data);
 typedef void (*Dsp__RouteTableGet_Closure)
                  (const Dsp__RouteTableGet *message,
                   void *closure_data);
@@ -3364,6 +3451,8 @@
 extern const ProtobufCMessageDescriptor dsp__route_table_change__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table_steps__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table_put__descriptor;
+extern const ProtobufCMessageDescriptor dsp__text_piece__descriptor;
+extern const ProtobufCMessageDescriptor dsp__route_table_change_put__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table_get__descriptor;
 extern const ProtobufCMessageDescriptor dsp__document_put__descriptor;
 extern const ProtobufCMessageDescriptor dsp__endpoint_put__descriptor;
