--- a/src/net/net.c
+++ b/src/net/net.c
@@ -23,6 +23,9 @@
  * each of some hundred connections. */
 #define PROBE_INTERVAL_US 100000
 #define SILENCE_LIMIT_US 1500000
+/* Longest time that bytes on their way prolong the silence limit: a connection
+ * that is dead must not seem busy. */
+#define DRAIN_MAX_US 5000000
 /* Longest delay between connection attempts. Kept short because callers of a
  * restarted instance wait for its first view. */
 #define RECONNECT_MAX_MS 300
@@ -40,15 +43,18 @@
 };
 
 struct peer {
-	char *address;					  /* owned */
-	void *socket;					  /* owned DEALER */
+	char *key;     /* owned; in net.peers */
+	char *address; /* owned */
+	void *socket;  /* owned DEALER */
 	STAILQ_HEAD(message_queue, queued_message) queue; /* oldest first */
 	size_t n_queued;
 	int64_t used_us;	    /* last send */
 	int64_t pinged_us;	    /* last ping */
 	int64_t unanswered_ping_us; /* first since last reply; 0: none */
+	int64_t ping_due_us;	    /* when a slow link has delivered it */
 	int64_t blocked_since_us;   /* first rejected message since; 0: none */
-	bool sent_since_ping;	    /* idle connections are not pinged */
+	int64_t drained_us;   /* a slow link has delivered all sent by then */
+	bool sent_since_ping; /* idle connections are not pinged */
 };
 
 struct net {
@@ -57,7 +63,7 @@
 	char *node;	      /* owned */
 	char *advertise;      /* owned */
 	uint64_t boot;	      /* fixed */
-	GHashTable *peers;    /* address -> struct peer, owned */
+	GHashTable *peers;    /* address and lane -> struct peer, owned */
 	GHashTable *routes;   /* address -> address to connect to */
 	int64_t now_us;	      /* time of the last net_tick() */
 	int64_t probe_due_us; /* next check of all connections */
@@ -107,6 +113,7 @@
 	if (p->socket)
 		zmq_close(p->socket);
 	g_free(p->address);
+	g_free(p->key);
 	g_free(p);
 }
 
@@ -156,14 +163,23 @@
 	g_free(ctx);
 }
 
-static struct peer *peer_get(struct net *ctx, const char *address)
+/* Returns the key of the connection for messages that go ahead of others;
+ * g_free(). */
+static char *key_ahead(const char *address)
+{
+	return g_strdup_printf("%s ahead", address);
+}
+
+static struct peer *peer_get(struct net *ctx, const char *address, bool ahead)
 {
 	const char *via = g_hash_table_lookup(ctx->routes, address);
-	struct peer *p = g_hash_table_lookup(ctx->peers, address);
+	g_autofree char *key = ahead ? key_ahead(address) : g_strdup(address);
+	struct peer *p = g_hash_table_lookup(ctx->peers, key);
 
 	if (p)
 		return p;
 	p = g_new0(struct peer, 1);
+	p->key = g_steal_pointer(&key);
 	p->address = g_strdup(address);
 	STAILQ_INIT(&p->queue);
 	p->socket = zmq_socket(ctx->zmq, ZMQ_DEALER);
@@ -185,7 +201,7 @@
 		peer_free(p);
 		return NULL;
 	}
-	g_hash_table_insert(ctx->peers, p->address, p);
+	g_hash_table_insert(ctx->peers, p->key, p);
 	return p;
 }
 
@@ -199,6 +215,19 @@
 	g_hash_table_replace(ctx->routes, g_strdup(address), g_strdup(via));
 }
 
+/* Accounts for a message that was handed to the connection. */
+static void note_sent(struct net *ctx, struct peer *p, size_t len)
+{
+	int64_t from_us = MAX(p->drained_us, ctx->now_us);
+
+	p->drained_us = MIN(from_us + (int64_t)len * 8 * G_USEC_PER_SEC /
+					      NET_SLOW_BITS_PER_S,
+			    ctx->now_us + DRAIN_MAX_US);
+	ctx->bytes_sent += len;
+	p->sent_since_ping = true;
+	p->blocked_since_us = 0;
+}
+
 static void send_queued(struct net *ctx, struct peer *p)
 {
 	struct queued_message *w;
@@ -212,9 +241,7 @@
 				return;
 			ctx->dropped++;
 		} else {
-			ctx->bytes_sent += w->len;
-			p->sent_since_ping = true;
-			p->blocked_since_us = 0;
+			note_sent(ctx, p, w->len);
 		}
 		drop_first_queued(p);
 	}
@@ -257,13 +284,9 @@
 	return data;
 }
 
-/* Sends an encoded message, or queues it while the connection opens. A queued
- * message is dropped when it gets too old or newer ones overflow the queue. */
-void net_send_packed(struct net *ctx, const char *address, const uint8_t *data,
-		     size_t len)
+static void send_to(struct net *ctx, struct peer *p, const uint8_t *data,
+		    size_t len)
 {
-	struct peer *p = peer_get(ctx, address);
-
 	if (!p) {
 		ctx->dropped++;
 		return;
@@ -273,9 +296,7 @@
 	if (p->n_queued) {
 		queue_message(ctx, p, g_memdup2(data, len), len);
 	} else if (zmq_send(p->socket, data, len, ZMQ_DONTWAIT) >= 0) {
-		ctx->bytes_sent += len;
-		p->blocked_since_us = 0;
-		p->sent_since_ping = true;
+		note_sent(ctx, p, len);
 	} else if (errno == EAGAIN) {
 		queue_message(ctx, p, g_memdup2(data, len), len);
 	} else {
@@ -283,6 +304,25 @@
 	}
 }
 
+/* Sends an encoded message, or queues it while the connection opens. A queued
+ * message is dropped when it gets too old or newer ones overflow the queue. */
+void net_send_packed(struct net *ctx, const char *address, const uint8_t *data,
+		     size_t len)
+{
+	send_to(ctx, peer_get(ctx, address, false), data, len);
+}
+
+/* As net_send(), ahead of the messages that were sent before and wait. */
+void net_send_ahead(struct net *ctx, const char *address,
+		    Dsp__Envelope *envelope)
+{
+	size_t len;
+	uint8_t *data = net_pack(ctx, envelope, &len);
+
+	send_to(ctx, peer_get(ctx, address, true), data, len);
+	g_free(data);
+}
+
 /* Encodes and sends one message, as net_send_packed(). */
 void net_send(struct net *ctx, const char *address, Dsp__Envelope *envelope)
 {
@@ -338,8 +378,10 @@
 		       0)
 			p->unanswered_ping_us = 0;
 	}
+	/* A ping waits behind the messages that were sent before it. */
 	if (p->unanswered_ping_us &&
-	    ctx->now_us - p->unanswered_ping_us > SILENCE_LIMIT_US)
+	    ctx->now_us - MAX(p->unanswered_ping_us, p->ping_due_us) >
+		    SILENCE_LIMIT_US)
 		return true;
 	/* ZeroMQ retries by itself, but a connection attempt that started
 	 * during a network outage can stay closed long after the outage. */
@@ -353,8 +395,10 @@
 	p->pinged_us = ctx->now_us;
 	p->sent_since_ping = false;
 	zmq_send(p->socket, "", 0, ZMQ_DONTWAIT);
-	if (!p->unanswered_ping_us)
+	if (!p->unanswered_ping_us) {
 		p->unanswered_ping_us = ctx->now_us;
+		p->ping_due_us = p->drained_us;
+	}
 	return false;
 }
 
@@ -455,10 +499,13 @@
 	return NULL;
 }
 
-/* Closes the connection to a peer and drops its queued messages; the next send
+/* Closes the connections to a peer and drops its queued messages; the next send
  * opens a new connection. */
 void net_reset(struct net *ctx, const char *address)
 {
+	g_autofree char *ahead = key_ahead(address);
+
+	g_hash_table_remove(ctx->peers, ahead);
 	if (g_hash_table_remove(ctx->peers, address))
 		ctx->resets++;
 }
