proto: a load report says whether the endpoint leaves

Loads of endpoints already travel from the entry that saw them to the leader and to all entries (Report.observed_loads, ViewUpdate.observed_loads). Older instances skip the field. Generated with make proto.

--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -8250,7 +8250,7 @@
   (ProtobufCMessageInit) dsp__view_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__load_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__load_report__field_descriptors[8] =
 {
   {
     "endpoint",
@@ -8336,12 +8336,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__LoadReport, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__load_report__field_indices_by_name[] = {
   6,   /* field[6] = age_ms */
   0,   /* field[0] = endpoint */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = kv_used_permille */
+  7,   /* field[7] = leaving */
   3,   /* field[3] = running */
   2,   /* field[2] = sequence */
   4,   /* field[4] = waiting */
@@ -8349,7 +8362,7 @@
 static const ProtobufCIntRange dsp__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dsp__load_report__descriptor =
 {
@@ -8359,7 +8372,7 @@
   "Dsp__LoadReport",
   "dsp",
   sizeof(Dsp__LoadReport),
-  7,
+  8,
   dsp__load_report__field_descriptors,
   dsp__load_report__field_indices_by_name,
   1,  dsp__load_report__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1321,10 +1321,14 @@
   uint32_t waiting;
   uint32_t kv_used_permille;
   uint32_t age_ms;
+  /*
+   * an answer said that the endpoint leaves
+   */
+  protobuf_c_boolean leaving;
 };
 #define DSP__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__load_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dsp__ViewUpdate
