--- a/tests/unit/platform_wire_test.cc
+++ b/tests/unit/platform_wire_test.cc
@@ -318,6 +318,64 @@
 	EXPECT_TRUE(out.other_process);
 }
 
+TEST(WireAnswer, ReadsLeavingAndPauses)
+{
+	struct {
+		const char *name, *value;
+		int status;
+		bool leaving;
+		int64_t pause_us;
+		bool malformed;
+	} cases[] = {
+		{ "Server-Leaving", "1", 200, true, 0, false },
+		{ "server-leaving", "1", 503, true, 0, false },
+		{ "Server-Leaving", "0", 200, false, 0, false },
+		{ "Server-Leaving", "yes", 200, false, 0, true },
+		{ "Retry-After", "2", 503, false, 2000000, false },
+		{ "retry-after", "0.25", 503, false, 250000, false },
+		{ "Retry-After", "0", 503, false, 0, false },
+		{ "Retry-After", "2", 429, false, 0, false },
+		{ "Retry-After", "2", 200, false, 0, false },
+		{ "Retry-After", "600", 503, false, 600000000, false },
+		{ "Retry-After", "601", 503, false, 600000000, true },
+		{ "Retry-After", "99999999999999999999999", 503, false,
+		  600000000, true },
+		{ "Retry-After", "-1", 503, false, 0, true },
+		{ "Retry-After", "", 503, false, 0, true },
+		{ "Retry-After", ".5", 503, false, 0, true },
+		{ "Retry-After", "1.2.3", 503, false, 0, true },
+		{ "Retry-After", "1e9", 503, false, 0, true },
+		{ "Retry-After", "inf", 503, false, 0, true },
+		{ "Retry-After", "nan", 503, false, 0, true },
+		{ "Retry-After", "Sat, 05 Dec 2026 02:00:00 GMT", 503, false, 0,
+		  true },
+	};
+
+	for (const auto &c : cases) {
+		struct wire_answer out;
+		struct hio_answer answer = {};
+		Fields fields({ { c.name, c.value } });
+
+		answer.status = c.status;
+		answer.fields = fields.fields;
+		wire_read_answer(&answer, &out);
+		EXPECT_EQ(out.hint.leaving, c.leaving) << c.value;
+		EXPECT_EQ(out.hint.pause_us, c.pause_us) << c.value;
+		EXPECT_EQ(out.hint.malformed, c.malformed) << c.value;
+		EXPECT_TRUE(wire_is_internal_answer_field(c.name));
+	}
+	Fields several({ { "Retry-After", "3" },
+			 { "Server-Leaving", "1" },
+			 { "Retry-After", "1" } });
+	struct hio_answer answer = {};
+	struct wire_answer out;
+	answer.status = 503;
+	answer.fields = several.fields;
+	wire_read_answer(&answer, &out);
+	EXPECT_TRUE(out.hint.leaving);
+	EXPECT_EQ(out.hint.pause_us, 3000000); /* the longest */
+}
+
 TEST(WireCall, FindsCallsByMethodAndPath)
 {
 	char *id;
