core: endpoints that leave or ask for a pause get no request

hint_ holds for each endpoint and incarnation what its answers said about further requests.

bal_choose() leaves such endpoints out, so that each path that chooses (first attempt, queue, repeat, resumption, second attempt) does. New outcome BAL_PAUSED, with the time until the first pause ends. A process that comes back at another address keeps its hint.

occ_ passes on that an endpoint leaves, with any load of the same moment.

--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -110,6 +110,7 @@
 	int64_t avoid_until_us;
 	int64_t full_until_us; /* it refused a request as full */
 	bool replaced;	       /* another process uses its address */
+	struct hint hint;
 };
 
 struct bal {
@@ -196,6 +197,24 @@
 	ctx->entries = MAX(ctx->entries, 1);
 }
 
+/* Returns the endpoint for msg: the known one, without its place in the table,
+ * or a new one. The same process at another address keeps its hint. */
+static struct bal_endpoint *adopt(struct bal *ctx, struct bal_endpoint *known,
+				  const Dsp__Endpoint *msg)
+{
+	struct bal_endpoint *e;
+
+	if (known && known->incarnation == msg->incarnation &&
+	    !strcmp(known->address, msg->address)) {
+		g_hash_table_remove(ctx->endpoints, msg->id);
+		return known;
+	}
+	e = endpoint_new(msg);
+	if (known && known->incarnation == msg->incarnation)
+		e->hint = known->hint;
+	return e;
+}
+
 /* Installs a view and takes a reference to it. Endpoints with an unchanged
  * incarnation and address keep their measurements; self is this instance's node
  * id. Each instance prefers other endpoints, so that it knows most of their
@@ -211,13 +230,10 @@
 		struct bal_endpoint *e =
 			g_hash_table_lookup(ctx->endpoints, msg->id);
 
-		if (e && (e->incarnation != msg->incarnation ||
-			  strcmp(e->address, msg->address) != 0))
-			e = NULL;
-		if (e)
-			g_hash_table_remove(ctx->endpoints, msg->id);
-		else
-			e = endpoint_new(msg);
+		e = adopt(ctx, e, msg);
+		hint_announced(&e->hint,
+			       msg->state ==
+				       DSP__ENDPOINT_STATE__ENDPOINT_LEAVING);
 		e->msg = msg;
 		g_hash_table_insert(next, e->id, e);
 	}
@@ -249,6 +265,7 @@
 	       int64_t now_us)
 {
 	(void)ctx;
+	hint_sent(&e->hint, now_us);
 	e->sends_us[e->n_sends++ % RECENT_SENDS] = now_us;
 	e->in_flight++;
 	e->prefilling++;
@@ -412,8 +429,11 @@
 	int64_t observed_us = now_us - (int64_t)report->age_ms * 1000;
 	uint32_t since;
 
-	if (!e || e->incarnation != report->incarnation ||
-	    observed_us <= e->reported_us)
+	if (!e || e->incarnation != report->incarnation)
+		return;
+	if (report->leaving)
+		hint_reported(&e->hint, now_us - observed_us, now_us);
+	if (observed_us <= e->reported_us)
 		return;
 	since = count_sends_since(e, observed_us);
 	e->reported_load = report->running + report->waiting;
@@ -421,6 +441,31 @@
 	e->reported_us = observed_us;
 }
 
+/* Records what an answer of the endpoint's process said about further requests;
+ * see hint_saw(). Answers of processes that the view does not list have no
+ * effect. */
+unsigned bal_saw_hint(struct bal *ctx, const char *id, uint64_t incarnation,
+		      bool leaving, int64_t pause_us, double jitter,
+		      int64_t now_us)
+{
+	struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	if (!e || e->incarnation != incarnation)
+		return 0;
+	return hint_saw(&e->hint, leaving, pause_us, jitter, now_us);
+}
+
+/* Returns whether the endpoint's process wants no requests. */
+enum hint_bar bal_bar(const struct bal *ctx, const char *id,
+		      uint64_t incarnation, int64_t now_us)
+{
+	const struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	if (!e || e->incarnation != incarnation)
+		return HINT_FREE;
+	return hint_bar(&e->hint, now_us);
+}
+
 /* Estimates the requests of other instances at the endpoint from the last
  * report, weighted by its age. */
 static double other_entries_load(const struct bal_endpoint *e, int64_t now_us)
@@ -623,6 +668,7 @@
 		double cost;
 
 		if (now_us < e->full_until_us ||
+		    hint_is_spaced(&e->hint, now_us) ||
 		    load_of(e, now_us) >= capacity_of(e, query->model))
 			continue;
 		cost = cost_of(ctx, list, i, query, now_us);
@@ -645,18 +691,32 @@
 	return best;
 }
 
-/* Whether the endpoint may get new requests of the service. */
-static bool is_usable(const struct bal_endpoint *e,
-		      const struct bal_query *query)
+/* Whether the endpoint serves the service and the view has it as up. */
+static bool is_up(const struct bal_endpoint *e, const struct bal_query *query)
 {
 	return e->msg->state == DSP__ENDPOINT_STATE__ENDPOINT_UP &&
 	       !e->replaced && !strcmp(e->msg->service, query->service);
 }
 
+/* Fills in why none of the candidates can be chosen: each has been tried or is
+ * paused. pause_us is the time until the first pause ends, also of a tried one;
+ * untried is the number of paused ones that were not tried. */
+static void set_none_left(struct bal_choice *choice,
+			  const struct bal_query *query, unsigned untried,
+			  int64_t pause_us)
+{
+	choice->outcome = untried ? BAL_PAUSED : BAL_NO_OTHER;
+	choice->retry_us = query->model ? RETRY_ENGINE_US : RETRY_PLAIN_US;
+	if (untried)
+		choice->retry_us = pause_us;
+	else if (choice->paused == choice->candidates)
+		choice->retry_us = MAX(choice->retry_us, pause_us);
+}
+
 /*
  * Chooses the endpoint with the lowest cost among those that hold the model and
  * adapter and have a free slot. Endpoints in backoff are used only when there
- * is no other.
+ * is no other, those that are paused or leave never.
  */
 struct bal_choice bal_choose(struct bal *ctx, const struct bal_query *query,
 			     int64_t now_us)
@@ -668,6 +728,8 @@
 	struct candidates avoided = { 0 };
 	guint size = g_hash_table_size(ctx->endpoints);
 	bool has_model = false;
+	unsigned untried = 0; /* paused ones that are not in query->avoid */
+	int64_t pause_us = INT64_MAX;
 	GHashTableIter iter;
 	struct bal_endpoint *e;
 
@@ -675,7 +737,12 @@
 	avoided.all = g_newa(struct bal_endpoint *, size + 1);
 	g_hash_table_iter_init(&iter, ctx->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
-		if (!is_usable(e, query))
+		enum hint_bar bar = hint_bar(&e->hint, now_us);
+
+		if (!is_up(e, query))
+			continue;
+		choice.leaving += bar == HINT_LEAVING;
+		if (bar == HINT_LEAVING)
 			continue;
 		if (choice.outcome == BAL_NO_ENDPOINT) {
 			choice.outcome = BAL_NO_MODEL;
@@ -689,6 +756,13 @@
 		    !view_ready_copy(e->msg, query->model, query->adapter))
 			continue;
 		choice.candidates++;
+		if (bar == HINT_PAUSED) {
+			choice.paused++;
+			untried += !is_in(query->avoid, e->id);
+			pause_us =
+				MIN(pause_us, hint_wait_us(&e->hint, now_us));
+			continue;
+		}
 		if (is_in(query->avoid, e->id))
 			continue;
 		if (now_us < e->avoid_until_us)
@@ -706,9 +780,7 @@
 	if (!list.n)
 		list = avoided;
 	if (!list.n) {
-		choice.outcome = BAL_NO_OTHER;
-		choice.retry_us =
-			query->model ? RETRY_ENGINE_US : RETRY_PLAIN_US;
+		set_none_left(&choice, query, untried, pause_us);
 		return choice;
 	}
 	find_preferred(&list, query->prefix);
@@ -757,6 +829,8 @@
 		return "no_adapter";
 	case BAL_NO_OTHER:
 		return "no_other";
+	case BAL_PAUSED:
+		return "paused";
 	case BAL_PREFILL_BUSY:
 		return "reading";
 	case BAL_FULL:
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/hint.h"
 #include "core/view.h"
 
 /*
@@ -36,6 +37,7 @@
 	BAL_NO_MODEL,	  /* no usable endpoint holds the model */
 	BAL_NO_ADAPTER,	  /* some hold the model, none the adapter */
 	BAL_NO_OTHER,	  /* all that hold it are in query.avoid */
+	BAL_PAUSED,	  /* all others that hold it want no requests now */
 	BAL_PREFILL_BUSY, /* all that hold it are busy with prefill */
 	BAL_FULL,	  /* all that hold it have no free slot */
 };
@@ -48,6 +50,8 @@
 	double load_age_s;   /* age of the last load report; below 0: none */
 	int64_t retry_us;    /* other outcomes: when to retry */
 	unsigned candidates; /* usable, with the model and adapter */
+	unsigned paused;     /* of them: want no requests now */
+	unsigned leaving;    /* of the service: left out, as they leave */
 };
 
 enum bal_result {
@@ -82,10 +86,15 @@
 		uint32_t waiting, int64_t now_us);
 void bal_observe(struct bal *ctx, const Dsp__LoadReport *report,
 		 int64_t now_us);
+unsigned bal_saw_hint(struct bal *ctx, const char *id, uint64_t incarnation,
+		      bool leaving, int64_t pause_us, double jitter,
+		      int64_t now_us);
 
 /* Queries. */
 struct bal_choice bal_choose(struct bal *ctx, const struct bal_query *query,
 			     int64_t now_us);
+enum hint_bar bal_bar(const struct bal *ctx, const char *id,
+		      uint64_t incarnation, int64_t now_us);
 bool bal_is_prefilling(const struct bal_endpoint *e);
 const char *bal_id(const struct bal_endpoint *e);
 uint64_t bal_incarnation(const struct bal_endpoint *e);
--- a/src/core/occ.c
+++ b/src/core/occ.c
@@ -81,6 +81,24 @@
 	return k;
 }
 
+/* Adds to a known report that the endpoint's process leaves; reports of the
+ * same moment may differ in that. */
+static bool add_leaving(struct known *k, const Dsp__LoadReport *report)
+{
+	if (!report->leaving || k->report->leaving ||
+	    k->report->incarnation != report->incarnation)
+		return false;
+	k->report->leaving = true;
+	return true;
+}
+
+static void mark_changed(struct occ *ctx, struct known *k)
+{
+	if (!k->changed)
+		TAILQ_INSERT_TAIL(&ctx->changed, k, changed_link);
+	k->changed = true;
+}
+
 /*
  * Keeps the newest report of each endpoint. An incarnation that differs is
  * taken for newer only if its report is: one from before a restart may arrive
@@ -95,11 +113,20 @@
 	if (!report->endpoint[0] || now_us - observed_us > EXPIRY_US)
 		return false;
 	k = g_hash_table_lookup(ctx->by_endpoint, report->endpoint);
-	if (k && observed_us < k->observed_us + SAME_ANSWER_US)
-		return false;
+	if (k && observed_us < k->observed_us + SAME_ANSWER_US) {
+		if (!add_leaving(k, report))
+			return false;
+		mark_changed(ctx, k);
+		return true;
+	}
 	if (!k) {
 		k = add_known(ctx, report);
 	} else {
+		/* What has not been passed on yet is not overwritten. */
+		k->report->leaving =
+			report->leaving ||
+			(k->changed && k->report->leaving &&
+			 k->report->incarnation == report->incarnation);
 		k->report->incarnation = report->incarnation;
 		k->report->running = report->running;
 		k->report->waiting = report->waiting;
@@ -108,9 +135,7 @@
 	}
 	k->observed_us = observed_us;
 	k->arrived_us = now_us;
-	if (!k->changed)
-		TAILQ_INSERT_TAIL(&ctx->changed, k, changed_link);
-	k->changed = true;
+	mark_changed(ctx, k);
 	return true;
 }
 
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -745,6 +745,7 @@
 	case BAL_FULL:
 	case BAL_PREFILL_BUSY:
 	case BAL_NO_OTHER:
+	case BAL_PAUSED:
 	case BAL_CHOSEN:
 		if (!f->engine)
 			share = PLAIN_WAIT_SHARE;
--- a/tests/unit/occ_test.cc
+++ b/tests/unit/occ_test.cc
@@ -93,6 +93,26 @@
 	EXPECT_EQ(occ_size(occ), 1u);
 }
 
+/* Another load of the same moment must not hide that the endpoint leaves. */
+TEST_F(Occupancy, LeavingIsPassedOnWithAnyLoad)
+{
+	Dsp__LoadReport leaving = load_report("a", 3, 100);
+
+	leaving.leaving = true;
+	EXPECT_TRUE(put("a", 3, 100));
+	EXPECT_TRUE(occ_put(occ, &leaving, now));
+	EXPECT_FALSE(occ_put(occ, &leaving, now));
+	now += 50 * MS;
+	EXPECT_TRUE(put("a", 2, 0)); /* before it is taken */
+	ASSERT_EQ(take(), 1u);
+	EXPECT_TRUE(out[0]->leaving);
+	EXPECT_EQ(out[0]->running, 2u);
+	now += 50 * MS;
+	EXPECT_TRUE(put("a", 1, 0));
+	ASSERT_EQ(take(), 1u);
+	EXPECT_FALSE(out[0]->leaving); /* a newer answer does not say so */
+}
+
 namespace
 {
 
