edge: heed what endpoints' answers say about further requests

Callers' requests went on to endpoints that had said in an answer that they leave, until the announcement came through the control group, and to endpoints that had asked this instance for a pause, where each was turned away again. A 503 with a pause of 20 s was answered with a Retry-After that knew nothing of it.

edge_saw_hint() takes the hint of each answer as soon as its head is read: of those to callers' requests, whatever becomes of the answer, and of those to the leader's state requests and orders. It counts and logs, and tells the other instances with the observed loads that an endpoint leaves. The leader sends no state request or order to an engine that is paused or leaves, and plans what a leaving one holds as lost.

A request for which all endpoints are paused waits in the queue if a pause ends in time, and is otherwise refused at once with the time until the first one ends. A model is then reported as missing, so that a second copy is ordered.

Ruled out: reading on after the caller has left, to learn of a departure. The connection is closed then, as it is what ends the work at the endpoint, and an answer that isn't read isn't passed on either.

--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -251,6 +251,14 @@
 	ctl_announce(ctx->edge->ctl, &message);
 }
 
+/* Whether the engine's answers, to any instance or to this one, say that it
+ * wants no calls now. */
+static enum hint_bar bar_of(const struct engine *e)
+{
+	return bal_bar(e->agent->edge->bal, e->id, e->incarnation,
+		       now_of(e->agent));
+}
+
 /* ---- Calls to engines ---- */
 
 static void plan_all(struct agent *ctx);
@@ -270,7 +278,10 @@
 static void on_head(void *data, const struct hio_answer *answer)
 {
 	struct engine *e = data;
+	struct wire_answer attributes;
 
+	wire_read_answer(answer, &attributes);
+	edge_saw_hint(e->agent->edge, e->id, e->incarnation, &attributes);
 	e->status = answer->status;
 	g_byte_array_set_size(e->body, 0);
 }
@@ -638,9 +649,11 @@
 		list[n] = e->residency;
 		list[n].id = e->id;
 		list[n].n_present = e->residency.n_items;
-		list[n].usable = e->usable;
+		/* What a leaving engine holds is planned as lost. */
+		list[n].usable = e->usable && bar_of(e) != HINT_LEAVING;
 		list[n].busy = e->state != IDLE || e->call ||
-			       now_of(ctx) < e->next_order_us;
+			       now_of(ctx) < e->next_order_us ||
+			       bar_of(e) != HINT_FREE;
 		if (e->order_in_term &&
 		    (e->state == EXECUTING || e->state == ORDER_SENT ||
 		     e->state == UNCONFIRMED))
@@ -702,7 +715,8 @@
 		return;
 	g_hash_table_iter_init(&iter, ctx->engines);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
-		if (e->usable && !e->call && now_us >= e->poll_us)
+		if (e->usable && !e->call && now_us >= e->poll_us &&
+		    bar_of(e) == HINT_FREE)
 			read_state(e);
 		if (now_us >= e->next_announce_us && e->state != UNKNOWN)
 			announce(e);
--- /dev/null
+++ b/src/edge/edge_hint.c
@@ -0,0 +1,51 @@
+#include "edge/edge_int.h"
+
+#include <inttypes.h>
+
+#include "base/log.h"
+
+/*
+ * Records what an answer of an endpoint's process says about further requests,
+ * and reports to the other instances that it leaves. Called for each answer,
+ * also for those that are not passed on.
+ */
+void edge_saw_hint(struct edge *ctx, const char *endpoint, uint64_t incarnation,
+		   const struct wire_answer *answer)
+{
+	const struct wire_hint *hint = &answer->hint;
+	Dsp__LoadReport report = DSP__LOAD_REPORT__INIT;
+	unsigned news;
+
+	if (hint->malformed) {
+		met_count(ctx->met, "dandelionspar_edge_hints_malformed", "",
+			  1);
+		LOG_EVENT_WARN("edge", "hint_malformed",
+			       "endpoint=%s leaving=%d pause_us=%" PRId64,
+			       endpoint, hint->leaving, hint->pause_us);
+	}
+	if (!hint->leaving && !hint->pause_us)
+		return;
+	news = bal_saw_hint(ctx->bal, endpoint, incarnation, hint->leaving,
+			    hint->pause_us, g_random_double(),
+			    clk_now_us(ctx->clock));
+	if (hint->pause_us)
+		met_count(ctx->met, "dandelionspar_edge_pauses_seen", "", 1);
+	if (news)
+		LOG_EVENT_NOTICE("edge", "endpoint_hint",
+				 "endpoint=%s incarnation=%" PRIu64
+				 " leaving=%d pause_us=%" PRId64
+				 " new_leaving=%d new_pause=%d longer_pause=%d",
+				 endpoint, incarnation, hint->leaving,
+				 hint->pause_us, (news & HINT_NEW_LEAVING) != 0,
+				 (news & HINT_NEW_PAUSE) != 0,
+				 (news & HINT_LONGER_PAUSE) != 0);
+	if (!hint->leaving)
+		return;
+	met_count(ctx->met, "dandelionspar_edge_leaving_seen", "", 1);
+	report.endpoint = (char *)endpoint;
+	report.incarnation = incarnation;
+	report.running = answer->running;
+	report.waiting = answer->waiting;
+	report.leaving = true;
+	ctl_observed_load(ctx->ctl, &report);
+}
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -123,6 +123,10 @@
 struct rep_options edge_budget_options(const struct edge *ctx);
 bool edge_is_ready(struct edge *ctx);
 
+/* edge_hint.c */
+void edge_saw_hint(struct edge *ctx, const char *endpoint, uint64_t incarnation,
+		   const struct wire_answer *answer);
+
 /* edge_call.c */
 /* Submits a command on a separate thread; done runs on the edge thread. Takes
  * ownership of the command. */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -464,6 +464,7 @@
 	report.incarnation = bal_incarnation(f->endpoint);
 	report.running = f->answer.running;
 	report.waiting = f->answer.waiting;
+	report.leaving = f->answer.hint.leaving;
 	ctl_observed_load(f->edge->ctl, &report);
 }
 
@@ -475,6 +476,8 @@
 	f->progress_us = now_us;
 	f->status = answer->status;
 	wire_read_answer(answer, &f->answer);
+	edge_saw_hint(f->edge, f->endpoint_id, bal_incarnation(f->endpoint),
+		      &f->answer);
 	if (f->answer.has_load)
 		take_load(f, now_us);
 	discard_body(f);
@@ -760,15 +763,26 @@
 {
 	LOG_EVENT_INFO("fwd", "no_place",
 		       "request=%s service=%s outcome=%s candidates=%u "
-		       "view=%" G_GUINT64_FORMAT
+		       "paused=%u leaving=%u retry_us=%" PRId64
+		       " view=%" G_GUINT64_FORMAT
 		       " waiting=%u expected_us=%" PRId64,
 		       log_id(f), f->service, bal_outcome_name(choice->outcome),
-		       choice->candidates, view_index(f->edge->view),
+		       choice->candidates, choice->paused, choice->leaving,
+		       choice->retry_us, view_index(f->edge->view),
 		       adm_length(f->edge->queue, f->group), expected_us);
 	give_up(f, MAX(choice->retry_us, expected_us),
 		bal_outcome_name(choice->outcome));
 }
 
+/* Whether all endpoints that could serve are paused until give_up_us or longer.
+ * A stream that has begun waits nevertheless: another endpoint may be added. */
+static bool pause_outlasts(const struct fwd *f, const struct bal_choice *choice,
+			   int64_t give_up_us)
+{
+	return !f->headers_sent && choice->outcome == BAL_PAUSED &&
+	       now_of(f) + choice->retry_us >= give_up_us;
+}
+
 /* Queues a request that no endpoint can take now, or refuses it at once when
  * the queue ahead of it is too long. Returns true when it is queued. */
 static bool enqueue_or_refuse(struct fwd *f, const struct bal_choice *choice)
@@ -780,7 +794,8 @@
 
 	if (f->engine && !f->miss_reported &&
 	    (choice->outcome == BAL_NO_ADAPTER ||
-	     choice->outcome == BAL_NO_MODEL)) {
+	     choice->outcome == BAL_NO_MODEL ||
+	     choice->outcome == BAL_PAUSED)) {
 		f->miss_reported = true;
 		edge_count_demand(f->edge, f->request.model, f->request.adapter,
 				  true);
@@ -789,13 +804,17 @@
 		/* The reason for the wait may have changed. */
 		f->item.give_up_us = MIN(f->item.arrived_us + limit_us,
 					 f->deadline_us - REMAINING_MIN_US);
-		if (now_us < f->item.give_up_us)
+		if (now_us < f->item.give_up_us &&
+		    !pause_outlasts(f, choice, f->item.give_up_us))
 			return true;
 		refuse(f, choice, expected_us);
 		return false;
 	}
-	if (!f->headers_sent &&
-	    (expected_us > limit_us || choice->outcome == BAL_NO_OTHER)) {
+	f->item.give_up_us =
+		MIN(now_us + limit_us, f->deadline_us - REMAINING_MIN_US);
+	if (pause_outlasts(f, choice, f->item.give_up_us) ||
+	    (!f->headers_sent &&
+	     (expected_us > limit_us || choice->outcome == BAL_NO_OTHER))) {
 		refuse(f, choice, expected_us);
 		return false;
 	}
@@ -804,8 +823,6 @@
 	f->item.arrived_us = now_us;
 	f->item.objective_us = f->headers_sent ? now_us + resume_wait_us(f)
 					       : f->start_us + f->objective_us;
-	f->item.give_up_us =
-		MIN(now_us + limit_us, f->deadline_us - REMAINING_MIN_US);
 	adm_add(f->edge->queue, &f->item);
 	set_timer_at(f, now_us + QUEUE_POLL_US);
 	return true;
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -825,3 +825,308 @@
 		[&] { return system.put(table(8)) == 200; }));
 	EXPECT_TRUE(all_have(table(8)));
 }
+
+namespace
+{
+
+const char *const LEAVING = "Server-Leaving: 1\r\n";
+
+/* Kinds of answers in which a runner says that it leaves. */
+enum class Kind {
+	SUCCESS,
+	FAILURE,
+	REFUSAL,
+	RAN_503,
+	NOT_HERE,
+	CUT_BODY,
+	STREAM,
+	CUT_STREAM,
+};
+
+/* Two runners, of which a is faster, so that it gets what both can serve. */
+class PlatformHint : public Platform
+{
+      protected:
+	std::atomic<int> answered{ 0 }; /* by a, without the probes */
+
+	/* Sets the answer of a to all requests but the probes. */
+	void answer_as(const Runner::Handler &handler)
+	{
+		a.handler = [this, handler](Socket &s, const Message &m) {
+			if (m.field("X-Attempt-Id") == "probe")
+				return ok(a, s, m);
+			answered++;
+			return handler(s, m);
+		};
+		b.handler = [this](Socket &s, const Message &m) {
+			usleep(30000);
+			return ok(b, s, m);
+		};
+	}
+	static bool ok(Runner &r, Socket &s, const Message &m)
+	{
+		return s.send(answer(200, r.seal() + Runner::echo(m),
+				     "from " + r.id));
+	}
+	/* Refuses a request and asks for a pause. */
+	static bool pause(Socket &s, const Message &m, const std::string &value)
+	{
+		return s.send(answer(503,
+				     "X-Not-Executed: 1\r\nRetry-After: " +
+					     value + "\r\n" + Runner::echo(m),
+				     ""));
+	}
+	static double retry_after(const Message &m)
+	{
+		return atof(m.field("Retry-After").c_str());
+	}
+};
+
+class PlatformLeaving : public PlatformHint,
+			public ::testing::WithParamInterface<Kind>
+{
+      protected:
+	bool is_stream() const
+	{
+		return GetParam() == Kind::STREAM ||
+		       GetParam() == Kind::CUT_STREAM;
+	}
+	bool answer_leaving(Socket &s, const Message &m)
+	{
+		std::string echo = Runner::echo(m) + LEAVING;
+		std::string fields = a.seal() + echo;
+		std::string head = stream_head(a, m);
+
+		head.insert(head.size() - 2, LEAVING);
+		switch (GetParam()) {
+		case Kind::SUCCESS:
+			return s.send(answer(200, fields, "from a"));
+		case Kind::FAILURE:
+			return s.send(answer(500, fields, ""));
+		case Kind::REFUSAL:
+			return s.send(answer(
+				503, "X-Not-Executed: 1\r\n" + echo, ""));
+		case Kind::RAN_503:
+			return s.send(answer(503, fields, ""));
+		case Kind::NOT_HERE:
+			return s.send(answer(421, echo, ""));
+		case Kind::CUT_BODY:
+			s.send("HTTP/1.1 200 OK\r\n" + fields +
+			       "Content-Length: 100\r\n\r\nhalf");
+			return false;
+		case Kind::STREAM:
+			return s.send(head + chunk(event(1)) + "0\r\n\r\n");
+		case Kind::CUT_STREAM:
+			s.send(head + chunk(event(1)));
+			return false;
+		}
+		return false;
+	}
+};
+
+} // namespace
+
+TEST_P(PlatformLeaving, RunnerThatSaysSoGetsNoNewRequest)
+{
+	answer_as([this](Socket &s, const Message &m) {
+		return answer_leaving(s, m);
+	});
+	add_both();
+	const char *path = is_stream() ? "/flow/x" : "/safe/x";
+	for (int i = 0; i < 20 && !answered; i++)
+		EXPECT_EQ(system.send("GET", path, ID).count("Server-Leaving"),
+			  0u);
+	ASSERT_EQ(answered, 1);
+	for (int i = 0; i < 30; i++)
+		EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 200);
+	EXPECT_EQ(answered, 1) << system.logs();
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, PlatformLeaving,
+			 ::testing::Values(Kind::SUCCESS, Kind::FAILURE,
+					   Kind::REFUSAL, Kind::RAN_503,
+					   Kind::NOT_HERE, Kind::CUT_BODY,
+					   Kind::STREAM, Kind::CUT_STREAM));
+
+TEST_F(PlatformHint, LeavingIsHeededFromTheHeadOfAStreamOn)
+{
+	std::atomic<bool> go_on{ false };
+
+	answer_as([&](Socket &s, const Message &m) {
+		std::string head = stream_head(a, m);
+
+		head.insert(head.size() - 2, LEAVING);
+		s.send(head + chunk(event(1)));
+		while (!go_on)
+			usleep(1000);
+		return s.send(chunk(event(2)) + "0\r\n\r\n");
+	});
+	add_both();
+	Socket caller;
+	Message m;
+	ASSERT_TRUE(caller.connect_to(system.entry().front));
+	ASSERT_TRUE(caller.send(request("GET", "/flow/x", "host.example", ID)));
+	ASSERT_TRUE(caller.fill(2000)); /* the head has been passed on */
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 200);
+	go_on = true;
+	ASSERT_TRUE(caller.read(&m));
+	EXPECT_EQ(m.body, event(1) + event(2));
+	EXPECT_EQ(answered, 1);
+}
+
+TEST_F(PlatformHint, LeavingOnlyRunnerRefusesNothingItself)
+{
+	answer_as([this](Socket &s, const Message &m) {
+		return s.send(answer(200, a.seal() + Runner::echo(m) + LEAVING,
+				     "last"));
+	});
+	add_a();
+	EXPECT_EQ(system.send("GET", "/safe/x", ID).body, "last");
+	Message m = system.send("POST", "/once/x", ID, "book");
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_GT(retry_after(m), 0);
+	EXPECT_EQ(answered, 1);
+}
+
+TEST_F(PlatformHint, ReplacementOfALeavingRunnerGetsRequests)
+{
+	answer_as([this](Socket &s, const Message &m) {
+		return s.send(answer(200,
+				     a.seal() + Runner::echo(m) +
+					     (answered == 1 ? LEAVING : ""),
+				     "from a"));
+	});
+	add_a();
+	EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 200);
+	EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 503);
+	a.born++; /* another process at the same address */
+	EXPECT_TRUE(System::eventually([&] {
+		return system.send("GET", "/safe/x", ID).status() == 200;
+	})) << system.logs();
+}
+
+TEST_F(PlatformHint, PausedRunnerGetsNothingUntilThePauseEnds)
+{
+	std::atomic<int64_t> refused_ms{ 0 };
+	std::mutex lock;
+	std::vector<int64_t> after_ms; /* from the refusal to each request */
+
+	answer_as([&](Socket &s, const Message &m) {
+		std::lock_guard<std::mutex> guard(lock);
+
+		if (!refused_ms) {
+			refused_ms = proc_now_ms();
+			return pause(s, m, "1.25");
+		}
+		after_ms.push_back(proc_now_ms() - refused_ms);
+		return ok(a, s, m);
+	});
+	add_both();
+	for (int64_t end = proc_now_ms() + 3000; proc_now_ms() < end;)
+		EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 200);
+	std::lock_guard<std::mutex> guard(lock);
+	ASSERT_FALSE(after_ms.empty());
+	EXPECT_GE(after_ms[0], 1250) << system.logs();
+	EXPECT_LT(after_ms[0], 2000);
+}
+
+TEST_F(PlatformHint, PauseInThe503OfARequestThatRanCounts)
+{
+	answer_as([this](Socket &s, const Message &m) {
+		return s.send(answer(
+			503, a.seal() + Runner::echo(m) + "Retry-After: 30\r\n",
+			"ran"));
+	});
+	add_both();
+	Message m = system.send("POST", "/once/x", ID, "book");
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_EQ(m.body, "ran"); /* it has run, so it is not repeated */
+	EXPECT_EQ(m.count("X-Server-Seal"), 1u);
+	EXPECT_EQ(m.count("Retry-After"), 0u);
+	EXPECT_TRUE(requests(b).empty());
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(system.send("POST", "/once/x", ID, "book").status(),
+			  200);
+	EXPECT_EQ(answered, 1);
+}
+
+TEST_F(PlatformHint, RefusalSaysWhenTheOnlyPauseEnds)
+{
+	answer_as(
+		[](Socket &s, const Message &m) { return pause(s, m, "20"); });
+	add_a();
+	Message m = system.send("GET", "/safe/x", ID);
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_GE(retry_after(m), 19);
+	int64_t start = proc_now_ms();
+	m = system.send("GET", "/safe/x", ID);
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_GE(retry_after(m), 18);
+	EXPECT_LT(proc_now_ms() - start, 200); /* not queued in vain */
+	EXPECT_EQ(answered, 1);
+}
+
+TEST_F(PlatformHint, ShortPauseIsWaitedOut)
+{
+	answer_as([this](Socket &s, const Message &m) {
+		return answered == 1 ? pause(s, m, "0.15") : ok(a, s, m);
+	});
+	add_a();
+	EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 503);
+	EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 200);
+	EXPECT_EQ(answered, 2);
+}
+
+TEST_F(PlatformHint, MalformedPauseIsNoPause)
+{
+	answer_as([this](Socket &s, const Message &m) {
+		return answered == 1 ? pause(s, m, "soon") : ok(a, s, m);
+	});
+	add_a();
+	EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 503);
+	EXPECT_TRUE(System::eventually(
+		[&] {
+			return system.send("GET", "/safe/x", ID).status() ==
+			       200;
+		},
+		1000));
+}
+
+TEST_F(PlatformEngine, LeavingInAnswersToTheLeaderReachesEntries)
+{
+	serve(model("m1"));
+	auto send = [&] {
+		return system.send("POST", "/model/x",
+				   "X-Attempt-Id: a1\r\nX-Model: m1\r\n");
+	};
+	ASSERT_TRUE(System::eventually([&] { return send().status() == 200; }))
+		<< system.logs();
+	engine.leaving_reports = true;
+	EXPECT_TRUE(System::eventually([&] { return send().status() == 503; },
+				       5000))
+		<< system.logs();
+}
+
+TEST_F(PlatformEngine, ModelWhoseOnlyCopyIsPausedGetsASecondOne)
+{
+	Runner other("engine", "i-f", true);
+
+	engine.handler = [this](Socket &s, const Message &m) {
+		return s.send(
+			answer(503,
+			       "X-Not-Executed: 1\r\nRetry-After: 60\r\n" +
+				       Runner::echo(m),
+			       ""));
+	};
+	serve(model("m1"));
+	ASSERT_TRUE(System::eventually([&] { return has_loaded("m1"); }))
+		<< system.logs();
+	other.beat(system.instances[0].api);
+	EXPECT_TRUE(System::eventually([&] {
+		return system.send("POST", "/model/x",
+				   "X-Attempt-Id: a1\r\nX-Model: m1\r\n")
+			       .status() == 200;
+	})) << system.logs();
+	EXPECT_LE(engine.n_ran(), 1u);
+}
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -413,6 +413,9 @@
 	/* Reports are answered with spaces without end, counted below. */
 	std::atomic<bool> endless_reports{ false };
 	std::atomic<size_t> endless_bytes{ 0 };
+	std::atomic<bool> leaving_reports{ false }; /* reports say leaving */
+	std::atomic<bool> paused_reports{ false };  /* 503, wait 2 s */
+	std::atomic<size_t> reports{ 0 };
 	uint64_t sequence = 0;
 	bool overloaded = false; /* an order exceeded memory or places */
 	size_t orders = 0;
@@ -469,7 +472,7 @@
 		if (m.target() == "/dandelionspar/report" && endless_reports)
 			return send_endless(socket);
 		if (m.target() == "/dandelionspar/report")
-			return socket.send(answer(200, "", report()));
+			return answer_report(socket);
 		if (m.target() == "/dandelionspar/order") {
 			int status = execute_order(m.body);
 
@@ -490,6 +493,16 @@
 		return socket.send(answer(200, seal() + echo(m),
 					  "from " + id + ": " + m.body));
 	}
+	bool answer_report(Socket &socket)
+	{
+		reports++;
+		if (paused_reports)
+			return socket.send(
+				answer(503, "Retry-After: 2\r\n", ""));
+		return socket.send(answer(
+			200, leaving_reports ? "Server-Leaving: 1\r\n" : "",
+			report()));
+	}
 	bool send_endless(Socket &socket)
 	{
 		std::string bytes(65536, ' ');
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -35,6 +35,14 @@
 {
 }
 
+/* Counts what the instance reports of endpoints that leave. */
+static int reported_leaving;
+
+extern "C" void ctl_observed_load(struct ctl *, const Dsp__LoadReport *report)
+{
+	reported_leaving += report->leaving;
+}
+
 using namespace platform;
 
 namespace
@@ -59,6 +67,7 @@
 		edge.base = event_base_new();
 		edge.client = hio_client_new(edge.base, edge.clock);
 		edge.view = view_new_empty();
+		edge.bal = bal_new();
 		edge.agent = agent_new(&edge);
 		leadership = {};
 		leadership.leads = true;
@@ -68,6 +77,7 @@
 	void TearDown() override
 	{
 		agent_free(edge.agent);
+		bal_free(edge.bal);
 		hio_client_free(edge.client);
 		view_unref(edge.view);
 		event_base_free(edge.base);
@@ -120,6 +130,7 @@
 		/* The agent still points to the route table of the old view. */
 		old_views.push_back(edge.view);
 		edge.view = next;
+		bal_set_view(edge.bal, next, "core0");
 		agent_view_changed(edge.agent);
 	}
 	void add_demand(int adapter)
@@ -212,3 +223,42 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(AnswerAfterTheTick, Agent, ::testing::Bool());
+
+using AgentHint = Agent;
+
+TEST_F(AgentHint, PausedEngineGetsNoCallUntilThePauseEnds)
+{
+	put_table(table(1, "", model("m", 30)));
+	put_engine();
+	refresh();
+	engine.paused_reports = true;
+	ASSERT_TRUE(run_until([&] { return engine.reports == 1; }));
+	int64_t start = proc_now_ms();
+	engine.paused_reports = false;
+	run_until([&] { return proc_now_ms() - start > 1900; });
+	EXPECT_EQ(engine.reports, 1u);
+	EXPECT_EQ(orders(), 0u);
+	EXPECT_TRUE(run_until([&] { return engine.reports > 1; }));
+	for (auto *view : old_views)
+		view_unref(view);
+}
+
+TEST_F(AgentHint, EngineThatSaysThatItLeavesGetsNoOrder)
+{
+	reported_leaving = 0;
+	put_table(table(1, "", model("m", 30)));
+	put_engine();
+	refresh();
+	engine.leaving_reports = true;
+	ASSERT_TRUE(run_until([&] { return engine.reports == 1; }));
+	ASSERT_TRUE(run_until([&] { return reported_leaving > 0; }));
+	for (int i = 0; i < 200; i++) {
+		add_demand(1);
+		agent_tick(edge.agent, clk_now_us(edge.clock));
+		run_loop(10);
+	}
+	EXPECT_EQ(orders(), 0u);
+	EXPECT_EQ(engine.reports, 1u);
+	for (auto *view : old_views)
+		view_unref(view);
+}
