ctl: the log has a change of the route table as a change

The leader now proposes the change, with the document as pieces of the one before, and digests of both results. It does so only if the table in force will be the base at that place in the log (its own log is applied, no other table on its way) and if all members say that they read such entries; else the whole table as before. A replica that does not reach the digest refuses the command and keeps its table. A replica's own view takes the changes, too.

The line table_proposed has the form, its bytes, those of the whole, and why a whole table was needed.

Counted: the entry for one timeout of 6,000 routes is below 600 bytes (ChangeOfOneTimeoutIsASmallEntry).

--- a/src/core/st.c
+++ b/src/core/st.c
@@ -158,6 +158,8 @@
 		return node_down(ctx, command->node_down);
 	case DSP__COMMAND__BODY_ROUTE_TABLE_PUT:
 		return table_put(ctx, command->route_table_put);
+	case DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT:
+		return table_change_put(ctx, command->route_table_change_put);
 	case DSP__COMMAND__BODY_ROUTE_TABLE_GET:
 		return table_get(ctx);
 	case DSP__COMMAND__BODY_EXPIRE:
--- a/src/core/st.h
+++ b/src/core/st.h
@@ -42,6 +42,10 @@
 const Dsp__Document *st_document(const struct st *ctx, const char *team);
 size_t st_documents(const struct st *ctx, const Dsp__Document ***out);
 const Dsp__RouteTable *st_route_table(const struct st *ctx);
+/* NULL: the change would not be smaller than the table. */
+Dsp__RouteTableChangePut *st_table_change(const struct st *ctx,
+					  const Dsp__RouteTable *table,
+					  uint64_t index);
 bool st_same_copies(const Dsp__Endpoint *a, const Dsp__Endpoint *b);
 const Dsp__Endpoint *st_endpoint(const struct st *ctx, const char *id);
 size_t st_endpoints(const struct st *ctx, const Dsp__Endpoint ***out);
@@ -62,5 +66,9 @@
 /* from_index 0: the whole view. The caller frees the update with
  * dsp__view_update__free_unpacked(). */
 Dsp__ViewUpdate *st_view_since(const struct st *ctx, uint64_t from_index);
+/* The same for a reader that has the route table of an index, and gets the
+ * changes since, if they are known. */
+Dsp__ViewUpdate *st_view_since_table(const struct st *ctx, uint64_t from_index,
+				     uint64_t table_index);
 
 #endif
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -191,7 +191,8 @@
 	struct clm *claims;
 
 	struct item table_item;
-	Dsp__RouteTable *table; /* without its source; NULL: none yet */
+	struct tbl *tbl;	      /* NULL: none yet */
+	const Dsp__RouteTable *table; /* of tbl */
 	ProtobufCBinaryData table_source;
 };
 
@@ -223,6 +224,8 @@
 
 /* st_table.c */
 Dsp__CommandResult *table_put(struct st *ctx, const Dsp__RouteTablePut *cmd);
+Dsp__CommandResult *table_change_put(struct st *ctx,
+				     const Dsp__RouteTableChangePut *cmd);
 Dsp__CommandResult *table_get(const struct st *ctx);
 void table_restore(struct st *ctx, const Dsp__RouteTable *table);
 void table_clear(struct st *ctx);
--- a/src/core/st_view.c
+++ b/src/core/st_view.c
@@ -2,6 +2,7 @@
 
 #include "base/msg.h"
 #include "core/st_private.h"
+#include "core/tbl.h"
 
 /* Moves a record to the end of the change list at the current index. */
 void item_touch(struct st *ctx, struct item *item)
@@ -156,13 +157,36 @@
 	return record;
 }
 
+/* Returns the record of the route table as changes of the one of an index, or
+ * NULL if they are not known. */
+static Dsp__ViewRecord *table_record_new(const struct st *ctx,
+					 uint64_t table_index)
+{
+	const struct item *item = &ctx->table_item;
+	Dsp__RouteTableSteps *steps = tbl_since(ctx->tbl, table_index);
+	Dsp__ViewRecord *record;
+
+	if (!steps)
+		return NULL;
+	record = g_new(Dsp__ViewRecord, 1);
+	dsp__view_record__init(record);
+	record->index = item->index;
+	record->kind = item->kind;
+	record->key = g_strdup(item->key);
+	record->body_case = DSP__VIEW_RECORD__BODY_ROUTE_TABLE_STEPS;
+	record->route_table_steps = steps;
+	return record;
+}
+
 /*
  * Returns a new update with all records changed after from_index, removed ones
  * included, or the whole view (reset) if from_index is 0, below the tombstone
  * floor or above the index of this state. An incremental update costs time in
- * proportion to the records returned.
+ * proportion to the records returned. A reader that has the route table of
+ * table_index gets the changes since, if they are known; 0: it has none.
  */
-Dsp__ViewUpdate *st_view_since(const struct st *ctx, uint64_t from_index)
+Dsp__ViewUpdate *st_view_since_table(const struct st *ctx, uint64_t from_index,
+				     uint64_t table_index)
 {
 	bool reset = !from_index || from_index < ctx->tombstone_floor ||
 		     from_index > ctx->index;
@@ -176,13 +200,23 @@
 	update->reset = reset;
 	TAILQ_FOREACH_REVERSE(item, &ctx->items, item_list, link)
 	{
+		Dsp__ViewRecord *record = NULL;
+
 		if (!reset && item->index <= from_index)
 			break;
 		if (reset && !item->msg)
 			continue;
-		g_ptr_array_add(records, record_new(item));
+		if (item == &ctx->table_item && table_index)
+			record = table_record_new(ctx, table_index);
+		g_ptr_array_add(records, record ? record : record_new(item));
 	}
 	update->n_records = records->len;
 	update->records = (Dsp__ViewRecord **)g_ptr_array_free(records, FALSE);
 	return update;
 }
+
+/* As st_view_since_table(), with the whole route table. */
+Dsp__ViewUpdate *st_view_since(const struct st *ctx, uint64_t from_index)
+{
+	return st_view_since_table(ctx, from_index, 0);
+}
--- a/src/core/tbl.c
+++ b/src/core/tbl.c
@@ -291,7 +291,7 @@
 	struct tbl *ctx =
 		version_new(table->number, table->index, table->n_routes);
 	GHashTable *known = g_hash_table_new(route_hash, route_equal);
-	size_t *from = g_new(size_t, table->n_routes + 1);
+	size_t *from = g_new0(size_t, table->n_routes + 1);
 
 	for (size_t i = 0; base && i < base->table.n_routes; i++)
 		g_hash_table_insert(known, base->routes[i], (void *)(i + 1));
@@ -301,11 +301,13 @@
 
 		wanted.hash = hash_of(table->routes[i], &wanted.len);
 		at = (size_t)g_hash_table_lookup(known, &wanted);
+		/* A change takes each route of its base once. */
+		g_hash_table_remove(known, &wanted);
 		from[i] = at - 1; /* SIZE_MAX: unknown */
 		ctx->n_copied += !at;
-		append(ctx, at ? route_ref(base->routes[at - 1])
-			       : route_new(table->routes[i], wanted.hash,
-					   wanted.len));
+		append(ctx, base && at ? route_ref(base->routes[at - 1])
+				       : route_new(table->routes[i],
+						   wanted.hash, wanted.len));
 	}
 	copy_rest(ctx, table->services, table->n_services, table->limits);
 	if (base)
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -155,6 +155,9 @@
 /* ---- Downstream instances (ctl_report.c) ---- */
 
 /* An instance that reports to this one and gets view updates from it. */
+/* Newest format of log entries that this version reads. */
+#define CTL_LOG_FORMAT 1
+
 struct ctl_child {
 	char *node;    /* owned */
 	char *address; /* owned */
@@ -261,6 +264,7 @@
 	uint64_t replica;
 	uint64_t group;
 	uint64_t applied_index;
+	uint64_t table_proposed; /* index of the last table proposed here */
 	uint64_t applied_term;
 	Dsp__RaftConfig *applied_config;
 	bool disk_failed;
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -568,6 +568,89 @@
 	}
 }
 
+/* Returns true if all members of the group read a format of log entries, as far
+ * as their reports say. */
+static bool members_read(const struct ctl *ctx, uint32_t format)
+{
+	const Dsp__RaftConfig *config = raft_config(ctx->raft);
+	const Dsp__Node **nodes;
+	size_t n = st_nodes(ctx->st, &nodes);
+	size_t n_read = 0;
+
+	for (size_t i = 0; i < config->n_members; i++)
+		for (size_t k = 0; k < n; k++)
+			if (!strcmp(config->members[i]->node, nodes[k]->id))
+				n_read += nodes[k]->log_format >= format;
+	g_free(nodes);
+	return n_read == config->n_members;
+}
+
+/*
+ * Returns a new command that changes the table in force to the one of a
+ * command, or NULL if the log needs the whole table. The base must be what all
+ * replicas have in force before the entry, so no other table may be on its way.
+ */
+static Dsp__RouteTableChangePut *table_change(struct ctl *ctx,
+					      const Dsp__Command *command)
+{
+	const Dsp__RouteTable *table = command->route_table_put->table;
+	Dsp__RouteTableChangePut *change = NULL;
+	const char *reason = "none";
+
+	if (!table)
+		return NULL;
+	if (!ctx->ready_leader || ctx->table_proposed > ctx->applied_index)
+		reason = "other_on_its_way";
+	else if (!members_read(ctx, CTL_LOG_FORMAT))
+		reason = "members_of_before";
+	else if (!(change = st_table_change(ctx->st, table,
+					    raft_last_index(ctx->raft) + 1)))
+		reason = "large_or_first";
+	LOG_EVENT_INFO(
+		"ctl", "table_proposed",
+		"number=%" G_GUINT64_FORMAT
+		" routes=%zu form=%s whole_for=%s bytes=%zu"
+		" whole_bytes=%zu",
+		table->number, table->n_routes, change ? "change" : "whole",
+		reason,
+		change ? dsp__route_table_change_put__get_packed_size(change)
+		       : 0,
+		dsp__route_table__get_packed_size(table));
+	return change;
+}
+
+/* Appends a command to the log; returns its index, or 0. */
+static uint64_t append_command(struct ctl *ctx, const Dsp__Command *command)
+{
+	size_t len = dsp__command__get_packed_size(command);
+	uint8_t *data = g_malloc(len + 1);
+	uint64_t index;
+
+	dsp__command__pack(command, data);
+	index = raft_propose(ctx->raft, data, len);
+	g_free(data);
+	return index;
+}
+
+static uint64_t append_table(struct ctl *ctx, const Dsp__Command *command)
+{
+	Dsp__RouteTableChangePut *change = table_change(ctx, command);
+	Dsp__Command smaller = DSP__COMMAND__INIT;
+	uint64_t index;
+
+	if (!change) {
+		index = append_command(ctx, command);
+	} else {
+		smaller.wall_ms = command->wall_ms;
+		smaller.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT;
+		smaller.route_table_change_put = change;
+		index = append_command(ctx, &smaller);
+		dsp__route_table_change_put__free_unpacked(change, NULL);
+	}
+	ctx->table_proposed = MAX(ctx->table_proposed, index);
+	return index;
+}
+
 /*
  * Appends a command to the log. On success the waiter is finished once the
  * outcome is known; otherwise the caller keeps it.
@@ -575,19 +658,16 @@
 bool ctl_raft_propose(struct ctl *ctx, Dsp__Command *command,
 		      struct ctl_waiter *waiter)
 {
-	uint8_t *data;
-	size_t len;
 	uint64_t index;
 
 	if (!ctl_raft_is_leader(ctx))
 		return false;
 	command->wall_ms =
 		(uint64_t)MAX(clk_wall_ms(ctx->clock), st_wall_ms(ctx->st));
-	len = dsp__command__get_packed_size(command);
-	data = g_malloc(len + 1);
-	dsp__command__pack(command, data);
-	index = raft_propose(ctx->raft, data, len);
-	g_free(data);
+	if (command->body_case == DSP__COMMAND__BODY_ROUTE_TABLE_PUT)
+		index = append_table(ctx, command);
+	else
+		index = append_command(ctx, command);
 	if (!index)
 		return false;
 	waiter->index = index;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -370,6 +370,7 @@
 	node->weight = set->weight;
 	node->control = set->control;
 	node->draining = ctl_is_draining(ctx);
+	node->log_format = CTL_LOG_FORMAT;
 	status->node = node;
 	status->view_index = view_index(ctx->view);
 	status->streams = ctx->cb.streams ? ctx->cb.streams(ctx->cb.data) : 0;
@@ -810,7 +811,8 @@
 	ctx->view_dirty = false;
 	if (st_index(ctx->st) <= view_index(ctx->view))
 		return; /* upstream was faster, or the log is replayed */
-	update = st_view_since(ctx->st, view_index(ctx->view));
+	update = st_view_since_table(ctx->st, view_index(ctx->view),
+				     table_index(ctx));
 	view = view_apply(ctx->view, update);
 	if (view)
 		ctl_set_view(ctx, view);
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -744,6 +744,31 @@
 	EXPECT_LT(change, 2 * idle + entries * 2000);
 }
 
+/* Guards against a change of one timeout that is written to each replica's log
+ * as the whole table. */
+TEST_F(Control, ChangeOfOneRouteIsASmallLogEntry)
+{
+	const char *log = "dandelionspar_log_bytes";
+	const size_t routes = 3000;
+	auto log_bytes = [&] {
+		/* The gauge is set in intervals. */
+		usleep(2500000);
+		return met_value(all[0]->met, log, "");
+	};
+	uint64_t before;
+
+	create(3, 1);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve() && leader(); }));
+	before = log_bytes();
+	ASSERT_TRUE(put_table(*all[0], 1, routes));
+	EXPECT_GT(log_bytes() - before, routes * 40);
+	before = log_bytes();
+	ASSERT_TRUE(put_table(*all[1], 2, routes, 2000));
+	EXPECT_LT(log_bytes() - before, 5000u);
+	EXPECT_EQ(get_table(*all[2], 2000000), 2u);
+}
+
 /* Sites with one voter and two entries each; the voters are connected through
  * proxies. */
 class ControlSites : public Control
--- a/tests/unit/tbl_test.cc
+++ b/tests/unit/tbl_test.cc
@@ -9,7 +9,9 @@
 
 extern "C" {
 #include "core/rtab.h"
+#include "core/st.h"
 #include "core/tbl.h"
+#include "core/txt.h"
 #include "core/view.h"
 }
 
@@ -417,4 +419,214 @@
 	}
 }
 
+using State = std::unique_ptr<struct st, void (*)(struct st *)>;
+
+/* The operator's document, in a form of its own. */
+void set_source(Dsp__RouteTable *table)
+{
+	std::string text = "{\"version\":" + std::to_string(table->number) +
+			   ",\"routes\":[";
+
+	for (size_t i = 0; i < table->n_routes; i++)
+		text += std::string(i ? "," : "") + "{\"name\":\"" +
+			table->routes[i]->name + "\",\"timeoutMs\":" +
+			std::to_string(table->routes[i]->timeout_ms) + "}";
+	text += "]}";
+	table->source.len = text.size();
+	table->source.data = (uint8_t *)g_memdup2(text.data(), text.size());
+}
+
+Dsp__ResultCode apply(struct st *st, uint64_t index, Dsp__Command *command)
+{
+	Dsp__CommandResult *result;
+	Dsp__ResultCode code;
+
+	command->wall_ms = 1700000000000 + index;
+	result = st_apply(st, index, command);
+	code = result->code;
+	dsp__command_result__free_unpacked(result, nullptr);
+	return code;
+}
+
+Dsp__ResultCode put(struct st *st, uint64_t index, Dsp__RouteTable *table)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__RouteTablePut body = DSP__ROUTE_TABLE_PUT__INIT;
+
+	body.table = table;
+	command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
+	command.route_table_put = &body;
+	return apply(st, index, &command);
+}
+
+Dsp__ResultCode put_change(struct st *st, uint64_t index,
+			   Dsp__RouteTableChangePut *body)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+
+	command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT;
+	command.route_table_change_put = body;
+	return apply(st, index, &command);
+}
+
+using Change = std::unique_ptr<Dsp__RouteTableChangePut,
+			       void (*)(Dsp__RouteTableChangePut *)>;
+
+Change change_to(struct st *st, const Dsp__RouteTable *table, uint64_t index)
+{
+	return { st_table_change(st, table, index),
+		 [](Dsp__RouteTableChangePut *c) {
+			 if (c)
+				 dsp__route_table_change_put__free_unpacked(
+					 c, nullptr);
+		 } };
+}
+
+std::string snapshot(const struct st *st)
+{
+	size_t len;
+	uint8_t *data = st_snapshot(st, &len);
+	std::string text((char *)data, len);
+
+	g_free(data);
+	return text;
+}
+
+/* Guards against a log entry whose size follows the table: one timeout of 6,000
+ * took 1.9 MB to each replica. */
+TEST(TableLog, ChangeOfOneTimeoutIsASmallEntry)
+{
+	Operator op(6000);
+	State st(st_new(nullptr), st_free);
+	Table first = op.next(0);
+
+	set_source(first.get());
+	ASSERT_FALSE(change_to(st.get(), first.get(), 1));
+	ASSERT_EQ(put(st.get(), 1, first.get()), DSP__RESULT_CODE__RESULT_OK);
+	op.routes[3000].timeout_ms = 2000;
+	Table second = op.next(0);
+	set_source(second.get());
+	Change change = change_to(st.get(), second.get(), 2);
+	ASSERT_TRUE(change);
+	EXPECT_LT(dsp__route_table_change_put__get_packed_size(change.get()),
+		  600u);
+	EXPECT_EQ(put_change(st.get(), 2, change.get()),
+		  DSP__RESULT_CODE__RESULT_OK);
+}
+
+/* Guards against replicas that differ: of those that apply tables, changes, and
+ * changes on top of a snapshot. */
+TEST(TableLog, ChangesLeadToTheSameState)
+{
+	size_t n_changes = 0;
+
+	for (unsigned seed = 1; seed <= 30; seed++) {
+		std::mt19937 random(seed);
+		auto below = [&](size_t n) { return random() % n; };
+		Operator op(50 + below(100));
+		State whole(st_new(nullptr), st_free);
+		State changed(st_new(nullptr), st_free);
+		View view(view_new_empty(), view_unref);
+		size_t id = 1000;
+
+		for (uint64_t index = 1; index <= 40; index++) {
+			for (size_t k = below(3); k; k--)
+				op.routes.insert(
+					op.routes.begin() +
+						below(op.routes.size()),
+					{ id++, 1 });
+			for (size_t k = below(3); k && op.routes.size() > 1;
+			     k--)
+				op.routes.erase(op.routes.begin() +
+						below(op.routes.size()));
+			if (!below(8))
+				for (RouteText &route : op.routes)
+					route.timeout_ms++;
+			/* The same route twice, which no checked table has. */
+			if (!below(8))
+				op.routes.push_back(op.routes[0]);
+			op.routes[below(op.routes.size())].timeout_ms++;
+			Table table = op.next(0);
+			set_source(table.get());
+			Change change =
+				change_to(changed.get(), table.get(), index);
+			ASSERT_EQ(put(whole.get(), index, table.get()),
+				  DSP__RESULT_CODE__RESULT_OK);
+			if (change) {
+				n_changes++;
+				ASSERT_EQ(put_change(changed.get(), index,
+						     change.get()),
+					  DSP__RESULT_CODE__RESULT_OK);
+			} else {
+				ASSERT_EQ(
+					put(changed.get(), index, table.get()),
+					DSP__RESULT_CODE__RESULT_OK);
+			}
+			ASSERT_EQ(snapshot(whole.get()),
+				  snapshot(changed.get()))
+				<< "seed " << seed << " index " << index;
+			Update update = own(st_view_since_table(
+				changed.get(), view_index(view.get()),
+				table_index(view.get())));
+			view.reset(view_apply(view.get(), update.get()));
+			ASSERT_TRUE(view);
+			ASSERT_EQ(packed(view_route_table(view.get())),
+				  packed(st_route_table(whole.get())));
+			if (!below(5)) {
+				std::string data = snapshot(changed.get());
+
+				changed.reset(st_new(nullptr));
+				ASSERT_TRUE(st_restore(changed.get(),
+						       (uint8_t *)data.data(),
+						       data.size()));
+			}
+		}
+	}
+	EXPECT_GT(n_changes, 500u);
+}
+
+/* Guards against a change that is applied to another table, at another index or
+ * with another result. */
+TEST(TableLog, ChangeThatDoesNotFitHasNoEffect)
+{
+	Operator op(50);
+	State st(st_new(nullptr), st_free);
+	State other(st_new(nullptr), st_free);
+	Table first = op.next(0);
+	uint64_t index = 2;
+
+	set_source(first.get());
+	ASSERT_EQ(put(st.get(), 1, first.get()), DSP__RESULT_CODE__RESULT_OK);
+	op.routes[7].timeout_ms = 9;
+	Table second = op.next(0);
+	set_source(second.get());
+	auto refused = [&](Dsp__RouteTableChangePut *change,
+			   Dsp__ResultCode code) {
+		EXPECT_EQ(put_change(st.get(), index++, change), code);
+		EXPECT_EQ(st_route_table(st.get())->number, 1u);
+	};
+	Change change = change_to(st.get(), second.get(), 99);
+
+	refused(change.get(), DSP__RESULT_CODE__RESULT_STALE);
+	EXPECT_EQ(put_change(other.get(), 1, change.get()),
+		  DSP__RESULT_CODE__RESULT_STALE);
+	change = change_to(st.get(), second.get(), index);
+	change->change->base_index = 7;
+	refused(change.get(), DSP__RESULT_CODE__RESULT_STALE);
+	change = change_to(st.get(), second.get(), index);
+	change->change->digest.data[3]++;
+	refused(change.get(), DSP__RESULT_CODE__RESULT_INVALID);
+	change = change_to(st.get(), second.get(), index);
+	change->source_digest.data[3]++;
+	refused(change.get(), DSP__RESULT_CODE__RESULT_INVALID);
+	change = change_to(st.get(), second.get(), index);
+	change->source[0]->count = UINT64_MAX;
+	refused(change.get(), DSP__RESULT_CODE__RESULT_INVALID);
+	change = change_to(st.get(), second.get(), index);
+	EXPECT_EQ(put_change(st.get(), index++, change.get()),
+		  DSP__RESULT_CODE__RESULT_OK);
+	EXPECT_EQ(put_change(st.get(), index, change.get()),
+		  DSP__RESULT_CODE__RESULT_SAME);
+}
+
 } // namespace
