traffic: heed what endpoints' answers say about further requests

The router leaves such endpoints out, withdraws grants that were not fetched yet, refuses a request at once, with the end of the first pause, where that is after its deadline, and lets it wait otherwise. A request whose grant or claim took its time asks once more before it is sent. Nothing else goes to a paused endpoint either: no probe after a broken connection, no second try there on a new connection, no cancellation.

Not done here: telling the other instances that an endpoint leaves.

--- a/src/core/rt.c
+++ b/src/core/rt.c
@@ -272,6 +272,7 @@
 	ep->avoid_until_us = 0;
 	ep->backoff_us = 0;
 	ep->half_open = false;
+	ep->hint = (struct hint){ 0 };
 	ep->bias = 1.0;
 }
 
@@ -297,6 +298,8 @@
 	ep->slots = rec->max_batch ? rec->max_batch : DEFAULT_SLOTS;
 	if (ep->incarnation != rec->incarnation)
 		ep_restarted(ctx, ep);
+	hint_announced(&ep->hint,
+		       rec->state == DSP__ENDPOINT_STATE__ENDPOINT_LEAVING);
 	links_build(ctx, ep);
 }
 
@@ -321,6 +324,9 @@
 {
 	if (now_us < ep->avoid_until_us || (ep->half_open && ep->in_flight))
 		return false;
+	if (hint_bar(&ep->hint, now_us) != HINT_FREE ||
+	    hint_is_spaced(&ep->hint, now_us))
+		return false;
 	if (ticket->exclude && !strcmp(ticket->exclude, ep->id))
 		return false;
 	return !ticket->suspect || !ep->suspects;
@@ -497,6 +503,7 @@
 	ticket->cost = candidate->cost;
 	ticket->predicted_base_us = candidate->base_us;
 	ticket->predicted_us = (int64_t)candidate->first_us;
+	hint_sent(&ep->hint, now_us);
 	TAILQ_INSERT_TAIL(&ep->tickets, ticket, ep_entry);
 	ep->in_flight++;
 	if (ticket->suspect)
@@ -581,10 +588,11 @@
 }
 
 struct estimate {
-	bool ready;	/* a ready copy that the ticket may use */
-	bool loading;	/* a copy that is not ready yet */
-	double min_us;	/* shortest time on an idle endpoint */
-	double wait_us; /* expected wait in the queue */
+	bool ready;	  /* a ready copy that the ticket may use */
+	bool loading;	  /* a copy that is not ready yet */
+	double min_us;	  /* shortest time on an idle endpoint */
+	double wait_us;	  /* expected wait in the queue */
+	int64_t pause_us; /* until the first endpoint is not paused */
 };
 
 static struct estimate estimate_wait(const struct rt *ctx,
@@ -593,6 +601,7 @@
 {
 	struct estimate out = { .min_us = -1 };
 	int64_t avoid_us = INT64_MAX;
+	int64_t pause_us = INT64_MAX;
 	GPtrArray *links = ticket->pool->links;
 
 	for (guint i = 0; i < links->len; i++) {
@@ -602,13 +611,17 @@
 
 		if (ticket->exclude && !strcmp(ticket->exclude, link->ep->id))
 			continue;
+		if (hint_bar(&link->ep->hint, now_us) == HINT_LEAVING)
+			continue;
 		if (!link->ready) {
 			out.loading = true;
 			continue;
 		}
 		out.ready = true;
+		pause_us = MIN(pause_us, hint_wait_us(&link->ep->hint, now_us));
 		avoid_us = MIN(avoid_us,
-			       MAX(link->ep->avoid_until_us - now_us, 0));
+			       MAX(link->ep->avoid_until_us - now_us,
+				   hint_wait_us(&link->ep->hint, now_us)));
 		rt_predict(ctx, link, ticket, now_us, &candidate);
 		floor = candidate.base_us;
 		if (ticket->whole)
@@ -617,8 +630,10 @@
 			out.min_us = floor;
 	}
 	out.min_us = MAX(out.min_us, 0);
-	if (out.ready)
-		out.wait_us = MAX(queue_wait_us(ctx, ticket), (double)avoid_us);
+	if (!out.ready)
+		return out;
+	out.wait_us = MAX(queue_wait_us(ctx, ticket), (double)avoid_us);
+	out.pause_us = pause_us;
 	return out;
 }
 
@@ -696,7 +711,8 @@
 	case RT_STATE_REFUSED:
 		out->outcome = RT_REFUSE;
 		out->reason = ticket->reason;
-		out->retry_after_us = RETRY_AFTER_MIN_US;
+		out->retry_after_us =
+			MAX(RETRY_AFTER_MIN_US, ticket->retry_after_us);
 		return;
 	case RT_STATE_GRANTED:
 		ticket->state = RT_STATE_DISPATCHED;
@@ -728,6 +744,7 @@
 	*retry_after_us =
 		(int64_t)CLAMP(needed - remaining, (double)RETRY_AFTER_MIN_US,
 			       (double)RETRY_AFTER_MAX_US);
+	*retry_after_us = MAX(*retry_after_us, estimate.pause_us);
 	if (!estimate.ready && !estimate.loading && !ticket->pool->service->up)
 		return RT_REASON_NO_ENDPOINT;
 	if (estimate.loading)
@@ -904,10 +921,12 @@
 	};
 }
 
-static bool grant_valid(const struct rt_ticket *ticket)
+static bool grant_valid(const struct rt_ticket *ticket, int64_t now_us)
 {
 	const struct rt_ep *ep = ticket->ep;
 
+	if (hint_bar(&ep->hint, now_us) != HINT_FREE)
+		return false;
 	for (guint i = 0; ep->rec && i < ep->links->len; i++) {
 		const struct rt_link *link = g_ptr_array_index(ep->links, i);
 
@@ -917,18 +936,50 @@
 	return false;
 }
 
+/* Whether all endpoints that could serve the ticket are paused for longer than
+ * it can wait; sets when the first pause ends. */
+static bool is_paused_too_long(struct rt_ticket *ticket, int64_t now_us)
+{
+	int64_t latest_us = ticket->deadline_us - (int64_t)ticket->min_us;
+	int64_t pause_us = 0;
+
+	for (guint i = 0; i < ticket->pool->links->len; i++) {
+		const struct rt_link *link =
+			g_ptr_array_index(ticket->pool->links, i);
+		int64_t wait_us = hint_wait_us(&link->ep->hint, now_us);
+
+		if ((ticket->exclude &&
+		     !strcmp(ticket->exclude, link->ep->id)) ||
+		    hint_bar(&link->ep->hint, now_us) == HINT_LEAVING)
+			continue;
+		if (!link->ready || !wait_us)
+			return false;
+		pause_us = pause_us ? MIN(pause_us, wait_us) : wait_us;
+	}
+	if (!pause_us || now_us + pause_us <= latest_us)
+		return false;
+	ticket->retry_after_us = pause_us;
+	return true;
+}
+
 static bool cannot_be_served(struct rt_ticket *ticket, int64_t now_us)
 {
 	if ((double)now_us + ticket->min_us > (double)ticket->deadline_us) {
 		ticket->reason = RT_REASON_DEADLINE_UNREACHABLE;
 		return true;
 	}
+	if (is_paused_too_long(ticket, now_us)) {
+		ticket->reason = RT_REASON_DEADLINE_UNREACHABLE;
+		return true;
+	}
 	if (now_us < ticket->no_copy_until_us)
 		return false;
 	for (guint i = 0; i < ticket->pool->links->len; i++) {
 		const struct rt_link *link;
 
 		link = g_ptr_array_index(ticket->pool->links, i);
+		if (hint_bar(&link->ep->hint, now_us) == HINT_LEAVING)
+			continue;
 		if (!ticket->exclude || strcmp(ticket->exclude, link->ep->id))
 			return false;
 	}
@@ -943,7 +994,7 @@
 void rt_poll(struct rt *ctx, struct rt_ticket *ticket, int64_t now_us,
 	     struct rt_decision *out)
 {
-	if (ticket->state == RT_STATE_GRANTED && !grant_valid(ticket)) {
+	if (ticket->state == RT_STATE_GRANTED && !grant_valid(ticket, now_us)) {
 		detach(ticket, now_us);
 		ticket->state = RT_STATE_WAITING;
 		rt_queue_insert(ctx, ticket);
@@ -1052,6 +1103,33 @@
 	ep->avoid_until_us = now_us + ep->backoff_us;
 }
 
+/*
+ * Records what an answer of an endpoint's process said about further requests;
+ * see hint_saw(). Grants that were not fetched yet are withdrawn at the next
+ * rt_poll().
+ */
+unsigned rt_saw_hint(struct rt *ctx, const char *endpoint, uint64_t incarnation,
+		     bool leaving, int64_t pause_us, double jitter,
+		     int64_t now_us)
+{
+	struct rt_ep *ep = g_hash_table_lookup(ctx->eps, endpoint);
+
+	if (!ep || ep->incarnation != incarnation)
+		return 0;
+	return hint_saw(&ep->hint, leaving, pause_us, jitter, now_us);
+}
+
+/* Returns whether the endpoint's process wants no requests. */
+enum hint_bar rt_bar(const struct rt *ctx, const char *endpoint,
+		     uint64_t incarnation, int64_t now_us)
+{
+	const struct rt_ep *ep = g_hash_table_lookup(ctx->eps, endpoint);
+
+	if (!ep || ep->incarnation != incarnation)
+		return HINT_FREE;
+	return hint_bar(&ep->hint, now_us);
+}
+
 /* Returns the latest time at which to ask again for a waiting ticket. */
 int64_t rt_next_us(const struct rt *ctx, const struct rt_ticket *ticket,
 		   int64_t now_us)
--- a/src/core/rt.h
+++ b/src/core/rt.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/hint.h"
 #include "core/view.h"
 
 /*
@@ -78,7 +79,13 @@
 void rt_endpoint_failed(struct rt *ctx, const char *endpoint,
 			uint64_t incarnation, int64_t now_us);
 
+unsigned rt_saw_hint(struct rt *ctx, const char *endpoint, uint64_t incarnation,
+		     bool leaving, int64_t pause_us, double jitter,
+		     int64_t now_us);
+
 /* Queries. */
+enum hint_bar rt_bar(const struct rt *ctx, const char *endpoint,
+		     uint64_t incarnation, int64_t now_us);
 uint32_t rt_in_flight(const struct rt *ctx, const char *endpoint);
 uint32_t rt_waiting(const struct rt *ctx);
 int64_t rt_next_us(const struct rt *ctx, const struct rt_ticket *ticket,
--- a/src/core/rt_int.h
+++ b/src/core/rt_int.h
@@ -50,6 +50,7 @@
 	int64_t avoid_until_us;
 	int64_t backoff_us;
 	bool half_open; /* failed, no success since: one request at a time */
+	struct hint hint;
 
 	double factor;	   /* time per request relative to its models' mean */
 	double service_us; /* mean time that a request occupies a slot */
@@ -159,6 +160,7 @@
 	uint32_t prompt_tokens;
 	uint64_t prefix_hashes[RT_PREFIXES];
 	int64_t no_copy_until_us; /* end of the wait for a first copy */
+	int64_t retry_after_us;	  /* refused: when a pause ends; 0: none */
 	double min_us; /* shortest time to its target on an idle endpoint */
 	double cost;   /* cost units, less the prefix cached on ep */
 	int64_t dispatch_us;
--- a/src/traffic/trf_bg.c
+++ b/src/traffic/trf_bg.c
@@ -225,6 +225,8 @@
 	struct trf_job *job;
 
 	while ((job = next_job(ctx, &ctx->cancels_bg))) {
+		bool paused = trf_route_bar(ctx, job->endpoint,
+					    job->incarnation) == HINT_PAUSED;
 		char *url = g_strdup_printf("%s/v1/requests/%s", job->address,
 					    job->attempt);
 		struct up_request request = {
@@ -235,7 +237,7 @@
 			.total_timeout_us = CANCEL_TIMEOUT_US,
 		};
 
-		if (!up_perform(ctx->up, &request, NULL))
+		if (paused || !up_perform(ctx->up, &request, NULL))
 			LOG_EVENT_DEBUG("trf", "cancel_failed", "attempt=%s",
 					job->attempt);
 		g_free(url);
--- a/src/traffic/trf_int.h
+++ b/src/traffic/trf_int.h
@@ -121,6 +121,10 @@
 void trf_route_done(struct trf *ctx, struct trf_waiter *w, uint32_t tokens,
 		    bool success);
 void trf_route_failed(struct trf *ctx, const struct trf_target *target);
+void trf_route_hint(struct trf *ctx, const struct trf_target *target,
+		    const struct wire_hint *hint);
+enum hint_bar trf_route_bar(struct trf *ctx, const char *endpoint,
+			    uint64_t incarnation);
 void trf_route_first_token(struct trf *ctx, struct trf_waiter *w);
 void trf_route_wake(struct trf *ctx);
 void *trf_route_thread(void *data);
@@ -353,6 +357,7 @@
 /* Answer of a plain service, buffered until it is complete. */
 struct trf_buffered {
 	struct trf *ctx;
+	const struct trf_target *target;
 	const char *attempt;
 	int status;
 	char *content_type;
--- a/src/traffic/trf_plain.c
+++ b/src/traffic/trf_plain.c
@@ -24,6 +24,13 @@
 		b->wrong_attempt = true;
 }
 
+static void on_hint(void *data, const struct wire_hint *hint)
+{
+	struct trf_buffered *b = data;
+
+	trf_route_hint(b->ctx, b->target, hint);
+}
+
 static bool on_data(void *data, const char *bytes, size_t len)
 {
 	struct trf_buffered *b = data;
@@ -83,8 +90,11 @@
 		.data = b,
 		.on_head = on_head,
 		.on_header = on_header,
+		.on_hint = on_hint,
 		.on_data = on_data,
 	};
+	enum hint_bar bar =
+		trf_route_bar(r->ctx, target->id, target->incarnation);
 	bool ok;
 
 	/* The first attempt of an idempotent call leaves time for a retry. */
@@ -92,9 +102,14 @@
 		request.first_byte_timeout_us = MAX(left / 2, 1);
 	memset(b, 0, sizeof(*b));
 	b->ctx = r->ctx;
+	b->target = target;
 	b->attempt = attempt;
 	b->body = g_string_new(NULL);
-	ok = up_perform(r->ctx->up, &request, err);
+	/* The endpoint may have said so since it was chosen. */
+	ok = bar == HINT_FREE && up_perform(r->ctx->up, &request, err);
+	if (bar != HINT_FREE)
+		g_set_error(err, UP_ERROR, UP_ERROR_NOT_SENT,
+			    "the endpoint is %s", hint_bar_name(bar));
 	if (ok && b->wrong_attempt) {
 		g_set_error(err, UP_ERROR, UP_ERROR_BROKEN,
 			    "the answer belongs to another attempt");
--- a/src/traffic/trf_route.c
+++ b/src/traffic/trf_route.c
@@ -1,5 +1,9 @@
 #include "traffic/trf_int.h"
 
+#include "base/log.h"
+#include "platform/wire.h"
+
+#include <inttypes.h>
 #include <string.h>
 #include <time.h>
 
@@ -184,6 +188,54 @@
 	pthread_mutex_unlock(&ctx->rt_lock);
 }
 
+static void count_hint(struct trf *ctx, const struct wire_hint *hint)
+{
+	if (hint->malformed)
+		met_count(ctx->metrics, "dandelionspar_hints_malformed_total",
+			  "", 1);
+	if (hint->pause_us)
+		met_count(ctx->metrics, "dandelionspar_pauses_seen_total", "",
+			  1);
+	if (hint->leaving)
+		met_count(ctx->metrics, "dandelionspar_leaving_seen_total", "",
+			  1);
+}
+
+/* Records what an answer of the endpoint says about further requests. */
+void trf_route_hint(struct trf *ctx, const struct trf_target *target,
+		    const struct wire_hint *hint)
+{
+	unsigned news;
+
+	count_hint(ctx, hint);
+	pthread_mutex_lock(&ctx->rt_lock);
+	news = rt_saw_hint(ctx->rt, target->id, target->incarnation,
+			   hint->leaving, hint->pause_us, g_random_double(),
+			   trf_now(ctx));
+	if (news)
+		trf_route_wake(ctx);
+	pthread_mutex_unlock(&ctx->rt_lock);
+	if (news || hint->malformed)
+		LOG_EVENT_NOTICE("trf", "endpoint_hint",
+				 "endpoint=%s incarnation=%" PRIu64
+				 " leaving=%d pause_us=%" PRId64
+				 " malformed=%d news=%u",
+				 target->id, target->incarnation, hint->leaving,
+				 hint->pause_us, hint->malformed, news);
+}
+
+/* Returns whether the endpoint's process wants no requests now. */
+enum hint_bar trf_route_bar(struct trf *ctx, const char *endpoint,
+			    uint64_t incarnation)
+{
+	enum hint_bar bar;
+
+	pthread_mutex_lock(&ctx->rt_lock);
+	bar = rt_bar(ctx->rt, endpoint, incarnation, trf_now(ctx));
+	pthread_mutex_unlock(&ctx->rt_lock);
+	return bar;
+}
+
 /* Has all waiting requests polled again. The caller holds rt_lock. */
 void trf_route_wake(struct trf *ctx)
 {
--- a/src/traffic/trf_run.c
+++ b/src/traffic/trf_run.c
@@ -281,6 +281,13 @@
 		run->wrong_attempt = true;
 }
 
+static void on_hint(void *data, const struct wire_hint *hint)
+{
+	struct run *run = data;
+
+	trf_route_hint(run->r->ctx, &run->target, hint);
+}
+
 static bool on_data(void *data, const char *bytes, size_t len)
 {
 	struct run *run = data;
@@ -406,6 +413,20 @@
 	return ATTEMPT_BROKEN;
 }
 
+/* Whether the endpoint, since it was chosen, has said that it wants no requests
+ * now. */
+static bool is_barred(const struct run *run)
+{
+	enum hint_bar bar = trf_route_bar(run->r->ctx, run->target.id,
+					  run->target.incarnation);
+
+	if (bar == HINT_FREE)
+		return false;
+	LOG_EVENT_INFO("trf", "not_sent", "attempt=%s endpoint=%s bar=%s",
+		       run->attempt, run->target.id, hint_bar_name(bar));
+	return true;
+}
+
 static enum attempt_result send_attempt(struct run *run, bool fresh)
 {
 	struct trf_request *r = run->r;
@@ -433,11 +454,16 @@
 		.data = run,
 		.on_head = on_head,
 		.on_header = on_header,
+		.on_hint = on_hint,
 		.on_data = on_data,
 		.on_tick = on_idle,
 	};
 
 	reset_attempt(run);
+	if (is_barred(run)) {
+		g_free(url);
+		return ATTEMPT_NOT_RUN;
+	}
 	request.first_byte_timeout_us = first_byte_limit(run, left);
 	g_snprintf(id, sizeof(id), "X-Request-Id: %s", run->attempt);
 	if (run->target.priorities) {
@@ -475,6 +501,8 @@
 	job->kind = TRF_JOB_CANCEL;
 	job->address = g_strdup(run->target.address);
 	job->attempt = g_strdup(run->attempt);
+	job->endpoint = g_strdup(run->target.id);
+	job->incarnation = run->target.incarnation;
 	trf_bg_add(run->r->ctx, job);
 }
 
@@ -633,7 +661,8 @@
 	/* No crash was seen, so the connection is taken to be at fault. If no
 	 * other endpoint has a copy, the same one is tried on a new
 	 * connection. */
-	if (result == ATTEMPT_BROKEN && !r->suspect && !has_other_copy(run))
+	if (result == ATTEMPT_BROKEN && !r->suspect && !has_other_copy(run) &&
+	    !is_barred(run))
 		return true;
 	if (result != ATTEMPT_OVERLOADED)
 		trf_route_failed(r->ctx, &run->target);
--- a/src/traffic/trf_suspect.c
+++ b/src/traffic/trf_suspect.c
@@ -103,8 +103,10 @@
 			     e->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN);
 
 	view_unref(view);
-	return crashed || (target->address[0] &&
-			   up_has_ended(target->address, PROBE_TIMEOUT_US));
+	if (crashed || !target->address[0] ||
+	    trf_route_bar(ctx, target->id, target->incarnation) == HINT_PAUSED)
+		return crashed;
+	return up_has_ended(target->address, PROBE_TIMEOUT_US);
 }
 
 /* Commits that a request was in flight when its endpoint crashed. Returns false
--- a/src/traffic/up.c
+++ b/src/traffic/up.c
@@ -9,6 +9,8 @@
 #include <sys/queue.h>
 #include <time.h>
 
+#include "platform/wire.h"
+
 /* A pooled connection that was idle for longer is closed instead of reused:
  * endpoints close idle connections, and middleboxes drop their state. */
 #define IDLE_MAX_US (10 * 1000000LL)
@@ -45,6 +47,7 @@
 	bool head_done;
 	bool stopped;	      /* on_data returned false */
 	int64_t last_data_us; /* 0: no body byte yet */
+	struct wire_hint hint;
 };
 
 static pthread_once_t global_once = PTHREAD_ONCE_INIT;
@@ -225,6 +228,16 @@
 	return g_strstrip(g_strndup(value, len));
 }
 
+static void end_hint(struct transfer *t)
+{
+	const struct up_request *r = t->request;
+
+	wire_end_hint(t->status, &t->hint);
+	if (r->on_hint &&
+	    (t->hint.leaving || t->hint.pause_us || t->hint.malformed))
+		r->on_hint(r->data, &t->hint);
+}
+
 static size_t on_header(char *bytes, size_t size, size_t n, void *data)
 {
 	struct transfer *t = data;
@@ -238,6 +251,7 @@
 		const char *space = memchr(bytes, ' ', len);
 
 		t->status = space ? (int)strtol(space + 1, NULL, 10) : 0;
+		t->hint = (struct wire_hint){ 0 };
 		g_clear_pointer(&t->content_type, g_free);
 		return len;
 	}
@@ -245,6 +259,7 @@
 		if (t->status < 200)
 			return len;
 		t->head_done = true;
+		end_hint(t);
 		if (r->on_head)
 			r->on_head(r->data, t->status, t->content_type);
 		return len;
@@ -258,6 +273,7 @@
 		g_free(t->content_type);
 		t->content_type = g_strdup(value);
 	}
+	wire_read_hint(name, value, &t->hint);
 	if (r->on_header && t->status >= 200)
 		r->on_header(r->data, name, value);
 	g_free(name);
--- a/src/traffic/up.h
+++ b/src/traffic/up.h
@@ -11,6 +11,7 @@
  * twice is marked fresh: it gets a connection of its own.
  */
 struct up;
+struct wire_hint;
 
 #define UP_ERROR up_error_quark()
 enum up_error {
@@ -39,6 +40,9 @@
 	/* One header of the final answer (not 1xx); called before on_head.
 	 * NULL: none. */
 	void (*on_header)(void *data, const char *name, const char *value);
+	/* What the answer says about further requests, if anything; called
+	 * before on_head. NULL: none. */
+	void (*on_hint)(void *data, const struct wire_hint *hint);
 	/* A part of the body; false stops the transfer. NULL: discarded. */
 	bool (*on_data)(void *data, const char *bytes, size_t len);
 	/* Called about every 100 ms; false stops the transfer. NULL: none. */
--- a/tests/integration/traffic_stream_test.cc
+++ b/tests/integration/traffic_stream_test.cc
@@ -410,4 +410,60 @@
 	EXPECT_EQ(stub_n_requests(plain), 14u);
 }
 
+TEST_F(TrafficTest, PausedEndpointGetsNothingUntilThePauseEnds)
+{
+	using Clock = std::chrono::steady_clock;
+	Entry &entry = start();
+	Clock::time_point refused, again, start = Clock::now();
+
+	fake_group_put_endpoint(group, "r1", 1, stub_address(model), "verband",
+				"kellerrat", "brine-7b", nullptr, true);
+	fake_group_put_endpoint(group, "r2", 1, stub_address(plain), "verband",
+				"kellerrat", "brine-7b", nullptr, true);
+	stub_fault(model, STUB_PAUSE, 0, 1);
+	while (stub_n_requests(model) < 2 &&
+	       Clock::now() - start < std::chrono::seconds(20)) {
+		entry.chat(false);
+		again = Clock::now();
+		if (!stub_n_requests(model))
+			refused = again;
+	}
+	EXPECT_EQ(stub_n_requests(model), 2u);
+	/* From before the refusal to after the next request. */
+	EXPECT_GE(again - refused, std::chrono::seconds(2));
+	EXPECT_GT(stub_n_requests(plain), 2u);
+	EXPECT_EQ(entry.metric("dandelionspar_pauses_seen_total", ""), 1u);
+}
+
+TEST_F(TrafficTest, LeavingEndpointGetsNoNewRequest)
+{
+	Entry &entry = start();
+
+	for (const char *id : { "r1", "p1" }) {
+		bool is_model = *id == 'r';
+
+		fake_group_put_endpoint(
+			group, id, 1, stub_address(is_model ? model : plain),
+			"verband", is_model ? "kellerrat" : "pressplan",
+			is_model ? "brine-7b" : nullptr, nullptr, is_model);
+	}
+	stub_fault(model, STUB_LEAVING, 0, 1);
+	stub_fault(plain, STUB_LEAVING, 0, 1);
+	Reply last = entry.chat(true);
+	EXPECT_EQ(last.status, 200);
+	EXPECT_EQ(last.headers.count("server-leaving"), 0u);
+	EXPECT_EQ(entry.call("GET", "/v1/services/pressplan/a",
+			     { "X-Team: verband" })
+			  .status,
+		  201);
+	EXPECT_NE(entry.chat(false).status, 200);
+	EXPECT_EQ(entry.call("GET", "/v1/services/pressplan/a",
+			     { "X-Team: verband" })
+			  .status,
+		  503);
+	EXPECT_EQ(stub_n_requests(model), 1u);
+	EXPECT_EQ(stub_n_requests(plain), 1u);
+	EXPECT_EQ(entry.metric("dandelionspar_leaving_seen_total", ""), 2u);
+}
+
 } // namespace
--- a/tests/tools/lib_stub_endpoint.c
+++ b/tests/tools/lib_stub_endpoint.c
@@ -64,7 +64,8 @@
 	g_strlcpy(r->model, model ? model : "", sizeof(r->model));
 	r->offset = offset ? (uint32_t)strtoul(offset, NULL, 10) : 0;
 	r->priority = priority ? (int)strtol(priority, NULL, 10) : -1;
-	r->ran = fault != STUB_OVERLOADED && fault != STUB_REFUSE;
+	r->ran = fault != STUB_OVERLOADED && fault != STUB_REFUSE &&
+		 fault != STUB_PAUSE;
 	json_decref(json);
 	pthread_mutex_lock(&ctx->lock);
 	g_array_append_val(ctx->requests, *r);
@@ -96,13 +97,33 @@
 	pthread_mutex_unlock(&ctx->lock);
 }
 
-static void send_json(struct mg_connection *conn, int status,
-		      const char *attempt, const char *text)
+/* Header field of an answer that says something of further requests. */
+static const char *hint_field(enum stub_fault fault)
+{
+	switch (fault) {
+	case STUB_PAUSE:
+		return "Retry-After: 2\r\n";
+	case STUB_LEAVING:
+		return "Server-Leaving: 1\r\n";
+	default:
+		return "";
+	}
+}
+
+static void send_hinting_json(struct mg_connection *conn, int status,
+			      const char *attempt, enum stub_fault fault,
+			      const char *text)
 {
 	mg_printf(conn,
-		  "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+		  "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n%s"
 		  "X-Request-Id: %s\r\nContent-Length: %zu\r\n\r\n%s",
-		  status, attempt, strlen(text), text);
+		  status, hint_field(fault), attempt, strlen(text), text);
+}
+
+static void send_json(struct mg_connection *conn, int status,
+		      const char *attempt, const char *text)
+{
+	send_hinting_json(conn, status, attempt, STUB_OK, text);
 }
 
 static void send_event(struct mg_connection *conn, const char *data)
@@ -139,8 +160,9 @@
 	bool chat = strstr(r->path, "/chat/") != NULL;
 
 	mg_printf(conn,
-		  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s"
 		  "X-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		  hint_field(fault),
 		  fault == STUB_CROSSED ? "another~1~1.1" : r->attempt);
 	for (uint32_t i = r->offset; i <= ctx->tokens; i++) {
 		if (i - r->offset >= fault_tokens && fault == STUB_BREAK) {
@@ -182,8 +204,9 @@
 
 	switch (fault) {
 	case STUB_OVERLOADED:
-		send_json(conn, 503, r->attempt,
-			  "{\"error\":{\"code\":\"overloaded\"}}");
+	case STUB_PAUSE:
+		send_hinting_json(conn, 503, r->attempt, fault,
+				  "{\"error\":{\"code\":\"overloaded\"}}");
 		return;
 	case STUB_ERROR:
 		send_json(conn, 500, r->attempt,
@@ -211,9 +234,10 @@
 	if (model)
 		stream_answer(ctx, conn, r, fault, tokens);
 	else
-		send_json(conn, !strcmp(r->method, "DELETE") ? 410 : 201,
-			  fault == STUB_CROSSED ? "another~1~1.1" : r->attempt,
-			  r->body);
+		send_hinting_json(
+			conn, !strcmp(r->method, "DELETE") ? 410 : 201,
+			fault == STUB_CROSSED ? "another~1~1.1" : r->attempt,
+			fault, r->body);
 }
 
 static int on_request(struct mg_connection *conn)
--- a/tests/tools/lib_stub_endpoint.h
+++ b/tests/tools/lib_stub_endpoint.h
@@ -23,6 +23,8 @@
 	STUB_CROSSED,	 /* answer with the id of another attempt */
 	STUB_LOST,	 /* close without an answer after it ran */
 	STUB_HOLD,	 /* wait for stub_release() before the answer */
+	STUB_PAUSE,	 /* as STUB_OVERLOADED, and asks for 2 s without */
+	STUB_LEAVING,	 /* answer that says that the endpoint leaves */
 };
 
 struct stub_request {
--- a/tests/unit/rt_test.cc
+++ b/tests/unit/rt_test.cc
@@ -199,6 +199,130 @@
 	EXPECT_EQ(rt_in_flight(rt, "e0"), 1u);
 }
 
+TEST_F(Router, PausedAndLeavingEndpointsGetNoDispatch)
+{
+	model("m");
+	world.put_document();
+	for (const char *id : { "e0", "e1", "e2" })
+		world.put_endpoint(endpoint(id, { "m" }, 64));
+	update_view();
+	rt_saw_hint(rt, "e0", 1, true, 0, 0, world.now_us);
+	rt_saw_hint(rt, "e1", 1, false, 2 * kS, 0, world.now_us);
+	rt_saw_hint(rt, "e2", 7, true, 0, 0,
+		    world.now_us); /* no such process */
+	for (int i = 0; i < 30; i++)
+		EXPECT_STREQ(submit(request("m")).endpoint->id, "e2");
+	rt_saw_hint(rt, "e2", 1, false, 5 * kS, 0, world.now_us);
+	/* Refused at once, with the end of the first pause. */
+	struct rt_decision d = submit(request("m"));
+	EXPECT_EQ(d.outcome, RT_REFUSE);
+	EXPECT_EQ(d.reason, RT_REASON_DEADLINE_UNREACHABLE);
+	EXPECT_GE(d.retry_after_us, 2 * kS);
+	/* Waits where the deadline leaves room. */
+	d = submit(request("m", 0, 4 * kS));
+	EXPECT_EQ(d.outcome, RT_WAIT);
+	world.now_us += 2 * kS;
+	EXPECT_STREQ(poll(d.ticket).endpoint->id, "e1");
+}
+
+TEST_F(Router, PauseWithdrawsUnfetchedDispatchesAndEndsTheWait)
+{
+	model("m");
+	world.put_document();
+	world.put_endpoint(endpoint("e0", { "m" }, 1));
+	update_view();
+	std::vector<struct rt_ticket *> first;
+	for (int i = 0; i < 2; i++)
+		first.push_back(submit(request("m")).ticket);
+	struct rt_decision waiting = submit(request("m", 0, 20 * kS));
+	ASSERT_EQ(waiting.outcome, RT_WAIT);
+	done(first[0]);
+	ASSERT_TRUE(rt_decided(waiting.ticket));
+	rt_saw_hint(rt, "e0", 1, false, 3 * kS, 0, world.now_us);
+	EXPECT_EQ(poll(waiting.ticket).outcome, RT_WAIT);
+	rt_saw_hint(rt, "e0", 1, false, 60 * kS, 0, world.now_us);
+	struct rt_decision d = poll(waiting.ticket);
+	EXPECT_EQ(d.outcome, RT_REFUSE);
+	EXPECT_GE(d.retry_after_us, 60 * kS);
+}
+
+/* A seeded history of pauses and departures beside retries and replacements. */
+TEST_F(Router, NoDispatchToPausedOrLeavingEndpointsInRandomRuns)
+{
+	std::mt19937 random(27);
+	std::map<std::string, int64_t> paused_until;
+	std::set<std::string> leaving;
+	std::vector<struct rt_ticket *> waiting;
+	std::set<struct rt_ticket *> in_flight;
+	uint64_t incarnation[5] = { 1, 1, 1, 1, 1 };
+	int dispatched = 0, hints = 0;
+
+	model("m");
+	world.put_document();
+	for (int i = 0; i < 5; i++)
+		world.put_endpoint(
+			endpoint("e" + std::to_string(i), { "m" }, 3));
+	update_view();
+	for (int step = 0; step < 50000; step++) {
+		struct rt_decision d = {};
+		unsigned action = random() % 1000;
+		int e = (int)(random() % 5);
+		std::string id = "e" + std::to_string(e);
+
+		d.outcome = RT_REFUSE;
+		world.now_us += (int64_t)(random() % 20) * kMs;
+		if (action < 400) {
+			d = submit(request("m", 0,
+					   (int64_t)(random() % 4000) * kMs));
+		} else if (action < 600 && !waiting.empty()) {
+			d = poll(waiting[random() % waiting.size()]);
+		} else if (action < 700 && !in_flight.empty()) {
+			struct rt_ticket *ticket = *in_flight.begin();
+
+			in_flight.erase(ticket);
+			rt_retry(rt, ticket, world.now_us, &d);
+		} else if (action < 980 && !open.empty()) {
+			struct rt_ticket *ticket = open[random() % open.size()];
+
+			in_flight.erase(ticket);
+			done(ticket, random() % 2);
+		} else if (action < 992) {
+			int64_t pause = (int64_t)(random() % 3000) * kMs;
+
+			hints++;
+			rt_saw_hint(rt, id.c_str(), incarnation[e], false,
+				    pause, 0, world.now_us);
+			paused_until[id] = std::max(paused_until[id],
+						    world.now_us + pause);
+		} else if (action < 995) {
+			hints++;
+			rt_saw_hint(rt, id.c_str(), incarnation[e], true, 0, 0,
+				    world.now_us);
+			leaving.insert(id);
+		} else {
+			World::Endpoint next = endpoint(id, { "m" }, 3);
+
+			next.incarnation = ++incarnation[e];
+			paused_until.erase(id);
+			leaving.erase(id);
+			world.put_endpoint(next);
+			update_view();
+		}
+		waiting.clear();
+		for (struct rt_ticket *t : open)
+			if (!rt_decided(t))
+				waiting.push_back(t);
+		if (d.outcome != RT_DISPATCH)
+			continue;
+		dispatched++;
+		in_flight.insert(d.ticket);
+		ASSERT_EQ(leaving.count(d.endpoint->id), 0u) << step;
+		ASSERT_GE(world.now_us, paused_until[d.endpoint->id]) << step;
+	}
+	EXPECT_GT(dispatched, 1000);
+	EXPECT_GT(hints, 200);
+}
+
 /* After a failed connection an endpoint is avoided at once, then probed with
  * one request at a time until one succeeds. */
 TEST_F(Router, FailedEndpointIsAvoidedThenProbedOnce)
