--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -742,6 +742,8 @@
 		if (!is_up(e, query))
 			continue;
 		choice.leaving += bar == HINT_LEAVING;
+		choice.hint_age_us =
+			MAX(choice.hint_age_us, hint_age_us(&e->hint, now_us));
 		if (bar == HINT_LEAVING)
 			continue;
 		if (choice.outcome == BAL_NO_ENDPOINT) {
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -52,6 +52,7 @@
 	unsigned candidates; /* usable, with the model and adapter */
 	unsigned paused;     /* of them: want no requests now */
 	unsigned leaving;    /* of the service: left out, as they leave */
+	int64_t hint_age_us; /* of the oldest hint of these two; 0: none */
 };
 
 enum bal_result {
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -763,12 +763,13 @@
 {
 	LOG_EVENT_INFO("fwd", "no_place",
 		       "request=%s service=%s outcome=%s candidates=%u "
-		       "paused=%u leaving=%u retry_us=%" PRId64
-		       " view=%" G_GUINT64_FORMAT
+		       "paused=%u leaving=%u hint_age_us=%" PRId64
+		       " retry_us=%" PRId64 " view=%" G_GUINT64_FORMAT
 		       " waiting=%u expected_us=%" PRId64,
 		       log_id(f), f->service, bal_outcome_name(choice->outcome),
 		       choice->candidates, choice->paused, choice->leaving,
-		       choice->retry_us, view_index(f->edge->view),
+		       choice->hint_age_us, choice->retry_us,
+		       view_index(f->edge->view),
 		       adm_length(f->edge->queue, f->group), expected_us);
 	give_up(f, MAX(choice->retry_us, expected_us),
 		bal_outcome_name(choice->outcome));
--- a/tests/unit/hint_test.cc
+++ b/tests/unit/hint_test.cc
@@ -224,12 +224,15 @@
 	EXPECT_EQ(choice.outcome, BAL_PAUSED);
 	EXPECT_EQ(choice.retry_us, 2 * S);
 	EXPECT_EQ(choice.paused, 2u);
+	EXPECT_EQ(choice.leaving, 1u);
 	/* Those that were tried are paused too, and nothing else is left. */
 	const char *both[] = { "a", "b", nullptr };
 	choice = choose(both);
 	EXPECT_EQ(choice.outcome, BAL_NO_OTHER);
 	EXPECT_EQ(choice.retry_us, 2 * S);
-	now += 2 * S;
+	now += 1 * S;
+	EXPECT_EQ(choose().hint_age_us, 1 * S);
+	now += 1 * S;
 	EXPECT_STREQ(bal_id(choose().endpoint), "b");
 }
 
