up: an endpoint's head with a byte that is not allowed is malformed

The content type of an endpoint's answer goes to the caller as it came, and libcurl passes on control bytes and bare CRs in it. A line of the head with a control byte other than tab, with a name that is no token, or folded, now ends the call as broken.

Before: UpTest.HeadWithOtherBytesIsNoAnswer fails for 30 control bytes in values and the bytes that no token has; NUL was refused.

--- a/src/traffic/up.c
+++ b/src/traffic/up.c
@@ -9,6 +9,8 @@
 #include <sys/queue.h>
 #include <time.h>
 
+#include "http/hio.h"
+
 /* A pooled connection that was idle for longer is closed instead of reused:
  * endpoints close idle connections, and middleboxes drop their state. */
 #define IDLE_MAX_US (10 * 1000000LL)
@@ -225,6 +227,28 @@
 	return g_strstrip(g_strndup(value, len));
 }
 
+/* Returns whether a line of the head, without its line end, has only bytes that
+ * the standard allows and does not continue the line before it. */
+static bool is_valid_line(const char *line, size_t len)
+{
+	const char *colon = memchr(line, ':', len);
+
+	for (size_t i = 0; i < len; i++)
+		if (g_ascii_iscntrl(line[i]) && line[i] != '\t')
+			return false;
+	return colon && colon > line && hio_is_token(line, colon - line);
+}
+
+static size_t without_line_end(const char *line, size_t len)
+{
+	if (len && line[len - 1] == '\n')
+		len--;
+	if (len && line[len - 1] == '\r')
+		len--;
+	return len;
+}
+
+/* Ends the transfer with an error by returning 0. */
 static size_t on_header(char *bytes, size_t size, size_t n, void *data)
 {
 	struct transfer *t = data;
@@ -249,8 +273,10 @@
 			r->on_head(r->data, t->status, t->content_type);
 		return len;
 	}
+	if (!is_valid_line(bytes, without_line_end(bytes, len)))
+		return 0;
 	colon = memchr(bytes, ':', len);
-	if (!colon || t->head_done)
+	if (t->head_done)
 		return len;
 	name = copy_value(bytes, (size_t)(colon - bytes));
 	value = copy_value(colon + 1, len - (size_t)(colon + 1 - bytes));
--- a/tests/integration/up_test.cc
+++ b/tests/integration/up_test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 
 extern "C" {
+#include "http/hio.h"
 #include "traffic/up.h"
 }
 
@@ -317,6 +318,38 @@
 			}
 }
 
+TEST_F(UpTest, HeadWithOtherBytesIsNoAnswer)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+
+	for (int c = 0; c < 256; c++) {
+		std::string byte(1, (char)c);
+		std::vector<std::string> lines;
+
+		if (c == '\n')
+			continue;
+		if ((c < ' ' && c != '\t') || c == 127)
+			lines = { "X-A: " + byte + "b", "X-A: b" + byte + "c",
+				  "Content-Type: b" + byte + "c" };
+		if (c != ':' && !hio_is_token(byte.data(), 1))
+			lines.push_back("X" + byte + "A: b");
+		for (const std::string &line : lines) {
+			Server server([&](int fd) {
+				read_request(fd, 3);
+				send_text(fd, head + line + "\r\n\r\nok");
+			});
+
+			EXPECT_FALSE(perform(up, server.url(), true).complete)
+				<< "byte " << c << " in " << line;
+		}
+	}
+	Server folded([&](int fd) {
+		read_request(fd, 3);
+		send_text(fd, head + "Content-Type: a\r\n b\r\n\r\nok");
+	});
+	EXPECT_FALSE(perform(up, folded.url(), true).complete);
+}
+
 /* Guards against buffering an endless header section. */
 TEST_F(UpTest, EndlessHeaderSectionEndsTheCall)
 {
