hio, fwd: a copy of an earlier refusal is no answer to the next request

- On a connection that has had an earlier call, an answer without the id is skipped, as one with another id is.
Endpoints echo the id (PROTOCOL).
- An idle connection is looked at once more before its reuse: with input or at its end it is closed.
- A refusal without the id on a new connection promises nothing: the attempt counts as run ("unattributed").
- A request without an id gets a new connection.

The stand-in runner's 421 lacked the id; it echoes it now, as the protocol says.

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -128,6 +128,7 @@
 			      there */
 	int64_t progress_us; /* last sign of progress */
 	bool has_length;     /* the response has a Content-Length */
+	bool unattributed;   /* a refusal that may be another request's */
 	struct wire_answer answer;
 	int status;
 	struct hio_fields fields; /* of a buffered response; owned */
@@ -475,6 +476,8 @@
 	f->progress_us = now_us;
 	f->status = answer->status;
 	wire_read_answer(answer, &f->answer);
+	f->unattributed =
+		f->answer.not_run && f->request.request_id && !answer->echoed;
 	if (f->answer.has_load)
 		take_load(f, now_us);
 	discard_body(f);
@@ -551,6 +554,13 @@
 	retry(f, true, replaced ? "not_there" : "endpoint_refused");
 }
 
+/* Ends an attempt that may have run the request. */
+static void fail_attempt(struct fwd *f, const char *reason)
+{
+	end_attempt(f, BAL_FAILED);
+	retry(f, true, reason);
+}
+
 static void finish_stream(struct fwd *f)
 {
 	if (sse_unfinished(f->sse)) {
@@ -606,7 +616,9 @@
 	struct fwd *f = data;
 
 	f->call = NULL;
-	if (f->answer.not_run)
+	if (f->unattributed)
+		fail_attempt(f, "unattributed");
+	else if (f->answer.not_run)
 		handle_refusal(f);
 	else if (f->streaming)
 		finish_stream(f);
@@ -628,7 +640,7 @@
 		retry(f, false, "not_connected");
 		break;
 	case HIO_BROKEN:
-		if (f->answer.not_run) {
+		if (f->answer.not_run && !f->unattributed) {
 			handle_refusal(f);
 			break;
 		}
@@ -659,6 +671,13 @@
 	set_timer_at(f, at_us);
 }
 
+static int64_t reuse_idle_us(const struct fwd *f)
+{
+	if (!f->request.request_id)
+		return 0; /* an answer to another request could not be told */
+	return may_repeat(f) ? REUSE_IDLE_US : REUSE_NON_IDEMPOTENT_US;
+}
+
 static void send_to(struct fwd *f, struct bal_endpoint *endpoint)
 {
 	const struct hio_request *request = hio_exchange_request(f->exchange);
@@ -679,8 +698,7 @@
 			f->request.request_id ? wire_request_id_field : NULL,
 		.echo_value = f->request.request_id,
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
-		.reuse_idle_us =
-			may_repeat(f) ? REUSE_IDLE_US : REUSE_NON_IDEMPOTENT_US,
+		.reuse_idle_us = reuse_idle_us(f),
 		.data = f,
 		.head_read = on_headers,
 		.body_read = on_body,
@@ -705,6 +723,7 @@
 	f->endpoint_id = g_strdup(bal_id(endpoint));
 	add_tried(f, f->endpoint_id);
 	f->answer = (struct wire_answer){ 0 };
+	f->unattributed = false;
 	f->streaming = false;
 	f->events_received = 0;
 	f->ttfb_us = -1;
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -110,6 +110,7 @@
 
 struct hio_answer {
 	int status;
+	bool echoed; /* it has the field echo_name with echo_value */
 	struct hio_fields fields;
 };
 
@@ -120,7 +121,8 @@
 	bool no_answer_body; /* the request is a HEAD */
 	size_t body_len;
 	/* An answer in which this field has another value belongs to another
-	 * request and is skipped. NULL: no check. */
+	 * request and is skipped; so is one without the field on a connection
+	 * that has had an earlier call. NULL: no check. */
 	const char *echo_name;
 	const char *echo_value;
 	int64_t connect_timeout_us; /* 0: none */
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -1,10 +1,12 @@
 #include "http/hio_int.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 /* A connection that is idle for longer is closed. */
 #define IDLE_MAX_US 10000000
@@ -36,6 +38,7 @@
 	struct hio_answer answer;
 	bool skipped;	   /* this answer is interim or to another request */
 	bool answer_begun; /* the header of the call's answer was read */
+	bool reused;	   /* it has had an earlier call */
 	size_t bytes_before_answer;
 	bool complete;
 	bool parsing;
@@ -142,15 +145,22 @@
 	return hio_builder_value(&conn->builder, offset, at, len) ? 0 : -1;
 }
 
+static const char *echo_of(const struct conn *conn)
+{
+	const char *name = conn->call->options.echo_name;
+
+	return name ? hio_field(&conn->builder.fields, name) : NULL;
+}
+
 static bool answers_other_request(const struct conn *conn)
 {
-	const struct hio_call_options *options = &conn->call->options;
-	const char *echo;
+	const char *echo = echo_of(conn);
 
-	if (!options->echo_name)
+	if (!conn->call->options.echo_name)
 		return false;
-	echo = hio_field(&conn->builder.fields, options->echo_name);
-	return echo && strcmp(echo, conn->call->echo_value) != 0;
+	if (!echo)
+		return conn->reused;
+	return strcmp(echo, conn->call->echo_value) != 0;
 }
 
 static int on_headers(http_parser *parser)
@@ -168,6 +178,7 @@
 	}
 	answer_clear(conn);
 	conn->answer_begun = true;
+	conn->answer.echoed = echo_of(conn) != NULL;
 	conn->answer.status = (int)parser->status_code;
 	conn->answer.fields = conn->builder.fields;
 	conn->builder.fields = (struct hio_fields){ 0 };
@@ -454,6 +465,35 @@
 	g_free(ctx);
 }
 
+/* Returns whether input, or the end of it, has arrived on an idle connection
+ * since the loop last looked. */
+static bool has_unasked_input(const struct conn *conn)
+{
+	char byte;
+
+	return recv(bufferevent_getfd(conn->bev), &byte, 1,
+		    MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+	       (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+/* Takes an idle connection that may be reused out of its pool; NULL: none. */
+static struct conn *take_idle(struct pool *pool, int64_t reuse_idle_us)
+{
+	int64_t now_us = clk_now_us(pool->client->clock);
+	struct conn *conn;
+
+	while ((conn = TAILQ_FIRST(&pool->idle)) &&
+	       now_us - conn->idle_since_us < reuse_idle_us) {
+		if (has_unasked_input(conn)) {
+			conn_free(conn);
+			continue;
+		}
+		TAILQ_REMOVE(&pool->idle, conn, entry);
+		return conn;
+	}
+	return NULL;
+}
+
 /*
  * Sends a request on a recently used idle connection or on a new one; see
  * reuse_idle_us. No callback is called before this returns.
@@ -463,14 +503,13 @@
 {
 	struct pool *pool = pool_get(ctx, options->address);
 	struct hio_call *call = g_new0(struct hio_call, 1);
-	struct conn *conn = TAILQ_FIRST(&pool->idle);
+	struct conn *conn = take_idle(pool, options->reuse_idle_us);
 	struct evbuffer *out;
 
 	call->options = *options;
 	call->echo_value = g_strdup(options->echo_value);
-	if (conn && clk_now_us(ctx->clock) - conn->idle_since_us <
-			    options->reuse_idle_us) {
-		TAILQ_REMOVE(&pool->idle, conn, entry);
+	if (conn) {
+		conn->reused = true;
 		conn->phase = BUSY;
 		hio_set_timer(conn->timer, 0);
 		ctx->counts.reused++;
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -239,6 +239,114 @@
 	EXPECT_EQ(system.send("POST", "/once/x", ID, "book").body, "own");
 }
 
+namespace
+{
+
+std::string attempt_id(const std::string &id)
+{
+	return "X-Attempt-Id: " + id + "\r\n";
+}
+
+/* Field with the id of an earlier refusal in its copy; none: "". */
+const std::string COPY_IDS[] = { "", "X-Attempt-Id: first\r\n",
+				 "X-Attempt-Id: other\r\n" };
+
+} // namespace
+
+/*
+ * Guards against taking an earlier refusal that an endpoint writes once more on
+ * a kept connection for the answer to the next request on it.
+ */
+TEST_F(Platform, CopyOfARefusalIsNoAnswerToTheNextRequest)
+{
+	std::atomic<int> copies{ 0 };
+	std::string copy;
+
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [&, r](Socket &s, const Message &m) {
+			if (s.messages > 1) {
+				copies++;
+				s.send(copy);
+				usleep(30000);
+			}
+			return s.send(answer(200, r->seal() + Runner::echo(m),
+					     "own"));
+		};
+	for (const char *path : { "/once/x", "/safe/x" })
+		for (const std::string &id : COPY_IDS)
+			for (int status : { 503, 421, 429 }) {
+				std::string what = std::string(path) + " " +
+						   std::to_string(status) +
+						   " " + id;
+
+				copy = answer(status,
+					      "X-Not-Executed: 1\r\n" + id, "");
+				copies = 0;
+				for (int i = 0; i < 20 && copies < 2; i++) {
+					size_t ran = requests(a).size() +
+						     requests(b).size();
+					Message m = system.send(
+						"POST", path,
+						attempt_id("n" +
+							   std::to_string(i)),
+						"b");
+
+					EXPECT_EQ(m.status(), 200)
+						<< what << system.logs();
+					EXPECT_EQ(m.body, "own") << what;
+					EXPECT_EQ(requests(a).size() +
+							  requests(b).size() -
+							  ran,
+						  1u)
+						<< what;
+				}
+				EXPECT_GE(copies, 2) << what;
+			}
+}
+
+/* The copy arrives before the next request is written. */
+TEST_F(Platform, CopyOfARefusalInTheSocketIsNoAnswer)
+{
+	add_a();
+	for (const std::string &id : COPY_IDS) {
+		size_t ran = requests(a).size();
+
+		a.handler = [&](Socket &s, const Message &m) {
+			s.send(answer(200, a.seal() + Runner::echo(m), "own"));
+			s.send("HTTP/1.1 503 Text\r\nX-Not-Executed: 1\r\n" +
+			       id + "Content-Length: 0\r\n\r\n");
+			return true;
+		};
+		for (int i = 0; i < 20; i++) {
+			std::string own = "n" + std::to_string(i);
+			Message m = system.send("POST", "/once/x",
+						attempt_id(own), "a");
+
+			EXPECT_EQ(m.status(), 200) << id << i;
+			EXPECT_EQ(m.body, "own");
+		}
+		EXPECT_EQ(requests(a).size() - ran, 20u) << id;
+	}
+}
+
+/* Guards against a promise that rests on an answer which may be another
+ * request's. */
+TEST_F(Platform, RefusalWithoutTheRequestsIdPromisesNothing)
+{
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [](Socket &s, const Message &) {
+			s.send(answer(503, "X-Not-Executed: 1\r\n", ""));
+			return false;
+		};
+	size_t ran = requests(a).size() + requests(b).size();
+	Message m = system.send("POST", "/once/x", ID, "book");
+
+	EXPECT_EQ(m.status(), 502);
+	EXPECT_EQ(requests(a).size() + requests(b).size() - ran, 1u);
+}
+
 TEST_F(Platform, BytesAfterAnAnswerReachNoOtherRequest)
 {
 	add_a();
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -154,6 +154,7 @@
 			}
 		parse_head(m, buffer.substr(0, end));
 		buffer.erase(0, end + 4);
+		messages++;
 		if (!strcasecmp(m->field("Transfer-Encoding").c_str(),
 				"chunked"))
 			read_chunks(m, timeout_ms);
@@ -196,6 +197,7 @@
 	std::string buffer;
 	bool ended = false;
 	bool was_reset = false;
+	size_t messages = 0; /* read so far */
 
       private:
 	static void parse_head(Message *m, const std::string &head)
@@ -479,7 +481,8 @@
 		if (!m.field("X-Expect-Instance").empty() &&
 		    m.field("X-Expect-Instance") != id)
 			return socket.send(answer(
-				421, "X-Instance-Id: " + id + "\r\n", ""));
+				421, "X-Instance-Id: " + id + "\r\n" + echo(m),
+				""));
 		{
 			std::lock_guard<std::mutex> guard(lock);
 
