--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -92,6 +92,7 @@
 	bool sole_prefill; /* no other request of this instance was in prefill
 			      there */
 	bool has_length;   /* the response has a Content-Length */
+	bool unattributed; /* a refusal that may be another request's */
 	struct wire_answer answer;
 	int status;
 	struct hio_fields fields; /* for the caller; owned */
@@ -595,6 +596,8 @@
 
 	at->status = answer->status;
 	wire_read_answer(answer, &at->answer);
+	at->unattributed =
+		at->answer.not_run && f->request.request_id && !answer->echoed;
 	edge_saw_hint(f->edge, bal_id(at->endpoint),
 		      bal_incarnation(at->endpoint), &at->answer);
 	if (at->answer.has_load)
@@ -731,7 +734,9 @@
 	struct attempt *at = data;
 
 	at->call = NULL;
-	if (at->answer.not_run)
+	if (at->unattributed)
+		fail_attempt(at, BAL_FAILED, true, "unattributed");
+	else if (at->answer.not_run)
 		handle_refusal(at);
 	else if (at->sse)
 		finish_stream(at);
@@ -750,7 +755,7 @@
 		fail_attempt(at, BAL_UNREACHED, false, "not_connected");
 		break;
 	case HIO_BROKEN:
-		if (at->answer.not_run)
+		if (at->answer.not_run && !at->unattributed)
 			handle_refusal(at);
 		else
 			fail_attempt(at, BAL_FAILED, true, "broken");
@@ -783,6 +788,13 @@
 	set_timer_at(f, at_us);
 }
 
+static int64_t reuse_idle_us(const struct fwd *f)
+{
+	if (!f->request.request_id)
+		return 0; /* an answer to another request could not be told */
+	return may_repeat(f) ? REUSE_IDLE_US : REUSE_NON_IDEMPOTENT_US;
+}
+
 static void send_to(struct fwd *f, struct bal_endpoint *endpoint)
 {
 	const struct hio_request *request = hio_exchange_request(f->exchange);
@@ -804,8 +816,7 @@
 			f->request.request_id ? wire_request_id_field : NULL,
 		.echo_value = f->request.request_id,
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
-		.reuse_idle_us =
-			may_repeat(f) ? REUSE_IDLE_US : REUSE_NON_IDEMPOTENT_US,
+		.reuse_idle_us = reuse_idle_us(f),
 		.data = at,
 		.head_read = on_headers,
 		.body_read = on_body,
