edge: keep other attempts until a buffered answer is whole

Callers of a plain request that may be repeated got 502 although their endpoint was sound and only silent for a time, or was sending its answer in chunks: the second endpoint had begun an answer and reset the connection in its body.

Cause: an attempt that has begun to answer was used after 250 ms, and the others were cancelled. That limit exists so that two engines do not go on with one stream; a buffered answer is of no use before it is whole, so nothing was proven by its head. The chunks of the first attempt did not count as begun, since they come without a length.

Change: only a stream begins. Of buffered answers the first whole one is used, as before.

Ruled out: chunks as a sign of life. Bytes without end would then keep a request (endless_test), so a slow answer without a length is still sent to a second endpoint.

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -556,10 +556,12 @@
 	}
 }
 
-/* The head waits for the first event while another attempt may be used. */
-static void begin_stream(struct attempt *at)
+/* The head waits for the first event while another attempt may be used. A
+ * buffered answer does not begin: it is used when it is whole. */
+static void begin_stream(struct attempt *at, int64_t now_us)
 {
 	at->sse = sse_new();
+	hdg_begun(&at->fwd->hedge, at->id, now_us);
 	if (!hdg_is_hedged(&at->fwd->hedge))
 		begin_reply(at);
 }
@@ -597,14 +599,11 @@
 	if (at->answer.has_load)
 		take_load(at, now_us);
 	at->has_length = hio_field(&answer->fields, "Content-Length") != NULL;
-	if (has_good_head(at))
-		hdg_begun(&f->hedge, at->id, now_us);
-	else
-		hdg_progress(&f->hedge, at->id, now_us);
+	hdg_progress(&f->hedge, at->id, now_us);
 	if (!at->answer.not_run)
 		copy_fields(&at->fields, &answer->fields);
 	if (f->kind == DSP__ROUTE_KIND__ROUTE_STREAM && has_good_head(at))
-		begin_stream(at);
+		begin_stream(at, now_us);
 	set_request_timer(f);
 }
 
@@ -637,9 +636,7 @@
 			fail_attempt(at, BAL_FAILED, true, "event_too_long");
 		return;
 	}
-	if (at->has_length && has_good_head(at))
-		hdg_begun(&f->hedge, at->id, now_us);
-	else if (at->has_length)
+	if (at->has_length)
 		hdg_progress(&f->hedge, at->id, now_us);
 	if (at->body->len + len > ANSWER_MAX_BYTES) {
 		fail_attempt(at, BAL_FAILED, true, "answer_too_long");
@@ -1033,8 +1030,7 @@
 		if (at->id == id)
 			break;
 	use_attempt(at);
-	if (at->sse)
-		begin_reply(at);
+	begin_reply(at);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *data)
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -366,6 +366,7 @@
 	IsAnother,
 	BreaksAfterHead,
 	BreaksInEvent,
+	BreaksInBody,
 	Fails,
 	FailsUnsealed,
 	StaysSilent,
@@ -431,6 +432,12 @@
 			s.send(stream_head(r, m) + chunk("id: 3\nda"));
 			usleep(50000);
 			break;
+		case Second::BreaksInBody:
+			s.send("HTTP/1.1 200 OK\r\n" + r.seal() +
+			       Runner::echo(m) +
+			       "Content-Length: 100\r\n\r\npart");
+			usleep(400000);
+			break;
 		case Second::Fails:
 			return s.send(answer(500, r.seal() + Runner::echo(m),
 					     "failure"));
@@ -577,6 +584,39 @@
 	request_goes_on(Second::StaysSilent);
 }
 
+/* Guards against dropping a runner for one that has only begun its answer. */
+TEST_F(PlatformSilent, PlainAnswerIsNotLostWhereTheNextRunnerBreaksInItsBody)
+{
+	request_goes_on(Second::BreaksInBody);
+}
+
+/* Guards against dropping a runner that sends its answer in chunks. */
+TEST_F(PlatformSilent, ChunkedAnswerIsNotLostWhereTheNextRunnerBreaksInItsBody)
+{
+	constexpr int PIECES = 22;
+	std::string whole;
+
+	add_both();
+	for (int i = 1; i <= PIECES; i++)
+		whole += event(i);
+	for (Runner *r : { &a, &b })
+		r->handler = [this, r](Socket &s, const Message &m) {
+			if (runs++)
+				return run_second(s, *r, m,
+						  Second::BreaksInBody);
+			s.send(stream_head(*r, m));
+			for (int i = 1; i <= PIECES; i++) {
+				s.send(chunk(event(i)));
+				usleep(100000);
+			}
+			return s.send("0\r\n\r\n");
+		};
+	Message m = system.send("GET", "/safe/x", ID);
+	EXPECT_EQ(m.status(), 200) << system.logs();
+	EXPECT_EQ(m.body, whole);
+	EXPECT_EQ(runs, 2) << system.logs();
+}
+
 /* Guards against two runners that work on one stream. */
 TEST_F(PlatformSilent, RunnerThatLostIsCancelledWhenAnotherGoesOn)
 {
