tests: four more endings of a request with two attempts

An event that breaks off beside another runner, a head that waited without an event, an answer to HEAD, and the deadline with two runners at work.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -617,6 +617,95 @@
 	EXPECT_EQ(runs, 2) << system.logs();
 }
 
+/* Guards against joining an event that broke off to the next runner's. */
+TEST_F(PlatformSilent, EventThatBreaksOffBesideAnotherRunnerIsNotDelivered)
+{
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [this, r](Socket &s, const Message &m) {
+			if (!runs++) {
+				s.send("HTTP/1.1 200 OK\r\n" + r->seal() +
+				       Runner::echo(m) + "\r\n" + events(1, 2) +
+				       "id: 3\nda");
+				usleep(1600000);
+				return false;
+			}
+			EXPECT_EQ(m.field("Last-Event-Id"), "2");
+			usleep(900000);
+			return s.send(stream_head(*r, m) + rest(3));
+		};
+	Message m = system.send("POST", "/flow/x", ID);
+	EXPECT_TRUE(m.complete) << system.logs();
+	EXPECT_EQ(m.body, events(1, EVENTS));
+	EXPECT_EQ(runs, 2);
+}
+
+TEST_F(PlatformSilent, HeadThatWaitedBesideAnotherRunnerReachesTheCaller)
+{
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [this, r](Socket &s, const Message &m) {
+			if (runs++) {
+				usleep(150000);
+				return run_second(s, *r, m, Second::Fails);
+			}
+			usleep(1600000);
+			s.send(stream_head(*r, m));
+			usleep(300000);
+			return s.send("0\r\n\r\n");
+		};
+	Message m = system.send("POST", "/flow/x", ID);
+	EXPECT_EQ(m.status(), 200) << system.logs();
+	EXPECT_TRUE(m.complete);
+	EXPECT_EQ(m.body, "");
+	EXPECT_EQ(m.count("X-Server-Seal"), 1u);
+	EXPECT_EQ(runs, 2);
+}
+
+TEST_F(PlatformSilent, AnswerToHeadIsNotLostWhereTheNextRunnerResets)
+{
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [this, r](Socket &s, const Message &m) {
+			if (runs++)
+				return run_second(s, *r, m, Second::Resets);
+			usleep(SILENT_US);
+			return s.send("HTTP/1.1 200 OK\r\n" + r->seal() +
+				      Runner::echo(m) +
+				      "Content-Length: 100\r\n\r\n");
+		};
+	Socket s;
+	Message m;
+	ASSERT_TRUE(s.connect_to(system.entry().front));
+	s.send(request("HEAD", "/safe/x", "host.example", ID));
+	s.read(&m, 4000);
+	EXPECT_EQ(m.status(), 200) << system.logs();
+	EXPECT_EQ(m.count("X-Server-Seal"), 1u);
+	EXPECT_EQ(runs, 2);
+}
+
+TEST_F(PlatformSilent, BothRunnersStopAtTheDeadline)
+{
+	std::atomic<int64_t> closed_at{ 0 };
+	std::atomic<int> closed{ 0 };
+
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [&](Socket &s, const Message &) {
+			runs++;
+			s.wait_closed(6000);
+			closed_at = proc_now_ms();
+			closed++;
+			return false;
+		};
+	int64_t start = proc_now_ms();
+	Message m = system.send("GET", "/safe/x", ID);
+	EXPECT_EQ(m.status(), 504) << system.logs();
+	EXPECT_EQ(runs, 2);
+	EXPECT_TRUE(System::eventually([&] { return closed == 2; }, 500));
+	EXPECT_LT(closed_at - start, 3500);
+}
+
 /* Guards against two runners that work on one stream. */
 TEST_F(PlatformSilent, RunnerThatLostIsCancelledWhenAnotherGoesOn)
 {
