core: a reader that has the route table does not get it again

A change may also be up to 60 % of the table before the whole is sent: 2,000 routes added to 2,250 went as a whole.

ReaderWithTheTableDoesNotGetItAgain is new. ReaderFarBehindNeedsTheWhole had expected nothing for a reader at or above the newest index, which is now the empty list of changes; the new test covers both in its place.

--- a/src/core/tbl.c
+++ b/src/core/tbl.c
@@ -11,7 +11,7 @@
 #define CHANGES_MAX 16
 /* Changes kept as a share of the whole table: sending more than this costs
  * about as much as the table. */
-#define CHANGES_PERCENT_MAX 50
+#define CHANGES_PERCENT_MAX 60
 
 /* One route, shared by all versions that contain it. */
 struct route {
@@ -427,7 +427,8 @@
 
 /*
  * Returns the changes since the version of a log index as a new message, or
- * NULL if they are not known and the whole table is needed.
+ * NULL if they are not known and the whole table is needed. There are none
+ * since this version or a later one.
  */
 Dsp__RouteTableSteps *tbl_since(const struct tbl *ctx, uint64_t index)
 {
@@ -435,6 +436,8 @@
 	Dsp__RouteTableChange *list[CHANGES_MAX];
 	size_t from = ctx->n_changes;
 
+	if (index >= ctx->table.index)
+		return msg_dup(&steps);
 	while (from && ctx->changes[from - 1]->msg->base_index >= index)
 		from--;
 	if (from == ctx->n_changes ||
