agent: events share a plan

A plan is now made at most each 20 ms, and after nine times the time that the last one took, at most 200 ms later; a timer makes up for it.

EventsShareAPlan failed before (a plan for each of 200 events, not 3).

--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -43,6 +43,13 @@
 /* Delay before the state is read after an error, since an unanswered order may
  * still be executed. */
 #define RECHECK_DELAY_US 1000000
+/* Shortest time from one plan to the next, in microseconds and as a multiple of
+ * the time that the last one took. A plan weighs all engines, and each answer
+ * of an engine calls for one: while all engines answer, as at the begin of a
+ * leadership, plans would leave no processor time to the control thread. */
+#define PLAN_INTERVAL_US 20000
+#define PLAN_REST_FACTOR 9
+#define PLAN_INTERVAL_MAX_US 200000
 
 enum engine_state {
 	UNKNOWN,     /* the number of accepted orders is unknown */
@@ -90,6 +97,8 @@
 	GHashTable *engines;  /* id -> struct engine */
 	GHashTable *services; /* name -> struct service */
 	const Dsp__RouteTable *table;
+	struct event *plan_timer; /* pending: a plan is due */
+	int64_t next_plan_us;	  /* no plan before this time */
 	bool active;
 	uint64_t fenced_term; /* an engine has seen a higher fence than this
 				 term */
@@ -130,12 +139,15 @@
 	g_free(s);
 }
 
+static void on_plan_timer(evutil_socket_t fd, short what, void *data);
+
 /* Creates the order sender, which is active while this instance leads. */
 struct agent *agent_new(struct edge *ctx)
 {
 	struct agent *agent = g_new0(struct agent, 1);
 
 	agent->edge = ctx;
+	agent->plan_timer = evtimer_new(ctx->base, on_plan_timer, agent);
 	agent->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       engine_free);
 	agent->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -150,6 +162,7 @@
 		return;
 	g_hash_table_destroy(ctx->engines);
 	g_hash_table_destroy(ctx->services);
+	event_free(ctx->plan_timer);
 	g_free(ctx);
 }
 
@@ -663,8 +676,12 @@
 	g_free(list);
 }
 
+/* Plans orders, or sets the timer if the last plan was just made. */
 static void plan_all(struct agent *ctx)
 {
+	int64_t start_us = now_of(ctx);
+	int64_t rest_us;
+	struct timeval wait;
 	GHashTableIter iter;
 	struct service *s;
 	uint64_t fence;
@@ -673,9 +690,29 @@
 	 * predate the last order; agent_tick() requests the state first. */
 	if (!ctx->active || !may_send_orders(ctx, &fence))
 		return;
+	if (start_us < ctx->next_plan_us) {
+		if (event_pending(ctx->plan_timer, EV_TIMEOUT, NULL))
+			return;
+		wait = (struct timeval){
+			.tv_usec = ctx->next_plan_us - start_us,
+		};
+		event_add(ctx->plan_timer, &wait);
+		return;
+	}
 	g_hash_table_iter_init(&iter, ctx->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
 		plan_service(ctx, s, fence);
+	rest_us = (now_of(ctx) - start_us) * PLAN_REST_FACTOR;
+	rest_us = CLAMP(rest_us, PLAN_INTERVAL_US, PLAN_INTERVAL_MAX_US);
+	ctx->next_plan_us = now_of(ctx) + rest_us;
+	met_count(ctx->edge->met, "dandelionspar_agent_plans", "", 1);
+}
+
+static void on_plan_timer(evutil_socket_t fd, short what, void *data)
+{
+	(void)fd;
+	(void)what;
+	plan_all(data);
 }
 
 /* Follows changes of leadership, polls engine states, plans orders and
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -211,4 +211,26 @@
 		view_unref(view);
 }
 
+/* Guards against a plan for each event: while all engines answered, plans left
+ * no processor time to the control thread, and the leader lost its quorum. */
+TEST_P(Agent, EventsShareAPlan)
+{
+	const char *plans = "dandelionspar_agent_plans";
+	uint64_t before;
+
+	put_table(table(1, "", model("m", 30)));
+	put_engine();
+	refresh();
+	agent_tick(edge.agent, clk_now_us(edge.clock));
+	before = met_value(edge.met, plans, "");
+	for (int i = 0; i < 200; i++)
+		add_demand(1);
+	/* A plan in 20 ms, however long the loop took. */
+	EXPECT_LE(met_value(edge.met, plans, "") - before, 3u);
+	run_loop(60);
+	EXPECT_GE(met_value(edge.met, plans, "") - before, 1u);
+	for (auto *view : old_views)
+		view_unref(view);
+}
+
 INSTANTIATE_TEST_SUITE_P(AnswerAfterTheTick, Agent, ::testing::Bool());
