--- a/tests/tools/bench_change.c
+++ b/tests/tools/bench_change.c
@@ -4,17 +4,16 @@
 #include <string.h>
 #include <time.h>
 
-#include "base/msg.h"
 #include "core/rtab.h"
 #include "core/st.h"
 #include "core/view.h"
 #include "platform/wire.h"
 
 /*
- * Measures what a change of one route's timeout costs each instance that
- * handles it, for growing route tables: CPU time, bytes, and the heap at its
- * peak. The steps are those between the operator's call and the first request
- * that uses the new table.
+ * Measures what the first table and a change of one route's timeout cost each
+ * instance that handles them, for growing route tables: CPU time, bytes, and
+ * the heap. The steps are those between the operator's call and the first
+ * request that uses the new table.
  */
 
 /* Bits per second of the slowest link between instances that the figures are
@@ -23,7 +22,6 @@
 #define RUNS 5
 
 struct step {
-	const char *name;
 	double s; /* of the fastest run */
 	size_t bytes;
 };
@@ -38,7 +36,6 @@
 	DECODE_UPDATE,
 	INSTALL,
 	INDEX,
-	FREE_INDEX,
 	FREE_VIEW,
 	N_STEPS,
 };
@@ -108,47 +105,75 @@
 	step->bytes = bytes;
 }
 
-static Dsp__Command *command_of(Dsp__RouteTable *table)
+/* Returns the encoded command that a leader proposes. */
+static uint8_t *propose(const struct st *st, Dsp__RouteTable *table,
+			uint64_t index, size_t *len)
 {
+	Dsp__RouteTableChangePut *change = st_table_change(st, table, index);
 	Dsp__RouteTablePut put = DSP__ROUTE_TABLE_PUT__INIT;
 	Dsp__Command command = DSP__COMMAND__INIT;
+	uint8_t *data;
+
+	command.wall_ms = 1700000000000 + index;
+	if (change) {
+		command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT;
+		command.route_table_change_put = change;
+	} else {
+		put.table = table;
+		command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
+		command.route_table_put = &put;
+	}
+	*len = dsp__command__get_packed_size(&command);
+	data = g_malloc(*len);
+	dsp__command__pack(&command, data);
+	if (change)
+		dsp__route_table_change_put__free_unpacked(change, NULL);
+	return data;
+}
+
+static uint64_t table_index(const struct view *view)
+{
+	const Dsp__RouteTable *table = view_route_table(view);
 
-	put.table = table;
-	command.wall_ms = 1700000000000 + table->number;
-	command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
-	command.route_table_put = &put;
-	return msg_dup(&command);
+	return table ? table->index : 0;
 }
 
+/* Instances of each role. */
+struct world {
+	struct st *st;
+	struct view *relay;
+	struct view *entry;
+	struct rtab *index; /* of the entry's table */
+};
+
 /* The entry: decodes the update, installs the view and indexes the table. */
-static struct view *receive(struct step *steps, const uint8_t *data, size_t len,
-			    struct view *old)
+static void receive(struct step *steps, const uint8_t *data, size_t len,
+		    struct world *w)
 {
+	struct view *old = w->entry;
 	double t = cpu_time_s();
 	Dsp__ViewUpdate *update = dsp__view_update__unpack(NULL, len, data);
-	struct rtab *index;
-	struct view *view;
 
 	take(&steps[DECODE_UPDATE], t, len);
 	t = cpu_time_s();
-	view = view_apply(old, update);
+	w->entry = view_apply(old, update);
 	dsp__view_update__free_unpacked(update, NULL);
 	take(&steps[INSTALL], t, 0);
 	t = cpu_time_s();
-	index = rtab_new(view_route_table(view));
+	if (w->index)
+		rtab_update(w->index, view_route_table(old),
+			    view_route_table(w->entry));
+	else
+		w->index = rtab_new(view_route_table(w->entry));
 	take(&steps[INDEX], t, 0);
 	t = cpu_time_s();
-	rtab_free(index);
-	take(&steps[FREE_INDEX], t, 0);
-	t = cpu_time_s();
 	view_unref(old);
 	take(&steps[FREE_VIEW], t, 0);
-	return view;
 }
 
 /* One change from the operator's document to the view of an entry. */
-static void change(struct step *steps, struct st *st, struct view **relay,
-		   struct view **entry, size_t n, uint64_t number)
+static void change(struct step *steps, struct world *w, size_t n,
+		   uint64_t number)
 {
 	GString *text = document(n, number, 1000 + (unsigned)number);
 	double t = cpu_time_s();
@@ -161,32 +186,31 @@
 
 	take(&steps[PARSE], t, text->len);
 	g_string_free(text, TRUE);
-	command = command_of(table);
-	dsp__route_table__free_unpacked(table, NULL);
 	t = cpu_time_s();
-	len = dsp__command__get_packed_size(command);
-	data = g_malloc(len);
-	dsp__command__pack(command, data);
+	data = propose(w->st, table, number, &len);
 	take(&steps[ENCODE_COMMAND], t, len);
-	dsp__command__free_unpacked(command, NULL);
+	dsp__route_table__free_unpacked(table, NULL);
 
 	t = cpu_time_s();
 	command = dsp__command__unpack(NULL, len, data);
-	dsp__command_result__free_unpacked(st_apply(st, number, command), NULL);
+	dsp__command_result__free_unpacked(st_apply(w->st, number, command),
+					   NULL);
 	dsp__command__free_unpacked(command, NULL);
 	take(&steps[APPLY], t, len);
 	g_free(data);
 
 	t = cpu_time_s();
-	update = st_view_since(st, view_index(*relay));
-	next = view_apply(*relay, update);
+	update = st_view_since_table(w->st, view_index(w->relay),
+				     table_index(w->relay));
+	next = view_apply(w->relay, update);
 	dsp__view_update__free_unpacked(update, NULL);
-	view_unref(*relay);
-	*relay = next;
+	view_unref(w->relay);
+	w->relay = next;
 	take(&steps[PUBLISH], t, 0);
 
 	t = cpu_time_s();
-	update = view_since(*relay, view_index(*entry));
+	update = view_since_table(w->relay, view_index(w->entry),
+				  table_index(w->entry));
 	take(&steps[RELAY], t, 0);
 	t = cpu_time_s();
 	len = dsp__view_update__get_packed_size(update);
@@ -194,40 +218,27 @@
 	dsp__view_update__pack(update, data);
 	take(&steps[ENCODE_UPDATE], t, len);
 	dsp__view_update__free_unpacked(update, NULL);
-	*entry = receive(steps, data, len, *entry);
+	receive(steps, data, len, w);
 	g_free(data);
 }
 
-static void bench(size_t n)
+static void print_steps(const struct step *steps)
 {
-	struct step steps[N_STEPS] = {
-		[PARSE] = { "parse the document (entry called)" },
-		[ENCODE_COMMAND] = { "encode the command" },
-		[APPLY] = { "decode and apply the command (replica)" },
-		[PUBLISH] = { "publish the view (replica)" },
-		[RELAY] = { "copy records for an update (sender)" },
-		[ENCODE_UPDATE] = { "encode the update (sender)" },
-		[DECODE_UPDATE] = { "decode the update (entry)" },
-		[INSTALL] = { "install the view (entry)" },
-		[INDEX] = { "index the table (edge thread)" },
-		[FREE_INDEX] = { "free the old index (edge thread)" },
-		[FREE_VIEW] = { "free the old table (edge thread)" },
+	static const char *const names[N_STEPS] = {
+		[PARSE] = "parse the document (instance called)",
+		[ENCODE_COMMAND] = "make the command (leader)",
+		[APPLY] = "decode and apply the command (replica)",
+		[PUBLISH] = "publish the view (replica)",
+		[RELAY] = "copy records for an update (sender)",
+		[ENCODE_UPDATE] = "encode the update (sender)",
+		[DECODE_UPDATE] = "decode the update (entry)",
+		[INSTALL] = "install the view (entry)",
+		[INDEX] = "index the table (edge thread)",
+		[FREE_VIEW] = "free the old table (edge thread)",
 	};
-	size_t before = heap_bytes();
-	struct st *st = st_new(NULL);
-	struct view *relay = view_new_empty();
-	struct view *entry = view_new_empty();
-
-	for (uint64_t i = 1; i <= RUNS; i++) {
-		change(steps, st, &relay, &entry, n, i);
-		if (i > 1)
-			continue;
-		/* The first change frees no table. */
-		steps[FREE_VIEW].s = 0;
-	}
-	printf("%zu routes:\n", n);
+
 	for (size_t i = 0; i < N_STEPS; i++) {
-		printf("  %-40s %9.3f ms", steps[i].name, steps[i].s * 1e3);
+		printf("  %-40s %9.3f ms", names[i], steps[i].s * 1e3);
 		if (steps[i].bytes)
 			printf(" %9zu bytes %8.1f ms at %.1f Mbit/s",
 			       steps[i].bytes,
@@ -235,12 +246,33 @@
 			       LINK_BITS_PER_S / 1e6);
 		printf("\n");
 	}
+}
+
+static void bench(size_t n)
+{
+	struct step first[N_STEPS] = { 0 };
+	struct step later[N_STEPS] = { 0 };
+	size_t before = heap_bytes();
+	struct world w = {
+		.st = st_new(NULL),
+		.relay = view_new_empty(),
+		.entry = view_new_empty(),
+	};
+
+	change(first, &w, n, 1);
+	for (uint64_t i = 2; i <= RUNS; i++)
+		change(later, &w, n, i);
+	printf("%zu routes, first table:\n", n);
+	print_steps(first);
+	printf("%zu routes, change of a timeout:\n", n);
+	print_steps(later);
 	printf("  %-40s %9zu bytes\n",
 	       "state, view of a replica and of an entry",
 	       heap_bytes() - before);
-	view_unref(entry);
-	view_unref(relay);
-	st_free(st);
+	rtab_free(w.index);
+	view_unref(w.entry);
+	view_unref(w.relay);
+	st_free(w.st);
 }
 
 int main(void)
