tests: leaving is heeded by all entries and without the control group

One entry sees an answer that says that the endpoint leaves; 1.5 s later the other entry sends nothing there. The control group is stopped after the answer; the endpoint gets nothing for as long as the entry serves.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -1130,3 +1130,48 @@
 	})) << system.logs();
 	EXPECT_LE(engine.n_ran(), 1u);
 }
+
+TEST_F(PlatformHint, LeavingHoldsWithoutTheControlGroup)
+{
+	answer_as([this](Socket &s, const Message &m) {
+		return s.send(answer(200, a.seal() + Runner::echo(m) + LEAVING,
+				     "last"));
+	});
+	add_both();
+	for (int i = 0; i < 20 && !answered; i++)
+		system.send("GET", "/safe/x", ID);
+	proc_kill(system.instances[0].pid);
+	system.instances[0].pid = 0;
+	for (int64_t end = proc_now_ms() + 3000; proc_now_ms() < end;)
+		EXPECT_EQ(system.send("GET", "/safe/x", ID).status(), 200);
+	EXPECT_EQ(answered, 1);
+}
+
+TEST(PlatformHints, LeavingSeenByOneEntryIsHeededByAll)
+{
+	System system(1, 2);
+	Runner a("plain", "i-a");
+	std::atomic<bool> leaving{ false };
+
+	a.handler = [&](Socket &s, const Message &m) {
+		return s.send(answer(200,
+				     a.seal() + Runner::echo(m) +
+					     (leaving ? LEAVING : ""),
+				     "from a"));
+	};
+	system.serve(table(1));
+	system.add(a, "/safe/probe");
+	auto send = [&](size_t i) {
+		return call(system.instances[i].front,
+			    request("GET", "/safe/x", "host.example", ID))
+			.status();
+	};
+	ASSERT_TRUE(System::eventually([&] { return send(2) == 200; }))
+		<< system.logs();
+	leaving = true;
+	ASSERT_EQ(send(1), 200); /* the last request it gets */
+	size_t before = a.n_ran();
+	usleep(1500000);
+	EXPECT_EQ(send(2), 503) << system.logs();
+	EXPECT_EQ(a.n_ran(), before);
+}
