--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -509,6 +509,144 @@
 	EXPECT_NE(all.find(event(1)), std::string::npos) << all;
 }
 
+namespace
+{
+
+/* An answer whose body is framed by its length, as one chunk, or by the end of
+ * the connection. */
+std::string framed(const std::string &framing, int status,
+		   const std::string &fields, const std::string &body)
+{
+	std::string head =
+		"HTTP/1.1 " + std::to_string(status) + " Text\r\n" + fields;
+
+	if (framing == "length")
+		return answer(status, fields, body);
+	if (framing == "chunked")
+		return head + "Transfer-Encoding: chunked\r\n\r\n" +
+		       chunk(body) + "0\r\n\r\n";
+	return head + "\r\n" + body;
+}
+
+} // namespace
+
+/* Guards against an error's text or head in a stream that was broken, and
+ * against ending such a stream as complete. */
+TEST_F(Platform, NoErrorOfTheNextRunnerReachesABrokenStream)
+{
+	std::atomic<int> errors{ 0 };
+	std::string error;
+
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [&, r](Socket &s, const Message &m) {
+			if (!m.field("Last-Event-Id").empty()) {
+				std::string own = error;
+				size_t at = own.find("SEAL");
+
+				if (at != std::string::npos)
+					own.replace(at, 4,
+						    r->seal() +
+							    Runner::echo(m));
+				errors++;
+				s.send(own);
+				return false;
+			}
+			s.send(stream_head(*r, m) + chunk(event(1)) +
+			       chunk("id: 2\nda"));
+			usleep(20000);
+			s.reset();
+			return false;
+		};
+	for (const char *framing : { "length", "chunked", "end" })
+		for (const char *fields : { "SEAL", "" })
+			for (int status : { 200, 400, 404, 429, 500, 503 }) {
+				int before = errors;
+				Socket s;
+				std::string all;
+
+				if (status == 200 && *fields)
+					continue; /* that is a stream */
+				error = framed(framing, status, fields,
+					       "data: failure\n\n");
+				ASSERT_TRUE(s.connect_to(system.entry().front));
+				s.send(request("POST", "/flow/x",
+					       "host.example", ID));
+				all = s.read_all(3000);
+				SCOPED_TRACE(error);
+				EXPECT_GT(errors, before);
+				EXPECT_NE(all.find(event(1)), std::string::npos)
+					<< all;
+				EXPECT_EQ(all.find("failure"),
+					  std::string::npos)
+					<< all;
+				EXPECT_EQ(all.find("HTTP/1.1", 1),
+					  std::string::npos)
+					<< all;
+				EXPECT_EQ(all.find("\r\n0\r\n\r\n"),
+					  std::string::npos)
+					<< all;
+			}
+}
+
+TEST_F(Platform, StreamThatEndsWithItsConnectionIsWholeAtTheEndOfAnEvent)
+{
+	std::string rest;
+
+	add_a();
+	a.handler = [&](Socket &s, const Message &m) {
+		s.send("HTTP/1.1 200 OK\r\nContent-Type: "
+		       "text/event-stream\r\n" +
+		       a.seal() + Runner::echo(m) + "\r\n" + event(1) + rest);
+		return false;
+	};
+	Message m = system.send("POST", "/flow/x", ID);
+	EXPECT_TRUE(m.complete) << system.logs();
+	EXPECT_EQ(m.body, event(1));
+	for (size_t missing : { 1, 2, 3, 10, 19 }) {
+		rest = event(2).substr(0, event(2).size() - missing);
+		m = system.send("POST", "/flow/x", ID);
+		EXPECT_FALSE(m.status() == 200 && m.complete) << rest;
+		EXPECT_EQ(m.body.find("piece2"), std::string::npos) << rest;
+	}
+}
+
+/* Guards against a 200 with an empty or short body for an endpoint that stopped
+ * in the middle of its answer's head. */
+TEST_F(Platform, HeadThatBreaksOffIsNoSuccess)
+{
+	std::string whole;
+	size_t len = 0;
+	bool reset = false;
+
+	add_a();
+	a.handler = [&](Socket &s, const Message &m) {
+		whole = "HTTP/1.1 200 OK\r\n" + a.seal() + Runner::echo(m) +
+			"Content-Type: text/plain\r\n\r\n";
+		s.send(whole.substr(0, len));
+		if (reset) {
+			usleep(5000);
+			s.reset();
+		}
+		return false;
+	};
+	system.send("POST", "/once/x", ID, "book");
+	for (const char *path : { "/once/x", "/safe/x", "/flow/x" })
+		for (len = 0; len < whole.size(); len += 5)
+			for (bool how : { false, true }) {
+				reset = how;
+				EXPECT_GE(system.send("POST", path, ID, "book")
+						  .status(),
+					  500)
+					<< path << whole.substr(0, len);
+			}
+	for (len = whole.size() - 3; len < whole.size(); len++)
+		EXPECT_GE(system.send("POST", "/once/x", ID, "book").status(),
+			  500)
+			<< whole.substr(0, len);
+	EXPECT_GT(requests(a).size(), whole.size());
+}
+
 TEST_F(Platform, WorkEndsSoonAfterTheCallerHasLeft)
 {
 	add_a();
