--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -1807,6 +1807,96 @@
   assert(message->base.descriptor == &dsp__suspect_done__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__part_crash__init
+                     (Dsp__PartCrash         *message)
+{
+  static const Dsp__PartCrash init_value = DSP__PART_CRASH__INIT;
+  *message = init_value;
+}
+size_t dsp__part_crash__get_packed_size
+                     (const Dsp__PartCrash *message)
+{
+  assert(message->base.descriptor == &dsp__part_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__part_crash__pack
+                     (const Dsp__PartCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__part_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__part_crash__pack_to_buffer
+                     (const Dsp__PartCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__part_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__PartCrash *
+       dsp__part_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__PartCrash *)
+     protobuf_c_message_unpack (&dsp__part_crash__descriptor,
+                                allocator, len, data);
+}
+void   dsp__part_crash__free_unpacked
+                     (Dsp__PartCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__part_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__part_evidence__init
+                     (Dsp__PartEvidence         *message)
+{
+  static const Dsp__PartEvidence init_value = DSP__PART_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t dsp__part_evidence__get_packed_size
+                     (const Dsp__PartEvidence *message)
+{
+  assert(message->base.descriptor == &dsp__part_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__part_evidence__pack
+                     (const Dsp__PartEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__part_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__part_evidence__pack_to_buffer
+                     (const Dsp__PartEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__part_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__PartEvidence *
+       dsp__part_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__PartEvidence *)
+     protobuf_c_message_unpack (&dsp__part_evidence__descriptor,
+                                allocator, len, data);
+}
+void   dsp__part_evidence__free_unpacked
+                     (Dsp__PartEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__part_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__node_put__init
                      (Dsp__NodePut         *message)
 {
@@ -5149,7 +5239,7 @@
   (ProtobufCMessageInit) dsp__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__suspect__field_descriptors[10] =
 {
   {
     "digest",
@@ -5235,11 +5325,50 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Suspect, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Suspect, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed_runs",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Suspect, failed_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__suspect__field_indices_by_name[] = {
   1,   /* field[1] = crashes */
   0,   /* field[0] = digest */
+  9,   /* field[9] = failed_runs */
+  7,   /* field[7] = part */
   2,   /* field[2] = quarantined */
+  8,   /* field[8] = retry_ms */
   6,   /* field[6] = running_attempt */
   4,   /* field[4] = running_endpoint */
   5,   /* field[5] = running_incarnation */
@@ -5248,7 +5377,7 @@
 static const ProtobufCIntRange dsp__suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor dsp__suspect__descriptor =
 {
@@ -5258,7 +5387,7 @@
   "Dsp__Suspect",
   "dsp",
   sizeof(Dsp__Suspect),
-  7,
+  10,
   dsp__suspect__field_descriptors,
   dsp__suspect__field_indices_by_name,
   1,  dsp__suspect__number_ranges,
@@ -6771,6 +6900,121 @@
   (ProtobufCMessageInit) dsp__suspect_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dsp__part_crash__field_descriptors[3] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__PartCrash, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__PartCrash, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digests",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Dsp__PartCrash, n_digests),
+    offsetof(Dsp__PartCrash, digests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__part_crash__field_indices_by_name[] = {
+  2,   /* field[2] = digests */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = incarnation */
+};
+static const ProtobufCIntRange dsp__part_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__part_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.PartCrash",
+  "PartCrash",
+  "Dsp__PartCrash",
+  "dsp",
+  sizeof(Dsp__PartCrash),
+  3,
+  dsp__part_crash__field_descriptors,
+  dsp__part_crash__field_indices_by_name,
+  1,  dsp__part_crash__number_ranges,
+  (ProtobufCMessageInit) dsp__part_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__part_evidence__field_descriptors[2] =
+{
+  {
+    "crashes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__PartEvidence, n_crashes),
+    offsetof(Dsp__PartEvidence, crashes),
+    &dsp__part_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Dsp__PartEvidence, n_begun),
+    offsetof(Dsp__PartEvidence, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__part_evidence__field_indices_by_name[] = {
+  1,   /* field[1] = begun */
+  0,   /* field[0] = crashes */
+};
+static const ProtobufCIntRange dsp__part_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__part_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.PartEvidence",
+  "PartEvidence",
+  "Dsp__PartEvidence",
+  "dsp",
+  sizeof(Dsp__PartEvidence),
+  2,
+  dsp__part_evidence__field_descriptors,
+  dsp__part_evidence__field_indices_by_name,
+  1,  dsp__part_evidence__number_ranges,
+  (ProtobufCMessageInit) dsp__part_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dsp__node_put__field_descriptors[1] =
 {
   {
@@ -6878,7 +7122,7 @@
   (ProtobufCMessageInit) dsp__expire__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__command__field_descriptors[18] =
+static const ProtobufCFieldDescriptor dsp__command__field_descriptors[19] =
 {
   {
     "wall_ms",
@@ -7096,6 +7340,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_evidence",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, part_evidence),
+    &dsp__part_evidence__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__command__field_indices_by_name[] = {
   7,   /* field[7] = claim_create */
@@ -7110,6 +7366,7 @@
   13,   /* field[13] = node_put */
   4,   /* field[4] = order_create */
   5,   /* field[5] = order_finish */
+  18,   /* field[18] = part_evidence */
   6,   /* field[6] = residency_report */
   17,   /* field[17] = route_table_get */
   16,   /* field[16] = route_table_put */
@@ -7121,7 +7378,7 @@
 {
   { 1, 0 },
   { 10, 1 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor dsp__command__descriptor =
 {
@@ -7131,7 +7388,7 @@
   "Dsp__Command",
   "dsp",
   sizeof(Dsp__Command),
-  18,
+  19,
   dsp__command__field_descriptors,
   dsp__command__field_indices_by_name,
   2,  dsp__command__number_ranges,
@@ -8958,7 +9215,7 @@
   (ProtobufCMessageInit) dsp__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dsp__report__field_descriptors[7] =
 {
   {
     "nodes",
@@ -9032,6 +9289,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_evidence",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Report, part_evidence),
+    &dsp__part_evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__report__field_indices_by_name[] = {
   1,   /* field[1] = announcements */
@@ -9040,11 +9309,12 @@
   0,   /* field[0] = nodes */
   5,   /* field[5] = observed_loads */
   4,   /* field[4] = paces */
+  6,   /* field[6] = part_evidence */
 };
 static const ProtobufCIntRange dsp__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dsp__report__descriptor =
 {
@@ -9054,7 +9324,7 @@
   "Dsp__Report",
   "dsp",
   sizeof(Dsp__Report),
-  6,
+  7,
   dsp__report__field_descriptors,
   dsp__report__field_indices_by_name,
   1,  dsp__report__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -55,6 +55,8 @@
 typedef struct Dsp__CrashReport Dsp__CrashReport;
 typedef struct Dsp__SuspectRun Dsp__SuspectRun;
 typedef struct Dsp__SuspectDone Dsp__SuspectDone;
+typedef struct Dsp__PartCrash Dsp__PartCrash;
+typedef struct Dsp__PartEvidence Dsp__PartEvidence;
 typedef struct Dsp__NodePut Dsp__NodePut;
 typedef struct Dsp__NodeDown Dsp__NodeDown;
 typedef struct Dsp__Expire Dsp__Expire;
@@ -616,10 +618,22 @@
   char *running_endpoint;
   uint64_t running_incarnation;
   char *running_attempt;
+  /*
+   * a part of prompts, not a whole request
+   */
+  protobuf_c_boolean part;
+  /*
+   * quarantined part: a run is granted from then on
+   */
+  uint64_t retry_ms;
+  /*
+   * granted runs of a part that ended in a crash
+   */
+  uint32_t failed_runs;
 };
 #define DSP__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__suspect__descriptor) \
-    , {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Dsp__Split
@@ -978,6 +992,42 @@
     , {0,NULL}, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Prompt parts of requests that an endpoint had not begun to answer when it
+ * crashed.
+ */
+struct  Dsp__PartCrash
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  uint64_t incarnation;
+  size_t n_digests;
+  ProtobufCBinaryData *digests;
+};
+#define DSP__PART_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__part_crash__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+/*
+ * What entries saw of prompt parts, collected by the leader.
+ */
+struct  Dsp__PartEvidence
+{
+  ProtobufCMessage base;
+  size_t n_crashes;
+  Dsp__PartCrash **crashes;
+  /*
+   * digests of parts in answers that were begun
+   */
+  size_t n_begun;
+  ProtobufCBinaryData *begun;
+};
+#define DSP__PART_EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__part_evidence__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 struct  Dsp__NodePut
 {
   ProtobufCMessage base;
@@ -1026,7 +1076,8 @@
   DSP__COMMAND__BODY_NODE_DOWN = 23,
   DSP__COMMAND__BODY_EXPIRE = 24,
   DSP__COMMAND__BODY_ROUTE_TABLE_PUT = 25,
-  DSP__COMMAND__BODY_ROUTE_TABLE_GET = 26
+  DSP__COMMAND__BODY_ROUTE_TABLE_GET = 26,
+  DSP__COMMAND__BODY_PART_EVIDENCE = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__COMMAND__BODY__CASE)
 } Dsp__Command__BodyCase;
 
@@ -1056,6 +1107,7 @@
     Dsp__Expire *expire;
     Dsp__RouteTablePut *route_table_put;
     Dsp__RouteTableGet *route_table_get;
+    Dsp__PartEvidence *part_evidence;
   };
 };
 #define DSP__COMMAND__INIT \
@@ -1485,10 +1537,11 @@
    */
   size_t n_observed_loads;
   Dsp__LoadReport **observed_loads;
+  Dsp__PartEvidence *part_evidence;
 };
 #define DSP__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, NULL }
 
 
 struct  Dsp__Forward
@@ -2413,6 +2466,44 @@
 void   dsp__suspect_done__free_unpacked
                      (Dsp__SuspectDone *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__PartCrash methods */
+void   dsp__part_crash__init
+                     (Dsp__PartCrash         *message);
+size_t dsp__part_crash__get_packed_size
+                     (const Dsp__PartCrash   *message);
+size_t dsp__part_crash__pack
+                     (const Dsp__PartCrash   *message,
+                      uint8_t             *out);
+size_t dsp__part_crash__pack_to_buffer
+                     (const Dsp__PartCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PartCrash *
+       dsp__part_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__part_crash__free_unpacked
+                     (Dsp__PartCrash *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__PartEvidence methods */
+void   dsp__part_evidence__init
+                     (Dsp__PartEvidence         *message);
+size_t dsp__part_evidence__get_packed_size
+                     (const Dsp__PartEvidence   *message);
+size_t dsp__part_evidence__pack
+                     (const Dsp__PartEvidence   *message,
+                      uint8_t             *out);
+size_t dsp__part_evidence__pack_to_buffer
+                     (const Dsp__PartEvidence   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PartEvidence *
+       dsp__part_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__part_evidence__free_unpacked
+                     (Dsp__PartEvidence *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__NodePut methods */
 void   dsp__node_put__init
                      (Dsp__NodePut         *message);
@@ -3086,6 +3177,12 @@
 typedef void (*Dsp__SuspectDone_Closure)
                  (const Dsp__SuspectDone *message,
                   void *closure_data);
+typedef void (*Dsp__PartCrash_Closure)
+                 (const Dsp__PartCrash *message,
+                  void *closure_data);
+typedef void (*Dsp__PartEvidence_Closure)
+                 (const Dsp__PartEvidence *message,
+                  void *closure_data);
 typedef void (*Dsp__NodePut_Closure)
                  (const Dsp__NodePut *message,
                   void *closure_data);
@@ -3228,6 +3325,8 @@
 extern const ProtobufCMessageDescriptor dsp__crash_report__descriptor;
 extern const ProtobufCMessageDescriptor dsp__suspect_run__descriptor;
 extern const ProtobufCMessageDescriptor dsp__suspect_done__descriptor;
+extern const ProtobufCMessageDescriptor dsp__part_crash__descriptor;
+extern const ProtobufCMessageDescriptor dsp__part_evidence__descriptor;
 extern const ProtobufCMessageDescriptor dsp__node_put__descriptor;
 extern const ProtobufCMessageDescriptor dsp__node_down__descriptor;
 extern const ProtobufCMessageDescriptor dsp__expire__descriptor;
