wire: decode the shared parts of a prompt

X-Prompt-Prefix is decoded once into the parts that other requests may have too: all but the last, each as a digest of its id alone and its tokens. Malformed entries and those above WIRE_PARTS_MAX are skipped and counted. The hash that the balancer uses is unchanged.

Nothing uses the parts yet.

--- a/tests/unit/platform_wire_test.cc
+++ b/tests/unit/platform_wire_test.cc
@@ -258,6 +258,70 @@
 	wire_request_clear(&r);
 }
 
+struct Parts {
+	explicit Parts(const std::string &list)
+	{
+		Fields f({ { "X-Prompt-Prefix", list.c_str() } });
+
+		wire_read_request(&f.fields, &r);
+	}
+	~Parts()
+	{
+		wire_request_clear(&r);
+	}
+	std::string digest(size_t i) const
+	{
+		return std::string((const char *)r.parts[i].digest,
+				   WIRE_DIGEST_LEN);
+	}
+
+	struct wire_request r;
+};
+
+TEST(WireRequest, ReadsSharedPartsButNotTheLast)
+{
+	Parts p("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+
+	ASSERT_EQ(p.r.n_parts, 2u);
+	EXPECT_EQ(p.r.parts[0].tokens, 800u);
+	EXPECT_EQ(p.r.parts[1].tokens, 410u);
+	EXPECT_NE(p.digest(0), p.digest(1));
+	EXPECT_EQ(p.r.parts_skipped, 0u);
+	EXPECT_EQ(Parts("5c1e07a2:800").r.n_parts, 0u);
+	EXPECT_EQ(Parts("").r.n_parts, 0u);
+}
+
+TEST(WireRequest, DigestsPartsByTheirIdAlone)
+{
+	Parts p("5C1E:800,aa:1,01:5");
+	Parts q("bb:7, 5c1e:3 ,02:9");
+
+	ASSERT_EQ(p.r.n_parts, 2u);
+	ASSERT_EQ(q.r.n_parts, 2u);
+	EXPECT_EQ(p.digest(0), q.digest(1));
+	EXPECT_NE(p.digest(1), q.digest(0));
+	/* Each part counts once. */
+	EXPECT_EQ(Parts("5c:1,5c:1,5C:2,00:1").r.n_parts, 1u);
+}
+
+TEST(WireRequest, SkipsMalformedAndExcessParts)
+{
+	std::string list;
+
+	for (const char *bad : { "", ":", ":5", "5c", "5c:", "5c:x", "5c:1x",
+				 "xyz:5", "5 c:1", "5c:-1", "5c:1:2" }) {
+		Parts p(std::string(bad) + ",aa:1,bb:2");
+
+		EXPECT_EQ(p.r.n_parts, 1u) << bad;
+		EXPECT_EQ(p.r.parts_skipped, 1u) << bad;
+	}
+	for (int i = 0; i < WIRE_PARTS_MAX + 5; i++)
+		list += "a" + std::to_string(i) + ":9,";
+	Parts p(list + "bb:1");
+	EXPECT_EQ(p.r.n_parts, (size_t)WIRE_PARTS_MAX);
+	EXPECT_EQ(p.r.parts_skipped, 5u);
+}
+
 TEST(WireRequest, WritesTheRequestToAnEndpoint)
 {
 	Fields f({ { "Host", "a.example" },
