edge, ctl: report the prompt parts of a crash

A request whose endpoint crashed before its answer was begun may have caused the crash. So far entries only tried the next endpoint, and each entry did so on its own.

An attempt that breaks off without an event or a whole answer now makes the entry probe the endpoint's address. If the connection is refused, or a new view shows another process or none, the parts of all such attempts of this entry there are evidence, reported once for each process. A connection that is established, a timeout and an endpoint that was leaving are none.

Nothing decides by the evidence yet.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -230,6 +230,7 @@
 		apply_table(ctx, table);
 	if (ctx->agent)
 		agent_view_changed(ctx->agent);
+	edge_parts_view_changed(ctx->parts);
 	fwd_run_queue(ctx);
 	view_unref(old);
 }
@@ -511,6 +512,7 @@
 
 	ctx->ctl = ctl;
 	ctx->client = hio_client_new(ctx->base, ctx->clock);
+	ctx->parts = edge_parts_new(ctx);
 	if (!edge_api_open(ctx, err))
 		return false;
 	if (ctx->set->control)
@@ -556,6 +558,8 @@
 	fwd_abort_all(ctx);
 	edge_api_close(ctx);
 	edge_calls_wait(ctx);
+	edge_parts_free(ctx->parts);
+	ctx->parts = NULL;
 	agent_free(ctx->agent);
 	ctx->agent = NULL;
 	hio_client_free(ctx->client);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -23,6 +23,7 @@
 
 struct fwd;
 struct agent;
+struct edge_parts;
 
 /* A request that is held until the first confirmed view. */
 struct fwd_held {
@@ -112,6 +113,7 @@
 	bool draining;
 	int64_t drain_start_us; /* when the drain began */
 	struct agent *agent;
+	struct edge_parts *parts;
 };
 
 /* edge.c */
@@ -136,7 +138,34 @@
 bool edge_api_open(struct edge *ctx, GError **err);
 void edge_api_close(struct edge *ctx);
 
+/* edge_parts.c */
+struct check;
+
+/* An attempt in flight; embedded in its request. */
+struct edge_attempt {
+	LIST_ENTRY(edge_attempt) link;
+	TAILQ_ENTRY(edge_attempt) wait_link;
+	bool is_listed;	     /* in flight, and not proven begun */
+	struct check *check; /* whose end it waits for, or NULL */
+	const struct wire_request *request;
+	char *endpoint;
+	uint64_t incarnation;
+	char *address;
+};
+
+struct edge_parts *edge_parts_new(struct edge *edge);
+void edge_parts_free(struct edge_parts *ctx);
+void edge_parts_sent(struct edge_parts *ctx, struct edge_attempt *attempt,
+		     const struct wire_request *request,
+		     const struct bal_endpoint *endpoint);
+void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt);
+bool edge_parts_broken(struct edge_parts *ctx, struct edge_attempt *attempt);
+void edge_parts_ended(struct edge_attempt *attempt);
+void edge_parts_forget(struct edge_attempt *attempt);
+void edge_parts_view_changed(struct edge_parts *ctx);
+
 /* fwd.c */
+void fwd_crash_checked(struct edge_attempt *attempt, bool crashed);
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_caller_left(void *data, struct hio_exchange *exchange);
 /* Processes requests held for the first view. */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -133,6 +133,8 @@
 	struct hio_fields fields; /* of a buffered response; owned */
 	GByteArray *body;	  /* of a buffered response */
 	bool streaming;		  /* events of this attempt are forwarded */
+	struct edge_attempt attempt;
+	const char *broken_reason; /* while it waits for a check */
 
 	/* Response to the caller. */
 	bool headers_sent;
@@ -200,6 +202,7 @@
 	}
 	f->edge->in_flight--;
 	event_free(f->timer);
+	edge_parts_forget(&f->attempt);
 	wire_request_clear(&f->request);
 	hio_fields_clear(&f->fields);
 	discard_body(f);
@@ -232,6 +235,7 @@
 	if (f->call)
 		hio_call_cancel(f->call);
 	f->call = NULL;
+	edge_parts_ended(&f->attempt);
 	if (f->endpoint) {
 		bal_end(f->edge->bal, f->endpoint, result,
 			f->ttfb_us < 0 ? unread_tokens(f) : 0, now_of(f));
@@ -403,17 +407,45 @@
 	dispatch(f);
 }
 
+/* Ends an attempt that broke off, and tries another endpoint, at once or when
+ * it is known whether the first has crashed. */
+static void retry_broken(struct fwd *f, const char *reason)
+{
+	bool waits = edge_parts_broken(f->edge->parts, &f->attempt);
+
+	end_attempt(f, BAL_FAILED);
+	if (!waits) {
+		retry(f, true, reason);
+		return;
+	}
+	f->broken_reason = reason;
+	set_timer_at(f, f->deadline_us);
+}
+
+/* Goes on with a request whose attempt has waited for a check. */
+void fwd_crash_checked(struct edge_attempt *attempt, bool crashed)
+{
+	struct fwd *f =
+		(struct fwd *)((char *)attempt - offsetof(struct fwd, attempt));
+	const char *reason = crashed ? "endpoint_crashed" : f->broken_reason;
+
+	f->broken_reason = NULL;
+	retry(f, true, reason);
+}
+
 static void on_event(void *data, const char *event, size_t len, const char *id)
 {
 	struct fwd *f = data;
 
 	f->progress_us = now_of(f);
-	if (!f->events_received++)
+	if (!f->events_received++) {
 		f->first_event_us = f->progress_us;
-	else
+		edge_parts_begun(f->edge->parts, &f->attempt);
+	} else {
 		bal_stream_event(f->edge->bal, f->endpoint,
 				 f->progress_us - f->last_event_us,
 				 f->progress_us);
+	}
 	if (f->last_event_us)
 		f->gap_max_us =
 			MAX(f->gap_max_us, f->progress_us - f->last_event_us);
@@ -555,8 +587,7 @@
 {
 	if (sse_unfinished(f->sse)) {
 		sse_reset(f->sse);
-		end_attempt(f, BAL_FAILED);
-		retry(f, true, "unfinished_event");
+		retry_broken(f, "unfinished_event");
 		return;
 	}
 	if (f->gap_us && f->events_received >= 2)
@@ -583,6 +614,8 @@
 		retry(f, true, "unsealed");
 		return;
 	}
+	if (success)
+		edge_parts_begun(f->edge->parts, &f->attempt);
 	end_attempt(f, BAL_ANSWERED);
 	if (f->headers_sent) {
 		/* The caller has received a part of a stream. */
@@ -632,12 +665,10 @@
 			handle_refusal(f);
 			break;
 		}
-		end_attempt(f, BAL_FAILED);
-		retry(f, true, "broken");
+		retry_broken(f, "broken");
 		break;
 	case HIO_MALFORMED:
-		end_attempt(f, BAL_FAILED);
-		retry(f, true, "malformed");
+		retry_broken(f, "malformed");
 		break;
 	}
 }
@@ -701,6 +732,7 @@
 			 now_us);
 	f->repeat_us = 0;
 	f->endpoint = endpoint;
+	edge_parts_sent(f->edge->parts, &f->attempt, &f->request, endpoint);
 	g_free(f->endpoint_id);
 	f->endpoint_id = g_strdup(bal_id(endpoint));
 	add_tried(f, f->endpoint_id);
@@ -915,6 +947,10 @@
 		fwd_run_queue(f->edge);
 		return;
 	}
+	if (f->broken_reason) {
+		set_timer_at(f, f->deadline_us);
+		return;
+	}
 	if (!f->call) {
 		dispatch(f);
 		return;
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -150,4 +150,19 @@
 /* Queries. */
 struct hio_client_counts hio_client_counts(const struct hio_client *ctx);
 
+/* ---- Probe of an address (hio_probe.c) ---- */
+
+struct hio_probe;
+
+enum hio_probe_result {
+	HIO_PROBE_CONNECTED,
+	HIO_PROBE_REFUSED, /* the host has no process at this port */
+	HIO_PROBE_UNKNOWN, /* no reply in time, or another error */
+};
+
+struct hio_probe *hio_probe_start(
+	struct event_base *base, const char *address, int64_t timeout_us,
+	void (*done)(void *data, enum hio_probe_result result), void *data);
+void hio_probe_cancel(struct hio_probe *probe);
+
 #endif
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -43,6 +43,9 @@
 	case CTL_JOB_OBSERVED_LOAD:
 		dsp__load_report__free_unpacked(job->load, NULL);
 		break;
+	case CTL_JOB_PART_EVIDENCE:
+		dsp__part_evidence__free_unpacked(job->evidence, NULL);
+		break;
 	case CTL_JOB_SEEDS:
 		g_strfreev(job->seeds);
 		break;
@@ -245,6 +248,9 @@
 	case CTL_JOB_OBSERVED_LOAD:
 		ctl_report_observed_load(ctx, job->load);
 		break;
+	case CTL_JOB_PART_EVIDENCE:
+		ctl_parts_add(ctx, job->evidence);
+		break;
 	case CTL_JOB_DRAIN:
 		ctl_report_schedule(ctx, 0);
 		transfer_leadership(ctx);
@@ -345,6 +351,7 @@
 	ctl_raft_reopen(ctx);
 	ctl_form_run(ctx);
 	ctl_member_run(ctx);
+	ctl_parts_run(ctx);
 	ctl_report_run(ctx);
 	ctl_call_run(ctx);
 	ctl_raft_run(ctx);
@@ -499,6 +506,7 @@
 	ctx->orders = table_by_id();
 	ctx->observed_up = occ_new();
 	ctx->observed_down = occ_new();
+	ctx->parts = pev_new();
 	return ctx;
 }
 
@@ -535,6 +543,7 @@
 	g_hash_table_destroy(ctx->orders);
 	occ_free(ctx->observed_up);
 	occ_free(ctx->observed_down);
+	pev_free(ctx->parts);
 	g_ptr_array_free(ctx->relays, TRUE);
 	if (ctx->config)
 		dsp__raft_config__free_unpacked(ctx->config, NULL);
@@ -644,6 +653,17 @@
 	ctl_post(ctx, job);
 }
 
+/* Adds what this instance saw of prompt parts to the next report; callable from
+ * any thread. */
+void ctl_part_evidence(struct ctl *ctx, const Dsp__PartEvidence *evidence)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_PART_EVIDENCE;
+	job->evidence = msg_dup(evidence);
+	ctl_post(ctx, job);
+}
+
 /* Takes the instance off the entry list and transfers leadership; callable from
  * any thread. */
 void ctl_drain(struct ctl *ctx)
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -86,6 +86,7 @@
 void ctl_demand(struct ctl *ctx, const Dsp__Demand *demand);
 void ctl_pace(struct ctl *ctx, const Dsp__Pace *pace);
 void ctl_observed_load(struct ctl *ctx, const Dsp__LoadReport *report);
+void ctl_part_evidence(struct ctl *ctx, const Dsp__PartEvidence *evidence);
 void ctl_drain(struct ctl *ctx); /* takes the instance off the entry list */
 /* Uses the seeds of changed settings from now on. */
 void ctl_reload(struct ctl *ctx, const struct set *settings);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 
 #include "core/occ.h"
+#include "core/pev.h"
 #include "core/plc.h"
 #include "core/raft.h"
 #include "core/st.h"
@@ -85,6 +86,7 @@
 	CTL_JOB_DEMAND,
 	CTL_JOB_PACE,
 	CTL_JOB_OBSERVED_LOAD,
+	CTL_JOB_PART_EVIDENCE,
 	CTL_JOB_ORDER,
 	CTL_JOB_DRAIN,
 	CTL_JOB_SEEDS,
@@ -100,6 +102,7 @@
 		Dsp__Demand *demand;
 		Dsp__Pace *pace;
 		Dsp__LoadReport *load;
+		Dsp__PartEvidence *evidence;
 		char **seeds; /* owned */
 		struct {
 			uint64_t id;
@@ -117,6 +120,7 @@
 	CTL_WAIT_CALL,
 	CTL_WAIT_FORWARD,
 	CTL_WAIT_PLACEMENT,
+	CTL_WAIT_PARTS,
 };
 
 struct ctl_forward;
@@ -132,6 +136,7 @@
 	union {
 		struct ctl_call *call; /* one reference */
 		struct ctl_forward *forward;
+		Dsp__PartEvidence *evidence; /* owned */
 	};
 };
 TAILQ_HEAD(ctl_waiters, ctl_waiter);
@@ -317,6 +322,7 @@
 	struct ctl_loads changed_loads;
 	struct occ *observed_up;   /* for the next report */
 	struct occ *observed_down; /* for the next update */
+	struct pev *parts;	   /* for the next report or command */
 	int64_t push_due_us;	   /* next update round to all, with loads */
 	int64_t push_earliest_us;  /* rate limit of rounds in between */
 	uint64_t pushed_index;	   /* view index of the last round */
@@ -327,6 +333,8 @@
 	struct plc *plc;
 	unsigned placements_pending; /* order proposals not applied yet */
 	int64_t placement_due_us;
+	bool parts_pending; /* a command with evidence is not applied yet */
+	int64_t parts_due_us;
 	int64_t member_due_us;
 	int64_t last_expire_us; /* last Expire proposed */
 	int64_t orders_due_us;
@@ -434,6 +442,13 @@
 void ctl_member_copies(struct ctl *ctx, const Dsp__Announcement *a);
 void ctl_member_report(struct ctl *ctx, const Dsp__Report *report);
 
+/* ctl_parts.c */
+void ctl_parts_add(struct ctl *ctx, const Dsp__PartEvidence *evidence);
+Dsp__PartEvidence *ctl_parts_take(struct ctl *ctx);
+void ctl_parts_run(struct ctl *ctx);
+void ctl_parts_committed(struct ctl *ctx, Dsp__PartEvidence *evidence,
+			 const Dsp__CommandResult *result);
+
 /* ctl_spread.c */
 void ctl_spread_start(struct ctl *ctx);
 void ctl_spread_stop(struct ctl *ctx);
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -55,6 +55,7 @@
 	g_hash_table_remove_all(ctx->endpoints);
 	g_hash_table_remove_all(ctx->orders);
 	ctx->placements_pending = 0;
+	ctx->parts_pending = false;
 	ctx->plc = plc_new(seed);
 	ctx->placement_due_us = ctx->now_us + PLACEMENT_INTERVAL_US;
 	ctx->member_due_us = 0;
@@ -420,6 +421,7 @@
 	}
 	for (size_t i = 0; ctx->cb.pace && i < report->n_paces; i++)
 		ctx->cb.pace(ctx->cb.data, report->paces[i]);
+	ctl_parts_add(ctx, report->part_evidence);
 	ctl_spread_run(ctx);
 }
 
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -236,6 +236,9 @@
 		if (result)
 			ctl_order_committed(ctx, result);
 		break;
+	case CTL_WAIT_PARTS:
+		ctl_parts_committed(ctx, waiter->evidence, result);
+		break;
 	case CTL_WAIT_NONE:
 		break;
 	}
@@ -317,6 +320,8 @@
 			ctl_call_unref(ctx, w->call);
 		if (w->kind == CTL_WAIT_PLACEMENT && ctx->placements_pending)
 			ctx->placements_pending--;
+		if (w->kind == CTL_WAIT_PARTS)
+			ctl_parts_committed(ctx, w->evidence, NULL);
 		/* The forward's record is kept, so that no resend of it is
 		 * proposed again. */
 		g_free(w);
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -410,6 +410,8 @@
 		occ_take(ctx->observed_up, loads, LOADS_MAX, ctx->now_us);
 	out.body_case = DSP__ENVELOPE__BODY_REPORT;
 	out.report = &report;
+	if (!ctx->ready_leader)
+		report.part_evidence = ctl_parts_take(ctx);
 	if (ctx->ready_leader)
 		ctl_member_report(ctx, &report);
 	else
@@ -419,6 +421,8 @@
 	g_free(report.announcements);
 	g_free(report.demands);
 	g_free(report.paces);
+	if (report.part_evidence)
+		dsp__part_evidence__free_unpacked(report.part_evidence, NULL);
 	g_hash_table_remove_all(ctx->statuses);
 	g_hash_table_remove_all(ctx->announcements);
 	g_hash_table_remove_all(ctx->demands);
@@ -587,6 +591,7 @@
 		ctl_report_demand(ctx, report->demands[i]);
 	for (size_t i = 0; i < report->n_paces; i++)
 		ctl_report_pace(ctx, report->paces[i]);
+	ctl_parts_add(ctx, report->part_evidence);
 	ctx->report_hops = MAX(ctx->report_hops, report->hops + 1);
 	ctl_report_schedule(ctx, RELAY_DELAY_US);
 }
