--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &dsp__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__suspect_crash__init
+                     (Dsp__SuspectCrash         *message)
+{
+  static const Dsp__SuspectCrash init_value = DSP__SUSPECT_CRASH__INIT;
+  *message = init_value;
+}
+size_t dsp__suspect_crash__get_packed_size
+                     (const Dsp__SuspectCrash *message)
+{
+  assert(message->base.descriptor == &dsp__suspect_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__suspect_crash__pack
+                     (const Dsp__SuspectCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__suspect_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__suspect_crash__pack_to_buffer
+                     (const Dsp__SuspectCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__suspect_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__SuspectCrash *
+       dsp__suspect_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__SuspectCrash *)
+     protobuf_c_message_unpack (&dsp__suspect_crash__descriptor,
+                                allocator, len, data);
+}
+void   dsp__suspect_crash__free_unpacked
+                     (Dsp__SuspectCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__suspect_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__split__init
                      (Dsp__Split         *message)
 {
@@ -5239,7 +5284,7 @@
   (ProtobufCMessageInit) dsp__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect__field_descriptors[10] =
+static const ProtobufCFieldDescriptor dsp__suspect__field_descriptors[14] =
 {
   {
     "digest",
@@ -5361,14 +5406,66 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Suspect, first_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Suspect, last_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Suspect, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashed",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Suspect, n_crashed),
+    offsetof(Dsp__Suspect, crashed),
+    &dsp__suspect_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__suspect__field_indices_by_name[] = {
+  13,   /* field[13] = crashed */
   1,   /* field[1] = crashes */
   0,   /* field[0] = digest */
   9,   /* field[9] = failed_runs */
+  10,   /* field[10] = first_ms */
+  11,   /* field[11] = last_ms */
   7,   /* field[7] = part */
   2,   /* field[2] = quarantined */
   8,   /* field[8] = retry_ms */
+  12,   /* field[12] = run_ms */
   6,   /* field[6] = running_attempt */
   4,   /* field[4] = running_endpoint */
   5,   /* field[5] = running_incarnation */
@@ -5377,7 +5474,7 @@
 static const ProtobufCIntRange dsp__suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor dsp__suspect__descriptor =
 {
@@ -5387,13 +5484,77 @@
   "Dsp__Suspect",
   "dsp",
   sizeof(Dsp__Suspect),
-  10,
+  14,
   dsp__suspect__field_descriptors,
   dsp__suspect__field_indices_by_name,
   1,  dsp__suspect__number_ranges,
   (ProtobufCMessageInit) dsp__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dsp__suspect_crash__field_descriptors[3] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectCrash, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectCrash, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectCrash, counted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__suspect_crash__field_indices_by_name[] = {
+  2,   /* field[2] = counted */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = incarnation */
+};
+static const ProtobufCIntRange dsp__suspect_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__suspect_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.SuspectCrash",
+  "SuspectCrash",
+  "Dsp__SuspectCrash",
+  "dsp",
+  sizeof(Dsp__SuspectCrash),
+  3,
+  dsp__suspect_crash__field_descriptors,
+  dsp__suspect_crash__field_indices_by_name,
+  1,  dsp__suspect_crash__number_ranges,
+  (ProtobufCMessageInit) dsp__suspect_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dsp__split__field_descriptors[2] =
 {
   {
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Dsp__Order Dsp__Order;
 typedef struct Dsp__Claim Dsp__Claim;
 typedef struct Dsp__Suspect Dsp__Suspect;
+typedef struct Dsp__SuspectCrash Dsp__SuspectCrash;
 typedef struct Dsp__Split Dsp__Split;
 typedef struct Dsp__Route Dsp__Route;
 typedef struct Dsp__EngineModel Dsp__EngineModel;
@@ -630,10 +631,42 @@
    * granted runs of a part that ended in a crash
    */
   uint32_t failed_runs;
+  /*
+   * part: time of the first crash that counted
+   */
+  uint64_t first_ms;
+  /*
+   * part: time of the last crash that counted
+   */
+  uint64_t last_ms;
+  /*
+   * part: time of the current SuspectRun grant
+   */
+  uint64_t run_ms;
+  /*
+   * part: last crashes, oldest first
+   */
+  size_t n_crashed;
+  Dsp__SuspectCrash **crashed;
 };
 #define DSP__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__suspect__descriptor) \
-    , {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Dsp__SuspectCrash
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  uint64_t incarnation;
+  /*
+   * false: too close to the last one that counted
+   */
+  protobuf_c_boolean counted;
+};
+#define DSP__SUSPECT_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__suspect_crash__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Dsp__Split
@@ -2067,6 +2100,25 @@
 void   dsp__suspect__free_unpacked
                      (Dsp__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__SuspectCrash methods */
+void   dsp__suspect_crash__init
+                     (Dsp__SuspectCrash         *message);
+size_t dsp__suspect_crash__get_packed_size
+                     (const Dsp__SuspectCrash   *message);
+size_t dsp__suspect_crash__pack
+                     (const Dsp__SuspectCrash   *message,
+                      uint8_t             *out);
+size_t dsp__suspect_crash__pack_to_buffer
+                     (const Dsp__SuspectCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__SuspectCrash *
+       dsp__suspect_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__suspect_crash__free_unpacked
+                     (Dsp__SuspectCrash *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__Split methods */
 void   dsp__split__init
                      (Dsp__Split         *message);
@@ -3114,6 +3166,9 @@
 typedef void (*Dsp__Suspect_Closure)
                  (const Dsp__Suspect *message,
                   void *closure_data);
+typedef void (*Dsp__SuspectCrash_Closure)
+                 (const Dsp__SuspectCrash *message,
+                  void *closure_data);
 typedef void (*Dsp__Split_Closure)
                  (const Dsp__Split *message,
                   void *closure_data);
@@ -3304,6 +3359,7 @@
 extern const ProtobufCMessageDescriptor dsp__order__descriptor;
 extern const ProtobufCMessageDescriptor dsp__claim__descriptor;
 extern const ProtobufCMessageDescriptor dsp__suspect__descriptor;
+extern const ProtobufCMessageDescriptor dsp__suspect_crash__descriptor;
 extern const ProtobufCMessageDescriptor dsp__split__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route__descriptor;
 extern const ProtobufCMessageDescriptor dsp__engine_model__descriptor;
