--- /dev/null
+++ b/src/core/sus.h
@@ -0,0 +1,83 @@
+#ifndef CORE_SUS_H
+#define CORE_SUS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/view.h"
+
+/*
+ * Suspects at an entry (sus): whether a request may be sent, given the prompt
+ * parts that the replicated state suspects of crashing endpoints (qua), and
+ * which evidence about parts the entry reports to the leader. No I/O; one
+ * thread. Digests are 16 bytes; now_us is the monotonic time, wall_ms the
+ * wall-clock time.
+ */
+struct sus;
+
+#define SUS_DIGEST_LEN 16
+/* Parts of one request; further ones are not looked at. */
+#define SUS_PARTS_MAX 32
+/* Digests that one crash reports at most. */
+#define SUS_REPORT_MAX 128
+/* An answer that goes on for this time after its first whole event is proven
+ * to have begun; a completed one at once. */
+#define SUS_PROOF_US 500000
+
+/* All parts of a request's prompt but the last. */
+struct sus_parts {
+	size_t n;
+	uint8_t digests[SUS_PARTS_MAX][SUS_DIGEST_LEN];
+};
+
+enum sus_action {
+	SUS_SEND,
+	SUS_REFUSE,
+	/* Send only with a SuspectRun grant for the digest. If it is refused:
+	 * as SUS_REFUSE. */
+	SUS_TRY,
+};
+
+struct sus_decision {
+	enum sus_action action;
+	int64_t retry_us; /* SUS_REFUSE: until a trial may run; at least 0 */
+	uint8_t digest[SUS_DIGEST_LEN]; /* SUS_REFUSE, SUS_TRY: part in doubt */
+};
+
+struct sus *sus_new(void);
+void sus_free(struct sus *ctx);
+
+/* Commands. */
+/* Notes which parts are suspected; call it with each new view. */
+void sus_view(struct sus *ctx, const struct view *view, int64_t now_us);
+/*
+ * An answer with success (2xx) whose first whole event or byte of body came at
+ * started_us was proven to have begun: it completed, or it went on for
+ * SUS_PROOF_US. Call it once for each answer. Returns the number of digests in
+ * out that are to be reported as PartEvidence.begun.
+ */
+size_t sus_begun(struct sus *ctx, const struct sus_parts *parts,
+		 int64_t started_us, int64_t now_us,
+		 uint8_t out[SUS_PARTS_MAX][SUS_DIGEST_LEN]);
+/*
+ * An endpoint crashed. requests: the parts of the n requests that it had from
+ * this entry and whose answers were not proven to have begun, last sent first.
+ * Returns the number of digests in out that are to be reported as one
+ * PartCrash. For requests that are to be repeated, call sus_decide() first.
+ */
+size_t sus_crashed(struct sus *ctx, const struct sus_parts *const *requests,
+		   size_t n, int64_t now_us,
+		   uint8_t out[SUS_REPORT_MAX][SUS_DIGEST_LEN]);
+
+/* Queries. */
+/*
+ * Decides about a new request (crashes 0), or about the repeat of one whose
+ * answer was not proven to have begun when its endpoint crashed; crashes counts
+ * the endpoints that crashed with it. Uses the view of the last sus_view().
+ */
+struct sus_decision sus_decide(const struct sus *ctx,
+			       const struct sus_parts *parts, uint32_t crashes,
+			       int64_t now_us, int64_t wall_ms);
+
+#endif
