edge: refuse requests with a part that crashes endpoints

One part of prompts crashed each runner that began to answer it.

Before a request is sent, for the first time, from the queue or again, the entry now asks core/sus whether its parts are in doubt. It is then refused, 503 with Retry-After if no endpoint has run it, 502 or a broken stream otherwise. From its time on one request may run a quarantined part with a grant (SuspectRun), and clears it when its answer is proven to have begun (SuspectDone). Parts in answers that have begun are reported if they are suspected.

An attempt stays unproven until its answer has completed, or has gone on for SUS_PROOF_US. The parts of all unproven attempts at an endpoint that has crashed are reported, without those that sus knows to be sound.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -558,10 +558,10 @@
 	fwd_abort_all(ctx);
 	edge_api_close(ctx);
 	edge_calls_wait(ctx);
-	edge_parts_free(ctx->parts);
-	ctx->parts = NULL;
 	agent_free(ctx->agent);
 	ctx->agent = NULL;
+	edge_parts_free(ctx->parts);
+	ctx->parts = NULL;
 	hio_client_free(ctx->client);
 	ctx->client = NULL;
 }
--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -98,7 +98,7 @@
 	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
 	command.endpoint_put = &put;
 	edge_call_start(ctx, exchange, msg_dup(&command), LEAVE_TIMEOUT_US,
-			leave_done);
+			leave_done, NULL);
 	LOG_EVENT_NOTICE("edge", "endpoint_leaves",
 			 "endpoint=%s incarnation=%" G_GUINT64_FORMAT,
 			 endpoint->id, endpoint->incarnation);
@@ -221,7 +221,7 @@
 	command->route_table_put = g_new(Dsp__RouteTablePut, 1);
 	dsp__route_table_put__init(command->route_table_put);
 	command->route_table_put->table = table;
-	edge_call_start(ctx, exchange, command, PUT_TIMEOUT_US, put_done);
+	edge_call_start(ctx, exchange, command, PUT_TIMEOUT_US, put_done, NULL);
 }
 
 static void get_done(struct edge *ctx, struct edge_call *call)
@@ -252,7 +252,7 @@
 	command->body_case = DSP__COMMAND__BODY_ROUTE_TABLE_GET;
 	command->route_table_get = g_new(Dsp__RouteTableGet, 1);
 	dsp__route_table_get__init(command->route_table_get);
-	edge_call_start(ctx, exchange, command, GET_TIMEOUT_US, get_done);
+	edge_call_start(ctx, exchange, command, GET_TIMEOUT_US, get_done, NULL);
 }
 
 /* ---- Dispatch ---- */
--- a/src/edge/edge_call.c
+++ b/src/edge/edge_call.c
@@ -42,9 +42,10 @@
 }
 
 /* Submits a command on a separate thread; done is called on the edge thread
- * with the result. */
+ * with the result and data. */
 void edge_call_start(struct edge *ctx, struct hio_exchange *exchange,
-		     Dsp__Command *command, int64_t timeout_us, edge_done *done)
+		     Dsp__Command *command, int64_t timeout_us, edge_done *done,
+		     void *data)
 {
 	struct edge_call *call = g_new0(struct edge_call, 1);
 	pthread_attr_t attributes;
@@ -56,6 +57,7 @@
 	call->command = command;
 	call->timeout_us = timeout_us;
 	call->done = done;
+	call->data = data;
 	if (exchange)
 		hio_exchange_set_data(exchange, call);
 	pthread_mutex_lock(&ctx->lock);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -9,6 +9,7 @@
 #include "core/bal.h"
 #include "core/rep.h"
 #include "core/rtab.h"
+#include "core/sus.h"
 #include "edge/edge.h"
 #include "http/hio.h"
 #include "platform/wire.h"
@@ -60,6 +61,7 @@
 	Dsp__Command *command;	       /* owned */
 	int64_t timeout_us;
 	edge_done *done;
+	void *data;		    /* for done */
 	Dsp__CommandResult *result; /* owned; NULL: unknown */
 	bool not_sent;		    /* the command can never take effect */
 };
@@ -129,8 +131,8 @@
 /* Submits a command on a separate thread; done runs on the edge thread. Takes
  * ownership of the command. */
 void edge_call_start(struct edge *ctx, struct hio_exchange *exchange,
-		     Dsp__Command *command, int64_t timeout_us,
-		     edge_done *done);
+		     Dsp__Command *command, int64_t timeout_us, edge_done *done,
+		     void *data);
 void edge_calls_run(struct edge *ctx);
 void edge_calls_wait(struct edge *ctx);
 
@@ -139,15 +141,19 @@
 void edge_api_close(struct edge *ctx);
 
 /* edge_parts.c */
-struct check;
+struct edge_check;
+struct edge_trial;
 
-/* An attempt in flight; embedded in its request. */
+/* A request's parts and its attempt in flight; embedded in the request. */
 struct edge_attempt {
 	LIST_ENTRY(edge_attempt) link;
 	TAILQ_ENTRY(edge_attempt) wait_link;
-	bool is_listed;	     /* in flight, and not proven begun */
-	struct check *check; /* whose end it waits for, or NULL */
-	const struct wire_request *request;
+	struct sus_parts parts;
+	const char *request_id; /* for log lines */
+	uint32_t crashes;	/* endpoints that crashed before it was begun */
+	bool is_listed;		/* in flight, and its answer not proven begun */
+	struct edge_check *check; /* whose end it waits for, or NULL */
+	struct edge_trial *trial; /* asked for or granted, or NULL */
 	char *endpoint;
 	uint64_t incarnation;
 	char *address;
@@ -155,10 +161,17 @@
 
 struct edge_parts *edge_parts_new(struct edge *edge);
 void edge_parts_free(struct edge_parts *ctx);
+void edge_parts_read(struct edge_parts *ctx, struct edge_attempt *attempt,
+		     const struct wire_request *request);
+struct sus_decision edge_parts_decide(struct edge_parts *ctx,
+				      const struct edge_attempt *attempt);
+void edge_parts_try(struct edge_parts *ctx, struct edge_attempt *attempt,
+		    const struct sus_decision *decision,
+		    const struct bal_endpoint *endpoint, int64_t timeout_us);
 void edge_parts_sent(struct edge_parts *ctx, struct edge_attempt *attempt,
-		     const struct wire_request *request,
 		     const struct bal_endpoint *endpoint);
-void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt);
+void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt,
+		      int64_t started_us);
 bool edge_parts_broken(struct edge_parts *ctx, struct edge_attempt *attempt);
 void edge_parts_ended(struct edge_attempt *attempt);
 void edge_parts_forget(struct edge_attempt *attempt);
@@ -166,6 +179,7 @@
 
 /* fwd.c */
 void fwd_crash_checked(struct edge_attempt *attempt, bool crashed);
+void fwd_trial_decided(struct edge_attempt *attempt, bool granted);
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_caller_left(void *data, struct hio_exchange *exchange);
 /* Processes requests held for the first view. */
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -4,11 +4,14 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/msg.h"
 
 /*
- * Evidence about prompt parts. An attempt that breaks off before its answer was
- * begun may have crashed its endpoint. If the endpoint's process has ended, the
- * parts of all such attempts there are reported, once for each process.
+ * Prompt parts that crash endpoints. An attempt that breaks off before its
+ * answer is proven to have begun may have crashed its endpoint. If the
+ * endpoint's process has ended, the parts of such attempts there are reported,
+ * once for each process. Requests with parts that are in doubt are refused, or
+ * run with a grant.
  */
 
 /* Time limit of the connection by which a crash is confirmed; longer than a
@@ -19,29 +22,46 @@
 #define CONFIRM_US (3 * EDGE_S_US)
 /* Processes that are remembered as crashed, or suspected to be. */
 #define CHECKS_MAX 64
-/* Parts in the evidence of one crash. */
-#define DIGESTS_MAX 256
 /* Parts that are named in one log line. */
 #define LOG_DIGESTS_MAX 12
+/* Time limit of the command after a granted run. */
+#define DONE_TIMEOUT_US (2 * EDGE_S_US)
+/* Grants asked for or in use. */
+#define TRIALS_MAX 64
 
 /* An endpoint's process at which attempts have broken off. */
-struct check {
-	TAILQ_ENTRY(check) link;
+struct edge_check {
+	TAILQ_ENTRY(edge_check) link;
 	struct edge *edge;
 	char *endpoint;
 	uint64_t incarnation;
 	int64_t broke_us;
 	struct hio_probe *probe; /* NULL: none in progress */
 	bool reported;
-	GByteArray *digests; /* WIRE_DIGEST_LEN bytes each */
-	unsigned n_attempts; /* that they are from */
+	GPtrArray *requests; /* struct sus_parts, last sent first */
 	TAILQ_HEAD(, edge_attempt) waiting;
 };
 
+/* A run of a part in doubt. */
+struct edge_trial {
+	LIST_ENTRY(edge_trial) link;
+	struct edge_parts *parts;
+	struct edge_attempt *attempt; /* NULL: it has ended */
+	bool asked;		      /* the command's result is awaited */
+	uint8_t digest[SUS_DIGEST_LEN];
+	char *id; /* names the run in the commands */
+	char *endpoint;
+	uint64_t incarnation;
+};
+
 struct edge_parts {
 	struct edge *edge;
-	LIST_HEAD(, edge_attempt) attempts;
-	TAILQ_HEAD(, check) checks; /* oldest first */
+	struct sus *sus;
+	LIST_HEAD(, edge_attempt) attempts; /* last sent first */
+	LIST_HEAD(, edge_trial) trials;
+	unsigned n_trials;
+	uint64_t last_trial;
+	TAILQ_HEAD(, edge_check) checks; /* oldest first */
 	unsigned n_checks;
 };
 
@@ -51,40 +71,92 @@
 	struct edge_parts *ctx = g_new0(struct edge_parts, 1);
 
 	ctx->edge = edge;
+	ctx->sus = sus_new();
 	LIST_INIT(&ctx->attempts);
+	LIST_INIT(&ctx->trials);
 	TAILQ_INIT(&ctx->checks);
 	return ctx;
 }
 
-static void check_free(struct edge_parts *ctx, struct check *c)
+static void check_free(struct edge_parts *ctx, struct edge_check *c)
 {
 	TAILQ_REMOVE(&ctx->checks, c, link);
 	ctx->n_checks--;
 	hio_probe_cancel(c->probe);
-	g_byte_array_free(c->digests, TRUE);
+	g_ptr_array_free(c->requests, TRUE);
 	g_free(c->endpoint);
 	g_free(c);
 }
 
-/* Frees the collection after all attempts have ended; NULL is allowed. */
+static void trial_free(struct edge_trial *t)
+{
+	LIST_REMOVE(t, link);
+	t->parts->n_trials--;
+	if (t->attempt)
+		t->attempt->trial = NULL;
+	g_free(t->id);
+	g_free(t->endpoint);
+	g_free(t);
+}
+
+/* Frees the collection after all attempts and commands have ended; NULL is
+ * allowed. */
 void edge_parts_free(struct edge_parts *ctx)
 {
 	if (!ctx)
 		return;
 	while (!TAILQ_EMPTY(&ctx->checks))
 		check_free(ctx, TAILQ_FIRST(&ctx->checks));
+	while (!LIST_EMPTY(&ctx->trials))
+		trial_free(LIST_FIRST(&ctx->trials));
+	sus_free(ctx->sus);
 	g_free(ctx);
 }
 
+static char *digests_text(const uint8_t (*digests)[SUS_DIGEST_LEN], size_t n)
+{
+	GString *out = g_string_new(NULL);
+
+	for (size_t i = 0; i < MIN(n, LOG_DIGESTS_MAX); i++) {
+		if (i)
+			g_string_append_c(out, ',');
+		for (size_t k = 0; k < SUS_DIGEST_LEN; k++)
+			g_string_append_printf(out, "%02x", digests[i][k]);
+	}
+	return g_string_free(out, FALSE);
+}
+
 /* ---- Attempts ---- */
 
+/* Stores the parts of a request. */
+void edge_parts_read(struct edge_parts *ctx, struct edge_attempt *attempt,
+		     const struct wire_request *request)
+{
+	struct sus_parts *parts = &attempt->parts;
+
+	attempt->request_id = request->request_id ? request->request_id : "-";
+	parts->n = MIN(request->n_parts, SUS_PARTS_MAX);
+	for (size_t i = 0; i < parts->n; i++)
+		memcpy(parts->digests[i], request->parts[i].digest,
+		       SUS_DIGEST_LEN);
+	if (!request->parts_skipped)
+		return;
+	met_count(ctx->edge->met, "dandelionspar_edge_parts_skipped", "",
+		  request->parts_skipped);
+	LOG_EVENT_INFO("parts", "skipped", "request=%s skipped=%u read=%zu",
+		       attempt->request_id, request->parts_skipped,
+		       request->n_parts);
+}
+
 /* Registers an attempt that is sent to an endpoint. */
 void edge_parts_sent(struct edge_parts *ctx, struct edge_attempt *attempt,
-		     const struct wire_request *request,
 		     const struct bal_endpoint *endpoint)
 {
+	struct edge_trial *trial = attempt->trial;
+
+	attempt->trial = NULL;
 	edge_parts_forget(attempt);
-	attempt->request = request;
+	attempt->trial = trial;
 	attempt->endpoint = g_strdup(bal_id(endpoint));
 	attempt->incarnation = bal_incarnation(endpoint);
 	attempt->address = g_strdup(bal_address(endpoint));
@@ -99,117 +171,321 @@
 	attempt->is_listed = false;
 }
 
-/* Handles that an attempt's answer is begun: its endpoint has survived it. */
-void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt)
+static void end_trial(struct edge_trial *t, bool survived);
+
+/*
+ * Handles that an attempt's answer is proven to have begun: its endpoint has
+ * survived it. started_us: its first whole event or byte.
+ */
+void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt,
+		      int64_t started_us)
 {
-	(void)ctx;
+	Dsp__PartEvidence evidence = DSP__PART_EVIDENCE__INIT;
+	ProtobufCBinaryData begun[SUS_PARTS_MAX];
+	uint8_t digests[SUS_PARTS_MAX][SUS_DIGEST_LEN];
+	g_autofree char *text = NULL;
+	size_t n;
+
+	if (!attempt->is_listed)
+		return;
 	unlist(attempt);
+	if (attempt->trial)
+		end_trial(attempt->trial, true);
+	n = sus_begun(ctx->sus, &attempt->parts, started_us,
+		      clk_now_us(ctx->edge->clock), digests);
+	if (!n)
+		return;
+	for (size_t i = 0; i < n; i++)
+		begun[i] = (ProtobufCBinaryData){ .data = digests[i],
+						  .len = SUS_DIGEST_LEN };
+	evidence.begun = begun;
+	evidence.n_begun = n;
+	ctl_part_evidence(ctx->edge->ctl, &evidence);
+	met_count(ctx->edge->met, "dandelionspar_edge_parts_begun", "", n);
+	text = digests_text(digests, n);
+	LOG_EVENT_INFO("parts", "begun",
+		       "request=%s endpoint=%s parts=%zu digests=%s",
+		       attempt->request_id, attempt->endpoint, n, text);
 }
 
 /* Handles the end of an attempt; a wait for a check goes on. */
 void edge_parts_ended(struct edge_attempt *attempt)
 {
 	unlist(attempt);
+	if (attempt->trial && !attempt->trial->asked)
+		end_trial(attempt->trial, false);
 }
 
-/* Ends the wait for a check, too, and releases the attempt. */
+/* Ends the waits, too, and releases the attempt. */
 void edge_parts_forget(struct edge_attempt *attempt)
 {
 	unlist(attempt);
 	if (attempt->check)
 		TAILQ_REMOVE(&attempt->check->waiting, attempt, wait_link);
 	attempt->check = NULL;
+	if (attempt->trial)
+		end_trial(attempt->trial, false);
 	g_clear_pointer(&attempt->endpoint, g_free);
 	g_clear_pointer(&attempt->address, g_free);
 }
 
-/* ---- Crashes ---- */
+/* ---- Decisions and trials ---- */
 
-static bool has_digest(const GByteArray *digests, const uint8_t *digest)
+static const char *action_name(enum sus_action action)
 {
-	for (guint i = 0; i < digests->len; i += WIRE_DIGEST_LEN)
-		if (!memcmp(digests->data + i, digest, WIRE_DIGEST_LEN))
-			return true;
-	return false;
+	switch (action) {
+	case SUS_SEND:
+		return "send";
+	case SUS_REFUSE:
+		return "refuse";
+	case SUS_TRY:
+		break;
+	}
+	return "try";
 }
 
-static void add_parts(struct check *c, const struct wire_request *request)
+static struct edge_trial *find_trial(struct edge_parts *ctx,
+				     const uint8_t digest[SUS_DIGEST_LEN])
 {
-	c->n_attempts++;
-	for (size_t i = 0; i < request->n_parts; i++) {
-		const uint8_t *digest = request->parts[i].digest;
+	struct edge_trial *t;
 
-		if (c->digests->len < DIGESTS_MAX * WIRE_DIGEST_LEN &&
-		    !has_digest(c->digests, digest))
-			g_byte_array_append(c->digests, digest,
-					    WIRE_DIGEST_LEN);
+	LIST_FOREACH (t, &ctx->trials, link)
+		if (!memcmp(t->digest, digest, SUS_DIGEST_LEN))
+			return t;
+	return NULL;
+}
+
+static void log_decision(const struct edge_parts *ctx,
+			 const struct edge_attempt *attempt,
+			 const struct sus_decision *d)
+{
+	const Dsp__Suspect *s = view_suspect(ctx->edge->view, d->digest);
+	int64_t wall_ms = clk_wall_ms(ctx->edge->clock);
+	g_autofree char *digest = digests_text(&d->digest, 1);
+
+	LOG_EVENT_INFO("parts", action_name(d->action),
+		       "request=%s digest=%s crashes=%u quarantined=%d "
+		       "failed_runs=%u age_ms=%" PRId64 " own_crashes=%u "
+		       "retry_us=%" PRId64 " view=%" G_GUINT64_FORMAT
+		       " view_age_us=%" PRId64,
+		       attempt->request_id, digest, s ? s->crashes : 0,
+		       s ? s->quarantined : 0, s ? s->failed_runs : 0,
+		       s ? wall_ms - (int64_t)s->since_ms : -1,
+		       attempt->crashes, d->retry_us,
+		       view_index(ctx->edge->view),
+		       ctl_state(ctx->edge->ctl).stale_us);
+}
+
+/* Decides whether a request may be sent to an endpoint. */
+struct sus_decision edge_parts_decide(struct edge_parts *ctx,
+				      const struct edge_attempt *attempt)
+{
+	struct sus_decision d = sus_decide(
+		ctx->sus, &attempt->parts, attempt->crashes,
+		clk_now_us(ctx->edge->clock), clk_wall_ms(ctx->edge->clock));
+
+	/* One request at a time asks for the grant. */
+	if (d.action == SUS_TRY &&
+	    (find_trial(ctx, d.digest) || ctx->n_trials >= TRIALS_MAX))
+		d.action = SUS_REFUSE;
+	if (d.action == SUS_REFUSE) {
+		met_count(ctx->edge->met, "dandelionspar_edge_parts_refused",
+			  "", 1);
+		log_decision(ctx, attempt, &d);
 	}
+	return d;
 }
 
-static void collect_parts(struct edge_parts *ctx, struct check *c)
+static void log_trial(const struct edge_trial *t, const char *event,
+		      const char *outcome)
 {
-	struct edge_attempt *attempt;
+	g_autofree char *digest = digests_text(&t->digest, 1);
 
-	g_byte_array_set_size(c->digests, 0);
-	c->n_attempts = 0;
-	LIST_FOREACH (attempt, &ctx->attempts, link)
-		if (attempt->incarnation == c->incarnation &&
-		    !strcmp(attempt->endpoint, c->endpoint))
-			add_parts(c, attempt->request);
+	LOG_EVENT_NOTICE("parts", event,
+			 "request=%s digest=%s endpoint=%s "
+			 "incarnation=%" PRIu64 " outcome=%s",
+			 t->id, digest, t->endpoint, t->incarnation, outcome);
 }
 
-static char *digests_text(const GByteArray *digests)
+static const char *outcome_name(const Dsp__CommandResult *result)
 {
-	GString *out = g_string_new(NULL);
-	guint n = MIN(digests->len / WIRE_DIGEST_LEN, LOG_DIGESTS_MAX);
+	if (!result)
+		return "no_answer";
+	switch (result->code) {
+	case DSP__RESULT_CODE__RESULT_OK:
+	case DSP__RESULT_CODE__RESULT_SAME:
+		return "granted";
+	case DSP__RESULT_CODE__RESULT_NOT_FOUND:
+		return "no_suspect";
+	case DSP__RESULT_CODE__RESULT_BUSY:
+		return "busy";
+	case DSP__RESULT_CODE__RESULT_QUARANTINED:
+		return "quarantined";
+	default:
+		return "denied";
+	}
+}
 
-	for (guint i = 0; i < n * WIRE_DIGEST_LEN; i++)
-		g_string_append_printf(out, "%s%02x",
-				       i && i % WIRE_DIGEST_LEN == 0 ? "," : "",
-				       digests->data[i]);
-	return g_string_free(out, FALSE);
+static void trial_decided(struct edge *edge, struct edge_call *call)
+{
+	struct edge_trial *t = call->data;
+	struct edge_attempt *attempt = t->attempt;
+	const Dsp__CommandResult *result = call->result;
+	bool granted =
+		result && (result->code == DSP__RESULT_CODE__RESULT_OK ||
+			   result->code == DSP__RESULT_CODE__RESULT_SAME);
+	bool sound =
+		result && result->code == DSP__RESULT_CODE__RESULT_NOT_FOUND;
+
+	(void)edge;
+	t->asked = false;
+	log_trial(t, "trial", outcome_name(result));
+	/* An unused grant expires by itself. */
+	if (!attempt || !granted)
+		trial_free(t);
+	if (attempt)
+		fwd_trial_decided(attempt, granted || sound);
 }
 
-static void report(struct check *c, const char *confirmed_by)
+/*
+ * Asks for a grant to run a request with a part in doubt on an endpoint, which
+ * must stay valid. fwd_trial_decided() is called within timeout_us, unless
+ * edge_parts_forget() is called before.
+ */
+void edge_parts_try(struct edge_parts *ctx, struct edge_attempt *attempt,
+		    const struct sus_decision *decision,
+		    const struct bal_endpoint *endpoint, int64_t timeout_us)
+{
+	struct edge_trial *t = g_new0(struct edge_trial, 1);
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__SuspectRun run = DSP__SUSPECT_RUN__INIT;
+
+	t->parts = ctx;
+	t->attempt = attempt;
+	t->asked = true;
+	memcpy(t->digest, decision->digest, SUS_DIGEST_LEN);
+	t->id = g_strdup_printf("%s/%s/%" PRIu64, attempt->request_id,
+				ctx->edge->set->id, ++ctx->last_trial);
+	t->endpoint = g_strdup(bal_id(endpoint));
+	t->incarnation = bal_incarnation(endpoint);
+	LIST_INSERT_HEAD(&ctx->trials, t, link);
+	ctx->n_trials++;
+	attempt->trial = t;
+	run.digest.data = t->digest;
+	run.digest.len = SUS_DIGEST_LEN;
+	run.endpoint = t->endpoint;
+	run.incarnation = t->incarnation;
+	run.attempt = t->id;
+	command.body_case = DSP__COMMAND__BODY_SUSPECT_RUN;
+	command.suspect_run = &run;
+	log_decision(ctx, attempt, decision);
+	met_count(ctx->edge->met, "dandelionspar_edge_part_trials", "", 1);
+	edge_call_start(ctx->edge, NULL, msg_dup(&command), timeout_us,
+			trial_decided, t);
+}
+
+static void done_committed(struct edge *edge, struct edge_call *call)
+{
+	(void)edge;
+	if (!call->result)
+		LOG_EVENT_WARN("parts", "trial_end_unknown", "request=%s",
+			       call->command->suspect_done->attempt);
+}
+
+/* Ends a trial. survived: its endpoint did, so the part is in doubt no more;
+ * otherwise the evidence of a crash or the end of the grant decides. */
+static void end_trial(struct edge_trial *t, bool survived)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__SuspectDone done = DSP__SUSPECT_DONE__INIT;
+
+	if (t->asked) {
+		t->attempt->trial = NULL;
+		t->attempt = NULL;
+		return;
+	}
+	log_trial(t, "trial_end", survived ? "survived" : "undecided");
+	if (survived) {
+		done.digest.data = t->digest;
+		done.digest.len = SUS_DIGEST_LEN;
+		done.attempt = t->id;
+		command.body_case = DSP__COMMAND__BODY_SUSPECT_DONE;
+		command.suspect_done = &done;
+		edge_call_start(t->parts->edge, NULL, msg_dup(&command),
+				DONE_TIMEOUT_US, done_committed, NULL);
+	}
+	trial_free(t);
+}
+
+/* ---- Crashes ---- */
+
+static void collect_requests(struct edge_parts *ctx, struct edge_check *c)
+{
+	struct edge_attempt *attempt;
+
+	g_ptr_array_set_size(c->requests, 0);
+	LIST_FOREACH (attempt, &ctx->attempts, link)
+		if (attempt->parts.n &&
+		    attempt->incarnation == c->incarnation &&
+		    !strcmp(attempt->endpoint, c->endpoint))
+			g_ptr_array_add(c->requests,
+					g_memdup2(&attempt->parts,
+						  sizeof(attempt->parts)));
+}
+
+static void send_crash(const struct edge_check *c,
+		       uint8_t (*digests)[SUS_DIGEST_LEN], size_t n)
 {
 	Dsp__PartEvidence evidence = DSP__PART_EVIDENCE__INIT;
 	Dsp__PartCrash crash = DSP__PART_CRASH__INIT;
 	Dsp__PartCrash *crashes[] = { &crash };
-	guint n = c->digests->len / WIRE_DIGEST_LEN;
-	g_autofree ProtobufCBinaryData *digests =
-		g_new0(ProtobufCBinaryData, n + 1);
-	g_autofree char *text = digests_text(c->digests);
+	ProtobufCBinaryData list[SUS_REPORT_MAX];
 
-	c->reported = true;
-	for (guint i = 0; i < n; i++)
-		digests[i] = (ProtobufCBinaryData){
-			.data = c->digests->data + (gsize)i * WIRE_DIGEST_LEN,
-			.len = WIRE_DIGEST_LEN,
-		};
+	for (size_t i = 0; i < n; i++)
+		list[i] = (ProtobufCBinaryData){ .data = digests[i],
+						 .len = SUS_DIGEST_LEN };
 	crash.endpoint = c->endpoint;
 	crash.incarnation = c->incarnation;
-	crash.digests = digests;
+	crash.digests = list;
 	crash.n_digests = n;
 	evidence.crashes = crashes;
 	evidence.n_crashes = G_N_ELEMENTS(crashes);
 	ctl_part_evidence(c->edge->ctl, &evidence);
+}
+
+/* Reports the parts of the attempts that a crash has ended. */
+static void report(struct edge_check *c, const char *confirmed_by)
+{
+	uint8_t digests[SUS_REPORT_MAX][SUS_DIGEST_LEN];
+	int64_t now_us = clk_now_us(c->edge->clock);
+	g_autofree char *text = NULL;
+	size_t n;
+
+	c->reported = true;
+	n = sus_crashed(c->edge->parts->sus,
+			(const struct sus_parts *const *)c->requests->pdata,
+			c->requests->len, now_us, digests);
+	if (n)
+		send_crash(c, digests, n);
 	met_count(c->edge->met, "dandelionspar_edge_part_crashes", "", 1);
+	text = digests_text((const uint8_t(*)[SUS_DIGEST_LEN])digests, n);
 	LOG_EVENT_NOTICE("parts", "crash",
 			 "endpoint=%s incarnation=%" PRIu64
-			 " confirmed_by=%s attempts=%u parts=%u digests=%s "
+			 " confirmed_by=%s attempts=%u parts=%zu digests=%s "
 			 "age_us=%" PRId64,
 			 c->endpoint, c->incarnation, confirmed_by,
-			 c->n_attempts, n, text,
-			 clk_now_us(c->edge->clock) - c->broke_us);
+			 c->requests->len, n, text, now_us - c->broke_us);
 }
 
 /* Lets the attempts that wait for the check go on. */
-static void release_waiting(struct check *c)
+static void release_waiting(struct edge_check *c)
 {
 	struct edge_attempt *attempt;
 
 	while ((attempt = TAILQ_FIRST(&c->waiting))) {
 		edge_parts_forget(attempt);
+		if (c->reported)
+			attempt->crashes++;
 		fwd_crash_checked(attempt, c->reported);
 	}
 }
@@ -229,7 +505,7 @@
 
 static void on_probed(void *data, enum hio_probe_result result)
 {
-	struct check *c = data;
+	struct edge_check *c = data;
 
 	c->probe = NULL;
 	if (c->reported) {
@@ -245,15 +521,15 @@
 			       "endpoint=%s incarnation=%" PRIu64
 			       " probe=%s attempts=%u",
 			       c->endpoint, c->incarnation,
-			       probe_result_name(result), c->n_attempts);
+			       probe_result_name(result), c->requests->len);
 	}
 	release_waiting(c);
 }
 
-static struct check *find_check(struct edge_parts *ctx, const char *endpoint,
-				uint64_t incarnation)
+static struct edge_check *find_check(struct edge_parts *ctx,
+				     const char *endpoint, uint64_t incarnation)
 {
-	struct check *c;
+	struct edge_check *c;
 
 	TAILQ_FOREACH (c, &ctx->checks, link)
 		if (c->incarnation == incarnation &&
@@ -266,7 +542,7 @@
  * if there is none. */
 static bool make_room(struct edge_parts *ctx)
 {
-	struct check *c;
+	struct edge_check *c;
 
 	if (ctx->n_checks < CHECKS_MAX)
 		return true;
@@ -279,18 +555,18 @@
 	return false;
 }
 
-static struct check *check_new(struct edge_parts *ctx,
-			       const struct edge_attempt *attempt)
+static struct edge_check *check_new(struct edge_parts *ctx,
+				    const struct edge_attempt *attempt)
 {
-	struct check *c;
+	struct edge_check *c;
 
 	if (!make_room(ctx))
 		return NULL;
-	c = g_new0(struct check, 1);
+	c = g_new0(struct edge_check, 1);
 	c->edge = ctx->edge;
 	c->endpoint = g_strdup(attempt->endpoint);
 	c->incarnation = attempt->incarnation;
-	c->digests = g_byte_array_new();
+	c->requests = g_ptr_array_new_with_free_func(g_free);
 	TAILQ_INIT(&c->waiting);
 	TAILQ_INSERT_TAIL(&ctx->checks, c, link);
 	ctx->n_checks++;
@@ -316,9 +592,9 @@
  */
 bool edge_parts_broken(struct edge_parts *ctx, struct edge_attempt *attempt)
 {
-	struct check *c;
+	struct edge_check *c;
 
-	if (!attempt->is_listed || !attempt->request->n_parts ||
+	if (!attempt->is_listed || !attempt->parts.n ||
 	    was_expected_to_end(ctx, attempt))
 		return false;
 	c = find_check(ctx, attempt->endpoint, attempt->incarnation);
@@ -330,7 +606,7 @@
 		return false;
 	if (!c->probe) {
 		c->broke_us = clk_now_us(ctx->edge->clock);
-		collect_parts(ctx, c);
+		collect_requests(ctx, c);
 		c->probe = hio_probe_start(ctx->edge->base, attempt->address,
 					   PROBE_TIMEOUT_US, on_probed, c);
 	}
@@ -344,8 +620,9 @@
 void edge_parts_view_changed(struct edge_parts *ctx)
 {
 	int64_t now_us = clk_now_us(ctx->edge->clock);
-	struct check *c;
+	struct edge_check *c;
 
+	sus_view(ctx->sus, ctx->edge->view, now_us);
 	TAILQ_FOREACH (c, &ctx->checks, link) {
 		const Dsp__Endpoint *e =
 			view_endpoint(ctx->edge->view, c->endpoint);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -70,6 +70,11 @@
 /* Limit of an incomplete event of a stream; events hold a few tokens. */
 #define EVENT_MAX_BYTES (256 << 10)
 #define RETRY_AFTER_JITTER 0.5
+/* Bounds of the time after which a request with a part in doubt may return, and
+ * that time while another run of the part decides. */
+#define PART_RETRY_MIN_US 200000
+#define PART_RETRY_MAX_US (60 * EDGE_S_US)
+#define TRIAL_RETRY_US EDGE_S_US
 /* An instance that starts, or has lost the leader, has a confirmed view after
  * an election and a report, which take about this long. */
 #define VIEW_RETRY_AFTER_US 1500000
@@ -135,6 +140,8 @@
 	bool streaming;		  /* events of this attempt are forwarded */
 	struct edge_attempt attempt;
 	const char *broken_reason; /* while it waits for a check */
+	/* Kept for the request while it waits for a grant, or NULL. */
+	struct bal_endpoint *trial_endpoint;
 
 	/* Response to the caller. */
 	bool headers_sent;
@@ -191,6 +198,21 @@
 	g_byte_array_set_size(f->body, 0);
 }
 
+/* Prompt tokens that the balancer counts as unprocessed until the first byte.
+ */
+static uint32_t unread_tokens(const struct fwd *f)
+{
+	return f->engine ? MAX(f->request.tokens_in, 1) : 1;
+}
+
+static void release_trial_endpoint(struct fwd *f)
+{
+	if (f->trial_endpoint)
+		bal_end(f->edge->bal, f->trial_endpoint, BAL_CANCELLED,
+			unread_tokens(f), now_of(f));
+	f->trial_endpoint = NULL;
+}
+
 static void fwd_free(struct fwd *f)
 {
 	LIST_REMOVE(f, link);
@@ -202,6 +224,7 @@
 	}
 	f->edge->in_flight--;
 	event_free(f->timer);
+	release_trial_endpoint(f);
 	edge_parts_forget(&f->attempt);
 	wire_request_clear(&f->request);
 	hio_fields_clear(&f->fields);
@@ -217,13 +240,6 @@
 	g_free(f);
 }
 
-/* Prompt tokens that the balancer counts as unprocessed until the first byte.
- */
-static uint32_t unread_tokens(const struct fwd *f)
-{
-	return f->engine ? MAX(f->request.tokens_in, 1) : 1;
-}
-
 /* Runs the queue after the current callback has returned. */
 static void schedule_queue_run(struct edge *ctx)
 {
@@ -414,7 +430,7 @@
 	bool waits = edge_parts_broken(f->edge->parts, &f->attempt);
 
 	end_attempt(f, BAL_FAILED);
-	if (!waits) {
+	if (!waits || !can_retry(f)) {
 		retry(f, true, reason);
 		return;
 	}
@@ -422,11 +438,15 @@
 	set_timer_at(f, f->deadline_us);
 }
 
+static struct fwd *fwd_from_attempt(struct edge_attempt *attempt)
+{
+	return (struct fwd *)((char *)attempt - offsetof(struct fwd, attempt));
+}
+
 /* Goes on with a request whose attempt has waited for a check. */
 void fwd_crash_checked(struct edge_attempt *attempt, bool crashed)
 {
-	struct fwd *f =
-		(struct fwd *)((char *)attempt - offsetof(struct fwd, attempt));
+	struct fwd *f = fwd_from_attempt(attempt);
 	const char *reason = crashed ? "endpoint_crashed" : f->broken_reason;
 
 	f->broken_reason = NULL;
@@ -440,11 +460,13 @@
 	f->progress_us = now_of(f);
 	if (!f->events_received++) {
 		f->first_event_us = f->progress_us;
-		edge_parts_begun(f->edge->parts, &f->attempt);
 	} else {
 		bal_stream_event(f->edge->bal, f->endpoint,
 				 f->progress_us - f->last_event_us,
 				 f->progress_us);
+		if (f->progress_us - f->first_event_us >= SUS_PROOF_US)
+			edge_parts_begun(f->edge->parts, &f->attempt,
+					 f->first_event_us);
 	}
 	if (f->last_event_us)
 		f->gap_max_us =
@@ -590,6 +612,9 @@
 		retry_broken(f, "unfinished_event");
 		return;
 	}
+	if (f->events_received)
+		edge_parts_begun(f->edge->parts, &f->attempt,
+				 f->first_event_us);
 	if (f->gap_us && f->events_received >= 2)
 		bal_stream_end(f->edge->bal, f->endpoint,
 			       f->gap_max_us > f->gap_us, now_of(f));
@@ -615,7 +640,9 @@
 		return;
 	}
 	if (success)
-		edge_parts_begun(f->edge->parts, &f->attempt);
+		edge_parts_begun(f->edge->parts, &f->attempt,
+				 f->ttfb_us < 0 ? now_of(f)
+						: f->sent_us + f->ttfb_us);
 	end_attempt(f, BAL_ANSWERED);
 	if (f->headers_sent) {
 		/* The caller has received a part of a stream. */
@@ -732,7 +759,7 @@
 			 now_us);
 	f->repeat_us = 0;
 	f->endpoint = endpoint;
-	edge_parts_sent(f->edge->parts, &f->attempt, &f->request, endpoint);
+	edge_parts_sent(f->edge->parts, &f->attempt, endpoint);
 	g_free(f->endpoint_id);
 	f->endpoint_id = g_strdup(bal_id(endpoint));
 	add_tried(f, f->endpoint_id);
@@ -888,6 +915,42 @@
 		ctl_state(f->edge->ctl).stale_us, f->deadline_us - f->sent_us);
 }
 
+/* Refuses a request with a part in doubt. */
+static void refuse_part(struct fwd *f, int64_t retry_us)
+{
+	give_up(f, CLAMP(retry_us, PART_RETRY_MIN_US, PART_RETRY_MAX_US),
+		"suspect_part");
+}
+
+/* Asks for a grant to send a request with a part in doubt to an endpoint, which
+ * is kept for it. The request waits as long as it could in the queue. */
+static void ask_for_trial(struct fwd *f, struct bal_endpoint *endpoint,
+			  const struct sus_decision *decision)
+{
+	int64_t now_us = now_of(f);
+	int64_t limit_us = MIN(wait_limit_us(f, BAL_CHOSEN),
+			       f->deadline_us - REMAINING_MIN_US - now_us);
+
+	f->trial_endpoint = endpoint;
+	bal_begin(f->edge->bal, endpoint, unread_tokens(f), now_us);
+	edge_parts_try(f->edge->parts, &f->attempt, decision, endpoint,
+		       MAX(limit_us, 1));
+	set_timer_at(f, f->deadline_us);
+}
+
+/* Goes on with a request that has waited for a grant. */
+void fwd_trial_decided(struct edge_attempt *attempt, bool granted)
+{
+	struct fwd *f = fwd_from_attempt(attempt);
+
+	if (!granted || is_too_late(f)) {
+		refuse_part(f, TRIAL_RETRY_US);
+		return;
+	}
+	send_to(f, f->trial_endpoint);
+	release_trial_endpoint(f);
+}
+
 /*
  * Sends the request to the best endpoint, queues it, or ends it. Returns true
  * when it is queued; otherwise it may have been freed.
@@ -895,22 +958,41 @@
 static bool dispatch(struct fwd *f)
 {
 	struct bal_choice choice = { .outcome = BAL_PREFILL_BUSY };
+	struct sus_decision decision;
 
 	if (is_too_late(f)) {
 		give_up(f, -1, "deadline");
 		return false;
 	}
+	decision = edge_parts_decide(f->edge->parts, &f->attempt);
+	if (decision.action == SUS_REFUSE) {
+		refuse_part(f, decision.retry_us);
+		return false;
+	}
 	/* Queued requests of the same group come first. */
 	if (f->item.queued || f->headers_sent ||
 	    !adm_length(f->edge->queue, f->group))
 		choice = choose_endpoint(f);
+	if (choice.outcome != BAL_CHOSEN && decision.action == SUS_TRY) {
+		refuse_part(f, TRIAL_RETRY_US);
+		return false;
+	}
 	if (choice.outcome != BAL_CHOSEN)
 		return enqueue_or_refuse(f, &choice);
 	adm_remove(f->edge->queue, &f->item);
-	send_to_choice(f, &choice);
+	if (decision.action == SUS_TRY)
+		ask_for_trial(f, choice.endpoint, &decision);
+	else
+		send_to_choice(f, &choice);
 	return false;
 }
 
+static bool parts_are_sound(const struct fwd *f)
+{
+	return edge_parts_decide(f->edge->parts, &f->attempt).action ==
+	       SUS_SEND;
+}
+
 /* Moves the request from a silent endpoint to another one. If there is none, or
  * the retry budget is used up, the attempt goes on: the endpoint may still
  * respond. */
@@ -920,7 +1002,8 @@
 
 	if (f->n_tried < TRIED_MAX && !is_too_late(f))
 		choice = choose_endpoint(f);
-	if (choice.outcome != BAL_CHOSEN || !take_repeat(f)) {
+	if (choice.outcome != BAL_CHOSEN || !parts_are_sound(f) ||
+	    !take_repeat(f)) {
 		set_timer_at(f,
 			     MIN(now_of(f) + SILENCE_RETRY_US, f->deadline_us));
 		return;
@@ -947,7 +1030,7 @@
 		fwd_run_queue(f->edge);
 		return;
 	}
-	if (f->broken_reason) {
+	if (f->broken_reason || f->trial_endpoint) {
 		set_timer_at(f, f->deadline_us);
 		return;
 	}
@@ -1032,6 +1115,7 @@
 	f->exchange = exchange;
 	f->timer = event_new(ctx->base, -1, 0, on_timer, f);
 	wire_read_request(&hio_exchange_request(exchange)->fields, &f->request);
+	edge_parts_read(ctx->parts, &f->attempt, &f->request);
 	f->route = g_strdup(route->name);
 	f->service = g_strdup(service);
 	f->kind = route->kind;
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -303,24 +304,14 @@
 	       bool engine = false)
 	    : id(id), service(service), engine(engine)
 	{
-		struct sockaddr_in in = {};
-		socklen_t len = sizeof(in);
-
-		listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		in.sin_family = AF_INET;
-		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(listener, (struct sockaddr *)&in, sizeof(in));
-		listen(listener, 64);
-		getsockname(listener, (struct sockaddr *)&in, &len);
-		address = "127.0.0.1:" + std::to_string(ntohs(in.sin_port));
+		open_listener(0);
 		acceptor = std::thread([this] { accept_all(); });
 	}
 	~Runner()
 	{
 		stopping = true;
 		announcing = false;
-		shutdown(listener, SHUT_RDWR);
-		close(listener);
+		close_listener();
 		acceptor.join();
 		if (announcer.joinable())
 			announcer.join();
@@ -372,11 +363,43 @@
 		announcing = true;
 		announcer = std::thread([this, control] {
 			while (announcing) {
-				beat_once(control);
+				if (!is_down)
+					beat_once(control);
 				usleep(200000);
 			}
 		});
 	}
+	/* Ends as a killed process does: refuses connections, resets those that
+	 * are open, and sends no announcements. The address is free until
+	 * restart(). */
+	void crash()
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		if (is_down)
+			return;
+		is_down = true;
+		crashes++;
+		close_listener();
+		for (int fd : open_fds)
+			shutdown(fd, SHUT_RD);
+	}
+	/* Starts again at the same address as a new process. */
+	void restart(const std::string &new_id)
+	{
+		acceptor.join();
+		{
+			std::lock_guard<std::mutex> guard(lock);
+
+			id = new_id;
+			born++;
+			holds.clear();
+			open_listener(atoi(
+				address.substr(address.find(':') + 1).c_str()));
+			is_down = false;
+		}
+		acceptor = std::thread([this] { accept_all(); });
+	}
 	/* Ends the announcements; the runner goes on with its requests. */
 	void fall_silent()
 	{
@@ -402,6 +425,9 @@
 	uint64_t born = 1000;
 	Handler handler; /* replaces the default answer; set before use */
 
+	std::atomic<bool> is_down{ false };
+	std::atomic<unsigned> crashes{ 0 };
+
 	std::mutex lock; /* guards the engine's state and the requests run */
 	/* Engine: the adapters of each model in memory. */
 	std::map<std::string, std::vector<std::string>> holds, stale;
@@ -438,9 +464,35 @@
 		}
 		return models;
 	}
+	void open_listener(int port)
+	{
+		struct sockaddr_in in = {};
+		socklen_t len = sizeof(in);
+		int on = 1;
+
+		listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		in.sin_family = AF_INET;
+		in.sin_port = htons((uint16_t)port);
+		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		if (::bind(listener, (struct sockaddr *)&in, sizeof(in)) < 0)
+			abort();
+		listen(listener, 64);
+		getsockname(listener, (struct sockaddr *)&in, &len);
+		address = "127.0.0.1:" + std::to_string(ntohs(in.sin_port));
+	}
+	void close_listener()
+	{
+		int fd = listener.exchange(-1);
+
+		if (fd < 0)
+			return;
+		shutdown(fd, SHUT_RDWR);
+		close(fd);
+	}
 	void accept_all()
 	{
-		while (!stopping) {
+		while (!stopping && !is_down) {
 			int fd = accept4(listener, nullptr, nullptr,
 					 SOCK_CLOEXEC);
 
@@ -454,15 +506,27 @@
 		Socket socket(fd);
 		Message m;
 
-		while (!stopping) {
+		{
+			std::lock_guard<std::mutex> guard(lock);
+
+			open_fds.insert(fd);
+		}
+		while (!stopping && !is_down) {
 			if (!socket.read(&m, 100)) {
 				if (socket.ended)
-					return;
+					break;
 				continue;
 			}
 			if (!answer_one(socket, m))
-				return;
+				break;
+		}
+		{
+			std::lock_guard<std::mutex> guard(lock);
+
+			open_fds.erase(fd);
 		}
+		if (is_down)
+			socket.reset();
 	}
 	bool answer_one(Socket &socket, const Message &m)
 	{
@@ -583,7 +647,8 @@
 		return 202;
 	}
 
-	int listener;
+	std::atomic<int> listener{ -1 };
+	std::set<int> open_fds;
 	std::atomic<bool> stopping{ false };
 	std::atomic<bool> announcing{ false };
 	std::thread acceptor, announcer;
