core/qua: prompt parts that crash endpoints

Callers saw requests of one kind crash back ends one after the other: one part of their prompts made each endpoint crash that began an answer. No two such requests are alike, so suspects by request never matched.

Parts are now suspects too, in the replicated state: a part of a request whose answer had not begun when its endpoint crashed is suspected, an answer that begins later clears it, and two crashes without such an answer quarantine it. Crashes within 600 ms count once, since a power cut or a broken link takes many endpoints at one moment. A crash that a part in quarantine explains is taken off the others. Granted runs with growing pauses end the quarantine of a part that is sound by now; the first comes after 2 s, for parts that were quarantined along with the faulty one.

--- a/src/core/qua.c
+++ b/src/core/qua.c
@@ -7,7 +7,7 @@
  * Suspects and quarantine (section 10 of docs/design.md). A request that was in
  * flight when its endpoint crashed is a suspect. It runs only with a grant, and
  * an endpoint runs one suspect at a time. If that endpoint crashes too, the
- * request is quarantined.
+ * request is quarantined. Prompt parts are suspects too, see qua_part.c.
  */
 
 /* Bounds the size of views; further suspects are not recorded. */
@@ -25,8 +25,9 @@
 	key[2 * ST_DIGEST_LEN] = '\0';
 }
 
-static struct suspect *suspect_find(const struct st *ctx,
-				    const ProtobufCBinaryData *digest)
+/* Returns the suspect with this digest, or NULL. */
+struct suspect *qua_find(const struct st *ctx,
+			 const ProtobufCBinaryData *digest)
 {
 	char key[2 * ST_DIGEST_LEN + 1];
 
@@ -36,15 +37,20 @@
 	return g_hash_table_lookup(ctx->suspect_by_key, key);
 }
 
-static struct suspect *suspect_add(struct st *ctx, Dsp__Suspect *msg,
-				   uint64_t index)
+/* Adds a suspect and takes over msg, which has a new digest of 16 bytes. */
+struct suspect *qua_add(struct st *ctx, Dsp__Suspect *msg, uint64_t index)
 {
 	struct suspect *s = g_new0(struct suspect, 1);
 
 	s->msg = msg;
 	digest_to_key(&msg->digest, s->key);
-	TAILQ_INSERT_TAIL(&ctx->suspects, s, link);
-	ctx->n_suspects++;
+	if (msg->part) {
+		TAILQ_INSERT_TAIL(&ctx->parts, s, link);
+		ctx->n_parts++;
+	} else {
+		TAILQ_INSERT_TAIL(&ctx->suspects, s, link);
+		ctx->n_suspects++;
+	}
 	g_hash_table_insert(ctx->suspect_by_key, s->key, s);
 	item_insert(ctx, &s->item, DSP__VIEW_RECORD__BODY_SUSPECT, s->key, msg,
 		    index);
@@ -62,7 +68,8 @@
 	return ep && ep->running == s ? ep : NULL;
 }
 
-static void end_grant(struct st *ctx, struct suspect *s)
+/* Ends the suspect's grant, if it has one. */
+void qua_end_grant(struct st *ctx, struct suspect *s)
 {
 	struct endpoint *ep = granted_endpoint(ctx, s);
 
@@ -71,23 +78,29 @@
 	st_replace_string(&s->msg->running_endpoint, "");
 	st_replace_string(&s->msg->running_attempt, "");
 	s->msg->running_incarnation = 0;
+	s->msg->run_ms = 0;
 }
 
-static void suspect_remove(struct st *ctx, struct suspect *s,
-			   bool leave_tombstone)
+/* Removes and frees a suspect. */
+void qua_remove(struct st *ctx, struct suspect *s, bool leave_tombstone)
 {
-	end_grant(ctx, s);
+	qua_end_grant(ctx, s);
 	item_remove(ctx, &s->item, leave_tombstone);
 	g_hash_table_remove(ctx->suspect_by_key, s->key);
-	TAILQ_REMOVE(&ctx->suspects, s, link);
-	ctx->n_suspects--;
+	if (s->msg->part) {
+		TAILQ_REMOVE(&ctx->parts, s, link);
+		ctx->n_parts--;
+	} else {
+		TAILQ_REMOVE(&ctx->suspects, s, link);
+		ctx->n_suspects--;
+	}
 	dsp__suspect__free_unpacked(s->msg, NULL);
 	g_free(s);
 }
 
 static void quarantine(struct st *ctx, struct suspect *s)
 {
-	end_grant(ctx, s);
+	qua_end_grant(ctx, s);
 	s->msg->crashes++;
 	s->msg->quarantined = true;
 	s->msg->since_ms = ctx->wall_ms;
@@ -114,13 +127,13 @@
 
 	for (size_t i = 0; i < cmd->n_digests; i++) {
 		const ProtobufCBinaryData *digest = &cmd->digests[i];
-		struct suspect *s = suspect_find(ctx, digest);
+		struct suspect *s = qua_find(ctx, digest);
 		Dsp__Suspect *msg;
 
 		if (digest->len != ST_DIGEST_LEN)
 			return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
 					 "digest is not 16 bytes");
-		if (s && has_grant(s, cmd))
+		if (s && !s->msg->part && has_grant(s, cmd))
 			quarantine(ctx, s);
 		if (s)
 			continue;
@@ -134,7 +147,7 @@
 		msg->digest.len = digest->len;
 		msg->crashes = 1;
 		msg->since_ms = ctx->wall_ms;
-		suspect_add(ctx, msg, ctx->index);
+		qua_add(ctx, msg, ctx->index);
 	}
 	return st_result(ctx,
 			 full ? DSP__RESULT_CODE__RESULT_LIMIT
@@ -142,18 +155,24 @@
 			 NULL);
 }
 
+/* Whether no run is granted at present. */
+static bool is_barred(const struct st *ctx, const Dsp__Suspect *msg)
+{
+	return msg->quarantined && (!msg->part || ctx->wall_ms < msg->retry_ms);
+}
+
 /*
  * Grants a suspect one run on one endpoint. RESULT_NOT_FOUND: the request is no
- * longer a suspect and needs no grant.
+ * longer a suspect, or the part is not in quarantine, and needs no grant.
  */
 Dsp__CommandResult *qua_run(struct st *ctx, const Dsp__SuspectRun *cmd)
 {
-	struct suspect *s = suspect_find(ctx, &cmd->digest);
+	struct suspect *s = qua_find(ctx, &cmd->digest);
 	struct endpoint *ep = endpoint_find(ctx, cmd->endpoint);
 
-	if (!s)
+	if (!s || (s->msg->part && !s->msg->quarantined))
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_NOT_FOUND, NULL);
-	if (s->msg->quarantined)
+	if (is_barred(ctx, s->msg))
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_QUARANTINED,
 				 NULL);
 	if (!ep || ep->msg->incarnation != cmd->incarnation ||
@@ -178,6 +197,8 @@
 	st_replace_string(&s->msg->running_endpoint, cmd->endpoint);
 	st_replace_string(&s->msg->running_attempt, cmd->attempt);
 	s->msg->running_incarnation = cmd->incarnation;
+	if (s->msg->part)
+		qua_part_granted(ctx, s);
 	item_touch(ctx, &s->item);
 	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 }
@@ -185,15 +206,16 @@
 /* Removes a suspect whose granted run completed without a crash. */
 Dsp__CommandResult *qua_done(struct st *ctx, const Dsp__SuspectDone *cmd)
 {
-	struct suspect *s = suspect_find(ctx, &cmd->digest);
+	struct suspect *s = qua_find(ctx, &cmd->digest);
 
 	if (!s)
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_NOT_FOUND, NULL);
-	if (s->msg->quarantined || !*cmd->attempt ||
+	if ((s->msg->quarantined && !s->msg->part) || !*cmd->attempt ||
 	    strcmp(s->msg->running_attempt, cmd->attempt) != 0)
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE,
 				 "no grant for this attempt");
-	suspect_remove(ctx, s, true);
+	qua_remove(ctx, s, true);
+	qua_part_schedule(ctx);
 	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 }
 
@@ -204,7 +226,11 @@
  */
 void qua_endpoint_restarted(struct st *ctx, struct endpoint *ep)
 {
-	if (ep->running)
+	if (!ep->running)
+		return;
+	if (ep->running->msg->part)
+		qua_part_failed(ctx, ep->running);
+	else
 		quarantine(ctx, ep->running);
 }
 
@@ -216,7 +242,8 @@
 
 	while ((s = TAILQ_FIRST(&ctx->suspects)) &&
 	       s->msg->since_ms + retention_ms <= ctx->wall_ms)
-		suspect_remove(ctx, s, true);
+		qua_remove(ctx, s, true);
+	qua_part_expire(ctx);
 }
 
 /* Restores a suspect; its endpoint must have been restored before. */
@@ -225,11 +252,13 @@
 	struct endpoint *ep = endpoint_find(ctx, msg->running_endpoint);
 	struct suspect *s;
 
-	if (msg->digest.len != ST_DIGEST_LEN || suspect_find(ctx, &msg->digest))
+	if (msg->digest.len != ST_DIGEST_LEN || qua_find(ctx, &msg->digest))
 		return false;
-	s = suspect_add(ctx, msg_dup(msg), index);
+	s = qua_add(ctx, msg_dup(msg), index);
 	if (ep && ep->msg->incarnation == msg->running_incarnation)
 		ep->running = s;
+	if (msg->part)
+		qua_part_schedule(ctx);
 	return true;
 }
 
@@ -237,17 +266,22 @@
 void qua_clear(struct st *ctx)
 {
 	while (!TAILQ_EMPTY(&ctx->suspects))
-		suspect_remove(ctx, TAILQ_FIRST(&ctx->suspects), false);
+		qua_remove(ctx, TAILQ_FIRST(&ctx->suspects), false);
+	while (!TAILQ_EMPTY(&ctx->parts))
+		qua_remove(ctx, TAILQ_FIRST(&ctx->parts), false);
 }
 
-/* Lists suspects and quarantined requests, oldest first. */
+/* Lists suspects in quarantine and others: requests, then parts, each kind
+ * oldest first. */
 size_t st_suspects(const struct st *ctx, const Dsp__Suspect ***out)
 {
 	size_t i = 0;
 	const struct suspect *s;
 
-	*out = g_new(const Dsp__Suspect *, ctx->n_suspects + 1);
+	*out = g_new(const Dsp__Suspect *, ctx->n_suspects + ctx->n_parts + 1);
 	TAILQ_FOREACH (s, &ctx->suspects, link)
 		(*out)[i++] = s->msg;
+	TAILQ_FOREACH (s, &ctx->parts, link)
+		(*out)[i++] = s->msg;
 	return i;
 }
--- /dev/null
+++ b/src/core/qua_part.c
@@ -0,0 +1,353 @@
+#include <string.h>
+
+#include "core/st_private.h"
+
+/*
+ * Prompt parts that crash endpoints (section 10 of docs/design.md). A part of a
+ * request whose answer had not begun when its endpoint crashed is suspected; an
+ * answer with that part that begins afterwards clears it. After two crashes
+ * without such an answer it is quarantined: requests with it are refused, but
+ * for granted runs with growing pauses, one at a time in the whole system.
+ */
+
+/* Crashes that quarantine a part. */
+#define CRASHES 2
+/* Crashes of endpoints within this time may have one common cause and count as
+ * one. It includes the delays with which entries report a crash. */
+#define JOINT_MS 600
+/* Time for answers that have begun to be reported, since the first crash. */
+#define CONTEST_MS 800
+/* A suspected part is dropped when it crashes nothing more. */
+#define SUSPECTED_MS 30000
+/* Pause before the first granted run, which clears a sound part that was
+ * quarantined along with the faulty one. */
+#define FIRST_PAUSE_MS 2000
+/* Pause after the first failed run; it grows by PAUSE_FACTOR each. */
+#define PAUSE_MS 20000
+#define PAUSE_FACTOR 3
+#define PAUSE_MAX_MS 600000
+/* A granted run without an outcome has failed. */
+#define RUN_MS 30000
+/* Bounds views; the parts with the fewest crashes go first. */
+#define PARTS_MAX 512
+/* Remembered crashes of a part. */
+#define CRASHED_MAX 16
+
+static uint64_t change_ms(const struct st *ctx, const Dsp__Suspect *msg)
+{
+	uint64_t at = UINT64_MAX;
+
+	if (msg->quarantined) {
+		if (msg->run_ms)
+			return msg->run_ms + RUN_MS;
+		return msg->since_ms + (uint64_t)ctx->limits.quarantine_ms;
+	}
+	if (msg->crashes >= CRASHES)
+		at = msg->first_ms + CONTEST_MS;
+	return MIN(at, msg->last_ms + SUSPECTED_MS);
+}
+
+/* Sets the time at which the next part changes without evidence. */
+void qua_part_schedule(struct st *ctx)
+{
+	const struct suspect *s;
+
+	ctx->parts_due_ms = UINT64_MAX;
+	TAILQ_FOREACH (s, &ctx->parts, link)
+		ctx->parts_due_ms =
+			MIN(ctx->parts_due_ms, change_ms(ctx, s->msg));
+}
+
+static Dsp__SuspectCrash *find_crash(const Dsp__Suspect *msg,
+				     const char *endpoint, uint64_t incarnation)
+{
+	for (size_t i = 0; i < msg->n_crashed; i++)
+		if (msg->crashed[i]->incarnation == incarnation &&
+		    !strcmp(msg->crashed[i]->endpoint, endpoint))
+			return msg->crashed[i];
+	return NULL;
+}
+
+/* Remembers a crash; the oldest one beyond CRASHED_MAX is forgotten. */
+static void add_crash(Dsp__Suspect *msg, const char *endpoint,
+		      uint64_t incarnation, bool counted)
+{
+	Dsp__SuspectCrash *crash = g_new(Dsp__SuspectCrash, 1);
+
+	dsp__suspect_crash__init(crash);
+	crash->endpoint = g_strdup(endpoint);
+	crash->incarnation = incarnation;
+	crash->counted = counted;
+	if (msg->n_crashed >= CRASHED_MAX) {
+		dsp__suspect_crash__free_unpacked(msg->crashed[0], NULL);
+		msg->n_crashed--;
+		memmove(msg->crashed, msg->crashed + 1,
+			msg->n_crashed * sizeof(void *));
+	}
+	msg->crashed =
+		g_renew(Dsp__SuspectCrash *, msg->crashed, msg->n_crashed + 1);
+	msg->crashed[msg->n_crashed++] = crash;
+}
+
+static uint64_t pause_ms(uint32_t failed_runs)
+{
+	uint64_t pause = PAUSE_MS;
+
+	if (!failed_runs)
+		return FIRST_PAUSE_MS;
+	while (--failed_runs && pause < PAUSE_MAX_MS)
+		pause *= PAUSE_FACTOR;
+	return MIN(pause, PAUSE_MAX_MS);
+}
+
+static void quarantine_part(struct st *ctx, struct suspect *s)
+{
+	s->msg->quarantined = true;
+	s->msg->since_ms = ctx->wall_ms;
+	s->msg->retry_ms = ctx->wall_ms + pause_ms(s->msg->failed_runs);
+	item_touch(ctx, &s->item);
+}
+
+/*
+ * Takes a crash that a quarantined part explains off the other parts. Those
+ * without another crash are suspected no longer.
+ */
+static void explain_crash(struct st *ctx, const char *endpoint,
+			  uint64_t incarnation)
+{
+	struct suspect *s, *next;
+
+	for (s = TAILQ_FIRST(&ctx->parts); s; s = next) {
+		Dsp__SuspectCrash *crash;
+
+		next = TAILQ_NEXT(s, link);
+		if (s->msg->quarantined)
+			continue;
+		crash = find_crash(s->msg, endpoint, incarnation);
+		if (!crash || !crash->counted)
+			continue;
+		crash->counted = false;
+		item_touch(ctx, &s->item);
+		if (!--s->msg->crashes)
+			qua_remove(ctx, s, true);
+	}
+}
+
+/* Quarantines the parts with enough crashes that no answer has cleared. */
+static void judge_parts(struct st *ctx)
+{
+	GPtrArray *found = g_ptr_array_new();
+	struct suspect *s;
+
+	TAILQ_FOREACH (s, &ctx->parts, link)
+		if (!s->msg->quarantined && s->msg->crashes >= CRASHES &&
+		    s->msg->first_ms + CONTEST_MS <= ctx->wall_ms)
+			g_ptr_array_add(found, s);
+	for (guint i = 0; i < found->len; i++)
+		quarantine_part(ctx, found->pdata[i]);
+	for (guint i = 0; i < found->len; i++) {
+		const Dsp__Suspect *msg =
+			((const struct suspect *)found->pdata[i])->msg;
+
+		for (size_t j = 0; j < msg->n_crashed; j++)
+			explain_crash(ctx, msg->crashed[j]->endpoint,
+				      msg->crashed[j]->incarnation);
+	}
+	g_ptr_array_free(found, TRUE);
+}
+
+/* Counts a granted run that ended in a crash or had no outcome. */
+void qua_part_failed(struct st *ctx, struct suspect *s)
+{
+	qua_end_grant(ctx, s);
+	s->msg->failed_runs++;
+	quarantine_part(ctx, s);
+	qua_part_schedule(ctx);
+}
+
+/* Notes the time of a grant; the caller touches the record. */
+void qua_part_granted(struct st *ctx, struct suspect *s)
+{
+	s->msg->run_ms = ctx->wall_ms;
+	qua_part_schedule(ctx);
+}
+
+/* Applies what happens to parts by the passing of time. */
+void qua_part_expire(struct st *ctx)
+{
+	struct suspect *s, *next;
+
+	if (ctx->wall_ms < ctx->parts_due_ms)
+		return;
+	judge_parts(ctx);
+	for (s = TAILQ_FIRST(&ctx->parts); s; s = next) {
+		next = TAILQ_NEXT(s, link);
+		if (ctx->wall_ms < change_ms(ctx, s->msg))
+			continue;
+		if (s->msg->run_ms)
+			qua_part_failed(ctx, s);
+		else
+			qua_remove(ctx, s, true);
+	}
+	qua_part_schedule(ctx);
+}
+
+/*
+ * Makes room for one part: drops the oldest of the suspected parts with the
+ * fewest crashes. Returns false if all are in quarantine.
+ */
+static bool evict_part(struct st *ctx)
+{
+	struct suspect *s, *fewest = NULL;
+
+	TAILQ_FOREACH (s, &ctx->parts, link)
+		if (!s->msg->quarantined &&
+		    (!fewest || s->msg->crashes < fewest->msg->crashes))
+			fewest = s;
+	if (fewest)
+		qua_remove(ctx, fewest, true);
+	return fewest != NULL;
+}
+
+static void add_part(struct st *ctx, const ProtobufCBinaryData *digest,
+		     const Dsp__PartCrash *crash)
+{
+	Dsp__Suspect *msg = g_new(Dsp__Suspect, 1);
+
+	dsp__suspect__init(msg);
+	msg->part = true;
+	msg->digest.data = g_memdup2(digest->data, digest->len);
+	msg->digest.len = digest->len;
+	msg->crashes = 1;
+	msg->since_ms = ctx->wall_ms;
+	msg->first_ms = ctx->wall_ms;
+	msg->last_ms = ctx->wall_ms;
+	add_crash(msg, crash->endpoint, crash->incarnation, true);
+	qua_add(ctx, msg, ctx->index);
+}
+
+/* Returns false if the table was full, whether or not there was room. */
+static bool count_crash(struct st *ctx, const ProtobufCBinaryData *digest,
+			const Dsp__PartCrash *crash)
+{
+	struct suspect *s = qua_find(ctx, digest);
+	bool counted;
+
+	if (!s) {
+		bool full = ctx->n_parts >= PARTS_MAX;
+
+		if (!full || evict_part(ctx))
+			add_part(ctx, digest, crash);
+		return !full;
+	}
+	if (!s->msg->part ||
+	    find_crash(s->msg, crash->endpoint, crash->incarnation))
+		return true;
+	counted = s->msg->last_ms + JOINT_MS <= ctx->wall_ms;
+	add_crash(s->msg, crash->endpoint, crash->incarnation, counted);
+	if (counted) {
+		s->msg->crashes++;
+		s->msg->last_ms = ctx->wall_ms;
+	}
+	item_touch(ctx, &s->item);
+	return true;
+}
+
+/* Whether a part in quarantine is known to have crashed this endpoint. */
+static bool was_explained(const struct st *ctx, const Dsp__PartCrash *crash)
+{
+	const struct suspect *s;
+
+	TAILQ_FOREACH (s, &ctx->parts, link)
+		if (s->msg->quarantined &&
+		    find_crash(s->msg, crash->endpoint, crash->incarnation))
+			return true;
+	return false;
+}
+
+/*
+ * Looks for a part in quarantine among those of a crash, and fails the run that
+ * was granted on this endpoint. A repeated report has no effect.
+ */
+static bool blame_known_part(struct st *ctx, const Dsp__PartCrash *crash)
+{
+	bool known = false;
+
+	for (size_t i = 0; i < crash->n_digests; i++) {
+		struct suspect *s = qua_find(ctx, &crash->digests[i]);
+
+		if (!s || !s->msg->part || !s->msg->quarantined)
+			continue;
+		known = true;
+		if (!find_crash(s->msg, crash->endpoint, crash->incarnation)) {
+			add_crash(s->msg, crash->endpoint, crash->incarnation,
+				  true);
+			s->msg->crashes++;
+			item_touch(ctx, &s->item);
+		}
+		if (!strcmp(s->msg->running_endpoint, crash->endpoint) &&
+		    s->msg->running_incarnation == crash->incarnation)
+			qua_part_failed(ctx, s);
+	}
+	return known;
+}
+
+static bool apply_crash(struct st *ctx, const Dsp__PartCrash *crash)
+{
+	bool room = true;
+
+	if (blame_known_part(ctx, crash)) {
+		explain_crash(ctx, crash->endpoint, crash->incarnation);
+		return true;
+	}
+	if (was_explained(ctx, crash))
+		return true;
+	for (size_t i = 0; i < crash->n_digests; i++)
+		if (!count_crash(ctx, &crash->digests[i], crash))
+			room = false;
+	return room;
+}
+
+static bool are_digests(const ProtobufCBinaryData *digests, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		if (digests[i].len != ST_DIGEST_LEN)
+			return false;
+	return true;
+}
+
+/*
+ * Applies what entries saw of prompt parts. begun holds parts of answers that
+ * began after the entry had seen the part as suspected; answers from before the
+ * crash prove nothing and must not be reported. RESULT_LIMIT: PARTS_MAX is
+ * reached and suspected parts were dropped or not recorded.
+ */
+Dsp__CommandResult *qua_part_evidence(struct st *ctx,
+				      const Dsp__PartEvidence *cmd)
+{
+	bool valid = are_digests(cmd->begun, cmd->n_begun), room = true;
+
+	for (size_t i = 0; i < cmd->n_crashes; i++)
+		if (!are_digests(cmd->crashes[i]->digests,
+				 cmd->crashes[i]->n_digests) ||
+		    !*cmd->crashes[i]->endpoint)
+			valid = false;
+	if (!valid)
+		return st_result(ctx, DSP__RESULT_CODE__RESULT_INVALID,
+				 "digest is not 16 bytes, or no endpoint");
+	for (size_t i = 0; i < cmd->n_begun; i++) {
+		struct suspect *s = qua_find(ctx, &cmd->begun[i]);
+
+		if (s && s->msg->part)
+			qua_remove(ctx, s, true);
+	}
+	for (size_t i = 0; i < cmd->n_crashes; i++)
+		if (!apply_crash(ctx, cmd->crashes[i]))
+			room = false;
+	judge_parts(ctx);
+	qua_part_schedule(ctx);
+	return st_result(ctx,
+			 room ? DSP__RESULT_CODE__RESULT_OK
+			      : DSP__RESULT_CODE__RESULT_LIMIT,
+			 NULL);
+}
--- a/src/core/st.c
+++ b/src/core/st.c
@@ -27,6 +27,8 @@
 	TAILQ_INIT(&ctx->pending);
 	TAILQ_INIT(&ctx->finished);
 	TAILQ_INIT(&ctx->suspects);
+	TAILQ_INIT(&ctx->parts);
+	ctx->parts_due_ms = UINT64_MAX;
 	ctx->tombstone_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	ctx->document_by_team = g_hash_table_new(g_str_hash, g_str_equal);
 	ctx->endpoint_by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -152,6 +154,8 @@
 		return qua_run(ctx, command->suspect_run);
 	case DSP__COMMAND__BODY_SUSPECT_DONE:
 		return qua_done(ctx, command->suspect_done);
+	case DSP__COMMAND__BODY_PART_EVIDENCE:
+		return qua_part_evidence(ctx, command->part_evidence);
 	case DSP__COMMAND__BODY_NODE_PUT:
 		return node_put(ctx, command->node_put);
 	case DSP__COMMAND__BODY_NODE_DOWN:
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -13,7 +13,7 @@
  * ord (orders): load and unload orders, and the accelerator memory that they
  * reserve;
  * clm (claims): which attempt runs a request that must run at most once;
- * qua (quarantine): requests during which an endpoint crashed.
+ * qua (quarantine): requests and prompt parts during which endpoints crashed.
  */
 
 #define ST_DIGEST_LEN 16
@@ -148,7 +148,8 @@
 
 struct suspect {
 	struct item item;
-	TAILQ_ENTRY(suspect) link; /* ordered by since_ms */
+	/* st.suspects, ordered by since_ms, or st.parts, ordered by first_ms */
+	TAILQ_ENTRY(suspect) link;
 	Dsp__Suspect *msg;
 	char key[2 * ST_DIGEST_LEN + 1];
 };
@@ -184,9 +185,12 @@
 	uint32_t loads_in_transit;	/* pending, endpoint not down */
 	uint32_t adapters_in_transit;
 
-	TAILQ_HEAD(, suspect) suspects;
-	GHashTable *suspect_by_key;
+	TAILQ_HEAD(suspect_list, suspect) suspects; /* requests */
+	struct suspect_list parts;
+	GHashTable *suspect_by_key; /* both */
 	size_t n_suspects;
+	size_t n_parts;
+	uint64_t parts_due_ms; /* derived: when a part changes by itself */
 
 	struct clm *claims;
 
@@ -274,6 +278,19 @@
 void qua_expire(struct st *ctx);
 bool qua_restore(struct st *ctx, const Dsp__Suspect *msg, uint64_t index);
 void qua_clear(struct st *ctx);
+struct suspect *qua_find(const struct st *ctx,
+			 const ProtobufCBinaryData *digest);
+struct suspect *qua_add(struct st *ctx, Dsp__Suspect *msg, uint64_t index);
+void qua_remove(struct st *ctx, struct suspect *s, bool leave_tombstone);
+void qua_end_grant(struct st *ctx, struct suspect *s);
+
+/* qua_part.c */
+Dsp__CommandResult *qua_part_evidence(struct st *ctx,
+				      const Dsp__PartEvidence *cmd);
+void qua_part_granted(struct st *ctx, struct suspect *s);
+void qua_part_failed(struct st *ctx, struct suspect *s);
+void qua_part_expire(struct st *ctx);
+void qua_part_schedule(struct st *ctx);
 
 /* clm.c */
 struct clm *clm_new(const struct st_limits *limits);
--- a/src/core/st_snapshot.c
+++ b/src/core/st_snapshot.c
@@ -206,12 +206,12 @@
 	add_record(w, copy);
 }
 
-static void write_suspects(struct writer *w, const struct st *ctx)
+static void write_suspects(struct writer *w, const struct suspect_list *list)
 {
 	const struct suspect *s;
 
 	flush_frame(w);
-	TAILQ_FOREACH (s, &ctx->suspects, link) {
+	TAILQ_FOREACH (s, list, link) {
 		uint64_t index = s->item.index;
 		Dsp__Suspect *msg = s->msg;
 
@@ -280,7 +280,8 @@
 	write_endpoints(&w, ctx);
 	begin_field(&w, set_claims);
 	clm_visit(ctx->claims, write_claim, &w);
-	write_suspects(&w, ctx);
+	write_suspects(&w, &ctx->suspects);
+	write_suspects(&w, &ctx->parts);
 	write_nodes(&w, ctx);
 	write_tombstones(&w, ctx);
 	flush_frame(&w);
--- a/src/core/sus.h
+++ b/src/core/sus.h
@@ -70,14 +70,14 @@
 		   size_t n, int64_t now_us,
 		   uint8_t out[SUS_REPORT_MAX][SUS_DIGEST_LEN]);
 
-/* Queries. */
 /*
  * Decides about a new request (crashes 0), or about the repeat of one whose
  * answer was not proven to have begun when its endpoint crashed; crashes counts
  * the endpoints that crashed with it. Uses the view of the last sus_view().
+ * A part whose SuspectRun was asked for is not tried again for some 200 ms.
  */
-struct sus_decision sus_decide(const struct sus *ctx,
-			       const struct sus_parts *parts, uint32_t crashes,
-			       int64_t now_us, int64_t wall_ms);
+struct sus_decision sus_decide(struct sus *ctx, const struct sus_parts *parts,
+			       uint32_t crashes, int64_t now_us,
+			       int64_t wall_ms);
 
 #endif
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -435,7 +435,7 @@
 	return record ? record->msg->node : NULL;
 }
 
-/* Returns the suspect with this request digest, or NULL. */
+/* Returns the suspect with this digest of a request or part, or NULL. */
 const Dsp__Suspect *view_suspect(const struct view *ctx,
 				 const uint8_t digest[16])
 {
@@ -454,6 +454,18 @@
 	return record ? record->msg->suspect : NULL;
 }
 
+/* Returns the number of suspects, requests and parts. */
+size_t view_n_suspects(const struct view *ctx)
+{
+	return ctx->kinds[SUSPECTS].n;
+}
+
+/* Returns suspect i in the order of digests. */
+const Dsp__Suspect *view_suspect_at(const struct view *ctx, size_t i)
+{
+	return ctx->kinds[SUSPECTS].all[i]->msg->suspect;
+}
+
 static void add_since(GPtrArray *out, const struct record_list *list,
 		      uint64_t from_index)
 {
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -43,6 +43,8 @@
 const Dsp__Node *view_node(const struct view *ctx, const char *id);
 const Dsp__Suspect *view_suspect(const struct view *ctx,
 				 const uint8_t digest[16]);
+size_t view_n_suspects(const struct view *ctx);
+const Dsp__Suspect *view_suspect_at(const struct view *ctx, size_t i);
 Dsp__ViewUpdate *view_since(const struct view *ctx, uint64_t from_index);
 
 #endif
