node/ctl: Expire commands for prompt parts

A part with two crashes is quarantined 800 ms after the first one, but the state applies time limits with commands only, and an idle group proposes an Expire command once a minute. The leader now proposes one when a part is due, at most each 100 ms. Parts.TimeOfTheNextChangeIsKnown covers the time; the proposal itself has no test of its own yet.

--- a/src/core/qua_part.c
+++ b/src/core/qua_part.c
@@ -192,6 +192,13 @@
 	qua_part_schedule(ctx);
 }
 
+/* Returns the wall-clock time from which an Expire command is due for prompt
+ * parts; UINT64_MAX: none. */
+uint64_t st_parts_due_ms(const struct st *ctx)
+{
+	return ctx->parts_due_ms;
+}
+
 /*
  * Makes room for one part: drops the oldest of the suspected parts with the
  * fewest crashes. Returns false if all are in quarantine.
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -18,9 +18,11 @@
 #define PLACEMENT_INTERVAL_US CTL_S_US
 /* Grace period after the deadline of a claim; section 9 of docs/design.md. */
 #define CLAIM_GRACE_MS 10000
-/* Interval of Expire commands without an expired claim. All other time limits
- * are hours long. */
+/* Interval of Expire commands without an expired claim or prompt part. All
+ * other time limits are hours long. */
 #define EXPIRE_INTERVAL_US (60LL * CTL_S_US)
+/* Interval of Expire commands for prompt parts. */
+#define PARTS_EXPIRE_INTERVAL_US (CTL_S_US / 10)
 /* A join request that is not repeated within this time is dropped. */
 #define JOIN_LIMIT_US (5LL * CTL_S_US)
 /* A replica is alive if it sent a message within this time, which is several
@@ -437,8 +439,20 @@
 	return expired;
 }
 
-/* Proposes an Expire command if a claim has expired, otherwise rarely, so that
- * an idle group writes next to nothing. */
+static bool expire_is_due(struct ctl *ctx, uint64_t wall_ms)
+{
+	int64_t age_us = ctx->now_us - ctx->last_expire_us;
+
+	if (age_us >= PARTS_EXPIRE_INTERVAL_US &&
+	    st_parts_due_ms(ctx->st) <= wall_ms)
+		return true;
+	if (age_us < CTL_S_US)
+		return false;
+	return age_us >= EXPIRE_INTERVAL_US || claim_expired(ctx, wall_ms);
+}
+
+/* Proposes an Expire command if a claim or a prompt part has expired, otherwise
+ * rarely, so that an idle group writes next to nothing. */
 static void propose_expire(struct ctl *ctx)
 {
 	Dsp__Command command = DSP__COMMAND__INIT;
@@ -446,10 +460,7 @@
 	uint64_t wall_ms =
 		(uint64_t)MAX(clk_wall_ms(ctx->clock), st_wall_ms(ctx->st));
 
-	if (ctx->now_us - ctx->last_expire_us < CTL_S_US)
-		return;
-	if (ctx->now_us - ctx->last_expire_us < EXPIRE_INTERVAL_US &&
-	    !claim_expired(ctx, wall_ms))
+	if (!expire_is_due(ctx, wall_ms))
 		return;
 	ctx->last_expire_us = ctx->now_us;
 	command.body_case = DSP__COMMAND__BODY_EXPIRE;
--- a/tests/unit/state_parts_test.cc
+++ b/tests/unit/state_parts_test.cc
@@ -460,6 +460,27 @@
 	EXPECT_EQ(find(part('p')), nullptr);
 }
 
+TEST_F(Parts, TimeOfTheNextChangeIsKnown)
+{
+	uint64_t start_ms = r.wall_ms;
+
+	EXPECT_EQ(st_parts_due_ms(r.st.get()), UINT64_MAX);
+	crash(0, { part('p') });
+	EXPECT_EQ(st_parts_due_ms(r.st.get()), start_ms + 30000);
+	r.wall_ms += 600;
+	crash(1, { part('p') });
+	EXPECT_EQ(st_parts_due_ms(r.st.get()), start_ms + 800);
+	r.restore();
+	EXPECT_EQ(st_parts_due_ms(r.restored.get()), start_ms + 800);
+	wait(200);
+	EXPECT_TRUE(quarantined('p'));
+	wait(2000);
+	EXPECT_EQ(run(part('p'), 2), OK);
+	EXPECT_EQ(st_parts_due_ms(r.st.get()), r.wall_ms + 30000);
+	EXPECT_EQ(done(part('p')), OK);
+	EXPECT_EQ(st_parts_due_ms(r.st.get()), UINT64_MAX);
+}
+
 TEST_F(Parts, SnapshotsKeepPartsGrantsAndTheirTimes)
 {
 	crash(0, { part('p'), part('f') });
