edge, core/qua: an unused grant of a trial ends at once

A granted run that its endpoint refused, or that was never sent, kept its grant until qua_part took it for failed after 30 s, with a longer quarantine after it. SuspectDone.not_run now ends such a grant without effect. Test: UnusedGrantEndsWithoutEffect (the field is new).

--- a/src/core/qua.c
+++ b/src/core/qua.c
@@ -203,7 +203,8 @@
 	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 }
 
-/* Removes a suspect whose granted run completed without a crash. */
+/* Removes a suspect whose granted run completed without a crash, or ends a
+ * grant that was not used. */
 Dsp__CommandResult *qua_done(struct st *ctx, const Dsp__SuspectDone *cmd)
 {
 	struct suspect *s = qua_find(ctx, &cmd->digest);
@@ -214,7 +215,12 @@
 	    strcmp(s->msg->running_attempt, cmd->attempt) != 0)
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE,
 				 "no grant for this attempt");
-	qua_remove(ctx, s, true);
+	if (cmd->not_run) {
+		qua_end_grant(ctx, s);
+		item_touch(ctx, &s->item);
+	} else {
+		qua_remove(ctx, s, true);
+	}
 	qua_part_schedule(ctx);
 	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 }
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -26,6 +26,8 @@
 #define LOG_DIGESTS_MAX 12
 /* Time limit of the command after a granted run. */
 #define DONE_TIMEOUT_US (2 * EDGE_S_US)
+/* Endpoints that are named as crashed by a part. */
+#define LOG_CRASHES_MAX 8
 /* Grants asked for or in use. */
 #define TRIALS_MAX 64
 
@@ -57,6 +59,7 @@
 struct edge_parts {
 	struct edge *edge;
 	struct sus *sus;
+	GHashTable *quarantined;	    /* digests in the view, as text */
 	LIST_HEAD(, edge_attempt) attempts; /* last sent first */
 	LIST_HEAD(, edge_trial) trials;
 	unsigned n_trials;
@@ -65,6 +68,11 @@
 	unsigned n_checks;
 };
 
+static GHashTable *text_set(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
 /* Creates the collection without any attempts. */
 struct edge_parts *edge_parts_new(struct edge *edge)
 {
@@ -72,6 +80,7 @@
 
 	ctx->edge = edge;
 	ctx->sus = sus_new();
+	ctx->quarantined = text_set();
 	LIST_INIT(&ctx->attempts);
 	LIST_INIT(&ctx->trials);
 	TAILQ_INIT(&ctx->checks);
@@ -110,18 +119,27 @@
 	while (!LIST_EMPTY(&ctx->trials))
 		trial_free(LIST_FIRST(&ctx->trials));
 	sus_free(ctx->sus);
+	g_hash_table_destroy(ctx->quarantined);
 	g_free(ctx);
 }
 
+static char *digest_text(const uint8_t digest[SUS_DIGEST_LEN])
+{
+	GString *out = g_string_new(NULL);
+
+	for (size_t i = 0; i < SUS_DIGEST_LEN; i++)
+		g_string_append_printf(out, "%02x", digest[i]);
+	return g_string_free(out, FALSE);
+}
+
 static char *digests_text(const uint8_t (*digests)[SUS_DIGEST_LEN], size_t n)
 {
 	GString *out = g_string_new(NULL);
 
 	for (size_t i = 0; i < MIN(n, LOG_DIGESTS_MAX); i++) {
-		if (i)
-			g_string_append_c(out, ',');
-		for (size_t k = 0; k < SUS_DIGEST_LEN; k++)
-			g_string_append_printf(out, "%02x", digests[i][k]);
+		g_autofree char *text = digest_text(digests[i]);
+
+		g_string_append_printf(out, "%s%s", i ? "," : "", text);
 	}
 	return g_string_free(out, FALSE);
 }
@@ -171,7 +189,14 @@
 	attempt->is_listed = false;
 }
 
-static void end_trial(struct edge_trial *t, bool survived);
+enum trial_outcome {
+	TRIAL_SURVIVED, /* the endpoint did: the part is in doubt no more */
+	TRIAL_NOT_RUN,	/* the grant was not used */
+	/* The evidence of a crash, or the end of the grant, decides. */
+	TRIAL_UNDECIDED,
+};
+
+static void end_trial(struct edge_trial *t, enum trial_outcome outcome);
 
 /*
  * Handles that an attempt's answer is proven to have begun: its endpoint has
@@ -190,7 +215,7 @@
 		return;
 	unlist(attempt);
 	if (attempt->trial)
-		end_trial(attempt->trial, true);
+		end_trial(attempt->trial, TRIAL_SURVIVED);
 	n = sus_begun(ctx->sus, &attempt->parts, started_us,
 		      clk_now_us(ctx->edge->clock), digests);
 	if (!n)
@@ -208,12 +233,20 @@
 		       attempt->request_id, attempt->endpoint, n, text);
 }
 
+/* Handles that the endpoint did not run the request of an attempt. */
+void edge_parts_not_run(struct edge_attempt *attempt)
+{
+	unlist(attempt);
+	if (attempt->trial && !attempt->trial->asked)
+		end_trial(attempt->trial, TRIAL_NOT_RUN);
+}
+
 /* Handles the end of an attempt; a wait for a check goes on. */
 void edge_parts_ended(struct edge_attempt *attempt)
 {
 	unlist(attempt);
 	if (attempt->trial && !attempt->trial->asked)
-		end_trial(attempt->trial, false);
+		end_trial(attempt->trial, TRIAL_UNDECIDED);
 }
 
 /* Ends the waits, too, and releases the attempt. */
@@ -224,7 +257,7 @@
 		TAILQ_REMOVE(&attempt->check->waiting, attempt, wait_link);
 	attempt->check = NULL;
 	if (attempt->trial)
-		end_trial(attempt->trial, false);
+		end_trial(attempt->trial, TRIAL_UNDECIDED);
 	g_clear_pointer(&attempt->endpoint, g_free);
 	g_clear_pointer(&attempt->address, g_free);
 }
@@ -261,7 +294,7 @@
 {
 	const Dsp__Suspect *s = view_suspect(ctx->edge->view, d->digest);
 	int64_t wall_ms = clk_wall_ms(ctx->edge->clock);
-	g_autofree char *digest = digests_text(&d->digest, 1);
+	g_autofree char *digest = digest_text(d->digest);
 
 	LOG_EVENT_INFO("parts", action_name(d->action),
 		       "request=%s digest=%s crashes=%u quarantined=%d "
@@ -299,7 +332,7 @@
 static void log_trial(const struct edge_trial *t, const char *event,
 		      const char *outcome)
 {
-	g_autofree char *digest = digests_text(&t->digest, 1);
+	g_autofree char *digest = digest_text(t->digest);
 
 	LOG_EVENT_NOTICE("parts", event,
 			 "request=%s digest=%s endpoint=%s "
@@ -340,9 +373,10 @@
 	(void)edge;
 	t->asked = false;
 	log_trial(t, "trial", outcome_name(result));
-	/* An unused grant expires by itself. */
-	if (!attempt || !granted)
+	if (!granted)
 		trial_free(t);
+	else if (!attempt)
+		end_trial(t, TRIAL_NOT_RUN);
 	if (attempt)
 		fwd_trial_decided(attempt, granted || sound);
 }
@@ -392,28 +426,45 @@
 			       call->command->suspect_done->attempt);
 }
 
-/* Ends a trial. survived: its endpoint did, so the part is in doubt no more;
- * otherwise the evidence of a crash or the end of the grant decides. */
-static void end_trial(struct edge_trial *t, bool survived)
+static const char *trial_outcome_name(enum trial_outcome outcome)
+{
+	switch (outcome) {
+	case TRIAL_SURVIVED:
+		return "survived";
+	case TRIAL_NOT_RUN:
+		return "not_run";
+	case TRIAL_UNDECIDED:
+		break;
+	}
+	return "undecided";
+}
+
+static void submit_done(const struct edge_trial *t, bool not_run)
 {
 	Dsp__Command command = DSP__COMMAND__INIT;
 	Dsp__SuspectDone done = DSP__SUSPECT_DONE__INIT;
 
+	done.digest.data = (uint8_t *)t->digest;
+	done.digest.len = SUS_DIGEST_LEN;
+	done.attempt = t->id;
+	done.not_run = not_run;
+	command.body_case = DSP__COMMAND__BODY_SUSPECT_DONE;
+	command.suspect_done = &done;
+	edge_call_start(t->parts->edge, NULL, msg_dup(&command),
+			DONE_TIMEOUT_US, done_committed, NULL);
+}
+
+/* Ends a trial; one whose grant is awaited ends when that is decided. */
+static void end_trial(struct edge_trial *t, enum trial_outcome outcome)
+{
 	if (t->asked) {
 		t->attempt->trial = NULL;
 		t->attempt = NULL;
 		return;
 	}
-	log_trial(t, "trial_end", survived ? "survived" : "undecided");
-	if (survived) {
-		done.digest.data = t->digest;
-		done.digest.len = SUS_DIGEST_LEN;
-		done.attempt = t->id;
-		command.body_case = DSP__COMMAND__BODY_SUSPECT_DONE;
-		command.suspect_done = &done;
-		edge_call_start(t->parts->edge, NULL, msg_dup(&command),
-				DONE_TIMEOUT_US, done_committed, NULL);
-	}
+	log_trial(t, "trial_end", trial_outcome_name(outcome));
+	if (outcome != TRIAL_UNDECIDED)
+		submit_done(t, outcome == TRIAL_NOT_RUN);
 	trial_free(t);
 }
 
@@ -616,6 +667,49 @@
 	return true;
 }
 
+static void log_quarantined(const Dsp__Suspect *s, const char *digest)
+{
+	GString *endpoints = g_string_new(NULL);
+	size_t first = s->n_crashed > LOG_CRASHES_MAX
+			       ? s->n_crashed - LOG_CRASHES_MAX
+			       : 0;
+
+	for (size_t i = first; i < s->n_crashed; i++)
+		g_string_append_printf(endpoints, "%s%s", i > first ? "," : "",
+				       s->crashed[i]->endpoint);
+	LOG_EVENT_NOTICE("parts", "quarantined",
+			 "digest=%s crashes=%u endpoints=%s failed_runs=%u",
+			 digest, s->crashes, endpoints->str, s->failed_runs);
+	g_string_free(endpoints, TRUE);
+}
+
+/* Logs which parts are quarantined by a new view, and which no longer are. */
+static void log_quarantine(struct edge_parts *ctx)
+{
+	const struct view *view = ctx->edge->view;
+	GHashTable *now = text_set();
+	GHashTableIter iter;
+	char *digest;
+
+	for (size_t i = 0; i < view_n_suspects(view); i++) {
+		const Dsp__Suspect *s = view_suspect_at(view, i);
+
+		if (!s->part || !s->quarantined ||
+		    s->digest.len != SUS_DIGEST_LEN)
+			continue;
+		digest = digest_text(s->digest.data);
+		if (!g_hash_table_remove(ctx->quarantined, digest))
+			log_quarantined(s, digest);
+		g_hash_table_add(now, digest);
+	}
+	g_hash_table_iter_init(&iter, ctx->quarantined);
+	while (g_hash_table_iter_next(&iter, (void **)&digest, NULL))
+		LOG_EVENT_NOTICE("parts", "released", "digest=%s view=%" PRIu64,
+				 digest, view_index(view));
+	g_hash_table_destroy(ctx->quarantined);
+	ctx->quarantined = now;
+}
+
 /* Confirms crashes by a new view: the process is gone or was replaced. */
 void edge_parts_view_changed(struct edge_parts *ctx)
 {
@@ -623,6 +717,7 @@
 	struct edge_check *c;
 
 	sus_view(ctx->sus, ctx->edge->view, now_us);
+	log_quarantine(ctx);
 	TAILQ_FOREACH (c, &ctx->checks, link) {
 		const Dsp__Endpoint *e =
 			view_endpoint(ctx->edge->view, c->endpoint);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -597,6 +597,7 @@
 	/* An engine gives the same status when it does not hold the model. */
 	bool wrong_process = replaced && !f->engine;
 
+	edge_parts_not_run(&f->attempt);
 	end_attempt(f, wrong_process ? BAL_REPLACED : BAL_REFUSED);
 	f->runs--;
 	if (f->engine && replaced)
@@ -684,6 +685,7 @@
 	switch (failure) {
 	case HIO_NOT_CONNECTED:
 		f->runs--;
+		edge_parts_not_run(&f->attempt);
 		end_attempt(f, BAL_UNREACHED);
 		retry(f, false, "not_connected");
 		break;
@@ -944,6 +946,7 @@
 	struct fwd *f = fwd_from_attempt(attempt);
 
 	if (!granted || is_too_late(f)) {
+		edge_parts_not_run(attempt);
 		refuse_part(f, TRIAL_RETRY_US);
 		return;
 	}
--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -343,6 +343,21 @@
 	met_gauge(ctx->met, name, "", (int64_t)value);
 }
 
+static void set_part_gauges(struct ctl *ctx)
+{
+	size_t quarantined = 0;
+	size_t all = 0;
+
+	for (size_t i = 0; i < view_n_suspects(ctx->view); i++) {
+		const Dsp__Suspect *s = view_suspect_at(ctx->view, i);
+
+		all += s->part;
+		quarantined += s->part && s->quarantined;
+	}
+	gauge(ctx, "dandelionspar_parts_suspected", all);
+	gauge(ctx, "dandelionspar_parts_quarantined", quarantined);
+}
+
 /* Updates the control thread's gauges if METRICS_INTERVAL_US has passed. */
 void ctl_status_metrics(struct ctl *ctx)
 {
@@ -361,6 +376,7 @@
 	      occ_size(ctx->observed_down));
 	gauge(ctx, "dandelionspar_view_index", view_index(ctx->view));
 	gauge(ctx, "dandelionspar_view_age_ms", ctl_confirmed_age_ms(ctx));
+	set_part_gauges(ctx);
 	gauge(ctx, "dandelionspar_leader", ctx->ready_leader);
 	gauge(ctx, "dandelionspar_disk_failed", ctx->disk_failed);
 	if (!ctx->raft)
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -7010,7 +7010,7 @@
   (ProtobufCMessageInit) dsp__suspect_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect_done__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dsp__suspect_done__field_descriptors[3] =
 {
   {
     "digest",
@@ -7036,15 +7036,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectDone, not_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__suspect_done__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
   0,   /* field[0] = digest */
+  2,   /* field[2] = not_run */
 };
 static const ProtobufCIntRange dsp__suspect_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor dsp__suspect_done__descriptor =
 {
@@ -7054,7 +7067,7 @@
   "Dsp__SuspectDone",
   "dsp",
   sizeof(Dsp__SuspectDone),
-  2,
+  3,
   dsp__suspect_done__field_descriptors,
   dsp__suspect_done__field_indices_by_name,
   1,  dsp__suspect_done__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1019,10 +1019,14 @@
   ProtobufCMessage base;
   ProtobufCBinaryData digest;
   char *attempt;
+  /*
+   * the grant was not used: it ends, and the suspect remains
+   */
+  protobuf_c_boolean not_run;
 };
 #define DSP__SUSPECT_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__suspect_done__descriptor) \
-    , {0,NULL}, (char *)protobuf_c_empty_string }
+    , {0,NULL}, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/tests/unit/state_parts_test.cc
+++ b/tests/unit/state_parts_test.cc
@@ -125,13 +125,15 @@
 		return r.apply(&cmd)->code;
 	}
 	Dsp__ResultCode done(const std::string &digest,
-			     const std::string &attempt = "a")
+			     const std::string &attempt = "a",
+			     bool not_run = false)
 	{
 		Dsp__SuspectDone body = DSP__SUSPECT_DONE__INIT;
 		Dsp__Command cmd = DSP__COMMAND__INIT;
 
 		body.digest = data_of(digest);
 		body.attempt = str(attempt);
+		body.not_run = not_run;
 		cmd.body_case = DSP__COMMAND__BODY_SUSPECT_DONE;
 		cmd.suspect_done = &body;
 		return r.apply(&cmd)->code;
@@ -336,6 +338,22 @@
 	EXPECT_EQ(find(part('p')), nullptr);
 }
 
+TEST_F(Parts, UnusedGrantEndsWithoutEffect)
+{
+	quarantine('p');
+	wait(2000);
+	EXPECT_EQ(run(part('p'), 2), OK);
+	EXPECT_EQ(done(part('p'), "b", true), STALE);
+	EXPECT_EQ(done(part('p'), "a", true), OK);
+	EXPECT_TRUE(find(part('p'))->quarantined);
+	EXPECT_EQ(find(part('p'))->failed_runs, 0u);
+	EXPECT_STREQ(find(part('p'))->running_endpoint, "");
+	EXPECT_EQ(done(part('p'), "a", true), STALE);
+	EXPECT_EQ(run(part('p'), 2, "b"), OK);
+	EXPECT_EQ(done(part('p'), "b"), OK);
+	EXPECT_EQ(find(part('p')), nullptr);
+}
+
 TEST_F(Parts, OneSuspectAtATimeOnAnEndpoint)
 {
 	quarantine('p');
