core/qua: the part with most crashes explains them

A part in quarantine now explains a crash only for parts that were in fewer crashes than it, counting joint ones, and a part isn't quarantined while one that is in more crashes, some of them the same, is not judged yet.

--- a/src/core/qua_part.c
+++ b/src/core/qua_part.c
@@ -35,16 +35,15 @@
 
 static uint64_t change_ms(const struct st *ctx, const Dsp__Suspect *msg)
 {
-	uint64_t at = UINT64_MAX;
-
 	if (msg->quarantined) {
 		if (msg->run_ms)
 			return msg->run_ms + RUN_MS;
 		return msg->since_ms + (uint64_t)ctx->limits.quarantine_ms;
 	}
-	if (msg->crashes >= CRASHES)
-		at = msg->first_ms + CONTEST_MS;
-	return MIN(at, msg->last_ms + SUSPECTED_MS);
+	if (msg->crashes >= CRASHES &&
+	    msg->first_ms + CONTEST_MS > ctx->wall_ms)
+		return msg->first_ms + CONTEST_MS;
+	return msg->last_ms + SUSPECTED_MS;
 }
 
 /* Sets the time at which the next part changes without evidence. */
@@ -110,10 +109,11 @@
 
 /*
  * Takes a crash that a quarantined part explains off the other parts. Those
- * without another crash are suspected no longer.
+ * without another crash are suspected no longer. A part with as many crashes as
+ * the quarantined one (weight) is at least as likely to be the cause.
  */
 static void explain_crash(struct st *ctx, const char *endpoint,
-			  uint64_t incarnation)
+			  uint64_t incarnation, size_t weight)
 {
 	struct suspect *s, *next;
 
@@ -121,7 +121,7 @@
 		Dsp__SuspectCrash *crash;
 
 		next = TAILQ_NEXT(s, link);
-		if (s->msg->quarantined)
+		if (s->msg->quarantined || s->msg->n_crashed >= weight)
 			continue;
 		crash = find_crash(s->msg, endpoint, incarnation);
 		if (!crash || !crash->counted)
@@ -133,6 +133,35 @@
 	}
 }
 
+static bool is_due(const struct st *ctx, const Dsp__Suspect *msg)
+{
+	return !msg->quarantined && msg->crashes >= CRASHES &&
+	       msg->first_ms + CONTEST_MS <= ctx->wall_ms;
+}
+
+static bool share_a_crash(const Dsp__Suspect *a, const Dsp__Suspect *b)
+{
+	for (size_t i = 0; i < a->n_crashed; i++)
+		if (find_crash(b, a->crashed[i]->endpoint,
+			       a->crashed[i]->incarnation))
+			return true;
+	return false;
+}
+
+/* Whether another part that is not due yet was in more crashes, some of them
+ * the same ones. */
+static bool has_likelier(const struct st *ctx, const Dsp__Suspect *msg)
+{
+	const struct suspect *s;
+
+	TAILQ_FOREACH (s, &ctx->parts, link)
+		if (!s->msg->quarantined &&
+		    s->msg->n_crashed > msg->n_crashed &&
+		    !is_due(ctx, s->msg) && share_a_crash(s->msg, msg))
+			return true;
+	return false;
+}
+
 /* Quarantines the parts with enough crashes that no answer has cleared. */
 static void judge_parts(struct st *ctx)
 {
@@ -140,8 +169,7 @@
 	struct suspect *s;
 
 	TAILQ_FOREACH (s, &ctx->parts, link)
-		if (!s->msg->quarantined && s->msg->crashes >= CRASHES &&
-		    s->msg->first_ms + CONTEST_MS <= ctx->wall_ms)
+		if (is_due(ctx, s->msg) && !has_likelier(ctx, s->msg))
 			g_ptr_array_add(found, s);
 	for (guint i = 0; i < found->len; i++)
 		quarantine_part(ctx, found->pdata[i]);
@@ -151,7 +179,8 @@
 
 		for (size_t j = 0; j < msg->n_crashed; j++)
 			explain_crash(ctx, msg->crashed[j]->endpoint,
-				      msg->crashed[j]->incarnation);
+				      msg->crashed[j]->incarnation,
+				      msg->n_crashed);
 	}
 	g_ptr_array_free(found, TRUE);
 }
@@ -189,6 +218,7 @@
 		else
 			qua_remove(ctx, s, true);
 	}
+	judge_parts(ctx);
 	qua_part_schedule(ctx);
 }
 
@@ -260,32 +290,33 @@
 	return true;
 }
 
-/* Whether a part in quarantine is known to have crashed this endpoint. */
-static bool was_explained(const struct st *ctx, const Dsp__PartCrash *crash)
+/*
+ * Returns the highest number of crashes of a part in quarantine that is known
+ * to have been in this crash; 0: none.
+ */
+static size_t known_weight(const struct st *ctx, const Dsp__PartCrash *crash)
 {
 	const struct suspect *s;
+	size_t weight = 0;
 
 	TAILQ_FOREACH (s, &ctx->parts, link)
-		if (s->msg->quarantined &&
+		if (s->msg->quarantined && s->msg->n_crashed > weight &&
 		    find_crash(s->msg, crash->endpoint, crash->incarnation))
-			return true;
-	return false;
+			weight = s->msg->n_crashed;
+	return weight;
 }
 
 /*
- * Looks for a part in quarantine among those of a crash, and fails the run that
- * was granted on this endpoint. A repeated report has no effect.
+ * Notes the crash at the parts in quarantine among its digests, and fails the
+ * run that was granted on this endpoint. A repeated report has no effect.
  */
-static bool blame_known_part(struct st *ctx, const Dsp__PartCrash *crash)
+static void blame_known_parts(struct st *ctx, const Dsp__PartCrash *crash)
 {
-	bool known = false;
-
 	for (size_t i = 0; i < crash->n_digests; i++) {
 		struct suspect *s = qua_find(ctx, &crash->digests[i]);
 
 		if (!s || !s->msg->part || !s->msg->quarantined)
 			continue;
-		known = true;
 		if (!find_crash(s->msg, crash->endpoint, crash->incarnation)) {
 			add_crash(s->msg, crash->endpoint, crash->incarnation,
 				  true);
@@ -296,22 +327,25 @@
 		    s->msg->running_incarnation == crash->incarnation)
 			qua_part_failed(ctx, s);
 	}
-	return known;
 }
 
 static bool apply_crash(struct st *ctx, const Dsp__PartCrash *crash)
 {
 	bool room = true;
+	size_t weight;
 
-	if (blame_known_part(ctx, crash)) {
-		explain_crash(ctx, crash->endpoint, crash->incarnation);
-		return true;
-	}
-	if (was_explained(ctx, crash))
-		return true;
-	for (size_t i = 0; i < crash->n_digests; i++)
+	blame_known_parts(ctx, crash);
+	weight = known_weight(ctx, crash);
+	explain_crash(ctx, crash->endpoint, crash->incarnation, weight);
+	for (size_t i = 0; i < crash->n_digests; i++) {
+		struct suspect *s = qua_find(ctx, &crash->digests[i]);
+
+		if ((s ? s->msg->n_crashed : 0) < weight ||
+		    (s && s->msg->quarantined))
+			continue;
 		if (!count_crash(ctx, &crash->digests[i], crash))
 			room = false;
+	}
 	return room;
 }
 
