--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -5491,7 +5491,7 @@
   (ProtobufCMessageInit) dsp__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect_crash__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__suspect_crash__field_descriptors[4] =
 {
   {
     "endpoint",
@@ -5529,16 +5529,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "explained",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectCrash, explained),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__suspect_crash__field_indices_by_name[] = {
   2,   /* field[2] = counted */
   0,   /* field[0] = endpoint */
+  3,   /* field[3] = explained */
   1,   /* field[1] = incarnation */
 };
 static const ProtobufCIntRange dsp__suspect_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dsp__suspect_crash__descriptor =
 {
@@ -5548,7 +5561,7 @@
   "Dsp__SuspectCrash",
   "dsp",
   sizeof(Dsp__SuspectCrash),
-  3,
+  4,
   dsp__suspect_crash__field_descriptors,
   dsp__suspect_crash__field_indices_by_name,
   1,  dsp__suspect_crash__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -663,10 +663,14 @@
    * false: too close to the last one that counted
    */
   protobuf_c_boolean counted;
+  /*
+   * a part in quarantine is the likelier cause
+   */
+  protobuf_c_boolean explained;
 };
 #define DSP__SUSPECT_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__suspect_crash__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Dsp__Split
