core/qua: explained crashes count again when the other part is cleared

An explained crash is now kept and marked. It counts again as soon as the part that explained it is cleared, and the faulty part is quarantined with the same command (Parts.SoundPartInQuarantineDoesNotClearTheFaultyOne). A part that was in fewer crashes than another one, some of them the same, waits for the judgement of that one (Parts.PartInMoreCrashesIsJudgedFirst, failed with c in quarantine too).

--- a/src/core/qua.c
+++ b/src/core/qua.c
@@ -214,8 +214,10 @@
 	    strcmp(s->msg->running_attempt, cmd->attempt) != 0)
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_STALE,
 				 "no grant for this attempt");
-	qua_remove(ctx, s, true);
-	qua_part_schedule(ctx);
+	if (s->msg->part)
+		qua_part_clear(ctx, s);
+	else
+		qua_remove(ctx, s, true);
 	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 }
 
--- a/src/core/qua_part.c
+++ b/src/core/qua_part.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/msg.h"
 #include "core/st_private.h"
 
 /*
@@ -68,8 +69,8 @@
 }
 
 /* Remembers a crash; the oldest one beyond CRASHED_MAX is forgotten. */
-static void add_crash(Dsp__Suspect *msg, const char *endpoint,
-		      uint64_t incarnation, bool counted)
+static Dsp__SuspectCrash *add_crash(Dsp__Suspect *msg, const char *endpoint,
+				    uint64_t incarnation, bool counted)
 {
 	Dsp__SuspectCrash *crash = g_new(Dsp__SuspectCrash, 1);
 
@@ -86,6 +87,7 @@
 	msg->crashed =
 		g_renew(Dsp__SuspectCrash *, msg->crashed, msg->n_crashed + 1);
 	msg->crashed[msg->n_crashed++] = crash;
+	return crash;
 }
 
 static uint64_t pause_ms(uint32_t failed_runs)
@@ -108,28 +110,66 @@
 }
 
 /*
- * Takes a crash that a quarantined part explains off the other parts. Those
- * without another crash are suspected no longer. A part with as many crashes as
- * the quarantined one (weight) is at least as likely to be the cause.
+ * Returns the highest number of crashes of a part in quarantine that is known
+ * to have been in this crash; 0: none.
+ */
+static size_t known_weight(const struct st *ctx, const char *endpoint,
+			   uint64_t incarnation)
+{
+	const struct suspect *s;
+	size_t weight = 0;
+
+	TAILQ_FOREACH (s, &ctx->parts, link)
+		if (s->msg->quarantined && s->msg->n_crashed > weight &&
+		    find_crash(s->msg, endpoint, incarnation))
+			weight = s->msg->n_crashed;
+	return weight;
+}
+
+/*
+ * Marks a crash that a quarantined part explains, so that it does not count for
+ * the other parts. One with as many crashes as the quarantined one (weight) is
+ * at least as likely to be the cause.
  */
 static void explain_crash(struct st *ctx, const char *endpoint,
 			  uint64_t incarnation, size_t weight)
 {
-	struct suspect *s, *next;
+	struct suspect *s;
 
-	for (s = TAILQ_FIRST(&ctx->parts); s; s = next) {
+	TAILQ_FOREACH (s, &ctx->parts, link) {
 		Dsp__SuspectCrash *crash;
 
-		next = TAILQ_NEXT(s, link);
 		if (s->msg->quarantined || s->msg->n_crashed >= weight)
 			continue;
 		crash = find_crash(s->msg, endpoint, incarnation);
-		if (!crash || !crash->counted)
+		if (!crash || crash->explained)
 			continue;
-		crash->counted = false;
+		crash->explained = true;
+		if (crash->counted)
+			s->msg->crashes--;
+		item_touch(ctx, &s->item);
+	}
+}
+
+/* Undoes explain_crash() unless another part in quarantine explains it. */
+static void reopen_crash(struct st *ctx, const char *endpoint,
+			 uint64_t incarnation)
+{
+	size_t weight = known_weight(ctx, endpoint, incarnation);
+	struct suspect *s;
+
+	TAILQ_FOREACH (s, &ctx->parts, link) {
+		Dsp__SuspectCrash *crash;
+
+		if (s->msg->quarantined || s->msg->n_crashed < weight)
+			continue;
+		crash = find_crash(s->msg, endpoint, incarnation);
+		if (!crash || !crash->explained)
+			continue;
+		crash->explained = false;
+		if (crash->counted)
+			s->msg->crashes++;
 		item_touch(ctx, &s->item);
-		if (!--s->msg->crashes)
-			qua_remove(ctx, s, true);
 	}
 }
 
@@ -148,8 +188,7 @@
 	return false;
 }
 
-/* Whether another part that is not due yet was in more crashes, some of them
- * the same ones. */
+/* Whether another part was in more crashes, some of them the same ones. */
 static bool has_likelier(const struct st *ctx, const Dsp__Suspect *msg)
 {
 	const struct suspect *s;
@@ -157,7 +196,7 @@
 	TAILQ_FOREACH (s, &ctx->parts, link)
 		if (!s->msg->quarantined &&
 		    s->msg->n_crashed > msg->n_crashed &&
-		    !is_due(ctx, s->msg) && share_a_crash(s->msg, msg))
+		    share_a_crash(s->msg, msg))
 			return true;
 	return false;
 }
@@ -185,6 +224,23 @@
 	g_ptr_array_free(found, TRUE);
 }
 
+/*
+ * Removes a part that is sound, or whose fault has ended. The crashes that it
+ * explained count for the others again.
+ */
+void qua_part_clear(struct st *ctx, struct suspect *s)
+{
+	Dsp__Suspect *msg = msg_dup(s->msg);
+
+	qua_remove(ctx, s, true);
+	for (size_t i = 0; i < msg->n_crashed; i++)
+		reopen_crash(ctx, msg->crashed[i]->endpoint,
+			     msg->crashed[i]->incarnation);
+	dsp__suspect__free_unpacked(msg, NULL);
+	judge_parts(ctx);
+	qua_part_schedule(ctx);
+}
+
 /* Counts a granted run that ended in a crash or had no outcome. */
 void qua_part_failed(struct st *ctx, struct suspect *s)
 {
@@ -263,49 +319,38 @@
 	qua_add(ctx, msg, ctx->index);
 }
 
-/* Returns false if the table was full, whether or not there was room. */
+/*
+ * Counts a crash for a part. One with less crashes than weight is not added, or
+ * only remembers the crash. Returns false if the table was full, whether or not
+ * there was room.
+ */
 static bool count_crash(struct st *ctx, const ProtobufCBinaryData *digest,
-			const Dsp__PartCrash *crash)
+			const Dsp__PartCrash *msg, size_t weight)
 {
 	struct suspect *s = qua_find(ctx, digest);
-	bool counted;
+	Dsp__SuspectCrash *crash;
 
-	if (!s) {
+	if (!s && !weight) {
 		bool full = ctx->n_parts >= PARTS_MAX;
 
 		if (!full || evict_part(ctx))
-			add_part(ctx, digest, crash);
+			add_part(ctx, digest, msg);
 		return !full;
 	}
-	if (!s->msg->part ||
-	    find_crash(s->msg, crash->endpoint, crash->incarnation))
+	if (!s || !s->msg->part || s->msg->quarantined ||
+	    find_crash(s->msg, msg->endpoint, msg->incarnation))
 		return true;
-	counted = s->msg->last_ms + JOINT_MS <= ctx->wall_ms;
-	add_crash(s->msg, crash->endpoint, crash->incarnation, counted);
-	if (counted) {
-		s->msg->crashes++;
+	crash = add_crash(s->msg, msg->endpoint, msg->incarnation,
+			  s->msg->last_ms + JOINT_MS <= ctx->wall_ms);
+	crash->explained = s->msg->n_crashed <= weight;
+	if (crash->counted) {
 		s->msg->last_ms = ctx->wall_ms;
+		s->msg->crashes += !crash->explained;
 	}
 	item_touch(ctx, &s->item);
 	return true;
 }
 
-/*
- * Returns the highest number of crashes of a part in quarantine that is known
- * to have been in this crash; 0: none.
- */
-static size_t known_weight(const struct st *ctx, const Dsp__PartCrash *crash)
-{
-	const struct suspect *s;
-	size_t weight = 0;
-
-	TAILQ_FOREACH (s, &ctx->parts, link)
-		if (s->msg->quarantined && s->msg->n_crashed > weight &&
-		    find_crash(s->msg, crash->endpoint, crash->incarnation))
-			weight = s->msg->n_crashed;
-	return weight;
-}
-
 /*
  * Notes the crash at the parts in quarantine among its digests, and fails the
  * run that was granted on this endpoint. A repeated report has no effect.
@@ -335,17 +380,11 @@
 	size_t weight;
 
 	blame_known_parts(ctx, crash);
-	weight = known_weight(ctx, crash);
+	weight = known_weight(ctx, crash->endpoint, crash->incarnation);
 	explain_crash(ctx, crash->endpoint, crash->incarnation, weight);
-	for (size_t i = 0; i < crash->n_digests; i++) {
-		struct suspect *s = qua_find(ctx, &crash->digests[i]);
-
-		if ((s ? s->msg->n_crashed : 0) < weight ||
-		    (s && s->msg->quarantined))
-			continue;
-		if (!count_crash(ctx, &crash->digests[i], crash))
+	for (size_t i = 0; i < crash->n_digests; i++)
+		if (!count_crash(ctx, &crash->digests[i], crash, weight))
 			room = false;
-	}
 	return room;
 }
 
@@ -380,7 +419,7 @@
 		struct suspect *s = qua_find(ctx, &cmd->begun[i]);
 
 		if (s && s->msg->part)
-			qua_remove(ctx, s, true);
+			qua_part_clear(ctx, s);
 	}
 	for (size_t i = 0; i < cmd->n_crashes; i++)
 		if (!apply_crash(ctx, cmd->crashes[i]))
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -288,6 +288,7 @@
 Dsp__CommandResult *qua_part_evidence(struct st *ctx,
 				      const Dsp__PartEvidence *cmd);
 void qua_part_granted(struct st *ctx, struct suspect *s);
+void qua_part_clear(struct st *ctx, struct suspect *s);
 void qua_part_failed(struct st *ctx, struct suspect *s);
 void qua_part_expire(struct st *ctx);
 void qua_part_schedule(struct st *ctx);
