--- a/src/core/qua.c
+++ b/src/core/qua.c
@@ -218,10 +218,12 @@
 	if (cmd->not_run) {
 		qua_end_grant(ctx, s);
 		item_touch(ctx, &s->item);
+		qua_part_schedule(ctx);
+	} else if (s->msg->part) {
+		qua_part_clear(ctx, s);
 	} else {
 		qua_remove(ctx, s, true);
 	}
-	qua_part_schedule(ctx);
 	return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 }
 
