edge: a request's prompt parts apart from its attempts

A request may have several attempts under way. The parts, the wait for a check and a grant that is asked for belong to the request, what is in flight and a grant in use to the attempt.

--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -144,16 +144,22 @@
 struct edge_check;
 struct edge_trial;
 
-/* A request's parts and its attempt in flight; embedded in the request. */
-struct edge_attempt {
-	LIST_ENTRY(edge_attempt) link;
-	TAILQ_ENTRY(edge_attempt) wait_link;
+/* The prompt parts of a request; embedded in it. */
+struct edge_prompt {
+	TAILQ_ENTRY(edge_prompt) wait_link;
 	struct sus_parts parts;
 	const char *request_id; /* for log lines */
 	uint32_t crashes;	/* endpoints that crashed before it was begun */
-	bool is_listed;		/* in flight, and its answer not proven begun */
 	struct edge_check *check; /* whose end it waits for, or NULL */
-	struct edge_trial *trial; /* asked for or granted, or NULL */
+	struct edge_trial *trial; /* for its next attempt, or NULL */
+};
+
+/* A sending of a request to an endpoint; embedded in it. */
+struct edge_attempt {
+	LIST_ENTRY(edge_attempt) link;
+	struct edge_prompt *prompt;
+	bool is_listed; /* in flight, and its answer not proven begun */
+	struct edge_trial *trial; /* granted for it, or NULL */
 	char *endpoint;
 	uint64_t incarnation;
 	char *address;
@@ -161,26 +167,27 @@
 
 struct edge_parts *edge_parts_new(struct edge *edge);
 void edge_parts_free(struct edge_parts *ctx);
-void edge_parts_read(struct edge_parts *ctx, struct edge_attempt *attempt,
+void edge_parts_read(struct edge_parts *ctx, struct edge_prompt *prompt,
 		     const struct wire_request *request);
+void edge_parts_forget(struct edge_prompt *prompt);
 struct sus_decision edge_parts_decide(struct edge_parts *ctx,
-				      const struct edge_attempt *attempt);
-void edge_parts_try(struct edge_parts *ctx, struct edge_attempt *attempt,
+				      const struct edge_prompt *prompt);
+void edge_parts_try(struct edge_parts *ctx, struct edge_prompt *prompt,
 		    const struct sus_decision *decision,
 		    const struct bal_endpoint *endpoint, int64_t timeout_us);
 void edge_parts_sent(struct edge_parts *ctx, struct edge_attempt *attempt,
+		     struct edge_prompt *prompt,
 		     const struct bal_endpoint *endpoint);
 void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt,
 		      int64_t started_us);
 bool edge_parts_broken(struct edge_parts *ctx, struct edge_attempt *attempt);
 void edge_parts_not_run(struct edge_attempt *attempt);
 void edge_parts_ended(struct edge_attempt *attempt);
-void edge_parts_forget(struct edge_attempt *attempt);
 void edge_parts_view_changed(struct edge_parts *ctx);
 
 /* fwd.c */
-void fwd_crash_checked(struct edge_attempt *attempt, bool crashed);
-void fwd_trial_decided(struct edge_attempt *attempt, bool granted);
+void fwd_crash_checked(struct edge_prompt *prompt, bool crashed);
+void fwd_trial_decided(struct edge_prompt *prompt, bool granted);
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_caller_left(void *data, struct hio_exchange *exchange);
 /* Processes requests held for the first view. */
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -41,14 +41,15 @@
 	struct hio_probe *probe; /* NULL: none in progress */
 	bool reported;
 	GPtrArray *requests; /* struct sus_parts, last sent first */
-	TAILQ_HEAD(, edge_attempt) waiting;
+	TAILQ_HEAD(, edge_prompt) waiting;
 };
 
 /* A run of a part in doubt. */
 struct edge_trial {
 	LIST_ENTRY(edge_trial) link;
 	struct edge_parts *parts;
-	struct edge_attempt *attempt; /* NULL: it has ended */
+	struct edge_prompt *prompt;   /* that waits to be sent, or NULL */
+	struct edge_attempt *attempt; /* that it is for, or NULL */
 	bool asked;		      /* the command's result is awaited */
 	uint8_t digest[SUS_DIGEST_LEN];
 	char *id; /* names the run in the commands */
@@ -101,6 +102,8 @@
 {
 	LIST_REMOVE(t, link);
 	t->parts->n_trials--;
+	if (t->prompt)
+		t->prompt->trial = NULL;
 	if (t->attempt)
 		t->attempt->trial = NULL;
 	g_free(t->id);
@@ -147,12 +150,12 @@
 /* ---- Attempts ---- */
 
 /* Stores the parts of a request. */
-void edge_parts_read(struct edge_parts *ctx, struct edge_attempt *attempt,
+void edge_parts_read(struct edge_parts *ctx, struct edge_prompt *prompt,
 		     const struct wire_request *request)
 {
-	struct sus_parts *parts = &attempt->parts;
+	struct sus_parts *parts = &prompt->parts;
 
-	attempt->request_id = request->request_id ? request->request_id : "-";
+	prompt->request_id = request->request_id ? request->request_id : "-";
 	parts->n = MIN(request->n_parts, SUS_PARTS_MAX);
 	for (size_t i = 0; i < parts->n; i++)
 		memcpy(parts->digests[i], request->parts[i].digest,
@@ -162,22 +165,26 @@
 	met_count(ctx->edge->met, "dandelionspar_edge_parts_skipped", "",
 		  request->parts_skipped);
 	LOG_EVENT_INFO("parts", "skipped", "request=%s skipped=%u read=%zu",
-		       attempt->request_id, request->parts_skipped,
+		       prompt->request_id, request->parts_skipped,
 		       request->n_parts);
 }
 
-/* Registers an attempt that is sent to an endpoint. */
+/* Registers an attempt that is sent to an endpoint, with the grant that the
+ * request may have. */
 void edge_parts_sent(struct edge_parts *ctx, struct edge_attempt *attempt,
+		     struct edge_prompt *prompt,
 		     const struct bal_endpoint *endpoint)
 {
-	struct edge_trial *trial = attempt->trial;
-
-	attempt->trial = NULL;
-	edge_parts_forget(attempt);
-	attempt->trial = trial;
+	attempt->prompt = prompt;
 	attempt->endpoint = g_strdup(bal_id(endpoint));
 	attempt->incarnation = bal_incarnation(endpoint);
 	attempt->address = g_strdup(bal_address(endpoint));
+	attempt->trial = prompt->trial;
+	prompt->trial = NULL;
+	if (attempt->trial) {
+		attempt->trial->prompt = NULL;
+		attempt->trial->attempt = attempt;
+	}
 	attempt->is_listed = true;
 	LIST_INSERT_HEAD(&ctx->attempts, attempt, link);
 }
@@ -216,7 +223,7 @@
 	unlist(attempt);
 	if (attempt->trial)
 		end_trial(attempt->trial, TRIAL_SURVIVED);
-	n = sus_begun(ctx->sus, &attempt->parts, started_us,
+	n = sus_begun(ctx->sus, &attempt->prompt->parts, started_us,
 		      clk_now_us(ctx->edge->clock), digests);
 	if (!n)
 		return;
@@ -230,38 +237,49 @@
 	text = digests_text(digests, n);
 	LOG_EVENT_INFO("parts", "begun",
 		       "request=%s endpoint=%s parts=%zu digests=%s",
-		       attempt->request_id, attempt->endpoint, n, text);
+		       attempt->prompt->request_id, attempt->endpoint, n, text);
 }
 
 /* Handles that the endpoint did not run the request of an attempt. */
 void edge_parts_not_run(struct edge_attempt *attempt)
 {
 	unlist(attempt);
-	if (attempt->trial && !attempt->trial->asked)
+	if (attempt->trial)
 		end_trial(attempt->trial, TRIAL_NOT_RUN);
 }
 
-/* Handles the end of an attempt; a wait for a check goes on. */
+/* Handles the end of an attempt. */
 void edge_parts_ended(struct edge_attempt *attempt)
 {
 	unlist(attempt);
-	if (attempt->trial && !attempt->trial->asked)
-		end_trial(attempt->trial, TRIAL_UNDECIDED);
-}
-
-/* Ends the waits, too, and releases the attempt. */
-void edge_parts_forget(struct edge_attempt *attempt)
-{
-	unlist(attempt);
-	if (attempt->check)
-		TAILQ_REMOVE(&attempt->check->waiting, attempt, wait_link);
-	attempt->check = NULL;
 	if (attempt->trial)
 		end_trial(attempt->trial, TRIAL_UNDECIDED);
 	g_clear_pointer(&attempt->endpoint, g_free);
 	g_clear_pointer(&attempt->address, g_free);
 }
 
+static void end_wait(struct edge_prompt *prompt)
+{
+	if (prompt->check)
+		TAILQ_REMOVE(&prompt->check->waiting, prompt, wait_link);
+	prompt->check = NULL;
+}
+
+/* Ends the waits of a request. */
+void edge_parts_forget(struct edge_prompt *prompt)
+{
+	struct edge_trial *trial = prompt->trial;
+
+	end_wait(prompt);
+	if (!trial)
+		return;
+	prompt->trial = NULL;
+	trial->prompt = NULL;
+	/* A grant that is still asked for ends when it is known. */
+	if (!trial->asked)
+		end_trial(trial, TRIAL_NOT_RUN);
+}
+
 /* ---- Decisions and trials ---- */
 
 static const char *action_name(enum sus_action action)
@@ -289,7 +307,7 @@
 }
 
 static void log_decision(const struct edge_parts *ctx,
-			 const struct edge_attempt *attempt,
+			 const struct edge_prompt *prompt,
 			 const struct sus_decision *d)
 {
 	const Dsp__Suspect *s = view_suspect(ctx->edge->view, d->digest);
@@ -301,20 +319,19 @@
 		       "failed_runs=%u age_ms=%" PRId64 " own_crashes=%u "
 		       "retry_us=%" PRId64 " view=%" G_GUINT64_FORMAT
 		       " view_age_us=%" PRId64,
-		       attempt->request_id, digest, s ? s->crashes : 0,
+		       prompt->request_id, digest, s ? s->crashes : 0,
 		       s ? s->quarantined : 0, s ? s->failed_runs : 0,
-		       s ? wall_ms - (int64_t)s->since_ms : -1,
-		       attempt->crashes, d->retry_us,
-		       view_index(ctx->edge->view),
+		       s ? wall_ms - (int64_t)s->since_ms : -1, prompt->crashes,
+		       d->retry_us, view_index(ctx->edge->view),
 		       ctl_state(ctx->edge->ctl).stale_us);
 }
 
 /* Decides whether a request may be sent to an endpoint. */
 struct sus_decision edge_parts_decide(struct edge_parts *ctx,
-				      const struct edge_attempt *attempt)
+				      const struct edge_prompt *prompt)
 {
 	struct sus_decision d = sus_decide(
-		ctx->sus, &attempt->parts, attempt->crashes,
+		ctx->sus, &prompt->parts, prompt->crashes,
 		clk_now_us(ctx->edge->clock), clk_wall_ms(ctx->edge->clock));
 
 	/* One request at a time asks for the grant. */
@@ -324,7 +341,7 @@
 	if (d.action == SUS_REFUSE) {
 		met_count(ctx->edge->met, "dandelionspar_edge_parts_refused",
 			  "", 1);
-		log_decision(ctx, attempt, &d);
+		log_decision(ctx, prompt, &d);
 	}
 	return d;
 }
@@ -362,7 +379,7 @@
 static void trial_decided(struct edge *edge, struct edge_call *call)
 {
 	struct edge_trial *t = call->data;
-	struct edge_attempt *attempt = t->attempt;
+	struct edge_prompt *prompt = t->prompt;
 	const Dsp__CommandResult *result = call->result;
 	bool granted =
 		result && (result->code == DSP__RESULT_CODE__RESULT_OK ||
@@ -375,10 +392,10 @@
 	log_trial(t, "trial", outcome_name(result));
 	if (!granted)
 		trial_free(t);
-	else if (!attempt)
+	else if (!prompt)
 		end_trial(t, TRIAL_NOT_RUN);
-	if (attempt)
-		fwd_trial_decided(attempt, granted || sound);
+	if (prompt)
+		fwd_trial_decided(prompt, granted || sound);
 }
 
 /*
@@ -386,7 +403,7 @@
  * must stay valid. fwd_trial_decided() is called within timeout_us, unless
  * edge_parts_forget() is called before.
  */
-void edge_parts_try(struct edge_parts *ctx, struct edge_attempt *attempt,
+void edge_parts_try(struct edge_parts *ctx, struct edge_prompt *prompt,
 		    const struct sus_decision *decision,
 		    const struct bal_endpoint *endpoint, int64_t timeout_us)
 {
@@ -395,16 +412,16 @@
 	Dsp__SuspectRun run = DSP__SUSPECT_RUN__INIT;
 
 	t->parts = ctx;
-	t->attempt = attempt;
+	t->prompt = prompt;
 	t->asked = true;
 	memcpy(t->digest, decision->digest, SUS_DIGEST_LEN);
-	t->id = g_strdup_printf("%s/%s/%" PRIu64, attempt->request_id,
+	t->id = g_strdup_printf("%s/%s/%" PRIu64, prompt->request_id,
 				ctx->edge->set->id, ++ctx->last_trial);
 	t->endpoint = g_strdup(bal_id(endpoint));
 	t->incarnation = bal_incarnation(endpoint);
 	LIST_INSERT_HEAD(&ctx->trials, t, link);
 	ctx->n_trials++;
-	attempt->trial = t;
+	prompt->trial = t;
 	run.digest.data = t->digest;
 	run.digest.len = SUS_DIGEST_LEN;
 	run.endpoint = t->endpoint;
@@ -412,7 +429,7 @@
 	run.attempt = t->id;
 	command.body_case = DSP__COMMAND__BODY_SUSPECT_RUN;
 	command.suspect_run = &run;
-	log_decision(ctx, attempt, decision);
+	log_decision(ctx, prompt, decision);
 	met_count(ctx->edge->met, "dandelionspar_edge_part_trials", "", 1);
 	edge_call_start(ctx->edge, NULL, msg_dup(&command), timeout_us,
 			trial_decided, t);
@@ -454,14 +471,9 @@
 			DONE_TIMEOUT_US, done_committed, NULL);
 }
 
-/* Ends a trial; one whose grant is awaited ends when that is decided. */
+/* Ends a trial whose grant is known. */
 static void end_trial(struct edge_trial *t, enum trial_outcome outcome)
 {
-	if (t->asked) {
-		t->attempt->trial = NULL;
-		t->attempt = NULL;
-		return;
-	}
 	log_trial(t, "trial_end", trial_outcome_name(outcome));
 	if (outcome != TRIAL_UNDECIDED)
 		submit_done(t, outcome == TRIAL_NOT_RUN);
@@ -476,12 +488,12 @@
 
 	g_ptr_array_set_size(c->requests, 0);
 	LIST_FOREACH (attempt, &ctx->attempts, link)
-		if (attempt->parts.n &&
+		if (attempt->prompt->parts.n &&
 		    attempt->incarnation == c->incarnation &&
 		    !strcmp(attempt->endpoint, c->endpoint))
 			g_ptr_array_add(c->requests,
-					g_memdup2(&attempt->parts,
-						  sizeof(attempt->parts)));
+					g_memdup2(&attempt->prompt->parts,
+						  sizeof(struct sus_parts)));
 }
 
 static void send_crash(const struct edge_check *c,
@@ -528,16 +540,16 @@
 			 c->requests->len, n, text, now_us - c->broke_us);
 }
 
-/* Lets the attempts that wait for the check go on. */
+/* Lets the requests that wait for the check go on. */
 static void release_waiting(struct edge_check *c)
 {
-	struct edge_attempt *attempt;
+	struct edge_prompt *prompt;
 
-	while ((attempt = TAILQ_FIRST(&c->waiting))) {
-		edge_parts_forget(attempt);
+	while ((prompt = TAILQ_FIRST(&c->waiting))) {
+		end_wait(prompt);
 		if (c->reported)
-			attempt->crashes++;
-		fwd_crash_checked(attempt, c->reported);
+			prompt->crashes++;
+		fwd_crash_checked(prompt, c->reported);
 	}
 }
 
@@ -637,15 +649,16 @@
 }
 
 /*
- * Handles an attempt that broke off without an answer. Returns true if the
- * attempt waits until it is known whether its endpoint has crashed;
- * fwd_crash_checked() is called then, but not before this returns.
+ * Handles an attempt that broke off without an answer; call it before
+ * edge_parts_ended(). Returns true if the request waits until it is known
+ * whether the endpoint has crashed; fwd_crash_checked() is called then, but not
+ * before this returns. A request waits for the last of its attempts only.
  */
 bool edge_parts_broken(struct edge_parts *ctx, struct edge_attempt *attempt)
 {
 	struct edge_check *c;
 
-	if (!attempt->is_listed || !attempt->parts.n ||
+	if (!attempt->is_listed || !attempt->prompt->parts.n ||
 	    was_expected_to_end(ctx, attempt))
 		return false;
 	c = find_check(ctx, attempt->endpoint, attempt->incarnation);
@@ -662,8 +675,9 @@
 					   PROBE_TIMEOUT_US, on_probed, c);
 	}
 	unlist(attempt);
-	attempt->check = c;
-	TAILQ_INSERT_TAIL(&c->waiting, attempt, wait_link);
+	end_wait(attempt->prompt);
+	attempt->prompt->check = c;
+	TAILQ_INSERT_TAIL(&c->waiting, attempt->prompt, wait_link);
 	return true;
 }
 
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -139,6 +139,7 @@
 	GByteArray *body;	  /* of a buffered response */
 	bool streaming;		  /* events of this attempt are forwarded */
 	struct edge_attempt attempt;
+	struct edge_prompt prompt;
 	const char *broken_reason; /* while it waits for a check */
 	/* Kept for the request while it waits for a grant, or NULL. */
 	struct bal_endpoint *trial_endpoint;
@@ -225,7 +226,8 @@
 	f->edge->in_flight--;
 	event_free(f->timer);
 	release_trial_endpoint(f);
-	edge_parts_forget(&f->attempt);
+	edge_parts_ended(&f->attempt);
+	edge_parts_forget(&f->prompt);
 	wire_request_clear(&f->request);
 	hio_fields_clear(&f->fields);
 	discard_body(f);
@@ -438,17 +440,20 @@
 	set_timer_at(f, f->deadline_us);
 }
 
-static struct fwd *fwd_from_attempt(struct edge_attempt *attempt)
+static struct fwd *fwd_from_prompt(struct edge_prompt *prompt)
 {
-	return (struct fwd *)((char *)attempt - offsetof(struct fwd, attempt));
+	return (struct fwd *)((char *)prompt - offsetof(struct fwd, prompt));
 }
 
-/* Goes on with a request whose attempt has waited for a check. */
-void fwd_crash_checked(struct edge_attempt *attempt, bool crashed)
+/* Goes on with a request that may have waited for a check. */
+void fwd_crash_checked(struct edge_prompt *prompt, bool crashed)
 {
-	struct fwd *f = fwd_from_attempt(attempt);
+	struct fwd *f = fwd_from_prompt(prompt);
 	const char *reason = crashed ? "endpoint_crashed" : f->broken_reason;
 
+	if (!f->broken_reason)
+		return;
+
 	f->broken_reason = NULL;
 	retry(f, true, reason);
 }
@@ -761,7 +766,7 @@
 			 now_us);
 	f->repeat_us = 0;
 	f->endpoint = endpoint;
-	edge_parts_sent(f->edge->parts, &f->attempt, endpoint);
+	edge_parts_sent(f->edge->parts, &f->attempt, &f->prompt, endpoint);
 	g_free(f->endpoint_id);
 	f->endpoint_id = g_strdup(bal_id(endpoint));
 	add_tried(f, f->endpoint_id);
@@ -935,18 +940,17 @@
 
 	f->trial_endpoint = endpoint;
 	bal_begin(f->edge->bal, endpoint, unread_tokens(f), now_us);
-	edge_parts_try(f->edge->parts, &f->attempt, decision, endpoint,
+	edge_parts_try(f->edge->parts, &f->prompt, decision, endpoint,
 		       MAX(limit_us, 1));
 	set_timer_at(f, f->deadline_us);
 }
 
 /* Goes on with a request that has waited for a grant. */
-void fwd_trial_decided(struct edge_attempt *attempt, bool granted)
+void fwd_trial_decided(struct edge_prompt *prompt, bool granted)
 {
-	struct fwd *f = fwd_from_attempt(attempt);
+	struct fwd *f = fwd_from_prompt(prompt);
 
 	if (!granted || is_too_late(f)) {
-		edge_parts_not_run(attempt);
 		refuse_part(f, TRIAL_RETRY_US);
 		return;
 	}
@@ -967,7 +971,7 @@
 		give_up(f, -1, "deadline");
 		return false;
 	}
-	decision = edge_parts_decide(f->edge->parts, &f->attempt);
+	decision = edge_parts_decide(f->edge->parts, &f->prompt);
 	if (decision.action == SUS_REFUSE) {
 		refuse_part(f, decision.retry_us);
 		return false;
@@ -992,8 +996,7 @@
 
 static bool parts_are_sound(const struct fwd *f)
 {
-	return edge_parts_decide(f->edge->parts, &f->attempt).action ==
-	       SUS_SEND;
+	return edge_parts_decide(f->edge->parts, &f->prompt).action == SUS_SEND;
 }
 
 /* Moves the request from a silent endpoint to another one. If there is none, or
@@ -1118,7 +1121,7 @@
 	f->exchange = exchange;
 	f->timer = event_new(ctx->base, -1, 0, on_timer, f);
 	wire_read_request(&hio_exchange_request(exchange)->fields, &f->request);
-	edge_parts_read(ctx->parts, &f->attempt, &f->request);
+	edge_parts_read(ctx->parts, &f->prompt, &f->request);
 	f->route = g_strdup(route->name);
 	f->service = g_strdup(service);
 	f->kind = route->kind;
