tests: weight of prompt parts that explain crashes

Two cases for rules of qua_part.c that survived their removal: a part in as many crashes as the quarantined one keeps its crashes, and a granted run that clears a part judges the others with the same command. Removed alone, each rule now fails one case.

--- a/tests/unit/state_parts_test.cc
+++ b/tests/unit/state_parts_test.cc
@@ -321,6 +321,38 @@
 	EXPECT_TRUE(quarantined('p'));
 }
 
+TEST_F(Parts, RunThatClearsAPartBringsBackWhatItExplained)
+{
+	crash(0, { part('c') });
+	wait(700);
+	crash(1, { part('c'), part('p') });
+	wait(100);
+	EXPECT_TRUE(quarantined('c'));
+	wait(600);
+	crash(2, { part('c'), part('p') });
+	wait(1400);
+	EXPECT_TRUE(suspected('p'));
+	EXPECT_EQ(run(part('c'), 3), OK);
+	EXPECT_EQ(done(part('c')), OK);
+	EXPECT_EQ(find(part('c')), nullptr);
+	EXPECT_TRUE(quarantined('p'));
+}
+
+TEST_F(Parts, PartInAsManyCrashesIsNotExplained)
+{
+	crash(0, { part('c') });
+	wait(700);
+	crash(1, { part('c'), part('p') });
+	crash(2, { part('p') });
+	wait(100);
+	EXPECT_TRUE(quarantined('c'));
+	EXPECT_EQ(find(part('p'))->crashes, 1u);
+	crash(3, { part('p') });
+	wait(1000);
+	crash(4, { part('c'), part('p') });
+	EXPECT_TRUE(quarantined('p'));
+}
+
 TEST_F(Parts, PartInMoreCrashesIsJudgedFirst)
 {
 	crash(0, { part('c') });
