--- a/tests/unit/part_sim_test.cc
+++ b/tests/unit/part_sim_test.cc
@@ -1,6 +1,8 @@
 #include "state_util.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 #include <list>
 #include <map>
 #include <queue>
