--- a/src/core/qua_part.c
+++ b/src/core/qua_part.c
@@ -14,8 +14,8 @@
 /* Crashes that quarantine a part. */
 #define CRASHES 2
 /* Crashes of endpoints within this time may have one common cause and count as
- * one. It includes the delays with which entries report a crash. */
-#define JOINT_MS 600
+ * one. The delays of reports may add to it. */
+#define JOINT_MS 300
 /* Time for answers that have begun to be reported, since the first crash. */
 #define CONTEST_MS 800
 /* A suspected part is dropped when it crashes nothing more. */
