--- a/src/core/view.h
+++ b/src/core/view.h
@@ -49,6 +49,8 @@
 				 const uint8_t digest[16]);
 Dsp__ViewUpdate *view_since_table(const struct view *ctx, uint64_t from_index,
 				  uint64_t table_index);
+size_t view_n_suspects(const struct view *ctx);
+const Dsp__Suspect *view_suspect_at(const struct view *ctx, size_t i);
 Dsp__ViewUpdate *view_since(const struct view *ctx, uint64_t from_index);
 
 #endif
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -9,6 +9,7 @@
 #include "core/bal.h"
 #include "core/rep.h"
 #include "core/rtab.h"
+#include "core/sus.h"
 #include "edge/edge.h"
 #include "http/hio.h"
 #include "platform/wire.h"
@@ -23,6 +24,7 @@
 
 struct fwd;
 struct agent;
+struct edge_parts;
 
 /* A request that is held until the first confirmed view. */
 struct fwd_held {
@@ -59,6 +61,7 @@
 	Dsp__Command *command;	       /* owned */
 	int64_t timeout_us;
 	edge_done *done;
+	void *data;		    /* for done */
 	Dsp__CommandResult *result; /* owned; NULL: unknown */
 	bool not_sent;		    /* the command can never take effect */
 };
@@ -112,6 +115,7 @@
 	bool draining;
 	int64_t drain_start_us; /* when the drain began */
 	struct agent *agent;
+	struct edge_parts *parts;
 };
 
 /* edge.c */
@@ -131,8 +135,8 @@
 /* Submits a command on a separate thread; done runs on the edge thread. Takes
  * ownership of the command. */
 void edge_call_start(struct edge *ctx, struct hio_exchange *exchange,
-		     Dsp__Command *command, int64_t timeout_us,
-		     edge_done *done);
+		     Dsp__Command *command, int64_t timeout_us, edge_done *done,
+		     void *data);
 void edge_calls_run(struct edge *ctx);
 void edge_calls_wait(struct edge *ctx);
 
@@ -140,7 +144,54 @@
 bool edge_api_open(struct edge *ctx, GError **err);
 void edge_api_close(struct edge *ctx);
 
+/* edge_parts.c */
+struct edge_check;
+struct edge_trial;
+
+/* The prompt parts of a request; embedded in it. */
+struct edge_prompt {
+	TAILQ_ENTRY(edge_prompt) wait_link;
+	struct sus_parts parts;
+	const char *request_id; /* for log lines */
+	uint32_t crashes;	/* endpoints that crashed before it was begun */
+	struct edge_check *check; /* whose end it waits for, or NULL */
+	struct edge_trial *trial; /* for its next attempt, or NULL */
+};
+
+/* A sending of a request to an endpoint; embedded in it. */
+struct edge_attempt {
+	LIST_ENTRY(edge_attempt) link;
+	struct edge_prompt *prompt;
+	bool is_listed; /* in flight, and its answer not proven begun */
+	struct edge_trial *trial; /* granted for it, or NULL */
+	char *endpoint;
+	uint64_t incarnation;
+	char *address;
+};
+
+struct edge_parts *edge_parts_new(struct edge *edge);
+void edge_parts_free(struct edge_parts *ctx);
+void edge_parts_read(struct edge_parts *ctx, struct edge_prompt *prompt,
+		     const struct wire_request *request);
+void edge_parts_forget(struct edge_prompt *prompt);
+struct sus_decision edge_parts_decide(struct edge_parts *ctx,
+				      const struct edge_prompt *prompt);
+void edge_parts_try(struct edge_parts *ctx, struct edge_prompt *prompt,
+		    const struct sus_decision *decision,
+		    const struct bal_endpoint *endpoint, int64_t timeout_us);
+void edge_parts_sent(struct edge_parts *ctx, struct edge_attempt *attempt,
+		     struct edge_prompt *prompt,
+		     const struct bal_endpoint *endpoint);
+void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt,
+		      int64_t started_us);
+bool edge_parts_broken(struct edge_parts *ctx, struct edge_attempt *attempt);
+void edge_parts_not_run(struct edge_attempt *attempt);
+void edge_parts_ended(struct edge_attempt *attempt);
+void edge_parts_view_changed(struct edge_parts *ctx);
+
 /* fwd.c */
+void fwd_crash_checked(struct edge_prompt *prompt, bool crashed);
+void fwd_trial_decided(struct edge_prompt *prompt, bool granted);
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_caller_left(void *data, struct hio_exchange *exchange);
 /* Processes requests held for the first view. */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -68,6 +68,11 @@
 /* Limit of an incomplete event of a stream; events hold a few tokens. */
 #define EVENT_MAX_BYTES (256 << 10)
 #define RETRY_AFTER_JITTER 0.5
+/* Bounds of the time after which a request with a part in doubt may return, and
+ * that time while another run of the part decides. */
+#define PART_RETRY_MIN_US 200000
+#define PART_RETRY_MAX_US (60 * EDGE_S_US)
+#define TRIAL_RETRY_US EDGE_S_US
 /* An instance that starts, or has lost the leader, has a confirmed view after
  * an election and a report, which take about this long. */
 #define VIEW_RETRY_AFTER_US 1500000
@@ -99,7 +104,8 @@
 	GByteArray *body;	  /* of a buffered response */
 	struct sse *sse;	  /* of a stream that has begun; or NULL */
 	uint32_t events_received;
-	int64_t first_event_us; /* when the first of them arrived */
+	int64_t first_event_us;	   /* when the first of them arrived */
+	struct edge_attempt parts; /* of its prompt */
 };
 
 struct fwd {
@@ -135,6 +141,10 @@
 	int64_t repeat_us;  /* when a repeat was taken for the next attempt; 0:
 			       none */
 	int64_t waited_us; /* from the request's arrival to the first attempt */
+	struct edge_prompt prompt;
+	const char *broken_reason; /* while it waits for a check */
+	/* Kept for the request while it waits for a grant, or NULL. */
+	struct bal_endpoint *trial_endpoint;
 
 	LIST_HEAD(, attempt) attempts;
 	struct hdg hedge;    /* of the attempts that are under way */
@@ -215,6 +225,21 @@
 	f->repeat_us = 0;
 }
 
+/* Prompt tokens that the balancer counts as unprocessed until the first byte.
+ */
+static uint32_t unread_tokens(const struct fwd *f)
+{
+	return f->engine ? MAX(f->request.tokens_in, 1) : 1;
+}
+
+static void release_trial_endpoint(struct fwd *f)
+{
+	if (f->trial_endpoint)
+		bal_end(f->edge->bal, f->trial_endpoint, BAL_CANCELLED,
+			unread_tokens(f), now_of(f));
+	f->trial_endpoint = NULL;
+}
+
 static void fwd_free(struct fwd *f)
 {
 	LIST_REMOVE(f, link);
@@ -222,6 +247,8 @@
 	return_repeat(f);
 	f->edge->in_flight--;
 	event_free(f->timer);
+	release_trial_endpoint(f);
+	edge_parts_forget(&f->prompt);
 	wire_request_clear(&f->request);
 	while (!LIST_EMPTY(&f->attempts))
 		attempt_free(LIST_FIRST(&f->attempts));
@@ -234,13 +261,6 @@
 	g_free(f);
 }
 
-/* Prompt tokens that the balancer counts as unprocessed until the first byte.
- */
-static uint32_t unread_tokens(const struct fwd *f)
-{
-	return f->engine ? MAX(f->request.tokens_in, 1) : 1;
-}
-
 /* Runs the queue after the current callback has returned. */
 static void schedule_queue_run(struct edge *ctx)
 {
@@ -256,6 +276,7 @@
 	if (at->call)
 		hio_call_cancel(at->call);
 	at->call = NULL;
+	edge_parts_ended(&at->parts);
 	g_free(f->endpoint_id);
 	f->endpoint_id = g_strdup(bal_id(at->endpoint));
 	f->ttfb_us = at->ttfb_us;
@@ -506,6 +527,41 @@
 	retry(f, reached, reason);
 }
 
+/*
+ * Ends an attempt that broke off. Unless the request goes on with others, it is
+ * tried elsewhere, at once or when it is known whether the endpoint crashed.
+ */
+static void break_attempt(struct attempt *at, const char *reason)
+{
+	struct fwd *f = at->fwd;
+	bool waits = edge_parts_broken(f->edge->parts, &at->parts);
+
+	if (!waits || hdg_is_hedged(&f->hedge) || !can_retry(f)) {
+		fail_attempt(at, BAL_FAILED, true, reason);
+		return;
+	}
+	end_attempt(at, BAL_FAILED);
+	f->broken_reason = reason;
+	set_timer_at(f, f->deadline_us);
+}
+
+static struct fwd *fwd_from_prompt(struct edge_prompt *prompt)
+{
+	return (struct fwd *)((char *)prompt - offsetof(struct fwd, prompt));
+}
+
+/* Goes on with a request that may have waited for a check. */
+void fwd_crash_checked(struct edge_prompt *prompt, bool crashed)
+{
+	struct fwd *f = fwd_from_prompt(prompt);
+	const char *reason = crashed ? "endpoint_crashed" : f->broken_reason;
+
+	if (!f->broken_reason)
+		return;
+	f->broken_reason = NULL;
+	retry(f, true, reason);
+}
+
 /* Starts the answer to the caller, who gets the fields of the first attempt. */
 static void begin_reply(struct attempt *at)
 {
@@ -526,11 +582,15 @@
 	use_attempt(at);
 	begin_reply(at);
 	hdg_progress(&f->hedge, at->id, now_us);
-	if (!at->events_received++)
+	if (!at->events_received++) {
 		at->first_event_us = now_us;
-	else
+	} else {
 		bal_stream_event(f->edge->bal, at->endpoint,
 				 now_us - f->last_event_us, now_us);
+		if (now_us - at->first_event_us >= SUS_PROOF_US)
+			edge_parts_begun(f->edge->parts, &at->parts,
+					 at->first_event_us);
+	}
 	if (f->last_event_us)
 		f->gap_max_us = MAX(f->gap_max_us, now_us - f->last_event_us);
 	f->last_event_us = now_us;
@@ -672,6 +732,7 @@
 	/* An engine gives the same status when it does not hold the model. */
 	bool wrong_process = replaced && !f->engine;
 
+	edge_parts_not_run(&at->parts);
 	f->runs--;
 	if (f->engine && replaced)
 		edge_count_demand(f->edge, f->request.model, f->request.adapter,
@@ -685,11 +746,14 @@
 	struct fwd *f = at->fwd;
 
 	if (sse_unfinished(at->sse)) {
-		fail_attempt(at, BAL_FAILED, true, "unfinished_event");
+		break_attempt(at, "unfinished_event");
 		return;
 	}
 	use_attempt(at);
 	begin_reply(at);
+	if (at->events_received)
+		edge_parts_begun(f->edge->parts, &at->parts,
+				 at->first_event_us);
 	if (f->gap_us && at->events_received >= 2)
 		bal_stream_end(f->edge->bal, at->endpoint,
 			       f->gap_max_us > f->gap_us, now_of(f));
@@ -714,6 +778,10 @@
 		fail_attempt(at, BAL_FAILED, true, "unsealed");
 		return;
 	}
+	if (success)
+		edge_parts_begun(f->edge->parts, &at->parts,
+				 at->ttfb_us < 0 ? now_of(f)
+						 : at->sent_us + at->ttfb_us);
 	/* The caller has received a part of a stream, or another endpoint may
 	 * go on without this failure. */
 	if (f->headers_sent || (!success && hdg_is_hedged(&f->hedge))) {
@@ -758,16 +826,17 @@
 	switch (failure) {
 	case HIO_NOT_CONNECTED:
 		at->fwd->runs--;
+		edge_parts_not_run(&at->parts);
 		fail_attempt(at, BAL_UNREACHED, false, "not_connected");
 		break;
 	case HIO_BROKEN:
 		if (at->answer.not_run && !at->unattributed)
 			handle_refusal(at);
 		else
-			fail_attempt(at, BAL_FAILED, true, "broken");
+			break_attempt(at, "broken");
 		break;
 	case HIO_MALFORMED:
-		fail_attempt(at, BAL_FAILED, true, "malformed");
+		break_attempt(at, "malformed");
 		break;
 	}
 }
@@ -849,6 +918,7 @@
 		rep_move(edge_budget(f->edge, f->service), f->repeat_us,
 			 now_us);
 	f->repeat_us = 0;
+	edge_parts_sent(f->edge->parts, &at->parts, &f->prompt, endpoint);
 	add_tried(f, bal_id(endpoint));
 	f->runs++;
 	LIST_INSERT_HEAD(&f->attempts, at, link);
@@ -1015,6 +1085,42 @@
 		       ctl_state(f->edge->ctl).stale_us, left_us);
 }
 
+/* Refuses a request with a part in doubt. */
+static void refuse_part(struct fwd *f, int64_t retry_us)
+{
+	give_up(f, CLAMP(retry_us, PART_RETRY_MIN_US, PART_RETRY_MAX_US),
+		"suspect_part");
+}
+
+/* Asks for a grant to send a request with a part in doubt to an endpoint, which
+ * is kept for it. The request waits as long as it could in the queue. */
+static void ask_for_trial(struct fwd *f, struct bal_endpoint *endpoint,
+			  const struct sus_decision *decision)
+{
+	int64_t now_us = now_of(f);
+	int64_t limit_us = MIN(wait_limit_us(f, BAL_CHOSEN),
+			       f->deadline_us - REMAINING_MIN_US - now_us);
+
+	f->trial_endpoint = endpoint;
+	bal_begin(f->edge->bal, endpoint, unread_tokens(f), now_us);
+	edge_parts_try(f->edge->parts, &f->prompt, decision, endpoint,
+		       MAX(limit_us, 1));
+	set_timer_at(f, f->deadline_us);
+}
+
+/* Goes on with a request that has waited for a grant. */
+void fwd_trial_decided(struct edge_prompt *prompt, bool granted)
+{
+	struct fwd *f = fwd_from_prompt(prompt);
+
+	if (!granted || is_too_late(f)) {
+		refuse_part(f, TRIAL_RETRY_US);
+		return;
+	}
+	send_to(f, f->trial_endpoint);
+	release_trial_endpoint(f);
+}
+
 /*
  * Sends the request to the best endpoint, queues it, or ends it. Returns true
  * when it is queued; otherwise it may have been freed.
@@ -1022,22 +1128,40 @@
 static bool dispatch(struct fwd *f)
 {
 	struct bal_choice choice = { .outcome = BAL_PREFILL_BUSY };
+	struct sus_decision decision;
 
 	if (is_too_late(f)) {
 		give_up(f, -1, "deadline");
 		return false;
 	}
+	decision = edge_parts_decide(f->edge->parts, &f->prompt);
+	if (decision.action == SUS_REFUSE) {
+		refuse_part(f, decision.retry_us);
+		return false;
+	}
 	/* Queued requests of the same group come first. */
 	if (f->item.queued || f->headers_sent ||
 	    !adm_length(f->edge->queue, f->group))
 		choice = choose_endpoint(f);
+	if (choice.outcome != BAL_CHOSEN && decision.action == SUS_TRY) {
+		refuse_part(f, TRIAL_RETRY_US);
+		return false;
+	}
 	if (choice.outcome != BAL_CHOSEN)
 		return enqueue_or_refuse(f, &choice);
 	adm_remove(f->edge->queue, &f->item);
-	send_to_choice(f, &choice);
+	if (decision.action == SUS_TRY)
+		ask_for_trial(f, choice.endpoint, &decision);
+	else
+		send_to_choice(f, &choice);
 	return false;
 }
 
+static bool parts_are_sound(const struct fwd *f)
+{
+	return edge_parts_decide(f->edge->parts, &f->prompt).action == SUS_SEND;
+}
+
 /*
  * Sends the request of a silent endpoint to another one as well. If there is
  * none, or the retry budget is used up, it is tried again later. The attempts
@@ -1049,7 +1173,8 @@
 
 	if (f->n_tried < TRIED_MAX && !is_too_late(f))
 		choice = choose_endpoint(f);
-	if (choice.outcome != BAL_CHOSEN || !take_repeat(f)) {
+	if (choice.outcome != BAL_CHOSEN || !parts_are_sound(f) ||
+	    !take_repeat(f)) {
 		hdg_put_off(&f->hedge, now_of(f));
 		return;
 	}
@@ -1087,6 +1212,10 @@
 		fwd_run_queue(f->edge);
 		return;
 	}
+	if (f->broken_reason || f->trial_endpoint) {
+		set_timer_at(f, f->deadline_us);
+		return;
+	}
 	if (LIST_EMPTY(&f->attempts)) {
 		dispatch(f);
 		return;
@@ -1167,6 +1296,7 @@
 	f->exchange = exchange;
 	f->timer = event_new(ctx->base, -1, 0, on_timer, f);
 	wire_read_request(&hio_exchange_request(exchange)->fields, &f->request);
+	edge_parts_read(ctx->parts, &f->prompt, &f->request);
 	f->route = g_strdup(route->name);
 	f->service = g_strdup(service);
 	f->kind = route->kind;
