up: input on an idle connection is no answer to the next request

An endpoint's second copy of an answer, in the socket before the next request was written, went to the next caller on the product's interface: libcurl 7.88 reuses a connection with input waiting, and reads the copy as the answer. A pooled connection is looked at before its reuse now, and closed if there is input or its end.

Before: UpTest.CopyInTheSocketIsNoAnswer fails, nearly each request gets the answer of the one before. Open: a copy without X-Request-Id that arrives after the request was written.

--- a/src/traffic/up.c
+++ b/src/traffic/up.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 #include <time.h>
 
 #include "http/hio.h"
@@ -25,6 +26,8 @@
 	CURLM *multi;
 	CURL *easy;
 	int64_t idle_since_us;
+	curl_socket_t socket; /* of the idle connection; CURL_SOCKET_BAD: none
+			       */
 };
 
 TAILQ_HEAD(handle_list, handle);
@@ -172,9 +175,9 @@
 	close_list(&expired);
 }
 
-static struct handle *take_handle(struct up *ctx, const char *origin)
+static struct handle *take_idle(struct up *ctx, const char *origin)
 {
-	struct handle *handle = NULL;
+	struct handle *handle;
 	struct pool *pool;
 
 	pthread_mutex_lock(&ctx->lock);
@@ -186,6 +189,27 @@
 		pool->n--;
 	}
 	pthread_mutex_unlock(&ctx->lock);
+	return handle;
+}
+
+/* Returns whether input, or its end, waits on an idle connection. libcurl would
+ * take the input for the answer to the next request. */
+static bool has_unasked_input(const struct handle *handle)
+{
+	char byte;
+
+	if (handle->socket == CURL_SOCKET_BAD)
+		return false;
+	return recv(handle->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+	       (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+static struct handle *take_handle(struct up *ctx, const char *origin)
+{
+	struct handle *handle;
+
+	while ((handle = take_idle(ctx, origin)) && has_unasked_input(handle))
+		handle_free(handle);
 	return handle ? handle : handle_new();
 }
 
@@ -475,6 +499,9 @@
 	 * head as an answer with an empty body. */
 	complete = run_transfer(handle, &t, &error, &result) && t.head_done;
 	unsent = is_unsent(handle->easy, &t);
+	if (curl_easy_getinfo(handle->easy, CURLINFO_ACTIVESOCKET,
+			      &handle->socket) != CURLE_OK)
+		handle->socket = CURL_SOCKET_BAD;
 	curl_multi_remove_handle(handle->multi, handle->easy);
 	if (complete) {
 		put_handle(ctx, origin, handle);
--- a/tests/integration/up_test.cc
+++ b/tests/integration/up_test.cc
@@ -318,6 +318,35 @@
 			}
 }
 
+/* Guards against taking a copy of an earlier answer, which lies in the socket
+ * before the next request is written, for the answer to that request. */
+TEST_F(UpTest, CopyInTheSocketIsNoAnswer)
+{
+	std::atomic<int> requests{ 0 };
+	Server server([&](int fd) {
+		while (!read_request(fd, 3).empty()) {
+			std::string body = std::to_string(++requests);
+			std::string text =
+				"HTTP/1.1 200 OK\r\nContent-Length: " +
+				std::to_string(body.size()) + "\r\n\r\n" + body;
+
+			send_text(fd, text);
+			usleep(20000);
+			send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+		}
+	});
+
+	for (int i = 1; i <= 10; i++) {
+		UpRun run = perform(up, server.url(), false);
+
+		usleep(40000);
+		EXPECT_TRUE(run.complete);
+		EXPECT_EQ(run.body, std::to_string(requests)) << i;
+	}
+	up_free(up); /* the server reads until its connections are closed */
+	up = up_new();
+}
+
 TEST_F(UpTest, HeadWithOtherBytesIsNoAnswer)
 {
 	const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
