edge: the head of a stream does not decide between attempts

Cause: an attempt counted as begun from its head, and was used 250 ms later; the silent one was cancelled for it. A head shows no work yet: a request begins to run with its first token.

Change: a stream begins with the first byte of its body. From then on the 250 ms hold as before, so that two engines do not go on with one stream. Later bytes of an unfinished event are still no progress.

Ruled out: no limit at all. An engine that stops in its first event would leave two at work on one stream.

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -556,12 +556,10 @@
 	}
 }
 
-/* The head waits for the first event while another attempt may be used. A
- * buffered answer does not begin: it is used when it is whole. */
-static void begin_stream(struct attempt *at, int64_t now_us)
+/* The head waits for the first event while another attempt may be used. */
+static void begin_stream(struct attempt *at)
 {
 	at->sse = sse_new();
-	hdg_begun(&at->fwd->hedge, at->id, now_us);
 	if (!hdg_is_hedged(&at->fwd->hedge))
 		begin_reply(at);
 }
@@ -603,7 +601,7 @@
 	if (!at->answer.not_run)
 		copy_fields(&at->fields, &answer->fields);
 	if (f->kind == DSP__ROUTE_KIND__ROUTE_STREAM && has_good_head(at))
-		begin_stream(at, now_us);
+		begin_stream(at);
 	set_request_timer(f);
 }
 
@@ -621,15 +619,26 @@
 	schedule_queue_run(f->edge);
 }
 
+/* The endpoint works on the first event. A buffered answer does not begin: it
+ * is used when it is whole. */
+static void begin_events(struct attempt *at, int64_t now_us)
+{
+	hdg_begun(&at->fwd->hedge, at->id, now_us);
+	set_request_timer(at->fwd);
+}
+
 /* May free the request. */
 static void on_body(void *data, const char *bytes, size_t len)
 {
 	struct attempt *at = data;
 	struct fwd *f = at->fwd;
 	int64_t now_us = now_of(f);
+	bool first = at->ttfb_us < 0;
 
-	if (at->ttfb_us < 0)
+	if (first)
 		record_first_byte(at, now_us);
+	if (first && at->sse)
+		begin_events(at, now_us);
 	if (at->sse) {
 		sse_feed(at->sse, bytes, len, on_event, at);
 		if (sse_unfinished(at->sse) > EVENT_MAX_BYTES)
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -365,6 +365,7 @@
 	Refuses,
 	IsAnother,
 	BreaksAfterHead,
+	BreaksLongAfterHead,
 	BreaksInEvent,
 	BreaksInBody,
 	Fails,
@@ -428,6 +429,10 @@
 			s.send(stream_head(r, m));
 			usleep(50000);
 			break;
+		case Second::BreaksLongAfterHead:
+			s.send(stream_head(r, m));
+			usleep(500000);
+			break;
 		case Second::BreaksInEvent:
 			s.send(stream_head(r, m) + chunk("id: 3\nda"));
 			usleep(50000);
@@ -506,6 +511,12 @@
 	stream_goes_on(Second::BreaksAfterHead, 2);
 }
 
+/* Guards against dropping a runner for one that has sent no event yet. */
+TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerBreaksLongAfterItsHead)
+{
+	stream_goes_on(Second::BreaksLongAfterHead, 2);
+}
+
 TEST_F(PlatformSilent, StreamIsNotCutWhereTheNextRunnerBreaksInAnEvent)
 {
 	stream_goes_on(Second::BreaksInEvent, 2);
@@ -735,6 +746,36 @@
 	EXPECT_LT(closed - went_on, 400);
 }
 
+/* Guards against two runners that work on one stream while the first event of
+ * one of them is incomplete. */
+TEST_F(PlatformSilent, RunnerThatLostIsCancelledWhenAnotherIsInAnEvent)
+{
+	std::atomic<int64_t> went_on{ 0 }, closed{ 0 };
+
+	add_both();
+	for (Runner *r : { &a, &b })
+		r->handler = [&, r](Socket &s, const Message &m) {
+			if (!runs++) {
+				s.send(stream_head(*r, m) +
+				       chunk(events(1, 2)));
+				s.wait_closed(6000);
+				closed = proc_now_ms();
+				return false;
+			}
+			s.send(stream_head(*r, m));
+			usleep(100000);
+			went_on = proc_now_ms();
+			s.send(chunk("id: 3\nda"));
+			usleep(700000);
+			return s.send(chunk("ta: piece3\n\n") + rest(4));
+		};
+	Message m = system.send("POST", "/flow/x", ID);
+	EXPECT_TRUE(m.complete) << system.logs();
+	EXPECT_EQ(m.body, events(1, EVENTS));
+	EXPECT_GE(closed, went_on);
+	EXPECT_LT(closed - went_on, 400);
+}
+
 TEST_F(PlatformSilent, BothRunnersStopWhenTheCallerLeaves)
 {
 	std::atomic<int> closed{ 0 };
