--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -936,6 +936,10 @@
 		});
 	for (auto &t : callers)
 		t.join();
+	int repeated = 0;
+	for (const auto &x : runs_of)
+		repeated += x.second > 1;
+	EXPECT_GE(repeated, (int)HISTORIES / 4);
 }
 
 TEST_F(Platform, StreamThatCannotGoOnDoesNotLookComplete)
--- a/tests/unit/hdg_test.cc
+++ b/tests/unit/hdg_test.cc
@@ -131,64 +131,91 @@
 	EXPECT_EQ(h.n, (size_t)HDG_ATTEMPTS_MAX);
 }
 
-/* In random histories an attempt is used only if it began to answer after the
- * last one was added, and the last attempt is never given up by silence. */
+struct Model {
+	int64_t progress = 0;
+	int64_t begun = 0; /* 0: not after the last one was added */
+};
+
+/* In random histories the attempt that began first is used, not before and not
+ * long after its grace, and another one is added only after a silence of all.
+ */
 TEST(Hdg, RandomHistoriesKeepAnAttempt)
 {
+	unsigned used = 0, added = 0;
+
 	for (unsigned seed = 0; seed < 2000; seed++) {
 		std::mt19937 random(seed);
 		struct hdg h = {};
-		std::map<unsigned, bool> begun;
+		std::map<unsigned, Model> model;
 		unsigned next = 1;
 		int64_t now = 1000 * MS;
 
 		hdg_add(&h, next, now);
-		begun[next++] = false;
-		for (int step = 0; step < 60 && !begun.empty(); step++) {
-			auto any = std::next(begun.begin(),
-					     (long)(random() % begun.size()));
+		model[next++].progress = now;
+		for (int step = 0; step < 150; step++) {
+			auto any = std::next(model.begin(),
+					     (long)(random() % model.size()));
+			int64_t first = INT64_MAX;
+			int64_t last = 0;
 			unsigned winner;
 
-			now += (int64_t)(random() % 400) * MS;
+			now += (int64_t)(1 + random() % 120) * MS;
+			for (auto &x : model) {
+				last = std::max(last, x.second.progress);
+				if (x.second.begun)
+					first = std::min(first, x.second.begun);
+			}
 			winner = hdg_winner(&h, now);
+			ASSERT_EQ(winner != 0,
+				  model.size() > 1 && first < INT64_MAX &&
+					  now >= first + HDG_GRACE_US - MS)
+				<< seed;
 			if (winner) {
-				ASSERT_GT(begun.size(), 1u) << seed;
-				ASSERT_TRUE(begun.count(winner)) << seed;
-				ASSERT_TRUE(begun[winner]) << seed;
-				for (auto &x : std::map<unsigned, bool>(begun))
+				ASSERT_TRUE(model.count(winner)) << seed;
+				ASSERT_EQ(model[winner].begun, first) << seed;
+				for (auto &x : std::map<unsigned, Model>(model))
 					if (x.first != winner) {
 						hdg_remove(&h, x.first, now);
-						begun.erase(x.first);
+						model.erase(x.first);
 					}
+				used++;
 				continue;
 			}
-			switch (random() % 4) {
+			if (hdg_take_silence(&h, SILENCE, now)) {
+				ASSERT_GE(now, last + SILENCE - MS) << seed;
+				ASSERT_LT(model.size(),
+					  (size_t)HDG_ATTEMPTS_MAX)
+					<< seed;
+				for (auto &x : model)
+					x.second.begun = 0;
+				hdg_add(&h, next, now);
+				model[next++].progress = now;
+				added++;
+			}
+			switch (random() % 16) {
 			case 0:
 				hdg_begun(&h, any->first, now);
-				any->second = true;
+				any->second.progress = now;
+				if (!any->second.begun)
+					any->second.begun = now;
 				break;
 			case 1:
 				hdg_progress(&h, any->first, now);
+				any->second.progress = now;
 				break;
 			case 2:
-				if (begun.size() == 1)
+				if (model.size() == 1)
 					break;
 				hdg_remove(&h, any->first, now);
-				begun.erase(any);
-				break;
-			case 3:
-				if (!hdg_take_silence(&h, SILENCE, now))
-					break;
-				for (auto &x : begun)
-					x.second = false;
-				hdg_add(&h, next, now);
-				begun[next++] = false;
+				model.erase(any);
 				break;
 			}
-			ASSERT_EQ(h.n, begun.size()) << seed;
-			ASSERT_EQ(hdg_is_hedged(&h), begun.size() > 1) << seed;
+			ASSERT_EQ(h.n, model.size()) << seed;
+			ASSERT_EQ(hdg_is_hedged(&h), model.size() > 1) << seed;
 		}
 	}
+	EXPECT_GT(used, 0u);
+	EXPECT_GT(added, 0u);
 }
 
 } // namespace
