--- a/tests/integration/traffic_stream_test.cc
+++ b/tests/integration/traffic_stream_test.cc
@@ -136,6 +136,21 @@
 		[&] { return stub_cancelled(model, first.c_str()); }));
 }
 
+/* Guards against ending the last attempt by a silence shorter than the time
+ * that is left. */
+TEST_F(TrafficTest, PausesOfSoundEndpointsDoNotEndTheStream)
+{
+	Entry &entry = start();
+
+	add_endpoints(true);
+	for (int i = 0; i < 10; i++)
+		ASSERT_EQ(entry.chat(true).status, 200);
+	stub_set_token_interval(model, 600000);
+	Reply reply = entry.chat(true);
+	EXPECT_EQ(reply.status, 200);
+	EXPECT_EQ(stream_text(reply.body), words(kTokens)) << reply.body;
+}
+
 /* Guards invariant 3: an answer with the ID of another attempt is discarded. */
 TEST_F(TrafficTest, CrossedAnswerIsNotDelivered)
 {
