--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -32,6 +32,29 @@
 	return NULL;
 }
 
+static bool has_only(const char *text, size_t len, const char *marks)
+{
+	for (size_t i = 0; i < len; i++)
+		if (!g_ascii_isalnum(text[i]) &&
+		    (!text[i] || !strchr(marks, text[i])))
+			return false;
+	return true;
+}
+
+/* Returns whether all bytes may stand in a request's target: RFC 9112, section
+ * 3.2. */
+bool hio_is_target(const char *text, size_t len)
+{
+	return has_only(text, len, "-._~:/?[]@!$&'()*+,;=%");
+}
+
+/* Returns whether all bytes may stand in a token, such as a field's name: RFC
+ * 9110, section 5.6.2. */
+bool hio_is_token(const char *text, size_t len)
+{
+	return has_only(text, len, "!#$%&'*+-.^_`|~");
+}
+
 static bool list_has(const char *list, const char *name)
 {
 	g_auto(GStrv) items = g_strsplit(list, ",", -1);
@@ -81,6 +104,57 @@
 	*fields = (struct hio_fields){ 0 };
 }
 
+/* Begins with the bytes that the parser reads next. */
+void hio_input_begin(struct hio_input *ctx, const char *bytes)
+{
+	ctx->bytes = bytes;
+	ctx->unchecked = bytes;
+}
+
+/* Returns the place of a byte in the connection's input. */
+uint64_t hio_input_offset(const struct hio_input *ctx, const char *at)
+{
+	return ctx->offset + (uint64_t)(at - ctx->bytes);
+}
+
+/* Returns false for a CR without its LF, and for chunk data without CRLF behind
+ * it: the parser takes any two bytes there, and any byte after a CR. */
+static bool check_line_ends(struct hio_input *ctx, const char *end)
+{
+	for (const char *c = ctx->unchecked; c < end; c++) {
+		if (ctx->expect == HIO_CR && *c != '\r')
+			return false;
+		if (ctx->expect == HIO_LF && *c != '\n')
+			return false;
+		ctx->expect = *c == '\r' ? HIO_LF : HIO_ANY;
+	}
+	return true;
+}
+
+/* Takes note of a piece of a body. Returns false if a line end before it is
+ * malformed. */
+bool hio_input_body(struct hio_input *ctx, const http_parser *parser,
+		    const char *at, size_t len)
+{
+	/* Further data of the same chunk has no line end before it. */
+	if (at > ctx->unchecked &&
+	    (!check_line_ends(ctx, at) || ctx->expect != HIO_ANY))
+		return false;
+	ctx->unchecked = at + len;
+	ctx->expect = parser->flags & F_CHUNKED ? HIO_CR : HIO_ANY;
+	return true;
+}
+
+/* Ends with len bytes that the parser has read. Returns false if a line end in
+ * them is malformed. */
+bool hio_input_end(struct hio_input *ctx, size_t len)
+{
+	bool valid = check_line_ends(ctx, ctx->bytes + len);
+
+	ctx->offset += len;
+	return valid;
+}
+
 /* Initializes a builder without fields. */
 void hio_builder_init(struct hio_builder *ctx)
 {
@@ -121,19 +195,36 @@
 	ctx->in_value = false;
 }
 
-/* Appends bytes to a field's name. */
-void hio_builder_name(struct hio_builder *ctx, const char *at, size_t len)
+/* Appends bytes to a field's name. Returns false if one is not allowed there:
+ * the parser accepts spaces in names. */
+bool hio_builder_name(struct hio_builder *ctx, const char *at, size_t len)
 {
 	if (ctx->in_value)
 		end_field(ctx);
+	if (!hio_is_token(at, len))
+		return false;
 	g_string_append_len(ctx->name, at, (gssize)len);
+	return true;
 }
 
-/* Appends bytes to a field's value. */
-void hio_builder_value(struct hio_builder *ctx, const char *at, size_t len)
+/*
+ * Appends bytes to a field's value; offset is their place in the connection's
+ * input. Returns false for a control byte other than a tab, which the parser
+ * accepts as the first byte, and for a value folded over several lines, whose
+ * pieces the parser delivers without the line ends between them.
+ */
+bool hio_builder_value(struct hio_builder *ctx, uint64_t offset, const char *at,
+		       size_t len)
 {
+	if (ctx->in_value && offset != ctx->value_end)
+		return false;
 	ctx->in_value = true;
+	ctx->value_end = offset + len;
+	for (size_t i = 0; i < len; i++)
+		if (g_ascii_iscntrl(at[i]) && at[i] != '\t')
+			return false;
 	g_string_append_len(ctx->value, at, (gssize)len);
+	return true;
 }
 
 /* Ends the last field; returns the total length of names and values. */
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -35,6 +35,8 @@
 void hio_fields_clear(struct hio_fields *fields);
 void hio_set_timer(struct event *timer, int64_t delay_us);
 const char *hio_field(const struct hio_fields *fields, const char *name);
+bool hio_is_target(const char *text, size_t len);
+bool hio_is_token(const char *text, size_t len);
 bool hio_is_hop_by_hop_field(const struct hio_fields *fields, const char *name);
 
 /* ---- Server (hio_server.c) ---- */
@@ -68,8 +70,8 @@
 	 * is freed after this callback. */
 	void (*disconnected)(void *data, struct hio_exchange *exchange);
 	/* A request was answered with this error status before it was read
-	 * completely; may be NULL. */
-	void (*refused)(void *data, int status);
+	 * completely; reason is a word for logs and metrics. May be NULL. */
+	void (*refused)(void *data, int status, const char *reason);
 };
 
 struct hio_server *hio_server_new(const struct hio_server_options *options,
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -50,10 +50,13 @@
 	http_parser parser;
 	/* The request that is arriving. */
 	struct hio_builder builder;
+	struct hio_input input;
 	GString *target;
 	GByteArray *body;
 	size_t body_progress; /* bytes of it since the timer was set */
-	int error_status; /* set by the callback that stops the parser; or 0 */
+	/* Set by the callback that stops the parser; or 0 and NULL. */
+	int error_status;
+	const char *error_reason;
 	bool complete;
 	bool keep_alive;
 	struct hio_exchange *exchange; /* in ANSWERING */
@@ -158,12 +161,15 @@
 		hio_set_timer(conn->timer, 1);
 }
 
-static void refuse(struct conn *conn, int status)
+static void refuse(struct conn *conn, int status, const char *reason)
 {
 	struct hio_server *ctx = conn->server;
 
+	LOG_EVENT_INFO("http", "request_refused",
+		       "listen=%s status=%d reason=%s", ctx->options.listen,
+		       status, reason);
 	if (ctx->options.refused)
-		ctx->options.refused(ctx->options.data, status);
+		ctx->options.refused(ctx->options.data, status, reason);
 	evbuffer_add_printf(bufferevent_get_output(conn->bev),
 			    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
 			    "Connection: close\r\n\r\n",
@@ -182,9 +188,18 @@
 	g_string_truncate(conn->target, 0);
 	g_byte_array_set_size(conn->body, 0);
 	conn->error_status = 0;
+	conn->error_reason = NULL;
 	return 0;
 }
 
+/* Stops the parser: the request is refused with this status. */
+static int stop_parser(struct conn *conn, int status, const char *reason)
+{
+	conn->error_status = status;
+	conn->error_reason = reason;
+	return -1;
+}
+
 static int check_header_size(struct conn *conn)
 {
 	size_t bytes = conn->target->len + conn->builder.fields.bytes +
@@ -192,14 +207,16 @@
 
 	if (bytes <= conn->server->options.limits.header_bytes)
 		return 0;
-	conn->error_status = 431;
-	return -1;
+	return stop_parser(conn, 431, "header_size");
 }
 
 static int on_url(http_parser *parser, const char *at, size_t len)
 {
 	struct conn *conn = parser->data;
 
+	/* The parser accepts other bytes, including control bytes. */
+	if (!hio_is_target(at, len))
+		return stop_parser(conn, 400, "target_byte");
 	g_string_append_len(conn->target, at, (gssize)len);
 	return check_header_size(conn);
 }
@@ -208,7 +225,8 @@
 {
 	struct conn *conn = parser->data;
 
-	hio_builder_name(&conn->builder, at, len);
+	if (!hio_builder_name(&conn->builder, at, len))
+		return stop_parser(conn, 400, "field_name");
 	return check_header_size(conn);
 }
 
@@ -216,7 +234,9 @@
 {
 	struct conn *conn = parser->data;
 
-	hio_builder_value(&conn->builder, at, len);
+	if (!hio_builder_value(&conn->builder,
+			       hio_input_offset(&conn->input, at), at, len))
+		return stop_parser(conn, 400, "field_value");
 	return check_header_size(conn);
 }
 
@@ -227,10 +247,8 @@
 
 	hio_builder_finish(&conn->builder);
 	if (parser->content_length != UINT64_MAX &&
-	    parser->content_length > limits->body_bytes) {
-		conn->error_status = 413;
-		return -1;
-	}
+	    parser->content_length > limits->body_bytes)
+		return stop_parser(conn, 413, "body_size");
 	if (hio_field(&conn->builder.fields, "expect"))
 		evbuffer_add_printf(bufferevent_get_output(conn->bev),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
@@ -244,10 +262,10 @@
 {
 	struct conn *conn = parser->data;
 
-	if (conn->body->len + len > conn->server->options.limits.body_bytes) {
-		conn->error_status = 413;
-		return -1;
-	}
+	if (!hio_input_body(&conn->input, parser, at, len))
+		return stop_parser(conn, 400, "line_end");
+	if (conn->body->len + len > conn->server->options.limits.body_bytes)
+		return stop_parser(conn, 413, "body_size");
 	g_byte_array_append(conn->body, (const guint8 *)at, (guint)len);
 	conn->body_progress += len;
 	if (conn->body_progress >= BODY_PROGRESS_BYTES) {
@@ -306,6 +324,7 @@
 	size_t len = evbuffer_get_contiguous_space(input);
 	const char *data = (const char *)evbuffer_pullup(input, (ssize_t)len);
 	size_t used;
+	bool valid;
 	enum http_errno error;
 
 	if (conn->phase == IDLE) {
@@ -313,19 +332,28 @@
 		hio_set_timer(conn->timer,
 			      conn->server->options.limits.header_us);
 	}
+	hio_input_begin(&conn->input, data);
 	used = http_parser_execute(&conn->parser, &parser_settings, data, len);
+	valid = hio_input_end(&conn->input, used);
 	evbuffer_drain(input, used);
 	error = HTTP_PARSER_ERRNO(&conn->parser);
 	if (error == HPE_PAUSED)
 		http_parser_pause(&conn->parser, 0);
 	if (error != HPE_OK && error != HPE_PAUSED) {
-		refuse(conn, conn->error_status ? conn->error_status : 400);
+		if (conn->error_status)
+			refuse(conn, conn->error_status, conn->error_reason);
+		else
+			refuse(conn, 400, "syntax");
+		return false;
+	}
+	if (!valid) {
+		refuse(conn, 400, "line_end");
 		return false;
 	}
 	if (!conn->complete)
 		return true;
 	if (conn->parser.upgrade) {
-		refuse(conn, 400);
+		refuse(conn, 400, "upgrade");
 		return false;
 	}
 	dispatch_request(conn);
@@ -375,7 +403,7 @@
 	(void)what;
 	switch (conn->phase) {
 	case READING:
-		refuse(conn, 408);
+		refuse(conn, 408, "timeout");
 		break;
 	case FLUSHING:
 		shutdown_if_flushed(conn);
