--- a/src/net/net.c
+++ b/src/net/net.c
@@ -16,10 +16,6 @@
  * trips; older ones are out of date and are dropped. */
 #define QUEUED_MESSAGE_AGE_MAX_US 500000
 #define QUEUED_MESSAGES_MAX 256
-/* Bytes that the kernel holds of a connection for bulk. What it holds is ahead
- * of urgent messages on the same link. A round trip of 50 ms still carries
- * 10 Mbit/s. */
-#define SEND_BUFFER_BYTES (64 << 10)
 /* A dead connection is detected within the silence limit, well before nodes
  * and endpoints lose their leases of a few seconds. */
 #define PING_INTERVAL_US 500000
@@ -199,8 +195,6 @@
 	set_option(p->socket, ZMQ_HANDSHAKE_IVL, 2000);
 	set_option(p->socket, ZMQ_RECONNECT_IVL, 100);
 	set_option(p->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
-	if (!ahead)
-		set_option(p->socket, ZMQ_SNDBUF, SEND_BUFFER_BYTES);
 	if (zmq_connect(p->socket, via ? via : address)) {
 		LOG_EVENT_WARN("net", "bad_address", "address=%s reason=\"%s\"",
 			       address, zmq_strerror(errno));
