ctl: a lost update is found after 0.5 s again

The wait is 0.5 s again, as on: updates are small now, and one that is sent twice costs less than one that is missing.

For the same reason bytes on their way prolong the silence limit of a connection by at most 1.5 s, not 5 s.

--- a/src/net/net.c
+++ b/src/net/net.c
@@ -25,7 +25,7 @@
 #define SILENCE_LIMIT_US 1500000
 /* Longest time that bytes on their way prolong the silence limit: a connection
  * that is dead must not seem busy. */
-#define DRAIN_MAX_US 5000000
+#define DRAIN_MAX_US 1500000
 /* Longest delay between connection attempts. Kept short because callers of a
  * restarted instance wait for its first view. */
 #define RECONNECT_MAX_MS 300
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -29,8 +29,7 @@
  * another upstream and gets no more updates. */
 #define CHILD_LIMIT_US CTL_S_US
 #define CHILD_LIMIT_REPORTS 3
-/* A child that still reports a lower index than sent lost the update. The time
- * that a slow link needs for the bytes of the round is added. */
+/* A child that still reports a lower index than sent lost the update. */
 #define UPDATE_LOST_AFTER_US 500000
 /* Shortest interval of updates between the rounds to all children. */
 #define PUSH_INTERVAL_US 20000
@@ -884,7 +883,6 @@
 	size_t n_loads;
 	Dsp__LoadReport *observed[LOADS_MAX];
 	size_t n_observed;
-	size_t bytes; /* sent so far */
 };
 
 static void free_update(Dsp__ViewUpdate *update)
@@ -1005,15 +1003,12 @@
 	       ctx->confirmed_us != child->sent_confirmed_us;
 }
 
-/* Notes that a child has changes on their way, behind the others of a round. */
-static void note_changes_sent(struct ctl *ctx, const struct round *round,
-			      struct ctl_child *child)
+/* Notes that a child has changes on their way. */
+static void note_changes_sent(struct ctl *ctx, struct ctl_child *child)
 {
 	if (child->sent_index >= view_index(ctx->view))
 		return;
-	child->lost_us =
-		ctx->now_us + UPDATE_LOST_AFTER_US +
-		(int64_t)round->bytes * 8 * CTL_S_US / NET_SLOW_BITS_PER_S;
+	child->lost_us = ctx->now_us + UPDATE_LOST_AFTER_US;
 	/* A child that cannot apply changes stays at 0. */
 	if (child->table_index && child->sent_index < table_index(ctx))
 		child->table_index = table_index(ctx);
@@ -1045,8 +1040,7 @@
 		child->sent_confirmed_us = ctx->confirmed_us;
 		u = update_for(ctx, &round, child);
 		send_round_update(ctx, child->address, u);
-		round.bytes += u->len;
-		note_changes_sent(ctx, &round, child);
+		note_changes_sent(ctx, child);
 	}
 	g_hash_table_destroy(round.updates);
 }
