edge_parts: count a crash that was reported before the attempt broke

What callers saw: nothing of their own. A request was sent to a second endpoint although one of its parts was suspected, so a faulty part could crash one more endpoint for each such request.

Cause: edge_parts_broken() lets a request wait for the check of its endpoint, and release_waiting() counts the crash. If the crash was known already, by the probe or by a view, it returned without counting. The request then went to dispatch() with prompt.crashes 0, as a new one, and sus_decide() refuses new requests only for quarantined parts.

Change: the crash is counted in that case too.

Evidence: the new test resets the second of two connections of one runner 450 ms after the runner's end. Before: "runs[late] Which is: 2", one run of the test. After: passed three times of three.

--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -662,8 +662,10 @@
 	    was_expected_to_end(ctx, attempt))
 		return false;
 	c = find_check(ctx, attempt->endpoint, attempt->incarnation);
-	if (c && c->reported)
+	if (c && c->reported) {
+		attempt->prompt->crashes++;
 		return false;
+	}
 	if (!c)
 		c = check_new(ctx, attempt);
 	if (!c)
--- a/tests/integration/parts_test.cc
+++ b/tests/integration/parts_test.cc
@@ -369,3 +369,54 @@
 		return now.served == 6;
 	})) << system.logs();
 }
+
+TEST_F(PlatformParts, RequestThatBreaksAfterTheReportOfTheCrashIsNotRepeated)
+{
+	std::mutex lock; /* guards these */
+	std::map<std::string, unsigned> runs;
+	std::map<Runner *, unsigned> held;
+	std::string late;
+	std::atomic<bool> finished{ false };
+
+	fault = false;
+	for (auto &r : runners) {
+		Runner *p = r.get();
+
+		p->handler = [&, p](Socket &s, const Message &m) {
+			std::string id = m.field("X-Attempt-Id");
+			bool is_late;
+			{
+				std::lock_guard<std::mutex> guard(lock);
+
+				runs[id]++;
+				is_late = ++held[p] == 2 && late.empty();
+				if (is_late)
+					late = id;
+			}
+			if (is_late) {
+				usleep(50000);
+				p->crash();
+				usleep(450000);
+				return false;
+			}
+			while (!p->is_down && !finished)
+				usleep(5000);
+			return answer_stream(*p, s, m);
+		};
+	}
+	Counts counts;
+	std::vector<std::thread> callers;
+	for (size_t i = 0; i < 9; i++)
+		callers.emplace_back([&] { send(0, FAULTY, &counts); });
+	EXPECT_TRUE(System::eventually([&] {
+		std::lock_guard<std::mutex> guard(lock);
+
+		return !late.empty();
+	}));
+	usleep(1000000);
+	finished = true;
+	for (auto &t : callers)
+		t.join();
+	EXPECT_TRUE(any_crash_reported());
+	EXPECT_EQ(runs[late], 1u) << system.logs();
+}
