edge_parts: give back the grant of a run that has no outcome

What callers saw: 503 or 502 for requests with a sound part in quarantine, for 30 s and then for the pause of a failed run, after the endpoint answered the granted run with an error, or after its caller left.

Cause: such a run ends as undecided, and nothing was submitted. The record kept the grant until RUN_MS (30 s), which counts as a failed run, so that the next pause is 20 s or longer. Callers that leave could repeat that as often as a grant is given.

Change: 1 s after an undecided run, the instance connects to the endpoint. If it accepts and no end of its process is known from the view or from a reported crash, the grant is given back as not used. Otherwise the grant stays, and the crash, the restart or the 30 s fail the run as before. Until then the instance asks for no other grant for the part.

Evidence: the new test answers the first granted run with a 500. Before: not served within 12 s (one run of the test). After: passed, and the other tests of parts_test, state_parts_test and sus_test as well.

Ruled out: to give the grant back at once. An endpoint may crash after its caller has left.

--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -30,6 +30,9 @@
 #define LOG_CRASHES_MAX 8
 /* Grants asked for or in use. */
 #define TRIALS_MAX 64
+/* An endpoint that serves this long after a run whose answer was not proven to
+ * have begun has survived what it did of it. */
+#define TRIAL_CHECK_US EDGE_S_US
 
 /* An endpoint's process at which attempts have broken off. */
 struct edge_check {
@@ -51,9 +54,13 @@
 	struct edge_prompt *prompt;   /* that waits to be sent, or NULL */
 	struct edge_attempt *attempt; /* that it is for, or NULL */
 	bool asked;		      /* the command's result is awaited */
+	/* After an attempt without an outcome; one of them is set. */
+	struct event *timer;
+	struct hio_probe *probe;
 	uint8_t digest[SUS_DIGEST_LEN];
 	char *id; /* names the run in the commands */
 	char *endpoint;
+	char *address;
 	uint64_t incarnation;
 };
 
@@ -106,8 +113,12 @@
 		t->prompt->trial = NULL;
 	if (t->attempt)
 		t->attempt->trial = NULL;
+	if (t->timer)
+		event_free(t->timer);
+	hio_probe_cancel(t->probe);
 	g_free(t->id);
 	g_free(t->endpoint);
+	g_free(t->address);
 	g_free(t);
 }
 
@@ -199,7 +210,7 @@
 enum trial_outcome {
 	TRIAL_SURVIVED, /* the endpoint did: the part is in doubt no more */
 	TRIAL_NOT_RUN,	/* the grant was not used */
-	/* The evidence of a crash, or the end of the grant, decides. */
+	/* The endpoint may yet crash. */
 	TRIAL_UNDECIDED,
 };
 
@@ -418,6 +429,7 @@
 	t->id = g_strdup_printf("%s/%s/%" PRIu64, prompt->request_id,
 				ctx->edge->set->id, ++ctx->last_trial);
 	t->endpoint = g_strdup(bal_id(endpoint));
+	t->address = g_strdup(bal_address(endpoint));
 	t->incarnation = bal_incarnation(endpoint);
 	LIST_INSERT_HEAD(&ctx->trials, t, link);
 	ctx->n_trials++;
@@ -471,13 +483,72 @@
 			DONE_TIMEOUT_US, done_committed, NULL);
 }
 
-/* Ends a trial whose grant is known. */
+static struct edge_check *find_check(struct edge_parts *ctx,
+				     const char *endpoint, uint64_t incarnation)
+{
+	struct edge_check *c;
+
+	TAILQ_FOREACH (c, &ctx->checks, link)
+		if (c->incarnation == incarnation &&
+		    !strcmp(c->endpoint, endpoint))
+			return c;
+	return NULL;
+}
+
+/* Whether the process that the trial ran at is not known to have ended. */
+static bool is_same_process(const struct edge_trial *t)
+{
+	const struct edge_check *c =
+		find_check(t->parts, t->endpoint, t->incarnation);
+	const Dsp__Endpoint *e =
+		view_endpoint(t->parts->edge->view, t->endpoint);
+
+	return !(c && c->reported) && e && e->incarnation == t->incarnation &&
+	       e->state != DSP__ENDPOINT_STATE__ENDPOINT_DOWN;
+}
+
+static void on_trial_probed(void *data, enum hio_probe_result result)
+{
+	struct edge_trial *t = data;
+	bool survived = result == HIO_PROBE_CONNECTED && is_same_process(t);
+
+	t->probe = NULL;
+	log_trial(t, "trial_check", survived ? "no_crash" : "undecided");
+	if (survived)
+		submit_done(t, true);
+	trial_free(t);
+}
+
+static void on_trial_timer(evutil_socket_t fd, short what, void *data)
+{
+	struct edge_trial *t = data;
+
+	(void)fd;
+	(void)what;
+	event_free(t->timer);
+	t->timer = NULL;
+	t->probe = hio_probe_start(t->parts->edge->base, t->address,
+				   PROBE_TIMEOUT_US, on_trial_probed, t);
+}
+
+/*
+ * Ends a trial whose grant is known. A run without an outcome proves nothing
+ * about the part: once its endpoint is known to have survived it, the grant is
+ * given back. Otherwise the crash, or the end of the grant, fails the run.
+ */
 static void end_trial(struct edge_trial *t, enum trial_outcome outcome)
 {
 	log_trial(t, "trial_end", trial_outcome_name(outcome));
-	if (outcome != TRIAL_UNDECIDED)
+	if (outcome != TRIAL_UNDECIDED) {
 		submit_done(t, outcome == TRIAL_NOT_RUN);
-	trial_free(t);
+		trial_free(t);
+		return;
+	}
+	if (t->attempt)
+		t->attempt->trial = NULL;
+	t->attempt = NULL;
+	t->timer = event_new(t->parts->edge->base, -1, 0, on_trial_timer, t);
+	hio_set_timer(t->timer, TRIAL_CHECK_US);
 }
 
 /* ---- Crashes ---- */
@@ -589,18 +660,6 @@
 	release_waiting(c);
 }
 
-static struct edge_check *find_check(struct edge_parts *ctx,
-				     const char *endpoint, uint64_t incarnation)
-{
-	struct edge_check *c;
-
-	TAILQ_FOREACH (c, &ctx->checks, link)
-		if (c->incarnation == incarnation &&
-		    !strcmp(c->endpoint, endpoint))
-			return c;
-	return NULL;
-}
-
 /* Makes room for a check by removing the oldest without a probe. Returns false
  * if there is none. */
 static bool make_room(struct edge_parts *ctx)
--- a/tests/integration/parts_test.cc
+++ b/tests/integration/parts_test.cc
@@ -420,3 +420,48 @@
 	EXPECT_TRUE(any_crash_reported());
 	EXPECT_EQ(runs[late], 1u) << system.logs();
 }
+
+TEST_F(PlatformParts, RunWithAnErrorDoesNotKeepASoundPartFromBeingServed)
+{
+	std::mutex lock; /* guards failed */
+	std::string failed;
+
+	EXPECT_TRUE(System::eventually([&] {
+		Counts one;
+
+		send(0, FAULTY, &one);
+		usleep(100000);
+		return whole_log(1).find("event=quarantined") !=
+		       std::string::npos;
+	}));
+	for (auto &r : runners) {
+		Runner *p = r.get();
+
+		p->handler = [&, p](Socket &s, const Message &m) {
+			{
+				std::lock_guard<std::mutex> guard(lock);
+
+				if (failed.empty())
+					failed = m.field("X-Attempt-Id");
+				if (failed != m.field("X-Attempt-Id"))
+					return answer_stream(*p, s, m);
+			}
+			usleep(300000);
+			return s.send("HTTP/1.1 500 Error\r\n" +
+				      Runner::echo(m) +
+				      "Content-Length: 0\r\n\r\n");
+		};
+	}
+	fault = false;
+	EXPECT_TRUE(System::eventually(
+		[&] {
+			Counts one;
+
+			send(0, FAULTY, &one);
+			usleep(100000);
+			return one.served == 1;
+		},
+		12000))
+		<< system.logs();
+	EXPECT_NE(failed, "");
+}
