edge_parts: no run of a part in quarantine by the grant of another

What callers saw: nothing of their own. A request with two parts in quarantine could reach an endpoint without a grant.

Cause: a request with several such parts asks for the grant of the one that is barred longest. If that part is cleared while the view still names it, SuspectRun returns NOT_FOUND, and the request was sent, although the others were in quarantine. A sound first part that is quarantined along with the faulty one is cleared first by design, so each instance with an older view could send one request with the faulty part.

Change: after NOT_FOUND, the request is refused if another of its parts is in quarantine.

Evidence: a new unit test of the decision, sus_has_other(); the case was found by reading, and no end-to-end test shows it. sus_test and parts_test pass.

--- a/src/core/sus.c
+++ b/src/core/sus.c
@@ -347,3 +347,17 @@
 		return refuse(longest, 0);
 	return try_part(longest, n_quarantined, now_us, wall_ms);
 }
+
+/* Whether another part than the one with this digest is in quarantine. */
+bool sus_has_other(const struct sus *ctx, const struct sus_parts *parts,
+		   const uint8_t digest[SUS_DIGEST_LEN])
+{
+	for (size_t i = 0; i < n_parts(parts); i++) {
+		const struct part *p = find_part(ctx, parts->digests[i]);
+
+		if (p && p->quarantined &&
+		    memcmp(p->digest, digest, SUS_DIGEST_LEN) != 0)
+			return true;
+	}
+	return false;
+}
--- a/src/core/sus.h
+++ b/src/core/sus.h
@@ -79,5 +79,9 @@
 struct sus_decision sus_decide(struct sus *ctx, const struct sus_parts *parts,
 			       uint32_t crashes, int64_t now_us,
 			       int64_t wall_ms);
+/* Whether a request whose part with this digest needs no grant may need one for
+ * another part. */
+bool sus_has_other(const struct sus *ctx, const struct sus_parts *parts,
+		   const uint8_t digest[SUS_DIGEST_LEN]);
 
 #endif
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -396,9 +396,10 @@
 		result && (result->code == DSP__RESULT_CODE__RESULT_OK ||
 			   result->code == DSP__RESULT_CODE__RESULT_SAME);
 	bool sound =
-		result && result->code == DSP__RESULT_CODE__RESULT_NOT_FOUND;
+		result && result->code == DSP__RESULT_CODE__RESULT_NOT_FOUND &&
+		prompt &&
+		!sus_has_other(edge->parts->sus, &prompt->parts, t->digest);
 
-	(void)edge;
 	t->asked = false;
 	log_trial(t, "trial", outcome_name(result));
 	if (!granted)
--- a/tests/unit/sus_test.cc
+++ b/tests/unit/sus_test.cc
@@ -333,6 +333,18 @@
 	EXPECT_EQ(action("fc", 2), SUS_SEND);
 }
 
+TEST_F(Sus, PartThatNeedsNoGrantDoesNotAdmitAnotherInQuarantine)
+{
+	struct sus_parts p = parts("fpq");
+
+	see({ { 'f', true }, { 'p', true }, { 's' } });
+	EXPECT_TRUE(sus_has_other(sus, &p, p.digests[0]));
+	see({ { 'f', true } });
+	EXPECT_FALSE(sus_has_other(sus, &p, p.digests[0]));
+	see({ { 'f', true }, { 'q' } });
+	EXPECT_FALSE(sus_has_other(sus, &p, p.digests[0]));
+}
+
 TEST_F(Sus, TableIsBounded)
 {
 	std::vector<std::string> requests;
