--- a/tests/integration/parts_test.cc
+++ b/tests/integration/parts_test.cc
@@ -465,3 +465,53 @@
 		<< system.logs();
 	EXPECT_NE(failed, "");
 }
+
+TEST_F(PlatformParts, RunThatItsCallerLeftDoesNotKeepASoundPartFromBeingServed)
+{
+	std::atomic<unsigned> runs_left{ 0 };
+
+	EXPECT_TRUE(System::eventually([&] {
+		Counts one;
+
+		send(0, FAULTY, &one);
+		usleep(100000);
+		return whole_log(1).find("event=quarantined") !=
+		       std::string::npos;
+	}));
+	for (auto &r : runners) {
+		Runner *p = r.get();
+
+		p->handler = [&, p](Socket &s, const Message &m) {
+			if (m.field("X-Attempt-Id")[0] != 'q')
+				return answer_stream(*p, s, m);
+			runs_left++;
+			usleep(500000);
+			return false;
+		};
+	}
+	fault = false;
+	EXPECT_TRUE(System::eventually([&] {
+		Socket caller;
+		std::string id = std::to_string(next++);
+
+		caller.connect_to(system.instances[1].front);
+		caller.send(request("POST", "/flow/x", "host.example",
+				    "X-Attempt-Id: q" + id +
+					    "\r\nX-Prompt-Prefix: " + FAULTY +
+					    ",f0:9\r\n",
+				    "ask"));
+		usleep(100000);
+		return runs_left > 0;
+	}));
+	EXPECT_TRUE(System::eventually(
+		[&] {
+			Counts one;
+
+			send(0, FAULTY, &one);
+			usleep(100000);
+			return one.served == 1;
+		},
+		12000))
+		<< system.logs();
+	EXPECT_EQ(runs_left, 1u);
+}
