fwd: log the digest of each request

An entry's lines named a request by the id of the caller's attempt, which is new each time.

fwd: end and fwd: again carry a digest of host, method, path, query, model, prompt and body; id, deadline and Last-Event-Id are left out. No decision uses it.

--- a/src/core/sus.h
+++ b/src/core/sus.h
@@ -25,9 +25,10 @@
  * to have begun; a completed one at once. */
 #define SUS_PROOF_US 500000
 
-/* All parts of a request's prompt but the last. */
+/* What of a request may crash its endpoint. */
 struct sus_parts {
-	size_t n;
+	uint8_t request[SUS_DIGEST_LEN]; /* the whole; all zero: not known */
+	size_t n;			 /* parts of its prompt but the last */
 	uint8_t digests[SUS_PARTS_MAX][SUS_DIGEST_LEN];
 };
 
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -152,8 +152,9 @@
 struct edge_prompt {
 	TAILQ_ENTRY(edge_prompt) wait_link;
 	struct sus_parts parts;
-	const char *request_id; /* for log lines */
-	uint32_t crashes;	/* endpoints that crashed before it was begun */
+	const char *request_id;		     /* for log lines */
+	char digest[2 * SUS_DIGEST_LEN + 1]; /* of the request, as text */
+	uint32_t crashes; /* endpoints that crashed before it was begun */
 	struct edge_check *check; /* whose end it waits for, or NULL */
 	struct edge_trial *trial; /* for its next attempt, or NULL */
 };
@@ -172,7 +173,8 @@
 struct edge_parts *edge_parts_new(struct edge *edge);
 void edge_parts_free(struct edge_parts *ctx);
 void edge_parts_read(struct edge_parts *ctx, struct edge_prompt *prompt,
-		     const struct wire_request *request);
+		     const struct wire_request *request,
+		     const struct hio_request *message);
 void edge_parts_forget(struct edge_prompt *prompt);
 struct sus_decision edge_parts_decide(struct edge_parts *ctx,
 				      const struct edge_prompt *prompt);
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -160,12 +160,17 @@
 
 /* ---- Attempts ---- */
 
-/* Stores the parts of a request. */
+/* Stores the digests of a request and its parts. */
 void edge_parts_read(struct edge_parts *ctx, struct edge_prompt *prompt,
-		     const struct wire_request *request)
+		     const struct wire_request *request,
+		     const struct hio_request *message)
 {
 	struct sus_parts *parts = &prompt->parts;
+	g_autofree char *digest = NULL;
 
+	wire_digest_request(message, parts->request);
+	digest = digest_text(parts->request);
+	g_strlcpy(prompt->digest, digest, sizeof(prompt->digest));
 	prompt->request_id = request->request_id ? request->request_id : "-";
 	parts->n = MIN(request->n_parts, SUS_PARTS_MAX);
 	for (size_t i = 0; i < parts->n; i++)
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -321,12 +321,12 @@
 		       took_us);
 	LOG_EVENT_INFO(
 		"fwd", "end",
-		"request=%s route=%s table=%" G_GUINT64_FORMAT
+		"request=%s digest=%s route=%s table=%" G_GUINT64_FORMAT
 		" service=%s model=%s adapter=%s outcome=%s status=%d "
 		"reason=%s endpoint=%s tried=%zu runs=%u took_us=%" PRId64
 		" waited_us=%" PRId64 " first_us=%" PRId64 " gap_us=%" PRId64,
-		log_id(f), f->route, f->table_number, f->service,
-		f->request.model ? f->request.model : "-",
+		log_id(f), f->prompt.digest, f->route, f->table_number,
+		f->service, f->request.model ? f->request.model : "-",
 		f->request.adapter ? f->request.adapter : "-", outcome, status,
 		reason, f->endpoint_id ? f->endpoint_id : "-", f->n_tried,
 		f->runs, took_us, f->waited_us, f->ttfb_us, f->gap_max_us);
@@ -434,9 +434,11 @@
 static void log_retry(const struct fwd *f, const char *reason)
 {
 	LOG_EVENT_INFO("fwd", "again",
-		       "request=%s endpoint=%s reason=%s runs=%u after_id=%s",
-		       log_id(f), f->endpoint_id ? f->endpoint_id : "-", reason,
-		       f->runs, f->last_event_id ? f->last_event_id : "-");
+		       "request=%s digest=%s endpoint=%s reason=%s runs=%u "
+		       "after_id=%s",
+		       log_id(f), f->prompt.digest,
+		       f->endpoint_id ? f->endpoint_id : "-", reason, f->runs,
+		       f->last_event_id ? f->last_event_id : "-");
 }
 
 /*
@@ -1296,7 +1298,8 @@
 	f->exchange = exchange;
 	f->timer = event_new(ctx->base, -1, 0, on_timer, f);
 	wire_read_request(&hio_exchange_request(exchange)->fields, &f->request);
-	edge_parts_read(ctx->parts, &f->prompt, &f->request);
+	edge_parts_read(ctx->parts, &f->prompt, &f->request,
+			hio_exchange_request(exchange));
 	f->route = g_strdup(route->name);
 	f->service = g_strdup(service);
 	f->kind = route->kind;
--- a/tests/unit/platform_wire_test.cc
+++ b/tests/unit/platform_wire_test.cc
@@ -258,6 +258,60 @@
 	wire_request_clear(&r);
 }
 
+struct Digested {
+	std::string method = "GET", target = "/p/x?y", host = "a.example",
+		    model = "m", prompt = "5c:800,e4:250", body = "ask",
+		    id = "id", deadline = "900", last_event = "";
+
+	std::string digest() const
+	{
+		Fields f({ { "Host", host.c_str() },
+			   { "X-Attempt-Id", id.c_str() },
+			   { "X-Deadline-Ms", deadline.c_str() },
+			   { "Last-Event-Id", last_event.c_str() },
+			   { "X-Model", model.c_str() },
+			   { "X-Prompt-Prefix", prompt.c_str() } });
+		struct hio_request request = {};
+		uint8_t out[WIRE_DIGEST_LEN];
+
+		request.method = const_cast<char *>(method.c_str());
+		request.target = const_cast<char *>(target.c_str());
+		request.fields = f.fields;
+		request.body = g_byte_array_new();
+		g_byte_array_append(request.body, (const guint8 *)body.data(),
+				    (guint)body.size());
+		wire_digest_request(&request, out);
+		g_byte_array_unref(request.body);
+		return std::string((const char *)out, sizeof(out));
+	}
+};
+
+TEST(WireRequest, DigestIsThatOfTheContentAndNotOfTheAttempt)
+{
+	const std::string same = Digested().digest();
+	Digested r;
+
+	r.id = "other";
+	r.deadline = "5";
+	r.last_event = "7";
+	EXPECT_EQ(r.digest(), same);
+	for (std::string Digested::*field :
+	     { &Digested::method, &Digested::target, &Digested::host,
+	       &Digested::model, &Digested::prompt, &Digested::body }) {
+		Digested other;
+
+		(other.*field) += "1";
+		EXPECT_NE(other.digest(), same);
+	}
+	/* The end of one field is not the start of the next. */
+	Digested a, b;
+	a.model = "m5";
+	a.prompt = "c:800";
+	b.model = "m";
+	b.prompt = "5c:800";
+	EXPECT_NE(a.digest(), b.digest());
+}
+
 struct Parts {
 	explicit Parts(const std::string &list)
 	{
