--- a/tests/integration/parts_test.cc
+++ b/tests/integration/parts_test.cc
@@ -4,8 +4,9 @@
 #include "tests/platform/system.h"
 
 /*
- * End-to-end tests of prompt parts that crash the runners that begin to answer
- * them: real processes of the system, and simulated callers and runners.
+ * End-to-end tests of prompt parts and requests that crash the runners that
+ * begin to answer them: real processes of the system, and simulated callers and
+ * runners.
  *
  * Alone: build/integration/parts_test [--gtest_filter=...].
  */
@@ -244,8 +245,199 @@
 	}
 };
 
+/* The same with runners that crash on one request, whoever sends it. */
+class PlatformRequests : public PlatformParts
+{
+      protected:
+	std::string faulty = "/safe/faulty?page=2";
+	std::string faulty_body;
+
+	void SetUp() override
+	{
+		PlatformParts::SetUp();
+		for (auto &r : runners) {
+			Runner *p = r.get();
+
+			p->handler = [this, p](Socket &s, const Message &m) {
+				return answer(*p, s, m);
+			};
+		}
+	}
+	bool answer(Runner &r, Socket &s, const Message &m)
+	{
+		bool is_faulty = m.target() == faulty && m.body == faulty_body;
+		bool stream = m.target().rfind("/flow/", 0) == 0;
+
+		if (is_faulty)
+			note_time(&run_times);
+		if (stream)
+			s.send(stream_head(r, m));
+		usleep(30000);
+		if (is_faulty && fault) {
+			r.crash();
+			note_time(&crash_times);
+			return false;
+		}
+		if (r.is_down)
+			return false;
+		if (stream)
+			return s.send(chunk(event(1)) + "0\r\n\r\n");
+		return s.send("HTTP/1.1 200 OK\r\n" + r.seal() +
+			      Runner::echo(m) + "Content-Length: 2\r\n\r\nok");
+	}
+	/* Runs of the faulty request that began too late after the third
+	 * crash. */
+	size_t n_late_runs()
+	{
+		std::lock_guard<std::mutex> guard(times_lock);
+
+		if (crash_times.size() < 3)
+			return 0;
+		return (size_t)std::count_if(
+			run_times.begin(), run_times.end(), [&](int64_t at) {
+				return at > crash_times[2] + CONTACT_MS;
+			});
+	}
+	void ask(size_t entry, const std::string &method,
+		 const std::string &target, const std::string &body, Counts *c)
+	{
+		Message m =
+			call(system.instances[1 + entry % 3].front,
+			     request(method, target, "host.example",
+				     "X-Attempt-Id: q" +
+					     std::to_string(next++) + "\r\n",
+				     body));
+
+		c->sent++;
+		if (m.status() == 200 && m.complete)
+			c->served++;
+		else if (m.status() == 503)
+			c->refused++;
+		else if (m.status() == 200)
+			c->broken++;
+		else
+			c->failed++;
+		if (m.status() == 503 && m.field("Retry-After").empty())
+			c->no_retry_after++;
+	}
+	/* Runs callers of one popular request, of requests that are each sent
+	 * once, and of the faulty one, which comes to another entry each time.
+	 */
+	void run_requests(int64_t span_ms, const std::string &method,
+			  Counts *popular, Counts *others, Counts *bad)
+	{
+		int64_t until_ms = proc_now_ms() + span_ms;
+		std::string own = faulty.substr(0, 6) + "own/";
+		std::vector<std::thread> callers;
+
+		callers.emplace_back([=] {
+			for (size_t i = 0; proc_now_ms() < until_ms; i++) {
+				ask(i, method, own + "popular", "", popular);
+				usleep(5000);
+			}
+		});
+		for (size_t n = 0; n < 2; n++)
+			callers.emplace_back([=] {
+				for (size_t i = n; proc_now_ms() < until_ms;
+				     i++) {
+					ask(i, method,
+					    own + std::to_string(next++), "",
+					    others);
+					usleep(10000);
+				}
+			});
+		callers.emplace_back([=] {
+			for (size_t i = 0; proc_now_ms() < until_ms; i++) {
+				usleep(120000);
+				ask(i, method, faulty, faulty_body, bad);
+			}
+		});
+		for (auto &t : callers)
+			t.join();
+	}
+	void expect_contained(const std::string &method)
+	{
+		Counts popular, others, bad;
+
+		run_requests(8000, method, &popular, &others, &bad);
+		EXPECT_GE(crashes(), 1u);
+		EXPECT_LE(crashes(), 5u) << system.logs();
+		EXPECT_LE(n_late_runs(), LATE_RUNS_MAX);
+		EXPECT_GE(bad.sent, 40u);
+		EXPECT_GE(bad.refused + 6, bad.sent) << bad.text();
+		EXPECT_EQ(bad.no_retry_after, 0u);
+		EXPECT_GE(popular.served, popular.sent * 9 / 10)
+			<< popular.text();
+		EXPECT_GE(others.served, others.sent * 9 / 10) << others.text();
+	}
+};
+
 } // namespace
 
+TEST_F(PlatformRequests, FaultyRequestIsRefusedEverywhereAfterAFewCrashes)
+{
+	expect_contained("GET");
+}
+
+TEST_F(PlatformRequests, FaultyRequestWithABodyIsToldFromOthersOfItsPath)
+{
+	Counts same_path, popular, others, bad;
+
+	faulty = "/safe/faulty";
+	faulty_body = "bad";
+	std::thread caller([&] {
+		for (size_t i = 0; i < 100; i++) {
+			ask(i, "POST", faulty, "good", &same_path);
+			usleep(20000);
+		}
+	});
+	run_requests(4000, "POST", &popular, &others, &bad);
+	caller.join();
+	EXPECT_LE(crashes(), 4u);
+	EXPECT_GE(same_path.served, 85u) << same_path.text();
+}
+
+TEST_F(PlatformRequests, FaultyNonIdempotentRequestIsRefusedAfterAFewCrashes)
+{
+	faulty = "/once/faulty";
+	faulty_body = "book";
+	expect_contained("POST");
+}
+
+TEST_F(PlatformRequests, FaultyStreamIsRefusedEverywhereAfterAFewCrashes)
+{
+	faulty = "/flow/faulty";
+	faulty_body = "ask";
+	expect_contained("POST");
+}
+
+TEST_F(PlatformRequests, RequestIsServedOnceItsFaultHasEnded)
+{
+	Counts popular, others, bad;
+
+	run_requests(2000, "GET", &popular, &others, &bad);
+	EXPECT_GE(crashes(), 1u);
+	fault = false;
+	EXPECT_TRUE(System::eventually(
+		[&] {
+			Counts one;
+
+			ask(next, "GET", faulty, "", &one);
+			usleep(100000);
+			return one.served == 1;
+		},
+		20000))
+		<< system.logs();
+	Counts after;
+	EXPECT_TRUE(System::eventually([&] {
+		Counts now;
+
+		for (size_t i = 0; i < 6; i++)
+			ask(i, "GET", faulty, "", &now);
+		return now.served == 6;
+	})) << system.logs();
+}
+
 TEST_F(PlatformParts, FaultyPartIsRefusedEverywhereAfterAFewCrashes)
 {
 	Counts early, late, faulty_early, faulty_late;
