--- a/src/core/pev.c
+++ b/src/core/pev.c
@@ -18,7 +18,8 @@
 	TAILQ_ENTRY(crash) link;
 	char *endpoint;
 	uint64_t incarnation;
-	GHashTable *digests; /* GBytes */
+	GHashTable *digests;  /* GBytes */
+	GHashTable *requests; /* GBytes */
 	int64_t added_us;
 };
 
@@ -46,12 +47,18 @@
 	return ctx;
 }
 
+static unsigned n_digests_of(const struct crash *c)
+{
+	return g_hash_table_size(c->digests) + g_hash_table_size(c->requests);
+}
+
 static void remove_crash(struct pev *ctx, struct crash *c)
 {
 	TAILQ_REMOVE(&ctx->crashes, c, link);
 	ctx->n_crashes--;
-	ctx->n_digests -= g_hash_table_size(c->digests);
+	ctx->n_digests -= n_digests_of(c);
 	g_hash_table_destroy(c->digests);
+	g_hash_table_destroy(c->requests);
 	g_free(c->endpoint);
 	g_free(c);
 }
@@ -99,6 +106,7 @@
 	c->endpoint = g_strdup(from->endpoint);
 	c->incarnation = from->incarnation;
 	c->digests = digest_set();
+	c->requests = digest_set();
 	c->added_us = now_us;
 	TAILQ_INSERT_TAIL(&ctx->crashes, c, link);
 	ctx->n_crashes++;
@@ -122,26 +130,35 @@
 	return false;
 }
 
-static unsigned add_crash(struct pev *ctx, const Dsp__PartCrash *from,
-			  int64_t now_us)
+/* Adds digests to one of a crash's sets; returns how many were dropped. */
+static unsigned add_digests(struct pev *ctx, GHashTable *set,
+			    const ProtobufCBinaryData *digests, size_t n)
 {
-	struct crash *c = crash_of(ctx, from, now_us);
 	unsigned dropped = 0;
 
-	if (!c)
-		return (unsigned)from->n_digests;
-	for (size_t i = 0; i < from->n_digests; i++) {
-		unsigned before = g_hash_table_size(c->digests);
+	for (size_t i = 0; i < n; i++) {
+		unsigned before = g_hash_table_size(set);
 		unsigned max = MIN(CRASH_DIGESTS_MAX,
 				   before + DIGESTS_MAX - ctx->n_digests);
 
-		if (!add_digest(c->digests, &from->digests[i], max))
+		if (!add_digest(set, &digests[i], max))
 			dropped++;
-		ctx->n_digests += g_hash_table_size(c->digests) - before;
+		ctx->n_digests += g_hash_table_size(set) - before;
 	}
 	return dropped;
 }
 
+static unsigned add_crash(struct pev *ctx, const Dsp__PartCrash *from,
+			  int64_t now_us)
+{
+	struct crash *c = crash_of(ctx, from, now_us);
+
+	if (!c)
+		return (unsigned)(from->n_digests + from->n_requests);
+	return add_digests(ctx, c->digests, from->digests, from->n_digests) +
+	       add_digests(ctx, c->requests, from->requests, from->n_requests);
+}
+
 /* Adds evidence, each digest once for each crash. */
 unsigned pev_add(struct pev *ctx, const Dsp__PartEvidence *evidence,
 		 int64_t now_us)
@@ -196,6 +213,7 @@
 		crash->endpoint = g_strdup(c->endpoint);
 		crash->incarnation = c->incarnation;
 		crash->digests = list_digests(c->digests, &crash->n_digests);
+		crash->requests = list_digests(c->requests, &crash->n_requests);
 		out->crashes[out->n_crashes++] = crash;
 		remove_crash(ctx, c);
 	}
--- a/src/core/pev.h
+++ b/src/core/pev.h
@@ -7,8 +7,8 @@
 #include "proto/messages.pb-c.h"
 
 /*
- * Part evidence (pev): what entries saw of prompt parts, collected until it can
- * be passed on. Bounded; no I/O; one thread.
+ * Part evidence (pev): what entries saw of prompt parts and requests, collected
+ * until it can be passed on. Bounded; no I/O; one thread.
  */
 struct pev;
 
--- a/src/core/qua.c
+++ b/src/core/qua.c
@@ -7,7 +7,8 @@
  * Suspects and quarantine (section 10 of docs/design.md). A request that was in
  * flight when its endpoint crashed is a suspect. It runs only with a grant, and
  * an endpoint runs one suspect at a time. If that endpoint crashes too, the
- * request is quarantined. Prompt parts are suspects too, see qua_part.c.
+ * request is quarantined. Prompt parts, and requests that entries report as
+ * evidence, are suspects too, see qua_part.c.
  */
 
 /* Bounds the size of views; further suspects are not recorded. */
@@ -161,6 +162,12 @@
 	return msg->quarantined && (!msg->part || ctx->wall_ms < msg->retry_ms);
 }
 
+/* Whether runs of the suspect need a grant. */
+static bool needs_grant(const struct suspect *s)
+{
+	return s && (!s->msg->part || s->msg->request || s->msg->quarantined);
+}
+
 /*
  * Grants a suspect one run on one endpoint. RESULT_NOT_FOUND: the request is no
  * longer a suspect, or the part is not in quarantine, and needs no grant.
@@ -170,7 +177,11 @@
 	struct suspect *s = qua_find(ctx, &cmd->digest);
 	struct endpoint *ep = endpoint_find(ctx, cmd->endpoint);
 
-	if (!s || (s->msg->part && !s->msg->quarantined))
+	if (!s && cmd->suspected) {
+		s = qua_part_suspect(ctx, &cmd->digest);
+		qua_part_schedule(ctx);
+	}
+	if (!needs_grant(s))
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_NOT_FOUND, NULL);
 	if (is_barred(ctx, s->msg))
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_QUARANTINED,
--- a/src/core/qua_part.c
+++ b/src/core/qua_part.c
@@ -4,11 +4,16 @@
 #include "core/st_private.h"
 
 /*
- * Prompt parts that crash endpoints (section 10 of docs/design.md). A part of a
- * request whose answer had not begun when its endpoint crashed is suspected; an
- * answer with that part that begins afterwards clears it. After two crashes
- * without such an answer it is quarantined: requests with it are refused, but
- * for granted runs with growing pauses, one at a time in the whole system.
+ * Prompt parts and requests that crash endpoints (section 10 of
+ * docs/design.md). A part of a request whose answer had not begun when its
+ * endpoint crashed is suspected; an answer with that part that begins
+ * afterwards clears it. After two crashes without such an answer it is
+ * quarantined: requests with it are refused, but for granted runs with growing
+ * pauses, one at a time in the whole system.
+ *
+ * The whole request is suspected too. Few others are the same, so it needs a
+ * grant from its first crash on, and is quarantined if a granted run ends in a
+ * crash. The others that were in flight with it are cleared by their own runs.
  */
 
 /* Crashes that quarantine a part. */
@@ -27,6 +32,10 @@
 #define PAUSE_MS 20000
 #define PAUSE_FACTOR 3
 #define PAUSE_MAX_MS 600000
+/* The same for a whole request: endpoints that it has crashed are back before
+ * the first. */
+#define REQUEST_PAUSE_MS 5000
+#define REQUEST_PAUSE_FACTOR 12
 /* A granted run without an outcome has failed. */
 #define RUN_MS 30000
 /* Bounds views; the parts with the fewest crashes go first. */
@@ -36,12 +45,11 @@
 
 static uint64_t change_ms(const struct st *ctx, const Dsp__Suspect *msg)
 {
-	if (msg->quarantined) {
-		if (msg->run_ms)
-			return msg->run_ms + RUN_MS;
+	if (msg->run_ms)
+		return msg->run_ms + RUN_MS;
+	if (msg->quarantined)
 		return msg->since_ms + (uint64_t)ctx->limits.quarantine_ms;
-	}
-	if (msg->crashes >= CRASHES &&
+	if (!msg->request && msg->crashes >= CRASHES &&
 	    msg->first_ms + CONTEST_MS > ctx->wall_ms)
 		return msg->first_ms + CONTEST_MS;
 	return msg->last_ms + SUSPECTED_MS;
@@ -90,14 +98,15 @@
 	return crash;
 }
 
-static uint64_t pause_ms(uint32_t failed_runs)
+static uint64_t pause_ms(const Dsp__Suspect *msg)
 {
-	uint64_t pause = PAUSE_MS;
+	uint64_t pause = msg->request ? REQUEST_PAUSE_MS : PAUSE_MS;
+	uint64_t factor = msg->request ? REQUEST_PAUSE_FACTOR : PAUSE_FACTOR;
 
-	if (!failed_runs)
+	if (!msg->failed_runs)
 		return FIRST_PAUSE_MS;
-	while (--failed_runs && pause < PAUSE_MAX_MS)
-		pause *= PAUSE_FACTOR;
+	for (uint32_t i = 1; i < msg->failed_runs && pause < PAUSE_MAX_MS; i++)
+		pause *= factor;
 	return MIN(pause, PAUSE_MAX_MS);
 }
 
@@ -105,7 +114,7 @@
 {
 	s->msg->quarantined = true;
 	s->msg->since_ms = ctx->wall_ms;
-	s->msg->retry_ms = ctx->wall_ms + pause_ms(s->msg->failed_runs);
+	s->msg->retry_ms = ctx->wall_ms + pause_ms(s->msg);
 	item_touch(ctx, &s->item);
 }
 
@@ -139,7 +148,8 @@
 	TAILQ_FOREACH (s, &ctx->parts, link) {
 		Dsp__SuspectCrash *crash;
 
-		if (s->msg->quarantined || s->msg->n_crashed >= weight)
+		if (s->msg->quarantined || s->msg->request ||
+		    s->msg->n_crashed >= weight)
 			continue;
 		crash = find_crash(s->msg, endpoint, incarnation);
 		if (!crash || crash->explained)
@@ -161,7 +171,8 @@
 	TAILQ_FOREACH (s, &ctx->parts, link) {
 		Dsp__SuspectCrash *crash;
 
-		if (s->msg->quarantined || s->msg->n_crashed < weight)
+		if (s->msg->quarantined || s->msg->request ||
+		    s->msg->n_crashed < weight)
 			continue;
 		crash = find_crash(s->msg, endpoint, incarnation);
 		if (!crash || !crash->explained)
@@ -175,7 +186,7 @@
 
 static bool is_due(const struct st *ctx, const Dsp__Suspect *msg)
 {
-	return !msg->quarantined && msg->crashes >= CRASHES &&
+	return !msg->quarantined && !msg->request && msg->crashes >= CRASHES &&
 	       msg->first_ms + CONTEST_MS <= ctx->wall_ms;
 }
 
@@ -269,7 +280,7 @@
 		next = TAILQ_NEXT(s, link);
 		if (ctx->wall_ms < change_ms(ctx, s->msg))
 			continue;
-		if (s->msg->run_ms)
+		if (s->msg->run_ms && s->msg->quarantined)
 			qua_part_failed(ctx, s);
 		else
 			qua_remove(ctx, s, true);
@@ -302,21 +313,54 @@
 	return fewest != NULL;
 }
 
-static void add_part(struct st *ctx, const ProtobufCBinaryData *digest,
-		     const Dsp__PartCrash *crash)
+static struct suspect *
+add_suspect(struct st *ctx, const ProtobufCBinaryData *digest, bool request)
 {
 	Dsp__Suspect *msg = g_new(Dsp__Suspect, 1);
 
 	dsp__suspect__init(msg);
 	msg->part = true;
+	msg->request = request;
 	msg->digest.data = g_memdup2(digest->data, digest->len);
 	msg->digest.len = digest->len;
 	msg->crashes = 1;
 	msg->since_ms = ctx->wall_ms;
 	msg->first_ms = ctx->wall_ms;
 	msg->last_ms = ctx->wall_ms;
-	add_crash(msg, crash->endpoint, crash->incarnation, true);
-	qua_add(ctx, msg, ctx->index);
+	return qua_add(ctx, msg, ctx->index);
+}
+
+/*
+ * Records a request that an instance saw in a crash before its evidence has
+ * arrived. Returns NULL if there is no room.
+ */
+struct suspect *qua_part_suspect(struct st *ctx,
+				 const ProtobufCBinaryData *digest)
+{
+	if (digest->len != ST_DIGEST_LEN ||
+	    (ctx->n_parts >= PARTS_MAX && !evict_part(ctx)))
+		return NULL;
+	return add_suspect(ctx, digest, true);
+}
+
+/* Counts a crash for a request. Returns false if the table was full. */
+static bool count_request_crash(struct st *ctx,
+				const ProtobufCBinaryData *digest,
+				const Dsp__PartCrash *msg)
+{
+	struct suspect *s = qua_find(ctx, digest);
+	bool full = !s && ctx->n_parts >= PARTS_MAX;
+
+	if (!s)
+		s = qua_part_suspect(ctx, digest);
+	if (!s || !s->msg->request || s->msg->quarantined ||
+	    find_crash(s->msg, msg->endpoint, msg->incarnation))
+		return !full;
+	add_crash(s->msg, msg->endpoint, msg->incarnation, true);
+	s->msg->crashes = (uint32_t)s->msg->n_crashed;
+	s->msg->last_ms = ctx->wall_ms;
+	item_touch(ctx, &s->item);
+	return !full;
 }
 
 /*
@@ -333,11 +377,13 @@
 	if (!s && !weight) {
 		bool full = ctx->n_parts >= PARTS_MAX;
 
-		if (!full || evict_part(ctx))
-			add_part(ctx, digest, msg);
+		if (full && !evict_part(ctx))
+			return false;
+		s = add_suspect(ctx, digest, false);
+		add_crash(s->msg, msg->endpoint, msg->incarnation, true);
 		return !full;
 	}
-	if (!s || !s->msg->part || s->msg->quarantined ||
+	if (!s || !s->msg->part || s->msg->request || s->msg->quarantined ||
 	    find_crash(s->msg, msg->endpoint, msg->incarnation))
 		return true;
 	crash = add_crash(s->msg, msg->endpoint, msg->incarnation,
@@ -352,15 +398,22 @@
 }
 
 /*
- * Notes the crash at the parts in quarantine among its digests, and fails the
- * run that was granted on this endpoint. A repeated report has no effect.
+ * Notes the crash at those of the digests that are in quarantine or were
+ * granted a run on this endpoint, which has failed. A repeated report has no
+ * effect.
  */
-static void blame_known_parts(struct st *ctx, const Dsp__PartCrash *crash)
+static void blame_known(struct st *ctx, const Dsp__PartCrash *crash,
+			const ProtobufCBinaryData *digests, size_t n)
 {
-	for (size_t i = 0; i < crash->n_digests; i++) {
-		struct suspect *s = qua_find(ctx, &crash->digests[i]);
+	for (size_t i = 0; i < n; i++) {
+		struct suspect *s = qua_find(ctx, &digests[i]);
+		bool granted;
 
-		if (!s || !s->msg->part || !s->msg->quarantined)
+		if (!s || !s->msg->part)
+			continue;
+		granted = !strcmp(s->msg->running_endpoint, crash->endpoint) &&
+			  s->msg->running_incarnation == crash->incarnation;
+		if (!granted && !s->msg->quarantined)
 			continue;
 		if (!find_crash(s->msg, crash->endpoint, crash->incarnation)) {
 			add_crash(s->msg, crash->endpoint, crash->incarnation,
@@ -368,8 +421,7 @@
 			s->msg->crashes++;
 			item_touch(ctx, &s->item);
 		}
-		if (!strcmp(s->msg->running_endpoint, crash->endpoint) &&
-		    s->msg->running_incarnation == crash->incarnation)
+		if (granted)
 			qua_part_failed(ctx, s);
 	}
 }
@@ -379,12 +431,16 @@
 	bool room = true;
 	size_t weight;
 
-	blame_known_parts(ctx, crash);
+	blame_known(ctx, crash, crash->digests, crash->n_digests);
+	blame_known(ctx, crash, crash->requests, crash->n_requests);
 	weight = known_weight(ctx, crash->endpoint, crash->incarnation);
 	explain_crash(ctx, crash->endpoint, crash->incarnation, weight);
 	for (size_t i = 0; i < crash->n_digests; i++)
 		if (!count_crash(ctx, &crash->digests[i], crash, weight))
 			room = false;
+	for (size_t i = 0; i < crash->n_requests; i++)
+		if (!count_request_crash(ctx, &crash->requests[i], crash))
+			room = false;
 	return room;
 }
 
@@ -397,10 +453,10 @@
 }
 
 /*
- * Applies what entries saw of prompt parts. begun holds parts of answers that
- * began after the entry had seen the part as suspected; answers from before the
- * crash prove nothing and must not be reported. RESULT_LIMIT: PARTS_MAX is
- * reached and suspected parts were dropped or not recorded.
+ * Applies what entries saw of prompt parts and requests. begun holds those of
+ * answers that began after the entry had seen them as suspected; answers from
+ * before the crash prove nothing and must not be reported. RESULT_LIMIT:
+ * PARTS_MAX is reached and suspected ones were dropped or not recorded.
  */
 Dsp__CommandResult *qua_part_evidence(struct st *ctx,
 				      const Dsp__PartEvidence *cmd)
@@ -410,6 +466,8 @@
 	for (size_t i = 0; i < cmd->n_crashes; i++)
 		if (!are_digests(cmd->crashes[i]->digests,
 				 cmd->crashes[i]->n_digests) ||
+		    !are_digests(cmd->crashes[i]->requests,
+				 cmd->crashes[i]->n_requests) ||
 		    !*cmd->crashes[i]->endpoint)
 			valid = false;
 	if (!valid)
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -290,6 +290,8 @@
 /* qua_part.c */
 Dsp__CommandResult *qua_part_evidence(struct st *ctx,
 				      const Dsp__PartEvidence *cmd);
+struct suspect *qua_part_suspect(struct st *ctx,
+				 const ProtobufCBinaryData *digest);
 void qua_part_granted(struct st *ctx, struct suspect *s);
 void qua_part_clear(struct st *ctx, struct suspect *s);
 void qua_part_failed(struct st *ctx, struct suspect *s);
--- a/src/core/sus.c
+++ b/src/core/sus.c
@@ -12,8 +12,9 @@
 #define JOINT_US 600000
 /* Endpoints that one request may crash before it is no longer repeated. */
 #define CRASHES_MAX 2
-/* Interval of the requests for a grant for one part. */
+/* Interval of the requests for a grant for one part, and for one request. */
 #define TRY_US 200000
+#define TRY_REQUEST_US 50000
 /* A report that a part has begun is repeated if the part is still suspected. */
 #define REPORT_US 500000
 /* A request with several parts in quarantine is tried later by this time for
@@ -22,7 +23,7 @@
 /* Bounds the table; the parts that were used least recently go first. */
 #define PARTS_MAX 4096
 
-/* What an entry knows of one part. */
+/* What an entry knows of one part, or of one request. */
 struct part {
 	TAILQ_ENTRY(part) link;
 	uint8_t digest[SUS_DIGEST_LEN];
@@ -34,6 +35,7 @@
 	uint64_t retry_ms;
 	bool quarantined;
 	bool running;
+	bool request;	     /* a whole request */
 	uint64_t view;	     /* number of the view that it was last in */
 	int64_t seen_us;     /* since when the view has the record */
 	int64_t reported_us; /* last report that it has begun */
@@ -154,6 +156,7 @@
 		p->seen_us = now_us;
 		p->reported_us = NEVER;
 	}
+	p->request = msg->request;
 	p->quarantined = msg->quarantined;
 	p->retry_ms = msg->retry_ms;
 	p->running = *msg->running_endpoint;
@@ -179,8 +182,11 @@
 		if (p->view == ctx->view)
 			continue;
 		TAILQ_REMOVE(&ctx->suspected, p, link);
+		if (p->request)
+			p->crashed_us = NEVER; /* it has been cleared */
 		p->first_ms = 0;
 		p->quarantined = false;
+		p->running = false;
 		insert_unsuspected(ctx, p);
 	}
 }
@@ -191,25 +197,37 @@
 }
 
 /*
- * Notes the parts as proven. Only an answer that began after the record was
- * seen, and so after the crash, is evidence that the part is sound.
+ * Notes a part as proven. Only an answer that began after the record was seen,
+ * and so after the crash, is evidence that the part is sound. Returns whether
+ * it is to be reported.
  */
+static bool note_begun(struct part *p, int64_t started_us, int64_t now_us)
+{
+	p->proven_us = MAX(p->proven_us, started_us);
+	if (!p->first_ms || started_us < p->seen_us ||
+	    now_us - p->reported_us < REPORT_US)
+		return false;
+	p->reported_us = now_us;
+	return true;
+}
+
+/* Notes the request and its parts as proven. */
 size_t sus_begun(struct sus *ctx, const struct sus_parts *parts,
 		 int64_t started_us, int64_t now_us,
-		 uint8_t out[SUS_PARTS_MAX][SUS_DIGEST_LEN])
+		 uint8_t out[SUS_BEGUN_MAX][SUS_DIGEST_LEN])
 {
 	size_t n = 0;
+	struct part *p;
 
 	for (size_t i = 0; i < n_parts(parts); i++) {
-		struct part *p = use_part(ctx, parts->digests[i]);
-
-		p->proven_us = MAX(p->proven_us, started_us);
-		if (!p->first_ms || started_us < p->seen_us ||
-		    now_us - p->reported_us < REPORT_US)
-			continue;
-		p->reported_us = now_us;
-		memcpy(out[n++], p->digest, SUS_DIGEST_LEN);
+		p = use_part(ctx, parts->digests[i]);
+		if (note_begun(p, started_us, now_us))
+			memcpy(out[n++], p->digest, SUS_DIGEST_LEN);
 	}
+	/* Few requests come again: only those in doubt are remembered. */
+	p = find_part(ctx, parts->request);
+	if (p && note_begun(p, started_us, now_us))
+		memcpy(out[n++], p->digest, SUS_DIGEST_LEN);
 	return n;
 }
 
@@ -255,6 +273,44 @@
 	return n_out;
 }
 
+static bool is_known(const uint8_t digest[SUS_DIGEST_LEN])
+{
+	static const uint8_t none[SUS_DIGEST_LEN];
+
+	return memcmp(digest, none, SUS_DIGEST_LEN) != 0;
+}
+
+/* Collects the requests that may have crashed the endpoint, each once. */
+size_t sus_requests_crashed(struct sus *ctx,
+			    const struct sus_parts *const *requests, size_t n,
+			    int64_t now_us,
+			    uint8_t out[SUS_REPORT_MAX][SUS_DIGEST_LEN])
+{
+	size_t n_out = 0;
+
+	for (size_t i = 0; i < n && n_out < SUS_REPORT_MAX; i++) {
+		struct part *p;
+
+		if (!is_known(requests[i]->request) ||
+		    contains(out, n_out, requests[i]->request))
+			continue;
+		p = use_part(ctx, requests[i]->request);
+		p->request = true;
+		if (is_proven(p, now_us))
+			continue;
+		p->crashed_us = now_us;
+		memcpy(out[n_out++], p->digest, SUS_DIGEST_LEN);
+	}
+	return n_out;
+}
+
+/* Notes that a grant is asked for. */
+void sus_asked(struct sus *ctx, const uint8_t digest[SUS_DIGEST_LEN],
+	       int64_t now_us)
+{
+	use_part(ctx, digest)->tried_us = now_us;
+}
+
 /* Whether the part was in a crash before the present one. */
 static bool is_in_doubt(const struct part *p, int64_t now_us)
 {
@@ -297,6 +353,36 @@
 	return send;
 }
 
+/*
+ * Decides about the whole request. From its first crash on it runs with a
+ * grant, one run at a time, so that a crash tells which request it is due to.
+ */
+static struct sus_decision decide_request(const struct sus *ctx,
+					  const struct sus_parts *parts,
+					  int64_t now_us, int64_t wall_ms)
+{
+	const struct part *p = find_part(ctx, parts->request);
+	struct sus_decision out = { .action = SUS_SEND };
+	int64_t wait_us;
+
+	if (!p || p->proven_us > MAX(p->crashed_us, p->seen_us) ||
+	    (!p->first_ms && now_us - p->crashed_us >= CRASHED_US))
+		return out;
+	out.request = true;
+	out.unrecorded = !p->first_ms;
+	memcpy(out.digest, p->digest, SUS_DIGEST_LEN);
+	wait_us = ((int64_t)p->retry_ms - wall_ms) * 1000;
+	if (p->quarantined && wait_us > 0) {
+		out.action = SUS_REFUSE;
+		out.retry_us = wait_us;
+	} else if (p->running || now_us - p->tried_us < TRY_REQUEST_US) {
+		out.action = SUS_WAIT;
+	} else {
+		out.action = SUS_TRY;
+	}
+	return out;
+}
+
 static struct sus_decision try_part(struct part *p, size_t n_quarantined,
 				    int64_t now_us, int64_t wall_ms)
 {
@@ -342,7 +428,7 @@
 			longest = p;
 	}
 	if (!longest)
-		return out;
+		return decide_request(ctx, parts, now_us, wall_ms);
 	if (crashes)
 		return refuse(longest, 0);
 	return try_part(longest, n_quarantined, now_us, wall_ms);
--- a/src/core/sus.h
+++ b/src/core/sus.h
@@ -8,10 +8,10 @@
 #include "core/view.h"
 
 /*
- * Suspects at an entry (sus): whether a request may be sent, given the prompt
- * parts that the replicated state suspects of crashing endpoints (qua), and
- * which evidence about parts the entry reports to the leader. No I/O; one
- * thread. Digests are 16 bytes; now_us is the monotonic time, wall_ms the
+ * Suspects at an entry (sus): whether a request may be sent, given the requests
+ * and prompt parts that the replicated state suspects of crashing endpoints
+ * (qua), and which evidence about them the entry reports to the leader. No I/O;
+ * one thread. Digests are 16 bytes; now_us is the monotonic time, wall_ms the
  * wall-clock time.
  */
 struct sus;
@@ -19,8 +19,10 @@
 #define SUS_DIGEST_LEN 16
 /* Parts of one request; further ones are not looked at. */
 #define SUS_PARTS_MAX 32
-/* Digests that one crash reports at most. */
+/* Digests of parts that one crash reports at most, and of requests. */
 #define SUS_REPORT_MAX 128
+/* Digests that one answer reports at most: its parts and the request. */
+#define SUS_BEGUN_MAX (SUS_PARTS_MAX + 1)
 /* An answer that goes on for this time after its first whole event is proven
  * to have begun; a completed one at once. */
 #define SUS_PROOF_US 500000
@@ -36,14 +38,19 @@
 	SUS_SEND,
 	SUS_REFUSE,
 	/* Send only with a SuspectRun grant for the digest. If it is refused:
-	 * as SUS_REFUSE. */
+	 * as SUS_REFUSE, or SUS_WAIT for a whole request. */
 	SUS_TRY,
+	/* The request runs elsewhere: its outcome decides. Ask again later. */
+	SUS_WAIT,
 };
 
 struct sus_decision {
 	enum sus_action action;
 	int64_t retry_us; /* SUS_REFUSE: until a trial may run; at least 0 */
-	uint8_t digest[SUS_DIGEST_LEN]; /* SUS_REFUSE, SUS_TRY: part in doubt */
+	bool request;	  /* the whole request is in doubt, not a part */
+	/* request: no record of it was seen, only the crash. */
+	bool unrecorded;
+	uint8_t digest[SUS_DIGEST_LEN]; /* but SUS_SEND: what is in doubt */
 };
 
 struct sus *sus_new(void);
@@ -60,7 +67,7 @@
  */
 size_t sus_begun(struct sus *ctx, const struct sus_parts *parts,
 		 int64_t started_us, int64_t now_us,
-		 uint8_t out[SUS_PARTS_MAX][SUS_DIGEST_LEN]);
+		 uint8_t out[SUS_BEGUN_MAX][SUS_DIGEST_LEN]);
 /*
  * An endpoint crashed. requests: the parts of the n requests that it had from
  * this entry and whose answers were not proven to have begun, last sent first.
@@ -71,6 +78,15 @@
 		   size_t n, int64_t now_us,
 		   uint8_t out[SUS_REPORT_MAX][SUS_DIGEST_LEN]);
 
+/* The same for whole requests. Call both. */
+size_t sus_requests_crashed(struct sus *ctx,
+			    const struct sus_parts *const *requests, size_t n,
+			    int64_t now_us,
+			    uint8_t out[SUS_REPORT_MAX][SUS_DIGEST_LEN]);
+/* A grant for the digest is asked for. */
+void sus_asked(struct sus *ctx, const uint8_t digest[SUS_DIGEST_LEN],
+	       int64_t now_us);
+
 /*
  * Decides about a new request (crashes 0), or about the repeat of one whose
  * answer was not proven to have begun when its endpoint crashed; crashes counts
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -192,8 +192,14 @@
 void edge_parts_view_changed(struct edge_parts *ctx);
 
 /* fwd.c */
+/* What became of the request for a grant. */
+enum fwd_trial {
+	FWD_GRANTED, /* or no grant is needed */
+	FWD_DENIED,
+	FWD_LATER, /* the endpoint or the run of another one prevents it */
+};
 void fwd_crash_checked(struct edge_prompt *prompt, bool crashed);
-void fwd_trial_decided(struct edge_prompt *prompt, bool granted);
+void fwd_trial_decided(struct edge_prompt *prompt, enum fwd_trial outcome);
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_caller_left(void *data, struct hio_exchange *exchange);
 /* Processes requests held for the first view. */
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -7,11 +7,11 @@
 #include "base/msg.h"
 
 /*
- * Prompt parts that crash endpoints. An attempt that breaks off before its
- * answer is proven to have begun may have crashed its endpoint. If the
- * endpoint's process has ended, the parts of such attempts there are reported,
- * once for each process. Requests with parts that are in doubt are refused, or
- * run with a grant.
+ * Requests and prompt parts that crash endpoints. An attempt that breaks off
+ * before its answer is proven to have begun may have crashed its endpoint. If
+ * the endpoint's process has ended, such attempts there and their parts are
+ * reported, once for each process. What is in doubt is refused, waits, or runs
+ * with a grant.
  */
 
 /* Time limit of the connection by which a crash is confirmed; longer than a
@@ -54,6 +54,7 @@
 	struct edge_prompt *prompt;   /* that waits to be sent, or NULL */
 	struct edge_attempt *attempt; /* that it is for, or NULL */
 	bool asked;		      /* the command's result is awaited */
+	bool request;		      /* of a whole request, not a part */
 	/* After an attempt without an outcome; one of them is set. */
 	struct event *timer;
 	struct hio_probe *probe;
@@ -229,8 +230,8 @@
 		      int64_t started_us)
 {
 	Dsp__PartEvidence evidence = DSP__PART_EVIDENCE__INIT;
-	ProtobufCBinaryData begun[SUS_PARTS_MAX];
-	uint8_t digests[SUS_PARTS_MAX][SUS_DIGEST_LEN];
+	ProtobufCBinaryData begun[SUS_BEGUN_MAX];
+	uint8_t digests[SUS_BEGUN_MAX][SUS_DIGEST_LEN];
 	g_autofree char *text = NULL;
 	size_t n;
 
@@ -305,6 +306,8 @@
 		return "send";
 	case SUS_REFUSE:
 		return "refuse";
+	case SUS_WAIT:
+		return "wait";
 	case SUS_TRY:
 		break;
 	}
@@ -330,16 +333,17 @@
 	int64_t wall_ms = clk_wall_ms(ctx->edge->clock);
 	g_autofree char *digest = digest_text(d->digest);
 
-	LOG_EVENT_INFO("parts", action_name(d->action),
-		       "request=%s digest=%s crashes=%u quarantined=%d "
-		       "failed_runs=%u age_ms=%" PRId64 " own_crashes=%u "
-		       "retry_us=%" PRId64 " view=%" G_GUINT64_FORMAT
-		       " view_age_us=%" PRId64,
-		       prompt->request_id, digest, s ? s->crashes : 0,
-		       s ? s->quarantined : 0, s ? s->failed_runs : 0,
-		       s ? wall_ms - (int64_t)s->since_ms : -1, prompt->crashes,
-		       d->retry_us, view_index(ctx->edge->view),
-		       ctl_state(ctx->edge->ctl).stale_us);
+	LOG_EVENT_INFO(
+		"parts", action_name(d->action),
+		"request=%s digest=%s whole=%d crashes=%u quarantined=%d "
+		"failed_runs=%u age_ms=%" PRId64 " own_crashes=%u "
+		"retry_us=%" PRId64 " view=%" G_GUINT64_FORMAT
+		" view_age_us=%" PRId64,
+		prompt->request_id, digest, d->request, s ? s->crashes : 0,
+		s ? s->quarantined : 0, s ? s->failed_runs : 0,
+		s ? wall_ms - (int64_t)s->since_ms : -1, prompt->crashes,
+		d->retry_us, view_index(ctx->edge->view),
+		ctl_state(ctx->edge->ctl).stale_us);
 }
 
 /* Decides whether a request may be sent to an endpoint. */
@@ -353,7 +357,7 @@
 	/* One request at a time asks for the grant. */
 	if (d.action == SUS_TRY &&
 	    (find_trial(ctx, d.digest) || ctx->n_trials >= TRIALS_MAX))
-		d.action = SUS_REFUSE;
+		d.action = d.request ? SUS_WAIT : SUS_REFUSE;
 	if (d.action == SUS_REFUSE) {
 		met_count(ctx->edge->met, "dandelionspar_edge_parts_refused",
 			  "", 1);
@@ -392,6 +396,33 @@
 	}
 }
 
+/*
+ * Whether a request may run although no grant was given. Without a leader, a
+ * request that one crash alone speaks against is repeated once, as the crash
+ * may have had any cause.
+ */
+static bool needs_no_grant(const struct edge *edge, const struct edge_trial *t,
+			   const Dsp__CommandResult *result)
+{
+	const struct edge_prompt *prompt = t->prompt;
+
+	if (result)
+		return result->code == DSP__RESULT_CODE__RESULT_NOT_FOUND &&
+		       !sus_has_other(edge->parts->sus, &prompt->parts,
+				      t->digest);
+	return t->request && prompt->crashes == 1 &&
+	       !view_suspect(edge->view, t->digest);
+}
+
+static bool may_ask_again(const struct edge_trial *t,
+			  const Dsp__CommandResult *result)
+{
+	return t->request && result &&
+	       (result->code == DSP__RESULT_CODE__RESULT_BUSY ||
+		result->code == DSP__RESULT_CODE__RESULT_STALE ||
+		result->code == DSP__RESULT_CODE__RESULT_QUARANTINED);
+}
+
 static void trial_decided(struct edge *edge, struct edge_call *call)
 {
 	struct edge_trial *t = call->data;
@@ -400,11 +431,12 @@
 	bool granted =
 		result && (result->code == DSP__RESULT_CODE__RESULT_OK ||
 			   result->code == DSP__RESULT_CODE__RESULT_SAME);
-	bool sound =
-		result && result->code == DSP__RESULT_CODE__RESULT_NOT_FOUND &&
-		prompt &&
-		!sus_has_other(edge->parts->sus, &prompt->parts, t->digest);
+	enum fwd_trial outcome = FWD_DENIED;
 
+	if (granted || (prompt && needs_no_grant(edge, t, result)))
+		outcome = FWD_GRANTED;
+	else if (may_ask_again(t, result))
+		outcome = FWD_LATER;
 	t->asked = false;
 	log_trial(t, "trial", outcome_name(result));
 	if (!granted)
@@ -412,7 +444,7 @@
 	else if (!prompt)
 		end_trial(t, TRIAL_NOT_RUN);
 	if (prompt)
-		fwd_trial_decided(prompt, granted || sound);
+		fwd_trial_decided(prompt, outcome);
 }
 
 /*
@@ -431,6 +463,7 @@
 	t->parts = ctx;
 	t->prompt = prompt;
 	t->asked = true;
+	t->request = decision->request;
 	memcpy(t->digest, decision->digest, SUS_DIGEST_LEN);
 	t->id = g_strdup_printf("%s/%s/%" PRIu64, prompt->request_id,
 				ctx->edge->set->id, ++ctx->last_trial);
@@ -445,8 +478,10 @@
 	run.endpoint = t->endpoint;
 	run.incarnation = t->incarnation;
 	run.attempt = t->id;
+	run.suspected = decision->unrecorded;
 	command.body_case = DSP__COMMAND__BODY_SUSPECT_RUN;
 	command.suspect_run = &run;
+	sus_asked(ctx->sus, t->digest, clk_now_us(ctx->edge->clock));
 	log_decision(ctx, prompt, decision);
 	met_count(ctx->edge->met, "dandelionspar_edge_part_trials", "", 1);
 	edge_call_start(ctx->edge, NULL, msg_dup(&command), timeout_us,
@@ -565,56 +600,79 @@
 
 	g_ptr_array_set_size(c->requests, 0);
 	LIST_FOREACH (attempt, &ctx->attempts, link)
-		if (attempt->prompt->parts.n &&
-		    attempt->incarnation == c->incarnation &&
+		if (attempt->incarnation == c->incarnation &&
 		    !strcmp(attempt->endpoint, c->endpoint))
 			g_ptr_array_add(c->requests,
 					g_memdup2(&attempt->prompt->parts,
 						  sizeof(struct sus_parts)));
 }
 
-static void send_crash(const struct edge_check *c,
-		       uint8_t (*digests)[SUS_DIGEST_LEN], size_t n)
+/* Digests of one kind that a crash reports. */
+struct reported {
+	uint8_t digests[SUS_REPORT_MAX][SUS_DIGEST_LEN];
+	ProtobufCBinaryData list[SUS_REPORT_MAX];
+	size_t n;
+};
+
+static ProtobufCBinaryData *list_reported(struct reported *r)
+{
+	for (size_t i = 0; i < r->n; i++)
+		r->list[i] = (ProtobufCBinaryData){ .data = r->digests[i],
+						    .len = SUS_DIGEST_LEN };
+	return r->list;
+}
+
+static void send_crash(const struct edge_check *c, struct reported *parts,
+		       struct reported *requests)
 {
 	Dsp__PartEvidence evidence = DSP__PART_EVIDENCE__INIT;
 	Dsp__PartCrash crash = DSP__PART_CRASH__INIT;
 	Dsp__PartCrash *crashes[] = { &crash };
-	ProtobufCBinaryData list[SUS_REPORT_MAX];
 
-	for (size_t i = 0; i < n; i++)
-		list[i] = (ProtobufCBinaryData){ .data = digests[i],
-						 .len = SUS_DIGEST_LEN };
 	crash.endpoint = c->endpoint;
 	crash.incarnation = c->incarnation;
-	crash.digests = list;
-	crash.n_digests = n;
+	crash.digests = list_reported(parts);
+	crash.n_digests = parts->n;
+	crash.requests = list_reported(requests);
+	crash.n_requests = requests->n;
 	evidence.crashes = crashes;
 	evidence.n_crashes = G_N_ELEMENTS(crashes);
 	ctl_part_evidence(c->edge->ctl, &evidence);
 }
 
-/* Reports the parts of the attempts that a crash has ended. */
+static char *reported_text(const struct reported *r)
+{
+	return digests_text((const uint8_t(*)[SUS_DIGEST_LEN])r->digests, r->n);
+}
+
+/* Reports the attempts that a crash has ended, and their parts. */
 static void report(struct edge_check *c, const char *confirmed_by)
 {
-	uint8_t digests[SUS_REPORT_MAX][SUS_DIGEST_LEN];
+	const struct sus_parts *const *all =
+		(const struct sus_parts *const *)c->requests->pdata;
+	struct sus *sus = c->edge->parts->sus;
 	int64_t now_us = clk_now_us(c->edge->clock);
-	g_autofree char *text = NULL;
-	size_t n;
+	g_autofree char *parts_text = NULL;
+	g_autofree char *requests_text = NULL;
+	struct reported parts, requests;
 
 	c->reported = true;
-	n = sus_crashed(c->edge->parts->sus,
-			(const struct sus_parts *const *)c->requests->pdata,
-			c->requests->len, now_us, digests);
-	if (n)
-		send_crash(c, digests, n);
+	parts.n =
+		sus_crashed(sus, all, c->requests->len, now_us, parts.digests);
+	requests.n = sus_requests_crashed(sus, all, c->requests->len, now_us,
+					  requests.digests);
+	if (parts.n || requests.n)
+		send_crash(c, &parts, &requests);
 	met_count(c->edge->met, "dandelionspar_edge_part_crashes", "", 1);
-	text = digests_text((const uint8_t(*)[SUS_DIGEST_LEN])digests, n);
+	parts_text = reported_text(&parts);
+	requests_text = reported_text(&requests);
 	LOG_EVENT_NOTICE("parts", "crash",
 			 "endpoint=%s incarnation=%" PRIu64
 			 " confirmed_by=%s attempts=%u parts=%zu digests=%s "
-			 "age_us=%" PRId64,
+			 "requests=%zu request_digests=%s age_us=%" PRId64,
 			 c->endpoint, c->incarnation, confirmed_by,
-			 c->requests->len, n, text, now_us - c->broke_us);
+			 c->requests->len, parts.n, parts_text, requests.n,
+			 requests_text, now_us - c->broke_us);
 }
 
 /* Lets the requests that wait for the check go on. */
@@ -723,8 +781,7 @@
 {
 	struct edge_check *c;
 
-	if (!attempt->is_listed || !attempt->prompt->parts.n ||
-	    was_expected_to_end(ctx, attempt))
+	if (!attempt->is_listed || was_expected_to_end(ctx, attempt))
 		return false;
 	c = find_check(ctx, attempt->endpoint, attempt->incarnation);
 	if (c && c->reported) {
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -143,6 +143,8 @@
 	int64_t waited_us; /* from the request's arrival to the first attempt */
 	struct edge_prompt prompt;
 	const char *broken_reason; /* while it waits for a check */
+	bool suspect;	    /* the request was in doubt, not only a part */
+	int64_t verdict_us; /* limit of its waits for runs of others; 0: none */
 	/* Kept for the request while it waits for a grant, or NULL. */
 	struct bal_endpoint *trial_endpoint;
 
@@ -1087,11 +1089,11 @@
 		       ctl_state(f->edge->ctl).stale_us, left_us);
 }
 
-/* Refuses a request with a part in doubt. */
+/* Refuses a request that is in doubt, or has a part that is. */
 static void refuse_part(struct fwd *f, int64_t retry_us)
 {
 	give_up(f, CLAMP(retry_us, PART_RETRY_MIN_US, PART_RETRY_MAX_US),
-		"suspect_part");
+		f->suspect ? "suspect_request" : "suspect_part");
 }
 
 /* Asks for a grant to send a request with a part in doubt to an endpoint, which
@@ -1110,17 +1112,45 @@
 	set_timer_at(f, f->deadline_us);
 }
 
+/* Lets a request wait for the run of another one that decides about it, or for
+ * an endpoint to run it at. It is refused if that takes too long. */
+static void wait_for_verdict(struct fwd *f)
+{
+	int64_t now_us = now_of(f);
+
+	if (!f->verdict_us) {
+		f->verdict_us = now_us + wait_limit_us(f, BAL_CHOSEN);
+		LOG_EVENT_INFO("fwd", "wait_for_verdict",
+			       "request=%s digest=%s runs=%u limit_us=%" PRId64,
+			       log_id(f), f->prompt.digest, f->runs,
+			       f->verdict_us - now_us);
+	}
+	if (now_us >= f->verdict_us)
+		refuse_part(f, TRIAL_RETRY_US);
+	else
+		set_timer_at(f, now_us + QUEUE_POLL_US);
+}
+
 /* Goes on with a request that has waited for a grant. */
-void fwd_trial_decided(struct edge_prompt *prompt, bool granted)
+void fwd_trial_decided(struct edge_prompt *prompt, enum fwd_trial outcome)
 {
 	struct fwd *f = fwd_from_prompt(prompt);
 
-	if (!granted || is_too_late(f)) {
+	if (is_too_late(f))
+		outcome = FWD_DENIED;
+	switch (outcome) {
+	case FWD_GRANTED:
+		send_to(f, f->trial_endpoint);
+		release_trial_endpoint(f);
+		break;
+	case FWD_LATER:
+		release_trial_endpoint(f);
+		wait_for_verdict(f);
+		break;
+	case FWD_DENIED:
 		refuse_part(f, TRIAL_RETRY_US);
-		return;
+		break;
 	}
-	send_to(f, f->trial_endpoint);
-	release_trial_endpoint(f);
 }
 
 /*
@@ -1137,15 +1167,22 @@
 		return false;
 	}
 	decision = edge_parts_decide(f->edge->parts, &f->prompt);
+	f->suspect = decision.request;
 	if (decision.action == SUS_REFUSE) {
 		refuse_part(f, decision.retry_us);
 		return false;
 	}
+	if (decision.action == SUS_WAIT) {
+		adm_remove(f->edge->queue, &f->item);
+		wait_for_verdict(f);
+		return false;
+	}
 	/* Queued requests of the same group come first. */
 	if (f->item.queued || f->headers_sent ||
 	    !adm_length(f->edge->queue, f->group))
 		choice = choose_endpoint(f);
-	if (choice.outcome != BAL_CHOSEN && decision.action == SUS_TRY) {
+	if (choice.outcome != BAL_CHOSEN && decision.action == SUS_TRY &&
+	    !decision.request) {
 		refuse_part(f, TRIAL_RETRY_US);
 		return false;
 	}
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -5523,7 +5523,7 @@
   (ProtobufCMessageInit) dsp__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dsp__suspect__field_descriptors[15] =
 {
   {
     "digest",
@@ -5693,6 +5693,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Suspect, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__suspect__field_indices_by_name[] = {
   13,   /* field[13] = crashed */
@@ -5703,6 +5715,7 @@
   11,   /* field[11] = last_ms */
   7,   /* field[7] = part */
   2,   /* field[2] = quarantined */
+  14,   /* field[14] = request */
   8,   /* field[8] = retry_ms */
   12,   /* field[12] = run_ms */
   6,   /* field[6] = running_attempt */
@@ -5713,7 +5726,7 @@
 static const ProtobufCIntRange dsp__suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor dsp__suspect__descriptor =
 {
@@ -5723,7 +5736,7 @@
   "Dsp__Suspect",
   "dsp",
   sizeof(Dsp__Suspect),
-  14,
+  15,
   dsp__suspect__field_descriptors,
   dsp__suspect__field_indices_by_name,
   1,  dsp__suspect__number_ranges,
@@ -7531,7 +7544,7 @@
   (ProtobufCMessageInit) dsp__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect_run__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__suspect_run__field_descriptors[5] =
 {
   {
     "digest",
@@ -7581,17 +7594,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspected",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectRun, suspected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__suspect_run__field_indices_by_name[] = {
   3,   /* field[3] = attempt */
   0,   /* field[0] = digest */
   1,   /* field[1] = endpoint */
   2,   /* field[2] = incarnation */
+  4,   /* field[4] = suspected */
 };
 static const ProtobufCIntRange dsp__suspect_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dsp__suspect_run__descriptor =
 {
@@ -7601,7 +7627,7 @@
   "Dsp__SuspectRun",
   "dsp",
   sizeof(Dsp__SuspectRun),
-  4,
+  5,
   dsp__suspect_run__field_descriptors,
   dsp__suspect_run__field_indices_by_name,
   1,  dsp__suspect_run__number_ranges,
@@ -7672,7 +7698,7 @@
   (ProtobufCMessageInit) dsp__suspect_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__part_crash__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__part_crash__field_descriptors[4] =
 {
   {
     "endpoint",
@@ -7710,16 +7736,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "requests",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Dsp__PartCrash, n_requests),
+    offsetof(Dsp__PartCrash, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__part_crash__field_indices_by_name[] = {
   2,   /* field[2] = digests */
   0,   /* field[0] = endpoint */
   1,   /* field[1] = incarnation */
+  3,   /* field[3] = requests */
 };
 static const ProtobufCIntRange dsp__part_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dsp__part_crash__descriptor =
 {
@@ -7729,7 +7768,7 @@
   "Dsp__PartCrash",
   "dsp",
   sizeof(Dsp__PartCrash),
-  3,
+  4,
   dsp__part_crash__field_descriptors,
   dsp__part_crash__field_indices_by_name,
   1,  dsp__part_crash__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -629,7 +629,7 @@
   uint64_t running_incarnation;
   char *running_attempt;
   /*
-   * a part of prompts, not a whole request
+   * from PartEvidence: a part of prompts, or see request
    */
   protobuf_c_boolean part;
   /*
@@ -657,10 +657,14 @@
    */
   size_t n_crashed;
   Dsp__SuspectCrash **crashed;
+  /*
+   * With part: a whole request. It needs a grant from its first crash on.
+   */
+  protobuf_c_boolean request;
 };
 #define DSP__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__suspect__descriptor) \
-    , {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Dsp__SuspectCrash
@@ -1122,10 +1126,15 @@
   char *endpoint;
   uint64_t incarnation;
   char *attempt;
+  /*
+   * The asking instance saw the request in a crash: it is recorded if its
+   * evidence has not arrived yet.
+   */
+  protobuf_c_boolean suspected;
 };
 #define DSP__SUSPECT_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__suspect_run__descriptor) \
-    , {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Dsp__SuspectDone
@@ -1144,24 +1153,32 @@
 
 
 /*
- * Prompt parts of requests that an endpoint had not begun to answer when it
- * crashed.
+ * Requests that an endpoint had not begun to answer when it crashed, and the
+ * parts of their prompts.
  */
 struct  Dsp__PartCrash
 {
   ProtobufCMessage base;
   char *endpoint;
   uint64_t incarnation;
+  /*
+   * parts
+   */
   size_t n_digests;
   ProtobufCBinaryData *digests;
+  /*
+   * whole requests
+   */
+  size_t n_requests;
+  ProtobufCBinaryData *requests;
 };
 #define DSP__PART_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__part_crash__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
 
 
 /*
- * What entries saw of prompt parts, collected by the leader.
+ * What entries saw of prompt parts and requests, collected by the leader.
  */
 struct  Dsp__PartEvidence
 {
@@ -1169,7 +1186,7 @@
   size_t n_crashes;
   Dsp__PartCrash **crashes;
   /*
-   * digests of parts in answers that were begun
+   * of answers that were begun: parts and requests
    */
   size_t n_begun;
   ProtobufCBinaryData *begun;
--- a/tests/unit/pev_test.cc
+++ b/tests/unit/pev_test.cc
@@ -42,6 +42,12 @@
 		message.crashes = crashes_;
 		message.n_crashes = 1;
 	}
+	void requests(const std::vector<std::string> &digests)
+	{
+		fill(digests, &request_data_);
+		crash_.requests = request_data_.data();
+		crash_.n_requests = request_data_.size();
+	}
 	void begun(const std::vector<std::string> &digests)
 	{
 		fill(digests, &begun_data_);
@@ -65,7 +71,7 @@
 	std::string endpoint_;
 	Dsp__PartCrash crash_ = DSP__PART_CRASH__INIT;
 	Dsp__PartCrash *crashes_[1];
-	std::vector<ProtobufCBinaryData> crash_data_;
+	std::vector<ProtobufCBinaryData> crash_data_, request_data_;
 	std::vector<ProtobufCBinaryData> begun_data_;
 	std::vector<std::unique_ptr<std::string>> kept_;
 };
@@ -106,6 +112,28 @@
 	return out;
 }
 
+TEST_F(PartEvidence, KeepsRequestsApartFromParts)
+{
+	for (unsigned n : { 1, 2 }) {
+		Message m;
+
+		m.crash("e1", 7, { digest(n) });
+		m.requests({ digest(n + 10), digest(20) });
+		EXPECT_EQ(pev_add(pev, &m.message, now), 0u);
+	}
+	Dsp__PartEvidence *out = pev_take(pev, now);
+
+	ASSERT_NE(out, nullptr);
+	ASSERT_EQ(out->n_crashes, 1u);
+	EXPECT_EQ(set_of(out->crashes[0]->digests, out->crashes[0]->n_digests),
+		  (std::set<std::string>{ digest(1), digest(2) }));
+	EXPECT_EQ(
+		set_of(out->crashes[0]->requests, out->crashes[0]->n_requests),
+		(std::set<std::string>{ digest(11), digest(12), digest(20) }));
+	dsp__part_evidence__free_unpacked(out, nullptr);
+	EXPECT_TRUE(pev_is_empty(pev));
+}
+
 TEST_F(PartEvidence, JoinsWhatSeveralEntriesSawOfOneCrash)
 {
 	EXPECT_TRUE(pev_is_empty(pev));
--- a/tests/unit/state_parts_test.cc
+++ b/tests/unit/state_parts_test.cc
@@ -20,6 +20,7 @@
 	std::string endpoint;
 	uint64_t incarnation;
 	std::vector<std::string> digests;
+	std::vector<std::string> requests = {};
 };
 
 ProtobufCBinaryData data_of(const std::string &s)
@@ -67,16 +68,21 @@
 	{
 		std::vector<Dsp__PartCrash> msgs(crashes.size());
 		std::vector<Dsp__PartCrash *> pointers;
-		std::vector<std::vector<ProtobufCBinaryData>> digests;
+		std::vector<std::vector<ProtobufCBinaryData>> digests, requests;
 		std::vector<ProtobufCBinaryData> proofs;
 		Dsp__PartEvidence body = DSP__PART_EVIDENCE__INIT;
 		Dsp__Command cmd = DSP__COMMAND__INIT;
 
 		digests.resize(crashes.size());
+		requests.resize(crashes.size());
 		for (size_t i = 0; i < crashes.size(); i++) {
 			for (const std::string &d : crashes[i].digests)
 				digests[i].push_back(data_of(d));
+			for (const std::string &d : crashes[i].requests)
+				requests[i].push_back(data_of(d));
 			dsp__part_crash__init(&msgs[i]);
+			msgs[i].n_requests = requests[i].size();
+			msgs[i].requests = requests[i].data();
 			msgs[i].endpoint = str(crashes[i].endpoint);
 			msgs[i].incarnation = crashes[i].incarnation;
 			msgs[i].n_digests = digests[i].size();
@@ -99,6 +105,14 @@
 		EXPECT_EQ(evidence({ { endpoint(i), incarnation, digests } }),
 			  OK);
 	}
+	void crash_requests(int i, const std::vector<std::string> &requests,
+			    uint64_t incarnation = 1)
+	{
+		EXPECT_EQ(
+			evidence(
+				{ { endpoint(i), incarnation, {}, requests } }),
+			OK);
+	}
 	void begun(const std::string &digest)
 	{
 		EXPECT_EQ(evidence({}, { digest }), OK);
@@ -110,7 +124,7 @@
 	}
 	Dsp__ResultCode run(const std::string &digest, int i,
 			    const std::string &attempt = "a",
-			    uint64_t incarnation = 1)
+			    uint64_t incarnation = 1, bool suspected = false)
 	{
 		Dsp__SuspectRun body = DSP__SUSPECT_RUN__INIT;
 		Dsp__Command cmd = DSP__COMMAND__INIT;
@@ -120,6 +134,7 @@
 		body.endpoint = str(id);
 		body.incarnation = incarnation;
 		body.attempt = str(attempt);
+		body.suspected = suspected;
 		cmd.body_case = DSP__COMMAND__BODY_SUSPECT_RUN;
 		cmd.suspect_run = &body;
 		return r.apply(&cmd)->code;
@@ -681,3 +696,115 @@
 }
 
 } // namespace
+
+TEST_F(Parts, RequestIsQuarantinedByTheCrashOfItsGrantedRunOnly)
+{
+	crash_requests(0, { part('r'), part('s') });
+	wait(2000);
+	crash_requests(1, { part('r') }); /* run where the record was unknown */
+	EXPECT_TRUE(suspected('r'));
+	EXPECT_EQ(find(part('r'))->crashes, 2u);
+	EXPECT_EQ(run(part('r'), 2), OK);
+	EXPECT_EQ(run(part('s'), 3, "b"), OK);
+	EXPECT_EQ(run(part('s'), 4, "c"), BUSY);
+	crash_requests(2, { part('r'), part('s'), part('t') });
+	EXPECT_TRUE(quarantined('r'));
+	EXPECT_TRUE(suspected('s'));
+	EXPECT_TRUE(suspected('t'));
+	EXPECT_EQ(done(part('s'), "b"), OK);
+	EXPECT_EQ(find(part('s')), nullptr);
+	crash_requests(2, { part('r') }); /* a repeated report */
+	EXPECT_EQ(find(part('r'))->failed_runs, 1u);
+}
+
+TEST_F(Parts, SuspectedRequestsShareNoEndpoint)
+{
+	crash_requests(0, { part('r'), part('s') });
+	EXPECT_EQ(run(part('r'), 1), OK);
+	EXPECT_EQ(run(part('s'), 1, "b"), BUSY);
+	EXPECT_EQ(run(part('s'), 2, "b"), OK);
+	EXPECT_EQ(run(part('t'), 3), NOT_FOUND);
+}
+
+TEST_F(Parts, QuarantinedRequestRunsAgainAfterGrowingPauses)
+{
+	const uint64_t pauses_ms[] = { 5000, 60000, 600000, 600000 };
+	uint64_t incarnation = 1;
+
+	crash_requests(0, { part('r') });
+	EXPECT_EQ(run(part('r'), 1), OK);
+	crash_requests(1, { part('r') });
+	for (uint64_t pause_ms : pauses_ms) {
+		wait(pause_ms - 1);
+		EXPECT_EQ(run(part('r'), 2, "a", incarnation), QUARANTINED);
+		wait(1);
+		EXPECT_EQ(run(part('r'), 2, "a", incarnation), OK);
+		crash_requests(2, { part('r') }, incarnation);
+		start(endpoint(2), ++incarnation);
+	}
+	wait(600000);
+	EXPECT_EQ(run(part('r'), 2, "a", incarnation), OK);
+	EXPECT_EQ(done(part('r')), OK);
+	EXPECT_EQ(find(part('r')), nullptr);
+}
+
+TEST_F(Parts, AnswerToARequestClearsIt)
+{
+	crash_requests(0, { part('r') });
+	begun(part('r'));
+	EXPECT_EQ(find(part('r')), nullptr);
+	crash_requests(0, { part('r') });
+	EXPECT_EQ(run(part('r'), 1), OK);
+	crash_requests(1, { part('r') });
+	EXPECT_TRUE(quarantined('r'));
+	begun(part('r'));
+	EXPECT_EQ(find(part('r')), nullptr);
+}
+
+TEST_F(Parts, GrantMayArriveBeforeTheEvidence)
+{
+	EXPECT_EQ(run(part('r'), 1, "a", 1, true), OK);
+	EXPECT_TRUE(suspected('r'));
+	crash_requests(0, { part('r') });
+	EXPECT_EQ(run(part('r'), 1), SAME);
+	crash_requests(1, { part('r') });
+	EXPECT_TRUE(quarantined('r'));
+}
+
+TEST_F(Parts, SuspectedRequestIsDroppedWithoutAnOutcome)
+{
+	crash_requests(0, { part('r'), part('s') });
+	wait(29000);
+	EXPECT_EQ(run(part('s'), 1), OK);
+	wait(1000);
+	EXPECT_EQ(find(part('r')), nullptr);
+	EXPECT_TRUE(suspected('s'));
+	wait(29000);
+	EXPECT_EQ(find(part('s')), nullptr);
+	EXPECT_EQ(count(), 0u);
+}
+
+TEST_F(Parts, RestartOfTheEndpointFailsTheGrantedRunOfARequest)
+{
+	crash_requests(0, { part('r') });
+	EXPECT_EQ(run(part('r'), 1), OK);
+	start(endpoint(1), 2);
+	EXPECT_TRUE(quarantined('r'));
+}
+
+TEST_F(Parts, SuspectedRequestsAreBounded)
+{
+	std::vector<std::string> all;
+
+	for (int i = 0; i < 600; i++) {
+		std::string d = part('r');
+
+		d[1] = (char)i;
+		d[2] = (char)(i >> 8);
+		all.push_back(d);
+	}
+	EXPECT_EQ(evidence({ { endpoint(0), 1, {}, all } }), LIMIT);
+	EXPECT_EQ(count(), 512u);
+	EXPECT_EQ(run(part('q'), 1, "a", 1, true), OK);
+	EXPECT_EQ(count(), 512u);
+}
--- a/tests/unit/sus_test.cc
+++ b/tests/unit/sus_test.cc
@@ -19,6 +19,7 @@
 	uint64_t retry_ms = 0;
 	bool part = true;
 	std::string running;
+	bool request = false;
 };
 
 class Sus : public ::testing::Test
@@ -29,12 +30,14 @@
 		sus_free(sus);
 		view_unref(view);
 	}
+	/* A capital letter is the digest of the whole request. */
 	static struct sus_parts parts(const std::string &digests)
 	{
 		struct sus_parts out = {};
 
 		for (char c : digests)
-			memset(out.digests[out.n++], c, SUS_DIGEST_LEN);
+			memset(isupper(c) ? out.request : out.digests[out.n++],
+			       c, SUS_DIGEST_LEN);
 		return out;
 	}
 	void see(const std::vector<Record> &records)
@@ -61,6 +64,7 @@
 			dsp__suspect__init(s);
 			s->digest = { 16, (uint8_t *)str(digests[i]) };
 			s->part = records[i].part;
+			s->request = records[i].request;
 			s->quarantined = records[i].quarantined;
 			s->first_ms = records[i].first_ms;
 			s->retry_ms = records[i].retry_ms;
@@ -96,7 +100,7 @@
 	}
 	std::string begun(const std::string &digests, int64_t age_us)
 	{
-		uint8_t out[SUS_PARTS_MAX][SUS_DIGEST_LEN];
+		uint8_t out[SUS_BEGUN_MAX][SUS_DIGEST_LEN];
 		struct sus_parts p = parts(digests);
 		std::string text;
 		size_t n = sus_begun(sus, &p, now - age_us, now, out);
@@ -123,6 +127,31 @@
 			text += (char)out[i][0];
 		return text;
 	}
+	std::string requests_crashed(const std::vector<std::string> &requests)
+	{
+		static uint8_t out[SUS_REPORT_MAX][SUS_DIGEST_LEN];
+		std::vector<struct sus_parts> all;
+		std::vector<const struct sus_parts *> pointers;
+		std::string text;
+		size_t n;
+
+		for (const std::string &r : requests)
+			all.push_back(parts(r));
+		for (const struct sus_parts &p : all)
+			pointers.push_back(&p);
+		n = sus_requests_crashed(sus, pointers.data(), pointers.size(),
+					 now, out);
+		for (size_t i = 0; i < n; i++)
+			text += (char)out[i][0];
+		return text;
+	}
+	static Record request(char digest, bool quarantined = false,
+			      uint64_t retry_ms = 0,
+			      const std::string &running = "")
+	{
+		return { digest, quarantined, 1000, retry_ms,
+			 true,	 running,     true };
+	}
 	size_t count_crashed(const struct sus_parts &p)
 	{
 		static uint8_t out[SUS_REPORT_MAX][SUS_DIGEST_LEN];
@@ -154,6 +183,94 @@
 	EXPECT_EQ(action("fcp"), SUS_SEND);
 }
 
+TEST_F(Sus, RequestNeedsAGrantFromItsFirstCrashOn)
+{
+	struct sus_decision d;
+
+	EXPECT_EQ(action("R"), SUS_SEND);
+	EXPECT_EQ(requests_crashed({ "R", "R", "aS", "b" }), "RS");
+	d = decide("R", 1);
+	EXPECT_EQ(d.action, SUS_TRY);
+	EXPECT_TRUE(d.request);
+	EXPECT_TRUE(d.unrecorded);
+	EXPECT_EQ(d.digest[0], 'R');
+	EXPECT_EQ(action("R"), SUS_TRY); /* of another caller */
+	EXPECT_EQ(action("T"), SUS_SEND);
+	see({ request('R') });
+	d = decide("R");
+	EXPECT_EQ(d.action, SUS_TRY);
+	EXPECT_FALSE(d.unrecorded);
+}
+
+TEST_F(Sus, RequestWaitsForTheRunThatDecides)
+{
+	see({ request('R', false, 0, "engine-1") });
+	EXPECT_EQ(action("R"), SUS_WAIT);
+	see({ request('R') });
+	EXPECT_EQ(action("R"), SUS_TRY);
+	sus_asked(sus, decide("R").digest, now);
+	EXPECT_EQ(action("R"), SUS_WAIT);
+	now += 50 * MS;
+	EXPECT_EQ(action("R"), SUS_TRY);
+}
+
+TEST_F(Sus, QuarantinedRequestIsRefusedUntilItsNextRun)
+{
+	struct sus_decision d;
+
+	see({ request('R', true, (uint64_t)wall_ms + 5000) });
+	d = decide("R");
+	EXPECT_EQ(d.action, SUS_REFUSE);
+	EXPECT_TRUE(d.request);
+	EXPECT_EQ(d.retry_us, 5 * SECOND);
+	EXPECT_EQ(action("pR"), SUS_REFUSE);
+	EXPECT_EQ(action("pS"), SUS_SEND);
+	wall_ms += 5000;
+	EXPECT_EQ(action("R"), SUS_TRY);
+}
+
+TEST_F(Sus, ClearedRequestIsSentAtOnce)
+{
+	requests_crashed({ "R" });
+	see({ request('R') });
+	EXPECT_EQ(action("R"), SUS_TRY);
+	see({});
+	EXPECT_EQ(action("R"), SUS_SEND);
+}
+
+TEST_F(Sus, AnswerToTheRequestAfterItsCrashIsReported)
+{
+	EXPECT_EQ(begun("R", 0), "");
+	requests_crashed({ "R" });
+	now += 10 * MS;
+	see({ request('R') });
+	now += 50 * MS;
+	EXPECT_EQ(begun("R", 55 * MS), ""); /* from before the record */
+	EXPECT_EQ(action("R"), SUS_TRY);
+	EXPECT_EQ(begun("R", 20 * MS), "R");
+	EXPECT_EQ(action("R"), SUS_SEND);
+}
+
+TEST_F(Sus, CrashWithoutARecordIsForgotten)
+{
+	requests_crashed({ "R" });
+	now += 9 * SECOND;
+	EXPECT_EQ(action("R"), SUS_TRY);
+	now += SECOND;
+	EXPECT_EQ(action("R"), SUS_SEND);
+}
+
+TEST_F(Sus, QuarantinedPartDecidesBeforeTheRequest)
+{
+	struct sus_decision d;
+
+	see({ { 'p', true, 1000, (uint64_t)wall_ms + 1500 }, request('R') });
+	d = decide("pR");
+	EXPECT_EQ(d.action, SUS_REFUSE);
+	EXPECT_FALSE(d.request);
+	EXPECT_EQ(d.digest[0], 'p');
+}
+
 TEST_F(Sus, SuspectedPartIsSentAndQuarantinedOneRefused)
 {
 	struct sus_decision d;
