core: hold the limits that endpoints name over all instances

Cause: answers were searched for a departure and a pause only. The limit was an unknown field and was passed on to callers.

Observed loads tell the other instances of a limit and of its end.

--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -111,6 +111,7 @@
 	int64_t full_until_us; /* it refused a request as full */
 	bool replaced;	       /* another process uses its address */
 	struct hint hint;
+	struct lim lim;
 };
 
 struct bal {
@@ -122,6 +123,7 @@
 	unsigned entry_index; /* of this instance, by view order */
 	unsigned entries;
 	bool listed; /* this instance is one of them */
+	char *self;  /* id of this instance; NULL: no view yet */
 };
 
 static void endpoint_free(void *data)
@@ -157,6 +159,7 @@
 		endpoint_free(e);
 	g_hash_table_destroy(ctx->endpoints);
 	view_unref(ctx->view);
+	g_free(ctx->self);
 	g_free(ctx);
 }
 
@@ -197,8 +200,16 @@
 	ctx->entries = MAX(ctx->entries, 1);
 }
 
+static void update_limit_share(const struct bal *ctx, struct bal_endpoint *e)
+{
+	if (e->lim.rate > 0)
+		lim_set_share(&e->lim, lim_share_of(ctx->view, ctx->self, e->id,
+						    e->lim.rate));
+}
+
 /* Returns the endpoint for msg: the known one, without its place in the table,
- * or a new one. The same process at another address keeps its hint. */
+ * or a new one. The same process at another address keeps its hint and limit.
+ */
 static struct bal_endpoint *adopt(struct bal *ctx, struct bal_endpoint *known,
 				  const Dsp__Endpoint *msg)
 {
@@ -210,8 +221,10 @@
 		return known;
 	}
 	e = endpoint_new(msg);
-	if (known && known->incarnation == msg->incarnation)
+	if (known && known->incarnation == msg->incarnation) {
 		e->hint = known->hint;
+		e->lim = known->lim;
+	}
 	return e;
 }
 
@@ -244,7 +257,12 @@
 	ctx->endpoints = next;
 	view_unref(ctx->view);
 	ctx->view = view_ref(view);
+	g_free(ctx->self);
+	ctx->self = g_strdup(self);
 	update_entry_index(ctx, view, self);
+	g_hash_table_iter_init(&iter, ctx->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		update_limit_share(ctx, value);
 }
 
 /* Returns the number of instances that serve callers, at least 1. */
@@ -266,6 +284,7 @@
 {
 	(void)ctx;
 	hint_sent(&e->hint, now_us);
+	lim_sent(&e->lim, now_us);
 	e->sends_us[e->n_sends++ % RECENT_SENDS] = now_us;
 	e->in_flight++;
 	e->prefilling++;
@@ -420,6 +439,17 @@
 	return n;
 }
 
+static enum lim_news limit_news(const struct bal *ctx, struct bal_endpoint *e,
+				enum lim_news news, double jitter,
+				int64_t now_us)
+{
+	if (news == LIM_NAMED || news == LIM_CHANGED)
+		update_limit_share(ctx, e);
+	if (news == LIM_NAMED)
+		lim_begin(&e->lim, jitter, now_us);
+	return news;
+}
+
 /* Records a load that another instance has seen, if it is newer than the known
  * one. This instance's own requests since then are not part of it. */
 void bal_observe(struct bal *ctx, const Dsp__LoadReport *report, int64_t now_us)
@@ -441,6 +471,44 @@
 	e->reported_us = observed_us;
 }
 
+/* Records the limit that an answer to another instance named. jitter: see
+ * lim_begin(). */
+enum lim_news bal_observe_limit(struct bal *ctx, const Dsp__LoadReport *report,
+				double jitter, int64_t now_us)
+{
+	struct bal_endpoint *e =
+		g_hash_table_lookup(ctx->endpoints, report->endpoint);
+	enum lim_news news;
+
+	if (!e || e->incarnation != report->incarnation)
+		return LIM_SAME;
+	news = lim_reported(&e->lim, (double)report->limit_milli / 1000,
+			    (int64_t)report->age_ms * 1000, now_us);
+	return limit_news(ctx, e, news, jitter, now_us);
+}
+
+/* Records the limit that an answer of the endpoint's process named; 0: none.
+ * See lim_saw() and lim_begin(). */
+enum lim_news bal_saw_limit(struct bal *ctx, const char *id,
+			    uint64_t incarnation, double rate, double jitter,
+			    int64_t now_us)
+{
+	struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	if (!e || e->incarnation != incarnation)
+		return LIM_SAME;
+	return limit_news(ctx, e, lim_saw(&e->lim, rate, now_us), jitter,
+			  now_us);
+}
+
+/* Returns the limit that the endpoint named, or NULL if it is not known. */
+const struct lim *bal_limit(const struct bal *ctx, const char *id)
+{
+	const struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	return e ? &e->lim : NULL;
+}
+
 /* Records what an answer of the endpoint's process said about further requests;
  * see hint_saw(). Answers of processes that the view does not list have no
  * effect. */
@@ -738,6 +806,7 @@
 	g_hash_table_iter_init(&iter, ctx->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
 		enum hint_bar bar = hint_bar(&e->hint, now_us);
+		int64_t limit_us = lim_wait_us(&e->lim, now_us);
 
 		if (!is_up(e, query))
 			continue;
@@ -758,11 +827,13 @@
 		    !view_ready_copy(e->msg, query->model, query->adapter))
 			continue;
 		choice.candidates++;
-		if (bar == HINT_PAUSED) {
+		if (bar == HINT_PAUSED || limit_us) {
 			choice.paused++;
+			choice.limited += limit_us > 0;
 			untried += !is_in(query->avoid, e->id);
-			pause_us =
-				MIN(pause_us, hint_wait_us(&e->hint, now_us));
+			pause_us = MIN(
+				pause_us,
+				MAX(limit_us, hint_wait_us(&e->hint, now_us)));
 			continue;
 		}
 		if (is_in(query->avoid, e->id))
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "core/hint.h"
+#include "core/lim.h"
 #include "core/view.h"
 
 /*
@@ -51,6 +52,7 @@
 	int64_t retry_us;    /* other outcomes: when to retry */
 	unsigned candidates; /* usable, with the model and adapter */
 	unsigned paused;     /* of them: want no requests now */
+	unsigned limited;    /* of the paused: by a limit that they named */
 	unsigned leaving;    /* of the service: left out, as they leave */
 	int64_t hint_age_us; /* of the oldest hint of these two; 0: none */
 };
@@ -87,15 +89,21 @@
 		uint32_t waiting, int64_t now_us);
 void bal_observe(struct bal *ctx, const Dsp__LoadReport *report,
 		 int64_t now_us);
+enum lim_news bal_observe_limit(struct bal *ctx, const Dsp__LoadReport *report,
+				double jitter, int64_t now_us);
 unsigned bal_saw_hint(struct bal *ctx, const char *id, uint64_t incarnation,
 		      bool leaving, int64_t pause_us, double jitter,
 		      int64_t now_us);
+enum lim_news bal_saw_limit(struct bal *ctx, const char *id,
+			    uint64_t incarnation, double rate, double jitter,
+			    int64_t now_us);
 
 /* Queries. */
 struct bal_choice bal_choose(struct bal *ctx, const struct bal_query *query,
 			     int64_t now_us);
 enum hint_bar bal_bar(const struct bal *ctx, const char *id,
 		      uint64_t incarnation, int64_t now_us);
+const struct lim *bal_limit(const struct bal *ctx, const char *id);
 bool bal_is_prefilling(const struct bal_endpoint *e);
 const char *bal_id(const struct bal_endpoint *e);
 uint64_t bal_incarnation(const struct bal_endpoint *e);
--- a/src/core/rt.c
+++ b/src/core/rt.c
@@ -127,6 +127,7 @@
 	g_hash_table_destroy(ctx->budgets);
 	g_free(ctx->prefixes);
 	g_free(ctx->candidates);
+	g_free(ctx->self);
 	view_unref(ctx->view);
 	g_free(ctx);
 }
@@ -273,6 +274,7 @@
 	ep->backoff_us = 0;
 	ep->half_open = false;
 	ep->hint = (struct hint){ 0 };
+	ep->lim = (struct lim){ 0 };
 	ep->bias = 1.0;
 }
 
@@ -319,13 +321,20 @@
 	return TRUE;
 }
 
+/* Time until the endpoint wants requests of this instance; 0: it does. */
+static int64_t ep_wait_us(const struct rt_ep *ep, int64_t now_us)
+{
+	return MAX(hint_wait_us(&ep->hint, now_us),
+		   lim_wait_us(&ep->lim, now_us));
+}
+
 static bool ep_usable(const struct rt_ep *ep, const struct rt_ticket *ticket,
 		      int64_t now_us)
 {
 	if (now_us < ep->avoid_until_us || (ep->half_open && ep->in_flight))
 		return false;
 	if (hint_bar(&ep->hint, now_us) != HINT_FREE ||
-	    hint_is_spaced(&ep->hint, now_us))
+	    hint_is_spaced(&ep->hint, now_us) || lim_wait_us(&ep->lim, now_us))
 		return false;
 	if (ticket->exclude && !strcmp(ticket->exclude, ep->id))
 		return false;
@@ -504,6 +513,7 @@
 	ticket->predicted_base_us = candidate->base_us;
 	ticket->predicted_us = (int64_t)candidate->first_us;
 	hint_sent(&ep->hint, now_us);
+	lim_sent(&ep->lim, now_us);
 	TAILQ_INSERT_TAIL(&ep->tickets, ticket, ep_entry);
 	ep->in_flight++;
 	if (ticket->suspect)
@@ -618,10 +628,9 @@
 			continue;
 		}
 		out.ready = true;
-		pause_us = MIN(pause_us, hint_wait_us(&link->ep->hint, now_us));
-		avoid_us = MIN(avoid_us,
-			       MAX(link->ep->avoid_until_us - now_us,
-				   hint_wait_us(&link->ep->hint, now_us)));
+		pause_us = MIN(pause_us, ep_wait_us(link->ep, now_us));
+		avoid_us = MIN(avoid_us, MAX(link->ep->avoid_until_us - now_us,
+					     ep_wait_us(link->ep, now_us)));
 		rt_predict(ctx, link, ticket, now_us, &candidate);
 		floor = candidate.base_us;
 		if (ticket->whole)
@@ -816,6 +825,26 @@
 	service->up = 0;
 }
 
+/* Sets the id of this instance in views; without one it is the only one. */
+void rt_set_instance(struct rt *ctx, const char *id)
+{
+	g_free(ctx->self);
+	ctx->self = g_strdup(id);
+}
+
+static void update_limit_share(const struct rt *ctx, struct rt_ep *ep)
+{
+	if (ep->lim.rate > 0)
+		lim_set_share(&ep->lim, lim_share_of(ctx->view, ctx->self,
+						     ep->id, ep->lim.rate));
+}
+
+static void each_update_limit(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	update_limit_share(data, value);
+}
+
 /* Installs a view and takes a reference to it. Waiting requests are scheduled
  * on endpoints and copies that it adds; leaving endpoints and unloading copies
  * get no more requests. */
@@ -834,6 +863,7 @@
 	g_hash_table_foreach_remove(ctx->eps, ep_remove_missing, ctx);
 	g_hash_table_foreach(ctx->services, each_reset_up, NULL);
 	g_hash_table_foreach(ctx->eps, each_count_up, ctx);
+	g_hash_table_foreach(ctx->eps, each_update_limit, ctx);
 	view_unref(old);
 	if (ctx->waiting)
 		g_hash_table_foreach(ctx->pools, each_schedule, &args);
@@ -946,7 +976,7 @@
 	for (guint i = 0; i < ticket->pool->links->len; i++) {
 		const struct rt_link *link =
 			g_ptr_array_index(ticket->pool->links, i);
-		int64_t wait_us = hint_wait_us(&link->ep->hint, now_us);
+		int64_t wait_us = ep_wait_us(link->ep, now_us);
 
 		if ((ticket->exclude &&
 		     !strcmp(ticket->exclude, link->ep->id)) ||
@@ -1119,6 +1149,25 @@
 	return hint_saw(&ep->hint, leaving, pause_us, jitter, now_us);
 }
 
+/* Records the limit that an answer of the endpoint's process named; 0: none.
+ * See lim_saw() and lim_begin(). */
+enum lim_news rt_saw_limit(struct rt *ctx, const char *endpoint,
+			   uint64_t incarnation, double rate, double jitter,
+			   int64_t now_us)
+{
+	struct rt_ep *ep = g_hash_table_lookup(ctx->eps, endpoint);
+	enum lim_news news;
+
+	if (!ep || ep->incarnation != incarnation)
+		return LIM_SAME;
+	news = lim_saw(&ep->lim, rate, now_us);
+	if (news == LIM_NAMED || news == LIM_CHANGED)
+		update_limit_share(ctx, ep);
+	if (news == LIM_NAMED)
+		lim_begin(&ep->lim, jitter, now_us);
+	return news;
+}
+
 /* Returns whether the endpoint's process wants no requests. */
 enum hint_bar rt_bar(const struct rt *ctx, const char *endpoint,
 		     uint64_t incarnation, int64_t now_us)
--- a/src/core/rt.h
+++ b/src/core/rt.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "core/hint.h"
+#include "core/lim.h"
 #include "core/view.h"
 
 /*
@@ -64,6 +65,7 @@
 void rt_free(struct rt *ctx);
 
 /* Commands. */
+void rt_set_instance(struct rt *ctx, const char *id);
 void rt_set_view(struct rt *ctx, struct view *view, int64_t now_us);
 void rt_report(struct rt *ctx, const Dsp__LoadReport *report, int64_t now_us);
 void rt_set_entries(struct rt *ctx, uint32_t entries);
@@ -82,6 +84,9 @@
 unsigned rt_saw_hint(struct rt *ctx, const char *endpoint, uint64_t incarnation,
 		     bool leaving, int64_t pause_us, double jitter,
 		     int64_t now_us);
+enum lim_news rt_saw_limit(struct rt *ctx, const char *endpoint,
+			   uint64_t incarnation, double rate, double jitter,
+			   int64_t now_us);
 
 /* Queries. */
 enum hint_bar rt_bar(const struct rt *ctx, const char *endpoint,
--- a/src/core/rt_int.h
+++ b/src/core/rt_int.h
@@ -51,6 +51,7 @@
 	int64_t backoff_us;
 	bool half_open; /* failed, no success since: one request at a time */
 	struct hint hint;
+	struct lim lim;
 
 	double factor;	   /* time per request relative to its models' mean */
 	double service_us; /* mean time that a request occupies a slot */
@@ -193,6 +194,7 @@
 	struct view *view;
 	uint64_t random;
 	uint32_t entries;
+	char *self; /* id of this instance; NULL: the only one */
 	uint64_t pass;
 	uint64_t view_pass;
 	uint32_t waiting;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -254,8 +254,15 @@
 	loads = ctx->loads_in;
 	ctx->loads_in = g_ptr_array_new_with_free_func(free_load_message);
 	pthread_mutex_unlock(&ctx->lock);
-	for (guint i = 0; i < loads->len; i++)
-		bal_observe(ctx->bal, loads->pdata[i], now_us);
+	for (guint i = 0; i < loads->len; i++) {
+		const Dsp__LoadReport *load = loads->pdata[i];
+
+		bal_observe(ctx->bal, load, now_us);
+		edge_limit_news(ctx, load->endpoint,
+				bal_observe_limit(ctx->bal, load,
+						  g_random_double(), now_us),
+				"report");
+	}
 	g_ptr_array_free(loads, TRUE);
 }
 
--- a/src/edge/edge_hint.c
+++ b/src/edge/edge_hint.c
@@ -4,6 +4,30 @@
 
 #include "base/log.h"
 
+/* Logs and counts a change of the limit that an endpoint names. */
+void edge_limit_news(struct edge *ctx, const char *endpoint, enum lim_news news,
+		     const char *source)
+{
+	const struct lim *lim = bal_limit(ctx->bal, endpoint);
+	char label[64];
+
+	if (news == LIM_SAME || !lim)
+		return;
+	g_snprintf(label, sizeof(label), "news=\"%s\"", lim_news_name(news));
+	met_count(ctx->met, "dandelionspar_edge_limits", label, 1);
+	LOG_EVENT_NOTICE("edge", "endpoint_limit",
+			 "endpoint=%s news=%s source=%s rate=%.3f users=%u "
+			 "is_user=%d view=%" PRIu64,
+			 endpoint, lim_news_name(news), source, lim->rate,
+			 lim->users, lim->is_user, view_index(ctx->view));
+}
+
+/* Sets the limit of a report to the other instances. */
+void edge_report_limit(Dsp__LoadReport *report, const struct wire_hint *hint)
+{
+	report->limit_milli = (uint32_t)(hint->limit * 1000);
+}
+
 /*
  * Records what an answer of an endpoint's process says about further requests,
  * and reports to the other instances that it leaves. Called for each answer,
@@ -16,12 +40,19 @@
 	Dsp__LoadReport report = DSP__LOAD_REPORT__INIT;
 	unsigned news;
 
+	edge_limit_news(ctx, endpoint,
+			bal_saw_limit(ctx->bal, endpoint, incarnation,
+				      hint->limit, g_random_double(),
+				      clk_now_us(ctx->clock)),
+			"answer");
 	if (hint->malformed) {
 		met_count(ctx->met, "dandelionspar_edge_hints_malformed", "",
 			  1);
 		LOG_EVENT_WARN("edge", "hint_malformed",
-			       "endpoint=%s leaving=%d pause_us=%" PRId64,
-			       endpoint, hint->leaving, hint->pause_us);
+			       "endpoint=%s leaving=%d pause_us=%" PRId64
+			       " limit=%.3f",
+			       endpoint, hint->leaving, hint->pause_us,
+			       hint->limit);
 	}
 	if (!hint->leaving && !hint->pause_us)
 		return;
@@ -47,5 +78,6 @@
 	report.running = answer->running;
 	report.waiting = answer->waiting;
 	report.leaving = true;
+	edge_report_limit(&report, hint);
 	ctl_observed_load(ctx->ctl, &report);
 }
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -130,6 +130,9 @@
 /* edge_hint.c */
 void edge_saw_hint(struct edge *ctx, const char *endpoint, uint64_t incarnation,
 		   const struct wire_answer *answer);
+void edge_limit_news(struct edge *ctx, const char *endpoint, enum lim_news news,
+		     const char *source);
+void edge_report_limit(Dsp__LoadReport *report, const struct wire_hint *hint);
 
 /* edge_call.c */
 /* Submits a command on a separate thread; done runs on the edge thread. Takes
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -642,6 +642,7 @@
 	report.running = at->answer.running;
 	report.waiting = at->answer.waiting;
 	report.leaving = at->answer.hint.leaving;
+	edge_report_limit(&report, &at->answer.hint);
 	ctl_observed_load(ctx->ctl, &report);
 }
 
@@ -975,12 +976,12 @@
 {
 	LOG_EVENT_INFO("fwd", "no_place",
 		       "request=%s service=%s outcome=%s candidates=%u "
-		       "paused=%u leaving=%u hint_age_us=%" PRId64
+		       "paused=%u limited=%u leaving=%u hint_age_us=%" PRId64
 		       " retry_us=%" PRId64 " view=%" G_GUINT64_FORMAT
 		       " waiting=%u expected_us=%" PRId64,
 		       log_id(f), f->service, bal_outcome_name(choice->outcome),
-		       choice->candidates, choice->paused, choice->leaving,
-		       choice->hint_age_us, choice->retry_us,
+		       choice->candidates, choice->paused, choice->limited,
+		       choice->leaving, choice->hint_age_us, choice->retry_us,
 		       view_index(f->edge->view),
 		       adm_length(f->edge->queue, f->group), expected_us);
 	give_up(f, MAX(choice->retry_us, expected_us),
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -9346,7 +9346,7 @@
   (ProtobufCMessageInit) dsp__view_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__load_report__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dsp__load_report__field_descriptors[9] =
 {
   {
     "endpoint",
@@ -9444,6 +9444,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_milli",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__LoadReport, limit_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__load_report__field_indices_by_name[] = {
   6,   /* field[6] = age_ms */
@@ -9451,6 +9463,7 @@
   1,   /* field[1] = incarnation */
   5,   /* field[5] = kv_used_permille */
   7,   /* field[7] = leaving */
+  8,   /* field[8] = limit_milli */
   3,   /* field[3] = running */
   2,   /* field[2] = sequence */
   4,   /* field[4] = waiting */
@@ -9458,7 +9471,7 @@
 static const ProtobufCIntRange dsp__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor dsp__load_report__descriptor =
 {
@@ -9468,7 +9481,7 @@
   "Dsp__LoadReport",
   "dsp",
   sizeof(Dsp__LoadReport),
-  8,
+  9,
   dsp__load_report__field_descriptors,
   dsp__load_report__field_indices_by_name,
   1,  dsp__load_report__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1553,10 +1553,15 @@
    * an answer said that the endpoint leaves
    */
   protobuf_c_boolean leaving;
+  /*
+   * Requests in 1,000 s that the endpoint takes from all instances together;
+   * 0: the answer named no limit.
+   */
+  uint32_t limit_milli;
 };
 #define DSP__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__load_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dsp__ViewUpdate
--- a/src/traffic/trf.c
+++ b/src/traffic/trf.c
@@ -49,6 +49,7 @@
 	ctx->view = view_new_empty();
 	ctx->boot = ((uint64_t)g_random_int() << 32) | g_random_int();
 	ctx->rt = rt_new(ctx->boot);
+	rt_set_instance(ctx->rt, settings->id);
 	ctx->waiting_per_class =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	TAILQ_INIT(&ctx->waiters);
--- a/src/traffic/trf_route.c
+++ b/src/traffic/trf_route.c
@@ -205,6 +205,7 @@
 void trf_route_hint(struct trf *ctx, const struct trf_target *target,
 		    const struct wire_hint *hint)
 {
+	enum lim_news limit;
 	unsigned news;
 
 	count_hint(ctx, hint);
@@ -212,9 +213,17 @@
 	news = rt_saw_hint(ctx->rt, target->id, target->incarnation,
 			   hint->leaving, hint->pause_us, g_random_double(),
 			   trf_now(ctx));
-	if (news)
+	limit = rt_saw_limit(ctx->rt, target->id, target->incarnation,
+			     hint->limit, g_random_double(), trf_now(ctx));
+	if (news || limit != LIM_SAME)
 		trf_route_wake(ctx);
 	pthread_mutex_unlock(&ctx->rt_lock);
+	if (limit != LIM_SAME)
+		LOG_EVENT_NOTICE("trf", "endpoint_limit",
+				 "endpoint=%s incarnation=%" PRIu64
+				 " news=%s rate=%.3f",
+				 target->id, target->incarnation,
+				 lim_news_name(limit), hint->limit);
 	if (news || hint->malformed)
 		LOG_EVENT_NOTICE("trf", "endpoint_hint",
 				 "endpoint=%s incarnation=%" PRIu64
--- a/src/traffic/up.c
+++ b/src/traffic/up.c
@@ -258,8 +258,8 @@
 	const struct up_request *r = t->request;
 
 	wire_end_hint(t->status, &t->hint);
-	if (r->on_hint &&
-	    (t->hint.leaving || t->hint.pause_us || t->hint.malformed))
+	/* That nothing is named ends a limit. */
+	if (r->on_hint)
 		r->on_hint(r->data, &t->hint);
 }
 
--- a/src/traffic/up.h
+++ b/src/traffic/up.h
@@ -40,8 +40,8 @@
 	/* One header of the final answer (not 1xx); called before on_head.
 	 * NULL: none. */
 	void (*on_header)(void *data, const char *name, const char *value);
-	/* What the answer says about further requests, if anything; called
-	 * before on_head. NULL: none. */
+	/* What the answer says about further requests; called before on_head.
+	 * NULL: not wanted. */
 	void (*on_hint)(void *data, const struct wire_hint *hint);
 	/* A part of the body; false stops the transfer. NULL: discarded. */
 	bool (*on_data)(void *data, const char *bytes, size_t len);
--- a/tests/integration/limit_test.cc
+++ b/tests/integration/limit_test.cc
@@ -37,6 +37,7 @@
 	std::mutex times_lock;
 	std::deque<int64_t> arrivals; /* at the first runner */
 	std::atomic<unsigned> next{ 1 };
+	std::atomic<unsigned> running[3] = {};
 
 	/* Starts n runners; the first one is limited from now on. */
 	void start(size_t n)
@@ -56,15 +57,23 @@
 			"plain", "i-" + std::to_string(i)));
 		Runner *r = runners.back().get();
 
+		r->slots = 1;
 		r->handler = [this, r, i](Socket &s, const Message &m) {
-			return answer(*r, i == 0, s, m);
+			unsigned busy = running[i]++;
+
+			usleep(30000);
+			bool open = answer(*r, i == 0, busy, s, m);
+			running[i]--;
+			return open;
 		};
 		system.add(*r, "/safe/probe");
 	}
-	bool answer(Runner &r, bool first, Socket &s, const Message &m)
+	bool answer(Runner &r, bool first, unsigned busy, Socket &s,
+		    const Message &m)
 	{
-		std::string fields =
-			r.seal() + Runner::echo(m) + "X-Server-Load: 0,0,8\r\n";
+		std::string fields = r.seal() + Runner::echo(m) +
+				     "X-Server-Load: " + std::to_string(busy) +
+				     ",0,1\r\n";
 		bool stream = m.target().rfind("/flow/", 0) == 0;
 
 		if (first) {
@@ -79,7 +88,6 @@
 				  "\r\n";
 			named_ms.compare_exchange_strong(none, proc_now_ms());
 		}
-		usleep(10000);
 		if (!stream)
 			return s.send("HTTP/1.1 200 OK\r\n" + fields +
 				      "Content-Length: 2\r\n\r\nok");
@@ -116,7 +124,8 @@
 
 		return arrivals.size();
 	}
-	/* Sends requests to all entries for a span, at 50 a second. */
+	/* Sends requests to all entries for a span, more than two runners can
+	 * serve without delay. */
 	void load(int64_t span_ms, const std::string &path, unsigned *sent,
 		  unsigned *served, unsigned *refused)
 	{
@@ -124,7 +133,7 @@
 		std::atomic<unsigned> n{ 0 }, good{ 0 }, turned_away{ 0 };
 		std::vector<std::thread> callers;
 
-		for (size_t i = 0; i < ENTRIES; i++)
+		for (size_t i = 0; i < 2 * ENTRIES; i++)
 			callers.emplace_back([&, i] {
 				while (proc_now_ms() < until_ms) {
 					Message m = ask(i, path);
@@ -147,7 +156,7 @@
 	{
 		std::string id = std::to_string(next++);
 
-		return call(system.instances[1 + entry].front,
+		return call(system.instances[1 + entry % ENTRIES].front,
 			    request("GET", path + id, "host.example",
 				    "X-Attempt-Id: l" + id + "\r\n"));
 	}
--- a/tests/unit/platform_wire_test.cc
+++ b/tests/unit/platform_wire_test.cc
@@ -515,3 +515,43 @@
 	g_free(site);
 	EXPECT_EQ(wire_entry_list_site("/r?ozone=here"), nullptr);
 }
+
+TEST(WireHint, ReadsLimits)
+{
+	const struct {
+		const char *value;
+		double limit;
+		bool malformed;
+	} cases[] = {
+		{ "3", 3, false },
+		{ "2.9", 2.9, false },
+		{ "0", 0.001, false },
+		{ "0.00000001", 0.001, false },
+		{ "1000000", 1e6, false },
+		{ "1000001", 1e6, true },
+		{ "99999999999999999999999", 1e6, true },
+		{ "-1", 0, true },
+		{ "", 0, true },
+		{ ".5", 0, true },
+		{ "1.2.3", 0, true },
+		{ "1e9", 0, true },
+		{ "nan", 0, true },
+		{ "inf", 0, true },
+		{ "3/s", 0, true },
+	};
+
+	for (const auto &c : cases) {
+		struct wire_hint hint = {};
+
+		wire_read_hint("server-limit", c.value, &hint);
+		wire_end_hint(200, &hint);
+		EXPECT_DOUBLE_EQ(hint.limit, c.limit) << c.value;
+		EXPECT_EQ(hint.malformed, c.malformed) << c.value;
+	}
+	struct wire_hint hint = {};
+	wire_read_hint("Server-Limit", "4", &hint);
+	wire_read_hint("Server-Limit", "2", &hint);
+	wire_read_hint("Server-Limit", "3", &hint);
+	EXPECT_DOUBLE_EQ(hint.limit, 2); /* the lowest */
+	EXPECT_TRUE(wire_is_internal_answer_field("Server-Limit"));
+}
--- a/tests/unit/rt_test.cc
+++ b/tests/unit/rt_test.cc
@@ -199,6 +199,46 @@
 	EXPECT_EQ(rt_in_flight(rt, "e0"), 1u);
 }
 
+TEST_F(Router, LimitedEndpointGetsNoMoreThanItsLimit)
+{
+	unsigned limited = 0;
+
+	model("m");
+	world.put_document();
+	for (const char *id : { "e0", "e1" })
+		world.put_endpoint(endpoint(id, { "m" }, 64));
+	update_view();
+	EXPECT_EQ(rt_saw_limit(rt, "e0", 7, 3, 0, world.now_us), LIM_SAME);
+	EXPECT_EQ(rt_saw_limit(rt, "e0", 1, 3, 0, world.now_us), LIM_NAMED);
+	for (int i = 0; i < 400; i++) {
+		struct rt_decision d = submit(request("m"));
+
+		ASSERT_EQ(d.outcome, RT_DISPATCH);
+		limited += !strcmp(d.endpoint->id, "e0");
+		world.now_us += 10 * kMs;
+		done(d.ticket);
+	}
+	EXPECT_LE(limited, 12u);
+	EXPECT_EQ(rt_saw_limit(rt, "e0", 1, 0, 0, world.now_us), LIM_ENDED);
+	rt_saw_hint(rt, "e1", 1, true, 0, 0, world.now_us);
+	EXPECT_STREQ(submit(request("m")).endpoint->id, "e0");
+	EXPECT_STREQ(submit(request("m")).endpoint->id, "e0");
+}
+
+TEST_F(Router, RequestWaitsForAnEndpointAtItsLimitAndIsSentInTime)
+{
+	model("m");
+	world.put_document();
+	world.put_endpoint(endpoint("e0", { "m" }, 64));
+	update_view();
+	rt_saw_limit(rt, "e0", 1, 2, 0, world.now_us);
+	struct rt_decision waiting = submit(request("m", 0, 20 * kS));
+	ASSERT_EQ(waiting.outcome, RT_WAIT);
+	world.now_us += kS;
+	EXPECT_EQ(poll(waiting.ticket).outcome, RT_DISPATCH);
+	EXPECT_EQ(submit(request("m", 0, 20 * kS)).outcome, RT_WAIT);
+}
+
 TEST_F(Router, PausedAndLeavingEndpointsGetNoDispatch)
 {
 	model("m");
