platform: refuse announcements that name no endpoint

Reported by other operators: one odd entry among those of the runners (nesting, a number too large, a port out of range) ended the machines that read the list, or they stopped following it.

Here no process ended and none stopped following. But such an announcement was taken for an endpoint, at an address that can't be connected to; with the id of a sound one, a start or number at the top of the range made all its further announcements look old, so that it was barred until it restarted. Times of models beyond 2^32 ms were converted with undefined behaviour.

Ids, addresses, start, number, slots, lengths and the number of models are checked where they are decoded; anything else is answered 400 and changes nothing.

--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -125,6 +125,7 @@
 		     const char *id)
 {
 	const struct hio_request *request = hio_exchange_request(exchange);
+	g_autofree char *escaped = NULL;
 	GError *error = NULL;
 	Dsp__Announcement *a =
 		wire_read_announcement(id, (const char *)request->body->data,
@@ -133,8 +134,10 @@
 	if (!a) {
 		met_count(ctx->met, "dandelionspar_announcements_malformed", "",
 			  1);
+		escaped = g_strescape(id, NULL);
 		LOG_EVENT_INFO("edge", "announcement_refused",
-			       "endpoint=%s reason=\"%s\"", id, error->message);
+			       "endpoint=%.128s reason=\"%s\"", escaped,
+			       error->message);
 		g_clear_error(&error);
 		reply_error(exchange, 400, "malformed announcement");
 		return;
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -3,6 +3,7 @@
 
 #include <event2/event.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -51,6 +52,9 @@
 	int64_t idle_us;   /* between requests, and for a request's body */
 };
 
+/* Parses IP:PORT with a numeric IPv4 address and a port above 0. */
+bool hio_parse_address(const char *text, struct sockaddr_in *out);
+
 struct hio_request {
 	char *method;
 	char *target; /* path and query, as sent */
--- a/src/http/hio_int.h
+++ b/src/http/hio_int.h
@@ -40,7 +40,6 @@
 bool hio_builder_value(struct hio_builder *ctx, uint64_t offset, const char *at,
 		       size_t len);
 size_t hio_builder_finish(struct hio_builder *ctx);
-bool hio_parse_address(const char *text, struct sockaddr_in *out);
 void hio_set_socket_options(evutil_socket_t fd);
 
 #endif
--- a/tests/integration/field_reports_test.cc
+++ b/tests/integration/field_reports_test.cc
@@ -299,3 +299,58 @@
 		<< m.body;
 	EXPECT_FALSE(moved) << "started again elsewhere";
 }
+
+/*
+ * Another writer left one odd entry among those of the runners; machines that
+ * read the list ended again and again, or stopped following it.
+ */
+TEST_F(FieldReports, OddAnnouncementNamesNoEndpointAndEndsNothing)
+{
+	const std::string good = runner.announcement();
+	std::vector<std::string> odd = { std::string(100000, '['),
+					 "{\"a\":" + std::string(3000, '[') };
+	const std::pair<const char *, const char *> changes[] = {
+		{ "\"address\":\"", "\"address\":\"runner." },
+		{ "\"address\":\"127.0.0.1:", "\"address\":\"127.0.0.1:9" },
+		{ "\"slots\":", "\"slots\":1e400," },
+		{ "\"slots\":", "\"slots\":-1,\"x\":" },
+		{ "\"born\":", "\"born\":99999999999999999999,\"x\":" },
+		{ "\"born\":", "\"born\":9223372036854775807,\"x\":" },
+		{ "\"seq\":", "\"seq\":9223372036854775807,\"x\":" },
+		{ "\"state\":\"ready\"", "\"state\":{\"ready\":1}" },
+	};
+
+	for (auto &c : changes) {
+		std::string text = good;
+		size_t at = text.find(c.first);
+
+		ASSERT_NE(at, std::string::npos) << c.first;
+		odd.push_back(text.replace(at, strlen(c.first), c.second));
+	}
+	for (size_t i = 0; i < odd.size(); i++)
+		for (const char *id : { "i-odd", "i-a" })
+			EXPECT_EQ(call(system.instances[0].api,
+				       request("PUT",
+					       std::string("/dandelionspar/"
+							   "instances/") +
+						       id,
+					       "control",
+					       "Content-Type: "
+					       "application/json\r\n",
+					       odd[i]))
+					  .status(),
+				  400)
+				<< odd[i].substr(0, 200);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(system.send("GET", "/safe/x", "X-Attempt-Id: a1\r\n")
+				  .status(),
+			  200);
+	/* The list is followed on: a new runner, and a change of the table. */
+	Runner other("plain", "i-b");
+	system.add(other, "/safe/probe");
+	EXPECT_EQ(system.put(table(2)), 200);
+	for (auto &x : system.instances)
+		EXPECT_EQ(kill(x.pid, 0), 0) << x.id;
+	EXPECT_EQ(system.log_of(system.entry()).find("not_connected"),
+		  std::string::npos);
+}
--- a/tests/unit/platform_wire_test.cc
+++ b/tests/unit/platform_wire_test.cc
@@ -212,6 +212,82 @@
 		  nullptr);
 }
 
+TEST(WireAnnouncement, RefusesValuesThatNameNoEndpoint)
+{
+	for (const char *address :
+	     { "10.0.0.9", "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:-1",
+	       "10.0.0.9:80x", "10.0.0.256:80", "runner:80", ":80", "[::1]:80",
+	       "10.0.0.9:99999999999999999999", "10.0.0.9: 80" })
+		EXPECT_EQ(read_announcement(replaced(ANNOUNCEMENT,
+						     "10.0.0.9:8080", address)),
+			  nullptr)
+			<< address;
+	for (const char *born : { "0", "-1", "9223372036854775807",
+				  "9223372036854775808", "1e300" })
+		EXPECT_EQ(
+			read_announcement(replaced(ANNOUNCEMENT, "1700", born)),
+			nullptr)
+			<< born;
+	for (const char *seq :
+	     { "-1", "9223372036854775807", "18446744073709551615" })
+		EXPECT_EQ(read_announcement(
+				  replaced(ANNOUNCEMENT, "\"seq\":4",
+					   std::string("\"seq\":") + seq)),
+			  nullptr)
+			<< seq;
+	for (const char *slots : { "-1", "1e300", "4294967296" })
+		EXPECT_EQ(read_announcement(
+				  replaced(ANNOUNCEMENT, "\"slots\":64",
+					   std::string("\"slots\":") + slots)),
+			  nullptr)
+			<< slots;
+	EXPECT_EQ(read_announcement(replaced(
+			  ANNOUNCEMENT, "\"zone\":\"z\"",
+			  "\"zone\":\"" + std::string(10000, 'z') + "\"")),
+		  nullptr);
+	std::string models;
+	for (int i = 0; i < 20000; i++)
+		models += "{\"name\":\"m" + std::to_string(i) + "\"},";
+	EXPECT_EQ(read_announcement(replaced(ANNOUNCEMENT, "\"models\":[",
+					     "\"models\":[" + models)),
+		  nullptr);
+	std::string deep = ANNOUNCEMENT;
+	deep.insert(1, "\"x\":" + std::string(100000, '[') + ",");
+	EXPECT_EQ(read_announcement(deep), nullptr);
+}
+
+TEST(WireAnnouncement, RefusesOddIds)
+{
+	for (std::string id :
+	     { std::string(""), std::string(300, 'i'), std::string("i 1"),
+	       std::string("i\xff"), std::string("i\"1"), std::string("i=1"),
+	       std::string("i\n1") }) {
+		GError *error = nullptr;
+		Dsp__Announcement *a =
+			wire_read_announcement(id.c_str(), ANNOUNCEMENT.data(),
+					       ANNOUNCEMENT.size(), &error);
+
+		EXPECT_EQ(a, nullptr) << id;
+		if (a)
+			dsp__announcement__free_unpacked(a, nullptr);
+		g_clear_error(&error);
+	}
+}
+
+TEST(WireTable, TimesAndSizesOutOfRangeAreBounded)
+{
+	Dsp__RouteTable *t = read_table(
+		replaced(replaced(TABLE, "\"loadS\":5.8", "\"loadS\":1e300"),
+			 "\"warmS\"", "\"warmS\":-3,\"x\""));
+
+	if (!t)
+		t = read_table(
+			replaced(TABLE, "\"loadS\":5.8", "\"loadS\":1e300"));
+	ASSERT_NE(t, nullptr);
+	EXPECT_EQ(t->services[0]->engine->models[0]->load_ms, UINT32_MAX);
+	dsp__route_table__free_unpacked(t, nullptr);
+}
+
 TEST(WireAnnouncement, SurvivesDamagedInput)
 {
 	std::mt19937_64 random(12);
