fwd: answer requests that a planned stop would cut

Reported by other operators, and so here: in a planned stop, requests that came late in the grace were taken and passed on, and at the drain limit their connections were closed without an answer, among them requests that may not be repeated.

Cause: a draining instance compared the time left with what most requests take (1.5 s), and ended with whatever was unanswered.

The deadline of each request is brought forward to 0.2 s before the drain limit, so it ends with 503 or 504; a request that may not be repeated is taken only if its route's whole timeout is left, as its outcome is known for certain at another instance.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -291,6 +291,7 @@
 		return;
 	ctx->draining = true;
 	ctx->drain_start_us = clk_now_us(ctx->clock);
+	fwd_drain(ctx);
 	if (ctx->front)
 		hio_server_drain(ctx->front);
 }
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -209,6 +209,7 @@
 void fwd_run_held(struct edge *ctx);
 /* Tries the queued requests. */
 void fwd_run_queue(struct edge *ctx);
+void fwd_drain(struct edge *ctx);
 void fwd_abort_all(struct edge *ctx);
 
 /* agent.c */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -80,9 +80,13 @@
  * their bodies. Further requests are refused. */
 #define HELD_MAX 256
 /* A draining instance accepts a stream only if at least this much time is left;
- * most streams end within it. Other requests take a fraction of a second. */
+ * most streams end within it. Other requests that may be repeated take a
+ * fraction of a second. */
 #define DRAIN_STREAM_MIN_US (5 * EDGE_S_US)
 #define DRAIN_PLAIN_MIN_US (1500000LL)
+/* A request without an outcome is answered this long before a draining instance
+ * ends, so that the answer is sent. */
+#define DRAIN_ANSWER_US 200000
 
 /* One sending of a request to an endpoint. */
 struct attempt {
@@ -1295,6 +1299,32 @@
 		    reason);
 }
 
+/* When a draining instance has answered all requests. */
+static int64_t drain_end_us(const struct edge *ctx)
+{
+	return ctx->drain_start_us +
+	       MAX(ctx->set->edge.drain_limit_ms * 1000LL - DRAIN_ANSWER_US, 0);
+}
+
+/* Brings the deadlines of all requests forward to the end of the drain, which
+ * has begun: those that are unanswered then get an error instead of a closed
+ * connection. */
+void fwd_drain(struct edge *ctx)
+{
+	int64_t end_us = drain_end_us(ctx);
+	struct fwd *f;
+
+	LIST_FOREACH (f, &ctx->forwards, link) {
+		if (f->deadline_us <= end_us)
+			continue;
+		f->deadline_us = end_us;
+		if (LIST_EMPTY(&f->attempts))
+			set_timer_at(f, now_of(f) + QUEUE_POLL_US);
+		else
+			set_request_timer(f);
+	}
+}
+
 /*
  * True when this instance stops too soon for a new request, so that callers
  * with an outdated list of entries go elsewhere before any work is done.
@@ -1305,11 +1335,17 @@
 
 	if (!ctx->draining)
 		return false;
-	left_us = ctx->drain_start_us + ctx->set->edge.drain_limit_ms * 1000LL -
-		  clk_now_us(ctx->clock);
-	if (route->kind == DSP__ROUTE_KIND__ROUTE_STREAM)
+	left_us = drain_end_us(ctx) - clk_now_us(ctx->clock);
+	switch (route->kind) {
+	case DSP__ROUTE_KIND__ROUTE_STREAM:
 		return left_us < DRAIN_STREAM_MIN_US;
-	return left_us < MIN(route->timeout_ms * 1000LL, DRAIN_PLAIN_MIN_US);
+	case DSP__ROUTE_KIND__ROUTE_NON_IDEMPOTENT:
+		/* Elsewhere its outcome is known for certain. */
+		return left_us < route->timeout_ms * 1000LL;
+	default:
+		return left_us <
+		       MIN(route->timeout_ms * 1000LL, DRAIN_PLAIN_MIN_US);
+	}
 }
 
 /* Requests of one group wait for the same endpoints. */
@@ -1355,6 +1391,8 @@
 	if (f->request.timeout_us > 0)
 		limit_us = MIN(limit_us, f->request.timeout_us);
 	f->deadline_us = f->start_us + MIN(limit_us, DEADLINE_MAX_US);
+	if (ctx->draining)
+		f->deadline_us = MIN(f->deadline_us, drain_end_us(ctx));
 	f->ttfb_us = -1;
 	f->group = queue_group(f);
 	LIST_INIT(&f->attempts);
--- a/tests/integration/field_reports_test.cc
+++ b/tests/integration/field_reports_test.cc
@@ -354,3 +354,50 @@
 	EXPECT_EQ(system.log_of(system.entry()).find("not_connected"),
 		  std::string::npos);
 }
+
+/*
+ * In a planned stop, requests that came late in the grace were taken and passed
+ * on; at its end they were cut with no answer, among them requests that may not
+ * be repeated. The drain limit is 4 s, the timeout of the routes 3 s.
+ */
+TEST_F(FieldReports, RequestsLateInAStopAreAnswered)
+{
+	struct {
+		const char *method, *path;
+		int delay_ms;
+		int status = 0;
+	} calls[] = {
+		{ "GET", "/safe/early", 500 },	 { "POST", "/once/early", 500 },
+		{ "GET", "/safe/late", 2000 },	 { "POST", "/once/late", 2000 },
+		{ "GET", "/safe/latest", 2400 }, { "GET", "/flow/early", 100 },
+	};
+	System::Instance &entry = system.entry();
+	std::vector<std::thread> callers;
+
+	runner.handler = [](Socket &, const Message &) {
+		usleep(6000000);
+		return false;
+	};
+	size_t before = runner.n_ran();
+	kill(entry.pid, SIGTERM);
+	for (auto &c : calls)
+		callers.emplace_back([&c, &entry] {
+			usleep((useconds_t)c.delay_ms * 1000);
+			c.status =
+				call(entry.front,
+				     request(c.method, c.path, "host.example",
+					     std::string("X-Attempt-Id: ") +
+						     (c.path + 1) + "\r\n"))
+					.status();
+		});
+	for (auto &t : callers)
+		t.join();
+	for (auto &c : calls)
+		EXPECT_TRUE(c.status == 503 || c.status == 504)
+			<< c.path << " " << c.status;
+	EXPECT_GT(runner.n_ran(), before);
+	/* The outcome of a request that may not be repeated is known. */
+	EXPECT_EQ(calls[3].status, 503);
+	for (const Message &m : runner.ran_requests())
+		EXPECT_NE(m.target(), "/once/late");
+}
