tests: changes after disks that were full in turn

Reported by other operators: long after the last of several disks had room again, changes were refused or unanswered, while all processes ran.

Here three real control instances lose the room on their disks one after another, beside changes of a large table; then each change is acknowledged and read back at each instance. Not shown: a disk that is full in the moment of a compaction.

--- a/tests/integration/field_reports_test.cc
+++ b/tests/integration/field_reports_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <random>
 #include <thread>
@@ -401,3 +402,88 @@
 	for (const Message &m : runner.ran_requests())
 		EXPECT_NE(m.target(), "/once/late");
 }
+
+namespace
+{
+
+/* Lets the writes of a process to regular files fail, as on a full disk, or
+ * succeed again. */
+void set_disk_full(pid_t pid, bool full)
+{
+	struct rlimit limit = { full ? 0 : RLIM_INFINITY, RLIM_INFINITY };
+
+	EXPECT_EQ(prlimit(pid, RLIMIT_FSIZE, &limit, nullptr), 0);
+}
+
+/* A table of many routes, all of which differ between versions. */
+std::string large_table(int version)
+{
+	std::string more;
+
+	for (int i = 0; i < 300; i++)
+		more += ",{\"name\":\"r" + std::to_string(i) +
+			"\",\"host\":\"host.example\",\"pathPrefix\":\"/more" +
+			std::to_string(i) +
+			"/\",\"kind\":\"safe\",\"timeoutMs\":" +
+			std::to_string(1000 + version) +
+			",\"goalMs\":300,\"priority\":1,\"service\":\"plain\","
+			"\"maxAttempts\":2}";
+	return table(version, more);
+}
+
+} // namespace
+
+/*
+ * The disks of counted machines were full for a few seconds each, one after
+ * another. Long after the last had room again, changes were refused or stayed
+ * unanswered, while all processes ran. DISK_ROUNDS plays more rounds, so that
+ * the log is compacted meanwhile.
+ */
+TEST(FieldReportsDisks, ChangesAreAcknowledgedAfterDisksWereFullInTurn)
+{
+	const char *text = getenv("DISK_ROUNDS");
+	int rounds = text ? atoi(text) : 2;
+	System system(3, 1);
+	int version = 1;
+	int acknowledged = 0;
+
+	system.serve(large_table(version));
+	for (int round = 0; round < rounds; round++)
+		for (size_t full = 0; full < 3; full++) {
+			set_disk_full(system.instances[full].pid, true);
+			for (int64_t until = proc_now_ms() + 1200;
+			     proc_now_ms() < until;) {
+				std::string t = large_table(++version);
+
+				for (size_t i = 0; i < 3; i++)
+					if (system.put(t, i) == 200) {
+						acknowledged = version;
+						break;
+					}
+			}
+			set_disk_full(system.instances[full].pid, false);
+			usleep(700000);
+		}
+	EXPECT_GT(acknowledged, 3);
+	usleep(1500000);
+	for (int n = 0; n < 6; n++) {
+		std::string t = large_table(++version);
+
+		EXPECT_TRUE(System::eventually(
+			[&] { return system.put(t, (size_t)n % 3) == 200; },
+			4000))
+			<< "version " << version << "\n"
+			<< system.logs();
+	}
+	for (size_t i = 0; i < 3; i++)
+		EXPECT_TRUE(System::eventually(
+			[&] {
+				Message m = system.get(i);
+
+				return m.status() == 200 &&
+				       m.body.find("\"version\":" +
+						   std::to_string(version)) !=
+					       std::string::npos;
+			},
+			4000));
+}
