traffic: no end of the last attempt by silence

Plain requests and claims had the same limit: the only run of a non-idempotent request was given up, with an outcome unknown, when its endpoint was slow.

Cause: the limit that lets a request go elsewhere held for the last attempt too, after which there is no elsewhere. It now holds for the first of two attempts only; the last one has until the deadline.

Before: TrafficTest.PausesOfSoundEndpointsDoNotEndTheStream, two tokens of six. After: passes, with the 57 other tests of traffic_stream, streams, traffic_claim, bookings and traffic_input.

--- a/src/traffic/trf_plain.c
+++ b/src/traffic/trf_plain.c
@@ -84,8 +84,6 @@
 		.body_len = r->body_len,
 		.fresh = fresh,
 		.connect_timeout_us = MIN(CONNECT_TIMEOUT_US, left),
-		.silence_timeout_us =
-			r->ctx->settings->silence_limit_ms * 1000LL,
 		.total_timeout_us = left,
 		.data = b,
 		.on_head = on_head,
@@ -97,9 +95,13 @@
 		trf_route_bar(r->ctx, target->id, target->incarnation);
 	bool ok;
 
-	/* The first attempt of an idempotent call leaves time for a retry. */
-	if (!fresh)
+	/* The first attempt of an idempotent call leaves time for a retry; the
+	 * last one may only be slow. */
+	if (!fresh) {
 		request.first_byte_timeout_us = MAX(left / 2, 1);
+		request.silence_timeout_us =
+			r->ctx->settings->silence_limit_ms * 1000LL;
+	}
 	memset(b, 0, sizeof(*b));
 	b->ctx = r->ctx;
 	b->target = target;
--- a/src/traffic/trf_run.c
+++ b/src/traffic/trf_run.c
@@ -364,18 +364,17 @@
 	return overloaded;
 }
 
+/* Limit of the first attempt. */
 static int64_t first_byte_limit(const struct run *run, int64_t left)
 {
 	const struct trf_request *r = run->r;
 	int64_t silence = r->ctx->settings->silence_limit_ms * 1000LL;
 	int64_t limit = silence + 2 * run->waiter.decision.predicted_us;
 
-	/* An attempt that can still meet the first-token objective goes on. */
+	/* An attempt that can still meet the first-token objective goes on, but
+	 * leaves time for a retry. */
 	limit = MAX(limit, r->class_limits->first_token_us);
-	/* The first attempt leaves time for a retry. */
-	if (r->attempts == 1)
-		limit = MIN(limit, MAX(left / 2, 1));
-	return limit;
+	return MIN(limit, MAX(left / 2, 1));
 }
 
 static void reset_attempt(struct run *run)
@@ -448,8 +447,6 @@
 		.body_len = r->body_len,
 		.fresh = fresh,
 		.connect_timeout_us = MIN(CONNECT_TIMEOUT_US, MAX(left, 1000)),
-		.silence_timeout_us =
-			r->ctx->settings->silence_limit_ms * 1000LL,
 		.total_timeout_us = MAX(left, 1),
 		.data = run,
 		.on_head = on_head,
@@ -464,7 +461,12 @@
 		g_free(url);
 		return ATTEMPT_NOT_RUN;
 	}
-	request.first_byte_timeout_us = first_byte_limit(run, left);
+	/* The last attempt has until the deadline: it may only be slow. */
+	if (r->attempts == 1) {
+		request.silence_timeout_us =
+			r->ctx->settings->silence_limit_ms * 1000LL;
+		request.first_byte_timeout_us = first_byte_limit(run, left);
+	}
 	g_snprintf(id, sizeof(id), "X-Request-Id: %s", run->attempt);
 	if (run->target.priorities) {
 		g_snprintf(priority, sizeof(priority), "X-Priority: %u",
