tests: whole logs where a system does not start

A test failed once in its set-up (PlatformSilent, entry never ready), and the entry's log had been cut off.

An entry whose port is taken ends with an error; the log will tell.

--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -164,9 +164,31 @@
 	{
 		start_all();
 		ASSERT_TRUE(eventually([&] { return put(table) == 200; }))
-			<< logs();
+			<< whole_logs();
 		ASSERT_TRUE(eventually([&] { return is_ready(entry()); }))
-			<< logs();
+			<< whole_logs();
+	}
+	/* The logs from their start, and which processes have ended. */
+	std::string whole_logs()
+	{
+		std::string all;
+
+		for (auto &x : instances) {
+			std::ifstream in(x.folder + ".log");
+			siginfo_t info = {};
+
+			waitid(P_PID, (id_t)x.pid, &info,
+			       WEXITED | WNOHANG | WNOWAIT);
+			all += "== " + x.id + " pid " + std::to_string(x.pid) +
+			       (info.si_pid
+					? " ended, status " +
+						  std::to_string(info.si_status)
+					: " runs") +
+			       "\n" +
+			       std::string((std::istreambuf_iterator<char>(in)),
+					   std::istreambuf_iterator<char>());
+		}
+		return all;
 	}
 	/* Starts the runner's announcements and waits until the entry routes a
 	 * request on this path to it. */
