edge: no refusal in the log for a hedged attempt that is not sent

A request whose endpoint was silent asked every 300 ms whether a part of it was in doubt, through the function that logs and counts a refusal, though nothing was refused: 'parts: refuse' lines and dandelionspar_edge_parts_refused named requests that were still served. Found by reading; the answer is the same as before, without the line.

--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -179,6 +179,8 @@
 		     const struct wire_request *request,
 		     const struct hio_request *message);
 void edge_parts_forget(struct edge_prompt *prompt);
+bool edge_parts_are_sound(struct edge_parts *ctx,
+			  const struct edge_prompt *prompt);
 struct sus_decision edge_parts_decide(struct edge_parts *ctx,
 				      const struct edge_prompt *prompt);
 void edge_parts_try(struct edge_parts *ctx, struct edge_prompt *prompt,
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -346,6 +346,16 @@
 		ctl_state(ctx->edge->ctl).stale_us);
 }
 
+/* Returns whether neither a request nor a part of it is in doubt. */
+bool edge_parts_are_sound(struct edge_parts *ctx,
+			  const struct edge_prompt *prompt)
+{
+	return sus_decide(ctx->sus, &prompt->parts, prompt->crashes,
+			  clk_now_us(ctx->edge->clock),
+			  clk_wall_ms(ctx->edge->clock))
+		       .action == SUS_SEND;
+}
+
 /* Decides whether a request may be sent to an endpoint. */
 struct sus_decision edge_parts_decide(struct edge_parts *ctx,
 				      const struct edge_prompt *prompt)
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -1201,11 +1201,6 @@
 	return false;
 }
 
-static bool parts_are_sound(const struct fwd *f)
-{
-	return edge_parts_decide(f->edge->parts, &f->prompt).action == SUS_SEND;
-}
-
 /*
  * Sends the request of a silent endpoint to another one as well. If there is
  * none, or the retry budget is used up, it is tried again later. The attempts
@@ -1217,7 +1212,8 @@
 
 	if (f->n_tried < TRIED_MAX && !is_too_late(f))
 		choice = choose_endpoint(f);
-	if (choice.outcome != BAL_CHOSEN || !parts_are_sound(f) ||
+	if (choice.outcome != BAL_CHOSEN ||
+	    !edge_parts_are_sound(f->edge->parts, &f->prompt) ||
 	    !take_repeat(f)) {
 		hdg_put_off(&f->hedge, now_of(f));
 		return;
