edge: an answer without success clears a suspected request

A popular request that is answered 404 was refused for most of the time once it had been in flight at a crash: its granted runs had no outcome for a second each, and the others waited and were refused, for up to 30 s.

Cause: as with parts of prompts, only a success proved that an endpoint had survived. An endpoint that answers the request below 500 has survived it as well; it still proves nothing for the parts.

Before: PlatformRequests.PopularRequestWithoutSuccessIsAnsweredAllTheTime, 86 of 291 and 112 of 318 answered. After: passes, twice.

--- a/src/core/sus.c
+++ b/src/core/sus.c
@@ -224,11 +224,21 @@
 		if (note_begun(p, started_us, now_us))
 			memcpy(out[n++], p->digest, SUS_DIGEST_LEN);
 	}
-	/* Few requests come again: only those in doubt are remembered. */
-	p = find_part(ctx, parts->request);
-	if (p && note_begun(p, started_us, now_us))
-		memcpy(out[n++], p->digest, SUS_DIGEST_LEN);
-	return n;
+	return n + sus_answered(ctx, parts, started_us, now_us, out + n);
+}
+
+/* Notes the request as proven. Few requests come again: only those in doubt are
+ * remembered. */
+size_t sus_answered(struct sus *ctx, const struct sus_parts *parts,
+		    int64_t started_us, int64_t now_us,
+		    uint8_t out[SUS_BEGUN_MAX][SUS_DIGEST_LEN])
+{
+	struct part *p = find_part(ctx, parts->request);
+
+	if (!p || !note_begun(p, started_us, now_us))
+		return 0;
+	memcpy(out[0], p->digest, SUS_DIGEST_LEN);
+	return 1;
 }
 
 /* A part that crashed an endpoint here is proven by a later answer only. */
--- a/src/core/sus.h
+++ b/src/core/sus.h
@@ -68,6 +68,11 @@
 size_t sus_begun(struct sus *ctx, const struct sus_parts *parts,
 		 int64_t started_us, int64_t now_us,
 		 uint8_t out[SUS_BEGUN_MAX][SUS_DIGEST_LEN]);
+/* The same for an answer without success that is no failure of the endpoint
+ * (4xx): it proves the request alone. */
+size_t sus_answered(struct sus *ctx, const struct sus_parts *parts,
+		    int64_t started_us, int64_t now_us,
+		    uint8_t out[SUS_BEGUN_MAX][SUS_DIGEST_LEN]);
 /*
  * An endpoint crashed. requests: the parts of the n requests that it had from
  * this entry and whose answers were not proven to have begun, last sent first.
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -191,6 +191,8 @@
 		     const struct bal_endpoint *endpoint);
 void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt,
 		      int64_t started_us);
+void edge_parts_answered(struct edge_parts *ctx, struct edge_attempt *attempt,
+			 int64_t started_us);
 bool edge_parts_broken(struct edge_parts *ctx, struct edge_attempt *attempt);
 void edge_parts_not_run(struct edge_attempt *attempt);
 void edge_parts_ended(struct edge_attempt *attempt);
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -222,6 +222,30 @@
 
 static void end_trial(struct edge_trial *t, enum trial_outcome outcome);
 
+/* Reports what is proven by an answer, to the other instances. */
+static void report_begun(struct edge_parts *ctx,
+			 const struct edge_attempt *attempt,
+			 uint8_t (*digests)[SUS_DIGEST_LEN], size_t n)
+{
+	Dsp__PartEvidence evidence = DSP__PART_EVIDENCE__INIT;
+	ProtobufCBinaryData begun[SUS_BEGUN_MAX];
+	g_autofree char *text = NULL;
+
+	if (!n)
+		return;
+	for (size_t i = 0; i < n; i++)
+		begun[i] = (ProtobufCBinaryData){ .data = digests[i],
+						  .len = SUS_DIGEST_LEN };
+	evidence.begun = begun;
+	evidence.n_begun = n;
+	ctl_part_evidence(ctx->edge->ctl, &evidence);
+	met_count(ctx->edge->met, "dandelionspar_edge_parts_begun", "", n);
+	text = digests_text((const uint8_t(*)[SUS_DIGEST_LEN])digests, n);
+	LOG_EVENT_INFO("parts", "begun",
+		       "request=%s endpoint=%s parts=%zu digests=%s",
+		       attempt->prompt->request_id, attempt->endpoint, n, text);
+}
+
 /*
  * Handles that an attempt's answer is proven to have begun: its endpoint has
  * survived it. started_us: its first whole event or byte.
@@ -229,10 +253,7 @@
 void edge_parts_begun(struct edge_parts *ctx, struct edge_attempt *attempt,
 		      int64_t started_us)
 {
-	Dsp__PartEvidence evidence = DSP__PART_EVIDENCE__INIT;
-	ProtobufCBinaryData begun[SUS_BEGUN_MAX];
 	uint8_t digests[SUS_BEGUN_MAX][SUS_DIGEST_LEN];
-	g_autofree char *text = NULL;
 	size_t n;
 
 	if (!attempt->is_listed)
@@ -242,19 +263,25 @@
 		end_trial(attempt->trial, TRIAL_SURVIVED);
 	n = sus_begun(ctx->sus, &attempt->prompt->parts, started_us,
 		      clk_now_us(ctx->edge->clock), digests);
-	if (!n)
+	report_begun(ctx, attempt, digests, n);
+}
+
+/* Handles a whole answer that is neither a success nor a failure of the
+ * endpoint: it has survived the request, which says nothing of its parts. */
+void edge_parts_answered(struct edge_parts *ctx, struct edge_attempt *attempt,
+			 int64_t started_us)
+{
+	uint8_t digests[SUS_BEGUN_MAX][SUS_DIGEST_LEN];
+	size_t n;
+
+	if (!attempt->is_listed)
 		return;
-	for (size_t i = 0; i < n; i++)
-		begun[i] = (ProtobufCBinaryData){ .data = digests[i],
-						  .len = SUS_DIGEST_LEN };
-	evidence.begun = begun;
-	evidence.n_begun = n;
-	ctl_part_evidence(ctx->edge->ctl, &evidence);
-	met_count(ctx->edge->met, "dandelionspar_edge_parts_begun", "", n);
-	text = digests_text(digests, n);
-	LOG_EVENT_INFO("parts", "begun",
-		       "request=%s endpoint=%s parts=%zu digests=%s",
-		       attempt->prompt->request_id, attempt->endpoint, n, text);
+	unlist(attempt);
+	if (attempt->trial && attempt->trial->request)
+		end_trial(attempt->trial, TRIAL_SURVIVED);
+	n = sus_answered(ctx->sus, &attempt->prompt->parts, started_us,
+			 clk_now_us(ctx->edge->clock), digests);
+	report_begun(ctx, attempt, digests, n);
 }
 
 /* Handles that the endpoint did not run the request of an attempt. */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -782,15 +782,17 @@
 {
 	struct fwd *f = at->fwd;
 	bool success = at->status / 100 == 2;
+	int64_t started_us =
+		at->ttfb_us < 0 ? now_of(f) : at->sent_us + at->ttfb_us;
 
 	if (success && !at->answer.sealed) {
 		fail_attempt(at, BAL_FAILED, true, "unsealed");
 		return;
 	}
 	if (success)
-		edge_parts_begun(f->edge->parts, &at->parts,
-				 at->ttfb_us < 0 ? now_of(f)
-						 : at->sent_us + at->ttfb_us);
+		edge_parts_begun(f->edge->parts, &at->parts, started_us);
+	else if (at->status < 500)
+		edge_parts_answered(f->edge->parts, &at->parts, started_us);
 	/* The caller has received a part of a stream, or another endpoint may
 	 * go on without this failure. */
 	if (f->headers_sent || (!success && hdg_is_hedged(&f->hedge))) {
--- a/tests/integration/parts_test.cc
+++ b/tests/integration/parts_test.cc
@@ -411,6 +411,50 @@
 	expect_contained("POST");
 }
 
+TEST_F(PlatformRequests, PopularRequestWithoutSuccessIsAnsweredAllTheTime)
+{
+	Counts others, bad, popular;
+	std::atomic<unsigned> sent{ 0 }, answered{ 0 };
+	std::atomic<bool> finished{ false };
+
+	for (auto &r : runners) {
+		Runner *p = r.get();
+
+		p->handler = [this, p](Socket &s, const Message &m) {
+			if (m.target() != "/safe/missing")
+				return answer(*p, s, m);
+			usleep(30000);
+			return !p->is_down &&
+			       s.send("HTTP/1.1 404 Not Found\r\n" + p->seal() +
+				      Runner::echo(m) +
+				      "Content-Length: 0\r\n\r\n");
+		};
+	}
+	std::vector<std::thread> callers;
+	for (size_t n = 0; n < 16; n++)
+		callers.emplace_back([&, n] {
+			for (size_t i = n; !finished; i++) {
+				Message m = call(
+					system.instances[1 + i % 3].front,
+					request("GET", "/safe/missing",
+						"host.example",
+						"X-Attempt-Id: m" +
+							std::to_string(next++) +
+							"\r\n"));
+
+				sent++;
+				answered += m.status() == 404;
+			}
+		});
+	run_requests(4000, "GET", &popular, &others, &bad);
+	finished = true;
+	for (auto &t : callers)
+		t.join();
+	EXPECT_GE(crashes(), 1u);
+	EXPECT_GE(sent, 100u);
+	EXPECT_GE(answered, sent * 9 / 10) << sent;
+}
+
 TEST_F(PlatformRequests, RequestIsServedOnceItsFaultHasEnded)
 {
 	Counts popular, others, bad;
--- a/tests/unit/sus_test.cc
+++ b/tests/unit/sus_test.cc
@@ -251,6 +251,19 @@
 	EXPECT_EQ(action("R"), SUS_SEND);
 }
 
+TEST_F(Sus, AnswerWithoutSuccessClearsTheRequestButNoPart)
+{
+	uint8_t out[SUS_BEGUN_MAX][SUS_DIGEST_LEN];
+	struct sus_parts both = parts("pR");
+
+	see({ { 'p' }, request('R') });
+	now += 50 * MS;
+	ASSERT_EQ(sus_answered(sus, &both, now - MS, now, out), 1u);
+	EXPECT_EQ(out[0][0], 'R');
+	EXPECT_EQ(action("R"), SUS_SEND);
+	EXPECT_EQ(begun("p", 0), "p");
+}
+
 TEST_F(Sus, CrashWithoutARecordIsForgotten)
 {
 	requests_crashed({ "R" });
