--- a/review/lib/rig.h
+++ b/review/lib/rig.h
@@ -8,6 +8,7 @@
  */
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <condition_variable>
 #include <cstdarg>
