core/res, edge: models keep their numbers when the document changes

One cause: the agent keeps what engines hold as positions in the planner's list of models, and res_set_spec() replaced that list. A position then named another model, or none.

Why it works: a number belongs to a name, not to a place in a list, and is freed only when neither the document nor an engine nor an order has it. A model that is no longer listed keeps its size and is unloaded, so its memory is counted until the engine reports that it is gone.

The same on related paths: adapters beyond those listed, reservations for withdrawn models, services that leave, engines that move to another service, tables recognised by address, engines with more items than fit.

--- a/src/core/res.c
+++ b/src/core/res.c
@@ -43,14 +43,12 @@
 	return ctx;
 }
 
-static void models_free(struct res_model *models, size_t n)
+static void model_clear(struct res_model *m)
 {
-	for (size_t i = 0; i < n; i++) {
-		g_free(models[i].name);
-		g_free(models[i].adapter_rates);
-		g_free(models[i].adapter_copies);
-	}
-	g_free(models);
+	g_free(m->name);
+	g_free(m->adapter_rates);
+	g_free(m->adapter_copies);
+	*m = (struct res_model){ 0 };
 }
 
 /* Frees the planner; NULL is allowed. */
@@ -58,7 +56,9 @@
 {
 	if (!ctx)
 		return;
-	models_free(ctx->models, ctx->n_models);
+	for (size_t i = 0; i < ctx->n_models; i++)
+		model_clear(&ctx->models[i]);
+	g_free(ctx->models);
 	g_hash_table_destroy(ctx->by_name);
 	g_free(ctx);
 }
@@ -70,70 +70,148 @@
 	return at ? &ctx->models[at - 1] : NULL;
 }
 
-/* Replaces the models of the service; demand for models and adapters that stay
- * is kept. */
-void res_set_spec(struct res *ctx, const Dsp__EngineSpec *spec)
+/* Sets the number of adapters; the demand for those that stay is kept. */
+static void set_adapters(struct res_model *m, uint32_t n)
 {
-	struct res_model *models = g_new0(struct res_model, spec->n_models + 1);
+	double *rates;
 
+	if (m->adapter_rates && n == m->adapters)
+		return;
+	rates = g_new0(double, n + 1);
+	for (size_t k = 1; m->adapter_rates && k <= MIN(m->adapters, n); k++)
+		rates[k] = m->adapter_rates[k];
+	g_free(m->adapter_rates);
+	g_free(m->adapter_copies);
+	m->adapter_rates = rates;
+	m->adapter_copies = g_new0(uint32_t, n + 1);
+	m->adapters = n;
+}
+
+/* Returns the model of this name, with a new number if it has none. */
+static struct res_model *add_model(struct res *ctx, const char *name)
+{
+	struct res_model *m = find_model(ctx, name);
+	size_t at = 0;
+
+	if (m)
+		return m;
+	while (at < ctx->n_models && ctx->models[at].name)
+		at++;
+	if (at == ctx->n_models) {
+		ctx->models =
+			g_renew(struct res_model, ctx->models, ++ctx->n_models);
+		ctx->models[at] = (struct res_model){ 0 };
+		set_adapters(&ctx->models[at], 0);
+	}
+	m = &ctx->models[at];
+	m->name = g_strdup(name);
+	g_hash_table_insert(ctx->by_name, m->name, GSIZE_TO_POINTER(at + 1));
+	return m;
+}
+
+/*
+ * Replaces the models of the service. Models keep their numbers, and demand for
+ * models and adapters that stay is kept. A model that is no longer listed keeps
+ * its size, since engines may hold or be loading it.
+ */
+void res_set_spec(struct res *ctx, const Dsp__EngineSpec *spec)
+{
+	for (size_t i = 0; i < ctx->n_models; i++)
+		ctx->models[i].listed = false;
 	for (size_t i = 0; i < spec->n_models; i++) {
 		const Dsp__EngineModel *from = spec->models[i];
-		const struct res_model *old = find_model(ctx, from->name);
-		struct res_model *m = &models[i];
+		struct res_model *m = add_model(ctx, from->name);
 
-		m->name = g_strdup(from->name);
+		m->listed = true;
+		m->size_known = true;
 		m->memory_mb = from->memory_mb;
 		m->load_ms = from->load_ms;
 		m->disk_ms = from->disk_ms;
 		m->warm_ms = from->warm_ms;
-		m->adapters = from->adapters;
 		m->adapter_mb = from->adapter_mb;
-		m->adapter_rates = g_new0(double, from->adapters + 1);
-		m->adapter_copies = g_new0(uint32_t, from->adapters + 1);
-		if (!old)
+		set_adapters(m, MIN(from->adapters, UINT16_MAX));
+	}
+	for (size_t i = 0; i < ctx->n_models; i++) {
+		struct res_model *m = &ctx->models[i];
+
+		if (m->listed || !m->name)
 			continue;
-		m->fast = old->fast;
-		m->slow = old->slow;
-		m->rate = old->rate;
-		m->no_copy_since_us = old->no_copy_since_us;
-		m->wanted_since_us = old->wanted_since_us;
-		for (size_t k = 1; k <= MIN(old->adapters, m->adapters); k++)
-			m->adapter_rates[k] = old->adapter_rates[k];
+		m->fast = m->slow = m->rate = 0;
+		m->no_copy_since_us = m->wanted_since_us = 0;
+		set_adapters(m, 0);
 	}
-	g_hash_table_remove_all(ctx->by_name);
-	models_free(ctx->models, ctx->n_models);
-	ctx->models = models;
-	ctx->n_models = spec->n_models;
 	ctx->memory_mb = spec->memory_mb;
 	ctx->adapter_places = spec->adapter_places;
 	ctx->loads_per_s = spec->store_loads_per_s;
-	for (size_t i = 0; i < ctx->n_models; i++)
-		g_hash_table_insert(ctx->by_name, models[i].name,
-				    GSIZE_TO_POINTER(i + 1));
 }
 
-/* Finds a model, or its adapter, which is named "a" followed by its number.
- * Returns false when it is unknown. */
+/* Frees the numbers of models that are neither listed nor among the n used
+ * numbers, which name all that engines hold or have been ordered to load. */
+void res_release_unused(struct res *ctx, const uint32_t *used, size_t n)
+{
+	g_autofree bool *keep = g_new0(bool, ctx->n_models + 1);
+
+	for (size_t i = 0; i < n; i++)
+		keep[used[i]] = true;
+	for (size_t i = 0; i < ctx->n_models; i++) {
+		struct res_model *m = &ctx->models[i];
+
+		if (m->listed || keep[i] || !m->name)
+			continue;
+		g_hash_table_remove(ctx->by_name, m->name);
+		model_clear(m);
+		set_adapters(m, 0);
+	}
+}
+
+/* Reads the number of an adapter, which is named "a" followed by its number;
+ * no name: 0, the model itself. Returns false if the name is malformed. */
+static bool read_adapter(const char *name, uint16_t *out)
+{
+	unsigned long number;
+
+	*out = 0;
+	if (!name || !name[0])
+		return true;
+	if (name[0] != 'a')
+		return false;
+	number = strtoul(name + 1, NULL, 10);
+	if (number < 1 || number > UINT16_MAX)
+		return false;
+	*out = (uint16_t)number;
+	return true;
+}
+
+/* Finds a listed model, or its adapter. Returns false when it is unknown. */
 bool res_find(const struct res *ctx, const char *model, const char *adapter,
 	      struct res_item *out)
 {
 	const struct res_model *m = find_model(ctx, model);
-	unsigned long number = 0;
 
-	if (!m)
+	if (!m || !m->listed || !read_adapter(adapter, &out->adapter) ||
+	    out->adapter > m->adapters)
 		return false;
-	if (adapter && adapter[0]) {
-		if (adapter[0] != 'a')
-			return false;
-		number = strtoul(adapter + 1, NULL, 10);
-		if (number < 1 || number > m->adapters)
-			return false;
-	}
-	out->model = (uint16_t)(m - ctx->models);
-	out->adapter = (uint16_t)number;
+	out->model = (uint32_t)(m - ctx->models);
 	return true;
 }
 
+/* Finds a model or adapter that an engine reports, listed or not. Returns false
+ * if the adapter's name is malformed. */
+bool res_add_name(struct res *ctx, const char *model, const char *adapter,
+		  struct res_item *out)
+{
+	if (!read_adapter(adapter, &out->adapter))
+		return false;
+	out->model = (uint32_t)(add_model(ctx, model) - ctx->models);
+	return true;
+}
+
+/* Returns whether the document lists the item's model. */
+bool res_is_listed(const struct res *ctx, struct res_item item)
+{
+	return ctx->models[item.model].listed;
+}
+
 /* Returns the name of the item's model. */
 const char *res_model_name(const struct res *ctx, struct res_item item)
 {
@@ -157,12 +235,18 @@
 	return false;
 }
 
+/* Requests/s for an adapter; none for one that the document does not list. */
+static double adapter_rate(const struct res_model *m, size_t k)
+{
+	return k <= m->adapters ? m->adapter_rates[k] : 0;
+}
+
 /* Returns the demand for a model or an adapter in requests/s. */
 double res_rate(const struct res *ctx, struct res_item item)
 {
 	const struct res_model *m = &ctx->models[item.model];
 
-	return item.adapter ? m->adapter_rates[item.adapter] : m->rate;
+	return item.adapter ? adapter_rate(m, item.adapter) : m->rate;
 }
 
 static void set_rate(struct res_model *m)
@@ -218,17 +302,26 @@
 	ctx->loads[ctx->next_load++ % RES_LOADS_MAX] = now_us;
 }
 
+/* Returns the memory in MB to count for an item of the engine: all of the
+ * engine's if no document told the size of its model. */
+uint32_t res_held_mb(const struct res *ctx, const struct res_engine *e,
+		     size_t i)
+{
+	const struct res_model *m = &ctx->models[e->items[i].model];
+
+	if (!m->size_known)
+		return ctx->memory_mb;
+	return e->items[i].adapter ? m->adapter_mb : m->memory_mb;
+}
+
 /* Returns the memory in MB that the engine's models and adapters leave free. */
 int64_t res_free_mb(const struct res *ctx, const struct res_engine *e)
 {
 	int64_t left = ctx->memory_mb;
 
-	for (size_t i = 0; i < e->n_items; i++) {
-		const struct res_model *m = &ctx->models[e->items[i].model];
-
-		left -= e->items[i].adapter ? m->adapter_mb : m->memory_mb;
-	}
-	return left;
+	for (size_t i = 0; i < e->n_items; i++)
+		left -= res_held_mb(ctx, e, i);
+	return e->truncated ? MIN(left, 0) : left;
 }
 
 static size_t used_places(const struct res_engine *e)
@@ -263,7 +356,8 @@
 			struct res_model *m = &ctx->models[item.model];
 
 			if (item.adapter) {
-				m->adapter_copies[item.adapter]++;
+				if (item.adapter <= m->adapters)
+					m->adapter_copies[item.adapter]++;
 				continue;
 			}
 			m->copies++;
@@ -321,8 +415,9 @@
 
 		if (!item.adapter)
 			continue;
-		r = m->adapter_rates[item.adapter] /
-		    MAX(m->adapter_copies[item.adapter], 1);
+		r = adapter_rate(m, item.adapter);
+		if (r > 0)
+			r /= MAX(m->adapter_copies[item.adapter], 1);
 		if (r < least) {
 			least = r;
 			*out = item;
@@ -359,7 +454,7 @@
 	*out = (struct res_order){ .engine = engine,
 				   .kind = RES_LOAD,
 				   .item = best };
-	if (used_places(e) < ctx->adapter_places &&
+	if (!e->truncated && used_places(e) < ctx->adapter_places &&
 	    res_free_mb(ctx, e) >= ctx->models[best.model].adapter_mb) {
 		ctx->models[best.model].adapter_copies[best.adapter]++;
 		return true;
@@ -371,10 +466,27 @@
 	return true;
 }
 
+/* Plans the unload of a model that the document no longer lists. */
+static bool plan_withdrawn(const struct res *ctx, const struct res_engine *e,
+			   size_t engine, struct res_order *out)
+{
+	for (size_t i = 0; i < e->n_present; i++) {
+		if (e->items[i].adapter || res_is_listed(ctx, e->items[i]))
+			continue;
+		*out = (struct res_order){ .engine = engine,
+					   .kind = RES_UNLOAD,
+					   .item = e->items[i],
+					   .load_item = e->items[i] };
+		return true;
+	}
+	return false;
+}
+
 /*
  * Plans the next orders: the load or unload of the model with the highest gain,
- * then adapters. Unused copies stay until their memory is needed. Returns the
- * number of orders in out, at most max.
+ * then unloads of models that are no longer listed, then adapters. Other unused
+ * copies stay until their memory is needed. Returns the number of orders in
+ * out, at most max.
  */
 size_t res_plan(struct res *ctx, const struct res_engine *engines, size_t n,
 		int64_t now_us, struct res_order *out, size_t max)
@@ -400,7 +512,8 @@
 		if (!engines[i].usable || engines[i].busy ||
 		    (models && i == out[0].engine))
 			continue;
-		if (plan_adapter(ctx, &engines[i], i, &out[planned]))
+		if (plan_withdrawn(ctx, &engines[i], i, &out[planned]) ||
+		    plan_adapter(ctx, &engines[i], i, &out[planned]))
 			planned++;
 	}
 	return planned;
--- a/src/core/res.h
+++ b/src/core/res.h
@@ -21,9 +21,11 @@
 /* Size of a buffer for an adapter's name. */
 #define RES_ADAPTER_NAME_MAX 8
 
-/* A model, or an adapter of it, by number: adapter 0 is the model itself. */
+/* A model, or an adapter of it, by number: adapter 0 is the model itself. A
+ * model keeps its number when the document changes, also after the document no
+ * longer lists it, until res_release_unused(). */
 struct res_item {
-	uint16_t model;
+	uint32_t model;
 	uint16_t adapter;
 };
 
@@ -40,14 +42,16 @@
 	struct res_item items[RES_ITEMS_MAX];
 	size_t n_items;
 	size_t n_present; /* of items, from the first; the others are loading */
+	bool truncated;	  /* holds more than items has room for */
 	/* Models whose weights are cached on the host. */
-	uint16_t in_memory[RES_CACHED_MAX];
+	uint32_t in_memory[RES_CACHED_MAX];
 	size_t n_in_memory;
-	uint16_t on_disk[RES_CACHED_MAX];
+	uint32_t on_disk[RES_CACHED_MAX];
 	size_t n_on_disk;
 };
 
 enum res_order_kind {
+	RES_NONE,
 	RES_LOAD,
 	RES_UNLOAD,
 };
@@ -57,6 +61,7 @@
 	enum res_order_kind kind;
 	struct res_item item;
 	struct res_item load_item; /* item for which this order is sent */
+	bool load_follows;	   /* an unload; load_item is loaded next */
 	double gain;		   /* requests, above 0; models only */
 };
 
@@ -66,6 +71,12 @@
 /* Commands. */
 /* Takes the models of the service; demand of known names is kept. */
 void res_set_spec(struct res *ctx, const Dsp__EngineSpec *spec);
+/* Like res_find(), but gives a number to a name that the document does not
+ * list, whose size is then unknown. */
+bool res_add_name(struct res *ctx, const char *model, const char *adapter,
+		  struct res_item *out);
+/* Frees the numbers of models that the document does not list, except used. */
+void res_release_unused(struct res *ctx, const uint32_t *used, size_t n);
 void res_add_demand(struct res *ctx, const char *model, const char *adapter,
 		    uint32_t requests, uint32_t missed, int64_t now_us);
 /* Plans at most one order for each engine. */
@@ -77,6 +88,7 @@
 /* Queries. */
 bool res_find(const struct res *ctx, const char *model, const char *adapter,
 	      struct res_item *out);
+bool res_is_listed(const struct res *ctx, struct res_item item);
 const char *res_model_name(const struct res *ctx, struct res_item item);
 char *res_adapter_name(struct res_item item, char name[RES_ADAPTER_NAME_MAX]);
 bool res_holds(const struct res_engine *e, struct res_item item);
--- a/src/core/res_int.h
+++ b/src/core/res_int.h
@@ -10,7 +10,9 @@
 #define RES_LOADS_MAX 64
 
 struct res_model {
-	char *name;
+	char *name;	 /* NULL: the number is free */
+	bool listed;	 /* in the document */
+	bool size_known; /* the document has listed it */
 	uint32_t memory_mb;
 	uint32_t load_ms; /* from the weight store */
 	uint32_t disk_ms; /* from the engine's disk; 0: not known */
@@ -36,11 +38,11 @@
 	uint32_t memory_mb;
 	uint32_t adapter_places;
 	double loads_per_s;
-	struct res_model *models;
-	size_t n_models;
-	GHashTable *by_name; /* name -> position + 1 */
-	int64_t first_us;    /* first demand; INT64_MAX: none yet */
-	bool demand_known;   /* seen for DEMAND_SETTLE_US */
+	struct res_model *models; /* by number */
+	size_t n_models;	  /* including those that are not listed */
+	GHashTable *by_name;	  /* name -> position + 1 */
+	int64_t first_us;	  /* first demand; INT64_MAX: none yet */
+	bool demand_known;	  /* seen for DEMAND_SETTLE_US */
 	int64_t decayed_us;
 	size_t n_usable;
 	int64_t usable_us;	      /* when n_usable changed last */
@@ -49,6 +51,8 @@
 };
 
 double res_speed(const struct res_engine *e);
+uint32_t res_held_mb(const struct res *ctx, const struct res_engine *e,
+		     size_t i);
 int64_t res_free_mb(const struct res *ctx, const struct res_engine *e);
 bool res_plan_model(struct res *ctx, const struct res_engine *engines, size_t n,
 		    int64_t now_us, struct res_order *out);
--- a/src/core/res_models.c
+++ b/src/core/res_models.c
@@ -147,13 +147,13 @@
 	for (size_t i = 0; i < e->n_items; i++) {
 		const struct res_model *m = &ctx->models[e->items[i].model];
 
-		if (!e->items[i].adapter && e->items[i].model != except)
+		if (!e->items[i].adapter && (int)e->items[i].model != except)
 			rate += m->rate / MAX(m->copies, 1);
 	}
 	return MAX(1 - rate / ENGINE_RATE, ENGINE_SHARE_MIN);
 }
 
-static bool is_listed(const uint16_t *list, size_t n, size_t model)
+static bool is_cached(const uint32_t *list, size_t n, size_t model)
 {
 	for (size_t i = 0; i < n; i++)
 		if (list[i] == model)
@@ -168,9 +168,9 @@
 {
 	const struct res_model *m = &ctx->models[item.model];
 
-	if (m->warm_ms && is_listed(e->in_memory, e->n_in_memory, item.model))
+	if (m->warm_ms && is_cached(e->in_memory, e->n_in_memory, item.model))
 		return m->warm_ms;
-	return is_listed(e->on_disk, e->n_on_disk, item.model) ? m->disk_ms : 0;
+	return is_cached(e->on_disk, e->n_on_disk, item.model) ? m->disk_ms : 0;
 }
 
 /* Returns whether a load would read the weight store: the model is not cached
@@ -212,7 +212,7 @@
 static double gain_of(const struct res *ctx, const struct res_engine *e,
 		      size_t model, int victim, int64_t now_us)
 {
-	struct res_item item = { .model = (uint16_t)model };
+	struct res_item item = { .model = (uint32_t)model };
 	double value = next_copy_value(
 		ctx, &ctx->models[model],
 		res_speed(e) * engine_time_share(ctx, e, victim), now_us);
@@ -248,13 +248,13 @@
 		return;
 	}
 	for (size_t i = 0; i < e->n_items; i++) {
-		int victim = e->items[i].model;
+		int victim = (int)e->items[i].model;
 		const struct res_model *v = &ctx->models[victim];
 		double gain;
 
 		/* A copy that is still loading cannot replace the victim. */
-		if (e->items[i].adapter || v->present <= 1 ||
-		    v->memory_mb < missing_mb)
+		if (e->items[i].adapter || !v->listed || v->present <= 1 ||
+		    res_held_mb(ctx, e, i) < missing_mb)
 			continue;
 		gain = gain_of(ctx, e, model, victim, now_us);
 		if (gain > best->gain)
@@ -268,11 +268,12 @@
 static bool may_take(const struct res *ctx, const struct res_engine *e,
 		     size_t model)
 {
-	struct res_item item = { .model = (uint16_t)model };
+	struct res_item item = { .model = (uint32_t)model };
 
 	if (!e->usable || e->busy || res_holds(e, item))
 		return false;
 	return !e->reserved || e->reserved_for.model == model ||
+	       !res_is_listed(ctx, e->reserved_for) ||
 	       ctx->models[e->reserved_for.model].copies > 0;
 }
 
@@ -293,10 +294,10 @@
 	for (size_t k = 0; k < ctx->n_models; k++) {
 		double value = next_copy_value(ctx, &ctx->models[k], SPEED_MAX,
 					       now_us);
-		struct res_item item = { .model = (uint16_t)k };
+		struct res_item item = { .model = (uint32_t)k };
 		double gain = best.gain;
 
-		if (value * HORIZON_S <= CACHED_COST)
+		if (!ctx->models[k].listed || value * HORIZON_S <= CACHED_COST)
 			continue;
 		for (size_t i = 0; i < n; i++)
 			if (may_take(ctx, &engines[i], k) &&
@@ -311,9 +312,10 @@
 	*out = (struct res_order){
 		.engine = best.engine,
 		.kind = best.victim < 0 ? RES_LOAD : RES_UNLOAD,
-		.item.model = best.victim < 0 ? (uint16_t)best_model
-					      : (uint16_t)best.victim,
-		.load_item.model = (uint16_t)best_model,
+		.item.model = best.victim < 0 ? (uint32_t)best_model
+					      : (uint32_t)best.victim,
+		.load_item.model = (uint32_t)best_model,
+		.load_follows = best.victim >= 0,
 		.gain = best.gain,
 	};
 	return true;
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -50,6 +50,9 @@
 #define PLAN_INTERVAL_US 20000
 #define PLAN_REST_FACTOR 9
 #define PLAN_INTERVAL_MAX_US 200000
+/* Interval at which numbers of models are freed that neither the document nor
+ * an engine names. */
+#define RELEASE_INTERVAL_US 10000000
 
 enum engine_state {
 	UNKNOWN,     /* the number of accepted orders is unknown */
@@ -83,20 +86,23 @@
 	struct event *timer;
 	int status;
 	GByteArray *body;
-	struct res_order order;
+	struct res_order order; /* RES_NONE: none was sent */
 	bool order_in_term; /* order was sent during the current leadership */
 };
 
 struct service {
 	char *name;
 	struct res *planner;
+	bool listed; /* in the document */
 };
 
 struct agent {
 	struct edge *edge;
 	GHashTable *engines;  /* id -> struct engine */
 	GHashTable *services; /* name -> struct service */
-	const Dsp__RouteTable *table;
+	bool has_table;
+	uint64_t table_number; /* of the document in use */
+	int64_t next_release_us;
 	struct event *plan_timer; /* pending: a plan is due */
 	int64_t next_plan_us;	  /* no plan before this time */
 	bool active;
@@ -177,28 +183,48 @@
 
 static void add_resident(struct engine *e, struct res_item item)
 {
-	if (e->residency.n_items < RES_ITEMS_MAX)
-		e->residency.items[e->residency.n_items++] = item;
+	struct res_engine *r = &e->residency;
+
+	if (r->n_items == RES_ITEMS_MAX) {
+		if (!r->truncated)
+			LOG_EVENT_WARN("agent", "too_many_items",
+				       "endpoint=%s limit=%d", e->id,
+				       RES_ITEMS_MAX);
+		r->truncated = true;
+		return;
+	}
+	r->items[r->n_items++] = item;
 }
 
-static void set_residents(struct engine *e, Dsp__Copy *const *copies, size_t n)
+/* Adds a model or adapter that the engine reports. */
+static void add_reported(struct engine *e, const char *model,
+			 const char *adapter)
 {
 	struct res *planner = planner_of(e->agent, e->service);
+	struct res_item item;
 
-	e->residency.n_items = 0;
-	for (size_t i = 0; planner && i < n; i++) {
-		struct res_item item;
+	if (res_add_name(planner, model, adapter, &item))
+		add_resident(e, item);
+	else
+		LOG_EVENT_INFO("agent", "unknown_adapter",
+			       "endpoint=%s model=%s adapter=%s", e->id, model,
+			       adapter);
+}
 
-		if (res_find(planner, copies[i]->model, copies[i]->adapter,
-			     &item))
-			add_resident(e, item);
-	}
+static void set_residents(struct engine *e, Dsp__Copy *const *copies, size_t n)
+{
+	e->residency.n_items = 0;
+	e->residency.truncated = false;
+	if (!planner_of(e->agent, e->service))
+		return;
+	for (size_t i = 0; i < n; i++)
+		add_reported(e, copies[i]->model, copies[i]->adapter);
 }
 
 /* Fills list with the planner's numbers of the named models; unknown names are
  * skipped. */
 static size_t set_cached_models(struct engine *e, char *const *names,
-				uint16_t *list)
+				uint32_t *list)
 {
 	struct res *planner = planner_of(e->agent, e->service);
 	struct res_item item;
@@ -321,7 +347,7 @@
 {
 	struct res *planner = planner_of(e->agent, e->service);
 
-	if (!planner)
+	if (!planner || e->order.kind == RES_NONE)
 		return;
 	LOG_EVENT_INFO(
 		"agent", "order",
@@ -468,13 +494,10 @@
 	    !e->order.item.adapter)
 		remove_resident(e, e->order.item);
 	for (size_t i = 0; state->arriving[i]; i++) {
-		struct res *planner = planner_of(e->agent, e->service);
 		g_auto(GStrv) parts = g_strsplit(state->arriving[i], "/", 2);
-		struct res_item item;
 
-		if (planner && parts[0] && parts[1] &&
-		    res_find(planner, parts[0], parts[1], &item))
-			add_resident(e, item);
+		if (planner_of(e->agent, e->service) && parts[0] && parts[1])
+			add_reported(e, parts[0], parts[1]);
 	}
 	if (state->busy) {
 		e->state = EXECUTING;
@@ -612,16 +635,22 @@
 
 /* Counts the item that the current order leads to, so that it is not planned on
  * another engine as well. */
-static void add_expected_item(struct res_engine *e,
-			      const struct res_order *order)
+static void add_expected_item(struct res_engine *r, const struct engine *e)
 {
-	struct res_item expected =
-		order->kind == RES_LOAD ? order->item : order->load_item;
+	struct res_item expected = e->order.item;
 
-	if (order->kind == RES_UNLOAD && order->item.adapter)
+	if (e->order.kind == RES_UNLOAD) {
+		if (!e->order.load_follows)
+			return;
+		expected = e->order.load_item;
+	}
+	if (res_holds(r, expected))
 		return;
-	if (!res_holds(e, expected) && e->n_items < RES_ITEMS_MAX)
-		e->items[e->n_items++] = expected;
+	if (r->n_items == RES_ITEMS_MAX) {
+		r->truncated = true;
+		return;
+	}
+	r->items[r->n_items++] = expected;
 }
 
 /* Sets the speed of each engine relative to the average. */
@@ -670,13 +699,10 @@
 		if (e->order_in_term &&
 		    (e->state == EXECUTING || e->state == ORDER_SENT ||
 		     e->state == UNCONFIRMED))
-			add_expected_item(&list[n], &e->order);
-		list[n].load_follows = list[n].busy &&
-				       e->order.kind == RES_UNLOAD &&
-				       !e->order.item.adapter;
+			add_expected_item(&list[n], e);
+		list[n].load_follows = list[n].busy && e->order.load_follows;
 		list[n].reserved = e->state == IDLE && e->order_in_term &&
-				   e->order.kind == RES_UNLOAD &&
-				   !e->order.item.adapter;
+				   e->order.load_follows;
 		list[n].reserved_for = e->order.load_item;
 		engines[n++] = e;
 	}
@@ -714,7 +740,8 @@
 	}
 	g_hash_table_iter_init(&iter, ctx->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
-		plan_service(ctx, s, fence);
+		if (s->listed)
+			plan_service(ctx, s, fence);
 	rest_us = (now_of(ctx) - start_us) * PLAN_REST_FACTOR;
 	rest_us = CLAMP(rest_us, PLAN_INTERVAL_US, PLAN_INTERVAL_MAX_US);
 	ctx->next_plan_us = now_of(ctx) + rest_us;
@@ -728,6 +755,44 @@
 	plan_all(data);
 }
 
+/* Adds the numbers of all models that the engine holds, has cached or has been
+ * ordered to load or unload. */
+static void add_used_numbers(const struct engine *e, GArray *used)
+{
+	const struct res_engine *r = &e->residency;
+
+	for (size_t i = 0; i < r->n_items; i++)
+		g_array_append_val(used, r->items[i].model);
+	g_array_append_vals(used, r->in_memory, (guint)r->n_in_memory);
+	g_array_append_vals(used, r->on_disk, (guint)r->n_on_disk);
+	if (e->order.kind == RES_NONE)
+		return;
+	g_array_append_val(used, e->order.item.model);
+	g_array_append_val(used, e->order.load_item.model);
+}
+
+/* Frees the numbers of models that are no longer in use. */
+static void release_numbers(struct agent *ctx)
+{
+	GHashTableIter services, engines;
+	struct service *s;
+	struct engine *e;
+
+	ctx->next_release_us = now_of(ctx) + RELEASE_INTERVAL_US;
+	g_hash_table_iter_init(&services, ctx->services);
+	while (g_hash_table_iter_next(&services, NULL, (void **)&s)) {
+		GArray *used = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+		g_hash_table_iter_init(&engines, ctx->engines);
+		while (g_hash_table_iter_next(&engines, NULL, (void **)&e))
+			if (!strcmp(e->service, s->name))
+				add_used_numbers(e, used);
+		res_release_unused(s->planner, (const uint32_t *)used->data,
+				   used->len);
+		g_array_free(used, TRUE);
+	}
+}
+
 /* Follows changes of leadership, polls engine states, plans orders and
  * announces. */
 void agent_tick(struct agent *ctx, int64_t now_us)
@@ -737,6 +802,8 @@
 	uint64_t fence;
 	bool active = may_send_orders(ctx, &fence);
 
+	if (now_us >= ctx->next_release_us)
+		release_numbers(ctx);
 	if (active != ctx->active) {
 		ctx->active = active;
 		LOG_EVENT_NOTICE("agent", active ? "begins" : "ends",
@@ -765,9 +832,14 @@
 
 static void apply_table(struct agent *ctx, const Dsp__RouteTable *table)
 {
+	GHashTableIter iter;
+	struct service *s;
+
+	g_hash_table_iter_init(&iter, ctx->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
+		s->listed = false;
 	for (size_t i = 0; i < table->n_services; i++) {
 		const Dsp__RoutedService *from = table->services[i];
-		struct service *s;
 
 		if (!from->engine)
 			continue;
@@ -778,9 +850,12 @@
 			s->planner = res_new(ctx->edge->set->edge.store_excess);
 			g_hash_table_insert(ctx->services, s->name, s);
 		}
+		s->listed = true;
 		res_set_spec(s->planner, from->engine);
 	}
-	ctx->table = table;
+	ctx->has_table = true;
+	ctx->table_number = table->number;
+	release_numbers(ctx);
 }
 
 static struct engine *engine_new(struct agent *ctx, const Dsp__Endpoint *msg)
@@ -805,7 +880,8 @@
 	struct engine *e = g_hash_table_lookup(ctx->engines, msg->id);
 
 	if (e && (e->incarnation != msg->incarnation ||
-		  strcmp(e->address, msg->address) != 0)) {
+		  strcmp(e->address, msg->address) != 0 ||
+		  strcmp(e->service, msg->service) != 0)) {
 		g_hash_table_remove(ctx->engines, msg->id);
 		e = NULL;
 	}
@@ -844,7 +920,7 @@
 	const struct view *view = ctx->edge->view;
 	const Dsp__RouteTable *table = view_route_table(view);
 
-	if (table && table != ctx->table)
+	if (table && (!ctx->has_table || table->number != ctx->table_number))
 		apply_table(ctx, table);
 	for (size_t i = 0; i < view_n_endpoints(view); i++) {
 		const Dsp__Endpoint *msg = view_endpoint_at(view, i);
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -435,6 +435,11 @@
 	std::map<std::string, std::vector<std::string>> holds, stale;
 	bool announced_stale = false;
 	size_t memory = 2; /* capacity in models */
+	/* Capacity in MB and sizes of models in MB; if set, they replace
+	 * `memory`. A model keeps the size it was loaded with. Adapters take no
+	 * memory. */
+	int memory_mb = 0;
+	std::map<std::string, int> sizes_mb, loaded_mb;
 	size_t places = 8; /* capacity in adapters */
 	int load_ms = 100;
 	std::atomic<int> order_delay_ms{ 0 }; /* delays the answer only */
@@ -607,6 +612,20 @@
 					   body.find('"', at + 1) - at - 1);
 		return body.substr(at, body.find_first_of(",}", at) - at);
 	}
+	/* Whether the model fits beside what the engine holds. */
+	bool take_room(const std::string &model)
+	{
+		int used_mb = 0;
+
+		if (!memory_mb)
+			return holds.size() < memory;
+		loaded_mb[model] = sizes_mb.at(model);
+		for (const auto &copy : holds)
+			used_mb += loaded_mb.count(copy.first)
+					   ? loaded_mb[copy.first]
+					   : sizes_mb.at(copy.first);
+		return used_mb + loaded_mb[model] <= memory_mb;
+	}
 	/* Completes a load whose time is over; the caller holds the lock. */
 	void finish_load()
 	{
@@ -655,7 +674,7 @@
 			overloaded = overloaded || n >= places;
 			holds[model].push_back(adapter);
 		} else {
-			overloaded = overloaded || holds.size() >= memory;
+			overloaded = overloaded || !take_room(model);
 			loading = model;
 			loading_until = proc_now_ms() + load_ms;
 		}
--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -272,10 +272,12 @@
 }
 
 /* A model of the engine service in the route table. */
-inline std::string model(const std::string &name, int adapters = 0)
+inline std::string model(const std::string &name, int adapters = 0,
+			 int size_mb = 45)
 {
 	return "{\"name\":\"" + name +
-	       "\",\"weightsMb\":45.0,\"loadS\":0.1,\"adapters\":" +
+	       "\",\"weightsMb\":" + std::to_string(size_mb) +
+	       ".0,\"loadS\":0.1,\"adapters\":" +
 	       std::to_string(adapters) +
 	       ",\"adapterMb\":0.1,\"warmS\":0.1,\"diskS\":0.1}";
 }
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -165,6 +165,11 @@
 
 		return engine.orders;
 	}
+	void release_views()
+	{
+		for (auto *view : old_views)
+			view_unref(view);
+	}
 	std::vector<struct view *> old_views;
 };
 
@@ -284,3 +289,80 @@
 	for (auto *view : old_views)
 		view_unref(view);
 }
+
+using AgentDocument = Agent;
+
+/*
+ * Guards against orders beyond an engine's memory after a change of the
+ * document: the agent kept the copies of an engine as positions in the list of
+ * models, and a document with a further model in front moved those positions.
+ * The engine holds the large model, which was then taken for the small one.
+ */
+TEST_F(AgentDocument, ModelAddedInFrontKeepsWhatEnginesHold)
+{
+	std::string known = model("large", 0, 90) + "," + model("other", 0, 20);
+
+	engine.memory_mb = 100;
+	engine.sizes_mb = { { "first", 5 }, { "large", 90 }, { "other", 20 } };
+	engine.holds["large"];
+	put_table(table(1, "", known));
+	put_engine();
+	refresh();
+	/* Planned once with the old list: the other model has no room. */
+	ASSERT_TRUE(run_until([&] { return engine.reports >= 2; }));
+	ASSERT_EQ(orders(), 0u);
+	put_table(table(2, "", model("first", 0, 5) + "," + known));
+	refresh();
+	ASSERT_TRUE(run_until([&] { return engine.reports >= 4; }));
+	EXPECT_FALSE(engine.overloaded);
+	release_views();
+}
+
+/*
+ * Guards against the end of the leader's process when a document no longer
+ * lists a model that an engine holds with an adapter: its position was then
+ * behind the end of the list. The model stays counted until it is unloaded, and
+ * its memory is available to others afterwards.
+ */
+TEST_F(AgentDocument, WithdrawnModelIsCountedUntilItIsUnloaded)
+{
+	std::string kept = model("kept", 0, 20);
+
+	engine.memory_mb = 100;
+	engine.sizes_mb = { { "kept", 20 }, { "withdrawn", 90 } };
+	engine.holds["withdrawn"] = { "a7" };
+	put_table(table(1, "", kept + "," + model("withdrawn", 9, 90)));
+	put_engine();
+	refresh();
+	ASSERT_TRUE(run_until([&] { return engine.reports >= 2; }));
+	put_table(table(2, "", kept));
+	refresh();
+	EXPECT_TRUE(run_until([&] {
+		std::lock_guard<std::mutex> guard(engine.lock);
+
+		return engine.holds.count("kept") > 0;
+	}));
+	EXPECT_EQ(engine.holds.count("withdrawn"), 0u);
+	EXPECT_FALSE(engine.overloaded);
+	release_views();
+}
+
+/* Guards against an index behind a model's adapters: the document lists fewer
+ * adapters of a model than an engine holds. */
+TEST_F(AgentDocument, FewerAdaptersThanAnEngineHolds)
+{
+	for (int a = 3993; a <= 4000; a++)
+		engine.holds["m"].push_back("a" + std::to_string(a));
+	put_table(table(1, "", model("m", 4000)));
+	put_engine();
+	refresh();
+	ASSERT_TRUE(run_until([&] { return engine.reports >= 2; }));
+	put_table(table(2, "", model("m", 2)));
+	refresh();
+	ASSERT_TRUE(run_until([&] {
+		add_demand(2);
+		return orders() >= 2;
+	}));
+	EXPECT_FALSE(engine.overloaded);
+	release_views();
+}
--- a/tests/unit/res_test.cc
+++ b/tests/unit/res_test.cc
@@ -197,15 +197,14 @@
 			e.id = engine.id.c_str();
 			e.n_present = e.n_items;
 			e.load_follows =
-				e.busy && engine.order.kind == RES_UNLOAD;
+				e.busy && engine.order.load_follows;
 			e.reserved = !e.busy && engine.ordered &&
-				     engine.order.kind == RES_UNLOAD &&
-				     !engine.order.item.adapter;
+				     engine.order.load_follows;
 			e.reserved_for = engine.order.load_item;
-			if (e.busy)
-				add(e, engine.order.kind == RES_LOAD
-					       ? engine.order.item
-					       : engine.order.load_item);
+			if (e.busy && engine.order.kind == RES_LOAD)
+				add(e, engine.order.item);
+			else if (e.busy && engine.order.load_follows)
+				add(e, engine.order.load_item);
 			list.push_back(e);
 		}
 		return list;
