core/res, edge: a copy keeps the size that it was loaded with

A document that gives a model a smaller size made the leader order an engine beyond its memory: the copies that engines hold were counted with the size of the newest document.

Found by a test of random documents beside orders.

Each item has the size of its load; what the document says now counts if it is more. While a load is under way, the largest size since its order counts, since the engine may load it by either.

--- a/src/core/res.c
+++ b/src/core/res.c
@@ -212,6 +212,15 @@
 	return ctx->models[item.model].listed;
 }
 
+/* Returns the size of the item in MB by the newest document that listed its
+ * model; 0 if none did. */
+uint32_t res_size_mb(const struct res *ctx, struct res_item item)
+{
+	const struct res_model *m = &ctx->models[item.model];
+
+	return item.adapter ? m->adapter_mb : m->memory_mb;
+}
+
 /* Returns the name of the item's model. */
 const char *res_model_name(const struct res *ctx, struct res_item item)
 {
@@ -307,11 +316,9 @@
 uint32_t res_held_mb(const struct res *ctx, const struct res_engine *e,
 		     size_t i)
 {
-	const struct res_model *m = &ctx->models[e->items[i].model];
-
-	if (!m->size_known)
-		return ctx->memory_mb;
-	return e->items[i].adapter ? m->adapter_mb : m->memory_mb;
+	if (!ctx->models[e->items[i].model].size_known)
+		return MAX(e->items_mb[i], ctx->memory_mb);
+	return MAX(e->items_mb[i], res_size_mb(ctx, e->items[i]));
 }
 
 /* Returns the memory in MB that the engine's models and adapters leave free. */
--- a/src/core/res.h
+++ b/src/core/res.h
@@ -40,6 +40,9 @@
 	struct res_item reserved_for;
 	double speed; /* of prefill; 1: average; 0: unknown */
 	struct res_item items[RES_ITEMS_MAX];
+	/* Sizes of the items in MB when they were loaded; what the document
+	 * says now counts if it is more. */
+	uint32_t items_mb[RES_ITEMS_MAX];
 	size_t n_items;
 	size_t n_present; /* of items, from the first; the others are loading */
 	bool truncated;	  /* holds more than items has room for */
@@ -89,6 +92,7 @@
 bool res_find(const struct res *ctx, const char *model, const char *adapter,
 	      struct res_item *out);
 bool res_is_listed(const struct res *ctx, struct res_item item);
+uint32_t res_size_mb(const struct res *ctx, struct res_item item);
 const char *res_model_name(const struct res *ctx, struct res_item item);
 char *res_adapter_name(struct res_item item, char name[RES_ADAPTER_NAME_MAX]);
 bool res_holds(const struct res_engine *e, struct res_item item);
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -87,6 +87,8 @@
 	int status;
 	GByteArray *body;
 	struct res_order order; /* RES_NONE: none was sent */
+	uint32_t order_mb;	/* most that the order's item has been listed
+				   with since the order was sent */
 	bool order_in_term; /* order was sent during the current leadership */
 };
 
@@ -181,7 +183,21 @@
 
 /* ---- Residency ---- */
 
-static void add_resident(struct engine *e, struct res_item item)
+/* Size to count for an item that the engine holds from now on. The document may
+ * have changed since its load was ordered. */
+static uint32_t loaded_size_mb(const struct engine *e, struct res_item item)
+{
+	struct res *planner = planner_of(e->agent, e->service);
+	uint32_t mb = res_size_mb(planner, item);
+	bool ordered = e->order.kind == RES_LOAD &&
+		       e->order.item.model == item.model &&
+		       e->order.item.adapter == item.adapter;
+
+	return ordered ? MAX(mb, e->order_mb) : mb;
+}
+
+static void add_resident(struct engine *e, struct res_item item,
+			 uint32_t size_mb)
 {
 	struct res_engine *r = &e->residency;
 
@@ -193,32 +209,45 @@
 		r->truncated = true;
 		return;
 	}
+	r->items_mb[r->n_items] = size_mb;
 	r->items[r->n_items++] = item;
 }
 
-/* Adds a model or adapter that the engine reports. */
-static void add_reported(struct engine *e, const char *model,
-			 const char *adapter)
+/* Adds a model or adapter that the engine reports; previous is what it held
+ * according to the last report. */
+static void add_reported(struct engine *e, const struct res_engine *previous,
+			 const char *model, const char *adapter)
 {
 	struct res *planner = planner_of(e->agent, e->service);
 	struct res_item item;
 
-	if (res_add_name(planner, model, adapter, &item))
-		add_resident(e, item);
-	else
+	if (!res_add_name(planner, model, adapter, &item)) {
 		LOG_EVENT_INFO("agent", "unknown_adapter",
 			       "endpoint=%s model=%s adapter=%s", e->id, model,
 			       adapter);
+		return;
+	}
+	for (size_t i = 0; i < previous->n_items; i++) {
+		if (previous->items[i].model != item.model ||
+		    previous->items[i].adapter != item.adapter)
+			continue;
+		add_resident(e, item, previous->items_mb[i]);
+		return;
+	}
+	add_resident(e, item, loaded_size_mb(e, item));
 }
 
 static void set_residents(struct engine *e, Dsp__Copy *const *copies, size_t n)
 {
+	struct res_engine previous = e->residency;
+
 	e->residency.n_items = 0;
 	e->residency.truncated = false;
 	if (!planner_of(e->agent, e->service))
 		return;
 	for (size_t i = 0; i < n; i++)
-		add_reported(e, copies[i]->model, copies[i]->adapter);
+		add_reported(e, &previous, copies[i]->model,
+			     copies[i]->adapter);
 }
 
 /* Fills list with the planner's numbers of the named models; unknown names are
@@ -248,6 +277,7 @@
 		if (held.model == item.model &&
 		    (!item.adapter || held.adapter == item.adapter))
 			continue;
+		e->residency.items_mb[n] = e->residency.items_mb[i];
 		e->residency.items[n++] = held;
 	}
 	e->residency.n_items = n;
@@ -380,7 +410,8 @@
 	if (e->order.kind == RES_UNLOAD && (is_model || at_once))
 		remove_resident(e, e->order.item);
 	else if (e->order.kind == RES_LOAD && !is_model)
-		add_resident(e, e->order.item);
+		add_resident(e, e->order.item,
+			     loaded_size_mb(e, e->order.item));
 	announce(e);
 	if (at_once || (!is_model && e->order.kind == RES_LOAD))
 		return;
@@ -473,6 +504,7 @@
 
 static void apply_state(struct engine *e, const struct wire_engine_state *state)
 {
+	const struct res_engine none = { 0 };
 	int64_t now_us = now_of(e->agent);
 	bool settled = now_us - e->accepted_us >= REPORT_LAG_US;
 
@@ -497,7 +529,7 @@
 		g_auto(GStrv) parts = g_strsplit(state->arriving[i], "/", 2);
 
 		if (planner_of(e->agent, e->service) && parts[0] && parts[1])
-			add_reported(e, parts[0], parts[1]);
+			add_reported(e, &none, parts[0], parts[1]);
 	}
 	if (state->busy) {
 		e->state = EXECUTING;
@@ -605,6 +637,7 @@
 		res_load_sent(planner, now_of(ctx));
 	}
 	e->order = *order;
+	e->order_mb = res_size_mb(planner, order->item);
 	e->order_in_term = true;
 	e->state = ORDER_SENT;
 	met_count(ctx->edge->met, "dandelionspar_agent_orders", "", 1);
@@ -638,11 +671,13 @@
 static void add_expected_item(struct res_engine *r, const struct engine *e)
 {
 	struct res_item expected = e->order.item;
+	uint32_t size_mb = e->order_mb;
 
 	if (e->order.kind == RES_UNLOAD) {
 		if (!e->order.load_follows)
 			return;
 		expected = e->order.load_item;
+		size_mb = 0;
 	}
 	if (res_holds(r, expected))
 		return;
@@ -650,6 +685,7 @@
 		r->truncated = true;
 		return;
 	}
+	r->items_mb[r->n_items] = size_mb;
 	r->items[r->n_items++] = expected;
 }
 
@@ -834,6 +870,7 @@
 {
 	GHashTableIter iter;
 	struct service *s;
+	struct engine *e;
 
 	g_hash_table_iter_init(&iter, ctx->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
@@ -853,6 +890,15 @@
 		s->listed = true;
 		res_set_spec(s->planner, from->engine);
 	}
+	/* An order that is under way may load the model by either size. */
+	g_hash_table_iter_init(&iter, ctx->engines);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
+		struct res *planner = planner_of(ctx, e->service);
+
+		if (planner && e->order.kind != RES_NONE)
+			e->order_mb = MAX(e->order_mb,
+					  res_size_mb(planner, e->order.item));
+	}
 	ctx->has_table = true;
 	ctx->table_number = table->number;
 	release_numbers(ctx);
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <random>
+
 #include "state_util.h"
 #include "tests/platform/system.h"
 
@@ -366,3 +369,51 @@
 	EXPECT_FALSE(engine.overloaded);
 	release_views();
 }
+
+/*
+ * Random documents while orders are under way: models come, leave, return, move
+ * in the list and change their sizes. The engine is never ordered to load more
+ * than its memory holds.
+ */
+using AgentDocumentHistory = Agent;
+
+TEST_F(AgentDocumentHistory, EngineIsNeverOverloaded)
+{
+	const char *seed = getenv("SEED");
+	std::mt19937 random(seed ? (unsigned)atoi(seed) : 1);
+	int64_t until = proc_now_ms() + 12000;
+	int number = 1;
+
+	engine.memory_mb = 100;
+	engine.load_ms = 30;
+	while (proc_now_ms() < until) {
+		std::vector<std::string> names = {
+			"a", "b", "c", "d", "e", "m"
+		};
+		std::string list;
+		size_t n = 1 + random() % names.size();
+
+		std::shuffle(names.begin(), names.end(), random);
+		{
+			std::lock_guard<std::mutex> guard(engine.lock);
+
+			for (size_t i = 0; i < n; i++)
+				engine.sizes_mb[names[i]] = 5 + random() % 90;
+		}
+		for (size_t i = 0; i < n; i++)
+			list += (i ? "," : "") +
+				model(names[i], random() % 4,
+				      engine.sizes_mb[names[i]]);
+		put_table(table(number++, "", list));
+		put_engine();
+		refresh();
+		int64_t next = proc_now_ms() + random() % 900;
+		run_until([&] {
+			add_demand(1);
+			return proc_now_ms() >= next;
+		});
+		ASSERT_FALSE(engine.overloaded) << "document " << number - 1;
+	}
+	EXPECT_GT(orders(), 10u);
+	release_views();
+}
--- a/tests/unit/res_test.cc
+++ b/tests/unit/res_test.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdlib>
 #include <cstring>
+#include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -196,8 +198,7 @@
 
 			e.id = engine.id.c_str();
 			e.n_present = e.n_items;
-			e.load_follows =
-				e.busy && engine.order.load_follows;
+			e.load_follows = e.busy && engine.order.load_follows;
 			e.reserved = !e.busy && engine.ordered &&
 				     engine.order.load_follows;
 			e.reserved_for = engine.order.load_item;
@@ -670,3 +671,262 @@
 }
 
 } // namespace
+
+namespace
+{
+
+/*
+ * Engines that keep each copy at the size it was loaded with, and a document
+ * that changes at random: models come, leave, return, change their sizes,
+ * adapters and places in the list. Orders take some steps; documents change
+ * meanwhile.
+ */
+class DocumentHistory
+{
+      public:
+	explicit DocumentHistory(unsigned seed) : random(seed)
+	{
+		change_document();
+	}
+	~DocumentHistory()
+	{
+		res_free(plan);
+	}
+	/* Returns the first broken invariant; empty: none. */
+	std::string run(int steps)
+	{
+		for (int step = 0; step < steps && broken.empty(); step++) {
+			now += 100 * MS;
+			if (random() % 12 == 0)
+				change_document();
+			if (random() % 40 == 0)
+				forget();
+			for (int i = 0; i < 3; i++)
+				res_add_demand(plan, name(random() % 8).c_str(),
+					       random() % 3 ? "" : "a1",
+					       1 + random() % 9, 0, now);
+			for (auto &e : engines)
+				finish(e);
+			order();
+		}
+		return broken;
+	}
+	size_t unloads = 0, loads = 0;
+
+      private:
+	struct Held {
+		uint32_t mb;
+		std::map<int, uint32_t> adapters;
+	};
+	struct Engine {
+		std::map<std::string, Held> holds;
+		struct res_engine known = {}; /* as its owner sees it */
+		struct res_order order = {};
+		std::string model; /* of the order */
+		uint32_t order_mb = 0;
+		int64_t done = -1;
+	};
+
+	static std::string name(size_t i)
+	{
+		return "m" + std::to_string(i);
+	}
+	void change_document()
+	{
+		Dsp__EngineSpec spec = DSP__ENGINE_SPEC__INIT;
+		std::vector<size_t> order = { 0, 1, 2, 3, 4, 5, 6, 7 };
+		std::vector<Dsp__EngineModel> list(1 + random() % 8);
+		std::vector<Dsp__EngineModel *> pointers;
+		std::vector<std::string> names;
+
+		std::shuffle(order.begin(), order.end(), random);
+		sizes.clear();
+		for (size_t i = 0; i < list.size(); i++)
+			names.push_back(name(order[i]));
+		for (size_t i = 0; i < list.size(); i++) {
+			dsp__engine_model__init(&list[i]);
+			list[i].name = names[i].data();
+			list[i].memory_mb = 5 + random() % 60;
+			list[i].load_ms = 300;
+			list[i].adapters = random() % 5;
+			list[i].adapter_mb = 1 + random() % 5;
+			pointers.push_back(&list[i]);
+			sizes[names[i]] = { list[i].memory_mb,
+					    list[i].adapter_mb };
+		}
+		spec.memory_mb = 100;
+		spec.adapter_places = 3;
+		spec.store_loads_per_s = 20;
+		spec.models = pointers.data();
+		spec.n_models = pointers.size();
+		res_set_spec(plan, &spec);
+		for (auto &e : engines)
+			if (e.order.kind != RES_NONE)
+				e.order_mb = std::max(
+					e.order_mb,
+					res_size_mb(plan, e.order.item));
+		release();
+	}
+	void release()
+	{
+		std::vector<uint32_t> used;
+
+		for (auto &e : engines) {
+			for (size_t i = 0; i < e.known.n_items; i++)
+				used.push_back(e.known.items[i].model);
+			if (e.order.kind == RES_NONE)
+				continue;
+			used.push_back(e.order.item.model);
+			used.push_back(e.order.load_item.model);
+		}
+		res_release_unused(plan, used.data(), used.size());
+	}
+	/* A new owner of one engine, which learns from its report only. */
+	void forget()
+	{
+		Engine &e = engines[random() % engines.size()];
+
+		if (e.done >= 0)
+			return;
+		e.known = {};
+		e.order = {};
+		report(e);
+		/* The sizes of these copies are known to nobody now. */
+		for (size_t i = 0; i < e.known.n_items; i++)
+			e.known.items_mb[i] = 100;
+	}
+	void report(Engine &e)
+	{
+		struct res_engine before = e.known;
+
+		e.known.n_items = 0;
+		for (const auto &model : e.holds) {
+			add(e, before, model.first, "");
+			for (const auto &adapter : model.second.adapters)
+				add(e, before, model.first,
+				    "a" + std::to_string(adapter.first));
+		}
+	}
+	void add(Engine &e, const res_engine &before, const std::string &model,
+		 const std::string &adapter)
+	{
+		struct res_item item;
+		size_t at = e.known.n_items;
+
+		ASSERT_TRUE(res_add_name(plan, model.c_str(), adapter.c_str(),
+					 &item));
+		e.known.items[at] = item;
+		e.known.items_mb[at] =
+			std::max(e.order_mb, res_size_mb(plan, item));
+		for (size_t i = 0; i < before.n_items; i++)
+			if (before.items[i].model == item.model &&
+			    before.items[i].adapter == item.adapter)
+				e.known.items_mb[at] = before.items_mb[i];
+		e.known.n_items++;
+	}
+	void finish(Engine &e)
+	{
+		if (e.done < 0 || now < e.done)
+			return;
+		e.done = -1;
+		if (e.order.kind == RES_UNLOAD)
+			e.holds.erase(e.model);
+		report(e);
+	}
+	void order()
+	{
+		std::vector<res_engine> list;
+		std::vector<res_order> out(engines.size());
+
+		for (auto &e : engines) {
+			res_engine input = e.known;
+
+			input.id = "e";
+			input.usable = true;
+			input.busy = e.done >= 0;
+			input.n_present = input.n_items;
+			input.load_follows = input.busy && e.order.load_follows;
+			input.reserved = !input.busy && e.order.load_follows;
+			input.reserved_for = e.order.load_item;
+			list.push_back(input);
+		}
+		size_t n = res_plan(plan, list.data(), list.size(), now,
+				    out.data(), out.size());
+		for (size_t i = 0; i < n; i++)
+			execute(engines[out[i].engine], out[i]);
+	}
+	void execute(Engine &e, const res_order &order)
+	{
+		uint64_t used = 0, places = 0;
+		uint32_t mb;
+
+		e.model = res_model_name(plan, order.item);
+		e.order = order;
+		e.order_mb = res_size_mb(plan, order.item);
+		if (order.kind == RES_UNLOAD) {
+			unloads++;
+			if (!e.holds.count(e.model))
+				broken = "unload of what is not held";
+			else if (order.item.adapter)
+				e.holds[e.model].adapters.erase(
+					order.item.adapter);
+			if (order.item.adapter)
+				report(e);
+			else
+				e.done = now + 200 * MS;
+			return;
+		}
+		loads++;
+		if (!sizes.count(e.model)) {
+			broken = "load of a model that is not listed";
+			return;
+		}
+		mb = order.item.adapter ? sizes[e.model].second
+					: sizes[e.model].first;
+		if (order.item.adapter)
+			e.holds[e.model].adapters[order.item.adapter] = mb;
+		else
+			e.holds[e.model] = { mb, {} };
+		for (const auto &model : e.holds) {
+			used += model.second.mb;
+			for (const auto &adapter : model.second.adapters)
+				used += adapter.second;
+			places += model.second.adapters.size();
+		}
+		if (used > 100 || places > 3)
+			broken = std::to_string(used) + " MB and " +
+				 std::to_string(places) + " adapters";
+		if (order.item.adapter)
+			report(e);
+		else
+			e.done = now + 300 * MS;
+	}
+
+	std::mt19937 random;
+	struct res *plan = res_new(1.1);
+	std::vector<Engine> engines = std::vector<Engine>(4);
+	std::map<std::string, std::pair<uint32_t, uint32_t>> sizes;
+	int64_t now = 100 * S;
+	std::string broken;
+};
+
+} // namespace
+
+/* Guards against orders beyond an engine's memory or places when documents
+ * change while engines hold models and orders are under way. */
+TEST(ResDocument, RandomDocumentsNeverOverloadAnEngine)
+{
+	const char *more = getenv("HISTORIES");
+	unsigned n = more ? (unsigned)atoi(more) : 200;
+	size_t loads = 0, unloads = 0;
+
+	for (unsigned seed = 1; seed <= n; seed++) {
+		DocumentHistory history(seed);
+
+		ASSERT_EQ(history.run(600), "") << "seed " << seed;
+		loads += history.loads;
+		unloads += history.unloads;
+	}
+	EXPECT_GT(loads, 20 * n);
+	EXPECT_GT(unloads, 10 * n);
+}
