edge: the queue's timer is its own, not that of its first request

The queue ran without finding a place was ruled out: its refusal did not come either.

The timer now belongs to the queue and runs while anything is queued. A queued request's own timer is for its deadline only.

--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -102,7 +102,8 @@
 	struct rtab *routes;	      /* of the table */
 	struct bal *bal;
 	struct adm *queue;	   /* requests that wait for an endpoint */
-	struct event *queue_event; /* an endpoint may have capacity */
+	struct event *queue_event; /* an endpoint may have capacity; its timer
+				      runs while requests are queued */
 	GHashTable *budgets;	   /* service -> struct rep */
 	struct rep_share repeat_share;
 	struct fwd_list forwards;
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -273,6 +273,15 @@
 	event_active(ctx->queue_event, EV_TIMEOUT, 0);
 }
 
+/* Has the queue run again in QUEUE_POLL_US. The timer is the queue's own: any
+ * of the requests in it may end at any time. */
+static void set_queue_timer(struct edge *ctx)
+{
+	struct timeval wait = { .tv_usec = QUEUE_POLL_US };
+
+	event_add(ctx->queue_event, &wait);
+}
+
 /* Ends an attempt, whose call is cancelled if it has not ended. What it has
  * received stays until attempt_free(). */
 static void release_attempt(struct attempt *at, enum bal_result result)
@@ -1044,7 +1053,9 @@
 	f->item.objective_us = f->headers_sent ? now_us + resume_wait_us(f)
 					       : f->start_us + f->objective_us;
 	adm_add(f->edge->queue, &f->item);
-	set_timer_at(f, now_us + QUEUE_POLL_US);
+	set_timer_at(f, f->deadline_us);
+	if (!event_pending(f->edge->queue_event, EV_TIMEOUT, NULL))
+		set_queue_timer(f->edge);
 	return true;
 }
 
@@ -1250,11 +1261,7 @@
 		give_up(f, -1, "deadline");
 		return;
 	}
-	if (f->item.queued) {
-		fwd_run_queue(f->edge);
-		return;
-	}
-	if (f->broken_reason || f->trial_endpoint) {
+	if (f->item.queued || f->broken_reason || f->trial_endpoint) {
 		set_timer_at(f, f->deadline_us);
 		return;
 	}
@@ -1576,9 +1583,8 @@
 			failed[n_failed++] = group;
 		item = next;
 	}
-	item = adm_next(ctx->queue, NULL, now_us);
-	if (item)
-		set_timer_at(fwd_from_item(item), now_us + QUEUE_POLL_US);
+	if (adm_total(ctx->queue))
+		set_queue_timer(ctx);
 }
 
 /* Aborts all requests when the process ends. */
