http, edge: an account for the bytes that others make an entry keep

Callers that do not read streams without end took an entry to 300 to 373 MB in tests of 60 callers (its machine has 260 MB), and it kept the memory after they had left; 60 answers of 7 MB to such callers took it to 270 MB. A process beyond its machine's memory is ended, with the requests of all.

Each caller's output had a limit of 8 MiB, and nothing limited the sum. hio_mem keeps one account of buffered answers, unfinished events, engine reports and output, with limits for each kind and for the sum, half of the process's memory. At the limit, clients with more unread output than the average are disconnected, so those that read are served. A whole answer is handed to the socket's buffer without a copy. After a peak, free memory goes back to the system.

Attempts that end for want of memory no longer count against the endpoint.

--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -40,6 +40,7 @@
 	/* Wait of a new leader before its first order while its predecessor may
 	 * still send orders. */
 	uint32_t order_lease_ms;
+	double memory_mb; /* that the process may use */
 	/* Limit of planned loads, as a multiple of the store's loads_per_s. */
 	double store_excess;
 };
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -117,12 +117,20 @@
 	return clk_now_us(ctx->edge->clock);
 }
 
+static void clear_body(struct engine *e)
+{
+	hio_mem_give(e->agent->edge->mem, HIO_MEM_ANSWER, e->body->len);
+	g_byte_array_unref(e->body);
+	e->body = g_byte_array_new();
+}
+
 static void cancel_call(struct engine *e)
 {
 	if (e->call)
 		hio_call_cancel(e->call);
 	e->call = NULL;
 	event_del(e->timer);
+	clear_body(e);
 }
 
 static void engine_free(void *data)
@@ -131,7 +139,7 @@
 
 	cancel_call(e);
 	event_free(e->timer);
-	g_byte_array_free(e->body, TRUE);
+	g_byte_array_unref(e->body);
 	g_free(e->id);
 	g_free(e->service);
 	g_free(e->address);
@@ -352,16 +360,20 @@
 	wire_read_answer(answer, &attributes);
 	edge_saw_hint(e->agent->edge, e->id, e->incarnation, &attributes);
 	e->status = answer->status;
-	g_byte_array_set_size(e->body, 0);
+	clear_body(e);
 }
 
 static void on_body(void *data, const char *bytes, size_t len)
 {
 	struct engine *e = data;
 
-	if (e->body->len + len > RESPONSE_MAX_BYTES) {
-		LOG_EVENT_INFO("agent", "answer_too_long", "endpoint=%s",
-			       e->id);
+	struct hio_mem *mem = e->agent->edge->mem;
+
+	if (e->body->len + len > RESPONSE_MAX_BYTES ||
+	    !hio_mem_take(mem, HIO_MEM_ANSWER, len)) {
+		LOG_EVENT_INFO("agent", "answer_too_long",
+			       "endpoint=%s bytes=%u limit=%d", e->id,
+			       e->body->len, RESPONSE_MAX_BYTES);
 		abort_call(e);
 		return;
 	}
@@ -488,6 +500,7 @@
 
 	e->call = NULL;
 	event_del(e->timer);
+	clear_body(e);
 	order_finished(e, wire_order_outcome_of(e->status));
 	plan_all(e->agent);
 }
@@ -499,6 +512,7 @@
 	(void)failure;
 	e->call = NULL;
 	event_del(e->timer);
+	clear_body(e);
 	order_finished(e, WIRE_ORDER_UNKNOWN);
 }
 
@@ -558,8 +572,10 @@
 						 e->body->len, &state)) {
 		LOG_EVENT_INFO("agent", "state_unreadable",
 			       "endpoint=%s status=%d", e->id, e->status);
+		clear_body(e);
 		return;
 	}
+	clear_body(e);
 	if (state.incarnation && state.incarnation != e->incarnation)
 		LOG_EVENT_INFO("agent", "other_process",
 			       "endpoint=%s incarnation=%" G_GUINT64_FORMAT,
@@ -580,6 +596,7 @@
 		       (int)failure);
 	e->call = NULL;
 	event_del(e->timer);
+	clear_body(e);
 	e->poll_us = now_of(e->agent) + RECHECK_DELAY_US;
 }
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -15,6 +15,11 @@
 /* The entry closes an idle connection later than the announced idle time, so
  * that no request crosses the close. */
 #define IDLE_MARGIN_US 1000000
+#define MB_BYTES (1 << 20)
+/* Share of the process's memory that may hold bytes of callers and endpoints.
+ * The rest is for the state, the allocator's own use and free space in buffers
+ * that grow. */
+#define BUFFERED_SHARE 0.5
 
 static void demand_free(void *data)
 {
@@ -76,6 +81,8 @@
 					     demand_free);
 	evthread_use_pthreads();
 	ctx->base = event_base_new();
+	ctx->mem = hio_mem_new(
+		(size_t)(settings->edge.memory_mb * MB_BYTES * BUFFERED_SHARE));
 	return ctx;
 }
 
@@ -91,6 +98,7 @@
 	if (ctx->queue_event)
 		event_free(ctx->queue_event);
 	event_base_free(ctx->base);
+	hio_mem_free(ctx->mem);
 	g_ptr_array_free(ctx->demands_in, TRUE);
 	g_ptr_array_free(ctx->paces_in, TRUE);
 	g_ptr_array_free(ctx->loads_in, TRUE);
@@ -392,6 +400,7 @@
 		  (int64_t)counts.opened);
 	met_gauge(ctx->met, "dandelionspar_edge_connections_reused", "",
 		  (int64_t)counts.reused);
+	hio_mem_set_gauges(ctx->mem, ctx->met);
 	if (ctx->front)
 		met_gauge(ctx->met, "dandelionspar_edge_callers_connected", "",
 			  (int64_t)hio_server_connections(ctx->front));
@@ -409,6 +418,7 @@
 		set_gauges(ctx);
 	}
 	update_repeat_share(ctx);
+	hio_mem_trim(ctx->mem);
 	fwd_run_held(ctx);
 	if (ctx->agent)
 		agent_tick(ctx->agent, now_us);
--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -335,6 +335,7 @@
 	options.listen = listen;
 	options.data = ctx;
 	options.refused = on_refused;
+	options.mem = ctx->mem;
 	*out = hio_server_new(&options, err);
 	return *out != NULL;
 }
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -88,6 +88,7 @@
 	unsigned calls_running;			 /* lock */
 	pthread_cond_t calls_ended;		 /* with lock */
 	_Atomic unsigned in_flight;
+	struct hio_mem *mem; /* buffers of the edge thread */
 
 	/* Used by the edge thread only. */
 	struct hio_server *front;
@@ -107,7 +108,6 @@
 	GHashTable *budgets;	   /* service -> struct rep */
 	struct rep_share repeat_share;
 	struct fwd_list forwards;
-	size_t answer_bytes; /* held in buffered responses */
 	STAILQ_HEAD(fwd_helds, fwd_held) held;
 	unsigned n_held;
 	GHashTable *demands; /* "model/adapter" -> struct edge_demand */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -61,10 +61,8 @@
 #define PACE_EVENTS_MIN 8
 /* Minimum prompt length for a usable measurement of prefill speed. */
 #define PREFILL_TOKENS_MIN 400
-/* Limits of buffered responses: of one, and of all in this instance, which may
- * use some 200 MB. */
+/* Limit of a buffered response. */
 #define ANSWER_MAX_BYTES (8 << 20)
-#define ANSWERS_MAX_BYTES (64 << 20)
 /* Limit of an incomplete event of a stream; events hold a few tokens. */
 #define EVENT_MAX_BYTES (256 << 10)
 #define RETRY_AFTER_JITTER 0.5
@@ -107,6 +105,7 @@
 	struct hio_fields fields; /* for the caller; owned */
 	GByteArray *body;	  /* of a buffered response */
 	struct sse *sse;	  /* of a stream that has begun; or NULL */
+	size_t event_bytes;	  /* of its unfinished event */
 	uint32_t events_received;
 	int64_t first_event_us;	   /* when the first of them arrived */
 	struct edge_attempt parts; /* of its prompt */
@@ -203,20 +202,14 @@
 
 /* ---- End of a request ---- */
 
-/* Discards the part of a response that was buffered. */
-static void discard_body(struct attempt *at)
-{
-	at->fwd->edge->answer_bytes -= at->body->len;
-	g_byte_array_set_size(at->body, 0);
-}
-
 /* Frees an attempt that was released. */
 static void attempt_free(struct attempt *at)
 {
 	LIST_REMOVE(at, link);
 	hio_fields_clear(&at->fields);
-	discard_body(at);
-	g_byte_array_free(at->body, TRUE);
+	hio_mem_give(at->fwd->edge->mem, HIO_MEM_ANSWER, at->body->len);
+	g_byte_array_unref(at->body);
+	hio_mem_give(at->fwd->edge->mem, HIO_MEM_EVENT, at->event_bytes);
 	sse_free(at->sse);
 	g_free(at);
 }
@@ -711,6 +704,27 @@
 	set_request_timer(at->fwd);
 }
 
+/* May free the request. */
+static void read_events(struct attempt *at, const char *bytes, size_t len)
+{
+	struct hio_mem *mem = at->fwd->edge->mem;
+	size_t unfinished;
+
+	sse_feed(at->sse, bytes, len, on_event, at);
+	unfinished = sse_unfinished(at->sse);
+	hio_mem_give(mem, HIO_MEM_EVENT, at->event_bytes);
+	at->event_bytes = 0;
+	if (unfinished > EVENT_MAX_BYTES) {
+		fail_attempt(at, BAL_FAILED, true, "event_too_long");
+		return;
+	}
+	if (!hio_mem_take(mem, HIO_MEM_EVENT, unfinished)) {
+		fail_attempt(at, BAL_CANCELLED, true, "no_memory");
+		return;
+	}
+	at->event_bytes = unfinished;
+}
+
 /* May free the request. */
 static void on_body(void *data, const char *bytes, size_t len)
 {
@@ -724,9 +738,7 @@
 	if (first && at->sse)
 		begin_events(at, now_us);
 	if (at->sse) {
-		sse_feed(at->sse, bytes, len, on_event, at);
-		if (sse_unfinished(at->sse) > EVENT_MAX_BYTES)
-			fail_attempt(at, BAL_FAILED, true, "event_too_long");
+		read_events(at, bytes, len);
 		return;
 	}
 	if (at->has_length)
@@ -735,12 +747,11 @@
 		fail_attempt(at, BAL_FAILED, true, "answer_too_long");
 		return;
 	}
-	if (f->edge->answer_bytes + len > ANSWERS_MAX_BYTES) {
-		fail_attempt(at, BAL_FAILED, true, "answers_too_long");
+	if (!hio_mem_take(f->edge->mem, HIO_MEM_ANSWER, len)) {
+		fail_attempt(at, BAL_CANCELLED, true, "no_memory");
 		return;
 	}
 	g_byte_array_append(at->body, (const guint8 *)bytes, (guint)len);
-	f->edge->answer_bytes += len;
 }
 
 static void handle_refusal(struct attempt *at)
@@ -818,8 +829,12 @@
 		return;
 	}
 	log_end(f, success ? "served" : "endpoint_failed", at->status, "-");
-	hio_reply(f->exchange, at->status, at->fields.all, at->fields.n,
-		  at->body->data, at->body->len);
+	/* The output counts it from now on. */
+	hio_mem_give(f->edge->mem, HIO_MEM_ANSWER, at->body->len);
+	hio_reply_bytes(f->exchange, at->status, at->fields.all, at->fields.n,
+			at->body);
+	g_byte_array_unref(at->body);
+	at->body = g_byte_array_new();
 	fwd_free(f);
 }
 
--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -265,3 +265,19 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
 			 sizeof(timeout_ms));
 }
+
+static void unref_bytes(const void *data, size_t len, void *bytes)
+{
+	(void)data;
+	(void)len;
+	g_byte_array_unref(bytes);
+}
+
+/* Appends bytes to a buffer without a copy. The array must not be changed as
+ * long as the buffer has it. */
+void hio_add_shared(struct evbuffer *out, GByteArray *bytes)
+{
+	if (bytes->len)
+		evbuffer_add_reference(out, bytes->data, bytes->len,
+				       unref_bytes, g_byte_array_ref(bytes));
+}
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "base/clk.h"
+#include "http/hio_mem.h"
 
 /*
  * HTTP I/O (hio): HTTP/1.1 server and client on one libevent loop. All
@@ -66,6 +67,7 @@
 	struct event_base *base;
 	const char *listen; /* IP:PORT */
 	struct hio_limits limits;
+	struct hio_mem *mem; /* of its buffers; outlives it. NULL: none */
 	void *data;
 	/* A complete request was read; it may be answered in this call or
 	 * later. */
@@ -89,6 +91,9 @@
 void hio_reply(struct hio_exchange *ex, int status,
 	       const struct hio_field *fields, size_t n, const void *body,
 	       size_t len);
+void hio_reply_bytes(struct hio_exchange *ex, int status,
+		     const struct hio_field *fields, size_t n,
+		     GByteArray *body);
 void hio_reply_begin(struct hio_exchange *ex, int status,
 		     const struct hio_field *fields, size_t n);
 void hio_reply_chunk(struct hio_exchange *ex, const void *data, size_t len);
--- a/src/http/hio_int.h
+++ b/src/http/hio_int.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_HIO_INT_H
 #define HTTP_HIO_INT_H
 
+#include <event2/buffer.h>
 #include <http_parser.h>
 #include <netinet/in.h>
 
@@ -40,6 +41,7 @@
 bool hio_builder_value(struct hio_builder *ctx, uint64_t offset, const char *at,
 		       size_t len);
 size_t hio_builder_finish(struct hio_builder *ctx);
+void hio_add_shared(struct evbuffer *out, GByteArray *bytes);
 void hio_set_socket_options(evutil_socket_t fd);
 
 #endif
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -61,6 +61,7 @@
 	bool keep_alive;
 	struct hio_exchange *exchange; /* in ANSWERING */
 	bool processing;
+	bool is_too_slow; /* it is about to be disconnected */
 };
 
 struct hio_server {
@@ -113,6 +114,36 @@
 	g_free(ex);
 }
 
+/* Keeps the account of the output. */
+static void on_output_changed(struct evbuffer *out,
+			      const struct evbuffer_cb_info *info, void *data)
+{
+	struct conn *conn = data;
+	struct hio_mem *mem = conn->server->options.mem;
+	bool had_output = info->orig_size > 0;
+	bool has_output = evbuffer_get_length(out) > 0;
+
+	hio_mem_add(mem, HIO_MEM_OUTPUT, info->n_added);
+	hio_mem_give(mem, HIO_MEM_OUTPUT, info->n_deleted);
+	if (has_output && !had_output)
+		hio_mem_begin_output(mem);
+	else if (had_output && !has_output)
+		hio_mem_end_output(mem);
+}
+
+/* Ends the account of an output that will not be written. */
+static void drop_output(struct conn *conn)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	size_t unsent = evbuffer_get_length(out);
+
+	evbuffer_remove_cb(out, on_output_changed, conn);
+	if (!unsent)
+		return;
+	hio_mem_give(conn->server->options.mem, HIO_MEM_OUTPUT, unsent);
+	hio_mem_end_output(conn->server->options.mem);
+}
+
 static void conn_free(struct conn *conn)
 {
 	struct hio_server *ctx = conn->server;
@@ -123,6 +154,7 @@
 	}
 	TAILQ_REMOVE(&ctx->conns, conn, link);
 	ctx->n_conns--;
+	drop_output(conn);
 	bufferevent_free(conn->bev);
 	event_free(conn->timer);
 	hio_builder_clear(&conn->builder);
@@ -441,6 +473,8 @@
 	bufferevent_setcb(conn->bev, on_readable, on_output_written, on_event,
 			  conn);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_BYTES);
+	evbuffer_add_cb(bufferevent_get_output(conn->bev), on_output_changed,
+			conn);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	begin_idle(conn);
 }
@@ -547,20 +581,38 @@
 				    BEV_TRIG_DEFER_CALLBACKS);
 }
 
-/* Answers with a complete body and ends the exchange. Adds Content-Length, and
- * Connection if the connection closes afterwards. */
-void hio_reply(struct hio_exchange *ex, int status,
-	       const struct hio_field *fields, size_t n, const void *body,
-	       size_t len)
+static void write_whole_head(struct hio_exchange *ex, int status,
+			     const struct hio_field *fields, size_t n,
+			     size_t body_len)
 {
 	struct evbuffer *out = bufferevent_get_output(ex->conn->bev);
 
 	write_head(ex, status, fields, n);
 	if (status != 204 && status != 304)
-		evbuffer_add_printf(out, "Content-Length: %zu\r\n", len);
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body_len);
 	evbuffer_add(out, "\r\n", 2);
+}
+
+/* Answers with a complete body and ends the exchange. Adds Content-Length, and
+ * Connection if the connection closes afterwards. */
+void hio_reply(struct hio_exchange *ex, int status,
+	       const struct hio_field *fields, size_t n, const void *body,
+	       size_t len)
+{
+	write_whole_head(ex, status, fields, n, len);
 	if (len && !ex->no_body)
-		evbuffer_add(out, body, len);
+		evbuffer_add(bufferevent_get_output(ex->conn->bev), body, len);
+	exchange_finish(ex);
+}
+
+/* Like hio_reply(), without a copy of the body, which must not be changed
+ * afterwards. */
+void hio_reply_bytes(struct hio_exchange *ex, int status,
+		     const struct hio_field *fields, size_t n, GByteArray *body)
+{
+	write_whole_head(ex, status, fields, n, body->len);
+	if (!ex->no_body)
+		hio_add_shared(bufferevent_get_output(ex->conn->bev), body);
 	exchange_finish(ex);
 }
 
@@ -574,16 +626,35 @@
 	evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
 }
 
-/* Writes one chunk. A client that has stopped reading is disconnected. */
+/* Disconnects a client that does not read what is written for it. */
+static void disconnect_slow(struct conn *conn, size_t unread, bool over_share)
+{
+	struct hio_server *ctx = conn->server;
+
+	if (conn->is_too_slow)
+		return;
+	conn->is_too_slow = true;
+	LOG_EVENT_INFO("http", "client_too_slow",
+		       "listen=%s unread=%zu over_share=%d",
+		       ctx->options.listen, unread, over_share);
+	bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
+				  BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* Writes one chunk. A client that has stopped reading is disconnected, and so
+ * is one that has read less than others when all output is at its limit. */
 void hio_reply_chunk(struct hio_exchange *ex, const void *data, size_t len)
 {
-	struct evbuffer *out = bufferevent_get_output(ex->conn->bev);
+	struct conn *conn = ex->conn;
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	size_t unread = evbuffer_get_length(out);
+	bool over_share;
 
 	if (!len || ex->no_body)
 		return;
-	if (evbuffer_get_length(out) > OUTPUT_MAX_BYTES) {
-		bufferevent_trigger_event(ex->conn->bev, BEV_EVENT_ERROR,
-					  BEV_TRIG_DEFER_CALLBACKS);
+	over_share = hio_mem_over_share(conn->server->options.mem, unread);
+	if (unread > OUTPUT_MAX_BYTES || over_share) {
+		disconnect_slow(conn, unread, over_share);
 		return;
 	}
 	evbuffer_add_printf(out, "%zx\r\n", len);
