http, edge: request bodies are in the account; small items pass

Each body had a limit, their sum had none, and the copy for the endpoint doubled it.

Bodies are counted until the request is answered. A request whose body does not fit is refused with 503 and Retry-After, at its head if it has a length.

Items up to 64 KiB now pass as long as the sum allows, and the client that has not read for longest is disconnected, whatever it was sent.

--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -370,7 +370,7 @@
 	struct hio_mem *mem = e->agent->edge->mem;
 
 	if (e->body->len + len > RESPONSE_MAX_BYTES ||
-	    !hio_mem_take(mem, HIO_MEM_ANSWER, len)) {
+	    !hio_mem_take(mem, HIO_MEM_ANSWER, e->body->len, len)) {
 		LOG_EVENT_INFO("agent", "answer_too_long",
 			       "endpoint=%s bytes=%u limit=%d", e->id,
 			       e->body->len, RESPONSE_MAX_BYTES);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -718,7 +718,7 @@
 		fail_attempt(at, BAL_FAILED, true, "event_too_long");
 		return;
 	}
-	if (!hio_mem_take(mem, HIO_MEM_EVENT, unfinished)) {
+	if (!hio_mem_take(mem, HIO_MEM_EVENT, 0, unfinished)) {
 		fail_attempt(at, BAL_CANCELLED, true, "no_memory");
 		return;
 	}
@@ -747,7 +747,7 @@
 		fail_attempt(at, BAL_FAILED, true, "answer_too_long");
 		return;
 	}
-	if (!hio_mem_take(f->edge->mem, HIO_MEM_ANSWER, len)) {
+	if (!hio_mem_take(f->edge->mem, HIO_MEM_ANSWER, at->body->len, len)) {
 		fail_attempt(at, BAL_CANCELLED, true, "no_memory");
 		return;
 	}
@@ -919,8 +919,7 @@
 	struct hio_call_options options = {
 		.address = bal_address(endpoint),
 		.head = wire_write_request(request, &what),
-		.body = request->body->data,
-		.body_len = request->body->len,
+		.body = request->body,
 		.no_answer_body = !strcmp(request->method, "HEAD"),
 		.echo_name =
 			f->request.request_id ? wire_request_id_field : NULL,
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -126,9 +126,8 @@
 struct hio_call_options {
 	const char *address; /* IP:PORT */
 	GString *head; /* request line and fields; ownership is transferred */
-	const void *body;    /* copied; NULL: none */
+	GByteArray *body;    /* shared, so not to be changed; NULL: none */
 	bool no_answer_body; /* the request is a HEAD */
-	size_t body_len;
 	/* An answer in which this field has another value belongs to another
 	 * request and is skipped; so is one without the field on a connection
 	 * that has had an earlier call. NULL: no check. */
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -525,8 +525,8 @@
 	call->conn = conn;
 	out = bufferevent_get_output(conn->bev);
 	evbuffer_add(out, options->head->str, options->head->len);
-	if (options->body_len)
-		evbuffer_add(out, options->body, options->body_len);
+	if (options->body)
+		hio_add_shared(out, options->body);
 	g_string_free(options->head, TRUE);
 	return call;
 }
--- a/src/http/hio_mem.c
+++ b/src/http/hio_mem.c
@@ -8,10 +8,16 @@
  * TRIM_SHARE of its last peak, if that was TRIM_MIN_BYTES or more. */
 #define TRIM_MIN_BYTES ((size_t)16 << 20)
 #define TRIM_SHARE 0.25
+/* Size from which the allocator maps a buffer of its own. */
+#define MAPPED_MIN_BYTES (1 << 20)
 
-/* Limits as shares of the account's limit: of the kind, and of the sum of all
- * kinds up to which this kind is taken. New requests are refused before work
- * that has begun. */
+/* An item of this size or less is taken as long as the sum allows: a few large
+ * items must not keep out the many small ones. */
+#define SMALL_BYTES ((size_t)64 << 10)
+
+/* Limits of items that are not small, as shares of the account's limit: of the
+ * kind, and of the sum of all kinds up to which this kind is taken. New
+ * requests are refused before work that has begun. */
 struct kind_limits {
 	const char *name;
 	double own;
@@ -33,11 +39,13 @@
 	_Atomic unsigned unsent;
 };
 
-/* Creates an account with a limit in bytes. */
+/* Creates an account with a limit in bytes. Sets the allocator to map large
+ * buffers one by one: they grow without a copy and are returned when freed. */
 struct hio_mem *hio_mem_new(size_t limit_bytes)
 {
 	struct hio_mem *ctx = g_new0(struct hio_mem, 1);
 
+	mallopt(M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
 	ctx->limit = limit_bytes;
 	return ctx;
 }
@@ -50,15 +58,25 @@
 
 /* Returns whether hio_mem_take() would succeed. */
 bool hio_mem_has_room(const struct hio_mem *ctx, enum hio_mem_kind kind,
-		      size_t bytes)
+		      size_t held, size_t bytes)
 {
-	double limit;
+	double limit, own, sum;
 
 	if (!ctx)
 		return true;
 	limit = (double)ctx->limit;
-	return (double)(ctx->held[kind] + bytes) <= limits[kind].own * limit &&
-	       (double)(ctx->sum + bytes) <= limits[kind].sum * limit;
+	own = (double)(ctx->held[kind] + bytes);
+	sum = (double)(ctx->sum + bytes);
+	if (held + bytes <= SMALL_BYTES)
+		return sum <= limit;
+	return own <= limits[kind].own * limit &&
+	       sum <= limits[kind].sum * limit;
+}
+
+/* Returns whether items of this kind that are not small have no room. */
+bool hio_mem_is_full(const struct hio_mem *ctx, enum hio_mem_kind kind)
+{
+	return !hio_mem_has_room(ctx, kind, SMALL_BYTES, 1);
 }
 
 /* Adds bytes without regard to the limits. */
@@ -71,11 +89,12 @@
 	ctx->peak = MAX(ctx->peak, ctx->sum);
 }
 
-/* Adds bytes that are about to be buffered; returns false, and adds nothing, if
- * they exceed a limit. */
-bool hio_mem_take(struct hio_mem *ctx, enum hio_mem_kind kind, size_t bytes)
+/* Adds bytes that are about to be buffered, to an item that has held bytes so
+ * far; returns false, and adds nothing, if they exceed a limit. */
+bool hio_mem_take(struct hio_mem *ctx, enum hio_mem_kind kind, size_t held,
+		  size_t bytes)
 {
-	if (!hio_mem_has_room(ctx, kind, bytes))
+	if (!hio_mem_has_room(ctx, kind, held, bytes))
 		return false;
 	hio_mem_add(ctx, kind, bytes);
 	return true;
@@ -104,16 +123,6 @@
 		ctx->unsent--;
 }
 
-/* Returns whether a connection has an output of more bytes than the average
- * while all output is at its limit: its client reads more slowly than others.
- */
-bool hio_mem_over_share(const struct hio_mem *ctx, size_t bytes)
-{
-	if (hio_mem_has_room(ctx, HIO_MEM_OUTPUT, 0))
-		return false;
-	return bytes >= ctx->held[HIO_MEM_OUTPUT] / MAX(ctx->unsent, 1);
-}
-
 /* Returns the number of connections with output; callable from any thread. */
 unsigned hio_mem_unsent(const struct hio_mem *ctx)
 {
--- a/src/http/hio_mem.h
+++ b/src/http/hio_mem.h
@@ -26,7 +26,8 @@
 void hio_mem_free(struct hio_mem *ctx);
 
 /* Commands. All allow ctx to be NULL, which has no limits. */
-bool hio_mem_take(struct hio_mem *ctx, enum hio_mem_kind kind, size_t bytes);
+bool hio_mem_take(struct hio_mem *ctx, enum hio_mem_kind kind, size_t held,
+		  size_t bytes);
 void hio_mem_add(struct hio_mem *ctx, enum hio_mem_kind kind, size_t bytes);
 void hio_mem_give(struct hio_mem *ctx, enum hio_mem_kind kind, size_t bytes);
 void hio_mem_begin_output(struct hio_mem *ctx);
@@ -36,8 +37,8 @@
 
 /* Queries. */
 bool hio_mem_has_room(const struct hio_mem *ctx, enum hio_mem_kind kind,
-		      size_t bytes);
-bool hio_mem_over_share(const struct hio_mem *ctx, size_t bytes);
+		      size_t held, size_t bytes);
+bool hio_mem_is_full(const struct hio_mem *ctx, enum hio_mem_kind kind);
 unsigned hio_mem_unsent(const struct hio_mem *ctx);
 
 #endif
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -17,6 +17,9 @@
 /* A client that does not read is disconnected when more than this is buffered
  * for it. */
 #define OUTPUT_MAX_BYTES (8 << 20)
+/* A client with less output than this is not disconnected for the memory of
+ * all. */
+#define OUTPUT_SMALL_BYTES (64 << 10)
 /* After the last byte of an answer the client has this long to close its side:
  * closing a socket with unread input resets the connection, and the client can
  * lose the answer. */
@@ -25,6 +28,9 @@
 /* A body has the idle limit for each so many bytes: one that comes slowly goes
  * on, and one of which a byte comes now and then is refused. */
 #define BODY_PROGRESS_BYTES 512
+/* Retry-After of a request that is refused for want of memory, in seconds:
+ * most bodies are answered and freed within this time. */
+#define NO_MEMORY_RETRY_S 1
 
 enum phase {
 	IDLE,	   /* between requests */
@@ -43,6 +49,7 @@
 
 struct conn {
 	TAILQ_ENTRY(conn) link;
+	TAILQ_ENTRY(conn) output_link; /* while it has output */
 	struct hio_server *server;
 	struct bufferevent *bev;
 	struct event *timer;
@@ -68,6 +75,8 @@
 	struct hio_server_options options;
 	struct evconnlistener *listener;
 	TAILQ_HEAD(, conn) conns;
+	/* Those with output; whose client has not read for longest is first. */
+	TAILQ_HEAD(, conn) with_output;
 	size_t n_conns;
 	bool draining;
 };
@@ -102,6 +111,13 @@
 	}
 }
 
+/* Releases a body that hio_mem counts. */
+static void free_body(struct hio_server *ctx, GByteArray *body)
+{
+	hio_mem_give(ctx->options.mem, HIO_MEM_REQUEST, body->len);
+	g_byte_array_unref(body);
+}
+
 static void exchange_free(struct hio_exchange *ex)
 {
 	struct conn *conn = ex->conn;
@@ -110,38 +126,45 @@
 	g_free(ex->request.method);
 	g_free(ex->request.target);
 	hio_fields_clear(&ex->request.fields);
-	g_byte_array_free(ex->request.body, TRUE);
+	free_body(conn->server, ex->request.body);
 	g_free(ex);
 }
 
-/* Keeps the account of the output. */
+/* Keeps the account of a connection's output, and the order of those that have
+ * some. */
 static void on_output_changed(struct evbuffer *out,
 			      const struct evbuffer_cb_info *info, void *data)
 {
 	struct conn *conn = data;
-	struct hio_mem *mem = conn->server->options.mem;
+	struct hio_server *ctx = conn->server;
 	bool had_output = info->orig_size > 0;
 	bool has_output = evbuffer_get_length(out) > 0;
 
-	hio_mem_add(mem, HIO_MEM_OUTPUT, info->n_added);
-	hio_mem_give(mem, HIO_MEM_OUTPUT, info->n_deleted);
+	hio_mem_add(ctx->options.mem, HIO_MEM_OUTPUT, info->n_added);
+	hio_mem_give(ctx->options.mem, HIO_MEM_OUTPUT, info->n_deleted);
+	if (had_output && (info->n_deleted || !has_output))
+		TAILQ_REMOVE(&ctx->with_output, conn, output_link);
+	if (has_output && (info->n_deleted || !had_output))
+		TAILQ_INSERT_TAIL(&ctx->with_output, conn, output_link);
 	if (has_output && !had_output)
-		hio_mem_begin_output(mem);
+		hio_mem_begin_output(ctx->options.mem);
 	else if (had_output && !has_output)
-		hio_mem_end_output(mem);
+		hio_mem_end_output(ctx->options.mem);
 }
 
 /* Ends the account of an output that will not be written. */
 static void drop_output(struct conn *conn)
 {
+	struct hio_server *ctx = conn->server;
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
 	size_t unsent = evbuffer_get_length(out);
 
 	evbuffer_remove_cb(out, on_output_changed, conn);
 	if (!unsent)
 		return;
-	hio_mem_give(conn->server->options.mem, HIO_MEM_OUTPUT, unsent);
-	hio_mem_end_output(conn->server->options.mem);
+	TAILQ_REMOVE(&ctx->with_output, conn, output_link);
+	hio_mem_give(ctx->options.mem, HIO_MEM_OUTPUT, unsent);
+	hio_mem_end_output(ctx->options.mem);
 }
 
 static void conn_free(struct conn *conn)
@@ -159,7 +182,7 @@
 	event_free(conn->timer);
 	hio_builder_clear(&conn->builder);
 	g_string_free(conn->target, TRUE);
-	g_byte_array_free(conn->body, TRUE);
+	free_body(ctx, conn->body);
 	g_free(conn);
 }
 
@@ -196,16 +219,21 @@
 static void refuse(struct conn *conn, int status, const char *reason)
 {
 	struct hio_server *ctx = conn->server;
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
 
 	LOG_EVENT_INFO("http", "request_refused",
 		       "listen=%s status=%d reason=%s", ctx->options.listen,
 		       status, reason);
 	if (ctx->options.refused)
 		ctx->options.refused(ctx->options.data, status, reason);
-	evbuffer_add_printf(bufferevent_get_output(conn->bev),
-			    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
-			    "Connection: close\r\n\r\n",
+	free_body(ctx, conn->body);
+	conn->body = g_byte_array_new();
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n",
 			    status, reason_phrase(status));
+	if (status == 503)
+		evbuffer_add_printf(out, "Retry-After: %d\r\n",
+				    NO_MEMORY_RETRY_S);
+	evbuffer_add_printf(out, "Connection: close\r\n\r\n");
 	begin_flush(conn);
 }
 
@@ -218,6 +246,8 @@
 	hio_builder_clear(&conn->builder);
 	hio_builder_init(&conn->builder);
 	g_string_truncate(conn->target, 0);
+	hio_mem_give(conn->server->options.mem, HIO_MEM_REQUEST,
+		     conn->body->len);
 	g_byte_array_set_size(conn->body, 0);
 	conn->error_status = 0;
 	conn->error_reason = NULL;
@@ -281,6 +311,10 @@
 	if (parser->content_length != UINT64_MAX &&
 	    parser->content_length > limits->body_bytes)
 		return stop_parser(conn, 413, "body_size");
+	if (parser->content_length != UINT64_MAX &&
+	    !hio_mem_has_room(conn->server->options.mem, HIO_MEM_REQUEST, 0,
+			      (size_t)parser->content_length))
+		return stop_parser(conn, 503, "memory");
 	if (hio_field(&conn->builder.fields, "expect"))
 		evbuffer_add_printf(bufferevent_get_output(conn->bev),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
@@ -298,6 +332,9 @@
 		return stop_parser(conn, 400, "line_end");
 	if (conn->body->len + len > conn->server->options.limits.body_bytes)
 		return stop_parser(conn, 413, "body_size");
+	if (!hio_mem_take(conn->server->options.mem, HIO_MEM_REQUEST,
+			  conn->body->len, len))
+		return stop_parser(conn, 503, "memory");
 	g_byte_array_append(conn->body, (const guint8 *)at, (guint)len);
 	conn->body_progress += len;
 	if (conn->body_progress >= BODY_PROGRESS_BYTES) {
@@ -504,6 +541,7 @@
 	ctx = g_new0(struct hio_server, 1);
 	ctx->options = *options;
 	TAILQ_INIT(&ctx->conns);
+	TAILQ_INIT(&ctx->with_output);
 	ctx->listener = evconnlistener_new_bind(
 		options->base, on_accept, ctx,
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
@@ -548,6 +586,37 @@
 
 /* ---- Answers ---- */
 
+/* Disconnects a client that does not read what is written for it. */
+static void disconnect_slow(struct conn *conn, const char *limit)
+{
+	conn->is_too_slow = true;
+	LOG_EVENT_INFO(
+		"http", "client_too_slow", "listen=%s unread=%zu limit=%s",
+		conn->server->options.listen,
+		evbuffer_get_length(bufferevent_get_output(conn->bev)), limit);
+	bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
+				  BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* Disconnects the client that has not read for longest, if all output together
+ * is at its limit. Those with little output are left out. */
+static void limit_outputs(struct hio_server *ctx)
+{
+	struct conn *conn;
+
+	if (!hio_mem_is_full(ctx->options.mem, HIO_MEM_OUTPUT))
+		return;
+	TAILQ_FOREACH (conn, &ctx->with_output, output_link) {
+		if (conn->is_too_slow)
+			continue;
+		if (evbuffer_get_length(bufferevent_get_output(conn->bev)) <
+		    OUTPUT_SMALL_BYTES)
+			continue;
+		disconnect_slow(conn, "all");
+		return;
+	}
+}
+
 static void write_head(struct hio_exchange *ex, int status,
 		       const struct hio_field *fields, size_t n)
 {
@@ -613,6 +682,7 @@
 	write_whole_head(ex, status, fields, n, body->len);
 	if (!ex->no_body)
 		hio_add_shared(bufferevent_get_output(ex->conn->bev), body);
+	limit_outputs(ex->conn->server);
 	exchange_finish(ex);
 }
 
@@ -626,40 +696,22 @@
 	evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
 }
 
-/* Disconnects a client that does not read what is written for it. */
-static void disconnect_slow(struct conn *conn, size_t unread, bool over_share)
-{
-	struct hio_server *ctx = conn->server;
-
-	if (conn->is_too_slow)
-		return;
-	conn->is_too_slow = true;
-	LOG_EVENT_INFO("http", "client_too_slow",
-		       "listen=%s unread=%zu over_share=%d",
-		       ctx->options.listen, unread, over_share);
-	bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
-				  BEV_TRIG_DEFER_CALLBACKS);
-}
-
-/* Writes one chunk. A client that has stopped reading is disconnected, and so
- * is one that has read less than others when all output is at its limit. */
+/* Writes one chunk. A client that has stopped reading is disconnected. */
 void hio_reply_chunk(struct hio_exchange *ex, const void *data, size_t len)
 {
 	struct conn *conn = ex->conn;
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
-	size_t unread = evbuffer_get_length(out);
-	bool over_share;
 
-	if (!len || ex->no_body)
+	if (!len || ex->no_body || conn->is_too_slow)
 		return;
-	over_share = hio_mem_over_share(conn->server->options.mem, unread);
-	if (unread > OUTPUT_MAX_BYTES || over_share) {
-		disconnect_slow(conn, unread, over_share);
+	if (evbuffer_get_length(out) > OUTPUT_MAX_BYTES) {
+		disconnect_slow(conn, "client");
 		return;
 	}
 	evbuffer_add_printf(out, "%zx\r\n", len);
 	evbuffer_add(out, data, len);
 	evbuffer_add(out, "\r\n", 2);
+	limit_outputs(conn->server);
 }
 
 /* Ends a chunked answer and its exchange. */
