node: one late announcement no longer locks an endpoint out

A leader that heard the second process of an endpoint under its id first, and a late announcement of the first one after it, dropped all further announcements of the second one; after the lease the endpoint was down until another instance led.

ctl_incarnations_accept() took each number that it had not heard before for the newest. Where numbers increase, a lower one is now late. Where they are random, a past one returns if it goes on for 2 s while the current one has been silent for 3 s, so boots of instances cannot be locked out either.

--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -102,6 +103,18 @@
 	       !strcmp(a->http_address, b->http_address);
 }
 
+/* Logs a message that is taken for one of a process that has ended. */
+static void log_late(struct ctl *ctx, const char *id, uint64_t incarnation,
+		     const struct ctl_incarnations *seen)
+{
+	met_count(ctx->met, "dandelionspar_late_incarnations", "", 1);
+	LOG_EVENT_INFO("ctl", "late_incarnation",
+		       "from=%s incarnation=%" PRIu64 " current=%" PRIu64
+		       " heard_ago_us=%" PRId64,
+		       id, incarnation, seen->current,
+		       ctx->now_us - seen->heard_us);
+}
+
 static void update_member(struct ctl *ctx, const Dsp__Node *const *nodes,
 			  size_t n, const Dsp__NodeStatus *status)
 {
@@ -116,8 +129,11 @@
 		g_hash_table_insert(ctx->members, g_strdup(status->node->id),
 				    m);
 	}
-	if (!ctl_incarnations_accept(&m->boots, status->node->boot))
+	if (!ctl_incarnations_accept(&m->boots, status->node->boot, CTL_RANDOM,
+				     ctx->now_us)) {
+		log_late(ctx, status->node->id, status->node->boot, &m->boots);
 		return;
+	}
 	m->heard_us = ctx->now_us;
 	m->view_index = status->view_index;
 	m->streams = status->streams;
@@ -319,9 +335,14 @@
 				    e);
 	}
 	before = e->incarnations.current;
-	if (!ctl_incarnations_accept(&e->incarnations,
-				     a->endpoint->incarnation))
+	if (!ctl_incarnations_accept(&e->incarnations, a->endpoint->incarnation,
+				     is_sequenced(a->endpoint) ? CTL_INCREASING
+							       : CTL_RANDOM,
+				     ctx->now_us)) {
+		log_late(ctx, a->endpoint->id, a->endpoint->incarnation,
+			 &e->incarnations);
 		return;
+	}
 	if (before != e->incarnations.current) {
 		e->sequence = 0;
 		e->puts = 0;
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -363,23 +363,64 @@
 	return now_us - since_us > limit_us;
 }
 
+/* A past incarnation is taken back after this time without a message of the
+ * current one, if it was heard for RETURNING_US meanwhile. Processes send
+ * messages each 1.2 s or more often, and the last ones of a process that has
+ * ended arrive within a shorter time. */
+#define LATE_MAX_US (3LL * S_US)
+#define RETURNING_US (2LL * S_US)
+
+static bool is_past(const struct ctl_incarnations *seen, uint64_t incarnation)
+{
+	for (unsigned i = 0; i < MIN(seen->n_past, CTL_PAST_INCARNATIONS); i++)
+		if (seen->past[i] == incarnation)
+			return true;
+	return false;
+}
+
+/* Whether a past incarnation has been heard for long enough without the current
+ * one: the current one was a late message, and the past one is alive. */
+static bool has_returned(struct ctl_incarnations *seen, uint64_t incarnation,
+			 int64_t now_us)
+{
+	if (now_us - seen->heard_us < LATE_MAX_US)
+		return false;
+	if (seen->returning != incarnation) {
+		seen->returning = incarnation;
+		seen->returning_us = now_us;
+		return false;
+	}
+	return now_us - seen->returning_us >= RETURNING_US;
+}
+
 /*
- * Returns true for the current or a new process incarnation, which then becomes
- * the current one. Incarnations are random numbers, so a late message of an
- * earlier one is recognised only if the replaced ones are remembered.
+ * Returns whether a message of this incarnation is to be used, and makes it the
+ * current one. A message may be late, also one of a process that ended before
+ * the current one was heard first. Increasing numbers tell which is later.
+ * Among random ones, one that is heard for the first time is taken for the
+ * newest, and a past one is taken back if it goes on while the current one is
+ * silent.
  */
 bool ctl_incarnations_accept(struct ctl_incarnations *seen,
-			     uint64_t incarnation)
+			     uint64_t incarnation, enum ctl_numbering numbering,
+			     int64_t now_us)
 {
-	if (seen->current == incarnation)
+	if (seen->current == incarnation) {
+		seen->heard_us = now_us;
+		seen->returning = 0;
 		return true;
-	for (unsigned i = 0; i < MIN(seen->n_past, CTL_PAST_INCARNATIONS); i++)
-		if (seen->past[i] == incarnation)
-			return false;
-	if (seen->current)
+	}
+	if (numbering == CTL_INCREASING && incarnation < seen->current)
+		return false;
+	if (is_past(seen, incarnation) &&
+	    !has_returned(seen, incarnation, now_us))
+		return false;
+	if (seen->current && !is_past(seen, seen->current))
 		seen->past[seen->n_past++ % CTL_PAST_INCARNATIONS] =
 			seen->current;
 	seen->current = incarnation;
+	seen->heard_us = now_us;
+	seen->returning = 0;
 	return true;
 }
 
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -102,14 +102,23 @@
  * an endpoint. The last ones that a newer one replaced are remembered. */
 #define CTL_PAST_INCARNATIONS 8
 
+/* Whether a higher number is always a later process. */
+enum ctl_numbering { CTL_RANDOM, CTL_INCREASING };
+
 struct ctl_incarnations {
 	uint64_t current;
+	int64_t heard_us; /* last message of the current one */
 	uint64_t past[CTL_PAST_INCARNATIONS];
 	unsigned n_past;
+	/* The past one that was heard last, and since when without a message
+	 * of the current one. */
+	uint64_t returning;
+	int64_t returning_us;
 };
 
 bool ctl_incarnations_accept(struct ctl_incarnations *seen,
-			     uint64_t incarnation);
+			     uint64_t incarnation, enum ctl_numbering numbering,
+			     int64_t now_us);
 
 /* Sends of an order without a final answer. */
 struct ctl_order_sends {
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -1318,6 +1318,29 @@
 	EXPECT_TRUE(requests(a).empty());
 }
 
+/* Guards against an endpoint that is locked out: the leader heard its second
+ * process first, then a late announcement of the first one, and took that for
+ * the newest until another instance led. */
+TEST_F(Platform, LateAnnouncementOfTheProcessBeforeLocksNobodyOut)
+{
+	a.born = 2000;
+	add_a();
+	a.born = 1000;
+	EXPECT_EQ(a.beat_once(system.instances[0].api), 200);
+	a.born = 2000;
+	/* Longer than the lease of an endpoint. */
+	for (int i = 0; i < 25; i++) {
+		usleep(200000);
+		EXPECT_EQ(a.beat_once(system.instances[0].api), 200);
+		EXPECT_EQ(system.send("GET", "/safe/x",
+				      "X-Attempt-Id: a" + std::to_string(i) +
+					      "\r\n")
+				  .status(),
+			  200)
+			<< system.logs();
+	}
+}
+
 TEST_F(Platform, MalformedAnnouncementsNameNoEndpoint)
 {
 	add_a();
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -567,17 +567,60 @@
 
 	for (uint64_t incarnation = 1; incarnation <= CTL_PAST_INCARNATIONS + 1;
 	     incarnation++) {
-		EXPECT_TRUE(
-			ctl_incarnations_accept(&incarnations, incarnation));
-		EXPECT_TRUE(
-			ctl_incarnations_accept(&incarnations, incarnation));
+		EXPECT_TRUE(ctl_incarnations_accept(&incarnations, incarnation,
+						    CTL_RANDOM, 0));
+		EXPECT_TRUE(ctl_incarnations_accept(&incarnations, incarnation,
+						    CTL_RANDOM, 0));
 		for (uint64_t old = 1; old < incarnation; old++)
-			EXPECT_FALSE(
-				ctl_incarnations_accept(&incarnations, old));
+			EXPECT_FALSE(ctl_incarnations_accept(&incarnations, old,
+							     CTL_RANDOM, 0));
 		EXPECT_EQ(incarnations.current, incarnation);
 	}
 }
 
+/* Guards against a process that is locked out by one late message of the
+ * process before it, which was not heard before. */
+TEST(CtlIncarnations, LateMessageOfAnUnknownProcessLocksNobodyOut)
+{
+	struct ctl_incarnations increasing = {}, random = {};
+	int64_t accepted_us = 0;
+
+	EXPECT_TRUE(
+		ctl_incarnations_accept(&increasing, 20, CTL_INCREASING, 0));
+	EXPECT_FALSE(
+		ctl_incarnations_accept(&increasing, 10, CTL_INCREASING, S));
+	EXPECT_TRUE(
+		ctl_incarnations_accept(&increasing, 20, CTL_INCREASING, S));
+
+	/* Which one is later is not known until the other one is silent. */
+	EXPECT_TRUE(ctl_incarnations_accept(&random, 20, CTL_RANDOM, 0));
+	EXPECT_TRUE(ctl_incarnations_accept(&random, 10, CTL_RANDOM, S));
+	for (int64_t now = S; now < 20 * S && !accepted_us; now += S)
+		if (ctl_incarnations_accept(&random, 20, CTL_RANDOM, now))
+			accepted_us = now;
+	EXPECT_GE(accepted_us, 4 * S);
+	EXPECT_LE(accepted_us, 8 * S);
+	EXPECT_FALSE(ctl_incarnations_accept(&random, 10, CTL_RANDOM,
+					     accepted_us + S));
+}
+
+/* A late message of a past process is not used while the current one is alive,
+ * however often it comes, nor a single one after its end. */
+TEST(CtlIncarnations, PastProcessesDoNotReturnBesideTheCurrentOne)
+{
+	struct ctl_incarnations seen = {};
+
+	ctl_incarnations_accept(&seen, 1, CTL_RANDOM, 0);
+	for (int64_t now = S; now < 60 * S; now += S) {
+		EXPECT_TRUE(ctl_incarnations_accept(&seen, 2, CTL_RANDOM, now));
+		EXPECT_FALSE(ctl_incarnations_accept(&seen, 1, CTL_RANDOM,
+						     now + S / 2));
+	}
+	EXPECT_FALSE(ctl_incarnations_accept(&seen, 1, CTL_RANDOM, 90 * S));
+	EXPECT_TRUE(ctl_incarnations_accept(&seen, 2, CTL_RANDOM, 91 * S));
+	EXPECT_FALSE(ctl_incarnations_accept(&seen, 1, CTL_RANDOM, 99 * S));
+}
+
 /* Guards the resend delays of section 8: they grow for an unanswered order and
  * are much longer for an accepted one. An order whose second arrival would keep
  * memory reserved waits for the longest delay of an unanswered one. */
