http: trailers of a request are no header fields

Fields behind a chunked body of a caller, all but the last, reached the endpoint as header fields (found by the review, without a case): the parser delivers them as fields, and they were added to those of the head.

They are checked and counted against the limit of the head as before, and then removed. HttpServer.TrailersAreNoHeaderFields saw X-A and X-B of three trailers before.

--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -227,6 +227,18 @@
 	return true;
 }
 
+/* Removes all fields but the first n. */
+void hio_fields_truncate(struct hio_fields *fields, size_t n)
+{
+	while (fields->n > n) {
+		struct hio_field *last = &fields->all[--fields->n];
+
+		fields->bytes -= strlen(last->name) + strlen(last->value);
+		g_free(last->name);
+		g_free(last->value);
+	}
+}
+
 /* Ends the last field; returns the total length of names and values. */
 size_t hio_builder_finish(struct hio_builder *ctx)
 {
--- a/src/http/hio_int.h
+++ b/src/http/hio_int.h
@@ -40,6 +40,7 @@
 bool hio_builder_name(struct hio_builder *ctx, const char *at, size_t len);
 bool hio_builder_value(struct hio_builder *ctx, uint64_t offset, const char *at,
 		       size_t len);
+void hio_fields_truncate(struct hio_fields *fields, size_t n);
 size_t hio_builder_finish(struct hio_builder *ctx);
 void hio_add_shared(struct evbuffer *out, GByteArray *bytes);
 void hio_set_socket_options(evutil_socket_t fd);
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -57,6 +57,7 @@
 	http_parser parser;
 	/* The request that is arriving. */
 	struct hio_builder builder;
+	size_t n_head_fields; /* of the builder; trailers follow them */
 	struct hio_input input;
 	GString *target;
 	GByteArray *body;
@@ -308,6 +309,7 @@
 	const struct hio_limits *limits = &conn->server->options.limits;
 
 	hio_builder_finish(&conn->builder);
+	conn->n_head_fields = conn->builder.fields.n;
 	if (parser->content_length != UINT64_MAX &&
 	    parser->content_length > limits->body_bytes)
 		return stop_parser(conn, 413, "body_size");
@@ -376,6 +378,7 @@
 	ex->request.method = g_strdup(
 		http_method_str((enum http_method)conn->parser.method));
 	ex->request.target = g_strdup(conn->target->str);
+	hio_fields_truncate(&conn->builder.fields, conn->n_head_fields);
 	ex->request.fields = conn->builder.fields;
 	conn->builder.fields = (struct hio_fields){ 0 };
 	ex->request.body = conn->body;
--- a/tests/unit/hio_test.cc
+++ b/tests/unit/hio_test.cc
@@ -337,6 +337,31 @@
 		expect_refused(head + trailer + "\r\n", trailer, "");
 }
 
+/* Guards against fields behind a chunked body that reach the application, and
+ * so an endpoint, as header fields. */
+TEST_F(HttpServer, TrailersAreNoHeaderFields)
+{
+	const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n"
+				 "Transfer-Encoding: chunked\r\n\r\n"
+				 "2\r\nab\r\n0\r\n";
+
+	for (bool in_pieces : { false, true }) {
+		Request r = expect_accepted(head + "X-A: 1\r\nX-B: 2\r\n"
+						   "Host: other\r\n\r\n",
+					    "trailers", in_pieces);
+
+		EXPECT_EQ(r.fields,
+			  (Fields{ { "Host", "h" },
+				   { "Transfer-Encoding", "chunked" } }));
+	}
+	EXPECT_EQ(
+		send_bytes(head + "X-A: " + std::string(5000, 'a') + "\r\n\r\n",
+			   false)
+			.refusals.at(0)
+			.first,
+		431);
+}
+
 /* A parser that takes a bare CR for a line end and drops the byte after it
  * reads another message than the next hop. */
 TEST_F(HttpServer, LineEndsHaveNoBareCarriageReturns)
