platform: hosts of routes are compared without regard to case

A table with two routes on one prefix whose hosts differ in case only was acknowledged, and one route hid the other (found by the review, without a case): check_table() compared hosts as written, the index in lower case. After a change that removed the one in the index, the other was not found.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -1419,6 +1419,13 @@
 				      "\"safe\",\"timeoutMs\":0,\"service\":"
 				      "\"plain\"}")),
 		  400);
+	/* Hosts are compared without regard to case. */
+	EXPECT_EQ(system.put(table(3, ",{\"name\":\"r\",\"host\":"
+				      "\"Host.Example\",\"pathPrefix\":"
+				      "\"/safe/\",\"kind\":\"safe\","
+				      "\"timeoutMs\":1000,\"service\":"
+				      "\"plain\"}")),
+		  400);
 	EXPECT_EQ(system.get().body, table(1));
 }
 
