--- a/tests/integration/memory_test.cc
+++ b/tests/integration/memory_test.cc
@@ -299,3 +299,57 @@
 		},
 		3000));
 }
+
+/* Faulty engines and faulty callers of the control address, all at once: the
+ * leader stays within its memory, reads the sound engine's state, takes a
+ * document and gives orders. */
+TEST(MemoryControl, EndlessReportsOrdersAndBodiesDoNotFillTheMemory)
+{
+	System system{ 1, 1 };
+	std::vector<std::unique_ptr<Runner>> faulty;
+	std::vector<Socket> callers(40);
+	std::vector<std::thread> uploads;
+	Runner sound("engine", "i-sound", true);
+	const std::string &api = system.instances[0].api;
+
+	system.serve(table(1, "", model("m1") + "," + model("m2")));
+	for (int i = 0; i < 24; i++) {
+		faulty.push_back(std::make_unique<Runner>(
+			"engine", "i-" + std::to_string(i), true));
+		(i % 2 ? faulty.back()->endless_reports
+		       : faulty.back()->endless_orders) = true;
+		faulty.back()->beat(api);
+	}
+	for (auto &c : callers)
+		uploads.emplace_back([&c, &api] {
+			if (c.connect_to(api))
+				c.send("PUT /dandelionspar/config HTTP/1.1\r\n"
+				       "Host: x\r\nContent-Length: 8000000"
+				       "\r\n\r\n" +
+				       std::string(7999999, ' '));
+		});
+	sleep(3);
+	sound.beat(api);
+	EXPECT_TRUE(System::eventually([&] { return sound.reports > 1; }))
+		<< system.logs();
+	EXPECT_TRUE(System::eventually([&] {
+		return system.put(table(2, "", model("m3"))) == 200;
+	})) << system.logs();
+	/* An engine whose answer has no end may have carried out the order. */
+	faulty.push_back(nullptr);
+	EXPECT_TRUE(System::eventually([&] {
+		for (auto &engine : faulty) {
+			Runner &r = engine ? *engine : sound;
+			std::lock_guard<std::mutex> guard(r.lock);
+
+			if (r.holds.count("m3"))
+				return true;
+		}
+		return false;
+	})) << system.logs();
+	EXPECT_LE(status_kb(system.instances[0], "VmHWM"), MACHINE_KB);
+	std::cout << "peak " << (status_kb(system.instances[0], "VmHWM") >> 10)
+		  << " MB\n";
+	for (auto &u : uploads)
+		u.join();
+}
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -445,6 +445,7 @@
 	std::atomic<int> order_delay_ms{ 0 }; /* delays the answer only */
 	/* Reports are answered with spaces without end, counted below. */
 	std::atomic<bool> endless_reports{ false };
+	std::atomic<bool> endless_orders{ false }; /* the same for orders */
 	std::atomic<size_t> endless_bytes{ 0 };
 	std::atomic<bool> leaving_reports{ false }; /* reports say leaving */
 	std::atomic<bool> paused_reports{ false };  /* 503, wait 2 s */
@@ -548,6 +549,8 @@
 			int status = execute_order(m.body);
 
 			usleep((useconds_t)order_delay_ms * 1000);
+			if (endless_orders)
+				return send_endless(socket);
 			return socket.send(answer(status, "", "{}"));
 		}
 		if (!m.field("X-Expect-Instance").empty() &&
--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -277,8 +277,7 @@
 {
 	return "{\"name\":\"" + name +
 	       "\",\"weightsMb\":" + std::to_string(size_mb) +
-	       ".0,\"loadS\":0.1,\"adapters\":" +
-	       std::to_string(adapters) +
+	       ".0,\"loadS\":0.1,\"adapters\":" + std::to_string(adapters) +
 	       ",\"adapterMb\":0.1,\"warmS\":0.1,\"diskS\":0.1}";
 }
 
