http: an answer that lacks chunks gets no end

Chunks for a client that is about to be disconnected are dropped, and the last chunk was written nevertheless. A client that starts to read in the same turn of the loop could take the answer for complete. Found by reading; HttpServer.AnswerThatLacksChunksHasNoEnd checks it, but passed before too, since the connection is closed first in this test.

hio_mem_trim() and hio_mem_set_gauges() allow no account, as the header says.

--- a/src/http/hio_mem.c
+++ b/src/http/hio_mem.c
@@ -133,7 +133,7 @@
  * the next peak may need it elsewhere. */
 void hio_mem_trim(struct hio_mem *ctx)
 {
-	if (ctx->peak < TRIM_MIN_BYTES ||
+	if (!ctx || ctx->peak < TRIM_MIN_BYTES ||
 	    (double)ctx->sum > TRIM_SHARE * (double)ctx->peak)
 		return;
 	malloc_trim(0);
@@ -143,6 +143,8 @@
 /* Sets a gauge for each kind, and one for the connections with output. */
 void hio_mem_set_gauges(const struct hio_mem *ctx, struct met *met)
 {
+	if (!ctx)
+		return;
 	for (size_t i = 0; i < HIO_MEM_KINDS; i++)
 		met_gauge(met, "dandelionspar_edge_buffered_bytes",
 			  limits[i].name, (int64_t)ctx->held[i]);
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -717,10 +717,11 @@
 	limit_outputs(conn->server);
 }
 
-/* Ends a chunked answer and its exchange. */
+/* Ends a chunked answer and its exchange. An answer that lacks chunks, since
+ * its client is about to be disconnected, stays without an end. */
 void hio_reply_end(struct hio_exchange *ex)
 {
-	if (!ex->no_body)
+	if (!ex->no_body && !ex->conn->is_too_slow)
 		evbuffer_add(bufferevent_get_output(ex->conn->bev), "0\r\n\r\n",
 			     5);
 	exchange_finish(ex);
--- a/tests/unit/hio_test.cc
+++ b/tests/unit/hio_test.cc
@@ -201,7 +201,21 @@
 		((Server *)data)
 			->seen.requests.push_back(
 				{ r->method, r->target, fields_of(r->fields) });
-		hio_reply(ex, 200, nullptr, 0, "", 0);
+		if (!strcmp(r->target, "/big"))
+			reply_big(ex);
+		else
+			hio_reply(ex, 200, nullptr, 0, "", 0);
+	}
+	/* Answers with more chunks than may be buffered for a client, of which
+	 * the last ones are dropped. */
+	static void reply_big(hio_exchange *ex)
+	{
+		std::string chunk(100 << 10, 'c');
+
+		hio_reply_begin(ex, 200, nullptr, 0);
+		for (int i = 0; i < 100; i++)
+			hio_reply_chunk(ex, chunk.data(), chunk.size());
+		hio_reply_end(ex);
 	}
 	static void on_refused(void *data, int status, const char *reason)
 	{
@@ -362,6 +376,20 @@
 		431);
 }
 
+/* An answer of which chunks were dropped must not look complete to a client
+ * that reads at last. */
+TEST_F(HttpServer, AnswerThatLacksChunksHasNoEnd)
+{
+	Outcome got = send_bytes("GET /big HTTP/1.1\r\nHost: h\r\n\r\n", false);
+	const std::string end = "0\r\n\r\n";
+
+	EXPECT_TRUE(got.closed);
+	ASSERT_EQ(got.requests.size(), 1u);
+	EXPECT_TRUE(got.answer.size() < end.size() ||
+		    got.answer.compare(got.answer.size() - end.size(),
+				       end.size(), end) != 0);
+}
+
 /* A parser that takes a bare CR for a line end and drops the byte after it
  * reads another message than the next hop. */
 TEST_F(HttpServer, LineEndsHaveNoBareCarriageReturns)
