edge: a long report of an engine gets no more numbers than are kept

Since models that the document does not list get numbers too, an engine whose report names models without end made the leader keep a number for each, and search them all, until they were released after 10 s (found by reading the change again). The planner keeps 64 items of an engine and takes one with more for full; what follows in such a report now gets no number.

AgentDocument.ReportWithManyModelsIsBounded: 5,001 numbers before, 100 at most after. The gauge dandelionspar_agent_model_numbers shows them.

--- a/src/core/res.c
+++ b/src/core/res.c
@@ -206,6 +206,12 @@
 	return true;
 }
 
+/* Returns how many models have a number, listed or not. */
+size_t res_n_numbers(const struct res *ctx)
+{
+	return g_hash_table_size(ctx->by_name);
+}
+
 /* Returns whether the document lists the item's model. */
 bool res_is_listed(const struct res *ctx, struct res_item item)
 {
--- a/src/core/res.h
+++ b/src/core/res.h
@@ -91,6 +91,7 @@
 /* Queries. */
 bool res_find(const struct res *ctx, const char *model, const char *adapter,
 	      struct res_item *out);
+size_t res_n_numbers(const struct res *ctx);
 bool res_is_listed(const struct res *ctx, struct res_item item);
 uint32_t res_size_mb(const struct res *ctx, struct res_item item);
 const char *res_model_name(const struct res *ctx, struct res_item item);
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -253,7 +253,8 @@
 	e->residency.truncated = false;
 	if (!planner_of(e->agent, e->service))
 		return;
-	for (size_t i = 0; i < n; i++)
+	/* The rest of a report that is too long gets no numbers. */
+	for (size_t i = 0; i < n && !e->residency.truncated; i++)
 		add_reported(e, &previous, copies[i]->model,
 			     copies[i]->adapter);
 }
@@ -539,7 +540,7 @@
 	if (state->busy && e->order_in_term && e->order.kind == RES_UNLOAD &&
 	    !e->order.item.adapter)
 		remove_resident(e, e->order.item);
-	for (size_t i = 0; state->arriving[i]; i++) {
+	for (size_t i = 0; state->arriving[i] && !e->residency.truncated; i++) {
 		g_auto(GStrv) parts = g_strsplit(state->arriving[i], "/", 2);
 
 		if (planner_of(e->agent, e->service) && parts[0] && parts[1])
@@ -830,12 +831,15 @@
 	GHashTableIter services, engines;
 	struct service *s;
 	struct engine *e;
+	size_t n = 0;
 
 	ctx->next_release_us = now_of(ctx) + RELEASE_INTERVAL_US;
 	g_hash_table_iter_init(&services, ctx->services);
 	while (g_hash_table_iter_next(&services, NULL, (void **)&s)) {
 		GArray *used = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 
+		n += res_n_numbers(s->planner);
+
 		g_hash_table_iter_init(&engines, ctx->engines);
 		while (g_hash_table_iter_next(&engines, NULL, (void **)&e))
 			if (!strcmp(e->service, s->name))
@@ -844,6 +848,8 @@
 				   used->len);
 		g_array_free(used, TRUE);
 	}
+	met_gauge(ctx->edge->met, "dandelionspar_agent_model_numbers", "",
+		  (int64_t)n);
 }
 
 /* Follows changes of leadership, polls engine states, plans orders and
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -370,6 +370,31 @@
 	release_views();
 }
 
+/* Guards against an engine whose report names models without end: only as many
+ * as the agent keeps for an engine get a number. */
+TEST_F(AgentDocument, ReportWithManyModelsIsBounded)
+{
+	const char *numbers = "dandelionspar_agent_model_numbers";
+	size_t reports;
+
+	put_table(table(1, "", model("m")));
+	put_engine();
+	refresh();
+	{
+		std::lock_guard<std::mutex> guard(engine.lock);
+
+		for (int i = 0; i < 5000; i++)
+			engine.holds["junk" + std::to_string(i)];
+	}
+	reports = engine.reports;
+	ASSERT_TRUE(run_until([&] { return engine.reports > reports + 1; }));
+	put_table(table(2, "", model("m")));
+	refresh();
+	EXPECT_GT(met_value(edge.met, numbers, ""), 1u);
+	EXPECT_LE(met_value(edge.met, numbers, ""), 100u);
+	release_views();
+}
+
 /*
  * Random documents while orders are under way: models come, leave, return, move
  * in the list and change their sizes. The engine is never ordered to load more
