--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -174,6 +174,11 @@
 	case DSP__ENVELOPE__BODY_ANSWER_REPLY:
 		ctl_call_answer(ctx, e->answer_reply);
 		break;
+	case DSP__ENVELOPE__BODY_QUOTA_ASKS:
+	case DSP__ENVELOPE__BODY_QUOTA_GRANTS:
+	case DSP__ENVELOPE__BODY_PROMPT_ASKS:
+	case DSP__ENVELOPE__BODY_PROMPT_SLOTS:
+	case DSP__ENVELOPE__BODY_PROMPT_SENDS:
 	case DSP__ENVELOPE__BODY__NOT_SET:
 	case _DSP__ENVELOPE__BODY__CASE_IS_INT_SIZE:
 		break;
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -1177,6 +1177,96 @@
   assert(message->base.descriptor == &dsp__caller_limits__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__customer__init
+                     (Dsp__Customer         *message)
+{
+  static const Dsp__Customer init_value = DSP__CUSTOMER__INIT;
+  *message = init_value;
+}
+size_t dsp__customer__get_packed_size
+                     (const Dsp__Customer *message)
+{
+  assert(message->base.descriptor == &dsp__customer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__customer__pack
+                     (const Dsp__Customer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__customer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__customer__pack_to_buffer
+                     (const Dsp__Customer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__customer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__Customer *
+       dsp__customer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__Customer *)
+     protobuf_c_message_unpack (&dsp__customer__descriptor,
+                                allocator, len, data);
+}
+void   dsp__customer__free_unpacked
+                     (Dsp__Customer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__customer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__customers__init
+                     (Dsp__Customers         *message)
+{
+  static const Dsp__Customers init_value = DSP__CUSTOMERS__INIT;
+  *message = init_value;
+}
+size_t dsp__customers__get_packed_size
+                     (const Dsp__Customers *message)
+{
+  assert(message->base.descriptor == &dsp__customers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__customers__pack
+                     (const Dsp__Customers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__customers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__customers__pack_to_buffer
+                     (const Dsp__Customers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__customers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__Customers *
+       dsp__customers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__Customers *)
+     protobuf_c_message_unpack (&dsp__customers__descriptor,
+                                allocator, len, data);
+}
+void   dsp__customers__free_unpacked
+                     (Dsp__Customers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__customers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__route_table__init
                      (Dsp__RouteTable         *message)
 {
@@ -3067,5180 +3157,6539 @@
   assert(message->base.descriptor == &dsp__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__forward__init
-                     (Dsp__Forward         *message)
+void   dsp__quota_ask__init
+                     (Dsp__QuotaAsk         *message)
 {
-  static const Dsp__Forward init_value = DSP__FORWARD__INIT;
+  static const Dsp__QuotaAsk init_value = DSP__QUOTA_ASK__INIT;
   *message = init_value;
 }
-size_t dsp__forward__get_packed_size
-                     (const Dsp__Forward *message)
+size_t dsp__quota_ask__get_packed_size
+                     (const Dsp__QuotaAsk *message)
 {
-  assert(message->base.descriptor == &dsp__forward__descriptor);
+  assert(message->base.descriptor == &dsp__quota_ask__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__forward__pack
-                     (const Dsp__Forward *message,
+size_t dsp__quota_ask__pack
+                     (const Dsp__QuotaAsk *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__forward__descriptor);
+  assert(message->base.descriptor == &dsp__quota_ask__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__forward__pack_to_buffer
-                     (const Dsp__Forward *message,
+size_t dsp__quota_ask__pack_to_buffer
+                     (const Dsp__QuotaAsk *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__forward__descriptor);
+  assert(message->base.descriptor == &dsp__quota_ask__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__Forward *
-       dsp__forward__unpack
+Dsp__QuotaAsk *
+       dsp__quota_ask__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__Forward *)
-     protobuf_c_message_unpack (&dsp__forward__descriptor,
+  return (Dsp__QuotaAsk *)
+     protobuf_c_message_unpack (&dsp__quota_ask__descriptor,
                                 allocator, len, data);
 }
-void   dsp__forward__free_unpacked
-                     (Dsp__Forward *message,
+void   dsp__quota_ask__free_unpacked
+                     (Dsp__QuotaAsk *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__forward__descriptor);
+  assert(message->base.descriptor == &dsp__quota_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__forward_reply__init
-                     (Dsp__ForwardReply         *message)
+void   dsp__quota_return__init
+                     (Dsp__QuotaReturn         *message)
 {
-  static const Dsp__ForwardReply init_value = DSP__FORWARD_REPLY__INIT;
+  static const Dsp__QuotaReturn init_value = DSP__QUOTA_RETURN__INIT;
   *message = init_value;
 }
-size_t dsp__forward_reply__get_packed_size
-                     (const Dsp__ForwardReply *message)
+size_t dsp__quota_return__get_packed_size
+                     (const Dsp__QuotaReturn *message)
 {
-  assert(message->base.descriptor == &dsp__forward_reply__descriptor);
+  assert(message->base.descriptor == &dsp__quota_return__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__forward_reply__pack
-                     (const Dsp__ForwardReply *message,
+size_t dsp__quota_return__pack
+                     (const Dsp__QuotaReturn *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__forward_reply__descriptor);
+  assert(message->base.descriptor == &dsp__quota_return__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__forward_reply__pack_to_buffer
-                     (const Dsp__ForwardReply *message,
+size_t dsp__quota_return__pack_to_buffer
+                     (const Dsp__QuotaReturn *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__forward_reply__descriptor);
+  assert(message->base.descriptor == &dsp__quota_return__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__ForwardReply *
-       dsp__forward_reply__unpack
+Dsp__QuotaReturn *
+       dsp__quota_return__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__ForwardReply *)
-     protobuf_c_message_unpack (&dsp__forward_reply__descriptor,
+  return (Dsp__QuotaReturn *)
+     protobuf_c_message_unpack (&dsp__quota_return__descriptor,
                                 allocator, len, data);
 }
-void   dsp__forward_reply__free_unpacked
-                     (Dsp__ForwardReply *message,
+void   dsp__quota_return__free_unpacked
+                     (Dsp__QuotaReturn *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__forward_reply__descriptor);
+  assert(message->base.descriptor == &dsp__quota_return__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__form_query__init
-                     (Dsp__FormQuery         *message)
+void   dsp__quota_asks__init
+                     (Dsp__QuotaAsks         *message)
 {
-  static const Dsp__FormQuery init_value = DSP__FORM_QUERY__INIT;
+  static const Dsp__QuotaAsks init_value = DSP__QUOTA_ASKS__INIT;
   *message = init_value;
 }
-size_t dsp__form_query__get_packed_size
-                     (const Dsp__FormQuery *message)
+size_t dsp__quota_asks__get_packed_size
+                     (const Dsp__QuotaAsks *message)
 {
-  assert(message->base.descriptor == &dsp__form_query__descriptor);
+  assert(message->base.descriptor == &dsp__quota_asks__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__form_query__pack
-                     (const Dsp__FormQuery *message,
+size_t dsp__quota_asks__pack
+                     (const Dsp__QuotaAsks *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__form_query__descriptor);
+  assert(message->base.descriptor == &dsp__quota_asks__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__form_query__pack_to_buffer
-                     (const Dsp__FormQuery *message,
+size_t dsp__quota_asks__pack_to_buffer
+                     (const Dsp__QuotaAsks *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__form_query__descriptor);
+  assert(message->base.descriptor == &dsp__quota_asks__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__FormQuery *
-       dsp__form_query__unpack
+Dsp__QuotaAsks *
+       dsp__quota_asks__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__FormQuery *)
-     protobuf_c_message_unpack (&dsp__form_query__descriptor,
+  return (Dsp__QuotaAsks *)
+     protobuf_c_message_unpack (&dsp__quota_asks__descriptor,
                                 allocator, len, data);
 }
-void   dsp__form_query__free_unpacked
-                     (Dsp__FormQuery *message,
+void   dsp__quota_asks__free_unpacked
+                     (Dsp__QuotaAsks *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__form_query__descriptor);
+  assert(message->base.descriptor == &dsp__quota_asks__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__form_reply__init
-                     (Dsp__FormReply         *message)
+void   dsp__quota_grant__init
+                     (Dsp__QuotaGrant         *message)
 {
-  static const Dsp__FormReply init_value = DSP__FORM_REPLY__INIT;
+  static const Dsp__QuotaGrant init_value = DSP__QUOTA_GRANT__INIT;
   *message = init_value;
 }
-size_t dsp__form_reply__get_packed_size
-                     (const Dsp__FormReply *message)
+size_t dsp__quota_grant__get_packed_size
+                     (const Dsp__QuotaGrant *message)
 {
-  assert(message->base.descriptor == &dsp__form_reply__descriptor);
+  assert(message->base.descriptor == &dsp__quota_grant__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__form_reply__pack
-                     (const Dsp__FormReply *message,
+size_t dsp__quota_grant__pack
+                     (const Dsp__QuotaGrant *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__form_reply__descriptor);
+  assert(message->base.descriptor == &dsp__quota_grant__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__form_reply__pack_to_buffer
-                     (const Dsp__FormReply *message,
+size_t dsp__quota_grant__pack_to_buffer
+                     (const Dsp__QuotaGrant *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__form_reply__descriptor);
+  assert(message->base.descriptor == &dsp__quota_grant__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__FormReply *
-       dsp__form_reply__unpack
+Dsp__QuotaGrant *
+       dsp__quota_grant__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__FormReply *)
-     protobuf_c_message_unpack (&dsp__form_reply__descriptor,
+  return (Dsp__QuotaGrant *)
+     protobuf_c_message_unpack (&dsp__quota_grant__descriptor,
                                 allocator, len, data);
 }
-void   dsp__form_reply__free_unpacked
-                     (Dsp__FormReply *message,
+void   dsp__quota_grant__free_unpacked
+                     (Dsp__QuotaGrant *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__form_reply__descriptor);
+  assert(message->base.descriptor == &dsp__quota_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__form_group__init
-                     (Dsp__FormGroup         *message)
+void   dsp__quota_grants__init
+                     (Dsp__QuotaGrants         *message)
 {
-  static const Dsp__FormGroup init_value = DSP__FORM_GROUP__INIT;
+  static const Dsp__QuotaGrants init_value = DSP__QUOTA_GRANTS__INIT;
   *message = init_value;
 }
-size_t dsp__form_group__get_packed_size
-                     (const Dsp__FormGroup *message)
+size_t dsp__quota_grants__get_packed_size
+                     (const Dsp__QuotaGrants *message)
 {
-  assert(message->base.descriptor == &dsp__form_group__descriptor);
+  assert(message->base.descriptor == &dsp__quota_grants__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__form_group__pack
-                     (const Dsp__FormGroup *message,
+size_t dsp__quota_grants__pack
+                     (const Dsp__QuotaGrants *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__form_group__descriptor);
+  assert(message->base.descriptor == &dsp__quota_grants__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__form_group__pack_to_buffer
-                     (const Dsp__FormGroup *message,
+size_t dsp__quota_grants__pack_to_buffer
+                     (const Dsp__QuotaGrants *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__form_group__descriptor);
+  assert(message->base.descriptor == &dsp__quota_grants__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__FormGroup *
-       dsp__form_group__unpack
+Dsp__QuotaGrants *
+       dsp__quota_grants__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__FormGroup *)
-     protobuf_c_message_unpack (&dsp__form_group__descriptor,
+  return (Dsp__QuotaGrants *)
+     protobuf_c_message_unpack (&dsp__quota_grants__descriptor,
                                 allocator, len, data);
 }
-void   dsp__form_group__free_unpacked
-                     (Dsp__FormGroup *message,
+void   dsp__quota_grants__free_unpacked
+                     (Dsp__QuotaGrants *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__form_group__descriptor);
+  assert(message->base.descriptor == &dsp__quota_grants__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__join_request__init
-                     (Dsp__JoinRequest         *message)
+void   dsp__prompt_ask__init
+                     (Dsp__PromptAsk         *message)
 {
-  static const Dsp__JoinRequest init_value = DSP__JOIN_REQUEST__INIT;
+  static const Dsp__PromptAsk init_value = DSP__PROMPT_ASK__INIT;
   *message = init_value;
 }
-size_t dsp__join_request__get_packed_size
-                     (const Dsp__JoinRequest *message)
+size_t dsp__prompt_ask__get_packed_size
+                     (const Dsp__PromptAsk *message)
 {
-  assert(message->base.descriptor == &dsp__join_request__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_ask__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__join_request__pack
-                     (const Dsp__JoinRequest *message,
+size_t dsp__prompt_ask__pack
+                     (const Dsp__PromptAsk *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__join_request__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_ask__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__join_request__pack_to_buffer
-                     (const Dsp__JoinRequest *message,
+size_t dsp__prompt_ask__pack_to_buffer
+                     (const Dsp__PromptAsk *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__join_request__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_ask__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__JoinRequest *
-       dsp__join_request__unpack
+Dsp__PromptAsk *
+       dsp__prompt_ask__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__JoinRequest *)
-     protobuf_c_message_unpack (&dsp__join_request__descriptor,
+  return (Dsp__PromptAsk *)
+     protobuf_c_message_unpack (&dsp__prompt_ask__descriptor,
                                 allocator, len, data);
 }
-void   dsp__join_request__free_unpacked
-                     (Dsp__JoinRequest *message,
+void   dsp__prompt_ask__free_unpacked
+                     (Dsp__PromptAsk *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__join_request__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__answer_query__init
-                     (Dsp__AnswerQuery         *message)
+void   dsp__prompt_asks__init
+                     (Dsp__PromptAsks         *message)
 {
-  static const Dsp__AnswerQuery init_value = DSP__ANSWER_QUERY__INIT;
+  static const Dsp__PromptAsks init_value = DSP__PROMPT_ASKS__INIT;
   *message = init_value;
 }
-size_t dsp__answer_query__get_packed_size
-                     (const Dsp__AnswerQuery *message)
+size_t dsp__prompt_asks__get_packed_size
+                     (const Dsp__PromptAsks *message)
 {
-  assert(message->base.descriptor == &dsp__answer_query__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_asks__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__answer_query__pack
-                     (const Dsp__AnswerQuery *message,
+size_t dsp__prompt_asks__pack
+                     (const Dsp__PromptAsks *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__answer_query__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_asks__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__answer_query__pack_to_buffer
-                     (const Dsp__AnswerQuery *message,
+size_t dsp__prompt_asks__pack_to_buffer
+                     (const Dsp__PromptAsks *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__answer_query__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_asks__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__AnswerQuery *
-       dsp__answer_query__unpack
+Dsp__PromptAsks *
+       dsp__prompt_asks__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__AnswerQuery *)
-     protobuf_c_message_unpack (&dsp__answer_query__descriptor,
+  return (Dsp__PromptAsks *)
+     protobuf_c_message_unpack (&dsp__prompt_asks__descriptor,
                                 allocator, len, data);
 }
-void   dsp__answer_query__free_unpacked
-                     (Dsp__AnswerQuery *message,
+void   dsp__prompt_asks__free_unpacked
+                     (Dsp__PromptAsks *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__answer_query__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_asks__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__answer_reply__init
-                     (Dsp__AnswerReply         *message)
+void   dsp__prompt_slot__init
+                     (Dsp__PromptSlot         *message)
 {
-  static const Dsp__AnswerReply init_value = DSP__ANSWER_REPLY__INIT;
+  static const Dsp__PromptSlot init_value = DSP__PROMPT_SLOT__INIT;
   *message = init_value;
 }
-size_t dsp__answer_reply__get_packed_size
-                     (const Dsp__AnswerReply *message)
+size_t dsp__prompt_slot__get_packed_size
+                     (const Dsp__PromptSlot *message)
 {
-  assert(message->base.descriptor == &dsp__answer_reply__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_slot__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__answer_reply__pack
-                     (const Dsp__AnswerReply *message,
+size_t dsp__prompt_slot__pack
+                     (const Dsp__PromptSlot *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__answer_reply__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_slot__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__answer_reply__pack_to_buffer
-                     (const Dsp__AnswerReply *message,
+size_t dsp__prompt_slot__pack_to_buffer
+                     (const Dsp__PromptSlot *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__answer_reply__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_slot__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__AnswerReply *
-       dsp__answer_reply__unpack
+Dsp__PromptSlot *
+       dsp__prompt_slot__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__AnswerReply *)
-     protobuf_c_message_unpack (&dsp__answer_reply__descriptor,
+  return (Dsp__PromptSlot *)
+     protobuf_c_message_unpack (&dsp__prompt_slot__descriptor,
                                 allocator, len, data);
 }
-void   dsp__answer_reply__free_unpacked
-                     (Dsp__AnswerReply *message,
+void   dsp__prompt_slot__free_unpacked
+                     (Dsp__PromptSlot *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__answer_reply__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_slot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dsp__envelope__init
-                     (Dsp__Envelope         *message)
+void   dsp__prompt_slots__init
+                     (Dsp__PromptSlots         *message)
 {
-  static const Dsp__Envelope init_value = DSP__ENVELOPE__INIT;
+  static const Dsp__PromptSlots init_value = DSP__PROMPT_SLOTS__INIT;
   *message = init_value;
 }
-size_t dsp__envelope__get_packed_size
-                     (const Dsp__Envelope *message)
+size_t dsp__prompt_slots__get_packed_size
+                     (const Dsp__PromptSlots *message)
 {
-  assert(message->base.descriptor == &dsp__envelope__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_slots__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dsp__envelope__pack
-                     (const Dsp__Envelope *message,
+size_t dsp__prompt_slots__pack
+                     (const Dsp__PromptSlots *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dsp__envelope__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_slots__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dsp__envelope__pack_to_buffer
-                     (const Dsp__Envelope *message,
+size_t dsp__prompt_slots__pack_to_buffer
+                     (const Dsp__PromptSlots *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dsp__envelope__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_slots__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dsp__Envelope *
-       dsp__envelope__unpack
+Dsp__PromptSlots *
+       dsp__prompt_slots__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dsp__Envelope *)
-     protobuf_c_message_unpack (&dsp__envelope__descriptor,
+  return (Dsp__PromptSlots *)
+     protobuf_c_message_unpack (&dsp__prompt_slots__descriptor,
                                 allocator, len, data);
 }
-void   dsp__envelope__free_unpacked
-                     (Dsp__Envelope *message,
+void   dsp__prompt_slots__free_unpacked
+                     (Dsp__PromptSlots *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dsp__envelope__descriptor);
+  assert(message->base.descriptor == &dsp__prompt_slots__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor dsp__member__field_descriptors[5] =
+void   dsp__prompt_send__init
+                     (Dsp__PromptSend         *message)
 {
-  {
-    "replica",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Member, replica),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "node",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Member, node),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Member, address),
-    NULL,
+  static const Dsp__PromptSend init_value = DSP__PROMPT_SEND__INIT;
+  *message = init_value;
+}
+size_t dsp__prompt_send__get_packed_size
+                     (const Dsp__PromptSend *message)
+{
+  assert(message->base.descriptor == &dsp__prompt_send__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__prompt_send__pack
+                     (const Dsp__PromptSend *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__prompt_send__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__prompt_send__pack_to_buffer
+                     (const Dsp__PromptSend *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__prompt_send__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__PromptSend *
+       dsp__prompt_send__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__PromptSend *)
+     protobuf_c_message_unpack (&dsp__prompt_send__descriptor,
+                                allocator, len, data);
+}
+void   dsp__prompt_send__free_unpacked
+                     (Dsp__PromptSend *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__prompt_send__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__prompt_sends__init
+                     (Dsp__PromptSends         *message)
+{
+  static const Dsp__PromptSends init_value = DSP__PROMPT_SENDS__INIT;
+  *message = init_value;
+}
+size_t dsp__prompt_sends__get_packed_size
+                     (const Dsp__PromptSends *message)
+{
+  assert(message->base.descriptor == &dsp__prompt_sends__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__prompt_sends__pack
+                     (const Dsp__PromptSends *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__prompt_sends__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__prompt_sends__pack_to_buffer
+                     (const Dsp__PromptSends *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__prompt_sends__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__PromptSends *
+       dsp__prompt_sends__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__PromptSends *)
+     protobuf_c_message_unpack (&dsp__prompt_sends__descriptor,
+                                allocator, len, data);
+}
+void   dsp__prompt_sends__free_unpacked
+                     (Dsp__PromptSends *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__prompt_sends__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__forward__init
+                     (Dsp__Forward         *message)
+{
+  static const Dsp__Forward init_value = DSP__FORWARD__INIT;
+  *message = init_value;
+}
+size_t dsp__forward__get_packed_size
+                     (const Dsp__Forward *message)
+{
+  assert(message->base.descriptor == &dsp__forward__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__forward__pack
+                     (const Dsp__Forward *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__forward__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__forward__pack_to_buffer
+                     (const Dsp__Forward *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__forward__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__Forward *
+       dsp__forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__Forward *)
+     protobuf_c_message_unpack (&dsp__forward__descriptor,
+                                allocator, len, data);
+}
+void   dsp__forward__free_unpacked
+                     (Dsp__Forward *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__forward__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__forward_reply__init
+                     (Dsp__ForwardReply         *message)
+{
+  static const Dsp__ForwardReply init_value = DSP__FORWARD_REPLY__INIT;
+  *message = init_value;
+}
+size_t dsp__forward_reply__get_packed_size
+                     (const Dsp__ForwardReply *message)
+{
+  assert(message->base.descriptor == &dsp__forward_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__forward_reply__pack
+                     (const Dsp__ForwardReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__forward_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__forward_reply__pack_to_buffer
+                     (const Dsp__ForwardReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__forward_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__ForwardReply *
+       dsp__forward_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__ForwardReply *)
+     protobuf_c_message_unpack (&dsp__forward_reply__descriptor,
+                                allocator, len, data);
+}
+void   dsp__forward_reply__free_unpacked
+                     (Dsp__ForwardReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__forward_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__form_query__init
+                     (Dsp__FormQuery         *message)
+{
+  static const Dsp__FormQuery init_value = DSP__FORM_QUERY__INIT;
+  *message = init_value;
+}
+size_t dsp__form_query__get_packed_size
+                     (const Dsp__FormQuery *message)
+{
+  assert(message->base.descriptor == &dsp__form_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__form_query__pack
+                     (const Dsp__FormQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__form_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__form_query__pack_to_buffer
+                     (const Dsp__FormQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__form_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__FormQuery *
+       dsp__form_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__FormQuery *)
+     protobuf_c_message_unpack (&dsp__form_query__descriptor,
+                                allocator, len, data);
+}
+void   dsp__form_query__free_unpacked
+                     (Dsp__FormQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__form_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__form_reply__init
+                     (Dsp__FormReply         *message)
+{
+  static const Dsp__FormReply init_value = DSP__FORM_REPLY__INIT;
+  *message = init_value;
+}
+size_t dsp__form_reply__get_packed_size
+                     (const Dsp__FormReply *message)
+{
+  assert(message->base.descriptor == &dsp__form_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__form_reply__pack
+                     (const Dsp__FormReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__form_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__form_reply__pack_to_buffer
+                     (const Dsp__FormReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__form_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__FormReply *
+       dsp__form_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__FormReply *)
+     protobuf_c_message_unpack (&dsp__form_reply__descriptor,
+                                allocator, len, data);
+}
+void   dsp__form_reply__free_unpacked
+                     (Dsp__FormReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__form_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__form_group__init
+                     (Dsp__FormGroup         *message)
+{
+  static const Dsp__FormGroup init_value = DSP__FORM_GROUP__INIT;
+  *message = init_value;
+}
+size_t dsp__form_group__get_packed_size
+                     (const Dsp__FormGroup *message)
+{
+  assert(message->base.descriptor == &dsp__form_group__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__form_group__pack
+                     (const Dsp__FormGroup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__form_group__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__form_group__pack_to_buffer
+                     (const Dsp__FormGroup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__form_group__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__FormGroup *
+       dsp__form_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__FormGroup *)
+     protobuf_c_message_unpack (&dsp__form_group__descriptor,
+                                allocator, len, data);
+}
+void   dsp__form_group__free_unpacked
+                     (Dsp__FormGroup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__form_group__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__join_request__init
+                     (Dsp__JoinRequest         *message)
+{
+  static const Dsp__JoinRequest init_value = DSP__JOIN_REQUEST__INIT;
+  *message = init_value;
+}
+size_t dsp__join_request__get_packed_size
+                     (const Dsp__JoinRequest *message)
+{
+  assert(message->base.descriptor == &dsp__join_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__join_request__pack
+                     (const Dsp__JoinRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__join_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__join_request__pack_to_buffer
+                     (const Dsp__JoinRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__join_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__JoinRequest *
+       dsp__join_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__JoinRequest *)
+     protobuf_c_message_unpack (&dsp__join_request__descriptor,
+                                allocator, len, data);
+}
+void   dsp__join_request__free_unpacked
+                     (Dsp__JoinRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__join_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__answer_query__init
+                     (Dsp__AnswerQuery         *message)
+{
+  static const Dsp__AnswerQuery init_value = DSP__ANSWER_QUERY__INIT;
+  *message = init_value;
+}
+size_t dsp__answer_query__get_packed_size
+                     (const Dsp__AnswerQuery *message)
+{
+  assert(message->base.descriptor == &dsp__answer_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__answer_query__pack
+                     (const Dsp__AnswerQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__answer_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__answer_query__pack_to_buffer
+                     (const Dsp__AnswerQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__answer_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__AnswerQuery *
+       dsp__answer_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__AnswerQuery *)
+     protobuf_c_message_unpack (&dsp__answer_query__descriptor,
+                                allocator, len, data);
+}
+void   dsp__answer_query__free_unpacked
+                     (Dsp__AnswerQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__answer_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__answer_reply__init
+                     (Dsp__AnswerReply         *message)
+{
+  static const Dsp__AnswerReply init_value = DSP__ANSWER_REPLY__INIT;
+  *message = init_value;
+}
+size_t dsp__answer_reply__get_packed_size
+                     (const Dsp__AnswerReply *message)
+{
+  assert(message->base.descriptor == &dsp__answer_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__answer_reply__pack
+                     (const Dsp__AnswerReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__answer_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__answer_reply__pack_to_buffer
+                     (const Dsp__AnswerReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__answer_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__AnswerReply *
+       dsp__answer_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__AnswerReply *)
+     protobuf_c_message_unpack (&dsp__answer_reply__descriptor,
+                                allocator, len, data);
+}
+void   dsp__answer_reply__free_unpacked
+                     (Dsp__AnswerReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__answer_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__envelope__init
+                     (Dsp__Envelope         *message)
+{
+  static const Dsp__Envelope init_value = DSP__ENVELOPE__INIT;
+  *message = init_value;
+}
+size_t dsp__envelope__get_packed_size
+                     (const Dsp__Envelope *message)
+{
+  assert(message->base.descriptor == &dsp__envelope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__envelope__pack
+                     (const Dsp__Envelope *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__envelope__pack_to_buffer
+                     (const Dsp__Envelope *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__Envelope *
+       dsp__envelope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__Envelope *)
+     protobuf_c_message_unpack (&dsp__envelope__descriptor,
+                                allocator, len, data);
+}
+void   dsp__envelope__free_unpacked
+                     (Dsp__Envelope *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor dsp__member__field_descriptors[5] =
+{
+  {
+    "replica",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Member, replica),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Member, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Member, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "site",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Member, site),
+    NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "site",
-    4,
+    "voter",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Member, voter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__member__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  1,   /* field[1] = node */
+  0,   /* field[0] = replica */
+  3,   /* field[3] = site */
+  4,   /* field[4] = voter */
+};
+static const ProtobufCIntRange dsp__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor dsp__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Member",
+  "Member",
+  "Dsp__Member",
+  "dsp",
+  sizeof(Dsp__Member),
+  5,
+  dsp__member__field_descriptors,
+  dsp__member__field_indices_by_name,
+  1,  dsp__member__number_ranges,
+  (ProtobufCMessageInit) dsp__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__raft_config__field_descriptors[1] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftConfig, n_members),
+    offsetof(Dsp__RaftConfig, members),
+    &dsp__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__raft_config__field_indices_by_name[] = {
+  0,   /* field[0] = members */
+};
+static const ProtobufCIntRange dsp__raft_config__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dsp__raft_config__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RaftConfig",
+  "RaftConfig",
+  "Dsp__RaftConfig",
+  "dsp",
+  sizeof(Dsp__RaftConfig),
+  1,
+  dsp__raft_config__field_descriptors,
+  dsp__raft_config__field_indices_by_name,
+  1,  dsp__raft_config__number_ranges,
+  (ProtobufCMessageInit) dsp__raft_config__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__log_entry__field_descriptors[4] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__LogEntry, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__LogEntry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__LogEntry, kind),
+    &dsp__entry_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__LogEntry, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__log_entry__field_indices_by_name[] = {
+  3,   /* field[3] = data */
+  0,   /* field[0] = index */
+  2,   /* field[2] = kind */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange dsp__log_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__log_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.LogEntry",
+  "LogEntry",
+  "Dsp__LogEntry",
+  "dsp",
+  sizeof(Dsp__LogEntry),
+  4,
+  dsp__log_entry__field_descriptors,
+  dsp__log_entry__field_indices_by_name,
+  1,  dsp__log_entry__number_ranges,
+  (ProtobufCMessageInit) dsp__log_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__vote_request__field_descriptors[4] =
+{
+  {
+    "pre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__VoteRequest, pre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__VoteRequest, last_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__VoteRequest, last_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transfer",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__VoteRequest, transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__vote_request__field_indices_by_name[] = {
+  1,   /* field[1] = last_index */
+  2,   /* field[2] = last_term */
+  0,   /* field[0] = pre */
+  3,   /* field[3] = transfer */
+};
+static const ProtobufCIntRange dsp__vote_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__vote_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.VoteRequest",
+  "VoteRequest",
+  "Dsp__VoteRequest",
+  "dsp",
+  sizeof(Dsp__VoteRequest),
+  4,
+  dsp__vote_request__field_descriptors,
+  dsp__vote_request__field_indices_by_name,
+  1,  dsp__vote_request__number_ranges,
+  (ProtobufCMessageInit) dsp__vote_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__vote_reply__field_descriptors[2] =
+{
+  {
+    "pre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__VoteReply, pre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__VoteReply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__vote_reply__field_indices_by_name[] = {
+  1,   /* field[1] = granted */
+  0,   /* field[0] = pre */
+};
+static const ProtobufCIntRange dsp__vote_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__vote_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.VoteReply",
+  "VoteReply",
+  "Dsp__VoteReply",
+  "dsp",
+  sizeof(Dsp__VoteReply),
+  2,
+  dsp__vote_reply__field_descriptors,
+  dsp__vote_reply__field_indices_by_name,
+  1,  dsp__vote_reply__number_ranges,
+  (ProtobufCMessageInit) dsp__vote_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__append_request__field_descriptors[5] =
+{
+  {
+    "prev_index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendRequest, prev_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prev_term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendRequest, prev_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendRequest, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendRequest, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__AppendRequest, n_entries),
+    offsetof(Dsp__AppendRequest, entries),
+    &dsp__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__append_request__field_indices_by_name[] = {
+  2,   /* field[2] = commit */
+  4,   /* field[4] = entries */
+  0,   /* field[0] = prev_index */
+  1,   /* field[1] = prev_term */
+  3,   /* field[3] = sequence */
+};
+static const ProtobufCIntRange dsp__append_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor dsp__append_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.AppendRequest",
+  "AppendRequest",
+  "Dsp__AppendRequest",
+  "dsp",
+  sizeof(Dsp__AppendRequest),
+  5,
+  dsp__append_request__field_descriptors,
+  dsp__append_request__field_indices_by_name,
+  1,  dsp__append_request__number_ranges,
+  (ProtobufCMessageInit) dsp__append_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__append_reply__field_descriptors[5] =
+{
+  {
+    "success",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendReply, success),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "match",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendReply, match),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendReply, hint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendReply, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hint_term",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__AppendReply, hint_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__append_reply__field_indices_by_name[] = {
+  2,   /* field[2] = hint */
+  4,   /* field[4] = hint_term */
+  1,   /* field[1] = match */
+  3,   /* field[3] = sequence */
+  0,   /* field[0] = success */
+};
+static const ProtobufCIntRange dsp__append_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor dsp__append_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.AppendReply",
+  "AppendReply",
+  "Dsp__AppendReply",
+  "dsp",
+  sizeof(Dsp__AppendReply),
+  5,
+  dsp__append_reply__field_descriptors,
+  dsp__append_reply__field_indices_by_name,
+  1,  dsp__append_reply__number_ranges,
+  (ProtobufCMessageInit) dsp__append_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__snapshot_chunk__field_descriptors[6] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SnapshotChunk, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SnapshotChunk, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SnapshotChunk, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SnapshotChunk, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SnapshotChunk, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SnapshotChunk, config),
+    &dsp__raft_config__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__snapshot_chunk__field_indices_by_name[] = {
+  5,   /* field[5] = config */
+  4,   /* field[4] = data */
+  0,   /* field[0] = index */
+  3,   /* field[3] = last */
+  2,   /* field[2] = offset */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange dsp__snapshot_chunk__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor dsp__snapshot_chunk__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.SnapshotChunk",
+  "SnapshotChunk",
+  "Dsp__SnapshotChunk",
+  "dsp",
+  sizeof(Dsp__SnapshotChunk),
+  6,
+  dsp__snapshot_chunk__field_descriptors,
+  dsp__snapshot_chunk__field_indices_by_name,
+  1,  dsp__snapshot_chunk__number_ranges,
+  (ProtobufCMessageInit) dsp__snapshot_chunk__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__snapshot_reply__field_descriptors[3] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SnapshotReply, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Member, site),
+    offsetof(Dsp__SnapshotReply, offset),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "voter",
-    5,
+    "done",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Member, voter),
+    offsetof(Dsp__SnapshotReply, done),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__member__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  1,   /* field[1] = node */
-  0,   /* field[0] = replica */
-  3,   /* field[3] = site */
-  4,   /* field[4] = voter */
+static const unsigned dsp__snapshot_reply__field_indices_by_name[] = {
+  2,   /* field[2] = done */
+  0,   /* field[0] = index */
+  1,   /* field[1] = offset */
 };
-static const ProtobufCIntRange dsp__member__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__snapshot_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor dsp__member__descriptor =
+const ProtobufCMessageDescriptor dsp__snapshot_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Member",
-  "Member",
-  "Dsp__Member",
+  "dsp.SnapshotReply",
+  "SnapshotReply",
+  "Dsp__SnapshotReply",
   "dsp",
-  sizeof(Dsp__Member),
-  5,
-  dsp__member__field_descriptors,
-  dsp__member__field_indices_by_name,
-  1,  dsp__member__number_ranges,
-  (ProtobufCMessageInit) dsp__member__init,
+  sizeof(Dsp__SnapshotReply),
+  3,
+  dsp__snapshot_reply__field_descriptors,
+  dsp__snapshot_reply__field_indices_by_name,
+  1,  dsp__snapshot_reply__number_ranges,
+  (ProtobufCMessageInit) dsp__snapshot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__raft_config__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dsp__transfer_request__field_descriptors[1] =
 {
   {
-    "members",
+    "sequence",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RaftConfig, n_members),
-    offsetof(Dsp__RaftConfig, members),
-    &dsp__member__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__TransferRequest, sequence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__raft_config__field_indices_by_name[] = {
-  0,   /* field[0] = members */
+static const unsigned dsp__transfer_request__field_indices_by_name[] = {
+  0,   /* field[0] = sequence */
 };
-static const ProtobufCIntRange dsp__raft_config__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__transfer_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__raft_config__descriptor =
+const ProtobufCMessageDescriptor dsp__transfer_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RaftConfig",
-  "RaftConfig",
-  "Dsp__RaftConfig",
+  "dsp.TransferRequest",
+  "TransferRequest",
+  "Dsp__TransferRequest",
   "dsp",
-  sizeof(Dsp__RaftConfig),
+  sizeof(Dsp__TransferRequest),
   1,
-  dsp__raft_config__field_descriptors,
-  dsp__raft_config__field_indices_by_name,
-  1,  dsp__raft_config__number_ranges,
-  (ProtobufCMessageInit) dsp__raft_config__init,
+  dsp__transfer_request__field_descriptors,
+  dsp__transfer_request__field_indices_by_name,
+  1,  dsp__transfer_request__number_ranges,
+  (ProtobufCMessageInit) dsp__transfer_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__log_entry__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__raft_message__field_descriptors[11] =
 {
   {
-    "index",
+    "from",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__LogEntry, index),
+    offsetof(Dsp__RaftMessage, from),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "to",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__LogEntry, term),
+    offsetof(Dsp__RaftMessage, to),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "term",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__LogEntry, kind),
-    &dsp__entry_kind__descriptor,
+    offsetof(Dsp__RaftMessage, term),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
+    "group",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__LogEntry, data),
+    offsetof(Dsp__RaftMessage, group),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vote_request",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftMessage, body_case),
+    offsetof(Dsp__RaftMessage, vote_request),
+    &dsp__vote_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vote_reply",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftMessage, body_case),
+    offsetof(Dsp__RaftMessage, vote_reply),
+    &dsp__vote_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "append_request",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftMessage, body_case),
+    offsetof(Dsp__RaftMessage, append_request),
+    &dsp__append_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "append_reply",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftMessage, body_case),
+    offsetof(Dsp__RaftMessage, append_reply),
+    &dsp__append_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_chunk",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftMessage, body_case),
+    offsetof(Dsp__RaftMessage, snapshot_chunk),
+    &dsp__snapshot_chunk__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_reply",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftMessage, body_case),
+    offsetof(Dsp__RaftMessage, snapshot_reply),
+    &dsp__snapshot_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transfer_request",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RaftMessage, body_case),
+    offsetof(Dsp__RaftMessage, transfer_request),
+    &dsp__transfer_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned dsp__log_entry__field_indices_by_name[] = {
-  3,   /* field[3] = data */
-  0,   /* field[0] = index */
-  2,   /* field[2] = kind */
-  1,   /* field[1] = term */
+static const unsigned dsp__raft_message__field_indices_by_name[] = {
+  7,   /* field[7] = append_reply */
+  6,   /* field[6] = append_request */
+  0,   /* field[0] = from */
+  3,   /* field[3] = group */
+  8,   /* field[8] = snapshot_chunk */
+  9,   /* field[9] = snapshot_reply */
+  2,   /* field[2] = term */
+  1,   /* field[1] = to */
+  10,   /* field[10] = transfer_request */
+  5,   /* field[5] = vote_reply */
+  4,   /* field[4] = vote_request */
 };
-static const ProtobufCIntRange dsp__log_entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__raft_message__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 10, 4 },
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor dsp__log_entry__descriptor =
+const ProtobufCMessageDescriptor dsp__raft_message__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.LogEntry",
-  "LogEntry",
-  "Dsp__LogEntry",
+  "dsp.RaftMessage",
+  "RaftMessage",
+  "Dsp__RaftMessage",
   "dsp",
-  sizeof(Dsp__LogEntry),
-  4,
-  dsp__log_entry__field_descriptors,
-  dsp__log_entry__field_indices_by_name,
-  1,  dsp__log_entry__number_ranges,
-  (ProtobufCMessageInit) dsp__log_entry__init,
+  sizeof(Dsp__RaftMessage),
+  11,
+  dsp__raft_message__field_descriptors,
+  dsp__raft_message__field_indices_by_name,
+  2,  dsp__raft_message__number_ranges,
+  (ProtobufCMessageInit) dsp__raft_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__vote_request__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__document__field_descriptors[6] =
 {
   {
-    "pre",
+    "team",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__VoteRequest, pre),
-    NULL,
+    offsetof(Dsp__Document, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_index",
+    "number",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__VoteRequest, last_index),
+    offsetof(Dsp__Document, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_term",
+    "index",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__VoteRequest, last_term),
+    offsetof(Dsp__Document, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "transfer",
+    "digest",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__VoteRequest, transfer),
+    offsetof(Dsp__Document, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__vote_request__field_indices_by_name[] = {
-  1,   /* field[1] = last_index */
-  2,   /* field[2] = last_term */
-  0,   /* field[0] = pre */
-  3,   /* field[3] = transfer */
-};
-static const ProtobufCIntRange dsp__vote_request__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor dsp__vote_request__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.VoteRequest",
-  "VoteRequest",
-  "Dsp__VoteRequest",
-  "dsp",
-  sizeof(Dsp__VoteRequest),
-  4,
-  dsp__vote_request__field_descriptors,
-  dsp__vote_request__field_indices_by_name,
-  1,  dsp__vote_request__number_ranges,
-  (ProtobufCMessageInit) dsp__vote_request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__vote_reply__field_descriptors[2] =
-{
   {
-    "pre",
-    1,
+    "text",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__VoteReply, pre),
-    NULL,
+    offsetof(Dsp__Document, text),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "granted",
-    2,
+    "accepted_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__VoteReply, granted),
+    offsetof(Dsp__Document, accepted_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__vote_reply__field_indices_by_name[] = {
-  1,   /* field[1] = granted */
-  0,   /* field[0] = pre */
+static const unsigned dsp__document__field_indices_by_name[] = {
+  5,   /* field[5] = accepted_ms */
+  3,   /* field[3] = digest */
+  2,   /* field[2] = index */
+  1,   /* field[1] = number */
+  0,   /* field[0] = team */
+  4,   /* field[4] = text */
 };
-static const ProtobufCIntRange dsp__vote_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__document__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor dsp__vote_reply__descriptor =
+const ProtobufCMessageDescriptor dsp__document__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.VoteReply",
-  "VoteReply",
-  "Dsp__VoteReply",
+  "dsp.Document",
+  "Document",
+  "Dsp__Document",
   "dsp",
-  sizeof(Dsp__VoteReply),
-  2,
-  dsp__vote_reply__field_descriptors,
-  dsp__vote_reply__field_indices_by_name,
-  1,  dsp__vote_reply__number_ranges,
-  (ProtobufCMessageInit) dsp__vote_reply__init,
+  sizeof(Dsp__Document),
+  6,
+  dsp__document__field_descriptors,
+  dsp__document__field_indices_by_name,
+  1,  dsp__document__number_ranges,
+  (ProtobufCMessageInit) dsp__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__append_request__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dsp__features__field_descriptors[8] =
 {
   {
-    "prev_index",
+    "fencing",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendRequest, prev_index),
+    offsetof(Dsp__Features, fencing),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "prev_term",
+    "checks_incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendRequest, prev_term),
+    offsetof(Dsp__Features, checks_incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "commit",
+    "cancel",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendRequest, commit),
+    offsetof(Dsp__Features, cancel),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
+    "resume",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendRequest, sequence),
+    offsetof(Dsp__Features, resume),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entries",
+    "priorities",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__AppendRequest, n_entries),
-    offsetof(Dsp__AppendRequest, entries),
-    &dsp__log_entry__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Features, priorities),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kv_transfer",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Features, kv_transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "roles",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Features, roles),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequenced",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Features, sequenced),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__append_request__field_indices_by_name[] = {
-  2,   /* field[2] = commit */
-  4,   /* field[4] = entries */
-  0,   /* field[0] = prev_index */
-  1,   /* field[1] = prev_term */
-  3,   /* field[3] = sequence */
+static const unsigned dsp__features__field_indices_by_name[] = {
+  2,   /* field[2] = cancel */
+  1,   /* field[1] = checks_incarnation */
+  0,   /* field[0] = fencing */
+  5,   /* field[5] = kv_transfer */
+  4,   /* field[4] = priorities */
+  3,   /* field[3] = resume */
+  6,   /* field[6] = roles */
+  7,   /* field[7] = sequenced */
 };
-static const ProtobufCIntRange dsp__append_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__features__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor dsp__append_request__descriptor =
+const ProtobufCMessageDescriptor dsp__features__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.AppendRequest",
-  "AppendRequest",
-  "Dsp__AppendRequest",
+  "dsp.Features",
+  "Features",
+  "Dsp__Features",
   "dsp",
-  sizeof(Dsp__AppendRequest),
-  5,
-  dsp__append_request__field_descriptors,
-  dsp__append_request__field_indices_by_name,
-  1,  dsp__append_request__number_ranges,
-  (ProtobufCMessageInit) dsp__append_request__init,
+  sizeof(Dsp__Features),
+  8,
+  dsp__features__field_descriptors,
+  dsp__features__field_indices_by_name,
+  1,  dsp__features__number_ranges,
+  (ProtobufCMessageInit) dsp__features__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__append_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dsp__copy__field_descriptors[9] =
 {
   {
-    "success",
-    1,
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Copy, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Copy, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Copy, adapter),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_accelerator",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendReply, success),
+    offsetof(Dsp__Copy, first_accelerator),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "match",
-    2,
+    "accelerators",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendReply, match),
+    offsetof(Dsp__Copy, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hint",
-    3,
+    "order",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendReply, hint),
+    offsetof(Dsp__Copy, order),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
-    4,
+    "memory_mb",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendReply, sequence),
+    offsetof(Dsp__Copy, memory_mb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hint_term",
-    5,
+    "ready",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__AppendReply, hint_term),
+    offsetof(Dsp__Copy, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unloading",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Copy, unloading),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__append_reply__field_indices_by_name[] = {
-  2,   /* field[2] = hint */
-  4,   /* field[4] = hint_term */
-  1,   /* field[1] = match */
-  3,   /* field[3] = sequence */
-  0,   /* field[0] = success */
+static const unsigned dsp__copy__field_indices_by_name[] = {
+  4,   /* field[4] = accelerators */
+  2,   /* field[2] = adapter */
+  3,   /* field[3] = first_accelerator */
+  6,   /* field[6] = memory_mb */
+  0,   /* field[0] = model */
+  5,   /* field[5] = order */
+  7,   /* field[7] = ready */
+  8,   /* field[8] = unloading */
+  1,   /* field[1] = version */
 };
-static const ProtobufCIntRange dsp__append_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__copy__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 9 }
 };
-const ProtobufCMessageDescriptor dsp__append_reply__descriptor =
+const ProtobufCMessageDescriptor dsp__copy__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.AppendReply",
-  "AppendReply",
-  "Dsp__AppendReply",
+  "dsp.Copy",
+  "Copy",
+  "Dsp__Copy",
   "dsp",
-  sizeof(Dsp__AppendReply),
-  5,
-  dsp__append_reply__field_descriptors,
-  dsp__append_reply__field_indices_by_name,
-  1,  dsp__append_reply__number_ranges,
-  (ProtobufCMessageInit) dsp__append_reply__init,
+  sizeof(Dsp__Copy),
+  9,
+  dsp__copy__field_descriptors,
+  dsp__copy__field_indices_by_name,
+  1,  dsp__copy__number_ranges,
+  (ProtobufCMessageInit) dsp__copy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__snapshot_chunk__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dsp__endpoint__field_descriptors[14] =
 {
   {
-    "index",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotChunk, index),
-    NULL,
+    offsetof(Dsp__Endpoint, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotChunk, term),
+    offsetof(Dsp__Endpoint, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "offset",
+    "address",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotChunk, offset),
-    NULL,
+    offsetof(Dsp__Endpoint, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last",
+    "site",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotChunk, last),
-    NULL,
+    offsetof(Dsp__Endpoint, site),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
+    "team",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotChunk, data),
-    NULL,
+    offsetof(Dsp__Endpoint, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config",
+    "service",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotChunk, config),
-    &dsp__raft_config__descriptor,
+    offsetof(Dsp__Endpoint, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__snapshot_chunk__field_indices_by_name[] = {
-  5,   /* field[5] = config */
-  4,   /* field[4] = data */
-  0,   /* field[0] = index */
-  3,   /* field[3] = last */
-  2,   /* field[2] = offset */
-  1,   /* field[1] = term */
-};
-static const ProtobufCIntRange dsp__snapshot_chunk__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor dsp__snapshot_chunk__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.SnapshotChunk",
-  "SnapshotChunk",
-  "Dsp__SnapshotChunk",
-  "dsp",
-  sizeof(Dsp__SnapshotChunk),
-  6,
-  dsp__snapshot_chunk__field_descriptors,
-  dsp__snapshot_chunk__field_indices_by_name,
-  1,  dsp__snapshot_chunk__number_ranges,
-  (ProtobufCMessageInit) dsp__snapshot_chunk__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__snapshot_reply__field_descriptors[3] =
-{
   {
-    "index",
-    1,
+    "kind",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotReply, index),
+    offsetof(Dsp__Endpoint, kind),
+    &dsp__endpoint_kind__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Endpoint, state),
+    &dsp__endpoint_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "offset",
-    2,
+    "role",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotReply, offset),
+    offsetof(Dsp__Endpoint, role),
+    &dsp__endpoint_role__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "features",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Endpoint, features),
+    &dsp__features__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "done",
-    3,
+    "accelerators",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SnapshotReply, done),
+    offsetof(Dsp__Endpoint, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerator_memory_mb",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Endpoint, accelerator_memory_mb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__snapshot_reply__field_indices_by_name[] = {
-  2,   /* field[2] = done */
-  0,   /* field[0] = index */
-  1,   /* field[1] = offset */
-};
-static const ProtobufCIntRange dsp__snapshot_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor dsp__snapshot_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.SnapshotReply",
-  "SnapshotReply",
-  "Dsp__SnapshotReply",
-  "dsp",
-  sizeof(Dsp__SnapshotReply),
-  3,
-  dsp__snapshot_reply__field_descriptors,
-  dsp__snapshot_reply__field_indices_by_name,
-  1,  dsp__snapshot_reply__number_ranges,
-  (ProtobufCMessageInit) dsp__snapshot_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__transfer_request__field_descriptors[1] =
-{
   {
-    "sequence",
-    1,
+    "max_batch",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__TransferRequest, sequence),
+    offsetof(Dsp__Endpoint, max_batch),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "copies",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Endpoint, n_copies),
+    offsetof(Dsp__Endpoint, copies),
+    &dsp__copy__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__transfer_request__field_indices_by_name[] = {
-  0,   /* field[0] = sequence */
+static const unsigned dsp__endpoint__field_indices_by_name[] = {
+  11,   /* field[11] = accelerator_memory_mb */
+  10,   /* field[10] = accelerators */
+  2,   /* field[2] = address */
+  13,   /* field[13] = copies */
+  9,   /* field[9] = features */
+  0,   /* field[0] = id */
+  1,   /* field[1] = incarnation */
+  6,   /* field[6] = kind */
+  12,   /* field[12] = max_batch */
+  8,   /* field[8] = role */
+  5,   /* field[5] = service */
+  3,   /* field[3] = site */
+  7,   /* field[7] = state */
+  4,   /* field[4] = team */
 };
-static const ProtobufCIntRange dsp__transfer_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__endpoint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 14 }
 };
-const ProtobufCMessageDescriptor dsp__transfer_request__descriptor =
+const ProtobufCMessageDescriptor dsp__endpoint__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.TransferRequest",
-  "TransferRequest",
-  "Dsp__TransferRequest",
+  "dsp.Endpoint",
+  "Endpoint",
+  "Dsp__Endpoint",
   "dsp",
-  sizeof(Dsp__TransferRequest),
-  1,
-  dsp__transfer_request__field_descriptors,
-  dsp__transfer_request__field_indices_by_name,
-  1,  dsp__transfer_request__number_ranges,
-  (ProtobufCMessageInit) dsp__transfer_request__init,
+  sizeof(Dsp__Endpoint),
+  14,
+  dsp__endpoint__field_descriptors,
+  dsp__endpoint__field_indices_by_name,
+  1,  dsp__endpoint__number_ranges,
+  (ProtobufCMessageInit) dsp__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__raft_message__field_descriptors[11] =
+static const ProtobufCFieldDescriptor dsp__node__field_descriptors[11] =
 {
   {
-    "from",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RaftMessage, from),
-    NULL,
+    offsetof(Dsp__Node, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to",
+    "boot",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RaftMessage, to),
+    offsetof(Dsp__Node, boot),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "site",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RaftMessage, term),
-    NULL,
+    offsetof(Dsp__Node, site),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "group",
+    "region",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RaftMessage, group),
-    NULL,
+    offsetof(Dsp__Node, region),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vote_request",
-    10,
+    "internal_address",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RaftMessage, body_case),
-    offsetof(Dsp__RaftMessage, vote_request),
-    &dsp__vote_request__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, internal_address),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vote_reply",
-    11,
+    "http_address",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RaftMessage, body_case),
-    offsetof(Dsp__RaftMessage, vote_reply),
-    &dsp__vote_reply__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, http_address),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "append_request",
-    12,
+    "weight",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RaftMessage, body_case),
-    offsetof(Dsp__RaftMessage, append_request),
-    &dsp__append_request__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, weight),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "append_reply",
-    13,
+    "control",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RaftMessage, body_case),
-    offsetof(Dsp__RaftMessage, append_reply),
-    &dsp__append_reply__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, control),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot_chunk",
-    14,
+    "draining",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RaftMessage, body_case),
-    offsetof(Dsp__RaftMessage, snapshot_chunk),
-    &dsp__snapshot_chunk__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, draining),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot_reply",
-    15,
+    "down",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RaftMessage, body_case),
-    offsetof(Dsp__RaftMessage, snapshot_reply),
-    &dsp__snapshot_reply__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, down),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "transfer_request",
-    16,
+    "log_format",
+    40,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RaftMessage, body_case),
-    offsetof(Dsp__RaftMessage, transfer_request),
-    &dsp__transfer_request__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, log_format),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__raft_message__field_indices_by_name[] = {
-  7,   /* field[7] = append_reply */
-  6,   /* field[6] = append_request */
-  0,   /* field[0] = from */
-  3,   /* field[3] = group */
-  8,   /* field[8] = snapshot_chunk */
-  9,   /* field[9] = snapshot_reply */
-  2,   /* field[2] = term */
-  1,   /* field[1] = to */
-  10,   /* field[10] = transfer_request */
-  5,   /* field[5] = vote_reply */
-  4,   /* field[4] = vote_request */
+static const unsigned dsp__node__field_indices_by_name[] = {
+  1,   /* field[1] = boot */
+  7,   /* field[7] = control */
+  9,   /* field[9] = down */
+  8,   /* field[8] = draining */
+  5,   /* field[5] = http_address */
+  0,   /* field[0] = id */
+  4,   /* field[4] = internal_address */
+  10,   /* field[10] = log_format */
+  3,   /* field[3] = region */
+  2,   /* field[2] = site */
+  6,   /* field[6] = weight */
 };
-static const ProtobufCIntRange dsp__raft_message__number_ranges[2 + 1] =
+static const ProtobufCIntRange dsp__node__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 4 },
+  { 40, 10 },
   { 0, 11 }
 };
-const ProtobufCMessageDescriptor dsp__raft_message__descriptor =
+const ProtobufCMessageDescriptor dsp__node__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RaftMessage",
-  "RaftMessage",
-  "Dsp__RaftMessage",
+  "dsp.Node",
+  "Node",
+  "Dsp__Node",
   "dsp",
-  sizeof(Dsp__RaftMessage),
+  sizeof(Dsp__Node),
   11,
-  dsp__raft_message__field_descriptors,
-  dsp__raft_message__field_indices_by_name,
-  2,  dsp__raft_message__number_ranges,
-  (ProtobufCMessageInit) dsp__raft_message__init,
+  dsp__node__field_descriptors,
+  dsp__node__field_indices_by_name,
+  2,  dsp__node__number_ranges,
+  (ProtobufCMessageInit) dsp__node__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__document__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dsp__order__field_descriptors[14] =
 {
   {
-    "team",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Document, team),
+    offsetof(Dsp__Order, id),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "number",
+    "endpoint",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Document, number),
-    NULL,
+    offsetof(Dsp__Order, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
+    "incarnation",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Document, index),
+    offsetof(Dsp__Order, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digest",
+    "kind",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Document, digest),
-    NULL,
+    offsetof(Dsp__Order, kind),
+    &dsp__order_kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "text",
+    "state",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Document, text),
+    offsetof(Dsp__Order, state),
+    &dsp__order_state__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accepted_ms",
+    "team",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Document, accepted_ms),
-    NULL,
+    offsetof(Dsp__Order, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__document__field_indices_by_name[] = {
-  5,   /* field[5] = accepted_ms */
-  3,   /* field[3] = digest */
-  2,   /* field[2] = index */
-  1,   /* field[1] = number */
-  0,   /* field[0] = team */
-  4,   /* field[4] = text */
-};
-static const ProtobufCIntRange dsp__document__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor dsp__document__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Document",
-  "Document",
-  "Dsp__Document",
-  "dsp",
-  sizeof(Dsp__Document),
-  6,
-  dsp__document__field_descriptors,
-  dsp__document__field_indices_by_name,
-  1,  dsp__document__number_ranges,
-  (ProtobufCMessageInit) dsp__document__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__features__field_descriptors[8] =
-{
   {
-    "fencing",
-    1,
+    "model",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Features, fencing),
-    NULL,
+    offsetof(Dsp__Order, model),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "checks_incarnation",
-    2,
+    "version",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Features, checks_incarnation),
-    NULL,
+    offsetof(Dsp__Order, version),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cancel",
-    3,
+    "adapter",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Features, cancel),
-    NULL,
+    offsetof(Dsp__Order, adapter),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "resume",
-    4,
+    "first_accelerator",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Features, resume),
+    offsetof(Dsp__Order, first_accelerator),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "priorities",
-    5,
+    "accelerators",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Features, priorities),
+    offsetof(Dsp__Order, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kv_transfer",
-    6,
+    "memory_mb",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Features, kv_transfer),
+    offsetof(Dsp__Order, memory_mb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "roles",
-    7,
+    "role",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Features, roles),
-    NULL,
+    offsetof(Dsp__Order, role),
+    &dsp__endpoint_role__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequenced",
-    8,
+    "created_ms",
+    14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Features, sequenced),
+    offsetof(Dsp__Order, created_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__features__field_indices_by_name[] = {
-  2,   /* field[2] = cancel */
-  1,   /* field[1] = checks_incarnation */
-  0,   /* field[0] = fencing */
-  5,   /* field[5] = kv_transfer */
-  4,   /* field[4] = priorities */
-  3,   /* field[3] = resume */
-  6,   /* field[6] = roles */
-  7,   /* field[7] = sequenced */
+static const unsigned dsp__order__field_indices_by_name[] = {
+  10,   /* field[10] = accelerators */
+  8,   /* field[8] = adapter */
+  13,   /* field[13] = created_ms */
+  1,   /* field[1] = endpoint */
+  9,   /* field[9] = first_accelerator */
+  0,   /* field[0] = id */
+  2,   /* field[2] = incarnation */
+  3,   /* field[3] = kind */
+  11,   /* field[11] = memory_mb */
+  6,   /* field[6] = model */
+  12,   /* field[12] = role */
+  4,   /* field[4] = state */
+  5,   /* field[5] = team */
+  7,   /* field[7] = version */
 };
-static const ProtobufCIntRange dsp__features__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 14 }
 };
-const ProtobufCMessageDescriptor dsp__features__descriptor =
+const ProtobufCMessageDescriptor dsp__order__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Features",
-  "Features",
-  "Dsp__Features",
+  "dsp.Order",
+  "Order",
+  "Dsp__Order",
   "dsp",
-  sizeof(Dsp__Features),
-  8,
-  dsp__features__field_descriptors,
-  dsp__features__field_indices_by_name,
-  1,  dsp__features__number_ranges,
-  (ProtobufCMessageInit) dsp__features__init,
+  sizeof(Dsp__Order),
+  14,
+  dsp__order__field_descriptors,
+  dsp__order__field_indices_by_name,
+  1,  dsp__order__number_ranges,
+  (ProtobufCMessageInit) dsp__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__copy__field_descriptors[9] =
+static const ProtobufCFieldDescriptor dsp__claim__field_descriptors[14] =
 {
   {
-    "model",
+    "team",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, model),
+    offsetof(Dsp__Claim, team),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "request_id",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, version),
+    offsetof(Dsp__Claim, request_id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
+    "digest",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Claim, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    4,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, adapter),
+    offsetof(Dsp__Claim, attempt),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "first_accelerator",
-    4,
+    "node",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Claim, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Claim, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Claim, state),
+    &dsp__claim_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claimed_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Claim, claimed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, first_accelerator),
+    offsetof(Dsp__Claim, deadline_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
-    5,
+    "finished_ms",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, accelerators),
+    offsetof(Dsp__Claim, finished_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "order",
-    6,
+    "status",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, order),
+    offsetof(Dsp__Claim, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
-    7,
+    "content_type",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, memory_mb),
-    NULL,
+    offsetof(Dsp__Claim, content_type),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ready",
-    8,
+    "body",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, ready),
+    offsetof(Dsp__Claim, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "unloading",
-    9,
+    "body_dropped",
+    14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Copy, unloading),
+    offsetof(Dsp__Claim, body_dropped),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__copy__field_indices_by_name[] = {
-  4,   /* field[4] = accelerators */
-  2,   /* field[2] = adapter */
-  3,   /* field[3] = first_accelerator */
-  6,   /* field[6] = memory_mb */
-  0,   /* field[0] = model */
-  5,   /* field[5] = order */
-  7,   /* field[7] = ready */
-  8,   /* field[8] = unloading */
-  1,   /* field[1] = version */
+static const unsigned dsp__claim__field_indices_by_name[] = {
+  3,   /* field[3] = attempt */
+  12,   /* field[12] = body */
+  13,   /* field[13] = body_dropped */
+  5,   /* field[5] = boot */
+  7,   /* field[7] = claimed_ms */
+  11,   /* field[11] = content_type */
+  8,   /* field[8] = deadline_ms */
+  2,   /* field[2] = digest */
+  9,   /* field[9] = finished_ms */
+  4,   /* field[4] = node */
+  1,   /* field[1] = request_id */
+  6,   /* field[6] = state */
+  10,   /* field[10] = status */
+  0,   /* field[0] = team */
 };
-static const ProtobufCIntRange dsp__copy__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 14 }
 };
-const ProtobufCMessageDescriptor dsp__copy__descriptor =
+const ProtobufCMessageDescriptor dsp__claim__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Copy",
-  "Copy",
-  "Dsp__Copy",
+  "dsp.Claim",
+  "Claim",
+  "Dsp__Claim",
   "dsp",
-  sizeof(Dsp__Copy),
-  9,
-  dsp__copy__field_descriptors,
-  dsp__copy__field_indices_by_name,
-  1,  dsp__copy__number_ranges,
-  (ProtobufCMessageInit) dsp__copy__init,
+  sizeof(Dsp__Claim),
+  14,
+  dsp__claim__field_descriptors,
+  dsp__claim__field_indices_by_name,
+  1,  dsp__claim__number_ranges,
+  (ProtobufCMessageInit) dsp__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__endpoint__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dsp__suspect__field_descriptors[15] =
 {
   {
-    "id",
+    "digest",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, id),
+    offsetof(Dsp__Suspect, digest),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "crashes",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, incarnation),
+    offsetof(Dsp__Suspect, crashes),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "quarantined",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, address),
+    offsetof(Dsp__Suspect, quarantined),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "site",
+    "since_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, site),
+    offsetof(Dsp__Suspect, since_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "running_endpoint",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, team),
+    offsetof(Dsp__Suspect, running_endpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service",
+    "running_incarnation",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, service),
+    offsetof(Dsp__Suspect, running_incarnation),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "running_attempt",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, kind),
-    &dsp__endpoint_kind__descriptor,
+    offsetof(Dsp__Suspect, running_attempt),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
+    "part",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, state),
-    &dsp__endpoint_state__descriptor,
+    offsetof(Dsp__Suspect, part),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "role",
+    "retry_ms",
     9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, role),
-    &dsp__endpoint_role__descriptor,
+    offsetof(Dsp__Suspect, retry_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "features",
+    "failed_runs",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, features),
-    &dsp__features__descriptor,
+    offsetof(Dsp__Suspect, failed_runs),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
+    "first_ms",
     11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, accelerators),
+    offsetof(Dsp__Suspect, first_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerator_memory_mb",
+    "last_ms",
     12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, accelerator_memory_mb),
+    offsetof(Dsp__Suspect, last_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "max_batch",
+    "run_ms",
     13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Endpoint, max_batch),
+    offsetof(Dsp__Suspect, run_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "copies",
+    "crashed",
     14,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Endpoint, n_copies),
-    offsetof(Dsp__Endpoint, copies),
-    &dsp__copy__descriptor,
+    offsetof(Dsp__Suspect, n_crashed),
+    offsetof(Dsp__Suspect, crashed),
+    &dsp__suspect_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Suspect, request),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__endpoint__field_indices_by_name[] = {
-  11,   /* field[11] = accelerator_memory_mb */
-  10,   /* field[10] = accelerators */
-  2,   /* field[2] = address */
-  13,   /* field[13] = copies */
-  9,   /* field[9] = features */
-  0,   /* field[0] = id */
-  1,   /* field[1] = incarnation */
-  6,   /* field[6] = kind */
-  12,   /* field[12] = max_batch */
-  8,   /* field[8] = role */
-  5,   /* field[5] = service */
-  3,   /* field[3] = site */
-  7,   /* field[7] = state */
-  4,   /* field[4] = team */
+static const unsigned dsp__suspect__field_indices_by_name[] = {
+  13,   /* field[13] = crashed */
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = digest */
+  9,   /* field[9] = failed_runs */
+  10,   /* field[10] = first_ms */
+  11,   /* field[11] = last_ms */
+  7,   /* field[7] = part */
+  2,   /* field[2] = quarantined */
+  14,   /* field[14] = request */
+  8,   /* field[8] = retry_ms */
+  12,   /* field[12] = run_ms */
+  6,   /* field[6] = running_attempt */
+  4,   /* field[4] = running_endpoint */
+  5,   /* field[5] = running_incarnation */
+  3,   /* field[3] = since_ms */
 };
-static const ProtobufCIntRange dsp__endpoint__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
-const ProtobufCMessageDescriptor dsp__endpoint__descriptor =
+const ProtobufCMessageDescriptor dsp__suspect__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Endpoint",
-  "Endpoint",
-  "Dsp__Endpoint",
-  "dsp",
-  sizeof(Dsp__Endpoint),
-  14,
-  dsp__endpoint__field_descriptors,
-  dsp__endpoint__field_indices_by_name,
-  1,  dsp__endpoint__number_ranges,
-  (ProtobufCMessageInit) dsp__endpoint__init,
+  "dsp.Suspect",
+  "Suspect",
+  "Dsp__Suspect",
+  "dsp",
+  sizeof(Dsp__Suspect),
+  15,
+  dsp__suspect__field_descriptors,
+  dsp__suspect__field_indices_by_name,
+  1,  dsp__suspect__number_ranges,
+  (ProtobufCMessageInit) dsp__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__node__field_descriptors[11] =
+static const ProtobufCFieldDescriptor dsp__suspect_crash__field_descriptors[4] =
 {
   {
-    "id",
+    "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, id),
+    offsetof(Dsp__SuspectCrash, endpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "boot",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, boot),
+    offsetof(Dsp__SuspectCrash, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "site",
+    "counted",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, site),
+    offsetof(Dsp__SuspectCrash, counted),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "region",
+    "explained",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, region),
+    offsetof(Dsp__SuspectCrash, explained),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__suspect_crash__field_indices_by_name[] = {
+  2,   /* field[2] = counted */
+  0,   /* field[0] = endpoint */
+  3,   /* field[3] = explained */
+  1,   /* field[1] = incarnation */
+};
+static const ProtobufCIntRange dsp__suspect_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__suspect_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.SuspectCrash",
+  "SuspectCrash",
+  "Dsp__SuspectCrash",
+  "dsp",
+  sizeof(Dsp__SuspectCrash),
+  4,
+  dsp__suspect_crash__field_descriptors,
+  dsp__suspect_crash__field_indices_by_name,
+  1,  dsp__suspect_crash__number_ranges,
+  (ProtobufCMessageInit) dsp__suspect_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__split__field_descriptors[2] =
+{
   {
-    "internal_address",
-    5,
+    "service",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, internal_address),
+    offsetof(Dsp__Split, service),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "http_address",
-    6,
+    "weight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Split, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__split__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = weight */
+};
+static const ProtobufCIntRange dsp__split__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__split__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Split",
+  "Split",
+  "Dsp__Split",
+  "dsp",
+  sizeof(Dsp__Split),
+  2,
+  dsp__split__field_descriptors,
+  dsp__split__field_indices_by_name,
+  1,  dsp__split__number_ranges,
+  (ProtobufCMessageInit) dsp__split__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route__field_descriptors[13] =
+{
+  {
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, http_address),
+    offsetof(Dsp__Route, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "weight",
-    7,
+    "host",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, weight),
-    NULL,
+    offsetof(Dsp__Route, host),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "control",
-    8,
+    "path_prefix",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, control),
-    NULL,
+    offsetof(Dsp__Route, path_prefix),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "draining",
-    9,
+    "kind",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, draining),
-    NULL,
+    offsetof(Dsp__Route, kind),
+    &dsp__route_kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "down",
-    10,
+    "timeout_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, down),
+    offsetof(Dsp__Route, timeout_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "log_format",
-    40,
+    "objective_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Node, log_format),
+    offsetof(Dsp__Route, objective_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__node__field_indices_by_name[] = {
-  1,   /* field[1] = boot */
-  7,   /* field[7] = control */
-  9,   /* field[9] = down */
-  8,   /* field[8] = draining */
-  5,   /* field[5] = http_address */
-  0,   /* field[0] = id */
-  4,   /* field[4] = internal_address */
-  10,   /* field[10] = log_format */
-  3,   /* field[3] = region */
-  2,   /* field[2] = site */
-  6,   /* field[6] = weight */
-};
-static const ProtobufCIntRange dsp__node__number_ranges[2 + 1] =
-{
-  { 1, 0 },
-  { 40, 10 },
-  { 0, 11 }
-};
-const ProtobufCMessageDescriptor dsp__node__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Node",
-  "Node",
-  "Dsp__Node",
-  "dsp",
-  sizeof(Dsp__Node),
-  11,
-  dsp__node__field_descriptors,
-  dsp__node__field_indices_by_name,
-  2,  dsp__node__number_ranges,
-  (ProtobufCMessageInit) dsp__node__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__order__field_descriptors[14] =
-{
   {
-    "id",
-    1,
+    "gap_objective_ms",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, id),
+    offsetof(Dsp__Route, gap_objective_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint",
-    2,
+    "rank",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, endpoint),
+    offsetof(Dsp__Route, rank),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    3,
+    "attempts_max",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, incarnation),
+    offsetof(Dsp__Route, attempts_max),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
-    4,
+    "resumable",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, kind),
-    &dsp__order_kind__descriptor,
+    offsetof(Dsp__Route, resumable),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
-    5,
+    "shares_prefix",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, state),
-    &dsp__order_state__descriptor,
+    offsetof(Dsp__Route, shares_prefix),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Order, team),
+    "splits",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Route, n_splits),
+    offsetof(Dsp__Route, splits),
+    &dsp__split__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "model",
-    7,
+    "open",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, model),
+    offsetof(Dsp__Route, open),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__route__field_indices_by_name[] = {
+  8,   /* field[8] = attempts_max */
+  6,   /* field[6] = gap_objective_ms */
+  1,   /* field[1] = host */
+  3,   /* field[3] = kind */
+  0,   /* field[0] = name */
+  5,   /* field[5] = objective_ms */
+  12,   /* field[12] = open */
+  2,   /* field[2] = path_prefix */
+  7,   /* field[7] = rank */
+  9,   /* field[9] = resumable */
+  10,   /* field[10] = shares_prefix */
+  11,   /* field[11] = splits */
+  4,   /* field[4] = timeout_ms */
+};
+static const ProtobufCIntRange dsp__route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor dsp__route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Route",
+  "Route",
+  "Dsp__Route",
+  "dsp",
+  sizeof(Dsp__Route),
+  13,
+  dsp__route__field_descriptors,
+  dsp__route__field_indices_by_name,
+  1,  dsp__route__number_ranges,
+  (ProtobufCMessageInit) dsp__route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__engine_model__field_descriptors[7] =
+{
   {
-    "version",
-    8,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, version),
+    offsetof(Dsp__EngineModel, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
-    9,
+    "memory_mb",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, adapter),
+    offsetof(Dsp__EngineModel, memory_mb),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "first_accelerator",
-    10,
+    "load_ms",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, first_accelerator),
+    offsetof(Dsp__EngineModel, load_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
-    11,
+    "warm_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, accelerators),
+    offsetof(Dsp__EngineModel, warm_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
-    12,
+    "disk_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, memory_mb),
+    offsetof(Dsp__EngineModel, disk_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "role",
-    13,
+    "adapters",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, role),
-    &dsp__endpoint_role__descriptor,
+    offsetof(Dsp__EngineModel, adapters),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "created_ms",
-    14,
+    "adapter_mb",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Order, created_ms),
+    offsetof(Dsp__EngineModel, adapter_mb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__order__field_indices_by_name[] = {
-  10,   /* field[10] = accelerators */
-  8,   /* field[8] = adapter */
-  13,   /* field[13] = created_ms */
-  1,   /* field[1] = endpoint */
-  9,   /* field[9] = first_accelerator */
-  0,   /* field[0] = id */
-  2,   /* field[2] = incarnation */
-  3,   /* field[3] = kind */
-  11,   /* field[11] = memory_mb */
-  6,   /* field[6] = model */
-  12,   /* field[12] = role */
-  4,   /* field[4] = state */
-  5,   /* field[5] = team */
-  7,   /* field[7] = version */
+static const unsigned dsp__engine_model__field_indices_by_name[] = {
+  6,   /* field[6] = adapter_mb */
+  5,   /* field[5] = adapters */
+  4,   /* field[4] = disk_ms */
+  2,   /* field[2] = load_ms */
+  1,   /* field[1] = memory_mb */
+  0,   /* field[0] = name */
+  3,   /* field[3] = warm_ms */
 };
-static const ProtobufCIntRange dsp__order__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__engine_model__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor dsp__order__descriptor =
+const ProtobufCMessageDescriptor dsp__engine_model__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Order",
-  "Order",
-  "Dsp__Order",
+  "dsp.EngineModel",
+  "EngineModel",
+  "Dsp__EngineModel",
   "dsp",
-  sizeof(Dsp__Order),
-  14,
-  dsp__order__field_descriptors,
-  dsp__order__field_indices_by_name,
-  1,  dsp__order__number_ranges,
-  (ProtobufCMessageInit) dsp__order__init,
+  sizeof(Dsp__EngineModel),
+  7,
+  dsp__engine_model__field_descriptors,
+  dsp__engine_model__field_indices_by_name,
+  1,  dsp__engine_model__number_ranges,
+  (ProtobufCMessageInit) dsp__engine_model__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__claim__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dsp__engine_spec__field_descriptors[7] =
 {
   {
-    "team",
+    "memory_mb",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, team),
+    offsetof(Dsp__EngineSpec, memory_mb),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_id",
+    "adapter_places",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, request_id),
+    offsetof(Dsp__EngineSpec, adapter_places),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digest",
+    "store_loads_per_s",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, digest),
+    offsetof(Dsp__EngineSpec, store_loads_per_s),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "batch",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, attempt),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "node",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, node),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "boot",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, boot),
-    NULL,
+    offsetof(Dsp__EngineSpec, batch),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "state",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, state),
-    &dsp__claim_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claimed_ms",
-    8,
+    "cache_tokens",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, claimed_ms),
+    offsetof(Dsp__EngineSpec, cache_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_ms",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, deadline_ms),
-    NULL,
+    "models",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__EngineSpec, n_models),
+    offsetof(Dsp__EngineSpec, models),
+    &dsp__engine_model__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "finished_ms",
-    10,
+    "tokens_per_event",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, finished_ms),
+    offsetof(Dsp__EngineSpec, tokens_per_event),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__engine_spec__field_indices_by_name[] = {
+  1,   /* field[1] = adapter_places */
+  3,   /* field[3] = batch */
+  4,   /* field[4] = cache_tokens */
+  0,   /* field[0] = memory_mb */
+  5,   /* field[5] = models */
+  2,   /* field[2] = store_loads_per_s */
+  6,   /* field[6] = tokens_per_event */
+};
+static const ProtobufCIntRange dsp__engine_spec__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor dsp__engine_spec__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.EngineSpec",
+  "EngineSpec",
+  "Dsp__EngineSpec",
+  "dsp",
+  sizeof(Dsp__EngineSpec),
+  7,
+  dsp__engine_spec__field_descriptors,
+  dsp__engine_spec__field_indices_by_name,
+  1,  dsp__engine_spec__number_ranges,
+  (ProtobufCMessageInit) dsp__engine_spec__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__routed_service__field_descriptors[4] =
+{
   {
-    "status",
-    11,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, status),
-    NULL,
+    offsetof(Dsp__RoutedService, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
-    12,
+    "health_path",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, content_type),
+    offsetof(Dsp__RoutedService, health_path),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    13,
+    "connections_max",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, body),
+    offsetof(Dsp__RoutedService, connections_max),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body_dropped",
-    14,
+    "engine",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Claim, body_dropped),
-    NULL,
+    offsetof(Dsp__RoutedService, engine),
+    &dsp__engine_spec__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__claim__field_indices_by_name[] = {
-  3,   /* field[3] = attempt */
-  12,   /* field[12] = body */
-  13,   /* field[13] = body_dropped */
-  5,   /* field[5] = boot */
-  7,   /* field[7] = claimed_ms */
-  11,   /* field[11] = content_type */
-  8,   /* field[8] = deadline_ms */
-  2,   /* field[2] = digest */
-  9,   /* field[9] = finished_ms */
-  4,   /* field[4] = node */
-  1,   /* field[1] = request_id */
-  6,   /* field[6] = state */
-  10,   /* field[10] = status */
-  0,   /* field[0] = team */
+static const unsigned dsp__routed_service__field_indices_by_name[] = {
+  2,   /* field[2] = connections_max */
+  3,   /* field[3] = engine */
+  1,   /* field[1] = health_path */
+  0,   /* field[0] = name */
 };
-static const ProtobufCIntRange dsp__claim__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__routed_service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor dsp__claim__descriptor =
+const ProtobufCMessageDescriptor dsp__routed_service__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Claim",
-  "Claim",
-  "Dsp__Claim",
+  "dsp.RoutedService",
+  "RoutedService",
+  "Dsp__RoutedService",
   "dsp",
-  sizeof(Dsp__Claim),
-  14,
-  dsp__claim__field_descriptors,
-  dsp__claim__field_indices_by_name,
-  1,  dsp__claim__number_ranges,
-  (ProtobufCMessageInit) dsp__claim__init,
+  sizeof(Dsp__RoutedService),
+  4,
+  dsp__routed_service__field_descriptors,
+  dsp__routed_service__field_indices_by_name,
+  1,  dsp__routed_service__number_ranges,
+  (ProtobufCMessageInit) dsp__routed_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect__field_descriptors[15] =
+static const ProtobufCFieldDescriptor dsp__caller_limits__field_descriptors[4] =
 {
   {
-    "digest",
+    "header_bytes",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, digest),
+    offsetof(Dsp__CallerLimits, header_bytes),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashes",
+    "body_bytes",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, crashes),
+    offsetof(Dsp__CallerLimits, body_bytes),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quarantined",
+    "header_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, quarantined),
+    offsetof(Dsp__CallerLimits, header_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "since_ms",
+    "idle_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, since_ms),
+    offsetof(Dsp__CallerLimits, idle_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__caller_limits__field_indices_by_name[] = {
+  1,   /* field[1] = body_bytes */
+  0,   /* field[0] = header_bytes */
+  2,   /* field[2] = header_ms */
+  3,   /* field[3] = idle_ms */
+};
+static const ProtobufCIntRange dsp__caller_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__caller_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.CallerLimits",
+  "CallerLimits",
+  "Dsp__CallerLimits",
+  "dsp",
+  sizeof(Dsp__CallerLimits),
+  4,
+  dsp__caller_limits__field_descriptors,
+  dsp__caller_limits__field_indices_by_name,
+  1,  dsp__caller_limits__number_ranges,
+  (ProtobufCMessageInit) dsp__caller_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__customer__field_descriptors[8] =
+{
   {
-    "running_endpoint",
-    5,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, running_endpoint),
+    offsetof(Dsp__Customer, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "running_incarnation",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, running_incarnation),
-    NULL,
+    "key_digests",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Dsp__Customer, n_key_digests),
+    offsetof(Dsp__Customer, key_digests),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "running_attempt",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, running_attempt),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "part",
-    8,
+    "has_rank",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, part),
+    offsetof(Dsp__Customer, has_rank),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_ms",
-    9,
+    "rank",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, retry_ms),
+    offsetof(Dsp__Customer, rank),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failed_runs",
-    10,
+    "rate",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, failed_runs),
+    offsetof(Dsp__Customer, rate),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "first_ms",
-    11,
+    "burst",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, first_ms),
+    offsetof(Dsp__Customer, burst),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_ms",
-    12,
+    "counts_tokens",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, last_ms),
+    offsetof(Dsp__Customer, counts_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run_ms",
-    13,
+    "plain_tokens",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, run_ms),
+    offsetof(Dsp__Customer, plain_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__customer__field_indices_by_name[] = {
+  5,   /* field[5] = burst */
+  6,   /* field[6] = counts_tokens */
+  2,   /* field[2] = has_rank */
+  1,   /* field[1] = key_digests */
+  0,   /* field[0] = name */
+  7,   /* field[7] = plain_tokens */
+  3,   /* field[3] = rank */
+  4,   /* field[4] = rate */
+};
+static const ProtobufCIntRange dsp__customer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor dsp__customer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Customer",
+  "Customer",
+  "Dsp__Customer",
+  "dsp",
+  sizeof(Dsp__Customer),
+  8,
+  dsp__customer__field_descriptors,
+  dsp__customer__field_indices_by_name,
+  1,  dsp__customer__number_ranges,
+  (ProtobufCMessageInit) dsp__customer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__customers__field_descriptors[1] =
+{
   {
-    "crashed",
-    14,
+    "all",
+    1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Suspect, n_crashed),
-    offsetof(Dsp__Suspect, crashed),
-    &dsp__suspect_crash__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "request",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Suspect, request),
-    NULL,
+    offsetof(Dsp__Customers, n_all),
+    offsetof(Dsp__Customers, all),
+    &dsp__customer__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__suspect__field_indices_by_name[] = {
-  13,   /* field[13] = crashed */
-  1,   /* field[1] = crashes */
-  0,   /* field[0] = digest */
-  9,   /* field[9] = failed_runs */
-  10,   /* field[10] = first_ms */
-  11,   /* field[11] = last_ms */
-  7,   /* field[7] = part */
-  2,   /* field[2] = quarantined */
-  14,   /* field[14] = request */
-  8,   /* field[8] = retry_ms */
-  12,   /* field[12] = run_ms */
-  6,   /* field[6] = running_attempt */
-  4,   /* field[4] = running_endpoint */
-  5,   /* field[5] = running_incarnation */
-  3,   /* field[3] = since_ms */
+static const unsigned dsp__customers__field_indices_by_name[] = {
+  0,   /* field[0] = all */
 };
-static const ProtobufCIntRange dsp__suspect__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__customers__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__suspect__descriptor =
+const ProtobufCMessageDescriptor dsp__customers__descriptor =
 {
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Suspect",
-  "Suspect",
-  "Dsp__Suspect",
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Customers",
+  "Customers",
+  "Dsp__Customers",
   "dsp",
-  sizeof(Dsp__Suspect),
-  15,
-  dsp__suspect__field_descriptors,
-  dsp__suspect__field_indices_by_name,
-  1,  dsp__suspect__number_ranges,
-  (ProtobufCMessageInit) dsp__suspect__init,
+  sizeof(Dsp__Customers),
+  1,
+  dsp__customers__field_descriptors,
+  dsp__customers__field_indices_by_name,
+  1,  dsp__customers__number_ranges,
+  (ProtobufCMessageInit) dsp__customers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect_crash__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__route_table__field_descriptors[7] =
 {
   {
-    "endpoint",
+    "number",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectCrash, endpoint),
+    offsetof(Dsp__RouteTable, number),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "routes",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectCrash, incarnation),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTable, n_routes),
+    offsetof(Dsp__RouteTable, routes),
+    &dsp__route__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "counted",
+    "services",
     3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTable, n_services),
+    offsetof(Dsp__RouteTable, services),
+    &dsp__routed_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectCrash, counted),
-    NULL,
+    offsetof(Dsp__RouteTable, limits),
+    &dsp__caller_limits__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "explained",
-    4,
+    "source",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectCrash, explained),
+    offsetof(Dsp__RouteTable, source),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__suspect_crash__field_indices_by_name[] = {
-  2,   /* field[2] = counted */
-  0,   /* field[0] = endpoint */
-  3,   /* field[3] = explained */
-  1,   /* field[1] = incarnation */
-};
-static const ProtobufCIntRange dsp__suspect_crash__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor dsp__suspect_crash__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.SuspectCrash",
-  "SuspectCrash",
-  "Dsp__SuspectCrash",
-  "dsp",
-  sizeof(Dsp__SuspectCrash),
-  4,
-  dsp__suspect_crash__field_descriptors,
-  dsp__suspect_crash__field_indices_by_name,
-  1,  dsp__suspect_crash__number_ranges,
-  (ProtobufCMessageInit) dsp__suspect_crash__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__split__field_descriptors[2] =
-{
   {
-    "service",
-    1,
+    "index",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Split, service),
+    offsetof(Dsp__RouteTable, index),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "weight",
-    2,
+    "customers",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Split, weight),
-    NULL,
+    offsetof(Dsp__RouteTable, customers),
+    &dsp__customers__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__split__field_indices_by_name[] = {
-  0,   /* field[0] = service */
-  1,   /* field[1] = weight */
+static const unsigned dsp__route_table__field_indices_by_name[] = {
+  6,   /* field[6] = customers */
+  5,   /* field[5] = index */
+  3,   /* field[3] = limits */
+  0,   /* field[0] = number */
+  1,   /* field[1] = routes */
+  2,   /* field[2] = services */
+  4,   /* field[4] = source */
 };
-static const ProtobufCIntRange dsp__split__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__route_table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor dsp__split__descriptor =
+const ProtobufCMessageDescriptor dsp__route_table__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Split",
-  "Split",
-  "Dsp__Split",
+  "dsp.RouteTable",
+  "RouteTable",
+  "Dsp__RouteTable",
   "dsp",
-  sizeof(Dsp__Split),
-  2,
-  dsp__split__field_descriptors,
-  dsp__split__field_indices_by_name,
-  1,  dsp__split__number_ranges,
-  (ProtobufCMessageInit) dsp__split__init,
+  sizeof(Dsp__RouteTable),
+  7,
+  dsp__route_table__field_descriptors,
+  dsp__route_table__field_indices_by_name,
+  1,  dsp__route_table__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__route__field_descriptors[12] =
+static const ProtobufCFieldDescriptor dsp__route_table_piece__field_descriptors[3] =
 {
   {
-    "name",
+    "first",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Route, name),
+    offsetof(Dsp__RouteTablePiece, first),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "host",
+    "count",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Route, host),
+    offsetof(Dsp__RouteTablePiece, count),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "path_prefix",
+    "routes",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Route, path_prefix),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTablePiece, n_routes),
+    offsetof(Dsp__RouteTablePiece, routes),
+    &dsp__route__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__route_table_piece__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = first */
+  2,   /* field[2] = routes */
+};
+static const ProtobufCIntRange dsp__route_table_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__route_table_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTablePiece",
+  "RouteTablePiece",
+  "Dsp__RouteTablePiece",
+  "dsp",
+  sizeof(Dsp__RouteTablePiece),
+  3,
+  dsp__route_table_piece__field_descriptors,
+  dsp__route_table_piece__field_indices_by_name,
+  1,  dsp__route_table_piece__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route_table_change__field_descriptors[8] =
+{
   {
-    "kind",
-    4,
+    "base_index",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Route, kind),
-    &dsp__route_kind__descriptor,
+    offsetof(Dsp__RouteTableChange, base_index),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "timeout_ms",
-    5,
+    "number",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Route, timeout_ms),
+    offsetof(Dsp__RouteTableChange, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "objective_ms",
-    6,
+    "index",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Route, objective_ms),
+    offsetof(Dsp__RouteTableChange, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "gap_objective_ms",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Route, gap_objective_ms),
-    NULL,
+    "pieces",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTableChange, n_pieces),
+    offsetof(Dsp__RouteTableChange, pieces),
+    &dsp__route_table_piece__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rank",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Route, rank),
-    NULL,
+    "services",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTableChange, n_services),
+    offsetof(Dsp__RouteTableChange, services),
+    &dsp__routed_service__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempts_max",
-    9,
+    "limits",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Route, attempts_max),
-    NULL,
+    offsetof(Dsp__RouteTableChange, limits),
+    &dsp__caller_limits__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "resumable",
-    10,
+    "digest",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Route, resumable),
+    offsetof(Dsp__RouteTableChange, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shares_prefix",
-    11,
+    "customers",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Route, shares_prefix),
-    NULL,
+    offsetof(Dsp__RouteTableChange, customers),
+    &dsp__customers__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__route_table_change__field_indices_by_name[] = {
+  0,   /* field[0] = base_index */
+  7,   /* field[7] = customers */
+  6,   /* field[6] = digest */
+  2,   /* field[2] = index */
+  5,   /* field[5] = limits */
+  1,   /* field[1] = number */
+  3,   /* field[3] = pieces */
+  4,   /* field[4] = services */
+};
+static const ProtobufCIntRange dsp__route_table_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor dsp__route_table_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTableChange",
+  "RouteTableChange",
+  "Dsp__RouteTableChange",
+  "dsp",
+  sizeof(Dsp__RouteTableChange),
+  8,
+  dsp__route_table_change__field_descriptors,
+  dsp__route_table_change__field_indices_by_name,
+  1,  dsp__route_table_change__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route_table_steps__field_descriptors[1] =
+{
   {
-    "splits",
-    12,
+    "steps",
+    1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Route, n_splits),
-    offsetof(Dsp__Route, splits),
-    &dsp__split__descriptor,
+    offsetof(Dsp__RouteTableSteps, n_steps),
+    offsetof(Dsp__RouteTableSteps, steps),
+    &dsp__route_table_change__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__route__field_indices_by_name[] = {
-  8,   /* field[8] = attempts_max */
-  6,   /* field[6] = gap_objective_ms */
-  1,   /* field[1] = host */
-  3,   /* field[3] = kind */
-  0,   /* field[0] = name */
-  5,   /* field[5] = objective_ms */
-  2,   /* field[2] = path_prefix */
-  7,   /* field[7] = rank */
-  9,   /* field[9] = resumable */
-  10,   /* field[10] = shares_prefix */
-  11,   /* field[11] = splits */
-  4,   /* field[4] = timeout_ms */
+static const unsigned dsp__route_table_steps__field_indices_by_name[] = {
+  0,   /* field[0] = steps */
 };
-static const ProtobufCIntRange dsp__route__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__route_table_steps__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__route__descriptor =
+const ProtobufCMessageDescriptor dsp__route_table_steps__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Route",
-  "Route",
-  "Dsp__Route",
+  "dsp.RouteTableSteps",
+  "RouteTableSteps",
+  "Dsp__RouteTableSteps",
   "dsp",
-  sizeof(Dsp__Route),
-  12,
-  dsp__route__field_descriptors,
-  dsp__route__field_indices_by_name,
-  1,  dsp__route__number_ranges,
-  (ProtobufCMessageInit) dsp__route__init,
+  sizeof(Dsp__RouteTableSteps),
+  1,
+  dsp__route_table_steps__field_descriptors,
+  dsp__route_table_steps__field_indices_by_name,
+  1,  dsp__route_table_steps__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_steps__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__engine_model__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__route_table_put__field_descriptors[1] =
 {
   {
-    "name",
+    "table",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineModel, name),
+    offsetof(Dsp__RouteTablePut, table),
+    &dsp__route_table__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__route_table_put__field_indices_by_name[] = {
+  0,   /* field[0] = table */
+};
+static const ProtobufCIntRange dsp__route_table_put__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dsp__route_table_put__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTablePut",
+  "RouteTablePut",
+  "Dsp__RouteTablePut",
+  "dsp",
+  sizeof(Dsp__RouteTablePut),
+  1,
+  dsp__route_table_put__field_descriptors,
+  dsp__route_table_put__field_indices_by_name,
+  1,  dsp__route_table_put__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_put__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__text_piece__field_descriptors[3] =
+{
   {
-    "memory_mb",
-    2,
+    "first",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineModel, memory_mb),
+    offsetof(Dsp__TextPiece, first),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load_ms",
-    3,
+    "count",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineModel, load_ms),
+    offsetof(Dsp__TextPiece, count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "warm_ms",
-    4,
+    "text",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineModel, warm_ms),
+    offsetof(Dsp__TextPiece, text),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__text_piece__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = first */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange dsp__text_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__text_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.TextPiece",
+  "TextPiece",
+  "Dsp__TextPiece",
+  "dsp",
+  sizeof(Dsp__TextPiece),
+  3,
+  dsp__text_piece__field_descriptors,
+  dsp__text_piece__field_indices_by_name,
+  1,  dsp__text_piece__number_ranges,
+  (ProtobufCMessageInit) dsp__text_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__route_table_change_put__field_descriptors[3] =
+{
   {
-    "disk_ms",
-    5,
+    "change",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineModel, disk_ms),
-    NULL,
+    offsetof(Dsp__RouteTableChangePut, change),
+    &dsp__route_table_change__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapters",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__EngineModel, adapters),
-    NULL,
+    "source",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__RouteTableChangePut, n_source),
+    offsetof(Dsp__RouteTableChangePut, source),
+    &dsp__text_piece__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter_mb",
-    7,
+    "source_digest",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineModel, adapter_mb),
+    offsetof(Dsp__RouteTableChangePut, source_digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__engine_model__field_indices_by_name[] = {
-  6,   /* field[6] = adapter_mb */
-  5,   /* field[5] = adapters */
-  4,   /* field[4] = disk_ms */
-  2,   /* field[2] = load_ms */
-  1,   /* field[1] = memory_mb */
-  0,   /* field[0] = name */
-  3,   /* field[3] = warm_ms */
+static const unsigned dsp__route_table_change_put__field_indices_by_name[] = {
+  0,   /* field[0] = change */
+  1,   /* field[1] = source */
+  2,   /* field[2] = source_digest */
 };
-static const ProtobufCIntRange dsp__engine_model__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__route_table_change_put__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor dsp__engine_model__descriptor =
+const ProtobufCMessageDescriptor dsp__route_table_change_put__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.EngineModel",
-  "EngineModel",
-  "Dsp__EngineModel",
+  "dsp.RouteTableChangePut",
+  "RouteTableChangePut",
+  "Dsp__RouteTableChangePut",
+  "dsp",
+  sizeof(Dsp__RouteTableChangePut),
+  3,
+  dsp__route_table_change_put__field_descriptors,
+  dsp__route_table_change_put__field_indices_by_name,
+  1,  dsp__route_table_change_put__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_change_put__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define dsp__route_table_get__field_descriptors NULL
+#define dsp__route_table_get__field_indices_by_name NULL
+#define dsp__route_table_get__number_ranges NULL
+const ProtobufCMessageDescriptor dsp__route_table_get__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.RouteTableGet",
+  "RouteTableGet",
+  "Dsp__RouteTableGet",
   "dsp",
-  sizeof(Dsp__EngineModel),
-  7,
-  dsp__engine_model__field_descriptors,
-  dsp__engine_model__field_indices_by_name,
-  1,  dsp__engine_model__number_ranges,
-  (ProtobufCMessageInit) dsp__engine_model__init,
+  sizeof(Dsp__RouteTableGet),
+  0,
+  dsp__route_table_get__field_descriptors,
+  dsp__route_table_get__field_indices_by_name,
+  0,  dsp__route_table_get__number_ranges,
+  (ProtobufCMessageInit) dsp__route_table_get__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__engine_spec__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__document_put__field_descriptors[3] =
 {
   {
-    "memory_mb",
+    "team",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineSpec, memory_mb),
-    NULL,
+    offsetof(Dsp__DocumentPut, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter_places",
+    "number",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineSpec, adapter_places),
+    offsetof(Dsp__DocumentPut, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "store_loads_per_s",
+    "text",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__EngineSpec, store_loads_per_s),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "batch",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineSpec, batch),
-    NULL,
+    offsetof(Dsp__DocumentPut, text),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__document_put__field_indices_by_name[] = {
+  1,   /* field[1] = number */
+  0,   /* field[0] = team */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange dsp__document_put__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__document_put__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.DocumentPut",
+  "DocumentPut",
+  "Dsp__DocumentPut",
+  "dsp",
+  sizeof(Dsp__DocumentPut),
+  3,
+  dsp__document_put__field_descriptors,
+  dsp__document_put__field_indices_by_name,
+  1,  dsp__document_put__number_ranges,
+  (ProtobufCMessageInit) dsp__document_put__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__endpoint_put__field_descriptors[1] =
+{
   {
-    "cache_tokens",
-    5,
+    "endpoint",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__EngineSpec, cache_tokens),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "models",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__EngineSpec, n_models),
-    offsetof(Dsp__EngineSpec, models),
-    &dsp__engine_model__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tokens_per_event",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EngineSpec, tokens_per_event),
-    NULL,
+    offsetof(Dsp__EndpointPut, endpoint),
+    &dsp__endpoint__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__engine_spec__field_indices_by_name[] = {
-  1,   /* field[1] = adapter_places */
-  3,   /* field[3] = batch */
-  4,   /* field[4] = cache_tokens */
-  0,   /* field[0] = memory_mb */
-  5,   /* field[5] = models */
-  2,   /* field[2] = store_loads_per_s */
-  6,   /* field[6] = tokens_per_event */
+static const unsigned dsp__endpoint_put__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
 };
-static const ProtobufCIntRange dsp__engine_spec__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__endpoint_put__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__engine_spec__descriptor =
+const ProtobufCMessageDescriptor dsp__endpoint_put__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.EngineSpec",
-  "EngineSpec",
-  "Dsp__EngineSpec",
+  "dsp.EndpointPut",
+  "EndpointPut",
+  "Dsp__EndpointPut",
   "dsp",
-  sizeof(Dsp__EngineSpec),
-  7,
-  dsp__engine_spec__field_descriptors,
-  dsp__engine_spec__field_indices_by_name,
-  1,  dsp__engine_spec__number_ranges,
-  (ProtobufCMessageInit) dsp__engine_spec__init,
+  sizeof(Dsp__EndpointPut),
+  1,
+  dsp__endpoint_put__field_descriptors,
+  dsp__endpoint_put__field_indices_by_name,
+  1,  dsp__endpoint_put__number_ranges,
+  (ProtobufCMessageInit) dsp__endpoint_put__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__routed_service__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__endpoint_down__field_descriptors[2] =
 {
   {
-    "name",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RoutedService, name),
+    offsetof(Dsp__EndpointDown, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "health_path",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__RoutedService, health_path),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "connections_max",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RoutedService, connections_max),
+    offsetof(Dsp__EndpointDown, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__endpoint_down__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = incarnation */
+};
+static const ProtobufCIntRange dsp__endpoint_down__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__endpoint_down__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.EndpointDown",
+  "EndpointDown",
+  "Dsp__EndpointDown",
+  "dsp",
+  sizeof(Dsp__EndpointDown),
+  2,
+  dsp__endpoint_down__field_descriptors,
+  dsp__endpoint_down__field_indices_by_name,
+  1,  dsp__endpoint_down__number_ranges,
+  (ProtobufCMessageInit) dsp__endpoint_down__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__order_create__field_descriptors[1] =
+{
   {
-    "engine",
-    4,
+    "order",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RoutedService, engine),
-    &dsp__engine_spec__descriptor,
+    offsetof(Dsp__OrderCreate, order),
+    &dsp__order__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__routed_service__field_indices_by_name[] = {
-  2,   /* field[2] = connections_max */
-  3,   /* field[3] = engine */
-  1,   /* field[1] = health_path */
-  0,   /* field[0] = name */
+static const unsigned dsp__order_create__field_indices_by_name[] = {
+  0,   /* field[0] = order */
 };
-static const ProtobufCIntRange dsp__routed_service__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__order_create__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__routed_service__descriptor =
+const ProtobufCMessageDescriptor dsp__order_create__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RoutedService",
-  "RoutedService",
-  "Dsp__RoutedService",
+  "dsp.OrderCreate",
+  "OrderCreate",
+  "Dsp__OrderCreate",
   "dsp",
-  sizeof(Dsp__RoutedService),
-  4,
-  dsp__routed_service__field_descriptors,
-  dsp__routed_service__field_indices_by_name,
-  1,  dsp__routed_service__number_ranges,
-  (ProtobufCMessageInit) dsp__routed_service__init,
+  sizeof(Dsp__OrderCreate),
+  1,
+  dsp__order_create__field_descriptors,
+  dsp__order_create__field_indices_by_name,
+  1,  dsp__order_create__number_ranges,
+  (ProtobufCMessageInit) dsp__order_create__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__caller_limits__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__order_finish__field_descriptors[3] =
 {
   {
-    "header_bytes",
+    "order",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__CallerLimits, header_bytes),
+    offsetof(Dsp__OrderFinish, order),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body_bytes",
+    "state",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__CallerLimits, body_bytes),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "header_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__CallerLimits, header_ms),
-    NULL,
+    offsetof(Dsp__OrderFinish, state),
+    &dsp__order_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idle_ms",
-    4,
+    "sent_once",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__CallerLimits, idle_ms),
+    offsetof(Dsp__OrderFinish, sent_once),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__caller_limits__field_indices_by_name[] = {
-  1,   /* field[1] = body_bytes */
-  0,   /* field[0] = header_bytes */
-  2,   /* field[2] = header_ms */
-  3,   /* field[3] = idle_ms */
+static const unsigned dsp__order_finish__field_indices_by_name[] = {
+  0,   /* field[0] = order */
+  2,   /* field[2] = sent_once */
+  1,   /* field[1] = state */
 };
-static const ProtobufCIntRange dsp__caller_limits__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__order_finish__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor dsp__caller_limits__descriptor =
+const ProtobufCMessageDescriptor dsp__order_finish__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.CallerLimits",
-  "CallerLimits",
-  "Dsp__CallerLimits",
+  "dsp.OrderFinish",
+  "OrderFinish",
+  "Dsp__OrderFinish",
   "dsp",
-  sizeof(Dsp__CallerLimits),
-  4,
-  dsp__caller_limits__field_descriptors,
-  dsp__caller_limits__field_indices_by_name,
-  1,  dsp__caller_limits__number_ranges,
-  (ProtobufCMessageInit) dsp__caller_limits__init,
+  sizeof(Dsp__OrderFinish),
+  3,
+  dsp__order_finish__field_descriptors,
+  dsp__order_finish__field_indices_by_name,
+  1,  dsp__order_finish__number_ranges,
+  (ProtobufCMessageInit) dsp__order_finish__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__route_table__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dsp__residency_report__field_descriptors[4] =
 {
   {
-    "number",
+    "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTable, number),
-    NULL,
+    offsetof(Dsp__ResidencyReport, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "routes",
+    "incarnation",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RouteTable, n_routes),
-    offsetof(Dsp__RouteTable, routes),
-    &dsp__route__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "services",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RouteTable, n_services),
-    offsetof(Dsp__RouteTable, services),
-    &dsp__routed_service__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "limits",
-    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTable, limits),
-    &dsp__caller_limits__descriptor,
+    offsetof(Dsp__ResidencyReport, incarnation),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "source",
-    5,
+    "highest_fence",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTable, source),
+    offsetof(Dsp__ResidencyReport, highest_fence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTable, index),
-    NULL,
+    "copies",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ResidencyReport, n_copies),
+    offsetof(Dsp__ResidencyReport, copies),
+    &dsp__copy__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__route_table__field_indices_by_name[] = {
-  5,   /* field[5] = index */
-  3,   /* field[3] = limits */
-  0,   /* field[0] = number */
-  1,   /* field[1] = routes */
-  2,   /* field[2] = services */
-  4,   /* field[4] = source */
+static const unsigned dsp__residency_report__field_indices_by_name[] = {
+  3,   /* field[3] = copies */
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = highest_fence */
+  1,   /* field[1] = incarnation */
 };
-static const ProtobufCIntRange dsp__route_table__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__residency_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor dsp__route_table__descriptor =
+const ProtobufCMessageDescriptor dsp__residency_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RouteTable",
-  "RouteTable",
-  "Dsp__RouteTable",
+  "dsp.ResidencyReport",
+  "ResidencyReport",
+  "Dsp__ResidencyReport",
   "dsp",
-  sizeof(Dsp__RouteTable),
-  6,
-  dsp__route_table__field_descriptors,
-  dsp__route_table__field_indices_by_name,
-  1,  dsp__route_table__number_ranges,
-  (ProtobufCMessageInit) dsp__route_table__init,
+  sizeof(Dsp__ResidencyReport),
+  4,
+  dsp__residency_report__field_descriptors,
+  dsp__residency_report__field_indices_by_name,
+  1,  dsp__residency_report__number_ranges,
+  (ProtobufCMessageInit) dsp__residency_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__route_table_piece__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__claim_create__field_descriptors[1] =
 {
   {
-    "first",
+    "claim",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTablePiece, first),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "count",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTablePiece, count),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "routes",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RouteTablePiece, n_routes),
-    offsetof(Dsp__RouteTablePiece, routes),
-    &dsp__route__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__ClaimCreate, claim),
+    &dsp__claim__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__route_table_piece__field_indices_by_name[] = {
-  1,   /* field[1] = count */
-  0,   /* field[0] = first */
-  2,   /* field[2] = routes */
+static const unsigned dsp__claim_create__field_indices_by_name[] = {
+  0,   /* field[0] = claim */
 };
-static const ProtobufCIntRange dsp__route_table_piece__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__claim_create__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__route_table_piece__descriptor =
+const ProtobufCMessageDescriptor dsp__claim_create__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RouteTablePiece",
-  "RouteTablePiece",
-  "Dsp__RouteTablePiece",
+  "dsp.ClaimCreate",
+  "ClaimCreate",
+  "Dsp__ClaimCreate",
   "dsp",
-  sizeof(Dsp__RouteTablePiece),
-  3,
-  dsp__route_table_piece__field_descriptors,
-  dsp__route_table_piece__field_indices_by_name,
-  1,  dsp__route_table_piece__number_ranges,
-  (ProtobufCMessageInit) dsp__route_table_piece__init,
+  sizeof(Dsp__ClaimCreate),
+  1,
+  dsp__claim_create__field_descriptors,
+  dsp__claim_create__field_indices_by_name,
+  1,  dsp__claim_create__number_ranges,
+  (ProtobufCMessageInit) dsp__claim_create__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__route_table_change__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__claim_finish__field_descriptors[7] =
 {
   {
-    "base_index",
+    "team",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTableChange, base_index),
-    NULL,
+    offsetof(Dsp__ClaimFinish, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "number",
+    "request_id",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTableChange, number),
-    NULL,
+    offsetof(Dsp__ClaimFinish, request_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
+    "attempt",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTableChange, index),
-    NULL,
+    offsetof(Dsp__ClaimFinish, attempt),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pieces",
+    "state",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RouteTableChange, n_pieces),
-    offsetof(Dsp__RouteTableChange, pieces),
-    &dsp__route_table_piece__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__ClaimFinish, state),
+    &dsp__claim_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "services",
+    "status",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RouteTableChange, n_services),
-    offsetof(Dsp__RouteTableChange, services),
-    &dsp__routed_service__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__ClaimFinish, status),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limits",
+    "content_type",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTableChange, limits),
-    &dsp__caller_limits__descriptor,
+    offsetof(Dsp__ClaimFinish, content_type),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digest",
+    "body",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTableChange, digest),
+    offsetof(Dsp__ClaimFinish, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__route_table_change__field_indices_by_name[] = {
-  0,   /* field[0] = base_index */
-  6,   /* field[6] = digest */
-  2,   /* field[2] = index */
-  5,   /* field[5] = limits */
-  1,   /* field[1] = number */
-  3,   /* field[3] = pieces */
-  4,   /* field[4] = services */
+static const unsigned dsp__claim_finish__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  6,   /* field[6] = body */
+  5,   /* field[5] = content_type */
+  1,   /* field[1] = request_id */
+  3,   /* field[3] = state */
+  4,   /* field[4] = status */
+  0,   /* field[0] = team */
 };
-static const ProtobufCIntRange dsp__route_table_change__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__claim_finish__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 7 }
 };
-const ProtobufCMessageDescriptor dsp__route_table_change__descriptor =
+const ProtobufCMessageDescriptor dsp__claim_finish__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RouteTableChange",
-  "RouteTableChange",
-  "Dsp__RouteTableChange",
+  "dsp.ClaimFinish",
+  "ClaimFinish",
+  "Dsp__ClaimFinish",
   "dsp",
-  sizeof(Dsp__RouteTableChange),
+  sizeof(Dsp__ClaimFinish),
   7,
-  dsp__route_table_change__field_descriptors,
-  dsp__route_table_change__field_indices_by_name,
-  1,  dsp__route_table_change__number_ranges,
-  (ProtobufCMessageInit) dsp__route_table_change__init,
+  dsp__claim_finish__field_descriptors,
+  dsp__claim_finish__field_indices_by_name,
+  1,  dsp__claim_finish__number_ranges,
+  (ProtobufCMessageInit) dsp__claim_finish__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__route_table_steps__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dsp__claim_get__field_descriptors[2] =
 {
   {
-    "steps",
+    "team",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
