-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RouteTableSteps, n_steps),
-    offsetof(Dsp__RouteTableSteps, steps),
-    &dsp__route_table_change__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__ClaimGet, team),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__ClaimGet, request_id),
+    NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__route_table_steps__field_indices_by_name[] = {
-  0,   /* field[0] = steps */
+static const unsigned dsp__claim_get__field_indices_by_name[] = {
+  1,   /* field[1] = request_id */
+  0,   /* field[0] = team */
 };
-static const ProtobufCIntRange dsp__route_table_steps__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__claim_get__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor dsp__route_table_steps__descriptor =
+const ProtobufCMessageDescriptor dsp__claim_get__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RouteTableSteps",
-  "RouteTableSteps",
-  "Dsp__RouteTableSteps",
+  "dsp.ClaimGet",
+  "ClaimGet",
+  "Dsp__ClaimGet",
   "dsp",
-  sizeof(Dsp__RouteTableSteps),
-  1,
-  dsp__route_table_steps__field_descriptors,
-  dsp__route_table_steps__field_indices_by_name,
-  1,  dsp__route_table_steps__number_ranges,
-  (ProtobufCMessageInit) dsp__route_table_steps__init,
+  sizeof(Dsp__ClaimGet),
+  2,
+  dsp__claim_get__field_descriptors,
+  dsp__claim_get__field_indices_by_name,
+  1,  dsp__claim_get__number_ranges,
+  (ProtobufCMessageInit) dsp__claim_get__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__route_table_put__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dsp__crash_report__field_descriptors[3] =
 {
   {
-    "table",
+    "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTablePut, table),
-    &dsp__route_table__descriptor,
+    offsetof(Dsp__CrashReport, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__CrashReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digests",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Dsp__CrashReport, n_digests),
+    offsetof(Dsp__CrashReport, digests),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__route_table_put__field_indices_by_name[] = {
-  0,   /* field[0] = table */
+static const unsigned dsp__crash_report__field_indices_by_name[] = {
+  2,   /* field[2] = digests */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = incarnation */
 };
-static const ProtobufCIntRange dsp__route_table_put__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__crash_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor dsp__route_table_put__descriptor =
+const ProtobufCMessageDescriptor dsp__crash_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RouteTablePut",
-  "RouteTablePut",
-  "Dsp__RouteTablePut",
+  "dsp.CrashReport",
+  "CrashReport",
+  "Dsp__CrashReport",
   "dsp",
-  sizeof(Dsp__RouteTablePut),
-  1,
-  dsp__route_table_put__field_descriptors,
-  dsp__route_table_put__field_indices_by_name,
-  1,  dsp__route_table_put__number_ranges,
-  (ProtobufCMessageInit) dsp__route_table_put__init,
+  sizeof(Dsp__CrashReport),
+  3,
+  dsp__crash_report__field_descriptors,
+  dsp__crash_report__field_indices_by_name,
+  1,  dsp__crash_report__number_ranges,
+  (ProtobufCMessageInit) dsp__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__text_piece__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__suspect_run__field_descriptors[5] =
 {
   {
-    "first",
+    "digest",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__TextPiece, first),
+    offsetof(Dsp__SuspectRun, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "count",
+    "endpoint",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectRun, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__TextPiece, count),
+    offsetof(Dsp__SuspectRun, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "text",
-    3,
+    "attempt",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__TextPiece, text),
+    offsetof(Dsp__SuspectRun, attempt),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspected",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectRun, suspected),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__text_piece__field_indices_by_name[] = {
-  1,   /* field[1] = count */
-  0,   /* field[0] = first */
-  2,   /* field[2] = text */
+static const unsigned dsp__suspect_run__field_indices_by_name[] = {
+  3,   /* field[3] = attempt */
+  0,   /* field[0] = digest */
+  1,   /* field[1] = endpoint */
+  2,   /* field[2] = incarnation */
+  4,   /* field[4] = suspected */
 };
-static const ProtobufCIntRange dsp__text_piece__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__suspect_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor dsp__text_piece__descriptor =
+const ProtobufCMessageDescriptor dsp__suspect_run__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.TextPiece",
-  "TextPiece",
-  "Dsp__TextPiece",
+  "dsp.SuspectRun",
+  "SuspectRun",
+  "Dsp__SuspectRun",
   "dsp",
-  sizeof(Dsp__TextPiece),
-  3,
-  dsp__text_piece__field_descriptors,
-  dsp__text_piece__field_indices_by_name,
-  1,  dsp__text_piece__number_ranges,
-  (ProtobufCMessageInit) dsp__text_piece__init,
+  sizeof(Dsp__SuspectRun),
+  5,
+  dsp__suspect_run__field_descriptors,
+  dsp__suspect_run__field_indices_by_name,
+  1,  dsp__suspect_run__number_ranges,
+  (ProtobufCMessageInit) dsp__suspect_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__route_table_change_put__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__suspect_done__field_descriptors[3] =
 {
   {
-    "change",
+    "digest",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTableChangePut, change),
-    &dsp__route_table_change__descriptor,
+    offsetof(Dsp__SuspectDone, digest),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "source",
+    "attempt",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__RouteTableChangePut, n_source),
-    offsetof(Dsp__RouteTableChangePut, source),
-    &dsp__text_piece__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__SuspectDone, attempt),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "source_digest",
+    "not_run",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__RouteTableChangePut, source_digest),
+    offsetof(Dsp__SuspectDone, not_run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__route_table_change_put__field_indices_by_name[] = {
-  0,   /* field[0] = change */
-  1,   /* field[1] = source */
-  2,   /* field[2] = source_digest */
+static const unsigned dsp__suspect_done__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = digest */
+  2,   /* field[2] = not_run */
 };
-static const ProtobufCIntRange dsp__route_table_change_put__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__suspect_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor dsp__route_table_change_put__descriptor =
+const ProtobufCMessageDescriptor dsp__suspect_done__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RouteTableChangePut",
-  "RouteTableChangePut",
-  "Dsp__RouteTableChangePut",
+  "dsp.SuspectDone",
+  "SuspectDone",
+  "Dsp__SuspectDone",
   "dsp",
-  sizeof(Dsp__RouteTableChangePut),
+  sizeof(Dsp__SuspectDone),
   3,
-  dsp__route_table_change_put__field_descriptors,
-  dsp__route_table_change_put__field_indices_by_name,
-  1,  dsp__route_table_change_put__number_ranges,
-  (ProtobufCMessageInit) dsp__route_table_change_put__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-#define dsp__route_table_get__field_descriptors NULL
-#define dsp__route_table_get__field_indices_by_name NULL
-#define dsp__route_table_get__number_ranges NULL
-const ProtobufCMessageDescriptor dsp__route_table_get__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.RouteTableGet",
-  "RouteTableGet",
-  "Dsp__RouteTableGet",
-  "dsp",
-  sizeof(Dsp__RouteTableGet),
-  0,
-  dsp__route_table_get__field_descriptors,
-  dsp__route_table_get__field_indices_by_name,
-  0,  dsp__route_table_get__number_ranges,
-  (ProtobufCMessageInit) dsp__route_table_get__init,
+  dsp__suspect_done__field_descriptors,
+  dsp__suspect_done__field_indices_by_name,
+  1,  dsp__suspect_done__number_ranges,
+  (ProtobufCMessageInit) dsp__suspect_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__document_put__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__part_crash__field_descriptors[4] =
 {
   {
-    "team",
+    "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__DocumentPut, team),
+    offsetof(Dsp__PartCrash, endpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "number",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__DocumentPut, number),
+    offsetof(Dsp__PartCrash, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "text",
+    "digests",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__DocumentPut, text),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Dsp__PartCrash, n_digests),
+    offsetof(Dsp__PartCrash, digests),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__document_put__field_indices_by_name[] = {
-  1,   /* field[1] = number */
-  0,   /* field[0] = team */
-  2,   /* field[2] = text */
-};
-static const ProtobufCIntRange dsp__document_put__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor dsp__document_put__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.DocumentPut",
-  "DocumentPut",
-  "Dsp__DocumentPut",
-  "dsp",
-  sizeof(Dsp__DocumentPut),
-  3,
-  dsp__document_put__field_descriptors,
-  dsp__document_put__field_indices_by_name,
-  1,  dsp__document_put__number_ranges,
-  (ProtobufCMessageInit) dsp__document_put__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__endpoint_put__field_descriptors[1] =
-{
   {
-    "endpoint",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointPut, endpoint),
-    &dsp__endpoint__descriptor,
+    "requests",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Dsp__PartCrash, n_requests),
+    offsetof(Dsp__PartCrash, requests),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__endpoint_put__field_indices_by_name[] = {
+static const unsigned dsp__part_crash__field_indices_by_name[] = {
+  2,   /* field[2] = digests */
   0,   /* field[0] = endpoint */
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = requests */
 };
-static const ProtobufCIntRange dsp__endpoint_put__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__part_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor dsp__endpoint_put__descriptor =
+const ProtobufCMessageDescriptor dsp__part_crash__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.EndpointPut",
-  "EndpointPut",
-  "Dsp__EndpointPut",
+  "dsp.PartCrash",
+  "PartCrash",
+  "Dsp__PartCrash",
   "dsp",
-  sizeof(Dsp__EndpointPut),
-  1,
-  dsp__endpoint_put__field_descriptors,
-  dsp__endpoint_put__field_indices_by_name,
-  1,  dsp__endpoint_put__number_ranges,
-  (ProtobufCMessageInit) dsp__endpoint_put__init,
+  sizeof(Dsp__PartCrash),
+  4,
+  dsp__part_crash__field_descriptors,
+  dsp__part_crash__field_indices_by_name,
+  1,  dsp__part_crash__number_ranges,
+  (ProtobufCMessageInit) dsp__part_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__endpoint_down__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dsp__part_evidence__field_descriptors[2] =
 {
   {
-    "id",
+    "crashes",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointDown, id),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__PartEvidence, n_crashes),
+    offsetof(Dsp__PartEvidence, crashes),
+    &dsp__part_crash__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "begun",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointDown, incarnation),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Dsp__PartEvidence, n_begun),
+    offsetof(Dsp__PartEvidence, begun),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__endpoint_down__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = incarnation */
+static const unsigned dsp__part_evidence__field_indices_by_name[] = {
+  1,   /* field[1] = begun */
+  0,   /* field[0] = crashes */
 };
-static const ProtobufCIntRange dsp__endpoint_down__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__part_evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor dsp__endpoint_down__descriptor =
+const ProtobufCMessageDescriptor dsp__part_evidence__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.EndpointDown",
-  "EndpointDown",
-  "Dsp__EndpointDown",
+  "dsp.PartEvidence",
+  "PartEvidence",
+  "Dsp__PartEvidence",
   "dsp",
-  sizeof(Dsp__EndpointDown),
+  sizeof(Dsp__PartEvidence),
   2,
-  dsp__endpoint_down__field_descriptors,
-  dsp__endpoint_down__field_indices_by_name,
-  1,  dsp__endpoint_down__number_ranges,
-  (ProtobufCMessageInit) dsp__endpoint_down__init,
+  dsp__part_evidence__field_descriptors,
+  dsp__part_evidence__field_indices_by_name,
+  1,  dsp__part_evidence__number_ranges,
+  (ProtobufCMessageInit) dsp__part_evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__order_create__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dsp__node_put__field_descriptors[1] =
 {
   {
-    "order",
+    "node",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__OrderCreate, order),
-    &dsp__order__descriptor,
+    offsetof(Dsp__NodePut, node),
+    &dsp__node__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__order_create__field_indices_by_name[] = {
-  0,   /* field[0] = order */
+static const unsigned dsp__node_put__field_indices_by_name[] = {
+  0,   /* field[0] = node */
 };
-static const ProtobufCIntRange dsp__order_create__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__node_put__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__order_create__descriptor =
+const ProtobufCMessageDescriptor dsp__node_put__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.OrderCreate",
-  "OrderCreate",
-  "Dsp__OrderCreate",
+  "dsp.NodePut",
+  "NodePut",
+  "Dsp__NodePut",
   "dsp",
-  sizeof(Dsp__OrderCreate),
+  sizeof(Dsp__NodePut),
   1,
-  dsp__order_create__field_descriptors,
-  dsp__order_create__field_indices_by_name,
-  1,  dsp__order_create__number_ranges,
-  (ProtobufCMessageInit) dsp__order_create__init,
+  dsp__node_put__field_descriptors,
+  dsp__node_put__field_indices_by_name,
+  1,  dsp__node_put__number_ranges,
+  (ProtobufCMessageInit) dsp__node_put__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__order_finish__field_descriptors[3] =
-{
-  {
-    "order",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__OrderFinish, order),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor dsp__node_down__field_descriptors[2] =
+{
   {
-    "state",
-    2,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__OrderFinish, state),
-    &dsp__order_state__descriptor,
+    offsetof(Dsp__NodeDown, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_once",
-    3,
+    "boot",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__OrderFinish, sent_once),
+    offsetof(Dsp__NodeDown, boot),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__order_finish__field_indices_by_name[] = {
-  0,   /* field[0] = order */
-  2,   /* field[2] = sent_once */
-  1,   /* field[1] = state */
+static const unsigned dsp__node_down__field_indices_by_name[] = {
+  1,   /* field[1] = boot */
+  0,   /* field[0] = id */
 };
-static const ProtobufCIntRange dsp__order_finish__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__node_down__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor dsp__order_finish__descriptor =
+const ProtobufCMessageDescriptor dsp__node_down__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.OrderFinish",
-  "OrderFinish",
-  "Dsp__OrderFinish",
+  "dsp.NodeDown",
+  "NodeDown",
+  "Dsp__NodeDown",
   "dsp",
-  sizeof(Dsp__OrderFinish),
-  3,
-  dsp__order_finish__field_descriptors,
-  dsp__order_finish__field_indices_by_name,
-  1,  dsp__order_finish__number_ranges,
-  (ProtobufCMessageInit) dsp__order_finish__init,
+  sizeof(Dsp__NodeDown),
+  2,
+  dsp__node_down__field_descriptors,
+  dsp__node_down__field_indices_by_name,
+  1,  dsp__node_down__number_ranges,
+  (ProtobufCMessageInit) dsp__node_down__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__residency_report__field_descriptors[4] =
+#define dsp__expire__field_descriptors NULL
+#define dsp__expire__field_indices_by_name NULL
+#define dsp__expire__number_ranges NULL
+const ProtobufCMessageDescriptor dsp__expire__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Expire",
+  "Expire",
+  "Dsp__Expire",
+  "dsp",
+  sizeof(Dsp__Expire),
+  0,
+  dsp__expire__field_descriptors,
+  dsp__expire__field_indices_by_name,
+  0,  dsp__expire__number_ranges,
+  (ProtobufCMessageInit) dsp__expire__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__command__field_descriptors[20] =
 {
   {
-    "endpoint",
+    "wall_ms",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ResidencyReport, endpoint),
+    offsetof(Dsp__Command, wall_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    2,
+    "document_put",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ResidencyReport, incarnation),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, document_put),
+    &dsp__document_put__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_put",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, endpoint_put),
+    &dsp__endpoint_put__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "highest_fence",
-    3,
+    "endpoint_down",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ResidencyReport, highest_fence),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, endpoint_down),
+    &dsp__endpoint_down__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order_create",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, order_create),
+    &dsp__order_create__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "copies",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
+    "order_finish",
+    14,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ResidencyReport, n_copies),
-    offsetof(Dsp__ResidencyReport, copies),
-    &dsp__copy__descriptor,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, order_finish),
+    &dsp__order_finish__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__residency_report__field_indices_by_name[] = {
-  3,   /* field[3] = copies */
-  0,   /* field[0] = endpoint */
-  2,   /* field[2] = highest_fence */
-  1,   /* field[1] = incarnation */
-};
-static const ProtobufCIntRange dsp__residency_report__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor dsp__residency_report__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.ResidencyReport",
-  "ResidencyReport",
-  "Dsp__ResidencyReport",
-  "dsp",
-  sizeof(Dsp__ResidencyReport),
-  4,
-  dsp__residency_report__field_descriptors,
-  dsp__residency_report__field_indices_by_name,
-  1,  dsp__residency_report__number_ranges,
-  (ProtobufCMessageInit) dsp__residency_report__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__claim_create__field_descriptors[1] =
-{
   {
-    "claim",
-    1,
+    "residency_report",
+    15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimCreate, claim),
-    &dsp__claim__descriptor,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, residency_report),
+    &dsp__residency_report__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__claim_create__field_indices_by_name[] = {
-  0,   /* field[0] = claim */
-};
-static const ProtobufCIntRange dsp__claim_create__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor dsp__claim_create__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.ClaimCreate",
-  "ClaimCreate",
-  "Dsp__ClaimCreate",
-  "dsp",
-  sizeof(Dsp__ClaimCreate),
-  1,
-  dsp__claim_create__field_descriptors,
-  dsp__claim_create__field_indices_by_name,
-  1,  dsp__claim_create__number_ranges,
-  (ProtobufCMessageInit) dsp__claim_create__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__claim_finish__field_descriptors[7] =
-{
   {
-    "team",
-    1,
+    "claim_create",
+    16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimFinish, team),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, claim_create),
+    &dsp__claim_create__descriptor,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_id",
-    2,
+    "claim_finish",
+    17,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimFinish, request_id),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, claim_finish),
+    &dsp__claim_finish__descriptor,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
-    3,
+    "claim_get",
+    18,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimFinish, attempt),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, claim_get),
+    &dsp__claim_get__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash_report",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, crash_report),
+    &dsp__crash_report__descriptor,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
-    4,
+    "suspect_run",
+    20,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimFinish, state),
-    &dsp__claim_state__descriptor,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, suspect_run),
+    &dsp__suspect_run__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    5,
+    "suspect_done",
+    21,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimFinish, status),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, suspect_done),
+    &dsp__suspect_done__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
-    6,
+    "node_put",
+    22,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimFinish, content_type),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, node_put),
+    &dsp__node_put__descriptor,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    7,
+    "node_down",
+    23,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimFinish, body),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, node_down),
+    &dsp__node_down__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__claim_finish__field_indices_by_name[] = {
-  2,   /* field[2] = attempt */
-  6,   /* field[6] = body */
-  5,   /* field[5] = content_type */
-  1,   /* field[1] = request_id */
-  3,   /* field[3] = state */
-  4,   /* field[4] = status */
-  0,   /* field[0] = team */
-};
-static const ProtobufCIntRange dsp__claim_finish__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor dsp__claim_finish__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.ClaimFinish",
-  "ClaimFinish",
-  "Dsp__ClaimFinish",
-  "dsp",
-  sizeof(Dsp__ClaimFinish),
-  7,
-  dsp__claim_finish__field_descriptors,
-  dsp__claim_finish__field_indices_by_name,
-  1,  dsp__claim_finish__number_ranges,
-  (ProtobufCMessageInit) dsp__claim_finish__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__claim_get__field_descriptors[2] =
-{
   {
-    "team",
-    1,
+    "expire",
+    24,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimGet, team),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, expire),
+    &dsp__expire__descriptor,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_id",
-    2,
+    "route_table_put",
+    25,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ClaimGet, request_id),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, route_table_put),
+    &dsp__route_table_put__descriptor,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__claim_get__field_indices_by_name[] = {
-  1,   /* field[1] = request_id */
-  0,   /* field[0] = team */
-};
-static const ProtobufCIntRange dsp__claim_get__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor dsp__claim_get__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.ClaimGet",
-  "ClaimGet",
-  "Dsp__ClaimGet",
-  "dsp",
-  sizeof(Dsp__ClaimGet),
-  2,
-  dsp__claim_get__field_descriptors,
-  dsp__claim_get__field_indices_by_name,
-  1,  dsp__claim_get__number_ranges,
-  (ProtobufCMessageInit) dsp__claim_get__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__crash_report__field_descriptors[3] =
-{
   {
-    "endpoint",
-    1,
+    "route_table_get",
+    26,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__CrashReport, endpoint),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, route_table_get),
+    &dsp__route_table_get__descriptor,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    2,
+    "part_evidence",
+    27,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__CrashReport, incarnation),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, part_evidence),
+    &dsp__part_evidence__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digests",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Dsp__CrashReport, n_digests),
-    offsetof(Dsp__CrashReport, digests),
-    NULL,
+    "route_table_change_put",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, route_table_change_put),
+    &dsp__route_table_change_put__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__crash_report__field_indices_by_name[] = {
-  2,   /* field[2] = digests */
-  0,   /* field[0] = endpoint */
-  1,   /* field[1] = incarnation */
+static const unsigned dsp__command__field_indices_by_name[] = {
+  7,   /* field[7] = claim_create */
+  8,   /* field[8] = claim_finish */
+  9,   /* field[9] = claim_get */
+  10,   /* field[10] = crash_report */
+  1,   /* field[1] = document_put */
+  3,   /* field[3] = endpoint_down */
+  2,   /* field[2] = endpoint_put */
+  15,   /* field[15] = expire */
+  14,   /* field[14] = node_down */
+  13,   /* field[13] = node_put */
+  4,   /* field[4] = order_create */
+  5,   /* field[5] = order_finish */
+  18,   /* field[18] = part_evidence */
+  6,   /* field[6] = residency_report */
+  19,   /* field[19] = route_table_change_put */
+  17,   /* field[17] = route_table_get */
+  16,   /* field[16] = route_table_put */
+  12,   /* field[12] = suspect_done */
+  11,   /* field[11] = suspect_run */
+  0,   /* field[0] = wall_ms */
 };
-static const ProtobufCIntRange dsp__crash_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__command__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 10, 1 },
+  { 40, 19 },
+  { 0, 20 }
 };
-const ProtobufCMessageDescriptor dsp__crash_report__descriptor =
+const ProtobufCMessageDescriptor dsp__command__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.CrashReport",
-  "CrashReport",
-  "Dsp__CrashReport",
+  "dsp.Command",
+  "Command",
+  "Dsp__Command",
   "dsp",
-  sizeof(Dsp__CrashReport),
-  3,
-  dsp__crash_report__field_descriptors,
-  dsp__crash_report__field_indices_by_name,
-  1,  dsp__crash_report__number_ranges,
-  (ProtobufCMessageInit) dsp__crash_report__init,
+  sizeof(Dsp__Command),
+  20,
+  dsp__command__field_descriptors,
+  dsp__command__field_indices_by_name,
+  3,  dsp__command__number_ranges,
+  (ProtobufCMessageInit) dsp__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__suspect_run__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dsp__command_result__field_descriptors[7] =
 {
   {
-    "digest",
+    "code",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectRun, digest),
-    NULL,
+    offsetof(Dsp__CommandResult, code),
+    &dsp__result_code__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint",
+    "message",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectRun, endpoint),
+    offsetof(Dsp__CommandResult, message),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "index",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectRun, incarnation),
+    offsetof(Dsp__CommandResult, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "number",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectRun, attempt),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "suspected",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectRun, suspected),
+    offsetof(Dsp__CommandResult, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__suspect_run__field_indices_by_name[] = {
-  3,   /* field[3] = attempt */
-  0,   /* field[0] = digest */
-  1,   /* field[1] = endpoint */
-  2,   /* field[2] = incarnation */
-  4,   /* field[4] = suspected */
-};
-static const ProtobufCIntRange dsp__suspect_run__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor dsp__suspect_run__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.SuspectRun",
-  "SuspectRun",
-  "Dsp__SuspectRun",
-  "dsp",
-  sizeof(Dsp__SuspectRun),
-  5,
-  dsp__suspect_run__field_descriptors,
-  dsp__suspect_run__field_indices_by_name,
-  1,  dsp__suspect_run__number_ranges,
-  (ProtobufCMessageInit) dsp__suspect_run__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__suspect_done__field_descriptors[3] =
-{
   {
-    "digest",
-    1,
+    "claim",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectDone, digest),
-    NULL,
+    offsetof(Dsp__CommandResult, claim),
+    &dsp__claim__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
-    2,
+    "order",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectDone, attempt),
+    offsetof(Dsp__CommandResult, order),
+    &dsp__order__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "not_run",
-    3,
+    "route_table",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__SuspectDone, not_run),
-    NULL,
+    offsetof(Dsp__CommandResult, route_table),
+    &dsp__route_table__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__suspect_done__field_indices_by_name[] = {
-  1,   /* field[1] = attempt */
-  0,   /* field[0] = digest */
-  2,   /* field[2] = not_run */
+static const unsigned dsp__command_result__field_indices_by_name[] = {
+  4,   /* field[4] = claim */
+  0,   /* field[0] = code */
+  2,   /* field[2] = index */
+  1,   /* field[1] = message */
+  3,   /* field[3] = number */
+  5,   /* field[5] = order */
+  6,   /* field[6] = route_table */
 };
-static const ProtobufCIntRange dsp__suspect_done__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__command_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor dsp__suspect_done__descriptor =
+const ProtobufCMessageDescriptor dsp__command_result__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.SuspectDone",
-  "SuspectDone",
-  "Dsp__SuspectDone",
+  "dsp.CommandResult",
+  "CommandResult",
+  "Dsp__CommandResult",
   "dsp",
-  sizeof(Dsp__SuspectDone),
-  3,
-  dsp__suspect_done__field_descriptors,
-  dsp__suspect_done__field_indices_by_name,
-  1,  dsp__suspect_done__number_ranges,
-  (ProtobufCMessageInit) dsp__suspect_done__init,
+  sizeof(Dsp__CommandResult),
+  7,
+  dsp__command_result__field_descriptors,
+  dsp__command_result__field_indices_by_name,
+  1,  dsp__command_result__number_ranges,
+  (ProtobufCMessageInit) dsp__command_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__part_crash__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__document_history__field_descriptors[4] =
 {
   {
-    "endpoint",
+    "team",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__PartCrash, endpoint),
+    offsetof(Dsp__DocumentHistory, team),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "number",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__PartCrash, incarnation),
+    offsetof(Dsp__DocumentHistory, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digests",
+    "index",
     3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Dsp__PartCrash, n_digests),
-    offsetof(Dsp__PartCrash, digests),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__DocumentHistory, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "requests",
+    "digest",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
-    offsetof(Dsp__PartCrash, n_requests),
-    offsetof(Dsp__PartCrash, requests),
+    0,   /* quantifier_offset */
+    offsetof(Dsp__DocumentHistory, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__part_crash__field_indices_by_name[] = {
-  2,   /* field[2] = digests */
-  0,   /* field[0] = endpoint */
-  1,   /* field[1] = incarnation */
-  3,   /* field[3] = requests */
+static const unsigned dsp__document_history__field_indices_by_name[] = {
+  3,   /* field[3] = digest */
+  2,   /* field[2] = index */
+  1,   /* field[1] = number */
+  0,   /* field[0] = team */
 };
-static const ProtobufCIntRange dsp__part_crash__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__document_history__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor dsp__part_crash__descriptor =
+const ProtobufCMessageDescriptor dsp__document_history__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.PartCrash",
-  "PartCrash",
-  "Dsp__PartCrash",
+  "dsp.DocumentHistory",
+  "DocumentHistory",
+  "Dsp__DocumentHistory",
   "dsp",
-  sizeof(Dsp__PartCrash),
+  sizeof(Dsp__DocumentHistory),
   4,
-  dsp__part_crash__field_descriptors,
-  dsp__part_crash__field_indices_by_name,
-  1,  dsp__part_crash__number_ranges,
-  (ProtobufCMessageInit) dsp__part_crash__init,
+  dsp__document_history__field_descriptors,
+  dsp__document_history__field_indices_by_name,
+  1,  dsp__document_history__number_ranges,
+  (ProtobufCMessageInit) dsp__document_history__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__part_evidence__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dsp__reservation__field_descriptors[17] =
 {
   {
-    "crashes",
+    "endpoint",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__PartEvidence, n_crashes),
-    offsetof(Dsp__PartEvidence, crashes),
-    &dsp__part_crash__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "begun",
+    "model",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Dsp__PartEvidence, n_begun),
-    offsetof(Dsp__PartEvidence, begun),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, adapter),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_accelerator",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, first_accelerator),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__part_evidence__field_indices_by_name[] = {
-  1,   /* field[1] = begun */
-  0,   /* field[0] = crashes */
-};
-static const ProtobufCIntRange dsp__part_evidence__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor dsp__part_evidence__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.PartEvidence",
-  "PartEvidence",
-  "Dsp__PartEvidence",
-  "dsp",
-  sizeof(Dsp__PartEvidence),
-  2,
-  dsp__part_evidence__field_descriptors,
-  dsp__part_evidence__field_indices_by_name,
-  1,  dsp__part_evidence__number_ranges,
-  (ProtobufCMessageInit) dsp__part_evidence__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__node_put__field_descriptors[1] =
-{
   {
-    "node",
-    1,
+    "accelerators",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__NodePut, node),
-    &dsp__node__descriptor,
+    offsetof(Dsp__Reservation, accelerators),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__node_put__field_indices_by_name[] = {
-  0,   /* field[0] = node */
-};
-static const ProtobufCIntRange dsp__node_put__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor dsp__node_put__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.NodePut",
-  "NodePut",
-  "Dsp__NodePut",
-  "dsp",
-  sizeof(Dsp__NodePut),
-  1,
-  dsp__node_put__field_descriptors,
-  dsp__node_put__field_indices_by_name,
-  1,  dsp__node_put__number_ranges,
-  (ProtobufCMessageInit) dsp__node_put__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__node_down__field_descriptors[2] =
-{
   {
-    "id",
-    1,
+    "memory_mb",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__NodeDown, id),
+    offsetof(Dsp__Reservation, memory_mb),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "boot",
-    2,
+    "order",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__NodeDown, boot),
+    offsetof(Dsp__Reservation, order),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__node_down__field_indices_by_name[] = {
-  1,   /* field[1] = boot */
-  0,   /* field[0] = id */
-};
-static const ProtobufCIntRange dsp__node_down__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor dsp__node_down__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.NodeDown",
-  "NodeDown",
-  "Dsp__NodeDown",
-  "dsp",
-  sizeof(Dsp__NodeDown),
-  2,
-  dsp__node_down__field_descriptors,
-  dsp__node_down__field_indices_by_name,
-  1,  dsp__node_down__number_ranges,
-  (ProtobufCMessageInit) dsp__node_down__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-#define dsp__expire__field_descriptors NULL
-#define dsp__expire__field_indices_by_name NULL
-#define dsp__expire__number_ranges NULL
-const ProtobufCMessageDescriptor dsp__expire__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Expire",
-  "Expire",
-  "Dsp__Expire",
-  "dsp",
-  sizeof(Dsp__Expire),
-  0,
-  dsp__expire__field_descriptors,
-  dsp__expire__field_indices_by_name,
-  0,  dsp__expire__number_ranges,
-  (ProtobufCMessageInit) dsp__expire__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__command__field_descriptors[20] =
-{
   {
-    "wall_ms",
-    1,
+    "resident",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Command, wall_ms),
+    offsetof(Dsp__Reservation, resident),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "document_put",
+    "listed",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, document_put),
-    &dsp__document_put__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, listed),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint_put",
+    "ready",
     11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, endpoint_put),
-    &dsp__endpoint_put__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, ready),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint_down",
+    "unloading",
     12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, endpoint_down),
-    &dsp__endpoint_down__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, unloading),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "order_create",
+    "repeatable",
     13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, order_create),
-    &dsp__order_create__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, repeatable),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "order_finish",
+    "last_load",
     14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, order_finish),
-    &dsp__order_finish__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, last_load),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "residency_report",
+    "last_finish",
     15,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, residency_report),
-    &dsp__residency_report__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, last_finish),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim_create",
+    "retired",
     16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, claim_create),
-    &dsp__claim_create__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, retired),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Reservation, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__reservation__field_indices_by_name[] = {
+  5,   /* field[5] = accelerators */
+  3,   /* field[3] = adapter */
+  0,   /* field[0] = endpoint */
+  4,   /* field[4] = first_accelerator */
+  16,   /* field[16] = incarnation */
+  14,   /* field[14] = last_finish */
+  13,   /* field[13] = last_load */
+  9,   /* field[9] = listed */
+  6,   /* field[6] = memory_mb */
+  1,   /* field[1] = model */
+  7,   /* field[7] = order */
+  10,   /* field[10] = ready */
+  12,   /* field[12] = repeatable */
+  8,   /* field[8] = resident */
+  15,   /* field[15] = retired */
+  11,   /* field[11] = unloading */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange dsp__reservation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 17 }
+};
+const ProtobufCMessageDescriptor dsp__reservation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Reservation",
+  "Reservation",
+  "Dsp__Reservation",
+  "dsp",
+  sizeof(Dsp__Reservation),
+  17,
+  dsp__reservation__field_descriptors,
+  dsp__reservation__field_indices_by_name,
+  1,  dsp__reservation__number_ranges,
+  (ProtobufCMessageInit) dsp__reservation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__endpoint_meta__field_descriptors[9] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, id),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim_finish",
-    17,
+    "index",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, claim_finish),
-    &dsp__claim_finish__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim_get",
-    18,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, claim_get),
-    &dsp__claim_get__descriptor,
+    "old_incarnations",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__EndpointMeta, n_old_incarnations),
+    offsetof(Dsp__EndpointMeta, old_incarnations),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crash_report",
-    19,
+    "fence",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, crash_report),
-    &dsp__crash_report__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, fence),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "suspect_run",
-    20,
+    "down_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, suspect_run),
-    &dsp__suspect_run__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, down_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "suspect_done",
-    21,
+    "leaving",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, suspect_done),
-    &dsp__suspect_done__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, leaving),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node_put",
-    22,
+    "ever_loaded",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, node_put),
-    &dsp__node_put__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, ever_loaded),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node_down",
-    23,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, node_down),
-    &dsp__node_down__descriptor,
+    "retired",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__EndpointMeta, n_retired),
+    offsetof(Dsp__EndpointMeta, retired),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "expire",
-    24,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, expire),
-    &dsp__expire__descriptor,
+    "retired_fences",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__EndpointMeta, n_retired_fences),
+    offsetof(Dsp__EndpointMeta, retired_fences),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__endpoint_meta__field_indices_by_name[] = {
+  4,   /* field[4] = down_ms */
+  6,   /* field[6] = ever_loaded */
+  3,   /* field[3] = fence */
+  0,   /* field[0] = id */
+  1,   /* field[1] = index */
+  5,   /* field[5] = leaving */
+  2,   /* field[2] = old_incarnations */
+  7,   /* field[7] = retired */
+  8,   /* field[8] = retired_fences */
+};
+static const ProtobufCIntRange dsp__endpoint_meta__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor dsp__endpoint_meta__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.EndpointMeta",
+  "EndpointMeta",
+  "Dsp__EndpointMeta",
+  "dsp",
+  sizeof(Dsp__EndpointMeta),
+  9,
+  dsp__endpoint_meta__field_descriptors,
+  dsp__endpoint_meta__field_indices_by_name,
+  1,  dsp__endpoint_meta__number_ranges,
+  (ProtobufCMessageInit) dsp__endpoint_meta__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__node_meta__field_descriptors[4] =
+{
   {
-    "route_table_put",
-    25,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, route_table_put),
-    &dsp__route_table_put__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeMeta, id),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route_table_get",
-    26,
+    "index",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, route_table_get),
-    &dsp__route_table_get__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeMeta, index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "part_evidence",
-    27,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, part_evidence),
-    &dsp__part_evidence__descriptor,
+    "old_boots",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__NodeMeta, n_old_boots),
+    offsetof(Dsp__NodeMeta, old_boots),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route_table_change_put",
-    40,
+    "down_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Command, body_case),
-    offsetof(Dsp__Command, route_table_change_put),
-    &dsp__route_table_change_put__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeMeta, down_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__command__field_indices_by_name[] = {
-  7,   /* field[7] = claim_create */
-  8,   /* field[8] = claim_finish */
-  9,   /* field[9] = claim_get */
-  10,   /* field[10] = crash_report */
-  1,   /* field[1] = document_put */
-  3,   /* field[3] = endpoint_down */
-  2,   /* field[2] = endpoint_put */
-  15,   /* field[15] = expire */
-  14,   /* field[14] = node_down */
-  13,   /* field[13] = node_put */
-  4,   /* field[4] = order_create */
-  5,   /* field[5] = order_finish */
-  18,   /* field[18] = part_evidence */
-  6,   /* field[6] = residency_report */
-  19,   /* field[19] = route_table_change_put */
-  17,   /* field[17] = route_table_get */
-  16,   /* field[16] = route_table_put */
-  12,   /* field[12] = suspect_done */
-  11,   /* field[11] = suspect_run */
-  0,   /* field[0] = wall_ms */
+static const unsigned dsp__node_meta__field_indices_by_name[] = {
+  3,   /* field[3] = down_ms */
+  0,   /* field[0] = id */
+  1,   /* field[1] = index */
+  2,   /* field[2] = old_boots */
 };
-static const ProtobufCIntRange dsp__command__number_ranges[3 + 1] =
+static const ProtobufCIntRange dsp__node_meta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 10, 1 },
-  { 40, 19 },
-  { 0, 20 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor dsp__command__descriptor =
+const ProtobufCMessageDescriptor dsp__node_meta__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Command",
-  "Command",
-  "Dsp__Command",
+  "dsp.NodeMeta",
+  "NodeMeta",
+  "Dsp__NodeMeta",
   "dsp",
-  sizeof(Dsp__Command),
-  20,
-  dsp__command__field_descriptors,
-  dsp__command__field_indices_by_name,
-  3,  dsp__command__number_ranges,
-  (ProtobufCMessageInit) dsp__command__init,
+  sizeof(Dsp__NodeMeta),
+  4,
+  dsp__node_meta__field_descriptors,
+  dsp__node_meta__field_indices_by_name,
+  1,  dsp__node_meta__number_ranges,
+  (ProtobufCMessageInit) dsp__node_meta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__command_result__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__tombstone__field_descriptors[3] =
 {
   {
-    "code",
+    "kind",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__CommandResult, code),
-    &dsp__result_code__descriptor,
+    offsetof(Dsp__Tombstone, kind),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "message",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__CommandResult, message),
+    offsetof(Dsp__Tombstone, key),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -8252,1962 +9701,2099 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__CommandResult, index),
+    offsetof(Dsp__Tombstone, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__tombstone__field_indices_by_name[] = {
+  2,   /* field[2] = index */
+  1,   /* field[1] = key */
+  0,   /* field[0] = kind */
+};
+static const ProtobufCIntRange dsp__tombstone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__tombstone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Tombstone",
+  "Tombstone",
+  "Dsp__Tombstone",
+  "dsp",
+  sizeof(Dsp__Tombstone),
+  3,
+  dsp__tombstone__field_descriptors,
+  dsp__tombstone__field_indices_by_name,
+  1,  dsp__tombstone__number_ranges,
+  (ProtobufCMessageInit) dsp__tombstone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__state_snapshot__field_descriptors[17] =
+{
   {
-    "number",
-    4,
+    "index",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__CommandResult, number),
+    offsetof(Dsp__StateSnapshot, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim",
-    5,
+    "wall_ms",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__CommandResult, claim),
-    &dsp__claim__descriptor,
+    offsetof(Dsp__StateSnapshot, wall_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "order",
+    "documents",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_documents),
+    offsetof(Dsp__StateSnapshot, documents),
+    &dsp__document__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "history",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_history),
+    offsetof(Dsp__StateSnapshot, history),
+    &dsp__document_history__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_endpoints),
+    offsetof(Dsp__StateSnapshot, endpoints),
+    &dsp__endpoint__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_metas",
     6,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__CommandResult, order),
-    &dsp__order__descriptor,
+    offsetof(Dsp__StateSnapshot, n_endpoint_metas),
+    offsetof(Dsp__StateSnapshot, endpoint_metas),
+    &dsp__endpoint_meta__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route_table",
+    "orders",
     7,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__CommandResult, route_table),
-    &dsp__route_table__descriptor,
+    offsetof(Dsp__StateSnapshot, n_orders),
+    offsetof(Dsp__StateSnapshot, orders),
+    &dsp__order__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__command_result__field_indices_by_name[] = {
-  4,   /* field[4] = claim */
-  0,   /* field[0] = code */
-  2,   /* field[2] = index */
-  1,   /* field[1] = message */
-  3,   /* field[3] = number */
-  5,   /* field[5] = order */
-  6,   /* field[6] = route_table */
-};
-static const ProtobufCIntRange dsp__command_result__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor dsp__command_result__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.CommandResult",
-  "CommandResult",
-  "Dsp__CommandResult",
-  "dsp",
-  sizeof(Dsp__CommandResult),
-  7,
-  dsp__command_result__field_descriptors,
-  dsp__command_result__field_indices_by_name,
-  1,  dsp__command_result__number_ranges,
-  (ProtobufCMessageInit) dsp__command_result__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__document_history__field_descriptors[4] =
-{
   {
-    "team",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__DocumentHistory, team),
+    "reservations",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_reservations),
+    offsetof(Dsp__StateSnapshot, reservations),
+    &dsp__reservation__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "number",
-    2,
+    "claims",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_claims),
+    offsetof(Dsp__StateSnapshot, claims),
+    &dsp__claim__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_suspects),
+    offsetof(Dsp__StateSnapshot, suspects),
+    &dsp__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspect_indexes",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dsp__StateSnapshot, n_suspect_indexes),
+    offsetof(Dsp__StateSnapshot, suspect_indexes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_nodes),
+    offsetof(Dsp__StateSnapshot, nodes),
+    &dsp__node__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_metas",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_node_metas),
+    offsetof(Dsp__StateSnapshot, node_metas),
+    &dsp__node_meta__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tombstones",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_tombstones),
+    offsetof(Dsp__StateSnapshot, tombstones),
+    &dsp__tombstone__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tombstone_floor",
+    15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__DocumentHistory, number),
+    offsetof(Dsp__StateSnapshot, tombstone_floor),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "index",
-    3,
+  {
+    "end",
+    16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__DocumentHistory, index),
+    offsetof(Dsp__StateSnapshot, end),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digest",
-    4,
+    "route_table",
+    17,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__DocumentHistory, digest),
-    NULL,
+    offsetof(Dsp__StateSnapshot, route_table),
+    &dsp__route_table__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__document_history__field_indices_by_name[] = {
-  3,   /* field[3] = digest */
-  2,   /* field[2] = index */
-  1,   /* field[1] = number */
-  0,   /* field[0] = team */
+static const unsigned dsp__state_snapshot__field_indices_by_name[] = {
+  8,   /* field[8] = claims */
+  2,   /* field[2] = documents */
+  15,   /* field[15] = end */
+  5,   /* field[5] = endpoint_metas */
+  4,   /* field[4] = endpoints */
+  3,   /* field[3] = history */
+  0,   /* field[0] = index */
+  12,   /* field[12] = node_metas */
+  11,   /* field[11] = nodes */
+  6,   /* field[6] = orders */
+  7,   /* field[7] = reservations */
+  16,   /* field[16] = route_table */
+  10,   /* field[10] = suspect_indexes */
+  9,   /* field[9] = suspects */
+  14,   /* field[14] = tombstone_floor */
+  13,   /* field[13] = tombstones */
+  1,   /* field[1] = wall_ms */
 };
-static const ProtobufCIntRange dsp__document_history__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__state_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 17 }
 };
-const ProtobufCMessageDescriptor dsp__document_history__descriptor =
+const ProtobufCMessageDescriptor dsp__state_snapshot__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.DocumentHistory",
-  "DocumentHistory",
-  "Dsp__DocumentHistory",
+  "dsp.StateSnapshot",
+  "StateSnapshot",
+  "Dsp__StateSnapshot",
   "dsp",
-  sizeof(Dsp__DocumentHistory),
-  4,
-  dsp__document_history__field_descriptors,
-  dsp__document_history__field_indices_by_name,
-  1,  dsp__document_history__number_ranges,
-  (ProtobufCMessageInit) dsp__document_history__init,
+  sizeof(Dsp__StateSnapshot),
+  17,
+  dsp__state_snapshot__field_descriptors,
+  dsp__state_snapshot__field_indices_by_name,
+  1,  dsp__state_snapshot__number_ranges,
+  (ProtobufCMessageInit) dsp__state_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__reservation__field_descriptors[17] =
+static const ProtobufCFieldDescriptor dsp__view_record__field_descriptors[10] =
 {
   {
-    "endpoint",
+    "index",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, endpoint),
+    offsetof(Dsp__ViewRecord, index),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "model",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, model),
+    offsetof(Dsp__ViewRecord, key),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "removed",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, version),
+    offsetof(Dsp__ViewRecord, removed),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
-    4,
+    "document",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, adapter),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewRecord, body_case),
+    offsetof(Dsp__ViewRecord, document),
+    &dsp__document__descriptor,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "first_accelerator",
-    5,
+    "endpoint",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, first_accelerator),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewRecord, body_case),
+    offsetof(Dsp__ViewRecord, endpoint),
+    &dsp__endpoint__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewRecord, body_case),
+    offsetof(Dsp__ViewRecord, node),
+    &dsp__node__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
-    6,
+    "suspect",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, accelerators),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewRecord, body_case),
+    offsetof(Dsp__ViewRecord, suspect),
+    &dsp__suspect__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route_table",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewRecord, body_case),
+    offsetof(Dsp__ViewRecord, route_table),
+    &dsp__route_table__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
-    7,
+    "kind",
+    20,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, memory_mb),
+    offsetof(Dsp__ViewRecord, kind),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "order",
-    8,
+    "route_table_steps",
+    40,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, order),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewRecord, body_case),
+    offsetof(Dsp__ViewRecord, route_table_steps),
+    &dsp__route_table_steps__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__view_record__field_indices_by_name[] = {
+  3,   /* field[3] = document */
+  4,   /* field[4] = endpoint */
+  0,   /* field[0] = index */
+  1,   /* field[1] = key */
+  8,   /* field[8] = kind */
+  5,   /* field[5] = node */
+  2,   /* field[2] = removed */
+  7,   /* field[7] = route_table */
+  9,   /* field[9] = route_table_steps */
+  6,   /* field[6] = suspect */
+};
+static const ProtobufCIntRange dsp__view_record__number_ranges[4 + 1] =
+{
+  { 1, 0 },
+  { 10, 3 },
+  { 20, 8 },
+  { 40, 9 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor dsp__view_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.ViewRecord",
+  "ViewRecord",
+  "Dsp__ViewRecord",
+  "dsp",
+  sizeof(Dsp__ViewRecord),
+  10,
+  dsp__view_record__field_descriptors,
+  dsp__view_record__field_indices_by_name,
+  4,  dsp__view_record__number_ranges,
+  (ProtobufCMessageInit) dsp__view_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__load_report__field_descriptors[10] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__LoadReport, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "resident",
-    9,
+    "incarnation",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, resident),
+    offsetof(Dsp__LoadReport, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "listed",
-    10,
+    "sequence",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, listed),
+    offsetof(Dsp__LoadReport, sequence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ready",
-    11,
+    "running",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, ready),
+    offsetof(Dsp__LoadReport, running),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "unloading",
-    12,
+    "waiting",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, unloading),
+    offsetof(Dsp__LoadReport, waiting),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "repeatable",
-    13,
+    "kv_used_permille",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, repeatable),
+    offsetof(Dsp__LoadReport, kv_used_permille),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "last_load",
-    14,
+  {
+    "age_ms",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, last_load),
+    offsetof(Dsp__LoadReport, age_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_finish",
-    15,
+    "leaving",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, last_finish),
+    offsetof(Dsp__LoadReport, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retired",
-    16,
+    "limit_milli",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, retired),
+    offsetof(Dsp__LoadReport, limit_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    17,
+    "slowness_percent",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Reservation, incarnation),
+    offsetof(Dsp__LoadReport, slowness_percent),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__reservation__field_indices_by_name[] = {
-  5,   /* field[5] = accelerators */
-  3,   /* field[3] = adapter */
+static const unsigned dsp__load_report__field_indices_by_name[] = {
+  6,   /* field[6] = age_ms */
   0,   /* field[0] = endpoint */
-  4,   /* field[4] = first_accelerator */
-  16,   /* field[16] = incarnation */
-  14,   /* field[14] = last_finish */
-  13,   /* field[13] = last_load */
-  9,   /* field[9] = listed */
-  6,   /* field[6] = memory_mb */
-  1,   /* field[1] = model */
-  7,   /* field[7] = order */
-  10,   /* field[10] = ready */
-  12,   /* field[12] = repeatable */
-  8,   /* field[8] = resident */
-  15,   /* field[15] = retired */
-  11,   /* field[11] = unloading */
-  2,   /* field[2] = version */
+  1,   /* field[1] = incarnation */
+  5,   /* field[5] = kv_used_permille */
+  7,   /* field[7] = leaving */
+  8,   /* field[8] = limit_milli */
+  3,   /* field[3] = running */
+  2,   /* field[2] = sequence */
+  9,   /* field[9] = slowness_percent */
+  4,   /* field[4] = waiting */
 };
-static const ProtobufCIntRange dsp__reservation__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 10 }
 };
-const ProtobufCMessageDescriptor dsp__reservation__descriptor =
+const ProtobufCMessageDescriptor dsp__load_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Reservation",
-  "Reservation",
-  "Dsp__Reservation",
+  "dsp.LoadReport",
+  "LoadReport",
+  "Dsp__LoadReport",
   "dsp",
-  sizeof(Dsp__Reservation),
-  17,
-  dsp__reservation__field_descriptors,
-  dsp__reservation__field_indices_by_name,
-  1,  dsp__reservation__number_ranges,
-  (ProtobufCMessageInit) dsp__reservation__init,
+  sizeof(Dsp__LoadReport),
+  10,
+  dsp__load_report__field_descriptors,
+  dsp__load_report__field_indices_by_name,
+  1,  dsp__load_report__number_ranges,
+  (ProtobufCMessageInit) dsp__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__endpoint_meta__field_descriptors[9] =
+static const ProtobufCFieldDescriptor dsp__view_update__field_descriptors[11] =
 {
   {
-    "id",
+    "from_index",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointMeta, id),
+    offsetof(Dsp__ViewUpdate, from_index),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
+    "to_index",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointMeta, index),
+    offsetof(Dsp__ViewUpdate, to_index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "old_incarnations",
+    "reset",
     3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Dsp__EndpointMeta, n_old_incarnations),
-    offsetof(Dsp__EndpointMeta, old_incarnations),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__ViewUpdate, reset),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fence",
+    "term",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointMeta, fence),
+    offsetof(Dsp__ViewUpdate, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "down_ms",
+    "leader",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointMeta, down_ms),
-    NULL,
+    offsetof(Dsp__ViewUpdate, leader),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "confirmed_age_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointMeta, leaving),
+    offsetof(Dsp__ViewUpdate, confirmed_age_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ever_loaded",
+    "records",
     7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__EndpointMeta, ever_loaded),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewUpdate, n_records),
+    offsetof(Dsp__ViewUpdate, records),
+    &dsp__view_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retired",
+    "loads",
     8,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Dsp__EndpointMeta, n_retired),
-    offsetof(Dsp__EndpointMeta, retired),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewUpdate, n_loads),
+    offsetof(Dsp__ViewUpdate, loads),
+    &dsp__load_report__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retired_fences",
+    "relays",
     9,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Dsp__EndpointMeta, n_retired_fences),
-    offsetof(Dsp__EndpointMeta, retired_fences),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned dsp__endpoint_meta__field_indices_by_name[] = {
-  4,   /* field[4] = down_ms */
-  6,   /* field[6] = ever_loaded */
-  3,   /* field[3] = fence */
-  0,   /* field[0] = id */
-  1,   /* field[1] = index */
-  5,   /* field[5] = leaving */
-  2,   /* field[2] = old_incarnations */
-  7,   /* field[7] = retired */
-  8,   /* field[8] = retired_fences */
-};
-static const ProtobufCIntRange dsp__endpoint_meta__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor dsp__endpoint_meta__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.EndpointMeta",
-  "EndpointMeta",
-  "Dsp__EndpointMeta",
-  "dsp",
-  sizeof(Dsp__EndpointMeta),
-  9,
-  dsp__endpoint_meta__field_descriptors,
-  dsp__endpoint_meta__field_indices_by_name,
-  1,  dsp__endpoint_meta__number_ranges,
-  (ProtobufCMessageInit) dsp__endpoint_meta__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__node_meta__field_descriptors[4] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__NodeMeta, id),
+    offsetof(Dsp__ViewUpdate, n_relays),
+    offsetof(Dsp__ViewUpdate, relays),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
-    2,
+    "config",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__NodeMeta, index),
-    NULL,
+    offsetof(Dsp__ViewUpdate, config),
+    &dsp__raft_config__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "old_boots",
-    3,
+    "observed_loads",
+    11,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Dsp__NodeMeta, n_old_boots),
-    offsetof(Dsp__NodeMeta, old_boots),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "down_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__NodeMeta, down_ms),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__ViewUpdate, n_observed_loads),
+    offsetof(Dsp__ViewUpdate, observed_loads),
+    &dsp__load_report__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__node_meta__field_indices_by_name[] = {
-  3,   /* field[3] = down_ms */
-  0,   /* field[0] = id */
-  1,   /* field[1] = index */
-  2,   /* field[2] = old_boots */
+static const unsigned dsp__view_update__field_indices_by_name[] = {
+  9,   /* field[9] = config */
+  5,   /* field[5] = confirmed_age_ms */
+  0,   /* field[0] = from_index */
+  4,   /* field[4] = leader */
+  7,   /* field[7] = loads */
+  10,   /* field[10] = observed_loads */
+  6,   /* field[6] = records */
+  8,   /* field[8] = relays */
+  2,   /* field[2] = reset */
+  3,   /* field[3] = term */
+  1,   /* field[1] = to_index */
 };
-static const ProtobufCIntRange dsp__node_meta__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__view_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor dsp__node_meta__descriptor =
+const ProtobufCMessageDescriptor dsp__view_update__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.NodeMeta",
-  "NodeMeta",
-  "Dsp__NodeMeta",
+  "dsp.ViewUpdate",
+  "ViewUpdate",
+  "Dsp__ViewUpdate",
   "dsp",
-  sizeof(Dsp__NodeMeta),
-  4,
-  dsp__node_meta__field_descriptors,
-  dsp__node_meta__field_indices_by_name,
-  1,  dsp__node_meta__number_ranges,
-  (ProtobufCMessageInit) dsp__node_meta__init,
+  sizeof(Dsp__ViewUpdate),
+  11,
+  dsp__view_update__field_descriptors,
+  dsp__view_update__field_indices_by_name,
+  1,  dsp__view_update__number_ranges,
+  (ProtobufCMessageInit) dsp__view_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__tombstone__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__order_result__field_descriptors[2] =
 {
   {
-    "kind",
+    "order",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Tombstone, kind),
+    offsetof(Dsp__OrderResult, order),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "state",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Tombstone, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "index",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Tombstone, index),
-    NULL,
+    offsetof(Dsp__OrderResult, state),
+    &dsp__order_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__tombstone__field_indices_by_name[] = {
-  2,   /* field[2] = index */
-  1,   /* field[1] = key */
-  0,   /* field[0] = kind */
+static const unsigned dsp__order_result__field_indices_by_name[] = {
+  0,   /* field[0] = order */
+  1,   /* field[1] = state */
 };
-static const ProtobufCIntRange dsp__tombstone__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__order_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor dsp__tombstone__descriptor =
+const ProtobufCMessageDescriptor dsp__order_result__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Tombstone",
-  "Tombstone",
-  "Dsp__Tombstone",
+  "dsp.OrderResult",
+  "OrderResult",
+  "Dsp__OrderResult",
   "dsp",
-  sizeof(Dsp__Tombstone),
-  3,
-  dsp__tombstone__field_descriptors,
-  dsp__tombstone__field_indices_by_name,
-  1,  dsp__tombstone__number_ranges,
-  (ProtobufCMessageInit) dsp__tombstone__init,
+  sizeof(Dsp__OrderResult),
+  2,
+  dsp__order_result__field_descriptors,
+  dsp__order_result__field_indices_by_name,
+  1,  dsp__order_result__number_ranges,
+  (ProtobufCMessageInit) dsp__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__state_snapshot__field_descriptors[17] =
+static const ProtobufCFieldDescriptor dsp__announcement__field_descriptors[6] =
 {
   {
-    "index",
+    "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__StateSnapshot, index),
-    NULL,
+    offsetof(Dsp__Announcement, endpoint),
+    &dsp__endpoint__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
+    "load",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__StateSnapshot, wall_ms),
-    NULL,
+    offsetof(Dsp__Announcement, load),
+    &dsp__load_report__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "documents",
+    "highest_fence",
     3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_documents),
-    offsetof(Dsp__StateSnapshot, documents),
-    &dsp__document__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Announcement, highest_fence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "history",
+    "leaving",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_history),
-    offsetof(Dsp__StateSnapshot, history),
-    &dsp__document_history__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Announcement, leaving),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoints",
+    "results",
     5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_endpoints),
-    offsetof(Dsp__StateSnapshot, endpoints),
-    &dsp__endpoint__descriptor,
+    offsetof(Dsp__Announcement, n_results),
+    offsetof(Dsp__Announcement, results),
+    &dsp__order_result__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint_metas",
+    "from_orders",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_endpoint_metas),
-    offsetof(Dsp__StateSnapshot, endpoint_metas),
-    &dsp__endpoint_meta__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "orders",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_orders),
-    offsetof(Dsp__StateSnapshot, orders),
-    &dsp__order__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reservations",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_reservations),
-    offsetof(Dsp__StateSnapshot, reservations),
-    &dsp__reservation__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Announcement, from_orders),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claims",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_claims),
-    offsetof(Dsp__StateSnapshot, claims),
-    &dsp__claim__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__announcement__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  5,   /* field[5] = from_orders */
+  2,   /* field[2] = highest_fence */
+  3,   /* field[3] = leaving */
+  1,   /* field[1] = load */
+  4,   /* field[4] = results */
+};
+static const ProtobufCIntRange dsp__announcement__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor dsp__announcement__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Announcement",
+  "Announcement",
+  "Dsp__Announcement",
+  "dsp",
+  sizeof(Dsp__Announcement),
+  6,
+  dsp__announcement__field_descriptors,
+  dsp__announcement__field_indices_by_name,
+  1,  dsp__announcement__number_ranges,
+  (ProtobufCMessageInit) dsp__announcement__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__demand__field_descriptors[7] =
+{
   {
-    "suspects",
-    10,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_suspects),
-    offsetof(Dsp__StateSnapshot, suspects),
-    &dsp__suspect__descriptor,
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Demand, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "suspect_indexes",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Dsp__StateSnapshot, n_suspect_indexes),
-    offsetof(Dsp__StateSnapshot, suspect_indexes),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "nodes",
-    12,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_nodes),
-    offsetof(Dsp__StateSnapshot, nodes),
-    &dsp__node__descriptor,
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Demand, model),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node_metas",
-    13,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_node_metas),
-    offsetof(Dsp__StateSnapshot, node_metas),
-    &dsp__node_meta__descriptor,
+    "adapter",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Demand, adapter),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tombstones",
-    14,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__StateSnapshot, n_tombstones),
-    offsetof(Dsp__StateSnapshot, tombstones),
-    &dsp__tombstone__descriptor,
+    "requests",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Demand, requests),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tombstone_floor",
-    15,
+    "refused",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__StateSnapshot, tombstone_floor),
+    offsetof(Dsp__Demand, refused),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "end",
-    16,
+    "late",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__StateSnapshot, end),
+    offsetof(Dsp__Demand, late),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route_table",
-    17,
+    "service_ms",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__StateSnapshot, route_table),
-    &dsp__route_table__descriptor,
+    offsetof(Dsp__Demand, service_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__state_snapshot__field_indices_by_name[] = {
-  8,   /* field[8] = claims */
-  2,   /* field[2] = documents */
-  15,   /* field[15] = end */
-  5,   /* field[5] = endpoint_metas */
-  4,   /* field[4] = endpoints */
-  3,   /* field[3] = history */
-  0,   /* field[0] = index */
-  12,   /* field[12] = node_metas */
-  11,   /* field[11] = nodes */
-  6,   /* field[6] = orders */
-  7,   /* field[7] = reservations */
-  16,   /* field[16] = route_table */
-  10,   /* field[10] = suspect_indexes */
-  9,   /* field[9] = suspects */
-  14,   /* field[14] = tombstone_floor */
-  13,   /* field[13] = tombstones */
-  1,   /* field[1] = wall_ms */
+static const unsigned dsp__demand__field_indices_by_name[] = {
+  2,   /* field[2] = adapter */
+  5,   /* field[5] = late */
+  1,   /* field[1] = model */
+  4,   /* field[4] = refused */
+  3,   /* field[3] = requests */
+  6,   /* field[6] = service_ms */
+  0,   /* field[0] = team */
 };
-static const ProtobufCIntRange dsp__state_snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor dsp__state_snapshot__descriptor =
+const ProtobufCMessageDescriptor dsp__demand__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.StateSnapshot",
-  "StateSnapshot",
-  "Dsp__StateSnapshot",
+  "dsp.Demand",
+  "Demand",
+  "Dsp__Demand",
   "dsp",
-  sizeof(Dsp__StateSnapshot),
-  17,
-  dsp__state_snapshot__field_descriptors,
-  dsp__state_snapshot__field_indices_by_name,
-  1,  dsp__state_snapshot__number_ranges,
-  (ProtobufCMessageInit) dsp__state_snapshot__init,
+  sizeof(Dsp__Demand),
+  7,
+  dsp__demand__field_descriptors,
+  dsp__demand__field_indices_by_name,
+  1,  dsp__demand__number_ranges,
+  (ProtobufCMessageInit) dsp__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__view_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor dsp__pace__field_descriptors[4] =
 {
   {
-    "index",
+    "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewRecord, index),
-    NULL,
+    offsetof(Dsp__Pace, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewRecord, key),
+    offsetof(Dsp__Pace, incarnation),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "removed",
+    "read_tokens",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewRecord, removed),
+    offsetof(Dsp__Pace, read_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "document",
-    10,
+    "read_us",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewRecord, body_case),
-    offsetof(Dsp__ViewRecord, document),
-    &dsp__document__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Pace, read_us),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "endpoint",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewRecord, body_case),
-    offsetof(Dsp__ViewRecord, endpoint),
-    &dsp__endpoint__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__pace__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = read_tokens */
+  3,   /* field[3] = read_us */
+};
+static const ProtobufCIntRange dsp__pace__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__pace__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.Pace",
+  "Pace",
+  "Dsp__Pace",
+  "dsp",
+  sizeof(Dsp__Pace),
+  4,
+  dsp__pace__field_descriptors,
+  dsp__pace__field_indices_by_name,
+  1,  dsp__pace__number_ranges,
+  (ProtobufCMessageInit) dsp__pace__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__node_status__field_descriptors[5] =
+{
   {
     "node",
-    12,
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewRecord, body_case),
-    offsetof(Dsp__ViewRecord, node),
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeStatus, node),
     &dsp__node__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "suspect",
-    13,
+    "view_index",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewRecord, body_case),
-    offsetof(Dsp__ViewRecord, suspect),
-    &dsp__suspect__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeStatus, view_index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route_table",
-    14,
+    "streams",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewRecord, body_case),
-    offsetof(Dsp__ViewRecord, route_table),
-    &dsp__route_table__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeStatus, streams),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
-    20,
+    "confirmed_age_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewRecord, kind),
+    offsetof(Dsp__NodeStatus, confirmed_age_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route_table_steps",
+    "table_index",
     40,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewRecord, body_case),
-    offsetof(Dsp__ViewRecord, route_table_steps),
-    &dsp__route_table_steps__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeStatus, table_index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__view_record__field_indices_by_name[] = {
-  3,   /* field[3] = document */
-  4,   /* field[4] = endpoint */
-  0,   /* field[0] = index */
-  1,   /* field[1] = key */
-  8,   /* field[8] = kind */
-  5,   /* field[5] = node */
-  2,   /* field[2] = removed */
-  7,   /* field[7] = route_table */
-  9,   /* field[9] = route_table_steps */
-  6,   /* field[6] = suspect */
+static const unsigned dsp__node_status__field_indices_by_name[] = {
+  3,   /* field[3] = confirmed_age_ms */
+  0,   /* field[0] = node */
+  2,   /* field[2] = streams */
+  4,   /* field[4] = table_index */
+  1,   /* field[1] = view_index */
 };
-static const ProtobufCIntRange dsp__view_record__number_ranges[4 + 1] =
+static const ProtobufCIntRange dsp__node_status__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 3 },
-  { 20, 8 },
-  { 40, 9 },
-  { 0, 10 }
+  { 40, 4 },
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor dsp__view_record__descriptor =
+const ProtobufCMessageDescriptor dsp__node_status__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.ViewRecord",
-  "ViewRecord",
-  "Dsp__ViewRecord",
+  "dsp.NodeStatus",
+  "NodeStatus",
+  "Dsp__NodeStatus",
   "dsp",
-  sizeof(Dsp__ViewRecord),
-  10,
-  dsp__view_record__field_descriptors,
-  dsp__view_record__field_indices_by_name,
-  4,  dsp__view_record__number_ranges,
-  (ProtobufCMessageInit) dsp__view_record__init,
+  sizeof(Dsp__NodeStatus),
+  5,
+  dsp__node_status__field_descriptors,
+  dsp__node_status__field_indices_by_name,
+  2,  dsp__node_status__number_ranges,
+  (ProtobufCMessageInit) dsp__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__load_report__field_descriptors[9] =
+static const ProtobufCFieldDescriptor dsp__report__field_descriptors[8] =
 {
   {
-    "endpoint",
+    "nodes",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, endpoint),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Report, n_nodes),
+    offsetof(Dsp__Report, nodes),
+    &dsp__node_status__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "announcements",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, incarnation),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Report, n_announcements),
+    offsetof(Dsp__Report, announcements),
+    &dsp__announcement__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
+    "demands",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, sequence),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Report, n_demands),
+    offsetof(Dsp__Report, demands),
+    &dsp__demand__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "running",
+    "hops",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, running),
+    offsetof(Dsp__Report, hops),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting",
+    "paces",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, waiting),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Report, n_paces),
+    offsetof(Dsp__Report, paces),
+    &dsp__pace__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kv_used_permille",
+    "observed_loads",
     6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, kv_used_permille),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Report, n_observed_loads),
+    offsetof(Dsp__Report, observed_loads),
+    &dsp__load_report__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "age_ms",
+    "part_evidence",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, age_ms),
-    NULL,
+    offsetof(Dsp__Report, part_evidence),
+    &dsp__part_evidence__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "sent_us",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "limit_milli",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__LoadReport, limit_milli),
+    offsetof(Dsp__Report, sent_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__load_report__field_indices_by_name[] = {
-  6,   /* field[6] = age_ms */
-  0,   /* field[0] = endpoint */
-  1,   /* field[1] = incarnation */
-  5,   /* field[5] = kv_used_permille */
-  7,   /* field[7] = leaving */
-  8,   /* field[8] = limit_milli */
-  3,   /* field[3] = running */
-  2,   /* field[2] = sequence */
-  4,   /* field[4] = waiting */
+static const unsigned dsp__report__field_indices_by_name[] = {
+  1,   /* field[1] = announcements */
+  2,   /* field[2] = demands */
+  3,   /* field[3] = hops */
+  0,   /* field[0] = nodes */
+  5,   /* field[5] = observed_loads */
+  4,   /* field[4] = paces */
+  6,   /* field[6] = part_evidence */
+  7,   /* field[7] = sent_us */
 };
-static const ProtobufCIntRange dsp__load_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor dsp__load_report__descriptor =
+const ProtobufCMessageDescriptor dsp__report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.LoadReport",
-  "LoadReport",
-  "Dsp__LoadReport",
+  "dsp.Report",
+  "Report",
+  "Dsp__Report",
   "dsp",
-  sizeof(Dsp__LoadReport),
-  9,
-  dsp__load_report__field_descriptors,
-  dsp__load_report__field_indices_by_name,
-  1,  dsp__load_report__number_ranges,
-  (ProtobufCMessageInit) dsp__load_report__init,
+  sizeof(Dsp__Report),
+  8,
+  dsp__report__field_descriptors,
+  dsp__report__field_indices_by_name,
+  1,  dsp__report__number_ranges,
+  (ProtobufCMessageInit) dsp__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__view_update__field_descriptors[11] =
+static const ProtobufCFieldDescriptor dsp__quota_ask__field_descriptors[4] =
 {
   {
-    "from_index",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewUpdate, from_index),
+    offsetof(Dsp__QuotaAsk, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to_index",
+    "customer",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewUpdate, to_index),
-    NULL,
+    offsetof(Dsp__QuotaAsk, customer),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reset",
+    "units",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewUpdate, reset),
+    offsetof(Dsp__QuotaAsk, units),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "ahead",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewUpdate, term),
+    offsetof(Dsp__QuotaAsk, ahead),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__quota_ask__field_indices_by_name[] = {
+  3,   /* field[3] = ahead */
+  1,   /* field[1] = customer */
+  0,   /* field[0] = id */
+  2,   /* field[2] = units */
+};
+static const ProtobufCIntRange dsp__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.QuotaAsk",
+  "QuotaAsk",
+  "Dsp__QuotaAsk",
+  "dsp",
+  sizeof(Dsp__QuotaAsk),
+  4,
+  dsp__quota_ask__field_descriptors,
+  dsp__quota_ask__field_indices_by_name,
+  1,  dsp__quota_ask__number_ranges,
+  (ProtobufCMessageInit) dsp__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__quota_return__field_descriptors[3] =
+{
   {
-    "leader",
-    5,
+    "customer",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewUpdate, leader),
+    offsetof(Dsp__QuotaReturn, customer),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "confirmed_age_ms",
-    6,
+    "units",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__ViewUpdate, confirmed_age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "records",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewUpdate, n_records),
-    offsetof(Dsp__ViewUpdate, records),
-    &dsp__view_record__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "loads",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewUpdate, n_loads),
-    offsetof(Dsp__ViewUpdate, loads),
-    &dsp__load_report__descriptor,
+    offsetof(Dsp__QuotaReturn, units),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "relays",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Dsp__ViewUpdate, n_relays),
-    offsetof(Dsp__ViewUpdate, relays),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config",
-    10,
+    "term",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__ViewUpdate, config),
-    &dsp__raft_config__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "observed_loads",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__ViewUpdate, n_observed_loads),
-    offsetof(Dsp__ViewUpdate, observed_loads),
-    &dsp__load_report__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned dsp__view_update__field_indices_by_name[] = {
-  9,   /* field[9] = config */
-  5,   /* field[5] = confirmed_age_ms */
-  0,   /* field[0] = from_index */
-  4,   /* field[4] = leader */
-  7,   /* field[7] = loads */
-  10,   /* field[10] = observed_loads */
-  6,   /* field[6] = records */
-  8,   /* field[8] = relays */
-  2,   /* field[2] = reset */
-  3,   /* field[3] = term */
-  1,   /* field[1] = to_index */
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__QuotaReturn, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCIntRange dsp__view_update__number_ranges[1 + 1] =
+static const unsigned dsp__quota_return__field_indices_by_name[] = {
+  0,   /* field[0] = customer */
+  2,   /* field[2] = term */
+  1,   /* field[1] = units */
+};
+static const ProtobufCIntRange dsp__quota_return__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor dsp__view_update__descriptor =
+const ProtobufCMessageDescriptor dsp__quota_return__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.ViewUpdate",
-  "ViewUpdate",
-  "Dsp__ViewUpdate",
+  "dsp.QuotaReturn",
+  "QuotaReturn",
+  "Dsp__QuotaReturn",
   "dsp",
-  sizeof(Dsp__ViewUpdate),
-  11,
-  dsp__view_update__field_descriptors,
-  dsp__view_update__field_indices_by_name,
-  1,  dsp__view_update__number_ranges,
-  (ProtobufCMessageInit) dsp__view_update__init,
+  sizeof(Dsp__QuotaReturn),
+  3,
+  dsp__quota_return__field_descriptors,
+  dsp__quota_return__field_indices_by_name,
+  1,  dsp__quota_return__number_ranges,
+  (ProtobufCMessageInit) dsp__quota_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__order_result__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dsp__quota_asks__field_descriptors[2] =
 {
   {
-    "order",
+    "asks",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__OrderResult, order),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__QuotaAsks, n_asks),
+    offsetof(Dsp__QuotaAsks, asks),
+    &dsp__quota_ask__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
+    "returns",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__OrderResult, state),
-    &dsp__order_state__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__QuotaAsks, n_returns),
+    offsetof(Dsp__QuotaAsks, returns),
+    &dsp__quota_return__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__order_result__field_indices_by_name[] = {
-  0,   /* field[0] = order */
-  1,   /* field[1] = state */
+static const unsigned dsp__quota_asks__field_indices_by_name[] = {
+  0,   /* field[0] = asks */
+  1,   /* field[1] = returns */
 };
-static const ProtobufCIntRange dsp__order_result__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__quota_asks__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor dsp__order_result__descriptor =
+const ProtobufCMessageDescriptor dsp__quota_asks__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.OrderResult",
-  "OrderResult",
-  "Dsp__OrderResult",
+  "dsp.QuotaAsks",
+  "QuotaAsks",
+  "Dsp__QuotaAsks",
   "dsp",
-  sizeof(Dsp__OrderResult),
+  sizeof(Dsp__QuotaAsks),
   2,
-  dsp__order_result__field_descriptors,
-  dsp__order_result__field_indices_by_name,
-  1,  dsp__order_result__number_ranges,
-  (ProtobufCMessageInit) dsp__order_result__init,
+  dsp__quota_asks__field_descriptors,
+  dsp__quota_asks__field_indices_by_name,
+  1,  dsp__quota_asks__number_ranges,
+  (ProtobufCMessageInit) dsp__quota_asks__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__announcement__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dsp__quota_grant__field_descriptors[6] =
 {
   {
-    "endpoint",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Announcement, endpoint),
-    &dsp__endpoint__descriptor,
+    offsetof(Dsp__QuotaGrant, id),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
+    "customer",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Announcement, load),
-    &dsp__load_report__descriptor,
+    offsetof(Dsp__QuotaGrant, customer),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "highest_fence",
+    "units",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Announcement, highest_fence),
+    offsetof(Dsp__QuotaGrant, units),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "ahead",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Announcement, leaving),
+    offsetof(Dsp__QuotaGrant, ahead),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "results",
+    "delay_ms",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Announcement, n_results),
-    offsetof(Dsp__Announcement, results),
-    &dsp__order_result__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__QuotaGrant, delay_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from_orders",
+    "retry_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Announcement, from_orders),
+    offsetof(Dsp__QuotaGrant, retry_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__announcement__field_indices_by_name[] = {
-  0,   /* field[0] = endpoint */
-  5,   /* field[5] = from_orders */
-  2,   /* field[2] = highest_fence */
-  3,   /* field[3] = leaving */
-  1,   /* field[1] = load */
-  4,   /* field[4] = results */
+static const unsigned dsp__quota_grant__field_indices_by_name[] = {
+  3,   /* field[3] = ahead */
+  1,   /* field[1] = customer */
+  4,   /* field[4] = delay_ms */
+  0,   /* field[0] = id */
+  5,   /* field[5] = retry_ms */
+  2,   /* field[2] = units */
 };
-static const ProtobufCIntRange dsp__announcement__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__quota_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 6 }
 };
-const ProtobufCMessageDescriptor dsp__announcement__descriptor =
+const ProtobufCMessageDescriptor dsp__quota_grant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Announcement",
-  "Announcement",
-  "Dsp__Announcement",
+  "dsp.QuotaGrant",
+  "QuotaGrant",
+  "Dsp__QuotaGrant",
   "dsp",
-  sizeof(Dsp__Announcement),
+  sizeof(Dsp__QuotaGrant),
   6,
-  dsp__announcement__field_descriptors,
-  dsp__announcement__field_indices_by_name,
-  1,  dsp__announcement__number_ranges,
-  (ProtobufCMessageInit) dsp__announcement__init,
+  dsp__quota_grant__field_descriptors,
+  dsp__quota_grant__field_indices_by_name,
+  1,  dsp__quota_grant__number_ranges,
+  (ProtobufCMessageInit) dsp__quota_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__demand__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__quota_grants__field_descriptors[2] =
 {
   {
-    "team",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Demand, team),
+    offsetof(Dsp__QuotaGrants, term),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "model",
+    "grants",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__QuotaGrants, n_grants),
+    offsetof(Dsp__QuotaGrants, grants),
+    &dsp__quota_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__quota_grants__field_indices_by_name[] = {
+  1,   /* field[1] = grants */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange dsp__quota_grants__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__quota_grants__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.QuotaGrants",
+  "QuotaGrants",
+  "Dsp__QuotaGrants",
+  "dsp",
+  sizeof(Dsp__QuotaGrants),
+  2,
+  dsp__quota_grants__field_descriptors,
+  dsp__quota_grants__field_indices_by_name,
+  1,  dsp__quota_grants__number_ranges,
+  (ProtobufCMessageInit) dsp__quota_grants__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__prompt_ask__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__PromptAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Demand, model),
+    offsetof(Dsp__PromptAsk, service),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
+    "model",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Demand, adapter),
+    offsetof(Dsp__PromptAsk, model),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "requests",
+    "adapter",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Demand, requests),
-    NULL,
+    offsetof(Dsp__PromptAsk, adapter),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "refused",
+    "tokens",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Demand, refused),
+    offsetof(Dsp__PromptAsk, tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "late",
+    "events",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Demand, late),
+    offsetof(Dsp__PromptAsk, events),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service_ms",
+    "prefix",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Demand, service_ms),
+    offsetof(Dsp__PromptAsk, prefix),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned dsp__demand__field_indices_by_name[] = {
-  2,   /* field[2] = adapter */
-  5,   /* field[5] = late */
-  1,   /* field[1] = model */
-  4,   /* field[4] = refused */
-  3,   /* field[3] = requests */
-  6,   /* field[6] = service_ms */
-  0,   /* field[0] = team */
-};
-static const ProtobufCIntRange dsp__demand__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor dsp__demand__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Demand",
-  "Demand",
-  "Dsp__Demand",
-  "dsp",
-  sizeof(Dsp__Demand),
-  7,
-  dsp__demand__field_descriptors,
-  dsp__demand__field_indices_by_name,
-  1,  dsp__demand__number_ranges,
-  (ProtobufCMessageInit) dsp__demand__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor dsp__pace__field_descriptors[4] =
-{
-  {
-    "endpoint",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Pace, endpoint),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
-    "incarnation",
-    2,
+    "gap_objective_ms",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Pace, incarnation),
+    offsetof(Dsp__PromptAsk, gap_objective_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "read_tokens",
-    3,
+    "wait_max_ms",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Pace, read_tokens),
+    offsetof(Dsp__PromptAsk, wait_max_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "read_us",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Pace, read_us),
-    NULL,
+    "avoid",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Dsp__PromptAsk, n_avoid),
+    offsetof(Dsp__PromptAsk, avoid),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__pace__field_indices_by_name[] = {
-  0,   /* field[0] = endpoint */
-  1,   /* field[1] = incarnation */
-  2,   /* field[2] = read_tokens */
-  3,   /* field[3] = read_us */
+static const unsigned dsp__prompt_ask__field_indices_by_name[] = {
+  3,   /* field[3] = adapter */
+  9,   /* field[9] = avoid */
+  5,   /* field[5] = events */
+  7,   /* field[7] = gap_objective_ms */
+  0,   /* field[0] = id */
+  2,   /* field[2] = model */
+  6,   /* field[6] = prefix */
+  1,   /* field[1] = service */
+  4,   /* field[4] = tokens */
+  8,   /* field[8] = wait_max_ms */
+};
+static const ProtobufCIntRange dsp__prompt_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor dsp__prompt_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.PromptAsk",
+  "PromptAsk",
+  "Dsp__PromptAsk",
+  "dsp",
+  sizeof(Dsp__PromptAsk),
+  10,
+  dsp__prompt_ask__field_descriptors,
+  dsp__prompt_ask__field_indices_by_name,
+  1,  dsp__prompt_ask__number_ranges,
+  (ProtobufCMessageInit) dsp__prompt_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__prompt_asks__field_descriptors[1] =
+{
+  {
+    "asks",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__PromptAsks, n_asks),
+    offsetof(Dsp__PromptAsks, asks),
+    &dsp__prompt_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCIntRange dsp__pace__number_ranges[1 + 1] =
+static const unsigned dsp__prompt_asks__field_indices_by_name[] = {
+  0,   /* field[0] = asks */
+};
+static const ProtobufCIntRange dsp__prompt_asks__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__pace__descriptor =
+const ProtobufCMessageDescriptor dsp__prompt_asks__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Pace",
-  "Pace",
-  "Dsp__Pace",
+  "dsp.PromptAsks",
+  "PromptAsks",
+  "Dsp__PromptAsks",
   "dsp",
-  sizeof(Dsp__Pace),
-  4,
-  dsp__pace__field_descriptors,
-  dsp__pace__field_indices_by_name,
-  1,  dsp__pace__number_ranges,
-  (ProtobufCMessageInit) dsp__pace__init,
+  sizeof(Dsp__PromptAsks),
+  1,
+  dsp__prompt_asks__field_descriptors,
+  dsp__prompt_asks__field_indices_by_name,
+  1,  dsp__prompt_asks__number_ranges,
+  (ProtobufCMessageInit) dsp__prompt_asks__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__node_status__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dsp__prompt_slot__field_descriptors[4] =
 {
   {
-    "node",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__NodeStatus, node),
-    &dsp__node__descriptor,
+    offsetof(Dsp__PromptSlot, id),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "view_index",
+    "endpoint",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dsp__NodeStatus, view_index),
-    NULL,
+    offsetof(Dsp__PromptSlot, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "streams",
+    "incarnation",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Dsp__NodeStatus, streams),
+    offsetof(Dsp__PromptSlot, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "confirmed_age_ms",
+    "delay_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__NodeStatus, confirmed_age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "table_index",
-    40,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__NodeStatus, table_index),
+    offsetof(Dsp__PromptSlot, delay_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__node_status__field_indices_by_name[] = {
-  3,   /* field[3] = confirmed_age_ms */
-  0,   /* field[0] = node */
-  2,   /* field[2] = streams */
-  4,   /* field[4] = table_index */
-  1,   /* field[1] = view_index */
+static const unsigned dsp__prompt_slot__field_indices_by_name[] = {
+  3,   /* field[3] = delay_ms */
+  1,   /* field[1] = endpoint */
+  0,   /* field[0] = id */
+  2,   /* field[2] = incarnation */
 };
-static const ProtobufCIntRange dsp__node_status__number_ranges[2 + 1] =
+static const ProtobufCIntRange dsp__prompt_slot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 40, 4 },
-  { 0, 5 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor dsp__node_status__descriptor =
+const ProtobufCMessageDescriptor dsp__prompt_slot__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.NodeStatus",
-  "NodeStatus",
-  "Dsp__NodeStatus",
+  "dsp.PromptSlot",
+  "PromptSlot",
+  "Dsp__PromptSlot",
   "dsp",
-  sizeof(Dsp__NodeStatus),
-  5,
-  dsp__node_status__field_descriptors,
-  dsp__node_status__field_indices_by_name,
-  2,  dsp__node_status__number_ranges,
-  (ProtobufCMessageInit) dsp__node_status__init,
+  sizeof(Dsp__PromptSlot),
+  4,
+  dsp__prompt_slot__field_descriptors,
+  dsp__prompt_slot__field_indices_by_name,
+  1,  dsp__prompt_slot__number_ranges,
+  (ProtobufCMessageInit) dsp__prompt_slot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__prompt_slots__field_descriptors[1] =
 {
   {
-    "nodes",
+    "slots",
     1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Report, n_nodes),
-    offsetof(Dsp__Report, nodes),
-    &dsp__node_status__descriptor,
+    offsetof(Dsp__PromptSlots, n_slots),
+    offsetof(Dsp__PromptSlots, slots),
+    &dsp__prompt_slot__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__prompt_slots__field_indices_by_name[] = {
+  0,   /* field[0] = slots */
+};
+static const ProtobufCIntRange dsp__prompt_slots__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dsp__prompt_slots__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.PromptSlots",
+  "PromptSlots",
+  "Dsp__PromptSlots",
+  "dsp",
+  sizeof(Dsp__PromptSlots),
+  1,
+  dsp__prompt_slots__field_descriptors,
+  dsp__prompt_slots__field_indices_by_name,
+  1,  dsp__prompt_slots__number_ranges,
+  (ProtobufCMessageInit) dsp__prompt_slots__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__prompt_send__field_descriptors[4] =
+{
   {
-    "announcements",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Report, n_announcements),
-    offsetof(Dsp__Report, announcements),
-    &dsp__announcement__descriptor,
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__PromptSend, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "demands",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Report, n_demands),
-    offsetof(Dsp__Report, demands),
-    &dsp__demand__descriptor,
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__PromptSend, incarnation),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hops",
-    4,
+    "tokens",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dsp__Report, hops),
+    offsetof(Dsp__PromptSend, tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "paces",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Report, n_paces),
-    offsetof(Dsp__Report, paces),
-    &dsp__pace__descriptor,
+    "delay_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__PromptSend, delay_ms),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "observed_loads",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dsp__Report, n_observed_loads),
-    offsetof(Dsp__Report, observed_loads),
-    &dsp__load_report__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned dsp__prompt_send__field_indices_by_name[] = {
+  3,   /* field[3] = delay_ms */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = tokens */
+};
+static const ProtobufCIntRange dsp__prompt_send__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__prompt_send__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.PromptSend",
+  "PromptSend",
+  "Dsp__PromptSend",
+  "dsp",
+  sizeof(Dsp__PromptSend),
+  4,
+  dsp__prompt_send__field_descriptors,
+  dsp__prompt_send__field_indices_by_name,
+  1,  dsp__prompt_send__number_ranges,
+  (ProtobufCMessageInit) dsp__prompt_send__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__prompt_sends__field_descriptors[1] =
+{
   {
-    "part_evidence",
-    7,
-    PROTOBUF_C_LABEL_NONE,
+    "sends",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Dsp__Report, part_evidence),
-    &dsp__part_evidence__descriptor,
+    offsetof(Dsp__PromptSends, n_sends),
+    offsetof(Dsp__PromptSends, sends),
+    &dsp__prompt_send__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dsp__report__field_indices_by_name[] = {
-  1,   /* field[1] = announcements */
-  2,   /* field[2] = demands */
-  3,   /* field[3] = hops */
-  0,   /* field[0] = nodes */
-  5,   /* field[5] = observed_loads */
-  4,   /* field[4] = paces */
-  6,   /* field[6] = part_evidence */
+static const unsigned dsp__prompt_sends__field_indices_by_name[] = {
+  0,   /* field[0] = sends */
 };
-static const ProtobufCIntRange dsp__report__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__prompt_sends__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor dsp__report__descriptor =
+const ProtobufCMessageDescriptor dsp__prompt_sends__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dsp.Report",
-  "Report",
-  "Dsp__Report",
+  "dsp.PromptSends",
+  "PromptSends",
+  "Dsp__PromptSends",
   "dsp",
-  sizeof(Dsp__Report),
-  7,
-  dsp__report__field_descriptors,
-  dsp__report__field_indices_by_name,
-  1,  dsp__report__number_ranges,
-  (ProtobufCMessageInit) dsp__report__init,
+  sizeof(Dsp__PromptSends),
+  1,
+  dsp__prompt_sends__field_descriptors,
+  dsp__prompt_sends__field_indices_by_name,
+  1,  dsp__prompt_sends__number_ranges,
+  (ProtobufCMessageInit) dsp__prompt_sends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor dsp__forward__field_descriptors[5] =
@@ -10800,7 +12386,7 @@
   (ProtobufCMessageInit) dsp__answer_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__envelope__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dsp__envelope__field_descriptors[21] =
 {
   {
     "from",
@@ -10970,12 +12556,97 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_asks",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Envelope, body_case),
+    offsetof(Dsp__Envelope, quota_asks),
+    &dsp__quota_asks__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_grants",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Envelope, body_case),
+    offsetof(Dsp__Envelope, quota_grants),
+    &dsp__quota_grants__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_asks",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Envelope, body_case),
+    offsetof(Dsp__Envelope, prompt_asks),
+    &dsp__prompt_asks__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_slots",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Envelope, body_case),
+    offsetof(Dsp__Envelope, prompt_slots),
+    &dsp__prompt_slots__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_sends",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Envelope, body_case),
+    offsetof(Dsp__Envelope, prompt_sends),
+    &dsp__prompt_sends__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Envelope, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_age_ms",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Envelope, lease_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__envelope__field_indices_by_name[] = {
   2,   /* field[2] = address */
   12,   /* field[12] = answer_query */
   13,   /* field[13] = answer_reply */
   1,   /* field[1] = boot */
+  19,   /* field[19] = echo_us */
   10,   /* field[10] = form_group */
   8,   /* field[8] = form_query */
   9,   /* field[9] = form_reply */
@@ -10983,15 +12654,22 @@
   7,   /* field[7] = forward_reply */
   0,   /* field[0] = from */
   11,   /* field[11] = join_request */
+  20,   /* field[20] = lease_age_ms */
+  16,   /* field[16] = prompt_asks */
+  18,   /* field[18] = prompt_sends */
+  17,   /* field[17] = prompt_slots */
+  14,   /* field[14] = quota_asks */
+  15,   /* field[15] = quota_grants */
   3,   /* field[3] = raft */
   4,   /* field[4] = report */
   5,   /* field[5] = view_update */
 };
-static const ProtobufCIntRange dsp__envelope__number_ranges[2 + 1] =
+static const ProtobufCIntRange dsp__envelope__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 14 }
+  { 40, 19 },
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor dsp__envelope__descriptor =
 {
@@ -11001,10 +12679,10 @@
   "Dsp__Envelope",
   "dsp",
   sizeof(Dsp__Envelope),
-  14,
+  21,
   dsp__envelope__field_descriptors,
   dsp__envelope__field_indices_by_name,
-  2,  dsp__envelope__number_ranges,
+  3,  dsp__envelope__number_ranges,
   (ProtobufCMessageInit) dsp__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -41,6 +41,8 @@
 typedef struct Dsp__EngineSpec Dsp__EngineSpec;
 typedef struct Dsp__RoutedService Dsp__RoutedService;
 typedef struct Dsp__CallerLimits Dsp__CallerLimits;
+typedef struct Dsp__Customer Dsp__Customer;
+typedef struct Dsp__Customers Dsp__Customers;
 typedef struct Dsp__RouteTable Dsp__RouteTable;
 typedef struct Dsp__RouteTablePiece Dsp__RouteTablePiece;
 typedef struct Dsp__RouteTableChange Dsp__RouteTableChange;
@@ -83,6 +85,17 @@
 typedef struct Dsp__Pace Dsp__Pace;
 typedef struct Dsp__NodeStatus Dsp__NodeStatus;
 typedef struct Dsp__Report Dsp__Report;
+typedef struct Dsp__QuotaAsk Dsp__QuotaAsk;
+typedef struct Dsp__QuotaReturn Dsp__QuotaReturn;
+typedef struct Dsp__QuotaAsks Dsp__QuotaAsks;
+typedef struct Dsp__QuotaGrant Dsp__QuotaGrant;
+typedef struct Dsp__QuotaGrants Dsp__QuotaGrants;
+typedef struct Dsp__PromptAsk Dsp__PromptAsk;
+typedef struct Dsp__PromptAsks Dsp__PromptAsks;
+typedef struct Dsp__PromptSlot Dsp__PromptSlot;
+typedef struct Dsp__PromptSlots Dsp__PromptSlots;
+typedef struct Dsp__PromptSend Dsp__PromptSend;
+typedef struct Dsp__PromptSends Dsp__PromptSends;
 typedef struct Dsp__Forward Dsp__Forward;
 typedef struct Dsp__ForwardReply Dsp__ForwardReply;
 typedef struct Dsp__FormQuery Dsp__FormQuery;
@@ -734,10 +747,14 @@
   protobuf_c_boolean shares_prefix;
   size_t n_splits;
   Dsp__Split **splits;
+  /*
+   * needs no key, also where the table has customers
+   */
+  protobuf_c_boolean open;
 };
 #define DSP__ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__route__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, DSP__ROUTE_KIND__ROUTE_REPEATABLE, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, DSP__ROUTE_KIND__ROUTE_REPEATABLE, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Dsp__EngineModel
@@ -829,6 +846,57 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * A customer of the services, told by the keys of its requests. Rate and burst
+ * hold for all instances together.
+ */
+struct  Dsp__Customer
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * first 16 bytes of the SHA-256 of each key
+   */
+  size_t n_key_digests;
+  ProtobufCBinaryData *key_digests;
+  protobuf_c_boolean has_rank;
+  /*
+   * goes before that of the route
+   */
+  uint32_t rank;
+  /*
+   * units a second; 0: not limited
+   */
+  double rate;
+  /*
+   * units
+   */
+  double burst;
+  /*
+   * a unit is a token; otherwise a request
+   */
+  protobuf_c_boolean counts_tokens;
+  /*
+   * counted for a request without token counts
+   */
+  uint32_t plain_tokens;
+};
+#define DSP__CUSTOMER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__customer__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Dsp__Customers
+{
+  ProtobufCMessage base;
+  size_t n_all;
+  Dsp__Customer **all;
+};
+#define DSP__CUSTOMERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__customers__descriptor) \
+    , 0,NULL }
+
+
 struct  Dsp__RouteTable
 {
   ProtobufCMessage base;
@@ -846,10 +914,14 @@
    * log index at which it was accepted
    */
   uint64_t index;
+  /*
+   * absent: requests need no key
+   */
+  Dsp__Customers *customers;
 };
 #define DSP__ROUTE_TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table__descriptor) \
-    , 0, 0,NULL, 0,NULL, NULL, {0,NULL}, 0 }
+    , 0, 0,NULL, 0,NULL, NULL, {0,NULL}, 0, NULL }
 
 
 /*
@@ -898,10 +970,14 @@
    * of the whole result; see core/tbl.c
    */
   ProtobufCBinaryData digest;
+  /*
+   * all; absent: requests need no key
+   */
+  Dsp__Customers *customers;
 };
 #define DSP__ROUTE_TABLE_CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__route_table_change__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, NULL, {0,NULL} }
+    , 0, 0, 0, 0,NULL, 0,NULL, NULL, {0,NULL}, NULL }
 
 
 /*
@@ -1558,10 +1634,15 @@
    * 0: the answer named no limit.
    */
   uint32_t limit_milli;
+  /*
+   * Time that work takes on its machine at that moment, as a percentage of the
+   * usual time; 0: not told.
+   */
+  uint32_t slowness_percent;
 };
 #define DSP__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__load_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dsp__ViewUpdate
@@ -1728,10 +1809,219 @@
   size_t n_observed_loads;
   Dsp__LoadReport **observed_loads;
   Dsp__PartEvidence *part_evidence;
+  /*
+   * Sender's clock, which the answer returns as Envelope.echo_us; 0: the sender
+   * needs no lease.
+   */
+  uint64_t sent_us;
 };
 #define DSP__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, NULL, 0 }
+
+
+struct  Dsp__QuotaAsk
+{
+  ProtobufCMessage base;
+  /*
+   * of this ask, unique for the sender's boot
+   */
+  uint64_t id;
+  char *customer;
+  /*
+   * for requests that wait
+   */
+  uint64_t units;
+  /*
+   * units beyond, for requests expected soon
+   */
+  uint64_t ahead;
+};
+#define DSP__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__quota_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Dsp__QuotaReturn
+{
+  ProtobufCMessage base;
+  char *customer;
+  uint64_t units;
+  /*
+   * of the leader that granted them
+   */
+  uint64_t term;
+};
+#define DSP__QUOTA_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__quota_return__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Dsp__QuotaAsks
+{
+  ProtobufCMessage base;
+  size_t n_asks;
+  Dsp__QuotaAsk **asks;
+  size_t n_returns;
+  Dsp__QuotaReturn **returns;
+};
+#define DSP__QUOTA_ASKS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__quota_asks__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+struct  Dsp__QuotaGrant
+{
+  ProtobufCMessage base;
+  /*
+   * of the ask
+   */
+  uint64_t id;
+  char *customer;
+  /*
+   * granted; 0: denied
+   */
+  uint64_t units;
+  /*
+   * granted of those asked for ahead
+   */
+  uint64_t ahead;
+  /*
+   * the units may be used after this time
+   */
+  uint32_t delay_ms;
+  /*
+   * denied: time until there is room
+   */
+  uint32_t retry_ms;
+};
+#define DSP__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__quota_grant__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Dsp__QuotaGrants
+{
+  ProtobufCMessage base;
+  /*
+   * of the leader
+   */
+  uint64_t term;
+  size_t n_grants;
+  Dsp__QuotaGrant **grants;
+};
+#define DSP__QUOTA_GRANTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__quota_grants__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Dsp__PromptAsk
+{
+  ProtobufCMessage base;
+  /*
+   * of this ask, unique for the sender's boot
+   */
+  uint64_t id;
+  char *service;
+  char *model;
+  /*
+   * empty: none
+   */
+  char *adapter;
+  /*
+   * of the prompt
+   */
+  uint32_t tokens;
+  /*
+   * expected in the answer
+   */
+  uint32_t events;
+  /*
+   * hash of the shared prefix; 0: none
+   */
+  uint64_t prefix;
+  uint32_t gap_objective_ms;
+  uint32_t wait_max_ms;
+  /*
+   * endpoints
+   */
+  size_t n_avoid;
+  char **avoid;
+};
+#define DSP__PROMPT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__prompt_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Dsp__PromptAsks
+{
+  ProtobufCMessage base;
+  size_t n_asks;
+  Dsp__PromptAsk **asks;
+};
+#define DSP__PROMPT_ASKS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__prompt_asks__descriptor) \
+    , 0,NULL }
+
+
+struct  Dsp__PromptSlot
+{
+  ProtobufCMessage base;
+  /*
+   * of the ask
+   */
+  uint64_t id;
+  /*
+   * empty: none within wait_max_ms
+   */
+  char *endpoint;
+  uint64_t incarnation;
+  /*
+   * before it is sent
+   */
+  uint32_t delay_ms;
+};
+#define DSP__PROMPT_SLOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__prompt_slot__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Dsp__PromptSlots
+{
+  ProtobufCMessage base;
+  size_t n_slots;
+  Dsp__PromptSlot **slots;
+};
+#define DSP__PROMPT_SLOTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__prompt_slots__descriptor) \
+    , 0,NULL }
+
+
+struct  Dsp__PromptSend
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  uint64_t incarnation;
+  uint32_t tokens;
+  /*
+   * until its start; negative: it has started
+   */
+  int32_t delay_ms;
+};
+#define DSP__PROMPT_SEND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__prompt_send__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Dsp__PromptSends
+{
+  ProtobufCMessage base;
+  size_t n_sends;
+  Dsp__PromptSend **sends;
+};
+#define DSP__PROMPT_SENDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__prompt_sends__descriptor) \
+    , 0,NULL }
 
 
 struct  Dsp__Forward
@@ -1860,7 +2150,12 @@
   DSP__ENVELOPE__BODY_FORM_GROUP = 17,
   DSP__ENVELOPE__BODY_JOIN_REQUEST = 18,
   DSP__ENVELOPE__BODY_ANSWER_QUERY = 19,
-  DSP__ENVELOPE__BODY_ANSWER_REPLY = 20
+  DSP__ENVELOPE__BODY_ANSWER_REPLY = 20,
+  DSP__ENVELOPE__BODY_QUOTA_ASKS = 21,
+  DSP__ENVELOPE__BODY_QUOTA_GRANTS = 22,
+  DSP__ENVELOPE__BODY_PROMPT_ASKS = 23,
+  DSP__ENVELOPE__BODY_PROMPT_SLOTS = 24,
+  DSP__ENVELOPE__BODY_PROMPT_SENDS = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__ENVELOPE__BODY__CASE)
 } Dsp__Envelope__BodyCase;
 
@@ -1876,6 +2171,15 @@
    * tcp://IP:PORT that replies go to
    */
   char *address;
+  /*
+   * Of updates to instances that need a lease: sent_us of the newest report of
+   * the receiver, and the age of the sender's own lease when this was packed.
+   */
+  /*
+   * 0: no lease
+   */
+  uint64_t echo_us;
+  uint32_t lease_age_ms;
   Dsp__Envelope__BodyCase body_case;
   union {
     Dsp__RaftMessage *raft;
@@ -1889,11 +2193,16 @@
     Dsp__JoinRequest *join_request;
     Dsp__AnswerQuery *answer_query;
     Dsp__AnswerReply *answer_reply;
+    Dsp__QuotaAsks *quota_asks;
+    Dsp__QuotaGrants *quota_grants;
+    Dsp__PromptAsks *prompt_asks;
+    Dsp__PromptSlots *prompt_slots;
+    Dsp__PromptSends *prompt_sends;
   };
 };
 #define DSP__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, DSP__ENVELOPE__BODY__NOT_SET, {0} }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, DSP__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /* Dsp__Member methods */
@@ -2390,6 +2699,44 @@
 void   dsp__caller_limits__free_unpacked
                      (Dsp__CallerLimits *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__Customer methods */
+void   dsp__customer__init
+                     (Dsp__Customer         *message);
+size_t dsp__customer__get_packed_size
+                     (const Dsp__Customer   *message);
+size_t dsp__customer__pack
+                     (const Dsp__Customer   *message,
+                      uint8_t             *out);
+size_t dsp__customer__pack_to_buffer
+                     (const Dsp__Customer   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__Customer *
+       dsp__customer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__customer__free_unpacked
+                     (Dsp__Customer *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__Customers methods */
+void   dsp__customers__init
+                     (Dsp__Customers         *message);
+size_t dsp__customers__get_packed_size
+                     (const Dsp__Customers   *message);
+size_t dsp__customers__pack
+                     (const Dsp__Customers   *message,
+                      uint8_t             *out);
+size_t dsp__customers__pack_to_buffer
+                     (const Dsp__Customers   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__Customers *
+       dsp__customers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__customers__free_unpacked
+                     (Dsp__Customers *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__RouteTable methods */
 void   dsp__route_table__init
                      (Dsp__RouteTable         *message);
@@ -3188,6 +3535,215 @@
 void   dsp__report__free_unpacked
                      (Dsp__Report *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__QuotaAsk methods */
+void   dsp__quota_ask__init
+                     (Dsp__QuotaAsk         *message);
+size_t dsp__quota_ask__get_packed_size
+                     (const Dsp__QuotaAsk   *message);
+size_t dsp__quota_ask__pack
+                     (const Dsp__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t dsp__quota_ask__pack_to_buffer
+                     (const Dsp__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__QuotaAsk *
+       dsp__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__quota_ask__free_unpacked
+                     (Dsp__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__QuotaReturn methods */
+void   dsp__quota_return__init
+                     (Dsp__QuotaReturn         *message);
+size_t dsp__quota_return__get_packed_size
+                     (const Dsp__QuotaReturn   *message);
+size_t dsp__quota_return__pack
+                     (const Dsp__QuotaReturn   *message,
+                      uint8_t             *out);
+size_t dsp__quota_return__pack_to_buffer
+                     (const Dsp__QuotaReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__QuotaReturn *
+       dsp__quota_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__quota_return__free_unpacked
+                     (Dsp__QuotaReturn *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__QuotaAsks methods */
+void   dsp__quota_asks__init
+                     (Dsp__QuotaAsks         *message);
+size_t dsp__quota_asks__get_packed_size
+                     (const Dsp__QuotaAsks   *message);
+size_t dsp__quota_asks__pack
+                     (const Dsp__QuotaAsks   *message,
+                      uint8_t             *out);
+size_t dsp__quota_asks__pack_to_buffer
+                     (const Dsp__QuotaAsks   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__QuotaAsks *
+       dsp__quota_asks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__quota_asks__free_unpacked
+                     (Dsp__QuotaAsks *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__QuotaGrant methods */
+void   dsp__quota_grant__init
+                     (Dsp__QuotaGrant         *message);
+size_t dsp__quota_grant__get_packed_size
+                     (const Dsp__QuotaGrant   *message);
+size_t dsp__quota_grant__pack
+                     (const Dsp__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t dsp__quota_grant__pack_to_buffer
+                     (const Dsp__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__QuotaGrant *
+       dsp__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__quota_grant__free_unpacked
+                     (Dsp__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__QuotaGrants methods */
+void   dsp__quota_grants__init
+                     (Dsp__QuotaGrants         *message);
+size_t dsp__quota_grants__get_packed_size
+                     (const Dsp__QuotaGrants   *message);
+size_t dsp__quota_grants__pack
+                     (const Dsp__QuotaGrants   *message,
+                      uint8_t             *out);
+size_t dsp__quota_grants__pack_to_buffer
+                     (const Dsp__QuotaGrants   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__QuotaGrants *
+       dsp__quota_grants__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__quota_grants__free_unpacked
+                     (Dsp__QuotaGrants *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__PromptAsk methods */
+void   dsp__prompt_ask__init
+                     (Dsp__PromptAsk         *message);
+size_t dsp__prompt_ask__get_packed_size
+                     (const Dsp__PromptAsk   *message);
+size_t dsp__prompt_ask__pack
+                     (const Dsp__PromptAsk   *message,
+                      uint8_t             *out);
+size_t dsp__prompt_ask__pack_to_buffer
+                     (const Dsp__PromptAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PromptAsk *
+       dsp__prompt_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__prompt_ask__free_unpacked
+                     (Dsp__PromptAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__PromptAsks methods */
+void   dsp__prompt_asks__init
+                     (Dsp__PromptAsks         *message);
+size_t dsp__prompt_asks__get_packed_size
+                     (const Dsp__PromptAsks   *message);
+size_t dsp__prompt_asks__pack
+                     (const Dsp__PromptAsks   *message,
+                      uint8_t             *out);
+size_t dsp__prompt_asks__pack_to_buffer
+                     (const Dsp__PromptAsks   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PromptAsks *
+       dsp__prompt_asks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__prompt_asks__free_unpacked
+                     (Dsp__PromptAsks *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__PromptSlot methods */
+void   dsp__prompt_slot__init
+                     (Dsp__PromptSlot         *message);
+size_t dsp__prompt_slot__get_packed_size
+                     (const Dsp__PromptSlot   *message);
+size_t dsp__prompt_slot__pack
+                     (const Dsp__PromptSlot   *message,
+                      uint8_t             *out);
+size_t dsp__prompt_slot__pack_to_buffer
+                     (const Dsp__PromptSlot   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PromptSlot *
+       dsp__prompt_slot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__prompt_slot__free_unpacked
+                     (Dsp__PromptSlot *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__PromptSlots methods */
+void   dsp__prompt_slots__init
+                     (Dsp__PromptSlots         *message);
+size_t dsp__prompt_slots__get_packed_size
+                     (const Dsp__PromptSlots   *message);
+size_t dsp__prompt_slots__pack
+                     (const Dsp__PromptSlots   *message,
+                      uint8_t             *out);
+size_t dsp__prompt_slots__pack_to_buffer
+                     (const Dsp__PromptSlots   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PromptSlots *
+       dsp__prompt_slots__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__prompt_slots__free_unpacked
+                     (Dsp__PromptSlots *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__PromptSend methods */
+void   dsp__prompt_send__init
+                     (Dsp__PromptSend         *message);
+size_t dsp__prompt_send__get_packed_size
+                     (const Dsp__PromptSend   *message);
+size_t dsp__prompt_send__pack
+                     (const Dsp__PromptSend   *message,
+                      uint8_t             *out);
+size_t dsp__prompt_send__pack_to_buffer
+                     (const Dsp__PromptSend   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PromptSend *
+       dsp__prompt_send__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__prompt_send__free_unpacked
+                     (Dsp__PromptSend *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__PromptSends methods */
+void   dsp__prompt_sends__init
+                     (Dsp__PromptSends         *message);
+size_t dsp__prompt_sends__get_packed_size
+                     (const Dsp__PromptSends   *message);
+size_t dsp__prompt_sends__pack
+                     (const Dsp__PromptSends   *message,
+                      uint8_t             *out);
+size_t dsp__prompt_sends__pack_to_buffer
+                     (const Dsp__PromptSends   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PromptSends *
+       dsp__prompt_sends__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__prompt_sends__free_unpacked
+                     (Dsp__PromptSends *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__Forward methods */
 void   dsp__forward__init
                      (Dsp__Forward         *message);
@@ -3439,6 +3995,12 @@
 typedef void (*Dsp__CallerLimits_Closure)
                  (const Dsp__CallerLimits *message,
                   void *closure_data);
+typedef void (*Dsp__Customer_Closure)
+                 (const Dsp__Customer *message,
+                  void *closure_data);
+typedef void (*Dsp__Customers_Closure)
+                 (const Dsp__Customers *message,
+                  void *closure_data);
 typedef void (*Dsp__RouteTable_Closure)
                  (const Dsp__RouteTable *message,
                   void *closure_data);
@@ -3565,6 +4127,39 @@
 typedef void (*Dsp__Report_Closure)
                  (const Dsp__Report *message,
                   void *closure_data);
+typedef void (*Dsp__QuotaAsk_Closure)
+                 (const Dsp__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Dsp__QuotaReturn_Closure)
+                 (const Dsp__QuotaReturn *message,
+                  void *closure_data);
+typedef void (*Dsp__QuotaAsks_Closure)
+                 (const Dsp__QuotaAsks *message,
+                  void *closure_data);
+typedef void (*Dsp__QuotaGrant_Closure)
+                 (const Dsp__QuotaGrant *message,
+                  void *closure_data);
+typedef void (*Dsp__QuotaGrants_Closure)
+                 (const Dsp__QuotaGrants *message,
+                  void *closure_data);
+typedef void (*Dsp__PromptAsk_Closure)
+                 (const Dsp__PromptAsk *message,
+                  void *closure_data);
+typedef void (*Dsp__PromptAsks_Closure)
+                 (const Dsp__PromptAsks *message,
+                  void *closure_data);
+typedef void (*Dsp__PromptSlot_Closure)
+                 (const Dsp__PromptSlot *message,
+                  void *closure_data);
+typedef void (*Dsp__PromptSlots_Closure)
+                 (const Dsp__PromptSlots *message,
+                  void *closure_data);
+typedef void (*Dsp__PromptSend_Closure)
+                 (const Dsp__PromptSend *message,
+                  void *closure_data);
+typedef void (*Dsp__PromptSends_Closure)
+                 (const Dsp__PromptSends *message,
+                  void *closure_data);
 typedef void (*Dsp__Forward_Closure)
                  (const Dsp__Forward *message,
                   void *closure_data);
@@ -3633,6 +4228,8 @@
 extern const ProtobufCMessageDescriptor dsp__engine_spec__descriptor;
 extern const ProtobufCMessageDescriptor dsp__routed_service__descriptor;
 extern const ProtobufCMessageDescriptor dsp__caller_limits__descriptor;
+extern const ProtobufCMessageDescriptor dsp__customer__descriptor;
+extern const ProtobufCMessageDescriptor dsp__customers__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table_piece__descriptor;
 extern const ProtobufCMessageDescriptor dsp__route_table_change__descriptor;
@@ -3675,6 +4272,17 @@
 extern const ProtobufCMessageDescriptor dsp__pace__descriptor;
 extern const ProtobufCMessageDescriptor dsp__node_status__descriptor;
 extern const ProtobufCMessageDescriptor dsp__report__descriptor;
+extern const ProtobufCMessageDescriptor dsp__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor dsp__quota_return__descriptor;
+extern const ProtobufCMessageDescriptor dsp__quota_asks__descriptor;
+extern const ProtobufCMessageDescriptor dsp__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor dsp__quota_grants__descriptor;
+extern const ProtobufCMessageDescriptor dsp__prompt_ask__descriptor;
+extern const ProtobufCMessageDescriptor dsp__prompt_asks__descriptor;
+extern const ProtobufCMessageDescriptor dsp__prompt_slot__descriptor;
+extern const ProtobufCMessageDescriptor dsp__prompt_slots__descriptor;
+extern const ProtobufCMessageDescriptor dsp__prompt_send__descriptor;
+extern const ProtobufCMessageDescriptor dsp__prompt_sends__descriptor;
 extern const ProtobufCMessageDescriptor dsp__forward__descriptor;
 extern const ProtobufCMessageDescriptor dsp__forward_reply__descriptor;
 extern const ProtobufCMessageDescriptor dsp__form_query__descriptor;
