edge, platform: requests carry the key of a customer

A route table may list customers with keys. Such requests went to endpoints with the key and without its owner's name, and requests with an unknown key were served.

The table's customers are decoded once, kept with digests of their keys and part of its changes and views. Without a valid key only open routes are served: 401, or 503 where the view may be too old to know the key. Endpoints get the owner's name and never the key, on each sending. A customer's priority goes before that of the route.

--- a/src/core/rtab.c
+++ b/src/core/rtab.c
@@ -6,8 +6,31 @@
 struct rtab {
 	GHashTable *routes; /* "host/prefix/" in lower-case host -> route */
 	GHashTable *services;
+	GHashTable *customers; /* digest of a key -> customer; NULL: requests
+				  need no key */
 };
 
+/* Digests are uniformly distributed. */
+static guint digest_hash(const void *data)
+{
+	guint hash;
+
+	memcpy(&hash, data, sizeof(hash));
+	return hash;
+}
+
+/* The time does not depend on how many bytes of two digests are equal. */
+static gboolean digest_equal(const void *a, const void *b)
+{
+	const uint8_t *x = a;
+	const uint8_t *y = b;
+	unsigned differ = 0;
+
+	for (size_t i = 0; i < RTAB_KEY_DIGEST_LEN; i++)
+		differ |= x[i] ^ y[i];
+	return !differ;
+}
+
 static char *route_key(const char *host, size_t host_len, const char *path,
 		       size_t path_len)
 {
@@ -34,6 +57,27 @@
 				    table->services[i]);
 }
 
+/* Replaces the index of the customers' keys by that of the table. */
+static void index_customers(struct rtab *ctx, const Dsp__RouteTable *table)
+{
+	const Dsp__Customers *customers = table->customers;
+
+	g_clear_pointer(&ctx->customers, g_hash_table_destroy);
+	if (!customers)
+		return;
+	ctx->customers = g_hash_table_new(digest_hash, digest_equal);
+	for (size_t i = 0; i < customers->n_all; i++) {
+		Dsp__Customer *customer = customers->all[i];
+
+		for (size_t k = 0; k < customer->n_key_digests; k++)
+			if (customer->key_digests[k].len == RTAB_KEY_DIGEST_LEN)
+				g_hash_table_insert(
+					ctx->customers,
+					customer->key_digests[k].data,
+					customer);
+	}
+}
+
 /* Builds the index of a valid table, which must outlive it. */
 struct rtab *rtab_new(const Dsp__RouteTable *table)
 {
@@ -46,6 +90,7 @@
 		g_hash_table_insert(ctx->routes, key_of(table->routes[i]),
 				    table->routes[i]);
 	index_services(ctx, table);
+	index_customers(ctx, table);
 	return ctx;
 }
 
@@ -95,6 +140,7 @@
 		g_hash_table_replace(ctx->routes, key_of(added->pdata[i]),
 				     added->pdata[i]);
 	index_services(ctx, table);
+	index_customers(ctx, table);
 	g_hash_table_destroy(left);
 	g_ptr_array_free(added, TRUE);
 	return cost;
@@ -107,6 +153,8 @@
 		return;
 	g_hash_table_destroy(ctx->routes);
 	g_hash_table_destroy(ctx->services);
+	if (ctx->customers)
+		g_hash_table_destroy(ctx->customers);
 	g_free(ctx);
 }
 
@@ -159,3 +207,17 @@
 	}
 	return NULL;
 }
+
+/* Returns whether requests need a key, unless their route is open. */
+bool rtab_has_customers(const struct rtab *ctx)
+{
+	return ctx->customers != NULL;
+}
+
+/* Returns the customer that has the key with this digest, or NULL. */
+const Dsp__Customer *rtab_customer(const struct rtab *ctx,
+				   const uint8_t digest[RTAB_KEY_DIGEST_LEN])
+{
+	return ctx->customers ? g_hash_table_lookup(ctx->customers, digest)
+			      : NULL;
+}
--- a/src/core/tbl.c
+++ b/src/core/tbl.c
@@ -129,9 +129,10 @@
 	ctx->len += route->len;
 }
 
-/* Copies services and limits. */
+/* Copies services, limits and customers. */
 static void copy_rest(struct tbl *ctx, Dsp__RoutedService *const *services,
-		      size_t n, const Dsp__CallerLimits *limits)
+		      size_t n, const Dsp__CallerLimits *limits,
+		      const Dsp__Customers *customers)
 {
 	ctx->table.services = g_new(Dsp__RoutedService *, n + 1);
 	for (size_t i = 0; i < n; i++)
@@ -139,6 +140,8 @@
 			msg_dup(services[i]);
 	if (limits)
 		ctx->table.limits = msg_dup(limits);
+	if (customers)
+		ctx->table.customers = msg_dup(customers);
 }
 
 /*
@@ -186,6 +189,8 @@
 						   NULL);
 	if (ctx->table.limits)
 		dsp__caller_limits__free_unpacked(ctx->table.limits, NULL);
+	if (ctx->table.customers)
+		dsp__customers__free_unpacked(ctx->table.customers, NULL);
 	for (size_t i = 0; i < ctx->n_changes; i++)
 		change_unref(ctx->changes[i]);
 	g_free(ctx->table.routes);
@@ -266,6 +271,8 @@
 		change->services[i] = msg_dup(ctx->table.services[i]);
 	if (ctx->table.limits)
 		change->limits = msg_dup(ctx->table.limits);
+	if (ctx->table.customers)
+		change->customers = msg_dup(ctx->table.customers);
 	return change;
 }
 
@@ -309,7 +316,8 @@
 				       : route_new(table->routes[i],
 						   wanted.hash, wanted.len));
 	}
-	copy_rest(ctx, table->services, table->n_services, table->limits);
+	copy_rest(ctx, table->services, table->n_services, table->limits,
+		  table->customers);
 	if (base)
 		keep_changes(ctx, base, change_new(describe(ctx, base, from)));
 	g_hash_table_destroy(known);
@@ -377,7 +385,8 @@
 	ctx = version_new(change->number, change->index, n);
 	for (size_t i = 0; i < change->n_pieces; i++)
 		append_piece(ctx, base, change->pieces[i]);
-	copy_rest(ctx, change->services, change->n_services, change->limits);
+	copy_rest(ctx, change->services, change->n_services, change->limits,
+		  change->customers);
 	digest = canonical_digest(ctx);
 	if (change->digest.len != sizeof(digest) ||
 	    memcmp(change->digest.data, &digest, sizeof(digest)) != 0) {
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -129,6 +129,8 @@
 	int64_t objective_us;
 	int64_t gap_us;
 	uint64_t table_number;
+	bool keyed;	/* the table has customers */
+	char *customer; /* owner of its key; NULL: it has no valid one */
 
 	int64_t start_us;
 	int64_t deadline_us;  /* deadline of the caller or the route */
@@ -255,6 +257,7 @@
 		g_free(f->tried[i]);
 	g_free(f->route);
 	g_free(f->service);
+	g_free(f->customer);
 	g_free(f->endpoint_id);
 	g_free(f->last_event_id);
 	g_free(f);
@@ -915,6 +918,8 @@
 		.timeout_us = f->deadline_us - now_us,
 		.rank = f->rank,
 		.last_event_id = f->last_event_id,
+		.keyed = f->keyed,
+		.customer = f->customer,
 	};
 	struct hio_call_options options = {
 		.address = bal_address(endpoint),
@@ -1381,7 +1386,7 @@
 
 static struct fwd *fwd_new(struct edge *ctx, struct hio_exchange *exchange,
 			   const Dsp__Route *route, const char *service,
-			   int64_t arrived_us)
+			   const Dsp__Customer *customer, int64_t arrived_us)
 {
 	const Dsp__RoutedService *target = rtab_service(ctx->routes, service);
 	struct fwd *f = g_new0(struct fwd, 1);
@@ -1397,6 +1402,12 @@
 	f->service = g_strdup(service);
 	f->kind = route->kind;
 	f->rank = route->rank;
+	f->keyed = rtab_has_customers(ctx->routes);
+	if (customer) {
+		f->customer = g_strdup(customer->name);
+		if (customer->has_rank)
+			f->rank = customer->rank;
+	}
 	f->attempts_max = route->attempts_max;
 	f->resumable = route->resumable;
 	f->engine = target && target->engine && f->request.model;
@@ -1421,6 +1432,34 @@
 	return f;
 }
 
+/*
+ * Finds the customer whose key the request carries, if the table has customers.
+ * Returns false if the request was refused: without a valid key it may use open
+ * routes only.
+ */
+static bool find_customer(struct edge *ctx, struct hio_exchange *exchange,
+			  const Dsp__Route *route, const Dsp__Customer **out)
+{
+	const struct hio_fields *fields =
+		&hio_exchange_request(exchange)->fields;
+	const char *id = hio_field(fields, wire_request_id_field);
+	uint8_t digest[RTAB_KEY_DIGEST_LEN];
+
+	*out = NULL;
+	if (!rtab_has_customers(ctx->routes))
+		return true;
+	if (wire_read_key(fields, digest))
+		*out = rtab_customer(ctx->routes, digest);
+	if (*out || route->open)
+		return true;
+	if (ctl_state(ctx->ctl).readiness == CTL_ISOLATED)
+		/* The key may have been added since. */
+		refuse_unrouted(ctx, exchange, id, 503, "no_key_in_old_view");
+	else
+		refuse_unrouted(ctx, exchange, id, 401, "unknown_key");
+	return false;
+}
+
 /* Routes a caller's request and dispatches it. */
 static void begin_request(struct edge *ctx, struct hio_exchange *exchange,
 			  int64_t arrived_us)
@@ -1428,6 +1467,7 @@
 	const struct hio_request *request = hio_exchange_request(exchange);
 	const char *id = hio_field(&request->fields, wire_request_id_field);
 	const char *host = hio_field(&request->fields, "Host");
+	const Dsp__Customer *customer;
 	const Dsp__Route *route;
 	const char *service;
 	struct fwd *f;
@@ -1446,6 +1486,8 @@
 		refuse_unrouted(ctx, exchange, id, 404, "no_route");
 		return;
 	}
+	if (!find_customer(ctx, exchange, route, &customer))
+		return;
 	service = rtab_draw(route, g_random_int());
 	if (!service) {
 		refuse_unrouted(ctx, exchange, id, 503, "no_service");
@@ -1455,7 +1497,7 @@
 		refuse_unrouted(ctx, exchange, id, 503, "stopping");
 		return;
 	}
-	f = fwd_new(ctx, exchange, route, service, arrived_us);
+	f = fwd_new(ctx, exchange, route, service, customer, arrived_us);
 	if (f->engine)
 		edge_count_demand(ctx, f->request.model, f->request.adapter,
 				  false);
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -89,6 +89,8 @@
 		return "OK";
 	case 400:
 		return "Bad Request";
+	case 401:
+		return "Unauthorized";
 	case 404:
 		return "Not Found";
 	case 408:
