--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -88,6 +88,89 @@
 	rtab_free(t);
 }
 
+/* Customers named by the first byte of their keys' digests. */
+struct Keys {
+	Dsp__Customers list = DSP__CUSTOMERS__INIT;
+	std::vector<Dsp__Customer> customers;
+	std::vector<Dsp__Customer *> pointers;
+	std::vector<ProtobufCBinaryData> digests;
+	std::vector<std::vector<uint8_t>> bytes;
+
+	explicit Keys(const std::string &firsts)
+	    : customers(firsts.size()), digests(firsts.size())
+	{
+		for (size_t i = 0; i < firsts.size(); i++) {
+			bytes.push_back(digest(firsts[i]));
+			dsp__customer__init(&customers[i]);
+			digests[i] = { RTAB_KEY_DIGEST_LEN, bytes[i].data() };
+			customers[i].key_digests = &digests[i];
+			customers[i].n_key_digests = 1;
+			pointers.push_back(&customers[i]);
+		}
+		list.all = pointers.data();
+		list.n_all = pointers.size();
+	}
+	static std::vector<uint8_t> digest(char first)
+	{
+		std::vector<uint8_t> out(RTAB_KEY_DIGEST_LEN, 7);
+
+		out[0] = (uint8_t)first;
+		return out;
+	}
+};
+
+/* Guards against keys of an earlier table that still have an owner. */
+TEST(Rtab, FindsTheCustomersOfTheTableInForceOnly)
+{
+	std::vector<std::pair<std::string, std::string>> prefixes = {
+		{ "a.example", "/" },
+	};
+	Table before(prefixes);
+	Table after(prefixes);
+	Table none(prefixes);
+	Keys first("ab"), second("bc");
+	struct rtab *t;
+	auto owner = [&](char key) {
+		return rtab_customer(t, Keys::digest(key).data());
+	};
+
+	before.table.customers = &first.list;
+	after.table.customers = &second.list;
+	t = rtab_new(&before.table);
+	EXPECT_TRUE(rtab_has_customers(t));
+	EXPECT_EQ(owner('a'), &first.customers[0]);
+	EXPECT_EQ(owner('b'), &first.customers[1]);
+	EXPECT_EQ(owner('c'), nullptr);
+	rtab_update(t, &before.table, &after.table);
+	EXPECT_EQ(owner('a'), nullptr);
+	EXPECT_EQ(owner('b'), &second.customers[0]);
+	EXPECT_EQ(owner('c'), &second.customers[1]);
+	rtab_update(t, &after.table, &none.table);
+	EXPECT_FALSE(rtab_has_customers(t));
+	EXPECT_EQ(owner('c'), nullptr);
+	rtab_free(t);
+}
+
+TEST(Rtab, DigestsThatDifferInOneByteHaveNoCommonOwner)
+{
+	std::vector<std::pair<std::string, std::string>> prefixes = {
+		{ "a.example", "/" },
+	};
+	Table table(prefixes);
+	Keys keys("a");
+	struct rtab *t;
+
+	table.table.customers = &keys.list;
+	t = rtab_new(&table.table);
+	for (size_t i = 0; i < RTAB_KEY_DIGEST_LEN; i++) {
+		std::vector<uint8_t> digest = Keys::digest('a');
+
+		digest[i]++;
+		EXPECT_EQ(rtab_customer(t, digest.data()), nullptr) << i;
+	}
+	rtab_free(t);
+}
+
 TEST(Rtab, DrawsServicesByWeight)
 {
 	Dsp__Route route = DSP__ROUTE__INIT;
--- a/tests/unit/platform_wire_test.cc
+++ b/tests/unit/platform_wire_test.cc
@@ -153,6 +153,105 @@
 	EXPECT_EQ(read_table(replaced(TABLE, R"("version":7,)", "")), nullptr);
 }
 
+/* A table whose customers are the elements of a JSON list. */
+std::string with_customers(const std::string &list)
+{
+	return replaced(TABLE, R"({"version":7,)",
+			R"({"version":7,"tenants":[)" + list + "],");
+}
+
+TEST(WireTable, ReadsCustomersAndKeepsDigestsOfTheirKeys)
+{
+	/* The first 16 bytes of the SHA-256 of "key-one". */
+	const uint8_t digest[] = { 0x9b, 0x34, 0x60, 0x41, 0xbc, 0x9a,
+				   0x49, 0x57, 0x4e, 0xb2, 0x66, 0x5b,
+				   0x2a, 0xd2, 0xa0, 0xa3 };
+	Dsp__RouteTable *t = read_table(replaced(
+		with_customers(
+			R"({"name":"one","apiKeys":["key-one","key-2"],)"
+			R"("priority":0,"unit":"token_stream",)"
+			R"("plainTokens":20,"ratePerS":2700.5,"burst":9000},)"
+			R"({"name":"two","apiKeys":[],"unit":"request"})"),
+		R"("kind":"unsafe")", R"("kind":"unsafe","authExempt":true)"));
+
+	ASSERT_NE(t, nullptr);
+	ASSERT_NE(t->customers, nullptr);
+	ASSERT_EQ(t->customers->n_all, 2u);
+	const Dsp__Customer *one = t->customers->all[0];
+	EXPECT_STREQ(one->name, "one");
+	ASSERT_EQ(one->n_key_digests, 2u);
+	ASSERT_EQ(one->key_digests[0].len, sizeof(digest));
+	EXPECT_EQ(memcmp(one->key_digests[0].data, digest, sizeof(digest)), 0);
+	EXPECT_TRUE(one->has_rank);
+	EXPECT_EQ(one->rank, 0u);
+	EXPECT_DOUBLE_EQ(one->rate, 2700.5);
+	EXPECT_DOUBLE_EQ(one->burst, 9000);
+	EXPECT_TRUE(one->counts_tokens);
+	EXPECT_EQ(one->plain_tokens, 20u);
+	const Dsp__Customer *two = t->customers->all[1];
+	EXPECT_EQ(two->n_key_digests, 0u);
+	EXPECT_FALSE(two->has_rank);
+	EXPECT_FALSE(two->counts_tokens);
+	EXPECT_EQ(two->rate, 0);
+	EXPECT_FALSE(t->routes[0]->open);
+	EXPECT_TRUE(t->routes[1]->open);
+	dsp__route_table__free_unpacked(t, nullptr);
+}
+
+TEST(WireTable, AnEmptyListOfCustomersIsNotTheSameAsNone)
+{
+	Dsp__RouteTable *t = read_table(with_customers(""));
+
+	ASSERT_NE(t, nullptr);
+	ASSERT_NE(t->customers, nullptr);
+	EXPECT_EQ(t->customers->n_all, 0u);
+	dsp__route_table__free_unpacked(t, nullptr);
+	t = read_table(TABLE);
+	ASSERT_NE(t, nullptr);
+	EXPECT_EQ(t->customers, nullptr);
+	dsp__route_table__free_unpacked(t, nullptr);
+}
+
+/* Guards against a key with two owners, and against a key in the error, which
+ * is logged. */
+TEST(WireTable, RefusesFaultyCustomersWithoutNamingTheirKeys)
+{
+	std::vector<std::string> faulty = {
+		with_customers(R"({"name":"a","apiKeys":["secret"]},)"
+			       R"({"name":"b","apiKeys":["x","secret"]})"),
+		with_customers(R"({"name":"a","apiKeys":["secret"]},)"
+			       R"({"name":"a","apiKeys":["secret"]})"),
+		with_customers(R"({"apiKeys":["secret"]})"),
+		with_customers(R"({"name":"","apiKeys":["secret"]})"),
+		with_customers(R"({"name":"a\r\nX: y","apiKeys":["secret"]})"),
+		with_customers(R"({"name":"a","apiKeys":"secret"})"),
+		with_customers(R"({"name":"a","apiKeys":["secret",""]})"),
+		with_customers(R"({"name":"a","apiKeys":["secret",7]})"),
+		with_customers(R"("secret")"),
+		with_customers(R"({"name":"a","apiKeys":["x" "secret"]})"),
+		replaced(TABLE, R"({"version":7,)",
+			 R"({"version":7,"tenants":{"secret":1},)"),
+	};
+
+	for (const std::string &text : faulty) {
+		GError *error = nullptr;
+
+		EXPECT_EQ(
+			wire_read_route_table(text.data(), text.size(), &error),
+			nullptr)
+			<< text;
+		ASSERT_NE(error, nullptr) << text;
+		EXPECT_EQ(std::string(error->message).find("secret"),
+			  std::string::npos)
+			<< error->message;
+		g_clear_error(&error);
+	}
+	Dsp__RouteTable *t = read_table(
+		with_customers(R"({"name":"a","apiKeys":["x","x"]})"));
+	EXPECT_NE(t, nullptr);
+	dsp__route_table__free_unpacked(t, nullptr);
+}
+
 TEST(WireTable, SurvivesDamagedInput)
 {
 	std::mt19937_64 random(11);
@@ -483,6 +582,62 @@
 	g_byte_array_free(request.body, TRUE);
 }
 
+/* Guards against a key that reaches an endpoint, and against a caller that
+ * names another customer. */
+TEST(WireRequest, NamesTheOwnerInPlaceOfTheKey)
+{
+	Fields f({ { "Host", "a.example" },
+		   { "x-key", "secret" },
+		   { "X-Tenant", "forged" },
+		   { "X-KEY", "secret" },
+		   { "x-tenant", "forged" } });
+	struct hio_request request = {};
+	struct wire_dispatch dispatch = {};
+	auto written = [&] {
+		GString *head = wire_write_request(&request, &dispatch);
+		std::string out = head->str;
+
+		g_string_free(head, TRUE);
+		return out;
+	};
+
+	request.method = const_cast<char *>("GET");
+	request.target = const_cast<char *>("/p/x");
+	request.fields = f.fields;
+	request.body = g_byte_array_new();
+	dispatch.endpoint_id = "i-1";
+	dispatch.timeout_us = 1000000;
+	std::string plain = written();
+	EXPECT_NE(plain.find("x-key: secret\r\n"), std::string::npos);
+	EXPECT_NE(plain.find("X-Tenant: forged\r\n"), std::string::npos);
+	dispatch.keyed = true;
+	std::string open = written();
+	EXPECT_EQ(open.find("secret"), std::string::npos) << open;
+	EXPECT_EQ(open.find("enant"), std::string::npos) << open;
+	dispatch.customer = "owner";
+	std::string owned = written();
+	EXPECT_EQ(owned.find("secret"), std::string::npos) << owned;
+	EXPECT_EQ(owned.find("forged"), std::string::npos) << owned;
+	EXPECT_NE(owned.find("\r\nX-Tenant: owner\r\n"), std::string::npos)
+		<< owned;
+	g_byte_array_free(request.body, TRUE);
+}
+
+TEST(WireRequest, ReadsTheDigestOfTheKey)
+{
+	Fields none({ { "Host", "a.example" } });
+	Fields empty({ { "X-Key", "" } });
+	Fields some({ { "x-key", "key-one" } });
+	uint8_t digest[WIRE_DIGEST_LEN];
+	uint8_t want[WIRE_DIGEST_LEN];
+
+	EXPECT_FALSE(wire_read_key(&none.fields, digest));
+	EXPECT_FALSE(wire_read_key(&empty.fields, digest));
+	ASSERT_TRUE(wire_read_key(&some.fields, digest));
+	wire_digest_key("key-one", want);
+	EXPECT_EQ(memcmp(digest, want, sizeof(want)), 0);
+}
+
 TEST(WireAnswer, ReportsRequestsThatDidNotRun)
 {
 	struct wire_answer out;
--- a/tests/unit/tbl_test.cc
+++ b/tests/unit/tbl_test.cc
@@ -38,6 +38,10 @@
 /* The operator's routes, to be changed by the tests. */
 struct Operator {
 	std::vector<RouteText> routes;
+	/* Names of the customers, whose keys' digests repeat the last letter;
+	 * without has_customers the table has none. */
+	std::vector<std::string> customers;
+	bool has_customers = false;
 	uint64_t number = 0;
 
 	explicit Operator(size_t n)
@@ -46,6 +50,30 @@
 			routes.push_back({ i, 1000 });
 	}
 
+	void add_customers(Dsp__RouteTable *table)
+	{
+		auto *list = g_new(Dsp__Customers, 1);
+
+		dsp__customers__init(list);
+		list->all = g_new(Dsp__Customer *, customers.size() + 1);
+		for (const std::string &name : customers) {
+			auto *customer = g_new(Dsp__Customer, 1);
+
+			dsp__customer__init(customer);
+			customer->name = dup(name);
+			customer->rate = 100;
+			customer->n_key_digests = 1;
+			customer->key_digests = g_new(ProtobufCBinaryData, 1);
+			customer->key_digests[0].len = RTAB_KEY_DIGEST_LEN;
+			customer->key_digests[0].data =
+				(uint8_t *)g_malloc(RTAB_KEY_DIGEST_LEN);
+			memset(customer->key_digests[0].data, name.back(),
+			       RTAB_KEY_DIGEST_LEN);
+			list->all[list->n_all++] = customer;
+		}
+		table->customers = list;
+	}
+
 	/* Returns the next table, accepted at a log index. */
 	Table next(uint64_t index)
 	{
@@ -78,6 +106,8 @@
 		dsp__routed_service__init(table->services[0]);
 		table->services[0]->name = dup("s");
 		table->services[0]->health_path = dup("/h");
+		if (has_customers)
+			add_customers(table);
 		return { table, [](Dsp__RouteTable *t) {
 				dsp__route_table__free_unpacked(t, nullptr);
 			} };
@@ -133,6 +163,46 @@
 	}
 }
 
+/* Guards against a change that loses customers or keeps those that the operator
+ * removed, and against a digest that does not cover them. */
+TEST(Tbl, ChangesCarryTheCustomers)
+{
+	Operator op(50);
+	Version leader = version(nullptr, op.next(1).get());
+	Version reader = version(nullptr, tbl_table(leader.get()));
+	std::vector<std::vector<std::string>> lists = {
+		{ "a", "b" }, { "b" }, { "b", "c" }, {}, { "a" }
+	};
+
+	for (uint64_t step = 2; step < 2 + lists.size() + 1; step++) {
+		op.has_customers = step - 2 < lists.size();
+		if (op.has_customers)
+			op.customers = lists[step - 2];
+		Table table = op.next(step);
+		Version next = version(leader.get(), table.get());
+		Steps steps = since(next.get(), step - 1);
+
+		ASSERT_TRUE(steps);
+		ASSERT_EQ(steps->n_steps, 1u);
+		EXPECT_EQ(tbl_n_copied(next.get()), 0u);
+		Version got(tbl_apply(reader.get(), steps.get(), nullptr),
+			    tbl_unref);
+		ASSERT_TRUE(got);
+		EXPECT_EQ(packed(tbl_table(got.get())), packed(table.get()));
+		if (op.has_customers && !op.customers.empty()) {
+			Dsp__Customer *c = steps->steps[0]->customers->all[0];
+
+			c->key_digests[0].data[3]++;
+			Version bad(
+				tbl_apply(reader.get(), steps.get(), nullptr),
+				tbl_unref);
+			EXPECT_FALSE(bad) << "step " << step;
+		}
+		leader = std::move(next);
+		reader = std::move(got);
+	}
+}
+
 /* Guards against a change that is applied to another version than its own, or
  * half applied. */
 TEST(Tbl, ChangeThatDoesNotFitIsRefusedWhole)
@@ -282,6 +352,11 @@
 			if (!below(10))
 				std::shuffle(op.routes.begin(), op.routes.end(),
 					     random);
+			op.has_customers = below(4) != 0;
+			op.customers.clear();
+			for (size_t k = below(4); k; k--)
+				op.customers.push_back(
+					std::string(1, (char)('a' + k)));
 			Table table = op.next(index);
 			history.push_back(packed(table.get()));
 			publish(leader, table.get());
