edge, node: keys are served under a lease of the view

An entry without contact, or one that was stopped and continued, served a key for as long as it served at all after an operator had removed it. The age of a view's confirmation could not bound that: it leaves out time in transit, and CLOCK_MONOTONIC stops while a machine is suspended.

Reports carry the sender's clock, with an origin that is random for each process, and updates return it with the age of the sender's own lease (core/lse.c); the leader's begins at its last contact with a quorum. The age is read when an update is sent, not at the start of the iteration, in which the process may have been stopped. Without it nothing changes in messages, and without customers nothing else does.

Failure tests: an entry cut off while its key is removed, and one stopped across the removal.

--- a/src/base/clk.c
+++ b/src/base/clk.c
@@ -11,7 +11,7 @@
 	_Atomic int64_t wall_ms; /* likewise */
 };
 
-/* Creates a clock that follows the system's monotonic and wall clocks. */
+/* Creates a clock that follows the system's boot-time and wall clocks. */
 struct clk *clk_new_real(void)
 {
 	return g_new0(struct clk, 1);
@@ -38,14 +38,16 @@
 	g_free(ctx);
 }
 
-/* Returns the monotonic time in microseconds; only differences have meaning. */
+/* Returns the monotonic time in microseconds; only differences have meaning.
+ * Unlike CLOCK_MONOTONIC it goes on while the machine is suspended, so that
+ * leases end then, too. */
 int64_t clk_now_us(const struct clk *ctx)
 {
 	struct timespec ts;
 
 	if (ctx->manual)
 		return ctx->us;
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
 }
 
--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -99,6 +99,7 @@
 	 * than the shortest timeout of the routes in use, 1.5 s. */
 	{ "start_wait_ms", OPT_U32, AT(start_wait_ms), .max = 60000,
 	  .default_value = 1200 },
+	{ "key_revoke_ms", OPT_U32, AT(key_revoke_ms), .max = 600000 },
 	{ "repeat_ratio", OPT_NUMBER, AT(repeat_ratio), .min = 0, .max = 10,
 	  .default_value = 0.1 },
 	{ "repeat_window_s", OPT_U32, AT(repeat_window_s), .min = 1, .max = 600,
@@ -237,6 +238,13 @@
 			  "given \"%s\"; allowed: err, warning, notice, info, "
 			  "debug",
 			  level->text);
+	if (ctx->edge.key_revoke_ms &&
+	    ctx->edge.key_revoke_ms < ctx->report_interval_ms * 4)
+		opt_fault(source, opt_child(root, "edge")->line,
+			  "edge.key_revoke_ms",
+			  "given %u; allowed: 0, or at least four times "
+			  "report_interval_ms (%u)",
+			  ctx->edge.key_revoke_ms, ctx->report_interval_ms);
 	if (ctx->heartbeat_ms * 2 > ctx->election_timeout_ms)
 		opt_fault(source, line, "timing.heartbeat_ms",
 			  "given %u; allowed: at most half of "
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -28,6 +28,9 @@
 	uint32_t entry_validity_s;
 	uint32_t drain_limit_ms; /* from the signal to the end of the process */
 	uint32_t start_wait_ms;	 /* longest wait of a request for a view */
+	/* Time after the acknowledgement of a table without a key from which
+	 * no instance serves a request with it; 0: no such bound. */
+	uint32_t key_revoke_ms;
 	/* Retry budget of all instances together: repeats allowed per request,
 	 * in a sliding window, plus repeat_extra in each window. */
 	double repeat_ratio;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -505,6 +505,24 @@
 	};
 }
 
+/*
+ * Returns whether the keys of the table in use may be relied on. The control
+ * thread's lease is for a view that this thread may not have yet; until then
+ * the lease of the view in use applies.
+ */
+bool edge_has_lease(struct edge *ctx)
+{
+	int64_t length_us = ctx->set->edge.key_revoke_ms * 1000LL *
+			    LSE_REVOKE_PERCENT / 100;
+	struct lse newest;
+
+	if (!length_us)
+		return true;
+	newest = ctl_state(ctx->ctl).lease;
+	lse_follow(&ctx->lease, &newest, view_index(ctx->view));
+	return lse_holds(&ctx->lease, length_us, clk_now_us(ctx->clock));
+}
+
 /* Returns whether this entry accepts requests of callers. */
 bool edge_is_ready(struct edge *ctx)
 {
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -101,6 +101,7 @@
 	struct view *view;
 	const Dsp__RouteTable *table; /* of the view; NULL: none yet */
 	struct rtab *routes;	      /* of the table */
+	struct lse lease;	      /* of the view */
 	struct bal *bal;
 	struct adm *queue;	   /* requests that wait for an endpoint */
 	struct event *queue_event; /* an endpoint may have capacity; its timer
@@ -127,6 +128,7 @@
 struct rep *edge_budget(struct edge *ctx, const char *service);
 struct rep_options edge_budget_options(const struct edge *ctx);
 bool edge_is_ready(struct edge *ctx);
+bool edge_has_lease(struct edge *ctx);
 
 /* edge_hint.c */
 void edge_saw_hint(struct edge *ctx, const char *endpoint, uint64_t incarnation,
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "core/hdg.h"
+#include "core/key.h"
 #include "core/sse.h"
 
 /* Endpoints that a request may be sent to; each is tried once. */
@@ -129,8 +130,10 @@
 	int64_t objective_us;
 	int64_t gap_us;
 	uint64_t table_number;
-	bool keyed;	/* the table has customers */
+	bool keyed;	/* the table had customers when it was read */
+	bool open;	/* the route needs no key */
 	char *customer; /* owner of its key; NULL: it has no valid one */
+	uint8_t key[RTAB_KEY_DIGEST_LEN]; /* with customer */
 
 	int64_t start_us;
 	int64_t deadline_us;  /* deadline of the caller or the route */
@@ -388,9 +391,9 @@
 
 	cancel_attempts(f);
 	log_end(f,
-		f->headers_sent ? "broken"
-		: status == 503 ? "refused"
-				: "failed",
+		f->headers_sent			 ? "broken"
+		: status == 503 || status == 401 ? "refused"
+						 : "failed",
 		f->headers_sent ? 0 : status, reason);
 	if (f->headers_sent)
 		hio_reply_abort(f->exchange);
@@ -411,6 +414,52 @@
 		reply_failure(f, late ? 504 : 502, -1, reason);
 }
 
+/* ---- Keys ---- */
+
+/* Decides about a request that was read with a key, before it is sent. */
+static enum key_verdict judge_key(const struct fwd *f)
+{
+	struct edge *ctx = f->edge;
+	const Dsp__Customer *owner = NULL;
+	struct key_question question = {
+		.keyed = f->keyed && rtab_has_customers(ctx->routes),
+		.open = f->open,
+	};
+
+	if (!question.keyed)
+		return KEY_SERVE;
+	if (f->customer)
+		owner = rtab_customer(ctx->routes, f->key);
+	question.owned = owner && !strcmp(owner->name, f->customer);
+	question.leased = edge_has_lease(ctx);
+	question.isolated = ctl_state(ctx->ctl).readiness == CTL_ISOLATED;
+	return key_decide(&question);
+}
+
+/* Whether the request may be sent, as far as its key matters. */
+static bool may_send(const struct fwd *f)
+{
+	return !key_status(judge_key(f));
+}
+
+/*
+ * Returns whether the request may be sent, as far as its key matters. Otherwise
+ * it was ended. A refusal promises that it has not run, so one that may have
+ * run gets another status.
+ */
+static bool check_key(struct fwd *f)
+{
+	enum key_verdict verdict = judge_key(f);
+	int status = key_status(verdict);
+
+	if (!status)
+		return true;
+	reply_failure(f, f->runs ? 502 : status,
+		      !f->runs && status == 503 ? VIEW_RETRY_AFTER_US : -1,
+		      key_reason(verdict));
+	return false;
+}
+
 /* ---- Sending ---- */
 
 static bool dispatch(struct fwd *f);
@@ -826,7 +875,7 @@
 	release_attempt(at, BAL_ANSWERED);
 	/* Another endpoint may not have this failure. */
 	if (at->status >= 500 && can_retry(f) && f->n_tried < TRIED_MAX &&
-	    !is_too_late(f) && take_repeat(f)) {
+	    !is_too_late(f) && may_send(f) && take_repeat(f)) {
 		attempt_free(at);
 		dispatch(f);
 		return;
@@ -918,8 +967,10 @@
 		.timeout_us = f->deadline_us - now_us,
 		.rank = f->rank,
 		.last_event_id = f->last_event_id,
-		.keyed = f->keyed,
-		.customer = f->customer,
+		/* A table without customers may have been replaced since. */
+		.keyed = f->keyed || rtab_has_customers(f->edge->routes),
+		.customer = f->open && judge_key(f) != KEY_SERVE ? NULL
+								 : f->customer,
 	};
 	struct hio_call_options options = {
 		.address = bal_address(endpoint),
@@ -1177,6 +1228,8 @@
 		outcome = FWD_DENIED;
 	switch (outcome) {
 	case FWD_GRANTED:
+		if (!check_key(f))
+			break;
 		send_to(f, f->trial_endpoint);
 		release_trial_endpoint(f);
 		break;
@@ -1203,6 +1256,8 @@
 		give_up(f, -1, "deadline");
 		return false;
 	}
+	if (!check_key(f))
+		return false;
 	decision = edge_parts_decide(f->edge->parts, &f->prompt);
 	f->suspect = decision.request;
 	if (decision.action == SUS_REFUSE) {
@@ -1244,7 +1299,7 @@
 
 	if (f->n_tried < TRIED_MAX && !is_too_late(f))
 		choice = choose_endpoint(f);
-	if (choice.outcome != BAL_CHOSEN ||
+	if (choice.outcome != BAL_CHOSEN || !may_send(f) ||
 	    !edge_parts_are_sound(f->edge->parts, &f->prompt) ||
 	    !take_repeat(f)) {
 		hdg_put_off(&f->hedge, now_of(f));
@@ -1403,7 +1458,9 @@
 	f->kind = route->kind;
 	f->rank = route->rank;
 	f->keyed = rtab_has_customers(ctx->routes);
+	f->open = route->open;
 	if (customer) {
+		wire_read_key(&hio_exchange_request(exchange)->fields, f->key);
 		f->customer = g_strdup(customer->name);
 		if (customer->has_rank)
 			f->rank = customer->rank;
@@ -1444,19 +1501,25 @@
 		&hio_exchange_request(exchange)->fields;
 	const char *id = hio_field(fields, wire_request_id_field);
 	uint8_t digest[RTAB_KEY_DIGEST_LEN];
+	struct key_question question = { .keyed = true, .open = route->open };
+	enum key_verdict verdict;
 
 	*out = NULL;
 	if (!rtab_has_customers(ctx->routes))
 		return true;
 	if (wire_read_key(fields, digest))
 		*out = rtab_customer(ctx->routes, digest);
-	if (*out || route->open)
+	question.owned = *out != NULL;
+	question.leased = edge_has_lease(ctx);
+	question.isolated = ctl_state(ctx->ctl).readiness == CTL_ISOLATED;
+	verdict = key_decide(&question);
+	if (verdict == KEY_SERVE)
 		return true;
-	if (ctl_state(ctx->ctl).readiness == CTL_ISOLATED)
-		/* The key may have been added since. */
-		refuse_unrouted(ctx, exchange, id, 503, "no_key_in_old_view");
-	else
-		refuse_unrouted(ctx, exchange, id, 401, "unknown_key");
+	*out = NULL;
+	if (verdict == KEY_SERVE_UNNAMED)
+		return true;
+	refuse_unrouted(ctx, exchange, id, key_status(verdict),
+			key_reason(verdict));
 	return false;
 }
 
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -33,6 +33,9 @@
  * a network outage may still hang after the outage. */
 #define CONNECT_TIMEOUT_MS 1000
 #define UNUSED_CLOSE_US 60000000
+/* Room after a packed message for the fields of one receiver: two numbers of at
+ * most 10 bytes with tags of 2. */
+#define TAIL_BYTES_MAX 24
 
 /* A message queued until its connection opens. */
 struct queued_message {
@@ -277,7 +280,7 @@
 	envelope->boot = ctx->boot;
 	envelope->address = ctx->advertise;
 	*len = dsp__envelope__get_packed_size(envelope);
-	data = g_malloc(*len);
+	data = g_malloc(*len + TAIL_BYTES_MAX);
 	dsp__envelope__pack(envelope, data);
 	envelope->from = from;
 	envelope->address = reply_to;
@@ -312,6 +315,19 @@
 	send_to(ctx, peer_get(ctx, address, false), data, len);
 }
 
+/* As net_send_packed(), with the fields of a lease appended in the room that
+ * net_pack() leaves. Encoded fields that follow a message become part of it. */
+void net_send_packed_lease(struct net *ctx, const char *address, uint8_t *data,
+			   size_t len, uint64_t echo_us, uint32_t lease_age_ms)
+{
+	Dsp__Envelope tail = DSP__ENVELOPE__INIT;
+
+	tail.echo_us = echo_us;
+	tail.lease_age_ms = lease_age_ms;
+	len += dsp__envelope__pack(&tail, data + len);
+	net_send_packed(ctx, address, data, len);
+}
+
 /* As net_send(), ahead of the messages that were sent before and wait. */
 void net_send_ahead(struct net *ctx, const char *address,
 		    Dsp__Envelope *envelope)
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -41,6 +41,9 @@
 uint8_t *net_pack(struct net *ctx, Dsp__Envelope *envelope, size_t *len);
 void net_send_packed(struct net *ctx, const char *address, const uint8_t *data,
 		     size_t len);
+/* The same with fields for this receiver only; data comes from net_pack(). */
+void net_send_packed_lease(struct net *ctx, const char *address, uint8_t *data,
+			   size_t len, uint64_t echo_us, uint32_t lease_age_ms);
 void net_wait(struct net *ctx, int wake_fd, int64_t timeout_us);
 void net_tick(struct net *ctx, int64_t now_us);
 Dsp__Envelope *net_receive(struct net *ctx);
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -93,6 +93,14 @@
 		ctx->cb.view_changed(ctx->cb.data, view);
 }
 
+/* Extends the lease of the installed view. */
+void ctl_extend_lease(struct ctl *ctx, int64_t start_us)
+{
+	pthread_mutex_lock(&ctx->lock);
+	lse_extend(&ctx->lease, start_us, view_index(ctx->view));
+	pthread_mutex_unlock(&ctx->lock);
+}
+
 /* Returns true once ctl_drain() was called. */
 bool ctl_is_draining(struct ctl *ctx)
 {
@@ -487,6 +495,7 @@
 	TAILQ_INIT(&ctx->changed_loads);
 	ctx->seeds = list_seeds(ctx, settings);
 	ctx->now_us = clk_now_us(clock);
+	ctx->lease_clock = lse_clock_new(ctx->boot, ctx->now_us);
 	ctx->up.since_us = ctx->now_us;
 	ctx->up.spread = (uint8_t)ctx->boot;
 	ctx->view = view_new_empty();
@@ -709,11 +718,14 @@
 	int64_t confirmed_us = ctx->confirmed_us;
 	int64_t now_us = clk_now_us(ctx->clock);
 	struct ctl_state state = {
-		.draining = ctl_is_draining(ctx),
 		.stale_us = confirmed_us ? MAX(now_us - confirmed_us, 0) : 0,
 		.boot = ctx->boot,
 	};
 
+	pthread_mutex_lock(&ctx->lock);
+	state.draining = ctx->draining;
+	state.lease = ctx->lease;
+	pthread_mutex_unlock(&ctx->lock);
 	state.readiness = ctl_rule_readiness(
 		confirmed_us, now_us,
 		(int64_t)ctx->set->isolated_after_ms * 1000,
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -8,6 +8,7 @@
 #include "base/clk.h"
 #include "base/met.h"
 #include "conf/set.h"
+#include "core/lse.h"
 #include "core/view.h"
 
 /*
@@ -65,6 +66,8 @@
 	enum ctl_readiness readiness;
 	bool draining;
 	int64_t stale_us; /* time since the view was last confirmed */
+	struct lse lease; /* of the view; unlike stale_us its age includes time
+			     in transit */
 	uint64_t boot;
 };
 
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -173,6 +173,7 @@
 	uint64_t table_index;
 	int64_t lost_us; /* without a report until then, changes were lost */
 	int64_t sent_confirmed_us; /* confirmation in the last update */
+	uint64_t echo_us; /* sent_us of its newest report; 0: needs no lease */
 	int64_t heard_us;
 	bool due; /* needs an update without waiting for the next round */
 };
@@ -245,6 +246,7 @@
 	struct met *met;
 	struct ctl_callbacks cb;
 	uint64_t boot;
+	struct lse_clock lease_clock;
 	int wake_fd;
 	pthread_t thread;
 
@@ -253,6 +255,7 @@
 	struct view *view;    /* lock; written by the control thread */
 	bool draining;	      /* lock */
 	struct ctl_leadership leadership; /* lock; as view */
+	struct lse lease;		  /* lock; as view */
 	_Atomic int64_t confirmed_us;	  /* written by the control thread */
 
 	/* The rest belongs to the control thread. */
@@ -366,6 +369,7 @@
 void ctl_set_view(struct ctl *ctx, struct view *view);
 bool ctl_is_draining(struct ctl *ctx);
 uint32_t ctl_confirmed_age_ms(const struct ctl *ctx);
+void ctl_extend_lease(struct ctl *ctx, int64_t start_us);
 
 /* ctl_call.c */
 void ctl_call_start(struct ctl *ctx, struct ctl_call *call);
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -939,4 +939,5 @@
 	contact_us = raft_quorum_contact_us(ctx->raft);
 	if (contact_us > ctx->confirmed_us)
 		ctx->confirmed_us = contact_us;
+	ctl_extend_lease(ctx, contact_us);
 }
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -391,6 +391,14 @@
 	return values;
 }
 
+/* Returns the clock for a report sent now; 0 where no lease is needed. */
+static uint64_t sent_us(const struct ctl *ctx)
+{
+	if (!ctx->set->edge.key_revoke_ms)
+		return 0;
+	return lse_sent_us(&ctx->lease_clock, ctx->now_us);
+}
+
 static void send_report(struct ctl *ctx)
 {
 	Dsp__Envelope out = DSP__ENVELOPE__INIT;
@@ -416,6 +424,7 @@
 		(Dsp__Demand **)table_values(ctx->demands, &report.n_demands);
 	report.paces = (Dsp__Pace **)table_values(ctx->paces, &report.n_paces);
 	report.hops = ctx->report_hops;
+	report.sent_us = sent_us(ctx);
 	report.observed_loads = loads;
 	report.n_observed_loads =
 		occ_take(ctx->observed_up, loads, LOADS_MAX, ctx->now_us);
@@ -454,6 +463,7 @@
 	report.nodes = statuses;
 	report.n_nodes = G_N_ELEMENTS(statuses);
 	report.hops = HOPS_MAX;
+	report.sent_us = sent_us(ctx);
 	out.body_case = DSP__ENVELOPE__BODY_REPORT;
 	out.report = &report;
 	ctl_send(ctx, address, &out);
@@ -564,7 +574,7 @@
 }
 
 static void update_child(struct ctl *ctx, const Dsp__Envelope *from,
-			 const Dsp__NodeStatus *status)
+			 const Dsp__NodeStatus *status, uint64_t sent_us)
 {
 	uint64_t index = status->view_index;
 	struct ctl_child *child =
@@ -581,6 +591,7 @@
 	}
 	if (child->boot != from->boot) {
 		child->boot = from->boot;
+		child->echo_us = 0;
 		set_child_position(child, status);
 		child->due = true;
 	} else if (index >= child->sent_index) {
@@ -593,6 +604,7 @@
 		set_child_position(child, status);
 		child->due = true;
 	}
+	child->echo_us = MAX(child->echo_us, sent_us);
 	if (is_child_expired(ctx, child))
 		child->due = true;
 	child->heard_us = ctx->now_us;
@@ -626,7 +638,7 @@
 	const Dsp__NodeStatus *status = find_status(report, from->from);
 
 	if (status)
-		update_child(ctx, from, status);
+		update_child(ctx, from, status, report->sent_us);
 	for (size_t i = 0; i < report->n_observed_loads; i++) {
 		keep_observed_load(ctx, report->observed_loads[i]);
 		forward_observed_load(ctx, report->observed_loads[i]);
@@ -763,6 +775,23 @@
 	return true;
 }
 
+/* A lease is for the view that the update leads to. */
+static void accept_lease(struct ctl *ctx, const Dsp__Envelope *from,
+			 const Dsp__ViewUpdate *update)
+{
+	struct lse_grant grant = {
+		.echo_us = from->echo_us,
+		.age_ms = from->lease_age_ms,
+	};
+
+	if (view_index(ctx->view) < update->to_index || ctx->needs_whole_table)
+		return;
+	pthread_mutex_lock(&ctx->lock);
+	lse_accept(&ctx->lease, &ctx->lease_clock, &grant,
+		   view_index(ctx->view), ctx->now_us);
+	pthread_mutex_unlock(&ctx->lock);
+}
+
 static const char *member_address(const Dsp__RaftConfig *config,
 				  const char *node)
 {
@@ -786,6 +815,7 @@
 	ctl_report_set_leader(ctx, update->term, update->leader,
 			      member_address(update->config, update->leader));
 	install_update(ctx, update);
+	accept_lease(ctx, from, update);
 	if (confirm(ctx, update) && !follows_leader(ctx) &&
 	    ctl_up_confirmed(&ctx->up, from->address,
 			     ctx->now_us - ctx->confirmed_us,
@@ -963,11 +993,13 @@
 
 /* Sends an update that others may get, too. The upstream gets it without the
  * confirmation that came from there. */
-static void send_round_update(struct ctl *ctx, const char *address,
+static void send_round_update(struct ctl *ctx, const struct ctl_child *child,
 			      struct round_update *u)
 {
 	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	const char *address = child->address;
 	uint32_t age_ms = u->update->confirmed_age_ms;
+	struct lse_grant grant;
 
 	if (!ctx->ready_leader && ctl_up_is(&ctx->up, address)) {
 		u->update->confirmed_age_ms = UINT32_MAX;
@@ -981,7 +1013,13 @@
 		u->packed = net_pack(ctx->net, &out, &u->len);
 		ctx->updates_packed++;
 	}
-	net_send_packed(ctx->net, address, u->packed, u->len);
+	/* The process may have been stopped since the iteration began. */
+	grant = lse_grant(&ctx->lease, child->echo_us, clk_now_us(ctx->clock));
+	if (grant.echo_us)
+		net_send_packed_lease(ctx->net, address, u->packed, u->len,
+				      grant.echo_us, grant.age_ms);
+	else
+		net_send_packed(ctx->net, address, u->packed, u->len);
 }
 
 static void collect_loads(struct ctl *ctx, struct round *round)
@@ -1044,7 +1082,7 @@
 		child->due = false;
 		child->sent_confirmed_us = ctx->confirmed_us;
 		u = update_for(ctx, &round, child);
-		send_round_update(ctx, child->address, u);
+		send_round_update(ctx, child, u);
 		note_changes_sent(ctx, child);
 	}
 	g_hash_table_destroy(round.updates);
--- a/tests/integration/keys_test.cc
+++ b/tests/integration/keys_test.cc
@@ -2,6 +2,10 @@
 
 #include "tests/platform/system.h"
 
+extern "C" {
+#include "lib_proxy.h"
+}
+
 /*
  * Keys of customers, end to end: who is served, what endpoints are told, and
  * what becomes of a key that an operator takes away.
@@ -221,3 +225,184 @@
 	EXPECT_EQ(requests(a).back().field("X-Key"), KEY);
 	EXPECT_EQ(requests(a).back().field("X-Tenant"), "forged");
 }
+
+namespace
+{
+
+/* One control instance and two entries, with a proxy for the messages in each
+ * direction between the control instance and the first entry. */
+class Revocation : public ::testing::Test
+{
+      protected:
+	static constexpr int REVOKE_MS = 2000;
+	System system{ 1, 2 };
+	Runner a{ "plain", "i-a" };
+	std::vector<uint16_t> ports;
+	struct proxy *up = nullptr, *down = nullptr;
+
+	void SetUp() override
+	{
+		uint16_t to_core = proc_free_port();
+		uint16_t to_entry = proc_free_port();
+
+		for (size_t i = 0; i < 3; i++)
+			ports.push_back(proc_free_port());
+		up = proxy_start(to_core, ports[0]);
+		down = proxy_start(to_entry, ports[1]);
+		write(0, 1, to_entry);
+		write(1, 0, to_core);
+		write(2, 0, 0);
+		system.serve(
+			keyed_table(1, customer("one", KEY) + "," +
+					       customer("two", OTHER_KEY)));
+		if (HasFatalFailure())
+			return;
+		system.add(a, "/open/probe");
+		for (size_t i : { 1, 2 })
+			ASSERT_TRUE(System::eventually([&] {
+				return send(i, KEY) == 200;
+			})) << system.logs();
+	}
+	void TearDown() override
+	{
+		proxy_stop(up);
+		proxy_stop(down);
+	}
+	/* Instance i connects to instance `peer` by a proxy, if one is given.
+	 */
+	void write(size_t i, size_t peer, uint16_t via)
+	{
+		const System::Instance &x = system.instances[i];
+		std::ofstream out(x.settings);
+
+		out << "id = \"" << x.id
+		    << "\"\nsite = \"here\"\nregion = \"region\"\ncontrol = "
+		    << (x.control ? "true" : "false")
+		    << "\ninternal_listen = \"" << internal(i)
+		    << "\"\nhttp_listen = \"" << x.ip << ":1\"\n";
+		if (x.control)
+			out << "data_folder = \"" << x.folder << "\"\n";
+		for (size_t k = 0; k < 3; k++) {
+			out << "[[peer]]\nid = \"" << system.instances[k].id
+			    << "\"\naddress = \"" << internal(k)
+			    << "\"\nsite = \"here\"\ncontrol = "
+			    << (k ? "false" : "true") << "\n";
+			if (via && k == peer)
+				out << "via = \"tcp://127.0.0.1:" << via
+				    << "\"\n";
+		}
+		out << "[timing]\nelection_timeout_ms = 500\n"
+		       "heartbeat_ms = 100\nreport_interval_ms = 200\n"
+		       "node_lease_ms = 2000\nisolated_after_ms = 1500\n"
+		       "endpoint_lease_ms = 3000\n[edge]\nkey_revoke_ms = "
+		    << REVOKE_MS << "\n";
+		if (x.control)
+			out << "control = \"" << x.api << "\"\n";
+		else
+			out << "front = \"" << x.front << "\"\nready = \""
+			    << x.ready << "\"\ndirectory = \"" << x.directory
+			    << "\"\n";
+	}
+	std::string internal(size_t i)
+	{
+		return "tcp://127.0.0.1:" + std::to_string(ports[i]);
+	}
+	/* Status of a request at an entry; 0 without an answer. */
+	int send(size_t i, const char *key, int timeout_ms = 3000)
+	{
+		return call(system.instances[i].front,
+			    request("GET", "/safe/x", "host.example",
+				    with_key(key)),
+			    timeout_ms)
+			.status();
+	}
+	void cut(bool on)
+	{
+		for (struct proxy *p : { up, down }) {
+			proxy_drop(p, PROXY_TO_TARGET, on);
+			proxy_drop(p, PROXY_TO_CLIENT, on);
+			if (!on)
+				proxy_break_open(p);
+		}
+	}
+	/* Removes KEY; returns the time of the acknowledgement in ms. */
+	int64_t remove_key()
+	{
+		EXPECT_EQ(
+			system.put(keyed_table(2, customer("two", OTHER_KEY))),
+			200)
+			<< system.logs();
+		return proc_now_ms();
+	}
+};
+
+} // namespace
+
+/* Guards against an entry that serves a key which was taken away while it was
+ * cut off, and against one that refuses while its view is young. */
+TEST_F(Revocation, EntryThatIsCutOffStopsServing)
+{
+	size_t before, served = 0;
+	int64_t acknowledged;
+
+	cut(true);
+	for (int i = 0; i < 10; i++, usleep(20000))
+		EXPECT_EQ(send(1, KEY), 200) << system.logs();
+	acknowledged = remove_key();
+	EXPECT_TRUE(
+		System::eventually([&] { return send(2, KEY) == 401; }, 2500));
+	while (proc_now_ms() <= acknowledged + REVOKE_MS) {
+		served += send(1, KEY) == 200;
+		usleep(20000);
+	}
+	before = a.n_ran();
+	while (proc_now_ms() <= acknowledged + REVOKE_MS + 2000) {
+		EXPECT_EQ(send(1, KEY), 503);
+		EXPECT_EQ(send(1, OTHER_KEY), 503);
+		usleep(20000);
+	}
+	EXPECT_EQ(a.n_ran(), before);
+	Message refused =
+		call(system.instances[1].front,
+		     request("GET", "/safe/x", "host.example", with_key(KEY)));
+	EXPECT_GT(atof(refused.field("Retry-After").c_str()), 0);
+	cut(false);
+	EXPECT_TRUE(System::eventually([&] { return send(1, KEY) == 401; }))
+		<< system.logs();
+	EXPECT_EQ(send(1, OTHER_KEY), 200);
+	RecordProperty("served_after_acknowledgement", (int)served);
+}
+
+/* Guards against an entry that goes on, after it was stopped, with the view
+ * that it had. The requests are sent while it is stopped and after. */
+TEST_F(Revocation, EntryThatWasStoppedRefusesTheKey)
+{
+	std::vector<std::unique_ptr<Socket>> sockets;
+	size_t before = a.n_ran();
+	int64_t acknowledged;
+
+	for (int i = 0; i < 5; i++) {
+		sockets.push_back(std::make_unique<Socket>());
+		ASSERT_TRUE(
+			sockets.back()->connect_to(system.instances[1].front));
+	}
+	usleep(100000);
+	kill(system.instances[1].pid, SIGSTOP);
+	acknowledged = remove_key();
+	while (proc_now_ms() <= acknowledged + REVOKE_MS)
+		usleep(20000);
+	for (auto &s : sockets)
+		ASSERT_TRUE(s->send(request("GET", "/safe/x", "host.example",
+					    with_key(KEY))));
+	kill(system.instances[1].pid, SIGCONT);
+	for (auto &s : sockets) {
+		Message m;
+
+		EXPECT_TRUE(s->read(&m));
+		EXPECT_TRUE(m.status() == 503 || m.status() == 401) << m.first;
+	}
+	EXPECT_TRUE(System::eventually([&] { return send(1, KEY) == 401; }))
+		<< system.logs();
+	EXPECT_EQ(a.n_ran(), before);
+	EXPECT_EQ(send(1, OTHER_KEY), 200);
+}
--- a/tests/unit/conf_test.cc
+++ b/tests/unit/conf_test.cc
@@ -271,4 +271,16 @@
 	EXPECT_EQ(
 		settings_faults(text + "[timing]\nheartbeat_ms = 400\n").size(),
 		0u + 1u);
+	text += "[timing]\nreport_interval_ms = 400\n";
+	for (const char *good : { "0", "1600", "5000" })
+		EXPECT_TRUE(settings_faults(text + "[edge]\nkey_revoke_ms = " +
+					    good + "\n")
+				    .empty())
+			<< good;
+	for (const char *bad : { "1599", "600001", "-1" })
+		EXPECT_EQ(settings_faults(text + "[edge]\nkey_revoke_ms = " +
+					  bad + "\n")
+				  .size(),
+			  1u)
+			<< bad;
 }
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -194,6 +194,44 @@
 	EXPECT_GE(net_resets(a), 1u);
 }
 
+/* Guards against a lease in a message for another receiver, and against a
+ * message that changes where none is needed. */
+TEST_F(Net, PackedMessageCarriesTheLeaseOfItsReceiverOnly)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__AnswerQuery query = DSP__ANSWER_QUERY__INIT;
+	uint8_t *data;
+	size_t len;
+
+	query.id = 77;
+	out.body_case = DSP__ENVELOPE__BODY_ANSWER_QUERY;
+	out.answer_query = &query;
+	net_tick(a, now);
+	data = net_pack(a, &out, &len);
+	for (uint64_t echo_us : { UINT64_MAX, UINT64_C(5), UINT64_C(0) }) {
+		uint32_t age_ms = echo_us ? UINT32_MAX : 0;
+		Dsp__Envelope *e;
+
+		if (echo_us)
+			net_send_packed_lease(a, address_b.c_str(), data, len,
+					      echo_us, age_ms);
+		else
+			net_send_packed(a, address_b.c_str(), data, len);
+		e = receive_at_b();
+		ASSERT_NE(e, nullptr);
+		EXPECT_EQ(e->echo_us, echo_us);
+		EXPECT_EQ(e->lease_age_ms, age_ms);
+		EXPECT_STREQ(e->from, "a");
+		ASSERT_EQ(e->body_case, DSP__ENVELOPE__BODY_ANSWER_QUERY);
+		EXPECT_EQ(e->answer_query->id, 77u);
+		if (!echo_us) {
+			EXPECT_EQ(dsp__envelope__get_packed_size(e), len);
+		}
+		dsp__envelope__free_unpacked(e, NULL);
+	}
+	g_free(data);
+}
+
 /* Guards against a connection that is replaced, with all that is on its way,
  * because the answer to a ping waits behind a large message. */
 TEST_F(Net, LargeMessageOnItsWayIsNoSilence)
