--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -11027,7 +11027,7 @@
   (ProtobufCMessageInit) dsp__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__quota_ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dsp__quota_ask__field_descriptors[5] =
 {
   {
     "id",
@@ -11077,17 +11077,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__QuotaAsk, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__quota_ask__field_indices_by_name[] = {
   3,   /* field[3] = ahead */
   1,   /* field[1] = customer */
   0,   /* field[0] = id */
   2,   /* field[2] = units */
+  4,   /* field[4] = wait_ms */
 };
 static const ProtobufCIntRange dsp__quota_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dsp__quota_ask__descriptor =
 {
@@ -11097,14 +11110,14 @@
   "Dsp__QuotaAsk",
   "dsp",
   sizeof(Dsp__QuotaAsk),
-  4,
+  5,
   dsp__quota_ask__field_descriptors,
   dsp__quota_ask__field_indices_by_name,
   1,  dsp__quota_ask__number_ranges,
   (ProtobufCMessageInit) dsp__quota_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__quota_return__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dsp__quota_return__field_descriptors[4] =
 {
   {
     "customer",
@@ -11142,16 +11155,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__QuotaReturn, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__quota_return__field_indices_by_name[] = {
   0,   /* field[0] = customer */
+  3,   /* field[3] = id */
   2,   /* field[2] = term */
   1,   /* field[1] = units */
 };
 static const ProtobufCIntRange dsp__quota_return__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dsp__quota_return__descriptor =
 {
@@ -11161,7 +11187,7 @@
   "Dsp__QuotaReturn",
   "dsp",
   sizeof(Dsp__QuotaReturn),
-  3,
+  4,
   dsp__quota_return__field_descriptors,
   dsp__quota_return__field_indices_by_name,
   1,  dsp__quota_return__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1836,10 +1836,14 @@
    * units beyond, for requests expected soon
    */
   uint64_t ahead;
+  /*
+   * longest delay of a grant that is of use
+   */
+  uint32_t wait_ms;
 };
 #define DSP__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__quota_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Dsp__QuotaReturn
@@ -1851,10 +1855,14 @@
    * of the leader that granted them
    */
   uint64_t term;
+  /*
+   * of the ask
+   */
+  uint64_t id;
 };
 #define DSP__QUOTA_RETURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__quota_return__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Dsp__QuotaAsks
