edge, node: requests of customers over their rate get 429

Customers could send any number of requests. The edge thread now takes units for each request of a customer with a rate before its first dispatch; asks go over the control thread to the leader, batched for 2 ms, and grants come back as views do. A request waits for a grant for 0.6 of its objective without a place in the queue. Its units go back if it ran nowhere, and are replaced if it waited in the queue for longer than their lifetime; repeats take none. The leader answers only while no other one can lead, by a clock that is read after the message, and not while it hands over.

Also: a grant due after the end of the wait made the entry's timer run without pause (found by the simulation with 81 entries).

--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -654,6 +654,13 @@
 	return ctx->leader_contact;
 }
 
+/* Returns whether this leader is handing over its leadership: the other one may
+ * lead at any time. */
+bool raft_is_transferring(const struct raft *ctx)
+{
+	return ctx->transfer_to != 0;
+}
+
 /*
  * Returns when a quorum last answered this leader: the sending time of the
  * message that was answered, in microseconds; 0 when it does not lead or no
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -114,6 +114,8 @@
 bool raft_is_ready_leader(const struct raft *ctx);
 /* Time of the last message from another replica that leads, or of the start. */
 int64_t raft_leader_contact_us(const struct raft *ctx);
+/* Whether this leader is handing over its leadership. */
+bool raft_is_transferring(const struct raft *ctx);
 /* On the leader: time of the last contact with a quorum. */
 int64_t raft_quorum_contact_us(const struct raft *ctx);
 
--- a/src/core/tok.c
+++ b/src/core/tok.c
@@ -518,7 +518,6 @@
 		item->customer->refs--;
 	item->customer = NULL;
 	item->n_parts = 0;
-	item->state = TOK_NONE;
 }
 
 /* Records that a request was sent for the first time. */
@@ -529,6 +528,7 @@
 		item->customer->counts.served++;
 	}
 	release(item);
+	item->state = TOK_NONE;
 }
 
 /* Ends a request that ran nowhere or does not wait any more; no effect after
@@ -546,6 +546,7 @@
 		add_lot(ctx, item->customer, &item->parts[i], item->usable_us,
 			now_us);
 	release(item);
+	item->state = TOK_NONE;
 }
 
 /* ---- Answers ---- */
@@ -769,10 +770,12 @@
 	if (ctx->returns_due_us)
 		due_us = MIN(due_us, ctx->returns_due_us);
 	TAILQ_FOREACH (item, &ctx->waiting, link) {
+		if (item->n_parts) {
+			due_us = MIN(due_us, item->usable_us);
+			continue;
+		}
 		due_us = MIN(due_us, item->give_up_us);
-		due_us =
-			MIN(due_us, item->n_parts ? item->usable_us
-						  : item->asked_us + REPEAT_US);
+		due_us = MIN(due_us, item->asked_us + REPEAT_US);
 	}
 	return due_us;
 }
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -83,6 +83,7 @@
 	ctx->base = event_base_new();
 	ctx->mem = hio_mem_new(
 		(size_t)(settings->edge.memory_mb * MB_BYTES * BUFFERED_SHARE));
+	ctx->quota = edge_quota_new(ctx);
 	return ctx;
 }
 
@@ -91,6 +92,7 @@
 {
 	if (!ctx)
 		return;
+	edge_quota_free(ctx->quota);
 	if (ctx->wake)
 		event_free(ctx->wake);
 	if (ctx->tick)
@@ -167,6 +169,26 @@
 	pthread_mutex_unlock(&ctx->lock);
 }
 
+static void quota_granted(void *data, const Dsp__QuotaGrants *grants)
+{
+	struct edge *ctx = data;
+
+	pthread_mutex_lock(&ctx->lock);
+	edge_quota_receive(ctx->quota, grants);
+	wake(ctx);
+	pthread_mutex_unlock(&ctx->lock);
+}
+
+static void quota_leader_changed(void *data)
+{
+	struct edge *ctx = data;
+
+	pthread_mutex_lock(&ctx->lock);
+	edge_quota_leader_changed(ctx->quota);
+	wake(ctx);
+	pthread_mutex_unlock(&ctx->lock);
+}
+
 static uint32_t streams(void *data)
 {
 	return edge_in_flight(data);
@@ -182,6 +204,8 @@
 		.demand = demand_reported,
 		.pace = pace_reported,
 		.observed_load = load_observed,
+		.quota_grants = quota_granted,
+		.quota_leader = quota_leader_changed,
 	};
 }
 
@@ -212,6 +236,7 @@
 	else
 		ctx->routes = rtab_new(table);
 	ctx->table = table;
+	edge_quota_set_table(ctx->quota, table);
 	took_us = clk_now_us(ctx->clock) - start_us;
 	met_count(ctx->met, "dandelionspar_edge_routes_indexed", "", indexed);
 	met_observe_us(ctx->met, "dandelionspar_edge_table_apply_us", "",
@@ -330,6 +355,7 @@
 		begin_drain(ctx);
 	if (view)
 		apply_view(ctx, view);
+	edge_quota_process(ctx->quota);
 	process_loads(ctx);
 	fwd_run_held(ctx);
 	process_reports(ctx);
@@ -408,6 +434,7 @@
 	met_gauge(ctx->met, "dandelionspar_edge_connections_reused", "",
 		  (int64_t)counts.reused);
 	hio_mem_set_gauges(ctx->mem, ctx->met);
+	edge_quota_set_gauges(ctx->quota);
 	if (ctx->front)
 		met_gauge(ctx->met, "dandelionspar_edge_callers_connected", "",
 			  (int64_t)hio_server_connections(ctx->front));
@@ -425,6 +452,7 @@
 		set_gauges(ctx);
 	}
 	update_repeat_share(ctx);
+	edge_quota_tick(ctx->quota);
 	hio_mem_trim(ctx->mem);
 	fwd_run_held(ctx);
 	if (ctx->agent)
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -10,6 +10,7 @@
 #include "core/rep.h"
 #include "core/rtab.h"
 #include "core/sus.h"
+#include "core/tok.h"
 #include "edge/edge.h"
 #include "http/hio.h"
 #include "platform/wire.h"
@@ -25,6 +26,7 @@
 struct fwd;
 struct agent;
 struct edge_parts;
+struct edge_quota;
 
 /* A request that is held until the first confirmed view. */
 struct fwd_held {
@@ -117,6 +119,7 @@
 	int64_t drain_start_us; /* when the drain began */
 	struct agent *agent;
 	struct edge_parts *parts;
+	struct edge_quota *quota;
 };
 
 /* edge.c */
@@ -135,6 +138,25 @@
 		     const char *source);
 void edge_report_limit(Dsp__LoadReport *report, const struct wire_hint *hint);
 
+/* edge_quota.c */
+struct edge_quota *edge_quota_new(struct edge *edge);
+void edge_quota_free(struct edge_quota *ctx);
+void edge_quota_receive(struct edge_quota *ctx, const Dsp__QuotaGrants *grants);
+void edge_quota_leader_changed(struct edge_quota *ctx);
+void edge_quota_process(struct edge_quota *ctx);
+void edge_quota_set_table(struct edge_quota *ctx, const Dsp__RouteTable *table);
+void edge_quota_tick(struct edge_quota *ctx);
+enum tok_state edge_quota_take(struct edge_quota *ctx, struct tok_item *item,
+			       const Dsp__Customer *customer,
+			       const struct wire_request *request,
+			       int64_t wait_us);
+bool edge_quota_keep(struct edge_quota *ctx, struct tok_item *item);
+void edge_quota_end(struct edge_quota *ctx, struct tok_item *item, bool ran);
+int64_t edge_quota_retry_us(struct edge_quota *ctx, const char *customer,
+			    int64_t room_us);
+int64_t edge_quota_grant_age_us(const struct edge_quota *ctx);
+void edge_quota_set_gauges(struct edge_quota *ctx);
+
 /* edge_call.c */
 /* Submits a command on a separate thread; done runs on the edge thread. Takes
  * ownership of the command. */
@@ -206,6 +228,7 @@
 	FWD_DENIED,
 	FWD_LATER, /* the endpoint or the run of another one prevents it */
 };
+void fwd_quota_decided(struct tok_item *item);
 void fwd_crash_checked(struct edge_prompt *prompt, bool crashed);
 void fwd_trial_decided(struct edge_prompt *prompt, enum fwd_trial outcome);
 void fwd_request(void *data, struct hio_exchange *exchange);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -46,6 +46,12 @@
 #define CALLER_STALL_OBJECTIVES 4
 #define CALLER_STALL_GAPS 8
 #define RESUME_PREFILL_US 500000
+/* Wait for a grant, as a part of the latency objective. Grants are answered
+ * within milliseconds; a new leader takes about a second. */
+#define QUOTA_WAIT_SHARE 0.6
+#define QUOTA_WAIT_MIN_US 60000
+#define QUOTA_WAIT_MAX_US 1000000
+#define NO_GRANT_RETRY_US (EDGE_S_US / 2)
 /* Poll interval of the queue when no event frees capacity. */
 #define QUEUE_POLL_US 25000
 /* Requests tried in one run of the queue. */
@@ -129,8 +135,9 @@
 	int64_t objective_us;
 	int64_t gap_us;
 	uint64_t table_number;
-	bool keyed;	/* the table has customers */
-	char *customer; /* owner of its key; NULL: it has no valid one */
+	bool keyed;	       /* the table has customers */
+	char *customer;	       /* owner of its key; NULL: it has no valid one */
+	struct tok_item quota; /* of the customer */
 
 	int64_t start_us;
 	int64_t deadline_us;  /* deadline of the caller or the route */
@@ -250,6 +257,7 @@
 	event_free(f->timer);
 	release_trial_endpoint(f);
 	edge_parts_forget(&f->prompt);
+	edge_quota_end(f->edge->quota, &f->quota, f->runs > 0);
 	wire_request_clear(&f->request);
 	while (!LIST_EMPTY(&f->attempts))
 		attempt_free(LIST_FIRST(&f->attempts));
@@ -316,6 +324,20 @@
 		end_attempt(LIST_FIRST(&f->attempts), BAL_CANCELLED);
 }
 
+static void count_customer(const struct fwd *f, const char *outcome,
+			   const char *reason)
+{
+	char labels[256];
+
+	if (!f->customer)
+		return;
+	g_snprintf(labels, sizeof(labels),
+		   "customer=\"%s\",outcome=\"%s\",reason=\"%s\"", f->customer,
+		   outcome, reason);
+	met_count(f->edge->met, "dandelionspar_edge_customer_requests", labels,
+		  1);
+}
+
 /* Logs one line for each request: the decisions and the outcome. */
 static void log_end(const struct fwd *f, const char *outcome, int status,
 		    const char *reason)
@@ -327,6 +349,7 @@
 		   "route=\"%s\",outcome=\"%s\",reason=\"%s\"", f->route,
 		   outcome, reason);
 	met_count(f->edge->met, "dandelionspar_edge_requests", labels, 1);
+	count_customer(f, outcome, reason);
 	g_snprintf(labels, sizeof(labels), "route=\"%s\"", f->route);
 	met_observe_us(f->edge->met, "dandelionspar_edge_request_us", labels,
 		       took_us);
@@ -388,9 +411,9 @@
 
 	cancel_attempts(f);
 	log_end(f,
-		f->headers_sent ? "broken"
-		: status == 503 ? "refused"
-				: "failed",
+		f->headers_sent			 ? "broken"
+		: status == 503 || status == 429 ? "refused"
+						 : "failed",
 		f->headers_sent ? 0 : status, reason);
 	if (f->headers_sent)
 		hio_reply_abort(f->exchange);
@@ -1226,6 +1249,11 @@
 	if (choice.outcome != BAL_CHOSEN)
 		return enqueue_or_refuse(f, &choice);
 	adm_remove(f->edge->queue, &f->item);
+	if (!f->runs && !edge_quota_keep(f->edge->quota, &f->quota)) {
+		/* Its units became too old in the queue. */
+		set_timer_at(f, f->deadline_us);
+		return false;
+	}
 	if (decision.action == SUS_TRY)
 		ask_for_trial(f, choice.endpoint, &decision);
 	else
@@ -1280,7 +1308,8 @@
 		give_up(f, -1, "deadline");
 		return;
 	}
-	if (f->item.queued || f->broken_reason || f->trial_endpoint) {
+	if (f->item.queued || f->broken_reason || f->trial_endpoint ||
+	    f->quota.state == TOK_WAITING || f->quota.decided) {
 		set_timer_at(f, f->deadline_us);
 		return;
 	}
@@ -1460,6 +1489,74 @@
 	return false;
 }
 
+static int64_t quota_wait_us(const struct fwd *f)
+{
+	return CLAMP((int64_t)(QUOTA_WAIT_SHARE * (double)f->objective_us),
+		     QUOTA_WAIT_MIN_US, QUOTA_WAIT_MAX_US);
+}
+
+/* Refuses a request that is over the limit of its customer. */
+static void refuse_over_limit(struct fwd *f)
+{
+	int64_t retry_us = edge_quota_retry_us(f->edge->quota, f->customer,
+					       f->quota.retry_us);
+
+	LOG_EVENT_INFO("fwd", "over_limit",
+		       "request=%s customer=%s units=%" PRIu64
+		       " room_us=%" PRId64 " retry_us=%" PRId64
+		       " grant_age_us=%" PRId64 " table=%" G_GUINT64_FORMAT,
+		       log_id(f), f->customer, f->quota.units,
+		       f->quota.retry_us, retry_us,
+		       edge_quota_grant_age_us(f->edge->quota),
+		       f->table_number);
+	reply_failure(f, 429, retry_us, "over_limit");
+}
+
+static void refuse_no_grant(struct fwd *f)
+{
+	LOG_EVENT_INFO(
+		"fwd", "no_grant",
+		"request=%s customer=%s units=%" PRIu64 " waited_us=%" PRId64
+		" grant_age_us=%" PRId64 " view_age_us=%" PRId64,
+		log_id(f), f->customer, f->quota.units, now_of(f) - f->start_us,
+		edge_quota_grant_age_us(f->edge->quota),
+		ctl_state(f->edge->ctl).stale_us);
+	reply_failure(f, 503, NO_GRANT_RETRY_US, "no_grant");
+}
+
+/* Goes on with a request after its units were taken, or could not be. */
+static void go_on(struct fwd *f, enum tok_state state)
+{
+	switch (state) {
+	case TOK_NONE:
+	case TOK_HELD:
+		dispatch(f);
+		break;
+	case TOK_WAITING:
+		set_timer_at(f, f->deadline_us);
+		break;
+	case TOK_DENIED:
+		refuse_over_limit(f);
+		break;
+	case TOK_NO_GRANT:
+		refuse_no_grant(f);
+		break;
+	}
+}
+
+/* Goes on with a request that has waited for units of its customer. */
+void fwd_quota_decided(struct tok_item *item)
+{
+	struct fwd *f =
+		(struct fwd *)((char *)item - offsetof(struct fwd, quota));
+	char label[160];
+
+	g_snprintf(label, sizeof(label), "customer=\"%s\"", f->customer);
+	met_observe_us(f->edge->met, "dandelionspar_edge_quota_wait_us", label,
+		       now_of(f) - item->begun_us);
+	go_on(f, item->state);
+}
+
 /* Routes a caller's request and dispatches it. */
 static void begin_request(struct edge *ctx, struct hio_exchange *exchange,
 			  int64_t arrived_us)
@@ -1501,7 +1598,8 @@
 	if (f->engine)
 		edge_count_demand(ctx, f->request.model, f->request.adapter,
 				  false);
-	dispatch(f);
+	go_on(f, edge_quota_take(ctx->quota, &f->quota, customer, &f->request,
+				 quota_wait_us(f)));
 }
 
 /* Holds a request until this instance has a confirmed view. */
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -46,6 +46,9 @@
 	case CTL_JOB_PART_EVIDENCE:
 		dsp__part_evidence__free_unpacked(job->evidence, NULL);
 		break;
+	case CTL_JOB_QUOTA_ASKS:
+		dsp__quota_asks__free_unpacked(job->quota_asks, NULL);
+		break;
 	case CTL_JOB_SEEDS:
 		g_strfreev(job->seeds);
 		break;
@@ -175,7 +178,11 @@
 		ctl_call_answer(ctx, e->answer_reply);
 		break;
 	case DSP__ENVELOPE__BODY_QUOTA_ASKS:
+		ctl_quota_asked(ctx, e, e->quota_asks);
+		break;
 	case DSP__ENVELOPE__BODY_QUOTA_GRANTS:
+		ctl_quota_granted(ctx, e->quota_grants);
+		break;
 	case DSP__ENVELOPE__BODY_PROMPT_ASKS:
 	case DSP__ENVELOPE__BODY_PROMPT_SLOTS:
 	case DSP__ENVELOPE__BODY_PROMPT_SENDS:
@@ -256,6 +263,9 @@
 	case CTL_JOB_PART_EVIDENCE:
 		ctl_parts_add(ctx, job->evidence);
 		break;
+	case CTL_JOB_QUOTA_ASKS:
+		ctl_quota_send(ctx, job->quota_asks);
+		break;
 	case CTL_JOB_DRAIN:
 		ctl_report_schedule(ctx, 0);
 		transfer_leadership(ctx);
@@ -361,6 +371,7 @@
 	ctl_call_run(ctx);
 	ctl_raft_run(ctx);
 	publish_leadership(ctx);
+	ctl_quota_run(ctx);
 	ctl_order_run(ctx);
 	ctl_report_publish(ctx);
 	ctl_raft_confirm(ctx);
@@ -556,6 +567,8 @@
 	g_strfreev(ctx->seeds);
 	g_free(ctx->leader_node);
 	g_free(ctx->leader_address);
+	quo_free(ctx->quo);
+	g_free(ctx->quota_leader);
 	ctl_up_clear(&ctx->up);
 	pthread_mutex_destroy(&ctx->lock);
 	g_free(ctx);
@@ -669,6 +682,16 @@
 	ctl_post(ctx, job);
 }
 
+/* Sends asks to the leader; callable from any thread. Takes the message. */
+void ctl_quota_ask(struct ctl *ctx, Dsp__QuotaAsks *asks)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_QUOTA_ASKS;
+	job->quota_asks = asks;
+	ctl_post(ctx, job);
+}
+
 /* Takes the instance off the entry list and transfers leadership; callable from
  * any thread. */
 void ctl_drain(struct ctl *ctx)
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -40,6 +40,10 @@
 	/* Called on the leader only; may be NULL. */
 	void (*demand)(void *data, const Dsp__Demand *demand);
 	void (*pace)(void *data, const Dsp__Pace *pace);
+	/* Answer of the leader to ctl_quota_ask(); may be NULL. */
+	void (*quota_grants)(void *data, const Dsp__QuotaGrants *grants);
+	/* Another instance leads; may be NULL. */
+	void (*quota_leader)(void *data);
 };
 
 /* The instance's own leadership as the control thread knows it. */
@@ -87,6 +91,8 @@
 void ctl_pace(struct ctl *ctx, const Dsp__Pace *pace);
 void ctl_observed_load(struct ctl *ctx, const Dsp__LoadReport *report);
 void ctl_part_evidence(struct ctl *ctx, const Dsp__PartEvidence *evidence);
+/* Takes the message. */
+void ctl_quota_ask(struct ctl *ctx, Dsp__QuotaAsks *asks);
 void ctl_drain(struct ctl *ctx); /* takes the instance off the entry list */
 /* Uses the seeds of changed settings from now on. */
 void ctl_reload(struct ctl *ctx, const struct set *settings);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -7,6 +7,7 @@
 #include "core/occ.h"
 #include "core/pev.h"
 #include "core/plc.h"
+#include "core/quo.h"
 #include "core/raft.h"
 #include "core/st.h"
 #include "net/net.h"
@@ -87,6 +88,7 @@
 	CTL_JOB_PACE,
 	CTL_JOB_OBSERVED_LOAD,
 	CTL_JOB_PART_EVIDENCE,
+	CTL_JOB_QUOTA_ASKS,
 	CTL_JOB_ORDER,
 	CTL_JOB_DRAIN,
 	CTL_JOB_SEEDS,
@@ -103,6 +105,7 @@
 		Dsp__Pace *pace;
 		Dsp__LoadReport *load;
 		Dsp__PartEvidence *evidence;
+		Dsp__QuotaAsks *quota_asks;
 		char **seeds; /* owned */
 		struct {
 			uint64_t id;
@@ -356,6 +359,11 @@
 	int64_t spread_since_us; /* start of its distribution */
 	enum ctl_spread spread;
 	struct ctl_held_results held_results; /* oldest first */
+	struct quo *quo;		      /* NULL: no table had customers */
+	uint64_t quota_table;		      /* index of the table in quo */
+
+	char *quota_leader; /* last leader told to the traffic thread; "":
+			       this instance; NULL: none */
 
 	int64_t metrics_due_us;
 };
@@ -457,6 +465,14 @@
 void ctl_parts_committed(struct ctl *ctx, Dsp__PartEvidence *evidence,
 			 const Dsp__CommandResult *result);
 
+/* ctl_quota.c */
+void ctl_quota_send(struct ctl *ctx, Dsp__QuotaAsks *asks);
+void ctl_quota_asked(struct ctl *ctx, const Dsp__Envelope *from,
+		     const Dsp__QuotaAsks *asks);
+void ctl_quota_granted(struct ctl *ctx, const Dsp__QuotaGrants *grants);
+void ctl_quota_run(struct ctl *ctx);
+void ctl_quota_metrics(struct ctl *ctx);
+
 /* ctl_spread.c */
 void ctl_spread_start(struct ctl *ctx);
 void ctl_spread_stop(struct ctl *ctx);
--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -364,6 +364,7 @@
 	if (!ctx->met || ctx->now_us < ctx->metrics_due_us)
 		return;
 	ctx->metrics_due_us = ctx->now_us + METRICS_INTERVAL_US;
+	ctl_quota_metrics(ctx);
 	gauge(ctx, "dandelionspar_net_sent_bytes", net_bytes_sent(ctx->net));
 	gauge(ctx, "dandelionspar_net_received_bytes",
 	      net_bytes_received(ctx->net));
--- a/tests/unit/quota_sim_test.cc
+++ b/tests/unit/quota_sim_test.cc
@@ -506,8 +506,11 @@
 		case TOK_DENIED:
 			out.denied++;
 			break;
-		default:
+		case TOK_NO_GRANT:
 			out.no_grant++;
+			break;
+		default:
+			ADD_FAILURE() << "state " << item->state;
 		}
 		entries[i].requests.erase(r);
 	}
