core/loc, bal: endpoints of other sites cost what their bytes are worth

Entries chose endpoints of all sites alike, so most bytes crossed sites though the own one had room.

Off when not set.

--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -113,6 +113,10 @@
 	  .default_value = 1 },
 	{ "memory_mb", OPT_NUMBER, AT(memory_mb), .min = 64, .max = 1048576,
 	  .default_value = 256 },
+	{ "site_ms_per_kb", OPT_NUMBER, AT(site_ms_per_kb), .min = 0,
+	  .max = 1000, .default_value = 0 },
+	{ "site_leave_share", OPT_NUMBER, AT(site_leave_share), .min = 0,
+	  .max = 1, .default_value = 0.5 },
 };
 
 #undef AT
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -41,6 +41,11 @@
 	 * still send orders. */
 	uint32_t order_lease_ms;
 	double memory_mb; /* that the process may use */
+	/* Waiting time of a request that a kilobyte between sites is worth; 0:
+	 * endpoints of all sites are alike. */
+	double site_ms_per_kb;
+	/* Of an entry's requests, those that may leave its site at most. */
+	double site_leave_share;
 	/* Limit of planned loads, as a multiple of the store's loads_per_s. */
 	double store_excess;
 };
--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -110,6 +110,7 @@
 	int64_t avoid_until_us;
 	int64_t full_until_us; /* it refused a request as full */
 	bool replaced;	       /* another process uses its address */
+	bool had_local;	       /* at its last choice: one of the own site */
 	struct hint hint;
 	struct lim lim;
 };
@@ -122,8 +123,9 @@
 	double plain_ms; /* average time to the first byte, plain endpoints */
 	unsigned entry_index; /* of this instance, by view order */
 	unsigned entries;
-	bool listed; /* this instance is one of them */
-	char *self;  /* id of this instance; NULL: no view yet */
+	bool listed;	 /* this instance is one of them */
+	char *self;	 /* id of this instance; NULL: no view yet */
+	struct loc *loc; /* NULL: all sites are alike */
 };
 
 static void endpoint_free(void *data)
@@ -159,10 +161,25 @@
 		endpoint_free(e);
 	g_hash_table_destroy(ctx->endpoints);
 	view_unref(ctx->view);
+	loc_free(ctx->loc);
 	g_free(ctx->self);
 	g_free(ctx);
 }
 
+/* Has endpoints of other sites cost what their bytes are worth. */
+void bal_set_locality(struct bal *ctx, const struct loc_options *options)
+{
+	loc_free(ctx->loc);
+	ctx->loc = options->ms_per_kb > 0 ? loc_new(options) : NULL;
+}
+
+/* Returns the share of the requests of the last second that left the site,
+ * though an endpoint there could have taken them. */
+double bal_leaving_share(struct bal *ctx, int64_t now_us)
+{
+	return ctx->loc ? loc_leaving_share(ctx->loc, now_us) : 0;
+}
+
 static struct bal_endpoint *endpoint_new(const Dsp__Endpoint *msg)
 {
 	struct bal_endpoint *e = g_new0(struct bal_endpoint, 1);
@@ -194,6 +211,8 @@
 		if (!strcmp(node->id, self)) {
 			ctx->entry_index = ctx->entries;
 			ctx->listed = true;
+			if (ctx->loc)
+				loc_set_site(ctx->loc, node->site);
 		}
 		ctx->entries++;
 	}
@@ -282,7 +301,8 @@
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
 	       int64_t now_us)
 {
-	(void)ctx;
+	if (ctx->loc && e->msg)
+		loc_sent(ctx->loc, e->msg->site, e->had_local, now_us);
 	hint_sent(&e->hint, now_us);
 	lim_sent(&e->lim, now_us);
 	e->sends_us[e->n_sends++ % RECENT_SENDS] = now_us;
@@ -321,6 +341,8 @@
 	double first_ms = (double)first_us / 1000;
 
 	end_prefill(e, tokens);
+	if (ctx->loc && e->msg)
+		loc_reached(ctx->loc, e->msg->site);
 	update_average(&e->first_ms, first_ms);
 	if (!e->msg || e->msg->kind == DSP__ENDPOINT_KIND__ENDPOINT_SERVICE)
 		update_average(&ctx->plain_ms, first_ms);
@@ -386,7 +408,6 @@
 void bal_end(struct bal *ctx, struct bal_endpoint *e, enum bal_result result,
 	     uint32_t unread_tokens, int64_t now_us)
 {
-	(void)ctx;
 	if (e->in_flight)
 		e->in_flight--;
 	if (unread_tokens)
@@ -403,6 +424,8 @@
 			back_off(e, now_us);
 		break;
 	case BAL_UNREACHED:
+		if (ctx->loc && e->msg)
+			loc_unreached(ctx->loc, e->msg->site, e->id, now_us);
 		e->failure_share += AVERAGE_WEIGHT * (1 - e->failure_share);
 		back_off(e, now_us);
 		break;
@@ -721,6 +744,42 @@
 	return e->prefill_tokens + query->tokens <= PREFILL_TOKENS_MAX;
 }
 
+static bool is_full(const struct bal_endpoint *e, const struct bal_query *query,
+		    int64_t now_us)
+{
+	return now_us < e->full_until_us || hint_is_spaced(&e->hint, now_us) ||
+	       load_of(e, now_us) >= capacity_of(e, query->model);
+}
+
+/* Returns whether an endpoint of the own site can take the request. */
+static bool has_local(const struct bal *ctx, const struct candidates *list,
+		      const struct bal_query *query, int64_t now_us)
+{
+	for (size_t i = 0; i < list->n; i++)
+		if (loc_is_own(ctx->loc, list->all[i]->msg->site) &&
+		    !is_full(list->all[i], query, now_us))
+			return true;
+	return false;
+}
+
+/* What an endpoint's site means for a request. Without an endpoint of the own
+ * site it may leave anyhow. */
+static struct loc_offer site_offer(const struct bal *ctx,
+				   const struct bal_endpoint *e,
+				   const struct bal_query *query, bool local,
+				   int64_t now_us)
+{
+	struct loc_offer offer = { .allowed = true };
+
+	if (!ctx->loc)
+		return offer;
+	offer = loc_offer(ctx->loc, e->msg->site,
+			  load_of(e, now_us) / MAX(e->msg->max_batch, 1),
+			  query->bytes, now_us);
+	offer.allowed = offer.allowed || !local;
+	return offer;
+}
+
 static struct bal_endpoint *lowest_cost(const struct bal *ctx,
 					const struct candidates *list,
 					const struct bal_query *query,
@@ -729,17 +788,20 @@
 {
 	struct bal_endpoint *best = NULL;
 	double least = INFINITY; /* including endpoints busy with prefill */
+	bool local = ctx->loc && has_local(ctx, list, query, now_us);
 
 	choice->outcome = BAL_FULL;
 	for (size_t i = 0; i < list->n; i++) {
 		struct bal_endpoint *e = list->all[i];
+		struct loc_offer offer;
 		double cost;
 
-		if (now_us < e->full_until_us ||
-		    hint_is_spaced(&e->hint, now_us) ||
-		    load_of(e, now_us) >= capacity_of(e, query->model))
+		if (is_full(e, query, now_us))
+			continue;
+		offer = site_offer(ctx, e, query, local, now_us);
+		if (!offer.allowed)
 			continue;
-		cost = cost_of(ctx, list, i, query, now_us);
+		cost = cost_of(ctx, list, i, query, now_us) + offer.cost_ms;
 		least = MIN(least, cost);
 		if (!may_prefill(ctx, e, query, now_us)) {
 			if (!best)
@@ -748,6 +810,10 @@
 		}
 		if (!best || cost < choice->cost_ms) {
 			best = e;
+			best->had_local = local;
+			choice->leaves_site =
+				ctx->loc && !loc_is_own(ctx->loc, e->msg->site);
+			choice->site_cost_ms = offer.cost_ms;
 			choice->cost_ms = cost;
 			choice->outcome = BAL_CHOSEN;
 		}
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -6,6 +6,7 @@
 
 #include "core/hint.h"
 #include "core/lim.h"
+#include "core/loc.h"
 #include "core/view.h"
 
 /*
@@ -25,6 +26,7 @@
 	uint32_t tokens;     /* of the prompt; 0: plain service */
 	uint32_t events;     /* expected in the answer; 0: no stream */
 	uint64_t prefix;     /* hash of the shared prompt prefix; 0: none */
+	uint32_t bytes;	     /* expected of request and answer */
 	int64_t gap_objective_us; /* limit between events; 0: none */
 	int64_t remaining_us;	  /* until the deadline; 0: none */
 	bool may_wait;		  /* may wait for a better endpoint */
@@ -50,6 +52,8 @@
 	double cost_ms;	     /* expected time to first byte plus penalties */
 	double load_age_s;   /* age of the last load report; below 0: none */
 	int64_t retry_us;    /* other outcomes: when to retry */
+	bool leaves_site;    /* BAL_CHOSEN: endpoint of another site */
+	double site_cost_ms; /* part of cost_ms for that */
 	unsigned candidates; /* usable, with the model and adapter */
 	unsigned paused;     /* of them: want no requests now */
 	unsigned limited;    /* of the paused: by a limit that they named */
@@ -70,6 +74,7 @@
 void bal_free(struct bal *ctx);
 
 /* Commands. */
+void bal_set_locality(struct bal *ctx, const struct loc_options *options);
 void bal_set_view(struct bal *ctx, struct view *view, const char *self);
 unsigned bal_entries(const struct bal *ctx);
 bool bal_is_entry(const struct bal *ctx); /* the view lists this instance */
@@ -103,6 +108,7 @@
 			     int64_t now_us);
 enum hint_bar bal_bar(const struct bal *ctx, const char *id,
 		      uint64_t incarnation, int64_t now_us);
+double bal_leaving_share(struct bal *ctx, int64_t now_us);
 const struct lim *bal_limit(const struct bal *ctx, const char *id);
 bool bal_is_prefilling(const struct bal_endpoint *e);
 const char *bal_id(const struct bal_endpoint *e);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -71,6 +71,12 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctx->view = view_new_empty();
 	ctx->bal = bal_new();
+	bal_set_locality(
+		ctx->bal,
+		&(struct loc_options){
+			.ms_per_kb = settings->edge.site_ms_per_kb,
+			.leave_share_max = settings->edge.site_leave_share,
+		});
 	ctx->queue = adm_new();
 	rep_share_init(&ctx->repeat_share,
 		       settings->edge.repeat_settle_ms * 1000LL,
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -66,6 +66,10 @@
 /* Limit of an incomplete event of a stream; events hold a few tokens. */
 #define EVENT_MAX_BYTES (256 << 10)
 #define RETRY_AFTER_JITTER 0.5
+/* Usual size of the heads of a request and its answer, and of an event, for the
+ * price of bytes between sites. */
+#define HEADS_BYTES 1024
+#define EVENT_BYTES 128
 /* Bounds of the time after which a request with a part in doubt may return, and
  * that time while another run of the part decides. */
 #define PART_RETRY_MIN_US 200000
@@ -1073,6 +1077,13 @@
 	return true;
 }
 
+/* Bytes of the request and of the expected answer. */
+static uint32_t expected_bytes(const struct fwd *f)
+{
+	return HEADS_BYTES + hio_exchange_request(f->exchange)->body->len +
+	       EVENT_BYTES * f->events_expected;
+}
+
 static struct bal_choice choose_endpoint(const struct fwd *f)
 {
 	struct bal_query query = {
@@ -1082,6 +1093,7 @@
 		.tokens = f->request.tokens_in,
 		.events = f->events_expected,
 		.prefix = f->request.prefix,
+		.bytes = expected_bytes(f),
 		.gap_objective_us = f->gap_us,
 		.remaining_us = f->deadline_us - now_of(f),
 		.may_wait = f->engine &&
@@ -1111,12 +1123,19 @@
 
 	send_to(f, choice->endpoint);
 	count_load_age(f, choice);
+	if (f->edge->set->edge.site_ms_per_kb > 0)
+		met_count(f->edge->met, "dandelionspar_edge_sends",
+			  choice->leaves_site ? "site=\"other\""
+					      : "site=\"own\"",
+			  1);
 	LOG_EVENT_INFO("fwd", "send",
 		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
-		       "load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
+		       "load=%.1f load_age_s=%.2f leaves_site=%d "
+		       "site_cost_ms=%.1f view=%" G_GUINT64_FORMAT
 		       " view_age_us=%" PRId64 " left_us=%" PRId64,
 		       log_id(f), bal_id(choice->endpoint), choice->candidates,
 		       choice->cost_ms, choice->load, choice->load_age_s,
+		       choice->leaves_site, choice->site_cost_ms,
 		       view_index(f->edge->view),
 		       ctl_state(f->edge->ctl).stale_us, left_us);
 }
