edge, node: endpoints announce themselves to entries of their site

At 3,000 endpoints a few control instances with 0.15 of a core spend their processor time on announcements and on the connections for them.

From 256 endpoints on, the answer of a control instance names an entry of the endpoint's site, chosen by rendezvous hash, which takes the later announcements and passes them on with its reports. Not measured yet.

--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -91,6 +91,7 @@
 	{ "directory", OPT_IP_PORT, AT(directory) },
 	{ "control", OPT_IP_PORT, AT(control) },
 	{ "metrics", OPT_IP_PORT, AT(metrics) },
+	{ "announce", OPT_IP_PORT, AT(announce) },
 	{ "entry_validity_s", OPT_U32, AT(entry_validity_s), .min = 1,
 	  .max = 3600, .default_value = 3 },
 	{ "drain_limit_ms", OPT_U32, AT(drain_limit_ms), .min = 100,
@@ -323,5 +324,6 @@
 	g_free(ctx->edge.directory);
 	g_free(ctx->edge.control);
 	g_free(ctx->edge.metrics);
+	g_free(ctx->edge.announce);
 	g_free(ctx);
 }
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -25,6 +25,8 @@
 	char *directory; /* IP:PORT for entry lists; NULL: none */
 	char *control;	 /* IP:PORT for endpoints and operators; NULL: none */
 	char *metrics;	 /* IP:PORT; NULL: none */
+	char *announce; /* IP:PORT for endpoints that were sent here; NULL: none
+			 */
 	uint32_t entry_validity_s;
 	uint32_t drain_limit_ms; /* from the signal to the end of the process */
 	uint32_t start_wait_ms;	 /* longest wait of a request for a view */
--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -1,6 +1,7 @@
 #include "edge/edge_int.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/log.h"
 #include "base/msg.h"
@@ -24,6 +25,8 @@
 /* Endpoints time out after one second. */
 #define LEAVE_TIMEOUT_US 900000
 #define ENTRIES_MAX 64
+/* Endpoints up to which control instances take all announcements themselves. */
+#define ANNOUNCE_HERE_MAX 256
 
 static void reply_text(struct hio_exchange *exchange, int status,
 		       const char *type, const char *body)
@@ -121,6 +124,44 @@
 	return false;
 }
 
+/* Returns where the endpoint should announce itself from now on: at an entry of
+ * its site, so that a few control instances need not read the announcements of
+ * thousands of endpoints. NULL: here. */
+static const char *announce_elsewhere(struct edge *ctx,
+				      const Dsp__Endpoint *endpoint)
+{
+	const char *best = NULL;
+	uint64_t best_rank = 0;
+
+	if (ctx->set->edge.announce ||
+	    view_n_endpoints(ctx->view) < ANNOUNCE_HERE_MAX)
+		return NULL;
+	for (size_t i = 0; i < view_n_nodes(ctx->view); i++) {
+		const Dsp__Node *node = view_node_at(ctx->view, i);
+		uint64_t rank;
+
+		if (!node->announce_address[0] || node->down ||
+		    node->draining || strcmp(node->site, endpoint->site) != 0)
+			continue;
+		rank = XXH3_64bits_withSeed(node->id, strlen(node->id),
+					    g_str_hash(endpoint->id));
+		if (best && rank <= best_rank)
+			continue;
+		best = node->announce_address;
+		best_rank = rank;
+	}
+	return best;
+}
+
+static void reply_announced(struct edge *ctx, struct hio_exchange *exchange,
+			    const Dsp__Endpoint *endpoint)
+{
+	char *body = wire_write_announced(announce_elsewhere(ctx, endpoint));
+
+	reply_text(exchange, 200, "application/json", body);
+	g_free(body);
+}
+
 static void announce(struct edge *ctx, struct hio_exchange *exchange,
 		     const char *id)
 {
@@ -147,7 +188,7 @@
 	else if (a->leaving)
 		commit_leaving(ctx, exchange, a->endpoint);
 	else
-		reply_text(exchange, 200, "application/json", "{}");
+		reply_announced(ctx, exchange, a->endpoint);
 	ctl_announce(ctx->ctl, a);
 	dsp__announcement__free_unpacked(a, NULL);
 }
@@ -373,15 +414,16 @@
 	       open_server(ctx, set->directory, &calls, &ctx->directory, err) &&
 	       open_server(ctx, set->control, &calls, &ctx->control, err) &&
 	       open_server(ctx, set->front, &front, &ctx->front, err) &&
+	       open_server(ctx, set->announce, &calls, &ctx->announce, err) &&
 	       open_server(ctx, set->metrics, &metrics, &ctx->metrics, err);
 }
 
 /* Closes all listening sockets and connections. */
 void edge_api_close(struct edge *ctx)
 {
-	struct hio_server **servers[] = { &ctx->front, &ctx->ready,
+	struct hio_server **servers[] = { &ctx->front,	   &ctx->ready,
 					  &ctx->directory, &ctx->control,
-					  &ctx->metrics };
+					  &ctx->announce,  &ctx->metrics };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
 		hio_server_free(*servers[i]);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -96,6 +96,7 @@
 	struct hio_server *directory;
 	struct hio_server *control;
 	struct hio_server *metrics;
+	struct hio_server *announce;
 	struct hio_client *client;
 	struct event *tick;
 	struct view *view;
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -100,7 +100,8 @@
 	       a->down == b->down && !strcmp(a->site, b->site) &&
 	       !strcmp(a->region, b->region) &&
 	       !strcmp(a->internal_address, b->internal_address) &&
-	       !strcmp(a->http_address, b->http_address);
+	       !strcmp(a->http_address, b->http_address) &&
+	       !strcmp(a->announce_address, b->announce_address);
 }
 
 /* Logs a message that is taken for one of a process that has ended. */
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -366,6 +366,8 @@
 	node->http_address = set->http_advertise ? set->http_advertise : "";
 	if (set->has_edge)
 		node->http_address = set->edge.front ? set->edge.front : "";
+	if (set->has_edge && set->edge.announce)
+		node->announce_address = set->edge.announce;
 	node->weight = set->weight;
 	node->control = set->control;
 	node->draining = ctl_is_draining(ctx);
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -5525,7 +5525,7 @@
   (ProtobufCMessageInit) dsp__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__node__field_descriptors[11] =
+static const ProtobufCFieldDescriptor dsp__node__field_descriptors[12] =
 {
   {
     "id",
@@ -5659,8 +5659,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "announce_address",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, announce_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__node__field_indices_by_name[] = {
+  11,   /* field[11] = announce_address */
   1,   /* field[1] = boot */
   7,   /* field[7] = control */
   9,   /* field[9] = down */
@@ -5677,7 +5690,7 @@
 {
   { 1, 0 },
   { 40, 10 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor dsp__node__descriptor =
 {
@@ -5687,7 +5700,7 @@
   "Dsp__Node",
   "dsp",
   sizeof(Dsp__Node),
-  11,
+  12,
   dsp__node__field_descriptors,
   dsp__node__field_indices_by_name,
   2,  dsp__node__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -564,10 +564,14 @@
    * Newest format of log entries that it reads. 1: RouteTableChangePut.
    */
   uint32_t log_format;
+  /*
+   * IP:PORT for announcements; empty: none
+   */
+  char *announce_address;
 };
 #define DSP__NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__node__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Dsp__Order
