node, net, raft: consensus messages come first, and short stalls are not silence

A leader of 3,000 endpoints lost its leadership every second: its process got no processor time for some hundred milliseconds, and the quorum check ran before the answers that had come meanwhile were read. These waited behind the reports of all instances.

Received messages now wait in three lanes, undecoded: consensus, others, reports. The control thread takes the contact with a quorum from all consensus messages (raft_read_contact()) before it advances the time. The check itself does not change: the contact is the sending time of what was answered, so a stall of an election timeout ends the leadership at once, and a leader that is cut off steps down as before. Beyond 2,048 messages or 8 MB that wait, the oldest reports are dropped; their senders repeat them.

Ruled out: some heartbeats of grace after a stall. A leader that is cut off and stalls then leads longer than raft_sim_test allows, even with a quarter of a heartbeat (five replicas, a cut leader frozen for 114 ms).

--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -77,6 +77,9 @@
 /* Commands. */
 void raft_tick(struct raft *ctx, int64_t now_us);
 void raft_step(struct raft *ctx, const Dsp__RaftMessage *msg, int64_t now_us);
+/* Before raft_step() or raft_tick() with a later time, for all messages that
+ * have arrived. */
+void raft_read_contact(struct raft *ctx, const Dsp__RaftMessage *msg);
 /* Returns the log index, or 0 when this replica is not leader. */
 uint64_t raft_propose(struct raft *ctx, const uint8_t *data, size_t len);
 /* Changes one voter at most; returns 0 when not leader or another change is
--- a/src/core/raft_replicate.c
+++ b/src/core/raft_replicate.c
@@ -365,18 +365,49 @@
 		raft_send_transfer(ctx, peer);
 }
 
+/* Takes the sending time of the message that an append reply answers as the
+ * last contact with the peer. */
+static void record_contact(struct raft *ctx, struct raft_peer *peer,
+			   const Dsp__AppendReply *reply)
+{
+	int64_t sent = (int64_t)(reply->sequence >> RAFT_SEQUENCE_BITS);
+
+	if (sent > peer->contact_us && sent <= ctx->now)
+		peer->contact_us = sent;
+}
+
+/*
+ * Takes the contact with a quorum from a message that has arrived, without
+ * handling it. A leader whose process stood still calls this for all messages
+ * that came meanwhile before raft_step() or raft_tick() with the new time: its
+ * own stall does not mean that the others are silent. A stall of an election
+ * timeout or longer still ends the leadership, since the messages that were
+ * answered are older than that.
+ */
+void raft_read_contact(struct raft *ctx, const Dsp__RaftMessage *msg)
+{
+	struct raft_peer *peer;
+
+	if (ctx->disabled || ctx->role != RAFT_LEADER ||
+	    msg->body_case != DSP__RAFT_MESSAGE__BODY_APPEND_REPLY ||
+	    msg->group != ctx->options.group ||
+	    msg->to != ctx->options.replica || msg->term != ctx->term)
+		return;
+	peer = raft_find_peer(ctx, msg->from);
+	if (peer)
+		record_contact(ctx, peer, msg->append_reply);
+}
+
 /* Handles a follower's append reply of the current term. */
 void raft_handle_append_reply(struct raft *ctx, const Dsp__RaftMessage *msg)
 {
 	const Dsp__AppendReply *reply = msg->append_reply;
 	struct raft_peer *peer = raft_find_peer(ctx, msg->from);
 	uint64_t hint;
-	int64_t sent = (int64_t)(reply->sequence >> RAFT_SEQUENCE_BITS);
 
 	if (ctx->role != RAFT_LEADER || !peer)
 		return;
-	if (sent > peer->contact_us && sent <= ctx->now)
-		peer->contact_us = sent;
+	record_contact(ctx, peer, reply);
 	if (reply->success) {
 		uint64_t next = peer->next;
 
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -33,6 +33,11 @@
  * a network outage may still hang after the outage. */
 #define CONNECT_TIMEOUT_MS 1000
 #define UNUSED_CLOSE_US 60000000
+/* Received messages that wait, in number and bytes. Beyond it the oldest
+ * reports are dropped: their senders repeat them each few hundred
+ * milliseconds, and a leader that lags behind by seconds serves nobody. */
+#define WAITING_MESSAGES_MAX 2048
+#define WAITING_BYTES_MAX (8 << 20)
 
 /* A message queued until its connection opens. */
 struct queued_message {
@@ -57,7 +62,25 @@
 	bool sent_since_ping; /* idle connections are not pinged */
 };
 
+/* Order in which received messages are handled. */
+enum lane {
+	LANE_CONSENSUS,
+	LANE_OTHER,
+	LANE_REPORTS,
+	N_LANES,
+};
+
+/* A received message that waits. */
+struct received_message {
+	STAILQ_ENTRY(received_message) link;
+	zmq_msg_t body;
+};
+STAILQ_HEAD(received_queue, received_message);
+
 struct net {
+	struct received_queue lanes[N_LANES];
+	size_t n_waiting;
+	size_t waiting_bytes;
 	void *zmq;	      /* owned */
 	void *router;	      /* owned */
 	char *node;	      /* owned */
@@ -70,6 +93,7 @@
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
 	uint64_t malformed;
+	uint64_t shed;
 	uint64_t dropped;
 	uint64_t resets;
 	uint64_t probes;
@@ -127,6 +151,8 @@
 {
 	struct net *ctx = g_new0(struct net, 1);
 
+	for (int i = 0; i < N_LANES; i++)
+		STAILQ_INIT(&ctx->lanes[i]);
 	ctx->zmq = zmq_ctx_new();
 	zmq_ctx_set(ctx->zmq, ZMQ_MAX_SOCKETS, 4096);
 	ctx->router = zmq_socket(ctx->zmq, ZMQ_ROUTER);
@@ -148,11 +174,25 @@
 	return ctx;
 }
 
+static void drop_first_received(struct net *ctx, enum lane lane)
+{
+	struct received_message *m = STAILQ_FIRST(&ctx->lanes[lane]);
+
+	STAILQ_REMOVE_HEAD(&ctx->lanes[lane], link);
+	ctx->n_waiting--;
+	ctx->waiting_bytes -= zmq_msg_size(&m->body);
+	zmq_msg_close(&m->body);
+	g_free(m);
+}
+
 /* Closes all sockets; messages that were not sent are dropped. */
 void net_free(struct net *ctx)
 {
 	if (!ctx)
 		return;
+	for (int i = 0; i < N_LANES; i++)
+		while (!STAILQ_EMPTY(&ctx->lanes[i]))
+			drop_first_received(ctx, (enum lane)i);
 	g_hash_table_destroy(ctx->peers);
 	g_hash_table_destroy(ctx->routes);
 	if (ctx->router)
@@ -354,7 +394,7 @@
 		g_array_append_val(items, item);
 	}
 	zmq_poll((zmq_pollitem_t *)items->data, (int)items->len,
-		 (timeout_us + 999) / 1000);
+		 ctx->n_waiting ? 0 : (timeout_us + 999) / 1000);
 	g_array_free(items, TRUE);
 	g_hash_table_iter_init(&iter, ctx->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&p))
@@ -435,11 +475,70 @@
 		zmq_send(ctx->router, "", 0, ZMQ_DONTWAIT);
 }
 
-/*
- * Receives one multipart message. Returns false when there is none; otherwise
- * *out is the envelope, or NULL for a ping or a malformed message.
- */
-static bool receive_one(struct net *ctx, Dsp__Envelope **out)
+/* Reads a number in protobuf's variable-length encoding at *at, and moves *at
+ * past it. Returns false at the end of the data. */
+static bool read_varint(const uint8_t *data, size_t len, size_t *at,
+			uint64_t *out)
+{
+	*out = 0;
+	for (unsigned shift = 0; shift < 64 && *at < len; shift += 7) {
+		uint8_t byte = data[(*at)++];
+
+		*out |= (uint64_t)(byte & 0x7f) << shift;
+		if (!(byte & 0x80))
+			return true;
+	}
+	return false;
+}
+
+/* Returns the lane of an encoded envelope by the number of its body's field. It
+ * is decoded only when its turn comes. */
+static enum lane lane_of(const uint8_t *data, size_t len)
+{
+	size_t at = 0;
+	uint64_t tag;
+	uint64_t value;
+
+	while (read_varint(data, len, &at, &tag)) {
+		if (tag >> 3 == DSP__ENVELOPE__BODY_RAFT)
+			return LANE_CONSENSUS;
+		if (tag >> 3 == DSP__ENVELOPE__BODY_REPORT)
+			return LANE_REPORTS;
+		if (((tag & 7) != 0 && (tag & 7) != 2) ||
+		    !read_varint(data, len, &at, &value))
+			break;
+		if ((tag & 7) == 2) {
+			if (value > len - at)
+				break;
+			at += (size_t)value;
+		}
+	}
+	return LANE_OTHER;
+}
+
+/* Adds a message to its lane; takes body. */
+static void add_received(struct net *ctx, zmq_msg_t *body)
+{
+	struct received_message *m = g_new0(struct received_message, 1);
+	size_t len = zmq_msg_size(body);
+	enum lane lane = lane_of(zmq_msg_data(body), len);
+
+	zmq_msg_init(&m->body);
+	zmq_msg_move(&m->body, body);
+	STAILQ_INSERT_TAIL(&ctx->lanes[lane], m, link);
+	ctx->n_waiting++;
+	ctx->waiting_bytes += len;
+	while ((ctx->n_waiting > WAITING_MESSAGES_MAX ||
+		ctx->waiting_bytes > WAITING_BYTES_MAX) &&
+	       !STAILQ_EMPTY(&ctx->lanes[LANE_REPORTS])) {
+		drop_first_received(ctx, LANE_REPORTS);
+		ctx->shed++;
+	}
+}
+
+/* Receives one multipart message into its lane and answers a ping. Returns
+ * false when there is none. */
+static bool receive_one(struct net *ctx)
 {
 	zmq_msg_t identity;
 	zmq_msg_t body;
@@ -447,7 +546,6 @@
 	int parts = 1;
 	bool more;
 
-	*out = NULL;
 	zmq_msg_init(&identity);
 	zmq_msg_init(&body);
 	if (zmq_msg_recv(&identity, ctx->router, ZMQ_DONTWAIT) < 0) {
@@ -466,37 +564,73 @@
 	}
 	len = zmq_msg_size(&body);
 	ctx->bytes_received += len;
-	if (parts == 2 && !len) {
+	if (parts == 2 && !len)
 		reply_to_ping(ctx, &identity);
-	} else {
-		if (parts == 2)
-			*out = dsp__envelope__unpack(NULL, len,
-						     zmq_msg_data(&body));
-		if (*out &&
-		    ((*out)->body_case == DSP__ENVELOPE__BODY__NOT_SET ||
-		     !(*out)->from[0] || !(*out)->address[0])) {
-			dsp__envelope__free_unpacked(*out, NULL);
-			*out = NULL;
-		}
-		if (!*out)
-			ctx->malformed++;
-	}
+	else if (parts == 2)
+		add_received(ctx, &body);
+	else
+		ctx->malformed++;
 	zmq_msg_close(&identity);
 	zmq_msg_close(&body);
 	return true;
 }
 
-/* Returns the next received message, or NULL when there is none; free it with
- * dsp__envelope__free_unpacked(). Malformed messages are counted and dropped.
+/* Decodes the first message of a lane and removes it. Returns NULL if it is
+ * malformed. */
+static Dsp__Envelope *take_received(struct net *ctx, enum lane lane)
+{
+	struct received_message *m = STAILQ_FIRST(&ctx->lanes[lane]);
+	Dsp__Envelope *e = dsp__envelope__unpack(NULL, zmq_msg_size(&m->body),
+						 zmq_msg_data(&m->body));
+
+	drop_first_received(ctx, lane);
+	if (e && (e->body_case == DSP__ENVELOPE__BODY__NOT_SET || !e->from[0] ||
+		  !e->address[0])) {
+		dsp__envelope__free_unpacked(e, NULL);
+		e = NULL;
+	}
+	if (!e)
+		ctx->malformed++;
+	return e;
+}
+
+/* Moves what the sockets have received to the lanes. */
+static void receive_waiting(struct net *ctx)
+{
+	for (int i = 0; i < WAITING_MESSAGES_MAX; i++)
+		if (!receive_one(ctx))
+			return;
+}
+
+static Dsp__Envelope *receive_from(struct net *ctx, int n_lanes)
+{
+	for (int lane = 0; lane < n_lanes; lane++)
+		while (!STAILQ_EMPTY(&ctx->lanes[lane])) {
+			Dsp__Envelope *e = take_received(ctx, (enum lane)lane);
+
+			if (e)
+				return e;
+		}
+	return NULL;
+}
+
+/*
+ * Returns the next received message, or NULL when there is none; free it with
+ * dsp__envelope__free_unpacked(). Messages of the consensus protocol come first
+ * and reports last, so that elections and proposals do not wait behind the
+ * reports of all instances. Malformed messages are counted and dropped.
  */
 Dsp__Envelope *net_receive(struct net *ctx)
 {
-	Dsp__Envelope *envelope;
+	receive_waiting(ctx);
+	return receive_from(ctx, N_LANES);
+}
 
-	while (receive_one(ctx, &envelope))
-		if (envelope)
-			return envelope;
-	return NULL;
+/* As net_receive(), for messages of the consensus protocol only. */
+Dsp__Envelope *net_receive_consensus(struct net *ctx)
+{
+	receive_waiting(ctx);
+	return receive_from(ctx, LANE_CONSENSUS + 1);
 }
 
 /* Closes the connections to a peer and drops its queued messages; the next send
@@ -528,6 +662,12 @@
 	return ctx->malformed;
 }
 
+/* Returns how many received reports were dropped because too many waited. */
+uint64_t net_shed(const struct net *ctx)
+{
+	return ctx->shed;
+}
+
 /* Returns how many messages were dropped before they were sent. */
 uint64_t net_dropped(const struct net *ctx)
 {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -44,12 +44,14 @@
 void net_wait(struct net *ctx, int wake_fd, int64_t timeout_us);
 void net_tick(struct net *ctx, int64_t now_us);
 Dsp__Envelope *net_receive(struct net *ctx);
+Dsp__Envelope *net_receive_consensus(struct net *ctx);
 void net_reset(struct net *ctx, const char *address);
 
 /* Queries. */
 uint64_t net_bytes_sent(const struct net *ctx);
 uint64_t net_bytes_received(const struct net *ctx);
 uint64_t net_malformed(const struct net *ctx);
+uint64_t net_shed(const struct net *ctx);
 uint64_t net_dropped(const struct net *ctx);
 uint64_t net_resets(const struct net *ctx);
 uint64_t net_probes(const struct net *ctx);
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -185,10 +185,32 @@
 	}
 }
 
+/* Handles all messages of the consensus protocol. The contact with a quorum is
+ * taken from all of them first, since this process may have stood still while
+ * they came. */
+static void receive_consensus(struct ctl *ctx)
+{
+	GPtrArray *received = g_ptr_array_new();
+	Dsp__Envelope *e;
+
+	while (received->len < BATCH_MAX &&
+	       (e = net_receive_consensus(ctx->net))) {
+		if (ctx->raft && e->body_case == DSP__ENVELOPE__BODY_RAFT)
+			raft_read_contact(ctx->raft, e->raft);
+		g_ptr_array_add(received, e);
+	}
+	for (guint i = 0; i < received->len; i++) {
+		handle_message(ctx, received->pdata[i]);
+		dsp__envelope__free_unpacked(received->pdata[i], NULL);
+	}
+	g_ptr_array_free(received, TRUE);
+}
+
 static void receive_messages(struct ctl *ctx)
 {
 	Dsp__Envelope *e;
 
+	receive_consensus(ctx);
 	for (int i = 0; i < BATCH_MAX; i++) {
 		e = net_receive(ctx->net);
 		if (!e)
--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -369,6 +369,7 @@
 	      net_bytes_received(ctx->net));
 	gauge(ctx, "dandelionspar_net_malformed", net_malformed(ctx->net));
 	gauge(ctx, "dandelionspar_net_dropped", net_dropped(ctx->net));
+	gauge(ctx, "dandelionspar_net_reports_shed", net_shed(ctx->net));
 	gauge(ctx, "dandelionspar_net_resets", net_resets(ctx->net));
 	gauge(ctx, "dandelionspar_net_probes", net_probes(ctx->net));
 	gauge(ctx, "dandelionspar_updates_packed", ctx->updates_packed);
--- a/tests/unit/raft_test.cc
+++ b/tests/unit/raft_test.cc
@@ -15,7 +15,10 @@
       public:
 	explicit Replica(const Members &members, uint64_t term = 0,
 			 uint64_t voted_for = 0,
-			 const std::vector<uint64_t> &entry_terms = {})
+			 const std::vector<uint64_t> &entry_terms = {},
+			 int64_t election_timeout = timeout,
+			 int64_t heartbeat = 40 * ms)
+	    : election(election_timeout)
 	{
 		struct raft_options options = {};
 		struct raft_durable_state durable = {};
@@ -32,8 +35,8 @@
 		options.replica = 1;
 		options.group = 99;
 		options.seed = 5;
-		options.election_timeout_us = timeout;
-		options.heartbeat_us = 40 * ms;
+		options.election_timeout_us = election;
+		options.heartbeat_us = heartbeat;
 		options.max_batch_bytes = 100000;
 		durable.term = term;
 		durable.voted_for = voted_for;
@@ -130,6 +133,18 @@
 		raft_step(raft, &msg, now);
 	}
 
+	void read_contact(uint64_t from, uint64_t term, int64_t sent)
+	{
+		Dsp__RaftMessage msg = message(from, term);
+		Dsp__AppendReply body = DSP__APPEND_REPLY__INIT;
+
+		body.success = true;
+		body.sequence = (uint64_t)sent << 12;
+		msg.body_case = DSP__RAFT_MESSAGE__BODY_APPEND_REPLY;
+		msg.append_reply = &body;
+		raft_read_contact(raft, &msg);
+	}
+
 	void append(uint64_t from, uint64_t term, uint64_t sequence,
 		    uint64_t prev_index = 0, uint64_t prev_term = 0,
 		    const std::vector<uint64_t> &entry_terms = {},
@@ -176,7 +191,7 @@
 	{
 		uint64_t term = raft_term(raft) + 1;
 
-		now += 2 * timeout;
+		now += 2 * election;
 		raft_tick(raft, now);
 		for (uint64_t voter : voters)
 			reply_vote(voter, term, true);
@@ -190,6 +205,7 @@
 	}
 
 	struct raft *raft;
+	int64_t election;
 	int64_t now = 1000 * ms;
 	int batches = 0;
 	size_t appended = 0;
@@ -345,6 +361,62 @@
 	EXPECT_EQ(raft_commit_index(r.raft), 0u);
 }
 
+/*
+ * Guards against leaders that end their own leadership because their process
+ * got no processor time: a new leader at 3,000 endpoints proposes thousands of
+ * commands and then stands still. The answers that came meanwhile count; a
+ * stall of an election timeout or longer still ends the leadership.
+ */
+TEST(Raft, ShortStallOfTheLeaderIsNotSilenceOfTheOthers)
+{
+	const std::string route(300, 'r');
+
+	for (bool read : { true, false }) {
+		Replica r(three, 0, 0, {}, 500 * ms, 120 * ms);
+
+		r.win_election({ 2 });
+		ASSERT_EQ(r.role(), RAFT_LEADER);
+		r.flush();
+		r.acknowledge(2, 1, 1, r.now);
+		for (int i = 0; i < 2000; i++)
+			ASSERT_NE(raft_propose(r.raft,
+					       (const uint8_t *)route.data(),
+					       route.size()),
+				  0u);
+		r.now += 170 * ms;
+		raft_tick(r.raft, r.now);
+		r.flush();
+		int64_t sent = r.now;
+		r.now += 340 * ms;
+		if (read)
+			r.read_contact(2, 1, sent);
+		raft_tick(r.raft, r.now);
+		ASSERT_EQ(r.role() == RAFT_LEADER, read);
+		r.acknowledge(2, 1, 2001, sent);
+		EXPECT_EQ(raft_commit_index(r.raft), read ? 2001u : 1u);
+	}
+}
+
+/* Guards the bound above against answers that a frozen leader finds: they do
+ * not prolong its leadership, and neither do those of another term. */
+TEST(Raft, AnswersDoNotProlongALongStall)
+{
+	Replica r(three, 0, 0, {}, 500 * ms, 120 * ms);
+
+	r.win_election({ 2 });
+	ASSERT_EQ(r.role(), RAFT_LEADER);
+	r.flush();
+	int64_t sent = r.now;
+	r.now += 100 * ms;
+	raft_tick(r.raft, r.now);
+	r.read_contact(2, 2, r.now);
+	r.now += 400 * ms;
+	r.read_contact(2, 1, sent);
+	r.read_contact(2, 1, r.now);
+	raft_tick(r.raft, r.now);
+	EXPECT_NE(r.role(), RAFT_LEADER);
+}
+
 /* Guards against an election that is won by outdated votes, which were queued
  * while the candidate was frozen. */
 TEST(Raft, VotesAfterTheEndOfAnElectionDoNotCount)
