core, edge: work for each endpoint does not grow with their number

A put of an endpoint compared its address with those of all others, twice: at 3,000 endpoints 18 million comparisons on each replica at the start. The state now finds the endpoints at an address by hash. Each control instance read what all engines hold from each new view, several times a second while endpoints load adapters. Views share unchanged records, so records of the view before are skipped, unless the route table or the leadership changed meanwhile.

--- a/src/core/st.c
+++ b/src/core/st.c
@@ -32,6 +32,9 @@
 	ctx->tombstone_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	ctx->document_by_team = g_hash_table_new(g_str_hash, g_str_equal);
 	ctx->endpoint_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	ctx->endpoints_by_address =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
 	ctx->node_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	ctx->order_by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ctx->reservation_by_key =
@@ -56,6 +59,7 @@
 	g_hash_table_destroy(ctx->tombstone_by_id);
 	g_hash_table_destroy(ctx->document_by_team);
 	g_hash_table_destroy(ctx->endpoint_by_id);
+	g_hash_table_destroy(ctx->endpoints_by_address);
 	g_hash_table_destroy(ctx->node_by_id);
 	g_hash_table_destroy(ctx->order_by_id);
 	g_hash_table_destroy(ctx->reservation_by_key);
--- a/src/core/st_endpoint.c
+++ b/src/core/st_endpoint.c
@@ -40,6 +40,32 @@
 	return g_hash_table_lookup(ctx->endpoint_by_id, id);
 }
 
+/* Adds the endpoint to those at its address. */
+static void address_link(struct st *ctx, struct endpoint *ep)
+{
+	const char *address = ep->msg->address;
+	GPtrArray *at = g_hash_table_lookup(ctx->endpoints_by_address, address);
+
+	if (!at) {
+		at = g_ptr_array_new();
+		g_hash_table_insert(ctx->endpoints_by_address,
+				    g_strdup(address), at);
+	}
+	g_ptr_array_add(at, ep);
+}
+
+/* Removes the endpoint from those at its address; call it before the address
+ * changes. */
+static void address_unlink(struct st *ctx, struct endpoint *ep)
+{
+	const char *address = ep->msg->address;
+	GPtrArray *at = g_hash_table_lookup(ctx->endpoints_by_address, address);
+
+	g_ptr_array_remove(at, ep);
+	if (!at->len)
+		g_hash_table_remove(ctx->endpoints_by_address, address);
+}
+
 /* Adds an endpoint record with a copy of msg and no reservations. */
 struct endpoint *endpoint_new(struct st *ctx, const Dsp__Endpoint *msg,
 			      uint64_t index)
@@ -55,6 +81,7 @@
 	TAILQ_INIT(&ep->pending);
 	TAILQ_INSERT_TAIL(&ctx->endpoints, ep, link);
 	g_hash_table_insert(ctx->endpoint_by_id, ep->msg->id, ep);
+	address_link(ctx, ep);
 	item_insert(ctx, &ep->item, DSP__VIEW_RECORD__BODY_ENDPOINT,
 		    ep->msg->id, ep->msg, index);
 	return ep;
@@ -66,6 +93,7 @@
 	ord_free_reservations(ctx, ep);
 	item_remove(ctx, &ep->item, leave_tombstone);
 	g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
+	address_unlink(ctx, ep);
 	TAILQ_REMOVE(&ctx->endpoints, ep, link);
 	dsp__endpoint__free_unpacked(ep->msg, NULL);
 	g_array_free(ep->old_incarnations, TRUE);
@@ -162,7 +190,9 @@
 	    ep->msg->max_batch == msg->max_batch && ep->msg->role == msg->role)
 		return unchanged(ctx, ep);
 	set_state(ctx, ep, state);
+	address_unlink(ctx, ep);
 	st_replace_string(&ep->msg->address, msg->address);
+	address_link(ctx, ep);
 	st_replace_string(&ep->msg->site, msg->site);
 	ep->msg->max_batch = msg->max_batch;
 	ep->msg->role = msg->role;
@@ -184,6 +214,7 @@
 		ep->n_used = copy->accelerators;
 	}
 	g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
+	address_unlink(ctx, ep);
 	/* The copies are set from the reservations. */
 	for (size_t i = 0; i < copy->n_copies; i++)
 		dsp__copy__free_unpacked(copy->copies[i], NULL);
@@ -195,6 +226,7 @@
 	ep->item.msg = &copy->base;
 	ep->item.key = copy->id;
 	g_hash_table_insert(ctx->endpoint_by_id, copy->id, ep);
+	address_link(ctx, ep);
 }
 
 static struct retired_incarnation *retired_find(const struct endpoint *ep,
@@ -300,13 +332,14 @@
 static void mark_others_at_address_down(struct st *ctx,
 					const struct endpoint *current)
 {
-	struct endpoint *ep;
+	const GPtrArray *at = g_hash_table_lookup(ctx->endpoints_by_address,
+						  current->msg->address);
+
+	for (guint i = 0; i < at->len; i++) {
+		struct endpoint *ep = at->pdata[i];
 
-	TAILQ_FOREACH (ep, &ctx->endpoints, link) {
 		if (ep == current ||
-		    strcmp(ep->msg->address, current->msg->address))
-			continue;
-		if (ep->msg->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN)
+		    ep->msg->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN)
 			continue;
 		set_state(ctx, ep, DSP__ENDPOINT_STATE__ENDPOINT_DOWN);
 		item_touch(ctx, &ep->item);
@@ -317,13 +350,16 @@
 static bool address_has_newer_endpoint(const struct st *ctx,
 				       const Dsp__Endpoint *msg)
 {
-	const struct endpoint *ep;
+	const GPtrArray *at =
+		g_hash_table_lookup(ctx->endpoints_by_address, msg->address);
+
+	for (guint i = 0; at && i < at->len; i++) {
+		const struct endpoint *ep = at->pdata[i];
 
-	TAILQ_FOREACH (ep, &ctx->endpoints, link)
 		if (strcmp(ep->msg->id, msg->id) &&
-		    !strcmp(ep->msg->address, msg->address) &&
 		    ep->msg->incarnation > msg->incarnation)
 			return true;
+	}
 	return false;
 }
 
@@ -354,11 +390,13 @@
 			return unchanged(ctx, ep);
 		copy = msg_dup(&next);
 		g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
+		address_unlink(ctx, ep);
 		dsp__endpoint__free_unpacked(ep->msg, NULL);
 		ep->msg = copy;
 		ep->item.msg = &copy->base;
 		ep->item.key = copy->id;
 		g_hash_table_insert(ctx->endpoint_by_id, copy->id, ep);
+		address_link(ctx, ep);
 		item_touch(ctx, &ep->item);
 	}
 	ep->down_ms = 0;
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -173,6 +173,7 @@
 
 	TAILQ_HEAD(, endpoint) endpoints;
 	GHashTable *endpoint_by_id;
+	GHashTable *endpoints_by_address; /* owned address -> GPtrArray */
 	TAILQ_HEAD(, node) nodes;
 	GHashTable *node_by_id;
 
--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -70,6 +70,9 @@
 	uint64_t incarnation;
 	bool usable;
 	bool in_view; /* in the current view */
+	/* Its record in the current view; NULL: to be read again. Views share
+	 * unchanged records. */
+	const Dsp__Endpoint *msg;
 	enum engine_state state;
 	uint64_t sequence;
 	int64_t poll_us; /* time of the next state request; INT64_MAX: none */
@@ -872,6 +875,7 @@
 			e->state = UNKNOWN;
 			e->order_in_term = false;
 			e->poll_us = now_us;
+			e->msg = NULL;
 		}
 	}
 	if (!active)
@@ -918,6 +922,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
 		struct res *planner = planner_of(ctx, e->service);
 
+		e->msg = NULL;
 		if (planner && e->order.kind != RES_NONE)
 			e->order_mb = MAX(e->order_mb,
 					  res_size_mb(planner, e->order.item));
@@ -948,6 +953,10 @@
 {
 	struct engine *e = g_hash_table_lookup(ctx->engines, msg->id);
 
+	if (e && e->msg == msg) {
+		e->in_view = true;
+		return;
+	}
 	if (e && (e->incarnation != msg->incarnation ||
 		  strcmp(e->address, msg->address) != 0 ||
 		  strcmp(e->service, msg->service) != 0)) {
@@ -964,6 +973,7 @@
 		g_hash_table_insert(ctx->engines, e->id, e);
 		set_residents(e, msg->copies, msg->n_copies);
 	}
+	e->msg = msg;
 	e->in_view = true;
 	e->usable = msg->state == DSP__ENDPOINT_STATE__ENDPOINT_UP;
 	/* While the sender is active, only the engine's reported state counts:
