node, base: traffic and work of control instances at 3,000 endpoints

At 299 machines each control instance sent 5.8 MB/s and used most of its processor share.

- Updates of 4 KB and more are compressed, once for all children (PackedUpdate, to those whose status has reads_packed).
A whole view had 1.1 to 1.5 MB.
- Instances without a confirmed view queried all control instances, and each sent them the view and all loads.
- Loads in the updates of a round are bounded for all children together.
- Views and updates are 20 to 150 ms apart with more than 256 endpoints, except route tables and leaving endpoints, which are acknowledged only once the entries have them.
- With more than 256 endpoints messages are collected for 5 ms before an iteration; leases are checked twice a second; the edge thread is woken once for many loads; entries are searched for a late table only if there is one.
- A put of a sequenced endpoint is not proposed again before it is applied.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 BUILD ?= build
 CC ?= gcc
 CXX ?= g++
-PKGS = glib-2.0 jansson libprotobuf-c libzmq libcurl libxxhash libevent libevent_pthreads
+PKGS = glib-2.0 jansson libprotobuf-c libzmq libcurl libxxhash libevent libevent_pthreads zlib
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 WARN = -Wall -Wextra -Werror -Wno-missing-field-initializers
--- a/src/core/st.h
+++ b/src/core/st.h
@@ -49,6 +49,7 @@
 bool st_same_copies(const Dsp__Endpoint *a, const Dsp__Endpoint *b);
 const Dsp__Endpoint *st_endpoint(const struct st *ctx, const char *id);
 size_t st_endpoints(const struct st *ctx, const Dsp__Endpoint ***out);
+const Dsp__Node *st_node(const struct st *ctx, const char *id);
 size_t st_nodes(const struct st *ctx, const Dsp__Node ***out);
 size_t st_orders_pending(const struct st *ctx, const Dsp__Order ***out);
 const Dsp__Order *st_order(const struct st *ctx, uint64_t id);
--- a/src/core/st_endpoint.c
+++ b/src/core/st_endpoint.c
@@ -608,6 +608,14 @@
 	}
 }
 
+/* Returns an instance, or NULL. */
+const Dsp__Node *st_node(const struct st *ctx, const char *id)
+{
+	const struct node *node = node_find(ctx, id);
+
+	return node ? node->msg : NULL;
+}
+
 /* Lists all instances, including those that are down. */
 size_t st_nodes(const struct st *ctx, const Dsp__Node ***out)
 {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -159,11 +159,13 @@
 	struct edge *ctx = data;
 
 	pthread_mutex_lock(&ctx->lock);
+	/* The thread takes all at once, and the first one has woken it. */
+	if (!ctx->loads_in->len)
+		wake(ctx);
 	if (ctx->loads_in->len < LOADS_IN_MAX)
 		g_ptr_array_add(ctx->loads_in, msg_dup(load));
 	else
 		met_count(ctx->met, "dandelionspar_edge_loads_dropped", "", 1);
-	wake(ctx);
 	pthread_mutex_unlock(&ctx->lock);
 }
 
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -15,6 +15,11 @@
 #define REPLICA_SLEEP_US 20000
 #define ENTRY_SLEEP_US 50000
 #define SLEEP_MIN_US 1000
+/* With more than FLEET_ENDPOINTS endpoints, messages are collected for this
+ * time before an iteration: the system calls of an iteration for each of some
+ * thousand messages a second cost more than the messages. */
+#define FLEET_ENDPOINTS 256
+#define COLLECT_US 5000
 /* Messages handled in one iteration, which syncs the log once for all: at most
  * this many, and no further one after this time. Votes and heartbeats must not
  * wait for an election timeout behind the reports of all instances. */
@@ -174,6 +179,9 @@
 	case DSP__ENVELOPE__BODY_ANSWER_REPLY:
 		ctl_call_answer(ctx, e->answer_reply);
 		break;
+	case DSP__ENVELOPE__BODY_PACKED_UPDATE:
+		ctl_report_packed_view(ctx, e, e->packed_update);
+		break;
 	case DSP__ENVELOPE__BODY_QUOTA_ASKS:
 	case DSP__ENVELOPE__BODY_QUOTA_GRANTS:
 	case DSP__ENVELOPE__BODY_PROMPT_ASKS:
@@ -371,6 +379,8 @@
 static void iterate(struct ctl *ctx)
 {
 	net_wait(ctx->net, ctx->wake_fd, sleep_us(ctx));
+	if (view_n_endpoints(ctx->view) > FLEET_ENDPOINTS)
+		g_usleep(COLLECT_US);
 	ctx->now_us = clk_now_us(ctx->clock);
 	net_tick(ctx->net, ctx->now_us);
 	receive_messages(ctx);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -175,6 +175,8 @@
 	int64_t sent_confirmed_us; /* confirmation in the last update */
 	int64_t heard_us;
 	bool due; /* needs an update without waiting for the next round */
+	bool reads_packed; /* it reads compressed updates */
+	bool queries; /* asks for a view, and gets the loads from elsewhere */
 };
 
 struct ctl_load {
@@ -203,6 +205,8 @@
 	struct ctl_incarnations incarnations;
 	int64_t heard_us;
 	int64_t put_us;		 /* last EndpointPut proposed */
+	uint64_t put_hash;	 /* what it proposed */
+	uint64_t put_index;	 /* its log index */
 	unsigned puts;		 /* since the state last matched */
 	uint64_t sequence;	 /* highest of this incarnation */
 	uint64_t residency_hash; /* of the last residency proposed */
@@ -332,10 +336,14 @@
 	struct pev *parts;	   /* for the next report or command */
 	int64_t push_due_us;	   /* next update round to all, with loads */
 	int64_t push_earliest_us;  /* rate limit of rounds in between */
+	int64_t push_slow_us;	   /* the same, unless push_urgent */
 	uint64_t pushed_index;	   /* view index of the last round */
+	bool push_urgent;	   /* a change that is waited for is not sent */
 	uint64_t updates_packed;   /* encoded for children */
 	bool needs_whole_table;	   /* a change did not fit the own table */
 	int64_t publish_due_us;	   /* next view with a new index only */
+	int64_t publish_earliest_us; /* rate limit of views */
+	bool publish_urgent;	     /* a change that is waited for */
 
 	/* Leader. */
 	struct plc *plc;
@@ -344,6 +352,7 @@
 	bool parts_pending; /* a command with evidence is not applied yet */
 	int64_t parts_due_us;
 	int64_t member_due_us;
+	int64_t leases_due_us;	/* next check of the leases */
 	int64_t last_expire_us; /* last Expire proposed */
 	int64_t orders_due_us;
 	GHashTable *members;   /* node id -> struct ctl_member */
@@ -428,6 +437,8 @@
 			const Dsp__Report *report);
 void ctl_report_view(struct ctl *ctx, const Dsp__Envelope *from,
 		     const Dsp__ViewUpdate *update);
+void ctl_report_packed_view(struct ctl *ctx, const Dsp__Envelope *from,
+			    const Dsp__PackedUpdate *packed);
 void ctl_report_announcement(struct ctl *ctx,
 			     const Dsp__Announcement *announcement);
 void ctl_report_demand(struct ctl *ctx, const Dsp__Demand *demand);
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -8,6 +8,10 @@
 
 /* Interval at which the leader checks leases and replicas. */
 #define RUN_INTERVAL_US 100000
+/* Interval at which it checks the leases, which are seconds long, when it has
+ * more than LEASES_OFTEN endpoints. */
+#define LEASES_INTERVAL_US 500000
+#define LEASES_OFTEN 256
 /* Delay before a proposal without visible effect is made again. */
 #define REPROPOSE_DELAY_US CTL_S_US
 /* Repeats of the same EndpointPut are delayed by up to 2^5 times that, 32 s. */
@@ -84,15 +88,6 @@
 
 /* ---- Instances ---- */
 
-static const Dsp__Node *find_node(const Dsp__Node *const *nodes, size_t n,
-				  const char *id)
-{
-	for (size_t i = 0; i < n; i++)
-		if (!strcmp(nodes[i]->id, id))
-			return nodes[i];
-	return NULL;
-}
-
 static bool same_node(const Dsp__Node *a, const Dsp__Node *b)
 {
 	return a->boot == b->boot && a->weight == b->weight &&
@@ -116,12 +111,11 @@
 		       ctx->now_us - seen->heard_us);
 }
 
-static void update_member(struct ctl *ctx, const Dsp__Node *const *nodes,
-			  size_t n, const Dsp__NodeStatus *status)
+static void update_member(struct ctl *ctx, const Dsp__NodeStatus *status)
 {
 	Dsp__Command command = DSP__COMMAND__INIT;
 	Dsp__NodePut put = DSP__NODE_PUT__INIT;
-	const Dsp__Node *known = find_node(nodes, n, status->node->id);
+	const Dsp__Node *known = st_node(ctx->st, status->node->id);
 	struct ctl_member *m =
 		g_hash_table_lookup(ctx->members, status->node->id);
 
@@ -244,11 +238,21 @@
 	propose(ctx, &command);
 }
 
+static uint64_t endpoint_hash(const Dsp__Endpoint *endpoint)
+{
+	size_t len = dsp__endpoint__get_packed_size(endpoint);
+	g_autofree uint8_t *data = g_malloc(len + 1);
+
+	dsp__endpoint__pack(endpoint, data);
+	return XXH3_64bits(data, len);
+}
+
 static void put_endpoint(struct ctl *ctx, struct ctl_endpoint *e,
 			 const Dsp__Announcement *a)
 {
 	Dsp__Endpoint endpoint = *a->endpoint;
 	const Dsp__Endpoint *known = st_endpoint(ctx->st, endpoint.id);
+	uint64_t hash;
 
 	endpoint.state = a->leaving ? DSP__ENDPOINT_STATE__ENDPOINT_LEAVING
 				    : DSP__ENDPOINT_STATE__ENDPOINT_UP;
@@ -261,6 +265,11 @@
 		e->puts = 0;
 		return;
 	}
+	hash = endpoint_hash(&endpoint);
+	/* The same put is on its way. */
+	if (e->put_hash == hash && e->put_index > ctx->applied_index &&
+	    ctx->now_us - e->put_us < REPROPOSE_DELAY_US)
+		return;
 	/* The state machine may reject this announcement every time. */
 	if (!is_sequenced(&endpoint) && e->puts &&
 	    ctx->now_us - e->put_us <
@@ -270,6 +279,8 @@
 	e->put_us = ctx->now_us;
 	e->puts++;
 	propose_endpoint(ctx, &endpoint);
+	e->put_hash = hash;
+	e->put_index = raft_last_index(ctx->raft);
 }
 
 static uint64_t residency_hash(const Dsp__ResidencyReport *report)
@@ -429,13 +440,9 @@
 /* On the leader: handles a report. */
 void ctl_member_report(struct ctl *ctx, const Dsp__Report *report)
 {
-	const Dsp__Node **nodes;
-	size_t n = st_nodes(ctx->st, &nodes);
-
 	for (size_t i = 0; i < report->n_nodes; i++)
 		if (report->nodes[i]->node && report->nodes[i]->node->id[0])
-			update_member(ctx, nodes, n, report->nodes[i]);
-	g_free(nodes);
+			update_member(ctx, report->nodes[i]);
 	for (size_t i = 0; i < report->n_announcements; i++)
 		handle_announcement(ctx, report->announcements[i]);
 	for (size_t i = 0; i < report->n_demands; i++) {
@@ -665,8 +672,12 @@
 	    ctx->now_us < ctx->member_due_us)
 		return;
 	ctx->member_due_us = ctx->now_us + RUN_INTERVAL_US;
-	expire_nodes(ctx);
-	expire_endpoints(ctx);
+	if (ctx->now_us >= ctx->leases_due_us ||
+	    view_n_endpoints(ctx->view) <= LEASES_OFTEN) {
+		ctx->leases_due_us = ctx->now_us + LEASES_INTERVAL_US;
+		expire_nodes(ctx);
+		expire_endpoints(ctx);
+	}
 	propose_expire(ctx);
 	repair_replicas(ctx);
 	run_placement(ctx);
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -562,6 +562,7 @@
 {
 	switch (command->body_case) {
 	case DSP__COMMAND__BODY_ROUTE_TABLE_PUT:
+	case DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT:
 	case DSP__COMMAND__BODY_DOCUMENT_PUT:
 		return true;
 	case DSP__COMMAND__BODY_ENDPOINT_PUT:
@@ -728,6 +729,7 @@
 		ctx->view_dirty = true;
 		ctx->orders_dirty = true;
 	}
+	ctx->publish_urgent |= changes_service(command);
 	dsp__command__free_unpacked(command, NULL);
 	return result;
 }
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/msg.h"
+#include "base/zip.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -31,11 +32,24 @@
 #define CHILD_LIMIT_REPORTS 3
 /* A child that still reports a lower index than sent lost the update. */
 #define UPDATE_LOST_AFTER_US 500000
-/* Shortest interval of updates between the rounds to all children. */
+/* Shortest interval of updates between the rounds to all children, and of views
+ * of the own state. With more than VIEW_ENDPOINTS endpoints it grows with their
+ * number, as do the cost of a view and the rate of changes. Changes that are
+ * acknowledged only when the entries have them do not wait longer. */
 #define PUSH_INTERVAL_US 20000
+#define PUSH_INTERVAL_MAX_US 150000
+#define VIEW_ENDPOINTS 256
 /* Loads in one update, about 14 KB. Section 1 of docs/design.md limits the
  * control traffic of an instance to 25 KB/s. */
 #define LOADS_MAX 300
+/* Loads in the updates of one round to all children together, about 180 KB, and
+ * in each one at least. */
+#define ROUND_LOADS_MAX 4000
+#define LOADS_MIN 30
+/* Shorter updates are sent as they are. */
+#define PACK_MIN_BYTES 4096
+/* Largest encoded update that is accepted, as in net.c. */
+#define UPDATE_BYTES_MAX (64 << 20)
 /* Interval at which an unchanged load is repeated, since receivers give less
  * weight to old ones. That of an idle endpoint is not: none counts as little as
  * an old one. */
@@ -378,6 +392,7 @@
 	status->confirmed_age_ms = ctl_confirmed_age_ms(ctx);
 	if (!ctx->needs_whole_table)
 		status->table_index = table_index(ctx);
+	status->reads_packed = true;
 }
 
 static void *const *table_values(GHashTable *table, size_t *n)
@@ -547,6 +562,13 @@
 	return NULL;
 }
 
+/* A query has only the sender's own status. It is not forwarded. */
+static bool is_query(const Dsp__Report *report)
+{
+	return report->hops >= HOPS_MAX && report->n_nodes == 1 &&
+	       !report->n_announcements;
+}
+
 static bool is_child_expired(const struct ctl *ctx,
 			     const struct ctl_child *child)
 {
@@ -566,7 +588,7 @@
 }
 
 static void update_child(struct ctl *ctx, const Dsp__Envelope *from,
-			 const Dsp__NodeStatus *status)
+			 const Dsp__NodeStatus *status, bool queries)
 {
 	uint64_t index = status->view_index;
 	struct ctl_child *child =
@@ -597,6 +619,8 @@
 	}
 	if (is_child_expired(ctx, child))
 		child->due = true;
+	child->queries = queries;
+	child->reads_packed = status->reads_packed;
 	child->heard_us = ctx->now_us;
 }
 
@@ -628,7 +652,7 @@
 	const Dsp__NodeStatus *status = find_status(report, from->from);
 
 	if (status)
-		update_child(ctx, from, status);
+		update_child(ctx, from, status, is_query(report));
 	for (size_t i = 0; i < report->n_observed_loads; i++) {
 		keep_observed_load(ctx, report->observed_loads[i]);
 		forward_observed_load(ctx, report->observed_loads[i]);
@@ -721,8 +745,10 @@
 	}
 	note_table(ctx, view, update);
 	ctl_set_view(ctx, view);
-	if (changes_service(update))
-		ctl_report_schedule(ctx, CHANGE_DELAY_US);
+	if (!changes_service(update))
+		return;
+	ctx->push_urgent = true;
+	ctl_report_schedule(ctx, CHANGE_DELAY_US);
 }
 
 static void set_relays(struct ctl *ctx, char *const *relays, size_t n)
@@ -802,18 +828,59 @@
 		keep_observed_load(ctx, update->observed_loads[i]);
 }
 
+/* Handles a compressed view update; a malformed one is dropped. */
+void ctl_report_packed_view(struct ctl *ctx, const Dsp__Envelope *from,
+			    const Dsp__PackedUpdate *packed)
+{
+	g_autofree uint8_t *data = NULL;
+	Dsp__ViewUpdate *update = NULL;
+
+	if (packed->bytes <= UPDATE_BYTES_MAX)
+		data = zip_inflate(packed->deflated.data, packed->deflated.len,
+				   packed->bytes);
+	if (data)
+		update = dsp__view_update__unpack(NULL, packed->bytes, data);
+	if (!update) {
+		LOG_EVENT_WARN("ctl", "update_malformed",
+			       "from=%s bytes=%u deflated=%zu", from->from,
+			       packed->bytes, packed->deflated.len);
+		return;
+	}
+	ctl_report_view(ctx, from, update);
+	dsp__view_update__free_unpacked(update, NULL);
+}
+
+/* Returns the shortest time between two views, or two rounds of updates. */
+static int64_t push_interval_us(const struct ctl *ctx)
+{
+	int64_t n = (int64_t)view_n_endpoints(ctx->view);
+
+	return CLAMP(PUSH_INTERVAL_US * n / VIEW_ENDPOINTS, PUSH_INTERVAL_US,
+		     PUSH_INTERVAL_MAX_US);
+}
+
+/* Returns true if a view of the own state is to wait. Small ones never do. */
+static bool publish_is_early(const struct ctl *ctx)
+{
+	return !ctx->publish_urgent && ctx->now_us < ctx->publish_earliest_us &&
+	       view_n_endpoints(ctx->view) > VIEW_ENDPOINTS;
+}
+
 /* Installs changes of the own replica's state as a new view. */
 void ctl_report_publish(struct ctl *ctx)
 {
 	Dsp__ViewUpdate *update;
 	struct view *view;
 
-	if (!ctx->raft)
+	if (!ctx->raft || publish_is_early(ctx))
 		return;
 	if (!ctx->view_dirty && (ctx->now_us < ctx->publish_due_us ||
 				 st_index(ctx->st) == view_index(ctx->view)))
 		return;
 	ctx->publish_due_us = ctx->now_us + PUBLISH_INTERVAL_US;
+	ctx->publish_earliest_us = ctx->now_us + push_interval_us(ctx);
+	ctx->push_urgent |= ctx->publish_urgent;
+	ctx->publish_urgent = false;
 	ctx->view_dirty = false;
 	if (st_index(ctx->st) <= view_index(ctx->view))
 		return; /* upstream was faster, or the log is replayed */
@@ -881,6 +948,8 @@
 	Dsp__ViewUpdate *update;
 	uint8_t *packed; /* owned; NULL: not yet */
 	size_t len;
+	uint8_t *deflated; /* owned; for those that read PackedUpdate */
+	size_t deflated_len;
 };
 
 /* One round of updates. */
@@ -904,6 +973,7 @@
 
 	free_update(u->update);
 	g_free(u->packed);
+	g_free(u->deflated);
 	g_free(u);
 }
 
@@ -935,8 +1005,9 @@
 {
 	uint64_t from = child->sent_index;
 	g_autofree char *key = g_strdup_printf(
-		"%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, from,
-		from < table_index(ctx) ? child->table_index : 0);
+		"%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT "/%d", from,
+		from < table_index(ctx) ? child->table_index : 0,
+		child->queries);
 	struct round_update *u = g_hash_table_lookup(round->updates, key);
 
 	if (u)
@@ -945,10 +1016,12 @@
 	u->update = view_since_table(ctx->view, from, child->table_index);
 	note_whole_table(ctx, child->node, u->update, child->table_index);
 	fill_update(ctx, u->update);
-	u->update->loads = round->loads;
-	u->update->n_loads = round->n_loads;
-	u->update->observed_loads = round->observed;
-	u->update->n_observed_loads = round->n_observed;
+	if (!child->queries) {
+		u->update->loads = round->loads;
+		u->update->n_loads = round->n_loads;
+		u->update->observed_loads = round->observed;
+		u->update->n_observed_loads = round->n_observed;
+	}
 	g_hash_table_insert(round->updates, g_steal_pointer(&key), u);
 	return u;
 }
@@ -963,11 +1036,33 @@
 	ctl_send(ctx, address, &out);
 }
 
+/* Compresses an update for those that read it. A whole view of 3,000 endpoints
+ * has 1.5 MB, which takes the link of an entry more than a second. */
+static void deflate_update(struct ctl *ctx, struct round_update *u)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__PackedUpdate packed = DSP__PACKED_UPDATE__INIT;
+	size_t len = dsp__view_update__get_packed_size(u->update);
+	g_autofree uint8_t *data = g_malloc(len + 1);
+	g_autofree uint8_t *deflated = NULL;
+
+	dsp__view_update__pack(u->update, data);
+	deflated = zip_deflate(data, len, &packed.deflated.len);
+	if (!deflated)
+		return;
+	packed.bytes = (uint32_t)len;
+	packed.deflated.data = deflated;
+	out.body_case = DSP__ENVELOPE__BODY_PACKED_UPDATE;
+	out.packed_update = &packed;
+	u->deflated = net_pack(ctx->net, &out, &u->deflated_len);
+}
+
 /* Sends an update that others may get, too. The upstream gets it without the
  * confirmation that came from there. */
-static void send_round_update(struct ctl *ctx, const char *address,
+static void send_round_update(struct ctl *ctx, const struct ctl_child *child,
 			      struct round_update *u)
 {
+	const char *address = child->address;
 	Dsp__Envelope out = DSP__ENVELOPE__INIT;
 	uint32_t age_ms = u->update->confirmed_age_ms;
 
@@ -983,22 +1078,38 @@
 		u->packed = net_pack(ctx->net, &out, &u->len);
 		ctx->updates_packed++;
 	}
-	net_send_packed(ctx->net, address, u->packed, u->len);
+	if (child->reads_packed && !u->deflated && u->len >= PACK_MIN_BYTES)
+		deflate_update(ctx, u);
+	if (child->reads_packed && u->deflated)
+		net_send_packed(ctx->net, address, u->deflated,
+				u->deflated_len);
+	else
+		net_send_packed(ctx->net, address, u->packed, u->len);
+}
+
+/* Returns the number of loads in one update: fewer with many children, so that
+ * a relay's traffic stays bounded. */
+static size_t loads_max(const struct ctl *ctx)
+{
+	size_t n_children = MAX(g_hash_table_size(ctx->children), 1);
+
+	return CLAMP(ROUND_LOADS_MAX / n_children, LOADS_MIN, LOADS_MAX);
 }
 
 static void collect_loads(struct ctl *ctx, struct round *round)
 {
+	size_t max = loads_max(ctx);
 	struct ctl_load *load;
 
 	while ((load = TAILQ_FIRST(&ctx->changed_loads)) &&
-	       round->n_loads < LOADS_MAX) {
+	       round->n_loads < max) {
 		TAILQ_REMOVE(&ctx->changed_loads, load, link);
 		load->changed = false;
 		load->pushed_us = ctx->now_us;
 		round->loads[round->n_loads++] = load->report;
 	}
-	round->n_observed = occ_take(ctx->observed_down, round->observed,
-				     LOADS_MAX, ctx->now_us);
+	round->n_observed =
+		occ_take(ctx->observed_down, round->observed, max, ctx->now_us);
 }
 
 /* Returns true if this instance has a confirmation or loads that the child has
@@ -1006,7 +1117,7 @@
 static bool is_newer(const struct ctl *ctx, const struct ctl_child *child,
 		     const struct round *round)
 {
-	return round->n_loads || round->n_observed ||
+	return (!child->queries && (round->n_loads || round->n_observed)) ||
 	       ctx->confirmed_us != child->sent_confirmed_us;
 }
 
@@ -1046,7 +1157,7 @@
 		child->due = false;
 		child->sent_confirmed_us = ctx->confirmed_us;
 		u = update_for(ctx, &round, child);
-		send_round_update(ctx, child->address, u);
+		send_round_update(ctx, child, u);
 		note_changes_sent(ctx, child);
 	}
 	g_hash_table_destroy(round.updates);
@@ -1072,14 +1183,17 @@
 {
 	bool all = ctx->now_us >= ctx->push_due_us;
 
-	if (!all &&
-	    (ctx->now_us < ctx->push_earliest_us || !any_child_due(ctx)))
+	if (!all && (ctx->now_us < ctx->push_earliest_us ||
+		     (!ctx->push_urgent && ctx->now_us < ctx->push_slow_us) ||
+		     !any_child_due(ctx)))
 		return;
 	if (ctx->ready_leader && all)
 		choose_relays(ctx);
 	push_round(ctx, all);
 	ctx->pushed_index = view_index(ctx->view);
 	ctx->push_earliest_us = ctx->now_us + PUSH_INTERVAL_US;
+	ctx->push_slow_us = ctx->now_us + push_interval_us(ctx);
+	ctx->push_urgent = false;
 	if (all)
 		ctx->push_due_us = ctx->now_us +
 				   (int64_t)ctx->set->report_interval_ms * 1000;
--- a/src/node/ctl_spread.c
+++ b/src/node/ctl_spread.c
@@ -193,9 +193,14 @@
 /* Evaluates the entries' reports. */
 void ctl_spread_run(struct ctl *ctx)
 {
+	const Dsp__RouteTable *table = st_route_table(ctx->st);
 	const Dsp__Node **nodes;
-	size_t n = st_nodes(ctx->st, &nodes);
+	size_t n;
 
+	if (ctx->spread == CTL_SPREAD_DONE && TAILQ_EMPTY(&ctx->held_results) &&
+	    (!table || table->index == ctx->spread_index))
+		return;
+	n = st_nodes(ctx->st, &nodes);
 	track_table(ctx, nodes, n);
 	release_results(ctx, nodes, n);
 	g_free(nodes);
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -3112,6 +3112,51 @@
   assert(message->base.descriptor == &dsp__node_status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__packed_update__init
+                     (Dsp__PackedUpdate         *message)
+{
+  static const Dsp__PackedUpdate init_value = DSP__PACKED_UPDATE__INIT;
+  *message = init_value;
+}
+size_t dsp__packed_update__get_packed_size
+                     (const Dsp__PackedUpdate *message)
+{
+  assert(message->base.descriptor == &dsp__packed_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__packed_update__pack
+                     (const Dsp__PackedUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__packed_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__packed_update__pack_to_buffer
+                     (const Dsp__PackedUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__packed_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__PackedUpdate *
+       dsp__packed_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__PackedUpdate *)
+     protobuf_c_message_unpack (&dsp__packed_update__descriptor,
+                                allocator, len, data);
+}
+void   dsp__packed_update__free_unpacked
+                     (Dsp__PackedUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__packed_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__report__init
                      (Dsp__Report         *message)
 {
@@ -10820,7 +10865,7 @@
   (ProtobufCMessageInit) dsp__pace__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__node_status__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dsp__node_status__field_descriptors[6] =
 {
   {
     "node",
@@ -10882,10 +10927,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_packed",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__NodeStatus, reads_packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__node_status__field_indices_by_name[] = {
   3,   /* field[3] = confirmed_age_ms */
   0,   /* field[0] = node */
+  5,   /* field[5] = reads_packed */
   2,   /* field[2] = streams */
   4,   /* field[4] = table_index */
   1,   /* field[1] = view_index */
@@ -10894,7 +10952,7 @@
 {
   { 1, 0 },
   { 40, 4 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dsp__node_status__descriptor =
 {
@@ -10904,13 +10962,64 @@
   "Dsp__NodeStatus",
   "dsp",
   sizeof(Dsp__NodeStatus),
-  5,
+  6,
   dsp__node_status__field_descriptors,
   dsp__node_status__field_indices_by_name,
   2,  dsp__node_status__number_ranges,
   (ProtobufCMessageInit) dsp__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dsp__packed_update__field_descriptors[2] =
+{
+  {
+    "bytes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__PackedUpdate, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deflated",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__PackedUpdate, deflated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__packed_update__field_indices_by_name[] = {
+  0,   /* field[0] = bytes */
+  1,   /* field[1] = deflated */
+};
+static const ProtobufCIntRange dsp__packed_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__packed_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.PackedUpdate",
+  "PackedUpdate",
+  "Dsp__PackedUpdate",
+  "dsp",
+  sizeof(Dsp__PackedUpdate),
+  2,
+  dsp__packed_update__field_descriptors,
+  dsp__packed_update__field_indices_by_name,
+  1,  dsp__packed_update__number_ranges,
+  (ProtobufCMessageInit) dsp__packed_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dsp__report__field_descriptors[8] =
 {
   {
@@ -12399,7 +12508,7 @@
   (ProtobufCMessageInit) dsp__answer_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__envelope__field_descriptors[21] =
+static const ProtobufCFieldDescriptor dsp__envelope__field_descriptors[22] =
 {
   {
     "from",
@@ -12629,6 +12738,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed_update",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Envelope, body_case),
+    offsetof(Dsp__Envelope, packed_update),
+    &dsp__packed_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "echo_us",
     40,
@@ -12659,7 +12780,7 @@
   12,   /* field[12] = answer_query */
   13,   /* field[13] = answer_reply */
   1,   /* field[1] = boot */
-  19,   /* field[19] = echo_us */
+  20,   /* field[20] = echo_us */
   10,   /* field[10] = form_group */
   8,   /* field[8] = form_query */
   9,   /* field[9] = form_reply */
@@ -12667,7 +12788,8 @@
   7,   /* field[7] = forward_reply */
   0,   /* field[0] = from */
   11,   /* field[11] = join_request */
-  20,   /* field[20] = lease_age_ms */
+  21,   /* field[21] = lease_age_ms */
+  19,   /* field[19] = packed_update */
   16,   /* field[16] = prompt_asks */
   18,   /* field[18] = prompt_sends */
   17,   /* field[17] = prompt_slots */
@@ -12681,8 +12803,8 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 40, 19 },
-  { 0, 21 }
+  { 40, 20 },
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor dsp__envelope__descriptor =
 {
@@ -12692,7 +12814,7 @@
   "Dsp__Envelope",
   "dsp",
   sizeof(Dsp__Envelope),
-  21,
+  22,
   dsp__envelope__field_descriptors,
   dsp__envelope__field_indices_by_name,
   3,  dsp__envelope__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -84,6 +84,7 @@
 typedef struct Dsp__Demand Dsp__Demand;
 typedef struct Dsp__Pace Dsp__Pace;
 typedef struct Dsp__NodeStatus Dsp__NodeStatus;
+typedef struct Dsp__PackedUpdate Dsp__PackedUpdate;
 typedef struct Dsp__Report Dsp__Report;
 typedef struct Dsp__QuotaAsk Dsp__QuotaAsk;
 typedef struct Dsp__QuotaReturn Dsp__QuotaReturn;
@@ -1783,10 +1784,34 @@
    * it. 0: it needs the whole table.
    */
   uint64_t table_index;
+  /*
+   * it reads PackedUpdate
+   */
+  protobuf_c_boolean reads_packed;
 };
 #define DSP__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__node_status__descriptor) \
-    , NULL, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A view update in less bytes, for receivers whose status has reads_packed.
+ */
+struct  Dsp__PackedUpdate
+{
+  ProtobufCMessage base;
+  /*
+   * of the encoded ViewUpdate
+   */
+  uint32_t bytes;
+  /*
+   * zlib format
+   */
+  ProtobufCBinaryData deflated;
+};
+#define DSP__PACKED_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__packed_update__descriptor) \
+    , 0, {0,NULL} }
 
 
 struct  Dsp__Report
@@ -2159,7 +2184,8 @@
   DSP__ENVELOPE__BODY_QUOTA_GRANTS = 22,
   DSP__ENVELOPE__BODY_PROMPT_ASKS = 23,
   DSP__ENVELOPE__BODY_PROMPT_SLOTS = 24,
-  DSP__ENVELOPE__BODY_PROMPT_SENDS = 25
+  DSP__ENVELOPE__BODY_PROMPT_SENDS = 25,
+  DSP__ENVELOPE__BODY_PACKED_UPDATE = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__ENVELOPE__BODY__CASE)
 } Dsp__Envelope__BodyCase;
 
@@ -2202,6 +2228,7 @@
     Dsp__PromptAsks *prompt_asks;
     Dsp__PromptSlots *prompt_slots;
     Dsp__PromptSends *prompt_sends;
+    Dsp__PackedUpdate *packed_update;
   };
 };
 #define DSP__ENVELOPE__INIT \
@@ -3520,6 +3547,25 @@
 void   dsp__node_status__free_unpacked
                      (Dsp__NodeStatus *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__PackedUpdate methods */
+void   dsp__packed_update__init
+                     (Dsp__PackedUpdate         *message);
+size_t dsp__packed_update__get_packed_size
+                     (const Dsp__PackedUpdate   *message);
+size_t dsp__packed_update__pack
+                     (const Dsp__PackedUpdate   *message,
+                      uint8_t             *out);
+size_t dsp__packed_update__pack_to_buffer
+                     (const Dsp__PackedUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PackedUpdate *
+       dsp__packed_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__packed_update__free_unpacked
+                     (Dsp__PackedUpdate *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__Report methods */
 void   dsp__report__init
                      (Dsp__Report         *message);
@@ -4128,6 +4174,9 @@
 typedef void (*Dsp__NodeStatus_Closure)
                  (const Dsp__NodeStatus *message,
                   void *closure_data);
+typedef void (*Dsp__PackedUpdate_Closure)
+                 (const Dsp__PackedUpdate *message,
+                  void *closure_data);
 typedef void (*Dsp__Report_Closure)
                  (const Dsp__Report *message,
                   void *closure_data);
@@ -4275,6 +4324,7 @@
 extern const ProtobufCMessageDescriptor dsp__demand__descriptor;
 extern const ProtobufCMessageDescriptor dsp__pace__descriptor;
 extern const ProtobufCMessageDescriptor dsp__node_status__descriptor;
+extern const ProtobufCMessageDescriptor dsp__packed_update__descriptor;
 extern const ProtobufCMessageDescriptor dsp__report__descriptor;
 extern const ProtobufCMessageDescriptor dsp__quota_ask__descriptor;
 extern const ProtobufCMessageDescriptor dsp__quota_return__descriptor;
