edge: a leader of 600 engines paces what it reads, announces and plans

Each idle engine's state was read each 1.5 s, 400 reads a second at 600 engines, nearly all on new connections; a new leader began all reads in one tick, of which 561 timed out. Now 64 at once, and 60 a second of idle engines (unchanged up to 90 engines). With more than 256 engines what an engine holds is announced again each 2.5 s if unchanged, and the rest between two plans may be a second.

--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -34,15 +34,29 @@
 /* Poll interval of idle engines: they may have restarted, or execute an
  * unanswered order late. */
 #define POLL_IDLE_US 1500000
+/* States of idle engines read in a second, which makes the interval longer with
+ * more engines than 90. Each costs a connection, as idle ones are closed after
+ * less than the interval. */
+#define IDLE_READS_PER_S 60
+/* States that are read at once. A new leader reads those of all engines; 561 of
+ * 600 timed out when it began all in one tick. */
+#define READS_MAX 64
 /* Delay after a conflict on an adapter order. An engine loads a few adapters at
  * a time, each within some milliseconds. */
 #define ADAPTER_RETRY_US 20000
 /* Interval at which the leader announces what an engine holds, ahead of the
  * engine's own announcements, one each 1.2 s. */
 #define ANNOUNCE_INTERVAL_US 1000000
+/* The same with more than FLEET_ENGINES engines; what changed is announced at
+ * once. Must be below ORDER_COPIES_VALID_US of ctl_member.c. */
+#define ANNOUNCE_INTERVAL_FLEET_US 2500000
+#define FLEET_ENGINES 256
 /* Delay before the state is read after an error, since an unanswered order may
  * still be executed. */
 #define RECHECK_DELAY_US 1000000
+/* The same after a state was not read, with more than FLEET_ENGINES engines:
+ * those of a lost site must not take all of READS_MAX. */
+#define RECHECK_FLEET_US 4000000
 /* Shortest time from one plan to the next, in microseconds and as a multiple of
  * the time that the last one took. A plan weighs all engines, and each answer
  * of an engine calls for one: while all engines answer, as at the begin of a
@@ -50,6 +64,7 @@
 #define PLAN_INTERVAL_US 20000
 #define PLAN_REST_FACTOR 9
 #define PLAN_INTERVAL_MAX_US 200000
+#define PLAN_INTERVAL_FLEET_MAX_US 1000000
 /* Interval at which numbers of models are freed that neither the document nor
  * an engine names. */
 #define RELEASE_INTERVAL_US 10000000
@@ -86,6 +101,7 @@
 	int64_t next_announce_us; /* next announcement of the items; 0: now */
 	/* Call in progress. */
 	struct hio_call *call;
+	bool reads; /* call reads the state */
 	struct event *timer;
 	int status;
 	GByteArray *body;
@@ -111,6 +127,7 @@
 	struct event *plan_timer; /* pending: a plan is due */
 	int64_t next_plan_us;	  /* no plan before this time */
 	bool active;
+	unsigned n_reads;     /* states that are being read */
 	uint64_t fenced_term; /* an engine has seen a higher fence than this
 				 term */
 };
@@ -127,12 +144,21 @@
 	e->body = g_byte_array_new();
 }
 
+/* Ends the call, which has been answered, has failed or is cancelled. */
+static void end_call(struct engine *e)
+{
+	if (e->reads)
+		e->agent->n_reads--;
+	e->reads = false;
+	e->call = NULL;
+	event_del(e->timer);
+}
+
 static void cancel_call(struct engine *e)
 {
 	if (e->call)
 		hio_call_cancel(e->call);
-	e->call = NULL;
-	event_del(e->timer);
+	end_call(e);
 	clear_body(e);
 }
 
@@ -185,6 +211,16 @@
 	g_free(ctx);
 }
 
+static bool is_fleet(const struct agent *ctx)
+{
+	return g_hash_table_size(ctx->engines) > FLEET_ENGINES;
+}
+
+static int64_t recheck_us(const struct agent *ctx)
+{
+	return is_fleet(ctx) ? RECHECK_FLEET_US : RECHECK_DELAY_US;
+}
+
 static struct res *planner_of(struct agent *ctx, const char *service)
 {
 	struct service *s = g_hash_table_lookup(ctx->services, service);
@@ -308,7 +344,9 @@
 	char adapters[RES_ITEMS_MAX][RES_ADAPTER_NAME_MAX];
 	Dsp__Endpoint endpoint;
 
-	e->next_announce_us = now_of(ctx) + ANNOUNCE_INTERVAL_US;
+	e->next_announce_us =
+		now_of(ctx) + (is_fleet(ctx) ? ANNOUNCE_INTERVAL_FLEET_US
+					     : ANNOUNCE_INTERVAL_US);
 	if (!known || !planner || known->incarnation != e->incarnation ||
 	    known->state != DSP__ENDPOINT_STATE__ENDPOINT_UP)
 		return;
@@ -353,7 +391,7 @@
 	if (e->state == ORDER_SENT)
 		order_finished(e, WIRE_ORDER_UNKNOWN);
 	else
-		e->poll_us = now_of(e->agent) + RECHECK_DELAY_US;
+		e->poll_us = now_of(e->agent) + recheck_us(e->agent);
 }
 
 static void on_head(void *data, const struct hio_answer *answer)
@@ -502,8 +540,7 @@
 {
 	struct engine *e = data;
 
-	e->call = NULL;
-	event_del(e->timer);
+	end_call(e);
 	clear_body(e);
 	order_finished(e, wire_order_outcome_of(e->status));
 	plan_all(e->agent);
@@ -514,12 +551,18 @@
 	struct engine *e = data;
 
 	(void)failure;
-	e->call = NULL;
-	event_del(e->timer);
+	end_call(e);
 	clear_body(e);
 	order_finished(e, WIRE_ORDER_UNKNOWN);
 }
 
+static int64_t idle_interval_us(const struct agent *ctx)
+{
+	int64_t n = g_hash_table_size(ctx->engines);
+
+	return MAX(POLL_IDLE_US, n * G_USEC_PER_SEC / IDLE_READS_PER_S);
+}
+
 static void apply_state(struct engine *e, const struct wire_engine_state *state)
 {
 	const struct res_engine none = { 0 };
@@ -560,7 +603,7 @@
 				     ? "done"
 				     : "not_done");
 	e->state = IDLE;
-	e->poll_us = now_us + POLL_IDLE_US;
+	e->poll_us = now_us + idle_interval_us(e->agent);
 }
 
 static void on_state_end(void *data)
@@ -569,8 +612,7 @@
 	struct wire_engine_state state;
 	int64_t now_us = now_of(e->agent);
 
-	e->call = NULL;
-	event_del(e->timer);
+	end_call(e);
 	e->poll_us = now_us + RECHECK_DELAY_US;
 	if (e->status != 200 || !wire_read_state((const char *)e->body->data,
 						 e->body->len, &state)) {
@@ -598,10 +640,9 @@
 
 	LOG_EVENT_INFO("agent", "state_unread", "endpoint=%s failure=%d", e->id,
 		       (int)failure);
-	e->call = NULL;
-	event_del(e->timer);
+	end_call(e);
 	clear_body(e);
-	e->poll_us = now_of(e->agent) + RECHECK_DELAY_US;
+	e->poll_us = now_of(e->agent) + recheck_us(e->agent);
 }
 
 static void on_timeout(evutil_socket_t fd, short what, void *data)
@@ -668,6 +709,8 @@
 
 static void read_state(struct engine *e)
 {
+	e->reads = true;
+	e->agent->n_reads++;
 	start_call(e, wire_write_state_request(e->id, e->address),
 		   STATE_TIMEOUT_US, on_state_end, on_state_failed);
 }
@@ -800,7 +843,9 @@
 		if (s->listed)
 			plan_service(ctx, s, fence);
 	rest_us = (now_of(ctx) - start_us) * PLAN_REST_FACTOR;
-	rest_us = CLAMP(rest_us, PLAN_INTERVAL_US, PLAN_INTERVAL_MAX_US);
+	rest_us = CLAMP(rest_us, PLAN_INTERVAL_US,
+			is_fleet(ctx) ? PLAN_INTERVAL_FLEET_MAX_US
+				      : PLAN_INTERVAL_MAX_US);
 	ctx->next_plan_us = now_of(ctx) + rest_us;
 	met_count(ctx->edge->met, "dandelionspar_agent_plans", "", 1);
 }
@@ -882,8 +927,8 @@
 		return;
 	g_hash_table_iter_init(&iter, ctx->engines);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
-		if (e->usable && !e->call && now_us >= e->poll_us &&
-		    bar_of(e) == HINT_FREE)
+		if (e->usable && !e->call && ctx->n_reads < READS_MAX &&
+		    now_us >= e->poll_us && bar_of(e) == HINT_FREE)
 			read_state(e);
 		if (now_us >= e->next_announce_us && e->state != UNKNOWN)
 			announce(e);
