node, edge: bounded jobs, and announcements are refused while the thread is behind

The control thread ran all jobs of other threads in one iteration, however many announcements came, before the log and heartbeats. Now 20 ms of them; the rest waits for the next iteration. While more than 1,000 wait, announcements (not departures) are answered with 503 at once, on connections that stay open, and counted in dandelionspar_announcements_behind.

--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -183,6 +183,13 @@
 		reply_error(exchange, 400, "malformed announcement");
 		return;
 	}
+	if (!a->leaving && ctl_is_behind(ctx->ctl)) {
+		met_count(ctx->met, "dandelionspar_announcements_behind", "",
+			  1);
+		reply_error(exchange, 503, "the control thread is behind");
+		dsp__announcement__free_unpacked(a, NULL);
+		return;
+	}
 	if (!has_leader_contact(ctx))
 		reply_error(exchange, 503, "no contact with the leader");
 	else if (a->leaving)
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -25,6 +25,11 @@
  * wait for an election timeout behind the reports of all instances. */
 #define BATCH_MAX 4096
 #define BATCH_US 30000
+/* Time for jobs of other threads in one iteration, for the same reason. */
+#define JOBS_US 20000
+/* Jobs that wait when this thread is behind; they take some ten milliseconds of
+ * processor time. */
+#define JOBS_BEHIND 1000
 /* Time limit of the leadership transfer before the thread ends. */
 #define TRANSFER_LIMIT_US CTL_S_US
 
@@ -72,6 +77,7 @@
 	pthread_mutex_lock(&ctx->lock);
 	first = STAILQ_EMPTY(&ctx->jobs);
 	STAILQ_INSERT_TAIL(&ctx->jobs, job, link);
+	ctx->n_jobs++;
 	pthread_mutex_unlock(&ctx->lock);
 	if (first && write(ctx->wake_fd, &one, sizeof(one)) < 0)
 		LOG_EVENT_WARN("ctl", "wake_failed", "fd=%d", ctx->wake_fd);
@@ -300,20 +306,44 @@
 	}
 }
 
+/* Puts jobs that had no time back in front of the others. */
+static void put_back(struct ctl *ctx, struct ctl_jobs *jobs, size_t n)
+{
+	uint64_t one = 1;
+
+	pthread_mutex_lock(&ctx->lock);
+	STAILQ_CONCAT(jobs, &ctx->jobs);
+	STAILQ_CONCAT(&ctx->jobs, jobs);
+	ctx->n_jobs += n;
+	pthread_mutex_unlock(&ctx->lock);
+	if (write(ctx->wake_fd, &one, sizeof(one)) < 0)
+		LOG_EVENT_WARN("ctl", "wake_failed", "fd=%d", ctx->wake_fd);
+}
+
+/* Runs the jobs that other threads posted, for JOBS_US at most. */
 static void run_jobs(struct ctl *ctx)
 {
 	struct ctl_jobs jobs = STAILQ_HEAD_INITIALIZER(jobs);
+	int64_t start_us = clk_now_us(ctx->clock);
 	struct ctl_job *job;
 	uint64_t count;
+	size_t n;
 
 	if (read(ctx->wake_fd, &count, sizeof(count)) < 0)
 		count = 0; /* no job woke the thread */
 	pthread_mutex_lock(&ctx->lock);
 	STAILQ_CONCAT(&jobs, &ctx->jobs);
+	n = ctx->n_jobs;
+	ctx->n_jobs = 0;
 	pthread_mutex_unlock(&ctx->lock);
 	while (!STAILQ_EMPTY(&jobs)) {
+		if (clk_now_us(ctx->clock) - start_us > JOBS_US) {
+			put_back(ctx, &jobs, n);
+			return;
+		}
 		job = STAILQ_FIRST(&jobs);
 		STAILQ_REMOVE_HEAD(&jobs, link);
+		n--;
 		run_job(ctx, job);
 		job_free(ctx, job);
 	}
@@ -647,6 +677,18 @@
 	ctl_free(ctx);
 }
 
+/* Returns true if so many jobs wait for the control thread that announcements
+ * should be refused; callable from any thread. */
+bool ctl_is_behind(struct ctl *ctx)
+{
+	bool behind;
+
+	pthread_mutex_lock(&ctx->lock);
+	behind = ctx->n_jobs > JOBS_BEHIND;
+	pthread_mutex_unlock(&ctx->lock);
+	return behind;
+}
+
 /* Adds an endpoint's announcement to the next report; callable from any
  * thread. */
 void ctl_announce(struct ctl *ctx, const Dsp__Announcement *announcement)
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -82,6 +82,7 @@
  */
 Dsp__CommandResult *ctl_submit(struct ctl *ctx, const Dsp__Command *command,
 			       int64_t timeout_us, GError **err);
+bool ctl_is_behind(struct ctl *ctx);
 void ctl_announce(struct ctl *ctx, const Dsp__Announcement *announcement);
 void ctl_demand(struct ctl *ctx, const Dsp__Demand *demand);
 void ctl_pace(struct ctl *ctx, const Dsp__Pace *pace);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -254,6 +254,7 @@
 
 	pthread_mutex_t lock;
 	struct ctl_jobs jobs; /* lock */
+	size_t n_jobs;	      /* lock; in jobs */
 	struct view *view;    /* lock; written by the control thread */
 	bool draining;	      /* lock */
 	struct ctl_leadership leadership; /* lock; as view */
