--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -15,11 +15,21 @@
 #define REPLICA_SLEEP_US 20000
 #define ENTRY_SLEEP_US 50000
 #define SLEEP_MIN_US 1000
+/* With more than FLEET_ENDPOINTS endpoints, messages are collected for this
+ * time before an iteration: the system calls of an iteration for each of some
+ * thousand messages a second cost more than the messages. */
+#define FLEET_ENDPOINTS 256
+#define COLLECT_US 5000
 /* Messages handled in one iteration, which syncs the log once for all: at most
  * this many, and no further one after this time. Votes and heartbeats must not
  * wait for an election timeout behind the reports of all instances. */
 #define BATCH_MAX 4096
 #define BATCH_US 30000
+/* Time for jobs of other threads in one iteration, for the same reason. */
+#define JOBS_US 20000
+/* Jobs that wait when this thread is behind; they take some ten milliseconds of
+ * processor time. */
+#define JOBS_BEHIND 1000
 /* Time limit of the leadership transfer before the thread ends. */
 #define TRANSFER_LIMIT_US CTL_S_US
 
@@ -70,6 +80,7 @@
 	pthread_mutex_lock(&ctx->lock);
 	first = STAILQ_EMPTY(&ctx->jobs);
 	STAILQ_INSERT_TAIL(&ctx->jobs, job, link);
+	ctx->n_jobs++;
 	pthread_mutex_unlock(&ctx->lock);
 	if (first && write(ctx->wake_fd, &one, sizeof(one)) < 0)
 		LOG_EVENT_WARN("ctl", "wake_failed", "fd=%d", ctx->wake_fd);
@@ -185,6 +196,9 @@
 	case DSP__ENVELOPE__BODY_ANSWER_REPLY:
 		ctl_call_answer(ctx, e->answer_reply);
 		break;
+	case DSP__ENVELOPE__BODY_PACKED_UPDATE:
+		ctl_report_packed_view(ctx, e, e->packed_update);
+		break;
 	case DSP__ENVELOPE__BODY_QUOTA_ASKS:
 		ctl_quota_asked(ctx, e, e->quota_asks);
 		break;
@@ -200,10 +214,32 @@
 	}
 }
 
+/* Handles all messages of the consensus protocol. The contact with a quorum is
+ * taken from all of them first, since this process may have stood still while
+ * they came. */
+static void receive_consensus(struct ctl *ctx)
+{
+	GPtrArray *received = g_ptr_array_new();
+	Dsp__Envelope *e;
+
+	while (received->len < BATCH_MAX &&
+	       (e = net_receive_consensus(ctx->net))) {
+		if (ctx->raft && e->body_case == DSP__ENVELOPE__BODY_RAFT)
+			raft_read_contact(ctx->raft, e->raft);
+		g_ptr_array_add(received, e);
+	}
+	for (guint i = 0; i < received->len; i++) {
+		handle_message(ctx, received->pdata[i]);
+		dsp__envelope__free_unpacked(received->pdata[i], NULL);
+	}
+	g_ptr_array_free(received, TRUE);
+}
+
 static void receive_messages(struct ctl *ctx)
 {
 	Dsp__Envelope *e;
 
+	receive_consensus(ctx);
 	for (int i = 0; i < BATCH_MAX; i++) {
 		e = net_receive(ctx->net);
 		if (!e)
@@ -288,20 +324,44 @@
 	}
 }
 
+/* Puts jobs that had no time back in front of the others. */
+static void put_back(struct ctl *ctx, struct ctl_jobs *jobs, size_t n)
+{
+	uint64_t one = 1;
+
+	pthread_mutex_lock(&ctx->lock);
+	STAILQ_CONCAT(jobs, &ctx->jobs);
+	STAILQ_CONCAT(&ctx->jobs, jobs);
+	ctx->n_jobs += n;
+	pthread_mutex_unlock(&ctx->lock);
+	if (write(ctx->wake_fd, &one, sizeof(one)) < 0)
+		LOG_EVENT_WARN("ctl", "wake_failed", "fd=%d", ctx->wake_fd);
+}
+
+/* Runs the jobs that other threads posted, for JOBS_US at most. */
 static void run_jobs(struct ctl *ctx)
 {
 	struct ctl_jobs jobs = STAILQ_HEAD_INITIALIZER(jobs);
+	int64_t start_us = clk_now_us(ctx->clock);
 	struct ctl_job *job;
 	uint64_t count;
+	size_t n;
 
 	if (read(ctx->wake_fd, &count, sizeof(count)) < 0)
 		count = 0; /* no job woke the thread */
 	pthread_mutex_lock(&ctx->lock);
 	STAILQ_CONCAT(&jobs, &ctx->jobs);
+	n = ctx->n_jobs;
+	ctx->n_jobs = 0;
 	pthread_mutex_unlock(&ctx->lock);
 	while (!STAILQ_EMPTY(&jobs)) {
+		if (clk_now_us(ctx->clock) - start_us > JOBS_US) {
+			put_back(ctx, &jobs, n);
+			return;
+		}
 		job = STAILQ_FIRST(&jobs);
 		STAILQ_REMOVE_HEAD(&jobs, link);
+		n--;
 		run_job(ctx, job);
 		job_free(ctx, job);
 	}
@@ -367,6 +427,8 @@
 static void iterate(struct ctl *ctx)
 {
 	net_wait(ctx->net, ctx->wake_fd, sleep_us(ctx));
+	if (view_n_endpoints(ctx->view) > FLEET_ENDPOINTS)
+		g_usleep(COLLECT_US);
 	ctx->now_us = clk_now_us(ctx->clock);
 	net_tick(ctx->net, ctx->now_us);
 	receive_messages(ctx);
@@ -637,6 +699,18 @@
 	ctl_free(ctx);
 }
 
+/* Returns true if so many jobs wait for the control thread that announcements
+ * should be refused; callable from any thread. */
+bool ctl_is_behind(struct ctl *ctx)
+{
+	bool behind;
+
+	pthread_mutex_lock(&ctx->lock);
+	behind = ctx->n_jobs > JOBS_BEHIND;
+	pthread_mutex_unlock(&ctx->lock);
+	return behind;
+}
+
 /* Adds an endpoint's announcement to the next report; callable from any
  * thread. */
 void ctl_announce(struct ctl *ctx, const Dsp__Announcement *announcement)
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -84,6 +84,7 @@
 typedef struct Dsp__Demand Dsp__Demand;
 typedef struct Dsp__Pace Dsp__Pace;
 typedef struct Dsp__NodeStatus Dsp__NodeStatus;
+typedef struct Dsp__PackedUpdate Dsp__PackedUpdate;
 typedef struct Dsp__Report Dsp__Report;
 typedef struct Dsp__QuotaAsk Dsp__QuotaAsk;
 typedef struct Dsp__QuotaReturn Dsp__QuotaReturn;
@@ -564,10 +565,14 @@
    * Newest format of log entries that it reads. 1: RouteTableChangePut.
    */
   uint32_t log_format;
+  /*
+   * IP:PORT for announcements; empty: none
+   */
+  char *announce_address;
 };
 #define DSP__NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__node__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Dsp__Order
@@ -1779,10 +1784,34 @@
    * it. 0: it needs the whole table.
    */
   uint64_t table_index;
+  /*
+   * it reads PackedUpdate
+   */
+  protobuf_c_boolean reads_packed;
 };
 #define DSP__NODE_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__node_status__descriptor) \
-    , NULL, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A view update in less bytes, for receivers whose status has reads_packed.
+ */
+struct  Dsp__PackedUpdate
+{
+  ProtobufCMessage base;
+  /*
+   * of the encoded ViewUpdate
+   */
+  uint32_t bytes;
+  /*
+   * zlib format
+   */
+  ProtobufCBinaryData deflated;
+};
+#define DSP__PACKED_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__packed_update__descriptor) \
+    , 0, {0,NULL} }
 
 
 struct  Dsp__Report
@@ -2163,7 +2192,8 @@
   DSP__ENVELOPE__BODY_QUOTA_GRANTS = 22,
   DSP__ENVELOPE__BODY_PROMPT_ASKS = 23,
   DSP__ENVELOPE__BODY_PROMPT_SLOTS = 24,
-  DSP__ENVELOPE__BODY_PROMPT_SENDS = 25
+  DSP__ENVELOPE__BODY_PROMPT_SENDS = 25,
+  DSP__ENVELOPE__BODY_PACKED_UPDATE = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__ENVELOPE__BODY__CASE)
 } Dsp__Envelope__BodyCase;
 
@@ -2206,6 +2236,7 @@
     Dsp__PromptAsks *prompt_asks;
     Dsp__PromptSlots *prompt_slots;
     Dsp__PromptSends *prompt_sends;
+    Dsp__PackedUpdate *packed_update;
   };
 };
 #define DSP__ENVELOPE__INIT \
@@ -3524,6 +3555,25 @@
 void   dsp__node_status__free_unpacked
                      (Dsp__NodeStatus *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__PackedUpdate methods */
+void   dsp__packed_update__init
+                     (Dsp__PackedUpdate         *message);
+size_t dsp__packed_update__get_packed_size
+                     (const Dsp__PackedUpdate   *message);
+size_t dsp__packed_update__pack
+                     (const Dsp__PackedUpdate   *message,
+                      uint8_t             *out);
+size_t dsp__packed_update__pack_to_buffer
+                     (const Dsp__PackedUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__PackedUpdate *
+       dsp__packed_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__packed_update__free_unpacked
+                     (Dsp__PackedUpdate *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__Report methods */
 void   dsp__report__init
                      (Dsp__Report         *message);
@@ -4132,6 +4182,9 @@
 typedef void (*Dsp__NodeStatus_Closure)
                  (const Dsp__NodeStatus *message,
                   void *closure_data);
+typedef void (*Dsp__PackedUpdate_Closure)
+                 (const Dsp__PackedUpdate *message,
+                  void *closure_data);
 typedef void (*Dsp__Report_Closure)
                  (const Dsp__Report *message,
                   void *closure_data);
@@ -4279,6 +4332,7 @@
 extern const ProtobufCMessageDescriptor dsp__demand__descriptor;
 extern const ProtobufCMessageDescriptor dsp__pace__descriptor;
 extern const ProtobufCMessageDescriptor dsp__node_status__descriptor;
+extern const ProtobufCMessageDescriptor dsp__packed_update__descriptor;
 extern const ProtobufCMessageDescriptor dsp__report__descriptor;
 extern const ProtobufCMessageDescriptor dsp__quota_ask__descriptor;
 extern const ProtobufCMessageDescriptor dsp__quota_return__descriptor;
