node, edge: recovery and departures in a large fleet

After all instances were killed entries served again after 30 s at 299 machines and 4 s at 100 (2 s before): with 5 control instances queried in a round of up to a second, an entry asked most of them too rarely to stay their child, and only some had a confirmed view. All are queried again; of these the relay of the entry's site sends the whole view, others after 0.5 s.

A departure waited behind announcements and for entries that were late, for longer than the endpoint's time limit, 5 s with its repeats. Calls go ahead of other jobs; from 256 endpoints on a departure is held back for 0.2 s at most. A leader that fails right after that leaves an election and a round of updates, under 2.5 s.

An endpoint that was named an entry and comes back stays for 10 s; it was named the same entry again, with a new connection each time.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -67,6 +67,8 @@
 	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
 	ctx->paces_in = g_ptr_array_new_with_free_func(free_pace_message);
 	ctx->loads_in = g_ptr_array_new_with_free_func(free_load_message);
+	ctx->sent_elsewhere =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctx->paces =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctx->view = view_new_empty();
@@ -103,6 +105,7 @@
 	g_ptr_array_free(ctx->paces_in, TRUE);
 	g_ptr_array_free(ctx->loads_in, TRUE);
 	g_hash_table_destroy(ctx->paces);
+	g_hash_table_destroy(ctx->sent_elsewhere);
 	g_hash_table_destroy(ctx->budgets);
 	g_hash_table_destroy(ctx->demands);
 	bal_free(ctx->bal);
--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -27,6 +27,9 @@
 #define ENTRIES_MAX 64
 /* Endpoints up to which control instances take all announcements themselves. */
 #define ANNOUNCE_HERE_MAX 256
+/* An endpoint that was named an entry and comes back within this time could not
+ * announce itself there. It stays here for the rest of the time. */
+#define ELSEWHERE_RETRY_US (10 * EDGE_S_US)
 
 static void reply_text(struct hio_exchange *exchange, int status,
 		       const char *type, const char *body)
@@ -153,10 +156,30 @@
 	return best;
 }
 
+/* Returns true if the endpoint was named an entry a short time ago, or else
+ * notes that it is now. */
+static bool came_back(struct edge *ctx, const char *id)
+{
+	int64_t now_us = clk_now_us(ctx->clock);
+	int64_t *sent_us = g_hash_table_lookup(ctx->sent_elsewhere, id);
+
+	if (sent_us && now_us - *sent_us < ELSEWHERE_RETRY_US)
+		return true;
+	/* Those that have ended are dropped with all others. */
+	if (g_hash_table_size(ctx->sent_elsewhere) >
+	    2 * view_n_endpoints(ctx->view))
+		g_hash_table_remove_all(ctx->sent_elsewhere);
+	g_hash_table_replace(ctx->sent_elsewhere, g_strdup(id),
+			     g_memdup2(&now_us, sizeof(now_us)));
+	return false;
+}
+
 static void reply_announced(struct edge *ctx, struct hio_exchange *exchange,
 			    const Dsp__Endpoint *endpoint)
 {
-	char *body = wire_write_announced(announce_elsewhere(ctx, endpoint));
+	const char *entry = announce_elsewhere(ctx, endpoint);
+	char *body = wire_write_announced(
+		entry && !came_back(ctx, endpoint->id) ? entry : NULL);
 
 	reply_text(exchange, 200, "application/json", body);
 	g_free(body);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -97,6 +97,7 @@
 	struct hio_server *control;
 	struct hio_server *metrics;
 	struct hio_server *announce;
+	GHashTable *sent_elsewhere; /* endpoint -> when it was named an entry */
 	struct hio_client *client;
 	struct event *tick;
 	struct view *view;
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -75,9 +75,14 @@
 	bool first;
 
 	pthread_mutex_lock(&ctx->lock);
-	first = STAILQ_EMPTY(&ctx->jobs);
-	STAILQ_INSERT_TAIL(&ctx->jobs, job, link);
-	ctx->n_jobs++;
+	first = STAILQ_EMPTY(&ctx->jobs) && STAILQ_EMPTY(&ctx->calls_in);
+	/* Calls do not wait behind the announcements. */
+	if (job->kind == CTL_JOB_CALL) {
+		STAILQ_INSERT_TAIL(&ctx->calls_in, job, link);
+	} else {
+		STAILQ_INSERT_TAIL(&ctx->jobs, job, link);
+		ctx->n_jobs++;
+	}
 	pthread_mutex_unlock(&ctx->lock);
 	if (first && write(ctx->wake_fd, &one, sizeof(one)) < 0)
 		LOG_EVENT_WARN("ctl", "wake_failed", "fd=%d", ctx->wake_fd);
@@ -332,6 +337,9 @@
 	if (read(ctx->wake_fd, &count, sizeof(count)) < 0)
 		count = 0; /* no job woke the thread */
 	pthread_mutex_lock(&ctx->lock);
+	STAILQ_CONCAT(&jobs, &ctx->calls_in);
+	STAILQ_FOREACH (job, &jobs, link)
+		ctx->n_jobs++;
 	STAILQ_CONCAT(&jobs, &ctx->jobs);
 	n = ctx->n_jobs;
 	ctx->n_jobs = 0;
@@ -449,6 +457,7 @@
 
 	g_free(child->node);
 	g_free(child->address);
+	g_free(child->site);
 	g_free(child);
 }
 
@@ -540,6 +549,7 @@
 		if (getrandom(&ctx->boot, sizeof(ctx->boot), 0) < 0)
 			ctx->boot = 0;
 	pthread_mutex_init(&ctx->lock, NULL);
+	STAILQ_INIT(&ctx->calls_in);
 	STAILQ_INIT(&ctx->jobs);
 	STAILQ_INIT(&ctx->forwards_done);
 	TAILQ_INIT(&ctx->waiters);
@@ -583,6 +593,8 @@
 
 	ctl_member_stop(ctx);
 	ctl_order_close(ctx->sender);
+	STAILQ_CONCAT(&ctx->calls_in, &ctx->jobs);
+	STAILQ_CONCAT(&ctx->jobs, &ctx->calls_in);
 	while (!STAILQ_EMPTY(&ctx->jobs)) {
 		job = STAILQ_FIRST(&ctx->jobs);
 		STAILQ_REMOVE_HEAD(&ctx->jobs, link);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -133,6 +133,7 @@
 	/* Acknowledged only after the entries have the change, see
 	 * ctl_spread_hold(). */
 	bool changes_service;
+	bool leaving; /* the change is an endpoint that leaves */
 	union {
 		struct ctl_call *call; /* one reference */
 		struct ctl_forward *forward;
@@ -176,6 +177,8 @@
 	int64_t heard_us;
 	bool due; /* needs an update without waiting for the next round */
 	bool reads_packed; /* it reads compressed updates */
+	char *site;	   /* owned */
+	int64_t asked_us;  /* first report since it was not a child */
 	bool queries; /* asks for a view, and gets the loads from elsewhere */
 };
 
@@ -253,10 +256,11 @@
 	pthread_t thread;
 
 	pthread_mutex_t lock;
-	struct ctl_jobs jobs; /* lock */
-	size_t n_jobs;	      /* lock; in jobs */
-	struct view *view;    /* lock; written by the control thread */
-	bool draining;	      /* lock */
+	struct ctl_jobs calls_in; /* lock; jobs that go ahead of others */
+	struct ctl_jobs jobs;	  /* lock */
+	size_t n_jobs;		  /* lock; in jobs */
+	struct view *view;	  /* lock; written by the control thread */
+	bool draining;		  /* lock */
 	struct ctl_leadership leadership; /* lock; as view */
 	_Atomic int64_t confirmed_us;	  /* written by the control thread */
 
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -42,6 +42,10 @@
 /* Loads in one update, about 14 KB. Section 1 of docs/design.md limits the
  * control traffic of an instance to 25 KB/s. */
 #define LOADS_MAX 300
+/* A query of an instance without a view, which needs the whole one, is answered
+ * by the relay of its site, and by others if it asks for longer. Such an
+ * instance queries all control instances at once. */
+#define WHOLE_VIEW_DELAY_US 500000
 /* Loads in the updates of one round to all children together, about 180 KB, and
  * in each one at least. */
 #define ROUND_LOADS_MAX 4000
@@ -617,8 +621,14 @@
 		set_child_position(child, status);
 		child->due = true;
 	}
-	if (is_child_expired(ctx, child))
+	if (is_child_expired(ctx, child)) {
 		child->due = true;
+		child->asked_us = ctx->now_us;
+	}
+	if (g_strcmp0(child->site, status->node->site) != 0) {
+		g_free(child->site);
+		child->site = g_strdup(status->node->site);
+	}
 	child->queries = queries;
 	child->reads_packed = status->reads_packed;
 	child->heard_us = ctx->now_us;
@@ -1121,6 +1131,24 @@
 	       ctx->confirmed_us != child->sent_confirmed_us;
 }
 
+/* Returns true if another instance, the relay of the child's site, answers its
+ * query with the whole view. */
+static bool others_answer(const struct ctl *ctx, const struct ctl_child *child)
+{
+	if (!child->queries || child->sent_index ||
+	    view_n_endpoints(ctx->view) <= VIEW_ENDPOINTS ||
+	    ctx->now_us - child->asked_us >= WHOLE_VIEW_DELAY_US)
+		return false;
+	for (guint i = 0; i < ctx->relays->len; i++) {
+		const char *id = g_ptr_array_index(ctx->relays, i);
+		const Dsp__Node *node = view_node(ctx->view, id);
+
+		if (node && !strcmp(node->site, child->site))
+			return strcmp(id, ctx->set->id) != 0;
+	}
+	return false;
+}
+
 /* Notes that a child has changes on their way. */
 static void note_changes_sent(struct ctl *ctx, struct ctl_child *child)
 {
@@ -1154,6 +1182,8 @@
 		if (!child->due && child->sent_index >= view_index(ctx->view) &&
 		    (!all || !is_newer(ctx, child, &round)))
 			continue;
+		if (others_answer(ctx, child))
+			continue;
 		child->due = false;
 		child->sent_confirmed_us = ctx->confirmed_us;
 		u = update_for(ctx, &round, child);
--- a/src/node/ctl_spread.c
+++ b/src/node/ctl_spread.c
@@ -15,6 +15,11 @@
  * times out after one second, and the table is durable even if some entries
  * lack it. */
 #define RESULT_HOLD_MAX_US 500000
+/* The same for a leaving endpoint, with more than HOLD_ENDPOINTS endpoints. Its
+ * call times out after one second, and it must get no new request 2.5 s after
+ * the acknowledgement, which holds even if the leader fails then. */
+#define LEAVING_HOLD_MAX_US 200000
+#define HOLD_ENDPOINTS 256
 /* Report intervals without a report after which the leader does not wait for an
  * entry. Such an entry has lost the leader and queries others for a newer
  * view. */
@@ -145,7 +150,11 @@
 
 	held->waiter = waiter;
 	held->result = result;
-	held->until_us = ctx->now_us + RESULT_HOLD_MAX_US;
+	held->until_us =
+		ctx->now_us +
+		(waiter->leaving && view_n_endpoints(ctx->view) > HOLD_ENDPOINTS
+			 ? LEAVING_HOLD_MAX_US
+			 : RESULT_HOLD_MAX_US);
 	TAILQ_INSERT_TAIL(&ctx->held_results, held, link);
 }
 
--- a/src/node/ctl_up.c
+++ b/src/node/ctl_up.c
@@ -4,10 +4,6 @@
 
 /* Attempts of ctl_rule_upstream() that come before the voters. */
 #define NAMED_UPSTREAMS 2
-/* Voters, and control instances of the settings, that are queried in one round:
- * with more of them, each round takes the next ones. Some hundred instances
- * without a view would otherwise query each control instance at once. */
-#define ROUND_VOTERS 5
 /* Longest interval of queries. An instance sends updates to those that asked in
  * the last two seconds, so that one that has found the leader passes the view
  * on without being asked again. */
@@ -131,20 +127,14 @@
 size_t ctl_up_candidates(const struct ctl_up *up,
 			 const struct ctl_upstream_input *in, const char ***out)
 {
-	size_t n_voters = MIN(in->n_voters, ROUND_VOTERS);
-	size_t attempts = up->failing ? NAMED_UPSTREAMS + n_voters : 1;
-	size_t first = in->n_voters > ROUND_VOTERS
-			       ? up->spread + (size_t)up->rounds * ROUND_VOTERS
-			       : 0;
+	size_t attempts = up->failing ? NAMED_UPSTREAMS + in->n_voters : 1;
 	size_t n = 0;
 
 	*out = g_new0(const char *, attempts + 1);
 	for (size_t i = 0; i < attempts; i++) {
-		const char *address =
-			i < NAMED_UPSTREAMS
-				? ctl_rule_upstream(in, i)
-				: in->voters[(first + i - NAMED_UPSTREAMS) %
-					     in->n_voters];
+		const char *address = i < NAMED_UPSTREAMS
+					      ? ctl_rule_upstream(in, i)
+					      : in->voters[i - NAMED_UPSTREAMS];
 
 		if (address && g_strcmp0(address, up->address) != 0 &&
 		    !is_listed(*out, n, address))
