node: reports precede the round of the upstream that echoes them

A report that arrives long before its upstream's next round makes the lease older by up to an interval at each hop, and an entry that loses contact refuses keys that much earlier. Where a lease is needed, reports come 80 ms before the round, 0.5 to 1.5 intervals apart; elsewhere as before.

dandelionspar_lease_age_us has the age before each extension.

--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -319,8 +319,10 @@
 	GPtrArray *relays;	 /* node ids */
 	struct ctl_up up;
 	int64_t report_due_us;
-	uint32_t report_hops; /* of the next report */
-	GHashTable *children; /* node id -> struct ctl_child */
+	int64_t lease_round_us; /* arrival of the last round of the upstream
+				   that extended the lease; 0: none */
+	uint32_t report_hops;	/* of the next report */
+	GHashTable *children;	/* node id -> struct ctl_child */
 	/* Contents of the next report. */
 	GHashTable *statuses;	   /* node id -> Dsp__NodeStatus */
 	GHashTable *announcements; /* endpoint -> Dsp__Announcement */
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -539,6 +539,11 @@
 	ctx->report_due_us =
 		ctx->now_us +
 		ctl_up_interval_us(&ctx->up, report_interval_us(ctx));
+	if (ctx->set->edge.key_revoke_ms && ctx->lease_round_us &&
+	    !ctx->up.failing)
+		ctx->report_due_us = ctl_rule_report_before_us(
+			ctx->now_us, report_interval_us(ctx),
+			ctx->lease_round_us);
 	if (ctx->ready_leader || ctx->up.address)
 		send_report(ctx);
 }
@@ -783,13 +788,24 @@
 		.echo_us = from->echo_us,
 		.age_ms = from->lease_age_ms,
 	};
+	struct lse before;
+	bool extended;
 
 	if (view_index(ctx->view) < update->to_index || ctx->needs_whole_table)
 		return;
+	before = ctx->lease;
 	pthread_mutex_lock(&ctx->lock);
-	lse_accept(&ctx->lease, &ctx->lease_clock, &grant,
-		   view_index(ctx->view), ctx->now_us);
+	extended = lse_accept(&ctx->lease, &ctx->lease_clock, &grant,
+			      view_index(ctx->view), ctx->now_us);
 	pthread_mutex_unlock(&ctx->lock);
+	if (!extended)
+		return;
+	if (before.start_us)
+		met_observe_us(ctx->met, "dandelionspar_lease_age_us", "",
+			       lse_age_us(&before, ctx->now_us));
+	if (ctx->lease.start_us - before.start_us >=
+	    report_interval_us(ctx) / 2)
+		ctx->lease_round_us = ctx->now_us;
 }
 
 static const char *member_address(const Dsp__RaftConfig *config,
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -9,6 +9,9 @@
 /* From this many voters on, a new instance takes the place of a voter that has
  * been silent for long; in smaller groups it is an additional voter. */
 #define REPLACE_VOTERS_MIN 3
+/* Covers the way of a report to a busy upstream, whose process may wait for
+ * its share of a core. */
+#define REPORT_LEAD_US 80000
 /* First and longest delay between sends of the same order. */
 #define RESEND_US (2LL * S_US)
 #define RESEND_MAX_US (10LL * S_US)
@@ -350,6 +353,26 @@
 	return in->n_voters ? in->voters[attempt % in->n_voters] : NULL;
 }
 
+/*
+ * Returns when an instance that needs a lease reports next, after a report at
+ * now_us: shortly before the next round of its upstream, whose last one arrived
+ * at round_us. The report is then young when it is echoed. A report at any
+ * other time would make the lease older by up to an interval at each hop, and
+ * an instance without contact would refuse requests that much earlier. Two
+ * reports are 0.5 to 1.5 intervals apart.
+ */
+int64_t ctl_rule_report_before_us(int64_t now_us, int64_t interval_us,
+				  int64_t round_us)
+{
+	int64_t due_us = round_us - MIN(REPORT_LEAD_US, interval_us / 4);
+	int64_t earliest_us = now_us + interval_us / 2;
+
+	if (due_us < earliest_us)
+		due_us += (earliest_us - due_us + interval_us - 1) /
+			  interval_us * interval_us;
+	return due_us;
+}
+
 /*
  * Returns true when the upstream chosen at chosen_us delivered no confirmed
  * view for limit_us. Other messages do not count: two instances without contact
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -95,6 +95,8 @@
 
 const char *ctl_rule_upstream(const struct ctl_upstream_input *in,
 			      size_t attempt);
+int64_t ctl_rule_report_before_us(int64_t now_us, int64_t interval_us,
+				  int64_t round_us);
 bool ctl_rule_upstream_failed(int64_t chosen_us, int64_t confirmed_us,
 			      int64_t now_us, int64_t limit_us);
 
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -645,3 +645,27 @@
 	sends.accepted = true;
 	EXPECT_EQ(ctl_rule_resend_us(&sends), 60 * S);
 }
+
+/* Guards against a report long before the round that echoes it, and against
+ * reports at more than twice the usual rate. */
+TEST(Rules, ReportPrecedesTheNextRoundOfTheUpstream)
+{
+	constexpr int64_t MS = 1000;
+
+	for (int64_t phase = 0; phase < 400 * MS; phase += 7 * MS) {
+		int64_t now = 10000 * MS + phase;
+		int64_t last = now;
+
+		for (int i = 0; i < 20; i++) {
+			int64_t round = now / (400 * MS) * 400 * MS;
+
+			now = ctl_rule_report_before_us(last, 400 * MS, round);
+			ASSERT_GE(now - last, 200 * MS);
+			ASSERT_LT(now - last, 600 * MS);
+			last = now;
+		}
+		EXPECT_EQ(now % (400 * MS), 320 * MS) << phase;
+	}
+	EXPECT_EQ(ctl_rule_report_before_us(1000 * MS, 100 * MS, 990 * MS),
+		  1065 * MS);
+}
