adm: customers share the queue of an entry

A customer that sends several times its usual filled the queue: requests of others of the same rank were tried after its own, or were refused because of the expected wait. Each waiting request of a customer now delays its next one by the time in which one request of each waiting customer is sent, and the expected wait counts of each other customer at most as many requests as the new one has itself, and one. Nothing changes for requests without a customer.

Ruled out: rounds over customers at each send, which need the whole queue sorted by customer and rank each time.

edge_core_test: one customer with 40 requests a second and four with two each at 20 sends a second: all but two of the requests of each of the four are sent, within 350 ms; without the delay the test fails.

--- a/src/core/adm.h
+++ b/src/core/adm.h
@@ -19,10 +19,14 @@
 	bool queued;
 	const char *group; /* of adm_intern_group(); one for each target */
 	uint32_t rank;	   /* lower is more urgent; 0 is the first */
+	/* Among those of a rank, customers share the sends; NULL: none. Must
+	 * stay until the item is removed. */
+	const char *customer;
 	int64_t arrived_us;
 	int64_t objective_us; /* time by which it should be sent */
 	int64_t give_up_us;   /* time from which it is refused */
 	uint64_t order;	      /* sequence number of arrival */
+	int64_t key_us;	      /* owned by the queue; its place */
 };
 
 struct adm *adm_new(void);
@@ -40,6 +44,6 @@
 unsigned adm_total(const struct adm *ctx);
 unsigned adm_length(const struct adm *ctx, const char *group);
 int64_t adm_expected_wait_us(const struct adm *ctx, const char *group,
-			     int64_t now_us);
+			     const char *customer, int64_t now_us);
 
 #endif
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -1111,8 +1111,8 @@
 {
 	int64_t now_us = now_of(f);
 	int64_t limit_us = wait_limit_us(f, choice->outcome);
-	int64_t expected_us =
-		adm_expected_wait_us(f->edge->queue, f->group, now_us);
+	int64_t expected_us = adm_expected_wait_us(f->edge->queue, f->group,
+						   f->customer, now_us);
 
 	if (f->engine && !f->miss_reported &&
 	    (choice->outcome == BAL_NO_ADAPTER ||
@@ -1142,6 +1142,7 @@
 	}
 	f->item.group = f->group;
 	f->item.rank = f->rank;
+	f->item.customer = f->customer;
 	f->item.arrived_us = now_us;
 	f->item.objective_us = f->headers_sent ? now_us + resume_wait_us(f)
 					       : f->start_us + f->objective_us;
--- a/tests/unit/edge_core_test.cc
+++ b/tests/unit/edge_core_test.cc
@@ -827,6 +827,70 @@
 	adm_free(queue);
 }
 
+/* Guards against a customer that keeps the others out of the queue: one sends
+ * 40 requests a second, four others two each, and 20 can be sent. */
+TEST(Adm, ACustomerWithManyRequestsDelaysOnlyItself)
+{
+	struct Waiting {
+		struct adm_item item = {};
+		size_t customer = 0;
+	};
+	const char *names[] = { "many", "a", "b", "c", "d" };
+	struct adm *queue = adm_new();
+	const char *group = adm_intern_group(queue, "g");
+	std::vector<std::unique_ptr<Waiting>> all;
+	unsigned sent[5] = {}, arrived[5] = {};
+	int64_t longest[5] = {};
+
+	for (int64_t ms = 0; ms < 20000; ms++) {
+		int64_t now = 100 * S + ms * 1000;
+
+		for (size_t c = 0; c < 5; c++) {
+			int64_t each = c ? 500 : 25;
+
+			if ((ms + 37 * (int64_t)c) % each)
+				continue;
+			all.push_back(std::make_unique<Waiting>());
+			struct adm_item *item = &all.back()->item;
+
+			all.back()->customer = c;
+			item->group = group;
+			item->customer = names[c];
+			item->arrived_us = now;
+			item->objective_us = now + S / 2;
+			arrived[c]++;
+			/* As the entry does: refused at once. */
+			if (adm_expected_wait_us(queue, "g", names[c], now) <=
+			    S)
+				adm_add(queue, item);
+		}
+		if (ms % 50)
+			continue;
+		if (struct adm_item *item = adm_next(queue, nullptr, now)) {
+			auto at = std::find_if(
+				all.begin(), all.end(),
+				[&](auto &w) { return &w->item == item; });
+
+			adm_remove(queue, item);
+			adm_sent(queue, group, now);
+			sent[(*at)->customer]++;
+			longest[(*at)->customer] =
+				std::max(longest[(*at)->customer],
+					 now - item->arrived_us);
+		}
+	}
+	for (size_t c = 1; c < 5; c++) {
+		EXPECT_GE(sent[c], arrived[c] - 2) << names[c];
+		/* One request of each customer may be ahead. */
+		EXPECT_LE(longest[c], 6 * 50000 + 50000) << names[c];
+	}
+	/* Nothing that could be sent is left unused. */
+	EXPECT_GE(sent[0], 400u - 4 * 40 - 2);
+	for (auto &w : all)
+		adm_remove(queue, &w->item);
+	adm_free(queue);
+}
+
 TEST(Adm, EstimatesTheWaitFromRecentSends)
 {
 	struct adm *queue = adm_new();
@@ -834,18 +898,18 @@
 	std::vector<struct adm_item> items(10);
 	int64_t now = 100 * S;
 
-	EXPECT_EQ(adm_expected_wait_us(queue, "g", now), 0);
+	EXPECT_EQ(adm_expected_wait_us(queue, "g", nullptr, now), 0);
 	for (int i = 0; i < 50; i++) {
 		now += 100 * MS; /* ten per second */
 		adm_sent(queue, group, now);
 	}
-	EXPECT_EQ(adm_expected_wait_us(queue, "g", now), 0);
+	EXPECT_EQ(adm_expected_wait_us(queue, "g", nullptr, now), 0);
 	for (auto &item : items) {
 		item.group = group;
 		adm_add(queue, &item);
 	}
-	EXPECT_NEAR((double)adm_expected_wait_us(queue, "g", now), 1.0 * S,
-		    0.2 * S);
+	EXPECT_NEAR((double)adm_expected_wait_us(queue, "g", nullptr, now),
+		    1.0 * S, 0.2 * S);
 	for (auto &item : items)
 		adm_remove(queue, &item);
 	adm_free(queue);
