--- a/src/core/quo.c
+++ b/src/core/quo.c
@@ -23,8 +23,8 @@
 /* Returned units are credited within this time of their grant. */
 #define RECORD_US 1750000
 /* A bucket's highest levels are kept for intervals of this length. */
-#define SLOT_US 125000
-#define SLOTS 16
+#define SLOT_US 50000
+#define SLOTS 40
 /* Far above a limit each entry asks again after its denial has expired. With
  * this time for each denial a second, 81 entries ask 570 times a second, 400
  * entries 1,260 times. Not longer: while no entry asks, room is not used. */
@@ -38,6 +38,7 @@
 struct slot {
 	int64_t number; /* time / SLOT_US */
 	double highest;
+	double raised; /* by units credited for it or earlier slots */
 };
 
 struct bucket {
@@ -58,6 +59,7 @@
 	struct bucket *bucket;
 	uint64_t units;
 	int64_t granted_us;
+	double level; /* of the bucket after it */
 };
 
 struct quo {
@@ -136,13 +138,31 @@
 	note_level(b, now_us);
 }
 
-static double highest_since(const struct bucket *b, int64_t since_us)
+/* Returns the highest level since a grant. In the slot of the grant, levels
+ * from before it do not count. */
+static double highest_since(const struct bucket *b, const struct record *record,
+			    int64_t now_us)
 {
+	int64_t first = record->granted_us / SLOT_US;
+	int64_t end_us = MIN(now_us, (first + 1) * SLOT_US);
 	double highest = b->level;
 
-	for (size_t i = 0; i < SLOTS; i++)
-		if (b->slots[i].number >= since_us / SLOT_US)
-			highest = MAX(highest, b->slots[i].highest);
+	for (size_t i = 0; i < SLOTS; i++) {
+		const struct slot *slot = &b->slots[i];
+		double level = slot->highest;
+
+		if (slot->number < first)
+			continue;
+		if (slot->number == first)
+			level = MIN(
+				level,
+				record->level + slot->raised +
+					refill_rate(b) *
+						(double)(end_us -
+							 record->granted_us) /
+						1e6);
+		highest = MAX(highest, level);
+	}
 	return highest;
 }
 
@@ -179,18 +199,20 @@
  * have if the units had never been granted: it would have been full for part of
  * the time, so part of them may be lost. Returns the units credited.
  */
-static double credit(struct bucket *b, double units, int64_t granted_us,
-		     int64_t now_us)
+static double credit(struct bucket *b, double units,
+		     const struct record *record, int64_t now_us)
 {
 	double room;
 
 	refill(b, now_us);
-	room = b->capacity - highest_since(b, granted_us);
+	room = b->capacity - highest_since(b, record, now_us);
 	units = MIN(units, MAX(room, 0));
 	b->level += units;
 	for (size_t i = 0; i < SLOTS; i++)
-		if (b->slots[i].number >= granted_us / SLOT_US)
+		if (b->slots[i].number >= record->granted_us / SLOT_US) {
 			b->slots[i].highest += units;
+			b->slots[i].raised += units;
+		}
 	return units;
 }
 
@@ -316,6 +338,7 @@
 	record->key = key;
 	record->bucket = bucket;
 	record->units = units;
+	record->level = bucket->level;
 	record->granted_us = now_us;
 	STAILQ_INSERT_TAIL(&ctx->records, record, link);
 	g_hash_table_insert(ctx->by_key, &record->key, record);
@@ -335,8 +358,7 @@
 	}
 	units = MIN(from->units, record->units);
 	record->units -= units;
-	credited = credit(record->bucket, (double)units, record->granted_us,
-			  now_us);
+	credited = credit(record->bucket, (double)units, record, now_us);
 	ctx->counts.credited += (uint64_t)credited;
 	ctx->counts.refused += from->units - (uint64_t)credited;
 }
