--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -403,6 +403,10 @@
 		  (int64_t)view_index(ctx->view));
 	met_gauge(ctx->met, "dandelionspar_edge_view_age_ms", "",
 		  ctl_state(ctx->ctl).stale_us / 1000);
+	if (ctx->set->edge.key_revoke_ms && ctx->lease.start_us)
+		met_gauge(ctx->met, "dandelionspar_edge_lease_age_ms", "",
+			  lse_age_us(&ctx->lease, clk_now_us(ctx->clock)) /
+				  1000);
 	met_gauge(ctx->met, "dandelionspar_edge_connections_opened", "",
 		  (int64_t)counts.opened);
 	met_gauge(ctx->met, "dandelionspar_edge_connections_reused", "",
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -319,6 +319,21 @@
 		end_attempt(LIST_FIRST(&f->attempts), BAL_CANCELLED);
 }
 
+/* Counts the outcome of a request under a table with customers. customer NULL:
+ * it has no valid key. */
+static void count_customer(struct edge *ctx, const char *customer,
+			   const char *outcome, const char *reason)
+{
+	g_autofree char *name = g_strdup(customer ? customer : "");
+	g_autofree char *labels = NULL;
+
+	/* Both would have to be escaped. */
+	g_strdelimit(name, "\"\\", '_');
+	labels = g_strdup_printf("customer=\"%s\",outcome=\"%s\",reason=\"%s\"",
+				 name, outcome, reason);
+	met_count(ctx->met, "dandelionspar_edge_customer_requests", labels, 1);
+}
+
 /* Logs one line for each request: the decisions and the outcome. */
 static void log_end(const struct fwd *f, const char *outcome, int status,
 		    const char *reason)
@@ -330,6 +345,8 @@
 		   "route=\"%s\",outcome=\"%s\",reason=\"%s\"", f->route,
 		   outcome, reason);
 	met_count(f->edge->met, "dandelionspar_edge_requests", labels, 1);
+	if (f->keyed)
+		count_customer(f->edge, f->customer, outcome, reason);
 	g_snprintf(labels, sizeof(labels), "route=\"%s\"", f->route);
 	met_observe_us(f->edge->met, "dandelionspar_edge_request_us", labels,
 		       took_us);
@@ -1515,6 +1532,19 @@
 	verdict = key_decide(&question);
 	if (verdict == KEY_SERVE)
 		return true;
+	if (verdict != KEY_SERVE_UNNAMED)
+		count_customer(ctx, *out ? (*out)->name : NULL, "refused",
+			       key_reason(verdict));
+	if (verdict == KEY_NO_LEASE)
+		LOG_EVENT_INFO(
+			"fwd", "no_lease",
+			"request=%s customer=\"%s\" lease_age_us=%" PRId64
+			" revoke_ms=%u view=%" G_GUINT64_FORMAT,
+			id ? id : "-", *out ? (*out)->name : "",
+			ctx->lease.start_us ? lse_age_us(&ctx->lease,
+							 clk_now_us(ctx->clock))
+					    : (int64_t)-1,
+			ctx->set->edge.key_revoke_ms, view_index(ctx->view));
 	*out = NULL;
 	if (verdict == KEY_SERVE_UNNAMED)
 		return true;
--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -295,6 +295,26 @@
 	return list;
 }
 
+/* Customers without their keys. */
+static json_t *customers_json(const Dsp__Customers *customers)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < customers->n_all; i++) {
+		const Dsp__Customer *c = customers->all[i];
+		json_t *row =
+			json_pack("{ss sI sf sf ss}", "customer", c->name,
+				  "keys", (json_int_t)c->n_key_digests, "rate",
+				  c->rate, "burst", c->burst, "unit",
+				  c->counts_tokens ? "token" : "request");
+
+		if (c->has_rank)
+			json_object_set_new(row, "rank", json_integer(c->rank));
+		json_array_append_new(list, row);
+	}
+	return list;
+}
+
 static const char *http_address_of(struct ctl *ctx, const char *id)
 {
 	const Dsp__Node *node = id ? view_node(ctx->view, id) : NULL;
@@ -306,6 +326,7 @@
  * the caller frees it with g_free(). */
 char *ctl_status_build(struct ctl *ctx)
 {
+	const Dsp__RouteTable *table = view_route_table(ctx->view);
 	struct ctl_state state = ctl_state(ctx);
 	json_t *root = json_pack(
 		"{ss ss ss ss sI ss sI ss ss sI so so so so so so so}",
@@ -324,6 +345,9 @@
 	char *dump;
 	char *text;
 
+	if (table && table->customers)
+		json_object_set_new(root, "customers",
+				    customers_json(table->customers));
 	if (ctx->raft) {
 		json_object_set_new(root, "replica", id_json(ctx->replica));
 		json_object_set_new(root, "group", id_json(ctx->group));
--- a/tests/integration/keys_test.cc
+++ b/tests/integration/keys_test.cc
@@ -146,7 +146,16 @@
 	EXPECT_EQ(last[1].field("X-Tenant"), "two");
 	EXPECT_EQ(last[1].field("X-Request-Urgency"), "1");
 	std::string text = told();
-	EXPECT_NE(text.find("dandelionspar_edge_requests"), std::string::npos);
+	for (const char *counted :
+	     { "{customer=\"one\",outcome=\"served\",reason=\"-\"} 1\n",
+	       "{customer=\"two\",outcome=\"served\",reason=\"-\"} 1\n",
+	       "{customer=\"\",outcome=\"refused\",reason=\"unknown_key\"} "
+	       "6\n" })
+		EXPECT_NE(text.find(std::string("dandelionspar_edge_customer_"
+						"requests") +
+				    counted),
+			  std::string::npos)
+			<< counted;
 	for (const char *key : { KEY, OTHER_KEY })
 		EXPECT_EQ(text.find(key), std::string::npos);
 }
