--- a/tests/integration/keys_test.cc
+++ b/tests/integration/keys_test.cc
@@ -235,6 +235,69 @@
 	EXPECT_EQ(requests(a).back().field("X-Tenant"), "forged");
 }
 
+/* Guards against a retry with a key that was taken away while the request ran,
+ * and against a refusal (401) of a request that has run. */
+TEST_F(Keys, RequestWhoseKeyWasTakenAwayIsNotSentAgain)
+{
+	std::atomic<bool> removed{ false };
+	std::atomic<int> runs{ 0 };
+
+	system.add(a, "/open/probe");
+	system.add(b, "/open/probe");
+	for (Runner *r : { &a, &b })
+		r->handler = [&](Socket &s, const Message &) {
+			runs++;
+			System::eventually([&] { return removed.load(); });
+			s.reset();
+			return false;
+		};
+	std::thread remover([&] {
+		System::eventually([&] { return runs != 0; });
+		EXPECT_EQ(
+			system.put(keyed_table(2, customer("two", OTHER_KEY))),
+			200);
+		EXPECT_TRUE(System::eventually([&] {
+			std::string all = system.whole_logs();
+			return all.find("edge: event=route_table number=2",
+					all.find("== " + system.entry().id)) !=
+			       std::string::npos;
+		}));
+		removed = true;
+	});
+	Message m = system.send("GET", "/safe/x", with_key(KEY));
+	remover.join();
+	EXPECT_EQ(m.status(), 502) << system.logs();
+	EXPECT_EQ(runs, 1);
+}
+
+/* Guards against a stream that is cut because its key was taken away. */
+TEST_F(Keys, StreamThatHasBegunGoesOnWithoutItsKey)
+{
+	std::atomic<bool> removed{ false };
+	std::atomic<int> runs{ 0 };
+
+	system.add(a, "/open/probe");
+	a.handler = [&](Socket &s, const Message &m) {
+		s.send("HTTP/1.1 200 OK\r\n" + a.seal() + Runner::echo(m) +
+		       "Content-Type: text/event-stream\r\n"
+		       "Content-Length: 30\r\n\r\nid: 1\ndata: x\n\n");
+		runs++;
+		System::eventually([&] { return removed.load(); });
+		return s.send("id: 2\ndata: y\n\n");
+	};
+	std::thread remover([&] {
+		System::eventually([&] { return runs != 0; });
+		EXPECT_EQ(
+			system.put(keyed_table(2, customer("two", OTHER_KEY))),
+			200);
+		removed = true;
+	});
+	Message m = system.send("POST", "/flow/x", with_key(KEY));
+	remover.join();
+	EXPECT_EQ(m.body, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n")
+		<< system.logs();
+}
+
 namespace
 {
 
