--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -157,6 +157,8 @@
 int64_t edge_quota_retry_us(struct edge_quota *ctx, const char *customer,
 			    int64_t room_us);
 int64_t edge_quota_grant_age_us(const struct edge_quota *ctx);
+void edge_quota_waited(struct edge_quota *ctx, const char *customer,
+		       int64_t wait_us);
 void edge_quota_set_gauges(struct edge_quota *ctx);
 
 /* edge_call.c */
--- a/src/edge/edge_quota.c
+++ b/src/edge/edge_quota.c
@@ -1,6 +1,6 @@
 #include "edge/edge_int.h"
 
-#include <inttypes.h>
+#include <string.h>
 
 #include "base/log.h"
 #include "base/msg.h"
@@ -201,13 +201,39 @@
 	return tok_grant_age_us(ctx->tok, clk_now_us(ctx->edge->clock));
 }
 
-static void set_gauge(struct edge_quota *ctx, const char *name,
-		      const char *customer, uint64_t value)
+/* Returns the label of a customer; free with g_free(). */
+static char *label_of(const char *customer)
 {
-	char label[160];
+	char *label = g_strdup_printf("customer=\"%s\"", customer);
 
-	g_snprintf(label, sizeof(label), "customer=\"%s\"", customer);
-	met_gauge(ctx->edge->met, name, label, (int64_t)value);
+	/* Both would have to be escaped. */
+	g_strdelimit(label + strlen("customer=\""), "\"\\", '_');
+	label[strlen(label) - 1] = '"';
+	return label;
+}
+
+/* Records the wait of a request for a grant. */
+void edge_quota_waited(struct edge_quota *ctx, const char *customer,
+		       int64_t wait_us)
+{
+	g_autofree char *label = label_of(customer);
+
+	met_observe_us(ctx->edge->met, "dandelionspar_edge_quota_wait_us",
+		       label, wait_us);
+}
+
+static void set_gauges(struct edge_quota *ctx, const char *customer)
+{
+	struct tok_counts counts = tok_counts(ctx->tok, customer);
+	g_autofree char *label = label_of(customer);
+	struct met *met = ctx->edge->met;
+
+	met_gauge(met, "dandelionspar_edge_quota_used", label,
+		  (int64_t)counts.used);
+	met_gauge(met, "dandelionspar_edge_quota_granted", label,
+		  (int64_t)counts.granted);
+	met_gauge(met, "dandelionspar_edge_quota_returned", label,
+		  (int64_t)counts.returned);
 }
 
 /* Sets the metrics of the customers with a rate. */
@@ -219,17 +245,9 @@
 		return;
 	for (size_t i = 0; i < table->customers->n_all; i++) {
 		const char *name = table->customers->all[i]->name;
-		struct tok_counts counts;
-
-		if (!tok_is_limited(ctx->tok, name))
-			continue;
-		counts = tok_counts(ctx->tok, name);
-		set_gauge(ctx, "dandelionspar_edge_quota_used", name,
-			  counts.used);
-		set_gauge(ctx, "dandelionspar_edge_quota_granted", name,
-			  counts.granted);
-		set_gauge(ctx, "dandelionspar_edge_quota_returned", name,
-			  counts.returned);
+
+		if (tok_is_limited(ctx->tok, name))
+			set_gauges(ctx, name);
 	}
 	met_gauge(ctx->edge->met, "dandelionspar_edge_quota_waiting", "",
 		  tok_n_waiting(ctx->tok));
