--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -331,18 +331,19 @@
 		end_attempt(LIST_FIRST(&f->attempts), BAL_CANCELLED);
 }
 
-static void count_customer(const struct fwd *f, const char *outcome,
-			   const char *reason)
+/* Counts the outcome of a request under a table with customers. customer NULL:
+ * it has no valid key. */
+static void count_customer(struct edge *ctx, const char *customer,
+			   const char *outcome, const char *reason)
 {
-	char labels[256];
+	g_autofree char *name = g_strdup(customer ? customer : "");
+	g_autofree char *labels = NULL;
 
-	if (!f->customer)
-		return;
-	g_snprintf(labels, sizeof(labels),
-		   "customer=\"%s\",outcome=\"%s\",reason=\"%s\"", f->customer,
-		   outcome, reason);
-	met_count(f->edge->met, "dandelionspar_edge_customer_requests", labels,
-		  1);
+	/* Both would have to be escaped. */
+	g_strdelimit(name, "\"\\", '_');
+	labels = g_strdup_printf("customer=\"%s\",outcome=\"%s\",reason=\"%s\"",
+				 name, outcome, reason);
+	met_count(ctx->met, "dandelionspar_edge_customer_requests", labels, 1);
 }
 
 /* Logs one line for each request: the decisions and the outcome. */
@@ -356,7 +357,8 @@
 		   "route=\"%s\",outcome=\"%s\",reason=\"%s\"", f->route,
 		   outcome, reason);
 	met_count(f->edge->met, "dandelionspar_edge_requests", labels, 1);
-	count_customer(f, outcome, reason);
+	if (f->keyed)
+		count_customer(f->edge, f->customer, outcome, reason);
 	g_snprintf(labels, sizeof(labels), "route=\"%s\"", f->route);
 	met_observe_us(f->edge->met, "dandelionspar_edge_request_us", labels,
 		       took_us);
@@ -1115,8 +1117,8 @@
 {
 	int64_t now_us = now_of(f);
 	int64_t limit_us = wait_limit_us(f, choice->outcome);
-	int64_t expected_us =
-		adm_expected_wait_us(f->edge->queue, f->group, now_us);
+	int64_t expected_us = adm_expected_wait_us(f->edge->queue, f->group,
+						   f->customer, now_us);
 
 	if (f->engine && !f->miss_reported &&
 	    (choice->outcome == BAL_NO_ADAPTER ||
@@ -1146,6 +1148,7 @@
 	}
 	f->item.group = f->group;
 	f->item.rank = f->rank;
+	f->item.customer = f->customer;
 	f->item.arrived_us = now_us;
 	f->item.objective_us = f->headers_sent ? now_us + resume_wait_us(f)
 					       : f->start_us + f->objective_us;
@@ -1563,6 +1566,19 @@
 	verdict = key_decide(&question);
 	if (verdict == KEY_SERVE)
 		return true;
+	if (verdict != KEY_SERVE_UNNAMED)
+		count_customer(ctx, *out ? (*out)->name : NULL, "refused",
+			       key_reason(verdict));
+	if (verdict == KEY_NO_LEASE)
+		LOG_EVENT_INFO(
+			"fwd", "no_lease",
+			"request=%s customer=\"%s\" lease_age_us=%" PRId64
+			" revoke_ms=%u view=%" G_GUINT64_FORMAT,
+			id ? id : "-", *out ? (*out)->name : "",
+			ctx->lease.start_us ? lse_age_us(&ctx->lease,
+							 clk_now_us(ctx->clock))
+					    : (int64_t)-1,
+			ctx->set->edge.key_revoke_ms, view_index(ctx->view));
 	*out = NULL;
 	if (verdict == KEY_SERVE_UNNAMED)
 		return true;
@@ -1584,7 +1600,7 @@
 					       f->quota.retry_us);
 
 	LOG_EVENT_INFO("fwd", "over_limit",
-		       "request=%s customer=%s units=%" PRIu64
+		       "request=%s customer=\"%s\" units=%" PRIu64
 		       " room_us=%" PRId64 " retry_us=%" PRId64
 		       " grant_age_us=%" PRId64 " table=%" G_GUINT64_FORMAT,
 		       log_id(f), f->customer, f->quota.units,
@@ -1596,13 +1612,14 @@
 
 static void refuse_no_grant(struct fwd *f)
 {
-	LOG_EVENT_INFO(
-		"fwd", "no_grant",
-		"request=%s customer=%s units=%" PRIu64 " waited_us=%" PRId64
-		" grant_age_us=%" PRId64 " view_age_us=%" PRId64,
-		log_id(f), f->customer, f->quota.units, now_of(f) - f->start_us,
-		edge_quota_grant_age_us(f->edge->quota),
-		ctl_state(f->edge->ctl).stale_us);
+	LOG_EVENT_INFO("fwd", "no_grant",
+		       "request=%s customer=\"%s\" units=%" PRIu64
+		       " waited_us=%" PRId64 " grant_age_us=%" PRId64
+		       " view_age_us=%" PRId64,
+		       log_id(f), f->customer, f->quota.units,
+		       now_of(f) - f->start_us,
+		       edge_quota_grant_age_us(f->edge->quota),
+		       ctl_state(f->edge->ctl).stale_us);
 	reply_failure(f, 503, NO_GRANT_RETRY_US, "no_grant");
 }
 
@@ -1631,11 +1648,9 @@
 {
 	struct fwd *f =
 		(struct fwd *)((char *)item - offsetof(struct fwd, quota));
-	char label[160];
 
-	g_snprintf(label, sizeof(label), "customer=\"%s\"", f->customer);
-	met_observe_us(f->edge->met, "dandelionspar_edge_quota_wait_us", label,
-		       now_of(f) - item->begun_us);
+	edge_quota_waited(f->edge->quota, f->customer,
+			  now_of(f) - item->begun_us);
 	go_on(f, item->state);
 }
 
