--- a/tests/tools/bench_core.c
+++ b/tests/tools/bench_core.c
@@ -8,6 +8,7 @@
 
 #include "core/ent.h"
 #include "core/plc.h"
+#include "core/quo.h"
 #include "core/rt.h"
 #include "core/st.h"
 
@@ -332,9 +333,61 @@
 	print_times("entry list", times, LISTS);
 }
 
+/* One message of an entry with an ask, as the leader handles it: decoded,
+ * decided and answered, with 16 customers. */
+static void bench_asks(void)
+{
+	enum { ASKS = 20000, CUSTOMERS = 16 };
+	static double times[ASKS];
+	Dsp__Customer all[CUSTOMERS];
+	Dsp__Customer *list[CUSTOMERS];
+	Dsp__Customers customers = DSP__CUSTOMERS__INIT;
+	char names[CUSTOMERS][16];
+	struct quo *quo = quo_new();
+
+	for (int i = 0; i < CUSTOMERS; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "customer-%d", i);
+		dsp__customer__init(&all[i]);
+		all[i].name = names[i];
+		all[i].rate = all[i].burst = 2700 << i / 2;
+		list[i] = &all[i];
+	}
+	customers.all = list;
+	customers.n_all = CUSTOMERS;
+	quo_begin(quo, 1, &customers, 0);
+	for (int i = 0; i < ASKS; i++) {
+		Dsp__QuotaAsk ask = DSP__QUOTA_ASK__INIT;
+		Dsp__QuotaAsk *asks[] = { &ask };
+		Dsp__QuotaAsks message = DSP__QUOTA_ASKS__INIT;
+		Dsp__QuotaGrants *grants;
+		Dsp__QuotaAsks *read;
+		uint8_t data[256];
+		double start;
+		size_t len;
+
+		ask.id = (uint64_t)i + 1;
+		ask.customer = names[rand() % CUSTOMERS];
+		ask.units = 1540;
+		ask.wait_ms = 250;
+		message.asks = asks;
+		message.n_asks = 1;
+		len = dsp__quota_asks__pack(&message, data);
+		start = now_us();
+		read = dsp__quota_asks__unpack(NULL, len, data);
+		grants = quo_answer(quo, "front-1", read, i * 2500LL);
+		dsp__quota_grants__pack(grants, data);
+		dsp__quota_grants__free_unpacked(grants, NULL);
+		dsp__quota_asks__free_unpacked(read, NULL);
+		times[i] = now_us() - start;
+	}
+	print_times("quota ask, leader", times, ASKS);
+	quo_free(quo);
+}
+
 int main(void)
 {
 	srand(1);
+	bench_asks();
 	for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++) {
 		const struct size *size = &sizes[i];
 		struct st *st = st_new(&st_default_limits);
