--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -1338,6 +1338,46 @@
 	EXPECT_EQ(engine_in_view(all[1]->ctl), "9 m1");
 }
 
+/* Guards against a key, or its digest, in the status. */
+TEST_F(Control, StatusListsCustomersWithoutKeys)
+{
+	Dsp__Command command = DSP__COMMAND__INIT;
+	Dsp__RouteTablePut change = DSP__ROUTE_TABLE_PUT__INIT;
+	Dsp__RouteTable table = DSP__ROUTE_TABLE__INIT;
+	Dsp__Customers customers = DSP__CUSTOMERS__INIT;
+	Dsp__Customer one = DSP__CUSTOMER__INIT;
+	Dsp__Customer *list[] = { &one };
+	char name[] = "one";
+	uint8_t digest[] = "digest-of-a-key";
+	ProtobufCBinaryData digests[] = { { sizeof(digest), digest } };
+	Dsp__CommandResult *result;
+
+	create(1, 0);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	EXPECT_FALSE(all[0]->has_status("\"customers\""));
+	one.name = name;
+	one.key_digests = digests;
+	one.n_key_digests = 1;
+	one.rate = 2.5;
+	customers.all = list;
+	customers.n_all = 1;
+	table.number = 1;
+	table.customers = &customers;
+	change.table = &table;
+	command.body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
+	command.route_table_put = &change;
+	result = ctl_submit(all[0]->ctl, &command, WAIT_US, NULL);
+	ASSERT_NE(result, nullptr);
+	dsp__command_result__free_unpacked(result, NULL);
+	EXPECT_TRUE(wait_until([&] {
+		return all[0]->has_status(
+			"\"customers\":[{\"customer\":\"one\","
+			"\"keys\":1,\"rate\":2.5");
+	}));
+	EXPECT_FALSE(all[0]->has_status("digest-of"));
+}
+
 /* An operator can remove a replica that will not return, through any
  * instance. */
 TEST_F(Control, LostReplicaIsRemovedOnRequest)
