net, node, edge: memory and loads of control instances in a large fleet

Connections that were not used for 5 s are closed when there are more than 64 (60 s before): at the start each entry queries all control instances, and each connection keeps buffers on both sides. With more than 256 endpoints the control thread returns free memory each 10 s.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -161,6 +161,10 @@
 {
 	struct edge *ctx = data;
 
+	/* Without callers only the order sender asks, and only whether an
+	 * endpoint leaves. */
+	if (!ctx->set->edge.front && !load->leaving)
+		return;
 	pthread_mutex_lock(&ctx->lock);
 	/* The thread takes all at once, and the first one has woken it. */
 	if (!ctx->loads_in->len)
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -33,6 +33,10 @@
  * a network outage may still hang after the outage. */
 #define CONNECT_TIMEOUT_MS 1000
 #define UNUSED_CLOSE_US 60000000
+/* The same with more than PEERS_MANY connections. Each takes some 50 KB on both
+ * sides, and instances without a view query all control instances. */
+#define UNUSED_CLOSE_MANY_US 5000000
+#define PEERS_MANY 64
 /* Received messages that wait, in number and bytes. Beyond it the oldest
  * reports are dropped: their senders repeat them each few hundred
  * milliseconds, and a leader that lags behind by seconds serves nobody. */
@@ -448,6 +452,9 @@
 {
 	GHashTableIter iter;
 	struct peer *p;
+	int64_t unused_us = g_hash_table_size(ctx->peers) > PEERS_MANY
+				    ? UNUSED_CLOSE_MANY_US
+				    : UNUSED_CLOSE_US;
 
 	ctx->now_us = now_us;
 	if (now_us < ctx->probe_due_us)
@@ -462,7 +469,7 @@
 			LOG_EVENT_INFO("net", "reset_silent", "address=%s",
 				       p->address);
 			g_hash_table_iter_remove(&iter);
-		} else if (now_us - p->used_us > UNUSED_CLOSE_US) {
+		} else if (now_us - p->used_us > unused_us) {
 			g_hash_table_iter_remove(&iter);
 		}
 	}
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -4,6 +4,7 @@
 #include "base/msg.h"
 #include "node/ctl_int.h"
 
+#include <malloc.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/eventfd.h>
@@ -20,6 +21,10 @@
  * thousand messages a second cost more than the messages. */
 #define FLEET_ENDPOINTS 256
 #define COLLECT_US 5000
+/* Interval at which such an instance returns free memory to the system. The
+ * views and messages of its start take several times what it keeps. */
+#define TRIM_INTERVAL_US (10LL * CTL_S_US)
+#define TRIM_KEEP_BYTES (1 << 20)
 /* Messages handled in one iteration, which syncs the log once for all: at most
  * this many, and no further one after this time. Votes and heartbeats must not
  * wait for an election timeout behind the reports of all instances. */
@@ -410,6 +415,15 @@
 	return leadership;
 }
 
+static void trim_memory(struct ctl *ctx)
+{
+	if (ctx->now_us < ctx->trim_due_us ||
+	    view_n_endpoints(ctx->view) <= FLEET_ENDPOINTS)
+		return;
+	ctx->trim_due_us = ctx->now_us + TRIM_INTERVAL_US;
+	malloc_trim(TRIM_KEEP_BYTES);
+}
+
 /*
  * Runs one iteration: handles all messages and jobs received, syncs the log
  * once for all proposals of the iteration, then sends what the commits cause.
@@ -437,6 +451,7 @@
 	ctl_report_push(ctx);
 	ctl_raft_expire_forwards(ctx);
 	ctl_status_metrics(ctx);
+	trim_memory(ctx);
 }
 
 static void *run(void *data)
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -372,6 +372,7 @@
 	struct ctl_held_results held_results; /* oldest first */
 
 	int64_t metrics_due_us;
+	int64_t trim_due_us;
 };
 
 /* ctl.c */
