--- a/src/base/zip.c
+++ b/src/base/zip.c
@@ -22,7 +22,7 @@
  * NULL if the data is malformed or has another number of bytes. */
 uint8_t *zip_inflate(const uint8_t *data, size_t len, size_t out_len)
 {
-	uLongf n = out_len;
+	uLongf n = out_len + 1; /* with 0, a longer result is no error */
 	uint8_t *out = g_try_malloc(out_len + 1);
 
 	if (!out)
