node: a relay that restarts gets its view at once; entries collect no messages

Other instances left the answer to the query of a restarted relay to the relay itself for 0.5 s. Entries get few messages, and prompts' coordinators must answer within some 25 ms, so only control instances collect messages.

--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -16,9 +16,9 @@
 #define REPLICA_SLEEP_US 20000
 #define ENTRY_SLEEP_US 50000
 #define SLEEP_MIN_US 1000
-/* With more than FLEET_ENDPOINTS endpoints, messages are collected for this
- * time before an iteration: the system calls of an iteration for each of some
- * thousand messages a second cost more than the messages. */
+/* With more than FLEET_ENDPOINTS endpoints, a control instance collects
+ * messages for this time before an iteration: the system calls of an iteration
+ * for each of some thousand messages a second cost more than the messages. */
 #define FLEET_ENDPOINTS 256
 #define COLLECT_US 5000
 /* Interval at which such an instance returns free memory to the system. The
@@ -431,7 +431,7 @@
 static void iterate(struct ctl *ctx)
 {
 	net_wait(ctx->net, ctx->wake_fd, sleep_us(ctx));
-	if (view_n_endpoints(ctx->view) > FLEET_ENDPOINTS)
+	if (ctx->set->control && view_n_endpoints(ctx->view) > FLEET_ENDPOINTS)
 		g_usleep(COLLECT_US);
 	ctx->now_us = clk_now_us(ctx->clock);
 	net_tick(ctx->net, ctx->now_us);
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -1144,7 +1144,8 @@
 		const Dsp__Node *node = view_node(ctx->view, id);
 
 		if (node && !strcmp(node->site, child->site))
-			return strcmp(id, ctx->set->id) != 0;
+			return strcmp(id, ctx->set->id) != 0 &&
+			       strcmp(id, child->node) != 0;
 	}
 	return false;
 }
