--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -385,6 +385,7 @@
 			       this instance; NULL: none */
 
 	int64_t metrics_due_us;
+	int64_t trim_due_us;
 };
 
 /* ctl.c */
