tests: misbehaving clients at each path, with limits lowered

Clients that nobody controls made processes of similar systems run out of memory. Each kind of docs/design/hard-load.md, part E, is now tried at each path of a small system (machine of 64 MB, 256 descriptors, 60 to 400 clients), and at the project's own interface. Checked are the processes' life, resident memory, descriptors, and ordinary requests to each port while the clients still hold their connections.

Crowd and bounds are fixed with this commit, before the product changes.

--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -24,11 +24,15 @@
 		std::string id, ip, folder, settings;
 		bool control;
 		pid_t pid = 0;
-		std::string front, ready, directory, api;
+		std::string front, ready, directory, api, metrics;
 	};
 
-	System(size_t n_controls, size_t n_entries)
-	    : internal_port(proc_free_port())
+	/* edge: more lines of the section [edge] of all instances; descriptors:
+	 * limit of each process, 0 for that of the test. */
+	System(size_t n_controls, size_t n_entries,
+	       const std::string &edge = "", unsigned descriptors = 0)
+	    : internal_port(proc_free_port()), edge(edge),
+	      descriptors(descriptors)
 	{
 		char *path = proc_temp_folder();
 
@@ -48,6 +52,8 @@
 			x.directory =
 				x.ip + ":" + std::to_string(proc_free_port());
 			x.api = x.ip + ":" + std::to_string(proc_free_port());
+			x.metrics =
+				x.ip + ":" + std::to_string(proc_free_port());
 			instances.push_back(x);
 		}
 		for (auto &x : instances)
@@ -85,7 +91,9 @@
 		       "repeat_extra = 50\nrepeat_settle_ms = 0\n"
 		       "order_lease_ms = 300\n"
 		       "drain_limit_ms = 4000\nentry_validity_s = 1\n"
-		    << "start_wait_ms = " << start_wait_ms << "\n";
+		    << "start_wait_ms = " << start_wait_ms << "\nmetrics = \""
+		    << x.metrics << "\"\n"
+		    << edge;
 		if (x.control)
 			out << "control = \"" << x.api << "\"\n";
 		if (!x.control)
@@ -102,8 +110,14 @@
 			program = std::string(build) + "/dandelionspar";
 		const char *argv[] = { program.c_str(), "run", "--settings",
 				       x.settings.c_str(), nullptr };
+		std::string limited =
+			"ulimit -n " + std::to_string(descriptors) +
+			" && exec " + program + " run --settings " + x.settings;
+		const char *shell[] = { "/bin/sh", "-c", limited.c_str(),
+					nullptr };
 
-		x.pid = proc_start(argv, (x.folder + ".log").c_str());
+		x.pid = proc_start(descriptors ? shell : argv,
+				   (x.folder + ".log").c_str());
 	}
 	void start_all()
 	{
@@ -238,6 +252,8 @@
 	 * test's time. */
 	int start_wait_ms = 100;
 	uint16_t internal_port;
+	std::string edge;
+	unsigned descriptors;
 };
 
 /* A route table (JSON) with one plain service and one engine service. */
