http: what clients make a process keep is accounted and bounded

Callers saw processes at the edge of their memory and without descriptors: 150 headers of 3,000 short fields took 35 MB, one-byte chunks and unread answers of pipelined requests were not bounded, and connections that stopped halfway took every descriptor, so that readiness, operators and endpoints got no answer.

Cause: the account of memory had bodies and answers only, at their length; the number of connections had no limit; nothing was closed for others.

Change: - The fields of a header are one text and one array instead of two allocations each; targets and fields are in the account as allocated (kind "header"), bodies as allocated. Trailers are checked and not kept. - A header may have a quarter as many fields as bytes, since a field takes four bytes on the wire. - Without room for an item the connection that has kept most for longest without progress is closed first (hio_mem_hold): a request that is read is refused with 503, a client that has not read for 3 s is disconnected. Never one whose request is with the application, or that reads. - Listeners have shares of the descriptors ([edge] descriptors_max and descriptors_reserved, else the system's limit), an address three quarters of a listener; at the limit the connection that stopped for longest goes, unfinished requests before idle clients. Idle connections to endpoints have a share too. - The next pipelined request is read when less than 64 KB of answers are unread; 4 KB are read ahead during an answer. Connections that flush an answer end when the client reads nothing for the idle time. - Bodies of tiny chunks are refused when half of the account is used. The kernel's receive buffer is 128 KB, not 6 MB. - Free memory goes back to the system after smaller peaks, too. - Counter dandelionspar_connections_closed by reason; log lines of refusals and closings once a second for each reason.

--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -113,6 +113,9 @@
 	  .default_value = 1 },
 	{ "memory_mb", OPT_NUMBER, AT(memory_mb), .min = 64, .max = 1048576,
 	  .default_value = 256 },
+	{ "descriptors_max", OPT_U32, AT(descriptors_max), .max = 1 << 20 },
+	{ "descriptors_reserved", OPT_U32, AT(descriptors_reserved),
+	  .max = 1 << 20 },
 };
 
 #undef AT
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -41,6 +41,10 @@
 	 * still send orders. */
 	uint32_t order_lease_ms;
 	double memory_mb; /* that the process may use */
+	/* Descriptors that the process may have, 0: the limit of the system,
+	 * and those of them that others use. */
+	uint32_t descriptors_max;
+	uint32_t descriptors_reserved;
 	/* Limit of planned loads, as a multiple of the store's loads_per_s. */
 	double store_excess;
 };
--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -1,6 +1,7 @@
 #include "edge/edge_int.h"
 
 #include <string.h>
+#include <sys/resource.h>
 
 #include "base/log.h"
 #include "base/msg.h"
@@ -24,6 +25,20 @@
 /* Endpoints time out after one second. */
 #define LEAVE_TIMEOUT_US 900000
 #define ENTRIES_MAX 64
+/* Shares of the process's descriptors, in 1/32, that a listener may use. A
+ * quarter is left for endpoints, other instances and files. */
+#define MAIN_SHARE 16 /* callers; without them endpoints and operators */
+#define OTHER_SHARE 4 /* endpoints and operators beside callers */
+#define SMALL_SHARE 2 /* readiness, entry lists */
+#define METRICS_SHARE 1
+#define IDLE_SHARE 4 /* idle connections to endpoints */
+#define SHARES 32
+#define CONNS_MIN 8
+/* Part of a listener's connections that one address may have: callers may come
+ * through a common address, and a single one must not fill the listener. */
+#define PER_ADDRESS_SHARE 0.75
+/* Where the system's limit cannot be read. */
+#define DESCRIPTORS_DEFAULT 1024
 
 static void reply_text(struct hio_exchange *exchange, int status,
 		       const char *type, const char *body)
@@ -323,11 +338,34 @@
 	met_count(ctx->met, "dandelionspar_unreadable_requests", labels, 1);
 }
 
-static bool open_server(struct edge *ctx, const char *listen,
+static void on_closed(void *data, const char *reason)
+{
+	struct edge *ctx = data;
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+	met_count(ctx->met, "dandelionspar_connections_closed", labels, 1);
+}
+
+/* Descriptors that this process may use. */
+static size_t descriptors_max(const struct edge *ctx)
+{
+	size_t reserved = ctx->set->edge.descriptors_reserved;
+	size_t max = ctx->set->edge.descriptors_max;
+	struct rlimit limit;
+
+	if (!max)
+		max = getrlimit(RLIMIT_NOFILE, &limit) ? DESCRIPTORS_DEFAULT
+						       : limit.rlim_cur;
+	return max > reserved ? max - reserved : 0;
+}
+
+static bool open_server(struct edge *ctx, const char *listen, size_t share,
 			const struct hio_server_options *like,
 			struct hio_server **out, GError **err)
 {
 	struct hio_server_options options = *like;
+	size_t conns = descriptors_max(ctx) * share / SHARES;
 
 	if (!listen)
 		return true;
@@ -335,7 +373,12 @@
 	options.listen = listen;
 	options.data = ctx;
 	options.refused = on_refused;
+	options.closed = on_closed;
 	options.mem = ctx->mem;
+	options.clock = ctx->clock;
+	options.conns_max = MAX(conns, CONNS_MIN);
+	options.conns_max_per_address =
+		(size_t)(PER_ADDRESS_SHARE * (double)options.conns_max);
 	*out = hio_server_new(&options, err);
 	return *out != NULL;
 }
@@ -368,12 +411,27 @@
 		.request = on_metrics,
 		.disconnected = on_call_closed,
 	};
+	const struct {
+		const char *listen;
+		size_t share;
+		const struct hio_server_options *like;
+		struct hio_server **out;
+	} servers[] = {
+		{ set->ready, SMALL_SHARE, &calls, &ctx->ready },
+		{ set->directory, SMALL_SHARE, &calls, &ctx->directory },
+		{ set->control, set->front ? OTHER_SHARE : MAIN_SHARE, &calls,
+		  &ctx->control },
+		{ set->front, MAIN_SHARE, &front, &ctx->front },
+		{ set->metrics, METRICS_SHARE, &metrics, &ctx->metrics },
+	};
 
-	return open_server(ctx, set->ready, &calls, &ctx->ready, err) &&
-	       open_server(ctx, set->directory, &calls, &ctx->directory, err) &&
-	       open_server(ctx, set->control, &calls, &ctx->control, err) &&
-	       open_server(ctx, set->front, &front, &ctx->front, err) &&
-	       open_server(ctx, set->metrics, &metrics, &ctx->metrics, err);
+	hio_client_set_idle_max(ctx->client,
+				descriptors_max(ctx) * IDLE_SHARE / SHARES);
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++)
+		if (!open_server(ctx, servers[i].listen, servers[i].share,
+				 servers[i].like, servers[i].out, err))
+			return false;
+	return true;
 }
 
 /* Closes all listening sockets and connections. */
--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -96,10 +96,11 @@
 /* Frees all fields. */
 void hio_fields_clear(struct hio_fields *fields)
 {
-	for (size_t i = 0; i < fields->n; i++) {
+	for (size_t i = 0; i < fields->n && !fields->text; i++) {
 		g_free(fields->all[i].name);
 		g_free(fields->all[i].value);
 	}
+	g_free(fields->text);
 	g_free(fields->all);
 	*fields = (struct hio_fields){ 0 };
 }
@@ -159,37 +160,62 @@
 void hio_builder_init(struct hio_builder *ctx)
 {
 	*ctx = (struct hio_builder){
+		.text = g_string_new(NULL),
 		.name = g_string_new(NULL),
 		.value = g_string_new(NULL),
 	};
 }
 
+static void free_string(GString *string)
+{
+	if (string)
+		g_string_free(string, TRUE);
+}
+
 /* Frees what a builder holds. */
 void hio_builder_clear(struct hio_builder *ctx)
 {
+	if (!ctx->finished)
+		ctx->fields.n = 0; /* offsets, not strings */
 	hio_fields_clear(&ctx->fields);
-	if (ctx->name)
-		g_string_free(ctx->name, TRUE);
-	if (ctx->value)
-		g_string_free(ctx->value, TRUE);
-	ctx->name = NULL;
-	ctx->value = NULL;
+	free_string(ctx->text);
+	free_string(ctx->name);
+	free_string(ctx->value);
+	*ctx = (struct hio_builder){ 0 };
 }
 
-static void end_field(struct hio_builder *ctx)
+static size_t append_text(GString *text, const GString *piece)
+{
+	size_t offset = text->len;
+
+	g_string_append_len(text, piece->str, (gssize)piece->len + 1);
+	return offset;
+}
+
+/* One text for all fields: two allocations for each took 17 times the size of
+ * short ones. */
+static void keep_field(struct hio_builder *ctx)
 {
 	struct hio_fields *fields = &ctx->fields;
 
-	if (!ctx->name->len)
-		return;
-	if (fields->n % 8 == 0)
+	if (fields->n == ctx->capacity) {
+		ctx->capacity = MAX(8, ctx->capacity * 2);
 		fields->all =
-			g_renew(struct hio_field, fields->all, fields->n + 8);
+			g_renew(struct hio_field, fields->all, ctx->capacity);
+	}
 	fields->all[fields->n++] = (struct hio_field){
-		.name = g_strdup(ctx->name->str),
-		.value = g_strdup(ctx->value->str),
+		.name = GSIZE_TO_POINTER(append_text(ctx->text, ctx->name)),
+		.value = GSIZE_TO_POINTER(append_text(ctx->text, ctx->value)),
 	};
-	fields->bytes += ctx->name->len + ctx->value->len;
+}
+
+static void end_field(struct hio_builder *ctx)
+{
+	if (!ctx->name->len)
+		return;
+	if (!ctx->finished)
+		keep_field(ctx);
+	ctx->fields.bytes += ctx->name->len + ctx->value->len;
 	g_string_truncate(ctx->name, 0);
 	g_string_truncate(ctx->value, 0);
 	ctx->in_value = false;
@@ -227,23 +253,44 @@
 	return true;
 }
 
-/* Removes all fields but the first n. */
-void hio_fields_truncate(struct hio_fields *fields, size_t n)
+/* Ends the last field, and the header with the first call; fields that follow
+ * are trailers, whose bytes are checked and not kept. Returns the total length
+ * of names and values. */
+size_t hio_builder_finish(struct hio_builder *ctx)
 {
-	while (fields->n > n) {
-		struct hio_field *last = &fields->all[--fields->n];
+	struct hio_fields *fields = &ctx->fields;
+	size_t len;
 
-		fields->bytes -= strlen(last->name) + strlen(last->value);
-		g_free(last->name);
-		g_free(last->value);
+	end_field(ctx);
+	if (ctx->finished)
+		return fields->bytes;
+	ctx->finished = true;
+	ctx->capacity = fields->n;
+	fields->all = g_renew(struct hio_field, fields->all, fields->n);
+	len = ctx->text->len;
+	fields->text = g_realloc(g_string_free(ctx->text, FALSE), len + 1);
+	ctx->text = NULL;
+	for (size_t i = 0; i < fields->n; i++) {
+		struct hio_field *field = &fields->all[i];
+
+		field->name = fields->text + GPOINTER_TO_SIZE(field->name);
+		field->value = fields->text + GPOINTER_TO_SIZE(field->value);
 	}
+	return fields->bytes;
 }
 
-/* Ends the last field; returns the total length of names and values. */
-size_t hio_builder_finish(struct hio_builder *ctx)
+/* Returns the memory that a builder and its fields take, with what the
+ * allocator adds left out. */
+size_t hio_builder_held(const struct hio_builder *ctx)
 {
-	end_field(ctx);
-	return ctx->fields.bytes;
+	size_t held = ctx->capacity * sizeof(struct hio_field);
+
+	held += ctx->text ? ctx->text->allocated_len : ctx->fields.bytes;
+	if (ctx->finished)
+		held += 2 * ctx->fields.n;
+	if (ctx->name)
+		held += ctx->name->allocated_len + ctx->value->allocated_len;
+	return held;
 }
 
 /* Parses IP:PORT with a numeric IPv4 address. */
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -32,6 +32,7 @@
 	struct hio_field *all; /* owned */
 	size_t n;
 	size_t bytes; /* total length of names and values */
+	char *text;   /* holds all names and values; NULL: each is owned */
 };
 
 void hio_fields_clear(struct hio_fields *fields);
@@ -67,7 +68,12 @@
 	struct event_base *base;
 	const char *listen; /* IP:PORT */
 	struct hio_limits limits;
+	size_t conns_max; /* open at a time; 0: no limit */
+	size_t conns_max_per_address;
 	struct hio_mem *mem; /* of its buffers; outlives it. NULL: none */
+	/* For the time without progress; outlives it. NULL: no connection is
+	 * closed for the sake of others. */
+	const struct clk *clock;
 	void *data;
 	/* A complete request was read; it may be answered in this call or
 	 * later. */
@@ -78,6 +84,8 @@
 	/* A request was answered with this error status before it was read
 	 * completely; reason is a word for logs and metrics. May be NULL. */
 	void (*refused)(void *data, int status, const char *reason);
+	/* A connection was closed to bound what clients keep. May be NULL. */
+	void (*closed)(void *data, const char *reason);
 };
 
 struct hio_server *hio_server_new(const struct hio_server_options *options,
@@ -153,6 +161,7 @@
 struct hio_client *hio_client_new(struct event_base *base,
 				  const struct clk *clock);
 void hio_client_free(struct hio_client *ctx);
+void hio_client_set_idle_max(struct hio_client *ctx, size_t max);
 
 /* Commands. */
 struct hio_call *hio_call_start(struct hio_client *ctx,
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -51,7 +51,7 @@
 	struct hio_client *client;
 	char *address;
 	struct sockaddr_in socket_address;
-	TAILQ_HEAD(, conn) idle;
+	TAILQ_HEAD(idle_list, conn) idle;
 };
 
 struct hio_call {
@@ -65,6 +65,8 @@
 	const struct clk *clock;
 	GHashTable *pools;
 	struct hio_client_counts counts;
+	size_t n_idle; /* connections */
+	size_t idle_max;
 };
 
 static void answer_clear(struct conn *conn)
@@ -73,6 +75,12 @@
 	conn->answer.status = 0;
 }
 
+static void remove_idle(struct conn *conn)
+{
+	TAILQ_REMOVE(&conn->pool->idle, conn, entry);
+	conn->pool->client->n_idle--;
+}
+
 static void conn_free(struct conn *conn)
 {
 	if (conn->parsing) {
@@ -80,7 +88,7 @@
 		return;
 	}
 	if (conn->phase == IDLE)
-		TAILQ_REMOVE(&conn->pool->idle, conn, entry);
+		remove_idle(conn);
 	bufferevent_free(conn->bev);
 	event_free(conn->timer);
 	hio_builder_clear(&conn->builder);
@@ -244,6 +252,16 @@
 	       !evbuffer_get_length(bufferevent_get_output(conn->bev));
 }
 
+/* Closes the pool's connection that was idle for longest if the client has too
+ * many idle ones. */
+static void limit_idle(struct pool *pool)
+{
+	const struct hio_client *client = pool->client;
+
+	if (client->idle_max && client->n_idle > client->idle_max)
+		conn_free(TAILQ_LAST(&pool->idle, idle_list));
+}
+
 static void call_finish(struct conn *conn)
 {
 	struct hio_call *call = conn->call;
@@ -259,7 +277,9 @@
 		conn->phase = IDLE;
 		conn->idle_since_us = clk_now_us(conn->pool->client->clock);
 		TAILQ_INSERT_HEAD(&conn->pool->idle, conn, entry);
+		conn->pool->client->n_idle++;
 		hio_set_timer(conn->timer, conn->idle_limit_us);
+		limit_idle(conn->pool);
 	} else {
 		conn_free(conn);
 	}
@@ -455,6 +475,12 @@
 	return ctx;
 }
 
+/* Limits the idle connections to all endpoints together; 0: no limit. */
+void hio_client_set_idle_max(struct hio_client *ctx, size_t max)
+{
+	ctx->idle_max = max;
+}
+
 /* Closes all idle connections. All calls must have ended or been cancelled.
  * NULL is allowed. */
 void hio_client_free(struct hio_client *ctx)
@@ -488,7 +514,7 @@
 			conn_free(conn);
 			continue;
 		}
-		TAILQ_REMOVE(&pool->idle, conn, entry);
+		remove_idle(conn);
 		return conn;
 	}
 	return NULL;
--- a/src/http/hio_int.h
+++ b/src/http/hio_int.h
@@ -11,7 +11,11 @@
  * fragments that the parser delivers. */
 
 struct hio_builder {
+	/* Until hio_builder_finish(), names and values are offsets in text. */
 	struct hio_fields fields;
+	size_t capacity; /* of fields.all */
+	bool finished;	 /* further fields are trailers and not kept */
+	GString *text;
 	GString *name;
 	GString *value;
 	bool in_value;
@@ -40,8 +44,8 @@
 bool hio_builder_name(struct hio_builder *ctx, const char *at, size_t len);
 bool hio_builder_value(struct hio_builder *ctx, uint64_t offset, const char *at,
 		       size_t len);
-void hio_fields_truncate(struct hio_fields *fields, size_t n);
 size_t hio_builder_finish(struct hio_builder *ctx);
+size_t hio_builder_held(const struct hio_builder *ctx);
 void hio_add_shared(struct evbuffer *out, GByteArray *bytes);
 void hio_set_socket_options(evutil_socket_t fd);
 
--- a/src/http/hio_mem.c
+++ b/src/http/hio_mem.c
@@ -7,6 +7,9 @@
 /* Free memory is returned to the system when the account has fallen to
  * TRIM_SHARE of its last peak, if that was TRIM_MIN_BYTES or more. */
 #define TRIM_MIN_BYTES ((size_t)16 << 20)
+/* Or this share of the account, so that a small machine gets back more than
+ * its peaks leave. */
+#define TRIM_MIN_SHARE 0.125
 #define TRIM_SHARE 0.25
 /* Size from which the allocator maps a buffer of its own. */
 #define MAPPED_MIN_BYTES (1 << 20)
@@ -15,6 +18,16 @@
  * items must not keep out the many small ones. */
 #define SMALL_BYTES ((size_t)64 << 10)
 
+/* After a search that found no client to close, the next one is this much
+ * later: each looks at all connections. */
+#define SEARCH_INTERVAL_US 50000
+/* Clients closed at most to make room for one item: several small ones may have
+ * to go for a large one. */
+#define RELIEF_MAX 8
+/* From this share of the limit on, clients that cost much more than their bytes
+ * are refused. */
+#define PRESSED_SHARE 0.5
+
 /* Limits of items that are not small, as shares of the account's limit: of the
  * kind, and of the sum of all kinds up to which this kind is taken. New
  * requests are refused before work that has begun. */
@@ -26,6 +39,7 @@
 
 static const struct kind_limits limits[HIO_MEM_KINDS] = {
 	[HIO_MEM_REQUEST] = { "kind=\"request\"", 0.75, 0.75 },
+	[HIO_MEM_HEADER] = { "kind=\"header\"", 0.5, 0.9 },
 	[HIO_MEM_ANSWER] = { "kind=\"answer\"", 0.5, 0.9 },
 	[HIO_MEM_EVENT] = { "kind=\"event\"", 0.25, 0.9 },
 	[HIO_MEM_OUTPUT] = { "kind=\"output\"", 0.5, 1 },
@@ -37,6 +51,8 @@
 	size_t sum;
 	size_t peak; /* of the sum, since the last trim */
 	_Atomic unsigned unsent;
+	TAILQ_HEAD(, hio_mem_client) clients;
+	int64_t next_search_us; /* after one that found no client */
 };
 
 /* Creates an account with a limit in bytes. Sets the allocator to map large
@@ -47,6 +63,7 @@
 
 	mallopt(M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
 	ctx->limit = limit_bytes;
+	TAILQ_INIT(&ctx->clients);
 	return ctx;
 }
 
@@ -129,11 +146,101 @@
 	return ctx->unsent;
 }
 
+/* Adds a connection to those that may be closed for others. */
+void hio_mem_join(struct hio_mem *ctx, struct hio_mem_client *client)
+{
+	if (ctx)
+		TAILQ_INSERT_TAIL(&ctx->clients, client, link);
+}
+
+/* Removes a connection that ends; what it held is given back before. */
+void hio_mem_leave(struct hio_mem *ctx, struct hio_mem_client *client)
+{
+	if (ctx)
+		TAILQ_REMOVE(&ctx->clients, client, link);
+}
+
+/* Bytes held times the time without progress: a small request that stopped a
+ * while ago goes after a large one that stopped just now. */
+static double cost_of(const struct hio_mem_client *client, int64_t now_us)
+{
+	int64_t stalled_us = now_us - client->progress_us;
+
+	if (client->waits || !client->held || stalled_us < client->stall_min_us)
+		return 0;
+	return (double)client->held * (double)stalled_us;
+}
+
+/*
+ * Closes the client that has kept most for longest without progress. Returns
+ * false if there is none.
+ */
+static bool relieve(struct hio_mem *ctx, const struct hio_mem_client *except,
+		    int64_t now_us)
+{
+	struct hio_mem_client *client, *worst = NULL;
+	double cost, most = 0;
+
+	if (now_us < ctx->next_search_us)
+		return false;
+	TAILQ_FOREACH (client, &ctx->clients, link) {
+		cost = client == except ? 0 : cost_of(client, now_us);
+		if (cost <= most)
+			continue;
+		most = cost;
+		worst = client;
+	}
+	if (!worst) {
+		ctx->next_search_us = now_us + SEARCH_INTERVAL_US;
+		return false;
+	}
+	worst->progress_us = now_us; /* not again while it closes */
+	worst->close(worst);
+	return true;
+}
+
+/* Like hio_mem_take(), for an item of a connection. Closes clients that keep
+ * much without progress if there is no room. */
+bool hio_mem_hold(struct hio_mem *ctx, struct hio_mem_client *client,
+		  enum hio_mem_kind kind, size_t held, size_t bytes,
+		  int64_t now_us)
+{
+	int tries = RELIEF_MAX;
+
+	while (!hio_mem_take(ctx, kind, held, bytes))
+		if (!tries-- || !relieve(ctx, client, now_us))
+			return false;
+	client->held += bytes;
+	return true;
+}
+
+/* Subtracts bytes that a connection no longer keeps. */
+void hio_mem_release(struct hio_mem *ctx, struct hio_mem_client *client,
+		     enum hio_mem_kind kind, size_t bytes)
+{
+	hio_mem_give(ctx, kind, bytes);
+	client->held -= bytes;
+}
+
+/* Returns the bytes of all kinds. */
+size_t hio_mem_sum(const struct hio_mem *ctx)
+{
+	return ctx->sum;
+}
+
+/* Returns whether the account is so full that wasteful requests are refused. */
+bool hio_mem_is_pressed(const struct hio_mem *ctx)
+{
+	return ctx && (double)ctx->sum > PRESSED_SHARE * (double)ctx->limit;
+}
+
 /* Returns freed memory to the system after a peak: the allocator keeps it, and
  * the next peak may need it elsewhere. */
 void hio_mem_trim(struct hio_mem *ctx)
 {
-	if (!ctx || ctx->peak < TRIM_MIN_BYTES ||
+	if (!ctx ||
+	    (ctx->peak < TRIM_MIN_BYTES &&
+	     (double)ctx->peak < TRIM_MIN_SHARE * (double)ctx->limit) ||
 	    (double)ctx->sum > TRIM_SHARE * (double)ctx->peak)
 		return;
 	malloc_trim(0);
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -11,9 +11,34 @@
 
 #include "base/log.h"
 
-/* Limit of buffered input, such as later requests that arrive while one is
- * answered. */
+/* Limits of buffered input: of a request that is read, and of later requests
+ * that arrive while one is answered or its answer is not read. The second times
+ * the number of connections stays small against the memory of a machine. */
 #define READ_AHEAD_BYTES (64 << 10)
+#define PIPELINED_BYTES (4 << 10)
+/* The next request of a connection is read when less than this of earlier
+ * answers is unread. */
+#define UNREAD_MAX_BYTES (64 << 10)
+/* The kernel's receive buffer of a connection, which counts for the machine: it
+ * grows to 6 MB otherwise. With 2 ms of latency it allows 64 MB/s. */
+#define RECEIVE_BYTES (128 << 10)
+/* Under pressure a body of more chunks than this must have as many bytes in
+ * each on average. */
+#define CHUNKS_FREE 1024
+#define CHUNK_MIN_BYTES 16
+/* A field takes four bytes at least on the wire, so that no header within its
+ * limit has more fields than this part of it. */
+#define FIELD_MIN_BYTES 4
+/* Connections without progress for less than this are not closed to make room
+ * for others: while a request is sent, since a round trip and a busy loop take
+ * less, and while an answer is read, which callers may do slowly. */
+#define SEND_STALL_MIN_US 250000
+#define READ_STALL_MIN_US 3000000
+/* Size from which the allocator maps a buffer of its own. */
+#define BODY_MAPPED_BYTES (1 << 20)
+/* Reasons with a limit of log lines, and the interval of two lines. */
+#define REASONS_MAX 16
+#define LOG_INTERVAL_US 1000000
 /* A client that does not read is disconnected when more than this is buffered
  * for it. */
 #define OUTPUT_MAX_BYTES (8 << 20)
@@ -44,11 +69,14 @@
 	struct conn *conn;
 	struct hio_request request;
 	void *data;
-	bool no_body; /* the request is a HEAD */
+	size_t header_held; /* of the account */
+	bool no_body;	    /* the request is a HEAD */
 };
 
 struct conn {
 	TAILQ_ENTRY(conn) link;
+	struct hio_mem_client client; /* of the account */
+	uint32_t address;
 	TAILQ_ENTRY(conn) output_link; /* while it has output */
 	struct hio_server *server;
 	struct bufferevent *bev;
@@ -57,7 +85,8 @@
 	http_parser parser;
 	/* The request that is arriving. */
 	struct hio_builder builder;
-	size_t n_head_fields; /* of the builder; trailers follow them */
+	size_t header_held; /* of the account */
+	size_t n_chunks;
 	struct hio_input input;
 	GString *target;
 	GByteArray *body;
@@ -70,6 +99,14 @@
 	struct hio_exchange *exchange; /* in ANSWERING */
 	bool processing;
 	bool is_too_slow; /* it is about to be disconnected */
+	bool had_request;
+};
+
+/* Limits the log lines of one reason; the reason is a literal. */
+struct reason_log {
+	const char *reason;
+	int64_t next_us;
+	unsigned skipped;
 };
 
 struct hio_server {
@@ -79,6 +116,8 @@
 	/* Those with output; whose client has not read for longest is first. */
 	TAILQ_HEAD(, conn) with_output;
 	size_t n_conns;
+	GHashTable *by_address; /* number of connections */
+	struct reason_log reasons[REASONS_MAX];
 	bool draining;
 };
 
@@ -112,11 +151,78 @@
 	}
 }
 
-/* Releases a body that hio_mem counts. */
-static void free_body(struct hio_server *ctx, GByteArray *body)
+static int64_t now_us(const struct hio_server *ctx)
+{
+	return ctx->options.clock ? clk_now_us(ctx->options.clock) : 0;
+}
+
+static void note_progress(struct conn *conn)
 {
-	hio_mem_give(ctx->options.mem, HIO_MEM_REQUEST, body->len);
-	g_byte_array_unref(body);
+	conn->client.progress_us = now_us(conn->server);
+}
+
+/* Returns whether an event may be logged for this reason now, and how many were
+ * not since the last line. */
+static bool may_log(struct hio_server *ctx, const char *reason,
+		    unsigned *skipped)
+{
+	int64_t now = now_us(ctx);
+
+	for (size_t i = 0; i < REASONS_MAX; i++) {
+		struct reason_log *r = &ctx->reasons[i];
+
+		if (r->reason && strcmp(r->reason, reason) != 0)
+			continue;
+		r->reason = reason;
+		*skipped = r->skipped;
+		if (ctx->options.clock && now < r->next_us) {
+			r->skipped++;
+			return false;
+		}
+		r->next_us = now + LOG_INTERVAL_US;
+		r->skipped = 0;
+		return true;
+	}
+	return false;
+}
+
+/* Returns what the account has for a body: small buffers grow to powers of two,
+ * and the unused part of large ones is not resident. */
+static size_t body_held(size_t len)
+{
+	size_t held = 16;
+
+	if (!len || len >= BODY_MAPPED_BYTES)
+		return len;
+	while (held < len)
+		held *= 2;
+	return held;
+}
+
+static void give(struct conn *conn, enum hio_mem_kind kind, size_t bytes)
+{
+	hio_mem_release(conn->server->options.mem, &conn->client, kind, bytes);
+}
+
+/* Takes room for bytes that an item needs beyond what it has held. */
+static bool take(struct conn *conn, enum hio_mem_kind kind, size_t held,
+		 size_t bytes)
+{
+	return hio_mem_hold(conn->server->options.mem, &conn->client, kind,
+			    held, bytes, now_us(conn->server));
+}
+
+/* Drops the request that is arriving, with all that it took. */
+static void drop_request(struct conn *conn)
+{
+	give(conn, HIO_MEM_REQUEST, body_held(conn->body->len));
+	g_byte_array_unref(conn->body);
+	conn->body = g_byte_array_new();
+	give(conn, HIO_MEM_HEADER, conn->header_held);
+	conn->header_held = 0;
+	hio_builder_clear(&conn->builder);
+	g_string_free(conn->target, TRUE);
+	conn->target = g_string_new(NULL);
 }
 
 static void exchange_free(struct hio_exchange *ex)
@@ -127,7 +233,9 @@
 	g_free(ex->request.method);
 	g_free(ex->request.target);
 	hio_fields_clear(&ex->request.fields);
-	free_body(conn->server, ex->request.body);
+	give(conn, HIO_MEM_HEADER, ex->header_held);
+	give(conn, HIO_MEM_REQUEST, body_held(ex->request.body->len));
+	g_byte_array_unref(ex->request.body);
 	g_free(ex);
 }
 
@@ -143,6 +251,17 @@
 
 	hio_mem_add(ctx->options.mem, HIO_MEM_OUTPUT, info->n_added);
 	hio_mem_give(ctx->options.mem, HIO_MEM_OUTPUT, info->n_deleted);
+	conn->client.held += info->n_added;
+	conn->client.held -= info->n_deleted;
+	conn->client.waits = conn->phase == ANSWERING && !has_output;
+	conn->client.stall_min_us =
+		has_output ? READ_STALL_MIN_US : SEND_STALL_MIN_US;
+	if (info->n_deleted || !had_output)
+		note_progress(conn);
+	/* A client may read slowly, as long as it reads. */
+	if (info->n_deleted && has_output &&
+	    (conn->phase == IDLE || conn->phase == FLUSHING))
+		hio_set_timer(conn->timer, ctx->options.limits.idle_us);
 	if (had_output && (info->n_deleted || !has_output))
 		TAILQ_REMOVE(&ctx->with_output, conn, output_link);
 	if (has_output && (info->n_deleted || !had_output))
@@ -164,10 +283,23 @@
 	if (!unsent)
 		return;
 	TAILQ_REMOVE(&ctx->with_output, conn, output_link);
-	hio_mem_give(ctx->options.mem, HIO_MEM_OUTPUT, unsent);
+	give(conn, HIO_MEM_OUTPUT, unsent);
 	hio_mem_end_output(ctx->options.mem);
 }
 
+static size_t count_address(struct hio_server *ctx, uint32_t address, int add)
+{
+	gpointer key = GUINT_TO_POINTER(address);
+	size_t n = GPOINTER_TO_SIZE(g_hash_table_lookup(ctx->by_address, key));
+
+	n += (size_t)add;
+	if (n)
+		g_hash_table_insert(ctx->by_address, key, GSIZE_TO_POINTER(n));
+	else
+		g_hash_table_remove(ctx->by_address, key);
+	return n;
+}
+
 static void conn_free(struct conn *conn)
 {
 	struct hio_server *ctx = conn->server;
@@ -178,19 +310,38 @@
 	}
 	TAILQ_REMOVE(&ctx->conns, conn, link);
 	ctx->n_conns--;
+	count_address(ctx, conn->address, -1);
 	drop_output(conn);
+	drop_request(conn);
+	hio_mem_leave(ctx->options.mem, &conn->client);
 	bufferevent_free(conn->bev);
 	event_free(conn->timer);
-	hio_builder_clear(&conn->builder);
 	g_string_free(conn->target, TRUE);
-	free_body(ctx, conn->body);
+	g_byte_array_unref(conn->body);
 	g_free(conn);
 }
 
+/* Counts and logs a connection that is closed to bound what clients keep. */
+static void report_closed(struct hio_server *ctx, const char *reason)
+{
+	unsigned skipped;
+
+	if (ctx->options.closed)
+		ctx->options.closed(ctx->options.data, reason);
+	if (may_log(ctx, reason, &skipped))
+		LOG_EVENT_INFO("http", "connection_closed",
+			       "listen=%s reason=%s connections=%zu skipped=%u",
+			       ctx->options.listen, reason, ctx->n_conns,
+			       skipped);
+}
+
 static void begin_idle(struct conn *conn)
 {
 	conn->phase = IDLE;
 	conn->complete = false;
+	conn->client.waits = false;
+	note_progress(conn);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_BYTES);
 	hio_set_timer(conn->timer, conn->server->options.limits.idle_us);
 }
 
@@ -210,7 +361,8 @@
 static void begin_flush(struct conn *conn)
 {
 	conn->phase = FLUSHING;
-	hio_set_timer(conn->timer, 0);
+	conn->client.waits = false;
+	hio_set_timer(conn->timer, conn->server->options.limits.idle_us);
 	if (!evbuffer_get_length(bufferevent_get_output(conn->bev)))
 		/* Deferred to the timer: this may run in a callback of the
 		 * application. */
@@ -221,14 +373,15 @@
 {
 	struct hio_server *ctx = conn->server;
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	unsigned skipped;
 
-	LOG_EVENT_INFO("http", "request_refused",
-		       "listen=%s status=%d reason=%s", ctx->options.listen,
-		       status, reason);
+	if (may_log(ctx, reason, &skipped))
+		LOG_EVENT_INFO("http", "request_refused",
+			       "listen=%s status=%d reason=%s skipped=%u",
+			       ctx->options.listen, status, reason, skipped);
 	if (ctx->options.refused)
 		ctx->options.refused(ctx->options.data, status, reason);
-	free_body(ctx, conn->body);
-	conn->body = g_byte_array_new();
+	drop_request(conn);
 	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n",
 			    status, reason_phrase(status));
 	if (status == 503)
@@ -244,12 +397,9 @@
 {
 	struct conn *conn = parser->data;
 
-	hio_builder_clear(&conn->builder);
+	drop_request(conn);
 	hio_builder_init(&conn->builder);
-	g_string_truncate(conn->target, 0);
-	hio_mem_give(conn->server->options.mem, HIO_MEM_REQUEST,
-		     conn->body->len);
-	g_byte_array_set_size(conn->body, 0);
+	conn->n_chunks = 0;
 	conn->error_status = 0;
 	conn->error_reason = NULL;
 	return 0;
@@ -263,14 +413,34 @@
 	return -1;
 }
 
+/* Keeps the account of the header as far as it was read. */
+static bool hold_header(struct conn *conn)
+{
+	size_t held =
+		conn->target->allocated_len + hio_builder_held(&conn->builder);
+	size_t before = conn->header_held;
+
+	if (held > before && !take(conn, HIO_MEM_HEADER, before, held - before))
+		return false;
+	if (held < before)
+		give(conn, HIO_MEM_HEADER, before - held);
+	conn->header_held = held;
+	return true;
+}
+
 static int check_header_size(struct conn *conn)
 {
+	uint32_t limit = conn->server->options.limits.header_bytes;
 	size_t bytes = conn->target->len + conn->builder.fields.bytes +
 		       conn->builder.name->len + conn->builder.value->len;
 
-	if (bytes <= conn->server->options.limits.header_bytes)
-		return 0;
-	return stop_parser(conn, 431, "header_size");
+	if (bytes > limit)
+		return stop_parser(conn, 431, "header_size");
+	if (conn->builder.fields.n > limit / FIELD_MIN_BYTES)
+		return stop_parser(conn, 431, "fields");
+	if (!hold_header(conn))
+		return stop_parser(conn, 503, "memory");
+	return 0;
 }
 
 static int on_url(http_parser *parser, const char *at, size_t len)
@@ -303,44 +473,71 @@
 	return check_header_size(conn);
 }
 
+/* Returns whether a body of this length has room now. */
+static bool make_room(struct conn *conn, size_t len)
+{
+	if (!take(conn, HIO_MEM_REQUEST, 0, len))
+		return false;
+	give(conn, HIO_MEM_REQUEST, len);
+	return true;
+}
+
 static int on_headers(http_parser *parser)
 {
 	struct conn *conn = parser->data;
 	const struct hio_limits *limits = &conn->server->options.limits;
 
 	hio_builder_finish(&conn->builder);
-	conn->n_head_fields = conn->builder.fields.n;
+	if (!hold_header(conn))
+		return stop_parser(conn, 503, "memory");
 	if (parser->content_length != UINT64_MAX &&
 	    parser->content_length > limits->body_bytes)
 		return stop_parser(conn, 413, "body_size");
 	if (parser->content_length != UINT64_MAX &&
-	    !hio_mem_has_room(conn->server->options.mem, HIO_MEM_REQUEST, 0,
-			      (size_t)parser->content_length))
+	    !make_room(conn, (size_t)parser->content_length))
 		return stop_parser(conn, 503, "memory");
 	if (hio_field(&conn->builder.fields, "expect"))
 		evbuffer_add_printf(bufferevent_get_output(conn->bev),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
 	/* The body gets the idle limit: it may take longer than a header. */
 	conn->body_progress = 0;
+	note_progress(conn);
 	hio_set_timer(conn->timer, limits->idle_us);
 	return 0;
 }
 
+/* Refuses bodies of very small chunks when memory is short: they take most time
+ * for each byte. */
+static int on_chunk(http_parser *parser)
+{
+	struct conn *conn = parser->data;
+
+	conn->n_chunks++;
+	if (conn->n_chunks <= CHUNKS_FREE ||
+	    conn->body->len >= conn->n_chunks * CHUNK_MIN_BYTES ||
+	    !hio_mem_is_pressed(conn->server->options.mem))
+		return 0;
+	return stop_parser(conn, 503, "chunks");
+}
+
 static int on_body(http_parser *parser, const char *at, size_t len)
 {
 	struct conn *conn = parser->data;
+	size_t held;
 
 	if (!hio_input_body(&conn->input, parser, at, len))
 		return stop_parser(conn, 400, "line_end");
 	if (conn->body->len + len > conn->server->options.limits.body_bytes)
 		return stop_parser(conn, 413, "body_size");
-	if (!hio_mem_take(conn->server->options.mem, HIO_MEM_REQUEST,
-			  conn->body->len, len))
+	held = body_held(conn->body->len);
+	if (!take(conn, HIO_MEM_REQUEST, conn->body->len,
+		  body_held(conn->body->len + len) - held))
 		return stop_parser(conn, 503, "memory");
 	g_byte_array_append(conn->body, (const guint8 *)at, (guint)len);
 	conn->body_progress += len;
 	if (conn->body_progress >= BODY_PROGRESS_BYTES) {
 		conn->body_progress = 0;
+		note_progress(conn);
 		hio_set_timer(conn->timer,
 			      conn->server->options.limits.idle_us);
 	}
@@ -364,6 +561,7 @@
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers,
 	.on_body = on_body,
+	.on_chunk_header = on_chunk,
 	.on_message_complete = on_complete,
 };
 
@@ -377,8 +575,10 @@
 	ex->conn = conn;
 	ex->request.method = g_strdup(
 		http_method_str((enum http_method)conn->parser.method));
-	ex->request.target = g_strdup(conn->target->str);
-	hio_fields_truncate(&conn->builder.fields, conn->n_head_fields);
+	ex->request.target = g_string_free(conn->target, FALSE);
+	conn->target = g_string_new(NULL);
+	ex->header_held = conn->header_held;
+	conn->header_held = 0;
 	ex->request.fields = conn->builder.fields;
 	conn->builder.fields = (struct hio_fields){ 0 };
 	ex->request.body = conn->body;
@@ -387,7 +587,11 @@
 	conn->exchange = ex;
 	conn->complete = false;
 	conn->phase = ANSWERING;
+	conn->had_request = true;
+	conn->client.waits =
+		!evbuffer_get_length(bufferevent_get_output(conn->bev));
 	hio_set_timer(conn->timer, 0);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, PIPELINED_BYTES);
 	ctx->options.request(ctx->options.data, ex);
 }
 
@@ -401,6 +605,7 @@
 
 	if (conn->phase == IDLE) {
 		conn->phase = READING;
+		note_progress(conn);
 		hio_set_timer(conn->timer,
 			      conn->server->options.limits.header_us);
 	}
@@ -432,6 +637,15 @@
 	return true;
 }
 
+/* A client that sends requests without reading the answers waits. */
+static bool has_unread_answers(const struct conn *conn)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+	return conn->phase == IDLE &&
+	       evbuffer_get_length(out) >= UNREAD_MAX_BYTES;
+}
+
 static void process_input(struct conn *conn)
 {
 	struct evbuffer *input = bufferevent_get_input(conn->bev);
@@ -440,7 +654,7 @@
 		return;
 	conn->processing = true;
 	while ((conn->phase == IDLE || conn->phase == READING) &&
-	       evbuffer_get_length(input))
+	       evbuffer_get_length(input) && !has_unread_answers(conn))
 		if (!parse_input(conn, input))
 			break;
 	conn->processing = false;
@@ -458,6 +672,7 @@
 {
 	(void)bev;
 	shutdown_if_flushed(data);
+	process_input(data);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *data)
@@ -479,6 +694,10 @@
 		break;
 	case FLUSHING:
 		shutdown_if_flushed(conn);
+		if (conn->phase == FLUSHING) {
+			report_closed(conn->server, "unread");
+			conn_free(conn);
+		}
 		break;
 	case ANSWERING:
 		break;
@@ -489,30 +708,118 @@
 	}
 }
 
+/* Closes a connection of the account that keeps much without progress. */
+static void close_for_memory(struct hio_mem_client *client)
+{
+	struct conn *conn =
+		(struct conn *)((char *)client - offsetof(struct conn, client));
+
+	report_closed(conn->server, "memory");
+	if (conn->phase == READING) {
+		refuse(conn, 503, "pressure");
+		return;
+	}
+	conn->is_too_slow = true;
+	bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
+				  BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* The order in which connections are closed for new ones: requests that stopped
+ * halfway and clients that sent none, then clients between two requests. 0: it
+ * is not closed. */
+static int closing_rank(const struct conn *conn)
+{
+	switch (conn->phase) {
+	case READING:
+		return 2;
+	case IDLE:
+		return conn->had_request ? 1 : 2;
+	case FLUSHING:
+	case LINGERING:
+		return 2;
+	case ANSWERING:
+		break;
+	}
+	return 0;
+}
+
+/* Closes the connection that is first in order, of this address or of all (0),
+ * and has made no progress for longest. Returns false if there is none. */
+static bool close_one(struct hio_server *ctx, uint32_t address)
+{
+	int64_t now = now_us(ctx);
+	struct conn *conn, *worst = NULL;
+	int rank, highest = 0;
+
+	TAILQ_FOREACH (conn, &ctx->conns, link) {
+		rank = closing_rank(conn);
+		if (!rank || rank < highest ||
+		    now - conn->client.progress_us <
+			    conn->client.stall_min_us ||
+		    (address && conn->address != address))
+			continue;
+		if (rank == highest &&
+		    conn->client.progress_us >= worst->client.progress_us)
+			continue;
+		highest = rank;
+		worst = conn;
+	}
+	if (!worst)
+		return false;
+	conn_free(worst);
+	return true;
+}
+
+/* Returns whether a further connection of this address is allowed, perhaps in
+ * place of another. */
+static bool admit(struct hio_server *ctx, uint32_t address)
+{
+	const struct hio_server_options *o = &ctx->options;
+
+	if (o->conns_max_per_address &&
+	    count_address(ctx, address, 0) >= o->conns_max_per_address) {
+		report_closed(ctx, "address_connections");
+		return close_one(ctx, address);
+	}
+	if (o->conns_max && ctx->n_conns >= o->conns_max) {
+		report_closed(ctx, "connections");
+		return close_one(ctx, 0);
+	}
+	return true;
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *address, int len, void *data)
 {
+	const struct sockaddr_in *from = (const struct sockaddr_in *)address;
 	struct hio_server *ctx = data;
-	struct conn *conn = g_new0(struct conn, 1);
+	struct conn *conn;
 
 	(void)listener;
-	(void)address;
 	(void)len;
+	if (!admit(ctx, from->sin_addr.s_addr)) {
+		evutil_closesocket(fd);
+		return;
+	}
 	hio_set_socket_options(fd);
+	conn = g_new0(struct conn, 1);
 	conn->server = ctx;
+	conn->address = from->sin_addr.s_addr;
+	conn->client.close = close_for_memory;
+	conn->client.stall_min_us = SEND_STALL_MIN_US;
 	conn->bev = bufferevent_socket_new(ctx->options.base, fd,
 					   BEV_OPT_CLOSE_ON_FREE);
 	conn->timer = event_new(ctx->options.base, -1, 0, on_timer, conn);
 	conn->target = g_string_new(NULL);
 	conn->body = g_byte_array_new();
-	hio_builder_init(&conn->builder);
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
 	TAILQ_INSERT_TAIL(&ctx->conns, conn, link);
 	ctx->n_conns++;
+	count_address(ctx, conn->address, 1);
+	hio_mem_join(ctx->options.mem, &conn->client);
 	bufferevent_setcb(conn->bev, on_readable, on_output_written, on_event,
 			  conn);
-	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_BYTES);
 	evbuffer_add_cb(bufferevent_get_output(conn->bev), on_output_changed,
 			conn);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
@@ -535,6 +842,7 @@
 {
 	struct hio_server *ctx;
 	struct sockaddr_in address;
+	int receive_bytes = RECEIVE_BYTES;
 
 	if (!hio_parse_address(options->listen, &address)) {
 		g_set_error(err, HIO_ERROR, HIO_ERROR_ADDRESS,
@@ -543,6 +851,7 @@
 	}
 	ctx = g_new0(struct hio_server, 1);
 	ctx->options = *options;
+	ctx->by_address = g_hash_table_new(NULL, NULL);
 	TAILQ_INIT(&ctx->conns);
 	TAILQ_INIT(&ctx->with_output);
 	ctx->listener = evconnlistener_new_bind(
@@ -554,10 +863,15 @@
 		g_set_error(err, HIO_ERROR, HIO_ERROR_LISTEN,
 			    "cannot listen on %s: %s", options->listen,
 			    g_strerror(errno));
+		g_hash_table_destroy(ctx->by_address);
 		g_free(ctx);
 		return NULL;
 	}
 	evconnlistener_set_error_cb(ctx->listener, on_accept_error);
+	/* Accepted sockets have the listener's. An error is ignored: then the
+	 * kernel chooses. */
+	(void)setsockopt(evconnlistener_get_fd(ctx->listener), SOL_SOCKET,
+			 SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
 	return ctx;
 }
 
@@ -571,6 +885,7 @@
 		evconnlistener_free(ctx->listener);
 	while (!TAILQ_EMPTY(&ctx->conns))
 		conn_free(TAILQ_FIRST(&ctx->conns));
+	g_hash_table_destroy(ctx->by_address);
 	g_free(ctx);
 }
 
@@ -592,11 +907,19 @@
 /* Disconnects a client that does not read what is written for it. */
 static void disconnect_slow(struct conn *conn, const char *limit)
 {
+	unsigned skipped;
+
 	conn->is_too_slow = true;
-	LOG_EVENT_INFO(
-		"http", "client_too_slow", "listen=%s unread=%zu limit=%s",
-		conn->server->options.listen,
-		evbuffer_get_length(bufferevent_get_output(conn->bev)), limit);
+	if (may_log(conn->server, limit, &skipped))
+		LOG_EVENT_INFO(
+			"http", "client_too_slow",
+			"listen=%s unread=%zu limit=%s skipped=%u",
+			conn->server->options.listen,
+			evbuffer_get_length(bufferevent_get_output(conn->bev)),
+			limit, skipped);
+	if (conn->server->options.closed)
+		conn->server->options.closed(conn->server->options.data,
+					     "unread");
 	bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
 				  BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -674,6 +997,7 @@
 	write_whole_head(ex, status, fields, n, len);
 	if (len && !ex->no_body)
 		evbuffer_add(bufferevent_get_output(ex->conn->bev), body, len);
+	limit_outputs(ex->conn->server);
 	exchange_finish(ex);
 }
 
