--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -119,6 +119,9 @@
 	  .max = 1000, .default_value = 0 },
 	{ "site_leave_share", OPT_NUMBER, AT(site_leave_share), .min = 0,
 	  .max = 1, .default_value = 0.5 },
+	{ "descriptors_max", OPT_U32, AT(descriptors_max), .max = 1 << 20 },
+	{ "descriptors_reserved", OPT_U32, AT(descriptors_reserved),
+	  .max = 1 << 20 },
 };
 
 #undef AT
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -51,6 +51,10 @@
 	double site_ms_per_kb;
 	/* Of an entry's requests, those that may leave its site at most. */
 	double site_leave_share;
+	/* Descriptors that the process may have, 0: the limit of the system,
+	 * and those of them that others use. */
+	uint32_t descriptors_max;
+	uint32_t descriptors_reserved;
 	/* Limit of planned loads, as a multiple of the store's loads_per_s. */
 	double store_excess;
 };
