--- a/src/traffic/trf.c
+++ b/src/traffic/trf.c
@@ -4,6 +4,7 @@
 #include "http/hio.h"
 
 #include <inttypes.h>
+#include <malloc.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,8 +13,17 @@
 #include <unistd.h>
 
 /* Worker threads in addition to requests_max: for requests of operators and
- * endpoints, and to answer the requests that are rejected over the limit. */
-#define SPARE_THREADS 48
+ * endpoints, to answer the requests that are rejected over the limit, and for
+ * connections that send no whole request: each takes a thread until
+ * CALLER_TIMEOUT_MS. With 48 some hundred of them kept others waiting for 20
+ * s. */
+#define SPARE_THREADS 320
+/* Heaps of the allocator. By default there are eight for each core, and what
+ * one request has freed is kept in the heap of its thread. */
+#define ARENAS_MAX 4
+/* Size from which a buffer is mapped alone, and so returned when it is freed;
+ * otherwise the allocator raises it to that of freed bodies. */
+#define MAPPED_MIN_BYTES (256 << 10)
 /* Size of CivetWeb's header buffer as a multiple of header_bytes_max. */
 #define HEADER_BUFFER_FACTOR 4
 /* A connection is closed when a write to the caller or the read of a request
@@ -326,8 +336,9 @@
 		trf_answer_unref(api.answer);
 		api.answer = NULL;
 	}
-	trf_memory_release(ctx, api.reserved_bytes);
 	g_free(api.body);
+	trf_memory_release(ctx, api.reserved_bytes);
+	trf_memory_trim(ctx);
 	return 200;
 }
 
@@ -455,6 +466,8 @@
 {
 	struct view *view;
 
+	mallopt(M_ARENA_MAX, ARENAS_MAX);
+	mallopt(M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
 	ctx->ops = ops;
 	ctx->ctl = ctl;
 	ctx->boot = ops->state(ctl).boot;
--- a/src/traffic/trf_answer.c
+++ b/src/traffic/trf_answer.c
@@ -1,8 +1,12 @@
 #include "traffic/trf_int.h"
 
+#include <malloc.h>
 #include <stdatomic.h>
 #include <string.h>
 
+/* Smaller peaks are not worth the search for free pages. */
+#define TRIM_MIN_BYTES (4u << 20)
+
 static char *index_key(const char *team, const char *id)
 {
 	return g_strdup_printf("%s\n%s", team, id);
@@ -14,8 +18,14 @@
 {
 	uint64_t limit = (uint64_t)ctx->settings->memory_mb_max << 20;
 
-	if (atomic_fetch_add(&ctx->memory_used, bytes) + bytes <= limit)
+	uint64_t used = atomic_fetch_add(&ctx->memory_used, bytes) + bytes;
+
+	if (used <= limit) {
+		/* A lost update only delays trf_memory_trim(). */
+		if (used > ctx->memory_peak)
+			ctx->memory_peak = used;
 		return true;
+	}
 	ctx->memory_used -= bytes;
 	return false;
 }
@@ -26,6 +36,18 @@
 	ctx->memory_used -= bytes;
 }
 
+/* Returns freed memory to the system when little is left of a peak: the
+ * allocator keeps it for each thread that used some. */
+void trf_memory_trim(struct trf *ctx)
+{
+	uint64_t peak = ctx->memory_peak;
+
+	if (peak < TRIM_MIN_BYTES || ctx->memory_used > peak / 4)
+		return;
+	if (atomic_compare_exchange_strong(&ctx->memory_peak, &peak, 0))
+		malloc_trim(0);
+}
+
 static void answer_ref(struct trf_answer *answer)
 {
 	answer->refs++;
--- a/src/traffic/trf_int.h
+++ b/src/traffic/trf_int.h
@@ -86,6 +86,7 @@
 /* Accounting of the memory for bodies and answers. */
 bool trf_memory_reserve(struct trf *ctx, size_t bytes);
 void trf_memory_release(struct trf *ctx, size_t bytes);
+void trf_memory_trim(struct trf *ctx);
 
 /* ---- Routing (trf_route.c) ---- */
 
@@ -215,6 +216,7 @@
 	uint64_t boot;
 	_Atomic uint64_t counter; /* for request ids */
 	_Atomic uint64_t memory_used;
+	_Atomic uint64_t memory_peak; /* since the last trim */
 	_Atomic uint32_t in_flight;
 	_Atomic uint32_t connections;
 	_Atomic bool stopping;
--- a/tests/unit/hio_test.cc
+++ b/tests/unit/hio_test.cc
@@ -90,6 +90,9 @@
 class Server : public ::testing::Test
 {
       protected:
+	virtual void tune(hio_server_options *)
+	{
+	}
 	struct Request {
 		std::string method;
 		std::string target;
@@ -118,6 +121,7 @@
 		options.request = on_request;
 		options.disconnected = [](void *, hio_exchange *) {};
 		options.refused = on_refused;
+		tune(&options);
 		server = hio_server_new(&options, &err);
 		ASSERT_NE(server, nullptr) << err->message;
 	}
@@ -222,17 +226,106 @@
 		((Server *)data)->seen.refusals.emplace_back(status, reason);
 	}
 
-	uint16_t port;
 	std::string listen;
+	Outcome seen;
+
+      protected:
+	uint16_t port;
 	event_base *base;
 	hio_server *server;
-	Outcome seen;
 };
 
 using HttpServer = Server;
 
+/* A server for few connections, on a manual clock. */
+class FullServer : public Server
+{
+      protected:
+	static constexpr int CONNS = 4;
+	clk *clock = clk_new_manual(1000000, 0);
+	std::vector<int> fds;
+
+	void tune(hio_server_options *options) override
+	{
+		options->clock = clock;
+		options->conns_max = CONNS;
+	}
+	void TearDown() override
+	{
+		for (int fd : fds)
+			close(fd);
+		Server::TearDown();
+		clk_free(clock);
+	}
+	void open_all(const std::string &bytes)
+	{
+		for (int i = 0; i < CONNS; i++) {
+			sockaddr_in in = loopback(port);
+
+			fds.push_back(socket(AF_INET, SOCK_STREAM, 0));
+			ASSERT_EQ(connect(fds[i], (sockaddr *)&in, sizeof(in)),
+				  0);
+			ASSERT_EQ(send(fds[i], bytes.data(), bytes.size(), 0),
+				  (ssize_t)bytes.size());
+			for (int k = 0; k < 20; k++) {
+				event_base_loop(base, EVLOOP_NONBLOCK);
+				usleep(TURN_US);
+			}
+		}
+		ASSERT_EQ(hio_server_connections(server), (size_t)CONNS);
+	}
+	bool is_open(int fd)
+	{
+		char byte;
+
+		return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+		       errno == EAGAIN;
+	}
+};
+
 } // namespace
 
+/* Guards against connections that stopped halfway and keep out all others: the
+ * one that stopped first is closed. */
+TEST_F(FullServer, StoppedConnectionMakesRoom)
+{
+	open_all("GET / HTTP/1.1\r\nHost: h");
+	clk_advance(clock, 300000);
+	EXPECT_EQ(send_bytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false)
+			  .requests.size(),
+		  1u);
+	EXPECT_FALSE(is_open(fds[0]));
+	for (int i = 1; i < CONNS; i++)
+		EXPECT_TRUE(is_open(fds[i])) << i;
+}
+
+/* Guards against a client that is closed for others while it sends. */
+TEST_F(FullServer, ConnectionsWithProgressStay)
+{
+	open_all("GET / HTTP/1.1\r\nHost: h");
+	clk_advance(clock, 100000);
+	EXPECT_TRUE(send_bytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false)
+			    .requests.empty());
+	for (int fd : fds)
+		EXPECT_TRUE(is_open(fd));
+}
+
+/* Guards against a limit of fields that a header within its size reaches, and
+ * against headers with more. */
+TEST_F(HttpServer, FieldsAreLimitedByTheSizeOfTheHeader)
+{
+	std::string head = "GET / HTTP/1.1\r\n", more;
+
+	for (int i = 0; i < 4096 / 4; i++)
+		head += "a:\r\n";
+	for (int i = 0; i < 200; i++)
+		more += "a:\r\n";
+	expect_accepted(head + "\r\n", "1024 fields", false);
+	Outcome got = send_bytes(head + more + "\r\n", false);
+	ASSERT_EQ(got.refusals.size(), 1u);
+	EXPECT_EQ(got.refusals[0].second, "fields");
+}
+
 TEST_F(HttpServer, TargetHasOnlyTheBytesOfTheStandard)
 {
 	for (int c = 0; c < 256; c++) {
