--- a/src/core/tok.c
+++ b/src/core/tok.c
@@ -9,19 +9,22 @@
 /* Asks are collected for this long, returns for longer: they matter to the
  * leader only within a second. */
 #define BATCH_US 2000
-#define RETURN_BATCH_US 50000
+/* Asks for which no request waits are collected for longer: a message costs the
+ * leader far more than an ask. */
+#define AHEAD_BATCH_US 100000
+#define RETURN_BATCH_US 500000
 /* An ask without an answer is repeated. A leader that has used up its share of
  * a core answers within 100 ms. */
 #define REPEAT_US 200000
 /* A decided item keeps its units for this long at least, so that they do not
  * expire on the way to the endpoint. */
 #define MARGIN_US 20000
-/* Units asked for ahead: the use of a second, if a request is more likely than
- * not in that time. */
+/* Units asked for ahead: the use of a second, if a request is expected in that
+ * time. With fewer, more messages are sent for expired units than saved. */
 #define AHEAD_S 1.0
 #define USE_TAU_S 2.0
 #define SIZE_WEIGHT 0.1
-#define LIKELY_REQUESTS 0.5
+#define LIKELY_REQUESTS 1.0
 /* Units that expire soon are replaced before. */
 #define RENEW_US 700000
 #define AHEAD_INTERVAL_US 50000
@@ -349,7 +352,7 @@
 /* ---- Asks ---- */
 
 static struct ask *add_ask(struct tok *ctx, struct tok_customer *c,
-			   int64_t now_us)
+			   int64_t batch_us, int64_t now_us)
 {
 	struct ask *ask = g_new0(struct ask, 1);
 
@@ -359,8 +362,8 @@
 	c->refs++;
 	TAILQ_INSERT_TAIL(&ctx->asks, ask, link);
 	g_hash_table_insert(ctx->by_id, &ask->id, ask);
-	if (!ctx->asks_due_us)
-		ctx->asks_due_us = now_us + BATCH_US;
+	if (!ctx->asks_due_us || now_us + batch_us < ctx->asks_due_us)
+		ctx->asks_due_us = now_us + batch_us;
 	return ask;
 }
 
@@ -382,7 +385,7 @@
 	if ((double)held > target / 2)
 		return;
 	if (!ask)
-		ask = add_ask(ctx, c, now_us);
+		ask = add_ask(ctx, c, AHEAD_BATCH_US, now_us);
 	ask->ahead = (uint64_t)target - held;
 	c->ahead_asked += ask->ahead;
 	c->ahead_next_us = now_us + AHEAD_INTERVAL_US;
@@ -396,7 +399,7 @@
 	if (ask)
 		/* Its answer may still come, for other requests. */
 		ask->item = NULL;
-	ask = add_ask(ctx, item->customer, now_us);
+	ask = add_ask(ctx, item->customer, BATCH_US, now_us);
 	ask->item = item;
 	ask->units = item->units;
 	ask->wait_us =
@@ -741,6 +744,7 @@
 		if (ask->sent)
 			continue;
 		ask->sent = true;
+		ask->asked_us = now_us;
 		out->asks[out->n_asks++] = pack_ask(ask);
 	}
 	out->n_returns = ctx->returns->len;
