core/pac: assignment of prompts to engines in time

Streams had gaps over their objective when several prompts reached one engine within 250 ms: with 88 entries each decides alone, and loads that are half a second old do not show a prefill of 75 ms.

pac assigns a prompt to the engine and start that cost least: the wait, the prefill, the load with what was assigned since it was seen, and the share of a window of 250 ms that goes to prompts, with the assignments that other coordinators report. The coordinators are a few entries by rendezvous hash (one for 20, at least 4), and each model has one.

A hard rule of one prompt for each engine and window was ruled out: the mean of 343 prompts/s is 95 % of that rate.

--- /dev/null
+++ b/src/core/pac.c
@@ -0,0 +1,424 @@
+#include "core/pac.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Assignments remembered for each engine: more than an engine can process in
+ * the window and the longest wait. */
+#define ASSIGNED_MAX 24
+/* Assignments that wait to be sent to the other coordinators. */
+#define UNTAKEN_MAX 512
+/* Interval at which engines without assignments are forgotten. */
+#define SWEEP_US 1000000
+/* Share of the window that may go to prompts at no cost, and the cost of one
+ * that goes to them in full. An event needs a few steps of the engine, so
+ * streams are late if hardly any time remains; a cost that grows with the
+ * square prefers two prompts at each of two engines to three and one. */
+#define BUSY_FREE 0.3
+#define BUSY_COST_MS 500.0
+/* Weight of the time for which two prompts would be processed at once. Either
+ * waits at the engine, where no other engine can take it. */
+#define OVERLAP_WEIGHT 1.5
+/* Costs of a full batch, and of a wait for a place in it, which grows with the
+ * cube of the occupied share. As in core/bal.c. */
+#define BATCH_COST_MS 120.0
+#define PLACE_COST_MS 600.0
+/* An entry coordinates for about this many, and at least COORDINATORS_MIN do,
+ * so that the loss of one affects a part of the models. */
+#define ENTRIES_PER_COORDINATOR 20
+#define COORDINATORS_MIN 4
+
+struct assigned {
+	int64_t start_us;
+	int64_t end_us;
+};
+
+struct engine {
+	char *id;
+	uint64_t incarnation;
+	struct assigned all[ASSIGNED_MAX];
+	size_t n;
+};
+
+struct pac {
+	GHashTable *engines; /* id -> struct engine */
+	GArray *untaken;     /* struct pac_send */
+	int64_t swept_us;
+};
+
+static void engine_free(void *data)
+{
+	struct engine *e = data;
+
+	g_free(e->id);
+	g_free(e);
+}
+
+static void send_clear(void *data)
+{
+	struct pac_send *send = data;
+
+	g_free(send->id);
+}
+
+/* Creates a coordinator that has assigned nothing. */
+struct pac *pac_new(void)
+{
+	struct pac *ctx = g_new0(struct pac, 1);
+
+	ctx->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     engine_free);
+	ctx->untaken = g_array_new(FALSE, FALSE, sizeof(struct pac_send));
+	return ctx;
+}
+
+/* Frees the coordinator; NULL is allowed. */
+void pac_free(struct pac *ctx)
+{
+	if (!ctx)
+		return;
+	for (guint i = 0; i < ctx->untaken->len; i++)
+		send_clear(&g_array_index(ctx->untaken, struct pac_send, i));
+	g_array_free(ctx->untaken, TRUE);
+	g_hash_table_destroy(ctx->engines);
+	g_free(ctx);
+}
+
+static void expire(struct engine *e, int64_t now_us)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < e->n; i++)
+		if (MAX(e->all[i].end_us, e->all[i].start_us + PAC_WINDOW_US) >
+		    now_us)
+			e->all[kept++] = e->all[i];
+	e->n = kept;
+}
+
+static gboolean is_idle(void *key, void *value, void *data)
+{
+	struct engine *e = value;
+
+	(void)key;
+	expire(e, *(const int64_t *)data);
+	return !e->n;
+}
+
+static void sweep(struct pac *ctx, int64_t now_us)
+{
+	if (now_us - ctx->swept_us < SWEEP_US)
+		return;
+	ctx->swept_us = now_us;
+	g_hash_table_foreach_remove(ctx->engines, is_idle, &now_us);
+}
+
+/* Returns the engine's assignments. Those of an earlier process are dropped. */
+static struct engine *engine_of(struct pac *ctx, const char *id,
+				uint64_t incarnation)
+{
+	struct engine *e = g_hash_table_lookup(ctx->engines, id);
+
+	if (!e) {
+		e = g_new0(struct engine, 1);
+		e->id = g_strdup(id);
+		e->incarnation = incarnation;
+		g_hash_table_insert(ctx->engines, e->id, e);
+	}
+	if (e->incarnation != incarnation) {
+		e->incarnation = incarnation;
+		e->n = 0;
+	}
+	return e;
+}
+
+static void add(struct engine *e, int64_t start_us, int64_t prefill_us)
+{
+	size_t at = e->n;
+
+	if (at == ASSIGNED_MAX) {
+		at = 0;
+		for (size_t i = 1; i < e->n; i++)
+			if (e->all[i].start_us < e->all[at].start_us)
+				at = i;
+	} else {
+		e->n++;
+	}
+	e->all[at].start_us = start_us;
+	e->all[at].end_us = start_us + prefill_us;
+}
+
+/* Returns how much of the window that starts at from_us goes to prompts that
+ * start in it. */
+static int64_t busy_from(const struct engine *e, int64_t from_us)
+{
+	int64_t busy_us = 0;
+
+	for (size_t i = 0; i < e->n; i++)
+		if (e->all[i].start_us >= from_us &&
+		    e->all[i].start_us < from_us + PAC_WINDOW_US)
+			busy_us += e->all[i].end_us - e->all[i].start_us;
+	return busy_us;
+}
+
+/* Returns the highest share of a window around start_us that would go to
+ * prompts with one more that starts then. */
+static double busy_with(const struct engine *e, int64_t start_us,
+			int64_t prefill_us)
+{
+	int64_t most_us = busy_from(e, start_us);
+
+	for (size_t i = 0; i < e->n; i++)
+		if (e->all[i].start_us < start_us &&
+		    e->all[i].start_us > start_us - PAC_WINDOW_US)
+			most_us =
+				MAX(most_us, busy_from(e, e->all[i].start_us));
+	return (double)(most_us + prefill_us) / PAC_WINDOW_US;
+}
+
+/* Returns how long prompts that were assigned before delay one that starts at
+ * start_us, or it delays them: an engine processes one after the other. */
+static int64_t overlap_us(const struct engine *e, int64_t start_us,
+			  int64_t prefill_us)
+{
+	int64_t sum_us = 0;
+
+	for (size_t i = 0; i < e->n; i++) {
+		int64_t from_us = MAX(start_us, e->all[i].start_us);
+		int64_t to_us = MIN(start_us + prefill_us, e->all[i].end_us);
+
+		sum_us += MAX(to_us - from_us, 0);
+	}
+	return sum_us;
+}
+
+static double start_cost_ms(const struct engine *e, int64_t start_us,
+			    int64_t prefill_us, int64_t now_us, double *busy)
+{
+	double over;
+
+	*busy = busy_with(e, start_us, prefill_us);
+	over = MAX(*busy - BUSY_FREE, 0);
+	return (double)(start_us - now_us) / 1000 +
+	       OVERLAP_WEIGHT * (double)overlap_us(e, start_us, prefill_us) /
+		       1000 +
+	       BUSY_COST_MS * over * over;
+}
+
+/* Cost of the engine's load, with what was assigned to it since it was seen. */
+static double load_cost_ms(const struct engine *e,
+			   const struct pac_engine *offer)
+{
+	double load = offer->load;
+	double occupied;
+
+	for (size_t i = 0; e && i < e->n; i++)
+		load += e->all[i].start_us > offer->load_us;
+	occupied = load / MAX(offer->places, 1);
+	return BATCH_COST_MS * occupied +
+	       PLACE_COST_MS * occupied * occupied * occupied;
+}
+
+/* Offers the best start at one engine: at once, when a prompt that was assigned
+ * before ends, or a window after it began. */
+static void offer_starts(const struct engine *e, const struct pac_engine *offer,
+			 int64_t wait_max_us, int64_t now_us, size_t index,
+			 bool *found, struct pac_slot *slot)
+{
+	double base_ms = offer->cost_ms + (double)offer->prefill_us / 1000 +
+			 load_cost_ms(e, offer);
+	size_t n = e ? e->n : 0;
+
+	for (size_t i = 0; i <= 2 * n; i++) {
+		static const struct engine idle;
+		int64_t start_us = now_us;
+		struct pac_slot next = { .engine = index };
+
+		if (i > n)
+			start_us = e->all[i - n - 1].start_us + PAC_WINDOW_US;
+		else if (i)
+			start_us = e->all[i - 1].end_us;
+		if (start_us < now_us || start_us - now_us > wait_max_us)
+			continue;
+		next.delay_us = start_us - now_us;
+		next.cost_ms = base_ms + start_cost_ms(e ? e : &idle, start_us,
+						       offer->prefill_us,
+						       now_us, &next.busy);
+		if (*found && next.cost_ms >= slot->cost_ms)
+			continue;
+		*found = true;
+		*slot = next;
+	}
+}
+
+static void keep_untaken(struct pac *ctx, const struct pac_engine *engine,
+			 uint32_t tokens, int64_t start_us)
+{
+	struct pac_send send = {
+		.incarnation = engine->incarnation,
+		.tokens = tokens,
+		.start_us = start_us,
+	};
+
+	if (ctx->untaken->len >= UNTAKEN_MAX)
+		return;
+	send.id = g_strdup(engine->id);
+	g_array_append_val(ctx->untaken, send);
+}
+
+/*
+ * Assigns a prompt to one of the engines offered: the one that is expected to
+ * have processed it soonest, with the cost of what it does to the streams
+ * there. Returns false if n is 0.
+ */
+bool pac_assign(struct pac *ctx, const struct pac_engine *engines, size_t n,
+		uint32_t tokens, int64_t wait_max_us, int64_t now_us,
+		struct pac_slot *slot)
+{
+	const struct pac_engine *chosen;
+	bool found = false;
+
+	sweep(ctx, now_us);
+	for (size_t i = 0; i < n; i++) {
+		struct engine *e =
+			g_hash_table_lookup(ctx->engines, engines[i].id);
+
+		if (e && e->incarnation != engines[i].incarnation)
+			e = NULL;
+		if (e)
+			expire(e, now_us);
+		offer_starts(e, &engines[i], wait_max_us, now_us, i, &found,
+			     slot);
+	}
+	if (!found)
+		return false;
+	chosen = &engines[slot->engine];
+	add(engine_of(ctx, chosen->id, chosen->incarnation),
+	    now_us + slot->delay_us, chosen->prefill_us);
+	keep_untaken(ctx, chosen, tokens, now_us + slot->delay_us);
+	return true;
+}
+
+/* Records a prompt that another coordinator has assigned. */
+void pac_observe(struct pac *ctx, const char *id, uint64_t incarnation,
+		 int64_t prefill_us, int64_t start_us, int64_t now_us)
+{
+	struct engine *e;
+
+	sweep(ctx, now_us);
+	if (start_us + PAC_WINDOW_US <= now_us)
+		return;
+	e = engine_of(ctx, id, incarnation);
+	expire(e, now_us);
+	add(e, start_us, prefill_us);
+}
+
+/* Moves up to max of the prompts assigned since the last call to out. */
+size_t pac_take(struct pac *ctx, struct pac_send *out, size_t max)
+{
+	size_t n = MIN(max, ctx->untaken->len);
+
+	if (!n)
+		return 0;
+	memcpy(out, ctx->untaken->data, n * sizeof(*out));
+	g_array_remove_range(ctx->untaken, 0, (guint)n);
+	return n;
+}
+
+/* Returns the number of engines with assignments that are remembered. */
+size_t pac_engines(const struct pac *ctx)
+{
+	return g_hash_table_size(ctx->engines);
+}
+
+/* Returns the number of assignments that the others are not told yet. */
+size_t pac_untaken(const struct pac *ctx)
+{
+	return ctx->untaken->len;
+}
+
+/* ---- Coordinators ---- */
+
+static bool is_entry(const Dsp__Node *node)
+{
+	return node->http_address[0] && !node->down && !node->draining;
+}
+
+/* Rendezvous hash; a node of twice the weight is chosen twice as often. */
+static double rank_of(const Dsp__Node *node, uint64_t seed)
+{
+	uint64_t hash = XXH3_64bits_withSeed(node->id, strlen(node->id), seed);
+	double unit = ((double)(hash >> 11) + 0.5) / (double)(1ULL << 53);
+
+	return -MAX(node->weight, 1) / log(unit);
+}
+
+static void insert_ranked(const Dsp__Node **out, double *ranks, size_t *n,
+			  size_t max, const Dsp__Node *node)
+{
+	double rank = rank_of(node, 0);
+	size_t at = *n;
+
+	while (at && ranks[at - 1] < rank)
+		at--;
+	if (at >= max)
+		return;
+	*n = MIN(*n + 1, max);
+	for (size_t i = *n - 1; i > at; i--) {
+		out[i] = out[i - 1];
+		ranks[i] = ranks[i - 1];
+	}
+	out[at] = node;
+	ranks[at] = rank;
+}
+
+/*
+ * Fills in the entries that coordinate and returns their number. Control
+ * instances are left out if there are enough others. When one leaves the view
+ * another takes its place, and the models of the others stay where they are.
+ */
+size_t pac_coordinators(const struct view *view,
+			const Dsp__Node *out[PAC_COORDINATORS_MAX])
+{
+	double ranks[PAC_COORDINATORS_MAX];
+	size_t entries = 0;
+	size_t others = 0;
+	size_t n = 0;
+	size_t max;
+
+	for (size_t i = 0; i < view_n_nodes(view); i++) {
+		const Dsp__Node *node = view_node_at(view, i);
+
+		entries += is_entry(node);
+		others += is_entry(node) && !node->control;
+	}
+	max = (entries + ENTRIES_PER_COORDINATOR - 1) / ENTRIES_PER_COORDINATOR;
+	max = CLAMP(max, COORDINATORS_MIN, PAC_COORDINATORS_MAX);
+	for (size_t i = 0; i < view_n_nodes(view); i++) {
+		const Dsp__Node *node = view_node_at(view, i);
+
+		if (is_entry(node) && (!node->control || others < max))
+			insert_ranked(out, ranks, &n, max, node);
+	}
+	return n;
+}
+
+/* Returns the coordinator of a model, or NULL if there is none. */
+const Dsp__Node *pac_coordinator(const Dsp__Node *const *coordinators, size_t n,
+				 const char *model)
+{
+	uint64_t seed = XXH3_64bits(model, strlen(model));
+	const Dsp__Node *best = NULL;
+	double most = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		double rank = rank_of(coordinators[i], seed);
+
+		if (best && rank <= most)
+			continue;
+		best = coordinators[i];
+		most = rank;
+	}
+	return best;
+}
