edge: prompts wait for the slot that their model's coordinator gives

Streams were late because several entries sent prompts to one engine within a quarter of a second, which none of them could see.

For the first attempt of a stream with a gap objective, if there are more entries than prompts that an engine may prefill at once, the entry asks the coordinator of the model and sends to the engine and at the time that it answers, if the engine is still usable by the checks of bal_choose(). Retries, hedged attempts, queued requests and requests with a part in doubt decide as before.

Ruled out: the decision on the control thread, which knows neither the loads of own requests nor prefill speeds.

--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -277,6 +277,13 @@
 	return ctx->listed;
 }
 
+/* Returns whether there are more entries than an engine may prefill prompts at
+ * once. */
+bool bal_is_large(const struct bal *ctx)
+{
+	return ctx->entries > PREFILL_REQUESTS_MAX;
+}
+
 /* Counts a request that is sent to the endpoint; tokens is its prompt's length.
  */
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
@@ -591,15 +598,18 @@
 	const struct bal_endpoint *preferred; /* for the prefix */
 };
 
+static double token_ms_of(const struct bal *ctx, const struct bal_endpoint *e)
+{
+	return e->token_ms > 0	   ? e->token_ms
+	       : ctx->token_ms > 0 ? ctx->token_ms
+				   : DEFAULT_TOKEN_MS;
+}
+
 /* Time to prefill the new prompt and those of this instance ahead of it. */
 static double prefill_ms(const struct bal *ctx, const struct bal_endpoint *e,
 			 const struct bal_query *query)
 {
-	double token_ms = e->token_ms > 0     ? e->token_ms
-			  : ctx->token_ms > 0 ? ctx->token_ms
-					      : DEFAULT_TOKEN_MS;
-
-	return token_ms * (e->prefill_tokens + query->tokens);
+	return token_ms_of(ctx, e) * (e->prefill_tokens + query->tokens);
 }
 
 /* Time to the first byte at a plain endpoint, including the wait for a slot. */
@@ -632,6 +642,21 @@
 	return query->events * (e->gap_ms > 0 ? e->gap_ms : ctx->gap_ms);
 }
 
+/* Cost of what the endpoint did to earlier requests, and of the duration of the
+ * stream there. */
+static double stream_cost(const struct bal *ctx, const struct bal_endpoint *e,
+			  const struct bal_query *query, int64_t now_us)
+{
+	double cost = LATE_COST_MS * current_late_share(e, now_us);
+
+	cost += DURATION_WEIGHT * stream_duration_ms(ctx, e, query);
+	if (query->remaining_us &&
+	    stream_duration_ms(ctx, e, query) * 1000 >
+		    DEADLINE_SHARE * (double)query->remaining_us)
+		cost += DEADLINE_COST_MS;
+	return cost;
+}
+
 static double cost_of(const struct bal *ctx, const struct candidates *list,
 		      size_t i, const struct bal_query *query, int64_t now_us)
 {
@@ -642,12 +667,7 @@
 	if (!query->model)
 		return cost + plain_service_ms(ctx, e, now_us);
 	cost += prefill_ms(ctx, e, query);
-	cost += LATE_COST_MS * current_late_share(e, now_us);
-	cost += DURATION_WEIGHT * stream_duration_ms(ctx, e, query);
-	if (query->remaining_us &&
-	    stream_duration_ms(ctx, e, query) * 1000 >
-		    DEADLINE_SHARE * (double)query->remaining_us)
-		cost += DEADLINE_COST_MS;
+	cost += stream_cost(ctx, e, query, now_us);
 	occupied = load_of(e, now_us) / MAX(e->msg->max_batch, 1);
 	cost += BATCH_COST_MS * occupied;
 	cost += WAIT_COST_MS * occupied * occupied * occupied;
@@ -721,6 +741,15 @@
 	return e->prefill_tokens + query->tokens <= PREFILL_TOKENS_MAX;
 }
 
+/* Whether the endpoint can take another request now. */
+static bool has_place(const struct bal_endpoint *e,
+		      const struct bal_query *query, int64_t now_us)
+{
+	return now_us >= e->full_until_us &&
+	       !hint_is_spaced(&e->hint, now_us) &&
+	       load_of(e, now_us) < capacity_of(e, query->model);
+}
+
 static struct bal_endpoint *lowest_cost(const struct bal *ctx,
 					const struct candidates *list,
 					const struct bal_query *query,
@@ -735,9 +764,7 @@
 		struct bal_endpoint *e = list->all[i];
 		double cost;
 
-		if (now_us < e->full_until_us ||
-		    hint_is_spaced(&e->hint, now_us) ||
-		    load_of(e, now_us) >= capacity_of(e, query->model))
+		if (!has_place(e, query, now_us))
 			continue;
 		cost = cost_of(ctx, list, i, query, now_us);
 		least = MIN(least, cost);
@@ -766,6 +793,20 @@
 	       !e->replaced && !strcmp(e->msg->service, query->service);
 }
 
+/* Whether bal_choose() would consider the endpoint for a prompt, apart from
+ * prompts in prefill. */
+static bool is_usable(const struct bal_endpoint *e,
+		      const struct bal_query *query, int64_t now_us)
+{
+	return query->model && is_up(e, query) &&
+	       hint_bar(&e->hint, now_us) == HINT_FREE &&
+	       !lim_wait_us(&e->lim, now_us) && now_us >= e->avoid_until_us &&
+	       has_place(e, query, now_us) && !is_in(query->avoid, e->id) &&
+	       view_ready_copy(e->msg, query->model, NULL) &&
+	       (!query->adapter ||
+		view_ready_copy(e->msg, query->model, query->adapter));
+}
+
 /* Fills in why none of the candidates can be chosen: each has been tried or is
  * paused. pause_us is the time until the first pause ends, also of a tried one;
  * untried is the number of paused ones that were not tried. */
@@ -781,6 +822,15 @@
 		choice->retry_us = MAX(choice->retry_us, pause_us);
 }
 
+static void set_load(struct bal_choice *choice, int64_t now_us)
+{
+	const struct bal_endpoint *e = choice->endpoint;
+
+	choice->load = load_of(e, now_us);
+	if (e->reported_us)
+		choice->load_age_s = (double)(now_us - e->reported_us) / 1e6;
+}
+
 /*
  * Chooses the endpoint with the lowest cost among those that hold the model and
  * adapter and have a free slot. Endpoints in backoff are used only when there
@@ -863,13 +913,77 @@
 			query->model ? RETRY_ENGINE_US : RETRY_PLAIN_US;
 		return choice;
 	}
-	choice.load = load_of(choice.endpoint, now_us);
-	if (choice.endpoint->reported_us)
-		choice.load_age_s =
-			(double)(now_us - choice.endpoint->reported_us) / 1e6;
+	set_load(&choice, now_us);
 	return choice;
 }
 
+/* Chooses the engine that a coordinator has assigned a prompt to, if it is
+ * still usable; otherwise the outcome is BAL_NO_ENDPOINT. */
+struct bal_choice bal_choose_named(struct bal *ctx,
+				   const struct bal_query *query,
+				   const char *id, uint64_t incarnation,
+				   int64_t now_us)
+{
+	struct bal_choice choice = { .outcome = BAL_NO_ENDPOINT,
+				     .retry_us = RETRY_NONE_US,
+				     .load_age_s = -1 };
+	struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	if (!e || e->incarnation != incarnation || !is_usable(e, query, now_us))
+		return choice;
+	choice.outcome = BAL_CHOSEN;
+	choice.endpoint = e;
+	choice.candidates = 1;
+	choice.cost_ms =
+		prefill_ms(ctx, e, query) + stream_cost(ctx, e, query, now_us);
+	set_load(&choice, now_us);
+	return choice;
+}
+
+/* Fills in the engines that may get a prompt now, for pac_assign(), and returns
+ * their number. The ids are valid until the next view. */
+size_t bal_offers(const struct bal *ctx, const struct bal_query *query,
+		  int64_t now_us, struct pac_engine *out, size_t max)
+{
+	struct candidates list = { 0 };
+	GHashTableIter iter;
+	struct bal_endpoint *e;
+
+	list.all = g_newa(struct bal_endpoint *,
+			  g_hash_table_size(ctx->endpoints) + 1);
+	g_hash_table_iter_init(&iter, ctx->endpoints);
+	while (list.n < max && g_hash_table_iter_next(&iter, NULL, (void **)&e))
+		if (is_usable(e, query, now_us))
+			list.all[list.n++] = e;
+	find_preferred(&list, query->prefix);
+	for (size_t i = 0; i < list.n; i++) {
+		e = list.all[i];
+		out[i] = (struct pac_engine){
+			.id = e->id,
+			.incarnation = e->incarnation,
+			.prefill_us = (int64_t)(token_ms_of(ctx, e) *
+						query->tokens * 1000),
+			.load = load_of(e, now_us),
+			.load_us = e->reported_us,
+			.places = e->msg->max_batch,
+			.cost_ms = FAILURE_COST_MS * e->failure_share +
+				   stream_cost(ctx, e, query, now_us),
+		};
+		if (query->prefix && e == list.preferred)
+			out[i].cost_ms -= AFFINITY_GAIN_MS;
+	}
+	return list.n;
+}
+
+/* Returns the expected prefill time of a prompt at an endpoint that is idle; 0:
+ * the endpoint is not known. */
+int64_t bal_prefill_us(const struct bal *ctx, const char *id, uint32_t tokens)
+{
+	const struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	return e ? (int64_t)(token_ms_of(ctx, e) * tokens * 1000) : 0;
+}
+
 /* Returns the endpoint's id. */
 const char *bal_id(const struct bal_endpoint *e)
 {
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -6,6 +6,7 @@
 
 #include "core/hint.h"
 #include "core/lim.h"
+#include "core/pac.h"
 #include "core/view.h"
 
 /*
@@ -73,6 +74,9 @@
 void bal_set_view(struct bal *ctx, struct view *view, const char *self);
 unsigned bal_entries(const struct bal *ctx);
 bool bal_is_entry(const struct bal *ctx); /* the view lists this instance */
+/* More entries than prompts that an engine may have in prefill, so that no
+ * entry alone can keep to that limit. */
+bool bal_is_large(const struct bal *ctx);
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
 	       int64_t now_us);
 void bal_first_byte(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
@@ -101,6 +105,13 @@
 /* Queries. */
 struct bal_choice bal_choose(struct bal *ctx, const struct bal_query *query,
 			     int64_t now_us);
+struct bal_choice bal_choose_named(struct bal *ctx,
+				   const struct bal_query *query,
+				   const char *id, uint64_t incarnation,
+				   int64_t now_us);
+size_t bal_offers(const struct bal *ctx, const struct bal_query *query,
+		  int64_t now_us, struct pac_engine *out, size_t max);
+int64_t bal_prefill_us(const struct bal *ctx, const char *id, uint32_t tokens);
 enum hint_bar bal_bar(const struct bal *ctx, const char *id,
 		      uint64_t incarnation, int64_t now_us);
 const struct lim *bal_limit(const struct bal *ctx, const char *id);
--- a/src/core/pac.c
+++ b/src/core/pac.c
@@ -5,9 +5,10 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Assignments remembered for each engine: more than an engine can process in
- * the window and the longest wait. */
+/* Assignments remembered for each engine, and for how long: loads that are
+ * reported do not show them for up to a second. */
 #define ASSIGNED_MAX 24
+#define REMEMBER_US 1000000
 /* Assignments that wait to be sent to the other coordinators. */
 #define UNTAKEN_MAX 512
 /* Interval at which engines without assignments are forgotten. */
@@ -91,8 +92,7 @@
 	size_t kept = 0;
 
 	for (size_t i = 0; i < e->n; i++)
-		if (MAX(e->all[i].end_us, e->all[i].start_us + PAC_WINDOW_US) >
-		    now_us)
+		if (e->all[i].start_us + REMEMBER_US > now_us)
 			e->all[kept++] = e->all[i];
 	e->n = kept;
 }
@@ -307,7 +307,7 @@
 	struct engine *e;
 
 	sweep(ctx, now_us);
-	if (start_us + PAC_WINDOW_US <= now_us)
+	if (start_us + REMEMBER_US <= now_us)
 		return;
 	e = engine_of(ctx, id, incarnation);
 	expire(e, now_us);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -83,6 +83,7 @@
 	ctx->base = event_base_new();
 	ctx->mem = hio_mem_new(
 		(size_t)(settings->edge.memory_mb * MB_BYTES * BUFFERED_SHARE));
+	ctx->slots = edge_slots_new(ctx);
 	return ctx;
 }
 
@@ -97,6 +98,7 @@
 		event_free(ctx->tick);
 	if (ctx->queue_event)
 		event_free(ctx->queue_event);
+	edge_slots_free(ctx->slots);
 	event_base_free(ctx->base);
 	hio_mem_free(ctx->mem);
 	g_ptr_array_free(ctx->demands_in, TRUE);
@@ -182,6 +184,7 @@
 		.demand = demand_reported,
 		.pace = pace_reported,
 		.observed_load = load_observed,
+		.prompts = edge_slots_receive,
 	};
 }
 
@@ -256,6 +259,7 @@
 	if (ctx->agent)
 		agent_view_changed(ctx->agent);
 	edge_parts_view_changed(ctx->parts);
+	edge_slots_view_changed(ctx->slots);
 	fwd_run_queue(ctx);
 	view_unref(old);
 }
@@ -331,6 +335,7 @@
 	if (view)
 		apply_view(ctx, view);
 	process_loads(ctx);
+	edge_slots_run(ctx->slots);
 	fwd_run_held(ctx);
 	process_reports(ctx);
 	edge_calls_run(ctx);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -25,6 +25,7 @@
 struct fwd;
 struct agent;
 struct edge_parts;
+struct edge_slots;
 
 /* A request that is held until the first confirmed view. */
 struct fwd_held {
@@ -117,6 +118,7 @@
 	int64_t drain_start_us; /* when the drain began */
 	struct agent *agent;
 	struct edge_parts *parts;
+	struct edge_slots *slots;
 };
 
 /* edge.c */
@@ -199,6 +201,38 @@
 void edge_parts_ended(struct edge_attempt *attempt);
 void edge_parts_view_changed(struct edge_parts *ctx);
 
+/* edge_prompt.c */
+enum edge_slot_state {
+	EDGE_SLOT_NONE, /* not asked for */
+	EDGE_SLOT_ASKED,
+	EDGE_SLOT_GIVEN,
+	EDGE_SLOT_ENDED, /* used, or the entry decides by itself */
+};
+
+/* The engine and time that a coordinator assigned to a prompt; embedded in its
+ * request. */
+struct edge_slot {
+	TAILQ_ENTRY(edge_slot) link; /* while it is asked for */
+	struct edge_slots *owner;
+	enum edge_slot_state state;
+	const char *request_id; /* for log lines */
+	uint64_t id;		/* of the ask */
+	int64_t asked_us;
+	char *node;	/* the coordinator */
+	char *endpoint; /* NULL: none was assigned */
+	uint64_t incarnation;
+	int64_t at_us; /* when to send */
+};
+
+struct edge_slots *edge_slots_new(struct edge *edge);
+void edge_slots_free(struct edge_slots *ctx);
+void edge_slots_receive(void *data, const Dsp__Envelope *message);
+void edge_slots_view_changed(struct edge_slots *ctx);
+void edge_slots_run(struct edge_slots *ctx);
+bool edge_slot_ask(struct edge_slots *ctx, struct edge_slot *slot,
+		   Dsp__PromptAsk *ask);
+void edge_slot_clear(struct edge_slot *slot);
+
 /* fwd.c */
 /* What became of the request for a grant. */
 enum fwd_trial {
@@ -208,6 +242,7 @@
 };
 void fwd_crash_checked(struct edge_prompt *prompt, bool crashed);
 void fwd_trial_decided(struct edge_prompt *prompt, enum fwd_trial outcome);
+void fwd_slot_decided(struct edge_slot *slot);
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_caller_left(void *data, struct hio_exchange *exchange);
 /* Processes requests held for the first view. */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -46,6 +46,10 @@
 #define CALLER_STALL_OBJECTIVES 4
 #define CALLER_STALL_GAPS 8
 #define RESUME_PREFILL_US 500000
+/* A prompt waits for its turn at an engine for the objective divided by this,
+ * but not longer than SLOT_WAIT_MAX_US. */
+#define SLOT_WAIT_DIVISOR 2.5
+#define SLOT_WAIT_MAX_US 250000
 /* Poll interval of the queue when no event frees capacity. */
 #define QUEUE_POLL_US 25000
 /* Requests tried in one run of the queue. */
@@ -145,6 +149,7 @@
 			       none */
 	int64_t waited_us; /* from the request's arrival to the first attempt */
 	struct edge_prompt prompt;
+	struct edge_slot slot;
 	const char *broken_reason; /* while it waits for a check */
 	bool suspect;	    /* the request was in doubt, not only a part */
 	int64_t verdict_us; /* limit of its waits for runs of others; 0: none */
@@ -248,6 +253,7 @@
 	event_free(f->timer);
 	release_trial_endpoint(f);
 	edge_parts_forget(&f->prompt);
+	edge_slot_clear(&f->slot);
 	wire_request_clear(&f->request);
 	while (!LIST_EMPTY(&f->attempts))
 		attempt_free(LIST_FIRST(&f->attempts));
@@ -1073,7 +1079,25 @@
 	return true;
 }
 
-static struct bal_choice choose_endpoint(const struct fwd *f)
+/* Uses the engine that a coordinator has given, if there is one and it is still
+ * usable. */
+static bool use_slot(struct fwd *f, const struct bal_query *query,
+		     struct bal_choice *choice)
+{
+	bool used;
+
+	if (f->slot.state != EDGE_SLOT_GIVEN)
+		return false;
+	f->slot.state = EDGE_SLOT_ENDED;
+	*choice = bal_choose_named(f->edge->bal, query, f->slot.endpoint,
+				   f->slot.incarnation, now_of(f));
+	used = choice->outcome == BAL_CHOSEN;
+	met_count(f->edge->met, "dandelionspar_edge_prompt_slots",
+		  used ? "outcome=\"used\"" : "outcome=\"fallback\"", 1);
+	return used;
+}
+
+static struct bal_choice choose_endpoint(struct fwd *f)
 {
 	struct bal_query query = {
 		.service = f->service,
@@ -1090,10 +1114,55 @@
 		.resumed = f->headers_sent,
 		.avoid = (const char *const *)f->tried,
 	};
+	struct bal_choice choice;
 
+	if (use_slot(f, &query, &choice))
+		return choice;
 	return bal_choose(f->edge->bal, &query, now_of(f));
 }
 
+/* Whether a coordinator is asked where and when to send the request: for the
+ * first attempt of a stream with a gap objective, if no others are ahead. */
+static bool wants_slot(const struct fwd *f)
+{
+	return f->engine && f->gap_us &&
+	       f->kind == DSP__ROUTE_KIND__ROUTE_STREAM && !f->n_attempts &&
+	       !f->item.queued && !f->headers_sent &&
+	       bal_is_large(f->edge->bal) &&
+	       !adm_length(f->edge->queue, f->group);
+}
+
+/* Returns whether the request waits for its coordinator, or for the time that
+ * it gave. */
+static bool wait_for_slot(struct fwd *f)
+{
+	int64_t wait_us =
+		MIN((int64_t)((double)f->objective_us / SLOT_WAIT_DIVISOR),
+		    SLOT_WAIT_MAX_US);
+	Dsp__PromptAsk ask = DSP__PROMPT_ASK__INIT;
+
+	if (f->slot.state == EDGE_SLOT_NONE && wants_slot(f)) {
+		ask.service = f->service;
+		ask.model = f->request.model;
+		ask.adapter = f->request.adapter ? f->request.adapter : "";
+		ask.tokens = unread_tokens(f);
+		ask.events = f->events_expected;
+		ask.prefix = f->request.prefix;
+		ask.gap_objective_ms = (uint32_t)(f->gap_us / 1000);
+		ask.wait_max_ms = (uint32_t)(wait_us / 1000);
+		f->slot.request_id = f->request.request_id;
+		edge_slot_ask(f->edge->slots, &f->slot, &ask);
+	}
+	if (f->slot.state == EDGE_SLOT_ASKED) {
+		set_timer_at(f, f->deadline_us);
+		return true;
+	}
+	if (f->slot.state != EDGE_SLOT_GIVEN || now_of(f) >= f->slot.at_us)
+		return false;
+	set_timer_at(f, MIN(f->slot.at_us, f->deadline_us));
+	return true;
+}
+
 /* Counts the age of the load that a choice was made by. */
 static void count_load_age(const struct fwd *f, const struct bal_choice *choice)
 {
@@ -1209,8 +1278,11 @@
 		wait_for_verdict(f);
 		return false;
 	}
+	if (decision.action == SUS_SEND && wait_for_slot(f))
+		return false;
 	/* Queued requests of the same group come first. */
 	if (f->item.queued || f->headers_sent ||
+	    f->slot.state == EDGE_SLOT_GIVEN ||
 	    !adm_length(f->edge->queue, f->group))
 		choice = choose_endpoint(f);
 	if (choice.outcome != BAL_CHOSEN && decision.action == SUS_TRY &&
@@ -1228,6 +1300,12 @@
 	return false;
 }
 
+/* Goes on with a request that has waited for its coordinator. */
+void fwd_slot_decided(struct edge_slot *slot)
+{
+	dispatch((struct fwd *)((char *)slot - offsetof(struct fwd, slot)));
+}
+
 /*
  * Sends the request of a silent endpoint to another one as well. If there is
  * none, or the retry budget is used up, it is tried again later. The attempts
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -46,6 +46,10 @@
 	case CTL_JOB_PART_EVIDENCE:
 		dsp__part_evidence__free_unpacked(job->evidence, NULL);
 		break;
+	case CTL_JOB_PROMPTS:
+		g_free(job->prompts.node);
+		dsp__envelope__free_unpacked(job->prompts.message, NULL);
+		break;
 	case CTL_JOB_SEEDS:
 		g_strfreev(job->seeds);
 		break;
@@ -174,11 +178,13 @@
 	case DSP__ENVELOPE__BODY_ANSWER_REPLY:
 		ctl_call_answer(ctx, e->answer_reply);
 		break;
-	case DSP__ENVELOPE__BODY_QUOTA_ASKS:
-	case DSP__ENVELOPE__BODY_QUOTA_GRANTS:
 	case DSP__ENVELOPE__BODY_PROMPT_ASKS:
 	case DSP__ENVELOPE__BODY_PROMPT_SLOTS:
 	case DSP__ENVELOPE__BODY_PROMPT_SENDS:
+		ctl_prompt_receive(ctx, e);
+		break;
+	case DSP__ENVELOPE__BODY_QUOTA_ASKS:
+	case DSP__ENVELOPE__BODY_QUOTA_GRANTS:
 	case DSP__ENVELOPE__BODY__NOT_SET:
 	case _DSP__ENVELOPE__BODY__CASE_IS_INT_SIZE:
 		break;
@@ -256,6 +262,9 @@
 	case CTL_JOB_PART_EVIDENCE:
 		ctl_parts_add(ctx, job->evidence);
 		break;
+	case CTL_JOB_PROMPTS:
+		ctl_prompt_send(ctx, job->prompts.node, job->prompts.message);
+		break;
 	case CTL_JOB_DRAIN:
 		ctl_report_schedule(ctx, 0);
 		transfer_leadership(ctx);
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -36,6 +36,8 @@
 	/* Another entry queries a stored answer. Returns a new message. */
 	Dsp__AnswerReply *(*answer_query)(void *data,
 					  const Dsp__AnswerQuery *query);
+	/* A message between entries about pacing of prompts; may be NULL. */
+	void (*prompts)(void *data, const Dsp__Envelope *message);
 	uint32_t (*streams)(void *data); /* requests in flight */
 	/* Called on the leader only; may be NULL. */
 	void (*demand)(void *data, const Dsp__Demand *demand);
@@ -86,6 +88,8 @@
 void ctl_demand(struct ctl *ctx, const Dsp__Demand *demand);
 void ctl_pace(struct ctl *ctx, const Dsp__Pace *pace);
 void ctl_observed_load(struct ctl *ctx, const Dsp__LoadReport *report);
+void ctl_prompts(struct ctl *ctx, const char *node,
+		 const Dsp__Envelope *message);
 void ctl_part_evidence(struct ctl *ctx, const Dsp__PartEvidence *evidence);
 void ctl_drain(struct ctl *ctx); /* takes the instance off the entry list */
 /* Uses the seeds of changed settings from now on. */
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -87,6 +87,7 @@
 	CTL_JOB_PACE,
 	CTL_JOB_OBSERVED_LOAD,
 	CTL_JOB_PART_EVIDENCE,
+	CTL_JOB_PROMPTS,
 	CTL_JOB_ORDER,
 	CTL_JOB_DRAIN,
 	CTL_JOB_SEEDS,
@@ -104,6 +105,10 @@
 		Dsp__LoadReport *load;
 		Dsp__PartEvidence *evidence;
 		char **seeds; /* owned */
+		struct {
+			char *node;		/* owned */
+			Dsp__Envelope *message; /* owned */
+		} prompts;
 		struct {
 			uint64_t id;
 			uint64_t term;
@@ -457,6 +462,10 @@
 void ctl_parts_committed(struct ctl *ctx, Dsp__PartEvidence *evidence,
 			 const Dsp__CommandResult *result);
 
+/* ctl_prompt.c */
+void ctl_prompt_send(struct ctl *ctx, const char *node, Dsp__Envelope *message);
+void ctl_prompt_receive(struct ctl *ctx, const Dsp__Envelope *message);
+
 /* ctl_spread.c */
 void ctl_spread_start(struct ctl *ctx);
 void ctl_spread_stop(struct ctl *ctx);
