core/slo: expected times follow the current slowness of an endpoint

Endpoints may tell in the fourth number of the load field how long work takes on their machine at this moment; it was not read.

The figure is read, passed on with the load reports, and kept with its age. The factor is exactly 1 for endpoints that do not tell it. The line of each send has the factor and the age.

Ruled out: the figure as it is. Reports are a few hundred ms old, when the machine has long changed its speed.

--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -112,6 +112,7 @@
 	bool replaced;	       /* another process uses its address */
 	struct hint hint;
 	struct lim lim;
+	struct slo slo;
 };
 
 struct bal {
@@ -436,6 +437,15 @@
 	e->reported_us = now_us;
 }
 
+/* Records how long work takes at the endpoint now, as an answer told; 0: it did
+ * not. See slo_saw(). */
+void bal_saw_slowness(struct bal *ctx, struct bal_endpoint *e, uint32_t percent,
+		      int64_t now_us)
+{
+	(void)ctx;
+	slo_saw(&e->slo, percent, now_us);
+}
+
 static uint32_t count_sends_since(const struct bal_endpoint *e,
 				  int64_t since_us)
 {
@@ -470,6 +480,7 @@
 		return;
 	if (report->leaving)
 		hint_reported(&e->hint, now_us - observed_us, now_us);
+	slo_saw(&e->slo, report->slowness_percent, observed_us);
 	if (observed_us <= e->reported_us)
 		return;
 	since = count_sends_since(e, observed_us);
@@ -607,9 +618,12 @@
 
 /* Time to prefill the new prompt and those of this instance ahead of it. */
 static double prefill_ms(const struct bal *ctx, const struct bal_endpoint *e,
-			 const struct bal_query *query)
+			 const struct bal_query *query, int64_t now_us)
 {
-	return token_ms_of(ctx, e) * (e->prefill_tokens + query->tokens);
+	double usual_ms =
+		token_ms_of(ctx, e) * (e->prefill_tokens + query->tokens);
+
+	return usual_ms * slo_factor(&e->slo, usual_ms, now_us);
 }
 
 /* Time to the first byte at a plain endpoint, including the wait for a slot. */
@@ -621,8 +635,10 @@
 	/* Unmeasured endpoints get a low estimate, so that they are tried. */
 	double service_ms = e->first_ms > 0 ? e->first_ms : default_ms / 2;
 	double ahead = load_of(e, now_us) + 1;
+	double usual_ms =
+		service_ms * MAX(ahead / MAX(e->msg->max_batch, 1), 0.25);
 
-	return service_ms * MAX(ahead / MAX(e->msg->max_batch, 1), 0.25);
+	return usual_ms * slo_factor(&e->slo, usual_ms, now_us);
 }
 
 /* Distance of candidate i from this instance's own start on the ring of
@@ -666,7 +682,7 @@
 
 	if (!query->model)
 		return cost + plain_service_ms(ctx, e, now_us);
-	cost += prefill_ms(ctx, e, query);
+	cost += prefill_ms(ctx, e, query, now_us);
 	cost += stream_cost(ctx, e, query, now_us);
 	occupied = load_of(e, now_us) / MAX(e->msg->max_batch, 1);
 	cost += BATCH_COST_MS * occupied;
@@ -829,6 +845,9 @@
 	choice->load = load_of(e, now_us);
 	if (e->reported_us)
 		choice->load_age_s = (double)(now_us - e->reported_us) / 1e6;
+	choice->slowness = slo_factor(&e->slo, 0, now_us);
+	if (e->slo.mean > 0)
+		choice->slowness_age_us = now_us - e->slo.seen_us;
 }
 
 /*
@@ -841,7 +860,9 @@
 {
 	struct bal_choice choice = { .outcome = BAL_NO_ENDPOINT,
 				     .retry_us = RETRY_NONE_US,
-				     .load_age_s = -1 };
+				     .load_age_s = -1,
+				     .slowness = 1,
+				     .slowness_age_us = -1 };
 	struct candidates list = { 0 };
 	struct candidates avoided = { 0 };
 	guint size = g_hash_table_size(ctx->endpoints);
@@ -926,7 +947,9 @@
 {
 	struct bal_choice choice = { .outcome = BAL_NO_ENDPOINT,
 				     .retry_us = RETRY_NONE_US,
-				     .load_age_s = -1 };
+				     .load_age_s = -1,
+				     .slowness = 1,
+				     .slowness_age_us = -1 };
 	struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
 
 	if (!e || e->incarnation != incarnation || !is_usable(e, query, now_us))
@@ -934,8 +957,8 @@
 	choice.outcome = BAL_CHOSEN;
 	choice.endpoint = e;
 	choice.candidates = 1;
-	choice.cost_ms =
-		prefill_ms(ctx, e, query) + stream_cost(ctx, e, query, now_us);
+	choice.cost_ms = prefill_ms(ctx, e, query, now_us) +
+			 stream_cost(ctx, e, query, now_us);
 	set_load(&choice, now_us);
 	return choice;
 }
@@ -957,12 +980,16 @@
 			list.all[list.n++] = e;
 	find_preferred(&list, query->prefix);
 	for (size_t i = 0; i < list.n; i++) {
+		double usual_ms;
+
 		e = list.all[i];
+		usual_ms = token_ms_of(ctx, e) * query->tokens;
 		out[i] = (struct pac_engine){
 			.id = e->id,
 			.incarnation = e->incarnation,
-			.prefill_us = (int64_t)(token_ms_of(ctx, e) *
-						query->tokens * 1000),
+			.prefill_us = (int64_t)(1000 * usual_ms *
+						slo_factor(&e->slo, usual_ms,
+							   now_us)),
 			.load = load_of(e, now_us),
 			.load_us = e->reported_us,
 			.places = e->msg->max_batch,
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -7,6 +7,7 @@
 #include "core/hint.h"
 #include "core/lim.h"
 #include "core/pac.h"
+#include "core/slo.h"
 #include "core/view.h"
 
 /*
@@ -55,7 +56,9 @@
 	unsigned paused;     /* of them: want no requests now */
 	unsigned limited;    /* of the paused: by a limit that they named */
 	unsigned leaving;    /* of the service: left out, as they leave */
-	int64_t hint_age_us; /* of the oldest hint of these two; 0: none */
+	double slowness;     /* factor in the cost; 1: as usual or not told */
+	int64_t slowness_age_us; /* of the figure; below 0: none */
+	int64_t hint_age_us;	 /* of the oldest hint of these two; 0: none */
 };
 
 enum bal_result {
@@ -91,6 +94,8 @@
 	     uint32_t unread_tokens, int64_t now_us);
 void bal_report(struct bal *ctx, struct bal_endpoint *e, uint32_t running,
 		uint32_t waiting, int64_t now_us);
+void bal_saw_slowness(struct bal *ctx, struct bal_endpoint *e, uint32_t percent,
+		      int64_t now_us);
 void bal_observe(struct bal *ctx, const Dsp__LoadReport *report,
 		 int64_t now_us);
 enum lim_news bal_observe_limit(struct bal *ctx, const Dsp__LoadReport *report,
--- a/src/core/occ.c
+++ b/src/core/occ.c
@@ -131,6 +131,7 @@
 		k->report->running = report->running;
 		k->report->waiting = report->waiting;
 		k->report->limit_milli = report->limit_milli;
+		k->report->slowness_percent = report->slowness_percent;
 		TAILQ_REMOVE(&ctx->all, k, link);
 		TAILQ_INSERT_TAIL(&ctx->all, k, link);
 	}
--- a/src/edge/edge_hint.c
+++ b/src/edge/edge_hint.c
@@ -77,6 +77,7 @@
 	report.incarnation = incarnation;
 	report.running = answer->running;
 	report.waiting = answer->waiting;
+	report.slowness_percent = answer->slowness_percent;
 	report.leaving = true;
 	edge_report_limit(&report, hint);
 	ctl_observed_load(ctx->ctl, &report);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -649,10 +649,13 @@
 
 	bal_report(ctx->bal, at->endpoint, at->answer.running,
 		   at->answer.waiting, now_us);
+	bal_saw_slowness(ctx->bal, at->endpoint, at->answer.slowness_percent,
+			 now_us);
 	report.endpoint = (char *)bal_id(at->endpoint);
 	report.incarnation = bal_incarnation(at->endpoint);
 	report.running = at->answer.running;
 	report.waiting = at->answer.waiting;
+	report.slowness_percent = at->answer.slowness_percent;
 	report.leaving = at->answer.hint.leaving;
 	edge_report_limit(&report, &at->answer.hint);
 	ctl_observed_load(ctx->ctl, &report);
@@ -1182,10 +1185,12 @@
 	count_load_age(f, choice);
 	LOG_EVENT_INFO("fwd", "send",
 		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
-		       "load=%.1f load_age_s=%.2f view=%" G_GUINT64_FORMAT
+		       "load=%.1f load_age_s=%.2f slowness=%.2f "
+		       "slowness_age_us=%" PRId64 " view=%" G_GUINT64_FORMAT
 		       " view_age_us=%" PRId64 " left_us=%" PRId64,
 		       log_id(f), bal_id(choice->endpoint), choice->candidates,
 		       choice->cost_ms, choice->load, choice->load_age_s,
+		       choice->slowness, choice->slowness_age_us,
 		       view_index(f->edge->view),
 		       ctl_state(f->edge->ctl).stale_us, left_us);
 }
--- a/tests/unit/platform_wire_test.cc
+++ b/tests/unit/platform_wire_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -499,6 +500,7 @@
 	EXPECT_TRUE(out.has_load);
 	EXPECT_EQ(out.running, 3u);
 	EXPECT_EQ(out.waiting, 1u);
+	EXPECT_EQ(out.slowness_percent, 0u);
 	answer.status = 503;
 	answer.fields = refused.fields;
 	wire_read_answer(&answer, &out);
@@ -512,6 +514,28 @@
 	EXPECT_TRUE(out.other_process);
 }
 
+/* Guards against a malformed figure that makes an endpoint look fast. */
+TEST(WireAnswer, ReadsSlownessOnlyFromAWholeNumber)
+{
+	const std::map<std::string, uint32_t> cases = {
+		{ "3,1,8,250", 250 }, { "3,1,8,", 0 },	      { "3,1,8,-5", 0 },
+		{ "3,1,8,2x", 0 },    { "3,1,8,1000000", 0 }, { "3,1", 0 },
+	};
+
+	for (const auto &[text, percent] : cases) {
+		struct wire_answer out;
+		struct hio_answer answer = {};
+		Fields fields({ { "X-Server-Load", text.c_str() } });
+
+		answer.status = 200;
+		answer.fields = fields.fields;
+		wire_read_answer(&answer, &out);
+		EXPECT_EQ(out.slowness_percent, percent) << text;
+		EXPECT_TRUE(out.has_load);
+		EXPECT_EQ(out.waiting, 1u);
+	}
+}
+
 TEST(WireAnswer, ReadsLeavingAndPauses)
 {
 	struct {
