edge: asks are not late by connections that open or by own stalls

Before its first ask an entry sends an empty one to each coordinator, as messages wait for up to 100 ms until a connection is open and the coordinator then counts as silent for a second. A limit timer that fires late shows that the process stood still; the control thread then gets 5 ms to pass on the answers that have arrived.

A coordinator that could not use an engine itself (8 s of backoff) gave no slots at all for models that only this engine holds. It now offers such engines if there is no other, as bal_choose() does.

--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -818,14 +818,14 @@
 }
 
 /* Whether bal_choose() would consider the endpoint for a prompt, apart from
- * prompts in prefill. */
+ * prompts in prefill and a backoff. */
 static bool is_usable(const struct bal_endpoint *e,
 		      const struct bal_query *query, int64_t now_us)
 {
 	return query->model && is_up(e, query) &&
 	       hint_bar(&e->hint, now_us) == HINT_FREE &&
-	       !lim_wait_us(&e->lim, now_us) && now_us >= e->avoid_until_us &&
-	       has_place(e, query, now_us) && !is_in(query->avoid, e->id) &&
+	       !lim_wait_us(&e->lim, now_us) && has_place(e, query, now_us) &&
+	       !is_in(query->avoid, e->id) &&
 	       view_ready_copy(e->msg, query->model, NULL) &&
 	       (!query->adapter ||
 		view_ready_copy(e->msg, query->model, query->adapter));
@@ -960,7 +960,8 @@
 				     .slowness_age_us = -1 };
 	struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
 
-	if (!e || e->incarnation != incarnation || !is_usable(e, query, now_us))
+	if (!e || e->incarnation != incarnation || now_us < e->avoid_until_us ||
+	    !is_usable(e, query, now_us))
 		return choice;
 	choice.outcome = BAL_CHOSEN;
 	choice.endpoint = e;
@@ -976,16 +977,27 @@
 size_t bal_offers(const struct bal *ctx, const struct bal_query *query,
 		  int64_t now_us, struct pac_engine *out, size_t max)
 {
+	guint size = g_hash_table_size(ctx->endpoints);
 	struct candidates list = { 0 };
+	struct candidates avoided = { 0 };
 	GHashTableIter iter;
 	struct bal_endpoint *e;
 
-	list.all = g_newa(struct bal_endpoint *,
-			  g_hash_table_size(ctx->endpoints) + 1);
+	list.all = g_newa(struct bal_endpoint *, size + 1);
+	avoided.all = g_newa(struct bal_endpoint *, size + 1);
 	g_hash_table_iter_init(&iter, ctx->endpoints);
-	while (list.n < max && g_hash_table_iter_next(&iter, NULL, (void **)&e))
-		if (is_usable(e, query, now_us))
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
+		if (!is_usable(e, query, now_us))
+			continue;
+		if (now_us < e->avoid_until_us)
+			avoided.all[avoided.n++] = e;
+		else
 			list.all[list.n++] = e;
+	}
+	/* What this instance has met need not hold for the others. */
+	if (!list.n)
+		list = avoided;
+	list.n = MIN(list.n, max);
 	find_preferred(&list, query->prefix);
 	for (size_t i = 0; i < list.n; i++) {
 		double usual_ms;
--- a/src/edge/edge_prompt.c
+++ b/src/edge/edge_prompt.c
@@ -14,6 +14,10 @@
 /* Time for an answer. Two messages take some 3 ms between sites; an entry with
  * a small share of a core may stand still for longer. */
 #define ANSWER_LIMIT_US 25000
+/* A limit timer that is late by more shows that this process stood still; then
+ * the control thread gets GRACE_US to pass on the answers that have arrived. */
+#define STALL_US 5000
+#define GRACE_US 5000
 /* A coordinator that did not answer is not asked for this time. */
 #define SILENT_US 1000000
 /* Interval of the messages with assignments to the other coordinators. */
@@ -40,7 +44,9 @@
 	uint64_t next_id;
 	const Dsp__Node *coordinators[PAC_COORDINATORS_MAX]; /* of the view */
 	size_t n_coordinators;
-	GHashTable *silent; /* node id -> int64_t, until when */
+	bool greeted;	      /* these coordinators */
+	int64_t limit_due_us; /* of limit_timer */
+	GHashTable *silent;   /* node id -> int64_t, until when */
 };
 
 static void on_limit(evutil_socket_t fd, short what, void *data);
@@ -105,11 +111,34 @@
 	pthread_mutex_unlock(&edge->lock);
 }
 
+static void set_limit_timer(struct edge_slots *ctx, int64_t at_us)
+{
+	ctx->limit_due_us = at_us;
+	hio_set_timer(ctx->limit_timer,
+		      MAX(at_us - clk_now_us(ctx->edge->clock), 1));
+}
+
+/* Returns a value that differs between lists of coordinators. */
+static uint64_t list_hash(const struct edge_slots *ctx)
+{
+	uint64_t hash = 0;
+
+	for (size_t i = 0; i < ctx->n_coordinators; i++)
+		hash = hash * 31 + g_str_hash(ctx->coordinators[i]->id);
+	return hash;
+}
+
 /* Uses the coordinators of a changed view. */
 void edge_slots_view_changed(struct edge_slots *ctx)
 {
-	ctx->n_coordinators =
-		pac_coordinators(ctx->edge->view, ctx->coordinators);
+	uint64_t before = list_hash(ctx);
+
+	ctx->n_coordinators = 0;
+	if (bal_is_large(ctx->edge->bal))
+		ctx->n_coordinators =
+			pac_coordinators(ctx->edge->view, ctx->coordinators);
+	if (list_hash(ctx) != before)
+		ctx->greeted = false;
 	/* Those that have left the view are not kept forever. */
 	if (g_hash_table_size(ctx->silent) > PAC_COORDINATORS_MAX)
 		g_hash_table_remove_all(ctx->silent);
@@ -211,16 +240,12 @@
 }
 
 static void send_to_coordinators(struct edge_slots *ctx,
-				 Dsp__PromptSends *sends)
+				 const Dsp__Envelope *out)
 {
-	Dsp__Envelope out = DSP__ENVELOPE__INIT;
-
-	out.body_case = DSP__ENVELOPE__BODY_PROMPT_SENDS;
-	out.prompt_sends = sends;
 	for (size_t i = 0; i < ctx->n_coordinators; i++)
 		if (!is_self(ctx, ctx->coordinators[i]->id))
 			ctl_prompts(ctx->edge->ctl, ctx->coordinators[i]->id,
-				    &out);
+				    out);
 }
 
 /* Tells the other coordinators what this one has assigned. */
@@ -232,6 +257,7 @@
 	Dsp__PromptSend sends[SENDS_MAX];
 	Dsp__PromptSend *list[SENDS_MAX];
 	Dsp__PromptSends message = DSP__PROMPT_SENDS__INIT;
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
 
 	(void)fd;
 	(void)what;
@@ -246,8 +272,10 @@
 			(int32_t)((taken[i].start_us - now_us) / 1000);
 		list[i] = &sends[i];
 	}
+	out.body_case = DSP__ENVELOPE__BODY_PROMPT_SENDS;
+	out.prompt_sends = &message;
 	if (message.n_sends)
-		send_to_coordinators(ctx, &message);
+		send_to_coordinators(ctx, &out);
 	for (size_t i = 0; i < message.n_sends; i++)
 		g_free(taken[i].id);
 	if (pac_untaken(ctx->pac))
@@ -320,6 +348,21 @@
 	slot->state = EDGE_SLOT_ENDED;
 }
 
+/* Sends an empty ask to all coordinators before the first one, which opens the
+ * connections in both directions: that may take longer than an ask waits. */
+static void greet(struct edge_slots *ctx)
+{
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+	Dsp__PromptAsks asks = DSP__PROMPT_ASKS__INIT;
+
+	if (ctx->greeted)
+		return;
+	ctx->greeted = true;
+	out.body_case = DSP__ENVELOPE__BODY_PROMPT_ASKS;
+	out.prompt_asks = &asks;
+	send_to_coordinators(ctx, &out);
+}
+
 /*
  * Asks the coordinator of the ask's model for an engine and a time. Returns
  * false if there is none to ask. Otherwise the slot is given at once, or
@@ -337,6 +380,7 @@
 	slot->state = EDGE_SLOT_ENDED;
 	if (!node)
 		return false;
+	greet(ctx);
 	if (is_silent(ctx, node->id)) {
 		met_count(ctx->edge->met, "dandelionspar_edge_prompt_asks",
 			  "outcome=\"silent\"", 1);
@@ -359,7 +403,7 @@
 	ctl_prompts(ctx->edge->ctl, node->id, &out);
 	slot->state = EDGE_SLOT_ASKED;
 	if (TAILQ_EMPTY(&ctx->asked))
-		hio_set_timer(ctx->limit_timer, ANSWER_LIMIT_US);
+		set_limit_timer(ctx, slot->asked_us + ANSWER_LIMIT_US);
 	TAILQ_INSERT_TAIL(&ctx->asked, slot, link);
 	return true;
 }
@@ -455,6 +499,11 @@
 	(void)what;
 	edge_slots_run(ctx);
 	now_us = clk_now_us(ctx->edge->clock);
+	if (now_us - ctx->limit_due_us > STALL_US &&
+	    !TAILQ_EMPTY(&ctx->asked)) {
+		set_limit_timer(ctx, now_us + GRACE_US);
+		return;
+	}
 	while ((slot = TAILQ_FIRST(&ctx->asked)) &&
 	       now_us - slot->asked_us >= ANSWER_LIMIT_US) {
 		unlist(slot);
@@ -463,6 +512,5 @@
 		fwd_slot_decided(slot);
 	}
 	if (slot)
-		hio_set_timer(ctx->limit_timer,
-			      slot->asked_us + ANSWER_LIMIT_US - now_us);
+		set_limit_timer(ctx, slot->asked_us + ANSWER_LIMIT_US);
 }
--- a/tests/integration/pacing_test.cc
+++ b/tests/integration/pacing_test.cc
@@ -26,6 +26,17 @@
 	void SetUp() override
 	{
 		system.serve(table(1, "", model("m1") + "," + model("m2")));
+		for (Runner *r : { &a, &b }) {
+			r->handler = [r](Socket &s, const Message &m) {
+				return s.send(
+					"HTTP/1.1 200 OK\r\nContent-Type: "
+					"text/event-stream\r\n" +
+					r->seal() + Runner::echo(m) +
+					"Transfer-Encoding: chunked\r\n\r\n"
+					"13\r\nid: 1\ndata: piece\n\n\r\n"
+					"0\r\n\r\n");
+			};
+		}
 		a.beat(system.instances[0].api);
 		b.beat(system.instances[0].api);
 		for (size_t i = 1; i <= ENTRIES; i++)
