edge: slots that are late or beyond the asked wait are not used

A delay or assignment time in a message is taken only within the limits of the ask, so that a wrong one cannot hold a request back. A slot that is used more than 100 ms late, as after a stall, would meet the prompts that have its time by then; the entry decides by itself instead.

tests: the simulations of pacing and slowness share views and events.

--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -218,6 +218,7 @@
 	const char *request_id; /* for log lines */
 	uint64_t id;		/* of the ask */
 	int64_t asked_us;
+	uint32_t wait_max_ms;
 	char *node;	/* the coordinator */
 	char *endpoint; /* NULL: none was assigned */
 	uint64_t incarnation;
--- a/src/edge/edge_prompt.c
+++ b/src/edge/edge_prompt.c
@@ -28,6 +28,8 @@
 /* Limits for the contents of one message. */
 #define ASKS_MAX 64
 #define SENDS_MAX 64
+/* Assignments to a start that is farther off are not used. */
+#define SEND_DELAY_MAX_MS 1000
 
 struct message_in {
 	Dsp__Envelope *envelope; /* owned */
@@ -293,7 +295,7 @@
 		int64_t prefill_us =
 			bal_prefill_us(edge->bal, send->endpoint, send->tokens);
 
-		if (prefill_us)
+		if (prefill_us && ABS(send->delay_ms) <= SEND_DELAY_MAX_MS)
 			pac_observe(ctx->pac, send->endpoint, send->incarnation,
 				    prefill_us,
 				    arrived_us + send->delay_ms * 1000LL,
@@ -308,7 +310,8 @@
 {
 	int64_t now_us = clk_now_us(ctx->edge->clock);
 
-	if (!answer->endpoint[0]) {
+	/* A delay beyond what was asked for would hold the request back. */
+	if (!answer->endpoint[0] || answer->delay_ms > slot->wait_max_ms) {
 		slot->state = EDGE_SLOT_ENDED;
 		return;
 	}
@@ -387,6 +390,7 @@
 		return false;
 	}
 	slot->owner = ctx;
+	slot->wait_max_ms = ask->wait_max_ms;
 	slot->asked_us = clk_now_us(ctx->edge->clock);
 	slot->id = ask->id = ctx->next_id++;
 	slot->node = g_strdup(node->id);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -50,6 +50,8 @@
  * but not longer than SLOT_WAIT_MAX_US. */
 #define SLOT_WAIT_DIVISOR 2.5
 #define SLOT_WAIT_MAX_US 250000
+/* A slot is not used later than this after its time: others have it by then. */
+#define SLOT_LATE_MAX_US 100000
 /* Poll interval of the queue when no event frees capacity. */
 #define QUEUE_POLL_US 25000
 /* Requests tried in one run of the queue. */
@@ -1094,7 +1096,8 @@
 	f->slot.state = EDGE_SLOT_ENDED;
 	*choice = bal_choose_named(f->edge->bal, query, f->slot.endpoint,
 				   f->slot.incarnation, now_of(f));
-	used = choice->outcome == BAL_CHOSEN;
+	used = choice->outcome == BAL_CHOSEN &&
+	       now_of(f) - f->slot.at_us <= SLOT_LATE_MAX_US;
 	met_count(f->edge->met, "dandelionspar_edge_prompt_slots",
 		  used ? "outcome=\"used\"" : "outcome=\"fallback\"", 1);
 	return used;
--- a/tests/unit/pac_test.cc
+++ b/tests/unit/pac_test.cc
@@ -1,20 +1,10 @@
-#include <gtest/gtest.h>
-
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
-#include <deque>
-#include <functional>
-#include <map>
-#include <memory>
-#include <queue>
-#include <random>
-#include <set>
-#include <string>
-#include <vector>
+
+#include "pac_sim.h"
 
 extern "C" {
-#include "base/clk.h"
 #include "core/bal.h"
 #include "core/pac.h"
 }
@@ -23,11 +13,11 @@
  * Pacing of prompts on the manual clock: single assignments, the choice of
  * coordinators, and a simulated deployment of 88 entries and 90 engines.
  */
+using namespace pac_sim;
+
 namespace
 {
 
-constexpr int64_t MS = 1000;
-constexpr int64_t S = 1000 * MS;
 constexpr uint32_t TOKENS = 1460;
 
 struct Pac {
@@ -130,90 +120,6 @@
 
 /* ---- Coordinators ---- */
 
-using ViewPtr = std::unique_ptr<struct view, decltype(&view_unref)>;
-
-struct Holding {
-	std::string id;
-	std::vector<std::string> models;
-};
-
-std::string node_id(unsigned i)
-{
-	return "node-" + std::to_string(i);
-}
-
-/* A view with n entries and the given engines. */
-ViewPtr make_view(const std::set<unsigned> &nodes,
-		  const std::vector<Holding> &engines)
-{
-	Dsp__ViewUpdate *update = g_new0(Dsp__ViewUpdate, 1);
-
-	dsp__view_update__init(update);
-	update->reset = true;
-	update->to_index = 1;
-	update->records =
-		g_new0(Dsp__ViewRecord *, nodes.size() + engines.size());
-	for (unsigned i : nodes) {
-		Dsp__ViewRecord *r = g_new0(Dsp__ViewRecord, 1);
-		Dsp__Node *node = g_new0(Dsp__Node, 1);
-
-		dsp__view_record__init(r);
-		dsp__node__init(node);
-		node->id = g_strdup(node_id(i).c_str());
-		node->http_address = g_strdup("10.0.0.1:80");
-		node->weight = 1;
-		r->index = 1;
-		r->body_case = DSP__VIEW_RECORD__BODY_NODE;
-		r->kind = r->body_case;
-		r->key = g_strdup(node->id);
-		r->node = node;
-		update->records[update->n_records++] = r;
-	}
-	for (const Holding &h : engines) {
-		Dsp__ViewRecord *r = g_new0(Dsp__ViewRecord, 1);
-		Dsp__Endpoint *e = g_new0(Dsp__Endpoint, 1);
-
-		dsp__view_record__init(r);
-		dsp__endpoint__init(e);
-		e->id = g_strdup(h.id.c_str());
-		e->incarnation = 1;
-		e->address = g_strdup(("10.1.0.1:" + h.id).c_str());
-		e->service = g_strdup("llm");
-		e->kind = DSP__ENDPOINT_KIND__ENDPOINT_ENGINE;
-		e->state = DSP__ENDPOINT_STATE__ENDPOINT_UP;
-		e->max_batch = 16;
-		e->copies = g_new0(Dsp__Copy *, h.models.size());
-		for (const std::string &model : h.models) {
-			Dsp__Copy *copy = g_new0(Dsp__Copy, 1);
-
-			dsp__copy__init(copy);
-			copy->model = g_strdup(model.c_str());
-			copy->ready = true;
-			e->copies[e->n_copies++] = copy;
-		}
-		r->index = 1;
-		r->body_case = DSP__VIEW_RECORD__BODY_ENDPOINT;
-		r->kind = r->body_case;
-		r->key = g_strdup(e->id);
-		r->endpoint = e;
-		update->records[update->n_records++] = r;
-	}
-	ViewPtr empty(view_new_empty(), view_unref);
-	ViewPtr view(view_apply(empty.get(), update), view_unref);
-
-	dsp__view_update__free_unpacked(update, nullptr);
-	return view;
-}
-
-std::set<unsigned> first_nodes(unsigned n)
-{
-	std::set<unsigned> nodes;
-
-	for (unsigned i = 0; i < n; i++)
-		nodes.insert(i);
-	return nodes;
-}
-
 std::map<std::string, std::string> coordinators_of(const std::set<unsigned> &n,
 						   size_t *count)
 {
@@ -365,7 +271,7 @@
 constexpr int64_t STREAM = 1700 * MS;
 constexpr double TOKENS_PER_MS = 20.4;
 
-class Deployment
+class Deployment : Events
 {
       public:
 	Deployment(Mode how, unsigned seed) : mode(how), random(seed)
@@ -389,7 +295,6 @@
 		for (struct bal *b : bals)
 			bal_free(b);
 		view_unref(view);
-		clk_free(clock);
 	}
 
 	void run(int64_t length)
@@ -397,13 +302,7 @@
 		schedule_arrival();
 		exchange();
 		report();
-		while (!events.empty() && events.top().at < length) {
-			Event e = events.top();
-
-			events.pop();
-			clk_advance(clock, e.at - clk_now_us(clock));
-			e.run();
-		}
+		run_until(length);
 	}
 
 	/* Share of prompts in a window of 250 ms with others at the engine. */
@@ -431,15 +330,6 @@
 	}
 
       private:
-	struct Event {
-		int64_t at;
-		uint64_t order;
-		std::function<void()> run;
-		bool operator<(const Event &o) const
-		{
-			return at > o.at || (at == o.at && order > o.order);
-		}
-	};
 	struct Engine {
 		double speed = 1;
 		int64_t free_at = 0;
@@ -453,7 +343,6 @@
 
 	Mode mode;
 	std::mt19937 random;
-	struct clk *clock = clk_new_manual(S, 0);
 	struct view *view;
 	const Dsp__Node *list[PAC_COORDINATORS_MAX];
 	size_t n_coordinators;
@@ -465,18 +354,6 @@
 	std::vector<Engine> engines{ ENGINES };
 	std::vector<Reported> reported{ ENGINES };
 	std::vector<int64_t> waits;
-	std::priority_queue<Event> events;
-	uint64_t order = 0;
-
-	void at(int64_t when, std::function<void()> run)
-	{
-		events.push({ when, order++, std::move(run) });
-	}
-	int64_t now() const
-	{
-		return clk_now_us(clock);
-	}
-
 	static size_t most_met(const std::vector<int64_t> &all, size_t i)
 	{
 		size_t most = 0;
--- a/tests/unit/slo_test.cc
+++ b/tests/unit/slo_test.cc
@@ -1,13 +1,7 @@
-#include <gtest/gtest.h>
-
-#include <cmath>
+#include <algorithm>
 #include <cstdio>
-#include <functional>
-#include <memory>
-#include <queue>
-#include <random>
-#include <string>
-#include <vector>
+
+#include "pac_sim.h"
 
 extern "C" {
 #include "core/bal.h"
@@ -17,12 +11,11 @@
  * Current slowness: the factor on the manual clock, and 88 dispatchers that
  * send to 90 endpoints of three speeds whose slowness jumps ten times a second.
  */
+using namespace pac_sim;
+
 namespace
 {
 
-constexpr int64_t MS = 1000;
-constexpr int64_t S = 1000 * MS;
-
 TEST(Slo, CountsLessWithAgeAndWithLongerWork)
 {
 	struct slo s = {};
@@ -52,60 +45,22 @@
 
 enum class Rule { TOLD, UNTOLD, LEAST_LOADED, PERFECT };
 
-class Fleet
+class Fleet : Events
 {
       public:
 	Fleet(Rule how, unsigned seed)
 	    : rule(how), random(seed), endpoints(ENDPOINTS)
 	{
-		Dsp__ViewUpdate update = DSP__VIEW_UPDATE__INIT;
-		std::vector<std::string> names;
-		std::vector<Dsp__Node> nodes(ENTRIES);
-		std::vector<Dsp__Endpoint> all(ENDPOINTS);
-		std::vector<Dsp__ViewRecord> records(ENTRIES + ENDPOINTS);
-		std::vector<Dsp__ViewRecord *> pointers;
-
-		for (unsigned i = 0; i < ENTRIES + ENDPOINTS; i++)
-			names.push_back(std::to_string(1000 + i));
-		for (unsigned i = 0; i < ENTRIES + ENDPOINTS; i++) {
-			Dsp__ViewRecord &r = records[i];
-
-			dsp__view_record__init(&r);
-			r.key = (char *)names[i].c_str();
-			if (i < ENTRIES) {
-				dsp__node__init(&nodes[i]);
-				nodes[i].id = r.key;
-				nodes[i].http_address = (char *)"1.1.1.1:1";
-				r.body_case = DSP__VIEW_RECORD__BODY_NODE;
-				r.node = &nodes[i];
-			} else {
-				Dsp__Endpoint &e = all[i - ENTRIES];
-
-				dsp__endpoint__init(&e);
-				e.id = e.address = r.key;
-				e.incarnation = 1;
-				e.service = (char *)"s";
-				e.kind = DSP__ENDPOINT_KIND__ENDPOINT_SERVICE;
-				e.max_batch = PLACES;
-				r.body_case = DSP__VIEW_RECORD__BODY_ENDPOINT;
-				r.endpoint = &e;
-			}
-			r.kind = r.body_case;
-			pointers.push_back(&r);
-		}
-		update.reset = true;
-		update.to_index = 1;
-		update.records = pointers.data();
-		update.n_records = pointers.size();
-		struct view *empty = view_new_empty();
-		struct view *view = view_apply(empty, &update);
-
-		view_unref(empty);
+		std::vector<Holding> holdings;
+
+		for (unsigned e = 0; e < ENDPOINTS; e++)
+			holdings.push_back({ std::to_string(e), {}, PLACES });
+		ViewPtr view = make_view(first_nodes(ENTRIES), holdings);
+
 		for (unsigned i = 0; i < ENTRIES; i++) {
 			bals.push_back(bal_new());
-			bal_set_view(bals[i], view, names[i].c_str());
+			bal_set_view(bals[i], view.get(), node_id(i).c_str());
 		}
-		view_unref(view);
 		for (unsigned e = 0; e < ENDPOINTS; e++) {
 			const double speeds[] = { 0.6, 1, 1.6 };
 
@@ -122,13 +77,7 @@
 	void run(int64_t length)
 	{
 		arrive();
-		while (!events.empty() && events.top().at < length) {
-			Event next = events.top();
-
-			events.pop();
-			now = next.at;
-			next.run();
-		}
+		run_until(length);
 		std::sort(took.begin(), took.end());
 	}
 	double mean_ms() const
@@ -145,15 +94,6 @@
 	}
 
       private:
-	struct Event {
-		int64_t at;
-		uint64_t order;
-		std::function<void()> run;
-		bool operator<(const Event &o) const
-		{
-			return at > o.at || (at == o.at && order > o.order);
-		}
-	};
 	struct Endpoint {
 		double speed = 1;
 		double slowness = 1;
@@ -166,15 +106,7 @@
 	std::mt19937 random;
 	std::vector<Endpoint> endpoints;
 	std::vector<struct bal *> bals;
-	std::priority_queue<Event> events;
 	std::vector<int64_t> took;
-	int64_t now = S;
-	uint64_t order = 0;
-
-	void at(int64_t when, std::function<void()> run)
-	{
-		events.push({ when, order++, std::move(run) });
-	}
 
 	/* 2.5 in 9 % of the time, else as usual. */
 	void jump(unsigned e)
@@ -182,7 +114,7 @@
 		std::exponential_distribution<double> next(10);
 
 		endpoints[e].slowness = random() % 100 < 9 ? 2.5 : 1;
-		at(now + (int64_t)(next(random) * 1e6), [=] { jump(e); });
+		at(now() + (int64_t)(next(random) * 1e6), [=] { jump(e); });
 	}
 
 	void arrive()
@@ -190,8 +122,8 @@
 		std::exponential_distribution<double> next(RATE);
 		unsigned entry = (unsigned)(random() % ENTRIES);
 
-		send(entry, now);
-		at(now + (int64_t)(next(random) * 1e6), [=] { arrive(); });
+		send(entry, now());
+		at(now() + (int64_t)(next(random) * 1e6), [=] { arrive(); });
 	}
 
 	static unsigned load(const Endpoint &e)
@@ -217,7 +149,7 @@
 		struct bal_query query = {};
 		struct bal_choice choice = {};
 
-		query.service = "s";
+		query.service = "llm";
 		switch (rule) {
 		case Rule::LEAST_LOADED:
 			return begin(choose_by([](const Endpoint &e) {
@@ -234,21 +166,20 @@
 		case Rule::UNTOLD:
 			break;
 		}
-		choice = bal_choose(bals[entry], &query, now);
+		choice = bal_choose(bals[entry], &query, now());
 		if (choice.outcome != BAL_CHOSEN) {
-			at(now + 25 * MS, [=] { send(entry, arrived); });
+			at(now() + 25 * MS, [=] { send(entry, arrived); });
 			return;
 		}
-		bal_begin(bals[entry], choice.endpoint, 1, now);
-		begin((unsigned)std::stoi(bal_id(choice.endpoint)) - 1000 -
-			      ENTRIES,
-		      entry, choice.endpoint, arrived);
+		bal_begin(bals[entry], choice.endpoint, 1, now());
+		begin((unsigned)std::stoi(bal_id(choice.endpoint)), entry,
+		      choice.endpoint, arrived);
 	}
 
 	void begin(unsigned e, unsigned entry, struct bal_endpoint *target,
 		   int64_t arrived)
 	{
-		int64_t sent = now;
+		int64_t sent = now();
 		auto work = [=] { start(e, entry, target, arrived, sent); };
 
 		if (endpoints[e].running < PLACES)
@@ -265,7 +196,7 @@
 		double ms = WORK_MS * endpoint.slowness / endpoint.speed;
 
 		endpoint.running++;
-		at(now + (int64_t)(ms * MS),
+		at(now() + (int64_t)(ms * MS),
 		   [=] { end(e, entry, target, arrived, sent); });
 	}
 
@@ -282,14 +213,15 @@
 			next();
 		}
 		if (arrived > 4 * S) /* the speeds are known */
-			took.push_back(now - arrived);
+			took.push_back(now() - arrived);
 		if (target) {
-			bal_first_byte(bals[entry], target, 1, now - sent,
+			bal_first_byte(bals[entry], target, 1, now() - sent,
 				       true);
-			bal_end(bals[entry], target, BAL_ANSWERED, 0, now);
-			bal_report(bals[entry], target, load(endpoint), 0, now);
+			bal_end(bals[entry], target, BAL_ANSWERED, 0, now());
+			bal_report(bals[entry], target, load(endpoint), 0,
+				   now());
 			bal_saw_slowness(bals[entry], target, told(endpoint),
-					 now);
+					 now());
 		}
 		report(e);
 	}
@@ -307,8 +239,8 @@
 
 		if (random() % 8)
 			return;
-		at(now + LAG, [=] {
-			std::string id = std::to_string(1000 + ENTRIES + e);
+		at(now() + LAG, [=] {
+			std::string id = std::to_string(e);
 			Dsp__LoadReport report = DSP__LOAD_REPORT__INIT;
 
 			endpoints[e].reported = seen;
@@ -318,7 +250,7 @@
 			report.slowness_percent = slowness;
 			report.age_ms = LAG / MS;
 			for (struct bal *b : bals)
-				bal_observe(b, &report, now);
+				bal_observe(b, &report, now());
 		});
 	}
 };
