edge: coordinators know of prompts that entries send on their own

An entry now tells the coordinator of the model of such a prompt, which passes it on to the other coordinators with its own assignments.

pac_test and pacing_test pass; not measured in a deployment.

--- a/src/core/pac.c
+++ b/src/core/pac.c
@@ -314,18 +314,20 @@
 	}
 }
 
-static void keep_untaken(struct pac *ctx, const struct pac_engine *engine,
-			 uint32_t tokens, int64_t start_us)
+/* Has pac_take() return a prompt that was assigned, or that an entry has sent
+ * by its own decision. */
+void pac_pass_on(struct pac *ctx, const char *id, uint64_t incarnation,
+		 uint32_t tokens, int64_t start_us)
 {
 	struct pac_send send = {
-		.incarnation = engine->incarnation,
+		.incarnation = incarnation,
 		.tokens = tokens,
 		.start_us = start_us,
 	};
 
 	if (ctx->untaken->len >= UNTAKEN_MAX)
 		return;
-	send.id = g_strdup(engine->id);
+	send.id = g_strdup(id);
 	g_array_append_val(ctx->untaken, send);
 }
 
@@ -366,11 +368,12 @@
 	count_stream(ctx, chosen->stream_us);
 	add(engine_of(ctx, chosen->id, chosen->incarnation), start_us,
 	    chosen->prefill_us, chosen->stream_us);
-	keep_untaken(ctx, chosen, query->tokens, start_us);
+	pac_pass_on(ctx, chosen->id, chosen->incarnation, query->tokens,
+		    start_us);
 	return true;
 }
 
-/* Records a prompt that another coordinator has assigned. */
+/* Records a prompt that this coordinator has not assigned. */
 void pac_observe(struct pac *ctx, const char *id, uint64_t incarnation,
 		 int64_t prefill_us, int64_t start_us, int64_t now_us)
 {
--- a/src/core/pac.h
+++ b/src/core/pac.h
@@ -62,6 +62,8 @@
 		const struct pac_query *query, struct pac_slot *slot);
 void pac_observe(struct pac *ctx, const char *id, uint64_t incarnation,
 		 int64_t prefill_us, int64_t start_us, int64_t now_us);
+void pac_pass_on(struct pac *ctx, const char *id, uint64_t incarnation,
+		 uint32_t tokens, int64_t start_us);
 size_t pac_take(struct pac *ctx, struct pac_send *out, size_t max);
 
 /* Queries. */
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -223,6 +223,7 @@
 	char *endpoint; /* NULL: none was assigned */
 	uint64_t incarnation;
 	int64_t at_us; /* when to send */
+	bool used;     /* by the send that follows */
 };
 
 struct edge_slots *edge_slots_new(struct edge *edge);
@@ -232,6 +233,8 @@
 void edge_slots_run(struct edge_slots *ctx);
 bool edge_slot_ask(struct edge_slots *ctx, struct edge_slot *slot,
 		   Dsp__PromptAsk *ask);
+void edge_slots_sent(struct edge_slots *ctx, const char *model,
+		     const struct bal_endpoint *endpoint, uint32_t tokens);
 void edge_slot_clear(struct edge_slot *slot);
 
 /* fwd.c */
--- a/src/edge/edge_prompt.c
+++ b/src/edge/edge_prompt.c
@@ -160,6 +160,12 @@
 
 /* ---- Coordinator ---- */
 
+static void set_exchange_timer(struct edge_slots *ctx)
+{
+	if (!event_pending(ctx->exchange_timer, EV_TIMEOUT, NULL))
+		hio_set_timer(ctx->exchange_timer, EXCHANGE_US);
+}
+
 /* Assigns a prompt; endpoint is empty if there is none. It is valid until the
  * next view. */
 static void assign(struct edge_slots *ctx, const Dsp__PromptAsk *ask,
@@ -217,8 +223,7 @@
 			slot.cost_ms, slot.busy, chosen->load,
 			chosen->load_us ? now_us - chosen->load_us : -1,
 			view_index(edge->view));
-	if (!event_pending(ctx->exchange_timer, EV_TIMEOUT, NULL))
-		hio_set_timer(ctx->exchange_timer, EXCHANGE_US);
+	set_exchange_timer(ctx);
 }
 
 static void answer_asks(struct edge_slots *ctx, const Dsp__Envelope *message,
@@ -289,23 +294,71 @@
 		hio_set_timer(ctx->exchange_timer, EXCHANGE_US);
 }
 
-static void observe_sends(struct edge_slots *ctx, const Dsp__PromptSends *sends,
-			  int64_t arrived_us)
+static bool is_coordinator(const struct edge_slots *ctx, const char *node)
+{
+	for (size_t i = 0; i < ctx->n_coordinators; i++)
+		if (!strcmp(ctx->coordinators[i]->id, node))
+			return true;
+	return false;
+}
+
+/* Records a prompt that this instance has not assigned. One that no coordinator
+ * has assigned is passed on to the others. */
+static void observe(struct edge_slots *ctx, const Dsp__PromptSend *send,
+		    bool pass_on, int64_t arrived_us)
 {
 	struct edge *edge = ctx->edge;
-	int64_t now_us = clk_now_us(edge->clock);
+	int64_t start_us = arrived_us + send->delay_ms * 1000LL;
+	int64_t prefill_us =
+		bal_prefill_us(edge->bal, send->endpoint, send->tokens);
+
+	if (!prefill_us || ABS(send->delay_ms) > SEND_DELAY_MAX_MS)
+		return;
+	pac_observe(ctx->pac, send->endpoint, send->incarnation, prefill_us,
+		    start_us, clk_now_us(edge->clock));
+	if (!pass_on)
+		return;
+	pac_pass_on(ctx->pac, send->endpoint, send->incarnation, send->tokens,
+		    start_us);
+	set_exchange_timer(ctx);
+}
+
+static void observe_sends(struct edge_slots *ctx, const Dsp__Envelope *message,
+			  int64_t arrived_us)
+{
+	const Dsp__PromptSends *sends = message->prompt_sends;
+	bool pass_on = !is_coordinator(ctx, message->from);
 
-	for (size_t i = 0; i < sends->n_sends; i++) {
-		const Dsp__PromptSend *send = sends->sends[i];
-		int64_t prefill_us =
-			bal_prefill_us(edge->bal, send->endpoint, send->tokens);
+	for (size_t i = 0; i < sends->n_sends && i < SENDS_MAX; i++)
+		observe(ctx, sends->sends[i], pass_on, arrived_us);
+}
 
-		if (prefill_us && ABS(send->delay_ms) <= SEND_DELAY_MAX_MS)
-			pac_observe(ctx->pac, send->endpoint, send->incarnation,
-				    prefill_us,
-				    arrived_us + send->delay_ms * 1000LL,
-				    now_us);
+/* Tells the coordinator of the model of a prompt that this instance sends by
+ * its own decision. */
+void edge_slots_sent(struct edge_slots *ctx, const char *model,
+		     const struct bal_endpoint *endpoint, uint32_t tokens)
+{
+	const Dsp__Node *node =
+		pac_coordinator(ctx->coordinators, ctx->n_coordinators, model);
+	Dsp__PromptSend send = DSP__PROMPT_SEND__INIT;
+	Dsp__PromptSend *list[] = { &send };
+	Dsp__PromptSends sends = DSP__PROMPT_SENDS__INIT;
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+
+	if (!node)
+		return;
+	send.endpoint = (char *)bal_id(endpoint);
+	send.incarnation = bal_incarnation(endpoint);
+	send.tokens = tokens;
+	if (is_self(ctx, node->id)) {
+		observe(ctx, &send, true, clk_now_us(ctx->edge->clock));
+		return;
 	}
+	sends.sends = list;
+	sends.n_sends = 1;
+	out.body_case = DSP__ENVELOPE__BODY_PROMPT_SENDS;
+	out.prompt_sends = &sends;
+	ctl_prompts(ctx->edge->ctl, node->id, &out);
 }
 
 /* ---- Asker ---- */
@@ -478,8 +531,7 @@
 			use_answers(ctx, m->envelope);
 			break;
 		case DSP__ENVELOPE__BODY_PROMPT_SENDS:
-			observe_sends(ctx, m->envelope->prompt_sends,
-				      m->arrived_us);
+			observe_sends(ctx, m->envelope, m->arrived_us);
 			break;
 		default:
 			break;
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -916,6 +916,14 @@
 	return may_repeat(f) ? REUSE_IDLE_US : REUSE_NON_IDEMPOTENT_US;
 }
 
+/* Whether coordinators pace the prompts of such requests. */
+static bool is_paced(const struct fwd *f)
+{
+	return f->edge->set->edge.prompt_pacing && f->engine && f->gap_us &&
+	       f->kind == DSP__ROUTE_KIND__ROUTE_STREAM &&
+	       bal_is_large(f->edge->bal);
+}
+
 static void send_to(struct fwd *f, struct bal_endpoint *endpoint)
 {
 	const struct hio_request *request = hio_exchange_request(f->exchange);
@@ -944,6 +952,10 @@
 		.failed = on_failed,
 	};
 
+	if (is_paced(f) && !f->slot.used)
+		edge_slots_sent(f->edge->slots, f->request.model, endpoint,
+				unread_tokens(f));
+	f->slot.used = false;
 	if (!f->counted) {
 		f->waited_us = now_us - f->start_us;
 		met_observe_us(f->edge->met, "dandelionspar_edge_wait_us", "",
@@ -1098,6 +1110,7 @@
 				   f->slot.incarnation, now_of(f));
 	used = choice->outcome == BAL_CHOSEN &&
 	       now_of(f) - f->slot.at_us <= SLOT_LATE_MAX_US;
+	f->slot.used = used;
 	met_count(f->edge->met, "dandelionspar_edge_prompt_slots",
 		  used ? "outcome=\"used\"" : "outcome=\"fallback\"", 1);
 	return used;
@@ -1140,11 +1153,8 @@
  * first attempt of a stream with a gap objective, if no others are ahead. */
 static bool wants_slot(const struct fwd *f)
 {
-	return f->edge->set->edge.prompt_pacing && f->engine && f->gap_us &&
-	       f->kind == DSP__ROUTE_KIND__ROUTE_STREAM && !f->n_attempts &&
-	       !f->item.queued && !f->headers_sent &&
-	       bal_is_large(f->edge->bal) &&
-	       !adm_length(f->edge->queue, f->group);
+	return is_paced(f) && !f->n_attempts && !f->item.queued &&
+	       !f->headers_sent && !adm_length(f->edge->queue, f->group);
 }
 
 /* Returns whether the request waits for its coordinator, or for the time that
