--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -57,6 +57,7 @@
 	uint32_t descriptors_reserved;
 	/* Limit of planned loads, as a multiple of the store's loads_per_s. */
 	double store_excess;
+	bool prompt_pacing; /* ask coordinators for prompts, see core/pac.h */
 };
 
 struct set {
--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -53,6 +53,10 @@
  * with the cube of the occupied share. */
 #define WAIT_COST_MS 600.0
 #define DISTANCE_COST_MS 60.0
+/* Cost of a new connection: some 3 ms for the round trip, and 1 ms of work on
+ * either side, where instances have a small share of a core. With few entries
+ * each keeps connections to all endpoints anyway. */
+#define CONNECT_COST_MS 6.0
 /* Share of a stream's expected duration that is added to the cost, so that long
  * streams prefer fast engines. */
 #define DURATION_WEIGHT 0.05
@@ -113,6 +117,7 @@
 	bool had_local;	       /* at its last choice: one of the own site */
 	struct hint hint;
 	struct lim lim;
+	struct slo slo;
 };
 
 struct bal {
@@ -296,6 +301,13 @@
 	return ctx->listed;
 }
 
+/* Returns whether there are more entries than an engine may prefill prompts at
+ * once. */
+bool bal_is_large(const struct bal *ctx)
+{
+	return ctx->entries > PREFILL_REQUESTS_MAX;
+}
+
 /* Counts a request that is sent to the endpoint; tokens is its prompt's length.
  */
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
@@ -452,6 +464,15 @@
 	e->reported_us = now_us;
 }
 
+/* Records how long work takes at the endpoint now, as an answer told; 0: it did
+ * not. See slo_saw(). */
+void bal_saw_slowness(struct bal *ctx, struct bal_endpoint *e, uint32_t percent,
+		      int64_t now_us)
+{
+	(void)ctx;
+	slo_saw(&e->slo, percent, now_us);
+}
+
 static uint32_t count_sends_since(const struct bal_endpoint *e,
 				  int64_t since_us)
 {
@@ -486,6 +507,7 @@
 		return;
 	if (report->leaving)
 		hint_reported(&e->hint, now_us - observed_us, now_us);
+	slo_saw(&e->slo, report->slowness_percent, observed_us);
 	if (observed_us <= e->reported_us)
 		return;
 	since = count_sends_since(e, observed_us);
@@ -614,15 +636,21 @@
 	const struct bal_endpoint *preferred; /* for the prefix */
 };
 
+static double token_ms_of(const struct bal *ctx, const struct bal_endpoint *e)
+{
+	return e->token_ms > 0	   ? e->token_ms
+	       : ctx->token_ms > 0 ? ctx->token_ms
+				   : DEFAULT_TOKEN_MS;
+}
+
 /* Time to prefill the new prompt and those of this instance ahead of it. */
 static double prefill_ms(const struct bal *ctx, const struct bal_endpoint *e,
-			 const struct bal_query *query)
+			 const struct bal_query *query, int64_t now_us)
 {
-	double token_ms = e->token_ms > 0     ? e->token_ms
-			  : ctx->token_ms > 0 ? ctx->token_ms
-					      : DEFAULT_TOKEN_MS;
+	double usual_ms =
+		token_ms_of(ctx, e) * (e->prefill_tokens + query->tokens);
 
-	return token_ms * (e->prefill_tokens + query->tokens);
+	return usual_ms * slo_factor(&e->slo, usual_ms, now_us);
 }
 
 /* Time to the first byte at a plain endpoint, including the wait for a slot. */
@@ -634,8 +662,10 @@
 	/* Unmeasured endpoints get a low estimate, so that they are tried. */
 	double service_ms = e->first_ms > 0 ? e->first_ms : default_ms / 2;
 	double ahead = load_of(e, now_us) + 1;
+	double usual_ms =
+		service_ms * MAX(ahead / MAX(e->msg->max_batch, 1), 0.25);
 
-	return service_ms * MAX(ahead / MAX(e->msg->max_batch, 1), 0.25);
+	return usual_ms * slo_factor(&e->slo, usual_ms, now_us);
 }
 
 /* Distance of candidate i from this instance's own start on the ring of
@@ -655,6 +685,21 @@
 	return query->events * (e->gap_ms > 0 ? e->gap_ms : ctx->gap_ms);
 }
 
+/* Cost of what the endpoint did to earlier requests, and of the duration of the
+ * stream there. */
+static double stream_cost(const struct bal *ctx, const struct bal_endpoint *e,
+			  const struct bal_query *query, int64_t now_us)
+{
+	double cost = LATE_COST_MS * current_late_share(e, now_us);
+
+	cost += DURATION_WEIGHT * stream_duration_ms(ctx, e, query);
+	if (query->remaining_us &&
+	    stream_duration_ms(ctx, e, query) * 1000 >
+		    DEADLINE_SHARE * (double)query->remaining_us)
+		cost += DEADLINE_COST_MS;
+	return cost;
+}
+
 static double cost_of(const struct bal *ctx, const struct candidates *list,
 		      size_t i, const struct bal_query *query, int64_t now_us)
 {
@@ -662,15 +707,14 @@
 	double cost = FAILURE_COST_MS * e->failure_share;
 	double occupied;
 
+	if (query->is_connected && bal_is_large(ctx) &&
+	    !query->is_connected(query->data, e->address))
+		cost += CONNECT_COST_MS;
+
 	if (!query->model)
 		return cost + plain_service_ms(ctx, e, now_us);
-	cost += prefill_ms(ctx, e, query);
-	cost += LATE_COST_MS * current_late_share(e, now_us);
-	cost += DURATION_WEIGHT * stream_duration_ms(ctx, e, query);
-	if (query->remaining_us &&
-	    stream_duration_ms(ctx, e, query) * 1000 >
-		    DEADLINE_SHARE * (double)query->remaining_us)
-		cost += DEADLINE_COST_MS;
+	cost += prefill_ms(ctx, e, query, now_us);
+	cost += stream_cost(ctx, e, query, now_us);
 	occupied = load_of(e, now_us) / MAX(e->msg->max_batch, 1);
 	cost += BATCH_COST_MS * occupied;
 	cost += WAIT_COST_MS * occupied * occupied * occupied;
@@ -744,11 +788,13 @@
 	return e->prefill_tokens + query->tokens <= PREFILL_TOKENS_MAX;
 }
 
-static bool is_full(const struct bal_endpoint *e, const struct bal_query *query,
-		    int64_t now_us)
+/* Whether the endpoint can take another request now. */
+static bool has_place(const struct bal_endpoint *e,
+		      const struct bal_query *query, int64_t now_us)
 {
-	return now_us < e->full_until_us || hint_is_spaced(&e->hint, now_us) ||
-	       load_of(e, now_us) >= capacity_of(e, query->model);
+	return now_us >= e->full_until_us &&
+	       !hint_is_spaced(&e->hint, now_us) &&
+	       load_of(e, now_us) < capacity_of(e, query->model);
 }
 
 /* Returns whether an endpoint of the own site can take the request. */
@@ -757,7 +803,7 @@
 {
 	for (size_t i = 0; i < list->n; i++)
 		if (loc_is_own(ctx->loc, list->all[i]->msg->site) &&
-		    !is_full(list->all[i], query, now_us))
+		    has_place(list->all[i], query, now_us))
 			return true;
 	return false;
 }
@@ -796,7 +842,7 @@
 		struct loc_offer offer;
 		double cost;
 
-		if (is_full(e, query, now_us))
+		if (!has_place(e, query, now_us))
 			continue;
 		offer = site_offer(ctx, e, query, local, now_us);
 		if (!offer.allowed)
@@ -832,6 +878,20 @@
 	       !e->replaced && !strcmp(e->msg->service, query->service);
 }
 
+/* Whether bal_choose() would consider the endpoint for a prompt, apart from
+ * prompts in prefill and a backoff. */
+static bool is_usable(const struct bal_endpoint *e,
+		      const struct bal_query *query, int64_t now_us)
+{
+	return query->model && is_up(e, query) &&
+	       hint_bar(&e->hint, now_us) == HINT_FREE &&
+	       !lim_wait_us(&e->lim, now_us) && has_place(e, query, now_us) &&
+	       !is_in(query->avoid, e->id) &&
+	       view_ready_copy(e->msg, query->model, NULL) &&
+	       (!query->adapter ||
+		view_ready_copy(e->msg, query->model, query->adapter));
+}
+
 /* Fills in why none of the candidates can be chosen: each has been tried or is
  * paused. pause_us is the time until the first pause ends, also of a tried one;
  * untried is the number of paused ones that were not tried. */
@@ -847,6 +907,18 @@
 		choice->retry_us = MAX(choice->retry_us, pause_us);
 }
 
+static void set_load(struct bal_choice *choice, int64_t now_us)
+{
+	const struct bal_endpoint *e = choice->endpoint;
+
+	choice->load = load_of(e, now_us);
+	if (e->reported_us)
+		choice->load_age_s = (double)(now_us - e->reported_us) / 1e6;
+	choice->slowness = slo_factor(&e->slo, 0, now_us);
+	if (e->slo.mean > 0)
+		choice->slowness_age_us = now_us - e->slo.seen_us;
+}
+
 /*
  * Chooses the endpoint with the lowest cost among those that hold the model and
  * adapter and have a free slot. Endpoints in backoff are used only when there
@@ -857,7 +929,9 @@
 {
 	struct bal_choice choice = { .outcome = BAL_NO_ENDPOINT,
 				     .retry_us = RETRY_NONE_US,
-				     .load_age_s = -1 };
+				     .load_age_s = -1,
+				     .slowness = 1,
+				     .slowness_age_us = -1 };
 	struct candidates list = { 0 };
 	struct candidates avoided = { 0 };
 	guint size = g_hash_table_size(ctx->endpoints);
@@ -929,13 +1003,100 @@
 			query->model ? RETRY_ENGINE_US : RETRY_PLAIN_US;
 		return choice;
 	}
-	choice.load = load_of(choice.endpoint, now_us);
-	if (choice.endpoint->reported_us)
-		choice.load_age_s =
-			(double)(now_us - choice.endpoint->reported_us) / 1e6;
+	set_load(&choice, now_us);
+	return choice;
+}
+
+/* Chooses the engine that a coordinator has assigned a prompt to, if it is
+ * still usable; otherwise the outcome is BAL_NO_ENDPOINT. The number of
+ * candidates, which only the coordinator knows, is left at 0. */
+struct bal_choice bal_choose_named(struct bal *ctx,
+				   const struct bal_query *query,
+				   const char *id, uint64_t incarnation,
+				   int64_t now_us)
+{
+	struct bal_choice choice = { .outcome = BAL_NO_ENDPOINT,
+				     .retry_us = RETRY_NONE_US,
+				     .load_age_s = -1,
+				     .slowness = 1,
+				     .slowness_age_us = -1 };
+	struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	if (!e || e->incarnation != incarnation || now_us < e->avoid_until_us ||
+	    !is_usable(e, query, now_us))
+		return choice;
+	choice.outcome = BAL_CHOSEN;
+	choice.endpoint = e;
+	choice.cost_ms = prefill_ms(ctx, e, query, now_us) +
+			 stream_cost(ctx, e, query, now_us);
+	set_load(&choice, now_us);
 	return choice;
 }
 
+/* Fills in the engines that may get a prompt now, for pac_assign(), and returns
+ * their number. The ids are valid until the next view. */
+size_t bal_offers(const struct bal *ctx, const struct bal_query *query,
+		  int64_t now_us, struct pac_engine *out, size_t max)
+{
+	guint size = g_hash_table_size(ctx->endpoints);
+	struct candidates list = { 0 };
+	struct candidates avoided = { 0 };
+	GHashTableIter iter;
+	struct bal_endpoint *e;
+
+	list.all = g_newa(struct bal_endpoint *, size + 1);
+	avoided.all = g_newa(struct bal_endpoint *, size + 1);
+	g_hash_table_iter_init(&iter, ctx->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
+		if (!is_usable(e, query, now_us))
+			continue;
+		if (now_us < e->avoid_until_us)
+			avoided.all[avoided.n++] = e;
+		else
+			list.all[list.n++] = e;
+	}
+	/* What this instance has met need not hold for the others. */
+	if (!list.n)
+		list = avoided;
+	list.n = MIN(list.n, max);
+	find_preferred(&list, query->prefix);
+	for (size_t i = 0; i < list.n; i++) {
+		double usual_ms;
+
+		e = list.all[i];
+		usual_ms = token_ms_of(ctx, e) * query->tokens;
+		out[i] = (struct pac_engine){
+			.id = e->id,
+			.incarnation = e->incarnation,
+			.prefill_us = (int64_t)(1000 * usual_ms *
+						slo_factor(&e->slo, usual_ms,
+							   now_us)),
+			.stream_us = (int64_t)(1000 * stream_duration_ms(
+							      ctx, e, query)),
+			.load = load_of(e, now_us),
+			.load_us = e->reported_us,
+			.places = e->msg->max_batch,
+			/* Late streams are what the coordinator expects by
+			 * itself; the few of this instance say less. */
+			.cost_ms = FAILURE_COST_MS * e->failure_share +
+				   DURATION_WEIGHT *
+					   stream_duration_ms(ctx, e, query),
+		};
+		if (query->prefix && e == list.preferred)
+			out[i].cost_ms -= AFFINITY_GAIN_MS;
+	}
+	return list.n;
+}
+
+/* Returns the expected prefill time of a prompt at an endpoint that is idle; 0:
+ * the endpoint is not known. */
+int64_t bal_prefill_us(const struct bal *ctx, const char *id, uint32_t tokens)
+{
+	const struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	return e ? (int64_t)(token_ms_of(ctx, e) * tokens * 1000) : 0;
+}
+
 /* Returns the endpoint's id. */
 const char *bal_id(const struct bal_endpoint *e)
 {
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -7,6 +7,8 @@
 #include "core/hint.h"
 #include "core/lim.h"
 #include "core/loc.h"
+#include "core/pac.h"
+#include "core/slo.h"
 #include "core/view.h"
 
 /*
@@ -32,6 +34,10 @@
 	bool may_wait;		  /* may wait for a better endpoint */
 	bool resumed;		  /* the caller has part of the stream */
 	const char *const *avoid; /* endpoint ids; NULL-terminated, or NULL */
+	/* Whether this instance has an idle connection to the address; NULL: it
+	 * does not matter. */
+	bool (*is_connected)(const void *data, const char *address);
+	const void *data; /* for is_connected */
 };
 
 enum bal_outcome {
@@ -58,7 +64,9 @@
 	unsigned paused;     /* of them: want no requests now */
 	unsigned limited;    /* of the paused: by a limit that they named */
 	unsigned leaving;    /* of the service: left out, as they leave */
-	int64_t hint_age_us; /* of the oldest hint of these two; 0: none */
+	double slowness;     /* factor in the cost; 1: as usual or not told */
+	int64_t slowness_age_us; /* of the figure; below 0: none */
+	int64_t hint_age_us;	 /* of the oldest hint of these two; 0: none */
 };
 
 enum bal_result {
@@ -78,6 +86,9 @@
 void bal_set_view(struct bal *ctx, struct view *view, const char *self);
 unsigned bal_entries(const struct bal *ctx);
 bool bal_is_entry(const struct bal *ctx); /* the view lists this instance */
+/* More entries than prompts that an engine may have in prefill, so that no
+ * entry alone can keep to that limit. */
+bool bal_is_large(const struct bal *ctx);
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
 	       int64_t now_us);
 void bal_first_byte(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
@@ -92,6 +103,8 @@
 	     uint32_t unread_tokens, int64_t now_us);
 void bal_report(struct bal *ctx, struct bal_endpoint *e, uint32_t running,
 		uint32_t waiting, int64_t now_us);
+void bal_saw_slowness(struct bal *ctx, struct bal_endpoint *e, uint32_t percent,
+		      int64_t now_us);
 void bal_observe(struct bal *ctx, const Dsp__LoadReport *report,
 		 int64_t now_us);
 enum lim_news bal_observe_limit(struct bal *ctx, const Dsp__LoadReport *report,
@@ -106,6 +119,13 @@
 /* Queries. */
 struct bal_choice bal_choose(struct bal *ctx, const struct bal_query *query,
 			     int64_t now_us);
+struct bal_choice bal_choose_named(struct bal *ctx,
+				   const struct bal_query *query,
+				   const char *id, uint64_t incarnation,
+				   int64_t now_us);
+size_t bal_offers(const struct bal *ctx, const struct bal_query *query,
+		  int64_t now_us, struct pac_engine *out, size_t max);
+int64_t bal_prefill_us(const struct bal *ctx, const char *id, uint32_t tokens);
 enum hint_bar bal_bar(const struct bal *ctx, const char *id,
 		      uint64_t incarnation, int64_t now_us);
 double bal_leaving_share(struct bal *ctx, int64_t now_us);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -92,6 +92,7 @@
 	ctx->mem = hio_mem_new(
 		(size_t)(settings->edge.memory_mb * MB_BYTES * BUFFERED_SHARE));
 	ctx->quota = edge_quota_new(ctx);
+	ctx->slots = edge_slots_new(ctx);
 	return ctx;
 }
 
@@ -107,6 +108,7 @@
 		event_free(ctx->tick);
 	if (ctx->queue_event)
 		event_free(ctx->queue_event);
+	edge_slots_free(ctx->slots);
 	event_base_free(ctx->base);
 	hio_mem_free(ctx->mem);
 	g_ptr_array_free(ctx->demands_in, TRUE);
@@ -221,6 +223,7 @@
 		.observed_load = load_observed,
 		.quota_grants = quota_granted,
 		.quota_leader = quota_leader_changed,
+		.prompts = edge_slots_receive,
 	};
 }
 
@@ -296,6 +299,7 @@
 	if (ctx->agent)
 		agent_view_changed(ctx->agent);
 	edge_parts_view_changed(ctx->parts);
+	edge_slots_view_changed(ctx->slots);
 	fwd_run_queue(ctx);
 	view_unref(old);
 }
@@ -372,6 +376,7 @@
 		apply_view(ctx, view);
 	edge_quota_process(ctx->quota);
 	process_loads(ctx);
+	edge_slots_run(ctx->slots);
 	fwd_run_held(ctx);
 	process_reports(ctx);
 	edge_calls_run(ctx);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -27,6 +27,7 @@
 struct agent;
 struct edge_parts;
 struct edge_quota;
+struct edge_slots;
 
 /* A request that is held until the first confirmed view. */
 struct fwd_held {
@@ -123,6 +124,7 @@
 	struct agent *agent;
 	struct edge_parts *parts;
 	struct edge_quota *quota;
+	struct edge_slots *slots;
 };
 
 /* edge.c */
@@ -227,6 +229,42 @@
 void edge_parts_ended(struct edge_attempt *attempt);
 void edge_parts_view_changed(struct edge_parts *ctx);
 
+/* edge_prompt.c */
+enum edge_slot_state {
+	EDGE_SLOT_NONE, /* not asked for */
+	EDGE_SLOT_ASKED,
+	EDGE_SLOT_GIVEN,
+	EDGE_SLOT_ENDED, /* used, or the entry decides by itself */
+};
+
+/* The engine and time that a coordinator assigned to a prompt; embedded in its
+ * request. */
+struct edge_slot {
+	TAILQ_ENTRY(edge_slot) link; /* while it is asked for */
+	struct edge_slots *owner;
+	enum edge_slot_state state;
+	const char *request_id; /* for log lines */
+	uint64_t id;		/* of the ask */
+	int64_t asked_us;
+	uint32_t wait_max_ms;
+	char *node;	/* the coordinator */
+	char *endpoint; /* NULL: none was assigned */
+	uint64_t incarnation;
+	int64_t at_us; /* when to send */
+	bool used;     /* by the send that follows */
+};
+
+struct edge_slots *edge_slots_new(struct edge *edge);
+void edge_slots_free(struct edge_slots *ctx);
+void edge_slots_receive(void *data, const Dsp__Envelope *message);
+void edge_slots_view_changed(struct edge_slots *ctx);
+void edge_slots_run(struct edge_slots *ctx);
+bool edge_slot_ask(struct edge_slots *ctx, struct edge_slot *slot,
+		   Dsp__PromptAsk *ask);
+void edge_slots_sent(struct edge_slots *ctx, const char *model,
+		     const struct bal_endpoint *endpoint, uint32_t tokens);
+void edge_slot_clear(struct edge_slot *slot);
+
 /* fwd.c */
 /* What became of the request for a grant. */
 enum fwd_trial {
@@ -237,6 +275,7 @@
 void fwd_quota_decided(struct tok_item *item);
 void fwd_crash_checked(struct edge_prompt *prompt, bool crashed);
 void fwd_trial_decided(struct edge_prompt *prompt, enum fwd_trial outcome);
+void fwd_slot_decided(struct edge_slot *slot);
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_caller_left(void *data, struct hio_exchange *exchange);
 /* Processes requests held for the first view. */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -53,6 +53,12 @@
 #define QUOTA_WAIT_MIN_US 60000
 #define QUOTA_WAIT_MAX_US 1000000
 #define NO_GRANT_RETRY_US (EDGE_S_US / 2)
+/* A prompt's first event is to come this long before its objective, for the
+ * messages and the engine's step, and within SLOT_WAIT_MAX_US. */
+#define SLOT_MARGIN_US 40000
+#define SLOT_WAIT_MAX_US 1000000
+/* A slot is not used later than this after its time: others have it by then. */
+#define SLOT_LATE_MAX_US 100000
 /* Poll interval of the queue when no event frees capacity. */
 #define QUEUE_POLL_US 25000
 /* Requests tried in one run of the queue. */
@@ -161,6 +167,7 @@
 			       none */
 	int64_t waited_us; /* from the request's arrival to the first attempt */
 	struct edge_prompt prompt;
+	struct edge_slot slot;
 	const char *broken_reason; /* while it waits for a check */
 	bool suspect;	    /* the request was in doubt, not only a part */
 	int64_t verdict_us; /* limit of its waits for runs of others; 0: none */
@@ -265,6 +272,7 @@
 	release_trial_endpoint(f);
 	edge_parts_forget(&f->prompt);
 	edge_quota_end(f->edge->quota, &f->quota, f->runs > 0);
+	edge_slot_clear(&f->slot);
 	wire_request_clear(&f->request);
 	while (!LIST_EMPTY(&f->attempts))
 		attempt_free(LIST_FIRST(&f->attempts));
@@ -724,10 +732,13 @@
 
 	bal_report(ctx->bal, at->endpoint, at->answer.running,
 		   at->answer.waiting, now_us);
+	bal_saw_slowness(ctx->bal, at->endpoint, at->answer.slowness_percent,
+			 now_us);
 	report.endpoint = (char *)bal_id(at->endpoint);
 	report.incarnation = bal_incarnation(at->endpoint);
 	report.running = at->answer.running;
 	report.waiting = at->answer.waiting;
+	report.slowness_percent = at->answer.slowness_percent;
 	report.leaving = at->answer.hint.leaving;
 	edge_report_limit(&report, &at->answer.hint);
 	ctl_observed_load(ctx->ctl, &report);
@@ -986,6 +997,14 @@
 	return may_repeat(f) ? REUSE_IDLE_US : REUSE_NON_IDEMPOTENT_US;
 }
 
+/* Whether coordinators pace the prompts of such requests. */
+static bool is_paced(const struct fwd *f)
+{
+	return f->edge->set->edge.prompt_pacing && f->engine && f->gap_us &&
+	       f->kind == DSP__ROUTE_KIND__ROUTE_STREAM &&
+	       bal_is_large(f->edge->bal);
+}
+
 static void send_to(struct fwd *f, struct bal_endpoint *endpoint)
 {
 	const struct hio_request *request = hio_exchange_request(f->exchange);
@@ -1018,6 +1037,10 @@
 		.failed = on_failed,
 	};
 
+	if (is_paced(f) && !f->slot.used)
+		edge_slots_sent(f->edge->slots, f->request.model, endpoint,
+				unread_tokens(f));
+	f->slot.used = false;
 	if (!f->counted) {
 		f->waited_us = now_us - f->start_us;
 		met_observe_us(f->edge->met, "dandelionspar_edge_wait_us", "",
@@ -1166,7 +1189,34 @@
 	       EVENT_BYTES * f->events_expected;
 }
 
-static struct bal_choice choose_endpoint(const struct fwd *f)
+/* Uses the engine that a coordinator has given, if there is one and it is still
+ * usable. */
+static bool use_slot(struct fwd *f, const struct bal_query *query,
+		     struct bal_choice *choice)
+{
+	bool used;
+
+	if (f->slot.state != EDGE_SLOT_GIVEN)
+		return false;
+	f->slot.state = EDGE_SLOT_ENDED;
+	*choice = bal_choose_named(f->edge->bal, query, f->slot.endpoint,
+				   f->slot.incarnation, now_of(f));
+	used = choice->outcome == BAL_CHOSEN &&
+	       now_of(f) - f->slot.at_us <= SLOT_LATE_MAX_US;
+	f->slot.used = used;
+	met_count(f->edge->met, "dandelionspar_edge_prompt_slots",
+		  used ? "outcome=\"used\"" : "outcome=\"fallback\"", 1);
+	return used;
+}
+
+static bool is_connected(const void *data, const char *address)
+{
+	const struct fwd *f = data;
+
+	return hio_client_has_idle(f->edge->client, address, reuse_idle_us(f));
+}
+
+static struct bal_choice choose_endpoint(struct fwd *f)
 {
 	struct bal_query query = {
 		.service = f->service,
@@ -1183,11 +1233,55 @@
 				    f->objective_us / BETTER_WAIT_DIVISOR,
 		.resumed = f->headers_sent,
 		.avoid = (const char *const *)f->tried,
+		.is_connected = is_connected,
+		.data = f,
 	};
+	struct bal_choice choice;
 
+	if (use_slot(f, &query, &choice))
+		return choice;
 	return bal_choose(f->edge->bal, &query, now_of(f));
 }
 
+/* Whether a coordinator is asked where and when to send the request: for the
+ * first attempt of a stream with a gap objective, if no others are ahead. */
+static bool wants_slot(const struct fwd *f)
+{
+	return is_paced(f) && !f->n_attempts && !f->item.queued &&
+	       !f->headers_sent && !adm_length(f->edge->queue, f->group);
+}
+
+/* Returns whether the request waits for its coordinator, or for the time that
+ * it gave. */
+static bool wait_for_slot(struct fwd *f)
+{
+	int64_t wait_us = CLAMP(f->start_us + f->objective_us - SLOT_MARGIN_US -
+					now_of(f),
+				0, SLOT_WAIT_MAX_US);
+	Dsp__PromptAsk ask = DSP__PROMPT_ASK__INIT;
+
+	if (f->slot.state == EDGE_SLOT_NONE && wants_slot(f)) {
+		ask.service = f->service;
+		ask.model = f->request.model;
+		ask.adapter = f->request.adapter ? f->request.adapter : "";
+		ask.tokens = unread_tokens(f);
+		ask.events = f->events_expected;
+		ask.prefix = f->request.prefix;
+		ask.gap_objective_ms = (uint32_t)(f->gap_us / 1000);
+		ask.wait_max_ms = (uint32_t)(wait_us / 1000);
+		f->slot.request_id = f->request.request_id;
+		edge_slot_ask(f->edge->slots, &f->slot, &ask);
+	}
+	if (f->slot.state == EDGE_SLOT_ASKED) {
+		set_timer_at(f, f->deadline_us);
+		return true;
+	}
+	if (f->slot.state != EDGE_SLOT_GIVEN || now_of(f) >= f->slot.at_us)
+		return false;
+	set_timer_at(f, MIN(f->slot.at_us, f->deadline_us));
+	return true;
+}
+
 /* Counts the age of the load that a choice was made by. */
 static void count_load_age(const struct fwd *f, const struct bal_choice *choice)
 {
@@ -1212,11 +1306,13 @@
 			  1);
 	LOG_EVENT_INFO("fwd", "send",
 		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
-		       "load=%.1f load_age_s=%.2f leaves_site=%d "
+		       "load=%.1f load_age_s=%.2f slowness=%.2f "
+		       "slowness_age_us=%" PRId64 " leaves_site=%d "
 		       "site_cost_ms=%.1f view=%" G_GUINT64_FORMAT
 		       " view_age_us=%" PRId64 " left_us=%" PRId64,
 		       log_id(f), bal_id(choice->endpoint), choice->candidates,
 		       choice->cost_ms, choice->load, choice->load_age_s,
+		       choice->slowness, choice->slowness_age_us,
 		       choice->leaves_site, choice->site_cost_ms,
 		       view_index(f->edge->view),
 		       ctl_state(f->edge->ctl).stale_us, left_us);
@@ -1314,8 +1410,11 @@
 		wait_for_verdict(f);
 		return false;
 	}
+	if (decision.action == SUS_SEND && wait_for_slot(f))
+		return false;
 	/* Queued requests of the same group come first. */
 	if (f->item.queued || f->headers_sent ||
+	    f->slot.state == EDGE_SLOT_GIVEN ||
 	    !adm_length(f->edge->queue, f->group))
 		choice = choose_endpoint(f);
 	if (choice.outcome != BAL_CHOSEN && decision.action == SUS_TRY &&
@@ -1338,6 +1437,12 @@
 	return false;
 }
 
+/* Goes on with a request that has waited for its coordinator. */
+void fwd_slot_decided(struct edge_slot *slot)
+{
+	dispatch((struct fwd *)((char *)slot - offsetof(struct fwd, slot)));
+}
+
 /*
  * Sends the request of a silent endpoint to another one as well. If there is
  * none, or the retry budget is used up, it is tried again later. The attempts
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -37,6 +37,8 @@
 	/* Another entry queries a stored answer. Returns a new message. */
 	Dsp__AnswerReply *(*answer_query)(void *data,
 					  const Dsp__AnswerQuery *query);
+	/* A message between entries about pacing of prompts; may be NULL. */
+	void (*prompts)(void *data, const Dsp__Envelope *message);
 	uint32_t (*streams)(void *data); /* requests in flight */
 	/* Called on the leader only; may be NULL. */
 	void (*demand)(void *data, const Dsp__Demand *demand);
@@ -94,6 +96,8 @@
 void ctl_demand(struct ctl *ctx, const Dsp__Demand *demand);
 void ctl_pace(struct ctl *ctx, const Dsp__Pace *pace);
 void ctl_observed_load(struct ctl *ctx, const Dsp__LoadReport *report);
+void ctl_prompts(struct ctl *ctx, const char *node,
+		 const Dsp__Envelope *message);
 void ctl_part_evidence(struct ctl *ctx, const Dsp__PartEvidence *evidence);
 /* Takes the message. */
 void ctl_quota_ask(struct ctl *ctx, Dsp__QuotaAsks *asks);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -89,6 +89,7 @@
 	CTL_JOB_OBSERVED_LOAD,
 	CTL_JOB_PART_EVIDENCE,
 	CTL_JOB_QUOTA_ASKS,
+	CTL_JOB_PROMPTS,
 	CTL_JOB_ORDER,
 	CTL_JOB_DRAIN,
 	CTL_JOB_SEEDS,
@@ -107,6 +108,10 @@
 		Dsp__PartEvidence *evidence;
 		Dsp__QuotaAsks *quota_asks;
 		char **seeds; /* owned */
+		struct {
+			char *node;		/* owned */
+			Dsp__Envelope *message; /* owned */
+		} prompts;
 		struct {
 			uint64_t id;
 			uint64_t term;
@@ -495,6 +500,9 @@
 void ctl_quota_granted(struct ctl *ctx, const Dsp__QuotaGrants *grants);
 void ctl_quota_run(struct ctl *ctx);
 void ctl_quota_metrics(struct ctl *ctx);
+/* ctl_prompt.c */
+void ctl_prompt_send(struct ctl *ctx, const char *node, Dsp__Envelope *message);
+void ctl_prompt_receive(struct ctl *ctx, const Dsp__Envelope *message);
 
 /* ctl_spread.c */
 void ctl_spread_start(struct ctl *ctx);
