net: lanes of received messages hold a bounded number of bytes

An urgent message came after all large ones on another connection in one of three runs of Net.UrgentMessageHasAConnectionOfItsOwn: each call moved everything that had arrived to the lanes, 128 MB there, and only reports were bounded.

--- a/src/net/net.c
+++ b/src/net/net.c
@@ -617,10 +617,14 @@
 	return e;
 }
 
-/* Moves what the sockets have received to the lanes. */
+/* Moves what the sockets have received to the lanes. Where other messages than
+ * reports fill them, the rest stays with ZeroMQ, whose connections take turns:
+ * an urgent message does not wait for all of a large one on another. */
 static void receive_waiting(struct net *ctx)
 {
-	for (int i = 0; i < WAITING_MESSAGES_MAX; i++)
+	for (int i = 0; i < WAITING_MESSAGES_MAX &&
+			ctx->waiting_bytes <= WAITING_BYTES_MAX;
+	     i++)
 		if (!receive_one(ctx))
 			return;
 }
