--- a/tests/integration/keys_test.cc
+++ b/tests/integration/keys_test.cc
@@ -63,16 +63,9 @@
 	System system{ 1, 1 };
 	Runner a{ "plain", "i-a" };
 	Runner b{ "plain", "i-b" };
-	std::vector<std::string> metrics;
 
 	void SetUp() override
 	{
-		for (auto &x : system.instances) {
-			metrics.push_back(x.ip + ":" +
-					  std::to_string(proc_free_port()));
-			std::ofstream(x.settings, std::ios::app)
-				<< "metrics = \"" << metrics.back() << "\"\n";
-		}
 		system.serve(keyed_table(
 			1, customer("one", KEY, ",\"priority\":0") + "," +
 				   customer("two", OTHER_KEY)));
@@ -82,8 +75,8 @@
 	{
 		std::string out = system.whole_logs();
 
-		for (const auto &address : metrics)
-			out += call(address, request("GET", "/metrics", "x"),
+		for (const auto &x : system.instances)
+			out += call(x.metrics, request("GET", "/metrics", "x"),
 				    2000)
 				       .body;
 		return out;
