--- a/tests/unit/lse_sim_test.cc
+++ b/tests/unit/lse_sim_test.cc
@@ -294,7 +294,7 @@
 		at(20 * MS, [=] { ask(i); });
 	}
 
-	/* ---- Disturbances ---- */
+	/* ---- Faults ---- */
 
 	void disturb()
 	{
