ctl: no acknowledgement while an entry in contact lacks the change

Cause: the leader held a result until the entries in contact reported the change, but for 0.5 s at most, and 0.2 s for leaving endpoints of large sites. After that it acknowledged what entries did not have. The wait was meant as a bound for the caller's own time limit, but an acknowledgement is a promise about the entries and not about time.

The new test, on the code before: acknowledged after 0.52 s while an entry served the older table.

Change: results are held until all entries in contact report the change. A caller that gives up gets no acknowledgement and sends again; a change that was committed before keeps its index, so the wait does not start anew. An entry that reports an unconfirmed view (isolated_after_ms) is not waited for: it says itself that it is isolated. dandelionspar_results_not_held becomes results_held_long, which counts the same results, and the test of a lost entry checks it as before.

--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -141,7 +141,6 @@
 	/* Acknowledged only after the entries have the change, see
 	 * ctl_spread_hold(). */
 	bool changes_service;
-	bool leaving; /* the change is an endpoint that leaves */
 	union {
 		struct ctl_call *call; /* one reference */
 		struct ctl_forward *forward;
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -679,8 +679,6 @@
 	waiter->index = index;
 	waiter->term = raft_term(ctx->raft);
 	waiter->changes_service = changes_service(command);
-	waiter->leaving = waiter->changes_service &&
-			  command->body_case == DSP__COMMAND__BODY_ENDPOINT_PUT;
 	TAILQ_INSERT_TAIL(&ctx->waiters, waiter, link);
 	return true;
 }
--- a/src/node/ctl_spread.c
+++ b/src/node/ctl_spread.c
@@ -11,15 +11,9 @@
  * are in force everywhere within two seconds. */
 #define LATE_AFTER_US (2LL * CTL_S_US)
 
-/* Longest time that a result is held back after its commit. An operator's call
- * times out after one second, and the table is durable even if some entries
- * lack it. */
-#define RESULT_HOLD_MAX_US 500000
-/* The same for a leaving endpoint, with more than HOLD_ENDPOINTS endpoints. Its
- * call times out after one second, and it must get no new request 2.5 s after
- * the acknowledgement, which holds even if the leader fails then. */
-#define LEAVING_HOLD_MAX_US 200000
-#define HOLD_ENDPOINTS 256
+/* A result that is held back for longer is logged with the entry that it waits
+ * for. */
+#define LONG_HOLD_US 500000
 /* Report intervals without a report after which the leader does not wait for an
  * entry. Such an entry has lost the leader and queries others for a newer
  * view. */
@@ -30,7 +24,15 @@
 	TAILQ_ENTRY(ctl_held_result) link;
 	struct ctl_waiter *waiter;  /* owned */
 	Dsp__CommandResult *result; /* owned */
-	int64_t until_us;
+	int64_t since_us;
+	bool reported; /* as held back for long */
+};
+
+/* What the entries have that acknowledgements wait for. */
+struct contact {
+	uint64_t lowest_view;
+	const char *slowest; /* entry with lowest_view; NULL: none is behind */
+	unsigned left_out;   /* entries that are not waited for */
 };
 
 static bool is_entry(const Dsp__Node *node)
@@ -91,57 +93,103 @@
 	g_free(held);
 }
 
-/* Returns the lowest view index of the entries in contact with the leader. */
-static uint64_t lowest_view_index(struct ctl *ctx, const Dsp__Node **nodes,
-				  size_t n)
+/*
+ * Returns true if acknowledgements wait for the entry: it has reported a short
+ * time ago, and its view was confirmed. One with an older confirmation says
+ * itself that it is isolated.
+ */
+static bool is_in_contact(const struct ctl *ctx, const struct ctl_member *m)
 {
 	int64_t limit_us = CONTACT_REPORT_INTERVALS * 1000LL *
 			   ctx->set->report_interval_ms;
-	uint64_t lowest = view_index(ctx->view);
+	int64_t heard_us = ctx->leader_since_us;
+
+	if (m)
+		heard_us = MAX(heard_us, m->heard_us);
+	return ctx->now_us - heard_us <= limit_us &&
+	       (!m || m->confirmed_age_ms <= ctx->set->isolated_after_ms);
+}
+
+static struct contact entries_in_contact(struct ctl *ctx,
+					 const Dsp__Node **nodes, size_t n)
+{
+	struct contact contact = { .lowest_view = view_index(ctx->view) };
 
 	for (size_t i = 0; i < n; i++) {
 		const struct ctl_member *m =
 			g_hash_table_lookup(ctx->members, nodes[i]->id);
-		int64_t heard_us = ctx->leader_since_us;
+		uint64_t index = m ? m->view_index : 0;
 
-		if (m)
-			heard_us = MAX(heard_us, m->heard_us);
-		if (is_entry(nodes[i]) && ctx->now_us - heard_us <= limit_us &&
-		    strcmp(nodes[i]->id, ctx->set->id) != 0)
-			lowest = MIN(lowest, m ? m->view_index : 0);
+		if (!is_entry(nodes[i]) || !strcmp(nodes[i]->id, ctx->set->id))
+			continue;
+		if (!is_in_contact(ctx, m)) {
+			contact.left_out++;
+		} else if (index < contact.lowest_view) {
+			contact.lowest_view = index;
+			contact.slowest = nodes[i]->id;
+		}
 	}
-	return lowest;
+	return contact;
+}
+
+static void report_long_hold(struct ctl *ctx, struct ctl_held_result *held,
+			     const struct contact *contact)
+{
+	const struct ctl_member *m =
+		contact->slowest
+			? g_hash_table_lookup(ctx->members, contact->slowest)
+			: NULL;
+
+	held->reported = true;
+	met_count(ctx->met, "dandelionspar_results_held_long", "", 1);
+	LOG_EVENT_NOTICE(
+		"ctl", "result_held_long",
+		"index=%" G_GUINT64_FORMAT " lowest_view=%" G_GUINT64_FORMAT
+		" entry=%s heard_ago_us=%" G_GINT64_FORMAT
+		" entry_view_age_ms=%u left_out=%u",
+		held->result->index, contact->lowest_view,
+		contact->slowest ? contact->slowest : "-",
+		m && m->heard_us ? ctx->now_us - m->heard_us : (gint64)-1,
+		m ? m->confirmed_age_ms : UINT32_MAX, contact->left_out);
+}
+
+static void report_release(struct ctl *ctx, const struct ctl_held_result *held,
+			   const struct contact *contact)
+{
+	int64_t held_us = ctx->now_us - held->since_us;
+
+	met_observe_us(ctx->met, "dandelionspar_result_held_us", "", held_us);
+	LOG_EVENT_INFO("ctl", "result_released",
+		       "index=%" G_GUINT64_FORMAT
+		       " lowest_view=%" G_GUINT64_FORMAT
+		       " held_us=%" G_GINT64_FORMAT " left_out=%u",
+		       held->result->index, contact->lowest_view, held_us,
+		       contact->left_out);
 }
 
 static void release_results(struct ctl *ctx, const Dsp__Node **nodes, size_t n)
 {
-	uint64_t lowest = lowest_view_index(ctx, nodes, n);
+	struct contact contact = entries_in_contact(ctx, nodes, n);
 	struct ctl_held_result *held;
 	struct ctl_held_result *next;
 
 	for (held = TAILQ_FIRST(&ctx->held_results); held; held = next) {
-		bool everywhere = held->result->index <= lowest;
-
 		next = TAILQ_NEXT(held, link);
-		if (!everywhere && ctx->now_us < held->until_us)
-			continue;
-		if (!everywhere) {
-			met_count(ctx->met, "dandelionspar_results_not_held",
-				  "", 1);
-			LOG_EVENT_NOTICE("ctl", "result_not_held",
-					 "index=%" G_GUINT64_FORMAT
-					 " lowest_view=%" G_GUINT64_FORMAT,
-					 held->result->index, lowest);
+		if (held->result->index <= contact.lowest_view) {
+			report_release(ctx, held, &contact);
+			release_result(ctx, held);
+		} else if (!held->reported &&
+			   ctx->now_us - held->since_us > LONG_HOLD_US) {
+			report_long_hold(ctx, held, &contact);
 		}
-		release_result(ctx, held);
 	}
 }
 
 /*
  * Holds back the result of a committed command until all entries in contact
- * report a view with the change, for at most RESULT_HOLD_MAX_US. Without this,
- * a leader could fail right after it acknowledged a route table that no entry
- * has, and the entries would use the old one for an election and more.
+ * report a view with the change. A caller that gives up first gets no
+ * acknowledgement, and one that sends the change again waits for the same
+ * index, which the entries approach meanwhile.
  */
 void ctl_spread_hold(struct ctl *ctx, struct ctl_waiter *waiter,
 		     Dsp__CommandResult *result)
@@ -150,11 +198,7 @@
 
 	held->waiter = waiter;
 	held->result = result;
-	held->until_us =
-		ctx->now_us +
-		(waiter->leaving && view_n_endpoints(ctx->view) > HOLD_ENDPOINTS
-			 ? LEAVING_HOLD_MAX_US
-			 : RESULT_HOLD_MAX_US);
+	held->since_us = ctx->now_us;
 	TAILQ_INSERT_TAIL(&ctx->held_results, held, link);
 }
 
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -176,6 +176,13 @@
 		return "";
 	}
 
+	/* Settings of another address that is told to the others; empty: the
+	 * own one. */
+	virtual std::string advertise(const Instance &)
+	{
+		return "";
+	}
+
 	void configure(Instance &instance)
 	{
 		std::string address =
@@ -185,7 +192,8 @@
 				   "\"\nregion = \"r\"\n"
 				   "internal_listen = \"tcp://" +
 				   address +
-				   "\"\nhttp_listen = \"127.0.0.1:1\"\n";
+				   "\"\nhttp_listen = \"127.0.0.1:1\"\n" +
+				   advertise(instance);
 
 		if (!instance.folder.empty())
 			text += "control = true\ndata_folder = \"" +
@@ -456,7 +464,7 @@
 	usleep(800000);
 	ASSERT_TRUE(put(*all[3], 2));
 	text = met_to_prometheus(leader()->met);
-	EXPECT_EQ(strstr(text, "dandelionspar_results_not_held"), nullptr)
+	EXPECT_EQ(strstr(text, "dandelionspar_results_held_long"), nullptr)
 		<< text;
 	g_free(text);
 }
@@ -798,9 +806,50 @@
 		all.clear();
 		for (Link &link : links)
 			proxy_stop(link.proxy);
+		if (updates)
+			proxy_stop(updates);
 		Control::TearDown();
 	}
 
+	/* Views and grants reach this instance through a proxy; NULL: none. */
+	std::string held_up = "";
+	struct proxy *updates = nullptr;
+
+	std::string advertise(const Instance &instance) override
+	{
+		int port;
+
+		if (instance.id != held_up)
+			return "";
+		port = proc_free_port();
+		updates = proxy_start(port, instance.port);
+		return "internal_advertise = \"tcp://127.0.0.1:" +
+		       std::to_string(port) + "\"\n";
+	}
+
+	/* Waits until the result of a put is known. Returns whether some entry
+	 * that serves lacked the table when it was accepted. */
+	bool is_accepted_too_early(Instance &instance, uint64_t number)
+	{
+		if (!put_table(instance, number))
+			return false;
+		for (size_t k = SITES; k < all.size(); k++)
+			if (ctl_state(all[k]->ctl).readiness == CTL_SERVING &&
+			    table_of(*all[k]) != number)
+				return true;
+		return false;
+	}
+
+	static uint64_t table_of(Instance &instance)
+	{
+		struct view *view = ctl_view(instance.ctl);
+		const Dsp__RouteTable *table = view_route_table(view);
+		uint64_t number = table ? table->number : 0;
+
+		view_unref(view);
+		return number;
+	}
+
 	std::string via(const Instance &from, const Instance &to) override
 	{
 		int port;
@@ -944,6 +993,14 @@
 	EXPECT_TRUE(wait_until([&] { return get_table(*old, 500000) == 9; }));
 }
 
+TEST_F(ControlSites, TableIsNotAcknowledgedWhileAnEntryInContactLacksIt)
+{
+	held_up = "n4";
+	start_sites();
+	proxy_drop(updates, PROXY_TO_TARGET, true);
+	EXPECT_FALSE(is_accepted_too_early(*all[0], 7));
+}
+
 /* Control instances that find each other through three seeds. One more than the
  * group wants voters is a learner. */
 class ControlSeeds : public Control
