ctl: a deposed leader does not acknowledge what it holds back

Callers saw: a table that was acknowledged during a change of the leader was not in force at an entry that the next leader had not reached yet.

Cause: on the loss of its leadership a leader released all results that it held back as accepted, since they are committed. The same went for commands that were committed under the next leader while this replica followed it. Committed is not distributed: the next leader needs an election and a round of reports before the entries have the change.

Change: such a wait ends without an answer. The instance that submitted the command sends it to the next leader, as it does for a lost one; there it is the same change, which is acknowledged once the entries report its index. result_abandoned and dandelionspar_results_abandoned tell.

Ruled out: an answer 'not recorded', which would be untrue.

Test: ControlSites.TableIsNotAcknowledgedByADeposedLeader failed before.

--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -545,6 +545,15 @@
 	ctl_call_unref(ctx, call);
 }
 
+/* Handles a proposal that was committed and may not be acknowledged here; the
+ * next leader gets the command again. Takes the waiter's reference. */
+void ctl_call_abandoned(struct ctl *ctx, struct ctl_call *call)
+{
+	call->proposed = false;
+	call->sent_us = 0;
+	ctl_call_unref(ctx, call);
+}
+
 /* Removes all calls when the control thread stops; their callers get no
  * result. */
 void ctl_call_finish_all(struct ctl *ctx)
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -409,6 +409,7 @@
 /* Handles the outcome of a call's proposal. result NULL: it was not committed
  * and never will be, so the call is tried again. Takes the result and the
  * reference. */
+void ctl_call_abandoned(struct ctl *ctx, struct ctl_call *call);
 void ctl_call_committed(struct ctl *ctx, struct ctl_call *call,
 			Dsp__CommandResult *result);
 void ctl_call_finish_all(struct ctl *ctx);
@@ -434,6 +435,8 @@
 Dsp__CommandResult *ctl_raft_check_removal(struct ctl *ctx, uint64_t replica);
 struct ctl_waiter *ctl_waiter_new(enum ctl_waiter_kind kind);
 /* Reports the outcome of a proposal; takes the waiter and the result. */
+void ctl_raft_abandon_waiter(struct ctl *ctx, struct ctl_waiter *waiter,
+			     Dsp__CommandResult *result);
 void ctl_raft_finish_waiter(struct ctl *ctx, struct ctl_waiter *waiter,
 			    Dsp__CommandResult *result);
 void ctl_raft_forward(struct ctl *ctx, const Dsp__Envelope *from,
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -247,6 +247,26 @@
 	g_free(waiter);
 }
 
+/*
+ * Ends the wait for a committed change that this replica must not acknowledge,
+ * since it can't tell which entries have it. The command is sent to the next
+ * leader, by this instance or by the one that has forwarded it. Takes the
+ * result and the waiter.
+ */
+void ctl_raft_abandon_waiter(struct ctl *ctx, struct ctl_waiter *waiter,
+			     Dsp__CommandResult *result)
+{
+	met_count(ctx->met, "dandelionspar_results_abandoned", "", 1);
+	LOG_EVENT_NOTICE("ctl", "result_abandoned", "index=%" G_GUINT64_FORMAT,
+			 result->index);
+	dsp__command_result__free_unpacked(result, NULL);
+	if (waiter->kind == CTL_WAIT_CALL)
+		ctl_call_abandoned(ctx, waiter->call);
+	else
+		g_hash_table_remove(ctx->forwards, waiter->forward->key);
+	g_free(waiter);
+}
+
 static bool is_accepted(const Dsp__CommandResult *result)
 {
 	return result->code == DSP__RESULT_CODE__RESULT_OK ||
@@ -261,11 +281,13 @@
 	bool answers = waiter->kind == CTL_WAIT_CALL ||
 		       waiter->kind == CTL_WAIT_FORWARD;
 
-	if (answers && waiter->changes_service && result &&
-	    is_accepted(result) && ctl_raft_is_leader(ctx))
+	if (!answers || !waiter->changes_service || !result ||
+	    !is_accepted(result))
+		ctl_raft_finish_waiter(ctx, waiter, result);
+	else if (ctl_raft_is_leader(ctx))
 		ctl_spread_hold(ctx, waiter, result);
 	else
-		ctl_raft_finish_waiter(ctx, waiter, result);
+		ctl_raft_abandon_waiter(ctx, waiter, result);
 }
 
 static void finish_waiters(struct ctl *ctx, struct ctl_waiters *list,
--- a/src/node/ctl_spread.c
+++ b/src/node/ctl_spread.c
@@ -211,12 +211,17 @@
 	ctx->spread = CTL_SPREAD_DONE;
 }
 
-/* Releases all results. They are committed, and the next leader distributes
- * the changes. */
+/* Ends the wait for all results without an acknowledgement. They are committed,
+ * but only the next leader can tell when the entries have the changes. */
 void ctl_spread_stop(struct ctl *ctx)
 {
-	while (!TAILQ_EMPTY(&ctx->held_results))
-		release_result(ctx, TAILQ_FIRST(&ctx->held_results));
+	struct ctl_held_result *held;
+
+	while ((held = TAILQ_FIRST(&ctx->held_results))) {
+		TAILQ_REMOVE(&ctx->held_results, held, link);
+		ctl_raft_abandon_waiter(ctx, held->waiter, held->result);
+		g_free(held);
+	}
 }
 
 /* Measures the time from the commit of the newest route table until all entries
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -1001,6 +1001,26 @@
 	EXPECT_FALSE(is_accepted_too_early(*all[0], 7));
 }
 
+TEST_F(ControlSites, TableIsNotAcknowledgedByADeposedLeader)
+{
+	std::atomic<bool> early{ true };
+	std::thread oper;
+	Instance *old;
+
+	held_up = "n4";
+	start_sites();
+	old = leader();
+	ASSERT_NE(old, nullptr);
+	proxy_drop(updates, PROXY_TO_TARGET, true);
+	oper = std::thread([&] { early = is_accepted_too_early(*old, 7); });
+	usleep(200000);
+	cut_off(*old, true);
+	usleep(3000000);
+	cut_off(*old, false);
+	oper.join();
+	EXPECT_FALSE(early);
+}
+
 /* Control instances that find each other through three seeds. One more than the
  * group wants voters is a learner. */
 class ControlSeeds : public Control
