edge: measure how long a view waits for the traffic thread

The leader acknowledges a change once the control threads of the entries report it; the traffic threads use it later. Nothing told by how much, so this could not be told from a view that is late on its way.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -1,6 +1,7 @@
 #include "edge/edge_int.h"
 
 #include <event2/thread.h>
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -9,6 +10,8 @@
 /* Interval of the timer for demand reports and the order sender. */
 #define TICK_US 100000
 #define REPORT_INTERVAL_US 500000
+/* A view that this thread uses later than this after it came is logged. */
+#define VIEW_WAIT_LONG_US 300000
 /* Observed loads that wait for the edge thread: several updates of all
  * endpoints at the scale to design for. */
 #define LOADS_IN_MAX 4096
@@ -142,6 +145,8 @@
 
 	pthread_mutex_lock(&ctx->lock);
 	view_unref(ctx->next_view);
+	if (!ctx->next_view_us)
+		ctx->next_view_us = clk_now_us(ctx->clock);
 	ctx->next_view = view_ref(view);
 	wake(ctx);
 	pthread_mutex_unlock(&ctx->lock);
@@ -304,6 +309,23 @@
 	view_unref(old);
 }
 
+/* Measures how long this thread took to get to a view that the control thread
+ * has, and has reported to the leader. */
+static void note_view_wait(struct edge *ctx, const struct view *view,
+			   int64_t since_us)
+{
+	int64_t wait_us = clk_now_us(ctx->clock) - since_us;
+
+	met_observe_us(ctx->met, "dandelionspar_edge_view_wait_us", "",
+		       wait_us);
+	if (wait_us > VIEW_WAIT_LONG_US)
+		LOG_EVENT_NOTICE("edge", "view_wait",
+				 "view=%" G_GUINT64_FORMAT
+				 " had=%" G_GUINT64_FORMAT " wait_us=%" PRId64,
+				 view_index(view), view_index(ctx->view),
+				 wait_us);
+}
+
 static void process_loads(struct edge *ctx)
 {
 	int64_t now_us = clk_now_us(ctx->clock);
@@ -359,6 +381,7 @@
 {
 	struct edge *ctx = data;
 	struct view *view;
+	int64_t view_us;
 	bool stop;
 	bool drain;
 
@@ -367,13 +390,17 @@
 	pthread_mutex_lock(&ctx->lock);
 	view = ctx->next_view;
 	ctx->next_view = NULL;
+	view_us = ctx->next_view_us;
+	ctx->next_view_us = 0;
 	stop = ctx->stop;
 	drain = ctx->drain;
 	pthread_mutex_unlock(&ctx->lock);
 	if (drain)
 		begin_drain(ctx);
-	if (view)
+	if (view) {
+		note_view_wait(ctx, view, view_us);
 		apply_view(ctx, view);
+	}
 	edge_quota_process(ctx->quota);
 	process_loads(ctx);
 	edge_slots_run(ctx->slots);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -81,10 +81,11 @@
 	bool running;
 
 	pthread_mutex_t lock;
-	struct view *next_view;			 /* lock; NULL: no change */
-	GPtrArray *paces_in;			 /* lock; Dsp__Pace */
-	GPtrArray *demands_in;			 /* lock; Dsp__Demand */
-	GPtrArray *loads_in;			 /* lock; Dsp__LoadReport */
+	struct view *next_view; /* lock; NULL: no change */
+	int64_t next_view_us;	/* lock; when the oldest unused view came */
+	GPtrArray *paces_in;	/* lock; Dsp__Pace */
+	GPtrArray *demands_in;	/* lock; Dsp__Demand */
+	GPtrArray *loads_in;	/* lock; Dsp__LoadReport */
 	STAILQ_HEAD(edge_calls, edge_call) done; /* lock */
 	bool stop;				 /* lock */
 	bool drain;				 /* lock */
