ctl: a lost update is noticed while further changes follow

Callers saw: an entry that had lost one update kept its older view as long as changes followed each other within half a second, and handled requests as that view says; one that had just started answered 503 for up to 6 s.

Cause: an instance takes the changes that it sent to a child for lost when the child still reports a lower index after 0.5 s. Each further change moved that time on, so with two changes a second or more it never came. The child could not use the further changes, which do not follow its view, and did not get those that were missing.

The first views were lost on connections to the processes before.

Change: the time counts from the oldest change that the child has not reported, and starts again when its index grows. Later losses in a row are assumed after 1 s, since a whole view may take long. ctl: update_lost and dandelionspar_updates_lost tell.

Ruled out: more queries of the child, which reach the same records of it.

Test: ControlSites.LostViewIsSentAgainWhileChangesGoOn failed before (3 of 3 runs), with the table changed ten times a second; 3 of 3 pass.

--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -175,11 +175,13 @@
 	char *node;    /* owned */
 	char *address; /* owned */
 	uint64_t boot;
-	uint64_t sent_index; /* view index after the updates sent to it */
+	uint64_t sent_index;	 /* view index after the updates sent to it */
+	uint64_t reported_index; /* view index that it has reported */
 	/* Index of the route table that it has after these, if it can apply
 	 * changes to it; 0: it needs the whole table. */
 	uint64_t table_index;
-	int64_t lost_us; /* without a report until then, changes were lost */
+	int64_t lost_us; /* without progress until then, changes were lost */
+	unsigned losses; /* in a row, without progress */
 	int64_t sent_confirmed_us; /* confirmation in the last update */
 	uint64_t echo_us; /* sent_us of its newest report; 0: needs no lease */
 	int64_t heard_us;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -30,8 +30,11 @@
  * another upstream and gets no more updates. */
 #define CHILD_LIMIT_US CTL_S_US
 #define CHILD_LIMIT_REPORTS 3
-/* A child that still reports a lower index than sent lost the update. */
+/* A child whose index does not grow for this long, though changes were sent,
+ * has lost an update. Later losses are assumed after up to
+ * 2^UPDATE_LOST_SHIFT_MAX times that: a whole view may take long. */
 #define UPDATE_LOST_AFTER_US 500000
+#define UPDATE_LOST_SHIFT_MAX 1
 /* Shortest interval of updates between the rounds to all children, and of views
  * of the own state. With more than VIEW_ENDPOINTS endpoints it grows with their
  * number, as do the cost of a view and the rate of changes. Changes that are
@@ -606,6 +609,36 @@
 	child->table_index = status->table_index;
 }
 
+static int64_t lost_after_us(const struct ctl_child *child)
+{
+	return UPDATE_LOST_AFTER_US
+	       << MIN(child->losses, UPDATE_LOST_SHIFT_MAX);
+}
+
+/* Handles the index that a child reports. Returns true if changes that were
+ * sent to it are lost. */
+static bool has_lost_changes(const struct ctl *ctx, struct ctl_child *child,
+			     uint64_t index)
+{
+	if (index > child->reported_index) {
+		child->losses = 0;
+		child->lost_us = ctx->now_us + lost_after_us(child);
+	}
+	child->reported_index = index;
+	return index < child->sent_index && ctx->now_us > child->lost_us;
+}
+
+static void report_lost_changes(struct ctl *ctx, const struct ctl_child *child,
+				uint64_t index)
+{
+	met_count(ctx->met, "dandelionspar_updates_lost", "", 1);
+	LOG_EVENT_INFO("ctl", "update_lost",
+		       "child=%s has=%" G_GUINT64_FORMAT
+		       " sent=%" G_GUINT64_FORMAT " in_a_row=%u",
+		       child->node, index, child->sent_index,
+		       child->losses + 1);
+}
+
 static void update_child(struct ctl *ctx, const Dsp__Envelope *from,
 			 const Dsp__NodeStatus *status, bool queries,
 			 uint64_t sent_us)
@@ -613,6 +646,7 @@
 	uint64_t index = status->view_index;
 	struct ctl_child *child =
 		g_hash_table_lookup(ctx->children, from->from);
+	bool lost;
 
 	if (!child) {
 		child = g_new0(struct ctl_child, 1);
@@ -623,9 +657,11 @@
 		g_free(child->address);
 		child->address = g_strdup(from->address);
 	}
+	lost = has_lost_changes(ctx, child, index);
 	if (child->boot != from->boot) {
 		child->boot = from->boot;
 		child->echo_us = 0;
+		child->losses = 0;
 		set_child_position(child, status);
 		child->due = true;
 	} else if (index >= child->sent_index) {
@@ -634,8 +670,10 @@
 		/* The changes of the table did not fit. */
 		set_child_position(child, status);
 		child->due = true;
-	} else if (index < child->sent_index && ctx->now_us > child->lost_us) {
+	} else if (lost) {
+		report_lost_changes(ctx, child, index);
 		set_child_position(child, status);
+		child->losses++;
 		child->due = true;
 	}
 	child->echo_us = MAX(child->echo_us, sent_us);
@@ -1214,7 +1252,9 @@
 {
 	if (child->sent_index >= view_index(ctx->view))
 		return;
-	child->lost_us = ctx->now_us + UPDATE_LOST_AFTER_US;
+	/* Changes that follow others do not extend the time for those. */
+	if (child->reported_index >= child->sent_index)
+		child->lost_us = ctx->now_us + lost_after_us(child);
 	/* A child that cannot apply changes stays at 0. */
 	if (child->table_index && child->sent_index < table_index(ctx))
 		child->table_index = table_index(ctx);
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -1021,6 +1021,40 @@
 	EXPECT_FALSE(early);
 }
 
+/* A restarted entry whose first view is lost on connections that have gone
+ * silent must get it again, although changes follow each other. */
+TEST_F(ControlSites, LostViewIsSentAgainWhileChangesGoOn)
+{
+	std::atomic<bool> done{ false };
+	std::thread oper;
+	Instance *entry;
+	bool serves;
+
+	held_up = "n4";
+	start_sites();
+	entry = all[4].get();
+	proxy_silence_open(updates);
+	entry->stop();
+	oper = std::thread([&] {
+		for (uint64_t number = 2; !done; number++) {
+			put_table(*all[0], number);
+			usleep(100000);
+		}
+	});
+	entry->start();
+	/* Connections are replaced after 1.5 s, and what was lost on them is
+	 * sent again 0.5 s later. */
+	for (int i = 0; i < 300; i++) {
+		serves = ctl_state(entry->ctl).readiness == CTL_SERVING;
+		if (serves)
+			break;
+		usleep(20000);
+	}
+	done = true;
+	oper.join();
+	EXPECT_TRUE(serves) << "not within 6 s";
+}
+
 /* Control instances that find each other through three seeds. One more than the
  * group wants voters is a learner. */
 class ControlSeeds : public Control
