--- a/src/core/st.c
+++ b/src/core/st.c
@@ -28,6 +28,7 @@
 	TAILQ_INIT(&ctx->finished);
 	TAILQ_INIT(&ctx->suspects);
 	TAILQ_INIT(&ctx->parts);
+	TAILQ_INIT(&ctx->streams);
 	ctx->parts_due_ms = UINT64_MAX;
 	ctx->tombstone_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	ctx->document_by_team = g_hash_table_new(g_str_hash, g_str_equal);
@@ -42,6 +43,7 @@
 	ctx->model_by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						  model_reservations_free);
 	ctx->suspect_by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	ctx->stream_by_digest = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ctx->claims = clm_new(&ctx->limits);
 }
 
@@ -54,6 +56,7 @@
 	nodes_clear(ctx);
 	documents_clear(ctx);
 	table_clear(ctx);
+	streams_clear(ctx);
 	tombstones_clear(ctx);
 	clm_free(ctx->claims);
 	g_hash_table_destroy(ctx->tombstone_by_id);
@@ -65,6 +68,7 @@
 	g_hash_table_destroy(ctx->reservation_by_key);
 	g_hash_table_destroy(ctx->model_by_key);
 	g_hash_table_destroy(ctx->suspect_by_key);
+	g_hash_table_destroy(ctx->stream_by_digest);
 }
 
 /* Creates an empty state. limits NULL: st_default_limits. */
@@ -170,6 +174,10 @@
 		return table_change_put(ctx, command->route_table_change_put);
 	case DSP__COMMAND__BODY_ROUTE_TABLE_GET:
 		return table_get(ctx);
+	case DSP__COMMAND__BODY_STREAMS_BEGUN:
+		return streams_begun(ctx, command->streams_begun);
+	case DSP__COMMAND__BODY_STREAMS_FIND:
+		return streams_find(ctx, command->streams_find);
 	case DSP__COMMAND__BODY_EXPIRE:
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 	default:
@@ -198,6 +206,7 @@
 	qua_expire(ctx);
 	endpoints_expire(ctx);
 	nodes_expire(ctx);
+	streams_expire(ctx);
 	return dispatch(ctx, command);
 }
 
--- a/src/core/st.h
+++ b/src/core/st.h
@@ -56,6 +56,7 @@
 const Dsp__Claim *st_claim(const struct st *ctx, const char *team,
 			   const char *request_id);
 size_t st_claims_open(const struct st *ctx, const Dsp__Claim ***out);
+size_t st_streams(const struct st *ctx);
 uint64_t st_parts_due_ms(const struct st *ctx);
 size_t st_suspects(const struct st *ctx, const Dsp__Suspect ***out);
 uint32_t st_free_memory_mb(const struct st *ctx, const char *endpoint,
--- a/src/core/st_endpoint.c
+++ b/src/core/st_endpoint.c
@@ -18,6 +18,9 @@
 /* An instance is removed when down for this time. */
 #define NODE_RETENTION_MS (3600ull * 1000)
 #define ACCELERATORS_MAX 1024
+/* Versions of software that an endpoint had before, within the time in which a
+ * stream can be resumed. */
+#define SOFTWARE_BEFORE_MAX 8
 
 static bool contains_id(const GArray *ids, uint64_t id)
 {
@@ -156,6 +159,40 @@
 	ep->down_ms = state == down ? MAX(ctx->wall_ms, 1) : 0;
 }
 
+static bool has_text(char *const *list, size_t n, const char *text)
+{
+	for (size_t i = 0; i < n; i++)
+		if (!strcmp(list[i], text))
+			return true;
+	return false;
+}
+
+/* Keeps in the endpoint's next record what software its earlier processes had.
+ * The oldest beyond SOFTWARE_BEFORE_MAX are dropped. */
+static void keep_software(const struct st *ctx, struct endpoint *ep,
+			  Dsp__Endpoint *next)
+{
+	const Dsp__Endpoint *now = ep->msg;
+	bool changed =
+		now->software[0] && strcmp(now->software, next->software);
+	size_t n = now->n_software_before + changed;
+	size_t skip = n > SOFTWARE_BEFORE_MAX ? n - SOFTWARE_BEFORE_MAX : 0;
+	char **all = g_new0(char *, n + 1);
+	size_t n_all = 0;
+
+	for (size_t i = skip; i < now->n_software_before; i++)
+		all[n_all++] = g_strdup(now->software_before[i]);
+	if (changed && !has_text(all, n_all, now->software))
+		all[n_all++] = g_strdup(now->software);
+	for (size_t i = 0; i < next->n_software_before; i++)
+		g_free(next->software_before[i]);
+	g_free(next->software_before);
+	next->software_before = all;
+	next->n_software_before = n_all;
+	if (changed)
+		ep->software_ms = ctx->wall_ms;
+}
+
 /* RESULT_SAME with the index of the last change of the endpoint. */
 static Dsp__CommandResult *unchanged(const struct st *ctx,
 				     const struct endpoint *ep)
@@ -167,11 +204,25 @@
 	return result;
 }
 
+/* Exchanges the fields about software of two records. */
+static void exchange_software(Dsp__Endpoint *a, Dsp__Endpoint *b)
+{
+	Dsp__Endpoint before = *a;
+
+	a->software = b->software;
+	a->software_before = b->software_before;
+	a->n_software_before = b->n_software_before;
+	b->software = before.software;
+	b->software_before = before.software_before;
+	b->n_software_before = before.n_software_before;
+}
+
 static Dsp__CommandResult *put_same_incarnation(struct st *ctx,
 						struct endpoint *ep,
 						const Dsp__Endpoint *msg)
 {
 	Dsp__EndpointState state = msg->state;
+	Dsp__Endpoint *next;
 
 	if (!same_features(msg, ep->msg) ||
 	    msg->accelerators != ep->msg->accelerators ||
@@ -187,9 +238,14 @@
 	if (ep->msg->state == state &&
 	    !strcmp(ep->msg->address, msg->address) &&
 	    !strcmp(ep->msg->site, msg->site) &&
+	    !strcmp(ep->msg->software, msg->software) &&
 	    ep->msg->max_batch == msg->max_batch && ep->msg->role == msg->role)
 		return unchanged(ctx, ep);
 	set_state(ctx, ep, state);
+	next = msg_dup(msg);
+	keep_software(ctx, ep, next);
+	exchange_software(ep->msg, next);
+	dsp__endpoint__free_unpacked(next, NULL);
 	address_unlink(ctx, ep);
 	st_replace_string(&ep->msg->address, msg->address);
 	address_link(ctx, ep);
@@ -205,6 +261,7 @@
 {
 	Dsp__Endpoint *copy = msg_dup(msg);
 
+	keep_software(ctx, ep, copy);
 	if (copy->accelerators > ep->n_used) {
 		ep->used_mb =
 			g_renew(uint64_t, ep->used_mb, copy->accelerators + 1);
@@ -322,7 +379,7 @@
 	       a->kind == b->kind && a->max_batch == b->max_batch &&
 	       !strcmp(a->address, b->address) && !strcmp(a->site, b->site) &&
 	       !strcmp(a->team, b->team) && !strcmp(a->service, b->service) &&
-	       st_same_copies(a, b);
+	       !strcmp(a->software, b->software) && st_same_copies(a, b);
 }
 
 /*
@@ -389,6 +446,7 @@
 		if (same_record(ep->msg, &next))
 			return unchanged(ctx, ep);
 		copy = msg_dup(&next);
+		keep_software(ctx, ep, copy);
 		g_hash_table_remove(ctx->endpoint_by_id, ep->msg->id);
 		address_unlink(ctx, ep);
 		dsp__endpoint__free_unpacked(ep->msg, NULL);
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -127,9 +127,10 @@
 	GArray *old_incarnations; /* uint64_t, oldest first; none of retired */
 	TAILQ_HEAD(, retired_incarnation) retired;
 	uint32_t n_retired;
-	uint64_t fence;	  /* highest order id that the engine has seen */
-	uint64_t down_ms; /* when it went down; 0: not down */
-	bool leaving;	  /* never reset within an incarnation */
+	uint64_t fence;	      /* highest order id that the engine has seen */
+	uint64_t down_ms;     /* when it went down; 0: not down */
+	uint64_t software_ms; /* when msg->software_before grew last */
+	bool leaving;	      /* never reset within an incarnation */
 	bool ever_loaded;
 	uint64_t *used_mb; /* per accelerator */
 	uint32_t n_used;   /* largest accelerator count of all incarnations */
@@ -193,6 +194,9 @@
 	size_t n_parts;
 	uint64_t parts_due_ms; /* derived: when a part changes by itself */
 
+	TAILQ_HEAD(, stream) streams; /* oldest first */
+	GHashTable *stream_by_digest;
+
 	struct clm *claims;
 
 	struct item table_item;
@@ -299,6 +303,16 @@
 void qua_part_expire(struct st *ctx);
 void qua_part_schedule(struct st *ctx);
 
+/* st_stream.c */
+Dsp__CommandResult *streams_begun(struct st *ctx, const Dsp__StreamsBegun *cmd);
+Dsp__CommandResult *streams_find(struct st *ctx, const Dsp__StreamsFind *cmd);
+void streams_expire(struct st *ctx);
+void streams_visit(const struct st *ctx,
+		   void (*visit)(void *data, const Dsp__StreamGroup *group),
+		   void *data);
+void streams_restore(struct st *ctx, const Dsp__StreamGroup *group);
+void streams_clear(struct st *ctx);
+
 /* clm.c */
 struct clm *clm_new(const struct st_limits *limits);
 void clm_free(struct clm *ctx);
--- a/src/core/st_snapshot.c
+++ b/src/core/st_snapshot.c
@@ -84,6 +84,7 @@
 FIELD_SETTER(nodes)
 FIELD_SETTER(node_metas)
 FIELD_SETTER(tombstones)
+FIELD_SETTER(streams)
 
 static void write_documents(struct writer *w, const struct st *ctx)
 {
@@ -164,6 +165,7 @@
 	meta.old_incarnations = (uint64_t *)ep->old_incarnations->data;
 	meta.fence = ep->fence;
 	meta.down_ms = ep->down_ms;
+	meta.software_ms = ep->software_ms;
 	meta.leaving = ep->leaving;
 	meta.ever_loaded = ep->ever_loaded;
 	meta.n_retired = retired->len;
@@ -206,6 +208,11 @@
 	add_record(w, copy);
 }
 
+static void write_stream_group(void *data, const Dsp__StreamGroup *group)
+{
+	add_transient(data, group);
+}
+
 static void write_suspects(struct writer *w, const struct suspect_list *list)
 {
 	const struct suspect *s;
@@ -284,6 +291,8 @@
 	write_suspects(&w, &ctx->parts);
 	write_nodes(&w, ctx);
 	write_tombstones(&w, ctx);
+	begin_field(&w, set_streams);
+	streams_visit(ctx, write_stream_group, &w);
 	flush_frame(&w);
 	w.frame.end = true;
 	write_frame(&w);
@@ -336,6 +345,7 @@
 	ep->item.index = m->index;
 	ep->fence = m->fence;
 	ep->down_ms = m->down_ms;
+	ep->software_ms = m->software_ms;
 	ep->leaving = m->leaving;
 	ep->ever_loaded = m->ever_loaded;
 	return true;
@@ -391,6 +401,8 @@
 		tombstone_add(ctx, frame->tombstones[i]->kind,
 			      frame->tombstones[i]->key,
 			      frame->tombstones[i]->index);
+	for (size_t i = 0; i < frame->n_streams; i++)
+		streams_restore(ctx, frame->streams[i]);
 	return ok;
 }
 
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -61,6 +61,9 @@
 	case CTL_JOB_PART_EVIDENCE:
 		dsp__part_evidence__free_unpacked(job->evidence, NULL);
 		break;
+	case CTL_JOB_STREAMS:
+		dsp__streams_begun__free_unpacked(job->streams, NULL);
+		break;
 	case CTL_JOB_QUOTA_ASKS:
 		dsp__quota_asks__free_unpacked(job->quota_asks, NULL);
 		break;
@@ -323,6 +326,9 @@
 	case CTL_JOB_PART_EVIDENCE:
 		ctl_parts_add(ctx, job->evidence);
 		break;
+	case CTL_JOB_STREAMS:
+		ctl_stream_add(ctx, job->streams);
+		break;
 	case CTL_JOB_QUOTA_ASKS:
 		ctl_quota_send(ctx, job->quota_asks);
 		break;
@@ -468,6 +474,7 @@
 	ctl_form_run(ctx);
 	ctl_member_run(ctx);
 	ctl_parts_run(ctx);
+	ctl_stream_run(ctx);
 	ctl_report_run(ctx);
 	ctl_call_run(ctx);
 	ctl_raft_run(ctx);
@@ -667,6 +674,8 @@
 	occ_free(ctx->observed_up);
 	occ_free(ctx->observed_down);
 	pev_free(ctx->parts);
+	if (ctx->streams)
+		dsp__streams_begun__free_unpacked(ctx->streams, NULL);
 	g_ptr_array_free(ctx->relays, TRUE);
 	if (ctx->config)
 		dsp__raft_config__free_unpacked(ctx->config, NULL);
@@ -801,6 +810,17 @@
 	ctl_post(ctx, job);
 }
 
+/* Adds streams that began at this instance to the next report; callable from
+ * any thread. Takes the message. */
+void ctl_streams_begun(struct ctl *ctx, Dsp__StreamsBegun *begun)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_STREAMS;
+	job->streams = begun;
+	ctl_post(ctx, job);
+}
+
 /* Sends asks to the leader; callable from any thread. Takes the message. */
 void ctl_quota_ask(struct ctl *ctx, Dsp__QuotaAsks *asks)
 {
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -98,6 +98,7 @@
 void ctl_observed_load(struct ctl *ctx, const Dsp__LoadReport *report);
 void ctl_prompts(struct ctl *ctx, const char *node,
 		 const Dsp__Envelope *message);
+void ctl_streams_begun(struct ctl *ctx, Dsp__StreamsBegun *begun);
 void ctl_part_evidence(struct ctl *ctx, const Dsp__PartEvidence *evidence);
 /* Takes the message. */
 void ctl_quota_ask(struct ctl *ctx, Dsp__QuotaAsks *asks);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -88,6 +88,7 @@
 	CTL_JOB_PACE,
 	CTL_JOB_OBSERVED_LOAD,
 	CTL_JOB_PART_EVIDENCE,
+	CTL_JOB_STREAMS,
 	CTL_JOB_QUOTA_ASKS,
 	CTL_JOB_PROMPTS,
 	CTL_JOB_ORDER,
@@ -106,6 +107,7 @@
 		Dsp__Pace *pace;
 		Dsp__LoadReport *load;
 		Dsp__PartEvidence *evidence;
+		Dsp__StreamsBegun *streams;
 		Dsp__QuotaAsks *quota_asks;
 		char **seeds; /* owned */
 		struct {
@@ -129,6 +131,7 @@
 	CTL_WAIT_FORWARD,
 	CTL_WAIT_PLACEMENT,
 	CTL_WAIT_PARTS,
+	CTL_WAIT_STREAMS,
 };
 
 struct ctl_forward;
@@ -145,6 +148,7 @@
 		struct ctl_call *call; /* one reference */
 		struct ctl_forward *forward;
 		Dsp__PartEvidence *evidence; /* owned */
+		Dsp__StreamsBegun *streams;  /* owned */
 	};
 };
 TAILQ_HEAD(ctl_waiters, ctl_waiter);
@@ -168,8 +172,12 @@
 /* ---- Downstream instances (ctl_report.c) ---- */
 
 /* An instance that reports to this one and gets view updates from it. */
-/* Newest format of log entries that this version reads. */
-#define CTL_LOG_FORMAT 1
+/* Formats of log entries. A command is not written before all members of the
+ * group read its format. */
+#define CTL_LOG_FORMAT_TABLE_CHANGES 1
+#define CTL_LOG_FORMAT_STREAMS 2
+/* Newest format that this version reads. */
+#define CTL_LOG_FORMAT CTL_LOG_FORMAT_STREAMS
 
 struct ctl_child {
 	char *node;    /* owned */
@@ -368,6 +376,11 @@
 	struct plc *plc;
 	unsigned placements_pending; /* order proposals not applied yet */
 	int64_t placement_due_us;
+	Dsp__StreamsBegun
+		*streams; /* for the next report or command; or NULL */
+	size_t n_streams;
+	bool streams_pending; /* a command with streams is not applied yet */
+	int64_t streams_due_us;
 	bool parts_pending; /* a command with evidence is not applied yet */
 	int64_t parts_due_us;
 	int64_t member_due_us;
@@ -491,6 +504,12 @@
 void ctl_member_report(struct ctl *ctx, const Dsp__Report *report);
 
 /* ctl_parts.c */
+bool ctl_raft_members_read(const struct ctl *ctx, uint32_t format);
+void ctl_stream_add(struct ctl *ctx, const Dsp__StreamsBegun *begun);
+Dsp__StreamsBegun *ctl_stream_take(struct ctl *ctx);
+void ctl_stream_run(struct ctl *ctx);
+void ctl_stream_committed(struct ctl *ctx, Dsp__StreamsBegun *begun,
+			  const Dsp__CommandResult *result);
 void ctl_parts_add(struct ctl *ctx, const Dsp__PartEvidence *evidence);
 Dsp__PartEvidence *ctl_parts_take(struct ctl *ctx);
 void ctl_parts_run(struct ctl *ctx);
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -63,6 +63,7 @@
 	g_hash_table_remove_all(ctx->orders);
 	ctx->placements_pending = 0;
 	ctx->parts_pending = false;
+	ctx->streams_pending = false;
 	ctx->plc = plc_new(seed);
 	ctx->placement_due_us = ctx->now_us + PLACEMENT_INTERVAL_US;
 	ctx->member_due_us = 0;
@@ -213,6 +214,7 @@
 	       a->max_batch == b->max_batch &&
 	       !strcmp(a->address, b->address) && !strcmp(a->site, b->site) &&
 	       !strcmp(a->team, b->team) && !strcmp(a->service, b->service) &&
+	       !strcmp(a->software, b->software) &&
 	       same_features(a->features, b->features) &&
 	       (!is_sequenced(b) || st_same_copies(a, b));
 }
@@ -453,6 +455,7 @@
 	for (size_t i = 0; ctx->cb.pace && i < report->n_paces; i++)
 		ctx->cb.pace(ctx->cb.data, report->paces[i]);
 	ctl_parts_add(ctx, report->part_evidence);
+	ctl_stream_add(ctx, report->streams_begun);
 	ctl_spread_run(ctx);
 }
 
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -239,6 +239,9 @@
 	case CTL_WAIT_PARTS:
 		ctl_parts_committed(ctx, waiter->evidence, result);
 		break;
+	case CTL_WAIT_STREAMS:
+		ctl_stream_committed(ctx, waiter->streams, result);
+		break;
 	case CTL_WAIT_NONE:
 		break;
 	}
@@ -344,6 +347,8 @@
 			ctx->placements_pending--;
 		if (w->kind == CTL_WAIT_PARTS)
 			ctl_parts_committed(ctx, w->evidence, NULL);
+		if (w->kind == CTL_WAIT_STREAMS)
+			ctl_stream_committed(ctx, w->streams, NULL);
 		/* The forward's record is kept, so that no resend of it is
 		 * proposed again. */
 		g_free(w);
@@ -598,7 +603,7 @@
 
 /* Returns true if all members of the group read a format of log entries, as far
  * as their reports say. */
-static bool members_read(const struct ctl *ctx, uint32_t format)
+bool ctl_raft_members_read(const struct ctl *ctx, uint32_t format)
 {
 	const Dsp__RaftConfig *config = raft_config(ctx->raft);
 	const Dsp__Node **nodes;
@@ -629,7 +634,7 @@
 		return NULL;
 	if (!ctx->ready_leader || ctx->table_proposed > ctx->applied_index)
 		reason = "other_on_its_way";
-	else if (!members_read(ctx, CTL_LOG_FORMAT))
+	else if (!ctl_raft_members_read(ctx, CTL_LOG_FORMAT_TABLE_CHANGES))
 		reason = "members_of_before";
 	else if (!(change = st_table_change(ctx->st, table,
 					    raft_last_index(ctx->raft) + 1)))
@@ -730,6 +735,8 @@
 	case DSP__COMMAND__BODY_CLAIM_FINISH:
 	case DSP__COMMAND__BODY_CLAIM_GET:
 	case DSP__COMMAND__BODY_ROUTE_TABLE_GET:
+	case DSP__COMMAND__BODY_STREAMS_BEGUN:
+	case DSP__COMMAND__BODY_STREAMS_FIND:
 		return false;
 	default:
 		return true;
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -456,6 +456,8 @@
 	out.report = &report;
 	if (!ctx->ready_leader)
 		report.part_evidence = ctl_parts_take(ctx);
+	if (!ctx->ready_leader)
+		report.streams_begun = ctl_stream_take(ctx);
 	if (ctx->ready_leader)
 		ctl_member_report(ctx, &report);
 	else
@@ -467,6 +469,8 @@
 	g_free(report.paces);
 	if (report.part_evidence)
 		dsp__part_evidence__free_unpacked(report.part_evidence, NULL);
+	if (report.streams_begun)
+		dsp__streams_begun__free_unpacked(report.streams_begun, NULL);
 	g_hash_table_remove_all(ctx->statuses);
 	g_hash_table_remove_all(ctx->announcements);
 	g_hash_table_remove_all(ctx->demands);
@@ -707,6 +711,7 @@
 	for (size_t i = 0; i < report->n_paces; i++)
 		ctl_report_pace(ctx, report->paces[i]);
 	ctl_parts_add(ctx, report->part_evidence);
+	ctl_stream_add(ctx, report->streams_begun);
 	ctx->report_hops = MAX(ctx->report_hops, report->hops + 1);
 	ctl_report_schedule(ctx, RELAY_DELAY_US);
 }
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -2392,6 +2392,186 @@
   assert(message->base.descriptor == &dsp__expire__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__stream_group__init
+                     (Dsp__StreamGroup         *message)
+{
+  static const Dsp__StreamGroup init_value = DSP__STREAM_GROUP__INIT;
+  *message = init_value;
+}
+size_t dsp__stream_group__get_packed_size
+                     (const Dsp__StreamGroup *message)
+{
+  assert(message->base.descriptor == &dsp__stream_group__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__stream_group__pack
+                     (const Dsp__StreamGroup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__stream_group__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__stream_group__pack_to_buffer
+                     (const Dsp__StreamGroup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__stream_group__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__StreamGroup *
+       dsp__stream_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__StreamGroup *)
+     protobuf_c_message_unpack (&dsp__stream_group__descriptor,
+                                allocator, len, data);
+}
+void   dsp__stream_group__free_unpacked
+                     (Dsp__StreamGroup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__stream_group__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__streams_begun__init
+                     (Dsp__StreamsBegun         *message)
+{
+  static const Dsp__StreamsBegun init_value = DSP__STREAMS_BEGUN__INIT;
+  *message = init_value;
+}
+size_t dsp__streams_begun__get_packed_size
+                     (const Dsp__StreamsBegun *message)
+{
+  assert(message->base.descriptor == &dsp__streams_begun__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__streams_begun__pack
+                     (const Dsp__StreamsBegun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__streams_begun__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__streams_begun__pack_to_buffer
+                     (const Dsp__StreamsBegun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__streams_begun__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__StreamsBegun *
+       dsp__streams_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__StreamsBegun *)
+     protobuf_c_message_unpack (&dsp__streams_begun__descriptor,
+                                allocator, len, data);
+}
+void   dsp__streams_begun__free_unpacked
+                     (Dsp__StreamsBegun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__streams_begun__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__streams_find__init
+                     (Dsp__StreamsFind         *message)
+{
+  static const Dsp__StreamsFind init_value = DSP__STREAMS_FIND__INIT;
+  *message = init_value;
+}
+size_t dsp__streams_find__get_packed_size
+                     (const Dsp__StreamsFind *message)
+{
+  assert(message->base.descriptor == &dsp__streams_find__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__streams_find__pack
+                     (const Dsp__StreamsFind *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__streams_find__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__streams_find__pack_to_buffer
+                     (const Dsp__StreamsFind *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__streams_find__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__StreamsFind *
+       dsp__streams_find__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__StreamsFind *)
+     protobuf_c_message_unpack (&dsp__streams_find__descriptor,
+                                allocator, len, data);
+}
+void   dsp__streams_find__free_unpacked
+                     (Dsp__StreamsFind *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__streams_find__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__stream_found__init
+                     (Dsp__StreamFound         *message)
+{
+  static const Dsp__StreamFound init_value = DSP__STREAM_FOUND__INIT;
+  *message = init_value;
+}
+size_t dsp__stream_found__get_packed_size
+                     (const Dsp__StreamFound *message)
+{
+  assert(message->base.descriptor == &dsp__stream_found__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__stream_found__pack
+                     (const Dsp__StreamFound *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__stream_found__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__stream_found__pack_to_buffer
+                     (const Dsp__StreamFound *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__stream_found__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__StreamFound *
+       dsp__stream_found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__StreamFound *)
+     protobuf_c_message_unpack (&dsp__stream_found__descriptor,
+                                allocator, len, data);
+}
+void   dsp__stream_found__free_unpacked
+                     (Dsp__StreamFound *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__stream_found__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__command__init
                      (Dsp__Command         *message)
 {
@@ -5363,7 +5543,7 @@
   (ProtobufCMessageInit) dsp__copy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__endpoint__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dsp__endpoint__field_descriptors[16] =
 {
   {
     "id",
@@ -5533,6 +5713,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "software",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Endpoint, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software_before",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Dsp__Endpoint, n_software_before),
+    offsetof(Dsp__Endpoint, software_before),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__endpoint__field_indices_by_name[] = {
   11,   /* field[11] = accelerator_memory_mb */
@@ -5547,13 +5751,15 @@
   8,   /* field[8] = role */
   5,   /* field[5] = service */
   3,   /* field[3] = site */
+  14,   /* field[14] = software */
+  15,   /* field[15] = software_before */
   7,   /* field[7] = state */
   4,   /* field[4] = team */
 };
 static const ProtobufCIntRange dsp__endpoint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor dsp__endpoint__descriptor =
 {
@@ -5563,7 +5769,7 @@
   "Dsp__Endpoint",
   "dsp",
   sizeof(Dsp__Endpoint),
-  14,
+  16,
   dsp__endpoint__field_descriptors,
   dsp__endpoint__field_indices_by_name,
   1,  dsp__endpoint__number_ranges,
@@ -8782,7 +8988,211 @@
   (ProtobufCMessageInit) dsp__expire__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__command__field_descriptors[20] =
+static const ProtobufCFieldDescriptor dsp__stream_group__field_descriptors[3] =
+{
+  {
+    "software",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StreamGroup, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Dsp__StreamGroup, n_streams),
+    offsetof(Dsp__StreamGroup, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StreamGroup, begun_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__stream_group__field_indices_by_name[] = {
+  2,   /* field[2] = begun_ms */
+  0,   /* field[0] = software */
+  1,   /* field[1] = streams */
+};
+static const ProtobufCIntRange dsp__stream_group__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dsp__stream_group__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.StreamGroup",
+  "StreamGroup",
+  "Dsp__StreamGroup",
+  "dsp",
+  sizeof(Dsp__StreamGroup),
+  3,
+  dsp__stream_group__field_descriptors,
+  dsp__stream_group__field_indices_by_name,
+  1,  dsp__stream_group__number_ranges,
+  (ProtobufCMessageInit) dsp__stream_group__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__streams_begun__field_descriptors[1] =
+{
+  {
+    "groups",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StreamsBegun, n_groups),
+    offsetof(Dsp__StreamsBegun, groups),
+    &dsp__stream_group__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__streams_begun__field_indices_by_name[] = {
+  0,   /* field[0] = groups */
+};
+static const ProtobufCIntRange dsp__streams_begun__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dsp__streams_begun__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.StreamsBegun",
+  "StreamsBegun",
+  "Dsp__StreamsBegun",
+  "dsp",
+  sizeof(Dsp__StreamsBegun),
+  1,
+  dsp__streams_begun__field_descriptors,
+  dsp__streams_begun__field_indices_by_name,
+  1,  dsp__streams_begun__number_ranges,
+  (ProtobufCMessageInit) dsp__streams_begun__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__streams_find__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StreamsFind, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Dsp__StreamsFind, n_streams),
+    offsetof(Dsp__StreamsFind, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__streams_find__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = streams */
+};
+static const ProtobufCIntRange dsp__streams_find__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__streams_find__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.StreamsFind",
+  "StreamsFind",
+  "Dsp__StreamsFind",
+  "dsp",
+  sizeof(Dsp__StreamsFind),
+  2,
+  dsp__streams_find__field_descriptors,
+  dsp__streams_find__field_indices_by_name,
+  1,  dsp__streams_find__number_ranges,
+  (ProtobufCMessageInit) dsp__streams_find__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__stream_found__field_descriptors[2] =
+{
+  {
+    "known",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StreamFound, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StreamFound, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__stream_found__field_indices_by_name[] = {
+  0,   /* field[0] = known */
+  1,   /* field[1] = software */
+};
+static const ProtobufCIntRange dsp__stream_found__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dsp__stream_found__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.StreamFound",
+  "StreamFound",
+  "Dsp__StreamFound",
+  "dsp",
+  sizeof(Dsp__StreamFound),
+  2,
+  dsp__stream_found__field_descriptors,
+  dsp__stream_found__field_indices_by_name,
+  1,  dsp__stream_found__number_ranges,
+  (ProtobufCMessageInit) dsp__stream_found__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__command__field_descriptors[22] =
 {
   {
     "wall_ms",
@@ -9024,6 +9434,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams_begun",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, streams_begun),
+    &dsp__streams_begun__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams_find",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Command, body_case),
+    offsetof(Dsp__Command, streams_find),
+    &dsp__streams_find__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__command__field_indices_by_name[] = {
   7,   /* field[7] = claim_create */
@@ -9043,6 +9477,8 @@
   19,   /* field[19] = route_table_change_put */
   17,   /* field[17] = route_table_get */
   16,   /* field[16] = route_table_put */
+  20,   /* field[20] = streams_begun */
+  21,   /* field[21] = streams_find */
   12,   /* field[12] = suspect_done */
   11,   /* field[11] = suspect_run */
   0,   /* field[0] = wall_ms */
@@ -9052,7 +9488,7 @@
   { 1, 0 },
   { 10, 1 },
   { 40, 19 },
-  { 0, 20 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor dsp__command__descriptor =
 {
@@ -9062,14 +9498,14 @@
   "Dsp__Command",
   "dsp",
   sizeof(Dsp__Command),
-  20,
+  22,
   dsp__command__field_descriptors,
   dsp__command__field_indices_by_name,
   3,  dsp__command__number_ranges,
   (ProtobufCMessageInit) dsp__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__command_result__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dsp__command_result__field_descriptors[8] =
 {
   {
     "code",
@@ -9155,6 +9591,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__CommandResult, n_streams),
+    offsetof(Dsp__CommandResult, streams),
+    &dsp__stream_found__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__command_result__field_indices_by_name[] = {
   4,   /* field[4] = claim */
@@ -9164,11 +9612,12 @@
   3,   /* field[3] = number */
   5,   /* field[5] = order */
   6,   /* field[6] = route_table */
+  7,   /* field[7] = streams */
 };
 static const ProtobufCIntRange dsp__command_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dsp__command_result__descriptor =
 {
@@ -9178,7 +9627,7 @@
   "Dsp__CommandResult",
   "dsp",
   sizeof(Dsp__CommandResult),
-  7,
+  8,
   dsp__command_result__field_descriptors,
   dsp__command_result__field_indices_by_name,
   1,  dsp__command_result__number_ranges,
@@ -9508,7 +9957,7 @@
   (ProtobufCMessageInit) dsp__reservation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__endpoint_meta__field_descriptors[9] =
+static const ProtobufCFieldDescriptor dsp__endpoint_meta__field_descriptors[10] =
 {
   {
     "id",
@@ -9618,6 +10067,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "software_ms",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__EndpointMeta, software_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__endpoint_meta__field_indices_by_name[] = {
   4,   /* field[4] = down_ms */
@@ -9629,11 +10090,13 @@
   2,   /* field[2] = old_incarnations */
   7,   /* field[7] = retired */
   8,   /* field[8] = retired_fences */
+  9,   /* field[9] = software_ms */
 };
-static const ProtobufCIntRange dsp__endpoint_meta__number_ranges[1 + 1] =
+static const ProtobufCIntRange dsp__endpoint_meta__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 40, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor dsp__endpoint_meta__descriptor =
 {
@@ -9643,10 +10106,10 @@
   "Dsp__EndpointMeta",
   "dsp",
   sizeof(Dsp__EndpointMeta),
-  9,
+  10,
   dsp__endpoint_meta__field_descriptors,
   dsp__endpoint_meta__field_indices_by_name,
-  1,  dsp__endpoint_meta__number_ranges,
+  2,  dsp__endpoint_meta__number_ranges,
   (ProtobufCMessageInit) dsp__endpoint_meta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -9791,7 +10254,7 @@
   (ProtobufCMessageInit) dsp__tombstone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__state_snapshot__field_descriptors[17] =
+static const ProtobufCFieldDescriptor dsp__state_snapshot__field_descriptors[18] =
 {
   {
     "index",
@@ -9997,6 +10460,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StateSnapshot, n_streams),
+    offsetof(Dsp__StateSnapshot, streams),
+    &dsp__stream_group__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__state_snapshot__field_indices_by_name[] = {
   8,   /* field[8] = claims */
@@ -10011,6 +10486,7 @@
   6,   /* field[6] = orders */
   7,   /* field[7] = reservations */
   16,   /* field[16] = route_table */
+  17,   /* field[17] = streams */
   10,   /* field[10] = suspect_indexes */
   9,   /* field[9] = suspects */
   14,   /* field[14] = tombstone_floor */
@@ -10020,7 +10496,7 @@
 static const ProtobufCIntRange dsp__state_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor dsp__state_snapshot__descriptor =
 {
@@ -10030,7 +10506,7 @@
   "Dsp__StateSnapshot",
   "dsp",
   sizeof(Dsp__StateSnapshot),
-  17,
+  18,
   dsp__state_snapshot__field_descriptors,
   dsp__state_snapshot__field_indices_by_name,
   1,  dsp__state_snapshot__number_ranges,
@@ -11020,7 +11496,7 @@
   (ProtobufCMessageInit) dsp__packed_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__report__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dsp__report__field_descriptors[9] =
 {
   {
     "nodes",
@@ -11118,6 +11594,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams_begun",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Report, streams_begun),
+    &dsp__streams_begun__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__report__field_indices_by_name[] = {
   1,   /* field[1] = announcements */
@@ -11128,11 +11616,12 @@
   4,   /* field[4] = paces */
   6,   /* field[6] = part_evidence */
   7,   /* field[7] = sent_us */
+  8,   /* field[8] = streams_begun */
 };
 static const ProtobufCIntRange dsp__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor dsp__report__descriptor =
 {
@@ -11142,7 +11631,7 @@
   "Dsp__Report",
   "dsp",
   sizeof(Dsp__Report),
-  8,
+  9,
   dsp__report__field_descriptors,
   dsp__report__field_indices_by_name,
   1,  dsp__report__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -68,6 +68,10 @@
 typedef struct Dsp__NodePut Dsp__NodePut;
 typedef struct Dsp__NodeDown Dsp__NodeDown;
 typedef struct Dsp__Expire Dsp__Expire;
+typedef struct Dsp__StreamGroup Dsp__StreamGroup;
+typedef struct Dsp__StreamsBegun Dsp__StreamsBegun;
+typedef struct Dsp__StreamsFind Dsp__StreamsFind;
+typedef struct Dsp__StreamFound Dsp__StreamFound;
 typedef struct Dsp__Command Dsp__Command;
 typedef struct Dsp__CommandResult Dsp__CommandResult;
 typedef struct Dsp__DocumentHistory Dsp__DocumentHistory;
@@ -530,10 +534,20 @@
   uint32_t max_batch;
   size_t n_copies;
   Dsp__Copy **copies;
+  /*
+   * Version of the process's software; empty: not told. Of an endpoint that is
+   * down, it is cleared once none of its streams can be resumed any more.
+   */
+  char *software;
+  /*
+   * That of earlier processes with this id, while their streams can be resumed.
+   */
+  size_t n_software_before;
+  char **software_before;
 };
 #define DSP__ENDPOINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__endpoint__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, DSP__ENDPOINT_KIND__ENDPOINT_ENGINE, DSP__ENDPOINT_STATE__ENDPOINT_UP, DSP__ENDPOINT_ROLE__ROLE_BOTH, NULL, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, DSP__ENDPOINT_KIND__ENDPOINT_ENGINE, DSP__ENDPOINT_STATE__ENDPOINT_UP, DSP__ENDPOINT_ROLE__ROLE_BOTH, NULL, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 struct  Dsp__Node
@@ -1307,6 +1321,65 @@
      }
 
 
+/*
+ * Streams that began at endpoints with the same software.
+ */
+struct  Dsp__StreamGroup
+{
+  ProtobufCMessage base;
+  char *software;
+  /*
+   * digests of the ids of the callers' requests
+   */
+  size_t n_streams;
+  uint64_t *streams;
+  /*
+   * state's clock at their commit; in snapshots only
+   */
+  uint64_t begun_ms;
+};
+#define DSP__STREAM_GROUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__stream_group__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0 }
+
+
+struct  Dsp__StreamsBegun
+{
+  ProtobufCMessage base;
+  size_t n_groups;
+  Dsp__StreamGroup **groups;
+};
+#define DSP__STREAMS_BEGUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__streams_begun__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Asks with which software streams of a service began.
+ */
+struct  Dsp__StreamsFind
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_streams;
+  uint64_t *streams;
+};
+#define DSP__STREAMS_FIND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__streams_find__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Dsp__StreamFound
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean known;
+  char *software;
+};
+#define DSP__STREAM_FOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__stream_found__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   DSP__COMMAND__BODY__NOT_SET = 0,
   DSP__COMMAND__BODY_DOCUMENT_PUT = 10,
@@ -1327,7 +1400,9 @@
   DSP__COMMAND__BODY_ROUTE_TABLE_PUT = 25,
   DSP__COMMAND__BODY_ROUTE_TABLE_GET = 26,
   DSP__COMMAND__BODY_PART_EVIDENCE = 27,
-  DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT = 40
+  DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT = 40,
+  DSP__COMMAND__BODY_STREAMS_BEGUN = 41,
+  DSP__COMMAND__BODY_STREAMS_FIND = 42
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__COMMAND__BODY__CASE)
 } Dsp__Command__BodyCase;
 
@@ -1359,6 +1434,8 @@
     Dsp__RouteTableGet *route_table_get;
     Dsp__PartEvidence *part_evidence;
     Dsp__RouteTableChangePut *route_table_change_put;
+    Dsp__StreamsBegun *streams_begun;
+    Dsp__StreamsFind *streams_find;
   };
 };
 #define DSP__COMMAND__INIT \
@@ -1391,10 +1468,15 @@
    * reads of the table, with its source
    */
   Dsp__RouteTable *route_table;
+  /*
+   * StreamsFind: in its order
+   */
+  size_t n_streams;
+  Dsp__StreamFound **streams;
 };
 #define DSP__COMMAND_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__command_result__descriptor) \
-    , DSP__RESULT_CODE__RESULT_OK, (char *)protobuf_c_empty_string, 0, 0, NULL, NULL, NULL }
+    , DSP__RESULT_CODE__RESULT_OK, (char *)protobuf_c_empty_string, 0, 0, NULL, NULL, NULL, 0,NULL }
 
 
 struct  Dsp__DocumentHistory
@@ -1491,10 +1573,14 @@
   uint64_t *retired;
   size_t n_retired_fences;
   uint64_t *retired_fences;
+  /*
+   * when software_before grew last
+   */
+  uint64_t software_ms;
 };
 #define DSP__ENDPOINT_META__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__endpoint_meta__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Dsp__NodeMeta
@@ -1565,10 +1651,12 @@
    */
   protobuf_c_boolean end;
   Dsp__RouteTable *route_table;
+  size_t n_streams;
+  Dsp__StreamGroup **streams;
 };
 #define DSP__STATE_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__state_snapshot__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, NULL, 0,NULL }
 
 
 typedef enum {
@@ -1843,10 +1931,11 @@
    * needs no lease.
    */
   uint64_t sent_us;
+  Dsp__StreamsBegun *streams_begun;
 };
 #define DSP__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, NULL, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, NULL, 0, NULL }
 
 
 struct  Dsp__QuotaAsk
@@ -3251,6 +3340,82 @@
 void   dsp__expire__free_unpacked
                      (Dsp__Expire *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__StreamGroup methods */
+void   dsp__stream_group__init
+                     (Dsp__StreamGroup         *message);
+size_t dsp__stream_group__get_packed_size
+                     (const Dsp__StreamGroup   *message);
+size_t dsp__stream_group__pack
+                     (const Dsp__StreamGroup   *message,
+                      uint8_t             *out);
+size_t dsp__stream_group__pack_to_buffer
+                     (const Dsp__StreamGroup   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__StreamGroup *
+       dsp__stream_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__stream_group__free_unpacked
+                     (Dsp__StreamGroup *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__StreamsBegun methods */
+void   dsp__streams_begun__init
+                     (Dsp__StreamsBegun         *message);
+size_t dsp__streams_begun__get_packed_size
+                     (const Dsp__StreamsBegun   *message);
+size_t dsp__streams_begun__pack
+                     (const Dsp__StreamsBegun   *message,
+                      uint8_t             *out);
+size_t dsp__streams_begun__pack_to_buffer
+                     (const Dsp__StreamsBegun   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__StreamsBegun *
+       dsp__streams_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__streams_begun__free_unpacked
+                     (Dsp__StreamsBegun *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__StreamsFind methods */
+void   dsp__streams_find__init
+                     (Dsp__StreamsFind         *message);
+size_t dsp__streams_find__get_packed_size
+                     (const Dsp__StreamsFind   *message);
+size_t dsp__streams_find__pack
+                     (const Dsp__StreamsFind   *message,
+                      uint8_t             *out);
+size_t dsp__streams_find__pack_to_buffer
+                     (const Dsp__StreamsFind   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__StreamsFind *
+       dsp__streams_find__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__streams_find__free_unpacked
+                     (Dsp__StreamsFind *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__StreamFound methods */
+void   dsp__stream_found__init
+                     (Dsp__StreamFound         *message);
+size_t dsp__stream_found__get_packed_size
+                     (const Dsp__StreamFound   *message);
+size_t dsp__stream_found__pack
+                     (const Dsp__StreamFound   *message,
+                      uint8_t             *out);
+size_t dsp__stream_found__pack_to_buffer
+                     (const Dsp__StreamFound   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__StreamFound *
+       dsp__stream_found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__stream_found__free_unpacked
+                     (Dsp__StreamFound *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__Command methods */
 void   dsp__command__init
                      (Dsp__Command         *message);
@@ -4134,6 +4299,18 @@
 typedef void (*Dsp__Expire_Closure)
                  (const Dsp__Expire *message,
                   void *closure_data);
+typedef void (*Dsp__StreamGroup_Closure)
+                 (const Dsp__StreamGroup *message,
+                  void *closure_data);
+typedef void (*Dsp__StreamsBegun_Closure)
+                 (const Dsp__StreamsBegun *message,
+                  void *closure_data);
+typedef void (*Dsp__StreamsFind_Closure)
+                 (const Dsp__StreamsFind *message,
+                  void *closure_data);
+typedef void (*Dsp__StreamFound_Closure)
+                 (const Dsp__StreamFound *message,
+                  void *closure_data);
 typedef void (*Dsp__Command_Closure)
                  (const Dsp__Command *message,
                   void *closure_data);
@@ -4316,6 +4493,10 @@
 extern const ProtobufCMessageDescriptor dsp__node_put__descriptor;
 extern const ProtobufCMessageDescriptor dsp__node_down__descriptor;
 extern const ProtobufCMessageDescriptor dsp__expire__descriptor;
+extern const ProtobufCMessageDescriptor dsp__stream_group__descriptor;
+extern const ProtobufCMessageDescriptor dsp__streams_begun__descriptor;
+extern const ProtobufCMessageDescriptor dsp__streams_find__descriptor;
+extern const ProtobufCMessageDescriptor dsp__stream_found__descriptor;
 extern const ProtobufCMessageDescriptor dsp__command__descriptor;
 extern const ProtobufCMessageDescriptor dsp__command_result__descriptor;
 extern const ProtobufCMessageDescriptor dsp__document_history__descriptor;
--- a/tests/unit/platform_wire_test.cc
+++ b/tests/unit/platform_wire_test.cc
@@ -462,6 +462,29 @@
 	}
 };
 
+TEST(WireRequest, ContinuationNamesTheRequestThatBeganTheStream)
+{
+	Fields f({ { "X-Attempt-Id", "b" },
+		   { "Last-Event-Id", "3" },
+		   { "Resumes", "a" } });
+	struct wire_request request;
+
+	wire_read_request(&f.fields, &request);
+	EXPECT_STREQ(request.resumes, "a");
+	wire_request_clear(&request);
+}
+
+TEST(WireAnnouncement, HasTheVersionOfTheSoftware)
+{
+	Dsp__Announcement *a = read_announcement(ANNOUNCEMENT);
+
+	ASSERT_NE(a, nullptr);
+	EXPECT_STREQ(a->endpoint->software, "v1");
+	dsp__announcement__free_unpacked(a, nullptr);
+	EXPECT_EQ(read_announcement(replaced(ANNOUNCEMENT, "\"v1\"", "1")),
+		  nullptr);
+}
+
 TEST(WireRequest, DigestIsThatOfTheContentAndNotOfTheAttempt)
 {
 	const std::string same = Digested().digest();
