edge: a stream goes on only at the version that began it

Cause: a resumed attempt was sent to any endpoint that held the model.

Change: the version of the endpoint whose event is passed on first is that of the stream. The balancer considers no others for later attempts of the same answer. For a caller that returns, the version comes from what this entry has passed on itself, from the view if the service has one version and the view is fresh, and else from the leader; questions that wait share one command. Known and present: the stream goes on there. The version has left, or nobody knows it: refused with 503 at once, without Retry-After. The leader was not reached: 503 with the time after which a view is usual. An endpoint whose id was taken over by another process before its first event has no known version.

--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -92,6 +92,7 @@
 	char *id;
 	uint64_t incarnation;
 	char *address;
+	char *software;
 	const Dsp__Endpoint *msg; /* in the view; NULL: not in the view */
 	uint32_t in_flight;	  /* this instance's own requests */
 	uint32_t reported_load;	  /* running and waiting at reported_us */
@@ -139,6 +140,7 @@
 
 	g_free(e->id);
 	g_free(e->address);
+	g_free(e->software);
 	g_free(e);
 }
 
@@ -192,6 +194,7 @@
 	e->id = g_strdup(msg->id);
 	e->incarnation = msg->incarnation;
 	e->address = g_strdup(msg->address);
+	e->software = g_strdup(msg->software);
 	return e;
 }
 
@@ -240,7 +243,8 @@
 	struct bal_endpoint *e;
 
 	if (known && known->incarnation == msg->incarnation &&
-	    !strcmp(known->address, msg->address)) {
+	    !strcmp(known->address, msg->address) &&
+	    (!msg->software[0] || !strcmp(known->software, msg->software))) {
 		g_hash_table_remove(ctx->endpoints, msg->id);
 		return known;
 	}
@@ -875,7 +879,8 @@
 static bool is_up(const struct bal_endpoint *e, const struct bal_query *query)
 {
 	return e->msg->state == DSP__ENDPOINT_STATE__ENDPOINT_UP &&
-	       !e->replaced && !strcmp(e->msg->service, query->service);
+	       !e->replaced && !strcmp(e->msg->service, query->service) &&
+	       (!query->software || !strcmp(e->software, query->software));
 }
 
 /* Whether bal_choose() would consider the endpoint for a prompt, apart from
@@ -1097,6 +1102,31 @@
 	return e ? (int64_t)(token_ms_of(ctx, e) * tokens * 1000) : 0;
 }
 
+/* Returns whether a stream of this version can be resumed at all. */
+bool bal_has_software(const struct bal *ctx, const char *service,
+		      const char *software)
+{
+	const struct bal_query query = {
+		.service = service,
+		.software = software,
+	};
+	GHashTableIter iter;
+	void *e;
+
+	g_hash_table_iter_init(&iter, ctx->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &e))
+		if (is_up(e, &query))
+			return true;
+	return false;
+}
+
+/* An endpoint that left the view, or has another process there, may have been
+ * replaced before it got the request. */
+const char *bal_software(const struct bal_endpoint *e)
+{
+	return e->msg ? e->software : NULL;
+}
+
 /* Returns the endpoint's id. */
 const char *bal_id(const struct bal_endpoint *e)
 {
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -33,6 +33,7 @@
 	int64_t remaining_us;	  /* until the deadline; 0: none */
 	bool may_wait;		  /* may wait for a better endpoint */
 	bool resumed;		  /* the caller has part of the stream */
+	const char *software; /* only endpoints with this version; NULL: any */
 	const char *const *avoid; /* endpoint ids; NULL-terminated, or NULL */
 	/* Whether this instance has an idle connection to the address; NULL: it
 	 * does not matter. */
@@ -130,6 +131,11 @@
 		      uint64_t incarnation, int64_t now_us);
 double bal_leaving_share(struct bal *ctx, int64_t now_us);
 const struct lim *bal_limit(const struct bal *ctx, const char *id);
+/* An endpoint of the service that takes requests has the version. */
+bool bal_has_software(const struct bal *ctx, const char *service,
+		      const char *software);
+/* Version of the endpoint's process; NULL: another one has taken its id. */
+const char *bal_software(const struct bal_endpoint *e);
 bool bal_is_prefilling(const struct bal_endpoint *e);
 const char *bal_id(const struct bal_endpoint *e);
 uint64_t bal_incarnation(const struct bal_endpoint *e);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -96,6 +96,7 @@
 		(size_t)(settings->edge.memory_mb * MB_BYTES * BUFFERED_SHARE));
 	ctx->quota = edge_quota_new(ctx);
 	ctx->slots = edge_slots_new(ctx);
+	ctx->versions = edge_versions_new(ctx);
 	return ctx;
 }
 
@@ -112,6 +113,7 @@
 	if (ctx->queue_event)
 		event_free(ctx->queue_event);
 	edge_slots_free(ctx->slots);
+	edge_versions_free(ctx->versions);
 	event_base_free(ctx->base);
 	hio_mem_free(ctx->mem);
 	g_ptr_array_free(ctx->demands_in, TRUE);
@@ -305,6 +307,7 @@
 		agent_view_changed(ctx->agent);
 	edge_parts_view_changed(ctx->parts);
 	edge_slots_view_changed(ctx->slots);
+	edge_versions_view_changed(ctx->versions);
 	fwd_run_queue(ctx);
 	view_unref(old);
 }
@@ -486,6 +489,7 @@
 		  (int64_t)counts.reused);
 	hio_mem_set_gauges(ctx->mem, ctx->met);
 	edge_quota_set_gauges(ctx->quota);
+	edge_versions_set_gauges(ctx->versions);
 	if (ctx->front)
 		met_gauge(ctx->met, "dandelionspar_edge_callers_connected", "",
 			  (int64_t)hio_server_connections(ctx->front));
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -28,6 +28,7 @@
 struct edge_parts;
 struct edge_quota;
 struct edge_slots;
+struct edge_versions;
 
 /* A request that is held until the first confirmed view. */
 struct fwd_held {
@@ -126,6 +127,7 @@
 	struct edge_parts *parts;
 	struct edge_quota *quota;
 	struct edge_slots *slots;
+	struct edge_versions *versions;
 };
 
 /* edge.c */
@@ -266,6 +268,39 @@
 		     const struct bal_endpoint *endpoint, uint32_t tokens);
 void edge_slot_clear(struct edge_slot *slot);
 
+/* edge_version.c */
+enum edge_version_state {
+	EDGE_VERSION_NONE, /* not looked for */
+	EDGE_VERSION_ASKED,
+	EDGE_VERSION_KNOWN,
+	EDGE_VERSION_UNKNOWN,	 /* nobody knows, and there are several */
+	EDGE_VERSION_UNANSWERED, /* the leader was not reached */
+};
+
+/* The version that a stream must be resumed with; embedded in its request. */
+struct edge_version {
+	TAILQ_ENTRY(edge_version) link; /* while it is asked for */
+	struct edge_versions *owner;
+	enum edge_version_state state;
+	struct edge_version **asked; /* its place in the question; NULL: none */
+	const char *service;
+	uint64_t digest;
+	char *software; /* owned; NULL: any */
+};
+
+struct edge_versions *edge_versions_new(struct edge *edge);
+void edge_versions_free(struct edge_versions *ctx);
+void edge_versions_view_changed(struct edge_versions *ctx);
+void edge_versions_begun(struct edge_versions *ctx, const char *request_id,
+			 const char *service, const char *software,
+			 int64_t until_us);
+bool edge_versions_are_mixed(const struct edge_versions *ctx,
+			     const char *service);
+void edge_version_find(struct edge_versions *ctx, struct edge_version *item,
+		       const char *begun_by, const char *service);
+void edge_version_clear(struct edge_version *item);
+void edge_versions_set_gauges(struct edge_versions *ctx);
+
 /* fwd.c */
 /* What became of the request for a grant. */
 enum fwd_trial {
@@ -276,6 +311,7 @@
 void fwd_quota_decided(struct tok_item *item);
 void fwd_crash_checked(struct edge_prompt *prompt, bool crashed);
 void fwd_trial_decided(struct edge_prompt *prompt, enum fwd_trial outcome);
+void fwd_version_found(struct edge_version *item);
 void fwd_slot_decided(struct edge_slot *slot);
 void fwd_request(void *data, struct hio_exchange *exchange);
 void fwd_caller_left(void *data, struct hio_exchange *exchange);
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -168,7 +168,9 @@
 	int64_t waited_us; /* from the request's arrival to the first attempt */
 	struct edge_prompt prompt;
 	struct edge_slot slot;
-	const char *broken_reason; /* while it waits for a check */
+	struct edge_version version; /* of the stream that it resumes */
+	bool begun;		     /* an event was passed on */
+	const char *broken_reason;   /* while it waits for a check */
 	bool suspect;	    /* the request was in doubt, not only a part */
 	int64_t verdict_us; /* limit of its waits for runs of others; 0: none */
 	/* Kept for the request while it waits for a grant, or NULL. */
@@ -273,6 +275,7 @@
 	edge_parts_forget(&f->prompt);
 	edge_quota_end(f->edge->quota, &f->quota, f->runs > 0);
 	edge_slot_clear(&f->slot);
+	edge_version_clear(&f->version);
 	wire_request_clear(&f->request);
 	while (!LIST_EMPTY(&f->attempts))
 		attempt_free(LIST_FIRST(&f->attempts));
@@ -672,6 +675,35 @@
 	f->headers_sent = true;
 }
 
+/* Whether the caller has events of the stream from an earlier request. */
+static bool is_continuation(const struct fwd *f)
+{
+	return f->kind == DSP__ROUTE_KIND__ROUTE_STREAM && f->resumable &&
+	       f->request.last_event_id;
+}
+
+/* Fixes the version of a stream whose first event is passed on: the rest must
+ * come from the same one. */
+static void begin_version(struct attempt *at)
+{
+	struct fwd *f = at->fwd;
+	struct edge_version *version = &f->version;
+	const char *id =
+		is_continuation(f) ? f->request.resumes : f->request.request_id;
+
+	if (f->begun || !f->resumable)
+		return;
+	f->begun = true;
+	if (!version->software) {
+		version->software = g_strdup(bal_software(at->endpoint));
+		version->state = version->software ? EDGE_VERSION_KNOWN
+						   : EDGE_VERSION_UNKNOWN;
+	}
+	if (id)
+		edge_versions_begun(f->edge->versions, id, f->service,
+				    version->software, f->deadline_us);
+}
+
 static void on_event(void *data, const char *event, size_t len, const char *id)
 {
 	struct attempt *at = data;
@@ -679,6 +711,7 @@
 	int64_t now_us = now_of(f);
 
 	use_attempt(at);
+	begin_version(at);
 	begin_reply(at);
 	hdg_progress(&f->hedge, at->id, now_us);
 	if (!at->events_received++) {
@@ -1232,6 +1265,7 @@
 			    now_of(f) - f->start_us <
 				    f->objective_us / BETTER_WAIT_DIVISOR,
 		.resumed = f->headers_sent,
+		.software = f->version.software,
 		.avoid = (const char *const *)f->tried,
 		.is_connected = is_connected,
 		.data = f,
@@ -1384,6 +1418,44 @@
 	}
 }
 
+/*
+ * Returns whether it is known where the request may be sent, as far as the
+ * version of its stream matters. Otherwise it waits for the leader's answer, or
+ * was ended: a stream that can't be resumed is refused at once.
+ */
+static bool check_version(struct fwd *f)
+{
+	struct edge_version *version = &f->version;
+
+	if (version->state == EDGE_VERSION_NONE && is_continuation(f))
+		edge_version_find(f->edge->versions, version,
+				  f->request.resumes, f->service);
+	switch (version->state) {
+	case EDGE_VERSION_NONE:
+		return true;
+	case EDGE_VERSION_ASKED:
+		set_timer_at(f, f->deadline_us);
+		return false;
+	case EDGE_VERSION_KNOWN:
+		if (!version->software ||
+		    bal_has_software(f->edge->bal, f->service,
+				     version->software))
+			return true;
+		give_up(f, -1, "version_left");
+		return false;
+	case EDGE_VERSION_UNKNOWN:
+		if (!edge_versions_are_mixed(f->edge->versions, f->service) &&
+		    f->begun)
+			return true;
+		give_up(f, -1, "version_unknown");
+		return false;
+	case EDGE_VERSION_UNANSWERED:
+		give_up(f, VIEW_RETRY_AFTER_US, "version_unanswered");
+		return false;
+	}
+	return true;
+}
+
 /*
  * Sends the request to the best endpoint, queues it, or ends it. Returns true
  * when it is queued; otherwise it may have been freed.
@@ -1397,7 +1469,7 @@
 		give_up(f, -1, "deadline");
 		return false;
 	}
-	if (!check_key(f))
+	if (!check_key(f) || !check_version(f))
 		return false;
 	decision = edge_parts_decide(f->edge->parts, &f->prompt);
 	f->suspect = decision.request;
@@ -1437,6 +1509,23 @@
 	return false;
 }
 
+/* Goes on with a request that has waited for the version of its stream. */
+void fwd_version_found(struct edge_version *item)
+{
+	struct fwd *f =
+		(struct fwd *)((char *)item - offsetof(struct fwd, version));
+
+	LOG_EVENT_INFO("fwd", "version_found",
+		       "request=%s resumes=%s service=%s state=%d "
+		       "software=\"%s\" waited_us=%" PRId64
+		       " view=%" G_GUINT64_FORMAT " view_age_us=%" PRId64,
+		       log_id(f), f->request.resumes, f->service,
+		       (int)item->state, item->software ? item->software : "",
+		       now_of(f) - f->start_us, view_index(f->edge->view),
+		       ctl_state(f->edge->ctl).stale_us);
+	dispatch(f);
+}
+
 /* Goes on with a request that has waited for its coordinator. */
 void fwd_slot_decided(struct edge_slot *slot)
 {
@@ -1491,6 +1580,7 @@
 		return;
 	}
 	if (f->item.queued || f->broken_reason || f->trial_endpoint ||
+	    f->version.state == EDGE_VERSION_ASKED ||
 	    f->quota.state == TOK_WAITING || f->quota.decided) {
 		set_timer_at(f, f->deadline_us);
 		return;
--- /dev/null
+++ b/tests/integration/versions_test.cc
@@ -0,0 +1,289 @@
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/platform/system.h"
+
+/*
+ * Streams of a service whose endpoints have different software: a stream goes
+ * on only at the version that began it. Real processes of the system, simulated
+ * callers and runners.
+ */
+using namespace platform;
+
+namespace
+{
+
+std::string event(int id)
+{
+	return "id: " + std::to_string(id) + "\ndata: piece" +
+	       std::to_string(id) + "\n\n";
+}
+
+std::string chunk(const std::string &text)
+{
+	char size[32];
+
+	snprintf(size, sizeof(size), "%zx\r\n", text.size());
+	return size + text + "\r\n";
+}
+
+std::string attempt(const std::string &id)
+{
+	return "X-Attempt-Id: " + id + "\r\n";
+}
+
+/* Fields of a caller that has two events of the stream that began as id. */
+std::string resumes(const std::string &id)
+{
+	return "Last-Event-Id: 2\r\nResumes: " + id + "\r\n";
+}
+
+/* One control instance, two entries, two runners of each of two versions. */
+class Versions : public ::testing::Test
+{
+      protected:
+	System system{ 1, 2 };
+	std::vector<std::unique_ptr<Runner>> runners;
+
+	void SetUp() override
+	{
+		system.serve(table(1));
+		ASSERT_TRUE(System::eventually([&] {
+			return system.is_ready(entry(0)) &&
+			       system.is_ready(entry(1));
+		})) << system.logs();
+	}
+
+	System::Instance &entry(size_t i)
+	{
+		return system.instances[1 + i];
+	}
+
+	/* Whether the entry knows as many runners as there are. */
+	bool knows_all(const System::Instance &x)
+	{
+		return call(x.metrics, request("GET", "/metrics", "x"))
+			       .body.find("endpoints{state=\"up\"} " +
+					  std::to_string(runners.size())) !=
+		       std::string::npos;
+	}
+
+	/* Adds a runner that breaks off streams after their second event, and
+	 * completes those that are resumed. */
+	Runner &add(const std::string &version)
+	{
+		runners.push_back(std::make_unique<Runner>(
+			"plain", "i-" + std::to_string(runners.size())));
+		Runner &r = *runners.back();
+
+		r.version = version;
+		r.handler = [&r](Socket &s, const Message &m) {
+			std::string head = "HTTP/1.1 200 OK\r\nContent-Type: "
+					   "text/event-stream\r\n" +
+					   r.seal() + Runner::echo(m) +
+					   "Transfer-Encoding: chunked\r\n\r\n";
+
+			if (m.target() == "/safe/probe")
+				return s.send(answer(
+					200, r.seal() + Runner::echo(m), ""));
+			if (!m.field("Last-Event-Id").empty())
+				return s.send(head + chunk(event(3)) +
+					      "0\r\n\r\n");
+			s.send(head + chunk(event(1)) + chunk(event(2)));
+			/* Until the caller leaves. */
+			s.wait_closed(3000);
+			return false;
+		};
+		r.beat(system.instances[0].api);
+		EXPECT_TRUE(System::eventually([&] {
+			return knows_all(entry(0)) && knows_all(entry(1));
+		})) << system.logs();
+		return r;
+	}
+
+	void add_both_versions()
+	{
+		for (const char *version : { "v1", "v2", "v1", "v2" })
+			add(version);
+	}
+
+	/* Versions of the runners that ran a request. */
+	std::set<std::string> ran(const std::string &id)
+	{
+		std::set<std::string> versions;
+
+		for (auto &r : runners)
+			for (const Message &m : r->ran_requests())
+				if (m.field("X-Attempt-Id") == id)
+					versions.insert(r->version);
+		return versions;
+	}
+
+	/* Begins a stream and leaves it after two events. */
+	void begin(const System::Instance &x, const std::string &id)
+	{
+		Socket s;
+
+		ASSERT_TRUE(s.connect_to(x.front));
+		s.send(request("POST", "/flow/x", "host.example", attempt(id)));
+		while (s.buffer.find(event(2)) == std::string::npos)
+			ASSERT_TRUE(s.fill(5000)) << s.buffer << system.logs();
+	}
+
+	Message go_on(const System::Instance &x, const std::string &id,
+		      const std::string &begun_as)
+	{
+		return call(x.front, request("POST", "/flow/x", "host.example",
+					     attempt(id) + resumes(begun_as)));
+	}
+
+	/* Kills instances at once, and waits until they serve again. */
+	void restart(const std::vector<System::Instance *> &all)
+	{
+		for (System::Instance *x : all)
+			proc_kill(x->pid);
+		for (System::Instance *x : all)
+			system.start(*x);
+		ASSERT_TRUE(System::eventually([&] {
+			return system.is_ready(entry(0)) &&
+			       system.is_ready(entry(1));
+		})) << system.logs();
+	}
+
+	static constexpr int STREAMS = 12;
+
+	void begin_all(const System::Instance &x)
+	{
+		for (int i = 0; i < STREAMS; i++)
+			begin(x, "a" + std::to_string(i));
+		/* Until the control group has heard of the last one. */
+		usleep(500000);
+	}
+
+	/* Takes all streams up again. Returns how many went on; none may at
+	 * another version. */
+	int go_on_all(const System::Instance &x)
+	{
+		int n = 0;
+
+		for (int i = 0; i < STREAMS; i++) {
+			std::string begun = "a" + std::to_string(i);
+			std::string id = "b" + std::to_string(i);
+			Message m = go_on(x, id, begun);
+
+			if (m.status() == 200) {
+				n++;
+				EXPECT_EQ(ran(id), ran(begun)) << begun;
+			} else {
+				EXPECT_EQ(m.status(), 503) << begun;
+				EXPECT_TRUE(ran(id).empty()) << begun;
+			}
+		}
+		return n;
+	}
+};
+
+} // namespace
+
+TEST_F(Versions, AnswerIsNotJoinedFromTwoVersions)
+{
+	Runner &old = add("v1");
+	add("v2");
+	ASSERT_TRUE(System::eventually([&] {
+		begin(entry(0), "probe");
+		return ran("probe").count("v1") > 0;
+	}));
+	old.handler = [&](Socket &s, const Message &m) {
+		s.send("HTTP/1.1 200 OK\r\nContent-Type: "
+		       "text/event-stream\r\n" +
+		       old.seal() + Runner::echo(m) +
+		       "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)));
+		usleep(20000);
+		s.reset();
+		return false;
+	};
+	for (int i = 0; i < STREAMS; i++) {
+		std::string id = "a" + std::to_string(i);
+
+		call(entry(0).front,
+		     request("POST", "/flow/x", "host.example",
+			     attempt(id) + "X-Deadline-Ms: 300\r\n"));
+		EXPECT_EQ(ran(id).size(), 1u) << id;
+	}
+}
+
+TEST_F(Versions, StreamGoesOnAtItsVersionThroughAnotherEntry)
+{
+	add_both_versions();
+	begin_all(entry(0));
+	EXPECT_EQ(go_on_all(entry(1)), STREAMS) << system.logs();
+}
+
+TEST_F(Versions, StreamGoesOnAtItsVersionAfterAllEntriesWereKilled)
+{
+	add_both_versions();
+	begin_all(entry(0));
+	restart({ &entry(0), &entry(1) });
+	EXPECT_EQ(go_on_all(entry(1)), STREAMS) << system.logs();
+}
+
+TEST_F(Versions, StreamGoesOnAtItsVersionAfterEntriesAndControlWereKilled)
+{
+	add_both_versions();
+	begin_all(entry(0));
+	restart({ &system.instances[0], &entry(0), &entry(1) });
+	EXPECT_EQ(go_on_all(entry(1)), STREAMS) << system.logs();
+}
+
+TEST_F(Versions, StreamThatBeganBeforeTheSecondVersionGoesOnAtTheFirst)
+{
+	add("v1");
+	add("v1");
+	begin_all(entry(0));
+	add("v2");
+	add("v2");
+	usleep(500000);
+	restart({ &entry(0) });
+	EXPECT_EQ(go_on_all(entry(1)), STREAMS) << system.logs();
+}
+
+TEST_F(Versions, StreamOfUnknownVersionIsRefusedWhereThereAreTwo)
+{
+	Message m;
+
+	add("v1");
+	m = go_on(entry(0), "b1", "one");
+	EXPECT_EQ(m.status(), 200);
+	add("v2");
+	m = go_on(entry(0), "b2", "other");
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_EQ(m.field("Retry-After"), "");
+	m = call(entry(0).front,
+		 request("POST", "/flow/x", "host.example",
+			 attempt("b3") + "Last-Event-Id: 2\r\n"));
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_TRUE(ran("b2").empty() && ran("b3").empty());
+}
+
+TEST_F(Versions, StreamOfAVersionThatHasLeftIsRefusedAtOnce)
+{
+	Runner &old = add("v1");
+	int64_t begun_ms;
+	Message m;
+
+	begin_all(entry(0));
+	add("v2");
+	old.fall_silent();
+	old.state = "draining";
+	ASSERT_TRUE(System::eventually(
+		[&] { return old.beat_once(system.instances[0].api) == 200; }));
+	restart({ &entry(0), &entry(1) });
+	begun_ms = proc_now_ms();
+	m = go_on(entry(1), "b0", "a0");
+	EXPECT_EQ(m.status(), 503);
+	EXPECT_LT(proc_now_ms() - begun_ms, 1000);
+	EXPECT_EQ(m.field("Retry-After"), "");
+	EXPECT_TRUE(ran("b0").empty());
+}
--- a/tests/platform/runner.h
+++ b/tests/platform/runner.h
@@ -341,9 +341,9 @@
 			models_json(announced_stale ? stale : holds);
 
 		return "{\"service\":\"" + service + "\",\"address\":\"" +
-		       address + "\",\"zone\":\"here\",\"version\":\"v1\"," +
-		       "\"slots\":" + std::to_string(slots) + ",\"state\":\"" +
-		       state +
+		       address + "\",\"zone\":\"here\",\"version\":\"" +
+		       version + "\",\"slots\":" + std::to_string(slots) +
+		       ",\"state\":\"" + state +
 		       "\",\"coldLeftMs\":0,\"born\":" + std::to_string(born) +
 		       (engine ? ",\"models\":[" + models + "]" : "") +
 		       ",\"seq\":" + std::to_string(++beats) + "}";
@@ -421,6 +421,7 @@
 	}
 
 	std::string id, service, address;
+	std::string version = "v1"; /* of its software */
 	bool engine;
 	int slots = 8;
 	std::string state = "ready";
