fwd: a stream that its caller takes up again goes before new ones

Cause: a stream that is resumed inside one answer is sent before queued requests, is not refused for the queue ahead and may be read beside prompts in prefill. One that its caller takes up again was treated as new, although the caller has a part that is of no use without the rest, and although fewer endpoints may serve it.

Change: both count as having a part. Where no endpoint with its version holds the model, the stream is refused at once: models are not loaded for a version, so waiting is of no use.

Test: Versions.StreamThatIsTakenUpAgainDoesNotWaitForPrompts failed before.

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -197,6 +197,20 @@
 	}
 }
 
+/* Whether the caller has events of the stream from an earlier request. */
+static bool is_continuation(const struct fwd *f)
+{
+	return f->kind == DSP__ROUTE_KIND__ROUTE_STREAM && f->resumable &&
+	       f->request.last_event_id;
+}
+
+/* Whether the caller has a part of the answer, which is of no use without the
+ * rest. */
+static bool has_part(const struct fwd *f)
+{
+	return f->headers_sent || is_continuation(f);
+}
+
 static int64_t now_of(const struct fwd *f)
 {
 	return clk_now_us(f->edge->clock);
@@ -675,13 +689,6 @@
 	f->headers_sent = true;
 }
 
-/* Whether the caller has events of the stream from an earlier request. */
-static bool is_continuation(const struct fwd *f)
-{
-	return f->kind == DSP__ROUTE_KIND__ROUTE_STREAM && f->resumable &&
-	       f->request.last_event_id;
-}
-
 /* Fixes the version of a stream whose first event is passed on: the rest must
  * come from the same one. */
 static void begin_version(struct attempt *at)
@@ -1117,7 +1124,7 @@
 {
 	double share = PLACE_WAIT_SHARE;
 
-	if (f->headers_sent)
+	if (has_part(f))
 		return resume_wait_us(f);
 
 	switch (outcome) {
@@ -1167,6 +1174,14 @@
 	       now_of(f) + choice->retry_us >= give_up_us;
 }
 
+/* Whether endpoints with the version of the stream lack its model. A model is
+ * not loaded for a version, so waiting is of no use. */
+static bool is_kept_by_version(const struct fwd *f, enum bal_outcome outcome)
+{
+	return outcome == BAL_NO_MODEL && f->version.software &&
+	       edge_versions_are_mixed(f->edge->versions, f->service);
+}
+
 /* Queues a request that no endpoint can take now, or refuses it at once when
  * the queue ahead of it is too long. Returns true when it is queued. */
 static bool enqueue_or_refuse(struct fwd *f, const struct bal_choice *choice)
@@ -1176,6 +1191,10 @@
 	int64_t expected_us = adm_expected_wait_us(f->edge->queue, f->group,
 						   f->customer, now_us);
 
+	if (is_kept_by_version(f, choice->outcome)) {
+		give_up(f, -1, "version_without_model");
+		return false;
+	}
 	if (f->engine && !f->miss_reported &&
 	    (choice->outcome == BAL_NO_ADAPTER ||
 	     choice->outcome == BAL_NO_MODEL ||
@@ -1197,7 +1216,7 @@
 	f->item.give_up_us =
 		MIN(now_us + limit_us, f->deadline_us - REMAINING_MIN_US);
 	if (pause_outlasts(f, choice, f->item.give_up_us) ||
-	    (!f->headers_sent &&
+	    (!has_part(f) &&
 	     (expected_us > limit_us || choice->outcome == BAL_NO_OTHER))) {
 		refuse(f, choice, expected_us);
 		return false;
@@ -1206,8 +1225,8 @@
 	f->item.rank = f->rank;
 	f->item.customer = f->customer;
 	f->item.arrived_us = now_us;
-	f->item.objective_us = f->headers_sent ? now_us + resume_wait_us(f)
-					       : f->start_us + f->objective_us;
+	f->item.objective_us = has_part(f) ? now_us + resume_wait_us(f)
+					   : f->start_us + f->objective_us;
 	adm_add(f->edge->queue, &f->item);
 	set_timer_at(f, f->deadline_us);
 	if (!event_pending(f->edge->queue_event, EV_TIMEOUT, NULL))
@@ -1264,7 +1283,7 @@
 		.may_wait = f->engine &&
 			    now_of(f) - f->start_us <
 				    f->objective_us / BETTER_WAIT_DIVISOR,
-		.resumed = f->headers_sent,
+		.resumed = has_part(f),
 		.software = f->version.software,
 		.avoid = (const char *const *)f->tried,
 		.is_connected = is_connected,
@@ -1485,8 +1504,7 @@
 	if (decision.action == SUS_SEND && wait_for_slot(f))
 		return false;
 	/* Queued requests of the same group come first. */
-	if (f->item.queued || f->headers_sent ||
-	    f->slot.state == EDGE_SLOT_GIVEN ||
+	if (f->item.queued || has_part(f) || f->slot.state == EDGE_SLOT_GIVEN ||
 	    !adm_length(f->edge->queue, f->group))
 		choice = choose_endpoint(f);
 	if (choice.outcome != BAL_CHOSEN && decision.action == SUS_TRY &&
--- a/tests/integration/versions_test.cc
+++ b/tests/integration/versions_test.cc
@@ -287,3 +287,45 @@
 	EXPECT_EQ(m.field("Retry-After"), "");
 	EXPECT_TRUE(ran("b0").empty());
 }
+
+/* An entry of two may have four prompts in prefill at an engine. */
+TEST_F(Versions, StreamThatIsTakenUpAgainDoesNotWaitForPrompts)
+{
+	const std::string prompt = "X-Model: m1\r\nX-Token-Count: 1460,80\r\n";
+	std::vector<std::unique_ptr<Socket>> callers;
+	Runner engine("engine", "i-engine", true);
+
+	ASSERT_EQ(system.put(table(2, "", model("m1"))), 200);
+	engine.holds["m1"] = {};
+	engine.slots = 64;
+	engine.handler = [](Socket &s, const Message &) {
+		/* No first byte while the caller waits. */
+		s.wait_closed(6000);
+		return false;
+	};
+	engine.beat(system.instances[0].api);
+	for (int i = 0; i < 4; i++) {
+		std::string id = "p" + std::to_string(i);
+
+		ASSERT_TRUE(System::eventually([&] {
+			callers.push_back(std::make_unique<Socket>());
+			return callers.back()->connect_to(entry(0).front) &&
+			       callers.back()->send(request(
+				       "POST", "/model/x", "host.example",
+				       attempt(id) + prompt)) &&
+			       System::eventually(
+				       [&] {
+					       return engine.n_ran() >
+						      (size_t)i;
+				       },
+				       1000);
+		})) << system.logs();
+	}
+	callers.push_back(std::make_unique<Socket>());
+	ASSERT_TRUE(callers.back()->connect_to(entry(0).front));
+	callers.back()->send(request("POST", "/model/x", "host.example",
+				     attempt("b") + resumes("a") + prompt));
+	EXPECT_TRUE(
+		System::eventually([&] { return engine.n_ran() > 4; }, 1000))
+		<< system.logs();
+}
