http, up: an answer with a status outside 100 to 599 is malformed

Here the caller got no answer at all: the head was taken for that of an interim answer, skipped with its body, and the answer never came. 600 to 999 passed as a status; where the request may not be repeated the caller got it as the answer.

Cause: the parser accepts three digits of any value, everything below 200 counted as interim, and nothing checked the upper end. The older interface reads the status line of libcurl's text with the same gaps.

Change: both clients take such a head for a malformed answer, after which a request that may be repeated goes elsewhere and another one gets 502.

Tests, failed before: HttpClient.StatusOutsideTheRangeIsMalformed, UpTest.StatusOutsideTheRangeIsNoAnswer (600 and 999; libcurl refuses the others) and Platform.StatusOutsideTheRangeReachesNoCaller (000 and 099: no answer within 2 s on three routes; 600 and 999 reached the caller).

--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -55,6 +55,13 @@
 	return has_only(text, len, "!#$%&'*+-.^_`|~");
 }
 
+/* Returns whether a number is a status code, also one that is not registered:
+ * RFC 9110, section 15. */
+bool hio_is_status(int status)
+{
+	return status >= 100 && status <= 599;
+}
+
 static bool list_has(const char *list, const char *name)
 {
 	g_auto(GStrv) items = g_strsplit(list, ",", -1);
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -40,6 +40,7 @@
 const char *hio_field(const struct hio_fields *fields, const char *name);
 bool hio_is_target(const char *text, size_t len);
 bool hio_is_token(const char *text, size_t len);
+bool hio_is_status(int status);
 bool hio_is_hop_by_hop_field(const struct hio_fields *fields, const char *name);
 
 /* ---- Server (hio_server.c) ---- */
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -177,7 +177,7 @@
 	bool no_body;
 
 	hio_builder_finish(&conn->builder);
-	if (!conn->call)
+	if (!conn->call || !hio_is_status((int)parser->status_code))
 		return -1;
 	no_body = conn->call->options.no_answer_body;
 	if (parser->status_code < 200 || answers_other_request(conn)) {
--- a/src/traffic/up.c
+++ b/src/traffic/up.c
@@ -298,6 +298,8 @@
 		const char *space = memchr(bytes, ' ', len);
 
 		t->status = space ? (int)strtol(space + 1, NULL, 10) : 0;
+		if (!hio_is_status(t->status))
+			return 0;
 		t->hint = (struct wire_hint){ 0 };
 		g_clear_pointer(&t->content_type, g_free);
 		return len;
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -1230,6 +1230,25 @@
 	EXPECT_GT(requests(a).size(), whole.size());
 }
 
+TEST_F(Platform, StatusOutsideTheRangeReachesNoCaller)
+{
+	std::string status;
+
+	add_a();
+	a.handler = [&](Socket &s, const Message &m) {
+		return s.send("HTTP/1.1 " + status + " Text\r\n" + a.seal() +
+			      Runner::echo(m) + "Content-Length: 2\r\n\r\nok");
+	};
+	for (const char *text : { "000", "099", "600", "999" })
+		for (const char *path : { "/safe/x", "/once/x", "/flow/x" }) {
+			status = text;
+			EXPECT_EQ(system.send("POST", path, ID, "book", 2000)
+					  .status(),
+				  502)
+				<< path << " " << text;
+		}
+}
+
 TEST_F(Platform, WorkEndsSoonAfterTheCallerHasLeft)
 {
 	add_a();
--- a/tests/integration/up_test.cc
+++ b/tests/integration/up_test.cc
@@ -379,6 +379,21 @@
 	EXPECT_FALSE(perform(up, folded.url(), true).complete);
 }
 
+TEST_F(UpTest, StatusOutsideTheRangeIsNoAnswer)
+{
+	for (const char *status : { "000", "099", "600", "999" }) {
+		Server server([&](int fd) {
+			read_request(fd, 3);
+			send_text(fd, std::string("HTTP/1.1 ") + status +
+					      " Text\r\nContent-Length: 2"
+					      "\r\n\r\nok");
+		});
+
+		EXPECT_FALSE(perform(up, server.url(), true).complete)
+			<< status;
+	}
+}
+
 /* Guards against buffering an endless header section. */
 TEST_F(UpTest, EndlessHeaderSectionEndsTheCall)
 {
--- a/tests/unit/hio_test.cc
+++ b/tests/unit/hio_test.cc
@@ -701,6 +701,14 @@
 				 "fold");
 }
 
+TEST_F(HttpClient, StatusOutsideTheRangeIsMalformed)
+{
+	for (const char *status : { "000", "099", "600", "999" })
+		expect_malformed(std::string("HTTP/1.1 ") + status +
+					 " Text\r\nContent-Length: 0\r\n\r\n",
+				 status);
+}
+
 TEST_F(HttpClient, InterimAnswersHaveTheSameBytes)
 {
 	expect_malformed("HTTP/1.1 103 Early Hints\r\nLink: \001\r\n\r\n"
