rt: the rest of an answer comes from the same software (older interface)

The same fault on the other interface: after the first token an attempt that broke off was continued at any endpoint with the model, at the offset or by skipping what was delivered, so that one answer could hold text of two versions of the software.

An announcement may name the version (software); from the first token on the router takes only endpoints with that of the first one. Without any left the request ends at once as one that no endpoint can serve. Announcements without it are all alike, as before.

Test: Router.RestOfAnAnswerComesFromTheSameSoftware failed before.

--- a/src/core/rt.c
+++ b/src/core/rt.c
@@ -328,6 +328,16 @@
 		   lim_wait_us(&ep->lim, now_us));
 }
 
+/* Returns whether the ticket must not use the endpoint: it has failed there, or
+ * the rest of its answer would come from another version of the software. */
+static bool is_excluded(const struct rt_ticket *ticket, const struct rt_ep *ep)
+{
+	if (ticket->exclude && !strcmp(ticket->exclude, ep->id))
+		return true;
+	return ticket->software &&
+	       (!ep->rec || strcmp(ticket->software, ep->rec->software) != 0);
+}
+
 static bool ep_usable(const struct rt_ep *ep, const struct rt_ticket *ticket,
 		      int64_t now_us)
 {
@@ -336,7 +346,7 @@
 	if (hint_bar(&ep->hint, now_us) != HINT_FREE ||
 	    hint_is_spaced(&ep->hint, now_us) || lim_wait_us(&ep->lim, now_us))
 		return false;
-	if (ticket->exclude && !strcmp(ticket->exclude, ep->id))
+	if (is_excluded(ticket, ep))
 		return false;
 	return !ticket->suspect || !ep->suspects;
 }
@@ -566,6 +576,7 @@
 	view_unref(ticket->view);
 	g_free(ticket->version);
 	g_free(ticket->exclude);
+	g_free(ticket->software);
 	g_free(ticket);
 }
 
@@ -619,7 +630,7 @@
 		struct rt_candidate candidate = { 0 };
 		double floor;
 
-		if (ticket->exclude && !strcmp(ticket->exclude, link->ep->id))
+		if (is_excluded(ticket, link->ep))
 			continue;
 		if (hint_bar(&link->ep->hint, now_us) == HINT_LEAVING)
 			continue;
@@ -692,6 +703,7 @@
 	ticket->budget = rt_budget_of(ctx, request->team ? request->team : "");
 	ticket->version = g_strdup(version_in_force(ctx, request));
 	ticket->exclude = g_strdup(request->exclude);
+	ticket->software = g_strdup(request->software);
 	ticket->arrival_us = request->arrival_us;
 	ticket->deadline_us = request->deadline_us
 				      ? request->deadline_us
@@ -978,8 +990,7 @@
 			g_ptr_array_index(ticket->pool->links, i);
 		int64_t wait_us = ep_wait_us(link->ep, now_us);
 
-		if ((ticket->exclude &&
-		     !strcmp(ticket->exclude, link->ep->id)) ||
+		if (is_excluded(ticket, link->ep) ||
 		    hint_bar(&link->ep->hint, now_us) == HINT_LEAVING)
 			continue;
 		if (!link->ready || !wait_us)
@@ -1010,7 +1021,7 @@
 		link = g_ptr_array_index(ticket->pool->links, i);
 		if (hint_bar(&link->ep->hint, now_us) == HINT_LEAVING)
 			continue;
-		if (!ticket->exclude || strcmp(ticket->exclude, link->ep->id))
+		if (!is_excluded(ticket, link->ep))
 			return false;
 	}
 	ticket->reason = RT_REASON_NO_ENDPOINT;
@@ -1088,6 +1099,8 @@
 	if (ticket->state != RT_STATE_DISPATCHED || !ticket->ep ||
 	    ticket->first_us)
 		return;
+	if (!ticket->software)
+		ticket->software = g_strdup(ticket->endpoint->software);
 	rt_record_first_token(ticket, now_us);
 	rt_prefix_record(ctx, ticket, now_us);
 	clear_backoff(ticket->ep);
--- a/src/core/rt.h
+++ b/src/core/rt.h
@@ -28,6 +28,8 @@
 	uint32_t max_tokens;
 	uint64_t prefix_hashes[8]; /* of growing prompt prefixes; 0 ends */
 	const char *exclude;	   /* endpoint not to use (retry), or NULL */
+	const char *software;	   /* the caller has a part from an endpoint
+				      with this version; NULL: none */
 	bool suspect; /* suspected of crashing endpoints; one per endpoint */
 };
 
--- a/src/core/rt_int.h
+++ b/src/core/rt_int.h
@@ -147,6 +147,7 @@
 	struct rt_budget *budget;
 	char *version;	   /* version in force when submitted, or NULL */
 	char *exclude;	   /* endpoint id, or NULL */
+	char *software;	   /* of the endpoint that sent the first token */
 	struct view *view; /* view at the dispatch; owned reference */
 	const Dsp__Endpoint *endpoint; /* in view */
 	struct rt_ep *ep;
--- a/src/traffic/api_endpoint.c
+++ b/src/traffic/api_endpoint.c
@@ -10,6 +10,8 @@
 
 #define COPIES_MAX 4096
 #define RESULTS_MAX 4096
+/* As trf_target.software. */
+#define SOFTWARE_MAX 256
 
 /* Reads the members of a JSON object and records the first invalid one. */
 struct reader {
@@ -223,6 +225,9 @@
 	e->accelerators = get_u32(in, "accelerators");
 	e->accelerator_memory_mb = get_u32(in, "accelerator_memory_mb");
 	e->max_batch = get_u32(in, "max_batch");
+	e->software = get_text(in, "software");
+	if (strlen(e->software) >= SOFTWARE_MAX)
+		mark_invalid(in, "software");
 	read_copies(in, e);
 	return e;
 }
--- a/src/traffic/trf_int.h
+++ b/src/traffic/trf_int.h
@@ -95,6 +95,7 @@
 	char id[64];
 	char address[128];
 	uint64_t incarnation;
+	char software[256];
 	bool cancel;
 	bool resume;
 	bool priorities;
--- a/src/traffic/trf_route.c
+++ b/src/traffic/trf_route.c
@@ -21,6 +21,7 @@
 	g_strlcpy(t->id, e->id, sizeof(t->id));
 	g_strlcpy(t->address, e->address, sizeof(t->address));
 	t->incarnation = e->incarnation;
+	g_strlcpy(t->software, e->software, sizeof(t->software));
 	t->cancel = e->features && e->features->cancel;
 	t->resume = e->features && e->features->resume;
 	t->priorities = e->features && e->features->priorities;
--- a/src/traffic/trf_run.c
+++ b/src/traffic/trf_run.c
@@ -633,6 +633,8 @@
 	    w->decision.reason == RT_REASON_DEADLINE_UNREACHABLE) {
 		r->route.deadline_us = r->deadline_us;
 		r->route.exclude = run->target.id;
+		if (run->delivered)
+			r->route.software = run->target.software;
 		trf_route_done(r->ctx, w, run->delivered, false);
 		trf_route_submit(r->ctx, w, &r->route);
 		if (!trf_route_wait(r->ctx, w, r->deadline_us, on_wait_tick,
--- a/tests/unit/policy_world.h
+++ b/tests/unit/policy_world.h
@@ -50,6 +50,7 @@
 		Dsp__EndpointRole role = DSP__ENDPOINT_ROLE__ROLE_BOTH;
 		Dsp__EndpointState state = DSP__ENDPOINT_STATE__ENDPOINT_UP;
 		uint64_t incarnation = 1;
+		std::string software;
 		std::vector<Copy> copies;
 		bool plain = false; /* of service p; otherwise an engine of s */
 	};
@@ -187,6 +188,7 @@
 		msg.accelerators = e.accelerators;
 		msg.accelerator_memory_mb = e.memory;
 		msg.max_batch = e.batch;
+		msg.software = (char *)e.software.c_str();
 		msg.n_copies = pointers.size();
 		msg.copies = pointers.data();
 		put.endpoint = &msg;
--- a/tests/unit/rt_test.cc
+++ b/tests/unit/rt_test.cc
@@ -932,6 +932,33 @@
 }
 
 /* An adapter is served only where it and its model are ready. */
+TEST_F(Router, RestOfAnAnswerComesFromTheSameSoftware)
+{
+	model("m");
+	world.put_document();
+	for (const char *id : { "a", "b", "c", "d" }) {
+		World::Endpoint e = endpoint(id, { "m" });
+
+		e.software = id[0] < 'c' ? "v1" : "v2";
+		world.put_endpoint(e);
+	}
+	update_view();
+	for (int i = 0; i < 20; i++) {
+		struct rt_decision first = submit(request("m"));
+		struct rt_decision next;
+		std::string software = first.endpoint->software;
+
+		world.now_us += 10 * kMs;
+		rt_first_token(rt, first.ticket, world.now_us);
+		rt_retry(rt, first.ticket, world.now_us, &next);
+		if (next.outcome == RT_DISPATCH) {
+			EXPECT_EQ(next.endpoint->software, software);
+		}
+		done(first.ticket);
+		world.now_us += kS;
+	}
+}
+
 TEST_F(Router, AdapterNeedsItsModel)
 {
 	World::Endpoint both = endpoint("both", { "m", "m" });
