versions_test: a soak of streams that are taken up again

Callers begin streams, leave them and take them up again through any entry while entries or all processes are killed, stopped and started again, tables change and runners of further versions come and leave. No stream may have events of two versions.

--- a/tests/integration/versions_test.cc
+++ b/tests/integration/versions_test.cc
@@ -1,4 +1,6 @@
+#include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -70,9 +72,9 @@
 		       std::string::npos;
 	}
 
-	/* Adds a runner that breaks off streams after their second event, and
+	/* Starts a runner that breaks off streams after their second event, and
 	 * completes those that are resumed. */
-	Runner &add(const std::string &version)
+	Runner &start(const std::string &version)
 	{
 		runners.push_back(std::make_unique<Runner>(
 			"plain", "i-" + std::to_string(runners.size())));
@@ -97,6 +99,14 @@
 			return false;
 		};
 		r.beat(system.instances[0].api);
+		return r;
+	}
+
+	/* As start(), and waits until both entries know the runner. */
+	Runner &add(const std::string &version)
+	{
+		Runner &r = start(version);
+
 		EXPECT_TRUE(System::eventually([&] {
 			return knows_all(entry(0)) && knows_all(entry(1));
 		})) << system.logs();
@@ -185,6 +195,144 @@
 	}
 };
 
+/*
+ * Callers begin streams, leave them and take them up again through any entry,
+ * while processes are killed, stopped and started again, tables change, and
+ * runners of further versions come and leave, in any order and at once.
+ */
+class VersionsSoak : public Versions
+{
+      protected:
+	std::mt19937 random;
+	std::mutex lock; /* guards the fields below */
+	std::map<std::string, std::string> begun_as; /* by the later request */
+	int n_streams = 0;
+	std::atomic<bool> done{ false };
+	unsigned number = 2;
+
+	unsigned draw(unsigned n)
+	{
+		return (unsigned)(random() % n);
+	}
+
+	void use(unsigned seed)
+	{
+		std::mt19937 own(seed);
+
+		while (!done) {
+			std::string id, next;
+			Socket s;
+
+			{
+				std::lock_guard<std::mutex> guard(lock);
+
+				id = "s" + std::to_string(n_streams);
+				next = "t" + std::to_string(n_streams++);
+				begun_as[next] = id;
+			}
+			if (s.connect_to(entry(own() % 2).front) &&
+			    s.send(request("POST", "/flow/x", "host.example",
+					   attempt(id))))
+				while (s.buffer.find(event(2)) ==
+					       std::string::npos &&
+				       s.fill(1000))
+					;
+			if (s.buffer.find(event(2)) == std::string::npos)
+				continue;
+			s.shut();
+			usleep((useconds_t)(own() % 1500) * 1000);
+			go_on(entry(own() % 2), next, id);
+		}
+	}
+
+	static void drain(Runner &r)
+	{
+		std::lock_guard<std::mutex> guard(r.lock);
+
+		r.state = "draining";
+	}
+
+	void disturb()
+	{
+		System::Instance &x = entry(draw(2));
+
+		switch (draw(7)) {
+		case 0:
+			proc_kill(x.pid);
+			system.start(x);
+			break;
+		case 1:
+			kill(x.pid, SIGTERM);
+			usleep(draw(300) * 1000);
+			proc_kill(x.pid);
+			system.start(x);
+			break;
+		case 2:
+			for (size_t i = 0; i < 2; i++)
+				proc_kill(entry(i).pid);
+			for (size_t i = 0; i < 2; i++)
+				system.start(entry(i));
+			break;
+		case 3:
+			for (auto &each : system.instances)
+				proc_kill(each.pid);
+			system.start_all();
+			break;
+		case 4:
+			if (runners.size() < 10)
+				start("v" + std::to_string(runners.size() / 3));
+			break;
+		case 5:
+			if (runners.size() > 4)
+				drain(*runners[draw((unsigned)runners.size() -
+						    3)]);
+			break;
+		default:
+			kill(x.pid, SIGHUP);
+			system.put(table((int)number++));
+			break;
+		}
+	}
+
+	void run(unsigned seed)
+	{
+		std::vector<std::thread> callers;
+
+		random.seed(seed);
+		for (const char *version : { "v0", "v0", "v1" })
+			start(version);
+		for (unsigned i = 0; i < 6; i++)
+			callers.emplace_back(
+				[this, seed, i] { use(seed * 100 + i); });
+		for (int i = 0; i < 12; i++) {
+			usleep((100 + draw(900)) * 1000);
+			disturb();
+		}
+		done = true;
+		for (auto &t : callers)
+			t.join();
+	}
+
+	void check()
+	{
+		std::map<std::string, std::set<std::string>> versions;
+		int n_went_on = 0;
+
+		for (auto &r : runners)
+			for (const Message &m : r->ran_requests())
+				versions[m.field("X-Attempt-Id")].insert(
+					r->version);
+		for (const auto &pair : begun_as) {
+			if (!versions.count(pair.first))
+				continue;
+			n_went_on++;
+			EXPECT_EQ(versions[pair.first], versions[pair.second])
+				<< pair.second << " as " << pair.first;
+		}
+		EXPECT_GT(n_went_on, 0) << n_streams << " streams";
+	}
+};
+
 } // namespace
 
 TEST_F(Versions, AnswerIsNotJoinedFromTwoVersions)
@@ -329,3 +477,18 @@
 		System::eventually([&] { return engine.n_ran() > 4; }, 1000))
 		<< system.logs();
 }
+
+/* VERSIONS_SEED: only this seed. */
+TEST_F(VersionsSoak, StreamsKeepTheirVersion)
+{
+	const char *seed = getenv("VERSIONS_SEED");
+
+	run(seed ? (unsigned)atoi(seed) : 1);
+	check();
+}
+
+TEST_F(VersionsSoak, StreamsKeepTheirVersionWithOtherSeed)
+{
+	run(2);
+	check();
+}
