fwd: a stream waits for endpoints where its service has one version

A stream whose version is known was refused or broken off at once when no endpoint of it was up, also where the service has no other version and an endpoint may be added or come back in time; before, it waited for as long as its caller does. The caller's text in the log line is bounded, and a view without a mixed service does not visit the streams.

--- a/src/core/ver.c
+++ b/src/core/ver.c
@@ -23,6 +23,7 @@
 
 struct ver {
 	GHashTable *services; /* name -> version of all; NULL: several */
+	unsigned n_mixed;     /* services with several */
 	GHashTable *by_digest;
 	struct stream_list streams;
 	struct stream_list news;
@@ -112,6 +113,7 @@
 	struct stream *s;
 
 	g_hash_table_remove_all(ctx->services);
+	ctx->n_mixed = 0;
 	for (size_t i = 0; i < view_n_endpoints(view); i++) {
 		const Dsp__Endpoint *e = view_endpoint_at(view, i);
 		char *known = NULL;
@@ -122,14 +124,18 @@
 		if (listed && !known)
 			continue;
 		software = known;
-		if (!ver_add_endpoint(e, &software))
+		if (!ver_add_endpoint(e, &software)) {
 			g_hash_table_replace(ctx->services,
 					     g_strdup(e->service), NULL);
-		else if (software && !listed)
+			ctx->n_mixed++;
+		} else if (software && !listed) {
 			g_hash_table_replace(ctx->services,
 					     g_strdup(e->service),
 					     g_strdup(software));
+		}
 	}
+	if (!ctx->n_mixed)
+		return;
 	TAILQ_FOREACH (s, &ctx->streams, link)
 		tell(ctx, s);
 }
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -1456,7 +1456,9 @@
 		set_timer_at(f, f->deadline_us);
 		return false;
 	case EDGE_VERSION_KNOWN:
+		/* Where there is one version, endpoints of it may be added. */
 		if (!version->software ||
+		    !edge_versions_are_mixed(f->edge->versions, f->service) ||
 		    bal_has_software(f->edge->bal, f->service,
 				     version->software))
 			return true;
@@ -1534,7 +1536,7 @@
 		(struct fwd *)((char *)item - offsetof(struct fwd, version));
 
 	LOG_EVENT_INFO("fwd", "version_found",
-		       "request=%s resumes=%s service=%s state=%d "
+		       "request=%s resumes=%.64s service=%s state=%d "
 		       "software=\"%s\" waited_us=%" PRId64
 		       " view=%" G_GUINT64_FORMAT " view_age_us=%" PRId64,
 		       log_id(f), f->request.resumes, f->service,
