edge: no acknowledgement of a withdrawal that the view knows nothing of

Cause, read in the code: a withdrawal of an endpoint that the instance's own view does not have, or of a later process of it, was answered with 200 and never reached the leader. An instance whose view is behind thus acknowledged what the entries with a newer view knew nothing of.

Change: 503, so that the endpoint goes to the next instance. A process that is older than the known one has ended, and is acknowledged as before. edge: withdrawal_unknown and dandelionspar_withdrawals_unknown tell.

Test: Platform.WithdrawalOfAnUnknownProcessIsNotAcknowledged failed before.

--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -1,5 +1,6 @@
 #include "edge/edge_int.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <xxhash.h>
@@ -240,6 +241,24 @@
 	dsp__announcement__free_unpacked(a, NULL);
 }
 
+/* Refuses a withdrawal of a process that the view does not have yet: others may
+ * have it already, and would send it requests after an acknowledgement. */
+static void refuse_withdrawal(struct edge *ctx, struct hio_exchange *exchange,
+			      const char *id, uint64_t incarnation,
+			      const Dsp__Endpoint *known)
+{
+	g_autofree char *escaped = g_strescape(id, NULL);
+
+	met_count(ctx->met, "dandelionspar_withdrawals_unknown", "", 1);
+	LOG_EVENT_INFO("edge", "withdrawal_unknown",
+		       "endpoint=%.128s incarnation=%" G_GUINT64_FORMAT
+		       " known=%" G_GUINT64_FORMAT " view=%" G_GUINT64_FORMAT
+		       " view_age_us=%" PRId64,
+		       escaped, incarnation, known ? known->incarnation : 0,
+		       view_index(ctx->view), ctl_state(ctx->ctl).stale_us);
+	reply_error(exchange, 503, "the endpoint is not known here");
+}
+
 static void withdraw(struct edge *ctx, struct hio_exchange *exchange,
 		     const char *id)
 {
@@ -254,10 +273,12 @@
 	}
 	if (!has_leader_contact(ctx))
 		reply_error(exchange, 503, "no contact with the leader");
-	else if (!known || (incarnation && incarnation != known->incarnation))
+	else if (known && incarnation && incarnation < known->incarnation)
 		reply_text(exchange, 200, "application/json", "{}");
-	else
+	else if (known && (!incarnation || incarnation == known->incarnation))
 		commit_leaving(ctx, exchange, known);
+	else
+		refuse_withdrawal(ctx, exchange, id, incarnation, known);
 }
 
 /* ---- Operators ---- */
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -1328,6 +1328,26 @@
 	EXPECT_EQ(a.n_ran(), before);
 }
 
+/* An instance that is behind must not acknowledge what it knows nothing of. */
+TEST_F(Platform, WithdrawalOfAnUnknownProcessIsNotAcknowledged)
+{
+	auto withdraw = [&](const std::string &id, const std::string &born) {
+		return call(system.instances[0].api,
+			    request("DELETE", "/dandelionspar/instances/" + id,
+				    "control",
+				    "Content-Type: application/json\r\n",
+				    "{\"born\":" + born + "}"),
+			    2000)
+			.status();
+	};
+
+	add_a();
+	EXPECT_EQ(withdraw("i-unknown", "1000"), 503);
+	EXPECT_EQ(withdraw("i-a", "1001"), 503);
+	EXPECT_EQ(withdraw("i-a", "999"), 200);
+	EXPECT_EQ(withdraw("i-a", "1000"), 200);
+}
+
 TEST_F(Platform, ReusedAddressIsNotTakenForTheEndpointBefore)
 {
 	add_a();
