ctl: fewer messages for streams of several versions

Cause: relays sent a report each 30 ms instead of 100 ms while streams of a mixed service began, the leader committed 20 commands a second for them, and each question about a stream was one more entry of the log.

Change: reports with streams leave after 100 ms, as those of relays do anyway, the leader proposes five commands a second, and a leader that a quorum has answered within an election timeout answers questions from its state. What began in the last 0.2 to 0.4 s before the loss of an entry is not known then, instead of 0.05 to 0.15 s.

--- a/src/core/st.c
+++ b/src/core/st.c
@@ -177,7 +177,7 @@
 	case DSP__COMMAND__BODY_STREAMS_BEGUN:
 		return streams_begun(ctx, command->streams_begun);
 	case DSP__COMMAND__BODY_STREAMS_FIND:
-		return streams_find(ctx, command->streams_find);
+		return st_find_streams(ctx, command->streams_find);
 	case DSP__COMMAND__BODY_EXPIRE:
 		return st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
 	default:
--- a/src/core/st.h
+++ b/src/core/st.h
@@ -56,6 +56,9 @@
 const Dsp__Claim *st_claim(const struct st *ctx, const char *team,
 			   const char *request_id);
 size_t st_claims_open(const struct st *ctx, const Dsp__Claim ***out);
+/* As the command StreamsFind, without a log index. */
+Dsp__CommandResult *st_find_streams(const struct st *ctx,
+				    const Dsp__StreamsFind *find);
 size_t st_streams(const struct st *ctx);
 uint64_t st_parts_due_ms(const struct st *ctx);
 size_t st_suspects(const struct st *ctx, const Dsp__Suspect ***out);
--- a/src/core/st_private.h
+++ b/src/core/st_private.h
@@ -305,7 +305,6 @@
 
 /* st_stream.c */
 Dsp__CommandResult *streams_begun(struct st *ctx, const Dsp__StreamsBegun *cmd);
-Dsp__CommandResult *streams_find(struct st *ctx, const Dsp__StreamsFind *cmd);
 void streams_expire(struct st *ctx);
 void streams_visit(const struct st *ctx,
 		   void (*visit)(void *data, const Dsp__StreamGroup *group),
--- a/src/core/st_stream.c
+++ b/src/core/st_stream.c
@@ -104,7 +104,8 @@
 }
 
 /* Tells with which software streams of a service began. */
-Dsp__CommandResult *streams_find(struct st *ctx, const Dsp__StreamsFind *cmd)
+Dsp__CommandResult *st_find_streams(const struct st *ctx,
+				    const Dsp__StreamsFind *cmd)
 {
 	Dsp__CommandResult *result =
 		st_result(ctx, DSP__RESULT_CODE__RESULT_OK, NULL);
--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -307,6 +307,7 @@
 static bool propose(struct ctl *ctx, struct ctl_call *call)
 {
 	struct ctl_waiter *waiter = ctl_waiter_new(CTL_WAIT_CALL);
+	Dsp__CommandResult *read;
 	Dsp__Command *command;
 	bool ok;
 
@@ -316,6 +317,13 @@
 	} else {
 		command = dsp__command__unpack(NULL, call->command_len,
 					       call->command);
+		read = command ? ctl_raft_read(ctx, command) : NULL;
+		if (read) {
+			finish_with_result(ctx, call, read);
+			dsp__command__free_unpacked(command, NULL);
+			g_free(waiter);
+			return true;
+		}
 		ok = command && ctl_raft_propose(ctx, command, waiter);
 		if (command)
 			dsp__command__free_unpacked(command, NULL);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -504,6 +504,7 @@
 void ctl_member_report(struct ctl *ctx, const Dsp__Report *report);
 
 /* ctl_parts.c */
+Dsp__CommandResult *ctl_raft_read(struct ctl *ctx, const Dsp__Command *command);
 bool ctl_raft_members_read(const struct ctl *ctx, uint32_t format);
 void ctl_stream_add(struct ctl *ctx, const Dsp__StreamsBegun *begun);
 Dsp__StreamsBegun *ctl_stream_take(struct ctl *ctx);
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -117,6 +117,23 @@
 		   NULL);
 }
 
+/*
+ * Answers a command that only reads, or returns NULL if it has to go through
+ * the log: this replica may have been deposed. While a quorum has answered it
+ * within an election timeout, no other one leads.
+ */
+Dsp__CommandResult *ctl_raft_read(struct ctl *ctx, const Dsp__Command *command)
+{
+	int64_t lease_us = (int64_t)ctx->set->election_timeout_ms * 1000;
+
+	if (command->body_case != DSP__COMMAND__BODY_STREAMS_FIND ||
+	    !ctx->ready_leader ||
+	    clk_now_us(ctx->clock) - raft_quorum_contact_us(ctx->raft) >=
+		    lease_us)
+		return NULL;
+	return st_find_streams(ctx->st, command->streams_find);
+}
+
 static bool propose_forward(struct ctl *ctx, const Dsp__Forward *in,
 			    Dsp__Command *command, struct ctl_forward *forward)
 {
@@ -143,6 +160,7 @@
 {
 	struct ctl_forward *forward;
 	Dsp__CommandResult *rejection = NULL;
+	Dsp__CommandResult *read;
 	Dsp__Command *command = NULL;
 
 	if (in->replace_replica)
@@ -158,6 +176,14 @@
 		g_free(key);
 		return;
 	}
+	read = command ? ctl_raft_read(ctx, command) : NULL;
+	if (read) {
+		send_reply(ctx, from->address, in->id, in->boot, read, NULL);
+		dsp__command_result__free_unpacked(read, NULL);
+		dsp__command__free_unpacked(command, NULL);
+		g_free(key);
+		return;
+	}
 	forward = g_new0(struct ctl_forward, 1);
 	forward->key = key;
 	forward->address = g_strdup(from->address);
--- a/src/node/ctl_stream.c
+++ b/src/node/ctl_stream.c
@@ -9,11 +9,12 @@
  * lost on the way is not known, so it is not resumed; nothing waits for them.
  */
 
-/* Delay of a report with streams, so that several share it. Most streams last
- * less than a second, so what is reported later is of little use. */
-#define REPORT_DELAY_US 30000
-/* Shortest interval between two commands; bounds the growth of the log. */
-#define PROPOSE_INTERVAL_US 50000
+/* Delay of a report with streams, so that several share it. A stream whose
+ * entry is lost before is not known. */
+#define REPORT_DELAY_US 100000
+/* Shortest interval between two commands; bounds the growth of the log and the
+ * work of the voters. */
+#define PROPOSE_INTERVAL_US 200000
 /* Streams that wait for a report or a command; further ones are dropped. */
 #define PENDING_MAX 32768
 
