--- a/review/lib-2/rig.h
+++ b/review/lib-2/rig.h
@@ -630,6 +630,9 @@
 {
       public:
 	using Run = std::function<void(Runner &, Socket &, const Message &)>;
+	/* Answers a call of the giver of orders; false: the rig does. */
+	using Control =
+		std::function<bool(Runner &, Socket &, const Message &)>;
 
 	Runner(const std::string &service, const std::string &id, Run run,
 	       const std::vector<std::string> &models = {},
@@ -754,24 +757,34 @@
 	std::atomic<int> n_ran{ 0 };
 	std::atomic<int> n_orders{ 0 };
 	std::atomic<long> seq{ 0 };
+	Control control;
+	/* The models that it announces, as JSON; instead of models. */
+	std::function<std::string()> models_text;
+	void reply_json(Socket &s, int status, const std::string &body)
+	{
+		s.send(json_answer(status, body));
+	}
+	static std::string json_answer(int status, const std::string &body)
+	{
+		return "HTTP/1.1 " + std::to_string(status) +
+		       " X\r\nContent-Type: application/json\r\n"
+		       "Content-Length: " +
+		       std::to_string(body.size()) + "\r\n\r\n" + body;
+	}
 
       private:
 	std::string models_json() const
 	{
 		std::string out = "[";
 
+		if (models_text)
+			return models_text();
+
 		for (size_t i = 0; i < models.size(); i++)
 			out += (i ? "," : "") + std::string("{\"name\":\"") +
 			       models[i] + "\",\"version\":1,\"adapters\":[]}";
 		return out + "]";
 	}
-	void reply_json(Socket &s, int status, const std::string &body)
-	{
-		s.send("HTTP/1.1 " + std::to_string(status) +
-		       " X\r\nContent-Type: application/json\r\n"
-		       "Content-Length: " +
-		       std::to_string(body.size()) + "\r\n\r\n" + body);
-	}
 	void serve(int fd)
 	{
 		Socket s(fd);
@@ -786,7 +799,10 @@
 				s.send(head(m, 421, 0));
 				continue;
 			}
-			if (m.target() == "/health") {
+			if (m.target().rfind("/dandelionspar/", 0) == 0 &&
+			    control && control(*this, s, m)) {
+				continue;
+			} else if (m.target() == "/health") {
 				reply_json(s, 200, "{}");
 			} else if (m.target() == "/dandelionspar/report") {
 				reply_json(s, 200,
