ctl: logs, counts and reports a repair or a commit without progress

A leader now logs group_stalled after 3 s without progress, with each member's last index and the age of its last message, counts it, and shows the time in its status and metrics. A replica that has no address for another one logs raft_unaddressed: its answer was dropped in silence.

No decision changes.

--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -485,6 +485,7 @@
 	ctl_raft_confirm(ctx);
 	ctl_report_push(ctx);
 	ctl_raft_expire_forwards(ctx);
+	ctl_watch_run(ctx);
 	ctl_status_metrics(ctx);
 	trim_memory(ctx);
 }
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -263,6 +263,12 @@
 	CTL_SPREAD_DONE,
 };
 
+/* Progress of a leader (ctl_watch.c). */
+struct ctl_watch {
+	struct ctl_stall commit;
+	struct ctl_stall repair;
+};
+
 struct ctl {
 	/* Set at start, constant afterwards. */
 	const struct set *set;
@@ -315,6 +321,7 @@
 	bool saw_group_formation;
 	int64_t leader_since_us;   /* start of the own leadership */
 	GHashTable *replica_heard; /* replica -> time of its last message */
+	int64_t unaddressed_us;	   /* last log line about such a message */
 	struct ctl_waiters waiters;
 	struct ctl_waiters orphans;	   /* waiters of earlier leaderships */
 	GHashTable *forwards;		   /* key -> struct ctl_forward */
@@ -391,6 +398,7 @@
 	GHashTable *endpoints; /* endpoint id -> struct ctl_endpoint */
 	GHashTable *orders;    /* id -> struct ctl_order */
 	enum ctl_repair_step repair;
+	struct ctl_watch watch;
 	struct ctl_sender *sender;
 	/* Newest route table of this leadership. */
 	uint64_t spread_index;	 /* its view index; 0: none */
@@ -549,6 +557,10 @@
 void ctl_order_copies(struct ctl *ctx, const Dsp__Endpoint *endpoint);
 void ctl_order_stop_sending(struct ctl *ctx);
 
+/* ctl_watch.c */
+void ctl_watch_run(struct ctl *ctx);
+int64_t ctl_watch_stalled_us(const struct ctl *ctx);
+
 /* ctl_status.c */
 char *ctl_status_build(struct ctl *ctx);
 void ctl_status_metrics(struct ctl *ctx);
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -18,6 +18,8 @@
  * after which the group treats a silent replica as gone. Each attempt writes
  * one log line. */
 #define REOPEN_INTERVAL_US 500000
+/* Shortest time between log lines about messages without an address. */
+#define UNADDRESSED_LOG_US CTL_S_US
 
 static Dsp__CommandResult *result_new(Dsp__ResultCode code, const char *message)
 {
@@ -876,14 +878,34 @@
 	return !any || sto_sync(ctx->sto, error);
 }
 
+/* Logs, at most once a second, a message to a replica without a known address:
+ * its sender waits for it. */
+static void log_unaddressed(struct ctl *ctx, const Dsp__RaftMessage *msg)
+{
+	met_count(ctx->met, "dandelionspar_raft_messages_unaddressed", "", 1);
+	if (ctx->unaddressed_us &&
+	    ctx->now_us - ctx->unaddressed_us < UNADDRESSED_LOG_US)
+		return;
+	ctx->unaddressed_us = ctx->now_us;
+	LOG_EVENT_WARN("ctl", "raft_unaddressed",
+		       "to=%016" G_GINT64_MODIFIER "x term=%" G_GUINT64_FORMAT
+		       " body=%d members=%zu",
+		       msg->to, msg->term, (int)msg->body_case,
+		       raft_config(ctx->raft)->n_members);
+}
+
 static void send_raft_message(struct ctl *ctx, Dsp__RaftMessage *msg)
 {
 	Dsp__Envelope out = DSP__ENVELOPE__INIT;
 	const char *address = replica_address(ctx, msg->to);
 
+	if (!address || !address[0]) {
+		log_unaddressed(ctx, msg);
+		return;
+	}
 	out.body_case = DSP__ENVELOPE__BODY_RAFT;
 	out.raft = msg;
-	if (address && address[0] && raft_overtakes(msg))
+	if (raft_overtakes(msg))
 		net_send_ahead(ctx->net, address, &out);
 	else
 		ctl_send(ctx, address, &out);
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -462,3 +462,31 @@
 		return NO_DUPLICATE_RESEND_US;
 	return MIN(RESEND_US << MIN(doublings, 3), RESEND_MAX_US);
 }
+
+/* Returns for how long something pending has made no progress. */
+int64_t ctl_stall_us(const struct ctl_stall *stall, int64_t now_us)
+{
+	return stall->since_us ? now_us - stall->since_us : 0;
+}
+
+/* Records the position of something that should progress while it is pending.
+ * Returns true once for each limit_us that passes without progress. */
+bool ctl_stall_update(struct ctl_stall *stall, bool pending, uint64_t position,
+		      int64_t now_us, int64_t limit_us)
+{
+	if (!pending) {
+		*stall = (struct ctl_stall){ 0 };
+		return false;
+	}
+	if (!stall->since_us || stall->position != position) {
+		*stall = (struct ctl_stall){
+			.position = position,
+			.since_us = now_us,
+		};
+		return false;
+	}
+	if (now_us - MAX(stall->since_us, stall->logged_us) < limit_us)
+		return false;
+	stall->logged_us = now_us;
+	return true;
+}
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -122,6 +122,17 @@
 			     uint64_t incarnation, enum ctl_numbering numbering,
 			     int64_t now_us);
 
+/* Something that should progress while it is pending. */
+struct ctl_stall {
+	uint64_t position;
+	int64_t since_us;  /* last progress; 0: not pending */
+	int64_t logged_us; /* last time that the caller was told; 0: never */
+};
+
+bool ctl_stall_update(struct ctl_stall *stall, bool pending, uint64_t position,
+		      int64_t now_us, int64_t limit_us);
+int64_t ctl_stall_us(const struct ctl_stall *stall, int64_t now_us);
+
 /* Sends of an order without a final answer. */
 struct ctl_order_sends {
 	unsigned sends;	   /* that may have arrived */
--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -348,6 +348,11 @@
 	if (table && table->customers)
 		json_object_set_new(root, "customers",
 				    customers_json(table->customers));
+	if (ctl_raft_is_leader(ctx))
+		json_object_set_new(
+			root, "stalled_ms",
+			json_integer((json_int_t)(ctl_watch_stalled_us(ctx) /
+						  1000)));
 	if (ctx->raft) {
 		json_object_set_new(root, "replica", id_json(ctx->replica));
 		json_object_set_new(root, "group", id_json(ctx->group));
@@ -411,6 +416,8 @@
 	gauge(ctx, "dandelionspar_raft_commit_index",
 	      raft_commit_index(ctx->raft));
 	gauge(ctx, "dandelionspar_raft_applied_index", ctx->applied_index);
+	gauge(ctx, "dandelionspar_group_stalled_ms",
+	      (uint64_t)ctl_watch_stalled_us(ctx) / 1000);
 	gauge(ctx, "dandelionspar_log_bytes", sto_log_bytes(ctx->sto));
 	gauge(ctx, "dandelionspar_log_syncs", sto_syncs(ctx->sto));
 	if (ctx->plc)
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -669,3 +669,20 @@
 	EXPECT_EQ(ctl_rule_report_before_us(1000 * MS, 100 * MS, 990 * MS),
 		  1065 * MS);
 }
+
+/* Guards against a repair or a commit that waits forever in silence. */
+TEST(Stall, IsToldOnceForEachLimitWithoutProgress)
+{
+	struct ctl_stall stall = {};
+
+	EXPECT_FALSE(ctl_stall_update(&stall, true, 7, 1 * S, 3 * S));
+	EXPECT_FALSE(ctl_stall_update(&stall, true, 7, 3 * S, 3 * S));
+	EXPECT_TRUE(ctl_stall_update(&stall, true, 7, 4 * S, 3 * S));
+	EXPECT_FALSE(ctl_stall_update(&stall, true, 7, 5 * S, 3 * S));
+	EXPECT_TRUE(ctl_stall_update(&stall, true, 7, 7 * S, 3 * S));
+	EXPECT_EQ(ctl_stall_us(&stall, 7 * S), 6 * S);
+	EXPECT_FALSE(ctl_stall_update(&stall, true, 8, 8 * S, 3 * S));
+	EXPECT_EQ(ctl_stall_us(&stall, 8 * S), 0);
+	EXPECT_FALSE(ctl_stall_update(&stall, false, 8, 20 * S, 3 * S));
+	EXPECT_EQ(ctl_stall_us(&stall, 20 * S), 0);
+}
