ctl: answers a replica that joined after the last known membership

Cause: a replica looked up the receiver of each Raft message in its own membership. A learner then stays at catch_up, since the leader waits for the answer that tells it where to start, and a candidate that needs such a voter gets no majority. The newer membership would end this, but it comes only with the entries that wait for the answer. It mostly went well because a new learner gets the present membership with the group, which counts until old entries are applied, and the leader sends the rest of the log without waiting for each answer.

Change: the sender's node and address are kept with the time of its last message, and used for replicas that no membership and no join request names; also to tell the instance who leads. Kept for 10 s after the last message, longer for members and the last leader. A wrong address does no harm: a message names the replica that it is for, others ignore it.

Both tests failed on the code before, each time (learner at match=0 for 20 s; no leader with three of five voters for 20 s), and pass now. Ruled out: connections (reset_silent goes on beside it, to instances that are gone), disks, elections by themselves (terms do not move in the first test).

--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -181,7 +181,7 @@
 			     g_strdup(e->address));
 	switch (e->body_case) {
 	case DSP__ENVELOPE__BODY_RAFT:
-		ctl_raft_step(ctx, e->raft);
+		ctl_raft_step(ctx, e, e->raft);
 		break;
 	case DSP__ENVELOPE__BODY_REPORT:
 		ctl_report_receive(ctx, e, e->report);
@@ -410,14 +410,11 @@
  * overlap with those of this one. */
 static bool predecessor_may_be_active(const struct ctl *ctx)
 {
-	const int64_t *heard_us;
-
 	if (!ctx->last_leader)
 		return !ctx->saw_group_formation;
 	if (ctx->last_leader == ctx->replica)
 		return false;
-	heard_us = g_hash_table_lookup(ctx->replica_heard, &ctx->last_leader);
-	return heard_us && *heard_us >= ctx->leader_since_us;
+	return ctl_raft_heard_us(ctx, ctx->last_leader) >= ctx->leader_since_us;
 }
 
 static void publish_leadership(struct ctl *ctx)
@@ -616,7 +613,8 @@
 	ctx->view = view_new_empty();
 	ctx->wake_fd = -1;
 	ctx->addresses = table_by_string(g_free);
-	ctx->replica_heard = table_by_id();
+	ctx->replicas_seen = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, ctl_raft_seen_free);
 	ctx->forwards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      free_forward);
 	ctx->joins = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -658,7 +656,7 @@
 		close(ctx->wake_fd);
 	view_unref(ctx->view);
 	g_hash_table_destroy(ctx->addresses);
-	g_hash_table_destroy(ctx->replica_heard);
+	g_hash_table_destroy(ctx->replicas_seen);
 	g_hash_table_destroy(ctx->forwards);
 	g_hash_table_destroy(ctx->joins);
 	g_hash_table_destroy(ctx->calls_by_id);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -263,6 +263,13 @@
 	CTL_SPREAD_DONE,
 };
 
+/* The last message of another replica of the group. */
+struct ctl_replica_seen {
+	int64_t heard_us;
+	char *node;    /* owned; id of its instance */
+	char *address; /* owned; where its instance takes answers */
+};
+
 /* Progress of a leader (ctl_watch.c). */
 struct ctl_watch {
 	struct ctl_stall commit;
@@ -320,7 +327,7 @@
 	 * leader that it does not know of. */
 	bool saw_group_formation;
 	int64_t leader_since_us;   /* start of the own leadership */
-	GHashTable *replica_heard; /* replica -> time of its last message */
+	GHashTable *replicas_seen; /* replica -> struct ctl_replica_seen */
 	int64_t unaddressed_us;	   /* last log line about such a message */
 	struct ctl_waiters waiters;
 	struct ctl_waiters orphans;	   /* waiters of earlier leaderships */
@@ -444,7 +451,10 @@
 bool ctl_raft_set_group(struct ctl *ctx, uint64_t group,
 			const Dsp__RaftConfig *config);
 void ctl_raft_close(struct ctl *ctx);
-void ctl_raft_step(struct ctl *ctx, const Dsp__RaftMessage *msg);
+void ctl_raft_step(struct ctl *ctx, const Dsp__Envelope *from,
+		   const Dsp__RaftMessage *msg);
+int64_t ctl_raft_heard_us(const struct ctl *ctx, uint64_t replica);
+void ctl_raft_seen_free(void *seen);
 void ctl_raft_run(struct ctl *ctx);
 void ctl_raft_confirm(struct ctl *ctx);
 bool ctl_raft_is_leader(const struct ctl *ctx);
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -514,19 +514,15 @@
 static bool replica_alive(void *data, uint64_t replica)
 {
 	const struct ctl *ctx = data;
-	const int64_t *heard_us =
-		g_hash_table_lookup(ctx->replica_heard, &replica);
+	int64_t heard_us = ctl_raft_heard_us(ctx, replica);
 
 	return replica == ctx->replica ||
-	       (heard_us && ctx->now_us - *heard_us < REPLICA_ALIVE_US);
+	       (heard_us && ctx->now_us - heard_us < REPLICA_ALIVE_US);
 }
 
 static int64_t silent_since_us(const struct ctl *ctx, uint64_t replica)
 {
-	const int64_t *heard_us =
-		g_hash_table_lookup(ctx->replica_heard, &replica);
-
-	return ctl_rule_silent_since_us(heard_us ? *heard_us : 0,
+	return ctl_rule_silent_since_us(ctl_raft_heard_us(ctx, replica),
 					ctx->leader_since_us,
 					replica == ctx->last_leader);
 }
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -18,6 +18,9 @@
  * after which the group treats a silent replica as gone. Each attempt writes
  * one log line. */
 #define REOPEN_INTERVAL_US 500000
+/* How long the sender of a message is remembered that is no member. Its next
+ * message renews it. */
+#define REPLICA_KEEP_US (10LL * CTL_S_US)
 /* Shortest time between log lines about messages without an address. */
 #define UNADDRESSED_LOG_US CTL_S_US
 
@@ -582,9 +585,34 @@
 	return ctx->raft && raft_role(ctx->raft) == RAFT_LEADER;
 }
 
+/* Frees a struct ctl_replica_seen. */
+void ctl_raft_seen_free(void *data)
+{
+	struct ctl_replica_seen *seen = data;
+
+	g_free(seen->node);
+	g_free(seen->address);
+	g_free(seen);
+}
+
+/* Returns the time of a replica's last message, or 0. */
+int64_t ctl_raft_heard_us(const struct ctl *ctx, uint64_t replica)
+{
+	const struct ctl_replica_seen *seen =
+		g_hash_table_lookup(ctx->replicas_seen, &replica);
+
+	return seen ? seen->heard_us : 0;
+}
+
+/*
+ * Returns the address of a replica, or NULL. A leader or a candidate may have
+ * joined after the last membership that this replica has. It still must get its
+ * answers, since they are what brings this replica the newer membership.
+ */
 static const char *replica_address(struct ctl *ctx, uint64_t replica)
 {
 	const Dsp__Member *m = find_member(raft_config(ctx->raft), replica);
+	const struct ctl_replica_seen *sender;
 	struct ctl_join *join;
 	const char *seen;
 
@@ -597,17 +625,56 @@
 		return seen ? seen : m->address;
 	}
 	join = g_hash_table_lookup(ctx->joins, &replica);
-	return join ? join->member->address : NULL;
+	if (join)
+		return join->member->address;
+	sender = g_hash_table_lookup(ctx->replicas_seen, &replica);
+	return sender ? sender->address : NULL;
+}
+
+static gboolean may_forget(void *key, void *value, void *data)
+{
+	const struct ctl *ctx = data;
+	const struct ctl_replica_seen *seen = value;
+	uint64_t replica = *(const uint64_t *)key;
+
+	return ctx->now_us - seen->heard_us > REPLICA_KEEP_US &&
+	       replica != ctx->last_leader &&
+	       !find_member(raft_config(ctx->raft), replica) &&
+	       !find_member(ctx->applied_config, replica);
+}
+
+/* Remembers when and from where a replica sent a message. */
+static void record_sender(struct ctl *ctx, const Dsp__Envelope *from,
+			  uint64_t replica)
+{
+	struct ctl_replica_seen *seen =
+		g_hash_table_lookup(ctx->replicas_seen, &replica);
+
+	if (!seen) {
+		g_hash_table_foreach_remove(ctx->replicas_seen, may_forget,
+					    ctx);
+		seen = g_new0(struct ctl_replica_seen, 1);
+		g_hash_table_insert(ctx->replicas_seen,
+				    g_memdup2(&replica, sizeof(replica)), seen);
+	}
+	seen->heard_us = ctx->now_us;
+	if (g_strcmp0(seen->node, from->from) != 0) {
+		g_free(seen->node);
+		seen->node = g_strdup(from->from);
+	}
+	if (g_strcmp0(seen->address, from->address) != 0) {
+		g_free(seen->address);
+		seen->address = g_strdup(from->address);
+	}
 }
 
 /* Handles a Raft message of another replica. */
-void ctl_raft_step(struct ctl *ctx, const Dsp__RaftMessage *msg)
+void ctl_raft_step(struct ctl *ctx, const Dsp__Envelope *from,
+		   const Dsp__RaftMessage *msg)
 {
 	if (!ctx->raft || msg->to != ctx->replica || msg->group != ctx->group)
 		return;
-	g_hash_table_replace(ctx->replica_heard,
-			     g_memdup2(&msg->from, sizeof(msg->from)),
-			     g_memdup2(&ctx->now_us, sizeof(ctx->now_us)));
+	record_sender(ctx, from, msg->from);
 	raft_step(ctx->raft, msg, ctx->now_us);
 }
 
@@ -936,12 +1003,19 @@
 	uint64_t leader = raft_leader(ctx->raft);
 	const Dsp__Member *m =
 		leader ? find_member(raft_config(ctx->raft), leader) : NULL;
+	const struct ctl_replica_seen *seen;
 
 	if (leader && leader != ctx->replica)
 		ctx->last_leader = leader;
-	if (m)
+	if (m) {
 		ctl_report_set_leader(ctx, raft_term(ctx->raft), m->node,
 				      replica_address(ctx, leader));
+		return;
+	}
+	seen = leader ? g_hash_table_lookup(ctx->replicas_seen, &leader) : NULL;
+	if (seen)
+		ctl_report_set_leader(ctx, raft_term(ctx->raft), seen->node,
+				      seen->address);
 }
 
 static void update_role(struct ctl *ctx)
--- a/src/node/ctl_watch.c
+++ b/src/node/ctl_watch.c
@@ -16,12 +16,11 @@
 
 static int64_t heard_ms_ago(const struct ctl *ctx, uint64_t replica)
 {
-	const int64_t *heard_us =
-		g_hash_table_lookup(ctx->replica_heard, &replica);
+	int64_t heard_us = ctl_raft_heard_us(ctx, replica);
 
 	if (replica == ctx->replica)
 		return 0;
-	return heard_us ? (ctx->now_us - *heard_us) / 1000 : -1;
+	return heard_us ? (ctx->now_us - heard_us) / 1000 : -1;
 }
 
 /* Returns what the leader knows of each member: its last index, and how long
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -1068,12 +1068,13 @@
       protected:
 	static constexpr size_t SEEDS = 3;
 	size_t voters = 0;
+	size_t n_removed = 0; /* stopped instances that left the group */
 
 	/* Starts the control instances of a group that bears the loss of this
 	 * many disks at once, each on an address of its own. */
-	void start_seeded(size_t losses)
+	void start_seeded(size_t losses, size_t learners = 1)
 	{
-		size_t n = 2 * losses + 2;
+		size_t n = 2 * losses + 1 + learners;
 		int port = proc_free_port();
 		std::string seeds;
 
@@ -1133,19 +1134,48 @@
 		return n;
 	}
 
-	/* True when every instance is a member of the group with the disk that
-	 * it has now, all but one as voters. */
+	/* True when every running instance is a member of the group with the
+	 * disk that it has now, and the group has all of its voters. */
 	bool is_complete()
 	{
 		Instance *at = leader();
 
+		if (!at || at->has_status("replaces the old replica"))
+			return false;
 		for (auto &instance : all)
-			if (!at ||
+			if (instance->ctl &&
 			    !at->has_status("{\"replica\":\"" +
 					    replica_of(*instance) + "\""))
 				return false;
 		return count_members("voter") == voters &&
-		       count_members("learner") == 1;
+		       count_members("learner") ==
+			       all.size() - voters - n_removed;
+	}
+
+	/* Returns a voter that does not lead, or NULL. */
+	Instance *follower()
+	{
+		for (auto &instance : all)
+			if (instance.get() != leader() &&
+			    is_in_state(*instance, "voter"))
+				return instance.get();
+		return nullptr;
+	}
+
+	/* Replaces the disks of all running instances, one after the other, so
+	 * that no replica of before is left among them. */
+	void replace_disks()
+	{
+		for (auto &instance : all) {
+			if (!instance->ctl)
+				continue;
+			instance->stop();
+			lose_disk(*instance);
+			instance->start();
+			ASSERT_TRUE(wait_until([&] { return is_complete(); }))
+				<< "no repair after the loss of the disk of "
+				<< instance->id;
+		}
 	}
 
 	/* Returns the identity of the instance's replica, or "none". */
@@ -1163,6 +1193,33 @@
 		return text.substr(at, text.find('"', at) - at);
 	}
 
+	/* True when the leader knows that the instance has its whole log. */
+	bool catches_up(Instance &instance)
+	{
+		Instance *at = leader();
+		uint64_t last = at ? match_of(*at, *at) : 0;
+
+		return last && match_of(*at, instance) >= last;
+	}
+
+	/* Returns the last index of an instance's log that the leader knows, or
+	 * 0. */
+	static uint64_t match_of(Instance &at, Instance &instance)
+	{
+		const std::string key = "\"match\":";
+		char *json = ctl_status_json(at.ctl);
+		std::string text = json;
+		size_t row = text.find("{\"replica\":\"" +
+				       replica_of(instance) + "\"");
+		size_t field = text.find(key, row);
+
+		g_free(json);
+		if (row == std::string::npos || field == std::string::npos ||
+		    field > text.find('}', row))
+			return 0;
+		return strtoull(text.c_str() + field + key.size(), NULL, 10);
+	}
+
 	void lose_disk(const Instance &instance)
 	{
 		std::string command = "rm -rf " + instance.folder;
@@ -1203,6 +1260,61 @@
 		EXPECT_EQ(get_table(*instance, WAIT_US), 9u);
 }
 
+/* Guards against a replica that catches up no more after all others were
+ * replaced while it was away: it has no member's address for the leader. */
+TEST_F(ControlSeeds, ReplicaOfAnOldMembershipCatchesUp)
+{
+	Instance *away;
+
+	start_seeded(1);
+	ASSERT_TRUE(put_table(*all[0], 1));
+	ASSERT_NE(away = follower(), nullptr);
+	away->stop();
+	ASSERT_TRUE(wait_until([&] {
+		return !is_in_state(*away, "voter") &&
+		       count_members("voter") == voters;
+	})) << away->id
+	    << " was not replaced";
+	n_removed = 1;
+	replace_disks();
+	ASSERT_FALSE(HasFatalFailure());
+	n_removed = 0;
+	away->start();
+	EXPECT_TRUE(wait_until([&] { return is_in_state(*away, "learner"); }));
+	EXPECT_TRUE(wait_until([&] {
+		return away->has_status("\"role\":\"learner\"") &&
+		       catches_up(*away);
+	})) << away->id
+	    << " does not catch up";
+}
+
+/* Guards against a group without a leader: a voter must be able to vote for a
+ * candidate that joined while it was away. */
+TEST_F(ControlSeeds, VoterOfAnOldMembershipVotesForAReplicaThatJoinedLater)
+{
+	std::vector<Instance *> started;
+	Instance *away;
+
+	start_seeded(2, 0);
+	ASSERT_TRUE(put_table(*all[0], 1));
+	ASSERT_NE(away = follower(), nullptr);
+	away->stop();
+	replace_disks();
+	ASSERT_FALSE(HasFatalFailure());
+	ASSERT_TRUE(is_in_state(*away, "voter"));
+	for (auto &instance : all) {
+		instance->stop();
+		if (instance.get() != away && started.size() < 2)
+			started.push_back(instance.get());
+	}
+	away->start();
+	for (Instance *instance : started)
+		instance->start();
+	EXPECT_TRUE(wait_until([&] { return leader() != nullptr; }))
+		<< "no leader with three of five voters";
+	EXPECT_TRUE(put_table(*started[0], 2));
+}
+
 /*
  * Guards against faults that come one after the other while two voters of five
  * are away: CONTACT_US later a third voter loses its disk and the rest lose
