--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -5776,7 +5776,7 @@
   (ProtobufCMessageInit) dsp__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__node__field_descriptors[12] =
+static const ProtobufCFieldDescriptor dsp__node__field_descriptors[13] =
 {
   {
     "id",
@@ -5922,11 +5922,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "detour_port",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__Node, detour_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dsp__node__field_indices_by_name[] = {
   11,   /* field[11] = announce_address */
   1,   /* field[1] = boot */
   7,   /* field[7] = control */
+  12,   /* field[12] = detour_port */
   9,   /* field[9] = down */
   8,   /* field[8] = draining */
   5,   /* field[5] = http_address */
@@ -5941,7 +5954,7 @@
 {
   { 1, 0 },
   { 40, 10 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor dsp__node__descriptor =
 {
@@ -5951,7 +5964,7 @@
   "Dsp__Node",
   "dsp",
   sizeof(Dsp__Node),
-  12,
+  13,
   dsp__node__field_descriptors,
   dsp__node__field_indices_by_name,
   2,  dsp__node__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -583,10 +583,15 @@
    * IP:PORT for announcements; empty: none
    */
   char *announce_address;
+  /*
+   * Port for requests to endpoints that the sender does not reach, on the host
+   * of internal_address; 0: none are taken.
+   */
+  uint32_t detour_port;
 };
 #define DSP__NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dsp__node__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Dsp__Order
