edge: sends attempts through instances that reach the endpoint

Cause: an entry knew endpoints one by one and tried them itself only. Each attempt took 0.4 s to fail (not_connected), the request ended with no_other or at its deadline, and streams that were silent since the cut kept engines from getting prompts (reading). Nothing stated that this instance reaches none while others do.

Change: a failed connection has other entries asked whether they reach the endpoint. If one does, attempts go through it, one hop, on a port of their own; own probes find when the path works again.

detours_test: with detour_offset = 0, which is the code before, 40 of 40 requests at the entry that is cut off got 503 and none ran; all 8 cases pass.

Ruled out: a time bound. A crash is no longer taken from a refused probe where the path is lost.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 
 all: $(BUILD)/dandelionspar $(TOOLS)
 
-tests: $(TESTS)
+tests: $(TESTS) $(BUILD)/cut_connect.so
 
 deps:
 	@bash .ci/install-packages
@@ -80,6 +80,10 @@
 	@mkdir -p $(@D)
 	$(CXX) $^ -o $@ -lgmock -lgtest -lgtest_main $(LIBS)
 
+$(BUILD)/%.so: tests/preload/%.c
+	@mkdir -p $(@D)
+	$(CC) -std=gnu11 $(OPT) $(WARN) -D_GNU_SOURCE -fPIC -shared $< -o $@ -ldl
+
 proto:
 	cd src/proto && protoc-c --c_out=. messages.proto
 
--- a/src/conf/set.c
+++ b/src/conf/set.c
@@ -92,6 +92,7 @@
 	{ "control", OPT_IP_PORT, AT(control) },
 	{ "metrics", OPT_IP_PORT, AT(metrics) },
 	{ "announce", OPT_IP_PORT, AT(announce) },
+	{ "detour_offset", OPT_U32, AT(detour_offset), .max = 1000 },
 	{ "entry_validity_s", OPT_U32, AT(entry_validity_s), .min = 1,
 	  .max = 3600, .default_value = 3 },
 	{ "drain_limit_ms", OPT_U32, AT(drain_limit_ms), .min = 100,
@@ -270,6 +271,26 @@
 		check_peers(ctx, source, peers);
 }
 
+/* Derives the address for requests of instances that do not reach an endpoint
+ * from the internal one, tcp://IP:PORT. */
+static void derive_detour(struct set *ctx)
+{
+	const char *host = ctx->internal_listen;
+	const char *port = host ? strrchr(host, ':') : NULL;
+	unsigned long number;
+
+	if (!ctx->edge.detour_offset || !port ||
+	    !g_str_has_prefix(host, "tcp://"))
+		return;
+	number = strtoul(port + 1, NULL, 10) + ctx->edge.detour_offset;
+	if (number > UINT16_MAX)
+		return;
+	host += strlen("tcp://");
+	ctx->edge.detour =
+		g_strdup_printf("%.*s:%lu", (int)(port - host), host, number);
+	ctx->edge.detour_port = (uint32_t)number;
+}
+
 /*
  * Parses and validates the settings of one instance; set_free(). When the text
  * is not valid, returns NULL and adds all faults ("name:line: key: given VALUE;
@@ -306,6 +327,7 @@
 		ctx->internal_advertise = g_strdup(ctx->internal_listen);
 	if (!ctx->http_advertise)
 		ctx->http_advertise = g_strdup(ctx->http_listen);
+	derive_detour(ctx);
 	tb_free(root);
 	if (faults->len != before) {
 		set_free(ctx);
@@ -341,5 +363,6 @@
 	g_free(ctx->edge.control);
 	g_free(ctx->edge.metrics);
 	g_free(ctx->edge.announce);
+	g_free(ctx->edge.detour);
 	g_free(ctx);
 }
--- a/src/conf/set.h
+++ b/src/conf/set.h
@@ -27,6 +27,11 @@
 	char *metrics;	 /* IP:PORT; NULL: none */
 	char *announce; /* IP:PORT for endpoints that were sent here; NULL: none
 			 */
+	/* The port for requests of instances that do not reach an endpoint is
+	 * this much above the internal one; 0: there is none. */
+	uint32_t detour_offset;
+	char *detour;	      /* IP:PORT of it; derived. NULL: none */
+	uint32_t detour_port; /* derived; 0: none */
 	uint32_t entry_validity_s;
 	uint32_t drain_limit_ms; /* from the signal to the end of the process */
 	uint32_t start_wait_ms;	 /* longest wait of a request for a view */
--- a/src/core/bal.c
+++ b/src/core/bal.c
@@ -114,6 +114,7 @@
 	unsigned avoid_count; /* backoffs in a row */
 	int64_t avoid_until_us;
 	int64_t full_until_us; /* it refused a request as full */
+	bool detour;	       /* requests go through other instances */
 	bool replaced;	       /* another process uses its address */
 	bool had_local;	       /* at its last choice: one of the own site */
 	struct hint hint;
@@ -327,6 +328,25 @@
 	e->prefill_tokens += tokens;
 }
 
+/* Without a path, failed connections, and requests that are silent since, say
+ * nothing about the endpoint. */
+void bal_set_detour(struct bal *ctx, const char *id, bool detour)
+{
+	struct bal_endpoint *e = g_hash_table_lookup(ctx->endpoints, id);
+
+	if (!e || e->detour == detour)
+		return;
+	e->detour = detour;
+	if (!detour)
+		return;
+	e->avoid_until_us = 0;
+	e->avoid_count = 0;
+	e->failed_in_row = 0;
+	e->failure_share = 0;
+	e->prefilling = 0;
+	e->prefill_tokens = 0;
+}
+
 /* Returns whether the endpoint has a request of this instance that has not yet
  * sent a first byte. */
 bool bal_is_prefilling(const struct bal_endpoint *e)
@@ -757,7 +777,8 @@
 static double current_gap_us(const struct bal_endpoint *e, int64_t now_us)
 {
 	int64_t silent_us = now_us - e->event_us;
-	bool streaming = e->in_flight > e->prefilling;
+	/* Streams of before may be silent for lack of a path. */
+	bool streaming = e->in_flight > e->prefilling && !e->detour;
 
 	if (streaming)
 		return MAX(e->recent_gap_ms * 1000, (double)silent_us);
--- a/src/core/bal.h
+++ b/src/core/bal.h
@@ -90,6 +90,8 @@
 /* More entries than prompts that an engine may have in prefill, so that no
  * entry alone can keep to that limit. */
 bool bal_is_large(const struct bal *ctx);
+/* Whether requests for the endpoint go through other instances. */
+void bal_set_detour(struct bal *ctx, const char *id, bool detour);
 void bal_begin(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
 	       int64_t now_us);
 void bal_first_byte(struct bal *ctx, struct bal_endpoint *e, uint32_t tokens,
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -19,6 +19,8 @@
  * that no request crosses the close. */
 #define IDLE_MARGIN_US 1000000
 #define MB_BYTES (1 << 20)
+/* Fields that are added to the head of a request for a helper. */
+#define DETOUR_HEADER_BYTES 2048
 /* Share of the process's memory that may hold bytes of callers and endpoints.
  * The rest is for the state, the allocator's own use and free space in buffers
  * that grow. */
@@ -94,6 +96,7 @@
 	ctx->base = event_base_new();
 	ctx->mem = hio_mem_new(
 		(size_t)(settings->edge.memory_mb * MB_BYTES * BUFFERED_SHARE));
+	ctx->detour = edge_detour_new(ctx);
 	ctx->quota = edge_quota_new(ctx);
 	ctx->slots = edge_slots_new(ctx);
 	ctx->versions = edge_versions_new(ctx);
@@ -112,6 +115,7 @@
 		event_free(ctx->tick);
 	if (ctx->queue_event)
 		event_free(ctx->queue_event);
+	edge_detour_free(ctx->detour);
 	edge_slots_free(ctx->slots);
 	edge_versions_free(ctx->versions);
 	event_base_free(ctx->base);
@@ -276,6 +280,9 @@
 		};
 
 		hio_server_set_limits(ctx->front, &limits);
+		limits.header_bytes += DETOUR_HEADER_BYTES;
+		if (ctx->detours)
+			hio_server_set_limits(ctx->detours, &limits);
 	}
 	LOG_EVENT_NOTICE("edge", "route_table",
 			 "number=%" G_GUINT64_FORMAT " index=%" G_GUINT64_FORMAT
@@ -305,6 +312,7 @@
 		apply_table(ctx, table);
 	if (ctx->agent)
 		agent_view_changed(ctx->agent);
+	edge_detour_view_changed(ctx->detour);
 	edge_parts_view_changed(ctx->parts);
 	edge_slots_view_changed(ctx->slots);
 	edge_versions_view_changed(ctx->versions);
@@ -378,6 +386,8 @@
 	fwd_drain(ctx);
 	if (ctx->front)
 		hio_server_drain(ctx->front);
+	if (ctx->detours)
+		hio_server_drain(ctx->detours);
 }
 
 static void on_wake(evutil_socket_t fd, short what, void *data)
@@ -507,6 +517,7 @@
 		set_gauges(ctx);
 	}
 	update_repeat_share(ctx);
+	edge_detour_run(ctx->detour);
 	edge_quota_tick(ctx->quota);
 	hio_mem_trim(ctx->mem);
 	fwd_run_held(ctx);
@@ -692,6 +703,7 @@
 	}
 	ctx->running = false;
 	fwd_abort_all(ctx);
+	edge_detour_stop(ctx->detour);
 	edge_api_close(ctx);
 	edge_calls_wait(ctx);
 	agent_free(ctx->agent);
--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -38,7 +38,7 @@
 #define ALONE_SHARE \
 	24 /* endpoints and operators of an instance without callers */
 #define OTHER_SHARE 4 /* endpoints and operators beside callers */
-#define SMALL_SHARE 2 /* readiness, entry lists */
+#define SMALL_SHARE 2 /* readiness, entry lists, other instances */
 #define METRICS_SHARE 1
 #define IDLE_SHARE 4 /* idle connections to endpoints */
 #define SHARES 32
@@ -500,6 +500,11 @@
 		.request = fwd_request,
 		.disconnected = fwd_caller_left,
 	};
+	const struct hio_server_options detours = {
+		.limits = front.limits,
+		.request = edge_detour_request,
+		.disconnected = edge_detour_sender_left,
+	};
 	const struct hio_server_options metrics = {
 		.limits = limits,
 		.request = on_metrics,
@@ -517,6 +522,8 @@
 		  &ctx->control },
 		{ set->front, MAIN_SHARE, &front, &ctx->front },
 		{ set->announce, OTHER_SHARE, &calls, &ctx->announce },
+		{ set->front ? set->detour : NULL, SMALL_SHARE, &detours,
+		  &ctx->detours },
 		{ set->metrics, METRICS_SHARE, &metrics, &ctx->metrics },
 	};
 
@@ -534,7 +541,8 @@
 {
 	struct hio_server **servers[] = { &ctx->front,	   &ctx->ready,
 					  &ctx->directory, &ctx->control,
-					  &ctx->announce,  &ctx->metrics };
+					  &ctx->announce,  &ctx->detours,
+					  &ctx->metrics };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
 		hio_server_free(*servers[i]);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -7,6 +7,7 @@
 
 #include "core/adm.h"
 #include "core/bal.h"
+#include "core/pth.h"
 #include "core/rep.h"
 #include "core/rtab.h"
 #include "core/sus.h"
@@ -25,6 +26,7 @@
 
 struct fwd;
 struct agent;
+struct edge_detour;
 struct edge_parts;
 struct edge_quota;
 struct edge_slots;
@@ -102,6 +104,7 @@
 	struct hio_server *control;
 	struct hio_server *metrics;
 	struct hio_server *announce;
+	struct hio_server *detours; /* for other instances */
 	GHashTable *sent_elsewhere; /* endpoint -> when it was named an entry */
 	struct hio_client *client;
 	struct event *tick;
@@ -124,6 +127,7 @@
 	bool draining;
 	int64_t drain_start_us; /* when the drain began */
 	struct agent *agent;
+	struct edge_detour *detour;
 	struct edge_parts *parts;
 	struct edge_quota *quota;
 	struct edge_slots *slots;
@@ -232,6 +236,41 @@
 void edge_parts_ended(struct edge_attempt *attempt);
 void edge_parts_view_changed(struct edge_parts *ctx);
 
+/* edge_detour.c */
+/* What a helper did with an attempt. */
+enum edge_detour_outcome {
+	DETOUR_NONE,		 /* it did not say, or was not reached */
+	DETOUR_ANSWER,		 /* the answer is the endpoint's */
+	DETOUR_UNREACHED,	 /* not sent: no connection to the endpoint */
+	DETOUR_UNKNOWN_ENDPOINT, /* not sent: not in its view, or leaves */
+	DETOUR_REFUSED,		 /* not sent: it takes none */
+	DETOUR_BROKEN,		 /* sent; there is no answer */
+};
+
+struct edge_detour *edge_detour_new(struct edge *edge);
+void edge_detour_free(struct edge_detour *ctx);
+void edge_detour_stop(struct edge_detour *ctx);
+void edge_detour_run(struct edge_detour *ctx);
+void edge_detour_view_changed(struct edge_detour *ctx);
+void edge_detour_connected(struct edge_detour *ctx, const char *endpoint);
+void edge_detour_unreached(struct edge_detour *ctx, const char *endpoint);
+const Dsp__Node *edge_detour_helper(struct edge_detour *ctx,
+				    const char *endpoint,
+				    const char *const *avoid);
+bool edge_detour_may_help(const struct edge_detour *ctx, const char *endpoint);
+bool edge_detour_is_lost(const struct edge_detour *ctx, const char *endpoint);
+char *edge_detour_begin(struct edge_detour *ctx, GString *head,
+			const Dsp__Node *helper,
+			const struct bal_endpoint *endpoint, int64_t timeout_us,
+			int64_t reuse_idle_us);
+void edge_detour_end(struct edge_detour *ctx, const char *helper);
+enum edge_detour_outcome edge_detour_read(const struct hio_fields *fields);
+void edge_detour_result(struct edge_detour *ctx, const char *endpoint,
+			const char *helper, enum edge_detour_outcome outcome);
+bool edge_detour_is_field(const char *name);
+void edge_detour_request(void *data, struct hio_exchange *exchange);
+void edge_detour_sender_left(void *data, struct hio_exchange *exchange);
+
 /* edge_prompt.c */
 enum edge_slot_state {
 	EDGE_SLOT_NONE, /* not asked for */
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -747,7 +747,8 @@
 		release_waiting(c);
 		return;
 	}
-	if (result == HIO_PROBE_REFUSED) {
+	if (result == HIO_PROBE_REFUSED &&
+	    !edge_detour_is_lost(c->edge->detour, c->endpoint)) {
 		report(c, "refused_connection");
 	} else {
 		met_count(c->edge->met, "dandelionspar_edge_part_no_crash", "",
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -117,6 +117,9 @@
 			      there */
 	bool has_length;   /* the response has a Content-Length */
 	bool unattributed; /* a refusal that may be another request's */
+	bool new_connection;
+	char *helper; /* instance that passes it on; NULL: none */
+	enum edge_detour_outcome detour; /* with helper: what it said */
 	struct wire_answer answer;
 	int status;
 	struct hio_fields fields; /* for the caller; owned */
@@ -159,6 +162,10 @@
 	bool miss_reported;   /* a demand report was sent for its model */
 	char *tried[TRIED_MAX + 1];
 	size_t n_tried;
+	/* Of tried, those to which no connection was possible. */
+	bool unreached[TRIED_MAX];
+	char *helpers[PTH_HELPERS_MAX + 1]; /* that did not pass it on */
+	size_t n_helpers;
 	int64_t last_event_us; /* when the last event arrived */
 	int64_t gap_max_us; /* longest gap between events, over all attempts */
 	unsigned runs;	    /* endpoints that may have executed it */
@@ -245,6 +252,7 @@
 static void attempt_free(struct attempt *at)
 {
 	LIST_REMOVE(at, link);
+	g_free(at->helper);
 	hio_fields_clear(&at->fields);
 	hio_mem_give(at->fwd->edge->mem, HIO_MEM_ANSWER, at->body->len);
 	g_byte_array_unref(at->body);
@@ -295,6 +303,8 @@
 		attempt_free(LIST_FIRST(&f->attempts));
 	for (size_t i = 0; i < f->n_tried; i++)
 		g_free(f->tried[i]);
+	for (size_t i = 0; i < f->n_helpers; i++)
+		g_free(f->helpers[i]);
 	g_free(f->route);
 	g_free(f->service);
 	g_free(f->customer);
@@ -327,6 +337,8 @@
 	if (at->call)
 		hio_call_cancel(at->call);
 	at->call = NULL;
+	if (at->helper)
+		edge_detour_end(f->edge->detour, at->helper);
 	edge_parts_ended(&at->parts);
 	g_free(f->endpoint_id);
 	f->endpoint_id = g_strdup(bal_id(at->endpoint));
@@ -520,8 +532,48 @@
 
 static void add_tried(struct fwd *f, const char *id)
 {
-	if (f->n_tried < TRIED_MAX)
-		f->tried[f->n_tried++] = g_strdup(id);
+	if (f->n_tried == TRIED_MAX)
+		return;
+	f->unreached[f->n_tried] = false;
+	f->tried[f->n_tried++] = g_strdup(id);
+}
+
+/* Has an endpoint count as not tried. */
+static void remove_tried(struct fwd *f, size_t i)
+{
+	g_free(f->tried[i]);
+	f->n_tried--;
+	f->tried[i] = f->tried[f->n_tried];
+	f->unreached[i] = f->unreached[f->n_tried];
+	f->tried[f->n_tried] = NULL;
+}
+
+/* Notes that no connection to an endpoint was possible. */
+static void set_unreached(struct fwd *f, const char *id)
+{
+	for (size_t i = 0; i < f->n_tried; i++)
+		f->unreached[i] |= !strcmp(f->tried[i], id);
+}
+
+/* Has the endpoints that were not reached tried again if helpers reach them.
+ * Returns whether helpers are still being asked about others. */
+static bool forget_unreached(struct fwd *f)
+{
+	bool asked = false;
+
+	for (size_t i = 0; i < f->n_tried;) {
+		const char *id = f->tried[i];
+
+		if (f->unreached[i] && f->n_helpers < PTH_HELPERS_MAX &&
+		    edge_detour_is_lost(f->edge->detour, id)) {
+			remove_tried(f, i);
+			continue;
+		}
+		asked |= f->unreached[i] &&
+			 edge_detour_may_help(f->edge->detour, id);
+		i++;
+	}
+	return asked && f->n_helpers < PTH_HELPERS_MAX;
 }
 
 static bool take_repeat(struct fwd *f)
@@ -566,6 +618,7 @@
 		give_up(f, -1, reason);
 		return;
 	}
+	forget_unreached(f);
 	if (f->n_tried >= TRIED_MAX || is_too_late(f)) {
 		give_up(f, CONNECT_TIMEOUT_US, reason);
 		return;
@@ -749,7 +802,8 @@
 		const struct hio_field *field = &from->all[i];
 
 		if (hio_is_hop_by_hop_field(from, field->name) ||
-		    wire_is_internal_answer_field(field->name))
+		    wire_is_internal_answer_field(field->name) ||
+		    edge_detour_is_field(field->name))
 			continue;
 		to->all[to->n].name = g_strdup(field->name);
 		to->all[to->n++].value = g_strdup(field->value);
@@ -797,10 +851,20 @@
 	struct fwd *f = at->fwd;
 	int64_t now_us = now_of(f);
 
+	if (at->helper) {
+		at->detour = edge_detour_read(&answer->fields);
+		/* Whoever answered may have passed it on. */
+		if (at->detour == DETOUR_NONE)
+			at->detour = DETOUR_BROKEN;
+		if (at->detour != DETOUR_ANSWER)
+			return;
+	} else if (at->new_connection) {
+		edge_detour_connected(f->edge->detour, bal_id(at->endpoint));
+	}
 	at->status = answer->status;
 	wire_read_answer(answer, &at->answer);
-	at->unattributed =
-		at->answer.not_run && f->request.request_id && !answer->echoed;
+	at->unattributed = at->answer.not_run && f->request.request_id &&
+			   !hio_field(&answer->fields, wire_request_id_field);
 	edge_saw_hint(f->edge, bal_id(at->endpoint),
 		      bal_incarnation(at->endpoint), &at->answer);
 	if (at->answer.has_load)
@@ -865,6 +929,8 @@
 	int64_t now_us = now_of(f);
 	bool first = at->ttfb_us < 0;
 
+	if (at->helper && at->detour != DETOUR_ANSWER)
+		return;
 	if (first)
 		record_first_byte(at, now_us);
 	if (first && at->sse)
@@ -970,12 +1036,49 @@
 	fwd_free(f);
 }
 
+/*
+ * Goes on with a request that a helper did not pass on, or whose outcome there
+ * is unknown. What was not sent has not run: another helper, or another
+ * endpoint, may get it.
+ */
+static void handle_detour(struct attempt *at)
+{
+	struct fwd *f = at->fwd;
+	const char *id = bal_id(at->endpoint);
+	enum bal_result result = BAL_CANCELLED;
+
+	edge_detour_result(f->edge->detour, id, at->helper, at->detour);
+	switch (at->detour) {
+	case DETOUR_ANSWER:
+	case DETOUR_BROKEN:
+		break_attempt(at, "broken_at_helper");
+		return;
+	case DETOUR_UNREACHED:
+	case DETOUR_NONE:
+	case DETOUR_REFUSED:
+		/* Not the endpoint's fault as long as others may reach it. */
+		if (f->n_helpers < PTH_HELPERS_MAX)
+			f->helpers[f->n_helpers++] = g_strdup(at->helper);
+		set_unreached(f, id);
+		if (!edge_detour_may_help(f->edge->detour, id))
+			result = BAL_UNREACHED;
+		break;
+	case DETOUR_UNKNOWN_ENDPOINT:
+		break;
+	}
+	f->runs--;
+	edge_parts_not_run(&at->parts);
+	fail_attempt(at, result, false, "not_passed_on");
+}
+
 static void on_end(void *data)
 {
 	struct attempt *at = data;
 
 	at->call = NULL;
-	if (at->unattributed)
+	if (at->helper && at->detour != DETOUR_ANSWER)
+		handle_detour(at);
+	else if (at->unattributed)
 		fail_attempt(at, BAL_FAILED, true, "unattributed");
 	else if (at->answer.not_run)
 		handle_refusal(at);
@@ -990,10 +1093,19 @@
 	struct attempt *at = data;
 
 	at->call = NULL;
+	if (at->helper && at->detour != DETOUR_ANSWER) {
+		if (at->detour == DETOUR_NONE && failure != HIO_NOT_CONNECTED)
+			at->detour = DETOUR_BROKEN;
+		handle_detour(at);
+		return;
+	}
 	switch (failure) {
 	case HIO_NOT_CONNECTED:
 		at->fwd->runs--;
 		edge_parts_not_run(&at->parts);
+		set_unreached(at->fwd, bal_id(at->endpoint));
+		edge_detour_unreached(at->fwd->edge->detour,
+				      bal_id(at->endpoint));
 		fail_attempt(at, BAL_UNREACHED, false, "not_connected");
 		break;
 	case HIO_BROKEN:
@@ -1045,11 +1157,31 @@
 	       bal_is_large(f->edge->bal);
 }
 
+/* Has the attempt go through another instance if this one has lost its path to
+ * the endpoint. Returns the address to send it to, owned, or NULL: directly. */
+static char *take_detour(struct attempt *at, GString *head)
+{
+	struct fwd *f = at->fwd;
+	const Dsp__Node *helper =
+		edge_detour_helper(f->edge->detour, bal_id(at->endpoint),
+				   (const char *const *)f->helpers);
+	char *address = NULL;
+
+	if (helper)
+		address = edge_detour_begin(
+			f->edge->detour, head, helper, at->endpoint,
+			f->deadline_us - at->sent_us, reuse_idle_us(f));
+	if (address)
+		at->helper = g_strdup(helper->id);
+	return address;
+}
+
 static void send_to(struct fwd *f, struct bal_endpoint *endpoint)
 {
 	const struct hio_request *request = hio_exchange_request(f->exchange);
 	struct attempt *at = g_new0(struct attempt, 1);
 	int64_t now_us = now_of(f);
+	g_autofree char *address = NULL;
 	struct wire_dispatch what = {
 		.endpoint_id = bal_id(endpoint),
 		.timeout_us = f->deadline_us - now_us,
@@ -1096,6 +1228,14 @@
 	at->ttfb_us = -1;
 	at->sole_prefill = !bal_is_prefilling(endpoint);
 	at->body = g_byte_array_new();
+	address = take_detour(at, options.head);
+	if (address) {
+		options.address = address;
+		/* The helper checks which request an answer is for. */
+		options.echo_name = NULL;
+	}
+	at->new_connection = !hio_client_has_idle(
+		f->edge->client, options.address, options.reuse_idle_us);
 	if (at->is_repeat)
 		rep_move(edge_budget(f->edge, f->service), f->repeat_us,
 			 now_us);
@@ -1358,16 +1498,20 @@
 					      : "site=\"own\"",
 			  1);
 	LOG_EVENT_INFO("fwd", "send",
-		       "request=%s endpoint=%s candidates=%u cost_ms=%.0f "
+		       "request=%s endpoint=%s via=%s candidates=%u "
+		       "cost_ms=%.0f "
 		       "load=%.1f load_age_s=%.2f slowness=%.2f "
 		       "slowness_age_us=%" PRId64 " leaves_site=%d "
 		       "site_cost_ms=%.1f view=%" G_GUINT64_FORMAT
 		       " view_age_us=%" PRId64 " left_us=%" PRId64,
-		       log_id(f), bal_id(choice->endpoint), choice->candidates,
-		       choice->cost_ms, choice->load, choice->load_age_s,
-		       choice->slowness, choice->slowness_age_us,
-		       choice->leaves_site, choice->site_cost_ms,
-		       view_index(f->edge->view),
+		       log_id(f), bal_id(choice->endpoint),
+		       LIST_FIRST(&f->attempts)->helper
+			       ? LIST_FIRST(&f->attempts)->helper
+			       : "-",
+		       choice->candidates, choice->cost_ms, choice->load,
+		       choice->load_age_s, choice->slowness,
+		       choice->slowness_age_us, choice->leaves_site,
+		       choice->site_cost_ms, view_index(f->edge->view),
 		       ctl_state(f->edge->ctl).stale_us, left_us);
 }
 
@@ -1485,6 +1629,7 @@
 {
 	struct bal_choice choice = { .outcome = BAL_PREFILL_BUSY };
 	struct sus_decision decision;
+	bool is_asked;
 
 	if (is_too_late(f)) {
 		give_up(f, -1, "deadline");
@@ -1505,6 +1650,7 @@
 	}
 	if (decision.action == SUS_SEND && wait_for_slot(f))
 		return false;
+	is_asked = forget_unreached(f);
 	/* Queued requests of the same group come first. */
 	if (f->item.queued || has_part(f) || f->slot.state == EDGE_SLOT_GIVEN ||
 	    !adm_length(f->edge->queue, f->group))
@@ -1514,6 +1660,11 @@
 		refuse_part(f, TRIAL_RETRY_US);
 		return false;
 	}
+	if (choice.outcome == BAL_NO_OTHER && is_asked && !f->item.queued) {
+		/* A helper's reply takes some milliseconds. */
+		set_timer_at(f, MIN(now_of(f) + QUEUE_POLL_US, f->deadline_us));
+		return false;
+	}
 	if (choice.outcome != BAL_CHOSEN)
 		return enqueue_or_refuse(f, &choice);
 	adm_remove(f->edge->queue, &f->item);
@@ -1561,6 +1712,7 @@
 {
 	struct bal_choice choice = { .outcome = BAL_NO_OTHER };
 
+	forget_unreached(f);
 	if (f->n_tried < TRIED_MAX && !is_too_late(f))
 		choice = choose_endpoint(f);
 	if (choice.outcome != BAL_CHOSEN || !may_send(f) ||
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -389,6 +389,8 @@
 		node->http_address = set->edge.front ? set->edge.front : "";
 	if (set->has_edge && set->edge.announce)
 		node->announce_address = set->edge.announce;
+	if (set->has_edge && set->edge.front)
+		node->detour_port = set->edge.detour_port;
 	node->weight = set->weight;
 	node->control = set->control;
 	node->draining = ctl_is_draining(ctx);
--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -25,6 +25,13 @@
 		bool control;
 		pid_t pid = 0;
 		std::string front, ready, directory, api, metrics;
+		std::string preload; /* library with faults; empty: none */
+
+		/* What tests/preload/cut_connect.c reads. */
+		std::string cut_file() const
+		{
+			return folder + ".cut";
+		}
 	};
 
 	/* edge: more lines of the section [edge] of all instances; descriptors:
@@ -117,8 +124,14 @@
 		const char *shell[] = { "/bin/sh", "-c", limited.c_str(),
 					nullptr };
 
+		if (!x.preload.empty()) {
+			setenv("LD_PRELOAD", x.preload.c_str(), 1);
+			setenv("CUT_FILE", x.cut_file().c_str(), 1);
+		}
 		x.pid = proc_start(descriptors ? shell : argv,
 				   (x.folder + ".log").c_str());
+		unsetenv("LD_PRELOAD");
+		unsetenv("CUT_FILE");
 	}
 	void start_all()
 	{
