ver: two other entries remember the streams of each entry

Cause: what an entry remembers from before is known only to itself until it sees the second version. Change: it sends each stream to two other entries, the first of another site, which report and answer for it.

Weighed: taking an unknown stream for one of the older version.

--- a/src/core/ver.c
+++ b/src/core/ver.c
@@ -6,6 +6,8 @@
 
 /* Bounds memory, at some 150 bytes each; the oldest go first. */
 #define STREAMS_MAX 32768
+/* Longest time that another entry is asked to remember a stream. */
+#define KEEP_MAX_MS 600000
 /* A view that was confirmed longer ago may lack a new version. */
 #define VIEW_AGE_MAX_US 1000000
 #define DIGEST_SEED 0x73747265616dull
@@ -13,11 +15,13 @@
 struct stream {
 	TAILQ_ENTRY(stream) link; /* ver.streams, oldest first */
 	TAILQ_ENTRY(stream) news; /* ver.news */
+	TAILQ_ENTRY(stream) copy; /* ver.uncopied */
 	uint64_t digest;
 	char *service;	/* GRefString */
 	char *software; /* GRefString; NULL: not known */
 	int64_t until_us;
-	bool told; /* in ver.news, or taken */
+	bool told;     /* in ver.news, or taken */
+	bool uncopied; /* in ver.uncopied */
 };
 TAILQ_HEAD(stream_list, stream);
 
@@ -27,6 +31,7 @@
 	GHashTable *by_digest;
 	struct stream_list streams;
 	struct stream_list news;
+	struct stream_list uncopied; /* other entries are to remember them */
 };
 
 /* Creates an empty record. */
@@ -39,6 +44,7 @@
 	ctx->by_digest = g_hash_table_new(g_int64_hash, g_int64_equal);
 	TAILQ_INIT(&ctx->streams);
 	TAILQ_INIT(&ctx->news);
+	TAILQ_INIT(&ctx->uncopied);
 	return ctx;
 }
 
@@ -52,6 +58,8 @@
 	TAILQ_REMOVE(&ctx->streams, s, link);
 	if (is_news(s))
 		TAILQ_REMOVE(&ctx->news, s, news);
+	if (s->uncopied)
+		TAILQ_REMOVE(&ctx->uncopied, s, copy);
 	g_hash_table_remove(ctx->by_digest, &s->digest);
 	g_ref_string_release(s->service);
 	if (s->software)
@@ -150,9 +158,11 @@
 	       !software;
 }
 
-/* Remembers a stream until its caller gives up. */
-void ver_begun(struct ver *ctx, uint64_t digest, const char *service,
-	       const char *software, int64_t until_us, int64_t now_us)
+/* Adds a stream, in place of those that are over or too many. Returns NULL if
+ * it is known: what wrote the first event never changes. */
+static struct stream *add(struct ver *ctx, uint64_t digest, const char *service,
+			  const char *software, int64_t until_us,
+			  int64_t now_us)
 {
 	struct stream *s = TAILQ_FIRST(&ctx->streams);
 
@@ -162,7 +172,7 @@
 		s = TAILQ_FIRST(&ctx->streams);
 	}
 	if (g_hash_table_contains(ctx->by_digest, &digest))
-		return;
+		return NULL;
 	s = g_new0(struct stream, 1);
 	s->digest = digest;
 	s->service = g_ref_string_new_intern(service);
@@ -172,6 +182,34 @@
 	TAILQ_INSERT_TAIL(&ctx->streams, s, link);
 	g_hash_table_insert(ctx->by_digest, &s->digest, s);
 	tell(ctx, s);
+	return s;
+}
+
+/* Remembers a stream until its caller gives up. */
+void ver_begun(struct ver *ctx, uint64_t digest, const char *service,
+	       const char *software, int64_t until_us, int64_t now_us)
+{
+	struct stream *s =
+		add(ctx, digest, service, software, until_us, now_us);
+
+	if (!s || !software)
+		return;
+	s->uncopied = true;
+	TAILQ_INSERT_TAIL(&ctx->uncopied, s, copy);
+}
+
+/* Remembers streams that began at another entry, which may not be able to tell
+ * of them when their service gets a second version. */
+void ver_keep(struct ver *ctx, const Dsp__StreamCopies *copies, int64_t now_us)
+{
+	for (size_t i = 0; i < copies->n_groups; i++) {
+		const Dsp__StreamCopyGroup *group = copies->groups[i];
+		int64_t until_us = now_us + group->keep_ms * 1000LL;
+
+		for (size_t k = 0; k < group->n_streams; k++)
+			add(ctx, group->streams[k], group->service,
+			    group->software, until_us, now_us);
+	}
 }
 
 static Dsp__StreamGroup *group_of(Dsp__StreamsBegun *out, const char *software)
@@ -212,6 +250,50 @@
 	return out;
 }
 
+static Dsp__StreamCopyGroup *copy_group_of(Dsp__StreamCopies *out,
+					   const struct stream *s)
+{
+	Dsp__StreamCopyGroup *group;
+
+	for (size_t i = 0; i < out->n_groups; i++)
+		if (!strcmp(out->groups[i]->service, s->service) &&
+		    !strcmp(out->groups[i]->software, s->software))
+			return out->groups[i];
+	group = g_new(Dsp__StreamCopyGroup, 1);
+	dsp__stream_copy_group__init(group);
+	group->service = g_strdup(s->service);
+	group->software = g_strdup(s->software);
+	out->groups =
+		g_renew(Dsp__StreamCopyGroup *, out->groups, out->n_groups + 1);
+	out->groups[out->n_groups++] = group;
+	return group;
+}
+
+/* Returns the own streams that were not taken yet, by service and software. */
+Dsp__StreamCopies *ver_take_copies(struct ver *ctx, int64_t now_us)
+{
+	Dsp__StreamCopies *out;
+	struct stream *s;
+
+	if (TAILQ_EMPTY(&ctx->uncopied))
+		return NULL;
+	out = g_new(Dsp__StreamCopies, 1);
+	dsp__stream_copies__init(out);
+	while ((s = TAILQ_FIRST(&ctx->uncopied))) {
+		Dsp__StreamCopyGroup *group = copy_group_of(out, s);
+		int64_t keep_ms = MAX(s->until_us - now_us, 0) / 1000;
+
+		TAILQ_REMOVE(&ctx->uncopied, s, copy);
+		s->uncopied = false;
+		group->keep_ms = (uint32_t)MAX(group->keep_ms,
+					       MIN(keep_ms, KEEP_MAX_MS));
+		group->streams =
+			g_renew(uint64_t, group->streams, group->n_streams + 1);
+		group->streams[group->n_streams++] = s->digest;
+	}
+	return out;
+}
+
 /* Returns whether ver_take() has something to return. */
 bool ver_has_news(const struct ver *ctx)
 {
--- a/src/core/ver.h
+++ b/src/core/ver.h
@@ -35,9 +35,14 @@
  * when its caller gives up. */
 void ver_begun(struct ver *ctx, uint64_t digest, const char *service,
 	       const char *software, int64_t until_us, int64_t now_us);
+/* Remembers streams that began at another entry. */
+void ver_keep(struct ver *ctx, const Dsp__StreamCopies *copies, int64_t now_us);
 /* Takes the streams that other instances need to know of; NULL: none. The
  * caller frees the message. */
 Dsp__StreamsBegun *ver_take(struct ver *ctx);
+/* Takes the streams of this instance that other entries are to remember; NULL:
+ * none. The caller frees the message. */
+Dsp__StreamCopies *ver_take_copies(struct ver *ctx, int64_t now_us);
 
 /* Where a stream may be resumed. */
 enum ver_place {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -15,6 +15,8 @@
 /* Observed loads that wait for the edge thread: several updates of all
  * endpoints at the scale to design for. */
 #define LOADS_IN_MAX 4096
+/* Messages with copies of streams that wait for the edge thread. */
+#define COPIES_IN_MAX 256
 /* The entry closes an idle connection later than the announced idle time, so
  * that no request crosses the close. */
 #define IDLE_MARGIN_US 1000000
@@ -55,6 +57,11 @@
 	dsp__load_report__free_unpacked(data, NULL);
 }
 
+static void free_copies_message(void *data)
+{
+	dsp__stream_copies__free_unpacked(data, NULL);
+}
+
 /* Creates the edge without any connections. */
 struct edge *edge_new(const struct set *settings, struct clk *clock,
 		      struct met *metrics)
@@ -72,6 +79,7 @@
 	ctx->demands_in = g_ptr_array_new_with_free_func(free_demand_message);
 	ctx->paces_in = g_ptr_array_new_with_free_func(free_pace_message);
 	ctx->loads_in = g_ptr_array_new_with_free_func(free_load_message);
+	ctx->copies_in = g_ptr_array_new_with_free_func(free_copies_message);
 	ctx->sent_elsewhere =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctx->paces =
@@ -123,6 +131,7 @@
 	g_ptr_array_free(ctx->demands_in, TRUE);
 	g_ptr_array_free(ctx->paces_in, TRUE);
 	g_ptr_array_free(ctx->loads_in, TRUE);
+	g_ptr_array_free(ctx->copies_in, TRUE);
 	g_hash_table_destroy(ctx->paces);
 	g_hash_table_destroy(ctx->sent_elsewhere);
 	g_hash_table_destroy(ctx->budgets);
@@ -197,6 +206,20 @@
 	pthread_mutex_unlock(&ctx->lock);
 }
 
+/* They are taken by the next tick: an answer about them is asked for later, and
+ * the thread needs not wake for them. */
+static void stream_copies_came(void *data, const Dsp__StreamCopies *copies)
+{
+	struct edge *ctx = data;
+
+	if (!ctx->set->edge.front)
+		return;
+	pthread_mutex_lock(&ctx->lock);
+	if (ctx->copies_in->len < COPIES_IN_MAX)
+		g_ptr_array_add(ctx->copies_in, msg_dup(copies));
+	pthread_mutex_unlock(&ctx->lock);
+}
+
 static void quota_granted(void *data, const Dsp__QuotaGrants *grants)
 {
 	struct edge *ctx = data;
@@ -235,6 +258,7 @@
 		.quota_grants = quota_granted,
 		.quota_leader = quota_leader_changed,
 		.prompts = edge_slots_receive,
+		.stream_copies = stream_copies_came,
 	};
 }
 
@@ -358,6 +382,19 @@
 	g_ptr_array_free(loads, TRUE);
 }
 
+static void process_copies(struct edge *ctx)
+{
+	GPtrArray *copies;
+
+	pthread_mutex_lock(&ctx->lock);
+	copies = ctx->copies_in;
+	ctx->copies_in = g_ptr_array_new_with_free_func(free_copies_message);
+	pthread_mutex_unlock(&ctx->lock);
+	for (guint i = 0; i < copies->len; i++)
+		edge_versions_keep(ctx->versions, copies->pdata[i]);
+	g_ptr_array_free(copies, TRUE);
+}
+
 static void process_reports(struct edge *ctx)
 {
 	GPtrArray *in;
@@ -518,6 +555,7 @@
 	}
 	update_repeat_share(ctx);
 	edge_detour_run(ctx->detour);
+	process_copies(ctx);
 	edge_quota_tick(ctx->quota);
 	hio_mem_trim(ctx->mem);
 	fwd_run_held(ctx);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -89,6 +89,7 @@
 	GPtrArray *paces_in;	/* lock; Dsp__Pace */
 	GPtrArray *demands_in;	/* lock; Dsp__Demand */
 	GPtrArray *loads_in;	/* lock; Dsp__LoadReport */
+	GPtrArray *copies_in;	/* lock; Dsp__StreamCopies */
 	STAILQ_HEAD(edge_calls, edge_call) done; /* lock */
 	bool stop;				 /* lock */
 	bool drain;				 /* lock */
@@ -333,6 +334,8 @@
 void edge_versions_begun(struct edge_versions *ctx, const char *request_id,
 			 const char *service, const char *software,
 			 int64_t until_us);
+void edge_versions_keep(struct edge_versions *ctx,
+			const Dsp__StreamCopies *copies);
 bool edge_versions_are_mixed(const struct edge_versions *ctx,
 			     const char *service);
 void edge_version_find(struct edge_versions *ctx, struct edge_version *item,
--- a/src/edge/edge_version.c
+++ b/src/edge/edge_version.c
@@ -16,11 +16,18 @@
 /* Wait for the leader's answer: an election and a resend. */
 #define ASK_TIMEOUT_US 1500000
 #define ASK_MAX 1024
+/* Delay of the copies of streams for other entries while services have one
+ * version each; with several it is TELL_DELAY_US. What an entry began in that
+ * time is not known if it is lost. */
+#define COPY_DELAY_US 200000
+/* Other entries that remember a stream. */
+#define COPIES 2
 
 struct edge_versions {
 	struct edge *edge;
 	struct ver *ver;
 	struct event *tell;
+	struct event *copy;
 	TAILQ_HEAD(, edge_version) waiting;
 	/* The first n_asked items that wait are in the question that is on its
 	 * way; an item that ends leaves a gap. */
@@ -39,6 +46,68 @@
 		ctl_streams_begun(ctx->edge->ctl, begun);
 }
 
+static bool is_other_entry(const struct edge *edge, const Dsp__Node *node)
+{
+	return node->http_address[0] && !node->down && !node->draining &&
+	       strcmp(node->id, edge->set->id) != 0;
+}
+
+/*
+ * Chooses the entries that remember this one's streams: those that follow it in
+ * the view, the first of them from another site where there is one, since a
+ * site may be cut off as a whole.
+ */
+static size_t choose_keepers(const struct edge *edge,
+			     const char *out[static COPIES])
+{
+	const struct view *view = edge->view;
+	size_t n_nodes = view_n_nodes(view);
+	const Dsp__Node *far = NULL;
+	size_t self = 0;
+	size_t n = 0;
+
+	for (size_t i = 0; i < n_nodes; i++)
+		if (!strcmp(view_node_at(view, i)->id, edge->set->id))
+			self = i;
+	for (size_t i = 1; i < n_nodes && !far; i++) {
+		const Dsp__Node *node =
+			view_node_at(view, (self + i) % n_nodes);
+
+		if (is_other_entry(edge, node) &&
+		    strcmp(node->site, edge->set->site) != 0)
+			far = node;
+	}
+	if (far)
+		out[n++] = far->id;
+	for (size_t i = 1; i < n_nodes && n < COPIES; i++) {
+		const Dsp__Node *node =
+			view_node_at(view, (self + i) % n_nodes);
+
+		if (is_other_entry(edge, node) && node != far)
+			out[n++] = node->id;
+	}
+	return n;
+}
+
+static void on_copy(evutil_socket_t fd, short what, void *data)
+{
+	struct edge_versions *ctx = data;
+	Dsp__StreamCopies *copies =
+		ver_take_copies(ctx->ver, clk_now_us(ctx->edge->clock));
+	const char *keepers[COPIES];
+	size_t n;
+
+	(void)fd;
+	(void)what;
+	if (!copies)
+		return;
+	n = choose_keepers(ctx->edge, keepers);
+	for (size_t i = 0; i < n; i++)
+		ctl_stream_copies(ctx->edge->ctl, keepers[i], copies);
+	met_count(ctx->edge->met, "dandelionspar_edge_stream_copies", "", n);
+	dsp__stream_copies__free_unpacked(copies, NULL);
+}
+
 /* Starts without a view. */
 struct edge_versions *edge_versions_new(struct edge *edge)
 {
@@ -47,6 +116,7 @@
 	ctx->edge = edge;
 	ctx->ver = ver_new();
 	ctx->tell = event_new(edge->base, -1, 0, on_tell, ctx);
+	ctx->copy = event_new(edge->base, -1, 0, on_copy, ctx);
 	TAILQ_INIT(&ctx->waiting);
 	return ctx;
 }
@@ -57,6 +127,7 @@
 	if (!ctx)
 		return;
 	event_free(ctx->tell);
+	event_free(ctx->copy);
 	ver_free(ctx->ver);
 	g_free(ctx);
 }
@@ -83,9 +154,25 @@
 			 const char *service, const char *software,
 			 int64_t until_us)
 {
+	struct timeval delay = {
+		.tv_usec = edge_versions_are_mixed(ctx, service)
+				   ? TELL_DELAY_US
+				   : COPY_DELAY_US,
+	};
+
 	ver_begun(ctx->ver, ver_digest(request_id), service, software, until_us,
 		  clk_now_us(ctx->edge->clock));
 	schedule_tell(ctx);
+	if (!event_pending(ctx->copy, EV_TIMEOUT, NULL))
+		event_add(ctx->copy, &delay);
+}
+
+/* Remembers streams of another entry. */
+void edge_versions_keep(struct edge_versions *ctx,
+			const Dsp__StreamCopies *copies)
+{
+	ver_keep(ctx->ver, copies, clk_now_us(ctx->edge->clock));
+	schedule_tell(ctx);
 }
 
 /* Returns whether streams of the service may have different versions. */
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -67,6 +67,11 @@
 	case CTL_JOB_QUOTA_ASKS:
 		dsp__quota_asks__free_unpacked(job->quota_asks, NULL);
 		break;
+	case CTL_JOB_STREAM_COPIES:
+		g_free(job->stream_copies.node);
+		dsp__stream_copies__free_unpacked(job->stream_copies.copies,
+						  NULL);
+		break;
 	case CTL_JOB_PROMPTS:
 		g_free(job->prompts.node);
 		dsp__envelope__free_unpacked(job->prompts.message, NULL);
@@ -227,6 +232,10 @@
 	case DSP__ENVELOPE__BODY_PROMPT_SENDS:
 		ctl_prompt_receive(ctx, e);
 		break;
+	case DSP__ENVELOPE__BODY_STREAM_COPIES:
+		if (ctx->cb.stream_copies)
+			ctx->cb.stream_copies(ctx->cb.data, e->stream_copies);
+		break;
 	case DSP__ENVELOPE__BODY__NOT_SET:
 	case _DSP__ENVELOPE__BODY__CASE_IS_INT_SIZE:
 		break;
@@ -329,6 +338,10 @@
 	case CTL_JOB_STREAMS:
 		ctl_stream_add(ctx, job->streams);
 		break;
+	case CTL_JOB_STREAM_COPIES:
+		ctl_stream_send_copies(ctx, job->stream_copies.node,
+				       job->stream_copies.copies);
+		break;
 	case CTL_JOB_QUOTA_ASKS:
 		ctl_quota_send(ctx, job->quota_asks);
 		break;
@@ -820,6 +833,19 @@
 	ctl_post(ctx, job);
 }
 
+/* Has another entry remember streams that began at this one; callable from any
+ * thread. */
+void ctl_stream_copies(struct ctl *ctx, const char *node,
+		       const Dsp__StreamCopies *copies)
+{
+	struct ctl_job *job = g_new0(struct ctl_job, 1);
+
+	job->kind = CTL_JOB_STREAM_COPIES;
+	job->stream_copies.node = g_strdup(node);
+	job->stream_copies.copies = msg_dup(copies);
+	ctl_post(ctx, job);
+}
+
 /* Sends asks to the leader; callable from any thread. Takes the message. */
 void ctl_quota_ask(struct ctl *ctx, Dsp__QuotaAsks *asks)
 {
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -39,6 +39,8 @@
 					  const Dsp__AnswerQuery *query);
 	/* A message between entries about pacing of prompts; may be NULL. */
 	void (*prompts)(void *data, const Dsp__Envelope *message);
+	/* Streams of another entry, to be remembered; may be NULL. */
+	void (*stream_copies)(void *data, const Dsp__StreamCopies *copies);
 	uint32_t (*streams)(void *data); /* requests in flight */
 	/* Called on the leader only; may be NULL. */
 	void (*demand)(void *data, const Dsp__Demand *demand);
@@ -99,6 +101,8 @@
 void ctl_prompts(struct ctl *ctx, const char *node,
 		 const Dsp__Envelope *message);
 void ctl_streams_begun(struct ctl *ctx, Dsp__StreamsBegun *begun);
+void ctl_stream_copies(struct ctl *ctx, const char *node,
+		       const Dsp__StreamCopies *copies);
 void ctl_part_evidence(struct ctl *ctx, const Dsp__PartEvidence *evidence);
 /* Takes the message. */
 void ctl_quota_ask(struct ctl *ctx, Dsp__QuotaAsks *asks);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -89,6 +89,7 @@
 	CTL_JOB_OBSERVED_LOAD,
 	CTL_JOB_PART_EVIDENCE,
 	CTL_JOB_STREAMS,
+	CTL_JOB_STREAM_COPIES,
 	CTL_JOB_QUOTA_ASKS,
 	CTL_JOB_PROMPTS,
 	CTL_JOB_ORDER,
@@ -114,6 +115,10 @@
 			char *node;		/* owned */
 			Dsp__Envelope *message; /* owned */
 		} prompts;
+		struct {
+			char *node;		   /* owned */
+			Dsp__StreamCopies *copies; /* owned */
+		} stream_copies;
 		struct {
 			uint64_t id;
 			uint64_t term;
@@ -527,6 +532,8 @@
 void ctl_stream_add(struct ctl *ctx, const Dsp__StreamsBegun *begun);
 Dsp__StreamsBegun *ctl_stream_take(struct ctl *ctx);
 void ctl_stream_run(struct ctl *ctx);
+void ctl_stream_send_copies(struct ctl *ctx, const char *node,
+			    Dsp__StreamCopies *copies);
 void ctl_stream_committed(struct ctl *ctx, Dsp__StreamsBegun *begun,
 			  const Dsp__CommandResult *result);
 void ctl_parts_add(struct ctl *ctx, const Dsp__PartEvidence *evidence);
--- a/src/node/ctl_stream.c
+++ b/src/node/ctl_stream.c
@@ -117,3 +117,18 @@
 		ctl_stream_add(ctx, begun);
 	dsp__streams_begun__free_unpacked(begun, NULL);
 }
+
+/* Sends copies of streams to another entry. They are lost without a trace if it
+ * is not reached: a stream that nobody remembers is not resumed. */
+void ctl_stream_send_copies(struct ctl *ctx, const char *node,
+			    Dsp__StreamCopies *copies)
+{
+	const Dsp__Node *to = view_node(ctx->view, node);
+	Dsp__Envelope out = DSP__ENVELOPE__INIT;
+
+	if (!to || !to->internal_address[0])
+		return;
+	out.body_case = DSP__ENVELOPE__BODY_STREAM_COPIES;
+	out.stream_copies = copies;
+	ctl_send(ctx, to->internal_address, &out);
+}
--- a/src/proto/messages.pb-c.c
+++ b/src/proto/messages.pb-c.c
@@ -2482,6 +2482,96 @@
   assert(message->base.descriptor == &dsp__streams_begun__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dsp__stream_copy_group__init
+                     (Dsp__StreamCopyGroup         *message)
+{
+  static const Dsp__StreamCopyGroup init_value = DSP__STREAM_COPY_GROUP__INIT;
+  *message = init_value;
+}
+size_t dsp__stream_copy_group__get_packed_size
+                     (const Dsp__StreamCopyGroup *message)
+{
+  assert(message->base.descriptor == &dsp__stream_copy_group__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__stream_copy_group__pack
+                     (const Dsp__StreamCopyGroup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__stream_copy_group__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__stream_copy_group__pack_to_buffer
+                     (const Dsp__StreamCopyGroup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__stream_copy_group__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__StreamCopyGroup *
+       dsp__stream_copy_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__StreamCopyGroup *)
+     protobuf_c_message_unpack (&dsp__stream_copy_group__descriptor,
+                                allocator, len, data);
+}
+void   dsp__stream_copy_group__free_unpacked
+                     (Dsp__StreamCopyGroup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__stream_copy_group__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dsp__stream_copies__init
+                     (Dsp__StreamCopies         *message)
+{
+  static const Dsp__StreamCopies init_value = DSP__STREAM_COPIES__INIT;
+  *message = init_value;
+}
+size_t dsp__stream_copies__get_packed_size
+                     (const Dsp__StreamCopies *message)
+{
+  assert(message->base.descriptor == &dsp__stream_copies__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dsp__stream_copies__pack
+                     (const Dsp__StreamCopies *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dsp__stream_copies__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dsp__stream_copies__pack_to_buffer
+                     (const Dsp__StreamCopies *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dsp__stream_copies__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dsp__StreamCopies *
+       dsp__stream_copies__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dsp__StreamCopies *)
+     protobuf_c_message_unpack (&dsp__stream_copies__descriptor,
+                                allocator, len, data);
+}
+void   dsp__stream_copies__free_unpacked
+                     (Dsp__StreamCopies *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dsp__stream_copies__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dsp__streams_find__init
                      (Dsp__StreamsFind         *message)
 {
@@ -9103,6 +9193,121 @@
   (ProtobufCMessageInit) dsp__streams_begun__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dsp__stream_copy_group__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StreamCopyGroup, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StreamCopyGroup, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Dsp__StreamCopyGroup, n_streams),
+    offsetof(Dsp__StreamCopyGroup, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keep_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dsp__StreamCopyGroup, keep_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__stream_copy_group__field_indices_by_name[] = {
+  3,   /* field[3] = keep_ms */
+  0,   /* field[0] = service */
+  1,   /* field[1] = software */
+  2,   /* field[2] = streams */
+};
+static const ProtobufCIntRange dsp__stream_copy_group__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dsp__stream_copy_group__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.StreamCopyGroup",
+  "StreamCopyGroup",
+  "Dsp__StreamCopyGroup",
+  "dsp",
+  sizeof(Dsp__StreamCopyGroup),
+  4,
+  dsp__stream_copy_group__field_descriptors,
+  dsp__stream_copy_group__field_indices_by_name,
+  1,  dsp__stream_copy_group__number_ranges,
+  (ProtobufCMessageInit) dsp__stream_copy_group__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dsp__stream_copies__field_descriptors[1] =
+{
+  {
+    "groups",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__StreamCopies, n_groups),
+    offsetof(Dsp__StreamCopies, groups),
+    &dsp__stream_copy_group__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dsp__stream_copies__field_indices_by_name[] = {
+  0,   /* field[0] = groups */
+};
+static const ProtobufCIntRange dsp__stream_copies__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dsp__stream_copies__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dsp.StreamCopies",
+  "StreamCopies",
+  "Dsp__StreamCopies",
+  "dsp",
+  sizeof(Dsp__StreamCopies),
+  1,
+  dsp__stream_copies__field_descriptors,
+  dsp__stream_copies__field_indices_by_name,
+  1,  dsp__stream_copies__number_ranges,
+  (ProtobufCMessageInit) dsp__stream_copies__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dsp__streams_find__field_descriptors[2] =
 {
   {
@@ -13036,7 +13241,7 @@
   (ProtobufCMessageInit) dsp__answer_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dsp__envelope__field_descriptors[22] =
+static const ProtobufCFieldDescriptor dsp__envelope__field_descriptors[23] =
 {
   {
     "from",
@@ -13278,6 +13483,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_copies",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dsp__Envelope, body_case),
+    offsetof(Dsp__Envelope, stream_copies),
+    &dsp__stream_copies__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "echo_us",
     40,
@@ -13308,7 +13525,7 @@
   12,   /* field[12] = answer_query */
   13,   /* field[13] = answer_reply */
   1,   /* field[1] = boot */
-  20,   /* field[20] = echo_us */
+  21,   /* field[21] = echo_us */
   10,   /* field[10] = form_group */
   8,   /* field[8] = form_query */
   9,   /* field[9] = form_reply */
@@ -13316,7 +13533,7 @@
   7,   /* field[7] = forward_reply */
   0,   /* field[0] = from */
   11,   /* field[11] = join_request */
-  21,   /* field[21] = lease_age_ms */
+  22,   /* field[22] = lease_age_ms */
   19,   /* field[19] = packed_update */
   16,   /* field[16] = prompt_asks */
   18,   /* field[18] = prompt_sends */
@@ -13325,14 +13542,15 @@
   15,   /* field[15] = quota_grants */
   3,   /* field[3] = raft */
   4,   /* field[4] = report */
+  20,   /* field[20] = stream_copies */
   5,   /* field[5] = view_update */
 };
 static const ProtobufCIntRange dsp__envelope__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 10, 3 },
-  { 40, 20 },
-  { 0, 22 }
+  { 40, 21 },
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor dsp__envelope__descriptor =
 {
@@ -13342,7 +13560,7 @@
   "Dsp__Envelope",
   "dsp",
   sizeof(Dsp__Envelope),
-  22,
+  23,
   dsp__envelope__field_descriptors,
   dsp__envelope__field_indices_by_name,
   3,  dsp__envelope__number_ranges,
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -70,6 +70,8 @@
 typedef struct Dsp__Expire Dsp__Expire;
 typedef struct Dsp__StreamGroup Dsp__StreamGroup;
 typedef struct Dsp__StreamsBegun Dsp__StreamsBegun;
+typedef struct Dsp__StreamCopyGroup Dsp__StreamCopyGroup;
+typedef struct Dsp__StreamCopies Dsp__StreamCopies;
 typedef struct Dsp__StreamsFind Dsp__StreamsFind;
 typedef struct Dsp__StreamFound Dsp__StreamFound;
 typedef struct Dsp__Command Dsp__Command;
@@ -1359,6 +1361,40 @@
     , 0,NULL }
 
 
+/*
+ * Streams that began at the sender, for another entry to remember.
+ */
+struct  Dsp__StreamCopyGroup
+{
+  ProtobufCMessage base;
+  char *service;
+  char *software;
+  /*
+   * digests as in StreamGroup
+   */
+  size_t n_streams;
+  uint64_t *streams;
+  /*
+   * until the last of their callers gives up
+   */
+  uint32_t keep_ms;
+};
+#define DSP__STREAM_COPY_GROUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__stream_copy_group__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+
+
+struct  Dsp__StreamCopies
+{
+  ProtobufCMessage base;
+  size_t n_groups;
+  Dsp__StreamCopyGroup **groups;
+};
+#define DSP__STREAM_COPIES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dsp__stream_copies__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Asks with which software streams of a service began.
  */
@@ -2287,7 +2323,8 @@
   DSP__ENVELOPE__BODY_PROMPT_ASKS = 23,
   DSP__ENVELOPE__BODY_PROMPT_SLOTS = 24,
   DSP__ENVELOPE__BODY_PROMPT_SENDS = 25,
-  DSP__ENVELOPE__BODY_PACKED_UPDATE = 26
+  DSP__ENVELOPE__BODY_PACKED_UPDATE = 26,
+  DSP__ENVELOPE__BODY_STREAM_COPIES = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DSP__ENVELOPE__BODY__CASE)
 } Dsp__Envelope__BodyCase;
 
@@ -2331,6 +2368,7 @@
     Dsp__PromptSlots *prompt_slots;
     Dsp__PromptSends *prompt_sends;
     Dsp__PackedUpdate *packed_update;
+    Dsp__StreamCopies *stream_copies;
   };
 };
 #define DSP__ENVELOPE__INIT \
@@ -3383,6 +3421,44 @@
 void   dsp__streams_begun__free_unpacked
                      (Dsp__StreamsBegun *message,
                       ProtobufCAllocator *allocator);
+/* Dsp__StreamCopyGroup methods */
+void   dsp__stream_copy_group__init
+                     (Dsp__StreamCopyGroup         *message);
+size_t dsp__stream_copy_group__get_packed_size
+                     (const Dsp__StreamCopyGroup   *message);
+size_t dsp__stream_copy_group__pack
+                     (const Dsp__StreamCopyGroup   *message,
+                      uint8_t             *out);
+size_t dsp__stream_copy_group__pack_to_buffer
+                     (const Dsp__StreamCopyGroup   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__StreamCopyGroup *
+       dsp__stream_copy_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__stream_copy_group__free_unpacked
+                     (Dsp__StreamCopyGroup *message,
+                      ProtobufCAllocator *allocator);
+/* Dsp__StreamCopies methods */
+void   dsp__stream_copies__init
+                     (Dsp__StreamCopies         *message);
+size_t dsp__stream_copies__get_packed_size
+                     (const Dsp__StreamCopies   *message);
+size_t dsp__stream_copies__pack
+                     (const Dsp__StreamCopies   *message,
+                      uint8_t             *out);
+size_t dsp__stream_copies__pack_to_buffer
+                     (const Dsp__StreamCopies   *message,
+                      ProtobufCBuffer     *buffer);
+Dsp__StreamCopies *
+       dsp__stream_copies__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dsp__stream_copies__free_unpacked
+                     (Dsp__StreamCopies *message,
+                      ProtobufCAllocator *allocator);
 /* Dsp__StreamsFind methods */
 void   dsp__streams_find__init
                      (Dsp__StreamsFind         *message);
@@ -4310,6 +4386,12 @@
 typedef void (*Dsp__StreamsBegun_Closure)
                  (const Dsp__StreamsBegun *message,
                   void *closure_data);
+typedef void (*Dsp__StreamCopyGroup_Closure)
+                 (const Dsp__StreamCopyGroup *message,
+                  void *closure_data);
+typedef void (*Dsp__StreamCopies_Closure)
+                 (const Dsp__StreamCopies *message,
+                  void *closure_data);
 typedef void (*Dsp__StreamsFind_Closure)
                  (const Dsp__StreamsFind *message,
                   void *closure_data);
@@ -4500,6 +4582,8 @@
 extern const ProtobufCMessageDescriptor dsp__expire__descriptor;
 extern const ProtobufCMessageDescriptor dsp__stream_group__descriptor;
 extern const ProtobufCMessageDescriptor dsp__streams_begun__descriptor;
+extern const ProtobufCMessageDescriptor dsp__stream_copy_group__descriptor;
+extern const ProtobufCMessageDescriptor dsp__stream_copies__descriptor;
 extern const ProtobufCMessageDescriptor dsp__streams_find__descriptor;
 extern const ProtobufCMessageDescriptor dsp__stream_found__descriptor;
 extern const ProtobufCMessageDescriptor dsp__command__descriptor;
--- a/tests/integration/versions_test.cc
+++ b/tests/integration/versions_test.cc
@@ -195,6 +195,13 @@
 	}
 };
 
+/* How the entry that began the streams is missing when the second version
+ * joins. */
+class VersionsWithoutAnEntry : public Versions,
+			       public ::testing::WithParamInterface<int>
+{
+};
+
 /*
  * Callers begin streams, leave them and take them up again through any entry,
  * while processes are killed, stopped and started again, tables change, and
@@ -335,6 +342,28 @@
 
 } // namespace
 
+/* Guards against streams that are refused although they began while there was
+ * one version: their entry was away when the second one joined. */
+TEST_P(VersionsWithoutAnEntry, StreamsOfBeforeGoOn)
+{
+	add("v1");
+	add("v1");
+	begin_all(entry(0));
+	kill(entry(0).pid, GetParam());
+	start("v2");
+	start("v2");
+	ASSERT_TRUE(System::eventually([&] { return knows_all(entry(1)); }))
+		<< system.logs();
+	EXPECT_EQ(go_on_all(entry(1)), STREAMS) << system.logs();
+	for (int i = 0; i < STREAMS; i++)
+		EXPECT_EQ(ran("b" + std::to_string(i)),
+			  std::set<std::string>{ "v1" });
+	kill(entry(0).pid, SIGCONT);
+}
+
+INSTANTIATE_TEST_SUITE_P(Missing, VersionsWithoutAnEntry,
+			 ::testing::Values(SIGSTOP, SIGKILL));
+
 TEST_F(Versions, AnswerIsNotJoinedFromTwoVersions)
 {
 	Runner &old = add("v1");
--- a/tests/unit/ver_test.cc
+++ b/tests/unit/ver_test.cc
@@ -185,3 +185,57 @@
 		begun("b" + std::to_string(i), "v1", 100 * S);
 	EXPECT_LE(ver_n_streams(ver), 32768u);
 }
+
+/* Guards against streams that nobody tells of because their entry is gone when
+ * their service gets a second version. */
+TEST_F(Ver, CopiesOfStreamsAreNewsOnceThereAreSeveralVersions)
+{
+	struct ver *other = ver_new();
+	Dsp__StreamCopies *copies;
+	Dsp__StreamsBegun *news;
+
+	view({ { "llm", "v1" } });
+	begun("a", "v1");
+	begun("b", "v1");
+	begun("unknown", NULL);
+	copies = ver_take_copies(ver, 0);
+	ASSERT_NE(copies, nullptr);
+	EXPECT_EQ(ver_take_copies(ver, 0), nullptr);
+	std::swap(ver, other);
+	view({ { "llm", "v1" } });
+	ver_keep(ver, copies, 0);
+	EXPECT_EQ(ver_n_streams(ver), 2u);
+	EXPECT_FALSE(ver_has_news(ver));
+	EXPECT_EQ(ver_take_copies(ver, 0), nullptr) << "a copy of a copy";
+	view({ { "llm", "v1" }, { "llm", "v2" } });
+	EXPECT_STREQ(find("a").software, "v1");
+	news = ver_take(ver);
+	ASSERT_NE(news, nullptr);
+	ASSERT_EQ(news->n_groups, 1u);
+	EXPECT_STREQ(news->groups[0]->software, "v1");
+	EXPECT_EQ(news->groups[0]->n_streams, 2u);
+	dsp__streams_begun__free_unpacked(news, NULL);
+	dsp__stream_copies__free_unpacked(copies, NULL);
+	ver_free(other);
+}
+
+/* What an entry has seen itself counts, whatever others say later. */
+TEST_F(Ver, CopyDoesNotChangeAKnownStream)
+{
+	Dsp__StreamCopyGroup group = DSP__STREAM_COPY_GROUP__INIT;
+	Dsp__StreamCopyGroup *groups[] = { &group };
+	Dsp__StreamCopies copies = DSP__STREAM_COPIES__INIT;
+	uint64_t digest = ver_digest("a");
+
+	view({ { "llm", "v1" }, { "llm", "v2" } });
+	begun("a", "v2");
+	group.service = (char *)"llm";
+	group.software = (char *)"v1";
+	group.streams = &digest;
+	group.n_streams = 1;
+	group.keep_ms = 1000;
+	copies.groups = groups;
+	copies.n_groups = 1;
+	ver_keep(ver, &copies, 0);
+	EXPECT_STREQ(find("a").software, "v2");
+}
