edge: removes a caller's fields under the names of detours

Found while reading the code; OnlyInstancesOfTheGroupMaySend failed (502 and 0 runs in place of 200 and 1) and passes.

--- a/src/edge/edge_detour.c
+++ b/src/edge/edge_detour.c
@@ -149,6 +149,22 @@
 			       helper->detour_port);
 }
 
+/* Removes fields that a caller has sent under the names of detours. */
+static void remove_fields(GString *head)
+{
+	char *line = strstr(head->str, "\r\n") + 2;
+
+	while (strncmp(line, "\r\n", 2) != 0) {
+		char *end = strstr(line, "\r\n") + 2;
+
+		if (!edge_detour_is_field(line)) {
+			line = end;
+			continue;
+		}
+		g_string_erase(head, line - head->str, end - line);
+	}
+}
+
 /* Adds the fields for a helper below the request line. */
 static void add_fields(struct edge_detour *ctx, GString *head,
 		       const Dsp__Node *helper, const char *endpoint,
@@ -207,6 +223,7 @@
 
 	if (!address)
 		return NULL;
+	remove_fields(head);
 	add_fields(ctx, head, helper, bal_id(endpoint),
 		   bal_incarnation(endpoint), timeout_us, reuse_idle_us);
 	pth_detour_begun(ctx->paths, helper->id);
--- a/tests/integration/detours_test.cc
+++ b/tests/integration/detours_test.cc
@@ -308,6 +308,18 @@
 				  .status(),
 			  503);
 	EXPECT_EQ(a.n_ran() + b.n_ran(), before);
+	cut(1, silent.port);
+	wait_lost(1);
+	EXPECT_EQ(call(system.instances[1].front,
+		       request("POST", "/once/x", "host.example",
+			       "X-Attempt-Id: own\r\n"
+			       "dandelionspar-detour-check: 1\r\n"
+			       "Dandelionspar-Detour-Endpoint: i-x\r\n",
+			       "book"))
+			  .status(),
+		  200)
+		<< system.logs();
+	EXPECT_EQ(n_run("own"), 1u);
 	EXPECT_EQ(call(system.instances[2].front,
 		       request("POST", "/none/x", "host.example",
 			       "Dandelionspar-Detour-Endpoint: i-a\r\n", ""))
