--- a/src/edge/edge_detour.c
+++ b/src/edge/edge_detour.c
@@ -749,6 +749,15 @@
 		return "not_of_group";
 	if (ctx->edge->draining)
 		return "stopping";
+	switch (ctl_state(ctx->edge->ctl).readiness) {
+	case CTL_STARTING:
+	case CTL_STALE:
+		return "no_confirmed_view";
+	case CTL_SERVING:
+	case CTL_ISOLATED:
+	case CTL_DRAINING:
+		break;
+	}
 	if (ctx->n_taken >= TAKEN_MAX)
 		return "too_many";
 	return NULL;
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -1231,8 +1231,11 @@
 	address = take_detour(at, options.head);
 	if (address) {
 		options.address = address;
-		/* The helper checks which request an answer is for. */
+		/* The helper checks which request an answer is for. It may be
+		 * about to close a connection that is idle. */
 		options.echo_name = NULL;
+		if (!may_repeat(f))
+			options.reuse_idle_us = 0;
 	}
 	at->new_connection = !hio_client_has_idle(
 		f->edge->client, options.address, options.reuse_idle_us);
