--- a/tests/integration/detours_test.cc
+++ b/tests/integration/detours_test.cc
@@ -1,4 +1,6 @@
 #include <fstream>
+#include <map>
+#include <random>
 
 #include "tests/platform/system.h"
 
@@ -137,6 +139,175 @@
 {
 };
 
+/*
+ * Callers on kept connections, while entries lose and regain paths, are killed,
+ * stopped, suspended and reloaded, and endpoints crash and start again, in
+ * series and at once.
+ */
+class DetoursSoak : public Detours
+{
+      protected:
+	std::mt19937 random;
+	std::atomic<bool> done{ false };
+	std::atomic<int> n_requests{ 0 }, n_served{ 0 };
+	int n_restarts = 0;
+	unsigned number = 2;
+	std::mutex lock;		 /* guards the fields below */
+	std::map<std::string, int> runs; /* by request */
+	std::set<std::string> not_run;	 /* by their answer */
+
+	unsigned draw(unsigned n)
+	{
+		return (unsigned)(random() % n);
+	}
+
+	/* A non-idempotent request runs at most once, not at all where the
+	 * answer promises that, and its answer is its own. */
+	void check(const Message &m, const std::string &id)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		if (m.status() == 503)
+			not_run.insert(id);
+		if (m.status() != 200)
+			return;
+		n_served++;
+		EXPECT_EQ(runs[id], 1) << id;
+		EXPECT_EQ(m.field("X-Attempt-Id"), id);
+		EXPECT_TRUE(m.complete) << id;
+		EXPECT_EQ(m.body, id);
+	}
+
+	/* The same at the end: a request may run after its answer. */
+	void check_all()
+	{
+		for (const auto &run : runs)
+			EXPECT_EQ(run.second, 1) << run.first;
+		for (const std::string &id : not_run)
+			EXPECT_EQ(runs.count(id), 0u) << id;
+	}
+
+	/* Sends requests on one connection until it is closed. */
+	void use(unsigned seed)
+	{
+		std::mt19937 own(seed);
+
+		while (!done) {
+			size_t i = 1 + own() % 3;
+			Socket s;
+
+			if (!s.connect_to(system.instances[i].front, 500)) {
+				usleep(20000);
+				continue;
+			}
+			while (!done) {
+				std::string id =
+					"s" + std::to_string(n_requests++);
+				Message m;
+
+				if (!s.send(request(
+					    "POST", "/once/x", "host.example",
+					    "X-Attempt-Id: " + id + "\r\n",
+					    id)) ||
+				    !s.read(&m, 6000))
+					break;
+				check(m, id);
+				usleep((useconds_t)(own() % 10) * 1000);
+			}
+		}
+	}
+
+	void restart_entry(System::Instance &x, int signal)
+	{
+		kill(x.pid, signal);
+		if (signal != SIGKILL)
+			usleep(draw(600) * 1000);
+		proc_kill(x.pid);
+		system.start(x);
+	}
+
+	void disturb()
+	{
+		size_t i = 1 + draw(3);
+		System::Instance &x = system.instances[i];
+
+		switch (draw(9)) {
+		case 0:
+		case 1:
+			cut(i, silent.port);
+			break;
+		case 2:
+			cut(i, proc_free_port());
+			break;
+		case 3:
+		case 4:
+			cut(i, 0);
+			break;
+		case 5:
+			restart_entry(x, draw(2) ? SIGKILL : SIGTERM);
+			break;
+		case 6:
+			kill(x.pid, SIGSTOP);
+			usleep(draw(1200) * 1000);
+			kill(x.pid, SIGCONT);
+			break;
+		case 7:
+			if (draw(2) && !b.is_down)
+				b.crash();
+			else if (b.is_down)
+				b.restart("i-b" + std::to_string(++n_restarts));
+			break;
+		default:
+			kill(x.pid, SIGHUP);
+			system.put(table((int)number++));
+			break;
+		}
+	}
+
+	void run(unsigned seed)
+	{
+		std::vector<std::thread> callers;
+
+		random.seed(seed);
+		for (Runner *r : { &a, &b })
+			r->handler = [this, r](Socket &s, const Message &m) {
+				std::string id = m.field("X-Attempt-Id");
+
+				{
+					std::lock_guard<std::mutex> guard(lock);
+
+					if (m.method() == "POST")
+						runs[id]++;
+				}
+				return s.send(answer(
+					200, r->seal() + Runner::echo(m), id));
+			};
+		for (unsigned i = 0; i < 12; i++)
+			callers.emplace_back(
+				[this, seed, i] { use(seed * 100 + i); });
+		for (int i = 0; i < 24; i++) {
+			disturb();
+			usleep(draw(700) * 1000);
+		}
+		for (size_t i = 1; i <= 3; i++)
+			cut(i, 0);
+		usleep(1000000);
+		done = true;
+		for (auto &t : callers)
+			t.join();
+		check_all();
+		printf("seed %u: %d requests, %d served\n", seed,
+		       n_requests.load(), n_served.load());
+		EXPECT_GT(n_served, n_requests / 4) << system.logs();
+		for (size_t i = 1; i <= 3; i++)
+			EXPECT_TRUE(System::eventually([&] {
+				return send(i, "GET", "/safe/x", "last")
+					       .status() == 200;
+			})) << "entry "
+			    << i << " does not serve";
+	}
+};
+
 } // namespace
 
 TEST_P(DetoursOfACut, FirstAttemptsAreServedThroughAnotherEntry)
@@ -326,3 +497,10 @@
 			  .status(),
 		  404);
 }
+
+TEST_F(DetoursSoak, RequestsRunAtMostOnceAndNotRunIsTrue)
+{
+	const char *seed = getenv("DETOURS_SEED");
+
+	run(seed ? (unsigned)atoi(seed) : 1);
+}
