--- a/src/core/pth.c
+++ b/src/core/pth.c
@@ -15,7 +15,13 @@
 #define RELAPSE_US 10000000
 /* An endpoint that no helper reached is not asked about again before this. */
 #define CHECK_INTERVAL_US 1000000
-/* A helper that did not help is not used for the service before this, which
+/* Helpers that must not reach an endpoint for it to count as ended. One alone
+ * may lack a path too. */
+#define UNREACHED_MIN 2
+/* A helper that did not answer is not used before this: it may have stopped or
+ * just started. */
+#define REST_SHORT_US 300000
+/* A helper without a path is not used for the service before this, which
  * doubles with each failure in a row. */
 #define REST_MIN_US 1000000
 #define REST_MAX_US 8000000
@@ -39,6 +45,7 @@
 	unsigned wanted; /* of them, for the path to be used */
 	char *asked[PTH_HELPERS_MAX + 1];
 	size_t n_asked;
+	bool unreached[PTH_HELPERS_MAX]; /* whose connection failed */
 };
 
 struct rest {
@@ -190,21 +197,40 @@
 	return g_strdup_printf("%s %s", helper, p->msg->service);
 }
 
-static void set_rest(struct pth *ctx, const struct path *p, const char *helper,
-		     int64_t now_us)
+static struct rest *get_rest(struct pth *ctx, const struct path *p,
+			     const char *helper, int64_t now_us)
 {
 	char *key = rest_key(p, helper);
 	struct rest *rest = g_hash_table_lookup(ctx->rests, key);
 
-	if (!rest) {
-		g_hash_table_foreach_remove(ctx->rests, is_over, &now_us);
-		rest = g_new0(struct rest, 1);
-		g_hash_table_insert(ctx->rests, g_strdup(key), rest);
+	if (rest) {
+		g_free(key);
+		return rest;
 	}
+	g_hash_table_foreach_remove(ctx->rests, is_over, &now_us);
+	rest = g_new0(struct rest, 1);
+	g_hash_table_insert(ctx->rests, key, rest);
+	return rest;
+}
+
+/* A helper has no path to the endpoints of a service. */
+static void set_rest(struct pth *ctx, const struct path *p, const char *helper,
+		     int64_t now_us)
+{
+	struct rest *rest = get_rest(ctx, p, helper, now_us);
+
 	rest->until_us = now_us + MIN(REST_MIN_US << MIN(rest->failures, 3),
 				      REST_MAX_US);
 	rest->failures++;
-	g_free(key);
+}
+
+/* A helper did not answer. */
+static void set_short_rest(struct pth *ctx, const struct path *p,
+			   const char *helper, int64_t now_us)
+{
+	struct rest *rest = get_rest(ctx, p, helper, now_us);
+
+	rest->until_us = MAX(rest->until_us, now_us + REST_SHORT_US);
 }
 
 static void end_rest(struct pth *ctx, const struct path *p, const char *helper)
@@ -324,11 +350,51 @@
 		g_hash_table_remove(ctx->loads, helper);
 }
 
-static void add_asked(struct path *p, const char *helper)
+/* Returns the place of a helper among those that were asked, which has room for
+ * it; PTH_HELPERS_MAX: there is none. */
+static size_t add_asked(struct path *p, const char *helper)
+{
+	size_t i = 0;
+
+	while (i < p->n_asked && strcmp(p->asked[i], helper) != 0)
+		i++;
+	if (i < p->n_asked || i == PTH_HELPERS_MAX)
+		return i;
+	p->unreached[i] = false;
+	p->asked[p->n_asked++] = g_strdup(helper);
+	return i;
+}
+
+static unsigned count_unreached(const struct path *p)
+{
+	unsigned n = 0;
+
+	for (size_t i = 0; i < p->n_asked; i++)
+		n += p->unreached[i];
+	return n;
+}
+
+/* Takes into account that a helper does not reach an endpoint. */
+static void note_reply(struct pth *ctx, struct path *p, const char *helper,
+		       enum pth_reply reply, int64_t now_us)
 {
-	if (p->n_asked < PTH_HELPERS_MAX &&
-	    !is_in((const char *const *)p->asked, helper))
-		p->asked[p->n_asked++] = g_strdup(helper);
+	size_t i;
+
+	switch (reply) {
+	case PTH_REACHED:
+		break;
+	case PTH_UNREACHED:
+		i = add_asked(p, helper);
+		if (i < PTH_HELPERS_MAX)
+			p->unreached[i] = true;
+		break;
+	case PTH_NO_PATH:
+		set_rest(ctx, p, helper, now_us);
+		break;
+	case PTH_NO_REPLY:
+		set_short_rest(ctx, p, helper, now_us);
+		break;
+	}
 }
 
 /* A helper did not pass a request on to the endpoint. If it did not reach it,
@@ -340,12 +406,12 @@
 
 	if (!p)
 		return;
-	if (reply == PTH_NO_REPLY) {
-		set_rest(ctx, p, helper, now_us);
-	} else if (reply == PTH_UNREACHED && p->state == PTH_LOST) {
+	if (reply == PTH_UNREACHED && p->state == PTH_LOST) {
+		if (is_in((const char *const *)p->asked, helper))
+			return;
 		p->in_doubt = true;
-		add_asked(p, helper);
 	}
+	note_reply(ctx, p, helper, reply, now_us);
 }
 
 /* ---- Paths ---- */
@@ -386,13 +452,13 @@
 	suspect_others(ctx, p, now_us);
 }
 
-/* A helper reaches the endpoint. Those that were asked before it did not, so
- * they are of no use for the service. */
+/* A helper reaches the endpoint. Those whose connection failed are of no use
+ * for the service. */
 static void reached_by(struct pth *ctx, struct path *p, const char *helper,
 		       int64_t now_us)
 {
 	for (size_t i = 0; i < p->n_asked; i++)
-		if (strcmp(p->asked[i], helper) != 0)
+		if (p->unreached[i] && strcmp(p->asked[i], helper) != 0)
 			set_rest(ctx, p, p->asked[i], now_us);
 	end_rest(ctx, p, helper);
 	forget_asked(p);
@@ -451,6 +517,8 @@
 	set_idle(ctx, p);
 	if (reply == PTH_REACHED)
 		reached_by(ctx, p, helper, now_us);
+	else
+		note_reply(ctx, p, helper, reply, now_us);
 }
 
 /* Takes the result of PTH_PROBE. */
@@ -481,11 +549,24 @@
 	path_open(ctx, p);
 }
 
-/* Ends a check without a helper that reaches the endpoint: it has ended, or
- * nobody can say. */
+/*
+ * Ends a check without a helper that reaches the endpoint. It has ended if
+ * several do not; otherwise nobody can say: a lost path stays lost, and an open
+ * one is checked again soon.
+ */
 static void end_check(struct pth *ctx, struct path *p, int64_t now_us)
 {
+	unsigned unreached = count_unreached(p);
+	bool ended = unreached >= UNREACHED_MIN;
+
 	p->checked_us = now_us;
+	if (!unreached)
+		p->checked_us -= CHECK_INTERVAL_US - REST_SHORT_US;
+	if (p->state == PTH_LOST && !ended) {
+		p->in_doubt = false;
+		forget_asked(p);
+		return;
+	}
 	path_open(ctx, p);
 }
 
--- a/src/core/pth.h
+++ b/src/core/pth.h
@@ -27,7 +27,8 @@
 /* What a helper said about an endpoint. */
 enum pth_reply {
 	PTH_REACHED,
-	PTH_UNREACHED, /* it has no path either */
+	PTH_UNREACHED, /* its connection failed */
+	PTH_NO_PATH,   /* it has lost its path as well */
 	PTH_NO_REPLY,  /* the helper itself was not reached, or does not help */
 };
 
--- a/src/edge/edge_detour.c
+++ b/src/edge/edge_detour.c
@@ -44,6 +44,7 @@
 	[DETOUR_NONE] = "none",
 	[DETOUR_ANSWER] = "answer",
 	[DETOUR_UNREACHED] = "unreached",
+	[DETOUR_NO_PATH] = "no_path",
 	[DETOUR_UNKNOWN_ENDPOINT] = "unknown_endpoint",
 	[DETOUR_REFUSED] = "refused",
 	[DETOUR_BROKEN] = "broken",
@@ -264,6 +265,8 @@
 		return PTH_REACHED;
 	case DETOUR_UNREACHED:
 		return PTH_UNREACHED;
+	case DETOUR_NO_PATH:
+		return PTH_NO_PATH;
 	case DETOUR_NONE:
 	case DETOUR_UNKNOWN_ENDPOINT:
 	case DETOUR_REFUSED:
@@ -786,7 +789,7 @@
 		outcome = DETOUR_UNKNOWN_ENDPOINT;
 		reason = "not_in_view";
 	} else if (endpoint && edge_detour_is_lost(ctx, endpoint->id)) {
-		outcome = DETOUR_UNREACHED;
+		outcome = DETOUR_NO_PATH;
 		reason = "path_lost";
 	}
 	if (reason) {
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -243,6 +243,7 @@
 	DETOUR_NONE,		 /* it did not say, or was not reached */
 	DETOUR_ANSWER,		 /* the answer is the endpoint's */
 	DETOUR_UNREACHED,	 /* not sent: no connection to the endpoint */
+	DETOUR_NO_PATH,		 /* not sent: it has lost its path too */
 	DETOUR_UNKNOWN_ENDPOINT, /* not sent: not in its view, or leaves */
 	DETOUR_REFUSED,		 /* not sent: it takes none */
 	DETOUR_BROKEN,		 /* sent; there is no answer */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -59,6 +59,9 @@
 #define SLOT_WAIT_MAX_US 1000000
 /* A slot is not used later than this after its time: others have it by then. */
 #define SLOT_LATE_MAX_US 100000
+/* Longest wait for an instance that reaches an endpoint: a reply takes some
+ * milliseconds, the rest of one that did not answer less than that. */
+#define HELPER_WAIT_US EDGE_S_US
 /* Poll interval of the queue when no event frees capacity. */
 #define QUEUE_POLL_US 25000
 /* Requests tried in one run of the queue. */
@@ -555,25 +558,45 @@
 		f->unreached[i] |= !strcmp(f->tried[i], id);
 }
 
-/* Has the endpoints that were not reached tried again if helpers reach them.
- * Returns whether helpers are still being asked about others. */
-static bool forget_unreached(struct fwd *f)
+static bool has_helper(const struct fwd *f, const char *endpoint)
 {
-	bool asked = false;
+	return edge_detour_helper(f->edge->detour, endpoint,
+				  (const char *const *)f->helpers) != NULL;
+}
 
+/* Has the endpoints that were not reached tried again through helpers, if there
+ * are any. */
+static void forget_unreached(struct fwd *f)
+{
 	for (size_t i = 0; i < f->n_tried;) {
-		const char *id = f->tried[i];
-
 		if (f->unreached[i] && f->n_helpers < PTH_HELPERS_MAX &&
-		    edge_detour_is_lost(f->edge->detour, id)) {
+		    has_helper(f, f->tried[i]))
 			remove_tried(f, i);
-			continue;
-		}
-		asked |= f->unreached[i] &&
-			 edge_detour_may_help(f->edge->detour, id);
-		i++;
+		else
+			i++;
 	}
-	return asked && f->n_helpers < PTH_HELPERS_MAX;
+}
+
+/*
+ * Returns whether the request should wait for a helper: one may be about to
+ * tell whether it reaches an endpoint, or to start or stop. Helpers that did
+ * not pass it on may be asked again, after the rest that each of them has.
+ */
+static bool wait_for_helper(struct fwd *f)
+{
+	bool waits = false;
+
+	if (now_of(f) - f->start_us > HELPER_WAIT_US)
+		return false;
+	for (size_t i = 0; i < f->n_tried; i++)
+		waits |= f->unreached[i] &&
+			 edge_detour_may_help(f->edge->detour, f->tried[i]);
+	if (!waits)
+		return false;
+	while (f->n_helpers)
+		g_clear_pointer(&f->helpers[--f->n_helpers], g_free);
+	set_timer_at(f, MIN(now_of(f) + QUEUE_POLL_US, f->deadline_us));
+	return true;
 }
 
 static bool take_repeat(struct fwd *f)
@@ -1054,6 +1077,7 @@
 		break_attempt(at, "broken_at_helper");
 		return;
 	case DETOUR_UNREACHED:
+	case DETOUR_NO_PATH:
 	case DETOUR_NONE:
 	case DETOUR_REFUSED:
 		/* Not the endpoint's fault as long as others may reach it. */
@@ -1632,7 +1656,6 @@
 {
 	struct bal_choice choice = { .outcome = BAL_PREFILL_BUSY };
 	struct sus_decision decision;
-	bool is_asked;
 
 	if (is_too_late(f)) {
 		give_up(f, -1, "deadline");
@@ -1653,7 +1676,7 @@
 	}
 	if (decision.action == SUS_SEND && wait_for_slot(f))
 		return false;
-	is_asked = forget_unreached(f);
+	forget_unreached(f);
 	/* Queued requests of the same group come first. */
 	if (f->item.queued || has_part(f) || f->slot.state == EDGE_SLOT_GIVEN ||
 	    !adm_length(f->edge->queue, f->group))
@@ -1663,11 +1686,9 @@
 		refuse_part(f, TRIAL_RETRY_US);
 		return false;
 	}
-	if (choice.outcome == BAL_NO_OTHER && is_asked && !f->item.queued) {
-		/* A helper's reply takes some milliseconds. */
-		set_timer_at(f, MIN(now_of(f) + QUEUE_POLL_US, f->deadline_us));
+	if (choice.outcome == BAL_NO_OTHER && !f->item.queued &&
+	    wait_for_helper(f))
 		return false;
-	}
 	if (choice.outcome != BAL_CHOSEN)
 		return enqueue_or_refuse(f, &choice);
 	adm_remove(f->edge->queue, &f->item);
