--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -1152,6 +1153,17 @@
 			       all.size() - voters - n_removed;
 	}
 
+	/* True when the instance is a member with the disk that it has now, and
+	 * no member with a disk of before is left. */
+	bool has_replaced(Instance &instance)
+	{
+		Instance *at = leader();
+
+		return at && !at->has_status("replaces the old replica") &&
+		       at->has_status("{\"replica\":\"" + replica_of(instance) +
+				      "\"");
+	}
+
 	/* Returns a voter that does not lead, or NULL. */
 	Instance *follower()
 	{
@@ -1315,6 +1327,56 @@
 	EXPECT_TRUE(put_table(*started[0], 2));
 }
 
+/*
+ * Voters are away for a while, disks are lost and leaders restart meanwhile, in
+ * series and overlapping, two losses at a time at most. The group takes changes
+ * all the time, and is complete again at the end. Other runs: CONTROL_SEED.
+ */
+TEST_F(ControlSeeds, ChangesAreTakenWhileMembersComeAndGo)
+{
+	const char *seed = getenv("CONTROL_SEED");
+	std::mt19937 random(seed ? (unsigned)atoi(seed) : 1);
+	uint64_t table = 0;
+
+	start_seeded(2);
+	for (int round = 0; round < 4; round++) {
+		size_t first = random() % all.size();
+		Instance &away = *all[first];
+		size_t n_lost = 1 + random() % 3;
+
+		away.stop();
+		for (size_t i = 1; i <= n_lost; i++) {
+			Instance &lost = *all[(first + i) % all.size()];
+
+			usleep((useconds_t)(random() % 2500) * 1000);
+			lost.stop();
+			if (random() % 3)
+				lose_disk(lost);
+			lost.start();
+			ASSERT_TRUE(put_table(lost, ++table))
+				<< "round " << round << ", " << i << " lost";
+			if (random() % 2) {
+				Instance *at = leader();
+
+				if (at) {
+					at->stop();
+					at->start();
+				}
+			}
+			ASSERT_TRUE(wait_until([&] {
+				return has_replaced(lost);
+			})) << lost.id
+			    << ", round " << round;
+		}
+		away.start();
+		ASSERT_TRUE(put_table(away, ++table));
+		ASSERT_TRUE(wait_until([&] { return is_complete(); }))
+			<< "round " << round;
+	}
+	for (auto &instance : all)
+		EXPECT_EQ(get_table(*instance, WAIT_US), table) << instance->id;
+}
+
 /*
  * Guards against faults that come one after the other while two voters of five
  * are away: CONTACT_US later a third voter loses its disk and the rest lose
