ctl: a replica does not pass its own request to join on to itself

A former leader that hears no other one asks to be taken back after 2 s. The leader that it remembers is itself, so it sent its request to itself, and as no leader passed each copy on to the leader that it remembers, without end: 55 MB in 3 s (FormerLeaderAloneSendsLittle before the change, limit 0.1 MB), a core and a half in a process of six instances. A core machine that is cut off, or a group without a majority, spends its processor on this until it hears a leader.

The soak's failure itself was the test's: it took two statuses for one, so a third of five voters was lost before the repair of the second. One status is read now, and the checks are the same.

--- a/src/node/ctl_form.c
+++ b/src/node/ctl_form.c
@@ -364,7 +364,9 @@
 	if (!ctl_raft_is_leader(ctx)) {
 		out.body_case = DSP__ENVELOPE__BODY_JOIN_REQUEST;
 		out.join_request = (Dsp__JoinRequest *)request;
-		if (!strcmp(from->from, m->node))
+		/* The leader that this replica remembers may be itself. */
+		if (!strcmp(from->from, m->node) &&
+		    strcmp(m->node, ctx->set->id) != 0)
 			ctl_send(ctx, ctx->leader_address, &out);
 		return;
 	}
--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -1135,21 +1135,50 @@
 		return n;
 	}
 
+	/* Returns the status of the leader, or "". */
+	std::string leader_status()
+	{
+		Instance *at = leader();
+		std::string text;
+		char *json;
+
+		if (!at)
+			return "";
+		json = ctl_status_json(at->ctl);
+		text = json;
+		g_free(json);
+		return text;
+	}
+
+	static size_t count(const std::string &text, const std::string &part)
+	{
+		size_t n = 0;
+
+		for (size_t at = text.find(part); at != std::string::npos;
+		     at = text.find(part, at + 1))
+			n++;
+		return n;
+	}
+
 	/* True when every running instance is a member of the group with the
 	 * disk that it has now, and the group has all of its voters. */
 	bool is_complete()
 	{
-		Instance *at = leader();
+		const std::string state = "\"site\":\"north\",\"state\":";
+		std::vector<std::string> rows;
+		std::string status;
 
-		if (!at || at->has_status("replaces the old replica"))
-			return false;
 		for (auto &instance : all)
-			if (instance->ctl &&
-			    !at->has_status("{\"replica\":\"" +
-					    replica_of(*instance) + "\""))
+			if (instance->ctl)
+				rows.push_back("{\"replica\":\"" +
+					       replica_of(*instance) + "\"");
+		status = leader_status();
+		for (const std::string &row : rows)
+			if (!count(status, row))
 				return false;
-		return count_members("voter") == voters &&
-		       count_members("learner") ==
+		return !count(status, "replaces the old replica") &&
+		       count(status, state + "\"voter\"") == voters &&
+		       count(status, state + "\"learner\"") ==
 			       all.size() - voters - n_removed;
 	}
 
@@ -1157,11 +1186,12 @@
 	 * no member with a disk of before is left. */
 	bool has_replaced(Instance &instance)
 	{
-		Instance *at = leader();
+		std::string row =
+			"{\"replica\":\"" + replica_of(instance) + "\"";
+		std::string status = leader_status();
 
-		return at && !at->has_status("replaces the old replica") &&
-		       at->has_status("{\"replica\":\"" + replica_of(instance) +
-				      "\"");
+		return count(status, row) &&
+		       !count(status, "replaces the old replica");
 	}
 
 	/* Returns a voter that does not lead, or NULL. */
@@ -1432,6 +1462,34 @@
 		})) << instance->id;
 }
 
+/* Guards against a replica that hears no leader, led last itself, and sends its
+ * request to be taken back to itself without end. */
+TEST_F(Control, FormerLeaderAloneSendsLittle)
+{
+	auto sent = [](Instance &instance) {
+		return met_value(instance.met, "dandelionspar_net_sent_bytes",
+				 "");
+	};
+	Instance *alone;
+	uint64_t before;
+
+	create(3, 0);
+	start_all();
+	ASSERT_TRUE(wait_until([&] { return all_serve(); }));
+	ASSERT_NE(alone = leader(), nullptr);
+	for (auto &instance : all)
+		if (instance.get() != alone)
+			instance->stop();
+	ASSERT_TRUE(wait_until([&] {
+		return met_value(alone->met, "dandelionspar_rejoins", "") > 0;
+	}));
+	usleep(1500000);
+	before = sent(*alone);
+	EXPECT_GT(before, 0u);
+	usleep(3000000);
+	EXPECT_LT(sent(*alone) - before, 100000u);
+}
+
 /*
  * Bounded log and snapshot transfer: when more has been logged than is kept, a
  * replica that lost its disk joins from a snapshot, and restarted replicas load
