--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -679,9 +679,14 @@
 
 static void on_event(struct bufferevent *bev, short what, void *data)
 {
+	struct conn *conn = data;
+
 	(void)bev;
+	if ((what & BEV_EVENT_ERROR) && !conn->is_too_slow &&
+	    EVUTIL_SOCKET_ERROR() == ETIMEDOUT)
+		report_closed(conn->server, "timed_out");
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-		conn_free(data);
+		conn_free(conn);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *data)
