http: tell a peer that reads slowly from one that is gone

Cause: TCP_USER_TIMEOUT of 3 s on all connections of the HTTP layer. Linux counts it from the moment the receive window closes, whatever the probes are answered, so it ends a connection whose window does not open within 3 s.

On a pair of sockets the window of a reader of 320 bytes a second stays closed for 11 s while each probe is answered; a peer behind a socket filter that drops everything answers none.

Change: the kernel's counters (TCP_INFO) decide. A peer is gone when two transmissions in a row (retransmissions or probes) and 3 s went without an acknowledgement. One pass each 0.5 s over the connections with bytes to acknowledge. While a window is closed, probes are at most 1 s apart (TCP_RTO_MAX_MS; Linux 6.15); on older kernels the option is renewed as long as all probes are answered, so that a vanished peer is found within 10 s there. The time is the kernel's, so a process that stood still blames no peer.

Ruled out: a longer timeout (finds broken paths later, and cuts slower readers); keep-alive (does not run while data is in flight); the time without a byte leaving the buffer (windows open in steps, up to 15 s apart); probes alone, without a bound of their interval (it doubles up to 2 min); the short interval on all connections (the kernel then gives up on closed sockets early, and retransmits too often where a round trip takes long).

--- a/src/http/hio.c
+++ b/src/http/hio.c
@@ -1,16 +1,10 @@
 #include "http/hio_int.h"
 
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
 #include <string.h>
 
 G_DEFINE_QUARK(hio - error - quark, hio_error)
 
-/* The kernel closes a connection whose sent bytes stay unacknowledged for this
- * long, so that a broken network path is noticed before the usual deadlines of
- * seconds expire. */
-#define UNACKED_MAX_MS 3000
-
 /* Starts a timer with a delay in microseconds; 0 or less stops it. */
 void hio_set_timer(struct event *timer, int64_t delay_us)
 {
@@ -318,20 +312,6 @@
 	return inet_pton(AF_INET, host, &out->sin_addr) == 1;
 }
 
-/* Disables Nagle's algorithm and limits the time that sent bytes may stay
- * unacknowledged. */
-void hio_set_socket_options(evutil_socket_t fd)
-{
-	unsigned timeout_ms = UNACKED_MAX_MS;
-	int on = 1;
-
-	/* Errors are ignored: without these options the connection works, but a
-	 * failure is noticed later. */
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-			 sizeof(timeout_ms));
-}
-
 static void unref_bytes(const void *data, size_t len, void *bytes)
 {
 	(void)data;
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -29,6 +29,7 @@
 	TAILQ_ENTRY(conn) entry; /* in pool.idle, most recently used first */
 	struct pool *pool;
 	struct bufferevent *bev;
+	struct hio_peer peer;
 	struct event *timer;
 	enum conn_phase phase;
 	struct hio_call *call; /* CONNECTING, BUSY and FAILED */
@@ -63,6 +64,7 @@
 struct hio_client {
 	struct event_base *base;
 	const struct clk *clock;
+	struct hio_peers *peers;
 	GHashTable *pools;
 	struct hio_client_counts counts;
 	size_t n_idle; /* connections */
@@ -81,6 +83,16 @@
 	conn->pool->client->n_idle--;
 }
 
+static void on_output_changed(struct evbuffer *out,
+			      const struct evbuffer_cb_info *info, void *data)
+{
+	struct conn *conn = data;
+
+	(void)out;
+	if (info->n_deleted)
+		hio_peer_wrote(&conn->peer);
+}
+
 static void conn_free(struct conn *conn)
 {
 	if (conn->parsing) {
@@ -89,6 +101,9 @@
 	}
 	if (conn->phase == IDLE)
 		remove_idle(conn);
+	hio_peer_end(&conn->peer);
+	evbuffer_remove_cb(bufferevent_get_output(conn->bev), on_output_changed,
+			   conn);
 	bufferevent_free(conn->bev);
 	event_free(conn->timer);
 	hio_builder_clear(&conn->builder);
@@ -362,13 +377,29 @@
 		conn_free(conn); /* input that no request asked for */
 }
 
+static void on_peer_changed(struct hio_peer *peer, enum hio_peer_change change)
+{
+	struct conn *conn =
+		(struct conn *)((char *)peer - offsetof(struct conn, peer));
+
+	switch (change) {
+	case HIO_PEER_READ:
+		break;
+	case HIO_PEER_GONE:
+		bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
+					  BEV_TRIG_DEFER_CALLBACKS);
+		break;
+	}
+}
+
 static void on_event(struct bufferevent *bev, short what, void *data)
 {
 	struct conn *conn = data;
 
 	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
-		hio_set_socket_options(bufferevent_getfd(conn->bev));
+		hio_peer_begin(&conn->peer, conn->pool->client->peers,
+			       bufferevent_getfd(conn->bev), on_peer_changed);
 		conn->phase = BUSY;
 		hio_set_timer(conn->timer, 0);
 		return;
@@ -422,6 +453,8 @@
 	conn->timer = event_new(ctx->base, -1, 0, on_timer, conn);
 	conn->phase = CONNECTING;
 	bufferevent_setcb(conn->bev, on_readable, NULL, on_event, conn);
+	evbuffer_add_cb(bufferevent_get_output(conn->bev), on_output_changed,
+			conn);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	hio_set_timer(conn->timer, options->connect_timeout_us);
 	if (bufferevent_socket_connect(conn->bev,
@@ -470,6 +503,7 @@
 
 	ctx->base = base;
 	ctx->clock = clock;
+	ctx->peers = hio_peers_new(base, "endpoints");
 	ctx->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	return ctx;
@@ -488,6 +522,7 @@
 	if (!ctx)
 		return;
 	g_hash_table_destroy(ctx->pools);
+	hio_peers_free(ctx->peers);
 	g_free(ctx);
 }
 
--- a/src/http/hio_int.h
+++ b/src/http/hio_int.h
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <http_parser.h>
 #include <netinet/in.h>
+#include <sys/queue.h>
 
 #include "http/hio.h"
 
@@ -47,6 +48,45 @@
 size_t hio_builder_finish(struct hio_builder *ctx);
 size_t hio_builder_held(const struct hio_builder *ctx);
 void hio_add_shared(struct evbuffer *out, GByteArray *bytes);
-void hio_set_socket_options(evutil_socket_t fd);
+
+/* ---- Peers with bytes to acknowledge (hio_peer.c) ---- */
+
+struct hio_peers;
+
+enum hio_peer_change {
+	HIO_PEER_READ, /* it has acknowledged more, perhaps all */
+	HIO_PEER_GONE, /* it acknowledges nothing any more; reported once */
+};
+
+/* The other side of a connected socket; its fields are private. */
+struct hio_peer {
+	TAILQ_ENTRY(hio_peer) link; /* in hio_peers.pending */
+	struct hio_peers *peers;    /* NULL: it is not watched */
+	evutil_socket_t fd;
+	bool is_pending;   /* bytes may be unsent or unacknowledged */
+	bool is_closed;	   /* its receive window, at the last check */
+	bool has_lease;	   /* the kernel cannot bound the probes' interval */
+	unsigned n_checks; /* since bytes became pending */
+	uint64_t acked;	   /* bytes, at the last check */
+	void (*changed)(struct hio_peer *peer, enum hio_peer_change change);
+};
+
+/* What the kernel knows of the bytes that were sent to a peer. */
+struct hio_sending {
+	bool is_pending;     /* some are unsent or unacknowledged */
+	uint64_t acked;	     /* bytes acknowledged so far */
+	unsigned unanswered; /* retransmissions or window probes in a row */
+	int64_t silent_us;   /* since the last acknowledgement */
+};
+
+bool hio_peer_is_gone(const struct hio_sending *sending, int64_t waited_us);
+struct hio_peers *hio_peers_new(struct event_base *base, const char *name);
+void hio_peers_free(struct hio_peers *ctx);
+void hio_peer_begin(struct hio_peer *peer, struct hio_peers *peers,
+		    evutil_socket_t fd,
+		    void (*changed)(struct hio_peer *peer,
+				    enum hio_peer_change change));
+void hio_peer_wrote(struct hio_peer *peer);
+void hio_peer_end(struct hio_peer *peer);
 
 #endif
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -80,6 +80,7 @@
 	TAILQ_ENTRY(conn) output_link; /* while it has output */
 	struct hio_server *server;
 	struct bufferevent *bev;
+	struct hio_peer peer;
 	struct event *timer;
 	enum phase phase;
 	http_parser parser;
@@ -112,6 +113,7 @@
 struct hio_server {
 	struct hio_server_options options;
 	struct evconnlistener *listener;
+	struct hio_peers *peers;
 	TAILQ_HEAD(, conn) conns;
 	/* Those with output; whose client has not read for longest is first. */
 	TAILQ_HEAD(, conn) with_output;
@@ -258,6 +260,8 @@
 	conn->client.waits = conn->phase == ANSWERING && !has_output;
 	conn->client.stall_min_us =
 		has_output ? READ_STALL_MIN_US : SEND_STALL_MIN_US;
+	if (info->n_deleted)
+		hio_peer_wrote(&conn->peer);
 	if (info->n_deleted || !had_output)
 		note_progress(conn);
 	/* A client may read slowly, as long as it reads. */
@@ -316,6 +320,7 @@
 	drop_output(conn);
 	drop_request(conn);
 	hio_mem_leave(ctx->options.mem, &conn->client);
+	hio_peer_end(&conn->peer);
 	bufferevent_free(conn->bev);
 	event_free(conn->timer);
 	g_string_free(conn->target, TRUE);
@@ -795,6 +800,23 @@
 	return true;
 }
 
+static void on_peer_changed(struct hio_peer *peer, enum hio_peer_change change)
+{
+	struct conn *conn =
+		(struct conn *)((char *)peer - offsetof(struct conn, peer));
+
+	switch (change) {
+	case HIO_PEER_READ:
+		break;
+	case HIO_PEER_GONE:
+		report_closed(conn->server, "gone");
+		conn->is_too_slow = true;
+		bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
+					  BEV_TRIG_DEFER_CALLBACKS);
+		break;
+	}
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *address, int len, void *data)
 {
@@ -808,8 +830,8 @@
 		evutil_closesocket(fd);
 		return;
 	}
-	hio_set_socket_options(fd);
 	conn = g_new0(struct conn, 1);
+	hio_peer_begin(&conn->peer, ctx->peers, fd, on_peer_changed);
 	conn->server = ctx;
 	conn->address = from->sin_addr.s_addr;
 	conn->client.close = close_for_memory;
@@ -859,6 +881,7 @@
 	ctx = g_new0(struct hio_server, 1);
 	ctx->options = *options;
 	ctx->by_address = g_hash_table_new(NULL, NULL);
+	ctx->peers = hio_peers_new(options->base, "callers");
 	TAILQ_INIT(&ctx->conns);
 	TAILQ_INIT(&ctx->with_output);
 	ctx->listener = evconnlistener_new_bind(
@@ -870,6 +893,7 @@
 		g_set_error(err, HIO_ERROR, HIO_ERROR_LISTEN,
 			    "cannot listen on %s: %s", options->listen,
 			    g_strerror(errno));
+		hio_peers_free(ctx->peers);
 		g_hash_table_destroy(ctx->by_address);
 		g_free(ctx);
 		return NULL;
@@ -892,6 +916,7 @@
 		evconnlistener_free(ctx->listener);
 	while (!TAILQ_EMPTY(&ctx->conns))
 		conn_free(TAILQ_FIRST(&ctx->conns));
+	hio_peers_free(ctx->peers);
 	g_hash_table_destroy(ctx->by_address);
 	g_free(ctx);
 }
