http: a caller may read slowly until its deadline

Callers that stood still, or whose receive window opened in longer steps than the idle limit, lost the rest of an answer: the connection was closed as idle, or as unread, within the deadline of their request. A caller that had just read its answer to the end could find its kept connection closed.

Cause: progress was counted in bytes that leave our buffer. A receiver announces room only after half of its window was read, so a slow reader shows nothing for up to 15 s, like one that does not read; and the last bytes count as read when they are with the caller's kernel.

Change: progress is also what the caller acknowledges. Until the deadline of the request a caller is not closed for reading slowly; afterwards the idle limit counts from the last progress. A connection whose window was closed during the last answer counts as idle from the deadline on. A connection that is shut down lingers until its client has all. Memory, the number of connections and a peer that is gone bound those who never read, as before.

Ruled out: a longer idle limit (holds idle connections longer, and is still guessed); no limit (a reader of nothing stays for good).

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -1920,6 +1920,7 @@
 	if (f->request.timeout_us > 0)
 		limit_us = MIN(limit_us, f->request.timeout_us);
 	f->deadline_us = f->start_us + MIN(limit_us, DEADLINE_MAX_US);
+	hio_exchange_set_deadline(exchange, f->deadline_us);
 	if (ctx->draining)
 		f->deadline_us = MIN(f->deadline_us, drain_end_us(ctx));
 	f->ttfb_us = -1;
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -52,7 +52,9 @@
 	uint32_t header_bytes;
 	uint32_t body_bytes;
 	int64_t header_us; /* from the first byte to the end of the header */
-	int64_t idle_us;   /* between requests, and for a request's body */
+	/* Between requests, for a request's body, and without progress of a
+	 * client that reads an answer. */
+	int64_t idle_us;
 };
 
 /* Parses IP:PORT with a numeric IPv4 address and a port above 0. */
@@ -109,6 +111,7 @@
 void hio_reply_end(struct hio_exchange *ex);
 void hio_reply_abort(struct hio_exchange *ex);
 void hio_exchange_set_data(struct hio_exchange *ex, void *data);
+void hio_exchange_set_deadline(struct hio_exchange *ex, int64_t deadline_us);
 
 /* Queries. */
 const struct hio_request *hio_exchange_request(const struct hio_exchange *ex);
--- a/src/http/hio_int.h
+++ b/src/http/hio_int.h
@@ -65,6 +65,7 @@
 	evutil_socket_t fd;
 	bool is_pending;   /* bytes may be unsent or unacknowledged */
 	bool is_closed;	   /* its receive window, at the last check */
+	bool was_closed;   /* since bytes became pending */
 	bool has_lease;	   /* the kernel cannot bound the probes' interval */
 	unsigned n_checks; /* since bytes became pending */
 	uint64_t acked;	   /* bytes, at the last check */
--- a/src/http/hio_peer.c
+++ b/src/http/hio_peer.c
@@ -95,6 +95,7 @@
 	bool changes = is_closed != peer->is_closed;
 
 	peer->is_closed = is_closed;
+	peer->was_closed |= is_closed;
 	if (changes && !peer->has_lease)
 		peer->has_lease = set_tcp_option(peer->fd, TCP_RTO_MAX_MS,
 						 is_closed ? PROBE_INTERVAL_MS
@@ -224,6 +225,7 @@
 	if (TAILQ_EMPTY(&ctx->pending))
 		hio_set_timer(ctx->timer, CHECK_US);
 	peer->is_pending = true;
+	peer->was_closed = false;
 	peer->n_checks = 0;
 	TAILQ_INSERT_TAIL(&ctx->pending, peer, link);
 }
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -92,6 +92,7 @@
 	GString *target;
 	GByteArray *body;
 	size_t body_progress; /* bytes of it since the timer was set */
+	int64_t deadline_us;  /* of the last answer; 0: none */
 	/* Set by the callback that stops the parser; or 0 and NULL. */
 	int error_status;
 	const char *error_reason;
@@ -165,6 +166,46 @@
 	conn->client.progress_us = now_us(conn->server);
 }
 
+/* Returns whether bytes of an answer have not reached the client yet. */
+static bool has_unread_output(const struct conn *conn)
+{
+	return conn->peer.is_pending ||
+	       evbuffer_get_length(bufferevent_get_output(conn->bev));
+}
+
+/*
+ * Returns how long a client that is idle, or has an answer to read, may go on
+ * so without progress; 0 or less: it was too long. A receive window opens in
+ * steps, so that nothing is seen of a client that reads slowly until it has
+ * read half of it, nor when it reads the last of what it has acknowledged:
+ * until the deadline of its request it may read as it likes.
+ */
+static int64_t patience_us(const struct conn *conn)
+{
+	const struct hio_server *ctx = conn->server;
+	int64_t idle_us = ctx->options.limits.idle_us;
+	int64_t until_us = conn->client.progress_us + idle_us;
+
+	if (!ctx->options.clock)
+		return 0;
+	if (has_unread_output(conn))
+		until_us = MAX(until_us, conn->deadline_us);
+	else if (conn->peer.was_closed)
+		until_us = MAX(until_us, conn->deadline_us + idle_us);
+	return until_us - now_us(ctx);
+}
+
+/* Tells the account what a connection does. */
+static void update_client(struct conn *conn)
+{
+	bool has_output =
+		evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0;
+
+	conn->client.waits = conn->phase == ANSWERING && !has_output;
+	conn->client.stall_min_us =
+		has_unread_output(conn) ? READ_STALL_MIN_US : SEND_STALL_MIN_US;
+}
+
 /* Returns whether an event may be logged for this reason now, and how many were
  * not since the last line. */
 static bool may_log(struct hio_server *ctx, const char *reason,
@@ -257,11 +298,9 @@
 	hio_mem_give(ctx->options.mem, HIO_MEM_OUTPUT, info->n_deleted);
 	conn->client.held += info->n_added;
 	conn->client.held -= info->n_deleted;
-	conn->client.waits = conn->phase == ANSWERING && !has_output;
-	conn->client.stall_min_us =
-		has_output ? READ_STALL_MIN_US : SEND_STALL_MIN_US;
 	if (info->n_deleted)
 		hio_peer_wrote(&conn->peer);
+	update_client(conn);
 	if (info->n_deleted || !had_output)
 		note_progress(conn);
 	/* A client may read slowly, as long as it reads. */
@@ -593,6 +632,7 @@
 	ex->no_body = !strcmp(ex->request.method, "HEAD");
 	conn->exchange = ex;
 	conn->complete = false;
+	conn->deadline_us = 0;
 	conn->phase = ANSWERING;
 	conn->had_request = true;
 	conn->client.waits =
@@ -694,6 +734,21 @@
 		conn_free(conn);
 }
 
+/* Closes a connection that is idle, or whose client does not read its answer,
+ * unless it has time left. */
+static void close_if_stalled(struct conn *conn)
+{
+	int64_t left_us = patience_us(conn);
+
+	if (left_us > 0) {
+		hio_set_timer(conn->timer, left_us);
+		return;
+	}
+	if (has_unread_output(conn))
+		report_closed(conn->server, "unread");
+	conn_free(conn);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct conn *conn = data;
@@ -706,16 +761,19 @@
 		break;
 	case FLUSHING:
 		shutdown_if_flushed(conn);
-		if (conn->phase == FLUSHING) {
-			report_closed(conn->server, "unread");
-			conn_free(conn);
-		}
+		if (conn->phase == FLUSHING)
+			close_if_stalled(conn);
 		break;
 	case ANSWERING:
 		break;
 	case IDLE:
+		close_if_stalled(conn);
+		break;
 	case LINGERING:
-		conn_free(conn);
+		if (conn->peer.is_pending)
+			close_if_stalled(conn);
+		else
+			conn_free(conn);
 		break;
 	}
 }
@@ -807,6 +865,12 @@
 
 	switch (change) {
 	case HIO_PEER_READ:
+		if (conn->phase != READING)
+			note_progress(conn);
+		update_client(conn);
+		/* The client has the whole answer, and is about to close. */
+		if (conn->phase == LINGERING && !peer->is_pending)
+			hio_set_timer(conn->timer, LINGER_US);
 		break;
 	case HIO_PEER_GONE:
 		report_closed(conn->server, "gone");
@@ -1091,6 +1155,13 @@
 	exchange_finish(ex);
 }
 
+/* Sets the time, on the server's clock in microseconds, until which the client
+ * waits for the answer: until then it may read as slowly as it likes. */
+void hio_exchange_set_deadline(struct hio_exchange *ex, int64_t deadline_us)
+{
+	ex->conn->deadline_us = deadline_us;
+}
+
 /* Stores a pointer of the application in the exchange. */
 void hio_exchange_set_data(struct hio_exchange *ex, void *data)
 {
