http: a full listener closes readers of answers last

Under a crowd, a caller that read its last answer slowly (Connection: close) lost it to make room: it ranked with requests that stopped halfway, before idle connections, which lose nothing.

If there are readers only, the one without progress for longest goes, as before.

hio_peer_test CrowdedServer.ClosesReadersLast fails without the change, passes with it.

--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -795,18 +795,19 @@
 }
 
 /* The order in which connections are closed for new ones: requests that stopped
- * halfway and clients that sent none, then clients between two requests. 0: it
- * is not closed. */
+ * halfway and clients that sent none, then clients between two requests, then
+ * those that have an answer to read. 0: it is not closed. */
 static int closing_rank(const struct conn *conn)
 {
 	switch (conn->phase) {
 	case READING:
-		return 2;
+		return 3;
 	case IDLE:
-		return conn->had_request ? 1 : 2;
 	case FLUSHING:
 	case LINGERING:
-		return 2;
+		if (has_unread_output(conn))
+			return 1;
+		return conn->phase == IDLE && conn->had_request ? 2 : 3;
 	case ANSWERING:
 		break;
 	}
--- a/tests/unit/hio_peer_test.cc
+++ b/tests/unit/hio_peer_test.cc
@@ -289,6 +289,17 @@
 	}
 };
 
+/* A server with room for two connections. */
+class CrowdedServer : public PeerServer
+{
+      protected:
+	void SetUp() override
+	{
+		options.conns_max = 2;
+		PeerServer::SetUp();
+	}
+};
+
 /* A client whose endpoint is a peer. */
 class PeerClient : public Loop
 {
@@ -552,6 +563,21 @@
 	EXPECT_FALSE(p.has_ended);
 }
 
+/* Guards against a crowd of callers: a full listener closes a connection
+ * between two requests before one whose answer is being read. */
+TEST_F(CrowdedServer, ClosesReadersLast)
+{
+	ask("100000?60000", { SMALL_WINDOW, 128, 400 },
+	    "Connection: close\r\n");
+	Peer &idle = ask("10", { WIDE_WINDOW, 65536, 0 });
+
+	run(5000, [] { return false; });
+	Peer &third = ask("10", { WIDE_WINDOW, 65536, 0 });
+	run(1000, [&] { return idle.has_ended && body_of(third) == 10; });
+	EXPECT_TRUE(idle.has_ended);
+	EXPECT_EQ(body_of(third), 10u);
+}
+
 /* Guards against a broken call to an endpoint that takes its time to read a
  * request's body. */
 TEST_F(PeerClient, SlowEndpointGetsTheWholeRequest)
