http: a planned stop waits for callers that read slowly

A caller on a slow link lost the rest of its answer, and its connection, when its entry was stopped and the machine with it: the process ended as soon as all bytes were with the kernel, which held up to some hundred KB for each caller.

Change: a connection counts as long as bytes stay unacknowledged over two checks. One check alone would count every answer to a heartbeat, and no stop of a control instance would end before its limit. At the limit the process ends; the kernel goes on with what it holds, now also behind a closed window.

Ruled out: waiting beyond drain_limit_ms (the platform kills then); handing the rest of the output to the kernel by a larger send buffer (its limit is below what it grows to by itself).

readers_test Readers.PlannedStopWaitsForSlowCallers fails without this change (the process ends within 1.8 s), passes with it.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -263,7 +263,8 @@
 }
 
 /* Returns the number of connections with answers, or parts of them, that are
- * not written yet; callable from any thread. */
+ * not written yet, or that a slow caller has yet to read; callable from any
+ * thread. */
 unsigned edge_unsent(const struct edge *ctx)
 {
 	return hio_mem_unsent(ctx->mem);
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -384,6 +384,7 @@
 
 	switch (change) {
 	case HIO_PEER_READ:
+	case HIO_PEER_SLOW:
 		break;
 	case HIO_PEER_GONE:
 		bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
--- a/src/http/hio_int.h
+++ b/src/http/hio_int.h
@@ -55,6 +55,7 @@
 
 enum hio_peer_change {
 	HIO_PEER_READ, /* it has acknowledged more, perhaps all */
+	HIO_PEER_SLOW, /* it has had bytes to acknowledge for a while */
 	HIO_PEER_GONE, /* it acknowledges nothing any more; reported once */
 };
 
@@ -63,10 +64,11 @@
 	TAILQ_ENTRY(hio_peer) link; /* in hio_peers.pending */
 	struct hio_peers *peers;    /* NULL: it is not watched */
 	evutil_socket_t fd;
-	bool is_pending;   /* bytes may be unsent or unacknowledged */
-	bool is_closed;	   /* its receive window, at the last check */
-	bool was_closed;   /* since bytes became pending */
-	bool has_lease;	   /* the kernel cannot bound the probes' interval */
+	bool is_pending; /* bytes may be unsent or unacknowledged */
+	bool is_closed;	 /* its receive window, at the last check */
+	bool was_closed; /* since bytes became pending */
+	bool is_slow;	 /* HIO_PEER_SLOW was reported, and bytes are pending */
+	bool has_lease;	 /* the kernel cannot bound the probes' interval */
 	unsigned n_checks; /* since bytes became pending */
 	uint64_t acked;	   /* bytes, at the last check */
 	void (*changed)(struct hio_peer *peer, enum hio_peer_change change);
--- a/src/http/hio_mem.c
+++ b/src/http/hio_mem.c
@@ -126,21 +126,22 @@
 	ctx->sum -= bytes;
 }
 
-/* Counts a connection whose output is not empty any more. */
+/* Counts a connection whose client has output to read. */
 void hio_mem_begin_output(struct hio_mem *ctx)
 {
 	if (ctx)
 		ctx->unsent++;
 }
 
-/* Counts a connection whose output is empty again, or that has ended. */
+/* Counts a connection whose client has read all, or that has ended. */
 void hio_mem_end_output(struct hio_mem *ctx)
 {
 	if (ctx)
 		ctx->unsent--;
 }
 
-/* Returns the number of connections with output; callable from any thread. */
+/* Returns the number of connections with output that their clients have yet to
+ * read; callable from any thread. */
 unsigned hio_mem_unsent(const struct hio_mem *ctx)
 {
 	return ctx->unsent;
--- a/src/http/hio_peer.c
+++ b/src/http/hio_peer.c
@@ -29,6 +29,8 @@
 #define UNANSWERED_MIN 2
 /* Interval of the checks of connections with bytes to acknowledge. */
 #define CHECK_US 500000
+/* Checks after which a peer is slow: the first may come right after a write. */
+#define SLOW_CHECKS 2
 /* Longest interval of the probes of a closed window, and the kernel's limit for
  * retransmissions and probes, which is in force otherwise: with the short one
  * it gives up early on the bytes of a closed socket, and sends too often where
@@ -111,6 +113,7 @@
 	if (!peer->is_pending)
 		return;
 	peer->is_pending = false;
+	peer->is_slow = false;
 	TAILQ_REMOVE(&peer->peers->pending, peer, link);
 }
 
@@ -140,6 +143,11 @@
 		peer->acked = sending.acked;
 		peer->changed(peer, HIO_PEER_READ);
 	}
+	if (peer->is_pending && !peer->is_slow &&
+	    peer->n_checks >= SLOW_CHECKS) {
+		peer->is_slow = true;
+		peer->changed(peer, HIO_PEER_SLOW);
+	}
 }
 
 static void on_check(evutil_socket_t fd, short what, void *data)
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -99,6 +99,7 @@
 	bool complete;
 	bool keep_alive;
 	struct hio_exchange *exchange; /* in ANSWERING */
+	bool is_unread;		       /* it counts as having output */
 	bool processing;
 	bool is_too_slow; /* it is about to be disconnected */
 	bool had_request;
@@ -195,6 +196,20 @@
 	return until_us - now_us(ctx);
 }
 
+/* Counts a connection as long as its client has yet to read. */
+static void count_unread(struct conn *conn, bool is_unread)
+{
+	struct hio_mem *mem = conn->server->options.mem;
+
+	if (is_unread == conn->is_unread)
+		return;
+	conn->is_unread = is_unread;
+	if (is_unread)
+		hio_mem_begin_output(mem);
+	else
+		hio_mem_end_output(mem);
+}
+
 /* Tells the account what a connection does. */
 static void update_client(struct conn *conn)
 {
@@ -204,6 +219,9 @@
 	conn->client.waits = conn->phase == ANSWERING && !has_output;
 	conn->client.stall_min_us =
 		has_unread_output(conn) ? READ_STALL_MIN_US : SEND_STALL_MIN_US;
+	/* Bytes that were just sent are not unread: they are with the client
+	 * within a round trip. */
+	count_unread(conn, has_output || conn->peer.is_slow);
 }
 
 /* Returns whether an event may be logged for this reason now, and how many were
@@ -311,10 +329,6 @@
 		TAILQ_REMOVE(&ctx->with_output, conn, output_link);
 	if (has_output && (info->n_deleted || !had_output))
 		TAILQ_INSERT_TAIL(&ctx->with_output, conn, output_link);
-	if (has_output && !had_output)
-		hio_mem_begin_output(ctx->options.mem);
-	else if (had_output && !has_output)
-		hio_mem_end_output(ctx->options.mem);
 }
 
 /* Ends the account of an output that will not be written. */
@@ -325,11 +339,11 @@
 	size_t unsent = evbuffer_get_length(out);
 
 	evbuffer_remove_cb(out, on_output_changed, conn);
+	count_unread(conn, false);
 	if (!unsent)
 		return;
 	TAILQ_REMOVE(&ctx->with_output, conn, output_link);
 	give(conn, HIO_MEM_OUTPUT, unsent);
-	hio_mem_end_output(ctx->options.mem);
 }
 
 static size_t count_address(struct hio_server *ctx, uint32_t address, int add)
@@ -873,6 +887,9 @@
 		if (conn->phase == LINGERING && !peer->is_pending)
 			hio_set_timer(conn->timer, LINGER_US);
 		break;
+	case HIO_PEER_SLOW:
+		update_client(conn);
+		break;
 	case HIO_PEER_GONE:
 		report_closed(conn->server, "gone");
 		conn->is_too_slow = true;
