ctl_test: an instance that joins has no replica of another one

Until its own replica has started, an instance's status has no identity of its own, and replica_of() took the last one in the list of repairs: that of another member. So has_replaced() was true while the lost disk was not replaced, the next one was lost as well, and with the instance that is away three were gone, where the case promises two at a time.

The check is stricter: it waits for the replica that the instance has.

--- a/tests/integration/ctl_test.cc
+++ b/tests/integration/ctl_test.cc
@@ -1220,19 +1220,19 @@
 		}
 	}
 
-	/* Returns the identity of the instance's replica, or "none". */
+	/* Returns the identity of the instance's replica, or "none" until it
+	 * has started: the members that it knows of have identities too. */
 	static std::string replica_of(Instance &instance)
 	{
-		const std::string key = ",\"replica\":\"";
 		char *json = ctl_status_json(instance.ctl);
 		std::string text = json;
-		size_t at = text.rfind(key);
+		size_t end = text.rfind("\",\"group\":\"");
 
 		g_free(json);
-		if (at == std::string::npos)
+		if (end == std::string::npos)
 			return "none";
-		at += key.size();
-		return text.substr(at, text.find('"', at) - at);
+		return text.substr(text.rfind('"', end - 1) + 1,
+				   end - text.rfind('"', end - 1) - 1);
 	}
 
 	/* True when the leader knows that the instance has its whole log. */
