ctl: a learner that does not answer is not promoted

Cause: a replica counts as alive for 3 s after its last message. That is right for a process that may still have its disk, and longer than the silence after which a voter is replaced.

Change: promotion needs a message within the election timeout, as a vote does. The 3 s still keep the old replica of an instance in the group.

Ruled out: 3 s shortened for both (a slow voter is removed for its successor); a replacement later than 3 s (the next fault may come then).

ctl_rules_test CtlRepair.DoesNotPromoteALearnerThatDoesNotAnswer fails before, passes after; repair_sim_test uses the same rule and passes.

--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -520,6 +520,16 @@
 	       (heard_us && ctx->now_us - heard_us < REPLICA_ALIVE_US);
 }
 
+static bool replica_answers(void *data, uint64_t replica)
+{
+	const struct ctl *ctx = data;
+	int64_t heard_us = ctl_raft_heard_us(ctx, replica);
+
+	return replica == ctx->replica ||
+	       (heard_us && ctx->now_us - heard_us <
+				    ctx->set->election_timeout_ms * 1000LL);
+}
+
 static int64_t silent_since_us(const struct ctl *ctx, uint64_t replica)
 {
 	return ctl_rule_silent_since_us(ctl_raft_heard_us(ctx, replica),
@@ -615,6 +625,7 @@
 		.data = ctx,
 		.match = match_index,
 		.alive = replica_alive,
+		.answers = replica_answers,
 		.replaceable = replica_replaceable,
 	};
 	enum ctl_repair_step step;
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -193,7 +193,8 @@
  *
  * A voter that is silent may still have its disk. The learner is promoted
  * before the silent one is removed, so that the group needs no disk of the
- * others between the two steps that it did not need before.
+ * others between the two steps that it did not need before. With one voter more
+ * the majority grows, so a learner that does not answer is not promoted.
  */
 enum ctl_repair_step ctl_rule_repair(const struct ctl_repair_input *in,
 				     Dsp__RaftConfig **out)
@@ -218,7 +219,7 @@
 			continue;
 		if (in->match(in->data, m->replica) + CAUGHT_UP_ENTRIES <
 			    in->commit_index ||
-		    !in->alive(in->data, m->replica)) {
+		    !in->answers(in->data, m->replica)) {
 			step = CTL_REPAIR_CATCH_UP;
 			continue;
 		}
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -60,8 +60,12 @@
 	void *data;
 	/* Match index of a member. */
 	uint64_t (*match)(void *data, uint64_t replica);
-	/* True when the replica sent a message recently. */
+	/* True when the replica sent a message recently: its process may still
+	 * run. */
 	bool (*alive)(void *data, uint64_t replica);
+	/* True when the replica sent a message so lately that it can be counted
+	 * on for a majority. */
+	bool (*answers)(void *data, uint64_t replica);
 	/* True when the replica was silent for so long that a new instance may
 	 * take its place; NULL: never. */
 	bool (*replaceable)(void *data, uint64_t replica);
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -256,7 +256,8 @@
 	std::vector<Dsp__Member *> joining;
 	std::map<uint64_t, uint64_t> matches;
 	std::map<uint64_t, bool> live;
-	std::map<uint64_t, bool> silent; /* for long: replaceable */
+	std::map<uint64_t, bool> silent;     /* for long: replaceable */
+	std::map<uint64_t, bool> unanswered; /* for a moment */
 	size_t voters_wanted = 0;
 	uint64_t commit = 1000;
 	std::vector<enum ctl_repair_step> steps;
@@ -306,6 +307,12 @@
 	{
 		return ((Group *)data)->live[replica];
 	}
+	static bool answers(void *data, uint64_t replica)
+	{
+		Group *group = (Group *)data;
+
+		return group->live[replica] && !group->unanswered[replica];
+	}
 	static bool replaceable(void *data, uint64_t replica)
 	{
 		return ((Group *)data)->silent[replica];
@@ -324,6 +331,7 @@
 		in.data = this;
 		in.match = match;
 		in.alive = alive;
+		in.answers = answers;
 		in.replaceable = replaceable;
 		in.voters_wanted = voters_wanted;
 		step = ctl_rule_repair(&in, &next);
@@ -546,6 +554,31 @@
 	EXPECT_TRUE(group.is_voter(3));
 }
 
+/* Guards against a group without a majority: a learner that fell silent a
+ * moment ago, with a voter to be replaced, became one more voter that does not
+ * vote. */
+TEST(CtlRepair, DoesNotPromoteALearnerThatDoesNotAnswer)
+{
+	Group group;
+
+	group.voters_wanted = 3;
+	group.voter(1, "a");
+	group.voter(2, "b");
+	group.voter(3, "c");
+	group.join(14, "d");
+	EXPECT_EQ(group.run(), CTL_REPAIR_ADD_LEARNER);
+	group.matches[14] = group.commit;
+	group.live[3] = false;
+	group.silent[3] = true;
+	group.unanswered[14] = true;
+	EXPECT_EQ(group.run(), CTL_REPAIR_CATCH_UP);
+	EXPECT_FALSE(group.is_voter(14));
+	group.unanswered[14] = false;
+	EXPECT_EQ(group.run(), CTL_REPAIR_PROMOTE);
+	EXPECT_TRUE(group.is_voter(14));
+	EXPECT_EQ(group.run(), CTL_REPAIR_REMOVE_OLD);
+}
+
 /* Guards the limit of seven voters of a group. */
 TEST(CtlRepair, AddsNoEighthVoter)
 {
--- a/tests/unit/repair_sim_test.cc
+++ b/tests/unit/repair_sim_test.cc
@@ -217,14 +217,21 @@
 		return raft_match_index(((Repairs *)data)->current->raft,
 					replica);
 	}
-	static bool alive(void *data, uint64_t replica)
+	bool was_heard(uint64_t replica, int64_t within)
 	{
-		Repairs *ctx = (Repairs *)data;
-		uint64_t own = ctx->current->disk->replica;
+		uint64_t own = current->disk->replica;
 
 		return replica == own ||
-		       (ctx->heard.count({ own, replica }) &&
-			ctx->s.now - ctx->heard[{ own, replica }] < ALIVE);
+		       (heard.count({ own, replica }) &&
+			s.now - heard[{ own, replica }] < within);
+	}
+	static bool alive(void *data, uint64_t replica)
+	{
+		return ((Repairs *)data)->was_heard(replica, ALIVE);
+	}
+	static bool answers(void *data, uint64_t replica)
+	{
+		return ((Repairs *)data)->was_heard(replica, ELECTION);
 	}
 	static bool replaceable(void *data, uint64_t replica)
 	{
@@ -273,6 +280,7 @@
 		in.data = this;
 		in.match = match;
 		in.alive = alive;
+		in.answers = answers;
 		in.replaceable = replaceable;
 		ctl_rule_repair(&in, &next);
 		if (!next)
