--- a/tests/platform/system.h
+++ b/tests/platform/system.h
@@ -26,6 +26,7 @@
 		pid_t pid = 0;
 		std::string front, ready, directory, api, metrics;
 		std::string preload; /* library with faults; empty: none */
+		std::string program; /* another build; empty: the present one */
 
 		/* What tests/preload/cut_connect.c reads. */
 		std::string cut_file() const
@@ -116,6 +117,8 @@
 
 		if (build)
 			program = std::string(build) + "/dandelionspar";
+		if (!x.program.empty())
+			program = x.program;
 		const char *argv[] = { program.c_str(), "run", "--settings",
 				       x.settings.c_str(), nullptr };
 		std::string limited =
