edge, ctl: log each attempt to change the route table

Each attempt now logs its outcome, its time and whether the operator had left; a command that is given up logs what it waited for; dandelionspar_route_table_put_us has the times.

--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -283,11 +283,45 @@
 
 /* ---- Operators ---- */
 
+/* Returns what became of a route table, for logs and metrics. */
+static const char *put_outcome(const struct edge_call *call)
+{
+	if (!call->result)
+		return call->not_sent ? "not_sent" : "unknown";
+	switch (call->result->code) {
+	case DSP__RESULT_CODE__RESULT_OK:
+		return "accepted";
+	case DSP__RESULT_CODE__RESULT_SAME:
+		return "in_force";
+	default:
+		return "refused";
+	}
+}
+
+static void report_put(struct edge *ctx, const struct edge_call *call)
+{
+	const Dsp__CommandResult *result = call->result;
+	int64_t took_us = clk_now_us(ctx->clock) - call->start_us;
+	g_autofree char *labels =
+		g_strdup_printf("outcome=\"%s\",answered=\"%d\"",
+				put_outcome(call), call->exchange != NULL);
+
+	met_observe_us(ctx->met, "dandelionspar_route_table_put_us", labels,
+		       took_us);
+	LOG_EVENT_NOTICE(
+		"edge", "route_table_put",
+		"number=%" G_GUINT64_FORMAT " in_force=%" G_GUINT64_FORMAT
+		" code=%d outcome=%s took_us=%" PRId64 " caller_left=%d",
+		call->command->route_table_put->table->number,
+		result ? result->number : 0, result ? (int)result->code : -1,
+		put_outcome(call), took_us, !call->exchange);
+}
+
 static void put_done(struct edge *ctx, struct edge_call *call)
 {
 	const Dsp__CommandResult *result = call->result;
 
-	(void)ctx;
+	report_put(ctx, call);
 	if (!call->exchange)
 		return;
 	if (!result) {
@@ -296,11 +330,6 @@
 					   : "the outcome is not known");
 		return;
 	}
-	LOG_EVENT_NOTICE("edge", "route_table_put",
-			 "number=%" G_GUINT64_FORMAT
-			 " in_force=%" G_GUINT64_FORMAT " code=%d",
-			 call->command->route_table_put->table->number,
-			 result->number, (int)result->code);
 	switch (result->code) {
 	case DSP__RESULT_CODE__RESULT_OK:
 	case DSP__RESULT_CODE__RESULT_SAME:
--- a/src/edge/edge_call.c
+++ b/src/edge/edge_call.c
@@ -55,6 +55,7 @@
 	call->edge = ctx;
 	call->exchange = exchange;
 	call->command = command;
+	call->start_us = clk_now_us(ctx->clock);
 	call->timeout_us = timeout_us;
 	call->done = done;
 	call->data = data;
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -65,6 +65,7 @@
 	struct edge *edge;
 	struct hio_exchange *exchange; /* NULL: the caller disconnected */
 	Dsp__Command *command;	       /* owned */
+	int64_t start_us;
 	int64_t timeout_us;
 	edge_done *done;
 	void *data;		    /* for done */
--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -450,9 +450,34 @@
 		submit_command(ctx, call);
 }
 
+/* Reports a call whose caller gave up before it had an outcome. */
+static void report_given_up(struct ctl *ctx, const struct ctl_call *call)
+{
+	const char *waits_for = "leader";
+
+	if (call->proposed)
+		waits_for = "outcome";
+	else if (call->n_outstanding)
+		waits_for = "reply";
+	LOG_EVENT_INFO("ctl", "call_given_up",
+		       "id=%" G_GUINT64_FORMAT
+		       " kind=%d waits_for=%s handled_ago_us=%" G_GINT64_FORMAT
+		       " sent_ago_us=%" G_GINT64_FORMAT
+		       " tries=%u outstanding=%u leader=%s"
+		       " view_age_ms=%u",
+		       call->id, (int)call->kind, waits_for,
+		       ctx->now_us - call->start_us,
+		       call->sent_us ? ctx->now_us - call->sent_us : (gint64)-1,
+		       call->tries, call->n_outstanding,
+		       ctx->leader_address ? ctx->leader_address : "none",
+		       ctl_confirmed_age_ms(ctx));
+}
+
 static void run_call(struct ctl *ctx, struct ctl_call *call)
 {
 	if (is_over(ctx, call)) {
+		if (call->state != CTL_CALL_DONE)
+			report_given_up(ctx, call);
 		remove_call(ctx, call);
 		return;
 	}
