ctl: a former leader does not send commands to itself

A leader that loses its quorum kept its own address as the leader's. It sent each command to itself, was answered "not leader" with that address, and sent it again every 20 ms; the instances cut off with it did the same. The outcome was "unknown" instead of "not sent", and a table of 1,025 bytes cost 430 to 490 KB in 2.5 s.

--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -1032,6 +1032,10 @@
 			ctl_member_stop(ctx);
 		ctx->ready_leader = false;
 		ctx->last_leader = ctx->replica;
+		/* Commands must not be sent to this instance itself. */
+		if (!g_strcmp0(ctx->leader_address,
+			       ctx->set->internal_advertise))
+			g_clear_pointer(&ctx->leader_address, g_free);
 		LOG_EVENT_NOTICE("ctl", "leader_lost",
 				 "term=%" G_GUINT64_FORMAT,
 				 ctx->own_leader_term);
