edge, ctl: refuse changes at once where no leader can be reached

Callers saw: a change, a read of the table or a departure that reached a control instance without contact to a leader waited there until the caller gave up after a second (changes 2.5 s, reads and departures 0.9 s).

An instance now notes when it last had contact with a leader: as the leader by the sending time of what a quorum has answered, else by the leader's messages and confirmations. Two election timeouts after that it refuses at once, so the caller asks another one. Commands that come earlier are kept for the next leader as before. An entry hears of a leader later and keeps departures for isolated_after_ms. Ruled out: refusing whenever no leader is known, as all instances would refuse during each election.

--- a/src/edge/edge_api.c
+++ b/src/edge/edge_api.c
@@ -92,6 +92,24 @@
 	g_free(body);
 }
 
+/* Refuses a command that no leader would take within its caller's time. The
+ * caller asks another instance then, instead of waiting here. */
+static bool refuse_without_leader(struct edge *ctx,
+				  struct hio_exchange *exchange,
+				  const char *what)
+{
+	if (ctl_expects_leader(ctx->ctl))
+		return false;
+	met_count(ctx->met, "dandelionspar_commands_without_leader", "", 1);
+	LOG_EVENT_INFO("edge", "no_leader",
+		       "refused=%s leaderless_us=%" PRId64
+		       " view_age_us=%" PRId64,
+		       what, ctl_state(ctx->ctl).leaderless_us,
+		       ctl_state(ctx->ctl).stale_us);
+	reply_error(exchange, 503, "no contact with a leader");
+	return true;
+}
+
 /* ---- Endpoints ---- */
 
 static void leave_done(struct edge *ctx, struct edge_call *call)
@@ -117,6 +135,8 @@
 	Dsp__EndpointPut put = DSP__ENDPOINT_PUT__INIT;
 	Dsp__Endpoint leaving = *endpoint;
 
+	if (refuse_without_leader(ctx, exchange, "departure"))
+		return;
 	leaving.state = DSP__ENDPOINT_STATE__ENDPOINT_LEAVING;
 	put.endpoint = &leaving;
 	command.body_case = DSP__COMMAND__BODY_ENDPOINT_PUT;
@@ -356,6 +376,10 @@
 		g_clear_error(&error);
 		return;
 	}
+	if (refuse_without_leader(ctx, exchange, "route_table")) {
+		dsp__route_table__free_unpacked(table, NULL);
+		return;
+	}
 	command = g_new(Dsp__Command, 1);
 	dsp__command__init(command);
 	command->body_case = DSP__COMMAND__BODY_ROUTE_TABLE_PUT;
@@ -387,8 +411,11 @@
 
 static void get_route_table(struct edge *ctx, struct hio_exchange *exchange)
 {
-	Dsp__Command *command = g_new(Dsp__Command, 1);
+	Dsp__Command *command;
 
+	if (refuse_without_leader(ctx, exchange, "read"))
+		return;
+	command = g_new(Dsp__Command, 1);
 	dsp__command__init(command);
 	command->body_case = DSP__COMMAND__BODY_ROUTE_TABLE_GET;
 	command->route_table_get = g_new(Dsp__RouteTableGet, 1);
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -458,6 +458,21 @@
 	return leadership;
 }
 
+/* Stores when this instance last had contact with a leader. */
+static void note_leader_contact(struct ctl *ctx)
+{
+	int64_t contact_us = ctx->confirmed_us;
+
+	if (ctl_raft_is_leader(ctx))
+		contact_us = MAX(contact_us, raft_quorum_contact_us(ctx->raft));
+	else if (ctx->raft && raft_leader(ctx->raft))
+		contact_us =
+			MAX(contact_us,
+			    ctl_raft_heard_us(ctx, raft_leader(ctx->raft)));
+	if (contact_us > ctx->leader_contact_us)
+		ctx->leader_contact_us = contact_us;
+}
+
 static void trim_memory(struct ctl *ctx)
 {
 	if (ctx->now_us < ctx->trim_due_us ||
@@ -489,6 +504,7 @@
 	ctl_call_run(ctx);
 	ctl_raft_run(ctx);
 	publish_leadership(ctx);
+	note_leader_contact(ctx);
 	ctl_quota_run(ctx);
 	ctl_order_run(ctx);
 	ctl_report_publish(ctx);
@@ -620,6 +636,7 @@
 	TAILQ_INIT(&ctx->changed_loads);
 	ctx->seeds = list_seeds(ctx, settings);
 	ctx->now_us = clk_now_us(clock);
+	ctx->leader_contact_us = ctx->now_us;
 	ctx->lease_clock = lse_clock_new(ctx->boot, ctx->now_us);
 	ctx->up.since_us = ctx->now_us;
 	ctx->up.spread = (uint8_t)ctx->boot;
@@ -897,6 +914,7 @@
 	int64_t now_us = clk_now_us(ctx->clock);
 	struct ctl_state state = {
 		.stale_us = confirmed_us ? MAX(now_us - confirmed_us, 0) : 0,
+		.leaderless_us = MAX(now_us - ctx->leader_contact_us, 0),
 		.boot = ctx->boot,
 	};
 
@@ -910,3 +928,16 @@
 		(int64_t)ctx->set->stale_limit_s * CTL_S_US, state.draining);
 	return state;
 }
+
+/* Returns whether a command is likely to reach a leader in time; callable from
+ * any thread. An instance that does not vote hears of a leader later. */
+bool ctl_expects_leader(struct ctl *ctx)
+{
+	int64_t least_us =
+		ctx->set->control ? 0 : ctx->set->isolated_after_ms * 1000LL;
+	int64_t leaderless_us = ctl_state(ctx).leaderless_us;
+
+	return leaderless_us <= least_us ||
+	       ctl_rule_expects_leader(leaderless_us,
+				       ctx->set->election_timeout_ms * 1000LL);
+}
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -73,7 +73,8 @@
 struct ctl_state {
 	enum ctl_readiness readiness;
 	bool draining;
-	int64_t stale_us; /* time since the view was last confirmed */
+	int64_t stale_us;      /* time since the view was last confirmed */
+	int64_t leaderless_us; /* time since the last contact with a leader */
 	struct lse lease; /* of the view; unlike stale_us its age includes time
 			     in transit */
 	uint64_t boot;
@@ -118,6 +119,8 @@
 /* Queries. */
 struct view *ctl_view(struct ctl *ctx); /* returns a new reference */
 struct ctl_state ctl_state(struct ctl *ctx);
+/* False if a command would wait in vain for a leader. */
+bool ctl_expects_leader(struct ctl *ctx);
 struct ctl_leadership ctl_leadership(struct ctl *ctx);
 char *ctl_status_json(struct ctl *ctx); /* free with g_free() */
 
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -298,9 +298,10 @@
 	size_t n_jobs;		  /* lock; in jobs */
 	struct view *view;	  /* lock; written by the control thread */
 	bool draining;		  /* lock */
-	struct ctl_leadership leadership; /* lock; as view */
-	struct lse lease;		  /* lock; as view */
-	_Atomic int64_t confirmed_us;	  /* written by the control thread */
+	struct ctl_leadership leadership;  /* lock; as view */
+	struct lse lease;		   /* lock; as view */
+	_Atomic int64_t confirmed_us;	   /* written by the control thread */
+	_Atomic int64_t leader_contact_us; /* the same; from the start on */
 
 	/* The rest belongs to the control thread. */
 	int64_t now_us; /* steady clock at the start of the iteration */
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -12,6 +12,10 @@
 /* Covers the way of a report to a busy upstream, whose process may wait for
  * its share of a core. */
 #define REPORT_LEAD_US 80000
+/* Time without contact to a leader after which a command is refused instead of
+ * kept until there is one, in election timeouts. By then every voter that can
+ * has asked for votes. */
+#define LEADER_WAIT_TIMEOUTS 2
 /* First and longest delay between sends of the same order. */
 #define RESEND_US (2LL * S_US)
 #define RESEND_MAX_US (10LL * S_US)
@@ -387,6 +391,13 @@
 	return now_us - since_us > limit_us;
 }
 
+/* Returns whether a command that has to reach a leader is likely to: there is
+ * one, or there may be one soon. */
+bool ctl_rule_expects_leader(int64_t leaderless_us, int64_t election_timeout_us)
+{
+	return leaderless_us <= LEADER_WAIT_TIMEOUTS * election_timeout_us;
+}
+
 /* A past incarnation is taken back after this time without a message of the
  * current one, if it was heard for RETURNING_US meanwhile. Processes send
  * messages each 1.2 s or more often, and the last ones of a process that has
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -104,6 +104,9 @@
 bool ctl_rule_upstream_failed(int64_t chosen_us, int64_t confirmed_us,
 			      int64_t now_us, int64_t limit_us);
 
+bool ctl_rule_expects_leader(int64_t leaderless_us,
+			     int64_t election_timeout_us);
+
 /* Incarnations of a process: the boot id of an instance or the incarnation of
  * an endpoint. The last ones that a newer one replaced are remembered. */
 #define CTL_PAST_INCARNATIONS 8
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -719,3 +719,11 @@
 	EXPECT_FALSE(ctl_stall_update(&stall, false, 8, 20 * S, 3 * S));
 	EXPECT_EQ(ctl_stall_us(&stall, 20 * S), 0);
 }
+
+/* Guards against a command that waits where no leader will be found. */
+TEST(Leader, IsNotExpectedForLongerThanAnElectionTakes)
+{
+	EXPECT_TRUE(ctl_rule_expects_leader(0, S / 2));
+	EXPECT_TRUE(ctl_rule_expects_leader(S, S / 2));
+	EXPECT_FALSE(ctl_rule_expects_leader(S + 1, S / 2));
+}
