ctl: a leader's own pause is no silence of others

Callers saw: a change acknowledged by an instance that had stood still for seconds, while entries that ran served the older table; and instances and endpoints taken for lost that were there.

A leader that was stopped found that it had heard of nobody for longer than three report intervals, left all entries out and released what it held back, before its replica noticed that it was deposed. expire_nodes() and expire_endpoints() judged by the same silence. Now silence is counted on a clock that stands still while no messages are read, and results are released only while a quorum has answered the leader within an election timeout and it is not handing over (ctl_raft_leads(), which reads of streams and quota grants share). ctl_spread_run() runs in each iteration instead of each 100 ms, as nothing else limits how soon an acknowledgement follows the last report.

--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -482,6 +482,25 @@
 	malloc_trim(TRIM_KEEP_BYTES);
 }
 
+/* Reads the clock. Time in which no messages were read, as by a process that
+ * was stopped, is no silence of others: their messages are still to be read. */
+static void read_clock(struct ctl *ctx)
+{
+	int64_t before_us = ctx->now_us;
+	int64_t pause_us;
+
+	ctx->now_us = clk_now_us(ctx->clock);
+	pause_us = ctx->now_us - before_us;
+	if (pause_us > (int64_t)ctx->set->report_interval_ms * 1000) {
+		ctx->pauses_us += pause_us;
+		met_count(ctx->met, "dandelionspar_control_pauses", "", 1);
+		LOG_EVENT_NOTICE("ctl", "paused",
+				 "pause_us=%" G_GINT64_FORMAT " leads=%d",
+				 pause_us, ctx->ready_leader);
+	}
+	ctx->read_us = ctx->now_us - ctx->pauses_us;
+}
+
 /*
  * Runs one iteration: handles all messages and jobs received, syncs the log
  * once for all proposals of the iteration, then sends what the commits cause.
@@ -491,7 +510,7 @@
 	net_wait(ctx->net, ctx->wake_fd, sleep_us(ctx));
 	if (ctx->set->control && view_n_endpoints(ctx->view) > FLEET_ENDPOINTS)
 		g_usleep(COLLECT_US);
-	ctx->now_us = clk_now_us(ctx->clock);
+	read_clock(ctx);
 	net_tick(ctx->net, ctx->now_us);
 	receive_messages(ctx);
 	run_jobs(ctx);
@@ -503,6 +522,7 @@
 	ctl_report_run(ctx);
 	ctl_call_run(ctx);
 	ctl_raft_run(ctx);
+	ctl_spread_run(ctx);
 	publish_leadership(ctx);
 	note_leader_contact(ctx);
 	ctl_quota_run(ctx);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -220,7 +220,8 @@
 struct ctl_member {
 	struct ctl_incarnations boots;
 	int64_t heard_us;
-	int64_t proposed_us; /* last NodePut or NodeDown proposed */
+	int64_t heard_read_us; /* the same, as ctl.read_us */
+	int64_t proposed_us;   /* last NodePut or NodeDown proposed */
 	uint64_t view_index;
 	uint32_t streams;
 	uint32_t confirmed_age_ms;
@@ -230,6 +231,7 @@
 struct ctl_endpoint {
 	struct ctl_incarnations incarnations;
 	int64_t heard_us;
+	int64_t heard_read_us;	 /* the same, as ctl.read_us */
 	int64_t put_us;		 /* last EndpointPut proposed */
 	uint64_t put_hash;	 /* what it proposed */
 	uint64_t put_index;	 /* its log index */
@@ -305,6 +307,10 @@
 
 	/* The rest belongs to the control thread. */
 	int64_t now_us; /* steady clock at the start of the iteration */
+	/* The same less all pauses in which no messages were read. The silence
+	 * of others counts on this clock. */
+	int64_t read_us;
+	int64_t pauses_us;
 	bool stopping;
 	int64_t stop_by_us;
 	struct net *net;
@@ -332,9 +338,10 @@
 	/* The group was formed while this process ran, so there was no earlier
 	 * leader that it does not know of. */
 	bool saw_group_formation;
-	int64_t leader_since_us;   /* start of the own leadership */
-	GHashTable *replicas_seen; /* replica -> struct ctl_replica_seen */
-	int64_t unaddressed_us;	   /* last log line about such a message */
+	int64_t leader_since_us;      /* start of the own leadership */
+	int64_t leader_since_read_us; /* the same, as read_us */
+	GHashTable *replicas_seen;    /* replica -> struct ctl_replica_seen */
+	int64_t unaddressed_us;	      /* last log line about such a message */
 	struct ctl_waiters waiters;
 	struct ctl_waiters orphans;	   /* waiters of earlier leaderships */
 	GHashTable *forwards;		   /* key -> struct ctl_forward */
@@ -464,6 +471,7 @@
 void ctl_raft_run(struct ctl *ctx);
 void ctl_raft_confirm(struct ctl *ctx);
 bool ctl_raft_is_leader(const struct ctl *ctx);
+bool ctl_raft_leads(const struct ctl *ctx);
 /* Proposes a command after setting its wall_ms. Returns false if this replica
  * is not the leader; the caller then keeps the waiter. */
 bool ctl_raft_propose(struct ctl *ctx, Dsp__Command *command,
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -131,6 +131,7 @@
 		return;
 	}
 	m->heard_us = ctx->now_us;
+	m->heard_read_us = ctx->read_us;
 	m->view_index = status->view_index;
 	m->streams = status->streams;
 	m->confirmed_age_ms = status->confirmed_age_ms;
@@ -158,13 +159,13 @@
 		Dsp__NodeDown down = DSP__NODE_DOWN__INIT;
 		struct ctl_member *m =
 			g_hash_table_lookup(ctx->members, nodes[i]->id);
-		int64_t heard_us = ctx->leader_since_us;
+		int64_t heard_us = ctx->leader_since_read_us;
 
 		if (nodes[i]->down)
 			continue;
 		if (m)
-			heard_us = MAX(heard_us, m->heard_us);
-		if (ctx->now_us - heard_us <= lease_us ||
+			heard_us = MAX(heard_us, m->heard_read_us);
+		if (ctx->read_us - heard_us <= lease_us ||
 		    (m && ctx->now_us - m->proposed_us < REPROPOSE_DELAY_US))
 			continue;
 		if (!m) {
@@ -372,6 +373,7 @@
 		plc_update_load(ctx->plc, a->load, ctx->now_us);
 	}
 	e->heard_us = ctx->now_us;
+	e->heard_read_us = ctx->read_us;
 	put_endpoint(ctx, e, a);
 	for (size_t i = 0; i < a->n_results; i++)
 		ctl_order_result(ctx, a->endpoint->id, a->results[i]);
@@ -411,13 +413,13 @@
 		Dsp__EndpointDown down = DSP__ENDPOINT_DOWN__INIT;
 		struct ctl_endpoint *e =
 			g_hash_table_lookup(ctx->endpoints, endpoints[i]->id);
-		int64_t heard_us = ctx->leader_since_us;
+		int64_t heard_us = ctx->leader_since_read_us;
 
 		if (endpoints[i]->state == DSP__ENDPOINT_STATE__ENDPOINT_DOWN)
 			continue;
 		if (e)
-			heard_us = MAX(heard_us, e->heard_us);
-		if (ctx->now_us - heard_us <= lease_us ||
+			heard_us = MAX(heard_us, e->heard_read_us);
+		if (ctx->read_us - heard_us <= lease_us ||
 		    (e && e->put_us &&
 		     ctx->now_us - e->put_us < REPROPOSE_DELAY_US))
 			continue;
@@ -691,5 +693,4 @@
 	propose_expire(ctx);
 	repair_replicas(ctx);
 	run_placement(ctx);
-	ctl_spread_run(ctx);
 }
--- a/src/node/ctl_quota.c
+++ b/src/node/ctl_quota.c
@@ -9,19 +9,10 @@
  * control thread knows; the leader answers asks of all entries.
  */
 
-/* Returns whether no other instance can lead now. The clock is read again: this
- * process may have been stopped since the iteration began. */
 static bool may_grant(const struct ctl *ctx)
 {
-	int64_t until_us;
-
-	if (!ctx->ready_leader || !ctx->quo ||
-	    quo_term(ctx->quo) != raft_term(ctx->raft) ||
-	    raft_is_transferring(ctx->raft))
-		return false;
-	until_us = raft_quorum_contact_us(ctx->raft) +
-		   (int64_t)ctx->set->election_timeout_ms * 1000;
-	return clk_now_us(ctx->clock) < until_us;
+	return ctx->quo && ctl_raft_leads(ctx) &&
+	       quo_term(ctx->quo) == raft_term(ctx->raft);
 }
 
 static Dsp__QuotaGrants *answer(struct ctl *ctx, const char *sender,
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -123,18 +123,26 @@
 }
 
 /*
- * Answers a command that only reads, or returns NULL if it has to go through
- * the log: this replica may have been deposed. While a quorum has answered it
- * within an election timeout, no other one leads.
+ * Returns whether no other replica can lead now: a quorum has answered this one
+ * within an election timeout. The clock is read again: this process may have
+ * been stopped since the iteration began.
  */
-Dsp__CommandResult *ctl_raft_read(struct ctl *ctx, const Dsp__Command *command)
+bool ctl_raft_leads(const struct ctl *ctx)
 {
 	int64_t lease_us = (int64_t)ctx->set->election_timeout_ms * 1000;
 
+	return ctx->ready_leader && ctl_raft_is_leader(ctx) &&
+	       !raft_is_transferring(ctx->raft) &&
+	       clk_now_us(ctx->clock) - raft_quorum_contact_us(ctx->raft) <
+		       lease_us;
+}
+
+/* Answers a command that only reads, or returns NULL if it has to go through
+ * the log: this replica may have been deposed. */
+Dsp__CommandResult *ctl_raft_read(struct ctl *ctx, const Dsp__Command *command)
+{
 	if (command->body_case != DSP__COMMAND__BODY_STREAMS_FIND ||
-	    !ctx->ready_leader ||
-	    clk_now_us(ctx->clock) - raft_quorum_contact_us(ctx->raft) >=
-		    lease_us)
+	    !ctl_raft_leads(ctx))
 		return NULL;
 	return st_find_streams(ctx->st, command->streams_find);
 }
@@ -1047,6 +1055,7 @@
 		return;
 	ctx->ready_leader = true;
 	ctx->leader_since_us = ctx->now_us;
+	ctx->leader_since_read_us = ctx->read_us;
 	LOG_EVENT_NOTICE("ctl", "leader", "term=%" G_GUINT64_FORMAT,
 			 raft_term(ctx->raft));
 	ctl_member_start(ctx);
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -391,6 +391,20 @@
 	return now_us - since_us > limit_us;
 }
 
+/*
+ * Returns true if acknowledgements wait for the entry: it has reported a short
+ * time ago, and its view was confirmed. One with an older confirmation says
+ * itself that it is isolated.
+ */
+bool ctl_rule_in_contact(const struct ctl_contact *entry,
+			 int64_t leader_since_us, int64_t now_us)
+{
+	return now_us - MAX(entry->heard_us, leader_since_us) <=
+		       entry->limit_us &&
+	       (!entry->heard_us ||
+		entry->confirmed_age_us <= entry->isolated_after_us);
+}
+
 /* Returns whether a command that has to reach a leader is likely to: there is
  * one, or there may be one soon. */
 bool ctl_rule_expects_leader(int64_t leaderless_us, int64_t election_timeout_us)
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -104,6 +104,20 @@
 bool ctl_rule_upstream_failed(int64_t chosen_us, int64_t confirmed_us,
 			      int64_t now_us, int64_t limit_us);
 
+/* What the leader knows of an entry. Its clock stands still while it reads no
+ * messages. */
+struct ctl_contact {
+	int64_t heard_us;	   /* last report that was read; 0: none */
+	int64_t confirmed_age_us;  /* of the entry's view in that report */
+	int64_t isolated_after_us; /* age at which an entry is isolated */
+	int64_t limit_us;	   /* time without a report */
+};
+
+/* leader_since_us: start of the leadership; the reports of before went to
+ * another leader. */
+bool ctl_rule_in_contact(const struct ctl_contact *entry,
+			 int64_t leader_since_us, int64_t now_us);
+
 bool ctl_rule_expects_leader(int64_t leaderless_us,
 			     int64_t election_timeout_us);
 
--- a/src/node/ctl_spread.c
+++ b/src/node/ctl_spread.c
@@ -93,21 +93,18 @@
 	g_free(held);
 }
 
-/*
- * Returns true if acknowledgements wait for the entry: it has reported a short
- * time ago, and its view was confirmed. One with an older confirmation says
- * itself that it is isolated.
- */
 static bool is_in_contact(const struct ctl *ctx, const struct ctl_member *m)
 {
-	int64_t limit_us = CONTACT_REPORT_INTERVALS * 1000LL *
-			   ctx->set->report_interval_ms;
-	int64_t heard_us = ctx->leader_since_us;
-
-	if (m)
-		heard_us = MAX(heard_us, m->heard_us);
-	return ctx->now_us - heard_us <= limit_us &&
-	       (!m || m->confirmed_age_ms <= ctx->set->isolated_after_ms);
+	struct ctl_contact entry = {
+		.heard_us = m ? m->heard_read_us : 0,
+		.confirmed_age_us = m ? m->confirmed_age_ms * 1000LL : 0,
+		.isolated_after_us = ctx->set->isolated_after_ms * 1000LL,
+		.limit_us = CONTACT_REPORT_INTERVALS * 1000LL *
+			    ctx->set->report_interval_ms,
+	};
+
+	return ctl_rule_in_contact(&entry, ctx->leader_since_read_us,
+				   ctx->read_us);
 }
 
 static struct contact entries_in_contact(struct ctl *ctx,
@@ -162,17 +159,25 @@
 	LOG_EVENT_INFO("ctl", "result_released",
 		       "index=%" G_GUINT64_FORMAT
 		       " lowest_view=%" G_GUINT64_FORMAT
-		       " held_us=%" G_GINT64_FORMAT " left_out=%u",
+		       " held_us=%" G_GINT64_FORMAT
+		       " left_out=%u quorum_age_us=%" G_GINT64_FORMAT,
 		       held->result->index, contact->lowest_view, held_us,
-		       contact->left_out);
+		       contact->left_out,
+		       ctx->now_us - raft_quorum_contact_us(ctx->raft));
 }
 
+/* Releases the results whose changes the entries have. A leader that may have
+ * been deposed has lost the reports of all entries to the next one, so it does
+ * not know that. */
 static void release_results(struct ctl *ctx, const Dsp__Node **nodes, size_t n)
 {
 	struct contact contact = entries_in_contact(ctx, nodes, n);
 	struct ctl_held_result *held;
 	struct ctl_held_result *next;
 
+	if (!ctl_raft_leads(ctx))
+		return;
+
 	for (held = TAILQ_FIRST(&ctx->held_results); held; held = next) {
 		next = TAILQ_NEXT(held, link);
 		if (held->result->index <= contact.lowest_view) {
@@ -251,10 +256,13 @@
 /* Evaluates the entries' reports. */
 void ctl_spread_run(struct ctl *ctx)
 {
-	const Dsp__RouteTable *table = st_route_table(ctx->st);
+	const Dsp__RouteTable *table;
 	const Dsp__Node **nodes;
 	size_t n;
 
+	if (!ctx->ready_leader)
+		return;
+	table = st_route_table(ctx->st);
 	if (ctx->spread == CTL_SPREAD_DONE && TAILQ_EMPTY(&ctx->held_results) &&
 	    (!table || table->index == ctx->spread_index))
 		return;
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -720,6 +720,24 @@
 	EXPECT_EQ(ctl_stall_us(&stall, 20 * S), 0);
 }
 
+TEST(Contact, IsLostWithReportsOrWithAnIsolatedView)
+{
+	struct ctl_contact entry = {
+		.heard_us = 100 * S,
+		.confirmed_age_us = S / 10,
+		.isolated_after_us = 2 * S,
+		.limit_us = 6 * S / 5,
+	};
+
+	EXPECT_TRUE(ctl_rule_in_contact(&entry, 90 * S, 101 * S));
+	EXPECT_FALSE(ctl_rule_in_contact(&entry, 90 * S, 102 * S));
+	EXPECT_TRUE(ctl_rule_in_contact(&entry, 101 * S, 102 * S));
+	entry.confirmed_age_us = 3 * S;
+	EXPECT_FALSE(ctl_rule_in_contact(&entry, 90 * S, 101 * S));
+	entry.heard_us = 0;
+	EXPECT_TRUE(ctl_rule_in_contact(&entry, 101 * S, 102 * S));
+}
+
 /* Guards against a command that waits where no leader will be found. */
 TEST(Leader, IsNotExpectedForLongerThanAnElectionTakes)
 {
