ctl: answer a resent table without the log

A leader that leads for certain answers it from the state, once the entries have the first table with its number. The indexes of the last 32 tables are kept; the index of the table in force is used for older ones.

--- a/src/node/ctl_call.c
+++ b/src/node/ctl_call.c
@@ -324,7 +324,8 @@
 			g_free(waiter);
 			return true;
 		}
-		ok = command && ctl_raft_propose(ctx, command, waiter);
+		ok = command && (ctl_raft_hold_known(ctx, command, waiter) ||
+				 ctl_raft_propose(ctx, command, waiter));
 		if (command)
 			dsp__command__free_unpacked(command, NULL);
 	}
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -270,6 +270,9 @@
 	CTL_SPREAD_DONE,
 };
 
+/* Tables of which the index is kept for resends. */
+#define CTL_TABLES_KEPT 32
+
 /* The last message of another replica of the group. */
 struct ctl_replica_seen {
 	int64_t heard_us;
@@ -424,9 +427,11 @@
 	uint64_t spread_index;	 /* its view index; 0: none */
 	int64_t spread_since_us; /* start of its distribution */
 	enum ctl_spread spread;
-	struct ctl_held_results held_results; /* oldest first */
-	struct quo *quo;		      /* NULL: no table had customers */
-	uint64_t quota_table;		      /* index of the table in quo */
+	struct ctl_held_results held_results;	  /* oldest first */
+	struct ctl_table tables[CTL_TABLES_KEPT]; /* the newest ones, a ring */
+	size_t n_tables;			  /* that came into force */
+	struct quo *quo;      /* NULL: no table had customers */
+	uint64_t quota_table; /* index of the table in quo */
 
 	char *quota_leader; /* last leader told to the traffic thread; "":
 			       this instance; NULL: none */
@@ -478,6 +483,12 @@
 		      struct ctl_waiter *waiter);
 bool ctl_raft_propose_config(struct ctl *ctx, const Dsp__RaftConfig *config,
 			     struct ctl_waiter *waiter);
+/* As ctl_raft_propose(), for a change that has no effect any more: its result
+ * is held back as that of the first one. Returns false if it has to go through
+ * the log; the caller then keeps the waiter. */
+bool ctl_raft_hold_known(struct ctl *ctx, const Dsp__Command *command,
+			 struct ctl_waiter *waiter);
+Dsp__CommandResult *ctl_raft_read(struct ctl *ctx, const Dsp__Command *command);
 /* On the leader: the reason why a replica cannot be removed, or NULL. */
 Dsp__CommandResult *ctl_raft_check_removal(struct ctl *ctx, uint64_t replica);
 struct ctl_waiter *ctl_waiter_new(enum ctl_waiter_kind kind);
@@ -536,7 +547,6 @@
 void ctl_member_report(struct ctl *ctx, const Dsp__Report *report);
 
 /* ctl_parts.c */
-Dsp__CommandResult *ctl_raft_read(struct ctl *ctx, const Dsp__Command *command);
 bool ctl_raft_members_read(const struct ctl *ctx, uint32_t format);
 void ctl_stream_add(struct ctl *ctx, const Dsp__StreamsBegun *begun);
 Dsp__StreamsBegun *ctl_stream_take(struct ctl *ctx);
@@ -570,6 +580,8 @@
 void ctl_spread_hold(struct ctl *ctx, struct ctl_waiter *waiter,
 		     Dsp__CommandResult *result);
 void ctl_spread_run(struct ctl *ctx);
+void ctl_spread_note_table(struct ctl *ctx, uint64_t number, uint64_t index);
+uint64_t ctl_spread_index_of(const struct ctl *ctx, uint64_t number);
 
 /* ctl_order.c */
 struct ctl_sender *ctl_order_open(struct ctl *ctx);
--- a/src/node/ctl_raft.c
+++ b/src/node/ctl_raft.c
@@ -147,6 +147,27 @@
 	return st_find_streams(ctx->st, command->streams_find);
 }
 
+/* A table whose number is not above the one in force has no effect: it is a
+ * resend, or a newer one came first. */
+bool ctl_raft_hold_known(struct ctl *ctx, const Dsp__Command *command,
+			 struct ctl_waiter *waiter)
+{
+	const Dsp__RouteTable *table = st_route_table(ctx->st);
+	Dsp__CommandResult *result;
+
+	if (command->body_case != DSP__COMMAND__BODY_ROUTE_TABLE_PUT ||
+	    !command->route_table_put->table || !table ||
+	    command->route_table_put->table->number > table->number ||
+	    !ctl_raft_leads(ctx))
+		return false;
+	result = result_new(DSP__RESULT_CODE__RESULT_SAME, "");
+	result->number = table->number;
+	result->index = ctl_spread_index_of(
+		ctx, command->route_table_put->table->number);
+	ctl_spread_hold(ctx, waiter, result);
+	return true;
+}
+
 static bool propose_forward(struct ctl *ctx, const Dsp__Forward *in,
 			    Dsp__Command *command, struct ctl_forward *forward)
 {
@@ -156,7 +177,8 @@
 
 	waiter->forward = forward;
 	if (command) {
-		ok = ctl_raft_propose(ctx, command, waiter);
+		ok = ctl_raft_hold_known(ctx, command, waiter) ||
+		     ctl_raft_propose(ctx, command, waiter);
 	} else {
 		config = ctl_rule_config_without(raft_config(ctx->raft),
 						 in->replace_replica);
@@ -471,6 +493,7 @@
 
 	ctx->disk_failed = false;
 	ctx->disk_full = false;
+	ctx->n_tables = 0;
 	ctx->replica = content->replica;
 	set_limits(ctx, &limits);
 	if (ctx->st)
@@ -830,6 +853,13 @@
 	return true;
 }
 
+/* Returns true if the command may put a route table in force. */
+static bool is_table(const Dsp__Command *command)
+{
+	return command->body_case == DSP__COMMAND__BODY_ROUTE_TABLE_PUT ||
+	       command->body_case == DSP__COMMAND__BODY_ROUTE_TABLE_CHANGE_PUT;
+}
+
 /* Returns true if the command may change the view. */
 static bool changes_view(const Dsp__Command *command)
 {
@@ -862,6 +892,8 @@
 		ctx->orders_dirty = true;
 	}
 	ctx->publish_urgent |= changes_service(command);
+	if (is_table(command) && result->code == DSP__RESULT_CODE__RESULT_OK)
+		ctl_spread_note_table(ctx, result->number, e->index);
 	dsp__command__free_unpacked(command, NULL);
 	return result;
 }
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -412,6 +412,18 @@
 	return leaderless_us <= LEADER_WAIT_TIMEOUTS * election_timeout_us;
 }
 
+/* A resend of an older table does not wait for the newest one. */
+uint64_t ctl_rule_table_index(const struct ctl_table *tables, size_t n,
+			      uint64_t number, uint64_t in_force)
+{
+	uint64_t index = in_force;
+
+	for (size_t i = 0; i < n; i++)
+		if (tables[i].number >= number)
+			index = MIN(index, tables[i].index);
+	return index;
+}
+
 /* A past incarnation is taken back after this time without a message of the
  * current one, if it was heard for RETURNING_US meanwhile. Processes send
  * messages each 1.2 s or more often, and the last ones of a process that has
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -121,6 +121,17 @@
 bool ctl_rule_expects_leader(int64_t leaderless_us,
 			     int64_t election_timeout_us);
 
+/* A route table that came into force. */
+struct ctl_table {
+	uint64_t number;
+	uint64_t index; /* of the view that has it */
+};
+
+/* Index of a view that has the table with this number or a later one, out of
+ * the n tables that are known; in_force: index of the newest one. */
+uint64_t ctl_rule_table_index(const struct ctl_table *tables, size_t n,
+			      uint64_t number, uint64_t in_force);
+
 /* Incarnations of a process: the boot id of an instance or the incarnation of
  * an endpoint. The last ones that a newer one replaced are remembered. */
 #define CTL_PAST_INCARNATIONS 8
--- a/src/node/ctl_spread.c
+++ b/src/node/ctl_spread.c
@@ -207,6 +207,24 @@
 	TAILQ_INSERT_TAIL(&ctx->held_results, held, link);
 }
 
+/* ---- Tables that came into force ---- */
+
+/* Notes a table that a committed command has put in force. */
+void ctl_spread_note_table(struct ctl *ctx, uint64_t number, uint64_t index)
+{
+	ctx->tables[ctx->n_tables++ % CTL_TABLES_KEPT] =
+		(struct ctl_table){ .number = number, .index = index };
+}
+
+/* Returns the index of a view that has the table with this number or a later
+ * one. There must be such a table in force. */
+uint64_t ctl_spread_index_of(const struct ctl *ctx, uint64_t number)
+{
+	return ctl_rule_table_index(ctx->tables,
+				    MIN(ctx->n_tables, CTL_TABLES_KEPT), number,
+				    st_route_table(ctx->st)->index);
+}
+
 /* ---- Leadership ---- */
 
 /* Resets the tracking at the start of a leadership. */
--- a/tests/integration/no_leader_test.cc
+++ b/tests/integration/no_leader_test.cc
@@ -212,4 +212,61 @@
 								: "Follower";
 			 });
 
+/* Three control instances and two entries that have table 4. */
+class Resend : public ::testing::Test
+{
+      protected:
+	System system{ 3, 2 };
+
+	void SetUp() override
+	{
+		system.serve(table(4));
+		ASSERT_TRUE(System::eventually([&] {
+			return system.is_ready(system.instances[4]) &&
+			       system.put(table(4)) == 200;
+		})) << system.logs();
+	}
+};
+
+TEST_F(Resend, TableInForceIsAnsweredWithoutTheLog)
+{
+	size_t before = times_proposed(system, 4);
+
+	for (size_t i = 0; i < 3; i++) {
+		Timed answer = timed(
+			[&] { return put(system.instances[i].api, table(4)); });
+
+		EXPECT_EQ(answer.status, 200);
+		EXPECT_LE(answer.took_ms, kAtOnceMs);
+	}
+	EXPECT_EQ(times_proposed(system, 4), before);
+}
+
+/* Acknowledgements of the newer table wait for the entry that is stopped. */
+TEST_F(Resend, TableInForceDoesNotWaitForANewerOne)
+{
+	size_t before = times_proposed(system, 4);
+	System::Instance &slow = system.instances[4];
+
+	kill(slow.pid, SIGSTOP);
+	std::future<Timed> newer = std::async(std::launch::async, [&] {
+		return timed(
+			[&] { return put(system.instances[0].api, table(6)); });
+	});
+	EXPECT_TRUE(System::eventually(
+		[&] { return times_proposed(system, 6) > 0; }));
+	usleep(50000);
+	Timed answer =
+		timed([&] { return put(system.instances[1].api, table(4)); });
+
+	EXPECT_EQ(newer.wait_for(std::chrono::seconds(0)),
+		  std::future_status::timeout)
+		<< "the newer table was acknowledged first";
+	kill(slow.pid, SIGCONT);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_LE(answer.took_ms, kAtOnceMs);
+	EXPECT_EQ(times_proposed(system, 4), before);
+	EXPECT_EQ(newer.get().status, 200);
+}
+
 } // namespace
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -745,3 +745,16 @@
 	EXPECT_TRUE(ctl_rule_expects_leader(S, S / 2));
 	EXPECT_FALSE(ctl_rule_expects_leader(S + 1, S / 2));
 }
+
+/* Guards against a resend that waits for tables that came after its own. */
+TEST(Tables, ResendWaitsForTheFirstTableWithItsNumber)
+{
+	const struct ctl_table tables[] = { { 12, 500 },
+					    { 5, 100 },
+					    { 8, 300 } };
+
+	EXPECT_EQ(ctl_rule_table_index(tables, 3, 5, 500), 100u);
+	EXPECT_EQ(ctl_rule_table_index(tables, 3, 6, 500), 300u);
+	EXPECT_EQ(ctl_rule_table_index(tables, 3, 12, 500), 500u);
+	EXPECT_EQ(ctl_rule_table_index(tables, 0, 5, 500), 500u);
+}
