ctl: an update that was held up does not confirm a view

The age of a confirmation counted from the arrival of the update, also of one that had waited in a cut connection or in the sockets of a process that stood still.

Reports carry the sender's clock on all deployments, as they did where keys are revoked, and updates echo it. An update that echoes a report of longer ago than isolated_after_ms counts from that report; one for an earlier process of the receiver confirms nothing; neither does the announcement of a new leader, which answers no report. Instances of earlier versions send no echo, and their updates count as before. Ruled out: the echo alone, which adds a report interval at each hop and would have entries query all control instances when a leader is busy.

--- a/src/core/lse.c
+++ b/src/core/lse.c
@@ -21,6 +21,17 @@
 	return clock->origin + (uint64_t)now_us;
 }
 
+/* Returns when this process sent the report that is echoed, or 0. */
+int64_t lse_echoed_us(const struct lse_clock *clock, uint64_t echo_us,
+		      int64_t now_us)
+{
+	int64_t sent_us = (int64_t)(echo_us - clock->origin);
+
+	if (!echo_us || sent_us < clock->began_us || sent_us > now_us)
+		return 0;
+	return sent_us;
+}
+
 /*
  * Sets the start of the lease of the view with this index, on the leader from
  * its last contact with a quorum. Returns false if the lease has a later start
@@ -47,9 +58,9 @@
 bool lse_accept(struct lse *ctx, const struct lse_clock *clock,
 		const struct lse_grant *grant, uint64_t index, int64_t now_us)
 {
-	int64_t sent_us = (int64_t)(grant->echo_us - clock->origin);
+	int64_t sent_us = lse_echoed_us(clock, grant->echo_us, now_us);
 
-	if (!grant->echo_us || sent_us < clock->began_us || sent_us > now_us)
+	if (!sent_us || grant->age_ms == LSE_NO_AGE)
 		return false;
 	return lse_extend(ctx, sent_us - grant->age_ms * 1000LL, index);
 }
--- a/src/core/lse.h
+++ b/src/core/lse.h
@@ -21,8 +21,9 @@
 struct lse_grant {
 	uint64_t echo_us; /* sending time of a report of the receiver, on the
 			     receiver's clock; 0: no grant */
-	uint32_t age_ms;  /* of the sender's lease */
+	uint32_t age_ms;  /* of the sender's lease; LSE_NO_AGE: it has none */
 };
+#define LSE_NO_AGE UINT32_MAX
 
 /* The clock that an instance sends in its reports. Its origin is random for
  * each process, so that a grant for an earlier one has no valid time. */
@@ -42,6 +43,10 @@
 void lse_follow(struct lse *ctx, const struct lse *of, uint64_t index);
 
 /* Queries. */
+/* Time on the own clock at which this process sent the report that an update
+ * echoes, in microseconds; 0: the update echoes none of this process. */
+int64_t lse_echoed_us(const struct lse_clock *clock, uint64_t echo_us,
+		      int64_t now_us);
 struct lse_grant lse_grant(const struct lse *ctx, uint64_t echo_us,
 			   int64_t now_us);
 int64_t lse_age_us(const struct lse *ctx, int64_t now_us);
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -417,11 +417,9 @@
 	return values;
 }
 
-/* Returns the clock for a report sent now; 0 where no lease is needed. */
+/* Returns the clock for a report sent now. */
 static uint64_t sent_us(const struct ctl *ctx)
 {
-	if (!ctx->set->edge.key_revoke_ms)
-		return 0;
 	return lse_sent_us(&ctx->lease_clock, ctx->now_us);
 }
 
@@ -836,19 +834,53 @@
 		ctl_report_schedule(ctx, 0);
 }
 
+/* Returns when the view of an update was confirmed, and reports an update of
+ * the upstream that was held up. */
+static int64_t confirmation_us(struct ctl *ctx, const Dsp__Envelope *from,
+			       const Dsp__ViewUpdate *update)
+{
+	struct ctl_confirmation in = {
+		.now_us = ctx->now_us,
+		.echoed_us = lse_echoed_us(&ctx->lease_clock, from->echo_us,
+					   ctx->now_us),
+		.age_us = update->confirmed_age_ms * 1000LL,
+		.held_up_after_us = ctx->set->isolated_after_ms * 1000LL,
+	};
+	int64_t confirmed_us = ctl_rule_confirmed_us(&in);
+
+	/* Others that were queried once send some more without being asked. */
+	if (confirmed_us != in.now_us - in.age_us &&
+	    ctl_up_is(&ctx->up, from->address)) {
+		met_count(ctx->met, "dandelionspar_updates_held_up", "", 1);
+		LOG_EVENT_INFO("ctl", "update_held_up",
+			       "from=%s to_index=%" G_GUINT64_FORMAT
+			       " age_ms=%u echo_age_us=%" G_GINT64_FORMAT,
+			       from->from, update->to_index,
+			       update->confirmed_age_ms,
+			       in.now_us - in.echoed_us);
+	}
+	return confirmed_us;
+}
+
 /* Returns true if the update carries a newer confirmation of the view. */
-static bool confirm(struct ctl *ctx, const Dsp__ViewUpdate *update)
+static bool confirm(struct ctl *ctx, const Dsp__Envelope *from,
+		    const Dsp__ViewUpdate *update)
 {
 	int64_t confirmed_us;
 
 	if (update->confirmed_age_ms == UINT32_MAX ||
 	    view_index(ctx->view) < update->to_index)
 		return false;
-	confirmed_us = ctx->now_us - (int64_t)update->confirmed_age_ms * 1000;
+	/* The update is for an earlier process of this instance. */
+	if (from->echo_us &&
+	    !lse_echoed_us(&ctx->lease_clock, from->echo_us, ctx->now_us))
+		return false;
+	confirmed_us = confirmation_us(ctx, from, update);
 	/* After a restart the first confirmation must be recent, since the view
 	 * may be as outdated as the confirmation. */
 	if (!ctx->confirmed_us &&
-	    update->confirmed_age_ms > ctx->set->isolated_after_ms)
+	    ctx->now_us - confirmed_us >
+		    (int64_t)ctx->set->isolated_after_ms * 1000)
 		return false;
 	if (confirmed_us <= ctx->confirmed_us)
 		return false;
@@ -917,7 +949,7 @@
 			      member_address(update->config, update->leader));
 	install_update(ctx, update);
 	accept_lease(ctx, from, update);
-	if (confirm(ctx, update) && !follows_leader(ctx) &&
+	if (confirm(ctx, from, update) && !follows_leader(ctx) &&
 	    ctl_up_confirmed(&ctx->up, from->address,
 			     ctx->now_us - ctx->confirmed_us,
 			     upstream_limit_us(ctx))) {
@@ -1194,6 +1226,10 @@
 	}
 	/* The process may have been stopped since the iteration began. */
 	grant = lse_grant(&ctx->lease, child->echo_us, clk_now_us(ctx->clock));
+	/* Without a lease the echo still tells the age of the update. */
+	if (!grant.echo_us)
+		grant = (struct lse_grant){ .echo_us = child->echo_us,
+					    .age_ms = LSE_NO_AGE };
 	if (grant.echo_us)
 		net_send_packed_lease(ctx->net, address, data, len,
 				      grant.echo_us, grant.age_ms);
@@ -1348,6 +1384,8 @@
 
 	choose_relays(ctx);
 	fill_update(ctx, update);
+	/* Nothing tells how long this update is on its way. */
+	update->confirmed_age_ms = UINT32_MAX;
 	for (size_t i = 0; i < n; i++)
 		send_update(ctx, voters[i], update);
 	for (guint i = 0; i < ctx->relays->len; i++) {
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -391,6 +391,21 @@
 	return now_us - since_us > limit_us;
 }
 
+/*
+ * Returns when the view of an update was confirmed. The update was sent after
+ * its sender had read the report that it echoes. One that echoes a report of
+ * long ago was held up: on its way, or while its sender or this process was
+ * stopped. Without an echo, as from an instance of an earlier version, only its
+ * arrival is known.
+ */
+int64_t ctl_rule_confirmed_us(const struct ctl_confirmation *in)
+{
+	if (!in->echoed_us ||
+	    in->now_us - in->echoed_us <= in->held_up_after_us)
+		return in->now_us - in->age_us;
+	return in->echoed_us - in->age_us;
+}
+
 /*
  * Returns true if acknowledgements wait for the entry: it has reported a short
  * time ago, and its view was confirmed. One with an older confirmation says
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -104,6 +104,18 @@
 bool ctl_rule_upstream_failed(int64_t chosen_us, int64_t confirmed_us,
 			      int64_t now_us, int64_t limit_us);
 
+/* What this instance knows of a message that confirms a view. */
+struct ctl_confirmation {
+	int64_t now_us;	   /* when it is read */
+	int64_t echoed_us; /* when the report that it echoes was sent; 0: none
+			    */
+	int64_t age_us;	   /* of the confirmation, when it was sent */
+	int64_t held_up_after_us; /* age of the echo of one that was held up */
+};
+
+/* Microseconds on the own clock. */
+int64_t ctl_rule_confirmed_us(const struct ctl_confirmation *in);
+
 /* What the leader knows of an entry. Its clock stands still while it reads no
  * messages. */
 struct ctl_contact {
--- a/src/proto/messages.pb-c.h
+++ b/src/proto/messages.pb-c.h
@@ -1969,7 +1969,7 @@
   Dsp__PartEvidence *part_evidence;
   /*
    * Sender's clock, which the answer returns as Envelope.echo_us; 0: the sender
-   * needs no lease.
+   * is of an earlier version and needs no lease.
    */
   uint64_t sent_us;
   Dsp__StreamsBegun *streams_begun;
@@ -2341,11 +2341,11 @@
    */
   char *address;
   /*
-   * Of updates to instances that need a lease: sent_us of the newest report of
-   * the receiver, and the age of the sender's own lease when this was packed.
+   * Of updates: sent_us of the newest report of the receiver, and the age of the
+   * sender's own lease when this was packed; 2^32-1: it has none.
    */
   /*
-   * 0: no lease
+   * 0: the receiver has sent none
    */
   uint64_t echo_us;
   uint32_t lease_age_ms;
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -720,6 +720,25 @@
 	EXPECT_EQ(ctl_stall_us(&stall, 20 * S), 0);
 }
 
+/* Guards against an update that was held up and is taken for a fresh one. */
+TEST(Confirmation, IsNotYoungerThanTheReportThatItEchoes)
+{
+	struct ctl_confirmation in = {
+		.now_us = 100 * S,
+		.echoed_us = 99 * S,
+		.age_us = S / 10,
+		.held_up_after_us = 2 * S,
+	};
+
+	EXPECT_EQ(ctl_rule_confirmed_us(&in), 100 * S - S / 10);
+	in.echoed_us = 98 * S;
+	EXPECT_EQ(ctl_rule_confirmed_us(&in), 100 * S - S / 10);
+	in.echoed_us = 94 * S;
+	EXPECT_EQ(ctl_rule_confirmed_us(&in), 94 * S - S / 10);
+	in.echoed_us = 0;
+	EXPECT_EQ(ctl_rule_confirmed_us(&in), 100 * S - S / 10);
+}
+
 TEST(Contact, IsLostWithReportsOrWithAnIsolatedView)
 {
 	struct ctl_contact entry = {
--- a/tests/unit/lse_test.cc
+++ b/tests/unit/lse_test.cc
@@ -38,6 +38,18 @@
 	EXPECT_TRUE(lse_holds(&lease, 4 * S, 113 * S));
 }
 
+TEST(Lse, TellsWhenAnEchoedReportWasSent)
+{
+	struct lse_clock clock = lse_clock_new(12345, 100 * S);
+	struct lse_clock other = lse_clock_new(UINT64_C(1) << 60, 100 * S);
+	uint64_t echo = lse_sent_us(&clock, 110 * S);
+
+	EXPECT_EQ(lse_echoed_us(&clock, echo, 190 * S), 110 * S);
+	EXPECT_EQ(lse_echoed_us(&clock, echo, 109 * S), 0);
+	EXPECT_EQ(lse_echoed_us(&clock, 0, 190 * S), 0);
+	EXPECT_EQ(lse_echoed_us(&other, echo, 190 * S), 0);
+}
+
 TEST(Lse, RoundsTheAgeUpAndDoesNotGoBack)
 {
 	struct lse_clock clock = lse_clock_new(1, 1);
