--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -522,7 +522,6 @@
 	ctl_report_run(ctx);
 	ctl_call_run(ctx);
 	ctl_raft_run(ctx);
-	ctl_spread_run(ctx);
 	publish_leadership(ctx);
 	note_leader_contact(ctx);
 	ctl_quota_run(ctx);
--- a/src/node/ctl_member.c
+++ b/src/node/ctl_member.c
@@ -693,4 +693,5 @@
 	propose_expire(ctx);
 	repair_replicas(ctx);
 	run_placement(ctx);
+	ctl_spread_run(ctx);
 }
