ctl: account for the control thread's time by step

An iteration of more than half an election timeout now writes one line with the time of each step, and counters have the time of all iterations.

--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -511,28 +511,40 @@
 	if (ctx->set->control && view_n_endpoints(ctx->view) > FLEET_ENDPOINTS)
 		g_usleep(COLLECT_US);
 	read_clock(ctx);
+	ctl_step_begin(ctx);
 	net_tick(ctx->net, ctx->now_us);
+	ctl_step_done(ctx, CTL_STEP_NET);
 	receive_messages(ctx);
+	ctl_step_done(ctx, CTL_STEP_RECEIVE);
 	run_jobs(ctx);
+	ctl_step_done(ctx, CTL_STEP_JOBS);
 	ctl_raft_reopen(ctx);
 	ctl_form_run(ctx);
 	ctl_member_run(ctx);
 	ctl_parts_run(ctx);
 	ctl_stream_run(ctx);
+	ctl_step_done(ctx, CTL_STEP_MEMBERS);
 	ctl_report_run(ctx);
 	ctl_call_run(ctx);
+	ctl_step_done(ctx, CTL_STEP_REPORT);
 	ctl_raft_run(ctx);
 	publish_leadership(ctx);
 	note_leader_contact(ctx);
+	ctl_step_done(ctx, CTL_STEP_RAFT);
 	ctl_quota_run(ctx);
 	ctl_order_run(ctx);
+	ctl_step_done(ctx, CTL_STEP_ORDERS);
 	ctl_report_publish(ctx);
 	ctl_raft_confirm(ctx);
+	ctl_step_done(ctx, CTL_STEP_PUBLISH);
 	ctl_report_push(ctx);
+	ctl_step_done(ctx, CTL_STEP_PUSH);
 	ctl_raft_expire_forwards(ctx);
 	ctl_watch_run(ctx);
 	ctl_status_metrics(ctx);
 	trim_memory(ctx);
+	ctl_step_done(ctx, CTL_STEP_REST);
+	ctl_step_end(ctx);
 }
 
 static void *run(void *data)
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -70,6 +70,28 @@
 };
 TAILQ_HEAD(ctl_calls, ctl_call);
 
+/* ---- Steps of an iteration (ctl_step.c) ---- */
+
+enum ctl_step {
+	CTL_STEP_NET,	  /* pings, replaced connections */
+	CTL_STEP_RECEIVE, /* messages of other instances */
+	CTL_STEP_JOBS,	  /* of other threads */
+	CTL_STEP_MEMBERS, /* group, members, evidence, streams */
+	CTL_STEP_REPORT,  /* own report, calls */
+	CTL_STEP_RAFT,	  /* log, replication, applied entries */
+	CTL_STEP_ORDERS,  /* quotas and orders */
+	CTL_STEP_PUBLISH, /* views of the own state */
+	CTL_STEP_PUSH,	  /* updates for the children */
+	CTL_STEP_REST,
+	CTL_N_STEPS,
+};
+
+struct ctl_steps {
+	int64_t mark_us;	      /* end of the last step */
+	int64_t took_us[CTL_N_STEPS]; /* in this iteration */
+	int64_t busy_us[CTL_N_STEPS]; /* not counted in the metrics yet */
+};
+
 /* ---- Jobs for the control thread ---- */
 
 enum ctl_order_outcome {
@@ -397,8 +419,10 @@
 	uint64_t pushed_index;	   /* view index of the last round */
 	bool push_urgent;	   /* a change that is waited for is not sent */
 	uint64_t updates_packed;   /* encoded for children */
-	bool needs_whole_table;	   /* a change did not fit the own table */
-	int64_t publish_due_us;	   /* next view with a new index only */
+	uint64_t updates_sent;	   /* to children */
+	uint64_t update_rounds;
+	bool needs_whole_table;	     /* a change did not fit the own table */
+	int64_t publish_due_us;	     /* next view with a new index only */
 	int64_t publish_earliest_us; /* rate limit of views */
 	bool publish_urgent;	     /* a change that is waited for */
 
@@ -438,6 +462,7 @@
 
 	int64_t metrics_due_us;
 	int64_t trim_due_us;
+	struct ctl_steps steps;
 };
 
 /* ctl.c */
@@ -448,6 +473,12 @@
 uint32_t ctl_confirmed_age_ms(const struct ctl *ctx);
 void ctl_extend_lease(struct ctl *ctx, int64_t start_us);
 
+/* ctl_step.c */
+void ctl_step_begin(struct ctl *ctx);
+void ctl_step_done(struct ctl *ctx, enum ctl_step step);
+void ctl_step_end(struct ctl *ctx);
+void ctl_step_metrics(struct ctl *ctx);
+
 /* ctl_call.c */
 void ctl_call_start(struct ctl *ctx, struct ctl_call *call);
 void ctl_call_run(struct ctl *ctx);
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -1314,6 +1314,7 @@
 	GHashTableIter iter;
 	struct ctl_child *child;
 
+	ctx->update_rounds++;
 	if (all)
 		collect_loads(ctx, &round);
 	g_hash_table_iter_init(&iter, ctx->children);
@@ -1331,6 +1332,7 @@
 		child->sent_confirmed_us = ctx->confirmed_us;
 		u = update_for(ctx, &round, child);
 		send_round_update(ctx, child, u);
+		ctx->updates_sent++;
 		note_changes_sent(ctx, child);
 	}
 	g_hash_table_destroy(round.updates);
--- a/src/node/ctl_status.c
+++ b/src/node/ctl_status.c
@@ -394,6 +394,7 @@
 		return;
 	ctx->metrics_due_us = ctx->now_us + METRICS_INTERVAL_US;
 	ctl_quota_metrics(ctx);
+	ctl_step_metrics(ctx);
 	gauge(ctx, "dandelionspar_net_sent_bytes", net_bytes_sent(ctx->net));
 	gauge(ctx, "dandelionspar_net_received_bytes",
 	      net_bytes_received(ctx->net));
@@ -403,6 +404,8 @@
 	gauge(ctx, "dandelionspar_net_resets", net_resets(ctx->net));
 	gauge(ctx, "dandelionspar_net_probes", net_probes(ctx->net));
 	gauge(ctx, "dandelionspar_updates_packed", ctx->updates_packed);
+	gauge(ctx, "dandelionspar_updates_sent", ctx->updates_sent);
+	gauge(ctx, "dandelionspar_update_rounds", ctx->update_rounds);
 	gauge(ctx, "dandelionspar_observed_loads",
 	      occ_size(ctx->observed_down));
 	gauge(ctx, "dandelionspar_view_index", view_index(ctx->view));
