ctl: a sender's own pause does not lose its updates

The deadline was on the steady clock. It is on ctl.read_us now, which stands still while no messages are read, like the contact of entries since.

--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -215,7 +215,8 @@
 	/* Index of the route table that it has after these, if it can apply
 	 * changes to it; 0: it needs the whole table. */
 	uint64_t table_index;
-	int64_t lost_us; /* without progress until then, changes were lost */
+	/* Without progress until then, changes were lost; as ctl.read_us. */
+	int64_t lost_us;
 	unsigned losses; /* in a row, without progress */
 	int64_t sent_confirmed_us; /* confirmation in the last update */
 	uint64_t echo_us; /* sent_us of its newest report; 0: needs no lease */
--- a/tests/integration/stalled_leader_test.cc
+++ b/tests/integration/stalled_leader_test.cc
@@ -162,6 +162,17 @@
 		return n;
 	}
 
+	/* Value of a counter of an instance; 0: it has none. */
+	long long metric(size_t at, const std::string &name)
+	{
+		std::string text = system->call(at, "GET", "/metrics").body;
+		size_t i = text.find("\n" + name + "{");
+
+		if (i == std::string::npos)
+			return 0;
+		return atoll(text.c_str() + text.find(' ', i + 1));
+	}
+
 	std::unique_ptr<System> system;
 	size_t voters = 0;
 	size_t leader = 0;
@@ -213,3 +224,22 @@
 	EXPECT_FALSE(System::wait_for(
 		[&] { return lists_as_down(leader, "endpoints"); }, 2000));
 }
+
+/* Guards against updates that a leader takes for lost because it did not read
+ * their confirmations while it stood still. */
+TEST_F(StalledLeader, UpdatesThatWereConfirmedMeanwhileAreNotSentAgain)
+{
+	start(1, 2);
+	struct proxy *updates = cluster_proxy(system->cluster, leader, voters);
+	proxy_delay(updates, 800);
+	std::thread oper([&] { system->put_document(leader, 2, "", 8000); });
+	usleep(300000);
+	cluster_freeze(system->cluster, leader);
+	usleep(kStallMs * 1000);
+	proxy_delay(updates, 0);
+	cluster_thaw(system->cluster, leader);
+	oper.join();
+	EXPECT_TRUE(cluster_wait_document(system->cluster, voters, "demo", 2,
+					  kTimeoutMs));
+	EXPECT_EQ(metric(leader, "dandelionspar_updates_lost"), 0);
+}
