ctl: the leader is no relay where another control instance is

The relay of a site was its control instance with the lowest id, also where that one led: the leader then sent the updates of a whole site besides its own work.

The leader comes after the other control instances of its site now, and relays where it is the only one. A relay stays when the leader changes: the choice by id alone would have sent a site back to a former leader that stands still. The line "relays" tells of each change.

--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -1034,22 +1034,49 @@
 
 /* ---- Updates for downstream instances ---- */
 
+/* Reports the relays of all sites if they are not those of before. */
+static void log_relays(const GPtrArray *before, const GPtrArray *relays)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	bool same = before->len == relays->len;
+
+	for (guint i = 0; i < relays->len; i++) {
+		same = same && !strcmp(before->pdata[i], relays->pdata[i]);
+		g_string_append_printf(text, "%s%s", i ? "," : "",
+				       (const char *)relays->pdata[i]);
+	}
+	if (!same)
+		LOG_EVENT_INFO("ctl", "relays", "nodes=%s", text->str);
+}
+
+/* Chooses the relays of all sites, on the leader. */
 static void choose_relays(struct ctl *ctx)
 {
 	GHashTable *sites = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *relays = g_ptr_array_new_with_free_func(g_free);
 	const Dsp__Node **nodes;
 	size_t n = ctl_report_nodes(ctx, &nodes);
+	struct ctl_relay_input in = {
+		.nodes = nodes,
+		.n_nodes = n,
+		.leader = ctx->set->id,
+		.relays = (const char *const *)ctx->relays->pdata,
+		.n_relays = ctx->relays->len,
+	};
 
-	g_ptr_array_set_size(ctx->relays, 0);
 	for (size_t i = 0; i < n; i++) {
 		const Dsp__Node *relay;
 
+		in.site = nodes[i]->site;
 		if (!g_hash_table_add(sites, nodes[i]->site))
 			continue;
-		relay = ctl_rule_relay(nodes, n, nodes[i]->site);
+		relay = ctl_rule_relay(&in);
 		if (relay)
-			g_ptr_array_add(ctx->relays, g_strdup(relay->id));
+			g_ptr_array_add(relays, g_strdup(relay->id));
 	}
+	log_relays(ctx->relays, relays);
+	g_ptr_array_free(ctx->relays, TRUE);
+	ctx->relays = relays;
 	g_hash_table_destroy(sites);
 	g_free(nodes);
 }
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -277,41 +277,62 @@
 	return names[step];
 }
 
-/* Returns true if a is preferred to b (NULL: none) as relay: instances that are
- * not draining come first, then control instances, then the lowest id. */
-static bool better_relay(const Dsp__Node *a, const Dsp__Node *b)
+static bool is_relay(const struct ctl_relay_input *in, const char *id)
 {
+	for (size_t i = 0; i < in->n_relays; i++)
+		if (!strcmp(in->relays[i], id))
+			return true;
+	return false;
+}
+
+/*
+ * Returns true if a is preferred to b (NULL: none) as relay: instances that are
+ * not draining come first, then control instances. The leader comes after the
+ * other ones, as it has the work of all sites. Of those that are left, the
+ * relay until now stays, so that a new leader moves no instances for nothing.
+ */
+static bool better_relay(const struct ctl_relay_input *in, const Dsp__Node *a,
+			 const Dsp__Node *b)
+{
+	bool a_leads;
+	bool b_leads;
+
 	if (!b)
 		return true;
 	if (a->draining != b->draining)
 		return !a->draining;
 	if (a->control != b->control)
 		return a->control;
+	a_leads = in->leader && !strcmp(a->id, in->leader);
+	b_leads = in->leader && !strcmp(b->id, in->leader);
+	if (a_leads != b_leads)
+		return b_leads;
+	if (is_relay(in, a->id) != is_relay(in, b->id))
+		return is_relay(in, a->id);
 	return strcmp(a->id, b->id) < 0;
 }
 
-static const Dsp__Node *best_relay(const Dsp__Node *const *nodes, size_t n,
-				   const char *site, const char *excluded)
+static const Dsp__Node *best_relay(const struct ctl_relay_input *in,
+				   const char *excluded)
 {
 	const Dsp__Node *best = NULL;
 
-	for (size_t i = 0; i < n; i++) {
-		const Dsp__Node *node = nodes[i];
+	for (size_t i = 0; i < in->n_nodes; i++) {
+		const Dsp__Node *node = in->nodes[i];
 
-		if (node->down || strcmp(node->site, site) != 0 ||
+		if (node->down || strcmp(node->site, in->site) != 0 ||
 		    (excluded && !strcmp(node->id, excluded)))
 			continue;
-		if (better_relay(node, best))
+		if (better_relay(in, node, best))
 			best = node;
 	}
 	return best;
 }
 
 /* Returns the instance that relays for a site; NULL when all are down. */
-const Dsp__Node *ctl_rule_relay(const Dsp__Node *const *nodes, size_t n,
-				const char *site)
+const Dsp__Node *ctl_rule_relay(const struct ctl_relay_input *in)
 {
-	return best_relay(nodes, n, site, NULL);
+	return best_relay(in, NULL);
 }
 
 static const char *address_of(const struct ctl_upstream_input *in,
@@ -328,8 +349,12 @@
  * until the leader names a new one; for that instance itself, the leader's. */
 static const char *successor_address(const struct ctl_upstream_input *in)
 {
-	const Dsp__Node *next =
-		best_relay(in->nodes, in->n_nodes, in->site, in->relay);
+	struct ctl_relay_input relay = {
+		.nodes = in->nodes,
+		.n_nodes = in->n_nodes,
+		.site = in->site,
+	};
+	const Dsp__Node *next = best_relay(&relay, in->relay);
 
 	if (!next)
 		return NULL;
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -81,9 +81,17 @@
 Dsp__RaftConfig *ctl_rule_config_without(const Dsp__RaftConfig *config,
 					 uint64_t replica);
 
-/* Relay of a site. */
-const Dsp__Node *ctl_rule_relay(const Dsp__Node *const *nodes, size_t n,
-				const char *site);
+/* Relay of a site, as the leader chooses it. */
+struct ctl_relay_input {
+	const Dsp__Node *const *nodes;
+	size_t n_nodes;
+	const char *site;
+	const char *leader;	   /* id; or NULL */
+	const char *const *relays; /* ids, of all sites, until now */
+	size_t n_relays;
+};
+
+const Dsp__Node *ctl_rule_relay(const struct ctl_relay_input *in);
 
 /* Upstream of an instance, that is the instance it reports to. */
 struct ctl_upstream_input {
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -58,11 +58,19 @@
 			list.push_back(&node.message);
 		return list;
 	}
-	std::string relay(const char *site) const
+	std::string relay(const char *site, const char *leader = nullptr,
+			  std::vector<const char *> relays = {}) const
 	{
 		auto list = pointers();
-		const Dsp__Node *node =
-			ctl_rule_relay(list.data(), list.size(), site);
+		struct ctl_relay_input in = {
+			.nodes = list.data(),
+			.n_nodes = list.size(),
+			.site = site,
+			.leader = leader,
+			.relays = relays.data(),
+			.n_relays = relays.size(),
+		};
+		const Dsp__Node *node = ctl_rule_relay(&in);
 
 		return node ? node->id : "";
 	}
@@ -189,6 +197,35 @@
 	EXPECT_EQ(nodes.relay("a"), "");
 }
 
+/* Guards against a leader that sends the updates of a whole site besides its
+ * own work: it was busy all the time, and acknowledgements came late. */
+TEST(CtlRelay, LeaderIsNoneWhereThereIsAnotherControlInstance)
+{
+	Nodes nodes = two_sites();
+
+	nodes.at("a1").message.control = true;
+	nodes.at("a3").message.control = true;
+	EXPECT_EQ(nodes.relay("a", "a1"), "a3");
+	EXPECT_EQ(nodes.relay("a", "a3"), "a1");
+	nodes.at("a3").message.down = true;
+	EXPECT_EQ(nodes.relay("a", "a1"), "a1");
+}
+
+/* Guards against a new leader that names the one before, which stands still,
+ * and that moves all instances of a site for nothing. */
+TEST(CtlRelay, StaysWhenTheLeaderChanges)
+{
+	Nodes nodes = two_sites();
+
+	nodes.at("a1").message.control = true;
+	nodes.at("a2").message.control = true;
+	nodes.at("a3").message.control = true;
+	EXPECT_EQ(nodes.relay("a", "b1", { "a2", "b1" }), "a2");
+	EXPECT_EQ(nodes.relay("a", "a2", { "a2", "b1" }), "a1");
+	nodes.at("a2").message.control = false;
+	EXPECT_EQ(nodes.relay("a", "b1", { "a2", "b1" }), "a1");
+}
+
 /* Guards against instances of a site that lose their relay, then report only to
  * each other and reach no voter. */
 TEST(CtlUpstream, LeadsToTheLeaderAfterTheRelayIsLost)
--- a/tests/unit/ctl_up_test.cc
+++ b/tests/unit/ctl_up_test.cc
@@ -168,8 +168,13 @@
 				       now() - x->heard > NODE_LEASE;
 			nodes.push_back(&x->node);
 		}
-		relay = ctl_rule_relay(nodes.data(), nodes.size(),
-				       site.c_str());
+		struct ctl_relay_input in = {
+			.nodes = nodes.data(),
+			.n_nodes = nodes.size(),
+			.site = site.c_str(),
+			.leader = leader->id.c_str(),
+		};
+		relay = ctl_rule_relay(&in);
 		return relay ? relay->id : "";
 	}
 	void deliver(Inst *from, Inst *to)
