ctl, view: the view of a replica shares the table of its log

Versions of the table never change and are counted, so the view takes a reference to the one of the log. An update that names the table of the own log takes it from there as well.

TableLog.ViewOfAReplicaSharesTheTableOfItsLog; without the change the function does not exist.

--- a/src/core/st.h
+++ b/src/core/st.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/tbl.h"
 #include "proto/messages.pb-c.h"
 
 /*
@@ -42,6 +43,7 @@
 const Dsp__Document *st_document(const struct st *ctx, const char *team);
 size_t st_documents(const struct st *ctx, const Dsp__Document ***out);
 const Dsp__RouteTable *st_route_table(const struct st *ctx);
+struct tbl *st_route_table_version(const struct st *ctx);
 /* NULL: the change would not be smaller than the table. */
 Dsp__RouteTableChangePut *st_table_change(const struct st *ctx,
 					  const Dsp__RouteTable *table,
--- a/src/core/st_table.c
+++ b/src/core/st_table.c
@@ -208,3 +208,10 @@
 {
 	return ctx->table;
 }
+
+/* Returns the version of the table in force, for views to share, or NULL. The
+ * caller takes a reference if it keeps it. */
+struct tbl *st_route_table_version(const struct st *ctx)
+{
+	return ctx->tbl;
+}
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -172,18 +172,21 @@
 }
 
 /*
- * Returns a new record of a route table, which shares routes with the one of
- * old, if that is not NULL. NULL with TBL_ERROR if the table cannot be derived
- * from the old one.
+ * Returns a new record of a route table: known, if that is the one, else a
+ * version that shares routes with the one of old. Both may be NULL. NULL with
+ * TBL_ERROR if the table cannot be derived from the old one.
  */
 static struct record *table_record_new(const struct record *old,
-				       const Dsp__ViewRecord *msg, GError **err)
+				       const Dsp__ViewRecord *msg,
+				       struct tbl *known, GError **err)
 {
 	struct tbl *base = old ? old->table : NULL;
 	struct record *record;
 	struct tbl *table;
 
-	if (msg->body_case == DSP__VIEW_RECORD__BODY_ROUTE_TABLE) {
+	if (known && tbl_table(known)->index == msg->index) {
+		table = tbl_ref(known);
+	} else if (msg->body_case == DSP__VIEW_RECORD__BODY_ROUTE_TABLE) {
 		table = tbl_new(base, msg->route_table);
 	} else if (base) {
 		table = tbl_apply(base, msg->route_table_steps, err);
@@ -322,7 +325,7 @@
  * view has already is shared. Returns false if a record is not valid.
  */
 static bool collect_changes(const struct view *ctx,
-			    const Dsp__ViewUpdate *update,
+			    const Dsp__ViewUpdate *update, struct tbl *table,
 			    GPtrArray *changes[N_KINDS], GError **err)
 {
 	for (size_t i = 0; i < update->n_records; i++) {
@@ -339,7 +342,7 @@
 		if (record && record->msg->index == msg->index)
 			record_ref(record);
 		else if (kind == ROUTE_TABLES && !msg->removed)
-			record = table_record_new(record, msg, err);
+			record = table_record_new(record, msg, table, err);
 		else
 			record = record_new(msg);
 		if (!record)
@@ -364,12 +367,14 @@
 /*
  * Returns a new view with the update applied. Returns NULL if changes between
  * the view and the update are missing, the update is older than the view, or it
- * holds an invalid record. Unchanged records are shared. With TBL_ERROR, the
+ * holds an invalid record. Unchanged records are shared, and so is the given
+ * version of the route table, if the update leads to it. With TBL_ERROR, the
  * update does not fit the view's route table, and the reader needs the whole
  * table; it is not set in the other cases.
  */
 struct view *view_try_apply(const struct view *ctx,
-			    const Dsp__ViewUpdate *update, GError **err)
+			    const Dsp__ViewUpdate *update, struct tbl *table,
+			    GError **err)
 {
 	static const struct record_list empty = { .n = 0 };
 	GPtrArray *changes[N_KINDS];
@@ -380,7 +385,7 @@
 	for (int kind = 0; kind < N_KINDS; kind++)
 		changes[kind] = g_ptr_array_new_with_free_func(
 			(GDestroyNotify)record_unref);
-	if (!collect_changes(ctx, update, changes, err))
+	if (!collect_changes(ctx, update, table, changes, err))
 		goto out;
 	out = view_new_empty();
 	out->index = update->to_index;
@@ -402,7 +407,7 @@
 /* As view_try_apply(), for a caller that handles all failures alike. */
 struct view *view_apply(const struct view *ctx, const Dsp__ViewUpdate *update)
 {
-	return view_try_apply(ctx, update, NULL);
+	return view_try_apply(ctx, update, NULL, NULL);
 }
 
 /* Returns the log index of the last change that the view contains. */
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "conf/doc.h"
+#include "core/tbl.h"
 #include "proto/messages.pb-c.h"
 
 /*
@@ -24,8 +25,10 @@
 struct view *view_ref(struct view *ctx);
 void view_unref(struct view *ctx);
 
+/* table: a version of the route table that the caller has already, or NULL. */
 struct view *view_try_apply(const struct view *ctx,
-			    const Dsp__ViewUpdate *update, GError **err);
+			    const Dsp__ViewUpdate *update, struct tbl *table,
+			    GError **err);
 struct view *view_apply(const struct view *ctx, const Dsp__ViewUpdate *update);
 
 /* Queries, for any thread that holds a reference; results are valid as long as
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -788,6 +788,12 @@
 	}
 }
 
+/* Returns the route table of the own replica, which views share, or NULL. */
+static struct tbl *own_table(const struct ctl *ctx)
+{
+	return ctx->raft ? st_route_table_version(ctx->st) : NULL;
+}
+
 static void install_update(struct ctl *ctx, const Dsp__ViewUpdate *update)
 {
 	g_autoptr(GError) error = NULL;
@@ -797,7 +803,7 @@
 	    (update->to_index == view_index(ctx->view) && !update->reset &&
 	     !update->n_records))
 		return;
-	view = view_try_apply(ctx->view, update, &error);
+	view = view_try_apply(ctx->view, update, own_table(ctx), &error);
 	if (error) {
 		/* The report requests the whole table. */
 		ctx->needs_whole_table = true;
@@ -1005,6 +1011,7 @@
 void ctl_report_publish(struct ctl *ctx)
 {
 	Dsp__ViewUpdate *update;
+	struct tbl *table;
 	struct view *view;
 
 	if (!ctx->raft || publish_is_early(ctx))
@@ -1019,9 +1026,11 @@
 	ctx->view_dirty = false;
 	if (st_index(ctx->st) <= view_index(ctx->view))
 		return; /* upstream was faster, or the log is replayed */
+	/* The view takes the table itself, so the update need not have it. */
+	table = own_table(ctx);
 	update = st_view_since_table(ctx->st, view_index(ctx->view),
-				     table_index(ctx));
-	view = view_apply(ctx->view, update);
+				     table ? tbl_table(table)->index : 0);
+	view = view_try_apply(ctx->view, update, table, NULL);
 	if (view)
 		ctl_set_view(ctx, view);
 	else
--- a/tests/unit/tbl_test.cc
+++ b/tests/unit/tbl_test.cc
@@ -516,7 +516,8 @@
 		/* One that has been restarted since asks for it. */
 		View empty(view_new_empty(), view_unref);
 		GError *error = nullptr;
-		EXPECT_EQ(view_try_apply(empty.get(), update.get(), &error),
+		EXPECT_EQ(view_try_apply(empty.get(), update.get(), nullptr,
+					 &error),
 			  nullptr);
 		EXPECT_TRUE(g_error_matches(error, TBL_ERROR, TBL_ERROR_BASE));
 		g_clear_error(&error);
@@ -731,4 +732,43 @@
 		  DSP__RESULT_CODE__RESULT_SAME);
 }
 
+/* Guards against a table that is copied and hashed once more for the view of a
+ * replica, which has it from the log: a third of the work of a change. */
+TEST(TableLog, ViewOfAReplicaSharesTheTableOfItsLog)
+{
+	Operator op(50);
+	State st(st_new(nullptr), st_free);
+	View view(view_new_empty(), view_unref);
+	auto publish = [&] {
+		struct tbl *table = st_route_table_version(st.get());
+		Update update = own(
+			st_view_since_table(st.get(), view_index(view.get()),
+					    tbl_table(table)->index));
+
+		view.reset(view_try_apply(view.get(), update.get(), table,
+					  nullptr));
+		ASSERT_TRUE(view);
+		EXPECT_EQ(view_route_table(view.get()),
+			  st_route_table(st.get()));
+	};
+	Table first = op.next(0);
+
+	set_source(first.get());
+	ASSERT_EQ(put(st.get(), 1, first.get()), DSP__RESULT_CODE__RESULT_OK);
+	publish();
+	op.routes[7].timeout_ms = 9;
+	Table second = op.next(0);
+	set_source(second.get());
+	ASSERT_EQ(put_change(st.get(), 2,
+			     change_to(st.get(), second.get(), 2).get()),
+		  DSP__RESULT_CODE__RESULT_OK);
+	publish();
+	/* A reader gets the change, not the table. */
+	Update update = own(view_since_table(view.get(), 1, 1));
+	ASSERT_EQ(update->n_records, 1u);
+	EXPECT_EQ(update->records[0]->body_case,
+		  DSP__VIEW_RECORD__BODY_ROUTE_TABLE_STEPS);
+	EXPECT_EQ(update->records[0]->route_table_steps->n_steps, 1u);
+}
+
 } // namespace
