--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 LIB_SRC := $(filter-out src/cli/main.c,$(wildcard src/*/*.c)) \
 	$(wildcard platform/*.c)
-LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o) $(patsubst %.cc,$(BUILD)/%.o,$(wildcard src/conf/*.cc))
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o) $(patsubst %.cc,$(BUILD)/%.o,$(wildcard src/*/*.cc))
 TOOL_LIB_SRC := $(wildcard tests/tools/lib_*.c)
 TOOL_LIB_OBJ := $(TOOL_LIB_SRC:%.c=$(BUILD)/%.o)
 TOOL_SRC := $(filter-out $(TOOL_LIB_SRC),$(wildcard tests/tools/*.c))
--- a/src/conf/toml_bridge.cc
+++ b/src/conf/toml_bridge.cc
@@ -1,4 +1,4 @@
-/* The only C++ outside the tests: Debian has no TOML library for C. */
+/* C++, as Debian has no TOML library for C. */
 #define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
