ctl: long steps do not keep a leader from its heartbeats

An iteration of the control thread read messages once, at its start, and did all its work before it read again: up to 480 ms with a table of 2,000 new routes at 0.075 of a core, where an election timeout is 500 ms.

After a fifth of an election timeout the thread now reads the clock and the messages of the protocol again before it lets the replica send, and leaves the steps after that, one at least excepted, to the next iteration. Nothing is skipped: the steps run in turn.

--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -32,6 +32,12 @@
 #define BATCH_US 30000
 /* Time for jobs of other threads in one iteration, for the same reason. */
 #define JOBS_US 20000
+/* Share of an election timeout after which the steps that no election waits for
+ * are left to the next iteration: a leader that sends nothing for an election
+ * timeout loses its leadership. */
+#define SLICE_PERCENT 20
+/* An iteration counts for at most this much of ctl.attended_us. */
+#define ATTENDED_MAX_US 100000
 /* Jobs that wait when this thread is behind; they take some ten milliseconds of
  * processor time. */
 #define JOBS_BEHIND 1000
@@ -414,6 +420,8 @@
 	int64_t most_us = ctx->raft ? REPLICA_SLEEP_US : ENTRY_SLEEP_US;
 	int64_t due_us = ctx->report_due_us - clk_now_us(ctx->clock);
 
+	if (ctx->next_step != CTL_STEP_ORDERS)
+		return 0;
 	if (!ctx->up.address && !ctx->ready_leader)
 		return most_us;
 	return CLAMP(due_us, SLEEP_MIN_US, most_us);
@@ -499,6 +507,72 @@
 				 pause_us, ctx->ready_leader);
 	}
 	ctx->read_us = ctx->now_us - ctx->pauses_us;
+	ctx->attended_us += MIN(pause_us, ATTENDED_MAX_US);
+}
+
+/* Returns true if the iteration has taken so long that its remaining steps
+ * are left to the next one. */
+static bool is_slice_over(const struct ctl *ctx)
+{
+	int64_t slice_us =
+		(int64_t)ctx->set->election_timeout_ms * 10 * SLICE_PERCENT;
+
+	return clk_now_us(ctx->clock) - ctx->now_us > slice_us;
+}
+
+/*
+ * After long steps, reads the clock and the messages of the consensus protocol
+ * again. What the replica sends next would else bear the time of before these
+ * steps, and a leader would count the answers as that much older.
+ */
+static void renew_contact(struct ctl *ctx)
+{
+	if (!is_slice_over(ctx))
+		return;
+	read_clock(ctx);
+	receive_consensus(ctx);
+	ctl_step_done(ctx, CTL_STEP_RECEIVE);
+}
+
+/* Carries out one of the steps that follow the consensus protocol. */
+static void run_later_step(struct ctl *ctx, enum ctl_step step)
+{
+	switch (step) {
+	case CTL_STEP_ORDERS:
+		ctl_quota_run(ctx);
+		ctl_order_run(ctx);
+		break;
+	case CTL_STEP_PUBLISH:
+		ctl_report_publish(ctx);
+		ctl_raft_confirm(ctx);
+		break;
+	case CTL_STEP_PUSH:
+		ctl_report_push(ctx);
+		break;
+	case CTL_STEP_REST:
+		ctl_raft_expire_forwards(ctx);
+		ctl_watch_run(ctx);
+		ctl_status_metrics(ctx);
+		trim_memory(ctx);
+		break;
+	default:
+		g_assert_not_reached();
+	}
+	ctl_step_done(ctx, step);
+}
+
+/*
+ * Carries out the steps that follow the consensus protocol: all of them, or one
+ * at least if the iteration takes long. The next iteration begins with the one
+ * after that, once it has read the messages and sent the heartbeats that wait.
+ */
+static void run_later_steps(struct ctl *ctx)
+{
+	do {
+		run_later_step(ctx, ctx->next_step++);
+	} while (ctx->next_step < CTL_N_STEPS && !is_slice_over(ctx));
+	if (ctx->next_step == CTL_N_STEPS)
+		ctx->next_step = CTL_STEP_ORDERS;
 }
 
 /*
@@ -527,23 +601,12 @@
 	ctl_report_run(ctx);
 	ctl_call_run(ctx);
 	ctl_step_done(ctx, CTL_STEP_REPORT);
+	renew_contact(ctx);
 	ctl_raft_run(ctx);
 	publish_leadership(ctx);
 	note_leader_contact(ctx);
 	ctl_step_done(ctx, CTL_STEP_RAFT);
-	ctl_quota_run(ctx);
-	ctl_order_run(ctx);
-	ctl_step_done(ctx, CTL_STEP_ORDERS);
-	ctl_report_publish(ctx);
-	ctl_raft_confirm(ctx);
-	ctl_step_done(ctx, CTL_STEP_PUBLISH);
-	ctl_report_push(ctx);
-	ctl_step_done(ctx, CTL_STEP_PUSH);
-	ctl_raft_expire_forwards(ctx);
-	ctl_watch_run(ctx);
-	ctl_status_metrics(ctx);
-	trim_memory(ctx);
-	ctl_step_done(ctx, CTL_STEP_REST);
+	run_later_steps(ctx);
 	ctl_step_end(ctx);
 }
 
@@ -673,6 +736,7 @@
 	ctx->up.spread = (uint8_t)ctx->boot;
 	ctx->view = view_new_empty();
 	ctx->wake_fd = -1;
+	ctx->next_step = CTL_STEP_ORDERS;
 	ctx->addresses = table_by_string(g_free);
 	ctx->replicas_seen = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   g_free, ctl_raft_seen_free);
--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -79,6 +79,7 @@
 	CTL_STEP_MEMBERS, /* group, members, evidence, streams */
 	CTL_STEP_REPORT,  /* own report, calls */
 	CTL_STEP_RAFT,	  /* log, replication, applied entries */
+	/* These run in turn, in this order. */
 	CTL_STEP_ORDERS,  /* quotas and orders */
 	CTL_STEP_PUBLISH, /* views of the own state */
 	CTL_STEP_PUSH,	  /* updates for the children */
@@ -215,9 +216,10 @@
 	/* Index of the route table that it has after these, if it can apply
 	 * changes to it; 0: it needs the whole table. */
 	uint64_t table_index;
-	/* Without progress until then, changes were lost; as ctl.read_us. */
+	/* Without progress until then, changes were lost; as
+	 * ctl.attended_us. */
 	int64_t lost_us;
-	unsigned losses; /* in a row, without progress */
+	unsigned losses;	   /* in a row, without progress */
 	int64_t sent_confirmed_us; /* confirmation in the last update */
 	uint64_t echo_us; /* sent_us of its newest report; 0: needs no lease */
 	int64_t heard_us;
@@ -337,6 +339,9 @@
 	 * of others counts on this clock. */
 	int64_t read_us;
 	int64_t pauses_us;
+	/* Time in which this thread would have read a message soon: long
+	 * iterations count only in part. */
+	int64_t attended_us;
 	bool stopping;
 	int64_t stop_by_us;
 	struct net *net;
@@ -464,6 +469,7 @@
 	int64_t metrics_due_us;
 	int64_t trim_due_us;
 	struct ctl_steps steps;
+	enum ctl_step next_step; /* first one after the consensus protocol */
 };
 
 /* ctl.c */
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -626,10 +626,10 @@
 {
 	if (index > child->reported_index) {
 		child->losses = 0;
-		child->lost_us = ctx->read_us + lost_after_us(child);
+		child->lost_us = ctx->attended_us + lost_after_us(child);
 	}
 	child->reported_index = index;
-	return index < child->sent_index && ctx->read_us > child->lost_us;
+	return index < child->sent_index && ctx->attended_us > child->lost_us;
 }
 
 static void report_lost_changes(struct ctl *ctx, const struct ctl_child *child,
@@ -1333,7 +1333,7 @@
 		return;
 	/* Changes that follow others do not extend the time for those. */
 	if (child->reported_index >= child->sent_index)
-		child->lost_us = ctx->read_us + lost_after_us(child);
+		child->lost_us = ctx->attended_us + lost_after_us(child);
 	/* A child that cannot apply changes stays at 0. */
 	if (child->table_index && child->sent_index < table_index(ctx))
 		child->table_index = table_index(ctx);
