raft: a sign of life overtakes large entries

A leader reads and proposes a table of 6,250 routes in 350 ms at 0.075 of a core, and sends nothing meanwhile; then the entry of 480 kB is on its way to seven members for 160 ms more, and the answers come after that.

A peer that is sent entries of 64 kB or more gets a sign of life before them, on the connection that overtakes the others (it was sent only with every other heartbeat after that). Its answer is a contact with the quorum.

Raft.SignOfLifeOvertakesALargeEntry: one message before, two now.

--- a/src/core/raft_replicate.c
+++ b/src/core/raft_replicate.c
@@ -8,6 +8,10 @@
  * still caught up, and each entry by itself costs the leader four messages. */
 #define LEARNER_ENTRIES_MAX 32
 
+/* Entries of this size take a while to send to all peers: a sign of life that
+ * overtakes them goes ahead. */
+#define SIGN_BYTES_MIN (64 << 10)
+
 static int compare_descending(const void *a, const void *b)
 {
 	uint64_t x = *(const uint64_t *)a;
@@ -255,6 +259,18 @@
 	}
 }
 
+/* Returns the bytes of the entries from an index on, up to SIGN_BYTES_MIN. */
+static size_t bytes_from(const struct raft *ctx, uint64_t index)
+{
+	const struct raft_log *log = &ctx->log;
+	size_t bytes = 0;
+
+	for (size_t i = index - log->base_index - 1;
+	     i < log->n && bytes < SIGN_BYTES_MIN; i++)
+		bytes += log->entries[i]->data.len;
+	return MIN(bytes, SIGN_BYTES_MIN);
+}
+
 /*
  * Sends a heartbeat. While entries are unanswered, every other one is only a
  * sign of life, which matches any log: the others wait behind the entries, for
@@ -305,6 +321,9 @@
 	/* No commit waits for a learner. */
 	if (!peer->voter && !due && last - peer->match < LEARNER_ENTRIES_MAX)
 		return;
+	if (peer->next <= last && peer->n_inflight < RAFT_INFLIGHT_MAX &&
+	    bytes_from(ctx, peer->next) >= SIGN_BYTES_MIN)
+		send_append(ctx, peer, 0, false);
 	while (peer->next <= last && peer->n_inflight < RAFT_INFLIGHT_MAX) {
 		Dsp__RaftMessage *msg;
 
--- a/tests/unit/raft_test.cc
+++ b/tests/unit/raft_test.cc
@@ -543,6 +543,29 @@
 	EXPECT_EQ(raft_commit_index(r.raft), 1u);
 }
 
+/* Guards against a leader that counts as silent while a large entry is on its
+ * way to the voters. */
+TEST(Raft, SignOfLifeOvertakesALargeEntry)
+{
+	Replica r({ { 1, true }, { 2, true }, { 3, true } });
+	const std::string large(100000, 'x');
+	std::vector<Message> sent;
+
+	r.win_election({ 2 });
+	r.flush();
+	for (uint64_t member : { 2, 3 })
+		r.acknowledge(member, 1, 1, r.now);
+	r.flush();
+	raft_propose(r.raft, (const uint8_t *)large.data(), large.size());
+	for (auto &packed : r.flush())
+		if (unpack(packed)->to == 2)
+			sent.push_back(unpack(packed));
+	ASSERT_EQ(sent.size(), 2u);
+	EXPECT_TRUE(raft_overtakes(sent[0].get()));
+	EXPECT_FALSE(raft_overtakes(sent[1].get()));
+	EXPECT_EQ(sent[1]->append_request->n_entries, 1u);
+}
+
 /* Guards against a leader whose work for each entry grows with the learners. */
 TEST(Raft, LearnerGetsEntriesTogetherWithTheNextHeartbeat)
 {
