tbl, st: a change of the table is described without a version of it

The leader made a version of the proposed table to describe its change to the one in force, and dropped it: each new route was copied three times.

TableLog.ChangesLeadToTheSameState compares 1,000 such changes with whole tables.

--- a/src/core/st_table.c
+++ b/src/core/st_table.c
@@ -135,26 +135,20 @@
 					  const Dsp__RouteTable *table,
 					  uint64_t index)
 {
-	Dsp__RouteTableSteps *steps = NULL;
+	Dsp__RouteTableChange *change = NULL;
 	Dsp__RouteTableChangePut *cmd;
 	XXH128_canonical_t digest;
 	Dsp__RouteTable next = *table;
 	GPtrArray *pieces;
 
 	next.index = index;
-	if (ctx->table && table->number > ctx->table->number) {
-		struct tbl *tbl = tbl_new(ctx->tbl, &next);
-
-		steps = tbl_since(tbl, ctx->table->index);
-		tbl_unref(tbl);
-	}
-	if (!steps)
+	if (ctx->table && table->number > ctx->table->number)
+		change = tbl_change(ctx->tbl, &next);
+	if (!change)
 		return NULL;
 	cmd = g_new(Dsp__RouteTableChangePut, 1);
 	dsp__route_table_change_put__init(cmd);
-	cmd->change = steps->steps[0];
-	steps->n_steps = 0;
-	dsp__route_table_steps__free_unpacked(steps, NULL);
+	cmd->change = change;
 	pieces = txt_diff(&ctx->table_source, &table->source);
 	cmd->n_source = pieces->len;
 	g_ptr_array_set_free_func(pieces, NULL);
--- a/src/core/tbl.c
+++ b/src/core/tbl.c
@@ -119,14 +119,20 @@
 	return ctx;
 }
 
+/* Adds a route to the sums over all routes. */
+static void add_route(struct tbl *ctx, const struct route *route)
+{
+	ctx->sum.low64 += route->hash.low64;
+	ctx->sum.high64 += route->hash.high64;
+	ctx->len += route->len;
+}
+
 /* Appends a route; takes the reference. */
 static void append(struct tbl *ctx, struct route *route)
 {
 	ctx->routes[ctx->table.n_routes] = route;
 	ctx->table.routes[ctx->table.n_routes++] = route->msg;
-	ctx->sum.low64 += route->hash.low64;
-	ctx->sum.high64 += route->hash.high64;
-	ctx->len += route->len;
+	add_route(ctx, route);
 }
 
 /* Copies services, limits and customers. */
@@ -201,12 +207,18 @@
 
 /* ---- Changes ---- */
 
+/* Returns the bytes of the changes that a version keeps at most. */
+static size_t change_bytes_max(const struct tbl *ctx)
+{
+	return ctx->len / 100 * CHANGES_PERCENT_MAX;
+}
+
 /* Takes over the changes that base knows, as far as limits allow, and the one
  * from base to this version. */
 static void keep_changes(struct tbl *ctx, const struct tbl *base,
 			 struct change *last)
 {
-	size_t limit = ctx->len / 100 * CHANGES_PERCENT_MAX;
+	size_t limit = change_bytes_max(ctx);
 	size_t bytes = last->len;
 	size_t from = base->n_changes;
 
@@ -289,6 +301,26 @@
 	return XXH128_isEqual(x->hash, y->hash);
 }
 
+/* Returns the positions of a version's routes, plus 1. NULL has none. */
+static GHashTable *index_routes(const struct tbl *base)
+{
+	GHashTable *known = g_hash_table_new(route_hash, route_equal);
+
+	for (size_t i = 0; base && i < base->table.n_routes; i++)
+		g_hash_table_insert(known, base->routes[i], (void *)(i + 1));
+	return known;
+}
+
+/* Returns the position of a route in the indexed version, or SIZE_MAX. A change
+ * takes each route of its base once. */
+static size_t take_known(GHashTable *known, const struct route *wanted)
+{
+	size_t at = (size_t)g_hash_table_lookup(known, wanted);
+
+	g_hash_table_remove(known, wanted);
+	return at - 1;
+}
+
 /*
  * Returns a version with a whole table. Routes that base has, too, are shared,
  * and only the others are copied.
@@ -297,24 +329,21 @@
 {
 	struct tbl *ctx =
 		version_new(table->number, table->index, table->n_routes);
-	GHashTable *known = g_hash_table_new(route_hash, route_equal);
+	GHashTable *known = index_routes(base);
 	size_t *from = g_new0(size_t, table->n_routes + 1);
 
-	for (size_t i = 0; base && i < base->table.n_routes; i++)
-		g_hash_table_insert(known, base->routes[i], (void *)(i + 1));
 	for (size_t i = 0; i < table->n_routes; i++) {
 		struct route wanted = { 0 };
-		size_t at;
 
 		wanted.hash = hash_of(table->routes[i], &wanted.len);
-		at = (size_t)g_hash_table_lookup(known, &wanted);
-		/* A change takes each route of its base once. */
-		g_hash_table_remove(known, &wanted);
-		from[i] = at - 1; /* SIZE_MAX: unknown */
-		ctx->n_copied += !at;
-		append(ctx, base && at ? route_ref(base->routes[at - 1])
-				       : route_new(table->routes[i],
-						   wanted.hash, wanted.len));
+		from[i] = take_known(known, &wanted);
+		if (from[i] != SIZE_MAX) {
+			append(ctx, route_ref(base->routes[from[i]]));
+			continue;
+		}
+		append(ctx,
+		       route_new(table->routes[i], wanted.hash, wanted.len));
+		ctx->n_copied++;
 	}
 	copy_rest(ctx, table->services, table->n_services, table->limits,
 		  table->customers);
@@ -325,6 +354,39 @@
 	return ctx;
 }
 
+/*
+ * Returns the change from base to a whole table as a new message, or NULL if it
+ * is so large that versions do not keep it. It copies what is new once, and no
+ * version of the table is made.
+ */
+Dsp__RouteTableChange *tbl_change(const struct tbl *base,
+				  const Dsp__RouteTable *table)
+{
+	/* Borrows the table, except for its source, which versions lack. */
+	struct tbl next = { .table = *table };
+	GHashTable *known = index_routes(base);
+	size_t *from = g_new0(size_t, table->n_routes + 1);
+	Dsp__RouteTableChange *change;
+
+	next.table.source = (ProtobufCBinaryData){ 0 };
+	for (size_t i = 0; i < table->n_routes; i++) {
+		struct route wanted = { 0 };
+
+		wanted.hash = hash_of(table->routes[i], &wanted.len);
+		from[i] = take_known(known, &wanted);
+		add_route(&next, &wanted);
+	}
+	change = describe(&next, base, from);
+	if (dsp__route_table_change__get_packed_size(change) >
+	    change_bytes_max(&next)) {
+		dsp__route_table_change__free_unpacked(change, NULL);
+		change = NULL;
+	}
+	g_hash_table_destroy(known);
+	g_free(from);
+	return change;
+}
+
 /* Counts the routes of the result. Returns false if the change refers to routes
  * that base does not have, or to more than it has. */
 static bool count_routes(const struct tbl *base,
--- a/src/core/tbl.h
+++ b/src/core/tbl.h
@@ -27,6 +27,8 @@
 struct tbl *tbl_new(struct tbl *base, const Dsp__RouteTable *table);
 struct tbl *tbl_apply(struct tbl *base, const Dsp__RouteTableSteps *steps,
 		      GError **err);
+Dsp__RouteTableChange *tbl_change(const struct tbl *base,
+				  const Dsp__RouteTable *table);
 struct tbl *tbl_ref(struct tbl *ctx);
 void tbl_unref(struct tbl *ctx);
 
