--- a/src/base/jsn.cc
+++ b/src/base/jsn.cc
@@ -99,11 +99,13 @@
 	delete ctx;
 }
 
+/* Returns the value at the top; NULL for a NULL document. */
 extern "C" const struct jsn *jsn_root(const struct jsn_document *ctx)
 {
 	return ctx ? jsn_of(&ctx->document) : nullptr;
 }
 
+/* Returns whether the value is of a type; false for NULL. */
 extern "C" bool jsn_is_object(const struct jsn *value)
 {
 	return value && value_of(value)->IsObject();
@@ -149,11 +151,13 @@
 	return jsn_of(found);
 }
 
+/* Returns the number of items. */
 extern "C" size_t jsn_size(const struct jsn *array)
 {
 	return jsn_is_array(array) ? value_of(array)->Size() : 0;
 }
 
+/* Returns an item, or NULL beyond the last one. */
 extern "C" const struct jsn *jsn_at(const struct jsn *array, size_t i)
 {
 	return i < jsn_size(array)
@@ -161,6 +165,7 @@
 		       : nullptr;
 }
 
+/* Returns the text of a string, which has no NUL, or NULL. */
 extern "C" const char *jsn_text(const struct jsn *value)
 {
 	return value && value_of(value)->IsString()
@@ -168,11 +173,13 @@
 		       : nullptr;
 }
 
+/* Returns a number as the nearest double, or 0. */
 extern "C" double jsn_number(const struct jsn *value)
 {
 	return jsn_is_number(value) ? value_of(value)->GetDouble() : 0;
 }
 
+/* Returns an integer of 64 bits, or 0. */
 extern "C" int64_t jsn_integer(const struct jsn *value)
 {
 	return jsn_is_integer(value) ? value_of(value)->GetInt64() : 0;
