--- a/src/base/jsn.h
+++ b/src/base/jsn.h
@@ -10,10 +10,10 @@
 #endif
 
 /*
- * JSON reader (jsn): a C interface to the C++ parser RapidJSON. It reads large
- * bodies in a tenth of the processor time of a library that allocates each
- * value. Values belong to their document. The queries accept NULL and values of
- * other types, for which they return the neutral result that they name.
+ * JSON reader (jsn): a C interface to the C++ parser RapidJSON, for bodies that
+ * are too large to allocate each value by itself. Values belong to their
+ * document. The queries accept NULL and values of other types, for which they
+ * return the neutral result that they name.
  */
 struct jsn_document;
 struct jsn;
