ctl: acknowledgements wait for an entry until its next query is due

What callers saw: a change was acknowledged while an entry that the leader had heard 1.2 s before still served the table of before.

Cause: an instance whose upstream fails reports at intervals that grow to 1 s and up to a quarter more, and the leader waits for three report intervals, 1.2 s with those of the platform. Each part had a limit of its own for the same silence.

Change: the limit for an entry with a view older than the age at which it queries, or one that this leader has not heard yet, is the longest interval of queries and a report interval more.

Ruled out: the leader's own pause (the new test has none) and lost reports.

--- a/src/node/ctl_int.h
+++ b/src/node/ctl_int.h
@@ -556,6 +556,7 @@
 void ctl_report_push(struct ctl *ctx);
 void ctl_report_publish(struct ctl *ctx);
 void ctl_report_schedule(struct ctl *ctx, int64_t delay_us);
+int64_t ctl_report_upstream_limit_us(const struct ctl *ctx);
 void ctl_report_receive(struct ctl *ctx, const Dsp__Envelope *from,
 			const Dsp__Report *report);
 void ctl_report_view(struct ctl *ctx, const Dsp__Envelope *from,
--- a/src/node/ctl_report.c
+++ b/src/node/ctl_report.c
@@ -154,14 +154,21 @@
 	return NULL;
 }
 
-/* Returns the time without a confirmation after which the upstream counts as
- * failed. */
-static int64_t upstream_limit_us(const struct ctl *ctx)
+/* Returns the time without a confirmation after which the upstream of an
+ * instance that had one counts as failed. */
+int64_t ctl_report_upstream_limit_us(const struct ctl *ctx)
 {
 	int64_t limit_us = (int64_t)ctx->set->isolated_after_ms * 10 *
 			   UPSTREAM_LIMIT_PERCENT;
 
-	limit_us = MIN(limit_us, UPSTREAM_LIMIT_US);
+	return MIN(limit_us, UPSTREAM_LIMIT_US);
+}
+
+/* Returns the same for this instance's own upstream. */
+static int64_t upstream_limit_us(const struct ctl *ctx)
+{
+	int64_t limit_us = ctl_report_upstream_limit_us(ctx);
+
 	if (!ctx->confirmed_us)
 		limit_us = MIN(limit_us, FIRST_UPSTREAM_LIMIT_US);
 	return limit_us;
--- a/src/node/ctl_rules.c
+++ b/src/node/ctl_rules.c
@@ -437,13 +437,18 @@
 /*
  * Returns true if acknowledgements wait for the entry: it has reported a short
  * time ago, and its view was confirmed. One with an older confirmation says
- * itself that it is isolated.
+ * itself that it is isolated. An entry that queries others reports less often;
+ * one that has not reported to this leader may be such an entry.
  */
 bool ctl_rule_in_contact(const struct ctl_contact *entry,
 			 int64_t leader_since_us, int64_t now_us)
 {
-	return now_us - MAX(entry->heard_us, leader_since_us) <=
-		       entry->limit_us &&
+	bool queries = entry->heard_us <= leader_since_us ||
+		       entry->confirmed_age_us > entry->query_after_us;
+	int64_t silent_us = now_us - MAX(entry->heard_us, leader_since_us);
+
+	return silent_us <=
+		       (queries ? entry->query_limit_us : entry->limit_us) &&
 	       (!entry->heard_us ||
 		entry->confirmed_age_us <= entry->isolated_after_us);
 }
--- a/src/node/ctl_rules.h
+++ b/src/node/ctl_rules.h
@@ -130,7 +130,9 @@
 	int64_t heard_us;	   /* last report that was read; 0: none */
 	int64_t confirmed_age_us;  /* of the entry's view in that report */
 	int64_t isolated_after_us; /* age at which an entry is isolated */
+	int64_t query_after_us;	   /* age at which it queries others */
 	int64_t limit_us;	   /* time without a report */
+	int64_t query_limit_us;	   /* the same of an entry that queries */
 };
 
 /* leader_since_us: start of the leadership; the reports of before went to
--- a/src/node/ctl_spread.c
+++ b/src/node/ctl_spread.c
@@ -15,8 +15,7 @@
  * for. */
 #define LONG_HOLD_US 500000
 /* Report intervals without a report after which the leader does not wait for an
- * entry. Such an entry has lost the leader and queries others for a newer
- * view. */
+ * entry that has reported at each of them. */
 #define CONTACT_REPORT_INTERVALS 3
 
 /* The result of a committed command whose change some entries may lack. */
@@ -95,12 +94,16 @@
 
 static bool is_in_contact(const struct ctl *ctx, const struct ctl_member *m)
 {
+	int64_t interval_us = ctx->set->report_interval_ms * 1000LL;
 	struct ctl_contact entry = {
 		.heard_us = m ? m->heard_read_us : 0,
 		.confirmed_age_us = m ? m->confirmed_age_ms * 1000LL : 0,
 		.isolated_after_us = ctx->set->isolated_after_ms * 1000LL,
-		.limit_us = CONTACT_REPORT_INTERVALS * 1000LL *
-			    ctx->set->report_interval_ms,
+		.query_after_us = ctl_report_upstream_limit_us(ctx),
+		.limit_us = CONTACT_REPORT_INTERVALS * interval_us,
+		.query_limit_us = MAX(CONTACT_REPORT_INTERVALS * interval_us,
+				      ctl_up_longest_interval_us(interval_us) +
+					      interval_us),
 	};
 
 	return ctl_rule_in_contact(&entry, ctx->leader_since_read_us,
--- a/src/node/ctl_up.c
+++ b/src/node/ctl_up.c
@@ -92,6 +92,14 @@
 	       interval_us * up->spread / (SPREAD_SHARE * (UINT8_MAX + 1));
 }
 
+/* Returns what ctl_up_interval_us() stays below, whatever the instance. */
+int64_t ctl_up_longest_interval_us(int64_t interval_us)
+{
+	int64_t longest_us = MAX(interval_us, INTERVAL_MAX_US);
+
+	return longest_us + longest_us / SPREAD_SHARE;
+}
+
 /* Returns true if a round of queries is due at now_us, and plans the next
  * one. */
 bool ctl_up_begin_round(struct ctl_up *up, int64_t now_us, int64_t interval_us)
--- a/src/node/ctl_up.h
+++ b/src/node/ctl_up.h
@@ -44,6 +44,8 @@
 /* Microseconds between two rounds of queries, and between two reports while the
  * upstream fails; interval_us: the same while it works. */
 int64_t ctl_up_interval_us(const struct ctl_up *up, int64_t interval_us);
+/* The longest of these intervals at any instance, in microseconds. */
+int64_t ctl_up_longest_interval_us(int64_t interval_us);
 /* Whether the instance at this address is the upstream. */
 bool ctl_up_is(const struct ctl_up *up, const char *address);
 /* Addresses of other instances to query for a confirmed view; valid as long as
--- a/tests/unit/ctl_rules_test.cc
+++ b/tests/unit/ctl_rules_test.cc
@@ -7,6 +7,7 @@
 extern "C" {
 #include "base/clk.h"
 #include "node/ctl_rules.h"
+#include "node/ctl_up.h"
 }
 
 namespace
@@ -782,7 +783,9 @@
 		.heard_us = 100 * S,
 		.confirmed_age_us = S / 10,
 		.isolated_after_us = 2 * S,
+		.query_after_us = 6 * S / 5,
 		.limit_us = 6 * S / 5,
+		.query_limit_us = 8 * S / 5,
 	};
 
 	EXPECT_TRUE(ctl_rule_in_contact(&entry, 90 * S, 101 * S));
@@ -794,6 +797,35 @@
 	EXPECT_TRUE(ctl_rule_in_contact(&entry, 101 * S, 102 * S));
 }
 
+/* Guards against acknowledgements that leave out an entry between two of its
+ * queries for a newer view. */
+TEST(Contact, LastsUntilTheNextQueryOfAnEntryIsDue)
+{
+	const int64_t INTERVAL = 2 * S / 5;
+	struct ctl_contact entry = {
+		.heard_us = 100 * S,
+		.confirmed_age_us = S / 10,
+		.isolated_after_us = 20 * S,
+		.query_after_us = 3 * S,
+		.limit_us = 3 * INTERVAL,
+		.query_limit_us =
+			ctl_up_longest_interval_us(INTERVAL) + INTERVAL,
+	};
+	struct ctl_up up = {};
+
+	EXPECT_FALSE(ctl_rule_in_contact(&entry, 90 * S, 101 * S + S / 4));
+	up.failing = true;
+	up.rounds = 10;
+	up.spread = UINT8_MAX;
+	entry.confirmed_age_us = 4 * S;
+	EXPECT_TRUE(ctl_rule_in_contact(
+		&entry, 90 * S, 100 * S + ctl_up_interval_us(&up, INTERVAL)));
+	EXPECT_FALSE(ctl_rule_in_contact(&entry, 90 * S, 102 * S));
+	/* It may have queried before, and not this leader. */
+	entry.confirmed_age_us = S / 10;
+	EXPECT_TRUE(ctl_rule_in_contact(&entry, 101 * S, 102 * S + S / 4));
+}
+
 /* Guards against an instance that is behind and sends one round of updates
  * after the other. */
 TEST(Rounds, LeaveTimeForOtherWork)
