edge: a queued request is not refused before answers have been read

What callers saw: an entry that stood still refused a queued request with 503 although the answer that frees its place had arrived.

Change: the queue has a timer that expires after the input has been read. While it is held up no run refuses a request for the time that it has waited.

--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -326,9 +326,7 @@
  * of the requests in it may end at any time. */
 static void set_queue_timer(struct edge *ctx)
 {
-	struct timeval wait = { .tv_usec = QUEUE_POLL_US };
-
-	event_add(ctx->queue_event, &wait);
+	hio_timer_set(ctx->queue_timer, QUEUE_POLL_US);
 }
 
 /* Ends an attempt, whose call is cancelled if it has not ended. What it has
@@ -1376,7 +1374,8 @@
 		/* The reason for the wait may have changed. */
 		f->item.give_up_us = MIN(f->item.arrived_us + limit_us,
 					 f->deadline_us - REMAINING_MIN_US);
-		if (now_us < f->item.give_up_us &&
+		if ((now_us < f->item.give_up_us ||
+		     hio_timer_is_held_up(f->edge->queue_timer)) &&
 		    !pause_outlasts(f, choice, f->item.give_up_us))
 			return true;
 		refuse(f, choice, expected_us);
@@ -1398,7 +1397,7 @@
 					   : f->start_us + f->objective_us;
 	adm_add(f->edge->queue, &f->item);
 	set_timer_at(f, f->deadline_us);
-	if (!event_pending(f->edge->queue_event, EV_TIMEOUT, NULL))
+	if (!hio_timer_is_running(f->edge->queue_timer))
 		set_queue_timer(f->edge);
 	return true;
 }
@@ -2226,7 +2225,7 @@
 			failed[n_failed++] = group;
 		item = next;
 	}
-	if (adm_total(ctx->queue))
+	if (adm_total(ctx->queue) && !hio_timer_is_held_up(ctx->queue_timer))
 		set_queue_timer(ctx);
 }
 
