--- a/src/http/hio_timer.c
+++ b/src/http/hio_timer.c
@@ -1,7 +1,7 @@
 #include "http/hio.h"
 
 /* A timer that expires later than this was not served in time. */
-#define LATE_US 100000
+#define LATE_US 20000
 /* Polls for input before a late timer takes effect: one each for a new
  * connection, the first bytes on it, a long body, and a reply that follows. */
 #define LATE_POLLS 4
