--- a/src/core/rep.c
+++ b/src/core/rep.c
@@ -24,7 +24,6 @@
 
 struct rep {
 	struct second seconds[SECONDS_MAX];
-	uint32_t taken; /* neither sent nor returned yet */
 };
 
 /* Creates an empty budget. */
@@ -55,11 +54,10 @@
 	second_of(ctx, now_us)->requests++;
 }
 
-/* Repeats allowed in the window that ends now, and those sent in it or taken.
- */
+/* Repeats allowed and sent in the window that ends now. */
 struct balance {
 	double allowed;
-	double used;
+	double sent;
 };
 
 static struct balance balance_of(const struct rep *ctx,
@@ -68,7 +66,7 @@
 {
 	int64_t now_s = now_us / 1000000;
 	int64_t window = MIN(options->window_s, SECONDS_MAX - 2);
-	struct balance b = { .used = ctx->taken };
+	struct balance b = { 0 };
 	uint64_t requests = 0;
 
 	for (size_t i = 0; i < SECONDS_MAX; i++) {
@@ -77,7 +75,7 @@
 		if (second->at > now_s - window && second->at <= now_s)
 			requests += second->requests;
 		if (second->at >= now_s - window && second->at <= now_s)
-			b.used += second->repeats;
+			b.sent += second->repeats;
 	}
 	b.allowed = SAFETY_SHARE *
 		    (options->ratio * (double)requests + options->extra_share);
@@ -91,7 +89,7 @@
 {
 	struct balance b = balance_of(ctx, options, now_us);
 
-	return b.allowed - b.used;
+	return b.allowed - b.sent;
 }
 
 /* Takes one repeat from the budget; false if the budget is exhausted, or if the
@@ -102,35 +100,26 @@
 	struct balance b = balance_of(ctx, options, now_us);
 	double kept = use == REP_NOT_RUN ? BEGUN_SHARE * b.allowed : 0;
 
-	if (b.allowed - b.used - kept < 1)
+	if (b.allowed - b.sent - kept < 1)
 		return false;
-	ctx->taken++;
+	second_of(ctx, now_us)->repeats++;
 	return true;
 }
 
 /* Gives back a repeat that no endpoint has seen. */
-void rep_return(struct rep *ctx)
-{
-	if (ctx->taken)
-		ctx->taken--;
-}
-
-/* Takes back that a repeat was sent, so that it may be sent again. */
-void rep_unsend(struct rep *ctx, int64_t sent_us)
+void rep_return(struct rep *ctx, int64_t taken_us)
 {
-	int64_t at = sent_us / 1000000;
+	int64_t at = taken_us / 1000000;
 	struct second *second = &ctx->seconds[at % SECONDS_MAX];
 
 	if (second->at == at && second->repeats)
 		second->repeats--;
-	ctx->taken++;
 }
 
-/* Counts a repeat at the time at which it is sent: it may have been taken more
- * than a window before. */
-void rep_send(struct rep *ctx, int64_t now_us)
+/* Counts a repeat at the time at which it is sent. */
+void rep_move(struct rep *ctx, int64_t taken_us, int64_t now_us)
 {
-	rep_return(ctx);
+	rep_return(ctx, taken_us);
 	second_of(ctx, now_us)->repeats++;
 }
 
--- a/src/core/rep.h
+++ b/src/core/rep.h
@@ -46,14 +46,12 @@
 void rep_share_update(struct rep_share *share, unsigned instances, bool listed,
 		      int64_t view_age_us, int64_t now_us);
 void rep_count_request(struct rep *ctx, int64_t now_us);
-/* Each repeat that was taken is then sent or returned. */
 bool rep_take(struct rep *ctx, const struct rep_options *options,
 	      enum rep_use use, int64_t now_us);
-void rep_send(struct rep *ctx, int64_t now_us);
-/* It does not reach an endpoint. */
-void rep_return(struct rep *ctx);
-/* The repeat sent at sent_us did not reach one; it counts as taken again. */
-void rep_unsend(struct rep *ctx, int64_t sent_us);
+/* The repeat that was taken at taken_us is sent at now_us. */
+void rep_move(struct rep *ctx, int64_t taken_us, int64_t now_us);
+/* The repeat that was taken at taken_us did not reach an endpoint. */
+void rep_return(struct rep *ctx, int64_t taken_us);
 
 /* Queries. */
 /* Part of a fixed number that may be used at a view of this age in
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -173,7 +173,8 @@
 	int64_t gap_max_us; /* longest gap between events, over all attempts */
 	unsigned runs;	    /* endpoints that may have executed it */
 	bool counted;	    /* as a request of the retry budget */
-	bool has_repeat;    /* taken for the next attempt */
+	int64_t repeat_us;  /* when a repeat was taken for the next attempt; 0:
+			       none */
 	int64_t waited_us; /* from the request's arrival to the first attempt */
 	struct edge_prompt prompt;
 	struct edge_slot slot;
@@ -266,11 +267,11 @@
 /* Gives back a repeat that was taken and not used. */
 static void return_repeat(struct fwd *f)
 {
-	if (!f->has_repeat)
+	if (!f->repeat_us)
 		return;
 	met_count(f->edge->met, "dandelionspar_edge_repeats_returned", "", 1);
-	rep_return(edge_budget(f->edge, f->service));
-	f->has_repeat = false;
+	rep_return(edge_budget(f->edge, f->service), f->repeat_us);
+	f->repeat_us = 0;
 }
 
 /* Prompt tokens that the balancer counts as unprocessed until the first byte.
@@ -350,8 +351,7 @@
 	/* Without a connection, the next attempt may use its repeat. */
 	if (result == BAL_UNREACHED && at->is_repeat) {
 		return_repeat(f);
-		rep_unsend(edge_budget(f->edge, f->service), at->sent_us);
-		f->has_repeat = true;
+		f->repeat_us = at->sent_us;
 	}
 	schedule_queue_run(f->edge);
 }
@@ -602,12 +602,12 @@
 	struct rep_options options = edge_budget_options(f->edge);
 	struct rep *budget = edge_budget(f->edge, f->service);
 
-	if (f->has_repeat)
+	if (f->repeat_us)
 		return true;
 	if (rep_take(budget, &options, f->runs ? REP_BEGUN : REP_NOT_RUN,
 		     now_of(f))) {
 		met_count(f->edge->met, "dandelionspar_edge_repeats", "", 1);
-		f->has_repeat = true;
+		f->repeat_us = now_of(f);
 		return true;
 	}
 	met_count(f->edge->met, "dandelionspar_edge_repeats_denied", "", 1);
@@ -1248,7 +1248,7 @@
 	at->id = ++f->n_attempts;
 	at->endpoint = endpoint;
 	at->sent_us = now_us;
-	at->is_repeat = f->has_repeat;
+	at->is_repeat = f->repeat_us != 0;
 	at->ttfb_us = -1;
 	at->sole_prefill = !bal_is_prefilling(endpoint);
 	at->body = g_byte_array_new();
@@ -1264,8 +1264,9 @@
 	at->new_connection = !hio_client_has_idle(
 		f->edge->client, options.address, options.reuse_idle_us);
 	if (at->is_repeat)
-		rep_send(edge_budget(f->edge, f->service), now_us);
-	f->has_repeat = false;
+		rep_move(edge_budget(f->edge, f->service), f->repeat_us,
+			 now_us);
+	f->repeat_us = 0;
 	edge_parts_sent(f->edge->parts, &at->parts, &f->prompt, endpoint);
 	add_tried(f, bal_id(endpoint));
 	f->runs++;
