--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -9,11 +9,6 @@
 
 /* Interval of the timer for demand reports and the order sender. */
 #define TICK_US 100000
-/* A tick that comes later by more shows that this process stood still. */
-#define STALL_US 500000
-/* Longest wait for a view after a standstill. Without a leader none is
- * confirmed. */
-#define BEHIND_MAX_US (2 * EDGE_S_US)
 #define REPORT_INTERVAL_US 500000
 /* A view that this thread uses later than this after it came is logged. */
 #define VIEW_WAIT_LONG_US 300000
@@ -549,24 +544,6 @@
 			  (int64_t)hio_server_connections(ctx->front));
 }
 
-/* Returns when this process went on after it last stood still; 0: never did. */
-static int64_t resumed_us(const struct edge *ctx, int64_t now_us)
-{
-	return now_us - ctx->tick_us > TICK_US + STALL_US ? now_us
-							  : ctx->resumed_us;
-}
-
-/* Returns whether this process has stood still and has got no newer view since:
- * what it knows of endpoints and suspects is that of before. */
-bool edge_is_behind(const struct edge *ctx)
-{
-	int64_t now_us = clk_now_us(ctx->clock);
-	int64_t since_us = resumed_us(ctx, now_us);
-
-	return since_us && now_us - since_us < BEHIND_MAX_US &&
-	       now_us - ctl_state(ctx->ctl).stale_us < since_us;
-}
-
 static void on_tick(evutil_socket_t fd, short what, void *data)
 {
 	struct edge *ctx = data;
@@ -574,8 +551,6 @@
 
 	(void)fd;
 	(void)what;
-	ctx->resumed_us = resumed_us(ctx, now_us);
-	ctx->tick_us = now_us;
 	if (now_us >= ctx->next_report_us) {
 		send_reports(ctx);
 		set_gauges(ctx);
@@ -739,7 +714,6 @@
 		hio_timer_new(ctx->base, ctx->clock, on_queue_timer, ctx);
 	ctx->tick = event_new(ctx->base, -1, EV_PERSIST, on_tick, ctx);
 	event_add(ctx->tick, &tick);
-	ctx->tick_us = clk_now_us(ctx->clock);
 	pthread_mutex_lock(&ctx->lock);
 	ctx->wake = event_new(ctx->base, -1, EV_PERSIST, on_wake, ctx);
 	wake(ctx);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -110,8 +110,6 @@
 	GHashTable *sent_elsewhere; /* endpoint -> when it was named an entry */
 	struct hio_client *client;
 	struct event *tick;
-	int64_t tick_us;    /* of the last one */
-	int64_t resumed_us; /* when it was late; 0: it was not */
 	struct view *view;
 	const Dsp__RouteTable *table; /* of the view; NULL: none yet */
 	struct rtab *routes;	      /* of the table */
@@ -146,7 +144,6 @@
 struct rep *edge_budget(struct edge *ctx, const char *service);
 struct rep_options edge_budget_options(const struct edge *ctx);
 bool edge_is_ready(struct edge *ctx);
-bool edge_is_behind(const struct edge *ctx);
 bool edge_has_lease(struct edge *ctx);
 
 /* edge_hint.c */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -1590,13 +1590,8 @@
 {
 	struct fwd *f = fwd_from_prompt(prompt);
 
-	if (is_too_late(f)) {
+	if (is_too_late(f))
 		outcome = FWD_DENIED;
-	} else if (outcome == FWD_GRANTED && edge_is_behind(f->edge)) {
-		/* The endpoint may have left or been replaced since. */
-		edge_parts_forget(&f->prompt);
-		outcome = FWD_LATER;
-	}
 	switch (outcome) {
 	case FWD_GRANTED:
 		if (!check_key(f))
@@ -1675,8 +1670,7 @@
 		refuse_part(f, decision.retry_us);
 		return false;
 	}
-	if (decision.action == SUS_WAIT ||
-	    (decision.action == SUS_TRY && edge_is_behind(f->edge))) {
+	if (decision.action == SUS_WAIT) {
 		adm_remove(f->edge->queue, &f->item);
 		wait_for_verdict(f);
 		return false;
