--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -123,7 +123,6 @@
 		event_free(ctx->tick);
 	if (ctx->queue_event)
 		event_free(ctx->queue_event);
-	hio_timer_free(ctx->queue_timer);
 	edge_detour_free(ctx->detour);
 	edge_slots_free(ctx->slots);
 	edge_versions_free(ctx->versions);
@@ -683,11 +682,6 @@
 	fwd_run_queue(data);
 }
 
-static void on_queue_timer(void *data)
-{
-	fwd_run_queue(data);
-}
-
 static void *run(void *data)
 {
 	struct edge *ctx = data;
@@ -710,8 +704,6 @@
 	if (ctx->set->control)
 		ctx->agent = agent_new(ctx);
 	ctx->queue_event = event_new(ctx->base, -1, 0, on_queue_event, ctx);
-	ctx->queue_timer =
-		hio_timer_new(ctx->base, ctx->clock, on_queue_timer, ctx);
 	ctx->tick = event_new(ctx->base, -1, EV_PERSIST, on_tick, ctx);
 	event_add(ctx->tick, &tick);
 	pthread_mutex_lock(&ctx->lock);
--- a/src/edge/edge_int.h
+++ b/src/edge/edge_int.h
@@ -115,10 +115,10 @@
 	struct rtab *routes;	      /* of the table */
 	struct lse lease;	      /* of the view */
 	struct bal *bal;
-	struct adm *queue;	       /* requests that wait for an endpoint */
-	struct event *queue_event;     /* an endpoint may have capacity */
-	struct hio_timer *queue_timer; /* runs while requests are queued */
-	GHashTable *budgets;	       /* service -> struct rep */
+	struct adm *queue;	   /* requests that wait for an endpoint */
+	struct event *queue_event; /* an endpoint may have capacity; its timer
+				      runs while requests are queued */
+	GHashTable *budgets;	   /* service -> struct rep */
 	struct rep_share repeat_share;
 	struct fwd_list forwards;
 	STAILQ_HEAD(fwd_helds, fwd_held) held;
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -326,7 +326,9 @@
  * of the requests in it may end at any time. */
 static void set_queue_timer(struct edge *ctx)
 {
-	hio_timer_set(ctx->queue_timer, QUEUE_POLL_US);
+	struct timeval wait = { .tv_usec = QUEUE_POLL_US };
+
+	event_add(ctx->queue_event, &wait);
 }
 
 /* Ends an attempt, whose call is cancelled if it has not ended. What it has
@@ -1374,8 +1376,7 @@
 		/* The reason for the wait may have changed. */
 		f->item.give_up_us = MIN(f->item.arrived_us + limit_us,
 					 f->deadline_us - REMAINING_MIN_US);
-		if ((now_us < f->item.give_up_us ||
-		     hio_timer_is_held_up(f->edge->queue_timer)) &&
+		if (now_us < f->item.give_up_us &&
 		    !pause_outlasts(f, choice, f->item.give_up_us))
 			return true;
 		refuse(f, choice, expected_us);
@@ -1397,7 +1398,7 @@
 					   : f->start_us + f->objective_us;
 	adm_add(f->edge->queue, &f->item);
 	set_timer_at(f, f->deadline_us);
-	if (!hio_timer_is_running(f->edge->queue_timer))
+	if (!event_pending(f->edge->queue_event, EV_TIMEOUT, NULL))
 		set_queue_timer(f->edge);
 	return true;
 }
@@ -2225,7 +2226,7 @@
 			failed[n_failed++] = group;
 		item = next;
 	}
-	if (adm_total(ctx->queue) && !hio_timer_is_held_up(ctx->queue_timer))
+	if (adm_total(ctx->queue))
 		set_queue_timer(ctx);
 }
 
