--- a/src/edge/agent.c
+++ b/src/edge/agent.c
@@ -102,7 +102,7 @@
 	/* Call in progress. */
 	struct hio_call *call;
 	bool reads; /* call reads the state */
-	struct hio_timer *timer;
+	struct event *timer;
 	int status;
 	GByteArray *body;
 	struct res_order order; /* RES_NONE: none was sent */
@@ -151,7 +151,7 @@
 		e->agent->n_reads--;
 	e->reads = false;
 	e->call = NULL;
-	hio_timer_set(e->timer, 0);
+	event_del(e->timer);
 }
 
 static void cancel_call(struct engine *e)
@@ -167,7 +167,7 @@
 	struct engine *e = data;
 
 	cancel_call(e);
-	hio_timer_free(e->timer);
+	event_free(e->timer);
 	g_byte_array_unref(e->body);
 	g_free(e->id);
 	g_free(e->service);
@@ -645,10 +645,12 @@
 	e->poll_us = now_of(e->agent) + recheck_us(e->agent);
 }
 
-static void on_timeout(void *data)
+static void on_timeout(evutil_socket_t fd, short what, void *data)
 {
 	struct engine *e = data;
 
+	(void)fd;
+	(void)what;
 	if (e->call)
 		abort_call(e);
 }
@@ -671,7 +673,7 @@
 
 	e->status = 0;
 	e->call = hio_call_start(e->agent->edge->client, &options);
-	hio_timer_set(e->timer, timeout_us);
+	hio_set_timer(e->timer, timeout_us);
 }
 
 static void send_order(struct engine *e, const struct res_order *order,
@@ -985,8 +987,7 @@
 	e->address = g_strdup(msg->address);
 	e->incarnation = msg->incarnation;
 	e->body = g_byte_array_new();
-	e->timer =
-		hio_timer_new(ctx->edge->base, ctx->edge->clock, on_timeout, e);
+	e->timer = event_new(ctx->edge->base, -1, 0, on_timeout, e);
 	e->state = UNKNOWN;
 	e->poll_us = now_of(ctx);
 	e->accepted_us = INT64_MIN / 2;
--- a/src/edge/edge_detour.c
+++ b/src/edge/edge_detour.c
@@ -55,7 +55,7 @@
 	LIST_ENTRY(ask) link; /* edge_detour.asks */
 	struct edge_detour *owner;
 	struct hio_call *call; /* NULL: it has ended */
-	struct hio_timer *timer;
+	struct event *timer;
 	char *endpoint;
 	char *helper;
 	enum edge_detour_outcome outcome;
@@ -77,7 +77,7 @@
 	struct hio_exchange *exchange;
 	struct hio_call *call;	 /* NULL: it has ended */
 	struct hio_probe *probe; /* of a question; or NULL */
-	struct hio_timer *timer;
+	struct event *timer;
 	char *endpoint;
 	char *from;
 	char *request_id; /* NULL: none */
@@ -297,7 +297,7 @@
 	LIST_REMOVE(ask, link);
 	if (ask->call)
 		hio_call_cancel(ask->call);
-	hio_timer_free(ask->timer);
+	event_free(ask->timer);
 	g_free(ask->endpoint);
 	g_free(ask->helper);
 	g_free(ask);
@@ -352,10 +352,12 @@
 	finish_ask(ask);
 }
 
-static void on_ask_timer(void *data)
+static void on_ask_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct ask *ask = data;
 
+	(void)fd;
+	(void)what;
 	ask->outcome = DETOUR_NONE;
 	finish_ask(ask);
 }
@@ -383,9 +385,8 @@
 	ask->endpoint = g_strdup(action->endpoint->id);
 	ask->helper = g_strdup(action->helper->id);
 	ask->start_us = now_of(ctx);
-	ask->timer = hio_timer_new(ctx->edge->base, ctx->edge->clock,
-				   on_ask_timer, ask);
-	hio_timer_set(ask->timer, ASK_US);
+	ask->timer = event_new(ctx->edge->base, -1, 0, on_ask_timer, ask);
+	hio_set_timer(ask->timer, ASK_US);
 	LIST_INSERT_HEAD(&ctx->asks, ask, link);
 	ask->call = hio_call_start(ctx->edge->client, &options);
 	g_free(address);
@@ -510,7 +511,8 @@
 		hio_call_cancel(t->call);
 	if (t->probe)
 		hio_probe_cancel(t->probe);
-	hio_timer_free(t->timer);
+	if (t->timer)
+		event_free(t->timer);
 	hio_fields_clear(&t->fields);
 	g_free(t->endpoint);
 	g_free(t->from);
@@ -637,8 +639,10 @@
 	}
 }
 
-static void on_taken_timer(void *data)
+static void on_taken_timer(evutil_socket_t fd, short what, void *data)
 {
+	(void)fd;
+	(void)what;
 	end_taken(data, DETOUR_BROKEN, "timeout");
 }
 
@@ -801,8 +805,8 @@
 	t->endpoint = g_strdup(id);
 	t->from = g_strdup(from);
 	t->request_id = g_strdup(request_id);
-	t->timer = hio_timer_new(edge->base, edge->clock, on_taken_timer, t);
-	hio_timer_set(t->timer, CLAMP(number_field(fields, FIELD_TIMEOUT), 1,
+	t->timer = event_new(edge->base, -1, 0, on_taken_timer, t);
+	hio_set_timer(t->timer, CLAMP(number_field(fields, FIELD_TIMEOUT), 1,
 				      3600 * EDGE_S_US) +
 					OVERTIME_US);
 	LIST_INSERT_HEAD(&ctx->taken, t, link);
--- a/src/edge/edge_parts.c
+++ b/src/edge/edge_parts.c
@@ -56,7 +56,7 @@
 	bool asked;		      /* the command's result is awaited */
 	bool request;		      /* of a whole request, not a part */
 	/* After an attempt without an outcome; one of them is set. */
-	struct hio_timer *timer;
+	struct event *timer;
 	struct hio_probe *probe;
 	uint8_t digest[SUS_DIGEST_LEN];
 	char *id; /* names the run in the commands */
@@ -114,7 +114,8 @@
 		t->prompt->trial = NULL;
 	if (t->attempt)
 		t->attempt->trial = NULL;
-	hio_timer_free(t->timer);
+	if (t->timer)
+		event_free(t->timer);
 	hio_probe_cancel(t->probe);
 	g_free(t->id);
 	g_free(t->endpoint);
@@ -596,11 +597,13 @@
 	trial_free(t);
 }
 
-static void on_trial_timer(void *data)
+static void on_trial_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct edge_trial *t = data;
 
-	hio_timer_free(t->timer);
+	(void)fd;
+	(void)what;
+	event_free(t->timer);
 	t->timer = NULL;
 	t->probe = hio_probe_start(t->parts->edge->base, t->address,
 				   PROBE_TIMEOUT_US, on_trial_probed, t);
@@ -622,9 +625,8 @@
 	if (t->attempt)
 		t->attempt->trial = NULL;
 	t->attempt = NULL;
-	t->timer = hio_timer_new(t->parts->edge->base, t->parts->edge->clock,
-				 on_trial_timer, t);
-	hio_timer_set(t->timer, TRIAL_CHECK_US);
+	t->timer = event_new(t->parts->edge->base, -1, 0, on_trial_timer, t);
+	hio_set_timer(t->timer, TRIAL_CHECK_US);
 }
 
 /* ---- Crashes ---- */
--- a/src/edge/fwd.c
+++ b/src/edge/fwd.c
@@ -138,7 +138,7 @@
 	LIST_ENTRY(fwd) link; /* edge.forwards */
 	struct edge *edge;
 	struct hio_exchange *exchange;
-	struct hio_timer *timer;
+	struct event *timer;
 	struct wire_request request;
 	/* Copied from the route, which a later table may lack. */
 	char *route;
@@ -246,7 +246,7 @@
 
 static void set_timer_at(struct fwd *f, int64_t at_us)
 {
-	hio_timer_set(f->timer, MAX(at_us - now_of(f), 1));
+	hio_set_timer(f->timer, MAX(at_us - now_of(f), 1));
 }
 
 /* ---- End of a request ---- */
@@ -295,7 +295,7 @@
 	adm_remove(f->edge->queue, &f->item);
 	return_repeat(f);
 	f->edge->in_flight--;
-	hio_timer_free(f->timer);
+	event_free(f->timer);
 	release_trial_endpoint(f);
 	edge_parts_forget(&f->prompt);
 	edge_quota_end(f->edge->quota, &f->quota, f->runs > 0);
@@ -1766,11 +1766,13 @@
 	begin_reply(at);
 }
 
-static void on_timer(void *data)
+static void on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct fwd *f = data;
 	int64_t now_us = now_of(f);
 
+	(void)fd;
+	(void)what;
 	if (now_us + 1000 >= f->deadline_us) {
 		give_up(f, -1, "deadline");
 		return;
@@ -1891,7 +1893,7 @@
 
 	f->edge = ctx;
 	f->exchange = exchange;
-	f->timer = hio_timer_new(ctx->base, ctx->clock, on_timer, f);
+	f->timer = event_new(ctx->base, -1, 0, on_timer, f);
 	wire_read_request(&hio_exchange_request(exchange)->fields, &f->request);
 	edge_parts_read(ctx->parts, &f->prompt, &f->request,
 			hio_exchange_request(exchange));
--- a/src/http/hio.h
+++ b/src/http/hio.h
@@ -44,24 +44,6 @@
 GHashTable *hio_connection_names(const struct hio_fields *fields);
 bool hio_is_hop_by_hop_field(GHashTable *connection_names, const char *name);
 
-/* ---- Timers for limits of others (hio_timer.c) ---- */
-
-/* Expires once. If it does so late, input that has arrived is read first. */
-struct hio_timer;
-
-struct hio_timer *hio_timer_new(struct event_base *base,
-				const struct clk *clock,
-				void (*expired)(void *data), void *data);
-void hio_timer_free(struct hio_timer *ctx);
-
-/* Starts it with a delay in microseconds; 0 or less stops it. */
-void hio_timer_set(struct hio_timer *ctx, int64_t delay_us);
-
-/* Queries. */
-bool hio_timer_is_running(const struct hio_timer *ctx);
-/* Whether it should have expired, and input may wait that arrived before. */
-bool hio_timer_is_held_up(const struct hio_timer *ctx);
-
 /* ---- Server (hio_server.c) ---- */
 
 struct hio_server;
--- a/src/http/hio_client.c
+++ b/src/http/hio_client.c
@@ -30,7 +30,7 @@
 	struct pool *pool;
 	struct bufferevent *bev;
 	struct hio_peer peer;
-	struct hio_timer *timer;
+	struct event *timer;
 	enum conn_phase phase;
 	struct hio_call *call; /* CONNECTING, BUSY and FAILED */
 	http_parser parser;
@@ -105,7 +105,7 @@
 	evbuffer_remove_cb(bufferevent_get_output(conn->bev), on_output_changed,
 			   conn);
 	bufferevent_free(conn->bev);
-	hio_timer_free(conn->timer);
+	event_free(conn->timer);
 	hio_builder_clear(&conn->builder);
 	answer_clear(conn);
 	g_free(conn);
@@ -293,7 +293,7 @@
 		conn->idle_since_us = clk_now_us(conn->pool->client->clock);
 		TAILQ_INSERT_HEAD(&conn->pool->idle, conn, entry);
 		conn->pool->client->n_idle++;
-		hio_timer_set(conn->timer, conn->idle_limit_us);
+		hio_set_timer(conn->timer, conn->idle_limit_us);
 		limit_idle(conn->pool);
 	} else {
 		conn_free(conn);
@@ -402,7 +402,7 @@
 		hio_peer_begin(&conn->peer, conn->pool->client->peers,
 			       bufferevent_getfd(conn->bev), on_peer_changed);
 		conn->phase = BUSY;
-		hio_timer_set(conn->timer, 0);
+		hio_set_timer(conn->timer, 0);
 		return;
 	}
 	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
@@ -424,10 +424,12 @@
 	}
 }
 
-static void on_timer(void *data)
+static void on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct conn *conn = data;
 
+	(void)fd;
+	(void)what;
 	switch (conn->phase) {
 	case CONNECTING:
 	case FAILED:
@@ -449,18 +451,18 @@
 	conn->pool = pool;
 	conn->bev =
 		bufferevent_socket_new(ctx->base, -1, BEV_OPT_CLOSE_ON_FREE);
-	conn->timer = hio_timer_new(ctx->base, ctx->clock, on_timer, conn);
+	conn->timer = event_new(ctx->base, -1, 0, on_timer, conn);
 	conn->phase = CONNECTING;
 	bufferevent_setcb(conn->bev, on_readable, NULL, on_event, conn);
 	evbuffer_add_cb(bufferevent_get_output(conn->bev), on_output_changed,
 			conn);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
-	hio_timer_set(conn->timer, options->connect_timeout_us);
+	hio_set_timer(conn->timer, options->connect_timeout_us);
 	if (bufferevent_socket_connect(conn->bev,
 				       (struct sockaddr *)&pool->socket_address,
 				       sizeof(pool->socket_address)) < 0) {
 		conn->phase = FAILED;
-		hio_timer_set(conn->timer, 1);
+		hio_set_timer(conn->timer, 1);
 	}
 	ctx->counts.opened++;
 	return conn;
@@ -571,7 +573,7 @@
 	if (conn) {
 		conn->reused = true;
 		conn->phase = BUSY;
-		hio_timer_set(conn->timer, 0);
+		hio_set_timer(conn->timer, 0);
 		ctx->counts.reused++;
 	} else {
 		conn = conn_open(ctx, pool, options);
--- a/src/http/hio_server.c
+++ b/src/http/hio_server.c
@@ -81,7 +81,7 @@
 	struct hio_server *server;
 	struct bufferevent *bev;
 	struct hio_peer peer;
-	struct hio_timer *timer;
+	struct event *timer;
 	enum phase phase;
 	http_parser parser;
 	/* The request that is arriving. */
@@ -324,7 +324,7 @@
 	/* A client may read slowly, as long as it reads. */
 	if (info->n_deleted && has_output &&
 	    (conn->phase == IDLE || conn->phase == FLUSHING))
-		hio_timer_set(conn->timer, ctx->options.limits.idle_us);
+		hio_set_timer(conn->timer, ctx->options.limits.idle_us);
 	if (had_output && (info->n_deleted || !has_output))
 		TAILQ_REMOVE(&ctx->with_output, conn, output_link);
 	if (has_output && (info->n_deleted || !had_output))
@@ -375,7 +375,7 @@
 	hio_mem_leave(ctx->options.mem, &conn->client);
 	hio_peer_end(&conn->peer);
 	bufferevent_free(conn->bev);
-	hio_timer_free(conn->timer);
+	event_free(conn->timer);
 	g_string_free(conn->target, TRUE);
 	g_byte_array_unref(conn->body);
 	g_free(conn);
@@ -402,7 +402,7 @@
 	conn->client.waits = false;
 	note_progress(conn);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_BYTES);
-	hio_timer_set(conn->timer, conn->server->options.limits.idle_us);
+	hio_set_timer(conn->timer, conn->server->options.limits.idle_us);
 }
 
 /* Shuts the connection down for writing once all output is written. */
@@ -415,18 +415,18 @@
 	/* Fails if the client has reset the connection, which the event
 	 * callback reports. */
 	(void)shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
-	hio_timer_set(conn->timer, LINGER_US);
+	hio_set_timer(conn->timer, LINGER_US);
 }
 
 static void begin_flush(struct conn *conn)
 {
 	conn->phase = FLUSHING;
 	conn->client.waits = false;
-	hio_timer_set(conn->timer, conn->server->options.limits.idle_us);
+	hio_set_timer(conn->timer, conn->server->options.limits.idle_us);
 	if (!evbuffer_get_length(bufferevent_get_output(conn->bev)))
 		/* Deferred to the timer: this may run in a callback of the
 		 * application. */
-		hio_timer_set(conn->timer, 1);
+		hio_set_timer(conn->timer, 1);
 }
 
 static void refuse(struct conn *conn, int status, const char *reason)
@@ -562,7 +562,7 @@
 	/* The body gets the idle limit: it may take longer than a header. */
 	conn->body_progress = 0;
 	note_progress(conn);
-	hio_timer_set(conn->timer, limits->idle_us);
+	hio_set_timer(conn->timer, limits->idle_us);
 	return 0;
 }
 
@@ -598,7 +598,7 @@
 	if (conn->body_progress >= BODY_PROGRESS_BYTES) {
 		conn->body_progress = 0;
 		note_progress(conn);
-		hio_timer_set(conn->timer,
+		hio_set_timer(conn->timer,
 			      conn->server->options.limits.idle_us);
 	}
 	return 0;
@@ -651,7 +651,7 @@
 	conn->had_request = true;
 	conn->client.waits =
 		!evbuffer_get_length(bufferevent_get_output(conn->bev));
-	hio_timer_set(conn->timer, 0);
+	hio_set_timer(conn->timer, 0);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, PIPELINED_BYTES);
 	ctx->options.request(ctx->options.data, ex);
 }
@@ -667,7 +667,7 @@
 	if (conn->phase == IDLE) {
 		conn->phase = READING;
 		note_progress(conn);
-		hio_timer_set(conn->timer,
+		hio_set_timer(conn->timer,
 			      conn->server->options.limits.header_us);
 	}
 	hio_input_begin(&conn->input, data);
@@ -755,7 +755,7 @@
 	int64_t left_us = patience_us(conn);
 
 	if (left_us > 0) {
-		hio_timer_set(conn->timer, left_us);
+		hio_set_timer(conn->timer, left_us);
 		return;
 	}
 	if (has_unread_output(conn))
@@ -763,10 +763,12 @@
 	conn_free(conn);
 }
 
-static void on_timer(void *data)
+static void on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct conn *conn = data;
 
+	(void)fd;
+	(void)what;
 	switch (conn->phase) {
 	case READING:
 		refuse(conn, 408, "timeout");
@@ -883,7 +885,7 @@
 		update_client(conn);
 		/* The client has the whole answer, and is about to close. */
 		if (conn->phase == LINGERING && !peer->is_pending)
-			hio_timer_set(conn->timer, LINGER_US);
+			hio_set_timer(conn->timer, LINGER_US);
 		break;
 	case HIO_PEER_SLOW:
 		update_client(conn);
@@ -918,8 +920,7 @@
 	conn->client.stall_min_us = SEND_STALL_MIN_US;
 	conn->bev = bufferevent_socket_new(ctx->options.base, fd,
 					   BEV_OPT_CLOSE_ON_FREE);
-	conn->timer = hio_timer_new(ctx->options.base, ctx->options.clock,
-				    on_timer, conn);
+	conn->timer = event_new(ctx->options.base, -1, 0, on_timer, conn);
 	conn->target = g_string_new(NULL);
 	conn->body = g_byte_array_new();
 	http_parser_init(&conn->parser, HTTP_REQUEST);
