tests: a change does not wait for an entry that has fallen silent

The other side of LostViews.ChangeIsNotAcknowledgedWhileAnEntryAsksForIt: an entry that asked at the longest interval and stops is left out, within the 5 s that an operator is promised.

--- a/tests/integration/lost_views_test.cc
+++ b/tests/integration/lost_views_test.cc
@@ -14,11 +14,13 @@
 const char *const kTiming = "election_timeout_ms = 500\n"
 			    "heartbeat_ms = 50\n"
 			    "report_interval_ms = 200\n"
+			    "node_lease_ms = 20000\n"
 			    "isolated_after_ms = 20000\n";
 
 constexpr size_t kVoter = 0;
 constexpr size_t kEntry = 1;
 constexpr int kAttemptMs = 8000;
+constexpr int kAckLimitMs = 5000;
 
 } // namespace
 
@@ -40,3 +42,23 @@
 	EXPECT_EQ(system.put_document(kVoter, 2).status, 200);
 	EXPECT_EQ(system.number_in_force(kEntry), 2u);
 }
+
+/* Guards against a change that waits for an entry which has fallen silent, for
+ * as long as its lease. */
+TEST(LostViews, ChangeDoesNotWaitForAnEntryThatAsksNoMore)
+{
+	System system(2, 1, true, nullptr, kTiming);
+
+	system.start();
+	ASSERT_EQ(system.put_document(kVoter, 1).status, 200);
+	ASSERT_TRUE(cluster_wait_document(system.cluster, kEntry, "demo", 1,
+					  kTimeoutMs));
+	struct proxy *views = cluster_proxy(system.cluster, kVoter, kEntry);
+	proxy_drop(views, PROXY_TO_TARGET, true);
+	/* Its view is old by then, and it asks at the longest interval. */
+	usleep(6000000);
+	cluster_freeze(system.cluster, kEntry);
+	Reply reply = system.put_document(kVoter, 2, "", kAckLimitMs);
+	EXPECT_EQ(reply.status, 200);
+	cluster_thaw(system.cluster, kEntry);
+}
